--- /dev/null
+++ b/internal/messenger/messages.go
@@ -0,0 +1,150 @@
+// Package messenger carries typed messages between the system's own processes:
+// agents report to entries, entries answer with news and exchange what they know
+// with each other. The wire is JSON-RPC 2.0 over TCP, kept open both ways.
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// Kind tells what an agent stands before.
+type Kind string
+
+// The kinds of upstream.
+const (
+	KindEngine  Kind = "engine"
+	KindService Kind = "service"
+)
+
+// GateState is whether an agent lets new work through.
+type GateState string
+
+// The states of an agent's gate.
+const (
+	// GateClosed lets nothing new through.
+	GateClosed GateState = "closed"
+	// GateCold lets through what a cold upstream bears.
+	GateCold GateState = "cold"
+	// GateOpen lets through as many as the evidence supports.
+	GateOpen GateState = "open"
+)
+
+// AgentState is an agent's own account of itself, sent when it changes and at
+// least once per heartbeat. Only the agent's word is exact; by the time an entry
+// reads it, it is old.
+type AgentState struct {
+	// ID is the VM's name and outlives restarts; Incarnation is new with every
+	// start of the agent.
+	ID            string `json:"id"`
+	Incarnation   string `json:"incarnation"`
+	FailureDomain string `json:"failureDomain"`
+	Region        string `json:"region"`
+	Kind          Kind   `json:"kind"`
+	// Service is the plain service's name, for KindService.
+	Service string `json:"service,omitempty"`
+	// Address takes requests and serves chunks to other agents.
+	Address netip.AddrPort `json:"address"`
+	// Sequence rises with every report, so that a late one is dropped.
+	Sequence uint64 `json:"sequence"`
+
+	Gate GateState `json:"gate"`
+	// Limit is how many requests the gate lets run at once, Running how many do.
+	Limit   int  `json:"limit"`
+	Running int  `json:"running"`
+	Leaving bool `json:"leaving,omitempty"`
+
+	// Model, Version and Manifest are what the engine has proved to hold;
+	// EngineStart is the engine's start id at that moment.
+	Model       string   `json:"model,omitempty"`
+	Version     string   `json:"version,omitempty"`
+	Manifest    string   `json:"manifest,omitempty"`
+	Adapters    []string `json:"adapters,omitempty"`
+	EngineStart string   `json:"engineStart,omitempty"`
+
+	// Revision and Digest name the bundle in force in the agent.
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest,omitempty"`
+
+	// Holdings are the weights in the agent's memory, whole or in part.
+	Holdings []Holding `json:"holdings,omitempty"`
+}
+
+// Holding is what an agent has of one set of weights.
+type Holding struct {
+	Manifest string `json:"manifest"`
+	// Chunks is how many chunks the manifest lists; 0 while it is unknown.
+	Chunks int `json:"chunks"`
+	// Have is a bitmap of verified chunks, chunk i in bit i%8 of byte i/8.
+	Have []byte `json:"have,omitempty"`
+}
+
+// Word is how fresh a process's knowledge of the bundle is. A Word that passes
+// from process to process only ever ages.
+type Word struct {
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest,omitempty"`
+	// AgeMS is how long ago, in milliseconds, the store last confirmed Revision
+	// as the newest, as far as the sender knows; -1 when never. An age needs no
+	// agreement of clocks between VMs.
+	AgeMS int64 `json:"ageMs"`
+}
+
+// Age is AgeMS as a duration; negative when the store was never heard.
+func (w Word) Age() time.Duration { return time.Duration(w.AgeMS) * time.Millisecond }
+
+// EntryState is an entry's account of itself towards other entries and agents.
+type EntryState struct {
+	ID            string `json:"id"`
+	Incarnation   string `json:"incarnation"`
+	FailureDomain string `json:"failureDomain"`
+	Region        string `json:"region"`
+	// Callers is where callers connect, Peers where our own processes do.
+	Callers netip.AddrPort `json:"callers"`
+	Peers   netip.AddrPort `json:"peers"`
+	Leaving bool           `json:"leaving,omitempty"`
+	// StoreReachable is whether this entry itself heard the store lately.
+	StoreReachable bool `json:"storeReachable"`
+	Word           Word `json:"word"`
+}
+
+// Report is what an agent sends; News is the answer, and what an entry pushes
+// by itself when the bundle changes.
+type Report struct {
+	State AgentState `json:"state"`
+}
+
+// News brings an agent or an entry up to date.
+type News struct {
+	Word Word `json:"word"`
+	// Record is the bundle of Word.Revision, sent only to those who have less.
+	Record *bundler.Record `json:"record,omitempty"`
+	// Entries are those the sender believes alive, for agents to report to.
+	Entries []EntryState `json:"entries,omitempty"`
+	// Assignment is the model that this agent's engine should hold.
+	Assignment string `json:"assignment,omitempty"`
+	// Holders are other agents with chunks that the receiver wants.
+	Holders []Holder `json:"holders,omitempty"`
+	// Switch permits the agent to put its engine to the new version now.
+	Switch bool `json:"switch,omitempty"`
+}
+
+// Holder is an agent that has chunks of some weights.
+type Holder struct {
+	ID            string         `json:"id"`
+	FailureDomain string         `json:"failureDomain"`
+	Region        string         `json:"region"`
+	Address       netip.AddrPort `json:"address"`
+	Holding       Holding        `json:"holding"`
+}
+
+// Exchange is what entries send each other periodically; the answer is the
+// other's Exchange.
+type Exchange struct {
+	State  EntryState      `json:"state"`
+	Record *bundler.Record `json:"record,omitempty"`
+	// Agents are those that report to the sender directly, without holdings.
+	Agents []AgentState `json:"agents,omitempty"`
+}
