Add the transfer of weights, its planner, tracker and roller

Ruled out: each agent drawing for itself (N/4 windows); a full list of holders in each agent (grows with N).

Change: fetcher speaks the wire to sources and agents and checks digests; planner decides chunk by chunk (designated drawers by rendezvous hash, rarest first, jittered fallback); loader carries the orders out and serves chunks as soon as they are verified; tracker introduces agents to each other; roller grants soft permits for a rolling switch. go.sum gains the line for logr, which klog needs.

Nothing else is measured yet.

Conclusion: the signatures can be coded against; decisions are to be measured next.

--- /dev/null
+++ b/internal/fetcher/http.go
@@ -0,0 +1,178 @@
+package fetcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// DefaultTimeout is how long a source may send nothing before it counts as
+// stalled.
+const DefaultTimeout = 5 * time.Second
+
+// Source gives manifests and chunks by their digest. What it returns has been
+// checked against the digest. Its errors are *CorruptError, *UnavailableError
+// and *NotHeldError.
+type Source interface {
+	Manifest(ctx context.Context, digest string) ([]byte, error)
+	// Chunk fetches a chunk of the given size in bytes.
+	Chunk(ctx context.Context, digest string, size int64) ([]byte, error)
+}
+
+// HolderSource is a Source that also tells which chunks it has: an agent.
+type HolderSource interface {
+	Source
+	// Holding gives the bitmap of the chunks held of a manifest, chunk i in bit
+	// i%8 of byte i/8.
+	Holding(ctx context.Context, manifest string) ([]byte, error)
+}
+
+// HTTP is a weight store, an origin or an agent.
+type HTTP struct {
+	Address netip.AddrPort
+	// Timeout is how long the source may send nothing; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Client makes the calls; nil means http.DefaultClient.
+	Client *http.Client
+	// Clock measures Timeout; nil means the real one.
+	Clock clock.WithDelayedExecution
+}
+
+var _ HolderSource = (*HTTP)(nil)
+
+// Manifest fetches the body of a manifest.
+func (h *HTTP) Manifest(ctx context.Context, digest string) ([]byte, error) {
+	body, err := h.get(ctx, "/manifests/"+digest, digest, MaxManifestBytes)
+	if err != nil {
+		return nil, err
+	}
+	return h.verified(digest, body)
+}
+
+// Chunk fetches the bytes of a chunk.
+func (h *HTTP) Chunk(ctx context.Context, digest string, size int64) ([]byte, error) {
+	if size < 1 || size > MaxChunkBytes {
+		return nil, &ShapeError{Digest: digest, Problem: fmt.Sprintf("chunk of %d bytes", size)}
+	}
+	body, err := h.get(ctx, "/chunks/"+digest, digest, size)
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) != size {
+		return nil, &CorruptError{Source: h.Address.String(), Digest: digest, Got: fmt.Sprintf("%d bytes", len(body))}
+	}
+	return h.verified(digest, body)
+}
+
+// Holding fetches the bitmap of chunks that an agent holds of a manifest.
+func (h *HTTP) Holding(ctx context.Context, manifest string) ([]byte, error) {
+	return h.get(ctx, "/holdings/"+manifest, manifest, MaxChunks/8)
+}
+
+func (h *HTTP) verified(digest string, body []byte) ([]byte, error) {
+	if got := bundler.Digest(body); got != digest {
+		return nil, &CorruptError{Source: h.Address.String(), Digest: digest, Got: got}
+	}
+	return body, nil
+}
+
+// get reads at most limit bytes of a reply. A peer on a stalled link keeps its
+// connection open and sends nothing, for ever as far as TCP can tell; a chunk
+// would then never be asked of anyone else. So the call is cut once nothing has
+// arrived for Timeout.
+func (h *HTTP) get(ctx context.Context, path, digest string, limit int64) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := h.clock().AfterFunc(h.timeout(), cancel)
+	defer idle.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Address.String()+path, nil)
+	if err != nil {
+		return nil, h.unavailable(err)
+	}
+	res, err := h.client().Do(req)
+	if err != nil {
+		return nil, h.unavailable(err)
+	}
+	defer res.Body.Close()
+	if err := h.refused(res, digest); err != nil {
+		return nil, err
+	}
+	return h.read(res, digest, limit, func() { idle.Reset(h.timeout()) })
+}
+
+func (h *HTTP) read(res *http.Response, digest string, limit int64, alive func()) ([]byte, error) {
+	if res.ContentLength > limit {
+		return nil, h.oversize(digest, limit)
+	}
+	body := make([]byte, 0, max(res.ContentLength, 512)+1)
+	for {
+		if int64(len(body)) > limit {
+			return nil, h.oversize(digest, limit)
+		}
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := res.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, h.unavailable(err)
+		}
+		alive()
+	}
+}
+
+func (h *HTTP) oversize(digest string, limit int64) error {
+	return &CorruptError{Source: h.Address.String(), Digest: digest, Got: fmt.Sprintf("over %d bytes", limit)}
+}
+
+func (h *HTTP) refused(res *http.Response, digest string) error {
+	switch res.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return &NotHeldError{Source: h.Address.String(), Digest: digest}
+	}
+	seconds, _ := strconv.Atoi(res.Header.Get("Retry-After"))
+	return &UnavailableError{
+		Source:     h.Address.String(),
+		Status:     res.StatusCode,
+		RetryAfter: time.Duration(max(seconds, 0)) * time.Second,
+	}
+}
+
+func (h *HTTP) unavailable(err error) error {
+	return &UnavailableError{Source: h.Address.String(), Err: err}
+}
+
+func (h *HTTP) timeout() time.Duration {
+	if h.Timeout > 0 {
+		return h.Timeout
+	}
+	return DefaultTimeout
+}
+
+func (h *HTTP) client() *http.Client {
+	if h.Client != nil {
+		return h.Client
+	}
+	return http.DefaultClient
+}
+
+func (h *HTTP) clock() clock.WithDelayedExecution {
+	if h.Clock != nil {
+		return h.Clock
+	}
+	return clock.RealClock{}
+}
--- /dev/null
+++ b/internal/loader/loader_test.go
@@ -0,0 +1,176 @@
+package loader_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
+	"github.com/oriolecroft/oriolecroft/internal/loader"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// weights is a set of weights as a source publishes it.
+type weights struct {
+	digest   string
+	body     []byte
+	manifest fetcher.Manifest
+	bytes    []byte
+}
+
+// publish makes weights of n chunks of 1000 bytes, the last one shorter.
+func publish(version string, n int) weights {
+	r := rand.New(rand.NewPCG(uint64(n), uint64(len(version)+int(version[len(version)-1]))))
+	w := weights{bytes: make([]byte, n*1000-300)}
+	for i := range w.bytes {
+		w.bytes[i] = byte(r.Uint32())
+	}
+	w.manifest = fetcher.Manifest{Model: "rota", Version: version, Size: int64(len(w.bytes)), ChunkSize: 1000}
+	for i := range n {
+		w.manifest.Chunks = append(w.manifest.Chunks, bundler.Digest(w.chunk(i)))
+	}
+	w.body, _ = json.Marshal(w.manifest)
+	w.digest = bundler.Digest(w.body)
+	return w
+}
+
+func (w weights) chunk(i int) []byte {
+	return w.bytes[i*1000 : min(len(w.bytes), (i+1)*1000)]
+}
+
+// origin is a source in memory. Its faults are set per test.
+type origin struct {
+	mu     sync.Mutex
+	bodies map[string][]byte
+	asked  map[string]int
+	// fault, when set, may answer in the origin's place.
+	fault func(digest string, asked int) ([]byte, error)
+}
+
+func newOrigin(ws ...weights) *origin {
+	o := &origin{bodies: map[string][]byte{}, asked: map[string]int{}}
+	for _, w := range ws {
+		o.bodies[w.digest] = w.body
+		for i, c := range w.manifest.Chunks {
+			o.bodies[c] = w.chunk(i)
+		}
+	}
+	return o
+}
+
+func (o *origin) Manifest(ctx context.Context, digest string) ([]byte, error) {
+	return o.Chunk(ctx, digest, 0)
+}
+
+func (o *origin) Chunk(ctx context.Context, digest string, _ int64) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, &fetcher.UnavailableError{Source: "origin", Err: ctx.Err()}
+	}
+	o.asked[digest]++
+	if o.fault != nil {
+		if body, err := o.fault(digest, o.asked[digest]); body != nil || err != nil {
+			return body, err
+		}
+	}
+	body, ok := o.bodies[digest]
+	if !ok {
+		return nil, &fetcher.NotHeldError{Source: "origin", Digest: digest}
+	}
+	return bytes.Clone(body), nil
+}
+
+// agent is a loader behind a real listener.
+type agent struct {
+	*loader.Loader
+	server *httptest.Server
+}
+
+func start(t *testing.T, id string, sources ...fetcher.Source) *agent {
+	a := &agent{Loader: &loader.Loader{
+		ID: id, FailureDomain: "a", Region: "huon", Sources: sources, Memory: 1 << 20,
+		Peer:     func(at netip.AddrPort) fetcher.Source { return &fetcher.HTTP{Address: at} },
+		Patience: 200 * time.Millisecond, Settle: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Seed: 1,
+	}}
+	a.server = httptest.NewServer(a.Handler())
+	t.Cleanup(a.server.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = a.Serve(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return a
+}
+
+func (a *agent) holder(manifest string) messenger.Holder {
+	return messenger.Holder{
+		ID: a.ID, FailureDomain: a.FailureDomain, Region: a.Region,
+		Address: netip.MustParseAddrPort(a.server.Listener.Addr().String()),
+		Holding: messenger.Holding{Manifest: manifest},
+	}
+}
+
+// await waits until the weights are whole and returns their bytes.
+func (a *agent) await(t *testing.T, w weights) {
+	t.Helper()
+	end := time.After(20 * time.Second)
+	for {
+		changed := a.Changed()
+		if _, ok := a.Whole(w.digest); ok {
+			break
+		}
+		select {
+		case <-changed:
+		case <-end:
+			t.Fatalf("agent %s: weights never whole: %+v", a.ID, a.Progress())
+		}
+	}
+	r, err := a.Weights(w.digest)
+	must.NoError(t, err)
+	got, err := io.ReadAll(r)
+	must.NoError(t, err)
+	must.True(t, bytes.Equal(w.bytes, got))
+}
+
+func TestWeightsReachAllAgents(t *testing.T) {
+	w := publish("v1", 40)
+	o := newOrigin(w)
+	var agents []*agent
+	var holders []messenger.Holder
+	for i := range 6 {
+		a := start(t, fmt.Sprintf("vm-%d", i), o)
+		agents = append(agents, a)
+		holders = append(holders, a.holder(w.digest))
+	}
+	for _, a := range agents {
+		a.Want([]string{w.digest})
+		a.SetHolders(holders)
+	}
+	total := int64(0)
+	for _, a := range agents {
+		a.await(t, w)
+		total += a.Progress()[0].FromOrigin
+	}
+	must.Between(t, w.manifest.Size, total, w.manifest.Size*12/10)
+	res, err := http.Get(agents[0].server.URL + "/weights/" + w.digest)
+	must.NoError(t, err)
+	defer res.Body.Close()
+	got, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	must.Eq(t, w.bytes, got)
+}
--- /dev/null
+++ b/internal/planner/transfer.go
@@ -0,0 +1,295 @@
+package planner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Drawers is how many agents of a region share the work of drawing a manifest's
+// chunks from the origin or across a region link. A tracker puts these agents
+// into each list of holders, so that all agents agree on them while each knows
+// only a handful.
+const Drawers = 4
+
+// Peer is another agent that holds or wants the same manifest.
+type Peer struct {
+	ID, FailureDomain, Region string
+	// Have is what the peer has told to hold.
+	Have Bitmap
+}
+
+// Source is where an order sends the agent.
+type Source interface{ source() }
+
+// FromPeer names another agent by its ID.
+type FromPeer struct{ ID string }
+
+// FromOrigin stands for the weight store, and the origin after it.
+type FromOrigin struct{}
+
+func (FromPeer) source()   {}
+func (FromOrigin) source() {}
+
+// Order is one chunk to fetch.
+type Order struct {
+	Chunk  int
+	Source Source
+}
+
+// Cause is why a fetch failed.
+type Cause int
+
+// The causes of a failed fetch.
+const (
+	// Busy peers have no free upload slot.
+	Busy Cause = iota
+	// NotHeld peers don't have the chunk.
+	NotHeld
+	// Unavailable sources didn't answer or broke off.
+	Unavailable
+	// Corrupt sources sent other bytes.
+	Corrupt
+)
+
+// peer is a Peer and what this agent has met with it.
+type peer struct {
+	Peer
+	score    uint64
+	inFlight int
+	failures int
+	// busyUntil and avoidUntil are in the past for a peer in good standing.
+	busyUntil, avoidUntil time.Time
+}
+
+// flight is a fetch that runs.
+type flight struct {
+	Order
+	since time.Time
+}
+
+// drawer is an agent that may bring chunks into its region.
+type drawer struct {
+	id   string
+	seed uint64
+}
+
+// Transfer plans the fetching of one manifest by one agent. It is not safe for
+// concurrent use. Set the exported fields before Start.
+type Transfer struct {
+	ID, FailureDomain, Region string
+	Manifest                  string
+	Chunks                    int
+	// SourceRegion is where the weight store and the origin stand; empty when
+	// they are equally near to all.
+	SourceRegion string
+	// Slots bounds the fetches in flight, PeerSlots those from one peer,
+	// OriginSlots those from the origin.
+	Slots, PeerSlots, OriginSlots int
+	// Patience is how long an agent leaves a chunk to its designated drawer
+	// before it thinks of drawing it itself, and how long a fetch may run before
+	// another source is asked too.
+	Patience time.Duration
+	// BusyBackoff is how long a peer without a free slot is left alone.
+	BusyBackoff time.Duration
+	// AvoidFor is how long a peer that sent a corrupt chunk is avoided.
+	AvoidFor time.Duration
+	// DrawAfter is the time before which nothing is drawn from the origin: at
+	// first each agent knows no other and would think itself the only drawer.
+	DrawAfter time.Time
+	Rand      *rand.Rand
+
+	have, inFlight Bitmap
+	count, drawing int
+	flights        []flight
+	peers          []*peer
+	// holders counts, for each chunk, the peers of this region that have it.
+	holders []int
+	drawers map[string][]drawer
+	// regionSeeds divide the chunks among the regions when SourceRegion has no
+	// drawer.
+	regionSeeds map[string]uint64
+	// rank spreads the fallbacks of the agents that are no drawers.
+	rank     int
+	lastGain time.Time
+	origin   peer
+}
+
+// Score is an agent's rank among the drawers of a manifest: the highest Drawers
+// scores of a region draw. It is a rendezvous hash, so that a change of one agent
+// moves only that agent's chunks.
+func Score(manifest, id string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(manifest)
+	_, _ = d.WriteString("\n")
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
+
+// mix is the rendezvous hash of a chunk with a seed.
+func mix(seed uint64, chunk int) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], seed)
+	binary.LittleEndian.PutUint64(b[8:], uint64(chunk))
+	return xxhash.Sum64(b[:])
+}
+
+// Start notes the chunks that are already in memory.
+func (t *Transfer) Start(now time.Time, have Bitmap) {
+	t.have, t.inFlight = NewBitmap(t.Chunks), NewBitmap(t.Chunks)
+	copy(t.have, have)
+	t.count = t.have.Count()
+	t.lastGain = now
+	t.rank = Drawers + t.Rand.IntN(4*Drawers)
+	t.recount()
+	t.elect()
+}
+
+// Have is the set of chunks held. It must not be changed.
+func (t *Transfer) Have() Bitmap { return t.have }
+
+// Count is the number of chunks held.
+func (t *Transfer) Count() int { return t.count }
+
+// Whole tells whether all chunks are held.
+func (t *Transfer) Whole() bool { return t.count == t.Chunks }
+
+// InFlight is the number of fetches that run.
+func (t *Transfer) InFlight() int { return len(t.flights) }
+
+// Learn replaces the known peers. What was met with those that stay is kept.
+func (t *Transfer) Learn(peers []Peer) {
+	next := make([]*peer, 0, len(peers))
+	for _, p := range peers {
+		if p.ID == t.ID {
+			continue
+		}
+		q := t.peer(p.ID)
+		if q == nil {
+			q = &peer{Peer: p, score: Score(t.Manifest, p.ID)}
+		} else {
+			q.FailureDomain, q.Region = p.FailureDomain, p.Region
+			q.Have = union(q.Have, p.Have)
+		}
+		next = append(next, q)
+	}
+	t.peers = next
+	t.recount()
+	t.elect()
+}
+
+// Saw notes what a peer itself says that it holds.
+func (t *Transfer) Saw(id string, have Bitmap) {
+	p := t.peer(id)
+	if p == nil {
+		return
+	}
+	p.Have = have
+	t.recount()
+}
+
+// Silent notes a peer that didn't answer when asked what it holds.
+func (t *Transfer) Silent(id string, now time.Time) {
+	if p := t.peer(id); p != nil {
+		t.shun(p, now)
+	}
+}
+
+// Gain notes a chunk that came to memory by another way than an order, as when
+// two versions share it.
+func (t *Transfer) Gain(chunk int) {
+	if !t.have.Has(chunk) {
+		t.have.Set(chunk)
+		t.count++
+	}
+}
+
+// Peers lists the known peers that may be asked what they hold: those that this
+// agent may fetch from and that haven't failed lately.
+func (t *Transfer) Peers(now time.Time) []string {
+	var ids []string
+	for _, p := range t.peers {
+		if !now.Before(p.avoidUntil) && (p.Region == t.Region || t.draws()) {
+			ids = append(ids, p.ID)
+		}
+	}
+	return ids
+}
+
+// Overdue lists the fetches that have run for longer than limit.
+func (t *Transfer) Overdue(limit time.Duration, now time.Time) []Order {
+	var os []Order
+	for _, f := range t.flights {
+		if now.Sub(f.since) > limit {
+			os = append(os, f.Order)
+		}
+	}
+	return os
+}
+
+// Draws tells whether this agent is among the drawers of its region.
+func (t *Transfer) Draws() bool { return t.draws() }
+
+// recount counts the holders of each chunk anew.
+func (t *Transfer) recount() {
+	if t.holders == nil {
+		t.holders = make([]int, t.Chunks)
+	}
+	clear(t.holders)
+	for _, p := range t.peers {
+		if p.Region == t.Region {
+			count(t.holders, p.Have)
+		}
+	}
+}
+
+func count(holders []int, have Bitmap) {
+	for i := range holders {
+		if have.Has(i) {
+			holders[i]++
+		}
+	}
+}
+
+func union(a, b Bitmap) Bitmap {
+	if len(a) < len(b) {
+		a, b = b, a
+	}
+	u := slices.Clone(a)
+	for i, v := range b {
+		u[i] |= v
+	}
+	return u
+}
+
+func (t *Transfer) peer(id string) *peer {
+	for _, p := range t.peers {
+		if p.ID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// elect finds the drawers of each region among the known agents and this one.
+func (t *Transfer) elect() {
+	t.drawers = map[string][]drawer{t.Region: {{id: t.ID, seed: Score(t.Manifest, t.ID)}}}
+	for _, p := range t.peers {
+		t.drawers[p.Region] = append(t.drawers[p.Region], drawer{id: p.ID, seed: p.score})
+	}
+	t.regionSeeds = make(map[string]uint64, len(t.drawers))
+	for r, ds := range t.drawers {
+		slices.SortFunc(ds, func(a, b drawer) int { return cmp.Compare(b.seed, a.seed) })
+		t.drawers[r] = ds[:min(len(ds), Drawers)]
+		t.regionSeeds[r] = Score(t.Manifest, "region "+r)
+	}
+}
+
+// draws tells whether this agent is among the drawers of its region.
+func (t *Transfer) draws() bool {
+	return slices.ContainsFunc(t.drawers[t.Region], func(d drawer) bool { return d.id == t.ID })
+}
