--- a/internal/fetcher/http.go
+++ b/internal/fetcher/http.go
@@ -19,6 +19,9 @@
 // stalled.
 const DefaultTimeout = 5 * time.Second
 
+// RegionHeader carries the caller's region to an agent.
+const RegionHeader = "Region"
+
 // Source gives manifests and chunks by their digest. What it returns has been
 // checked against the digest. Its errors are *CorruptError, *UnavailableError
 // and *NotHeldError.
@@ -43,6 +46,9 @@
 	Timeout time.Duration
 	// Client makes the calls; nil means http.DefaultClient.
 	Client *http.Client
+	// Region is the caller's own, told to agents so that they keep upload slots
+	// free for fetches across a region link; empty for none.
+	Region string
 	// Clock measures Timeout; nil means the real one.
 	Clock clock.WithDelayedExecution
 }
@@ -98,6 +104,9 @@
 	if err != nil {
 		return nil, h.unavailable(err)
 	}
+	if h.Region != "" {
+		req.Header.Set(RegionHeader, h.Region)
+	}
 	res, err := h.client().Do(req)
 	if err != nil {
 		return nil, h.unavailable(err)
--- a/internal/loader/handler.go
+++ b/internal/loader/handler.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
 )
 
 const (
@@ -73,9 +75,10 @@
 		refuse(w, http.StatusNotFound, "chunk not held")
 		return
 	}
+	slots := l.slotsFor(r)
 	select {
-	case l.uploads <- struct{}{}:
-		defer func() { <-l.uploads }()
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
 	default:
 		refuse(w, http.StatusTooManyRequests, "no free upload slot")
 		return
@@ -85,6 +88,17 @@
 	l.send(r.Context(), w, data)
 }
 
+// slotsFor gives the upload slots that a request may take. The drawers of other
+// regions have slots of their own: the many agents of this region keep the others
+// taken nearly all the time, and a chunk that can't leave the region holds up a
+// whole region for as long.
+func (l *Loader) slotsFor(r *http.Request) chan struct{} {
+	if region := r.Header.Get(fetcher.RegionHeader); region != "" && region != l.Region {
+		return l.exports
+	}
+	return l.uploads
+}
+
 // send writes piece by piece, each after the cap allows it. A peer that stops
 // reading would hold its upload slot for ever, and a few of them all the slots;
 // each piece must therefore be taken within uploadStall.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -27,7 +27,7 @@
 	DefaultUploadSlots = 4
 	DefaultPatience    = 3 * time.Second
 	DefaultSettle      = time.Second
-	DefaultPoll        = 300 * time.Millisecond
+	DefaultPoll        = time.Second
 	DefaultNearly      = 0.9
 )
 
@@ -41,7 +41,8 @@
 	SourceRegion string
 	// Sources are asked in turn: the weight store first, the origin last.
 	Sources []fetcher.Source
-	// Peer makes the source of another agent's address.
+	// Peer makes the source of another agent's address; a *fetcher.HTTP should
+	// carry this agent's Region.
 	Peer func(netip.AddrPort) fetcher.Source
 	// Memory bounds the weights held, in bytes. Chunks on their way count as held.
 	// Bytes that a reader of Weights still uses when they are evicted come on top.
@@ -51,7 +52,8 @@
 	// Slots bounds the fetches in flight of each manifest.
 	Slots int
 	// Upload paces what is sent to other agents, in bytes; nil means unpaced.
-	// UploadSlots bounds the peers served at once.
+	// UploadSlots bounds the fetches of peers served at once, of this region and
+	// of others each.
 	Upload      *rate.Limiter
 	UploadSlots int
 	// Patience, Settle and Poll are the planner's patience, the wait before a
@@ -66,6 +68,7 @@
 
 	once    sync.Once
 	uploads chan struct{}
+	exports chan struct{}
 	wake    chan struct{}
 
 	mu      sync.Mutex
@@ -75,6 +78,7 @@
 	want    []string
 	keep    map[string]bool
 	holders []messenger.Holder
+	heard   time.Time
 	changed chan struct{}
 	cancels map[fetch]context.CancelFunc
 	asking  map[string]bool
@@ -136,6 +140,7 @@
 		l.Poll = orDefault(l.Poll, DefaultPoll)
 		l.Nearly = orDefault(l.Nearly, DefaultNearly)
 		l.uploads = make(chan struct{}, l.UploadSlots)
+		l.exports = make(chan struct{}, l.UploadSlots)
 		l.wake = make(chan struct{}, 1)
 		l.sets = map[string]*set{}
 		l.chunks = map[string]*chunk{}
@@ -245,9 +250,9 @@
 	l.setUp()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holders = slices.Clone(hs)
+	l.holders, l.heard = slices.Clone(hs), l.Clock.Now()
 	for _, s := range l.sets {
-		s.learn(l.holders)
+		s.learn(l.holders, l.heard)
 	}
 	l.nudge()
 }
--- a/internal/loader/memory.go
+++ b/internal/loader/memory.go
@@ -43,7 +43,7 @@
 	}
 	s.transfer = l.newTransfer(s, now)
 	s.transfer.Start(now, have)
-	s.learn(l.holders)
+	s.learn(l.holders, l.heard)
 	klog.V(1).InfoS("Weights admitted", "agent", l.ID, "manifest", s.digest, "bytes", s.manifest.Size, "usedBytes", l.used)
 	l.announce()
 	return true
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -60,7 +60,7 @@
 }
 
 // learn takes the holders of this set from the tracker's news.
-func (s *set) learn(hs []messenger.Holder) {
+func (s *set) learn(hs []messenger.Holder, heard time.Time) {
 	s.peers = s.peers[:0]
 	for _, h := range hs {
 		if h.Holding.Manifest == s.digest {
@@ -68,7 +68,7 @@
 		}
 	}
 	if s.transfer != nil {
-		s.transfer.Learn(plannerPeers(s.peers))
+		s.transfer.Learn(plannerPeers(s.peers), heard)
 	}
 }
 
@@ -333,7 +333,7 @@
 	return &planner.Transfer{
 		ID: l.ID, FailureDomain: l.FailureDomain, Region: l.Region,
 		Manifest: s.digest, Chunks: len(s.manifest.Chunks), SourceRegion: l.SourceRegion,
-		Slots: l.Slots, PeerSlots: max(1, l.Slots/2), OriginSlots: max(1, l.Slots/2),
+		Slots: l.Slots, PeerSlots: max(1, l.Slots/2), OriginSlots: max(1, l.Slots/2), AcrossSlots: max(1, l.Slots-1),
 		Patience: l.Patience, BusyBackoff: l.Poll / 4, AvoidFor: avoidFor,
 		DrawAfter: s.since.Add(l.Settle),
 		Rand:      rand.New(rand.NewPCG(seed, planner.Score(s.digest, l.ID)+l.seeds)),
--- a/internal/planner/bitmap.go
+++ b/internal/planner/bitmap.go
@@ -34,3 +34,11 @@
 	}
 	return n
 }
+
+// octet is byte i of the set, 0 beyond its end.
+func (b Bitmap) octet(i int) byte {
+	if i < len(b) {
+		return b[i]
+	}
+	return 0
+}
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -10,7 +11,7 @@
 	if t.Whole() || len(t.flights) >= t.Slots {
 		return Order{}, false
 	}
-	for _, choose := range []func(time.Time) (Order, bool){t.draw, t.relay, t.fallback, t.hedge} {
+	for _, choose := range []func(time.Time) (Order, bool){t.draw, t.bring, t.relay, t.fallback, t.hedge} {
 		if o, ok := choose(now); ok {
 			t.begin(o, now)
 			return o, true
@@ -20,23 +21,32 @@
 }
 
 func (t *Transfer) begin(o Order, now time.Time) {
-	t.flights = append(t.flights, flight{Order: o, since: now})
+	f := flight{Order: o, since: now}
 	t.inFlight.Set(o.Chunk)
 	switch s := o.Source.(type) {
 	case FromPeer:
 		if p := t.peer(s.ID); p != nil {
 			p.inFlight++
+			f.across = p.Region != t.Region
 		}
 	case FromOrigin:
 		t.drawing++
 	}
+	if f.across {
+		t.bringing++
+	}
+	t.flights = append(t.flights, f)
 }
 
-// end takes a fetch out of the flights; it tells whether it was among them.
-func (t *Transfer) end(o Order) bool {
+// end takes a fetch out of the flights and gives how long it ran.
+func (t *Transfer) end(o Order, now time.Time) time.Duration {
 	i := slices.IndexFunc(t.flights, func(f flight) bool { return f.Order == o })
 	if i < 0 {
-		return false
+		return 0
+	}
+	took := now.Sub(t.flights[i].since)
+	if t.flights[i].across {
+		t.bringing--
 	}
 	t.flights = slices.Delete(t.flights, i, i+1)
 	if !slices.ContainsFunc(t.flights, func(f flight) bool { return f.Chunk == o.Chunk }) {
@@ -50,13 +60,13 @@
 	case FromOrigin:
 		t.drawing--
 	}
-	return true
+	return took
 }
 
 // Done notes a verified chunk. It tells whether the chunk is new: two sources
 // may have been asked for it.
 func (t *Transfer) Done(o Order, now time.Time) bool {
-	t.end(o)
+	t.pace += (t.end(o, now) - t.pace) / 8
 	t.lastGain = now
 	t.met(o.Source).failures = 0
 	if t.have.Has(o.Chunk) {
@@ -69,14 +79,17 @@
 
 // Failed notes a fetch that gave nothing.
 func (t *Transfer) Failed(o Order, cause Cause, now time.Time) {
-	t.end(o)
+	t.end(o, now)
 	p := t.met(o.Source)
 	switch cause {
 	case Busy:
 		p.busyUntil = now.Add(t.jitter(t.BusyBackoff))
 	case NotHeld:
-		p.Have.Clear(o.Chunk)
-		t.recount()
+		if p.Have.Has(o.Chunk) {
+			p.Have = slices.Clone(p.Have)
+			p.Have.Clear(o.Chunk)
+			t.recount()
+		}
 		p.busyUntil = now.Add(t.jitter(t.BusyBackoff))
 	case Unavailable:
 		t.shun(p, now)
@@ -130,7 +143,7 @@
 
 // draw picks a chunk that this agent alone should ask the origin for.
 func (t *Transfer) draw(now time.Time) (Order, bool) {
-	if now.Before(t.DrawAfter) || t.drawing >= t.OriginSlots || !t.origin.usable(now) || !t.draws() {
+	if !t.settled(now) || t.drawing >= t.OriginSlots || !t.origin.usable(now) || !t.draws() {
 		return Order{}, false
 	}
 	mine := func(i int) bool {
@@ -140,6 +153,14 @@
 	return Order{Chunk: i, Source: FromOrigin{}}, ok
 }
 
+// settled tells whether this agent knows enough of the others to draw.
+func (t *Transfer) settled(now time.Time) bool {
+	if now.Before(t.DrawAfter) {
+		return false
+	}
+	return !t.learned.Before(t.DrawAfter) || now.Sub(t.DrawAfter) > t.Patience
+}
+
 // any picks a chunk by a random start, in order from there.
 func (t *Transfer) any(good func(int) bool) (int, bool) {
 	start := t.Rand.IntN(t.Chunks)
@@ -180,52 +201,116 @@
 	return best
 }
 
-// relay picks the rarest chunk that a peer can give, ties at random.
+// relay picks the rarest chunk that a peer of this region can give, ties at
+// random.
 func (t *Transfer) relay(now time.Time) (Order, bool) {
-	best, rarest, source := 0, int(^uint(0)>>1), (*peer)(nil)
-	start := t.Rand.IntN(t.Chunks)
-	for k := range t.Chunks {
-		i := (start + k) % t.Chunks
-		if !t.open(i) || t.holders[i] >= rarest {
-			continue
-		}
-		if p := t.giver(i, now, ""); p != nil {
-			best, rarest, source = i, t.holders[i], p
+	offered := t.offered(now, func(p *peer) bool { return p.Region == t.Region })
+	best, ties := 0, 0
+	for b, v := range offered {
+		for v &= ^t.have.octet(b) & ^t.inFlight.octet(b); v != 0; v &= v - 1 {
+			i := b*8 + bits.TrailingZeros8(v)
+			switch {
+			case i >= t.Chunks:
+				continue
+			case ties == 0 || t.holders[i] < t.holders[best]:
+				best, ties = i, 1
+			case t.holders[i] == t.holders[best]:
+				ties++
+				if t.Rand.IntN(ties) == 0 {
+					best = i
+				}
+			}
 		}
 	}
-	if source == nil {
+	if ties == 0 {
 		return Order{}, false
 	}
-	return Order{Chunk: best, Source: FromPeer{ID: source.ID}}, true
+	return t.ask(best, now, func(p *peer) bool { return p.Region == t.Region })
 }
 
-// giver picks the peer to ask for chunk i: one of this region, or, when this
-// agent is the one to bring the chunk into its region, of another. The least
-// asked is taken, ties at random. The peer named not is left out.
-func (t *Transfer) giver(i int, now time.Time, not string) *peer {
-	across := t.holders[i] == 0 && t.brings(i, now)
-	var best *peer
-	ties := 0
-	for _, p := range t.peers {
-		if !p.Have.Has(i) || !p.usable(now) || p.inFlight >= t.PeerSlots || p.ID == not {
-			continue
+// bring picks a chunk that this agent is to fetch from another region for all
+// agents of its own. The regions pass each chunk on in a chain that differs from
+// chunk to chunk: so the link of no region carries more than one copy either way,
+// while a star would send as many copies out of the first region as there are
+// others.
+func (t *Transfer) bring(now time.Time) (Order, bool) {
+	if !t.remote || t.bringing >= t.AcrossSlots || !t.draws() {
+		return Order{}, false
+	}
+	offered := t.offered(now, func(p *peer) bool { return p.Region != t.Region })
+	from := ""
+	i, ok := t.any(func(i int) bool {
+		if !offered.Has(i) || !t.open(i) || t.holders[i] > 0 || !t.brings(i, now) {
+			return false
 		}
-		if p.Region != t.Region && !across {
-			continue
+		from = t.before(i)
+		return t.stalled(now) || slices.ContainsFunc(t.peers, func(p *peer) bool {
+			return p.Region == from && p.Have.Has(i) && t.free(p, now)
+		})
+	})
+	if !ok {
+		return Order{}, false
+	}
+	return t.ask(i, now, func(p *peer) bool { return p.Region == from || t.stalled(now) && p.Region != t.Region })
+}
+
+// before is the region from which chunk i comes into this one.
+func (t *Transfer) before(i int) string {
+	home := t.home(i)
+	best, highest := home, uint64(0)
+	own := mix(t.regionSeeds[t.Region], i)
+	for r, seed := range t.regionSeeds {
+		// Of the regions ranked below this one the nearest comes before it.
+		if s := mix(seed, i); r != home && s < own && s > highest {
+			best, highest = r, s
 		}
-		if best == nil || p.inFlight < best.inFlight {
-			best, ties = p, 1
+	}
+	return best
+}
+
+// free tells whether a peer may be asked for one more chunk now.
+func (t *Transfer) free(p *peer, now time.Time) bool {
+	return p.usable(now) && p.inFlight < t.PeerSlots
+}
+
+// offered is the set of chunks that the free peers among those chosen have. It
+// is valid until the next call.
+func (t *Transfer) offered(now time.Time, chosen func(*peer) bool) Bitmap {
+	clear(t.scratch)
+	for _, p := range t.peers {
+		if !chosen(p) || !t.free(p, now) {
 			continue
 		}
-		if p.inFlight > best.inFlight {
+		for b := range min(len(p.Have), len(t.scratch)) {
+			t.scratch[b] |= p.Have[b]
+		}
+	}
+	return t.scratch
+}
+
+// ask orders chunk i from one of the chosen peers that have it: the least asked,
+// ties at random.
+func (t *Transfer) ask(i int, now time.Time, chosen func(*peer) bool) (Order, bool) {
+	var best *peer
+	ties := 0
+	for _, p := range t.peers {
+		if !chosen(p) || !p.Have.Has(i) || !t.free(p, now) {
 			continue
 		}
-		ties++
-		if t.Rand.IntN(ties) == 0 {
-			best = p
+		switch {
+		case best == nil || p.inFlight < best.inFlight:
+			best, ties = p, 1
+		case p.inFlight == best.inFlight:
+			ties++
+			if t.Rand.IntN(ties) == 0 {
+				best = p
+			}
 		}
 	}
-	return best
+	if best == nil {
+		return Order{}, false
+	}
+	return Order{Chunk: i, Source: FromPeer{ID: best.ID}}, true
 }
 
 // brings tells whether this agent is the one to bring chunk i into its region,
@@ -240,16 +325,24 @@
 // would be missing for ever in all agents. The wait grows with the rank, so that
 // the other drawers try before the many others do.
 func (t *Transfer) stalled(now time.Time) bool {
-	wait := t.Patience
+	wait := t.patience()
 	if !t.draws() {
 		wait *= time.Duration(2 + t.rank)
 	}
 	return now.Sub(t.lastGain) > wait
 }
 
+// patience is Patience, or longer where fetches take long as a rule: on a slow
+// link agents would otherwise think each other silent, and ask twice for what is
+// on its way.
+func (t *Transfer) patience() time.Duration { return max(t.Patience, paces*t.pace) }
+
+// paces is how many times the usual duration of a fetch counts as too long.
+const paces = 4
+
 // fallback draws a chunk from the origin out of turn, one at a time.
 func (t *Transfer) fallback(now time.Time) (Order, bool) {
-	if len(t.flights) > 0 || now.Before(t.DrawAfter) || !t.origin.usable(now) || !t.stalled(now) {
+	if len(t.flights) > 0 || !t.settled(now) || !t.origin.usable(now) || !t.stalled(now) {
 		return Order{}, false
 	}
 	i, ok := t.any(t.open)
@@ -261,15 +354,12 @@
 // would hold up the whole set of weights until the call times out.
 func (t *Transfer) hedge(now time.Time) (Order, bool) {
 	for _, f := range t.flights {
-		if now.Sub(f.since) <= t.Patience || t.tries(f.Chunk) > 1 {
+		if now.Sub(f.since) <= t.patience() || t.tries(f.Chunk) > 1 {
 			continue
 		}
-		not := ""
-		if s, ok := f.Source.(FromPeer); ok {
-			not = s.ID
-		}
-		if p := t.giver(f.Chunk, now, not); p != nil {
-			return Order{Chunk: f.Chunk, Source: FromPeer{ID: p.ID}}, true
+		other := func(p *peer) bool { return p.Region == t.Region && f.Source != FromPeer{ID: p.ID} }
+		if o, ok := t.ask(f.Chunk, now, other); ok {
+			return o, true
 		}
 	}
 	return Order{}, false
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -70,6 +71,8 @@
 type flight struct {
 	Order
 	since time.Time
+	// across tells that the peer is of another region.
+	across bool
 }
 
 // drawer is an agent that may bring chunks into its region.
@@ -88,8 +91,8 @@
 	// they are equally near to all.
 	SourceRegion string
 	// Slots bounds the fetches in flight, PeerSlots those from one peer,
-	// OriginSlots those from the origin.
-	Slots, PeerSlots, OriginSlots int
+	// OriginSlots those from the origin, AcrossSlots those from other regions.
+	Slots, PeerSlots, OriginSlots, AcrossSlots int
 	// Patience is how long an agent leaves a chunk to its designated drawer
 	// before it thinks of drawing it itself, and how long a fetch may run before
 	// another source is asked too.
@@ -100,13 +103,18 @@
 	AvoidFor time.Duration
 	// DrawAfter is the time before which nothing is drawn from the origin: at
 	// first each agent knows no other and would think itself the only drawer.
+	// News of others must have come after it, too, or be Patience late.
 	DrawAfter time.Time
 	Rand      *rand.Rand
 
 	have, inFlight Bitmap
-	count, drawing int
-	flights        []flight
-	peers          []*peer
+	// count is of chunks held; drawing and bringing are of fetches in flight from
+	// the origin and from other regions.
+	count, drawing, bringing int
+	// pace is the usual duration of a fetch, smoothed.
+	pace    time.Duration
+	flights []flight
+	peers   []*peer
 	// holders counts, for each chunk, the peers of this region that have it.
 	holders []int
 	drawers map[string][]drawer
@@ -114,8 +122,12 @@
 	// drawer.
 	regionSeeds map[string]uint64
 	// rank spreads the fallbacks of the agents that are no drawers.
-	rank     int
+	rank int
+	// remote tells whether agents of other regions are known.
+	remote   bool
+	scratch  Bitmap
 	lastGain time.Time
+	learned  time.Time
 	origin   peer
 }
 
@@ -141,6 +153,7 @@
 // Start notes the chunks that are already in memory.
 func (t *Transfer) Start(now time.Time, have Bitmap) {
 	t.have, t.inFlight = NewBitmap(t.Chunks), NewBitmap(t.Chunks)
+	t.scratch = NewBitmap(t.Chunks)
 	copy(t.have, have)
 	t.count = t.have.Count()
 	t.lastGain = now
@@ -162,7 +175,8 @@
 func (t *Transfer) InFlight() int { return len(t.flights) }
 
 // Learn replaces the known peers. What was met with those that stay is kept.
-func (t *Transfer) Learn(peers []Peer) {
+func (t *Transfer) Learn(peers []Peer, now time.Time) {
+	t.learned = now
 	next := make([]*peer, 0, len(peers))
 	for _, p := range peers {
 		if p.ID == t.ID {
@@ -188,8 +202,28 @@
 	if p == nil {
 		return
 	}
+	if p.Region == t.Region {
+		t.adjust(p.Have, have)
+	}
 	p.Have = have
-	t.recount()
+}
+
+// adjust counts the difference between what a peer held and what it holds.
+func (t *Transfer) adjust(before, after Bitmap) {
+	for b := range max(len(before), len(after)) {
+		old, now := before.octet(b), after.octet(b)
+		for diff := old ^ now; diff != 0; diff &= diff - 1 {
+			i := b*8 + bits.TrailingZeros8(diff)
+			if i >= t.Chunks {
+				break
+			}
+			if now&(1<<(i%8)) != 0 {
+				t.holders[i]++
+			} else {
+				t.holders[i]--
+			}
+		}
+	}
 }
 
 // Silent notes a peer that didn't answer when asked what it holds.
@@ -242,15 +276,7 @@
 	clear(t.holders)
 	for _, p := range t.peers {
 		if p.Region == t.Region {
-			count(t.holders, p.Have)
-		}
-	}
-}
-
-func count(holders []int, have Bitmap) {
-	for i := range holders {
-		if have.Has(i) {
-			holders[i]++
+			t.adjust(nil, p.Have)
 		}
 	}
 }
@@ -282,6 +308,7 @@
 		t.drawers[p.Region] = append(t.drawers[p.Region], drawer{id: p.ID, seed: p.score})
 	}
 	t.regionSeeds = make(map[string]uint64, len(t.drawers))
+	t.remote = len(t.drawers) > 1
 	for r, ds := range t.drawers {
 		slices.SortFunc(ds, func(a, b drawer) int { return cmp.Compare(b.seed, a.seed) })
 		t.drawers[r] = ds[:min(len(ds), Drawers)]
--- a/internal/tracker/picks.go
+++ b/internal/tracker/picks.go
@@ -11,14 +11,15 @@
 
 // picks gathers the agents to name in one answer.
 type picks struct {
-	asker, manifest string
-	fresh           func(*member) bool
-	members         []*member
+	asker   string
+	fresh   func(*member) bool
+	members []*member
 }
 
-func (p *picks) add(ms ...*member) {
+// add names more agents while there are fewer than limit.
+func (p *picks) add(limit int, ms ...*member) {
 	for _, m := range ms {
-		if len(p.members) < MaxHolders && m.agent.state.ID != p.asker && !slices.Contains(p.members, m) {
+		if len(p.members) < limit && m.agent.state.ID != p.asker && !slices.Contains(p.members, m) {
 			p.members = append(p.members, m)
 		}
 	}
@@ -63,7 +64,7 @@
 		return cmp.Or(cmp.Compare(b.useful, a.useful), compareBool(b.near, a.near))
 	})
 	for _, c := range cs {
-		p.add(c.member)
+		p.add(MaxHolders, c.member)
 	}
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,10 +20,10 @@
 // Defaults and bounds.
 const (
 	DefaultStale = 15 * time.Second
-	// MaxHolders bounds the list that one agent gets for one manifest.
+	// MaxHolders bounds the agents of its own region that one agent is named for
+	// one manifest; MaxRemote bounds those of other regions.
 	MaxHolders = 16
-	// remoteDrawers bounds the drawers of other regions in a list.
-	remoteDrawers = planner.Drawers
+	MaxRemote  = 4 * planner.Drawers
 	// sampled is how many agents are looked at for each one that is named.
 	sampled = 2
 )
@@ -33,9 +34,6 @@
 	Clock clock.PassiveClock
 	// Stale is the age from which an agent's last report counts for nothing.
 	Stale time.Duration
-	// SourceRegion is where the weight store and the origin stand; empty when
-	// equally near to all.
-	SourceRegion string
 	// Seed makes the samples repeatable; 0 takes a random seed.
 	Seed uint64
 
@@ -156,10 +154,10 @@
 }
 
 // Holders names, for each wanted manifest, a handful of agents to fetch from:
-// the drawers of the agent's region, the drawers of the region where the origin
-// stands when the agent is a drawer itself, and a sample of the agent's region in
-// which those with chunks that the agent lacks come first. The work doesn't grow
-// with the number of agents.
+// the drawers of the agent's region; a sample of that region in which those with
+// chunks that the agent lacks come first; and, when the agent is a drawer itself,
+// the drawers of the other regions. The work doesn't grow with the number of
+// agents.
 func (t *Tracker) Holders(from messenger.AgentState, want []string) []messenger.Holder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -173,46 +171,22 @@
 
 func (t *Tracker) holders(from messenger.AgentState, manifest string) []messenger.Holder {
 	now := t.Clock.Now()
+	p := &picks{asker: from.ID, fresh: func(m *member) bool { return now.Sub(m.agent.heard) <= t.Stale }}
 	regions := t.groups[manifest]
-	p := &picks{asker: from.ID, manifest: manifest, fresh: func(m *member) bool { return t.fresh(m, now) }}
-	g := regions[from.Region]
-	if g != nil {
-		p.add(g.top(p.fresh)...)
-	}
-	if g == nil || len(p.members) < planner.Drawers || p.ranks(planner.Score(manifest, from.ID)) {
-		t.addRemote(p, regions, from.Region)
-	}
-	if g != nil {
+	if g := regions[from.Region]; g != nil {
+		p.add(MaxHolders, g.top(p.fresh)...)
+		draws := p.ranks(planner.Score(manifest, from.ID))
 		p.sample(t.rand, g, held(from, manifest), from.FailureDomain)
-	}
-	return p.list()
-}
-
-// addRemote adds drawers of the other regions: those where the origin stands, or
-// some of each where that is unknown or nobody there wants the manifest.
-func (t *Tracker) addRemote(p *picks, regions map[string]*group, own string) {
-	if t.SourceRegion == own {
-		return
-	}
-	if g := regions[t.SourceRegion]; g != nil {
-		p.add(g.top(p.fresh)...)
-		return
-	}
-	names := make([]string, 0, len(regions))
-	for r := range regions {
-		if r != own {
-			names = append(names, r)
+		if !draws {
+			return p.list()
 		}
 	}
-	slices.Sort(names)
-	for _, r := range names {
-		top := regions[r].top(p.fresh)
-		p.add(top[:min(len(top), max(1, remoteDrawers/len(names)))]...)
+	for _, r := range slices.Sorted(maps.Keys(regions)) {
+		if r != from.Region {
+			p.add(MaxHolders+MaxRemote, regions[r].top(p.fresh)...)
+		}
 	}
-}
-
-func (t *Tracker) fresh(m *member, now time.Time) bool {
-	return now.Sub(m.agent.heard) <= t.Stale
+	return p.list()
 }
 
 func held(s messenger.AgentState, manifest string) planner.Bitmap {
