--- /dev/null
+++ b/internal/configurer/agent.go
@@ -0,0 +1,110 @@
+package configurer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// Agent are the settings of `oriolecroft agent`.
+type Agent struct {
+	ID             string        `envconfig:"ID"`
+	FailureDomain  string        `envconfig:"FAILURE_DOMAIN"`
+	Region         string        `envconfig:"REGION"`
+	Listen         string        `envconfig:"LISTEN"`
+	Operators      string        `envconfig:"OPERATORS"`
+	Entries        []string      `envconfig:"ENTRY_SEEDS"`
+	Engine         string        `envconfig:"ENGINE"`
+	Service        string        `envconfig:"SERVICE"`
+	ServiceAddress string        `envconfig:"SERVICE_ADDRESS"`
+	WeightStore    string        `envconfig:"WEIGHT_STORE"`
+	Origin         string        `envconfig:"ORIGIN"`
+	Memory         int64         `envconfig:"MEMORY" default:"1073741824"`
+	ColdLimit      int           `envconfig:"COLD_LIMIT" default:"1"`
+	Limit          int           `envconfig:"LIMIT" default:"8"`
+	FreshFor       time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
+	Heartbeat      time.Duration `envconfig:"HEARTBEAT" default:"300ms"`
+	ReportTo       int           `envconfig:"REPORT_TO" default:"4"`
+	Signers
+}
+
+// NewAgent reads the environment.
+func NewAgent() (*Agent, error) {
+	s := new(Agent)
+	return s, fromEnvironment(s)
+}
+
+// Bind adds the flags, whose defaults are what the environment said.
+func (s *Agent) Bind(sc *flaggy.Subcommand) {
+	sc.String(&s.ID, "", "id", "name of this VM, unique in the deployment [OC_ID]")
+	sc.String(&s.FailureDomain, "", "failureDomain", "failure domain of this VM [OC_FAILURE_DOMAIN]")
+	sc.String(&s.Region, "", "region", "region of this VM [OC_REGION]")
+	sc.String(&s.Listen, "", "listen", "address for requests from entries and chunks to agents [OC_LISTEN]")
+	sc.String(&s.Operators, "", "operators", "address for status, metrics and health [OC_OPERATORS]")
+	sc.StringSlice(&s.Entries, "", "entrySeeds", "peer addresses of some entries, with commas or repeated [OC_ENTRY_SEEDS]")
+	sc.String(&s.Engine, "", "engine", "address of this VM's model engine [OC_ENGINE]")
+	sc.String(&s.Service, "", "service", "name of this VM's plain service, in place of an engine [OC_SERVICE]")
+	sc.String(&s.ServiceAddress, "", "serviceAddress", "address of that service [OC_SERVICE_ADDRESS]")
+	sc.String(&s.WeightStore, "", "weightStore", "address of the weight store, asked before the origin [OC_WEIGHT_STORE]")
+	sc.String(&s.Origin, "", "origin", "address of the origin of weights, asked last [OC_ORIGIN]")
+	sc.Int64(&s.Memory, "", "memory", "bytes of memory for weights [OC_MEMORY]")
+	sc.Int(&s.ColdLimit, "", "coldLimit", "how many requests at once a cold upstream bears [OC_COLD_LIMIT]")
+	sc.Int(&s.Limit, "", "limit", "how many requests at once a warm upstream bears [OC_LIMIT]")
+	sc.Duration(&s.FreshFor, "", "freshFor", "how old the word on the bundle may be before new work is refused [OC_FRESH_FOR]")
+	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often entries are told of this agent [OC_HEARTBEAT]")
+	sc.Int(&s.ReportTo, "", "reportTo", "how many entries are told [OC_REPORT_TO]")
+	s.Signers.Bind(sc)
+}
+
+// AgentAddresses are an agent's checked addresses; those not set are invalid.
+type AgentAddresses struct {
+	Listen, Operators, Engine, Service, WeightStore, Origin netip.AddrPort
+	Entries                                                 []netip.AddrPort
+}
+
+// Check reports all faults as one *FaultsError.
+func (s *Agent) Check() (AgentAddresses, error) {
+	c := new(checker)
+	c.needed("id", s.ID, "vm-7")
+	c.needed("failureDomain", s.FailureDomain, "huon-a")
+	c.needed("region", s.Region, "huon")
+	a := AgentAddresses{
+		Listen:      c.address("listen", s.Listen),
+		Operators:   c.optionalAddress("operators", s.Operators),
+		Engine:      c.optionalAddress("engine", s.Engine),
+		Service:     c.optionalAddress("serviceAddress", s.ServiceAddress),
+		WeightStore: c.optionalAddress("weightStore", s.WeightStore),
+		Origin:      c.optionalAddress("origin", s.Origin),
+		Entries:     c.addresses("entrySeeds", s.Entries),
+	}
+	s.checkUpstream(c)
+	c.atLeast("entrySeeds", len(split(s.Entries)), 1)
+	c.atLeast("coldLimit", s.ColdLimit, 1)
+	c.atLeast("limit", s.Limit, s.ColdLimit)
+	c.atLeast("reportTo", s.ReportTo, 1)
+	c.positive("freshFor", s.FreshFor)
+	c.positive("heartbeat", s.Heartbeat)
+	if s.Memory <= 0 {
+		c.add("memory", "%d bytes must be above zero", s.Memory)
+	}
+	s.check(c)
+	return a, c.err()
+}
+
+// checkUpstream wants exactly one upstream, and for an engine a place to draw
+// weights from.
+func (s *Agent) checkUpstream(c *checker) {
+	switch {
+	case s.Engine != "" && s.Service != "":
+		c.add("engine", "give either an engine or a service, not both")
+	case s.Engine != "":
+		if s.WeightStore == "" && s.Origin == "" {
+			c.add("origin", "an engine's agent needs --origin or --weightStore")
+		}
+	case s.Service != "":
+		c.needed("serviceAddress", s.ServiceAddress, "127.0.0.1:9000")
+	default:
+		c.add("engine", "give --engine, or --service with --serviceAddress")
+	}
+}
--- /dev/null
+++ b/internal/configurer/entry.go
@@ -0,0 +1,87 @@
+package configurer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// Entry are the settings of `oriolecroft entry`.
+type Entry struct {
+	ID            string        `envconfig:"ID"`
+	FailureDomain string        `envconfig:"FAILURE_DOMAIN"`
+	Region        string        `envconfig:"REGION"`
+	Callers       string        `envconfig:"CALLERS"`
+	Peers         string        `envconfig:"PEERS"`
+	Operators     string        `envconfig:"OPERATORS"`
+	Store         string        `envconfig:"STORE"`
+	List          string        `envconfig:"LIST"`
+	Seeds         []string      `envconfig:"SEEDS"`
+	Entries       int           `envconfig:"ENTRIES" default:"9"`
+	KeepFor       time.Duration `envconfig:"KEEP_FOR" default:"2s"`
+	FreshFor      time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
+	Heartbeat     time.Duration `envconfig:"HEARTBEAT" default:"300ms"`
+	Deadline      time.Duration `envconfig:"DEADLINE" default:"60s"`
+	Concurrent    int           `envconfig:"CONCURRENT" default:"512"`
+	Signers
+}
+
+// NewEntry reads the environment.
+func NewEntry() (*Entry, error) {
+	s := new(Entry)
+	return s, fromEnvironment(s)
+}
+
+// Bind adds the flags, whose defaults are what the environment said.
+func (s *Entry) Bind(sc *flaggy.Subcommand) {
+	sc.String(&s.ID, "", "id", "name of this VM, unique in the deployment [OC_ID]")
+	sc.String(&s.FailureDomain, "", "failureDomain", "failure domain of this VM [OC_FAILURE_DOMAIN]")
+	sc.String(&s.Region, "", "region", "region of this VM [OC_REGION]")
+	sc.String(&s.Callers, "", "callers", "address on which callers connect [OC_CALLERS]")
+	sc.String(&s.Peers, "", "peers", "address on which agents and other entries connect [OC_PEERS]")
+	sc.String(&s.Operators, "", "operators", "address for status, metrics and health [OC_OPERATORS]")
+	sc.String(&s.Store, "", "store", "address of the platform's key-value service [OC_STORE]")
+	sc.String(&s.List, "", "list", "address of the platform's list of VMs [OC_LIST]")
+	sc.StringSlice(&s.Seeds, "", "seeds", "peer addresses of some other entries, with commas or repeated [OC_SEEDS]")
+	sc.Int(&s.Entries, "", "entries", "how many entries the deployment has [OC_ENTRIES]")
+	sc.Duration(&s.KeepFor, "", "keepFor", "how long callers may keep the list of entries [OC_KEEP_FOR]")
+	sc.Duration(&s.FreshFor, "", "freshFor", "how old the store's word on the bundle may be before new work is refused [OC_FRESH_FOR]")
+	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often entries exchange what they know [OC_HEARTBEAT]")
+	sc.Duration(&s.Deadline, "", "deadline", "longest time for one request [OC_DEADLINE]")
+	sc.Int(&s.Concurrent, "", "concurrent", "how many requests this entry carries at once [OC_CONCURRENT]")
+	s.Signers.Bind(sc)
+}
+
+// EntryAddresses are an entry's checked addresses.
+type EntryAddresses struct {
+	Callers, Peers, Operators, Store, List netip.AddrPort
+	Seeds                                  []netip.AddrPort
+}
+
+// Check reports all faults as one *FaultsError.
+func (s *Entry) Check() (EntryAddresses, error) {
+	c := new(checker)
+	c.needed("id", s.ID, "entry-1")
+	c.needed("failureDomain", s.FailureDomain, "huon-a")
+	c.needed("region", s.Region, "huon")
+	a := EntryAddresses{
+		Callers:   c.address("callers", s.Callers),
+		Peers:     c.address("peers", s.Peers),
+		Operators: c.address("operators", s.Operators),
+		Store:     c.address("store", s.Store),
+		List:      c.optionalAddress("list", s.List),
+		Seeds:     c.addresses("seeds", s.Seeds),
+	}
+	c.atLeast("entries", s.Entries, 1)
+	c.atLeast("concurrent", s.Concurrent, 1)
+	c.positive("keepFor", s.KeepFor)
+	c.positive("freshFor", s.FreshFor)
+	c.positive("heartbeat", s.Heartbeat)
+	c.positive("deadline", s.Deadline)
+	if s.Heartbeat > 0 && s.FreshFor < 3*s.Heartbeat {
+		c.add("freshFor", "%v must be at least three heartbeats of %v, or one lost message stops new work", s.FreshFor, s.Heartbeat)
+	}
+	s.check(c)
+	return a, c.err()
+}
--- /dev/null
+++ b/internal/forwarder/client.go
@@ -0,0 +1,191 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// dialTimeout is how long an agent may take to accept a connection. Regions are
+// milliseconds apart; one that takes longer is as good as gone.
+const dialTimeout = 500 * time.Millisecond
+
+// idleConnections bounds what an entry keeps open to one agent.
+const idleConnections = 16
+
+// Client sends orders to agents.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient makes a client with its own connections.
+func NewClient() *Client {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: t}}
+}
+
+// refusal is the body of an answer that is not a reply.
+type refusal struct {
+	Reason       string `json:"reason"`
+	RetryAfterMS int64  `json:"retryAfterMs"`
+	KeyClosed    bool   `json:"keyClosed,omitempty"`
+}
+
+// Generate starts or resumes a stream. Errors are *NotRunError, *UnknownError
+// and *CrossedError.
+func (c *Client) Generate(ctx context.Context, to netip.AddrPort, o GenerateOrder) (*Stream, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return nil, &NotRunError{Reason: err.Error()}
+	}
+	r, err := c.post(ctx, to, pathGenerate, nil, body)
+	if err != nil {
+		return nil, err
+	}
+	if err := answered(r, o.Attempt); err != nil {
+		r.Body.Close()
+		return nil, err
+	}
+	return &Stream{
+		body:        r.Body,
+		decoder:     json.NewDecoder(r.Body),
+		EngineStart: r.Header.Get(headerEngine),
+	}, nil
+}
+
+// Call makes one call to a plain service. Errors as with Generate.
+func (c *Client) Call(ctx context.Context, to netip.AddrPort, o CallOrder, body []byte) (*Reply, error) {
+	order, err := json.Marshal(o)
+	if err != nil {
+		return nil, &NotRunError{Reason: err.Error()}
+	}
+	r, err := c.post(ctx, to, pathCall, order, body)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	if err := answered(r, o.Attempt); err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, MaxBody+1))
+	if err != nil {
+		return nil, &UnknownError{Reason: "reply was cut: " + err.Error()}
+	}
+	return &Reply{
+		Status:   r.StatusCode,
+		Header:   serviceHeader(r.Header),
+		Body:     data,
+		Replayed: r.Header.Get(headerReplayed) != "",
+	}, nil
+}
+
+// Lookup asks what became of a key; it never starts anything.
+func (c *Client) Lookup(ctx context.Context, to netip.AddrPort, key string) (Fate, error) {
+	r, err := c.post(ctx, to, pathLookup, nil, []byte(key))
+	if err != nil {
+		return FateUnknown, err
+	}
+	defer r.Body.Close()
+	var answer struct {
+		Fate Fate `json:"fate"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&answer); err != nil {
+		return FateUnknown, &UnknownError{Reason: err.Error()}
+	}
+	return answer.Fate, nil
+}
+
+// post sends a request whose body can not be read again, so that the HTTP
+// library never sends it a second time by itself.
+func (c *Client) post(ctx context.Context, to netip.AddrPort, path string, order, body []byte) (*http.Response, error) {
+	url := "http://" + to.String() + path
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, &NotRunError{Reason: err.Error()}
+	}
+	r.ContentLength = int64(len(body))
+	if order != nil {
+		r.Header.Set(headerOrder, string(order))
+	}
+	res, err := c.http.Do(r)
+	if err != nil {
+		return nil, sendError(err)
+	}
+	return res, nil
+}
+
+// sendError tells a dial that failed, after which nothing was sent, from
+// anything later, after which the request may have run.
+func sendError(err error) error {
+	var o *net.OpError
+	if errors.As(err, &o) && o.Op == "dial" {
+		return &NotRunError{Reason: "agent can not be reached: " + err.Error(), Gone: true}
+	}
+	return &UnknownError{Reason: err.Error()}
+}
+
+// answered checks that the answer is to this attempt and says that it ran.
+func answered(r *http.Response, a Attempt) error {
+	got := r.Header.Get(headerRequest) + "/" + r.Header.Get(headerAttempt)
+	if got != a.RequestID+"/"+strconv.Itoa(a.Number) {
+		return &CrossedError{Want: a, Got: got}
+	}
+	if r.Header.Get(headerOutcome) == outcomeRan {
+		return nil
+	}
+	var f refusal
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		return &UnknownError{Reason: "refusal can not be read: " + err.Error()}
+	}
+	if r.Header.Get(headerOutcome) != outcomeNotRun {
+		return &UnknownError{Reason: f.Reason}
+	}
+	return &NotRunError{
+		Reason:     f.Reason,
+		RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond,
+		KeyClosed:  f.KeyClosed,
+	}
+}
+
+// Stream is a reply under way.
+type Stream struct {
+	// EngineStart is the engine's start id, to which a resume is bound.
+	EngineStart string
+
+	body    io.ReadCloser
+	decoder *json.Decoder
+}
+
+// CutError reports a stream that ended without its end mark.
+type CutError struct {
+	Err error
+}
+
+func (e *CutError) Error() string { return "stream was cut: " + e.Err.Error() }
+
+func (e *CutError) Unwrap() error { return e.Err }
+
+// Next gives the next event; a stream that ends before an event with Done or
+// Failure gives a *CutError.
+func (s *Stream) Next() (Event, error) {
+	var e Event
+	if err := s.decoder.Decode(&e); err != nil {
+		return Event{}, &CutError{Err: err}
+	}
+	return e, nil
+}
+
+// Close gives the stream up.
+func (s *Stream) Close() { s.body.Close() }
--- /dev/null
+++ b/internal/forwarder/server.go
@@ -0,0 +1,178 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const headerReplayed = "Oriolecroft-Replayed"
+
+// maxGenerateOrder is the largest order with its prompt, in bytes.
+const maxGenerateOrder = 4 << 20
+
+// Runner is what an agent does with orders.
+type Runner interface {
+	// Generate runs or resumes a stream: it calls start once, when the engine
+	// has taken the request, and emit for each event. An error before start is
+	// *NotRunError or *UnknownError; afterwards the stream ends with a Failure.
+	Generate(ctx context.Context, o GenerateOrder, start func(engineStart string), emit func(Event) error) error
+	// Call runs one call; errors are *NotRunError and *UnknownError.
+	Call(ctx context.Context, o CallOrder, body []byte) (*Reply, error)
+	// Lookup tells what became of a key.
+	Lookup(key string) Fate
+}
+
+// Handler serves a runner.
+func Handler(r Runner) http.Handler {
+	m := http.NewServeMux()
+	h := &handler{runner: r}
+	m.HandleFunc("POST "+pathGenerate, h.generate)
+	m.HandleFunc("POST "+pathCall, h.call)
+	m.HandleFunc("POST "+pathLookup, h.lookup)
+	return m
+}
+
+type handler struct {
+	runner Runner
+}
+
+func (h *handler) generate(w http.ResponseWriter, r *http.Request) {
+	var o GenerateOrder
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxGenerateOrder)).Decode(&o); err != nil {
+		fail(w, Attempt{}, &NotRunError{Reason: "order can not be read: " + err.Error()})
+		return
+	}
+	ctx, cancel := withDeadline(r.Context(), o.DeadlineMS)
+	defer cancel()
+	out := &eventWriter{writer: w, control: http.NewResponseController(w), attempt: o.Attempt}
+	err := h.runner.Generate(ctx, o, out.start, out.emit)
+	if err == nil {
+		return
+	}
+	if !out.started {
+		fail(w, o.Attempt, err)
+		return
+	}
+	// The stream has begun, so the error goes into it; if that fails too, the
+	// missing end mark tells the entry.
+	_ = out.emit(Event{Failure: &Failure{Message: err.Error()}})
+}
+
+// eventWriter writes events as JSON, one at a time, as they come.
+type eventWriter struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	attempt Attempt
+	started bool
+}
+
+func (e *eventWriter) start(engineStart string) {
+	e.started = true
+	echo(e.writer, e.attempt, outcomeRan)
+	e.writer.Header().Set(headerEngine, engineStart)
+	e.writer.WriteHeader(http.StatusOK)
+}
+
+func (e *eventWriter) emit(v Event) error {
+	if err := json.NewEncoder(e.writer).Encode(v); err != nil {
+		return err
+	}
+	return e.control.Flush()
+}
+
+func (h *handler) call(w http.ResponseWriter, r *http.Request) {
+	var o CallOrder
+	if err := json.Unmarshal([]byte(r.Header.Get(headerOrder)), &o); err != nil {
+		fail(w, Attempt{}, &NotRunError{Reason: "order can not be read: " + err.Error()})
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		fail(w, o.Attempt, &NotRunError{Reason: "body can not be read: " + err.Error()})
+		return
+	}
+	ctx, cancel := withDeadline(r.Context(), o.DeadlineMS)
+	defer cancel()
+	reply, err := h.runner.Call(ctx, o, body)
+	if err != nil {
+		fail(w, o.Attempt, err)
+		return
+	}
+	write(w, o.Attempt, reply)
+}
+
+func (h *handler) lookup(w http.ResponseWriter, r *http.Request) {
+	key, err := io.ReadAll(io.LimitReader(r.Body, MaxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer := struct {
+		Fate Fate `json:"fate"`
+	}{h.runner.Lookup(string(key))}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func withDeadline(ctx context.Context, ms int64) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+}
+
+func echo(w http.ResponseWriter, a Attempt, outcome string) {
+	w.Header().Set(headerRequest, a.RequestID)
+	w.Header().Set(headerAttempt, strconv.Itoa(a.Number))
+	w.Header().Set(headerOutcome, outcome)
+}
+
+// fail answers with what is known of the outcome: only a *NotRunError claims
+// that the request never reached the upstream.
+func fail(w http.ResponseWriter, a Attempt, err error) {
+	var n *NotRunError
+	if errors.As(err, &n) {
+		echo(w, a, outcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		body := refusal{Reason: n.Reason, RetryAfterMS: n.RetryAfter.Milliseconds(), KeyClosed: n.KeyClosed}
+		_ = json.NewEncoder(w).Encode(body)
+		return
+	}
+	echo(w, a, outcomeUnknown)
+	w.WriteHeader(http.StatusBadGateway)
+	_ = json.NewEncoder(w).Encode(refusal{Reason: err.Error()})
+}
+
+func write(w http.ResponseWriter, a Attempt, r *Reply) {
+	for name, values := range serviceHeader(r.Header) {
+		w.Header()[name] = values
+	}
+	echo(w, a, outcomeRan)
+	if r.Replayed {
+		w.Header().Set(headerReplayed, "true")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body)
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Content-Length", "Date", "Keep-Alive", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// serviceHeader keeps what the plain service itself said.
+func serviceHeader(h http.Header) http.Header {
+	kept := http.Header{}
+	for name, values := range h {
+		if slices.Contains(hopHeaders, name) || strings.HasPrefix(name, "Oriolecroft-") {
+			continue
+		}
+		kept[name] = values
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/messenger/conn.go
@@ -0,0 +1,254 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Methods of the protocol between our own processes.
+const (
+	methodReport   = "report"
+	methodExchange = "exchange"
+	methodNews     = "news"
+)
+
+// writeTimeout bounds one write to a peer. A frozen peer (SIGSTOP, a stalled
+// link) fills the socket and would otherwise block the writer for good; the
+// connection is given up instead and made anew.
+const writeTimeout = 3 * time.Second
+
+// boundedConn sets a deadline before each write.
+type boundedConn struct {
+	net.Conn
+}
+
+func (c boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// UnreachableError reports that a peer could not be asked or did not answer.
+type UnreachableError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+func (e *UnreachableError) Error() string {
+	return "no answer from " + e.Address.String() + ": " + e.Err.Error()
+}
+
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// Client keeps one connection to an entry's peer address and makes it anew when
+// it breaks.
+type Client struct {
+	Address netip.AddrPort
+	// Timeout bounds one call, connecting included.
+	Timeout time.Duration
+	// OnNews takes what the entry pushes by itself; nil drops it.
+	OnNews func(News)
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// Report tells the entry an agent's state and brings back what is new.
+func (c *Client) Report(ctx context.Context, r Report) (News, error) {
+	var n News
+	err := c.call(ctx, methodReport, r, &n)
+	return n, err
+}
+
+// Exchange swaps what two entries know.
+func (c *Client) Exchange(ctx context.Context, x Exchange) (Exchange, error) {
+	var answer Exchange
+	err := c.call(ctx, methodExchange, x, &answer)
+	return answer, err
+}
+
+// Close gives up the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *Client) call(ctx context.Context, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return &UnreachableError{Address: c.Address, Err: err}
+	}
+	if err := conn.Call(ctx, method, params, result); err != nil {
+		c.drop(conn)
+		return &UnreachableError{Address: c.Address, Err: err}
+	}
+	return nil
+}
+
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	stream := jsonrpc2.NewPlainObjectStream(boundedConn{raw})
+	c.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(c.handle), quiet)
+	return c.conn, nil
+}
+
+// drop forgets a connection that failed, unless another call has replaced it.
+func (c *Client) drop(conn *jsonrpc2.Conn) {
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+}
+
+func (c *Client) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	if r.Method != methodNews || r.Params == nil || c.OnNews == nil {
+		return nil, nil
+	}
+	var n News
+	if err := decode(r, &n); err != nil {
+		return nil, err
+	}
+	c.OnNews(n)
+	return nil, nil
+}
+
+// Server answers agents and other entries.
+type Server struct {
+	Listener net.Listener
+	// OnReport answers an agent; the link stays usable for pushes until the
+	// agent's connection ends.
+	OnReport func(Report, *Link) News
+	// OnExchange answers another entry.
+	OnExchange func(Exchange) Exchange
+}
+
+// Serve accepts connections until the context ends.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { s.Listener.Close() })
+	defer stop()
+	for {
+		raw, err := s.Listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+		s.accept(ctx, raw)
+	}
+}
+
+func (s *Server) accept(ctx context.Context, raw net.Conn) {
+	l := &Link{latest: make(chan News, 1)}
+	h := func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		return s.handle(r, l)
+	}
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(boundedConn{raw}), jsonrpc2.HandlerWithError(h), quiet)
+	go l.run(ctx, conn)
+}
+
+func (s *Server) handle(r *jsonrpc2.Request, l *Link) (any, error) {
+	switch r.Method {
+	case methodReport:
+		var report Report
+		if err := decode(r, &report); err != nil {
+			return nil, err
+		}
+		return s.OnReport(report, l), nil
+	case methodExchange:
+		var x Exchange
+		if err := decode(r, &x); err != nil {
+			return nil, err
+		}
+		return s.OnExchange(x), nil
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}
+}
+
+// Link is the way back to a connected agent.
+type Link struct {
+	latest chan News
+}
+
+// Push sends news without waiting. Of several unsent ones only the last goes
+// out: each is complete, and a slow agent must not hold up the others.
+func (l *Link) Push(n News) {
+	for {
+		select {
+		case l.latest <- n:
+			return
+		default:
+		}
+		select {
+		case <-l.latest:
+		default:
+		}
+	}
+}
+
+func (l *Link) run(ctx context.Context, conn *jsonrpc2.Conn) {
+	defer conn.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-conn.DisconnectNotify():
+			return
+		case n := <-l.latest:
+			if err := conn.Notify(ctx, methodNews, n); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// decode unpacks a request's parameters.
+func decode(r *jsonrpc2.Request, v any) error {
+	if r.Params == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	if err := json.Unmarshal(*r.Params, v); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
+// silent keeps the library from logging broken connections, which are ordinary
+// here and are reported by the calls that fail.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+var quiet = jsonrpc2.SetLogger(silent{})
+
+// IsUnreachable tells whether an error means that the peer gave no answer.
+func IsUnreachable(err error) bool {
+	var u *UnreachableError
+	return errors.As(err, &u)
+}
