--- /dev/null
+++ b/internal/dispatcher/call.go
@@ -0,0 +1,264 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/router"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// Call serves a request to a plain service; a *FailureError is the final answer.
+func (d *Dispatcher) Call(ctx context.Context, r CallRequest) (*forwarder.Reply, error) {
+	c := &call{
+		dispatcher: d,
+		request:    r,
+		id:         requestID(r.RequestID),
+		deadline:   d.Clock.Now().Add(d.deadline(r.Deadline)),
+		doubtful:   r.Key != "" && !r.First,
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.deadline(r.Deadline))
+	defer cancel()
+	reply, err := c.run(ctx)
+	if err == nil {
+		return reply, nil
+	}
+	f := c.final(err)
+	logFailure(c.id, c.attempts, f)
+	return nil, f
+}
+
+// call is one request to a plain service under way.
+type call struct {
+	dispatcher *Dispatcher
+	request    CallRequest
+	id         string
+	revision   uint64
+	deadline   time.Time
+	service    bundler.Service
+
+	attempts int
+	refusals []string
+	// bound is the key that this call runs under, when the caller brought one.
+	bound *deduplicator.Key
+	// doubtful is set while an attempt may have run of which this entry knows
+	// nothing: the caller brought a key that it may have used before, perhaps
+	// through another entry. Saying "not run" then would invite a second
+	// booking; only the key's owner can say it.
+	doubtful bool
+}
+
+func (c *call) run(ctx context.Context) (*forwarder.Reply, error) {
+	if err := c.prepare(ctx); err != nil {
+		return nil, err
+	}
+	t, err := c.dispatcher.limit(c.request.Workspace, 0, c.request.Priority)
+	if err != nil {
+		return nil, err
+	}
+	defer t.Done()
+	for {
+		c.attempts++
+		reply, err := c.attempt(ctx)
+		if err == nil {
+			c.dispatcher.Budget.Success()
+			return reply, nil
+		}
+		if err := c.giveUp(ctx, err); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// prepare checks the request and finds the key it runs under.
+func (c *call) prepare(ctx context.Context) error {
+	if err := c.request.Validate(); err != nil {
+		return refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	b, err := c.dispatcher.bundle()
+	if err != nil {
+		return err
+	}
+	c.revision = b.Revision
+	s, ok := b.Service(c.request.Service)
+	if !ok {
+		return refuse(http.StatusNotFound, "no service "+c.request.Service, 0)
+	}
+	c.service = s
+	if c.request.Key == "" || s.Idempotent {
+		return nil
+	}
+	return c.bind(ctx)
+}
+
+// bind turns the caller's key into a bound one.
+func (c *call) bind(ctx context.Context) error {
+	if !deduplicator.IsBound(c.request.Key) {
+		return c.claim(ctx)
+	}
+	k, err := deduplicator.ParseKey(c.request.Key)
+	if err != nil {
+		return refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	if k.Workspace != c.request.Workspace || k.Service != c.request.Service {
+		return refuse(http.StatusBadRequest, "key: was made for another workspace or service", 0)
+	}
+	c.bound = &k
+	return nil
+}
+
+// claim binds a key of the caller's own making by way of the store, so that all
+// entries send it to the same agent. The one that makes the claim knows that no
+// earlier attempt can have run.
+func (c *call) claim(ctx context.Context) error {
+	fresh, err := c.dispatcher.mint(c.request.Workspace, c.request.Service)
+	if err != nil {
+		return err
+	}
+	mint := func() deduplicator.Key { return fresh }
+	k, first, err := c.dispatcher.Claims.Claim(ctx, c.request.Workspace, c.request.Service, c.request.Key, mint)
+	if err != nil {
+		return refuse(http.StatusServiceUnavailable, "the key can not be claimed: "+err.Error(), pause())
+	}
+	if first {
+		c.doubtful = false
+	}
+	c.bound = &k
+	return nil
+}
+
+func (c *call) attempt(ctx context.Context) (*forwarder.Reply, error) {
+	d := c.dispatcher
+	r := router.Request{
+		Workspace: c.request.Workspace,
+		Service:   c.request.Service,
+		Priority:  c.request.Priority,
+		Avoid:     c.refusals,
+	}
+	if c.bound != nil {
+		r.Owner, r.Avoid = c.bound.Owner, nil
+	}
+	choice, err := d.Router.Pick(r)
+	if err != nil {
+		return nil, pickFailure(err)
+	}
+	logRoute(c.id, c.attempts, choice)
+	reply, err := d.Agents.Call(ctx, choice.Address, c.order(choice), c.request.Body)
+	choice.Done(attemptOutcome(err))
+	if err != nil {
+		c.refusals = append(c.refusals, choice.AgentID)
+	}
+	return reply, err
+}
+
+func (c *call) order(choice *router.Choice) forwarder.CallOrder {
+	return forwarder.CallOrder{
+		Attempt:    forwarder.Attempt{RequestID: c.id, Number: c.attempts},
+		Workspace:  c.request.Workspace,
+		Service:    c.request.Service,
+		Method:     c.request.Method,
+		Path:       c.request.Path,
+		Priority:   c.request.Priority,
+		Revision:   c.revision,
+		Key:        c.key(choice),
+		Header:     c.request.Header,
+		DeadlineMS: c.deadline.Sub(c.dispatcher.Clock.Now()).Milliseconds(),
+	}
+}
+
+// key is the bound key of this attempt. A call that came without one gets a key
+// of its own for each attempt, since a key binds to the agent that was chosen.
+func (c *call) key(choice *router.Choice) string {
+	if c.service.Idempotent {
+		return ""
+	}
+	if c.bound != nil {
+		return c.bound.String()
+	}
+	k := c.dispatcher.newKey(c.request.Workspace, c.request.Service, choice)
+	return k.String()
+}
+
+// giveUp decides after a failed attempt: nil means try again now.
+func (c *call) giveUp(ctx context.Context, err error) error {
+	var f *FailureError
+	if errors.As(err, &f) {
+		return f
+	}
+	outcome := outcomeOf(err)
+	var n *forwarder.NotRunError
+	refused := errors.As(err, &n)
+	if outcome == retrier.Unknown {
+		c.doubtful = true
+	}
+	// The owner's own refusal settles the key: it alone could have run it.
+	if refused && c.bound != nil && !n.Gone {
+		c.doubtful = false
+	}
+	decision := c.dispatcher.Budget.Decide(retrier.Attempt{
+		Outcome:    outcome,
+		Idempotent: c.service.Idempotent,
+		Number:     c.attempts,
+		Deadline:   c.deadline,
+	})
+	closed := refused && n.KeyClosed && c.bound != nil
+	if decision.Retry && !closed && sleep(ctx, c.dispatcher.Clock, decision.Delay) {
+		return nil
+	}
+	return &FailureError{
+		Outcome:    outcome,
+		Status:     http.StatusServiceUnavailable,
+		Message:    err.Error() + " (" + decision.Reason + ")",
+		RetryAfter: retryAfterOf(err),
+		KeyClosed:  closed,
+	}
+}
+
+// final keeps a refusal honest.
+func (c *call) final(err error) *FailureError {
+	var f *FailureError
+	if !errors.As(err, &f) {
+		f = &FailureError{Outcome: retrier.Unknown, Status: http.StatusBadGateway, Message: err.Error()}
+	}
+	if c.doubtful && f.Outcome == retrier.NotRun {
+		f.Outcome = retrier.Unknown
+	}
+	return f
+}
+
+// MintKey makes a key that makes one call idempotent, bound to the agent that
+// alone may run it.
+func (d *Dispatcher) MintKey(workspace, service string) (deduplicator.Key, error) {
+	if _, err := d.bundle(); err != nil {
+		return deduplicator.Key{}, err
+	}
+	return d.mint(workspace, service)
+}
+
+func (d *Dispatcher) mint(workspace, service string) (deduplicator.Key, error) {
+	c, err := d.Router.Pick(router.Request{Workspace: workspace, Service: service})
+	if err != nil {
+		return deduplicator.Key{}, pickFailure(err)
+	}
+	c.Done(retrier.Ran)
+	return d.newKey(workspace, service, c), nil
+}
+
+// Lookup tells what became of a key; it never starts anything.
+func (d *Dispatcher) Lookup(ctx context.Context, workspace, service, key string) (forwarder.Fate, error) {
+	k, err := d.lookupKey(ctx, workspace, service, key)
+	if err != nil {
+		return forwarder.FateUnknown, err
+	}
+	for _, a := range d.Router.Agents() {
+		if a.ID == k.Owner && a.Incarnation == k.Incarnation {
+			return d.Agents.Lookup(ctx, a.Address, k.String())
+		}
+	}
+	return forwarder.FateUnknown, nil
+}
--- /dev/null
+++ b/internal/dispatcher/generate.go
@@ -0,0 +1,247 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/router"
+)
+
+// Sink takes a stream's events on their way to the caller.
+type Sink interface {
+	Event(e forwarder.Event) error
+}
+
+// Generate serves a request to a model. A *FailureError is the final answer; it
+// comes either before the first event or in place of the last.
+func (d *Dispatcher) Generate(ctx context.Context, g GenerateRequest, s Sink) error {
+	g.Defaults()
+	if err := g.Validate(); err != nil {
+		return refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	b, err := d.bundle()
+	if err != nil {
+		return err
+	}
+	t, err := d.limit(g.Workspace, g.MaxTokens, g.Priority)
+	if err != nil {
+		return err
+	}
+	defer t.Done()
+	wait := d.deadline(time.Duration(g.DeadlineMS) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	r := &generation{
+		dispatcher: d,
+		request:    g,
+		id:         requestID(g.RequestID),
+		revision:   b.Revision,
+		deadline:   d.Clock.Now().Add(wait),
+		sink:       s,
+	}
+	return r.run(ctx)
+}
+
+// generation is one streamed reply under way. It is bound to one version and one
+// engine start by its first event: after that it can be resumed, never spliced.
+type generation struct {
+	dispatcher *Dispatcher
+	request    GenerateRequest
+	id         string
+	revision   uint64
+	deadline   time.Time
+	sink       Sink
+
+	attempts int
+	refusals []string
+	// next is the index of the event that the caller still needs.
+	next        int
+	owner       string
+	version     string
+	weights     string
+	engineStart string
+	// doubtful is set once an attempt's outcome was unknown.
+	doubtful bool
+}
+
+func (g *generation) run(ctx context.Context) error {
+	for {
+		g.attempts++
+		err := g.attempt(ctx)
+		if err == nil {
+			g.dispatcher.Budget.Success()
+			return nil
+		}
+		if f := g.giveUp(ctx, err); f != nil {
+			logFailure(g.id, g.attempts, f)
+			return f
+		}
+	}
+}
+
+// giveUp decides after a failed attempt: nil means try again now.
+func (g *generation) giveUp(ctx context.Context, err error) *FailureError {
+	if f, ok := err.(*finalError); ok {
+		return g.final(f.failure)
+	}
+	outcome := outcomeOf(err)
+	if outcome == retrier.Unknown {
+		g.doubtful = true
+	}
+	decision := g.dispatcher.Budget.Decide(retrier.Attempt{
+		Outcome:    outcome,
+		Idempotent: true,
+		Number:     g.attempts,
+		Streamed:   g.next > 0,
+		Resumable:  g.engineStart != "",
+		Deadline:   g.deadline,
+	})
+	if !decision.Retry || !sleep(ctx, g.dispatcher.Clock, decision.Delay) {
+		return g.final(&FailureError{
+			Outcome:    outcome,
+			Status:     http.StatusServiceUnavailable,
+			Message:    err.Error() + " (" + decision.Reason + ")",
+			RetryAfter: retryAfterOf(err),
+		})
+	}
+	return nil
+}
+
+// final keeps a refusal honest: only if no attempt may have run is it "not run".
+func (g *generation) final(f *FailureError) *FailureError {
+	if g.doubtful && f.Outcome == retrier.NotRun {
+		f.Outcome = retrier.Unknown
+	}
+	if g.next > 0 {
+		f.Outcome = retrier.Ran
+	}
+	return f
+}
+
+// finalError is a failure after which no further attempt makes sense.
+type finalError struct {
+	failure *FailureError
+}
+
+func (e *finalError) Error() string { return e.failure.Error() }
+
+func (g *generation) attempt(ctx context.Context) error {
+	d := g.dispatcher
+	c, err := d.Router.Pick(router.Request{
+		Workspace: g.request.Workspace,
+		Model:     g.request.Model,
+		Adapter:   g.request.Adapter,
+		Prompt:    g.request.Prompt,
+		Priority:  g.request.Priority,
+		Tokens:    g.request.MaxTokens,
+		Owner:     g.owner,
+		Version:   g.version,
+		Avoid:     g.refusals,
+	})
+	if err != nil {
+		return g.noChoice(err)
+	}
+	logRoute(g.id, g.attempts, c)
+	err = g.relay(ctx, c)
+	c.Done(attemptOutcome(err))
+	return err
+}
+
+// noChoice is final before the first event; a stream that was cut waits for its
+// agent to come back, since only there it can be resumed.
+func (g *generation) noChoice(err error) error {
+	if g.next > 0 {
+		return &forwarder.NotRunError{Reason: err.Error()}
+	}
+	return &finalError{failure: pickFailure(err)}
+}
+
+func attemptOutcome(err error) retrier.Outcome {
+	if err == nil {
+		return retrier.Ran
+	}
+	return outcomeOf(err)
+}
+
+// relay sends one attempt and passes its events on.
+func (g *generation) relay(ctx context.Context, c *router.Choice) error {
+	stream, err := g.dispatcher.Agents.Generate(ctx, c.Address, g.order(c))
+	if err != nil {
+		g.refusals = append(g.refusals, c.AgentID)
+		return err
+	}
+	defer stream.Close()
+	if g.next > 0 && stream.EngineStart != g.engineStart {
+		return &finalError{failure: g.ended("the engine restarted")}
+	}
+	for {
+		e, err := stream.Next()
+		if err != nil {
+			return &forwarder.UnknownError{Reason: err.Error()}
+		}
+		if err := g.pass(e, c, stream); err != nil {
+			return err
+		}
+		if e.Done {
+			return nil
+		}
+	}
+}
+
+func (g *generation) order(c *router.Choice) forwarder.GenerateOrder {
+	return forwarder.GenerateOrder{
+		Attempt:     forwarder.Attempt{RequestID: g.id, Number: g.attempts},
+		Workspace:   g.request.Workspace,
+		Model:       g.request.Model,
+		Adapter:     g.request.Adapter,
+		Prompt:      g.request.Prompt,
+		MaxTokens:   g.request.MaxTokens,
+		Priority:    g.request.Priority,
+		Revision:    g.revision,
+		Version:     c.Version,
+		EngineStart: g.engineStart,
+		From:        g.next,
+		DeadlineMS:  g.deadline.Sub(g.dispatcher.Clock.Now()).Milliseconds(),
+	}
+}
+
+// pass checks one event against what the reply is bound to and hands it on. An
+// event that is out of order or of other weights would make the reply mixed; the
+// stream ends there instead.
+func (g *generation) pass(e forwarder.Event, c *router.Choice, s *forwarder.Stream) error {
+	if e.Failure != nil {
+		return &forwarder.UnknownError{Reason: e.Failure.Message}
+	}
+	if g.next == 0 && !e.Done {
+		g.owner, g.version, g.weights, g.engineStart = c.AgentID, e.Version, e.Weights, s.EngineStart
+	}
+	if g.weights != "" && (e.Weights != g.weights || e.Version != g.version) {
+		return &finalError{failure: g.ended("the weights changed")}
+	}
+	if !e.Done && e.Index != g.next {
+		return &finalError{failure: g.ended("events were lost")}
+	}
+	if err := g.sink.Event(e); err != nil {
+		klog.InfoS("Caller left", "request", g.id, "event", g.next)
+		return &finalError{failure: g.ended("the caller left")}
+	}
+	if !e.Done {
+		g.next++
+	}
+	return nil
+}
+
+// ended is the honest end of a stream that can not be completed.
+func (g *generation) ended(why string) *FailureError {
+	return &FailureError{
+		Outcome:    retrier.Ran,
+		Status:     http.StatusBadGateway,
+		Message:    "the reply is not whole: " + why,
+		RetryAfter: pause(),
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/request.go
@@ -0,0 +1,130 @@
+package dispatcher
+
+import (
+	"fmt"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// Bounds of a request.
+const (
+	MaxPrompt        = 1 << 20
+	MaxTokens        = 32768
+	DefaultMaxTokens = 256
+	maxName          = 128
+	maxKey           = 1024
+)
+
+// GenerateRequest is a caller's request to a model.
+type GenerateRequest struct {
+	// RequestID may be given by the caller to find the request in the logs.
+	RequestID string `json:"requestId,omitempty"`
+	Workspace string `json:"workspace"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	// MaxTokens bounds the reply; 0 means DefaultMaxTokens.
+	MaxTokens int `json:"maxTokens,omitempty"`
+	// Priority orders requests within the workspace; higher goes first.
+	Priority int `json:"priority,omitempty"`
+	// DeadlineMS is how long the caller waits, in milliseconds; 0 means the
+	// entry's own deadline.
+	DeadlineMS int64 `json:"deadlineMs,omitempty"`
+}
+
+// Defaults fills what was left out.
+func (g *GenerateRequest) Defaults() {
+	if g.MaxTokens == 0 {
+		g.MaxTokens = DefaultMaxTokens
+	}
+}
+
+// Validate reports all faults as one *InvalidError.
+func (g *GenerateRequest) Validate() error {
+	var f faults
+	f.name("workspace", g.Workspace, true)
+	f.name("model", g.Model, true)
+	f.name("adapter", g.Adapter, false)
+	f.name("requestId", g.RequestID, false)
+	if len(g.Prompt) == 0 || len(g.Prompt) > MaxPrompt {
+		f.add("prompt", "%d bytes long, must be 1 to %d", len(g.Prompt), MaxPrompt)
+	}
+	if !utf8.ValidString(g.Prompt) {
+		f.add("prompt", "is not UTF-8")
+	}
+	if g.MaxTokens < 1 || g.MaxTokens > MaxTokens {
+		f.add("maxTokens", "%d must be 1 to %d", g.MaxTokens, MaxTokens)
+	}
+	if g.DeadlineMS < 0 {
+		f.add("deadlineMs", "%d is below zero", g.DeadlineMS)
+	}
+	return f.err()
+}
+
+// CallRequest is a caller's request to a plain service.
+type CallRequest struct {
+	RequestID string
+	Workspace string
+	Service   string
+	Method    string
+	Path      string
+	Priority  int
+	Header    map[string]string
+	Body      []byte
+	// Key makes the call idempotent: one from Dispatcher.MintKey, or the
+	// caller's own. Empty means that the caller never repeats this call.
+	Key string
+	// First is the caller's word that no earlier attempt with this key was made.
+	First    bool
+	Deadline time.Duration
+}
+
+// Validate reports all faults as one *InvalidError.
+func (c *CallRequest) Validate() error {
+	var f faults
+	f.name("workspace", c.Workspace, true)
+	f.name("service", c.Service, true)
+	f.name("requestId", c.RequestID, false)
+	if len(c.Key) > maxKey {
+		f.add("key", "%d bytes long, must be at most %d", len(c.Key), maxKey)
+	}
+	if strings.ContainsFunc(c.Key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		f.add("key", "must be printable ASCII without spaces")
+	}
+	return f.err()
+}
+
+// InvalidError names every faulty field of a request; it was not run.
+type InvalidError struct {
+	Problems []string
+}
+
+func (e *InvalidError) Error() string { return strings.Join(e.Problems, "; ") }
+
+type faults struct {
+	problems []string
+}
+
+func (f *faults) add(field, format string, args ...any) {
+	f.problems = append(f.problems, field+": "+fmt.Sprintf(format, args...))
+}
+
+func (f *faults) name(field, value string, needed bool) {
+	if value == "" && needed {
+		f.add(field, "is missing")
+	}
+	if len(value) > maxName {
+		f.add(field, "%d bytes long, must be at most %d", len(value), maxName)
+	}
+	if strings.ContainsFunc(value, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+		f.add(field, "has control characters")
+	}
+}
+
+func (f *faults) err() error {
+	if len(f.problems) == 0 {
+		return nil
+	}
+	return &InvalidError{Problems: f.problems}
+}
--- /dev/null
+++ b/internal/receiver/receiver.go
@@ -0,0 +1,271 @@
+// Package receiver is the wire towards callers: HTTP with JSON bodies, and
+// server-sent events for a model's reply. It checks the shape of a request and
+// writes answers; what is done with a request is the dispatcher's.
+package receiver
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+// Headers that callers send and get.
+const (
+	// HeaderOutcome says "ran", "notRun" or "unknown" on every answer that is
+	// not a whole reply.
+	HeaderOutcome = "Oriolecroft-Outcome"
+	// HeaderWorkspace names the workspace of a service call.
+	HeaderWorkspace = "Oriolecroft-Workspace"
+	// HeaderKey makes a service call idempotent.
+	HeaderKey = "Oriolecroft-Key"
+	// HeaderIdempotencyKey is the field's usual name for the same.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderAttempt is the caller's count of its tries with one key, from 1.
+	HeaderAttempt = "Oriolecroft-Attempt"
+	// HeaderRequest names the request in the logs.
+	HeaderRequest = "Oriolecroft-Request"
+	// HeaderDeadline is how long the caller waits, in milliseconds.
+	HeaderDeadline = "Oriolecroft-Deadline-Ms"
+	// HeaderPriority orders requests within a workspace; higher goes first.
+	HeaderPriority = "Oriolecroft-Priority"
+	// HeaderKeyClosed is set when the key will never run.
+	HeaderKeyClosed = "Oriolecroft-Key-Closed"
+	// HeaderReplayed is set when the answer is that of an earlier attempt.
+	HeaderReplayed = "Oriolecroft-Replayed"
+)
+
+// maxBody is the largest model request, in bytes: the longest prompt, escaped.
+const maxBody = 4 << 20
+
+// Entry is one place where callers may connect.
+type Entry struct {
+	Address       netip.AddrPort `json:"address"`
+	FailureDomain string         `json:"failureDomain"`
+	Region        string         `json:"region"`
+}
+
+// Receiver answers callers.
+type Receiver struct {
+	Dispatcher *dispatcher.Dispatcher
+	// Entries lists where callers may connect, the best first.
+	Entries func() []Entry
+	// KeepFor is how long a caller may keep that list.
+	KeepFor time.Duration
+}
+
+// Handler is the receiver's HTTP interface.
+func (r *Receiver) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/entries", r.entries)
+	m.HandleFunc("POST /v1/generate", r.generate)
+	m.HandleFunc("POST /v1/keys", r.mintKey)
+	m.HandleFunc("GET /v1/keys/{key}", r.lookup)
+	m.HandleFunc("/v1/services/{service}", r.call)
+	m.HandleFunc("/v1/services/{service}/{path...}", r.call)
+	return m
+}
+
+func (r *Receiver) entries(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, struct {
+		Entries   []Entry `json:"entries"`
+		KeepForMS int64   `json:"keepForMs"`
+	}{r.Entries(), r.KeepFor.Milliseconds()})
+}
+
+func (r *Receiver) generate(w http.ResponseWriter, h *http.Request) {
+	var g dispatcher.GenerateRequest
+	if err := decode(w, h, &g); err != nil {
+		refuse(w, err)
+		return
+	}
+	s := &eventStream{writer: w, control: http.NewResponseController(w)}
+	if err := r.Dispatcher.Generate(h.Context(), g, s); err != nil {
+		s.fail(err)
+	}
+}
+
+func (r *Receiver) mintKey(w http.ResponseWriter, h *http.Request) {
+	var body struct {
+		Workspace string `json:"workspace"`
+		Service   string `json:"service"`
+	}
+	if err := decode(w, h, &body); err != nil {
+		refuse(w, err)
+		return
+	}
+	k, err := r.Dispatcher.MintKey(body.Workspace, body.Service)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer(w, http.StatusOK, struct {
+		Key string `json:"key"`
+	}{k.String()})
+}
+
+func (r *Receiver) lookup(w http.ResponseWriter, h *http.Request) {
+	q := h.URL.Query()
+	fate, err := r.Dispatcher.Lookup(h.Context(), q.Get("workspace"), q.Get("service"), h.PathValue("key"))
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer(w, http.StatusOK, struct {
+		Fate forwarder.Fate `json:"fate"`
+	}{fate})
+}
+
+func (r *Receiver) call(w http.ResponseWriter, h *http.Request) {
+	c, err := parseCall(w, h)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	reply, err := r.Dispatcher.Call(h.Context(), c)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	for name, values := range reply.Header {
+		w.Header()[name] = values
+	}
+	if reply.Replayed {
+		w.Header().Set(HeaderReplayed, "true")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
+
+// malformed reports a body or header of the wrong shape.
+func malformed(message string) error {
+	return &dispatcher.FailureError{
+		Outcome: retrier.NotRun,
+		Status:  http.StatusBadRequest,
+		Message: message,
+	}
+}
+
+func decode(w http.ResponseWriter, h *http.Request, v any) error {
+	d := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxBody))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil {
+		return nil
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return &dispatcher.FailureError{
+			Outcome: retrier.NotRun,
+			Status:  http.StatusRequestEntityTooLarge,
+			Message: "body: over " + strconv.FormatInt(large.Limit, 10) + " bytes",
+		}
+	}
+	return malformed("body: " + err.Error())
+}
+
+// passedOn are the request headers that a plain service gets to see. The
+// idempotency key is not among them: with it in place the HTTP library would
+// repeat a call by itself when a connection breaks, and book twice.
+var passedOn = []string{"Accept", "Accept-Language", "Content-Type", "Booking", "Traceparent"}
+
+func parseCall(w http.ResponseWriter, h *http.Request) (dispatcher.CallRequest, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, forwarder.MaxBody))
+	if err != nil {
+		return dispatcher.CallRequest{}, &dispatcher.FailureError{
+			Outcome: retrier.NotRun,
+			Status:  http.StatusRequestEntityTooLarge,
+			Message: "body: " + err.Error(),
+		}
+	}
+	c := dispatcher.CallRequest{
+		RequestID: h.Header.Get(HeaderRequest),
+		Workspace: h.Header.Get(HeaderWorkspace),
+		Service:   h.PathValue("service"),
+		Method:    h.Method,
+		Path:      "/" + h.PathValue("path"),
+		Key:       h.Header.Get(HeaderKey),
+		First:     h.Header.Get(HeaderAttempt) == "1",
+		Header:    map[string]string{},
+		Body:      body,
+	}
+	if c.Key == "" {
+		c.Key = h.Header.Get(HeaderIdempotencyKey)
+	}
+	for _, name := range passedOn {
+		if v := h.Header.Get(name); v != "" {
+			c.Header[name] = v
+		}
+	}
+	priority, err := number(h, HeaderPriority)
+	if err != nil {
+		return c, err
+	}
+	deadline, err := number(h, HeaderDeadline)
+	if err != nil {
+		return c, err
+	}
+	c.Priority = int(priority)
+	c.Deadline = time.Duration(deadline) * time.Millisecond
+	return c, nil
+}
+
+func number(h *http.Request, name string) (int64, error) {
+	v := h.Header.Get(name)
+	if v == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(v, 10, 32)
+	if err != nil || n < 0 {
+		return 0, malformed(name + ": " + strconv.Quote(v) + " is no whole number of 0 or more")
+	}
+	return n, nil
+}
+
+// problem is the body of every answer that is not a reply.
+type problem struct {
+	Error        string `json:"error"`
+	Outcome      string `json:"outcome"`
+	RetryAfterMS int64  `json:"retryAfterMs"`
+}
+
+// refuse gives the final answer at once, with the time to come back.
+func refuse(w http.ResponseWriter, err error) {
+	f := failure(err)
+	w.Header().Set(HeaderOutcome, f.Outcome.String())
+	if f.RetryAfter > 0 {
+		seconds := math.Ceil(f.RetryAfter.Seconds())
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	if f.KeyClosed {
+		w.Header().Set(HeaderKeyClosed, "true")
+	}
+	answer(w, f.Status, problem{f.Message, f.Outcome.String(), f.RetryAfter.Milliseconds()})
+}
+
+func failure(err error) *dispatcher.FailureError {
+	var f *dispatcher.FailureError
+	if errors.As(err, &f) {
+		return f
+	}
+	return &dispatcher.FailureError{
+		Outcome: retrier.Unknown,
+		Status:  http.StatusInternalServerError,
+		Message: err.Error(),
+	}
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
