--- /dev/null
+++ b/internal/driver/errors.go
@@ -0,0 +1,77 @@
+package driver
+
+import "fmt"
+
+// NotSentError reports a request for which no connection was had: it certainly
+// never reached the upstream.
+type NotSentError struct{ Err error }
+
+func (e *NotSentError) Error() string { return fmt.Sprintf("not sent to the upstream: %v", e.Err) }
+
+// Unwrap gives the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// UnknownError reports a request that may have run, though no reply came.
+type UnknownError struct{ Err error }
+
+func (e *UnknownError) Error() string { return fmt.Sprintf("upstream gave no reply: %v", e.Err) }
+
+// Unwrap gives the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// RefusedError reports an engine that answered that it does not run the request.
+type RefusedError struct {
+	Status int
+	Text   string
+	// Fence is the engine's, when the refusal is about fencing.
+	Fence uint64
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("engine refused with status %d: %s", e.Status, e.Text)
+}
+
+// FencedError reports an order whose fence is older than the engine's.
+type FencedError struct{ Sent, Fence uint64 }
+
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("order with fence %d is behind the engine's %d", e.Sent, e.Fence)
+}
+
+// CutError reports a reply that began and has no end.
+type CutError struct {
+	// Events is how many events of a stream came before.
+	Events int
+	Err    error
+}
+
+func (e *CutError) Error() string {
+	return fmt.Sprintf("reply cut after %d events: %v", e.Events, e.Err)
+}
+
+// Unwrap gives the cause.
+func (e *CutError) Unwrap() error { return e.Err }
+
+// MixedError reports a stream whose tokens are not all from the same weights, or
+// whose end does not match its tokens.
+type MixedError struct{ Want, Got string }
+
+func (e *MixedError) Error() string {
+	return fmt.Sprintf("stream is not of one piece: want %s, got %s", e.Want, e.Got)
+}
+
+// ProtocolError reports an upstream that does not speak its wire.
+type ProtocolError struct {
+	Problem string
+	Err     error
+}
+
+func (e *ProtocolError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("upstream's wire: %s: %v", e.Problem, e.Err)
+	}
+	return "upstream's wire: " + e.Problem
+}
+
+// Unwrap gives the cause.
+func (e *ProtocolError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/driver/service.go
@@ -0,0 +1,98 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Service is a plain back end. Set the fields before the first call.
+type Service struct {
+	Address netip.AddrPort
+	// Timeout bounds State; 0 means 2 s. Calls are bounded by their context.
+	Timeout time.Duration
+}
+
+// ServiceState is what a plain service says of itself.
+type ServiceState struct {
+	StartID  string `json:"startId"`
+	UptimeMS int64  `json:"uptimeMs"`
+	Cold     bool   `json:"cold"`
+	Running  int    `json:"running"`
+}
+
+// Uptime is the time since the service's start.
+func (s ServiceState) Uptime() time.Duration { return time.Duration(s.UptimeMS) * time.Millisecond }
+
+func (s ServiceState) health() Health {
+	return Health{StartID: s.StartID, Uptime: s.Uptime(), Cold: s.Cold, Running: s.Running}
+}
+
+// State asks for the service's state.
+func (s *Service) State(ctx context.Context) (ServiceState, error) {
+	e := Engine{Address: s.Address, Timeout: s.Timeout}
+	ctx, cancel := e.short(ctx)
+	defer cancel()
+	var state ServiceState
+	err := e.order(ctx, http.MethodGet, "/state", nil, &state)
+	return state, err
+}
+
+// dropped are the headers of a call that do not pass. Those of the connection
+// belong to it alone. The last two mark a request as repeatable for net/http,
+// which would then send it again by itself.
+var dropped = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Idempotency-Key", "X-Idempotency-Key",
+}
+
+// Call passes one call on, once. The reply may have any status; the caller
+// closes its body. Errors are *NotSentError when the service certainly never had
+// the call, and *UnknownError when it may have run.
+func (s *Service) Call(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url(s.Address, path), once(body))
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	for name, values := range header {
+		for _, v := range values {
+			r.Header.Add(name, v)
+		}
+	}
+	for _, name := range dropped {
+		r.Header.Del(name)
+	}
+	return send(sharedClient, r)
+}
+
+// once hides what kind of reader the body is, so that net/http sets no GetBody
+// and has no second copy to send.
+func once(body io.Reader) io.Reader {
+	if body == nil {
+		return http.NoBody
+	}
+	return struct{ io.Reader }{body}
+}
+
+// ReadReply reads the whole body of a reply of at most limit bytes and closes
+// it. A body that has no end mark, or not all its bytes, gives *CutError: it
+// must not pass for a whole answer.
+func ReadReply(resp *http.Response, limit int64) ([]byte, error) {
+	defer resp.Body.Close()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, &CutError{Err: errors.New("reply has neither length nor end mark")}
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, &CutError{Err: err}
+	}
+	if int64(len(data)) > limit {
+		return nil, &ProtocolError{Problem: fmt.Sprintf("reply of more than %d bytes", limit)}
+	}
+	return data, nil
+}
