--- /dev/null
+++ b/internal/router/index.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// index is a bundle made ready for look-ups on each request.
+type index struct {
+	bundle     *bundler.Bundle
+	revision   uint64
+	workspaces map[string]*bundler.Workspace
+	models     map[string]*bundler.Model
+	services   map[string]*bundler.Service
+}
+
+func newIndex(b *bundler.Bundle) *index {
+	x := &index{
+		bundle:     b,
+		revision:   b.Revision,
+		workspaces: make(map[string]*bundler.Workspace, len(b.Workspaces)),
+		models:     make(map[string]*bundler.Model, len(b.Models)),
+		services:   make(map[string]*bundler.Service, len(b.Services)),
+	}
+	for i := range b.Workspaces {
+		x.workspaces[b.Workspaces[i].Name] = &b.Workspaces[i]
+	}
+	for i := range b.Models {
+		x.models[b.Models[i].Name] = &b.Models[i]
+	}
+	for i := range b.Services {
+		x.services[b.Services[i].Name] = &b.Services[i]
+	}
+	return x
+}
+
+// serves tells whether the bundle wants new work on an agent for what it holds.
+func (x *index) serves(s messenger.AgentState) bool {
+	if s.Kind == messenger.KindService {
+		v := x.services[s.Service]
+		return v != nil && x.bundle.Serves(v.FailureDomains, s.FailureDomain)
+	}
+	m := x.models[s.Model]
+	return m != nil && s.Version != "" && x.bundle.Serves(m.FailureDomains, s.FailureDomain)
+}
+
+// current tells whether an agent holds the very weights that the bundle names.
+func (x *index) current(s messenger.AgentState) bool {
+	m := x.models[s.Model]
+	return s.Kind == messenger.KindService || m != nil && m.Manifest == s.Manifest
+}
+
+// check finds the pool for a request, or says why it has none.
+func (x *index) check(q Request) (poolKey, error) {
+	w := x.workspaces[q.Workspace]
+	if w == nil {
+		return poolKey{}, &UnknownWorkspaceError{Workspace: q.Workspace}
+	}
+	if q.Service != "" {
+		return x.checkService(w, q)
+	}
+	return x.checkModel(w, q)
+}
+
+func (x *index) checkService(w *bundler.Workspace, q Request) (poolKey, error) {
+	if x.services[q.Service] == nil {
+		return poolKey{}, &UnknownServiceError{Service: q.Service}
+	}
+	if !slices.Contains(w.Services, q.Service) {
+		return poolKey{}, &NotAllowedError{Workspace: w.Name, Name: q.Service}
+	}
+	return poolKey{kind: messenger.KindService, name: q.Service}, nil
+}
+
+func (x *index) checkModel(w *bundler.Workspace, q Request) (poolKey, error) {
+	m := x.models[q.Model]
+	if m == nil {
+		return poolKey{}, &UnknownModelError{Model: q.Model}
+	}
+	if !slices.Contains(w.Models, q.Model) {
+		return poolKey{}, &NotAllowedError{Workspace: w.Name, Name: q.Model}
+	}
+	named := func(a bundler.Adapter) bool { return a.Name == q.Adapter }
+	if q.Adapter != "" && !slices.ContainsFunc(m.Adapters, named) {
+		return poolKey{}, &UnknownModelError{Model: q.Model, Adapter: q.Adapter}
+	}
+	return poolKey{kind: messenger.KindEngine, name: q.Model}, nil
+}
--- /dev/null
+++ b/internal/router/pick.go
@@ -0,0 +1,201 @@
+package router
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+// Request is what Pick needs to know of a request.
+type Request struct {
+	Workspace string
+	// Model and Adapter, or Service, is what it asks for.
+	Model, Adapter, Service string
+	Prompt                  string
+	Priority                int
+	// Version and EngineStart, when set, bind the choice to one engine's start,
+	// for a stream that is resumed.
+	Version, EngineStart string
+	// Avoid are the ids of agents that already refused this request.
+	Avoid []string
+	// Owner, when set, is the only agent that may get it.
+	Owner string
+	// Tokens is the expected length of the reply.
+	Tokens int
+}
+
+const (
+	// prefixBytes of a prompt decide its home: about the part that prompts of
+	// one workspace and purpose share.
+	prefixBytes = 256
+	// boundedLoad is how far above the mean a home may be loaded and still be
+	// preferred.
+	boundedLoad = 1.25
+	// oldVersionCost is what a replica of other than the bundle's weights costs.
+	oldVersionCost = 0.05
+	// samples is how many free replicas of a tier are drawn at random.
+	samples = 2
+)
+
+// The reasons of choices.
+const (
+	reasonHome  = "home of the prompt's prefix"
+	reasonDrawn = "less loaded of two"
+	reasonOnly  = "first that fits"
+)
+
+// best is the cheapest candidate so far.
+type best struct {
+	replica *replica
+	cost    float64
+	reason  string
+}
+
+// Pick chooses a replica and counts the attempt there at once. Errors are
+// *NoBundleError, *UnknownWorkspaceError, *UnknownModelError,
+// *UnknownServiceError, *NotAllowedError, *NoReplicaError and *FullError.
+func (r *Router) Pick(q Request) (*Choice, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	r.sweep(now)
+	if r.bundle == nil {
+		return nil, &NoBundleError{}
+	}
+	k, err := r.bundle.check(q)
+	if err != nil {
+		return nil, err
+	}
+	l := r.pools[k]
+	if l == nil {
+		return nil, &NoReplicaError{Name: k.name}
+	}
+	b := r.choose(l, &q, now)
+	if b.replica == nil {
+		return nil, r.none(l, k, &q, now)
+	}
+	return r.count(l, b, now), nil
+}
+
+// choose weighs the homes of the prefix and two free replicas of each tier, and
+// looks through all that are free only when none of these will do.
+func (r *Router) choose(l *pool, q *Request, now time.Time) best {
+	var b best
+	hash := prefixHash(q)
+	for i := range l.tiers {
+		t := &l.tiers[i]
+		link := r.linkCost(tierIndex(i))
+		if hash != 0 {
+			r.weigh(&b, t, t.home(hash), q, now, link, reasonHome)
+			r.weigh(&b, t, t.home(hash*0x9e3779b97f4a7c15), q, now, link, reasonHome)
+		}
+		for range min(samples, len(t.free)) {
+			r.weigh(&b, t, t.free[r.Random.IntN(len(t.free))], q, now, link, reasonDrawn)
+		}
+	}
+	if b.replica == nil {
+		r.scan(&b, l, q, now)
+	}
+	return b
+}
+
+// scan takes the first free replica that fits, nearest tier first.
+func (r *Router) scan(b *best, l *pool, q *Request, now time.Time) {
+	for i := range l.tiers {
+		t := &l.tiers[i]
+		if len(t.free) == 0 {
+			continue
+		}
+		start := r.Random.IntN(len(t.free))
+		for j := range t.free {
+			r.weigh(b, t, t.free[(start+j)%len(t.free)], q, now, 0, reasonOnly)
+			if b.replica != nil {
+				return
+			}
+		}
+	}
+}
+
+// weigh takes p as the best if it may have the request and costs less.
+func (r *Router) weigh(b *best, t *tier, p *replica, q *Request, now time.Time, link float64, reason string) {
+	if p == nil || p.free < 0 || !p.serves(q) || p.avoided(q, now) {
+		return
+	}
+	c := r.cost(t, p, link, reason == reasonHome)
+	if b.replica == nil || c < b.cost {
+		*b = best{replica: p, cost: c, reason: reason}
+	}
+}
+
+// cost is the share of the replica's limit in use with the request on it, plus
+// the link, less what a cached prefix is worth while the replica is not much
+// fuller than its tier.
+func (r *Router) cost(t *tier, p *replica, link float64, home bool) float64 {
+	one := 1 / float64(p.state.Limit)
+	use := float64(p.estimate()) * one
+	c := use + one + link
+	if !p.current {
+		c += oldVersionCost
+	}
+	if home && use <= boundedLoad*t.mean()+one {
+		c -= max(0, orDefault(r.AffinityGain, DefaultAffinityGain))
+	}
+	return c
+}
+
+func (r *Router) linkCost(i tierIndex) float64 {
+	switch i {
+	case sameDomain:
+		return 0
+	case sameRegion:
+		return orDefault(r.DomainCost, DefaultDomainCost)
+	default:
+		return orDefault(r.RegionCost, DefaultRegionCost)
+	}
+}
+
+// count makes the choice and counts it on the replica, before any report can:
+// otherwise all requests between two reports would go to the same replica.
+func (r *Router) count(l *pool, b best, now time.Time) *Choice {
+	p := b.replica
+	c := &Choice{
+		AgentID:       p.state.ID,
+		Incarnation:   p.state.Incarnation,
+		Address:       p.state.Address,
+		FailureDomain: p.state.FailureDomain,
+		Version:       p.state.Version,
+		EngineStart:   p.state.EngineStart,
+		Reason:        b.reason,
+		router:        r,
+		replica:       p,
+		pool:          l,
+		picked:        now,
+		place:         len(p.inflight),
+	}
+	p.inflight = append(p.inflight, c)
+	p.fresh++
+	p.tier.update(p)
+	return c
+}
+
+// none says why nothing was chosen.
+func (r *Router) none(l *pool, k poolKey, q *Request, now time.Time) error {
+	for i := range l.tiers {
+		for _, p := range l.tiers[i].ring {
+			if p.serves(q) {
+				return &FullError{Name: k.name, RetryAfter: retrier.RetryAfter(1, l.rate.at(now), r.Random)}
+			}
+		}
+	}
+	return &NoReplicaError{Name: k.name}
+}
+
+// prefixHash is the place of a prompt on the ring; 0 for no prompt or a service.
+func prefixHash(q *Request) uint64 {
+	if q.Prompt == "" || q.Service != "" {
+		return 0
+	}
+	return xxhash.Sum64String(q.Prompt[:min(prefixBytes, len(q.Prompt))])
+}
