--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -46,6 +46,8 @@
 	refusals []string
 	// bound is the key that this call runs under, when the caller brought one.
 	bound *deduplicator.Key
+	// ours says that bound was made here, for a caller that brought none.
+	ours bool
 	// doubtful is set while an attempt may have run of which this entry knows
 	// nothing: the caller brought a key that it may have used before, perhaps
 	// through another entry. Saying "not run" then would invite a second
@@ -62,11 +64,11 @@
 		return nil, err
 	}
 	defer t.Done()
+	c.dispatcher.Policy.Budget.First()
 	for {
 		c.attempts++
 		reply, err := c.attempt(ctx)
 		if err == nil {
-			c.dispatcher.Budget.Success()
 			return reply, nil
 		}
 		if err := c.giveUp(ctx, err); err != nil {
@@ -98,7 +100,7 @@
 
 // bind turns the caller's key into a bound one.
 func (c *call) bind(ctx context.Context) error {
-	if !deduplicator.IsBound(c.request.Key) {
+	if !deduplicator.IsKey(c.request.Key) {
 		return c.claim(ctx)
 	}
 	k, err := deduplicator.ParseKey(c.request.Key)
@@ -141,6 +143,7 @@
 		Avoid:     c.refusals,
 	}
 	if c.bound != nil {
+		// Only the owner may run the key, however badly it has answered.
 		r.Owner, r.Avoid = c.bound.Owner, nil
 	}
 	choice, err := d.Router.Pick(r)
@@ -172,16 +175,18 @@
 }
 
 // key is the bound key of this attempt. A call that came without one gets a key
-// of its own for each attempt, since a key binds to the agent that was chosen.
+// of its own for each attempt, since a key binds to the agent that was chosen;
+// it is kept while its attempt is in doubt.
 func (c *call) key(choice *router.Choice) string {
 	if c.service.Idempotent {
 		return ""
 	}
-	if c.bound != nil {
-		return c.bound.String()
+	if c.bound == nil {
+		k := c.dispatcher.newKey(c.request.Workspace, c.request.Service, choice)
+		c.bound = &k
+		c.ours = true
 	}
-	k := c.dispatcher.newKey(c.request.Workspace, c.request.Service, choice)
-	return k.String()
+	return c.bound.String()
 }
 
 // giveUp decides after a failed attempt: nil means try again now.
@@ -191,22 +196,16 @@
 		return f
 	}
 	outcome := outcomeOf(err)
-	var n *forwarder.NotRunError
-	refused := errors.As(err, &n)
-	if outcome == retrier.Unknown {
-		c.doubtful = true
-	}
-	// The owner's own refusal settles the key: it alone could have run it.
-	if refused && c.bound != nil && !n.Gone {
-		c.doubtful = false
-	}
-	decision := c.dispatcher.Budget.Decide(retrier.Attempt{
-		Outcome:    outcome,
-		Idempotent: c.service.Idempotent,
-		Number:     c.attempts,
+	decision := c.dispatcher.Policy.Decide(retrier.Attempt{
+		Outcome: outcome,
+		Earlier: c.earlier(),
+		Number:  c.attempts,
+		// The key's owner runs it once however often it is asked.
+		Idempotent: c.service.Idempotent || c.bound != nil,
+		Now:        c.dispatcher.Clock.Now(),
 		Deadline:   c.deadline,
 	})
-	closed := refused && n.KeyClosed && c.bound != nil
+	closed := c.settle(err, outcome)
 	if decision.Retry && !closed && sleep(ctx, c.dispatcher.Clock, decision.Delay) {
 		return nil
 	}
@@ -219,6 +218,33 @@
 	}
 }
 
+func (c *call) earlier() retrier.Outcome {
+	if c.doubtful {
+		return retrier.Unknown
+	}
+	return retrier.NotRun
+}
+
+// settle notes what an attempt's error says of the whole call, and tells whether
+// the caller's key is closed for good.
+func (c *call) settle(err error, outcome retrier.Outcome) bool {
+	var n *forwarder.NotRunError
+	if !errors.As(err, &n) {
+		c.doubtful = c.doubtful || outcome == retrier.Unknown
+		return false
+	}
+	// The owner's own refusal settles the key: it alone could have run it. An
+	// owner that can't be reached has said nothing.
+	if c.bound != nil && !n.Gone {
+		c.doubtful = false
+	}
+	if c.ours && !c.doubtful {
+		c.bound, c.ours = nil, false
+		return false
+	}
+	return n.KeyClosed && c.bound != nil && !c.ours
+}
+
 // final keeps a refusal honest.
 func (c *call) final(err error) *FailureError {
 	var f *FailureError
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -31,7 +31,7 @@
 	State   *gossiper.State
 	Router  *router.Router
 	Limiter *limiter.Limiter
-	Budget  *retrier.Budget
+	Policy  *retrier.Policy
 	Claims  *deduplicator.Claims
 	Agents  *forwarder.Client
 	Clock   clock.Clock
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -62,19 +64,20 @@
 	// next is the index of the event that the caller still needs.
 	next        int
 	owner       string
+	stream      string
 	version     string
 	weights     string
 	engineStart string
-	// doubtful is set once an attempt's outcome was unknown.
-	doubtful bool
+	// earlier joins the outcomes of the attempts before the present one.
+	earlier retrier.Outcome
 }
 
 func (g *generation) run(ctx context.Context) error {
+	g.dispatcher.Policy.Budget.First()
 	for {
 		g.attempts++
 		err := g.attempt(ctx)
 		if err == nil {
-			g.dispatcher.Budget.Success()
 			return nil
 		}
 		if f := g.giveUp(ctx, err); f != nil {
@@ -86,39 +89,50 @@
 
 // giveUp decides after a failed attempt: nil means try again now.
 func (g *generation) giveUp(ctx context.Context, err error) *FailureError {
-	if f, ok := err.(*finalError); ok {
+	var f *finalError
+	if errors.As(err, &f) {
 		return g.final(f.failure)
 	}
 	outcome := outcomeOf(err)
-	if outcome == retrier.Unknown {
-		g.doubtful = true
-	}
-	decision := g.dispatcher.Budget.Decide(retrier.Attempt{
+	now := g.dispatcher.Clock.Now()
+	decision := g.dispatcher.Policy.Decide(retrier.Attempt{
 		Outcome:    outcome,
+		Earlier:    g.earlier,
 		Idempotent: true,
 		Number:     g.attempts,
 		Streamed:   g.next > 0,
-		Resumable:  g.engineStart != "",
+		SameEngine: g.engineStart != "",
+		Now:        now,
 		Deadline:   g.deadline,
 	})
-	if !decision.Retry || !sleep(ctx, g.dispatcher.Clock, decision.Delay) {
-		return g.final(&FailureError{
-			Outcome:    outcome,
-			Status:     http.StatusServiceUnavailable,
-			Message:    err.Error() + " (" + decision.Reason + ")",
-			RetryAfter: retryAfterOf(err),
-		})
+	g.join(outcome)
+	if decision.Retry && sleep(ctx, g.dispatcher.Clock, decision.Delay) {
+		return nil
 	}
-	return nil
+	return g.final(&FailureError{
+		Outcome:    outcome,
+		Status:     http.StatusServiceUnavailable,
+		Message:    err.Error() + " (" + decision.Reason + ")",
+		RetryAfter: retryAfterOf(err),
+	})
+}
+
+func (g *generation) join(o retrier.Outcome) {
+	if g.attempts == 1 {
+		g.earlier = o
+		return
+	}
+	g.earlier = retrier.Join(g.earlier, o)
 }
 
 // final keeps a refusal honest: only if no attempt may have run is it "not run".
 func (g *generation) final(f *FailureError) *FailureError {
-	if g.doubtful && f.Outcome == retrier.NotRun {
-		f.Outcome = retrier.Unknown
-	}
 	if g.next > 0 {
 		f.Outcome = retrier.Ran
+		return f
+	}
+	if g.attempts > 1 {
+		f.Outcome = retrier.Join(f.Outcome, g.earlier)
 	}
 	return f
 }
@@ -133,15 +147,16 @@
 func (g *generation) attempt(ctx context.Context) error {
 	d := g.dispatcher
 	c, err := d.Router.Pick(router.Request{
-		Workspace: g.request.Workspace,
-		Model:     g.request.Model,
-		Adapter:   g.request.Adapter,
-		Prompt:    g.request.Prompt,
-		Priority:  g.request.Priority,
-		Tokens:    g.request.MaxTokens,
-		Owner:     g.owner,
-		Version:   g.version,
-		Avoid:     g.refusals,
+		Workspace:   g.request.Workspace,
+		Model:       g.request.Model,
+		Adapter:     g.request.Adapter,
+		Prompt:      g.request.Prompt,
+		Priority:    g.request.Priority,
+		Tokens:      g.request.MaxTokens,
+		Owner:       g.owner,
+		Version:     g.version,
+		EngineStart: g.engineStart,
+		Avoid:       g.refusals,
 	})
 	if err != nil {
 		return g.noChoice(err)
@@ -170,6 +185,9 @@
 
 // relay sends one attempt and passes its events on.
 func (g *generation) relay(ctx context.Context, c *router.Choice) error {
+	if g.next == 0 {
+		g.stream = g.id + "." + strconv.Itoa(g.attempts)
+	}
 	stream, err := g.dispatcher.Agents.Generate(ctx, c.Address, g.order(c))
 	if err != nil {
 		g.refusals = append(g.refusals, c.AgentID)
@@ -205,6 +223,7 @@
 		Revision:    g.revision,
 		Version:     c.Version,
 		EngineStart: g.engineStart,
+		Stream:      g.stream,
 		From:        g.next,
 		DeadlineMS:  g.deadline.Sub(g.dispatcher.Clock.Now()).Milliseconds(),
 	}
--- a/internal/dispatcher/key.go
+++ b/internal/dispatcher/key.go
@@ -26,7 +26,7 @@
 
 // lookupKey finds the bound key behind what the caller gave.
 func (d *Dispatcher) lookupKey(ctx context.Context, workspace, service, key string) (deduplicator.Key, error) {
-	if !deduplicator.IsBound(key) {
+	if !deduplicator.IsKey(key) {
 		k, err := d.Claims.Find(ctx, workspace, service, key)
 		if err != nil {
 			return deduplicator.Key{}, refuse(http.StatusServiceUnavailable, err.Error(), pause())
--- a/internal/forwarder/messages.go
+++ b/internal/forwarder/messages.go
@@ -54,8 +54,10 @@
 	// Version and EngineStart bind the reply; empty means whatever is in force.
 	Version     string `json:"version,omitempty"`
 	EngineStart string `json:"engineStart,omitempty"`
-	// From is the first event wanted; above 0 an earlier attempt's stream is
-	// resumed, and nothing is run anew.
+	// Stream names the stream in the engine, for a resume.
+	Stream string `json:"stream"`
+	// From is the first event wanted; above 0 the stream is resumed, and nothing
+	// is run anew.
 	From int `json:"from,omitempty"`
 	// DeadlineMS is what is left, in milliseconds, when the order is sent.
 	DeadlineMS int64 `json:"deadlineMs"`
