--- /dev/null
+++ b/internal/lister/list.go
@@ -0,0 +1,135 @@
+// Package lister meets the platform's list of VMs. The list lags: it may still
+// name a VM that has gone, and it learns late of one that has come.
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+)
+
+// The roles of a VM.
+const (
+	RoleEntry    = "entry"
+	RoleUpstream = "upstream"
+)
+
+// stateLeaving is the wire's word for a VM that is being taken away.
+const stateLeaving = "leaving"
+
+// DefaultTimeout bounds a call when HTTP.Timeout is zero.
+const DefaultTimeout = 2 * time.Second
+
+// maxAnswer bounds what is read of one answer, in bytes.
+const maxAnswer = 64 << 20
+
+// VM is one machine of the deployment.
+type VM struct {
+	ID string
+	// Role is RoleEntry or RoleUpstream.
+	Role string
+	// Address is where our process on the VM listens.
+	Address       netip.AddrPort
+	FailureDomain string
+	Region        string
+	// Leaving VMs are to get no new work.
+	Leaving bool
+}
+
+// List is the platform's list of VMs, as it was some time ago.
+type List interface {
+	VMs(ctx context.Context) ([]VM, error)
+}
+
+// HTTP is the list behind its HTTP wire (docs/PEERS.md).
+type HTTP struct {
+	Address netip.AddrPort
+	// Timeout bounds each call from dial to the last byte.
+	Timeout time.Duration
+	// Client makes the calls; nil means one of its own.
+	Client *http.Client
+
+	once sync.Once
+	own  *http.Client
+}
+
+var _ List = (*HTTP)(nil)
+
+// StatusError reports an answer other than success.
+type StatusError struct {
+	// Status is the HTTP status.
+	Status int
+}
+
+func (e *StatusError) Error() string { return fmt.Sprintf("list of VMs: status %d", e.Status) }
+
+// VMs implements List.
+func (h *HTTP) VMs(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.timeout())
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: h.Address.String(), Path: "/vms"}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	res, err := h.client().Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: res.StatusCode}
+	}
+	return decode(io.LimitReader(res.Body, maxAnswer))
+}
+
+func decode(r io.Reader) ([]VM, error) {
+	var in struct {
+		VMs []struct {
+			ID            string         `json:"id"`
+			Role          string         `json:"role"`
+			Address       netip.AddrPort `json:"address"`
+			FailureDomain string         `json:"failureDomain"`
+			Region        string         `json:"region"`
+			State         string         `json:"state"`
+		} `json:"vms"`
+	}
+	if err := json.NewDecoder(r).Decode(&in); err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	vms := make([]VM, 0, len(in.VMs))
+	for _, v := range in.VMs {
+		vms = append(vms, VM{
+			ID:            v.ID,
+			Role:          v.Role,
+			Address:       v.Address,
+			FailureDomain: v.FailureDomain,
+			Region:        v.Region,
+			Leaving:       v.State == stateLeaving,
+		})
+	}
+	return vms, nil
+}
+
+func (h *HTTP) timeout() time.Duration {
+	if h.Timeout > 0 {
+		return h.Timeout
+	}
+	return DefaultTimeout
+}
+
+func (h *HTTP) client() *http.Client {
+	if h.Client != nil {
+		return h.Client
+	}
+	h.once.Do(func() {
+		h.own = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
+	})
+	return h.own
+}
