Add what a process knows of the bundle, and the watcher that feeds it

And Word gains Outage, OutageAgeMS and Silent: while the store seems out, entries pass on who does not reach it, so that a majority can be counted without asking all entries directly.

Ruled out: refreshing by the time of arrival (a paused process reads old words from its sockets and takes them for new). A lower or empty store is counted as an alarm and does not count as reaching the store.

--- /dev/null
+++ b/internal/gossiper/alarms.go
@@ -0,0 +1,71 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// AlarmKind names a kind of alarm in logs, metrics and status output.
+type AlarmKind string
+
+// The kinds of alarm.
+const (
+	AlarmRolledBack AlarmKind = "rolledBack"
+	AlarmEmptyStore AlarmKind = "emptyStore"
+	AlarmFork       AlarmKind = "fork"
+	AlarmBadRecord  AlarmKind = "badRecord"
+)
+
+// Alarm is something that must not happen in a sound deployment and that an
+// operator has to look into.
+type Alarm struct {
+	Kind AlarmKind
+	// Err is the last error of the kind.
+	Err error
+	// Count is how often it happened, Last when it last did.
+	Count int
+	Last  time.Time
+}
+
+// Alarms lists what was counted since the start, by kind.
+func (s *State) Alarms() []Alarm {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Alarm
+	for _, a := range s.alarms {
+		list = append(list, *a)
+	}
+	slices.SortFunc(list, func(a, b Alarm) int { return cmp.Compare(a.Kind, b.Kind) })
+	return list
+}
+
+// alarm counts the error and gives it back.
+func (s *State) alarm(err error) error {
+	if s.alarms == nil {
+		s.alarms = map[AlarmKind]*Alarm{}
+	}
+	kind := kindOf(err)
+	a := s.alarms[kind]
+	if a == nil {
+		a = &Alarm{Kind: kind}
+		s.alarms[kind] = a
+	}
+	a.Err = err
+	a.Count++
+	a.Last = s.Clock.Now()
+	return err
+}
+
+func kindOf(err error) AlarmKind {
+	switch err.(type) { //nolint:errorlint // only called with errors made here, never wrapped
+	case *RolledBackError:
+		return AlarmRolledBack
+	case *EmptyStoreError:
+		return AlarmEmptyStore
+	case *ForkError:
+		return AlarmFork
+	default:
+		return AlarmBadRecord
+	}
+}
--- /dev/null
+++ b/internal/gossiper/errors.go
@@ -0,0 +1,75 @@
+package gossiper
+
+import (
+	"fmt"
+	"time"
+)
+
+// NoBundleError reports a process that has no bundle yet and so serves nothing.
+type NoBundleError struct{}
+
+func (e *NoBundleError) Error() string { return "no bundle is known yet" }
+
+// StaleError reports a process that has not heard for too long that its bundle
+// is still the newest: a newer one may have taken its work away.
+type StaleError struct {
+	Revision uint64
+	// Age is how long ago the store confirmed Revision as the newest; negative
+	// when that was never heard.
+	Age time.Duration
+	// Limit is State.FreshFor.
+	Limit time.Duration
+	// Known is the highest revision heard of. Above Revision, the process knows
+	// that it is behind.
+	Known uint64
+}
+
+func (e *StaleError) Error() string {
+	if e.Known > e.Revision {
+		return fmt.Sprintf("revision %d is superseded by %d, which has not arrived", e.Revision, e.Known)
+	}
+	if e.Age < 0 {
+		return fmt.Sprintf("revision %d was never confirmed as the newest", e.Revision)
+	}
+	return fmt.Sprintf("revision %d was last confirmed %v ago, over the limit of %v", e.Revision, e.Age, e.Limit)
+}
+
+// RolledBackError reports a store that holds a lower revision than one accepted
+// earlier: it was restored from an old copy.
+type RolledBackError struct {
+	Held, Found uint64
+}
+
+func (e *RolledBackError) Error() string {
+	return fmt.Sprintf("the store holds revision %d, but %d was accepted before: it was rolled back", e.Found, e.Held)
+}
+
+// EmptyStoreError reports a store without a bundle, though one was accepted.
+type EmptyStoreError struct {
+	Held uint64
+}
+
+func (e *EmptyStoreError) Error() string {
+	return fmt.Sprintf("the store holds no bundle, but revision %d was accepted before", e.Held)
+}
+
+// ForkError reports two different bundles of one revision.
+type ForkError struct {
+	Revision    uint64
+	Held, Found string
+}
+
+func (e *ForkError) Error() string {
+	return fmt.Sprintf("revision %d exists twice: %s is held, %s was found", e.Revision, e.Held, e.Found)
+}
+
+// BadRecordError reports a record that is corrupt or lacks sign-offs.
+type BadRecordError struct {
+	// Digest is that of the record's payload; empty when there was none.
+	Digest string
+	Err    error
+}
+
+func (e *BadRecordError) Error() string { return fmt.Sprintf("record %s: %v", e.Digest, e.Err) }
+
+func (e *BadRecordError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/gossiper/watcher.go
@@ -0,0 +1,246 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/storer"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// BundleKey is the store's key of the accepted bundle.
+const BundleKey = "bundle/current"
+
+// Defaults of Watcher.
+const (
+	DefaultWait    = 25 * time.Second
+	DefaultRearm   = time.Second
+	DefaultBackoff = 8 * time.Second
+)
+
+// Watcher keeps an entry's State current from the store. It waits in a long poll
+// for changes and asks the store directly when no confirmation, its own or a
+// peer's, is young enough. It is a suture service.
+type Watcher struct {
+	Store storer.Store
+	State *State
+	Clock clock.Clock
+	// Key is the bundle's key; empty means BundleKey.
+	Key string
+	// Wait is how long one long poll lasts.
+	Wait time.Duration
+	// ProbeAge is the age of the last confirmation at which the store is asked;
+	// up to as much again is added at random, so that of many entries a few ask
+	// and the others hear the answer from them. 0 means a fifth of FreshFor.
+	ProbeAge time.Duration
+	// Rearm bounds the random pause before a watch that brought a change is put
+	// up again, Backoff the pause after watches that failed.
+	Rearm, Backoff time.Duration
+	// Jitter picks a duration in [0, d); nil means uniformly at random.
+	Jitter func(d time.Duration) time.Duration
+
+	version atomic.Uint64
+	dead    atomic.Int64
+	mu      sync.Mutex
+	rearm   context.CancelFunc
+	armed   armed
+}
+
+// armed is the long poll under way.
+type armed struct {
+	after uint64
+	since time.Time
+}
+
+// Serve runs until the context ends.
+func (w *Watcher) Serve(ctx context.Context) error {
+	var g sync.WaitGroup
+	g.Go(func() { w.probeLoop(ctx) })
+	g.Go(func() { w.watchLoop(ctx) })
+	g.Wait()
+	return ctx.Err()
+}
+
+// StoreReachable tells whether this process itself lately heard the store.
+func (w *Watcher) StoreReachable() bool { return w.State.StoreReachable() }
+
+// DeadWatches counts the long polls that missed a change.
+func (w *Watcher) DeadWatches() int64 { return w.dead.Load() }
+
+// probeLoop asks the store whenever the last confirmation grows old. The first
+// question waits a moment too: after a restart of all entries most of them then
+// learn the bundle from a peer, and the store is not hit by all at once.
+func (w *Watcher) probeLoop(ctx context.Context) {
+	w.sleep(ctx, w.jitter(w.probeAge()))
+	for ctx.Err() == nil {
+		if wait := w.untilProbe(); wait > 0 {
+			w.sleep(ctx, wait)
+			continue
+		}
+		if err := w.Probe(ctx); err != nil {
+			klog.V(2).InfoS("store not confirmed", "err", err)
+		}
+		w.sleep(ctx, w.probeAge()/2+w.jitter(w.probeAge()))
+	}
+}
+
+// untilProbe is how long the last confirmation, wherever it came from, lasts.
+func (w *Watcher) untilProbe() time.Duration {
+	a := w.State.Age()
+	if a < 0 || a >= w.probeAge() {
+		return 0
+	}
+	return w.probeAge() - a + w.jitter(w.probeAge())
+}
+
+// Probe asks the store once for the bundle. A long poll alone would not do: one
+// that died without an error looks just like one that waits for a change.
+func (w *Watcher) Probe(ctx context.Context) error {
+	asked := w.Clock.Now()
+	i, err := w.Store.Get(ctx, w.key())
+	if err := w.observe(i, err, asked); err != nil {
+		return err
+	}
+	w.checkWatch(i.Version, asked)
+	return nil
+}
+
+// observe hands what the store answered to the state.
+func (w *Watcher) observe(i storer.Item, err error, asked time.Time) error {
+	var missing *storer.NotFoundError
+	if errors.As(err, &missing) {
+		w.version.Store(0)
+		w.State.Confirm(0, "", asked)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.version.Store(i.Version)
+	r, err := bundler.DecodeRecord(i.Value)
+	if err != nil {
+		return w.State.Reject(err)
+	}
+	changed, err := w.State.Observe(r, asked)
+	if changed {
+		b, _ := w.State.Current()
+		klog.InfoS("bundle from the store", "revision", b.Revision, "changeId", b.ChangeID)
+	}
+	return err
+}
+
+// checkWatch ends a long poll that has missed a change, or that waits for
+// versions which a restored store will only reach again much later. Without this
+// the process would hear of changes only as often as it probes.
+func (w *Watcher) checkWatch(version uint64, asked time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rearm == nil || version == w.armed.after || asked.Before(w.armed.since.Add(w.probeAge())) {
+		return
+	}
+	w.dead.Add(1)
+	klog.InfoS("watch missed a change", "after", w.armed.after, "version", version)
+	w.rearm()
+}
+
+func (w *Watcher) watchLoop(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		if !w.ready() {
+			w.sleep(ctx, w.probeAge()/2+w.jitter(w.probeAge()))
+			continue
+		}
+		switch err := w.watchOnce(ctx); {
+		case err == nil:
+			failures = 0
+			w.sleep(ctx, w.jitter(orDefault(w.Rearm, DefaultRearm)))
+		case isUnchanged(err):
+			failures = 0
+		default:
+			failures++
+			w.sleep(ctx, w.backoff(failures))
+		}
+	}
+}
+
+// ready tells whether putting up a watch makes sense: the store's version of
+// the bundle is known and this process lately reached the store or heard of it.
+func (w *Watcher) ready() bool {
+	if w.State.StoreReachable() {
+		return true
+	}
+	a := w.State.Age()
+	return w.version.Load() > 0 && a >= 0 && a <= w.State.ReachFor()
+}
+
+// watchOnce is one long poll.
+func (w *Watcher) watchOnce(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := w.Clock.Now()
+	after := w.version.Load()
+	w.arm(cancel, armed{after: after, since: asked})
+	defer w.arm(nil, armed{})
+	i, err := w.Store.Watch(ctx, w.key(), after, orDefault(w.Wait, DefaultWait))
+	return w.observe(i, err, asked)
+}
+
+func (w *Watcher) arm(cancel context.CancelFunc, a armed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rearm, w.armed = cancel, a
+}
+
+// backoff doubles with each failure up to a bound; half of it is random.
+func (w *Watcher) backoff(failures int) time.Duration {
+	most := orDefault(w.Backoff, DefaultBackoff)
+	d := w.probeAge()
+	for range failures {
+		d = min(2*d, most)
+	}
+	return d/2 + w.jitter(d/2)
+}
+
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
+	t := w.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C():
+	}
+}
+
+func (w *Watcher) jitter(d time.Duration) time.Duration {
+	if w.Jitter != nil {
+		return w.Jitter(d)
+	}
+	return time.Duration(rand.Int64N(int64(d) + 1))
+}
+
+func (w *Watcher) probeAge() time.Duration { return orDefault(w.ProbeAge, w.State.freshFor()/5) }
+
+func (w *Watcher) key() string {
+	if w.Key == "" {
+		return BundleKey
+	}
+	return w.Key
+}
+
+func isUnchanged(err error) bool {
+	var unchanged *storer.UnchangedError
+	return errors.As(err, &unchanged)
+}
+
+func orDefault(d, otherwise time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return otherwise
+}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -90,6 +90,23 @@
 	// as the newest, as far as the sender knows; -1 when never. An age needs no
 	// agreement of clocks between VMs.
 	AgeMS int64 `json:"ageMs"`
+	// Outage says that, OutageAgeMS milliseconds ago, more than half of the
+	// deployment's entries were heard and none of them reached the store while
+	// Revision was the highest known: an outage of the store and not a cut.
+	Outage      bool  `json:"outage,omitempty"`
+	OutageAgeMS int64 `json:"outageAgeMs,omitempty"`
+	// Silent are the entries known not to reach the store. It is sent only while
+	// the store seems out, so that each entry can count a majority without
+	// asking all the others itself.
+	Silent []Silence `json:"silent,omitempty"`
+}
+
+// Silence is an entry's word, AgeMS milliseconds ago, that it does not reach the
+// store. As it passes from process to process it only ever ages.
+type Silence struct {
+	ID     string `json:"id"`
+	Region string `json:"region,omitempty"`
+	AgeMS  int64  `json:"ageMs"`
 }
 
 // Age is AgeMS as a duration; negative when the store was never heard.
