--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,223 @@
+// Package agent is the daemon beside each upstream. It is the only road to that
+// upstream, so it alone counts exactly what runs there; it brings the weights
+// that the bundle names into memory, orders the engine to load them, and opens
+// its gate only to what it has proved.
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/admitter"
+	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
+	"github.com/oriolecroft/oriolecroft/internal/driver"
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/gossiper"
+	"github.com/oriolecroft/oriolecroft/internal/loader"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
+)
+
+// Agent is one agent process. Set the exported fields before Run.
+type Agent struct {
+	ID            string
+	Incarnation   string
+	FailureDomain string
+	Region        string
+	Listener      net.Listener
+	// Operators serves status, metrics and health; nil leaves it out.
+	Operators net.Listener
+	// Seeds are the peer addresses of some entries.
+	Seeds []netip.AddrPort
+	// Upstream is an engine or a plain service.
+	Upstream driver.Upstream
+	// Service is the plain service's name.
+	Service string
+	Loader  *loader.Loader
+	State   *gossiper.State
+	Gate    *admitter.Gate
+	Ledger  *deduplicator.Ledger
+	Clock   clock.WithTicker
+	// Heartbeat is the longest time between two reports to an entry.
+	Heartbeat time.Duration
+	// ReportTo is how many entries are told.
+	ReportTo int
+
+	links    *links
+	proof    *proof
+	switcher *switcher
+}
+
+// probeEvery is how often the upstream is asked for its state. It bounds how
+// long a restart that cut no request goes unnoticed.
+const probeEvery = 100 * time.Millisecond
+
+// linger is how long a leaving agent stays after its last request, so that every
+// entry has heard that it leaves before its address goes dead.
+const linger = 500 * time.Millisecond
+
+// Run serves until the context ends, then leaves: the gate closes, entries are
+// told, and what runs is finished.
+func (a *Agent) Run(ctx context.Context) error {
+	a.links = newLinks(a)
+	a.proof = &proof{}
+	a.switcher = &switcher{agent: a}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	s := suture.New("agent", suture.Spec{EventHook: reporter.LogEvents})
+	s.Add(&reporter.Web{Name: "requests", Listener: a.Listener, Handler: a.handler()})
+	if a.Operators != nil {
+		s.Add(&reporter.Web{Name: "operators", Listener: a.Operators, Handler: a.operators()})
+	}
+	s.Add(reporter.Every("holds", a.Clock, holdEvery, a.hold))
+	s.Add(reporter.Every("probe", a.Clock, probeEvery, a.probe))
+	s.Add(a.links)
+	if _, ok := a.Upstream.(*driver.Engine); ok {
+		s.Add(a.Loader)
+		s.Add(reporter.Every("weights", a.Clock, switchEvery, a.switcher.step))
+	}
+	done := s.ServeBackground(work)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	a.leave(work)
+	stop()
+	err := <-done
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// leave closes the gate first and tells the entries next, so that what they send
+// meanwhile is refused as not run; then what runs is finished, however long it
+// takes: its deadlines bound it.
+func (a *Agent) leave(ctx context.Context) {
+	klog.InfoS("Leaving", "agent", a.ID)
+	a.Gate.Close(admitter.Leaving)
+	a.links.announce()
+	if err := a.Gate.Drained(ctx); err != nil {
+		klog.ErrorS(err, "Leaving with work under way", "agent", a.ID)
+	}
+	t := a.Clock.NewTimer(linger)
+	defer t.Stop()
+	<-t.C()
+}
+
+func (a *Agent) handler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/run/", forwarder.Handler(&runner{agent: a}))
+	if a.Loader != nil {
+		m.Handle("/", a.Loader.Handler())
+	}
+	return m
+}
+
+// proof is what the engine was last found to hold.
+type proof struct {
+	mu     sync.Mutex
+	health driver.Health
+	known  bool
+}
+
+func (p *proof) set(h driver.Health) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.health, p.known = h, true
+}
+
+func (p *proof) clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.health, p.known = driver.Health{}, false
+}
+
+// get gives the last finding; ok is false while the upstream does not answer.
+func (p *proof) get() (h driver.Health, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.health, p.known
+}
+
+// probe asks the upstream for its state and tells the gate.
+func (a *Agent) probe(ctx context.Context) {
+	mark := a.Gate.Mark()
+	asked := a.Clock.Now()
+	h, err := driver.Check(ctx, a.Upstream)
+	a.Gate.Probe(admitter.Probe{
+		Mark:     mark,
+		Err:      err,
+		Latency:  a.Clock.Since(asked),
+		StartID:  h.StartID,
+		Uptime:   h.Uptime,
+		Cold:     h.Cold,
+		Model:    h.Model,
+		Version:  h.Version,
+		Manifest: h.Manifest,
+	})
+	if err != nil {
+		a.proof.clear()
+		a.Gate.Close(admitter.Gone)
+		return
+	}
+	a.proof.set(h)
+	a.Gate.Open(admitter.Gone)
+}
+
+// state is the agent's account of itself.
+func (a *Agent) state() messenger.AgentState {
+	gate, limit, running := a.Gate.State()
+	w := a.State.Word()
+	s := messenger.AgentState{
+		ID:            a.ID,
+		Incarnation:   a.Incarnation,
+		FailureDomain: a.FailureDomain,
+		Region:        a.Region,
+		Kind:          messenger.KindService,
+		Service:       a.Service,
+		Address:       addressOf(a.Listener),
+		Gate:          gate,
+		Limit:         limit,
+		Running:       running,
+		Leaving:       a.leaving(),
+		Revision:      w.Revision,
+		Digest:        w.Digest,
+	}
+	if _, ok := a.Upstream.(*driver.Engine); ok {
+		s.Kind = messenger.KindEngine
+		s.Holdings = a.Loader.Holdings()
+	}
+	if h, ok := a.proof.get(); ok {
+		s.Model, s.Version, s.Manifest, s.EngineStart = h.Model, h.Version, h.Manifest, h.StartID
+		s.Adapters = a.switcher.adapters(h)
+	}
+	return s
+}
+
+func (a *Agent) leaving() bool {
+	for _, r := range a.Gate.Holds() {
+		if r == admitter.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	a, err := netip.ParseAddrPort(l.Addr().String())
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -31,6 +31,7 @@
 	Cold                     bool
 	Running                  int
 	Model, Version, Manifest string
+	Adapters                 []AdapterState
 }
 
 // Check asks either kind of upstream for its health.
--- /dev/null
+++ b/internal/reporter/handler.go
@@ -0,0 +1,35 @@
+package reporter
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Handler serves operators: /status as JSON, /metrics as text that common
+// collectors read, /healthz (the process runs) and /readyz (it takes new work).
+func Handler(status func() any, ready func() error) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		_ = e.Encode(status())
+	})
+	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		writeMetrics(w, metrics.DefaultRegistry)
+	})
+	return m
+}
--- /dev/null
+++ b/internal/reporter/service.go
@@ -0,0 +1,85 @@
+// Package reporter is the wire towards operators: status, metrics and health over
+// HTTP. It also holds the small services that both daemons run under suture.
+package reporter
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+)
+
+// LogEvents writes what the supervisor does to the log.
+func LogEvents(e suture.Event) {
+	klog.InfoS("Supervisor", "event", e.String())
+}
+
+// Web is an HTTP server as a suture service. Its listener outlives restarts.
+type Web struct {
+	Name     string
+	Listener net.Listener
+	Handler  http.Handler
+	// Grace is how long requests under way may take once the context has ended.
+	Grace time.Duration
+}
+
+// readHeaderTimeout frees a connection whose client opens it and then is silent.
+const readHeaderTimeout = 10 * time.Second
+
+// Serve answers requests until the context ends.
+func (w *Web) Serve(ctx context.Context) error {
+	s := &http.Server{Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout}
+	finished := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(finished)
+		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.Grace)
+		defer cancel()
+		if err := s.Shutdown(grace); err != nil {
+			s.Close()
+		}
+	})
+	err := s.Serve(w.Listener)
+	if stop() {
+		return err
+	}
+	<-finished
+	if errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (w *Web) String() string { return w.Name }
+
+// Every makes a service that does something at each tick, starting at once. A
+// tick that comes while the work is still under way is dropped.
+func Every(name string, c clock.WithTicker, interval time.Duration, do func(context.Context)) suture.Service {
+	return &periodic{name: name, clock: c, interval: interval, do: do}
+}
+
+type periodic struct {
+	name     string
+	clock    clock.WithTicker
+	interval time.Duration
+	do       func(context.Context)
+}
+
+func (p *periodic) Serve(ctx context.Context) error {
+	t := p.clock.NewTicker(p.interval)
+	defer t.Stop()
+	for {
+		p.do(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C():
+		}
+	}
+}
+
+func (p *periodic) String() string { return p.name }
