--- /dev/null
+++ b/standins/imitator/checker.go
@@ -0,0 +1,161 @@
+package imitator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Checker compares what callers were told with what the stand-ins did.
+type Checker struct {
+	// Services, Engines and Origins are host:port addresses of stand-ins.
+	Services []string
+	Engines  []string
+	Origins  []string
+	// Results are those of all callers.
+	Results []Result
+	// Drained are the stand-ins that were to get no new work from some time on.
+	Drained Drained
+}
+
+// Drained names stand-ins that were to get no new work from some time on.
+type Drained struct {
+	Drained []struct {
+		Address string    `json:"address"`
+		Since   time.Time `json:"since"`
+	} `json:"drained"`
+}
+
+// Totals are the counts over all callers and stand-ins.
+type Totals struct {
+	Requests int `json:"requests"`
+	Whole    int `json:"whole"`
+	Refused  int `json:"refused"`
+	// Unknown counts model requests and bookings, broken replies included.
+	Unknown  int `json:"unknown"`
+	Bookings int `json:"bookings"`
+	// Doubled counts bookings that ran more than once over all services.
+	Doubled int `json:"doubled"`
+	// FalseNotRun counts bookings that ran although the caller was told that
+	// they had not, or was told nothing.
+	FalseNotRun int   `json:"falseNotRun"`
+	Mixed       int   `json:"mixed"`
+	OriginBytes int64 `json:"originBytes"`
+	FellOver    int64 `json:"fellOver"`
+	WorstCold   int   `json:"worstCold"`
+	// LateWork counts drained stand-ins that took work after their time.
+	LateWork int `json:"lateWork"`
+}
+
+// standinCounts are the counts of any kind of stand-in that matter here.
+type standinCounts struct {
+	ChunkBytes int64     `json:"chunkBytes"`
+	FellOver   int64     `json:"fellOver"`
+	WorstCold  int       `json:"worstCold"`
+	Mixed      int       `json:"mixed"`
+	LastWorkAt time.Time `json:"lastWorkAt"`
+}
+
+// Run asks all stand-ins for their counts. It fails when one does not answer.
+func (c *Checker) Run(ctx context.Context) (Totals, error) {
+	var t Totals
+	for _, r := range c.Results {
+		t.addResult(r)
+	}
+	for _, group := range [][]string{c.Services, c.Engines, c.Origins} {
+		for _, a := range group {
+			if err := c.addStandin(ctx, &t, a); err != nil {
+				return t, err
+			}
+		}
+	}
+	runs, err := c.bookingRuns(ctx)
+	if err != nil {
+		return t, err
+	}
+	t.addRuns(runs, c.fates())
+	return t, nil
+}
+
+func (t *Totals) addResult(r Result) {
+	t.Requests += r.Requests
+	t.Whole += r.Whole
+	t.Refused += r.Refused + r.BookingsRefused
+	t.Unknown += r.Unknown + r.Broken + r.BookingsUnknown
+	t.Bookings += r.Bookings
+	t.Mixed += r.Mixed
+}
+
+func (c *Checker) addStandin(ctx context.Context, t *Totals, address string) error {
+	var n standinCounts
+	if err := getJSON(ctx, address, "/admin/counts", &n); err != nil {
+		return err
+	}
+	t.OriginBytes += n.ChunkBytes
+	t.FellOver += n.FellOver
+	t.WorstCold = max(t.WorstCold, n.WorstCold)
+	t.Mixed += n.Mixed
+	for _, d := range c.Drained.Drained {
+		if d.Address == address && n.LastWorkAt.After(d.Since) {
+			t.LateWork++
+		}
+	}
+	return nil
+}
+
+// bookingRuns returns the number of runs of each booking over all services.
+func (c *Checker) bookingRuns(ctx context.Context) (map[string]int64, error) {
+	runs := map[string]int64{}
+	for _, a := range c.Services {
+		var answer struct {
+			Bookings map[string]int64 `json:"bookings"`
+		}
+		if err := getJSON(ctx, a, "/admin/bookings", &answer); err != nil {
+			return nil, err
+		}
+		for name, n := range answer.Bookings {
+			runs[name] += n
+		}
+	}
+	return runs, nil
+}
+
+func (c *Checker) fates() map[string]Fate {
+	fates := map[string]Fate{}
+	for _, r := range c.Results {
+		for name, fate := range r.Fates {
+			fates[name] = fate
+		}
+	}
+	return fates
+}
+
+func (t *Totals) addRuns(runs map[string]int64, fates map[string]Fate) {
+	for name, n := range runs {
+		if n > 1 {
+			t.Doubled++
+		}
+		fate := fates[name]
+		if n > 0 && fate != FateDone && fate != FateUnknown {
+			t.FalseNotRun++
+		}
+	}
+}
+
+func getJSON(ctx context.Context, address, path string, v any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s answered %s", address, path, res.Status)
+	}
+	return json.NewDecoder(res.Body).Decode(v)
+}
--- /dev/null
+++ b/standins/imitator/engine_test.go
@@ -0,0 +1,189 @@
+package imitator_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktesting "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/standins/imitator"
+)
+
+// weights serves "one" and "two", and holds "late" back until it is released.
+func startWeights(t *testing.T, release <-chan struct{}) peer {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /{name}", func(w http.ResponseWriter, r *http.Request) {
+		if r.PathValue("name") == "late" {
+			<-release
+		}
+		w.Write([]byte(r.PathValue("name")))
+	})
+	return startPeer(t, m)
+}
+
+func order(fence, version, address string) string {
+	return `{"fence":` + fence + `,"model":"m","version":"` + version + `","weightsUrl":"` + address + `"}`
+}
+
+func engineState(p peer) imitator.EngineState {
+	var s imitator.EngineState
+	must.NoError(p.t, json.Unmarshal([]byte(p.expect(200, "GET", "/state", "")), &s))
+	return s
+}
+
+// openStream begins a reply and reads its first event.
+func openStream(p peer, body string) *bufio.Scanner {
+	res, err := http.Post(p.url+"/generate", "application/json", strings.NewReader(body))
+	must.NoError(p.t, err)
+	must.Eq(p.t, 200, res.StatusCode)
+	p.t.Cleanup(func() { res.Body.Close() })
+	lines := bufio.NewScanner(res.Body)
+	must.True(p.t, lines.Scan())
+	return lines
+}
+
+func drain(lines *bufio.Scanner) (rest string, err error) {
+	for lines.Scan() {
+		rest += lines.Text()
+	}
+	return rest, lines.Err()
+}
+
+// An order that was delayed on its way arrives after a newer one. An engine that
+// heeds fences refuses it.
+func TestEngineHeedsFence(t *testing.T) {
+	w := startWeights(t, nil)
+	p := startPeer(t, (&imitator.Engine{}).Handler())
+	p.expect(200, "POST", "/load", order("2", "v2", w.url+"/two"))
+	must.StrContains(t, p.expect(409, "POST", "/load", order("1", "v1", w.url+"/one")), `"fence":2`)
+	p.expect(409, "POST", "/role", `{"fence":1,"role":"decode"}`)
+	must.Eq(t, "v2", engineState(p).Version)
+}
+
+// The same, but the engine ignores fences: it serves the older weights, and only
+// its state and its events tell.
+func TestEngineIgnoresFence(t *testing.T) {
+	w := startWeights(t, nil)
+	p := startPeer(t, (&imitator.Engine{IgnoreFence: true}).Handler())
+	p.expect(200, "POST", "/load", order("2", "v2", w.url+"/two"))
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	must.Eq(t, "v1", engineState(p).Version)
+	must.Eq(t, int64(1), engineState(p).Fence)
+}
+
+// A load is under way when a newer order comes. The older must not land after
+// the newer one.
+func TestEngineNewestLoadWins(t *testing.T) {
+	release := make(chan struct{})
+	w := startWeights(t, release)
+	p := startPeer(t, (&imitator.Engine{}).Handler())
+	statuses := make(chan int)
+	go func() {
+		status, _ := p.call("POST", "/load", order("1", "v1", w.url+"/late"))
+		statuses <- status
+	}()
+	for engineState(p).Fence != 1 {
+		continue
+	}
+	p.expect(200, "POST", "/load", order("2", "v2", w.url+"/two"))
+	close(release)
+	must.NotEq(t, 200, <-statuses)
+	must.Eq(t, "v2", engineState(p).Version)
+}
+
+func TestEngineStreams(t *testing.T) {
+	w := startWeights(t, nil)
+	p := startPeer(t, (&imitator.Engine{}).Handler())
+	p.expect(503, "POST", "/generate", `{"prompt":"p"}`)
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	whole := p.expect(200, "POST", "/generate", `{"requestId":"r","prompt":"p","maxTokens":3}`)
+	events := strings.SplitAfter(whole, "\n\n")
+	must.Len(t, 5, events)
+	must.StrContains(t, events[3], `"done":true,"tokens":3,"version":"v1","weights":"sha256:`)
+	must.Eq(t, events[2]+events[3], p.expect(200, "GET", "/generate/r?from=2", ""))
+	p.expect(404, "GET", "/generate/other", "")
+	p.expect(409, "POST", "/generate", `{"requestId":"r","prompt":"p"}`)
+}
+
+// An engine takes a load order while a reply is under way. The reply is cut, so
+// that no reply is ever of two kinds of weights.
+func TestEngineLoadCutsStreams(t *testing.T) {
+	c := clocktesting.NewFakeClock(epoch)
+	w := startWeights(t, nil)
+	p := startPeer(t, (&imitator.Engine{Clock: c, TokenTime: time.Second}).Handler())
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	opened := make(chan *bufio.Scanner)
+	go func() {
+		opened <- openStream(p, `{"requestId":"r","prompt":"p","maxTokens":3}`)
+	}()
+	awaitTimers(c, 1)
+	c.Step(time.Second)
+	lines := <-opened
+	p.expect(200, "POST", "/load", order("2", "v2", w.url+"/two"))
+	rest, err := drain(lines)
+	must.Error(t, err)
+	must.StrNotContains(t, rest, "done")
+	counts := p.expect(200, "GET", "/admin/counts", "")
+	must.StrContains(t, counts, `"mixed":0,"cutByLoad":1`)
+}
+
+func TestEngineCancels(t *testing.T) {
+	c := clocktesting.NewFakeClock(epoch)
+	w := startWeights(t, nil)
+	p := startPeer(t, (&imitator.Engine{Clock: c, TokenTime: time.Second}).Handler())
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	bodies := make(chan string)
+	go func() { bodies <- p.expect(200, "POST", "/generate", `{"requestId":"r"}`) }()
+	awaitTimers(c, 1)
+	p.expect(200, "DELETE", "/generate/r", "")
+	must.Eq(t, "", <-bodies)
+	must.Eq(t, 0, engineState(p).Running)
+	must.StrContains(t, p.expect(200, "GET", "/admin/counts", ""), `"cancelled":1`)
+}
+
+// Requests go to an engine that was just loaded as if it were warm. Those that
+// it bears are cut too, and it has to be loaded anew.
+func TestEngineFallsOverWhenCold(t *testing.T) {
+	c := clocktesting.NewFakeClock(epoch)
+	w := startWeights(t, nil)
+	e := &imitator.Engine{Clock: c, TokenTime: time.Second, ColdLimit: 1, ColdFor: time.Minute}
+	p := startPeer(t, e.Handler())
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	start := engineState(p).StartID
+	statuses := make(chan int)
+	go func() {
+		status, _ := p.call("POST", "/generate", `{"requestId":"r"}`)
+		statuses <- status
+	}()
+	awaitTimers(c, 1)
+	status, _ := p.call("POST", "/generate", `{"requestId":"s"}`)
+	must.Eq(t, 0, status)
+	must.Eq(t, 0, <-statuses)
+	must.NotEq(t, start, engineState(p).StartID)
+	p.expect(503, "POST", "/generate", `{"requestId":"t"}`)
+	must.StrContains(t, p.expect(200, "GET", "/admin/counts", ""), `"fellOver":1,"worstCold":2`)
+}
+
+func TestEnginePrefixCache(t *testing.T) {
+	w := startWeights(t, nil)
+	p := startPeer(t, (&imitator.Engine{CacheEntries: 1}).Handler())
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	prompt := strings.Repeat("x", imitator.PrefixBlockBytes)
+	p.expect(200, "POST", "/generate", `{"maxTokens":1,"prompt":"`+prompt+`"}`)
+	var shown struct {
+		Events []struct{ Prefix, Kind string } `json:"events"`
+	}
+	must.NoError(t, json.Unmarshal([]byte(p.expect(200, "GET", "/cache/events?after=0", "")), &shown))
+	must.Len(t, 1, shown.Events)
+	must.Eq(t, "stored", shown.Events[0].Kind)
+	prefix := "/cache/" + shown.Events[0].Prefix
+	exported := p.expect(200, "GET", prefix, "")
+	p.expect(200, "PUT", prefix, exported)
+	p.expect(200, "POST", "/load", order("2", "v2", w.url+"/two"))
+	p.expect(409, "PUT", prefix, exported)
+}
--- /dev/null
+++ b/standins/imitator/origin.go
@@ -0,0 +1,285 @@
+package imitator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"golang.org/x/time/rate"
+)
+
+// pieceBytes is how many bytes pass the link at a time.
+const pieceBytes = 16 << 10
+
+// Origin is a store of weights behind one shared link. The weights are made
+// anew from their seed for each answer, so that no copy is held.
+type Origin struct {
+	// Rate is the link's speed in bytes a second, shared by all requests. Zero
+	// means no limit.
+	Rate int64
+	// Seed fixes which chunks are corrupted.
+	Seed uint64
+
+	mu        sync.Mutex
+	manifests map[string][]byte
+	chunks    map[string]chunkSource
+	faults    originFaults
+	counts    originCounts
+	random    *rand.Rand
+	changed   signal
+	link      *rate.Limiter
+}
+
+// Publication names weights to be published. Size and ChunkSize are in bytes.
+// Equal publications give equal weights.
+type Publication struct {
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	Size      int64  `json:"size"`
+	ChunkSize int64  `json:"chunkSize"`
+	Seed      uint64 `json:"seed"`
+}
+
+type manifest struct {
+	Model     string   `json:"model"`
+	Version   string   `json:"version"`
+	Size      int64    `json:"size"`
+	ChunkSize int64    `json:"chunkSize"`
+	Chunks    []string `json:"chunks"`
+}
+
+// chunkSource is what a chunk's bytes are made from.
+type chunkSource struct {
+	key  [32]byte
+	size int64
+}
+
+type originFaults struct {
+	Down    bool    `json:"down"`
+	Stall   bool    `json:"stall"`
+	Corrupt float64 `json:"corrupt"`
+}
+
+type originCounts struct {
+	ChunkBytes       int64 `json:"chunkBytes"`
+	ChunkRequests    int64 `json:"chunkRequests"`
+	ManifestRequests int64 `json:"manifestRequests"`
+}
+
+// Handler returns the store's HTTP interface.
+func (o *Origin) Handler() http.Handler {
+	o.manifests = map[string][]byte{}
+	o.chunks = map[string]chunkSource{}
+	o.random = rand.New(rand.NewPCG(o.Seed, 0))
+	o.link = rate.NewLimiter(rate.Inf, 0)
+	if o.Rate > 0 {
+		o.link = rate.NewLimiter(rate.Limit(o.Rate), pieceBytes)
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /manifests/{digest}", o.getManifest)
+	m.HandleFunc("GET /chunks/{digest}", o.getChunk)
+	m.HandleFunc("POST /admin/publish", o.publish)
+	m.HandleFunc("POST /admin/faults", o.setFaults)
+	m.HandleFunc("GET /admin/counts", o.getCounts)
+	return m
+}
+
+// digestOf returns the digest of b in the form "sha256:…".
+func digestOf(b []byte) string {
+	sum := sha256.Sum256(b)
+	return digestText(sum[:])
+}
+
+func digestText(sum []byte) string {
+	return "sha256:" + hex.EncodeToString(sum)
+}
+
+// source returns what chunk i of the publication is made from.
+func (p Publication) source(i int64) chunkSource {
+	seed := fmt.Sprintf("%q %q %d %d", p.Model, p.Version, p.Seed, i)
+	return chunkSource{
+		key:  sha256.Sum256([]byte(seed)),
+		size: min(p.ChunkSize, p.Size-i*p.ChunkSize),
+	}
+}
+
+// pieces calls f with the chunk's bytes, a piece at a time, until f fails. The
+// piece is reused between calls.
+func (c chunkSource) pieces(f func(piece []byte) error) error {
+	g := rand.NewChaCha8(c.key)
+	buffer := make([]byte, pieceBytes)
+	for left := c.size; left > 0; {
+		piece := buffer[:min(left, pieceBytes)]
+		_, _ = g.Read(piece) // never fails
+		if err := f(piece); err != nil {
+			return err
+		}
+		left -= int64(len(piece))
+	}
+	return nil
+}
+
+func (c chunkSource) digest() string {
+	h := sha256.New()
+	_ = c.pieces(func(piece []byte) error {
+		_, err := h.Write(piece)
+		return err
+	})
+	return digestText(h.Sum(nil))
+}
+
+// Publish makes the weights available and returns the digest of their manifest.
+// It is called after Handler.
+func (o *Origin) Publish(p Publication) (string, error) {
+	if p.Size <= 0 || p.ChunkSize <= 0 {
+		return "", fmt.Errorf("size %d and chunk size %d must be positive", p.Size, p.ChunkSize)
+	}
+	m := manifest{Model: p.Model, Version: p.Version, Size: p.Size, ChunkSize: p.ChunkSize}
+	sources := map[string]chunkSource{}
+	for i := int64(0); i*p.ChunkSize < p.Size; i++ {
+		c := p.source(i)
+		d := c.digest()
+		sources[d] = c
+		m.Chunks = append(m.Chunks, d)
+	}
+	body, err := json.Marshal(m)
+	if err != nil {
+		return "", err
+	}
+	digest := digestOf(body)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.manifests[digest] = body
+	for d, c := range sources {
+		o.chunks[d] = c
+	}
+	return digest, nil
+}
+
+func (o *Origin) publish(w http.ResponseWriter, r *http.Request) {
+	var p Publication
+	if !readJSON(w, r, &p) {
+		return
+	}
+	digest, err := o.Publish(p)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Manifest string `json:"manifest"`
+	}{digest})
+}
+
+func (o *Origin) getManifest(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	down := o.faults.Down
+	body, ok := o.manifests[r.PathValue("digest")]
+	if !down {
+		o.counts.ManifestRequests++
+	}
+	o.mu.Unlock()
+	if down {
+		writeError(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	if !ok {
+		writeError(w, http.StatusNotFound, "no such manifest")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(body)
+}
+
+func (o *Origin) getChunk(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	down := o.faults.Down
+	c, ok := o.chunks[r.PathValue("digest")]
+	corrupt := o.random.Float64() < o.faults.Corrupt
+	if !down {
+		o.counts.ChunkRequests++
+	}
+	o.mu.Unlock()
+	if down {
+		writeError(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	if !ok {
+		writeError(w, http.StatusNotFound, "no such chunk")
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", fmt.Sprint(c.size))
+	err := c.pieces(func(piece []byte) error {
+		if corrupt {
+			piece[0] ^= 1
+			corrupt = false
+		}
+		return o.send(w, r, piece)
+	})
+	if err != nil {
+		cut()
+	}
+}
+
+// errDown ends an answer that was under way when the store went down.
+var errDown = fmt.Errorf("down")
+
+// send passes one piece over the link.
+func (o *Origin) send(w http.ResponseWriter, r *http.Request, piece []byte) error {
+	if err := o.holdStall(r); err != nil {
+		return err
+	}
+	if err := o.link.WaitN(r.Context(), len(piece)); err != nil {
+		return err
+	}
+	n, err := w.Write(piece)
+	o.mu.Lock()
+	o.counts.ChunkBytes += int64(n)
+	o.mu.Unlock()
+	return err
+}
+
+// holdStall waits while the link stalls. It fails when the store goes down or
+// the request ends.
+func (o *Origin) holdStall(r *http.Request) error {
+	for {
+		o.mu.Lock()
+		faults, changed := o.faults, o.changed.wait()
+		o.mu.Unlock()
+		if faults.Down {
+			return errDown
+		}
+		if !faults.Stall {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return r.Context().Err()
+		}
+	}
+}
+
+func (o *Origin) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults originFaults
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	o.mu.Lock()
+	o.faults = faults
+	o.changed.notify()
+	o.mu.Unlock()
+	writeJSON(w, http.StatusOK, faults)
+}
+
+func (o *Origin) getCounts(w http.ResponseWriter, _ *http.Request) {
+	o.mu.Lock()
+	counts := o.counts
+	o.mu.Unlock()
+	writeJSON(w, http.StatusOK, counts)
+}
