--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -45,7 +45,7 @@
 func (s EngineState) health() Health {
 	return Health{
 		StartID: s.StartID, Uptime: s.Uptime(), Cold: s.Cold, Running: s.Running,
-		Model: s.Model, Version: s.Version, Manifest: s.Manifest,
+		Model: s.Model, Version: s.Version, Manifest: s.Manifest, Adapters: s.Adapters,
 	}
 }
 
