--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -105,15 +105,7 @@
 }
 
 func (l *links) wanted() map[netip.AddrPort]bool {
-	var entries []messenger.EntryState
-	now := l.agent.Clock.Now()
-	for id, e := range l.known {
-		if now.Sub(e.at) > forgetAfter {
-			delete(l.known, id)
-			continue
-		}
-		entries = append(entries, e.state)
-	}
+	entries := l.entries()
 	wanted := map[netip.AddrPort]bool{}
 	for _, e := range router.ReportTo(l.agent.ID, l.agent.Region, entries, l.agent.ReportTo) {
 		wanted[e.Peers] = true
@@ -122,10 +114,29 @@
 		for _, s := range l.agent.Seeds {
 			wanted[s] = true
 		}
+		return wanted
+	}
+	wanted[homeAmong(domainHome(l.agent.FailureDomain), entries)] = true
+	if m := l.agent.switcher.model(); m != "" {
+		wanted[homeAmong(modelHome(m), entries)] = true
 	}
 	return wanted
 }
 
+// entries lists those mentioned lately.
+func (l *links) entries() []messenger.EntryState {
+	var entries []messenger.EntryState
+	now := l.agent.Clock.Now()
+	for id, e := range l.known {
+		if now.Sub(e.at) > forgetAfter {
+			delete(l.known, id)
+			continue
+		}
+		entries = append(entries, e.state)
+	}
+	return entries
+}
+
 func (l *links) connect(ctx context.Context, to netip.AddrPort) *link {
 	ctx, cancel := context.WithCancel(ctx)
 	k := &link{cancel: cancel}
@@ -184,6 +195,7 @@
 		return
 	}
 	l.take(n)
+	l.place(n, k.client.Address)
 	// The answer is as fresh as the question: while it was under way, or this
 	// process frozen, a newer bundle may have come into force.
 	l.agent.State.HearWord(n.Word, asked)
@@ -208,13 +220,43 @@
 	if a.Loader != nil && n.Holders != nil {
 		a.Loader.SetHolders(n.Holders)
 	}
-	permitted := uint64(0)
-	if n.Switch {
-		permitted = n.Word.Revision
+}
+
+// place takes over the model and the permit that an entry gave. Of all entries
+// only one counts for each: if every entry handed out its own permits, a quarter
+// of the replicas for each of nine entries would switch at the same time.
+func (l *links) place(n messenger.News, from netip.AddrPort) {
+	a := l.agent
+	if n.Assignment == "" {
+		return
+	}
+	if l.home(domainHome(a.FailureDomain)) == from {
+		a.switcher.assign(n.Assignment)
+	}
+	if l.home(modelHome(n.Assignment)) == from {
+		a.switcher.permit(n.Assignment, n.Word.Revision, n.Switch)
 	}
-	if n.Assignment != "" {
-		a.switcher.assign(n.Assignment, permitted)
+}
+
+func domainHome(domain string) string { return "failureDomain " + domain }
+
+func modelHome(model string) string { return "model " + model }
+
+// home is the entry that decides a matter for all agents: the one that ranks
+// highest for its name. While two agents see different entries two may decide,
+// which costs capacity at most.
+func (l *links) home(name string) netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return homeAmong(name, l.entries())
+}
+
+func homeAmong(name string, entries []messenger.EntryState) netip.AddrPort {
+	first := router.ReportTo(name, "", entries, 1)
+	if len(first) == 0 {
+		return netip.AddrPort{}
 	}
+	return first[0].Peers
 }
 
 func (l *links) remember(entries []messenger.EntryState) {
--- a/internal/agent/switcher.go
+++ b/internal/agent/switcher.go
@@ -40,15 +40,29 @@
 	served map[string]bool
 }
 
-// assign takes the entries' word on model and permit.
-func (s *switcher) assign(model string, permitted uint64) {
+// assign takes an entry's word on the model.
+func (s *switcher) assign(model string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if model != "" && model != s.assigned {
+	if model != s.assigned {
 		klog.InfoS("Place", "agent", s.agent.ID, "model", model, "before", s.assigned)
 		s.assigned = model
 	}
-	s.permitted = permitted
+}
+
+// permit takes an entry's word on whether the engine may be switched.
+func (s *switcher) permit(model string, revision uint64, given bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if given && model == s.assigned {
+		s.permitted = revision
+	}
+}
+
+func (s *switcher) model() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.assigned
 }
 
 // servable tells whether an engine that holds a manifest may serve the model.
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,192 @@
+// Package entry is the daemon that callers connect to. It keeps nothing that
+// must last: the bundle is relearned from the store and from peers, the agents
+// from their reports.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
+	"github.com/oriolecroft/oriolecroft/internal/gossiper"
+	"github.com/oriolecroft/oriolecroft/internal/limiter"
+	"github.com/oriolecroft/oriolecroft/internal/lister"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/placer"
+	"github.com/oriolecroft/oriolecroft/internal/receiver"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
+	"github.com/oriolecroft/oriolecroft/internal/roller"
+	"github.com/oriolecroft/oriolecroft/internal/router"
+	"github.com/oriolecroft/oriolecroft/internal/tracker"
+)
+
+// Entry is one entry process. Set the exported fields before Run.
+type Entry struct {
+	ID            string
+	Incarnation   string
+	FailureDomain string
+	Region        string
+	// Callers, Peers and Operators are where each connects.
+	Callers, Peers, Operators net.Listener
+	// Seeds are the peer addresses of some other entries.
+	Seeds []netip.AddrPort
+	// List is the platform's list of VMs; nil when there is none.
+	List       lister.List
+	State      *gossiper.State
+	Watcher    *gossiper.Watcher
+	Router     *router.Router
+	Limiter    *limiter.Limiter
+	Tracker    *tracker.Tracker
+	Roller     *roller.Roller
+	Dispatcher *dispatcher.Dispatcher
+	Clock      clock.WithTicker
+	// KeepFor is how long callers may keep the list of entries.
+	KeepFor time.Duration
+	// Heartbeat is how often entries exchange what they know.
+	Heartbeat time.Duration
+
+	members *members
+	agents  *agents
+	placer  placer.Placer
+	running running
+}
+
+const (
+	// listEvery is how often the list of VMs is read; it lags by seconds anyhow.
+	listEvery = time.Second
+	// applyEvery is the longest time until a new bundle reaches the deciding
+	// parts when no change wakes them.
+	applyEvery = time.Second
+)
+
+// Run serves until the context ends, then leaves: callers are no longer told of
+// this entry, and what still comes and runs is finished.
+func (e *Entry) Run(ctx context.Context) error {
+	e.members = newMembers(e)
+	e.agents = newAgents()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	receive := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
+	s := suture.New("entry", suture.Spec{EventHook: reporter.LogEvents})
+	s.Add(&reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.running.count(receive.Handler())})
+	s.Add(&reporter.Web{Name: "operators", Listener: e.Operators, Handler: e.operators()})
+	s.Add(&messenger.Server{Listener: e.Peers, OnReport: e.report, OnExchange: e.exchange})
+	s.Add(e.Watcher)
+	s.Add(e.members)
+	s.Add(&applier{entry: e})
+	if e.List != nil {
+		s.Add(reporter.Every("list", e.Clock, listEvery, e.readList))
+	}
+	done := s.ServeBackground(work)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	e.leave()
+	stop()
+	err := <-done
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// leave takes the entry out of the list that callers get, waits until the lists
+// that callers kept have run out, and then until the last request is done.
+// Closing at once would cut those who connect by an answer they kept.
+func (e *Entry) leave() {
+	klog.InfoS("Leaving", "entry", e.ID)
+	e.members.leave()
+	// Other entries hear within a heartbeat, and a caller may have asked one of
+	// them right before that.
+	t := e.Clock.NewTimer(e.KeepFor + 2*e.Heartbeat)
+	defer t.Stop()
+	<-t.C()
+	e.running.wait()
+}
+
+// applier hands each new bundle to the parts that decide by it.
+type applier struct {
+	entry *Entry
+}
+
+// Serve runs until the context ends.
+func (a *applier) Serve(ctx context.Context) error {
+	t := a.entry.Clock.NewTicker(applyEvery)
+	defer t.Stop()
+	for {
+		changed := a.entry.State.Changed()
+		a.entry.apply()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-t.C():
+		}
+	}
+}
+
+func (a *applier) String() string { return "applier" }
+
+// apply puts the bundle in force into effect and tells the agents at once.
+func (e *Entry) apply() {
+	b, r := e.State.Current()
+	if b == nil {
+		return
+	}
+	e.Router.SetBundle(b)
+	e.Limiter.SetBundle(b)
+	if !e.agents.bring(b.Revision) {
+		return
+	}
+	klog.InfoS("Bundle in force", "entry", e.ID, "revision", b.Revision, "change", b.ChangeID, "digest", r.Digest())
+	e.agents.push(messenger.News{Word: e.State.Word(), Record: r})
+	e.members.wake()
+}
+
+// readList takes over what the platform says of VMs. The list lags, so that it
+// can only take an agent out of use; that one lives is proved by its reports.
+func (e *Entry) readList(ctx context.Context) {
+	vms, err := e.List.VMs(ctx)
+	if err != nil {
+		klog.V(1).InfoS("List of VMs failed", "entry", e.ID, "err", err)
+		return
+	}
+	leaving := map[string]bool{}
+	for _, v := range vms {
+		switch {
+		case v.Role == lister.RoleEntry && v.ID != e.ID && !v.Leaving:
+			e.members.mention(v.Address)
+		case v.Leaving:
+			leaving[v.ID] = true
+		}
+	}
+	e.agents.setLeaving(leaving)
+}
+
+// callerEntries lists where callers may connect. Each caller gets another order,
+// so that callers spread over the entries.
+func (e *Entry) callerEntries() []receiver.Entry {
+	var es []receiver.Entry
+	for _, m := range e.members.alive() {
+		es = append(es, receiver.Entry{Address: m.Callers, FailureDomain: m.FailureDomain, Region: m.Region})
+	}
+	shuffle(es)
+	return es
+}
+
+func (e *Entry) operators() http.Handler {
+	return reporter.Handler(func() any { return e.status() }, e.ready)
+}
+
+// ready is why this entry takes no new work; nil when it does.
+func (e *Entry) ready() error { return e.State.MayServe() }
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+)
+
+const (
+	// exchangeTimeout bounds one exchange with another entry.
+	exchangeTimeout = time.Second
+	// aliveHeartbeats is after how many silent heartbeats an entry no longer
+	// counts as alive.
+	aliveHeartbeats = 4
+	// forgetAfter is how long a silent entry is still asked.
+	forgetAfter = time.Minute
+)
+
+// members are the deployment's entries as this one knows them.
+type members struct {
+	entry *Entry
+
+	mu      sync.Mutex
+	leaving bool
+	heard   map[string]heardEntry
+	links   map[netip.AddrPort]*peer
+	woken   chan struct{}
+}
+
+type heardEntry struct {
+	state messenger.EntryState
+	at    time.Time
+}
+
+// peer is the link to another entry.
+type peer struct {
+	client *messenger.Client
+	cancel context.CancelFunc
+	// mentioned is when the address was last vouched for by anything but a seed.
+	mentioned time.Time
+}
+
+func newMembers(e *Entry) *members {
+	return &members{
+		entry: e,
+		heard: map[string]heardEntry{},
+		links: map[netip.AddrPort]*peer{},
+		woken: make(chan struct{}),
+	}
+}
+
+// Serve keeps a link to each known entry and exchanges at each heartbeat.
+func (m *members) Serve(ctx context.Context) error {
+	t := m.entry.Clock.NewTicker(m.entry.Heartbeat)
+	defer t.Stop()
+	defer m.closeAll()
+	for {
+		m.adjust(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C():
+		}
+	}
+}
+
+func (m *members) String() string { return "members" }
+
+// mention notes the peer address of an entry.
+func (m *members) mention(a netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.note(a)
+}
+
+func (m *members) note(a netip.AddrPort) {
+	if a == addressOf(m.entry.Peers) || !a.IsValid() {
+		return
+	}
+	p := m.links[a]
+	if p == nil {
+		p = &peer{}
+		m.links[a] = p
+	}
+	p.mentioned = m.entry.Clock.Now()
+}
+
+// adjust starts links to new entries and ends those to entries long silent. Seeds
+// stay for ever: they are the way back after a cut.
+func (m *members) adjust(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.entry.Seeds {
+		m.note(s)
+	}
+	now := m.entry.Clock.Now()
+	for a, p := range m.links {
+		if now.Sub(p.mentioned) > forgetAfter {
+			m.drop(a, p)
+			continue
+		}
+		if p.client == nil {
+			m.start(ctx, a, p)
+		}
+	}
+	for id, h := range m.heard {
+		if now.Sub(h.at) > forgetAfter {
+			delete(m.heard, id)
+		}
+	}
+	m.tellRouter()
+}
+
+// tellRouter names the live entries, among which a cold upstream is divided.
+func (m *members) tellRouter() {
+	ids := []string{m.entry.ID}
+	for id, h := range m.heard {
+		if m.fresh(h) {
+			ids = append(ids, id)
+		}
+	}
+	m.entry.Router.SetEntries(m.entry.ID, ids)
+}
+
+func (m *members) drop(a netip.AddrPort, p *peer) {
+	if p.cancel != nil {
+		p.cancel()
+	}
+	delete(m.links, a)
+}
+
+func (m *members) start(ctx context.Context, a netip.AddrPort, p *peer) {
+	ctx, p.cancel = context.WithCancel(ctx)
+	p.client = &messenger.Client{Address: a, Timeout: exchangeTimeout}
+	go m.run(ctx, p.client)
+}
+
+func (m *members) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a, p := range m.links {
+		m.drop(a, p)
+	}
+}
+
+// run exchanges with one entry at each heartbeat, and at once when woken.
+func (m *members) run(ctx context.Context, c *messenger.Client) {
+	defer c.Close()
+	for ctx.Err() == nil {
+		woken := m.wakes()
+		m.swap(ctx, c)
+		t := m.entry.Clock.NewTimer(m.spread())
+		select {
+		case <-ctx.Done():
+		case <-woken:
+		case <-t.C():
+		}
+		t.Stop()
+	}
+}
+
+// spread keeps the heartbeats of many entries from falling together.
+func (m *members) spread() time.Duration {
+	return m.entry.Heartbeat*3/4 + rand.N(m.entry.Heartbeat/2)
+}
+
+func (m *members) swap(ctx context.Context, c *messenger.Client) {
+	asked := m.entry.Clock.Now()
+	x, err := c.Exchange(ctx, m.mine(0))
+	if err != nil {
+		klog.V(2).InfoS("Exchange failed", "entry", m.entry.ID, "peer", c.Address, "err", err)
+		return
+	}
+	if x.State.ID == m.entry.ID {
+		return
+	}
+	m.entry.learn(x)
+	m.entry.State.HearAnswer(x.State, asked)
+}
+
+// mine is what this entry tells another that holds the given revision: the record
+// goes along only when it is news.
+func (m *members) mine(theirs uint64) messenger.Exchange {
+	x := messenger.Exchange{State: m.self(), Agents: m.entry.agents.direct()}
+	b, r := m.entry.State.Current()
+	if b != nil && theirs > 0 && b.Revision > theirs {
+		x.Record = r
+	}
+	return x
+}
+
+func (m *members) self() messenger.EntryState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.entry
+	return messenger.EntryState{
+		ID:             e.ID,
+		Incarnation:    e.Incarnation,
+		FailureDomain:  e.FailureDomain,
+		Region:         e.Region,
+		Callers:        addressOf(e.Callers),
+		Peers:          addressOf(e.Peers),
+		Leaving:        m.leaving,
+		StoreReachable: e.State.StoreReachable(),
+		Word:           e.State.Word(),
+	}
+}
+
+// hear notes another entry's account of itself.
+func (m *members) hear(s messenger.EntryState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard[s.ID] = heardEntry{state: s, at: m.entry.Clock.Now()}
+	m.note(s.Peers)
+}
+
+func (m *members) fresh(h heardEntry) bool {
+	return m.entry.Clock.Since(h.at) < aliveHeartbeats*m.entry.Heartbeat && !h.state.Leaving
+}
+
+// alive lists the entries in use, this one among them unless it leaves.
+func (m *members) alive() []messenger.EntryState {
+	self := m.self()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var es []messenger.EntryState
+	if !self.Leaving {
+		es = append(es, self)
+	}
+	for _, h := range m.heard {
+		if m.fresh(h) {
+			es = append(es, h.state)
+		}
+	}
+	return es
+}
+
+// Count is how many entries are in use, at least one.
+func (m *members) count() int { return max(1, len(m.alive())) }
+
+func (m *members) leave() {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.wake()
+}
+
+// wake makes all links exchange at once.
+func (m *members) wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.woken)
+	m.woken = make(chan struct{})
+}
+
+func (m *members) wakes() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.woken
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/oriolecroft/oriolecroft/internal/gossiper"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/receiver"
+)
+
+// Status is what an entry tells operators.
+type Status struct {
+	State   messenger.EntryState   `json:"state"`
+	Fresh   bool                   `json:"fresh"`
+	Running int                    `json:"running"`
+	Entries []messenger.EntryState `json:"entries"`
+	Agents  []messenger.AgentState `json:"agents"`
+	Alarms  []gossiper.Alarm       `json:"alarms,omitempty"`
+}
+
+func (e *Entry) status() Status {
+	return Status{
+		State:   e.members.self(),
+		Fresh:   e.State.MayServe() == nil,
+		Running: e.running.now(),
+		Entries: e.members.alive(),
+		Agents:  e.Router.Agents(),
+		Alarms:  e.State.Alarms(),
+	}
+}
+
+// running counts callers' requests.
+type running struct {
+	mu    sync.Mutex
+	under int
+	idle  chan struct{}
+}
+
+// count wraps a handler.
+func (r *running) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.add(1)
+		defer r.add(-1)
+		h.ServeHTTP(w, q)
+	})
+}
+
+func (r *running) add(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.under += n
+	if r.under == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+func (r *running) now() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.under
+}
+
+// wait returns once no request is under way.
+func (r *running) wait() {
+	r.mu.Lock()
+	if r.under == 0 {
+		r.mu.Unlock()
+		return
+	}
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	idle := r.idle
+	r.mu.Unlock()
+	<-idle
+}
+
+func shuffle(es []receiver.Entry) {
+	rand.Shuffle(len(es), func(i, j int) { es[i], es[j] = es[j], es[i] })
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	a, err := netip.ParseAddrPort(l.Addr().String())
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -4,6 +4,7 @@
 package messenger
 
 import (
+	"math/bits"
 	"net/netip"
 	"time"
 
@@ -165,3 +166,12 @@
 	// Agents are those that report to the sender directly, without holdings.
 	Agents []AgentState `json:"agents,omitempty"`
 }
+
+// Whole tells whether all chunks are there.
+func (h Holding) Whole() bool {
+	n := 0
+	for _, b := range h.Have {
+		n += bits.OnesCount8(b)
+	}
+	return h.Chunks > 0 && n == h.Chunks
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,108 @@
+// Package placer divides a failure domain's engines among the models that the
+// bundle places there.
+package placer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// Placer assigns models to engines. Its answer depends only on what it is given,
+// so that entries which know the same agents give the same one; entries whose
+// views differ for a moment cost a needless load and nothing else.
+type Placer struct{}
+
+// Assign names the model for one agent's engine; empty when none is placed in
+// its failure domain. Each model gets its share of the engines, at least one
+// while they suffice. Engines that hold a model already keep it where the shares
+// allow, since a load takes minutes of service.
+func (Placer) Assign(b *bundler.Bundle, s messenger.AgentState, known []messenger.AgentState) string {
+	ms := b.ModelsIn(s.FailureDomain)
+	switch len(ms) {
+	case 0:
+		return ""
+	case 1:
+		return ms[0].Name
+	}
+	engines := enginesIn(s, known)
+	left := quotas(ms, len(engines))
+	assigned := keep(engines, left)
+	for _, a := range engines {
+		if assigned[a.ID] == "" {
+			assigned[a.ID] = take(a.ID, ms, left)
+		}
+	}
+	return assigned[s.ID]
+}
+
+// enginesIn lists the engines of the agent's failure domain, itself included, in
+// an order that does not depend on who asks.
+func enginesIn(s messenger.AgentState, known []messenger.AgentState) []messenger.AgentState {
+	engines := []messenger.AgentState{s}
+	for _, a := range known {
+		if a.ID != s.ID && a.Kind == messenger.KindEngine && a.FailureDomain == s.FailureDomain && !a.Leaving {
+			engines = append(engines, a)
+		}
+	}
+	slices.SortFunc(engines, func(a, b messenger.AgentState) int { return strings.Compare(a.ID, b.ID) })
+	return engines
+}
+
+// quotas gives each model its number of engines: one each first, then one at a
+// time to the model that is furthest below its share.
+func quotas(ms []bundler.Model, engines int) map[string]int {
+	q := map[string]int{}
+	for range engines {
+		best := ms[0]
+		for _, m := range ms[1:] {
+			if needier(q, m, best) {
+				best = m
+			}
+		}
+		q[best.Name]++
+	}
+	return q
+}
+
+// needier tells whether model a has fewer engines for its share than b. A model
+// without any goes before all that have one.
+func needier(q map[string]int, a, b bundler.Model) bool {
+	if (q[a.Name] == 0) != (q[b.Name] == 0) {
+		return q[a.Name] == 0
+	}
+	return (q[a.Name]+1)*b.Share < (q[b.Name]+1)*a.Share
+}
+
+// keep leaves engines with the model they hold while its quota lasts.
+func keep(engines []messenger.AgentState, left map[string]int) map[string]string {
+	assigned := map[string]string{}
+	for _, a := range engines {
+		if a.Model != "" && left[a.Model] > 0 {
+			left[a.Model]--
+			assigned[a.ID] = a.Model
+		}
+	}
+	return assigned
+}
+
+// take gives an engine one of the models whose quota is not used up, by the
+// highest hash of the pair.
+func take(id string, ms []bundler.Model, left map[string]int) string {
+	best := ""
+	var high uint64
+	for _, m := range ms {
+		if left[m.Name] == 0 {
+			continue
+		}
+		if h := xxhash.Sum64String(id + " " + m.Name); best == "" || h > high {
+			best, high = m.Name, h
+		}
+	}
+	left[best]--
+	return best
+}
