--- /dev/null
+++ b/cmd/oriolecroft/agent.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/admitter"
+	"github.com/oriolecroft/oriolecroft/internal/agent"
+	"github.com/oriolecroft/oriolecroft/internal/configurer"
+	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
+	"github.com/oriolecroft/oriolecroft/internal/driver"
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
+	"github.com/oriolecroft/oriolecroft/internal/gossiper"
+	"github.com/oriolecroft/oriolecroft/internal/loader"
+)
+
+const helpAgent = `
+  The daemon beside each upstream: a model engine, or a plain service. Every flag
+  can also be set in the environment; the flag wins.
+
+  Examples:
+    oriolecroft agent --id vm-7 --failureDomain huon-a --region huon \
+      --listen 127.0.0.1:7301 --entrySeeds 127.0.0.1:7101,127.0.0.1:7102 \
+      --engine 127.0.0.1:8001 --origin 127.0.0.1:7400 --keys "$(cat operator.key.pub)"
+    oriolecroft agent --id vm-9 --failureDomain huon-b --region huon \
+      --listen 127.0.0.1:7309 --entrySeeds 127.0.0.1:7101 \
+      --service bookings --serviceAddress 127.0.0.1:8100 --keys "$(cat operator.key.pub)"`
+
+// chunkTimeout bounds one chunk or manifest on its way.
+const chunkTimeout = 20 * time.Second
+
+func agentCommand() command {
+	s, envErr := configurer.NewAgent()
+	flags := newCommand("agent", "run an agent: the daemon beside each upstream", helpAgent)
+	s.Bind(flags)
+	return command{flags: flags, run: func(ctx context.Context) error {
+		if envErr != nil {
+			return &UsageError{Problem: envErr.Error()}
+		}
+		return runAgent(ctx, s)
+	}}
+}
+
+func runAgent(ctx context.Context, s *configurer.Agent) error {
+	at, err := s.Check()
+	if err != nil {
+		return err
+	}
+	a := newAgent(s, at)
+	if a.Listener, err = net.Listen("tcp", at.Listen.String()); err != nil {
+		return err
+	}
+	if at.Operators.IsValid() {
+		if a.Operators, err = net.Listen("tcp", at.Operators.String()); err != nil {
+			return err
+		}
+	}
+	klog.InfoS("Agent starts", "agent", a.ID, "incarnation", a.Incarnation, "listen", at.Listen)
+	return a.Run(ctx)
+}
+
+// newAgent puts the parts together; the listeners are still missing.
+func newAgent(s *configurer.Agent, at configurer.AgentAddresses) *agent.Agent {
+	c := clock.RealClock{}
+	incarnation := uuid.NewString()
+	a := &agent.Agent{
+		ID:            s.ID,
+		Incarnation:   incarnation,
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Seeds:         at.Entries,
+		Service:       s.Service,
+		State:         &gossiper.State{Keyring: s.Keyring(), Clock: c, FreshFor: s.FreshFor},
+		Gate:          &admitter.Gate{Clock: c, ColdLimit: s.ColdLimit, Limit: s.Limit},
+		Ledger:        &deduplicator.Ledger{Clock: c, Owner: s.ID, Incarnation: incarnation},
+		Clock:         c,
+		Heartbeat:     s.Heartbeat,
+		ReportTo:      s.ReportTo,
+	}
+	if at.Service.IsValid() {
+		a.Upstream = &driver.Service{Address: at.Service}
+		return a
+	}
+	a.Upstream = &driver.Engine{Address: at.Engine}
+	a.Loader = &loader.Loader{
+		ID:            s.ID,
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Self:          at.Listen,
+		Sources:       sources(at.WeightStore, at.Origin),
+		Peer:          source,
+		Memory:        s.Memory,
+		Clock:         c,
+	}
+	return a
+}
+
+// sources lists where weights come from when no other agent has them.
+func sources(addresses ...netip.AddrPort) []fetcher.Source {
+	var ss []fetcher.Source
+	for _, a := range addresses {
+		if a.IsValid() {
+			ss = append(ss, source(a))
+		}
+	}
+	return ss
+}
+
+func source(a netip.AddrPort) fetcher.Source {
+	return &fetcher.HTTP{Address: a, Timeout: chunkTimeout}
+}
--- /dev/null
+++ b/cmd/oriolecroft/entry.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/configurer"
+	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
+	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
+	"github.com/oriolecroft/oriolecroft/internal/entry"
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/gossiper"
+	"github.com/oriolecroft/oriolecroft/internal/limiter"
+	"github.com/oriolecroft/oriolecroft/internal/lister"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/roller"
+	"github.com/oriolecroft/oriolecroft/internal/router"
+	"github.com/oriolecroft/oriolecroft/internal/storer"
+	"github.com/oriolecroft/oriolecroft/internal/tracker"
+)
+
+const helpEntry = `
+  The daemon that callers connect to. Every flag can also be set in the
+  environment; the flag wins.
+
+  Example:
+    oriolecroft entry --id entry-1 --failureDomain huon-a --region huon \
+      --callers 127.0.0.1:7001 --peers 127.0.0.1:7101 --operators 127.0.0.1:7201 \
+      --store 127.0.0.1:7000 --seeds 127.0.0.1:7102,127.0.0.1:7103 --entries 9 \
+      --keys "$(cat operator.key.pub)"`
+
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 2 * time.Second
+	// agentStale is after how many silent heartbeats an agent is routed around.
+	agentStale = 4
+)
+
+func entryCommand() command {
+	s, envErr := configurer.NewEntry()
+	flags := newCommand("entry", "run an entry: the daemon that callers connect to", helpEntry)
+	s.Bind(flags)
+	return command{flags: flags, run: func(ctx context.Context) error {
+		if envErr != nil {
+			return &UsageError{Problem: envErr.Error()}
+		}
+		return runEntry(ctx, s)
+	}}
+}
+
+func runEntry(ctx context.Context, s *configurer.Entry) error {
+	a, err := s.Check()
+	if err != nil {
+		return err
+	}
+	e := newEntry(s, a)
+	for _, l := range []struct {
+		to *net.Listener
+		at netip.AddrPort
+	}{{&e.Callers, a.Callers}, {&e.Peers, a.Peers}, {&e.Operators, a.Operators}} {
+		if *l.to, err = net.Listen("tcp", l.at.String()); err != nil {
+			return err
+		}
+	}
+	klog.InfoS("Entry starts", "entry", e.ID, "incarnation", e.Incarnation, "callers", a.Callers, "peers", a.Peers)
+	return e.Run(ctx)
+}
+
+// newEntry puts the parts together; the listeners are still missing.
+func newEntry(s *configurer.Entry, a configurer.EntryAddresses) *entry.Entry {
+	c := clock.RealClock{}
+	store := &storer.HTTP{Address: a.Store, Timeout: storeTimeout}
+	state := &gossiper.State{
+		Keyring:  s.Keyring(),
+		Clock:    c,
+		FreshFor: s.FreshFor,
+		Entries:  s.Entries,
+		ID:       s.ID,
+		Region:   s.Region,
+	}
+	route := &router.Router{
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Clock:         c,
+		StaleAfter:    agentStale * s.Heartbeat,
+		Random:        random(),
+	}
+	e := &entry.Entry{
+		ID:            s.ID,
+		Incarnation:   uuid.NewString(),
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Seeds:         a.Seeds,
+		State:         state,
+		Watcher:       &gossiper.Watcher{Store: store, State: state, Clock: c},
+		Router:        route,
+		Tracker:       &tracker.Tracker{Clock: c, Stale: agentStale * s.Heartbeat},
+		Roller:        &roller.Roller{Clock: c},
+		Clock:         c,
+		KeepFor:       s.KeepFor,
+		Heartbeat:     s.Heartbeat,
+	}
+	if a.List.IsValid() {
+		e.List = &lister.HTTP{Address: a.List, Timeout: storeTimeout}
+	}
+	e.Limiter = &limiter.Limiter{Clock: c, Entries: e.Entries, Random: random()}
+	e.Dispatcher = &dispatcher.Dispatcher{
+		ID:       s.ID,
+		State:    state,
+		Router:   route,
+		Limiter:  e.Limiter,
+		Policy:   &retrier.Policy{Budget: &retrier.Budget{Clock: c}, Random: random()},
+		Claims:   &deduplicator.Claims{Store: store, Clock: c},
+		Agents:   forwarder.NewClient(),
+		Clock:    c,
+		Deadline: s.Deadline,
+	}
+	return e
+}
+
+// random makes a source seeded by the process's own.
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -190,3 +190,6 @@
 
 // ready is why this entry takes no new work; nil when it does.
 func (e *Entry) ready() error { return e.State.MayServe() }
+
+// Entries is how many entries are in use, at least one.
+func (e *Entry) Entries() int { return e.members.count() }
--- /dev/null
+++ b/internal/inspector/inspector.go
@@ -0,0 +1,158 @@
+// Package inspector asks entries, on the addresses kept for operators, how a
+// deployment stands, and works out how far a bundle has come into force.
+package inspector
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/entry"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// timeout bounds the question to one entry.
+const timeout = 2 * time.Second
+
+// StatusError reports an entry that answered with something else than a status.
+type StatusError struct {
+	Address netip.AddrPort
+	Status  int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%v answered with status %d", e.Address, e.Status)
+}
+
+// Ask gets the status of one entry.
+func Ask(ctx context.Context, at netip.AddrPort) (entry.Status, error) {
+	var s entry.Status
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/status", nil)
+	if err != nil {
+		return s, err
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return s, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return s, &StatusError{Address: at, Status: res.StatusCode}
+	}
+	return s, json.NewDecoder(res.Body).Decode(&s)
+}
+
+// Deployment is what several entries said, put together.
+type Deployment struct {
+	Entries []entry.Status         `json:"entries"`
+	Agents  []messenger.AgentState `json:"agents"`
+	// Silent are the addresses that gave no answer, with the reason.
+	Silent map[string]string `json:"silent,omitempty"`
+}
+
+// Survey asks all given entries. Of each agent the newest account counts.
+func Survey(ctx context.Context, at []netip.AddrPort) Deployment {
+	d := Deployment{Silent: map[string]string{}}
+	agents := map[string]messenger.AgentState{}
+	for _, a := range at {
+		s, err := Ask(ctx, a)
+		if err != nil {
+			d.Silent[a.String()] = err.Error()
+			continue
+		}
+		d.Entries = append(d.Entries, s)
+		for _, g := range s.Agents {
+			if old, ok := agents[g.ID]; !ok || old.Incarnation != g.Incarnation || old.Sequence < g.Sequence {
+				agents[g.ID] = g
+			}
+		}
+	}
+	for _, g := range agents {
+		d.Agents = append(d.Agents, g)
+	}
+	slices.SortFunc(d.Agents, func(a, b messenger.AgentState) int { return strings.Compare(a.ID, b.ID) })
+	return d
+}
+
+// Progress is how far a bundle has come into force.
+type Progress struct {
+	Revision uint64 `json:"revision"`
+	// Entries and Agents have confirmed the revision, of All so many known.
+	Entries    int `json:"entries"`
+	AllEntries int `json:"allEntries"`
+	Agents     int `json:"agents"`
+	AllAgents  int `json:"allAgents"`
+	// Ready engines serve the bundle's version of their model, of all that should.
+	Ready       int `json:"ready"`
+	AllReplicas int `json:"allReplicas"`
+	// Domains are those all of whose known agents have confirmed.
+	Domains    int `json:"domains"`
+	AllDomains int `json:"allDomains"`
+	// Missing names who has not confirmed.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Confirmed tells whether everybody known has the revision, and nobody that was
+// asked stayed silent.
+func (p Progress) Confirmed() bool { return len(p.Missing) == 0 }
+
+// Ready tells whether all engines serve the bundle's versions too.
+func (p Progress) AllReady() bool { return p.Confirmed() && p.Ready == p.AllReplicas }
+
+func (p Progress) String() string {
+	return fmt.Sprintf("revision %d: replicas %d of %d ready, entries %d of %d, agents %d of %d, failure domains %d of %d confirmed",
+		p.Revision, p.Ready, p.AllReplicas, p.Entries, p.AllEntries, p.Agents, p.AllAgents, p.Domains, p.AllDomains)
+}
+
+// Measure compares a deployment with the bundle that should be in force.
+func Measure(b *bundler.Bundle, d Deployment) Progress {
+	p := Progress{Revision: b.Revision, AllEntries: len(d.Entries) + len(d.Silent), AllAgents: len(d.Agents)}
+	for at := range d.Silent {
+		p.Missing = append(p.Missing, "entry at "+at)
+	}
+	for _, e := range d.Entries {
+		if e.State.Word.Revision >= b.Revision {
+			p.Entries++
+			continue
+		}
+		p.Missing = append(p.Missing, "entry "+e.State.ID)
+	}
+	behind := map[string]bool{}
+	for _, a := range d.Agents {
+		if a.Revision < b.Revision {
+			behind[a.FailureDomain] = true
+			p.Missing = append(p.Missing, "agent "+a.ID)
+		} else {
+			p.Agents++
+		}
+		p.engine(b, a)
+	}
+	p.AllDomains = len(b.FailureDomains)
+	for _, f := range b.FailureDomains {
+		if !behind[f.Name] {
+			p.Domains++
+		}
+	}
+	slices.Sort(p.Missing)
+	return p
+}
+
+// engine counts one engine among the replicas, unless its domain is drained.
+func (p *Progress) engine(b *bundler.Bundle, a messenger.AgentState) {
+	if a.Kind != messenger.KindEngine || !b.Serves(nil, a.FailureDomain) || len(b.ModelsIn(a.FailureDomain)) == 0 {
+		return
+	}
+	p.AllReplicas++
+	m, ok := b.Model(a.Model)
+	if ok && a.Manifest == m.Manifest && a.Gate != messenger.GateClosed && a.Revision >= b.Revision {
+		p.Ready++
+	}
+}
