--- a/standins/caller.go
+++ b/standins/caller.go
@@ -12,12 +12,13 @@
 
 func callerCommand() command {
 	var entries, out string
-	var seed uint64 = 1
 	c := &imitator.Caller{
 		Workspace:   "spawnrun",
 		Model:       "rota",
 		Service:     "booking",
 		Concurrency: 4,
+		Seed:        1,
+		Timeout:     time.Minute,
 	}
 	f := newCommand("caller", "calls the system and checks its answers")
 	f.String(&entries, "", "entries", "entry addresses to ask first, separated by commas")
@@ -28,11 +29,14 @@
 	f.String(&c.Service, "", "service", "service to book with")
 	f.Int(&c.Concurrency, "", "concurrency", "calls at once")
 	f.Duration(&c.Duration, "", "duration", "time to go on calling, in place of the numbers")
-	f.UInt64(&seed, "", "seed", "fixes prompts and names; part of each booking's name")
+	f.UInt64(&c.Seed, "", "seed", "fixes prompts and names; part of each booking's name")
+	f.Duration(&c.Timeout, "", "timeout", "time after which a call is given up")
 	f.String(&out, "", "out", "file for the result")
 	return command{f, func(ctx context.Context) error {
-		c.Entries = split(entries)
-		c.Seed = seed
+		var err error
+		if c.Entries, err = addresses(entries); err != nil {
+			return err
+		}
 		started := time.Now()
 		result := c.Run(ctx)
 		fmt.Printf("%s in %s\n", result.Summary(), time.Since(started).Round(time.Millisecond))
--- a/standins/check.go
+++ b/standins/check.go
@@ -18,14 +18,13 @@
 	f.String(&results, "", "results", "result files of callers, separated by commas")
 	f.String(&drained, "", "drained", `file with {"drained":[{"address","since"}]}`)
 	return command{f, func(ctx context.Context) error {
-		c := &imitator.Checker{
-			Services: split(services),
-			Engines:  split(engines),
-			Origins:  split(origins),
+		var c imitator.Checker
+		if err := setStandins(&c, services, engines, origins); err != nil {
+			return err
 		}
-		for _, file := range split(results) {
+		for _, f := range split(results) {
 			var r imitator.Result
-			if err := readFile(file, &r); err != nil {
+			if err := readFile(f, &r); err != nil {
 				return err
 			}
 			c.Results = append(c.Results, r)
@@ -48,6 +47,17 @@
 	}}
 }
 
+func setStandins(c *imitator.Checker, services, engines, origins string) (err error) {
+	if c.Services, err = addresses(services); err != nil {
+		return err
+	}
+	if c.Engines, err = addresses(engines); err != nil {
+		return err
+	}
+	c.Origins, err = addresses(origins)
+	return err
+}
+
 func readFile(file string, v any) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
--- a/standins/engine.go
+++ b/standins/engine.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/standins/imitator"
 )
 
 func engineCommand() command {
-	listen := "127.0.0.1:7003"
+	listen := netip.MustParseAddrPort("127.0.0.1:7003")
 	e := &imitator.Engine{
 		Limit:        16,
 		Queue:        32,
@@ -20,7 +21,7 @@
 		EventLag:     time.Second,
 	}
 	f := newCommand("engine", "model engine with continuous batching and a cold start")
-	f.String(&listen, "", "listen", "address to listen on")
+	f.NetipAddrPort(&listen, "", "listen", "address to listen on")
 	f.Int(&e.Limit, "", "limit", "requests that run at once")
 	f.Int(&e.Queue, "", "queue", "requests that may wait")
 	f.Int(&e.ColdLimit, "", "coldLimit", "requests that run at once in a cold start")
--- /dev/null
+++ b/standins/imitator/ask.go
@@ -0,0 +1,62 @@
+package imitator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/google/uuid"
+)
+
+// ask makes a model request. It is made again only after "not run".
+func (s *session) ask(number int) reply {
+	for try := 0; ; try++ {
+		r := s.askOnce(number, try > 0)
+		if r.outcome != outcomeNotRun || try == maxRetries {
+			return r
+		}
+		s.rest(r.pause)
+	}
+}
+
+func (s *session) askOnce(number int, another bool) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), s.caller.Timeout)
+	defer cancel()
+	body, err := json.Marshal(struct {
+		Workspace string `json:"workspace"`
+		Model     string `json:"model"`
+		Prompt    string `json:"prompt"`
+		MaxTokens int    `json:"maxTokens"`
+		Priority  int    `json:"priority"`
+		RequestID string `json:"requestId"`
+	}{s.caller.Workspace, s.caller.Model, s.prompt(number), promptTokens, number % 3, uuid.NewString()})
+	if err != nil {
+		return reply{broken: true}
+	}
+	h := http.Header{"Content-Type": {"application/json"}}
+	res, err := s.send(ctx, "/v1/generate", h, body, another)
+	if isUnsent(err) {
+		return reply{outcome: outcomeNotRun, pause: defaultPause}
+	}
+	if err != nil {
+		return reply{broken: true}
+	}
+	if res.StatusCode != http.StatusOK {
+		f := readRefusal(res)
+		return reply{outcome: f.outcome, pause: f.pause}
+	}
+	defer res.Body.Close()
+	return readReply(res.Body)
+}
+
+// prompt returns one of a few long beginnings, which prefix caches can share,
+// and an end of its own.
+func (s *session) prompt(number int) string {
+	const beginnings = 8
+	text := fmt.Sprintf("You draft rosters for shed %d. ", (s.caller.Seed+uint64(number))%beginnings)
+	for len(text) < 2*PrefixBlockBytes {
+		text += "Be brief and keep to the facts. "
+	}
+	return fmt.Sprintf("%sRequest %d-%d.", text, s.caller.Seed, number)
+}
--- a/standins/imitator/cache.go
+++ b/standins/imitator/cache.go
@@ -120,14 +120,18 @@
 }
 
 func (e *Engine) exportCache(w http.ResponseWriter, r *http.Request) {
+	c := cacheEntry{Prefix: r.PathValue("prefix")}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	prefix := r.PathValue("prefix")
-	if e.held == nil || !slices.Contains(e.cache.held, prefix) {
+	found := e.held != nil && slices.Contains(e.cache.held, c.Prefix)
+	if found {
+		c.Weights = e.held.weights
+	}
+	e.mu.Unlock()
+	if !found {
 		writeError(w, http.StatusNotFound, "no such prefix")
 		return
 	}
-	writeJSON(w, http.StatusOK, cacheEntry{Prefix: prefix, Weights: e.held.weights})
+	writeJSON(w, http.StatusOK, c)
 }
 
 func (e *Engine) importCache(w http.ResponseWriter, r *http.Request) {
@@ -137,11 +141,14 @@
 		return
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.held == nil || c.Weights != e.held.weights {
+	fits := e.held != nil && c.Weights == e.held.weights
+	if fits {
+		e.cache.store(c.Prefix, e.Clock.Now())
+	}
+	e.mu.Unlock()
+	if !fits {
 		writeError(w, http.StatusConflict, "other weights are loaded")
 		return
 	}
-	e.cache.store(c.Prefix, e.Clock.Now())
 	writeJSON(w, http.StatusOK, struct{}{})
 }
--- a/standins/imitator/caller.go
+++ b/standins/imitator/caller.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -35,8 +37,8 @@
 type Caller struct {
 	// Clock measures latencies and pauses. Nil means the real clock.
 	Clock clock.Clock
-	// Entries are the host:port addresses asked for the list of entries.
-	Entries []string
+	// Entries are the addresses asked for the list of entries.
+	Entries []netip.AddrPort
 	// Requests and Bookings are the numbers to make of each, unless Duration is
 	// set. Bookings are made alongside the model requests.
 	Requests int
@@ -50,6 +52,8 @@
 	// Duration, if set, is how long to go on calling. Then Requests and Bookings
 	// are the shares of each kind; both zero mean model requests only.
 	Duration time.Duration
+	// Timeout is how long a call may take. Zero means a minute.
+	Timeout time.Duration
 	// Seed fixes prompts, and is part of the booking names: callers against the
 	// same services need different seeds.
 	Seed uint64
@@ -95,6 +99,9 @@
 // further calls, but follows those under way to their end.
 func (c *Caller) Run(ctx context.Context) Result {
 	c.Clock = clockOr(c.Clock)
+	if c.Timeout == 0 {
+		c.Timeout = time.Minute
+	}
 	c.result = Result{Fates: map[string]Fate{}}
 	c.latencies = hdrhistogram.New(1, maxLatency.Microseconds(), 3)
 	jobs := make(chan job)
@@ -133,10 +140,11 @@
 }
 
 func (c *Caller) work(number int, jobs <-chan job) {
+	d := &net.Dialer{Timeout: dialTimeout}
 	s := &session{
 		caller: c,
 		random: rand.New(rand.NewPCG(c.Seed, uint64(number))),
-		http:   &http.Client{Transport: &http.Transport{}},
+		http:   &http.Client{Transport: &http.Transport{DialContext: d.DialContext}},
 	}
 	defer s.http.CloseIdleConnections()
 	for j := range jobs {
--- a/standins/imitator/checker.go
+++ b/standins/imitator/checker.go
@@ -4,16 +4,19 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"net/netip"
+	"slices"
 	"time"
 )
 
 // Checker compares what callers were told with what the stand-ins did.
 type Checker struct {
-	// Services, Engines and Origins are host:port addresses of stand-ins.
-	Services []string
-	Engines  []string
-	Origins  []string
+	// Services, Engines and Origins are the addresses of stand-ins.
+	Services []netip.AddrPort
+	Engines  []netip.AddrPort
+	Origins  []netip.AddrPort
 	// Results are those of all callers.
 	Results []Result
 	// Drained are the stand-ins that were to get no new work from some time on.
@@ -23,17 +26,18 @@
 // Drained names stand-ins that were to get no new work from some time on.
 type Drained struct {
 	Drained []struct {
-		Address string    `json:"address"`
-		Since   time.Time `json:"since"`
+		Address netip.AddrPort `json:"address"`
+		Since   time.Time      `json:"since"`
 	} `json:"drained"`
 }
 
 // Totals are the counts over all callers and stand-ins.
 type Totals struct {
+	// Requests, Whole, Refused and Unknown count model requests.
 	Requests int `json:"requests"`
 	Whole    int `json:"whole"`
 	Refused  int `json:"refused"`
-	// Unknown counts model requests and bookings, broken replies included.
+	// Unknown includes the broken replies.
 	Unknown  int `json:"unknown"`
 	Bookings int `json:"bookings"`
 	// Doubled counts bookings that ran more than once over all services.
@@ -46,7 +50,7 @@
 	FellOver    int64 `json:"fellOver"`
 	WorstCold   int   `json:"worstCold"`
 	// LateWork counts drained stand-ins that took work after their time.
-	LateWork int `json:"lateWork"`
+	LateWork int `json:"lateWork,omitempty"`
 }
 
 // standinCounts are the counts of any kind of stand-in that matter here.
@@ -64,11 +68,9 @@
 	for _, r := range c.Results {
 		t.addResult(r)
 	}
-	for _, group := range [][]string{c.Services, c.Engines, c.Origins} {
-		for _, a := range group {
-			if err := c.addStandin(ctx, &t, a); err != nil {
-				return t, err
-			}
+	for _, a := range slices.Concat(c.Services, c.Engines, c.Origins) {
+		if err := c.addStandin(ctx, &t, a); err != nil {
+			return t, err
 		}
 	}
 	runs, err := c.bookingRuns(ctx)
@@ -82,13 +84,13 @@
 func (t *Totals) addResult(r Result) {
 	t.Requests += r.Requests
 	t.Whole += r.Whole
-	t.Refused += r.Refused + r.BookingsRefused
-	t.Unknown += r.Unknown + r.Broken + r.BookingsUnknown
+	t.Refused += r.Refused
+	t.Unknown += r.Unknown + r.Broken
 	t.Bookings += r.Bookings
 	t.Mixed += r.Mixed
 }
 
-func (c *Checker) addStandin(ctx context.Context, t *Totals, address string) error {
+func (c *Checker) addStandin(ctx context.Context, t *Totals, address netip.AddrPort) error {
 	var n standinCounts
 	if err := getJSON(ctx, address, "/admin/counts", &n); err != nil {
 		return err
@@ -115,8 +117,8 @@
 		if err := getJSON(ctx, a, "/admin/bookings", &answer); err != nil {
 			return nil, err
 		}
-		for name, n := range answer.Bookings {
-			runs[name] += n
+		for b, n := range answer.Bookings {
+			runs[b] += n
 		}
 	}
 	return runs, nil
@@ -125,27 +127,25 @@
 func (c *Checker) fates() map[string]Fate {
 	fates := map[string]Fate{}
 	for _, r := range c.Results {
-		for name, fate := range r.Fates {
-			fates[name] = fate
-		}
+		maps.Copy(fates, r.Fates)
 	}
 	return fates
 }
 
 func (t *Totals) addRuns(runs map[string]int64, fates map[string]Fate) {
-	for name, n := range runs {
+	for b, n := range runs {
 		if n > 1 {
 			t.Doubled++
 		}
-		fate := fates[name]
+		fate := fates[b]
 		if n > 0 && fate != FateDone && fate != FateUnknown {
 			t.FalseNotRun++
 		}
 	}
 }
 
-func getJSON(ctx context.Context, address, path string, v any) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+func getJSON(ctx context.Context, address netip.AddrPort, path string, v any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
 	if err != nil {
 		return err
 	}
--- a/standins/imitator/engine.go
+++ b/standins/imitator/engine.go
@@ -175,7 +175,7 @@
 // unlessHanging holds a request back while the engine hangs.
 func (e *Engine) unlessHanging(f http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if e.hang.hold(r.Context().Done()) {
+		if e.hang.holdRequest(r) {
 			f(w, r)
 		}
 	}
@@ -337,6 +337,7 @@
 	if !readJSON(w, r, &faults) {
 		return
 	}
+	klog.InfoS("faults set", "faults", faults)
 	e.mu.Lock()
 	e.faults = faults
 	if faults.Restart {
--- a/standins/imitator/engine_test.go
+++ b/standins/imitator/engine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -36,15 +38,13 @@
 	return s
 }
 
-// openStream begins a reply and reads its first event.
+// openStream begins a reply.
 func openStream(p peer, body string) *bufio.Scanner {
 	res, err := http.Post(p.url+"/generate", "application/json", strings.NewReader(body))
 	must.NoError(p.t, err)
 	must.Eq(p.t, 200, res.StatusCode)
 	p.t.Cleanup(func() { res.Body.Close() })
-	lines := bufio.NewScanner(res.Body)
-	must.True(p.t, lines.Scan())
-	return lines
+	return bufio.NewScanner(res.Body)
 }
 
 func drain(lines *bufio.Scanner) (rest string, err error) {
@@ -117,13 +117,10 @@
 	w := startWeights(t, nil)
 	p := startPeer(t, (&imitator.Engine{Clock: c, TokenTime: time.Second}).Handler())
 	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
-	opened := make(chan *bufio.Scanner)
-	go func() {
-		opened <- openStream(p, `{"requestId":"r","prompt":"p","maxTokens":3}`)
-	}()
+	lines := openStream(p, `{"requestId":"r","prompt":"p","maxTokens":3}`)
 	awaitTimers(c, 1)
 	c.Step(time.Second)
-	lines := <-opened
+	must.True(t, lines.Scan())
 	p.expect(200, "POST", "/load", order("2", "v2", w.url+"/two"))
 	rest, err := drain(lines)
 	must.Error(t, err)
@@ -137,11 +134,12 @@
 	w := startWeights(t, nil)
 	p := startPeer(t, (&imitator.Engine{Clock: c, TokenTime: time.Second}).Handler())
 	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
-	bodies := make(chan string)
-	go func() { bodies <- p.expect(200, "POST", "/generate", `{"requestId":"r"}`) }()
+	lines := openStream(p, `{"requestId":"r"}`)
 	awaitTimers(c, 1)
 	p.expect(200, "DELETE", "/generate/r", "")
-	must.Eq(t, "", <-bodies)
+	rest, err := drain(lines)
+	must.NoError(t, err)
+	must.Eq(t, "", rest)
 	must.Eq(t, 0, engineState(p).Running)
 	must.StrContains(t, p.expect(200, "GET", "/admin/counts", ""), `"cancelled":1`)
 }
@@ -187,3 +185,24 @@
 	p.expect(200, "POST", "/load", order("2", "v2", w.url+"/two"))
 	p.expect(409, "PUT", prefix, exported)
 }
+
+// An engine hangs while a load order reaches it, and whoever gave the order
+// gives up. The order lands all the same once the engine goes on.
+func TestEngineTakesOrderAfterHang(t *testing.T) {
+	w := startWeights(t, nil)
+	h := (&imitator.Engine{}).Handler()
+	p := startPeer(t, h)
+	p.expect(200, "POST", "/admin/faults", `{"hang":true}`)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	landed := make(chan struct{})
+	go func() {
+		body := strings.NewReader(order("1", "v1", w.url+"/one"))
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/load", body)
+		h.ServeHTTP(httptest.NewRecorder(), r)
+		close(landed)
+	}()
+	p.expect(200, "POST", "/admin/faults", `{}`)
+	<-landed
+	must.Eq(t, "v1", engineState(p).Version)
+}
--- a/standins/imitator/http.go
+++ b/standins/imitator/http.go
@@ -91,7 +91,9 @@
 	}
 }
 
-// hanger holds requests back while its fault is set.
+// hanger holds requests back while its fault is set. A request other than a GET
+// stays in the socket's buffer, as it were: it takes effect once the fault is
+// over, also when its client has gone meanwhile.
 type hanger struct {
 	mu      sync.Mutex
 	hanging bool
@@ -105,6 +107,15 @@
 	h.changed.notify()
 }
 
+// holdRequest waits until nothing hangs. It returns false when the request is
+// not to be served any more.
+func (h *hanger) holdRequest(r *http.Request) bool {
+	if r.Method != http.MethodGet {
+		return h.hold(nil)
+	}
+	return h.hold(r.Context().Done())
+}
+
 // hold waits until nothing hangs. It returns false when done is closed first.
 func (h *hanger) hold(done <-chan struct{}) bool {
 	for {
--- a/standins/imitator/kv.go
+++ b/standins/imitator/kv.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 )
 
@@ -180,10 +181,14 @@
 			continue
 		}
 		delete(k.state.leases, id)
-		for key, it := range k.state.items {
-			if it.lease == id {
-				k.drop(key)
-			}
+		k.dropLeased(id)
+	}
+}
+
+func (k *KV) dropLeased(lease string) {
+	for _, it := range k.state.items {
+		if it.lease == lease {
+			k.drop(it.Key)
 		}
 	}
 }
@@ -199,9 +204,9 @@
 func (k *KV) list(r *http.Request) answer {
 	prefix := r.URL.Query().Get("prefix")
 	items := []Item{}
-	for _, key := range slices.Sorted(maps.Keys(k.state.items)) {
-		if strings.HasPrefix(key, prefix) {
-			items = append(items, k.state.items[key])
+	for _, s := range slices.Sorted(maps.Keys(k.state.items)) {
+		if strings.HasPrefix(s, prefix) {
+			items = append(items, k.state.items[s])
 		}
 	}
 	return answer{http.StatusOK, struct {
@@ -381,6 +386,7 @@
 	if !readJSON(w, r, &faults) {
 		return
 	}
+	klog.InfoS("faults set", "faults", faults)
 	k.mu.Lock()
 	k.faults = faults
 	k.changed.notify()
@@ -399,13 +405,17 @@
 
 func (k *KV) restore(w http.ResponseWriter, _ *http.Request) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.snapshot == nil {
+	found := k.snapshot != nil
+	if found {
+		k.state = k.snapshot.clone()
+		k.changed.notify()
+	}
+	k.mu.Unlock()
+	if !found {
 		writeError(w, http.StatusConflict, "no snapshot")
 		return
 	}
-	k.state = k.snapshot.clone()
-	k.changed.notify()
+	klog.InfoS("restored")
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
--- a/standins/imitator/list.go
+++ b/standins/imitator/list.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -12,12 +13,12 @@
 
 // VM is one machine of the list.
 type VM struct {
-	ID            string `json:"id"`
-	Role          string `json:"role"`
-	Address       string `json:"address"`
-	FailureDomain string `json:"failureDomain"`
-	Region        string `json:"region"`
-	State         string `json:"state"`
+	ID            string         `json:"id"`
+	Role          string         `json:"role"`
+	Address       netip.AddrPort `json:"address"`
+	FailureDomain string         `json:"failureDomain"`
+	Region        string         `json:"region"`
+	State         string         `json:"state"`
 }
 
 // List is a list of VMs that shows its contents as they were some time ago.
--- a/standins/imitator/load.go
+++ b/standins/imitator/load.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"k8s.io/klog/v2"
 )
 
 // load fetches what the order names and holds it from then on. The newest order
@@ -22,16 +24,15 @@
 		return
 	}
 	h, err := e.fetchAll(ctx, order)
-	if err != nil {
-		writeError(w, http.StatusBadGateway, err.Error())
-		return
-	}
-	s, ok := e.endLoad(id, h)
-	if !ok {
+	s, latest := e.endLoad(id, h)
+	switch {
+	case !latest:
 		writeError(w, http.StatusConflict, "a later order or a restart ended this load")
-		return
+	case err != nil:
+		writeError(w, http.StatusBadGateway, err.Error())
+	default:
+		writeJSON(w, http.StatusOK, s)
 	}
-	writeJSON(w, http.StatusOK, s)
 }
 
 // beginLoad drops what the engine holds. It returns the context in which to
@@ -48,8 +49,8 @@
 	return ctx, e.loads, nil
 }
 
-// endLoad makes h what the engine holds, unless a later order or a restart came
-// in between.
+// endLoad makes h what the engine holds: nothing when the weights could not be
+// fetched. It returns false when a later order or a restart came in between.
 func (e *Engine) endLoad(id int64, h *holding) (EngineState, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -59,6 +60,7 @@
 	e.stopLoad()
 	e.stopLoad = nil
 	e.held = h
+	klog.InfoS("load ended", "whole", h != nil, "fence", e.fence)
 	e.coldUntil = e.Clock.Now().Add(e.ColdFor)
 	return e.state(), true
 }
--- a/standins/imitator/origin.go
+++ b/standins/imitator/origin.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
 )
 
 // pieceBytes is how many bytes pass the link at a time.
@@ -107,27 +108,27 @@
 	}
 }
 
-// pieces calls f with the chunk's bytes, a piece at a time, until f fails. The
-// piece is reused between calls.
-func (c chunkSource) pieces(f func(piece []byte) error) error {
+// pieces calls f with the chunk's bytes, a piece at a time, until f returns
+// false. It tells whether f took them all. The piece is reused between calls.
+func (c chunkSource) pieces(f func(piece []byte) bool) bool {
 	g := rand.NewChaCha8(c.key)
 	buffer := make([]byte, pieceBytes)
 	for left := c.size; left > 0; {
 		piece := buffer[:min(left, pieceBytes)]
 		_, _ = g.Read(piece) // never fails
-		if err := f(piece); err != nil {
-			return err
+		if !f(piece) {
+			return false
 		}
 		left -= int64(len(piece))
 	}
-	return nil
+	return true
 }
 
 func (c chunkSource) digest() string {
 	h := sha256.New()
-	_ = c.pieces(func(piece []byte) error {
+	c.pieces(func(piece []byte) bool {
 		_, err := h.Write(piece)
-		return err
+		return err == nil
 	})
 	return digestText(h.Sum(nil))
 }
@@ -214,53 +215,50 @@
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", fmt.Sprint(c.size))
-	err := c.pieces(func(piece []byte) error {
+	whole := c.pieces(func(piece []byte) bool {
 		if corrupt {
 			piece[0] ^= 1
 			corrupt = false
 		}
 		return o.send(w, r, piece)
 	})
-	if err != nil {
+	if !whole {
 		cut()
 	}
 }
 
-// errDown ends an answer that was under way when the store went down.
-var errDown = fmt.Errorf("down")
-
-// send passes one piece over the link.
-func (o *Origin) send(w http.ResponseWriter, r *http.Request, piece []byte) error {
-	if err := o.holdStall(r); err != nil {
-		return err
+// send passes one piece over the link. It tells whether the answer can go on.
+func (o *Origin) send(w http.ResponseWriter, r *http.Request, piece []byte) bool {
+	if !o.holdStall(r) {
+		return false
 	}
 	if err := o.link.WaitN(r.Context(), len(piece)); err != nil {
-		return err
+		return false
 	}
 	n, err := w.Write(piece)
 	o.mu.Lock()
 	o.counts.ChunkBytes += int64(n)
 	o.mu.Unlock()
-	return err
+	return err == nil
 }
 
-// holdStall waits while the link stalls. It fails when the store goes down or
-// the request ends.
-func (o *Origin) holdStall(r *http.Request) error {
+// holdStall waits while the link stalls. It returns false when the store goes
+// down or the request ends.
+func (o *Origin) holdStall(r *http.Request) bool {
 	for {
 		o.mu.Lock()
 		faults, changed := o.faults, o.changed.wait()
 		o.mu.Unlock()
 		if faults.Down {
-			return errDown
+			return false
 		}
 		if !faults.Stall {
-			return nil
+			return true
 		}
 		select {
 		case <-changed:
 		case <-r.Context().Done():
-			return r.Context().Err()
+			return false
 		}
 	}
 }
@@ -270,6 +268,7 @@
 	if !readJSON(w, r, &faults) {
 		return
 	}
+	klog.InfoS("faults set", "faults", faults)
 	o.mu.Lock()
 	o.faults = faults
 	o.changed.notify()
--- a/standins/imitator/service.go
+++ b/standins/imitator/service.go
@@ -88,21 +88,22 @@
 }
 
 func (s *Service) getState(w http.ResponseWriter, r *http.Request) {
-	if !s.hang.hold(r.Context().Done()) {
+	if !s.hang.holdRequest(r) {
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(w, http.StatusOK, struct {
+	state := struct {
 		StartID  string `json:"startId"`
 		UptimeMs int64  `json:"uptimeMs"`
 		Cold     bool   `json:"cold"`
 		Running  int    `json:"running"`
-	}{s.startID, s.Clock.Since(s.started).Milliseconds(), s.cold(), s.running})
+	}{s.startID, s.Clock.Since(s.started).Milliseconds(), s.cold(), s.running}
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, state)
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
-	if !s.hang.hold(r.Context().Done()) {
+	if !s.hang.holdRequest(r) {
 		return
 	}
 	booking := r.Header.Get("Booking")
@@ -177,6 +178,7 @@
 	if !readJSON(w, r, &faults) {
 		return
 	}
+	klog.InfoS("faults set", "faults", faults)
 	s.mu.Lock()
 	s.faults = faults
 	if faults.Restart {
--- a/standins/imitator/stream.go
+++ b/standins/imitator/stream.go
@@ -334,8 +334,8 @@
 
 func (e *Engine) find(w http.ResponseWriter, r *http.Request) *stream {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	s := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
 	if s == nil {
 		writeError(w, http.StatusNotFound, "no such request")
 	}
--- a/standins/main.go
+++ b/standins/main.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"strings"
@@ -69,8 +70,8 @@
 }
 
 // serve answers on the address until ctx is done.
-func serve(ctx context.Context, listen string, h http.Handler) error {
-	l, err := net.Listen("tcp", listen)
+func serve(ctx context.Context, listen netip.AddrPort, h http.Handler) error {
+	l, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		return err
 	}
@@ -94,10 +95,23 @@
 // split returns the parts of a list separated by commas.
 func split(list string) []string {
 	var parts []string
-	for part := range strings.SplitSeq(list, ",") {
-		if part = strings.TrimSpace(part); part != "" {
-			parts = append(parts, part)
+	for p := range strings.SplitSeq(list, ",") {
+		if p = strings.TrimSpace(p); p != "" {
+			parts = append(parts, p)
 		}
 	}
 	return parts
 }
+
+// addresses returns the addresses of a list separated by commas.
+func addresses(list string) ([]netip.AddrPort, error) {
+	var all []netip.AddrPort
+	for _, p := range split(list) {
+		a, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
--- a/standins/service.go
+++ b/standins/service.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/standins/imitator"
 )
 
 func serviceCommand() command {
-	listen := "127.0.0.1:7004"
+	listen := netip.MustParseAddrPort("127.0.0.1:7004")
 	s := &imitator.Service{
 		Time:      50 * time.Millisecond,
 		Limit:     64,
@@ -16,7 +17,7 @@
 		ColdFor:   5 * time.Second,
 	}
 	f := newCommand("service", "plain service whose calls may not be repeated")
-	f.String(&listen, "", "listen", "address to listen on")
+	f.NetipAddrPort(&listen, "", "listen", "address to listen on")
 	f.Duration(&s.Time, "", "time", "length of one run")
 	f.Int(&s.Limit, "", "limit", "requests that run at once")
 	f.Int(&s.ColdLimit, "", "coldLimit", "requests that run at once in a cold start")
