--- a/standins/imitator/ask.go
+++ b/standins/imitator/ask.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/google/uuid"
+	"k8s.io/klog/v2"
 )
 
 // ask makes a model request. It is made again only after "not run".
@@ -47,7 +49,12 @@
 		return reply{outcome: f.outcome, pause: f.pause}
 	}
 	defer res.Body.Close()
-	return readReply(res.Body)
+	answer := readReply(res.Body)
+	// A connection is used again only when its last answer was read to the end.
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		klog.V(1).InfoS("no clean end after the last event", "err", err)
+	}
+	return answer
 }
 
 // prompt returns one of a few long beginnings, which prefix caches can share,
--- a/standins/imitator/engine_test.go
+++ b/standins/imitator/engine_test.go
@@ -206,3 +206,46 @@
 	<-landed
 	must.Eq(t, "v1", engineState(p).Version)
 }
+
+func TestEngineQueuesByPriority(t *testing.T) {
+	c := clocktesting.NewFakeClock(epoch)
+	w := startWeights(t, nil)
+	p := startPeer(t, (&imitator.Engine{Clock: c, TokenTime: time.Second, Limit: 1}).Handler())
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	first := openStream(p, `{"requestId":"first","maxTokens":1}`)
+	lesser := openStream(p, `{"requestId":"lesser","maxTokens":1,"priority":1}`)
+	greater := openStream(p, `{"requestId":"greater","maxTokens":1,"priority":2}`)
+	awaitTimers(c, 1)
+	c.Step(time.Second)
+	_, err := drain(first)
+	must.NoError(t, err)
+	awaitTimers(c, 1)
+	c.Step(time.Second)
+	awaitTimers(c, 1)
+	p.expect(200, "DELETE", "/generate/lesser", "")
+	rest, err := drain(lesser)
+	must.NoError(t, err)
+	must.Eq(t, "", rest)
+	rest, err = drain(greater)
+	must.NoError(t, err)
+	must.StrContains(t, rest, `"done":true`)
+}
+
+// More requests come than the engine can run and queue. It falls over, and cuts
+// them all.
+func TestEngineFallsOverWhenFull(t *testing.T) {
+	c := clocktesting.NewFakeClock(epoch)
+	w := startWeights(t, nil)
+	e := &imitator.Engine{Clock: c, TokenTime: time.Second, Limit: 1, Queue: 1}
+	p := startPeer(t, e.Handler())
+	p.expect(200, "POST", "/load", order("1", "v1", w.url+"/one"))
+	running := openStream(p, `{"requestId":"running"}`)
+	queued := openStream(p, `{"requestId":"queued"}`)
+	status, _ := p.call("POST", "/generate", `{"requestId":"beyond"}`)
+	must.Eq(t, 0, status)
+	_, err := drain(running)
+	must.Error(t, err)
+	_, err = drain(queued)
+	must.Error(t, err)
+	must.StrContains(t, p.expect(200, "GET", "/admin/counts", ""), `"fellOver":1,"worstCold":0`)
+}
