Add the exchange between entries and their settling after a restart

Exchanger tells a few peers of a change and compares with one at random all the time, eight times as often while no confirmation is young: the entries then have to find out whether the store is out before the last one lapses.

An entry never confirmed in its life waits FreshFor before it may count an outage: the first agent to report may hold an older bundle than the next. A peer that reaches a store with less than the held revision counts neither as reaching nor as silent, or one replaced entry that reads a restored store would make all others refuse work. Report may carry a record, for entries that have less than an agent.

--- /dev/null
+++ b/internal/gossiper/exchanger.go
@@ -0,0 +1,190 @@
+package gossiper
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+)
+
+// Defaults of Exchanger.
+const (
+	DefaultEvery  = time.Second
+	DefaultFanout = 3
+	// DefaultSpread is small against the aim of two seconds for a change.
+	DefaultSpread = 100 * time.Millisecond
+	// urgency is how much more often entries exchange while no confirmation is
+	// young: they then have to find out from each other whether the store is out
+	// before the last one lapses.
+	urgency = 8
+)
+
+// Exchanger keeps an entry level with the others: it tells a few of them of each
+// change at once and compares with one at random all the time. It is a suture
+// service.
+type Exchanger struct {
+	State *State
+	Clock clock.Clock
+	// Self is this entry's account of itself; the word is filled in here.
+	Self func() messenger.EntryState
+	// Peers lists the other entries that are believed alive.
+	Peers func() []messenger.EntryState
+	// Call sends one exchange to a peer and gives its answer.
+	Call func(ctx context.Context, p messenger.EntryState, x messenger.Exchange) (messenger.Exchange, error)
+	// Heard, if set, gets each answer, for what it says besides the bundle.
+	Heard func(x messenger.Exchange)
+	// Every is the mean pause between two exchanges while all is well.
+	Every time.Duration
+	// Fanout is how many peers are told of a change at once, after a random
+	// pause of up to Spread.
+	Fanout int
+	Spread time.Duration
+	// Random picks peers and pauses; nil means the global source.
+	Random *rand.Rand
+
+	mu sync.Mutex
+}
+
+// Serve runs until the context ends.
+func (e *Exchanger) Serve(ctx context.Context) error {
+	var g sync.WaitGroup
+	g.Go(func() { e.compareLoop(ctx) })
+	g.Go(func() { e.tellLoop(ctx) })
+	g.Wait()
+	return ctx.Err()
+}
+
+func (e *Exchanger) compareLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, p := range e.Pick(1) {
+			e.With(ctx, p)
+		}
+		e.sleep(ctx, e.Pause())
+	}
+}
+
+func (e *Exchanger) tellLoop(ctx context.Context) {
+	for {
+		changed := e.State.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		e.sleep(ctx, e.below(orDefault(e.Spread, DefaultSpread)))
+		for _, p := range e.Pick(e.fanout()) {
+			e.With(ctx, p)
+		}
+	}
+}
+
+// Pause is how long to wait before the next exchange: half of it is random, so
+// that entries started together do not stay in step.
+func (e *Exchanger) Pause() time.Duration {
+	every := orDefault(e.Every, DefaultEvery)
+	if a := e.State.Age(); a < 0 || a > e.State.ReachFor() {
+		every /= urgency
+	}
+	return every/2 + e.below(every)
+}
+
+// Pick chooses up to n different peers at random.
+func (e *Exchanger) Pick(n int) []messenger.EntryState {
+	ps := slices.Clone(e.Peers())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range min(n, len(ps)) {
+		j := i + e.intN(len(ps)-i)
+		ps[i], ps[j] = ps[j], ps[i]
+	}
+	return ps[:min(n, len(ps))]
+}
+
+// With exchanges with one peer. The record goes along only in a second call, once
+// the peer's answer has shown that it has less: most peers know a change by the
+// time they are told.
+func (e *Exchanger) With(ctx context.Context, p messenger.EntryState) {
+	answer, err := e.call(ctx, p, messenger.Exchange{State: e.account()})
+	if err != nil {
+		return
+	}
+	r := e.State.RecordFor(answer.State.Word)
+	if r == nil {
+		return
+	}
+	_, _ = e.call(ctx, p, messenger.Exchange{State: e.account(), Record: r})
+}
+
+func (e *Exchanger) call(ctx context.Context, p messenger.EntryState, x messenger.Exchange) (messenger.Exchange, error) {
+	asked := e.Clock.Now()
+	answer, err := e.Call(ctx, p, x)
+	if err != nil {
+		klog.V(2).InfoS("peer not heard", "peer", p.ID, "err", err)
+		return answer, err
+	}
+	e.offer(answer)
+	e.State.HearAnswer(answer.State, asked)
+	if e.Heard != nil {
+		e.Heard(answer)
+	}
+	return answer, nil
+}
+
+// Answer is what to say to another entry's exchange.
+func (e *Exchanger) Answer(x messenger.Exchange) messenger.Exchange {
+	e.offer(x)
+	e.State.Hear(x.State)
+	return messenger.Exchange{State: e.account(), Record: e.State.RecordFor(x.State.Word)}
+}
+
+func (e *Exchanger) offer(x messenger.Exchange) {
+	if x.Record == nil {
+		return
+	}
+	if _, err := e.State.Offer(x.Record); err != nil {
+		klog.ErrorS(err, "record refused", "peer", x.State.ID)
+	}
+}
+
+func (e *Exchanger) account() messenger.EntryState {
+	self := e.Self()
+	self.StoreReachable = e.State.StoreReachable()
+	self.Word = e.State.Word()
+	return self
+}
+
+func (e *Exchanger) sleep(ctx context.Context, d time.Duration) {
+	t := e.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C():
+	}
+}
+
+func (e *Exchanger) fanout() int {
+	if e.Fanout > 0 {
+		return e.Fanout
+	}
+	return DefaultFanout
+}
+
+// below picks a duration in [0, d).
+func (e *Exchanger) below(d time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(e.intN(int(max(d, 1))))
+}
+
+func (e *Exchanger) intN(n int) int {
+	if e.Random != nil {
+		return e.Random.IntN(n)
+	}
+	return rand.IntN(n)
+}
--- a/internal/gossiper/outage.go
+++ b/internal/gossiper/outage.go
@@ -53,26 +53,24 @@
 	if s.Entries == 0 {
 		return s.outage, !s.outage.IsZero()
 	}
-	if s.reachable(now) {
+	if s.reachable(now) || s.settling(now) {
 		return time.Time{}, false
 	}
 	return s.majority(now)
 }
 
+// settling holds for a while after the first bundle, if the store was not heard
+// since the start. After all entries were replaced while the store was out, the
+// first process to report may hold an older bundle than the next one, and an
+// entry that acted on it at once would send work into a drained failure domain.
+func (s *State) settling(now time.Time) bool {
+	return s.confirmed.IsZero() && age(now, s.firstHeld) <= s.freshFor()
+}
+
 func (s *State) majority(now time.Time) (time.Time, bool) {
-	votes := []peer{{at: now, region: s.Region}}
-	for id, p := range s.peers {
-		if age(now, p.at) > s.freshFor() {
-			delete(s.peers, id)
-			continue
-		}
-		if p.reachable {
-			return time.Time{}, false
-		}
-		votes = append(votes, p)
-	}
+	votes, reached := s.votes(now)
 	needed := s.Entries/2 + 1
-	if len(votes) < needed {
+	if reached || len(votes) < needed {
 		return time.Time{}, false
 	}
 	slices.SortFunc(votes, func(a, b peer) int { return b.at.Compare(a.at) })
@@ -84,10 +82,26 @@
 	if i < 0 {
 		return time.Time{}, false
 	}
-	if votes[i].at.Before(at) {
-		at = votes[i].at
+	return earlier(at, votes[i].at), true
+}
+
+// votes lists the entries lately heard not to reach the store, this one first,
+// and tells whether another one does. An entry that reached a store which gave it
+// less than the held revision found a rolled-back one: that is no store from
+// which something newer could come, so it counts neither way.
+func (s *State) votes(now time.Time) (silent []peer, reached bool) {
+	silent = []peer{{at: now, region: s.Region}}
+	for id, p := range s.peers {
+		switch {
+		case age(now, p.at) > s.freshFor():
+			delete(s.peers, id)
+		case !p.reachable:
+			silent = append(silent, p)
+		case p.revision >= s.revision():
+			return nil, true
+		}
 	}
-	return at, true
+	return silent, false
 }
 
 // silent lists the entries known not to reach the store, this one included, for
--- a/internal/gossiper/state.go
+++ b/internal/gossiper/state.go
@@ -41,6 +41,8 @@
 	record    *bundler.Record
 	digest    string
 	heldSince time.Time
+	// firstHeld is when the first bundle of this process's life arrived.
+	firstHeld time.Time
 	// confirmed is when the store was asked that last confirmed the held revision.
 	confirmed time.Time
 	// known is the highest revision heard of, held or not.
@@ -66,7 +68,9 @@
 type peer struct {
 	at        time.Time
 	reachable bool
-	region    string
+	// revision is the one that the entry held, if it reached the store.
+	revision uint64
+	region   string
 }
 
 // Offer hands the state a record from anywhere. The sign-offs are checked here,
@@ -98,6 +102,9 @@
 func (s *State) hold(b *bundler.Bundle, r *bundler.Record) {
 	s.bundle, s.record, s.digest = b, r, r.Digest()
 	s.heldSince = s.Clock.Now()
+	if s.firstHeld.IsZero() {
+		s.firstHeld = s.heldSince
+	}
 	s.known = max(s.known, b.Revision)
 	s.outage = time.Time{}
 	if s.ahead.revision == b.Revision && s.ahead.digest == s.digest {
@@ -189,7 +196,7 @@
 	if e.ID == s.ID || e.ID == "" {
 		return
 	}
-	s.vote(e.ID, peer{at: askedAt, reachable: e.StoreReachable, region: e.Region})
+	s.vote(e.ID, peer{at: askedAt, reachable: e.StoreReachable, revision: e.Word.Revision, region: e.Region})
 }
 
 // HearWord is HearAnswer for what carries only a word, such as an entry's news
@@ -202,6 +209,9 @@
 
 func (s *State) hearWord(w messenger.Word, askedAt time.Time) {
 	s.known = max(s.known, w.Revision)
+	if w.Revision > 0 && w.Revision == s.revision() && w.Digest != s.digest {
+		_ = s.alarm(&ForkError{Revision: w.Revision, Held: s.digest, Found: w.Digest})
+	}
 	if w.AgeMS >= 0 {
 		s.learn(w.Revision, w.Digest, askedAt.Add(-w.Age()))
 	}
@@ -260,6 +270,17 @@
 	return s.bundle, s.record
 }
 
+// RecordFor gives the record that a process with the given word lacks; nil when
+// it has as much as this one.
+func (s *State) RecordFor(w messenger.Word) *bundler.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.Revision >= s.revision() {
+		return nil
+	}
+	return s.record
+}
+
 // Changed gives a channel that is closed when the next bundle takes force.
 func (s *State) Changed() <-chan struct{} {
 	s.mu.Lock()
@@ -345,6 +366,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // milliseconds rounds up, so that a word never seems fresher than it is.
 func milliseconds(d time.Duration) int64 {
 	return int64(math.Ceil(float64(d) / float64(time.Millisecond)))
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -131,6 +131,9 @@
 // by itself when the bundle changes.
 type Report struct {
 	State AgentState `json:"state"`
+	// Record is the agent's bundle, sent only to an entry that has less: after
+	// all entries were replaced while the store was out, only agents have it.
+	Record *bundler.Record `json:"record,omitempty"`
 }
 
 // News brings an agent or an entry up to date.
