--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
@@ -37,6 +38,10 @@
 	requests bucket
 	tokens   bucket
 	running  int
+	// done is the rate at which requests end, returns when refused callers were
+	// told to come back.
+	done    retrier.Rate
+	returns retrier.Returns
 }
 
 // SetBundle takes over the limits of a bundle; an older one is ignored. What
@@ -73,6 +78,7 @@
 		t.limiter.mu.Lock()
 		defer t.limiter.mu.Unlock()
 		t.usage.running--
+		t.usage.done.Add(t.limiter.Clock.Now())
 	})
 }
 
@@ -100,13 +106,20 @@
 	u.requests.fill(now, l.share(u.limits.RequestsPerSecond))
 	u.tokens.fill(now, l.share(u.limits.TokensPerSecond))
 	if most := u.limits.Concurrent; most > 0 && u.running >= l.places(most) {
-		return &LimitedError{Workspace: workspace, Limit: "concurrent", RetryAfter: l.spread(time.Second)}
+		return l.limited(workspace, u, "concurrent", u.done.Gap(now))
 	}
 	if wait := u.requests.wait(1); wait > 0 {
-		return &LimitedError{Workspace: workspace, Limit: "requestsPerSecond", RetryAfter: l.spread(wait)}
+		return l.limited(workspace, u, "requestsPerSecond", wait)
 	}
 	if wait := u.tokens.wait(float64(tokens)); wait > 0 {
-		return &LimitedError{Workspace: workspace, Limit: "tokensPerSecond", RetryAfter: l.spread(wait)}
+		return l.limited(workspace, u, "tokensPerSecond", wait)
 	}
 	return nil
 }
+
+// limited makes the refusal; gap is how long until the limit has room for one
+// more, which is also the time between those who are told to come back.
+func (l *Limiter) limited(workspace string, u *usage, limit string, gap time.Duration) error {
+	after := u.returns.Next(l.Clock.Now(), gap, gap, l.Random)
+	return &LimitedError{Workspace: workspace, Limit: limit, RetryAfter: after}
+}
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -2,10 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
 // DefaultCapacity is how many requests wait at most in a Queue.
@@ -42,8 +45,7 @@
 	flows   map[string]float64
 	virtual float64
 	rate    drainRate
-	// returns is when the last refused caller was told to come back.
-	returns time.Time
+	returns retrier.Returns
 }
 
 // Join puts a request into the queue. When it would not start before its
@@ -79,6 +81,22 @@
 	return w
 }
 
+// Return puts back a waiter that Next gave when there turned out to be no place
+// for it, ahead of all others. It gives a fresh Waiter for the same request, or
+// a *ShedError when its deadline is over.
+func (q *Queue) Return(w *Waiter) (*Waiter, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Clock.Now()
+	if w.over(now) {
+		return nil, q.shed("deadline before its turn", 0, now)
+	}
+	v := newWaiter(q, w.Item, w.start)
+	q.rate.pass(now, len(q.waiting) > 0)
+	q.waiting = slices.Insert(q.waiting, 0, v)
+	return v, nil
+}
+
 // Finished counts a request of that cost as done, waited or not. The rate at
 // which this happens while others wait is what waits are worked out from.
 func (q *Queue) Finished(cost float64) {
@@ -209,18 +227,14 @@
 	for at > 0 && q.waiting[at-1].start > w.start {
 		at--
 	}
-	q.waiting = append(q.waiting, nil)
-	copy(q.waiting[at+1:], q.waiting[at:])
-	q.waiting[at] = w
+	q.waiting = slices.Insert(q.waiting, at, w)
 }
 
 // remove takes the waiter at i out. With the last one gone, all flows start
 // equal again, which also keeps the map from growing for ever.
 func (q *Queue) remove(i int, now time.Time) {
 	q.rate.pass(now, true)
-	copy(q.waiting[i:], q.waiting[i+1:])
-	q.waiting[len(q.waiting)-1] = nil
-	q.waiting = q.waiting[:len(q.waiting)-1]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
 	if len(q.waiting) == 0 {
 		clear(q.flows)
 		q.virtual = 0
@@ -228,11 +242,6 @@
 }
 
 func (q *Queue) evict(v *Waiter, reason string, now time.Time) {
-	for i, w := range q.waiting {
-		if w == v {
-			q.remove(i, now)
-			v.wake(q.shed(reason, 0, now))
-			return
-		}
-	}
+	q.remove(slices.Index(q.waiting, v), now)
+	v.wake(q.shed(reason, 0, now))
 }
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -1,11 +1,6 @@
 package limiter
 
-import (
-	"math"
-	"time"
-
-	"github.com/oriolecroft/oriolecroft/internal/retrier"
-)
+import "math"
 
 // share is this entry's part of a rate; 0 stays 0, no limit.
 func (l *Limiter) share(rate float64) float64 {
@@ -35,8 +30,3 @@
 	}
 	return l.Borrow
 }
-
-func (l *Limiter) spread(d time.Duration) time.Duration {
-	d = max(d, retrier.MinRetryAfter)
-	return min(d+retrier.Spread(d/2, l.Random), retrier.MaxRetryAfter)
-}
--- a/internal/limiter/waiter.go
+++ b/internal/limiter/waiter.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Waiter is a request in a Queue.
 type Waiter struct {
@@ -30,13 +33,12 @@
 	q := w.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, v := range q.waiting {
-		if v == w {
-			q.remove(i, q.Clock.Now())
-			return true
-		}
+	i := slices.Index(q.waiting, w)
+	if i < 0 {
+		return false
 	}
-	return false
+	q.remove(i, q.Clock.Now())
+	return true
 }
 
 func (w *Waiter) wake(err error) {
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -39,7 +39,7 @@
 	c.giveBack(o != retrier.NotRun)
 	c.router.judge(c.replica, o, now)
 	if o == retrier.Ran {
-		c.pool.rate.add(now)
+		c.pool.rate.Add(now)
 	}
 }
 
@@ -82,10 +82,11 @@
 	switch o {
 	case retrier.Ran:
 		p.failures = 0
+		p.avoidUntil = time.Time{}
 	case retrier.NotRun:
 		r.avoid(p, now, orDuration(r.RefusedFor, DefaultRefusedFor))
 	default:
-		d := orDuration(r.FailedFor, DefaultFailedFor) << min(p.failures, 4)
+		d := orDuration(r.FailedFor, DefaultFailedFor) << min(p.failures, 2)
 		p.failures++
 		r.avoid(p, now, d)
 	}
--- a/internal/router/pick.go
+++ b/internal/router/pick.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
 // Request is what Pick needs to know of a request.
@@ -44,6 +42,7 @@
 	reasonHome  = "home of the prompt's prefix"
 	reasonDrawn = "less loaded of two"
 	reasonOnly  = "first that fits"
+	reasonSpare = "cold and perhaps unused by other entries"
 )
 
 // best is the cheapest candidate so far.
@@ -95,32 +94,29 @@
 			r.weigh(&b, t, t.free[r.Random.IntN(len(t.free))], q, now, link, reasonDrawn)
 		}
 	}
-	if b.replica == nil {
-		r.scan(&b, l, q, now)
+	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
+		r.scan(&b, &l.tiers[i], l.tiers[i].free, q, now, reasonOnly)
+	}
+	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
+		r.scan(&b, &l.tiers[i], l.tiers[i].spare, q, now, reasonSpare)
 	}
 	return b
 }
 
-// scan takes the first free replica that fits, nearest tier first.
-func (r *Router) scan(b *best, l *pool, q *Request, now time.Time) {
-	for i := range l.tiers {
-		t := &l.tiers[i]
-		if len(t.free) == 0 {
-			continue
-		}
-		start := r.Random.IntN(len(t.free))
-		for j := range t.free {
-			r.weigh(b, t, t.free[(start+j)%len(t.free)], q, now, 0, reasonOnly)
-			if b.replica != nil {
-				return
-			}
-		}
+// scan takes the first of a list that fits, from a random one on.
+func (r *Router) scan(b *best, t *tier, l list, q *Request, now time.Time, reason string) {
+	if len(l) == 0 {
+		return
+	}
+	start := r.Random.IntN(len(l))
+	for i := 0; i < len(l) && b.replica == nil; i++ {
+		r.weigh(b, t, l[(start+i)%len(l)], q, now, 0, reason)
 	}
 }
 
 // weigh takes p as the best if it may have the request and costs less.
 func (r *Router) weigh(b *best, t *tier, p *replica, q *Request, now time.Time, link float64, reason string) {
-	if p == nil || p.free < 0 || !p.serves(q) || p.avoided(q, now) {
+	if p == nil || p.in == nil || p.in == &t.spare && reason != reasonSpare || !p.serves(q) || p.avoided(q, now) {
 		return
 	}
 	c := r.cost(t, p, link, reason == reasonHome)
@@ -185,7 +181,7 @@
 	for i := range l.tiers {
 		for _, p := range l.tiers[i].ring {
 			if p.serves(q) {
-				return &FullError{Name: k.name, RetryAfter: retrier.RetryAfter(1, l.rate.at(now), r.Random)}
+				return &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
 			}
 		}
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -1,9 +1,12 @@
 package router
 
 import (
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
 // tierIndex orders replicas by how far they are.
@@ -33,14 +36,22 @@
 type pool struct {
 	tiers [tierCount]tier
 	// rate is the smoothed number of requests done per second.
-	rate rate
+	rate    retrier.Rate
+	returns retrier.Returns
+}
+
+// retryAfter is when a caller refused now should come back.
+func (l *pool) retryAfter(now time.Time, random *rand.Rand) time.Duration {
+	each := l.rate.Gap(now)
+	return l.returns.Next(now, each, each, random)
 }
 
 // tier is the replicas of a pool at one distance.
 type tier struct {
-	// ring holds all by their point on the hash ring, free those with room.
-	ring []*replica
-	free []*replica
+	// ring holds all by their point on the hash ring, free those with room, and
+	// spare the cold ones whose places are not this entry's but may be unused.
+	ring        []*replica
+	free, spare list
 	// load and limit are sums over the ring.
 	load, limit int
 }
@@ -58,11 +69,8 @@
 func (t *tier) add(p *replica) {
 	at, _ := slices.BinarySearchFunc(t.ring, p.point, byPoint)
 	t.ring = slices.Insert(t.ring, at, p)
-	p.counted = p.state.Limit
-	t.limit += p.counted
 	p.tier = t
-	p.load = 0
-	t.update(p)
+	p.load, p.counted = 0, 0
 }
 
 func (t *tier) remove(p *replica) {
@@ -73,7 +81,7 @@
 	t.ring = slices.Delete(t.ring, at, at+1)
 	t.limit -= p.counted
 	t.load -= p.load
-	t.setFree(p, false)
+	p.in.remove(p)
 	p.tier = nil
 }
 
@@ -81,21 +89,23 @@
 func (t *tier) update(p *replica) {
 	n := p.estimate()
 	t.load += n - p.load
-	p.load = n
-	t.setFree(p, p.room() > 0)
+	t.limit += p.state.Limit - p.counted
+	p.load, p.counted = n, p.state.Limit
+	to := t.listFor(p)
+	if p.in != to {
+		p.in.remove(p)
+		to.add(p)
+	}
 }
 
-func (t *tier) setFree(p *replica, free bool) {
+func (t *tier) listFor(p *replica) *list {
 	switch {
-	case free && p.free < 0:
-		p.free = len(t.free)
-		t.free = append(t.free, p)
-	case !free && p.free >= 0:
-		last := t.free[len(t.free)-1]
-		t.free[p.free] = last
-		last.free = p.free
-		t.free = t.free[:len(t.free)-1]
-		p.free = -1
+	case p.room() <= 0:
+		return nil
+	case p.state.Gate == messenger.GateCold && len(p.inflight) >= p.quota:
+		return &t.spare
+	default:
+		return &t.free
 	}
 }
 
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -20,11 +20,14 @@
 	list          *heardList
 	before, after *replica
 
-	// tier, free and point are its place among the candidates; free is its place
-	// in the tier's list of those with room, -1 without.
+	// tier, point, in and at are its place among the candidates: at is the index
+	// in the list it is in, if any.
 	tier  *tier
-	free  int
 	point uint64
+	in    *list
+	at    int
+	// quota is how many requests this entry may have there while it is cold.
+	quota int
 
 	// inflight are this entry's own requests that are not done.
 	inflight []*Choice
@@ -40,7 +43,7 @@
 }
 
 func newReplica(s messenger.AgentState) *replica {
-	return &replica{state: s, free: -1, point: xxhash.Sum64String(s.ID)}
+	return &replica{state: s, point: xxhash.Sum64String(s.ID)}
 }
 
 // newer tells whether a report is later than the one at hand.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,9 +75,7 @@
 		return
 	}
 	r.bundle = newIndex(b)
-	for _, p := range r.replicas {
-		r.place(p)
-	}
+	r.placeAll()
 }
 
 // Report takes an agent's account of itself over and tells whether it was news.
@@ -138,10 +137,8 @@
 	defer r.mu.Unlock()
 	r.sweep(r.Clock.Now())
 	states := make([]messenger.AgentState, 0, len(r.replicas))
-	for _, p := range r.replicas {
-		if p.list == &r.live {
-			states = append(states, p.state)
-		}
+	for p := r.live.first; p != nil; p = p.after {
+		states = append(states, p.state)
 	}
 	return states
 }
@@ -152,10 +149,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self = self
-	r.entries = append([]string(nil), ids...)
-	for _, p := range r.replicas {
-		r.place(p)
-	}
+	r.entries = slices.Sorted(slices.Values(ids))
+	r.placeAll()
 }
 
 // sweep sets agents aside that have been silent for too long. Reports are kept
@@ -172,20 +167,36 @@
 	}
 }
 
-// place puts a replica where Pick finds it, according to its state.
+func (r *Router) placeAll() {
+	for p := r.live.first; p != nil; p = p.after {
+		r.place(p)
+	}
+}
+
+// place puts a live replica where Pick finds it, according to its state. Most
+// reports only change its load, which leaves it on the same ring.
 func (r *Router) place(p *replica) {
-	p.unplace()
-	if p.list != &r.live || r.bundle == nil || !p.takesWork() || !r.bundle.serves(p.state) {
+	if r.bundle == nil || !p.takesWork() || !r.bundle.serves(p.state) {
+		p.unplace()
 		return
 	}
-	k := keyOf(p.state)
-	q := r.pools[k]
-	if q == nil {
-		q = new(pool)
-		r.pools[k] = q
-	}
 	p.current = r.bundle.current(p.state)
-	q.tiers[r.distance(p.state)].add(p)
+	p.quota = r.quota(p)
+	t := &r.pool(keyOf(p.state)).tiers[r.distance(p.state)]
+	if p.tier != t {
+		p.unplace()
+		t.add(p)
+	}
+	t.update(p)
+}
+
+func (r *Router) pool(k poolKey) *pool {
+	l := r.pools[k]
+	if l == nil {
+		l = new(pool)
+		r.pools[k] = l
+	}
+	return l
 }
 
 // distance is the tier that an agent belongs to, seen from this entry.
