--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -12,7 +12,8 @@
 
 // Work is a request that asks to pass. Empty fields ask for nothing particular.
 type Work struct {
-	// Priority orders requests when the gate is narrow; higher is kept longer.
+	// Priority is the request's for the upstream and the logs. The gate holds no
+	// queue, so that it has nothing to put in order: entries shed by priority.
 	Priority int
 	// Deadline is when the caller gives up; zero for never.
 	Deadline time.Time
@@ -106,7 +107,8 @@
 	Model, Version, Manifest string
 }
 
-// Mark orders probes against admissions.
+// Mark is a point in the gate's own order of events: it tells what a probe's
+// answer can prove, whenever that answer arrives.
 type Mark struct {
-	admitted, narrowed uint64
+	connected, narrowed uint64
 }
--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"slices"
+	"errors"
 	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
-
-	"github.com/oriolecroft/oriolecroft/internal/messenger"
 )
 
 // Defaults for the fields of Gate.
 const (
 	defaultColdLimit = 1
 	defaultSlow      = time.Second
+	defaultStep      = 100 * time.Millisecond
 )
 
 // Gate lets requests through to one upstream. Set the exported fields before
@@ -29,21 +28,34 @@
 	// Slow is the latency from which a probe's answer counts as a bad sign; 0
 	// means one second.
 	Slow time.Duration
+	// Step is the least time between two steps by which the limit widens; 0 means
+	// 100 ms.
+	Step time.Duration
+	// Confirm bounds what an upstream can get that has turned cold since its last
+	// probe: beyond ColdLimit, a request passes only once probes sent after the
+	// others were connected have found the upstream warm. Whoever sets it calls
+	// Ticket.Connected, probes whenever Wanted says so, and admits by Enter.
+	Confirm bool
 
 	mu      sync.Mutex
 	begun   bool
 	holds   []Reason
-	width   int
-	credit  int
 	running int
-	latency time.Duration
+	changed chan struct{}
+	idle    chan struct{}
 
-	admitted  uint64
-	confirmed uint64
+	// width is the present limit, widened when it last grew.
+	width   int
+	widened time.Time
+	// latency is the moving average of replies.
+	latency time.Duration
+	// fresh are the running requests that no probe has confirmed yet.
+	fresh     map[*Ticket]struct{}
+	connected uint64
 	narrowed  uint64
-	changed   chan struct{}
-	idle      chan struct{}
+	wanted    chan struct{}
 
+	// proved is set once a probe was answered; the rest is from the last answer.
 	proved  bool
 	cold    bool
 	startID string
@@ -52,18 +64,15 @@
 	held    weights
 }
 
-// weights are what the last good probe found in the engine.
-type weights struct {
-	model, version, manifest string
-}
-
 // Ticket is the right of one request to be with the upstream.
 type Ticket struct {
 	gate *Gate
-	once sync.Once
+	done bool
 	// narrowed is the gate's count of narrowings at admission: what a request
-	// proves about the upstream holds only when none came between.
+	// proves of the upstream holds only when none came between.
 	narrowed uint64
+	// connected is the gate's count of connections at this one; 0 before it.
+	connected uint64
 }
 
 // begin fills in what the zero value of Gate leaves out. Callers hold g.mu.
@@ -75,19 +84,21 @@
 	g.holds = append(g.holds, Booting)
 	g.ColdLimit = max(g.ColdLimit, defaultColdLimit)
 	g.Limit = max(g.Limit, 1)
-	if g.Slow == 0 {
+	if g.Slow <= 0 {
 		g.Slow = defaultSlow
 	}
+	if g.Step <= 0 {
+		g.Step = defaultStep
+	}
 	g.width = g.floor()
 	g.cold = true
+	g.fresh = map[*Ticket]struct{}{}
+	g.wanted = make(chan struct{}, 1)
 	g.changed = make(chan struct{})
 	g.idle = make(chan struct{})
 	close(g.idle)
 }
 
-// floor is the limit of a gate that knows nothing good of its upstream.
-func (g *Gate) floor() int { return min(g.ColdLimit, g.Limit) }
-
 // Admit decides at once whether w may pass. A refusal is a *RefusedError.
 func (g *Gate) Admit(w Work) (*Ticket, error) {
 	g.mu.Lock()
@@ -100,8 +111,11 @@
 		g.idle = make(chan struct{})
 	}
 	g.running++
-	g.admitted++
-	return &Ticket{gate: g, narrowed: g.narrowed}, nil
+	t := &Ticket{gate: g, narrowed: g.narrowed}
+	if g.Confirm {
+		g.fresh[t] = struct{}{}
+	}
+	return t, nil
 }
 
 // refusal says what keeps w out, nil when nothing does.
@@ -117,6 +131,14 @@
 		return &RefusedError{Reason: WrongStart}
 	case g.running >= g.width:
 		return &RefusedError{Reason: Full, RetryAfter: g.retryAfter()}
+	case len(g.fresh) >= g.floor():
+		// Between two probes the upstream may have been restarted, with nothing
+		// running whose connection would have broken. A full load would then meet a
+		// cold upstream, which falls over; one would see it by its start id
+		// changing again and again under load. What is not confirmed is therefore
+		// kept to what a cold upstream bears.
+		g.want()
+		return &RefusedError{Reason: Unconfirmed, RetryAfter: g.Slow}
 	}
 	return nil
 }
@@ -126,21 +148,62 @@
 	return g.latency / time.Duration(max(g.width, 1))
 }
 
-func (h weights) suit(w Work) bool {
-	return (w.Model == "" || w.Model == h.model) &&
-		(w.Version == "" || w.Version == h.version) &&
-		(w.Manifest == "" || w.Manifest == h.manifest)
+// Enter is Admit that waits out a probe which is asked for now. It returns once
+// the gate has decided otherwise or ctx is done; in both cases the error is the
+// gate's.
+func (g *Gate) Enter(ctx context.Context, w Work) (*Ticket, error) {
+	for {
+		changed := g.Changed()
+		t, err := g.Admit(w)
+		var r *RefusedError
+		if !errors.As(err, &r) || r.Reason != Unconfirmed {
+			return t, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
 }
 
-// Done ends the request; calls after the first do nothing.
-func (t *Ticket) Done(r Result) {
-	t.once.Do(func() { t.gate.done(t, r) })
+// Connected notes that the request has its connection: should the upstream be
+// restarted from now on, that connection breaks and Done hears of it. Calls
+// after the first do nothing.
+func (t *Ticket) Connected() {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.done || t.connected > 0 {
+		return
+	}
+	g.connected++
+	t.connected = g.connected
+	if len(g.fresh) >= g.floor() && !g.cold {
+		g.want()
+	}
 }
 
-func (g *Gate) done(t *Ticket, r Result) {
+// Done ends the request; calls after the first do nothing.
+func (t *Ticket) Done(r Result) {
+	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	delete(g.fresh, t)
 	g.running--
+	g.learn(t, r)
+	if g.running == 0 {
+		close(g.idle)
+	}
+	g.announce()
+}
+
+// learn takes the end of a request as a sign of how the upstream is.
+func (g *Gate) learn(t *Ticket, r Result) {
 	switch r.Outcome {
 	case Served, Failed:
 		g.observe(r.Latency)
@@ -151,10 +214,6 @@
 		g.narrow()
 	case Cancelled:
 	}
-	if g.running == 0 {
-		close(g.idle)
-	}
-	g.announce()
 }
 
 // observe follows the latency of replies with a moving average.
@@ -166,150 +225,3 @@
 	}
 	g.latency += (d - g.latency) / weight
 }
-
-// widen adds one to the limit for each full set of good signs at the present
-// one. While the upstream calls itself cold nothing counts as a good sign.
-func (g *Gate) widen() {
-	if g.cold || !g.proved {
-		return
-	}
-	g.credit++
-	if g.credit < g.width || g.width >= g.Limit {
-		return
-	}
-	g.credit = 0
-	g.width++
-}
-
-// narrow takes the gate back to the cold limit.
-func (g *Gate) narrow() {
-	g.narrowed++
-	g.width = g.floor()
-	g.credit = 0
-	g.cold = true
-}
-
-// announce wakes those who wait for a change.
-func (g *Gate) announce() {
-	close(g.changed)
-	g.changed = make(chan struct{})
-}
-
-// Mark is to be taken before a probe is sent and put into Probe.Mark.
-func (g *Gate) Mark() Mark {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	return Mark{admitted: g.admitted, narrowed: g.narrowed}
-}
-
-// Probe takes in what a probe of the upstream gave.
-func (g *Gate) Probe(p Probe) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	defer g.announce()
-	if p.Err != nil || p.Latency >= g.Slow {
-		g.narrow()
-		return
-	}
-	now := g.Clock.Now()
-	if g.restarted(p, now) {
-		g.narrow()
-	}
-	g.startID, g.uptime, g.asOf = p.StartID, p.Uptime, now
-	g.held = weights{model: p.Model, version: p.Version, manifest: p.Manifest}
-	g.settle(p)
-}
-
-// settle lets a sound answer count: it may end the cold state and widen.
-func (g *Gate) settle(p Probe) {
-	g.proved = true
-	if p.Cold {
-		g.narrow()
-		return
-	}
-	if p.Mark.narrowed != g.narrowed {
-		return
-	}
-	g.cold = false
-	g.confirmed = max(g.confirmed, p.Mark.admitted)
-	g.widen()
-}
-
-// restarted tells whether the upstream is another one than at the last probe.
-func (g *Gate) restarted(p Probe, _ time.Time) bool {
-	return !g.proved || p.StartID != g.startID || p.Uptime < g.uptime
-}
-
-// Close holds the gate for a reason; nothing new passes until no reason is left.
-func (g *Gate) Close(r Reason) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	if !slices.Contains(g.holds, r) {
-		g.holds = append(g.holds, r)
-		g.announce()
-	}
-}
-
-// Open takes away one reason to hold the gate.
-func (g *Gate) Open(r Reason) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	if i := slices.Index(g.holds, r); i >= 0 {
-		g.holds = slices.Delete(g.holds, i, i+1)
-		g.announce()
-	}
-}
-
-// Holds lists the reasons for which the gate is closed.
-func (g *Gate) Holds() []Reason {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	return slices.Clone(g.holds)
-}
-
-// State gives the gate's state, its present limit and the exact number of
-// requests that are with the upstream.
-func (g *Gate) State() (state messenger.GateState, limit, running int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	switch {
-	case len(g.holds) > 0:
-		return messenger.GateClosed, g.width, g.running
-	case g.cold:
-		return messenger.GateCold, g.width, g.running
-	}
-	return messenger.GateOpen, g.width, g.running
-}
-
-// Changed gives a channel that is closed at the next change of the gate.
-func (g *Gate) Changed() <-chan struct{} {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	return g.changed
-}
-
-// Idle gives a channel that is closed once no request is with the upstream. It
-// stands for the present busy period only: close the gate first.
-func (g *Gate) Idle() <-chan struct{} {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin()
-	return g.idle
-}
-
-// Drained waits until no request is with the upstream.
-func (g *Gate) Drained(ctx context.Context) error {
-	select {
-	case <-g.Idle():
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
