--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -277,6 +277,7 @@
 		}
 		return nil, admitter.Cut, &forwarder.UnknownError{Reason: err.Error()}
 	}
+	defer res.Body.Close()
 	data, err := driver.ReadReply(res, forwarder.MaxBody)
 	if err != nil {
 		return nil, admitter.Cut, &forwarder.UnknownError{Reason: err.Error()}
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -104,7 +104,7 @@
 // asked stayed silent.
 func (p Progress) Confirmed() bool { return len(p.Missing) == 0 }
 
-// Ready tells whether all engines serve the bundle's versions too.
+// AllReady tells whether all engines serve the bundle's versions too.
 func (p Progress) AllReady() bool { return p.Confirmed() && p.Ready == p.AllReplicas }
 
 func (p Progress) String() string {
