Let requests wait in line for a replica, and cut streams for their agent

An agent that was full does not use up retries. Reports no longer go out at each request's start and end.

--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -112,15 +112,18 @@
 	}
 	e.Limiter = &limiter.Limiter{Clock: c, Entries: e.Entries, Random: random()}
 	e.Dispatcher = &dispatcher.Dispatcher{
-		ID:       s.ID,
-		State:    state,
-		Router:   route,
-		Limiter:  e.Limiter,
-		Policy:   &retrier.Policy{Budget: &retrier.Budget{Clock: c}, Random: random()},
-		Claims:   &deduplicator.Claims{Store: store, Clock: c},
-		Agents:   forwarder.NewClient(),
-		Clock:    c,
-		Deadline: s.Deadline,
+		ID:         s.ID,
+		State:      state,
+		Router:     route,
+		Limiter:    e.Limiter,
+		Policy:     &retrier.Policy{Budget: &retrier.Budget{Clock: c}, Random: random()},
+		Claims:     &deduplicator.Claims{Store: store, Clock: c},
+		Agents:     forwarder.NewClient(),
+		Clock:      c,
+		Deadline:   s.Deadline,
+		QueueFor:   s.QueueFor,
+		ResumeFor:  s.ResumeFor,
+		Concurrent: s.Concurrent,
 	}
 	return e
 }
--- a/demo.sh
+++ b/demo.sh
@@ -8,7 +8,8 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 
-readonly BASE=${DEMO_PORT:-17000}
+# Two demos at a time get ports of their own, below those the kernel hands out.
+readonly BASE=${DEMO_PORT:-$((17000 + ($$ % 30) * 500))}
 readonly DOMAINS=(huon-a derwent-a tamar-a)
 readonly REGIONS=(huon derwent tamar)
 readonly ENTRIES=3 ENGINES=9 SERVICES=3
@@ -156,7 +157,7 @@
   --workspace spawnrun --model rota --service bookings --seed 11 --out "$work/calls-1.json"
 
 echo "demo: traffic goes on while a failure domain leaves and returns, a version rolls, an agent and an entry are killed"
-start callers bin/standins caller --entries "$(all callers_at $ENTRIES)" --duration 30s --concurrency 6 \
+start callers bin/standins caller --entries "$(all callers_at $ENTRIES)" --duration 30s --requests 4 --bookings 1 --concurrency 8 \
   --workspace spawnrun --model rota --service bookings --seed 12 --out "$work/calls-2.json"
 sleep 1
 bin/oriolecroft drain derwent-a --key "$work/operator.key" --store "$store" --keys "$keys" \
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/router"
@@ -154,25 +155,53 @@
 	}
 }
 
-// run reports at each heartbeat and, sooner, at each change.
+// run reports at each heartbeat and, sooner, at each change that matters.
 func (l *links) run(ctx context.Context, k *link) {
 	defer k.client.Close()
 	t := l.agent.Clock.NewTicker(l.agent.Heartbeat)
 	defer t.Stop()
 	for ctx.Err() == nil {
 		changed := l.changes()
-		gate := l.agent.Gate.Changed()
+		told := l.summary()
 		l.report(ctx, k)
 		l.rest(ctx)
+		l.await(ctx, t, changed, told)
+	}
+}
+
+// await returns when the next report is due.
+func (l *links) await(ctx context.Context, t clock.Ticker, changed <-chan struct{}, told summary) {
+	for {
+		gate := l.agent.Gate.Changed()
+		if l.summary() != told {
+			return
+		}
 		select {
 		case <-ctx.Done():
+			return
 		case <-t.C():
+			return
 		case <-changed:
+			return
 		case <-gate:
 		}
 	}
 }
 
+// summary is what of a gate's change can't wait for the heartbeat. The number of
+// running requests alone can: it changes with each of them, and a report for each
+// would cost more than the requests.
+type summary struct {
+	state messenger.GateState
+	limit int
+	full  bool
+}
+
+func (l *links) summary() summary {
+	state, limit, running := l.agent.Gate.State()
+	return summary{state: state, limit: limit, full: running >= limit}
+}
+
 func (l *links) rest(ctx context.Context) {
 	t := l.agent.Clock.NewTimer(reportGap)
 	defer t.Stop()
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -79,6 +79,7 @@
 	var f *admitter.RefusedError
 	if errors.As(err, &f) {
 		n.RetryAfter = f.RetryAfter
+		n.Busy = f.Reason == admitter.Full || f.Reason == admitter.Unconfirmed
 	}
 	return n
 }
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -23,6 +23,8 @@
 	FreshFor      time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
 	Heartbeat     time.Duration `envconfig:"HEARTBEAT" default:"300ms"`
 	Deadline      time.Duration `envconfig:"DEADLINE" default:"60s"`
+	QueueFor      time.Duration `envconfig:"QUEUE_FOR" default:"2s"`
+	ResumeFor     time.Duration `envconfig:"RESUME_FOR" default:"5s"`
 	Concurrent    int           `envconfig:"CONCURRENT" default:"512"`
 	Signers
 }
@@ -49,6 +51,8 @@
 	sc.Duration(&s.FreshFor, "", "freshFor", "how old the store's word on the bundle may be before new work is refused [OC_FRESH_FOR]")
 	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often entries exchange what they know [OC_HEARTBEAT]")
 	sc.Duration(&s.Deadline, "", "deadline", "longest time for one request [OC_DEADLINE]")
+	sc.Duration(&s.QueueFor, "", "queueFor", "longest time a request waits in line for a replica [OC_QUEUE_FOR]")
+	sc.Duration(&s.ResumeFor, "", "resumeFor", "how long a stream that was cut waits for its agent to return [OC_RESUME_FOR]")
 	sc.Int(&s.Concurrent, "", "concurrent", "how many requests this entry carries at once [OC_CONCURRENT]")
 	s.Signers.Bind(sc)
 }
@@ -79,6 +83,8 @@
 	c.positive("freshFor", s.FreshFor)
 	c.positive("heartbeat", s.Heartbeat)
 	c.positive("deadline", s.Deadline)
+	c.positive("queueFor", s.QueueFor)
+	c.positive("resumeFor", s.ResumeFor)
 	if s.Heartbeat > 0 && s.FreshFor < 3*s.Heartbeat {
 		c.add("freshFor", "%v must be at least three heartbeats of %v, or one lost message stops new work", s.FreshFor, s.Heartbeat)
 	}
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -64,6 +65,10 @@
 		return nil, err
 	}
 	defer t.Done()
+	if err := c.dispatcher.carry(); err != nil {
+		return nil, err
+	}
+	defer c.dispatcher.drop()
 	c.dispatcher.Policy.Budget.First()
 	for {
 		c.attempts++
@@ -146,14 +151,19 @@
 		// Only the owner may run the key, however badly it has answered.
 		r.Owner, r.Avoid = c.bound.Owner, nil
 	}
-	choice, err := d.Router.Pick(r)
+	choice, err := d.pick(ctx, r, c.deadline)
 	if err != nil {
 		return nil, pickFailure(err)
 	}
+	defer d.finished(r)
 	logRoute(c.id, c.attempts, choice)
 	reply, err := d.Agents.Call(ctx, choice.Address, c.order(choice), c.request.Body)
-	choice.Done(attemptOutcome(err))
-	if err != nil {
+	if ctx.Err() != nil {
+		choice.Release()
+	} else {
+		choice.Done(attemptOutcome(err))
+	}
+	if err != nil && !isBusy(err) {
 		c.refusals = append(c.refusals, choice.AgentID)
 	}
 	return reply, err
@@ -206,6 +216,9 @@
 		Deadline:   c.deadline,
 	})
 	closed := c.settle(err, outcome)
+	if isBusy(err) && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
+		return nil
+	}
 	if decision.Retry && !closed && sleep(ctx, c.dispatcher.Clock, decision.Delay) {
 		return nil
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,9 +35,18 @@
 	Policy  *retrier.Policy
 	Claims  *deduplicator.Claims
 	Agents  *forwarder.Client
-	Clock   clock.Clock
+	Clock   clock.WithTicker
 	// Deadline is the longest time for one request.
 	Deadline time.Duration
+	// QueueFor is the longest time a request waits in line for a replica.
+	QueueFor time.Duration
+	// ResumeFor is how long a stream that was cut waits for its agent to return.
+	ResumeFor time.Duration
+	// Concurrent bounds the requests that this entry carries at once.
+	Concurrent int
+
+	queues  queues
+	carried atomic.Int64
 }
 
 // FailureError is the final answer to a request that was not served whole.
@@ -81,6 +91,18 @@
 	return &FailureError{Outcome: retrier.NotRun, Status: status, Message: message, RetryAfter: after}
 }
 
+// carry counts a request in, or refuses it at once when this entry carries all it
+// may: more would only make every reply slower.
+func (d *Dispatcher) carry() error {
+	if n := d.carried.Add(1); n > int64(d.Concurrent) {
+		d.carried.Add(-1)
+		return refuse(http.StatusServiceUnavailable, "this entry carries all the requests it may", pause())
+	}
+	return nil
+}
+
+func (d *Dispatcher) drop() { d.carried.Add(-1) }
+
 // limit asks the limiter and turns its refusal into the final answer.
 func (d *Dispatcher) limit(workspace string, tokens, priority int) (*limiter.Ticket, error) {
 	t, err := d.Limiter.Admit(workspace, tokens, priority)
@@ -97,6 +119,8 @@
 // pickFailure turns the router's refusal into the final answer.
 func pickFailure(err error) *FailureError {
 	var (
+		final   *FailureError
+		shed    *limiter.ShedError
 		full    *router.FullError
 		none    *router.NoReplicaError
 		model   *router.UnknownModelError
@@ -105,6 +129,10 @@
 		barred  *router.NotAllowedError
 	)
 	switch {
+	case errors.As(err, &final):
+		return final
+	case errors.As(err, &shed):
+		return refuse(http.StatusServiceUnavailable, err.Error(), shed.RetryAfter)
 	case errors.As(err, &full):
 		return refuse(http.StatusServiceUnavailable, err.Error(), full.RetryAfter)
 	case errors.As(err, &none):
@@ -127,6 +155,12 @@
 	return retrier.Unknown
 }
 
+// isBusy tells whether an agent refused only because it was full.
+func isBusy(err error) bool {
+	var n *forwarder.NotRunError
+	return errors.As(err, &n) && n.Busy
+}
+
 // retryAfterOf is when the agent said to come back, or a pause of our own.
 func retryAfterOf(err error) time.Duration {
 	var n *forwarder.NotRunError
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,6 +36,10 @@
 		return err
 	}
 	defer t.Done()
+	if err := d.carry(); err != nil {
+		return err
+	}
+	defer d.drop()
 	wait := d.deadline(time.Duration(g.DeadlineMS) * time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -70,8 +75,17 @@
 	engineStart string
 	// earlier joins the outcomes of the attempts before the present one.
 	earlier retrier.Outcome
+	// cutAt is when the stream broke; zero while it flows.
+	cutAt time.Time
 }
 
+const (
+	// resumePause is about how often a cut stream's agent is asked again.
+	resumePause = 150 * time.Millisecond
+	// busyPause bounds the pause after an agent said that it is full.
+	busyPause = 10 * time.Millisecond
+)
+
 func (g *generation) run(ctx context.Context) error {
 	g.dispatcher.Policy.Budget.First()
 	for {
@@ -94,6 +108,9 @@
 		return g.final(f.failure)
 	}
 	outcome := outcomeOf(err)
+	if g.again(ctx, err) {
+		return nil
+	}
 	now := g.dispatcher.Clock.Now()
 	decision := g.dispatcher.Policy.Decide(retrier.Attempt{
 		Outcome:    outcome,
@@ -117,6 +134,21 @@
 	})
 }
 
+// again tells whether the next attempt costs nothing of the retry budget. An
+// agent that was full has done no work for the request, which goes back in line;
+// a stream that was cut is read on from where it was, and no work is done anew.
+func (g *generation) again(ctx context.Context, err error) bool {
+	d := g.dispatcher
+	now := d.Clock.Now()
+	if g.next > 0 {
+		if g.cutAt.IsZero() {
+			g.cutAt = now
+		}
+		return now.Sub(g.cutAt) < d.ResumeFor && sleep(ctx, d.Clock, resumePause/2+rand.N(resumePause))
+	}
+	return isBusy(err) && now.Before(g.deadline) && sleep(ctx, d.Clock, rand.N(busyPause))
+}
+
 func (g *generation) join(o retrier.Outcome) {
 	if g.attempts == 1 {
 		g.earlier = o
@@ -146,7 +178,7 @@
 
 func (g *generation) attempt(ctx context.Context) error {
 	d := g.dispatcher
-	c, err := d.Router.Pick(router.Request{
+	r := router.Request{
 		Workspace:   g.request.Workspace,
 		Model:       g.request.Model,
 		Adapter:     g.request.Adapter,
@@ -157,12 +189,19 @@
 		Version:     g.version,
 		EngineStart: g.engineStart,
 		Avoid:       g.refusals,
-	})
+	}
+	c, err := d.pick(ctx, r, g.deadline)
 	if err != nil {
 		return g.noChoice(err)
 	}
+	defer d.finished(r)
 	logRoute(g.id, g.attempts, c)
 	err = g.relay(ctx, c)
+	if ctx.Err() != nil {
+		// The caller left or ran out of time, which says nothing of the replica.
+		c.Release()
+		return err
+	}
 	c.Done(attemptOutcome(err))
 	return err
 }
@@ -190,7 +229,7 @@
 	}
 	stream, err := g.dispatcher.Agents.Generate(ctx, c.Address, g.order(c))
 	if err != nil {
-		g.refusals = append(g.refusals, c.AgentID)
+		g.avoid(c.AgentID, err)
 		return err
 	}
 	defer stream.Close()
@@ -211,6 +250,14 @@
 	}
 }
 
+// avoid keeps further attempts away from an agent that failed. One that was only
+// full may be free by the time it is this request's turn.
+func (g *generation) avoid(id string, err error) {
+	if g.next == 0 && !isBusy(err) {
+		g.refusals = append(g.refusals, id)
+	}
+}
+
 func (g *generation) order(c *router.Choice) forwarder.GenerateOrder {
 	return forwarder.GenerateOrder{
 		Attempt:     forwarder.Attempt{RequestID: g.id, Number: g.attempts},
@@ -251,6 +298,7 @@
 	}
 	if !e.Done {
 		g.next++
+		g.cutAt = time.Time{}
 	}
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,7 @@
 	s.Add(&reporter.Web{Name: "operators", Listener: e.Operators, Handler: e.operators()})
 	s.Add(&messenger.Server{Listener: e.Peers, OnReport: e.report, OnExchange: e.exchange})
 	s.Add(e.Watcher)
+	s.Add(e.Dispatcher)
 	s.Add(e.members)
 	s.Add(&applier{entry: e})
 	if e.List != nil {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -40,6 +40,7 @@
 type refusal struct {
 	Reason       string `json:"reason"`
 	RetryAfterMS int64  `json:"retryAfterMs"`
+	Busy         bool   `json:"busy,omitempty"`
 	KeyClosed    bool   `json:"keyClosed,omitempty"`
 }
 
@@ -155,6 +156,7 @@
 	return &NotRunError{
 		Reason:     f.Reason,
 		RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond,
+		Busy:       f.Busy,
 		KeyClosed:  f.KeyClosed,
 	}
 }
--- a/internal/forwarder/messages.go
+++ b/internal/forwarder/messages.go
@@ -121,6 +121,8 @@
 type NotRunError struct {
 	Reason     string        `json:"reason"`
 	RetryAfter time.Duration `json:"-"`
+	// Busy means that the upstream was full and nothing else was wrong.
+	Busy bool `json:"busy,omitempty"`
 	// KeyClosed means the key will never run: a caller needs a new one.
 	KeyClosed bool `json:"keyClosed,omitempty"`
 	// Gone means that the agent itself could not be reached.
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -137,7 +137,7 @@
 	if errors.As(err, &n) {
 		echo(w, a, outcomeNotRun)
 		w.WriteHeader(http.StatusServiceUnavailable)
-		body := refusal{Reason: n.Reason, RetryAfterMS: n.RetryAfter.Milliseconds(), KeyClosed: n.KeyClosed}
+		body := refusal{Reason: n.Reason, RetryAfterMS: n.RetryAfter.Milliseconds(), Busy: n.Busy, KeyClosed: n.KeyClosed}
 		_ = json.NewEncoder(w).Encode(body)
 		return
 	}
