Keep a request bound to one agent out of the common line

Cause: a stream that was cut waits for its agent to come back; it did so at the head of the model's queue, and all requests behind it were held up until their deadlines ran out though every other replica was idle. Seen in the demo's log: five requests shed after 2 s in the entry whose agent was killed. Ruled out: the replicas were not full, the other entries went on routing. Change: requests with an owner wait outside the line; one whose turn has come also tries those who refused it before.

--- a/demo.sh
+++ b/demo.sh
@@ -53,7 +53,7 @@
 finish() {
   local status=$?
   stop_all
-  if [ "$status" -eq 0 ]; then rm -rf "$work"; else echo "demo: failed; logs are in $work" >&2; fi
+  if [ "$status" -eq 0 ] && [ -z "${DEMO_KEEP:-}" ]; then rm -rf "$work"; else echo "demo: logs are in $work" >&2; fi
   exit "$status"
 }
 trap finish EXIT
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -17,6 +17,10 @@
 // come back.
 const pumpEvery = 20 * time.Millisecond
 
+// ownerPause is about how often a full agent that alone may get a request is
+// tried again.
+const ownerPause = 20 * time.Millisecond
+
 // queues holds one queue for each model and service, since each has capacity of
 // its own.
 type queues struct {
@@ -90,6 +94,9 @@
 // pick chooses a replica, waiting in line while all are full. Nobody is passed by
 // a newcomer that happens to find the place just freed.
 func (d *Dispatcher) pick(ctx context.Context, r router.Request, deadline time.Time) (*router.Choice, error) {
+	if r.Owner != "" {
+		return d.pickOwner(ctx, r, deadline)
+	}
 	q := d.queue(r)
 	if q.Len() == 0 {
 		c, err := d.Router.Pick(r)
@@ -102,6 +109,9 @@
 		if err = wait(ctx, q, w); err != nil {
 			return nil, err
 		}
+		// Those who refused it before may have room by now; were it to wait for the
+		// others only, it would hold up all behind it.
+		r.Avoid = nil
 		c, pickErr := d.Router.Pick(r)
 		if !isFull(pickErr) {
 			// There may be room for the next as well.
@@ -113,6 +123,22 @@
 	return nil, err
 }
 
+// pickOwner waits for the one agent that may get the request, outside the line:
+// at its head a request whose agent is gone would hold up all others, though
+// every other replica is idle.
+func (d *Dispatcher) pickOwner(ctx context.Context, r router.Request, deadline time.Time) (*router.Choice, error) {
+	until := d.item(r, deadline).Deadline
+	for {
+		c, err := d.Router.Pick(r)
+		if !isFull(err) || !d.Clock.Now().Before(until) {
+			return c, err
+		}
+		if !sleep(ctx, d.Clock, ownerPause/2+rand.N(ownerPause)) {
+			return nil, err
+		}
+	}
+}
+
 // wait returns nil when it is the request's turn.
 func wait(ctx context.Context, q *limiter.Queue, w *limiter.Waiter) error {
 	select {
