Let a caller read on through another entry when its own is lost

Ruled out: running the request anew and skipping what the caller has, since another engine start may draw other tokens.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,7 +46,7 @@
 	State   *gossiper.State
 	Gate    *admitter.Gate
 	Ledger  *deduplicator.Ledger
-	Clock   clock.WithTicker
+	Clock   clock.WithTickerAndDelayedExecution
 	// Heartbeat is the longest time between two reports to an entry.
 	Heartbeat time.Duration
 	// ReportTo is how many entries are told.
@@ -55,6 +55,7 @@
 	links    *links
 	proof    *proof
 	switcher *switcher
+	streams  *streams
 }
 
 // probeEvery is how often the upstream is asked for its state. It bounds how
@@ -71,6 +72,7 @@
 	a.links = newLinks(a)
 	a.proof = &proof{}
 	a.switcher = &switcher{agent: a}
+	a.streams = newStreams(a)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	s := suture.New("agent", suture.Spec{EventHook: reporter.LogEvents})
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
 	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
 	"github.com/oriolecroft/oriolecroft/internal/driver"
@@ -21,9 +19,6 @@
 	agent *Agent
 }
 
-// cancelTimeout bounds the word to an engine that a stream is not wanted.
-const cancelTimeout = time.Second
-
 // check refuses what the bundle in force does not allow here. Each request is
 // checked by itself: a process that was frozen wakes with its holds as they
 // were, and would let through what arrived meanwhile.
@@ -53,6 +48,29 @@
 	if err != nil {
 		return err
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	g, err := r.enter(o, stop)
+	if err != nil {
+		return err
+	}
+	s := &relay{runner: r, engine: e, order: o, start: start, emit: emit}
+	outcome, err := s.run(ctx)
+	if outcome == admitter.Cancelled {
+		r.agent.streams.abandon(g)
+		return err
+	}
+	r.agent.streams.end(g, outcome)
+	return err
+}
+
+// enter takes over a stream that is resumed, or lets a new one through the gate.
+func (r *runner) enter(o forwarder.GenerateOrder, stop context.CancelFunc) (*running, error) {
+	if o.From > 0 {
+		if g, ok := r.agent.streams.take(o.Stream, stop); ok {
+			return g, nil
+		}
+	}
 	t, err := r.agent.Gate.Admit(admitter.Work{
 		Priority:    o.Priority,
 		Deadline:    r.deadline(o.DeadlineMS),
@@ -61,14 +79,14 @@
 		EngineStart: o.EngineStart,
 	})
 	if err != nil {
-		return refused(err)
+		return nil, refused(err)
 	}
-	s := &relay{runner: r, engine: e, order: o, start: start, emit: emit, began: r.agent.Clock.Now()}
-	outcome, err := s.run(ctx)
-	t.Done(admitter.Result{Outcome: outcome, Latency: r.agent.Clock.Since(s.began)})
-	return err
+	return r.agent.streams.add(o.Stream, t, stop), nil
 }
 
+// Cancel ends a stream whose caller left.
+func (r *runner) Cancel(stream string) { r.agent.streams.cancel(stream) }
+
 func (r *runner) deadline(ms int64) time.Time {
 	return r.agent.Clock.Now().Add(time.Duration(ms) * time.Millisecond)
 }
@@ -91,7 +109,6 @@
 	order  forwarder.GenerateOrder
 	start  func(string)
 	emit   func(forwarder.Event) error
-	began  time.Time
 }
 
 // run gives the gate's word on how it ended and the entry's.
@@ -100,7 +117,6 @@
 	stream, err := s.open(ctx)
 	if err != nil {
 		if ctx.Err() != nil {
-			s.cancel()
 			return admitter.Cancelled, &forwarder.UnknownError{Reason: err.Error()}
 		}
 		if driver.NotSent(err) {
@@ -131,21 +147,19 @@
 		e, err := stream.Next()
 		if err != nil {
 			if ctx.Err() != nil {
-				s.cancel()
 				return admitter.Cancelled, ctx.Err()
 			}
 			return admitter.Cut, err
 		}
 		if s.order.Version != "" && e.Version != s.order.Version {
-			s.cancel()
 			return admitter.Cut, &driver.MixedError{Want: s.order.Version, Got: e.Version}
 		}
 		err = s.emit(forwarder.Event{
 			Index: e.Index, Token: e.Token, Version: e.Version, Weights: e.Weights,
-			Done: e.Done, Tokens: e.Tokens, Digest: e.Digest,
+			AdapterWeights: e.AdapterWeights,
+			Done:           e.Done, Tokens: e.Tokens, Digest: e.Digest,
 		})
 		if err != nil {
-			s.cancel()
 			return admitter.Cancelled, err
 		}
 		if e.Done {
@@ -154,16 +168,6 @@
 	}
 }
 
-// cancel tells the engine to stop, since an entry that left reads no more: the
-// engine would go on generating for nobody, beyond what the gate counts.
-func (s *relay) cancel() {
-	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
-	defer stop()
-	if err := s.engine.Cancel(ctx, s.order.Stream); err != nil {
-		klog.V(1).InfoS("Cancel failed", "stream", s.order.Stream, "err", err)
-	}
-}
-
 // Call runs one call of a plain service.
 func (r *runner) Call(ctx context.Context, o forwarder.CallOrder, body []byte) (*forwarder.Reply, error) {
 	if o.Key == "" {
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/router"
@@ -17,6 +15,9 @@
 
 // Sink takes a stream's events on their way to the caller.
 type Sink interface {
+	// Begin comes before the first event. With the resume token the caller can
+	// read on through any entry when this one is lost.
+	Begin(resume string) error
 	Event(e forwarder.Event) error
 }
 
@@ -51,6 +52,9 @@
 		deadline:   d.Clock.Now().Add(wait),
 		sink:       s,
 	}
+	if err := r.resume(); err != nil {
+		return err
+	}
 	return r.run(ctx)
 }
 
@@ -67,14 +71,12 @@
 	attempts int
 	refusals []string
 	// next is the index of the event that the caller still needs.
-	next        int
-	owner       string
-	stream      string
-	version     string
-	weights     string
-	engineStart string
+	next int
+	bond
 	// earlier joins the outcomes of the attempts before the present one.
 	earlier retrier.Outcome
+	// left says that the caller reads no more.
+	left bool
 	// cutAt is when the stream broke; zero while it flows.
 	cutAt time.Time
 }
@@ -118,7 +120,7 @@
 		Idempotent: true,
 		Number:     g.attempts,
 		Streamed:   g.next > 0,
-		SameEngine: g.engineStart != "",
+		SameEngine: g.EngineStart != "",
 		Now:        now,
 		Deadline:   g.deadline,
 	})
@@ -185,9 +187,9 @@
 		Prompt:      g.request.Prompt,
 		Priority:    g.request.Priority,
 		Tokens:      g.request.MaxTokens,
-		Owner:       g.owner,
-		Version:     g.version,
-		EngineStart: g.engineStart,
+		Owner:       g.Owner,
+		Version:     g.Version,
+		EngineStart: g.EngineStart,
 		Avoid:       g.refusals,
 	}
 	c, err := d.pick(ctx, r, g.deadline)
@@ -197,8 +199,9 @@
 	defer d.finished(r)
 	logRoute(g.id, g.attempts, c)
 	err = g.relay(ctx, c)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || g.left {
 		// The caller left or ran out of time, which says nothing of the replica.
+		g.cancel(c)
 		c.Release()
 		return err
 	}
@@ -225,7 +228,7 @@
 // relay sends one attempt and passes its events on.
 func (g *generation) relay(ctx context.Context, c *router.Choice) error {
 	if g.next == 0 {
-		g.stream = g.id + "." + strconv.Itoa(g.attempts)
+		g.Stream = g.id + "." + strconv.Itoa(g.attempts)
 	}
 	stream, err := g.dispatcher.Agents.Generate(ctx, c.Address, g.order(c))
 	if err != nil {
@@ -233,7 +236,7 @@
 		return err
 	}
 	defer stream.Close()
-	if g.next > 0 && stream.EngineStart != g.engineStart {
+	if g.next > 0 && stream.EngineStart != g.EngineStart {
 		return &finalError{failure: g.ended("the engine restarted")}
 	}
 	for {
@@ -269,8 +272,8 @@
 		Priority:    g.request.Priority,
 		Revision:    g.revision,
 		Version:     c.Version,
-		EngineStart: g.engineStart,
-		Stream:      g.stream,
+		EngineStart: g.EngineStart,
+		Stream:      g.Stream,
 		From:        g.next,
 		DeadlineMS:  g.deadline.Sub(g.dispatcher.Clock.Now()).Milliseconds(),
 	}
@@ -283,17 +286,17 @@
 	if e.Failure != nil {
 		return &forwarder.UnknownError{Reason: e.Failure.Message}
 	}
-	if g.next == 0 && !e.Done {
-		g.owner, g.version, g.weights, g.engineStart = c.AgentID, e.Version, e.Weights, s.EngineStart
+	if err := g.bind(e, c, s); err != nil {
+		return err
 	}
-	if g.weights != "" && (e.Weights != g.weights || e.Version != g.version) {
+	if e.Weights != g.Weights || e.Version != g.Version || e.AdapterWeights != g.AdapterWeights {
 		return &finalError{failure: g.ended("the weights changed")}
 	}
 	if !e.Done && e.Index != g.next {
 		return &finalError{failure: g.ended("events were lost")}
 	}
 	if err := g.sink.Event(e); err != nil {
-		klog.InfoS("Caller left", "request", g.id, "event", g.next)
+		g.left = true
 		return &finalError{failure: g.ended("the caller left")}
 	}
 	if !e.Done {
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -31,6 +31,11 @@
 	// DeadlineMS is how long the caller waits, in milliseconds; 0 means the
 	// entry's own deadline.
 	DeadlineMS int64 `json:"deadlineMs,omitempty"`
+
+	// Resume is the token of a reply that broke off, From the index of the first
+	// event still wanted.
+	Resume string `json:"-"`
+	From   int    `json:"-"`
 }
 
 // Defaults fills what was left out.
--- a/internal/driver/stream.go
+++ b/internal/driver/stream.go
@@ -26,6 +26,8 @@
 	// is the digest of the bytes really loaded.
 	Version string `json:"version"`
 	Weights string `json:"weights"`
+	// AdapterWeights is the same for the adapter, when one was used.
+	AdapterWeights string `json:"adapterWeights,omitempty"`
 
 	Done bool `json:"done,omitempty"`
 	// Tokens and Digest are set at the end: the number of all tokens and the
@@ -108,7 +110,7 @@
 	if s.first.Weights == "" {
 		s.first = e
 	}
-	if e.Weights != s.first.Weights || e.Version != s.first.Version {
+	if e.Weights != s.first.Weights || e.Version != s.first.Version || e.AdapterWeights != s.first.AdapterWeights {
 		return &MixedError{Want: s.first.Version + " " + s.first.Weights, Got: e.Version + " " + e.Weights}
 	}
 	if e.Done {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -108,6 +108,16 @@
 	return answer.Fate, nil
 }
 
+// Cancel tells an agent that nobody reads a stream any more. Without it the agent
+// holds the stream for a caller that may read on through another entry.
+func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, stream string) error {
+	r, err := c.post(ctx, to, pathCancel, nil, []byte(stream))
+	if err != nil {
+		return err
+	}
+	return r.Body.Close()
+}
+
 // post sends a request whose body can not be read again, so that the HTTP
 // library never sends it a second time by itself.
 func (c *Client) post(ctx context.Context, to netip.AddrPort, path string, order, body []byte) (*http.Response, error) {
--- a/internal/forwarder/messages.go
+++ b/internal/forwarder/messages.go
@@ -14,6 +14,7 @@
 	pathGenerate = "/run/generate"
 	pathCall     = "/run/call"
 	pathLookup   = "/run/lookup"
+	pathCancel   = "/run/cancel"
 
 	headerOrder   = "Oriolecroft-Order"
 	headerOutcome = "Oriolecroft-Outcome"
@@ -80,14 +81,16 @@
 
 // Event is one step of a stream of tokens; the last has Done or Failure.
 type Event struct {
-	Index   int      `json:"index"`
-	Token   string   `json:"token,omitempty"`
-	Version string   `json:"version,omitempty"`
-	Weights string   `json:"weights,omitempty"`
-	Done    bool     `json:"done,omitempty"`
-	Tokens  int      `json:"tokens,omitempty"`
-	Digest  string   `json:"digest,omitempty"`
-	Failure *Failure `json:"failure,omitempty"`
+	Index   int    `json:"index"`
+	Token   string `json:"token,omitempty"`
+	Version string `json:"version,omitempty"`
+	Weights string `json:"weights,omitempty"`
+	// AdapterWeights is the adapter's, when one was used.
+	AdapterWeights string   `json:"adapterWeights,omitempty"`
+	Done           bool     `json:"done,omitempty"`
+	Tokens         int      `json:"tokens,omitempty"`
+	Digest         string   `json:"digest,omitempty"`
+	Failure        *Failure `json:"failure,omitempty"`
 }
 
 // Failure ends a stream that could not be completed.
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// maxStreamName is the longest name of a stream, in bytes.
+const maxStreamName = 1024
+
 const headerReplayed = "Oriolecroft-Replayed"
 
 // maxGenerateOrder is the largest order with its prompt, in bytes.
@@ -25,6 +28,8 @@
 	Generate(ctx context.Context, o GenerateOrder, start func(engineStart string), emit func(Event) error) error
 	// Call runs one call; errors are *NotRunError and *UnknownError.
 	Call(ctx context.Context, o CallOrder, body []byte) (*Reply, error)
+	// Cancel ends a stream whose caller left.
+	Cancel(stream string)
 	// Lookup tells what became of a key.
 	Lookup(key string) Fate
 }
@@ -36,6 +41,7 @@
 	m.HandleFunc("POST "+pathGenerate, h.generate)
 	m.HandleFunc("POST "+pathCall, h.call)
 	m.HandleFunc("POST "+pathLookup, h.lookup)
+	m.HandleFunc("POST "+pathCancel, h.cancel)
 	return m
 }
 
@@ -120,6 +126,15 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
+func (h *handler) cancel(w http.ResponseWriter, r *http.Request) {
+	stream, err := io.ReadAll(io.LimitReader(r.Body, maxStreamName))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.runner.Cancel(string(stream))
+}
+
 func withDeadline(ctx context.Context, ms int64) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -39,6 +39,12 @@
 	HeaderPriority = "Oriolecroft-Priority"
 	// HeaderKeyClosed is set when the key will never run.
 	HeaderKeyClosed = "Oriolecroft-Key-Closed"
+	// HeaderResume comes with each model reply. A caller that loses the connection
+	// sends the same request to any entry with this header and Last-Event-ID, and
+	// gets the rest.
+	HeaderResume = "Oriolecroft-Resume"
+	// headerLastEvent is the id of the last event that a resuming caller has.
+	headerLastEvent = "Last-Event-ID"
 	// HeaderReplayed is set when the answer is that of an earlier attempt.
 	HeaderReplayed = "Oriolecroft-Replayed"
 )
@@ -87,12 +93,31 @@
 		refuse(w, err)
 		return
 	}
-	s := &eventStream{writer: w, control: http.NewResponseController(w)}
+	if err := parseResume(h, &g); err != nil {
+		refuse(w, err)
+		return
+	}
+	s := &eventStream{writer: w, control: http.NewResponseController(w), resume: g.Resume}
 	if err := r.Dispatcher.Generate(h.Context(), g, s); err != nil {
 		s.fail(err)
 	}
 }
 
+// parseResume reads where a caller left off, in the way of server-sent events.
+func parseResume(h *http.Request, g *dispatcher.GenerateRequest) error {
+	g.Resume = h.Header.Get(HeaderResume)
+	last := h.Header.Get(headerLastEvent)
+	if g.Resume == "" || last == "" {
+		return nil
+	}
+	n, err := number(h, headerLastEvent)
+	if err != nil {
+		return err
+	}
+	g.From = int(n) + 1
+	return nil
+}
+
 func (r *Receiver) mintKey(w http.ResponseWriter, h *http.Request) {
 	var body struct {
 		Workspace string `json:"workspace"`
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
@@ -13,31 +14,43 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	started bool
+	// resume is the token with which the caller came, if any.
+	resume string
+	// id is the index of the last event.
+	id int
 }
 
-// Event writes one event and sends it at once.
-func (s *eventStream) Event(e forwarder.Event) error {
-	s.start()
-	return s.write(e)
-}
-
-func (s *eventStream) start() {
-	if s.started {
-		return
-	}
+// Begin sends the headers.
+func (s *eventStream) Begin(resume string) error {
 	s.started = true
 	s.writer.Header().Set("Content-Type", "text/event-stream")
 	s.writer.Header().Set("Cache-Control", "no-store")
+	s.writer.Header().Set(HeaderResume, resume)
 	s.writer.WriteHeader(http.StatusOK)
+	return s.control.Flush()
+}
+
+// Event writes one event and sends it at once.
+func (s *eventStream) Event(e forwarder.Event) error {
+	if !e.Done {
+		s.id = e.Index
+	}
+	if !s.started {
+		// The rest of a reply that began through another entry.
+		if err := s.Begin(s.resume); err != nil {
+			return err
+		}
+	}
+	return s.write(e)
 }
 
+// write sends one event under the index by which a caller resumes after it.
 func (s *eventStream) write(v any) error {
 	data, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	line := append(append([]byte("data: "), data...), '\n', '\n')
-	if _, err := s.writer.Write(line); err != nil {
+	if _, err := fmt.Fprintf(s.writer, "id: %d\ndata: %s\n\n", s.id, data); err != nil {
 		return err
 	}
 	return s.control.Flush()
--- a/standins/imitator/ask.go
+++ b/standins/imitator/ask.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
@@ -49,12 +50,40 @@
 		return reply{outcome: f.outcome, pause: f.pause}
 	}
 	defer res.Body.Close()
-	answer := readReply(res.Body)
+	var a reading
+	r := a.read(res.Body)
+	if r.cut {
+		return s.readOn(ctx, &a, body, res.Header.Get(resumeHeader))
+	}
 	// A connection is used again only when its last answer was read to the end.
 	if _, err := io.Copy(io.Discard, res.Body); err != nil {
 		klog.V(1).InfoS("no clean end after the last event", "err", err)
 	}
-	return answer
+	return r
+}
+
+// readOn asks another entry for the rest of a reply whose connection was cut.
+func (s *session) readOn(ctx context.Context, a *reading, body []byte, token string) reply {
+	r := reply{broken: true, mixed: a.mixed}
+	for try := 0; try < maxRetries && r.broken && token != "" && len(a.tokens) > 0; try++ {
+		h := http.Header{
+			"Content-Type":  {"application/json"},
+			resumeHeader:    {token},
+			"Last-Event-Id": {strconv.Itoa(len(a.tokens) - 1)},
+		}
+		res, err := s.send(ctx, "/v1/generate", h, body, true)
+		if err != nil {
+			return r
+		}
+		if res.StatusCode != http.StatusOK {
+			f := readRefusal(res)
+			s.rest(f.pause)
+			continue
+		}
+		r = a.read(res.Body)
+		res.Body.Close()
+	}
+	return r
 }
 
 // prompt returns one of a few long beginnings, which prefix caches can share,
--- a/standins/imitator/reply.go
+++ b/standins/imitator/reply.go
@@ -16,6 +16,7 @@
 	whole   bool // the end mark came and all that it says holds
 	mixed   bool // two events differ in their weights or version
 	broken  bool // it ended without an end mark or an error event
+	cut     bool // the connection ended before the reply did
 	outcome outcome
 	pause   time.Duration // before a retry
 }
@@ -31,48 +32,61 @@
 	} `json:"error"`
 }
 
-// readReply reads a stream of events to its end and checks it.
-func readReply(body io.Reader) reply {
-	var r reply
-	var first Event
-	var tokens []string
-	consistent := true
+// reading is a reply under way, over all connections on which it is read.
+type reading struct {
+	first      Event
+	tokens     []string
+	mixed      bool
+	misordered bool
+}
+
+// read reads a stream of events to its end, or to where it broke, and checks it.
+func (a *reading) read(body io.Reader) reply {
+	r := reply{mixed: a.mixed}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
-	for n := 0; lines.Scan(); {
+	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
 			continue
 		}
 		var v wireEvent
 		if json.Unmarshal([]byte(data), &v) != nil {
-			return reply{broken: true, mixed: r.mixed}
+			return reply{broken: true, mixed: a.mixed}
 		}
 		if v.Error != nil {
 			r.outcome = v.Error.Outcome
-			if n > 0 && r.outcome == outcomeNotRun {
+			if len(a.tokens) > 0 && r.outcome == outcomeNotRun {
 				r.outcome = outcomeUnknown // its tokens show that it ran
 			}
 			r.pause = time.Duration(v.Error.RetryAfterMs) * time.Millisecond
 			return r
 		}
-		if n == 0 {
-			first = v.Event
-		}
-		r.mixed = r.mixed || !sameWeights(first, v.Event)
+		a.take(v.Event)
+		r.mixed = a.mixed
 		if v.Done {
-			r.whole = consistent && !r.mixed && ends(v.Event, tokens)
+			r.whole = !a.misordered && !a.mixed && ends(v.Event, a.tokens)
 			r.broken = !r.whole
 			return r
 		}
-		consistent = consistent && v.Index == n
-		tokens = append(tokens, v.Token)
-		n++
 	}
 	r.broken = true
+	r.cut = true
 	return r
 }
 
+func (a *reading) take(v Event) {
+	if len(a.tokens) == 0 {
+		a.first = v
+	}
+	a.mixed = a.mixed || !sameWeights(a.first, v)
+	if v.Done {
+		return
+	}
+	a.misordered = a.misordered || v.Index != len(a.tokens)
+	a.tokens = append(a.tokens, v.Token)
+}
+
 func sameWeights(a, b Event) bool {
 	return a.Weights == b.Weights && a.Version == b.Version && a.AdapterWeights == b.AdapterWeights
 }
--- a/standins/imitator/session.go
+++ b/standins/imitator/session.go
@@ -32,6 +32,7 @@
 	outcomeHeader   = "Oriolecroft-Outcome"
 	workspaceHeader = "Oriolecroft-Workspace"
 	keyHeader       = "Oriolecroft-Key"
+	resumeHeader    = "Oriolecroft-Resume"
 
 	askTimeout  = 5 * time.Second // for the list of entries and for keys
 	dialTimeout = 2 * time.Second
