--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -11,10 +11,11 @@
 
 // replica is what the router knows of one incarnation of an agent.
 type replica struct {
-	state    messenger.AgentState
-	previous string
-	current  bool
-	heard    time.Time
+	state messenger.AgentState
+	// gone are the incarnations before this one, latest first.
+	gone    []string
+	current bool
+	heard   time.Time
 
 	// list, before and after keep the replica's place by time heard.
 	list          *heardList
@@ -46,12 +47,23 @@
 	return &replica{state: s, point: xxhash.Sum64String(s.ID)}
 }
 
-// newer tells whether a report is later than the one at hand.
+// maxGone is how many earlier incarnations are remembered.
+const maxGone = 8
+
+// succeed takes over what must outlive the incarnation before.
+func (p *replica) succeed(old *replica) {
+	p.gone = append([]string{old.state.Incarnation}, old.gone...)
+	p.gone = p.gone[:min(maxGone, len(p.gone))]
+}
+
+// newer tells whether a report is later than the one at hand. One of an earlier
+// incarnation is not, whatever its sequence: relayed by another entry it would
+// come after its successor's, and requests would go to what is no longer there.
 func (p *replica) newer(s messenger.AgentState) bool {
 	if s.Incarnation == p.state.Incarnation {
 		return s.Sequence > p.state.Sequence
 	}
-	return s.Incarnation != p.previous
+	return !slices.Contains(p.gone, s.Incarnation)
 }
 
 // take replaces the state by a newer report, which counts our picks up to the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,8 +79,8 @@
 }
 
 // Report takes an agent's account of itself over and tells whether it was news.
-// A late report of the same incarnation is dropped, and so is one of the
-// incarnation before: it would reopen a replica that has since been replaced.
+// A late report of the same incarnation is dropped, and so is one of an earlier
+// incarnation.
 func (r *Router) Report(s messenger.AgentState) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,7 +105,7 @@
 func (r *Router) replace(old *replica, s messenger.AgentState) *replica {
 	p := newReplica(s)
 	if old != nil {
-		p.previous = old.state.Incarnation
+		p.succeed(old)
 		r.drop(old)
 	}
 	if r.replicas == nil {
