--- /dev/null
+++ b/internal/gossiper/outage.go
@@ -0,0 +1,121 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+)
+
+// ReachFor is how long one success counts as reaching the store. It is shorter
+// than FreshFor by enough for the entries to tell each other that the store is
+// out before their last confirmation lapses; otherwise each outage would begin
+// with a moment in which all refuse work.
+func (s *State) ReachFor() time.Duration { return s.freshFor() * 2 / 5 }
+
+// StoreReachable tells whether this process itself lately got a sound answer
+// from the store.
+func (s *State) StoreReachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reachable(s.Clock.Now())
+}
+
+func (s *State) reachable(now time.Time) bool {
+	return !s.reached.IsZero() && age(now, s.reached) <= s.ReachFor()
+}
+
+// vote keeps the youngest word of an entry on its reach of the store.
+func (s *State) vote(id string, p peer) {
+	if s.Entries == 0 {
+		return
+	}
+	if s.peers == nil {
+		s.peers = map[string]peer{}
+	}
+	if old, ok := s.peers[id]; ok && !p.at.After(old.at) {
+		return
+	}
+	s.peers[id] = p
+}
+
+// outageSeen tells since when it is certain enough that the store is out rather
+// than this process cut off. An agent takes its entries' word. An entry counts:
+// more than half of the deployment's entries, itself included, were heard within
+// FreshFor, none of them reached the store, one of them is in the store's region
+// if that is set, and nobody has a higher revision than the held one. The time
+// is that of the oldest word that is needed for the majority.
+func (s *State) outageSeen(now time.Time) (time.Time, bool) {
+	if s.bundle == nil || s.known > s.revision() {
+		return time.Time{}, false
+	}
+	if s.Entries == 0 {
+		return s.outage, !s.outage.IsZero()
+	}
+	if s.reachable(now) || s.settling(now) {
+		return time.Time{}, false
+	}
+	return s.majority(now)
+}
+
+// settling holds for a while after the first bundle, if the store was not heard
+// since the start. After all entries were replaced while the store was out, the
+// first process to report may hold an older bundle than the next one, and an
+// entry that acted on it at once would send work into a drained failure domain.
+func (s *State) settling(now time.Time) bool {
+	return s.confirmed.IsZero() && age(now, s.firstHeld) <= s.freshFor()
+}
+
+func (s *State) majority(now time.Time) (time.Time, bool) {
+	votes, reached := s.votes(now)
+	needed := s.Entries/2 + 1
+	if reached || len(votes) < needed {
+		return time.Time{}, false
+	}
+	slices.SortFunc(votes, func(a, b peer) int { return b.at.Compare(a.at) })
+	at := votes[needed-1].at
+	if s.StoreRegion == "" {
+		return at, true
+	}
+	i := slices.IndexFunc(votes, func(p peer) bool { return p.region == s.StoreRegion })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	return earlier(at, votes[i].at), true
+}
+
+// votes lists the entries lately heard not to reach the store, this one first,
+// and tells whether another one does. An entry that reached a store which gave it
+// less than the held revision found a rolled-back one: that is no store from
+// which something newer could come, so it counts neither way.
+func (s *State) votes(now time.Time) (silent []peer, reached bool) {
+	silent = []peer{{at: now, region: s.Region}}
+	for id, p := range s.peers {
+		switch {
+		case age(now, p.at) > s.freshFor():
+			delete(s.peers, id)
+		case !p.reachable:
+			silent = append(silent, p)
+		case p.revision >= s.revision():
+			return nil, true
+		}
+	}
+	return silent, false
+}
+
+// silent lists the entries known not to reach the store, this one included, for
+// others to count. Nothing is listed while confirmations arrive.
+func (s *State) silent(now time.Time) []messenger.Silence {
+	if s.Entries == 0 || s.reachable(now) || s.fresh(now.Add(s.freshFor()/2), s.confirmed) {
+		return nil
+	}
+	list := []messenger.Silence{{ID: s.ID, Region: s.Region}}
+	for id, p := range s.peers {
+		if !p.reachable && age(now, p.at) <= s.freshFor() {
+			list = append(list, messenger.Silence{ID: id, Region: p.region, AgeMS: milliseconds(age(now, p.at))})
+		}
+	}
+	slices.SortFunc(list, func(a, b messenger.Silence) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
