Resume streams and ask owners where nobody else may answer

Cause: a resume and a request bound to its key's owner went through the same choice as new work. A stream cut in a domain that is being drained, or at an agent passed over for its failure, could not be read on, and a key whose owner had just failed was refused for seconds. Both seen in the new tests with the bound choice taken out:

TestResumeInDrainedDomain: error: no replica serves rota

Ruled out: leaving it to the caller to wait; the stream's agent is leaving and does not come back.

Change: pickBound looks the replica up by its id. A resume (EngineStart set) needs no room and no open gate, since it starts nothing; the owner of a key needs a place and an open gate, and its failures do not count. SetEntries does nothing when nothing changed: members calls it every time it looks.

--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -70,9 +70,7 @@
 	case ran:
 		p.settled++
 	}
-	if p.tier != nil {
-		p.tier.update(p)
-	}
+	p.update()
 }
 
 // judge sets how long a replica is passed over after an attempt. Without it the
--- /dev/null
+++ b/internal/router/failure_test.go
@@ -0,0 +1,123 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/router"
+)
+
+// Operators drain a domain while a reply streams from it, and the connection
+// between entry and agent breaks. A user notices a reply that ends in the middle
+// although its engine still holds all of it.
+func TestResumeInDrainedDomain(t *testing.T) {
+	r, _ := newRouter(threeDomains())
+	s := engine(1, "north")
+	r.Report(s)
+	c, err := r.Pick(ask)
+	must.NoError(t, err)
+	c.Done(retrier.Unknown)
+	b := threeDomains()
+	b.Revision = 2
+	b.FailureDomains[0].Drained = true
+	r.SetBundle(b)
+	s.Sequence, s.Gate, s.Leaving = 2, messenger.GateClosed, true
+	r.Report(s)
+
+	_, err = r.Pick(ask)
+	must.NotNil(t, wantError[*router.NoReplicaError](t, err))
+	resume := ask
+	resume.Owner, resume.Version, resume.EngineStart = c.AgentID, c.Version, c.EngineStart
+	c, err = r.Pick(resume)
+	must.NoError(t, err)
+	c.Done(retrier.Ran)
+	resume.EngineStart = "another start"
+	_, err = r.Pick(resume)
+	must.NotNil(t, wantError[*router.NoReplicaError](t, err))
+}
+
+// A booking's key is bound to one agent, and an attempt there ended in doubt. A
+// user who asks again with the key notices a refusal, though only that agent can
+// tell what became of the booking.
+func TestOwnerThatFailedIsAskedAgain(t *testing.T) {
+	r, _ := newRouter(threeDomains())
+	s := engine(1, "south")
+	s.Kind, s.Service = messenger.KindService, "bookings"
+	r.Report(s)
+	q := router.Request{Workspace: "farm", Service: "bookings", Owner: "vm-1"}
+	for range 3 {
+		c, err := r.Pick(q)
+		must.NoError(t, err)
+		c.Done(retrier.Unknown)
+	}
+	q.Owner = "vm-2"
+	_, err := r.Pick(q)
+	must.NotNil(t, wantError[*router.NoReplicaError](t, err))
+}
+
+// A place comes free on a replica that refused one of our requests a moment ago.
+// Users wait in line and time out while the replica runs below its limit.
+func TestOwnFreedPlaceEndsPassingOver(t *testing.T) {
+	r, _ := newRouter(threeDomains())
+	r.Report(engine(1, "north"))
+	first, err := r.Pick(ask)
+	must.NoError(t, err)
+	second, err := r.Pick(ask)
+	must.NoError(t, err)
+	second.Done(retrier.NotRun)
+	_, err = r.Pick(ask)
+	must.NotNil(t, wantError[*router.FullError](t, err))
+	first.Done(retrier.Ran)
+	_, err = r.Pick(ask)
+	must.NoError(t, err)
+}
+
+// Two entries share a cold replica with one place. Without a division both take
+// it at once, and one of two users waits for a second attempt.
+func TestColdPlacesAreDividedAmongEntries(t *testing.T) {
+	s := engine(1, "north")
+	s.Gate, s.Limit = messenger.GateCold, 1
+	warm := engine(2, "east")
+	warm.Limit = 1
+	picked := 0
+	for _, self := range []string{"e1", "e2"} {
+		r, _ := newRouter(threeDomains())
+		r.SetEntries(self, []string{"e2", "e1"})
+		r.Report(s)
+		r.Report(warm)
+		c, err := r.Pick(ask)
+		must.NoError(t, err)
+		if c.AgentID == s.ID {
+			picked++
+		}
+	}
+	must.LessEq(t, 1, picked)
+}
+
+// A rush fills all replicas through one entry, and callers come to another. As
+// only the first learns of places that come free, users of the second time out
+// while those of the first wait for nothing.
+func TestNearlyFullPoolIsLeftToEntriesWithLess(t *testing.T) {
+	r, c := newRouter(threeDomains())
+	r.SetEntries("e1", []string{"e1", "e2"})
+	s := engine(1, "north")
+	s.Limit = 20
+	r.Report(s)
+	for range 11 {
+		_, err := r.Pick(ask)
+		must.NoError(t, err)
+	}
+	c.SetTime(c.Now().Add(time.Second))
+	s.Sequence, s.Running = 2, 19
+	r.Report(s)
+	_, err := r.Pick(ask)
+	must.NotNil(t, wantError[*router.FullError](t, err))
+	s.Sequence, s.Running = 3, 18
+	r.Report(s)
+	_, err = r.Pick(ask)
+	must.NoError(t, err)
+}
--- a/internal/router/pick.go
+++ b/internal/router/pick.go
@@ -13,12 +13,13 @@
 	Model, Adapter, Service string
 	Prompt                  string
 	Priority                int
-	// Version and EngineStart, when set, bind the choice to one engine's start,
-	// for a stream that is resumed.
+	// Version and EngineStart, when set, bind the choice to one engine's start. A
+	// request with EngineStart resumes a stream.
 	Version, EngineStart string
 	// Avoid are the ids of agents that already refused this request.
 	Avoid []string
-	// Owner, when set, is the only agent that may get it.
+	// Owner, when set, is the only agent that may get it. It gets it although it
+	// failed or refused just now, as nobody else may.
 	Owner string
 	// Tokens is the expected length of the reply.
 	Tokens int
@@ -67,6 +68,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if q.Owner != "" || q.EngineStart != "" {
+		return r.pickBound(k, &q, now)
+	}
 	l := r.pools[k]
 	if l == nil {
 		return nil, &NoReplicaError{Name: k.name}
@@ -78,7 +82,7 @@
 	if b.replica == nil {
 		return nil, r.none(l, k, &q, now)
 	}
-	return r.count(l, b, now), nil
+	return r.count(l, b.replica, b.reason, now), nil
 }
 
 // choose weighs the homes of the prefix and two free replicas of each tier, and
@@ -157,8 +161,7 @@
 
 // count makes the choice and counts it on the replica, before any report can:
 // otherwise all requests between two reports would go to the same replica.
-func (r *Router) count(l *pool, b best, now time.Time) *Choice {
-	p := b.replica
+func (r *Router) count(l *pool, p *replica, reason string, now time.Time) *Choice {
 	c := &Choice{
 		AgentID:       p.state.ID,
 		Incarnation:   p.state.Incarnation,
@@ -166,7 +169,7 @@
 		FailureDomain: p.state.FailureDomain,
 		Version:       p.state.Version,
 		EngineStart:   p.state.EngineStart,
-		Reason:        b.reason,
+		Reason:        reason,
 		router:        r,
 		replica:       p,
 		pool:          l,
@@ -176,7 +179,7 @@
 	l.inflight++
 	p.inflight = append(p.inflight, c)
 	p.fresh++
-	p.tier.update(p)
+	p.update()
 	return c
 }
 
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -94,6 +94,13 @@
 
 func (p *replica) room() int { return p.state.Limit - p.estimate() }
 
+// update brings the tier in line with the replica's load.
+func (p *replica) update() {
+	if p.tier != nil {
+		p.tier.update(p)
+	}
+}
+
 func (p *replica) unplace() {
 	if p.tier != nil {
 		p.tier.remove(p)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -148,8 +148,11 @@
 func (r *Router) SetEntries(self string, ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.self = self
-	r.entries = slices.Sorted(slices.Values(ids))
+	sorted := slices.Sorted(slices.Values(ids))
+	if self == r.self && slices.Equal(sorted, r.entries) {
+		return
+	}
+	r.self, r.entries = self, sorted
 	r.placeAll()
 }
 
