--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -124,6 +125,7 @@
 		QueueFor:   s.QueueFor,
 		ResumeFor:  s.ResumeFor,
 		Concurrent: s.Concurrent,
+		Metrics:    metrics.NewRegistry(),
 	}
 	return e
 }
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -41,13 +41,6 @@
 	if !ok {
 		return &forwarder.NotRunError{Reason: "no engine here"}
 	}
-	err := r.check(func(b *bundler.Bundle) ([]string, bool) {
-		m, ok := b.Model(o.Model)
-		return m.FailureDomains, ok
-	})
-	if err != nil {
-		return err
-	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	g, err := r.enter(o, stop)
@@ -65,12 +58,21 @@
 }
 
 // enter takes over a stream that is resumed, or lets a new one through the gate.
+// A stream that runs already is no new work: it is read on in a domain that is
+// drained and through a gate that is closed.
 func (r *runner) enter(o forwarder.GenerateOrder, stop context.CancelFunc) (*running, error) {
 	if o.From > 0 {
 		if g, ok := r.agent.streams.take(o.Stream, stop); ok {
 			return g, nil
 		}
 	}
+	err := r.check(func(b *bundler.Bundle) ([]string, bool) {
+		m, ok := b.Model(o.Model)
+		return m.FailureDomains, ok
+	})
+	if err != nil {
+		return nil, err
+	}
 	t, err := r.agent.Gate.Admit(admitter.Work{
 		Priority:    o.Priority,
 		Deadline:    r.deadline(o.DeadlineMS),
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/loader"
@@ -39,5 +41,39 @@
 }
 
 func (a *Agent) operators() http.Handler {
-	return reporter.Handler(func() any { return a.status() }, a.ready)
+	return reporter.Handler(func() any { return a.status() }, a.ready, a.metrics())
+}
+
+// metrics are the figures that collectors read.
+func (a *Agent) metrics() metrics.Registry {
+	r := metrics.NewRegistry()
+	gauge := func(name string, value func() int64) {
+		metrics.NewRegisteredFunctionalGauge(name, r, value)
+	}
+	gauge("bundle.revision", func() int64 { return int64(a.State.Word().Revision) })
+	gauge("bundle.ageMs", func() int64 { return a.State.Word().AgeMS })
+	gauge("bundle.alarms", func() int64 { return int64(len(a.State.Alarms())) })
+	gauge("gate.running", func() int64 { _, _, n := a.Gate.State(); return int64(n) })
+	gauge("gate.limit", func() int64 { _, n, _ := a.Gate.State(); return int64(n) })
+	gauge("gate.holds", func() int64 { return int64(len(a.Gate.Holds())) })
+	gauge("keys.kept", func() int64 { n, _ := a.Ledger.Stats(); return int64(n) })
+	gauge("keys.bytes", func() int64 { _, n := a.Ledger.Stats(); return int64(n) })
+	if a.Loader != nil {
+		gauge("weights.bytes", a.weights(func(p loader.Progress) int64 { return p.Bytes }))
+		gauge("weights.fromPeers", a.weights(func(p loader.Progress) int64 { return p.FromPeers }))
+		gauge("weights.fromOrigin", a.weights(func(p loader.Progress) int64 { return p.FromOrigin }))
+		gauge("weights.corrupt", a.weights(func(p loader.Progress) int64 { return int64(p.Corrupt) }))
+	}
+	return r
+}
+
+// weights sums one figure over all weights in memory.
+func (a *Agent) weights(figure func(loader.Progress) int64) func() int64 {
+	return func() int64 {
+		sum := int64(0)
+		for _, p := range a.Loader.Progress() {
+			sum += figure(p)
+		}
+		return sum
+	}
 }
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -16,6 +16,13 @@
 
 // Call serves a request to a plain service; a *FailureError is the final answer.
 func (d *Dispatcher) Call(ctx context.Context, r CallRequest) (*forwarder.Reply, error) {
+	began := d.Clock.Now()
+	reply, err := d.call(ctx, r)
+	d.countEnd(began, err)
+	return reply, err
+}
+
+func (d *Dispatcher) call(ctx context.Context, r CallRequest) (*forwarder.Reply, error) {
 	c := &call{
 		dispatcher: d,
 		request:    r,
@@ -157,6 +164,7 @@
 	}
 	defer d.finished(r)
 	logRoute(c.id, c.attempts, choice)
+	d.count(figureAttempts)
 	reply, err := d.Agents.Call(ctx, choice.Address, c.order(choice), c.request.Body)
 	if ctx.Err() != nil {
 		choice.Release()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -44,6 +45,8 @@
 	ResumeFor time.Duration
 	// Concurrent bounds the requests that this entry carries at once.
 	Concurrent int
+	// Metrics takes the dispatcher's figures.
+	Metrics metrics.Registry
 
 	queues  queues
 	carried atomic.Int64
@@ -101,6 +104,9 @@
 	return nil
 }
 
+// Carried is how many requests are under way here.
+func (d *Dispatcher) Carried() int { return int(d.carried.Load()) }
+
 func (d *Dispatcher) drop() { d.carried.Add(-1) }
 
 // limit asks the limiter and turns its refusal into the final answer.
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -24,6 +24,13 @@
 // Generate serves a request to a model. A *FailureError is the final answer; it
 // comes either before the first event or in place of the last.
 func (d *Dispatcher) Generate(ctx context.Context, g GenerateRequest, s Sink) error {
+	began := d.Clock.Now()
+	err := d.generate(ctx, g, s)
+	d.countEnd(began, err)
+	return err
+}
+
+func (d *Dispatcher) generate(ctx context.Context, g GenerateRequest, s Sink) error {
 	g.Defaults()
 	if err := g.Validate(); err != nil {
 		return refuse(http.StatusBadRequest, err.Error(), 0)
@@ -48,6 +55,7 @@
 		dispatcher: d,
 		request:    g,
 		id:         requestID(g.RequestID),
+		began:      d.Clock.Now(),
 		revision:   b.Revision,
 		deadline:   d.Clock.Now().Add(wait),
 		sink:       s,
@@ -64,6 +72,7 @@
 	dispatcher *Dispatcher
 	request    GenerateRequest
 	id         string
+	began      time.Time
 	revision   uint64
 	deadline   time.Time
 	sink       Sink
@@ -198,6 +207,7 @@
 	}
 	defer d.finished(r)
 	logRoute(g.id, g.attempts, c)
+	d.count(figureAttempts)
 	err = g.relay(ctx, c)
 	if ctx.Err() != nil || g.left {
 		// The caller left or ran out of time, which says nothing of the replica.
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -78,6 +78,7 @@
 	if g.next > 0 {
 		return nil
 	}
+	g.dispatcher.time(figureFirstToken, g.began)
 	g.Owner, g.EngineStart = c.AgentID, s.EngineStart
 	g.Version, g.Weights, g.AdapterWeights = e.Version, e.Weights, e.AdapterWeights
 	t := resumeToken{Workspace: g.request.Workspace, Model: g.request.Model, bond: g.bond}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -186,7 +186,7 @@
 }
 
 func (e *Entry) operators() http.Handler {
-	return reporter.Handler(func() any { return e.status() }, e.ready)
+	return reporter.Handler(func() any { return e.status() }, e.ready, e.metrics())
 }
 
 // ready is why this entry takes no new work; nil when it does.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/receiver"
@@ -33,6 +35,22 @@
 	}
 }
 
+// metrics are the figures that collectors read; the dispatcher adds its own.
+func (e *Entry) metrics() metrics.Registry {
+	r := e.Dispatcher.Metrics
+	gauge := func(name string, value func() int64) {
+		metrics.NewRegisteredFunctionalGauge(name, r, value)
+	}
+	gauge("bundle.revision", func() int64 { return int64(e.State.Word().Revision) })
+	gauge("bundle.ageMs", func() int64 { return e.State.Word().AgeMS })
+	gauge("bundle.alarms", func() int64 { return int64(len(e.State.Alarms())) })
+	gauge("store.deadWatches", e.Watcher.DeadWatches)
+	gauge("entries.alive", func() int64 { return int64(e.members.count()) })
+	gauge("agents.known", func() int64 { return int64(len(e.Router.Agents())) })
+	gauge("requests.running", func() int64 { return int64(e.running.now()) })
+	return r
+}
+
 // running counts callers' requests.
 type running struct {
 	mu    sync.Mutex
--- a/internal/reporter/handler.go
+++ b/internal/reporter/handler.go
@@ -9,7 +9,7 @@
 
 // Handler serves operators: /status as JSON, /metrics as text that common
 // collectors read, /healthz (the process runs) and /readyz (it takes new work).
-func Handler(status func() any, ready func() error) http.Handler {
+func Handler(status func() any, ready func() error, r metrics.Registry) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -29,7 +29,7 @@
 	})
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		writeMetrics(w, metrics.DefaultRegistry)
+		writeMetrics(w, r)
 	})
 	return m
 }
