--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -14,15 +14,17 @@
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
+// DefaultBorrow is the default of Limiter's Borrow.
+const DefaultBorrow = 0.1
+
 // Limiter enforces this entry's share of each workspace's limits. Set the fields
 // before use. It is safe for concurrent use.
 type Limiter struct {
 	Clock clock.PassiveClock
 	// Entries is the number of live entries, this one included.
 	Entries func() int
-	// Borrow is how far an entry may go beyond its even share, as a part of the
-	// share; 0 means 0.5. The deployment as a whole stays within 1+Borrow times
-	// each limit, plus one request per entry.
+	// Borrow is how far an entry may go beyond its part of a limit, as a share of
+	// that part; 0 means DefaultBorrow, below 0 none.
 	Borrow float64
 	// Random spreads the times to come back; nil means the process's own source.
 	Random *rand.Rand
@@ -35,9 +37,10 @@
 // usage is what one workspace uses of this entry.
 type usage struct {
 	limits   bundler.Limits
+	demand   demand
 	requests bucket
 	tokens   bucket
-	running  int
+	places   places
 	// done is the rate at which requests end, returns when refused callers were
 	// told to come back.
 	done    retrier.Rate
@@ -77,11 +80,41 @@
 	t.once.Do(func() {
 		t.limiter.mu.Lock()
 		defer t.limiter.mu.Unlock()
-		t.usage.running--
-		t.usage.done.Add(t.limiter.Clock.Now())
+		t.limiter.end(t.usage)
 	})
 }
 
+func (l *Limiter) end(u *usage) {
+	now := l.Clock.Now()
+	u.places.pass(now, l.share(u, now)*float64(u.limits.Concurrent))
+	u.places.running--
+	u.done.Add(now)
+}
+
+// share is this entry's part of each of a workspace's limits.
+func (l *Limiter) share(u *usage, now time.Time) float64 {
+	n := l.entries()
+	u.demand.reckon(now, n)
+	if n == 1 {
+		return 1
+	}
+	return min(1, u.demand.part*(1+l.borrow()))
+}
+
+func (l *Limiter) entries() int {
+	if l.Entries == nil {
+		return 1
+	}
+	return max(1, l.Entries())
+}
+
+func (l *Limiter) borrow() float64 {
+	if l.Borrow == 0 {
+		return DefaultBorrow
+	}
+	return max(0, l.Borrow)
+}
+
 // Admit counts a request of so many tokens against its workspace's limits. A
 // refusal is a *LimitedError or *UnknownWorkspaceError and counts nothing.
 func (l *Limiter) Admit(workspace string, tokens int, _ int) (*Ticket, error) {
@@ -91,21 +124,25 @@
 	if u == nil {
 		return nil, &UnknownWorkspaceError{Workspace: workspace}
 	}
-	if err := l.check(workspace, u, tokens); err != nil {
+	now := l.Clock.Now()
+	u.demand.asked.Add(now)
+	if err := l.check(workspace, u, tokens, now); err != nil {
 		return nil, err
 	}
 	u.requests.take(1)
 	u.tokens.take(float64(tokens))
-	u.running++
+	u.places.running++
 	return &Ticket{limiter: l, usage: u}, nil
 }
 
 // check fills the buckets up and reports the first limit reached.
-func (l *Limiter) check(workspace string, u *usage, tokens int) error {
-	now := l.Clock.Now()
-	u.requests.fill(now, l.share(u.limits.RequestsPerSecond))
-	u.tokens.fill(now, l.share(u.limits.TokensPerSecond))
-	if most := u.limits.Concurrent; most > 0 && u.running >= l.places(most) {
+func (l *Limiter) check(workspace string, u *usage, tokens int, now time.Time) error {
+	share := l.share(u, now)
+	most := share * float64(u.limits.Concurrent)
+	u.places.pass(now, most)
+	u.requests.fill(now, share*u.limits.RequestsPerSecond)
+	u.tokens.fill(now, share*u.limits.TokensPerSecond)
+	if most > 0 && !u.places.free(most) {
 		return l.limited(workspace, u, "concurrent", u.done.Gap(now))
 	}
 	if wait := u.requests.wait(1); wait > 0 {
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -98,12 +98,17 @@
 	return v, nil
 }
 
-// Finished counts a request of that cost as done, waited or not. The rate at
-// which this happens while others wait is what waits are worked out from.
+// Finished counts a request of that cost as done, waited or not; one that was
+// refused is not done. The rate at which this happens while others wait is what
+// waits are worked out from.
 func (q *Queue) Finished(cost float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.rate.pass(q.Clock.Now(), len(q.waiting) > 0)
+	if len(q.waiting) == 0 {
+		// What ends while nobody waits says how little was asked for.
+		return
+	}
+	q.rate.pass(q.Clock.Now(), true)
 	q.rate.finish(max(1, cost))
 }
 
@@ -148,11 +153,11 @@
 	return nil
 }
 
-// late tells whether a wait goes beyond the deadline. The first in line is never
-// late: with nobody waiting the rate cannot be measured anew, and a rate once
-// measured too low would refuse everybody from then on.
+// late tells whether a wait goes beyond the deadline. The first in line has no
+// wait at whatever rate: with nobody waiting the rate cannot be measured anew, and
+// one once measured too low would refuse everybody from then on.
 func (q *Queue) late(w *Waiter, wait time.Duration, now time.Time) bool {
-	return wait > 0 && !w.Deadline.IsZero() && now.Add(wait).After(w.Deadline)
+	return !w.Deadline.IsZero() && now.Add(wait).After(w.Deadline)
 }
 
 // waitOf is how long a newcomer would wait.
