--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -55,7 +55,7 @@
 	w := newWorld(t)
 	a := &fakeAgent{}
 	w.add(t, "vm-1", messenger.KindEngine, a, 4)
-	failure(t, w.Generate(t.Context(), ask(), &sink{leaveAt: 2}))
+	_ = failure(t, w.Generate(t.Context(), ask(), &sink{leaveAt: 2}))
 	must.Eq(t, []string{a.orders[0].Stream}, a.left)
 }
 
