--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -54,11 +54,11 @@
 	}
 	a := newAgent(s, at)
 	if a.Listener, err = net.Listen("tcp", at.Listen.String()); err != nil {
-		return err
+		return listenError(err, at.Listen)
 	}
 	if at.Operators.IsValid() {
 		if a.Operators, err = net.Listen("tcp", at.Operators.String()); err != nil {
-			return err
+			return listenError(err, at.Operators)
 		}
 	}
 	klog.InfoS("Agent starts", "agent", a.ID, "incarnation", a.Incarnation, "listen", at.Listen)
--- a/cmd/oriolecroft/bundle.go
+++ b/cmd/oriolecroft/bundle.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/oops"
 
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
@@ -168,7 +169,7 @@
 }
 
 func readBundle(file string) (*bundler.Bundle, error) {
-	data, err := os.ReadFile(file)
+	data, err := readFile(file)
 	if err != nil {
 		return nil, err
 	}
@@ -197,9 +198,14 @@
 	}}
 }
 
+func readFile(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	return data, oops.Hint("`oriolecroft bundle --help` shows the steps and their files").Wrapf(err, "read file")
+}
+
 // readRecord takes a signed bundle, or a bundle that is yet to be signed.
 func readRecord(file string) (*bundler.Record, error) {
-	data, err := os.ReadFile(file)
+	data, err := readFile(file)
 	if err != nil {
 		return nil, err
 	}
@@ -218,7 +224,7 @@
 	if keyFile == "" {
 		return &UsageError{Problem: "--key: give the file with your private key; `oriolecroft bundle keygen` makes one"}
 	}
-	private, err := os.ReadFile(keyFile)
+	private, err := readFile(keyFile)
 	if err != nil {
 		return err
 	}
--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -67,13 +68,18 @@
 		at netip.AddrPort
 	}{{&e.Callers, a.Callers}, {&e.Peers, a.Peers}, {&e.Operators, a.Operators}} {
 		if *l.to, err = net.Listen("tcp", l.at.String()); err != nil {
-			return err
+			return listenError(err, l.at)
 		}
 	}
 	klog.InfoS("Entry starts", "entry", e.ID, "incarnation", e.Incarnation, "callers", a.Callers, "peers", a.Peers)
 	return e.Run(ctx)
 }
 
+// listenError says which address was not to be had.
+func listenError(err error, at netip.AddrPort) error {
+	return oops.Hint("is another process on that port, and is the address this VM's?").Wrapf(err, "listen on %v", at)
+}
+
 // newEntry puts the parts together; the listeners are still missing.
 func newEntry(s *configurer.Entry, a configurer.EntryAddresses) *entry.Entry {
 	c := clock.RealClock{}
--- a/cmd/oriolecroft/main.go
+++ b/cmd/oriolecroft/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/configurer"
@@ -119,6 +120,9 @@
 		return exitOK
 	}
 	fmt.Fprintln(os.Stderr, "oriolecroft: "+err.Error())
+	if o, ok := oops.AsOops(err); ok && o.Hint() != "" {
+		fmt.Fprintln(os.Stderr, "hint: "+o.Hint())
+	}
 	var (
 		usage       *UsageError
 		settings    *configurer.FaultsError
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -6,7 +6,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
-	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/loader"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
@@ -17,13 +16,13 @@
 	State    messenger.AgentState `json:"state"`
 	Holds    []admitter.Reason    `json:"holds,omitempty"`
 	Weights  []loader.Progress    `json:"weights,omitempty"`
-	Alarms   []gossiper.Alarm     `json:"alarms,omitempty"`
+	Alarms   []reporter.Alarm     `json:"alarms,omitempty"`
 	Keys     int                  `json:"keys"`
 	KeyBytes int                  `json:"keyBytes"`
 }
 
 func (a *Agent) status() Status {
-	s := Status{State: a.state(), Holds: a.Gate.Holds(), Alarms: a.State.Alarms()}
+	s := Status{State: a.state(), Holds: a.Gate.Holds(), Alarms: reporter.Alarms(a.State)}
 	s.Keys, s.KeyBytes = a.Ledger.Stats()
 	if a.Loader != nil {
 		s.Weights = a.Loader.Progress()
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -9,9 +9,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/receiver"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
 )
 
 // Status is what an entry tells operators.
@@ -21,7 +21,7 @@
 	Running int                    `json:"running"`
 	Entries []messenger.EntryState `json:"entries"`
 	Agents  []messenger.AgentState `json:"agents"`
-	Alarms  []gossiper.Alarm       `json:"alarms,omitempty"`
+	Alarms  []reporter.Alarm       `json:"alarms,omitempty"`
 }
 
 func (e *Entry) status() Status {
@@ -31,7 +31,7 @@
 		Running: e.running.now(),
 		Entries: e.members.alive(),
 		Agents:  e.Router.Agents(),
-		Alarms:  e.State.Alarms(),
+		Alarms:  reporter.Alarms(e.State),
 	}
 }
 
