Test the clients of the store and of the list

In virtual time over the stand-in, joined in process by storertest.Transport.

Shown to fail on a scratch copy: without the connection check a lost answer is called unavailable (http_test.go:103, expected condition to be true); with every failed write called unknown http_test.go:113 fails; with a watch bounded an hour later TestDeadWatchEnds fails.

--- /dev/null
+++ b/internal/lister/list_test.go
@@ -0,0 +1,36 @@
+package lister_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/lister"
+)
+
+func TestListIsDecoded(t *testing.T) {
+	status := http.StatusOK
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(`{"vms":[{"id":"vm1","role":"entry","address":"127.0.0.1:7000",
+			"failureDomain":"huon-a","region":"huon","state":"leaving"}]}`))
+	}))
+	defer s.Close()
+	l := &lister.HTTP{Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
+	vms, err := l.VMs(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, []lister.VM{{
+		ID:            "vm1",
+		Role:          lister.RoleEntry,
+		Address:       netip.MustParseAddrPort("127.0.0.1:7000"),
+		FailureDomain: "huon-a",
+		Region:        "huon",
+		Leaving:       true,
+	}}, vms)
+	status = http.StatusServiceUnavailable
+	_, err = l.VMs(t.Context())
+	must.Error(t, err)
+}
--- /dev/null
+++ b/internal/storer/http_test.go
@@ -0,0 +1,119 @@
+package storer_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/storer"
+	"github.com/oriolecroft/oriolecroft/internal/storer/storertest"
+	"github.com/oriolecroft/oriolecroft/standins/imitator"
+)
+
+func inStore(t *testing.T, f func(t *testing.T, s *storer.HTTP, link *storertest.Transport, faults func(string))) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := (&imitator.KV{Seed: 1}).Handler()
+		link := &storertest.Transport{Handler: kv}
+		s := &storer.HTTP{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: &http.Client{Transport: link}}
+		f(t, s, link, func(body string) {
+			w := httptest.NewRecorder()
+			kv.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/admin/faults", strings.NewReader(body)))
+			must.Eq(t, http.StatusOK, w.Code)
+		})
+	})
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	inStore(t, func(t *testing.T, s *storer.HTTP, _ *storertest.Transport, _ func(string)) {
+		_, err := s.Get(t.Context(), "a/b c")
+		var missing *storer.NotFoundError
+		must.True(t, errors.As(err, &missing))
+		v, err := s.Put(t.Context(), "a/b c", []byte("one"), 0, "")
+		must.NoError(t, err)
+		_, err = s.Put(t.Context(), "a/b c", []byte("two"), v+1, "")
+		var conflict *storer.ConflictError
+		must.True(t, errors.As(err, &conflict))
+		must.Eq(t, v, conflict.Version)
+		items, err := s.List(t.Context(), "a/")
+		must.NoError(t, err)
+		must.Eq(t, []storer.Item{{Key: "a/b c", Value: []byte("one"), Version: v}}, items)
+		must.NoError(t, s.Delete(t.Context(), "a/b c", v))
+	})
+}
+
+func TestLeaseLapses(t *testing.T) {
+	inStore(t, func(t *testing.T, s *storer.HTTP, _ *storertest.Transport, _ func(string)) {
+		lease, err := s.Grant(t.Context(), 5*time.Second)
+		must.NoError(t, err)
+		_, err = s.Put(t.Context(), "k", nil, 0, lease)
+		must.NoError(t, err)
+		<-time.After(4 * time.Second)
+		must.NoError(t, s.Renew(t.Context(), lease))
+		<-time.After(6 * time.Second)
+		var missing *storer.NotFoundError
+		must.True(t, errors.As(s.Renew(t.Context(), lease), &missing))
+		_, err = s.Get(t.Context(), "k")
+		must.True(t, errors.As(err, &missing))
+	})
+}
+
+func TestWatch(t *testing.T) {
+	inStore(t, func(t *testing.T, s *storer.HTTP, _ *storertest.Transport, _ func(string)) {
+		_, err := s.Watch(t.Context(), "k", 0, time.Second)
+		var unchanged *storer.UnchangedError
+		must.True(t, errors.As(err, &unchanged))
+		time.AfterFunc(time.Second, func() { _, _ = s.Put(t.Context(), "k", []byte("v"), 0, "") })
+		i, err := s.Watch(t.Context(), "k", 0, time.Minute)
+		must.NoError(t, err)
+		must.Eq(t, "v", string(i.Value))
+	})
+}
+
+// A watch's connection dies without an error. Without a bound of its own the
+// caller would wait in it for good and never hear of a change again.
+func TestDeadWatchEnds(t *testing.T) {
+	inStore(t, func(t *testing.T, s *storer.HTTP, _ *storertest.Transport, faults func(string)) {
+		faults(`{"deadWatches":true}`)
+		begin := time.Now()
+		_, err := s.Watch(t.Context(), "k", 0, 20*time.Second)
+		var unavailable *storer.UnavailableError
+		must.True(t, errors.As(err, &unavailable))
+		must.Eq(t, 20*time.Second+storer.DefaultTimeout, time.Since(begin))
+	})
+}
+
+// A write takes effect and its answer is lost, or the store says that it is down,
+// or it cannot be reached at all. Calling the first one "did not happen" makes an
+// operator undo or repeat what is in force.
+func TestOutcomeOfFailedWrites(t *testing.T) {
+	inStore(t, func(t *testing.T, s *storer.HTTP, link *storertest.Transport, faults func(string)) {
+		var (
+			unknown     *storer.UnknownError
+			unavailable *storer.UnavailableError
+		)
+		faults(`{"loseAnswers":1}`)
+		_, err := s.Put(t.Context(), "k", []byte("v"), 0, "")
+		must.True(t, errors.As(err, &unknown))
+		i, err := s.Get(t.Context(), "k")
+		must.NoError(t, err)
+		must.Eq(t, "v", string(i.Value))
+		faults(`{"down":true}`)
+		_, err = s.Put(t.Context(), "k", []byte("w"), i.Version, "")
+		must.True(t, errors.As(err, &unavailable))
+		faults(`{}`)
+		link.Cut.Store(true)
+		_, err = s.Put(t.Context(), "k", []byte("w"), i.Version, "")
+		must.True(t, errors.As(err, &unavailable))
+		link.Cut.Store(false)
+		_, err = s.Put(t.Context(), "k", make([]byte, 1<<20+1), i.Version, "")
+		var refused *storer.RefusedError
+		must.True(t, errors.As(err, &refused))
+	})
+}
