--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -156,6 +156,29 @@
 	return nil, t.failure(t.last)
 }
 
+// Restore puts a record that is in force in the entries back into a store that
+// was wiped or rolled back to a lower revision. Entries never do so by
+// themselves: a store that differs is for an operator to look into.
+func (p *Publisher) Restore(ctx context.Context, r *bundler.Record) error {
+	b, err := r.Open(p.Keyring)
+	if err != nil {
+		return err
+	}
+	value, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	now, err := p.read(ctx)
+	if err != nil {
+		return err
+	}
+	if now.revision() >= b.Revision {
+		return &RaceError{Accepted: now.bundle, Ours: b}
+	}
+	_, err = p.Store.Put(ctx, p.key(), value, now.version, "")
+	return err
+}
+
 // attempt is one run of Publish.
 type attempt struct {
 	p      *Publisher
