Judge outages by failed questions, add relays, and fuzz the spread

Cause: the first oracle runs showed that 'has not reached the store' is no vote: an entry that heard from others and so had not asked counted as if the store were out, and a majority of idle entries served on by an old bundle. Now only a question that failed, or is late by ReachFor/2, is a vote; it ages like all else. A lower, empty or corrupt store counts as failed; before, a restored store made all entries refuse work after 2.5 s.

Cause: 380 entries with one random exchange a second did not suppress each other's questions: 504 calls a second to the store when calm. Each region now has relays, chosen by hash, that ask the store; the rest ask a relay.

--- a/internal/gossiper/exchanger.go
+++ b/internal/gossiper/exchanger.go
@@ -1,12 +1,15 @@
 package gossiper
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -15,18 +18,21 @@
 
 // Defaults of Exchanger.
 const (
-	DefaultEvery  = time.Second
+	DefaultEvery  = 600 * time.Millisecond
 	DefaultFanout = 3
 	// DefaultSpread is small against the aim of two seconds for a change.
 	DefaultSpread = 100 * time.Millisecond
 	// urgency is how much more often entries exchange while no confirmation is
 	// young: they then have to find out from each other whether the store is out
 	// before the last one lapses.
-	urgency = 8
+	urgency = 5
+	// minRelays keeps today's deployments, of three entries a region, independent
+	// of which of them fails.
+	minRelays = 3
 )
 
 // Exchanger keeps an entry level with the others: it tells a few of them of each
-// change at once and compares with one at random all the time. It is a suture
+// change at once and asks one of its region's relays all the time. It is a suture
 // service.
 type Exchanger struct {
 	State *State
@@ -61,14 +67,30 @@
 }
 
 func (e *Exchanger) compareLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, p := range e.Pick(1) {
-			e.With(ctx, p)
-		}
+	for turn := 0; ctx.Err() == nil; turn++ {
+		e.compare(ctx, turn)
 		e.sleep(ctx, e.Pause())
 	}
 }
 
+// compare asks a relay, which has the youngest confirmation. If that one is gone,
+// or in every other turn while no confirmation is young, it asks anyone: the list
+// of VMs lags, and the relays might all be lost or cut off together.
+func (e *Exchanger) compare(ctx context.Context, turn int) {
+	relays := e.without(e.relays())
+	if e.urgent() && turn%2 == 1 {
+		relays = nil
+	}
+	for _, p := range e.pick(relays, 1) {
+		if e.With(ctx, p) == nil {
+			return
+		}
+	}
+	for _, p := range e.pick(e.Peers(), 1) {
+		_ = e.With(ctx, p)
+	}
+}
+
 func (e *Exchanger) tellLoop(ctx context.Context) {
 	for {
 		changed := e.State.Changed()
@@ -77,9 +99,9 @@
 			return
 		case <-changed:
 		}
-		e.sleep(ctx, e.below(orDefault(e.Spread, DefaultSpread)))
-		for _, p := range e.Pick(e.fanout()) {
-			e.With(ctx, p)
+		e.sleep(ctx, e.Below(orDefault(e.Spread, DefaultSpread)))
+		for _, p := range e.pick(e.Peers(), e.fanout()) {
+			_ = e.With(ctx, p)
 		}
 	}
 }
@@ -88,15 +110,52 @@
 // that entries started together do not stay in step.
 func (e *Exchanger) Pause() time.Duration {
 	every := orDefault(e.Every, DefaultEvery)
-	if a := e.State.Age(); a < 0 || a > e.State.ReachFor() {
+	if e.urgent() {
 		every /= urgency
 	}
-	return every/2 + e.below(every)
+	return every/2 + e.Below(every)
 }
 
-// Pick chooses up to n different peers at random.
-func (e *Exchanger) Pick(n int) []messenger.EntryState {
-	ps := slices.Clone(e.Peers())
+// urgent holds while a bundle is known whose last confirmation grows old.
+func (e *Exchanger) urgent() bool {
+	return e.State.Known() > 0 && (e.State.Age() < 0 || e.State.Age() > e.State.ReachFor()*5/4)
+}
+
+// IsRelay tells whether this entry is one of those that ask the store on behalf
+// of its region.
+func (e *Exchanger) IsRelay() bool {
+	self := e.Self().ID
+	return slices.ContainsFunc(e.relays(), func(p messenger.EntryState) bool { return p.ID == self })
+}
+
+// relays are the entries of this region that ask the store, while the others ask
+// them: a fixed choice by hash, which needs no agreement. Twice the root of their
+// number keeps the calls to the store and the load of each relay about level. An
+// entry that wrongly believes itself a relay costs some calls, nothing else.
+func (e *Exchanger) relays() []messenger.EntryState {
+	self := e.Self()
+	here := []messenger.EntryState{self}
+	for _, p := range e.Peers() {
+		if p.Region == self.Region && !p.Leaving {
+			here = append(here, p)
+		}
+	}
+	slices.SortFunc(here, func(a, b messenger.EntryState) int {
+		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
+	})
+	n := max(minRelays, int(math.Ceil(1.5*math.Sqrt(float64(len(here))))))
+	return here[:min(n, len(here))]
+}
+
+// without leaves this entry itself out.
+func (e *Exchanger) without(ps []messenger.EntryState) []messenger.EntryState {
+	self := e.Self().ID
+	return slices.DeleteFunc(ps, func(p messenger.EntryState) bool { return p.ID == self })
+}
+
+// pick chooses up to n different peers at random.
+func (e *Exchanger) pick(from []messenger.EntryState, n int) []messenger.EntryState {
+	ps := slices.Clone(from)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for i := range min(n, len(ps)) {
@@ -109,16 +168,17 @@
 // With exchanges with one peer. The record goes along only in a second call, once
 // the peer's answer has shown that it has less: most peers know a change by the
 // time they are told.
-func (e *Exchanger) With(ctx context.Context, p messenger.EntryState) {
+func (e *Exchanger) With(ctx context.Context, p messenger.EntryState) error {
 	answer, err := e.call(ctx, p, messenger.Exchange{State: e.account()})
 	if err != nil {
-		return
+		return err
 	}
 	r := e.State.RecordFor(answer.State.Word)
 	if r == nil {
-		return
+		return nil
 	}
-	_, _ = e.call(ctx, p, messenger.Exchange{State: e.account(), Record: r})
+	_, err = e.call(ctx, p, messenger.Exchange{State: e.account(), Record: r})
+	return err
 }
 
 func (e *Exchanger) call(ctx context.Context, p messenger.EntryState, x messenger.Exchange) (messenger.Exchange, error) {
@@ -175,8 +235,8 @@
 	return DefaultFanout
 }
 
-// below picks a duration in [0, d).
-func (e *Exchanger) below(d time.Duration) time.Duration {
+// Below picks a duration in [0, d) at random.
+func (e *Exchanger) Below(d time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return time.Duration(e.intN(int(max(d, 1))))
--- /dev/null
+++ b/internal/gossiper/fleet_test.go
@@ -0,0 +1,217 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/gossiper"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/publisher"
+	"github.com/oriolecroft/oriolecroft/internal/storer"
+	"github.com/oriolecroft/oriolecroft/internal/storer/storertest"
+	"github.com/oriolecroft/oriolecroft/standins/imitator"
+)
+
+// fleet is some entries with the real watcher and exchanger over the stand-in
+// store, in virtual time.
+type fleet struct {
+	t      *testing.T
+	kv     http.Handler
+	link   *storertest.Transport // everyone's link to the store
+	mu     sync.Mutex
+	nodes  []*node
+	names  []messenger.EntryState
+	random *rand.Rand
+}
+
+type node struct {
+	state     *gossiper.State
+	watcher   *gossiper.Watcher
+	exchanger *gossiper.Exchanger
+	cut       atomic.Bool // from the store and the other entries
+	stop      context.CancelFunc
+}
+
+// inFleet runs f in virtual time over n entries that are not started yet.
+func inFleet(t *testing.T, n int, f func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &imitator.KV{Clock: clock.RealClock{}, Seed: 1}
+		fl := &fleet{t: t, kv: k.Handler(), random: rand.New(rand.NewPCG(1, 2)), nodes: make([]*node, n)}
+		for i := range n {
+			fl.names = append(fl.names, messenger.EntryState{ID: fmt.Sprintf("e%03d", i), Region: fmt.Sprintf("r%d", i%5)})
+		}
+		fl.link = &storertest.Transport{Handler: fl.kv}
+		defer func() {
+			for i := range fl.nodes {
+				fl.kill(i)
+			}
+			pass(time.Minute)
+		}()
+		f(fl)
+	})
+}
+
+func (f *fleet) store(cut *atomic.Bool) storer.Store {
+	t := roundTripper(func(r *http.Request) (*http.Response, error) {
+		if cut != nil && cut.Load() {
+			return nil, errors.New("no route")
+		}
+		return f.link.RoundTrip(r)
+	})
+	return &storer.HTTP{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: &http.Client{Transport: t}}
+}
+
+type roundTripper func(r *http.Request) (*http.Response, error)
+
+func (t roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return t(r) }
+
+// start replaces entry i by a fresh one that knows nothing.
+func (f *fleet) start(i int) {
+	f.kill(i)
+	n := &node{}
+	random := rand.New(rand.NewPCG(f.random.Uint64(), uint64(i)))
+	id := f.names[i].ID
+	n.state = &gossiper.State{Keyring: keyring(), Clock: clock.RealClock{}, Entries: len(f.nodes), ID: id}
+	n.watcher = &gossiper.Watcher{Store: f.store(&n.cut), State: n.state, Clock: clock.RealClock{}}
+	n.exchanger = &gossiper.Exchanger{State: n.state, Clock: clock.RealClock{}, Random: random}
+	n.watcher.Jitter = n.exchanger.Below
+	n.watcher.Relay = n.exchanger.IsRelay
+	n.exchanger.Self = func() messenger.EntryState { return f.names[i] }
+	n.exchanger.Peers = func() []messenger.EntryState { return f.peers(i) }
+	n.exchanger.Call = func(_ context.Context, p messenger.EntryState, x messenger.Exchange) (messenger.Exchange, error) {
+		return f.call(n, p, x)
+	}
+	f.put(i, n)
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(f.t.Context())
+	go func() { _ = n.watcher.Serve(ctx) }()
+	go func() { _ = n.exchanger.Serve(ctx) }()
+}
+
+func (f *fleet) startAll() {
+	for i := range f.nodes {
+		f.start(i)
+	}
+}
+
+func (f *fleet) kill(i int) {
+	if f.nodes[i] != nil {
+		f.nodes[i].stop()
+	}
+	f.put(i, nil)
+}
+
+func (f *fleet) put(i int, n *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[i] = n
+}
+
+func (f *fleet) node(i int) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[i]
+}
+
+func (f *fleet) peers(i int) []messenger.EntryState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ps []messenger.EntryState
+	for j, n := range f.nodes {
+		if n != nil && j != i {
+			ps = append(ps, f.names[j])
+		}
+	}
+	return ps
+}
+
+func (f *fleet) call(from *node, p messenger.EntryState, x messenger.Exchange) (messenger.Exchange, error) {
+	var j int
+	_, _ = fmt.Sscanf(p.ID, "e%d", &j)
+	to := f.node(j)
+	if to == nil || to.cut.Load() || from.cut.Load() {
+		return messenger.Exchange{}, errors.New("no route")
+	}
+	pass(2 * time.Millisecond)
+	a := to.exchanger.Answer(x)
+	pass(2 * time.Millisecond)
+	return a, nil
+}
+
+// pass lets virtual time go by.
+func pass(d time.Duration) { <-time.After(d) }
+
+// during checks every 20 ms of d.
+func (f *fleet) during(d time.Duration, check func(n *node)) {
+	for end := time.Now().Add(d); time.Now().Before(end); pass(20 * time.Millisecond) {
+		for _, n := range f.nodes {
+			if n != nil {
+				check(n)
+			}
+		}
+	}
+}
+
+func (f *fleet) serves(n *node) { must.NoError(f.t, n.state.MayServe()) }
+
+// inForce tells how long it takes until all that are not cut off hold revision.
+func (f *fleet) inForce(revision uint64, limit time.Duration) time.Duration {
+	begin := time.Now()
+	for ; time.Since(begin) < limit; pass(5 * time.Millisecond) {
+		behind := 0
+		for _, n := range f.nodes {
+			if n != nil && !n.cut.Load() && !holds(n.state, revision) {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(begin)
+		}
+	}
+	f.t.Fatalf("revision %d is not in force everywhere after %v", revision, limit)
+	return 0
+}
+
+func holds(s *gossiper.State, revision uint64) bool {
+	b, _ := s.Current()
+	return b != nil && b.Revision == revision
+}
+
+func (f *fleet) publish(revision uint64) {
+	p := &publisher.Publisher{Store: f.store(nil), Keyring: keyring()}
+	_, err := p.Publish(f.t.Context(), signed(revision, fmt.Sprintf("c%d", revision)))
+	must.NoError(f.t, err)
+}
+
+// admin sends an order to the stand-in.
+func (f *fleet) admin(path, body string) {
+	w := httptest.NewRecorder()
+	f.kv.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	must.Eq(f.t, http.StatusOK, w.Code)
+}
+
+func (f *fleet) faults(body string) { f.admin("/admin/faults", body) }
+
+// alarms counts an entry's alarms of one kind.
+func alarms(s *gossiper.State, k gossiper.AlarmKind) int {
+	for _, a := range s.Alarms() {
+		if a.Kind == k {
+			return a.Count
+		}
+	}
+	return 0
+}
--- a/internal/gossiper/outage.go
+++ b/internal/gossiper/outage.go
@@ -23,7 +23,13 @@
 }
 
 func (s *State) reachable(now time.Time) bool {
-	return !s.reached.IsZero() && age(now, s.reached) <= s.ReachFor()
+	return !s.reached.IsZero() && !s.failed.After(s.reached) && age(now, s.reached) <= s.ReachFor()
+}
+
+// unreachable tells whether the store lately failed this process, with no
+// success since. Not having asked is neither.
+func (s *State) unreachable(now time.Time) bool {
+	return s.fresh(now, s.failed) && s.failed.After(s.reached)
 }
 
 // vote keeps the youngest word of an entry on its reach of the store.
@@ -42,8 +48,8 @@
 
 // outageSeen tells since when it is certain enough that the store is out rather
 // than this process cut off. An agent takes its entries' word. An entry counts:
-// more than half of the deployment's entries, itself included, were heard within
-// FreshFor, none of them reached the store, one of them is in the store's region
+// more than half of the deployment's entries, itself included, asked the store
+// in vain within FreshFor, none reached it, one of them is in the store's region
 // if that is set, and nobody has a higher revision than the held one. The time
 // is that of the oldest word that is needed for the majority.
 func (s *State) outageSeen(now time.Time) (time.Time, bool) {
@@ -53,7 +59,7 @@
 	if s.Entries == 0 {
 		return s.outage, !s.outage.IsZero()
 	}
-	if s.reachable(now) || s.settling(now) {
+	if !s.unreachable(now) || s.settling(now) {
 		return time.Time{}, false
 	}
 	return s.majority(now)
@@ -85,34 +91,35 @@
 	return earlier(at, votes[i].at), true
 }
 
-// votes lists the entries lately heard not to reach the store, this one first,
-// and tells whether another one does. An entry that reached a store which gave it
-// less than the held revision found a rolled-back one: that is no store from
-// which something newer could come, so it counts neither way.
-func (s *State) votes(now time.Time) (silent []peer, reached bool) {
-	silent = []peer{{at: now, region: s.Region}}
+// votes lists the entries that lately asked the store in vain, this one first,
+// and tells whether another one reaches it. An entry that reached a store which
+// gave it less than the held revision found a rolled-back one: that is no store
+// from which something newer could come, so it counts neither way.
+func (s *State) votes(now time.Time) (failed []peer, reached bool) {
+	failed = []peer{{at: s.failed, region: s.Region}}
 	for id, p := range s.peers {
 		switch {
 		case age(now, p.at) > s.freshFor():
 			delete(s.peers, id)
-		case !p.reachable:
-			silent = append(silent, p)
-		case p.revision >= s.revision():
+		case p.reach == reachFailed:
+			failed = append(failed, p)
+		case p.reach == reachSucceeded && p.revision >= s.revision():
 			return nil, true
 		}
 	}
-	return silent, false
+	return failed, false
 }
 
-// silent lists the entries known not to reach the store, this one included, for
-// others to count. Nothing is listed while confirmations arrive.
+// silent lists the entries known to ask the store in vain, this one included,
+// for others to count. One that knows of a revision that it does not hold gives
+// no word: others that have not heard of that one would count it for less.
 func (s *State) silent(now time.Time) []messenger.Silence {
-	if s.Entries == 0 || s.reachable(now) || s.fresh(now.Add(s.freshFor()/2), s.confirmed) {
+	if s.Entries == 0 || !s.unreachable(now) || s.known > s.revision() {
 		return nil
 	}
-	list := []messenger.Silence{{ID: s.ID, Region: s.Region}}
+	list := []messenger.Silence{{ID: s.ID, Region: s.Region, AgeMS: milliseconds(age(now, s.failed))}}
 	for id, p := range s.peers {
-		if !p.reachable && age(now, p.at) <= s.freshFor() {
+		if p.reach == reachFailed && s.fresh(now, p.at) {
 			list = append(list, messenger.Silence{ID: id, Region: p.region, AgeMS: milliseconds(age(now, p.at))})
 		}
 	}
--- a/internal/gossiper/state.go
+++ b/internal/gossiper/state.go
@@ -45,12 +45,16 @@
 	firstHeld time.Time
 	// confirmed is when the store was asked that last confirmed the held revision.
 	confirmed time.Time
-	// known is the highest revision heard of, held or not.
-	known uint64
+	// known is the highest revision heard of, held or not; knownSince is when it
+	// went above the held one.
+	known      uint64
+	knownSince time.Time
 	// ahead is the confirmation of a revision whose record is yet to come.
 	ahead ahead
 	// reached is when this process itself last asked the store with success.
 	reached time.Time
+	// failed is when the store last left a question of this process unanswered.
+	failed time.Time
 	// outage is when entries saw the store out with the held revision highest.
 	outage  time.Time
 	peers   map[string]peer
@@ -66,13 +70,22 @@
 
 // peer is the last word of another entry about its reach of the store.
 type peer struct {
-	at        time.Time
-	reachable bool
+	at    time.Time
+	reach reach
 	// revision is the one that the entry held, if it reached the store.
 	revision uint64
 	region   string
 }
 
+// reach is how an entry fared with the store. One that has not asked lately, as
+// it heard from others, has none.
+type reach int
+
+const (
+	reachFailed reach = iota
+	reachSucceeded
+)
+
 // Offer hands the state a record from anywhere. The sign-offs are checked here,
 // so it does not matter who sent it. A higher revision takes the held one's
 // place at once; an equal or lower one changes nothing.
@@ -105,7 +118,10 @@
 	if s.firstHeld.IsZero() {
 		s.firstHeld = s.heldSince
 	}
-	s.known = max(s.known, b.Revision)
+	s.know(b.Revision)
+	if s.known == b.Revision {
+		s.knownSince = time.Time{}
+	}
 	s.outage = time.Time{}
 	if s.ahead.revision == b.Revision && s.ahead.digest == s.digest {
 		s.refresh(s.ahead.confirmed)
@@ -139,15 +155,24 @@
 	}
 }
 
+// Fail says that the store has left a question of this process unanswered, or
+// has not answered it in ReachFor/2 so far.
+func (s *State) Fail() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = s.Clock.Now()
+}
+
 // lower handles a store that names a lower revision than the held one. If the
 // question was sent before the held one arrived, the answer is merely old.
 // Otherwise the store was restored from an old copy or wiped. That must not
 // bring an old bundle back into force, so it is counted for the operators and
-// otherwise ignored; it does not count as reaching the store either.
+// otherwise taken as a failure of the store.
 func (s *State) lower(revision uint64, askedAt time.Time) {
 	if askedAt.Before(s.heldSince) {
 		return
 	}
+	s.failed = s.Clock.Now()
 	if revision == 0 {
 		_ = s.alarm(&EmptyStoreError{Held: s.revision()})
 		return
@@ -158,6 +183,10 @@
 // Observe takes a record that the store itself gave as the newest, in answer to
 // a question sent at askedAt: it is Offer and Confirm in one.
 func (s *State) Observe(r *bundler.Record, askedAt time.Time) (changed bool, err error) {
+	if held, ok := s.holds(r.Digest()); ok {
+		s.Confirm(held, r.Digest(), askedAt)
+		return false, nil
+	}
 	b, err := r.Open(s.Keyring)
 	if err != nil {
 		return false, s.Reject(err)
@@ -170,6 +199,14 @@
 	return changed, nil
 }
 
+// holds tells whether a payload is the one in force, which needs no second check
+// of its sign-offs.
+func (s *State) holds(digest string) (revision uint64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision(), s.bundle != nil && digest == s.digest
+}
+
 // Reject counts a record that could not even be decoded.
 func (s *State) Reject(err error) error {
 	s.mu.Lock()
@@ -184,7 +221,7 @@
 func (s *State) Hear(e messenger.EntryState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known = max(s.known, e.Word.Revision)
+	s.know(e.Word.Revision)
 }
 
 // HearAnswer takes another entry's word given in answer to a question sent at
@@ -196,7 +233,9 @@
 	if e.ID == s.ID || e.ID == "" {
 		return
 	}
-	s.vote(e.ID, peer{at: askedAt, reachable: e.StoreReachable, revision: e.Word.Revision, region: e.Region})
+	if e.StoreReachable {
+		s.vote(e.ID, peer{at: askedAt, reach: reachSucceeded, revision: e.Word.Revision, region: e.Region})
+	}
 }
 
 // HearWord is HearAnswer for what carries only a word, such as an entry's news
@@ -208,7 +247,7 @@
 }
 
 func (s *State) hearWord(w messenger.Word, askedAt time.Time) {
-	s.known = max(s.known, w.Revision)
+	s.know(w.Revision)
 	if w.Revision > 0 && w.Revision == s.revision() && w.Digest != s.digest {
 		_ = s.alarm(&ForkError{Revision: w.Revision, Held: s.digest, Found: w.Digest})
 	}
@@ -221,7 +260,7 @@
 	for _, v := range w.Silent {
 		at := askedAt.Add(-time.Duration(v.AgeMS) * time.Millisecond)
 		if v.ID != s.ID {
-			s.vote(v.ID, peer{at: at, region: v.Region})
+			s.vote(v.ID, peer{at: at, region: v.Region, reach: reachFailed})
 		}
 	}
 }
@@ -229,7 +268,7 @@
 // learn keeps a confirmation if it is of the held revision, or if it is of a
 // higher one whose record has yet to come.
 func (s *State) learn(revision uint64, digest string, confirmed time.Time) {
-	s.known = max(s.known, revision)
+	s.know(revision)
 	switch held := s.revision(); {
 	case revision == held && digest == s.digest:
 		s.refresh(confirmed)
@@ -241,7 +280,23 @@
 	}
 }
 
-func (s *State) refresh(at time.Time) { s.confirmed = later(s.confirmed, at) }
+// know notes that a revision exists.
+func (s *State) know(revision uint64) {
+	s.known = max(s.known, revision)
+	if s.known > s.revision() && s.knownSince.IsZero() {
+		s.knownSince = s.Clock.Now()
+	}
+}
+
+// refresh notes a confirmation of the held revision, unless a higher one was
+// heard of before: then the store that confirms was rolled back, and a process
+// that believed it would serve by an old bundle for as long as that lasts.
+func (s *State) refresh(at time.Time) {
+	if !s.knownSince.IsZero() && at.After(s.knownSince) {
+		return
+	}
+	s.confirmed = later(s.confirmed, at)
+}
 
 // Word is what this process passes on about its bundle.
 func (s *State) Word() messenger.Word {
--- a/internal/gossiper/watcher.go
+++ b/internal/gossiper/watcher.go
@@ -31,15 +31,18 @@
 type Watcher struct {
 	Store storer.Store
 	State *State
-	Clock clock.Clock
+	Clock clock.WithDelayedExecution
 	// Key is the bundle's key; empty means BundleKey.
 	Key string
 	// Wait is how long one long poll lasts.
 	Wait time.Duration
 	// ProbeAge is the age of the last confirmation at which the store is asked;
-	// up to as much again is added at random, so that of many entries a few ask
-	// and the others hear the answer from them. 0 means a fifth of FreshFor.
+	// up to as much again is added at random. 0 means a fifth of FreshFor.
 	ProbeAge time.Duration
+	// Relay tells whether this entry asks the store for others too; nil means it
+	// does. One that does not waits until the confirmation is half of FreshFor
+	// old, to hear of a younger one from a relay.
+	Relay func() bool
 	// Rearm bounds the random pause before a watch that brought a change is put
 	// up again, Backoff the pause after watches that failed.
 	Rearm, Backoff time.Duration
@@ -94,24 +97,38 @@
 // untilProbe is how long the last confirmation, wherever it came from, lasts.
 func (w *Watcher) untilProbe() time.Duration {
 	a := w.State.Age()
-	if a < 0 || a >= w.probeAge() {
+	due := w.probeAge()
+	if w.Relay != nil && !w.Relay() {
+		due = w.State.freshFor() / 2
+	}
+	if a < 0 || a >= due {
 		return 0
 	}
-	return w.probeAge() - a + w.jitter(w.probeAge())
+	return due - a + w.jitter(w.probeAge())
 }
 
 // Probe asks the store once for the bundle. A long poll alone would not do: one
 // that died without an error looks just like one that waits for a change.
 func (w *Watcher) Probe(ctx context.Context) error {
 	asked := w.Clock.Now()
+	late := w.failAfter(w.State.ReachFor() / 2)
 	i, err := w.Store.Get(ctx, w.key())
+	late.Stop()
 	if err := w.observe(i, err, asked); err != nil {
+		w.State.Fail()
 		return err
 	}
 	w.checkWatch(i.Version, asked)
 	return nil
 }
 
+// failAfter counts the store as failed while it is still being waited for. A
+// store that swallows calls would otherwise be noticed only by the timeout, when
+// the last confirmation has lapsed and all refuse work already.
+func (w *Watcher) failAfter(d time.Duration) clock.Timer {
+	return w.Clock.AfterFunc(d, w.State.Fail)
+}
+
 // observe hands what the store answered to the state.
 func (w *Watcher) observe(i storer.Item, err error, asked time.Time) error {
 	var missing *storer.NotFoundError
