--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,7 @@
 	s.Add(&reporter.Web{Name: "operators", Listener: e.Operators, Handler: e.operators()})
 	s.Add(&messenger.Server{Listener: e.Peers, OnReport: e.report, OnExchange: e.exchange})
 	s.Add(e.Watcher)
+	s.Add(e.Dispatcher)
 	s.Add(e.members)
 	s.Add(&applier{entry: e})
 	if e.List != nil {
@@ -185,7 +186,7 @@
 }
 
 func (e *Entry) operators() http.Handler {
-	return reporter.Handler(func() any { return e.status() }, e.ready)
+	return reporter.Handler(func() any { return e.status() }, e.ready, e.metrics())
 }
 
 // ready is why this entry takes no new work; nil when it does.
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -97,12 +98,17 @@
 	return v, nil
 }
 
-// Finished counts a request of that cost as done, waited or not. The rate at
-// which this happens while others wait is what waits are worked out from.
+// Finished counts a request of that cost as done, waited or not; one that was
+// refused is not done. The rate at which this happens while others wait is what
+// waits are worked out from.
 func (q *Queue) Finished(cost float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.rate.pass(q.Clock.Now(), len(q.waiting) > 0)
+	if len(q.waiting) == 0 {
+		// What ends while nobody waits says how little was asked for.
+		return
+	}
+	q.rate.pass(q.Clock.Now(), true)
 	q.rate.finish(max(1, cost))
 }
 
@@ -147,11 +153,11 @@
 	return nil
 }
 
-// late tells whether a wait goes beyond the deadline. The first in line is never
-// late: with nobody waiting the rate cannot be measured anew, and a rate once
-// measured too low would refuse everybody from then on.
+// late tells whether a wait goes beyond the deadline. The first in line has no
+// wait at whatever rate: with nobody waiting the rate cannot be measured anew, and
+// one once measured too low would refuse everybody from then on.
 func (q *Queue) late(w *Waiter, wait time.Duration, now time.Time) bool {
-	return wait > 0 && !w.Deadline.IsZero() && now.Add(wait).After(w.Deadline)
+	return !w.Deadline.IsZero() && now.Add(wait).After(w.Deadline)
 }
 
 // waitOf is how long a newcomer would wait.
@@ -237,11 +243,26 @@
 	q.waiting = slices.Delete(q.waiting, i, i+1)
 	if len(q.waiting) == 0 {
 		clear(q.flows)
-		q.virtual = 0
 	}
 }
 
+// forget takes out a waiter that was not served, and lets those of its workspace
+// behind it move up. Otherwise a workspace would pay for turns that it never
+// had: seen as a small one refused although it asks for less than its part.
+func (q *Queue) forget(w *Waiter, now time.Time) {
+	i := slices.Index(q.waiting, w)
+	part := w.cost() / w.weight()
+	q.flows[w.Workspace] -= part
+	for _, v := range q.waiting[i+1:] {
+		if v.Workspace == w.Workspace {
+			v.start -= part
+		}
+	}
+	q.remove(i, now)
+	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int { return cmp.Compare(a.start, b.start) })
+}
+
 func (q *Queue) evict(v *Waiter, reason string, now time.Time) {
-	q.remove(slices.Index(q.waiting, v), now)
+	q.forget(v, now)
 	v.wake(q.shed(reason, 0, now))
 }
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -57,6 +57,7 @@
 // the last report can have counted it as running.
 func (c *Choice) giveBack(ran bool) {
 	c.done = true
+	c.pool.inflight--
 	p := c.replica
 	last := len(p.inflight) - 1
 	p.inflight[c.place] = p.inflight[last]
@@ -69,9 +70,7 @@
 	case ran:
 		p.settled++
 	}
-	if p.tier != nil {
-		p.tier.update(p)
-	}
+	p.update()
 }
 
 // judge sets how long a replica is passed over after an attempt. Without it the
