--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -4,6 +4,7 @@
 package messenger
 
 import (
+	"math/bits"
 	"net/netip"
 	"time"
 
@@ -90,6 +91,23 @@
 	// as the newest, as far as the sender knows; -1 when never. An age needs no
 	// agreement of clocks between VMs.
 	AgeMS int64 `json:"ageMs"`
+	// Outage says that, OutageAgeMS milliseconds ago, more than half of the
+	// deployment's entries were heard and none of them reached the store while
+	// Revision was the highest known: an outage of the store and not a cut.
+	Outage      bool  `json:"outage,omitempty"`
+	OutageAgeMS int64 `json:"outageAgeMs,omitempty"`
+	// Silent are the entries known not to reach the store. It is sent only while
+	// the store seems out, so that each entry can count a majority without
+	// asking all the others itself.
+	Silent []Silence `json:"silent,omitempty"`
+}
+
+// Silence is an entry's word, AgeMS milliseconds ago, that it does not reach the
+// store. As it passes from process to process it only ever ages.
+type Silence struct {
+	ID     string `json:"id"`
+	Region string `json:"region,omitempty"`
+	AgeMS  int64  `json:"ageMs"`
 }
 
 // Age is AgeMS as a duration; negative when the store was never heard.
@@ -114,6 +132,9 @@
 // by itself when the bundle changes.
 type Report struct {
 	State AgentState `json:"state"`
+	// Record is the agent's bundle, sent only to an entry that has less: after
+	// all entries were replaced while the store was out, only agents have it.
+	Record *bundler.Record `json:"record,omitempty"`
 }
 
 // News brings an agent or an entry up to date.
@@ -148,3 +169,12 @@
 	// Agents are those that report to the sender directly, without holdings.
 	Agents []AgentState `json:"agents,omitempty"`
 }
+
+// Whole tells whether all chunks are there.
+func (h Holding) Whole() bool {
+	n := 0
+	for _, b := range h.Have {
+		n += bits.OnesCount8(b)
+	}
+	return h.Chunks > 0 && n == h.Chunks
+}
--- /dev/null
+++ b/internal/router/pick.go
@@ -0,0 +1,204 @@
+package router
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Request is what Pick needs to know of a request.
+type Request struct {
+	Workspace string
+	// Model and Adapter, or Service, is what it asks for.
+	Model, Adapter, Service string
+	Prompt                  string
+	Priority                int
+	// Version and EngineStart, when set, bind the choice to one engine's start. A
+	// request with EngineStart resumes a stream.
+	Version, EngineStart string
+	// Avoid are the ids of agents that already refused this request.
+	Avoid []string
+	// Owner, when set, is the only agent that may get it. It gets it although it
+	// failed or refused just now, as nobody else may.
+	Owner string
+	// Tokens is the expected length of the reply.
+	Tokens int
+}
+
+const (
+	// prefixBytes of a prompt decide its home: about the part that prompts of
+	// one workspace and purpose share.
+	prefixBytes = 256
+	// boundedLoad is how far above the mean a home may be loaded and still be
+	// preferred.
+	boundedLoad = 1.25
+	// oldVersionCost is what a replica of other than the bundle's weights costs.
+	oldVersionCost = 0.05
+	// samples is how many free replicas of a tier are drawn at random.
+	samples = 2
+)
+
+// The reasons of choices.
+const (
+	reasonHome  = "home of the prompt's prefix"
+	reasonDrawn = "less loaded of two"
+	reasonOnly  = "first that fits"
+	reasonSpare = "cold and perhaps unused by other entries"
+)
+
+// best is the cheapest candidate so far.
+type best struct {
+	replica *replica
+	cost    float64
+	reason  string
+}
+
+// Pick chooses a replica and counts the attempt there at once. Errors are
+// *NoBundleError, *UnknownWorkspaceError, *UnknownModelError,
+// *UnknownServiceError, *NotAllowedError, *NoReplicaError and *FullError.
+func (r *Router) Pick(q Request) (*Choice, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	r.sweep(now)
+	if r.bundle == nil {
+		return nil, &NoBundleError{}
+	}
+	k, err := r.bundle.check(q)
+	if err != nil {
+		return nil, err
+	}
+	if q.Owner != "" || q.EngineStart != "" {
+		return r.pickBound(k, &q, now)
+	}
+	l := r.pools[k]
+	if l == nil {
+		return nil, &NoReplicaError{Name: k.name}
+	}
+	if l.beyondShare(len(r.entries)) {
+		return nil, &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
+	}
+	b := r.choose(l, &q, now)
+	if b.replica == nil {
+		return nil, r.none(l, k, &q, now)
+	}
+	return r.count(l, b.replica, b.reason, now), nil
+}
+
+// choose weighs the homes of the prefix and two free replicas of each tier, and
+// looks through all that are free only when none of these will do.
+func (r *Router) choose(l *pool, q *Request, now time.Time) best {
+	var b best
+	hash := prefixHash(q)
+	for i := range l.tiers {
+		t := &l.tiers[i]
+		link := r.linkCost(tierIndex(i))
+		if hash != 0 {
+			r.weigh(&b, t, t.home(hash), q, now, link, reasonHome)
+			r.weigh(&b, t, t.home(hash*0x9e3779b97f4a7c15), q, now, link, reasonHome)
+		}
+		for range min(samples, len(t.free)) {
+			r.weigh(&b, t, t.free[r.Random.IntN(len(t.free))], q, now, link, reasonDrawn)
+		}
+	}
+	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
+		r.scan(&b, &l.tiers[i], l.tiers[i].free, q, now, reasonOnly)
+	}
+	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
+		r.scan(&b, &l.tiers[i], l.tiers[i].spare, q, now, reasonSpare)
+	}
+	return b
+}
+
+// scan takes the first of a list that fits, from a random one on.
+func (r *Router) scan(b *best, t *tier, l list, q *Request, now time.Time, reason string) {
+	if len(l) == 0 {
+		return
+	}
+	start := r.Random.IntN(len(l))
+	for i := 0; i < len(l) && b.replica == nil; i++ {
+		r.weigh(b, t, l[(start+i)%len(l)], q, now, 0, reason)
+	}
+}
+
+// weigh takes p as the best if it may have the request and costs less.
+func (r *Router) weigh(b *best, t *tier, p *replica, q *Request, now time.Time, link float64, reason string) {
+	if p == nil || p.in == nil || p.in == &t.spare && reason != reasonSpare || !p.serves(q) || p.avoided(q, now) {
+		return
+	}
+	c := r.cost(t, p, link, reason == reasonHome)
+	if b.replica == nil || c < b.cost {
+		*b = best{replica: p, cost: c, reason: reason}
+	}
+}
+
+// cost is the share of the replica's limit in use with the request on it, plus
+// the link, less what a cached prefix is worth while the replica is not much
+// fuller than its tier.
+func (r *Router) cost(t *tier, p *replica, link float64, home bool) float64 {
+	one := 1 / float64(p.state.Limit)
+	use := float64(p.estimate()) * one
+	c := use + one + link
+	if !p.current {
+		c += oldVersionCost
+	}
+	if home && use <= boundedLoad*t.mean()+one {
+		c -= max(0, orDefault(r.AffinityGain, DefaultAffinityGain))
+	}
+	return c
+}
+
+func (r *Router) linkCost(i tierIndex) float64 {
+	switch i {
+	case sameDomain:
+		return 0
+	case sameRegion:
+		return orDefault(r.DomainCost, DefaultDomainCost)
+	default:
+		return orDefault(r.RegionCost, DefaultRegionCost)
+	}
+}
+
+// count makes the choice and counts it on the replica, before any report can:
+// otherwise all requests between two reports would go to the same replica.
+func (r *Router) count(l *pool, p *replica, reason string, now time.Time) *Choice {
+	c := &Choice{
+		AgentID:       p.state.ID,
+		Incarnation:   p.state.Incarnation,
+		Address:       p.state.Address,
+		FailureDomain: p.state.FailureDomain,
+		Version:       p.state.Version,
+		EngineStart:   p.state.EngineStart,
+		Reason:        reason,
+		router:        r,
+		replica:       p,
+		pool:          l,
+		picked:        now,
+		place:         len(p.inflight),
+	}
+	l.inflight++
+	p.inflight = append(p.inflight, c)
+	p.fresh++
+	p.update()
+	return c
+}
+
+// none says why nothing was chosen.
+func (r *Router) none(l *pool, k poolKey, q *Request, now time.Time) error {
+	for i := range l.tiers {
+		for _, p := range l.tiers[i].ring {
+			if p.serves(q) {
+				return &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
+			}
+		}
+	}
+	return &NoReplicaError{Name: k.name}
+}
+
+// prefixHash is the place of a prompt on the ring; 0 for no prompt or a service.
+func prefixHash(q *Request) uint64 {
+	if q.Prompt == "" || q.Service != "" {
+		return 0
+	}
+	return xxhash.Sum64String(q.Prompt[:min(prefixBytes, len(q.Prompt))])
+}
