Prove the transfer of weights under failures

Writing them showed two faults: two versions on their way at once fetched the chunks that they share twice, and a source that had been down for long was asked again only after minutes.

Ruled out: filing shared chunks only on arrival (both fetches run already).

Change: a transfer holds back chunks on their way for another; backoff doubles three times at most; a set without room isn't announced, as a drawer without room would only be waited for.

--- /dev/null
+++ b/internal/fetcher/http_test.go
@@ -0,0 +1,95 @@
+package fetcher_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) *fetcher.HTTP {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return &fetcher.HTTP{Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
+}
+
+func TestStalledReplyIsCut(t *testing.T) {
+	// A peer's link stalls in the middle of a chunk. The connection stays open and
+	// says nothing, so that without a limit on silence the call would never end
+	// and its slot would be lost to all other chunks.
+	ended := make(chan struct{})
+	h := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "1000")
+		w.Write(make([]byte, 500))
+		_ = http.NewResponseController(w).Flush()
+		<-ended
+	})
+	t.Cleanup(func() { close(ended) })
+	h.Timeout = 50 * time.Millisecond
+	_, err := h.Chunk(t.Context(), bundler.Digest(nil), 1000)
+	var unavailable *fetcher.UnavailableError
+	must.True(t, errors.As(err, &unavailable))
+}
+
+func TestRepliesAreTyped(t *testing.T) {
+	chunk := []byte("weights")
+	digest := bundler.Digest(chunk)
+	reply := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "2")
+			w.WriteHeader(status)
+			w.Write([]byte(body))
+		}
+	}
+	for name, c := range map[string]struct {
+		reply http.HandlerFunc
+		want  any
+	}{
+		"other bytes": {reply(200, "weighty"), new(*fetcher.CorruptError)},
+		"too few":     {reply(200, "weigh"), new(*fetcher.CorruptError)},
+		"too many":    {reply(200, "weights and more"), new(*fetcher.CorruptError)},
+		"not held":    {reply(404, ""), new(*fetcher.NotHeldError)},
+		"busy":        {reply(429, ""), new(*fetcher.UnavailableError)},
+		"down":        {reply(503, ""), new(*fetcher.UnavailableError)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := serve(t, c.reply).Chunk(t.Context(), digest, int64(len(chunk)))
+			must.True(t, errors.As(err, c.want), must.Sprintf("%T: %v", err, err))
+		})
+	}
+	got, err := serve(t, reply(200, "weights")).Chunk(t.Context(), digest, int64(len(chunk)))
+	must.NoError(t, err)
+	must.Eq(t, chunk, got)
+}
+
+func TestManifestThatLies(t *testing.T) {
+	// A manifest has been published with sizes that don't fit its chunks. Taken at
+	// its word it would make each agent allocate without end, or read past a chunk.
+	digest := strings.Repeat("0", 64)
+	for _, body := range []string{
+		``, `[]`, `{"size":-1,"chunkSize":10,"chunks":[]}`, `{"size":10,"chunkSize":0,"chunks":[]}`,
+		`{"size":10,"chunkSize":10,"chunks":["sha256:` + digest + `","sha256:` + digest + `"]}`,
+		`{"size":9000000000000000000,"chunkSize":1,"chunks":["sha256:` + digest + `"]}`,
+		`{"size":10,"chunkSize":10,"chunks":["sha256:../../admin"]}`,
+		`{"size":10,"chunkSize":10,"chunks":["sha256:` + digest + `"]} more`,
+	} {
+		_, err := fetcher.ParseManifest(bundler.Digest([]byte(body)), []byte(body))
+		var shape *fetcher.ShapeError
+		must.True(t, errors.As(err, &shape), must.Sprint(body))
+	}
+	body := []byte(`{"size":15,"chunkSize":10,"chunks":["sha256:` + digest + `","sha256:` + digest + `"]}`)
+	m, err := fetcher.ParseManifest(bundler.Digest(body), body)
+	must.NoError(t, err)
+	must.Eq(t, 5, m.ChunkBytes(1))
+	_, err = fetcher.ParseManifest("sha256:"+digest, body)
+	var corrupt *fetcher.CorruptError
+	must.True(t, errors.As(err, &corrupt))
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -266,6 +266,10 @@
 	defer l.mu.Unlock()
 	hs := make([]messenger.Holding, 0, len(l.sets))
 	for _, s := range l.sets {
+		if s.refused {
+			// Without room it fetches nothing: as a drawer it would only be waited for.
+			continue
+		}
 		h := messenger.Holding{Manifest: s.digest}
 		if s.transfer != nil {
 			h.Chunks = s.transfer.Chunks
@@ -384,10 +388,25 @@
 		klog.V(2).InfoS("Fetch planned", "agent", l.ID, "manifest", s.digest, "chunk", o.Chunk, "source", o.Source)
 		ctx, cancel := context.WithCancel(l.ctx)
 		l.cancels[fetch{s.digest, o}] = cancel
+		l.share(s, o.Chunk, (*planner.Transfer).Hold)
 		l.running.Go(func() { l.run(ctx, s, o) })
 	}
 }
 
+// share tells the other transfers that want the same chunk. Two versions often
+// share most of their chunks; each would otherwise fetch them for itself.
+func (l *Loader) share(s *set, chunk int, tell func(*planner.Transfer, int)) {
+	digest := s.manifest.Chunks[chunk]
+	for _, other := range l.sets {
+		if other == s || other.transfer == nil {
+			continue
+		}
+		for _, i := range other.places[digest] {
+			tell(other.transfer, i)
+		}
+	}
+}
+
 // cancelOverdue cuts fetches that trickle: they keep a slot, and neither fail
 // nor end.
 func (l *Loader) cancelOverdue(s *set, now time.Time) {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -32,13 +32,19 @@
 
 // publish makes weights of n chunks of 1000 bytes, the last one shorter.
 func publish(version string, n int) weights {
-	r := rand.New(rand.NewPCG(uint64(n), uint64(len(version)+int(version[len(version)-1]))))
-	w := weights{bytes: make([]byte, n*1000-300)}
-	for i := range w.bytes {
-		w.bytes[i] = byte(r.Uint32())
+	r := rand.New(rand.NewPCG(uint64(n), uint64(version[len(version)-1])))
+	b := make([]byte, n*1000-300)
+	for i := range b {
+		b[i] = byte(r.Uint32())
 	}
-	w.manifest = fetcher.Manifest{Model: "rota", Version: version, Size: int64(len(w.bytes)), ChunkSize: 1000}
-	for i := range n {
+	return pack(version, b)
+}
+
+// pack cuts bytes into chunks and makes their manifest.
+func pack(version string, b []byte) weights {
+	w := weights{bytes: b}
+	w.manifest = fetcher.Manifest{Model: "rota", Version: version, Size: int64(len(b)), ChunkSize: 1000}
+	for i := range (len(b) + 999) / 1000 {
 		w.manifest.Chunks = append(w.manifest.Chunks, bundler.Digest(w.chunk(i)))
 	}
 	w.body, _ = json.Marshal(w.manifest)
@@ -99,21 +105,34 @@
 	server *httptest.Server
 }
 
-func start(t *testing.T, id string, sources ...fetcher.Source) *agent {
+func newAgent(t *testing.T, id string, sources ...fetcher.Source) *agent {
 	a := &agent{Loader: &loader.Loader{
 		ID: id, FailureDomain: "a", Region: "huon", Sources: sources, Memory: 1 << 20,
-		Peer:     func(at netip.AddrPort) fetcher.Source { return &fetcher.HTTP{Address: at} },
-		Patience: 200 * time.Millisecond, Settle: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Seed: 1,
+		Peer:     func(at netip.AddrPort) fetcher.Source { return &fetcher.HTTP{Address: at, Timeout: time.Second} },
+		Patience: 50 * time.Millisecond, Settle: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Seed: 1,
 	}}
 	a.server = httptest.NewServer(a.Handler())
 	t.Cleanup(a.server.Close)
+	return a
+}
+
+// run serves until the function that it returns is called.
+func (a *agent) run(t *testing.T) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = a.Serve(ctx)
 	}()
-	t.Cleanup(func() { cancel(); <-done })
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func start(t *testing.T, id string, sources ...fetcher.Source) *agent {
+	a := newAgent(t, id, sources...)
+	t.Cleanup(a.run(t))
 	return a
 }
 
@@ -125,26 +144,39 @@
 	}
 }
 
-// await waits until the weights are whole and returns their bytes.
+// await waits until the weights are whole and checks their bytes.
 func (a *agent) await(t *testing.T, w weights) {
+	t.Helper()
+	a.awaitChunks(t, w, len(w.manifest.Chunks))
+	r, err := a.Weights(w.digest)
+	must.NoError(t, err)
+	got, err := io.ReadAll(r)
+	must.NoError(t, err)
+	must.True(t, bytes.Equal(w.bytes, got))
+}
+
+// awaitChunks waits until so many chunks are held.
+func (a *agent) awaitChunks(t *testing.T, w weights, chunks int) {
+	t.Helper()
+	a.awaitProgress(t, w, func(p loader.Progress) bool { return p.Chunks >= chunks })
+}
+
+func (a *agent) awaitProgress(t *testing.T, w weights, good func(loader.Progress) bool) {
 	t.Helper()
 	end := time.After(20 * time.Second)
 	for {
 		changed := a.Changed()
-		if _, ok := a.Whole(w.digest); ok {
-			break
+		for _, p := range a.Progress() {
+			if p.Manifest == w.digest && good(p) {
+				return
+			}
 		}
 		select {
 		case <-changed:
 		case <-end:
-			t.Fatalf("agent %s: weights never whole: %+v", a.ID, a.Progress())
+			t.Fatalf("agent %s: %+v", a.ID, a.Progress())
 		}
 	}
-	r, err := a.Weights(w.digest)
-	must.NoError(t, err)
-	got, err := io.ReadAll(r)
-	must.NoError(t, err)
-	must.True(t, bytes.Equal(w.bytes, got))
 }
 
 func TestWeightsReachAllAgents(t *testing.T) {
--- a/internal/loader/memory.go
+++ b/internal/loader/memory.go
@@ -44,17 +44,24 @@
 	s.transfer = l.newTransfer(s, now)
 	s.transfer.Start(now, have)
 	s.learn(l.holders, l.heard)
+	for f := range l.cancels {
+		if other := l.sets[f.manifest]; other != nil {
+			l.share(other, f.order.Chunk, (*planner.Transfer).Hold)
+		}
+	}
 	klog.V(1).InfoS("Weights admitted", "agent", l.ID, "manifest", s.digest, "bytes", s.manifest.Size, "usedBytes", l.used)
 	l.announce()
 	return true
 }
 
 func (l *Loader) refuse(s *set) {
-	if !s.refused {
-		klog.ErrorS(nil, "No room for weights", "agent", l.ID, "manifest", s.digest, "bytes", s.manifest.Size,
-			"usedBytes", l.used, "memoryBytes", l.Memory)
+	if s.refused {
+		return
 	}
+	klog.ErrorS(nil, "No room for weights", "agent", l.ID, "manifest", s.digest, "bytes", s.manifest.Size,
+		"usedBytes", l.used, "memoryBytes", l.Memory)
 	s.refused = true
+	l.announce()
 }
 
 // lacking is the room in bytes that a set needs beyond what others hold already.
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -102,6 +102,7 @@
 		cancel()
 		delete(l.cancels, f)
 	}
+	l.share(s, o.Chunk, (*planner.Transfer).Release)
 	if l.sets[s.digest] != s || s.transfer == nil {
 		return
 	}
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -99,9 +99,13 @@
 	}
 }
 
+// mostDoublings bounds the exponential backoff, so that a source which comes back
+// after a long outage is noticed soon.
+const mostDoublings = 3
+
 // shun leaves a source that doesn't answer alone, longer with each failure.
 func (t *Transfer) shun(p *peer, now time.Time) {
-	p.avoidUntil = now.Add(t.jitter(t.Patience << min(p.failures, 5)))
+	p.avoidUntil = now.Add(t.jitter(t.Patience << min(p.failures, mostDoublings)))
 	p.failures++
 }
 
@@ -112,7 +116,7 @@
 	if _, ok := s.(FromPeer); ok {
 		return t.AvoidFor
 	}
-	return t.BusyBackoff << min(t.origin.failures, 5)
+	return t.BusyBackoff << min(t.origin.failures, mostDoublings)
 }
 
 // met is what was met with a source; for a peer no longer known, a blank.
@@ -138,8 +142,8 @@
 	return !now.Before(p.avoidUntil) && !now.Before(p.busyUntil)
 }
 
-// open tells whether chunk i is neither held nor on its way.
-func (t *Transfer) open(i int) bool { return !t.have.Has(i) && !t.inFlight.Has(i) }
+// open tells whether chunk i is neither here nor on its way.
+func (t *Transfer) open(i int) bool { return !t.have.Has(i) && !t.inFlight.Has(i) && !t.held.Has(i) }
 
 // draw picks a chunk that this agent alone should ask the origin for.
 func (t *Transfer) draw(now time.Time) (Order, bool) {
@@ -207,7 +211,7 @@
 	offered := t.offered(now, func(p *peer) bool { return p.Region == t.Region })
 	best, ties := 0, 0
 	for b, v := range offered {
-		for v &= ^t.have.octet(b) & ^t.inFlight.octet(b); v != 0; v &= v - 1 {
+		for v &= ^t.have.octet(b) & ^t.inFlight.octet(b) & ^t.held.octet(b); v != 0; v &= v - 1 {
 			i := b*8 + bits.TrailingZeros8(v)
 			switch {
 			case i >= t.Chunks:
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -108,6 +108,8 @@
 	Rand      *rand.Rand
 
 	have, inFlight Bitmap
+	// held are chunks on their way for another transfer of the same agent.
+	held Bitmap
 	// count is of chunks held; drawing and bringing are of fetches in flight from
 	// the origin and from other regions.
 	count, drawing, bringing int
@@ -153,7 +155,7 @@
 // Start notes the chunks that are already in memory.
 func (t *Transfer) Start(now time.Time, have Bitmap) {
 	t.have, t.inFlight = NewBitmap(t.Chunks), NewBitmap(t.Chunks)
-	t.scratch = NewBitmap(t.Chunks)
+	t.held, t.scratch = NewBitmap(t.Chunks), NewBitmap(t.Chunks)
 	copy(t.have, have)
 	t.count = t.have.Count()
 	t.lastGain = now
@@ -242,6 +244,13 @@
 	}
 }
 
+// Hold leaves a chunk alone until Release: it is on its way for another transfer
+// of this agent that shares it.
+func (t *Transfer) Hold(chunk int) { t.held.Set(chunk) }
+
+// Release undoes Hold.
+func (t *Transfer) Release(chunk int) { t.held.Clear(chunk) }
+
 // Peers lists the known peers that may be asked what they hold: those that this
 // agent may fetch from and that haven't failed lately.
 func (t *Transfer) Peers(now time.Time) []string {
