Add TLS between our processes and towards operators

Certificates come from files, are read anew when they change and are needed wherever an address is not on loopback. A failed handshake counts as a failed dial, since nothing was sent. A claim made by this entry no longer lets it say 'not run' on its own: a repeat through another entry may have run meanwhile.

--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
 	"github.com/oriolecroft/oriolecroft/internal/agent"
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/configurer"
 	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
 	"github.com/oriolecroft/oriolecroft/internal/driver"
@@ -52,10 +54,19 @@
 	if err != nil {
 		return err
 	}
-	a := newAgent(s, at)
+	tls, err := s.Certifier()
+	if err != nil {
+		return err
+	}
+	a := newAgent(s, at, tls)
 	if a.Listener, err = net.Listen("tcp", at.Listen.String()); err != nil {
 		return listenError(err, at.Listen)
 	}
+	if tls != nil && a.Loader != nil {
+		if a.ForEngine, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return listenError(err, netip.MustParseAddrPort("127.0.0.1:0"))
+		}
+	}
 	if at.Operators.IsValid() {
 		if a.Operators, err = net.Listen("tcp", at.Operators.String()); err != nil {
 			return listenError(err, at.Operators)
@@ -66,7 +77,7 @@
 }
 
 // newAgent puts the parts together; the listeners are still missing.
-func newAgent(s *configurer.Agent, at configurer.AgentAddresses) *agent.Agent {
+func newAgent(s *configurer.Agent, at configurer.AgentAddresses, tls *certifier.Certifier) *agent.Agent {
 	c := clock.RealClock{}
 	incarnation := uuid.NewString()
 	a := &agent.Agent{
@@ -80,6 +91,7 @@
 		Gate:          &admitter.Gate{Clock: c, ColdLimit: s.ColdLimit, Limit: s.Limit},
 		Ledger:        &deduplicator.Ledger{Clock: c, Owner: s.ID, Incarnation: incarnation},
 		Clock:         c,
+		Certifier:     tls,
 		Heartbeat:     s.Heartbeat,
 		ReportTo:      s.ReportTo,
 	}
@@ -94,7 +106,7 @@
 		Region:        s.Region,
 		Self:          at.Listen,
 		Sources:       sources(at.WeightStore, at.Origin),
-		Peer:          source,
+		Peer:          peers(tls),
 		Memory:        s.Memory,
 		Clock:         c,
 	}
@@ -112,6 +124,14 @@
 	return ss
 }
 
+// peers makes the sources that other agents are.
+func peers(tls *certifier.Certifier) func(netip.AddrPort) fetcher.Source {
+	client := &http.Client{Transport: &http.Transport{DialContext: tls.Dial, DisableCompression: true}}
+	return func(a netip.AddrPort) fetcher.Source {
+		return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client}
+	}
+}
+
 func source(a netip.AddrPort) fetcher.Source {
 	return &fetcher.HTTP{Address: a, Timeout: chunkTimeout}
 }
--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/configurer"
 	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
 	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
@@ -62,7 +63,11 @@
 	if err != nil {
 		return err
 	}
-	e := newEntry(s, a)
+	tls, err := s.Certifier()
+	if err != nil {
+		return err
+	}
+	e := newEntry(s, a, tls)
 	for _, l := range []struct {
 		to *net.Listener
 		at netip.AddrPort
@@ -81,7 +86,7 @@
 }
 
 // newEntry puts the parts together; the listeners are still missing.
-func newEntry(s *configurer.Entry, a configurer.EntryAddresses) *entry.Entry {
+func newEntry(s *configurer.Entry, a configurer.EntryAddresses, tls *certifier.Certifier) *entry.Entry {
 	c := clock.RealClock{}
 	store := &storer.HTTP{Address: a.Store, Timeout: storeTimeout}
 	state := &gossiper.State{
@@ -111,6 +116,7 @@
 		Tracker:       &tracker.Tracker{Clock: c, Stale: agentStale * s.Heartbeat},
 		Roller:        &roller.Roller{Clock: c},
 		Clock:         c,
+		Certifier:     tls,
 		KeepFor:       s.KeepFor,
 		Heartbeat:     s.Heartbeat,
 	}
@@ -125,7 +131,7 @@
 		Limiter:    e.Limiter,
 		Policy:     &retrier.Policy{Budget: &retrier.Budget{Clock: c}, Random: random()},
 		Claims:     &deduplicator.Claims{Store: store, Clock: c},
-		Agents:     forwarder.NewClient(),
+		Agents:     forwarder.NewClient(tls.Dial),
 		Clock:      c,
 		Deadline:   s.Deadline,
 		QueueFor:   s.QueueFor,
--- a/cmd/oriolecroft/roll.go
+++ b/cmd/oriolecroft/roll.go
@@ -11,6 +11,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/oriolecroft/oriolecroft/internal/configurer"
 	"github.com/oriolecroft/oriolecroft/internal/inspector"
 	"github.com/oriolecroft/oriolecroft/internal/publisher"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -47,6 +48,7 @@
 // rollFlags say whom to ask how a roll goes, and how long.
 type rollFlags struct {
 	storeFlags
+	tls       configurer.TLS
 	operators []string
 	wait      time.Duration
 }
@@ -55,6 +57,7 @@
 	r.storeFlags.bind(flags)
 	r.wait = rollWait
 	flags.StringSlice(&r.operators, "", "operators", "operators' addresses of the entries, with commas or repeated [OC_ENTRIES_OPERATORS]")
+	bindTLS(&r.tls, flags)
 	flags.Duration(&r.wait, "", "wait", "how long to wait until the bundle is in force everywhere")
 }
 
@@ -117,7 +120,11 @@
 		how = "was accepted before"
 	}
 	fmt.Printf("revision %d (change %s) %s\n", result.Bundle.Revision, result.Bundle.ChangeID, how)
-	return watchRoll(ctx, result.Bundle, at, r.wait)
+	i, err := inspect(&r.tls)
+	if err != nil {
+		return err
+	}
+	return watchRoll(ctx, i, result.Bundle, at, r.wait)
 }
 
 // explainRace shows a loser what it lost to and how to go on.
@@ -134,7 +141,7 @@
 }
 
 // watchRoll prints a line whenever the roll has come further.
-func watchRoll(ctx context.Context, b *bundler.Bundle, at []netip.AddrPort, wait time.Duration) error {
+func watchRoll(ctx context.Context, i inspector.Inspector, b *bundler.Bundle, at []netip.AddrPort, wait time.Duration) error {
 	if len(at) == 0 {
 		fmt.Println("no --operators given: not waiting for confirmation")
 		return nil
@@ -145,7 +152,7 @@
 	defer t.Stop()
 	shown := ""
 	for {
-		p := inspector.Measure(b, inspector.Survey(ctx, at))
+		p := inspector.Measure(b, i.Survey(ctx, at))
 		if line := p.String(); line != shown && ctx.Err() == nil {
 			fmt.Println(line)
 			shown = line
--- a/cmd/oriolecroft/status.go
+++ b/cmd/oriolecroft/status.go
@@ -6,6 +6,9 @@
 	"os"
 	"text/tabwriter"
 
+	"github.com/integrii/flaggy"
+
+	"github.com/oriolecroft/oriolecroft/internal/configurer"
 	"github.com/oriolecroft/oriolecroft/internal/inspector"
 )
 
@@ -18,10 +21,12 @@
 
 func statusCommand() command {
 	var operators []string
+	var tls configurer.TLS
 	var asJSON bool
 	flags := newCommand("status", "show entries, agents and revisions", helpStatus)
 	flags.StringSlice(&operators, "", "operators", "operators' addresses of the entries, with commas or repeated [OC_ENTRIES_OPERATORS]")
 	flags.Bool(&asJSON, "", "json", "print JSON")
+	bindTLS(&tls, flags)
 	return command{flags: flags, run: func(ctx context.Context) error {
 		at, err := operatorAddresses(operators)
 		if err != nil {
@@ -30,7 +35,11 @@
 		if len(at) == 0 {
 			return &UsageError{Problem: "--operators: give at least one entry's operators' address"}
 		}
-		d := inspector.Survey(ctx, at)
+		i, err := inspect(&tls)
+		if err != nil {
+			return err
+		}
+		d := i.Survey(ctx, at)
 		if asJSON {
 			err = printJSON(d)
 		} else {
@@ -43,6 +52,19 @@
 	}}
 }
 
+// bindTLS adds the flags of certificates, with defaults from the environment.
+func bindTLS(s *configurer.TLS, flags *flaggy.Subcommand) {
+	s.Certificate = os.Getenv("OC_TLS_CERTIFICATE")
+	s.Key = os.Getenv("OC_TLS_KEY")
+	s.Authority = os.Getenv("OC_TLS_AUTHORITY")
+	s.Bind(flags)
+}
+
+func inspect(s *configurer.TLS) (inspector.Inspector, error) {
+	c, err := s.Certifier()
+	return inspector.Inspector{Certifier: c}, err
+}
+
 func printDeployment(d inspector.Deployment) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ENTRY\tDOMAIN\tREVISION\tFRESH\tSTORE\tRUNNING\tALARMS")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
 	"github.com/oriolecroft/oriolecroft/internal/driver"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
@@ -34,6 +35,11 @@
 	FailureDomain string
 	Region        string
 	Listener      net.Listener
+	// ForEngine serves whole weights to the engine, which knows no TLS of ours; nil
+	// means that Listener does.
+	ForEngine net.Listener
+	// Certifier makes connections between our processes; nil means plain ones.
+	Certifier *certifier.Certifier
 	// Operators serves status, metrics and health; nil leaves it out.
 	Operators net.Listener
 	// Seeds are the peer addresses of some entries.
@@ -76,9 +82,15 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	s := suture.New("agent", suture.Spec{EventHook: reporter.LogEvents})
-	s.Add(&reporter.Web{Name: "requests", Listener: a.Listener, Handler: a.handler()})
+	s.Add(&reporter.Web{Name: "requests", Listener: a.Certifier.Listen(a.Listener), Handler: a.handler()})
 	if a.Operators != nil {
-		s.Add(&reporter.Web{Name: "operators", Listener: a.Operators, Handler: a.operators()})
+		s.Add(&reporter.Web{Name: "operators", Listener: a.Certifier.Listen(a.Operators), Handler: a.operators()})
+	}
+	if a.ForEngine != nil {
+		s.Add(&reporter.Web{Name: "weights", Listener: a.ForEngine, Handler: a.Loader.Handler()})
+	}
+	if a.Certifier != nil {
+		s.Add(a.Certifier)
 	}
 	s.Add(reporter.Every("holds", a.Clock, holdEvery, a.hold))
 	s.Add(reporter.Every("probe", a.Clock, probeEvery, a.probe))
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -141,7 +141,7 @@
 func (l *links) connect(ctx context.Context, to netip.AddrPort) *link {
 	ctx, cancel := context.WithCancel(ctx)
 	k := &link{cancel: cancel}
-	k.client = &messenger.Client{Address: to, Timeout: reportTimeout, OnNews: l.pushed}
+	k.client = &messenger.Client{Address: to, Timeout: reportTimeout, Dial: l.agent.Certifier.Dial, OnNews: l.pushed}
 	go l.run(ctx, k)
 	return k
 }
--- a/internal/agent/switcher.go
+++ b/internal/agent/switcher.go
@@ -273,7 +273,11 @@
 }
 
 func (s *switcher) url(manifest string) string {
-	return "http://" + addressOf(s.agent.Listener).String() + "/weights/" + manifest
+	l := s.agent.Listener
+	if s.agent.ForEngine != nil {
+		l = s.agent.ForEngine
+	}
+	return "http://" + addressOf(l).String() + "/weights/" + manifest
 }
 
 // verify asks the engine what it holds now, whatever the order's answer was: an
--- /dev/null
+++ b/internal/certifier/certifier_test.go
@@ -0,0 +1,180 @@
+package certifier_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"k8s.io/utils/clock"
+	testclock "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
+)
+
+// authority signs certificates for the tests.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	must.NoError(t, err)
+	c, err = x509.ParseCertificate(der)
+	must.NoError(t, err)
+	return &authority{certificate: c, key: key}
+}
+
+// issue writes a certificate for loopback with the given serial number.
+func (a *authority) issue(t *testing.T, dir string, serial int64) *certifier.Certifier {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "vm"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.certificate, &key.PublicKey, a.key)
+	must.NoError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	must.NoError(t, err)
+	write(t, dir, "cert.pem", "CERTIFICATE", der)
+	write(t, dir, "key.pem", "PRIVATE KEY", private)
+	write(t, dir, "ca.pem", "CERTIFICATE", a.certificate.Raw)
+	return &certifier.Certifier{
+		CertificateFile: filepath.Join(dir, "cert.pem"),
+		KeyFile:         filepath.Join(dir, "key.pem"),
+		AuthorityFile:   filepath.Join(dir, "ca.pem"),
+		Clock:           clock.RealClock{},
+	}
+}
+
+func write(t *testing.T, dir, name, kind string, data []byte) {
+	t.Helper()
+	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data})
+	must.NoError(t, os.WriteFile(filepath.Join(dir, name), block, 0o600))
+}
+
+// serve answers each connection with one byte.
+func serve(t *testing.T, c *certifier.Certifier) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	wrapped := c.Listen(l)
+	go func() {
+		for {
+			conn, err := wrapped.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = conn.Write([]byte("x"))
+				conn.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// read dials and reads the byte.
+func read(t *testing.T, c *certifier.Certifier, address string) (net.Conn, error) {
+	t.Helper()
+	conn, err := c.Dial(t.Context(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { conn.Close() })
+	// A plain client waits for the server's byte, the server for its handshake.
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	return conn, err
+}
+
+func TestOnlyTheAuthoritysOwnGetThrough(t *testing.T) {
+	a := newAuthority(t)
+	server := a.issue(t, t.TempDir(), 2)
+	must.NoError(t, server.Load())
+	address := serve(t, server)
+
+	client := a.issue(t, t.TempDir(), 3)
+	must.NoError(t, client.Load())
+	_, err := read(t, client, address)
+	must.NoError(t, err)
+
+	_, err = read(t, nil, address)
+	must.Error(t, err)
+
+	stranger := newAuthority(t).issue(t, t.TempDir(), 4)
+	must.NoError(t, stranger.Load())
+	_, err = read(t, stranger, address)
+	must.Error(t, err)
+}
+
+// A peer is not one of ours, or its certificate has lapsed. Were the failed
+// handshake not told apart from a broken connection, an entry would have to call a
+// booking that it never sent "unknown".
+func TestFailedHandshakeIsAFailedDial(t *testing.T) {
+	server := newAuthority(t).issue(t, t.TempDir(), 2)
+	must.NoError(t, server.Load())
+	client := newAuthority(t).issue(t, t.TempDir(), 3)
+	must.NoError(t, client.Load())
+	_, err := client.Dial(t.Context(), "tcp", serve(t, server))
+	var o *net.OpError
+	must.True(t, errors.As(err, &o))
+	must.Eq(t, "dial", o.Op)
+}
+
+func TestCertificateIsReplacedWithoutARestart(t *testing.T) {
+	a := newAuthority(t)
+	dir := t.TempDir()
+	server := a.issue(t, dir, 2)
+	c := testclock.NewFakeClock(time.Now())
+	server.Clock = c
+	must.NoError(t, server.Load())
+	address := serve(t, server)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+
+	client := a.issue(t, t.TempDir(), 3)
+	must.NoError(t, client.Load())
+	a.issue(t, dir, 5)
+	later := time.Now().Add(time.Minute)
+	must.NoError(t, os.Chtimes(filepath.Join(dir, "cert.pem"), later, later))
+	renewed := func() bool {
+		c.Step(5 * time.Second)
+		conn, err := read(t, client, address)
+		if err != nil {
+			return false
+		}
+		peer := conn.(*tls.Conn).ConnectionState().PeerCertificates[0]
+		return peer.SerialNumber.Int64() == 5
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(renewed), wait.Timeout(10*time.Second), wait.Gap(10*time.Millisecond)))
+}
--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -27,6 +27,7 @@
 	Heartbeat      time.Duration `envconfig:"HEARTBEAT" default:"300ms"`
 	ReportTo       int           `envconfig:"REPORT_TO" default:"4"`
 	Signers
+	TLS
 }
 
 // NewAgent reads the environment.
@@ -55,6 +56,7 @@
 	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often entries are told of this agent [OC_HEARTBEAT]")
 	sc.Int(&s.ReportTo, "", "reportTo", "how many entries are told [OC_REPORT_TO]")
 	s.Signers.Bind(sc)
+	s.TLS.Bind(sc)
 }
 
 // AgentAddresses are an agent's checked addresses; those not set are invalid.
@@ -88,7 +90,8 @@
 	if s.Memory <= 0 {
 		c.add("memory", "%d bytes must be above zero", s.Memory)
 	}
-	s.check(c)
+	s.Signers.check(c)
+	s.TLS.check(c, map[string]netip.AddrPort{"listen": a.Listen, "operators": a.Operators})
 	return a, c.err()
 }
 
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -27,6 +27,7 @@
 	ResumeFor     time.Duration `envconfig:"RESUME_FOR" default:"5s"`
 	Concurrent    int           `envconfig:"CONCURRENT" default:"512"`
 	Signers
+	TLS
 }
 
 // NewEntry reads the environment.
@@ -55,6 +56,7 @@
 	sc.Duration(&s.ResumeFor, "", "resumeFor", "how long a stream that was cut waits for its agent to return [OC_RESUME_FOR]")
 	sc.Int(&s.Concurrent, "", "concurrent", "how many requests this entry carries at once [OC_CONCURRENT]")
 	s.Signers.Bind(sc)
+	s.TLS.Bind(sc)
 }
 
 // EntryAddresses are an entry's checked addresses.
@@ -88,6 +90,7 @@
 	if s.Heartbeat > 0 && s.FreshFor < 3*s.Heartbeat {
 		c.add("freshFor", "%v must be at least three heartbeats of %v, or one lost message stops new work", s.FreshFor, s.Heartbeat)
 	}
-	s.check(c)
+	s.Signers.check(c)
+	s.TLS.check(c, map[string]netip.AddrPort{"peers": a.Peers, "operators": a.Operators})
 	return a, c.err()
 }
--- /dev/null
+++ b/internal/configurer/tls.go
@@ -0,0 +1,59 @@
+package configurer
+
+import (
+	"net/netip"
+
+	"github.com/integrii/flaggy"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
+)
+
+// TLS are the settings of certificates, the same for daemons and commands.
+type TLS struct {
+	Certificate string `envconfig:"TLS_CERTIFICATE"`
+	Key         string `envconfig:"TLS_KEY"`
+	Authority   string `envconfig:"TLS_AUTHORITY"`
+}
+
+// Bind adds the flags.
+func (s *TLS) Bind(sc *flaggy.Subcommand) {
+	sc.String(&s.Certificate, "", "tlsCertificate", "PEM file with this process's certificate [OC_TLS_CERTIFICATE]")
+	sc.String(&s.Key, "", "tlsKey", "PEM file with its key [OC_TLS_KEY]")
+	sc.String(&s.Authority, "", "tlsAuthority", "PEM file with the deployment's authority [OC_TLS_AUTHORITY]")
+}
+
+// Certifier gives what the settings say: nil when none is given.
+func (s *TLS) Certifier() (*certifier.Certifier, error) {
+	if s.Certificate == "" {
+		return nil, nil
+	}
+	c := &certifier.Certifier{
+		CertificateFile: s.Certificate,
+		KeyFile:         s.Key,
+		AuthorityFile:   s.Authority,
+		Clock:           clock.RealClock{},
+	}
+	return c, c.Load()
+}
+
+// check wants all files or none, and none only where nobody else can listen in.
+func (s *TLS) check(c *checker, listens map[string]netip.AddrPort) {
+	given := 0
+	for _, f := range []string{s.Certificate, s.Key, s.Authority} {
+		if f != "" {
+			given++
+		}
+	}
+	if given == 1 || given == 2 {
+		c.add("tlsCertificate", "give --tlsCertificate, --tlsKey and --tlsAuthority together, or none of them")
+	}
+	if given > 0 {
+		return
+	}
+	for setting, a := range listens {
+		if a.IsValid() && !a.Addr().IsLoopback() {
+			c.add(setting, "%v is not on loopback: give --tlsCertificate, --tlsKey and --tlsAuthority", a)
+		}
+	}
+}
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -127,21 +127,18 @@
 }
 
 // claim binds a key of the caller's own making by way of the store, so that all
-// entries send it to the same agent. The one that makes the claim knows that no
-// earlier attempt can have run.
+// entries send it to the same agent. Even the entry that makes the claim can't say
+// "not run" on its own: a repeat through another entry may have run meanwhile.
 func (c *call) claim(ctx context.Context) error {
 	fresh, err := c.dispatcher.mint(c.request.Workspace, c.request.Service)
 	if err != nil {
 		return err
 	}
 	mint := func() deduplicator.Key { return fresh }
-	k, first, err := c.dispatcher.Claims.Claim(ctx, c.request.Workspace, c.request.Service, c.request.Key, mint)
+	k, _, err := c.dispatcher.Claims.Claim(ctx, c.request.Workspace, c.request.Service, c.request.Key, mint)
 	if err != nil {
 		return refuse(http.StatusServiceUnavailable, "the key can not be claimed: "+err.Error(), pause())
 	}
-	if first {
-		c.doubtful = false
-	}
 	c.bound = &k
 	return nil
 }
--- a/internal/dispatcher/key.go
+++ b/internal/dispatcher/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -28,6 +29,10 @@
 func (d *Dispatcher) lookupKey(ctx context.Context, workspace, service, key string) (deduplicator.Key, error) {
 	if !deduplicator.IsKey(key) {
 		k, err := d.Claims.Find(ctx, workspace, service, key)
+		var unclaimed *deduplicator.UnclaimedError
+		if errors.As(err, &unclaimed) {
+			return deduplicator.Key{}, refuse(http.StatusNotFound, err.Error(), 0)
+		}
 		if err != nil {
 			return deduplicator.Key{}, refuse(http.StatusServiceUnavailable, err.Error(), pause())
 		}
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
@@ -129,7 +130,7 @@
 		Router:     &router.Router{FailureDomain: "a", Region: "r", Clock: c, StaleAfter: time.Hour, Random: random()},
 		Limiter:    &limiter.Limiter{Clock: c, Entries: func() int { return 1 }},
 		Policy:     &retrier.Policy{Budget: &retrier.Budget{Clock: c}, Random: random()},
-		Agents:     forwarder.NewClient(),
+		Agents:     forwarder.NewClient((*certifier.Certifier)(nil).Dial),
 		Clock:      c,
 		Deadline:   10 * time.Second,
 		QueueFor:   3 * time.Second,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/limiter"
@@ -48,6 +49,8 @@
 	Roller     *roller.Roller
 	Dispatcher *dispatcher.Dispatcher
 	Clock      clock.WithTicker
+	// Certifier makes connections between our processes; nil means plain ones.
+	Certifier *certifier.Certifier
 	// KeepFor is how long callers may keep the list of entries.
 	KeepFor time.Duration
 	// Heartbeat is how often entries exchange what they know.
@@ -77,12 +80,15 @@
 	receive := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
 	s := suture.New("entry", suture.Spec{EventHook: reporter.LogEvents})
 	s.Add(&reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.running.count(receive.Handler())})
-	s.Add(&reporter.Web{Name: "operators", Listener: e.Operators, Handler: e.operators()})
-	s.Add(&messenger.Server{Listener: e.Peers, OnReport: e.report, OnExchange: e.exchange})
+	s.Add(&reporter.Web{Name: "operators", Listener: e.Certifier.Listen(e.Operators), Handler: e.operators()})
+	s.Add(&messenger.Server{Listener: e.Certifier.Listen(e.Peers), OnReport: e.report, OnExchange: e.exchange})
 	s.Add(e.Watcher)
 	s.Add(e.Dispatcher)
 	s.Add(e.members)
 	s.Add(&applier{entry: e})
+	if e.Certifier != nil {
+		s.Add(e.Certifier)
+	}
 	if e.List != nil {
 		s.Add(reporter.Every("list", e.Clock, listEvery, e.readList))
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -137,7 +137,7 @@
 
 func (m *members) start(ctx context.Context, a netip.AddrPort, p *peer) {
 	ctx, p.cancel = context.WithCancel(ctx)
-	p.client = &messenger.Client{Address: a, Timeout: exchangeTimeout}
+	p.client = &messenger.Client{Address: a, Timeout: exchangeTimeout, Dial: m.entry.Certifier.Dial}
 	go m.run(ctx, p.client)
 }
 
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -13,10 +13,6 @@
 	"time"
 )
 
-// dialTimeout is how long an agent may take to accept a connection. Regions are
-// milliseconds apart; one that takes longer is as good as gone.
-const dialTimeout = 500 * time.Millisecond
-
 // idleConnections bounds what an entry keeps open to one agent.
 const idleConnections = 16
 
@@ -25,10 +21,13 @@
 	http *http.Client
 }
 
+// Dial makes a connection. Its errors are *net.OpError of the operation "dial".
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient makes a client with its own connections.
-func NewClient() *Client {
+func NewClient(dial Dial) *Client {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/entry"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -30,8 +31,18 @@
 	return fmt.Sprintf("%v answered with status %d", e.Address, e.Status)
 }
 
+// Inspector asks entries. Certifier makes the connections; nil means plain ones.
+type Inspector struct {
+	Certifier *certifier.Certifier
+}
+
+// client uses each connection once: a survey asks each entry once.
+func (i Inspector) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: i.Certifier.Dial, DisableKeepAlives: true}}
+}
+
 // Ask gets the status of one entry.
-func Ask(ctx context.Context, at netip.AddrPort) (entry.Status, error) {
+func (i Inspector) Ask(ctx context.Context, at netip.AddrPort) (entry.Status, error) {
 	var s entry.Status
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -39,7 +50,7 @@
 	if err != nil {
 		return s, err
 	}
-	res, err := http.DefaultClient.Do(r)
+	res, err := i.client().Do(r)
 	if err != nil {
 		return s, err
 	}
@@ -59,11 +70,11 @@
 }
 
 // Survey asks all given entries. Of each agent the newest account counts.
-func Survey(ctx context.Context, at []netip.AddrPort) Deployment {
+func (i Inspector) Survey(ctx context.Context, at []netip.AddrPort) Deployment {
 	d := Deployment{Silent: map[string]string{}}
 	agents := map[string]messenger.AgentState{}
 	for _, a := range at {
-		s, err := Ask(ctx, a)
+		s, err := i.Ask(ctx, a)
 		if err != nil {
 			d.Silent[a.String()] = err.Error()
 			continue
--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -54,6 +54,8 @@
 	Address netip.AddrPort
 	// Timeout bounds one call, connecting included.
 	Timeout time.Duration
+	// Dial makes connections; nil means plain ones.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnNews takes what the entry pushes by itself; nil drops it.
 	OnNews func(News)
 
@@ -105,8 +107,11 @@
 	if c.conn != nil {
 		return c.conn, nil
 	}
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
+	dial := c.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	raw, err := dial(ctx, "tcp", c.Address.String())
 	if err != nil {
 		return nil, err
 	}
