--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -88,6 +88,14 @@
 	return nil, &UnknownError{Err: err}
 }
 
+// OnConnect makes f be called once a request made with the context has its
+// connection. A restart of the upstream from then on breaks that connection.
+func OnConnect(ctx context.Context, f func()) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { f() },
+	})
+}
+
 // url is the address of a path on the upstream.
 func url(a netip.AddrPort, path string) string { return "http://" + a.String() + path }
 
--- /dev/null
+++ b/internal/driver/driver_test.go
@@ -0,0 +1,176 @@
+package driver_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/driver"
+)
+
+// serve starts an upstream and counts the requests that reach its handler.
+func serve(t *testing.T, h http.HandlerFunc) (netip.AddrPort, *atomic.Int64) {
+	t.Helper()
+	count := new(atomic.Int64)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		h(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String()), count
+}
+
+// hijack takes the connection from the HTTP server, writes text and closes it.
+func hijack(w http.ResponseWriter, text string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(c, text)
+	c.Close()
+}
+
+// vacant is an address at which nothing listens.
+func vacant(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// as gives the error of type E in err's chain.
+func as[E error](t *testing.T, err error) E {
+	t.Helper()
+	var e E
+	must.True(t, errors.As(err, &e), must.Sprintf("%T: %v", err, err))
+	return e
+}
+
+// is checks that an error of type E is in err's chain.
+func is[E error](t *testing.T, err error) {
+	t.Helper()
+	_ = as[E](t, err)
+}
+
+// A booking service dies after it has booked and before it answers. net/http
+// takes a request with an idempotency key and without a body for repeatable and
+// sends it again by itself when a kept connection breaks; two casuals then turn
+// up for one slot, and our logs show one call.
+func TestCallIsSentOnce(t *testing.T) {
+	address, count := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/book" {
+			hijack(w, "")
+		}
+	})
+	s := driver.Service{Address: address}
+	resp, err := s.Call(t.Context(), http.MethodPost, "/warm", nil, nil)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = driver.ReadReply(resp, 100)
+	must.NoError(t, err)
+	for _, name := range []string{"Idempotency-Key", "x-idempotency-key"} {
+		count.Store(0)
+		resp, err := s.Call(t.Context(), http.MethodPost, "/book", http.Header{name: {"7"}}, nil)
+		closeReply(resp)
+		is[*driver.UnknownError](t, err)
+		test.Eq(t, 1, count.Load())
+	}
+}
+
+func closeReply(resp *http.Response) {
+	if resp != nil {
+		resp.Body.Close()
+	}
+}
+
+// A service moves a path and answers with a redirect that asks for the same
+// request again. Followed blindly, the booking would be sent to an address that
+// no gate counts and no operator has named.
+func TestCallFollowsNoRedirect(t *testing.T) {
+	address, count := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	})
+	s := driver.Service{Address: address}
+	resp, err := s.Call(t.Context(), http.MethodPost, "/book", nil, nil)
+	must.NoError(t, err)
+	closeReply(resp)
+	test.Eq(t, http.StatusTemporaryRedirect, resp.StatusCode)
+	test.Eq(t, 1, count.Load())
+}
+
+func TestCallPassesTheRequestOn(t *testing.T) {
+	address, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprint(w, r.Header.Get("Booking"), r.Header.Get("Idempotency-Key"), r.Close, r.ContentLength, string(body))
+	})
+	connected := false
+	ctx := driver.OnConnect(t.Context(), func() { connected = true })
+	s := driver.Service{Address: address}
+	header := http.Header{"Booking": {"b7"}, "Idempotency-Key": {"x"}}
+	resp, err := s.Call(ctx, http.MethodPost, "/book", header, strings.NewReader(" slot 4"))
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := driver.ReadReply(resp, 100)
+	must.NoError(t, err)
+	test.Eq(t, "b7true 7 slot 4", string(data))
+	test.True(t, connected)
+}
+
+// A dial that fails is the only failure after which the caller may be told "not
+// run". Said of anything else, a lead would book the slot a second time.
+func TestErrorsTellWhatMayHaveRun(t *testing.T) {
+	s := driver.Service{Address: vacant(t)}
+	resp, err := s.Call(t.Context(), http.MethodPost, "/book", nil, strings.NewReader("x"))
+	closeReply(resp)
+	is[*driver.NotSentError](t, err)
+	test.True(t, driver.NotSent(err))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	address, _ := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	})
+	s = driver.Service{Address: address}
+	resp, err = s.Call(ctx, http.MethodPost, "/book", nil, nil)
+	closeReply(resp)
+	is[*driver.UnknownError](t, err)
+	test.False(t, driver.NotSent(err))
+}
+
+// A service's process dies while it writes its reply. The part that came must
+// not pass for the whole: a resident would read half of the permit's conditions.
+func TestReadReplyKnowsTheEnd(t *testing.T) {
+	replies := map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslot":                            true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nslot":                            false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nslot\r\n0\r\n\r\n": true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nslot\r\n":          false,
+		"HTTP/1.1 200 OK\r\n\r\nslot":                                                 false,
+	}
+	for text, whole := range replies {
+		address, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) { hijack(w, text) })
+		s := driver.Service{Address: address}
+		resp, err := s.Call(t.Context(), http.MethodPost, "/book", nil, nil)
+		must.NoError(t, err)
+		defer resp.Body.Close()
+		data, err := driver.ReadReply(resp, 100)
+		if whole {
+			must.NoError(t, err)
+			test.Eq(t, "slot", string(data))
+			continue
+		}
+		is[*driver.CutError](t, err)
+	}
+}
--- a/internal/driver/service.go
+++ b/internal/driver/service.go
@@ -55,28 +55,46 @@
 // closes its body. Errors are *NotSentError when the service certainly never had
 // the call, and *UnknownError when it may have run.
 func (s *Service) Call(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, method, url(s.Address, path), once(body))
+	r, err := http.NewRequestWithContext(ctx, method, url(s.Address, path), nil)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	r.Header = passed(header)
+	attach(r, body)
+	return send(sharedClient, r)
+}
+
+// passed copies the headers that go on to the service.
+func passed(header http.Header) http.Header {
+	out := http.Header{}
 	for name, values := range header {
 		for _, v := range values {
-			r.Header.Add(name, v)
+			out.Add(name, v)
 		}
 	}
 	for _, name := range dropped {
-		r.Header.Del(name)
+		out.Del(name)
 	}
-	return send(sharedClient, r)
+	return out
 }
 
-// once hides what kind of reader the body is, so that net/http sets no GetBody
-// and has no second copy to send.
-func once(body io.Reader) io.Reader {
+// attach gives the request its body, with its length where that is known. It
+// hides the reader's type, so that net/http has no GetBody and thus no second
+// copy to send.
+func attach(r *http.Request, body io.Reader) {
 	if body == nil {
-		return http.NoBody
+		return
+	}
+	r.Body = io.NopCloser(struct{ io.Reader }{body})
+	r.ContentLength = -1
+	sized, ok := body.(interface{ Len() int })
+	if !ok {
+		return
+	}
+	r.ContentLength = int64(sized.Len())
+	if r.ContentLength == 0 {
+		r.Body = http.NoBody
 	}
-	return struct{ io.Reader }{body}
 }
 
 // ReadReply reads the whole body of a reply of at most limit bytes and closes
