--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/router"
@@ -16,12 +15,22 @@
 
 // Sink takes a stream's events on their way to the caller.
 type Sink interface {
+	// Begin comes before the first event. With the resume token the caller can
+	// read on through any entry when this one is lost.
+	Begin(resume string) error
 	Event(e forwarder.Event) error
 }
 
 // Generate serves a request to a model. A *FailureError is the final answer; it
 // comes either before the first event or in place of the last.
 func (d *Dispatcher) Generate(ctx context.Context, g GenerateRequest, s Sink) error {
+	began := d.Clock.Now()
+	err := d.generate(ctx, g, s)
+	d.countEnd(began, err)
+	return err
+}
+
+func (d *Dispatcher) generate(ctx context.Context, g GenerateRequest, s Sink) error {
 	g.Defaults()
 	if err := g.Validate(); err != nil {
 		return refuse(http.StatusBadRequest, err.Error(), 0)
@@ -35,6 +44,10 @@
 		return err
 	}
 	defer t.Done()
+	if err := d.carry(); err != nil {
+		return err
+	}
+	defer d.drop()
 	wait := d.deadline(time.Duration(g.DeadlineMS) * time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -42,10 +55,14 @@
 		dispatcher: d,
 		request:    g,
 		id:         requestID(g.RequestID),
+		began:      d.Clock.Now(),
 		revision:   b.Revision,
 		deadline:   d.Clock.Now().Add(wait),
 		sink:       s,
 	}
+	if err := r.resume(); err != nil {
+		return err
+	}
 	return r.run(ctx)
 }
 
@@ -55,6 +72,7 @@
 	dispatcher *Dispatcher
 	request    GenerateRequest
 	id         string
+	began      time.Time
 	revision   uint64
 	deadline   time.Time
 	sink       Sink
@@ -62,16 +80,23 @@
 	attempts int
 	refusals []string
 	// next is the index of the event that the caller still needs.
-	next        int
-	owner       string
-	stream      string
-	version     string
-	weights     string
-	engineStart string
+	next int
+	bond
 	// earlier joins the outcomes of the attempts before the present one.
 	earlier retrier.Outcome
+	// left says that the caller reads no more.
+	left bool
+	// cutAt is when the stream broke; zero while it flows.
+	cutAt time.Time
 }
 
+const (
+	// resumePause is about how often a cut stream's agent is asked again.
+	resumePause = 150 * time.Millisecond
+	// busyPause bounds the pause after an agent said that it is full.
+	busyPause = 10 * time.Millisecond
+)
+
 func (g *generation) run(ctx context.Context) error {
 	g.dispatcher.Policy.Budget.First()
 	for {
@@ -94,6 +119,9 @@
 		return g.final(f.failure)
 	}
 	outcome := outcomeOf(err)
+	if g.again(ctx, err) {
+		return nil
+	}
 	now := g.dispatcher.Clock.Now()
 	decision := g.dispatcher.Policy.Decide(retrier.Attempt{
 		Outcome:    outcome,
@@ -101,7 +129,7 @@
 		Idempotent: true,
 		Number:     g.attempts,
 		Streamed:   g.next > 0,
-		SameEngine: g.engineStart != "",
+		SameEngine: g.EngineStart != "",
 		Now:        now,
 		Deadline:   g.deadline,
 	})
@@ -117,6 +145,21 @@
 	})
 }
 
+// again tells whether the next attempt costs nothing of the retry budget. An
+// agent that was full has done no work for the request, which goes back in line;
+// a stream that was cut is read on from where it was, and no work is done anew.
+func (g *generation) again(ctx context.Context, err error) bool {
+	d := g.dispatcher
+	now := d.Clock.Now()
+	if g.next > 0 {
+		if g.cutAt.IsZero() {
+			g.cutAt = now
+		}
+		return now.Sub(g.cutAt) < d.ResumeFor && sleep(ctx, d.Clock, resumePause/2+rand.N(resumePause))
+	}
+	return isBusy(err) && now.Before(g.deadline) && sleep(ctx, d.Clock, rand.N(busyPause))
+}
+
 func (g *generation) join(o retrier.Outcome) {
 	if g.attempts == 1 {
 		g.earlier = o
@@ -146,23 +189,32 @@
 
 func (g *generation) attempt(ctx context.Context) error {
 	d := g.dispatcher
-	c, err := d.Router.Pick(router.Request{
+	r := router.Request{
 		Workspace:   g.request.Workspace,
 		Model:       g.request.Model,
 		Adapter:     g.request.Adapter,
 		Prompt:      g.request.Prompt,
 		Priority:    g.request.Priority,
 		Tokens:      g.request.MaxTokens,
-		Owner:       g.owner,
-		Version:     g.version,
-		EngineStart: g.engineStart,
+		Owner:       g.Owner,
+		Version:     g.Version,
+		EngineStart: g.EngineStart,
 		Avoid:       g.refusals,
-	})
+	}
+	c, err := d.pick(ctx, r, g.deadline)
 	if err != nil {
 		return g.noChoice(err)
 	}
+	defer d.finished(r)
 	logRoute(g.id, g.attempts, c)
+	d.count(figureAttempts)
 	err = g.relay(ctx, c)
+	if ctx.Err() != nil || g.left {
+		// The caller left or ran out of time, which says nothing of the replica.
+		g.cancel(c)
+		c.Release()
+		return err
+	}
 	c.Done(attemptOutcome(err))
 	return err
 }
@@ -186,15 +238,15 @@
 // relay sends one attempt and passes its events on.
 func (g *generation) relay(ctx context.Context, c *router.Choice) error {
 	if g.next == 0 {
-		g.stream = g.id + "." + strconv.Itoa(g.attempts)
+		g.Stream = g.id + "." + strconv.Itoa(g.attempts)
 	}
 	stream, err := g.dispatcher.Agents.Generate(ctx, c.Address, g.order(c))
 	if err != nil {
-		g.refusals = append(g.refusals, c.AgentID)
+		g.avoid(c.AgentID, err)
 		return err
 	}
 	defer stream.Close()
-	if g.next > 0 && stream.EngineStart != g.engineStart {
+	if g.next > 0 && stream.EngineStart != g.EngineStart {
 		return &finalError{failure: g.ended("the engine restarted")}
 	}
 	for {
@@ -211,6 +263,14 @@
 	}
 }
 
+// avoid keeps further attempts away from an agent that failed. One that was only
+// full may be free by the time it is this request's turn.
+func (g *generation) avoid(id string, err error) {
+	if g.next == 0 && !isBusy(err) {
+		g.refusals = append(g.refusals, id)
+	}
+}
+
 func (g *generation) order(c *router.Choice) forwarder.GenerateOrder {
 	return forwarder.GenerateOrder{
 		Attempt:     forwarder.Attempt{RequestID: g.id, Number: g.attempts},
@@ -222,8 +282,8 @@
 		Priority:    g.request.Priority,
 		Revision:    g.revision,
 		Version:     c.Version,
-		EngineStart: g.engineStart,
-		Stream:      g.stream,
+		EngineStart: g.EngineStart,
+		Stream:      g.Stream,
 		From:        g.next,
 		DeadlineMS:  g.deadline.Sub(g.dispatcher.Clock.Now()).Milliseconds(),
 	}
@@ -236,21 +296,22 @@
 	if e.Failure != nil {
 		return &forwarder.UnknownError{Reason: e.Failure.Message}
 	}
-	if g.next == 0 && !e.Done {
-		g.owner, g.version, g.weights, g.engineStart = c.AgentID, e.Version, e.Weights, s.EngineStart
+	if err := g.bind(e, c, s); err != nil {
+		return err
 	}
-	if g.weights != "" && (e.Weights != g.weights || e.Version != g.version) {
+	if e.Weights != g.Weights || e.Version != g.Version || e.AdapterWeights != g.AdapterWeights {
 		return &finalError{failure: g.ended("the weights changed")}
 	}
 	if !e.Done && e.Index != g.next {
 		return &finalError{failure: g.ended("events were lost")}
 	}
 	if err := g.sink.Event(e); err != nil {
-		klog.InfoS("Caller left", "request", g.id, "event", g.next)
+		g.left = true
 		return &finalError{failure: g.ended("the caller left")}
 	}
 	if !e.Done {
 		g.next++
+		g.cutAt = time.Time{}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/receiver"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
+)
+
+// Status is what an entry tells operators.
+type Status struct {
+	State   messenger.EntryState   `json:"state"`
+	Fresh   bool                   `json:"fresh"`
+	Running int                    `json:"running"`
+	Entries []messenger.EntryState `json:"entries"`
+	Agents  []messenger.AgentState `json:"agents"`
+	Alarms  []reporter.Alarm       `json:"alarms,omitempty"`
+}
+
+func (e *Entry) status() Status {
+	return Status{
+		State:   e.members.self(),
+		Fresh:   e.State.MayServe() == nil,
+		Running: e.running.now(),
+		Entries: e.members.alive(),
+		Agents:  e.Router.Agents(),
+		Alarms:  reporter.Alarms(e.State),
+	}
+}
+
+// metrics are the figures that collectors read; the dispatcher adds its own.
+func (e *Entry) metrics() metrics.Registry {
+	r := e.Dispatcher.Metrics
+	gauge := func(name string, value func() int64) {
+		metrics.NewRegisteredFunctionalGauge(name, r, value)
+	}
+	gauge("bundle.revision", func() int64 { return int64(e.State.Word().Revision) })
+	gauge("bundle.ageMs", func() int64 { return e.State.Word().AgeMS })
+	gauge("bundle.alarms", func() int64 { return int64(len(e.State.Alarms())) })
+	gauge("store.deadWatches", e.Watcher.DeadWatches)
+	gauge("entries.alive", func() int64 { return int64(e.members.count()) })
+	gauge("agents.known", func() int64 { return int64(len(e.Router.Agents())) })
+	gauge("requests.running", func() int64 { return int64(e.running.now()) })
+	return r
+}
+
+// running counts callers' requests.
+type running struct {
+	mu    sync.Mutex
+	under int
+	idle  chan struct{}
+}
+
+// count wraps a handler.
+func (r *running) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.add(1)
+		defer r.add(-1)
+		h.ServeHTTP(w, q)
+	})
+}
+
+func (r *running) add(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.under += n
+	if r.under == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+func (r *running) now() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.under
+}
+
+// wait returns once no request is under way.
+func (r *running) wait() {
+	r.mu.Lock()
+	if r.under == 0 {
+		r.mu.Unlock()
+		return
+	}
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	idle := r.idle
+	r.mu.Unlock()
+	<-idle
+}
+
+func shuffle(es []receiver.Entry) {
+	rand.Shuffle(len(es), func(i, j int) { es[i], es[j] = es[j], es[i] })
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	a, err := netip.ParseAddrPort(l.Addr().String())
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -1,11 +1,15 @@
 package limiter
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
 // DefaultCapacity is how many requests wait at most in a Queue.
@@ -42,8 +46,7 @@
 	flows   map[string]float64
 	virtual float64
 	rate    drainRate
-	// returns is when the last refused caller was told to come back.
-	returns time.Time
+	returns retrier.Returns
 }
 
 // Join puts a request into the queue. When it would not start before its
@@ -79,12 +82,33 @@
 	return w
 }
 
-// Finished counts a request of that cost as done, waited or not. The rate at
-// which this happens while others wait is what waits are worked out from.
+// Return puts back a waiter that Next gave when there turned out to be no place
+// for it, ahead of all others. It gives a fresh Waiter for the same request, or
+// a *ShedError when its deadline is over.
+func (q *Queue) Return(w *Waiter) (*Waiter, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Clock.Now()
+	if w.over(now) {
+		return nil, q.shed("deadline before its turn", 0, now)
+	}
+	v := newWaiter(q, w.Item, w.start)
+	q.rate.pass(now, len(q.waiting) > 0)
+	q.waiting = slices.Insert(q.waiting, 0, v)
+	return v, nil
+}
+
+// Finished counts a request of that cost as done, waited or not; one that was
+// refused is not done. The rate at which this happens while others wait is what
+// waits are worked out from.
 func (q *Queue) Finished(cost float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.rate.pass(q.Clock.Now(), len(q.waiting) > 0)
+	if len(q.waiting) == 0 {
+		// What ends while nobody waits says how little was asked for.
+		return
+	}
+	q.rate.pass(q.Clock.Now(), true)
 	q.rate.finish(max(1, cost))
 }
 
@@ -129,11 +153,11 @@
 	return nil
 }
 
-// late tells whether a wait goes beyond the deadline. The first in line is never
-// late: with nobody waiting the rate cannot be measured anew, and a rate once
-// measured too low would refuse everybody from then on.
+// late tells whether a wait goes beyond the deadline. The first in line has no
+// wait at whatever rate: with nobody waiting the rate cannot be measured anew, and
+// one once measured too low would refuse everybody from then on.
 func (q *Queue) late(w *Waiter, wait time.Duration, now time.Time) bool {
-	return wait > 0 && !w.Deadline.IsZero() && now.Add(wait).After(w.Deadline)
+	return !w.Deadline.IsZero() && now.Add(wait).After(w.Deadline)
 }
 
 // waitOf is how long a newcomer would wait.
@@ -209,30 +233,36 @@
 	for at > 0 && q.waiting[at-1].start > w.start {
 		at--
 	}
-	q.waiting = append(q.waiting, nil)
-	copy(q.waiting[at+1:], q.waiting[at:])
-	q.waiting[at] = w
+	q.waiting = slices.Insert(q.waiting, at, w)
 }
 
 // remove takes the waiter at i out. With the last one gone, all flows start
 // equal again, which also keeps the map from growing for ever.
 func (q *Queue) remove(i int, now time.Time) {
 	q.rate.pass(now, true)
-	copy(q.waiting[i:], q.waiting[i+1:])
-	q.waiting[len(q.waiting)-1] = nil
-	q.waiting = q.waiting[:len(q.waiting)-1]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
 	if len(q.waiting) == 0 {
 		clear(q.flows)
-		q.virtual = 0
 	}
 }
 
-func (q *Queue) evict(v *Waiter, reason string, now time.Time) {
-	for i, w := range q.waiting {
-		if w == v {
-			q.remove(i, now)
-			v.wake(q.shed(reason, 0, now))
-			return
+// forget takes out a waiter that was not served, and lets those of its workspace
+// behind it move up. Otherwise a workspace would pay for turns that it never
+// had: seen as a small one refused although it asks for less than its part.
+func (q *Queue) forget(w *Waiter, now time.Time) {
+	i := slices.Index(q.waiting, w)
+	part := w.cost() / w.weight()
+	q.flows[w.Workspace] -= part
+	for _, v := range q.waiting[i+1:] {
+		if v.Workspace == w.Workspace {
+			v.start -= part
 		}
 	}
+	q.remove(i, now)
+	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int { return cmp.Compare(a.start, b.start) })
+}
+
+func (q *Queue) evict(v *Waiter, reason string, now time.Time) {
+	q.forget(v, now)
+	v.wake(q.shed(reason, 0, now))
 }
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -4,6 +4,7 @@
 package messenger
 
 import (
+	"math/bits"
 	"net/netip"
 	"time"
 
@@ -131,6 +132,9 @@
 // by itself when the bundle changes.
 type Report struct {
 	State AgentState `json:"state"`
+	// Record is the agent's bundle, sent only to an entry that has less: after
+	// all entries were replaced while the store was out, only agents have it.
+	Record *bundler.Record `json:"record,omitempty"`
 }
 
 // News brings an agent or an entry up to date.
@@ -165,3 +169,12 @@
 	// Agents are those that report to the sender directly, without holdings.
 	Agents []AgentState `json:"agents,omitempty"`
 }
+
+// Whole tells whether all chunks are there.
+func (h Holding) Whole() bool {
+	n := 0
+	for _, b := range h.Have {
+		n += bits.OnesCount8(b)
+	}
+	return h.Chunks > 0 && n == h.Chunks
+}
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -39,7 +39,7 @@
 	c.giveBack(o != retrier.NotRun)
 	c.router.judge(c.replica, o, now)
 	if o == retrier.Ran {
-		c.pool.rate.add(now)
+		c.pool.rate.Add(now)
 	}
 }
 
@@ -57,6 +57,7 @@
 // the last report can have counted it as running.
 func (c *Choice) giveBack(ran bool) {
 	c.done = true
+	c.pool.inflight--
 	p := c.replica
 	last := len(p.inflight) - 1
 	p.inflight[c.place] = p.inflight[last]
@@ -69,9 +70,7 @@
 	case ran:
 		p.settled++
 	}
-	if p.tier != nil {
-		p.tier.update(p)
-	}
+	p.update()
 }
 
 // judge sets how long a replica is passed over after an attempt. Without it the
@@ -82,10 +81,11 @@
 	switch o {
 	case retrier.Ran:
 		p.failures = 0
+		p.avoidUntil = time.Time{}
 	case retrier.NotRun:
 		r.avoid(p, now, orDuration(r.RefusedFor, DefaultRefusedFor))
 	default:
-		d := orDuration(r.FailedFor, DefaultFailedFor) << min(p.failures, 4)
+		d := orDuration(r.FailedFor, DefaultFailedFor) << min(p.failures, 2)
 		p.failures++
 		r.avoid(p, now, d)
 	}
--- a/internal/router/pick.go
+++ b/internal/router/pick.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
 // Request is what Pick needs to know of a request.
@@ -15,12 +13,13 @@
 	Model, Adapter, Service string
 	Prompt                  string
 	Priority                int
-	// Version and EngineStart, when set, bind the choice to one engine's start,
-	// for a stream that is resumed.
+	// Version and EngineStart, when set, bind the choice to one engine's start. A
+	// request with EngineStart resumes a stream.
 	Version, EngineStart string
 	// Avoid are the ids of agents that already refused this request.
 	Avoid []string
-	// Owner, when set, is the only agent that may get it.
+	// Owner, when set, is the only agent that may get it. It gets it although it
+	// failed or refused just now, as nobody else may.
 	Owner string
 	// Tokens is the expected length of the reply.
 	Tokens int
@@ -44,6 +43,7 @@
 	reasonHome  = "home of the prompt's prefix"
 	reasonDrawn = "less loaded of two"
 	reasonOnly  = "first that fits"
+	reasonSpare = "cold and perhaps unused by other entries"
 )
 
 // best is the cheapest candidate so far.
@@ -68,15 +68,21 @@
 	if err != nil {
 		return nil, err
 	}
+	if q.Owner != "" || q.EngineStart != "" {
+		return r.pickBound(k, &q, now)
+	}
 	l := r.pools[k]
 	if l == nil {
 		return nil, &NoReplicaError{Name: k.name}
 	}
+	if l.beyondShare(len(r.entries)) {
+		return nil, &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
+	}
 	b := r.choose(l, &q, now)
 	if b.replica == nil {
 		return nil, r.none(l, k, &q, now)
 	}
-	return r.count(l, b, now), nil
+	return r.count(l, b.replica, b.reason, now), nil
 }
 
 // choose weighs the homes of the prefix and two free replicas of each tier, and
@@ -95,32 +101,29 @@
 			r.weigh(&b, t, t.free[r.Random.IntN(len(t.free))], q, now, link, reasonDrawn)
 		}
 	}
-	if b.replica == nil {
-		r.scan(&b, l, q, now)
+	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
+		r.scan(&b, &l.tiers[i], l.tiers[i].free, q, now, reasonOnly)
+	}
+	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
+		r.scan(&b, &l.tiers[i], l.tiers[i].spare, q, now, reasonSpare)
 	}
 	return b
 }
 
-// scan takes the first free replica that fits, nearest tier first.
-func (r *Router) scan(b *best, l *pool, q *Request, now time.Time) {
-	for i := range l.tiers {
-		t := &l.tiers[i]
-		if len(t.free) == 0 {
-			continue
-		}
-		start := r.Random.IntN(len(t.free))
-		for j := range t.free {
-			r.weigh(b, t, t.free[(start+j)%len(t.free)], q, now, 0, reasonOnly)
-			if b.replica != nil {
-				return
-			}
-		}
+// scan takes the first of a list that fits, from a random one on.
+func (r *Router) scan(b *best, t *tier, l list, q *Request, now time.Time, reason string) {
+	if len(l) == 0 {
+		return
+	}
+	start := r.Random.IntN(len(l))
+	for i := 0; i < len(l) && b.replica == nil; i++ {
+		r.weigh(b, t, l[(start+i)%len(l)], q, now, 0, reason)
 	}
 }
 
 // weigh takes p as the best if it may have the request and costs less.
 func (r *Router) weigh(b *best, t *tier, p *replica, q *Request, now time.Time, link float64, reason string) {
-	if p == nil || p.free < 0 || !p.serves(q) || p.avoided(q, now) {
+	if p == nil || p.in == nil || p.in == &t.spare && reason != reasonSpare || !p.serves(q) || p.avoided(q, now) {
 		return
 	}
 	c := r.cost(t, p, link, reason == reasonHome)
@@ -158,8 +161,7 @@
 
 // count makes the choice and counts it on the replica, before any report can:
 // otherwise all requests between two reports would go to the same replica.
-func (r *Router) count(l *pool, b best, now time.Time) *Choice {
-	p := b.replica
+func (r *Router) count(l *pool, p *replica, reason string, now time.Time) *Choice {
 	c := &Choice{
 		AgentID:       p.state.ID,
 		Incarnation:   p.state.Incarnation,
@@ -167,16 +169,17 @@
 		FailureDomain: p.state.FailureDomain,
 		Version:       p.state.Version,
 		EngineStart:   p.state.EngineStart,
-		Reason:        b.reason,
+		Reason:        reason,
 		router:        r,
 		replica:       p,
 		pool:          l,
 		picked:        now,
 		place:         len(p.inflight),
 	}
+	l.inflight++
 	p.inflight = append(p.inflight, c)
 	p.fresh++
-	p.tier.update(p)
+	p.update()
 	return c
 }
 
@@ -185,7 +188,7 @@
 	for i := range l.tiers {
 		for _, p := range l.tiers[i].ring {
 			if p.serves(q) {
-				return &FullError{Name: k.name, RetryAfter: retrier.RetryAfter(1, l.rate.at(now), r.Random)}
+				return &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
 			}
 		}
 	}
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -11,20 +11,24 @@
 
 // replica is what the router knows of one incarnation of an agent.
 type replica struct {
-	state    messenger.AgentState
-	previous string
-	current  bool
-	heard    time.Time
+	state messenger.AgentState
+	// gone are the incarnations before this one, latest first.
+	gone    []string
+	current bool
+	heard   time.Time
 
 	// list, before and after keep the replica's place by time heard.
 	list          *heardList
 	before, after *replica
 
-	// tier, free and point are its place among the candidates; free is its place
-	// in the tier's list of those with room, -1 without.
+	// tier, point, in and at are its place among the candidates: at is the index
+	// in the list it is in, if any.
 	tier  *tier
-	free  int
 	point uint64
+	in    *list
+	at    int
+	// quota is how many requests this entry may have there while it is cold.
+	quota int
 
 	// inflight are this entry's own requests that are not done.
 	inflight []*Choice
@@ -40,15 +44,26 @@
 }
 
 func newReplica(s messenger.AgentState) *replica {
-	return &replica{state: s, free: -1, point: xxhash.Sum64String(s.ID)}
+	return &replica{state: s, point: xxhash.Sum64String(s.ID)}
 }
 
-// newer tells whether a report is later than the one at hand.
+// maxGone is how many earlier incarnations are remembered.
+const maxGone = 8
+
+// succeed takes over what must outlive the incarnation before.
+func (p *replica) succeed(old *replica) {
+	p.gone = append([]string{old.state.Incarnation}, old.gone...)
+	p.gone = p.gone[:min(maxGone, len(p.gone))]
+}
+
+// newer tells whether a report is later than the one at hand. One of an earlier
+// incarnation is not, whatever its sequence: relayed by another entry it would
+// come after its successor's, and requests would go to what is no longer there.
 func (p *replica) newer(s messenger.AgentState) bool {
 	if s.Incarnation == p.state.Incarnation {
 		return s.Sequence > p.state.Sequence
 	}
-	return s.Incarnation != p.previous
+	return !slices.Contains(p.gone, s.Incarnation)
 }
 
 // take replaces the state by a newer report, which counts our picks up to the
@@ -79,6 +94,13 @@
 
 func (p *replica) room() int { return p.state.Limit - p.estimate() }
 
+// update brings the tier in line with the replica's load.
+func (p *replica) update() {
+	if p.tier != nil {
+		p.tier.update(p)
+	}
+}
+
 func (p *replica) unplace() {
 	if p.tier != nil {
 		p.tier.remove(p)
