--- a/internal/deduplicator/claims.go
+++ b/internal/deduplicator/claims.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return Key{}, false, err
 	}
-	ours := identity(mint())
+	ours := mint()
 	for range claimTries {
 		err = c.create(ctx, name, ours)
 		if err == nil {
@@ -86,7 +86,7 @@
 		k, err = c.read(ctx, name, workspace, service)
 		var missing *storer.NotFoundError
 		if !errors.As(err, &missing) {
-			return k, err == nil && k == ours, c.failed(err)
+			return k, err == nil && k.String() == ours.String(), c.failed(err)
 		}
 	}
 	return Key{}, false, c.failed(err)
--- a/internal/deduplicator/ledger.go
+++ b/internal/deduplicator/ledger.go
@@ -11,12 +11,13 @@
 
 // Defaults for the fields of Ledger.
 const (
-	defaultMaxEntries = 10_000
-	defaultMaxBytes   = 8 << 20
+	defaultMaxEntries = 50_000
+	defaultMaxBytes   = 16 << 20
 	defaultRetain     = time.Hour
 	defaultMaxAhead   = time.Minute
-	// entryBytes is what an entry takes besides its key's text and its reply.
-	entryBytes = 256
+	// entryBytes is what an entry takes besides its reply; BenchmarkLedgerMemory
+	// measures it.
+	entryBytes = 200
 )
 
 // Ledger is the memory of one agent incarnation of the calls it was asked to
@@ -26,7 +27,7 @@
 	Clock clock.PassiveClock
 	// Owner and Incarnation are those of the agent: other keys are never run.
 	Owner, Incarnation string
-	// MaxEntries and MaxBytes bound the memory; 0 means 10,000 and 8 MiB.
+	// MaxEntries and MaxBytes bound the memory; 0 means 50,000 and 16 MiB.
 	MaxEntries, MaxBytes int
 	// Retain is how long an ended call is kept when memory allows; 0 means an hour.
 	Retain time.Duration
@@ -36,7 +37,7 @@
 
 	mu      sync.Mutex
 	begun   bool
-	entries map[Key]*entry
+	entries map[name]*entry
 	ended   endedHeap
 	bytes   int
 	// horizon is the latest time of issue of all keys that were forgotten.
@@ -45,11 +46,13 @@
 
 // entry is what is known of one key.
 type entry struct {
-	key     Key
+	name    name
+	issued  time.Time
 	verdict Verdict
 	endedAt time.Time
 	bytes   int
-	done    chan struct{}
+	// done is made by the first that waits, and closed when the call has ended.
+	done chan struct{}
 }
 
 func (l *Ledger) begin() {
@@ -57,7 +60,7 @@
 		return
 	}
 	l.begun = true
-	l.entries = map[Key]*entry{}
+	l.entries = map[name]*entry{}
 	if l.MaxEntries <= 0 {
 		l.MaxEntries = defaultMaxEntries
 	}
@@ -72,19 +75,11 @@
 	}
 }
 
-// identity makes equal keys equal as map keys, whatever zone or monotonic
-// reading their times carry.
-func identity(k Key) Key {
-	k.Issued = k.Issued.UTC().Round(0)
-	return k
-}
-
 // Begin asks to run the call of key k. Only the verdict Run permits it.
 func (l *Ledger) Begin(k Key) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin()
-	k = identity(k)
 	v := l.look(k)
 	if _, ok := v.(Unseen); !ok {
 		return v
@@ -97,7 +92,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin()
-	return l.look(identity(k))
+	return l.look(k)
 }
 
 // look gives the verdict on k as things are.
@@ -105,7 +100,7 @@
 	if k.Owner != l.Owner || k.Incarnation != l.Incarnation {
 		return Unknown{Reason: OtherIncarnation}
 	}
-	if e, ok := l.entries[k]; ok {
+	if e, ok := l.entries[nameOf(k)]; ok {
 		return e.verdict
 	}
 	// A forgotten key would look like one never seen, and its call would run a
@@ -127,12 +122,8 @@
 	if !l.room(len(l.entries) + 1) {
 		return Unknown{Reason: Overrun}
 	}
-	// Making room may have moved the horizon past k itself.
-	if !k.Issued.After(l.horizon) {
-		return Unknown{Reason: Forgotten}
-	}
-	e := &entry{key: k, verdict: Running{}, bytes: entryBytes + k.size(), done: make(chan struct{})}
-	l.entries[k] = e
+	e := &entry{name: nameOf(k), issued: k.Issued.Round(0), verdict: Running{}, bytes: entryBytes}
+	l.entries[e.name] = e
 	l.bytes += e.bytes
 	return Run{}
 }
@@ -143,10 +134,10 @@
 	defer l.mu.Unlock()
 	l.begin()
 	if r.size() > l.MaxBytes/2 {
-		l.end(identity(k), Unknown{Reason: NotKept}, 0)
+		l.end(k, Unknown{Reason: NotKept}, 0)
 		return
 	}
-	l.end(identity(k), Replay{Reply: r}, r.size())
+	l.end(k, Replay{Reply: r}, r.size())
 }
 
 // Abandon ends a run in doubt: whether it took effect is not known.
@@ -154,7 +145,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin()
-	l.end(identity(k), Unknown{Reason: InDoubt}, 0)
+	l.end(k, Unknown{Reason: InDoubt}, 0)
 }
 
 // Refuse ends a call that Begin let run but that certainly never reached the
@@ -164,7 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin()
-	l.end(identity(k), Refused{}, 0)
+	l.end(k, Refused{}, 0)
 }
 
 // Close makes "not run" final for a key that has not been seen, and otherwise
@@ -173,7 +164,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin()
-	k = identity(k)
 	v := l.look(k)
 	if _, ok := v.(Unseen); !ok {
 		return v
@@ -187,7 +177,7 @@
 
 // end gives a running entry its last verdict.
 func (l *Ledger) end(k Key, v Verdict, bytes int) {
-	e, ok := l.entries[k]
+	e, ok := l.entries[nameOf(k)]
 	if !ok {
 		return
 	}
@@ -198,7 +188,9 @@
 	e.endedAt = l.Clock.Now()
 	e.bytes += bytes
 	l.bytes += bytes
-	close(e.done)
+	if e.done != nil {
+		close(e.done)
+	}
 	heap.Push(&l.ended, e)
 	l.room(len(l.entries))
 }
@@ -219,31 +211,46 @@
 }
 
 func (l *Ledger) forget(e *entry) {
-	delete(l.entries, e.key)
+	delete(l.entries, e.name)
 	l.bytes -= e.bytes
-	if e.key.Issued.After(l.horizon) {
-		l.horizon = e.key.Issued
+	if e.issued.After(l.horizon) {
+		l.horizon = e.issued
 	}
 }
 
 // Wait gives the verdict on k once it does not run any more.
 func (l *Ledger) Wait(ctx context.Context, k Key) (Verdict, error) {
-	k = identity(k)
-	l.mu.Lock()
-	l.begin()
-	e, ok := l.entries[k]
-	l.mu.Unlock()
-	if !ok {
+	e, done := l.waiting(k)
+	if e == nil {
 		return l.Lookup(k), nil
 	}
 	select {
-	case <-e.done:
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return e.verdict, nil
+	case <-done:
 	case <-ctx.Done():
 		return Running{}, ctx.Err()
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return e.verdict, nil
+}
+
+// waiting gives the entry of a call that runs and the channel that is closed
+// when it ends; nil when it does not run.
+func (l *Ledger) waiting(k Key) (*entry, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin()
+	e, ok := l.entries[nameOf(k)]
+	if !ok {
+		return nil, nil
+	}
+	if _, ok := e.verdict.(Running); !ok {
+		return nil, nil
+	}
+	if e.done == nil {
+		e.done = make(chan struct{})
+	}
+	return e, e.done
 }
 
 // Stats gives the number of keys kept and the bytes they are counted at.
@@ -252,28 +259,3 @@
 	defer l.mu.Unlock()
 	return len(l.entries), l.bytes
 }
-
-// size is the memory of the key's texts in bytes.
-func (k Key) size() int {
-	return len(k.Workspace) + len(k.Service) + len(k.Owner) + len(k.Incarnation) + len(k.Nonce)
-}
-
-// endedHeap has the ended call with the earliest time of issue first.
-type endedHeap []*entry
-
-func (h endedHeap) Len() int           { return len(h) }
-func (h endedHeap) Less(i, j int) bool { return h[i].key.Issued.Before(h[j].key.Issued) }
-func (h endedHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push is part of heap.Interface.
-func (h *endedHeap) Push(x any) { *h = append(*h, x.(*entry)) }
-
-// Pop is part of heap.Interface.
-func (h *endedHeap) Pop() any {
-	old := *h
-	last := len(old) - 1
-	e := old[last]
-	old[last] = nil
-	*h = old[:last]
-	return e
-}
