Prove the gate before a stand-in service that restarts unheard

This test shows it over HTTP with the driver and the stand-in service: warm, idle, restarted, then six bookings at once before the next regular probe.

Ruled out: a wait by wall clock; the fake clock moves only once all that can be refused has been.

--- /dev/null
+++ b/internal/admitter/service_test.go
@@ -0,0 +1,197 @@
+package admitter_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+	testingclock "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/admitter"
+	"github.com/oriolecroft/oriolecroft/internal/driver"
+	"github.com/oriolecroft/oriolecroft/standins/imitator"
+)
+
+// rig is a gate before a stand-in service, over HTTP.
+type rig struct {
+	gate    *admitter.Gate
+	clock   *testingclock.FakeClock // nil with the real clock
+	service driver.Service
+	url     string
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	c := testingclock.NewFakeClock(epoch)
+	s := &imitator.Service{Clock: c, Time: time.Second, Limit: 16, ColdLimit: 2, ColdFor: time.Hour}
+	r := connect(t, c, s, true)
+	r.clock = c
+	return r
+}
+
+// connect puts a gate before the service.
+func connect(t testing.TB, c clock.PassiveClock, s *imitator.Service, confirm bool) *rig {
+	t.Helper()
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	g := &admitter.Gate{Clock: c, ColdLimit: 2, Limit: 6, Confirm: confirm}
+	g.Open(admitter.Booting)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	return &rig{gate: g, service: driver.Service{Address: address}, url: server.URL}
+}
+
+// probe asks the service for its state and tells the gate.
+func (r *rig) probe(ctx context.Context) {
+	mark := r.gate.Mark()
+	h, err := driver.Check(ctx, &r.service)
+	r.gate.Probe(admitter.Probe{Mark: mark, Err: err, StartID: h.StartID, Uptime: h.Uptime, Cold: h.Cold})
+}
+
+// call passes one booking through the gate, as an agent does.
+func (r *rig) call(ctx context.Context) error {
+	k, err := r.gate.Enter(ctx, admitter.Work{})
+	if err != nil {
+		return err
+	}
+	resp, err := r.service.Call(driver.OnConnect(ctx, k.Connected), http.MethodPost, "/book", nil, nil)
+	if err == nil {
+		_, err = driver.ReadReply(resp, 1000)
+		resp.Body.Close()
+	}
+	outcome := admitter.Served
+	if err != nil {
+		outcome = admitter.Cut
+	}
+	k.Done(admitter.Result{Outcome: outcome, Latency: time.Second})
+	return err
+}
+
+// A booking service is restarted in a quiet minute, so that no broken connection
+// tells of it, and then the shed leads' swaps arrive together, before the next
+// regular probe. A gate that still trusts the last one sends them all; the cold
+// service falls over, and every one of those bookings is in doubt.
+func TestColdServiceIsSparedAfterAnUnheardRestart(t *testing.T) {
+	const calls = 6
+	r := newRig(t)
+	r.clock.Step(time.Hour)
+	for range calls {
+		r.probe(t.Context())
+		r.clock.Step(time.Second)
+	}
+	_, limit, _ := r.gate.State()
+	must.Eq(t, calls, limit)
+	r.fault(t, `{"restart":true}`)
+	results := make(chan error, calls)
+	for range calls {
+		go func() { results <- r.call(t.Context()) }()
+	}
+	served, full, doubtful := 0, 0, 0
+	for served+full+doubtful < calls {
+		select {
+		case <-r.gate.Wanted():
+			r.probe(t.Context())
+		case err := <-results:
+			var refused *admitter.RefusedError
+			switch {
+			case err == nil:
+				served++
+			case errors.As(err, &refused):
+				full++
+			default:
+				doubtful++
+			}
+		default:
+			r.pass(full+doubtful >= calls-2)
+		}
+	}
+	test.Eq(t, 0, doubtful)
+	test.Eq(t, 2, served)
+	test.Eq(t, imitated{WorstCold: 2}, r.counts(t))
+}
+
+// pass lets time go on once all that can be refused has been.
+func (r *rig) pass(settled bool) {
+	if settled {
+		r.clock.Step(time.Second)
+	}
+	runtime.Gosched()
+}
+
+func (r *rig) fault(t *testing.T, faults string) {
+	t.Helper()
+	resp, err := http.Post(r.url+"/admin/faults", "application/json", strings.NewReader(faults))
+	must.NoError(t, err)
+	resp.Body.Close()
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+}
+
+// imitated is what the stand-in counts of a cold start.
+type imitated struct {
+	FellOver  int `json:"fellOver"`
+	WorstCold int `json:"worstCold"`
+}
+
+func (r *rig) counts(t *testing.T) imitated {
+	t.Helper()
+	resp, err := http.Get(r.url + "/admin/counts")
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var c imitated
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&c))
+	return c
+}
+
+// BenchmarkConfirm is what the probes between calls cost: six callers at a
+// service that takes 20 ms for a call and has no cold start.
+func BenchmarkConfirm(b *testing.B) {
+	for _, confirm := range []bool{false, true} {
+		b.Run(fmt.Sprint(confirm), func(b *testing.B) {
+			r := connect(b, clock.RealClock{}, &imitator.Service{Time: 20 * time.Millisecond}, confirm)
+			ctx, cancel := context.WithCancel(b.Context())
+			defer cancel()
+			go r.keepProbing(ctx)
+			var callers sync.WaitGroup
+			next := make(chan struct{})
+			for range 6 {
+				callers.Go(func() {
+					for range next {
+						for r.call(ctx) != nil {
+							runtime.Gosched()
+						}
+					}
+				})
+			}
+			for b.Loop() {
+				next <- struct{}{}
+			}
+			close(next)
+			callers.Wait()
+		})
+	}
+}
+
+// keepProbing probes every 100 ms and whenever the gate asks for it.
+func (r *rig) keepProbing(ctx context.Context) {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		r.probe(ctx)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-r.gate.Wanted():
+		}
+	}
+}
