Let time go on only once the calls left have reached the stand-in

TestColdServiceIsSparedAfterAnUnheardRestart failed 1 run of 20 with a worst load of 1, want 2. The test was wrong: it moved the clock once the others had been refused, and one of the two calls could then end before the other had arrived. It now waits until the service says that all calls left are running. What it demands is the same: nothing in doubt, 2 served, worst load exactly 2, no fall.

--- a/internal/admitter/service_test.go
+++ b/internal/admitter/service_test.go
@@ -113,7 +113,7 @@
 				doubtful++
 			}
 		default:
-			r.pass(full+doubtful >= calls-2)
+			r.pass(t, calls-served-full-doubtful)
 		}
 	}
 	test.Eq(t, 0, doubtful)
@@ -121,9 +121,13 @@
 	test.Eq(t, imitated{WorstCold: 2}, r.counts(t))
 }
 
-// pass lets time go on once all that can be refused has been.
-func (r *rig) pass(settled bool) {
-	if settled {
+// pass lets time go on once all that are left are running at the service: any
+// sooner, one could end before the other has arrived.
+func (r *rig) pass(t *testing.T, left int) {
+	t.Helper()
+	state, err := r.service.State(t.Context())
+	must.NoError(t, err)
+	if state.Running == left {
 		r.clock.Step(time.Second)
 	}
 	runtime.Gosched()
