Bring the bundle back from agents when all entries were replaced

Cause: messenger.Report.Record was meant as the way back, but no agent sent it and no entry read it. After all entries had been replaced while the store was out, nobody but the agents knew the bundle, and the entries refused every request until the store was back.

Change: an agent whose entry named an older revision than its own sends the record along with its next report, and the entry offers it to its state, which checks the sign-offs as for a record from anywhere else.

Ruled out: keeping the record in the settings or on disk (VMs keep nothing), and a push at connect (a record on each reconnect of each agent).

Before, TestBundleOutlivesAllEntries: "revision 2 in force everywhere within 5s", timeout exceeded. After: pass in 4.9 s, most of it the settling time.

--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -53,6 +53,8 @@
 type link struct {
 	client *messenger.Client
 	cancel context.CancelFunc
+	// behind is set while the entry holds an older bundle than this agent.
+	behind bool
 }
 
 // Serve keeps a link to each entry that should hear of this agent.
@@ -217,12 +219,19 @@
 	l.sequence++
 	s.Sequence = l.sequence
 	l.mu.Unlock()
+	r := messenger.Report{State: s}
+	if k.behind {
+		// Entries that were all replaced while the store is out know no bundle, and
+		// would refuse every request until it is back.
+		_, r.Record = l.agent.State.Current()
+	}
 	asked := l.agent.Clock.Now()
-	n, err := k.client.Report(ctx, messenger.Report{State: s})
+	n, err := k.client.Report(ctx, r)
 	if err != nil {
 		klog.V(2).InfoS("Report failed", "agent", l.agent.ID, "entry", k.client.Address, "err", err)
 		return
 	}
+	k.behind = n.Word.Revision < s.Revision
 	l.take(n)
 	l.place(n, k.client.Address)
 	// The answer is as fresh as the question: while it was under way, or this
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,11 @@
 // report answers an agent: what it says is noted, and it gets what it lacks.
 func (e *Entry) report(r messenger.Report, l *messenger.Link) messenger.News {
 	s := r.State
+	if r.Record != nil {
+		if _, err := e.State.Offer(r.Record); err != nil {
+			klog.ErrorS(err, "Bundle from agent refused", "entry", e.ID, "agent", s.ID)
+		}
+	}
 	e.agents.note(s, l, e.Clock.Now())
 	e.see(s)
 	e.Tracker.Report(s)
