Have the gate wait for a probe before it goes beyond the cold limit

Cause: a service that was restarted while nothing ran there has no connection to break, so the agent learned of it only at the next probe, up to 100 ms later. A rush in between met a cold service with the gate still wide. The gate had its guard for this, Confirm, but the agent did not use it.

Change: the agent sets Confirm, enters by Gate.Enter, tells the gate when a request has its connection (httptrace), and probes at once when the gate wants it. What the bundle allows is checked after the wait, since it may have changed.

Ruled out: a shorter probe interval, which narrows the gap and does not close it.

Cost: beyond the cold limit of requests without a later probe, each further one waits for one round trip to the upstream on the same VM.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,6 +69,7 @@
 // Run serves until the context ends, then leaves: the gate closes, entries are
 // told, and what runs is finished.
 func (a *Agent) Run(ctx context.Context) error {
+	a.Gate.Confirm = true
 	a.links = newLinks(a)
 	a.proof = &proof{}
 	a.switcher = &switcher{agent: a}
@@ -81,7 +82,7 @@
 		s.Add(&reporter.Web{Name: "operators", Listener: a.Operators, Handler: a.operators()})
 	}
 	s.Add(reporter.Every("holds", a.Clock, holdEvery, a.hold))
-	s.Add(reporter.Every("probe", a.Clock, probeEvery, a.probe))
+	s.Add(&prober{agent: a})
 	s.Add(a.links)
 	if _, ok := a.Upstream.(*driver.Engine); ok {
 		s.Add(a.Loader)
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -43,11 +43,11 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	g, err := r.enter(o, stop)
+	g, err := r.enter(ctx, o, stop)
 	if err != nil {
 		return err
 	}
-	s := &relay{runner: r, engine: e, order: o, start: start, emit: emit}
+	s := &relay{runner: r, engine: e, order: o, ticket: g.ticket, start: start, emit: emit}
 	outcome, err := s.run(ctx)
 	if outcome == admitter.Cancelled {
 		r.agent.streams.abandon(g)
@@ -60,32 +60,43 @@
 // enter takes over a stream that is resumed, or lets a new one through the gate.
 // A stream that runs already is no new work: it is read on in a domain that is
 // drained and through a gate that is closed.
-func (r *runner) enter(o forwarder.GenerateOrder, stop context.CancelFunc) (*running, error) {
+func (r *runner) enter(ctx context.Context, o forwarder.GenerateOrder, stop context.CancelFunc) (*running, error) {
 	if o.From > 0 {
 		if g, ok := r.agent.streams.take(o.Stream, stop); ok {
 			return g, nil
 		}
 	}
-	err := r.check(func(b *bundler.Bundle) ([]string, bool) {
-		m, ok := b.Model(o.Model)
-		return m.FailureDomains, ok
-	})
-	if err != nil {
-		return nil, err
-	}
-	t, err := r.agent.Gate.Admit(admitter.Work{
+	w := admitter.Work{
 		Priority:    o.Priority,
 		Deadline:    r.deadline(o.DeadlineMS),
 		Model:       o.Model,
 		Version:     o.Version,
 		EngineStart: o.EngineStart,
+	}
+	t, err := r.admit(ctx, w, func(b *bundler.Bundle) ([]string, bool) {
+		m, ok := b.Model(o.Model)
+		return m.FailureDomains, ok
 	})
 	if err != nil {
-		return nil, refused(err)
+		return nil, err
 	}
 	return r.agent.streams.add(o.Stream, t, stop), nil
 }
 
+// admit lets new work through the gate, which may wait for a probe. What the
+// bundle allows is checked after the wait: it may have changed meanwhile.
+func (r *runner) admit(ctx context.Context, w admitter.Work, placed func(*bundler.Bundle) ([]string, bool)) (*admitter.Ticket, error) {
+	t, err := r.agent.Gate.Enter(ctx, w)
+	if err != nil {
+		return nil, refused(err)
+	}
+	if err := r.check(placed); err != nil {
+		t.Done(admitter.Result{Outcome: admitter.Cancelled})
+		return nil, err
+	}
+	return t, nil
+}
+
 // Cancel ends a stream whose caller left.
 func (r *runner) Cancel(stream string) { r.agent.streams.cancel(stream) }
 
@@ -109,6 +120,7 @@
 	runner *runner
 	engine *driver.Engine
 	order  forwarder.GenerateOrder
+	ticket *admitter.Ticket
 	start  func(string)
 	emit   func(forwarder.Event) error
 }
@@ -135,7 +147,7 @@
 	if s.order.From > 0 {
 		return s.engine.Resume(ctx, s.order.Stream, s.order.From)
 	}
-	return s.engine.Generate(ctx, driver.GenerateRequest{
+	return s.engine.Generate(noting(ctx, s.ticket), driver.GenerateRequest{
 		RequestID: s.order.Stream,
 		Prompt:    s.order.Prompt,
 		MaxTokens: s.order.MaxTokens,
@@ -253,21 +265,18 @@
 	if !ok || o.Service != r.agent.Service {
 		return nil, &forwarder.NotRunError{Reason: "no service " + o.Service + " here"}
 	}
-	err := r.check(func(b *bundler.Bundle) ([]string, bool) {
+	w := admitter.Work{Priority: o.Priority, Deadline: r.deadline(o.DeadlineMS)}
+	t, err := r.admit(ctx, w, func(b *bundler.Bundle) ([]string, bool) {
 		s, ok := b.Service(o.Service)
 		return s.FailureDomains, ok
 	})
 	if err != nil {
 		return nil, err
 	}
-	t, err := r.agent.Gate.Admit(admitter.Work{Priority: o.Priority, Deadline: r.deadline(o.DeadlineMS)})
-	if err != nil {
-		return nil, refused(err)
-	}
 	began := r.agent.Clock.Now()
 	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(time.Duration(o.DeadlineMS)*time.Millisecond))
 	defer cancel()
-	reply, outcome, err := call(detached, s, o, body)
+	reply, outcome, err := call(noting(detached, t), s, o, body)
 	t.Done(admitter.Result{Outcome: outcome, Latency: r.agent.Clock.Since(began)})
 	return reply, err
 }
