--- a/internal/gossiper/exchanger.go
+++ b/internal/gossiper/exchanger.go
@@ -68,15 +68,15 @@
 
 func (e *Exchanger) compareLoop(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
-		e.compare(ctx, turn)
+		e.Compare(ctx, turn)
 		e.sleep(ctx, e.Pause())
 	}
 }
 
-// compare asks a relay, which has the youngest confirmation. If that one is gone,
+// Compare asks a relay, which has the youngest confirmation. If that one is gone,
 // or in every other turn while no confirmation is young, it asks anyone: the list
 // of VMs lags, and the relays might all be lost or cut off together.
-func (e *Exchanger) compare(ctx context.Context, turn int) {
+func (e *Exchanger) Compare(ctx context.Context, turn int) {
 	relays := e.without(e.relays())
 	if e.urgent() && turn%2 == 1 {
 		relays = nil
@@ -100,9 +100,14 @@
 		case <-changed:
 		}
 		e.sleep(ctx, e.Below(orDefault(e.Spread, DefaultSpread)))
-		for _, p := range e.pick(e.Peers(), e.fanout()) {
-			_ = e.With(ctx, p)
-		}
+		e.Tell(ctx)
+	}
+}
+
+// Tell compares with a few peers at random, because of a change.
+func (e *Exchanger) Tell(ctx context.Context) {
+	for _, p := range e.pick(e.Peers(), e.fanout()) {
+		_ = e.With(ctx, p)
 	}
 }
 
--- a/internal/gossiper/model_test.go
+++ b/internal/gossiper/model_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
 	testclock "k8s.io/utils/clock/testing"
 	"pgregory.net/rapid"
 
@@ -87,6 +88,10 @@
 	messages []message
 	// misled is when a rolled-back store was last asked, by the revision it gave.
 	misled map[uint64]time.Time
+	// naive are nodes that get the same messages, take whatever bundle comes last
+	// and serve by it for ever. Their faults are counted.
+	naive                  []*bundler.Bundle
+	naiveBack, naiveServes int
 	// carried is when a node's confirmation came from a rolled-back store while it
 	// held a lower revision than now.
 	carried []time.Time
@@ -103,6 +108,8 @@
 type message struct {
 	to, life int
 	deliver  func(s *gossiper.State)
+	// record is what the message carries, for the naive node.
+	record *bundler.Record
 }
 
 func newModel(entries, agents int, storeRegion string) *model {
@@ -115,6 +122,7 @@
 		top:         make([]uint64, entries+agents),
 		cutStore:    map[int]bool{},
 		cut:         map[[2]int]bool{},
+		naive:       make([]*bundler.Bundle, entries+agents),
 		misled:      map[uint64]time.Time{},
 		carried:     make([]time.Time, entries+agents),
 		behind:      make([]time.Time, entries+agents),
@@ -144,7 +152,7 @@
 	}
 	m.nodes[i] = s
 	m.lives[i]++
-	m.top[i] = 0
+	m.top[i], m.naive[i] = 0, nil
 	m.behind[i], m.carried[i] = time.Time{}, time.Time{}
 }
 
@@ -158,8 +166,8 @@
 	m.present = n
 }
 
-func (m *model) send(to int, deliver func(s *gossiper.State)) {
-	m.messages = append(m.messages, message{to: to, life: m.lives[to], deliver: deliver})
+func (m *model) send(to int, r *bundler.Record, deliver func(s *gossiper.State)) {
+	m.messages = append(m.messages, message{to: to, life: m.lives[to], record: r, deliver: deliver})
 }
 
 // deliver hands over one message, unless its receiver was replaced.
@@ -169,6 +177,7 @@
 	if m.lives[x.to] != x.life {
 		return
 	}
+	m.deliverNaive(x)
 	before, _ := m.nodes[x.to].Current()
 	x.deliver(m.nodes[x.to])
 	if now, _ := m.nodes[x.to].Current(); before != nil && now != before {
@@ -176,6 +185,27 @@
 	}
 }
 
+func (m *model) deliverNaive(x message) {
+	if x.record == nil {
+		return
+	}
+	b, _ := bundler.Parse(x.record.Payload)
+	if old := m.naive[x.to]; old != nil && old.Revision > b.Revision {
+		m.naiveBack++
+	}
+	m.naive[x.to] = b
+}
+
+// checkNaive counts the naive nodes that serve by a bundle superseded for longer
+// than FreshFor.
+func (m *model) checkNaive() {
+	for _, b := range m.naive {
+		if b != nil && int(b.Revision) < len(m.accepted) && m.clock.Now().Sub(m.since[b.Revision]) > freshFor {
+			m.naiveServes++
+		}
+	}
+}
+
 // ask puts an entry's question to the store; the answer is under way.
 func (m *model) ask(i int) {
 	asked := m.clock.Now()
@@ -187,7 +217,7 @@
 		m.misled[uint64(m.present)] = asked
 	}
 	r := m.accepted[m.present-1]
-	m.send(i, func(s *gossiper.State) { _, _ = s.Observe(r, asked) })
+	m.send(i, r, func(s *gossiper.State) { _, _ = s.Observe(r, asked) })
 }
 
 // exchange lets node i ask entry j, as Exchanger and the agents' reports do.
@@ -198,12 +228,12 @@
 	asked := m.clock.Now()
 	mine, other := m.nodes[i].Word(), m.nodes[j]
 	if r := m.nodes[i].RecordFor(other.Word()); r != nil {
-		m.send(j, func(s *gossiper.State) { _, _ = s.Offer(r) })
+		m.send(j, r, func(s *gossiper.State) { _, _ = s.Offer(r) })
 	}
 	other.Hear(messenger.EntryState{ID: m.name(i), Word: mine})
 	answer := messenger.EntryState{ID: m.name(j), Region: m.region(j), StoreReachable: other.StoreReachable(), Word: other.Word()}
 	r := other.RecordFor(mine)
-	m.send(i, func(s *gossiper.State) {
+	m.send(i, r, func(s *gossiper.State) {
 		if r != nil {
 			_, _ = s.Offer(r)
 		}
@@ -214,6 +244,7 @@
 // check is the oracle.
 func (m *model) check(t *rapid.T) {
 	m.noteSpread()
+	m.checkNaive()
 	for i, s := range m.nodes {
 		b, r := s.Current()
 		if b == nil {
@@ -398,10 +429,19 @@
 // or restored from an old copy, links are cut. A user would notice a process
 // that goes back to an old bundle as work sent to where it was taken away, and
 // one that serves on unknowing as a drained failure domain that is not empty.
+//
+// The same messages go to a naive version, last writer wins and no freshness; it
+// has to fail, or the runs would prove nothing.
 func TestSpreadAgainstOracle(t *testing.T) {
+	back, serves := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(5, 3, "huon")
 		t.Repeat(m.actions())
 		m.settle(t)
+		back += m.naiveBack
+		serves += m.naiveServes
 	})
+	t.Logf("naive version: %d steps back, %d times serving by a superseded bundle", back, serves)
+	must.Positive(t, back)
+	must.Positive(t, serves)
 }
--- a/internal/gossiper/watcher.go
+++ b/internal/gossiper/watcher.go
@@ -83,7 +83,7 @@
 func (w *Watcher) probeLoop(ctx context.Context) {
 	w.sleep(ctx, w.jitter(w.probeAge()))
 	for ctx.Err() == nil {
-		if wait := w.untilProbe(); wait > 0 {
+		if wait := w.UntilProbe(); wait > 0 {
 			w.sleep(ctx, wait)
 			continue
 		}
@@ -94,8 +94,9 @@
 	}
 }
 
-// untilProbe is how long the last confirmation, wherever it came from, lasts.
-func (w *Watcher) untilProbe() time.Duration {
+// UntilProbe is how long not to ask the store, as the last confirmation, wherever
+// it came from, is young enough.
+func (w *Watcher) UntilProbe() time.Duration {
 	a := w.State.Age()
 	due := w.probeAge()
 	if w.Relay != nil && !w.Relay() {
