Shorten the votes during an outage and keep agents fresh through it

Change: votes name entries by 32 bits of a hash, grouped by region; agents get a word without votes (AgentWord); entries exchange more often when neither a confirmation nor the count is younger than ReachFor (Restless), and not all the time while the store is out.

TestGarbageInStore is new: a forged record and garbage in the store leave service as it is and raise the alarm.

--- a/internal/gossiper/exchanger.go
+++ b/internal/gossiper/exchanger.go
@@ -78,7 +78,7 @@
 // of VMs lags, and the relays might all be lost or cut off together.
 func (e *Exchanger) Compare(ctx context.Context, turn int) {
 	relays := e.without(e.relays())
-	if e.urgent() && turn%2 == 1 {
+	if e.State.Restless() && turn%2 == 1 {
 		relays = nil
 	}
 	for _, p := range e.pick(relays, 1) {
@@ -115,17 +115,12 @@
 // that entries started together do not stay in step.
 func (e *Exchanger) Pause() time.Duration {
 	every := orDefault(e.Every, DefaultEvery)
-	if e.urgent() {
+	if e.State.Restless() {
 		every /= urgency
 	}
 	return every/2 + e.Below(every)
 }
 
-// urgent holds while a bundle is known whose last confirmation grows old.
-func (e *Exchanger) urgent() bool {
-	return e.State.Known() > 0 && (e.State.Age() < 0 || e.State.Age() > e.State.ReachFor()*5/4)
-}
-
 // IsRelay tells whether this entry is one of those that ask the store on behalf
 // of its region.
 func (e *Exchanger) IsRelay() bool {
--- a/internal/gossiper/failure_test.go
+++ b/internal/gossiper/failure_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 	testclock "k8s.io/utils/clock/testing"
@@ -171,6 +172,28 @@
 	})
 }
 
+// Somebody with access to the store, but without the operators' keys, overwrites
+// the bundle. Entries that took it would run what nobody signed off; entries that
+// gave up their own would refuse all work.
+func TestGarbageInStore(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.publish(1)
+		f.startAll()
+		f.inForce(1, 5*time.Second)
+		pass(3 * time.Second)
+		i, err := f.store(nil).Get(f.t.Context(), gossiper.BundleKey)
+		must.NoError(f.t, err)
+		forged, err := record(2, "forged", operators[2]).Encode()
+		must.NoError(f.t, err)
+		for _, value := range [][]byte{forged, []byte("garbage")} {
+			i.Version, err = f.store(nil).Put(f.t.Context(), gossiper.BundleKey, value, i.Version, "")
+			must.NoError(f.t, err)
+			f.during(10*time.Second, func(n *node) { f.serves(n); must.True(f.t, holds(n.state, 1)) })
+		}
+		must.Positive(f.t, alarms(f.nodes[0].state, gossiper.AlarmBadRecord))
+	})
+}
+
 // More than half of the entries, but none of those beside the store, lose the
 // store and the rest together, and operators beside the store drain a failure
 // domain. Counting a majority alone takes that for an outage, and the cut-off
@@ -208,7 +231,7 @@
 	asked := c.Now()
 	c.SetTime(start.Add(20 * time.Second))
 	word := messenger.Word{Revision: 1, Digest: signed(1, "c1").Digest(), AgeMS: 5}
-	word.Silent = []messenger.Silence{{ID: "e1"}, {ID: "e2"}}
+	word.Silent = silence("e1", "e2")
 	s.Hear(messenger.EntryState{ID: "e1", Word: word})
 	s.HearAnswer(messenger.EntryState{ID: "e1", Word: word}, asked)
 	var stale *gossiper.StaleError
@@ -219,6 +242,16 @@
 	must.NoError(t, s.MayServe())
 }
 
+// silence is the word of some entries that the store failed them just now.
+func silence(ids ...string) []messenger.Silence {
+	var v messenger.Silence
+	for _, id := range ids {
+		v.IDs = append(v.IDs, uint32(xxhash.Sum64String(id)))
+		v.AgesMS = append(v.AgesMS, 0)
+	}
+	return []messenger.Silence{v}
+}
+
 // outageEntry is one of three entries, holds revision 2 and counts the store out.
 func outageEntry(t *testing.T) (*gossiper.State, *testclock.FakePassiveClock, messenger.Word) {
 	c := testclock.NewFakePassiveClock(start)
@@ -227,7 +260,7 @@
 	must.NoError(t, err)
 	c.SetTime(start.Add(20 * time.Second))
 	s.Fail()
-	w := messenger.Word{Revision: 2, Digest: signed(2, "c2").Digest(), AgeMS: 20000, Silent: []messenger.Silence{{ID: "e1"}}}
+	w := messenger.Word{Revision: 2, Digest: signed(2, "c2").Digest(), AgeMS: 20000, Silent: silence("e1")}
 	s.HearAnswer(messenger.EntryState{ID: "e1", Word: w}, c.Now())
 	must.NoError(t, s.MayServe())
 	return s, c, w
--- a/internal/gossiper/outage.go
+++ b/internal/gossiper/outage.go
@@ -1,10 +1,12 @@
 package gossiper
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 )
 
@@ -32,13 +34,16 @@
 	return s.fresh(now, s.failed) && s.failed.After(s.reached)
 }
 
+// voter is the short form of an entry's name in votes.
+func voter(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // vote keeps the youngest word of an entry on its reach of the store.
-func (s *State) vote(id string, p peer) {
-	if s.Entries == 0 {
+func (s *State) vote(id uint32, p peer) {
+	if s.Entries == 0 || id == voter(s.ID) {
 		return
 	}
 	if s.peers == nil {
-		s.peers = map[string]peer{}
+		s.peers = map[uint32]peer{}
 	}
 	if old, ok := s.peers[id]; ok && !p.at.After(old.at) {
 		return
@@ -46,6 +51,14 @@
 	s.peers[id] = p
 }
 
+// hearSilence counts the votes that another entry passes on.
+func (s *State) hearSilence(v messenger.Silence, askedAt time.Time) {
+	for i, id := range v.IDs[:min(len(v.IDs), len(v.AgesMS))] {
+		at := askedAt.Add(-time.Duration(v.AgesMS[i]) * time.Millisecond)
+		s.vote(id, peer{at: at, region: v.Region, reach: reachFailed})
+	}
+}
+
 // outageSeen tells since when it is certain enough that the store is out rather
 // than this process cut off. An agent takes its entries' word. An entry counts:
 // more than half of the deployment's entries, itself included, asked the store
@@ -74,21 +87,21 @@
 }
 
 func (s *State) majority(now time.Time) (time.Time, bool) {
-	votes, reached := s.votes(now)
+	failed, reached := s.votes(now)
 	needed := s.Entries/2 + 1
-	if reached || len(votes) < needed {
+	if reached || len(failed) < needed {
 		return time.Time{}, false
 	}
-	slices.SortFunc(votes, func(a, b peer) int { return b.at.Compare(a.at) })
-	at := votes[needed-1].at
+	slices.SortFunc(failed, func(a, b peer) int { return b.at.Compare(a.at) })
+	at := failed[needed-1].at
 	if s.StoreRegion == "" {
 		return at, true
 	}
-	i := slices.IndexFunc(votes, func(p peer) bool { return p.region == s.StoreRegion })
+	i := slices.IndexFunc(failed, func(p peer) bool { return p.region == s.StoreRegion })
 	if i < 0 {
 		return time.Time{}, false
 	}
-	return earlier(at, votes[i].at), true
+	return earlier(at, failed[i].at), true
 }
 
 // votes lists the entries that lately asked the store in vain, this one first,
@@ -117,12 +130,40 @@
 	if s.Entries == 0 || !s.unreachable(now) || s.known > s.revision() {
 		return nil
 	}
-	list := []messenger.Silence{{ID: s.ID, Region: s.Region, AgeMS: milliseconds(age(now, s.failed))}}
+	by := map[string]*messenger.Silence{}
+	add := func(id uint32, p peer) {
+		v := by[p.region]
+		if v == nil {
+			v = &messenger.Silence{Region: p.region}
+			by[p.region] = v
+		}
+		v.IDs = append(v.IDs, id)
+		v.AgesMS = append(v.AgesMS, milliseconds(age(now, p.at)))
+	}
+	add(voter(s.ID), peer{at: s.failed, region: s.Region})
 	for id, p := range s.peers {
 		if p.reach == reachFailed && s.fresh(now, p.at) {
-			list = append(list, messenger.Silence{ID: id, Region: p.region, AgeMS: milliseconds(age(now, p.at))})
+			add(id, p)
 		}
 	}
-	slices.SortFunc(list, func(a, b messenger.Silence) int { return cmp.Compare(a.ID, b.ID) })
+	var list []messenger.Silence
+	for _, region := range slices.Sorted(maps.Keys(by)) {
+		list = append(list, *by[region])
+	}
 	return list
 }
+
+// Restless tells whether neither a confirmation nor, while the store is out, the
+// count of those who say so is young. Entries then have to hear of each other
+// soon, or they would refuse work.
+func (s *State) Restless() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	old := s.ReachFor()
+	if s.known == 0 || (!s.confirmed.IsZero() && age(now, s.confirmed) <= old) {
+		return false
+	}
+	at, ok := s.outageSeen(now)
+	return !ok || age(now, at) > old
+}
--- a/internal/gossiper/propagation_test.go
+++ b/internal/gossiper/propagation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 	testclock "k8s.io/utils/clock/testing"
 
@@ -216,7 +218,7 @@
 func (p *propagation) report(a int, m *member) {
 	if p.random.Float64() >= loss {
 		p.offer(a, m.state.RecordFor(p.agents[a].Word()))
-		p.agents[a].HearWord(m.state.Word(), p.clock.Now().Add(-hop))
+		p.agents[a].HearWord(m.state.AgentWord(), p.clock.Now().Add(-hop))
 	}
 	p.after(heartbeat, func() { p.report(a, m) })
 }
@@ -285,3 +287,43 @@
 	b.ReportMetric(float64(p.calls)/seconds, "storeCalls/s")
 	b.ReportMetric(float64(p.swaps)/seconds/float64(n), "exchanges/entry/s")
 }
+
+// BenchmarkLongOutage takes the store away for half a minute and reports how
+// often entries ask it and each other meanwhile, how large one exchange is, and
+// for what share of the time processes refuse work.
+func BenchmarkLongOutage(b *testing.B) {
+	for _, n := range []int{9, 30, 100, 380} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				outage(b, n)
+			}
+		})
+	}
+}
+
+func outage(b *testing.B, n int) {
+	const span, sample = 30 * time.Second, 100 * time.Millisecond
+	p := newPropagation(n)
+	p.run(10*time.Second, func() bool { return false })
+	p.down, p.calls, p.swaps = true, 0, 0
+	refused, all := 0, 0
+	for range span / sample {
+		p.run(sample, func() bool { return false })
+		states := slices.Clone(p.agents)
+		for _, m := range p.entries {
+			states = append(states, m.state)
+		}
+		for _, s := range states {
+			all++
+			if s.MayServe() != nil {
+				refused++
+			}
+		}
+	}
+	word, err := json.Marshal(p.entries[0].state.Word())
+	must.NoError(b, err)
+	b.ReportMetric(100*float64(refused)/float64(all), "refused-%")
+	b.ReportMetric(float64(p.calls)/span.Seconds(), "storeCalls/s")
+	b.ReportMetric(float64(p.swaps)/span.Seconds()/float64(n), "exchanges/entry/s")
+	b.ReportMetric(float64(len(word)), "wordBytes")
+}
--- a/internal/gossiper/state.go
+++ b/internal/gossiper/state.go
@@ -57,7 +57,7 @@
 	failed time.Time
 	// outage is when entries saw the store out with the held revision highest.
 	outage  time.Time
-	peers   map[string]peer
+	peers   map[uint32]peer
 	alarms  map[AlarmKind]*Alarm
 	changed chan struct{}
 }
@@ -230,11 +230,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hearWord(e.Word, askedAt)
-	if e.ID == s.ID || e.ID == "" {
-		return
-	}
 	if e.StoreReachable {
-		s.vote(e.ID, peer{at: askedAt, reach: reachSucceeded, revision: e.Word.Revision, region: e.Region})
+		s.vote(voter(e.ID), peer{at: askedAt, reach: reachSucceeded, revision: e.Word.Revision, region: e.Region})
 	}
 }
 
@@ -255,13 +252,10 @@
 		s.learn(w.Revision, w.Digest, askedAt.Add(-w.Age()))
 	}
 	if w.Outage && w.Revision == s.revision() && w.Digest == s.digest {
-		s.outage = later(s.outage, askedAt.Add(-time.Duration(w.OutageAgeMS)*time.Millisecond))
+		s.outage = later(s.outage, askedAt.Add(-w.OutageAge()))
 	}
 	for _, v := range w.Silent {
-		at := askedAt.Add(-time.Duration(v.AgeMS) * time.Millisecond)
-		if v.ID != s.ID {
-			s.vote(v.ID, peer{at: at, region: v.Region, reach: reachFailed})
-		}
+		s.hearSilence(v, askedAt)
 	}
 }
 
@@ -298,11 +292,25 @@
 	s.confirmed = later(s.confirmed, at)
 }
 
-// Word is what this process passes on about its bundle.
+// Word is what an entry tells another about its bundle.
 func (s *State) Word() messenger.Word {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
+	w := s.word(now)
+	w.Silent = s.silent(now)
+	return w
+}
+
+// AgentWord is what an entry tells an agent: the same without the votes, which
+// agents do not count.
+func (s *State) AgentWord() messenger.Word {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.word(s.Clock.Now())
+}
+
+func (s *State) word(now time.Time) messenger.Word {
 	w := messenger.Word{Revision: s.revision(), Digest: s.digest, AgeMS: -1}
 	if s.bundle == nil {
 		return w
@@ -313,7 +321,6 @@
 	if at, ok := s.outageSeen(now); ok {
 		w.Outage, w.OutageAgeMS = true, milliseconds(age(now, at))
 	}
-	w.Silent = s.silent(now)
 	return w
 }
 
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -102,17 +102,23 @@
 	Silent []Silence `json:"silent,omitempty"`
 }
 
-// Silence is an entry's word, AgeMS milliseconds ago, that it does not reach the
-// store. As it passes from process to process it only ever ages.
+// Age is AgeMS as a duration; negative when the store was never heard.
+func (w Word) Age() time.Duration { return time.Duration(w.AgeMS) * time.Millisecond }
+
+// OutageAge is OutageAgeMS as a duration.
+func (w Word) OutageAge() time.Duration { return time.Duration(w.OutageAgeMS) * time.Millisecond }
+
+// Silence lists entries of one region that asked the store in vain. As it passes
+// from process to process it only ever ages.
 type Silence struct {
-	ID     string `json:"id"`
 	Region string `json:"region,omitempty"`
-	AgeMS  int64  `json:"ageMs"`
+	// IDs are the low 32 bits of the XXH64 of the entries' names, which keeps the
+	// list short in a large deployment.
+	IDs []uint32 `json:"ids"`
+	// AgesMS tells for each of them how many milliseconds ago that was.
+	AgesMS []int64 `json:"agesMs"`
 }
 
-// Age is AgeMS as a duration; negative when the store was never heard.
-func (w Word) Age() time.Duration { return time.Duration(w.AgeMS) * time.Millisecond }
-
 // EntryState is an entry's account of itself towards other entries and agents.
 type EntryState struct {
 	ID            string `json:"id"`
