--- a/internal/gossiper/model_test.go
+++ b/internal/gossiper/model_test.go
@@ -102,6 +102,7 @@
 	// of the entries have held the newest revision.
 	lastDown, spread time.Time
 	storeRegion      string
+	freshFor         time.Duration
 }
 
 // message is an answer under way to a node in the life in which it asked.
@@ -137,16 +138,16 @@
 
 func (m *model) name(i int) string { return fmt.Sprintf("n%d", i) }
 
-// region puts the first two entries beside the store.
+// region puts the first third of the entries, at least two, beside the store.
 func (m *model) region(i int) string {
-	if i < 2 {
+	if i < max(2, m.entries/3) {
 		return "huon"
 	}
-	return "derwent"
+	return "elsewhere"
 }
 
 func (m *model) restart(i int) {
-	s := &gossiper.State{Keyring: m.keys, Clock: m.clock, ID: m.name(i), Region: m.region(i), StoreRegion: m.storeRegion}
+	s := &gossiper.State{Keyring: m.keys, Clock: m.clock, ID: m.name(i), Region: m.region(i), StoreRegion: m.storeRegion, FreshFor: m.freshFor}
 	if i < m.entries {
 		s.Entries = m.entries
 	}
