Measure what control costs the real daemons

BenchmarkControlCost builds and starts the real processes on loopback, without any requests, and reads /proc.

--- /dev/null
+++ b/internal/gossiper/controlcost_test.go
@@ -0,0 +1,224 @@
+package gossiper_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/publisher"
+	"github.com/oriolecroft/oriolecroft/internal/storer"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+const (
+	costEntries = 9
+	costWarmUp  = 8 * time.Second
+	costSpan    = 10 * time.Second
+)
+
+// costCase is one deployment on loopback without any requests.
+type costCase struct {
+	agents     int
+	workspaces int
+	// every is the time between two changes; 0 means none.
+	every time.Duration
+}
+
+// usage is what a process has used since its start.
+type usage struct {
+	cpu   time.Duration
+	bytes float64 // read and written, on all sockets
+	rss   float64
+}
+
+// BenchmarkControlCost runs the real daemons and measures what they spend on
+// control alone: the mean of the entries and of the agents, in hundredths of a
+// core, megabytes resident and kilobytes read and written a second.
+func BenchmarkControlCost(b *testing.B) {
+	bin := b.TempDir()
+	build := exec.CommandContext(b.Context(), "go", "build", "-o", bin+"/", "../../cmd/oriolecroft", "../../standins")
+	out, err := build.CombinedOutput()
+	must.NoError(b, err, must.Sprint(string(out)))
+	for _, c := range []costCase{
+		{agents: 9, workspaces: 10},
+		{agents: 36, workspaces: 10},
+		{agents: 108, workspaces: 10},
+		{agents: 36, workspaces: 200},
+		{agents: 36, workspaces: 10, every: time.Second},
+		{agents: 36, workspaces: 200, every: time.Second},
+	} {
+		b.Run(fmt.Sprintf("agents=%d/workspaces=%d/every=%v", c.agents, c.workspaces, c.every), func(b *testing.B) {
+			for b.Loop() {
+				runCost(b, bin, c)
+			}
+		})
+	}
+}
+
+func runCost(b *testing.B, bin string, c costCase) {
+	d := &deployment{b: b, bin: bin, ports: freePorts(b, 2+3*costEntries+c.agents)}
+	defer d.stop()
+	d.startAll(c)
+	d.roll(c, 1)
+	pause(costWarmUp)
+	began := time.Now()
+	before := d.usages()
+	revision := uint64(1)
+	for time.Since(began) < costSpan {
+		if c.every == 0 {
+			pause(costSpan)
+			break
+		}
+		revision++
+		d.roll(c, revision)
+		pause(c.every - time.Since(began)%c.every)
+	}
+	d.report("entry", time.Since(began), before[:costEntries], d.usages()[:costEntries])
+	d.report("agent", time.Since(began), before[costEntries:], d.usages()[costEntries:])
+}
+
+// pause waits in real time, which is what is measured here.
+func pause(d time.Duration) { <-time.After(d) }
+
+// deployment is a set of real processes; the daemons come entries first.
+type deployment struct {
+	b       *testing.B
+	bin     string
+	ports   []netip.AddrPort
+	helpers []*exec.Cmd
+	daemons []*exec.Cmd
+}
+
+func freePorts(b *testing.B, n int) []netip.AddrPort {
+	var ports []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(b, err)
+		defer l.Close()
+		ports = append(ports, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return ports
+}
+
+func (d *deployment) start(name string, args ...string) *exec.Cmd {
+	c := exec.Command(filepath.Join(d.bin, name), args...)
+	must.NoError(d.b, c.Start())
+	return c
+}
+
+func (d *deployment) startAll(c costCase) {
+	store, service := d.ports[0], d.ports[1]
+	keys := strings.Join(keyring().Keys[:1], ",")
+	d.helpers = append(d.helpers,
+		d.start("standins", "kv", "--listen", store.String()),
+		d.start("standins", "service", "--listen", service.String()))
+	var seeds []string
+	for i := range costEntries {
+		seeds = append(seeds, d.ports[3+3*i].String())
+	}
+	pause(300 * time.Millisecond)
+	for i := range costEntries {
+		p := d.ports[2+3*i:]
+		d.daemons = append(d.daemons, d.start("oriolecroft", "entry", "--id", fmt.Sprintf("entry-%d", i),
+			"--failureDomain", "huon-a", "--region", "huon", "--callers", p[0].String(), "--peers", p[1].String(),
+			"--operators", p[2].String(), "--store", store.String(), "--seeds", strings.Join(seeds, ","),
+			"--entries", strconv.Itoa(costEntries), "--keys", keys))
+	}
+	for i := range c.agents {
+		d.daemons = append(d.daemons, d.start("oriolecroft", "agent", "--id", fmt.Sprintf("vm-%d", i),
+			"--failureDomain", "huon-a", "--region", "huon", "--listen", d.ports[2+3*costEntries+i].String(),
+			"--entrySeeds", strings.Join(seeds, ","), "--service", "bookings", "--serviceAddress", service.String(), "--keys", keys))
+	}
+}
+
+func (d *deployment) roll(c costCase, revision uint64) {
+	bundle := &bundler.Bundle{
+		Revision:       revision,
+		ChangeID:       fmt.Sprint(revision),
+		FailureDomains: []bundler.FailureDomain{{Name: "huon-a", Region: "huon"}},
+		Services:       []bundler.Service{{Name: "bookings"}},
+	}
+	for i := range c.workspaces {
+		bundle.Workspaces = append(bundle.Workspaces, bundler.Workspace{
+			Name:     fmt.Sprintf("workspace-%d", i),
+			Services: []string{"bookings"},
+			Limits:   bundler.Limits{RequestsPerSecond: 50, Concurrent: 20},
+		})
+	}
+	payload, err := bundle.Encode()
+	must.NoError(d.b, err)
+	r := &bundler.Record{Payload: payload}
+	must.NoError(d.b, r.Sign(operators[0]))
+	p := &publisher.Publisher{Store: &storer.HTTP{Address: d.ports[0]}, Keyring: bundler.Keyring{Keys: keyring().Keys[:1], Threshold: 1}}
+	_, err = p.Publish(d.b.Context(), r)
+	must.NoError(d.b, err)
+}
+
+func (d *deployment) stop() {
+	for _, c := range append(d.daemons, d.helpers...) {
+		_ = c.Process.Signal(syscall.SIGKILL)
+		_ = c.Wait()
+	}
+}
+
+func (d *deployment) usages() []usage {
+	var us []usage
+	for _, c := range d.daemons {
+		us = append(us, d.usage(c.Process.Pid))
+	}
+	return us
+}
+
+// usage reads /proc; a clock tick is 10 ms on Linux.
+func (d *deployment) usage(pid int) usage {
+	read := func(name string) string {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, name))
+		must.NoError(d.b, err)
+		return string(bytes.TrimSpace(data))
+	}
+	stat := read("stat")
+	f := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
+	var u usage
+	u.cpu = time.Duration(number(f[11])+number(f[12])) * 10 * time.Millisecond
+	for line := range strings.Lines(read("io")) {
+		if strings.HasPrefix(line, "rchar:") || strings.HasPrefix(line, "wchar:") {
+			u.bytes += number(strings.Fields(line)[1])
+		}
+	}
+	for line := range strings.Lines(read("status")) {
+		if strings.HasPrefix(line, "VmRSS:") {
+			u.rss = number(strings.Fields(line)[1]) * 1024
+		}
+	}
+	return u
+}
+
+func number(s string) float64 {
+	n, _ := strconv.ParseFloat(s, 64)
+	return n
+}
+
+// report gives the means.
+func (d *deployment) report(role string, span time.Duration, before, after []usage) {
+	var cpu, sent, rss float64
+	for i := range after {
+		cpu += (after[i].cpu - before[i].cpu).Seconds() / span.Seconds()
+		sent += (after[i].bytes - before[i].bytes) / span.Seconds()
+		rss += after[i].rss
+	}
+	n := float64(len(after))
+	d.b.ReportMetric(100*cpu/n, role+"-%core")
+	d.b.ReportMetric(sent/n/1000, role+"-kB/s")
+	d.b.ReportMetric(rss/n/1e6, role+"-MB")
+}
