--- a/internal/gossiper/exchanger.go
+++ b/internal/gossiper/exchanger.go
@@ -68,17 +68,17 @@
 
 func (e *Exchanger) compareLoop(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
-		e.compare(ctx, turn)
+		e.Compare(ctx, turn)
 		e.sleep(ctx, e.Pause())
 	}
 }
 
-// compare asks a relay, which has the youngest confirmation. If that one is gone,
+// Compare asks a relay, which has the youngest confirmation. If that one is gone,
 // or in every other turn while no confirmation is young, it asks anyone: the list
 // of VMs lags, and the relays might all be lost or cut off together.
-func (e *Exchanger) compare(ctx context.Context, turn int) {
+func (e *Exchanger) Compare(ctx context.Context, turn int) {
 	relays := e.without(e.relays())
-	if e.urgent() && turn%2 == 1 {
+	if e.State.Restless() && turn%2 == 1 {
 		relays = nil
 	}
 	for _, p := range e.pick(relays, 1) {
@@ -100,9 +100,14 @@
 		case <-changed:
 		}
 		e.sleep(ctx, e.Below(orDefault(e.Spread, DefaultSpread)))
-		for _, p := range e.pick(e.Peers(), e.fanout()) {
-			_ = e.With(ctx, p)
-		}
+		e.Tell(ctx)
+	}
+}
+
+// Tell compares with a few peers at random, because of a change.
+func (e *Exchanger) Tell(ctx context.Context) {
+	for _, p := range e.pick(e.Peers(), e.fanout()) {
+		_ = e.With(ctx, p)
 	}
 }
 
@@ -110,17 +115,12 @@
 // that entries started together do not stay in step.
 func (e *Exchanger) Pause() time.Duration {
 	every := orDefault(e.Every, DefaultEvery)
-	if e.urgent() {
+	if e.State.Restless() {
 		every /= urgency
 	}
 	return every/2 + e.Below(every)
 }
 
-// urgent holds while a bundle is known whose last confirmation grows old.
-func (e *Exchanger) urgent() bool {
-	return e.State.Known() > 0 && (e.State.Age() < 0 || e.State.Age() > e.State.ReachFor()*5/4)
-}
-
 // IsRelay tells whether this entry is one of those that ask the store on behalf
 // of its region.
 func (e *Exchanger) IsRelay() bool {
