Fuzz router, limiter, retrier, gate and ledger together; try failed replicas last

Cause: the parts were proved one by one, and at most once depends on all.

Ruled out: a shorter time for failures alone; the fewer the replicas, the more often all are out together.

Change: a replica that failed (unlike one that refused) is chosen when nothing else with room is left.

--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -81,19 +81,16 @@
 	switch o {
 	case retrier.Ran:
 		p.failures = 0
-		p.avoidUntil = time.Time{}
+		p.refusedUntil, p.failedUntil = time.Time{}, time.Time{}
 	case retrier.NotRun:
-		r.avoid(p, now, orDuration(r.RefusedFor, DefaultRefusedFor))
+		p.refusedUntil = r.until(now, orDuration(r.RefusedFor, DefaultRefusedFor))
 	default:
 		d := orDuration(r.FailedFor, DefaultFailedFor) << min(p.failures, 2)
 		p.failures++
-		r.avoid(p, now, d)
+		p.failedUntil = r.until(now, d)
 	}
 }
 
-func (r *Router) avoid(p *replica, now time.Time, d time.Duration) {
-	until := now.Add(d + retrier.Spread(d, r.Random))
-	if until.After(p.avoidUntil) {
-		p.avoidUntil = until
-	}
+func (r *Router) until(now time.Time, d time.Duration) time.Time {
+	return now.Add(d + retrier.Spread(d, r.Random))
 }
--- a/internal/router/model_entry_test.go
+++ b/internal/router/model_entry_test.go
@@ -26,13 +26,7 @@
 	limiter *limiter.Limiter
 	queue   *limiter.Queue
 	policy  *retrier.Policy
-	waiting []waiting
-	tickets map[*call]*limiter.Ticket
-}
-
-type waiting struct {
-	*limiter.Waiter
-	call *call
+	waiting []*call
 }
 
 func (w *world) newEntries(n int, b *bundler.Bundle) []server {
@@ -50,7 +44,6 @@
 			limiter: &limiter.Limiter{Clock: w.clock, Entries: func() int { return n }, Random: source(2)},
 			queue:   &limiter.Queue{Clock: w.clock, Random: source(3)},
 			policy:  &retrier.Policy{Budget: &retrier.Budget{Clock: w.clock}, Random: source(4)},
-			tickets: map[*call]*limiter.Ticket{},
 		}
 		e.router.SetEntries(ids[i], ids)
 		e.setBundle(b)
@@ -84,10 +77,10 @@
 func (e *entry) ask(c *call) {
 	t, err := e.limiter.Admit(c.workspace, 0, 0)
 	if err != nil {
-		e.world.refuse(c, retryAfter(err))
+		e.world.refuse(c, time.Second)
 		return
 	}
-	e.tickets[c] = t
+	c.ticket = t
 	e.policy.Budget.First()
 	if !e.try(c) {
 		e.wait(c)
@@ -101,18 +94,19 @@
 		return false
 	}
 	c.number++
-	for _, u := range e.world.upstreams {
-		if u.state.ID == choice.AgentID {
-			e.world.after(link, func() {
-				u.serve(c, func(o retrier.Outcome) { choice.Done(o); e.router.Report(u.report()); e.ended(c, choice, o) })
-			})
-		}
-	}
+	at := slices.IndexFunc(e.world.upstreams, func(u *upstream) bool { return u.state.ID == choice.AgentID })
+	u := e.world.upstreams[at]
+	e.world.after(link, func() {
+		u.serve(c, func(o retrier.Outcome) {
+			choice.Done(o)
+			e.router.Report(u.report())
+			e.ended(c, choice, o)
+		})
+	})
 	return true
 }
 
 func (e *entry) ended(c *call, choice *router.Choice, o retrier.Outcome) {
-	choice.Done(o)
 	if o == retrier.Ran {
 		e.queue.Finished(1)
 		e.end(c, true)
@@ -136,39 +130,33 @@
 }
 
 func (e *entry) end(c *call, ok bool) {
-	e.tickets[c].Done()
+	c.ticket.Done()
 	e.world.finish(c, ok)
 }
 
 func (e *entry) wait(c *call) {
 	w, err := e.queue.Join(limiter.Item{Workspace: c.workspace, Deadline: c.deadline.Add(-2 * meanRun)})
-	if err == nil {
-		e.waiting = append(e.waiting, waiting{w, c})
-	} else {
-		e.refuse(c, err)
-	}
+	e.waits(c, w, err)
 	e.drop()
 }
 
-func (e *entry) refuse(c *call, err error) {
-	e.tickets[c].Done()
-	e.world.refuse(c, retryAfter(err))
-}
-
-func retryAfter(err error) time.Duration {
-	if l, ok := errors.AsType[*limiter.LimitedError](err); ok {
-		return l.RetryAfter
+// waits notes a waiter or the refusal to have it.
+func (e *entry) waits(c *call, w *limiter.Waiter, err error) {
+	if s, shed := errors.AsType[*limiter.ShedError](err); shed {
+		c.ticket.Done()
+		e.world.refuse(c, s.RetryAfter)
+		return
 	}
-	s, _ := errors.AsType[*limiter.ShedError](err)
-	return s.RetryAfter
+	c.waiter = w
+	e.waiting = append(e.waiting, c)
 }
 
 // drop answers the callers whose waiters were shed.
 func (e *entry) drop() {
-	e.waiting = slices.DeleteFunc(e.waiting, func(w waiting) bool {
+	e.waiting = slices.DeleteFunc(e.waiting, func(c *call) bool {
 		select {
-		case <-w.Ready():
-			e.refuse(w.call, w.Err())
+		case <-c.waiter.Ready():
+			e.waits(c, nil, c.waiter.Err())
 			return true
 		default:
 			return false
@@ -179,22 +167,19 @@
 // next gives the first waiter a place, if there is one, and tells whether to go on.
 func (e *entry) next() bool {
 	w := e.queue.Next()
+	at := slices.IndexFunc(e.waiting, func(c *call) bool { return c.waiter == w })
 	if w == nil {
 		e.drop()
 		return false
 	}
-	at := slices.IndexFunc(e.waiting, func(v waiting) bool { return v.Waiter == w })
-	c := e.waiting[at].call
+	c := e.waiting[at]
 	e.waiting = slices.Delete(e.waiting, at, at+1)
 	e.drop()
 	if e.try(c) {
 		return true
 	}
-	if again, err := e.queue.Return(w); err == nil {
-		e.waiting = append(e.waiting, waiting{again, c})
-	} else {
-		e.refuse(c, err)
-	}
+	again, err := e.queue.Return(w)
+	e.waits(c, again, err)
 	return false
 }
 
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -1,13 +1,14 @@
 package router_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	clocktesting "k8s.io/utils/clock/testing"
 
+	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -24,31 +25,15 @@
 
 // event is something that happens at a virtual time.
 type event struct {
-	at   time.Time
-	turn int
-	do   func()
-}
-
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].turn < e[j].turn
-}
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+	at time.Time
+	do func()
 }
 
 // world is virtual time, a table of upstreams and what came of the requests.
 type world struct {
 	clock     *clocktesting.FakePassiveClock
 	random    *rand.Rand
-	agenda    events
-	turn      int
+	agenda    []event
 	upstreams []*upstream
 	gated     bool
 	// retry lets a refused caller come back, and tells whether it will.
@@ -69,20 +54,26 @@
 	w := &world{clock: clocktesting.NewFakePassiveClock(epoch), random: rand.New(rand.NewPCG(seed, 7)), gated: gated, tally: t}
 	for i := range 12 {
 		s := engine(i, []string{"north", "south", "east"}[i%3])
-		s.Limit = 8
-		w.upstreams = append(w.upstreams, &upstream{world: w, state: s, full: 8, cold: 2, running: map[*call]bool{}})
+		w.upstreams = append(w.upstreams, &upstream{world: w, state: s})
 	}
 	return w
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.turn++
-	heap.Push(&w.agenda, event{w.clock.Now().Add(d), w.turn, do})
+	at := w.clock.Now().Add(d)
+	i, _ := slices.BinarySearchFunc(w.agenda, at, func(e event, at time.Time) int {
+		if e.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	w.agenda = slices.Insert(w.agenda, i, event{at, do})
 }
 
 func (w *world) run(until time.Duration) {
 	for len(w.agenda) > 0 && w.agenda[0].at.Sub(epoch) < until {
-		e := heap.Pop(&w.agenda).(event)
+		e := w.agenda[0]
+		w.agenda = w.agenda[1:]
 		w.clock.SetTime(e.at)
 		e.do()
 	}
@@ -109,6 +100,8 @@
 	number, returns   int
 	earlier           retrier.Outcome
 	avoid             []string
+	ticket            *limiter.Ticket
+	waiter            *limiter.Waiter
 }
 
 func (w *world) newCall(workspace string) *call {
@@ -125,11 +118,11 @@
 }
 
 func (w *world) finish(c *call, ok bool) {
-	if !ok {
+	switch {
+	case !ok:
 		w.lost++
 		return
-	}
-	if w.clock.Now().After(c.deadline) {
+	case w.clock.Now().After(c.deadline):
 		w.lost++
 		w.wasted++
 		return
@@ -141,38 +134,31 @@
 
 // upstream is an engine; when the world is gated, with an agent's gate before it.
 type upstream struct {
-	world              *world
-	state              messenger.AgentState
-	full, cold         int
-	running            map[*call]bool
-	downUntil          time.Time
-	coldUntil          time.Time
-	drained            bool
-	lastWork           time.Time
-	reported, restarts int
-}
-
-func (u *upstream) isCold() bool { return u.world.clock.Now().Before(u.coldUntil) }
-
-func (u *upstream) limit() int {
-	if u.isCold() {
-		return u.cold
-	}
-	return u.full
+	world                *world
+	state                messenger.AgentState
+	running, restarts    int
+	downUntil, coldUntil time.Time
+	lastWork             time.Time
+	drained              bool
 }
 
+const (
+	fullLimit = 8
+	coldLimit = 2
+)
+
 // report is the agent's account as it is now.
 func (u *upstream) report() messenger.AgentState {
-	u.reported++
-	s := u.state
-	s.Sequence, s.Limit, s.Running, s.Gate = uint64(u.reported), u.limit(), len(u.running), messenger.GateOpen
-	switch {
-	case u.drained:
+	s := &u.state
+	s.Sequence++
+	s.Limit, s.Running, s.Gate = fullLimit, u.running, messenger.GateOpen
+	if u.world.clock.Now().Before(u.coldUntil) {
+		s.Limit, s.Gate = coldLimit, messenger.GateCold
+	}
+	if u.drained {
 		s.Gate = messenger.GateClosed
-	case u.isCold():
-		s.Gate = messenger.GateCold
 	}
-	return s
+	return *s
 }
 
 // serve runs a call and tells the outcome; without a gate too much makes the
@@ -180,16 +166,17 @@
 func (u *upstream) serve(c *call, done func(retrier.Outcome)) {
 	w := u.world
 	w.attempts++
-	if w.clock.Now().Before(u.downUntil) || w.gated && (u.drained || len(u.running) >= u.limit()) {
+	s := u.report()
+	if w.clock.Now().Before(u.downUntil) || w.gated && (u.drained || u.running >= s.Limit) {
 		w.after(link, func() { done(retrier.NotRun) })
 		return
 	}
-	u.running[c] = true
+	u.running++
 	u.lastWork = w.clock.Now()
-	if u.isCold() {
-		u.world.worstCold = max(u.world.worstCold, len(u.running))
+	if s.Limit == coldLimit {
+		w.worstCold = max(w.worstCold, u.running)
 	}
-	if len(u.running) > u.limit() && (u.isCold() || len(u.running) > u.full+4) {
+	if u.running > s.Limit && (s.Limit == coldLimit || u.running > fullLimit+4) {
 		u.fall()
 	}
 	start := u.restarts
@@ -198,7 +185,7 @@
 			done(retrier.Unknown)
 			return
 		}
-		delete(u.running, c)
+		u.running--
 		w.after(link, func() { done(retrier.Ran) })
 	})
 }
@@ -206,9 +193,9 @@
 // fall cuts all that runs; the engine comes back cold.
 func (u *upstream) fall() {
 	u.world.fell++
-	u.world.wasted += len(u.running)
+	u.world.wasted += u.running
 	u.restarts++
-	clear(u.running)
+	u.running = 0
 	u.downUntil = u.world.clock.Now().Add(downFor)
 	u.coldUntil = u.downUntil.Add(coldFor)
 }
--- a/internal/router/pick.go
+++ b/internal/router/pick.go
@@ -44,6 +44,8 @@
 	reasonDrawn = "less loaded of two"
 	reasonOnly  = "first that fits"
 	reasonSpare = "cold and perhaps unused by other entries"
+	// reasonFailed comes last.
+	reasonFailed = "all with room failed lately"
 )
 
 // best is the cheapest candidate so far.
@@ -107,6 +109,11 @@
 	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
 		r.scan(&b, &l.tiers[i], l.tiers[i].spare, q, now, reasonSpare)
 	}
+	// Passing all over would refuse everything for as long, though what failed may
+	// have been the way there and not the replica.
+	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
+		r.scan(&b, &l.tiers[i], l.tiers[i].free, q, now, reasonFailed)
+	}
 	return b
 }
 
@@ -123,7 +130,10 @@
 
 // weigh takes p as the best if it may have the request and costs less.
 func (r *Router) weigh(b *best, t *tier, p *replica, q *Request, now time.Time, link float64, reason string) {
-	if p == nil || p.in == nil || p.in == &t.spare && reason != reasonSpare || !p.serves(q) || p.avoided(q, now) {
+	if p == nil || p.in == nil || !p.serves(q) || p.refused(q, now) {
+		return
+	}
+	if p.in == &t.spare && reason != reasonSpare || now.Before(p.failedUntil) && reason != reasonFailed {
 		return
 	}
 	c := r.cost(t, p, link, reason == reasonHome)
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -37,8 +37,9 @@
 	covered        time.Time
 	fresh, settled int
 
-	avoidUntil time.Time
-	failures   int
+	// refusedUntil and failedUntil are how long it is passed over.
+	refusedUntil, failedUntil time.Time
+	failures                  int
 	// load and counted are the estimate and the limit in the tier's sums.
 	load, counted int
 }
@@ -124,7 +125,7 @@
 	return true
 }
 
-// avoided tells whether the replica is passed over for now.
-func (p *replica) avoided(q *Request, now time.Time) bool {
-	return now.Before(p.avoidUntil) || slices.Contains(q.Avoid, p.state.ID)
+// refused tells whether the replica would most likely refuse the request again.
+func (p *replica) refused(q *Request, now time.Time) bool {
+	return now.Before(p.refusedUntil) || slices.Contains(q.Avoid, p.state.ID)
 }
