Give a prompt's prefix one home in each region

Cause: a prefix had two homes in each failure domain and each distance, worked out anew by the entries of every domain, so that one prefix was cached on up to six of twelve replicas and pushed others out.

Change: the ring moves from the tier to the region; one home per prefix.

--- a/internal/router/pick.go
+++ b/internal/router/pick.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +32,7 @@
 	prefixBytes = 256
 	// boundedLoad is how far above the mean a home may be loaded and still be
 	// preferred.
-	boundedLoad = 1.25
+	boundedLoad = 1.5
 	// oldVersionCost is what a replica of other than the bundle's weights costs.
 	oldVersionCost = 0.05
 	// samples is how many free replicas of a tier are drawn at random.
@@ -87,56 +88,53 @@
 	return r.count(l, b.replica, b.reason, now), nil
 }
 
-// choose weighs the homes of the prefix and two free replicas of each tier, and
+// choose weighs the home of the prefix and two free replicas of each tier, and
 // looks through all that are free only when none of these will do.
 func (r *Router) choose(l *pool, q *Request, now time.Time) best {
 	var b best
-	hash := prefixHash(q)
+	if hash := prefixHash(q); hash != 0 {
+		r.weigh(&b, l.home(hash), q, now, reasonHome)
+	}
 	for i := range l.tiers {
 		t := &l.tiers[i]
-		link := r.linkCost(tierIndex(i))
-		if hash != 0 {
-			r.weigh(&b, t, t.home(hash), q, now, link, reasonHome)
-			r.weigh(&b, t, t.home(hash*0x9e3779b97f4a7c15), q, now, link, reasonHome)
-		}
 		for range min(samples, len(t.free)) {
-			r.weigh(&b, t, t.free[r.Random.IntN(len(t.free))], q, now, link, reasonDrawn)
+			r.weigh(&b, t.free[r.Random.IntN(len(t.free))], q, now, reasonDrawn)
 		}
 	}
 	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
-		r.scan(&b, &l.tiers[i], l.tiers[i].free, q, now, reasonOnly)
+		r.scan(&b, l.tiers[i].free, q, now, reasonOnly)
 	}
 	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
-		r.scan(&b, &l.tiers[i], l.tiers[i].spare, q, now, reasonSpare)
+		r.scan(&b, l.tiers[i].spare, q, now, reasonSpare)
 	}
 	// Passing all over would refuse everything for as long, though what failed may
 	// have been the way there and not the replica.
 	for i := 0; i < len(l.tiers) && b.replica == nil; i++ {
-		r.scan(&b, &l.tiers[i], l.tiers[i].free, q, now, reasonFailed)
+		r.scan(&b, l.tiers[i].free, q, now, reasonFailed)
 	}
 	return b
 }
 
 // scan takes the first of a list that fits, from a random one on.
-func (r *Router) scan(b *best, t *tier, l list, q *Request, now time.Time, reason string) {
+func (r *Router) scan(b *best, l list, q *Request, now time.Time, reason string) {
 	if len(l) == 0 {
 		return
 	}
 	start := r.Random.IntN(len(l))
 	for i := 0; i < len(l) && b.replica == nil; i++ {
-		r.weigh(b, t, l[(start+i)%len(l)], q, now, 0, reason)
+		r.weigh(b, l[(start+i)%len(l)], q, now, reason)
 	}
 }
 
 // weigh takes p as the best if it may have the request and costs less.
-func (r *Router) weigh(b *best, t *tier, p *replica, q *Request, now time.Time, link float64, reason string) {
+func (r *Router) weigh(b *best, p *replica, q *Request, now time.Time, reason string) {
 	if p == nil || p.in == nil || !p.serves(q) || p.refused(q, now) {
 		return
 	}
-	if p.in == &t.spare && reason != reasonSpare || now.Before(p.failedUntil) && reason != reasonFailed {
+	if p.in == &p.tier.spare && reason != reasonSpare || now.Before(p.failedUntil) && reason != reasonFailed {
 		return
 	}
-	c := r.cost(t, p, link, reason == reasonHome)
+	c := r.cost(p, reason == reasonHome)
 	if b.replica == nil || c < b.cost {
 		*b = best{replica: p, cost: c, reason: reason}
 	}
@@ -145,30 +143,19 @@
 // cost is the share of the replica's limit in use with the request on it, plus
 // the link, less what a cached prefix is worth while the replica is not much
 // fuller than its tier.
-func (r *Router) cost(t *tier, p *replica, link float64, home bool) float64 {
+func (r *Router) cost(p *replica, home bool) float64 {
 	one := 1 / float64(p.state.Limit)
 	use := float64(p.estimate()) * one
-	c := use + one + link
+	c := use + one + p.tier.link
 	if !p.current {
 		c += oldVersionCost
 	}
-	if home && use <= boundedLoad*t.mean()+one {
+	if home && use <= boundedLoad*p.tier.mean()+one {
 		c -= max(0, orDefault(r.AffinityGain, DefaultAffinityGain))
 	}
 	return c
 }
 
-func (r *Router) linkCost(i tierIndex) float64 {
-	switch i {
-	case sameDomain:
-		return 0
-	case sameRegion:
-		return orDefault(r.DomainCost, DefaultDomainCost)
-	default:
-		return orDefault(r.RegionCost, DefaultRegionCost)
-	}
-}
-
 // count makes the choice and counts it on the replica, before any report can:
 // otherwise all requests between two reports would go to the same replica.
 func (r *Router) count(l *pool, p *replica, reason string, now time.Time) *Choice {
@@ -195,12 +182,9 @@
 
 // none says why nothing was chosen.
 func (r *Router) none(l *pool, k poolKey, q *Request, now time.Time) error {
-	for i := range l.tiers {
-		for _, p := range l.tiers[i].ring {
-			if p.serves(q) {
-				return &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
-			}
-		}
+	fits := func(p *replica) bool { return p.serves(q) }
+	if slices.ContainsFunc(l.near, fits) || slices.ContainsFunc(l.far, fits) {
+		return &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
 	}
 	return &NoReplicaError{Name: k.name}
 }
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
@@ -35,6 +34,8 @@
 // pool holds the replicas of one model or service that may get new work.
 type pool struct {
 	tiers [tierCount]tier
+	// near is the ring of this entry's region, far that of the others.
+	near, far ring
 	// rate is the smoothed number of requests done per second.
 	rate retrier.Rate
 	// inflight is how many of this entry's own requests are not done.
@@ -42,6 +43,15 @@
 	returns  retrier.Returns
 }
 
+// home is the replica that a prefix falls to: in this region if it has any, so
+// that a popular prefix does not draw all requests over the link between regions.
+func (l *pool) home(hash uint64) *replica {
+	if len(l.near) > 0 {
+		return l.near.home(hash)
+	}
+	return l.far.home(hash)
+}
+
 // retryAfter is when a caller refused now should come back.
 func (l *pool) retryAfter(now time.Time, random *rand.Rand) time.Duration {
 	each := l.rate.Gap(now)
@@ -68,37 +78,25 @@
 
 // tier is the replicas of a pool at one distance.
 type tier struct {
-	// ring holds all by their point on the hash ring, free those with room, and
-	// spare the cold ones whose places are not this entry's but may be unused.
-	ring        []*replica
+	// free are those with room, spare the cold ones whose places are not this
+	// entry's but may be unused.
 	free, spare list
-	// load and limit are sums over the ring.
+	// ring is the ring that the tier's replicas are on, link what the way to them
+	// costs.
+	ring *ring
+	link float64
+	// load and limit are sums over all.
 	load, limit int
 }
 
-func byPoint(p *replica, point uint64) int {
-	switch {
-	case p.point < point:
-		return -1
-	case p.point > point:
-		return 1
-	}
-	return 0
-}
-
 func (t *tier) add(p *replica) {
-	at, _ := slices.BinarySearchFunc(t.ring, p.point, byPoint)
-	t.ring = slices.Insert(t.ring, at, p)
+	t.ring.add(p)
 	p.tier = t
 	p.load, p.counted = 0, 0
 }
 
 func (t *tier) remove(p *replica) {
-	at, _ := slices.BinarySearchFunc(t.ring, p.point, byPoint)
-	for t.ring[at] != p {
-		at++
-	}
-	t.ring = slices.Delete(t.ring, at, at+1)
+	t.ring.remove(p)
 	t.limit -= p.counted
 	t.load -= p.load
 	p.in.remove(p)
@@ -129,15 +127,6 @@
 	}
 }
 
-// home is the replica that a hash falls to on the ring; nil when it is empty.
-func (t *tier) home(hash uint64) *replica {
-	if len(t.ring) == 0 {
-		return nil
-	}
-	at, _ := slices.BinarySearchFunc(t.ring, hash, byPoint)
-	return t.ring[at%len(t.ring)]
-}
-
 // mean is the load of the tier as a part of its limit.
 func (t *tier) mean() float64 {
 	if t.limit == 0 {
--- /dev/null
+++ b/internal/router/ring.go
@@ -0,0 +1,40 @@
+package router
+
+import "slices"
+
+// ring holds replicas in the order of their points, for consistent hashing: a
+// prefix has the same home for all entries of a region, and a replica that comes
+// or goes moves only the prefixes next to it.
+type ring []*replica
+
+func byPoint(p *replica, point uint64) int {
+	switch {
+	case p.point < point:
+		return -1
+	case p.point > point:
+		return 1
+	}
+	return 0
+}
+
+func (g *ring) add(p *replica) {
+	at, _ := slices.BinarySearchFunc(*g, p.point, byPoint)
+	*g = slices.Insert(*g, at, p)
+}
+
+func (g *ring) remove(p *replica) {
+	at, _ := slices.BinarySearchFunc(*g, p.point, byPoint)
+	for (*g)[at] != p {
+		at++
+	}
+	*g = slices.Delete(*g, at, at+1)
+}
+
+// home is the replica that a hash falls to; nil when the ring is empty.
+func (g ring) home(hash uint64) *replica {
+	if len(g) == 0 {
+		return nil
+	}
+	i, _ := slices.BinarySearchFunc(g, hash, byPoint)
+	return g[i%len(g)]
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,7 +24,7 @@
 	DefaultFailedFor    = time.Second
 	DefaultDomainCost   = 0.1
 	DefaultRegionCost   = 0.3
-	DefaultAffinityGain = 0.3
+	DefaultAffinityGain = 0.6
 )
 
 // forgetAfter times StaleAfter is how long a silent agent stays known.
@@ -196,12 +196,20 @@
 func (r *Router) pool(k poolKey) *pool {
 	l := r.pools[k]
 	if l == nil {
-		l = new(pool)
+		l = r.newPool()
 		r.pools[k] = l
 	}
 	return l
 }
 
+func (r *Router) newPool() *pool {
+	l := new(pool)
+	l.tiers[sameDomain] = tier{ring: &l.near}
+	l.tiers[sameRegion] = tier{ring: &l.near, link: orDefault(r.DomainCost, DefaultDomainCost)}
+	l.tiers[otherRegion] = tier{ring: &l.far, link: orDefault(r.RegionCost, DefaultRegionCost)}
+	return l
+}
+
 // distance is the tier that an agent belongs to, seen from this entry.
 func (r *Router) distance(s messenger.AgentState) tierIndex {
 	switch {
