--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/router"
@@ -17,12 +15,22 @@
 
 // Sink takes a stream's events on their way to the caller.
 type Sink interface {
+	// Begin comes before the first event. With the resume token the caller can
+	// read on through any entry when this one is lost.
+	Begin(resume string) error
 	Event(e forwarder.Event) error
 }
 
 // Generate serves a request to a model. A *FailureError is the final answer; it
 // comes either before the first event or in place of the last.
 func (d *Dispatcher) Generate(ctx context.Context, g GenerateRequest, s Sink) error {
+	began := d.Clock.Now()
+	err := d.generate(ctx, g, s)
+	d.countEnd(began, err)
+	return err
+}
+
+func (d *Dispatcher) generate(ctx context.Context, g GenerateRequest, s Sink) error {
 	g.Defaults()
 	if err := g.Validate(); err != nil {
 		return refuse(http.StatusBadRequest, err.Error(), 0)
@@ -47,10 +55,14 @@
 		dispatcher: d,
 		request:    g,
 		id:         requestID(g.RequestID),
+		began:      d.Clock.Now(),
 		revision:   b.Revision,
 		deadline:   d.Clock.Now().Add(wait),
 		sink:       s,
 	}
+	if err := r.resume(); err != nil {
+		return err
+	}
 	return r.run(ctx)
 }
 
@@ -60,6 +72,7 @@
 	dispatcher *Dispatcher
 	request    GenerateRequest
 	id         string
+	began      time.Time
 	revision   uint64
 	deadline   time.Time
 	sink       Sink
@@ -67,14 +80,12 @@
 	attempts int
 	refusals []string
 	// next is the index of the event that the caller still needs.
-	next        int
-	owner       string
-	stream      string
-	version     string
-	weights     string
-	engineStart string
+	next int
+	bond
 	// earlier joins the outcomes of the attempts before the present one.
 	earlier retrier.Outcome
+	// left says that the caller reads no more.
+	left bool
 	// cutAt is when the stream broke; zero while it flows.
 	cutAt time.Time
 }
@@ -118,7 +129,7 @@
 		Idempotent: true,
 		Number:     g.attempts,
 		Streamed:   g.next > 0,
-		SameEngine: g.engineStart != "",
+		SameEngine: g.EngineStart != "",
 		Now:        now,
 		Deadline:   g.deadline,
 	})
@@ -185,9 +196,9 @@
 		Prompt:      g.request.Prompt,
 		Priority:    g.request.Priority,
 		Tokens:      g.request.MaxTokens,
-		Owner:       g.owner,
-		Version:     g.version,
-		EngineStart: g.engineStart,
+		Owner:       g.Owner,
+		Version:     g.Version,
+		EngineStart: g.EngineStart,
 		Avoid:       g.refusals,
 	}
 	c, err := d.pick(ctx, r, g.deadline)
@@ -196,9 +207,11 @@
 	}
 	defer d.finished(r)
 	logRoute(g.id, g.attempts, c)
+	d.count(figureAttempts)
 	err = g.relay(ctx, c)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || g.left {
 		// The caller left or ran out of time, which says nothing of the replica.
+		g.cancel(c)
 		c.Release()
 		return err
 	}
@@ -225,7 +238,7 @@
 // relay sends one attempt and passes its events on.
 func (g *generation) relay(ctx context.Context, c *router.Choice) error {
 	if g.next == 0 {
-		g.stream = g.id + "." + strconv.Itoa(g.attempts)
+		g.Stream = g.id + "." + strconv.Itoa(g.attempts)
 	}
 	stream, err := g.dispatcher.Agents.Generate(ctx, c.Address, g.order(c))
 	if err != nil {
@@ -233,7 +246,7 @@
 		return err
 	}
 	defer stream.Close()
-	if g.next > 0 && stream.EngineStart != g.engineStart {
+	if g.next > 0 && stream.EngineStart != g.EngineStart {
 		return &finalError{failure: g.ended("the engine restarted")}
 	}
 	for {
@@ -269,8 +282,8 @@
 		Priority:    g.request.Priority,
 		Revision:    g.revision,
 		Version:     c.Version,
-		EngineStart: g.engineStart,
-		Stream:      g.stream,
+		EngineStart: g.EngineStart,
+		Stream:      g.Stream,
 		From:        g.next,
 		DeadlineMS:  g.deadline.Sub(g.dispatcher.Clock.Now()).Milliseconds(),
 	}
@@ -283,17 +296,17 @@
 	if e.Failure != nil {
 		return &forwarder.UnknownError{Reason: e.Failure.Message}
 	}
-	if g.next == 0 && !e.Done {
-		g.owner, g.version, g.weights, g.engineStart = c.AgentID, e.Version, e.Weights, s.EngineStart
+	if err := g.bind(e, c, s); err != nil {
+		return err
 	}
-	if g.weights != "" && (e.Weights != g.weights || e.Version != g.version) {
+	if e.Weights != g.Weights || e.Version != g.Version || e.AdapterWeights != g.AdapterWeights {
 		return &finalError{failure: g.ended("the weights changed")}
 	}
 	if !e.Done && e.Index != g.next {
 		return &finalError{failure: g.ended("events were lost")}
 	}
 	if err := g.sink.Event(e); err != nil {
-		klog.InfoS("Caller left", "request", g.id, "event", g.next)
+		g.left = true
 		return &finalError{failure: g.ended("the caller left")}
 	}
 	if !e.Done {
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -7,9 +7,11 @@
 	"net/netip"
 	"sync"
 
-	"github.com/oriolecroft/oriolecroft/internal/gossiper"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/receiver"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
 )
 
 // Status is what an entry tells operators.
@@ -19,7 +21,7 @@
 	Running int                    `json:"running"`
 	Entries []messenger.EntryState `json:"entries"`
 	Agents  []messenger.AgentState `json:"agents"`
-	Alarms  []gossiper.Alarm       `json:"alarms,omitempty"`
+	Alarms  []reporter.Alarm       `json:"alarms,omitempty"`
 }
 
 func (e *Entry) status() Status {
@@ -29,8 +31,24 @@
 		Running: e.running.now(),
 		Entries: e.members.alive(),
 		Agents:  e.Router.Agents(),
-		Alarms:  e.State.Alarms(),
+		Alarms:  reporter.Alarms(e.State),
+	}
+}
+
+// metrics are the figures that collectors read; the dispatcher adds its own.
+func (e *Entry) metrics() metrics.Registry {
+	r := e.Dispatcher.Metrics
+	gauge := func(name string, value func() int64) {
+		metrics.NewRegisteredFunctionalGauge(name, r, value)
 	}
+	gauge("bundle.revision", func() int64 { return int64(e.State.Word().Revision) })
+	gauge("bundle.ageMs", func() int64 { return e.State.Word().AgeMS })
+	gauge("bundle.alarms", func() int64 { return int64(len(e.State.Alarms())) })
+	gauge("store.deadWatches", e.Watcher.DeadWatches)
+	gauge("entries.alive", func() int64 { return int64(e.members.count()) })
+	gauge("agents.known", func() int64 { return int64(len(e.Router.Agents())) })
+	gauge("requests.running", func() int64 { return int64(e.running.now()) })
+	return r
 }
 
 // running counts callers' requests.
