Divide among the entries that route to an agent, not among all there are

Cause: at 380 entries of which four know an agent, an even share of 1/380 would leave nearly every cold place to the last resort and call every entry beyond its share of a full pool.

Change: Router.Sharing bounds the divisor; with fewer sharers than entries the rank comes from the rendezvous hash of agent and entry.

--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -73,7 +73,7 @@
 		load += l.tiers[i].load
 		limit += l.tiers[i].limit
 	}
-	return l.inflight*max(1, entries) > limit && float64(load) >= (1-reserved)*float64(limit)
+	return l.inflight*entries > limit && float64(load) >= (1-reserved)*float64(limit)
 }
 
 // tier is the replicas of a pool at one distance.
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -2,21 +2,35 @@
 
 import "slices"
 
-// quota divides a cold replica's places among the live entries. Every entry that
-// has the same report and knows the same entries comes to the same division,
-// without a word between them; the places left over after an even division go
-// round from report to report. Without it, all entries see the same few places
-// free and fill them all, which the gate then refuses one after another: seen as
-// a burst of "not run" from each replica that returns.
+// quota divides a cold replica's places among the entries that route to it.
+// Every entry that has the same report and knows the same entries comes to the
+// same division, without a word between them; the places left over after an even
+// division go round from report to report. Without it, all entries see the same
+// few places free and fill them all, which the gate then refuses one after
+// another: seen as a burst of "not run" from each replica that returns.
 func (r *Router) quota(p *replica) int {
-	n := len(r.entries)
+	n := r.sharers()
 	rank := slices.Index(r.entries, r.self)
 	if n <= 1 || rank < 0 {
 		return p.state.Limit
 	}
+	if n < len(r.entries) {
+		// Which of the entries know the replica is not known here; a hash puts most
+		// of them at different ranks.
+		rank = int(weight(p.state.ID, r.self) % uint64(n))
+	}
 	turn := (uint64(rank) + p.point + p.state.Sequence) % uint64(n)
 	if turn < uint64(p.state.Limit%n) {
 		return p.state.Limit/n + 1
 	}
 	return p.state.Limit / n
 }
+
+// sharers is how many entries route to each replica, this one included.
+func (r *Router) sharers() int {
+	n := max(1, len(r.entries))
+	if r.Sharing > 0 {
+		n = min(n, r.Sharing)
+	}
+	return n
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -54,6 +54,9 @@
 	// AffinityGain is what a likely cached prefix is worth, in the same unit; 0
 	// means DefaultAffinityGain, below 0 none.
 	AffinityGain float64
+	// Sharing is how many entries route to each agent when not all do; 0 means all
+	// that SetEntries names.
+	Sharing int
 	// Random drives all choices; the caller seeds it and uses it nowhere else.
 	Random *rand.Rand
 
