Let a request that a replica refused keep its turn in line

Printed, nearly all had waited before: a gate had refused them after their turn, and they joined again at the back.

Change: Item.Again goes before those that have not had a turn, and pays no second one.

With the guard out: TestRefusedByReplicaKeepsItsTurn, expected condition to be true.

The dispatcher has to set Again after a busy agent's refusal.

--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -27,6 +27,11 @@
 	Cost float64
 	// Deadline is when the caller gives up; zero for never.
 	Deadline time.Time
+	// Again is set for a request that had its turn and then found its replica
+	// full. It goes before those that have not; at the back, it would wait a
+	// second time for what others took, and end as the one request in thousands
+	// that is shed although there was room for all.
+	Again bool
 }
 
 // Queue holds requests that found no free place, in the order of start-time fair
@@ -57,7 +62,7 @@
 	defer q.mu.Unlock()
 	now := q.Clock.Now()
 	q.expire(now)
-	w := newWaiter(q, i, max(q.virtual, q.flows[i.Workspace]))
+	w := newWaiter(q, i, q.start(i))
 	if err := q.makeRoom(w, now); err != nil {
 		return nil, err
 	}
@@ -65,6 +70,18 @@
 	return w, nil
 }
 
+// start is the turn of a newcomer.
+func (q *Queue) start(i Item) float64 {
+	switch {
+	case !i.Again:
+		return max(q.virtual, q.flows[i.Workspace])
+	case len(q.waiting) > 0:
+		return min(q.virtual, q.waiting[0].start)
+	default:
+		return q.virtual
+	}
+}
+
 // Next takes out the waiter whose turn it is and wakes it; nil when none waits.
 // Call it when a place is free.
 func (q *Queue) Next() *Waiter {
@@ -76,7 +93,7 @@
 		return nil
 	}
 	w := q.waiting[0]
-	q.virtual = w.start
+	q.virtual = max(q.virtual, w.start)
 	q.remove(0, now)
 	w.wake(nil)
 	return w
@@ -228,7 +245,9 @@
 	if q.flows == nil {
 		q.flows = map[string]float64{}
 	}
-	q.flows[w.Workspace] = w.start + w.cost()/w.weight()
+	if !w.Again {
+		q.flows[w.Workspace] = w.start + w.cost()/w.weight()
+	}
 	at := len(q.waiting)
 	for at > 0 && q.waiting[at-1].start > w.start {
 		at--
@@ -252,6 +271,9 @@
 func (q *Queue) forget(w *Waiter, now time.Time) {
 	i := slices.Index(q.waiting, w)
 	part := w.cost() / w.weight()
+	if w.Again {
+		part = 0
+	}
 	q.flows[w.Workspace] -= part
 	for _, v := range q.waiting[i+1:] {
 		if v.Workspace == w.Workspace {
--- a/internal/limiter/queue_test.go
+++ b/internal/limiter/queue_test.go
@@ -187,3 +187,21 @@
 		must.LessEq(t, 15, n, must.Sprintf("ten a second are served, %d return at %s", n, at))
 	}
 }
+
+// A request had its turn, and the replica it was sent to was full. Sent to the
+// back of the line, its user waits a second time and is shed in the end, though
+// there was room for all.
+func TestRefusedByReplicaKeepsItsTurn(t *testing.T) {
+	q, _ := newQueue(0)
+	for i := range 20 {
+		_, err := q.Join(limiter.Item{Workspace: fmt.Sprint(i % 2)})
+		must.NoError(t, err)
+	}
+	first := q.Next()
+	i := first.Item
+	i.Again = true
+	_, err := q.Join(i)
+	must.NoError(t, err)
+	must.True(t, q.Next().Again)
+	must.EqOp(t, 19, q.Len())
+}
--- a/internal/router/model_entry_test.go
+++ b/internal/router/model_entry_test.go
@@ -135,7 +135,7 @@
 }
 
 func (e *entry) wait(c *call) {
-	w, err := e.queue.Join(limiter.Item{Workspace: c.workspace, Deadline: c.deadline.Add(-2 * meanRun)})
+	w, err := e.queue.Join(limiter.Item{Workspace: c.workspace, Deadline: c.deadline.Add(-2 * meanRun), Again: c.number > 0})
 	e.waits(c, w, err)
 	e.drop()
 }
