--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -111,8 +111,10 @@
 func TestFewerPlacesThanEntries(t *testing.T) {
 	f := newFleet(bundler.Limits{Concurrent: 4})
 	_, _, running := f.run(20, func() int { return f.random.IntN(9) }, 20*time.Second, time.Second)
+	t.Log("all", running)
 	must.Between(t, 3.5, running, 4*1.25)
 	f.run(20, func() int { return 0 }, 20*time.Second, time.Second)
 	_, _, running = f.run(20, func() int { return 0 }, 20*time.Second, time.Second)
+	t.Log("one", running)
 	must.Between(t, 3, running, 4.4)
 }
