Divide nearly full pools by what runs and waits at each entry

Change: Demand, SetWaiting and HearDemand; the part of a nearly full pool follows them by half. limiter.Parts holds the division for both the limits and the pools, and takes entries that said nothing to have as much as this one.

Guards out: TestLongLineGetsMoreOfFullPool with the waiting left out, expected maps of same values; with the word of others left out, expected condition to be true. Not proved by any test: that an old word lapses, and the ranks for Router.Sharing.

--- a/internal/router/failure_test.go
+++ b/internal/router/failure_test.go
@@ -121,3 +121,29 @@
 	_, err = r.Pick(ask)
 	must.NoError(t, err)
 }
+
+// Callers crowd at one entry while the other has none. Held to an even part of a
+// full pool, the first lets its users wait and time out beside idle places.
+func TestLongLineGetsMoreOfFullPool(t *testing.T) {
+	r, c := newRouter(threeDomains())
+	r.SetEntries("e1", []string{"e1", "e2"})
+	s := engine(1, "north")
+	s.Limit = 20
+	r.Report(s)
+	for range 11 {
+		_, err := r.Pick(ask)
+		must.NoError(t, err)
+	}
+	c.SetTime(c.Now().Add(time.Second))
+	s.Sequence, s.Running = 2, 19
+	r.Report(s)
+	r.SetWaiting("rota", "", 30)
+	must.MapEq(t, map[string]int{"engine rota": 41}, r.Demand())
+	r.HearDemand("e2", map[string]int{"engine rota": 8})
+	_, err := r.Pick(ask)
+	must.NoError(t, err)
+	c.SetTime(c.Now().Add(2 * time.Second))
+	r.HearDemand("e2", map[string]int{"engine rota": 80})
+	_, err = r.Pick(ask)
+	must.NotNil(t, wantError[*router.FullError](t, err))
+}
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -71,7 +71,7 @@
 	if !slices.Contains(w.Services, q.Service) {
 		return poolKey{}, &NotAllowedError{Workspace: w.Name, Name: q.Service}
 	}
-	return poolKey{kind: messenger.KindService, name: q.Service}, nil
+	return keyFor("", q.Service), nil
 }
 
 func (x *index) checkModel(w *bundler.Workspace, q Request) (poolKey, error) {
@@ -86,5 +86,5 @@
 	if q.Adapter != "" && !slices.ContainsFunc(m.Adapters, named) {
 		return poolKey{}, &UnknownModelError{Model: q.Model, Adapter: q.Adapter}
 	}
-	return poolKey{kind: messenger.KindEngine, name: q.Model}, nil
+	return keyFor(q.Model, ""), nil
 }
--- a/internal/router/model_entry_test.go
+++ b/internal/router/model_entry_test.go
@@ -21,6 +21,7 @@
 
 // entry is the real router, limiter and retrier in virtual time.
 type entry struct {
+	id      string
 	world   *world
 	router  *router.Router
 	limiter *limiter.Limiter
@@ -39,6 +40,7 @@
 		at := w.upstreams[i%3].state
 		source := func(k uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i), k)) }
 		e := &entry{
+			id:      ids[i],
 			world:   w,
 			router:  &router.Router{FailureDomain: at.FailureDomain, Region: at.Region, Clock: w.clock, Random: source(1)},
 			limiter: &limiter.Limiter{Clock: w.clock, Entries: func() int { return n }, Random: source(2)},
@@ -51,6 +53,7 @@
 			e.listen(u)
 		}
 		servers = append(servers, e)
+		e.tell(servers)
 	}
 	return servers
 }
@@ -60,6 +63,23 @@
 	e.limiter.SetBundle(b)
 }
 
+// tell lets the entries made before know each second what is asked of this one,
+// and the other way round.
+func (e *entry) tell(others []server) {
+	for _, o := range others {
+		if o := o.(*entry); o != e {
+			o.router.HearDemand(e.id, e.demand())
+			e.router.HearDemand(o.id, o.demand())
+		}
+	}
+	e.world.after(time.Second, func() { e.tell(others) })
+}
+
+func (e *entry) demand() map[string]int {
+	e.router.SetWaiting("rota", "", e.queue.Len())
+	return e.router.Demand()
+}
+
 // listen hears an agent's reports, late and with one in twenty lost.
 func (e *entry) listen(u *upstream) {
 	w := e.world
--- a/internal/router/pick.go
+++ b/internal/router/pick.go
@@ -78,7 +78,7 @@
 	if l == nil {
 		return nil, &NoReplicaError{Name: k.name}
 	}
-	if l.beyondShare(r.sharers()) {
+	if l.beyondPart(r.sharers(), now) {
 		return nil, &FullError{Name: k.name, RetryAfter: l.retryAfter(now, r.Random)}
 	}
 	b := r.choose(l, &q, now)
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
@@ -24,11 +25,20 @@
 	name string
 }
 
+func (k poolKey) String() string { return string(k.kind) + " " + k.name }
+
+func keyFor(model, service string) poolKey {
+	if service != "" {
+		return poolKey{kind: messenger.KindService, name: service}
+	}
+	return poolKey{kind: messenger.KindEngine, name: model}
+}
+
 func keyOf(s messenger.AgentState) poolKey {
 	if s.Kind == messenger.KindService {
-		return poolKey{kind: s.Kind, name: s.Service}
+		return keyFor("", s.Service)
 	}
-	return poolKey{kind: messenger.KindEngine, name: s.Model}
+	return keyFor(s.Model, "")
 }
 
 // pool holds the replicas of one model or service that may get new work.
@@ -38,9 +48,11 @@
 	near, far ring
 	// rate is the smoothed number of requests done per second.
 	rate retrier.Rate
-	// inflight is how many of this entry's own requests are not done.
-	inflight int
-	returns  retrier.Returns
+	// inflight is how many of this entry's own requests are not done, waiting how
+	// many wait; parts divides the pool among entries by these.
+	inflight, waiting int
+	parts             limiter.Parts
+	returns           retrier.Returns
 }
 
 // home is the replica that a prefix falls to: in this region if it has any, so
@@ -58,24 +70,6 @@
 	return l.returns.Next(now, each, each, random)
 }
 
-// reserved is the part of a pool's places that is left to entries with less than
-// their even share.
-const reserved = 0.05
-
-// beyondShare tells whether the pool is nearly full and this entry has its even
-// share of it already. A place that comes free is known at once only to the entry
-// whose request ended there. Were it always to take it again, entries would keep
-// what they happened to have when the rush began: seen as callers of one entry
-// who are refused while those of the next wait for nothing.
-func (l *pool) beyondShare(entries int) bool {
-	load, limit := 0, 0
-	for i := range l.tiers {
-		load += l.tiers[i].load
-		limit += l.tiers[i].limit
-	}
-	return l.inflight*entries > limit && float64(load) >= (1-reserved)*float64(limit)
-}
-
 // tier is the replicas of a pool at one distance.
 type tier struct {
 	// free are those with room, spare the cold ones whose places are not this
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
@@ -206,7 +207,7 @@
 }
 
 func (r *Router) newPool() *pool {
-	l := new(pool)
+	l := &pool{parts: limiter.Parts{Even: evenPart}}
 	l.tiers[sameDomain] = tier{ring: &l.near}
 	l.tiers[sameRegion] = tier{ring: &l.near, link: orDefault(r.DomainCost, DefaultDomainCost)}
 	l.tiers[otherRegion] = tier{ring: &l.far, link: orDefault(r.RegionCost, DefaultRegionCost)}
