Hand an accepted bundle to the entries without waiting for the store

Cause: a store that goes out right after it accepted a bundle leaves it with nobody, and a drain that the operator was told is accepted waits for the store's return (found by the process-level tests). Ruled out: letting entries read more often, which costs store calls and still leaves a gap.

--- a/cmd/oriolecroft/roll.go
+++ b/cmd/oriolecroft/roll.go
@@ -124,9 +124,21 @@
 	if err != nil {
 		return err
 	}
+	handOver(ctx, i, at, record)
 	return watchRoll(ctx, i, result.Bundle, at, r.wait)
 }
 
+// handOver gives the accepted bundle to the entries without waiting for the store
+// to tell them. One that can't be reached hears of it from the others; who has it
+// is shown below.
+func handOver(ctx context.Context, i inspector.Inspector, at []netip.AddrPort, record *bundler.Record) {
+	for _, a := range at {
+		if err := i.Offer(ctx, a, record); err != nil {
+			fmt.Fprintf(os.Stderr, "bundle not handed to the entry at %v: %v\n", a, err)
+		}
+	}
+}
+
 // explainRace shows a loser what it lost to and how to go on.
 func explainRace(err error) {
 	var race *publisher.RaceError
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -191,10 +190,6 @@
 	return es
 }
 
-func (e *Entry) operators() http.Handler {
-	return reporter.Handler(func() any { return e.status() }, e.ready, e.metrics())
-}
-
 // ready is why this entry takes no new work; nil when it does.
 func (e *Entry) ready() error { return e.State.MayServe() }
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/receiver"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
 // Status is what an entry tells operators.
@@ -35,6 +37,34 @@
 	}
 }
 
+// operators is what this entry serves on the operators' address.
+func (e *Entry) operators() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/", reporter.Handler(func() any { return e.status() }, e.ready, e.metrics()))
+	m.HandleFunc("POST /bundle", e.takeBundle)
+	return m
+}
+
+// takeBundle takes an accepted bundle from the operator's own client. If the store
+// went out right after it had accepted the bundle, no entry could read it there:
+// a drain that the operator was told is accepted would wait for the store's return.
+// The sign-offs are checked as with any record.
+func (e *Entry) takeBundle(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bundler.MaxBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	record, err := bundler.DecodeRecord(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if _, err := e.State.Offer(record); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
 // metrics are the figures that collectors read; the dispatcher adds its own.
 func (e *Entry) metrics() metrics.Registry {
 	r := e.Dispatcher.Metrics
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -3,6 +3,7 @@
 package inspector
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -61,6 +62,29 @@
 	return s, json.NewDecoder(res.Body).Decode(&s)
 }
 
+// Offer hands an accepted bundle to one entry.
+func (i Inspector) Offer(ctx context.Context, at netip.AddrPort, record *bundler.Record) error {
+	data, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.String()+"/bundle", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	res, err := i.client().Do(r)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return &StatusError{Address: at, Status: res.StatusCode}
+	}
+	return nil
+}
+
 // Deployment is what several entries said, put together.
 type Deployment struct {
 	Entries []entry.Status         `json:"entries"`
