Prove that old words lapse and that sharers divide; drop a hash without effect

Change: TestWordOfSilentEntryLapses and TestColdPlacesAreDividedAmongThoseWhoKnow. The rank by hash among sharers is gone: taken out, nothing failed, and an index among all entries spreads the sharers as well once it is taken modulo their number.

Guards out: words kept for ever, limiter_test.go:128, expected equality via ==; Sharing not heeded, failure_test.go:170, expected equality via ==.

--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -118,3 +118,12 @@
 	t.Log("one", running)
 	must.Between(t, 3, running, 4.4)
 }
+
+// An entry that had all callers is gone. Were its last word to count for ever,
+// the callers would be held to a tenth of their limit by those that are left.
+func TestWordOfSilentEntryLapses(t *testing.T) {
+	var p limiter.Parts
+	p.Hear("gone", 9, epoch)
+	must.EqOp(t, 0.1, p.Part(1, 2, epoch))
+	must.EqOp(t, 0.5, p.Part(1, 2, epoch.Add(6*time.Second)))
+}
--- a/internal/router/failure_test.go
+++ b/internal/router/failure_test.go
@@ -152,3 +152,22 @@
 	_, err = r.Pick(ask)
 	must.NoError(t, err)
 }
+
+// Eight entries are alive, of which two know a cold replica. Divided among all
+// eight, its two places would nearly always be nobody's, and users wait beside it.
+func TestColdPlacesAreDividedAmongThoseWhoKnow(t *testing.T) {
+	r, _ := newRouter(threeDomains())
+	r.Sharing = 2
+	r.SetEntries("e1", []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"})
+	r.Report(engine(2, "east"))
+	s := engine(1, "north")
+	s.Gate, s.Limit = messenger.GateCold, 2
+	for range 8 {
+		s.Sequence++
+		must.True(t, r.Report(s))
+		c, err := r.Pick(ask)
+		must.NoError(t, err)
+		must.EqOp(t, "vm-1", c.AgentID)
+		c.Done(retrier.Ran)
+	}
+}
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -7,18 +7,15 @@
 // same division, without a word between them; the places left over after an even
 // division go round from report to report. Without it, all entries see the same
 // few places free and fill them all, which the gate then refuses one after
-// another: seen as a burst of "not run" from each replica that returns.
+// another: seen as a burst of "not run" from each replica that returns. When only
+// some entries route to it, two of them may come to the same part, and one of
+// them to a refusal.
 func (r *Router) quota(p *replica) int {
 	n := r.sharers()
 	rank := slices.Index(r.entries, r.self)
 	if n <= 1 || rank < 0 {
 		return p.state.Limit
 	}
-	if n < len(r.entries) {
-		// Which of the entries know the replica is not known here; a hash puts most
-		// of them at different ranks.
-		rank = int(weight(p.state.ID, r.self) % uint64(n))
-	}
 	turn := (uint64(rank) + p.point + p.state.Sequence) % uint64(n)
 	if turn < uint64(p.state.Limit%n) {
 		return p.state.Limit/n + 1
