Tell entries of their agents with each answer, and of each other's load

Placement is worked out a few times a second instead of for each report, and permits go only to agents whose weights are whole.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -192,6 +192,15 @@
 
 // state is the agent's account of itself.
 func (a *Agent) state() messenger.AgentState {
+	s := a.brief()
+	if s.Kind == messenger.KindEngine {
+		s.Holdings = a.Loader.Holdings()
+	}
+	return s
+}
+
+// brief is the account without what the agent holds of weights.
+func (a *Agent) brief() messenger.AgentState {
 	gate, limit, running := a.Gate.State()
 	w := a.State.Word()
 	s := messenger.AgentState{
@@ -211,7 +220,6 @@
 	}
 	if _, ok := a.Upstream.(*driver.Engine); ok {
 		s.Kind = messenger.KindEngine
-		s.Holdings = a.Loader.Holdings()
 	}
 	if h, ok := a.proof.get(); ok {
 		s.Model, s.Version, s.Manifest, s.EngineStart = h.Model, h.Version, h.Manifest, h.StartID
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -213,12 +213,17 @@
 	}
 }
 
-func (l *links) report(ctx context.Context, k *link) {
-	s := l.agent.state()
+// next numbers the agent's accounts of itself, by whichever way they go.
+func (l *links) next() uint64 {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.sequence++
-	s.Sequence = l.sequence
-	l.mu.Unlock()
+	return l.sequence
+}
+
+func (l *links) report(ctx context.Context, k *link) {
+	s := l.agent.state()
+	s.Sequence = l.next()
 	r := messenger.Report{State: s}
 	if k.behind {
 		// Entries that were all replaced while the store is out know no bundle, and
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -11,6 +11,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
 	"github.com/oriolecroft/oriolecroft/internal/driver"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
@@ -97,6 +98,21 @@
 	return t, nil
 }
 
+// State is the agent's account of itself without what it holds of weights.
+func (r *runner) State() messenger.AgentState {
+	s := r.agent.brief()
+	s.Sequence = r.agent.links.next()
+	return s
+}
+
+// stateAtEnd is State for the last event of a stream, whose request still counts
+// as running.
+func (r *runner) stateAtEnd() *messenger.AgentState {
+	s := r.State()
+	s.Running--
+	return &s
+}
+
 // Cancel ends a stream whose caller left.
 func (r *runner) Cancel(stream string) { r.agent.streams.cancel(stream) }
 
@@ -168,11 +184,7 @@
 		if s.order.Version != "" && e.Version != s.order.Version {
 			return admitter.Cut, &driver.MixedError{Want: s.order.Version, Got: e.Version}
 		}
-		err = s.emit(forwarder.Event{
-			Index: e.Index, Token: e.Token, Version: e.Version, Weights: e.Weights,
-			AdapterWeights: e.AdapterWeights,
-			Done:           e.Done, Tokens: e.Tokens, Digest: e.Digest,
-		})
+		err = s.emit(s.event(e))
 		if err != nil {
 			return admitter.Cancelled, err
 		}
@@ -182,6 +194,24 @@
 	}
 }
 
+// event puts an engine's event into the form for entries.
+func (s *relay) event(e driver.Event) forwarder.Event {
+	v := forwarder.Event{
+		Index:          e.Index,
+		Token:          e.Token,
+		Version:        e.Version,
+		Weights:        e.Weights,
+		AdapterWeights: e.AdapterWeights,
+		Done:           e.Done,
+		Tokens:         e.Tokens,
+		Digest:         e.Digest,
+	}
+	if e.Done {
+		v.Agent = s.runner.stateAtEnd()
+	}
+	return v
+}
+
 // Call runs one call of a plain service.
 func (r *runner) Call(ctx context.Context, o forwarder.CallOrder, body []byte) (*forwarder.Reply, error) {
 	if o.Key == "" {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -54,6 +54,8 @@
 	refusals []string
 	// bound is the key that this call runs under, when the caller brought one.
 	bound *deduplicator.Key
+	// busy says that the request had its turn and found its replica full.
+	busy bool
 	// ours says that bound was made here, for a caller that brought none.
 	ours bool
 	// doubtful is set while an attempt may have run of which this entry knows
@@ -155,11 +157,10 @@
 		// Only the owner may run the key, however badly it has answered.
 		r.Owner, r.Avoid = c.bound.Owner, nil
 	}
-	choice, err := d.pick(ctx, r, c.deadline)
+	choice, err := d.pick(ctx, r, c.deadline, c.busy)
 	if err != nil {
 		return nil, pickFailure(err)
 	}
-	defer d.finished(r)
 	logRoute(c.id, c.attempts, choice)
 	d.count(figureAttempts)
 	reply, err := d.Agents.Call(ctx, choice.Address, c.order(choice), c.request.Body)
@@ -168,6 +169,11 @@
 	} else {
 		choice.Done(attemptOutcome(err))
 	}
+	d.hearRefusal(err)
+	if err == nil {
+		d.hear(reply.Agent)
+	}
+	d.finished(r, attemptOutcome(err) != retrier.NotRun)
 	if err != nil && !isBusy(err) {
 		c.refusals = append(c.refusals, choice.AgentID)
 	}
@@ -221,7 +227,8 @@
 		Deadline:   c.deadline,
 	})
 	closed := c.settle(err, outcome)
-	if isBusy(err) && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
+	c.busy = isBusy(err)
+	if c.busy && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
 		return nil
 	}
 	if decision.Retry && !closed && sleep(ctx, c.dispatcher.Clock, decision.Delay) {
@@ -289,7 +296,7 @@
 	if err != nil {
 		return deduplicator.Key{}, pickFailure(err)
 	}
-	c.Done(retrier.Ran)
+	c.Release()
 	return d.newKey(workspace, service, c), nil
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/limiter"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/router"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -167,6 +168,21 @@
 	return errors.As(err, &n) && n.Busy
 }
 
+// hear takes an agent's account of itself that came with an answer.
+func (d *Dispatcher) hear(s *messenger.AgentState) {
+	if s != nil {
+		d.Router.Report(*s)
+	}
+}
+
+// hearRefusal does so for an answer that is an error.
+func (d *Dispatcher) hearRefusal(err error) {
+	var n *forwarder.NotRunError
+	if errors.As(err, &n) {
+		d.hear(n.Agent)
+	}
+}
+
 // retryAfterOf is when the agent said to come back, or a pause of our own.
 func retryAfterOf(err error) time.Duration {
 	var n *forwarder.NotRunError
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/router"
 )
@@ -84,6 +85,10 @@
 	bond
 	// earlier joins the outcomes of the attempts before the present one.
 	earlier retrier.Outcome
+	// busy says that the request had its turn and found its replica full.
+	busy bool
+	// agent is the last agent's account of itself at the end of its stream.
+	agent *messenger.AgentState
 	// left says that the caller reads no more.
 	left bool
 	// cutAt is when the stream broke; zero while it flows.
@@ -157,7 +162,8 @@
 		}
 		return now.Sub(g.cutAt) < d.ResumeFor && sleep(ctx, d.Clock, resumePause/2+rand.N(resumePause))
 	}
-	return isBusy(err) && now.Before(g.deadline) && sleep(ctx, d.Clock, rand.N(busyPause))
+	g.busy = isBusy(err)
+	return g.busy && now.Before(g.deadline) && sleep(ctx, d.Clock, rand.N(busyPause))
 }
 
 func (g *generation) join(o retrier.Outcome) {
@@ -201,11 +207,10 @@
 		EngineStart: g.EngineStart,
 		Avoid:       g.refusals,
 	}
-	c, err := d.pick(ctx, r, g.deadline)
+	c, err := d.pick(ctx, r, g.deadline, g.busy)
 	if err != nil {
 		return g.noChoice(err)
 	}
-	defer d.finished(r)
 	logRoute(g.id, g.attempts, c)
 	d.count(figureAttempts)
 	err = g.relay(ctx, c)
@@ -213,9 +218,13 @@
 		// The caller left or ran out of time, which says nothing of the replica.
 		g.cancel(c)
 		c.Release()
+		d.finished(r, false)
 		return err
 	}
 	c.Done(attemptOutcome(err))
+	d.hear(g.agent)
+	d.hearRefusal(err)
+	d.finished(r, attemptOutcome(err) != retrier.NotRun)
 	return err
 }
 
@@ -254,6 +263,7 @@
 		if err != nil {
 			return &forwarder.UnknownError{Reason: err.Error()}
 		}
+		g.agent = e.Agent
 		if err := g.pass(e, c, stream); err != nil {
 			return err
 		}
@@ -305,6 +315,7 @@
 	if !e.Done && e.Index != g.next {
 		return &finalError{failure: g.ended("events were lost")}
 	}
+	e.Agent = nil
 	if err := g.sink.Event(e); err != nil {
 		g.left = true
 		return &finalError{failure: g.ended("the caller left")}
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -25,19 +25,21 @@
 // its own.
 type queues struct {
 	mu     sync.Mutex
-	byName map[string]*limiter.Queue
+	byName map[target]*limiter.Queue
+}
+
+// target is a model, or a service; the other name is empty.
+type target struct {
+	model, service string
 }
 
 // queue is where requests for the same model or service wait.
 func (d *Dispatcher) queue(r router.Request) *limiter.Queue {
-	name := "model " + r.Model
-	if r.Service != "" {
-		name = "service " + r.Service
-	}
+	name := target{model: r.Model, service: r.Service}
 	d.queues.mu.Lock()
 	defer d.queues.mu.Unlock()
 	if d.queues.byName == nil {
-		d.queues.byName = map[string]*limiter.Queue{}
+		d.queues.byName = map[target]*limiter.Queue{}
 	}
 	q := d.queues.byName[name]
 	if q == nil {
@@ -51,8 +53,9 @@
 func (d *Dispatcher) pump() {
 	d.queues.mu.Lock()
 	defer d.queues.mu.Unlock()
-	for _, q := range d.queues.byName {
+	for t, q := range d.queues.byName {
 		q.Expire()
+		d.Router.SetWaiting(t.model, t.service, q.Len())
 		q.Next()
 	}
 }
@@ -93,7 +96,10 @@
 
 // pick chooses a replica, waiting in line while all are full. Nobody is passed by
 // a newcomer that happens to find the place just freed.
-func (d *Dispatcher) pick(ctx context.Context, r router.Request, deadline time.Time) (*router.Choice, error) {
+//
+// Again is set for a request that had its turn and found its replica full; it goes
+// before those that have not, or it would wait twice.
+func (d *Dispatcher) pick(ctx context.Context, r router.Request, deadline time.Time, again bool) (*router.Choice, error) {
 	if r.Owner != "" {
 		return d.pickOwner(ctx, r, deadline)
 	}
@@ -104,7 +110,9 @@
 			return c, err
 		}
 	}
-	w, err := q.Join(d.item(r, deadline))
+	i := d.item(r, deadline)
+	i.Again = again
+	w, err := q.Join(i)
 	for err == nil {
 		if err = wait(ctx, q, w); err != nil {
 			return nil, err
@@ -157,9 +165,12 @@
 	return errors.As(err, &f)
 }
 
-// finished counts an attempt that has ended and gives its place on.
-func (d *Dispatcher) finished(r router.Request) {
+// finished gives the place of an attempt that has ended on. Only one that ran
+// counts for the rate by which waits are foretold; refusals end far sooner.
+func (d *Dispatcher) finished(r router.Request, ran bool) {
 	q := d.queue(r)
-	q.Finished(1)
+	if ran {
+		q.Finished(1)
+	}
 	q.Next()
 }
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -88,6 +88,8 @@
 	a.left = append(a.left, stream)
 }
 
+func (a *fakeAgent) State() messenger.AgentState { return messenger.AgentState{} }
+
 func (a *fakeAgent) Lookup(string) forwarder.Fate { return forwarder.FateRan }
 
 // world is one dispatcher before some fake agents.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/lister"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
-	"github.com/oriolecroft/oriolecroft/internal/placer"
 	"github.com/oriolecroft/oriolecroft/internal/receiver"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
 	"github.com/oriolecroft/oriolecroft/internal/roller"
@@ -57,7 +56,7 @@
 
 	members *members
 	agents  *agents
-	placer  placer.Placer
+	places  *places
 	running running
 }
 
@@ -74,6 +73,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.members = newMembers(e)
 	e.agents = newAgents()
+	e.places = &places{clock: e.Clock, agents: e.Router.Agents, byDomain: map[string]division{}}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	receive := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -4,6 +4,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
 // report answers an agent: what it says is noted, and it gets what it lacks.
@@ -42,14 +43,30 @@
 	if s.Kind != messenger.KindEngine {
 		return n
 	}
-	n.Assignment = e.placer.Assign(b, s, e.Router.Agents())
+	n.Assignment = e.places.assign(b, s)
 	n.Holders = e.Tracker.Holders(s, wants(s))
-	if m, ok := b.Model(n.Assignment); ok {
+	// A permit that went to an agent whose weights are still on their way would keep
+	// from switching those who have them.
+	if m, ok := b.Model(n.Assignment); ok && holdsWhole(s, m) {
 		n.Switch = e.Roller.Permit(s, m)
 	}
 	return n
 }
 
+// holdsWhole tells whether an agent has all that the model needs.
+func holdsWhole(s messenger.AgentState, m bundler.Model) bool {
+	whole := map[string]bool{}
+	for _, h := range s.Holdings {
+		whole[h.Manifest] = h.Whole()
+	}
+	for _, a := range m.Adapters {
+		if !whole[a.Manifest] {
+			return false
+		}
+	}
+	return whole[m.Manifest]
+}
+
 // wants lists the manifests of which an agent lacks chunks.
 func wants(s messenger.AgentState) []string {
 	var ms []string
@@ -83,4 +100,6 @@
 	for _, s := range x.Agents {
 		e.see(s)
 	}
+	e.Limiter.Hear(x.State.ID, x.Asked)
+	e.Router.HearDemand(x.State.ID, x.Demand)
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -187,7 +187,12 @@
 // mine is what this entry tells another that holds the given revision: the record
 // goes along only when it is news.
 func (m *members) mine(theirs uint64) messenger.Exchange {
-	x := messenger.Exchange{State: m.self(), Agents: m.entry.agents.direct()}
+	x := messenger.Exchange{
+		State:  m.self(),
+		Agents: m.entry.agents.direct(),
+		Asked:  m.entry.Limiter.Asked(),
+		Demand: m.entry.Router.Demand(),
+	}
 	b, r := m.entry.State.Current()
 	if b != nil && theirs > 0 && b.Revision > theirs {
 		x.Record = r
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 )
 
 // idleConnections bounds what an entry keeps open to one agent.
@@ -88,6 +90,7 @@
 		Header:   serviceHeader(r.Header),
 		Body:     data,
 		Replayed: r.Header.Get(headerReplayed) != "",
+		Agent:    agentOf(r),
 	}, nil
 }
 
@@ -167,7 +170,17 @@
 		RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond,
 		Busy:       f.Busy,
 		KeyClosed:  f.KeyClosed,
+		Agent:      agentOf(r),
+	}
+}
+
+// agentOf reads the agent's account of itself; nil when there is none.
+func agentOf(r *http.Response) *messenger.AgentState {
+	s := new(messenger.AgentState)
+	if json.Unmarshal([]byte(r.Header.Get(headerAgent)), s) != nil {
+		return nil
 	}
+	return s
 }
 
 // Stream is a reply under way.
--- a/internal/forwarder/messages.go
+++ b/internal/forwarder/messages.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 )
 
 // Paths and headers of the wire.
@@ -21,6 +23,9 @@
 	headerRequest = "Oriolecroft-Request"
 	headerAttempt = "Oriolecroft-Attempt"
 	headerEngine  = "Oriolecroft-Engine-Start"
+	// headerAgent carries the agent's account of itself as JSON, so that an entry
+	// knows what its agents bear from each answer and not only from heartbeats.
+	headerAgent = "Oriolecroft-Agent"
 )
 
 // The words of headerOutcome.
@@ -91,6 +96,8 @@
 	Tokens         int      `json:"tokens,omitempty"`
 	Digest         string   `json:"digest,omitempty"`
 	Failure        *Failure `json:"failure,omitempty"`
+	// Agent is the agent's account of itself at the end of the stream.
+	Agent *messenger.AgentState `json:"agent,omitempty"`
 }
 
 // Failure ends a stream that could not be completed.
@@ -106,6 +113,8 @@
 	// Replayed is set when an earlier attempt with the same key ran, and this is
 	// its answer again.
 	Replayed bool
+	// Agent is the agent's account of itself after the call.
+	Agent *messenger.AgentState
 }
 
 // Fate is what became of a key.
@@ -130,6 +139,8 @@
 	KeyClosed bool `json:"keyClosed,omitempty"`
 	// Gone means that the agent itself could not be reached.
 	Gone bool `json:"-"`
+	// Agent is the agent's account of itself when it refused.
+	Agent *messenger.AgentState `json:"-"`
 }
 
 func (e *NotRunError) Error() string { return "not run: " + e.Reason }
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 )
 
 // maxStreamName is the longest name of a stream, in bytes.
@@ -30,6 +32,8 @@
 	Call(ctx context.Context, o CallOrder, body []byte) (*Reply, error)
 	// Cancel ends a stream whose caller left.
 	Cancel(stream string)
+	// State is the agent's account of itself, short enough for each answer.
+	State() messenger.AgentState
 	// Lookup tells what became of a key.
 	Lookup(key string) Fate
 }
@@ -63,7 +67,7 @@
 		return
 	}
 	if !out.started {
-		fail(w, o.Attempt, err)
+		h.fail(w, o.Attempt, err)
 		return
 	}
 	// The stream has begun, so the error goes into it; if that fails too, the
@@ -108,9 +112,10 @@
 	defer cancel()
 	reply, err := h.runner.Call(ctx, o, body)
 	if err != nil {
-		fail(w, o.Attempt, err)
+		h.fail(w, o.Attempt, err)
 		return
 	}
+	h.tell(w)
 	write(w, o.Attempt, reply)
 }
 
@@ -135,6 +140,19 @@
 	h.runner.Cancel(string(stream))
 }
 
+// tell adds the agent's account of itself to an answer.
+func (h *handler) tell(w http.ResponseWriter) {
+	if data, err := json.Marshal(h.runner.State()); err == nil {
+		w.Header().Set(headerAgent, string(data))
+	}
+}
+
+// fail is an answer that is not a reply, with the agent's account of itself.
+func (h *handler) fail(w http.ResponseWriter, a Attempt, err error) {
+	h.tell(w)
+	fail(w, a, err)
+}
+
 func withDeadline(ctx context.Context, ms int64) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 }
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -174,6 +174,12 @@
 	Record *bundler.Record `json:"record,omitempty"`
 	// Agents are those that report to the sender directly, without holdings.
 	Agents []AgentState `json:"agents,omitempty"`
+	// Asked is what callers ask of the sender for each workspace with limits, in
+	// requests a second; the limits are divided among entries by it.
+	Asked map[string]float64 `json:"asked,omitempty"`
+	// Demand is how many requests run or wait at the sender for each model and
+	// service; full pools are divided among entries by it.
+	Demand map[string]int `json:"demand,omitempty"`
 }
 
 // Whole tells whether all chunks are there.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -12,24 +12,18 @@
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
-// Placer assigns models to engines. Its answer depends only on what it is given,
-// so that entries which know the same agents give the same one; entries whose
-// views differ for a moment cost a needless load and nothing else.
-type Placer struct{}
-
-// Assign names the model for one agent's engine; empty when none is placed in
-// its failure domain. Each model gets its share of the engines, at least one
-// while they suffice. Engines that hold a model already keep it where the shares
-// allow, since a load takes minutes of service.
-func (Placer) Assign(b *bundler.Bundle, s messenger.AgentState, known []messenger.AgentState) string {
-	ms := b.ModelsIn(s.FailureDomain)
-	switch len(ms) {
-	case 0:
-		return ""
-	case 1:
-		return ms[0].Name
+// Place names the model for each engine of a failure domain; none when no model is
+// placed there. The answer depends only on what is given, so that entries which
+// know the same agents give the same one; entries whose views differ for a moment
+// cost a needless load and nothing else. Each model gets its share of the engines,
+// at least one while they suffice. Engines that hold a model already keep it where
+// the shares allow, since a load takes minutes of service.
+func Place(b *bundler.Bundle, domain string, known []messenger.AgentState) map[string]string {
+	ms := b.ModelsIn(domain)
+	if len(ms) == 0 {
+		return nil
 	}
-	engines := enginesIn(s, known)
+	engines := enginesIn(domain, known)
 	left := quotas(ms, len(engines))
 	assigned := keep(engines, left)
 	for _, a := range engines {
@@ -37,15 +31,15 @@
 			assigned[a.ID] = take(a.ID, ms, left)
 		}
 	}
-	return assigned[s.ID]
+	return assigned
 }
 
-// enginesIn lists the engines of the agent's failure domain, itself included, in
-// an order that does not depend on who asks.
-func enginesIn(s messenger.AgentState, known []messenger.AgentState) []messenger.AgentState {
-	engines := []messenger.AgentState{s}
+// enginesIn lists the engines of a failure domain in an order that does not depend
+// on who asks.
+func enginesIn(domain string, known []messenger.AgentState) []messenger.AgentState {
+	var engines []messenger.AgentState
 	for _, a := range known {
-		if a.ID != s.ID && a.Kind == messenger.KindEngine && a.FailureDomain == s.FailureDomain && !a.Leaving {
+		if a.Kind == messenger.KindEngine && a.FailureDomain == domain && !a.Leaving {
 			engines = append(engines, a)
 		}
 	}
