Switch more engines at once while the load allows it

Cause: a roll took a quarter of the replicas at a time however idle they were, and each wave lasts a load and a cold start; and an agent that was frozen with a permit in hand kept the next version from three idle engines for 30 s (found by the process-level tests). Change: up to half may be out while the rest carry the present load and half as much again; an agent silent for 5 s no longer counts. The tests fail without: three permits instead of six with no load, and no permit 6 s after the freeze.

--- a/internal/roller/roller.go
+++ b/internal/roller/roller.go
@@ -22,9 +22,15 @@
 // Defaults of the fields that are left zero.
 const (
 	DefaultMaxUnavailable = 0.25
+	DefaultMaxIdle        = 0.5
 	DefaultPermitFor      = 30 * time.Second
+	DefaultSilentFor      = 5 * time.Second
 )
 
+// headroom is how much of the present load must be left as capacity beyond the
+// load itself, for what comes while engines are out.
+const headroom = 0.5
+
 // Roller grants permits. Set the exported fields before the first call; all
 // methods are safe for concurrent use.
 type Roller struct {
@@ -32,10 +38,17 @@
 	// MaxUnavailable is the share of a model's replicas that may be out of
 	// service because of a switch; at least one always may.
 	MaxUnavailable float64
+	// MaxIdle is the greater share that may be out while the rest could carry the
+	// present load with room to spare: a roll by night need not take as long as one
+	// in the rush.
+	MaxIdle float64
 	// PermitFor is how long a permit counts against the share while its agent
-	// hasn't come back with the new version, and how long an agent counts as a
-	// replica after its last report.
+	// hasn't come back with the new version.
 	PermitFor time.Duration
+	// SilentFor is how long an agent and its permit count after its last report. One
+	// that was frozen or killed with a permit in hand would otherwise keep the
+	// others from switching for all of PermitFor.
+	SilentFor time.Duration
 
 	mu       sync.Mutex
 	replicas map[string]replica
@@ -90,23 +103,47 @@
 	if p, ok := r.permits[agent.ID]; ok && p.manifest == model.Manifest && now.Before(p.until) {
 		return true
 	}
-	all, out := r.count(agent, now)
-	allowed := max(1, int(math.Floor(r.MaxUnavailable*float64(all))))
-	granted := out < allowed
+	c := r.count(agent, now)
+	allowed := r.allowed(c)
+	granted := c.out < allowed
 	klog.V(1).InfoS("Switch asked", "agent", agent.ID, "model", agent.Model, "version", model.Version,
-		"granted", granted, "replicas", all, "out", out, "allowed", allowed)
+		"granted", granted, "replicas", c.all, "out", c.out, "allowed", allowed)
 	if granted {
 		r.permits[agent.ID] = permit{model: agent.Model, manifest: model.Manifest, until: now.Add(r.PermitFor)}
 	}
 	return granted
 }
 
-// count gives the replicas of the model that the agent serves now, and how many
-// of the others are out of service: permitted to switch, or not open.
-func (r *Roller) count(agent messenger.AgentState, now time.Time) (all, out int) {
-	all = 1
+// census is what is known of the replicas of one model.
+type census struct {
+	// all are the replicas, out those of them out of service: permitted to switch,
+	// or not open.
+	all, out int
+	// running is the sum over all, limit over those in service.
+	running, limit int
+}
+
+// allowed is how many replicas may be out at once.
+func (r *Roller) allowed(c census) int {
+	share := max(r.MaxUnavailable, min(r.MaxIdle, c.spare()))
+	return max(1, int(math.Floor(share*float64(c.all))))
+}
+
+// spare is the share of the replicas that the present load leaves free, headroom
+// included; nothing when no load is known.
+func (c census) spare() float64 {
+	if c.limit == 0 || c.all == 0 {
+		return 0
+	}
+	inService := float64(c.all-c.out) / float64(c.all)
+	used := float64(c.running) / float64(c.limit) * inService
+	return 1 - used*(1+headroom)
+}
+
+func (r *Roller) count(agent messenger.AgentState, now time.Time) census {
+	c := census{all: 1, running: agent.Running, limit: agent.Limit}
 	for id, v := range r.replicas {
-		if id == agent.ID || now.Sub(v.heard) > r.PermitFor {
+		if id == agent.ID || now.Sub(v.heard) > r.SilentFor {
 			continue
 		}
 		p, permitted := r.permits[id]
@@ -114,12 +151,16 @@
 		if v.state.Model != agent.Model && !permitted {
 			continue
 		}
-		all++
+		c.all++
+		// What an engine that leaves still runs goes to the others next.
+		c.running += v.state.Running
 		if permitted || v.state.Gate != messenger.GateOpen {
-			out++
+			c.out++
+			continue
 		}
+		c.limit += v.state.Limit
 	}
-	return all, out
+	return c
 }
 
 func (r *Roller) setUp() {
@@ -132,9 +173,15 @@
 	if r.MaxUnavailable == 0 {
 		r.MaxUnavailable = DefaultMaxUnavailable
 	}
+	if r.MaxIdle == 0 {
+		r.MaxIdle = DefaultMaxIdle
+	}
 	if r.PermitFor == 0 {
 		r.PermitFor = DefaultPermitFor
 	}
+	if r.SilentFor == 0 {
+		r.SilentFor = DefaultSilentFor
+	}
 	r.replicas = map[string]replica{}
 	r.permits = map[string]permit{}
 }
