Give up stalled attempts; end permits that were overtaken

A stalled link or a frozen agent neither breaks a connection nor brings anything: the caller looked at half a reply until its deadline. A permit ended only when its engine came back with the permitted manifest; one overtaken by a newer version kept the others from switching for 30 s (found by the process-level tests; TestOvertakenPermitIsOver fails without). Entries that refuse new work are not named to callers while others serve.

--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -54,6 +54,9 @@
 	if err != nil {
 		return err
 	}
+	if err := setVerbosity(s.Verbosity); err != nil {
+		return err
+	}
 	tls, err := s.Certifier()
 	if err != nil {
 		return err
--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if err := setVerbosity(s.Verbosity); err != nil {
+		return err
+	}
 	tls, err := s.Certifier()
 	if err != nil {
 		return err
@@ -136,6 +139,7 @@
 		Deadline:   s.Deadline,
 		QueueFor:   s.QueueFor,
 		ResumeFor:  s.ResumeFor,
+		StallFor:   s.StallFor,
 		Concurrent: s.Concurrent,
 		Metrics:    metrics.NewRegistry(),
 	}
--- a/cmd/oriolecroft/main.go
+++ b/cmd/oriolecroft/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -97,6 +98,12 @@
 	return s
 }
 
+// setVerbosity sets how much is logged.
+func setVerbosity(n int) error {
+	var l klog.Level
+	return l.Set(strconv.Itoa(n))
+}
+
 // UsageError reports an argument that is missing or makes no sense.
 type UsageError struct {
 	Problem string
--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -25,6 +25,7 @@
 	Limit          int           `envconfig:"LIMIT" default:"8"`
 	FreshFor       time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
 	Heartbeat      time.Duration `envconfig:"HEARTBEAT" default:"300ms"`
+	Verbosity      int           `envconfig:"VERBOSITY"`
 	ReportTo       int           `envconfig:"REPORT_TO" default:"4"`
 	Signers
 	TLS
@@ -54,6 +55,7 @@
 	sc.Int(&s.Limit, "", "limit", "how many requests at once a warm upstream bears [OC_LIMIT]")
 	sc.Duration(&s.FreshFor, "", "freshFor", "how old the word on the bundle may be before new work is refused [OC_FRESH_FOR]")
 	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often entries are told of this agent [OC_HEARTBEAT]")
+	sc.Int(&s.Verbosity, "", "verbosity", "how much is logged: 0 decisions, 1 failures of peers, 2 every report [OC_VERBOSITY]")
 	sc.Int(&s.ReportTo, "", "reportTo", "how many entries are told [OC_REPORT_TO]")
 	s.Signers.Bind(sc)
 	s.TLS.Bind(sc)
@@ -86,6 +88,7 @@
 	c.atLeast("limit", s.Limit, s.ColdLimit)
 	c.atLeast("reportTo", s.ReportTo, 1)
 	c.positive("freshFor", s.FreshFor)
+	c.atLeast("verbosity", s.Verbosity, 0)
 	c.positive("heartbeat", s.Heartbeat)
 	if s.Memory <= 0 {
 		c.add("memory", "%d bytes must be above zero", s.Memory)
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -25,6 +25,8 @@
 	Deadline      time.Duration `envconfig:"DEADLINE" default:"60s"`
 	QueueFor      time.Duration `envconfig:"QUEUE_FOR" default:"2s"`
 	ResumeFor     time.Duration `envconfig:"RESUME_FOR" default:"5s"`
+	StallFor      time.Duration `envconfig:"STALL_FOR" default:"3s"`
+	Verbosity     int           `envconfig:"VERBOSITY"`
 	Concurrent    int           `envconfig:"CONCURRENT" default:"512"`
 	Signers
 	TLS
@@ -54,6 +56,8 @@
 	sc.Duration(&s.Deadline, "", "deadline", "longest time for one request [OC_DEADLINE]")
 	sc.Duration(&s.QueueFor, "", "queueFor", "longest time a request waits in line for a replica [OC_QUEUE_FOR]")
 	sc.Duration(&s.ResumeFor, "", "resumeFor", "how long a stream that was cut waits for its agent to return [OC_RESUME_FOR]")
+	sc.Duration(&s.StallFor, "", "stallFor", "how long an agent may bring nothing before an attempt is given up [OC_STALL_FOR]")
+	sc.Int(&s.Verbosity, "", "verbosity", "how much is logged: 0 decisions, 1 failures of peers, 2 every exchange [OC_VERBOSITY]")
 	sc.Int(&s.Concurrent, "", "concurrent", "how many requests this entry carries at once [OC_CONCURRENT]")
 	s.Signers.Bind(sc)
 	s.TLS.Bind(sc)
@@ -87,6 +91,8 @@
 	c.positive("deadline", s.Deadline)
 	c.positive("queueFor", s.QueueFor)
 	c.positive("resumeFor", s.ResumeFor)
+	c.positive("stallFor", s.StallFor)
+	c.atLeast("verbosity", s.Verbosity, 0)
 	if s.Heartbeat > 0 && s.FreshFor < 3*s.Heartbeat {
 		c.add("freshFor", "%v must be at least three heartbeats of %v, or one lost message stops new work", s.FreshFor, s.Heartbeat)
 	}
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -163,7 +163,9 @@
 	}
 	logRoute(c.id, c.attempts, choice)
 	d.count(figureAttempts)
-	reply, err := d.Agents.Call(ctx, choice.Address, c.order(choice), c.request.Body)
+	attempt, _, stop := d.watch(ctx, choice.AgentID)
+	defer stop()
+	reply, err := d.Agents.Call(attempt, choice.Address, c.order(choice), c.request.Body)
 	if ctx.Err() != nil {
 		choice.Release()
 	} else {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -44,6 +44,8 @@
 	QueueFor time.Duration
 	// ResumeFor is how long a stream that was cut waits for its agent to return.
 	ResumeFor time.Duration
+	// StallFor is how long an attempt may bring nothing before it is given up.
+	StallFor time.Duration
 	// Concurrent bounds the requests that this entry carries at once.
 	Concurrent int
 	// Metrics takes the dispatcher's figures.
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -249,6 +249,8 @@
 	if g.next == 0 {
 		g.Stream = g.id + "." + strconv.Itoa(g.attempts)
 	}
+	ctx, w, stop := g.dispatcher.watch(ctx, c.AgentID)
+	defer stop()
 	stream, err := g.dispatcher.Agents.Generate(ctx, c.Address, g.order(c))
 	if err != nil {
 		g.avoid(c.AgentID, err)
@@ -263,6 +265,7 @@
 		if err != nil {
 			return &forwarder.UnknownError{Reason: err.Error()}
 		}
+		w.event()
 		g.agent = e.Agent
 		if err := g.pass(e, c, stream); err != nil {
 			return err
--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -77,3 +77,15 @@
 	must.Len(t, tokens-4+1, rest.events)
 	must.Eq(t, 4, rest.events[0].Index)
 }
+
+// The link to the agent stalls in the middle of a reply: nothing breaks and nothing
+// comes. The caller would look at half a roster until its deadline.
+func TestStalledStreamIsReadOn(t *testing.T) {
+	w := newWorld(t)
+	a := &fakeAgent{stallAt: 2}
+	w.add(t, "vm-1", messenger.KindEngine, a, 4)
+	s := &sink{}
+	must.NoError(t, w.Generate(t.Context(), ask(), s))
+	must.Len(t, tokens+1, s.events)
+	must.Eq(t, 2, a.orders[1].From)
+}
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -40,6 +40,8 @@
 	cutAfter int
 	// startAfterCut is the engine's start id from then on; empty for no restart.
 	startAfterCut string
+	// stallAt keeps the first stream silent from this event on; 0 never.
+	stallAt int
 	// mixAt gives the event of this index other weights; 0 never.
 	mixAt int
 	// call answers a call; nil answers "ok".
@@ -50,7 +52,8 @@
 	a.mu.Lock()
 	a.orders = append(a.orders, o)
 	cut := a.cutAfter
-	a.cutAfter = 0
+	stall := a.stallAt
+	a.cutAfter, a.stallAt = 0, 0
 	engine := a.start
 	if cut > 0 && a.startAfterCut != "" {
 		a.start = a.startAfterCut
@@ -61,6 +64,10 @@
 		if cut > 0 && i == cut {
 			panic(http.ErrAbortHandler)
 		}
+		if stall > 0 && i == stall {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		e := forwarder.Event{Index: i, Token: "t", Version: "v1", Weights: "w1"}
 		if a.mixAt > 0 && i == a.mixAt {
 			e.Weights = "w2"
@@ -137,6 +144,7 @@
 		Deadline:   10 * time.Second,
 		QueueFor:   3 * time.Second,
 		ResumeFor:  2 * time.Second,
+		StallFor:   time.Second,
 		Concurrent: 64,
 		Metrics:    metrics.NewRegistry(),
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -179,15 +179,23 @@
 	e.agents.setLeaving(leaving)
 }
 
-// callerEntries lists where callers may connect. Each caller gets another order,
-// so that callers spread over the entries.
+// callerEntries lists where callers may connect: the entries that take work, or
+// all if none does. Each caller gets another order, so that callers spread.
 func (e *Entry) callerEntries() []receiver.Entry {
-	var es []receiver.Entry
+	var serving, refusing []receiver.Entry
 	for _, m := range e.members.alive() {
-		es = append(es, receiver.Entry{Address: m.Callers, FailureDomain: m.FailureDomain, Region: m.Region})
+		at := receiver.Entry{Address: m.Callers, FailureDomain: m.FailureDomain, Region: m.Region}
+		if m.Refusing {
+			refusing = append(refusing, at)
+		} else {
+			serving = append(serving, at)
+		}
+	}
+	if len(serving) == 0 {
+		serving = refusing
 	}
-	shuffle(es)
-	return es
+	shuffle(serving)
+	return serving
 }
 
 // ready is why this entry takes no new work; nil when it does.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -212,6 +212,7 @@
 		Callers:        addressOf(e.Callers),
 		Peers:          addressOf(e.Peers),
 		Leaving:        m.leaving,
+		Refusing:       e.State.MayServe() != nil,
 		StoreReachable: e.State.StoreReachable(),
 		Word:           e.State.Word(),
 	}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -129,6 +129,8 @@
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
 	Leaving bool           `json:"leaving,omitempty"`
+	// Refusing entries take no new work: their word on the bundle is too old.
+	Refusing bool `json:"refusing,omitempty"`
 	// StoreReachable is whether this entry itself heard the store lately.
 	StoreReachable bool `json:"storeReachable"`
 	Word           Word `json:"word"`
--- a/internal/roller/roller.go
+++ b/internal/roller/roller.go
@@ -63,7 +63,9 @@
 // permit is a switch that was granted and isn't known to be over.
 type permit struct {
 	model, manifest string
-	until           time.Time
+	// from is the manifest that the engine held when the permit was given.
+	from  string
+	until time.Time
 }
 
 // Report notes an agent's state. A leaving agent is forgotten.
@@ -77,7 +79,9 @@
 		return
 	}
 	r.replicas[s.ID] = replica{state: s, heard: r.Clock.Now()}
-	if p, ok := r.permits[s.ID]; ok && s.Manifest == p.manifest && s.Gate == messenger.GateOpen {
+	// An engine that is open with anything else than before is back, whatever it
+	// holds: a newer version may have overtaken the permitted one on the way.
+	if p, ok := r.permits[s.ID]; ok && s.Manifest != p.from && s.Gate == messenger.GateOpen {
 		delete(r.permits, s.ID)
 	}
 }
@@ -109,7 +113,7 @@
 	klog.V(1).InfoS("Switch asked", "agent", agent.ID, "model", agent.Model, "version", model.Version,
 		"granted", granted, "replicas", c.all, "out", c.out, "allowed", allowed)
 	if granted {
-		r.permits[agent.ID] = permit{model: agent.Model, manifest: model.Manifest, until: now.Add(r.PermitFor)}
+		r.permits[agent.ID] = permit{model: agent.Model, manifest: model.Manifest, from: agent.Manifest, until: now.Add(r.PermitFor)}
 	}
 	return granted
 }
--- a/internal/roller/roller_test.go
+++ b/internal/roller/roller_test.go
@@ -70,3 +70,15 @@
 	r.Report(engine(2, 9))
 	must.True(t, r.Permit(engine(1, 9), next))
 }
+
+// A newer version overtakes the permitted one while the engine switches, and the
+// engine comes back with the newer. Its permit would keep the others from switching
+// until it lapses.
+func TestOvertakenPermitIsOver(t *testing.T) {
+	r := &roller.Roller{Clock: testclock.NewFakePassiveClock(time.Unix(0, 0))}
+	must.Eq(t, 1, granted(r, 3, 9))
+	back := engine(0, 0)
+	back.Manifest = "newer"
+	r.Report(back)
+	must.True(t, r.Permit(engine(1, 9), bundler.Model{Name: "rota", Version: "v3", Manifest: "newer"}))
+}
--- a/internal/router/bound.go
+++ b/internal/router/bound.go
@@ -44,6 +44,14 @@
 	return nil
 }
 
+// Live tells whether an agent was heard within StaleAfter.
+func (r *Router) Live(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep(r.Clock.Now())
+	return r.liveReplica(id) != nil
+}
+
 func (r *Router) liveReplica(id string) *replica {
 	p := r.replicas[id]
 	if p == nil || p.list != &r.live {
