Keep 'not run' true after a replica that was full

Cause: attempts at full replicas were neither joined to the outcome nor told apart from those that the retry budget pays for, so that a request refused after one ended as unknown, and four full replicas used up its attempts. Change: the outcome starts as not run and joins every attempt; only failures count. Without the start TestRefusalAfterAFullReplicaIsNotRun says unknown.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -50,8 +50,9 @@
 	deadline   time.Time
 	service    bundler.Service
 
-	attempts int
-	refusals []string
+	// attempts counts all, failures those that the retry budget paid for.
+	attempts, failures int
+	refusals           []string
 	// bound is the key that this call runs under, when the caller brought one.
 	bound *deduplicator.Key
 	// busy says that the request had its turn and found its replica full.
@@ -219,20 +220,22 @@
 		return f
 	}
 	outcome := outcomeOf(err)
+	earlier := c.earlier()
+	closed := c.settle(err, outcome)
+	c.busy = isBusy(err)
+	if c.busy && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
+		return nil
+	}
+	c.failures++
 	decision := c.dispatcher.Policy.Decide(retrier.Attempt{
 		Outcome: outcome,
-		Earlier: c.earlier(),
-		Number:  c.attempts,
+		Earlier: earlier,
+		Number:  c.failures,
 		// The key's owner runs it once however often it is asked.
 		Idempotent: c.service.Idempotent || c.bound != nil,
 		Now:        c.dispatcher.Clock.Now(),
 		Deadline:   c.deadline,
 	})
-	closed := c.settle(err, outcome)
-	c.busy = isBusy(err)
-	if c.busy && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
-		return nil
-	}
 	if decision.Retry && !closed && sleep(ctx, c.dispatcher.Clock, decision.Delay) {
 		return nil
 	}
--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
@@ -89,3 +90,14 @@
 	must.Len(t, tokens+1, s.events)
 	must.Eq(t, 2, a.orders[1].From)
 }
+
+// A replica was full when the request came, and then all are gone. The caller must
+// hear that it has not run; "unknown" would keep it from asking anew.
+func TestRefusalAfterAFullReplicaIsNotRun(t *testing.T) {
+	w := newWorld(t)
+	a := &fakeAgent{refuse: &forwarder.NotRunError{Reason: "full", Busy: true}}
+	w.add(t, "vm-1", messenger.KindEngine, a, 4)
+	a.refused = func() { w.Router.Remove("vm-1") }
+	f := failure(t, w.Generate(t.Context(), ask(), &sink{}))
+	must.Eq(t, retrier.NotRun, f.Outcome)
+}
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -91,7 +91,7 @@
 
 // cancel tells the agent that nobody reads the stream any more.
 func (g *generation) cancel(c *router.Choice) {
-	klog.InfoS("Caller left", "request", g.id, "event", g.next)
+	klog.InfoS("Cancel", "request", g.id, "event", g.next)
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	if err := g.dispatcher.Agents.Cancel(ctx, c.Address, g.Stream); err != nil {
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -44,6 +44,9 @@
 	stallAt int
 	// mixAt gives the event of this index other weights; 0 never.
 	mixAt int
+	// refuse is the answer to the first stream, after which refused is called.
+	refuse  *forwarder.NotRunError
+	refused func()
 	// call answers a call; nil answers "ok".
 	call func(o forwarder.CallOrder) (*forwarder.Reply, error)
 }
@@ -59,6 +62,10 @@
 		a.start = a.startAfterCut
 	}
 	a.mu.Unlock()
+	if a.refuse != nil {
+		a.refused()
+		return a.refuse
+	}
 	start(engine)
 	for i := o.From; i < tokens; i++ {
 		if cut > 0 && i == cut {
