--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -50,10 +50,13 @@
 	deadline   time.Time
 	service    bundler.Service
 
-	attempts int
-	refusals []string
+	// attempts counts all, failures those that the retry budget paid for.
+	attempts, failures int
+	refusals           []string
 	// bound is the key that this call runs under, when the caller brought one.
 	bound *deduplicator.Key
+	// busy says that the request had its turn and found its replica full.
+	busy bool
 	// ours says that bound was made here, for a caller that brought none.
 	ours bool
 	// doubtful is set while an attempt may have run of which this entry knows
@@ -127,21 +130,18 @@
 }
 
 // claim binds a key of the caller's own making by way of the store, so that all
-// entries send it to the same agent. The one that makes the claim knows that no
-// earlier attempt can have run.
+// entries send it to the same agent. Even the entry that makes the claim can't say
+// "not run" on its own: a repeat through another entry may have run meanwhile.
 func (c *call) claim(ctx context.Context) error {
 	fresh, err := c.dispatcher.mint(c.request.Workspace, c.request.Service)
 	if err != nil {
 		return err
 	}
 	mint := func() deduplicator.Key { return fresh }
-	k, first, err := c.dispatcher.Claims.Claim(ctx, c.request.Workspace, c.request.Service, c.request.Key, mint)
+	k, _, err := c.dispatcher.Claims.Claim(ctx, c.request.Workspace, c.request.Service, c.request.Key, mint)
 	if err != nil {
 		return refuse(http.StatusServiceUnavailable, "the key can not be claimed: "+err.Error(), pause())
 	}
-	if first {
-		c.doubtful = false
-	}
 	c.bound = &k
 	return nil
 }
@@ -158,19 +158,25 @@
 		// Only the owner may run the key, however badly it has answered.
 		r.Owner, r.Avoid = c.bound.Owner, nil
 	}
-	choice, err := d.pick(ctx, r, c.deadline)
+	choice, err := d.pick(ctx, r, c.deadline, c.busy)
 	if err != nil {
 		return nil, pickFailure(err)
 	}
-	defer d.finished(r)
 	logRoute(c.id, c.attempts, choice)
 	d.count(figureAttempts)
-	reply, err := d.Agents.Call(ctx, choice.Address, c.order(choice), c.request.Body)
+	attempt, _, stop := d.watch(ctx, choice.AgentID)
+	defer stop()
+	reply, err := d.Agents.Call(attempt, choice.Address, c.order(choice), c.request.Body)
 	if ctx.Err() != nil {
 		choice.Release()
 	} else {
 		choice.Done(attemptOutcome(err))
 	}
+	d.hearRefusal(err)
+	if err == nil {
+		d.hear(reply.Agent)
+	}
+	d.finished(r, attemptOutcome(err) != retrier.NotRun)
 	if err != nil && !isBusy(err) {
 		c.refusals = append(c.refusals, choice.AgentID)
 	}
@@ -214,19 +220,22 @@
 		return f
 	}
 	outcome := outcomeOf(err)
+	earlier := c.earlier()
+	closed := c.settle(err, outcome)
+	c.busy = isBusy(err)
+	if c.busy && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
+		return nil
+	}
+	c.failures++
 	decision := c.dispatcher.Policy.Decide(retrier.Attempt{
 		Outcome: outcome,
-		Earlier: c.earlier(),
-		Number:  c.attempts,
+		Earlier: earlier,
+		Number:  c.failures,
 		// The key's owner runs it once however often it is asked.
 		Idempotent: c.service.Idempotent || c.bound != nil,
 		Now:        c.dispatcher.Clock.Now(),
 		Deadline:   c.deadline,
 	})
-	closed := c.settle(err, outcome)
-	if isBusy(err) && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
-		return nil
-	}
 	if decision.Retry && !closed && sleep(ctx, c.dispatcher.Clock, decision.Delay) {
 		return nil
 	}
@@ -292,7 +301,7 @@
 	if err != nil {
 		return deduplicator.Key{}, pickFailure(err)
 	}
-	c.Done(retrier.Ran)
+	c.Release()
 	return d.newKey(workspace, service, c), nil
 }
 
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
@@ -39,8 +40,13 @@
 	cutAfter int
 	// startAfterCut is the engine's start id from then on; empty for no restart.
 	startAfterCut string
+	// stallAt keeps the first stream silent from this event on; 0 never.
+	stallAt int
 	// mixAt gives the event of this index other weights; 0 never.
 	mixAt int
+	// refuse is the answer to the first stream, after which refused is called.
+	refuse  *forwarder.NotRunError
+	refused func()
 	// call answers a call; nil answers "ok".
 	call func(o forwarder.CallOrder) (*forwarder.Reply, error)
 }
@@ -49,17 +55,26 @@
 	a.mu.Lock()
 	a.orders = append(a.orders, o)
 	cut := a.cutAfter
-	a.cutAfter = 0
+	stall := a.stallAt
+	a.cutAfter, a.stallAt = 0, 0
 	engine := a.start
 	if cut > 0 && a.startAfterCut != "" {
 		a.start = a.startAfterCut
 	}
 	a.mu.Unlock()
+	if a.refuse != nil {
+		a.refused()
+		return a.refuse
+	}
 	start(engine)
 	for i := o.From; i < tokens; i++ {
 		if cut > 0 && i == cut {
 			panic(http.ErrAbortHandler)
 		}
+		if stall > 0 && i == stall {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		e := forwarder.Event{Index: i, Token: "t", Version: "v1", Weights: "w1"}
 		if a.mixAt > 0 && i == a.mixAt {
 			e.Weights = "w2"
@@ -87,6 +102,8 @@
 	a.left = append(a.left, stream)
 }
 
+func (a *fakeAgent) State() messenger.AgentState { return messenger.AgentState{} }
+
 func (a *fakeAgent) Lookup(string) forwarder.Fate { return forwarder.FateRan }
 
 // world is one dispatcher before some fake agents.
@@ -129,11 +146,12 @@
 		Router:     &router.Router{FailureDomain: "a", Region: "r", Clock: c, StaleAfter: time.Hour, Random: random()},
 		Limiter:    &limiter.Limiter{Clock: c, Entries: func() int { return 1 }},
 		Policy:     &retrier.Policy{Budget: &retrier.Budget{Clock: c}, Random: random()},
-		Agents:     forwarder.NewClient(),
+		Agents:     forwarder.NewClient((*certifier.Certifier)(nil).Dial),
 		Clock:      c,
 		Deadline:   10 * time.Second,
 		QueueFor:   3 * time.Second,
 		ResumeFor:  2 * time.Second,
+		StallFor:   time.Second,
 		Concurrent: 64,
 		Metrics:    metrics.NewRegistry(),
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -15,12 +14,12 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/lister"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
-	"github.com/oriolecroft/oriolecroft/internal/placer"
 	"github.com/oriolecroft/oriolecroft/internal/receiver"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
 	"github.com/oriolecroft/oriolecroft/internal/roller"
@@ -48,6 +47,8 @@
 	Roller     *roller.Roller
 	Dispatcher *dispatcher.Dispatcher
 	Clock      clock.WithTicker
+	// Certifier makes connections between our processes; nil means plain ones.
+	Certifier *certifier.Certifier
 	// KeepFor is how long callers may keep the list of entries.
 	KeepFor time.Duration
 	// Heartbeat is how often entries exchange what they know.
@@ -55,7 +56,7 @@
 
 	members *members
 	agents  *agents
-	placer  placer.Placer
+	places  *places
 	running running
 }
 
@@ -72,17 +73,21 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.members = newMembers(e)
 	e.agents = newAgents()
+	e.places = &places{clock: e.Clock, agents: e.Router.Agents, byDomain: map[string]division{}}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	receive := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
 	s := suture.New("entry", suture.Spec{EventHook: reporter.LogEvents})
 	s.Add(&reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.running.count(receive.Handler())})
-	s.Add(&reporter.Web{Name: "operators", Listener: e.Operators, Handler: e.operators()})
-	s.Add(&messenger.Server{Listener: e.Peers, OnReport: e.report, OnExchange: e.exchange})
+	s.Add(&reporter.Web{Name: "operators", Listener: e.Certifier.Listen(e.Operators), Handler: e.operators()})
+	s.Add(&messenger.Server{Listener: e.Certifier.Listen(e.Peers), OnReport: e.report, OnExchange: e.exchange})
 	s.Add(e.Watcher)
 	s.Add(e.Dispatcher)
 	s.Add(e.members)
 	s.Add(&applier{entry: e})
+	if e.Certifier != nil {
+		s.Add(e.Certifier)
+	}
 	if e.List != nil {
 		s.Add(reporter.Every("list", e.Clock, listEvery, e.readList))
 	}
@@ -174,19 +179,23 @@
 	e.agents.setLeaving(leaving)
 }
 
-// callerEntries lists where callers may connect. Each caller gets another order,
-// so that callers spread over the entries.
+// callerEntries lists where callers may connect: the entries that take work, or
+// all if none does. Each caller gets another order, so that callers spread.
 func (e *Entry) callerEntries() []receiver.Entry {
-	var es []receiver.Entry
+	var serving, refusing []receiver.Entry
 	for _, m := range e.members.alive() {
-		es = append(es, receiver.Entry{Address: m.Callers, FailureDomain: m.FailureDomain, Region: m.Region})
+		at := receiver.Entry{Address: m.Callers, FailureDomain: m.FailureDomain, Region: m.Region}
+		if m.Refusing {
+			refusing = append(refusing, at)
+		} else {
+			serving = append(serving, at)
+		}
 	}
-	shuffle(es)
-	return es
-}
-
-func (e *Entry) operators() http.Handler {
-	return reporter.Handler(func() any { return e.status() }, e.ready, e.metrics())
+	if len(serving) == 0 {
+		serving = refusing
+	}
+	shuffle(serving)
+	return serving
 }
 
 // ready is why this entry takes no new work; nil when it does.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -137,7 +137,7 @@
 
 func (m *members) start(ctx context.Context, a netip.AddrPort, p *peer) {
 	ctx, p.cancel = context.WithCancel(ctx)
-	p.client = &messenger.Client{Address: a, Timeout: exchangeTimeout}
+	p.client = &messenger.Client{Address: a, Timeout: exchangeTimeout, Dial: m.entry.Certifier.Dial}
 	go m.run(ctx, p.client)
 }
 
@@ -187,7 +187,12 @@
 // mine is what this entry tells another that holds the given revision: the record
 // goes along only when it is news.
 func (m *members) mine(theirs uint64) messenger.Exchange {
-	x := messenger.Exchange{State: m.self(), Agents: m.entry.agents.direct()}
+	x := messenger.Exchange{
+		State:  m.self(),
+		Agents: m.entry.agents.direct(),
+		Asked:  m.entry.Limiter.Asked(),
+		Demand: m.entry.Router.Demand(),
+	}
 	b, r := m.entry.State.Current()
 	if b != nil && theirs > 0 && b.Revision > theirs {
 		x.Record = r
@@ -207,6 +212,7 @@
 		Callers:        addressOf(e.Callers),
 		Peers:          addressOf(e.Peers),
 		Leaving:        m.leaving,
+		Refusing:       e.State.MayServe() != nil,
 		StoreReachable: e.State.StoreReachable(),
 		Word:           e.State.Word(),
 	}
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -11,11 +11,9 @@
 	"net/netip"
 	"strconv"
 	"time"
-)
 
-// dialTimeout is how long an agent may take to accept a connection. Regions are
-// milliseconds apart; one that takes longer is as good as gone.
-const dialTimeout = 500 * time.Millisecond
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+)
 
 // idleConnections bounds what an entry keeps open to one agent.
 const idleConnections = 16
@@ -25,10 +23,13 @@
 	http *http.Client
 }
 
+// Dial makes a connection. Its errors are *net.OpError of the operation "dial".
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient makes a client with its own connections.
-func NewClient() *Client {
+func NewClient(dial Dial) *Client {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
@@ -89,6 +90,7 @@
 		Header:   serviceHeader(r.Header),
 		Body:     data,
 		Replayed: r.Header.Get(headerReplayed) != "",
+		Agent:    agentOf(r),
 	}, nil
 }
 
@@ -168,7 +170,17 @@
 		RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond,
 		Busy:       f.Busy,
 		KeyClosed:  f.KeyClosed,
+		Agent:      agentOf(r),
+	}
+}
+
+// agentOf reads the agent's account of itself; nil when there is none.
+func agentOf(r *http.Response) *messenger.AgentState {
+	s := new(messenger.AgentState)
+	if json.Unmarshal([]byte(r.Header.Get(headerAgent)), s) != nil {
+		return nil
 	}
+	return s
 }
 
 // Stream is a reply under way.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -111,8 +111,19 @@
 func TestFewerPlacesThanEntries(t *testing.T) {
 	f := newFleet(bundler.Limits{Concurrent: 4})
 	_, _, running := f.run(20, func() int { return f.random.IntN(9) }, 20*time.Second, time.Second)
+	t.Log("all", running)
 	must.Between(t, 3.5, running, 4*1.25)
 	f.run(20, func() int { return 0 }, 20*time.Second, time.Second)
 	_, _, running = f.run(20, func() int { return 0 }, 20*time.Second, time.Second)
+	t.Log("one", running)
 	must.Between(t, 3, running, 4.4)
 }
+
+// An entry that had all callers is gone. Were its last word to count for ever,
+// the callers would be held to a tenth of their limit by those that are left.
+func TestWordOfSilentEntryLapses(t *testing.T) {
+	var p limiter.Parts
+	p.Hear("gone", 9, epoch)
+	must.EqOp(t, 0.1, p.Part(1, 2, epoch))
+	must.EqOp(t, 0.5, p.Part(1, 2, epoch.Add(6*time.Second)))
+}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -102,17 +102,23 @@
 	Silent []Silence `json:"silent,omitempty"`
 }
 
-// Silence is an entry's word, AgeMS milliseconds ago, that it does not reach the
-// store. As it passes from process to process it only ever ages.
+// Age is AgeMS as a duration; negative when the store was never heard.
+func (w Word) Age() time.Duration { return time.Duration(w.AgeMS) * time.Millisecond }
+
+// OutageAge is OutageAgeMS as a duration.
+func (w Word) OutageAge() time.Duration { return time.Duration(w.OutageAgeMS) * time.Millisecond }
+
+// Silence lists entries of one region that asked the store in vain. As it passes
+// from process to process it only ever ages.
 type Silence struct {
-	ID     string `json:"id"`
 	Region string `json:"region,omitempty"`
-	AgeMS  int64  `json:"ageMs"`
+	// IDs are the low 32 bits of the XXH64 of the entries' names, which keeps the
+	// list short in a large deployment.
+	IDs []uint32 `json:"ids"`
+	// AgesMS tells for each of them how many milliseconds ago that was.
+	AgesMS []int64 `json:"agesMs"`
 }
 
-// Age is AgeMS as a duration; negative when the store was never heard.
-func (w Word) Age() time.Duration { return time.Duration(w.AgeMS) * time.Millisecond }
-
 // EntryState is an entry's account of itself towards other entries and agents.
 type EntryState struct {
 	ID            string `json:"id"`
@@ -123,6 +129,8 @@
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
 	Leaving bool           `json:"leaving,omitempty"`
+	// Refusing entries take no new work: their word on the bundle is too old.
+	Refusing bool `json:"refusing,omitempty"`
 	// StoreReachable is whether this entry itself heard the store lately.
 	StoreReachable bool `json:"storeReachable"`
 	Word           Word `json:"word"`
@@ -168,6 +176,12 @@
 	Record *bundler.Record `json:"record,omitempty"`
 	// Agents are those that report to the sender directly, without holdings.
 	Agents []AgentState `json:"agents,omitempty"`
+	// Asked is what callers ask of the sender for each workspace with limits, in
+	// requests a second; the limits are divided among entries by it.
+	Asked map[string]float64 `json:"asked,omitempty"`
+	// Demand is how many requests run or wait at the sender for each model and
+	// service; full pools are divided among entries by it.
+	Demand map[string]int `json:"demand,omitempty"`
 }
 
 // Whole tells whether all chunks are there.
--- a/internal/router/failure_test.go
+++ b/internal/router/failure_test.go
@@ -121,3 +121,53 @@
 	_, err = r.Pick(ask)
 	must.NoError(t, err)
 }
+
+// Callers crowd at one entry while the other has none. Held to an even part of a
+// full pool, the first lets its users wait and time out beside idle places.
+func TestLongLineGetsMoreOfFullPool(t *testing.T) {
+	r, c := newRouter(threeDomains())
+	r.SetEntries("e1", []string{"e1", "e2"})
+	s := engine(1, "north")
+	s.Limit = 20
+	r.Report(s)
+	for range 11 {
+		_, err := r.Pick(ask)
+		must.NoError(t, err)
+	}
+	c.SetTime(c.Now().Add(time.Second))
+	s.Sequence, s.Running = 2, 19
+	r.Report(s)
+	r.SetWaiting("rota", "", 30)
+	must.MapEq(t, map[string]int{"engine rota": 41}, r.Demand())
+	r.HearDemand("e2", map[string]int{"engine rota": 8})
+	_, err := r.Pick(ask)
+	must.NoError(t, err)
+	c.SetTime(c.Now().Add(time.Second))
+	s.Sequence = 3
+	r.Report(s)
+	r.HearDemand("e2", map[string]int{"engine rota": 80})
+	_, err = r.Pick(ask)
+	must.NotNil(t, wantError[*router.FullError](t, err))
+	r.HearDemand("e2", nil)
+	_, err = r.Pick(ask)
+	must.NoError(t, err)
+}
+
+// Eight entries are alive, of which two know a cold replica. Divided among all
+// eight, its two places would nearly always be nobody's, and users wait beside it.
+func TestColdPlacesAreDividedAmongThoseWhoKnow(t *testing.T) {
+	r, _ := newRouter(threeDomains())
+	r.Sharing = 2
+	r.SetEntries("e1", []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"})
+	r.Report(engine(2, "east"))
+	s := engine(1, "north")
+	s.Gate, s.Limit = messenger.GateCold, 2
+	for range 8 {
+		s.Sequence++
+		must.True(t, r.Report(s))
+		c, err := r.Pick(ask)
+		must.NoError(t, err)
+		must.EqOp(t, "vm-1", c.AgentID)
+		c.Done(retrier.Ran)
+	}
+}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -2,9 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
@@ -25,21 +25,43 @@
 	name string
 }
 
+func (k poolKey) String() string { return string(k.kind) + " " + k.name }
+
+func keyFor(model, service string) poolKey {
+	if service != "" {
+		return poolKey{kind: messenger.KindService, name: service}
+	}
+	return poolKey{kind: messenger.KindEngine, name: model}
+}
+
 func keyOf(s messenger.AgentState) poolKey {
 	if s.Kind == messenger.KindService {
-		return poolKey{kind: s.Kind, name: s.Service}
+		return keyFor("", s.Service)
 	}
-	return poolKey{kind: messenger.KindEngine, name: s.Model}
+	return keyFor(s.Model, "")
 }
 
 // pool holds the replicas of one model or service that may get new work.
 type pool struct {
 	tiers [tierCount]tier
+	// near is the ring of this entry's region, far that of the others.
+	near, far ring
 	// rate is the smoothed number of requests done per second.
 	rate retrier.Rate
-	// inflight is how many of this entry's own requests are not done.
-	inflight int
-	returns  retrier.Returns
+	// inflight is how many of this entry's own requests are not done, waiting how
+	// many wait; parts divides the pool among entries by these.
+	inflight, waiting int
+	parts             limiter.Parts
+	returns           retrier.Returns
+}
+
+// home is the replica that a prefix falls to: in this region if it has any, so
+// that a popular prefix does not draw all requests over the link between regions.
+func (l *pool) home(hash uint64) *replica {
+	if len(l.near) > 0 {
+		return l.near.home(hash)
+	}
+	return l.far.home(hash)
 }
 
 // retryAfter is when a caller refused now should come back.
@@ -48,57 +70,27 @@
 	return l.returns.Next(now, each, each, random)
 }
 
-// reserved is the part of a pool's places that is left to entries with less than
-// their even share.
-const reserved = 0.05
-
-// beyondShare tells whether the pool is nearly full and this entry has its even
-// share of it already. A place that comes free is known at once only to the entry
-// whose request ended there. Were it always to take it again, entries would keep
-// what they happened to have when the rush began: seen as callers of one entry
-// who are refused while those of the next wait for nothing.
-func (l *pool) beyondShare(entries int) bool {
-	load, limit := 0, 0
-	for i := range l.tiers {
-		load += l.tiers[i].load
-		limit += l.tiers[i].limit
-	}
-	return l.inflight*max(1, entries) > limit && float64(load) >= (1-reserved)*float64(limit)
-}
-
 // tier is the replicas of a pool at one distance.
 type tier struct {
-	// ring holds all by their point on the hash ring, free those with room, and
-	// spare the cold ones whose places are not this entry's but may be unused.
-	ring        []*replica
+	// free are those with room, spare the cold ones whose places are not this
+	// entry's but may be unused.
 	free, spare list
-	// load and limit are sums over the ring.
+	// ring is the ring that the tier's replicas are on, link what the way to them
+	// costs.
+	ring *ring
+	link float64
+	// load and limit are sums over all.
 	load, limit int
 }
 
-func byPoint(p *replica, point uint64) int {
-	switch {
-	case p.point < point:
-		return -1
-	case p.point > point:
-		return 1
-	}
-	return 0
-}
-
 func (t *tier) add(p *replica) {
-	at, _ := slices.BinarySearchFunc(t.ring, p.point, byPoint)
-	t.ring = slices.Insert(t.ring, at, p)
+	t.ring.add(p)
 	p.tier = t
 	p.load, p.counted = 0, 0
 }
 
 func (t *tier) remove(p *replica) {
-	at, _ := slices.BinarySearchFunc(t.ring, p.point, byPoint)
-	for t.ring[at] != p {
-		at++
-	}
-	t.ring = slices.Delete(t.ring, at, at+1)
+	t.ring.remove(p)
 	t.limit -= p.counted
 	t.load -= p.load
 	p.in.remove(p)
@@ -129,15 +121,6 @@
 	}
 }
 
-// home is the replica that a hash falls to on the ring; nil when it is empty.
-func (t *tier) home(hash uint64) *replica {
-	if len(t.ring) == 0 {
-		return nil
-	}
-	at, _ := slices.BinarySearchFunc(t.ring, hash, byPoint)
-	return t.ring[at%len(t.ring)]
-}
-
 // mean is the load of the tier as a part of its limit.
 func (t *tier) mean() float64 {
 	if t.limit == 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
@@ -24,7 +25,7 @@
 	DefaultFailedFor    = time.Second
 	DefaultDomainCost   = 0.1
 	DefaultRegionCost   = 0.3
-	DefaultAffinityGain = 0.3
+	DefaultAffinityGain = 0.6
 )
 
 // forgetAfter times StaleAfter is how long a silent agent stays known.
@@ -54,6 +55,9 @@
 	// AffinityGain is what a likely cached prefix is worth, in the same unit; 0
 	// means DefaultAffinityGain, below 0 none.
 	AffinityGain float64
+	// Sharing is how many entries route to each agent when not all do; 0 means all
+	// that SetEntries names.
+	Sharing int
 	// Random drives all choices; the caller seeds it and uses it nowhere else.
 	Random *rand.Rand
 
@@ -196,12 +200,20 @@
 func (r *Router) pool(k poolKey) *pool {
 	l := r.pools[k]
 	if l == nil {
-		l = new(pool)
+		l = r.newPool()
 		r.pools[k] = l
 	}
 	return l
 }
 
+func (r *Router) newPool() *pool {
+	l := &pool{parts: limiter.Parts{Even: evenPart}}
+	l.tiers[sameDomain] = tier{ring: &l.near}
+	l.tiers[sameRegion] = tier{ring: &l.near, link: orDefault(r.DomainCost, DefaultDomainCost)}
+	l.tiers[otherRegion] = tier{ring: &l.far, link: orDefault(r.RegionCost, DefaultRegionCost)}
+	return l
+}
+
 // distance is the tier that an agent belongs to, seen from this entry.
 func (r *Router) distance(s messenger.AgentState) tierIndex {
 	switch {
