--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -48,6 +48,9 @@
 type agent struct {
 	state messenger.AgentState
 	heard time.Time
+	// introduced tells that another entry named the agent, and that it doesn't
+	// report here itself.
+	introduced bool
 }
 
 // member is an agent's place in a group.
@@ -76,14 +79,14 @@
 	defer t.mu.Unlock()
 	t.setUp()
 	old := t.agents[s.ID]
-	if old != nil && old.state.Incarnation == s.Incarnation && s.Sequence < old.state.Sequence {
+	if old != nil && !old.introduced && old.state.Incarnation == s.Incarnation && s.Sequence < old.state.Sequence {
 		return
 	}
 	if s.Leaving {
 		t.remove(s.ID)
 		return
 	}
-	if old == nil || old.state.Region != s.Region {
+	if old == nil || old.introduced || old.state.Region != s.Region {
 		t.remove(s.ID)
 		old = &agent{}
 		t.agents[s.ID] = old
@@ -249,13 +252,8 @@
 
 // joined keeps the drawers right without looking at all members again.
 func (g *group) joined(m *member) {
-	if g.drawers == nil {
-		return
-	}
-	i, _ := slices.BinarySearchFunc(g.drawers, m, byScore)
-	if i < planner.Drawers {
-		g.drawers = slices.Insert(g.drawers, i, m)
-		g.drawers = g.drawers[:min(len(g.drawers), planner.Drawers)]
+	if g.drawers != nil {
+		g.drawers = insert(g.drawers, m)
 	}
 }
 
@@ -275,18 +273,85 @@
 	}
 }
 
-// top gives the drawers. A stale one among them is passed over by finding them
-// anew among the fresh members, which looks at all of them once and not at each
-// call.
+// top gives the drawers. Only when one among them is stale are they found anew:
+// all members are looked at once, and not at each call.
 func (g *group) top(fresh func(*member) bool) []*member {
-	if g.drawers != nil && !slices.ContainsFunc(g.drawers, func(m *member) bool { return !fresh(m) }) {
-		return g.drawers
+	stale := func(m *member) bool { return !fresh(m) }
+	if g.drawers == nil || slices.ContainsFunc(g.drawers, stale) {
+		g.drawers = g.best(fresh)
 	}
-	g.drawers = make([]*member, 0, planner.Drawers+1)
+	return g.drawers
+}
+
+// best finds the fresh members with the highest scores.
+func (g *group) best(fresh func(*member) bool) []*member {
+	best := make([]*member, 0, planner.Drawers+1)
 	for _, m := range g.members {
 		if fresh(m) {
-			g.joined(m)
+			best = insert(best, m)
 		}
 	}
-	return g.drawers
+	return best
+}
+
+// insert puts a member in its place by score, and lets the last one go when there
+// are too many.
+func insert(ms []*member, m *member) []*member {
+	i, _ := slices.BinarySearchFunc(ms, m, byScore)
+	if i >= planner.Drawers {
+		return ms
+	}
+	ms = slices.Insert(ms, i, m)
+	return ms[:min(len(ms), planner.Drawers)]
+}
+
+// Drawers names the drawers of all manifests among the agents that report to this
+// entry, for other entries to Introduce. An entry knows only some agents of its
+// own region; without the others' drawers each entry would elect its own, and each
+// region would draw its own copy from the origin. Bitmaps are left out: a drawer
+// asks the others itself what they hold.
+func (t *Tracker) Drawers() []messenger.Holder {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setUp()
+	now := t.Clock.Now()
+	var hs []messenger.Holder
+	for _, manifest := range slices.Sorted(maps.Keys(t.groups)) {
+		for _, r := range slices.Sorted(maps.Keys(t.groups[manifest])) {
+			p := &picks{fresh: func(m *member) bool { return !m.agent.introduced && now.Sub(m.agent.heard) <= t.Stale }}
+			p.add(planner.Drawers, t.groups[manifest][r].best(p.fresh)...)
+			hs = append(hs, p.list()...)
+		}
+	}
+	for i := range hs {
+		hs[i].Holding.Have = nil
+	}
+	return hs
+}
+
+// Introduce takes in the drawers that another entry named. An agent that reports
+// to this entry itself is known better, and passed over. What was introduced is
+// never introduced further: two entries would keep a dead agent alive by telling
+// each other of it. So a dead one lapses after twice Stale at most.
+func (t *Tracker) Introduce(hs []messenger.Holder) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setUp()
+	now := t.Clock.Now()
+	for _, h := range hs {
+		a := t.agents[h.ID]
+		if a != nil && !a.introduced && now.Sub(a.heard) <= t.Stale {
+			continue
+		}
+		if a == nil || !a.introduced || a.state.Region != h.Region {
+			t.remove(h.ID)
+			a = &agent{introduced: true}
+			t.agents[h.ID] = a
+		}
+		a.heard = now
+		a.state.ID, a.state.FailureDomain, a.state.Region, a.state.Address = h.ID, h.FailureDomain, h.Region, h.Address
+		a.state.Holdings = slices.DeleteFunc(a.state.Holdings, func(old messenger.Holding) bool { return old.Manifest == h.Holding.Manifest })
+		a.state.Holdings = append(a.state.Holdings, h.Holding)
+		t.group(h.Holding.Manifest, h.Region).put(a, h.Holding)
+	}
 }
