Heed the list of VMs in agents and for entries too

A VM that the platform lists as leaving closes its agent's gate, so that an entry which has not read the list does no harm; entries that are listed are no longer named to callers, by others or by themselves.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -56,8 +56,10 @@
 	Booting Reason = "booting"
 	// Drained is a failure domain that operators have taken out.
 	Drained Reason = "drained"
-	// Leaving is an agent that shuts down or a VM that is listed as leaving.
+	// Leaving is an agent that shuts down.
 	Leaving Reason = "leaving"
+	// Listed is a VM that the platform lists as leaving.
+	Listed Reason = "listedLeaving"
 	// Switching is an engine that is put to other weights.
 	Switching Reason = "switching"
 	// Stale is an agent without fresh word of the bundle in force.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,6 +62,8 @@
 	proof    *proof
 	switcher *switcher
 	streams  *streams
+	// listed is when an entry last said that the platform lists this VM as leaving.
+	listed stamp
 }
 
 // probeEvery is how often the upstream is asked for its state. It bounds how
@@ -230,7 +232,7 @@
 
 func (a *Agent) leaving() bool {
 	for _, r := range a.Gate.Holds() {
-		if r == admitter.Leaving {
+		if r == admitter.Leaving || r == admitter.Listed {
 			return true
 		}
 	}
--- a/internal/agent/holds.go
+++ b/internal/agent/holds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
@@ -13,12 +14,29 @@
 // what entries learn late: each request is checked against the bundle by itself.
 const holdEvery = 50 * time.Millisecond
 
+// listedFor is how long an entry's word counts that the platform lists this VM as
+// leaving; entries repeat it with each answer.
+const listedFor = 3 * time.Second
+
+// stamp is a time that is set and read by different goroutines.
+type stamp struct {
+	nanos atomic.Int64
+}
+
+func (s *stamp) set(t time.Time) { s.nanos.Store(t.UnixNano()) }
+
+func (s *stamp) within(now time.Time, d time.Duration) bool {
+	at := s.nanos.Load()
+	return at != 0 && now.Sub(time.Unix(0, at)) < d
+}
+
 // hold puts the gate's holds in line with the bundle and its freshness.
 func (a *Agent) hold(context.Context) {
 	b, _ := a.State.Current()
 	a.holdIf(admitter.Booting, b == nil)
 	a.holdIf(admitter.Stale, a.State.MayServe() != nil)
 	a.holdIf(admitter.Drained, b != nil && !a.placed(b))
+	a.holdIf(admitter.Listed, a.listed.within(a.Clock.Now(), listedFor))
 	a.holdIf(admitter.Unproven, b == nil || !a.proven(b))
 }
 
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -259,6 +259,9 @@
 			klog.ErrorS(err, "Bundle refused", "agent", a.ID)
 		}
 	}
+	if n.Leaving {
+		a.listed.set(a.Clock.Now())
+	}
 	l.remember(n.Entries)
 	if a.Loader != nil && n.Holders != nil {
 		a.Loader.SetHolders(n.Holders)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,15 +168,19 @@
 		return
 	}
 	leaving := map[string]bool{}
+	entries := map[string]bool{}
 	for _, v := range vms {
 		switch {
-		case v.Role == lister.RoleEntry && v.ID != e.ID && !v.Leaving:
+		case v.Role == lister.RoleEntry && v.Leaving:
+			entries[v.ID] = true
+		case v.Role == lister.RoleEntry:
 			e.members.mention(v.Address)
 		case v.Leaving:
 			leaving[v.ID] = true
 		}
 	}
 	e.agents.setLeaving(leaving)
+	e.members.setListed(entries)
 }
 
 // callerEntries lists where callers may connect: the entries that take work, or
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -32,7 +32,11 @@
 
 // news is what an agent should know.
 func (e *Entry) news(s messenger.AgentState) messenger.News {
-	n := messenger.News{Word: e.State.Word(), Entries: e.members.alive()}
+	n := messenger.News{
+		Word:    e.State.Word(),
+		Entries: e.members.alive(),
+		Leaving: e.agents.isLeaving(s.ID),
+	}
 	b, r := e.State.Current()
 	if b == nil {
 		return n
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -28,9 +28,12 @@
 
 	mu      sync.Mutex
 	leaving bool
-	heard   map[string]heardEntry
-	links   map[netip.AddrPort]*peer
-	woken   chan struct{}
+	// listed are the entries that the platform lists as leaving, this one perhaps
+	// among them: callers are to go elsewhere before the VM does.
+	listed map[string]bool
+	heard  map[string]heardEntry
+	links  map[netip.AddrPort]*peer
+	woken  chan struct{}
 }
 
 type heardEntry struct {
@@ -211,7 +214,7 @@
 		Region:         e.Region,
 		Callers:        addressOf(e.Callers),
 		Peers:          addressOf(e.Peers),
-		Leaving:        m.leaving,
+		Leaving:        m.leaving || m.listed[e.ID],
 		Refusing:       e.State.MayServe() != nil,
 		StoreReachable: e.State.StoreReachable(),
 		Word:           e.State.Word(),
@@ -227,7 +230,10 @@
 }
 
 func (m *members) fresh(h heardEntry) bool {
-	return m.entry.Clock.Since(h.at) < aliveHeartbeats*m.entry.Heartbeat && !h.state.Leaving
+	if h.state.Leaving || m.listed[h.state.ID] {
+		return false
+	}
+	return m.entry.Clock.Since(h.at) < aliveHeartbeats*m.entry.Heartbeat
 }
 
 // alive lists the entries in use, this one among them unless it leaves.
@@ -250,6 +256,12 @@
 // Count is how many entries are in use, at least one.
 func (m *members) count() int { return max(1, len(m.alive())) }
 
+func (m *members) setListed(ids map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = ids
+}
+
 func (m *members) leave() {
 	m.mu.Lock()
 	m.leaving = true
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -156,6 +156,8 @@
 	Assignment string `json:"assignment,omitempty"`
 	// Holders are other agents with chunks that the receiver wants.
 	Holders []Holder `json:"holders,omitempty"`
+	// Leaving says that the platform lists the receiver's VM as leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Switch permits the agent to put its engine to the new version now.
 	Switch bool `json:"switch,omitempty"`
 }
