Probe a short head in place of the whole record

Cause: each question of an entry to the store brought the whole record. At 380 entries that is over a hundred records a second, some 40 kB each with 200 workspaces, over a link between regions of 2.5 MB/s. A long poll with a short wait was ruled out: after a restore the key's version is lower, the poll says 'unchanged', and entries would confirm each other a superseded bundle.

Change: the publisher writes bundle/head (revision and digest) before the compare-and-swap, so that it is never behind; entries read the record only if the head is not the bundle they hold. Only relays keep long polls, and entries tell peers of their own region first.

A vote is now renewed while a question stays unanswered, first after ReachFor/4 (250 ms, was 500), and probes are spread less.

TestHeadNeverLagsBehind fails (publisher_test.go:202) with the head written after the bundle; TestNoticesDeadWatch fails with any head taken for the held one.

--- a/internal/gossiper/controlcost_test.go
+++ b/internal/gossiper/controlcost_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -22,17 +24,19 @@
 )
 
 const (
-	costEntries = 9
-	costWarmUp  = 8 * time.Second
-	costSpan    = 10 * time.Second
+	costWarmUp = 8 * time.Second
+	costSpan   = 10 * time.Second
 )
 
 // costCase is one deployment on loopback without any requests.
 type costCase struct {
+	entries    int
 	agents     int
 	workspaces int
 	// every is the time between two changes; 0 means none.
 	every time.Duration
+	// callers is how many bookings are made at once; 0 means none.
+	callers int
 }
 
 // usage is what a process has used since its start.
@@ -51,14 +55,17 @@
 	out, err := build.CombinedOutput()
 	must.NoError(b, err, must.Sprint(string(out)))
 	for _, c := range []costCase{
-		{agents: 9, workspaces: 10},
-		{agents: 36, workspaces: 10},
-		{agents: 108, workspaces: 10},
-		{agents: 36, workspaces: 200},
-		{agents: 36, workspaces: 10, every: time.Second},
-		{agents: 36, workspaces: 200, every: time.Second},
+		{entries: 3, agents: 36, workspaces: 10},
+		{entries: 9, agents: 36, workspaces: 10},
+		{entries: 18, agents: 36, workspaces: 10},
+		{entries: 9, agents: 9, workspaces: 10},
+		{entries: 9, agents: 108, workspaces: 10},
+		{entries: 9, agents: 36, workspaces: 200},
+		{entries: 9, agents: 36, workspaces: 10, every: time.Second},
+		{entries: 9, agents: 36, workspaces: 200, every: time.Second},
+		{entries: 9, agents: 36, workspaces: 10, callers: 16},
 	} {
-		b.Run(fmt.Sprintf("agents=%d/workspaces=%d/every=%v", c.agents, c.workspaces, c.every), func(b *testing.B) {
+		b.Run(fmt.Sprintf("entries=%d/agents=%d/workspaces=%d/every=%v/callers=%d", c.entries, c.agents, c.workspaces, c.every, c.callers), func(b *testing.B) {
 			for b.Loop() {
 				runCost(b, bin, c)
 			}
@@ -67,13 +74,14 @@
 }
 
 func runCost(b *testing.B, bin string, c costCase) {
-	d := &deployment{b: b, bin: bin, ports: freePorts(b, 2+3*costEntries+c.agents)}
+	d := &deployment{b: b, bin: bin, ports: freePorts(b, 2+3*c.entries+c.agents)}
 	defer d.stop()
 	d.startAll(c)
 	d.roll(c, 1)
 	pause(costWarmUp)
+	d.call(c)
 	began := time.Now()
-	before := d.usages()
+	before, runs := d.usages(), d.runs()
 	revision := uint64(1)
 	for time.Since(began) < costSpan {
 		if c.every == 0 {
@@ -84,8 +92,10 @@
 		d.roll(c, revision)
 		pause(c.every - time.Since(began)%c.every)
 	}
-	d.report("entry", time.Since(began), before[:costEntries], d.usages()[:costEntries])
-	d.report("agent", time.Since(began), before[costEntries:], d.usages()[costEntries:])
+	span, after := time.Since(began), d.usages()
+	b.ReportMetric((d.runs()-runs)/span.Seconds(), "bookings/s")
+	d.report("entry", span, before[:c.entries], after[:c.entries])
+	d.report("agent", span, before[c.entries:], after[c.entries:])
 }
 
 // pause waits in real time, which is what is measured here.
@@ -124,24 +134,50 @@
 		d.start("standins", "kv", "--listen", store.String()),
 		d.start("standins", "service", "--listen", service.String()))
 	var seeds []string
-	for i := range costEntries {
+	for i := range c.entries {
 		seeds = append(seeds, d.ports[3+3*i].String())
 	}
 	pause(300 * time.Millisecond)
-	for i := range costEntries {
+	for i := range c.entries {
 		p := d.ports[2+3*i:]
 		d.daemons = append(d.daemons, d.start("oriolecroft", "entry", "--id", fmt.Sprintf("entry-%d", i),
 			"--failureDomain", "huon-a", "--region", "huon", "--callers", p[0].String(), "--peers", p[1].String(),
 			"--operators", p[2].String(), "--store", store.String(), "--seeds", strings.Join(seeds, ","),
-			"--entries", strconv.Itoa(costEntries), "--keys", keys))
+			"--entries", strconv.Itoa(c.entries), "--keys", keys))
 	}
 	for i := range c.agents {
 		d.daemons = append(d.daemons, d.start("oriolecroft", "agent", "--id", fmt.Sprintf("vm-%d", i),
-			"--failureDomain", "huon-a", "--region", "huon", "--listen", d.ports[2+3*costEntries+i].String(),
+			"--failureDomain", "huon-a", "--region", "huon", "--listen", d.ports[2+3*c.entries+i].String(),
 			"--entrySeeds", strings.Join(seeds, ","), "--service", "bookings", "--serviceAddress", service.String(), "--keys", keys))
 	}
 }
 
+// call starts callers that go on until the deployment is stopped.
+func (d *deployment) call(c costCase) {
+	if c.callers == 0 {
+		return
+	}
+	var entries []string
+	for i := range c.entries {
+		entries = append(entries, d.ports[2+3*i].String())
+	}
+	d.helpers = append(d.helpers, d.start("standins", "caller", "--entries", strings.Join(entries, ","), "--bookings", "1",
+		"--workspace", "workspace-0", "--service", "bookings", "--concurrency", strconv.Itoa(c.callers), "--duration", "1m"))
+	pause(2 * time.Second)
+}
+
+// runs is how many bookings the service has run.
+func (d *deployment) runs() float64 {
+	res, err := http.Get("http://" + d.ports[1].String() + "/admin/counts")
+	must.NoError(d.b, err)
+	defer res.Body.Close()
+	var counts struct {
+		Runs float64 `json:"runs"`
+	}
+	must.NoError(d.b, json.NewDecoder(res.Body).Decode(&counts))
+	return counts.Runs
+}
+
 func (d *deployment) roll(c costCase, revision uint64) {
 	bundle := &bundler.Bundle{
 		Revision:       revision,
@@ -153,7 +189,7 @@
 		bundle.Workspaces = append(bundle.Workspaces, bundler.Workspace{
 			Name:     fmt.Sprintf("workspace-%d", i),
 			Services: []string{"bookings"},
-			Limits:   bundler.Limits{RequestsPerSecond: 50, Concurrent: 20},
+			Limits:   bundler.Limits{RequestsPerSecond: 5000, Concurrent: 2000},
 		})
 	}
 	payload, err := bundle.Encode()
--- a/internal/gossiper/exchanger.go
+++ b/internal/gossiper/exchanger.go
@@ -47,8 +47,8 @@
 	Heard func(x messenger.Exchange)
 	// Every is the mean pause between two exchanges while all is well.
 	Every time.Duration
-	// Fanout is how many peers are told of a change at once, after a random
-	// pause of up to Spread.
+	// Fanout is how many peers of the region are told of a change at once, after a
+	// random pause of up to Spread.
 	Fanout int
 	Spread time.Duration
 	// Random picks peers and pauses; nil means the global source.
@@ -104,9 +104,19 @@
 	}
 }
 
-// Tell compares with a few peers at random, because of a change.
+// Tell compares with a few peers of this region and one elsewhere, at random,
+// because of a change: regions share little bandwidth, and the record is long.
 func (e *Exchanger) Tell(ctx context.Context) {
-	for _, p := range e.pick(e.Peers(), e.fanout()) {
+	region := e.Self().Region
+	var near, far []messenger.EntryState
+	for _, p := range e.Peers() {
+		if p.Region == region {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	for _, p := range slices.Concat(e.pick(near, e.fanout()), e.pick(far, 1)) {
 		_ = e.With(ctx, p)
 	}
 }
--- a/internal/gossiper/propagation_test.go
+++ b/internal/gossiper/propagation_test.go
@@ -73,11 +73,16 @@
 	names   []messenger.EntryState
 	agents  []*gossiper.State
 	current *bundler.Record
-	since   time.Time // when current was accepted
-	down    bool
-	calls   int
-	swaps   int
-	took    []time.Duration
+	// revision is that of current, which was accepted at since.
+	revision uint64
+	since    time.Time
+	down     bool
+	calls    int
+	swaps    int
+	// records counts records read from the store, far those that entries sent
+	// each other from one region to another.
+	records, far int
+	took         []time.Duration
 }
 
 type member struct {
@@ -91,9 +96,10 @@
 
 func newPropagation(entries int) *propagation {
 	p := &propagation{
-		clock:   stillClock{passive: testclock.NewFakePassiveClock(start)},
-		random:  rand.New(rand.NewPCG(uint64(entries), 1)),
-		current: signed(1, "c1"),
+		clock:    stillClock{passive: testclock.NewFakePassiveClock(start)},
+		random:   rand.New(rand.NewPCG(uint64(entries), 1)),
+		current:  signed(1, "c1"),
+		revision: 1,
 	}
 	regions := 3
 	if entries > 100 {
@@ -141,16 +147,24 @@
 	}
 	i, _ := strconv.Atoi(to.ID)
 	a := p.entries[i].exchanger.Answer(x)
+	if to.Region != x.State.Region && (a.Record != nil || x.Record != nil) {
+		p.far++
+	}
 	p.moved(p.entries[i])
 	return a, nil
 }
 
 // Get is the store's.
-func (p *propagation) Get(context.Context, string) (storer.Item, error) {
+func (p *propagation) Get(_ context.Context, key string) (storer.Item, error) {
 	p.calls++
 	if p.down {
 		return storer.Item{}, errors.New("down")
 	}
+	if key == gossiper.HeadKey {
+		value, err := json.Marshal(gossiper.Head{Revision: p.revision, Digest: p.current.Digest()})
+		return storer.Item{Value: value, Version: 1}, err
+	}
+	p.records++
 	value, err := p.current.Encode()
 	return storer.Item{Value: value, Version: 1}, err
 }
@@ -235,9 +249,9 @@
 // change has the next revision accepted and tells how many processes took it.
 // Without the store it goes down as soon as one entry has read it.
 func (p *propagation) change(revision uint64, store bool) {
-	p.current, p.since = signed(revision, fmt.Sprint(revision)), p.clock.Now()
+	p.current, p.revision, p.since = signed(revision, fmt.Sprint(revision)), revision, p.clock.Now()
 	for i, m := range p.entries {
-		if store || i == 0 {
+		if i == 0 || store && m.exchanger.IsRelay() {
 			p.after(max(hop, m.rearmed.Sub(p.since)), func() { p.watched(m) })
 		}
 	}
@@ -267,7 +281,7 @@
 	all := n * (1 + agentsPerEntry)
 	never := func() bool { return false }
 	p.run(10*time.Second, never)
-	p.calls, p.swaps = 0, 0
+	p.calls, p.swaps, p.records, p.far = 0, 0, 0, 0
 	var took []time.Duration
 	for r := range uint64(rounds) {
 		p.took = nil
@@ -285,6 +299,8 @@
 	b.ReportMetric(took[len(took)*99/100].Seconds(), "p99-s")
 	b.ReportMetric(took[len(took)-1].Seconds(), "worst-s")
 	b.ReportMetric(float64(p.calls)/seconds, "storeCalls/s")
+	b.ReportMetric(float64(p.records)/rounds, "storeRecords/change")
+	b.ReportMetric(float64(p.far)/rounds, "farRecords/change")
 	b.ReportMetric(float64(p.swaps)/seconds/float64(n), "exchanges/entry/s")
 }
 
--- a/internal/gossiper/state.go
+++ b/internal/gossiper/state.go
@@ -156,7 +156,7 @@
 }
 
 // Fail says that the store has left a question of this process unanswered, or
-// has not answered it in ReachFor/2 so far.
+// has not answered it in ReachFor/4 so far.
 func (s *State) Fail() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gossiper/watcher.go
+++ b/internal/gossiper/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"sync"
@@ -15,8 +16,22 @@
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
-// BundleKey is the store's key of the accepted bundle.
-const BundleKey = "bundle/current"
+const (
+	// BundleKey is the store's key of the accepted bundle.
+	BundleKey = "bundle/current"
+	// HeadKey is the store's key of the Head.
+	HeadKey = "bundle/head"
+)
+
+// Head is the highest revision that may have been accepted. It is written before
+// the compare-and-swap that accepts the bundle. So an entry that holds just this
+// one knows, from a hundred bytes in place of the whole record, that there is
+// nothing newer. The other way round, an operator's client that died between the
+// two writes would leave entries confirming a superseded bundle.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest"`
+}
 
 // Defaults of Watcher.
 const (
@@ -37,7 +52,7 @@
 	// Wait is how long one long poll lasts.
 	Wait time.Duration
 	// ProbeAge is the age of the last confirmation at which the store is asked;
-	// up to as much again is added at random. 0 means a fifth of FreshFor.
+	// up to half as much is added at random. 0 means a fifth of FreshFor.
 	ProbeAge time.Duration
 	// Relay tells whether this entry asks the store for others too; nil means it
 	// does. One that does not waits until the confirmation is half of FreshFor
@@ -105,16 +120,18 @@
 	if a < 0 || a >= due {
 		return 0
 	}
-	return due - a + w.jitter(w.probeAge())
+	return due - a + w.jitter(w.probeAge()/2)
 }
 
 // Probe asks the store once for the bundle. A long poll alone would not do: one
 // that died without an error looks just like one that waits for a change.
 func (w *Watcher) Probe(ctx context.Context) error {
+	defer w.failEvery(w.State.ReachFor() / 4)()
+	if done, err := w.probeHead(ctx); done {
+		return err
+	}
 	asked := w.Clock.Now()
-	late := w.failAfter(w.State.ReachFor() / 2)
 	i, err := w.Store.Get(ctx, w.key())
-	late.Stop()
 	if err := w.observe(i, err, asked); err != nil {
 		w.State.Fail()
 		return err
@@ -123,11 +140,49 @@
 	return nil
 }
 
-// failAfter counts the store as failed while it is still being waited for. A
-// store that swallows calls would otherwise be noticed only by the timeout, when
-// the last confirmation has lapsed and all refuse work already.
-func (w *Watcher) failAfter(d time.Duration) clock.Timer {
-	return w.Clock.AfterFunc(d, w.State.Fail)
+// probeHead reads the head alone. It is done if that confirms the held bundle, or
+// if the store fails; otherwise the record is to be read.
+func (w *Watcher) probeHead(ctx context.Context) (done bool, err error) {
+	_, r := w.State.Current()
+	if r == nil {
+		return false, nil
+	}
+	asked := w.Clock.Now()
+	i, err := w.Store.Get(ctx, HeadKey)
+	var missing *storer.NotFoundError
+	if errors.As(err, &missing) {
+		return false, nil
+	}
+	if err != nil {
+		w.State.Fail()
+		return true, err
+	}
+	var h Head
+	if json.Unmarshal(i.Value, &h) != nil || h.Digest != r.Digest() {
+		return false, nil
+	}
+	w.State.Confirm(h.Revision, h.Digest, asked)
+	return true, nil
+}
+
+// failEvery counts the store as failed while it is still being waited for, until
+// stopped. A store that swallows calls would otherwise be noticed only by the
+// timeout, when the last confirmation has lapsed and all refuse work already.
+func (w *Watcher) failEvery(d time.Duration) (stop func()) {
+	var stopped atomic.Bool
+	var fail func()
+	fail = func() {
+		if stopped.Load() {
+			return
+		}
+		w.State.Fail()
+		w.Clock.AfterFunc(d, fail)
+	}
+	t := w.Clock.AfterFunc(d, fail)
+	return func() {
+		stopped.Store(true)
+		t.Stop()
+	}
 }
 
 // observe hands what the store answered to the state.
@@ -188,9 +243,13 @@
 	}
 }
 
-// ready tells whether putting up a watch makes sense: the store's version of
-// the bundle is known and this process lately reached the store or heard of it.
+// ready tells whether to put up a watch: only relays do, since each watch brings
+// the whole record over the link between regions, and only if this process
+// lately reached the store or heard of it.
 func (w *Watcher) ready() bool {
+	if w.Relay != nil && !w.Relay() {
+		return false
+	}
 	if w.State.StoreReachable() {
 		return true
 	}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -4,7 +4,9 @@
 package publisher
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -175,6 +177,9 @@
 	if now.revision() >= b.Revision {
 		return &RaceError{Accepted: now.bundle, Ours: b}
 	}
+	if err := p.announce(ctx, b, r); err != nil {
+		return err
+	}
 	_, err = p.Store.Put(ctx, p.key(), value, now.version, "")
 	return err
 }
@@ -215,6 +220,9 @@
 	// overwritten, so that its own operator, should the answer have been lost,
 	// can still find that it was accepted.
 	t.p.keep(ctx, now)
+	if err := t.p.announce(ctx, t.bundle, t.record); err != nil {
+		return nil, err
+	}
 	version, err := t.p.Store.Put(ctx, t.p.key(), t.value, now.version, "")
 	var unknown *storer.UnknownError
 	if errors.As(err, &unknown) {
@@ -227,6 +235,29 @@
 	return &Result{Bundle: t.bundle}, nil
 }
 
+// announce writes the head, which must not lag behind the bundle (gossiper.Head).
+// Nothing is accepted by it.
+func (p *Publisher) announce(ctx context.Context, b *bundler.Bundle, r *bundler.Record) error {
+	value, err := json.Marshal(gossiper.Head{Revision: b.Revision, Digest: r.Digest()})
+	if err != nil {
+		return err
+	}
+	i, err := p.Store.Get(ctx, gossiper.HeadKey)
+	var missing *storer.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return err
+	}
+	if err == nil && bytes.Equal(i.Value, value) {
+		return nil
+	}
+	_, err = p.Store.Put(ctx, gossiper.HeadKey, value, i.Version, "")
+	var unknown *storer.UnknownError
+	if errors.As(err, &unknown) {
+		return &storer.UnavailableError{Op: "put", Key: gossiper.HeadKey, Err: err}
+	}
+	return err
+}
+
 // superseded tells whether our change was accepted before the one in force.
 func (t *attempt) superseded(ctx context.Context, now present) (*Result, error) {
 	race := &RaceError{Accepted: now.bundle, Ours: t.bundle}
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 
 	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/publisher"
@@ -169,7 +170,7 @@
 	})
 }
 
-// cutAfterWrite makes the store unreachable once a write was sent.
+// cutAfterWrite makes the store unreachable once the bundle was sent.
 type cutAfterWrite struct {
 	storer.Store
 	link *storertest.Transport
@@ -177,10 +178,31 @@
 
 func (c *cutAfterWrite) Put(ctx context.Context, key string, value []byte, version uint64, lease string) (uint64, error) {
 	v, err := c.Store.Put(ctx, key, value, version, lease)
-	c.link.Cut.Store(true)
+	if key == gossiper.BundleKey {
+		c.link.Cut.Store(true)
+	}
 	return v, err
 }
 
+// An operator's client dies as soon as its bundle is accepted. Entries ask the
+// store for the short head alone; if that still named the old bundle, they would
+// go on confirming it to each other, and a drain would never come into force.
+func TestHeadNeverLagsBehind(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		_, err := b.Publish(t.Context(), record(1, "c1"))
+		must.NoError(t, err)
+		s := &gossiper.State{Keyring: b.Keyring, Clock: clock.RealClock{}}
+		w := &gossiper.Watcher{Store: b.Store, State: s, Clock: clock.RealClock{}}
+		must.NoError(t, w.Probe(t.Context()))
+		b.Store = &cutAfterWrite{Store: b.Store, link: b.link}
+		_, _ = b.Publish(t.Context(), record(2, "c2"))
+		b.link.Cut.Store(false)
+		must.NoError(t, w.Probe(t.Context()))
+		now, _ := s.Current()
+		must.Eq(t, 2, now.Revision)
+	})
+}
+
 // The platform restores an old copy of its store. Rolling on from there would
 // make a second bundle of a revision that is in force already, which every
 // process refuses; the operator has to be told instead.
