Cut replies made from other bytes than the manifest's

Cause: the agent believed the engine's word on what it holds. An engine that loaded a part of the weights, or other bytes, under the right label served them for as long as it said so, and its events' "weights" were compared only with each other.

On another digest the stream ends with a failure, the gate is held "unproven", and the engine's word counts for nothing until a load order has been carried out. The metric weights.wrong counts such replies. The stand-in engine can leave out the last byte of its loads while it says that they are whole. An agent that was replaced before a running engine can't tell until it has the weights again.

The tests run the whole agent on loopback before the stand-in engine, with a fake entry.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
@@ -62,6 +63,9 @@
 	proof    *proof
 	switcher *switcher
 	streams  *streams
+	digests  *digests
+	// wrongWeights counts replies that were cut for it.
+	wrongWeights metrics.Counter
 }
 
 // probeEvery is how often the upstream is asked for its state. It bounds how
@@ -80,6 +84,8 @@
 	a.proof = &proof{}
 	a.switcher = &switcher{agent: a}
 	a.streams = newStreams(a)
+	a.digests = &digests{loader: a.Loader}
+	a.wrongWeights = metrics.NewCounter()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	s := suture.New("agent", suture.Spec{EventHook: reporter.LogEvents})
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -140,7 +140,7 @@
 	}
 	defer stream.Close()
 	s.start(h.StartID)
-	return s.pump(ctx, stream)
+	return s.pump(ctx, stream, h)
 }
 
 func (s *relay) open(ctx context.Context) (*driver.Stream, error) {
@@ -156,7 +156,7 @@
 	})
 }
 
-func (s *relay) pump(ctx context.Context, stream *driver.Stream) (admitter.Outcome, error) {
+func (s *relay) pump(ctx context.Context, stream *driver.Stream, h driver.Health) (admitter.Outcome, error) {
 	for {
 		e, err := stream.Next()
 		if err != nil {
@@ -168,6 +168,10 @@
 		if s.order.Version != "" && e.Version != s.order.Version {
 			return admitter.Cut, &driver.MixedError{Want: s.order.Version, Got: e.Version}
 		}
+		if err := s.runner.agent.digests.check(h, s.order.Adapter, e); err != nil {
+			s.runner.agent.switcher.distrust(err)
+			return admitter.Cut, err
+		}
 		err = s.emit(forwarder.Event{
 			Index: e.Index, Token: e.Token, Version: e.Version, Weights: e.Weights,
 			AdapterWeights: e.AdapterWeights,
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -61,6 +61,7 @@
 		gauge("weights.bytes", a.weights(func(p loader.Progress) int64 { return p.Bytes }))
 		gauge("weights.fromPeers", a.weights(func(p loader.Progress) int64 { return p.FromPeers }))
 		gauge("weights.fromOrigin", a.weights(func(p loader.Progress) int64 { return p.FromOrigin }))
+		gauge("weights.wrong", a.wrongWeights.Count)
 		gauge("weights.corrupt", a.weights(func(p loader.Progress) int64 { return int64(p.Corrupt) }))
 	}
 	return r
--- /dev/null
+++ b/internal/agent/switch_test.go
@@ -0,0 +1,152 @@
+package agent_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/admitter"
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/standins/imitator"
+)
+
+// An engine loses a part of the weights while it loads them, and says that it
+// holds the whole. Pickers would get roster drafts from a model that nobody
+// published, under the right version.
+func TestWrongBytesAreCutAndLoadedAnew(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{})
+	w.post("/admin/faults", `{"partial":true}`)
+	right := w.roll("v2")
+	w.await("v2")
+	w.post("/admin/faults", `{}`)
+	s, _ := w.mustOpen(ask("one"))
+	e := w.event(s)
+	must.NotNil(t, e.Failure, must.Sprintf("%+v", e))
+	must.StrContains(t, e.Failure.Message, "want "+right)
+	w.until(func() bool { return slices.Equal(w.orders(), []string{"v1", "v2", "v2"}) })
+	w.until(func() bool { return len(w.Gate.Holds()) == 0 })
+	s, _ = w.mustOpen(ask("two"))
+	must.Eq(t, right, w.whole(s))
+}
+
+// A newer version is in force while a reply is still under way. A picker whose
+// roster was half written would lose it if the engine were switched at once.
+func TestStreamEndsBeforeSwitch(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{})
+	s, _ := w.mustOpen(ask("one"))
+	w.event(s)
+	w.roll("v2")
+	w.until(func() bool { return slices.Contains(w.Gate.Holds(), admitter.Switching) })
+	w.probed()
+	must.Eq(t, []string{"v1"}, w.orders())
+	w.token(s)
+	must.True(t, w.event(s).Done)
+	w.await("v2")
+	must.Eq(t, 0, w.counts("cutByLoad"))
+}
+
+// An agent has decided on a switch and is held up before the order, by a stream
+// or by its VM being paused. Meanwhile a newer bundle is in force. Carried out
+// late, the old order would put back what operators have just taken out.
+func TestOvertakenOrderIsNotGiven(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{})
+	s, _ := w.mustOpen(ask("one"))
+	w.roll("v2")
+	w.until(func() bool { return slices.Contains(w.Gate.Holds(), admitter.Switching) })
+	w.roll("v3")
+	w.until(func() bool { return w.State.Word().Revision == 3 })
+	w.whole(s)
+	w.await("v3")
+	must.Eq(t, []string{"v1", "v3"}, w.orders())
+}
+
+// An order that hung on its way reaches an engine that ignores fences after a
+// newer one. Until the next probe the engine's old word still stands; a reply
+// then would come from the version that was rolled away.
+func TestLateOrderIsNeverServed(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{IgnoreFence: true})
+	old := w.loads[0]
+	right := w.roll("v2")
+	w.await("v2")
+	w.freeze()
+	w.post("/load", old)
+	s, _, err := w.open(ask("one"))
+	var n *forwarder.NotRunError
+	if !errors.As(err, &n) {
+		must.NoError(t, err)
+		must.NotNil(t, w.event(s).Failure)
+	}
+	w.thaw()
+	w.until(func() bool { return slices.Equal(w.orders(), []string{"v1", "v2", "v1", "v2"}) })
+	w.until(func() bool { return len(w.Gate.Holds()) == 0 })
+	s, _ = w.mustOpen(ask("two"))
+	must.Eq(t, right, w.whole(s))
+}
+
+// The same late order while nobody asks for anything. The gate must close by the
+// probe alone, and not open before the right weights are ordered again.
+func TestGateClosesForWrongVersion(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{IgnoreFence: true})
+	old := w.loads[0]
+	w.roll("v2")
+	w.await("v2")
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for !slices.Contains(w.Gate.Holds(), admitter.Unproven) {
+			<-w.Gate.Changed()
+		}
+	}()
+	w.post("/load", old)
+	w.until(func() bool { return isClosed(closed) })
+	w.until(func() bool { return len(w.Gate.Holds()) == 0 })
+	must.Eq(t, []string{"v1", "v2", "v1", "v2"}, w.orders())
+}
+
+// An engine is restarted after it was loaded and before anyone asked it. It
+// holds nothing, and the first picker of the morning must be told so truthfully.
+func TestRestartAfterLoad(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{})
+	w.freeze()
+	w.post("/admin/faults", `{"restart":true}`)
+	_, _, err := w.open(ask("one"))
+	var n *forwarder.NotRunError
+	must.True(t, errors.As(err, &n), must.Sprint(err))
+	w.thaw()
+	w.until(func() bool { return len(w.orders()) == 2 })
+	w.until(func() bool { return len(w.Gate.Holds()) == 0 })
+	s, _ := w.mustOpen(ask("two"))
+	w.whole(s)
+}
+
+// An engine turns cold without a restart. Under a warm engine's load it would
+// fall over with every stream that it has.
+func TestColdTurnNarrowsGate(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{ColdFor: time.Hour})
+	w.clock.Step(2 * time.Hour)
+	w.until(func() bool { state, limit, _ := w.Gate.State(); return state == messenger.GateOpen && limit > 1 })
+	w.post("/admin/faults", `{"cold":true}`)
+	w.until(func() bool { state, limit, _ := w.Gate.State(); return state == messenger.GateCold && limit == 1 })
+	w.mustOpen(ask("one"))
+	_, _, err := w.send(ask("two"))
+	var n *forwarder.NotRunError
+	must.True(t, errors.As(err, &n), must.Sprint(err))
+	must.True(t, n.Busy)
+	must.Eq(t, 0, w.counts("fellOver"))
+}
+
+// A new version turns out bad and operators roll back while the Friday rush goes
+// on. Drawn once more from the origin, the old one would take minutes.
+func TestRollbackFetchesNothing(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{})
+	w.roll("v2")
+	w.await("v2")
+	drawn := w.origin.count()
+	w.roll("v1")
+	w.await("v1")
+	must.Eq(t, drawn, w.origin.count())
+}
--- a/internal/agent/switcher.go
+++ b/internal/agent/switcher.go
@@ -38,6 +38,28 @@
 	// served are the manifests that this engine was proved to hold while they
 	// were the bundle's: they may be served on until the switch.
 	served map[string]bool
+	// distrusted is set once a reply showed that the engine holds other bytes than
+	// it says, until it was loaded anew.
+	distrusted bool
+}
+
+// distrust closes the gate to an engine that holds other bytes than it says, such
+// as a part of the weights. Its own word would open the gate again at the next
+// probe, and each reply would come from a model that nobody published.
+func (s *switcher) distrust(err error) {
+	klog.ErrorS(err, "Engine is to be loaded anew", "agent", s.agent.ID)
+	s.mu.Lock()
+	s.distrusted = true
+	s.mu.Unlock()
+	s.agent.wrongWeights.Inc(1)
+	s.agent.Gate.Close(admitter.Unproven)
+	s.agent.links.announce()
+}
+
+func (s *switcher) trusted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.distrusted
 }
 
 // assign takes an entry's word on the model.
@@ -69,6 +91,9 @@
 func (s *switcher) servable(m bundler.Model, manifest string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.distrusted {
+		return false
+	}
 	if manifest == m.Manifest {
 		return true
 	}
@@ -93,10 +118,11 @@
 	}
 	h, known := s.agent.proof.get()
 	s.want(m, h)
+	s.agent.digests.learn(manifests(m))
 	if !known {
 		return
 	}
-	if holds(h, m) {
+	if holds(h, m) && s.trusted() {
 		s.settle(m)
 		return
 	}
@@ -247,8 +273,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	_, err = e.Load(ctx, o)
-	return err
+	if _, err = e.Load(ctx, o); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.distrusted = false
+	s.mu.Unlock()
+	return nil
 }
 
 func (s *switcher) loadOrder(m bundler.Model, fence uint64) (driver.LoadOrder, error) {
--- a/standins/imitator/engine.go
+++ b/standins/imitator/engine.go
@@ -118,6 +118,8 @@
 	Cold    bool  `json:"cold"`
 	SlowMs  int64 `json:"slowMs"`
 	Hang    bool  `json:"hang"`
+	// Partial makes loads leave out the last byte and say that they are whole.
+	Partial bool `json:"partial"`
 }
 
 type engineCounts struct {
--- a/standins/imitator/load.go
+++ b/standins/imitator/load.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 
 	"k8s.io/klog/v2"
@@ -97,6 +98,20 @@
 		return "", 0, fmt.Errorf("weights answered %s", res.Status)
 	}
 	h := sha256.New()
-	size, err = io.Copy(h, res.Body)
-	return digestText(h.Sum(nil)), size, err
+	size, err = io.Copy(h, io.LimitReader(res.Body, e.loadable(res.ContentLength)))
+	if err != nil {
+		return "", 0, err
+	}
+	leftOut, err := io.Copy(io.Discard, res.Body)
+	return digestText(h.Sum(nil)), size + leftOut, err
+}
+
+// loadable is how many of a load's bytes the engine really loads.
+func (e *Engine) loadable(size int64) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Partial {
+		return size - 1
+	}
+	return math.MaxInt64
 }
