--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -50,10 +50,13 @@
 	deadline   time.Time
 	service    bundler.Service
 
-	attempts int
-	refusals []string
+	// attempts counts all, failures those that the retry budget paid for.
+	attempts, failures int
+	refusals           []string
 	// bound is the key that this call runs under, when the caller brought one.
 	bound *deduplicator.Key
+	// busy says that the request had its turn and found its replica full.
+	busy bool
 	// ours says that bound was made here, for a caller that brought none.
 	ours bool
 	// doubtful is set while an attempt may have run of which this entry knows
@@ -155,19 +158,25 @@
 		// Only the owner may run the key, however badly it has answered.
 		r.Owner, r.Avoid = c.bound.Owner, nil
 	}
-	choice, err := d.pick(ctx, r, c.deadline)
+	choice, err := d.pick(ctx, r, c.deadline, c.busy)
 	if err != nil {
 		return nil, pickFailure(err)
 	}
-	defer d.finished(r)
 	logRoute(c.id, c.attempts, choice)
 	d.count(figureAttempts)
-	reply, err := d.Agents.Call(ctx, choice.Address, c.order(choice), c.request.Body)
+	attempt, _, stop := d.watch(ctx, choice.AgentID)
+	defer stop()
+	reply, err := d.Agents.Call(attempt, choice.Address, c.order(choice), c.request.Body)
 	if ctx.Err() != nil {
 		choice.Release()
 	} else {
 		choice.Done(attemptOutcome(err))
 	}
+	d.hearRefusal(err)
+	if err == nil {
+		d.hear(reply.Agent)
+	}
+	d.finished(r, attemptOutcome(err) != retrier.NotRun)
 	if err != nil && !isBusy(err) {
 		c.refusals = append(c.refusals, choice.AgentID)
 	}
@@ -211,19 +220,22 @@
 		return f
 	}
 	outcome := outcomeOf(err)
+	earlier := c.earlier()
+	closed := c.settle(err, outcome)
+	c.busy = isBusy(err)
+	if c.busy && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
+		return nil
+	}
+	c.failures++
 	decision := c.dispatcher.Policy.Decide(retrier.Attempt{
 		Outcome: outcome,
-		Earlier: c.earlier(),
-		Number:  c.attempts,
+		Earlier: earlier,
+		Number:  c.failures,
 		// The key's owner runs it once however often it is asked.
 		Idempotent: c.service.Idempotent || c.bound != nil,
 		Now:        c.dispatcher.Clock.Now(),
 		Deadline:   c.deadline,
 	})
-	closed := c.settle(err, outcome)
-	if isBusy(err) && !closed && sleep(ctx, c.dispatcher.Clock, rand.N(busyPause)) {
-		return nil
-	}
 	if decision.Retry && !closed && sleep(ctx, c.dispatcher.Clock, decision.Delay) {
 		return nil
 	}
@@ -289,7 +301,7 @@
 	if err != nil {
 		return deduplicator.Key{}, pickFailure(err)
 	}
-	c.Done(retrier.Ran)
+	c.Release()
 	return d.newKey(workspace, service, c), nil
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
 	"github.com/oriolecroft/oriolecroft/internal/limiter"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/router"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -43,6 +44,8 @@
 	QueueFor time.Duration
 	// ResumeFor is how long a stream that was cut waits for its agent to return.
 	ResumeFor time.Duration
+	// StallFor is how long an attempt may bring nothing before it is given up.
+	StallFor time.Duration
 	// Concurrent bounds the requests that this entry carries at once.
 	Concurrent int
 	// Metrics takes the dispatcher's figures.
@@ -167,6 +170,21 @@
 	return errors.As(err, &n) && n.Busy
 }
 
+// hear takes an agent's account of itself that came with an answer.
+func (d *Dispatcher) hear(s *messenger.AgentState) {
+	if s != nil {
+		d.Router.Report(*s)
+	}
+}
+
+// hearRefusal does so for an answer that is an error.
+func (d *Dispatcher) hearRefusal(err error) {
+	var n *forwarder.NotRunError
+	if errors.As(err, &n) {
+		d.hear(n.Agent)
+	}
+}
+
 // retryAfterOf is when the agent said to come back, or a pause of our own.
 func retryAfterOf(err error) time.Duration {
 	var n *forwarder.NotRunError
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -21,7 +20,6 @@
 	"github.com/oriolecroft/oriolecroft/internal/limiter"
 	"github.com/oriolecroft/oriolecroft/internal/lister"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
-	"github.com/oriolecroft/oriolecroft/internal/placer"
 	"github.com/oriolecroft/oriolecroft/internal/receiver"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
 	"github.com/oriolecroft/oriolecroft/internal/roller"
@@ -58,7 +56,7 @@
 
 	members *members
 	agents  *agents
-	placer  placer.Placer
+	places  *places
 	running running
 }
 
@@ -75,6 +73,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.members = newMembers(e)
 	e.agents = newAgents()
+	e.places = &places{clock: e.Clock, agents: e.Router.Agents, byDomain: map[string]division{}}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	receive := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
@@ -180,19 +179,23 @@
 	e.agents.setLeaving(leaving)
 }
 
-// callerEntries lists where callers may connect. Each caller gets another order,
-// so that callers spread over the entries.
+// callerEntries lists where callers may connect: the entries that take work, or
+// all if none does. Each caller gets another order, so that callers spread.
 func (e *Entry) callerEntries() []receiver.Entry {
-	var es []receiver.Entry
+	var serving, refusing []receiver.Entry
 	for _, m := range e.members.alive() {
-		es = append(es, receiver.Entry{Address: m.Callers, FailureDomain: m.FailureDomain, Region: m.Region})
+		at := receiver.Entry{Address: m.Callers, FailureDomain: m.FailureDomain, Region: m.Region}
+		if m.Refusing {
+			refusing = append(refusing, at)
+		} else {
+			serving = append(serving, at)
+		}
 	}
-	shuffle(es)
-	return es
-}
-
-func (e *Entry) operators() http.Handler {
-	return reporter.Handler(func() any { return e.status() }, e.ready, e.metrics())
+	if len(serving) == 0 {
+		serving = refusing
+	}
+	shuffle(serving)
+	return serving
 }
 
 // ready is why this entry takes no new work; nil when it does.
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -129,6 +129,8 @@
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
 	Leaving bool           `json:"leaving,omitempty"`
+	// Refusing entries take no new work: their word on the bundle is too old.
+	Refusing bool `json:"refusing,omitempty"`
 	// StoreReachable is whether this entry itself heard the store lately.
 	StoreReachable bool `json:"storeReachable"`
 	Word           Word `json:"word"`
@@ -174,6 +176,12 @@
 	Record *bundler.Record `json:"record,omitempty"`
 	// Agents are those that report to the sender directly, without holdings.
 	Agents []AgentState `json:"agents,omitempty"`
+	// Asked is what callers ask of the sender for each workspace with limits, in
+	// requests a second; the limits are divided among entries by it.
+	Asked map[string]float64 `json:"asked,omitempty"`
+	// Demand is how many requests run or wait at the sender for each model and
+	// service; full pools are divided among entries by it.
+	Demand map[string]int `json:"demand,omitempty"`
 }
 
 // Whole tells whether all chunks are there.
