Take no cut or oversized reply for a whole one

Cause: the entry's client read at most MaxBody+1 bytes of a reply and passed on whatever came, so a reply over the bound was cut and given to the caller as whole; so was one with neither length nor end mark whose agent died. A lookup took any JSON for a fate, also {} of a 404.

Change: such replies are UnknownError, as is a lookup without one of the four fates.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -81,9 +81,9 @@
 	if err := answered(r, o.Attempt); err != nil {
 		return nil, err
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, MaxBody+1))
+	data, err := readReply(r)
 	if err != nil {
-		return nil, &UnknownError{Reason: "reply was cut: " + err.Error()}
+		return nil, err
 	}
 	return &Reply{
 		Status:   r.StatusCode,
@@ -94,6 +94,22 @@
 	}, nil
 }
 
+// readReply reads a whole body. An agent that dies while it answers, or answers
+// more than fits, leaves a part that a caller could take for the whole.
+func readReply(r *http.Response) ([]byte, error) {
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+		return nil, &UnknownError{Reason: "reply has neither length nor end mark"}
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, MaxBody+1))
+	if err != nil {
+		return nil, &UnknownError{Reason: "reply was cut: " + err.Error()}
+	}
+	if len(data) > MaxBody {
+		return nil, &UnknownError{Reason: "reply of more than " + strconv.Itoa(MaxBody) + " bytes"}
+	}
+	return data, nil
+}
+
 // Lookup asks what became of a key; it never starts anything.
 func (c *Client) Lookup(ctx context.Context, to netip.AddrPort, key string) (Fate, error) {
 	r, err := c.post(ctx, to, pathLookup, nil, []byte(key))
@@ -107,7 +123,11 @@
 	if err := json.NewDecoder(r.Body).Decode(&answer); err != nil {
 		return FateUnknown, &UnknownError{Reason: err.Error()}
 	}
-	return answer.Fate, nil
+	switch answer.Fate {
+	case FateRan, FateRunning, FateNotRun, FateUnknown:
+		return answer.Fate, nil
+	}
+	return FateUnknown, &UnknownError{Reason: "no fate " + strconv.Quote(string(answer.Fate))}
 }
 
 // Cancel tells an agent that nobody reads a stream any more. Without it the agent
--- /dev/null
+++ b/internal/forwarder/server_test.go
@@ -0,0 +1,108 @@
+package forwarder_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+)
+
+// runner answers everything in the same way.
+type runner struct {
+	reply  *forwarder.Reply
+	err    error
+	events []forwarder.Event
+}
+
+func (r *runner) Generate(_ context.Context, _ forwarder.GenerateOrder, start func(string), emit func(forwarder.Event) error) error {
+	if r.events != nil {
+		start("engine-1")
+	}
+	for _, e := range r.events {
+		if err := emit(e); err != nil {
+			return err
+		}
+	}
+	return r.err
+}
+
+func (r *runner) Call(context.Context, forwarder.CallOrder, []byte) (*forwarder.Reply, error) {
+	return r.reply, r.err
+}
+
+func (*runner) Cancel(string) {}
+
+func (*runner) State() messenger.AgentState { return messenger.AgentState{ID: "vm-1"} }
+
+func (*runner) Lookup(string) forwarder.Fate { return forwarder.FateRan }
+
+func serve(t *testing.T, r *runner) netip.AddrPort {
+	s := httptest.NewServer(forwarder.Handler(r))
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+func TestAnswersPassTheWire(t *testing.T) {
+	state := &messenger.AgentState{ID: "vm-1"}
+	reply := &forwarder.Reply{
+		Status: http.StatusTeapot, Body: []byte("slot"), Replayed: true,
+		Header: http.Header{"Content-Type": {"text/x"}, "Connection": {"close"}, "Oriolecroft-Outcome": {"notRun"}},
+	}
+	got, err := call(t, serve(t, &runner{reply: reply}))
+	must.NoError(t, err)
+	must.Eq(t, &forwarder.Reply{
+		Status: http.StatusTeapot, Body: []byte("slot"), Replayed: true, Header: http.Header{"Content-Type": {"text/x"}}, Agent: state,
+	}, got)
+
+	refusal := &forwarder.NotRunError{Reason: "full", RetryAfter: 3 * time.Second, Busy: true, KeyClosed: true, Agent: state}
+	_, err = call(t, serve(t, &runner{err: refusal}))
+	must.Eq(t, refusal, as[*forwarder.NotRunError](t, err))
+	_, err = generate(t, serve(t, &runner{err: refusal}))
+	must.Eq(t, refusal, as[*forwarder.NotRunError](t, err))
+	_, err = call(t, serve(t, &runner{err: context.Canceled}))
+	is[*forwarder.UnknownError](t, err)
+}
+
+// An engine is lost after the first token, when the status has been sent. The
+// stream itself must say so, or the entry would wait for the rest.
+func TestStreamEndsWithItsFailure(t *testing.T) {
+	at := serve(t, &runner{events: []forwarder.Event{{Token: "two"}}, err: context.Canceled})
+	s, err := generate(t, at)
+	must.NoError(t, err)
+	defer s.Close()
+	must.Eq(t, "engine-1", s.EngineStart)
+	e, err := s.Next()
+	must.NoError(t, err)
+	must.Eq(t, "two", e.Token)
+	e, err = s.Next()
+	must.NoError(t, err)
+	must.Eq(t, "context canceled", e.Failure.Message)
+}
+
+// Orders that can't be read, or bodies over the bound, reach an agent. It never
+// passes them on, and says so.
+func TestUnreadableOrdersAreNotRun(t *testing.T) {
+	h := forwarder.Handler(&runner{reply: &forwarder.Reply{Status: http.StatusOK}})
+	for _, tt := range []struct{ path, order, body string }{
+		{"/run/generate", "", "{"},
+		{"/run/generate", "", `{"prompt":"` + strings.Repeat("x", 4<<20) + `"}`},
+		{"/run/call", "", "body"},
+		{"/run/call", `{"deadlineMs":"soon"}`, "body"},
+		{"/run/call", `{}`, strings.Repeat("x", forwarder.MaxBody+1)},
+	} {
+		r := httptest.NewRequest(http.MethodPost, tt.path, strings.NewReader(tt.body))
+		r.Header.Set("Oriolecroft-Order", tt.order)
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, r)
+		must.Eq(t, http.StatusServiceUnavailable, rec.Code)
+		must.Eq(t, "notRun", rec.Header().Get("Oriolecroft-Outcome"))
+	}
+}
