Bound the messages that our processes read from each other

Cause: the decoder keeps a message in memory until its end, and nothing bounded it. One peer gone wrong could get an entry killed for its memory, with all the requests that it carries.

Change: a connection gives 16 MiB for each message and then an OversizedError, which ends it; the bounds of reads and writes are in a file of their own.

--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -19,23 +19,6 @@
 	methodNews     = "news"
 )
 
-// writeTimeout bounds one write to a peer. A frozen peer (SIGSTOP, a stalled
-// link) fills the socket and would otherwise block the writer for good; the
-// connection is given up instead and made anew.
-const writeTimeout = 3 * time.Second
-
-// boundedConn sets a deadline before each write.
-type boundedConn struct {
-	net.Conn
-}
-
-func (c boundedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
 // UnreachableError reports that a peer could not be asked or did not answer.
 type UnreachableError struct {
 	Address netip.AddrPort
@@ -115,8 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewPlainObjectStream(boundedConn{raw})
-	c.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(c.handle), quiet)
+	c.conn = jsonrpc2.NewConn(context.Background(), newStream(raw), jsonrpc2.HandlerWithError(c.handle), quiet)
 	return c.conn, nil
 }
 
@@ -173,7 +155,7 @@
 	h := func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		return s.handle(r, l)
 	}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(boundedConn{raw}), jsonrpc2.HandlerWithError(h), quiet)
+	conn := jsonrpc2.NewConn(ctx, newStream(raw), jsonrpc2.HandlerWithError(h), quiet)
 	go l.run(ctx, conn)
 }
 
