Refuse text after a request, and test what callers are told

Cause: the decoder stopped at the end of the first JSON object. A body that two writers had mixed, or with a field after a brace too many, was run as if whole.

Change: text after the request is refused as malformed and not run.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -183,10 +183,16 @@
 func decode(w http.ResponseWriter, h *http.Request, v any) error {
 	d := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxBody))
 	d.DisallowUnknownFields()
-	err := d.Decode(v)
-	if err == nil {
-		return nil
+	if err := d.Decode(v); err != nil {
+		return bodyError(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return malformed("body: text after the request")
 	}
+	return nil
+}
+
+func bodyError(err error) error {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return &dispatcher.FailureError{
--- /dev/null
+++ b/internal/receiver/stream_test.go
@@ -0,0 +1,109 @@
+package receiver_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/forwarder"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/receiver"
+)
+
+// fakeAgent answers with the given events, reply or error.
+type fakeAgent struct {
+	events []forwarder.Event
+	reply  *forwarder.Reply
+	err    error
+	order  forwarder.CallOrder
+}
+
+func (a *fakeAgent) Generate(_ context.Context, o forwarder.GenerateOrder, start func(string), emit func(forwarder.Event) error) error {
+	if a.err != nil {
+		return a.err
+	}
+	start("e")
+	for _, e := range a.events[o.From:] {
+		if err := emit(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *fakeAgent) Call(_ context.Context, o forwarder.CallOrder, _ []byte) (*forwarder.Reply, error) {
+	a.order = o
+	return a.reply, a.err
+}
+
+func (*fakeAgent) Cancel(string) {}
+
+func (*fakeAgent) State() messenger.AgentState { return messenger.AgentState{} }
+
+func (*fakeAgent) Lookup(string) forwarder.Fate { return forwarder.FateUnknown }
+
+func TestReplyIsServerSentEvents(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, &fakeAgent{events: []forwarder.Event{
+		{Token: "two", Version: "v1", Weights: "w"},
+		{Index: 1, Token: "pickers", Version: "v1", Weights: "w"},
+		{Done: true, Tokens: 2, Version: "v1", Weights: "w", Digest: "d"},
+	}})
+	res := w.send("POST", models, good, nil)
+	must.Eq(t, http.StatusOK, res.Code)
+	must.Eq(t, "text/event-stream", res.Header().Get("Content-Type"))
+	must.NotEq(t, "", res.Header().Get(receiver.HeaderResume))
+	must.Eq(t, `id: 0
+data: {"index":0,"token":"two","version":"v1","weights":"w"}
+
+id: 1
+data: {"index":1,"token":"pickers","version":"v1","weights":"w"}
+
+id: 1
+data: {"index":0,"version":"v1","weights":"w","done":true,"tokens":2,"digest":"d"}
+
+`, res.Body.String())
+}
+
+// An engine dies in the middle of a reply. The headers have said 200 by then; a
+// caller must find in the stream itself that the roster draft is not whole.
+func TestBrokenReplyEndsWithAnError(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, &fakeAgent{events: []forwarder.Event{
+		{Token: "two", Version: "v1", Weights: "w"},
+		{Failure: &forwarder.Failure{Message: "engine is gone"}},
+	}})
+	body := w.send("POST", models, good, nil).Body.String()
+	must.StrContains(t, body, "id: 0\ndata: {\"error\":{\"outcome\":\"ran\"")
+	must.StrNotContains(t, body, "done")
+}
+
+// The booking service's answer is lost behind the agent. "Not run" would send a
+// second crew to the same family.
+func TestUnknownOutcomeIsSaidSo(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, &fakeAgent{err: &forwarder.UnknownError{Reason: "lost"}})
+	res := w.send("POST", book, "", map[string]string{receiver.HeaderWorkspace: "farm"})
+	must.Eq(t, "unknown", res.Header().Get(receiver.HeaderOutcome))
+	must.Eq(t, "unknown", problemOf(t, res).Outcome)
+}
+
+func TestCallPassesOn(t *testing.T) {
+	w := newWorld(t)
+	a := &fakeAgent{reply: &forwarder.Reply{
+		Status: http.StatusCreated, Header: http.Header{"X-Slot": {"4"}}, Body: []byte("booked"), Replayed: true,
+	}}
+	w.add(t, a)
+	res := w.send("POST", book, "slot 4", map[string]string{
+		receiver.HeaderWorkspace: "farm", "Booking": "b7", "Cookie": "secret", receiver.HeaderPriority: "3",
+	})
+	must.Eq(t, "booked", res.Body.String())
+	must.Eq(t, http.StatusCreated, res.Code)
+	must.Eq(t, "4", res.Header().Get("X-Slot"))
+	must.Eq(t, "true", res.Header().Get(receiver.HeaderReplayed))
+	must.Eq(t, map[string]string{"Booking": "b7"}, a.order.Header)
+	must.Eq(t, "/book", a.order.Path)
+	must.Eq(t, 3, a.order.Priority)
+}
