Test an engine that mixes up an adapter's file

An engine that loads other bytes for an adapter only is found and loaded anew, and a reply with the right adapter is not cut.

--- a/internal/agent/switch_test.go
+++ b/internal/agent/switch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"regexp"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 	"github.com/oriolecroft/oriolecroft/standins/imitator"
 )
 
@@ -33,6 +35,33 @@
 	must.Eq(t, right, w.whole(s))
 }
 
+// The same for an adapter alone: the engine mixes it up with another file. Once it
+// was loaded anew, the reply with the right bytes must not be cut.
+func TestWrongAdapterIsCutAndLoadedAnew(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{})
+	mixUp := regexp.MustCompile(`(/weights/[^"]*)(.*)/weights/[^"]*`)
+	w.setAlter(func(o string) string { return mixUp.ReplaceAllString(o, "$1$2$1") })
+	adapter, right := w.origin.publish("adapter")
+	w.next(func(b *bundler.Bundle) {
+		b.Models[0].Adapters = []bundler.Adapter{{Name: "tamar", Version: "a1", Manifest: adapter}}
+	})
+	w.until(func() bool { return slices.Equal(w.orders(), []string{"v1", "v1"}) })
+	w.setAlter(nil)
+	w.until(func() bool { return len(w.Gate.Holds()) == 0 })
+	o := ask("one")
+	o.Adapter = "tamar"
+	s, _ := w.mustOpen(o)
+	e := w.event(s)
+	must.NotNil(t, e.Failure, must.Sprintf("%+v", e))
+	must.StrContains(t, e.Failure.Message, "want "+right)
+	w.until(func() bool { return len(w.orders()) == 3 && len(w.Gate.Holds()) == 0 })
+	o.Stream, o.Attempt.RequestID = "two", "two"
+	s, _ = w.mustOpen(o)
+	must.Eq(t, right, w.event(s).AdapterWeights)
+	w.token(s)
+	must.True(t, w.event(s).Done)
+}
+
 // A newer version is in force while a reply is still under way. A picker whose
 // roster was half written would lose it if the engine were switched at once.
 func TestStreamEndsBeforeSwitch(t *testing.T) {
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -97,6 +97,8 @@
 	probes int
 	// frozen keeps the stand-in's state from being read while it is not nil.
 	frozen chan struct{}
+	// alter changes load orders on their way when it is set.
+	alter func(string) string
 }
 
 func newWorld(t *testing.T, h http.Handler, c *clocktesting.FakeClock) *world {
@@ -214,6 +216,9 @@
 			body, _ := io.ReadAll(r.Body)
 			w.mu.Lock()
 			w.loads = append(w.loads, string(body))
+			if w.alter != nil {
+				body = []byte(w.alter(string(body)))
+			}
 			w.mu.Unlock()
 			r.Body = io.NopCloser(bytes.NewReader(body))
 		case "/state":
@@ -242,6 +247,12 @@
 	})
 }
 
+func (w *world) setAlter(alter func(string) string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.alter = alter
+}
+
 func (w *world) freeze() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
