Keep each model's engines within one of its share

Cause: places were given by the greatest quotient alone, which favours models of great shares: with shares 4, 33 and 6 of 13 engines the second got 11 where 9.98 are its due, and the third one where 1.81 are.

Change: a model that has its share of the engines given out so far is passed over (the quota method of Balinski and Young). As before, an engine that leaves moves at most one other. A share that was left out counts as 1.

Before: TestPlacement: [rapid] failed after 19 tests: model 1 of shares [4 33 6] has 11 of 13 engines, want 9.98.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,29 +47,43 @@
 	return engines
 }
 
-// quotas gives each model its number of engines: one each first, then one at a
-// time to the model that is furthest below its share.
+// quotas gives each model its number of engines, to within one of its exact share
+// where that is one or more: one each first, then one at a time to the model that
+// is furthest below its share. A model that has its share of the engines given out
+// so far is passed over: those with great shares would else gain several of them
+// at the cost of the small ones.
 func quotas(ms []bundler.Model, engines int) map[string]int {
+	total := 0
+	for _, m := range ms {
+		total += share(m)
+	}
 	q := map[string]int{}
-	for range engines {
-		best := ms[0]
-		for _, m := range ms[1:] {
-			if needier(q, m, best) {
-				best = m
+	for given := range engines {
+		best := -1
+		for i, m := range ms {
+			n := q[m.Name]
+			if n > 0 && n*total >= share(m)*(given+1) {
+				continue
+			}
+			if best < 0 || needier(q, m, ms[best]) {
+				best = i
 			}
 		}
-		q[best.Name]++
+		q[ms[best].Name]++
 	}
 	return q
 }
 
+// share is a model's weight, which may have been left out.
+func share(m bundler.Model) int { return max(1, m.Share) }
+
 // needier tells whether model a has fewer engines for its share than b. A model
 // without any goes before all that have one.
 func needier(q map[string]int, a, b bundler.Model) bool {
 	if (q[a.Name] == 0) != (q[b.Name] == 0) {
 		return q[a.Name] == 0
 	}
-	return (q[a.Name]+1)*b.Share < (q[b.Name]+1)*a.Share
+	return (q[a.Name]+1)*share(b) < (q[b.Name]+1)*share(a)
 }
 
 // keep leaves engines with the model they hold while its quota lasts.
