--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -13,112 +13,107 @@
 	"github.com/oriolecroft/oriolecroft/internal/tracker"
 )
 
-const manifest = "sha256:m"
-
-func newTracker() (*tracker.Tracker, *clocktesting.FakeClock) {
-	c := clocktesting.NewFakeClock(time.Unix(1_800_000_000, 0))
-	return &tracker.Tracker{Clock: c, Stale: 10 * time.Second, Seed: 1}, c
-}
-
-func state(region string, i int, have ...byte) messenger.AgentState {
+// agent holds the chunks in a bitmap of eight.
+func agent(n int, region string, have byte) messenger.AgentState {
 	return messenger.AgentState{
-		ID: fmt.Sprintf("%s-%d", region, i), Region: region, FailureDomain: region, Sequence: 1,
-		Holdings: []messenger.Holding{{Manifest: manifest, Chunks: 8, Have: have}},
+		ID: fmt.Sprintf("vm-%03d", n), Incarnation: "i", Region: region, Sequence: 1,
+		Holdings: []messenger.Holding{{Manifest: "m", Chunks: 8, Have: []byte{have}}},
 	}
 }
 
-func names(hs []messenger.Holder) map[string]bool {
-	ids := map[string]bool{}
-	for _, h := range hs {
-		ids[h.ID] = true
-	}
-	return ids
+func newTracker() (*tracker.Tracker, *clocktesting.FakePassiveClock) {
+	c := clocktesting.NewFakePassiveClock(time.Unix(0, 0))
+	return &tracker.Tracker{Clock: c, Seed: 1}, c
 }
 
-func TestHoldersAreFewAndNameTheDrawers(t *testing.T) {
-	tr, _ := newTracker()
-	for i := range 500 {
-		tr.Report(state("huon", i, byte(i)))
-	}
-	drawers := names(tr.Drawers())
-	must.MapLen(t, planner.Drawers, drawers)
-	for i := range 20 {
-		s := state("huon", i, byte(i))
-		ids := names(tr.Holders(s, []string{manifest}))
-		must.LessEq(t, tracker.MaxHolders, len(ids))
-		must.False(t, ids[s.ID])
-		for d := range drawers {
-			must.True(t, ids[d] || d == s.ID)
-		}
+func ids(hs []messenger.Holder) map[string]bool {
+	names := map[string]bool{}
+	for _, h := range hs {
+		names[h.ID] = true
 	}
+	return names
 }
 
-func TestDeadDrawerIsReplaced(t *testing.T) {
-	// A drawer's VM is lost and says no goodbye. Were it still named, its chunks
-	// would be waited for until each agent finds out for itself.
-	tr, c := newTracker()
-	for i := range 50 {
-		tr.Report(state("huon", i))
+// Hundreds of agents want one version. Each must be told of a handful only, and
+// none of itself or of the same one twice, or the answers would grow with the fleet.
+func TestHoldersAreAHandful(t *testing.T) {
+	k, _ := newTracker()
+	for n := range 300 {
+		k.Report(agent(n, []string{"huon", "tamar"}[n%2], 0xff))
 	}
-	dead := tr.Drawers()[0].ID
-	c.Step(8 * time.Second)
-	for i := range 50 {
-		if s := state("huon", i); s.ID != dead {
-			s.Sequence = 2
-			tr.Report(s)
+	for n := range 300 {
+		a := agent(n, []string{"huon", "tamar"}[n%2], 0)
+		hs := k.Holders(a, []string{"m"})
+		must.Between(t, 2, len(hs), tracker.MaxHolders+tracker.MaxRemote)
+		must.MapLen(t, len(hs), ids(hs))
+		must.False(t, ids(hs)[a.ID])
+		remote := 0
+		for _, h := range hs {
+			if h.Region != a.Region {
+				remote++
+			}
 		}
+		must.LessEq(t, planner.Drawers, remote)
 	}
-	c.Step(8 * time.Second)
-	must.False(t, names(tr.Drawers())[dead])
-	must.False(t, names(tr.Holders(state("huon", 99), []string{manifest}))[dead])
-	must.MapLen(t, planner.Drawers, names(tr.Drawers()))
+	must.SliceEmpty(t, k.Holders(agent(0, "huon", 0), []string{"other"}))
 }
 
-func TestLateAndOldReports(t *testing.T) {
-	// A report that was overtaken on its way must not bring back what the agent has
-	// evicted since: others would ask it in vain.
-	tr, _ := newTracker()
-	s := state("huon", 1, 0xff)
-	s.Sequence = 5
-	tr.Report(s)
-	late := state("huon", 1, 0x01)
-	tr.Report(late)
-	whole, partial, _ := tr.Counts(manifest)
+// Most agents of the region hold nothing yet and a few hold all. The asker must
+// hear of one that can give it something.
+func TestUsefulHoldersAreNamed(t *testing.T) {
+	k, _ := newTracker()
+	for n := range 12 {
+		k.Report(agent(n, "huon", 0))
+	}
+	k.Report(agent(50, "huon", 0xff))
+	must.True(t, ids(k.Holders(agent(60, "huon", 0), []string{"m"}))["vm-050"])
+	whole, partial, bytes := k.Counts("m")
 	must.Eq(t, 1, whole)
 	must.Eq(t, 0, partial)
-	s.Sequence, s.Holdings = 6, nil
-	tr.Report(s)
-	must.SliceEmpty(t, tr.Holders(state("huon", 2), []string{manifest}))
+	must.Eq(t, int64(13), bytes)
 }
 
-func TestIntroducedDrawersLapse(t *testing.T) {
-	// Two entries know half of the agents each. They tell each other their drawers,
-	// so that both elect the same ones. When an agent dies, neither may keep it
-	// alive by the other's word.
-	a, ca := newTracker()
-	b, cb := newTracker()
-	for i := range 40 {
-		if i%2 == 0 {
-			a.Report(state("huon", i))
-		} else {
-			b.Report(state("derwent", i))
-		}
-	}
-	asker := state("derwent", 1)
-	for _, d := range b.Drawers() {
-		if d.ID != asker.ID {
-			asker.ID = d.ID
-		}
+// Agents die, leave, drop a version, or are heard of by an old report on a slow
+// connection. Named on, they would cost each asker its patience.
+func TestGoneHoldersAreNotNamed(t *testing.T) {
+	asker := agent(60, "huon", 0)
+	for name, gone := range map[string]func(*tracker.Tracker, *clocktesting.FakePassiveClock){
+		"removed": func(k *tracker.Tracker, _ *clocktesting.FakePassiveClock) { k.Remove("vm-001") },
+		"silent": func(_ *tracker.Tracker, c *clocktesting.FakePassiveClock) {
+			c.SetTime(c.Now().Add(tracker.DefaultStale + time.Second))
+		},
+		"leaving": func(k *tracker.Tracker, _ *clocktesting.FakePassiveClock) {
+			a := agent(1, "huon", 0xff)
+			a.Sequence, a.Leaving = 2, true
+			k.Report(a)
+		},
+		"dropped, then an old report": func(k *tracker.Tracker, _ *clocktesting.FakePassiveClock) {
+			a := agent(1, "huon", 0xff)
+			a.Sequence, a.Holdings = 2, nil
+			k.Report(a)
+			k.Report(agent(1, "huon", 0xff))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k, c := newTracker()
+			k.Report(agent(1, "huon", 0xff))
+			must.SliceLen(t, 1, k.Holders(asker, []string{"m"}))
+			gone(k, c)
+			must.SliceEmpty(t, k.Holders(asker, []string{"m"}))
+		})
 	}
-	b.Introduce(a.Drawers())
-	must.MapContainsKeys(t, names(b.Holders(asker, []string{manifest})), []string{a.Drawers()[0].ID})
-	must.MapLen(t, planner.Drawers, names(b.Drawers()))
-	for range 5 {
-		ca.Step(5 * time.Second)
-		cb.Step(5 * time.Second)
-		a.Introduce(b.Drawers())
-		b.Introduce(a.Drawers())
-	}
-	must.SliceEmpty(t, a.Drawers())
-	must.SliceEmpty(t, b.Holders(asker, []string{manifest}))
+}
+
+// An agent was replaced, and its successor counts its reports from one again. It
+// has nothing in memory, whatever the one before had.
+func TestReplacedAgentStartsAnew(t *testing.T) {
+	k, _ := newTracker()
+	a := agent(1, "huon", 0xff)
+	a.Sequence = 900
+	k.Report(a)
+	b := agent(1, "huon", 0)
+	b.Incarnation = "j"
+	k.Report(b)
+	whole, partial, _ := k.Counts("m")
+	must.Eq(t, 0, whole+partial)
 }
