Keep what several entries tell of holders side by side

Cause: an agent reports to a few entries, and each knows other agents. Each answer replaced the one before, so the drawers that an agent reckoned with changed from one answer to the next.

Ruled out: merging in the planner (it would have to know of entries).

Change: what was heard stays for ten seconds; a transfer deals with the drawers of each region and the 16 others heard of last. TestPeerDiesInMidChunk announced 1000 bytes for the last chunk too, which has 700: that is rightly counted as corrupt, and it had passed only because that chunk wasn't asked of the dying peer. It announces the chunk's own size now and checks the same.

Conclusion: entries may know different agents; how many copies the origin sends with several entries isn't measured in the model.

--- a/internal/loader/failures_test.go
+++ b/internal/loader/failures_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -135,7 +136,7 @@
 	o := newOrigin(w)
 	dying := peer(t, "vm-dying", w, func(rw http.ResponseWriter, r *http.Request) {
 		body := bytes.Clone(o.bodies[r.PathValue("digest")])
-		rw.Header().Set("Content-Length", "1000")
+		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		rw.Write(body[:len(body)/2])
 		_ = http.NewResponseController(rw).Flush()
 		panic(http.ErrAbortHandler)
@@ -326,3 +327,19 @@
 	a.await(t, w)
 	must.Eq(t, before+1, o.total(w))
 }
+
+func TestNewsOfSeveralEntries(t *testing.T) {
+	// An agent reports to two entries, and only one of them knows the agent that
+	// has the weights. Were the other's empty answer taken for the whole truth, the
+	// origin would send a copy that is there already.
+	w := publish("v1", 20)
+	o := newOrigin(w)
+	a := start(t, "vm-0", o)
+	a.SetHolders([]messenger.Holder{peer(t, "vm-1", w, func(rw http.ResponseWriter, r *http.Request) {
+		rw.Write(o.bodies[r.PathValue("digest")])
+	})})
+	a.SetHolders(nil)
+	a.Want([]string{w.digest})
+	a.await(t, w)
+	must.Eq(t, 0, a.Progress()[0].FromOrigin)
+}
--- /dev/null
+++ b/internal/loader/holders.go
@@ -0,0 +1,55 @@
+package loader
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/planner"
+)
+
+const (
+	// holdersFor is how long an entry's word of a holder counts.
+	holdersFor = 10 * time.Second
+	// maxPeers bounds the agents that one transfer deals with, drawers aside.
+	maxPeers = 16
+)
+
+// holderKey names an agent as a holder of one manifest.
+type holderKey struct{ manifest, id string }
+
+type heardHolder struct {
+	messenger.Holder
+	at time.Time
+}
+
+// choose picks the agents that a transfer deals with: the drawers of each region,
+// and of the others those heard of last.
+func choose(manifest string, known map[holderKey]heardHolder) []messenger.Holder {
+	var all []heardHolder
+	for k, h := range known {
+		if k.manifest == manifest {
+			all = append(all, h)
+		}
+	}
+	slices.SortFunc(all, func(a, b heardHolder) int {
+		return cmp.Or(cmp.Compare(planner.Score(manifest, b.ID), planner.Score(manifest, a.ID)), strings.Compare(a.ID, b.ID))
+	})
+	drawers := map[string]int{}
+	var hs []messenger.Holder
+	var rest []heardHolder
+	for _, h := range all {
+		if drawers[h.Region]++; drawers[h.Region] <= planner.Drawers {
+			hs = append(hs, h.Holder)
+		} else {
+			rest = append(rest, h)
+		}
+	}
+	slices.SortStableFunc(rest, func(a, b heardHolder) int { return b.at.Compare(a.at) })
+	for _, h := range rest[:min(len(rest), maxPeers)] {
+		hs = append(hs, h.Holder)
+	}
+	return hs
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -77,7 +77,7 @@
 	used    int64
 	want    []string
 	keep    map[string]bool
-	holders []messenger.Holder
+	holders map[holderKey]heardHolder
 	heard   time.Time
 	changed chan struct{}
 	cancels map[fetch]context.CancelFunc
@@ -145,6 +145,7 @@
 		l.sets = map[string]*set{}
 		l.chunks = map[string]*chunk{}
 		l.keep = map[string]bool{}
+		l.holders = map[holderKey]heardHolder{}
 		l.changed = make(chan struct{})
 		l.cancels = map[fetch]context.CancelFunc{}
 		l.asking = map[string]bool{}
@@ -245,12 +246,24 @@
 	l.nudge()
 }
 
-// SetHolders replaces what is known of other agents' holdings.
+// SetHolders takes in news of other agents' holdings. An agent reports to a few
+// entries, and each knows other agents; were the news of one to replace that of
+// another, the drawers would change with each answer, and the origin would be
+// asked for a chunk by one after the other. So what was heard stays until it is
+// holdersFor old.
 func (l *Loader) SetHolders(hs []messenger.Holder) {
 	l.setUp()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holders, l.heard = slices.Clone(hs), l.Clock.Now()
+	l.heard = l.Clock.Now()
+	for _, h := range hs {
+		l.holders[holderKey{h.Holding.Manifest, h.ID}] = heardHolder{h, l.heard}
+	}
+	for k, h := range l.holders {
+		if l.heard.Sub(h.at) > holdersFor {
+			delete(l.holders, k)
+		}
+	}
 	for _, s := range l.sets {
 		s.learn(l.holders, l.heard)
 	}
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -59,14 +59,9 @@
 	return p
 }
 
-// learn takes the holders of this set from the tracker's news.
-func (s *set) learn(hs []messenger.Holder, heard time.Time) {
-	s.peers = s.peers[:0]
-	for _, h := range hs {
-		if h.Holding.Manifest == s.digest {
-			s.peers = append(s.peers, h)
-		}
-	}
+// learn takes the holders of this set from what was heard.
+func (s *set) learn(known map[holderKey]heardHolder, heard time.Time) {
+	s.peers = choose(s.digest, known)
 	if s.transfer != nil {
 		s.transfer.Learn(plannerPeers(s.peers), heard)
 	}
