Send between our processes only what has changed

Each report carried the whole account and each answer the list of entries, and entries passed each other all agents at each heartbeat. Ruled out: a denser codec, which leaves the needless parts in. Change: a report is a beat unless something has changed on that connection; entries are told of when they change; entries no longer pass agents on, since each agent reports to all that route to it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,8 +64,8 @@
 	switcher *switcher
 	streams  *streams
 	// listed is when an entry last said that the platform lists this VM as leaving.
-	listed stamp
-	digests  *digests
+	listed  stamp
+	digests *digests
 	// wrongWeights counts replies that were cut for it.
 	wrongWeights metrics.Counter
 }
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"reflect"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	cancel context.CancelFunc
 	// behind is set while the entry holds an older bundle than this agent.
 	behind bool
+	// told is the last whole account that the entry has; nil when it has none.
+	told *messenger.AgentState
 }
 
 // Serve keeps a link to each entry that should hear of this agent.
@@ -221,22 +224,46 @@
 	return l.sequence
 }
 
-func (l *links) report(ctx context.Context, k *link) {
+// compose makes the next report for one entry: a beat when that entry was already
+// told all that matters.
+func (l *links) compose(k *link) messenger.Report {
 	s := l.agent.state()
 	s.Sequence = l.next()
-	r := messenger.Report{State: s}
+	var r messenger.Report
 	if k.behind {
 		// Entries that were all replaced while the store is out know no bundle, and
 		// would refuse every request until it is back.
 		_, r.Record = l.agent.State.Current()
 	}
+	if k.told != nil && sameBut(*k.told, s) {
+		r.Beat = &messenger.Beat{ID: s.ID, Incarnation: s.Incarnation, Sequence: s.Sequence, Running: s.Running}
+		return r
+	}
+	k.told = &s
+	r.State = &s
+	return r
+}
+
+// sameBut tells whether two accounts differ only in what a beat says.
+func sameBut(a, b messenger.AgentState) bool {
+	a.Sequence, a.Running = b.Sequence, b.Running
+	return reflect.DeepEqual(a, b)
+}
+
+func (l *links) report(ctx context.Context, k *link) {
+	r := l.compose(k)
 	asked := l.agent.Clock.Now()
 	n, err := k.client.Report(ctx, r)
 	if err != nil {
 		klog.V(2).InfoS("Report failed", "agent", l.agent.ID, "entry", k.client.Address, "err", err)
+		k.told = nil
 		return
 	}
-	k.behind = n.Word.Revision < s.Revision
+	if n.Resend {
+		k.told = nil
+	}
+	w := l.agent.State.Word()
+	k.behind = n.Word.Revision < w.Revision
 	l.take(n)
 	l.place(n, k.client.Address)
 	// The answer is as fresh as the question: while it was under way, or this
@@ -305,15 +332,12 @@
 	return first[0].Peers
 }
 
-func (l *links) remember(entries []messenger.EntryState) {
+func (l *links) remember(entries []messenger.EntryRef) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.agent.Clock.Now()
 	for _, e := range entries {
-		if e.Leaving {
-			delete(l.known, e.ID)
-			continue
-		}
-		l.known[e.ID] = heardEntry{state: e, at: now}
+		s := messenger.EntryState{ID: e.ID, FailureDomain: e.FailureDomain, Region: e.Region, Peers: e.Peers}
+		l.known[e.ID] = heardEntry{state: s, at: now}
 	}
 }
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -195,14 +195,18 @@
 func (w *world) answer(r messenger.Report, _ *messenger.Link) messenger.News {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.state = r.State
+	if r.State != nil {
+		w.state = *r.State
+	} else {
+		w.state.Sequence, w.state.Running = r.Beat.Sequence, r.Beat.Running
+	}
 	n := messenger.News{
 		Word:       messenger.Word{Revision: w.bundle.Revision, Digest: w.record.Digest()},
-		Entries:    []messenger.EntryState{{ID: "entry-1", Region: "r", Peers: w.peers}},
+		Entries:    []messenger.EntryRef{{ID: "entry-1", Region: "r", Peers: w.peers}},
 		Assignment: "rota",
 		Switch:     true,
 	}
-	if r.State.Revision < w.bundle.Revision {
+	if w.state.Revision < w.bundle.Revision {
 		n.Record = w.record
 	}
 	return n
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,23 +17,55 @@
 	revision uint64
 }
 
+// directAgent is what is known of an agent, and what it was told, on its present
+// connection.
 type directAgent struct {
 	state messenger.AgentState
 	link  *messenger.Link
 	at    time.Time
+	// told are the entries that it was last told of.
+	told   []messenger.EntryRef
+	toldAt time.Time
 }
 
-// directFor is how long an agent counts as direct after its last report.
-const directFor = 3 * time.Second
+const (
+	// directFor is how long an agent counts as direct after its last report.
+	directFor = 3 * time.Second
+	// tellEvery is how often an agent is told of the entries though none changed.
+	tellEvery = 3 * time.Second
+)
 
 func newAgents() *agents {
 	return &agents{states: map[string]directAgent{}}
 }
 
-func (a *agents) note(s messenger.AgentState, l *messenger.Link, now time.Time) {
+// take notes a report and gives the agent's whole state; false when a beat came
+// for which no state is known on this connection.
+func (a *agents) take(r messenger.Report, l *messenger.Link, now time.Time) (messenger.AgentState, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.states[s.ID] = directAgent{state: s, link: l, at: now}
+	a.forget(now)
+	if r.State != nil {
+		d := directAgent{state: *r.State, link: l, at: now}
+		if old := a.states[d.state.ID]; old.link == l {
+			d.told, d.toldAt = old.told, old.toldAt
+		}
+		a.states[d.state.ID] = d
+		return d.state, true
+	}
+	if r.Beat == nil {
+		return messenger.AgentState{}, false
+	}
+	d, ok := a.states[r.Beat.ID]
+	if !ok || d.link != l || d.state.Incarnation != r.Beat.Incarnation {
+		return messenger.AgentState{}, false
+	}
+	d.state.Sequence, d.state.Running, d.at = r.Beat.Sequence, r.Beat.Running, now
+	a.states[r.Beat.ID] = d
+	return d.state, true
+}
+
+func (a *agents) forget(now time.Time) {
 	for id, d := range a.states {
 		if now.Sub(d.at) > directFor {
 			delete(a.states, id)
@@ -40,18 +73,18 @@
 	}
 }
 
-// direct lists the agents for other entries; holdings stay here, since they are
-// large and of use only to those who fetch.
-func (a *agents) direct() []messenger.AgentState {
+// tell gives the entries that an agent is to be told of: none when it was told the
+// same lately.
+func (a *agents) tell(id string, entries []messenger.EntryRef, now time.Time) []messenger.EntryRef {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	ss := make([]messenger.AgentState, 0, len(a.states))
-	for _, d := range a.states {
-		s := d.state
-		s.Holdings = nil
-		ss = append(ss, s)
+	d := a.states[id]
+	if now.Sub(d.toldAt) < tellEvery && slices.Equal(d.told, entries) {
+		return nil
 	}
-	return ss
+	d.told, d.toldAt = entries, now
+	a.states[id] = d
+	return entries
 }
 
 // push sends news to all direct agents that have an older bundle.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,17 +9,21 @@
 
 // report answers an agent: what it says is noted, and it gets what it lacks.
 func (e *Entry) report(r messenger.Report, l *messenger.Link) messenger.News {
-	s := r.State
 	if r.Record != nil {
 		if _, err := e.State.Offer(r.Record); err != nil {
-			klog.ErrorS(err, "Bundle from agent refused", "entry", e.ID, "agent", s.ID)
+			klog.ErrorS(err, "Bundle from agent refused", "entry", e.ID)
 		}
 	}
-	e.agents.note(s, l, e.Clock.Now())
+	s, ok := e.agents.take(r, l, e.Clock.Now())
+	if !ok {
+		return messenger.News{Word: e.State.Word(), Resend: true}
+	}
 	e.see(s)
 	e.Tracker.Report(s)
 	e.Roller.Report(s)
-	return e.news(s)
+	n := e.news(s)
+	n.Entries = e.agents.tell(s.ID, e.members.refs(), e.Clock.Now())
+	return n
 }
 
 // see hands an agent's state to the router, as leaving if the platform says so.
@@ -34,7 +38,6 @@
 func (e *Entry) news(s messenger.AgentState) messenger.News {
 	n := messenger.News{
 		Word:    e.State.Word(),
-		Entries: e.members.alive(),
 		Leaving: e.agents.isLeaving(s.ID),
 	}
 	b, r := e.State.Current()
@@ -101,9 +104,6 @@
 			klog.ErrorS(err, "Bundle from peer refused", "entry", e.ID, "peer", x.State.ID)
 		}
 	}
-	for _, s := range x.Agents {
-		e.see(s)
-	}
 	e.Limiter.Hear(x.State.ID, x.Asked)
 	e.Router.HearDemand(x.State.ID, x.Demand)
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -192,7 +194,6 @@
 func (m *members) mine(theirs uint64) messenger.Exchange {
 	x := messenger.Exchange{
 		State:  m.self(),
-		Agents: m.entry.agents.direct(),
 		Asked:  m.entry.Limiter.Asked(),
 		Demand: m.entry.Router.Demand(),
 	}
@@ -253,6 +254,17 @@
 	return es
 }
 
+// refs lists the entries in use for agents, in an order that stays.
+func (m *members) refs() []messenger.EntryRef {
+	es := m.alive()
+	refs := make([]messenger.EntryRef, len(es))
+	for i, e := range es {
+		refs[i] = messenger.EntryRef{ID: e.ID, FailureDomain: e.FailureDomain, Region: e.Region, Peers: e.Peers}
+	}
+	slices.SortFunc(refs, func(a, b messenger.EntryRef) int { return strings.Compare(a.ID, b.ID) })
+	return refs
+}
+
 // Count is how many entries are in use, at least one.
 func (m *members) count() int { return max(1, len(m.alive())) }
 
--- a/internal/messenger/conn_test.go
+++ b/internal/messenger/conn_test.go
@@ -28,6 +28,9 @@
 		Listener: l,
 		OnReport: func(r messenger.Report, k *messenger.Link) messenger.News {
 			links <- k
+			if r.State == nil {
+				return messenger.News{Resend: true}
+			}
 			return messenger.News{Assignment: r.State.ID}
 		},
 		OnExchange: func(x messenger.Exchange) messenger.Exchange { return x },
@@ -44,7 +47,7 @@
 }
 
 func report(c *messenger.Client, id string) (messenger.News, error) {
-	return c.Report(context.Background(), messenger.Report{State: messenger.AgentState{ID: id}})
+	return c.Report(context.Background(), messenger.Report{State: &messenger.AgentState{ID: id}})
 }
 
 // An entry is replaced, and its successor listens on the same address. The agent
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -139,19 +139,42 @@
 // Report is what an agent sends; News is the answer, and what an entry pushes
 // by itself when the bundle changes.
 type Report struct {
-	State AgentState `json:"state"`
-	// Record is the agent's bundle, sent only to an entry that has less: after
-	// all entries were replaced while the store was out, only agents have it.
+	// State is the whole account; Beat stands for the last one sent on this
+	// connection when nothing that matters has changed.
+	State *AgentState `json:"state,omitempty"`
+	Beat  *Beat       `json:"beat,omitempty"`
+	// Record is the agent's bundle, for an entry that named an older one.
 	Record *bundler.Record `json:"record,omitempty"`
 }
 
+// Beat is an agent's sign of life. Most reports are beats: the whole account costs
+// ten times the bytes, and changes seldom.
+type Beat struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	Running     int    `json:"running"`
+}
+
+// EntryRef is what agents need to know of an entry.
+type EntryRef struct {
+	ID            string         `json:"id"`
+	FailureDomain string         `json:"failureDomain"`
+	Region        string         `json:"region"`
+	Peers         netip.AddrPort `json:"peers"`
+}
+
 // News brings an agent or an entry up to date.
 type News struct {
 	Word Word `json:"word"`
 	// Record is the bundle of Word.Revision, sent only to those who have less.
 	Record *bundler.Record `json:"record,omitempty"`
-	// Entries are those the sender believes alive, for agents to report to.
-	Entries []EntryState `json:"entries,omitempty"`
+	// Entries are those the sender believes alive, for agents to report to; sent
+	// when they change and every few seconds.
+	Entries []EntryRef `json:"entries,omitempty"`
+	// Resend asks for the whole account: the sender knows nothing of the agent that
+	// beats.
+	Resend bool `json:"resend,omitempty"`
 	// Assignment is the model that this agent's engine should hold.
 	Assignment string `json:"assignment,omitempty"`
 	// Holders are other agents with chunks that the receiver wants.
@@ -176,8 +199,6 @@
 type Exchange struct {
 	State  EntryState      `json:"state"`
 	Record *bundler.Record `json:"record,omitempty"`
-	// Agents are those that report to the sender directly, without holdings.
-	Agents []AgentState `json:"agents,omitempty"`
 	// Asked is what callers ask of the sender for each workspace with limits, in
 	// requests a second; the limits are divided among entries by it.
 	Asked map[string]float64 `json:"asked,omitempty"`
