--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -24,7 +24,7 @@
 	ColdLimit      int           `envconfig:"COLD_LIMIT" default:"1"`
 	Limit          int           `envconfig:"LIMIT" default:"8"`
 	FreshFor       time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
-	Heartbeat      time.Duration `envconfig:"HEARTBEAT" default:"300ms"`
+	Heartbeat      time.Duration `envconfig:"HEARTBEAT" default:"500ms"`
 	Verbosity      int           `envconfig:"VERBOSITY"`
 	ReportTo       int           `envconfig:"REPORT_TO" default:"4"`
 	Signers
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -21,7 +21,7 @@
 	Entries       int           `envconfig:"ENTRIES" default:"9"`
 	KeepFor       time.Duration `envconfig:"KEEP_FOR" default:"2s"`
 	FreshFor      time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
-	Heartbeat     time.Duration `envconfig:"HEARTBEAT" default:"300ms"`
+	Heartbeat     time.Duration `envconfig:"HEARTBEAT" default:"500ms"`
 	Deadline      time.Duration `envconfig:"DEADLINE" default:"60s"`
 	QueueFor      time.Duration `envconfig:"QUEUE_FOR" default:"2s"`
 	ResumeFor     time.Duration `envconfig:"RESUME_FOR" default:"5s"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,9 +112,9 @@
 func (e *Entry) leave() {
 	klog.InfoS("Leaving", "entry", e.ID)
 	e.members.leave()
-	// Other entries hear within a heartbeat, and a caller may have asked one of
+	// Other entries hear within a round, and a caller may have asked one of
 	// them right before that.
-	t := e.Clock.NewTimer(e.KeepFor + 2*e.Heartbeat)
+	t := e.Clock.NewTimer(e.KeepFor + 2*e.members.round())
 	defer t.Stop()
 	<-t.C()
 	e.running.wait()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -17,9 +17,14 @@
 const (
 	// exchangeTimeout bounds one exchange with another entry.
 	exchangeTimeout = time.Second
-	// aliveHeartbeats is after how many silent heartbeats an entry no longer
-	// counts as alive.
-	aliveHeartbeats = 4
+	// aliveRounds is after how many silent rounds an entry no longer counts as
+	// alive.
+	aliveRounds = 3
+	// asksPerHeartbeat is how many entries are asked in one heartbeat. All are asked
+	// in turn, in a round of as many heartbeats as that takes: what matters at once,
+	// a new bundle, comes by the store's watch and by waking, and asking all others
+	// at each heartbeat would cost the square of their number.
+	asksPerHeartbeat = 4
 	// forgetAfter is how long a silent entry is still asked.
 	forgetAfter = time.Minute
 )
@@ -158,21 +163,42 @@
 func (m *members) run(ctx context.Context, c *messenger.Client) {
 	defer c.Close()
 	for ctx.Err() == nil {
-		woken := m.wakes()
 		m.swap(ctx, c)
-		t := m.entry.Clock.NewTimer(m.spread())
+		m.rest(ctx)
+	}
+}
+
+// rest waits for about one round, or until woken. Of those woken only about as
+// many ask as in one heartbeat; each of them wakes others in turn.
+func (m *members) rest(ctx context.Context) {
+	round := m.round()
+	t := m.entry.Clock.NewTimer(round*3/4 + rand.N(round/2))
+	defer t.Stop()
+	for {
+		woken := m.wakes()
 		select {
 		case <-ctx.Done():
-		case <-woken:
+			return
 		case <-t.C():
+			return
+		case <-woken:
+			if rand.N(round) < m.entry.Heartbeat {
+				return
+			}
 		}
-		t.Stop()
 	}
 }
 
-// spread keeps the heartbeats of many entries from falling together.
-func (m *members) spread() time.Duration {
-	return m.entry.Heartbeat*3/4 + rand.N(m.entry.Heartbeat/2)
+// round is how long it takes to ask all other entries once.
+func (m *members) round() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roundOf(len(m.links))
+}
+
+func (m *members) roundOf(peers int) time.Duration {
+	beats := (peers + asksPerHeartbeat - 1) / asksPerHeartbeat
+	return time.Duration(max(1, beats)) * m.entry.Heartbeat
 }
 
 func (m *members) swap(ctx context.Context, c *messenger.Client) {
@@ -234,7 +260,7 @@
 	if h.state.Leaving || m.listed[h.state.ID] {
 		return false
 	}
-	return m.entry.Clock.Since(h.at) < aliveHeartbeats*m.entry.Heartbeat
+	return m.entry.Clock.Since(h.at) < aliveRounds*m.roundOf(len(m.links))
 }
 
 // alive lists the entries in use, this one among them unless it leaves.
--- a/standins/imitator/reply.go
+++ b/standins/imitator/reply.go
@@ -17,10 +17,17 @@
 	mixed   bool // two events differ in their weights or version
 	broken  bool // it ended without an end mark or an error event
 	cut     bool // the connection ended before the reply did
+	unbegun bool // it was cut before its first event
 	outcome outcome
 	pause   time.Duration // before a retry
 }
 
+// mayAskAnew tells whether the caller loses nothing by asking again: drafting a
+// text twice does no harm, as long as no part of the first has been read.
+func (r reply) mayAskAnew() bool {
+	return r.outcome == outcomeNotRun || r.unbegun
+}
+
 // wireEvent is an event as an entry sends it: an engine's, or a last one with
 // an error.
 type wireEvent struct {
