--- a/internal/gossiper/exchanger.go
+++ b/internal/gossiper/exchanger.go
@@ -198,7 +198,7 @@
 	asked := e.Clock.Now()
 	answer, err := e.Call(ctx, p, x)
 	if err != nil {
-		klog.V(2).InfoS("peer not heard", "peer", p.ID, "err", err)
+		klog.V(2).InfoS("Peer not heard", "peer", p.ID, "err", err)
 		return answer, err
 	}
 	e.offer(answer)
@@ -221,7 +221,7 @@
 		return
 	}
 	if _, err := e.State.Offer(x.Record); err != nil {
-		klog.ErrorS(err, "record refused", "peer", x.State.ID)
+		klog.ErrorS(err, "Record refused", "peer", x.State.ID)
 	}
 }
 
--- a/internal/gossiper/watcher.go
+++ b/internal/gossiper/watcher.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		if err := w.Probe(ctx); err != nil {
-			klog.V(2).InfoS("store not confirmed", "err", err)
+			klog.V(2).InfoS("Store not confirmed", "err", err)
 		}
 		w.sleep(ctx, w.probeAge()/2+w.jitter(w.probeAge()))
 	}
@@ -204,7 +204,7 @@
 	changed, err := w.State.Observe(r, asked)
 	if changed {
 		b, _ := w.State.Current()
-		klog.InfoS("bundle from the store", "revision", b.Revision, "changeId", b.ChangeID)
+		klog.InfoS("Bundle from the store", "revision", b.Revision, "changeId", b.ChangeID)
 	}
 	return err
 }
@@ -219,7 +219,7 @@
 		return
 	}
 	w.dead.Add(1)
-	klog.InfoS("watch missed a change", "after", w.armed.after, "version", version)
+	klog.InfoS("Watch missed a change", "after", w.armed.after, "version", version)
 	w.rearm()
 }
 
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -335,7 +335,7 @@
 	_, err = p.Store.Put(ctx, historyKey(now.revision()), value, 0, "")
 	var exists *storer.ConflictError
 	if err != nil && !errors.As(err, &exists) {
-		klog.V(1).InfoS("history not kept", "revision", now.revision(), "err", err)
+		klog.V(1).InfoS("History not kept", "revision", now.revision(), "err", err)
 		return
 	}
 	if err == nil && now.revision() > HistoryKept {
@@ -349,7 +349,7 @@
 		return
 	}
 	if err := p.Store.Delete(ctx, i.Key, i.Version); err != nil {
-		klog.V(1).InfoS("history not dropped", "revision", revision, "err", err)
+		klog.V(1).InfoS("History not dropped", "revision", revision, "err", err)
 	}
 }
 
