--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,6 +66,8 @@
 	digests  *digests
 	// wrongWeights counts replies that were cut for it.
 	wrongWeights metrics.Counter
+	// listed is when an entry last said that the platform lists this VM as leaving.
+	listed stamp
 }
 
 // probeEvery is how often the upstream is asked for its state. It bounds how
@@ -236,7 +238,7 @@
 
 func (a *Agent) leaving() bool {
 	for _, r := range a.Gate.Holds() {
-		if r == admitter.Leaving {
+		if r == admitter.Leaving || r == admitter.Listed {
 			return true
 		}
 	}
