--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -63,11 +63,11 @@
 	proof    *proof
 	switcher *switcher
 	streams  *streams
-	digests  *digests
+	// listed is when an entry last said that the platform lists this VM as leaving.
+	listed  stamp
+	digests *digests
 	// wrongWeights counts replies that were cut for it.
 	wrongWeights metrics.Counter
-	// listed is when an entry last said that the platform lists this VM as leaving.
-	listed stamp
 }
 
 // probeEvery is how often the upstream is asked for its state. It bounds how
