--- a/internal/gossiper/exchanger.go
+++ b/internal/gossiper/exchanger.go
@@ -104,8 +104,9 @@
 	}
 }
 
-// Tell compares with a few peers of this region and one elsewhere, at random,
-// because of a change: regions share little bandwidth, and the record is long.
+// Tell compares with a few peers of this region and one elsewhere, or more if the
+// region is small, because of a change: regions share little bandwidth, and the
+// record is long.
 func (e *Exchanger) Tell(ctx context.Context) {
 	region := e.Self().Region
 	var near, far []messenger.EntryState
@@ -116,7 +117,9 @@
 			far = append(far, p)
 		}
 	}
-	for _, p := range slices.Concat(e.pick(near, e.fanout()), e.pick(far, 1)) {
+	near = e.pick(near, e.fanout())
+	far = e.pick(far, e.fanout()+1-len(near))
+	for _, p := range slices.Concat(near, far) {
 		_ = e.With(ctx, p)
 	}
 }
@@ -195,7 +198,7 @@
 	asked := e.Clock.Now()
 	answer, err := e.Call(ctx, p, x)
 	if err != nil {
-		klog.V(2).InfoS("peer not heard", "peer", p.ID, "err", err)
+		klog.V(2).InfoS("Peer not heard", "peer", p.ID, "err", err)
 		return answer, err
 	}
 	e.offer(answer)
@@ -218,7 +221,7 @@
 		return
 	}
 	if _, err := e.State.Offer(x.Record); err != nil {
-		klog.ErrorS(err, "record refused", "peer", x.State.ID)
+		klog.ErrorS(err, "Record refused", "peer", x.State.ID)
 	}
 }
 
