Refuse for good what can never succeed

An unknown workspace was answered with 503 and a time to come back, since the limiter meets it before the router; the caller would have asked for ever. Found by the tests of the wire towards callers.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -122,6 +122,11 @@
 	if errors.As(err, &l) {
 		return nil, refuse(http.StatusTooManyRequests, err.Error(), l.RetryAfter)
 	}
+	var unknown *limiter.UnknownWorkspaceError
+	if errors.As(err, &unknown) {
+		// No time to come back: asking again changes nothing.
+		return nil, refuse(http.StatusForbidden, err.Error(), 0)
+	}
 	return nil, refuse(http.StatusServiceUnavailable, err.Error(), pause())
 }
 
--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -1,10 +1,12 @@
 package dispatcher_test
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
@@ -101,3 +103,29 @@
 	f := failure(t, w.Generate(t.Context(), ask(), &sink{}))
 	must.Eq(t, retrier.NotRun, f.Outcome)
 }
+
+func TestRequestsThatCanNeverSucceed(t *testing.T) {
+	w := newWorld(t)
+	w.add(t, "vm-1", messenger.KindEngine, &fakeAgent{}, 4)
+	cases := []struct {
+		name   string
+		change func(*dispatcher.GenerateRequest)
+		status int
+	}{
+		{"unknown workspace", func(g *dispatcher.GenerateRequest) { g.Workspace = "nobody" }, http.StatusForbidden},
+		{"workspace without the model", func(g *dispatcher.GenerateRequest) { g.Workspace = "limited" }, http.StatusForbidden},
+		{"unknown model", func(g *dispatcher.GenerateRequest) { g.Model = "none" }, http.StatusNotFound},
+		{"no prompt", func(g *dispatcher.GenerateRequest) { g.Prompt = "" }, http.StatusBadRequest},
+		{"deadline that overflows", func(g *dispatcher.GenerateRequest) { g.DeadlineMS = 1 << 62 }, http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := ask()
+			c.change(&g)
+			f := failure(t, w.Generate(t.Context(), g, &sink{}))
+			must.Eq(t, c.status, f.Status)
+			must.Eq(t, retrier.NotRun, f.Outcome)
+			must.Eq(t, 0, f.RetryAfter)
+		})
+	}
+}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -12,8 +12,10 @@
 	MaxPrompt        = 1 << 20
 	MaxTokens        = 32768
 	DefaultMaxTokens = 256
-	maxName          = 128
-	maxKey           = 1024
+	// MaxDeadlineMS is a day.
+	MaxDeadlineMS = 24 * 60 * 60 * 1000
+	maxName       = 128
+	maxKey        = 1024
 )
 
 // GenerateRequest is a caller's request to a model.
@@ -61,8 +63,8 @@
 	if g.MaxTokens < 1 || g.MaxTokens > MaxTokens {
 		f.add("maxTokens", "%d must be 1 to %d", g.MaxTokens, MaxTokens)
 	}
-	if g.DeadlineMS < 0 {
-		f.add("deadlineMs", "%d is below zero", g.DeadlineMS)
+	if g.DeadlineMS < 0 || g.DeadlineMS > MaxDeadlineMS {
+		f.add("deadlineMs", "%d must be 0 to %d", g.DeadlineMS, MaxDeadlineMS)
 	}
 	return f.err()
 }
