Don't put back an agent that was forgotten while the entry was paused

Cause: an entry that is paused between noting a report and answering it may forget the agent meanwhile, by another agent's report. tell then put the agent back with no connection, and the next push of a bundle would call a nil Link: the entry would end with all requests that it carries.

Change: tell leaves out what is not known any more.

Found by reading. There is no test: the pause can't be forced between the two calls from outside the package, and nothing was seen to fail.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -78,7 +78,12 @@
 func (a *agents) tell(id string, entries []messenger.EntryRef, now time.Time) []messenger.EntryRef {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := a.states[id]
+	d, ok := a.states[id]
+	if !ok {
+		// The agent was forgotten while this entry was paused. Put back, it would
+		// have no connection, and the next push would end the entry.
+		return entries
+	}
 	if now.Sub(d.toldAt) < tellEvery && slices.Equal(d.told, entries) {
 		return nil
 	}
