Believe probes in the order of their questions; check the weights per request

Cause 1: the check after a load could overtake a regular probe. The late answer was then taken for the newest, and the engine was loaded a second time. Change: one probe at a time.

Cause 2: up to 50 ms, or more on a VM short of processor time, pass between a probe that finds other weights and the hold of the gate. A request bound to no version got a whole reply of a version that was rolled away. Change: each request is checked against what the engine was proved to hold, as it is against the bundle.

TestGateClosesForWrongVersion watched for the reason "unproven", which a quick reload passes by.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,6 +66,7 @@
 	// listed is when an entry last said that the platform lists this VM as leaving.
 	listed  stamp
 	digests *digests
+	probing sync.Mutex
 	// wrongWeights counts replies that were cut for it.
 	wrongWeights metrics.Counter
 }
@@ -173,8 +174,12 @@
 	return p.health, p.known
 }
 
-// probe asks the upstream for its state and tells the gate.
+// probe asks the upstream for its state and tells the gate, one question at a time:
+// an answer that came after one to a newer question would be taken for the newest,
+// and have an engine loaded again that was only just loaded.
 func (a *Agent) probe(ctx context.Context) {
+	a.probing.Lock()
+	defer a.probing.Unlock()
 	mark := a.Gate.Mark()
 	asked := a.Clock.Now()
 	h, err := driver.Check(ctx, a.Upstream)
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -33,6 +33,9 @@
 	if !ok || !b.Serves(domains, a.FailureDomain) {
 		return &forwarder.NotRunError{Reason: "not placed in " + a.FailureDomain}
 	}
+	if !a.proven(b) {
+		return &forwarder.NotRunError{Reason: "the upstream is not proved to hold what the bundle names"}
+	}
 	return nil
 }
 
--- a/internal/agent/switch_test.go
+++ b/internal/agent/switch_test.go
@@ -4,10 +4,12 @@
 	"errors"
 	"regexp"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
@@ -116,24 +118,92 @@
 	must.Eq(t, right, w.whole(s))
 }
 
-// The same late order while nobody asks for anything. The gate must close by the
-// probe alone, and not open before the right weights are ordered again.
+// The same late order while nobody asks for anything and no switch is permitted.
+// The gate must close all the same, and not open before the right weights are
+// loaded again.
 func TestGateClosesForWrongVersion(t *testing.T) {
 	w := startEngine(t, &imitator.Engine{IgnoreFence: true})
 	old := w.loads[0]
 	w.roll("v2")
 	w.await("v2")
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		for !slices.Contains(w.Gate.Holds(), admitter.Unproven) {
-			<-w.Gate.Changed()
-		}
-	}()
+	w.set(func() { w.deny = true })
+	w.next(func(*bundler.Bundle) {})
+	w.await("v2")
 	w.post("/load", old)
-	w.until(func() bool { return isClosed(closed) })
+	right := make(chan struct{})
+	w.setAlter(func(o string) string {
+		<-right
+		return o
+	})
+	w.until(func() bool { return len(w.Gate.Holds()) > 0 })
+	w.probed()
+	must.SliceNotEmpty(t, w.Gate.Holds())
+	close(right)
+	w.until(func() bool { return slices.Equal(w.orders(), []string{"v1", "v2", "v1", "v2"}) })
 	w.until(func() bool { return len(w.Gate.Holds()) == 0 })
-	must.Eq(t, []string{"v1", "v2", "v1", "v2"}, w.orders())
+}
+
+// slowClock stops the agent's regular look at its gate and engine, as on a VM that
+// is short of processor time; probes and reports go on.
+type slowClock struct {
+	clock.RealClock
+	stopped atomic.Bool
+}
+
+func (c *slowClock) NewTicker(d time.Duration) clock.Ticker {
+	return slowTicker{c.RealClock.NewTicker(d), d == 50*time.Millisecond, c}
+}
+
+type slowTicker struct {
+	clock.Ticker
+	slow  bool
+	clock *slowClock
+}
+
+func (t slowTicker) C() <-chan time.Time {
+	if t.slow && t.clock.stopped.Load() {
+		return nil
+	}
+	return t.Ticker.C()
+}
+
+// The late order once more, on a VM that is short of processor time: the engine was
+// found to hold the old version, and the gate has not been looked at since. What is
+// asked in between must not be answered by the version that was rolled away.
+func TestWrongVersionIsRefusedBeforeGateCloses(t *testing.T) {
+	c := new(slowClock)
+	w := startEngine(t, &imitator.Engine{IgnoreFence: true}, func(w *world) { w.Clock = c })
+	old := w.loads[0]
+	w.roll("v2")
+	w.await("v2")
+	c.stopped.Store(true)
+	w.probed()
+	w.post("/load", old)
+	w.until(func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.state.Version == "v1"
+	})
+	_, _, err := w.open(ask("one"))
+	var n *forwarder.NotRunError
+	must.True(t, errors.As(err, &n), must.Sprint(err))
+	c.stopped.Store(false)
+}
+
+// An answer to a question about the engine's state is late, and arrives after one
+// to a newer question. Taken for the newest, it would close the gate and have the
+// engine loaded once more, for minutes of service.
+func TestLateProbeIsNotBelieved(t *testing.T) {
+	w := startEngine(t, &imitator.Engine{})
+	late := w.delayProbe()
+	w.roll("v2")
+	w.await("v2")
+	w.freeze()
+	close(late)
+	w.reported()
+	w.thaw()
+	w.probed()
+	must.Eq(t, []string{"v1", "v2"}, w.orders())
 }
 
 // An engine is restarted after it was loaded and before anyone asked it. It
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -99,6 +99,10 @@
 	frozen chan struct{}
 	// alter changes load orders on their way when it is set.
 	alter func(string) string
+	// deny keeps the entry from permitting switches.
+	deny bool
+	// late holds back one answer of the stand-in's state, once it was made.
+	late chan struct{}
 }
 
 func newWorld(t *testing.T, h http.Handler, c *clocktesting.FakeClock) *world {
@@ -204,7 +208,7 @@
 		Word:       messenger.Word{Revision: w.bundle.Revision, Digest: w.record.Digest()},
 		Entries:    []messenger.EntryRef{{ID: "entry-1", Region: "r", Peers: w.peers}},
 		Assignment: "rota",
-		Switch:     true,
+		Switch:     !w.deny,
 	}
 	if w.state.Revision < w.bundle.Revision {
 		n.Record = w.record
@@ -220,16 +224,26 @@
 			body, _ := io.ReadAll(r.Body)
 			w.mu.Lock()
 			w.loads = append(w.loads, string(body))
-			if w.alter != nil {
-				body = []byte(w.alter(string(body)))
-			}
+			alter := w.alter
 			w.mu.Unlock()
+			if alter != nil {
+				body = []byte(alter(string(body)))
+			}
 			r.Body = io.NopCloser(bytes.NewReader(body))
 		case "/state":
 			w.mu.Lock()
 			frozen := w.frozen
+			late := w.late
+			w.late = nil
 			w.probes++
 			w.mu.Unlock()
+			if late != nil {
+				rec := httptest.NewRecorder()
+				h.ServeHTTP(rec, r)
+				<-late
+				_, _ = rw.Write(rec.Body.Bytes())
+				return
+			}
 			if frozen != nil {
 				<-frozen
 			}
@@ -251,10 +265,40 @@
 	})
 }
 
-func (w *world) setAlter(alter func(string) string) {
+// reported waits for some more reports, in which time the agent looks at its
+// engine and its gate at least once.
+func (w *world) reported() {
+	w.t.Helper()
+	w.mu.Lock()
+	least := w.state.Sequence + 10
+	w.mu.Unlock()
+	w.until(func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.state.Sequence >= least
+	})
+}
+
+func (w *world) set(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.alter = alter
+	change()
+}
+
+func (w *world) setAlter(alter func(string) string) {
+	w.set(func() { w.alter = alter })
+}
+
+// delayProbe holds back the answer to the next probe until the channel is closed.
+func (w *world) delayProbe() chan struct{} {
+	late := make(chan struct{})
+	w.set(func() { w.late = late })
+	w.until(func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.late == nil
+	})
+	return late
 }
 
 func (w *world) freeze() {
