--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -137,6 +137,8 @@
 		{"too many tokens", "POST", models, `{"workspace":"farm","model":"rota","prompt":"p","maxTokens":40000}`, nil, 400, "maxTokens"},
 		{"deadline below zero", "POST", models, `{"workspace":"farm","model":"rota","prompt":"p","deadlineMs":-1}`, nil, 400, "deadlineMs"},
 		{"unknown model", "POST", models, `{"workspace":"farm","model":"other","prompt":"p"}`, nil, 404, "other"},
+		{"unknown workspace", "POST", models, `{"workspace":"nobody","model":"rota","prompt":"p"}`, nil, 403, "nobody"},
+		{"deadline beyond a duration", "POST", models, `{"workspace":"farm","model":"rota","prompt":"p","deadlineMs":9223372036854775807}`, nil, 400, "deadlineMs"},
 		{"resume token", "POST", models, good, map[string]string{receiver.HeaderResume: "x", "Last-Event-ID": "0"}, 400, "resume"},
 		{"last event", "POST", models, good, map[string]string{receiver.HeaderResume: "x", "Last-Event-ID": "-1"}, 400, "Last-Event-ID"},
 		{"call without workspace", "POST", book, ``, nil, 400, "workspace"},
