--- /dev/null
+++ b/proofs/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package proofs_test
+
+const raceEnabled = false
--- /dev/null
+++ b/proofs/process_test.go
@@ -0,0 +1,175 @@
+package proofs_test
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// patience bounds every wait for a condition that must come about. It is no
+// promise of the system: those have their own bounds.
+const patience = 30 * time.Second
+
+// logTail is how much of a process's log a failed test shows, in bytes.
+const logTail = 1500
+
+// process is one process of the system.
+type process struct {
+	t    *testing.T
+	name string
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func (p *process) self() *process { return p }
+
+// launch runs the process until the test ends.
+func (p *process) launch() {
+	p.t.Helper()
+	p.run()
+	p.t.Cleanup(p.end)
+}
+
+func (p *process) run() {
+	p.t.Helper()
+	log, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(p.t, err)
+	defer log.Close()
+	p.cmd = exec.Command(binary, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	must.NoError(p.t, p.cmd.Start())
+	c, done := p.cmd, make(chan struct{})
+	p.done = done
+	go func() {
+		defer close(done)
+		_ = c.Wait()
+	}()
+}
+
+func (p *process) logFile() string {
+	return filepath.Join(logDir(p.t), p.name+".log")
+}
+
+// signal sends a signal to this one process.
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	must.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+func (p *process) leave()  { p.signal(syscall.SIGTERM) }
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.t.Helper()
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+// wait returns once the process has ended.
+func (p *process) wait() {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		p.t.Fatalf("%s has not ended", p.name)
+	}
+}
+
+// replace starts the program anew with the same settings.
+func (p *process) replace() {
+	p.t.Helper()
+	p.kill()
+	p.run()
+}
+
+func (p *process) end() {
+	select {
+	case <-p.done:
+	default:
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	if p.t.Failed() {
+		p.t.Logf("log of %s:\n%s", p.name, p.tail())
+	}
+}
+
+func (p *process) tail() string {
+	f, err := os.Open(p.logFile())
+	if err != nil {
+		return err.Error()
+	}
+	defer f.Close()
+	if size, err := f.Seek(0, io.SeekEnd); err == nil {
+		_, _ = f.Seek(max(0, size-logTail), io.SeekStart)
+	}
+	data, _ := io.ReadAll(f)
+	return string(data)
+}
+
+// logDir is the directory of one test's logs. PROOFS_LOGS keeps them.
+func logDir(t *testing.T) string {
+	keep := os.Getenv("PROOFS_LOGS")
+	if keep == "" {
+		keep = filepath.Join(filepath.Dir(binary), "logs")
+	}
+	dir := filepath.Join(keep, strings.ReplaceAll(t.Name(), "/", "_"))
+	must.NoError(t, os.MkdirAll(dir, 0o700))
+	return dir
+}
+
+var hosts atomic.Uint32
+
+// host gives each deployment a loopback address of its own. A port that the
+// kernel gave there can be let go and taken again: outgoing connections take
+// theirs on another address.
+func host() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + hosts.Add(1)%250), byte(pid >> 8), byte(1 + pid%250)})
+}
+
+// listen takes a port from the kernel.
+func listen(t *testing.T, h netip.Addr) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", netip.AddrPortFrom(h, 0).String())
+	must.NoError(t, err)
+	return l
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// eventually waits for a condition that must come about within the bound.
+func eventually(t *testing.T, bound time.Duration, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(f),
+		wait.Timeout(bound),
+		wait.Gap(20*time.Millisecond),
+	), must.Sprintf("%s within %v", what, bound))
+}
+
+// throughout checks that a condition holds all the time.
+func throughout(t *testing.T, span time.Duration, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.ContinualSuccess(
+		wait.BoolFunc(f),
+		wait.Timeout(span),
+		wait.Gap(20*time.Millisecond),
+	), must.Sprintf("%s for %v", what, span))
+}
