Wire drawers between entries, regions and the upload cap

Entries tell each other which agents draw for their region, agents give their region with each fetch, and settings say where the weight store is and how much of a link weights may take.

--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -119,7 +120,9 @@
 		Region:        s.Region,
 		Self:          at.Listen,
 		Sources:       sources(at.WeightStore, at.Origin),
-		Peer:          peers(tls),
+		SourceRegion:  s.SourceRegion,
+		Upload:        uploadLimit(s.Upload),
+		Peer:          peers(tls, s.Region),
 		Memory:        s.Memory,
 		Settle:        settle,
 		Poll:          poll,
@@ -128,6 +131,18 @@
 	return a
 }
 
+// uploadLimit paces what is sent to other agents, so that live replies keep their
+// part of the VM's link; nil for no cap.
+func uploadLimit(bytes int64) *rate.Limiter {
+	if bytes == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(bytes), int(max(bytes, uploadBurst)))
+}
+
+// uploadBurst is the least that one wait may ask for: a part of a chunk.
+const uploadBurst = 64 << 10
+
 // sources lists where weights come from when no other agent has them.
 func sources(addresses ...netip.AddrPort) []fetcher.Source {
 	var ss []fetcher.Source
@@ -140,10 +155,10 @@
 }
 
 // peers makes the sources that other agents are.
-func peers(tls *certifier.Certifier) func(netip.AddrPort) fetcher.Source {
+func peers(tls *certifier.Certifier, region string) func(netip.AddrPort) fetcher.Source {
 	client := &http.Client{Transport: &http.Transport{DialContext: tls.Dial, DisableCompression: true}}
 	return func(a netip.AddrPort) fetcher.Source {
-		return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client}
+		return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: region}
 	}
 }
 
--- a/demo.sh
+++ b/demo.sh
@@ -77,7 +77,7 @@
 agent_args() { # agent_args I
   local d=$((($1 - 1) % 3)) upstream
   if [ "$1" -le $ENGINES ]; then
-    upstream="--engine $(engine_at "$1") --weightStore $weight_store --origin $origin --coldLimit 2 --limit 12"
+    upstream="--engine $(engine_at "$1") --weightStore $weight_store --origin $origin --coldLimit 2 --limit 12 --sourceRegion huon"
   else
     upstream="--service bookings --serviceAddress $(service_at $(($1 - ENGINES))) --coldLimit 2 --limit 16"
   fi
--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -20,6 +20,8 @@
 	ServiceAddress string        `envconfig:"SERVICE_ADDRESS"`
 	WeightStore    string        `envconfig:"WEIGHT_STORE"`
 	Origin         string        `envconfig:"ORIGIN"`
+	SourceRegion   string        `envconfig:"SOURCE_REGION"`
+	Upload         int64         `envconfig:"UPLOAD"`
 	Memory         int64         `envconfig:"MEMORY" default:"1073741824"`
 	ColdLimit      int           `envconfig:"COLD_LIMIT" default:"1"`
 	Limit          int           `envconfig:"LIMIT" default:"8"`
@@ -50,6 +52,8 @@
 	sc.String(&s.ServiceAddress, "", "serviceAddress", "address of that service [OC_SERVICE_ADDRESS]")
 	sc.String(&s.WeightStore, "", "weightStore", "address of the weight store, asked before the origin [OC_WEIGHT_STORE]")
 	sc.String(&s.Origin, "", "origin", "address of the origin of weights, asked last [OC_ORIGIN]")
+	sc.String(&s.SourceRegion, "", "sourceRegion", "region of the weight store and origin; its agents draw for all [OC_SOURCE_REGION]")
+	sc.Int64(&s.Upload, "", "upload", "bytes a second for sending weights to other agents; 0 for no cap [OC_UPLOAD]")
 	sc.Int64(&s.Memory, "", "memory", "bytes of memory for weights [OC_MEMORY]")
 	sc.Int(&s.ColdLimit, "", "coldLimit", "how many requests at once a cold upstream bears [OC_COLD_LIMIT]")
 	sc.Int(&s.Limit, "", "limit", "how many requests at once a warm upstream bears [OC_LIMIT]")
@@ -90,6 +94,9 @@
 	c.positive("freshFor", s.FreshFor)
 	c.atLeast("verbosity", s.Verbosity, 0)
 	c.positive("heartbeat", s.Heartbeat)
+	if s.Upload < 0 {
+		c.add("upload", "%d bytes a second is below zero; leave it out for no cap", s.Upload)
+	}
 	if s.Memory <= 0 {
 		c.add("memory", "%d bytes must be above zero", s.Memory)
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -219,9 +219,10 @@
 // goes along only when it is news.
 func (m *members) mine(theirs uint64) messenger.Exchange {
 	x := messenger.Exchange{
-		State:  m.self(),
-		Asked:  m.entry.Limiter.Asked(),
-		Demand: m.entry.Router.Demand(),
+		State:   m.self(),
+		Asked:   m.entry.Limiter.Asked(),
+		Demand:  m.entry.Router.Demand(),
+		Drawers: m.entry.Tracker.Drawers(),
 	}
 	b, r := m.entry.State.Current()
 	if b != nil && theirs > 0 && b.Revision > theirs {
