--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -92,6 +92,27 @@
 	return entries
 }
 
+// weights sums up what the agents hold of one manifest.
+func (a *agents) weights(manifest string) WeightsStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := WeightsStatus{Manifest: manifest}
+	for _, d := range a.states {
+		for _, h := range d.state.Holdings {
+			if h.Manifest != manifest {
+				continue
+			}
+			w.Agents++
+			w.Bytes += h.Held()
+			w.AllBytes += h.Bytes
+			if h.Whole() {
+				w.Whole++
+			}
+		}
+	}
+	return w
+}
+
 // push sends news to all direct agents that have an older bundle.
 func (a *agents) push(n messenger.News) {
 	a.mu.Lock()
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -23,11 +23,25 @@
 	Running int                    `json:"running"`
 	Entries []messenger.EntryState `json:"entries"`
 	Agents  []messenger.AgentState `json:"agents"`
-	Alarms  []reporter.Alarm       `json:"alarms,omitempty"`
+	// Weights is how far the weights of the bundle in force have come.
+	Weights []WeightsStatus  `json:"weights,omitempty"`
+	Alarms  []reporter.Alarm `json:"alarms,omitempty"`
+}
+
+// WeightsStatus is how much of one manifest the agents hold that want it.
+type WeightsStatus struct {
+	Manifest string `json:"manifest"`
+	// Whole is how many of Agents hold all of it.
+	Whole  int `json:"whole"`
+	Agents int `json:"agents"`
+	// Bytes is how much they hold together, of AllBytes.
+	Bytes    int64 `json:"bytes"`
+	AllBytes int64 `json:"allBytes"`
 }
 
 func (e *Entry) status() Status {
 	return Status{
+		Weights: e.weights(),
 		State:   e.members.self(),
 		Fresh:   e.State.MayServe() == nil,
 		Running: e.running.now(),
@@ -37,6 +51,22 @@
 	}
 }
 
+// weights sums up what the agents hold of the bundle's weights.
+func (e *Entry) weights() []WeightsStatus {
+	b, _ := e.State.Current()
+	if b == nil {
+		return nil
+	}
+	var all []WeightsStatus
+	for _, m := range b.Models {
+		all = append(all, e.agents.weights(m.Manifest))
+		for _, a := range m.Adapters {
+			all = append(all, e.agents.weights(a.Manifest))
+		}
+	}
+	return all
+}
+
 // operators is what this entry serves on the operators' address.
 func (e *Entry) operators() http.Handler {
 	m := http.NewServeMux()
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -128,6 +128,10 @@
 	// Ready engines serve the bundle's version of their model, of all that should.
 	Ready       int `json:"ready"`
 	AllReplicas int `json:"allReplicas"`
+	// Bytes of weights are in the agents' memory, of AllBytes; what no manifest is
+	// known of yet is not counted.
+	Bytes    int64 `json:"bytes"`
+	AllBytes int64 `json:"allBytes"`
 	// Domains are those all of whose known agents have confirmed.
 	Domains    int `json:"domains"`
 	AllDomains int `json:"allDomains"`
@@ -143,8 +147,24 @@
 func (p Progress) AllReady() bool { return p.Confirmed() && p.Ready == p.AllReplicas }
 
 func (p Progress) String() string {
-	return fmt.Sprintf("revision %d: replicas %d of %d ready, entries %d of %d, agents %d of %d, failure domains %d of %d confirmed",
-		p.Revision, p.Ready, p.AllReplicas, p.Entries, p.AllEntries, p.Agents, p.AllAgents, p.Domains, p.AllDomains)
+	return fmt.Sprintf("revision %d: replicas %d of %d ready, weights %s of %s, entries %d of %d, agents %d of %d, failure domains %d of %d confirmed",
+		p.Revision, p.Ready, p.AllReplicas, size(p.Bytes), size(p.AllBytes), p.Entries, p.AllEntries,
+		p.Agents, p.AllAgents, p.Domains, p.AllDomains)
+}
+
+// size writes bytes as a person reads them.
+func size(bytes int64) string {
+	const unit = 1000
+	if bytes < unit {
+		return fmt.Sprintf("%d B", bytes)
+	}
+	n, names := float64(bytes)/unit, "kMGT"
+	i := 0
+	for n >= unit && i < len(names)-1 {
+		n /= unit
+		i++
+	}
+	return fmt.Sprintf("%.1f %cB", n, names[i])
 }
 
 // Measure compares a deployment with the bundle that should be in force.
@@ -160,6 +180,7 @@
 		}
 		p.Missing = append(p.Missing, "entry "+e.State.ID)
 	}
+	p.weights(d)
 	behind := map[string]bool{}
 	for _, a := range d.Agents {
 		if a.Revision < b.Revision {
@@ -180,6 +201,22 @@
 	return p
 }
 
+// weights takes of each manifest the account of the entry that knows most agents.
+func (p *Progress) weights(d Deployment) {
+	best := map[string]entry.WeightsStatus{}
+	for _, e := range d.Entries {
+		for _, w := range e.Weights {
+			if old, ok := best[w.Manifest]; !ok || w.AllBytes > old.AllBytes {
+				best[w.Manifest] = w
+			}
+		}
+	}
+	for _, w := range best {
+		p.Bytes += w.Bytes
+		p.AllBytes += w.AllBytes
+	}
+}
+
 // engine counts one engine among the replicas, unless its domain is drained.
 func (p *Progress) engine(b *bundler.Bundle, a messenger.AgentState) {
 	if a.Kind != messenger.KindEngine || !b.Serves(nil, a.FailureDomain) || len(b.ModelsIn(a.FailureDomain)) == 0 {
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -49,18 +49,22 @@
 	old.Manifest = "old"
 	service := messenger.AgentState{ID: "vm-5", FailureDomain: "a", Kind: messenger.KindService, Revision: 3}
 	drained := engine("vm-6", "c")
+	knowsMore, knowsLess := entryAt("entry-1", 3), entryAt("entry-2", 2)
+	knowsMore.Weights = []entry.WeightsStatus{{Manifest: "new", Bytes: 1500, AllBytes: 3_000_000}}
+	knowsLess.Weights = []entry.WeightsStatus{{Manifest: "new", Bytes: 900, AllBytes: 1_000_000}}
 	p := inspector.Measure(bundle, inspector.Deployment{
-		Entries: []entry.Status{entryAt("entry-1", 3), entryAt("entry-2", 2), entryAt("entry-3", 4)},
+		Entries: []entry.Status{knowsMore, knowsLess, entryAt("entry-3", 4)},
 		Agents:  []messenger.AgentState{engine("vm-1", "a"), behind, closed, old, service, drained},
 		Silent:  map[string]string{"10.0.0.4:80": "refused"},
 	})
 	must.Eq(t, inspector.Progress{
 		Revision: 3, Entries: 2, AllEntries: 4, Agents: 5, AllAgents: 6, Ready: 1, AllReplicas: 4, Domains: 2, AllDomains: 3,
+		Bytes: 1500, AllBytes: 3_000_000,
 		Missing: []string{"agent vm-2", "entry at 10.0.0.4:80", "entry entry-2"},
 	}, p)
 	must.False(t, p.Confirmed())
 	must.False(t, p.AllReady())
-	must.Eq(t, "revision 3: replicas 1 of 4 ready, entries 2 of 4, agents 5 of 6, failure domains 2 of 3 confirmed", p.String())
+	must.Eq(t, "revision 3: replicas 1 of 4 ready, weights 1.5 kB of 3.0 MB, entries 2 of 4, agents 5 of 6, failure domains 2 of 3 confirmed", p.String())
 }
 
 func TestMeasureDone(t *testing.T) {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -284,6 +284,9 @@
 			continue
 		}
 		h := messenger.Holding{Manifest: s.digest}
+		if s.manifest != nil {
+			h.Bytes = s.manifest.Size
+		}
 		if s.transfer != nil {
 			h.Chunks = s.transfer.Chunks
 			h.Have = slices.Clone(s.transfer.Have())
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -80,6 +80,8 @@
 	Chunks int `json:"chunks"`
 	// Have is a bitmap of verified chunks, chunk i in bit i%8 of byte i/8.
 	Have []byte `json:"have,omitempty"`
+	// Bytes is the size of the whole weights; 0 while it is unknown.
+	Bytes int64 `json:"bytes,omitempty"`
 }
 
 // Word is how fresh a process's knowledge of the bundle is. A Word that passes
@@ -211,10 +213,21 @@
 }
 
 // Whole tells whether all chunks are there.
-func (h Holding) Whole() bool {
+func (h Holding) Whole() bool { return h.Chunks > 0 && h.Count() == h.Chunks }
+
+// Count is how many chunks are there.
+func (h Holding) Count() int {
 	n := 0
 	for _, b := range h.Have {
 		n += bits.OnesCount8(b)
 	}
-	return h.Chunks > 0 && n == h.Chunks
+	return n
+}
+
+// Held is about how many bytes are there.
+func (h Holding) Held() int64 {
+	if h.Chunks == 0 {
+		return 0
+	}
+	return h.Bytes * int64(h.Count()) / int64(h.Chunks)
 }
