--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -103,11 +103,25 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 	}
+	p.checkRaces()
 	if p.t.Failed() {
 		p.t.Logf("log of %s:\n%s", p.name, p.tail())
 	}
 }
 
+// checkRaces fails the test on what the race detector found in the process, which
+// goes on after that and would be killed before it could say so by its status.
+func (p *process) checkRaces() {
+	data, err := os.ReadFile(p.logFile())
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	if _, report, found := strings.Cut(string(data), "WARNING: DATA RACE"); found {
+		p.t.Errorf("%s has a data race:%s", p.name, report[:min(len(report), logTail)])
+	}
+}
+
 func (p *process) tail() string {
 	f, err := os.Open(p.logFile())
 	if err != nil {
