Let a success count no longer than its confirmation

TestServesThroughLongOutage failed now and then: "revision 1 was last confirmed 2.505292149s ago, over the limit of 2.5s". That was a real gap. It came at the start of the second outage, when the store swallows calls.

Cause: an entry that hears from a peer that this one reaches the store took that for FreshFor (2.5 s), counted from its own question. The peer's answer from the store may be ReachFor (1 s) old by then. So the success outlived the confirmation it stands for by up to a second. The peer's later failure would have taken its place, but failures spread by asking entries picked at random, and now and then one came late.

Ruled out: probes that come late (all nine had failed within 0.42 s), votes that are not renewed (at least five under 1.5 s old), and a limit hit by goroutines out of order: their order only decides which entry gets which pauses and peers from the seeded random sources.

Change: a success counts for ReachFor, as ReachFor's comment says, so 2 s after the store's answer at most. The entry is kept for FreshFor: were it forgotten, an older failure of the same peer, passed on by a third, would be counted in its place. The test of it fails on the old code, and on a trial that forgets the success.

Conclusion: the gap is closed; the test is as it was.

--- a/internal/gossiper/failure_test.go
+++ b/internal/gossiper/failure_test.go
@@ -37,6 +37,43 @@
 	})
 }
 
+// The store fails right after one entry has told another that it reaches it, and
+// the word that it no longer does comes late. The second entry holds the votes of
+// all others by the time its confirmation lapses; if it went on believing the
+// success, it would refuse work for up to a second. A failure from before the
+// success, passed on by a third entry, must still not count in its place.
+func TestSuccessEndsBeforeItsConfirmation(t *testing.T) {
+	must.NoError(t, afterSuccess(t, "b", "c", "d"))
+	must.Error(t, afterSuccess(t, "b", "c"))
+}
+
+// afterSuccess is whether an entry of five serves just after its confirmation
+// lapsed, if b reached the store once more after its last failure that a third
+// entry tells of, beside those of the others in silent.
+func afterSuccess(t *testing.T, silent ...string) error {
+	c := testclock.NewFakePassiveClock(start)
+	s := &gossiper.State{Keyring: keyring(), Clock: c, Entries: 5, ID: "a"}
+	_, err := s.Observe(signed(1, "c1"), start)
+	must.NoError(t, err)
+	word := s.Word()
+	c.SetTime(start.Add(s.ReachFor()))
+	word.AgeMS = s.ReachFor().Milliseconds()
+	s.HearAnswer(messenger.EntryState{ID: "b", StoreReachable: true, Word: word}, c.Now())
+	c.SetTime(start.Add(gossiper.DefaultFreshFor - 100*time.Millisecond))
+	s.Fail()
+	s.Word() // goes through the votes, and forgets those that lapsed
+	word.AgeMS = c.Now().Sub(start).Milliseconds()
+	var v messenger.Silence
+	for _, name := range silent {
+		v.IDs = append(v.IDs, uint32(xxhash.Sum64String(name)))
+		v.AgesMS = append(v.AgesMS, 1500)
+	}
+	word.Silent = []messenger.Silence{v}
+	s.HearAnswer(messenger.EntryState{ID: "c", Word: word}, c.Now())
+	c.SetTime(start.Add(gossiper.DefaultFreshFor + 20*time.Millisecond))
+	return s.MayServe()
+}
+
 // The store takes a second and a half for each call, then four seconds, which is
 // longer than a confirmation lasts and longer than the timeout. Users would
 // notice entries that refuse work now and then although nothing has changed.
--- a/internal/gossiper/outage.go
+++ b/internal/gossiper/outage.go
@@ -108,6 +108,14 @@
 // and tells whether another one reaches it. An entry that reached a store which
 // gave it less than the held revision found a rolled-back one: that is no store
 // from which something newer could come, so it counts neither way.
+//
+// A success counts for ReachFor after it was heard of, by when the store's answer
+// is at most twice that old. If it counted for FreshFor, it would outlive the
+// confirmation that it stands for: at the start of an outage an entry that did
+// not soon hear the same peer's failure would refuse work for up to ReachFor,
+// with the votes of all others in its hands. It is kept for FreshFor all the
+// same, or an older failure of that peer, passed on by a third, would take its
+// place and be counted.
 func (s *State) votes(now time.Time) (failed []peer, reached bool) {
 	failed = []peer{{at: s.failed, region: s.Region}}
 	for id, p := range s.peers {
@@ -116,7 +124,7 @@
 			delete(s.peers, id)
 		case p.reach == reachFailed:
 			failed = append(failed, p)
-		case p.reach == reachSucceeded && p.revision >= s.revision():
+		case p.reach == reachSucceeded && p.revision >= s.revision() && age(now, p.at) <= s.ReachFor():
 			return nil, true
 		}
 	}
