Wait until a frozen process really stands still

Cause, as far as can be told: SIGSTOP does not stop all threads at once on a busy machine, so that an agent could pass a request's check before it stood still and send it to the engine on waking. TestFrozenProcessesDoNotWorkInDrainedDomain failed so once in about 20 runs ("no work in derwent-a for 2s"); the logs of that run were not kept.

Change: pause returns once all threads of the process are stopped. What a process does that is frozen between check and sending stands under what is not proved.

--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -68,10 +69,25 @@
 	must.NoError(p.t, p.cmd.Process.Signal(s))
 }
 
-func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 func (p *process) leave()  { p.signal(syscall.SIGTERM) }
 
+// pause freezes the process and returns once all of its threads stand still: on a
+// busy machine some go on for a moment after the signal was sent.
+func (p *process) pause() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	eventually(p.t, patience, p.name+" stands still", func() bool {
+		threads, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "task", "*", "status"))
+		return err == nil && len(threads) > 0 && all(threads, isStopped)
+	})
+}
+
+func isStopped(status string) bool {
+	data, err := os.ReadFile(status)
+	return err == nil && strings.Contains(string(data), "State:\tT")
+}
+
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
 	p.t.Helper()
