Pass query strings on, and close keys that are looked up before their call

A service got the path without its query. A key of the caller's own that no call was made with yet was answered with 404 and 'not run', though a call with it could still be under way: told so the caller books anew, and both run. The question now binds the key and its owner closes it.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -133,15 +133,10 @@
 // entries send it to the same agent. Even the entry that makes the claim can't say
 // "not run" on its own: a repeat through another entry may have run meanwhile.
 func (c *call) claim(ctx context.Context) error {
-	fresh, err := c.dispatcher.mint(c.request.Workspace, c.request.Service)
+	k, err := c.dispatcher.claim(ctx, c.request.Workspace, c.request.Service, c.request.Key)
 	if err != nil {
 		return err
 	}
-	mint := func() deduplicator.Key { return fresh }
-	k, _, err := c.dispatcher.Claims.Claim(ctx, c.request.Workspace, c.request.Service, c.request.Key, mint)
-	if err != nil {
-		return refuse(http.StatusServiceUnavailable, "the key can not be claimed: "+err.Error(), pause())
-	}
 	c.bound = &k
 	return nil
 }
--- a/internal/dispatcher/call_test.go
+++ b/internal/dispatcher/call_test.go
@@ -131,3 +131,18 @@
 	carries := func() bool { return w.Carried() > 0 }
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(carries), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
 }
+
+// A caller asks what became of a booking whose request is still under way. Told
+// "not run" it books anew; when the first request arrives after that, it must meet
+// a closed key and not book a second time.
+func TestLookupBindsAKeyThatIsStillUnderWay(t *testing.T) {
+	w := newWorld(t)
+	a := &fakeAgent{}
+	w.add(t, "vm-1", messenger.KindService, a, 4)
+	fate, err := w.Lookup(t.Context(), "farm", "bookings", "shed4-7")
+	must.NoError(t, err)
+	must.Eq(t, forwarder.FateNotRun, fate)
+	_, err = w.Call(t.Context(), book("shed4-7", true))
+	must.NoError(t, err)
+	must.Eq(t, []string{a.calls[0].Key}, a.asked)
+}
--- a/internal/dispatcher/key.go
+++ b/internal/dispatcher/key.go
@@ -25,18 +25,13 @@
 	}
 }
 
-// lookupKey finds the bound key behind what the caller gave.
+// lookupKey finds the bound key behind what the caller gave. A key of the caller's
+// own that no call was made with yet is claimed by the question, and then closed by
+// its owner: told "not run" the caller books anew, and a call with this key that is
+// still under way must not run after that.
 func (d *Dispatcher) lookupKey(ctx context.Context, workspace, service, key string) (deduplicator.Key, error) {
 	if !deduplicator.IsKey(key) {
-		k, err := d.Claims.Find(ctx, workspace, service, key)
-		var unclaimed *deduplicator.UnclaimedError
-		if errors.As(err, &unclaimed) {
-			return deduplicator.Key{}, refuse(http.StatusNotFound, err.Error(), 0)
-		}
-		if err != nil {
-			return deduplicator.Key{}, refuse(http.StatusServiceUnavailable, err.Error(), pause())
-		}
-		return k, nil
+		return d.claim(ctx, workspace, service, key)
 	}
 	k, err := deduplicator.ParseKey(key)
 	if err != nil {
@@ -48,6 +43,23 @@
 	return k, nil
 }
 
+// claim gives the bound key behind a caller's own, binding it if need be.
+func (d *Dispatcher) claim(ctx context.Context, workspace, service, key string) (deduplicator.Key, error) {
+	fresh, err := d.mint(workspace, service)
+	if err != nil {
+		return deduplicator.Key{}, err
+	}
+	k, _, err := d.Claims.Claim(ctx, workspace, service, key, func() deduplicator.Key { return fresh })
+	var invalid *deduplicator.KeyError
+	switch {
+	case errors.As(err, &invalid):
+		return deduplicator.Key{}, refuse(http.StatusBadRequest, err.Error(), 0)
+	case err != nil:
+		return deduplicator.Key{}, refuse(http.StatusServiceUnavailable, err.Error(), pause())
+	}
+	return k, nil
+}
+
 // sleep waits unless the request ends first.
 func sleep(ctx context.Context, c clock.Clock, wait time.Duration) bool {
 	if wait <= 0 {
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -17,6 +17,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
+	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
 	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/gossiper"
@@ -24,7 +25,9 @@
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/router"
+	"github.com/oriolecroft/oriolecroft/internal/storer"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+	"github.com/oriolecroft/oriolecroft/standins/imitator"
 )
 
 const tokens = 6
@@ -36,6 +39,8 @@
 	orders []forwarder.GenerateOrder
 	calls  []forwarder.CallOrder
 	left   []string
+	// asked are the keys looked up.
+	asked []string
 	// cutAfter breaks the first stream before this event; 0 never.
 	cutAfter int
 	// startAfterCut is the engine's start id from then on; empty for no restart.
@@ -104,7 +109,12 @@
 
 func (a *fakeAgent) State() messenger.AgentState { return messenger.AgentState{} }
 
-func (a *fakeAgent) Lookup(string) forwarder.Fate { return forwarder.FateRan }
+func (a *fakeAgent) Lookup(key string) forwarder.Fate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asked = append(a.asked, key)
+	return forwarder.FateNotRun
+}
 
 // world is one dispatcher before some fake agents.
 type world struct {
@@ -146,6 +156,7 @@
 		Router:     &router.Router{FailureDomain: "a", Region: "r", Clock: c, StaleAfter: time.Hour, Random: random()},
 		Limiter:    &limiter.Limiter{Clock: c, Entries: func() int { return 1 }},
 		Policy:     &retrier.Policy{Budget: &retrier.Budget{Clock: c}},
+		Claims:     &deduplicator.Claims{Store: newStore(t), Clock: c},
 		Agents:     forwarder.NewClient((*certifier.Certifier)(nil).Dial),
 		Clock:      c,
 		Deadline:   10 * time.Second,
@@ -192,6 +203,14 @@
 	}
 }
 
+// newStore is the platform's key-value service.
+func newStore(t *testing.T) storer.Store {
+	t.Helper()
+	h := httptest.NewServer((&imitator.KV{}).Handler())
+	t.Cleanup(h.Close)
+	return &storer.HTTP{Address: netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://")), Timeout: time.Second}
+}
+
 // sink collects a stream.
 type sink struct {
 	events []forwarder.Event
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -223,7 +224,7 @@
 		Workspace: h.Header.Get(HeaderWorkspace),
 		Service:   h.PathValue("service"),
 		Method:    h.Method,
-		Path:      "/" + h.PathValue("path"),
+		Path:      servicePath(h),
 		Key:       h.Header.Get(HeaderKey),
 		First:     h.Header.Get(HeaderAttempt) == "1",
 		Header:    map[string]string{},
@@ -250,6 +251,12 @@
 	return c, nil
 }
 
+// servicePath is what the plain service gets to see of the URL.
+func servicePath(h *http.Request) string {
+	u := url.URL{Path: "/" + h.PathValue("path"), RawQuery: h.URL.RawQuery}
+	return u.String()
+}
+
 func number(h *http.Request, name string) (int64, error) {
 	v := h.Header.Get(name)
 	if v == "" {
