Let operators name the store's region

The witness rule of docs/SPREAD.md was built but could not be set: with several regions a majority cut off from the store's takes the cut for an outage.

--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -99,6 +99,10 @@
 		Entries:  s.Entries,
 		ID:       s.ID,
 		Region:   s.Region,
+		// Without a witness in the store's own region a majority that is cut off from
+		// it together would take the cut for an outage, and go on sending work into a
+		// domain that was drained meanwhile.
+		StoreRegion: s.StoreRegion,
 	}
 	route := &router.Router{
 		FailureDomain: s.FailureDomain,
--- a/demo.sh
+++ b/demo.sh
@@ -71,7 +71,7 @@
   local d=$(($1 - 1))
   echo --id "entry-$1" --failureDomain "${DOMAINS[$d]}" --region "${REGIONS[$d]}" \
     --callers "$(callers_at "$1")" --peers "$(peers_at "$1")" --operators "$(operators_at "$1")" \
-    --store "$store" --list "$list" --seeds "$(all peers_at $ENTRIES)" --entries $ENTRIES --keys "$keys"
+    --store "$store" --list "$list" --seeds "$(all peers_at $ENTRIES)" --entries $ENTRIES --storeRegion huon --keys "$keys"
 }
 
 agent_args() { # agent_args I
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -18,6 +18,7 @@
 	Store         string        `envconfig:"STORE"`
 	List          string        `envconfig:"LIST"`
 	Seeds         []string      `envconfig:"SEEDS"`
+	StoreRegion   string        `envconfig:"STORE_REGION"`
 	Entries       int           `envconfig:"ENTRIES" default:"9"`
 	KeepFor       time.Duration `envconfig:"KEEP_FOR" default:"2s"`
 	FreshFor      time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
@@ -49,6 +50,7 @@
 	sc.String(&s.Store, "", "store", "address of the platform's key-value service [OC_STORE]")
 	sc.String(&s.List, "", "list", "address of the platform's list of VMs [OC_LIST]")
 	sc.StringSlice(&s.Seeds, "", "seeds", "peer addresses of some other entries, with commas or repeated [OC_SEEDS]")
+	sc.String(&s.StoreRegion, "", "storeRegion", "region of the key-value service, whose entries witness its outages [OC_STORE_REGION]")
 	sc.Int(&s.Entries, "", "entries", "how many entries the deployment has [OC_ENTRIES]")
 	sc.Duration(&s.KeepFor, "", "keepFor", "how long callers may keep the list of entries [OC_KEEP_FOR]")
 	sc.Duration(&s.FreshFor, "", "freshFor", "how old the store's word on the bundle may be before new work is refused [OC_FRESH_FOR]")
