--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -105,6 +105,7 @@
 	s.Add(reporter.Every("holds", a.Clock, holdEvery, a.hold))
 	s.Add(&prober{agent: a})
 	s.Add(a.links)
+	s.Add(a.links.each)
 	if _, ok := a.Upstream.(*driver.Engine); ok {
 		s.Add(a.Loader)
 		s.Add(reporter.Every("weights", a.Clock, switchEvery, a.switcher.step))
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -7,10 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
 	"github.com/oriolecroft/oriolecroft/internal/router"
 )
 
@@ -28,6 +30,8 @@
 // links are the agent's connections to the entries that it reports to.
 type links struct {
 	agent *Agent
+	// each supervises the links themselves.
+	each *suture.Supervisor
 
 	mu       sync.Mutex
 	sequence uint64
@@ -44,6 +48,7 @@
 func newLinks(a *Agent) *links {
 	return &links{
 		agent:   a,
+		each:    suture.New("links of the agent", suture.Spec{EventHook: reporter.LogEvents}),
 		known:   map[string]heardEntry{},
 		open:    map[netip.AddrPort]*link{},
 		changed: make(chan struct{}),
@@ -52,8 +57,9 @@
 
 // link is one connection with its loop.
 type link struct {
+	links  *links
 	client *messenger.Client
-	cancel context.CancelFunc
+	token  suture.ServiceToken
 	// behind is set while the entry holds an older bundle than this agent.
 	behind bool
 	// told is the last whole account that the entry has; nil when it has none.
@@ -66,7 +72,7 @@
 	t := l.agent.Clock.NewTicker(l.agent.Heartbeat)
 	defer t.Stop()
 	for {
-		l.adjust(ctx)
+		l.adjust()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -93,19 +99,18 @@
 
 // adjust opens links to the chosen entries and closes the others. Until an entry
 // has answered, the seeds from the settings are all there is.
-func (l *links) adjust(ctx context.Context) {
+func (l *links) adjust() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wanted := l.wanted()
 	for a, k := range l.open {
 		if !wanted[a] {
-			k.cancel()
-			delete(l.open, a)
+			l.drop(a, k)
 		}
 	}
 	for a := range wanted {
 		if l.open[a] == nil {
-			l.open[a] = l.connect(ctx, a)
+			l.open[a] = l.connect(a)
 		}
 	}
 }
@@ -143,20 +148,34 @@
 	return entries
 }
 
-func (l *links) connect(ctx context.Context, to netip.AddrPort) *link {
-	ctx, cancel := context.WithCancel(ctx)
-	k := &link{cancel: cancel}
+func (l *links) connect(to netip.AddrPort) *link {
+	k := &link{links: l}
 	k.client = &messenger.Client{Address: to, Timeout: reportTimeout, Dial: l.agent.Certifier.Dial, OnNews: l.pushed}
-	go l.run(ctx, k)
+	k.token = l.each.Add(k)
 	return k
 }
 
+// drop ends a link; that its supervisor has stopped already is no fault.
+func (l *links) drop(a netip.AddrPort, k *link) {
+	if err := l.each.Remove(k.token); err != nil {
+		klog.V(1).InfoS("Link not removed", "entry", a, "err", err)
+	}
+	delete(l.open, a)
+}
+
+// Serve reports to one entry until the context ends.
+func (k *link) Serve(ctx context.Context) error {
+	k.links.run(ctx, k)
+	return ctx.Err()
+}
+
+func (k *link) String() string { return "link to " + k.client.Address.String() }
+
 func (l *links) closeAll() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for a, k := range l.open {
-		k.cancel()
-		delete(l.open, a)
+		l.drop(a, k)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,7 @@
 	s.Add(e.Watcher)
 	s.Add(e.Dispatcher)
 	s.Add(e.members)
+	s.Add(e.members.each)
 	s.Add(&applier{entry: e})
 	if e.Certifier != nil {
 		s.Add(e.Certifier)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -9,9 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
 )
 
 const (
@@ -32,6 +34,8 @@
 // members are the deployment's entries as this one knows them.
 type members struct {
 	entry *Entry
+	// each supervises the links to the others.
+	each *suture.Supervisor
 
 	mu      sync.Mutex
 	leaving bool
@@ -50,8 +54,9 @@
 
 // peer is the link to another entry.
 type peer struct {
-	client *messenger.Client
-	cancel context.CancelFunc
+	members *members
+	client  *messenger.Client
+	token   suture.ServiceToken
 	// mentioned is when the address was last vouched for by anything but a seed.
 	mentioned time.Time
 }
@@ -59,6 +64,7 @@
 func newMembers(e *Entry) *members {
 	return &members{
 		entry: e,
+		each:  suture.New("links of the entry", suture.Spec{EventHook: reporter.LogEvents}),
 		heard: map[string]heardEntry{},
 		links: map[netip.AddrPort]*peer{},
 		woken: make(chan struct{}),
@@ -71,7 +77,7 @@
 	defer t.Stop()
 	defer m.closeAll()
 	for {
-		m.adjust(ctx)
+		m.adjust()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -95,7 +101,7 @@
 	}
 	p := m.links[a]
 	if p == nil {
-		p = &peer{}
+		p = &peer{members: m}
 		m.links[a] = p
 	}
 	p.mentioned = m.entry.Clock.Now()
@@ -103,7 +109,7 @@
 
 // adjust starts links to new entries and ends those to entries long silent. Seeds
 // stay for ever: they are the way back after a cut.
-func (m *members) adjust(ctx context.Context) {
+func (m *members) adjust() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range m.entry.Seeds {
@@ -116,7 +122,7 @@
 			continue
 		}
 		if p.client == nil {
-			m.start(ctx, a, p)
+			m.start(a, p)
 		}
 	}
 	for id, h := range m.heard {
@@ -139,18 +145,27 @@
 }
 
 func (m *members) drop(a netip.AddrPort, p *peer) {
-	if p.cancel != nil {
-		p.cancel()
+	if p.client != nil {
+		if err := m.each.Remove(p.token); err != nil {
+			klog.V(1).InfoS("Link not removed", "peer", a, "err", err)
+		}
 	}
 	delete(m.links, a)
 }
 
-func (m *members) start(ctx context.Context, a netip.AddrPort, p *peer) {
-	ctx, p.cancel = context.WithCancel(ctx)
+func (m *members) start(a netip.AddrPort, p *peer) {
 	p.client = &messenger.Client{Address: a, Timeout: exchangeTimeout, Dial: m.entry.Certifier.Dial}
-	go m.run(ctx, p.client)
+	p.token = m.each.Add(p)
+}
+
+// Serve exchanges with one entry until the context ends.
+func (p *peer) Serve(ctx context.Context) error {
+	p.members.run(ctx, p.client)
+	return ctx.Err()
 }
 
+func (p *peer) String() string { return "link to " + p.client.Address.String() }
+
 func (m *members) closeAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
