--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -49,15 +49,10 @@
 const poll = 100 * time.Millisecond
 
 func agentCommand() command {
-	s, envErr := configurer.NewAgent()
+	s, err := configurer.NewAgent()
 	flags := newCommand("agent", "run an agent: the daemon beside each upstream", helpAgent)
 	s.Bind(flags)
-	return command{flags: flags, run: func(ctx context.Context) error {
-		if envErr != nil {
-			return &UsageError{Problem: envErr.Error()}
-		}
-		return runAgent(ctx, s)
-	}}
+	return daemonCommand(flags, err, func(ctx context.Context) error { return runAgent(ctx, s) })
 }
 
 func runAgent(ctx context.Context, s *configurer.Agent) error {
@@ -65,10 +60,7 @@
 	if err != nil {
 		return err
 	}
-	if err := prepareDaemon(s.Verbosity); err != nil {
-		return err
-	}
-	tls, err := s.Certifier()
+	tls, err := prepareDaemon(&s.Common)
 	if err != nil {
 		return err
 	}
--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -9,7 +9,6 @@
 
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
-	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -47,15 +46,10 @@
 )
 
 func entryCommand() command {
-	s, envErr := configurer.NewEntry()
+	s, err := configurer.NewEntry()
 	flags := newCommand("entry", "run an entry: the daemon that callers connect to", helpEntry)
 	s.Bind(flags)
-	return command{flags: flags, run: func(ctx context.Context) error {
-		if envErr != nil {
-			return &UsageError{Problem: envErr.Error()}
-		}
-		return runEntry(ctx, s)
-	}}
+	return daemonCommand(flags, err, func(ctx context.Context) error { return runEntry(ctx, s) })
 }
 
 func runEntry(ctx context.Context, s *configurer.Entry) error {
@@ -63,10 +57,7 @@
 	if err != nil {
 		return err
 	}
-	if err := prepareDaemon(s.Verbosity); err != nil {
-		return err
-	}
-	tls, err := s.Certifier()
+	tls, err := prepareDaemon(&s.Common)
 	if err != nil {
 		return err
 	}
@@ -83,11 +74,6 @@
 	return e.Run(ctx)
 }
 
-// listenError says which address was not to be had.
-func listenError(err error, at netip.AddrPort) error {
-	return oops.Hint("is another process on that port, and is the address this VM's?").Wrapf(err, "listen on %v", at)
-}
-
 // newEntry puts the parts together; the listeners are still missing.
 func newEntry(s *configurer.Entry, a configurer.EntryAddresses, tls *certifier.Certifier) *entry.Entry {
 	c := clock.RealClock{}
--- a/cmd/oriolecroft/main.go
+++ b/cmd/oriolecroft/main.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
-	"strconv"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -99,23 +97,6 @@
 	return s
 }
 
-// setVerbosity sets how much is logged.
-func setVerbosity(n int) error {
-	var l klog.Level
-	return l.Set(strconv.Itoa(n))
-}
-
-// garbagePercent is how much a daemon's heap grows between two collections. Of a
-// few megabytes, which is all that control needs, Go's own 100 would collect
-// several times a second for as little.
-const garbagePercent = 400
-
-// prepareDaemon sets what both daemons have in common.
-func prepareDaemon(verbosity int) error {
-	debug.SetGCPercent(garbagePercent)
-	return setVerbosity(verbosity)
-}
-
 // UsageError reports an argument that is missing or makes no sense.
 type UsageError struct {
 	Problem string
--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -2,35 +2,27 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/integrii/flaggy"
 )
 
 // Agent are the settings of `oriolecroft agent`.
 type Agent struct {
-	ID             string        `envconfig:"ID"`
-	FailureDomain  string        `envconfig:"FAILURE_DOMAIN"`
-	Region         string        `envconfig:"REGION"`
-	Listen         string        `envconfig:"LISTEN"`
-	Operators      string        `envconfig:"OPERATORS"`
-	Entries        []string      `envconfig:"ENTRY_SEEDS"`
-	Engine         string        `envconfig:"ENGINE"`
-	Service        string        `envconfig:"SERVICE"`
-	ServiceAddress string        `envconfig:"SERVICE_ADDRESS"`
-	WeightStore    string        `envconfig:"WEIGHT_STORE"`
-	Origin         string        `envconfig:"ORIGIN"`
-	SourceRegion   string        `envconfig:"SOURCE_REGION"`
-	Upload         int64         `envconfig:"UPLOAD"`
-	Memory         int64         `envconfig:"MEMORY" default:"1073741824"`
-	ColdLimit      int           `envconfig:"COLD_LIMIT" default:"1"`
-	Limit          int           `envconfig:"LIMIT" default:"8"`
-	FreshFor       time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
-	Heartbeat      time.Duration `envconfig:"HEARTBEAT" default:"500ms"`
-	Verbosity      int           `envconfig:"VERBOSITY"`
-	ReportTo       int           `envconfig:"REPORT_TO" default:"9"`
-	Signers
-	TLS
+	Listen         string   `envconfig:"LISTEN"`
+	Operators      string   `envconfig:"OPERATORS"`
+	Entries        []string `envconfig:"ENTRY_SEEDS"`
+	Engine         string   `envconfig:"ENGINE"`
+	Service        string   `envconfig:"SERVICE"`
+	ServiceAddress string   `envconfig:"SERVICE_ADDRESS"`
+	WeightStore    string   `envconfig:"WEIGHT_STORE"`
+	Origin         string   `envconfig:"ORIGIN"`
+	SourceRegion   string   `envconfig:"SOURCE_REGION"`
+	Upload         int64    `envconfig:"UPLOAD"`
+	Memory         int64    `envconfig:"MEMORY" default:"1073741824"`
+	ColdLimit      int      `envconfig:"COLD_LIMIT" default:"1"`
+	Limit          int      `envconfig:"LIMIT" default:"8"`
+	ReportTo       int      `envconfig:"REPORT_TO" default:"9"`
+	Common
 }
 
 // NewAgent reads the environment.
@@ -41,9 +33,6 @@
 
 // Bind adds the flags, whose defaults are what the environment said.
 func (s *Agent) Bind(sc *flaggy.Subcommand) {
-	sc.String(&s.ID, "", "id", "name of this VM, unique in the deployment [OC_ID]")
-	sc.String(&s.FailureDomain, "", "failureDomain", "failure domain of this VM [OC_FAILURE_DOMAIN]")
-	sc.String(&s.Region, "", "region", "region of this VM [OC_REGION]")
 	sc.String(&s.Listen, "", "listen", "address for requests from entries and chunks to agents [OC_LISTEN]")
 	sc.String(&s.Operators, "", "operators", "address for status, metrics and health [OC_OPERATORS]")
 	sc.StringSlice(&s.Entries, "", "entrySeeds", "peer addresses of some entries, with commas or repeated [OC_ENTRY_SEEDS]")
@@ -57,12 +46,8 @@
 	sc.Int64(&s.Memory, "", "memory", "bytes of memory for weights [OC_MEMORY]")
 	sc.Int(&s.ColdLimit, "", "coldLimit", "how many requests at once a cold upstream bears [OC_COLD_LIMIT]")
 	sc.Int(&s.Limit, "", "limit", "how many requests at once a warm upstream bears [OC_LIMIT]")
-	sc.Duration(&s.FreshFor, "", "freshFor", "how old the word on the bundle may be before new work is refused [OC_FRESH_FOR]")
-	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often entries are told of this agent [OC_HEARTBEAT]")
-	sc.Int(&s.Verbosity, "", "verbosity", "how much is logged: 0 decisions, 1 failures of peers, 2 every report [OC_VERBOSITY]")
 	sc.Int(&s.ReportTo, "", "reportTo", "how many entries are told [OC_REPORT_TO]")
-	s.Signers.Bind(sc)
-	s.TLS.Bind(sc)
+	s.Common.Bind(sc)
 }
 
 // AgentAddresses are an agent's checked addresses; those not set are invalid.
@@ -74,9 +59,6 @@
 // Check reports all faults as one *FaultsError.
 func (s *Agent) Check() (AgentAddresses, error) {
 	c := new(checker)
-	c.needed("id", s.ID, "vm-7")
-	c.needed("failureDomain", s.FailureDomain, "huon-a")
-	c.needed("region", s.Region, "huon")
 	a := AgentAddresses{
 		Listen:      c.address("listen", s.Listen),
 		Operators:   c.optionalAddress("operators", s.Operators),
@@ -91,17 +73,13 @@
 	c.atLeast("coldLimit", s.ColdLimit, 1)
 	c.atLeast("limit", s.Limit, s.ColdLimit)
 	c.atLeast("reportTo", s.ReportTo, 1)
-	c.positive("freshFor", s.FreshFor)
-	c.atLeast("verbosity", s.Verbosity, 0)
-	c.positive("heartbeat", s.Heartbeat)
 	if s.Upload < 0 {
 		c.add("upload", "%d bytes a second is below zero; leave it out for no cap", s.Upload)
 	}
 	if s.Memory <= 0 {
 		c.add("memory", "%d bytes must be above zero", s.Memory)
 	}
-	s.Signers.check(c)
-	s.TLS.check(c, map[string]netip.AddrPort{"listen": a.Listen, "operators": a.Operators})
+	s.check(c, map[string]netip.AddrPort{"listen": a.Listen, "operators": a.Operators})
 	return a, c.err()
 }
 
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -9,28 +9,21 @@
 
 // Entry are the settings of `oriolecroft entry`.
 type Entry struct {
-	ID            string        `envconfig:"ID"`
-	FailureDomain string        `envconfig:"FAILURE_DOMAIN"`
-	Region        string        `envconfig:"REGION"`
-	Callers       string        `envconfig:"CALLERS"`
-	Peers         string        `envconfig:"PEERS"`
-	Operators     string        `envconfig:"OPERATORS"`
-	Store         string        `envconfig:"STORE"`
-	List          string        `envconfig:"LIST"`
-	Seeds         []string      `envconfig:"SEEDS"`
-	StoreRegion   string        `envconfig:"STORE_REGION"`
-	Entries       int           `envconfig:"ENTRIES" default:"9"`
-	KeepFor       time.Duration `envconfig:"KEEP_FOR" default:"2s"`
-	FreshFor      time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
-	Heartbeat     time.Duration `envconfig:"HEARTBEAT" default:"500ms"`
-	Deadline      time.Duration `envconfig:"DEADLINE" default:"60s"`
-	QueueFor      time.Duration `envconfig:"QUEUE_FOR" default:"2s"`
-	ResumeFor     time.Duration `envconfig:"RESUME_FOR" default:"5s"`
-	StallFor      time.Duration `envconfig:"STALL_FOR" default:"3s"`
-	Verbosity     int           `envconfig:"VERBOSITY"`
-	Concurrent    int           `envconfig:"CONCURRENT" default:"512"`
-	Signers
-	TLS
+	Callers     string        `envconfig:"CALLERS"`
+	Peers       string        `envconfig:"PEERS"`
+	Operators   string        `envconfig:"OPERATORS"`
+	Store       string        `envconfig:"STORE"`
+	List        string        `envconfig:"LIST"`
+	Seeds       []string      `envconfig:"SEEDS"`
+	StoreRegion string        `envconfig:"STORE_REGION"`
+	Entries     int           `envconfig:"ENTRIES" default:"9"`
+	KeepFor     time.Duration `envconfig:"KEEP_FOR" default:"2s"`
+	Deadline    time.Duration `envconfig:"DEADLINE" default:"60s"`
+	QueueFor    time.Duration `envconfig:"QUEUE_FOR" default:"2s"`
+	ResumeFor   time.Duration `envconfig:"RESUME_FOR" default:"5s"`
+	StallFor    time.Duration `envconfig:"STALL_FOR" default:"3s"`
+	Concurrent  int           `envconfig:"CONCURRENT" default:"512"`
+	Common
 }
 
 // NewEntry reads the environment.
@@ -41,9 +34,6 @@
 
 // Bind adds the flags, whose defaults are what the environment said.
 func (s *Entry) Bind(sc *flaggy.Subcommand) {
-	sc.String(&s.ID, "", "id", "name of this VM, unique in the deployment [OC_ID]")
-	sc.String(&s.FailureDomain, "", "failureDomain", "failure domain of this VM [OC_FAILURE_DOMAIN]")
-	sc.String(&s.Region, "", "region", "region of this VM [OC_REGION]")
 	sc.String(&s.Callers, "", "callers", "address on which callers connect [OC_CALLERS]")
 	sc.String(&s.Peers, "", "peers", "address on which agents and other entries connect [OC_PEERS]")
 	sc.String(&s.Operators, "", "operators", "address for status, metrics and health [OC_OPERATORS]")
@@ -53,16 +43,12 @@
 	sc.String(&s.StoreRegion, "", "storeRegion", "region of the key-value service, whose entries witness its outages [OC_STORE_REGION]")
 	sc.Int(&s.Entries, "", "entries", "how many entries the deployment has [OC_ENTRIES]")
 	sc.Duration(&s.KeepFor, "", "keepFor", "how long callers may keep the list of entries [OC_KEEP_FOR]")
-	sc.Duration(&s.FreshFor, "", "freshFor", "how old the store's word on the bundle may be before new work is refused [OC_FRESH_FOR]")
-	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often entries exchange what they know [OC_HEARTBEAT]")
 	sc.Duration(&s.Deadline, "", "deadline", "longest time for one request [OC_DEADLINE]")
 	sc.Duration(&s.QueueFor, "", "queueFor", "longest time a request waits in line for a replica [OC_QUEUE_FOR]")
 	sc.Duration(&s.ResumeFor, "", "resumeFor", "how long a stream that was cut waits for its agent to return [OC_RESUME_FOR]")
 	sc.Duration(&s.StallFor, "", "stallFor", "how long an agent may bring nothing before an attempt is given up [OC_STALL_FOR]")
-	sc.Int(&s.Verbosity, "", "verbosity", "how much is logged: 0 decisions, 1 failures of peers, 2 every exchange [OC_VERBOSITY]")
 	sc.Int(&s.Concurrent, "", "concurrent", "how many requests this entry carries at once [OC_CONCURRENT]")
-	s.Signers.Bind(sc)
-	s.TLS.Bind(sc)
+	s.Common.Bind(sc)
 }
 
 // EntryAddresses are an entry's checked addresses.
@@ -74,9 +60,6 @@
 // Check reports all faults as one *FaultsError.
 func (s *Entry) Check() (EntryAddresses, error) {
 	c := new(checker)
-	c.needed("id", s.ID, "entry-1")
-	c.needed("failureDomain", s.FailureDomain, "huon-a")
-	c.needed("region", s.Region, "huon")
 	a := EntryAddresses{
 		Callers:   c.address("callers", s.Callers),
 		Peers:     c.address("peers", s.Peers),
@@ -88,17 +71,10 @@
 	c.atLeast("entries", s.Entries, 1)
 	c.atLeast("concurrent", s.Concurrent, 1)
 	c.positive("keepFor", s.KeepFor)
-	c.positive("freshFor", s.FreshFor)
-	c.positive("heartbeat", s.Heartbeat)
 	c.positive("deadline", s.Deadline)
 	c.positive("queueFor", s.QueueFor)
 	c.positive("resumeFor", s.ResumeFor)
 	c.positive("stallFor", s.StallFor)
-	c.atLeast("verbosity", s.Verbosity, 0)
-	if s.Heartbeat > 0 && s.FreshFor < 3*s.Heartbeat {
-		c.add("freshFor", "%v must be at least three heartbeats of %v, or one lost message stops new work", s.FreshFor, s.Heartbeat)
-	}
-	s.Signers.check(c)
-	s.TLS.check(c, map[string]netip.AddrPort{"peers": a.Peers, "operators": a.Operators})
+	s.check(c, map[string]netip.AddrPort{"peers": a.Peers, "operators": a.Operators})
 	return a, c.err()
 }
