Push a new bundle to each agent once; tell all when an entry leaves

Cause: each of nine entries pushed the whole record to every agent: at 200 workspaces and a change a second an agent took 215 kB/s (docs/CAPACITY.md). Now the entry that ranks first for an agent pushes; the others send the record with the answer to a report that names an older revision. A leaving entry tells all others at once instead of a few, so that it needs not wait two rounds, 97 s at 380 entries by that page's arithmetic.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -121,12 +121,15 @@
 	return w
 }
 
-// push sends news to all direct agents that have an older bundle.
-func (a *agents) push(n messenger.News) {
+// push sends news to those direct agents that have an older bundle and are ours to
+// tell. The others hear it from another entry, and from this one with the answer to
+// their next report; were every entry to push, each agent would get a long record
+// as many times as there are entries.
+func (a *agents) push(n messenger.News, ours func(messenger.AgentState) bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, d := range a.states {
-		if d.state.Revision < n.Word.Revision {
+		if d.state.Revision < n.Word.Revision && ours(d.state) {
 			d.link.Push(n)
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,9 +113,9 @@
 func (e *Entry) leave() {
 	klog.InfoS("Leaving", "entry", e.ID)
 	e.members.leave()
-	// Other entries hear within a round, and a caller may have asked one of
-	// them right before that.
-	t := e.Clock.NewTimer(e.KeepFor + 2*e.members.round())
+	// All others are told at once, and a caller may have asked one of them right
+	// before that.
+	t := e.Clock.NewTimer(e.KeepFor + 2*e.Heartbeat)
 	defer t.Stop()
 	<-t.C()
 	e.running.wait()
@@ -156,10 +156,20 @@
 		return
 	}
 	klog.InfoS("Bundle in force", "entry", e.ID, "revision", b.Revision, "change", b.ChangeID, "digest", r.Digest())
-	e.agents.push(messenger.News{Word: e.State.Word(), Record: r})
+	e.agents.push(messenger.News{Word: e.State.Word(), Record: r}, e.tells())
 	e.members.wake()
 }
 
+// tells gives the rule by which this entry is the one to tell an agent of a new
+// bundle: it ranks first among the entries in use.
+func (e *Entry) tells() func(messenger.AgentState) bool {
+	entries := e.members.alive()
+	return func(s messenger.AgentState) bool {
+		first := router.ReportTo(s.ID, s.Region, entries, 1)
+		return len(first) == 0 || first[0].ID == e.ID
+	}
+}
+
 // readList takes over what the platform says of VMs. The list lags, so that it
 // can only take an agent out of use; that one lives is proved by its reports.
 func (e *Entry) readList(ctx context.Context) {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -184,7 +184,8 @@
 }
 
 // rest waits for about one round, or until woken. Of those woken only about as
-// many ask as in one heartbeat; each of them wakes others in turn.
+// many ask as in one heartbeat, and each of them wakes others in turn; but all of
+// them do when this entry leaves, since callers must not be sent here any more.
 func (m *members) rest(ctx context.Context) {
 	round := m.round()
 	t := m.entry.Clock.NewTimer(round*3/4 + rand.N(round/2))
@@ -197,13 +198,19 @@
 		case <-t.C():
 			return
 		case <-woken:
-			if rand.N(round) < m.entry.Heartbeat {
+			if m.isLeaving() || rand.N(round) < m.entry.Heartbeat {
 				return
 			}
 		}
 	}
 }
 
+func (m *members) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
 // round is how long it takes to ask all other entries once.
 func (m *members) round() time.Duration {
 	m.mu.Lock()
