Beat half as often to entries that an agent has not its word from

An agent that dies unheard is routed around after 2.5 s instead of 2; a dial to it that fails shows it sooner.

--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -41,8 +41,9 @@
 const (
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 2 * time.Second
-	// agentStale is after how many silent heartbeats an agent is routed around.
-	agentStale = 4
+	// agentStale is after how many silent heartbeats an agent is routed around; most
+	// entries hear of it every other one.
+	agentStale = 5
 )
 
 func entryCommand() command {
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -9,7 +9,6 @@
 
 	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
-	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
@@ -182,19 +181,19 @@
 // run reports at each heartbeat and, sooner, at each change that matters.
 func (l *links) run(ctx context.Context, k *link) {
 	defer k.client.Close()
-	t := l.agent.Clock.NewTicker(l.agent.Heartbeat)
-	defer t.Stop()
 	for ctx.Err() == nil {
 		changed := l.changes()
 		told := l.summary()
 		l.report(ctx, k)
 		l.rest(ctx)
-		l.await(ctx, t, changed, told)
+		l.await(ctx, l.pace(k), changed, told)
 	}
 }
 
 // await returns when the next report is due.
-func (l *links) await(ctx context.Context, t clock.Ticker, changed <-chan struct{}, told summary) {
+func (l *links) await(ctx context.Context, pace time.Duration, changed <-chan struct{}, told summary) {
+	t := l.agent.Clock.NewTimer(pace)
+	defer t.Stop()
 	for {
 		gate := l.agent.Gate.Changed()
 		if l.summary() != told {
@@ -212,6 +211,15 @@
 	}
 }
 
+// pace is how long an entry hears nothing while nothing changes: a heartbeat for the
+// one from which this agent has its word on the bundle, two for the others.
+func (l *links) pace(k *link) time.Duration {
+	if l.home(l.agent.ID) == k.client.Address {
+		return l.agent.Heartbeat
+	}
+	return 2 * l.agent.Heartbeat
+}
+
 // summary is what of a gate's change can't wait for the heartbeat. The number of
 // running requests alone can: it changes with each of them, and a report for each
 // would cost more than the requests.
