--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -118,15 +118,21 @@
 		e.List = &lister.HTTP{Address: a.List, Timeout: storeTimeout}
 	}
 	e.Limiter = &limiter.Limiter{Clock: c, Entries: e.Entries, Random: random()}
-	e.Dispatcher = &dispatcher.Dispatcher{
+	e.Dispatcher = newDispatcher(s, e, store)
+	return e
+}
+
+// newDispatcher makes the part that carries requests through the entry.
+func newDispatcher(s *configurer.Entry, e *entry.Entry, store storer.Store) *dispatcher.Dispatcher {
+	return &dispatcher.Dispatcher{
 		ID:         s.ID,
-		State:      state,
-		Router:     route,
+		State:      e.State,
+		Router:     e.Router,
 		Limiter:    e.Limiter,
-		Policy:     &retrier.Policy{Budget: &retrier.Budget{Clock: c}},
-		Claims:     &deduplicator.Claims{Store: store, Clock: c},
-		Agents:     forwarder.NewClient(tls.Dial),
-		Clock:      c,
+		Policy:     &retrier.Policy{Budget: &retrier.Budget{Clock: e.Clock}},
+		Claims:     &deduplicator.Claims{Store: store, Clock: e.Clock},
+		Agents:     forwarder.NewClient(e.Certifier.Dial),
+		Clock:      e.Clock,
 		Deadline:   s.Deadline,
 		QueueFor:   s.QueueFor,
 		ResumeFor:  s.ResumeFor,
@@ -134,7 +140,6 @@
 		Concurrent: s.Concurrent,
 		Metrics:    metrics.NewRegistry(),
 	}
-	return e
 }
 
 // random makes a source seeded by the process's own.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -89,8 +88,11 @@
 	a.streams = newStreams(a)
 	a.digests = &digests{loader: a.Loader}
 	a.wrongWeights = metrics.NewCounter()
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	return reporter.RunUntil(ctx, a.parts(), a.leave)
+}
+
+// parts are all that runs as long as the agent does.
+func (a *Agent) parts() *suture.Supervisor {
 	s := suture.New("agent", suture.Spec{EventHook: reporter.LogEvents})
 	s.Add(&reporter.Web{Name: "requests", Listener: a.Certifier.Listen(a.Listener), Handler: a.handler()})
 	if a.Operators != nil {
@@ -110,19 +112,7 @@
 		s.Add(a.Loader)
 		s.Add(reporter.Every("weights", a.Clock, switchEvery, a.switcher.step))
 	}
-	done := s.ServeBackground(work)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
-	a.leave(work)
-	stop()
-	err := <-done
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	return s
 }
 
 // leave closes the gate first and tells the entries next, so that what they send
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -74,8 +73,11 @@
 	e.members = newMembers(e)
 	e.agents = newAgents()
 	e.places = &places{clock: e.Clock, agents: e.Router.Agents, byDomain: map[string]division{}}
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	return reporter.RunUntil(ctx, e.parts(), e.leave)
+}
+
+// parts are all that runs as long as the entry does.
+func (e *Entry) parts() *suture.Supervisor {
 	receive := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
 	s := suture.New("entry", suture.Spec{EventHook: reporter.LogEvents})
 	s.Add(&reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.running.count(receive.Handler())})
@@ -92,25 +94,13 @@
 	if e.List != nil {
 		s.Add(reporter.Every("list", e.Clock, listEvery, e.readList))
 	}
-	done := s.ServeBackground(work)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
-	e.leave()
-	stop()
-	err := <-done
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	return s
 }
 
 // leave takes the entry out of the list that callers get, waits until the lists
 // that callers kept have run out, and then until the last request is done.
 // Closing at once would cut those who connect by an answer they kept.
-func (e *Entry) leave() {
+func (e *Entry) leave(context.Context) {
 	klog.InfoS("Leaving", "entry", e.ID)
 	e.members.leave()
 	// All others are told at once, and a caller may have asked one of them right
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -52,15 +51,6 @@
 	at    time.Time
 }
 
-// peer is the link to another entry.
-type peer struct {
-	members *members
-	client  *messenger.Client
-	token   suture.ServiceToken
-	// mentioned is when the address was last vouched for by anything but a seed.
-	mentioned time.Time
-}
-
 func newMembers(e *Entry) *members {
 	return &members{
 		entry: e,
@@ -158,14 +148,6 @@
 	p.token = m.each.Add(p)
 }
 
-// Serve exchanges with one entry until the context ends.
-func (p *peer) Serve(ctx context.Context) error {
-	p.members.run(ctx, p.client)
-	return ctx.Err()
-}
-
-func (p *peer) String() string { return "link to " + p.client.Address.String() }
-
 func (m *members) closeAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -174,37 +156,6 @@
 	}
 }
 
-// run exchanges with one entry at each heartbeat, and at once when woken.
-func (m *members) run(ctx context.Context, c *messenger.Client) {
-	defer c.Close()
-	for ctx.Err() == nil {
-		m.swap(ctx, c)
-		m.rest(ctx)
-	}
-}
-
-// rest waits for about one round, or until woken. Of those woken only about as
-// many ask as in one heartbeat, and each of them wakes others in turn; but all of
-// them do when this entry leaves, since callers must not be sent here any more.
-func (m *members) rest(ctx context.Context) {
-	round := m.round()
-	t := m.entry.Clock.NewTimer(round*3/4 + rand.N(round/2))
-	defer t.Stop()
-	for {
-		woken := m.wakes()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C():
-			return
-		case <-woken:
-			if m.isLeaving() || rand.N(round) < m.entry.Heartbeat {
-				return
-			}
-		}
-	}
-}
-
 func (m *members) isLeaving() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -223,20 +174,6 @@
 	return time.Duration(max(1, beats)) * m.entry.Heartbeat
 }
 
-func (m *members) swap(ctx context.Context, c *messenger.Client) {
-	asked := m.entry.Clock.Now()
-	x, err := c.Exchange(ctx, m.mine(0))
-	if err != nil {
-		klog.V(2).InfoS("Exchange failed", "entry", m.entry.ID, "peer", c.Address, "err", err)
-		return
-	}
-	if x.State.ID == m.entry.ID {
-		return
-	}
-	m.entry.learn(x)
-	m.entry.State.HearAnswer(x.State, asked)
-}
-
 // mine is what this entry tells another that holds the given revision: the record
 // goes along only when it is news.
 func (m *members) mine(theirs uint64) messenger.Exchange {
--- a/internal/reporter/service.go
+++ b/internal/reporter/service.go
@@ -19,6 +19,26 @@
 	klog.InfoS("Supervisor", "event", e.String())
 }
 
+// RunUntil keeps a daemon's parts running until the context ends, then lets it leave
+// while they still run, and stops them.
+func RunUntil(ctx context.Context, parts *suture.Supervisor, leave func(context.Context)) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := parts.ServeBackground(work)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	leave(work)
+	stop()
+	err := <-done
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // Web is an HTTP server as a suture service. Its listener outlives restarts.
 type Web struct {
 	Name     string
