--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -34,7 +34,7 @@
 func (l *links) run(ctx context.Context, k *link) {
 	defer k.client.Close()
 	for ctx.Err() == nil {
-		changed := l.changes()
+		changed := l.due.Wait()
 		told := l.summary()
 		l.report(ctx, k)
 		l.rest(ctx)
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/notifier"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
 	"github.com/oriolecroft/oriolecroft/internal/router"
 )
@@ -30,12 +31,13 @@
 	agent *Agent
 	// each supervises the links themselves.
 	each *suture.Supervisor
+	// due wakes the links when a report can't wait for the heartbeat.
+	due notifier.Broadcast
 
 	mu       sync.Mutex
 	sequence uint64
 	known    map[string]heardEntry
 	open     map[netip.AddrPort]*link
-	changed  chan struct{}
 }
 
 type heardEntry struct {
@@ -45,11 +47,10 @@
 
 func newLinks(a *Agent) *links {
 	return &links{
-		agent:   a,
-		each:    suture.New("links of the agent", suture.Spec{EventHook: reporter.LogEvents}),
-		known:   map[string]heardEntry{},
-		open:    map[netip.AddrPort]*link{},
-		changed: make(chan struct{}),
+		agent: a,
+		each:  suture.New("links of the agent", suture.Spec{EventHook: reporter.LogEvents}),
+		known: map[string]heardEntry{},
+		open:  map[netip.AddrPort]*link{},
 	}
 }
 
@@ -71,18 +72,7 @@
 func (l *links) String() string { return "links" }
 
 // announce makes all links report at once.
-func (l *links) announce() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
-
-func (l *links) changes() <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.changed
-}
+func (l *links) announce() { l.due.Wake() }
 
 // adjust opens links to the chosen entries and closes the others. Until an entry
 // has answered, the seeds from the settings are all there is.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/notifier"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
 )
 
@@ -35,6 +36,8 @@
 	entry *Entry
 	// each supervises the links to the others.
 	each *suture.Supervisor
+	// due wakes the links when an exchange can't wait for its turn.
+	due notifier.Broadcast
 
 	mu      sync.Mutex
 	leaving bool
@@ -43,7 +46,6 @@
 	listed map[string]bool
 	heard  map[string]heardEntry
 	links  map[netip.AddrPort]*peer
-	woken  chan struct{}
 }
 
 type heardEntry struct {
@@ -57,7 +59,6 @@
 		each:  suture.New("links of the entry", suture.Spec{EventHook: reporter.LogEvents}),
 		heard: map[string]heardEntry{},
 		links: map[netip.AddrPort]*peer{},
-		woken: make(chan struct{}),
 	}
 }
 
@@ -267,16 +268,5 @@
 	m.wake()
 }
 
-// wake makes all links exchange at once.
-func (m *members) wake() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	close(m.woken)
-	m.woken = make(chan struct{})
-}
-
-func (m *members) wakes() <-chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.woken
-}
+// wake makes links exchange at once.
+func (m *members) wake() { m.due.Wake() }
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -45,7 +45,7 @@
 	t := m.entry.Clock.NewTimer(round*3/4 + rand.N(round/2))
 	defer t.Stop()
 	for {
-		woken := m.wakes()
+		woken := m.due.Wait()
 		select {
 		case <-ctx.Done():
 			return
