Roll adapters a few engines at a time too

Cause: a permit was given at once to an engine that held the model's manifest; with only an adapter changed all engines got one and were loaded together. Found by reading. TestAdaptersRollAFewAtATime: 12 of 12 permitted before, 3 now. A replica counts as ready once it holds the bundle's adapters as well.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -227,7 +227,7 @@
 	}
 	if h, ok := a.proof.get(); ok {
 		s.Model, s.Version, s.Manifest, s.EngineStart = h.Model, h.Version, h.Manifest, h.StartID
-		s.Adapters = a.switcher.adapters(h)
+		s.Adapters, s.AdapterManifests = adapters(h)
 	}
 	return s
 }
--- a/internal/agent/switcher.go
+++ b/internal/agent/switcher.go
@@ -104,13 +104,13 @@
 	return s.served[m.Name+" "+manifest]
 }
 
-// adapters names the adapters that the engine holds, for the report.
-func (s *switcher) adapters(h driver.Health) []string {
-	var names []string
+// adapters lists the adapters that the engine holds, for the report.
+func adapters(h driver.Health) (names, manifests []string) {
 	for _, a := range h.Adapters {
 		names = append(names, a.Name)
+		manifests = append(manifests, a.Manifest)
 	}
-	return names
+	return names, manifests
 }
 
 // step does what is due now; while it waits for running requests or for the
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -224,7 +224,7 @@
 	}
 	p.AllReplicas++
 	m, ok := b.Model(a.Model)
-	if ok && a.Manifest == m.Manifest && a.Gate != messenger.GateClosed && a.Revision >= b.Revision {
+	if ok && a.Weights() == m.Weights() && a.Gate != messenger.GateClosed && a.Revision >= b.Revision {
 		p.Ready++
 	}
 }
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -6,6 +6,7 @@
 import (
 	"math/bits"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -64,6 +65,8 @@
 	Manifest    string   `json:"manifest,omitempty"`
 	Adapters    []string `json:"adapters,omitempty"`
 	EngineStart string   `json:"engineStart,omitempty"`
+	// AdapterManifests are the adapters' manifests in the engine's order.
+	AdapterManifests []string `json:"adapterManifests,omitempty"`
 
 	// Revision and Digest name the bundle in force in the agent.
 	Revision uint64 `json:"revision"`
@@ -73,6 +76,11 @@
 	Holdings []Holding `json:"holdings,omitempty"`
 }
 
+// Weights names all that the engine holds, in the form of bundler.Model.Weights.
+func (s AgentState) Weights() string {
+	return strings.Join(append([]string{s.Manifest}, s.AdapterManifests...), " ")
+}
+
 // Holding is what an agent has of one set of weights.
 type Holding struct {
 	Manifest string `json:"manifest"`
--- a/internal/roller/roller.go
+++ b/internal/roller/roller.go
@@ -62,10 +62,10 @@
 
 // permit is a switch that was granted and isn't known to be over.
 type permit struct {
-	model, manifest string
-	// from is the manifest that the engine held when the permit was given.
-	from  string
-	until time.Time
+	model string
+	// weights are those permitted, from those that the engine held before.
+	weights, from string
+	until         time.Time
 }
 
 // Report notes an agent's state. A leaving agent is forgotten.
@@ -81,7 +81,7 @@
 	r.replicas[s.ID] = replica{state: s, heard: r.Clock.Now()}
 	// An engine that is open with anything else than before is back, whatever it
 	// holds: a newer version may have overtaken the permitted one on the way.
-	if p, ok := r.permits[s.ID]; ok && s.Manifest != p.from && s.Gate == messenger.GateOpen {
+	if p, ok := r.permits[s.ID]; ok && s.Weights() != p.from && s.Gate == messenger.GateOpen {
 		delete(r.permits, s.ID)
 	}
 }
@@ -101,10 +101,10 @@
 	defer r.mu.Unlock()
 	r.setUp()
 	now := r.Clock.Now()
-	if agent.Manifest == "" || agent.Manifest == model.Manifest {
+	if agent.Manifest == "" || agent.Weights() == model.Weights() {
 		return true
 	}
-	if p, ok := r.permits[agent.ID]; ok && p.manifest == model.Manifest && now.Before(p.until) {
+	if p, ok := r.permits[agent.ID]; ok && p.weights == model.Weights() && now.Before(p.until) {
 		return true
 	}
 	c := r.count(agent, now)
@@ -113,7 +113,7 @@
 	klog.V(1).InfoS("Switch asked", "agent", agent.ID, "model", agent.Model, "version", model.Version,
 		"granted", granted, "replicas", c.all, "out", c.out, "allowed", allowed)
 	if granted {
-		r.permits[agent.ID] = permit{model: agent.Model, manifest: model.Manifest, from: agent.Manifest, until: now.Add(r.PermitFor)}
+		r.permits[agent.ID] = permit{model: agent.Model, weights: model.Weights(), from: agent.Weights(), until: now.Add(r.PermitFor)}
 	}
 	return granted
 }
--- a/internal/roller/roller_test.go
+++ b/internal/roller/roller_test.go
@@ -82,3 +82,24 @@
 	r.Report(back)
 	must.True(t, r.Permit(engine(1, 9), bundler.Model{Name: "rota", Version: "v3", Manifest: "newer"}))
 }
+
+// Only an adapter changes, while the model's own weights stay. Every engine has to
+// be loaded anew all the same; were all permitted at once, nobody would be left to
+// serve the model.
+func TestAdaptersRollAFewAtATime(t *testing.T) {
+	r := &roller.Roller{Clock: testclock.NewFakePassiveClock(time.Unix(0, 0))}
+	withAdapter := bundler.Model{
+		Name: "rota", Version: "v1", Manifest: "old",
+		Adapters: []bundler.Adapter{{Name: "shed", Version: "s1", Manifest: "adapter"}},
+	}
+	for i := range 12 {
+		r.Report(engine(i, 9))
+	}
+	count := 0
+	for i := range 12 {
+		if r.Permit(engine(i, 9), withAdapter) {
+			count++
+		}
+	}
+	must.Eq(t, 3, count)
+}
--- a/pkg/bundler/bundle.go
+++ b/pkg/bundler/bundle.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"slices"
+	"strings"
 )
 
 // MaxBytes is the largest encoded record, in bytes: the platform's key-value
@@ -56,6 +57,16 @@
 	Share int `json:"share,omitempty"`
 }
 
+// Weights names all that an engine must hold to serve the model: its manifest and
+// those of its adapters, in the bundle's order.
+func (m Model) Weights() string {
+	names := []string{m.Manifest}
+	for _, a := range m.Adapters {
+		names = append(names, a.Manifest)
+	}
+	return strings.Join(names, " ")
+}
+
 // Adapter is a small set of weights laid over a model's.
 type Adapter struct {
 	Name     string `json:"name"`
