Use what was there already, and count entries without copying them

Behaviour stays as it was: - the way from a caller's key to the bound one stood in the call and in the question; Dispatcher.boundKey serves both; - the ticking loops of links and members were reporter.Every written again; - the agent traced connections by itself where driver.OnConnect does it; - the limiter asks for the number of entries at each request, for which the whole list was made and thrown away; - four stand-ins read their faults, and two handlers sent what is held, by the same lines; Transfer.Draws was used by nobody.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -106,7 +106,7 @@
 	}
 	s.Add(reporter.Every("holds", a.Clock, holdEvery, a.hold))
 	s.Add(&prober{agent: a})
-	s.Add(a.links)
+	s.Add(reporter.Every("links", a.Clock, a.Heartbeat, a.links.adjust))
 	s.Add(a.links.each)
 	if _, ok := a.Upstream.(*driver.Engine); ok {
 		s.Add(a.Loader)
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -108,7 +108,7 @@
 	began := r.agent.Clock.Now()
 	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(time.Duration(o.DeadlineMS)*time.Millisecond))
 	defer cancel()
-	reply, outcome, err := call(noting(detached, t), s, o, body)
+	reply, outcome, err := call(driver.OnConnect(detached, t.Connected), s, o, body)
 	t.Done(admitter.Result{Outcome: outcome, Latency: r.agent.Clock.Since(began)})
 	return reply, err
 }
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -54,29 +54,12 @@
 	}
 }
 
-// Serve keeps a link to each entry that should hear of this agent.
-func (l *links) Serve(ctx context.Context) error {
-	defer l.closeAll()
-	t := l.agent.Clock.NewTicker(l.agent.Heartbeat)
-	defer t.Stop()
-	for {
-		l.adjust()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C():
-		}
-	}
-}
-
-func (l *links) String() string { return "links" }
-
 // announce makes all links report at once.
 func (l *links) announce() { l.due.Wake() }
 
 // adjust opens links to the chosen entries and closes the others. Until an entry
 // has answered, the seeds from the settings are all there is.
-func (l *links) adjust() {
+func (l *links) adjust(context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wanted := l.wanted()
@@ -140,14 +123,6 @@
 	delete(l.open, a)
 }
 
-func (l *links) closeAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for a, k := range l.open {
-		l.drop(a, k)
-	}
-}
-
 // next numbers the agent's accounts of itself, by whichever way they go.
 func (l *links) next() uint64 {
 	l.mu.Lock()
--- a/internal/agent/prober.go
+++ b/internal/agent/prober.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptrace"
-
-	"github.com/oriolecroft/oriolecroft/internal/admitter"
 )
 
 // prober asks the upstream for its state regularly, and at once when the gate
@@ -31,10 +28,3 @@
 }
 
 func (p *prober) String() string { return "probe" }
-
-// noting tells the gate when a request to the upstream has its connection.
-func noting(ctx context.Context, t *admitter.Ticket) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.Connected() },
-	})
-}
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -40,7 +40,7 @@
 	if s.order.From > 0 {
 		return s.engine.Resume(ctx, s.order.Stream, s.order.From)
 	}
-	return s.engine.Generate(noting(ctx, s.ticket), driver.GenerateRequest{
+	return s.engine.Generate(driver.OnConnect(ctx, s.ticket.Connected), driver.GenerateRequest{
 		RequestID: s.order.Stream,
 		Prompt:    s.order.Prompt,
 		MaxTokens: s.order.MaxTokens,
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -113,27 +113,11 @@
 	return c.bind(ctx)
 }
 
-// bind turns the caller's key into a bound one.
+// bind finds the key that the call runs under. Even the entry that binds a caller's
+// own can't say "not run" by itself: a repeat through another entry may have run
+// meanwhile.
 func (c *call) bind(ctx context.Context) error {
-	if !deduplicator.IsKey(c.request.Key) {
-		return c.claim(ctx)
-	}
-	k, err := deduplicator.ParseKey(c.request.Key)
-	if err != nil {
-		return refuse(http.StatusBadRequest, err.Error(), 0)
-	}
-	if k.Workspace != c.request.Workspace || k.Service != c.request.Service {
-		return refuse(http.StatusBadRequest, "key: was made for another workspace or service", 0)
-	}
-	c.bound = &k
-	return nil
-}
-
-// claim binds a key of the caller's own making by way of the store, so that all
-// entries send it to the same agent. Even the entry that makes the claim can't say
-// "not run" on its own: a repeat through another entry may have run meanwhile.
-func (c *call) claim(ctx context.Context) error {
-	k, err := c.dispatcher.claim(ctx, c.request.Workspace, c.request.Service, c.request.Key)
+	k, err := c.dispatcher.boundKey(ctx, c.request.Workspace, c.request.Service, c.request.Key)
 	if err != nil {
 		return err
 	}
@@ -302,7 +286,7 @@
 
 // Lookup tells what became of a key; it never starts anything.
 func (d *Dispatcher) Lookup(ctx context.Context, workspace, service, key string) (forwarder.Fate, error) {
-	k, err := d.lookupKey(ctx, workspace, service, key)
+	k, err := d.boundKey(ctx, workspace, service, key)
 	if err != nil {
 		return forwarder.FateUnknown, err
 	}
--- a/internal/dispatcher/key.go
+++ b/internal/dispatcher/key.go
@@ -25,11 +25,11 @@
 	}
 }
 
-// lookupKey finds the bound key behind what the caller gave. A key of the caller's
-// own that no call was made with yet is claimed by the question, and then closed by
-// its owner: told "not run" the caller books anew, and a call with this key that is
-// still under way must not run after that.
-func (d *Dispatcher) lookupKey(ctx context.Context, workspace, service, key string) (deduplicator.Key, error) {
+// boundKey finds the bound key behind what the caller gave. One of the caller's own
+// making is claimed if it has not been yet, whether for a call or for a question:
+// asked after and closed by its owner, it must not run when a call with it that is
+// still under way arrives; told "not run", the caller has booked anew by then.
+func (d *Dispatcher) boundKey(ctx context.Context, workspace, service, key string) (deduplicator.Key, error) {
 	if !deduplicator.IsKey(key) {
 		return d.claim(ctx, workspace, service, key)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,7 +85,7 @@
 	s.Add(&messenger.Server{Listener: e.Certifier.Listen(e.Peers), OnReport: e.report, OnExchange: e.exchange})
 	s.Add(e.Watcher)
 	s.Add(e.Dispatcher)
-	s.Add(e.members)
+	s.Add(reporter.Every("members", e.Clock, e.Heartbeat, e.members.adjust))
 	s.Add(e.members.each)
 	s.Add(&applier{entry: e})
 	if e.Certifier != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -62,23 +62,6 @@
 	}
 }
 
-// Serve keeps a link to each known entry and exchanges at each heartbeat.
-func (m *members) Serve(ctx context.Context) error {
-	t := m.entry.Clock.NewTicker(m.entry.Heartbeat)
-	defer t.Stop()
-	defer m.closeAll()
-	for {
-		m.adjust()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C():
-		}
-	}
-}
-
-func (m *members) String() string { return "members" }
-
 // mention notes the peer address of an entry.
 func (m *members) mention(a netip.AddrPort) {
 	m.mu.Lock()
@@ -100,7 +83,7 @@
 
 // adjust starts links to new entries and ends those to entries long silent. Seeds
 // stay for ever: they are the way back after a cut.
-func (m *members) adjust() {
+func (m *members) adjust(context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range m.entry.Seeds {
@@ -149,14 +132,6 @@
 	p.token = m.each.Add(p)
 }
 
-func (m *members) closeAll() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for a, p := range m.links {
-		m.drop(a, p)
-	}
-}
-
 func (m *members) isLeaving() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -252,8 +227,22 @@
 	return refs
 }
 
-// Count is how many entries are in use, at least one.
-func (m *members) count() int { return max(1, len(m.alive())) }
+// count is how many entries are in use, at least one. It is asked for each request,
+// so that no list is made for it.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	if !m.leaving && !m.listed[m.entry.ID] {
+		n++
+	}
+	for _, h := range m.heard {
+		if m.fresh(h) {
+			n++
+		}
+	}
+	return max(1, n)
+}
 
 func (m *members) setListed(ids map[string]bool) {
 	m.mu.Lock()
--- a/internal/loader/handler.go
+++ b/internal/loader/handler.go
@@ -38,12 +38,7 @@
 		body = s.body
 	}
 	l.mu.Unlock()
-	if body == nil {
-		refuse(w, http.StatusNotFound, "manifest not held")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Write(body)
+	sendHeld(w, "application/json", body)
 }
 
 func (l *Loader) serveHolding(w http.ResponseWriter, r *http.Request) {
@@ -54,12 +49,17 @@
 		have = bytes.Clone(s.transfer.Have())
 	}
 	l.mu.Unlock()
-	if have == nil {
+	sendHeld(w, "application/octet-stream", have)
+}
+
+// sendHeld answers with what is held of a manifest; nil is nothing.
+func sendHeld(w http.ResponseWriter, contentType string, data []byte) {
+	if data == nil {
 		refuse(w, http.StatusNotFound, "manifest not held")
 		return
 	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Write(have)
+	w.Header().Set("Content-Type", contentType)
+	w.Write(data)
 }
 
 // serveChunk sends a verified chunk when an upload slot is free.
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -274,9 +274,6 @@
 	return os
 }
 
-// Draws tells whether this agent is among the drawers of its region.
-func (t *Transfer) Draws() bool { return t.draws() }
-
 // recount counts the holders of each chunk anew.
 func (t *Transfer) recount() {
 	if t.holders == nil {
--- a/standins/imitator/engine.go
+++ b/standins/imitator/engine.go
@@ -335,23 +335,19 @@
 }
 
 func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults engineFaults
-	if !readJSON(w, r, &faults) {
-		return
-	}
-	klog.InfoS("faults set", "faults", faults)
-	e.mu.Lock()
-	e.faults = faults
-	if faults.Restart {
-		e.restart()
-	}
-	if faults.Cold {
-		e.coldUntil = e.Clock.Now().Add(e.ColdFor)
-		e.cache.clear()
-	}
-	e.mu.Unlock()
-	e.hang.set(faults.Hang)
-	writeJSON(w, http.StatusOK, faults)
+	takeFaults(w, r, func(faults engineFaults) {
+		e.mu.Lock()
+		e.faults = faults
+		if faults.Restart {
+			e.restart()
+		}
+		if faults.Cold {
+			e.coldUntil = e.Clock.Now().Add(e.ColdFor)
+			e.cache.clear()
+		}
+		e.mu.Unlock()
+		e.hang.set(faults.Hang)
+	})
 }
 
 func (e *Engine) getCounts(w http.ResponseWriter, _ *http.Request) {
--- a/standins/imitator/http.go
+++ b/standins/imitator/http.go
@@ -132,3 +132,14 @@
 		}
 	}
 }
+
+// takeFaults reads what a stand-in is to do wrong from now on and has it set.
+func takeFaults[T any](w http.ResponseWriter, r *http.Request, set func(T)) {
+	var faults T
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	klog.InfoS("faults set", "faults", faults)
+	set(faults)
+	writeJSON(w, http.StatusOK, faults)
+}
--- a/standins/imitator/kv.go
+++ b/standins/imitator/kv.go
@@ -382,16 +382,12 @@
 }
 
 func (k *KV) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults kvFaults
-	if !readJSON(w, r, &faults) {
-		return
-	}
-	klog.InfoS("faults set", "faults", faults)
-	k.mu.Lock()
-	k.faults = faults
-	k.changed.notify()
-	k.mu.Unlock()
-	writeJSON(w, http.StatusOK, faults)
+	takeFaults(w, r, func(faults kvFaults) {
+		k.mu.Lock()
+		k.faults = faults
+		k.changed.notify()
+		k.mu.Unlock()
+	})
 }
 
 func (k *KV) takeSnapshot(w http.ResponseWriter, _ *http.Request) {
--- a/standins/imitator/origin.go
+++ b/standins/imitator/origin.go
@@ -10,7 +10,6 @@
 	"sync"
 
 	"golang.org/x/time/rate"
-	"k8s.io/klog/v2"
 )
 
 // pieceBytes is how many bytes pass the link at a time.
@@ -264,16 +263,12 @@
 }
 
 func (o *Origin) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults originFaults
-	if !readJSON(w, r, &faults) {
-		return
-	}
-	klog.InfoS("faults set", "faults", faults)
-	o.mu.Lock()
-	o.faults = faults
-	o.changed.notify()
-	o.mu.Unlock()
-	writeJSON(w, http.StatusOK, faults)
+	takeFaults(w, r, func(faults originFaults) {
+		o.mu.Lock()
+		o.faults = faults
+		o.changed.notify()
+		o.mu.Unlock()
+	})
 }
 
 func (o *Origin) getCounts(w http.ResponseWriter, _ *http.Request) {
--- a/standins/imitator/service.go
+++ b/standins/imitator/service.go
@@ -174,19 +174,15 @@
 }
 
 func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults serviceFaults
-	if !readJSON(w, r, &faults) {
-		return
-	}
-	klog.InfoS("faults set", "faults", faults)
-	s.mu.Lock()
-	s.faults = faults
-	if faults.Restart {
-		s.restart()
-	}
-	s.mu.Unlock()
-	s.hang.set(faults.Hang)
-	writeJSON(w, http.StatusOK, faults)
+	takeFaults(w, r, func(faults serviceFaults) {
+		s.mu.Lock()
+		s.faults = faults
+		if faults.Restart {
+			s.restart()
+		}
+		s.mu.Unlock()
+		s.hang.set(faults.Hang)
+	})
 }
 
 func (s *Service) getCounts(w http.ResponseWriter, _ *http.Request) {
