--- /dev/null
+++ b/cmd/oriolecroft/platform.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/logger"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/reporter"
+	"github.com/oriolecroft/oriolecroft/platform"
+)
+
+const helpPlatform = `
+  The daemons as they run on the users' platform. Their settings file is named by
+  the environment variable ORIOLECROFT_SETTINGS.
+
+  Examples:
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform entry
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform agent`
+
+const (
+	// metricsPort is where both daemons serve metrics; deploy/system.toml names it.
+	metricsPort = 9464
+	// reservePort and chunkPort are places within the range of internal ports: where
+	// agents grant places at their engines, and hand each other chunks.
+	reservePort = 0
+	chunkPort   = 1
+	// lingerPart is the part of the drain bound for which an upstream stays in use
+	// whose record lapsed during an outage of the store.
+	lingerPart = 0.8
+	// tickEvery is how often records that lapsed and idle connections are looked at.
+	tickEvery = 200 * time.Millisecond
+	// peerTimeout bounds a message between our own processes unless the caller has a
+	// bound of its own.
+	peerTimeout = time.Second
+)
+
+func platformCommands() []command {
+	return []command{platformEntryCommand(), platformAgentCommand()}
+}
+
+// attachPlatform puts the commands under `platform`.
+func attachPlatform(commands []command) {
+	parent := flaggy.NewSubcommand("platform")
+	parent.Description = "run the daemons on the users' platform"
+	parent.AdditionalHelpAppend = helpPlatform
+	flaggy.AttachSubcommand(parent, 1)
+	for _, c := range commands {
+		parent.AttachSubcommand(c.flags, 1)
+	}
+}
+
+// daemon is what both daemons on the platform have.
+type daemon struct {
+	settings  *platform.Settings
+	registrar *registrar.Registrar
+	store     *platform.Store
+	metrics   metrics.Registry
+	parts     *suture.Supervisor
+	log       *logger.Writer
+	clock     clock.WithTicker
+}
+
+// newDaemon reads the settings and starts the log.
+func newDaemon(name string) (*daemon, error) {
+	w := logger.New(os.Stdout)
+	logger.Install(w)
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return nil, oops.Hint("see docs/OPERATIONS.md for the settings").Wrap(err)
+	}
+	c := clock.RealClock{}
+	d := &daemon{
+		settings: s,
+		store:    platform.NewStore(s.Store.Address),
+		metrics:  metrics.NewRegistry(),
+		parts:    suture.New(name, suture.Spec{EventHook: reporter.LogEvents}),
+		log:      w,
+		clock:    c,
+	}
+	d.registrar = &registrar.Registrar{
+		Clock: c, Decode: platform.Decode, Linger: time.Duration(lingerPart * float64(s.Bounds.Drain)),
+	}
+	return d, nil
+}
+
+// listen opens a port for our own processes.
+func (d *daemon) listen(a netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return nil, listenError(err, a)
+	}
+	return l, nil
+}
+
+// internalPort is one of the ports for our own processes.
+func (d *daemon) internalPort(place uint16) uint16 { return d.settings.FirstPort + place }
+
+// serveMetrics adds the address for those who look into the process.
+func (d *daemon) serveMetrics(status func() any, ready func() error) error {
+	l, err := d.listen(netip.AddrPortFrom(d.settings.IP, metricsPort))
+	if err != nil {
+		return err
+	}
+	d.parts.Add(&reporter.Web{Name: "metrics", Listener: l, Handler: reporter.Handler(status, ready, d.metrics)})
+	return nil
+}
+
+// run keeps the parts running until the context ends; leave goes first then.
+func (d *daemon) run(ctx context.Context, leave func(context.Context)) error {
+	logs, stop := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		d.log.Run(logs)
+	}()
+	klog.InfoS("Process starts", "vm", d.settings.Name, "failureDomain", d.settings.FailureDomain, "pid", os.Getpid())
+	err := reporter.RunUntil(ctx, d.parts, leave)
+	klog.InfoS("Process ends", "vm", d.settings.Name, "err", err)
+	stop()
+	<-written
+	return err
+}
+
+func (d *daemon) tick(more ...func()) {
+	d.parts.Add(reporter.Every("ticks", d.clock, tickEvery, func(context.Context) {
+		d.registrar.Tick()
+		for _, f := range more {
+			f()
+		}
+	}))
+}
+
+// dialPeer makes the client of another process of ours.
+func dialPeer(a netip.AddrPort) *messenger.Client {
+	return &messenger.Client{Address: a, Timeout: peerTimeout, Dial: connector.DialContext}
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// UnreadyError reports a process that can't take work yet.
+type UnreadyError struct{ Why string }
+
+func (e *UnreadyError) Error() string { return e.Why }
+
+// readiness turns a yes or no into what the reporter wants.
+func readiness(ready func() bool) func() error {
+	return func() error {
+		if ready() {
+			return nil
+		}
+		return &UnreadyError{Why: "not ready"}
+	}
+}
+
+// believed is what a process believes and how old that is, for its status.
+type believed struct {
+	Revision     uint64  `json:"revision"`
+	ConfirmedAgo float64 `json:"confirmedSecondsAgo"`
+	Known        bool    `json:"known"`
+	TableVersion uint64  `json:"tableVersion"`
+	Upstreams    int     `json:"upstreams"`
+	Entries      int     `json:"entries"`
+	LinesDropped int64   `json:"logLinesDropped"`
+}
+
+func (d *daemon) status() any {
+	at, age, known := d.registrar.At()
+	b := believed{Revision: at, ConfirmedAgo: age.Seconds(), Known: known, LinesDropped: d.log.Dropped()}
+	if v := d.registrar.View(); v != nil {
+		b.Upstreams, b.Entries = len(v.Upstreams), len(v.Members)
+		if v.Table != nil {
+			b.TableVersion = v.Table.Version
+		}
+	}
+	return b
+}
+
+// web makes a suture service of an HTTP handler.
+func web(name string, l net.Listener, h http.Handler) suture.Service {
+	return &reporter.Web{Name: name, Listener: l, Handler: h}
+}
--- /dev/null
+++ b/cmd/oriolecroft/platform_agent.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
+	"github.com/oriolecroft/oriolecroft/internal/loader"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+	"github.com/oriolecroft/oriolecroft/internal/stager"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+	"github.com/oriolecroft/oriolecroft/platform"
+)
+
+const helpPlatformAgent = `
+  Looks after the model engine on the same VM: brings weights into it, and grants
+  places to the entries' requests.
+
+  Example:
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform agent`
+
+const (
+	// agentMemory bounds the weights in memory, in bytes: a third of the smallest VM's.
+	agentMemory = 48 << 20
+	// chunkPatience is how long a chunk is left to the agent that should bring it, and
+	// how long a fetch may run before another source is asked: a dozen times what a
+	// chunk takes on an agent's link.
+	chunkPatience = 500 * time.Millisecond
+	// chunkSettle is the wait for news of the other agents before the origin is asked.
+	chunkSettle = 150 * time.Millisecond
+)
+
+func platformAgentCommand() command {
+	flags := newCommand("agent", "run an agent on the users' platform", helpPlatformAgent)
+	return command{flags: flags, run: runPlatformAgent}
+}
+
+func runPlatformAgent(ctx context.Context) error {
+	d, err := newDaemon("agent")
+	if err != nil {
+		return err
+	}
+	if err := addAgent(d); err != nil {
+		return err
+	}
+	return d.run(ctx, func(context.Context) {})
+}
+
+// addAgent adds the parts of an agent.
+func addAgent(d *daemon) error {
+	s := d.settings
+	client := &http.Client{Transport: &http.Transport{DialContext: connector.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
+	digests := &stager.Digester{Client: client}
+	ledger := &scheduler.Ledger{Clock: d.clock}
+	l := &loader.Loader{
+		ID: s.Upstream.String(), FailureDomain: s.FailureDomain, Region: s.Region, Clock: d.clock,
+		Sources: []fetcher.Source{digests}, Memory: agentMemory,
+		Peer: func(a netip.AddrPort) fetcher.Source {
+			return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: s.Region}
+		},
+		Patience: chunkPatience, Settle: chunkSettle, Poll: poll,
+	}
+	st := &stager.Stager{
+		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
+		Registrar: d.registrar, Loader: l, Ledger: ledger, Engine: platform.NewEngine(s.Upstream),
+		Origin:    func(a netip.AddrPort) stager.Origin { return platform.NewOrigin(a) },
+		ChunkPort: d.internalPort(chunkPort), Bound: s.Bounds.Weights, Clock: d.clock, Digests: digests,
+	}
+	d.parts.Add(l)
+	d.parts.Add(st)
+	d.parts.Add(&syncer.Syncer{
+		ID: s.Name, Region: s.Region, Registrar: d.registrar, Store: d.store,
+		Seeds: s.Seeds, Dial: dialPeer, Clock: d.clock, Random: newRandom(),
+	})
+	d.tick()
+	return addAgentListeners(d, l, digests, &reserver{ledger: ledger, stager: st})
+}
+
+func addAgentListeners(d *daemon, l *loader.Loader, digests *stager.Digester, r *reserver) error {
+	places, err := d.listen(netip.AddrPortFrom(d.settings.IP, d.internalPort(reservePort)))
+	if err != nil {
+		return err
+	}
+	chunks, err := d.listen(netip.AddrPortFrom(d.settings.IP, d.internalPort(chunkPort)))
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", l.Handler())
+	mux.Handle(stager.VersionsPath, digests.Handler())
+	d.parts.Add(web("chunks", chunks, mux))
+	d.parts.Add(&messenger.Server{Listener: places, OnReserve: r.reserve, OnProgress: r.progress, OnLost: r.lost})
+	return d.serveMetrics(d.status, readiness(func() bool { return d.registrar.View() != nil }))
+}
+
+// reserver answers entries that ask for places.
+type reserver struct {
+	ledger *scheduler.Ledger
+	stager *stager.Stager
+}
+
+func (r *reserver) reserve(q messenger.Reservation, from *messenger.Link) messenger.Verdict {
+	v := r.ledger.Reserve(scheduler.Job{
+		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Patience: q.Patience(), Left: q.Left(),
+	}, from)
+	klog.InfoS("Place asked", "request", q.Request, "granted", v.Granted, "closed", v.Closed, "wait", v.Wait,
+		"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt)
+	return messenger.Verdict{
+		Granted: v.Granted, Closed: v.Closed, Version: r.stager.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
+		FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
+	}
+}
+
+func (r *reserver) progress(p messenger.Progress, _ *messenger.Link) {
+	for _, id := range p.Started {
+		r.ledger.Started(id)
+	}
+	for _, id := range p.Ended {
+		r.ledger.Ended(id)
+	}
+}
+
+func (r *reserver) lost(from *messenger.Link) { r.ledger.Lost(from) }
--- /dev/null
+++ b/cmd/oriolecroft/platform_entry.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/hoster"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+	"github.com/oriolecroft/oriolecroft/platform"
+)
+
+const helpPlatformEntry = `
+  Answers callers, the platform's checks, and those who ask which entry to use.
+
+  Example:
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform entry`
+
+const (
+	// retryShare is the part of the retry bound that all entries together use; the
+	// rest is a margin for entries that come and go.
+	retryShare = 0.6
+	// retryEntries is among how many entries the slack of the retry bound is divided.
+	retryEntries = 12
+)
+
+func platformEntryCommand() command {
+	flags := newCommand("entry", "run an entry on the users' platform", helpPlatformEntry)
+	return command{flags: flags, run: runPlatformEntry}
+}
+
+func runPlatformEntry(ctx context.Context) error {
+	d, err := newDaemon("entry")
+	if err != nil {
+		return err
+	}
+	e, err := newPlatformEntry(d)
+	if err != nil {
+		return err
+	}
+	return e.run(ctx)
+}
+
+// platformEntry is an entry put together.
+type platformEntry struct {
+	*daemon
+	hoster *hoster.Hoster
+	served chan error
+}
+
+func newPlatformEntry(d *daemon) (*platformEntry, error) {
+	s := d.settings
+	chooser := &scheduler.Chooser{Clock: d.clock, Random: newRandom()}
+	placer := &relayer.Placer{
+		Registrar: d.registrar, Chooser: chooser, Clock: d.clock,
+		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
+		AgentPort: d.internalPort(reservePort), Dial: dialPeer, WeightsBound: s.Bounds.Weights,
+	}
+	opened := metrics.GetOrRegisterCounter("upstreamConnections", d.metrics)
+	pool := &relayer.Pool{Clock: d.clock, Opened: func() { opened.Inc(1) }}
+	member := registrar.Member{
+		ID: s.Name, Incarnation: uuid.NewString(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Callers: s.Callers, Peers: s.Peers,
+	}
+	e := &platformEntry{daemon: d, served: make(chan error, 1)}
+	e.hoster = &hoster.Hoster{
+		Registrar: d.registrar, Clock: d.clock, Grace: s.Bounds.Grace,
+		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock},
+		Requests: &relayer.Relayer{
+			Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
+			Budget: retryBudget(s.Bounds, d), Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
+		},
+	}
+	e.hoster.Registration.Ready = e.hoster.Ready
+	d.parts.Add(e.hoster.Registration)
+	d.parts.Add(&syncer.Syncer{
+		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
+		Seeds: others(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.clock, Random: newRandom(),
+	})
+	d.tick(pool.Sweep, placer.Sweep)
+	return e, e.listenAll()
+}
+
+// retryBudget divides what all entries may send beyond first attempts.
+func retryBudget(b platform.Bounds, d *daemon) *retrier.Budget {
+	slack := retryShare * b.RetrySlack / retryEntries
+	return &retrier.Budget{
+		Clock: d.clock, Share: retryShare * b.RetryRatio,
+		Floor: slack / max(1, b.RetryWindow.Seconds()) / 2, Burst: max(1, slack/2),
+	}
+}
+
+// others are the addresses that aren't this process's own.
+func others(as []netip.AddrPort, own netip.AddrPort) []netip.AddrPort {
+	var rest []netip.AddrPort
+	for _, a := range as {
+		if a != own {
+			rest = append(rest, a)
+		}
+	}
+	return rest
+}
+
+// listenAll opens all listeners, so that a port in use is told at the start.
+func (e *platformEntry) listenAll() error {
+	s := e.settings
+	var listeners [4]net.Listener
+	for i, a := range []netip.AddrPort{s.Callers, s.Ready, s.Directory, s.Peers} {
+		l, err := e.listen(a)
+		if err != nil {
+			return err
+		}
+		listeners[i] = l
+	}
+	e.hoster.Callers = listeners[0]
+	e.parts.Add(web("ready", listeners[1], platform.Ready(e.hoster.Ready)))
+	e.parts.Add(web("directory", listeners[2], platform.Directory(e.registrar)))
+	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.clock)})
+	return e.serveMetrics(e.status, readiness(e.hoster.Ready))
+}
+
+func (e *platformEntry) run(ctx context.Context) error {
+	go func() { e.served <- e.hoster.Run(ctx) }()
+	return e.daemon.run(ctx, func(context.Context) {
+		if err := <-e.served; err != nil {
+			klog.ErrorS(err, "Callers' listener failed")
+		}
+		// Answers on their way out still need a moment on the wire.
+		time.Sleep(lastWrites)
+	})
+}
+
+// lastWrites is the time that the last answers get to leave the VM.
+const lastWrites = 50 * time.Millisecond
--- /dev/null
+++ b/internal/hoster/hoster.go
@@ -0,0 +1,100 @@
+package hoster
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+)
+
+const (
+	// AnswerTTL is how long callers may use an answer of the directory. Some use it
+	// three times as long; an entry that leaves has to serve them until then.
+	AnswerTTL = time.Second
+	// staleAnswers is how long callers come that still hold an old answer.
+	staleAnswers = 3*AnswerTTL + 300*time.Millisecond
+	// killMargin is how much before the kill a leaving entry is gone by itself.
+	killMargin = 500 * time.Millisecond
+	// headerTimeout and idleTimeout bound a caller's connection. Both are above what
+	// route tables allow callers, so that no proper one is cut off.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeader bounds a request's header in bytes; the route table's limit is below.
+	maxHeader = 64 << 10
+)
+
+// Hoster runs the listeners of an entry. Set the exported fields before Run.
+type Hoster struct {
+	Callers   net.Listener
+	Requests  http.Handler
+	Registrar *registrar.Registrar
+	// Registration is taken back first of all when the entry leaves.
+	Registration *syncer.Registration
+	// Grace is the time between the signal to stop and the kill.
+	Grace time.Duration
+	Clock clock.Clock
+
+	leaving atomic.Bool
+}
+
+// Ready tells whether callers may come.
+func (h *Hoster) Ready() bool {
+	v := h.Registrar.View()
+	return !h.leaving.Load() && v != nil && v.Table != nil
+}
+
+// Leaving tells whether the entry is on its way out.
+func (h *Hoster) Leaving() bool { return h.leaving.Load() }
+
+// Run serves callers until the context ends, and then until the last of them that
+// were told of this entry have come and got their answers.
+func (h *Hoster) Run(ctx context.Context) error {
+	s := &http.Server{
+		Handler: h.Requests, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: nil,
+	}
+	left := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(left)
+		h.leave(s)
+	})
+	err := s.Serve(h.Callers)
+	if stop() {
+		return err
+	}
+	<-left
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// leave goes off the directory at once, serves those who still come, and closes the
+// listener only when nobody can come any more.
+func (h *Hoster) leave(s *http.Server) {
+	began := h.Clock.Now()
+	h.leaving.Store(true)
+	klog.InfoS("Entry leaves")
+	ctx, cancel := context.WithTimeout(context.Background(), h.Grace-killMargin)
+	defer cancel()
+	go h.Registration.Leave(ctx)
+	// Replies now tell callers to close their connections.
+	s.SetKeepAlivesEnabled(false)
+	select {
+	case <-h.Clock.After(staleAnswers):
+	case <-ctx.Done():
+	}
+	if err := s.Shutdown(ctx); err != nil {
+		klog.InfoS("Requests cut at the end of the grace", "err", err)
+		s.Close()
+	}
+	klog.InfoS("Entry left", "after", h.Clock.Since(began))
+}
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -147,19 +147,10 @@
 	default:
 		s.fromOrigin += int64(len(data))
 	}
-	c := l.chunks[digest]
-	if c == nil || c.data != nil {
+	if c := l.chunks[digest]; c == nil || c.data != nil {
 		return
 	}
-	c.data = data
-	for _, other := range l.sets {
-		if other.transfer == nil {
-			continue
-		}
-		for _, i := range other.places[digest] {
-			other.transfer.Gain(i)
-		}
-	}
+	l.gain(digest, data)
 	l.announce()
 	if s.transfer.Whole() {
 		klog.InfoS("Weights whole", "agent", l.ID, "manifest", s.digest, "version", s.manifest.Version,
@@ -297,6 +288,13 @@
 		klog.V(1).InfoS("No manifest yet", "agent", l.ID, "manifest", s.digest, "err", err)
 		return
 	}
+	if s.manifest == nil {
+		s.take(m, body)
+	}
+}
+
+// take keeps the manifest.
+func (s *set) take(m *fetcher.Manifest, body []byte) {
 	s.manifest, s.body = m, body
 	s.places = make(map[string][]int, len(m.Chunks))
 	for i, c := range m.Chunks {
--- /dev/null
+++ b/internal/matcher/table.go
@@ -0,0 +1,222 @@
+// Package matcher finds what a request asks for in the operators' route table:
+// the route by host and longest path prefix, the workspace by API key, and what
+// both allow.
+package matcher
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind is what may be done with a request of a route when its first attempt
+// fails.
+type Kind int
+
+// The kinds of route. The zero value is the one that promises least.
+const (
+	// NonIdempotent requests may run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run again.
+	Idempotent
+	// Streaming requests are answered by a series of events.
+	Streaming
+)
+
+// String gives the kind's name in logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "nonIdempotent"
+	}
+}
+
+// Route tells where requests of one host and path prefix go.
+type Route struct {
+	Name string
+	// Host is in lower case and without a port.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller may be kept waiting; 0 for none.
+	Timeout time.Duration
+	// Objective is the time to the answer, or a stream's first event, within which
+	// it is worth most to the caller; 0 for none.
+	Objective time.Duration
+	// PauseObjective is the longest pause between two events of a stream that is
+	// still good; 0 for none.
+	PauseObjective time.Duration
+	// Priority ranks the route; 0 goes first.
+	Priority int
+	// Targets are the services that may serve it, by weight.
+	Targets []Target
+	// MaxAttempts is the number of upstreams to which one request may be sent; at
+	// least 1.
+	MaxAttempts int
+	// Public routes need no API key.
+	Public bool
+	// Generates marks requests to model engines.
+	Generates bool
+	// Resumable streams may go on at another upstream behind the last event that
+	// the caller has.
+	Resumable bool
+	// Regions are the only ones in which requests may be served; empty for all.
+	Regions []string
+}
+
+// Target is a service with its share of a route's requests.
+type Target struct {
+	Service string
+	// Weight is the share in relation to the other targets' weights.
+	Weight int
+}
+
+// Repeatable tells whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Target picks a service by the weights; u is uniform in [0, 1).
+func (r *Route) Target(u float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := int(u * float64(total))
+	for _, t := range r.Targets {
+		if left < t.Weight {
+			return t.Service
+		}
+		left -= t.Weight
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[0].Service
+}
+
+// Workspace is whom a request is for.
+type Workspace struct {
+	Name string
+	// Priority goes before the route's; nil when the workspace has none.
+	Priority *int
+	// Regions are the only ones in which its requests may be served; empty for all.
+	Regions []string
+}
+
+// Service is a group of like upstreams.
+type Service struct {
+	Name string
+	// MaxConnections is how many connections one upstream accepts from all callers
+	// together; 0 when not told.
+	MaxConnections int
+	// ColdRate is the requests a second that a cold upstream bears; 0 for no limit.
+	ColdRate float64
+	// Engine is set for model engines.
+	Engine *Engine
+	// Origin is set for the service that hands out weights. It is no target for
+	// requests.
+	Origin *Origin
+}
+
+// Engine holds the figures of a service's model engines.
+type Engine struct {
+	// Slots is how many requests run in one batch.
+	Slots int
+	// Memory is how many tokens the KV cache holds.
+	Memory int
+	// Stride is how many steps a pass makes while requests write.
+	Stride int
+	// Chunk is how many prompt tokens a step reads at most.
+	Chunk int
+	// Step is how long a token step takes, and PerRequest and PerThousand what each
+	// writing request and each thousand tokens of its context add.
+	Step, PerRequest, PerThousand time.Duration
+	// ReadPerSecond is how many prompt tokens are read a second.
+	ReadPerSecond float64
+	// PerMillionPairs is what a million pairs of a token and an earlier one add to
+	// the reading.
+	PerMillionPairs time.Duration
+	// UsualPrompt and UsualAnswer are mean sizes in tokens.
+	UsualPrompt, UsualAnswer int
+	// Models are those that the engines may hold.
+	Models []string
+	// Layers is how many layers a model has.
+	Layers int
+	// Chunks and ChunkBytes are the shape of a set of weights.
+	Chunks     int
+	ChunkBytes int64
+	// Load is how long whole weights take to load.
+	Load time.Duration
+}
+
+// Origin is where weights come from when no agent has them.
+type Origin struct {
+	Address       netip.AddrPort
+	FailureDomain string
+	// MaxConnections is how many connections it accepts from all callers together.
+	MaxConnections int
+}
+
+// Limits bound what a caller may send; 0 for no limit.
+type Limits struct {
+	HeaderBytes, BodyBytes int64
+	// HeaderTimeout is how long a request's header may take, IdleTimeout how long
+	// a connection may stay idle.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Table is one version of the route table. It isn't changed once it is in use.
+type Table struct {
+	// Version rises with each change, in uneven steps.
+	Version  uint64
+	Routes   []*Route
+	Services map[string]*Service
+	// Keys gives the workspace that holds an API key; nil when requests need none.
+	Keys   map[string]*Workspace
+	Limits Limits
+
+	hosts map[string][]*Route
+}
+
+// Index prepares the table for Match. It must be called once before use.
+func (t *Table) Index() {
+	t.hosts = map[string][]*Route{}
+	for _, r := range t.Routes {
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, rs := range t.hosts {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+// Match gives the route of the host with the longest prefix that begins the path;
+// nil when there is none. The host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.Host(host) {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Host lists a host's routes, the longest prefix first.
+func (t *Table) Host(host string) []*Route {
+	if h, _, ok := strings.Cut(host, ":"); ok {
+		host = h
+	}
+	return t.hosts[strings.ToLower(host)]
+}
+
+// Permits tells whether a region is among those allowed; an empty list allows all.
+func Permits(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
 
 // Methods of the protocol between our own processes.
@@ -132,6 +134,14 @@
 	OnReport func(Report, *Link) News
 	// OnExchange answers another entry.
 	OnExchange func(Exchange) Exchange
+	// OnRecords answers any process; it may hold the answer back for the wait asked
+	// for, without holding up other messages of the connection.
+	OnRecords func(context.Context, RecordsQuery) registrar.Batch
+	// OnReserve and OnProgress answer an entry at an agent; the link names the
+	// entry's connection. OnLost tells that a connection is over.
+	OnReserve  func(Reservation, *Link) Verdict
+	OnProgress func(Progress, *Link)
+	OnLost     func(*Link)
 }
 
 // Serve accepts connections until the context ends.
@@ -152,22 +162,59 @@
 
 func (s *Server) accept(ctx context.Context, raw net.Conn) {
 	l := &Link{latest: make(chan News, 1)}
-	h := func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-		return s.handle(r, l)
+	h := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		return s.handle(ctx, r, l)
 	}
-	conn := jsonrpc2.NewConn(ctx, newStream(raw), jsonrpc2.HandlerWithError(h), quiet)
-	go l.run(ctx, conn)
+	conn := jsonrpc2.NewConn(ctx, newStream(raw), concurrentRecords{jsonrpc2.HandlerWithError(h)}, quiet)
+	go func() {
+		l.run(ctx, conn)
+		if s.OnLost != nil {
+			s.OnLost(l)
+		}
+	}()
 }
 
-func (s *Server) handle(r *jsonrpc2.Request, l *Link) (any, error) {
-	switch r.Method {
-	case methodReport:
+// concurrentRecords answers questions for records beside the other messages of a
+// connection, which are handled in order: such an answer may be held back.
+type concurrentRecords struct{ jsonrpc2.Handler }
+
+// Handle implements jsonrpc2.Handler.
+func (c concurrentRecords) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Method == methodRecords {
+		go c.Handler.Handle(ctx, conn, r)
+		return
+	}
+	c.Handler.Handle(ctx, conn, r)
+}
+
+func (s *Server) handle(ctx context.Context, r *jsonrpc2.Request, l *Link) (any, error) {
+	switch {
+	case r.Method == methodRecords && s.OnRecords != nil:
+		var q RecordsQuery
+		if err := decode(r, &q); err != nil {
+			return nil, err
+		}
+		return s.OnRecords(ctx, q), nil
+	case r.Method == methodReserve && s.OnReserve != nil:
+		var v Reservation
+		if err := decode(r, &v); err != nil {
+			return nil, err
+		}
+		return s.OnReserve(v, l), nil
+	case r.Method == methodProgress && s.OnProgress != nil:
+		var p Progress
+		if err := decode(r, &p); err != nil {
+			return nil, err
+		}
+		s.OnProgress(p, l)
+		return nil, nil
+	case r.Method == methodReport && s.OnReport != nil:
 		var report Report
 		if err := decode(r, &report); err != nil {
 			return nil, err
 		}
 		return s.OnReport(report, l), nil
-	case methodExchange:
+	case r.Method == methodExchange && s.OnExchange != nil:
 		var x Exchange
 		if err := decode(r, &x); err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/messenger/placing.go
@@ -0,0 +1,112 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+)
+
+// Methods between entries and agents that place requests, and of all processes that
+// hand each other records of the store.
+const (
+	methodRecords  = "records"
+	methodReserve  = "reserve"
+	methodProgress = "progress"
+)
+
+// RecordsQuery asks for what changed after a revision. The answer comes at once if
+// anything did, and else after WaitMS milliseconds.
+type RecordsQuery struct {
+	After  uint64 `json:"after"`
+	WaitMS int64  `json:"waitMs"`
+}
+
+// Reservation asks an agent for a place at its engine.
+type Reservation struct {
+	// Request names the attempt; Upstream is the start of the engine that is meant.
+	Request  string `json:"request"`
+	Upstream string `json:"upstream"`
+	Model    string `json:"model,omitempty"`
+	// Prompt and Answer are the request's size in tokens, Answer as far as known.
+	Prompt int `json:"prompt"`
+	Answer int `json:"answer"`
+	// PatienceMS is how long, in milliseconds, it may wait before its prompt is read.
+	PatienceMS int64 `json:"patienceMs"`
+	// LeftMS is the time that its caller still waits.
+	LeftMS int64 `json:"leftMs"`
+}
+
+// Verdict is an agent's answer to a reservation, with its load after it.
+type Verdict struct {
+	Granted bool `json:"granted,omitempty"`
+	// Closed says why the engine takes nothing at all now.
+	Closed string `json:"closed,omitempty"`
+	// Version is that of the weights which the engine holds.
+	Version uint64 `json:"version,omitempty"`
+	// WaitMS is how long a request granted now waits before its prompt is read.
+	WaitMS int64 `json:"waitMs"`
+	// FreeMS is in how many milliseconds there may be a place, for one not granted.
+	FreeMS int64 `json:"freeMs,omitempty"`
+	// Active are the requests that hold places, of Slots.
+	Active int `json:"active"`
+	Slots  int `json:"slots"`
+}
+
+// Progress tells an agent what became of reservations.
+type Progress struct {
+	// Started requests have their first event, Ended ones need no place any more.
+	Started []string `json:"started,omitempty"`
+	Ended   []string `json:"ended,omitempty"`
+}
+
+// Records asks another process for records. The client's Timeout must be longer
+// than the wait.
+func (c *Client) Records(ctx context.Context, q RecordsQuery) (registrar.Batch, error) {
+	var b registrar.Batch
+	err := c.call(ctx, methodRecords, q, &b)
+	return b, err
+}
+
+// Reserve asks an agent for a place.
+func (c *Client) Reserve(ctx context.Context, r Reservation) (Verdict, error) {
+	var v Verdict
+	err := c.call(ctx, methodReserve, r, &v)
+	return v, err
+}
+
+// Tell sends progress without waiting for an answer. Progress that is lost is made
+// good by the engine's own count.
+func (c *Client) Tell(ctx context.Context, p Progress) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return &UnreachableError{Address: c.Address, Err: err}
+	}
+	if err := conn.Notify(ctx, methodProgress, p); err != nil {
+		c.drop(conn)
+		return &UnreachableError{Address: c.Address, Err: err}
+	}
+	return nil
+}
+
+// maxRecordsWait bounds how long a peer may have an answer held back.
+const maxRecordsWait = 5 * time.Second
+
+// Wait is WaitMS as a duration, within bounds.
+func (q RecordsQuery) Wait() time.Duration {
+	return min(max(0, time.Duration(q.WaitMS)*time.Millisecond), maxRecordsWait)
+}
+
+// Patience is PatienceMS as a duration.
+func (r Reservation) Patience() time.Duration { return time.Duration(r.PatienceMS) * time.Millisecond }
+
+// Left is LeftMS as a duration.
+func (r Reservation) Left() time.Duration { return time.Duration(r.LeftMS) * time.Millisecond }
+
+// Wait is WaitMS as a duration.
+func (v Verdict) Wait() time.Duration { return time.Duration(v.WaitMS) * time.Millisecond }
+
+// Free is FreeMS as a duration.
+func (v Verdict) Free() time.Duration { return time.Duration(v.FreeMS) * time.Millisecond }
--- /dev/null
+++ b/internal/registrar/registrar.go
@@ -0,0 +1,308 @@
+// Package registrar holds what a process believes of the deployment: the records
+// of the platform's store, each with its revision, and the facts that they state.
+// Records come from the store or from another process and only ever move up.
+package registrar
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/notifier"
+)
+
+// Record is a key of the store as it was at a revision.
+type Record struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Revision is the store's counter at this change.
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Batch is a run of changes.
+type Batch struct {
+	// Whole batches hold all records there are: what they don't name is gone.
+	Whole bool `json:"whole,omitempty"`
+	// After and At bound the revisions that a batch covers; After means nothing in a
+	// whole one.
+	After   uint64   `json:"after"`
+	At      uint64   `json:"at"`
+	Records []Record `json:"records,omitempty"`
+	// Age is how long ago the store confirmed that At was its newest revision.
+	Age time.Duration `json:"age"`
+}
+
+// NewsTimeout is how old a confirmation may be before a process counts as out of
+// touch with the store: three of the waits after which a watch answers without
+// news.
+const NewsTimeout = 3 * time.Second
+
+// tombstones is how many deletions are remembered for other processes. One that
+// is further behind gets the whole state, some ten kilobytes.
+const tombstones = 512
+
+// Registrar is safe for concurrent use. Set the exported fields before use.
+type Registrar struct {
+	Clock clock.PassiveClock
+	// Decode reads a record; a nil fact without an error is of no interest.
+	Decode func(key string, value []byte) (Fact, error)
+	// Linger is how long an upstream stays in use whose record went while the store
+	// was out of reach: leases end then although the upstream lives, and it is back
+	// soon after. It must be shorter than the time within which a leaving upstream
+	// has to be left alone.
+	Linger time.Duration
+
+	mu        sync.Mutex
+	records   map[string]Record
+	facts     map[string]Fact
+	lingering map[string]time.Time
+	learned   map[string]time.Time
+	// floor is the revision above which all deletions are remembered.
+	floor     uint64
+	at        uint64
+	confirmed time.Time
+	// outage is when the store was last found out of reach.
+	outage time.Time
+	view   atomic.Pointer[View]
+	change notifier.Broadcast
+}
+
+// Apply takes a batch over and tells whether anything changed. A batch that begins
+// above what is known is of no use and is passed over.
+func (r *Registrar) Apply(b Batch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !b.Whole && b.After > r.at {
+		return false
+	}
+	if r.records == nil {
+		r.records = map[string]Record{}
+		r.facts = map[string]Fact{}
+		r.lingering = map[string]time.Time{}
+		r.learned = map[string]time.Time{}
+	}
+	changed := r.view.Load() == nil
+	for _, rec := range b.Records {
+		changed = r.take(rec) || changed
+	}
+	if b.Whole && b.At >= r.at {
+		changed = r.dropUnnamed(b) || changed
+	}
+	r.at = max(r.at, b.At)
+	if confirmed := r.Clock.Now().Add(-b.Age); b.At >= r.at && confirmed.After(r.confirmed) {
+		r.confirmed = confirmed
+	}
+	if changed {
+		r.publish()
+	}
+	return changed
+}
+
+// take keeps a record that is newer than the one known.
+func (r *Registrar) take(rec Record) bool {
+	if known, ok := r.records[rec.Key]; ok && known.Revision >= rec.Revision {
+		return false
+	}
+	r.records[rec.Key] = rec
+	if rec.Deleted {
+		r.forget(rec.Key)
+		return true
+	}
+	f, err := r.Decode(rec.Key, rec.Value)
+	if err != nil {
+		klog.ErrorS(err, "Record not understood", "key", rec.Key, "revision", rec.Revision)
+		r.misread(rec.Key)
+		return true
+	}
+	if f == nil {
+		return true
+	}
+	if !r.raises(rec.Key, f) {
+		klog.InfoS("Record ignored: its version is below the one in force", "key", rec.Key, "revision", rec.Revision)
+		return true
+	}
+	r.facts[rec.Key] = f
+	r.learned[rec.Key] = r.Clock.Now()
+	delete(r.lingering, rec.Key)
+	r.logFact(f, rec)
+	return true
+}
+
+// raises keeps versions from going down. A store that was restored to an older
+// state would otherwise bring back routes and weights that were replaced.
+func (r *Registrar) raises(key string, f Fact) bool {
+	switch f := f.(type) {
+	case Table:
+		old, ok := r.facts[key].(Table)
+		return !ok || f.Version >= old.Version
+	case Weights:
+		old, ok := r.facts[key].(Weights)
+		return !ok || f.Version >= old.Version
+	default:
+		return true
+	}
+}
+
+// misread takes back what a key said when its new value can't be read. A route
+// table and a version of weights stay in force, as there is always one; anything
+// else names nothing that could be used.
+func (r *Registrar) misread(key string) {
+	switch r.facts[key].(type) {
+	case Table, Weights:
+	default:
+		delete(r.facts, key)
+	}
+}
+
+// forget takes a deleted key out of use.
+func (r *Registrar) forget(key string) {
+	f := r.facts[key]
+	switch f := f.(type) {
+	case Table, Weights:
+		klog.InfoS("Deletion ignored", "key", key)
+		return
+	case Upstream:
+		if !f.Leaving && r.Clock.Since(r.outage) < NewsTimeout && !r.outage.IsZero() {
+			r.lingering[key] = r.Clock.Now().Add(r.Linger)
+			klog.InfoS("Upstream's record lapsed around an outage of the store", "upstream", f.ID, "keptFor", r.Linger)
+			return
+		}
+		klog.InfoS("Upstream gone", "upstream", f.ID, "service", f.Service)
+	case Member:
+		klog.InfoS("Entry gone", "entry", f.ID)
+	case Drained:
+		klog.InfoS("Failure domain returned", "failureDomain", f.FailureDomain)
+	}
+	delete(r.facts, key)
+}
+
+func (r *Registrar) logFact(f Fact, rec Record) {
+	switch f := f.(type) {
+	case Table:
+		klog.InfoS("Route table in force", "version", f.Version, "revision", rec.Revision, "routes", len(f.Routes))
+	case Weights:
+		klog.InfoS("Weights named", "model", f.Model, "version", f.Version, "revision", rec.Revision)
+	case Drained:
+		klog.InfoS("Failure domain drained", "failureDomain", f.FailureDomain, "revision", rec.Revision)
+	case Upstream:
+		klog.InfoS("Upstream told", "upstream", f.ID, "service", f.Service, "address", f.Address,
+			"failureDomain", f.FailureDomain, "leaving", f.Leaving, "models", f.Models, "cold", f.Cold, "revision", rec.Revision)
+	case Member:
+		klog.InfoS("Entry told", "entry", f.ID, "callers", f.Callers, "revision", rec.Revision)
+	}
+}
+
+// dropUnnamed deletes the known records that a whole batch doesn't have.
+func (r *Registrar) dropUnnamed(b Batch) bool {
+	named := make(map[string]bool, len(b.Records))
+	for _, rec := range b.Records {
+		named[rec.Key] = true
+	}
+	changed := false
+	for _, key := range slices.Collect(maps.Keys(r.records)) {
+		if rec := r.records[key]; !named[key] && !rec.Deleted && rec.Revision <= b.At {
+			changed = r.take(Record{Key: key, Revision: b.At, Deleted: true}) || changed
+		}
+	}
+	// Deletions up to here may have gone unseen, so others can't be told of them.
+	r.floor = max(r.floor, b.At)
+	return changed
+}
+
+// Since gives what changed after a revision, for another process.
+func (r *Registrar) Since(after uint64) Batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := Batch{After: after, At: r.at, Age: r.Clock.Since(r.confirmed), Whole: after < r.floor}
+	if after > r.at {
+		return b
+	}
+	for _, rec := range r.records {
+		if rec.Revision > after && !(b.Whole && rec.Deleted) || b.Whole && !rec.Deleted {
+			b.Records = append(b.Records, rec)
+		}
+	}
+	slices.SortFunc(b.Records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
+	return b
+}
+
+// At is the revision up to which all changes are known, and how long ago the store
+// confirmed it as the newest. Known is false before the first batch.
+func (r *Registrar) At() (at uint64, age time.Duration, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at, r.Clock.Since(r.confirmed), r.view.Load() != nil
+}
+
+// StoreLost notes that the store could not be reached just now.
+func (r *Registrar) StoreLost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outage = r.Clock.Now()
+}
+
+// Changed gives a channel that is closed at the next change.
+func (r *Registrar) Changed() <-chan struct{} { return r.change.Wait() }
+
+// prune forgets the oldest deletions.
+func (r *Registrar) prune() {
+	var gone []Record
+	for _, rec := range r.records {
+		if rec.Deleted {
+			gone = append(gone, rec)
+		}
+	}
+	if len(gone) <= tombstones {
+		return
+	}
+	slices.SortFunc(gone, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, rec := range gone[:len(gone)-tombstones] {
+		r.floor = max(r.floor, rec.Revision)
+		delete(r.records, rec.Key)
+	}
+}
+
+// Tick ends the use of upstreams whose records did not come back.
+func (r *Registrar) Tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	ended := false
+	for key, until := range r.lingering {
+		if now.Before(until) {
+			continue
+		}
+		delete(r.lingering, key)
+		delete(r.facts, key)
+		klog.InfoS("Upstream gone: its record did not come back", "key", key)
+		ended = true
+	}
+	if ended {
+		r.publish()
+	}
+}
+
+func (r *Registrar) publish() {
+	r.prune()
+	r.view.Store(newView(r))
+	r.change.Wake()
+}
+
+// View gives the facts as of now; nil before the first batch.
+func (r *Registrar) View() *View { return r.view.Load() }
+
+// Fresh tells whether the store confirmed what is known lately.
+func (r *Registrar) Fresh() bool {
+	_, age, known := r.At()
+	return known && age < NewsTimeout
+}
+
+func compareIDs(a, b string) int { return strings.Compare(a, b) }
--- /dev/null
+++ b/internal/registrar/view.go
@@ -0,0 +1,93 @@
+package registrar
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+)
+
+// View is all facts at one moment. It is never changed.
+type View struct {
+	// Revision is the store's counter at the newest change taken in.
+	Revision uint64
+	// Table is nil while no route table is known.
+	Table *matcher.Table
+	// Upstreams are sorted by ID.
+	Upstreams []*UpstreamView
+	// Members are sorted by ID.
+	Members []Member
+
+	services map[string][]*UpstreamView
+	drained  map[string]bool
+	weights  map[string]WeightsView
+}
+
+// UpstreamView is an upstream and when this process heard of it.
+type UpstreamView struct {
+	Upstream
+	// ColdUntil is when it is cold no more.
+	ColdUntil time.Time
+	// Revision is the store's counter at its record.
+	Revision uint64
+}
+
+// WeightsView is a named version and when this process learned of it.
+type WeightsView struct {
+	Weights
+	Learned time.Time
+}
+
+func newView(r *Registrar) *View {
+	v := &View{
+		Revision: r.at,
+		services: map[string][]*UpstreamView{},
+		drained:  map[string]bool{},
+		weights:  map[string]WeightsView{},
+	}
+	for key, f := range r.facts {
+		v.Revision = max(v.Revision, r.records[key].Revision)
+		switch f := f.(type) {
+		case Table:
+			v.Table = f.Table
+		case Upstream:
+			u := &UpstreamView{Upstream: f, ColdUntil: r.learned[key].Add(f.Cold), Revision: r.records[key].Revision}
+			v.Upstreams = append(v.Upstreams, u)
+		case Drained:
+			v.drained[f.FailureDomain] = true
+		case Weights:
+			v.weights[f.Model] = WeightsView{Weights: f, Learned: r.learned[key]}
+		case Member:
+			v.Members = append(v.Members, f)
+		}
+	}
+	slices.SortFunc(v.Upstreams, func(a, b *UpstreamView) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(v.Members, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
+	for _, u := range v.Upstreams {
+		v.services[u.Service] = append(v.services[u.Service], u)
+	}
+	return v
+}
+
+// Service lists the upstreams of a service, sorted by ID.
+func (v *View) Service(name string) []*UpstreamView { return v.services[name] }
+
+// Drained tells whether a failure domain is to get nothing.
+func (v *View) Drained(failureDomain string) bool { return v.drained[failureDomain] }
+
+// Weights gives the version of a model that engines are to hold; false while none
+// was named.
+func (v *View) Weights(model string) (WeightsView, bool) {
+	w, ok := v.weights[model]
+	return w, ok
+}
+
+// Holds gives the version of a model that the upstream said it holds; 0 for none.
+func (u *UpstreamView) Holds(model string) uint64 {
+	for _, m := range u.Models {
+		if m.Name == model {
+			return m.Version
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/relayer/attempt.go
@@ -0,0 +1,161 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+const (
+	// bufferedReply is up to which size, in bytes, a plain reply is read whole before
+	// it is handed on: so one that breaks off can still become another attempt or an
+	// honest failure.
+	bufferedReply = 256 << 10
+	// firstEventGrace is what a stream's first event may take beyond the prediction
+	// before the engine is given up, besides a factor of firstEventFactor.
+	firstEventGrace  = 1200 * time.Millisecond
+	firstEventFactor = 2
+	// eventGap is how long an engine may pause within a stream before another goes on
+	// with it. Callers leave after two seconds.
+	eventGap = 1300 * time.Millisecond
+)
+
+// UnusableError reports a reply that can't be handed on.
+type UnusableError struct{ Problem string }
+
+func (e *UnusableError) Error() string { return e.Problem }
+
+// attempt sends the request to a place and hands the reply on. It gives nil once
+// the caller has its answer. Errors are *SendError.
+func (c *call) attempt(ctx context.Context, place *Place) error {
+	u := place.Upstream
+	send := Send{Upstream: u.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version}
+	if c.Workspace != nil {
+		send.Workspace = c.Workspace.Name
+	}
+	if c.stream != nil {
+		send.LastEvent = c.stream.last
+	}
+	c.message.header = c.Codec.Outgoing(c.r.Header, send)
+	c.sends++
+	// A kept connection may be closed by the upstream just as the request is sent,
+	// and its end is then unknown; what may run only once goes on a new one.
+	fresh := !c.Route.Repeatable()
+	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, fresh)
+	if err != nil {
+		return err
+	}
+	if x.reply.Slots > 0 && !c.Route.Generates {
+		active := float64(x.reply.Running+x.reply.Waiting) / float64(x.reply.Slots)
+		c.Chooser.Heard(u.ID, 0, active)
+	}
+	if err := c.usable(x); err != nil {
+		x.abandon()
+		return err
+	}
+	if c.Route.Kind == matcher.Streaming && x.response.StatusCode == http.StatusOK {
+		return c.relayStream(x, place)
+	}
+	return c.relayPlain(ctx, x, place)
+}
+
+// usable checks a reply's header: refusals and replies without the upstream's proof
+// are no answers.
+func (c *call) usable(x *exchange) error {
+	status := x.response.StatusCode
+	if x.reply.NotRun {
+		return &SendError{Upstream: x.upstream, Outcome: retrier.NotRun, Status: status,
+			Err: &UnusableError{Problem: fmt.Sprintf("refused with status %d", status)}}
+	}
+	if !x.reply.Sealed || x.reply.ID != c.ID {
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
+			Err: &UnusableError{Problem: fmt.Sprintf("status %d without proof of its origin", status)}}
+	}
+	if x.response.Header.Get("Content-Encoding") != "" {
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
+			Err: &UnusableError{Problem: "reply with an encoding nobody asked for"}}
+	}
+	if status >= 500 && c.mayRepeat() {
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Ran, Status: status,
+			Err: &UnusableError{Problem: fmt.Sprintf("failed with status %d", status)}}
+	}
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		// Handed on, these would promise that the request never ran.
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
+			Err: &UnusableError{Problem: fmt.Sprintf("status %d that promises nothing", status)}}
+	}
+	return nil
+}
+
+// mayRepeat tells whether a failure of the upstream's own can be made good by
+// another attempt.
+func (c *call) mayRepeat() bool {
+	return c.Route.Repeatable() && c.attempts+1 < c.Route.MaxAttempts && c.sends < maxSends
+}
+
+// relayPlain hands a reply on, a short one only once it is whole.
+func (c *call) relayPlain(ctx context.Context, x *exchange, place *Place) error {
+	body, err := io.ReadAll(io.LimitReader(x.response.Body, bufferedReply))
+	if err != nil {
+		x.abandon()
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
+	}
+	whole := len(body) < bufferedReply
+	c.writeHeader(x)
+	if _, err := c.w.Write(body); err != nil {
+		x.abandon()
+		c.log("Caller left", err, "upstream", x.upstream)
+		return nil
+	}
+	if whole {
+		x.finish()
+	} else if err := c.copyRest(ctx, x); err != nil {
+		x.abandon()
+		c.log("Reply cut", err, "upstream", x.upstream)
+		panic(http.ErrAbortHandler)
+	}
+	c.served(x.upstream, place, x.response.StatusCode)
+	return nil
+}
+
+func (c *call) copyRest(ctx context.Context, x *exchange) error {
+	_, err := io.Copy(c.w, x.response.Body)
+	if err == nil {
+		x.finish()
+	}
+	return errors.Join(err, ctx.Err())
+}
+
+// writeHeader hands the upstream's header on as it is.
+func (c *call) writeHeader(x *exchange) {
+	h := c.w.Header()
+	for name, fields := range c.Codec.Returned(x.response.Header) {
+		h[name] = fields
+	}
+	if h.Get("Content-Type") == "" {
+		// Without this the server would guess one.
+		h["Content-Type"] = nil
+	}
+	c.w.WriteHeader(x.response.StatusCode)
+}
+
+// served counts and logs an answer.
+func (c *call) served(upstream string, place *Place, status int) {
+	if status < 500 {
+		c.Chooser.Served(upstream)
+	}
+	c.count("served")
+	took := c.Clock.Since(c.Arrived)
+	metrics.GetOrRegisterTimer("request."+c.Route.Kind.String(), c.Metrics).Update(took)
+	c.log("Served", nil, "upstream", upstream, "status", status, "waitPredicted", place.Wait,
+		"upstreamRevision", place.Upstream.Revision)
+}
--- /dev/null
+++ b/internal/relayer/exchange.go
@@ -0,0 +1,195 @@
+package relayer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+// maxStrays is how many replies to other requests are read past before the
+// connection is given up.
+const maxStrays = 2
+
+// smallMessage is up to which size, in bytes, a request is written at once: the
+// kernel takes that much even from a peer that reads nothing.
+const smallMessage = 32 << 10
+
+// SendError reports an attempt without a usable reply.
+type SendError struct {
+	Upstream string
+	// Outcome is what is known of whether the request ran.
+	Outcome retrier.Outcome
+	// Reused tells that the connection had been idle before.
+	Reused bool
+	// Status is the upstream's own, when it refused; 0 otherwise.
+	Status int
+	Err    error
+}
+
+func (e *SendError) Error() string {
+	return fmt.Sprintf("upstream %s: %v (%v)", e.Upstream, e.Err, e.Outcome)
+}
+
+func (e *SendError) Unwrap() error { return e.Err }
+
+// message is a request as it goes out.
+type message struct {
+	method, target, host string
+	header               http.Header
+	body                 []byte
+	// hasBody tells a body without bytes from none.
+	hasBody bool
+}
+
+// encode gives the bytes of a request. The target is the caller's, byte for byte:
+// net/url would clean it up.
+func (m *message) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(1024 + len(m.body))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.target, m.host)
+	// Writing to a buffer does not fail.
+	_ = m.header.Write(&b)
+	if m.hasBody {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(m.body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(m.body)
+	return b.Bytes()
+}
+
+// exchange is one request under way at an upstream, with its reply's header read.
+type exchange struct {
+	pool     *Pool
+	upstream string
+	conn     *connection
+	response *http.Response
+	reply    Reply
+	// written is closed once the request is sent whole.
+	written chan struct{}
+	stop    func() bool
+}
+
+// send starts an exchange. It never sends a request twice: net/http's transport
+// does so by itself when a connection breaks, and a booking would be made twice.
+// Errors are *SendError.
+func (p *Pool) send(ctx context.Context, codec Codec, upstream string, a netip.AddrPort, m *message, id string, fresh bool) (*exchange, error) {
+	conn, err := p.get(ctx, upstream, a, fresh)
+	if err != nil {
+		// Without a connection nothing was sent.
+		return nil, &SendError{Upstream: upstream, Outcome: retrier.NotRun, Err: err}
+	}
+	x := &exchange{pool: p, upstream: upstream, conn: conn, written: make(chan struct{})}
+	// A caller that leaves or a deadline that passes ends the upstream's work too.
+	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
+	if err := x.write(m); err != nil {
+		x.abandon()
+		return nil, x.failed(err)
+	}
+	if err := x.readHeader(codec, m.method, id); err != nil {
+		x.abandon()
+		return nil, x.failed(err)
+	}
+	return x, nil
+}
+
+func (x *exchange) failed(err error) error {
+	return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Reused: x.conn.reused, Err: err}
+}
+
+// write sends the request. A long one is sent beside the reading of the reply: an
+// upstream may refuse it before it has read the whole, and both sides would wait
+// for each other.
+func (x *exchange) write(m *message) error {
+	data := m.encode()
+	if len(data) <= smallMessage {
+		_, err := x.conn.Write(data)
+		close(x.written)
+		return err
+	}
+	go func() {
+		if _, err := x.conn.Write(data); err == nil {
+			close(x.written)
+		}
+	}()
+	return nil
+}
+
+// StrayError reports a reply to some other request.
+type StrayError struct{ Got, Want string }
+
+func (e *StrayError) Error() string { return fmt.Sprintf("reply to %q, want %q", e.Got, e.Want) }
+
+// readHeader reads up to the header of the reply to this request. Late and extra
+// replies to earlier ones on the same connection are read past: handed on, they
+// would give a caller someone else's answer.
+func (x *exchange) readHeader(codec Codec, method, id string) error {
+	for strays := 0; ; strays++ {
+		res, err := readResponse(x.conn.reader, method)
+		if err != nil {
+			return err
+		}
+		reply := codec.Reply(res.StatusCode, res.Header)
+		if reply.ID == id || reply.ID == "" && !reply.Sealed {
+			x.response, x.reply = res, reply
+			return nil
+		}
+		if strays == maxStrays {
+			return &StrayError{Got: reply.ID, Want: id}
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return err
+		}
+	}
+}
+
+func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil || res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
+			return res, err
+		}
+	}
+}
+
+// setGap bounds the wait for the next bytes.
+func (x *exchange) setGap(d time.Duration) {
+	_ = x.conn.SetReadDeadline(time.Now().Add(d))
+}
+
+// finish ends an exchange whose body was read to its end. The connection is used
+// again only if nothing is left on it.
+func (x *exchange) finish() {
+	if !x.stop() {
+		return
+	}
+	res := x.response
+	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	if res.Close || !framed || !x.sent() || x.conn.reader.Buffered() > 0 {
+		x.conn.Close()
+		return
+	}
+	x.pool.put(x.upstream, x.conn, x.reply.Idle)
+}
+
+func (x *exchange) sent() bool {
+	select {
+	case <-x.written:
+		return true
+	default:
+		return false
+	}
+}
+
+// abandon closes the connection, so that the upstream drops the request.
+func (x *exchange) abandon() {
+	x.stop()
+	x.conn.Close()
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,335 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+const (
+	// defaultTimeout bounds requests for which neither caller nor route has a limit.
+	defaultTimeout = 30 * time.Second
+	// answerMargin is how much before the deadline the final answer is given, so that
+	// it reaches the caller within it.
+	answerMargin = 15 * time.Millisecond
+	// unknownRetry is the time to come back to an entry that knows no route table yet.
+	unknownRetry = 300 * time.Millisecond
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 5 * time.Second
+)
+
+// Relayer is the handler of callers' requests. Set the exported fields before use.
+type Relayer struct {
+	Registrar *registrar.Registrar
+	Placer    *Placer
+	Chooser   *scheduler.Chooser
+	Pool      *Pool
+	Codec     Codec
+	Budget    *retrier.Budget
+	Clock     clock.Clock
+	Random    *rand.Rand
+	Metrics   metrics.Registry
+
+	mu sync.Mutex
+}
+
+// call is one caller's request on its way.
+type call struct {
+	*Relayer
+	Job
+	w       http.ResponseWriter
+	r       *http.Request
+	body    []byte
+	message message
+	// outcome joins what is known of all attempts.
+	outcome  retrier.Outcome
+	attempts int
+	sends    int
+	// stream is set once a stream's header went out.
+	stream *stream
+	// waited is the wait that was predicted for the last attempt.
+	waited time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{Relayer: l, w: w, r: r, outcome: retrier.NotRun}
+	c.Arrived = l.Clock.Now()
+	c.Request = l.Codec.Request(r.Header)
+	l.count("requests")
+	if !c.route() || !c.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	c.run(ctx)
+}
+
+// route finds the route and the workspace, or gives the final answer.
+func (c *call) route() bool {
+	view := c.Registrar.View()
+	if view == nil || view.Table == nil {
+		c.refuse(&RefusedError{Reason: "no route table yet", RetryAfter: unknownRetry})
+		return false
+	}
+	t := view.Table
+	if t.Limits.HeaderBytes > 0 && headerBytes(c.r) > t.Limits.HeaderBytes {
+		c.answer(http.StatusRequestHeaderFieldsTooLarge, "header too long", 0)
+		return false
+	}
+	c.Route = t.Match(c.r.Host, c.r.URL.EscapedPath())
+	if c.Route == nil {
+		return c.unknown(http.StatusNotFound, "no such route")
+	}
+	if !c.Route.Public && t.Keys != nil {
+		if c.Workspace = t.Keys[c.Key]; c.Workspace == nil {
+			return c.unknown(http.StatusUnauthorized, "unknown key")
+		}
+	}
+	c.mu.Lock()
+	c.Service = c.Route.Target(c.Random.Float64())
+	c.mu.Unlock()
+	c.Deadline = c.Arrived.Add(c.patience() - answerMargin)
+	return true
+}
+
+// unknown answers what the route table doesn't have. An entry that is out of touch
+// with the store may lack what was added since, and says so rather than deny it.
+func (c *call) unknown(status int, text string) bool {
+	if !c.Registrar.Fresh() {
+		c.refuse(&RefusedError{Reason: text + ", but news are old", RetryAfter: unknownRetry})
+		return false
+	}
+	c.answer(status, text, 0)
+	return false
+}
+
+func (c *call) patience() time.Duration {
+	d := defaultTimeout
+	if c.Route.Timeout > 0 {
+		d = c.Route.Timeout
+	}
+	if c.Patience > 0 {
+		d = min(d, c.Patience)
+	}
+	return d
+}
+
+// headerBytes is about the size of a request's header on the wire.
+func headerBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, fields := range r.Header {
+		for _, f := range fields {
+			n += len(name) + len(f) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
+// readBody takes the whole body in, so that an attempt can be made again and an
+// upstream never waits for a slow caller.
+func (c *call) readBody() bool {
+	limit := c.Registrar.View().Table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.r.ContentLength > limit {
+		c.answer(http.StatusRequestEntityTooLarge, "body too long", 0)
+		return false
+	}
+	control := http.NewResponseController(c.w)
+	// A writer without deadlines, as in tests, says so by an error.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		c.answer(http.StatusRequestEntityTooLarge, "body too long", 0)
+		return false
+	case err != nil:
+		c.log("Body not read", err)
+		c.answer(http.StatusRequestTimeout, "body not read", 0)
+		return false
+	}
+	c.body = body
+	c.message = message{method: c.r.Method, target: c.r.RequestURI, host: c.r.Host, body: body,
+		hasBody: c.r.ContentLength != 0 || len(c.r.TransferEncoding) > 0}
+	return true
+}
+
+// defaultBodyBytes bounds bodies when the route table has no limit.
+const defaultBodyBytes = 4 << 20
+
+// run makes attempts until one gives the caller its answer.
+func (c *call) run(ctx context.Context) {
+	c.Budget.First()
+	for {
+		place, err := c.Placer.Place(ctx, &c.Job)
+		if err != nil {
+			c.give(ctx, err)
+			return
+		}
+		c.Tried = append(c.Tried, place.Upstream.ID)
+		c.waited = place.Wait
+		err = c.attempt(ctx, place)
+		place.ended()
+		if err == nil {
+			return
+		}
+		c.note(place.Upstream.ID, err)
+		if ctx.Err() != nil || !c.again() {
+			c.give(ctx, err)
+			return
+		}
+	}
+}
+
+// note counts what an attempt that failed means for the request and the upstream.
+func (c *call) note(upstream string, err error) {
+	var s *SendError
+	if !errors.As(err, &s) {
+		return
+	}
+	c.outcome = retrier.Join(c.outcome, s.Outcome)
+	if s.Outcome != retrier.NotRun {
+		c.attempts++
+	}
+	if c.r.Context().Err() != nil {
+		// The caller left; that says nothing of the upstream.
+		return
+	}
+	c.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
+	if s.Outcome == retrier.NotRun && s.Status != 0 {
+		c.Chooser.Avoid(upstream, refusedPause)
+	}
+	c.log("Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused)
+}
+
+// refusedPause is how long an upstream that refused is passed over: about the time
+// in which a place comes free.
+const refusedPause = 100 * time.Millisecond
+
+// maxSends bounds how often a request is sent although no upstream ran it.
+const maxSends = 3
+
+// again tells whether another attempt may be made. Only what certainly did not run,
+// or may run twice, goes out again.
+func (c *call) again() bool {
+	if c.outcome != retrier.NotRun && !c.Route.Repeatable() {
+		return false
+	}
+	if c.attempts >= c.Route.MaxAttempts || c.sends >= maxSends {
+		return false
+	}
+	if !c.Budget.Take() {
+		c.log("No retry left in the budget", nil)
+		return false
+	}
+	c.count("retries")
+	return true
+}
+
+// give is the final answer to a request that is given up.
+func (c *call) give(ctx context.Context, err error) {
+	if c.r.Context().Err() != nil {
+		c.count("left")
+		c.log("Caller left", nil, "outcome", c.outcome)
+		return
+	}
+	if c.stream != nil {
+		c.count("cut")
+		c.log("Stream cut", err, "lastEvent", c.stream.last)
+		// Ending the reply as usual would make it look whole.
+		panic(http.ErrAbortHandler)
+	}
+	var refused *RefusedError
+	switch {
+	case c.outcome == retrier.NotRun && errors.As(err, &refused):
+		c.refuse(refused)
+	case c.outcome == retrier.NotRun:
+		c.refuse(&RefusedError{Reason: err.Error(), RetryAfter: busyRetry})
+	case ctx.Err() != nil:
+		c.log("Timed out", err, "outcome", c.outcome)
+		c.answer(http.StatusGatewayTimeout, "timed out", 0)
+	default:
+		c.log("Failed", err, "outcome", c.outcome)
+		c.answer(http.StatusBadGateway, "upstream failed", 0)
+	}
+}
+
+// refuse says that the request did not run and when to come back.
+func (c *call) refuse(e *RefusedError) {
+	c.count("refused")
+	wait := c.spread(e.RetryAfter)
+	c.log("Refused", nil, "reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived))
+	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
+}
+
+// spread draws the time to come back from one to one and a half of the estimate, so
+// that those refused together don't come back together.
+func (c *call) spread(d time.Duration) time.Duration {
+	if d <= 0 {
+		d = busyRetry
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return d + time.Duration(c.Random.Int64N(int64(d)/2+1))
+}
+
+// answer sends an answer of the system's own.
+func (c *call) answer(status int, text string, retryAfter time.Duration) {
+	c.count("answers." + strconv.Itoa(status))
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	c.w.WriteHeader(status)
+	body := struct {
+		Error string `json:"error"`
+	}{text}
+	if err := json.NewEncoder(c.w).Encode(body); err != nil {
+		klog.V(1).InfoS("Answer not sent", "request", c.ID, "err", err)
+	}
+}
+
+func (l *Relayer) count(name string) {
+	metrics.GetOrRegisterCounter(name, l.Metrics).Inc(1)
+}
+
+// log writes a line on this request.
+func (c *call) log(text string, err error, more ...any) {
+	route, workspace := "", ""
+	if c.Route != nil {
+		route = c.Route.Name
+	}
+	if c.Workspace != nil {
+		workspace = c.Workspace.Name
+	}
+	fields := append([]any{"request", c.ID, "route", route, "workspace", workspace,
+		"after", c.Clock.Since(c.Arrived), "sends", c.sends}, more...)
+	if v := c.Registrar.View(); v != nil {
+		fields = append(fields, "revision", v.Revision)
+	}
+	if err != nil {
+		fields = append(fields, "err", err)
+	}
+	klog.InfoS(text, fields...)
+}
+
+var _ http.Handler = (*Relayer)(nil)
--- /dev/null
+++ b/internal/relayer/stream.go
@@ -0,0 +1,188 @@
+package relayer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+// stream is a reply of events that the caller has begun to get.
+type stream struct {
+	// last is the id of the last event handed on.
+	last string
+	// version is that of the weights of its first part; 0 when not told.
+	version uint64
+	events  int
+	// firstAfter is when the first event went out, counted from the arrival.
+	firstAfter time.Duration
+}
+
+// GapError reports a stream that goes on elsewhere with the wrong event.
+type GapError struct{ Last, Next string }
+
+func (e *GapError) Error() string { return fmt.Sprintf("event %s follows %s", e.Next, e.Last) }
+
+// relayStream hands events on as they come, whole ones only: an upstream that dies
+// may stop in the middle of one, and what another upstream sends next would be
+// joined to the half.
+func (c *call) relayStream(x *exchange, place *Place) error {
+	s := &splitter{from: x.response.Body}
+	resumed := c.stream != nil
+	x.setGap(c.firstEventLimit(place))
+	for first := true; ; first = false {
+		event, err := s.next()
+		if errors.Is(err, io.EOF) {
+			return c.endStream(x, place, s.rest)
+		}
+		if err != nil {
+			x.abandon()
+			return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
+		}
+		if first {
+			place.started()
+		}
+		if err := c.relayEvent(x, event, resumed && first); err != nil {
+			x.abandon()
+			return err
+		}
+		x.setGap(eventGap)
+	}
+}
+
+// firstEventLimit is how long the first event may take.
+func (c *call) firstEventLimit(place *Place) time.Duration {
+	return firstEventFactor*place.Wait + firstEventGrace
+}
+
+// relayEvent hands one event on. The header goes out with the first, so that until
+// then another upstream can take the request over.
+func (c *call) relayEvent(x *exchange, event []byte, follows bool) error {
+	id := eventID(event)
+	if follows && !c.stream.precedes(id) {
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: &GapError{Last: c.stream.last, Next: id}}
+	}
+	if c.stream == nil {
+		c.stream = &stream{version: x.reply.Version, last: c.LastEvent, firstAfter: c.Clock.Since(c.Arrived)}
+		// A stream that goes on elsewhere stays with its weights.
+		c.Version = x.reply.Version
+		c.writeHeader(x)
+		metrics.GetOrRegisterTimer("firstEvent", c.Metrics).Update(c.stream.firstAfter)
+	}
+	if _, err := c.w.Write(event); err != nil {
+		return c.leftError(x, err)
+	}
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		return c.leftError(x, err)
+	}
+	if id != "" {
+		c.stream.last = id
+	}
+	c.stream.events++
+	return nil
+}
+
+func (c *call) leftError(x *exchange, err error) error {
+	return &SendError{Upstream: x.upstream, Outcome: retrier.Ran, Err: fmt.Errorf("caller left: %w", err)}
+}
+
+// precedes tells whether an event with the given id may come next. Ids that are
+// numbers count up by one; of others nothing is known.
+func (s *stream) precedes(id string) bool {
+	last, err := strconv.ParseUint(s.last, 10, 64)
+	if err != nil {
+		return true
+	}
+	next, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && next == last+1
+}
+
+// endStream ends a reply whose end the upstream has marked.
+func (c *call) endStream(x *exchange, place *Place, rest []byte) error {
+	if c.stream == nil {
+		place.started()
+		c.writeHeader(x)
+		c.stream = &stream{}
+	}
+	if len(rest) > 0 {
+		if _, err := c.w.Write(rest); err != nil {
+			x.abandon()
+			return c.leftError(x, err)
+		}
+	}
+	x.finish()
+	c.served(x.upstream, place, x.response.StatusCode)
+	return nil
+}
+
+// splitter cuts a stream into events, each with the blank line that ends it.
+type splitter struct {
+	from io.Reader
+	// rest holds bytes of an event that isn't whole.
+	rest []byte
+	buf  [4 << 10]byte
+}
+
+// maxEvent bounds an event in bytes.
+const maxEvent = 1 << 20
+
+// OversizedEventError reports an event that does not end.
+type OversizedEventError struct{}
+
+func (e *OversizedEventError) Error() string {
+	return fmt.Sprintf("event of more than %d bytes", maxEvent)
+}
+
+// next gives the next event; io.EOF at the marked end of the reply.
+func (s *splitter) next() ([]byte, error) {
+	for {
+		if n := eventEnd(s.rest); n > 0 {
+			event := s.rest[:n:n]
+			s.rest = s.rest[n:]
+			return event, nil
+		}
+		if len(s.rest) > maxEvent {
+			return nil, &OversizedEventError{}
+		}
+		n, err := s.from.Read(s.buf[:])
+		s.rest = append(s.rest, s.buf[:n]...)
+		if err != nil && eventEnd(s.rest) == 0 {
+			return nil, err
+		}
+	}
+}
+
+// eventEnd is the length of the first whole event; 0 when there is none.
+func eventEnd(b []byte) int {
+	at := 0
+	for {
+		i := bytes.IndexByte(b[at:], '\n')
+		if i < 0 {
+			return 0
+		}
+		at += i + 1
+		switch {
+		case bytes.HasPrefix(b[at:], []byte("\n")):
+			return at + 1
+		case bytes.HasPrefix(b[at:], []byte("\r\n")):
+			return at + 2
+		}
+	}
+}
+
+// eventID is an event's id; empty for none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/scheduler/chooser.go
@@ -0,0 +1,235 @@
+package scheduler
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/utils/clock"
+)
+
+const (
+	// regionCost is how much longer, in waiting time, an upstream of another region
+	// is taken to need: its link is narrow, and all bytes over it are shared with
+	// weights and news.
+	regionCost = 40 * time.Millisecond
+	// domainCost is the same for another failure domain of the region.
+	domainCost = 5 * time.Millisecond
+	// jitter spreads choices between upstreams that look alike. Entries would
+	// otherwise all ask the first of them.
+	jitter = 15 * time.Millisecond
+	// fullCost is what a wholly taken batch adds to the wait: steps are longer and a
+	// place may be missing by the time of the asking.
+	fullCost = 120 * time.Millisecond
+	// firstAvoid is how long an upstream is passed over after a failure; it doubles
+	// with each further one up to maxAvoid.
+	firstAvoid = 500 * time.Millisecond
+	maxAvoid   = 4 * time.Second
+	// failureWeight is the share that the last outcome has in an upstream's failure
+	// rate, and failureCost what a rate of one adds to its wait.
+	failureWeight = 0.1
+	failureCost   = 400 * time.Millisecond
+)
+
+// Distance is how far an upstream is from this entry.
+type Distance int
+
+// The distances.
+const (
+	SameDomain Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Candidate is an upstream that may serve a request.
+type Candidate struct {
+	ID       string
+	Distance Distance
+	// Slots is how many requests it runs at once; 0 when not told.
+	Slots int
+}
+
+// Chooser remembers what an entry met at each upstream. It is safe for concurrent
+// use. Set the exported fields before use.
+type Chooser struct {
+	Clock  clock.PassiveClock
+	Random *rand.Rand
+
+	mu   sync.Mutex
+	seen map[string]*seen
+}
+
+// seen is what is known of one upstream.
+type seen struct {
+	// wait and active were told at the time heard; closed upstreams took nothing.
+	wait   time.Duration
+	active float64
+	heard  time.Time
+	// running are this entry's own requests there.
+	running  int
+	failures int
+	// failing is the smoothed share of attempts that failed.
+	failing    float64
+	avoidUntil time.Time
+	// silentUntil is how long its agent isn't asked.
+	silentUntil time.Time
+	used        time.Time
+}
+
+// forgetAfter is how long nothing may be heard of an upstream before it is
+// forgotten.
+const forgetAfter = time.Minute
+
+func (c *Chooser) of(id string) *seen {
+	if c.seen == nil {
+		c.seen = map[string]*seen{}
+	}
+	s := c.seen[id]
+	if s == nil {
+		s = &seen{}
+		c.seen[id] = s
+	}
+	s.used = c.Clock.Now()
+	return s
+}
+
+// Order sorts candidates, the most promising first. Those that failed just now come
+// last, as nothing else may be left.
+func (c *Chooser) Order(candidates []Candidate) []Candidate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	type scored struct {
+		Candidate
+		avoided bool
+		cost    time.Duration
+	}
+	all := make([]scored, 0, len(candidates))
+	for _, k := range candidates {
+		s := c.of(k.ID)
+		all = append(all, scored{k, now.Before(s.avoidUntil), c.cost(s, k, now)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if a.avoided != b.avoided {
+			if a.avoided {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.cost, b.cost)
+	})
+	ordered := make([]Candidate, 0, len(all))
+	for _, k := range all {
+		ordered = append(ordered, k.Candidate)
+	}
+	c.sweep(now)
+	return ordered
+}
+
+// cost is how long a request would wait there, as far as this entry can tell.
+func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
+	cost := max(0, s.wait-now.Sub(s.heard))
+	active := s.active
+	if k.Slots > 0 {
+		active = max(active, float64(s.running)/float64(k.Slots))
+	}
+	cost += time.Duration(active * float64(fullCost))
+	cost += time.Duration(s.failing * float64(failureCost))
+	switch k.Distance {
+	case SameRegion:
+		cost += domainCost
+	case OtherRegion:
+		cost += regionCost
+	}
+	return cost + time.Duration(c.Random.Int64N(int64(jitter)))
+}
+
+func (c *Chooser) sweep(now time.Time) {
+	for id, s := range c.seen {
+		if s.running == 0 && now.Sub(s.used) > forgetAfter {
+			delete(c.seen, id)
+		}
+	}
+}
+
+// Heard notes an upstream's load: the wait before a prompt is read, and the share
+// of its places that are taken.
+func (c *Chooser) Heard(id string, wait time.Duration, active float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(id)
+	s.wait, s.active, s.heard = wait, active, c.Clock.Now()
+}
+
+// Begin and End count this entry's own requests at an upstream.
+func (c *Chooser) Begin(id string) { c.add(id, 1) }
+
+// End takes back what Begin counted.
+func (c *Chooser) End(id string) { c.add(id, -1) }
+
+func (c *Chooser) add(id string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(id).running += n
+}
+
+// Running is how many of this entry's requests are at an upstream.
+func (c *Chooser) Running(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.of(id).running
+}
+
+// Failed notes an attempt that the upstream did not answer well. Dead ones are
+// passed over at once.
+func (c *Chooser) Failed(id string, dead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(id)
+	s.failing += failureWeight * (1 - s.failing)
+	if !dead {
+		return
+	}
+	s.avoidUntil = c.Clock.Now().Add(min(firstAvoid<<min(s.failures, 10), maxAvoid))
+	s.failures++
+}
+
+// Served notes an attempt that the upstream answered well.
+func (c *Chooser) Served(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(id)
+	s.failing -= failureWeight * s.failing
+	s.failures = 0
+}
+
+// Avoid passes an upstream over for a while, such as one that said to be full.
+func (c *Chooser) Avoid(id string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(id)
+	s.avoidUntil = c.Clock.Now().Add(d)
+}
+
+// Silence notes that an upstream's agent did not answer; it isn't asked again for d.
+func (c *Chooser) Silence(id string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(id).silentUntil = c.Clock.Now().Add(d)
+}
+
+// Silent tells whether an upstream's agent is not to be asked now.
+func (c *Chooser) Silent(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Now().Before(c.of(id).silentUntil)
+}
+
+// Avoided tells whether an upstream is passed over now.
+func (c *Chooser) Avoided(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Now().Before(c.of(id).avoidUntil)
+}
--- /dev/null
+++ b/internal/scheduler/ledger.go
@@ -0,0 +1,213 @@
+package scheduler
+
+import (
+	"sync"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+)
+
+// overdue is how long beyond its caller's patience a place is held for a request
+// whose end was never told, as when its entry was killed.
+const overdue = 500 * time.Millisecond
+
+// Job is a request that asks for a place.
+type Job struct {
+	ID string
+	// Prompt and Answer are its size in tokens.
+	Prompt, Answer int
+	// Patience is how long it may wait before its prompt is read, Left how long its
+	// caller waits for the whole.
+	Patience, Left time.Duration
+}
+
+// Verdict is the answer to a job.
+type Verdict struct {
+	Granted bool
+	// Closed says why the engine takes nothing at all now; empty when it does.
+	Closed string
+	// Wait is how long a job granted now waits before its prompt is read.
+	Wait time.Duration
+	// Free is in how long there may be a place, for one not granted.
+	Free time.Duration
+	// Active are the requests that hold places, of Slots.
+	Active, Slots int
+}
+
+// Ledger holds the places of one engine. It answers arrivals in bursts: without it
+// each entry would see a free engine and all would send there at once, and the
+// prompts are read one after the other. It is safe for concurrent use. Set Clock
+// before use.
+type Ledger struct {
+	Clock clock.PassiveClock
+
+	mu     sync.Mutex
+	engine *matcher.Engine
+	closed string
+	held   map[string]*place
+	// foreign is how many requests the engine runs beyond those known here.
+	foreign int
+	// readUntil is when all prompts granted so far will have been read.
+	readUntil time.Time
+	// pace is how much slower than its figures the engine works; 1 is as told.
+	pace float64
+}
+
+// place is a request that holds a place.
+type place struct {
+	Job
+	owner   any
+	until   time.Time
+	started bool
+}
+
+// Open lets jobs in, by the figures of the engine.
+func (l *Ledger) Open(e *matcher.Engine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.engine, l.closed = e, ""
+}
+
+// Close lets nothing in any more; why is told to whoever asks.
+func (l *Ledger) Close(why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = why
+}
+
+// Reset forgets all places, as after a restart of the engine.
+func (l *Ledger) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held, l.foreign, l.readUntil = nil, 0, time.Time{}
+}
+
+// Observe takes the engine's own word: how many requests it runs and queues, and
+// its pace. Requests that nobody asked a place for count from then on: those of an
+// entry that could not reach this agent, or of the time before this agent started.
+func (l *Ledger) Observe(running int, pace float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(l.Clock.Now())
+	l.foreign = max(0, running-len(l.held))
+	l.pace = max(1, pace)
+}
+
+// Reserve grants a place or says why not. The owner is the connection that it came
+// on.
+func (l *Ledger) Reserve(j Job, owner any) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	l.sweep(now)
+	if l.engine == nil || l.closed != "" {
+		return Verdict{Closed: l.reason()}
+	}
+	v := Verdict{Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now))}
+	if l.held[j.ID] != nil {
+		// The answer to an earlier question was lost.
+		v.Granted = true
+		return v
+	}
+	if v.Active >= l.engine.Slots {
+		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-l.engine.Slots+1)
+		return v
+	}
+	if v.Wait > j.Patience {
+		v.Free = v.Wait - j.Patience
+		return v
+	}
+	l.grant(j, owner, now)
+	v.Granted = true
+	v.Active++
+	return v
+}
+
+func (l *Ledger) reason() string {
+	if l.closed == "" {
+		return "not ready"
+	}
+	return l.closed
+}
+
+func (l *Ledger) grant(j Job, owner any, now time.Time) {
+	if l.held == nil {
+		l.held = map[string]*place{}
+	}
+	l.held[j.ID] = &place{Job: j, owner: owner, until: now.Add(j.Left + overdue)}
+	if l.readUntil.Before(now) {
+		l.readUntil = now
+	}
+	l.readUntil = l.readUntil.Add(l.cost(j))
+}
+
+// cost is how much later everything behind a job is read. The steps that writers
+// take meanwhile come on top of the reading.
+func (l *Ledger) cost(j Job) time.Duration {
+	return l.scaled(ReadTime(l.engine, j.Prompt))
+}
+
+func (l *Ledger) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * max(1, l.pace))
+}
+
+// Started notes a request's first event: its prompt has been read.
+func (l *Ledger) Started(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.held[id]; p != nil && !p.started {
+		p.started = true
+		l.reckon()
+	}
+}
+
+// Ended frees a request's place.
+func (l *Ledger) Ended(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held[id] != nil {
+		delete(l.held, id)
+		l.reckon()
+	}
+}
+
+// Lost frees the places of an owner whose connection is over. If its requests run
+// on, the engine's own count shows them.
+func (l *Ledger) Lost(owner any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, p := range l.held {
+		if p.owner == owner {
+			delete(l.held, id)
+		}
+	}
+	l.reckon()
+}
+
+// reckon brings readUntil down to what is still unread. Estimates that were too
+// high would otherwise add up and close the engine for no reason.
+func (l *Ledger) reckon() {
+	if l.engine == nil {
+		return
+	}
+	unread := l.Clock.Now()
+	for _, p := range l.held {
+		if !p.started {
+			unread = unread.Add(l.cost(p.Job))
+		}
+	}
+	if unread.Before(l.readUntil) {
+		l.readUntil = unread
+	}
+}
+
+// sweep frees places whose callers can wait no longer.
+func (l *Ledger) sweep(now time.Time) {
+	for id, p := range l.held {
+		if now.After(p.until) {
+			delete(l.held, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stager/digests.go
@@ -0,0 +1,252 @@
+package stager
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
+	"github.com/oriolecroft/oriolecroft/internal/planner"
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+)
+
+// Origin is where weights come from when no agent has them.
+type Origin interface {
+	Digests(ctx context.Context, model string, version uint64) (Digests, error)
+	Chunk(ctx context.Context, model string, version uint64, chunk int) ([]byte, error)
+}
+
+// Digests lists the chunks of a version by their SHA-256 in hexadecimal.
+type Digests struct {
+	ChunkBytes int64
+	SHA256     []string
+}
+
+// Digester learns which chunks make up a version, and keeps it. The origin names
+// versions by number, the loader by the digest of their manifest. It is safe for
+// concurrent use. Set the exported fields before use.
+type Digester struct {
+	// Client asks other agents.
+	Client *http.Client
+
+	mu       sync.Mutex
+	versions map[versionKey]*version
+	chunks   map[string]chunkOf
+	origin   Origin
+}
+
+type versionKey struct {
+	model   string
+	version uint64
+}
+
+func (k versionKey) String() string { return k.model + "/" + strconv.FormatUint(k.version, 10) }
+
+// version is a known version: its manifest's digest and body.
+type version struct {
+	digest string
+	body   []byte
+}
+
+type chunkOf struct {
+	versionKey
+	chunk int
+}
+
+// VersionsPath is where agents tell each other a version's manifest.
+const VersionsPath = "/versions/"
+
+const (
+	// askOriginAfter is how long an agent that isn't the first in rank leaves the
+	// question to those before it, for each rank. The origin's link is shared by all.
+	askOriginAfter = 400 * time.Millisecond
+	// peerTimeout bounds a question to another agent.
+	peerTimeout = 500 * time.Millisecond
+	// firstRanks is how many agents are asked by all others.
+	firstRanks = 2
+)
+
+// Known gives the digest of a version's manifest.
+func (d *Digester) Known(model string, number uint64) (digest string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.versions[versionKey{model, number}]
+	if v == nil {
+		return "", false
+	}
+	return v.digest, true
+}
+
+// Learn tries to learn a version's manifest from the other agents, or from the
+// origin when this agent's rank is due. Since is when the version was wanted.
+func (d *Digester) Learn(ctx context.Context, k versionKey, self string, peers []peerAgent, since time.Duration) {
+	own, before := planner.Score(k.String(), self), []peerAgent(nil)
+	for _, p := range peers {
+		if planner.Score(k.String(), p.id) > own {
+			before = append(before, p)
+		}
+	}
+	if since >= time.Duration(min(len(before), firstRanks))*askOriginAfter && d.fromOrigin(ctx, k) {
+		return
+	}
+	for _, p := range before {
+		if d.fromPeer(ctx, k, p.chunks) {
+			return
+		}
+	}
+}
+
+func (d *Digester) fromPeer(ctx context.Context, k versionKey, a netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+VersionsPath+k.String(), nil)
+	if err != nil {
+		return false
+	}
+	res, err := d.Client.Do(r)
+	if err != nil {
+		klog.V(1).InfoS("Agent did not tell a version", "peer", a, "version", k, "err", err)
+		return false
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return false
+	}
+	m := new(fetcher.Manifest)
+	if err := json.NewDecoder(http.MaxBytesReader(nil, res.Body, fetcher.MaxManifestBytes)).Decode(m); err != nil {
+		klog.InfoS("Agent told a version that can't be read", "peer", a, "version", k, "err", err)
+		return false
+	}
+	if m.Model != k.model || m.Version != strconv.FormatUint(k.version, 10) {
+		return false
+	}
+	return d.keep(k, m)
+}
+
+// fromOrigin asks the origin twice. Its answers may be spoilt, and a spoilt list of
+// digests would make every right chunk look wrong.
+func (d *Digester) fromOrigin(ctx context.Context, k versionKey) bool {
+	d.mu.Lock()
+	o := d.origin
+	d.mu.Unlock()
+	if o == nil {
+		return false
+	}
+	var bodies [2]Digests
+	for i := range bodies {
+		var err error
+		if bodies[i], err = o.Digests(ctx, k.model, k.version); err != nil {
+			klog.InfoS("Origin did not tell a version", "version", k, "err", err)
+			return false
+		}
+	}
+	if fmt.Sprint(bodies[0]) != fmt.Sprint(bodies[1]) {
+		klog.InfoS("Origin told a version in two ways", "version", k)
+		return false
+	}
+	return d.keep(k, manifest(k, bodies[0]))
+}
+
+func manifest(k versionKey, ds Digests) *fetcher.Manifest {
+	m := &fetcher.Manifest{
+		Model: k.model, Version: strconv.FormatUint(k.version, 10),
+		ChunkSize: ds.ChunkBytes, Size: ds.ChunkBytes * int64(len(ds.SHA256)),
+	}
+	for _, sum := range ds.SHA256 {
+		m.Chunks = append(m.Chunks, "sha256:"+strings.ToLower(sum))
+	}
+	return m
+}
+
+func (d *Digester) keep(k versionKey, m *fetcher.Manifest) bool {
+	body, err := json.Marshal(m)
+	if err != nil {
+		klog.ErrorS(err, "Manifest not encoded", "version", k)
+		return false
+	}
+	digest := bundler.Digest(body)
+	if _, err := fetcher.ParseManifest(digest, body); err != nil {
+		klog.ErrorS(err, "Manifest of no use", "version", k)
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.versions == nil {
+		d.versions = map[versionKey]*version{}
+		d.chunks = map[string]chunkOf{}
+	}
+	d.versions[k] = &version{digest: digest, body: body}
+	for i, c := range m.Chunks {
+		d.chunks[c] = chunkOf{k, i}
+	}
+	klog.InfoS("Version known", "model", k.model, "version", k.version, "manifest", digest, "chunks", len(m.Chunks))
+	return true
+}
+
+// SetOrigin names the origin.
+func (d *Digester) SetOrigin(o Origin) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.origin = o
+}
+
+// Handler tells other agents the manifests of known versions.
+func (d *Digester) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		model, number, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, VersionsPath), "/")
+		n, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			http.NotFound(w, r)
+			return
+		}
+		d.mu.Lock()
+		v := d.versions[versionKey{model, n}]
+		d.mu.Unlock()
+		if v == nil {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if _, err := w.Write(v.body); err != nil {
+			klog.V(1).InfoS("Version not sent", "err", err)
+		}
+	})
+}
+
+var _ fetcher.Source = (*Digester)(nil)
+
+// Manifest implements fetcher.Source.
+func (d *Digester) Manifest(_ context.Context, digest string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, v := range d.versions {
+		if v.digest == digest {
+			return v.body, nil
+		}
+	}
+	return nil, &fetcher.NotHeldError{Source: "known versions", Digest: digest}
+}
+
+// Chunk implements fetcher.Source: it draws a chunk from the origin.
+func (d *Digester) Chunk(ctx context.Context, digest string, _ int64) ([]byte, error) {
+	d.mu.Lock()
+	c, ok := d.chunks[digest]
+	o := d.origin
+	d.mu.Unlock()
+	if !ok || o == nil {
+		return nil, &fetcher.NotHeldError{Source: "origin", Digest: digest}
+	}
+	data, err := o.Chunk(ctx, c.model, c.version, c.chunk)
+	if err != nil {
+		return nil, &fetcher.UnavailableError{Source: "origin", Err: err}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/stager/stager.go
@@ -0,0 +1,280 @@
+// Package stager brings named weights into the engine beside its agent: it has them
+// fetched, stages them, reads them back, orders the engine to load them, and asks
+// what it holds before any request may go there.
+package stager
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/loader"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+const (
+	// Every is how often the engine is asked what it does. A restart shows within
+	// that time, and its places count anew.
+	Every = 150 * time.Millisecond
+	// oldMargin is how much before the bound engines with old weights take nothing
+	// more: a granted request needs that long to begin.
+	oldMargin = 700 * time.Millisecond
+	// orderPatience is how long an accepted order may go without effect before it is
+	// given again.
+	orderPatience = 6 * time.Second
+	// stageTries is how often staged chunks are mended before the next round.
+	stageTries = 3
+)
+
+// Engine is the model engine on this VM.
+type Engine interface {
+	Report(ctx context.Context) (Report, error)
+	// Stage puts a chunk where the engine loads from; Staged reads it back.
+	Stage(ctx context.Context, model string, chunk int, data []byte) error
+	Staged(ctx context.Context, model string, chunk int) ([]byte, error)
+	// Load orders the engine to take what is staged for the given version.
+	Load(ctx context.Context, model string, version uint64) error
+}
+
+// Report is the engine's own word.
+type Report struct {
+	Models []registrar.HeldModel
+	// Busy tells that an order is under way.
+	Busy     bool
+	Sequence uint64
+	// Waiting and Running are its requests.
+	Waiting, Running int
+	// Pace is how much slower than its figures it works; 0 when not told.
+	Pace float64
+	// Born is the Unix millisecond of its start.
+	Born int64
+}
+
+// holds gives the version of a model; 0 for none.
+func (r Report) holds(model string) uint64 {
+	for _, m := range r.Models {
+		if m.Name == model {
+			return m.Version
+		}
+	}
+	return 0
+}
+
+// RefusedError reports a call that the engine or the origin refused.
+type RefusedError struct {
+	Call   string
+	Status int
+	Text   string
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s: status %d: %s", e.Call, e.Status, e.Text)
+}
+
+// Stager looks after one engine. Set the exported fields before Serve.
+type Stager struct {
+	// ID is this agent's; Address is the engine's, by which it finds itself among the
+	// others.
+	ID        string
+	Service   string
+	Address   netip.AddrPort
+	Region    string
+	Regions   map[string]string
+	Registrar *registrar.Registrar
+	Loader    *loader.Loader
+	Ledger    *scheduler.Ledger
+	Engine    Engine
+	// Origin makes the client of the origin's address.
+	Origin func(netip.AddrPort) Origin
+	// ChunkPort is where agents hand chunks to each other, on their engines'
+	// addresses.
+	ChunkPort uint16
+	// Bound is how long after the naming of a version older weights may begin a reply.
+	Bound time.Duration
+	Clock clock.Clock
+	// Digests finds out which chunks make up a version.
+	Digests *Digester
+
+	mu     sync.Mutex
+	report Report
+	// born is the engine's start that the ledger counts for.
+	born int64
+	// ordered is the version last ordered, and when.
+	ordered   uint64
+	orderedAt time.Time
+	preloaded bool
+	why       string
+}
+
+// Serve runs until the context ends.
+func (s *Stager) Serve(ctx context.Context) error {
+	for {
+		s.step(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.Clock.After(Every):
+		}
+	}
+}
+
+func (s *Stager) String() string { return "stager" }
+
+// Holds gives the version that the engine was last seen to hold.
+func (s *Stager) Holds(model string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report.holds(model)
+}
+
+func (s *Stager) step(ctx context.Context) {
+	engine, model := s.engine()
+	if engine == nil {
+		s.closeGate("no route table")
+		return
+	}
+	if !s.observe(ctx) {
+		return
+	}
+	held := s.report.holds(model)
+	target, turn := s.target(ctx, model, held)
+	s.decideGate(engine, model, held)
+	if target <= held || s.report.Busy || !turn {
+		return
+	}
+	if s.ordered == target && s.Clock.Since(s.orderedAt) < orderPatience {
+		return
+	}
+	s.load(ctx, model, target)
+	s.decideGate(engine, model, held)
+}
+
+// engine gives the figures of this agent's service and the model that it serves;
+// nil while no route table is known.
+func (s *Stager) engine() (*matcher.Engine, string) {
+	view := s.Registrar.View()
+	if view == nil || view.Table == nil {
+		return nil, ""
+	}
+	service := view.Table.Services[s.Service]
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+		return nil, ""
+	}
+	return service.Engine, service.Engine.Models[0]
+}
+
+// observe asks the engine and tells the ledger.
+func (s *Stager) observe(ctx context.Context) bool {
+	r, err := s.Engine.Report(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		s.closeGate("engine does not answer")
+		return false
+	}
+	if r.Born != s.born {
+		klog.InfoS("Engine started anew", "agent", s.ID, "born", r.Born, "models", r.Models)
+		s.Ledger.Reset()
+		s.born, s.ordered = r.Born, 0
+	}
+	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report = r
+	return true
+}
+
+// decideGate opens the engine to requests or closes it.
+func (s *Stager) decideGate(e *matcher.Engine, model string, held uint64) {
+	switch {
+	case held == 0:
+		s.closeGate("no weights")
+	case s.report.Busy || s.ordered > held && s.Clock.Since(s.orderedAt) < orderPatience:
+		s.closeGate("switching weights")
+	case s.outdated(model, held):
+		s.closeGate("old weights")
+	default:
+		if s.why != "" {
+			klog.InfoS("Engine opened", "agent", s.ID, "model", model, "version", held)
+		}
+		s.why = ""
+		s.Ledger.Open(e)
+	}
+}
+
+func (s *Stager) closeGate(why string) {
+	if s.why != why {
+		klog.InfoS("Engine closed", "agent", s.ID, "why", why)
+	}
+	s.why = why
+	s.Ledger.Close(why)
+}
+
+// outdated tells whether the bound for a newer version is nearly over.
+func (s *Stager) outdated(model string, held uint64) bool {
+	named, ok := s.Registrar.View().Weights(model)
+	return ok && named.Version > held && s.Clock.Since(named.Learned) > s.Bound-oldMargin
+}
+
+// load stages a version whole, reads it back and orders the engine to take it. What
+// lies staged may have turned bad or belong to another version, and the engine does
+// not check: it would answer from mixed weights.
+func (s *Stager) load(ctx context.Context, model string, version uint64) {
+	began := s.Clock.Now()
+	chunks, ok := s.chunks(model, version)
+	if !ok {
+		return
+	}
+	if err := s.stage(ctx, model, chunks); err != nil {
+		klog.ErrorS(err, "Weights not staged", "agent", s.ID, "model", model, "version", version)
+		return
+	}
+	err := s.Engine.Load(ctx, model, version)
+	klog.InfoS("Engine ordered to load", "agent", s.ID, "model", model, "version", version,
+		"held", s.report.holds(model), "running", s.report.Running, "stagedIn", s.Clock.Since(began), "err", err)
+	if err != nil {
+		return
+	}
+	s.ordered, s.orderedAt = version, s.Clock.Now()
+}
+
+// UnstageableError reports staged chunks that stay wrong.
+type UnstageableError struct{ Chunk, Tries int }
+
+func (e *UnstageableError) Error() string {
+	return fmt.Sprintf("chunk %d still wrong after %d tries", e.Chunk, e.Tries)
+}
+
+// stage puts all chunks that the engine doesn't have right, until one whole reading
+// finds all of them right.
+func (s *Stager) stage(ctx context.Context, model string, chunks [][]byte) error {
+	wrong := 0
+	for range stageTries {
+		mended := false
+		for i, data := range chunks {
+			staged, err := s.Engine.Staged(ctx, model, i)
+			if err == nil && string(staged) == string(data) {
+				continue
+			}
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if err := s.Engine.Stage(ctx, model, i, data); err != nil {
+				return err
+			}
+			mended, wrong = true, i
+		}
+		if !mended {
+			return nil
+		}
+	}
+	return &UnstageableError{Chunk: wrong, Tries: stageTries}
+}
--- /dev/null
+++ b/internal/syncer/syncer.go
@@ -0,0 +1,287 @@
+// Package syncer keeps a process's registrar up to date. A few entries read the
+// platform's store for all; everybody else asks these for news and turns to the
+// store only when they fall silent. Whoever the store refuses learns from the
+// others all the same.
+package syncer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+)
+
+const (
+	// readers is how many entries read the store for all others: two, so that
+	// neither the loss of one nor a watch that has gone silent delays news.
+	readers = 2
+	// watchWait is how long the store holds an answer back without news. It bounds
+	// how long a watch that has gone silent goes unnoticed, and costs a reader one
+	// call a second.
+	watchWait = time.Second
+	// peerWait is the same between our own processes, where calls cost only bytes.
+	peerWait = 400 * time.Millisecond
+	// peerGrace is what a peer's answer may take beyond its wait.
+	peerGrace = 350 * time.Millisecond
+	// avoidFor is how long a peer that did not answer is passed over.
+	avoidFor = 2 * time.Second
+	// storeBackoff is the first pause after the store failed; it doubles up to
+	// maxStoreBackoff, so that an outage isn't met with a storm of calls, and the
+	// store's return is noticed within that time.
+	storeBackoff    = 250 * time.Millisecond
+	maxStoreBackoff = time.Second
+	// idlePause is the pause when nobody has news.
+	idlePause = 150 * time.Millisecond
+	// staleNews is the age from which a peer's confirmation by the store is too old
+	// to rely on that peer: a reader's is confirmed at least every watchWait.
+	staleNews = 1900 * time.Millisecond
+)
+
+// Store is the platform's key-value store.
+type Store interface {
+	List(ctx context.Context) (registrar.Batch, error)
+	// Watch gives *CompactedError, by its Compacted method, when the history is gone.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error)
+}
+
+// Compacted marks the error of a watch that has to start anew from a list.
+type Compacted interface{ Compacted() bool }
+
+// Syncer feeds a registrar. Set the exported fields before Serve.
+type Syncer struct {
+	// ID is this process's name; Entry tells that it may read the store for others.
+	ID        string
+	Entry     bool
+	Region    string
+	Registrar *registrar.Registrar
+	Store     Store
+	// Seeds are addresses to ask before any entry is known.
+	Seeds []netip.AddrPort
+	// Dial makes the client of a process's address.
+	Dial   func(netip.AddrPort) *messenger.Client
+	Clock  clock.Clock
+	Random *rand.Rand
+
+	clients map[netip.AddrPort]*messenger.Client
+	avoid   map[netip.AddrPort]time.Time
+	// storeFrom is when the store may be asked again after a failure.
+	storeFrom time.Time
+	backoff   time.Duration
+	// listed tells that a list was read, so that a watch can go on from it.
+	listed  bool
+	reading bool
+}
+
+// Serve runs until the context ends.
+func (s *Syncer) Serve(ctx context.Context) error {
+	s.clients = map[netip.AddrPort]*messenger.Client{}
+	s.avoid = map[netip.AddrPort]time.Time{}
+	defer s.closeClients()
+	for ctx.Err() == nil {
+		if s.step(ctx) {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.Clock.After(idlePause/2 + time.Duration(s.Random.Int64N(int64(idlePause)))):
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Syncer) String() string { return "syncer" }
+
+// step asks one source and tells whether it answered.
+func (s *Syncer) step(ctx context.Context) bool {
+	_, _, known := s.Registrar.At()
+	candidates := s.candidates()
+	reads := !known || s.Entry && s.reads()
+	s.logReading(reads)
+	if !reads && s.fromPeers(ctx, candidates[:min(readers, len(candidates))], staleNews) {
+		return true
+	}
+	if !s.Clock.Now().Before(s.storeFrom) && s.fromStore(ctx) {
+		return true
+	}
+	// Whatever the others have is better than nothing, however old.
+	return s.fromPeers(ctx, candidates, staleNews) || s.fromPeers(ctx, s.shuffled(candidates), time.Hour)
+}
+
+func (s *Syncer) logReading(reads bool) {
+	if reads != s.reading {
+		klog.InfoS("Store reader role", "reads", reads)
+	}
+	s.reading = reads
+}
+
+// reads tells whether this entry is one of those that read the store for all.
+func (s *Syncer) reads() bool {
+	v := s.Registrar.View()
+	if v == nil || len(v.Members) <= readers {
+		return true
+	}
+	ids := make([]string, 0, len(v.Members))
+	for _, m := range v.Members {
+		ids = append(ids, m.ID)
+	}
+	slices.SortFunc(ids, byRank)
+	return slices.Contains(ids[:readers], s.ID)
+}
+
+// byRank orders entries by a hash of their names, the same for all processes.
+func byRank(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) }
+
+// candidates lists whom to ask, the best first: for an entry those that read the
+// store, for an agent the entries of its own region, each agent in another order.
+func (s *Syncer) candidates() []netip.AddrPort {
+	var as []netip.AddrPort
+	if v := s.Registrar.View(); v != nil {
+		ms := slices.DeleteFunc(slices.Clone(v.Members), func(m registrar.Member) bool { return m.ID == s.ID })
+		slices.SortFunc(ms, s.preference)
+		for _, m := range ms {
+			as = append(as, m.Peers)
+		}
+	}
+	for _, a := range s.Seeds {
+		if !slices.Contains(as, a) {
+			as = append(as, a)
+		}
+	}
+	return as
+}
+
+func (s *Syncer) preference(a, b registrar.Member) int {
+	if s.Entry {
+		return byRank(a.ID, b.ID)
+	}
+	far := func(m registrar.Member) int {
+		if m.Region == s.Region {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(far(a), far(b)), byRank(a.ID+s.ID, b.ID+s.ID))
+}
+
+func (s *Syncer) shuffled(as []netip.AddrPort) []netip.AddrPort {
+	as = slices.Clone(as)
+	s.Random.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
+	return as[:min(len(as), readers)]
+}
+
+// fromPeers asks processes in turn until one answers whose news the store confirmed
+// not longer ago than limit.
+func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, limit time.Duration) bool {
+	for _, a := range as {
+		if s.Clock.Now().Before(s.avoid[a]) {
+			continue
+		}
+		at, _, _ := s.Registrar.At()
+		b, err := s.client(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: peerWait.Milliseconds()})
+		if ctx.Err() != nil {
+			return false
+		}
+		if err != nil {
+			s.avoid[a] = s.Clock.Now().Add(avoidFor)
+			klog.InfoS("Peer lost", "peer", a, "err", err)
+			continue
+		}
+		s.Registrar.Apply(b)
+		if b.Age <= limit {
+			return true
+		}
+		s.avoid[a] = s.Clock.Now().Add(peerWait)
+	}
+	return false
+}
+
+func (s *Syncer) client(a netip.AddrPort) *messenger.Client {
+	c := s.clients[a]
+	if c == nil {
+		c = s.Dial(a)
+		c.Timeout = peerWait + peerGrace
+		s.clients[a] = c
+	}
+	return c
+}
+
+func (s *Syncer) closeClients() {
+	for _, c := range s.clients {
+		c.Close()
+	}
+}
+
+// fromStore reads the store once, by a list at first and after its history is gone.
+func (s *Syncer) fromStore(ctx context.Context) bool {
+	b, err := s.read(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
+	var compacted Compacted
+	if errors.As(err, &compacted) {
+		klog.InfoS("Store's history gone, listing anew", "err", err)
+		s.listed = false
+		return true
+	}
+	if err != nil {
+		s.storeFailed(err)
+		return false
+	}
+	if s.backoff > 0 {
+		klog.InfoS("Store regained")
+	}
+	s.backoff = 0
+	s.listed = true
+	s.Registrar.Apply(b)
+	return true
+}
+
+func (s *Syncer) read(ctx context.Context) (registrar.Batch, error) {
+	at, _, known := s.Registrar.At()
+	if !known || !s.listed {
+		return s.Store.List(ctx)
+	}
+	return s.Store.Watch(ctx, at, watchWait)
+}
+
+func (s *Syncer) storeFailed(err error) {
+	s.Registrar.StoreLost()
+	if s.backoff == 0 {
+		klog.InfoS("Store lost", "err", err)
+	}
+	s.backoff = min(max(2*s.backoff, storeBackoff), maxStoreBackoff)
+	s.storeFrom = s.Clock.Now().Add(s.backoff/2 + time.Duration(s.Random.Int64N(int64(s.backoff))))
+}
+
+// Answer gives another process what changed after a revision, once anything did or
+// its wait is over.
+func Answer(r *registrar.Registrar, c clock.Clock) func(context.Context, messenger.RecordsQuery) registrar.Batch {
+	return func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
+		over := c.After(q.Wait())
+		for {
+			changed := r.Changed()
+			if at, _, _ := r.At(); at > q.After {
+				if b := r.Since(q.After); len(b.Records) > 0 {
+					return b
+				}
+			}
+			select {
+			case <-changed:
+			case <-over:
+				return r.Since(q.After)
+			case <-ctx.Done():
+				return r.Since(q.After)
+			}
+		}
+	}
+}
