Keep one client of the origin and pace chunks below the link

Cause: the agent made a new client of the origin at each step, whose connections stayed open until the origin reset all of them (207 resets); a named version took 16.7 s to arrive. Then chunks filled the link that the engine's replies use: events were late by their queue.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
@@ -32,6 +33,16 @@
 	// how long a fetch may run before another source is asked: a dozen times what a
 	// chunk takes on an agent's link.
 	chunkPatience = 500 * time.Millisecond
+	// uploadShare is the part of the VM's link that chunks for other agents may take:
+	// the engine's replies and the questions for places share it, and an event that
+	// waits in the link's queue for a tenth of a second is late.
+	uploadShare = 0.85
+	// uploadPieces is how many bytes go out at once; on the slowest links that is a
+	// hundredth of a second.
+	uploadPieces = 8 << 10
+	// chunkSlots is how many chunks an agent fetches at once. One on the way while
+	// another is asked for keeps the link busy; each more only waits in its queue.
+	chunkSlots = 2
 	// chunkSettle is the wait for news of the other agents before the origin is asked.
 	chunkSettle = 150 * time.Millisecond
 )
@@ -65,7 +76,7 @@
 		Peer: func(a netip.AddrPort) fetcher.Source {
 			return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: s.Region}
 		},
-		Patience: chunkPatience, Settle: chunkSettle, Poll: poll,
+		Slots: chunkSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll,
 	}
 	st := &stager.Stager{
 		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
@@ -83,6 +94,14 @@
 	return addAgentListeners(d, l, digests, &reserver{ledger: ledger, stager: st})
 }
 
+// chunkUpload paces what is sent to other agents; nil when the link's rate isn't told.
+func chunkUpload(link int64) *rate.Limiter {
+	if link <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(uploadShare*float64(link)), uploadPieces)
+}
+
 func addAgentListeners(d *daemon, l *loader.Loader, digests *stager.Digester, r *reserver) error {
 	places, err := d.listen(netip.AddrPortFrom(d.settings.IP, d.internalPort(reservePort)))
 	if err != nil {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -110,7 +110,9 @@
 	ordered   uint64
 	orderedAt time.Time
 	preloaded bool
-	why       string
+	// originAt is the address of the origin in use.
+	originAt netip.AddrPort
+	why      string
 }
 
 // Serve runs until the context ends.
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -84,7 +84,12 @@
 func (s *Stager) setOrigin() {
 	for _, service := range s.Registrar.View().Table.Services {
 		if service.Origin != nil {
-			s.Digests.SetOrigin(s.Origin(service.Origin.Address))
+			if s.originAt != service.Origin.Address {
+				// A client made anew each time would leave its connections behind, and the
+				// origin accepts only a few.
+				s.originAt = service.Origin.Address
+				s.Digests.SetOrigin(s.Origin(s.originAt))
+			}
 			s.Loader.SetSourceRegion(s.Regions[service.Origin.FailureDomain])
 			return
 		}
