Spread the switches of engines over the bound of a version

Cause: with a second version named 4 s later the turns of the first were forgotten and all engines stopped at once; each then waited up to 2.3 s for its longest request.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -36,13 +36,13 @@
 	// uploadShare is the part of the VM's link that chunks for other agents may take:
 	// the engine's replies and the questions for places share it, and an event that
 	// waits in the link's queue for a tenth of a second is late.
-	uploadShare = 0.85
+	uploadShare = 0.92
 	// uploadPieces is how many bytes go out at once; on the slowest links that is a
 	// hundredth of a second.
 	uploadPieces = 8 << 10
 	// chunkSlots is how many chunks an agent fetches at once. One on the way while
 	// another is asked for keeps the link busy; each more only waits in its queue.
-	chunkSlots = 2
+	chunkSlots = 3
 	// chunkSettle is the wait for news of the other agents before the origin is asked.
 	chunkSettle = 150 * time.Millisecond
 )
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -51,6 +51,8 @@
 	foreign int
 	// readUntil is when all prompts granted so far will have been read.
 	readUntil time.Time
+	// until is when the engine stops to load new weights; zero for never.
+	until time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
 }
@@ -77,6 +79,15 @@
 	l.closed = why
 }
 
+// OpenUntil lets in only jobs that should end by a moment; zero lets in all. An
+// engine that loads new weights first ends all its requests. Were it to take long
+// ones until then, it would stand nearly idle while the last of them end.
+func (l *Ledger) OpenUntil(t time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = t
+}
+
 // Reset forgets all places, as after a restart of the engine.
 func (l *Ledger) Reset() {
 	l.mu.Lock()
@@ -115,6 +126,10 @@
 		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-l.engine.Slots+1)
 		return v
 	}
+	if !l.until.IsZero() && now.Add(v.Wait+l.duration(j, v.Active+1)).After(l.until) {
+		v.Free = max(0, l.until.Sub(now)) + l.engine.Load
+		return v
+	}
 	if v.Wait > j.Patience {
 		v.Free = v.Wait - j.Patience
 		return v
@@ -143,6 +158,20 @@
 	l.readUntil = l.readUntil.Add(l.cost(j))
 }
 
+// readingShare is the part of an engine's time that reading takes from writing at
+// a usual load.
+const readingShare = 0.3
+
+// duration is how long a job takes once its prompt is being read.
+func (l *Ledger) duration(j Job, active int) time.Duration {
+	answer := j.Answer
+	if answer == 0 {
+		answer = l.engine.UsualAnswer
+	}
+	write := time.Duration(float64(answer)*float64(StepTime(l.engine, active))/(1-readingShare)) + PassTime(l.engine, active)
+	return l.cost(j) + l.scaled(write)
+}
+
 // cost is how much later everything behind a job is read. The steps that writers
 // take meanwhile come on top of the reading.
 func (l *Ledger) cost(j Job) time.Duration {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -110,6 +110,8 @@
 	ordered   uint64
 	orderedAt time.Time
 	preloaded bool
+	// namings are the versions named so far, in order.
+	namings []naming
 	// originAt is the address of the origin in use.
 	originAt netip.AddrPort
 	why      string
@@ -147,6 +149,7 @@
 	}
 	held := s.report.holds(model)
 	target, turn := s.target(ctx, model, held)
+	s.announceSwitch(model, held)
 	s.decideGate(engine, model, held)
 	if target <= held || s.report.Busy || !turn {
 		return
@@ -201,7 +204,7 @@
 		s.closeGate("no weights")
 	case s.report.Busy || s.ordered > held && s.Clock.Since(s.orderedAt) < orderPatience:
 		s.closeGate("switching weights")
-	case s.outdated(model, held):
+	case s.outdated(held):
 		s.closeGate("old weights")
 	default:
 		if s.why != "" {
@@ -221,9 +224,9 @@
 }
 
 // outdated tells whether the bound for a newer version is nearly over.
-func (s *Stager) outdated(model string, held uint64) bool {
-	named, ok := s.Registrar.View().Weights(model)
-	return ok && named.Version > held && s.Clock.Since(named.Learned) > s.Bound-oldMargin
+func (s *Stager) outdated(held uint64) bool {
+	newer := s.after(held)
+	return len(newer) > 0 && s.Clock.Since(newer[0].learned) > s.Bound-oldMargin
 }
 
 // load stages a version whole, reads it back and orders the engine to take it. What
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -14,15 +14,17 @@
 )
 
 const (
-	// waves is in how many groups the engines of a service switch to a new version.
-	// An engine takes nothing while its requests end and it loads, so that all at once
-	// would leave the callers without any.
-	waves = 3
-	// firstWave is when, after the naming, the first group may switch; nextWave is
-	// the time from one group to the next: about what an engine needs to finish its
-	// requests and load. The last group must be done before the bound.
-	firstWave = 2500 * time.Millisecond
-	nextWave  = 1500 * time.Millisecond
+	// firstSwitch and lastSwitch are when, as parts of the bound after the naming of a
+	// version, the first and the last engine of a service switch. An engine takes
+	// nothing while its requests end and it loads, so all at once would leave callers
+	// without any: the switches are spread over the time there is. Before the first,
+	// few agents have the weights; after the last, one that is slow would pass the
+	// bound.
+	firstSwitch = 0.5
+	lastSwitch  = 0.9
+	// expected is the share of a version's chunks from which an agent counts on
+	// having it whole by the engine's turn.
+	expected = 0.6
 	// keepHalf is the share of an older version's chunks from which its transfer goes
 	// on beside a newer one's.
 	keepHalf = 0.5
@@ -51,20 +53,57 @@
 // self names this agent among the others.
 func (s *Stager) self() string { return s.Address.String() }
 
-// named is the version that the engine should hold, and how long ago it was named.
+// naming is a version and when this agent learned that engines are to hold it.
+type naming struct {
+	version uint64
+	learned time.Time
+}
+
+// note keeps a newly named version. The store keeps only the newest, but each has a
+// bound of its own.
+func (s *Stager) note(model string) {
+	w, ok := s.Registrar.View().Weights(model)
+	if !ok || len(s.namings) > 0 && s.namings[len(s.namings)-1].version >= w.Version {
+		return
+	}
+	s.namings = append(s.namings, naming{w.Version, w.Learned})
+	if len(s.namings) > keptNamings {
+		s.namings = s.namings[1:]
+	}
+}
+
+// keptNamings is how many versions are remembered; older ones are past their bound.
+const keptNamings = 8
+
+// newest is the version that the engine should hold, and how long ago it was named.
 // Engines that are there from the start may hold the first without its being named.
-func (s *Stager) named(model string) (version uint64, age time.Duration) {
-	if w, ok := s.Registrar.View().Weights(model); ok {
-		return w.Version, s.Clock.Since(w.Learned)
+func (s *Stager) newest() (version uint64, age time.Duration) {
+	if len(s.namings) == 0 {
+		return firstVersion, time.Hour
 	}
-	return 1, time.Hour
+	n := s.namings[len(s.namings)-1]
+	return n.version, s.Clock.Since(n.learned)
+}
+
+// firstVersion is in force until another is named.
+const firstVersion = 1
+
+// after lists the versions newer than the one held, the oldest first.
+func (s *Stager) after(held uint64) []naming {
+	for i, n := range s.namings {
+		if n.version > held {
+			return s.namings[i:]
+		}
+	}
+	return nil
 }
 
 // target has the named versions fetched, and gives the newest one that is whole
 // here and whether it is this engine's turn to switch.
 func (s *Stager) target(ctx context.Context, model string, held uint64) (version uint64, turn bool) {
 	s.setOrigin()
-	named, age := s.named(model)
+	s.note(model)
+	named, age := s.newest()
 	peers := s.peers()
 	if digest, ok := s.Digests.Known(model, named); !ok {
 		s.Digests.Learn(ctx, versionKey{model, named}, s.self(), peers, age)
@@ -74,7 +113,7 @@
 	for v := named; v > held && v > 0; v-- {
 		if digest, ok := s.Digests.Known(model, v); ok {
 			if _, whole := s.Loader.Whole(digest); whole {
-				return v, held == 0 || s.turn(model, v)
+				return v, held == 0 || s.turn(held)
 			}
 		}
 	}
@@ -156,30 +195,56 @@
 	return e.Chunks
 }
 
-// turn tells whether this engine's wave has come. The waves are dealt over the
-// engines in the order of their addresses, which all agents see alike but for
-// those that come and go; disagreement only makes waves uneven.
-func (s *Stager) turn(model string, version uint64) bool {
-	w, ok := s.Registrar.View().Weights(model)
-	if !ok || w.Version != version {
-		return true
-	}
-	ids := []string{s.self()}
+// switchAt is when this engine should switch to a version named at the given time.
+// The turns are dealt over the engines in the order of a hash of their addresses,
+// which all agents see alike but for those that come and go; disagreement only makes
+// the turns uneven.
+func (s *Stager) switchAt(learned time.Time) time.Time {
+	own, before, all := planner.Score(s.Service, s.self()), 0, 1
 	for _, p := range s.peers() {
-		ids = append(ids, p.id)
-	}
-	slices.SortFunc(ids, func(a, b string) int {
-		x, y := planner.Score(model, a), planner.Score(model, b)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
+		all++
+		if planner.Score(s.Service, p.id) < own {
+			before++
 		}
+	}
+	part := firstSwitch + (lastSwitch-firstSwitch)*float64(before)/float64(all)
+	return learned.Add(time.Duration(part * float64(s.Bound)))
+}
+
+// turn tells whether it is this engine's turn to leave the version that it holds.
+func (s *Stager) turn(held uint64) bool {
+	newer := s.after(held)
+	return len(newer) == 0 || !s.Clock.Now().Before(s.switchAt(newer[0].learned))
+}
+
+// announceSwitch has the ledger let in only what ends before this engine's turn,
+// once the weights for it are sure to be here by then.
+func (s *Stager) announceSwitch(model string, held uint64) {
+	newer := s.after(held)
+	if len(newer) == 0 || held == 0 || !s.coming(model, newer) {
+		s.Ledger.OpenUntil(time.Time{})
+		return
+	}
+	s.Ledger.OpenUntil(s.switchAt(newer[0].learned))
+}
+
+// coming tells whether one of the versions is here or nearly so.
+func (s *Stager) coming(model string, versions []naming) bool {
+	return slices.ContainsFunc(versions, func(n naming) bool { return s.progress(model, n.version) >= expected })
+}
+
+// progress is the share of a version's chunks that are here.
+func (s *Stager) progress(model string, version uint64) float64 {
+	digest, ok := s.Digests.Known(model, version)
+	if !ok {
 		return 0
-	})
-	wave := slices.Index(ids, s.self()) % waves
-	return s.Clock.Since(w.Learned) >= firstWave+time.Duration(wave)*nextWave
+	}
+	for _, p := range s.Loader.Progress() {
+		if p.Manifest == digest && p.AllChunks > 0 {
+			return float64(p.Chunks) / float64(p.AllChunks)
+		}
+	}
+	return 0
 }
 
 // chunks gives a whole version's chunks in order.
