Count the steps of a pass into the reading of prompts

Cause: waits were predicted at about half of what they were once prompts queued (predicted 40..150 ms: first event 306..338 ms later instead of 139): while others write, a pass reads one chunk and takes its steps besides.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -156,6 +156,10 @@
 	c.count("served")
 	took := c.Clock.Since(c.Arrived)
 	metrics.GetOrRegisterTimer("request."+c.Route.Kind.String(), c.Metrics).Update(took)
-	c.log("Served", nil, "upstream", upstream, "status", status, "waitPredicted", place.Wait,
-		"upstreamRevision", place.Upstream.Revision)
+	fields := []any{"upstream", upstream, "status", status, "upstreamRevision", place.Upstream.Revision}
+	if s := c.stream; s != nil {
+		fields = append(fields, "events", s.events, "firstEvent", s.firstAfter, "longestPause", s.longestPause,
+			"waitPredicted", place.Wait, "active", place.Active, "prompt", c.Prompt)
+	}
+	c.log("Served", nil, fields...)
 }
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -31,7 +31,7 @@
 	firstAsked = 3
 	// firstEventTime is what a first event needs beyond waiting and reading: the pass
 	// under way, the pass that writes it, and the way to the caller.
-	firstEventTime = 170 * time.Millisecond
+	firstEventTime = 190 * time.Millisecond
 	// leastPatience is the wait accepted even when the objective leaves none.
 	leastPatience = 60 * time.Millisecond
 	// maxPatience bounds the reading ahead of a request: everything read in one pass
@@ -71,6 +71,9 @@
 	Upstream *registrar.UpstreamView
 	// Wait is the predicted wait before a prompt is read.
 	Wait time.Duration
+	// Active is how many requests held places at the engine after this one got its
+	// own; 0 when not told.
+	Active int
 	// Version binds the attempt to that version of the weights; 0 for any.
 	Version uint64
 
@@ -273,7 +276,7 @@
 	}
 	p.Chooser.Begin(u.ID)
 	return &Place{
-		Upstream: u, Wait: v.Wait(), Version: j.Version,
+		Upstream: u, Wait: v.Wait(), Active: v.Active, Version: j.Version,
 		started: func() { p.tell(c, messenger.Progress{Started: []string{j.ID}}) },
 		ended: func() {
 			p.Chooser.End(u.ID)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -23,6 +23,9 @@
 	events  int
 	// firstAfter is when the first event went out, counted from the arrival.
 	firstAfter time.Duration
+	// longestPause is between two events, and lastAt when the last one went out.
+	longestPause time.Duration
+	lastAt       time.Time
 }
 
 // GapError reports a stream that goes on elsewhere with the wrong event.
@@ -82,11 +85,20 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return c.leftError(x, err)
 	}
+	c.stream.passed(id, c.Clock.Now())
+	return nil
+}
+
+// passed notes an event that went out.
+func (s *stream) passed(id string, now time.Time) {
 	if id != "" {
-		c.stream.last = id
+		s.last = id
 	}
-	c.stream.events++
-	return nil
+	if s.events > 0 {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.events++
 }
 
 func (c *call) leftError(x *exchange, err error) error {
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -172,10 +172,15 @@
 	return l.cost(j) + l.scaled(write)
 }
 
-// cost is how much later everything behind a job is read. The steps that writers
-// take meanwhile come on top of the reading.
+// cost is how much later everything behind a job is read. While others write, each
+// pass reads one chunk and takes its steps besides.
 func (l *Ledger) cost(j Job) time.Duration {
-	return l.scaled(ReadTime(l.engine, j.Prompt))
+	read := ReadTime(l.engine, j.Prompt)
+	if writing := len(l.held) + l.foreign; writing > 0 && l.engine.Chunk > 0 {
+		passes := float64(j.Prompt) / float64(l.engine.Chunk)
+		read += time.Duration(passes * float64(PassTime(l.engine, min(writing, l.engine.Slots))))
+	}
+	return l.scaled(read)
 }
 
 func (l *Ledger) scaled(d time.Duration) time.Duration {
