--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -128,6 +131,7 @@
 		defer close(written)
 		d.log.Run(logs)
 	}()
+	d.parts.Add(reload{d})
 	klog.InfoS("Process starts", "vm", d.settings.Name, "failureDomain", d.settings.FailureDomain, "pid", os.Getpid())
 	err := reporter.RunUntil(ctx, d.parts, leave)
 	klog.InfoS("Process ends", "vm", d.settings.Name, "err", err)
@@ -136,6 +140,36 @@
 	return err
 }
 
+// reload reads the settings again at each SIGHUP. Addresses and bounds hold from the
+// next start on; a file with faults changes nothing.
+type reload struct{ *daemon }
+
+// Serve runs until the context ends.
+func (r reload) Serve(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hangups:
+			r.read()
+		}
+	}
+}
+
+func (r reload) String() string { return "reload" }
+
+func (r reload) read() {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		klog.ErrorS(err, "Settings not reloaded, the old ones stay in force")
+		return
+	}
+	klog.InfoS("Settings read again", "changed", !reflect.DeepEqual(s, r.settings))
+}
+
 func (d *daemon) tick(more ...func()) {
 	d.parts.Add(reporter.Every("ticks", d.clock, tickEvery, func(context.Context) {
 		d.registrar.Tick()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -25,8 +25,14 @@
 	// Revision is the store's counter at this change.
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	// Age is how long ago the sender learned of the change; UnknownAge when it can't
+	// tell.
+	Age time.Duration `json:"age,omitempty"`
 }
 
+// UnknownAge is the age of a record that was found and not seen to change.
+const UnknownAge = time.Duration(-1)
+
 // Batch is a run of changes.
 type Batch struct {
 	// Whole batches hold all records there are: what they don't name is gone.
@@ -130,12 +136,22 @@
 		return true
 	}
 	r.facts[rec.Key] = f
-	r.learned[rec.Key] = r.Clock.Now()
+	r.learned[rec.Key] = r.learnedAt(rec)
 	delete(r.lingering, rec.Key)
 	r.logFact(f, rec)
 	return true
 }
 
+// learnedAt is when the change of a record became known at the latest. A process
+// that has just started finds versions that were named long before; were it to count
+// from its start, it would let old weights serve beyond their bound.
+func (r *Registrar) learnedAt(rec Record) time.Time {
+	if rec.Age == UnknownAge {
+		return r.confirmed
+	}
+	return r.Clock.Now().Add(-rec.Age)
+}
+
 // raises keeps versions from going down. A store that was restored to an older
 // state would otherwise bring back routes and weights that were replaced.
 func (r *Registrar) raises(key string, f Fact) bool {
@@ -227,6 +243,7 @@
 	}
 	for _, rec := range r.records {
 		if rec.Revision > after && !(b.Whole && rec.Deleted) || b.Whole && !rec.Deleted {
+			rec.Age = r.ageOf(rec.Key)
 			b.Records = append(b.Records, rec)
 		}
 	}
@@ -234,6 +251,14 @@
 	return b
 }
 
+func (r *Registrar) ageOf(key string) time.Duration {
+	learned := r.learned[key]
+	if learned.IsZero() {
+		return UnknownAge
+	}
+	return r.Clock.Since(learned)
+}
+
 // At is the revision up to which all changes are known, and how long ago the store
 // confirmed it as the newest. Known is false before the first batch.
 func (r *Registrar) At() (at uint64, age time.Duration, known bool) {
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -25,9 +25,11 @@
 	// expected is the share of a version's chunks from which an agent counts on
 	// having it whole by the engine's turn.
 	expected = 0.6
-	// keepHalf is the share of an older version's chunks from which its transfer goes
-	// on beside a newer one's.
-	keepHalf = 0.5
+	// overtakeWithin is how soon after a version a newer one has to be named, as a part
+	// of the bound, for the older to be left out. With more time between them the
+	// older one arrives first and its engines switch in turn; the newer one alone would
+	// come just before the older one's bound, and all engines would stop at once.
+	overtakeWithin = 0.22
 )
 
 // peerAgent is the agent beside another engine of the service.
@@ -103,18 +105,16 @@
 func (s *Stager) target(ctx context.Context, model string, held uint64) (version uint64, turn bool) {
 	s.setOrigin()
 	s.note(model)
-	named, age := s.newest()
+	wanted, age := s.next(model, held)
 	peers := s.peers()
-	if digest, ok := s.Digests.Known(model, named); !ok {
-		s.Digests.Learn(ctx, versionKey{model, named}, s.self(), peers, age)
+	if digest, ok := s.Digests.Known(model, wanted); !ok {
+		s.Digests.Learn(ctx, versionKey{model, wanted}, s.self(), peers, age)
 	} else {
-		s.want(ctx, model, named, digest, peers)
+		s.want(ctx, model, digest, peers)
 	}
-	for v := named; v > held && v > 0; v-- {
-		if digest, ok := s.Digests.Known(model, v); ok {
-			if _, whole := s.Loader.Whole(digest); whole {
-				return v, held == 0 || s.turn(held)
-			}
+	for v, _ := s.newest(); v > held; v-- {
+		if s.whole(model, v) {
+			return v, held == 0 || s.turn(held)
 		}
 	}
 	return held, false
@@ -135,12 +135,41 @@
 	}
 }
 
-// want has the loader fetch a version, with an older one that is nearly there.
-func (s *Stager) want(ctx context.Context, model string, named uint64, digest string, peers []peerAgent) {
+// next is the version to fetch now: the oldest that is newer than what the engine
+// holds, not here yet, and not overtaken.
+func (s *Stager) next(model string, held uint64) (version uint64, age time.Duration) {
+	newer := s.after(held)
+	for i, n := range newer {
+		if i+1 < len(newer) && s.overtaken(n, newer[i+1]) {
+			continue
+		}
+		if !s.whole(model, n.version) {
+			return n.version, s.Clock.Since(n.learned)
+		}
+	}
+	return s.newest()
+}
+
+func (s *Stager) overtaken(n, by naming) bool {
+	return by.learned.Sub(n.learned) < time.Duration(overtakeWithin*float64(s.Bound))
+}
+
+func (s *Stager) whole(model string, version uint64) bool {
+	digest, ok := s.Digests.Known(model, version)
+	if !ok {
+		return false
+	}
+	_, whole := s.Loader.Whole(digest)
+	return whole
+}
+
+// want has the loader fetch a version. What is whole already stays, as other agents
+// may still need it.
+func (s *Stager) want(ctx context.Context, model, digest string, peers []peerAgent) {
 	s.preload(ctx, model, digest)
 	digests := []string{digest}
 	for _, p := range s.Loader.Progress() {
-		if p.Manifest != digest && p.AllChunks > 0 && float64(p.Chunks) >= keepHalf*float64(p.AllChunks) {
+		if p.Manifest != digest && p.AllChunks > 0 && p.Chunks == p.AllChunks {
 			digests = append(digests, p.Manifest)
 		}
 	}
