Fetch again soon after the origin is back; let engines go on meanwhile

Cause: with the origin out for 6 s just after a naming, its pauses grew to 4 s, and engines whose turn had come took nothing although their weights could not come. Ruled out: the plan of who draws what (36 chunks a second, the origin's link).

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -44,7 +44,10 @@
 	// another is asked for keeps the link busy; each more only waits in its queue.
 	chunkSlots = 3
 	// chunkSettle is the wait for news of the other agents before the origin is asked.
-	chunkSettle = 150 * time.Millisecond
+	chunkSettle = 60 * time.Millisecond
+	// originBackoff is the longest pause after the origin did not answer: a refused
+	// call costs next to nothing, and its return is then noticed within that time.
+	originBackoff = 300 * time.Millisecond
 )
 
 func platformAgentCommand() command {
@@ -76,7 +79,7 @@
 		Peer: func(a netip.AddrPort) fetcher.Source {
 			return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: s.Region}
 		},
-		Slots: chunkSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll,
+		Slots: chunkSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
 	}
 	st := &stager.Stager{
 		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -60,6 +60,8 @@
 	// newly wanted manifest is drawn from the origin, and how often peers are
 	// asked what they hold.
 	Patience, Settle, Poll time.Duration
+	// OriginBackoff is the planner's; 0 lets the pauses grow.
+	OriginBackoff time.Duration
 	// Nearly is the share of chunks from which a transfer that is wanted no more
 	// is finished all the same.
 	Nearly float64
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -329,8 +329,9 @@
 		Manifest: s.digest, Chunks: len(s.manifest.Chunks), SourceRegion: l.SourceRegion,
 		Slots: l.Slots, PeerSlots: max(1, l.Slots/2), OriginSlots: max(1, l.Slots/2), AcrossSlots: max(1, l.Slots-1),
 		Patience: l.Patience, BusyBackoff: l.Poll / 4, AvoidFor: avoidFor,
-		DrawAfter: s.since.Add(l.Settle),
-		Rand:      rand.New(rand.NewPCG(seed, planner.Score(s.digest, l.ID)+l.seeds)),
+		OriginBackoff: l.OriginBackoff,
+		DrawAfter:     s.since.Add(l.Settle),
+		Rand:          rand.New(rand.NewPCG(seed, planner.Score(s.digest, l.ID)+l.seeds)),
 	}
 }
 
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -105,7 +105,11 @@
 
 // shun leaves a source that doesn't answer alone, longer with each failure.
 func (t *Transfer) shun(p *peer, now time.Time) {
-	p.avoidUntil = now.Add(t.jitter(t.Patience << min(p.failures, mostDoublings)))
+	wait := t.Patience << min(p.failures, mostDoublings)
+	if p == &t.origin && t.OriginBackoff > 0 {
+		wait = min(wait, t.OriginBackoff)
+	}
+	p.avoidUntil = now.Add(t.jitter(wait))
 	p.failures++
 }
 
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -99,6 +99,10 @@
 	Patience time.Duration
 	// BusyBackoff is how long a peer without a free slot is left alone.
 	BusyBackoff time.Duration
+	// OriginBackoff is the longest pause after the origin did not answer; 0 means that
+	// it grows like a peer's. All agents wait for the origin: what it costs to ask it in
+	// vain is little against the time that weights come late after its return.
+	OriginBackoff time.Duration
 	// AvoidFor is how long a peer that sent a corrupt chunk is avoided.
 	AvoidFor time.Duration
 	// DrawAfter is the time before which nothing is drawn from the origin: at
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -23,6 +23,8 @@
 	// Every is how often the engine is asked what it does. A restart shows within
 	// that time, and its places count anew.
 	Every = 150 * time.Millisecond
+	// learnEvery is how often the others are asked which chunks make up a version.
+	learnEvery = 30 * time.Millisecond
 	// oldMargin is how much before the bound engines with old weights take nothing
 	// more: a granted request needs that long to begin.
 	oldMargin = 700 * time.Millisecond
@@ -110,6 +112,8 @@
 	ordered   uint64
 	orderedAt time.Time
 	preloaded bool
+	// unlisted tells that the chunks of the wanted version aren't known yet.
+	unlisted bool
 	// namings are the versions named so far, in order.
 	namings []naming
 	// originAt is the address of the origin in use.
@@ -120,17 +124,28 @@
 // Serve runs until the context ends.
 func (s *Stager) Serve(ctx context.Context) error {
 	for {
+		changed := s.Registrar.Changed()
 		s.step(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-s.Clock.After(Every):
+		case <-changed:
+		case <-s.Clock.After(s.pause()):
 		}
 	}
 }
 
 func (s *Stager) String() string { return "stager" }
 
+// pause is shorter while it isn't known yet which chunks make up a version: nothing
+// can be fetched until then.
+func (s *Stager) pause() time.Duration {
+	if s.unlisted {
+		return learnEvery
+	}
+	return Every
+}
+
 // Holds gives the version that the engine was last seen to hold.
 func (s *Stager) Holds(model string) uint64 {
 	s.mu.Lock()
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -107,7 +107,9 @@
 	s.note(model)
 	wanted, age := s.next(model, held)
 	peers := s.peers()
-	if digest, ok := s.Digests.Known(model, wanted); !ok {
+	digest, ok := s.Digests.Known(model, wanted)
+	s.unlisted = !ok
+	if !ok {
 		s.Digests.Learn(ctx, versionKey{model, wanted}, s.self(), peers, age)
 	} else {
 		s.want(ctx, model, digest, peers)
@@ -250,16 +252,20 @@
 // once the weights for it are sure to be here by then.
 func (s *Stager) announceSwitch(model string, held uint64) {
 	newer := s.after(held)
-	if len(newer) == 0 || held == 0 || !s.coming(model, newer) {
+	if len(newer) == 0 || held == 0 {
 		s.Ledger.OpenUntil(time.Time{})
 		return
 	}
-	s.Ledger.OpenUntil(s.switchAt(newer[0].learned))
-}
-
-// coming tells whether one of the versions is here or nearly so.
-func (s *Stager) coming(model string, versions []naming) bool {
-	return slices.ContainsFunc(versions, func(n naming) bool { return s.progress(model, n.version) >= expected })
+	here := slices.IndexFunc(newer, func(n naming) bool { return s.whole(model, n.version) }) >= 0
+	coming := slices.IndexFunc(newer, func(n naming) bool { return s.progress(model, n.version) >= expected }) >= 0
+	at := s.switchAt(newer[0].learned)
+	// When the turn comes and the weights don't, as with the origin out of reach, the
+	// engine goes on for as long as the bound allows.
+	if here || coming && s.Clock.Now().Before(at) {
+		s.Ledger.OpenUntil(at)
+		return
+	}
+	s.Ledger.OpenUntil(time.Time{})
 }
 
 // progress is the share of a version's chunks that are here.
