--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,244 @@
+package registrar_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+	"pgregory.net/rapid"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+)
+
+var errUnreadable = errors.New("unreadable")
+
+// decode reads the test's own form of records: up/ID, weights/MODEL, drained/DOMAIN
+// and table.
+func decode(key string, value []byte) (registrar.Fact, error) {
+	kind, name, _ := strings.Cut(key, "/")
+	if string(value) == "?" {
+		return nil, errUnreadable
+	}
+	switch kind {
+	case "up":
+		return registrar.Upstream{ID: name, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Leaving: string(value) == `"leaving"`}, nil
+	case "weights":
+		var v uint64
+		err := json.Unmarshal(value, &v)
+		return registrar.Weights{Model: name, Version: v}, err
+	case "drained":
+		return registrar.Drained{FailureDomain: name}, nil
+	case "table":
+		var v uint64
+		err := json.Unmarshal(value, &v)
+		t := &matcher.Table{Version: v}
+		t.Index()
+		return registrar.Table{Table: t}, err
+	}
+	return nil, nil
+}
+
+func newRegistrar() (*registrar.Registrar, *clocktest.FakeClock) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	return &registrar.Registrar{Clock: c, Decode: decode, Linger: 1600 * time.Millisecond}, c
+}
+
+func record(key, value string, revision uint64) registrar.Record {
+	return registrar.Record{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// A peer that is behind answers a process that already knows more. A caller would be
+// sent by a route table that was replaced.
+func TestOlderRecordsChangeNothing(t *testing.T) {
+	r, _ := newRegistrar()
+	r.Apply(registrar.Batch{Whole: true, At: 9, Records: []registrar.Record{record("table", "7", 9)}})
+	must.False(t, r.Apply(registrar.Batch{Whole: true, At: 5, Records: []registrar.Record{record("table", "6", 5)}}))
+	must.Eq(t, 7, r.View().Table.Version)
+	must.True(t, r.Apply(registrar.Batch{After: 9, At: 12, Records: []registrar.Record{record("table", "3", 12)}}))
+	must.Eq(t, 7, r.View().Table.Version, must.Sprint("a version below the one in force"))
+}
+
+// Batches of changes may begin above what is known when one was lost on the way. What
+// lies between would never be heard of: a drained failure domain would go on to get
+// requests.
+func TestGapIsNotSkipped(t *testing.T) {
+	r, _ := newRegistrar()
+	r.Apply(registrar.Batch{Whole: true, At: 5})
+	must.False(t, r.Apply(registrar.Batch{After: 7, At: 8, Records: []registrar.Record{record("up/a", "1", 8)}}))
+	at, _, _ := r.At()
+	must.Eq(t, 5, at)
+}
+
+// The store was out of reach and the leases of living upstreams lapsed meanwhile. If
+// they left the view at once, every request would be refused although all of them
+// serve; if they stayed for good, one that is really gone would get requests.
+func TestLapsedUpstreamsLingerAfterAnOutage(t *testing.T) {
+	r, c := newRegistrar()
+	r.Apply(registrar.Batch{Whole: true, At: 5, Records: []registrar.Record{record("up/a", "1", 4), record("up/b", "1", 5)}})
+	c.Step(10 * time.Second)
+	r.StoreLost()
+	r.Apply(registrar.Batch{Whole: true, At: 9})
+	must.Len(t, 2, r.View().Service("s"))
+	c.Step(time.Second)
+	r.Apply(registrar.Batch{After: 9, At: 10, Records: []registrar.Record{record("up/a", "1", 10)}})
+	c.Step(700 * time.Millisecond)
+	r.Tick()
+	must.Len(t, 1, r.View().Service("s"))
+	must.Eq(t, "a", r.View().Service("s")[0].ID)
+}
+
+// Without an outage a record that goes means that the upstream leaves.
+func TestRemovedUpstreamGoesAtOnce(t *testing.T) {
+	r, _ := newRegistrar()
+	r.Apply(registrar.Batch{Whole: true, At: 5, Records: []registrar.Record{record("up/a", "1", 4)}})
+	r.Apply(registrar.Batch{After: 5, At: 6, Records: []registrar.Record{{Key: "up/a", Revision: 6, Deleted: true}}})
+	must.Len(t, 0, r.View().Service("s"))
+}
+
+// Some other writer spoils a record. The route table and the weights stay as they
+// were, for without them nothing is served; a spoilt upstream names nothing to use.
+func TestUnreadableRecords(t *testing.T) {
+	r, _ := newRegistrar()
+	r.Apply(registrar.Batch{Whole: true, At: 5, Records: []registrar.Record{
+		record("table", "7", 3), record("weights/m", "2", 4), record("up/a", "1", 5)}})
+	r.Apply(registrar.Batch{After: 5, At: 8, Records: []registrar.Record{
+		record("table", "?", 6), record("weights/m", "?", 7), record("up/a", "?", 8)}})
+	must.Eq(t, 7, r.View().Table.Version)
+	w, ok := r.View().Weights("m")
+	must.True(t, ok)
+	must.Eq(t, 2, w.Version)
+	must.Len(t, 0, r.View().Service("s"))
+}
+
+// A process that restarts finds a version that was named long ago. Were it to count
+// the bound from its own start, old weights would answer callers beyond it.
+func TestAgeOfFoundRecords(t *testing.T) {
+	found := registrar.Record{Key: "weights/m", Value: []byte("2"), Revision: 4, Age: registrar.UnknownAge}
+	started, _ := newRegistrar()
+	started.Apply(registrar.Batch{Whole: true, At: 5, Records: []registrar.Record{found}})
+	w, _ := started.View().Weights("m")
+	must.True(t, w.Learned.IsZero(), must.Sprint("no one knows how old it is"))
+
+	witness, c := newRegistrar()
+	witness.Apply(registrar.Batch{Whole: true, At: 3})
+	witness.Apply(registrar.Batch{After: 3, At: 4, Records: []registrar.Record{record("weights/m", "2", 4)}})
+	c.Step(3 * time.Second)
+	told, now := newRegistrar()
+	told.Apply(witness.Since(0))
+	w, _ = told.View().Weights("m")
+	must.Eq(t, 3*time.Second, now.Since(w.Learned), must.Sprint("a process that saw the change tells its age"))
+}
+
+// oracle is the store's own history.
+type oracle struct {
+	revision uint64
+	live     map[string]registrar.Record
+	history  []registrar.Record
+}
+
+func (o *oracle) change(key, value string, deleted bool) {
+	if _, there := o.live[key]; deleted && !there {
+		return
+	}
+	o.revision++
+	rec := registrar.Record{Key: key, Value: []byte(value), Revision: o.revision, Deleted: deleted}
+	o.history = append(o.history, rec)
+	if deleted {
+		delete(o.live, key)
+		return
+	}
+	o.live[key] = rec
+}
+
+func (o *oracle) list() registrar.Batch {
+	b := registrar.Batch{Whole: true, At: o.revision}
+	for _, rec := range o.live {
+		b.Records = append(b.Records, rec)
+	}
+	return b
+}
+
+func (o *oracle) watch(after uint64) registrar.Batch {
+	b := registrar.Batch{After: after, At: o.revision}
+	for _, rec := range o.history {
+		if rec.Revision > after {
+			b.Records = append(b.Records, rec)
+		}
+	}
+	return b
+}
+
+func upstreams(v *registrar.View) string {
+	if v == nil {
+		return ""
+	}
+	var ids []string
+	for _, u := range v.Upstreams {
+		ids = append(ids, fmt.Sprintf("%s@%d", u.ID, u.Revision))
+	}
+	return strings.Join(ids, " ")
+}
+
+// Processes learn from the store and from each other in any order, restart with
+// nothing, and miss what the store forgot. None may ever go back to an older
+// revision, and all must agree with the store once news has gone round.
+func TestNewsOnlyMovesUpAndConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{live: map[string]registrar.Record{}, revision: 1}
+		rs := make([]*registrar.Registrar, 3)
+		seen := make([]uint64, len(rs))
+		for i := range rs {
+			rs[i], _ = newRegistrar()
+		}
+		who := rapid.IntRange(0, len(rs)-1)
+		check := func(i int) {
+			at, _, _ := rs[i].At()
+			if at < seen[i] {
+				t.Fatalf("process %d went from revision %d to %d", i, seen[i], at)
+			}
+			seen[i] = at
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				o.change("up/"+rapid.StringMatching("[a-d]").Draw(t, "key"), "1", rapid.Bool().Draw(t, "deleted"))
+			},
+			"list": func(t *rapid.T) {
+				i := who.Draw(t, "process")
+				rs[i].Apply(o.list())
+				check(i)
+			},
+			"watch": func(t *rapid.T) {
+				i := who.Draw(t, "process")
+				at, _, _ := rs[i].At()
+				rs[i].Apply(o.watch(at))
+				check(i)
+			},
+			"tell": func(t *rapid.T) {
+				from, to := who.Draw(t, "from"), who.Draw(t, "to")
+				at, _, _ := rs[to].At()
+				rs[to].Apply(rs[from].Since(at))
+				check(to)
+			},
+			"restart": func(t *rapid.T) {
+				i := who.Draw(t, "process")
+				rs[i], _ = newRegistrar()
+				seen[i] = 0
+			},
+		})
+		rs[0].Apply(o.list())
+		for _, r := range rs[1:] {
+			at, _, _ := r.At()
+			r.Apply(rs[0].Since(at))
+			if got, want := upstreams(r.View()), upstreams(rs[0].View()); got != want {
+				t.Fatalf("a process believes %q, the store holds %q", got, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/relayer/world_test.go
@@ -0,0 +1,219 @@
+package relayer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// codec is a wire of the tests' own.
+type codec struct{}
+
+func (codec) Request(h http.Header) relayer.Request {
+	ms, _ := strconv.Atoi(h.Get("Patience"))
+	return relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Patience: time.Duration(ms) * time.Millisecond}
+}
+
+func (codec) Outgoing(h http.Header, s relayer.Send) http.Header {
+	out := http.Header{"Id": h["Id"], "Upstream": {s.Upstream}, "Workspace": {s.Workspace}}
+	if s.LastEvent != "" {
+		out.Set("Last", s.LastEvent)
+	}
+	return out
+}
+
+func (codec) Reply(_ int, h http.Header) relayer.Reply {
+	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Sealed: h.Get("Seal") != ""}
+}
+
+func (codec) Returned(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Content-Length")
+	out.Del("Connection")
+	return out
+}
+
+// upstream is a server whose every answer a test writes byte by byte.
+type upstream struct {
+	name     string
+	listener net.Listener
+
+	mu sync.Mutex
+	// requests are the ids that came, in order.
+	requests []string
+	headers  []http.Header
+	// answer writes the answer to the nth request that came; when it gives false the
+	// connection is reset.
+	answer func(n int, id string, conn net.Conn) bool
+}
+
+func newUpstream(t *testing.T, name string, answer func(n int, id string, conn net.Conn) bool) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	u := &upstream{name: name, listener: l, answer: answer}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get("Id")
+		u.mu.Lock()
+		n := len(u.requests)
+		u.requests = append(u.requests, id)
+		u.headers = append(u.headers, req.Header)
+		u.mu.Unlock()
+		if !u.answer(n, id, conn) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	}
+}
+
+func (u *upstream) came() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]string(nil), u.requests...)
+}
+
+func (u *upstream) header(n int) http.Header {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.headers[n]
+}
+
+// say writes bytes; a caller that is gone already is no fault of the test.
+func say(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+// sealed is a whole answer.
+func sealed(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func chunked(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
+// streamHead begins a stream of events.
+func streamHead(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+}
+
+// world is an entry before some upstreams.
+type world struct {
+	*httptest.Server
+	relayer   *relayer.Relayer
+	registrar *registrar.Registrar
+	metrics   metrics.Registry
+}
+
+// newWorld makes an entry with one route for each kind: /safe/, /once/ and /stream/.
+func newWorld(t *testing.T, upstreams ...*upstream) *world {
+	c := clock.RealClock{}
+	reg := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
+		if key == "table" {
+			return registrar.Table{Table: table()}, nil
+		}
+		for _, u := range upstreams {
+			if u.name == key {
+				a := netip.MustParseAddrPort(u.listener.Addr().String())
+				return registrar.Upstream{ID: u.name, Service: "desk", Address: a, FailureDomain: "a", Slots: 6}, nil
+			}
+		}
+		return nil, nil
+	}}
+	b := registrar.Batch{Whole: true, At: 10, Records: []registrar.Record{{Key: "table", Revision: 1}}}
+	for i, u := range upstreams {
+		b.Records = append(b.Records, registrar.Record{Key: u.name, Revision: uint64(i) + 2})
+	}
+	reg.Apply(b)
+	chooser := &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 2))}
+	w := &world{registrar: reg, metrics: metrics.NewRegistry()}
+	w.relayer = &relayer.Relayer{
+		Registrar: reg, Chooser: chooser, Codec: codec{}, Clock: c, Random: rand.New(rand.NewPCG(3, 4)), Metrics: w.metrics,
+		Pool:   &relayer.Pool{Clock: c, Opened: func() {}},
+		Budget: &retrier.Budget{Clock: c, Burst: 100},
+		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "r",
+			Regions: map[string]string{"a": "r"}, Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }},
+	}
+	w.Server = httptest.NewServer(w.relayer)
+	t.Cleanup(w.Close)
+	return w
+}
+
+func table() *matcher.Table {
+	route := func(prefix string, kind matcher.Kind) *matcher.Route {
+		return &matcher.Route{Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 700 * time.Millisecond,
+			MaxAttempts: 2, Resumable: kind == matcher.Streaming, Targets: []matcher.Target{{Service: "desk", Weight: 1}}}
+	}
+	t := &matcher.Table{Version: 1,
+		Routes:   []*matcher.Route{route("/safe/", matcher.Idempotent), route("/once/", matcher.NonIdempotent), route("/stream/", matcher.Streaming)},
+		Services: map[string]*matcher.Service{"desk": {Name: "desk"}},
+		Keys:     map[string]*matcher.Workspace{"k": {Name: "farm"}},
+	}
+	t.Index()
+	return t
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// broken tells that the answer did not end as it should.
+	broken bool
+}
+
+func (w *world) ask(t *testing.T, path, id string) answer {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+path, strings.NewReader("order"))
+	must.NoError(t, err)
+	r.Header.Set("Id", id)
+	r.Header.Set("Key", "k")
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{broken: true}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, header: res.Header, body: string(body), broken: err != nil}
+}
