Under overload serve first attempts in time; returns take what is to spare

Cause: under more load than the engines bear a refusal took up to 180 ms of questions to all of them, and callers that came back, late by then, took places from those that could be in time: a third of all answers were late.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -130,7 +130,7 @@
 
 func (r *reserver) reserve(q messenger.Reservation, from *messenger.Link) messenger.Verdict {
 	v := r.ledger.Reserve(scheduler.Job{
-		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Patience: q.Patience(), Left: q.Left(),
+		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
 	}, from)
 	klog.InfoS("Place asked", "request", q.Request, "granted", v.Granted, "closed", v.Closed, "wait", v.Wait,
 		"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt)
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -33,6 +33,8 @@
 	Answer int `json:"answer"`
 	// PatienceMS is how long, in milliseconds, it may wait before its prompt is read.
 	PatienceMS int64 `json:"patienceMs"`
+	// Spare asks for a place only if the engine has some to spare.
+	Spare bool `json:"spare,omitempty"`
 	// LeftMS is the time that its caller still waits.
 	LeftMS int64 `json:"leftMs"`
 }
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -45,8 +45,14 @@
 	// unaskedShare is the part of an engine's places that entries divide among them
 	// while its agent is silent. The rest is a margin for disagreement.
 	unaskedShare = 0.75
+	// closedPause, fullPause and sparePause are how long at most an engine isn't asked
+	// that takes nothing, has no place, or has none to spare: what it said is soon out
+	// of date, and a place that nobody asks for stands empty.
+	closedPause = 100 * time.Millisecond
+	fullPause   = 25 * time.Millisecond
+	sparePause  = 150 * time.Millisecond
 	// busyRetry is the time to come back when nothing better is known.
-	busyRetry = 300 * time.Millisecond
+	busyRetry = 600 * time.Millisecond
 )
 
 // Job is a request that looks for an upstream.
@@ -59,6 +65,9 @@
 	Deadline time.Time
 	// Arrived is when the request came.
 	Arrived time.Time
+	// Returned requests were refused before and have come back: their objective has
+	// passed meanwhile.
+	Returned bool
 	// Tried are the upstreams that had it already.
 	Tried []string
 	// Version is the version of the weights that a stream has to go on with; 0 for
@@ -125,7 +134,7 @@
 	held := time.Duration(heldShare * float64(j.Route.Objective))
 	for {
 		place, err := p.placeAtEngine(ctx, p.Registrar.View(), service.Engine, j)
-		if err == nil || ctx.Err() != nil || p.Clock.Since(j.Arrived)+heldPause > held {
+		if err == nil || ctx.Err() != nil || p.late(j) || p.Clock.Since(j.Arrived)+heldPause > held {
 			return place, err
 		}
 		select {
@@ -202,6 +211,10 @@
 	free := time.Duration(0)
 	var waits []engineWait
 	for i, u := range us {
+		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
+			free = least(free, full)
+			continue
+		}
 		limit := patience
 		if i < firstAsked {
 			limit = min(goodWait, patience)
@@ -213,19 +226,29 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		if v != nil && v.Closed == "" {
-			waits = append(waits, engineWait{u, v.Wait(), v.Active < v.Slots})
-			if free == 0 || v.Free() < free {
-				free = v.Free()
-			}
+		if v == nil {
+			continue
+		}
+		if v.Closed != "" {
+			p.Chooser.Full(u.ID, false, closedPause)
+			continue
 		}
+		free = least(free, v.Free())
+		room := v.Wait() <= patience && v.Active < v.Slots
+		if !room || limit == patience {
+			p.noteFull(u.ID, j, v.Free())
+			continue
+		}
+		waits = append(waits, engineWait{u, v.Wait()})
 	}
 	slices.SortFunc(waits, func(a, b engineWait) int { return int(a.wait - b.wait) })
 	for _, w := range waits {
-		if w.room && w.wait <= patience {
-			if place, _ := p.ask(ctx, view, w.upstream, j, patience); place != nil {
-				return place, nil
-			}
+		place, v := p.ask(ctx, view, w.upstream, j, patience)
+		if place != nil {
+			return place, nil
+		}
+		if v != nil && v.Closed == "" {
+			p.noteFull(w.upstream.ID, j, v.Free())
 		}
 	}
 	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry)}
@@ -235,13 +258,37 @@
 type engineWait struct {
 	upstream *registrar.UpstreamView
 	wait     time.Duration
-	room     bool
+}
+
+// noteFull keeps that an engine has no place, or none to spare.
+func (p *Placer) noteFull(id string, j *Job, free time.Duration) {
+	if p.late(j) {
+		p.Chooser.Full(id, true, min(free, sparePause))
+		return
+	}
+	p.Chooser.Full(id, false, min(free, fullPause))
+}
+
+// least is the shorter of two times; 0 is none.
+func least(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// late tells whether a request can't be answered within its objective any more.
+func (p *Placer) late(j *Job) bool {
+	return j.Returned || j.Route.Objective > 0 && p.Clock.Since(j.Arrived)+firstEventTime > j.Route.Objective
 }
 
 // patience is how long a request may wait before its prompt is read and still be
 // answered within its objective. Its own reading is not taken off in full: long
 // prompts would never be served under load.
 func (p *Placer) patience(e *matcher.Engine, j *Job) time.Duration {
+	if p.late(j) {
+		return goodWait
+	}
 	left := j.Route.Objective - p.Clock.Since(j.Arrived) - firstEventTime - scheduler.ReadTime(e, min(j.Prompt, e.UsualPrompt))
 	return min(max(left, leastPatience), maxPatience)
 }
@@ -255,7 +302,7 @@
 	a := netip.AddrPortFrom(u.Address.Addr(), p.AgentPort)
 	c := p.agent(a)
 	v, err := c.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Upstream: u.ID, Model: j.Model, Prompt: j.Prompt, Answer: j.Answer(),
+		Request: j.ID, Upstream: u.ID, Model: j.Model, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
 		PatienceMS: patience.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(),
 	})
 	if ctx.Err() != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -45,6 +45,8 @@
 	Metrics   metrics.Registry
 
 	mu sync.Mutex
+	// patience is the longest that callers of each route were seen to wait.
+	patience map[string]time.Duration
 }
 
 // call is one caller's request on its way.
@@ -103,7 +105,8 @@
 	c.mu.Lock()
 	c.Service = c.Route.Target(c.Random.Float64())
 	c.mu.Unlock()
-	c.Deadline = c.Arrived.Add(c.patience() - answerMargin)
+	c.Returned = c.returned()
+	c.Deadline = c.Arrived.Add(c.limit() - answerMargin)
 	return true
 }
 
@@ -118,7 +121,7 @@
 	return false
 }
 
-func (c *call) patience() time.Duration {
+func (c *call) limit() time.Duration {
 	d := defaultTimeout
 	if c.Route.Timeout > 0 {
 		d = c.Route.Timeout
@@ -129,6 +132,26 @@
 	return d
 }
 
+// leastPatienceShare is below which part of the longest patience seen on a route a
+// caller must have been waiting before: first attempts differ by some 15 in 100.
+const leastPatienceShare = 0.83
+
+// returned tells whether the caller comes back after a refusal: callers tell what is
+// left of their patience.
+func (c *call) returned() bool {
+	if c.Patience <= 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Relayer.patience == nil {
+		c.Relayer.patience = map[string]time.Duration{}
+	}
+	most := max(c.Relayer.patience[c.Route.Name], c.Patience)
+	c.Relayer.patience[c.Route.Name] = most
+	return float64(c.Patience) < leastPatienceShare*float64(most)
+}
+
 // headerBytes is about the size of a request's header on the wire.
 func headerBytes(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
@@ -280,7 +303,10 @@
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
 }
 
-// spread draws the time to come back from one to one and a half of the estimate, so
+// spreadOver is over what multiple of the estimate callers are told to come back.
+const spreadOver = 1.5
+
+// spread draws the time to come back from one to two and a half of the estimate, so
 // that those refused together don't come back together.
 func (c *call) spread(d time.Duration) time.Duration {
 	if d <= 0 {
@@ -288,7 +314,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return d + time.Duration(c.Random.Int64N(int64(d)/2+1))
+	return d + time.Duration(c.Random.Int64N(int64(spreadOver*float64(d))+1))
 }
 
 // answer sends an answer of the system's own.
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -67,6 +67,9 @@
 	wait   time.Duration
 	active float64
 	heard  time.Time
+	// fullUntil is when there may be a place again at one that had none, and
+	// unsparingUntil when it may have one to spare.
+	fullUntil, unsparingUntil time.Time
 	// running are this entry's own requests there.
 	running  int
 	failures int
@@ -163,6 +166,32 @@
 	s.wait, s.active, s.heard = wait, active, c.Clock.Now()
 }
 
+// Full notes that an upstream has no place for so long, or none to spare. Until then
+// it isn't asked: under more load than all can bear, each refusal would otherwise
+// cost a question to every engine, and the caller's time.
+func (c *Chooser) Full(id string, spare bool, free time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.Clock.Now().Add(free)
+	if spare {
+		c.of(id).unsparingUntil = until
+		return
+	}
+	c.of(id).fullUntil = until
+}
+
+// FullFor is how long an upstream is still taken to have no place, or none to spare.
+func (c *Chooser) FullFor(id string, spare bool) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(id)
+	until := s.fullUntil
+	if spare && s.unsparingUntil.After(until) {
+		until = s.unsparingUntil
+	}
+	return max(0, until.Sub(c.Clock.Now()))
+}
+
 // Begin and End count this entry's own requests at an upstream.
 func (c *Chooser) Begin(id string) { c.add(id, 1) }
 
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -18,6 +18,10 @@
 	ID string
 	// Prompt and Answer are its size in tokens.
 	Prompt, Answer int
+	// Spare jobs can't be answered within their objective any more. They get a place
+	// only while the engine has some to spare: under more load than it bears, each
+	// would make one late that could still be in time.
+	Spare bool
 	// Patience is how long it may wait before its prompt is read, Left how long its
 	// caller waits for the whole.
 	Patience, Left time.Duration
@@ -122,8 +126,8 @@
 		v.Granted = true
 		return v
 	}
-	if v.Active >= l.engine.Slots {
-		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-l.engine.Slots+1)
+	if limit := l.limit(j); v.Active >= limit {
+		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-limit+1)
 		return v
 	}
 	if !l.until.IsZero() && now.Add(v.Wait+l.duration(j, v.Active+1)).After(l.until) {
@@ -140,6 +144,18 @@
 	return v
 }
 
+// spareShare is the part of an engine's places up to which spare jobs get one. With
+// more, steps are longer and little is left for a burst.
+const spareShare = 0.7
+
+// limit is how many requests may hold places once a job has one.
+func (l *Ledger) limit(j Job) int {
+	if j.Spare {
+		return max(1, int(spareShare*float64(l.engine.Slots)))
+	}
+	return l.engine.Slots
+}
+
 func (l *Ledger) reason() string {
 	if l.closed == "" {
 		return "not ready"
