Draw two chunks at once from the origin; hear of holdings with each chunk

Cause: on the grown site versions took 8 to 10 s; the origin's link stood idle after the second second, as each agent drew one chunk at a time beside its other fetches.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -43,6 +43,10 @@
 	// chunkSlots is how many chunks an agent fetches at once. One on the way while
 	// another is asked for keeps the link busy; each more only waits in its queue.
 	chunkSlots = 3
+	// originSlots is how many of these may be drawn from the origin: nobody else has
+	// what an agent is to draw, so the origin's link must not stand idle for want of
+	// asking.
+	originSlots = 2
 	// chunkSettle is the wait for news of the other agents before the origin is asked.
 	chunkSettle = 60 * time.Millisecond
 	// originBackoff is the longest pause after the origin did not answer: a refused
@@ -79,7 +83,7 @@
 		Peer: func(a netip.AddrPort) fetcher.Source {
 			return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: s.Region}
 		},
-		Slots: chunkSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
+		Slots: chunkSlots, OriginSlots: originSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
 	}
 	st := &stager.Stager{
 		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
--- a/internal/fetcher/http.go
+++ b/internal/fetcher/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -19,6 +21,14 @@
 // stalled.
 const DefaultTimeout = 5 * time.Second
 
+// HoldingHeader carries the bitmap of the chunks that an agent holds, in base64, with
+// each chunk of the manifest that ManifestHeader of the request names. It is younger
+// than any that was asked for, and costs no call.
+const (
+	HoldingHeader  = "Holding"
+	ManifestHeader = "Manifest"
+)
+
 // RegionHeader carries the caller's region to an agent.
 const RegionHeader = "Region"
 
@@ -46,6 +56,10 @@
 	Timeout time.Duration
 	// Client makes the calls; nil means http.DefaultClient.
 	Client *http.Client
+	// Watched and OnHolding, when set, name a manifest and take the bitmap of it that comes with
+	// each chunk.
+	Watched   string
+	OnHolding func(have []byte)
 	// Region is the caller's own, told to agents so that they keep upload slots
 	// free for fetches across a region link; empty for none.
 	Region string
@@ -107,17 +121,35 @@
 	if h.Region != "" {
 		req.Header.Set(RegionHeader, h.Region)
 	}
+	if h.Watched != "" {
+		req.Header.Set(ManifestHeader, h.Watched)
+	}
 	res, err := h.client().Do(req)
 	if err != nil {
 		return nil, h.unavailable(err)
 	}
 	defer res.Body.Close()
+	h.hold(res)
 	if err := h.refused(res, digest); err != nil {
 		return nil, err
 	}
 	return h.read(res, digest, limit, func() { idle.Reset(h.timeout()) })
 }
 
+// hold hands on the bitmap that came with an answer.
+func (h *HTTP) hold(res *http.Response) {
+	text := res.Header.Get(HoldingHeader)
+	if h.OnHolding == nil || text == "" {
+		return
+	}
+	have, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		klog.V(1).InfoS("Bitmap not read", "source", h.Address, "err", err)
+		return
+	}
+	h.OnHolding(have)
+}
+
 func (h *HTTP) read(res *http.Response, digest string, limit int64, alive func()) ([]byte, error) {
 	if res.ContentLength > limit {
 		return nil, h.oversize(digest, limit)
--- a/internal/loader/handler.go
+++ b/internal/loader/handler.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -70,6 +71,9 @@
 	if c != nil {
 		data = c.data
 	}
+	if s := l.sets[r.Header.Get(fetcher.ManifestHeader)]; s != nil && s.transfer != nil {
+		w.Header().Set(fetcher.HoldingHeader, base64.StdEncoding.EncodeToString(s.transfer.Have()))
+	}
 	l.mu.Unlock()
 	if data == nil {
 		refuse(w, http.StatusNotFound, "chunk not held")
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -49,8 +49,9 @@
 	Memory int64
 	// Clock is the time; nil means the real one.
 	Clock clock.WithTicker
-	// Slots bounds the fetches in flight of each manifest.
-	Slots int
+	// Slots bounds the fetches in flight of each manifest, and OriginSlots those from
+	// Sources; 0 means half of Slots.
+	Slots, OriginSlots int
 	// Upload paces what is sent to other agents, in bytes; nil means unpaced.
 	// UploadSlots bounds the fetches of peers served at once, of this region and
 	// of others each.
@@ -136,6 +137,7 @@
 			l.Clock = clock.RealClock{}
 		}
 		l.Slots = orDefault(l.Slots, DefaultSlots)
+		l.OriginSlots = orDefault(l.OriginSlots, max(1, l.Slots/2))
 		l.UploadSlots = orDefault(l.UploadSlots, DefaultUploadSlots)
 		l.Patience = orDefault(l.Patience, DefaultPatience)
 		l.Settle = orDefault(l.Settle, DefaultSettle)
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -120,12 +120,32 @@
 		if !ok {
 			return nil, &fetcher.NotHeldError{Source: from.ID, Digest: digest}
 		}
-		return fetcher.Verified(l.Peer(h.Address)).Chunk(ctx, digest, size)
+		return fetcher.Verified(l.listening(s, from.ID, l.Peer(h.Address))).Chunk(ctx, digest, size)
 	default:
 		return l.fromSources(func(src fetcher.Source) ([]byte, error) { return src.Chunk(ctx, digest, size) })
 	}
 }
 
+// listening makes a peer's chunks bring word of what else it holds. Asked for at each
+// Poll only, that word is as old as several chunks take on a fast link, and agents
+// ask each other for what is gone or not yet there.
+func (l *Loader) listening(s *set, id string, src fetcher.Source) fetcher.Source {
+	peer, ok := src.(*fetcher.HTTP)
+	if !ok {
+		return src
+	}
+	asked := *peer
+	asked.Watched = s.digest
+	asked.OnHolding = func(have []byte) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if s.transfer != nil {
+			s.transfer.Saw(id, planner.Bitmap(have))
+		}
+	}
+	return &asked
+}
+
 // fromSources asks the sources in turn and gives the first good answer.
 func (l *Loader) fromSources(ask func(fetcher.Source) ([]byte, error)) ([]byte, error) {
 	err := error(&fetcher.UnavailableError{Source: "no source"})
@@ -327,7 +347,7 @@
 	return &planner.Transfer{
 		ID: l.ID, FailureDomain: l.FailureDomain, Region: l.Region,
 		Manifest: s.digest, Chunks: len(s.manifest.Chunks), SourceRegion: l.SourceRegion,
-		Slots: l.Slots, PeerSlots: max(1, l.Slots/2), OriginSlots: max(1, l.Slots/2), AcrossSlots: max(1, l.Slots-1),
+		Slots: l.Slots, PeerSlots: max(1, l.Slots/2), OriginSlots: l.OriginSlots, AcrossSlots: max(1, l.Slots-1),
 		Patience: l.Patience, BusyBackoff: l.Poll / 4, AvoidFor: avoidFor,
 		OriginBackoff: l.OriginBackoff,
 		DrawAfter:     s.since.Add(l.Settle),
