--- /dev/null
+++ b/internal/hoster/hoster_test.go
@@ -0,0 +1,113 @@
+package hoster_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/hoster"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+)
+
+// view has two entries in region r and one in each of s and t.
+func view(routes ...*matcher.Route) *registrar.View {
+	members := map[string]registrar.Member{}
+	for i, region := range []string{"r", "r", "s", "t"} {
+		id := string(rune('a' + i))
+		members[id] = registrar.Member{ID: id, Region: region, Callers: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))}
+	}
+	r := &registrar.Registrar{Clock: clock.RealClock{}, Decode: func(key string, _ []byte) (registrar.Fact, error) {
+		if key == "table" {
+			t := &matcher.Table{Version: 1, Routes: routes}
+			t.Index()
+			return registrar.Table{Table: t}, nil
+		}
+		return members[key], nil
+	}}
+	b := registrar.Batch{Whole: true, At: 9, Records: []registrar.Record{{Key: "table", Revision: 1}}}
+	for id := range members {
+		b.Records = append(b.Records, registrar.Record{Key: id, Revision: 2})
+	}
+	r.Apply(b)
+	return r.View()
+}
+
+func ports(as []netip.AddrPort) []uint16 {
+	var ps []uint16
+	for _, a := range as {
+		ps = append(ps, a.Port())
+	}
+	return ps
+}
+
+func TestNearestEntries(t *testing.T) {
+	must.Eq(t, []uint16{1, 2}, ports(hoster.Nearest(view(), hoster.Question{Host: "h", Region: "r"})))
+	must.Eq(t, []uint16{3, 1, 2, 4}, ports(hoster.Nearest(view(), hoster.Question{Host: "h", Region: "s"})),
+		must.Sprint("with a single one near, a caller needs others to go to"))
+}
+
+// A host's requests may be served in region t only. An entry elsewhere would take
+// bodies in that must not leave it, except where the caller itself is.
+func TestEntriesOutsideAllowedRegionsAreNotNamed(t *testing.T) {
+	v := view(&matcher.Route{Host: "h", Prefix: "/", Regions: []string{"t"}})
+	must.Eq(t, []uint16{3, 4}, ports(hoster.Nearest(v, hoster.Question{Host: "h", Region: "s"})))
+	v = view(&matcher.Route{Host: "h", Prefix: "/a/", Regions: []string{"t"}}, &matcher.Route{Host: "h", Prefix: "/b/", Regions: []string{"r"}})
+	must.Eq(t, []uint16{3}, ports(hoster.Nearest(v, hoster.Question{Host: "h", Region: "s"})), must.Sprint("no region suits both routes"))
+}
+
+// noLeases is a store without leases.
+type noLeases struct{}
+
+func (noLeases) Lease(context.Context, time.Duration) (uint64, error)      { return 1, nil }
+func (noLeases) Renew(context.Context, uint64) error                       { return nil }
+func (noLeases) EndLease(context.Context, uint64) error                    { return nil }
+func (noLeases) PutMember(context.Context, registrar.Member, uint64) error { return nil }
+
+// An entry is told to stop while it answers a request, and a caller that still holds an
+// old answer of the directory comes only then. Neither may be cut.
+func TestLeavingCutsNoRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	began, finish := make(chan struct{}, 2), make(chan struct{})
+	h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: clock.RealClock{}, Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
+		Registration: &syncer.Registration{Store: noLeases{}, Clock: clock.RealClock{}},
+		Requests: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			began <- struct{}{}
+			<-finish
+			_, _ = io.WriteString(w, "whole")
+		})}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	answers := make(chan string, 2)
+	ask := func() {
+		res, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer res.Body.Close()
+		body, _ := io.ReadAll(res.Body)
+		answers <- string(body)
+	}
+	go ask()
+	<-began
+	stop()
+	must.False(t, h.Ready())
+	go ask()
+	<-began
+	close(finish)
+	must.Eq(t, "whole", <-answers)
+	must.Eq(t, "whole", <-answers)
+	must.NoError(t, <-done)
+	must.True(t, h.Leaving())
+}
--- /dev/null
+++ b/internal/stager/stager_test.go
@@ -0,0 +1,271 @@
+package stager_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
+	"github.com/oriolecroft/oriolecroft/internal/loader"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+	"github.com/oriolecroft/oriolecroft/internal/stager"
+)
+
+const (
+	chunkCount = 6
+	model      = "m"
+)
+
+// chunkOf makes the bytes of a version's chunk.
+func chunkOf(version uint64, chunk int) []byte {
+	return fmt.Appendf(nil, "version %d chunk %d", version, chunk)
+}
+
+// engine loads whatever lies staged, unchecked, as a real one does.
+type engine struct {
+	mu     sync.Mutex
+	staged map[int][]byte
+	held   uint64
+	born   int64
+	// loaded is what lay staged at the last order.
+	loaded map[int][]byte
+	orders int
+	// rot, when set, spoils the next chunk that is staged.
+	rot bool
+	// running requests keep an order waiting.
+	running int
+}
+
+var errNotStaged = errors.New("not staged")
+
+func (e *engine) Report(context.Context) (stager.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := stager.Report{Born: e.born, Running: e.running}
+	if e.held > 0 {
+		r.Models = []registrar.HeldModel{{Name: model, Version: e.held}}
+	}
+	return r, nil
+}
+
+func (e *engine) Stage(_ context.Context, _ string, chunk int, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rot {
+		e.rot = false
+		data = []byte("spoilt")
+	}
+	e.staged[chunk] = data
+	return nil
+}
+
+func (e *engine) Staged(_ context.Context, _ string, chunk int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data, ok := e.staged[chunk]
+	if !ok {
+		return nil, errNotStaged
+	}
+	return data, nil
+}
+
+func (e *engine) Load(_ context.Context, _ string, version uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	e.loaded = map[int][]byte{}
+	for i, data := range e.staged {
+		e.loaded[i] = data
+	}
+	e.held = version
+	return nil
+}
+
+func (e *engine) holds() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held
+}
+
+// origin gives every version; while spoilt it gives wrong digests now and then.
+type origin struct {
+	mu    sync.Mutex
+	asked int
+	// differing makes each list of digests differ from the one before.
+	differing bool
+}
+
+func (o *origin) Digests(_ context.Context, _ string, version uint64) (stager.Digests, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.asked++
+	d := stager.Digests{ChunkBytes: int64(len(chunkOf(version, 0)))}
+	for i := range chunkCount {
+		sum := sha256.Sum256(chunkOf(version, i))
+		d.SHA256 = append(d.SHA256, hex.EncodeToString(sum[:]))
+	}
+	if o.differing {
+		sum := sha256.Sum256(fmt.Append(nil, o.asked))
+		d.SHA256[0] = hex.EncodeToString(sum[:])
+	}
+	return d, nil
+}
+
+func (o *origin) Chunk(_ context.Context, _ string, version uint64, chunk int) ([]byte, error) {
+	return chunkOf(version, chunk), nil
+}
+
+// world is one agent beside one engine.
+type world struct {
+	registrar *registrar.Registrar
+	ledger    *scheduler.Ledger
+	engine    *engine
+	origin    *origin
+	revision  uint64
+}
+
+func newWorld(t *testing.T, e *engine, bound time.Duration, found ...registrar.Record) *world {
+	c := clock.RealClock{}
+	w := &world{engine: e, origin: &origin{}, ledger: &scheduler.Ledger{Clock: c}, revision: 1}
+	if e.staged == nil {
+		e.staged = map[int][]byte{}
+	}
+	w.registrar = &registrar.Registrar{Clock: c, Decode: decode}
+	w.registrar.Apply(registrar.Batch{Whole: true, At: 1, Records: append(found, registrar.Record{Key: "table", Revision: 1})})
+	client := &http.Client{}
+	digests := &stager.Digester{Client: client}
+	l := &loader.Loader{ID: "self", Region: "r", Clock: c, Sources: []fetcher.Source{digests}, Memory: 1 << 20,
+		Peer:     func(a netip.AddrPort) fetcher.Source { return &fetcher.HTTP{Address: a, Client: client} },
+		Patience: 50 * time.Millisecond, Settle: time.Millisecond, Poll: 20 * time.Millisecond}
+	s := &stager.Stager{ID: "agent", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Region: "r",
+		Registrar: w.registrar, Loader: l, Ledger: w.ledger, Engine: e, Bound: bound, Clock: c, Digests: digests,
+		Origin: func(netip.AddrPort) stager.Origin { return w.origin }}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() { _ = l.Serve(ctx) }()
+	go func() { _ = s.Serve(ctx) }()
+	return w
+}
+
+func decode(key string, value []byte) (registrar.Fact, error) {
+	if key == "table" {
+		t := &matcher.Table{Version: 1, Services: map[string]*matcher.Service{
+			"s": {Name: "s", Engine: &matcher.Engine{Slots: 4, Chunks: chunkCount, ReadPerSecond: 1000, Models: []string{model}}},
+			"o": {Name: "o", Origin: &matcher.Origin{Address: netip.MustParseAddrPort("127.0.0.1:2")}},
+		}}
+		t.Index()
+		return registrar.Table{Table: t}, nil
+	}
+	return registrar.Weights{Model: model, Version: uint64(value[0])}, nil
+}
+
+// name makes a version the one to hold.
+func (w *world) name(version byte) {
+	after := w.revision
+	w.revision++
+	w.registrar.Apply(registrar.Batch{After: after, At: w.revision, Records: []registrar.Record{
+		{Key: "weights", Value: []byte{version}, Revision: w.revision}}})
+}
+
+func (w *world) open() bool {
+	v := w.ledger.Reserve(scheduler.Job{ID: "probe", Prompt: 1, Patience: time.Hour, Left: time.Millisecond}, nil)
+	w.ledger.Ended("probe")
+	return v.Granted
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(10*time.Second), wait.Gap(10*time.Millisecond)))
+}
+
+// An engine is added empty. It must not get a request before it holds whole weights.
+func TestEmptyEngineIsFilledBeforeItOpens(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, 8*time.Second)
+	must.False(t, w.open())
+	eventually(t, func() bool { return e.holds() == 1 })
+	eventually(t, w.open)
+}
+
+// A chunk turns bad between its staging and the order. The engine does not check, and
+// would answer from spoilt weights.
+func TestRottenChunkIsMendedBeforeTheOrder(t *testing.T) {
+	e := &engine{born: 1, rot: true}
+	newWorld(t, e, 8*time.Second)
+	eventually(t, func() bool { return e.holds() == 1 })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range chunkCount {
+		must.Eq(t, string(chunkOf(1, i)), string(e.loaded[i]))
+	}
+}
+
+// A restarted engine keeps what was staged and holds nothing. Its agent must notice,
+// and have it loaded again before requests go there.
+func TestRestartedEngineIsLoadedAgain(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, 8*time.Second)
+	eventually(t, w.open)
+	e.mu.Lock()
+	e.born, e.held, e.orders = 2, 0, 0
+	e.mu.Unlock()
+	eventually(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.orders == 1 })
+	eventually(t, w.open)
+}
+
+// A new version is named. The engine goes on with the old one until its turn, and has
+// the new one within the bound.
+func TestNamedVersionComesWithinTheBound(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, 3*time.Second)
+	eventually(t, w.open)
+	w.name(2)
+	began := time.Now()
+	must.True(t, w.open(), must.Sprint("the old weights still serve"))
+	eventually(t, func() bool { return e.holds() == 2 })
+	must.Less(t, 3*time.Second, time.Since(began))
+	eventually(t, w.open)
+}
+
+// The origin's list of digests may come spoilt, and every right chunk would look
+// wrong for good. Two lists that differ are both mistrusted.
+func TestSpoiltDigestsAreAskedAgain(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, 8*time.Second)
+	eventually(t, w.open)
+	w.origin.mu.Lock()
+	w.origin.differing = true
+	w.origin.mu.Unlock()
+	w.name(2)
+	time.Sleep(200 * time.Millisecond)
+	must.Eq(t, 1, e.holds())
+	w.origin.mu.Lock()
+	w.origin.differing = false
+	w.origin.mu.Unlock()
+	eventually(t, func() bool { return e.holds() == 2 })
+}
+
+// An agent starts beside an engine with old weights, long after a newer version was
+// named. Nobody can tell how long ago, so nothing old may begin a reply.
+func TestOldWeightsOfUnknownAgeServeNothing(t *testing.T) {
+	e := &engine{born: 1, held: 1}
+	w := newWorld(t, e, 8*time.Second, registrar.Record{Key: "weights", Value: []byte{2}, Revision: 1, Age: registrar.UnknownAge})
+	w.origin.mu.Lock()
+	w.origin.differing = true
+	w.origin.mu.Unlock()
+	time.Sleep(400 * time.Millisecond)
+	must.False(t, w.open())
+}
--- /dev/null
+++ b/internal/syncer/syncer_test.go
@@ -0,0 +1,182 @@
+package syncer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+	"github.com/oriolecroft/oriolecroft/platform"
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+)
+
+// process is one process of the system that keeps itself up to date.
+type process struct {
+	registrar *registrar.Registrar
+	peers     netip.AddrPort
+	stop      context.CancelFunc
+}
+
+// start runs a process; each has a store of its own, so that a test can cut one off.
+func start(t *testing.T, id string, entry bool, store netip.AddrPort, seeds ...netip.AddrPort) *process {
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	c := clock.RealClock{}
+	p := &process{registrar: &registrar.Registrar{Clock: c, Decode: platform.Decode, Linger: time.Second},
+		peers: netip.MustParseAddrPort(l.Addr().String()), stop: stop}
+	server := &messenger.Server{Listener: l, OnRecords: syncer.Answer(p.registrar, c)}
+	go func() { _ = server.Serve(ctx) }()
+	s := &syncer.Syncer{ID: id, Entry: entry, Region: "r", Registrar: p.registrar, Store: platform.NewStore(store), Seeds: seeds,
+		Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }, Clock: c,
+		Random: rand.New(rand.NewPCG(1, 2))}
+	go func() { _ = s.Serve(ctx) }()
+	return p
+}
+
+func (p *process) drained(domain string) func() bool {
+	return func() bool {
+		v := p.registrar.View()
+		return v != nil && v.Drained(domain)
+	}
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(10*time.Second), wait.Gap(10*time.Millisecond)))
+}
+
+// member is an entry's record, which makes others ask it.
+func member(id string, p *process) registrar.Member {
+	return registrar.Member{ID: id, Region: "r", FailureDomain: "a", Callers: p.peers, Peers: p.peers}
+}
+
+// The store turns one entry away and serves the others. The operator drains a failure
+// domain meanwhile; the entry must hear of it from the others, or it would go on to
+// send requests there.
+func TestEntryThatTheStoreRefusesHearsFromOthers(t *testing.T) {
+	store, refusing := standin.NewStore(), standin.NewStore()
+	defer store.Close()
+	defer refusing.Close()
+	refusing.SetFault(standin.Busy)
+	good := start(t, "good", true, store.Address())
+	cut := start(t, "cut", true, refusing.Address(), good.peers)
+	store.Put("op/evacuate/a", struct{}{})
+	eventually(t, good.drained("a"))
+	eventually(t, cut.drained("a"))
+	must.True(t, cut.registrar.Fresh())
+}
+
+// Of many entries and agents only two read the store; each waiting read is a call that
+// the operators pay for.
+func TestFewReadTheStoreForAll(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	ps := make([]*process, 5)
+	names := []string{"e1", "e2", "e3", "e4", "e5"}
+	for i, id := range names {
+		ps[i] = start(t, id, true, store.Address())
+	}
+	for i, id := range names {
+		store.Put("oriolecroft/entries/"+id, member(id, ps[i]))
+	}
+	agent := start(t, "agent", false, store.Address())
+	for _, p := range append(ps, agent) {
+		eventually(t, func() bool { v := p.registrar.View(); return v != nil && len(v.Members) == len(names) })
+	}
+	// One more change lets those that still wait at the store find out their roles.
+	store.Put("op/evacuate/first", struct{}{})
+	for _, p := range append(ps, agent) {
+		eventually(t, p.drained("first"))
+	}
+	before := store.Calls("/v1/kv-watch")
+	store.Put("op/evacuate/a", struct{}{})
+	for _, p := range append(ps, agent) {
+		eventually(t, p.drained("a"))
+	}
+	must.LessEq(t, 5, store.Calls("/v1/kv-watch")-before, must.Sprint("two readers, each with a call that ends and a new one"))
+}
+
+// A reader dies without a word. Everybody who relied on it must go on hearing.
+func TestReadersAreReplaced(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	names := []string{"e1", "e2", "e3", "e4"}
+	ps := make([]*process, len(names))
+	for i, id := range names {
+		ps[i] = start(t, id, true, store.Address())
+		store.Put("oriolecroft/entries/"+id, member(id, ps[i]))
+	}
+	for _, p := range ps {
+		eventually(t, func() bool { v := p.registrar.View(); return v != nil && len(v.Members) == len(names) })
+	}
+	ps[0].stop()
+	ps[1].stop()
+	store.Put("op/evacuate/a", struct{}{})
+	eventually(t, ps[2].drained("a"))
+	eventually(t, ps[3].drained("a"))
+}
+
+// The store forgets its history between two reads. What changed in the gap must not be
+// missed: here a failure domain was returned, and would stay drained for good.
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	store.PageSize = 2
+	store.Put("op/evacuate/a", struct{}{})
+	store.Put("op/evacuate/b", struct{}{})
+	store.Put("op/evacuate/c", struct{}{})
+	p := start(t, "e", true, store.Address())
+	eventually(t, p.drained("c"))
+	store.SetFault(standin.Busy)
+	store.Delete("op/evacuate/a")
+	store.Compact()
+	store.SetFault(standin.None)
+	eventually(t, func() bool { return !p.registrar.View().Drained("a") })
+	must.True(t, p.registrar.View().Drained("b"))
+}
+
+// The store was silent for a while: calls hang and nothing refuses them. On its return
+// changes must come through without a restart.
+func TestSilentStoreIsFoundAgain(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	p := start(t, "e", true, store.Address())
+	eventually(t, func() bool { return p.registrar.View() != nil })
+	store.SetFault(standin.Silent)
+	store.Put("op/evacuate/a", struct{}{})
+	time.Sleep(300 * time.Millisecond)
+	store.SetFault(standin.None)
+	eventually(t, p.drained("a"))
+}
+
+// All leases lapse in an outage. An entry that did not register anew would be on no
+// list, and callers would not find it although it serves.
+func TestEntryRegistersAnewAfterItsLeaseLapsed(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	r := &syncer.Registration{Store: platform.NewStore(store.Address()), Clock: clock.RealClock{}, Ready: func() bool { return true },
+		Member: registrar.Member{ID: "e", Callers: netip.MustParseAddrPort("127.0.0.1:1"), Peers: netip.MustParseAddrPort("127.0.0.1:2")}}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = r.Serve(ctx) }()
+	there := func() bool { _, ok := store.Get("oriolecroft/entries/e"); return ok }
+	eventually(t, there)
+	store.Lapse()
+	must.False(t, there())
+	eventually(t, there)
+	r.Leave(ctx)
+	eventually(t, func() bool { return !there() })
+	time.Sleep(400 * time.Millisecond)
+	must.False(t, there(), must.Sprint("an entry that left does not come back"))
+}
