Refuse sooner under silent agents, and end before the kill

Causes: agents that are dead or cut off took 60 ms each, one after the other, and a refusal came up to 270 ms late (seen in an incident); three processes were killed at the end of their grace with parts that did not stop.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -132,6 +132,7 @@
 		d.log.Run(logs)
 	}()
 	d.parts.Add(reload{d})
+	defer d.exitInTime(ctx)()
 	klog.InfoS("Process starts", "vm", d.settings.Name, "failureDomain", d.settings.FailureDomain, "pid", os.Getpid())
 	err := reporter.RunUntil(ctx, d.parts, leave)
 	klog.InfoS("Process ends", "vm", d.settings.Name, "err", err)
@@ -140,6 +141,23 @@
 	return err
 }
 
+// exitMargin is how much before the kill a process ends, whatever still runs.
+const exitMargin = 250 * time.Millisecond
+
+// exitInTime ends the process shortly before it would be killed. A part that does not
+// stop, such as one that waits for a peer behind a cut, would otherwise keep it until
+// then, and its last log lines would be lost.
+func (d *daemon) exitInTime(ctx context.Context) (cancel func()) {
+	stop := context.AfterFunc(ctx, func() {
+		time.AfterFunc(d.settings.Bounds.Grace-exitMargin, func() {
+			klog.InfoS("Process ends with parts still running", "vm", d.settings.Name)
+			d.log.Flush()
+			os.Exit(exitOK)
+		})
+	})
+	return func() { stop() }
+}
+
 // reload reads the settings again at each SIGHUP. Addresses and bounds hold from the
 // next start on; a file with faults changes nothing.
 type reload struct{ *daemon }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Flush writes what waits now, for a process that is about to exit.
+func (w *Writer) Flush() { w.drain() }
+
 // put writes a line. There is nowhere to report a failure to.
 func (w *Writer) put(line []byte) { _, _ = w.to.Write(line) }
 
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -21,7 +21,7 @@
 	// askTimeout bounds a question to an agent. It is several round trips between
 	// regions; an agent that takes longer is of no help with an objective of half a
 	// second.
-	askTimeout = 60 * time.Millisecond
+	askTimeout = 40 * time.Millisecond
 	// silentFor is how long an agent that did not answer isn't asked.
 	silentFor = 700 * time.Millisecond
 	// goodWait is the wait before the reading of a prompt that is taken at once. A
@@ -40,6 +40,10 @@
 	// heldShare is the part of the objective for which a request is kept back while
 	// all engines are full, before it is refused.
 	heldShare = 0.11
+	// askedShare is the part of the objective after which no further engine is asked,
+	// leastAsked the least time for it: one agent that is silent, and a few that answer.
+	askedShare = 0.2
+	leastAsked = 60 * time.Millisecond
 	// heldPause is the pause between two rounds of questions.
 	heldPause = 20 * time.Millisecond
 	// unaskedShare is the part of an engine's places that entries divide among them
@@ -211,6 +215,9 @@
 	free := time.Duration(0)
 	var waits []engineWait
 	for i, u := range us {
+		if p.askedLongEnough(j) {
+			break
+		}
 		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
 			free = least(free, full)
 			continue
@@ -254,6 +261,14 @@
 	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry)}
 }
 
+// askedLongEnough tells whether a request should be refused rather than ask on. Agents
+// that are dead or behind a full link each take askTimeout; a caller that waits for
+// several of them in turn only hears later that there is no place.
+func (p *Placer) askedLongEnough(j *Job) bool {
+	limit := time.Duration(askedShare * float64(j.Route.Objective))
+	return limit > 0 && p.Clock.Since(j.Arrived) > max(limit, leastAsked)
+}
+
 // engineWait is an engine that would have had the request wait.
 type engineWait struct {
 	upstream *registrar.UpstreamView
