--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -48,8 +48,8 @@
 	c.sends++
 	// A kept connection may be closed by the upstream just as the request is sent,
 	// and its end is then unknown; what may run only once goes on a new one.
-	fresh := !c.Route.Repeatable()
-	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, fresh)
+	o := sendOptions{fresh: !c.Route.Repeatable(), headerWithin: c.headerWithin(place)}
+	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
 	if err != nil {
 		return err
 	}
@@ -61,12 +61,31 @@
 		x.abandon()
 		return err
 	}
+	x.setGap(0)
 	if c.Route.Kind == matcher.Streaming && x.response.StatusCode == http.StatusOK {
 		return c.relayStream(x, place)
 	}
 	return c.relayPlain(ctx, x, place)
 }
 
+// headerShare is the part of a plain route's timeout after which another upstream is
+// asked, if the request may run twice.
+const headerShare = 0.4
+
+// headerWithin is how long the header of a reply may take before another upstream gets
+// the request. An upstream on a frozen VM takes it and says nothing; only silence
+// tells.
+func (c *call) headerWithin(place *Place) time.Duration {
+	switch {
+	case !c.mayRepeat():
+		return 0
+	case c.Route.Kind == matcher.Streaming:
+		return c.firstEventLimit(place)
+	default:
+		return time.Duration(headerShare * float64(c.Route.Timeout))
+	}
+}
+
 // usable checks a reply's header: refusals and replies without the upstream's proof
 // are no answers.
 func (c *call) usable(x *exchange) error {
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -77,11 +77,19 @@
 	stop    func() bool
 }
 
+// sendOptions tell how one attempt is made.
+type sendOptions struct {
+	// fresh asks for a new connection.
+	fresh bool
+	// headerWithin is how long the reply's header may take; 0 for no limit of its own.
+	headerWithin time.Duration
+}
+
 // send starts an exchange. It never sends a request twice: net/http's transport
 // does so by itself when a connection breaks, and a booking would be made twice.
 // Errors are *SendError.
-func (p *Pool) send(ctx context.Context, codec Codec, upstream string, a netip.AddrPort, m *message, id string, fresh bool) (*exchange, error) {
-	conn, err := p.get(ctx, upstream, a, fresh)
+func (p *Pool) send(ctx context.Context, codec Codec, upstream string, a netip.AddrPort, m *message, id string, o sendOptions) (*exchange, error) {
+	conn, err := p.get(ctx, upstream, a, o.fresh)
 	if err != nil {
 		// Without a connection nothing was sent.
 		return nil, &SendError{Upstream: upstream, Outcome: retrier.NotRun, Err: err}
@@ -93,6 +101,9 @@
 		x.abandon()
 		return nil, x.failed(err)
 	}
+	if o.headerWithin > 0 {
+		x.setGap(o.headerWithin)
+	}
 	if err := x.readHeader(codec, m.method, id); err != nil {
 		x.abandon()
 		return nil, x.failed(err)
@@ -159,9 +170,14 @@
 	}
 }
 
-// setGap bounds the wait for the next bytes.
+// setGap bounds the wait for the next bytes; 0 takes the bound off.
 func (x *exchange) setGap(d time.Duration) {
-	_ = x.conn.SetReadDeadline(time.Now().Add(d))
+	var t time.Time
+	if d > 0 {
+		t = time.Now().Add(d)
+	}
+	// A connection that is closed meanwhile fails at the next read.
+	_ = x.conn.SetReadDeadline(t)
 }
 
 // finish ends an exchange whose body was read to its end. The connection is used
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -40,6 +40,9 @@
 	// heldShare is the part of the objective for which a request is kept back while
 	// all engines are full, before it is refused.
 	heldShare = 0.11
+	// againHeld is how long a place is looked for after a failed attempt: callers leave a
+	// stream that pauses for two seconds or more.
+	againHeld = 600 * time.Millisecond
 	// askedShare is the part of the objective after which no further engine is asked,
 	// leastAsked the least time for it: one agent that is silent, and a few that answer.
 	askedShare = 0.2
@@ -69,6 +72,9 @@
 	Deadline time.Time
 	// Arrived is when the request came.
 	Arrived time.Time
+	// Again tells that an attempt failed or a stream broke off. What has been done for
+	// the caller would be lost, so it need not be in time.
+	Again bool
 	// Returned requests were refused before and have come back: their objective has
 	// passed meanwhile.
 	Returned bool
@@ -135,10 +141,14 @@
 	if service.Engine == nil {
 		return p.placeAtService(view, j)
 	}
+	began := p.Clock.Now()
 	held := time.Duration(heldShare * float64(j.Route.Objective))
+	if j.Again {
+		held = againHeld
+	}
 	for {
 		place, err := p.placeAtEngine(ctx, p.Registrar.View(), service.Engine, j)
-		if err == nil || ctx.Err() != nil || p.late(j) || p.Clock.Since(j.Arrived)+heldPause > held {
+		if err == nil || ctx.Err() != nil || p.late(j) || p.Clock.Since(began)+heldPause > held {
 			return place, err
 		}
 		select {
@@ -211,11 +221,12 @@
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
+	began := p.Clock.Now()
 	patience := p.patience(e, j)
 	free := time.Duration(0)
 	var waits []engineWait
 	for i, u := range us {
-		if p.askedLongEnough(j) {
+		if p.askedLongEnough(j, began) {
 			break
 		}
 		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
@@ -264,9 +275,9 @@
 // askedLongEnough tells whether a request should be refused rather than ask on. Agents
 // that are dead or behind a full link each take askTimeout; a caller that waits for
 // several of them in turn only hears later that there is no place.
-func (p *Placer) askedLongEnough(j *Job) bool {
+func (p *Placer) askedLongEnough(j *Job, began time.Time) bool {
 	limit := time.Duration(askedShare * float64(j.Route.Objective))
-	return limit > 0 && p.Clock.Since(j.Arrived) > max(limit, leastAsked)
+	return limit > 0 && p.Clock.Since(began) > max(limit, leastAsked)
 }
 
 // engineWait is an engine that would have had the request wait.
@@ -294,6 +305,9 @@
 
 // late tells whether a request can't be answered within its objective any more.
 func (p *Placer) late(j *Job) bool {
+	if j.Again {
+		return false
+	}
 	return j.Returned || j.Route.Objective > 0 && p.Clock.Since(j.Arrived)+firstEventTime > j.Route.Objective
 }
 
@@ -301,6 +315,9 @@
 // answered within its objective. Its own reading is not taken off in full: long
 // prompts would never be served under load.
 func (p *Placer) patience(e *matcher.Engine, j *Job) time.Duration {
+	if j.Again {
+		return maxPatience
+	}
 	if p.late(j) {
 		return goodWait
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -219,6 +219,7 @@
 			c.give(ctx, err)
 			return
 		}
+		c.Again = c.attempts > 0
 	}
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -274,3 +274,26 @@
 	must.Eq(t, "", u.header(0).Get("Key"))
 	must.Eq(t, "farm", u.header(0).Get("Workspace"))
 }
+
+// An upstream on a frozen VM takes a request and says nothing, and its connection stays
+// open. The caller of a stream would wait until it gives up, though others are idle.
+func TestSilentUpstreamIsReplaced(t *testing.T) {
+	first := ""
+	answer := func(name string) func(int, string, net.Conn) bool {
+		return func(_ int, id string, conn net.Conn) bool {
+			if first == "" {
+				first = name
+			}
+			if first == name {
+				time.Sleep(time.Minute)
+				return false
+			}
+			say(conn, streamHead(id)+chunked(event(0))+"0\r\n\r\n")
+			return true
+		}
+	}
+	w := newWorld(t, newUpstream(t, "a", answer("a")), newUpstream(t, "b", answer("b")))
+	got := w.ask(t, "/slow/1", "r1")
+	must.False(t, got.broken)
+	must.Eq(t, event(0), got.body)
+}
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -186,8 +186,10 @@
 		return &matcher.Route{Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 700 * time.Millisecond,
 			MaxAttempts: 2, Resumable: kind == matcher.Streaming, Targets: []matcher.Target{{Service: "desk", Weight: 1}}}
 	}
+	slow := route("/slow/", matcher.Streaming)
+	slow.Timeout = 20 * time.Second
 	t := &matcher.Table{Version: 1,
-		Routes:   []*matcher.Route{route("/safe/", matcher.Idempotent), route("/once/", matcher.NonIdempotent), route("/stream/", matcher.Streaming)},
+		Routes:   []*matcher.Route{route("/safe/", matcher.Idempotent), route("/once/", matcher.NonIdempotent), route("/stream/", matcher.Streaming), slow},
 		Services: map[string]*matcher.Service{"desk": {Name: "desk"}},
 		Keys:     map[string]*matcher.Workspace{"k": {Name: "farm"}},
 	}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -31,6 +31,9 @@
 	// rate, and failureCost what a rate of one adds to its wait.
 	failureWeight = 0.1
 	failureCost   = 400 * time.Millisecond
+	// silentCost is added while an upstream's agent does not answer: mostly the whole VM
+	// is frozen or cut off, and the engine with it.
+	silentCost = 500 * time.Millisecond
 )
 
 // Distance is how far an upstream is from this entry.
@@ -140,6 +143,9 @@
 	}
 	cost += time.Duration(active * float64(fullCost))
 	cost += time.Duration(s.failing * float64(failureCost))
+	if now.Before(s.silentUntil) {
+		cost += silentCost
+	}
 	switch k.Distance {
 	case SameRegion:
 		cost += domainCost
