Divide the retry bound among the entries that are known

Cause: an entry could save up 2.6 retries; when a VM froze with a few streams of each entry, most were cut for want of one (read from the lines 'No retry left'). Change: the slack is divided by the entries known, six at least, and 0.75 of it may be saved up.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -27,11 +27,16 @@
     ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform entry`
 
 const (
-	// retryShare is the part of the retry bound that all entries together use; the
-	// rest is a margin for entries that come and go.
+	// retryShare is the part of the bound's ratio that entries use, retryBurst that of
+	// its slack which they may save up, and retryFloor that of its slack which they earn
+	// within a window without any request. All of them together stay below the bound;
+	// the rest is a margin for entries that come and go.
 	retryShare = 0.6
-	// retryEntries is among how many entries the slack of the retry bound is divided.
-	retryEntries = 12
+	retryBurst = 0.75
+	retryFloor = 0.1
+	// leastSharers is among how many entries the slack is divided at least, as a new
+	// entry knows of few others.
+	leastSharers = 6
 )
 
 func platformEntryCommand() command {
@@ -93,10 +98,15 @@
 
 // retryBudget divides what all entries may send beyond first attempts.
 func retryBudget(b platform.Bounds, d *daemon) *retrier.Budget {
-	slack := retryShare * b.RetrySlack / retryEntries
 	return &retrier.Budget{
 		Clock: d.clock, Share: retryShare * b.RetryRatio,
-		Floor: slack / max(1, b.RetryWindow.Seconds()) / 2, Burst: max(1, slack/2),
+		Floor: retryFloor * b.RetrySlack / max(1, b.RetryWindow.Seconds()), Burst: max(1, retryBurst*b.RetrySlack),
+		Sharers: func() int {
+			if v := d.registrar.View(); v != nil {
+				return max(leastSharers, len(v.Members))
+			}
+			return leastSharers
+		},
 	}
 }
 
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -22,6 +22,9 @@
 	Floor float64
 	// Burst is how many retries can be saved up; 0 means 10.
 	Burst float64
+	// Sharers, when set, tells how many entries share Floor and Burst; each then has
+	// that part of them.
+	Sharers func() int
 
 	mu    sync.Mutex
 	saved float64
@@ -50,18 +53,26 @@
 // earn adds the given amount and what the floor has earned since the last call.
 func (b *Budget) earn(amount float64) {
 	now := b.Clock.Now()
-	burst := orDefault(b.Burst, 10)
+	part := b.part()
+	burst := orDefault(b.Burst, 10) * part
 	if b.last.IsZero() {
 		b.last = now
 		b.saved = burst
 	}
 	if d := now.Sub(b.last); d > 0 {
-		amount += d.Seconds() * orDefault(b.Floor, 1)
+		amount += d.Seconds() * orDefault(b.Floor, 1) * part
 		b.last = now
 	}
 	b.saved = min(burst, b.saved+amount)
 }
 
+func (b *Budget) part() float64 {
+	if b.Sharers == nil {
+		return 1
+	}
+	return 1 / float64(max(1, b.Sharers()))
+}
+
 func orDefault(v, d float64) float64 {
 	if v == 0 {
 		return d
