--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -53,7 +53,7 @@
 )
 
 func platformCommands() []command {
-	return []command{platformEntryCommand(), platformAgentCommand()}
+	return []command{platformEntryCommand(), platformAgentCommand(), platformExplainCommand()}
 }
 
 // attachPlatform puts the commands under `platform`.
--- /dev/null
+++ b/internal/explainer/explainer_test.go
@@ -0,0 +1,44 @@
+package explainer_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/explainer"
+)
+
+const logs = `
+  3.100 front-1 {"time":"2026-01-01T00:00:03.1Z","level":"INFO","msg":"Attempt failed","request":"r1","upstream":"u1","outcome":"unknown"}
+  2.900 front-2 {"time":"2026-01-01T00:00:02.9Z","level":"INFO","msg":"Upstream gone","upstream":"u1"}
+not a line
+  3.000 side-1 {"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"Place asked","request":"r1","granted":true}
+  3.000 front-1 {"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"Served","request":"r2","upstream":"u1"}
+  9.000 front-1 {"time":"2026-01-01T00:00:09Z","level":"INFO","msg":"Upstream told","upstream":"u1"}
+{"time":"2026-01-01T00:00:03.2Z","level":"INFO","msg":"Failed","request":"r1","outcome":"unknown"}
+`
+
+// An on-call engineer has the id of a failed request and the lines of all processes,
+// in any order and with those of other requests between.
+func TestLinesOfOneRequest(t *testing.T) {
+	lines, skipped, err := explainer.Read(strings.NewReader(logs))
+	must.NoError(t, err)
+	must.Eq(t, 2, skipped)
+	var out strings.Builder
+	must.NoError(t, explainer.Explain(&out, lines, "r1"))
+	got := strings.Split(strings.TrimSpace(out.String()), "\n")
+	must.Len(t, 5, got)
+	for i, word := range []string{"Upstream gone", "Place asked", "Attempt failed", "Failed", "outcome: Failed"} {
+		must.StrContains(t, got[i], word)
+	}
+	must.StrNotContains(t, out.String(), "Served")
+	must.StrNotContains(t, out.String(), "Upstream told", must.Sprint("too long after"))
+}
+
+func TestUnknownRequest(t *testing.T) {
+	err := explainer.Explain(&strings.Builder{}, nil, "r9")
+	var unknown *explainer.UnknownRequestError
+	must.True(t, errors.As(err, &unknown))
+}
