Ask empty engines last

Cause, read with 'platform explain': when engines are added, entries asked them first, as nothing was heard of them; after three refusals and a silent agent the request was refused, though those that served had room.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -82,8 +82,17 @@
 	return fmt.Sprintf("no line names request %q", e.Request)
 }
 
+// process is the last word before the line's JSON.
+func (l Line) process() string {
+	words := strings.Fields(l.Prefix)
+	if len(words) == 0 {
+		return ""
+	}
+	return words[len(words)-1]
+}
+
 // Explain writes the lines of a request and, marked by a dash, those on its upstreams
-// around it.
+// around it by the same processes. All others tell the same of an upstream.
 func Explain(w io.Writer, lines []Line, request string) error {
 	own := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return l.text("request") != request })
 	if len(own) == 0 {
@@ -92,8 +101,9 @@
 	byTime := func(a, b Line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) }
 	slices.SortStableFunc(own, byTime)
 	from, to := own[0].Time.Add(-around), own[len(own)-1].Time.Add(around)
-	upstreams := map[string]bool{}
+	upstreams, processes := map[string]bool{}, map[string]bool{}
 	for _, l := range own {
+		processes[l.process()] = true
 		if u := l.text("upstream"); u != "" {
 			upstreams[u] = true
 		}
@@ -102,7 +112,7 @@
 		if l.text("request") == request {
 			return false
 		}
-		return l.text("request") != "" || !upstreams[l.text("upstream")] || l.Time.Before(from) || l.Time.After(to)
+		return l.text("request") != "" || !upstreams[l.text("upstream")] || !processes[l.process()] || l.Time.Before(from) || l.Time.After(to)
 	})
 	slices.SortStableFunc(shown, byTime)
 	for _, l := range shown {
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -13,6 +13,7 @@
 const logs = `
   3.100 front-1 {"time":"2026-01-01T00:00:03.1Z","level":"INFO","msg":"Attempt failed","request":"r1","upstream":"u1","outcome":"unknown"}
   2.900 front-2 {"time":"2026-01-01T00:00:02.9Z","level":"INFO","msg":"Upstream gone","upstream":"u1"}
+  2.900 front-1 {"time":"2026-01-01T00:00:02.9Z","level":"INFO","msg":"Upstream gone","upstream":"u1"}
 not a line
   3.000 side-1 {"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"Place asked","request":"r1","granted":true}
   3.000 front-1 {"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"Served","request":"r2","upstream":"u1"}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -177,12 +177,16 @@
 	return matcher.Permits(j.Route.Regions, region) && (j.Workspace == nil || matcher.Permits(j.Workspace.Regions, region))
 }
 
-func (p *Placer) order(us []*registrar.UpstreamView) []*registrar.UpstreamView {
+// order sorts upstreams by promise. The model is that which engines should hold; empty
+// for plain services.
+func (p *Placer) order(us []*registrar.UpstreamView, model string) []*registrar.UpstreamView {
 	byID := make(map[string]*registrar.UpstreamView, len(us))
 	candidates := make([]scheduler.Candidate, 0, len(us))
 	for _, u := range us {
 		byID[u.ID] = u
-		candidates = append(candidates, scheduler.Candidate{ID: u.ID, Distance: p.distance(u), Slots: u.Slots})
+		candidates = append(candidates, scheduler.Candidate{
+			ID: u.ID, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
+		})
 	}
 	ordered := make([]*registrar.UpstreamView, 0, len(us))
 	for _, c := range p.Chooser.Order(candidates) {
@@ -205,7 +209,7 @@
 // placeAtService places a request at a plain service. These have no agent: the own
 // count and the load on their replies must do.
 func (p *Placer) placeAtService(view *registrar.View, j *Job) (*Place, error) {
-	us := p.order(p.eligible(view, j))
+	us := p.order(p.eligible(view, j), "")
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
@@ -217,7 +221,7 @@
 // placeAtEngine asks the agents of the most promising engines: first for a short
 // wait, then for any that the objective allows.
 func (p *Placer) placeAtEngine(ctx context.Context, view *registrar.View, e *matcher.Engine, j *Job) (*Place, error) {
-	us := p.order(p.eligible(view, j))
+	us := p.order(p.eligible(view, j), j.Model)
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -31,6 +31,10 @@
 	// rate, and failureCost what a rate of one adds to its wait.
 	failureWeight = 0.1
 	failureCost   = 400 * time.Millisecond
+	// emptyCost is added for an engine without weights. New ones come in numbers, idle as
+	// far as anyone knows; asked first, they would each refuse, and the request with
+	// them. The word is some hundred milliseconds old, so they are still asked last.
+	emptyCost = 400 * time.Millisecond
 	// silentCost is added while an upstream's agent does not answer: mostly the whole VM
 	// is frozen or cut off, and the engine with it.
 	silentCost = 500 * time.Millisecond
@@ -52,6 +56,8 @@
 	Distance Distance
 	// Slots is how many requests it runs at once; 0 when not told.
 	Slots int
+	// Empty engines were last heard to hold no weights.
+	Empty bool
 }
 
 // Chooser remembers what an entry met at each upstream. It is safe for concurrent
@@ -143,6 +149,9 @@
 	}
 	cost += time.Duration(active * float64(fullCost))
 	cost += time.Duration(s.failing * float64(failureCost))
+	if k.Empty {
+		cost += emptyCost
+	}
 	if now.Before(s.silentUntil) {
 		cost += silentCost
 	}
--- a/internal/scheduler/ledger_test.go
+++ b/internal/scheduler/ledger_test.go
@@ -209,6 +209,16 @@
 	}
 }
 
+// Six empty engines are added at once. Nothing was heard of them yet, so each looks
+// better than those that serve; asked first, they refuse one after the other until the
+// caller has waited long enough and is refused, though others had room.
+func TestEmptyEnginesComeLast(t *testing.T) {
+	c, _ := newChooser()
+	c.Heard("busy", 100*time.Millisecond, 0.5)
+	added := []scheduler.Candidate{{ID: "new", Distance: scheduler.SameDomain, Slots: 16, Empty: true}, three[1]}
+	must.Eq(t, "busy", c.Order(added)[0].ID)
+}
+
 // What was heard of an engine is old by the next request. If it were taken as it was,
 // an engine that was busy once would be left alone for good.
 func TestOldLoadFades(t *testing.T) {
