--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -59,7 +59,7 @@
 	fullPause   = 25 * time.Millisecond
 	sparePause  = 150 * time.Millisecond
 	// busyRetry is the time to come back when nothing better is known.
-	busyRetry = 600 * time.Millisecond
+	busyRetry = time.Second
 )
 
 // Job is a request that looks for an upstream.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -305,7 +305,7 @@
 }
 
 // spreadOver is over what multiple of the estimate callers are told to come back.
-const spreadOver = 1.5
+const spreadOver = 1.0
 
 // spread draws the time to come back from one to two and a half of the estimate, so
 // that those refused together don't come back together.
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -146,7 +146,7 @@
 
 // spareShare is the part of an engine's places up to which spare jobs get one. With
 // more, steps are longer and little is left for a burst.
-const spareShare = 0.7
+const spareShare = 0.85
 
 // limit is how many requests may hold places once a job has one.
 func (l *Ledger) limit(j Job) int {
