Let requests overrun an engine's turn by up to 1.5 s

Cause: in the seconds before its turn an engine turned away nearly everything that was not short, 20 in 100 of the requests of those seconds.

--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -22,6 +22,11 @@
 	// bound.
 	firstSwitch = 0.5
 	lastSwitch  = 0.9
+	// overrun is how much later than its turn a request may be expected to end. The
+	// order waits for it, and fewer are turned away meanwhile. Of all requests of two
+	// days with two versions each, 0.037 were refused with none, 0.024 with 0.6 s, 0.022
+	// with 1 s, 0.021 with 1.5 s and 0.027 with 2.5 s.
+	overrun = 1500 * time.Millisecond
 	// expected is the share of a version's chunks from which an agent counts on
 	// having it whole by the engine's turn.
 	expected = 0.6
@@ -262,7 +267,7 @@
 	// When the turn comes and the weights don't, as with the origin out of reach, the
 	// engine goes on for as long as the bound allows.
 	if here || coming && s.Clock.Now().Before(at) {
-		s.Ledger.OpenUntil(at)
+		s.Ledger.OpenUntil(at.Add(overrun))
 		return
 	}
 	s.Ledger.OpenUntil(time.Time{})
