Bound what a cold engine gets in a second

Change: a sliding count of a second while the engine's record says it is cold, and for 2 s after its start; entries divide the rate of cold upstreams without agents. The case is played in a test that grants 200 without the change.

--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -58,6 +58,8 @@
 	closedPause = 100 * time.Millisecond
 	fullPause   = 25 * time.Millisecond
 	sparePause  = 150 * time.Millisecond
+	// coldPart is the part of a cold upstream's rate that entries divide among them.
+	coldPart = 0.67
 	// busyRetry is the time to come back when nothing better is known.
 	busyRetry = time.Second
 )
@@ -213,9 +215,25 @@
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
-	u := us[0]
-	p.Chooser.Begin(u.ID)
-	return &Place{Upstream: u, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}, nil
+	for _, u := range us {
+		if !p.coldPass(view, u) {
+			continue
+		}
+		p.Chooser.Begin(u.ID)
+		return &Place{Upstream: u, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}, nil
+	}
+	return nil, &RefusedError{Reason: "all upstreams cold", RetryAfter: busyRetry}
+}
+
+// coldPass tells whether an upstream without an agent may get one more request now. A
+// cold one bears only so many a second from all entries together; each takes its part,
+// and leaves a third for those that it does not know of.
+func (p *Placer) coldPass(view *registrar.View, u *registrar.UpstreamView) bool {
+	service := view.Table.Services[u.Service]
+	if service == nil || service.ColdRate <= 0 || !p.Clock.Now().Before(u.ColdUntil) {
+		return true
+	}
+	return p.Chooser.ColdPass(u.ID, coldPart*service.ColdRate/float64(max(1, len(view.Members))))
 }
 
 // placeAtEngine asks the agents of the most promising engines: first for a short
@@ -391,7 +409,7 @@
 		return nil
 	}
 	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
-	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) {
+	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || !p.coldPass(view, u) {
 		return nil
 	}
 	p.Chooser.Begin(u.ID)
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -88,6 +88,7 @@
 	// silentUntil is how long its agent isn't asked.
 	silentUntil time.Time
 	used        time.Time
+	recent      rateLimit
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -249,6 +250,15 @@
 	s.failures = 0
 }
 
+// ColdPass lets a request through to a cold upstream without an agent, within this
+// entry's part of what it bears a second.
+func (c *Chooser) ColdPass(id string, rate float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.of(id).recent.pass(c.Clock.Now(), rate)
+	return ok
+}
+
 // Avoid passes an upstream over for a while, such as one that said to be full.
 func (c *Chooser) Avoid(id string, d time.Duration) {
 	c.mu.Lock()
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -57,6 +57,10 @@
 	readUntil time.Time
 	// until is when the engine stops to load new weights; zero for never.
 	until time.Time
+	// coldRate is how many requests a second the engine bears until coldUntil; 0 for any.
+	coldRate  float64
+	coldUntil time.Time
+	recent    rateLimit
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
 }
@@ -92,6 +96,14 @@
 	l.until = t
 }
 
+// Cold bounds what is let in until a moment, in requests a second. A cold engine falls
+// over under a full load, and all that runs there is lost.
+func (l *Ledger) Cold(rate float64, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coldRate, l.coldUntil = rate, until
+}
+
 // Reset forgets all places, as after a restart of the engine.
 func (l *Ledger) Reset() {
 	l.mu.Lock()
@@ -138,6 +150,10 @@
 		v.Free = v.Wait - j.Patience
 		return v
 	}
+	if wait, ok := l.recent.room(now, l.coldRate); !ok && l.coldRate > 0 && now.Before(l.coldUntil) {
+		v.Free = wait
+		return v
+	}
 	l.grant(j, owner, now)
 	v.Granted = true
 	v.Active++
@@ -167,6 +183,7 @@
 	if l.held == nil {
 		l.held = map[string]*place{}
 	}
+	l.recent.passed = append(l.recent.passed, now)
 	l.held[j.ID] = &place{Job: j, owner: owner, until: now.Add(j.Left + overdue)}
 	if l.readUntil.Before(now) {
 		l.readUntil = now
--- a/internal/scheduler/ledger_test.go
+++ b/internal/scheduler/ledger_test.go
@@ -121,6 +121,38 @@
 	must.True(t, l.Reserve(long, 0).Granted)
 }
 
+// A failure domain returns with cold engines. They bear a few requests a second and
+// fall over under more; small prompts would let in far more than that.
+func TestColdEngineGetsNoMoreThanItBears(t *testing.T) {
+	l, c := openLedger()
+	l.Cold(5, c.Now().Add(10*time.Second))
+	granted := 0
+	for i := range 200 {
+		id := fmt.Sprint(i)
+		v := l.Reserve(scheduler.Job{ID: id, Prompt: 10, Answer: 1, Patience: time.Hour, Left: time.Second}, 0)
+		if v.Granted {
+			granted++
+		}
+		l.Ended(id)
+		c.Step(10 * time.Millisecond)
+	}
+	must.Eq(t, 10, granted, must.Sprint("five in each of two seconds"))
+	c.Step(10 * time.Second)
+	for i := range 12 {
+		must.True(t, l.Reserve(scheduler.Job{ID: fmt.Sprint(1000 + i), Prompt: 10, Patience: time.Hour, Left: time.Second}, 0).Granted)
+	}
+}
+
+// Entries divide what a cold upstream without an agent bears.
+func TestColdUpstreamWithoutAgent(t *testing.T) {
+	c, now := newChooser()
+	must.True(t, c.ColdPass("a", 2))
+	must.True(t, c.ColdPass("a", 2))
+	must.False(t, c.ColdPass("a", 2))
+	now.Step(time.Second)
+	must.True(t, c.ColdPass("a", 2))
+}
+
 // The answer to a question was lost and the entry asks again; two places must not be
 // taken for one request.
 func TestAskingTwiceTakesOnePlace(t *testing.T) {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -108,6 +108,8 @@
 	report Report
 	// born is the engine's start that the ledger counts for.
 	born int64
+	// startedAt is when this agent saw that start.
+	startedAt time.Time
 	// ordered is the version last ordered, and when.
 	ordered   uint64
 	orderedAt time.Time
@@ -165,6 +167,7 @@
 	held := s.report.holds(model)
 	target, turn := s.target(ctx, model, held)
 	s.announceSwitch(model, held)
+	s.announceCold()
 	s.decideGate(engine, model, held)
 	if target <= held || s.report.Busy || !turn {
 		return
@@ -190,6 +193,22 @@
 	return service.Engine, service.Engine.Models[0]
 }
 
+// coldAfterStart is for how long an engine counts as cold after its agent saw it start,
+// until its own record says how long it is.
+const coldAfterStart = 2 * time.Second
+
+// announceCold has the ledger bound what a cold engine gets.
+func (s *Stager) announceCold() {
+	view := s.Registrar.View()
+	until := s.startedAt.Add(coldAfterStart)
+	for _, u := range view.Service(s.Service) {
+		if u.Address == s.Address && u.ColdUntil.After(until) {
+			until = u.ColdUntil
+		}
+	}
+	s.Ledger.Cold(view.Table.Services[s.Service].ColdRate, until)
+}
+
 // observe asks the engine and tells the ledger.
 func (s *Stager) observe(ctx context.Context) bool {
 	r, err := s.Engine.Report(ctx)
@@ -203,7 +222,7 @@
 	if r.Born != s.born {
 		klog.InfoS("Engine started anew", "agent", s.ID, "born", r.Born, "models", r.Models)
 		s.Ledger.Reset()
-		s.born, s.ordered = r.Born, 0
+		s.born, s.ordered, s.startedAt = r.Born, 0, s.Clock.Now()
 	}
 	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
 	s.mu.Lock()
