--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -60,6 +60,9 @@
 	sparePause  = 150 * time.Millisecond
 	// coldPart is the part of a cold upstream's rate that entries divide among them.
 	coldPart = 0.67
+	// leastSharers is among how many entries it is divided at least: after a loss of all,
+	// each knows only itself at first.
+	leastSharers = 24
 	// busyRetry is the time to come back when nothing better is known.
 	busyRetry = time.Second
 )
@@ -233,7 +236,7 @@
 	if service == nil || service.ColdRate <= 0 || !p.Clock.Now().Before(u.ColdUntil) {
 		return true
 	}
-	return p.Chooser.ColdPass(u.ID, coldPart*service.ColdRate/float64(max(1, len(view.Members))))
+	return p.Chooser.ColdPass(u.ID, coldPart*service.ColdRate/float64(max(leastSharers, len(view.Members))))
 }
 
 // placeAtEngine asks the agents of the most promising engines: first for a short
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -21,15 +21,20 @@
 
 // room tells whether one more may pass, without counting it.
 func (r *rateLimit) room(now time.Time, limit float64) (wait time.Duration, ok bool) {
+	span := coldSecond
+	if limit > 0 && limit < 1 {
+		// A part of one request a second is one in so many seconds.
+		span, limit = time.Duration(float64(coldSecond)/limit), 1
+	}
 	kept := r.passed[:0]
 	for _, t := range r.passed {
-		if now.Sub(t) < coldSecond {
+		if now.Sub(t) < span {
 			kept = append(kept, t)
 		}
 	}
 	r.passed = kept
-	if float64(len(kept)) < max(1, limit) {
+	if float64(len(kept)) < limit || limit == 0 {
 		return 0, true
 	}
-	return kept[0].Add(coldSecond).Sub(now), false
+	return kept[0].Add(span).Sub(now), false
 }
--- a/internal/scheduler/ledger_test.go
+++ b/internal/scheduler/ledger_test.go
@@ -151,6 +151,13 @@
 	must.False(t, c.ColdPass("a", 2))
 	now.Step(time.Second)
 	must.True(t, c.ColdPass("a", 2))
+
+	// Forty entries share fourteen a second: each one in some three seconds.
+	must.True(t, c.ColdPass("b", 0.35))
+	now.Step(time.Second)
+	must.False(t, c.ColdPass("b", 0.35))
+	now.Step(2 * time.Second)
+	must.True(t, c.ColdPass("b", 0.35))
 }
 
 // The answer to a question was lost and the entry asks again; two places must not be
