--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -249,7 +249,11 @@
 		return b
 	}
 	for _, rec := range r.records {
-		if rec.Revision > after && !(b.Whole && rec.Deleted) || b.Whole && !rec.Deleted {
+		news := rec.Revision > after
+		if b.Whole {
+			news = !rec.Deleted
+		}
+		if news {
 			rec.Age = r.ageOf(rec.Key)
 			b.Records = append(b.Records, r.pack(rec))
 		}
--- /dev/null
+++ b/internal/relayer/answer.go
@@ -0,0 +1,106 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+// give is the final answer to a request that is given up.
+func (c *call) give(ctx context.Context, err error) {
+	if c.r.Context().Err() != nil {
+		c.count("left")
+		c.log("Caller left", nil, "outcome", c.outcome)
+		return
+	}
+	if c.stream != nil {
+		c.count("cut")
+		c.log("Stream cut", err, "lastEvent", c.stream.last)
+		// Ending the reply as usual would make it look whole.
+		panic(http.ErrAbortHandler)
+	}
+	var refused *RefusedError
+	switch {
+	case c.outcome == retrier.NotRun && errors.As(err, &refused):
+		c.refuse(refused)
+	case c.outcome == retrier.NotRun:
+		c.refuse(&RefusedError{Reason: err.Error(), RetryAfter: busyRetry})
+	case ctx.Err() != nil:
+		c.log("Timed out", err, "outcome", c.outcome)
+		c.answer(http.StatusGatewayTimeout, "timed out", 0)
+	default:
+		c.log("Failed", err, "outcome", c.outcome)
+		c.answer(http.StatusBadGateway, "upstream failed", 0)
+	}
+}
+
+// refuse says that the request did not run and when to come back.
+func (c *call) refuse(e *RefusedError) {
+	c.count("refused")
+	wait := c.spread(e.RetryAfter)
+	c.log("Refused", nil, "reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived))
+	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
+}
+
+// spreadOver is over what multiple of the estimate callers are told to come back.
+const spreadOver = 1.0
+
+// spread draws the time to come back from one to two and a half of the estimate, so
+// that those refused together don't come back together.
+func (c *call) spread(d time.Duration) time.Duration {
+	if d <= 0 {
+		d = busyRetry
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return d + time.Duration(c.Random.Int64N(int64(spreadOver*float64(d))+1))
+}
+
+// answer sends an answer of the system's own.
+func (c *call) answer(status int, text string, retryAfter time.Duration) {
+	c.count("answers." + strconv.Itoa(status))
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	c.w.WriteHeader(status)
+	body := struct {
+		Error string `json:"error"`
+	}{text}
+	if err := json.NewEncoder(c.w).Encode(body); err != nil {
+		klog.V(1).InfoS("Answer not sent", "request", c.ID, "err", err)
+	}
+}
+
+func (l *Relayer) count(name string) {
+	metrics.GetOrRegisterCounter(name, l.Metrics).Inc(1)
+}
+
+// log writes a line on this request.
+func (c *call) log(text string, err error, more ...any) {
+	route, workspace := "", ""
+	if c.Route != nil {
+		route = c.Route.Name
+	}
+	if c.Workspace != nil {
+		workspace = c.Workspace.Name
+	}
+	fields := append([]any{"request", c.ID, "route", route, "workspace", workspace,
+		"after", c.Clock.Since(c.Arrived), "sends", c.sends}, more...)
+	if v := c.Registrar.View(); v != nil {
+		fields = append(fields, "revision", v.Revision)
+	}
+	if err != nil {
+		fields = append(fields, "err", err)
+	}
+	klog.InfoS(text, fields...)
+}
--- /dev/null
+++ b/internal/relayer/ask.go
@@ -0,0 +1,118 @@
+package relayer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+)
+
+const (
+	// askTimeout bounds a question to an agent. It is several round trips between
+	// regions; an agent that takes longer is of no help with an objective of half a
+	// second.
+	askTimeout = 40 * time.Millisecond
+	// silentFor is how long an agent that did not answer isn't asked.
+	silentFor = 700 * time.Millisecond
+	// unaskedShare is the part of an engine's places that entries divide among them
+	// while its agent is silent. The rest is a margin for disagreement.
+	unaskedShare = 0.75
+)
+
+// ask asks the agent beside an engine for a place. The verdict is nil when the agent
+// did not answer; the place then is a share of what the engine bears.
+func (p *Placer) ask(ctx context.Context, view *registrar.View, u *registrar.UpstreamView, j *Job, patience time.Duration) (*Place, *messenger.Verdict) {
+	if p.Chooser.Silent(u.ID) {
+		return p.unasked(view, u, j), nil
+	}
+	a := netip.AddrPortFrom(u.Address.Addr(), p.AgentPort)
+	c := p.agent(a)
+	v, err := c.Reserve(ctx, messenger.Reservation{
+		Request: j.ID, Upstream: u.ID, Model: j.Model, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
+		PatienceMS: patience.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(),
+	})
+	if ctx.Err() != nil {
+		return nil, nil
+	}
+	if err != nil {
+		p.Chooser.Silence(u.ID, silentFor)
+		klog.InfoS("Agent silent", "upstream", u.ID, "request", j.ID, "err", err)
+		return p.unasked(view, u, j), nil
+	}
+	p.Chooser.Heard(u.ID, v.Wait(), load(v))
+	if !v.Granted {
+		return nil, &v
+	}
+	if j.Version != 0 && v.Version != j.Version {
+		p.tell(c, messenger.Progress{Ended: []string{j.ID}})
+		return nil, &v
+	}
+	p.Chooser.Begin(u.ID)
+	return &Place{
+		Upstream: u, Wait: v.Wait(), Active: v.Active, Version: j.Version,
+		started: func() { p.tell(c, messenger.Progress{Started: []string{j.ID}}) },
+		ended: func() {
+			p.Chooser.End(u.ID)
+			p.tell(c, messenger.Progress{Ended: []string{j.ID}})
+		},
+	}, &v
+}
+
+// load is the share of an engine's places that are taken; a closed one has none.
+func load(v messenger.Verdict) float64 {
+	if v.Slots == 0 {
+		return closedLoad
+	}
+	return float64(v.Active) / float64(v.Slots)
+}
+
+// closedLoad puts engines that take nothing behind all others.
+const closedLoad = 3
+
+// unasked gives a place at an engine whose agent is silent, within this entry's
+// share of what the engine bears.
+func (p *Placer) unasked(view *registrar.View, u *registrar.UpstreamView, j *Job) *Place {
+	named, ok := view.Weights(j.Model)
+	version := j.Version
+	if ok && p.Clock.Since(named.Learned) > p.WeightsBound/2 {
+		version = named.Version
+	}
+	if held := u.Holds(j.Model); held == 0 || version != 0 && held != version {
+		return nil
+	}
+	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
+	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || !p.coldPass(view, u) {
+		return nil
+	}
+	p.Chooser.Begin(u.ID)
+	return &Place{Upstream: u, Version: version, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}
+}
+
+func (p *Placer) agent(a netip.AddrPort) *messenger.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.agents == nil {
+		p.agents = map[netip.AddrPort]*messenger.Client{}
+	}
+	c := p.agents[a]
+	if c == nil {
+		c = p.Dial(a)
+		c.Timeout = askTimeout
+		p.agents[a] = c
+	}
+	return c
+}
+
+// tell sends progress without holding up the caller's reply. It is lost when the
+// agent can't be reached; the engine's own count then shows what runs.
+func (p *Placer) tell(c *messenger.Client, progress messenger.Progress) {
+	go func() {
+		if err := c.Tell(context.Background(), progress); err != nil {
+			klog.V(1).InfoS("Progress not told", "agent", c.Address, "err", err)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/relayer/engine.go
@@ -0,0 +1,148 @@
+package relayer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+const (
+	// goodWait is the wait before the reading of a prompt that is taken at once. A
+	// longer one is taken only when no other engine is better.
+	goodWait = 40 * time.Millisecond
+	// firstAsked is how many engines are asked for a good wait.
+	firstAsked = 3
+	// firstEventTime is what a first event needs beyond waiting and reading: the pass
+	// under way, the pass that writes it, and the way to the caller.
+	firstEventTime = 190 * time.Millisecond
+	// leastPatience is the wait accepted even when the objective leaves none.
+	leastPatience = 60 * time.Millisecond
+	// maxPatience bounds the reading ahead of a request: everything read in one pass
+	// is a pause for those who write.
+	maxPatience = 300 * time.Millisecond
+	// askedShare is the part of the objective after which no further engine is asked,
+	// leastAsked the least time for it: one agent that is silent, and a few that answer.
+	askedShare = 0.2
+	leastAsked = 60 * time.Millisecond
+	// closedPause, fullPause and sparePause are how long at most an engine isn't asked
+	// that takes nothing, has no place, or has none to spare: what it said is soon out
+	// of date, and a place that nobody asks for stands empty.
+	closedPause = 100 * time.Millisecond
+	fullPause   = 25 * time.Millisecond
+	sparePause  = 150 * time.Millisecond
+)
+
+// placeAtEngine asks the agents of the most promising engines: first for a short
+// wait, then for any that the objective allows.
+func (p *Placer) placeAtEngine(ctx context.Context, view *registrar.View, e *matcher.Engine, j *Job) (*Place, error) {
+	us := p.order(p.eligible(view, j), j.Model)
+	if len(us) == 0 {
+		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
+	}
+	began := p.Clock.Now()
+	patience := p.patience(e, j)
+	free := time.Duration(0)
+	var waits []engineWait
+	for i, u := range us {
+		if p.askedLongEnough(j, began) {
+			break
+		}
+		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
+			free = least(free, full)
+			continue
+		}
+		limit := patience
+		if i < firstAsked {
+			limit = min(goodWait, patience)
+		}
+		place, v := p.ask(ctx, view, u, j, limit)
+		if place != nil {
+			return place, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		if v == nil {
+			continue
+		}
+		if v.Closed != "" {
+			p.Chooser.Full(u.ID, false, closedPause)
+			continue
+		}
+		free = least(free, v.Free())
+		room := v.Wait() <= patience && v.Active < v.Slots
+		if !room || limit == patience {
+			p.noteFull(u.ID, j, v.Free())
+			continue
+		}
+		waits = append(waits, engineWait{u, v.Wait()})
+	}
+	slices.SortFunc(waits, func(a, b engineWait) int { return int(a.wait - b.wait) })
+	for _, w := range waits {
+		place, v := p.ask(ctx, view, w.upstream, j, patience)
+		if place != nil {
+			return place, nil
+		}
+		if v != nil && v.Closed == "" {
+			p.noteFull(w.upstream.ID, j, v.Free())
+		}
+	}
+	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry)}
+}
+
+// askedLongEnough tells whether a request should be refused rather than ask on. Agents
+// that are dead or behind a full link each take askTimeout; a caller that waits for
+// several of them in turn only hears later that there is no place.
+func (p *Placer) askedLongEnough(j *Job, began time.Time) bool {
+	limit := time.Duration(askedShare * float64(j.Route.Objective))
+	return limit > 0 && p.Clock.Since(began) > max(limit, leastAsked)
+}
+
+// engineWait is an engine that would have had the request wait.
+type engineWait struct {
+	upstream *registrar.UpstreamView
+	wait     time.Duration
+}
+
+// noteFull keeps that an engine has no place, or none to spare.
+func (p *Placer) noteFull(id string, j *Job, free time.Duration) {
+	if p.late(j) {
+		p.Chooser.Full(id, true, min(free, sparePause))
+		return
+	}
+	p.Chooser.Full(id, false, min(free, fullPause))
+}
+
+// least is the shorter of two times; 0 is none.
+func least(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// late tells whether a request can't be answered within its objective any more.
+func (p *Placer) late(j *Job) bool {
+	if j.Again {
+		return false
+	}
+	return j.Returned || j.Route.Objective > 0 && p.Clock.Since(j.Arrived)+firstEventTime > j.Route.Objective
+}
+
+// patience is how long a request may wait before its prompt is read and still be
+// answered within its objective. Its own reading is not taken off in full: long
+// prompts would never be served under load.
+func (p *Placer) patience(e *matcher.Engine, j *Job) time.Duration {
+	if j.Again {
+		return maxPatience
+	}
+	if p.late(j) {
+		return goodWait
+	}
+	left := j.Route.Objective - p.Clock.Since(j.Arrived) - firstEventTime - scheduler.ReadTime(e, min(j.Prompt, e.UsualPrompt))
+	return min(max(left, leastPatience), maxPatience)
+}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -143,6 +143,7 @@
 // would give a caller someone else's answer.
 func (x *exchange) readHeader(codec Codec, method, id string) error {
 	for strays := 0; ; strays++ {
+		//nolint:bodyclose // the connection itself is closed, or kept once the body was read
 		res, err := readResponse(x.conn.reader, method)
 		if err != nil {
 			return err
