Leave a reader of the store as soon as it has lost it

Change: an answer tells that its sender has lost the store, at once; a peer's word is too old after 1.5 s, and an answer isn't held back beyond that. The test fails without the check.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -46,6 +46,9 @@
 	Records []Record `json:"records,omitempty"`
 	// Age is how long ago the store confirmed that At was its newest revision.
 	Age time.Duration `json:"age"`
+	// Lost tells that the sender reads the store itself and can't reach it now. Its word
+	// may still be young, but nothing newer will come from there.
+	Lost bool `json:"lost,omitempty"`
 }
 
 // NewsTimeout is how old a confirmation may be before a process counts as out of
@@ -78,8 +81,9 @@
 	floor     uint64
 	at        uint64
 	confirmed time.Time
-	// outage is when the store was last found out of reach.
+	// outage is when the store was last found out of reach, lost that it still is.
 	outage time.Time
+	lost   bool
 	view   atomic.Pointer[View]
 	change notifier.Broadcast
 }
@@ -244,7 +248,7 @@
 func (r *Registrar) Since(after uint64) Batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := Batch{After: after, At: r.at, Age: r.Clock.Since(r.confirmed), Whole: after < r.floor}
+	b := Batch{After: after, At: r.at, Age: r.Clock.Since(r.confirmed), Whole: after < r.floor, Lost: r.lost}
 	if after > r.at {
 		return b
 	}
@@ -283,6 +287,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.outage = r.Clock.Now()
+	r.lost = true
+	r.change.Wake()
+}
+
+// StoreFound notes that the store answered.
+func (r *Registrar) StoreFound() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = false
+}
+
+// Lost tells whether the store could not be reached when it was last asked.
+func (r *Registrar) Lost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost
 }
 
 // Changed gives a channel that is closed at the next change.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,13 +43,10 @@
 
 // The same failure with a question that may be asked twice: the caller need not notice.
 func TestLostAnswerOfIdempotentRequestIsAskedAgain(t *testing.T) {
-	first := ""
+	var first once
 	answer := func(name string) func(int, string, net.Conn) bool {
 		return func(n int, id string, conn net.Conn) bool {
-			if first == "" {
-				first = name
-			}
-			if first == name {
+			if first.is(name) {
 				return false
 			}
 			return serves(n, id, conn)
@@ -118,17 +116,18 @@
 
 // An answer without a length ends with its connection; a reset is no end.
 func TestUnframedAnswer(t *testing.T) {
-	whole := true
+	var whole atomic.Bool
+	whole.Store(true)
 	u := newUpstream(t, "a", func(_ int, id string, conn net.Conn) bool {
 		say(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: x\r\n\r\norder")
-		if whole {
+		if whole.Load() {
 			conn.Close()
 		}
-		return whole
+		return whole.Load()
 	})
 	w := newWorld(t, u)
 	must.Eq(t, "order", w.ask(t, "/once/1", "r1").body)
-	whole = false
+	whole.Store(false)
 	must.Eq(t, http.StatusBadGateway, w.ask(t, "/once/1", "r2").status)
 }
 
@@ -154,11 +153,10 @@
 // An upstream dies in the middle of an event. The half must not reach the caller, and
 // another upstream goes on behind the last whole one: no event missing, none twice.
 func TestStreamGoesOnElsewhere(t *testing.T) {
-	died := ""
+	var died once
 	answer := func(name string) func(int, string, net.Conn) bool {
 		return func(_ int, id string, conn net.Conn) bool {
-			if died == "" {
-				died = name
+			if died.is(name) {
 				say(conn, streamHead(id)+chunked(event(0))+chunked(event(1))+chunked("id: 2\nda"))
 				return false
 			}
@@ -172,7 +170,7 @@
 	must.False(t, got.broken)
 	must.Eq(t, event(0)+event(1)+event(2)+event(3), got.body)
 	second := b
-	if died == "b" {
+	if died.is("b") {
 		second = a
 	}
 	must.Eq(t, "1", second.header(0).Get("Last"))
@@ -181,10 +179,9 @@
 // The upstream that should go on begins with the wrong event. The caller must see a
 // broken stream rather than one with a gap.
 func TestStreamWithGapIsBroken(t *testing.T) {
-	n := 0
+	var first once
 	answer := func(_ int, id string, conn net.Conn) bool {
-		n++
-		if n == 1 {
+		if first.is(conn.LocalAddr().String()) {
 			say(conn, streamHead(id)+chunked(event(0)))
 			return false
 		}
@@ -278,13 +275,10 @@
 // An upstream on a frozen VM takes a request and says nothing, and its connection stays
 // open. The caller of a stream would wait until it gives up, though others are idle.
 func TestSilentUpstreamIsReplaced(t *testing.T) {
-	first := ""
+	var first once
 	answer := func(name string) func(int, string, net.Conn) bool {
 		return func(_ int, id string, conn net.Conn) bool {
-			if first == "" {
-				first = name
-			}
-			if first == name {
+			if first.is(name) {
 				time.Sleep(time.Minute)
 				return false
 			}
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -219,3 +219,19 @@
 	body, err := io.ReadAll(res.Body)
 	return answer{status: res.StatusCode, header: res.Header, body: string(body), broken: err != nil}
 }
+
+// once is the first of several upstreams that a request came to.
+type once struct {
+	mu   sync.Mutex
+	name string
+}
+
+// is tells whether the named upstream is the first, and makes it so if there is none.
+func (o *once) is(name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.name == "" {
+		o.name = name
+	}
+	return o.name == name
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -42,9 +42,13 @@
 	maxStoreBackoff = time.Second
 	// idlePause is the pause when nobody has news.
 	idlePause = 150 * time.Millisecond
+	// anyAge accepts whatever a peer knows.
+	anyAge = 24 * time.Hour
 	// staleNews is the age from which a peer's confirmation by the store is too old
-	// to rely on that peer: a reader's is confirmed at least every watchWait.
-	staleNews = 1900 * time.Millisecond
+	// to rely on that peer: a reader's is confirmed at least every watchWait. What a
+	// reader behind a silent cut does not hear must be heard from elsewhere within the
+	// two seconds that a change has to come into force.
+	staleNews = 1500 * time.Millisecond
 )
 
 // Store is the platform's key-value store.
@@ -113,8 +117,13 @@
 	if !s.Clock.Now().Before(s.storeFrom) && s.fromStore(ctx) {
 		return true
 	}
-	// Whatever the others have is better than nothing, however old.
-	return s.fromPeers(ctx, candidates, staleNews) || s.fromPeers(ctx, s.shuffled(candidates), time.Hour)
+	if s.fromPeers(ctx, candidates, staleNews) {
+		return true
+	}
+	// Whatever the others have is better than nothing, however old. They answer at once
+	// then, so that a pause has to follow.
+	s.fromPeers(ctx, s.shuffled(candidates), anyAge)
+	return false
 }
 
 func (s *Syncer) logReading(reads bool) {
@@ -197,7 +206,7 @@
 			continue
 		}
 		s.Registrar.Apply(b)
-		if b.Age <= limit {
+		if b.Age <= limit && !(b.Lost && limit == staleNews) {
 			return true
 		}
 		s.avoid[a] = s.Clock.Now().Add(peerWait)
@@ -242,6 +251,7 @@
 	}
 	s.backoff = 0
 	s.listed = true
+	s.Registrar.StoreFound()
 	s.Registrar.Apply(b)
 	return true
 }
@@ -267,7 +277,9 @@
 // its wait is over.
 func Answer(r *registrar.Registrar, c clock.Clock) func(context.Context, messenger.RecordsQuery) registrar.Batch {
 	return func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
-		over := c.After(q.Wait())
+		_, age, _ := r.At()
+		// Held back for longer, the answer would be too old when it comes.
+		over := c.After(min(q.Wait(), max(staleNews-age, 0)))
 		for {
 			changed := r.Changed()
 			if at, _, _ := r.At(); at > q.After {
@@ -275,6 +287,9 @@
 					return b
 				}
 			}
+			if r.Lost() {
+				return r.Since(q.After)
+			}
 			select {
 			case <-changed:
 			case <-over:
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -107,6 +107,42 @@
 	must.LessEq(t, 5, store.Calls("/v1/kv-watch")-before, must.Sprint("two readers, each with a call that ends and a new one"))
 }
 
+// The entry that others hear from is cut off from the store; the connections between
+// entries are fine, and its word is young for a while yet. Whoever went on to wait there
+// would hear of a revoked key only when that word is old.
+func TestPeerThatLostTheStoreIsLeftAtOnce(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	cut := &messenger.Server{Listener: l, OnRecords: func(_ context.Context, q messenger.RecordsQuery) registrar.Batch {
+		return registrar.Batch{After: q.After, At: q.After, Lost: true}
+	}}
+	go func() { _ = cut.Serve(ctx) }()
+	p := start(t, "agent", false, store.Address(), netip.MustParseAddrPort(l.Addr().String()))
+	eventually(t, func() bool { return p.registrar.View() != nil })
+	store.Put("op/evacuate/a", struct{}{})
+	eventually(t, p.drained("a"))
+}
+
+// An entry that can't reach the store says so at once, and not only when its word has
+// grown old.
+func TestLostStoreIsTold(t *testing.T) {
+	c := clock.RealClock{}
+	r := &registrar.Registrar{Clock: c, Decode: platform.Decode}
+	r.Apply(registrar.Batch{Whole: true, At: 3})
+	answers := make(chan registrar.Batch, 1)
+	go func() {
+		answers <- syncer.Answer(r, c)(context.Background(), messenger.RecordsQuery{After: 3, WaitMS: 5000})
+	}()
+	r.StoreLost()
+	must.True(t, (<-answers).Lost)
+	r.StoreFound()
+	must.False(t, r.Since(3).Lost)
+}
+
 // A reader dies without a word. Everybody who relied on it must go on hearing.
 func TestReadersAreReplaced(t *testing.T) {
 	store := standin.NewStore()
