--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -213,26 +213,11 @@
 // of its chunks the rarest that is open. Were the rarest chunk picked first, all
 // agents would ask the one that drew it, while the links of the others stand idle.
 func (t *Transfer) relay(now time.Time) (Order, bool) {
-	var best *peer
-	ties := 0
-	for _, p := range t.peers {
-		if p.Region != t.Region || !t.free(p, now) || !t.gives(p) {
-			continue
-		}
-		switch {
-		case best == nil || p.inFlight < best.inFlight:
-			best, ties = p, 1
-		case p.inFlight == best.inFlight:
-			ties++
-			if t.Rand.IntN(ties) == 0 {
-				best = p
-			}
-		}
-	}
-	if best == nil {
+	p := t.leastAsked(now, func(p *peer) bool { return p.Region == t.Region && t.gives(p) })
+	if p == nil {
 		return Order{}, false
 	}
-	return Order{Chunk: t.rarest(best), Source: FromPeer{ID: best.ID}}, true
+	return Order{Chunk: t.rarest(p), Source: FromPeer{ID: p.ID}}, true
 }
 
 // gives tells whether a peer has an open chunk.
@@ -328,13 +313,22 @@
 	return t.scratch
 }
 
-// ask orders chunk i from one of the chosen peers that have it: the least asked,
-// ties at random.
+// ask orders chunk i from one of the chosen peers that have it.
 func (t *Transfer) ask(i int, now time.Time, chosen func(*peer) bool) (Order, bool) {
+	p := t.leastAsked(now, func(p *peer) bool { return chosen(p) && p.Have.Has(i) })
+	if p == nil {
+		return Order{}, false
+	}
+	return Order{Chunk: i, Source: FromPeer{ID: p.ID}}, true
+}
+
+// leastAsked is the free peer among the chosen with the fewest fetches under way, ties
+// at random; nil for none.
+func (t *Transfer) leastAsked(now time.Time, chosen func(*peer) bool) *peer {
 	var best *peer
 	ties := 0
 	for _, p := range t.peers {
-		if !chosen(p) || !p.Have.Has(i) || !t.free(p, now) {
+		if !t.free(p, now) || !chosen(p) {
 			continue
 		}
 		switch {
@@ -347,10 +341,7 @@
 			}
 		}
 	}
-	if best == nil {
-		return Order{}, false
-	}
-	return Order{Chunk: i, Source: FromPeer{ID: best.ID}}, true
+	return best
 }
 
 // brings tells whether this agent is the one to bring chunk i into its region,
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -360,5 +359,3 @@
 	_, age, known := r.At()
 	return known && age < NewsTimeout
 }
-
-func compareIDs(a, b string) int { return strings.Compare(a, b) }
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
@@ -62,8 +63,8 @@
 			v.Members = append(v.Members, f)
 		}
 	}
-	slices.SortFunc(v.Upstreams, func(a, b *UpstreamView) int { return compareIDs(a.ID, b.ID) })
-	slices.SortFunc(v.Members, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(v.Upstreams, func(a, b *UpstreamView) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	for _, u := range v.Upstreams {
 		v.services[u.Service] = append(v.services[u.Service], u)
 	}
