--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -206,7 +206,8 @@
 			continue
 		}
 		s.Registrar.Apply(b)
-		if b.Age <= limit && !(b.Lost && limit == staleNews) {
+		dead := b.Lost && limit != anyAge
+		if b.Age <= limit && !dead {
 			return true
 		}
 		s.avoid[a] = s.Clock.Now().Add(peerWait)
