--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	d.parts.Add(&reporter.Web{Name: "metrics", Listener: l, Handler: reporter.Handler(status, ready, d.metrics)})
+	d.parts.Add(web("metrics", l, reporter.Handler(status, ready, d.metrics)))
 	return nil
 }
 
@@ -209,14 +209,12 @@
 
 func (e *UnreadyError) Error() string { return e.Why }
 
-// readiness turns a yes or no into what the reporter wants.
-func readiness(ready func() bool) func() error {
-	return func() error {
-		if ready() {
-			return nil
-		}
-		return &UnreadyError{Why: "not ready"}
+// readiness tells the reporter why a process takes no work yet.
+func (d *daemon) readiness() error {
+	if v := d.registrar.View(); v == nil || v.Table == nil {
+		return &UnreadyError{Why: "no route table yet"}
 	}
+	return nil
 }
 
 // believed is what a process believes and how old that is, for its status.
--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -123,7 +123,7 @@
 	mux.Handle(stager.VersionsPath, digests.Handler())
 	d.parts.Add(web("chunks", chunks, mux))
 	d.parts.Add(&messenger.Server{Listener: places, OnReserve: r.reserve, OnProgress: r.progress, OnLost: r.lost})
-	return d.serveMetrics(d.status, readiness(func() bool { return d.registrar.View() != nil }))
+	return d.serveMetrics(d.status, d.readiness)
 }
 
 // reserver answers entries that ask for places.
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -69,7 +69,7 @@
 	placer := &relayer.Placer{
 		Registrar: d.registrar, Chooser: chooser, Clock: d.clock,
 		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
-		AgentPort: d.internalPort(reservePort), Dial: dialPeer, WeightsBound: s.Bounds.Weights,
+		AgentPort: d.internalPort(reservePort), Agents: &messenger.Clients{Dial: dialPeer, Timeout: relayer.AskTimeout}, WeightsBound: s.Bounds.Weights,
 	}
 	opened := metrics.GetOrRegisterCounter("upstreamConnections", d.metrics)
 	pool := &relayer.Pool{Clock: d.clock, Opened: func() { opened.Inc(1) }}
@@ -80,7 +80,7 @@
 	e := &platformEntry{daemon: d, served: make(chan error, 1)}
 	e.hoster = &hoster.Hoster{
 		Registrar: d.registrar, Clock: d.clock, Grace: s.Bounds.Grace,
-		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock},
+		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock, LeastLease: s.Store.LeastLease},
 		Requests: &relayer.Relayer{
 			Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
 			Budget: retryBudget(s.Bounds, d), Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
@@ -136,7 +136,14 @@
 	e.parts.Add(web("ready", listeners[1], platform.Ready(e.hoster.Ready)))
 	e.parts.Add(web("directory", listeners[2], platform.Directory(e.registrar)))
 	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.clock)})
-	return e.serveMetrics(e.status, readiness(e.hoster.Ready))
+	return e.serveMetrics(e.status, e.readiness)
+}
+
+func (e *platformEntry) readiness() error {
+	if e.hoster.Leaving() {
+		return &UnreadyError{Why: "leaving"}
+	}
+	return e.daemon.readiness()
 }
 
 func (e *platformEntry) run(ctx context.Context) error {
--- a/internal/hoster/directory.go
+++ b/internal/hoster/directory.go
@@ -17,8 +17,8 @@
 
 // Question is what a caller asks of the directory.
 type Question struct {
-	Host                  string
-	FailureDomain, Region string
+	Host   string
+	Region string
 }
 
 // Nearest lists the callers' addresses of the entries that a caller should use: those
@@ -26,13 +26,13 @@
 // routes allow, and outside the caller's own, are never named: the request's body
 // would go there.
 func Nearest(view *registrar.View, q Question) []netip.AddrPort {
-	allowed := homes(view.Table, q.Host)
+	allowed, restricted := homes(view.Table, q.Host)
 	var near, far []netip.AddrPort
 	for _, m := range view.Members {
 		switch {
 		case m.Region == q.Region:
 			near = append(near, m.Callers)
-		case matcher.Permits(allowed, m.Region):
+		case !restricted || slices.Contains(allowed, m.Region):
 			far = append(far, m.Callers)
 		}
 	}
@@ -42,23 +42,17 @@
 	return append(near, far...)
 }
 
-// homes are the regions allowed by all of a host's routes that name any.
-func homes(t *matcher.Table, host string) []string {
-	var common []string
-	restricted := false
+// homes are the regions allowed by all of a host's routes that name any; restricted
+// tells whether one does. None may be left: then only the caller's own region is.
+func homes(t *matcher.Table, host string) (common []string, restricted bool) {
 	for _, r := range t.Host(host) {
-		if len(r.Regions) == 0 {
-			continue
-		}
-		if !restricted {
+		switch {
+		case len(r.Regions) == 0:
+		case !restricted:
 			common, restricted = slices.Clone(r.Regions), true
-			continue
+		default:
+			common = slices.DeleteFunc(common, func(region string) bool { return !slices.Contains(r.Regions, region) })
 		}
-		common = slices.DeleteFunc(common, func(region string) bool { return !slices.Contains(r.Regions, region) })
-	}
-	if restricted && len(common) == 0 {
-		// No region suits all routes: only the caller's own is left.
-		return []string{""}
 	}
-	return common
+	return common, restricted
 }
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -50,11 +50,6 @@
 	// Objective is the time to the answer, or a stream's first event, within which
 	// it is worth most to the caller; 0 for none.
 	Objective time.Duration
-	// PauseObjective is the longest pause between two events of a stream that is
-	// still good; 0 for none.
-	PauseObjective time.Duration
-	// Priority ranks the route; 0 goes first.
-	Priority int
 	// Targets are the services that may serve it, by weight.
 	Targets []Target
 	// MaxAttempts is the number of upstreams to which one request may be sent; at
@@ -105,8 +100,6 @@
 // Workspace is whom a request is for.
 type Workspace struct {
 	Name string
-	// Priority goes before the route's; nil when the workspace has none.
-	Priority *int
 	// Regions are the only ones in which its requests may be served; empty for all.
 	Regions []string
 }
@@ -114,9 +107,6 @@
 // Service is a group of like upstreams.
 type Service struct {
 	Name string
-	// MaxConnections is how many connections one upstream accepts from all callers
-	// together; 0 when not told.
-	MaxConnections int
 	// ColdRate is the requests a second that a cold upstream bears; 0 for no limit.
 	ColdRate float64
 	// Engine is set for model engines.
@@ -130,8 +120,6 @@
 type Engine struct {
 	// Slots is how many requests run in one batch.
 	Slots int
-	// Memory is how many tokens the KV cache holds.
-	Memory int
 	// Stride is how many steps a pass makes while requests write.
 	Stride int
 	// Chunk is how many prompt tokens a step reads at most.
@@ -148,11 +136,8 @@
 	UsualPrompt, UsualAnswer int
 	// Models are those that the engines may hold.
 	Models []string
-	// Layers is how many layers a model has.
-	Layers int
-	// Chunks and ChunkBytes are the shape of a set of weights.
-	Chunks     int
-	ChunkBytes int64
+	// Chunks is how many chunks make up a set of weights.
+	Chunks int
 	// Load is how long whole weights take to load.
 	Load time.Duration
 }
@@ -161,16 +146,11 @@
 type Origin struct {
 	Address       netip.AddrPort
 	FailureDomain string
-	// MaxConnections is how many connections it accepts from all callers together.
-	MaxConnections int
 }
 
 // Limits bound what a caller may send; 0 for no limit.
 type Limits struct {
 	HeaderBytes, BodyBytes int64
-	// HeaderTimeout is how long a request's header may take, IdleTimeout how long
-	// a connection may stay idle.
-	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Table is one version of the route table. It isn't changed once it is in use.
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -24,10 +24,9 @@
 
 // Reservation asks an agent for a place at its engine.
 type Reservation struct {
-	// Request names the attempt; Upstream is the start of the engine that is meant.
-	Request  string `json:"request"`
-	Upstream string `json:"upstream"`
-	Model    string `json:"model,omitempty"`
+	// Request names the attempt.
+	Request string `json:"request"`
+	Model   string `json:"model,omitempty"`
 	// Prompt and Answer are the request's size in tokens, Answer as far as known.
 	Prompt int `json:"prompt"`
 	Answer int `json:"answer"`
--- a/internal/registrar/fact.go
+++ b/internal/registrar/fact.go
@@ -23,8 +23,6 @@
 	Leaving bool
 	// Cold is how long it stayed cold from when it wrote this.
 	Cold time.Duration
-	// Born tells starts under the same ID apart: the Unix millisecond of the start.
-	Born int64
 	// Models are what an engine holds.
 	Models []HeldModel
 }
--- a/internal/registrar/packer.go
+++ b/internal/registrar/packer.go
@@ -24,7 +24,7 @@
 		return rec
 	}
 	packed, ok := r.packed[rec.Key]
-	if !ok || packed.Revision != rec.Revision {
+	if !ok {
 		packed = Record{Key: rec.Key, Revision: rec.Revision, Packed: deflate(rec.Value)}
 		if r.packed == nil {
 			r.packed = map[string]Record{}
@@ -44,6 +44,19 @@
 	return b.Bytes()
 }
 
+// unpackAll gives records with their values; false when one can't be unpacked.
+func unpackAll(recs []Record) ([]Record, bool) {
+	unpacked := make([]Record, 0, len(recs))
+	for _, rec := range recs {
+		rec, ok := unpack(rec)
+		if !ok {
+			return nil, false
+		}
+		unpacked = append(unpacked, rec)
+	}
+	return unpacked, true
+}
+
 // unpack gives the record with its value; false when it can't be unpacked.
 func unpack(rec Record) (Record, bool) {
 	if rec.Packed == nil {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -95,6 +95,11 @@
 	if !b.Whole && b.After > r.at {
 		return false
 	}
+	records, ok := unpackAll(b.Records)
+	if !ok {
+		// Taken without that record, the revision would move past it for good.
+		return false
+	}
 	if r.records == nil {
 		r.records = map[string]Record{}
 		r.facts = map[string]Fact{}
@@ -102,7 +107,7 @@
 		r.learned = map[string]time.Time{}
 	}
 	changed := r.view.Load() == nil
-	for _, rec := range b.Records {
+	for _, rec := range records {
 		changed = r.take(rec) || changed
 	}
 	if b.Whole && b.At >= r.at {
@@ -123,11 +128,8 @@
 	if known, ok := r.records[rec.Key]; ok && known.Revision >= rec.Revision {
 		return false
 	}
-	rec, ok := unpack(rec)
-	if !ok {
-		return false
-	}
 	r.records[rec.Key] = rec
+	delete(r.packed, rec.Key)
 	if rec.Deleted {
 		r.forget(rec.Key)
 		return true
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -263,4 +263,6 @@
 	b.Records[0].Revision = 9
 	must.False(t, to.Apply(registrar.Batch{After: 5, At: 9, Records: b.Records}))
 	must.Eq(t, 7, to.View().Table.Version)
+	at, _, _ := to.At()
+	must.Eq(t, 5, at, must.Sprint("the spoilt record is asked for again"))
 }
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -50,18 +50,15 @@
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
 }
 
-// spreadOver is over what multiple of the estimate callers are told to come back.
-const spreadOver = 1.0
-
-// spread draws the time to come back from one to two and a half of the estimate, so
-// that those refused together don't come back together.
+// spread draws the time to come back from one to two times the estimate, so that those
+// refused together don't come back together.
 func (c *call) spread(d time.Duration) time.Duration {
 	if d <= 0 {
 		d = busyRetry
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return d + time.Duration(c.Random.Int64N(int64(spreadOver*float64(d))+1))
+	return d + time.Duration(c.Random.Int64N(int64(d)+1))
 }
 
 // answer sends an answer of the system's own.
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// askTimeout bounds a question to an agent. It is several round trips between
+	// AskTimeout bounds a question to an agent. It is several round trips between
 	// regions; an agent that takes longer is of no help with an objective of half a
 	// second.
-	askTimeout = 40 * time.Millisecond
+	AskTimeout = 40 * time.Millisecond
 	// silentFor is how long an agent that did not answer isn't asked.
 	silentFor = 700 * time.Millisecond
 	// unaskedShare is the part of an engine's places that entries divide among them
@@ -30,9 +30,9 @@
 		return p.unasked(view, u, j), nil
 	}
 	a := netip.AddrPortFrom(u.Address.Addr(), p.AgentPort)
-	c := p.agent(a)
+	c := p.Agents.To(a)
 	v, err := c.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Upstream: u.ID, Model: j.Model, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
+		Request: j.ID, Model: j.Model, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
 		PatienceMS: patience.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(),
 	})
 	if ctx.Err() != nil {
@@ -92,21 +92,6 @@
 	return &Place{Upstream: u, Version: version, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}
 }
 
-func (p *Placer) agent(a netip.AddrPort) *messenger.Client {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.agents == nil {
-		p.agents = map[netip.AddrPort]*messenger.Client{}
-	}
-	c := p.agents[a]
-	if c == nil {
-		c = p.Dial(a)
-		c.Timeout = askTimeout
-		p.agents[a] = c
-	}
-	return c
-}
-
 // tell sends progress without holding up the caller's reply. It is lost when the
 // agent can't be reached; the engine's own count then shows what runs.
 func (p *Placer) tell(c *messenger.Client, progress messenger.Progress) {
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -95,7 +95,7 @@
 }
 
 // askedLongEnough tells whether a request should be refused rather than ask on. Agents
-// that are dead or behind a full link each take askTimeout; a caller that waits for
+// that are dead or behind a full link each take AskTimeout; a caller that waits for
 // several of them in turn only hears later that there is no place.
 func (p *Placer) askedLongEnough(j *Job, began time.Time) bool {
 	limit := time.Duration(askedShare * float64(j.Route.Objective))
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
@@ -93,14 +92,11 @@
 	// AgentPort is where the agent beside an engine listens, on the engine's own
 	// address.
 	AgentPort uint16
-	// Dial makes the client of an agent.
-	Dial func(netip.AddrPort) *messenger.Client
+	// Agents are the clients of the agents; their timeout should be AskTimeout.
+	Agents *messenger.Clients
 	// WeightsBound is how long after the naming of a version older weights may begin
 	// a reply.
 	WeightsBound time.Duration
-
-	mu     sync.Mutex
-	agents map[netip.AddrPort]*messenger.Client
 }
 
 // Place finds an upstream. Errors are *RefusedError and the context's.
@@ -216,12 +212,5 @@
 	for _, u := range view.Upstreams {
 		used[netip.AddrPortFrom(u.Address.Addr(), p.AgentPort)] = true
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for a, c := range p.agents {
-		if !used[a] {
-			c.Close()
-			delete(p.agents, a)
-		}
-	}
+	p.Agents.Keep(used)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -52,7 +52,6 @@
 	Job
 	w       http.ResponseWriter
 	r       *http.Request
-	body    []byte
 	message message
 	// outcome joins what is known of all attempts.
 	outcome  retrier.Outcome
@@ -60,8 +59,6 @@
 	sends    int
 	// stream is set once a stream's header went out.
 	stream *stream
-	// waited is the wait that was predicted for the last attempt.
-	waited time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -186,7 +183,6 @@
 		c.answer(http.StatusRequestTimeout, "body not read", 0)
 		return false
 	}
-	c.body = body
 	c.message = message{method: c.r.Method, target: c.r.RequestURI, host: c.r.Host, body: body,
 		hasBody: c.r.ContentLength != 0 || len(c.r.TransferEncoding) > 0}
 	return true
@@ -205,7 +201,6 @@
 			return
 		}
 		c.Tried = append(c.Tried, place.Upstream.ID)
-		c.waited = place.Wait
 		err = c.attempt(ctx, place)
 		place.ended()
 		if err == nil {
@@ -264,5 +259,3 @@
 	c.count("retries")
 	return true
 }
-
-var _ http.Handler = (*Relayer)(nil)
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -174,7 +174,7 @@
 		Pool:   &relayer.Pool{Clock: c, Opened: func() {}},
 		Budget: &retrier.Budget{Clock: c, Burst: 100},
 		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "r",
-			Regions: map[string]string{"a": "r"}, Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }},
+			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
 	}
 	w.Server = httptest.NewServer(w.relayer)
 	t.Cleanup(w.Close)
--- a/internal/scheduler/ledger_test.go
+++ b/internal/scheduler/ledger_test.go
@@ -17,7 +17,7 @@
 // figures are those of an engine that reads 20 prompt tokens a millisecond.
 func figures() *matcher.Engine {
 	return &matcher.Engine{
-		Slots: 16, Memory: 300_000, Stride: 5, Chunk: 2048, Step: 9 * time.Millisecond,
+		Slots: 16, Stride: 5, Chunk: 2048, Step: 9 * time.Millisecond,
 		PerRequest: 20 * time.Microsecond, PerThousand: 30 * time.Microsecond,
 		ReadPerSecond: 20_000, PerMillionPairs: time.Millisecond,
 		UsualPrompt: 1000, UsualAnswer: 90, Load: 300 * time.Millisecond,
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// Every is how often the engine is asked what it does. A restart shows within
+	// every is how often the engine is asked what it does. A restart shows within
 	// that time, and its places count anew.
-	Every = 150 * time.Millisecond
+	every = 150 * time.Millisecond
 	// learnEvery is how often the others are asked which chunks make up a version.
 	learnEvery = 30 * time.Millisecond
 	// oldMargin is how much before the bound engines with old weights take nothing
@@ -49,8 +49,7 @@
 type Report struct {
 	Models []registrar.HeldModel
 	// Busy tells that an order is under way.
-	Busy     bool
-	Sequence uint64
+	Busy bool
 	// Waiting and Running are its requests.
 	Waiting, Running int
 	// Pace is how much slower than its figures it works; 0 when not told.
@@ -145,7 +144,7 @@
 	if s.unlisted {
 		return learnEvery
 	}
-	return Every
+	return every
 }
 
 // Holds gives the version that the engine was last seen to hold.
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -103,3 +103,14 @@
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("store: %s %q: refused (%d): %s", e.Op, e.Key, e.Status, e.Text)
 }
+
+// CompactedError reports a watch that asked for history which is no longer there. The
+// reader has to start anew from a list.
+type CompactedError struct {
+	// After is the version from which it asked on.
+	After uint64
+}
+
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store: history after version %d is gone", e.After)
+}
--- a/internal/syncer/registration.go
+++ b/internal/syncer/registration.go
@@ -17,8 +17,8 @@
 	// leaseTTL is how long a dead entry stays on the lists that callers get. It must
 	// be well below the six seconds after which none may name it.
 	leaseTTL = 3 * time.Second
-	// renewEvery leaves room for two lost renewals before the lease ends.
-	renewEvery = leaseTTL / 3
+	// renewals is how often a lease is renewed within its time: two may be lost.
+	renewals = 3
 	// registerAgain is the pause after a failed call.
 	registerAgain = 300 * time.Millisecond
 )
@@ -37,6 +37,8 @@
 	Store  Leases
 	Member registrar.Member
 	Clock  clock.Clock
+	// LeastLease is the shortest lease that the store grants; 0 for any.
+	LeastLease time.Duration
 	// Ready tells whether callers may come already.
 	Ready func() bool
 
@@ -80,11 +82,13 @@
 		klog.V(1).InfoS("Lease not renewed", "lease", lease, "err", err)
 		return registerAgain
 	}
-	return renewEvery
+	return r.ttl() / renewals
 }
 
+func (r *Registration) ttl() time.Duration { return max(leaseTTL, r.LeastLease) }
+
 func (r *Registration) register(ctx context.Context) time.Duration {
-	lease, err := r.Store.Lease(ctx, leaseTTL)
+	lease, err := r.Store.Lease(ctx, r.ttl())
 	if err != nil {
 		klog.InfoS("No lease", "err", err)
 		return registerAgain
@@ -101,7 +105,7 @@
 		r.Leave(ctx)
 	}
 	klog.InfoS("Entry registered", "entry", r.Member.ID, "lease", lease)
-	return renewEvery
+	return r.ttl() / renewals
 }
 
 // Leave takes the record back, so that callers are told no more of this entry.
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -19,6 +20,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/storer"
 )
 
 const (
@@ -54,13 +56,10 @@
 // Store is the platform's key-value store.
 type Store interface {
 	List(ctx context.Context) (registrar.Batch, error)
-	// Watch gives *CompactedError, by its Compacted method, when the history is gone.
+	// Watch gives *storer.CompactedError when the history is gone.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error)
 }
 
-// Compacted marks the error of a watch that has to start anew from a list.
-type Compacted interface{ Compacted() bool }
-
 // Syncer feeds a registrar. Set the exported fields before Serve.
 type Syncer struct {
 	// ID is this process's name; Entry tells that it may read the store for others.
@@ -76,7 +75,7 @@
 	Clock  clock.Clock
 	Random *rand.Rand
 
-	clients map[netip.AddrPort]*messenger.Client
+	clients messenger.Clients
 	avoid   map[netip.AddrPort]time.Time
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
@@ -88,9 +87,9 @@
 
 // Serve runs until the context ends.
 func (s *Syncer) Serve(ctx context.Context) error {
-	s.clients = map[netip.AddrPort]*messenger.Client{}
+	s.clients.Dial, s.clients.Timeout = s.Dial, peerWait+peerGrace
 	s.avoid = map[netip.AddrPort]time.Time{}
-	defer s.closeClients()
+	defer s.clients.Close()
 	for ctx.Err() == nil {
 		if s.step(ctx) {
 			continue
@@ -109,6 +108,7 @@
 func (s *Syncer) step(ctx context.Context) bool {
 	_, _, known := s.Registrar.At()
 	candidates := s.candidates()
+	s.forgetOthers(candidates)
 	reads := !known || s.Entry && s.reads()
 	s.logReading(reads)
 	if !reads && s.fromPeers(ctx, candidates[:min(readers, len(candidates))], staleNews) {
@@ -169,6 +169,16 @@
 	return as
 }
 
+// forgetOthers drops what is kept of addresses that are nobody's any more.
+func (s *Syncer) forgetOthers(candidates []netip.AddrPort) {
+	used := make(map[netip.AddrPort]bool, len(candidates))
+	for _, a := range candidates {
+		used[a] = true
+	}
+	s.clients.Keep(used)
+	maps.DeleteFunc(s.avoid, func(a netip.AddrPort, _ time.Time) bool { return !used[a] })
+}
+
 func (s *Syncer) preference(a, b registrar.Member) int {
 	if s.Entry {
 		return byRank(a.ID, b.ID)
@@ -196,7 +206,7 @@
 			continue
 		}
 		at, _, _ := s.Registrar.At()
-		b, err := s.client(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: peerWait.Milliseconds()})
+		b, err := s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: peerWait.Milliseconds()})
 		if ctx.Err() != nil {
 			return false
 		}
@@ -215,29 +225,13 @@
 	return false
 }
 
-func (s *Syncer) client(a netip.AddrPort) *messenger.Client {
-	c := s.clients[a]
-	if c == nil {
-		c = s.Dial(a)
-		c.Timeout = peerWait + peerGrace
-		s.clients[a] = c
-	}
-	return c
-}
-
-func (s *Syncer) closeClients() {
-	for _, c := range s.clients {
-		c.Close()
-	}
-}
-
 // fromStore reads the store once, by a list at first and after its history is gone.
 func (s *Syncer) fromStore(ctx context.Context) bool {
 	b, err := s.read(ctx)
 	if ctx.Err() != nil {
 		return false
 	}
-	var compacted Compacted
+	var compacted *storer.CompactedError
 	if errors.As(err, &compacted) {
 		klog.InfoS("Store's history gone, listing anew", "err", err)
 		s.listed = false
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -71,7 +71,7 @@
 	refusing.SetFault(standin.Busy)
 	good := start(t, "good", true, store.Address())
 	cut := start(t, "cut", true, refusing.Address(), good.peers)
-	store.Put("op/evacuate/a", struct{}{})
+	store.Drain("a")
 	eventually(t, good.drained("a"))
 	eventually(t, cut.drained("a"))
 	must.True(t, cut.registrar.Fresh())
@@ -88,23 +88,23 @@
 		ps[i] = start(t, id, true, store.Address())
 	}
 	for i, id := range names {
-		store.Put("oriolecroft/entries/"+id, member(id, ps[i]))
+		store.PutEntry(member(id, ps[i]))
 	}
 	agent := start(t, "agent", false, store.Address())
 	for _, p := range append(ps, agent) {
 		eventually(t, func() bool { v := p.registrar.View(); return v != nil && len(v.Members) == len(names) })
 	}
 	// One more change lets those that still wait at the store find out their roles.
-	store.Put("op/evacuate/first", struct{}{})
+	store.Drain("first")
 	for _, p := range append(ps, agent) {
 		eventually(t, p.drained("first"))
 	}
-	before := store.Calls("/v1/kv-watch")
-	store.Put("op/evacuate/a", struct{}{})
+	before := store.Watches()
+	store.Drain("a")
 	for _, p := range append(ps, agent) {
 		eventually(t, p.drained("a"))
 	}
-	must.LessEq(t, 5, store.Calls("/v1/kv-watch")-before, must.Sprint("two readers, each with a call that ends and a new one"))
+	must.LessEq(t, 5, store.Watches()-before, must.Sprint("two readers, each with a call that ends and a new one"))
 }
 
 // The entry that others hear from is cut off from the store; the connections between
@@ -123,7 +123,7 @@
 	go func() { _ = cut.Serve(ctx) }()
 	p := start(t, "agent", false, store.Address(), netip.MustParseAddrPort(l.Addr().String()))
 	eventually(t, func() bool { return p.registrar.View() != nil })
-	store.Put("op/evacuate/a", struct{}{})
+	store.Drain("a")
 	eventually(t, p.drained("a"))
 }
 
@@ -151,14 +151,14 @@
 	ps := make([]*process, len(names))
 	for i, id := range names {
 		ps[i] = start(t, id, true, store.Address())
-		store.Put("oriolecroft/entries/"+id, member(id, ps[i]))
+		store.PutEntry(member(id, ps[i]))
 	}
 	for _, p := range ps {
 		eventually(t, func() bool { v := p.registrar.View(); return v != nil && len(v.Members) == len(names) })
 	}
 	ps[0].stop()
 	ps[1].stop()
-	store.Put("op/evacuate/a", struct{}{})
+	store.Drain("a")
 	eventually(t, ps[2].drained("a"))
 	eventually(t, ps[3].drained("a"))
 }
@@ -169,13 +169,13 @@
 	store := standin.NewStore()
 	defer store.Close()
 	store.PageSize = 2
-	store.Put("op/evacuate/a", struct{}{})
-	store.Put("op/evacuate/b", struct{}{})
-	store.Put("op/evacuate/c", struct{}{})
+	store.Drain("a")
+	store.Drain("b")
+	store.Drain("c")
 	p := start(t, "e", true, store.Address())
 	eventually(t, p.drained("c"))
 	store.SetFault(standin.Busy)
-	store.Delete("op/evacuate/a")
+	store.Return("a")
 	store.Compact()
 	store.SetFault(standin.None)
 	eventually(t, func() bool { return !p.registrar.View().Drained("a") })
@@ -190,7 +190,7 @@
 	p := start(t, "e", true, store.Address())
 	eventually(t, func() bool { return p.registrar.View() != nil })
 	store.SetFault(standin.Silent)
-	store.Put("op/evacuate/a", struct{}{})
+	store.Drain("a")
 	time.Sleep(300 * time.Millisecond)
 	store.SetFault(standin.None)
 	eventually(t, p.drained("a"))
@@ -206,7 +206,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go func() { _ = r.Serve(ctx) }()
-	there := func() bool { _, ok := store.Get("oriolecroft/entries/e"); return ok }
+	there := func() bool { return store.HasEntry("e") }
 	eventually(t, there)
 	store.Lapse()
 	must.False(t, there())
@@ -216,3 +216,25 @@
 	time.Sleep(400 * time.Millisecond)
 	must.False(t, there(), must.Sprint("an entry that left does not come back"))
 }
+
+// leases notes the length of the lease that is asked for.
+type leases struct{ asked chan time.Duration }
+
+func (l leases) Lease(_ context.Context, ttl time.Duration) (uint64, error) {
+	l.asked <- ttl
+	return 1, nil
+}
+func (leases) Renew(context.Context, uint64) error                       { return nil }
+func (leases) EndLease(context.Context, uint64) error                    { return nil }
+func (leases) PutMember(context.Context, registrar.Member, uint64) error { return nil }
+
+// A store grants no lease as short as the usual one. Asked for that, it would refuse
+// each time, and the entry would never be on a list.
+func TestLeaseIsAsLongAsTheStoreWants(t *testing.T) {
+	l := leases{make(chan time.Duration, 1)}
+	r := &syncer.Registration{Store: l, Clock: clock.RealClock{}, LeastLease: 10 * time.Second, Ready: func() bool { return true }}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = r.Serve(ctx) }()
+	must.Eq(t, 10*time.Second, <-l.asked)
+}
