Chunks of slow drawers fall to the next in rank; slow peers come last

Cause: one of the four agents that draw new weights from the origin sat behind a link of an eighth. Ruled out: the origin (1.0 copies sent, its link idle for 5 s), the naming (known everywhere after 0.15 s), the region links. Change: a drawer without chunks of its own draws those of one that has more left than may be on its way, from the other end of that one's order, as next in rank; the same for what is brought from another region. A peer whose last chunk took longer than half the patience is asked last, a fetch that runs as long gives up its slot, and a chunk that only a slow peer has is asked from another region or drawn once more.

--- /dev/null
+++ b/internal/planner/narrow_test.go
@@ -0,0 +1,44 @@
+package planner_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// small is a deployment of a few engines a region, each link as fast as the origin's.
+func small(machines int, seed uint64) burst {
+	const size = 96 * 24576
+	return burst{
+		machines: machines, chunks: 96, size: size, window: 2 * 2585 * time.Millisecond,
+		originCopies: 2, regions: 3, regionRate: 20e6 / 8, seed: seed,
+		habits: habits{slots: 3, originSlots: 2, patience: 500 * time.Millisecond, poll: 100 * time.Millisecond,
+			settle: 60 * time.Millisecond, heartbeat: 100 * time.Millisecond, listens: true},
+	}
+}
+
+// Some of the agents that draw from the origin, or that bring chunks into their region,
+// sit behind links that have become an eighth as wide. They answer all calls, slowly, and
+// fetch their part of the chunks at that pace; all others wait for these chunks. New
+// weights come into force late everywhere, and until then callers are refused, although
+// one or two links are at fault.
+func TestNarrowLinksDoNotHoldUpAll(t *testing.T) {
+	for _, narrow := range [][]string{{"region-0"}, {"region-1"}, {"region-0", "region-2"}, {"region-0", "region-0"}} {
+		t.Run(strings.Join(narrow, ","), func(t *testing.T) {
+			for seed := range uint64(8) {
+				b := small(15, seed)
+				well, stuck := newModel(b).run()
+				must.False(t, stuck)
+				b.narrow, b.narrowIn = 0.125, narrow
+				m := newModel(b)
+				took, stuck := m.run()
+				must.False(t, stuck)
+				t.Logf("seed %d: %v with narrow links, %v without, %.2f copies from the origin", seed, took, well, m.drawn/m.size)
+				must.Less(t, well*3/2, took)
+				must.Less(t, 1.1, m.drawn/m.size)
+			}
+		})
+	}
+}
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -8,7 +8,7 @@
 
 // Next gives the next fetch to start, if there is one worth starting now.
 func (t *Transfer) Next(now time.Time) (Order, bool) {
-	if t.Whole() || len(t.flights) >= t.Slots {
+	if t.Whole() || t.slotsTaken(now) >= t.Slots {
 		return Order{}, false
 	}
 	for _, choose := range []func(time.Time) (Order, bool){t.draw, t.bring, t.relay, t.fallback, t.hedge} {
@@ -20,6 +20,23 @@
 	return Order{}, false
 }
 
+// slotsTaken is how many fetches hold a slot. Some that run for too long give theirs up:
+// with every slot at slow peers, an agent would stand still beside quick ones.
+func (t *Transfer) slotsTaken(now time.Time) int {
+	overrun := 0
+	for _, f := range t.flights {
+		if t.slow(f, now) {
+			overrun++
+		}
+	}
+	return len(t.flights) - min(overrun, t.Slots)
+}
+
+// slow tells whether a fetch runs for much longer than is usual.
+func (t *Transfer) slow(f flight, now time.Time) bool {
+	return now.Sub(f.since) > t.patience()/2
+}
+
 func (t *Transfer) begin(o Order, now time.Time) {
 	f := flight{Order: o, since: now}
 	t.inFlight.Set(o.Chunk)
@@ -66,9 +83,12 @@
 // Done notes a verified chunk. It tells whether the chunk is new: two sources
 // may have been asked for it.
 func (t *Transfer) Done(o Order, now time.Time) bool {
-	t.pace += (t.end(o, now) - t.pace) / 8
+	took := t.end(o, now)
+	source := t.met(o.Source)
+	source.slow = took > t.patience()/2
+	source.failures = 0
+	t.pace += (took - t.pace) / 8
 	t.lastGain = now
-	t.met(o.Source).failures = 0
 	if t.have.Has(o.Chunk) {
 		return false
 	}
@@ -149,18 +169,84 @@
 // open tells whether chunk i is neither here nor on its way.
 func (t *Transfer) open(i int) bool { return !t.have.Has(i) && !t.inFlight.Has(i) && !t.held.Has(i) }
 
-// draw picks a chunk that this agent alone should ask the origin for.
+// draw picks a chunk that this agent alone should ask the origin for: its own first, and
+// then those of drawers that are far behind.
 func (t *Transfer) draw(now time.Time) (Order, bool) {
 	if !t.settled(now) || t.drawing >= t.OriginSlots || !t.origin.usable(now) || !t.draws() {
 		return Order{}, false
 	}
-	mine := func(i int) bool {
-		return t.open(i) && t.holders[i] == 0 && t.home(i) == t.Region && t.drawer(i, t.Region, now) == t.ID
+	undrawn := func(i int) bool { return !t.have.Has(i) && t.holders[i] == 0 && t.home(i) == t.Region }
+	own := func(i int) bool { return undrawn(i) && t.open(i) && t.drawer(i, t.Region, now) == t.ID }
+	i, ok := t.upward(t.firstDrawn(t.ID), own)
+	if !ok {
+		i, ok = t.takeOver(undrawn, t.OriginSlots, now)
 	}
-	i, ok := t.any(mine)
 	return Order{Chunk: i, Source: FromOrigin{}}, ok
 }
 
+// takeOver picks a missing chunk of a drawer that has more left than the given number of
+// slots when this one has none. A drawer behind a narrow link answers every call, so that
+// it isn't passed over for its silence, and all agents wait for its chunks while the
+// origin's link stands idle. Its chunks fall to the next in rank, who begins at the other
+// end, so that few are fetched twice.
+func (t *Transfer) takeOver(missing func(int) bool, slots int, now time.Time) (int, bool) {
+	slow := t.slowDrawers(now)
+	for _, d := range t.drawers[t.Region] {
+		if d.id == t.ID {
+			continue
+		}
+		left := t.inOrder(d.id, func(i int) bool { return missing(i) && t.drawer(i, t.Region, now) == d.id })
+		// What is on its way to the drawer isn't known here, nor what came to it just now;
+		// of a slow one even that is fetched once more.
+		spared := slots + 1
+		if slices.Contains(slow, d.id) {
+			spared = 0
+		}
+		for n := len(left) - 1; n >= spared; n-- {
+			if t.open(left[n]) && t.firstRanked(left[n], t.Region, now, append(slow, d.id)) == t.ID {
+				return left[n], true
+			}
+		}
+	}
+	return 0, false
+}
+
+// inOrder lists the chunks that a drawer is still to fetch, the next one first.
+func (t *Transfer) inOrder(id string, good func(int) bool) []int {
+	var is []int
+	t.upward(t.firstDrawn(id), func(i int) bool {
+		if good(i) {
+			is = append(is, i)
+		}
+		return false
+	})
+	return is
+}
+
+// slowDrawers are the drawers of this region whose chunks came slowly.
+func (t *Transfer) slowDrawers(now time.Time) []string {
+	var ids []string
+	for _, d := range t.drawers[t.Region] {
+		if p := t.peer(d.id); p != nil && t.sluggish(p, now) {
+			ids = append(ids, d.id)
+		}
+	}
+	return ids
+}
+
+// sluggish tells whether the last chunk from a peer came slowly, or one is on its way for
+// too long.
+func (t *Transfer) sluggish(p *peer, now time.Time) bool {
+	return p.slow || slices.ContainsFunc(t.flights, func(f flight) bool {
+		return f.Source == FromPeer{ID: p.ID} && t.slow(f, now)
+	})
+}
+
+// firstDrawn is the chunk from which a drawer goes upward, the same for all agents.
+func (t *Transfer) firstDrawn(id string) int {
+	return int(Score(t.Manifest, id) % uint64(t.Chunks))
+}
+
 // settled tells whether this agent knows enough of the others to draw.
 func (t *Transfer) settled(now time.Time) bool {
 	if now.Before(t.DrawAfter) {
@@ -171,7 +257,11 @@
 
 // any picks a chunk by a random start, in order from there.
 func (t *Transfer) any(good func(int) bool) (int, bool) {
-	start := t.Rand.IntN(t.Chunks)
+	return t.upward(t.Rand.IntN(t.Chunks), good)
+}
+
+// upward picks the first good chunk from start on, in a circle.
+func (t *Transfer) upward(start int, good func(int) bool) (int, bool) {
 	for k := range t.Chunks {
 		if i := (start + k) % t.Chunks; good(i) {
 			return i, true
@@ -197,8 +287,16 @@
 // drawer is the agent of a region that brings chunk i into it. Drawers that
 // don't answer are passed over, so that their chunks fall to the next in rank.
 func (t *Transfer) drawer(i int, region string, now time.Time) string {
+	return t.firstRanked(i, region, now, nil)
+}
+
+// firstRanked is the highest drawer of chunk i that answers and isn't left out.
+func (t *Transfer) firstRanked(i int, region string, now time.Time, without []string) string {
 	best, top := "", uint64(0)
 	for _, d := range t.drawers[region] {
+		if slices.Contains(without, d.id) {
+			continue
+		}
 		if p := t.peer(d.id); p != nil && now.Before(p.avoidUntil) {
 			continue
 		}
@@ -263,22 +361,32 @@
 		return Order{}, false
 	}
 	offered := t.offered(now, func(p *peer) bool { return p.Region != t.Region })
-	from := ""
-	i, ok := t.any(func(i int) bool {
-		if !offered.Has(i) || !t.open(i) || t.holders[i] > 0 || !t.brings(i, now) {
-			return false
-		}
-		from = t.before(i)
-		return t.stalled(now) || slices.ContainsFunc(t.peers, func(p *peer) bool {
-			return p.Region == from && p.Have.Has(i) && t.free(p, now)
-		})
-	})
+	missing := func(i int) bool {
+		return offered.Has(i) && !t.have.Has(i) && t.holders[i] == 0 && t.arrives(i, now)
+	}
+	i, ok := t.upward(t.firstDrawn(t.ID), func(i int) bool { return missing(i) && t.open(i) && t.brings(i, now) })
+	if !ok {
+		i, ok = t.takeOver(missing, t.AcrossSlots, now)
+	}
 	if !ok {
 		return Order{}, false
 	}
+	from := t.before(i)
 	return t.ask(i, now, func(p *peer) bool { return p.Region == from || t.stalled(now) && p.Region != t.Region })
 }
 
+// arrives tells whether a chunk can come into this region now, from the region before it
+// in the chain.
+func (t *Transfer) arrives(i int, now time.Time) bool {
+	if t.stalled(now) {
+		return true
+	}
+	from := t.before(i)
+	return slices.ContainsFunc(t.peers, func(p *peer) bool {
+		return p.Region == from && p.Have.Has(i) && t.free(p, now)
+	})
+}
+
 // before is the region from which chunk i comes into this one.
 func (t *Transfer) before(i int) string {
 	home := t.home(i)
@@ -323,7 +431,8 @@
 }
 
 // leastAsked is the free peer among the chosen with the fewest fetches under way, ties
-// at random; nil for none.
+// at random; nil for none. One that was slow comes after all others: what others have
+// as well would wait in the queue of its link.
 func (t *Transfer) leastAsked(now time.Time, chosen func(*peer) bool) *peer {
 	var best *peer
 	ties := 0
@@ -332,9 +441,9 @@
 			continue
 		}
 		switch {
-		case best == nil || p.inFlight < best.inFlight:
+		case best == nil || best.slow && !p.slow || p.slow == best.slow && p.inFlight < best.inFlight:
 			best, ties = p, 1
-		case p.inFlight == best.inFlight:
+		case p.slow == best.slow && p.inFlight == best.inFlight:
 			ties++
 			if t.Rand.IntN(ties) == 0 {
 				best = p
@@ -392,10 +501,35 @@
 		if o, ok := t.ask(f.Chunk, now, other); ok {
 			return o, true
 		}
+		if o, ok := t.askAcross(f, now); ok {
+			return o, true
+		}
+		if t.redraws(f, now) {
+			return Order{Chunk: f.Chunk, Source: FromOrigin{}}, true
+		}
 	}
 	return Order{}, false
 }
 
+// askAcross orders a chunk from another region whose fetch runs for too long. The other
+// regions often have it before the agents that share a link with a slow drawer.
+func (t *Transfer) askAcross(f flight, now time.Time) (Order, bool) {
+	if !t.draws() || t.bringing >= t.AcrossSlots {
+		return Order{}, false
+	}
+	return t.ask(f.Chunk, now, func(p *peer) bool { return p.Region != t.Region && f.Source != FromPeer{ID: p.ID} })
+}
+
+// redraws tells whether this agent is to draw a chunk once more that only one agent has,
+// which doesn't get it out in time.
+func (t *Transfer) redraws(f flight, now time.Time) bool {
+	from, ok := f.Source.(FromPeer)
+	if !ok || f.across || t.drawing >= t.OriginSlots || !t.origin.usable(now) || t.home(f.Chunk) != t.Region {
+		return false
+	}
+	return t.firstRanked(f.Chunk, t.Region, now, []string{from.ID}) == t.ID
+}
+
 func (t *Transfer) tries(chunk int) int {
 	n := 0
 	for _, f := range t.flights {
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -63,6 +63,8 @@
 	score    uint64
 	inFlight int
 	failures int
+	// slow tells that the last chunk from here took much longer than is usual.
+	slow bool
 	// busyUntil and avoidUntil are in the past for a peer in good standing.
 	busyUntil, avoidUntil time.Time
 }
