Send nothing to a cold engine whose agent doesn't answer

Its agent granted the 14 that the engine bears; 37 of the first 42 arrivals came unasked, from entries whose question had run into its 40 ms: the share of a cold engine that entries divide among them came on top of what the agent grants, and after a loss of everything it is divided by those that are known, 24 at least, when there are 46. Ruled out: the agent's own count (27 grants in 1.4 s, at most 14 in any second). Change: a cold engine gets nothing unasked. Plain services, which have no agent, go on with the divided share. Test: TestColdEngineGetsNothingUnasked, 46 requests before, 0 now; a warm engine still gets all.

--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -74,7 +74,8 @@
 const closedLoad = 3
 
 // unasked gives a place at an engine whose agent is silent, within this entry's
-// share of what the engine bears.
+// share of what the engine bears. A cold engine gets none: the agent may well grant
+// others all that it bears, and under more it falls over.
 func (p *Placer) unasked(view *registrar.View, u *registrar.UpstreamView, j *Job) *Place {
 	named, ok := view.Weights(j.Model)
 	version := j.Version
@@ -85,7 +86,7 @@
 		return nil
 	}
 	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
-	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || !p.coldPass(view, u) {
+	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || p.Clock.Now().Before(u.ColdUntil) {
 		return nil
 	}
 	p.Chooser.Begin(u.ID)
--- /dev/null
+++ b/internal/relayer/place_test.go
@@ -0,0 +1,78 @@
+package relayer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// engineTable has one route to one service of engines.
+func engineTable() *matcher.Table {
+	route := &matcher.Route{Name: "draft", Host: "127.0.0.1", Prefix: "/", Kind: matcher.Streaming, Generates: true,
+		Objective: 500 * time.Millisecond, Timeout: 6 * time.Second, MaxAttempts: 2,
+		Targets: []matcher.Target{{Service: "engines", Weight: 1}}}
+	engine := &matcher.Engine{Slots: 12, Step: 9 * time.Millisecond, ReadPerSecond: 20700, Chunk: 512, Stride: 4,
+		UsualPrompt: 1000, UsualAnswer: 80, Models: []string{"m"}}
+	t := &matcher.Table{Version: 1, Routes: []*matcher.Route{route},
+		Services: map[string]*matcher.Service{"engines": {Name: "engines", Engine: engine, ColdRate: 14}}}
+	t.Index()
+	return t
+}
+
+// newPlacer makes an entry's placer before one engine whose agent can't be reached.
+func newPlacer(c *clocktest.FakeClock, cold time.Duration, seed uint64) (*relayer.Placer, *matcher.Table) {
+	table := engineTable()
+	reg := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
+		if key == "table" {
+			return registrar.Table{Table: table}, nil
+		}
+		return registrar.Upstream{ID: key, Service: "engines", Address: netip.MustParseAddrPort("127.0.0.1:1"), FailureDomain: "a",
+			Slots: 12, Cold: cold, Models: []registrar.HeldModel{{Name: "m", Version: 1}}}, nil
+	}}
+	reg.Apply(registrar.Batch{Whole: true, At: 10, Records: []registrar.Record{
+		{Key: "table", Revision: 1}, {Key: "engine", Revision: 2},
+	}})
+	return &relayer.Placer{
+		Registrar: reg, Clock: c, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
+		Chooser:   &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(seed, 1))},
+		AgentPort: 1, WeightsBound: 8 * time.Second,
+		Agents: &messenger.Clients{Timeout: time.Second, Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }},
+	}, table
+}
+
+// granted is how many of many entries send a request to the engine at once.
+func granted(t *testing.T, cold time.Duration) int {
+	t.Helper()
+	n := 0
+	for seed := range uint64(46) {
+		c := clocktest.NewFakeClock(time.Unix(1000, 0))
+		p, table := newPlacer(c, cold, seed)
+		j := &relayer.Job{Route: table.Routes[0], Service: "engines", Arrived: c.Now().Add(-400 * time.Millisecond), Deadline: c.Now().Add(5 * time.Second)}
+		j.ID, j.Model, j.Prompt = "id", "m", 800
+		if place, err := p.Place(context.Background(), j); err == nil && place != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// After a loss of everything the engines come back cold, and agents answer some entries
+// too late because all ask at once. What entries then send without asking adds up with
+// what the agent grants to others; a cold engine falls over under it, and all that it
+// runs is lost.
+func TestColdEngineGetsNothingUnasked(t *testing.T) {
+	must.Eq(t, 0, granted(t, 3*time.Second))
+	// A warm engine whose agent alone is gone goes on serving.
+	must.Eq(t, 46, granted(t, 0))
+}
