Processes that start learn from seeds; lists of chunks spread between agents

Cause: after a loss of everything on a grown site, 104 processes each read the whole store, some 100 kB uncompressed with 250 routes, over two links of 23 Mbit/s between regions. A quarter of the agents knew the route table only 2.4 s after their start, the last after 3 s. Then all 58 asked the origin for the list of a version's chunks, as its naming was long ago: it resets connections beyond 48, and half of them knew the list another 1.5 s later. Ruled out: the store's own rate (28 calls a second of 6,000), processor time (0.02 of a core). Change: who knows nothing asks the seeds first, the nearest connection first, for 0.7 s at most, and then the store; seeds read it themselves. A version's list is wanted since this agent looks for it, not since the naming; one of the first in rank and two others at random are asked each time, the origin in turn by rank. Tests: TestOnlySeedsReadTheStoreAtTheStart, TestDeadSeedsAreNotWaitedFor.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -90,7 +91,7 @@
 	d.parts.Add(e.hoster.Registration)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
-		Seeds: others(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.clock, Random: newRandom(),
+		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.clock, Random: newRandom(),
 	})
 	d.tick(pool.Sweep, placer.Sweep)
 	return e, e.listenAll()
--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -62,6 +62,14 @@
 	return answer, err
 }
 
+// Connect makes the connection now instead of with the first call.
+func (c *Client) Connect(ctx context.Context) error {
+	if _, err := c.connect(ctx); err != nil {
+		return &UnreachableError{Address: c.Address, Err: err}
+	}
+	return nil
+}
+
 // Close gives up the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/planner/transfer_test.go
+++ b/internal/planner/transfer_test.go
@@ -26,10 +26,10 @@
 
 // flock is a few agents with their flights as a simple oracle counts them.
 type flock struct {
-	now     time.Time
-	chunks  int
-	agents  []*planner.Transfer
-	have    []map[int]bool
+	now    time.Time
+	chunks int
+	agents []*planner.Transfer
+	have   []map[int]bool
 	// flights gives when each began.
 	flights []map[planner.Order]time.Time
 	// corrupt is when an agent last got a corrupt chunk from another.
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -1,11 +1,14 @@
 package stager
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,10 +69,14 @@
 
 const (
 	// askOriginAfter is how long an agent that isn't the first in rank leaves the
-	// question to those before it, for each rank. The origin's link is shared by all.
+	// question to those before it: for the second, and for all others twice that and
+	// askOriginStep for each rank. The origin's link is shared by all, and it takes few
+	// connections.
 	askOriginAfter = 400 * time.Millisecond
-	// peerTimeout bounds a question to another agent.
-	peerTimeout = 500 * time.Millisecond
+	askOriginStep  = 50 * time.Millisecond
+	// peerTimeout bounds a question to another agent: the list of a hundred chunks takes
+	// 0.1 s on a link of a megabit a second.
+	peerTimeout = 250 * time.Millisecond
 	// firstRanks is how many agents are asked by all others.
 	firstRanks = 2
 )
@@ -86,24 +93,51 @@
 }
 
 // Learn tries to learn a version's manifest from the other agents, or from the
-// origin when this agent's rank is due. Since is when the version was wanted.
+// origin when this agent's rank is due. Since is for how long it has been wanted. The
+// peers are tried in the order of their ranks, so one of the first and two others at
+// random are asked each time: with the first alone, all lists would leave over one link,
+// and who asks all in turn waits for each one that is dead.
 func (d *Digester) Learn(ctx context.Context, k versionKey, self string, peers []peerAgent, since time.Duration) {
-	own, before := planner.Score(k.String(), self), []peerAgent(nil)
-	for _, p := range peers {
-		if planner.Score(k.String(), p.id) > own {
-			before = append(before, p)
-		}
+	own := planner.Score(k.String(), self)
+	ranked := slices.Clone(peers)
+	slices.SortFunc(ranked, func(a, b peerAgent) int {
+		return cmp.Compare(planner.Score(k.String(), b.id), planner.Score(k.String(), a.id))
+	})
+	rank := 0
+	for rank < len(ranked) && planner.Score(k.String(), ranked[rank].id) > own {
+		rank++
 	}
-	if since >= time.Duration(min(len(before), firstRanks))*askOriginAfter && d.fromOrigin(ctx, k) {
+	if since >= originTurn(rank) && d.fromOrigin(ctx, k) {
 		return
 	}
-	for _, p := range before {
-		if d.fromPeer(ctx, k, p.chunks) {
+	for _, i := range sources(len(ranked), rank) {
+		if d.fromPeer(ctx, k, ranked[i].chunks) {
 			return
 		}
 	}
 }
 
+// originTurn is for how long an agent of a rank leaves the origin to those before it.
+func originTurn(rank int) time.Duration {
+	return time.Duration(min(rank, firstRanks))*askOriginAfter + time.Duration(max(0, rank-firstRanks))*askOriginStep
+}
+
+// sources picks the peers to ask, by their place in the ranking: one of those before this
+// agent that are asked by all, and others of any rank.
+func sources(peers, rank int) []int {
+	var is []int
+	if first := min(firstRanks, rank, peers); first > 0 {
+		is = append(is, rand.IntN(first))
+	}
+	for range min(othersAsked, peers) {
+		is = append(is, rand.IntN(peers))
+	}
+	return is
+}
+
+// othersAsked is how many peers of any rank are asked each time.
+const othersAsked = 2
+
 func (d *Digester) fromPeer(ctx context.Context, k versionKey, a netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -115,6 +115,9 @@
 	preloaded bool
 	// unlisted tells that the chunks of the wanted version aren't known yet.
 	unlisted bool
+	// wanted is the version whose chunks are being looked for, wantedAt since when.
+	wanted   uint64
+	wantedAt time.Time
 	// namings are the versions named so far, in order.
 	namings []naming
 	// originAt is the address of the origin in use.
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -115,7 +115,7 @@
 	digest, ok := s.Digests.Known(model, wanted)
 	s.unlisted = !ok
 	if !ok {
-		s.Digests.Learn(ctx, versionKey{model, wanted}, s.self(), peers, age)
+		s.Digests.Learn(ctx, versionKey{model, wanted}, s.self(), peers, min(age, s.wantedFor(wanted)))
 	} else {
 		s.want(ctx, model, digest, peers)
 	}
@@ -127,6 +127,15 @@
 	return held, false
 }
 
+// wantedFor is for how long this agent has looked for a version's chunks. Counted from the
+// naming alone, all agents would turn to the origin at once after a restart of all.
+func (s *Stager) wantedFor(version uint64) time.Duration {
+	if s.wanted != version {
+		s.wanted, s.wantedAt = version, s.Clock.Now()
+	}
+	return s.Clock.Since(s.wantedAt)
+}
+
 func (s *Stager) setOrigin() {
 	for _, service := range s.Registrar.View().Table.Services {
 		if service.Origin != nil {
--- /dev/null
+++ b/internal/syncer/start.go
@@ -0,0 +1,118 @@
+package syncer
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+)
+
+const (
+	// seedPatience is how long a process that knows nothing asks the seeds before it
+	// turns to the store. Seeds may start 0.3 s later than others and need 0.2 s to read
+	// the store; who has not answered by then is taken for dead.
+	seedPatience = 700 * time.Millisecond
+	// seedPause is the pause between two rounds over the seeds.
+	seedPause = 40 * time.Millisecond
+	// seedTimeout bounds a connection to a seed and a question: a dozen round trips
+	// between regions, and the time of the records on a narrow link.
+	seedTimeout = 250 * time.Millisecond
+	// seedLead is how long further seeds are waited for once one is connected.
+	seedLead = 10 * time.Millisecond
+)
+
+// fromSeeds learns all records from a seed. After a loss of everything all processes
+// start at once; if each read the store, the same uncompressed table would cross the
+// links between regions as many times as there are processes, and the last would know it
+// seconds after the first. The nearest seed that knows something tells it.
+func (s *Syncer) fromSeeds(ctx context.Context) bool {
+	distances := map[netip.AddrPort]time.Duration{}
+	for s.Clock.Since(s.began) < seedPatience && ctx.Err() == nil {
+		s.connectSeeds(ctx, distances)
+		for _, a := range nearest(distances) {
+			if s.firstRecords(ctx, a) {
+				return true
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.Clock.After(seedPause):
+		}
+	}
+	return false
+}
+
+// connectSeeds connects to all seeds at once and notes how long each took. It waits for
+// the first one and a little for the others.
+func (s *Syncer) connectSeeds(ctx context.Context, distances map[netip.AddrPort]time.Duration) {
+	type connected struct {
+		address netip.AddrPort
+		took    time.Duration
+		err     error
+	}
+	began, asked := s.Clock.Now(), 0
+	results := make(chan connected, len(s.Seeds))
+	for _, a := range s.Seeds {
+		if distances[a] > 0 {
+			continue
+		}
+		asked++
+		client := s.clients.To(a)
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+			defer cancel()
+			err := client.Connect(ctx)
+			results <- connected{a, s.Clock.Since(began), err}
+		}()
+	}
+	var lead <-chan time.Time
+	if len(distances) > 0 {
+		lead = s.Clock.After(seedLead)
+	}
+	for range asked {
+		select {
+		case c := <-results:
+			if c.err != nil {
+				klog.V(1).InfoS("Seed not reached", "seed", c.address, "err", c.err)
+				continue
+			}
+			distances[c.address] = max(c.took, 1)
+			if lead == nil {
+				lead = s.Clock.After(seedLead)
+			}
+		case <-lead:
+			return
+		}
+	}
+}
+
+// nearest lists the seeds that are connected, the nearest first.
+func nearest(distances map[netip.AddrPort]time.Duration) []netip.AddrPort {
+	as := make([]netip.AddrPort, 0, len(distances))
+	for a := range distances {
+		as = append(as, a)
+	}
+	slices.SortFunc(as, func(a, b netip.AddrPort) int { return cmp.Compare(distances[a], distances[b]) })
+	return as
+}
+
+// firstRecords takes over what a seed knows, if it knows anything of late.
+func (s *Syncer) firstRecords(ctx context.Context, a netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	b, err := s.clients.To(a).Records(ctx, messenger.RecordsQuery{})
+	if err != nil {
+		klog.V(1).InfoS("Seed did not answer", "seed", a, "err", err)
+		return false
+	}
+	if b.At == 0 || b.Age > staleNews || !s.Registrar.Apply(b) {
+		return false
+	}
+	klog.InfoS("Records learned from a seed", "seed", a, "records", len(b.Records), "revision", b.At, "after", s.Clock.Since(s.began))
+	return true
+}
--- /dev/null
+++ b/internal/syncer/start_test.go
@@ -0,0 +1,46 @@
+package syncer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+)
+
+// Everything starts at once, as after a loss of power everywhere. If each process read the
+// whole store, the links to it would carry the same records for each of them, and the last
+// ones would refuse callers for seconds after the first. Those that are seeds read it for
+// all.
+func TestOnlySeedsReadTheStoreAtTheStart(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	store.Drain("a")
+	seed := start(t, "seed", true, store.Address())
+	eventually(t, seed.drained("a"))
+	before := store.Lists()
+	var ps []*process
+	for i := range 12 {
+		ps = append(ps, start(t, fmt.Sprint("agent", i), false, store.Address(), seed.peers))
+	}
+	for _, p := range ps {
+		eventually(t, p.drained("a"))
+	}
+	must.Eq(t, before, store.Lists())
+}
+
+// The seeds are dead, or have not read the store themselves. Whoever waited for them for
+// long would answer nobody, although the store could tell it all.
+func TestDeadSeedsAreNotWaitedFor(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	store.Drain("a")
+	silent := standin.NewStore()
+	defer silent.Close()
+	silent.SetFault(standin.Silent)
+	ignorant := start(t, "ignorant", true, silent.Address())
+	p := start(t, "agent", false, store.Address(), netip.MustParseAddrPort("127.0.0.1:1"), ignorant.peers)
+	eventually(t, p.drained("a"))
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -68,14 +68,17 @@
 	Region    string
 	Registrar *registrar.Registrar
 	Store     Store
-	// Seeds are addresses to ask before any entry is known.
+	// Seeds are addresses to ask before any entry is known. Seed tells that this process
+	// is one of them for the others, so that it reads the store itself at its start.
 	Seeds []netip.AddrPort
+	Seed  bool
 	// Dial makes the client of a process's address.
 	Dial   func(netip.AddrPort) *messenger.Client
 	Clock  clock.Clock
 	Random *rand.Rand
 
 	clients messenger.Clients
+	began   time.Time
 	avoid   map[netip.AddrPort]time.Time
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
@@ -89,6 +92,7 @@
 func (s *Syncer) Serve(ctx context.Context) error {
 	s.clients.Dial, s.clients.Timeout = s.Dial, peerWait+peerGrace
 	s.avoid = map[netip.AddrPort]time.Time{}
+	s.began = s.Clock.Now()
 	defer s.clients.Close()
 	for ctx.Err() == nil {
 		if s.step(ctx) {
@@ -107,6 +111,9 @@
 // step asks one source and tells whether it answered.
 func (s *Syncer) step(ctx context.Context) bool {
 	_, _, known := s.Registrar.At()
+	if !known && !s.Seed && s.fromSeeds(ctx) {
+		return true
+	}
 	candidates := s.candidates()
 	s.forgetOthers(candidates)
 	reads := !known || s.Entry && s.reads()
@@ -215,6 +222,11 @@
 			klog.InfoS("Peer lost", "peer", a, "err", err)
 			continue
 		}
+		if b.At == 0 {
+			// It knows nothing itself yet; taken over, that would look like an empty store.
+			s.avoid[a] = s.Clock.Now().Add(peerWait)
+			continue
+		}
 		s.Registrar.Apply(b)
 		dead := b.Lost && limit != anyAge
 		if b.Age <= limit && !dead {
