--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -238,6 +238,28 @@
 	eventually(t, w.open)
 }
 
+// All agents lose their memory just before the engines' turns to take a new version, and
+// all that is left is what lies staged. If that is the old version, the new one has to
+// come from the origin once more, and callers are refused until then.
+func TestWholeWeightsAreStagedBeforeTheTurn(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, time.Minute)
+	eventually(t, w.open)
+	w.name(2)
+	eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for i := range chunkCount {
+			if string(e.staged[i]) != string(chunkOf(2, i)) {
+				return false
+			}
+		}
+		return true
+	})
+	must.Eq(t, 1, e.holds(), must.Sprint("the engine goes on with the old weights until its turn"))
+	must.True(t, w.open())
+}
+
 // The origin's list of digests may come spoilt, and every right chunk would look
 // wrong for good. Two lists that differ are both mistrusted.
 func TestSpoiltDigestsAreAskedAgain(t *testing.T) {
