Take chunks over only after a while without own ones

Cause: TestWeightsReachAllAgents drew 1.35 to 1.7 copies from the origin since chunks of slow drawers fall to the next in rank. On quick links a chunk comes in less than a millisecond, and what the others hold is heard ten milliseconds later: each agent took all the others for slow once its own part was done. Change: an agent takes chunks over once it has had none of its own for a quarter of the patience.

--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -178,12 +178,33 @@
 	undrawn := func(i int) bool { return !t.have.Has(i) && t.holders[i] == 0 && t.home(i) == t.Region }
 	own := func(i int) bool { return undrawn(i) && t.open(i) && t.drawer(i, t.Region, now) == t.ID }
 	i, ok := t.upward(t.firstDrawn(t.ID), own)
-	if !ok {
+	if t.drawIdle.longEnough(ok, t.Patience/idlePart, now) {
 		i, ok = t.takeOver(undrawn, t.OriginSlots, now)
 	}
 	return Order{Chunk: i, Source: FromOrigin{}}, ok
 }
 
+// idlePart is the part of Patience for which an agent must have had nothing of its own to
+// fetch before it takes chunks over. What others hold is heard with a delay; on quick
+// links they would all seem far behind, and the origin be asked twice.
+const idlePart = 4
+
+// idleness is since when there has been nothing to do.
+type idleness struct{ since time.Time }
+
+// longEnough notes whether there is something to do now, and tells whether there has been
+// nothing for the given time.
+func (i *idleness) longEnough(busy bool, wait time.Duration, now time.Time) bool {
+	switch {
+	case busy:
+		i.since = time.Time{}
+		return false
+	case i.since.IsZero():
+		i.since = now
+	}
+	return now.Sub(i.since) >= wait
+}
+
 // takeOver picks a missing chunk of a drawer that has more left than the given number of
 // slots when this one has none. A drawer behind a narrow link answers every call, so that
 // it isn't passed over for its silence, and all agents wait for its chunks while the
@@ -365,7 +386,7 @@
 		return offered.Has(i) && !t.have.Has(i) && t.holders[i] == 0 && t.arrives(i, now)
 	}
 	i, ok := t.upward(t.firstDrawn(t.ID), func(i int) bool { return missing(i) && t.open(i) && t.brings(i, now) })
-	if !ok {
+	if t.bringIdle.longEnough(ok, t.Patience/idlePart, now) {
 		i, ok = t.takeOver(missing, t.AcrossSlots, now)
 	}
 	if !ok {
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -136,7 +136,10 @@
 	scratch  Bitmap
 	lastGain time.Time
 	learned  time.Time
-	origin   peer
+	// drawIdle and bringIdle are since when this agent has had no chunk of its own to draw
+	// from the origin, or to bring from another region.
+	drawIdle, bringIdle idleness
+	origin              peer
 }
 
 // Score is an agent's rank among the drawers of a manifest: the highest Drawers
