Stage chunks as they arrive, and take over what lies staged in part

Ruled out: keeping what arrived in the platform's store, whose calls are priced and whose values would cross the links between regions once more. Test: TestArrivedChunksOutliveTheirAgent.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -313,6 +313,23 @@
 	return s.manifest, true
 }
 
+// Chunk gives the verified bytes of chunk i of a manifest, whole or not; false while it
+// isn't held.
+func (l *Loader) Chunk(manifest string, i int) ([]byte, bool) {
+	l.setUp()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sets[manifest]
+	if s == nil || s.manifest == nil || i >= len(s.manifest.Chunks) {
+		return nil, false
+	}
+	c := l.chunks[s.manifest.Chunks[i]]
+	if c == nil || c.data == nil {
+		return nil, false
+	}
+	return c.data, true
+}
+
 // Weights reads the verified bytes of a whole manifest in order. It returns a
 // *NotWholeError while chunks are missing.
 func (l *Loader) Weights(manifest string) (io.ReadSeeker, error) {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -41,6 +41,8 @@
 	// Stage puts a chunk where the engine loads from; Staged reads it back.
 	Stage(ctx context.Context, model string, chunk int, data []byte) error
 	Staged(ctx context.Context, model string, chunk int) ([]byte, error)
+	// StagedChunks lists the chunks that lie staged.
+	StagedChunks(ctx context.Context, model string) ([]int, error)
 	// Load orders the engine to take what is staged for the given version.
 	Load(ctx context.Context, model string, version uint64) error
 }
@@ -112,8 +114,7 @@
 	// ordered is the version last ordered, and when.
 	ordered   uint64
 	orderedAt time.Time
-	// prepared is the version staged ahead of its order.
-	prepared  uint64
+	ahead     stagedAhead
 	preloaded bool
 	// unlisted tells that the chunks of the wanted version aren't known yet.
 	unlisted bool
@@ -173,11 +174,11 @@
 	s.announceSwitch(model, held)
 	s.announceCold()
 	s.decideGate(engine, model, held)
-	if target <= held || s.report.Busy {
+	if s.report.Busy {
 		return
 	}
-	if !turn {
-		s.prepare(ctx, model, target)
+	if target <= held || !turn {
+		s.stageAhead(ctx, model, held, target)
 		return
 	}
 	if s.ordered == target && s.Clock.Since(s.orderedAt) < orderPatience {
@@ -280,6 +281,10 @@
 	if !ok {
 		return
 	}
+	if s.ahead.version != version {
+		// What was staged of another version is overwritten now.
+		s.ahead = stagedAhead{}
+	}
 	if err := s.stage(ctx, model, chunks); err != nil {
 		klog.ErrorS(err, "Weights not staged", "agent", s.ID, "model", model, "version", version)
 		return
@@ -293,26 +298,6 @@
 	s.ordered, s.orderedAt = version, s.Clock.Now()
 }
 
-// prepare stages a version as soon as it is whole here, long before its order. A VM keeps
-// nothing but what lies staged: when all agents lose their memory at once, as after a
-// loss of power everywhere, the weights would otherwise have to come from the origin
-// again, which takes as long as the first time, and nothing could be served meanwhile.
-func (s *Stager) prepare(ctx context.Context, model string, version uint64) {
-	if s.prepared == version {
-		return
-	}
-	chunks, ok := s.chunks(model, version)
-	if !ok {
-		return
-	}
-	if err := s.stage(ctx, model, chunks); err != nil {
-		klog.ErrorS(err, "Weights not staged ahead", "agent", s.ID, "model", model, "version", version)
-		return
-	}
-	s.prepared = version
-	klog.InfoS("Weights staged ahead", "agent", s.ID, "model", model, "version", version, "held", s.report.holds(model))
-}
-
 // UnstageableError reports staged chunks that stay wrong.
 type UnstageableError struct{ Chunk, Tries int }
 
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -6,8 +6,10 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -49,7 +51,10 @@
 	running int
 }
 
-var errNotStaged = errors.New("not staged")
+var (
+	errNotStaged = errors.New("not staged")
+	errWithheld  = errors.New("withheld")
+)
 
 func (e *engine) Report(context.Context) (stager.Report, error) {
 	e.mu.Lock()
@@ -82,6 +87,12 @@
 	return data, nil
 }
 
+func (e *engine) StagedChunks(context.Context, string) ([]int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.staged)), nil
+}
+
 func (e *engine) Load(_ context.Context, _ string, version uint64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -106,6 +117,9 @@
 	asked int
 	// differing makes each list of digests differ from the one before.
 	differing bool
+	// withheld chunks are not given; drawn are those given so far.
+	withheld map[int]bool
+	drawn    []int
 }
 
 func (o *origin) Digests(_ context.Context, _ string, version uint64) (stager.Digests, error) {
@@ -125,6 +139,14 @@
 }
 
 func (o *origin) Chunk(_ context.Context, _ string, version uint64, chunk int) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.withheld[chunk] {
+		return nil, errWithheld
+	}
+	if version > 1 {
+		o.drawn = append(o.drawn, chunk)
+	}
 	return chunkOf(version, chunk), nil
 }
 
@@ -135,6 +157,7 @@
 	engine    *engine
 	origin    *origin
 	revision  uint64
+	stop      context.CancelFunc
 }
 
 func newWorld(t *testing.T, e *engine, bound time.Duration, found ...registrar.Record) *world {
@@ -154,6 +177,7 @@
 		Registrar: w.registrar, Loader: l, Ledger: w.ledger, Engine: e, Bound: bound, Clock: c, Digests: digests,
 		Origin: func(netip.AddrPort) stager.Origin { return w.origin }}
 	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
 	t.Cleanup(stop)
 	go func() { _ = l.Serve(ctx) }()
 	go func() { _ = s.Serve(ctx) }()
@@ -260,6 +284,36 @@
 	must.True(t, w.open())
 }
 
+// The origin goes down while a version is on its way, and then the agent is killed. The
+// chunks that had come must not be drawn once more when both are back: all agents lose
+// theirs together when the power fails, and the whole version would have to cross the
+// origin's link again before anything is served.
+func TestArrivedChunksOutliveTheirAgent(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, time.Minute)
+	eventually(t, w.open)
+	w.origin.mu.Lock()
+	w.origin.withheld = map[int]bool{2: true, 4: true}
+	w.origin.mu.Unlock()
+	w.name(2)
+	eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return string(e.staged[0]) == string(chunkOf(2, 0)) && string(e.staged[5]) == string(chunkOf(2, 5))
+	})
+	w.stop()
+	e.mu.Lock()
+	e.born, e.held = 2, 0
+	e.mu.Unlock()
+	next := newWorld(t, e, time.Minute, registrar.Record{Key: "weights", Value: []byte{2}, Revision: 1})
+	eventually(t, next.open)
+	must.Eq(t, 2, e.holds())
+	next.origin.mu.Lock()
+	defer next.origin.mu.Unlock()
+	slices.Sort(next.origin.drawn)
+	must.Eq(t, []int{2, 4}, slices.Compact(next.origin.drawn))
+}
+
 // The origin's list of digests may come spoilt, and every right chunk would look
 // wrong for good. Two lists that differ are both mistrusted.
 func TestSpoiltDigestsAreAskedAgain(t *testing.T) {
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -215,13 +215,16 @@
 		klog.ErrorS(err, "Manifest lost", "manifest", digest)
 		return
 	}
+	there, err := s.Engine.StagedChunks(ctx, model)
+	if err != nil {
+		klog.ErrorS(err, "Staged chunks not listed", "agent", s.ID, "model", model)
+	}
 	staged := map[int][]byte{}
-	for i := range s.chunkCount() {
+	for _, i := range there {
 		data, err := s.Engine.Staged(ctx, model, i)
 		if err != nil {
-			// An empty engine has nothing; one question is enough.
-			klog.InfoS("Nothing more staged", "agent", s.ID, "chunk", i, "err", err)
-			break
+			klog.InfoS("Staged chunk not read", "agent", s.ID, "chunk", i, "err", err)
+			continue
 		}
 		staged[i] = data
 	}
@@ -229,7 +232,8 @@
 		klog.ErrorS(err, "Staged chunks not taken over", "agent", s.ID)
 		return
 	}
-	klog.InfoS("Staged chunks taken over", "agent", s.ID, "manifest", digest, "chunks", len(staged))
+	klog.InfoS("Staged chunks taken over", "agent", s.ID, "manifest", digest, "chunks", len(staged),
+		"share", s.progressOf(digest))
 }
 
 func (s *Stager) chunkCount() int {
@@ -288,6 +292,10 @@
 	if !ok {
 		return 0
 	}
+	return s.progressOf(digest)
+}
+
+func (s *Stager) progressOf(digest string) float64 {
 	for _, p := range s.Loader.Progress() {
 		if p.Manifest == digest && p.AllChunks > 0 {
 			return float64(p.Chunks) / float64(p.AllChunks)
