Read the store from what is known; list only for who knows nothing

Ruled out: the engines (52 open, 5 to 10 of 12 places taken), the entries' processor time, the links between the other two regions (0 failures). Test: TestWhoKnowsReadsOnlyWhatChanged.

--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -32,7 +32,7 @@
 // seconds after the first. The nearest seed that knows something tells it.
 func (s *Syncer) fromSeeds(ctx context.Context) bool {
 	distances := map[netip.AddrPort]time.Duration{}
-	for s.Clock.Since(s.began) < seedPatience && ctx.Err() == nil {
+	for s.Clock.Since(s.seedsSince) < seedPatience && ctx.Err() == nil {
 		s.connectSeeds(ctx, distances)
 		for _, a := range nearest(distances) {
 			if s.firstRecords(ctx, a) {
@@ -113,6 +113,6 @@
 	if b.At == 0 || b.Age > staleNews || !s.Registrar.Apply(b) {
 		return false
 	}
-	klog.InfoS("Records learned from a seed", "seed", a, "records", len(b.Records), "revision", b.At, "after", s.Clock.Since(s.began))
+	klog.InfoS("Records learned from a seed", "seed", a, "records", len(b.Records), "revision", b.At)
 	return true
 }
--- a/internal/syncer/start_test.go
+++ b/internal/syncer/start_test.go
@@ -44,3 +44,21 @@
 	p := start(t, "agent", false, store.Address(), netip.MustParseAddrPort("127.0.0.1:1"), ignorant.peers)
 	eventually(t, p.drained("a"))
 }
+
+// The peers that a process heard from are gone, as when many are killed at once. It has
+// all records but for the last changes. Were it to read them all again, with everybody
+// else, the links to the store would be full for seconds, and callers refused.
+func TestWhoKnowsReadsOnlyWhatChanged(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	store.Drain("a")
+	seed := start(t, "seed", true, store.Address())
+	eventually(t, seed.drained("a"))
+	p := start(t, "agent", false, store.Address(), seed.peers)
+	eventually(t, p.drained("a"))
+	before := store.Lists()
+	seed.stop()
+	store.Drain("b")
+	eventually(t, p.drained("b"))
+	must.Eq(t, before, store.Lists())
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -78,21 +78,23 @@
 	Random *rand.Rand
 
 	clients messenger.Clients
-	began   time.Time
-	avoid   map[netip.AddrPort]time.Time
+	// seedsSince is since when this process, which knows nothing, has asked the seeds.
+	seedsSince time.Time
+	avoid      map[netip.AddrPort]time.Time
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
 	backoff   time.Duration
-	// listed tells that a list was read, so that a watch can go on from it.
-	listed  bool
-	reading bool
+	// compacted tells that the store's history is gone from what is known here, so that
+	// a list has to be read.
+	compacted bool
+	reading   bool
 }
 
 // Serve runs until the context ends.
 func (s *Syncer) Serve(ctx context.Context) error {
 	s.clients.Dial, s.clients.Timeout = s.Dial, peerWait+peerGrace
 	s.avoid = map[netip.AddrPort]time.Time{}
-	s.began = s.Clock.Now()
+	s.seedsSince = s.Clock.Now()
 	defer s.clients.Close()
 	for ctx.Err() == nil {
 		if s.step(ctx) {
@@ -121,8 +123,12 @@
 	if !reads && s.fromPeers(ctx, candidates[:min(readers, len(candidates))], staleNews) {
 		return true
 	}
-	if !s.Clock.Now().Before(s.storeFrom) && s.fromStore(ctx) {
-		return true
+	if !s.Clock.Now().Before(s.storeFrom) {
+		if s.fromStore(ctx) {
+			return true
+		}
+		// Who still knows nothing asks the seeds once more before the next list.
+		s.seedsSince = s.Clock.Now()
 	}
 	if s.fromPeers(ctx, candidates, staleNews) {
 		return true
@@ -246,7 +252,7 @@
 	var compacted *storer.CompactedError
 	if errors.As(err, &compacted) {
 		klog.InfoS("Store's history gone, listing anew", "err", err)
-		s.listed = false
+		s.compacted = true
 		return true
 	}
 	if err != nil {
@@ -257,15 +263,19 @@
 		klog.InfoS("Store regained")
 	}
 	s.backoff = 0
-	s.listed = true
+	s.compacted = false
 	s.Registrar.StoreFound()
 	s.Registrar.Apply(b)
 	return true
 }
 
+// read watches from what is known, wherever that came from. A list holds the whole route
+// table: were each process to read one when the peers that it relied on fall silent, the
+// links to the store would be full of lists just when everybody turns to it, these would
+// run into their timeouts and be asked for again, and nobody would find a peer any more.
 func (s *Syncer) read(ctx context.Context) (registrar.Batch, error) {
 	at, _, known := s.Registrar.At()
-	if !known || !s.listed {
+	if !known || s.compacted {
 		return s.Store.List(ctx)
 	}
 	return s.Store.Watch(ctx, at, watchWait)
