Readers read runs of changes together

Change: a reader waits 80 ms after news before it watches again. Test: TestRunsOfChangesAreReadTogether, 40 calls for 40 changes before, at most 15.

--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -39,10 +39,7 @@
 				return true
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-s.Clock.After(seedPause):
-		}
+		s.pause(ctx, seedPause)
 	}
 	return false
 }
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -42,6 +42,10 @@
 	// store's return is noticed within that time.
 	storeBackoff    = 250 * time.Millisecond
 	maxStoreBackoff = time.Second
+	// watchPause is how long a reader waits after news before it watches again. Changes come
+	// in runs, as when engines load one after the other, and each would otherwise cost a
+	// call of each reader; news have seconds to come into force.
+	watchPause = 80 * time.Millisecond
 	// idlePause is the pause when nobody has news.
 	idlePause = 150 * time.Millisecond
 	// anyAge accepts whatever a peer knows.
@@ -100,10 +104,7 @@
 		if s.step(ctx) {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-s.Clock.After(idlePause/2 + time.Duration(s.Random.Int64N(int64(idlePause)))):
-		}
+		s.pause(ctx, idlePause/2+time.Duration(s.Random.Int64N(int64(idlePause))))
 	}
 	return ctx.Err()
 }
@@ -266,9 +267,19 @@
 	s.compacted = false
 	s.Registrar.StoreFound()
 	s.Registrar.Apply(b)
+	if len(b.Records) > 0 {
+		s.pause(ctx, watchPause)
+	}
 	return true
 }
 
+func (s *Syncer) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-s.Clock.After(d):
+	}
+}
+
 // read watches from what is known, wherever that came from. A list holds the whole route
 // table: were each process to read one when the peers that it relied on fall silent, the
 // links to the store would be full of lists just when everybody turns to it, these would
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -107,6 +108,23 @@
 	must.LessEq(t, 5, store.Watches()-before, must.Sprint("two readers, each with a call that ends and a new one"))
 }
 
+// Engines load new weights one after the other, and each says so in the store. The
+// operators pay for each call: one for each change and reader would be the dearest thing
+// about a deployment of some hundred processes.
+func TestRunsOfChangesAreReadTogether(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	p := start(t, "reader", true, store.Address())
+	eventually(t, func() bool { return p.registrar.View() != nil })
+	before := store.Watches()
+	for i := range 40 {
+		store.Drain(fmt.Sprint("a", i))
+		time.Sleep(5 * time.Millisecond)
+	}
+	eventually(t, p.drained("a39"))
+	must.Less(t, 15, store.Watches()-before)
+}
+
 // The entry that others hear from is cut off from the store; the connections between
 // entries are fine, and its word is young for a while yet. Whoever went on to wait there
 // would hear of a revoked key only when that word is old.
