Leave out a version that may not serve any more once it is loaded

On its return agents fetched the rest of version 2, loaded it at 28.2 s, 0.2 s after its time was over, and only then had version 3, at 32.2 s. Ruled out: the pauses towards the origin (asked within 0.3 s of its return). Change: a version whose time ends within 1.5 s is neither fetched nor loaded. Test: TestVersionThatMayNotServeAnyMoreIsLeftOut, which got version 2 before.

--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -314,6 +314,28 @@
 	must.Eq(t, []int{2, 4}, slices.Compact(next.origin.drawn))
 }
 
+// Two versions are named two seconds apart, and the origin goes down before the first is
+// whole. When it is back, the bound after which only the second may serve is nearly over:
+// were the first fetched and loaded then, it would serve nothing, and callers would be
+// refused for as long as that takes.
+func TestVersionThatMayNotServeAnyMoreIsLeftOut(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, 2700*time.Millisecond)
+	eventually(t, w.open)
+	w.origin.mu.Lock()
+	w.origin.withheld = map[int]bool{2: true}
+	w.origin.mu.Unlock()
+	w.name(2)
+	time.Sleep(800 * time.Millisecond)
+	w.name(3)
+	time.Sleep(800 * time.Millisecond)
+	w.origin.mu.Lock()
+	w.origin.withheld = nil
+	w.origin.mu.Unlock()
+	eventually(t, func() bool { return e.holds() > 1 })
+	must.Eq(t, 3, e.holds())
+}
+
 // The origin's list of digests may come spoilt, and every right chunk would look
 // wrong for good. Two lists that differ are both mistrusted.
 func TestSpoiltDigestsAreAskedAgain(t *testing.T) {
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -35,6 +35,9 @@
 	// older one arrives first and its engines switch in turn; the newer one alone would
 	// come just before the older one's bound, and all engines would stop at once.
 	overtakeWithin = 0.22
+	// leastUse is the least time for which a version has to serve, its loading of some
+	// 0.5 s included, to be fetched and loaded before a newer one.
+	leastUse = 1500 * time.Millisecond
 )
 
 // peerAgent is the agent beside another engine of the service.
@@ -120,7 +123,7 @@
 		s.want(ctx, model, digest, peers)
 	}
 	for v, _ := s.newest(); v > held; v-- {
-		if s.whole(model, v) {
+		if s.whole(model, v) && !s.passing(v) {
 			return v, held == 0 || s.turn(held)
 		}
 	}
@@ -156,7 +159,7 @@
 func (s *Stager) next(model string, held uint64) (version uint64, age time.Duration) {
 	newer := s.after(held)
 	for i, n := range newer {
-		if i+1 < len(newer) && s.overtaken(n, newer[i+1]) {
+		if i+1 < len(newer) && s.overtaken(n, newer[i+1]) || s.passing(n.version) {
 			continue
 		}
 		if !s.whole(model, n.version) {
@@ -170,6 +173,17 @@
 	return by.learned.Sub(n.learned) < time.Duration(overtakeWithin*float64(s.Bound))
 }
 
+// passing tells whether a version must not serve any more by about the time that it could
+// be loaded. After the origin was out of reach, an older one that lacks a few chunks would
+// else be fetched and loaded first, for nothing, and the newer one comes seconds later.
+func (s *Stager) passing(version uint64) bool {
+	newer := s.after(version)
+	if len(newer) == 0 {
+		return false
+	}
+	return s.Clock.Since(newer[0].learned) > s.Bound-oldMargin-leastUse
+}
+
 func (s *Stager) whole(model string, version uint64) bool {
 	digest, ok := s.Digests.Known(model, version)
 	if !ok {
