--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -160,6 +160,7 @@
 }
 
 func (l *Loader) arrived(s *set, o planner.Order, digest string, data []byte) {
+	before := s.transfer.Count()
 	s.transfer.Done(o, l.Clock.Now())
 	switch o.Source.(type) {
 	case planner.FromPeer:
@@ -172,12 +173,24 @@
 	}
 	l.gain(digest, data)
 	l.announce()
+	l.logQuarter(s, before)
 	if s.transfer.Whole() {
 		klog.InfoS("Weights whole", "agent", l.ID, "manifest", s.digest, "version", s.manifest.Version,
 			"fromPeers", s.fromPeers, "fromOrigin", s.fromOrigin, "after", l.Clock.Since(s.since))
 	}
 }
 
+// logQuarter writes a line for each quarter of a version that has arrived: it shows who
+// was slow when a version came late.
+func (l *Loader) logQuarter(s *set, before int) {
+	const quarters = 4
+	count, all := s.transfer.Count(), s.transfer.Chunks
+	if count < all && before*quarters/all < count*quarters/all {
+		klog.InfoS("Weights arriving", "agent", l.ID, "manifest", s.digest, "version", s.manifest.Version, "chunks", count, "of", all,
+			"fromPeers", s.fromPeers, "fromOrigin", s.fromOrigin, "after", l.Clock.Since(s.since))
+	}
+}
+
 func (l *Loader) failed(s *set, o planner.Order, err error) {
 	cause := causeOf(err)
 	if cause == planner.Corrupt {
