--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -47,10 +47,6 @@
 	// what an agent is to draw, so the origin's link must not stand idle for want of
 	// asking.
 	originSlots = 2
-	// chunkPoll is how often agents ask each other what they hold. Each chunk brings word of
-	// it as well, and questions ten times a second to some twenty others took a tenth of
-	// the link.
-	chunkPoll = 250 * time.Millisecond
 	// chunkSettle is the wait for news of the other agents before the origin is asked.
 	chunkSettle = 60 * time.Millisecond
 	// originBackoff is the longest pause after the origin did not answer: a refused
@@ -87,7 +83,7 @@
 		Peer: func(a netip.AddrPort) fetcher.Source {
 			return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: s.Region}
 		},
-		Slots: chunkSlots, OriginSlots: originSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: chunkPoll, OriginBackoff: originBackoff,
+		Slots: chunkSlots, OriginSlots: originSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
 	}
 	st := &stager.Stager{
 		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -49,6 +49,8 @@
 	habits     habits
 	// originCopies is how many copies the origin sends in a window; 0 means four.
 	originCopies float64
+	// originDown is from when to when the origin refuses all calls; zero for never.
+	originDown [2]time.Duration
 	// narrow is the rate, as a part of the others', of the links of the agents that rank
 	// first among the drawers of the regions narrowIn. The burst is over without them.
 	narrow   float64
@@ -59,6 +61,8 @@
 type habits struct {
 	slots, originSlots     int
 	patience, poll, settle time.Duration
+	// originBackoff is the planner's.
+	originBackoff time.Duration
 	// heartbeat is how often agents report to the tracker and hear of each other.
 	heartbeat time.Duration
 	// listens tells that each chunk brings word of what else its sender holds.
@@ -211,7 +215,7 @@
 		Manifest: manifest, Chunks: m.chunks, SourceRegion: "region-0",
 		Slots: m.habits.slots, PeerSlots: max(1, m.habits.slots/2), OriginSlots: m.habits.originSlots, AcrossSlots: m.habits.slots - 1,
 		Patience: m.habits.patience, BusyBackoff: m.habits.poll / 4, AvoidFor: 5 * time.Minute,
-		DrawAfter: m.start.Add(m.habits.settle), Rand: rand.New(rand.NewPCG(m.seed, uint64(i))),
+		OriginBackoff: m.habits.originBackoff, DrawAfter: m.start.Add(m.habits.settle), Rand: rand.New(rand.NewPCG(m.seed, uint64(i))),
 	}
 	v.Start(m.start, nil)
 	if m.faults {
@@ -316,6 +320,11 @@
 	bytes := m.size / float64(m.chunks)
 	from, ok := o.Source.(planner.FromPeer)
 	if !ok {
+		passed := now.Add(time.Duration(bytes / m.origin.rate * float64(time.Second)))
+		if m.originRefuses(now) || m.originRefuses(passed) {
+			m.at(now.Add(time.Millisecond), func(now time.Time) { m.end(v, o, planner.Unavailable, now) })
+			return
+		}
 		m.drawn += bytes
 		m.carry(v, nil, o, later(m.origin.send(now, bytes), m.cross("region-0", v, now, bytes)), now)
 		return
@@ -334,6 +343,12 @@
 	}
 }
 
+// originRefuses tells whether the origin is down.
+func (m *model) originRefuses(now time.Time) bool {
+	at := now.Sub(m.start)
+	return at >= m.originDown[0] && at < m.originDown[1]
+}
+
 // cross passes the links between two regions.
 func (m *model) cross(from string, v *machine, now time.Time, bytes float64) time.Time {
 	if from == v.Region {
--- a/internal/planner/narrow_test.go
+++ b/internal/planner/narrow_test.go
@@ -14,7 +14,7 @@
 	return burst{
 		machines: machines, chunks: 96, size: size, window: 2 * 2585 * time.Millisecond,
 		originCopies: 2, regions: 3, regionRate: 20e6 / 8, seed: seed,
-		habits: habits{slots: 3, originSlots: 2, patience: 500 * time.Millisecond, poll: 100 * time.Millisecond,
+		habits: habits{slots: 3, originSlots: 2, patience: 500 * time.Millisecond, poll: 100 * time.Millisecond, originBackoff: 300 * time.Millisecond,
 			settle: 60 * time.Millisecond, heartbeat: 100 * time.Millisecond, listens: true},
 	}
 }
@@ -42,3 +42,18 @@
 		})
 	}
 }
+
+// The origin goes down when nine tenths of a version are drawn, and comes back six
+// seconds later. Old weights may serve for little longer: until the last chunks have come
+// to all agents, in all regions, callers are refused.
+func TestLastChunksComeSoonAfterTheOriginIsBack(t *testing.T) {
+	for seed := range uint64(8) {
+		b := small(76, seed)
+		b.regions = 4
+		b.originDown = [2]time.Duration{2500 * time.Millisecond, 8500 * time.Millisecond}
+		took, stuck := newModel(b).run()
+		must.False(t, stuck)
+		t.Logf("seed %d: whole %v after the origin was back", seed, took-b.originDown[1])
+		must.Less(t, 1300*time.Millisecond, took-b.originDown[1])
+	}
+}
