--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -178,31 +178,35 @@
 	undrawn := func(i int) bool { return !t.have.Has(i) && t.holders[i] == 0 && t.home(i) == t.Region }
 	own := func(i int) bool { return undrawn(i) && t.open(i) && t.drawer(i, t.Region, now) == t.ID }
 	i, ok := t.upward(t.firstDrawn(t.ID), own)
-	if t.drawIdle.longEnough(ok, t.Patience/idlePart, now) {
-		i, ok = t.takeOver(undrawn, t.OriginSlots, now)
+	if idle := t.drawIdle.lasts(ok, now); !ok {
+		i, ok = t.takeOver(undrawn, t.OriginSlots, idle, now)
 	}
 	return Order{Chunk: i, Source: FromOrigin{}}, ok
 }
 
 // idlePart is the part of Patience for which an agent must have had nothing of its own to
-// fetch before it takes chunks over. What others hold is heard with a delay; on quick
-// links they would all seem far behind, and the origin be asked twice.
-const idlePart = 4
+// fetch before it takes chunks over, and slowIdlePart the same for those of an agent that
+// was slow. What others hold is heard with a delay; on quick links they would all seem far
+// behind, and the origin be asked twice.
+const (
+	idlePart     = 2
+	slowIdlePart = 8
+)
 
 // idleness is since when there has been nothing to do.
 type idleness struct{ since time.Time }
 
-// longEnough notes whether there is something to do now, and tells whether there has been
-// nothing for the given time.
-func (i *idleness) longEnough(busy bool, wait time.Duration, now time.Time) bool {
+// lasts notes whether there is something to do now, and gives how long there has been
+// nothing.
+func (i *idleness) lasts(busy bool, now time.Time) time.Duration {
 	switch {
 	case busy:
 		i.since = time.Time{}
-		return false
+		return 0
 	case i.since.IsZero():
 		i.since = now
 	}
-	return now.Sub(i.since) >= wait
+	return now.Sub(i.since)
 }
 
 // takeOver picks a missing chunk of a drawer that has more left than the given number of
@@ -210,7 +214,7 @@
 // it isn't passed over for its silence, and all agents wait for its chunks while the
 // origin's link stands idle. Its chunks fall to the next in rank, who begins at the other
 // end, so that few are fetched twice.
-func (t *Transfer) takeOver(missing func(int) bool, slots int, now time.Time) (int, bool) {
+func (t *Transfer) takeOver(missing func(int) bool, slots int, idle time.Duration, now time.Time) (int, bool) {
 	slow := t.slowDrawers(now)
 	for _, d := range t.drawers[t.Region] {
 		if d.id == t.ID {
@@ -219,9 +223,12 @@
 		left := t.inOrder(d.id, func(i int) bool { return missing(i) && t.drawer(i, t.Region, now) == d.id })
 		// What is on its way to the drawer isn't known here, nor what came to it just now;
 		// of a slow one even that is fetched once more.
-		spared := slots + 1
+		spared, wait := slots+1, t.Patience/idlePart
 		if slices.Contains(slow, d.id) {
-			spared = 0
+			spared, wait = 0, t.Patience/slowIdlePart
+		}
+		if idle < wait {
+			continue
 		}
 		for n := len(left) - 1; n >= spared; n-- {
 			if t.open(left[n]) && t.firstRanked(left[n], t.Region, now, append(slow, d.id)) == t.ID {
@@ -386,8 +393,8 @@
 		return offered.Has(i) && !t.have.Has(i) && t.holders[i] == 0 && t.arrives(i, now)
 	}
 	i, ok := t.upward(t.firstDrawn(t.ID), func(i int) bool { return missing(i) && t.open(i) && t.brings(i, now) })
-	if t.bringIdle.longEnough(ok, t.Patience/idlePart, now) {
-		i, ok = t.takeOver(missing, t.AcrossSlots, now)
+	if idle := t.bringIdle.lasts(ok, now); !ok {
+		i, ok = t.takeOver(missing, t.AcrossSlots, idle, now)
 	}
 	if !ok {
 		return Order{}, false
