Know a version's chunks sooner, and draw at once

Cause: asking three agents a round for a version's list, half of 58 agents knew it after 0.24 s in calm and the last quarter after 0.39 s; asking all in turn it had been 0.12 and 0.16 s, with 1.41 s for the last, behind dead agents. Then 60 ms of settling became up to 150 ms, as the next look at the records had to be waited for. Change: seven asked a round; no settling, as the agents are known from the store.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -47,8 +47,10 @@
 	// what an agent is to draw, so the origin's link must not stand idle for want of
 	// asking.
 	originSlots = 2
-	// chunkSettle is the wait for news of the other agents before the origin is asked.
-	chunkSettle = 60 * time.Millisecond
+	// chunkSettle is the wait for news of the other agents before the origin is asked. They
+	// are known from the store's records, so there is none: with 60 ms the next look at the
+	// records, up to 150 ms later, had to be waited for.
+	chunkSettle = time.Nanosecond
 	// originBackoff is the longest pause after the origin did not answer: a refused
 	// call costs next to nothing, and its return is then noticed within that time.
 	originBackoff = 300 * time.Millisecond
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -94,7 +94,7 @@
 
 // Learn tries to learn a version's manifest from the other agents, or from the
 // origin when this agent's rank is due. Since is for how long it has been wanted. The
-// peers are tried in the order of their ranks, so one of the first and two others at
+// peers are tried in the order of their ranks, so one of the first and some others at
 // random are asked each time: with the first alone, all lists would leave over one link,
 // and who asks all in turn waits for each one that is dead.
 func (d *Digester) Learn(ctx context.Context, k versionKey, self string, peers []peerAgent, since time.Duration) {
@@ -135,8 +135,9 @@
 	return is
 }
 
-// othersAsked is how many peers of any rank are asked each time.
-const othersAsked = 2
+// othersAsked is how many peers of any rank are asked each time: who does not know says
+// so within milliseconds. With two, half of 58 agents knew a list after 0.24 s.
+const othersAsked = 6
 
 func (d *Digester) fromPeer(ctx context.Context, k versionKey, a netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
