--- a/internal/planner/ranks.go
+++ b/internal/planner/ranks.go
@@ -41,7 +41,6 @@
 		if d.id == t.ID {
 			continue
 		}
-		left := t.inOrder(d.id, func(i int) bool { return missing(i) && t.drawer(i, t.Region, now) == d.id })
 		// What is on its way to the drawer isn't known here, nor what came to it just now;
 		// of a slow one even that is fetched once more.
 		spared, wait := slots+1, t.Patience/idlePart
@@ -51,6 +50,7 @@
 		if idle < wait {
 			continue
 		}
+		left := t.inOrder(d.id, func(i int) bool { return missing(i) && t.drawer(i, t.Region, now) == d.id })
 		for n := len(left) - 1; n >= spared; n-- {
 			if t.open(left[n]) && t.firstRanked(left[n], t.Region, now, append(slow, d.id)) == t.ID {
 				return left[n], true
--- a/internal/stager/ahead.go
+++ b/internal/stager/ahead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -57,6 +56,6 @@
 	}
 	if staged > 0 && s.ahead.chunks.Count() == s.chunkCount() {
 		klog.InfoS("Weights staged ahead", "agent", s.ID, "model", model, "version", version, "held", held,
-			"lastFor", s.Clock.Since(began).Round(time.Millisecond))
+			"lastStagedIn", s.Clock.Since(began))
 	}
 }
