Old weights end in time however long the agent is busy

The gate closes between two looks at the engine, and a look included questions to seven agents, each up to 0.25 s, for the list of a version that nobody could tell while the origin was down. Change: the ledger itself lets nothing in from the moment on at which the weights are too old, and a round of questions takes 0.3 s at most. Test: TestOldWeightsEndInTimeWhileTheAgentIsBusy, let in before.

--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -57,6 +57,9 @@
 	readUntil time.Time
 	// until is when the engine stops to load new weights; zero for never.
 	until time.Time
+	// expires is when the weights that the engine holds may begin no reply any more; zero
+	// for never.
+	expires time.Time
 	// coldRate is how many requests a second the engine bears until coldUntil; 0 for any.
 	coldRate  float64
 	coldUntil time.Time
@@ -96,6 +99,18 @@
 	l.until = t
 }
 
+// ExpireAt lets nothing in from a moment on; zero is never. The agent looks at its engine
+// now and then, and a look may take long behind a cut or a narrow link. Were the engine
+// closed by the next look only, old weights would go on to begin replies after their time.
+func (l *Ledger) ExpireAt(t time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expires = t
+}
+
+// expired is why an engine takes nothing whose weights are too old.
+const expired = "old weights"
+
 // Cold bounds what is let in until a moment, in requests a second. A cold engine falls
 // over under a full load, and all that runs there is lost.
 func (l *Ledger) Cold(rate float64, until time.Time) {
@@ -132,6 +147,9 @@
 	if l.engine == nil || l.closed != "" {
 		return Verdict{Closed: l.reason()}
 	}
+	if !l.expires.IsZero() && now.After(l.expires) {
+		return Verdict{Closed: expired}
+	}
 	v := Verdict{Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now))}
 	if l.held[j.ID] != nil {
 		// The answer to an earlier question was lost.
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -77,6 +77,9 @@
 	// peerTimeout bounds a question to another agent: the list of a hundred chunks takes
 	// 0.1 s on a link of a megabit a second.
 	peerTimeout = 250 * time.Millisecond
+	// roundTimeout bounds all questions of one round: the agent looks at its engine only
+	// between two rounds.
+	roundTimeout = 300 * time.Millisecond
 	// firstRanks is how many agents are asked by all others.
 	firstRanks = 2
 )
@@ -110,6 +113,8 @@
 	if since >= originTurn(rank) && d.fromOrigin(ctx, k) {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
+	defer cancel()
 	for _, i := range sources(len(ranked), rank) {
 		if d.fromPeer(ctx, k, ranked[i].chunks) {
 			return
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -254,6 +254,7 @@
 			klog.InfoS("Engine opened", "agent", s.ID, "model", model, "version", held)
 		}
 		s.why = ""
+		s.Ledger.ExpireAt(s.expiry(held))
 		s.Ledger.Open(e)
 	}
 }
@@ -268,8 +269,18 @@
 
 // outdated tells whether the bound for a newer version is nearly over.
 func (s *Stager) outdated(held uint64) bool {
+	expiry := s.expiry(held)
+	return !expiry.IsZero() && s.Clock.Now().After(expiry)
+}
+
+// expiry is from when on a version may begin no reply any more; zero while no newer one
+// is named.
+func (s *Stager) expiry(held uint64) time.Time {
 	newer := s.after(held)
-	return len(newer) > 0 && s.Clock.Since(newer[0].learned) > s.Bound-oldMargin
+	if len(newer) == 0 {
+		return time.Time{}
+	}
+	return newer[0].learned.Add(s.Bound - oldMargin)
 }
 
 // load stages a version whole, reads it back and orders the engine to take it. What
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -49,6 +49,8 @@
 	rot bool
 	// running requests keep an order waiting.
 	running int
+	// slow is how long the engine takes to say which chunks lie staged, or to stage one.
+	slow time.Duration
 }
 
 var (
@@ -67,6 +69,10 @@
 }
 
 func (e *engine) Stage(_ context.Context, _ string, chunk int, data []byte) error {
+	e.mu.Lock()
+	slow := e.slow
+	e.mu.Unlock()
+	time.Sleep(slow)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.rot {
@@ -314,6 +320,25 @@
 	must.Eq(t, []int{2, 4}, slices.Compact(next.origin.drawn))
 }
 
+// A version is named and its chunks can't be had. When the old weights' time is over, the
+// agent is still busy asking others who don't answer. No reply may begin on the old
+// weights meanwhile: callers would get answers from weights that the operators replaced.
+func TestOldWeightsEndInTimeWhileTheAgentIsBusy(t *testing.T) {
+	e := &engine{born: 1}
+	w := newWorld(t, e, 2*time.Second)
+	eventually(t, w.open)
+	e.mu.Lock()
+	e.slow = 1500 * time.Millisecond
+	e.mu.Unlock()
+	w.origin.mu.Lock()
+	w.origin.withheld = map[int]bool{2: true}
+	w.origin.mu.Unlock()
+	w.name(2)
+	// What is being asked of the engine takes until after the bound less its margin of 0.7 s.
+	time.Sleep(1400 * time.Millisecond)
+	must.False(t, w.open())
+}
+
 // Two versions are named two seconds apart, and the origin goes down before the first is
 // whole. When it is back, the bound after which only the second may serve is nearly over:
 // were the first fetched and loaded then, it would serve nothing, and callers would be
