Nothing unasked to an engine two versions behind

Entries whose questions ran into their 40 ms sent unasked, as half of the bound had not passed since the newest naming: it was the naming before that ruled out version 1. Change: the registrar keeps which version a naming replaced, and unasked requests go to an engine that holds the newest version or, while that is young, the one before.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -75,7 +75,9 @@
 	facts     map[string]Fact
 	lingering map[string]time.Time
 	learned   map[string]time.Time
-	packed    map[string]Record
+	// replaced are the versions of weights that were in force before the present ones.
+	replaced map[string]uint64
+	packed   map[string]Record
 	// floor is the revision above which all deletions are remembered.
 	floor     uint64
 	at        uint64
@@ -105,6 +107,7 @@
 		r.facts = map[string]Fact{}
 		r.lingering = map[string]time.Time{}
 		r.learned = map[string]time.Time{}
+		r.replaced = map[string]uint64{}
 	}
 	changed := r.view.Load() == nil
 	for _, rec := range records {
@@ -147,6 +150,9 @@
 		klog.InfoS("Record ignored: its version is below the one in force", "key", rec.Key, "revision", rec.Revision)
 		return true
 	}
+	if w, ok := r.facts[rec.Key].(Weights); ok {
+		r.replaced[rec.Key] = w.Version
+	}
 	r.facts[rec.Key] = f
 	r.learned[rec.Key] = r.learnedAt(rec)
 	delete(r.lingering, rec.Key)
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -82,7 +82,12 @@
 	if ok && p.Clock.Since(named.Learned) > p.WeightsBound/2 {
 		version = named.Version
 	}
-	if held := u.Holds(j.Model); held == 0 || version != 0 && held != version {
+	held := u.Holds(j.Model)
+	if held == 0 || version != 0 && held != version {
+		return nil
+	}
+	if ok && held != named.Version && !named.Before(held) {
+		// Its time was over before the newest version was named.
 		return nil
 	}
 	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
--- a/internal/relayer/place_test.go
+++ b/internal/relayer/place_test.go
@@ -33,10 +33,13 @@
 // newPlacer makes an entry's placer before one engine whose agent can't be reached.
 func newPlacer(c *clocktest.FakeClock, cold time.Duration, seed uint64) (*relayer.Placer, *matcher.Table) {
 	table := engineTable()
-	reg := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
+	reg := &registrar.Registrar{Clock: c, Decode: func(key string, value []byte) (registrar.Fact, error) {
 		if key == "table" {
 			return registrar.Table{Table: table}, nil
 		}
+		if key == "weights" {
+			return registrar.Weights{Model: "m", Version: uint64(value[0])}, nil
+		}
 		return registrar.Upstream{ID: key, Service: "engines", Address: netip.MustParseAddrPort("127.0.0.1:1"), FailureDomain: "a",
 			Slots: 12, Cold: cold, Models: []registrar.HeldModel{{Name: "m", Version: 1}}}, nil
 	}}
@@ -76,3 +79,29 @@
 	// A warm engine whose agent alone is gone goes on serving.
 	must.Eq(t, 46, granted(t, 0))
 }
+
+// The VM of an engine freezes before the engine takes a new version, and wakes after its
+// time; a third version is named just then. The agent is silent, and entries that know
+// only how young the third naming is would send to the engine as if its weights, two
+// versions old, were still allowed.
+func TestEngineTwoVersionsBehindGetsNothingUnasked(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	p, table := newPlacer(c, 0, 1)
+	name := func(version byte) {
+		at, _, _ := p.Registrar.At()
+		p.Registrar.Apply(registrar.Batch{After: at, At: at + 1, Records: []registrar.Record{
+			{Key: "weights", Value: []byte{version}, Revision: at + 1}}})
+	}
+	placed := func() bool {
+		j := &relayer.Job{Route: table.Routes[0], Service: "engines", Arrived: c.Now().Add(-400 * time.Millisecond), Deadline: c.Now().Add(5 * time.Second)}
+		j.ID, j.Model, j.Prompt = "id", "m", 800
+		place, err := p.Place(context.Background(), j)
+		return err == nil && place != nil
+	}
+	name(2)
+	must.True(t, placed(), must.Sprint("version 1 is allowed for a while"))
+	c.Step(9 * time.Second)
+	must.False(t, placed())
+	name(3)
+	must.False(t, placed())
+}
