--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -219,7 +219,8 @@
 // would hold up the whole set of weights until the call times out.
 func (t *Transfer) hedge(now time.Time) (Order, bool) {
 	for _, f := range t.flights {
-		if now.Sub(f.since) <= t.patience() || t.tries(f.Chunk) > 1 {
+		// What came from a second source is here, though the first still runs.
+		if t.have.Has(f.Chunk) || now.Sub(f.since) <= t.patience() || t.tries(f.Chunk) > 1 {
 			continue
 		}
 		other := func(p *peer) bool { return p.Region == t.Region && f.Source != FromPeer{ID: p.ID} }
@@ -237,7 +238,7 @@
 }
 
 // askAcross orders a chunk from another region whose fetch runs for too long. The other
-// regions often have it before the agents that share a link with a slow drawer.
+// regions often have it before the agents of a slow drawer's own region.
 func (t *Transfer) askAcross(f flight, now time.Time) (Order, bool) {
 	if !t.draws() || t.bringing >= t.AcrossSlots {
 		return Order{}, false
--- a/internal/planner/transfer_test.go
+++ b/internal/planner/transfer_test.go
@@ -136,14 +136,14 @@
 // first is the flight of agent i with the lowest chunk, so that each run takes
 // the same one.
 func (f *flock) first(i int) (planner.Order, bool) {
-	for c := range f.chunks {
-		for o := range f.flights[i] {
-			if o.Chunk == c {
-				return o, true
-			}
+	var first planner.Order
+	found := false
+	for o := range f.flights[i] {
+		if !found || o.Chunk < first.Chunk || o.Chunk == first.Chunk && fmt.Sprint(o) < fmt.Sprint(first) {
+			first, found = o, true
 		}
 	}
-	return planner.Order{}, false
+	return first, found
 }
 
 func TestTransferAgainstOracle(t *testing.T) {
@@ -233,3 +233,23 @@
 	must.True(t, f.whole())
 	must.LessEq(t, 80, f.drawn)
 }
+
+// A chunk comes from the second source that was asked for it, while the first still runs.
+// Asked for once more, it would take a slot and a link from chunks that are missing.
+func TestHeldChunkIsNotAskedForAgain(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := &planner.Transfer{ID: "vm-0", Region: "r", Manifest: manifest, Chunks: 2, Slots: 4, PeerSlots: 2, OriginSlots: 2, AcrossSlots: 3,
+		Patience: time.Second, DrawAfter: now.Add(time.Hour), Rand: rand.New(rand.NewPCG(1, 1))}
+	a.Start(now, nil)
+	have := planner.NewBitmap(2)
+	have.Set(0)
+	a.Learn([]planner.Peer{{ID: "vm-1", Region: "r", Have: have}, {ID: "vm-2", Region: "r", Have: have}, {ID: "vm-3", Region: "r", Have: have}}, now)
+	_, ok := a.Next(now)
+	must.True(t, ok)
+	now = now.Add(2 * time.Second)
+	second, ok := a.Next(now)
+	must.True(t, ok)
+	a.Done(second, now)
+	_, ok = a.Next(now.Add(20 * time.Second))
+	must.False(t, ok)
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -150,7 +150,7 @@
 		klog.InfoS("Record ignored: its version is below the one in force", "key", rec.Key, "revision", rec.Revision)
 		return true
 	}
-	if w, ok := r.facts[rec.Key].(Weights); ok {
+	if w, ok := r.facts[rec.Key].(Weights); ok && f != Fact(w) {
 		r.replaced[rec.Key] = w.Version
 	}
 	r.facts[rec.Key] = f
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -108,8 +108,8 @@
 	l.expires = t
 }
 
-// expired is why an engine takes nothing whose weights are too old.
-const expired = "old weights"
+// OldWeights is why an engine takes nothing whose weights may begin no reply any more.
+const OldWeights = "old weights"
 
 // Cold bounds what is let in until a moment, in requests a second. A cold engine falls
 // over under a full load, and all that runs there is lost.
@@ -148,7 +148,7 @@
 		return Verdict{Closed: l.reason()}
 	}
 	if !l.expires.IsZero() && now.After(l.expires) {
-		return Verdict{Closed: expired}
+		return Verdict{Closed: OldWeights}
 	}
 	v := Verdict{Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now))}
 	if l.held[j.ID] != nil {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -248,7 +248,7 @@
 	case s.report.Busy || s.ordered > held && s.Clock.Since(s.orderedAt) < orderPatience:
 		s.closeGate("switching weights")
 	case s.outdated(held):
-		s.closeGate("old weights")
+		s.closeGate(scheduler.OldWeights)
 	default:
 		if s.why != "" {
 			klog.InfoS("Engine opened", "agent", s.ID, "model", model, "version", held)
