Say how old a naming is, until when an engine may serve, and that a process stood still

A process that was frozen wrote nothing, and neither the age of what it then heard nor the naming that ends its engine's time could be read from the lines. Lines and a timer for each; a test for the timer. No decision is changed.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -132,6 +132,7 @@
 		d.log.Run(logs)
 	}()
 	d.parts.Add(reload{d})
+	d.parts.Add(reporter.Stalls(d.clock, d.metrics))
 	defer d.exitInTime(ctx)()
 	klog.InfoS("Process starts", "vm", d.settings.Name, "failureDomain", d.settings.FailureDomain, "pid", os.Getpid())
 	err := reporter.RunUntil(ctx, d.parts, leave)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -223,7 +223,8 @@
 	case Table:
 		klog.InfoS("Route table in force", "version", f.Version, "revision", rec.Revision, "routes", len(f.Routes))
 	case Weights:
-		klog.InfoS("Weights named", "model", f.Model, "version", f.Version, "revision", rec.Revision)
+		klog.InfoS("Weights named", "model", f.Model, "version", f.Version, "revision", rec.Revision,
+			"age", rec.Age, "replaces", r.replaced[rec.Key])
 	case Drained:
 		klog.InfoS("Failure domain drained", "failureDomain", f.FailureDomain, "revision", rec.Revision)
 	case Upstream:
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 	clocktesting "k8s.io/utils/clock/testing"
 
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
@@ -114,3 +115,19 @@
 	cancel()
 	must.ErrorIs(t, <-ended, context.Canceled)
 }
+
+// A VM is frozen for seconds. Without a line of its own, whoever reads the log can't tell
+// it from a process that had nothing to say.
+func TestStandingStillIsCounted(t *testing.T) {
+	c := clocktesting.NewFakeClock(time.Unix(0, 0))
+	r := metrics.NewRegistry()
+	stood := metrics.GetOrRegisterTimer("process.stoodStill", r)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	s := reporter.Stalls(c, r)
+	go func() { _ = s.Serve(ctx) }()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(c.HasWaiters), wait.Timeout(patience), wait.Gap(time.Millisecond)))
+	c.Step(9 * time.Second)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return stood.Count() == 1 }), wait.Timeout(patience), wait.Gap(time.Millisecond)))
+	must.Eq(t, int64(8900*time.Millisecond), stood.Max())
+}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -251,7 +251,8 @@
 		s.closeGate(scheduler.OldWeights)
 	default:
 		if s.why != "" {
-			klog.InfoS("Engine opened", "agent", s.ID, "model", model, "version", held)
+			newer, left := s.limit(held)
+			klog.InfoS("Engine opened", "agent", s.ID, "model", model, "version", held, "newer", newer, "left", left)
 		}
 		s.why = ""
 		s.Ledger.ExpireAt(s.expiry(held))
@@ -283,6 +284,16 @@
 	return newer[0].learned.Add(s.Bound - oldMargin)
 }
 
+// limit is the version whose naming ends the held one's time, and how much of that is left;
+// zero while no newer one is known.
+func (s *Stager) limit(held uint64) (newer uint64, left time.Duration) {
+	after := s.after(held)
+	if len(after) == 0 {
+		return 0, 0
+	}
+	return after[0].version, s.expiry(held).Sub(s.Clock.Now())
+}
+
 // load stages a version whole, reads it back and orders the engine to take it. What
 // lies staged may have turned bad or belong to another version, and the engine does
 // not check: it would answer from mixed weights.
