Count a found upstream's cold time from now, not from the last word before

Seen by reading while looking for other moments counted from the wrong side: after a list a record's moment was that of the store's last confirmation, which is right for the time of old weights and wrong for cold upstreams; they looked warm by the length of the gap and would get a full load. And where nothing was known, the time began anew at each change.

Measured: the test failed (10 s too early) and passes.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -161,12 +161,11 @@
 	return true
 }
 
-// learnedAt is when the change of a record became known at the latest.
+// learnedAt is when a record was written at the latest. A cold upstream's time counts from
+// there: counted from an earlier moment it would get a full load while it is cold, and fall
+// over.
 func (r *Registrar) learnedAt(rec Record) time.Time {
-	if rec.Age == UnknownAge {
-		return r.confirmed
-	}
-	return r.Clock.Now().Add(-rec.Age)
+	return r.Clock.Now().Add(-max(0, rec.Age))
 }
 
 // raises keeps versions from going down. A store that was restored to an older
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -266,3 +266,22 @@
 	at, _, _ := to.At()
 	must.Eq(t, 5, at, must.Sprint("the spoilt record is asked for again"))
 }
+
+// The store's history is gone, and an entry lists it anew after seconds without news. It
+// finds an upstream that said of itself a moment ago that it stays cold for three seconds.
+// Counted from the last word before the gap that time would be over, and the cold upstream
+// would get as much as a warm one and fall over.
+func TestFoundUpstreamIsColdFromNow(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r := &registrar.Registrar{Clock: c, Decode: func(string, []byte) (registrar.Fact, error) {
+		return registrar.Upstream{ID: "a", Service: "s", Cold: 3 * time.Second}, nil
+	}}
+	r.Apply(registrar.Batch{Whole: true, At: 1})
+	c.Step(10 * time.Second)
+	r.Apply(registrar.Batch{Whole: true, At: 2, Records: []registrar.Record{{Key: "up/a", Revision: 2, Age: registrar.UnknownAge}}})
+	must.Eq(t, c.Now().Add(3*time.Second), r.View().Service("s")[0].ColdUntil)
+	// Later news don't make it longer.
+	c.Step(time.Second)
+	r.Apply(registrar.Batch{After: 2, At: 3, Records: []registrar.Record{{Key: "up/b", Revision: 3}}})
+	must.Eq(t, c.Now().Add(2*time.Second), r.View().Service("s")[0].ColdUntil)
+}
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -46,7 +46,7 @@
 		case Table:
 			v.Table = f.Table
 		case Upstream:
-			u := &UpstreamView{Upstream: f, ColdUntil: r.coldUntil(key, f), Revision: r.records[key].Revision}
+			u := &UpstreamView{Upstream: f, ColdUntil: r.learned[key].Add(f.Cold), Revision: r.records[key].Revision}
 			v.Upstreams = append(v.Upstreams, u)
 		case Drained:
 			v.drained[f.FailureDomain] = true
@@ -65,14 +65,6 @@
 	return v
 }
 
-// coldUntil counts from now when it isn't known how old the upstream's word is.
-func (r *Registrar) coldUntil(key string, u Upstream) time.Time {
-	if r.learned[key].IsZero() {
-		return r.Clock.Now().Add(u.Cold)
-	}
-	return r.learned[key].Add(u.Cold)
-}
-
 // Service lists the upstreams of a service, sorted by ID.
 func (v *View) Service(name string) []*UpstreamView { return v.services[name] }
 
