A test that fails: a place is granted in time to a request that begins too late

The ledger compares the moment of the asking with the end of the weights' time, and not the moment at which it expects the prompt to be read.

--- /dev/null
+++ b/internal/scheduler/expiry_test.go
@@ -0,0 +1,38 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// startMargin is how long before the end of its weights' time an engine is closed, so that
+// what was granted last begins within it.
+const startMargin = 700 * time.Millisecond
+
+// The time of an engine's weights is nearly over. What is granted last has other prompts
+// before it and a long one of its own, and its first word comes after the end of that time:
+// the caller gets a reply from weights that the operators replaced.
+func TestGrantedRequestBeginsInTime(t *testing.T) {
+	for _, c := range []struct {
+		pace   float64
+		before int
+		prompt int
+	}{
+		{pace: 1, before: 4, prompt: 7000},
+		{pace: 3, before: 1, prompt: 3000},
+	} {
+		l, clock := openLedger()
+		l.Observe(0, c.pace)
+		l.ExpireAt(clock.Now().Add(time.Millisecond))
+		for i := range c.before {
+			must.True(t, l.Reserve(job(i, 300*time.Millisecond), 0).Granted)
+		}
+		long := job(50, 300*time.Millisecond)
+		long.Prompt = c.prompt
+		granted := l.Reserve(long, 0).Granted
+		read := l.Reserve(job(99, 0), 0).Wait
+		must.False(t, granted && read > startMargin, must.Sprintf("pace %v: granted, and read after %v", c.pace, read))
+	}
+}
