--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -51,6 +51,10 @@
 	running int
 	// slow is how long the engine takes to say which chunks lie staged, or to stage one.
 	slow time.Duration
+	// looking and reading, when set, are called while the engine is asked what it does, and
+	// which bytes lie staged.
+	looking func()
+	reading func(chunk int)
 }
 
 var (
@@ -59,6 +63,12 @@
 )
 
 func (e *engine) Report(context.Context) (stager.Report, error) {
+	e.mu.Lock()
+	looking := e.looking
+	e.mu.Unlock()
+	if looking != nil {
+		looking()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := stager.Report{Born: e.born, Running: e.running}
@@ -85,8 +95,12 @@
 
 func (e *engine) Staged(_ context.Context, _ string, chunk int) ([]byte, error) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	data, ok := e.staged[chunk]
+	reading := e.reading
+	e.mu.Unlock()
+	if reading != nil {
+		reading(chunk)
+	}
 	if !ok {
 		return nil, errNotStaged
 	}
