A test that fails: a stream goes on with other weights where the agent is silent

Half a bound after a naming, a place without the agent's word is bound to the newest version whatever the stream began with.

--- /dev/null
+++ b/internal/relayer/resume_test.go
@@ -0,0 +1,56 @@
+package relayer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// The engine of a reply that is half written dies. The only other one has taken a newer
+// version of the weights, and its agent is silent. Were the reply to go on there, the
+// caller would get a roster whose first half was written by other weights than its second,
+// as one whole.
+func TestStreamDoesNotGoOnWithOtherWeights(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	table := engineTable()
+	reg := &registrar.Registrar{Clock: c, Decode: func(key string, value []byte) (registrar.Fact, error) {
+		switch key {
+		case "table":
+			return registrar.Table{Table: table}, nil
+		case "weights":
+			return registrar.Weights{Model: "m", Version: uint64(value[0])}, nil
+		default:
+			return registrar.Upstream{ID: key, Service: "engines", Address: netip.MustParseAddrPort("127.0.0.1:1"), FailureDomain: "a",
+				Slots: 12, Models: []registrar.HeldModel{{Name: "m", Version: 2}}}, nil
+		}
+	}}
+	reg.Apply(registrar.Batch{Whole: true, At: 10, Records: []registrar.Record{{Key: "table", Revision: 1}, {Key: "engine", Revision: 2}}})
+	name(reg, 2)
+	p := &relayer.Placer{
+		Registrar: reg, Clock: c, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
+		Chooser:   &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 1))},
+		AgentPort: 1, WeightsBound: 8 * time.Second,
+		Agents: &messenger.Clients{Timeout: time.Second, Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }},
+	}
+	goesOn := func() bool {
+		j := &relayer.Job{Route: table.Routes[0], Service: "engines", Again: true, Version: 1, Arrived: c.Now(), Deadline: c.Now().Add(5 * time.Second)}
+		j.ID, j.Model, j.Prompt = "id", "m", 800
+		ctx, stop := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer stop()
+		place, err := p.Place(ctx, j)
+		return err == nil && place != nil
+	}
+	must.False(t, goesOn(), must.Sprint("while the newer version is young"))
+	c.Step(5 * time.Second)
+	must.False(t, goesOn(), must.Sprint("once half of its bound is over"))
+}
