News are as old as they are when read, not as when sent

Callers could get replies from replaced weights, and be denied routes just added, after a process stood still with an answer lying unread: it took the answer for new. An answer says now how long it was held back, and what else it took counts as age of all it says; a list counts from the asking, a watch beyond its wait, and a watch that answers at once tells of changes that were there before, so they count from the last confirmation.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -47,11 +47,48 @@
 	Records []Record `json:"records,omitempty"`
 	// Age is how long ago the store confirmed that At was its newest revision.
 	Age time.Duration `json:"age"`
+	// Held is how long the sender held the answer back for want of news.
+	Held time.Duration `json:"held,omitempty"`
 	// Lost tells that the sender reads the store itself and can't reach it now. Its word
 	// may still be young, but nothing newer will come from there.
 	Lost bool `json:"lost,omitempty"`
 }
 
+// Older gives the batch as it is a while after it was sent. An answer may lie unread while
+// its reader stands still; taken for new then, it would make old weights and old routes look
+// as if the store had confirmed them just now.
+func (b Batch) Older(by time.Duration) Batch {
+	b.Age += by
+	records := make([]Record, 0, len(b.Records))
+	for _, rec := range b.Records {
+		rec.Age = older(rec.Age, by)
+		rec.Namings = slices.Clone(rec.Namings)
+		for i, n := range rec.Namings {
+			rec.Namings[i].Age, rec.Namings[i].SinceAge = older(n.Age, by), older(n.SinceAge, by)
+		}
+		records = append(records, rec)
+	}
+	b.Records = records
+	return b
+}
+
+func older(age, by time.Duration) time.Duration {
+	if age == UnknownAge {
+		return UnknownAge
+	}
+	return age + by
+}
+
+// Found gives the batch as one whose changes were found and not seen.
+func (b Batch) Found() Batch {
+	records := slices.Clone(b.Records)
+	for i := range records {
+		records[i].Age = UnknownAge
+	}
+	b.Records = records
+	return b
+}
+
 // NewsTimeout is how old a confirmation may be before a process counts as out of
 // touch with the store: three of the waits after which a watch answers without
 // news.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -273,8 +273,8 @@
 // would get as much as a warm one and fall over.
 func TestFoundUpstreamIsColdFromNow(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
-	r := &registrar.Registrar{Clock: c, Decode: func(string, []byte) (registrar.Fact, error) {
-		return registrar.Upstream{ID: "a", Service: "s", Cold: 3 * time.Second}, nil
+	r := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
+		return registrar.Upstream{ID: key, Service: "s", Cold: 3 * time.Second}, nil
 	}}
 	r.Apply(registrar.Batch{Whole: true, At: 1})
 	c.Step(10 * time.Second)
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -102,11 +102,13 @@
 func (s *Syncer) firstRecords(ctx context.Context, a netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
+	asked := s.Clock.Now()
 	b, err := s.clients.To(a).Records(ctx, messenger.RecordsQuery{})
 	if err != nil {
 		klog.V(1).InfoS("Seed did not answer", "seed", a, "err", err)
 		return false
 	}
+	b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
 	if b.At == 0 || b.Age > staleNews || !s.Registrar.Apply(b) {
 		return false
 	}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -46,6 +46,9 @@
 	// in runs, as when engines load one after the other, and each would otherwise cost a
 	// call of each reader; news have seconds to come into force.
 	watchPause = 80 * time.Millisecond
+	// atOnce is within what time a watch answers whose news were there before it began: a
+	// dozen round trips between regions. How old those are the store doesn't say.
+	atOnce = 50 * time.Millisecond
 	// idlePause is the pause when nobody has news.
 	idlePause = 150 * time.Millisecond
 	// anyAge accepts whatever a peer knows.
@@ -220,6 +223,7 @@
 			continue
 		}
 		at, _, _ := s.Registrar.At()
+		asked := s.Clock.Now()
 		b, err := s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: peerWait.Milliseconds()})
 		if ctx.Err() != nil {
 			return false
@@ -234,6 +238,7 @@
 			s.avoid[a] = s.Clock.Now().Add(peerWait)
 			continue
 		}
+		b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
 		s.Registrar.Apply(b)
 		dead := b.Lost && limit != anyAge
 		if b.Age <= limit && !dead {
@@ -286,10 +291,18 @@
 // run into their timeouts and be asked for again, and nobody would find a peer any more.
 func (s *Syncer) read(ctx context.Context) (registrar.Batch, error) {
 	at, _, known := s.Registrar.At()
+	asked := s.Clock.Now()
 	if !known || s.compacted {
-		return s.Store.List(ctx)
+		b, err := s.Store.List(ctx)
+		return b.Older(s.Clock.Since(asked)), err
 	}
-	return s.Store.Watch(ctx, at, watchWait)
+	b, err := s.Store.Watch(ctx, at, watchWait)
+	took := s.Clock.Since(asked)
+	if took < atOnce {
+		b = b.Found()
+	}
+	// The store answers within the wait; what is beyond that was on its way, or lay unread.
+	return b.Older(max(0, took-watchWait)), err
 }
 
 func (s *Syncer) storeFailed(err error) {
@@ -308,22 +321,28 @@
 		_, age, _ := r.At()
 		// Held back for longer, the answer would be too old when it comes.
 		over := c.After(min(q.Wait(), max(staleNews-age, 0)))
+		asked := c.Now()
+		since := func() registrar.Batch {
+			b := r.Since(q.After)
+			b.Held = c.Since(asked)
+			return b
+		}
 		for {
 			changed := r.Changed()
 			if at, _, _ := r.At(); at > q.After {
-				if b := r.Since(q.After); len(b.Records) > 0 {
+				if b := since(); len(b.Records) > 0 {
 					return b
 				}
 			}
 			if r.Lost() {
-				return r.Since(q.After)
+				return since()
 			}
 			select {
 			case <-changed:
 			case <-over:
-				return r.Since(q.After)
+				return since()
 			case <-ctx.Done():
-				return r.Since(q.After)
+				return since()
 			}
 		}
 	}
