Namings after an outage, in large records, behind spoilt ones and above a restored store

Found by the review of the mend, each with a test that failed: - The first naming after an outage of the store closed all engines at once, as old weights counted from before the outage: callers would have got nothing until the new weights are loaded. They count from the last attempt to reach the store now. The promised time holds for a stretch in which the store can be reached; the fuzz knows outages and says so. - A record over 2 KiB went compressed without its namings. - A naming missed behind a record that is deleted or can't be read did not count. - Who started after the store was restored believed a version below the newest naming.

Lines say how old a naming is, what it replaced, and since when old weights count. Tests for giving a stale grant back and for the margin.

--- a/internal/registrar/naming.go
+++ b/internal/registrar/naming.go
@@ -3,13 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 // Naming is the moment at which a version of a model's weights became the one to hold.
 type Naming struct {
 	Version uint64
-	// Learned is when the naming was known at the latest; zero when that was before any
-	// process started that tells of it.
+	// Learned is when the naming was seen or, when it was found, the earliest that it can have
+	// been; zero when that was before any process started that tells of it.
 	Learned time.Time
 	// Replaced is the newest version known to have been in force before; 0 when none was
 	// named. Nothing newer than it was named before Since. Since is Learned when Replaced
@@ -31,9 +33,10 @@
 	// keptNamings is how many namings of a model are remembered: four seconds apart, the
 	// time of those before is long over.
 	keptNamings = 8
-	// seenWithin is how long after the store's last confirmation a change that it tells of
-	// counts as new: a watch answers at once, and after a second without news. A process
-	// that took longer stood still, and the change may be as old as that.
+	// seenWithin is how long after the store's last confirmation, or the last attempt to
+	// reach it, a change that it tells of counts as new: a watch answers at once, and after a
+	// second without news. A process that took longer stood still, and the change may be as
+	// old as that.
 	seenWithin = 1200 * time.Millisecond
 )
 
@@ -43,31 +46,60 @@
 // process that stood still over two namings would let replies begin on weights whose time
 // is over. So the namings travel with the record; where some may be missing all the same,
 // they count from the last moment at which there were none.
-func (r *Registrar) addNamings(rec Record, w Weights) {
+//
+// It gives the newest version, which may be above the record's after the store was restored
+// to an older state, and when that was named.
+func (r *Registrar) addNamings(rec Record, w Weights) (Weights, time.Time) {
 	known := r.namings[rec.Key]
 	newest := uint64(0)
 	if len(known) > 0 {
 		newest = known[len(known)-1].Version
 	}
 	for _, n := range r.told(rec, w) {
-		if n.Version <= newest {
+		if len(known) > 0 && n.Version <= newest {
 			continue
 		}
 		if n.Since.IsZero() || n.Replaced != newest {
-			n.Replaced, n.Since = newest, later(r.confirmed, n.Since, n.Replaced <= newest)
+			n = r.bounded(n, newest)
 		}
 		known = append(known, n)
 		newest = n.Version
 	}
 	r.namings[rec.Key] = known[max(0, len(known)-keptNamings):]
+	delete(r.hidden, rec.Key)
+	w.Version = newest
+	return w, known[len(known)-1].Learned
+}
+
+// hide notes that a model's record can't be used. A version named before that record was
+// written, and not heard of, stays unknown, but it replaced the one held.
+func (r *Registrar) hide(key string) {
+	if r.hidden[key].IsZero() {
+		r.hidden[key] = r.lastWord()
+	}
+}
+
+// bounded gives a naming as the next one after a known version, where others in between may
+// have been missed.
+func (r *Registrar) bounded(n Naming, known uint64) Naming {
+	since := r.lastWord()
+	if n.Replaced <= known && n.Since.After(since) {
+		since = n.Since
+	}
+	n.Replaced, n.Since = known, since
+	return n
 }
 
-// later is the later of two moments, or the first if the second doesn't hold.
-func later(t, u time.Time, holds bool) time.Time {
-	if holds && u.After(t) {
-		return u
+// lastWord is until when this process can have missed no naming. While the store is out of
+// reach none is made, and one for which the store alone is out of reach hears of it from
+// others; so the outage counts up to the last attempt. Counted from before it, the time of
+// old weights would be over at the first naming after the store's return, at all engines at
+// once, and callers would get nothing until the new weights are loaded.
+func (r *Registrar) lastWord() time.Time {
+	if r.tried.After(r.confirmed) {
+		return r.tried
 	}
-	return t
+	return r.confirmed
 }
 
 // told lists the namings that a record tells of, the oldest first.
@@ -88,12 +120,34 @@
 // found is the naming of a record from the store.
 func (r *Registrar) found(rec Record, w Weights) Naming {
 	now := r.Clock.Now()
-	if rec.Age == UnknownAge || !r.confirmed.IsZero() && now.Sub(r.confirmed) > seenWithin {
-		return Naming{Version: w.Version, Learned: r.confirmed}
+	last := r.lastWord()
+	if rec.Age == UnknownAge || !last.IsZero() && now.Sub(last) > seenWithin {
+		return Naming{Version: w.Version, Learned: last}
+	}
+	n := Naming{Version: w.Version, Learned: now.Add(-rec.Age)}
+	if previous, ok := r.facts[rec.Key].(Weights); ok {
+		n.Replaced = previous.Version
+	}
+	n.Since = n.Learned
+	if hidden := r.hidden[rec.Key]; !hidden.IsZero() {
+		n.Since = hidden
+	}
+	return n
+}
+
+// logNaming tells of the newest naming how old it is, what it replaced, and how long ago
+// another may have come in between; times that aren't known are left out.
+func (r *Registrar) logNaming(w Weights, rec Record) {
+	ns, now := r.namings[rec.Key], r.Clock.Now()
+	n := ns[len(ns)-1]
+	fields := []any{"model", w.Model, "version", w.Version, "revision", rec.Revision, "replaces", n.Replaced}
+	if !n.Learned.IsZero() {
+		fields = append(fields, "age", now.Sub(n.Learned))
+	}
+	if !n.Since.IsZero() {
+		fields = append(fields, "oldWeightsAge", now.Sub(n.Since))
 	}
-	learned := now.Add(-rec.Age)
-	previous, _ := r.facts[rec.Key].(Weights)
-	return Naming{Version: w.Version, Learned: learned, Replaced: previous.Version, Since: learned}
+	klog.InfoS("Weights named", fields...)
 }
 
 // history is a model's namings for another process.
--- a/internal/registrar/packer.go
+++ b/internal/registrar/packer.go
@@ -31,7 +31,7 @@
 		}
 		r.packed[rec.Key] = packed
 	}
-	packed.Age = rec.Age
+	packed.Age, packed.Namings = rec.Age, rec.Namings
 	return packed
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -115,14 +115,20 @@
 	lingering map[string]time.Time
 	learned   map[string]time.Time
 	namings   map[string][]Naming
-	packed    map[string]Record
+	// hidden is since when the record of a model's weights may have stood for a version that
+	// was never read.
+	hidden map[string]time.Time
+	packed map[string]Record
 	// floor is the revision above which all deletions are remembered.
 	floor     uint64
 	at        uint64
 	confirmed time.Time
-	// outage is when the store was last found out of reach, lost that it still is.
+	// outage is when the store was last found out of reach, lost that it still is. Asked is
+	// when a call to it began last, tried when the last one began that failed.
 	outage time.Time
 	lost   bool
+	asked  time.Time
+	tried  time.Time
 	view   atomic.Pointer[View]
 	change notifier.Broadcast
 }
@@ -146,6 +152,7 @@
 		r.lingering = map[string]time.Time{}
 		r.learned = map[string]time.Time{}
 		r.namings = map[string][]Naming{}
+		r.hidden = map[string]time.Time{}
 	}
 	changed := r.view.Load() == nil
 	for _, rec := range records {
@@ -188,11 +195,11 @@
 		klog.InfoS("Record ignored: its version is below the one in force", "key", rec.Key, "revision", rec.Revision)
 		return true
 	}
+	r.learned[rec.Key] = r.learnedAt(rec)
 	if w, ok := f.(Weights); ok {
-		r.addNamings(rec, w)
+		f, r.learned[rec.Key] = r.addNamings(rec, w)
 	}
 	r.facts[rec.Key] = f
-	r.learned[rec.Key] = r.learnedAt(rec)
 	delete(r.lingering, rec.Key)
 	r.logFact(f, rec)
 	return true
@@ -225,7 +232,9 @@
 // else names nothing that could be used.
 func (r *Registrar) misread(key string) {
 	switch r.facts[key].(type) {
-	case Table, Weights:
+	case Table:
+	case Weights:
+		r.hide(key)
 	default:
 		delete(r.facts, key)
 	}
@@ -235,9 +244,13 @@
 func (r *Registrar) forget(key string) {
 	f := r.facts[key]
 	switch f := f.(type) {
-	case Table, Weights:
+	case Table:
 		klog.InfoS("Deletion ignored", "key", key)
 		return
+	case Weights:
+		klog.InfoS("Deletion ignored", "key", key)
+		r.hide(key)
+		return
 	case Upstream:
 		if !f.Leaving && r.Clock.Since(r.outage) < NewsTimeout && !r.outage.IsZero() {
 			r.lingering[key] = r.Clock.Now().Add(r.Linger)
@@ -258,8 +271,7 @@
 	case Table:
 		klog.InfoS("Route table in force", "version", f.Version, "revision", rec.Revision, "routes", len(f.Routes))
 	case Weights:
-		klog.InfoS("Weights named", "model", f.Model, "version", f.Version, "revision", rec.Revision,
-			"namings", r.history(rec.Key))
+		r.logNaming(f, rec)
 	case Drained:
 		klog.InfoS("Failure domain drained", "failureDomain", f.FailureDomain, "revision", rec.Revision)
 	case Upstream:
@@ -334,11 +346,22 @@
 	return r.at, r.Clock.Since(r.confirmed), r.view.Load() != nil
 }
 
+// StoreAsked notes that a call to the store begins.
+func (r *Registrar) StoreAsked() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked = r.Clock.Now()
+}
+
 // StoreLost notes that the store could not be reached just now.
 func (r *Registrar) StoreLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.outage = r.Clock.Now()
+	r.tried = r.asked
+	if r.asked.IsZero() {
+		r.tried = r.outage
+	}
 	r.lost = true
 	r.change.Wake()
 }
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -292,6 +292,7 @@
 func (s *Syncer) read(ctx context.Context) (registrar.Batch, error) {
 	at, _, known := s.Registrar.At()
 	asked := s.Clock.Now()
+	s.Registrar.StoreAsked()
 	if !known || s.compacted {
 		b, err := s.Store.List(ctx)
 		return b.Older(s.Clock.Since(asked)), err
