End the lease of an account whose writing went unanswered

An entry whose first account got no answer wrote it again under a new lease; when the first writing took effect after the second, the account hung on the first lease, which nobody renewed. The entry was on no list any more although it served, and callers did not find it.

Measured: the test failed (not listed within 10 s) and passes.

--- a/internal/syncer/registration.go
+++ b/internal/syncer/registration.go
@@ -95,6 +95,7 @@
 	}
 	if err := r.Store.PutMember(ctx, r.Member, lease); err != nil {
 		klog.InfoS("Entry not registered", "lease", lease, "err", err)
+		r.end(ctx, lease)
 		return registerAgain
 	}
 	r.mu.Lock()
@@ -115,9 +116,16 @@
 	r.left = true
 	r.lease = 0
 	r.mu.Unlock()
-	if lease == 0 {
-		return
+	if lease != 0 {
+		r.end(ctx, lease)
 	}
+}
+
+// end ends a lease, also one under which the record may still be written: a call without an
+// answer can take effect seconds later. The record would then hang on a lease that nobody
+// renews, while that of the next try is renewed for good, and callers would not find the
+// entry any more.
+func (r *Registration) end(ctx context.Context, lease uint64) {
 	if err := r.Store.EndLease(ctx, lease); err != nil {
 		klog.InfoS("Lease not ended, it will lapse", "lease", lease, "err", err)
 	}
