Free the place of a reply that has to be cut

A long reply that broke off ended in the panic by which the HTTP server cuts a connection, and its place was never freed: the upstream looked fuller with each, and the agent held the place until the caller's time was over.

Measured: the test failed and passes.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -201,8 +201,7 @@
 			return
 		}
 		c.Tried = append(c.Tried, place.Upstream.ID)
-		err = c.attempt(ctx, place)
-		place.ended()
+		err = c.attemptAt(ctx, place)
 		if err == nil {
 			return
 		}
@@ -215,6 +214,14 @@
 	}
 }
 
+// attemptAt makes an attempt and frees its place however it ends. A reply that has to be cut
+// ends in a panic for the HTTP server; the place left taken, the upstream would look fuller
+// with each such reply until nothing goes there.
+func (c *call) attemptAt(ctx context.Context, place *Place) error {
+	defer place.ended()
+	return c.attempt(ctx, place)
+}
+
 // note counts what an attempt that failed means for the request and the upstream.
 func (c *call) note(upstream string, err error) {
 	var s *SendError
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
@@ -291,3 +293,17 @@
 	must.False(t, got.broken)
 	must.Eq(t, event(0), got.body)
 }
+
+// An upstream breaks off in the middle of a long reply, and so does the entry towards its
+// caller. The place that the request held must come free all the same: else each such reply
+// makes the upstream look fuller for good, and in the end nothing goes there.
+func TestPlaceOfABrokenReplyComesFree(t *testing.T) {
+	u := newUpstream(t, "u", func(_ int, id string, conn net.Conn) bool {
+		say(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: x\r\nContent-Length: 1000000\r\n\r\n%s", id, strings.Repeat("a", 400_000)))
+		return false
+	})
+	w := newWorld(t, u)
+	must.True(t, w.ask(t, "/once/1", "r1").broken)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return w.relayer.Chooser.Running("u") == 0 }),
+		wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+}
