Tests that fail: a suspended VM's steady clock leaves that time out

Callers may get replies begun on weights that were replaced, for as long as the VM was suspended; an entry that woke denies routes by old news and tells others that it is young; no line says that the process stood still.

--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -18,6 +18,7 @@
 	clocktesting "k8s.io/utils/clock/testing"
 
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
+	"github.com/oriolecroft/oriolecroft/internal/suspender"
 )
 
 const patience = 10 * time.Second
@@ -131,3 +132,21 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return stood.Count() == 1 }), wait.Timeout(patience), wait.Gap(time.Millisecond)))
 	must.Eq(t, int64(8900*time.Millisecond), stood.Max())
 }
+
+// A VM is suspended for seconds. Its steady clock doesn't count them, so that the process
+// looks as if it had never stopped, and whoever reads the log looks for the cause of late
+// answers elsewhere.
+func TestSuspensionIsCounted(t *testing.T) {
+	steady := clocktesting.NewFakeClock(time.Unix(0, 0))
+	vm := &suspender.VM{Steady: steady}
+	r := metrics.NewRegistry()
+	stood := metrics.GetOrRegisterTimer("process.stoodStill", r)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	s := reporter.Stalls(vm.Clock(), r)
+	vm.Suspend(9 * time.Second)
+	steady.Step(100 * time.Millisecond)
+	go func() { _ = s.Serve(ctx) }()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return stood.Count() == 1 }), wait.Timeout(patience), wait.Gap(time.Millisecond)))
+	must.Eq(t, int64(9*time.Second), stood.Max())
+}
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -181,7 +181,11 @@
 }
 
 func newWorld(t *testing.T, e *engine, bound time.Duration, found ...registrar.Record) *world {
-	c := clock.RealClock{}
+	return newWorldOn(t, clock.RealClock{}, e, bound, found...)
+}
+
+// newWorldOn makes one whose ages are told by the given clock.
+func newWorldOn(t *testing.T, c clock.WithTicker, e *engine, bound time.Duration, found ...registrar.Record) *world {
 	w := &world{engine: e, origin: &origin{}, ledger: &scheduler.Ledger{Clock: c}, revision: 1}
 	if e.staged == nil {
 		e.staged = map[int][]byte{}
@@ -190,7 +194,7 @@
 	w.registrar.Apply(registrar.Batch{Whole: true, At: 1, Records: append(found, registrar.Record{Key: "table", Revision: 1})})
 	client := &http.Client{}
 	digests := &stager.Digester{Client: client}
-	l := &loader.Loader{ID: "self", Region: "r", Clock: c, Sources: []fetcher.Source{digests}, Memory: 1 << 20,
+	l := &loader.Loader{ID: "self", Region: "r", Clock: clock.RealClock{}, Sources: []fetcher.Source{digests}, Memory: 1 << 20,
 		Peer:     func(a netip.AddrPort) fetcher.Source { return &fetcher.HTTP{Address: a, Client: client} },
 		Patience: 50 * time.Millisecond, Settle: time.Millisecond, Poll: 20 * time.Millisecond}
 	s := &stager.Stager{ID: "agent", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Region: "r",
