Tell how long an upstream is cold as a duration; one clock for an agent's parts

Callers notice nothing yet: all parts still have one clock. Cause for the change: the registrar is to count the time for which a VM is suspended, and its times must then not be compared with those of parts that have the steady clock, as entries did for cold upstreams. ColdFor takes the place of ColdUntil; TestFoundUpstreamIsColdFromNow and TestColdUpstreamFoundInAListIsCold ask for the same seconds as a duration, as strict as before. The stager, which compares the times of namings, turns and places, refuses a registrar or ledger with another clock than its own.

--- a/internal/registrar/cold_test.go
+++ b/internal/registrar/cold_test.go
@@ -32,11 +32,11 @@
 	found.Age = registrar.UnknownAge
 	r.Apply(registrar.Batch{Whole: true, At: 9, Records: []registrar.Record{found}})
 	u := r.View().Service("s")[0]
-	must.GreaterEq(t, 6*time.Second, u.ColdUntil.Sub(c.Now()))
+	must.GreaterEq(t, 6*time.Second, u.ColdFor())
 
 	// Who hears of it from that entry must not take it for warm either.
-	told, now := newColdRegistrar()
+	told, _ := newColdRegistrar()
 	told.Apply(r.Since(0))
 	u = told.View().Service("s")[0]
-	must.GreaterEq(t, 6*time.Second, u.ColdUntil.Sub(now.Now()))
+	must.GreaterEq(t, 6*time.Second, u.ColdFor())
 }
--- a/internal/registrar/naming.go
+++ b/internal/registrar/naming.go
@@ -7,7 +7,8 @@
 	"k8s.io/klog/v2"
 )
 
-// Naming is the moment at which a version of a model's weights became the one to hold.
+// Naming is the moment at which a version of a model's weights became the one to hold. Its
+// times are those of the registrar's clock.
 type Naming struct {
 	Version uint64
 	// Learned is when the naming was seen or, when it was found, the earliest that it can have
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -100,6 +100,8 @@
 
 // Registrar is safe for concurrent use. Set the exported fields before use.
 type Registrar struct {
+	// Clock tells the ages of all that is believed, and should count the time for which the
+	// VM is suspended.
 	Clock clock.PassiveClock
 	// Decode reads a record; a nil fact without an error is of no interest.
 	Decode func(key string, value []byte) (Fact, error)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -279,14 +279,14 @@
 	r.Apply(registrar.Batch{Whole: true, At: 1})
 	c.Step(10 * time.Second)
 	r.Apply(registrar.Batch{Whole: true, At: 2, Records: []registrar.Record{{Key: "up/a", Revision: 2, Age: registrar.UnknownAge}}})
-	must.Eq(t, c.Now().Add(3*time.Second), r.View().Service("s")[0].ColdUntil)
+	must.Eq(t, 3*time.Second, r.View().Service("s")[0].ColdFor())
 	until := c.Now().Add(3 * time.Second)
 	c.Step(500 * time.Millisecond)
 	told := &registrar.Registrar{Clock: c, Decode: r.Decode}
 	told.Apply(r.Since(0))
-	must.Eq(t, until, told.View().Service("s")[0].ColdUntil, must.Sprint("who is told counts as the teller does"))
+	must.Eq(t, until.Sub(c.Now()), told.View().Service("s")[0].ColdFor(), must.Sprint("who is told counts as the teller does"))
 	// Later news don't make it longer.
 	c.Step(500 * time.Millisecond)
 	r.Apply(registrar.Batch{After: 2, At: 3, Records: []registrar.Record{{Key: "up/b", Revision: 3}}})
-	must.Eq(t, until, r.View().Service("s")[0].ColdUntil)
+	must.Eq(t, until.Sub(c.Now()), r.View().Service("s")[0].ColdFor())
 }
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/utils/clock"
+
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 )
 
@@ -27,12 +29,17 @@
 // UpstreamView is an upstream and when this process heard of it.
 type UpstreamView struct {
 	Upstream
-	// ColdUntil is when it is cold no more.
-	ColdUntil time.Time
 	// Revision is the store's counter at its record.
 	Revision uint64
+
+	clock     clock.PassiveClock
+	coldUntil time.Time
 }
 
+// ColdFor is how much longer it is cold; 0 when it is not. It is a duration and no time, as
+// whoever asks may have another clock than the registrar.
+func (u *UpstreamView) ColdFor() time.Duration { return max(0, u.coldUntil.Sub(u.clock.Now())) }
+
 func newView(r *Registrar) *View {
 	v := &View{
 		Revision: r.at,
@@ -46,7 +53,7 @@
 		case Table:
 			v.Table = f.Table
 		case Upstream:
-			u := &UpstreamView{Upstream: f, ColdUntil: r.learned[key].Add(f.Cold), Revision: r.records[key].Revision}
+			u := &UpstreamView{Upstream: f, Revision: r.records[key].Revision, clock: r.Clock, coldUntil: r.learned[key].Add(f.Cold)}
 			v.Upstreams = append(v.Upstreams, u)
 		case Drained:
 			v.drained[f.FailureDomain] = true
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -97,7 +97,7 @@
 		version = held
 	}
 	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
-	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || p.Clock.Now().Before(u.ColdUntil) {
+	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || u.ColdFor() > 0 {
 		return nil
 	}
 	p.Chooser.Begin(u.ID)
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -85,7 +85,8 @@
 type Placer struct {
 	Registrar *registrar.Registrar
 	Chooser   *scheduler.Chooser
-	Clock     clock.Clock
+	// Clock is that of the requests' deadlines; the registrar may have another.
+	Clock clock.Clock
 	// FailureDomain and Region are this entry's, Regions those of all failure domains.
 	FailureDomain, Region string
 	Regions               map[string]string
@@ -196,7 +197,7 @@
 // and leaves a third for those that it does not know of.
 func (p *Placer) coldPass(view *registrar.View, u *registrar.UpstreamView) bool {
 	service := view.Table.Services[u.Service]
-	if service == nil || service.ColdRate <= 0 || !p.Clock.Now().Before(u.ColdUntil) {
+	if service == nil || service.ColdRate <= 0 || u.ColdFor() == 0 {
 		return true
 	}
 	return p.Chooser.ColdPass(u.ID, coldPart*service.ColdRate/float64(max(leastSharers, len(view.Members))))
--- a/internal/relayer/place_test.go
+++ b/internal/relayer/place_test.go
@@ -83,6 +83,22 @@
 	must.Eq(t, 46, granted(t, 0))
 }
 
+// An entry tells ages by a clock that counts suspended time, and deadlines by the steady
+// one, which begins elsewhere. Were a time of the one compared with the other, cold engines
+// would count as warm at once and fall over, or as cold for good and stand idle.
+func TestColdEngineByAnotherClock(t *testing.T) {
+	for _, start := range []time.Time{time.Unix(7, 0), time.Unix(1e9, 0)} {
+		c, ages := clocktest.NewFakeClock(time.Unix(1000, 0)), clocktest.NewFakeClock(start)
+		p, table := newPlacer(c, 3*time.Second, 1)
+		r := &registrar.Registrar{Clock: ages, Decode: p.Registrar.Decode}
+		r.Apply(p.Registrar.Since(0))
+		p.Registrar = r
+		must.False(t, placed(p, c, table))
+		ages.Step(3 * time.Second)
+		must.True(t, placed(p, c, table))
+	}
+}
+
 // The VM of an engine freezes before the engine takes a new version, and wakes after its
 // time; a third version is named just then. The agent is silent, and entries that know
 // only how young the third naming is would send to the engine as if its weights, two
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -102,6 +102,8 @@
 	ChunkPort uint16
 	// Bound is how long after the naming of a version older weights may begin a reply.
 	Bound time.Duration
+	// Clock must be the registrar's and the ledger's, as the times of namings, turns and
+	// places are compared with each other.
 	Clock clock.Clock
 	// Digests finds out which chunks make up a version.
 	Digests *Digester
@@ -127,8 +129,33 @@
 	why      string
 }
 
+// ClocksError reports that an agent's parts have different clocks.
+type ClocksError struct {
+	// Part is the one whose clock is not the stager's.
+	Part string
+}
+
+func (e *ClocksError) Error() string { return "the clock of the " + e.Part + " is not the stager's" }
+
+// checkClocks refuses parts with a clock of their own. One clock may count the time for
+// which the VM is suspended and another not, or they begin at different years: old weights
+// would then serve for good, or none at all, and no line would say why. Refused at the
+// start, such an agent never opens its engine.
+func (s *Stager) checkClocks() error {
+	if s.Registrar.Clock != clock.PassiveClock(s.Clock) {
+		return &ClocksError{Part: "registrar"}
+	}
+	if s.Ledger.Clock != clock.PassiveClock(s.Clock) {
+		return &ClocksError{Part: "ledger"}
+	}
+	return nil
+}
+
 // Serve runs until the context ends.
 func (s *Stager) Serve(ctx context.Context) error {
+	if err := s.checkClocks(); err != nil {
+		return err
+	}
 	for {
 		changed := s.Registrar.Changed()
 		s.step(ctx)
@@ -216,8 +243,12 @@
 	view := s.Registrar.View()
 	until := s.startedAt.Add(coldAfterStart)
 	for _, u := range view.Service(s.Service) {
-		if u.Address == s.Address && u.ColdUntil.After(until) {
-			until = u.ColdUntil
+		if u.Address != s.Address {
+			continue
+		}
+		left := u.ColdFor()
+		if told := s.Clock.Now().Add(left); told.After(until) {
+			until = told
 		}
 	}
 	s.Ledger.Cold(view.Table.Services[s.Service].ColdRate, until)
