Count the time for which a VM is suspended in the ages of beliefs

Callers may have got replies begun on old weights for longer than the bound, by the time for which an agent's or entry's VM had been suspended; an entry that woke denied routes by old news and told others that it was young.

Cause: a suspended VM's steady clock, by which the standard library tells elapsed time, stands still, so that after waking all ages are too small by that time. The time of day can't take its place, as it may jump on its own.

Mend: internal/timekeeper, a clock whose Now and Since read CLOCK_BOOTTIME and whose timers are the real ones. Registrar, stager, ledger, syncer and the line "Process stood still" have it; deadlines, requests, connections, choosing, pacing and the retry budget keep the steady clock. Why it holds: no time crosses between the two. Entries and the registrar share only durations and answers; the agent's parts that compare times refuse to start with different clocks; and times of the new clock lie in 1970, so that a deadline made of one is over at once.

That the daemons are given this clock has no test of its own.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -24,6 +24,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
+	"github.com/oriolecroft/oriolecroft/internal/timekeeper"
 	"github.com/oriolecroft/oriolecroft/platform"
 )
 
@@ -75,7 +76,12 @@
 	metrics   metrics.Registry
 	parts     *suture.Supervisor
 	log       *logger.Writer
-	clock     clock.WithTicker
+	// clock is that of deadlines and of everything else that the standard library tells
+	// the time of. It stands still while the VM is suspended.
+	clock clock.WithTicker
+	// ages tells how old beliefs are and counts the time for which the VM is suspended. No
+	// time of it may be compared with one of clock.
+	ages clock.WithTicker
 }
 
 // newDaemon reads the settings and starts the log.
@@ -86,17 +92,21 @@
 	if err != nil {
 		return nil, oops.Hint("see docs/OPERATIONS.md for the settings").Wrap(err)
 	}
-	c := clock.RealClock{}
+	ages, err := timekeeper.New()
+	if err != nil {
+		return nil, oops.Hint("the platform must run programs on Linux with CLOCK_BOOTTIME").Wrap(err)
+	}
 	d := &daemon{
 		settings: s,
 		store:    platform.NewStore(s.Store.Address),
 		metrics:  metrics.NewRegistry(),
 		parts:    suture.New(name, suture.Spec{EventHook: reporter.LogEvents}),
 		log:      w,
-		clock:    c,
+		clock:    clock.RealClock{},
+		ages:     ages,
 	}
 	d.registrar = &registrar.Registrar{
-		Clock: c, Decode: platform.Decode, Linger: time.Duration(lingerPart * float64(s.Bounds.Drain)),
+		Clock: ages, Decode: platform.Decode, Linger: time.Duration(lingerPart * float64(s.Bounds.Drain)),
 	}
 	return d, nil
 }
@@ -132,7 +142,7 @@
 		d.log.Run(logs)
 	}()
 	d.parts.Add(reload{d})
-	d.parts.Add(reporter.Stalls(d.clock, d.metrics))
+	d.parts.Add(reporter.Stalls(d.ages, d.metrics))
 	defer d.exitInTime(ctx)()
 	klog.InfoS("Process starts", "vm", d.settings.Name, "failureDomain", d.settings.FailureDomain, "pid", os.Getpid())
 	err := reporter.RunUntil(ctx, d.parts, leave)
--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -78,7 +78,7 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: connector.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
 	digests := &stager.Digester{Client: client}
-	ledger := &scheduler.Ledger{Clock: d.clock}
+	ledger := &scheduler.Ledger{Clock: d.ages}
 	l := &loader.Loader{
 		ID: s.Upstream.String(), FailureDomain: s.FailureDomain, Region: s.Region, Clock: d.clock,
 		Sources: []fetcher.Source{digests}, Memory: agentMemory,
@@ -91,14 +91,14 @@
 		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
 		Registrar: d.registrar, Loader: l, Ledger: ledger, Engine: platform.NewEngine(s.Upstream),
 		Origin:    func(a netip.AddrPort) stager.Origin { return platform.NewOrigin(a) },
-		ChunkPort: d.internalPort(chunkPort), Bound: s.Bounds.Weights, Clock: d.clock, Digests: digests,
+		ChunkPort: d.internalPort(chunkPort), Bound: s.Bounds.Weights, Clock: d.ages, Digests: digests,
 	}
 	ledger.Expiry = st.Expiry
 	d.parts.Add(l)
 	d.parts.Add(st)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Region: s.Region, Registrar: d.registrar, Store: d.store,
-		Seeds: s.Seeds, Dial: dialPeer, Clock: d.clock, Random: newRandom(),
+		Seeds: s.Seeds, Dial: dialPeer, Clock: d.ages, Random: newRandom(),
 	})
 	d.tick()
 	return addAgentListeners(d, l, digests, &reserver{ledger: ledger, stager: st})
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -91,7 +91,7 @@
 	d.parts.Add(e.hoster.Registration)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
-		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.clock, Random: newRandom(),
+		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.ages, Random: newRandom(),
 	})
 	d.tick(pool.Sweep, placer.Sweep)
 	return e, e.listenAll()
@@ -136,7 +136,7 @@
 	e.hoster.Callers = listeners[0]
 	e.parts.Add(web("ready", listeners[1], platform.Ready(e.hoster.Ready)))
 	e.parts.Add(web("directory", listeners[2], platform.Directory(e.registrar)))
-	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.clock)})
+	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.ages)})
 	return e.serveMetrics(e.status, e.readiness)
 }
 
--- a/internal/reporter/stall.go
+++ b/internal/reporter/stall.go
@@ -21,7 +21,8 @@
 
 // Stalls makes a service that logs and counts when the process, or its VM, stood still. Such
 // a process writes nothing meanwhile, and what it believes is older than it looks; without
-// this line both have to be inferred from silence.
+// this line both have to be inferred from silence. The clock should count the time for which
+// the VM is suspended.
 func Stalls(c clock.WithTicker, r metrics.Registry) suture.Service {
 	last := c.Now()
 	return Every("stalls", c, stallEvery, func(context.Context) {
--- a/internal/suspender/suspender.go
+++ b/internal/suspender/suspender.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/timekeeper"
 )
 
 // VM is a VM that may be suspended for a while. Set the exported fields before use; it is
@@ -17,6 +19,8 @@
 
 	mu        sync.Mutex
 	suspended time.Duration
+	// booted is the steady clock's time when the VM was first used.
+	booted time.Time
 }
 
 // Suspend lets time pass outside in which nothing on the VM goes on, its steady clock
@@ -27,12 +31,19 @@
 	v.suspended += d
 }
 
-// Outside is how long the VM has been suspended so far.
-func (v *VM) Outside() time.Duration {
+// Clock is what a daemon on the VM tells the ages of its beliefs by.
+func (v *VM) Clock() clock.WithTicker {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.suspended
+	if v.booted.IsZero() {
+		v.booted = v.Steady.Now()
+	}
+	return &timekeeper.Clock{WithTicker: v.Steady, Elapsed: v.elapsed}
 }
 
-// Clock is what a daemon on the VM tells the ages of its beliefs by.
-func (v *VM) Clock() clock.WithTicker { return v.Steady }
+// elapsed is what the kernel of the VM tells.
+func (v *VM) elapsed() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.Steady.Since(v.booted) + v.suspended
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -80,7 +80,9 @@
 	Seeds []netip.AddrPort
 	Seed  bool
 	// Dial makes the client of a process's address.
-	Dial   func(netip.AddrPort) *messenger.Client
+	Dial func(netip.AddrPort) *messenger.Client
+	// Clock should count the time for which the VM is suspended; no time of it leaves the
+	// syncer.
 	Clock  clock.Clock
 	Random *rand.Rand
 
@@ -323,9 +325,13 @@
 		// Held back for longer, the answer would be too old when it comes.
 		over := c.After(min(q.Wait(), max(staleNews-age, 0)))
 		asked := c.Now()
+		// Should this process stand still between the two readings, what it tells counts as that
+		// much too old, and old weights end too soon; with the readings the other way round
+		// they would serve too long.
 		since := func() registrar.Batch {
+			held := c.Since(asked)
 			b := r.Since(q.After)
-			b.Held = c.Since(asked)
+			b.Held = held
 			return b
 		}
 		for {
--- /dev/null
+++ b/internal/timekeeper/timekeeper.go
@@ -0,0 +1,75 @@
+// Package timekeeper tells how long ago something was, the time included for which the VM
+// was suspended.
+//
+// The steady clock, by which the standard library tells elapsed time and runs timers,
+// stands still while a VM is suspended. The time of day goes on, but it may jump on its
+// own. Linux's CLOCK_BOOTTIME does neither.
+//
+// Times of this clock count from the VM's start, as if that had been the beginning of 1970.
+// Compare them with each other only. A deadline of a connection, of a context or of a
+// request is a time of the standard library's clock; between parts that use the one and
+// parts that use the other, durations are handed over and never times.
+package timekeeper
+
+import (
+	"fmt"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"k8s.io/utils/clock"
+)
+
+// UnreadableError reports that the kernel does not tell a clock.
+type UnreadableError struct {
+	// Clock is the kernel's name of it.
+	Clock string
+	Err   error
+}
+
+func (e *UnreadableError) Error() string { return fmt.Sprintf("read %s: %v", e.Clock, e.Err) }
+
+// Unwrap gives the kernel's error.
+func (e *UnreadableError) Unwrap() error { return e.Err }
+
+// Clock counts suspended time in Now and Since. Its timers and tickers are those of the
+// clock that it embeds, and so leave out suspended time: one that is set when the VM is
+// suspended fires that much later. Set the exported fields before use; it is safe for
+// concurrent use.
+type Clock struct {
+	clock.WithTicker
+	// Elapsed is the time since the VM's start, suspended time included.
+	Elapsed func() time.Duration
+}
+
+// New makes the clock of the VM on which the process runs. It fails where the kernel does
+// not tell suspended time.
+func New() (*Clock, error) {
+	if _, err := sinceBoot(); err != nil {
+		return nil, err
+	}
+	return &Clock{WithTicker: clock.RealClock{}, Elapsed: elapsed}, nil
+}
+
+// Now is the time since the VM's start, as a time of 1970.
+func (c *Clock) Now() time.Time { return time.Unix(0, int64(c.Elapsed())) }
+
+// Since is how long ago a time of this clock was.
+func (c *Clock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+func sinceBoot() (time.Duration, error) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, &UnreadableError{Clock: "CLOCK_BOOTTIME", Err: err}
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// elapsed can't fail: the kernel refuses only clocks that it doesn't have, and New has read
+// this one.
+func elapsed() time.Duration {
+	d, err := sinceBoot()
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/timekeeper/timekeeper_test.go
@@ -0,0 +1,78 @@
+package timekeeper_test
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/suspender"
+	"github.com/oriolecroft/oriolecroft/internal/timekeeper"
+)
+
+// kernelUptime is the time since the VM's start as the kernel tells it elsewhere, suspended
+// time included, in hundredths of a second.
+func kernelUptime(t *testing.T) time.Duration {
+	t.Helper()
+	text, err := os.ReadFile("/proc/uptime")
+	must.NoError(t, err)
+	seconds, err := strconv.ParseFloat(strings.Fields(string(text))[0], 64)
+	must.NoError(t, err)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// Were the daemons' clock the steady one after all, nothing would be seen of it until a VM
+// is suspended: callers then get old weights. On a VM that was suspended before, the
+// kernel's uptime differs from the steady clock by just that time.
+func TestClockOfThisVMCountsSinceItsStart(t *testing.T) {
+	c, err := timekeeper.New()
+	must.NoError(t, err)
+	before := kernelUptime(t)
+	now := c.Now().Sub(time.Unix(0, 0))
+	after := kernelUptime(t)
+	must.GreaterEq(t, before, now)
+	must.LessEq(t, after+10*time.Millisecond, now)
+	began := c.Now()
+	time.Sleep(20 * time.Millisecond)
+	must.GreaterEq(t, 20*time.Millisecond, c.Since(began))
+}
+
+// A timer runs by the steady clock, and the age beside it by the time that passed outside.
+func TestAgesCountASuspensionAndTimersDoNot(t *testing.T) {
+	steady := clocktest.NewFakeClock(time.Unix(1000, 0))
+	vm := &suspender.VM{Steady: steady}
+	c := vm.Clock()
+	began := c.Now()
+	over := c.After(time.Second)
+	vm.Suspend(9 * time.Second)
+	must.Eq(t, 9*time.Second, c.Since(began))
+	must.Eq(t, 0, len(over))
+	steady.Step(time.Second)
+	must.Eq(t, 10*time.Second, c.Since(began))
+	must.Eq(t, 1, len(over))
+}
+
+// A time of this clock that gets among those of the standard library must show at once: it
+// lies decades before them, so that a deadline made of it is over.
+func TestTimesDoNotPassForTimesOfDay(t *testing.T) {
+	c, err := timekeeper.New()
+	must.NoError(t, err)
+	must.True(t, c.Now().Add(24*time.Hour).Before(time.Now()))
+}
+
+func BenchmarkNow(b *testing.B) {
+	counting, err := timekeeper.New()
+	must.NoError(b, err)
+	for name, c := range map[string]clock.PassiveClock{"counting": counting, "real": clock.RealClock{}} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				_ = c.Now()
+			}
+		})
+	}
+}
