Leave time for what the prediction of a first token misses

Half a second is left for that now, where 0.15 s were.

Measured: the test, from the figures of that request, is granted before and refused now. In the audit's test the places before the long prompt are taken before the end is near, as they would be refused by now; what it checks of the long one is the same.

--- a/internal/scheduler/begin_test.go
+++ b/internal/scheduler/begin_test.go
@@ -39,3 +39,30 @@
 	read := l.Reserve(job(100, 0), 0).Wait
 	must.LessEq(t, expiry.Add(scheduler.OldWeightsMargin).Sub(c.Now()), read, must.Sprintf("waits %v, is read after %v", v.Wait, read))
 }
+
+// Just before the end of old weights' time a request with a short prompt is granted a place
+// behind others, with a wait that is predicted to end in time. Predictions miss: it began
+// 0.75 s after it had reached its engine, where 0.5 s were predicted, and its weights'
+// time had been over for 0.05 s. The lines said "waitPredicted=281ms active=16 prompt=428"
+// and "firstEvent=910ms".
+func TestGrantLeavesTimeForWhatPredictionsMiss(t *testing.T) {
+	l, c := openLedger()
+	for id := range 15 {
+		before := job(id, 300*time.Millisecond)
+		before.Prompt = 400
+		if l.Reserve(before, 0).Wait > 220*time.Millisecond {
+			break
+		}
+	}
+	expiry := c.Now().Add(20 * time.Millisecond)
+	l.Expiry = func() time.Time { return expiry }
+	late := scheduler.Job{ID: "late", Prompt: 428, Answer: 90, Patience: 300 * time.Millisecond, Left: 6 * time.Second}
+	v := l.Reserve(late, 0)
+	must.Between(t, 230*time.Millisecond, v.Wait, 300*time.Millisecond, must.Sprint("it is patient enough"))
+	must.False(t, v.Granted, must.Sprintf("with a wait of %v", v.Wait))
+	// Without others before it, it begins in time.
+	idle, c := openLedger()
+	expiry = c.Now().Add(20 * time.Millisecond)
+	idle.Expiry = func() time.Time { return expiry }
+	must.True(t, idle.Reserve(late, 0).Granted)
+}
--- a/internal/scheduler/expiry_test.go
+++ b/internal/scheduler/expiry_test.go
@@ -25,11 +25,11 @@
 	} {
 		l, clock := openLedger()
 		l.Observe(0, c.pace)
-		expiry := clock.Now().Add(time.Millisecond)
-		l.Expiry = func() time.Time { return expiry }
 		for i := range c.before {
 			must.True(t, l.Reserve(job(i, 300*time.Millisecond), 0).Granted)
 		}
+		expiry := clock.Now().Add(time.Millisecond)
+		l.Expiry = func() time.Time { return expiry }
 		long := job(50, 300*time.Millisecond)
 		long.Prompt = c.prompt
 		granted := l.Reserve(long, 0).Granted
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -19,9 +19,10 @@
 	OldWeightsMargin = 700 * time.Millisecond
 	// OldWeights is why an engine takes nothing whose weights may begin no reply any more.
 	OldWeights = "old weights"
-	// startWay is what a granted request takes to its engine: from the grant to the arrival
-	// 32 and 68 ms were seen on a recorded day, and this is twice that.
-	startWay = 150 * time.Millisecond
+	// startMargin is what a granted request's first token takes beyond its predicted wait and
+	// reading. Nine in ten came within 0.24 s on a recorded day; 0.45 s were seen at a full
+	// engine, the way there included.
+	startMargin = 500 * time.Millisecond
 )
 
 // Job is a request that asks for a place.
@@ -197,7 +198,7 @@
 // and a reply begins with its first token. A long prompt that is granted just before the end
 // of the weights' time would begin after it.
 func (l *Ledger) first(j Job, active int) time.Duration {
-	return startWay + l.cost(j) + l.scaled(PassTime(l.engine, active))
+	return startMargin + l.cost(j) + l.scaled(PassTime(l.engine, active))
 }
 
 // spareShare is the part of an engine's places up to which spare jobs get one. With
