Send nothing without asking to a VM that shows no life

Callers' requests lay at a frozen VM until it woke, seconds after they had left, and ran in vain. An entry whose question the agent did not answer sent to the engine beside it all the same, within its share. Mostly the whole VM is frozen or cut off then. It does so now only if the VM says that nobody listens (the agent alone is gone), or if one of the engine's replies went on within the last 0.3 s.

Measured: the test failed and passes.

--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -40,8 +42,9 @@
 		return nil, nil
 	}
 	if err != nil {
-		p.Chooser.Silence(u.ID, silentFor)
-		klog.InfoS("Agent silent", "upstream", u.ID, "request", j.ID, "err", err)
+		gone := errors.Is(err, syscall.ECONNREFUSED)
+		p.Chooser.Silence(u.ID, silentFor, gone)
+		klog.InfoS("Agent silent", "upstream", u.ID, "request", j.ID, "gone", gone, "err", err)
 		return p.unasked(view, u, j), nil
 	}
 	p.Chooser.Heard(u.ID, v.Wait(), load(v))
@@ -85,7 +88,9 @@
 
 // unasked gives a place at an engine whose agent is silent, within this entry's
 // share of what the engine bears. A cold engine gets none: the agent may well grant
-// others all that it bears, and under more it falls over.
+// others all that it bears, and under more it falls over. Neither does one that shows no
+// life: mostly its whole VM is frozen or cut off. The request would lie there unread until
+// its caller has left, and run in vain when the VM wakes.
 func (p *Placer) unasked(view *registrar.View, u *registrar.UpstreamView, j *Job) *Place {
 	held := u.Holds(j.Model)
 	if held == 0 || j.Version != 0 && held != j.Version || p.Registrar.Outdated(j.Model, held, p.WeightsBound/2) {
@@ -97,7 +102,7 @@
 		version = held
 	}
 	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
-	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || u.ColdFor() > 0 {
+	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || !p.Chooser.Lives(u.ID) || u.ColdFor() > 0 {
 		return nil
 	}
 	p.Chooser.Begin(u.ID)
--- a/internal/relayer/place_test.go
+++ b/internal/relayer/place_test.go
@@ -99,6 +99,25 @@
 	}
 }
 
+// The VM of an engine freezes, and its agent answers nothing. A request that is sent there
+// all the same lies unread until its caller has left, and runs in vain when the VM wakes.
+func TestFrozenVMGetsNothingUnasked(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	p, table := newPlacer(c, 0, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	// The kernel takes the connection, and nobody reads from it.
+	p.AgentPort = netip.MustParseAddrPort(l.Addr().String()).Port()
+	p.Agents.Timeout = relayer.AskTimeout
+	must.False(t, placed(p, c, table))
+	// Its replies go on, so it is the agent alone that is late.
+	p.Chooser.Alive("engine")
+	must.True(t, placed(p, c, table))
+	c.Step(time.Second)
+	must.False(t, placed(p, c, table))
+}
+
 // The VM of an engine freezes before the engine takes a new version, and wakes after its
 // time; a third version is named just then. The agent is silent, and entries that know
 // only how young the third naming is would send to the engine as if its weights, two
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -86,6 +86,7 @@
 		return c.leftError(x, err)
 	}
 	c.stream.passed(id, c.Clock.Now())
+	c.Chooser.Alive(x.upstream)
 	return nil
 }
 
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -85,8 +85,11 @@
 	// failing is the smoothed share of attempts that failed.
 	failing    float64
 	avoidUntil time.Time
-	// silentUntil is how long its agent isn't asked.
+	// silentUntil is how long its agent isn't asked; processGone tells that its VM said that
+	// nobody listens there, alive when a reply from the upstream last went on.
 	silentUntil time.Time
+	processGone bool
+	alive       time.Time
 	used        time.Time
 	recent      rateLimit
 }
@@ -267,11 +270,32 @@
 	s.avoidUntil = c.Clock.Now().Add(d)
 }
 
-// Silence notes that an upstream's agent did not answer; it isn't asked again for d.
-func (c *Chooser) Silence(id string, d time.Duration) {
+// Silence notes that an upstream's agent did not answer; it isn't asked again for d. Gone
+// tells that its VM answered in its place that nobody listens.
+func (c *Chooser) Silence(id string, d time.Duration, gone bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.of(id).silentUntil = c.Clock.Now().Add(d)
+	s := c.of(id)
+	s.silentUntil, s.processGone = c.Clock.Now().Add(d), gone
+}
+
+// aliveFor is for how long a sign of life counts: an engine at work sends each reply on
+// every 0.05 to 0.1 s.
+const aliveFor = 300 * time.Millisecond
+
+// Alive notes that a reply of an upstream went on.
+func (c *Chooser) Alive(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(id).alive = c.Clock.Now()
+}
+
+// Lives tells whether an upstream whose agent is silent showed life just now.
+func (c *Chooser) Lives(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(id)
+	return s.processGone || c.Clock.Since(s.alive) < aliveFor
 }
 
 // Silent tells whether an upstream's agent is not to be asked now.
