--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -109,6 +109,9 @@
 	Name string
 	// ColdRate is the requests a second that a cold upstream bears; 0 for no limit.
 	ColdRate float64
+	// Connections is how many connections an upstream bears from all callers; 0 for no
+	// limit.
+	Connections int
 	// Engine is set for model engines.
 	Engine *Engine
 	// Origin is set for the service that hands out weights. It is no target for
--- /dev/null
+++ b/internal/relayer/limits_test.go
@@ -0,0 +1,153 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// coldRate is what a cold upstream bears a second in these tests, and coldBound what it
+// may get from all entries together: half as much again, and five.
+const (
+	coldRate  = 14
+	coldBound = 1.5*coldRate + 5
+)
+
+// coldEntries makes entries that all know each other, before one cold upstream without an
+// agent.
+func coldEntries(c *clocktest.FakeClock, n int) []*relayer.Placer {
+	table := &matcher.Table{Version: 1, Services: map[string]*matcher.Service{"desk": {Name: "desk", ColdRate: coldRate}}}
+	table.Index()
+	decode := func(key string, _ []byte) (registrar.Fact, error) {
+		switch key {
+		case "table":
+			return registrar.Table{Table: table}, nil
+		case "upstream":
+			return registrar.Upstream{ID: key, Service: "desk", Address: netip.MustParseAddrPort("127.0.0.1:1"),
+				FailureDomain: "a", Slots: 6, Cold: time.Minute}, nil
+		default:
+			return registrar.Member{ID: key}, nil
+		}
+	}
+	b := registrar.Batch{Whole: true, At: 1000, Records: []registrar.Record{{Key: "table", Revision: 1}, {Key: "upstream", Revision: 2}}}
+	for i := range n {
+		b.Records = append(b.Records, registrar.Record{Key: fmt.Sprintf("entry-%d", i), Revision: uint64(3 + i)})
+	}
+	var ps []*relayer.Placer
+	for i := range n {
+		reg := &registrar.Registrar{Clock: c, Decode: decode}
+		reg.Apply(b)
+		ps = append(ps, &relayer.Placer{
+			Registrar: reg, Clock: c, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
+			Chooser: &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(uint64(i), 1))},
+		})
+	}
+	return ps
+}
+
+// A failure domain returns and its plain services are cold. All entries have requests for
+// them at that moment; each lets its first one through, and where there are many entries
+// the upstream gets more in one second than it bears, falls over and is cold again. Users
+// see bookings fail again and again after the outage is over.
+func TestManyEntriesSpareAColdService(t *testing.T) {
+	for _, n := range []int{1, 9, 24, 60, 300} {
+		c := clocktest.NewFakeClock(time.Unix(1000, 0))
+		ps := coldEntries(c, n)
+		var passed []time.Time
+		for range 400 {
+			for _, p := range ps {
+				j := &relayer.Job{Route: &matcher.Route{Name: "book"}, Service: "desk", Arrived: c.Now(), Deadline: c.Now().Add(time.Second)}
+				if _, err := p.Place(context.Background(), j); err == nil {
+					passed = append(passed, c.Now())
+				}
+			}
+			c.Step(50 * time.Millisecond)
+		}
+		must.Positive(t, len(passed), must.Sprintf("%d entries send nothing at all", n))
+		must.LessEq(t, int(coldBound), mostInASecond(passed), must.Sprintf("%d entries", n))
+	}
+}
+
+// mostInASecond is the largest number of moments within one second, in order of time.
+func mostInASecond(ts []time.Time) int {
+	most, from := 0, 0
+	for i, t := range ts {
+		for t.Sub(ts[from]) >= time.Second {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// One service refuses everything while another has most of the requests. Retries that the
+// busy service's requests earned are spent on the refusing one; its few requests each come
+// three times, more than the bound of a fifth and a hundred that holds for each service by
+// itself, and the trouble there lasts longer.
+func TestRetriesAreEarnedByTheirOwnService(t *testing.T) {
+	w := newWorld(t, newUpstream(t, "a", serves), newUpstream(t, "office-a", refuses), newUpstream(t, "office-b", refuses), newUpstream(t, "office-c", refuses))
+	const few, busy = 120, 12
+	for i := range few {
+		for k := range busy {
+			must.Eq(t, http.StatusOK, w.ask(t, "/safe/1", fmt.Sprintf("s%d-%d", i, k)).status)
+		}
+		w.ask(t, "/office/1", fmt.Sprintf("o%d", i))
+	}
+	came := 0
+	for _, u := range w.upstreams[1:] {
+		came += len(u.came())
+	}
+	must.LessEq(t, int(retryRatio*few)+retrySlack, came-few)
+}
+
+// Many callers book at the same moment. An upstream bears only so many connections and
+// resets those beyond; the request on one of them may have run, so its caller is told
+// that nobody knows, although other places were free.
+func TestBurstKeepsWithinAnUpstreamsConnections(t *testing.T) {
+	var mu sync.Mutex
+	open, most := 0, 0
+	u := newUpstream(t, "a", func(_ int, id string, conn net.Conn) bool {
+		mu.Lock()
+		open++
+		most = max(most, open)
+		over := open > deskConnections
+		mu.Unlock()
+		defer func() {
+			mu.Lock()
+			defer mu.Unlock()
+			open--
+		}()
+		if over {
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+		say(conn, sealed(id, "done"))
+		return true
+	})
+	w := newWorld(t, u)
+	statuses := make(chan int, 3*deskConnections)
+	for i := range cap(statuses) {
+		go func() { statuses <- w.ask(t, "/once/1", fmt.Sprintf("r%d", i)).status }()
+	}
+	counts := map[int]int{}
+	for range cap(statuses) {
+		counts[<-statuses]++
+	}
+	must.LessEq(t, deskConnections, most)
+	must.Eq(t, cap(statuses), counts[http.StatusOK]+counts[http.StatusServiceUnavailable], must.Sprint(counts))
+	must.Positive(t, counts[http.StatusOK])
+}
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -143,11 +143,13 @@
 type world struct {
 	*httptest.Server
 	relayer   *relayer.Relayer
+	upstreams []*upstream
 	registrar *registrar.Registrar
 	metrics   metrics.Registry
 }
 
-// newWorld makes an entry with one route for each kind: /safe/, /once/ and /stream/.
+// newWorld makes an entry with one route for each kind: /safe/, /once/ and /stream/. An
+// upstream whose name has a dash is of the service before it, others are of "desk".
 func newWorld(t *testing.T, upstreams ...*upstream) *world {
 	c := clock.RealClock{}
 	reg := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
@@ -157,7 +159,11 @@
 		for _, u := range upstreams {
 			if u.name == key {
 				a := netip.MustParseAddrPort(u.listener.Addr().String())
-				return registrar.Upstream{ID: u.name, Service: "desk", Address: a, FailureDomain: "a", Slots: 6}, nil
+				service, _, ok := strings.Cut(u.name, "-")
+				if !ok {
+					service = "desk"
+				}
+				return registrar.Upstream{ID: u.name, Service: service, Address: a, FailureDomain: "a", Slots: 6}, nil
 			}
 		}
 		return nil, nil
@@ -168,11 +174,11 @@
 	}
 	reg.Apply(b)
 	chooser := &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 2))}
-	w := &world{registrar: reg, metrics: metrics.NewRegistry()}
+	w := &world{upstreams: upstreams, registrar: reg, metrics: metrics.NewRegistry()}
 	w.relayer = &relayer.Relayer{
 		Registrar: reg, Chooser: chooser, Codec: codec{}, Clock: c, Random: rand.New(rand.NewPCG(3, 4)), Metrics: w.metrics,
 		Pool:   &relayer.Pool{Clock: c, Opened: func() {}},
-		Budget: &retrier.Budget{Clock: c, Burst: 100},
+		Budget: &retrier.Budget{Clock: c, Share: 0.6 * retryRatio, Burst: 0.75 * retrySlack},
 		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "r",
 			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
 	}
@@ -181,6 +187,16 @@
 	return w
 }
 
+// retryRatio and retrySlack bound the arrivals beyond the first at a service in ten
+// seconds: a share of its requests, and a number besides.
+const (
+	retryRatio = 0.2
+	retrySlack = 106
+)
+
+// deskConnections is how many connections an upstream of the service "desk" bears.
+const deskConnections = 40
+
 func table() *matcher.Table {
 	route := func(prefix string, kind matcher.Kind) *matcher.Route {
 		return &matcher.Route{Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 700 * time.Millisecond,
@@ -188,9 +204,11 @@
 	}
 	slow := route("/slow/", matcher.Streaming)
 	slow.Timeout = 20 * time.Second
+	office := route("/office/", matcher.NonIdempotent)
+	office.Targets[0].Service = "office"
 	t := &matcher.Table{Version: 1,
-		Routes:   []*matcher.Route{route("/safe/", matcher.Idempotent), route("/once/", matcher.NonIdempotent), route("/stream/", matcher.Streaming), slow},
-		Services: map[string]*matcher.Service{"desk": {Name: "desk"}},
+		Routes:   []*matcher.Route{route("/safe/", matcher.Idempotent), route("/once/", matcher.NonIdempotent), route("/stream/", matcher.Streaming), slow, office},
+		Services: map[string]*matcher.Service{"desk": {Name: "desk", Connections: deskConnections}, "office": {Name: "office"}},
 		Keys:     map[string]*matcher.Workspace{"k": {Name: "farm"}},
 	}
 	t.Index()
