Divide a cold service's limit so that many entries keep it, also while they come and go

At a service without agents each entry let its first request through at once: 60 entries sent 60 in a second where the rule allows 26.

Cause: the division bounds each entry's rate; below one a second nothing bounds how many of them send their one in the same second. Change: while one request from everybody is within two thirds of the rule's bound, as before (whole requests only, above one a second). Beyond, each entry sends in windows of 0.1 s, one in a round, with a phase drawn by itself: a burst meets only those whose window is open. The bound's figures come from the settings. An entry that changes from one way to the other waits a second; without that the fuzzing found 165 for 164 (109 entries, 45 leave) and 121 for 120.

Fuzzing against a count of what arrives: 1 to some 500 entries, rates 4 to 120, joining, leaving, standing still with a request in hand, each knowing from three quarters of the others to a quarter too many. TestManyEntriesSpareAColdService failed (60 for 26) and passes for 1, 9, 24, 60 and 300. TestColdUpstreamWithoutAgent moved to cold_test.go and asks the same of shares, with TestManyEntriesSendByWindows for its forty entries.

--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -53,7 +53,8 @@
 		reg.Apply(b)
 		ps = append(ps, &relayer.Placer{
 			Registrar: reg, Clock: c, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
-			Chooser: &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(uint64(i), 1))},
+			Chooser:    &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(uint64(i), 1))},
+			ColdFactor: 1.5, ColdSlack: 5,
 		})
 	}
 	return ps
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -24,10 +24,8 @@
 	againHeld = 600 * time.Millisecond
 	// heldPause is the pause between two rounds of questions.
 	heldPause = 20 * time.Millisecond
-	// coldPart is the part of a cold upstream's rate that entries divide among them.
-	coldPart = 0.67
-	// leastSharers is among how many entries it is divided at least: after a loss of all,
-	// each knows only itself at first.
+	// leastSharers is among how many entries a cold upstream's rate is divided at least:
+	// after a loss of all, each knows only itself at first.
 	leastSharers = 24
 	// busyRetry is the time to come back when nothing better is known.
 	busyRetry = time.Second
@@ -97,6 +95,9 @@
 	// WeightsBound is how long after the naming of a version older weights may begin
 	// a reply.
 	WeightsBound time.Duration
+	// ColdFactor and ColdSlack bound what a cold upstream may get from all entries in a
+	// second: so many times its rate, and a number besides.
+	ColdFactor, ColdSlack float64
 }
 
 // Place finds an upstream. Errors are *RefusedError and the context's.
@@ -192,14 +193,16 @@
 }
 
 // coldPass tells whether an upstream without an agent may get one more request now. A
-// cold one bears only so many a second from all entries together; each takes its part,
-// and leaves a third for those that it does not know of.
+// cold one bears only so many a second from all entries together; each takes its part.
 func (p *Placer) coldPass(view *registrar.View, u *registrar.UpstreamView) bool {
 	service := view.Table.Services[u.Service]
 	if service == nil || service.ColdRate <= 0 || !p.Clock.Now().Before(u.ColdUntil) {
 		return true
 	}
-	return p.Chooser.ColdPass(u.ID, coldPart*service.ColdRate/float64(max(leastSharers, len(view.Members))))
+	return p.Chooser.ColdPass(u.ID, scheduler.ColdShare{
+		Rate: service.ColdRate, Bound: max(1, p.ColdFactor)*service.ColdRate + p.ColdSlack,
+		Sharers: max(leastSharers, len(view.Members)),
+	})
 }
 
 // Sweep closes the connections to agents whose engines are gone.
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -88,7 +88,7 @@
 	// silentUntil is how long its agent isn't asked.
 	silentUntil time.Time
 	used        time.Time
-	recent      rateLimit
+	cold        coldTurn
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -101,7 +101,7 @@
 	}
 	s := c.seen[id]
 	if s == nil {
-		s = &seen{}
+		s = &seen{cold: coldTurn{phase: c.Random.Float64()}}
 		c.seen[id] = s
 	}
 	s.used = c.Clock.Now()
@@ -251,12 +251,11 @@
 }
 
 // ColdPass lets a request through to a cold upstream without an agent, within this
-// entry's part of what it bears a second.
-func (c *Chooser) ColdPass(id string, rate float64) bool {
+// entry's part of what it bears.
+func (c *Chooser) ColdPass(id string, share ColdShare) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, ok := c.of(id).recent.pass(c.Clock.Now(), rate)
-	return ok
+	return c.of(id).cold.pass(c.Clock.Now(), share)
 }
 
 // Avoid passes an upstream over for a while, such as one that said to be full.
