Give each service a retry budget of its own, and let an entry begin with nothing saved

The rule counts arrivals beyond the first for each service; the entry had one budget for all. What the engines' requests earn was spent on a service that refuses everything: 120 requests there came 240 times more, 130 are allowed. Change: retrier.Budgets, one for each service. 2. A new entry took its whole part of the savings, and a sixth where it knew nobody: 9 entries that start together sent 126 retries for 72 requests, 120 are allowed; 300 send far more. Change: a shared budget begins empty and saves what its requests earn; what is earned without requests is divided among 24 at least. 3. The savings of all are 0.6 of the slack, not 0.75: with the 0.1 earned without requests the bound then holds while each knows seven tenths of the others, before 85 in 100.

Cost: in its first seconds an entry has no savings to retry with.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -33,7 +33,7 @@
 	// within a window without any request. All of them together stay below the bound;
 	// the rest is a margin for entries that come and go.
 	retryShare = 0.6
-	retryBurst = 0.75
+	retryBurst = 0.6
 	retryFloor = 0.1
 	// leastSharers is among how many entries the slack is divided at least, as a new
 	// entry knows of few others.
@@ -85,7 +85,7 @@
 		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock, LeastLease: s.Store.LeastLease},
 		Requests: &relayer.Relayer{
 			Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
-			Budget: retryBudget(s.Bounds, d), Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
+			Budgets: &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
 		},
 	}
 	e.hoster.Registration.Ready = e.hoster.Ready
@@ -98,7 +98,7 @@
 	return e, e.listenAll()
 }
 
-// retryBudget divides what all entries may send beyond first attempts.
+// retryBudget divides what all entries may send to a service beyond first attempts.
 func retryBudget(b platform.Bounds, d *daemon) *retrier.Budget {
 	return &retrier.Budget{
 		Clock: d.clock, Share: retryShare * b.RetryRatio,
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -36,10 +36,11 @@
 	Chooser   *scheduler.Chooser
 	Pool      *Pool
 	Codec     Codec
-	Budget    *retrier.Budget
-	Clock     clock.Clock
-	Random    *rand.Rand
-	Metrics   metrics.Registry
+	// Budgets bound the retries at each service.
+	Budgets *retrier.Budgets
+	Clock   clock.Clock
+	Random  *rand.Rand
+	Metrics metrics.Registry
 
 	mu sync.Mutex
 	// longestPatience is the longest that callers of each route were seen to wait.
@@ -193,7 +194,7 @@
 
 // run makes attempts until one gives the caller its answer.
 func (c *call) run(ctx context.Context) {
-	c.Budget.First()
+	c.Budgets.Of(c.Service).First()
 	for {
 		place, err := c.Placer.Place(ctx, &c.Job)
 		if err != nil {
@@ -252,7 +253,7 @@
 	if c.attempts >= c.Route.MaxAttempts || c.sends >= maxSends {
 		return false
 	}
-	if !c.Budget.Take() {
+	if !c.Budgets.Of(c.Service).Take() {
 		c.log("No retry left in the budget", nil)
 		return false
 	}
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -177,8 +177,10 @@
 	w := &world{upstreams: upstreams, registrar: reg, metrics: metrics.NewRegistry()}
 	w.relayer = &relayer.Relayer{
 		Registrar: reg, Chooser: chooser, Codec: codec{}, Clock: c, Random: rand.New(rand.NewPCG(3, 4)), Metrics: w.metrics,
-		Pool:   &relayer.Pool{Clock: c, Opened: func() {}},
-		Budget: &retrier.Budget{Clock: c, Share: 0.6 * retryRatio, Burst: 0.75 * retrySlack},
+		Pool: &relayer.Pool{Clock: c, Opened: func() {}},
+		Budgets: &retrier.Budgets{New: func() *retrier.Budget {
+			return &retrier.Budget{Clock: c, Share: 0.6 * retryRatio, Burst: 0.6 * retrySlack}
+		}},
 		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "r",
 			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
 	}
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -23,7 +23,8 @@
 	// Burst is how many retries can be saved up; 0 means 10.
 	Burst float64
 	// Sharers, when set, tells how many entries share Floor and Burst; each then has
-	// that part of them.
+	// that part of them. Such a budget begins with nothing saved: entries that start
+	// together know nobody, and each would take the whole for its own.
 	Sharers func() int
 
 	mu    sync.Mutex
@@ -53,24 +54,31 @@
 // earn adds the given amount and what the floor has earned since the last call.
 func (b *Budget) earn(amount float64) {
 	now := b.Clock.Now()
-	part := b.part()
-	burst := orDefault(b.Burst, 10) * part
+	burst := orDefault(b.Burst, 10) * b.part(1)
 	if b.last.IsZero() {
 		b.last = now
-		b.saved = burst
+		if b.Sharers == nil {
+			b.saved = burst
+		}
 	}
 	if d := now.Sub(b.last); d > 0 {
-		amount += d.Seconds() * orDefault(b.Floor, 1) * part
+		amount += d.Seconds() * orDefault(b.Floor, 1) * b.part(leastFloorSharers)
 		b.last = now
 	}
 	b.saved = min(burst, b.saved+amount)
 }
 
-func (b *Budget) part() float64 {
+// leastFloorSharers is among how many entries Floor is divided at least. It is earned
+// without any request, so that hundreds of entries that know only themselves for some
+// seconds would earn more than the bound.
+const leastFloorSharers = 24
+
+// part is this entry's part of what all share, with so many sharers at least.
+func (b *Budget) part(least int) float64 {
 	if b.Sharers == nil {
 		return 1
 	}
-	return 1 / float64(max(1, b.Sharers()))
+	return 1 / float64(max(least, b.Sharers()))
 }
 
 func orDefault(v, d float64) float64 {
