Keep within the connections that an upstream bears

Callers got "unknown" for bookings at upstreams that were well: of 120 at once each opened a connection of its own, and the upstream resets those beyond its 40, perhaps after the request ran.

Cause: the pool bounded idle connections only (four an upstream and entry). Change: each entry opens at most its part of 0.8 of the table's max_connections, six sharers at least; an idle one makes room, a full upstream is passed over when a place is sought, and who still finds none has certainly not run.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -48,7 +48,8 @@
 	c.sends++
 	// A kept connection may be closed by the upstream just as the request is sent,
 	// and its end is then unknown; what may run only once goes on a new one.
-	o := sendOptions{fresh: !c.Route.Repeatable(), headerWithin: c.headerWithin(place)}
+	o := sendOptions{fresh: !c.Route.Repeatable(), headerWithin: c.headerWithin(place),
+		connections: c.Placer.connections(u)}
 	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
 	if err != nil {
 		return err
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -83,13 +83,15 @@
 	fresh bool
 	// headerWithin is how long the reply's header may take; 0 for no limit of its own.
 	headerWithin time.Duration
+	// connections is how many this entry may have at the upstream; 0 for any.
+	connections int
 }
 
 // send starts an exchange. It never sends a request twice: net/http's transport
 // does so by itself when a connection breaks, and a booking would be made twice.
 // Errors are *SendError.
 func (p *Pool) send(ctx context.Context, codec Codec, upstream string, a netip.AddrPort, m *message, id string, o sendOptions) (*exchange, error) {
-	conn, err := p.get(ctx, upstream, a, o.fresh)
+	conn, err := p.get(ctx, upstream, a, o.fresh, o.connections)
 	if err != nil {
 		// Without a connection nothing was sent.
 		return nil, &SendError{Upstream: upstream, Outcome: retrier.NotRun, Err: err}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -182,14 +182,19 @@
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
+	reason := "all upstreams cold"
 	for _, u := range us {
+		if limit := p.connections(u); limit > 0 && p.Chooser.Running(u.ID) >= limit {
+			reason = "all upstreams have all connections in use"
+			continue
+		}
 		if !p.coldPass(view, u) {
 			continue
 		}
 		p.Chooser.Begin(u.ID)
 		return &Place{Upstream: u, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}, nil
 	}
-	return nil, &RefusedError{Reason: "all upstreams cold", RetryAfter: busyRetry}
+	return nil, &RefusedError{Reason: reason, RetryAfter: busyRetry}
 }
 
 // coldPass tells whether an upstream without an agent may get one more request now. A
@@ -205,6 +210,25 @@
 	})
 }
 
+const (
+	// connectionsPart is the part of an upstream's connections that entries divide among
+	// them. The rest is for entries that are not known, and for connections that are closed
+	// here and still count there.
+	connectionsPart = 0.8
+	// leastConnectionSharers is among how many entries they are divided at least.
+	leastConnectionSharers = 6
+)
+
+// connections is how many this entry may have at an upstream; 0 for any.
+func (p *Placer) connections(u *registrar.UpstreamView) int {
+	view := p.Registrar.View()
+	service := view.Table.Services[u.Service]
+	if service == nil || service.Connections <= 0 {
+		return 0
+	}
+	return max(1, int(connectionsPart*float64(service.Connections)/float64(max(leastConnectionSharers, len(view.Members)))))
+}
+
 // Sweep closes the connections to agents whose engines are gone.
 func (p *Placer) Sweep() {
 	view := p.Registrar.View()
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -37,6 +38,21 @@
 	// reused connections have answered a request before.
 	reused bool
 	until  time.Time
+	closed func()
+}
+
+// Close closes the connection; more than once does no harm.
+func (c *connection) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// ConnectionsError reports an upstream at which this entry has all the connections that it
+// may open.
+type ConnectionsError struct{ Limit int }
+
+func (e *ConnectionsError) Error() string {
+	return fmt.Sprintf("all %d connections in use", e.Limit)
 }
 
 // Pool keeps connections to upstreams. An address may come to belong to another
@@ -48,11 +64,13 @@
 
 	mu   sync.Mutex
 	idle map[string][]*connection
+	// open counts connections to each upstream, idle ones and those in use.
+	open map[string]int
 }
 
 // get gives a connection to the upstream: an idle one, unless a new one is asked
-// for.
-func (p *Pool) get(ctx context.Context, upstream string, a netip.AddrPort, fresh bool) (*connection, error) {
+// for. A limit above zero bounds how many there are at once.
+func (p *Pool) get(ctx context.Context, upstream string, a netip.AddrPort, fresh bool, limit int) (*connection, error) {
 	if !fresh {
 		for c := p.take(upstream); c != nil; c = p.take(upstream) {
 			if p.Clock.Now().Before(c.until) && c.reader.Buffered() == 0 && connector.Quiet(c.Conn) {
@@ -62,14 +80,56 @@
 			c.Close()
 		}
 	}
+	if !p.reserve(upstream, limit) {
+		return nil, &ConnectionsError{Limit: limit}
+	}
+	free := sync.OnceFunc(func() { p.free(upstream) })
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := connector.Dial(ctx, a)
 	if err != nil {
+		free()
 		return nil, err
 	}
 	p.Opened()
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), closed: free}, nil
+}
+
+// reserve counts one more connection, if need be in the place of an idle one.
+//
+// An upstream resets connections beyond those that it bears from all callers, with whatever
+// was sent on them: a booking on one may have run, and its caller is told that nobody knows.
+// One notices resets at upstreams that are well, in bursts. A request that gets no
+// connection here has certainly not run, and may go elsewhere or come back.
+func (p *Pool) reserve(upstream string, limit int) bool {
+	p.mu.Lock()
+	full := limit > 0 && p.open[upstream] >= limit
+	p.mu.Unlock()
+	if full {
+		c := p.take(upstream)
+		if c == nil {
+			return false
+		}
+		c.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit > 0 && p.open[upstream] >= limit {
+		return false
+	}
+	if p.open == nil {
+		p.open = map[string]int{}
+	}
+	p.open[upstream]++
+	return true
+}
+
+func (p *Pool) free(upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[upstream]--; p.open[upstream] <= 0 {
+		delete(p.open, upstream)
+	}
 }
 
 func (p *Pool) take(upstream string) *connection {
@@ -97,23 +157,37 @@
 	}
 	c.until = p.Clock.Now().Add(keep)
 	_ = c.SetDeadline(time.Time{})
+	if !p.keep(upstream, c) {
+		c.Close()
+	}
+}
+
+func (p *Pool) keep(upstream string, c *connection) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
 		p.idle = map[string][]*connection{}
 	}
 	if len(p.idle[upstream]) >= maxIdleConnections {
-		c.Close()
-		return
+		return false
 	}
 	p.idle[upstream] = append(p.idle[upstream], c)
+	return true
 }
 
 // Sweep closes connections that were idle for too long.
 func (p *Pool) Sweep() {
+	for _, c := range p.expired() {
+		c.Close()
+	}
+}
+
+// expired takes the connections out that were idle for too long.
+func (p *Pool) expired() []*connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
+	var old []*connection
 	for upstream, cs := range p.idle {
 		kept := cs[:0]
 		for _, c := range cs {
@@ -121,7 +195,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			c.Close()
+			old = append(old, c)
 		}
 		if len(kept) == 0 {
 			delete(p.idle, upstream)
@@ -129,4 +203,5 @@
 		}
 		p.idle[upstream] = kept
 	}
+	return old
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -230,7 +230,11 @@
 		// The caller left; that says nothing of the upstream.
 		return
 	}
-	c.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
+	var full *ConnectionsError
+	if !errors.As(err, &full) {
+		// A limit of this entry's own says nothing of the upstream either.
+		c.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
+	}
 	if s.Outcome == retrier.NotRun && s.Status != 0 {
 		c.Chooser.Avoid(upstream, refusedPause)
 	}
