--- /dev/null
+++ b/internal/scheduler/restart_test.go
@@ -0,0 +1,37 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// An agent is killed while its engine is cold, and comes back within the second. It does not
+// know what the one before it granted, and grants as much once more; together that is more
+// than the engine bears, and all requests that it runs are lost.
+func TestNewAgentSparesAColdEngine(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	const rate = 26
+	var granted []time.Time
+	for agent := range 5 {
+		l := &scheduler.Ledger{Clock: c}
+		l.Cold(rate, c.Now().Add(10*time.Second))
+		l.Open(&matcher.Engine{Slots: 100, ReadPerSecond: 20000, Step: time.Millisecond, Chunk: 512, Stride: 4})
+		for i := range 50 * (agent + 1) {
+			id := fmt.Sprintf("%d-%d", agent, i)
+			if l.Reserve(scheduler.Job{ID: id, Prompt: 1, Answer: 1, Patience: time.Hour, Left: time.Hour}, 0).Granted {
+				granted = append(granted, c.Now())
+				l.Ended(id)
+			}
+			c.Step(10 * time.Millisecond)
+		}
+	}
+	must.Positive(t, len(granted))
+	must.LessEq(t, int(1.5*rate+5), mostInASecond(granted))
+}
