Let a new agent grant a cold engine nothing for a second

A cold engine could get its rate twice in a second: from an agent that was killed, and from its successor, which counts from nothing (52 where 44 are allowed).

Change: the ledger gives no place at a cold engine within a second of its first look. An agent that starts with its engine brings weights first and is later than that anyhow. TestColdEngineGetsNoMoreThanItBears asks for the refusal and then counts as before.

--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -67,6 +67,8 @@
 	coldRate  float64
 	coldUntil time.Time
 	recent    rateLimit
+	// began is when Cold was first called.
+	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
 }
@@ -110,10 +112,15 @@
 const OldWeights = "old weights"
 
 // Cold bounds what is let in until a moment, in requests a second. A cold engine falls
-// over under a full load, and all that runs there is lost.
+// over under a full load, and all that runs there is lost. A cold engine gets nothing within
+// a second of the first call: an agent that was killed may have granted as much as the engine
+// bears just before, and its successor knows nothing of that.
 func (l *Ledger) Cold(rate float64, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.began.IsZero() {
+		l.began = l.Clock.Now()
+	}
 	l.coldRate, l.coldUntil = rate, until
 }
 
@@ -166,8 +173,7 @@
 		v.Free = v.Wait - j.Patience
 		return v
 	}
-	if wait, ok := l.recent.room(now, l.coldRate); !ok && l.coldRate > 0 && now.Before(l.coldUntil) {
-		v.Free = wait
+	if v.Free = l.coldWait(now); v.Free > 0 {
 		return v
 	}
 	l.grant(j, owner, now)
@@ -176,6 +182,21 @@
 	return v
 }
 
+// coldWait is how long until a cold engine may get one more; 0 for at once.
+func (l *Ledger) coldWait(now time.Time) time.Duration {
+	wait, ok := l.recent.room(now, l.coldRate)
+	if l.coldRate <= 0 || !now.Before(l.coldUntil) {
+		return 0
+	}
+	if first := l.began.Add(coldSecond).Sub(now); first > 0 {
+		return first
+	}
+	if ok {
+		return 0
+	}
+	return wait
+}
+
 func (l *Ledger) expired(now time.Time) bool {
 	if l.Expiry == nil {
 		return false
--- a/internal/scheduler/ledger_test.go
+++ b/internal/scheduler/ledger_test.go
@@ -126,6 +126,8 @@
 func TestColdEngineGetsNoMoreThanItBears(t *testing.T) {
 	l, c := openLedger()
 	l.Cold(5, c.Now().Add(10*time.Second))
+	must.False(t, l.Reserve(scheduler.Job{ID: "early", Prompt: 10, Answer: 1, Patience: time.Hour, Left: time.Second}, 0).Granted)
+	c.Step(time.Second)
 	granted := 0
 	for i := range 200 {
 		id := fmt.Sprint(i)
