Lead each failed request's lines to its cause, and bound what refusals log

Tests on lines captured from the real relayer and granter found three gaps: - A refused request whose engines were known to be full or closed has no line at any agent: nobody is asked then. Refused now says what it met (full, closed and why, passed over, silent, not asked) and whether the caller had come back (returned). - A late answer could not be told from others. Served says by how much it is late. - An agent says why it is closed, but not since when. explain shows each process's last word on its engine before the request. The agent's answering moved from the command to internal/granter so that it can be tested. It logs a hundred refusals at once and then fifty a second, and counts the rest.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"golang.org/x/time/rate"
-	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
+	"github.com/oriolecroft/oriolecroft/internal/granter"
 	"github.com/oriolecroft/oriolecroft/internal/loader"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
@@ -101,7 +101,7 @@
 		Seeds: s.Seeds, Dial: dialPeer, Clock: d.clock, Random: newRandom(),
 	})
 	d.tick()
-	return addAgentListeners(d, l, digests, &reserver{ledger: ledger, stager: st})
+	return addAgentListeners(d, l, digests, &granter.Granter{Ledger: ledger, Holds: st.Holds, Clock: d.clock})
 }
 
 // chunkUpload paces what is sent to other agents; nil when the link's rate isn't told.
@@ -112,7 +112,7 @@
 	return rate.NewLimiter(rate.Limit(uploadShare*float64(link)), uploadPieces)
 }
 
-func addAgentListeners(d *daemon, l *loader.Loader, digests *stager.Digester, r *reserver) error {
+func addAgentListeners(d *daemon, l *loader.Loader, digests *stager.Digester, g *granter.Granter) error {
 	places, err := d.listen(netip.AddrPortFrom(d.settings.IP, d.internalPort(reservePort)))
 	if err != nil {
 		return err
@@ -125,35 +125,6 @@
 	mux.Handle("/", l.Handler())
 	mux.Handle(stager.VersionsPath, digests.Handler())
 	d.parts.Add(web("chunks", chunks, mux))
-	d.parts.Add(&messenger.Server{Listener: places, OnReserve: r.reserve, OnProgress: r.progress, OnLost: r.lost})
+	d.parts.Add(&messenger.Server{Listener: places, OnReserve: g.Reserve, OnProgress: g.Progress, OnLost: g.Lost})
 	return d.serveMetrics(d.status, d.readiness)
 }
-
-// reserver answers entries that ask for places.
-type reserver struct {
-	ledger *scheduler.Ledger
-	stager *stager.Stager
-}
-
-func (r *reserver) reserve(q messenger.Reservation, from *messenger.Link) messenger.Verdict {
-	v := r.ledger.Reserve(scheduler.Job{
-		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
-	}, from)
-	klog.InfoS("Place asked", "request", q.Request, "granted", v.Granted, "closed", v.Closed, "wait", v.Wait,
-		"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt)
-	return messenger.Verdict{
-		Granted: v.Granted, Closed: v.Closed, Version: r.stager.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
-		FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
-	}
-}
-
-func (r *reserver) progress(p messenger.Progress, _ *messenger.Link) {
-	for _, id := range p.Started {
-		r.ledger.Started(id)
-	}
-	for _, id := range p.Ended {
-		r.ledger.Ended(id)
-	}
-}
-
-func (r *reserver) lost(from *messenger.Link) { r.ledger.Lost(from) }
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -92,7 +92,8 @@
 }
 
 // Explain writes the lines of a request and, marked by a dash, those on its upstreams
-// around it by the same processes. All others tell the same of an upstream.
+// around it by the same processes, and their last words before it on their engines. All
+// others tell the same of an upstream.
 func Explain(w io.Writer, lines []Line, request string) error {
 	own := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return l.text("request") != request })
 	if len(own) == 0 {
@@ -108,8 +109,9 @@
 			upstreams[u] = true
 		}
 	}
+	gates := lastGates(lines, processes, own[0].Time)
 	shown := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool {
-		if l.text("request") == request {
+		if l.text("request") == request || gates[l.process()].same(l) {
 			return false
 		}
 		return l.text("request") != "" || !upstreams[l.text("upstream")] || !processes[l.process()] || l.Time.Before(from) || l.Time.After(to)
@@ -124,6 +126,30 @@
 	return err
 }
 
+// gateLines are those by which an agent tells whether its engine takes requests.
+var gateLines = map[string]bool{"Engine opened": true, "Engine closed": true, "Engine ordered to load": true}
+
+// lastGates gives each process's last word on its engine before a moment, however long ago:
+// an agent that refuses says why it is closed, but not since when.
+func lastGates(lines []Line, processes map[string]bool, before time.Time) map[string]gate {
+	gates := map[string]gate{}
+	for _, l := range lines {
+		p := l.process()
+		if gateLines[l.Msg] && processes[p] && !l.Time.After(before) && !l.Time.Before(gates[p].at) {
+			gates[p] = gate{l.Time, l.Msg}
+		}
+	}
+	return gates
+}
+
+// gate is a process's word on its engine.
+type gate struct {
+	at  time.Time
+	msg string
+}
+
+func (g gate) same(l Line) bool { return l.Msg == g.msg && l.Time.Equal(g.at) }
+
 func printLine(w io.Writer, l Line, began time.Time, own bool) error {
 	mark := "-"
 	if own {
@@ -159,6 +185,9 @@
 func outcome(own []Line) string {
 	for _, l := range slices.Backward(own) {
 		if text, ok := outcomes[l.Msg]; ok {
+			if late := l.text("lateMs"); late != "" {
+				text += ", but " + late + " ms after the route's objective"
+			}
 			return l.Msg + ": " + text
 		}
 	}
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -43,3 +43,24 @@
 	var unknown *explainer.UnknownRequestError
 	must.True(t, errors.As(err, &unknown))
 }
+
+// An agent refuses because its engine is closed, and closed it a minute ago. The engineer
+// needs to see since when, and not every earlier turn.
+func TestLastWordOnTheEngineIsShown(t *testing.T) {
+	lines, _, err := explainer.Read(strings.NewReader(`
+side-1 {"time":"2026-01-01T00:00:01Z","msg":"Engine opened","agent":"side-1","version":1}
+side-1 {"time":"2026-01-01T00:00:02Z","msg":"Engine closed","agent":"side-1","why":"switching weights"}
+side-2 {"time":"2026-01-01T00:00:02Z","msg":"Engine closed","agent":"side-2","why":"no weights"}
+side-1 {"time":"2026-01-01T00:01:00Z","msg":"Place asked","request":"r1","granted":false,"closed":"switching weights"}
+side-1 {"time":"2026-01-01T00:01:01Z","msg":"Engine opened","agent":"side-1","version":2}
+front-1 {"time":"2026-01-01T00:01:02Z","msg":"Refused","request":"r1","reason":"all engines full"}
+`))
+	must.NoError(t, err)
+	var out strings.Builder
+	must.NoError(t, explainer.Explain(&out, lines, "r1"))
+	got := strings.Split(strings.TrimSpace(out.String()), "\n")
+	must.Len(t, 4, got)
+	must.StrContains(t, got[0], "side-1 Engine closed")
+	must.StrContains(t, got[1], "Place asked")
+	must.StrContains(t, got[2], "Refused")
+}
--- /dev/null
+++ b/internal/granter/granter.go
@@ -0,0 +1,78 @@
+// Package granter answers the entries that ask an agent for places at its engine, and logs
+// each answer so that a refused request leads to its cause.
+package granter
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+const (
+	// refusalLines is how many refusals are logged a second, after a first refusalBurst. At
+	// 1.4 times what twelve engines bear, an agent refuses some 25 questions a second; a
+	// burst at all entries asks each agent hundreds of times within the same moment.
+	refusalLines = 50
+	refusalBurst = 100
+)
+
+// Granter grants places. Set the exported fields before use.
+type Granter struct {
+	Ledger *scheduler.Ledger
+	// Holds gives the version of a model in the engine; 0 for none.
+	Holds func(model string) uint64
+	Clock clock.PassiveClock
+
+	once sync.Once
+	// logged bounds the lines on refusals, and unlogged counts those left out since the
+	// last. Bursts would else fill the log with lines that all say the same, and those of
+	// other requests would be dropped; the entry's line on the refused request tells what
+	// its agents said, too.
+	logged   *rate.Limiter
+	unlogged atomic.Int64
+}
+
+// Reserve answers a question for a place.
+func (g *Granter) Reserve(q messenger.Reservation, from *messenger.Link) messenger.Verdict {
+	v := g.Ledger.Reserve(scheduler.Job{
+		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
+	}, from)
+	if v.Granted || g.logs() {
+		klog.InfoS("Place asked", "request", q.Request, "granted", v.Granted, "closed", v.Closed, "wait", v.Wait,
+			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
+			"unlogged", g.unlogged.Swap(0))
+	}
+	return messenger.Verdict{
+		Granted: v.Granted, Closed: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
+		FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
+	}
+}
+
+// logs tells whether one more refusal is logged now.
+func (g *Granter) logs() bool {
+	g.once.Do(func() { g.logged = rate.NewLimiter(refusalLines, refusalBurst) })
+	if g.logged.AllowN(g.Clock.Now(), 1) {
+		return true
+	}
+	g.unlogged.Add(1)
+	return false
+}
+
+// Progress notes what became of requests that got places.
+func (g *Granter) Progress(p messenger.Progress, _ *messenger.Link) {
+	for _, id := range p.Started {
+		g.Ledger.Started(id)
+	}
+	for _, id := range p.Ended {
+		g.Ledger.Ended(id)
+	}
+}
+
+// Lost frees what a connection that is over had.
+func (g *Granter) Lost(from *messenger.Link) { g.Ledger.Lost(from) }
--- /dev/null
+++ b/internal/granter/granter_test.go
@@ -0,0 +1,51 @@
+package granter_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/klog/v2"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/granter"
+	"github.com/oriolecroft/oriolecroft/internal/logger"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// All entries ask a closed engine's agent at once, a thousand times. Were each refusal a
+// line, the log's queue would be full and the lines of requests that were served would be
+// missing when somebody looks for them.
+func TestRefusalsAreLoggedUpToABound(t *testing.T) {
+	var out bytes.Buffer
+	logger.Install(&out)
+	defer klog.ClearLogger()
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	l := &scheduler.Ledger{Clock: c}
+	l.Close("no weights")
+	g := &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 0 }, Clock: c}
+	ask := func(id string) bool {
+		return g.Reserve(messenger.Reservation{Request: id, Prompt: 1, PatienceMS: 100, LeftMS: 1000}, nil).Granted
+	}
+	for i := range 1000 {
+		must.False(t, ask(fmt.Sprint(i)))
+	}
+	must.Eq(t, 100, bytes.Count(out.Bytes(), []byte("\n")))
+	out.Reset()
+
+	// A grant is always logged, and says how many lines were left out before it.
+	l.Open(&matcher.Engine{Slots: 4, ReadPerSecond: 1000, Step: time.Millisecond, Chunk: 512, Stride: 4})
+	must.True(t, ask("granted"))
+	var line struct {
+		Request  string
+		Unlogged int
+	}
+	must.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	must.Eq(t, "granted", line.Request)
+	must.Eq(t, 900, line.Unlogged)
+}
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -60,3 +60,38 @@
 	must.Eq(t, "r1", line.Request)
 	must.Eq(t, 1.5, line.RetryAfterMs)
 }
+
+// BenchmarkRequest is what the two lines of a served stream cost: that of the agent which
+// granted the place, and the entry's.
+func BenchmarkRequest(b *testing.B) {
+	var written countingWriter
+	w := logger.New(&written)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { w.Run(ctx); close(ended) }()
+	logger.Install(w)
+	defer klog.ClearLogger()
+	b.ReportAllocs()
+	for b.Loop() {
+		klog.InfoS("Place asked", "request", "9c41d07be2a35f68", "granted", true, "closed", "", "wait", 35*time.Millisecond,
+			"patience", 300*time.Millisecond, "active", 9, "slots", 16, "prompt", 1290, "spare", false, "unlogged", 0)
+		klog.InfoS("Served", "request", "9c41d07be2a35f68", "route", "r-2xp4zhp", "workspace", "farm-12",
+			"after", 1834*time.Millisecond, "sends", 1, "upstream", "i-573704f852", "status", 200, "upstreamRevision", 1210,
+			"events", 20, "firstEvent", 212*time.Millisecond, "longestPause", 61*time.Millisecond,
+			"waitPredicted", 35*time.Millisecond, "active", 9, "prompt", 1290, "revision", 1318)
+	}
+	b.StopTimer()
+	stop()
+	<-ended
+	if lines := 2*b.N - int(w.Dropped()); lines > 0 {
+		b.ReportMetric(2*float64(written)/float64(lines), "logged-B/op")
+	}
+}
+
+// countingWriter counts bytes.
+type countingWriter int
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	*c += countingWriter(len(p))
+	return len(p), nil
+}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -46,10 +46,28 @@
 func (c *call) refuse(e *RefusedError) {
 	c.count("refused")
 	wait := c.spread(e.RetryAfter)
-	c.log("Refused", nil, "reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived))
+	fields := []any{"reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived), "returned", c.Returned}
+	c.log("Refused", nil, append(fields, e.Met.fields()...)...)
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
 }
 
+// fields are those that aren't zero, for the log.
+func (m Met) fields() []any {
+	var fields []any
+	for _, f := range []struct {
+		name  string
+		count int
+	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}} {
+		if f.count > 0 {
+			fields = append(fields, f.name, f.count)
+		}
+	}
+	if m.WhyClosed != "" {
+		fields = append(fields, "whyClosed", m.WhyClosed)
+	}
+	return fields
+}
+
 // spread draws the time to come back from one to two times the estimate, so that those
 // refused together don't come back together.
 func (c *call) spread(d time.Duration) time.Duration {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -177,6 +177,16 @@
 	took := c.Clock.Since(c.Arrived)
 	metrics.GetOrRegisterTimer("request."+c.Route.Kind.String(), c.Metrics).Update(took)
 	fields := []any{"upstream", upstream, "status", status, "upstreamRevision", place.Upstream.Revision}
+	answered := took
+	if c.stream != nil {
+		answered = c.stream.firstAfter
+	}
+	if c.Route.Objective > 0 && answered > c.Route.Objective {
+		fields = append(fields, "late", answered-c.Route.Objective)
+	}
+	if c.Returned {
+		fields = append(fields, "returned", true)
+	}
 	if s := c.stream; s != nil {
 		fields = append(fields, "events", s.events, "firstEvent", s.firstAfter, "longestPause", s.longestPause,
 			"waitPredicted", place.Wait, "active", place.Active, "prompt", c.Prompt)
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
@@ -47,12 +48,16 @@
 	patience := p.patience(e, j)
 	free := time.Duration(0)
 	var waits []engineWait
+	met := &j.met
+	met.PassedOver, met.Unasked, met.Silent = 0, 0, 0
 	for i, u := range us {
 		if p.askedLongEnough(j, began) {
+			met.Unasked = len(us) - i
 			break
 		}
 		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
 			free = least(free, full)
+			met.passOver(p.Chooser.WhyClosed(u.ID))
 			continue
 		}
 		limit := patience
@@ -66,11 +71,12 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
+		met.note(v)
 		if v == nil {
 			continue
 		}
 		if v.Closed != "" {
-			p.Chooser.Full(u.ID, false, closedPause)
+			p.Chooser.Closed(u.ID, v.Closed, closedPause)
 			continue
 		}
 		free = least(free, v.Free())
@@ -91,7 +97,28 @@
 			p.noteFull(w.upstream.ID, j, v.Free())
 		}
 	}
-	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry)}
+	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Met: *met}
+}
+
+// passOver counts an engine that isn't asked; why is what its agent said if it was closed.
+func (m *Met) passOver(why string) {
+	m.PassedOver++
+	if why != "" {
+		m.WhyClosed = why
+	}
+}
+
+// note counts an agent's answer that is no grant; nil when there was none.
+func (m *Met) note(v *messenger.Verdict) {
+	switch {
+	case v == nil:
+		m.Silent++
+	case v.Closed != "":
+		m.Closed++
+		m.WhyClosed = v.Closed
+	default:
+		m.Full++
+	}
 }
 
 // askedLongEnough tells whether a request should be refused rather than ask on. Agents
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -52,6 +52,8 @@
 	// Version is the version of the weights that a stream has to go on with; 0 for
 	// any.
 	Version uint64
+
+	met Met
 }
 
 // Place is where a request may go now.
@@ -73,6 +75,20 @@
 	Reason string
 	// RetryAfter is when there may be room; 0 when that is not known.
 	RetryAfter time.Duration
+	// Met is what the request met at the upstreams.
+	Met Met
+}
+
+// Met counts what became of a request's questions, for the log: most refusals have no line at
+// any agent, as engines known to be full or closed aren't asked.
+type Met struct {
+	// Full engines had no place when asked, Closed ones took nothing, as WhyClosed says of
+	// the last of them; over all rounds.
+	Full, Closed int
+	WhyClosed    string
+	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
+	// late in the order, and the agents of Silent ones don't answer; in the last round.
+	PassedOver, Unasked, Silent int
 }
 
 func (e *RefusedError) Error() string {
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -70,7 +70,11 @@
 }
 
 func newUpstream(t *testing.T, name string, answer func(n int, id string, conn net.Conn) bool) *upstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newUpstreamAt(t, "127.0.0.1", name, answer)
+}
+
+func newUpstreamAt(t *testing.T, ip, name string, answer func(n int, id string, conn net.Conn) bool) *upstream {
+	l, err := net.Listen("tcp", ip+":0")
 	must.NoError(t, err)
 	u := &upstream{name: name, listener: l, answer: answer}
 	t.Cleanup(func() { l.Close() })
@@ -173,6 +177,12 @@
 		b.Records = append(b.Records, registrar.Record{Key: u.name, Revision: uint64(i) + 2})
 	}
 	reg.Apply(b)
+	return newWorldOf(t, reg, upstreams)
+}
+
+// newWorldOf makes an entry that believes what a registrar does.
+func newWorldOf(t *testing.T, reg *registrar.Registrar, upstreams []*upstream) *world {
+	c := clock.RealClock{}
 	chooser := &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 2))}
 	w := &world{upstreams: upstreams, registrar: reg, metrics: metrics.NewRegistry()}
 	w.relayer = &relayer.Relayer{
@@ -182,7 +192,7 @@
 			return &retrier.Budget{Clock: c, Share: 0.6 * retryRatio, Burst: 0.6 * retrySlack}
 		}},
 		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "r",
-			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
+			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Timeout: relayer.AskTimeout, Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
 	}
 	w.Server = httptest.NewServer(w.relayer)
 	t.Cleanup(w.Close)
@@ -226,11 +236,17 @@
 	broken bool
 }
 
-func (w *world) ask(t *testing.T, path, id string) answer {
+func (w *world) ask(t *testing.T, path, id string) answer { return w.askWithin(t, path, id, 0) }
+
+// askWithin asks with a caller's patience; 0 for none told.
+func (w *world) askWithin(t *testing.T, path, id string, patience time.Duration) answer {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+path, strings.NewReader("order"))
 	must.NoError(t, err)
 	r.Header.Set("Id", id)
 	r.Header.Set("Key", "k")
+	if patience > 0 {
+		r.Header.Set("Patience", strconv.FormatInt(patience.Milliseconds(), 10))
+	}
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return answer{broken: true}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -79,6 +79,8 @@
 	// fullUntil is when there may be a place again at one that had none, and
 	// unsparingUntil when it may have one to spare.
 	fullUntil, unsparingUntil time.Time
+	// closed is why it took nothing at all then; empty when it was full.
+	closed string
 	// running are this entry's own requests there.
 	running  int
 	failures int
@@ -193,7 +195,22 @@
 		c.of(id).unsparingUntil = until
 		return
 	}
-	c.of(id).fullUntil = until
+	c.of(id).fullUntil, c.of(id).closed = until, ""
+}
+
+// Closed notes that an upstream takes nothing, and why; it isn't asked for so long.
+func (c *Chooser) Closed(id, why string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(id).fullUntil, c.of(id).closed = c.Clock.Now().Add(d), why
+}
+
+// WhyClosed is why an upstream took nothing when it last had no place; empty when it was
+// only full.
+func (c *Chooser) WhyClosed(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.of(id).closed
 }
 
 // FullFor is how long an upstream is still taken to have no place, or none to spare.
