Commands for operators on the platform: status and check

`oriolecroft platform check FILE` names every fault of a settings file at once, also several of a wrong type (decoding ended at the first), what the role needs, bounds that are missing, and a failure domain that isn't given. Faulty settings end with exit status 2, as the page says (the daemons on the platform ended with 1).

--- a/cmd/oriolecroft/main.go
+++ b/cmd/oriolecroft/main.go
@@ -18,6 +18,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/publisher"
 	"github.com/oriolecroft/oriolecroft/internal/storer"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
+	"github.com/oriolecroft/oriolecroft/platform"
 )
 
 // Exit statuses, for scripts. They are listed in docs/OPERATING.md.
@@ -42,7 +43,7 @@
 
   Exit status: 0 done, 1 failed, 2 bad arguments or settings, 3 invalid bundle,
   4 another operator was first, 5 the store did not answer, 6 accepted but not
-  yet in force everywhere.`
+  yet in force everywhere, or processes out of step.`
 
 // command is one sub-command.
 type command struct {
@@ -137,9 +138,12 @@
 		unavailable *storer.UnavailableError
 		unknown     *storer.UnknownError
 		unconfirmed *UnconfirmedError
+		disagree    *DisagreementError
+		field       *platform.FieldError
+		inFile      *SettingsFaultsError
 	)
 	switch {
-	case errors.As(err, &usage), errors.As(err, &settings):
+	case errors.As(err, &usage), errors.As(err, &settings), errors.As(err, &field), errors.As(err, &inFile):
 		return exitUsage
 	case errors.As(err, &faults), errors.As(err, &syntax), errors.As(err, &size), errors.As(err, &signature):
 		return exitInvalid
@@ -147,7 +151,7 @@
 		return exitRace
 	case errors.As(err, &unavailable), errors.As(err, &unknown):
 		return exitUnavailable
-	case errors.As(err, &unconfirmed):
+	case errors.As(err, &unconfirmed), errors.As(err, &disagree):
 		return exitUnconfirmed
 	default:
 		return exitFailed
--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -24,16 +24,21 @@
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
+	"github.com/oriolecroft/oriolecroft/internal/surveyor"
 	"github.com/oriolecroft/oriolecroft/platform"
 )
 
 const helpPlatform = `
   The daemons as they run on the users' platform. Their settings file is named by
-  the environment variable ORIOLECROFT_SETTINGS.
+  the environment variable ORIOLECROFT_SETTINGS. For operators: check a settings
+  file, show what all processes believe, explain a request from logs.
 
   Examples:
+    oriolecroft platform check /etc/oriolecroft/local.toml
     ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform entry
-    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform agent`
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform agent
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform status
+    cat logs/*.jsonl | oriolecroft platform explain --request 9c41d07be2a35f68`
 
 const (
 	// metricsPort is where both daemons serve metrics; deploy/system.toml names it.
@@ -53,13 +58,14 @@
 )
 
 func platformCommands() []command {
-	return []command{platformEntryCommand(), platformAgentCommand(), platformExplainCommand()}
+	return []command{platformEntryCommand(), platformAgentCommand(), platformStatusCommand(), platformCheckCommand(),
+		platformExplainCommand()}
 }
 
 // attachPlatform puts the commands under `platform`.
 func attachPlatform(commands []command) {
 	parent := flaggy.NewSubcommand("platform")
-	parent.Description = "run the daemons on the users' platform"
+	parent.Description = "run, check and look into the daemons on the users' platform"
 	parent.AdditionalHelpAppend = helpPlatform
 	flaggy.AttachSubcommand(parent, 1)
 	for _, c := range commands {
@@ -69,6 +75,8 @@
 
 // daemon is what both daemons on the platform have.
 type daemon struct {
+	// role is "entry" or "agent".
+	role      string
 	settings  *platform.Settings
 	registrar *registrar.Registrar
 	store     *platform.Store
@@ -79,7 +87,7 @@
 }
 
 // newDaemon reads the settings and starts the log.
-func newDaemon(name string) (*daemon, error) {
+func newDaemon(role string) (*daemon, error) {
 	w := logger.New(os.Stdout)
 	logger.Install(w)
 	s, err := platform.LoadSettings()
@@ -88,10 +96,11 @@
 	}
 	c := clock.RealClock{}
 	d := &daemon{
+		role:     role,
 		settings: s,
 		store:    platform.NewStore(s.Store.Address),
 		metrics:  metrics.NewRegistry(),
-		parts:    suture.New(name, suture.Spec{EventHook: reporter.LogEvents}),
+		parts:    suture.New(role, suture.Spec{EventHook: reporter.LogEvents}),
 		log:      w,
 		clock:    c,
 	}
@@ -218,27 +227,28 @@
 	return nil
 }
 
-// believed is what a process believes and how old that is, for its status.
-type believed struct {
-	Revision     uint64  `json:"revision"`
-	ConfirmedAgo float64 `json:"confirmedSecondsAgo"`
-	Known        bool    `json:"known"`
-	TableVersion uint64  `json:"tableVersion"`
-	Upstreams    int     `json:"upstreams"`
-	Entries      int     `json:"entries"`
-	LinesDropped int64   `json:"logLinesDropped"`
-}
-
-func (d *daemon) status() any {
+// status is what a process believes and how old that is.
+func (d *daemon) status(ready func() error) surveyor.Status {
 	at, age, known := d.registrar.At()
-	b := believed{Revision: at, ConfirmedAgo: age.Seconds(), Known: known, LinesDropped: d.log.Dropped()}
-	if v := d.registrar.View(); v != nil {
-		b.Upstreams, b.Entries = len(v.Upstreams), len(v.Members)
-		if v.Table != nil {
-			b.TableVersion = v.Table.Version
-		}
+	st := surveyor.Status{
+		VM: d.settings.Name, Role: d.role, FailureDomain: d.settings.FailureDomain,
+		Revision: at, Known: known, LinesDropped: d.log.Dropped(),
+	}
+	if known {
+		st.ConfirmedAgo = age.Seconds()
+	}
+	if err := ready(); err != nil {
+		st.NotReady = err.Error()
+	}
+	v := d.registrar.View()
+	if v == nil {
+		return st
+	}
+	st.Upstreams, st.Entries, st.Weights = len(v.Upstreams), len(v.Members), v.Named()
+	if v.Table != nil {
+		st.TableVersion = v.Table.Version
 	}
-	return b
+	return st
 }
 
 // web makes a suture service of an HTTP handler.
--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -15,6 +15,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 	"github.com/oriolecroft/oriolecroft/internal/stager"
+	"github.com/oriolecroft/oriolecroft/internal/surveyor"
 	"github.com/oriolecroft/oriolecroft/internal/syncer"
 	"github.com/oriolecroft/oriolecroft/platform"
 )
@@ -101,7 +102,16 @@
 		Seeds: s.Seeds, Dial: dialPeer, Clock: d.clock, Random: newRandom(),
 	})
 	d.tick()
-	return addAgentListeners(d, l, digests, &granter.Granter{Ledger: ledger, Holds: st.Holds, Clock: d.clock})
+	g := &granter.Granter{Ledger: ledger, Holds: st.Holds, Clock: d.clock}
+	if err := addAgentListeners(d, l, digests, g); err != nil {
+		return err
+	}
+	return d.serveMetrics(func() any {
+		status := d.status(d.readiness)
+		model, held, closed := st.Gate()
+		status.Engine = &surveyor.Engine{Model: model, Held: held, Closed: closed}
+		return status
+	}, d.readiness)
 }
 
 // chunkUpload paces what is sent to other agents; nil when the link's rate isn't told.
@@ -126,5 +136,5 @@
 	mux.Handle(stager.VersionsPath, digests.Handler())
 	d.parts.Add(web("chunks", chunks, mux))
 	d.parts.Add(&messenger.Server{Listener: places, OnReserve: g.Reserve, OnProgress: g.Progress, OnLost: g.Lost})
-	return d.serveMetrics(d.status, d.readiness)
+	return nil
 }
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -138,7 +138,7 @@
 	e.parts.Add(web("ready", listeners[1], platform.Ready(e.hoster.Ready)))
 	e.parts.Add(web("directory", listeners[2], platform.Directory(e.registrar)))
 	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.clock)})
-	return e.serveMetrics(e.status, e.readiness)
+	return e.serveMetrics(func() any { return e.status(e.readiness) }, e.readiness)
 }
 
 func (e *platformEntry) readiness() error {
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -78,6 +78,15 @@
 	return w, ok
 }
 
+// Named gives the newest version of each model that was named.
+func (v *View) Named() map[string]uint64 {
+	named := make(map[string]uint64, len(v.weights))
+	for model, w := range v.weights {
+		named[model] = w.Version
+	}
+	return named
+}
+
 // Holds gives the version of a model that the upstream said it holds; 0 for none.
 func (u *UpstreamView) Holds(model string) uint64 {
 	for _, m := range u.Models {
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -95,6 +95,20 @@
 	l.closed = why
 }
 
+// Closed is why nothing is let in; empty when jobs are.
+func (l *Ledger) Closed() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.engine == nil || l.closed != "":
+		return l.reason()
+	case l.expired(l.Clock.Now()):
+		return OldWeights
+	default:
+		return ""
+	}
+}
+
 // OpenUntil lets in only jobs that should end by a moment; zero lets in all. An
 // engine that loads new weights first ends all its requests. Were it to take long
 // ones until then, it would stand nearly idle while the last of them end.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -260,6 +260,13 @@
 	}
 }
 
+// Gate tells the engine's model, the version that it was last seen to hold, and why it takes
+// no requests; empty when it does.
+func (s *Stager) Gate() (model string, held uint64, closed string) {
+	model = s.model()
+	return model, s.Holds(model), s.Ledger.Closed()
+}
+
 func (s *Stager) closeGate(why string) {
 	if s.why != why {
 		klog.InfoS("Engine closed", "agent", s.ID, "why", why)
