--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -96,8 +96,7 @@
 		// The record may be out of date; an engine that holds something else refuses.
 		version = held
 	}
-	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
-	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || p.Clock.Now().Before(u.ColdUntil) {
+	if p.Chooser.Running(u.ID) >= scheduler.Part(u.Slots, unaskedShare, len(view.Members)) || p.Chooser.Avoided(u.ID) || p.Clock.Now().Before(u.ColdUntil) {
 		return nil
 	}
 	p.Chooser.Begin(u.ID)
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -242,7 +242,7 @@
 	if service == nil || service.Connections <= 0 {
 		return 0
 	}
-	return max(1, int(connectionsPart*float64(service.Connections)/float64(max(leastConnectionSharers, len(view.Members)))))
+	return scheduler.Part(service.Connections, connectionsPart, max(leastConnectionSharers, len(view.Members)))
 }
 
 // Sweep closes the connections to agents whose engines are gone.
