Grant a cold engine what the bound leaves in a new agent's first second, instead of nothing

A warm engine counts as cold for two seconds after its agent starts, so that each restart of an agent closed it for a second.

TestNewAgentSparesAColdEngine holds as before (44 in a second).

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -79,7 +79,7 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: connector.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
 	digests := &stager.Digester{Client: client}
-	ledger := &scheduler.Ledger{Clock: d.clock}
+	ledger := &scheduler.Ledger{Clock: d.clock, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack}
 	l := &loader.Loader{
 		ID: s.Upstream.String(), FailureDomain: s.FailureDomain, Region: s.Region, Clock: d.clock,
 		Sources: []fetcher.Source{digests}, Memory: agentMemory,
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -52,6 +52,9 @@
 	// changes at once. Were the engine closed by the next look only, old weights would go on
 	// to begin replies after their time. Nil is never, too.
 	Expiry func() time.Time
+	// ColdFactor and ColdSlack bound what a cold engine may get in a second: so many times
+	// its rate, and a number besides.
+	ColdFactor, ColdSlack float64
 
 	mu     sync.Mutex
 	engine *matcher.Engine
@@ -126,9 +129,9 @@
 const OldWeights = "old weights"
 
 // Cold bounds what is let in until a moment, in requests a second. A cold engine falls
-// over under a full load, and all that runs there is lost. A cold engine gets nothing within
-// a second of the first call: an agent that was killed may have granted as much as the engine
-// bears just before, and its successor knows nothing of that.
+// over under a full load, and all that runs there is lost. Within a second of the first call
+// it gets only what the bound leaves beside the rate: an agent that was killed may have
+// granted the whole rate just before, and its successor knows nothing of that.
 func (l *Ledger) Cold(rate float64, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -198,17 +201,20 @@
 
 // coldWait is how long until a cold engine may get one more; 0 for at once.
 func (l *Ledger) coldWait(now time.Time) time.Duration {
-	wait, ok := l.recent.room(now, l.coldRate)
 	if l.coldRate <= 0 || !now.Before(l.coldUntil) {
 		return 0
 	}
-	if first := l.began.Add(coldSecond).Sub(now); first > 0 {
-		return first
+	rate := l.coldRate
+	if now.Sub(l.began) < coldSecond {
+		rate = min(rate, (max(1, l.ColdFactor)-1)*rate+l.ColdSlack)
+		if rate < 1 {
+			return l.began.Add(coldSecond).Sub(now)
+		}
 	}
-	if ok {
-		return 0
+	if wait, ok := l.recent.room(now, rate); !ok {
+		return wait
 	}
-	return wait
+	return 0
 }
 
 func (l *Ledger) expired(now time.Time) bool {
