Let requests earn 0.9 of the retry ratio

The ratio is earned by requests of the same window, so that it needs no margin for entries that don't know each other; that is the slack's.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -32,7 +32,7 @@
 	// its slack which they may save up, and retryFloor that of its slack which they earn
 	// within a window without any request. All of them together stay below the bound;
 	// the rest is a margin for entries that come and go.
-	retryShare = 0.6
+	retryShare = 0.9
 	retryBurst = 0.6
 	retryFloor = 0.1
 	// leastSharers is among how many entries the slack is divided at least, as a new
