--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -32,8 +32,8 @@
 	// its slack which they may save up, and retryFloor that of its slack which they earn
 	// within a window without any request. All of them together stay below the bound;
 	// the rest is a margin for entries that come and go.
-	retryShare = 0.6
-	retryBurst = 0.75
+	retryShare = 0.9
+	retryBurst = 0.6
 	retryFloor = 0.1
 	// leastSharers is among how many entries the slack is divided at least, as a new
 	// entry knows of few others.
@@ -71,6 +71,7 @@
 		Registrar: d.registrar, Chooser: chooser, Clock: d.clock,
 		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		AgentPort: d.internalPort(reservePort), Agents: &messenger.Clients{Dial: dialPeer, Timeout: relayer.AskTimeout}, WeightsBound: s.Bounds.Weights,
+		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 	}
 	opened := metrics.GetOrRegisterCounter("upstreamConnections", d.metrics)
 	pool := &relayer.Pool{Clock: d.clock, Opened: func() { opened.Inc(1) }}
@@ -84,7 +85,7 @@
 		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock, LeastLease: s.Store.LeastLease},
 		Requests: &relayer.Relayer{
 			Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
-			Budget: retryBudget(s.Bounds, d), Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
+			Budgets: &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
 		},
 	}
 	e.hoster.Registration.Ready = e.hoster.Ready
@@ -97,7 +98,7 @@
 	return e, e.listenAll()
 }
 
-// retryBudget divides what all entries may send beyond first attempts.
+// retryBudget divides what all entries may send to a service beyond first attempts.
 func retryBudget(b platform.Bounds, d *daemon) *retrier.Budget {
 	return &retrier.Budget{
 		Clock: d.clock, Share: retryShare * b.RetryRatio,
@@ -137,7 +138,7 @@
 	e.parts.Add(web("ready", listeners[1], platform.Ready(e.hoster.Ready)))
 	e.parts.Add(web("directory", listeners[2], platform.Directory(e.registrar)))
 	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.ages)})
-	return e.serveMetrics(e.status, e.readiness)
+	return e.serveMetrics(func() any { return e.status(e.readiness) }, e.readiness)
 }
 
 func (e *platformEntry) readiness() error {
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -101,7 +101,7 @@
 		// The record may be out of date; an engine that holds something else refuses.
 		version = held
 	}
-	share := max(1, int(unaskedShare*float64(u.Slots)/float64(max(1, len(view.Members)))))
+	share := scheduler.Part(u.Slots, unaskedShare, len(view.Members))
 	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || !p.Chooser.Lives(u.ID) || u.ColdFor() > 0 {
 		return nil
 	}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -24,10 +24,8 @@
 	againHeld = 600 * time.Millisecond
 	// heldPause is the pause between two rounds of questions.
 	heldPause = 20 * time.Millisecond
-	// coldPart is the part of a cold upstream's rate that entries divide among them.
-	coldPart = 0.67
-	// leastSharers is among how many entries it is divided at least: after a loss of all,
-	// each knows only itself at first.
+	// leastSharers is among how many entries a cold upstream's rate is divided at least:
+	// after a loss of all, each knows only itself at first.
 	leastSharers = 24
 	// busyRetry is the time to come back when nothing better is known.
 	busyRetry = time.Second
@@ -54,6 +52,8 @@
 	// Version is the version of the weights that a stream has to go on with; 0 for
 	// any.
 	Version uint64
+
+	met Met
 }
 
 // Place is where a request may go now.
@@ -75,6 +75,20 @@
 	Reason string
 	// RetryAfter is when there may be room; 0 when that is not known.
 	RetryAfter time.Duration
+	// Met is what the request met at the upstreams.
+	Met Met
+}
+
+// Met counts what became of a request's questions, for the log: most refusals have no line at
+// any agent, as engines known to be full or closed aren't asked.
+type Met struct {
+	// Full engines had no place when asked, Closed ones took nothing, as WhyClosed says of
+	// the last of them; over all rounds.
+	Full, Closed int
+	WhyClosed    string
+	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
+	// late in the order, and the agents of Silent ones don't answer; in the last round.
+	PassedOver, Unasked, Silent int
 }
 
 func (e *RefusedError) Error() string {
@@ -98,6 +112,9 @@
 	// WeightsBound is how long after the naming of a version older weights may begin
 	// a reply.
 	WeightsBound time.Duration
+	// ColdFactor and ColdSlack bound what a cold upstream may get from all entries in a
+	// second: so many times its rate, and a number besides.
+	ColdFactor, ColdSlack float64
 }
 
 // Place finds an upstream. Errors are *RefusedError and the context's.
@@ -182,25 +199,51 @@
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
+	reason := "all upstreams cold"
 	for _, u := range us {
+		if limit := p.connections(u); limit > 0 && p.Chooser.Running(u.ID) >= limit {
+			reason = "all upstreams have all connections in use"
+			continue
+		}
 		if !p.coldPass(view, u) {
 			continue
 		}
 		p.Chooser.Begin(u.ID)
 		return &Place{Upstream: u, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}, nil
 	}
-	return nil, &RefusedError{Reason: "all upstreams cold", RetryAfter: busyRetry}
+	return nil, &RefusedError{Reason: reason, RetryAfter: busyRetry}
 }
 
 // coldPass tells whether an upstream without an agent may get one more request now. A
-// cold one bears only so many a second from all entries together; each takes its part,
-// and leaves a third for those that it does not know of.
+// cold one bears only so many a second from all entries together; each takes its part.
 func (p *Placer) coldPass(view *registrar.View, u *registrar.UpstreamView) bool {
 	service := view.Table.Services[u.Service]
 	if service == nil || service.ColdRate <= 0 || u.ColdFor() == 0 {
 		return true
 	}
-	return p.Chooser.ColdPass(u.ID, coldPart*service.ColdRate/float64(max(leastSharers, len(view.Members))))
+	return p.Chooser.ColdPass(u.ID, scheduler.ColdShare{
+		Rate: service.ColdRate, Bound: max(1, p.ColdFactor)*service.ColdRate + p.ColdSlack,
+		Sharers: max(leastSharers, len(view.Members)),
+	})
+}
+
+const (
+	// connectionsPart is the part of an upstream's connections that entries divide among
+	// them. The rest is for entries that are not known, and for connections that are closed
+	// here and still count there.
+	connectionsPart = 0.8
+	// leastConnectionSharers is among how many entries they are divided at least.
+	leastConnectionSharers = 6
+)
+
+// connections is how many this entry may have at an upstream; 0 for any.
+func (p *Placer) connections(u *registrar.UpstreamView) int {
+	view := p.Registrar.View()
+	service := view.Table.Services[u.Service]
+	if service == nil || service.Connections <= 0 {
+		return 0
+	}
+	return scheduler.Part(service.Connections, connectionsPart, max(leastConnectionSharers, len(view.Members)))
 }
 
 // Sweep closes the connections to agents whose engines are gone.
--- a/internal/relayer/place_test.go
+++ b/internal/relayer/place_test.go
@@ -172,14 +172,14 @@
 	must.Eq(t, asked, a.asked.Load(), must.Sprint("the engine counts as closed and is left alone for a while"))
 }
 
-// granter is an agent that says the same to everybody.
-type granter struct{ asked, ended atomic.Int32 }
+// willingAgent is an agent that says the same to everybody.
+type willingAgent struct{ asked, ended atomic.Int32 }
 
-// grant gives the engine of a placer a granter.
-func grant(t *testing.T, p *relayer.Placer, v messenger.Verdict) *granter {
+// grant gives the engine of a placer a willingAgent.
+func grant(t *testing.T, p *relayer.Placer, v messenger.Verdict) *willingAgent {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	a := &granter{}
+	a := &willingAgent{}
 	s := &messenger.Server{Listener: l, OnLost: func(*messenger.Link) {},
 		OnProgress: func(p messenger.Progress, _ *messenger.Link) { a.ended.Add(int32(len(p.Ended))) },
 		OnReserve: func(messenger.Reservation, *messenger.Link) messenger.Verdict {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -36,10 +36,11 @@
 	Chooser   *scheduler.Chooser
 	Pool      *Pool
 	Codec     Codec
-	Budget    *retrier.Budget
-	Clock     clock.Clock
-	Random    *rand.Rand
-	Metrics   metrics.Registry
+	// Budgets bound the retries at each service.
+	Budgets *retrier.Budgets
+	Clock   clock.Clock
+	Random  *rand.Rand
+	Metrics metrics.Registry
 
 	mu sync.Mutex
 	// longestPatience is the longest that callers of each route were seen to wait.
@@ -193,7 +194,7 @@
 
 // run makes attempts until one gives the caller its answer.
 func (c *call) run(ctx context.Context) {
-	c.Budget.First()
+	c.Budgets.Of(c.Service).First()
 	for {
 		place, err := c.Placer.Place(ctx, &c.Job)
 		if err != nil {
@@ -236,7 +237,11 @@
 		// The caller left; that says nothing of the upstream.
 		return
 	}
-	c.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
+	var full *ConnectionsError
+	if !errors.As(err, &full) {
+		// A limit of this entry's own says nothing of the upstream either.
+		c.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
+	}
 	if s.Outcome == retrier.NotRun && s.Status != 0 {
 		c.Chooser.Avoid(upstream, refusedPause)
 	}
@@ -259,7 +264,7 @@
 	if c.attempts >= c.Route.MaxAttempts || c.sends >= maxSends {
 		return false
 	}
-	if !c.Budget.Take() {
+	if !c.Budgets.Of(c.Service).Take() {
 		c.log("No retry left in the budget", nil)
 		return false
 	}
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -70,7 +70,11 @@
 }
 
 func newUpstream(t *testing.T, name string, answer func(n int, id string, conn net.Conn) bool) *upstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newUpstreamAt(t, "127.0.0.1", name, answer)
+}
+
+func newUpstreamAt(t *testing.T, ip, name string, answer func(n int, id string, conn net.Conn) bool) *upstream {
+	l, err := net.Listen("tcp", ip+":0")
 	must.NoError(t, err)
 	u := &upstream{name: name, listener: l, answer: answer}
 	t.Cleanup(func() { l.Close() })
@@ -143,11 +147,13 @@
 type world struct {
 	*httptest.Server
 	relayer   *relayer.Relayer
+	upstreams []*upstream
 	registrar *registrar.Registrar
 	metrics   metrics.Registry
 }
 
-// newWorld makes an entry with one route for each kind: /safe/, /once/ and /stream/.
+// newWorld makes an entry with one route for each kind: /safe/, /once/ and /stream/. An
+// upstream whose name has a dash is of the service before it, others are of "desk".
 func newWorld(t *testing.T, upstreams ...*upstream) *world {
 	c := clock.RealClock{}
 	reg := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
@@ -157,7 +163,11 @@
 		for _, u := range upstreams {
 			if u.name == key {
 				a := netip.MustParseAddrPort(u.listener.Addr().String())
-				return registrar.Upstream{ID: u.name, Service: "desk", Address: a, FailureDomain: "a", Slots: 6}, nil
+				service, _, ok := strings.Cut(u.name, "-")
+				if !ok {
+					service = "desk"
+				}
+				return registrar.Upstream{ID: u.name, Service: service, Address: a, FailureDomain: "a", Slots: 6}, nil
 			}
 		}
 		return nil, nil
@@ -167,20 +177,38 @@
 		b.Records = append(b.Records, registrar.Record{Key: u.name, Revision: uint64(i) + 2})
 	}
 	reg.Apply(b)
+	return newWorldOf(t, reg, upstreams)
+}
+
+// newWorldOf makes an entry that believes what a registrar does.
+func newWorldOf(t *testing.T, reg *registrar.Registrar, upstreams []*upstream) *world {
+	c := clock.RealClock{}
 	chooser := &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 2))}
-	w := &world{registrar: reg, metrics: metrics.NewRegistry()}
+	w := &world{upstreams: upstreams, registrar: reg, metrics: metrics.NewRegistry()}
 	w.relayer = &relayer.Relayer{
 		Registrar: reg, Chooser: chooser, Codec: codec{}, Clock: c, Random: rand.New(rand.NewPCG(3, 4)), Metrics: w.metrics,
-		Pool:   &relayer.Pool{Clock: c, Opened: func() {}},
-		Budget: &retrier.Budget{Clock: c, Burst: 100},
+		Pool: &relayer.Pool{Clock: c, Opened: func() {}},
+		Budgets: &retrier.Budgets{New: func() *retrier.Budget {
+			return &retrier.Budget{Clock: c, Share: 0.9 * retryRatio, Burst: 0.6 * retrySlack}
+		}},
 		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "r",
-			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
+			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Timeout: relayer.AskTimeout, Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
 	}
 	w.Server = httptest.NewServer(w.relayer)
 	t.Cleanup(w.Close)
 	return w
 }
 
+// retryRatio and retrySlack bound the arrivals beyond the first at a service in ten
+// seconds: a share of its requests, and a number besides.
+const (
+	retryRatio = 0.2
+	retrySlack = 106
+)
+
+// deskConnections is how many connections an upstream of the service "desk" bears.
+const deskConnections = 40
+
 func table() *matcher.Table {
 	route := func(prefix string, kind matcher.Kind) *matcher.Route {
 		return &matcher.Route{Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 700 * time.Millisecond,
@@ -188,9 +216,11 @@
 	}
 	slow := route("/slow/", matcher.Streaming)
 	slow.Timeout = 20 * time.Second
+	office := route("/office/", matcher.NonIdempotent)
+	office.Targets[0].Service = "office"
 	t := &matcher.Table{Version: 1,
-		Routes:   []*matcher.Route{route("/safe/", matcher.Idempotent), route("/once/", matcher.NonIdempotent), route("/stream/", matcher.Streaming), slow},
-		Services: map[string]*matcher.Service{"desk": {Name: "desk"}},
+		Routes:   []*matcher.Route{route("/safe/", matcher.Idempotent), route("/once/", matcher.NonIdempotent), route("/stream/", matcher.Streaming), slow, office},
+		Services: map[string]*matcher.Service{"desk": {Name: "desk", Connections: deskConnections}, "office": {Name: "office"}},
 		Keys:     map[string]*matcher.Workspace{"k": {Name: "farm"}},
 	}
 	t.Index()
@@ -206,11 +236,17 @@
 	broken bool
 }
 
-func (w *world) ask(t *testing.T, path, id string) answer {
+func (w *world) ask(t *testing.T, path, id string) answer { return w.askWithin(t, path, id, 0) }
+
+// askWithin asks with a caller's patience; 0 for none told.
+func (w *world) askWithin(t *testing.T, path, id string, patience time.Duration) answer {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+path, strings.NewReader("order"))
 	must.NoError(t, err)
 	r.Header.Set("Id", id)
 	r.Header.Set("Key", "k")
+	if patience > 0 {
+		r.Header.Set("Patience", strconv.FormatInt(patience.Milliseconds(), 10))
+	}
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return answer{broken: true}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -79,6 +79,8 @@
 	// fullUntil is when there may be a place again at one that had none, and
 	// unsparingUntil when it may have one to spare.
 	fullUntil, unsparingUntil time.Time
+	// closed is why it took nothing at all then; empty when it was full.
+	closed string
 	// running are this entry's own requests there.
 	running  int
 	failures int
@@ -91,7 +93,7 @@
 	processGone bool
 	alive       time.Time
 	used        time.Time
-	recent      rateLimit
+	cold        coldTurn
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -104,7 +106,7 @@
 	}
 	s := c.seen[id]
 	if s == nil {
-		s = &seen{}
+		s = &seen{cold: coldTurn{phase: c.Random.Float64()}}
 		c.seen[id] = s
 	}
 	s.used = c.Clock.Now()
@@ -196,7 +198,22 @@
 		c.of(id).unsparingUntil = until
 		return
 	}
-	c.of(id).fullUntil = until
+	c.of(id).fullUntil, c.of(id).closed = until, ""
+}
+
+// Closed notes that an upstream takes nothing, and why; it isn't asked for so long.
+func (c *Chooser) Closed(id, why string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(id).fullUntil, c.of(id).closed = c.Clock.Now().Add(d), why
+}
+
+// WhyClosed is why an upstream took nothing when it last had no place; empty when it was
+// only full.
+func (c *Chooser) WhyClosed(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.of(id).closed
 }
 
 // FullFor is how long an upstream is still taken to have no place, or none to spare.
@@ -254,12 +271,11 @@
 }
 
 // ColdPass lets a request through to a cold upstream without an agent, within this
-// entry's part of what it bears a second.
-func (c *Chooser) ColdPass(id string, rate float64) bool {
+// entry's part of what it bears.
+func (c *Chooser) ColdPass(id string, share ColdShare) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, ok := c.of(id).recent.pass(c.Clock.Now(), rate)
-	return ok
+	return c.of(id).cold.pass(c.Clock.Now(), share)
 }
 
 // Avoid passes an upstream over for a while, such as one that said to be full.
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -65,6 +65,9 @@
 	// to begin replies after their time. Nil is never, too. It is called while the ledger is
 	// locked.
 	Expiry func() time.Time
+	// ColdFactor and ColdSlack bound what a cold engine may get in a second: so many times
+	// its rate, and a number besides.
+	ColdFactor, ColdSlack float64
 
 	mu     sync.Mutex
 	engine *matcher.Engine
@@ -80,6 +83,8 @@
 	coldRate  float64
 	coldUntil time.Time
 	recent    rateLimit
+	// began is when Cold was first called.
+	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
 }
@@ -106,6 +111,20 @@
 	l.closed = why
 }
 
+// Closed is why nothing is let in; empty when jobs are.
+func (l *Ledger) Closed() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.engine == nil || l.closed != "":
+		return l.reason()
+	case l.expired(l.Clock.Now()):
+		return OldWeights
+	default:
+		return ""
+	}
+}
+
 // OpenUntil lets in only jobs that should end by a moment; zero lets in all. An
 // engine that loads new weights first ends all its requests. Were it to take long
 // ones until then, it would stand nearly idle while the last of them end.
@@ -116,10 +135,15 @@
 }
 
 // Cold bounds what is let in until a moment, in requests a second. A cold engine falls
-// over under a full load, and all that runs there is lost.
+// over under a full load, and all that runs there is lost. Within a second of the first call
+// it gets only what the bound leaves beside the rate: an agent that was killed may have
+// granted the whole rate just before, and its successor knows nothing of that.
 func (l *Ledger) Cold(rate float64, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.began.IsZero() {
+		l.began = l.Clock.Now()
+	}
 	l.coldRate, l.coldUntil = rate, until
 }
 
@@ -151,8 +175,7 @@
 	if l.engine == nil || l.closed != "" {
 		return Verdict{Closed: l.reason()}
 	}
-	expiry := l.expiry()
-	if !expiry.IsZero() && now.After(expiry) {
+	if l.expired(now) {
 		return Verdict{Closed: OldWeights}
 	}
 	v := Verdict{Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now))}
@@ -169,6 +192,7 @@
 		v.Free = max(0, l.until.Sub(now)) + l.engine.Load
 		return v
 	}
+	expiry := l.expiry()
 	if begins := now.Add(v.Wait + l.first(j, v.Active+1)); !expiry.IsZero() && begins.After(expiry.Add(OldWeightsMargin)) {
 		v.Free = max(0, expiry.Sub(now)) + l.engine.Load
 		return v
@@ -177,8 +201,7 @@
 		v.Free = v.Wait - j.Patience
 		return v
 	}
-	if wait, ok := l.recent.room(now, l.coldRate); !ok && l.coldRate > 0 && now.Before(l.coldUntil) {
-		v.Free = wait
+	if v.Free = l.coldWait(now); v.Free > 0 {
 		return v
 	}
 	l.grant(j, owner, now)
@@ -187,6 +210,29 @@
 	return v
 }
 
+// coldWait is how long until a cold engine may get one more; 0 for at once.
+func (l *Ledger) coldWait(now time.Time) time.Duration {
+	if l.coldRate <= 0 || !now.Before(l.coldUntil) {
+		return 0
+	}
+	rate := l.coldRate
+	if now.Sub(l.began) < coldSecond {
+		rate = min(rate, (max(1, l.ColdFactor)-1)*rate+l.ColdSlack)
+		if rate < 1 {
+			return l.began.Add(coldSecond).Sub(now)
+		}
+	}
+	if wait, ok := l.recent.room(now, rate); !ok {
+		return wait
+	}
+	return 0
+}
+
+func (l *Ledger) expired(now time.Time) bool {
+	t := l.expiry()
+	return !t.IsZero() && now.After(t)
+}
+
 func (l *Ledger) expiry() time.Time {
 	if l.Expiry == nil {
 		return time.Time{}
