A test that a place granted too late is given back

They don't stand empty: the entry closes the connection with the question, and the agent frees what was granted on it.

--- a/internal/relayer/place_test.go
+++ b/internal/relayer/place_test.go
@@ -193,6 +193,45 @@
 	return a
 }
 
+// An agent grants a place, but its answer comes after the entry has given it up, as on a link
+// that is full for a moment, and the request goes elsewhere. Were the place kept for as long
+// as the caller might have waited, it would stand empty for six seconds while others are
+// refused.
+func TestPlaceGrantedTooLateIsGivenBack(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	p, table := newPlacer(c, 3*time.Second, 1)
+	p.Agents.Timeout = relayer.AskTimeout
+	ledger := &scheduler.Ledger{Clock: c}
+	ledger.Open(table.Services["engines"].Engine)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	asked, lost := make(chan bool, 1), make(chan bool, 1)
+	s := &messenger.Server{Listener: l, OnProgress: func(messenger.Progress, *messenger.Link) {},
+		OnReserve: func(r messenger.Reservation, link *messenger.Link) messenger.Verdict {
+			v := ledger.Reserve(scheduler.Job{ID: r.Request, Prompt: r.Prompt, Patience: time.Second, Left: 6 * time.Second}, link)
+			asked <- v.Granted
+			time.Sleep(2 * relayer.AskTimeout)
+			return messenger.Verdict{Granted: true, Version: 1, Slots: 12, Active: v.Active}
+		},
+		OnLost: func(link *messenger.Link) {
+			ledger.Lost(link)
+			lost <- true
+		}}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = s.Serve(ctx) }()
+	p.AgentPort = netip.MustParseAddrPort(l.Addr().String()).Port()
+	must.False(t, placed(p, c, table))
+	must.True(t, <-asked)
+	select {
+	case <-lost:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the place is kept")
+	}
+	v := ledger.Reserve(scheduler.Job{ID: "next", Prompt: 1}, nil)
+	must.Eq(t, 1, v.Active, must.Sprint("places taken with the next one's"))
+}
+
 // name makes a version the one to hold.
 func name(r *registrar.Registrar, version byte) {
 	at, _, _ := r.At()
