--- a/internal/registrar/naming.go
+++ b/internal/registrar/naming.go
@@ -91,18 +91,6 @@
 	return n
 }
 
-// lastWord is until when this process can have missed no naming. While the store is out of
-// reach none is made, and one for which the store alone is out of reach hears of it from
-// others; so the outage counts up to the last attempt. Counted from before it, the time of
-// old weights would be over at the first naming after the store's return, at all engines at
-// once, and callers would get nothing until the new weights are loaded.
-func (r *Registrar) lastWord() time.Time {
-	if r.tried.After(r.confirmed) {
-		return r.tried
-	}
-	return r.confirmed
-}
-
 // told lists the namings that a record tells of, the oldest first.
 func (r *Registrar) told(rec Record, w Weights) []Naming {
 	if len(rec.Namings) == 0 {
@@ -121,9 +109,8 @@
 // found is the naming of a record from the store.
 func (r *Registrar) found(rec Record, w Weights) Naming {
 	now := r.Clock.Now()
-	last := r.lastWord()
-	if rec.Age == UnknownAge || !last.IsZero() && now.Sub(last) > seenWithin {
-		return Naming{Version: w.Version, Learned: last}
+	if rec.Age == UnknownAge || !r.confirmed.IsZero() && now.Sub(r.confirmed) > seenWithin {
+		return Naming{Version: w.Version, Learned: r.lastWord()}
 	}
 	n := Naming{Version: w.Version, Learned: now.Add(-rec.Age)}
 	if previous, ok := r.facts[rec.Key].(Weights); ok {
--- a/internal/registrar/naming_test.go
+++ b/internal/registrar/naming_test.go
@@ -15,6 +15,9 @@
 // seenWithin is how old a change may be that a watch tells of in time.
 const seenWithin = 1200 * time.Millisecond
 
+// triesApart is how far apart outages may be that are taken for one.
+const triesApart = 2500 * time.Millisecond
+
 func newRegistrarAt(c *clocktest.FakeClock) *registrar.Registrar {
 	return &registrar.Registrar{Clock: c, Decode: decode, Linger: 1600 * time.Millisecond}
 }
@@ -99,7 +102,6 @@
 		rs := []*registrar.Registrar{newRegistrarAt(c), newRegistrarAt(c), newRegistrarAt(c)}
 		who := rapid.IntRange(0, len(rs)-1)
 		version := uint64(1)
-		var regained time.Time
 		t.Repeat(map[string]func(*rapid.T){
 			"name": func(t *rapid.T) {
 				// More in a row than are remembered, now and then.
@@ -119,11 +121,16 @@
 				for i := range b.Records {
 					b.Records[i].Age = registrar.UnknownAge
 				}
-				rs[who.Draw(t, "process")].Apply(b)
+				r := rs[who.Draw(t, "process")]
+				r.StoreAsked()
+				r.StoreFound()
+				r.Apply(b)
 			},
 			"watch": func(t *rapid.T) {
 				r := rs[who.Draw(t, "process")]
 				if at, _, known := r.At(); known {
+					r.StoreAsked()
+					r.StoreFound()
 					r.Apply(o.watch(at))
 				}
 			},
@@ -134,15 +141,31 @@
 					to.Apply(from.Since(at))
 				}
 			},
+			// The store is out of reach for all, and a version is named meanwhile: it may count
+			// from any moment up to the end, and so may one that was named just before, which
+			// nobody need have heard of. Outages closer than that may be taken for one. Some
+			// processes ask in vain, the others stand still.
 			"outage": func(t *rapid.T) {
-				// Nobody reaches the store, so no version is named meanwhile. Whoever runs tries.
-				c.Step(time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond)
-				regained = c.Now()
-				for _, r := range rs {
-					if _, _, known := r.At(); known && rapid.Bool().Draw(t, "runs") {
-						r.StoreLost()
+				awake := rapid.SliceOfN(rapid.Bool(), len(rs), len(rs)).Draw(t, "awake")
+				version++
+				o.change("weights/m", strconv.FormatUint(version, 10), false)
+				began := c.Now()
+				for range rapid.IntRange(1, 20).Draw(t, "half seconds") {
+					for i, r := range rs {
+						if awake[i] {
+							r.StoreAsked()
+							r.StoreLost()
+						}
 					}
+					c.Step(500 * time.Millisecond)
 				}
+				for i := range truth {
+					if began.Sub(truth[i].Learned) <= triesApart {
+						truth[i].Learned = c.Now()
+					}
+				}
+				truth = append(truth, registrar.Naming{Version: version, Learned: c.Now()})
+				revisions[version] = o.revision
 			},
 			"restart": func(t *rapid.T) { rs[who.Draw(t, "process")] = newRegistrarAt(c) },
 			"": func(t *rapid.T) {
@@ -166,12 +189,8 @@
 						if !ok {
 							continue
 						}
-						from := named.Learned
-						if regained.After(from) {
-							from = regained
-						}
-						if got.Sub(from) > seenWithin {
-							t.Fatalf("process %d: version %d superseded %v after it was", i, held, got.Sub(from))
+						if got.Sub(named.Learned) > seenWithin {
+							t.Fatalf("process %d: version %d superseded %v after it was", i, held, got.Sub(named.Learned))
 						}
 					}
 				}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -48,14 +48,15 @@
 	floor     uint64
 	at        uint64
 	confirmed time.Time
-	// outage is when the store was last found out of reach, lost that it still is. Asked is
-	// when a call to it began last, tried when the last one began that failed.
+	// outage is when the store was last found out of reach, lost that it still is.
 	outage time.Time
 	lost   bool
-	asked  time.Time
-	tried  time.Time
-	view   atomic.Pointer[View]
-	change notifier.Broadcast
+	// lastAwake is when this process was last busy with the store, and awakeSince since when
+	// without a longer gap.
+	lastAwake  time.Time
+	awakeSince time.Time
+	view       atomic.Pointer[View]
+	change     notifier.Broadcast
 }
 
 // Apply takes a batch over and tells whether anything changed. A batch that begins
