--- /dev/null
+++ b/soak/auditor/auditor.go
@@ -0,0 +1,148 @@
+package auditor
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"k8s.io/utils/clock"
+)
+
+// Promise is one that is checked.
+type Promise string
+
+// The promises.
+const (
+	Once       Promise = "non-idempotent requests run at most once"
+	Refusal    Promise = "a refusal is true"
+	Whole      Promise = "answers are whole and the request's own"
+	Unchanged  Promise = "upstreams get only what callers sent"
+	Stream     Promise = "streams have no gap, no repeat and one version"
+	Weights    Promise = "no reply from spoilt weights"
+	Version    Promise = "no reply begins on old weights after the bound"
+	Drain      Promise = "a leaving upstream gets nothing after the bound"
+	Evacuation Promise = "a drained failure domain gets nothing after the bound"
+	Cold       Promise = "a cold upstream gets no more than it bears"
+	Budget     Promise = "repeats stay within the budget"
+	Attempts   Promise = "a request runs at no more upstreams than its route allows"
+	Home       Promise = "requests stay in their regions"
+	Keys       Promise = "keys lead to their workspace and stay inside"
+	Config     Promise = "a route table is in force after the bound"
+	Regress    Promise = "an entry never goes back to an older table"
+	Denial     Promise = "what every table allows is not denied"
+	Graceful   Promise = "stop and reload cut no request"
+	Kept       Promise = "kept connections don't lose requests"
+	Directory  Promise = "the directory names no entry long gone"
+	Deadline   Promise = "upstreams get no more time than is left"
+	Exit       Promise = "no process ends by itself"
+	Recovery   Promise = "requests are served once the faults are over"
+)
+
+// Promises lists all, in the order of the report.
+var Promises = []Promise{
+	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, Evacuation, Cold, Budget, Attempts, Home, Keys,
+	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Exit, Recovery,
+}
+
+// Broken is a promise that was not kept.
+type Broken struct {
+	Promise Promise
+	// Request is the one at which it showed; empty for none.
+	Request string
+	What    string
+}
+
+func (b *Broken) Error() string {
+	return fmt.Sprintf("%s: request %s: %s", b.Promise, b.Request, b.What)
+}
+
+// Auditor judges events as they come. Set the exported fields before use; it is safe for
+// concurrent use.
+type Auditor struct {
+	Bounds Bounds
+	Clock  clock.PassiveClock
+	// OnBroken is told of each broken promise; it must not call back.
+	OnBroken func(*Broken)
+
+	mu      sync.Mutex
+	history *history
+	budget  budget
+	tolerated
+	checked map[Promise]int
+	broken  map[Promise][]*Broken
+}
+
+// tolerated counts what breaks a promise only in number.
+type tolerated struct{ lost, longer, named, denied int }
+
+// Note takes an event in and judges it.
+func (a *Auditor) Note(e Event) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.init()
+	a.history.now = a.Clock.Now()
+	a.history.note(e)
+	switch e := e.(type) {
+	case Sent:
+		a.budget.sent(a.history, a.history.requests[e.ID])
+	case Answered:
+		a.judgeAnswer(e)
+	case Arrived:
+		a.judgeArrival(e)
+	case Began:
+		a.judgeRun(e)
+	case Directed:
+		a.judgeDirectory(e)
+	case Exited:
+		a.check(Exit, "", !e.Alone, "%s ended by itself", e.Who)
+	}
+}
+
+func (a *Auditor) init() {
+	if a.history == nil {
+		a.history = newHistory(a.Bounds)
+		a.checked, a.broken = map[Promise]int{}, map[Promise][]*Broken{}
+	}
+}
+
+// check counts a judgement.
+func (a *Auditor) check(p Promise, request string, kept bool, format string, args ...any) {
+	a.checked[p]++
+	if kept {
+		return
+	}
+	b := &Broken{Promise: p, Request: request, What: fmt.Sprintf(format, args...)}
+	a.broken[p] = append(a.broken[p], b)
+	if a.OnBroken != nil {
+		a.OnBroken(b)
+	}
+}
+
+// Checked is how often a promise was judged, Failed how often it was broken.
+func (a *Auditor) Checked(p Promise) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.checked[p]
+}
+
+// Failed is how often a promise was broken.
+func (a *Auditor) Failed(p Promise) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.broken[p])
+}
+
+// Report writes a line for each promise and tells whether all were kept.
+func (a *Auditor) Report(w io.Writer) bool {
+	kept := true
+	for _, p := range Promises {
+		failed := a.Failed(p)
+		kept = kept && failed == 0
+		note := ""
+		if a.Checked(p) == 0 {
+			note = "  (unchecked)"
+		}
+		fmt.Fprintf(w, "%-58s checked %6d, broken %d%s\n", p, a.Checked(p), failed, note)
+	}
+	return kept
+}
--- /dev/null
+++ b/soak/auditor/events.go
@@ -0,0 +1,171 @@
+// Package auditor checks the promises of a deployment from outside: it is told what
+// callers sent and got, what upstreams saw, what the operators had confirmed and who
+// was disturbed when, and says which promise was broken by what.
+package auditor
+
+import "time"
+
+// Event is something that was seen.
+type Event interface{ event() }
+
+// Core names the store among those that can be disturbed.
+const Core = "store"
+
+// Sent is a request that a caller is about to send to an entry.
+type Sent struct {
+	ID, Entry string
+	// Path is the request's, Key the caller's.
+	Path, Key string
+	// Content is a digest of what has to reach upstreams unchanged.
+	Content string
+	// Limit is how long the caller waits.
+	Limit time.Duration
+	// Events is how many events the whole stream has; 0 for a plain request. After is the
+	// number of the last one that the caller has already.
+	Events, After int
+	// Kept tells that the connection was used before.
+	Kept bool
+}
+
+// Answered is the end of a request as its caller sees it.
+type Answered struct {
+	ID string
+	// Status is 0 when no header came.
+	Status int
+	// Names is the request that the answer names.
+	Names string
+	// Upstream sealed the answer; empty for none.
+	Upstream string
+	// Forged tells of a seal that fits neither the request nor the status.
+	Forged bool
+	// Whole tells that the answer's marked end came, WrongBody that what came as a whole
+	// isn't what the upstream made.
+	Whole, WrongBody bool
+	Parts            []Part
+	// Expired tells that the caller's limit was over.
+	Expired bool
+}
+
+// Part is an event of a stream.
+type Part struct {
+	Number  int
+	Version uint64
+	// Foreign tells that it belongs to another request.
+	Foreign bool
+}
+
+// Arrived is a request that reached the upstream that it was meant for.
+type Arrived struct {
+	ID, Upstream, Content string
+	// Workspace is whom the system says it is from. Key is the caller's own, which has to
+	// stay with the system.
+	Workspace, Key string
+	Left           time.Duration
+}
+
+// Began is the moment at which a request begins to run.
+type Began struct {
+	ID, Upstream string
+	// Version is that of the weights, 0 for a plain service; Spoilt tells that they were
+	// loaded from wrong bytes.
+	Version uint64
+	Spoilt  bool
+}
+
+// Ended is the end of a run; Broken tells that the upstream broke it off.
+type Ended struct {
+	ID, Upstream string
+	Broken       bool
+}
+
+// Joined is an upstream that begins to serve.
+type Joined struct {
+	Upstream, Service, FailureDomain, Region string
+	Cold                                     time.Duration
+	ColdRate                                 float64
+}
+
+// Leaving is the store's word that an upstream leaves or is gone.
+type Leaving struct{ Upstream string }
+
+// Configured is the confirmation of a route table.
+type Configured struct{ Table Table }
+
+// Table is a version of the route table.
+type Table struct {
+	Version uint64
+	Routes  []Route
+	// Keys gives the workspace of each key.
+	Keys map[string]Workspace
+}
+
+// Route is a row of the route table.
+type Route struct {
+	Prefix, Service string
+	// Once tells that a request may run once at most.
+	Once     bool
+	Public   bool
+	Attempts int
+	Regions  []string
+}
+
+// Workspace is a holder of keys.
+type Workspace struct {
+	Name    string
+	Regions []string
+}
+
+// Named is the confirmation of a version of the weights.
+type Named struct{ Version uint64 }
+
+// Drained is the confirmation that a failure domain is to get nothing.
+type Drained struct{ FailureDomain string }
+
+// Returned is a failure domain taken back.
+type Returned struct{ FailureDomain string }
+
+// Disturbed is the beginning of a fault at the store, an entry or an upstream.
+type Disturbed struct{ Who string }
+
+// Calmed is the end of a fault.
+type Calmed struct{ Who string }
+
+// Started is a process that runs from now on, Stopping one that was asked to end.
+type Started struct{ Entry string }
+
+// Stopping is a process that was asked to end.
+type Stopping struct{ Entry string }
+
+// HungUp is an entry that was asked to read its settings again.
+type HungUp struct{ Entry string }
+
+// Exited is the end of a process. Alone tells that nobody had asked for it.
+type Exited struct {
+	Who   string
+	Alone bool
+}
+
+// Directed is an answer of an entry's directory.
+type Directed struct {
+	Entry string
+	Names []string
+}
+
+func (Sent) event()       {}
+func (Answered) event()   {}
+func (Arrived) event()    {}
+func (Began) event()      {}
+func (Ended) event()      {}
+func (Joined) event()     {}
+func (Leaving) event()    {}
+func (Configured) event() {}
+func (Named) event()      {}
+func (Drained) event()    {}
+func (Returned) event()   {}
+func (Disturbed) event()  {}
+func (Calmed) event()     {}
+func (Started) event()    {}
+func (Stopping) event()   {}
+func (HungUp) event()     {}
+func (Exited) event()     {}
+func (Directed) event()   {}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,182 @@
+// Command soak runs the system's programs on loopback under random faults and checks the
+// promises meanwhile. See `go run ./soak --help`.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/oriolecroft/oriolecroft/soak/soaker"
+)
+
+const help = `
+  Runs entries and agents as separate processes against stand-ins, with faults drawn
+  from a seed, and ends with a line for each promise. The status is 0 when all were
+  kept, 1 when one was broken, 2 for a faulty flag or file.
+
+  Examples:
+    go run ./soak --seed 7
+    go run ./soak --seed 100 --seeds 10 --seconds 60 --entries 9 --engines 12
+    go run ./soak --file soak/seeds.txt`
+
+// Exit statuses.
+const (
+	exitBroken = 1
+	exitUsage  = 2
+)
+
+type flags struct {
+	seed                                uint64
+	seeds                               uint64
+	seconds, entries, engines, services int
+	file, logs                          string
+}
+
+func main() {
+	f := flags{seed: 1, seeds: 1, seconds: 45, entries: 3, engines: 6, services: 3, logs: filepath.Join(os.TempDir(), "soak")}
+	flaggy.SetName("soak")
+	flaggy.SetDescription("random faults on the real programs")
+	flaggy.DefaultParser.AdditionalHelpAppend = help
+	flaggy.DefaultParser.DisableShowVersionWithVersion()
+	flaggy.UInt64(&f.seed, "", "seed", "seed of the faults")
+	flaggy.UInt64(&f.seeds, "", "seeds", "how many seeds to run, counting up")
+	flaggy.Int(&f.seconds, "", "seconds", "length of a run in seconds")
+	flaggy.Int(&f.entries, "", "entries", "number of entries")
+	flaggy.Int(&f.engines, "", "engines", "number of engines with agents")
+	flaggy.Int(&f.services, "", "services", "number of plain upstreams")
+	flaggy.String(&f.file, "", "file", "run the seeds of this file instead")
+	flaggy.String(&f.logs, "", "logs", "directory for the logs")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	kept, err := f.run(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(exitUsage)
+	}
+	if !kept {
+		os.Exit(exitBroken)
+	}
+}
+
+// run makes all runs that the flags ask for.
+func (f *flags) run(ctx context.Context) (kept bool, err error) {
+	runs, err := f.runs()
+	if err != nil {
+		return false, err
+	}
+	binary := filepath.Join(f.logs, "oriolecroft")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "github.com/oriolecroft/oriolecroft/cmd/oriolecroft").CombinedOutput(); err != nil {
+		return false, fmt.Errorf("build: %w: %s", err, out)
+	}
+	kept = true
+	for i, o := range runs {
+		if ctx.Err() != nil {
+			fmt.Printf("interrupted: %d of %d seeds not run\n", len(runs)-i, len(runs))
+			return false, nil
+		}
+		o.Binary = binary
+		ok, err := f.runOne(ctx, o)
+		if err != nil {
+			return false, err
+		}
+		kept = kept && ok
+	}
+	return kept, nil
+}
+
+// runOne makes one run, with its log in a file.
+func (f *flags) runOne(ctx context.Context, o soaker.Options) (bool, error) {
+	o.Dir = filepath.Join(f.logs, fmt.Sprintf("seed-%d", o.Seed))
+	if err := errors.Join(os.RemoveAll(o.Dir), os.MkdirAll(o.Dir, 0o700)); err != nil {
+		return false, err
+	}
+	log, err := os.Create(filepath.Join(o.Dir, "soak.log"))
+	if err != nil {
+		return false, err
+	}
+	defer log.Close()
+	o.Out, o.Log = os.Stdout, log
+	fmt.Printf("seed %d, %v, %d entries, %d engines, %d services, logs in %s\n", o.Seed, o.Length, o.Entries, o.Engines, o.Services, o.Dir)
+	kept, err := soaker.Run(ctx, o)
+	fmt.Printf("seed %d: kept %v\n", o.Seed, kept)
+	return kept, err
+}
+
+// runs lists the runs, with all their options checked.
+func (f *flags) runs() ([]soaker.Options, error) {
+	if f.file != "" {
+		return readRuns(f.file)
+	}
+	if f.seeds < 1 {
+		return nil, &soaker.OptionError{Option: "seeds", Problem: "must be at least 1"}
+	}
+	var runs []soaker.Options
+	for i := range f.seeds {
+		o := soaker.Options{
+			Seed: f.seed + i, Length: time.Duration(f.seconds) * time.Second, Entries: f.entries, Engines: f.engines, Services: f.services,
+		}
+		if err := o.Check(); err != nil {
+			return nil, err
+		}
+		runs = append(runs, o)
+	}
+	return runs, nil
+}
+
+// seedFields are the columns of a file of seeds; the last one tells the cause.
+var seedFields = []string{"seed", "seconds", "entries", "engines", "services"}
+
+// readRuns reads a file of seeds that failed.
+func readRuns(path string) ([]soaker.Options, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var runs []soaker.Options
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for number := 1; lines.Scan(); number++ {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		o, err := parseRun(line)
+		if err != nil {
+			return nil, fmt.Errorf("%s, line %d: %w", path, number, err)
+		}
+		runs = append(runs, o)
+	}
+	return runs, lines.Err()
+}
+
+func parseRun(line string) (soaker.Options, error) {
+	columns := strings.Split(line, "|")
+	if len(columns) != len(seedFields)+1 || strings.TrimSpace(columns[len(seedFields)]) == "" {
+		return soaker.Options{}, &soaker.OptionError{Option: "columns", Problem: "want " + strings.Join(seedFields, " | ") + " | cause"}
+	}
+	var values []uint64
+	for i, name := range seedFields {
+		n, err := strconv.ParseUint(strings.TrimSpace(columns[i]), 10, 32)
+		if err != nil {
+			return soaker.Options{}, &soaker.OptionError{Option: name, Problem: "no number"}
+		}
+		values = append(values, n)
+	}
+	o := soaker.Options{
+		Seed: values[0], Length: time.Duration(values[1]) * time.Second, Entries: int(values[2]), Engines: int(values[3]), Services: int(values[4]),
+	}
+	return o, o.Check()
+}
--- /dev/null
+++ b/soak/soaker/callers.go
@@ -0,0 +1,206 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+const (
+	// callers ask all through a run, burstCallers more for the time of a burst.
+	callers      = 14
+	burstCallers = 12
+	// mostThought is between an answer and a caller's next request.
+	mostThought = 250 * time.Millisecond
+	// limit is how long callers wait, impatience how long those that leave early do.
+	limit      = 2500 * time.Millisecond
+	impatience = 120 * time.Millisecond
+	// oldAnswers is how many times as long as allowed some callers keep an answer of the
+	// directory.
+	oldAnswers = 3
+	// retryPause is after a failure without a word on when to come back.
+	retryPause = 200 * time.Millisecond
+)
+
+var requests atomic.Uint64
+
+// caller asks one question after another.
+type caller struct {
+	*world
+	random *rand.Rand
+	region string
+	// stubborn callers use a connection until it is gone, also when the directory names
+	// its entry no more, and keep answers of the directory for longer.
+	stubborn bool
+
+	entries []netip.AddrPort
+	until   time.Time
+	line    *standin.Line
+}
+
+func (w *world) newCaller(n int) *caller {
+	return &caller{
+		world: w, random: rand.New(rand.NewPCG(w.Seed, uint64(n))), region: domains[n%len(domains)].region, stubborn: n%3 == 0,
+	}
+}
+
+// run asks until the context ends. What was asked by then is waited for.
+func (c *caller) run(ctx context.Context) {
+	for sleep(ctx, time.Duration(c.random.Int64N(int64(mostThought)))) {
+		c.resolve(ctx)
+		if !c.connect(ctx) {
+			sleep(ctx, retryPause)
+			continue
+		}
+		sleep(ctx, c.ask(c.question()))
+	}
+	c.hangUp()
+}
+
+func (c *caller) hangUp() {
+	if c.line != nil {
+		c.line.Close()
+		c.line = nil
+	}
+}
+
+// directoriesTried is how many daemons a caller asks for addresses, nearest first.
+const directoriesTried = 3
+
+// resolve asks a directory once the last answer is too old.
+func (c *caller) resolve(ctx context.Context) {
+	if time.Now().Before(c.until) {
+		return
+	}
+	for _, i := range c.nearest()[:min(directoriesTried, len(c.entryVMs))] {
+		vm := c.entryVMs[i]
+		entries, ttl, err := standin.Resolve(ctx, vm.At(standin.PortDirectory), host, c.region)
+		if err != nil || len(entries) == 0 {
+			continue
+		}
+		if c.stubborn {
+			ttl *= oldAnswers
+		}
+		c.entries, c.until = entries, time.Now().Add(ttl)
+		var names []string
+		for _, a := range entries {
+			names = append(names, c.names[a])
+		}
+		c.note(auditor.Directed{Entry: vm.Name, Names: names})
+		return
+	}
+}
+
+// nearest gives the entries in random order, those of the own region first.
+func (c *caller) nearest() []int {
+	var near, far []int
+	for _, i := range c.random.Perm(len(c.entryVMs)) {
+		if c.entryVMs[i].Region == c.region {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
+	return append(near, far...)
+}
+
+// connect sees that there is a connection to use.
+func (c *caller) connect(ctx context.Context) bool {
+	if c.line != nil && !c.stubborn && !c.listed(c.line.Entry) {
+		c.hangUp()
+	}
+	if c.line != nil {
+		return true
+	}
+	if len(c.entries) == 0 {
+		return false
+	}
+	entry := c.entries[c.random.IntN(len(c.entries))]
+	line, err := standin.Dial(ctx, entry)
+	if err != nil {
+		// Another address is tried next; this one isn't used until the next answer.
+		c.drop(entry)
+		return false
+	}
+	c.line = line
+	return true
+}
+
+func (c *caller) listed(entry netip.AddrPort) bool {
+	for _, a := range c.entries {
+		if a == entry {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *caller) drop(entry netip.AddrPort) {
+	var rest []netip.AddrPort
+	for _, a := range c.entries {
+		if a != entry {
+			rest = append(rest, a)
+		}
+	}
+	c.entries = rest
+}
+
+// ask sends a question and tells how long to wait for the next.
+func (c *caller) ask(q *standin.Question) time.Duration {
+	entry := c.names[c.line.Entry]
+	c.note(auditor.Sent{
+		ID: q.ID, Entry: entry, Path: q.Path, Key: q.Key, Content: q.Content(), Limit: q.Limit,
+		Events: q.Events, After: q.LastEvent, Kept: c.line.Used,
+	})
+	a := c.line.Ask(q)
+	var parts []auditor.Part
+	for _, e := range a.Events {
+		parts = append(parts, auditor.Part(e))
+	}
+	c.note(auditor.Answered{
+		ID: q.ID, Status: a.Status, Names: a.ID, Upstream: a.Upstream, Forged: a.Forged, Whole: a.Whole, WrongBody: a.WrongBody,
+		Parts: parts, Expired: a.Expired,
+	})
+	if a.Closes {
+		c.hangUp()
+	}
+	if a.Status/100 == 2 && a.Whole {
+		return 0
+	}
+	return max(retryPause, min(a.RetryAfter, q.Limit/3))
+}
+
+// question draws what to ask.
+func (c *caller) question() *standin.Question {
+	n := requests.Add(1)
+	q := &standin.Question{ID: fmt.Sprintf("%08x%08x", c.Seed, n), Host: host, Model: figures.Model, Limit: limit, Key: c.key()}
+	prefixes := []string{
+		draftPrefix, draftPrefix, draftPrefix, oncePrefix, homePrefix, bookPrefix, bookPrefix, lookPrefix, publicPrefix, movingPrefix, comingPrefix,
+	}
+	prefix := prefixes[c.random.IntN(len(prefixes))]
+	q.Path = fmt.Sprintf("%s%d?slot=%d", prefix, c.random.IntN(100), n)
+	q.Body = fmt.Sprintf("{\"lead\":%d,\"shift\":%d}", n, c.random.IntN(1000))
+	switch prefix {
+	case draftPrefix, oncePrefix, homePrefix:
+		q.Prompt, q.Events = 100+c.random.IntN(600), 8+c.random.IntN(16)
+		if prefix == draftPrefix && c.random.IntN(12) == 0 {
+			q.LastEvent = 1 + c.random.IntN(4)
+		}
+	}
+	if c.random.IntN(30) == 0 {
+		q.Limit = impatience
+	}
+	return q
+}
+
+func (c *caller) key() string {
+	now, before := c.operators.changingKeys()
+	keys := []string{steadyKey, steadyKey, steadyKey, homeKey, now, before}
+	return keys[c.random.IntN(len(keys))]
+}
--- /dev/null
+++ b/soak/soaker/faults.go
@@ -0,0 +1,175 @@
+package soaker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+// make carries a fault out and returns when it is over.
+func (w *world) make(ctx context.Context, f fault) {
+	entry := w.entries[f.Target%len(w.entries)]
+	agent := w.agents[f.Target%len(w.agents)]
+	switch f.Kind {
+	case entryPause:
+		entry.pause(f.For)
+	case entryKill:
+		entry.kill()
+	case entryStop:
+		entry.terminate()
+	case entryHangUp:
+		entry.hangUp()
+	case agentPause:
+		agent.pause(f.For)
+	case agentKill:
+		agent.kill()
+	case agentStop:
+		agent.terminate()
+	case herdKill:
+		for _, p := range append(append([]*process(nil), w.entries...), w.agents...) {
+			p.kill()
+		}
+	case storeBusy, storeOverrun, storeSilent, storeLossy, storeForgets, storeLapse:
+		w.faultStore(f)
+	case linkDelay, linkReset, linkCut, linkSilence:
+		w.faultStoreLink(f)
+	case upstreamDelay, upstreamReset, upstreamCut, upstreamSilent:
+		w.faultUpstreamLink(f)
+	case upstreamLeaves, upstreamGone, upstreamCrash, stagedSpoils:
+		w.faultUpstream(f)
+	default:
+		w.change(ctx, f)
+	}
+}
+
+var storeFaults = map[faultKind]standin.Fault{
+	storeBusy: standin.Busy, storeOverrun: standin.Overrun, storeSilent: standin.Silent, storeLossy: standin.Lossy, storeLapse: standin.Busy,
+}
+
+// storeOnce lets one fault of the store be at a time.
+var storeOnce sync.Mutex
+
+func (w *world) faultStore(f fault) {
+	if f.Kind == storeForgets {
+		// The history may be gone at any time; that is no disturbance.
+		w.store.Compact()
+		return
+	}
+	storeOnce.Lock()
+	defer storeOnce.Unlock()
+	w.note(auditor.Disturbed{Who: auditor.Core})
+	w.store.SetFault(storeFaults[f.Kind])
+	if f.Kind == storeLapse {
+		w.store.Lapse()
+		for _, p := range w.places {
+			p.lapse()
+		}
+	}
+	time.Sleep(f.For)
+	w.store.SetFault(standin.None)
+	w.note(auditor.Calmed{Who: auditor.Core})
+}
+
+const (
+	// leastDelay and delayStep make a link's delay, in steps of the fault's amount.
+	leastDelay = 20 * time.Millisecond
+	delayStep  = 3 * time.Millisecond
+)
+
+func (w *world) faultStoreLink(f fault) {
+	i := f.Target % len(w.storeLinks)
+	// Links to the store come in the order of the VMs: entries, then agents.
+	who := append(append([]*process(nil), w.entries...), w.agents...)[i].name
+	w.faultLink(w.storeLinks[i], f, func() string { return who })
+}
+
+func (w *world) faultUpstreamLink(f fault) {
+	p := w.places[f.Target%len(w.places)]
+	w.faultLink(p.link, f, p.id)
+}
+
+// faultLink faults a link for a time. Whom that disturbs may be another at its end.
+func (w *world) faultLink(k *link, f fault, who func() string) {
+	first := who()
+	w.note(auditor.Disturbed{Who: first})
+	switch f.Kind {
+	case linkDelay, upstreamDelay:
+		k.slow(leastDelay + time.Duration(f.Amount)*delayStep)
+	case linkReset, upstreamReset:
+		k.reset()
+	case linkCut, upstreamCut:
+		k.cut(f.Amount%3 != 0, f.Amount%3 != 1)
+	case linkSilence, upstreamSilent:
+		k.silence()
+	}
+	time.Sleep(f.For)
+	k.mend()
+	w.note(auditor.Calmed{Who: first})
+	if last := who(); last != first {
+		w.note(auditor.Disturbed{Who: last})
+		w.note(auditor.Calmed{Who: last})
+	}
+}
+
+func (w *world) faultUpstream(f fault) {
+	p := w.places[f.Target%len(w.places)]
+	switch f.Kind {
+	case upstreamLeaves:
+		p.replace(f.For/2, p.leave)
+	case upstreamGone:
+		p.replace(f.For/2, p.vanish)
+	case upstreamCrash:
+		p.replace(f.For, p.crash)
+	case stagedSpoils:
+		p.staged.Spoil(f.Amount % chunks)
+	}
+}
+
+// change is what the operators, the callers, the origin and flaky upstreams do.
+func (w *world) change(ctx context.Context, f fault) {
+	switch f.Kind {
+	case tableChange:
+		w.operators.change(f.Amount)
+	case keyRemoval:
+		w.operators.removeKey()
+	case weightsNamed:
+		for range 1 + f.Amount%3 {
+			w.operators.name()
+			time.Sleep(f.For / 3)
+		}
+	case domainDrained:
+		w.drain(f)
+	case upstreamBreaks:
+		w.breakOff.Store(int32(1 + f.Amount/5))
+		time.Sleep(f.For)
+		w.breakOff.Store(0)
+	case originSpoils:
+		w.origin.Spoil.Store(int32(f.Amount / 2))
+		time.Sleep(f.For)
+		w.origin.Spoil.Store(0)
+	case callersBurst:
+		w.burst(ctx, f)
+	}
+}
+
+// drain takes a failure domain out for longer than the bound.
+func (w *world) drain(f fault) {
+	domain := domains[f.Target%len(domains)].name
+	if w.operators.drain(domain) {
+		time.Sleep(w.bounds.Evacuate + f.For)
+		w.operators.takeBack(domain)
+	}
+}
+
+func (w *world) burst(ctx context.Context, f fault) {
+	ctx, cancel := context.WithTimeout(ctx, f.For)
+	defer cancel()
+	var all sync.WaitGroup
+	for i := range burstCallers {
+		all.Go(func() { w.newCaller(callers + i).run(ctx) })
+	}
+	all.Wait()
+}
--- /dev/null
+++ b/soak/soaker/link.go
@@ -0,0 +1,181 @@
+package soaker
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// link passes TCP connections on to one address and can do to them what a faulty
+// network does.
+type link struct {
+	listener net.Listener
+	to       netip.AddrPort
+
+	mu    sync.Mutex
+	delay time.Duration
+	// there and back are held while closed channels of their own are missing: nil lets
+	// bytes pass.
+	there, back chan struct{}
+	conns       map[*pipe]bool
+}
+
+// pipe is one connection through a link.
+type pipe struct {
+	near, far net.Conn
+	// silent is closed once the connection says nothing any more.
+	silent chan struct{}
+	once   sync.Once
+}
+
+func newLink(at, to netip.AddrPort) (*link, error) {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, err
+	}
+	k := &link{listener: l, to: to, conns: map[*pipe]bool{}}
+	go k.accept()
+	return k, nil
+}
+
+func (k *link) address() netip.AddrPort { return netip.MustParseAddrPort(k.listener.Addr().String()) }
+
+func (k *link) accept() {
+	for {
+		near, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		go k.connect(near)
+	}
+}
+
+func (k *link) connect(near net.Conn) {
+	far, err := net.Dial("tcp", k.to.String())
+	if err != nil {
+		reset(near)
+		return
+	}
+	p := &pipe{near: near, far: far, silent: make(chan struct{})}
+	k.mu.Lock()
+	k.conns[p] = true
+	k.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { k.pass(p, near, far, &k.there) })
+	both.Go(func() { k.pass(p, far, near, &k.back) })
+	both.Wait()
+	k.mu.Lock()
+	delete(k.conns, p)
+	k.mu.Unlock()
+}
+
+// pass copies one direction until its end. An end is passed on as it came, a reset as a
+// reset.
+func (k *link) pass(p *pipe, from, to net.Conn, held *chan struct{}) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !k.wait(p, held) {
+			return
+		}
+		if _, e := to.Write(buffer[:n]); e != nil || err != nil {
+			from.Close()
+			to.Close()
+			return
+		}
+	}
+}
+
+// wait holds bytes back for as long as the link does; false on a connection that is
+// silent for good.
+func (k *link) wait(p *pipe, held *chan struct{}) bool {
+	for {
+		k.mu.Lock()
+		delay, hold := k.delay, *held
+		k.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		select {
+		case <-p.silent:
+			return false
+		default:
+		}
+		if hold == nil {
+			return true
+		}
+		select {
+		case <-hold:
+		case <-p.silent:
+			return false
+		}
+	}
+}
+
+// slow delays everything until it is set to 0.
+func (k *link) slow(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.delay = d
+}
+
+// cut holds the bytes of one direction or of both until the link is mended.
+func (k *link) cut(there, back bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if there && k.there == nil {
+		k.there = make(chan struct{})
+	}
+	if back && k.back == nil {
+		k.back = make(chan struct{})
+	}
+}
+
+// mend ends delays and cuts.
+func (k *link) mend() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.delay = 0
+	for _, held := range []*chan struct{}{&k.there, &k.back} {
+		if *held != nil {
+			close(*held)
+			*held = nil
+		}
+	}
+}
+
+// silence has all open connections say nothing any more; new ones work.
+func (k *link) silence() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.conns {
+		p.once.Do(func() { close(p.silent) })
+	}
+}
+
+// reset breaks all connections.
+func (k *link) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.conns {
+		reset(p.near)
+		reset(p.far)
+	}
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		// A socket that is closed already can't be reset.
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// close ends the link.
+func (k *link) close() {
+	k.listener.Close()
+	k.mend()
+	k.silence()
+	k.reset()
+}
--- /dev/null
+++ b/soak/soaker/operators.go
@@ -0,0 +1,170 @@
+package soaker
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+// host is the name under which callers know the deployment.
+const host = "rota.example"
+
+// The callers' ways, by prefix. The last two come, go and move.
+const (
+	draftPrefix   = "/draft/"
+	oncePrefix    = "/oncedraft/"
+	homePrefix    = "/homedraft/"
+	bookPrefix    = "/book/"
+	lookPrefix    = "/look/"
+	publicPrefix  = "/public/"
+	movingPrefix  = "/moving/"
+	comingPrefix  = "/look/coming/"
+	homeRegion    = "huon"
+	steadyKey     = "key-steady"
+	homeKey       = "key-home"
+	removedPrefix = "key-removed-"
+)
+
+// operators write to the store what the deployment is to do, and tell the auditor when
+// that is confirmed.
+type operators struct {
+	*world
+
+	mu      sync.Mutex
+	table   standin.Table
+	removed int
+	weights uint64
+	drained map[string]bool
+}
+
+func newOperators(w *world) *operators {
+	o := &operators{world: w, weights: 1, drained: map[string]bool{}}
+	route := func(prefix, service string, kind standin.Kind) standin.Route {
+		return standin.Route{
+			Name: prefix, Prefix: prefix, Service: service, Kind: kind, Attempts: 2, Timeout: 3 * time.Second,
+		}
+	}
+	drafts, once, homes := route(draftPrefix, engineService, standin.Streaming), route(oncePrefix, engineService, standin.Streaming), route(homePrefix, engineService, standin.Streaming)
+	drafts.Resume, homes.Resume = true, true
+	homes.Regions = []string{homeRegion}
+	public := route(publicPrefix, portalService, standin.Idempotent)
+	public.Public = true
+	o.table = standin.Table{
+		Host: host, Version: 1, Engines: []string{engineService}, Services: []string{bookingService, portalService},
+		Origin: netip.MustParseAddrPort(w.originLink.Addr().String()), OriginDomain: domains[0].name, ColdRate: coldRate, Engine: figures,
+		Routes: []standin.Route{
+			drafts, once, homes, public, route(bookPrefix, bookingService, standin.NonIdempotent),
+			route(lookPrefix, bookingService, standin.Idempotent), route(movingPrefix, bookingService, standin.NonIdempotent),
+		},
+		Workspaces: []standin.Workspace{
+			{Name: "steady", Keys: []string{steadyKey}}, {Name: "home", Keys: []string{homeKey}, Regions: []string{homeRegion}},
+			{Name: "changing", Keys: []string{removedPrefix + "0"}},
+		},
+	}
+	return o
+}
+
+// begin writes the first table and the first version of the weights.
+func (o *operators) begin() {
+	o.put()
+	o.store.Name(figures.Model, o.weights)
+	o.note(auditor.Named{Version: o.weights})
+}
+
+// put writes the table. The auditor hears of it first, as an entry may show it before
+// this process goes on.
+func (o *operators) put() {
+	t := auditor.Table{Version: o.table.Version, Keys: map[string]auditor.Workspace{}}
+	for i := range o.table.Routes {
+		r := &o.table.Routes[i]
+		t.Routes = append(t.Routes, auditor.Route{
+			Prefix: r.Prefix, Service: r.Service, Once: r.Once(), Public: r.Public, Attempts: r.Attempts, Regions: r.Regions,
+		})
+	}
+	for _, w := range o.table.Workspaces {
+		for _, k := range w.Keys {
+			t.Keys[k] = auditor.Workspace{Name: w.Name, Regions: w.Regions}
+		}
+	}
+	o.note(auditor.Configured{Table: t})
+	o.store.PutTable(&o.table)
+}
+
+// change moves a route between services, or adds or removes one.
+func (o *operators) change(amount int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Version += uint64(1 + amount%3)
+	routes := slices.Clone(o.table.Routes)
+	if coming := slices.IndexFunc(routes, func(r standin.Route) bool { return r.Prefix == comingPrefix }); amount%2 == 0 {
+		i := slices.IndexFunc(routes, func(r standin.Route) bool { return r.Prefix == movingPrefix })
+		if routes[i].Service == bookingService {
+			routes[i].Service = portalService
+		} else {
+			routes[i].Service = bookingService
+		}
+	} else if coming >= 0 {
+		routes = slices.Delete(routes, coming, coming+1)
+	} else {
+		routes = append(routes, standin.Route{
+			Name: comingPrefix, Prefix: comingPrefix, Service: portalService, Kind: standin.Idempotent, Attempts: 2, Timeout: 3 * time.Second,
+		})
+	}
+	o.table.Routes = routes
+	o.put()
+}
+
+// removeKey takes a key from callers that use it and gives them another.
+func (o *operators) removeKey() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Version++
+	o.removed++
+	o.table.Workspaces = slices.Clone(o.table.Workspaces)
+	o.table.Workspaces[len(o.table.Workspaces)-1].Keys = []string{fmt.Sprint(removedPrefix, o.removed)}
+	o.put()
+}
+
+// changingKeys gives the key in force that changes, and the one before it.
+func (o *operators) changingKeys() (now, before string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return fmt.Sprint(removedPrefix, o.removed), fmt.Sprint(removedPrefix, max(0, o.removed-1))
+}
+
+// name declares the next version of the weights.
+func (o *operators) name() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.weights++
+	o.store.Name(figures.Model, o.weights)
+	o.note(auditor.Named{Version: o.weights})
+}
+
+// drain takes a failure domain out; false when one is out already.
+func (o *operators) drain(domain string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.drained) > 0 {
+		return false
+	}
+	o.drained[domain] = true
+	o.store.Drain(domain)
+	o.note(auditor.Drained{FailureDomain: domain})
+	return true
+}
+
+// takeBack returns a failure domain. The auditor hears of it first, as an entry may use
+// it before this process goes on.
+func (o *operators) takeBack(domain string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.drained, domain)
+	o.note(auditor.Returned{FailureDomain: domain})
+	o.store.Return(domain)
+}
--- /dev/null
+++ b/soak/soaker/place.go
@@ -0,0 +1,173 @@
+package soaker
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+// heartbeat is between two records of an upstream.
+const heartbeat = 1200 * time.Millisecond
+
+const (
+	// coldTime is how long an upstream that returns is cold, coldRate what it then bears.
+	coldTime = 4 * time.Second
+	coldRate = 8
+	// serviceSlots and serviceWork are those of a plain service.
+	serviceSlots = 8
+	serviceWork  = 25 * time.Millisecond
+)
+
+// place is a VM on which one upstream after another runs, behind a link.
+type place struct {
+	*world
+	vm     *standin.VM
+	link   *link
+	staged standin.Staged
+
+	mu sync.Mutex
+	// generation numbers the upstreams.
+	generation int
+	current    *standin.Upstream
+	// busy tells that the upstream is being replaced.
+	busy bool
+}
+
+func (w *world) newPlace(vm *standin.VM) (*place, error) {
+	k, err := newLink(vm.At(standin.PortUpstream), vm.At(standin.PortBehind))
+	if err != nil {
+		return nil, err
+	}
+	p := &place{world: w, vm: vm, link: k}
+	if vm.Service == engineService {
+		// The first version lies staged from the start.
+		for i := range chunks {
+			p.staged.Put(i, w.origin.Chunk(figures.Model, 1, i))
+		}
+	}
+	return p, nil
+}
+
+// open starts an upstream at the place.
+func (p *place) open(cold time.Duration, version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := standin.Listen(p.vm.At(standin.PortBehind))
+	if err != nil {
+		p.say("no upstream at %s: %v", p.vm.Name, err)
+		return
+	}
+	p.generation++
+	r := standin.Record{
+		ID: fmt.Sprintf("%s.%d", p.vm.Name, p.generation), Service: p.vm.Service, Address: p.vm.At(standin.PortUpstream),
+		FailureDomain: p.vm.FailureDomain, Slots: serviceSlots,
+	}
+	if p.vm.Service == engineService {
+		p.current = standin.NewEngine(r, figures, p.origin, &p.staged, version).Upstream
+	} else {
+		p.current = standin.NewService(r, serviceWork)
+	}
+	u := p.current
+	u.Observer, u.Store, u.Heartbeat, u.BreakOff = observer{p.world}, p.store, heartbeat, &p.breakOff
+	p.note(auditor.Joined{
+		Upstream: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Region: p.vm.Region, Cold: cold, ColdRate: coldRate,
+	})
+	u.Start(l, cold)
+}
+
+// replace ends the upstream in some way and opens another after a pause. It does nothing
+// while that is under way already.
+func (p *place) replace(pause time.Duration, end func(*standin.Upstream)) {
+	p.mu.Lock()
+	u, busy := p.current, p.busy
+	p.busy = true
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	end(u)
+	time.Sleep(pause)
+	p.open(coldTime, 0)
+	p.mu.Lock()
+	p.busy = false
+	p.mu.Unlock()
+}
+
+// crash ends an upstream at once. The store drops its record after three heartbeats.
+func (p *place) crash(u *standin.Upstream) {
+	p.note(auditor.Disturbed{Who: u.ID})
+	u.Stop()
+	time.AfterFunc(3*heartbeat, func() { p.store.DropUpstream(u.ID) })
+}
+
+const (
+	// announceEvery is how often an upstream tries to tell that it leaves.
+	announceEvery = 100 * time.Millisecond
+	// beyondDrain is how much longer than the bound it serves.
+	beyondDrain = 700 * time.Millisecond
+)
+
+// leave has an upstream announce that it leaves, serve for the bound and end.
+func (p *place) leave(u *standin.Upstream) {
+	for !u.Announce() {
+		time.Sleep(announceEvery)
+	}
+	p.note(auditor.Leaving{Upstream: u.ID})
+	time.Sleep(p.bounds.Drain + beyondDrain)
+	p.note(auditor.Disturbed{Who: u.ID})
+	u.Withdraw()
+	u.Stop()
+}
+
+// vanish has an upstream's record removed while it still serves for the bound.
+func (p *place) vanish(u *standin.Upstream) {
+	u.Withdraw()
+	p.note(auditor.Leaving{Upstream: u.ID})
+	time.Sleep(p.bounds.Drain + beyondDrain)
+	p.note(auditor.Disturbed{Who: u.ID})
+	u.Stop()
+}
+
+// lapse removes the record for a time, as the store does during its outage.
+func (p *place) lapse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.store.DropUpstream(p.current.ID)
+}
+
+// id is that of the current upstream.
+func (p *place) id() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current.ID
+}
+
+func (p *place) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current != nil {
+		p.current.Stop()
+	}
+	p.link.close()
+}
+
+// observer tells the auditor what upstreams see.
+type observer struct{ *world }
+
+var _ standin.Observer = observer{}
+
+// Arrived implements standin.Observer.
+func (o observer) Arrived(a standin.Arrival) { o.note(auditor.Arrived(a)) }
+
+// Began implements standin.Observer.
+func (o observer) Began(id, upstream string, version uint64, spoilt bool) {
+	o.note(auditor.Began{ID: id, Upstream: upstream, Version: version, Spoilt: spoilt})
+}
+
+// Ended implements standin.Observer.
+func (o observer) Ended(id, upstream string, broken bool) {
+	o.note(auditor.Ended{ID: id, Upstream: upstream, Broken: broken})
+}
--- /dev/null
+++ b/soak/soaker/plan.go
@@ -0,0 +1,132 @@
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// faultKind is what a fault does.
+type faultKind string
+
+// The faults.
+const (
+	entryPause     faultKind = "entry paused"
+	entryKill      faultKind = "entry killed"
+	entryStop      faultKind = "entry stopped"
+	entryHangUp    faultKind = "entry reloads"
+	agentPause     faultKind = "agent paused"
+	agentKill      faultKind = "agent killed"
+	agentStop      faultKind = "agent stopped"
+	herdKill       faultKind = "all processes killed"
+	storeBusy      faultKind = "store answers 503"
+	storeOverrun   faultKind = "store answers 429"
+	storeSilent    faultKind = "store silent"
+	storeLossy     faultKind = "store loses answers"
+	storeForgets   faultKind = "store forgets its history"
+	storeLapse     faultKind = "store down, records lapse"
+	linkDelay      faultKind = "store link delayed"
+	linkReset      faultKind = "store link reset"
+	linkCut        faultKind = "store link cut one way"
+	linkSilence    faultKind = "store connections silent"
+	upstreamDelay  faultKind = "upstream link delayed"
+	upstreamReset  faultKind = "upstream link reset"
+	upstreamCut    faultKind = "upstream link cut one way"
+	upstreamSilent faultKind = "upstream connections silent"
+	upstreamLeaves faultKind = "upstream leaves"
+	upstreamGone   faultKind = "upstream leaves unannounced"
+	upstreamCrash  faultKind = "upstream crashes"
+	upstreamBreaks faultKind = "upstreams break replies off"
+	stagedSpoils   faultKind = "staged weights turn bad"
+	originSpoils   faultKind = "origin sends wrong bytes"
+	tableChange    faultKind = "route table changes"
+	keyRemoval     faultKind = "key removed"
+	weightsNamed   faultKind = "weights named"
+	domainDrained  faultKind = "failure domain drained"
+	callersBurst   faultKind = "burst of callers"
+)
+
+// weighted lists the kinds with their odds.
+var weighted = []struct {
+	kind faultKind
+	odds int
+}{
+	{entryPause, 4}, {entryKill, 3}, {entryStop, 3}, {entryHangUp, 2}, {agentPause, 3}, {agentKill, 3}, {agentStop, 2}, {herdKill, 1},
+	{storeBusy, 2}, {storeOverrun, 1}, {storeSilent, 2}, {storeLossy, 2}, {storeForgets, 2}, {storeLapse, 1},
+	{linkDelay, 2}, {linkReset, 2}, {linkCut, 2}, {linkSilence, 2},
+	{upstreamDelay, 2}, {upstreamReset, 2}, {upstreamCut, 2}, {upstreamSilent, 2},
+	{upstreamLeaves, 4}, {upstreamGone, 2}, {upstreamCrash, 4}, {upstreamBreaks, 2}, {stagedSpoils, 1}, {originSpoils, 2},
+	{tableChange, 6}, {keyRemoval, 2}, {weightsNamed, 4}, {domainDrained, 3}, {callersBurst, 1},
+}
+
+// fault is one fault of a plan.
+type fault struct {
+	At, For time.Duration
+	Kind    faultKind
+	// Target picks whom it meets, Amount how strongly.
+	Target, Amount int
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%6.2fs for %5.2fs  %s (%d, %d)", f.At.Seconds(), f.For.Seconds(), f.Kind, f.Target, f.Amount)
+}
+
+const (
+	// settle is how long a run goes on before the first fault: processes start and engines
+	// open.
+	settle = 3 * time.Second
+	// Recovery is how long a run goes on without faults at its end: 12 s in which service
+	// has to come back by the users' bounds, and some in which that shows.
+	recovery = 12 * time.Second
+	shown    = 4 * time.Second
+	// leastFault and mostFault are how long a fault lasts.
+	leastFault = 300 * time.Millisecond
+	mostFault  = 4 * time.Second
+	// mostPause is between two faults; half of all come in close series.
+	mostPause = 2 * time.Second
+	inSeries  = 150 * time.Millisecond
+)
+
+// enabledShare is the share, of a hundred, of kinds that one seed uses. With all at once
+// hardly any process would run undisturbed for long enough to be held to a bound.
+const enabledShare = 45
+
+// always are kinds that every seed uses: without changes most promises have nothing to
+// be checked on.
+var always = []faultKind{tableChange, weightsNamed, upstreamLeaves}
+
+// plan draws the faults of a run. All are over when the recovery begins.
+func plan(seed uint64, length time.Duration) []fault {
+	r := rand.New(rand.NewPCG(seed, seed))
+	last := length - recovery - shown
+	kinds := enabled(r)
+	var faults []fault
+	for at := settle; ; {
+		if r.IntN(2) == 0 {
+			at += time.Duration(r.Int64N(int64(inSeries)))
+		} else {
+			at += time.Duration(r.Int64N(int64(mostPause)))
+		}
+		if at+leastFault >= last {
+			break
+		}
+		most := min(mostFault, last-at)
+		faults = append(faults, fault{
+			At: at, For: leastFault + time.Duration(r.Int64N(int64(most-leastFault)+1)), Kind: kinds[r.IntN(len(kinds))],
+			Target: r.IntN(1 << 16), Amount: r.IntN(100),
+		})
+	}
+	return slices.Clip(faults)
+}
+
+// enabled draws the kinds of one seed, each as often as its odds.
+func enabled(r *rand.Rand) []faultKind {
+	var kinds []faultKind
+	for _, w := range weighted {
+		if r.IntN(100) < enabledShare || slices.Contains(always, w.kind) {
+			kinds = append(kinds, slices.Repeat([]faultKind{w.kind}, w.odds)...)
+		}
+	}
+	return kinds
+}
--- /dev/null
+++ b/soak/soaker/process.go
@@ -0,0 +1,153 @@
+package soaker
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/platform"
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+// restartPause is between the end of a process and its next start, as the platform has it.
+const restartPause = 300 * time.Millisecond
+
+// process is a daemon of the system on its VM. It is started again whenever it ends.
+type process struct {
+	name, binary, role string
+	settings, log      string
+	note               func(auditor.Event)
+	// grace is the time between the signal to stop and the kill.
+	grace time.Duration
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// asked tells that the running process was told to end.
+	asked bool
+	// over tells that no further one is to be started.
+	over bool
+	done chan struct{}
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return nil
+	}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.binary, "platform", p.role)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + p.settings}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.asked, p.done = cmd, false, make(chan struct{})
+	p.note(auditor.Started{Entry: p.name})
+	go p.await(cmd, p.done)
+	return nil
+}
+
+// await notices the end and starts the process again.
+func (p *process) await(cmd *exec.Cmd, done chan struct{}) {
+	// How it ended is in its log; that it did is what counts here.
+	_ = cmd.Wait()
+	p.mu.Lock()
+	alone, over := !p.asked && !p.over, p.over
+	p.mu.Unlock()
+	p.note(auditor.Exited{Who: p.name, Alone: alone})
+	close(done)
+	if over {
+		return
+	}
+	time.Sleep(restartPause)
+	if err := p.start(); err != nil {
+		p.note(auditor.Exited{Who: p.name, Alone: true})
+	}
+}
+
+// signal sends a signal to this one process. One that has ended meanwhile gets none.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// pause stops the process for a time.
+func (p *process) pause(d time.Duration) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.note(auditor.Disturbed{Who: p.name})
+	p.signal(syscall.SIGSTOP)
+	p.mu.Unlock()
+	time.Sleep(d)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = cmd.Process.Signal(syscall.SIGCONT)
+	p.note(auditor.Calmed{Who: p.name})
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.note(auditor.Disturbed{Who: p.name})
+	p.asked = true
+	p.signal(syscall.SIGKILL)
+	p.note(auditor.Calmed{Who: p.name})
+}
+
+// terminate asks the process to end and kills it after the grace.
+func (p *process) terminate() {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.asked = true
+	p.note(auditor.Stopping{Entry: p.name})
+	p.signal(syscall.SIGTERM)
+	p.mu.Unlock()
+	p.awaitEnd(cmd, done)
+}
+
+// awaitEnd kills a process that has not ended within the grace.
+func (p *process) awaitEnd(cmd *exec.Cmd, done chan struct{}) {
+	select {
+	case <-done:
+	case <-time.After(p.grace):
+		_ = cmd.Process.Kill()
+		<-done
+	}
+}
+
+// hangUp has the process read its settings again.
+func (p *process) hangUp() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.note(auditor.HungUp{Entry: p.name})
+	p.signal(syscall.SIGHUP)
+}
+
+// end stops the process for good.
+func (p *process) end() {
+	p.mu.Lock()
+	p.over = true
+	cmd, done := p.cmd, p.done
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	// A paused process could not take the request to end.
+	_ = cmd.Process.Signal(syscall.SIGCONT)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	p.awaitEnd(cmd, done)
+}
+
+// newProcess prepares a daemon whose files lie in a directory.
+func (w *world) newProcess(name, role string) *process {
+	return &process{
+		name: name, role: role, binary: w.Binary, note: w.note, grace: w.bounds.Grace,
+		settings: filepath.Join(w.dir, name+".toml"), log: filepath.Join(w.dir, name+".log"),
+	}
+}
--- /dev/null
+++ b/soak/soaker/soaker.go
@@ -0,0 +1,150 @@
+// Package soaker runs the system's real programs as separate processes on loopback
+// against stand-ins of everything around them, puts faults on them from outside, and has
+// an auditor check the promises meanwhile.
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+// Options are a run's settings.
+type Options struct {
+	// Seed draws the faults.
+	Seed uint64
+	// Length is that of the run.
+	Length time.Duration
+	// Entries, Engines and Services are how many VMs there are of each.
+	Entries, Engines, Services int
+	// Binary is the program under test, Dir where settings and logs go.
+	Binary, Dir string
+	// Out gets the report; Log one line for each fault and each broken promise.
+	Out, Log io.Writer
+}
+
+// OptionError reports an option that can't be used.
+type OptionError struct{ Option, Problem string }
+
+func (e *OptionError) Error() string { return e.Option + ": " + e.Problem }
+
+// leastLength leaves some seconds for faults; mostVMs keeps processes to a few hundred.
+const (
+	leastLength = settle + recovery + shown + 5*time.Second
+	mostVMs     = 120
+)
+
+// Check refuses options that can't be used.
+func (o *Options) Check() error {
+	switch {
+	case o.Length < leastLength:
+		return &OptionError{"seconds", fmt.Sprintf("must be at least %.0f", leastLength.Seconds())}
+	case o.Entries < 1 || o.Entries > mostVMs:
+		return &OptionError{"entries", fmt.Sprintf("must be from 1 to %d", mostVMs)}
+	case o.Engines < 1 || o.Engines > mostVMs:
+		return &OptionError{"engines", fmt.Sprintf("must be from 1 to %d", mostVMs)}
+	case o.Services < 2 || o.Services > mostVMs:
+		return &OptionError{"services", fmt.Sprintf("must be from 2 to %d", mostVMs)}
+	}
+	return nil
+}
+
+// Run makes one run. It tells whether all promises were kept; an error is one of the soak
+// itself. When the context ends early, it ends what it started and says what is left
+// unchecked.
+func Run(ctx context.Context, o Options) (kept bool, err error) {
+	if err := o.Check(); err != nil {
+		return false, err
+	}
+	w := newWorld(&o)
+	defer w.close()
+	if err := w.start(); err != nil {
+		return false, err
+	}
+	faults := plan(o.Seed, o.Length)
+	w.say("seed %d: %d faults in %v", o.Seed, len(faults), o.Length)
+	running, cancel := context.WithTimeout(ctx, o.Length)
+	defer cancel()
+	made := w.play(running, faults)
+	w.close()
+	if ctx.Err() != nil {
+		fmt.Fprintf(o.Out, "interrupted: %d of %d faults made, recovery not checked\n", made, len(faults))
+	} else {
+		w.audit.Finish(w.began.Add(o.Length - shown))
+	}
+	return w.audit.Report(o.Out), nil
+}
+
+// play has callers call and faults happen until the context ends.
+func (w *world) play(ctx context.Context, faults []fault) (made int) {
+	var all sync.WaitGroup
+	for i := range callers {
+		all.Go(func() { w.newCaller(i).run(ctx) })
+	}
+	all.Go(func() { w.watchStalls(ctx) })
+	for _, f := range faults {
+		if !sleep(ctx, time.Until(w.began.Add(f.At))) {
+			break
+		}
+		w.say("%v", f)
+		made++
+		all.Go(func() { w.make(ctx, f) })
+	}
+	<-ctx.Done()
+	all.Wait()
+	return made
+}
+
+// stallEvery is how often the soak looks whether it is itself held up, longStall from
+// what on it says so: its own delay would show as that of the system.
+const (
+	stallEvery = 10 * time.Millisecond
+	longStall  = 100 * time.Millisecond
+)
+
+func (w *world) watchStalls(ctx context.Context) {
+	for last := time.Now(); sleep(ctx, stallEvery); {
+		now := time.Now()
+		if late := now.Sub(last) - stallEvery; late > longStall {
+			w.say("the soak itself stood still for %v", late)
+		}
+		last = now
+	}
+}
+
+// sleep waits and tells whether the context is still on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// say writes a line of the run's log.
+func (w *world) say(format string, args ...any) {
+	w.logging.Lock()
+	defer w.logging.Unlock()
+	fmt.Fprintf(w.Log, "%7.3f  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// newAuditor makes the auditor of a run.
+func (w *world) newAuditor() *auditor.Auditor {
+	b := w.bounds
+	return &auditor.Auditor{
+		Bounds: auditor.Bounds{
+			StableWindow: b.StableWindow, Drain: b.Drain, Evacuate: b.Evacuate, ConfigApply: b.ConfigApply, Weights: b.Weights,
+			RollbackSlack: b.RollbackSlack, Grace: b.Grace, LossSlack: b.LossSlack, RetryWindow: b.RetryWindow,
+			RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
+		},
+		Clock:    clock.RealClock{},
+		OnBroken: func(b *auditor.Broken) { w.say("BROKEN %v", b) },
+	}
+}
--- /dev/null
+++ b/soak/soaker/world.go
@@ -0,0 +1,223 @@
+package soaker
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+// domains are the failure domains with their regions.
+var domains = []struct{ name, region string }{
+	{"huon-a", "huon"}, {"derwent-a", "derwent"}, {"huon-b", "huon"},
+}
+
+func regions() map[string]string {
+	all := map[string]string{}
+	for _, d := range domains {
+		all[d.name] = d.region
+	}
+	return all
+}
+
+// The services of the deployment.
+const (
+	engineService  = "rota-llm"
+	bookingService = "shed-app"
+	portalService  = "grower-portal"
+)
+
+// Weights of the model: small ones, as loopback has no narrow links.
+const (
+	chunks     = 16
+	chunkBytes = 4 << 10
+)
+
+// figures are those of an engine. Its answers take some 0.3 s.
+var figures = standin.EngineFigures{
+	Model: "rota", Slots: 8, Chunks: chunks, Step: 12 * time.Millisecond, ReadPerSecond: 10000, Load: 300 * time.Millisecond,
+}
+
+// world is a deployment with all that is around it.
+type world struct {
+	*Options
+	dir    string
+	bounds standin.Bounds
+	audit  *auditor.Auditor
+	began  time.Time
+
+	store      *standin.Store
+	origin     *standin.Origin
+	originLink net.Listener
+	// names gives the entry of each address.
+	names           map[netip.AddrPort]string
+	entryVMs        []*standin.VM
+	entries, agents []*process
+	storeLinks      []*link
+	places          []*place
+	operators       *operators
+	breakOff        atomic.Int32
+
+	logging sync.Mutex
+	closing sync.Once
+}
+
+func newWorld(o *Options) *world {
+	w := &world{Options: o, dir: o.Dir, bounds: standin.UsersBounds, names: map[netip.AddrPort]string{}, began: time.Now()}
+	w.audit = w.newAuditor()
+	return w
+}
+
+func (w *world) note(e auditor.Event) { w.audit.Note(e) }
+
+// start brings everything up.
+func (w *world) start() error {
+	if err := os.MkdirAll(w.dir, 0o700); err != nil {
+		return err
+	}
+	w.store = standin.NewStore()
+	w.origin = &standin.Origin{Chunks: chunks, ChunkBytes: chunkBytes}
+	base, err := freeNetwork()
+	if err != nil {
+		return err
+	}
+	vms := w.layOut(base)
+	w.originLink, err = net.Listen("tcp", netip.AddrPortFrom(base, standin.PortOrigin).String())
+	if err != nil {
+		return err
+	}
+	go func() { _ = w.origin.Serve(w.originLink) }()
+	w.operators = newOperators(w)
+	w.operators.begin()
+	for _, vm := range vms {
+		if err := w.startVM(vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// layOut gives each VM its name, place and address.
+func (w *world) layOut(base netip.Addr) []*standin.VM {
+	var vms []*standin.VM
+	ip := base
+	add := func(kind, service string, n int) {
+		for i := range n {
+			ip = ip.Next()
+			d := domains[i%len(domains)]
+			vms = append(vms, &standin.VM{Name: fmt.Sprintf("%s-%d", kind, i), IP: ip, FailureDomain: d.name, Region: d.region, Service: service})
+		}
+	}
+	add("entry", "", w.Entries)
+	add("engine", engineService, w.Engines)
+	add("booking", bookingService, w.Services-1)
+	add("portal", portalService, 1)
+	return vms
+}
+
+// startVM starts what runs on a VM: an entry, an engine with its agent, or a service.
+func (w *world) startVM(vm *standin.VM) error {
+	if vm.Service != "" {
+		p, err := w.newPlace(vm)
+		if err != nil {
+			return err
+		}
+		w.places = append(w.places, p)
+		p.open(0, 1)
+		if vm.Service != engineService {
+			return nil
+		}
+	}
+	k, err := newLink(vm.At(standin.PortStore), w.store.Address())
+	if err != nil {
+		return err
+	}
+	w.storeLinks = append(w.storeLinks, k)
+	vm.Store = k.address()
+	role := "agent"
+	if vm.Service == "" {
+		role = "entry"
+	}
+	p := w.newProcess(vm.Name, role)
+	if err := w.deployment().WriteSettings(p.settings, vm); err != nil {
+		return err
+	}
+	if role == "entry" {
+		w.entries, w.entryVMs = append(w.entries, p), append(w.entryVMs, vm)
+		w.names[vm.At(standin.PortCallers)] = vm.Name
+	} else {
+		w.agents = append(w.agents, p)
+	}
+	return p.start()
+}
+
+// mostSeeds is how many entries the settings name.
+const mostSeeds = 3
+
+// deployment is what all settings have in common. The first entries are the seeds; their
+// addresses follow that of the origin.
+func (w *world) deployment() *standin.Deployment {
+	d := &standin.Deployment{Regions: regions(), Bounds: w.bounds}
+	ip := netip.MustParseAddrPort(w.originLink.Addr().String()).Addr()
+	for range min(mostSeeds, w.Entries) {
+		ip = ip.Next()
+		d.Seeds = append(d.Seeds, (&standin.VM{IP: ip}).At(standin.PortPeers))
+	}
+	return d
+}
+
+// close ends all processes that were started, by their ids, and the stand-ins.
+func (w *world) close() {
+	w.closing.Do(func() {
+		var all sync.WaitGroup
+		for _, p := range append(w.entries, w.agents...) {
+			all.Go(p.end)
+		}
+		all.Wait()
+		for _, p := range w.places {
+			p.close()
+		}
+		for _, k := range w.storeLinks {
+			k.close()
+		}
+		if w.originLink != nil {
+			w.originLink.Close()
+		}
+		if w.store != nil {
+			w.store.Close()
+		}
+	})
+}
+
+// NoNetworkError reports that all loopback networks tried are in use.
+type NoNetworkError struct{ Tried int }
+
+func (e *NoNetworkError) Error() string {
+	return fmt.Sprintf("no free loopback network among %d", e.Tried)
+}
+
+const networksTried = 200
+
+var networks atomic.Uint32
+
+// freeNetwork finds addresses on which no other run listens. Each run gets some hundred
+// of them.
+func freeNetwork() (netip.Addr, error) {
+	pid := uint32(os.Getpid())
+	for range networksTried {
+		n := networks.Add(1) + pid
+		base := netip.AddrFrom4([4]byte{127, byte(64 + n%128), byte(n >> 7), 1})
+		l, err := net.Listen("tcp", netip.AddrPortFrom(base.Next(), standin.PortCallers).String())
+		if err == nil {
+			l.Close()
+			return base, nil
+		}
+	}
+	return netip.Addr{}, &NoNetworkError{networksTried}
+}
