--- a/soak/main.go
+++ b/soak/main.go
@@ -3,8 +3,6 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,8 +10,6 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -119,7 +115,7 @@
 // runs lists the runs, with all their options checked.
 func (f *flags) runs() ([]soaker.Options, error) {
 	if f.file != "" {
-		return readRuns(f.file)
+		return soaker.ReadRuns(f.file)
 	}
 	if f.seeds < 1 {
 		return nil, &soaker.OptionError{Option: "seeds", Problem: "must be at least 1"}
@@ -136,47 +132,3 @@
 	}
 	return runs, nil
 }
-
-// seedFields are the columns of a file of seeds; the last one tells the cause.
-var seedFields = []string{"seed", "seconds", "entries", "engines", "services"}
-
-// readRuns reads a file of seeds that failed.
-func readRuns(path string) ([]soaker.Options, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	var runs []soaker.Options
-	lines := bufio.NewScanner(bytes.NewReader(text))
-	for number := 1; lines.Scan(); number++ {
-		line := strings.TrimSpace(lines.Text())
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
-		o, err := parseRun(line)
-		if err != nil {
-			return nil, fmt.Errorf("%s, line %d: %w", path, number, err)
-		}
-		runs = append(runs, o)
-	}
-	return runs, lines.Err()
-}
-
-func parseRun(line string) (soaker.Options, error) {
-	columns := strings.Split(line, "|")
-	if len(columns) != len(seedFields)+1 || strings.TrimSpace(columns[len(seedFields)]) == "" {
-		return soaker.Options{}, &soaker.OptionError{Option: "columns", Problem: "want " + strings.Join(seedFields, " | ") + " | cause"}
-	}
-	var values []uint64
-	for i, name := range seedFields {
-		n, err := strconv.ParseUint(strings.TrimSpace(columns[i]), 10, 32)
-		if err != nil {
-			return soaker.Options{}, &soaker.OptionError{Option: name, Problem: "no number"}
-		}
-		values = append(values, n)
-	}
-	o := soaker.Options{
-		Seed: values[0], Length: time.Duration(values[1]) * time.Second, Entries: int(values[2]), Engines: int(values[3]), Services: int(values[4]),
-	}
-	return o, o.Check()
-}
--- /dev/null
+++ b/soak/soaker/soaker_test.go
@@ -0,0 +1,144 @@
+package soaker_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+	"github.com/oriolecroft/oriolecroft/soak/soaker"
+)
+
+// binary is built once for all tests of this package.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "oriolecroft")
+	if out, err := exec.Command("go", "build", "-o", binary, "github.com/oriolecroft/oriolecroft/cmd/oriolecroft").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		os.Exit(1)
+	}
+	status := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// options are those of a short run. SOAK_LOGS keeps its logs.
+func options(t *testing.T, out, log *bytes.Buffer) soaker.Options {
+	dir := os.Getenv("SOAK_LOGS")
+	if dir == "" {
+		dir = t.TempDir()
+	}
+	return soaker.Options{
+		Seed: 4, Length: 28 * time.Second, Entries: 3, Engines: 4, Services: 3, Binary: binary, Dir: filepath.Join(dir, t.Name()), Out: out, Log: log,
+	}
+}
+
+// Entries, agents, upstreams and the store fail and change in ways that nobody thought
+// of together. Callers then get wrong, doubled or lost answers, now and then.
+func TestShortSoakKeepsAllPromises(t *testing.T) {
+	var out, log bytes.Buffer
+	kept, err := soaker.Run(t.Context(), options(t, &out, &log))
+	must.NoError(t, err)
+	t.Logf("%s", &out)
+	must.True(t, kept, must.Sprintf("%s", &log))
+	for _, p := range []auditor.Promise{auditor.Once, auditor.Whole, auditor.Stream, auditor.Version, auditor.Drain, auditor.Config, auditor.Recovery} {
+		must.StrNotContains(t, line(out.String(), p), "unchecked")
+	}
+}
+
+// line is a promise's line of a report.
+func line(report string, p auditor.Promise) string {
+	for l := range strings.Lines(report) {
+		if strings.HasPrefix(l, string(p)) {
+			return l
+		}
+	}
+	return "unchecked: not in the report"
+}
+
+// Somebody interrupts a run. Processes that were left behind would hold their addresses
+// and load the machine, and a report without a word on it would look like a whole run's.
+func TestInterruptedSoakEndsItsProcesses(t *testing.T) {
+	var out, log bytes.Buffer
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	_, err := soaker.Run(ctx, options(t, &out, &log))
+	must.NoError(t, err)
+	must.StrContains(t, out.String(), "interrupted")
+	must.StrContains(t, line(out.String(), auditor.Recovery), "unchecked")
+	must.Eq(t, "", children(t))
+}
+
+// children lists the processes that this one has.
+func children(t *testing.T) string {
+	paths, err := filepath.Glob("/proc/self/task/*/children")
+	must.NoError(t, err)
+	all := ""
+	for _, p := range paths {
+		text, err := os.ReadFile(p)
+		if err == nil {
+			all += string(text)
+		}
+	}
+	return all
+}
+
+func TestFaultyOptionsAreRefusedByName(t *testing.T) {
+	good := soaker.Options{Length: time.Minute, Entries: 3, Engines: 6, Services: 3}
+	must.NoError(t, good.Check())
+	for name, change := range map[string]func(*soaker.Options){
+		"seconds":  func(o *soaker.Options) { o.Length = time.Second },
+		"entries":  func(o *soaker.Options) { o.Entries = 0 },
+		"engines":  func(o *soaker.Options) { o.Engines = -1 },
+		"services": func(o *soaker.Options) { o.Services = 1000 },
+	} {
+		o := good
+		change(&o)
+		var fault *soaker.OptionError
+		must.True(t, errors.As(o.Check(), &fault))
+		must.Eq(t, name, fault.Option)
+	}
+}
+
+func TestFaultyFileOfSeedsIsRefusedByName(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "seeds.txt")
+	for text, name := range map[string]string{
+		"# none\n1 | 45 | 3 | 6 | 3 | a cause\n": "",
+		"x | 45 | 3 | 6 | 3 | a cause\n":         "seed",
+		"1 | 45 | 3 | many | 3 | a cause\n":      "engines",
+		"1 | 2 | 3 | 6 | 3 | a cause\n":          "seconds",
+		"1 | 45 | 3 | 6 | 3 |\n":                 "columns",
+	} {
+		must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		runs, err := soaker.ReadRuns(path)
+		if name == "" {
+			must.NoError(t, err)
+			must.Len(t, 1, runs)
+			continue
+		}
+		var fault *soaker.OptionError
+		must.True(t, errors.As(err, &fault), must.Sprint(text))
+		must.Eq(t, name, fault.Option)
+	}
+}
+
+// The list of seeds that failed has to stay readable, or they are rerun no more.
+func TestKeptSeedsAreReadable(t *testing.T) {
+	_, err := soaker.ReadRuns("../seeds.txt")
+	must.NoError(t, err)
+}
