--- a/soak/main.go
+++ b/soak/main.go
@@ -57,6 +57,8 @@
 	flaggy.String(&f.logs, "", "logs", "directory for the logs")
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// A second signal ends this process at once.
+	context.AfterFunc(ctx, stop)
 	kept, err := f.run(ctx)
 	stop()
 	if err != nil {
--- a/soak/soaker/callers.go
+++ b/soak/soaker/callers.go
@@ -14,10 +14,10 @@
 
 const (
 	// callers ask all through a run, burstCallers more for the time of a burst.
-	callers      = 14
+	callers      = 30
 	burstCallers = 12
 	// mostThought is between an answer and a caller's next request.
-	mostThought = 250 * time.Millisecond
+	mostThought = 200 * time.Millisecond
 	// limit is how long callers wait, impatience how long those that leave early do.
 	limit      = 2500 * time.Millisecond
 	impatience = 120 * time.Millisecond
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -10,12 +10,12 @@
 )
 
 // make carries a fault out and returns when it is over.
-func (w *world) make(ctx context.Context, f fault) {
+func (w *world) make(f fault) {
 	entry := w.entries[f.Target%len(w.entries)]
 	agent := w.agents[f.Target%len(w.agents)]
 	switch f.Kind {
 	case entryPause:
-		entry.pause(f.For)
+		entry.pause(func() { w.wait(f.For) })
 	case entryKill:
 		entry.kill()
 	case entryStop:
@@ -23,7 +23,7 @@
 	case entryHangUp:
 		entry.hangUp()
 	case agentPause:
-		agent.pause(f.For)
+		agent.pause(func() { w.wait(f.For) })
 	case agentKill:
 		agent.kill()
 	case agentStop:
@@ -32,7 +32,7 @@
 		for _, p := range append(append([]*process(nil), w.entries...), w.agents...) {
 			p.kill()
 		}
-	case storeBusy, storeOverrun, storeSilent, storeLossy, storeForgets, storeLapse:
+	case storeBusy, storeOverrun, storeSilent, storeLossy, storeSlow, storeForgets, storeLapse:
 		w.faultStore(f)
 	case linkDelay, linkReset, linkCut, linkSilence:
 		w.faultStoreLink(f)
@@ -41,7 +41,7 @@
 	case upstreamLeaves, upstreamGone, upstreamCrash, stagedSpoils:
 		w.faultUpstream(f)
 	default:
-		w.change(ctx, f)
+		w.change(f)
 	}
 }
 
@@ -62,17 +62,29 @@
 	defer storeOnce.Unlock()
 	w.note(auditor.Disturbed{Who: auditor.Core})
 	w.store.SetFault(storeFaults[f.Kind])
+	if f.Kind == storeSlow {
+		w.eachStoreLink(func(k *link) { k.slow(leastDelay + time.Duration(f.Amount)*delayStep) })
+	}
 	if f.Kind == storeLapse {
 		w.store.Lapse()
 		for _, p := range w.places {
 			p.lapse()
 		}
 	}
-	time.Sleep(f.For)
+	w.wait(f.For)
 	w.store.SetFault(standin.None)
+	if f.Kind == storeSlow {
+		w.eachStoreLink((*link).mend)
+	}
 	w.note(auditor.Calmed{Who: auditor.Core})
 }
 
+func (w *world) eachStoreLink(do func(*link)) {
+	for _, k := range w.storeLinks {
+		do(k)
+	}
+}
+
 const (
 	// leastDelay and delayStep make a link's delay, in steps of the fault's amount.
 	leastDelay = 20 * time.Millisecond
@@ -105,7 +117,7 @@
 	case linkSilence, upstreamSilent:
 		k.silence()
 	}
-	time.Sleep(f.For)
+	w.wait(f.For)
 	k.mend()
 	w.note(auditor.Calmed{Who: first})
 	if last := who(); last != first {
@@ -129,7 +141,7 @@
 }
 
 // change is what the operators, the callers, the origin and flaky upstreams do.
-func (w *world) change(ctx context.Context, f fault) {
+func (w *world) change(f fault) {
 	switch f.Kind {
 	case tableChange:
 		w.operators.change(f.Amount)
@@ -138,20 +150,20 @@
 	case weightsNamed:
 		for range 1 + f.Amount%3 {
 			w.operators.name()
-			time.Sleep(f.For / 3)
+			w.wait(f.For / 3)
 		}
 	case domainDrained:
 		w.drain(f)
 	case upstreamBreaks:
 		w.breakOff.Store(int32(1 + f.Amount/5))
-		time.Sleep(f.For)
+		w.wait(f.For)
 		w.breakOff.Store(0)
 	case originSpoils:
 		w.origin.Spoil.Store(int32(f.Amount / 2))
-		time.Sleep(f.For)
+		w.wait(f.For)
 		w.origin.Spoil.Store(0)
 	case callersBurst:
-		w.burst(ctx, f)
+		w.burst(f)
 	}
 }
 
@@ -159,13 +171,13 @@
 func (w *world) drain(f fault) {
 	domain := domains[f.Target%len(domains)].name
 	if w.operators.drain(domain) {
-		time.Sleep(w.bounds.Evacuate + f.For)
+		w.wait(w.bounds.Evacuate + f.For)
 		w.operators.takeBack(domain)
 	}
 }
 
-func (w *world) burst(ctx context.Context, f fault) {
-	ctx, cancel := context.WithTimeout(ctx, f.For)
+func (w *world) burst(f fault) {
+	ctx, cancel := context.WithTimeout(w.running, f.For)
 	defer cancel()
 	var all sync.WaitGroup
 	for i := range burstCallers {
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -89,7 +89,7 @@
 		return
 	}
 	end(u)
-	time.Sleep(pause)
+	p.wait(pause)
 	p.open(coldTime, 0)
 	p.mu.Lock()
 	p.busy = false
@@ -113,10 +113,12 @@
 // leave has an upstream announce that it leaves, serve for the bound and end.
 func (p *place) leave(u *standin.Upstream) {
 	for !u.Announce() {
-		time.Sleep(announceEvery)
+		if !p.wait(announceEvery) {
+			return
+		}
 	}
 	p.note(auditor.Leaving{Upstream: u.ID})
-	time.Sleep(p.bounds.Drain + beyondDrain)
+	p.wait(p.bounds.Drain + beyondDrain)
 	p.note(auditor.Disturbed{Who: u.ID})
 	u.Withdraw()
 	u.Stop()
@@ -126,7 +128,7 @@
 func (p *place) vanish(u *standin.Upstream) {
 	u.Withdraw()
 	p.note(auditor.Leaving{Upstream: u.ID})
-	time.Sleep(p.bounds.Drain + beyondDrain)
+	p.wait(p.bounds.Drain + beyondDrain)
 	p.note(auditor.Disturbed{Who: u.ID})
 	u.Stop()
 }
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -24,6 +24,7 @@
 	storeOverrun   faultKind = "store answers 429"
 	storeSilent    faultKind = "store silent"
 	storeLossy     faultKind = "store loses answers"
+	storeSlow      faultKind = "store slow"
 	storeForgets   faultKind = "store forgets its history"
 	storeLapse     faultKind = "store down, records lapse"
 	linkDelay      faultKind = "store link delayed"
@@ -53,7 +54,7 @@
 	odds int
 }{
 	{entryPause, 4}, {entryKill, 3}, {entryStop, 3}, {entryHangUp, 2}, {agentPause, 3}, {agentKill, 3}, {agentStop, 2}, {herdKill, 1},
-	{storeBusy, 2}, {storeOverrun, 1}, {storeSilent, 2}, {storeLossy, 2}, {storeForgets, 2}, {storeLapse, 1},
+	{storeBusy, 2}, {storeOverrun, 1}, {storeSilent, 2}, {storeLossy, 2}, {storeSlow, 2}, {storeForgets, 2}, {storeLapse, 1},
 	{linkDelay, 2}, {linkReset, 2}, {linkCut, 2}, {linkSilence, 2},
 	{upstreamDelay, 2}, {upstreamReset, 2}, {upstreamCut, 2}, {upstreamSilent, 2},
 	{upstreamLeaves, 4}, {upstreamGone, 2}, {upstreamCrash, 4}, {upstreamBreaks, 2}, {stagedSpoils, 1}, {originSpoils, 2},
@@ -83,6 +84,8 @@
 	// leastFault and mostFault are how long a fault lasts.
 	leastFault = 300 * time.Millisecond
 	mostFault  = 4 * time.Second
+	// mostDrained is how long a failure domain is drained at most.
+	mostDrained = 9 * time.Second
 	// mostPause is between two faults; half of all come in close series.
 	mostPause = 2 * time.Second
 	inSeries  = 150 * time.Millisecond
@@ -111,9 +114,13 @@
 		if at+leastFault >= last {
 			break
 		}
+		kind := kinds[r.IntN(len(kinds))]
+		if kind == domainDrained && at+mostDrained > last {
+			continue
+		}
 		most := min(mostFault, last-at)
 		faults = append(faults, fault{
-			At: at, For: leastFault + time.Duration(r.Int64N(int64(most-leastFault)+1)), Kind: kinds[r.IntN(len(kinds))],
+			At: at, For: leastFault + time.Duration(r.Int64N(int64(most-leastFault)+1)), Kind: kind,
 			Target: r.IntN(1 << 16), Amount: r.IntN(100),
 		})
 	}
--- a/soak/soaker/process.go
+++ b/soak/soaker/process.go
@@ -76,14 +76,14 @@
 // signal sends a signal to this one process. One that has ended meanwhile gets none.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-// pause stops the process for a time.
-func (p *process) pause(d time.Duration) {
+// pause stops the process for as long as wait takes.
+func (p *process) pause(wait func()) {
 	p.mu.Lock()
 	cmd := p.cmd
 	p.note(auditor.Disturbed{Who: p.name})
 	p.signal(syscall.SIGSTOP)
 	p.mu.Unlock()
-	time.Sleep(d)
+	wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = cmd.Process.Signal(syscall.SIGCONT)
--- a/soak/soaker/soaker.go
+++ b/soak/soaker/soaker.go
@@ -71,6 +71,7 @@
 	w.say("seed %d: %d faults in %v", o.Seed, len(faults), o.Length)
 	running, cancel := context.WithTimeout(ctx, o.Length)
 	defer cancel()
+	w.running = running
 	made := w.play(running, faults)
 	w.close()
 	if ctx.Err() != nil {
@@ -94,7 +95,7 @@
 		}
 		w.say("%v", f)
 		made++
-		all.Go(func() { w.make(ctx, f) })
+		all.Go(func() { w.make(f) })
 	}
 	<-ctx.Done()
 	all.Wait()
@@ -128,6 +129,9 @@
 	}
 }
 
+// wait is a pause that the end of the run cuts short; it tells whether that is still on.
+func (w *world) wait(d time.Duration) bool { return sleep(w.running, d) }
+
 // say writes a line of the run's log.
 func (w *world) say(format string, args ...any) {
 	w.logging.Lock()
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/netip"
@@ -51,6 +52,8 @@
 	bounds standin.Bounds
 	audit  *auditor.Auditor
 	began  time.Time
+	// running ends with the run.
+	running context.Context
 
 	store      *standin.Store
 	origin     *standin.Origin
