Soak: faulty flags are refused by name; callers that left; flakier upstreams

The flag library panics on a bad number without naming the flag. Also checked now: nothing is sent for callers that left.

--- a/soak/auditor/arrivals.go
+++ b/soak/auditor/arrivals.go
@@ -10,6 +10,10 @@
 const (
 	deadlineSlack   = 500 * time.Millisecond
 	toleratedLonger = 20
+	// leftSlack is how long after a caller left its request may still arrive, and
+	// toleratedGone how often it may be longer.
+	leftSlack     = 500 * time.Millisecond
+	toleratedGone = 3
 )
 
 // judgeArrival judges a request that reached an upstream.
@@ -29,12 +33,24 @@
 		a.longer++
 	}
 	a.check(Deadline, e.ID, !longer || a.longer <= toleratedLonger, "told to take %v of the caller's %v", e.Left, r.Limit)
+	a.judgeLeft(r, u)
 	if len(r.arrivals) > 1 {
 		ok, extra, allowed := a.budget.again(h, u.Service)
 		a.check(Budget, e.ID, ok, "%d repeats at %s, %.0f allowed", extra, u.Service, allowed)
 	}
 }
 
+// judgeLeft judges whether the caller was there still.
+func (a *Auditor) judgeLeft(r *request, u *upstream) {
+	h := a.history
+	from := h.now.Add(-h.StableWindow)
+	late := r.answer != nil && h.now.Sub(r.answeredAt) > leftSlack && h.inTouch(r.Entry, h.now) && h.undisturbed(u.Upstream, from, h.now)
+	if late {
+		a.gone++
+	}
+	a.check(Gone, r.ID, !late || a.gone <= toleratedGone, "reached %s %v after its caller had left", u.Upstream, h.now.Sub(r.answeredAt))
+}
+
 // judgePlace judges the upstream that was chosen.
 func (a *Auditor) judgePlace(r *request, u *upstream) {
 	h := a.history
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -34,6 +34,7 @@
 	Kept       Promise = "kept connections don't lose requests"
 	Directory  Promise = "the directory names no entry long gone"
 	Deadline   Promise = "upstreams get no more time than is left"
+	Gone       Promise = "nothing is sent for callers that left"
 	Exit       Promise = "no process ends by itself"
 	Recovery   Promise = "requests are served once the faults are over"
 )
@@ -41,7 +42,7 @@
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
 	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, Evacuation, Cold, Budget, Attempts, Home, Keys,
-	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Exit, Recovery,
+	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Gone, Exit, Recovery,
 }
 
 // Broken is a promise that was not kept.
@@ -73,7 +74,7 @@
 }
 
 // tolerated counts what breaks a promise only in number.
-type tolerated struct{ lost, longer, named, denied int }
+type tolerated struct{ lost, longer, named, denied, gone int }
 
 // Note takes an event in and judges it.
 func (a *Auditor) Note(e Event) {
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -271,6 +271,15 @@
 				d.Note(auditor.Arrived{ID: string(rune('a' + i)), Upstream: "near", Content: string(rune('a' + i)), Workspace: "w", Left: 3 * time.Second})
 			}
 		}},
+		{auditor.Gone, "requests of callers that left are sent on", func(d *day) {
+			for i := range reached {
+				id := string(rune('a' + i))
+				d.send(id, "/look/1")
+				d.Note(auditor.Answered{ID: id, Expired: true})
+				d.after(600 * time.Millisecond)
+				d.reach(id, "near")
+			}
+		}},
 		{auditor.Exit, "a process ends by itself", func(d *day) { d.Note(auditor.Exited{Who: "e", Alone: true}) }},
 		{auditor.Recovery, "service does not come back", func(d *day) {
 			since := d.clock.Now()
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -34,6 +34,8 @@
 	arrivals []arrival
 	runs     []run
 	answer   *Answered
+	// answeredAt is when the caller had its answer or left.
+	answeredAt time.Time
 }
 
 type arrival struct {
@@ -106,7 +108,7 @@
 		h.requests[e.ID] = &request{Sent: e, at: h.now}
 	case Answered:
 		if r := h.requests[e.ID]; r != nil {
-			r.answer = &e
+			r.answer, r.answeredAt = &e, h.now
 		}
 	case Arrived:
 		if r := h.requests[e.ID]; r != nil {
--- a/soak/main.go
+++ b/soak/main.go
@@ -10,8 +10,8 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -35,25 +35,27 @@
 )
 
 type flags struct {
-	seed                                uint64
-	seeds                               uint64
-	seconds, entries, engines, services int
-	file, logs                          string
+	// Numbers are read here rather than by the library, which does not name the flag that
+	// is at fault.
+	seed, seeds, seconds, entries, engines, services string
+	file, logs                                       string
+	plan                                             bool
 }
 
 func main() {
-	f := flags{seed: 1, seeds: 1, seconds: 45, entries: 3, engines: 6, services: 3, logs: filepath.Join(os.TempDir(), "soak")}
+	f := flags{seed: "1", seeds: "1", seconds: "45", entries: "3", engines: "6", services: "3", logs: filepath.Join(os.TempDir(), "soak")}
 	flaggy.SetName("soak")
 	flaggy.SetDescription("random faults on the real programs")
 	flaggy.DefaultParser.AdditionalHelpAppend = help
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
-	flaggy.UInt64(&f.seed, "", "seed", "seed of the faults")
-	flaggy.UInt64(&f.seeds, "", "seeds", "how many seeds to run, counting up")
-	flaggy.Int(&f.seconds, "", "seconds", "length of a run in seconds")
-	flaggy.Int(&f.entries, "", "entries", "number of entries")
-	flaggy.Int(&f.engines, "", "engines", "number of engines with agents")
-	flaggy.Int(&f.services, "", "services", "number of plain upstreams")
+	flaggy.String(&f.seed, "", "seed", "seed of the faults")
+	flaggy.String(&f.seeds, "", "seeds", "how many seeds to run, counting up")
+	flaggy.String(&f.seconds, "", "seconds", "length of a run in seconds")
+	flaggy.String(&f.entries, "", "entries", "number of entries")
+	flaggy.String(&f.engines, "", "engines", "number of engines with agents")
+	flaggy.String(&f.services, "", "services", "number of plain upstreams")
 	flaggy.String(&f.file, "", "file", "run the seeds of this file instead")
+	flaggy.Bool(&f.plan, "", "plan", "only print the faults of the seeds")
 	flaggy.String(&f.logs, "", "logs", "directory for the logs")
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -76,6 +78,13 @@
 	if err != nil {
 		return false, err
 	}
+	if f.plan {
+		for _, o := range runs {
+			fmt.Printf("seed %d\n", o.Seed)
+			soaker.Describe(os.Stdout, o.Seed, o.Length)
+		}
+		return true, nil
+	}
 	binary := filepath.Join(f.logs, "oriolecroft")
 	if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "github.com/oriolecroft/oriolecroft/cmd/oriolecroft").CombinedOutput(); err != nil {
 		return false, fmt.Errorf("build: %w: %s", err, out)
@@ -119,17 +128,18 @@
 	if f.file != "" {
 		return soaker.ReadRuns(f.file)
 	}
-	if f.seeds < 1 {
-		return nil, &soaker.OptionError{Option: "seeds", Problem: "must be at least 1"}
+	first, err := soaker.ParseOptions([5]string{f.seed, f.seconds, f.entries, f.engines, f.services})
+	if err != nil {
+		return nil, err
+	}
+	n, err := strconv.ParseUint(f.seeds, 10, 16)
+	if err != nil || n == 0 {
+		return nil, &soaker.OptionError{Option: "seeds", Problem: fmt.Sprintf("%q is no number above 0", f.seeds)}
 	}
 	var runs []soaker.Options
-	for i := range f.seeds {
-		o := soaker.Options{
-			Seed: f.seed + i, Length: time.Duration(f.seconds) * time.Second, Entries: f.entries, Engines: f.engines, Services: f.services,
-		}
-		if err := o.Check(); err != nil {
-			return nil, err
-		}
+	for i := range n {
+		o := first
+		o.Seed += i
 		runs = append(runs, o)
 	}
 	return runs, nil
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -86,6 +86,9 @@
 }
 
 const (
+	// mostBroken is how many of a hundred replies flaky upstreams break off at most: so many
+	// that repeating each would pass the budget.
+	mostBroken = 60
 	// leastDelay and delayStep make a link's delay, in steps of the fault's amount.
 	leastDelay = 20 * time.Millisecond
 	delayStep  = 3 * time.Millisecond
@@ -155,7 +158,7 @@
 	case domainDrained:
 		w.drain(f)
 	case upstreamBreaks:
-		w.breakOff.Store(int32(1 + f.Amount/5))
+		w.breakOff.Store(int32(1 + f.Amount*mostBroken/100))
 		w.wait(f.For)
 		w.breakOff.Store(0)
 	case originSpoils:
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -137,3 +138,10 @@
 	}
 	return kinds
 }
+
+// Describe writes the faults of a seed, a line each.
+func Describe(w io.Writer, seed uint64, length time.Duration) {
+	for _, f := range plan(seed, length) {
+		fmt.Fprintln(w, f)
+	}
+}
--- a/soak/soaker/runs.go
+++ b/soak/soaker/runs.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// seedFields are the columns of a file of seeds; the last one tells the cause.
-var seedFields = []string{"seed", "seconds", "entries", "engines", "services"}
+// seedFields are the columns of a file of seeds, before that which tells the cause, and the
+// flags of a run.
+var seedFields = [5]string{"seed", "seconds", "entries", "engines", "services"}
 
 // ReadRuns reads a file of seeds that failed.
 func ReadRuns(path string) ([]Options, error) {
@@ -38,15 +39,20 @@
 func parseRun(line string) (Options, error) {
 	columns := strings.Split(line, "|")
 	if len(columns) != len(seedFields)+1 || strings.TrimSpace(columns[len(seedFields)]) == "" {
-		return Options{}, &OptionError{Option: "columns", Problem: "want " + strings.Join(seedFields, " | ") + " | cause"}
+		return Options{}, &OptionError{Option: "columns", Problem: "want " + strings.Join(seedFields[:], " | ") + " | cause"}
 	}
-	var values []uint64
+	return ParseOptions([5]string(columns[:len(seedFields)]))
+}
+
+// ParseOptions reads and checks options in the order of seedFields.
+func ParseOptions(texts [5]string) (Options, error) {
+	var values [5]uint64
 	for i, name := range seedFields {
-		n, err := strconv.ParseUint(strings.TrimSpace(columns[i]), 10, 32)
+		n, err := strconv.ParseUint(strings.TrimSpace(texts[i]), 10, 32)
 		if err != nil {
-			return Options{}, &OptionError{Option: name, Problem: "no number"}
+			return Options{}, &OptionError{Option: name, Problem: fmt.Sprintf("%q is no number", texts[i])}
 		}
-		values = append(values, n)
+		values[i] = n
 	}
 	o := Options{
 		Seed: values[0], Length: time.Duration(values[1]) * time.Second, Entries: int(values[2]), Engines: int(values[3]), Services: int(values[4]),
