--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -49,7 +49,8 @@
 	callersBurst   faultKind = "burst of callers"
 )
 
-// weighted lists the kinds with their odds.
+// weighted lists the kinds with their odds. A change here changes what every seed draws, so
+// lines of seeds.txt name the commit for which they hold.
 var weighted = []struct {
 	kind faultKind
 	odds int
@@ -85,6 +86,8 @@
 	// leastFault and mostFault are how long a fault lasts.
 	leastFault = 300 * time.Millisecond
 	mostFault  = 4 * time.Second
+	// longFault is how long some last: past every bound, the longest of which are 8 s.
+	longFault = 10 * time.Second
 	// mostDrained is how long a failure domain is drained at most.
 	mostDrained = 9 * time.Second
 	// mostPause is between two faults; half of all come in close series.
@@ -92,6 +95,9 @@
 	inSeries  = 150 * time.Millisecond
 )
 
+// long are the kinds after which a process may have missed all that happened meanwhile.
+var long = []faultKind{entryPause, agentPause, storeBusy, storeSilent, storeLapse, linkCut}
+
 // enabledShare is the share, of a hundred, of kinds that one seed uses. With all at once
 // hardly any process would run undisturbed for long enough to be held to a bound.
 const enabledShare = 45
@@ -120,6 +126,9 @@
 			continue
 		}
 		most := min(mostFault, last-at)
+		if slices.Contains(long, kind) {
+			most = min(longFault, last-at)
+		}
 		faults = append(faults, fault{
 			At: at, For: leastFault + time.Duration(r.Int64N(int64(most-leastFault)+1)), Kind: kind,
 			Target: r.IntN(1 << 16), Amount: r.IntN(100),
