--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -321,6 +321,15 @@
 			d.send("1", "/look/1")
 			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
 		}},
+		{"old weights for a request that a cut link held up", func(d *day) {
+			d.Note(auditor.Named{Version: 2})
+			d.after(6 * time.Second)
+			d.Note(auditor.Disturbed{Who: "near"})
+			d.send("1", "/look/1")
+			d.after(2200 * time.Millisecond)
+			d.Note(auditor.Calmed{Who: "near"})
+			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
+		}},
 		{"an entry that was paused a moment ago", func(d *day) {
 			d.Note(auditor.Leaving{Upstream: "near"})
 			d.Note(auditor.Disturbed{Who: "e"})
