--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -38,6 +38,8 @@
 		w.faultStoreLink(f)
 	case upstreamDelay, upstreamReset, upstreamCut, upstreamSilent:
 		w.faultUpstreamLink(f)
+	case agentDelay, agentReset, agentCut, agentSilent:
+		w.faultLink(w.agentLinks[f.Target%len(w.agentLinks)], f, func() string { return agent.name })
 	case upstreamLeaves, upstreamGone, upstreamCrash, stagedSpoils:
 		w.faultUpstream(f)
 	default:
@@ -98,30 +100,25 @@
 	i := f.Target % len(w.storeLinks)
 	// Links to the store come in the order of the VMs: entries, then agents.
 	who := append(append([]*process(nil), w.entries...), w.agents...)[i].name
-	w.faultLink(w.storeLinks[i], f, func() string { return who })
+	w.faultLink([]*link{w.storeLinks[i]}, f, func() string { return who })
 }
 
 func (w *world) faultUpstreamLink(f fault) {
 	p := w.places[f.Target%len(w.places)]
-	w.faultLink(p.link, f, p.id)
+	w.faultLink([]*link{p.link}, f, p.id)
 }
 
-// faultLink faults a link for a time. Whom that disturbs may be another at its end.
-func (w *world) faultLink(k *link, f fault, who func() string) {
+// faultLink faults links for a time. Whom that disturbs may be another at its end.
+func (w *world) faultLink(links []*link, f fault, who func() string) {
 	first := who()
 	w.note(auditor.Disturbed{Who: first})
-	switch f.Kind {
-	case linkDelay, upstreamDelay:
-		k.slow(leastDelay + time.Duration(f.Amount)*delayStep)
-	case linkReset, upstreamReset:
-		k.reset()
-	case linkCut, upstreamCut:
-		k.cut(f.Amount%3 != 0, f.Amount%3 != 1)
-	case linkSilence, upstreamSilent:
-		k.silence()
+	for _, k := range links {
+		k.fault(f)
 	}
 	w.wait(f.For)
-	k.mend()
+	for _, k := range links {
+		k.mend()
+	}
 	w.note(auditor.Calmed{Who: first})
 	if last := who(); last != first {
 		w.note(auditor.Disturbed{Who: last})
@@ -129,6 +126,20 @@
 	}
 }
 
+// fault does to a link what a fault of any link's kind asks for.
+func (k *link) fault(f fault) {
+	switch f.Kind {
+	case linkDelay, agentDelay, upstreamDelay:
+		k.slow(leastDelay + time.Duration(f.Amount)*delayStep)
+	case linkReset, agentReset, upstreamReset:
+		k.reset()
+	case linkCut, agentCut, upstreamCut:
+		k.cut(f.Amount%3 != 0, f.Amount%3 != 1)
+	case linkSilence, agentSilent, upstreamSilent:
+		k.silence()
+	}
+}
+
 func (w *world) faultUpstream(f fault) {
 	p := w.places[f.Target%len(w.places)]
 	switch f.Kind {
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -32,6 +32,10 @@
 	linkReset      faultKind = "store link reset"
 	linkCut        faultKind = "store link cut one way"
 	linkSilence    faultKind = "store connections silent"
+	agentDelay     faultKind = "agent link delayed"
+	agentReset     faultKind = "agent link reset"
+	agentCut       faultKind = "agent link cut one way"
+	agentSilent    faultKind = "agent connections silent"
 	upstreamDelay  faultKind = "upstream link delayed"
 	upstreamReset  faultKind = "upstream link reset"
 	upstreamCut    faultKind = "upstream link cut one way"
@@ -58,6 +62,7 @@
 	{entryPause, 4}, {entryKill, 3}, {entryStop, 3}, {entryHangUp, 2}, {agentPause, 3}, {agentKill, 3}, {agentStop, 2}, {herdKill, 1},
 	{storeBusy, 2}, {storeOverrun, 1}, {storeSilent, 2}, {storeLossy, 2}, {storeSlow, 2}, {storeForgets, 2}, {storeLapse, 1},
 	{linkDelay, 2}, {linkReset, 2}, {linkCut, 2}, {linkSilence, 2},
+	{agentDelay, 2}, {agentReset, 1}, {agentCut, 2}, {agentSilent, 2},
 	{upstreamDelay, 2}, {upstreamReset, 2}, {upstreamCut, 2}, {upstreamSilent, 2},
 	{upstreamLeaves, 4}, {upstreamGone, 2}, {upstreamCrash, 4}, {upstreamBreaks, 2}, {stagedSpoils, 1}, {originSpoils, 2},
 	{tableChange, 6}, {keyRemoval, 2}, {weightsNamed, 4}, {domainDrained, 3}, {callersBurst, 1},
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,9 +64,11 @@
 	entryVMs        []*standin.VM
 	entries, agents []*process
 	storeLinks      []*link
-	places          []*place
-	operators       *operators
-	breakOff        atomic.Int32
+	// agentLinks are those before the two ports of each agent.
+	agentLinks [][]*link
+	places     []*place
+	operators  *operators
+	breakOff   atomic.Int32
 
 	logging sync.Mutex
 	closing sync.Once
@@ -114,7 +117,12 @@
 		for i := range n {
 			ip = ip.Next()
 			d := domains[i%len(domains)]
-			vms = append(vms, &standin.VM{Name: fmt.Sprintf("%s-%d", kind, i), IP: ip, FailureDomain: d.name, Region: d.region, Service: service})
+			vm := &standin.VM{Name: fmt.Sprintf("%s-%d", kind, i), IP: ip, FailureDomain: d.name, Region: d.region, Service: service}
+			if service == engineService {
+				ip = ip.Next()
+				vm.Own = ip
+			}
+			vms = append(vms, vm)
 		}
 	}
 	add("entry", "", w.Entries)
@@ -156,10 +164,27 @@
 		w.names[vm.At(standin.PortCallers)] = vm.Name
 	} else {
 		w.agents = append(w.agents, p)
+		if err := w.linkAgent(vm); err != nil {
+			return err
+		}
 	}
 	return p.start()
 }
 
+// linkAgent puts links before the ports of an agent.
+func (w *world) linkAgent(vm *standin.VM) error {
+	var both []*link
+	for _, port := range []uint16{standin.PortPlaces, standin.PortChunks} {
+		k, err := newLink(vm.At(port), netip.AddrPortFrom(vm.Own, port))
+		if err != nil {
+			return err
+		}
+		both = append(both, k)
+	}
+	w.agentLinks = append(w.agentLinks, both)
+	return nil
+}
+
 // mostSeeds is how many entries the settings name.
 const mostSeeds = 3
 
@@ -186,7 +211,7 @@
 		for _, p := range w.places {
 			p.close()
 		}
-		for _, k := range w.storeLinks {
+		for _, k := range slices.Concat(append(w.agentLinks, w.storeLinks)...) {
 			k.close()
 		}
 		if w.originLink != nil {
