--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -51,17 +51,18 @@
 	storeBusy: standin.Busy, storeOverrun: standin.Overrun, storeSilent: standin.Silent, storeLossy: standin.Lossy, storeLapse: standin.Busy,
 }
 
-// storeOnce lets one fault of the store be at a time.
-var storeOnce sync.Mutex
-
 func (w *world) faultStore(f fault) {
 	if f.Kind == storeForgets {
 		// The history may be gone at any time; that is no disturbance.
 		w.store.Compact()
 		return
 	}
-	storeOnce.Lock()
-	defer storeOnce.Unlock()
+	if !w.storeFault.TryLock() {
+		// One at a time; faults that waited for others would outlast the plan.
+		w.say("passed over: %s", f.Kind)
+		return
+	}
+	defer w.storeFault.Unlock()
 	w.note(auditor.Disturbed{Who: auditor.Core})
 	w.store.SetFault(storeFaults[f.Kind])
 	if f.Kind == storeSlow {
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -89,7 +89,9 @@
 		return
 	}
 	end(u)
-	p.wait(pause)
+	if !p.wait(pause) {
+		return
+	}
 	p.open(coldTime, 0)
 	p.mu.Lock()
 	p.busy = false
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -70,6 +70,9 @@
 	operators  *operators
 	breakOff   atomic.Int32
 
+	// storeFault is held during a fault of the whole store.
+	storeFault sync.Mutex
+
 	logging sync.Mutex
 	closing sync.Once
 }
