--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -91,7 +91,7 @@
 const (
 	// mostBroken is how many of a hundred replies flaky upstreams break off at most: so many
 	// that repeating each would pass the budget.
-	mostBroken = 60
+	mostBroken = 90
 	// leastDelay and delayStep make a link's delay, in steps of the fault's amount.
 	leastDelay = 20 * time.Millisecond
 	delayStep  = 3 * time.Millisecond
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -100,8 +100,9 @@
 	inSeries  = 150 * time.Millisecond
 )
 
-// long are the kinds after which a process may have missed all that happened meanwhile.
-var long = []faultKind{entryPause, agentPause, storeBusy, storeSilent, storeLapse, linkCut}
+// long are the kinds that are to outlast the bounds: after them a process may have missed
+// all that happened meanwhile, and repeats fill a whole window of their budget.
+var long = []faultKind{entryPause, agentPause, storeBusy, storeSilent, storeLapse, linkCut, upstreamBreaks}
 
 // enabledShare is the share, of a hundred, of kinds that one seed uses. With all at once
 // hardly any process would run undisturbed for long enough to be held to a bound.
