--- a/soak/soaker/callers.go
+++ b/soak/soaker/callers.go
@@ -30,7 +30,7 @@
 
 var requests atomic.Uint64
 
-// caller asks one question after another.
+// caller asks one request after another.
 type caller struct {
 	*world
 	random *rand.Rand
@@ -41,7 +41,7 @@
 
 	entries []netip.AddrPort
 	until   time.Time
-	line    *standin.Line
+	conn    *standin.Connection
 }
 
 func (w *world) newCaller(n int) *caller {
@@ -58,15 +58,15 @@
 			sleep(ctx, retryPause)
 			continue
 		}
-		sleep(ctx, c.ask(c.question()))
+		sleep(ctx, c.ask(c.draw()))
 	}
 	c.hangUp()
 }
 
 func (c *caller) hangUp() {
-	if c.line != nil {
-		c.line.Close()
-		c.line = nil
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
 	}
 }
 
@@ -112,23 +112,23 @@
 
 // connect sees that there is a connection to use.
 func (c *caller) connect(ctx context.Context) bool {
-	if c.line != nil && !c.stubborn && !c.listed(c.line.Entry) {
+	if c.conn != nil && !c.stubborn && !c.listed(c.conn.Entry) {
 		c.hangUp()
 	}
-	if c.line != nil {
+	if c.conn != nil {
 		return true
 	}
 	if len(c.entries) == 0 {
 		return false
 	}
 	entry := c.entries[c.random.IntN(len(c.entries))]
-	line, err := standin.Dial(ctx, entry)
+	conn, err := standin.Dial(ctx, entry)
 	if err != nil {
 		// Another address is tried next; this one isn't used until the next answer.
 		c.drop(entry)
 		return false
 	}
-	c.line = line
+	c.conn = conn
 	return true
 }
 
@@ -151,14 +151,14 @@
 	c.entries = rest
 }
 
-// ask sends a question and tells how long to wait for the next.
-func (c *caller) ask(q *standin.Question) time.Duration {
-	entry := c.names[c.line.Entry]
+// ask sends a request and tells how long to wait for the next.
+func (c *caller) ask(q *standin.Request) time.Duration {
+	entry := c.names[c.conn.Entry]
 	c.note(auditor.Sent{
 		ID: q.ID, Entry: entry, Path: q.Path, Key: q.Key, Content: q.Content(), Limit: q.Limit,
-		Events: q.Events, After: q.LastEvent, Kept: c.line.Used,
+		Events: q.Events, After: q.LastEvent, Kept: c.conn.Used,
 	})
-	a := c.line.Ask(q)
+	a := c.conn.Send(q)
 	var parts []auditor.Part
 	for _, e := range a.Events {
 		parts = append(parts, auditor.Part(e))
@@ -176,10 +176,10 @@
 	return max(retryPause, min(a.RetryAfter, q.Limit/3))
 }
 
-// question draws what to ask.
-func (c *caller) question() *standin.Question {
+// draw draws the next request.
+func (c *caller) draw() *standin.Request {
 	n := requests.Add(1)
-	q := &standin.Question{ID: fmt.Sprintf("%08x%08x", c.Seed, n), Host: host, Model: figures.Model, Limit: limit, Key: c.key()}
+	q := &standin.Request{ID: fmt.Sprintf("%08x%08x", c.Seed, n), Host: host, Model: figures.Model, Limit: limit, Key: c.key()}
 	prefixes := []string{
 		draftPrefix, draftPrefix, draftPrefix, oncePrefix, homePrefix, bookPrefix, bookPrefix, lookPrefix, publicPrefix, movingPrefix, comingPrefix,
 	}
