--- a/internal/registrar/naming.go
+++ b/internal/registrar/naming.go
@@ -34,10 +34,9 @@
 	// keptNamings is how many namings of a model are remembered: four seconds apart, the
 	// time of those before is long over.
 	keptNamings = 8
-	// seenWithin is how long after the store's last confirmation, or the last attempt to
-	// reach it, a change that it tells of counts as new: a watch answers at once, and after a
-	// second without news. A process that took longer stood still, and the change may be as
-	// old as that.
+	// seenWithin is how long after the store's last confirmation a change that it tells of
+	// counts as new: a watch answers at once, and after a second without news. A process that
+	// took longer stood still or was out of touch, and the change may be as old as that.
 	seenWithin = 1200 * time.Millisecond
 )
 
