Leave old weights to the agents where an entry can't know since when

It had listed the store, which does not tell when a version was named, and took the young version for one whose bound is over. It goes by moments that are known now; where none is, the agent's own check stands, as before.

Measured: the test failed and passes.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -228,6 +228,17 @@
 	return superseded && r.Clock.Since(at) > bound
 }
 
+// SurelyOutdated is Outdated where the moment is known, and false where it isn't.
+func (r *Registrar) SurelyOutdated(model string, version uint64, bound time.Duration) bool {
+	v := r.View()
+	if v == nil {
+		return false
+	}
+	w, _ := v.Weights(model)
+	at, superseded := w.Superseded(version)
+	return superseded && !at.IsZero() && r.Clock.Since(at) > bound
+}
+
 // At is the revision up to which all changes are known, and how long ago the store
 // confirmed it as the newest. Known is false before the first batch.
 func (r *Registrar) At() (at uint64, age time.Duration, known bool) {
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -51,10 +51,11 @@
 	if !v.Granted {
 		return nil, &v
 	}
-	if p.Registrar.Outdated(j.Model, v.Version, p.WeightsBound-scheduler.OldWeightsMargin) {
+	if p.Registrar.SurelyOutdated(j.Model, v.Version, p.WeightsBound-scheduler.OldWeightsMargin) {
 		// An agent that stood still or is cut off grants places by what it last heard. Without
 		// this look at what the entry knows, callers would get replies from weights whose time
-		// is over until the news reaches the agent.
+		// is over until the news reaches the agent. An entry that has just started may not know
+		// since when, and leaves it to the agent.
 		klog.InfoS("Grant on old weights not used", "upstream", u.ID, "request", j.ID, "version", v.Version, "revision", view.Revision)
 		p.tell(c, messenger.Progress{Ended: []string{j.ID}})
 		v.Granted, v.Closed = false, scheduler.OldWeights
--- a/internal/relayer/place_test.go
+++ b/internal/relayer/place_test.go
@@ -172,6 +172,26 @@
 	must.Eq(t, asked, a.asked.Load(), must.Sprint("the engine counts as closed and is left alone for a while"))
 }
 
+// An entry starts anew while a version is young, and reads the store by itself, which doesn't
+// say how young. The agents know and grant places on the old weights for as long as they may
+// serve; were the entry to take the version for an old one, it would refuse all its callers
+// until the engines have switched. It used none of 180 grants in four seconds.
+func TestEntryThatStartsLeavesOldWeightsToTheAgents(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	seen, table := newPlacer(c, 0, 1)
+	name(seen.Registrar, 2)
+	p, _ := newPlacer(c, 0, 1)
+	started := &registrar.Registrar{Clock: c, Decode: p.Registrar.Decode}
+	found := seen.Registrar.Since(0).Found()
+	for i := range found.Records {
+		found.Records[i].Namings = nil
+	}
+	started.Apply(found)
+	p.Registrar = started
+	grant(t, p, messenger.Verdict{Granted: true, Version: 1, Slots: 12})
+	must.True(t, placed(p, c, table))
+}
+
 // willingAgent is an agent that says the same to everybody.
 type willingAgent struct{ asked, ended atomic.Int32 }
 
