Run the loader's agents in virtual time and in memory

Cause: its agents had 50 ms of patience in real time. On a machine with other work a peer that is alive but not scheduled for so long counts as absent, and the chunk is drawn from the origin, as it should be then.

All tests with agents now talk over net.Pipe within a synctest bubble, through the same handlers and client; the bounds stay.

--- a/internal/loader/failures_test.go
+++ b/internal/loader/failures_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"sync/atomic"
@@ -52,7 +51,7 @@
 
 // peer serves another agent's wire by a handler of the test's own and claims to
 // hold all chunks of the weights.
-func peer(t *testing.T, id string, w weights, chunk http.HandlerFunc) messenger.Holder {
+func (n *network) peer(t *testing.T, id string, w weights, chunk http.HandlerFunc) messenger.Holder {
 	all := planner.NewBitmap(len(w.manifest.Chunks))
 	for i := range w.manifest.Chunks {
 		all.Set(i)
@@ -61,8 +60,7 @@
 	mux.HandleFunc("GET /chunks/{digest}", chunk)
 	mux.HandleFunc("GET /manifests/{digest}", func(rw http.ResponseWriter, _ *http.Request) { rw.Write(w.body) })
 	mux.HandleFunc("GET /holdings/{manifest}", func(rw http.ResponseWriter, _ *http.Request) { rw.Write(all) })
-	s := httptest.NewServer(mux)
-	t.Cleanup(s.Close)
+	s := n.serve(t, mux)
 	return messenger.Holder{
 		ID: id, FailureDomain: "a", Region: "huon", Address: netip.MustParseAddrPort(s.Listener.Addr().String()),
 		Holding: messenger.Holding{Manifest: w.digest, Chunks: len(all) * 8, Have: all},
@@ -74,160 +72,176 @@
 	// wrong. Were it taken, an engine would serve from wrong weights and callers
 	// would read nonsense. The chunk is thrown away, the peer isn't asked again,
 	// and nobody gets the wrong bytes from this agent.
-	w := publish("v1", 30)
-	o := newOrigin(w)
-	var asked atomic.Int32
-	bad := peer(t, "vm-bad", w, func(rw http.ResponseWriter, r *http.Request) {
-		asked.Add(1)
-		body := bytes.Clone(o.bodies[r.PathValue("digest")])
-		body[len(body)/2] ^= 1
-		rw.Write(body)
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 30)
+		o := newOrigin(w)
+		var asked atomic.Int32
+		bad := n.peer(t, "vm-bad", w, func(rw http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			body := bytes.Clone(o.bodies[r.PathValue("digest")])
+			body[len(body)/2] ^= 1
+			rw.Write(body)
+		})
+		a := n.start(t, "vm-0", o)
+		a.SetHolders([]messenger.Holder{bad})
+		a.Want([]string{w.digest})
+		a.await(t, w)
+		must.Between(t, 1, asked.Load(), 4)
+		must.Eq(t, int(asked.Load()), a.Progress()[0].Corrupt)
+		must.Eq(t, 0, a.Progress()[0].FromPeers)
 	})
-	a := start(t, "vm-0", o)
-	a.SetHolders([]messenger.Holder{bad})
-	a.Want([]string{w.digest})
-	a.await(t, w)
-	must.Between(t, 1, asked.Load(), 4)
-	must.Eq(t, int(asked.Load()), a.Progress()[0].Corrupt)
-	must.Eq(t, 0, a.Progress()[0].FromPeers)
 }
 
 func TestUncheckedSourceIsChecked(t *testing.T) {
 	// A source of another make returns what it got without checking it. The
 	// loader must not rely on each source's care, or one wrong chunk would spread
 	// to all agents.
-	w := publish("v1", 10)
-	lying := newOrigin(w)
-	lying.setFault(func(digest string, _ int) ([]byte, error) {
-		if digest == w.digest {
-			return nil, nil
-		}
-		return make([]byte, 1000), nil
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 10)
+		lying := newOrigin(w)
+		lying.setFault(func(digest string, _ int) ([]byte, error) {
+			if digest == w.digest {
+				return nil, nil
+			}
+			return make([]byte, 1000), nil
+		})
+		good := newOrigin(w)
+		a := n.start(t, "vm-0", lying, good)
+		a.Want([]string{w.digest})
+		a.await(t, w)
 	})
-	good := newOrigin(w)
-	a := start(t, "vm-0", lying, good)
-	a.Want([]string{w.digest})
-	a.await(t, w)
 }
 
 func TestCorruptChunkFromOrigin(t *testing.T) {
 	// The origin's disk or its link flips bits now and then: each chunk arrives
 	// corrupt the first time. The agent must ask again and end with right bytes,
 	// or an operator sees a roll-out that never finishes.
-	w := publish("v1", 10)
-	o := newOrigin(w)
-	o.setFault(func(digest string, asked int) ([]byte, error) {
-		if asked == 1 && digest != w.digest {
-			return make([]byte, 1000), nil
-		}
-		return nil, nil
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 10)
+		o := newOrigin(w)
+		o.setFault(func(digest string, asked int) ([]byte, error) {
+			if asked == 1 && digest != w.digest {
+				return make([]byte, 1000), nil
+			}
+			return nil, nil
+		})
+		a := n.start(t, "vm-0", o)
+		a.Want([]string{w.digest})
+		a.await(t, w)
+		must.Eq(t, 10, a.Progress()[0].Corrupt)
 	})
-	a := start(t, "vm-0", o)
-	a.Want([]string{w.digest})
-	a.await(t, w)
-	must.Eq(t, 10, a.Progress()[0].Corrupt)
 }
 
 func TestPeerDiesInMidChunk(t *testing.T) {
 	// A VM is lost while it sends a chunk, so the connection breaks after half the
 	// bytes. Were the half taken for the whole, the weights would be wrong; were
 	// the chunk forgotten, they would never be whole.
-	w := publish("v1", 20)
-	o := newOrigin(w)
-	dying := peer(t, "vm-dying", w, func(rw http.ResponseWriter, r *http.Request) {
-		body := bytes.Clone(o.bodies[r.PathValue("digest")])
-		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		rw.Write(body[:len(body)/2])
-		_ = http.NewResponseController(rw).Flush()
-		panic(http.ErrAbortHandler)
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 20)
+		o := newOrigin(w)
+		dying := n.peer(t, "vm-dying", w, func(rw http.ResponseWriter, r *http.Request) {
+			body := bytes.Clone(o.bodies[r.PathValue("digest")])
+			rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			rw.Write(body[:len(body)/2])
+			_ = http.NewResponseController(rw).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		a := n.start(t, "vm-0", o)
+		a.SetHolders([]messenger.Holder{dying})
+		a.Want([]string{w.digest})
+		a.await(t, w)
+		must.Eq(t, 0, a.Progress()[0].Corrupt)
 	})
-	a := start(t, "vm-0", o)
-	a.SetHolders([]messenger.Holder{dying})
-	a.Want([]string{w.digest})
-	a.await(t, w)
-	must.Eq(t, 0, a.Progress()[0].Corrupt)
 }
 
 func TestStalledLink(t *testing.T) {
 	// The link to a peer stalls: the connection stays open, and after half a chunk
 	// nothing more comes. TCP reports nothing for a long time. Without a limit on
 	// silence the chunk stays in flight and the engine waits for it without end.
-	w := publish("v1", 20)
-	o := newOrigin(w)
-	ended := make(chan struct{})
-	stalled := peer(t, "vm-stalled", w, func(rw http.ResponseWriter, _ *http.Request) {
-		rw.Header().Set("Content-Length", "1000")
-		rw.Write(make([]byte, 500))
-		_ = http.NewResponseController(rw).Flush()
-		<-ended
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 20)
+		o := newOrigin(w)
+		ended := make(chan struct{})
+		stalled := n.peer(t, "vm-stalled", w, func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Content-Length", "1000")
+			rw.Write(make([]byte, 500))
+			_ = http.NewResponseController(rw).Flush()
+			<-ended
+		})
+		t.Cleanup(func() { close(ended) })
+		a := n.start(t, "vm-0", o)
+		a.Peer = func(at netip.AddrPort) fetcher.Source {
+			return &fetcher.HTTP{Address: at, Timeout: 100 * time.Millisecond, Client: n.client}
+		}
+		a.SetHolders([]messenger.Holder{stalled})
+		a.Want([]string{w.digest})
+		a.await(t, w)
 	})
-	t.Cleanup(func() { close(ended) })
-	a := start(t, "vm-0", o)
-	a.Peer = func(at netip.AddrPort) fetcher.Source {
-		return &fetcher.HTTP{Address: at, Timeout: 100 * time.Millisecond}
-	}
-	a.SetHolders([]messenger.Holder{stalled})
-	a.Want([]string{w.digest})
-	a.await(t, w)
 }
 
 func TestNewerVersionStopsOlderTransfer(t *testing.T) {
 	// Operators roll v2 while v1 has arrived by half and the rest of v1 is slow.
 	// Were v1 fetched to its end, v2 would wait behind bytes that nobody wants.
-	v1, v2 := publish("v1", 20), publish("v2", 20)
-	o := newOrigin(v1, v2)
-	o.setFault(downAfter(11))
-	a := start(t, "vm-0", o)
-	a.Want([]string{v1.digest})
-	a.awaitChunks(t, v1, 10)
-	a.Want([]string{v2.digest})
-	o.setFault(nil)
-	before := o.total(v1)
-	a.await(t, v2)
-	// A fetch that was already on its way may still have reached the origin.
-	must.LessEq(t, before+4, o.total(v1))
-	_, whole := a.Whole(v1.digest)
-	must.False(t, whole)
+	inBubble(t, func(t *testing.T, n *network) {
+		v1, v2 := publish("v1", 20), publish("v2", 20)
+		o := newOrigin(v1, v2)
+		o.setFault(downAfter(11))
+		a := n.start(t, "vm-0", o)
+		a.Want([]string{v1.digest})
+		a.awaitChunks(t, v1, 10)
+		a.Want([]string{v2.digest})
+		o.setFault(nil)
+		before := o.total(v1)
+		a.await(t, v2)
+		// A fetch that was already on its way may still have reached the origin.
+		must.LessEq(t, before+4, o.total(v1))
+		_, whole := a.Whole(v1.digest)
+		must.False(t, whole)
+	})
 }
 
 func TestNearlyWholeOlderVersionIsFinished(t *testing.T) {
 	// v2 is rolled when one chunk of v1 is missing. Thrown away, v1 could serve
 	// neither now nor after a rollback; finished, it costs one chunk.
-	v1, v2 := publish("v1", 20), publish("v2", 20)
-	o := newOrigin(v1, v2)
-	o.setFault(func(digest string, _ int) ([]byte, error) {
-		if digest == v1.manifest.Chunks[7] {
-			return nil, errDown
-		}
-		return nil, nil
+	inBubble(t, func(t *testing.T, n *network) {
+		v1, v2 := publish("v1", 20), publish("v2", 20)
+		o := newOrigin(v1, v2)
+		o.setFault(func(digest string, _ int) ([]byte, error) {
+			if digest == v1.manifest.Chunks[7] {
+				return nil, errDown
+			}
+			return nil, nil
+		})
+		a := n.start(t, "vm-0", o)
+		a.Want([]string{v1.digest})
+		a.awaitChunks(t, v1, 19)
+		a.Want([]string{v2.digest})
+		o.setFault(nil)
+		a.await(t, v1)
+		a.await(t, v2)
 	})
-	a := start(t, "vm-0", o)
-	a.Want([]string{v1.digest})
-	a.awaitChunks(t, v1, 19)
-	a.Want([]string{v2.digest})
-	o.setFault(nil)
-	a.await(t, v1)
-	a.await(t, v2)
 }
 
 func TestRollbackToVersionInMemory(t *testing.T) {
 	// v2 turns out bad and operators go back to v1, which is still in memory. At
 	// that moment the origin is down. The rollback must need no bytes at all, or
 	// callers stay on the bad version until the origin is back.
-	v1, v2 := publish("v1", 20), publish("v2", 20)
-	o := newOrigin(v1, v2)
-	a := start(t, "vm-0", o)
-	a.Want([]string{v1.digest})
-	a.await(t, v1)
-	a.Want([]string{v2.digest})
-	a.await(t, v2)
-	o.setFault(func(string, int) ([]byte, error) { return nil, errDown })
-	before := o.total(v1)
-	a.Want([]string{v1.digest})
-	_, whole := a.Whole(v1.digest)
-	must.True(t, whole)
-	a.await(t, v1)
-	must.Eq(t, before, o.total(v1))
+	inBubble(t, func(t *testing.T, n *network) {
+		v1, v2 := publish("v1", 20), publish("v2", 20)
+		o := newOrigin(v1, v2)
+		a := n.start(t, "vm-0", o)
+		a.Want([]string{v1.digest})
+		a.await(t, v1)
+		a.Want([]string{v2.digest})
+		a.await(t, v2)
+		o.setFault(func(string, int) ([]byte, error) { return nil, errDown })
+		before := o.total(v1)
+		a.Want([]string{v1.digest})
+		_, whole := a.Whole(v1.digest)
+		must.True(t, whole)
+		a.await(t, v1)
+		must.Eq(t, before, o.total(v1))
+	})
 }
 
 func TestOriginDown(t *testing.T) {
@@ -236,16 +250,18 @@
 	// roll-out that never ends if an agent gives up or never asks again.
 	for name, chunks := range map[string]int{"start": -1, "middle": 10, "end": 18} {
 		t.Run(name, func(t *testing.T) {
-			w := publish("v1", 20)
-			o := newOrigin(w)
-			o.setFault(downAfter(chunks + 1))
-			a := start(t, "vm-0", o, o)
-			a.Want([]string{w.digest})
-			if chunks > 0 {
-				a.awaitChunks(t, w, chunks)
-			}
-			o.setFault(nil)
-			a.await(t, w)
+			inBubble(t, func(t *testing.T, n *network) {
+				w := publish("v1", 20)
+				o := newOrigin(w)
+				o.setFault(downAfter(chunks + 1))
+				a := n.start(t, "vm-0", o, o)
+				a.Want([]string{w.digest})
+				if chunks > 0 {
+					a.awaitChunks(t, w, chunks)
+				}
+				o.setFault(nil)
+				a.await(t, w)
+			})
 		})
 	}
 }
@@ -254,16 +270,18 @@
 	// v1 and v2 are on their way at once and share half of their chunks. Were a
 	// chunk filed under the wrong version or place, an engine would get weights
 	// mixed of both. Shared chunks are fetched once.
-	v1 := publish("v1", 20)
-	v2 := pack("v2", append(bytes.Clone(v1.bytes[:10000]), publish("v2", 20).bytes[10000:]...))
-	o := newOrigin(v1, v2)
-	a := start(t, "vm-0", o)
-	a.Want([]string{v2.digest, v1.digest})
-	a.await(t, v1)
-	a.await(t, v2)
-	for _, c := range v2.manifest.Chunks[:10] {
-		must.Eq(t, 1, o.asked[c])
-	}
+	inBubble(t, func(t *testing.T, n *network) {
+		v1 := publish("v1", 20)
+		v2 := pack("v2", append(bytes.Clone(v1.bytes[:10000]), publish("v2", 20).bytes[10000:]...))
+		o := newOrigin(v1, v2)
+		a := n.start(t, "vm-0", o)
+		a.Want([]string{v2.digest, v1.digest})
+		a.await(t, v1)
+		a.await(t, v2)
+		for _, c := range v2.manifest.Chunks[:10] {
+			must.Eq(t, 1, o.asked[c])
+		}
+	})
 }
 
 func TestMemoryFull(t *testing.T) {
@@ -271,75 +289,83 @@
 	// rolled. Evicting v1 would leave a restarted engine with nothing to load;
 	// taking both would get the process killed. v2 waits, and says so, until the
 	// engine lets v1 go.
-	v1, v2 := publish("v1", 20), publish("v2", 20)
-	o := newOrigin(v1, v2)
-	a := start(t, "vm-0", o)
-	a.Memory = 30_000
-	a.Keep(v1.digest)
-	a.Want([]string{v1.digest})
-	a.await(t, v1)
-	a.Want([]string{v2.digest, v1.digest})
-	a.awaitProgress(t, v2, func(p loader.Progress) bool { return p.Refused })
-	must.Eq(t, 0, o.total(v2))
-	a.await(t, v1)
-	a.Keep(v2.digest)
-	a.await(t, v2)
-	_, whole := a.Whole(v1.digest)
-	must.False(t, whole)
+	inBubble(t, func(t *testing.T, n *network) {
+		v1, v2 := publish("v1", 20), publish("v2", 20)
+		o := newOrigin(v1, v2)
+		a := n.start(t, "vm-0", o)
+		a.Memory = 30_000
+		a.Keep(v1.digest)
+		a.Want([]string{v1.digest})
+		a.await(t, v1)
+		a.Want([]string{v2.digest, v1.digest})
+		a.awaitProgress(t, v2, func(p loader.Progress) bool { return p.Refused })
+		must.Eq(t, 0, o.total(v2))
+		a.await(t, v1)
+		a.Keep(v2.digest)
+		a.await(t, v2)
+		_, whole := a.Whole(v1.digest)
+		must.False(t, whole)
+	})
 }
 
 func TestEvictionLeavesReaderAlone(t *testing.T) {
 	// The engine is reading v1 when a bundle without v1 makes the loader evict it.
 	// The engine must still get v1's bytes to the end, or it loads a mixture.
-	v1, v2 := publish("v1", 20), publish("v2", 20)
-	a := start(t, "vm-0", newOrigin(v1, v2))
-	a.Memory = 30_000
-	a.Want([]string{v1.digest})
-	a.await(t, v1)
-	r, err := a.Weights(v1.digest)
-	must.NoError(t, err)
-	a.Want([]string{v2.digest})
-	a.await(t, v2)
-	got, err := io.ReadAll(r)
-	must.NoError(t, err)
-	must.Eq(t, v1.bytes, got)
+	inBubble(t, func(t *testing.T, n *network) {
+		v1, v2 := publish("v1", 20), publish("v2", 20)
+		a := n.start(t, "vm-0", newOrigin(v1, v2))
+		a.Memory = 30_000
+		a.Want([]string{v1.digest})
+		a.await(t, v1)
+		r, err := a.Weights(v1.digest)
+		must.NoError(t, err)
+		a.Want([]string{v2.digest})
+		a.await(t, v2)
+		got, err := io.ReadAll(r)
+		must.NoError(t, err)
+		must.Eq(t, v1.bytes, got)
+	})
 }
 
 func TestLoaderRestarts(t *testing.T) {
 	// The supervisor stops the loader in the middle of a transfer and starts it
 	// again. What was verified before is still in memory, and the rest must come.
-	w := publish("v1", 20)
-	o := newOrigin(w)
-	o.setFault(func(digest string, _ int) ([]byte, error) {
-		if digest == w.manifest.Chunks[3] {
-			return nil, errDown
-		}
-		return nil, nil
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 20)
+		o := newOrigin(w)
+		o.setFault(func(digest string, _ int) ([]byte, error) {
+			if digest == w.manifest.Chunks[3] {
+				return nil, errDown
+			}
+			return nil, nil
+		})
+		a := n.newAgent(t, "vm-0", o)
+		stop := a.run(t)
+		a.Want([]string{w.digest})
+		a.awaitChunks(t, w, 19)
+		stop()
+		o.setFault(nil)
+		before := o.total(w)
+		t.Cleanup(a.run(t))
+		a.await(t, w)
+		must.Eq(t, before+1, o.total(w))
 	})
-	a := newAgent(t, "vm-0", o)
-	stop := a.run(t)
-	a.Want([]string{w.digest})
-	a.awaitChunks(t, w, 19)
-	stop()
-	o.setFault(nil)
-	before := o.total(w)
-	t.Cleanup(a.run(t))
-	a.await(t, w)
-	must.Eq(t, before+1, o.total(w))
 }
 
 func TestNewsOfSeveralEntries(t *testing.T) {
 	// An agent reports to two entries, and only one of them knows the agent that
 	// has the weights. Were the other's empty answer taken for the whole truth, the
 	// origin would send a copy that is there already.
-	w := publish("v1", 20)
-	o := newOrigin(w)
-	a := start(t, "vm-0", o)
-	a.SetHolders([]messenger.Holder{peer(t, "vm-1", w, func(rw http.ResponseWriter, r *http.Request) {
-		rw.Write(o.bodies[r.PathValue("digest")])
-	})})
-	a.SetHolders(nil)
-	a.Want([]string{w.digest})
-	a.await(t, w)
-	must.Eq(t, 0, a.Progress()[0].FromOrigin)
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 20)
+		o := newOrigin(w)
+		a := n.start(t, "vm-0", o)
+		a.SetHolders([]messenger.Holder{n.peer(t, "vm-1", w, func(rw http.ResponseWriter, r *http.Request) {
+			rw.Write(o.bodies[r.PathValue("digest")])
+		})})
+		a.SetHolders(nil)
+		a.Want([]string{w.digest})
+		a.await(t, w)
+		must.Eq(t, 0, a.Progress()[0].FromOrigin)
+	})
 }
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
@@ -105,14 +104,15 @@
 	server *httptest.Server
 }
 
-func newAgent(t *testing.T, id string, sources ...fetcher.Source) *agent {
+func (n *network) newAgent(t *testing.T, id string, sources ...fetcher.Source) *agent {
 	a := &agent{Loader: &loader.Loader{
 		ID: id, FailureDomain: "a", Region: "huon", Sources: sources, Memory: 1 << 20,
-		Peer:     func(at netip.AddrPort) fetcher.Source { return &fetcher.HTTP{Address: at, Timeout: time.Second} },
+		Peer: func(at netip.AddrPort) fetcher.Source {
+			return &fetcher.HTTP{Address: at, Timeout: time.Second, Client: n.client}
+		},
 		Patience: 50 * time.Millisecond, Settle: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Seed: 1,
 	}}
-	a.server = httptest.NewServer(a.Handler())
-	t.Cleanup(a.server.Close)
+	a.server = n.serve(t, a.Handler())
 	return a
 }
 
@@ -130,8 +130,8 @@
 	}
 }
 
-func start(t *testing.T, id string, sources ...fetcher.Source) *agent {
-	a := newAgent(t, id, sources...)
+func (n *network) start(t *testing.T, id string, sources ...fetcher.Source) *agent {
+	a := n.newAgent(t, id, sources...)
 	t.Cleanup(a.run(t))
 	return a
 }
@@ -180,29 +180,31 @@
 }
 
 func TestWeightsReachAllAgents(t *testing.T) {
-	w := publish("v1", 40)
-	o := newOrigin(w)
-	var agents []*agent
-	var holders []messenger.Holder
-	for i := range 6 {
-		a := start(t, fmt.Sprintf("vm-%d", i), o)
-		agents = append(agents, a)
-		holders = append(holders, a.holder(w.digest))
-	}
-	for _, a := range agents {
-		a.Want([]string{w.digest})
-		a.SetHolders(holders)
-	}
-	total := int64(0)
-	for _, a := range agents {
-		a.await(t, w)
-		total += a.Progress()[0].FromOrigin
-	}
-	must.Between(t, w.manifest.Size, total, w.manifest.Size*12/10)
-	res, err := http.Get(agents[0].server.URL + "/weights/" + w.digest)
-	must.NoError(t, err)
-	defer res.Body.Close()
-	got, err := io.ReadAll(res.Body)
-	must.NoError(t, err)
-	must.Eq(t, w.bytes, got)
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 40)
+		o := newOrigin(w)
+		var agents []*agent
+		var holders []messenger.Holder
+		for i := range 6 {
+			a := n.start(t, fmt.Sprintf("vm-%d", i), o)
+			agents = append(agents, a)
+			holders = append(holders, a.holder(w.digest))
+		}
+		for _, a := range agents {
+			a.Want([]string{w.digest})
+			a.SetHolders(holders)
+		}
+		total := int64(0)
+		for _, a := range agents {
+			a.await(t, w)
+			total += a.Progress()[0].FromOrigin
+		}
+		must.Between(t, w.manifest.Size, total, w.manifest.Size*12/10)
+		res, err := n.client.Get(agents[0].server.URL + "/weights/" + w.digest)
+		must.NoError(t, err)
+		defer res.Body.Close()
+		got, err := io.ReadAll(res.Body)
+		must.NoError(t, err)
+		must.Eq(t, w.bytes, got)
+	})
 }
