Pass news on within a region, and ask spread over the readers

Cause: every entry asked the same of the two readers, so that this one's bytes grew with the entries, and each piece of news crossed the links between regions once for each entry there. Over 16 entries, two of each region (one for 20 from 41 on) now ask the readers and tell the region's others; up to 16 the entries spread over both readers. Whom to ask moved to a file of its own.

A process whose news are nearly stale now gives the next one 0.35 s and no wait.

--- /dev/null
+++ b/internal/syncer/fleet_test.go
@@ -0,0 +1,388 @@
+package syncer_test
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+)
+
+const (
+	// nearDelay and farDelay are the time of a write within a region and between two.
+	nearDelay = 500 * time.Microsecond
+	farDelay  = 10 * time.Millisecond
+)
+
+// fleet is a deployment in memory and in virtual time: a store, entries and agents that
+// keep each other up to date, and the network between them.
+type fleet struct {
+	store   *memoryStore
+	members []*node
+	byPeers map[string]*node
+}
+
+// node is one process of a fleet.
+type node struct {
+	registrar.Member
+	*registrar.Registrar
+	accepted chan net.Conn
+	closed   chan struct{}
+	stop     context.CancelFunc
+	// askers are the processes that asked something, bytes what was read and written here.
+	mu     sync.Mutex
+	askers map[string]bool
+	conns  []net.Conn
+	bytes  atomic.Int64
+	// stopped processes were killed, deaf ones take connections and never answer.
+	stopped bool
+	deaf    atomic.Bool
+}
+
+// memoryStore is the platform's store as a syncer sees it.
+type memoryStore struct {
+	mu      sync.Mutex
+	records []registrar.Record
+	changed chan struct{}
+	watches int
+}
+
+func (s *memoryStore) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, registrar.Record{Key: key, Value: data, Revision: uint64(len(s.records)) + 1})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) after(revision uint64) (registrar.Batch, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return registrar.Batch{After: revision, At: uint64(len(s.records)), Records: slices.Clone(s.records[revision:])}, s.changed
+}
+
+func (s *memoryStore) List(context.Context) (registrar.Batch, error) {
+	b, _ := s.after(0)
+	b.Whole = true
+	return b, nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
+	b, changed := s.after(after)
+	if len(b.Records) > 0 {
+		return b, nil
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return b, ctx.Err()
+	}
+	b, _ = s.after(after)
+	return b, nil
+}
+
+// decodeFleet reads the records that a fleet's store holds.
+func decodeFleet(key string, value []byte) (registrar.Fact, error) {
+	switch {
+	case strings.HasPrefix(key, "entry/"):
+		var m registrar.Member
+		err := json.Unmarshal(value, &m)
+		return m, err
+	case strings.HasPrefix(key, "drained/"):
+		return registrar.Drained{FailureDomain: strings.TrimPrefix(key, "drained/")}, nil
+	}
+	return nil, nil
+}
+
+// newFleet starts entries, spread over regions in turn, and one agent in each region.
+func newFleet(t testing.TB, entries, regions, upstreams int) *fleet {
+	f := &fleet{store: &memoryStore{changed: make(chan struct{})}, byPeers: map[string]*node{}}
+	for i := range entries + regions {
+		n := &node{Member: registrar.Member{
+			ID: fmt.Sprintf("entry-%d", i), Region: fmt.Sprintf("region-%d", i%regions), FailureDomain: "a",
+			Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+		}, accepted: make(chan net.Conn), closed: make(chan struct{}), askers: map[string]bool{}}
+		n.Callers = n.Peers
+		f.members = append(f.members, n)
+		f.byPeers[n.Peers.String()] = n
+		if i < entries {
+			f.store.put("entry/"+n.ID, n.Member)
+		}
+	}
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := range upstreams {
+		f.store.put(fmt.Sprintf("upstream/%d", i), fmt.Sprintf("%x%x%x%x", r.Uint64(), r.Uint64(), r.Uint64(), r.Uint64()))
+	}
+	for i, n := range f.members {
+		f.start(t, n, i < entries)
+	}
+	return f
+}
+
+func (f *fleet) start(t testing.TB, n *node, entry bool) {
+	ctx, stop := context.WithCancel(t.Context())
+	n.stop = func() {
+		stop()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.stopped = true
+		for _, c := range n.conns {
+			_ = c.Close()
+		}
+	}
+	c := clock.RealClock{}
+	n.Registrar = &registrar.Registrar{Clock: c, Decode: decodeFleet, Linger: time.Second}
+	answer := syncer.Answer(n.Registrar, c)
+	server := &messenger.Server{Listener: pipeListener{n}, OnRecords: func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
+		if n.deaf.Load() {
+			<-ctx.Done()
+		}
+		return answer(ctx, q)
+	}}
+	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Region, Registrar: n.Registrar, Store: f.store, Clock: c,
+		Seeds: []netip.AddrPort{f.members[0].Peers, f.members[1].Peers}, Seed: n == f.members[0] || n == f.members[1],
+		Random: rand.New(rand.NewPCG(1, uint64(n.Peers.Addr().As4()[3]))),
+		Dial:   func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: f.dialer(n)} }}
+	done := make(chan struct{}, 2)
+	go func() { _ = server.Serve(ctx); done <- struct{}{} }()
+	go func() { _ = s.Serve(ctx); done <- struct{}{} }()
+	t.Cleanup(func() {
+		n.stop()
+		<-done
+		<-done
+	})
+}
+
+func (f *fleet) dialer(from *node) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		to := f.byPeers[address]
+		near, far := net.Pipe()
+		delay := nearDelay
+		if from.Region != to.Region {
+			delay = farDelay
+		}
+		to.mu.Lock()
+		to.conns = append(to.conns, far)
+		if to.stopped {
+			_ = far.Close()
+		}
+		to.mu.Unlock()
+		select {
+		case to.accepted <- &link{Conn: far, node: to, delay: delay, asker: from.ID}:
+		case <-to.closed:
+			return nil, net.ErrClosed
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		return &link{Conn: near, node: from, delay: delay}, nil
+	}
+}
+
+// link is one end of a connection; it counts its bytes and delays its writes.
+type link struct {
+	net.Conn
+	node  *node
+	delay time.Duration
+	// asker is who dialed, at the end that was dialed.
+	asker string
+}
+
+func (l *link) Read(b []byte) (int, error) {
+	n, err := l.Conn.Read(b)
+	l.node.bytes.Add(int64(n))
+	if l.asker != "" && n > 0 {
+		l.node.mu.Lock()
+		l.node.askers[l.asker] = true
+		l.node.mu.Unlock()
+	}
+	return n, err
+}
+
+func (l *link) Write(b []byte) (int, error) {
+	time.Sleep(l.delay)
+	n, err := l.Conn.Write(b)
+	l.node.bytes.Add(int64(n))
+	return n, err
+}
+
+// pipeListener takes the connections that are dialed to a node.
+type pipeListener struct{ node *node }
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.node.accepted:
+		return c, nil
+	case <-l.node.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l pipeListener) Close() error {
+	close(l.node.closed)
+	return nil
+}
+
+func (l pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.node.Peers) }
+
+// knows waits until all processes that live know a failure domain to be drained, and
+// gives how long that took.
+func (f *fleet) knows(t testing.TB, domain string, limit time.Duration) time.Duration {
+	began := time.Now()
+	for _, n := range f.members {
+		for n.lives() {
+			changed := n.Changed()
+			if v := n.View(); v != nil && v.Drained(domain) {
+				break
+			}
+			select {
+			case <-changed:
+			case <-time.After(limit - time.Since(began)):
+				t.Fatalf("%s in %s does not know %s after %v", n.ID, n.Region, domain, limit)
+			}
+		}
+	}
+	return time.Since(began)
+}
+
+func (n *node) lives() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stopped && !n.deaf.Load()
+}
+
+// region is that of a process.
+func (f *fleet) region(id string) string {
+	i := slices.IndexFunc(f.members, func(n *node) bool { return n.ID == id })
+	return f.members[i].Region
+}
+
+// inFleet runs a test with a fleet in virtual time, which has settled.
+func inFleet(t *testing.T, entries, regions, upstreams int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, entries, regions, upstreams)
+		time.Sleep(10 * time.Second)
+		for _, n := range f.members {
+			n.mu.Lock()
+			clear(n.askers)
+			n.mu.Unlock()
+			n.bytes.Store(0)
+		}
+		test(t, f)
+	})
+}
+
+// The operators drain a failure domain in a deployment of 60 entries. Were each of them to
+// hear of it from the two that read the store, these would send the same news across the
+// links between regions as often as there are entries, and at some hundred entries they
+// would have no time left for callers.
+func TestReadersTellARegionOnce(t *testing.T) {
+	const entries, regions = 60, 3
+	inFleet(t, entries, regions, 100, func(t *testing.T, f *fleet) {
+		f.store.put("drained/a", nil)
+		must.Less(t, 100*time.Millisecond, f.knows(t, "a", time.Second))
+		time.Sleep(30 * time.Second)
+		fromAfar, askers := 0, 0
+		for _, n := range f.members {
+			n.mu.Lock()
+			askers = max(askers, len(n.askers))
+			for id := range n.askers {
+				if f.region(id) != n.Region {
+					fromAfar++
+				}
+			}
+			n.mu.Unlock()
+		}
+		must.LessEq(t, 2*regions, fromAfar, must.Sprint("two relays of a region ask across"))
+		must.LessEq(t, entries/regions+2*regions, askers)
+	})
+}
+
+// A change must be in force everywhere within two seconds while some of those that pass
+// news on take connections and say nothing, as frozen VMs do, or are killed: both readers,
+// both of a region, or some at both levels.
+func TestNewsPassSilentRelays(t *testing.T) {
+	for name, fail := range map[string]func(*node){
+		"frozen": func(n *node) { n.deaf.Store(true) },
+		"killed": func(n *node) { n.stop() },
+	} {
+		for seed := range 6 {
+			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
+				inFleet(t, 40, 2, 20, func(t *testing.T, f *fleet) {
+					r := rand.New(rand.NewPCG(uint64(seed), 1))
+					ranked := slices.Clone(f.members[:40])
+					slices.SortFunc(ranked, func(a, b *node) int { return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)) })
+					time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
+					for range 3 {
+						fail(ranked[r.IntN(5)])
+					}
+					time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
+					f.store.put("drained/a", nil)
+					f.knows(t, "a", 2*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// News that pass one more process are older when they arrive. Were they too old for those
+// who ask, all would turn to the store, each with a call that the operators pay for.
+func TestNewsOfRelaysAreFreshEnough(t *testing.T) {
+	inFleet(t, 60, 3, 20, func(t *testing.T, f *fleet) {
+		before := f.store.watches
+		for range 2000 {
+			time.Sleep(10 * time.Millisecond)
+			for _, n := range f.members {
+				_, age, _ := n.At()
+				must.LessEq(t, 2*time.Second, age)
+			}
+		}
+		must.LessEq(t, 2*(20+1), f.store.watches-before, must.Sprint("two readers, each one call a second"))
+	})
+}
+
+// A deployment of 60 entries and 3,000 upstreams, with a change each second. Each process has
+// 12 kB a second for control; those that tell the others must keep to it as well, or they
+// are what the deployment stops growing at.
+func TestBytesOfNews(t *testing.T) {
+	const (
+		seconds = 20
+		// budget is bytes a second, sent and received, of the users' two-year size.
+		budget = 12_000
+	)
+	inFleet(t, 60, 5, 3000, func(t *testing.T, f *fleet) {
+		value := strings.Repeat("a", 85)
+		for i := range seconds {
+			f.store.put(fmt.Sprint("upstream/", i), value)
+			time.Sleep(time.Second)
+		}
+		for _, n := range f.members {
+			must.LessEq(t, budget*seconds, n.bytes.Load(), must.Sprint(n.ID))
+		}
+	})
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -5,7 +5,6 @@
 package syncer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -14,7 +13,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -24,9 +22,6 @@
 )
 
 const (
-	// readers is how many entries read the store for all others: two, so that
-	// neither the loss of one nor a watch that has gone silent delays news.
-	readers = 2
 	// watchWait is how long the store holds an answer back without news. It bounds
 	// how long a watch that has gone silent goes unnoticed, and costs a reader one
 	// call a second.
@@ -122,11 +117,12 @@
 	if !known && !s.Seed && s.fromSeeds(ctx) {
 		return true
 	}
-	candidates := s.candidates()
+	o := s.order()
+	candidates := o.candidates
 	s.forgetOthers(candidates)
-	reads := !known || s.Entry && s.reads()
+	reads := !known || o.reads
 	s.logReading(reads)
-	if !reads && s.fromPeers(ctx, candidates[:min(readers, len(candidates))], staleNews) {
+	if !reads && s.fromPeers(ctx, candidates[:o.sources], o.wait, staleNews) {
 		return true
 	}
 	if !s.Clock.Now().Before(s.storeFrom) {
@@ -136,12 +132,12 @@
 		// Who still knows nothing asks the seeds once more before the next list.
 		s.seedsSince = s.Clock.Now()
 	}
-	if s.fromPeers(ctx, candidates, staleNews) {
+	if s.fromPeers(ctx, candidates, o.wait, staleNews) {
 		return true
 	}
 	// Whatever the others have is better than nothing, however old. They answer at once
 	// then, so that a pause has to follow.
-	s.fromPeers(ctx, s.shuffled(candidates), anyAge)
+	s.fromPeers(ctx, s.shuffled(candidates), o.wait, anyAge)
 	return false
 }
 
@@ -152,42 +148,6 @@
 	s.reading = reads
 }
 
-// reads tells whether this entry is one of those that read the store for all.
-func (s *Syncer) reads() bool {
-	v := s.Registrar.View()
-	if v == nil || len(v.Members) <= readers {
-		return true
-	}
-	ids := make([]string, 0, len(v.Members))
-	for _, m := range v.Members {
-		ids = append(ids, m.ID)
-	}
-	slices.SortFunc(ids, byRank)
-	return slices.Contains(ids[:readers], s.ID)
-}
-
-// byRank orders entries by a hash of their names, the same for all processes.
-func byRank(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) }
-
-// candidates lists whom to ask, the best first: for an entry those that read the
-// store, for an agent the entries of its own region, each agent in another order.
-func (s *Syncer) candidates() []netip.AddrPort {
-	var as []netip.AddrPort
-	if v := s.Registrar.View(); v != nil {
-		ms := slices.DeleteFunc(slices.Clone(v.Members), func(m registrar.Member) bool { return m.ID == s.ID })
-		slices.SortFunc(ms, s.preference)
-		for _, m := range ms {
-			as = append(as, m.Peers)
-		}
-	}
-	for _, a := range s.Seeds {
-		if !slices.Contains(as, a) {
-			as = append(as, a)
-		}
-	}
-	return as
-}
-
 // forgetOthers drops what is kept of addresses that are nobody's any more.
 func (s *Syncer) forgetOthers(candidates []netip.AddrPort) {
 	used := make(map[netip.AddrPort]bool, len(candidates))
@@ -198,19 +158,6 @@
 	maps.DeleteFunc(s.avoid, func(a netip.AddrPort, _ time.Time) bool { return !used[a] })
 }
 
-func (s *Syncer) preference(a, b registrar.Member) int {
-	if s.Entry {
-		return byRank(a.ID, b.ID)
-	}
-	far := func(m registrar.Member) int {
-		if m.Region == s.Region {
-			return 0
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(far(a), far(b)), byRank(a.ID+s.ID, b.ID+s.ID))
-}
-
 func (s *Syncer) shuffled(as []netip.AddrPort) []netip.AddrPort {
 	as = slices.Clone(as)
 	s.Random.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
@@ -218,18 +165,19 @@
 }
 
 // fromPeers asks processes in turn until one answers whose news the store confirmed
-// not longer ago than limit.
-func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, limit time.Duration) bool {
+// not longer ago than limit. Each may hold its answer back for the wait.
+func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, wait, limit time.Duration) bool {
+	failed := false
 	for _, a := range as {
 		if s.Clock.Now().Before(s.avoid[a]) {
 			continue
 		}
-		at, _, _ := s.Registrar.At()
 		asked := s.Clock.Now()
-		b, err := s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: peerWait.Milliseconds()})
+		b, err := s.ask(ctx, a, wait, failed)
 		if ctx.Err() != nil {
 			return false
 		}
+		failed = true
 		if err != nil {
 			s.avoid[a] = s.Clock.Now().Add(avoidFor)
 			klog.InfoS("Peer lost", "peer", a, "err", err)
@@ -251,6 +199,21 @@
 	return false
 }
 
+// ask asks one process. The first one may have taken all the time that its news were young
+// enough for, as when it waited itself for a reader that is frozen. Were the next one frozen,
+// too, and waited for as long, a change would come into force too late; it has to answer at
+// once then.
+func (s *Syncer) ask(ctx context.Context, a netip.AddrPort, wait time.Duration, failed bool) (registrar.Batch, error) {
+	at, age, _ := s.Registrar.At()
+	if failed && age > staleNews-peerWait {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, peerGrace)
+		defer cancel()
+		wait = 0
+	}
+	return s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds()})
+}
+
 // fromStore reads the store once, by a list at first and after its history is gone.
 func (s *Syncer) fromStore(ctx context.Context) bool {
 	b, err := s.read(ctx)
