Wait for all arrived chunks before the agent is killed

TestArrivedChunksOutliveTheirAgent waited until chunks 0 and 5 lay staged, killed the agent and then allowed only the withheld 2 and 4 to be drawn again. Chunks are staged as they arrive, in any order: where 1 or 3 is later than 5, as on a machine that is short of processor time, it is rightly drawn once more.

It now waits for each chunk that the origin gives; what may be drawn stays.

--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -131,6 +131,18 @@
 	return e.held
 }
 
+// lies tells whether these chunks of a version lie staged.
+func (e *engine) lies(version uint64, chunks ...int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, i := range chunks {
+		if string(e.staged[i]) != string(chunkOf(version, i)) {
+			return false
+		}
+	}
+	return true
+}
+
 // origin gives every version; while spoilt it gives wrong digests now and then.
 type origin struct {
 	mu    sync.Mutex
@@ -303,16 +315,7 @@
 	w := newWorld(t, e, time.Minute)
 	eventually(t, w.open)
 	w.name(2)
-	eventually(t, func() bool {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		for i := range chunkCount {
-			if string(e.staged[i]) != string(chunkOf(2, i)) {
-				return false
-			}
-		}
-		return true
-	})
+	eventually(t, func() bool { return e.lies(2, 0, 1, 2, 3, 4, 5) })
 	must.Eq(t, 1, e.holds(), must.Sprint("the engine goes on with the old weights until its turn"))
 	must.True(t, w.open())
 }
@@ -329,11 +332,7 @@
 	w.origin.withheld = map[int]bool{2: true, 4: true}
 	w.origin.mu.Unlock()
 	w.name(2)
-	eventually(t, func() bool {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return string(e.staged[0]) == string(chunkOf(2, 0)) && string(e.staged[5]) == string(chunkOf(2, 5))
-	})
+	eventually(t, func() bool { return e.lies(2, 0, 1, 3, 5) })
 	w.stop()
 	e.mu.Lock()
 	e.born, e.held = 2, 0
