Hold the proofs' ports until their test ends

Cause, in the proofs' own start of a deployment: ports were taken by listeners that were closed just before the daemons start. A process that another parallel test is starting has a copy of all descriptors between fork and exec, listeners too, so the port stays taken for that long; on a busy machine that is long enough. A run with the race detector, 12 tests in parallel beside a load average of 83, failed so: TestEachCallerGetsItsOwnAnswer, 'revision 1 ready within 30s', and entry-0's log ends with 'bind: address already in use'.

A port is now held by a socket that is bound and doesn't listen, which a listener may join, and nobody else gets it meanwhile or between the restarts of a process. No check of a proof is changed.

--- a/proofs/bundle_test.go
+++ b/proofs/bundle_test.go
@@ -88,7 +88,6 @@
 		d.addEntry(i)
 		d.addService(i)
 	}
-	d.letGo()
 	late := []*process{d.entries[2].process, d.services[2].process}
 	for _, p := range d.processes() {
 		if !slices.Contains(late, p) {
--- a/proofs/deployment_test.go
+++ b/proofs/deployment_test.go
@@ -107,9 +107,8 @@
 	engines, services   []*vm
 	bundle              bundler.Bundle
 	// weights are the digests of all bytes by version.
-	weights  map[string]string
-	changes  int
-	reserved []net.Listener
+	weights map[string]string
+	changes int
 }
 
 // deploy starts a deployment with the first bundle in force and all of its
@@ -126,7 +125,6 @@
 	for i := range s.services {
 		d.addService(i)
 	}
-	d.letGo()
 	for _, e := range d.entries {
 		e.launch()
 	}
@@ -206,22 +204,6 @@
 	s.fault(faults{Restart: true})
 }
 
-// reserve takes a port from the kernel for a process that listens by itself. It
-// is held until all are taken, else the kernel may give one twice.
-func (d *deployment) reserve() netip.AddrPort {
-	d.t.Helper()
-	l := listen(d.t, d.host)
-	d.reserved = append(d.reserved, l)
-	return addressOf(l)
-}
-
-func (d *deployment) letGo() {
-	for _, l := range d.reserved {
-		l.Close()
-	}
-	d.reserved = nil
-}
-
 // inside tells whether a process stands inside the partition.
 func (d *deployment) inside(k kind, i int) bool { return d.partition != nil && d.shape.inside(k, i) }
 
@@ -249,9 +231,9 @@
 	e := &entry{
 		id:        string(kindEntry) + "-" + strconv.Itoa(i),
 		domain:    domains[i%len(domains)],
-		callers:   d.reserve(),
-		peers:     d.reserve(),
-		operators: d.reserve(),
+		callers:   reserve(d.t, d.host),
+		peers:     reserve(d.t, d.host),
+		operators: reserve(d.t, d.host),
 	}
 	e.process = &process{t: d.t, name: e.id}
 	d.entries = append(d.entries, e)
@@ -327,8 +309,8 @@
 	v := &vm{
 		id:        string(k) + "-" + strconv.Itoa(i),
 		domain:    domains[i%len(domains)],
-		address:   d.reserve(),
-		operators: d.reserve(),
+		address:   reserve(d.t, d.host),
+		operators: reserve(d.t, d.host),
 		upstream:  d.serve(upstream),
 	}
 	v.process = &process{t: d.t, name: v.id}
--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -1,6 +1,7 @@
 package proofs_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/netip"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -16,6 +18,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+	"golang.org/x/sys/unix"
 )
 
 // patience bounds every wait for a condition that must come about. It is no
@@ -164,9 +167,7 @@
 
 var hosts atomic.Uint32
 
-// host gives each deployment a loopback address of its own. A port that the
-// kernel gave there can be let go and taken again: outgoing connections take
-// theirs on another address.
+// host gives each deployment a loopback address of its own.
 func host() netip.Addr {
 	pid := os.Getpid()
 	return netip.AddrFrom4([4]byte{127, byte(1 + hosts.Add(1)%250), byte(pid >> 8), byte(1 + pid%250)})
@@ -180,6 +181,48 @@
 	return l
 }
 
+// reserve takes a port from the kernel for a process that listens by itself, and holds it
+// until the test ends: the kernel gives it to nobody else. A listener that is closed before
+// the process starts does not do. A process that is being started by another test at that
+// moment has a copy of it until it runs its own program, which takes a while on a busy
+// machine, and ours would find its address in use.
+func reserve(t *testing.T, h netip.Addr) netip.AddrPort {
+	t.Helper()
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(socket) })
+	// A listener may join a socket that is bound and doesn't listen, if both allow that;
+	// those of the standard library do.
+	must.NoError(t, unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1))
+	must.NoError(t, unix.Bind(socket, &unix.SockaddrInet4{Addr: h.As4()}))
+	bound, err := unix.Getsockname(socket)
+	must.NoError(t, err)
+	return netip.AddrPortFrom(h, uint16(bound.(*unix.SockaddrInet4).Port))
+}
+
+// Tests start their processes at the same time on a machine that is short of processor
+// time. A process of ours whose address is held by another one that is just being started
+// ends at once, and its test waits in vain for a deployment that misses an entry.
+func TestReservedAddressCanBeTaken(t *testing.T) {
+	h := host()
+	ctx, stop := context.WithCancel(t.Context())
+	var starting sync.WaitGroup
+	for range 8 {
+		starting.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.Command(binary, "--help").Run()
+			}
+		})
+	}
+	defer starting.Wait()
+	defer stop()
+	for range 200 {
+		l, err := net.Listen("tcp", reserve(t, h).String())
+		must.NoError(t, err)
+		must.NoError(t, l.Close())
+	}
+}
+
 func addressOf(l net.Listener) netip.AddrPort {
 	return netip.MustParseAddrPort(l.Addr().String())
 }
