Reach the relayer's decisions without sockets

Change: Relayer.Admit, Serve and RetryAfter take what ServeHTTP did with a job; Placer.Reach gives the road to an agent. No change of behaviour; tests unchanged.

--- /dev/null
+++ b/internal/relayer/admit.go
@@ -0,0 +1,56 @@
+package relayer
+
+import "time"
+
+// Admit completes a job of which request, route and workspace are known: the service that
+// may serve it, whether its caller was refused before, and its deadline.
+func (l *Relayer) Admit(j *Job) {
+	l.mu.Lock()
+	j.Service = j.Route.Target(l.Random.Float64())
+	l.mu.Unlock()
+	j.Returned = l.returned(j)
+	j.Deadline = j.Arrived.Add(j.limit() - answerMargin)
+}
+
+func (j *Job) limit() time.Duration {
+	d := defaultTimeout
+	if j.Route.Timeout > 0 {
+		d = j.Route.Timeout
+	}
+	if j.Patience > 0 {
+		d = min(d, j.Patience)
+	}
+	return d
+}
+
+// leastPatienceShare is below which part of the longest patience seen on a route a
+// caller must have been waiting before: first attempts differ by some 15 in 100.
+const leastPatienceShare = 0.83
+
+// returned tells whether the caller comes back after a refusal: callers tell what is
+// left of their patience.
+func (l *Relayer) returned(j *Job) bool {
+	if j.Patience <= 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.longestPatience == nil {
+		l.longestPatience = map[string]time.Duration{}
+	}
+	most := max(l.longestPatience[j.Route.Name], j.Patience)
+	l.longestPatience[j.Route.Name] = most
+	return float64(j.Patience) < leastPatienceShare*float64(most)
+}
+
+// RetryAfter is the time to come back that a refused caller is told. It is drawn from one to
+// two times the estimate, so that those refused together don't come back together.
+func (l *Relayer) RetryAfter(e *RefusedError) time.Duration {
+	d := e.RetryAfter
+	if d <= 0 {
+		d = busyRetry
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return d + time.Duration(l.Random.Int64N(int64(d)+1))
+}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -45,7 +45,7 @@
 // refuse says that the request did not run and when to come back.
 func (c *call) refuse(e *RefusedError) {
 	c.count("refused")
-	wait := c.spread(e.RetryAfter)
+	wait := c.RetryAfter(e)
 	fields := []any{"reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived), "returned", c.Returned}
 	c.log("Refused", nil, append(fields, e.Met.fields()...)...)
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
@@ -68,17 +68,6 @@
 	return fields
 }
 
-// spread draws the time to come back from one to two times the estimate, so that those
-// refused together don't come back together.
-func (c *call) spread(d time.Duration) time.Duration {
-	if d <= 0 {
-		d = busyRetry
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return d + time.Duration(c.Random.Int64N(int64(d)+1))
-}
-
 // answer sends an answer of the system's own.
 func (c *call) answer(status int, text string, retryAfter time.Duration) {
 	c.count("answers." + strconv.Itoa(status))
@@ -101,17 +90,20 @@
 }
 
 // log writes a line on this request.
-func (c *call) log(text string, err error, more ...any) {
+func (c *call) log(text string, err error, more ...any) { c.Relayer.log(&c.Job, text, err, more...) }
+
+// log writes a line on a request.
+func (l *Relayer) log(j *Job, text string, err error, more ...any) {
 	route, workspace := "", ""
-	if c.Route != nil {
-		route = c.Route.Name
+	if j.Route != nil {
+		route = j.Route.Name
 	}
-	if c.Workspace != nil {
-		workspace = c.Workspace.Name
+	if j.Workspace != nil {
+		workspace = j.Workspace.Name
 	}
-	fields := append([]any{"request", c.ID, "route", route, "workspace", workspace,
-		"after", c.Clock.Since(c.Arrived), "sends", c.sends}, more...)
-	if v := c.Registrar.View(); v != nil {
+	fields := append([]any{"request", j.ID, "route", route, "workspace", workspace,
+		"after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
+	if v := l.Registrar.View(); v != nil {
 		fields = append(fields, "revision", v.Revision)
 	}
 	if err != nil {
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -32,9 +32,8 @@
 	if p.Chooser.Silent(u.ID) {
 		return p.unasked(view, u, j), nil
 	}
-	a := netip.AddrPortFrom(u.Address.Addr(), p.AgentPort)
-	c := p.Agents.To(a)
-	v, err := c.Reserve(ctx, messenger.Reservation{
+	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
+	v, err := agent.Reserve(ctx, messenger.Reservation{
 		Request: j.ID, Model: j.Model, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
 		PatienceMS: patience.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(),
 	})
@@ -57,21 +56,21 @@
 		// is over until the news reaches the agent. An entry that has just started may not know
 		// since when, and leaves it to the agent.
 		klog.InfoS("Grant on old weights not used", "upstream", u.ID, "request", j.ID, "version", v.Version, "revision", view.Revision)
-		p.tell(c, messenger.Progress{Ended: []string{j.ID}})
+		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		v.Granted, v.Closed = false, scheduler.OldWeights
 		return nil, &v
 	}
 	if j.Version != 0 && v.Version != j.Version {
-		p.tell(c, messenger.Progress{Ended: []string{j.ID}})
+		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		return nil, &v
 	}
 	p.Chooser.Begin(u.ID)
 	return &Place{
 		Upstream: u, Wait: v.Wait(), Active: v.Active, Version: j.Version,
-		started: func() { p.tell(c, messenger.Progress{Started: []string{j.ID}}) },
+		started: func() { agent.Tell(messenger.Progress{Started: []string{j.ID}}) },
 		ended: func() {
 			p.Chooser.End(u.ID)
-			p.tell(c, messenger.Progress{Ended: []string{j.ID}})
+			agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		},
 	}, &v
 }
@@ -110,12 +109,29 @@
 	return &Place{Upstream: u, Version: version, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}
 }
 
-// tell sends progress without holding up the caller's reply. It is lost when the
-// agent can't be reached; the engine's own count then shows what runs.
-func (p *Placer) tell(c *messenger.Client, progress messenger.Progress) {
+// Agent is the road to the agent beside an engine.
+type Agent interface {
+	Reserve(ctx context.Context, r messenger.Reservation) (messenger.Verdict, error)
+	// Tell sends progress without holding up the caller's reply. It may be lost; the engine's
+	// own count then shows what runs.
+	Tell(p messenger.Progress)
+}
+
+func (p *Placer) agent(a netip.AddrPort) Agent {
+	if p.Reach != nil {
+		return p.Reach(a)
+	}
+	return networkAgent{p.Agents.To(a)}
+}
+
+// networkAgent is an agent on its own VM.
+type networkAgent struct{ *messenger.Client }
+
+// Tell implements Agent.
+func (a networkAgent) Tell(p messenger.Progress) {
 	go func() {
-		if err := c.Tell(context.Background(), progress); err != nil {
-			klog.V(1).InfoS("Progress not told", "agent", c.Address, "err", err)
+		if err := a.Client.Tell(context.Background(), p); err != nil {
+			klog.V(1).InfoS("Progress not told", "agent", a.Address, "err", err)
 		}
 	}()
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -23,9 +23,9 @@
 	// before the engine is given up, besides a factor of firstEventFactor.
 	firstEventGrace  = 1200 * time.Millisecond
 	firstEventFactor = 2
-	// eventGap is how long an engine may pause within a stream before another goes on
+	// EventGap is how long an engine may pause within a stream before another goes on
 	// with it. Callers leave after two seconds.
-	eventGap = 1300 * time.Millisecond
+	EventGap = 1300 * time.Millisecond
 )
 
 // UnusableError reports a reply that can't be handed on.
@@ -45,7 +45,6 @@
 		send.LastEvent = c.stream.last
 	}
 	c.message.header = c.Codec.Outgoing(c.r.Header, send)
-	c.sends++
 	// A kept connection may be closed by the upstream just as the request is sent,
 	// and its end is then unknown; what may run only once goes on a new one.
 	o := sendOptions{fresh: !c.Route.Repeatable(), headerWithin: c.headerWithin(place),
@@ -81,7 +80,7 @@
 	case !c.mayRepeat():
 		return 0
 	case c.Route.Kind == matcher.Streaming:
-		return c.firstEventLimit(place)
+		return place.FirstEventLimit()
 	default:
 		return time.Duration(headerShare * float64(c.Route.Timeout))
 	}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -54,6 +54,9 @@
 	Version uint64
 
 	met Met
+	tries
+	// left tells that the caller is gone; nil for one that stays.
+	left func() bool
 }
 
 // Place is where a request may go now.
@@ -70,6 +73,9 @@
 	started, ended func()
 }
 
+// Started tells the agent that the reply has begun: its prompt has been read.
+func (p *Place) Started() { p.started() }
+
 // RefusedError reports that no upstream can take a request now.
 type RefusedError struct {
 	Reason string
@@ -109,6 +115,8 @@
 	AgentPort uint16
 	// Agents are the clients of the agents; their timeout should be AskTimeout.
 	Agents *messenger.Clients
+	// Reach gives the road to an agent; nil for the network, by Agents.
+	Reach func(agent netip.AddrPort) Agent
 	// WeightsBound is how long after the naming of a version older weights may begin
 	// a reply.
 	WeightsBound time.Duration
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -54,26 +54,25 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	message message
-	// outcome joins what is known of all attempts.
-	outcome  retrier.Outcome
-	attempts int
-	sends    int
 	// stream is set once a stream's header went out.
 	stream *stream
 }
 
 // ServeHTTP implements http.Handler.
 func (l *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Relayer: l, w: w, r: r, outcome: retrier.NotRun}
+	c := &call{Relayer: l, w: w, r: r}
 	c.Arrived = l.Clock.Now()
 	c.Request = l.Codec.Request(r.Header)
+	c.left = func() bool { return r.Context().Err() != nil }
 	l.count("requests")
 	if !c.route() || !c.readBody() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	c.run(ctx)
+	if err := l.Serve(ctx, &c.Job, c.attempt); err != nil {
+		c.give(ctx, err)
+	}
 }
 
 // route finds the route and the workspace, or gives the final answer.
@@ -97,11 +96,7 @@
 			return c.unknown(http.StatusUnauthorized, "unknown key")
 		}
 	}
-	c.mu.Lock()
-	c.Service = c.Route.Target(c.Random.Float64())
-	c.mu.Unlock()
-	c.Returned = c.returned()
-	c.Deadline = c.Arrived.Add(c.limit() - answerMargin)
+	c.Admit(&c.Job)
 	return true
 }
 
@@ -116,37 +111,6 @@
 	return false
 }
 
-func (c *call) limit() time.Duration {
-	d := defaultTimeout
-	if c.Route.Timeout > 0 {
-		d = c.Route.Timeout
-	}
-	if c.Patience > 0 {
-		d = min(d, c.Patience)
-	}
-	return d
-}
-
-// leastPatienceShare is below which part of the longest patience seen on a route a
-// caller must have been waiting before: first attempts differ by some 15 in 100.
-const leastPatienceShare = 0.83
-
-// returned tells whether the caller comes back after a refusal: callers tell what is
-// left of their patience.
-func (c *call) returned() bool {
-	if c.Patience <= 0 {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.longestPatience == nil {
-		c.longestPatience = map[string]time.Duration{}
-	}
-	most := max(c.longestPatience[c.Route.Name], c.Patience)
-	c.longestPatience[c.Route.Name] = most
-	return float64(c.Patience) < leastPatienceShare*float64(most)
-}
-
 // headerBytes is about the size of a request's header on the wire.
 func headerBytes(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
@@ -191,83 +155,3 @@
 
 // defaultBodyBytes bounds bodies when the route table has no limit.
 const defaultBodyBytes = 4 << 20
-
-// run makes attempts until one gives the caller its answer.
-func (c *call) run(ctx context.Context) {
-	c.Budgets.Of(c.Service).First()
-	for {
-		place, err := c.Placer.Place(ctx, &c.Job)
-		if err != nil {
-			c.give(ctx, err)
-			return
-		}
-		c.Tried = append(c.Tried, place.Upstream.ID)
-		err = c.attemptAt(ctx, place)
-		if err == nil {
-			return
-		}
-		c.note(place.Upstream.ID, err)
-		if ctx.Err() != nil || !c.again() {
-			c.give(ctx, err)
-			return
-		}
-		c.Again = c.attempts > 0
-	}
-}
-
-// attemptAt makes an attempt and frees its place however it ends. A reply that has to be cut
-// ends in a panic for the HTTP server; the place left taken, the upstream would look fuller
-// with each such reply until nothing goes there.
-func (c *call) attemptAt(ctx context.Context, place *Place) error {
-	defer place.ended()
-	return c.attempt(ctx, place)
-}
-
-// note counts what an attempt that failed means for the request and the upstream.
-func (c *call) note(upstream string, err error) {
-	var s *SendError
-	if !errors.As(err, &s) {
-		return
-	}
-	c.outcome = retrier.Join(c.outcome, s.Outcome)
-	if s.Outcome != retrier.NotRun {
-		c.attempts++
-	}
-	if c.r.Context().Err() != nil {
-		// The caller left; that says nothing of the upstream.
-		return
-	}
-	var full *ConnectionsError
-	if !errors.As(err, &full) {
-		// A limit of this entry's own says nothing of the upstream either.
-		c.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
-	}
-	if s.Outcome == retrier.NotRun && s.Status != 0 {
-		c.Chooser.Avoid(upstream, refusedPause)
-	}
-	c.log("Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused)
-}
-
-// refusedPause is how long an upstream that refused is passed over: about the time
-// in which a place comes free.
-const refusedPause = 100 * time.Millisecond
-
-// maxSends bounds how often a request is sent although no upstream ran it.
-const maxSends = 3
-
-// again tells whether another attempt may be made. Only what certainly did not run,
-// or may run twice, goes out again.
-func (c *call) again() bool {
-	if c.outcome != retrier.NotRun && !c.Route.Repeatable() {
-		return false
-	}
-	if c.attempts >= c.Route.MaxAttempts || c.sends >= maxSends {
-		return false
-	}
-	if !c.Budgets.Of(c.Service).Take() {
-		c.log("No retry left in the budget", nil)
-		return false
-	}
-	c.count("retries")
-	return true
-}
--- /dev/null
+++ b/internal/relayer/serve.go
@@ -0,0 +1,102 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+// Attempt sends a request to the upstream of a place and hands the reply on. It gives nil once
+// the caller has its answer. Errors are *SendError.
+type Attempt func(ctx context.Context, place *Place) error
+
+// tries is what became of a job's attempts.
+type tries struct {
+	// outcome joins what is known of all attempts.
+	outcome  retrier.Outcome
+	attempts int
+	sends    int
+}
+
+// Serve makes attempts until one gives the caller its answer. Errors are those of Place and
+// of the last attempt.
+func (l *Relayer) Serve(ctx context.Context, j *Job, attempt Attempt) error {
+	l.Budgets.Of(j.Service).First()
+	j.outcome = retrier.NotRun
+	for {
+		place, err := l.Placer.Place(ctx, j)
+		if err != nil {
+			return err
+		}
+		j.Tried = append(j.Tried, place.Upstream.ID)
+		err = l.attemptAt(ctx, j, place, attempt)
+		if err == nil {
+			return nil
+		}
+		l.note(j, place.Upstream.ID, err)
+		if ctx.Err() != nil || !l.again(j) {
+			return err
+		}
+		j.Again = j.attempts > 0
+	}
+}
+
+// attemptAt makes an attempt and frees its place however it ends. A reply that has to be cut
+// ends in a panic for the HTTP server; the place left taken, the upstream would look fuller
+// with each such reply until nothing goes there.
+func (l *Relayer) attemptAt(ctx context.Context, j *Job, place *Place, attempt Attempt) error {
+	defer place.ended()
+	j.sends++
+	return attempt(ctx, place)
+}
+
+// note counts what an attempt that failed means for the request and the upstream.
+func (l *Relayer) note(j *Job, upstream string, err error) {
+	var s *SendError
+	if !errors.As(err, &s) {
+		return
+	}
+	j.outcome = retrier.Join(j.outcome, s.Outcome)
+	if s.Outcome != retrier.NotRun {
+		j.attempts++
+	}
+	if j.left != nil && j.left() {
+		// The caller left; that says nothing of the upstream.
+		return
+	}
+	var full *ConnectionsError
+	if !errors.As(err, &full) {
+		// A limit of this entry's own says nothing of the upstream either.
+		l.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
+	}
+	if s.Outcome == retrier.NotRun && s.Status != 0 {
+		l.Chooser.Avoid(upstream, refusedPause)
+	}
+	l.log(j, "Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused)
+}
+
+// refusedPause is how long an upstream that refused is passed over: about the time
+// in which a place comes free.
+const refusedPause = 100 * time.Millisecond
+
+// maxSends bounds how often a request is sent although no upstream ran it.
+const maxSends = 3
+
+// again tells whether another attempt may be made. Only what certainly did not run,
+// or may run twice, goes out again.
+func (l *Relayer) again(j *Job) bool {
+	if j.outcome != retrier.NotRun && !j.Route.Repeatable() {
+		return false
+	}
+	if j.attempts >= j.Route.MaxAttempts || j.sends >= maxSends {
+		return false
+	}
+	if !l.Budgets.Of(j.Service).Take() {
+		l.log(j, "No retry left in the budget", nil)
+		return false
+	}
+	l.count("retries")
+	return true
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -39,7 +39,7 @@
 func (c *call) relayStream(x *exchange, place *Place) error {
 	s := &splitter{from: x.response.Body}
 	resumed := c.stream != nil
-	x.setGap(c.firstEventLimit(place))
+	x.setGap(place.FirstEventLimit())
 	for first := true; ; first = false {
 		event, err := s.next()
 		if errors.Is(err, io.EOF) {
@@ -50,19 +50,19 @@
 			return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 		}
 		if first {
-			place.started()
+			place.Started()
 		}
 		if err := c.relayEvent(x, event, resumed && first); err != nil {
 			x.abandon()
 			return err
 		}
-		x.setGap(eventGap)
+		x.setGap(EventGap)
 	}
 }
 
-// firstEventLimit is how long the first event may take.
-func (c *call) firstEventLimit(place *Place) time.Duration {
-	return firstEventFactor*place.Wait + firstEventGrace
+// FirstEventLimit is how long the first event of a reply may take there.
+func (p *Place) FirstEventLimit() time.Duration {
+	return firstEventFactor*p.Wait + firstEventGrace
 }
 
 // relayEvent hands one event on. The header goes out with the first, so that until
@@ -120,7 +120,7 @@
 // endStream ends a reply whose end the upstream has marked.
 func (c *call) endStream(x *exchange, place *Place, rest []byte) error {
 	if c.stream == nil {
-		place.started()
+		place.Started()
 		c.writeHeader(x)
 		c.stream = &stream{}
 	}
