Rank upstreams without sorting all of them

Cause: a decision at 50 upstreams took 42 us: all were sorted with their names, looked up again by name, and the table of those seen was gone over each time. Mostly the first is taken. Change: Chooser.Rank gives positions from a heap, one at a time; what is forgotten is looked for once a second; regions are looked up only where they are bound. The order is the same.

--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -40,7 +40,7 @@
 // placeAtEngine asks the agents of the most promising engines: first for a short
 // wait, then for any that the objective allows.
 func (p *Placer) placeAtEngine(ctx context.Context, view *registrar.View, e *matcher.Engine, j *Job) (*Place, error) {
-	us := p.order(p.eligible(view, j), j.Model)
+	us := p.eligible(view, j)
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
@@ -50,9 +50,11 @@
 	var waits []engineWait
 	met := &j.met
 	met.PassedOver, met.Unasked, met.Silent = 0, 0, 0
-	for i, u := range us {
+	order := p.order(us, j.Model)
+	for next, ok := order.Next(); ok; next, ok = order.Next() {
+		u, first := us[next], len(us)-order.Left() <= firstAsked
 		if p.askedLongEnough(j, began) {
-			met.Unasked = len(us) - i
+			met.Unasked = order.Left() + 1
 			break
 		}
 		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
@@ -61,7 +63,7 @@
 			continue
 		}
 		limit := patience
-		if i < firstAsked {
+		if first {
 			limit = min(goodWait, patience)
 		}
 		place, v := p.ask(ctx, view, u, j, limit)
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -76,6 +76,9 @@
 // Started tells the agent that the reply has begun: its prompt has been read.
 func (p *Place) Started() { p.started() }
 
+// Ended gives the place back.
+func (p *Place) Ended() { p.ended() }
+
 // RefusedError reports that no upstream can take a request now.
 type RefusedError struct {
 	Reason string
@@ -156,8 +159,9 @@
 // eligible lists the upstreams to which the request may go by what is known of
 // them and by what route and workspace allow.
 func (p *Placer) eligible(view *registrar.View, j *Job) []*registrar.UpstreamView {
-	var us []*registrar.UpstreamView
-	for _, u := range view.Service(j.Service) {
+	all := view.Service(j.Service)
+	us := make([]*registrar.UpstreamView, 0, len(all))
+	for _, u := range all {
 		if u.Leaving || view.Drained(u.FailureDomain) || slices.Contains(j.Tried, u.ID) || !p.permitted(u, j) {
 			continue
 		}
@@ -167,26 +171,23 @@
 }
 
 func (p *Placer) permitted(u *registrar.UpstreamView, j *Job) bool {
+	if len(j.Route.Regions) == 0 && (j.Workspace == nil || len(j.Workspace.Regions) == 0) {
+		return true
+	}
 	region := p.Regions[u.FailureDomain]
 	return matcher.Permits(j.Route.Regions, region) && (j.Workspace == nil || matcher.Permits(j.Workspace.Regions, region))
 }
 
-// order sorts upstreams by promise. The model is that which engines should hold; empty
+// order ranks upstreams by promise. The model is that which engines should hold; empty
 // for plain services.
-func (p *Placer) order(us []*registrar.UpstreamView, model string) []*registrar.UpstreamView {
-	byID := make(map[string]*registrar.UpstreamView, len(us))
+func (p *Placer) order(us []*registrar.UpstreamView, model string) *scheduler.Ranking {
 	candidates := make([]scheduler.Candidate, 0, len(us))
 	for _, u := range us {
-		byID[u.ID] = u
 		candidates = append(candidates, scheduler.Candidate{
 			ID: u.ID, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
 		})
 	}
-	ordered := make([]*registrar.UpstreamView, 0, len(us))
-	for _, c := range p.Chooser.Order(candidates) {
-		ordered = append(ordered, byID[c.ID])
-	}
-	return ordered
+	return p.Chooser.Rank(candidates)
 }
 
 func (p *Placer) distance(u *registrar.UpstreamView) scheduler.Distance {
@@ -203,12 +204,14 @@
 // placeAtService places a request at a plain service. These have no agent: the own
 // count and the load on their replies must do.
 func (p *Placer) placeAtService(view *registrar.View, j *Job) (*Place, error) {
-	us := p.order(p.eligible(view, j), "")
+	us := p.eligible(view, j)
 	if len(us) == 0 {
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
 	reason := "all upstreams cold"
-	for _, u := range us {
+	order := p.order(us, "")
+	for i, ok := order.Next(); ok; i, ok = order.Next() {
+		u := us[i]
 		if limit := p.connections(u); limit > 0 && p.Chooser.Running(u.ID) >= limit {
 			reason = "all upstreams have all connections in use"
 			continue
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -47,7 +47,7 @@
 // ends in a panic for the HTTP server; the place left taken, the upstream would look fuller
 // with each such reply until nothing goes there.
 func (l *Relayer) attemptAt(ctx context.Context, j *Job, place *Place, attempt Attempt) error {
-	defer place.ended()
+	defer place.Ended()
 	j.sends++
 	return attempt(ctx, place)
 }
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -1,9 +1,8 @@
 package scheduler
 
 import (
-	"cmp"
+	"container/heap"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -66,8 +65,9 @@
 	Clock  clock.PassiveClock
 	Random *rand.Rand
 
-	mu   sync.Mutex
-	seen map[string]*seen
+	mu    sync.Mutex
+	seen  map[string]*seen
+	swept time.Time
 }
 
 // seen is what is known of one upstream.
@@ -100,7 +100,9 @@
 // forgotten.
 const forgetAfter = time.Minute
 
-func (c *Chooser) of(id string) *seen {
+func (c *Chooser) of(id string) *seen { return c.at(id, c.Clock.Now()) }
+
+func (c *Chooser) at(id string, now time.Time) *seen {
 	if c.seen == nil {
 		c.seen = map[string]*seen{}
 	}
@@ -109,41 +111,35 @@
 		s = &seen{cold: coldTurn{phase: c.Random.Float64()}}
 		c.seen[id] = s
 	}
-	s.used = c.Clock.Now()
+	s.used = now
 	return s
 }
 
 // Order sorts candidates, the most promising first. Those that failed just now come
 // last, as nothing else may be left.
 func (c *Chooser) Order(candidates []Candidate) []Candidate {
+	ordered := make([]Candidate, 0, len(candidates))
+	r := c.Rank(candidates)
+	for i, ok := r.Next(); ok; i, ok = r.Next() {
+		ordered = append(ordered, candidates[i])
+	}
+	return ordered
+}
+
+// Rank prepares the order of candidates. Mostly the first is taken, and the rest need not be
+// sorted.
+func (c *Chooser) Rank(candidates []Candidate) *Ranking {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	type scored struct {
-		Candidate
-		avoided bool
-		cost    time.Duration
-	}
-	all := make([]scored, 0, len(candidates))
-	for _, k := range candidates {
-		s := c.of(k.ID)
-		all = append(all, scored{k, now.Before(s.avoidUntil), c.cost(s, k, now)})
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if a.avoided != b.avoided {
-			if a.avoided {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.cost, b.cost)
-	})
-	ordered := make([]Candidate, 0, len(all))
-	for _, k := range all {
-		ordered = append(ordered, k.Candidate)
+	r := &Ranking{left: make([]scored, 0, len(candidates))}
+	for i, k := range candidates {
+		s := c.at(k.ID, now)
+		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now)})
 	}
+	heap.Init(&r.left)
 	c.sweep(now)
-	return ordered
+	return r
 }
 
 // cost is how long a request would wait there, as far as this entry can tell.
@@ -170,7 +166,15 @@
 	return cost + time.Duration(c.Random.Int64N(int64(jitter)))
 }
 
+// sweepEvery is how often upstreams to forget are looked for. Each look goes over all that
+// are known, which would cost a decision as much as ranking them.
+const sweepEvery = time.Second
+
 func (c *Chooser) sweep(now time.Time) {
+	if now.Sub(c.swept) < sweepEvery {
+		return
+	}
+	c.swept = now
 	for id, s := range c.seen {
 		if s.running == 0 && now.Sub(s.used) > forgetAfter {
 			delete(c.seen, id)
