Give retry bounds and refusals a place of their own

Change: retrier.Bound makes the budget, Job.Refusal tells a refusal. No change of behaviour; tests unchanged.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -27,19 +27,6 @@
   Example:
     ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform entry`
 
-const (
-	// retryShare is the part of the bound's ratio that entries use, retryBurst that of
-	// its slack which they may save up, and retryFloor that of its slack which they earn
-	// within a window without any request. All of them together stay below the bound;
-	// the rest is a margin for entries that come and go.
-	retryShare = 0.9
-	retryBurst = 0.6
-	retryFloor = 0.1
-	// leastSharers is among how many entries the slack is divided at least, as a new
-	// entry knows of few others.
-	leastSharers = 6
-)
-
 func platformEntryCommand() command {
 	flags := newCommand("entry", "run an entry on the users' platform", helpPlatformEntry)
 	return command{flags: flags, run: runPlatformEntry}
@@ -100,16 +87,13 @@
 
 // retryBudget divides what all entries may send to a service beyond first attempts.
 func retryBudget(b platform.Bounds, d *daemon) *retrier.Budget {
-	return &retrier.Budget{
-		Clock: d.clock, Share: retryShare * b.RetryRatio,
-		Floor: retryFloor * b.RetrySlack / max(1, b.RetryWindow.Seconds()), Burst: max(1, retryBurst*b.RetrySlack),
-		Sharers: func() int {
-			if v := d.registrar.View(); v != nil {
-				return max(leastSharers, len(v.Members))
-			}
-			return leastSharers
-		},
-	}
+	bound := retrier.Bound{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
+	return bound.Budget(d.clock, func() int {
+		if v := d.registrar.View(); v != nil {
+			return len(v.Members)
+		}
+		return 0
+	})
 }
 
 // others are the addresses that aren't this process's own.
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -27,12 +27,10 @@
 		// Ending the reply as usual would make it look whole.
 		panic(http.ErrAbortHandler)
 	}
-	var refused *RefusedError
+	refused := c.Refusal(err)
 	switch {
-	case c.outcome == retrier.NotRun && errors.As(err, &refused):
+	case refused != nil:
 		c.refuse(refused)
-	case c.outcome == retrier.NotRun:
-		c.refuse(&RefusedError{Reason: err.Error(), RetryAfter: busyRetry})
 	case ctx.Err() != nil:
 		c.log("Timed out", err, "outcome", c.outcome)
 		c.answer(http.StatusGatewayTimeout, "timed out", 0)
@@ -42,6 +40,19 @@
 	}
 }
 
+// Refusal is what the caller of a job that Serve gave up is told if it certainly did not run;
+// nil if it may have run.
+func (j *Job) Refusal(err error) *RefusedError {
+	if j.outcome != retrier.NotRun {
+		return nil
+	}
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return &RefusedError{Reason: err.Error(), RetryAfter: busyRetry}
+}
+
 // refuse says that the request did not run and when to come back.
 func (c *call) refuse(e *RefusedError) {
 	c.count("refused")
