Play loads on the deciding code in virtual time

Change: internal/simulator and oriolecroft experiment: the relayer's admission, places and retries, the chooser, ledgers, granters and registrars as they are, engines by the emulator, callers that wait as told or don't, faults of engines; loads are TOML files in experiments/.

--- /dev/null
+++ b/cmd/oriolecroft/experiment_test.go
@@ -0,0 +1,32 @@
+package main_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// The command plays each load that the repository has, and the same seed prints the same.
+func TestExperiments(t *testing.T) {
+	loads, err := filepath.Glob(filepath.Join("..", "..", "experiments", "*.toml"))
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, loads)
+	for _, load := range loads {
+		path, err := filepath.Abs(load)
+		must.NoError(t, err)
+		first, status := command(t, t.TempDir(), "experiment", "--load", path, "--seeds", "1")
+		must.Eq(t, 0, status)
+		must.StrContains(t, first, "failure domain")
+		must.StrNotContains(t, first, "Place asked", must.Sprint("log lines are left out"))
+		again, _ := command(t, t.TempDir(), "experiment", "--load", path, "--seeds", "1")
+		must.Eq(t, first, again)
+	}
+}
+
+func TestExperimentWithoutLoad(t *testing.T) {
+	_, status := command(t, t.TempDir(), "experiment")
+	must.Eq(t, 2, status)
+	_, status = command(t, t.TempDir(), "experiment", "--load", "missing.toml")
+	must.Eq(t, 2, status)
+}
--- a/cmd/oriolecroft/main.go
+++ b/cmd/oriolecroft/main.go
@@ -61,7 +61,7 @@
 	flaggy.SetDescription("distributes model weights in bursts and routes live requests")
 	flaggy.DefaultParser.AdditionalHelpAppend = helpMain
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
-	commands := append(bundleCommands(), entryCommand(), agentCommand(), statusCommand(), drainCommand(), returnCommand())
+	commands := append(bundleCommands(), entryCommand(), agentCommand(), statusCommand(), drainCommand(), returnCommand(), experimentCommand())
 	attach(commands)
 	onPlatform := platformCommands()
 	attachPlatform(onPlatform)
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -105,6 +105,9 @@
 	e.running = slices.DeleteFunc(e.running, is)
 }
 
+// Waiting is how many requests are not in the batch yet.
+func (e *Engine) Waiting() int { return len(e.waiting) }
+
 // Next is the end of the pass under way, and false when the engine is idle.
 func (e *Engine) Next() (time.Time, bool) { return e.until, !e.until.IsZero() }
 
--- /dev/null
+++ b/internal/simulator/host.go
@@ -0,0 +1,209 @@
+package simulator
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/emulator"
+	"github.com/oriolecroft/oriolecroft/internal/granter"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+	"github.com/oriolecroft/oriolecroft/internal/sequencer"
+)
+
+// host is the VM of an engine with the agent beside it.
+type host struct {
+	*world
+	id      string
+	domain  *FailureDomain
+	address netip.AddrPort
+	// starts counts the engine's starts; what was planned in an earlier one is void.
+	starts  int
+	engine  *emulator.Engine
+	ledger  *scheduler.Ledger
+	granter *granter.Granter
+	streams map[string]*sequencer.Mailbox[part]
+	// armed is the end of the last pass that was planned.
+	armed time.Time
+	// silent VMs are cut off: they work on, but nothing goes in or out. Engines that are down refuse connections, and those without
+	// weights take no request.
+	silent, down, noWeights bool
+	// coldUntil is when the engine bears a full load again.
+	coldUntil time.Time
+	// accepted are the moments of a cold engine's requests, for the bound on them.
+	accepted []time.Time
+}
+
+// part is what comes of a request at an engine: an event, or a failure.
+type part struct {
+	emulator.Event
+	failure *relayer.SendError
+}
+
+// UpstreamError is an engine's refusal or end, as an entry sees it.
+type UpstreamError struct{ Problem string }
+
+func (e *UpstreamError) Error() string { return e.Problem }
+
+func newHost(w *world, d *FailureDomain, number int) *host {
+	h := &host{world: w, domain: d, id: fmt.Sprintf("%s-%d", d.Name, number), streams: map[string]*sequencer.Mailbox[part]{},
+		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(w.hosts) >> 8), byte(len(w.hosts))}), 1)}
+	h.engine = &emulator.Engine{Figures: w.Engine.figures(), Memory: w.Engine.Memory}
+	h.ledger = &scheduler.Ledger{Clock: w.time, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack}
+	h.granter = &granter.Granter{Ledger: h.ledger, Holds: func(string) uint64 { return version }, Clock: w.time}
+	h.ledger.Open(h.engine.Figures)
+	return h
+}
+
+// look is the agent's look at its engine, and the next one.
+func (h *host) look() {
+	if !h.silent {
+		h.observe()
+	}
+	if h.active() {
+		h.time.In(h.Engine.Look, h.look)
+	}
+}
+
+func (h *host) observe() {
+	if h.down {
+		h.ledger.Close("engine does not answer")
+		return
+	}
+	r := h.engine.Report(h.time.Now())
+	h.ledger.Observe(r.Running+r.Waiting, h.engine.Pace)
+	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
+	if h.noWeights {
+		h.ledger.Close("no weights")
+		return
+	}
+	h.ledger.Open(h.engine.Figures)
+}
+
+// take brings a request to the engine; what becomes of it comes into the mailbox.
+func (h *host) take(r emulator.Request, box *sequencer.Mailbox[part], way time.Duration) {
+	if h.silent {
+		return
+	}
+	if problem := h.unwilling(); problem != "" {
+		status := http.StatusServiceUnavailable
+		if h.down {
+			status = 0
+		}
+		h.later(box, way, part{failure: h.failure(retrier.NotRun, status, problem)})
+		return
+	}
+	now := h.time.Now()
+	if now.Before(h.coldUntil) {
+		h.accepted = append(h.accepted, now)
+		h.noteCold()
+	}
+	if !h.engine.Add(r, now) {
+		h.later(box, way, part{failure: h.failure(retrier.NotRun, http.StatusServiceUnavailable, "larger than the memory")})
+		return
+	}
+	h.streams[r.ID] = box
+	h.arm()
+}
+
+// unwilling is why the engine takes no request now; empty when it does.
+func (h *host) unwilling() string {
+	switch {
+	case h.down:
+		return "connection refused"
+	case h.noWeights:
+		return "no weights"
+	case h.engine.Waiting() > h.Engine.Queue:
+		return "queue full"
+	default:
+		return ""
+	}
+}
+
+func (h *host) failure(o retrier.Outcome, status int, problem string) *relayer.SendError {
+	return &relayer.SendError{Upstream: h.id, Outcome: o, Status: status, Err: &UpstreamError{Problem: problem}}
+}
+
+func (h *host) later(box *sequencer.Mailbox[part], way time.Duration, p part) {
+	h.time.In(way, func() { box.Put(p) })
+}
+
+// arm plans the end of the pass under way, unless that was done already.
+func (h *host) arm() {
+	end, busy := h.engine.Next()
+	if !busy || end.Equal(h.armed) {
+		return
+	}
+	h.armed = end
+	starts := h.starts
+	h.time.In(end.Sub(h.time.Now()), func() {
+		if h.starts == starts {
+			h.finish()
+		}
+	})
+}
+
+// finish ends a pass and sends its events on their way.
+func (h *host) finish() {
+	now := h.time.Now()
+	for _, v := range h.engine.Finish() {
+		box := h.streams[v.ID]
+		if v.Last {
+			delete(h.streams, v.ID)
+		}
+		if box != nil && !h.silent {
+			h.later(box, v.At.Sub(now), part{Event: v})
+		}
+	}
+	h.arm()
+}
+
+// drop ends a request whose entry has given it up.
+func (h *host) drop(id string) {
+	if h.silent {
+		return
+	}
+	h.engine.Remove(id)
+	delete(h.streams, id)
+}
+
+// end ends the engine with all that it runs.
+func (h *host) end() {
+	h.starts++
+	h.down = true
+	for _, id := range slices.Sorted(maps.Keys(h.streams)) {
+		h.later(h.streams[id], h.Network.OtherRegion, part{failure: h.failure(retrier.Unknown, 0, "connection reset")})
+	}
+	clear(h.streams)
+}
+
+// start has the engine begin anew, cold and without weights at first.
+func (h *host) start() {
+	h.starts++
+	pace := h.engine.Pace
+	h.engine = &emulator.Engine{Figures: h.Engine.figures(), Memory: h.Engine.Memory, Pace: pace}
+	clear(h.streams)
+	h.armed = time.Time{}
+	h.down, h.silent = false, false
+	h.coldUntil = h.time.Now().Add(h.Engine.Cold)
+	h.ledger.Reset()
+	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
+	h.noWeights = true
+	h.time.In(h.Engine.Load, func() { h.noWeights = false })
+}
+
+// noteCold counts requests beyond what a cold engine may get in a second.
+func (h *host) noteCold() {
+	now := h.time.Now()
+	for len(h.accepted) > 0 && now.Sub(h.accepted[0]) >= time.Second {
+		h.accepted = h.accepted[1:]
+	}
+	if float64(len(h.accepted)) > h.Engine.ColdFactor*h.Engine.ColdRate+h.Engine.ColdSlack {
+		h.report.ColdExcess++
+	}
+}
--- /dev/null
+++ b/internal/simulator/plan.go
@@ -0,0 +1,117 @@
+package simulator
+
+import (
+	"math"
+	"time"
+)
+
+// plan puts callers and faults on the agenda.
+func (w *world) plan() {
+	for i := range w.Kinds {
+		w.planKind(i)
+	}
+	for _, f := range w.Faults {
+		w.time.In(f.At, func() { w.befall(f) })
+	}
+}
+
+// planKind has the callers of a kind come by chance, each at its own moment.
+func (w *world) planKind(kind int) {
+	k := &w.Kinds[kind]
+	most := 1.0
+	for _, s := range w.Surges {
+		most *= max(1, s.Factor)
+	}
+	if k.PerSecond > 0 {
+		at := w.gap(k.PerSecond * most)
+		for at < w.Length {
+			if w.random.Float64()*most < w.factor(k, at) {
+				w.arrive(kind, at)
+			}
+			at += w.gap(k.PerSecond * most)
+		}
+	}
+	for _, s := range w.Surges {
+		if s.Kind == "" || s.Kind == k.Name {
+			for range s.AtOnce {
+				w.arrive(kind, s.At)
+			}
+		}
+	}
+}
+
+// gap is the time to the next caller at a rate a second.
+func (w *world) gap(rate float64) time.Duration {
+	return time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+// factor is how many more callers come at a moment.
+func (w *world) factor(k *Kind, at time.Duration) float64 {
+	f := 1.0
+	for _, s := range w.Surges {
+		if s.Factor > 0 && at >= s.At && at < s.At+s.Lasts && (s.Kind == "" || s.Kind == k.Name) {
+			f *= s.Factor
+		}
+	}
+	return f
+}
+
+// draw draws a size, log-normally spread as prompts and answers are.
+func (w *world) draw(s Size) int {
+	variance := math.Log(1 + s.Spread*s.Spread)
+	size := s.Mean * math.Exp(w.random.NormFloat64()*math.Sqrt(variance)-variance/2)
+	if s.Most > 0 {
+		size = min(size, float64(s.Most))
+	}
+	return max(1, int(size))
+}
+
+// befall has a fault begin, and end after its time.
+func (w *world) befall(f Fault) {
+	var there []*host
+	for _, h := range w.hosts {
+		if f.FailureDomain == "" || h.domain.Name == f.FailureDomain {
+			there = append(there, h)
+		}
+	}
+	share := f.Share
+	if share <= 0 {
+		share = 1
+	}
+	n := max(1, int(math.Round(share*float64(len(there)))))
+	w.random.Shuffle(len(there), func(i, j int) { there[i], there[j] = there[j], there[i] })
+	for _, h := range there[:min(n, len(there))] {
+		h.befall(f)
+	}
+}
+
+func (h *host) befall(f Fault) {
+	after := func(do func()) {
+		if f.Lasts > 0 {
+			h.time.In(f.Lasts, do)
+		}
+	}
+	switch f.Fault {
+	case FaultCrash:
+		h.end()
+		starts := h.starts
+		h.time.In(h.News.Lapse, func() {
+			if h.starts == starts {
+				h.change(h.id, nil, h.News.Delay)
+			}
+		})
+		after(func() {
+			h.start()
+			h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
+		})
+	case FaultSilent:
+		h.silent = true
+		after(func() { h.silent = false })
+	case FaultSlow:
+		h.engine.Pace = f.Pace
+		after(func() { h.engine.Pace = 0 })
+	case FaultNoWeights:
+		h.noWeights = true
+		after(func() { h.noWeights = false })
+	}
+}
--- /dev/null
+++ b/internal/simulator/print.go
@@ -0,0 +1,129 @@
+package simulator
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/guptarohit/asciigraph"
+)
+
+const (
+	// chartHeight and chartWidth are in characters, for a terminal of 80 columns.
+	chartHeight = 10
+	chartWidth  = 66
+)
+
+// Print writes the reports of several seeds: the worth with each of them, and tables and
+// chart over all together.
+func Print(w io.Writer, reports []*Report) error {
+	if len(reports) == 0 {
+		return nil
+	}
+	p := &printer{w: tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)}
+	p.line("%s", reports[0].Experiment.Name)
+	p.seeds(reports)
+	for i, t := range reports[0].Tables {
+		rows := map[string]*Row{}
+		for _, r := range reports {
+			for _, row := range r.Tables[i].Rows {
+				join(rows, row)
+			}
+		}
+		p.table(t.By, rows)
+	}
+	p.chart(reports)
+	if p.err != nil {
+		return p.err
+	}
+	return p.w.Flush()
+}
+
+// printer keeps the first error of a run of lines.
+type printer struct {
+	w   *tabwriter.Writer
+	err error
+}
+
+func (p *printer) line(format string, fields ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format+"\n", fields...)
+	}
+}
+
+func join(rows map[string]*Row, row Row) {
+	sum := rows[row.Name]
+	if sum == nil {
+		rows[row.Name] = &row
+		return
+	}
+	sum.Asked += row.Asked
+	sum.InTime += row.InTime
+	sum.Late += row.Late
+	sum.Refused += row.Refused
+	sum.RefusedAgain += row.RefusedAgain
+	sum.Failed += row.Failed
+	sum.Owed += row.Owed
+	sum.Earned += row.Earned
+}
+
+const heading = "\tworth\tasked\tin time\tlate\trefused\trefused again\tfailed\t"
+
+func (p *printer) row(name string, r Row) {
+	p.line("%s\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t", name, r.Worth(), r.Asked, r.InTime, r.Late, r.Refused, r.RefusedAgain, r.Failed)
+}
+
+func (p *printer) seeds(reports []*Report) {
+	p.line("")
+	p.line("seed" + heading)
+	all := map[string]*Row{}
+	excess := 0
+	for _, r := range reports {
+		p.row(fmt.Sprint(r.Seed), r.Total)
+		join(all, r.Total)
+		excess += r.ColdExcess
+	}
+	if len(reports) > 1 {
+		p.row("all", *all[reports[0].Total.Name])
+	}
+	if excess > 0 {
+		p.line("")
+		p.line("requests beyond the bound of cold engines: %d", excess)
+	}
+}
+
+func (p *printer) table(by string, rows map[string]*Row) {
+	p.line("")
+	p.line(by + heading)
+	var names []string
+	for name := range rows {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		p.row(name, *rows[name])
+	}
+}
+
+// chart shows how many callers of each second were served in time and how many were not.
+func (p *printer) chart(reports []*Report) {
+	seconds := len(reports[0].Seconds) - 1
+	if seconds < 2 {
+		return
+	}
+	inTime, asked := make([]float64, seconds), make([]float64, seconds)
+	for _, r := range reports {
+		for i := range seconds {
+			inTime[i] += float64(r.Seconds[i].InTime) / float64(len(reports))
+			asked[i] += float64(r.Seconds[i].Asked) / float64(len(reports))
+		}
+	}
+	p.line("")
+	p.line("%s", asciigraph.PlotMany([][]float64{asked, inTime},
+		asciigraph.Height(chartHeight), asciigraph.Width(chartWidth), asciigraph.LowerBound(0), asciigraph.Precision(0), asciigraph.XAxisRange(0, float64(seconds)),
+		asciigraph.XAxisValueFormatter(func(second float64) string { return fmt.Sprintf("%.0f s", second) }),
+		asciigraph.SeriesChars(asciigraph.CreateCharSet("."), asciigraph.DefaultCharSet),
+		asciigraph.Caption(fmt.Sprintf("callers a second over %v: dotted all, drawn those served in time", time.Duration(seconds)*time.Second))))
+}
--- /dev/null
+++ b/internal/simulator/world.go
@@ -0,0 +1,222 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+	"github.com/oriolecroft/oriolecroft/internal/sequencer"
+)
+
+const (
+	// model and version are what all engines hold, service is what they belong to.
+	model   = "m"
+	version = 1
+	service = "engines"
+	// agentPort is a port like any other; nothing listens.
+	agentPort = 1
+)
+
+// start is when virtual time begins. Any moment will do.
+var start = time.Unix(1_000_000, 0)
+
+// world is an experiment under way.
+type world struct {
+	*Experiment
+	time    *sequencer.Sequencer
+	random  *rand.Rand
+	table   *matcher.Table
+	hosts   []*host
+	byID    map[string]*host
+	byAgent map[netip.AddrPort]*host
+	entries []*entry
+	// facts are what records of the store say, by key and revision.
+	facts    map[string]map[uint64]registrar.Fact
+	revision uint64
+	// open are the requests that have not ended.
+	open   int
+	report *Report
+}
+
+// entry is an entry with its own beliefs.
+type entry struct {
+	*world
+	name    string
+	domain  *FailureDomain
+	relayer *relayer.Relayer
+}
+
+// Run plays an experiment. The same seed gives the same report.
+func Run(e *Experiment, seed uint64) *Report {
+	w := &world{
+		Experiment: e, time: &sequencer.Sequencer{Start: start}, random: rand.New(rand.NewPCG(seed, 1)),
+		byID: map[string]*host{}, byAgent: map[netip.AddrPort]*host{}, facts: map[string]map[uint64]registrar.Fact{},
+		report: &Report{Experiment: e, Seed: seed},
+	}
+	w.table = w.makeTable()
+	w.build()
+	w.plan()
+	w.time.Run()
+	w.report.sum()
+	return w.report
+}
+
+// active tells whether anything may still happen to requests.
+func (w *world) active() bool { return w.open > 0 || w.time.Since(start) < w.Length }
+
+func (w *world) makeTable() *matcher.Table {
+	t := &matcher.Table{Version: 1, Services: map[string]*matcher.Service{
+		service: {Name: service, ColdRate: w.Engine.ColdRate, Engine: w.Engine.figures()},
+	}}
+	for _, k := range w.Kinds {
+		t.Routes = append(t.Routes, &matcher.Route{
+			Name: k.Name, Host: "experiment", Prefix: "/" + k.Name + "/", Kind: matcher.Streaming, Generates: true, Resumable: true,
+			Objective: k.Objective, Timeout: k.Timeout, MaxAttempts: max(1, k.MaxAttempts),
+			Targets: []matcher.Target{{Service: service, Weight: 1}},
+		})
+	}
+	t.Index()
+	return t
+}
+
+// build sets up engines and entries. At first all know all.
+func (w *world) build() {
+	for i := range w.FailureDomains {
+		d := &w.FailureDomains[i]
+		for n := range d.Engines {
+			h := newHost(w, d, n+1)
+			w.hosts = append(w.hosts, h)
+			w.byID[h.id], w.byAgent[h.address] = h, h
+		}
+		for n := range d.Entries {
+			w.entries = append(w.entries, w.newEntry(d, n+1))
+		}
+	}
+	w.change("table", registrar.Table{Table: w.table}, 0)
+	for _, h := range w.hosts {
+		w.change(h.id, h.record(0), 0)
+		// Agents look at different moments.
+		w.time.In(time.Duration(w.random.Int64N(int64(w.Engine.Look))), h.look)
+	}
+	for _, e := range w.entries {
+		w.change(e.name, registrar.Member{ID: e.name, FailureDomain: e.domain.Name, Region: e.domain.Region}, 0)
+	}
+}
+
+func (w *world) newEntry(d *FailureDomain, number int) *entry {
+	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number)}
+	r := &registrar.Registrar{Clock: w.time, Decode: w.decode}
+	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom()}
+	regions := map[string]string{}
+	for _, d := range w.FailureDomains {
+		regions[d.Name] = d.Region
+	}
+	e.relayer = &relayer.Relayer{
+		Registrar: r, Chooser: chooser, Clock: w.time, Random: w.newRandom(), Metrics: metrics.NewRegistry(),
+		Placer: &relayer.Placer{
+			Registrar: r, Chooser: chooser, Clock: w.time, FailureDomain: d.Name, Region: d.Region, Regions: regions,
+			AgentPort: agentPort, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack,
+			Reach: func(a netip.AddrPort) relayer.Agent { return &road{entry: e, host: w.byAgent[a]} },
+		},
+		Budgets: &retrier.Budgets{New: func() *retrier.Budget {
+			bound := retrier.Bound{Ratio: w.Retries.Ratio, Slack: w.Retries.Slack, Window: w.Retries.Window}
+			return bound.Budget(w.time, func() int { return len(r.View().Members) })
+		}},
+	}
+	return e
+}
+
+func (w *world) newRandom() *rand.Rand { return rand.New(rand.NewPCG(w.random.Uint64(), 2)) }
+
+// change writes a record of the store, of which each entry hears within a delay of its own. A
+// nil fact deletes the record.
+func (w *world) change(key string, f registrar.Fact, delay time.Duration) {
+	w.revision++
+	if w.facts[key] == nil {
+		w.facts[key] = map[uint64]registrar.Fact{}
+	}
+	w.facts[key][w.revision] = f
+	record := registrar.Record{Key: key, Value: fmt.Append(nil, w.revision), Revision: w.revision, Deleted: f == nil}
+	written := w.time.Now()
+	for _, e := range w.entries {
+		after := time.Duration(0)
+		if delay > 0 {
+			after = delay/2 + time.Duration(w.random.Int64N(int64(delay/2)+1))
+		}
+		apply := func() {
+			r := record
+			r.Age = w.time.Since(written)
+			e.relayer.Registrar.Apply(registrar.Batch{At: r.Revision, Records: []registrar.Record{r}})
+		}
+		if after == 0 {
+			apply()
+			continue
+		}
+		w.time.In(after, apply)
+	}
+}
+
+// decode gives the fact of a record, whose value is its revision.
+func (w *world) decode(key string, value []byte) (registrar.Fact, error) {
+	var revision uint64
+	if _, err := fmt.Sscan(string(value), &revision); err != nil {
+		return nil, err
+	}
+	return w.facts[key][revision], nil
+}
+
+// record is what the store says of an engine.
+func (h *host) record(cold time.Duration) registrar.Upstream {
+	return registrar.Upstream{ID: h.id, Service: service, Address: h.address, FailureDomain: h.domain.Name, Slots: h.Engine.Slots,
+		Cold: cold, Models: []registrar.HeldModel{{Name: model, Version: version}}}
+}
+
+// way is how long a message takes between two failure domains.
+func (w *world) way(a, b *FailureDomain) time.Duration {
+	switch {
+	case a == b:
+		return w.Network.SameDomain
+	case a.Region == b.Region:
+		return w.Network.SameRegion
+	default:
+		return w.Network.OtherRegion
+	}
+}
+
+// road is the way from an entry to an agent.
+type road struct {
+	*entry
+	host *host
+}
+
+// Reserve implements relayer.Agent.
+func (r *road) Reserve(_ context.Context, q messenger.Reservation) (messenger.Verdict, error) {
+	way := r.way(r.domain, r.host.domain)
+	r.time.Sleep(way)
+	if r.host.silent {
+		r.time.Sleep(relayer.AskTimeout - way)
+		return messenger.Verdict{}, context.DeadlineExceeded
+	}
+	v := r.host.granter.Reserve(q, nil)
+	r.time.Sleep(way)
+	return v, nil
+}
+
+// Tell implements relayer.Agent.
+func (r *road) Tell(p messenger.Progress) {
+	r.time.In(r.way(r.domain, r.host.domain), func() {
+		if !r.host.silent {
+			r.host.granter.Progress(p, nil)
+		}
+	})
+}
