--- a/internal/syncer/order.go
+++ b/internal/syncer/order.go
@@ -37,6 +37,8 @@
 type order struct {
 	// reads tells that it reads the store for others.
 	reads bool
+	// relays tells that it asks the readers for others of its region.
+	relays bool
 	// candidates are whom it may ask, the best first; the first sources of them come before
 	// the store.
 	candidates []netip.AddrPort
@@ -60,8 +62,8 @@
 		s.spread(ms[:min(readers, len(ms))])
 		if len(ms) > mostDirect {
 			own := s.ownRelays(ms[readers:])
-			if s.isAmong(own) {
-				o.wait = relayWait
+			if s.isAmong(own) && !o.reads {
+				o.relays, o.wait = true, relayWait
 			} else {
 				s.spread(own)
 				ms = append(own, ms...)
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -92,6 +92,7 @@
 	// a list has to be read.
 	compacted bool
 	reading   bool
+	relaying  bool
 }
 
 // Serve runs until the context ends.
@@ -121,7 +122,7 @@
 	candidates := o.candidates
 	s.forgetOthers(candidates)
 	reads := !known || o.reads
-	s.logReading(reads)
+	s.logRoles(reads, o.relays)
 	if !reads && s.fromPeers(ctx, candidates[:o.sources], o.wait, staleNews) {
 		return true
 	}
@@ -141,11 +142,15 @@
 	return false
 }
 
-func (s *Syncer) logReading(reads bool) {
+// logRoles tells when this process takes on a role, or gives one up.
+func (s *Syncer) logRoles(reads, relays bool) {
 	if reads != s.reading {
 		klog.InfoS("Store reader role", "reads", reads)
 	}
-	s.reading = reads
+	if relays != s.relaying {
+		klog.InfoS("News relay role", "relays", relays)
+	}
+	s.reading, s.relaying = reads, relays
 }
 
 // forgetOthers drops what is kept of addresses that are nobody's any more.
