--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -106,3 +106,78 @@
 	must.True(t, ok)
 	must.Eq(t, before, got)
 }
+
+// An entry is restarted while the store is out of reach, and learns from another what that
+// last heard of the store, seconds ago. A version is named meanwhile. If it takes itself for
+// one that stood still since then, it counts the naming from before the outage and tells all
+// others so: the engines close when the store is back, and callers are refused until the new
+// weights are there.
+func TestWhoStartsInAnOutageCountsFromItsEnd(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	witness, between, started := newRegistrarAt(c), newRegistrarAt(c), newRegistrarAt(c)
+	witness.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}})
+	outOfReach(witness, c, 7*time.Second)
+	between.StoreLost()
+	between.Apply(witness.Since(0))
+	outOfReach(between, c, time.Second)
+	// The first one is stopped meanwhile: what it saw goes on from hand to hand.
+	started.StoreLost()
+	started.Apply(between.Since(0))
+	outOfReach(started, c, time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	started.StoreFound()
+	watched(started)
+	got, ok := superseded(started, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
+}
+
+// A process starts, or wakes, and hears of another's outage. That tells nothing of the time
+// for which the other stood still, nor of a time after its last vain call, nor of a store that
+// answers this process. Were a naming of such a time taken for new, old weights would begin
+// replies that much beyond their time.
+func TestAnothersOutageCoversOnlyWhatItSaw(t *testing.T) {
+	for name, missed := range map[string]func(witness, r *registrar.Registrar, c *clocktest.FakeClock){
+		"the other stood still": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			c.Step(8 * time.Second)
+			witness.StoreLost()
+			r.StoreLost()
+			r.Apply(witness.Since(0))
+			outOfReach(r, c, 500*time.Millisecond)
+		},
+		"the other's answer lay unread": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			outOfReach(witness, c, 2*time.Second)
+			b := witness.Since(0)
+			c.Step(6 * time.Second)
+			r.StoreLost()
+			r.Apply(b.Older(6 * time.Second))
+			outOfReach(r, c, 500*time.Millisecond)
+		},
+		"the store answers this one": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			outOfReach(witness, c, 8*time.Second)
+			r.Apply(witness.Since(0))
+			r.StoreAsked()
+		},
+		"this one stood still again": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			outOfReach(witness, c, 2*time.Second)
+			r.StoreLost()
+			r.Apply(witness.Since(0))
+			outOfReach(r, c, 500*time.Millisecond)
+			c.Step(6 * time.Second)
+			outOfReach(r, c, 500*time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.NewFakeClock(time.Unix(1000, 0))
+			witness, r := newRegistrarAt(c), newRegistrarAt(c)
+			before := c.Now()
+			witness.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}})
+			missed(witness, r, c)
+			watched(r)
+			got, ok := superseded(r, 1)
+			must.True(t, ok)
+			must.Eq(t, before, got)
+		})
+	}
+}
