Let others' vain calls to the store cover the time before a process's start

Cause: a process that starts in an outage of the store has its last word from others, seconds old, and calls only from its start on. It was taken for one that stood still, its find counted from before the outage, and it told that to others. Now each tells with its records for how long after the store's last confirmation it has called in vain without a gap; who hears that and goes on calling in vain counts from its own last vain call. What the other didn't see (a standstill of it, the time after its last call, a store that answers) is covered as little as before.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -31,8 +31,17 @@
 // would be over when the store is back, and callers would get nothing until new ones are
 // loaded. A process that stood still, or waited for silent peers, may only have missed the
 // naming. It shows by a gap between its calls, or by a first one long after the last word.
+//
+// A process that starts in an outage has its last word from others, and no calls from before
+// its start. Taken for one that stood still, it would count what is named from before the
+// outage, tell all others so, and the engines would close all the same. So others' vain calls
+// cover the time before its own.
 func (r *Registrar) lastWord() time.Time {
-	if r.outage.After(r.confirmed) && r.awakeSince.Sub(r.confirmed) <= triesApart {
+	covered := r.confirmed
+	if r.othersOutage.After(covered) {
+		covered = r.othersOutage
+	}
+	if r.outage.After(r.confirmed) && r.awakeSince.Sub(covered) <= triesApart {
 		return r.outage
 	}
 	return r.confirmed
--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -35,6 +35,9 @@
 	Records []Record `json:"records,omitempty"`
 	// Age is how long ago the store confirmed that At was its newest revision.
 	Age time.Duration `json:"age"`
+	// OutageFor is for how long after that confirmation the sender knows the store to have
+	// answered nobody; zero for not at all.
+	OutageFor time.Duration `json:"outageFor,omitempty"`
 	// Held is how long the sender held the answer back for want of news.
 	Held time.Duration `json:"held,omitempty"`
 	// Lost tells that the sender reads the store itself and can't reach it now. Its word
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -51,6 +51,9 @@
 	// outage is when the store was last found out of reach, lost that it still is.
 	outage time.Time
 	lost   bool
+	// othersOutage is until when another process, which knows no less, has seen the store
+	// out of reach ever since its last word.
+	othersOutage time.Time
 	// lastAwake is when this process was last busy with the store, and awakeSince since when
 	// without a longer gap.
 	lastAwake  time.Time
@@ -89,8 +92,8 @@
 		changed = r.dropUnnamed(b) || changed
 	}
 	r.at = max(r.at, b.At)
-	if confirmed := r.Clock.Now().Add(-b.Age); b.At >= r.at && confirmed.After(r.confirmed) {
-		r.confirmed = confirmed
+	if b.At >= r.at {
+		r.hear(r.Clock.Now().Add(-b.Age), b.OutageFor)
 	}
 	if changed {
 		r.publish()
@@ -98,6 +101,17 @@
 	return changed
 }
 
+// hear notes when the store confirmed what is known, and for how long after that it was out
+// of reach of whoever tells so.
+func (r *Registrar) hear(confirmed time.Time, outageFor time.Duration) {
+	if confirmed.After(r.confirmed) {
+		r.confirmed = confirmed
+	}
+	if until := confirmed.Add(outageFor); outageFor > 0 && until.After(r.othersOutage) {
+		r.othersOutage = until
+	}
+}
+
 // take keeps a record that is newer than the one known.
 func (r *Registrar) take(rec Record) bool {
 	if known, ok := r.records[rec.Key]; ok && known.Revision >= rec.Revision {
--- a/internal/registrar/telling.go
+++ b/internal/registrar/telling.go
@@ -32,7 +32,10 @@
 func (r *Registrar) Since(after uint64) Batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := Batch{After: after, At: r.at, Age: r.Clock.Since(r.confirmed), Whole: after < r.floor, Lost: r.lost}
+	b := Batch{
+		After: after, At: r.at, Age: r.Clock.Since(r.confirmed), OutageFor: r.lastWord().Sub(r.confirmed),
+		Whole: after < r.floor, Lost: r.lost,
+	}
 	if after > r.at {
 		return b
 	}
