A test that fails: what a newcomer found closes engines that know better

An entry that starts as the store comes back finds a version and can't know since when; an agent that hears of it from that entry takes its weights' time for over, although it has called the store in vain itself until just before.

--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -181,3 +181,25 @@
 		})
 	}
 }
+
+// An entry starts just when the store is back, and finds a version that was named in the
+// outage. It can't know since when, as it knows nothing of the time before. Another process,
+// busy with the store all the while, hears of the version from it. If it believes that the
+// naming may be any time ago, its engine closes at once and callers are refused, although
+// nothing was named until the store was last out of reach.
+func TestWhatANewcomerFoundCountsFromOnesOwnLastWord(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, newcomer := newRegistrarAt(c), newRegistrarAt(c)
+	r.Apply(registrar.Batch{Whole: true, At: 1})
+	outOfReach(r, c, 7*time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	found := registrar.Batch{Whole: true, At: 2, Records: []registrar.Record{record("weights/m", "2", 2)}}
+	newcomer.Apply(found.Found())
+	_, ok := superseded(newcomer, 1)
+	must.True(t, ok)
+	r.Apply(newcomer.Since(1))
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
+}
