Count what a newcomer found from one's own last word of the store

Cause: a naming whose age the teller can't know (it started after it) was taken over with that, and a version just above the held one counts from there: any time ago. Who hears it knows itself until when nothing newer was named, so it counts from there.

--- a/internal/registrar/naming.go
+++ b/internal/registrar/naming.go
@@ -87,6 +87,11 @@
 		since = n.Since
 	}
 	n.Replaced, n.Since = known, since
+	if n.Learned.IsZero() {
+		// Whoever found it knows nothing of the time before its own start. It is newer than
+		// the known version all the same, and this process knows until when nothing was.
+		n.Learned = since
+	}
 	return n
 }
 
