--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -203,3 +203,55 @@
 	must.True(t, ok)
 	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
 }
+
+// In an outage each process calls the store about once a second, but with some dozen processes
+// there is a vain call every few hundredths of a second. Who counts a naming from its own last
+// one only takes the naming for up to a second older than it can be, and its engine stops that
+// much sooner, mostly before the new weights are there.
+func TestLatestVainCallOfAnyProcessCounts(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := newRegistrarAt(c), newRegistrarAt(c)
+	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
+	r.Apply(whole)
+	other.Apply(whole)
+	for range 14 {
+		outOfReach(r, c, 500*time.Millisecond)
+		other.StoreLost()
+	}
+	c.Step(800 * time.Millisecond)
+	other.StoreLost()
+	latest := c.Now()
+	r.Apply(other.Since(1))
+	c.Step(200 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, latest, got, must.Sprint("the other's last vain call"))
+}
+
+// A process stands still while the store comes back and a version is named. Another is cut off
+// alone, calls in vain all the while, and tells of that when the first wakes. The outage that
+// the first saw itself is over; believing the other, it would let replies begin on old weights
+// for as much longer as it stood still.
+func TestAnothersOutageCoversNoStandstillAfterIt(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, cutOff := newRegistrarAt(c), newRegistrarAt(c)
+	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
+	r.Apply(whole)
+	cutOff.Apply(whole)
+	for range 4 {
+		outOfReach(r, c, 500*time.Millisecond)
+		cutOff.StoreLost()
+	}
+	asleep := c.Now()
+	outOfReach(cutOff, c, 6*time.Second)
+	r.Apply(cutOff.Since(1))
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, asleep, got, must.Sprint("its own last vain call"))
+}
