Count a naming in an outage from the latest vain call of any process

Cause: the naming counted from one's own last vain call, 0.9 to 1.6 s before the naming was heard, and all engines stopped that much sooner than they could, before the new weights were there.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -32,19 +32,31 @@
 // loaded. A process that stood still, or waited for silent peers, may only have missed the
 // naming. It shows by a gap between its calls, or by a first one long after the last word.
 //
-// A process that starts in an outage has its last word from others, and no calls from before
-// its start. Taken for one that stood still, it would count what is named from before the
-// outage, tell all others so, and the engines would close all the same. So others' vain calls
-// cover the time before its own.
+// Others' vain calls count besides. A process that starts in an outage has its last word from
+// others, and no calls from before its start; taken for one that stood still, it would tell
+// all others to count from before the outage. And one's own last vain call may be a second old
+// when the store is back, others' are not. They show nothing of a time in which this process
+// may have stood still: with the store back, it is others that are cut off then.
 func (r *Registrar) lastWord() time.Time {
 	covered := r.confirmed
-	if r.othersOutage.After(covered) {
-		covered = r.othersOutage
+	if others := earlier(r.othersOutage, r.lastAwake); others.After(covered) {
+		covered = others
 	}
-	if r.outage.After(r.confirmed) && r.awakeSince.Sub(covered) <= triesApart {
+	switch {
+	case !r.outage.After(r.confirmed) || r.awakeSince.Sub(covered) > triesApart:
+		return r.confirmed
+	case covered.After(r.outage) && !r.awakeSince.After(r.outage):
+		return covered
+	default:
 		return r.outage
 	}
-	return r.confirmed
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // StoreLost notes that the store could not be reached just now.
