--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -255,3 +255,25 @@
 	must.True(t, ok)
 	must.Eq(t, asleep, got, must.Sprint("its own last vain call"))
 }
+
+// The same process hears of the version from one that has just started and can't know since
+// when, before it calls the store again. The other's outage covers its standstill as little.
+func TestAnothersOutageCoversNoStandstillBeforeTheNextCall(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, cutOff, newcomer := newRegistrarAt(c), newRegistrarAt(c), newRegistrarAt(c)
+	r.Apply(registrar.Batch{Whole: true, At: 1})
+	cutOff.Apply(registrar.Batch{Whole: true, At: 1})
+	for range 4 {
+		outOfReach(r, c, 500*time.Millisecond)
+		cutOff.StoreLost()
+	}
+	asleep := c.Now()
+	outOfReach(cutOff, c, 6*time.Second)
+	r.Apply(cutOff.Since(1))
+	found := registrar.Batch{Whole: true, At: 2, Records: []registrar.Record{record("weights/m", "2", 2)}}
+	newcomer.Apply(found.Found())
+	r.Apply(newcomer.Since(1))
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, asleep, got, must.Sprint("its own last vain call"))
+}
