--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -106,3 +106,174 @@
 	must.True(t, ok)
 	must.Eq(t, before, got)
 }
+
+// An entry is restarted while the store is out of reach, and learns from another what that
+// last heard of the store, seconds ago. A version is named meanwhile. If it takes itself for
+// one that stood still since then, it counts the naming from before the outage and tells all
+// others so: the engines close when the store is back, and callers are refused until the new
+// weights are there.
+func TestWhoStartsInAnOutageCountsFromItsEnd(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	witness, between, started := newRegistrarAt(c), newRegistrarAt(c), newRegistrarAt(c)
+	witness.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}})
+	outOfReach(witness, c, 7*time.Second)
+	between.StoreLost()
+	between.Apply(witness.Since(0))
+	outOfReach(between, c, time.Second)
+	// The first one is stopped meanwhile: what it saw goes on from hand to hand.
+	started.StoreLost()
+	started.Apply(between.Since(0))
+	outOfReach(started, c, time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	started.StoreFound()
+	watched(started)
+	got, ok := superseded(started, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
+}
+
+// A process starts, or wakes, and hears of another's outage. That tells nothing of the time
+// for which the other stood still, nor of a time after its last vain call, nor of a store that
+// answers this process. Were a naming of such a time taken for new, old weights would begin
+// replies that much beyond their time.
+func TestAnothersOutageCoversOnlyWhatItSaw(t *testing.T) {
+	for name, missed := range map[string]func(witness, r *registrar.Registrar, c *clocktest.FakeClock){
+		"the other stood still": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			c.Step(8 * time.Second)
+			witness.StoreLost()
+			r.StoreLost()
+			r.Apply(witness.Since(0))
+			outOfReach(r, c, 500*time.Millisecond)
+		},
+		"the other's answer lay unread": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			outOfReach(witness, c, 2*time.Second)
+			b := witness.Since(0)
+			c.Step(6 * time.Second)
+			r.StoreLost()
+			r.Apply(b.Older(6 * time.Second))
+			outOfReach(r, c, 500*time.Millisecond)
+		},
+		"the store answers this one": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			outOfReach(witness, c, 8*time.Second)
+			r.Apply(witness.Since(0))
+			r.StoreAsked()
+		},
+		"this one stood still again": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
+			outOfReach(witness, c, 2*time.Second)
+			r.StoreLost()
+			r.Apply(witness.Since(0))
+			outOfReach(r, c, 500*time.Millisecond)
+			c.Step(6 * time.Second)
+			outOfReach(r, c, 500*time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.NewFakeClock(time.Unix(1000, 0))
+			witness, r := newRegistrarAt(c), newRegistrarAt(c)
+			before := c.Now()
+			witness.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}})
+			missed(witness, r, c)
+			watched(r)
+			got, ok := superseded(r, 1)
+			must.True(t, ok)
+			must.Eq(t, before, got)
+		})
+	}
+}
+
+// An entry starts just when the store is back, and finds a version that was named in the
+// outage. It can't know since when, as it knows nothing of the time before. Another process,
+// busy with the store all the while, hears of the version from it. If it believes that the
+// naming may be any time ago, its engine closes at once and callers are refused, although
+// nothing was named until the store was last out of reach.
+func TestWhatANewcomerFoundCountsFromOnesOwnLastWord(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, newcomer := newRegistrarAt(c), newRegistrarAt(c)
+	r.Apply(registrar.Batch{Whole: true, At: 1})
+	outOfReach(r, c, 7*time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	found := registrar.Batch{Whole: true, At: 2, Records: []registrar.Record{record("weights/m", "2", 2)}}
+	newcomer.Apply(found.Found())
+	_, ok := superseded(newcomer, 1)
+	must.True(t, ok)
+	r.Apply(newcomer.Since(1))
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
+}
+
+// In an outage each process calls the store about once a second, but with some dozen processes
+// there is a vain call every few hundredths of a second. Who counts a naming from its own last
+// one only takes the naming for up to a second older than it can be, and its engine stops that
+// much sooner, mostly before the new weights are there.
+func TestLatestVainCallOfAnyProcessCounts(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := newRegistrarAt(c), newRegistrarAt(c)
+	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
+	r.Apply(whole)
+	other.Apply(whole)
+	for range 14 {
+		outOfReach(r, c, 500*time.Millisecond)
+		other.StoreLost()
+	}
+	c.Step(800 * time.Millisecond)
+	other.StoreLost()
+	latest := c.Now()
+	r.Apply(other.Since(1))
+	c.Step(200 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, latest, got, must.Sprint("the other's last vain call"))
+}
+
+// A process stands still while the store comes back and a version is named. Another is cut off
+// alone, calls in vain all the while, and tells of that when the first wakes. The outage that
+// the first saw itself is over; believing the other, it would let replies begin on old weights
+// for as much longer as it stood still.
+func TestAnothersOutageCoversNoStandstillAfterIt(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, cutOff := newRegistrarAt(c), newRegistrarAt(c)
+	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
+	r.Apply(whole)
+	cutOff.Apply(whole)
+	for range 4 {
+		outOfReach(r, c, 500*time.Millisecond)
+		cutOff.StoreLost()
+	}
+	asleep := c.Now()
+	outOfReach(cutOff, c, 6*time.Second)
+	r.Apply(cutOff.Since(1))
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, asleep, got, must.Sprint("its own last vain call"))
+}
+
+// The same process hears of the version from one that has just started and can't know since
+// when, before it calls the store again. The other's outage covers its standstill as little.
+func TestAnothersOutageCoversNoStandstillBeforeTheNextCall(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, cutOff, newcomer := newRegistrarAt(c), newRegistrarAt(c), newRegistrarAt(c)
+	r.Apply(registrar.Batch{Whole: true, At: 1})
+	cutOff.Apply(registrar.Batch{Whole: true, At: 1})
+	for range 4 {
+		outOfReach(r, c, 500*time.Millisecond)
+		cutOff.StoreLost()
+	}
+	asleep := c.Now()
+	outOfReach(cutOff, c, 6*time.Second)
+	r.Apply(cutOff.Since(1))
+	found := registrar.Batch{Whole: true, At: 2, Records: []registrar.Record{record("weights/m", "2", 2)}}
+	newcomer.Apply(found.Found())
+	r.Apply(newcomer.Since(1))
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, asleep, got, must.Sprint("its own last vain call"))
+}
