Pass over engines at which this entry has no connection to spare

Cause: an entry's part of an engine's connections (6 of 248 with 33 entries) was looked at only when a request was sent. The agent, which doesn't know of connections, granted a place; the send failed within the entry as not run, up to three times, each at the cost of a retry, and the caller was refused although other engines were free.

Change: the connection is counted from the question on, in one step with the look at the limit; an engine without one isn't asked. The line on a refusal counts such engines.

--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -26,8 +26,9 @@
 	unaskedShare = 0.75
 )
 
-// ask asks the agent beside an engine for a place. The verdict is nil when the agent
-// did not answer; the place then is a share of what the engine bears.
+// ask asks the agent beside an engine for a place, for a request that is already counted
+// there. The verdict is nil when the agent did not answer; the place then is a share of what
+// the engine bears.
 func (p *Placer) ask(ctx context.Context, view *registrar.View, u *registrar.UpstreamView, j *Job, patience time.Duration) (*Place, *messenger.Verdict) {
 	if p.Chooser.Silent(u.ID) {
 		return p.unasked(view, u, j), nil
@@ -65,7 +66,6 @@
 		p.tell(c, messenger.Progress{Ended: []string{j.ID}})
 		return nil, &v
 	}
-	p.Chooser.Begin(u.ID)
 	return &Place{
 		Upstream: u, Wait: v.Wait(), Active: v.Active, Version: j.Version,
 		started: func() { p.tell(c, messenger.Progress{Started: []string{j.ID}}) },
@@ -88,7 +88,7 @@
 const closedLoad = 3
 
 // unasked gives a place at an engine whose agent is silent, within this entry's
-// share of what the engine bears. A cold engine gets none: the agent may well grant
+// share of what the engine bears, the request itself counted. A cold engine gets none: the agent may well grant
 // others all that it bears, and under more it falls over. Neither does one that shows no
 // life: mostly its whole VM is frozen or cut off. The request would lie there unread until
 // its caller has left, and run in vain when the VM wakes.
@@ -103,10 +103,9 @@
 		version = held
 	}
 	share := scheduler.Part(u.Slots, unaskedShare, len(view.Members))
-	if p.Chooser.Running(u.ID) >= share || p.Chooser.Avoided(u.ID) || !p.Chooser.Lives(u.ID) || u.ColdFor() > 0 {
+	if p.Chooser.Running(u.ID) > share || p.Chooser.Avoided(u.ID) || !p.Chooser.Lives(u.ID) || u.ColdFor() > 0 {
 		return nil
 	}
-	p.Chooser.Begin(u.ID)
 	return &Place{Upstream: u, Version: version, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}
 }
 
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -38,7 +38,10 @@
 )
 
 // placeAtEngine asks the agents of the most promising engines: first for a short
-// wait, then for any that the objective allows.
+// wait, then for any that the objective allows. An engine at which this entry has all its
+// connections in use isn't asked: its agent doesn't know of connections and would grant a
+// place that can't be used. A connection counts from the question on, so that requests of
+// the same moment don't all count on the last one.
 func (p *Placer) placeAtEngine(ctx context.Context, view *registrar.View, e *matcher.Engine, j *Job) (*Place, error) {
 	us := p.order(p.eligible(view, j), j.Model)
 	if len(us) == 0 {
@@ -49,7 +52,7 @@
 	free := time.Duration(0)
 	var waits []engineWait
 	met := &j.met
-	met.PassedOver, met.Unasked, met.Silent = 0, 0, 0
+	met.PassedOver, met.Unasked, met.Silent, met.Connections = 0, 0, 0, 0
 	for i, u := range us {
 		if p.askedLongEnough(j, began) {
 			met.Unasked = len(us) - i
@@ -64,10 +67,15 @@
 		if i < firstAsked {
 			limit = min(goodWait, patience)
 		}
+		if !p.Chooser.BeginWithin(u.ID, p.connections(u)) {
+			met.Connections++
+			continue
+		}
 		place, v := p.ask(ctx, view, u, j, limit)
 		if place != nil {
 			return place, nil
 		}
+		p.Chooser.End(u.ID)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -89,10 +97,15 @@
 	}
 	slices.SortFunc(waits, func(a, b engineWait) int { return int(a.wait - b.wait) })
 	for _, w := range waits {
+		if !p.Chooser.BeginWithin(w.upstream.ID, p.connections(w.upstream)) {
+			met.Connections++
+			continue
+		}
 		place, v := p.ask(ctx, view, w.upstream, j, patience)
 		if place != nil {
 			return place, nil
 		}
+		p.Chooser.End(w.upstream.ID)
 		if v != nil && v.Closed == "" {
 			p.noteFull(w.upstream.ID, j, v.Free())
 		}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -87,8 +87,9 @@
 	Full, Closed int
 	WhyClosed    string
 	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
-	// late in the order, and the agents of Silent ones don't answer; in the last round.
-	PassedOver, Unasked, Silent int
+	// late in the order, and the agents of Silent ones don't answer; at Connections of them
+	// this entry had all its connections in use; in the last round.
+	PassedOver, Unasked, Silent, Connections int
 }
 
 func (e *RefusedError) Error() string {
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -231,6 +231,20 @@
 // Begin and End count this entry's own requests at an upstream.
 func (c *Chooser) Begin(id string) { c.add(id, 1) }
 
+// BeginWithin counts one more of this entry's own requests at an upstream, unless that makes
+// more than limit; 0 is none. Looked at and counted in two steps, requests of the same moment
+// would all find room.
+func (c *Chooser) BeginWithin(id string, limit int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(id)
+	if limit > 0 && s.running >= limit {
+		return false
+	}
+	s.running++
+	return true
+}
+
 // End takes back what Begin counted.
 func (c *Chooser) End(id string) { c.add(id, -1) }
 
