Let chunks for other regions leave first

Cause: while weights spread, the agents of a region keep all its uplinks taken, and a chunk that another region waits for got its piece only after one to each of up to four neighbours.

Change: uploads take turns at the cap, and those to other regions go before the rest. A region sends about one copy out, so its own agents lose little.

Measured: the test fails on the code before (28 chunks to neighbours during 7 to another region; 16 allowed).

--- a/internal/loader/handler.go
+++ b/internal/loader/handler.go
@@ -79,7 +79,11 @@
 		refuse(w, http.StatusNotFound, "chunk not held")
 		return
 	}
-	slots := l.slotsFor(r)
+	export := l.isExport(r)
+	slots := l.uploads
+	if export {
+		slots = l.exports
+	}
 	select {
 	case slots <- struct{}{}:
 		defer func() { <-slots }()
@@ -89,24 +93,22 @@
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	l.send(r.Context(), w, data)
+	l.send(r.Context(), w, data, export)
 }
 
-// slotsFor gives the upload slots that a request may take. The drawers of other
-// regions have slots of their own: the many agents of this region keep the others
-// taken nearly all the time, and a chunk that can't leave the region holds up a
-// whole region for as long.
-func (l *Loader) slotsFor(r *http.Request) chan struct{} {
-	if region := r.Header.Get(fetcher.RegionHeader); region != "" && region != l.Region {
-		return l.exports
-	}
-	return l.uploads
+// isExport tells whether a request comes from another region. The drawers there have
+// upload slots of their own: the many agents of this region keep the others taken nearly
+// all the time, and a chunk that can't leave the region holds up a whole region for as
+// long.
+func (l *Loader) isExport(r *http.Request) bool {
+	region := r.Header.Get(fetcher.RegionHeader)
+	return region != "" && region != l.Region
 }
 
 // send writes piece by piece, each after the cap allows it. A peer that stops
 // reading would hold its upload slot for ever, and a few of them all the slots;
 // each piece must therefore be taken within uploadStall.
-func (l *Loader) send(ctx context.Context, w http.ResponseWriter, data []byte) {
+func (l *Loader) send(ctx context.Context, w http.ResponseWriter, data []byte, export bool) {
 	control := http.NewResponseController(w)
 	size := uploadPiece
 	if l.Upload != nil {
@@ -114,7 +116,7 @@
 	}
 	for len(data) > 0 {
 		n := min(size, len(data))
-		if l.Upload != nil && l.Upload.WaitN(ctx, n) != nil {
+		if l.pacer.wait(ctx, n, export) != nil {
 			return
 		}
 		// Writers without deadlines, as in tests, say so by an error.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -72,6 +72,7 @@
 	once    sync.Once
 	uploads chan struct{}
 	exports chan struct{}
+	pacer   *pacer
 	wake    chan struct{}
 
 	mu      sync.Mutex
@@ -145,6 +146,7 @@
 		l.Nearly = orDefault(l.Nearly, DefaultNearly)
 		l.uploads = make(chan struct{}, l.UploadSlots)
 		l.exports = make(chan struct{}, l.UploadSlots)
+		l.pacer = newPacer(l.Upload)
 		l.wake = make(chan struct{}, 1)
 		l.sets = map[string]*set{}
 		l.chunks = map[string]*chunk{}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/time/rate"
 
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
 	"github.com/oriolecroft/oriolecroft/internal/loader"
@@ -106,10 +107,16 @@
 }
 
 func newAgent(t *testing.T, id string, sources ...fetcher.Source) *agent {
+	return newPacedAgent(t, id, nil, sources...)
+}
+
+// newPacedAgent makes one whose uploads keep to a rate.
+func newPacedAgent(t *testing.T, id string, upload *rate.Limiter, sources ...fetcher.Source) *agent {
 	a := &agent{Loader: &loader.Loader{
 		ID: id, FailureDomain: "a", Region: "huon", Sources: sources, Memory: 1 << 20,
 		Peer:     func(at netip.AddrPort) fetcher.Source { return &fetcher.HTTP{Address: at, Timeout: time.Second} },
 		Patience: 50 * time.Millisecond, Settle: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Seed: 1,
+		Upload: upload,
 	}}
 	a.server = httptest.NewServer(a.Handler())
 	t.Cleanup(a.server.Close)
