--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/time/rate"
 
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
 	"github.com/oriolecroft/oriolecroft/internal/loader"
@@ -105,12 +106,18 @@
 }
 
 func (n *network) newAgent(t *testing.T, id string, sources ...fetcher.Source) *agent {
+	return n.newPacedAgent(t, id, nil, sources...)
+}
+
+// newPacedAgent makes one whose uploads keep to a rate.
+func (n *network) newPacedAgent(t *testing.T, id string, upload *rate.Limiter, sources ...fetcher.Source) *agent {
 	a := &agent{Loader: &loader.Loader{
 		ID: id, FailureDomain: "a", Region: "huon", Sources: sources, Memory: 1 << 20,
 		Peer: func(at netip.AddrPort) fetcher.Source {
 			return &fetcher.HTTP{Address: at, Timeout: time.Second, Client: n.client}
 		},
 		Patience: 50 * time.Millisecond, Settle: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Seed: 1,
+		Upload: upload,
 	}}
 	a.server = n.serve(t, a.Handler())
 	return a
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -38,7 +38,10 @@
 )
 
 // placeAtEngine asks the agents of the most promising engines: first for a short
-// wait, then for any that the objective allows.
+// wait, then for any that the objective allows. An engine at which this entry has all its
+// connections in use isn't asked: its agent doesn't know of connections and would grant a
+// place that can't be used. A connection counts from the question on, so that requests of
+// the same moment don't all count on the last one.
 func (p *Placer) placeAtEngine(ctx context.Context, view *registrar.View, e *matcher.Engine, j *Job) (*Place, error) {
 	us := p.eligible(view, j)
 	if len(us) == 0 {
@@ -49,7 +52,7 @@
 	free := time.Duration(0)
 	var waits []engineWait
 	met := &j.met
-	met.PassedOver, met.Unasked, met.Silent = 0, 0, 0
+	met.PassedOver, met.Unasked, met.Silent, met.Connections = 0, 0, 0, 0
 	order := p.order(us, j.Model)
 	for next, ok := order.Next(); ok; next, ok = order.Next() {
 		u, first := us[next], len(us)-order.Left() <= firstAsked
@@ -66,10 +69,15 @@
 		if first {
 			limit = min(goodWait, patience)
 		}
+		if !p.Chooser.BeginWithin(u.ID, p.connections(u)) {
+			met.Connections++
+			continue
+		}
 		place, v := p.ask(ctx, view, u, j, limit)
 		if place != nil {
 			return place, nil
 		}
+		p.Chooser.End(u.ID)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -91,10 +99,15 @@
 	}
 	slices.SortFunc(waits, func(a, b engineWait) int { return int(a.wait - b.wait) })
 	for _, w := range waits {
+		if !p.Chooser.BeginWithin(w.upstream.ID, p.connections(w.upstream)) {
+			met.Connections++
+			continue
+		}
 		place, v := p.ask(ctx, view, w.upstream, j, patience)
 		if place != nil {
 			return place, nil
 		}
+		p.Chooser.End(w.upstream.ID)
 		if v != nil && v.Closed == "" {
 			p.noteFull(w.upstream.ID, j, v.Free())
 		}
