--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -46,8 +46,10 @@
 	}
 	c.message.header = c.Codec.Outgoing(c.r.Header, send)
 	// A kept connection may be closed by the upstream just as the request is sent,
-	// and its end is then unknown; what may run only once goes on a new one.
-	o := sendOptions{fresh: !c.Route.Repeatable(), headerWithin: c.headerWithin(place),
+	// and its end is then unknown; what may run only once goes on a new one. Where that has
+	// happened, others that rested as long may be gone as well, at other upstreams too: the
+	// last attempt spent on one of them would end the request although all upstreams are well.
+	o := sendOptions{fresh: !c.Route.Repeatable() || c.rested, headerWithin: c.headerWithin(place),
 		connections: c.Placer.connections(u)}
 	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
 	if err != nil {
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -18,6 +18,8 @@
 	outcome  retrier.Outcome
 	attempts int
 	sends    int
+	// rested tells that the last attempt failed on a connection that had been idle.
+	rested bool
 }
 
 // Serve makes attempts until one gives the caller its answer. Errors are those of Place and
@@ -59,6 +61,7 @@
 		return
 	}
 	j.outcome = retrier.Join(j.outcome, s.Outcome)
+	j.rested = s.Reused
 	if s.Outcome != retrier.NotRun {
 		j.attempts++
 	}
