Soak: faulty links between entries, narrow links, settings, work for callers that left

Cause: the soak had no faults between entries, no narrow links, a SIGHUP without a change of the file, and no check of what upstreams still do once callers have left.

Only a request that could break the bound of a drained domain counts as a check of it.

--- a/soak/auditor/arrivals.go
+++ b/soak/auditor/arrivals.go
@@ -59,7 +59,7 @@
 		late := h.late(u.leftAt)
 		a.check(Drain, r.ID, late <= h.Drain, "reached %s by %s %v after it left", u.Upstream, r.Entry, late)
 	}
-	if bound && len(h.drained) > 0 {
+	if bound && h.evacuated() {
 		late := h.late(h.drained[u.FailureDomain])
 		a.check(Evacuation, r.ID, late <= h.Evacuate, "reached %s in %s by %s %v after its draining", u.Upstream, u.FailureDomain, r.Entry, late)
 	}
@@ -78,6 +78,17 @@
 	return false
 }
 
+// evacuated tells whether a failure domain is drained for longer than the bound, so that a
+// request there would break it.
+func (h *history) evacuated() bool {
+	for _, at := range h.drained {
+		if h.late(at) > h.Evacuate {
+			return true
+		}
+	}
+	return false
+}
+
 // late is how long ago a confirmation began to bind; 0 for none.
 func (h *history) late(confirmed time.Time) time.Duration {
 	if confirmed.IsZero() {
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -35,6 +35,8 @@
 	Directory  Promise = "the directory names no entry long gone"
 	Deadline   Promise = "upstreams get no more time than is left"
 	Gone       Promise = "nothing is sent for callers that left"
+	Abandoned  Promise = "no work goes on for callers that left"
+	Reload     Promise = "settings are read again when asked"
 	Exit       Promise = "no process ends by itself"
 	Recovery   Promise = "requests are served once the faults are over"
 )
@@ -42,7 +44,7 @@
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
 	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, Evacuation, Cold, Budget, Attempts, Home, Keys,
-	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Gone, Exit, Recovery,
+	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Gone, Abandoned, Reload, Exit, Recovery,
 }
 
 // Broken is a promise that was not kept.
@@ -74,7 +76,12 @@
 }
 
 // tolerated counts what breaks a promise only in number.
-type tolerated struct{ lost, longer, named, denied, gone int }
+type tolerated struct {
+	lost, longer, named, denied, gone int
+	// left counts runs whose callers left long before their end, and overrun those of them
+	// that went on all the same.
+	left, overrun int
+}
 
 // Note takes an event in and judges it.
 func (a *Auditor) Note(e Event) {
@@ -92,6 +99,10 @@
 		a.judgeArrival(e)
 	case Began:
 		a.judgeRun(e)
+	case Ended:
+		a.judgeEnd(e)
+	case Reloaded:
+		a.judgeReload(e)
 	case Directed:
 		a.judgeDirectory(e)
 	case Exited:
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -77,6 +77,14 @@
 	d.answer(id, upstream)
 }
 
+// abandon sends a request for a long stream that begins to run and whose caller leaves.
+func (d *day) abandon(id string) {
+	d.Note(auditor.Sent{ID: id, Entry: "e", Path: "/look/1", Key: "k", Content: id, Limit: 2 * time.Second, Events: 9, Lasts: time.Second})
+	d.reach(id, "near")
+	d.after(20 * time.Millisecond)
+	d.Note(auditor.Answered{ID: id, Status: 200, Names: id, Upstream: "near", Expired: true})
+}
+
 // stream sends a request for three events and gives what came.
 func (d *day) stream(whole bool, parts ...auditor.Part) {
 	d.Note(auditor.Sent{ID: "s", Entry: "e", Path: "/look/s", Key: "k", Content: "s", Limit: time.Second, Events: 3})
@@ -280,6 +288,27 @@
 				d.reach(id, "near")
 			}
 		}},
+		{auditor.Abandoned, "runs go on after their callers left", func(d *day) {
+			for i := range reached {
+				id := string(rune('a' + i))
+				d.abandon(id)
+				d.after(600 * time.Millisecond)
+				d.Note(auditor.Ended{ID: id, Upstream: "near"})
+			}
+		}},
+		{auditor.Reload, "a process does not hear that it is to read its settings", func(d *day) {
+			d.Note(auditor.HungUp{Entry: "e"})
+			d.after(time.Second)
+			d.Note(auditor.Reloaded{Wanted: auditor.Reread{Who: "e"}, Said: auditor.Reread{Who: "e", Lost: true}})
+		}},
+		{auditor.Reload, "a process misses a change of its settings", func(d *day) {
+			d.Note(auditor.HungUp{Entry: "e"})
+			d.Note(auditor.Reloaded{Wanted: auditor.Reread{Who: "e", Changed: true}, Said: auditor.Reread{Who: "e"}})
+		}},
+		{auditor.Reload, "a process takes faulty settings", func(d *day) {
+			d.Note(auditor.HungUp{Entry: "e"})
+			d.Note(auditor.Reloaded{Wanted: auditor.Reread{Who: "e", Faulty: true}, Said: auditor.Reread{Who: "e", Changed: true}})
+		}},
 		{auditor.Exit, "a process ends by itself", func(d *day) { d.Note(auditor.Exited{Who: "e", Alone: true}) }},
 		{auditor.Recovery, "service does not come back", func(d *day) {
 			since := d.clock.Now()
@@ -346,6 +375,24 @@
 			d.Note(auditor.Returned{FailureDomain: "huon-a"})
 			d.serve("2", "/look/2", "near")
 		}},
+		{"runs that end soon after their callers left, or were nearly done", func(d *day) {
+			for i := range reached {
+				id := string(rune('a' + i))
+				d.abandon(id)
+				d.after(400 * time.Millisecond)
+				d.Note(auditor.Ended{ID: id, Upstream: "near"})
+				d.send(id+"short", "/look/1")
+				d.reach(id+"short", "near")
+				d.Note(auditor.Answered{ID: id + "short", Expired: true})
+				d.after(600 * time.Millisecond)
+				d.Note(auditor.Ended{ID: id + "short", Upstream: "near"})
+			}
+		}},
+		{"settings read again by a process that ends meanwhile", func(d *day) {
+			d.Note(auditor.HungUp{Entry: "e"})
+			d.Note(auditor.Started{Entry: "e"})
+			d.Note(auditor.Reloaded{Wanted: auditor.Reread{Who: "e"}, Said: auditor.Reread{Who: "e", Lost: true}})
+		}},
 		{"an upstream that breaks off as its entry stops", func(d *day) {
 			d.send("1", "/look/1")
 			d.reach("1", "near")
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -23,6 +23,8 @@
 	// Events is how many events the whole stream has; 0 for a plain request. After is the
 	// number of the last one that the caller has already.
 	Events, After int
+	// Lasts is how long an upstream that does all of it works at least.
+	Lasts time.Duration
 	// Kept tells that the connection was used before.
 	Kept bool
 }
@@ -42,7 +44,7 @@
 	// isn't what the upstream made.
 	Whole, WrongBody bool
 	Parts            []Part
-	// Expired tells that the caller's limit was over.
+	// Expired tells that the caller's limit was over, or that it left.
 	Expired bool
 }
 
@@ -139,6 +141,17 @@
 // HungUp is an entry that was asked to read its settings again.
 type HungUp struct{ Entry string }
 
+// Reread is what a process did with settings that it was asked to read again.
+type Reread struct {
+	Who string
+	// Faulty tells that it kept its old ones, Changed that the new ones differ from those on
+	// which it started, Lost that it said nothing in time.
+	Faulty, Changed, Lost bool
+}
+
+// Reloaded compares what a process said of its settings with what had to come of them.
+type Reloaded struct{ Wanted, Said Reread }
+
 // Exited is the end of a process. Alone tells that nobody had asked for it.
 type Exited struct {
 	Who   string
@@ -167,5 +180,6 @@
 func (Started) event()    {}
 func (Stopping) event()   {}
 func (HungUp) event()     {}
+func (Reloaded) event()   {}
 func (Exited) event()     {}
 func (Directed) event()   {}
--- a/soak/auditor/runs.go
+++ b/soak/auditor/runs.go
@@ -1,6 +1,9 @@
 package auditor
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // judgeRun judges a request that begins to run.
 func (a *Auditor) judgeRun(e Began) {
@@ -26,6 +29,48 @@
 	a.judgeVersion(r, e)
 }
 
+const (
+	// leftPart is the part of abandoned runs, one in so many, that may go on for longer than
+	// leftSlack, and toleratedOverrun how many may in any case.
+	leftPart         = 4
+	toleratedOverrun = 3
+)
+
+// judgeEnd judges how long a run went on after its caller had left. Only those count that
+// would have lasted longer than that.
+func (a *Auditor) judgeEnd(e Ended) {
+	h := a.history
+	r := h.requests[e.ID]
+	if r == nil || r.answer == nil || !r.answer.Expired {
+		return
+	}
+	i := slices.IndexFunc(r.runs, func(x run) bool { return x.upstream == e.Upstream })
+	from := r.answeredAt.Add(-h.StableWindow)
+	if i < 0 || !h.inTouch(r.Entry, h.now) || !h.undisturbed(r.Entry, from, h.now) || !h.undisturbed(e.Upstream, from, h.now) {
+		return
+	}
+	if !r.runs[i].at.Add(r.Lasts).After(r.answeredAt.Add(leftSlack)) {
+		return
+	}
+	a.left++
+	after := h.now.Sub(r.answeredAt)
+	if after > leftSlack {
+		a.overrun++
+	}
+	kept := after <= leftSlack || a.overrun <= toleratedOverrun || a.overrun*leftPart <= a.left
+	a.check(Abandoned, e.ID, kept, "%s worked for %v after the caller had left, as on %d of %d", e.Upstream, after, a.overrun, a.left)
+}
+
+// judgeReload judges what a process made of its settings when asked to read them again.
+func (a *Auditor) judgeReload(e Reloaded) {
+	h := a.history
+	x := h.entry(e.Wanted.Who)
+	if !x.stoppingAt.IsZero() || !h.undisturbed(e.Wanted.Who, x.hungUpAt.Add(-h.StableWindow), h.now) {
+		return
+	}
+	a.check(Reload, "", e.Said == e.Wanted, "%s made %+v of settings that are %+v", e.Wanted.Who, e.Said, e.Wanted)
+}
+
 // soundRuns counts the upstreams that ran a request and were not disturbed.
 func (h *history) soundRuns(r *request) int {
 	n := 0
--- a/soak/soaker/callers.go
+++ b/soak/soaker/callers.go
@@ -18,9 +18,13 @@
 	burstCallers = 12
 	// mostThought is between an answer and a caller's next request.
 	mostThought = 200 * time.Millisecond
-	// limit is how long callers wait, impatience how long those that leave early do.
+	// limit is how long callers wait, impatience how long those do that don't wait for long.
 	limit      = 2500 * time.Millisecond
 	impatience = 120 * time.Millisecond
+	// longEvents is the length of long streams: they last for 1.4 s and more. Some callers
+	// leave after leastStay and up to as much again, and close their connection.
+	longEvents = 120
+	leastStay  = 300 * time.Millisecond
 	// oldAnswers is how many times as long as allowed some callers keep an answer of the
 	// directory.
 	oldAnswers = 3
@@ -156,7 +160,7 @@
 	entry := c.names[c.conn.Entry]
 	c.note(auditor.Sent{
 		ID: q.ID, Entry: entry, Path: q.Path, Key: q.Key, Content: q.Content(), Limit: q.Limit,
-		Events: q.Events, After: q.LastEvent, Kept: c.conn.Used,
+		Events: q.Events, After: q.LastEvent, Lasts: figures.Step * time.Duration(q.Events-q.LastEvent), Kept: c.conn.Used,
 	})
 	a := c.conn.Send(q)
 	var parts []auditor.Part
@@ -193,6 +197,12 @@
 			q.LastEvent = 1 + c.random.IntN(4)
 		}
 	}
+	if q.Events > 0 && c.random.IntN(20) == 0 {
+		q.Events = longEvents
+		if c.random.IntN(3) > 0 {
+			q.Leaves = leastStay + time.Duration(c.random.Int64N(int64(leastStay)))
+		}
+	}
 	if c.random.IntN(30) == 0 {
 		q.Limit = impatience
 	}
--- /dev/null
+++ b/soak/soaker/export_test.go
@@ -0,0 +1,19 @@
+package soaker
+
+import (
+	"net/netip"
+	"time"
+)
+
+// FaultedLink puts a link before an address and a fault on it. Mend ends the fault.
+func FaultedLink(to netip.AddrPort, kind string, amount int) (at netip.AddrPort, mend, end func(), err error) {
+	k, err := newLink(netip.MustParseAddrPort("127.0.0.1:0"), to)
+	if err != nil {
+		return netip.AddrPort{}, nil, nil, err
+	}
+	k.fault(fault{Kind: faultKind(kind), Amount: amount})
+	return k.address(), k.mend, k.close, nil
+}
+
+// Settle is how long links may take over what they held back.
+const Settle = 200 * time.Millisecond
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -20,8 +20,9 @@
 		entry.kill()
 	case entryStop:
 		entry.terminate()
-	case entryHangUp:
-		entry.hangUp()
+	case reload:
+		all := w.processes()
+		all[f.Target%len(all)].reload(f.Amount)
 	case agentPause:
 		agent.pause(func() { w.wait(f.For) })
 	case agentKill:
@@ -29,17 +30,22 @@
 	case agentStop:
 		agent.terminate()
 	case herdKill:
-		for _, p := range append(append([]*process(nil), w.entries...), w.agents...) {
+		for _, p := range w.processes() {
 			p.kill()
 		}
 	case storeBusy, storeOverrun, storeSilent, storeLossy, storeSlow, storeForgets, storeLapse:
 		w.faultStore(f)
-	case linkDelay, linkReset, linkCut, linkSilence:
+	case linkDelay, linkReset, linkCut, linkSilence, linkNarrow:
 		w.faultStoreLink(f)
-	case upstreamDelay, upstreamReset, upstreamCut, upstreamSilent:
+	case upstreamDelay, upstreamReset, upstreamCut, upstreamSilent, upstreamNarrow:
 		w.faultUpstreamLink(f)
-	case agentDelay, agentReset, agentCut, agentSilent:
+	case agentDelay, agentReset, agentCut, agentSilent, agentNarrow:
 		w.faultLink(w.agentLinks[f.Target%len(w.agentLinks)], f, func() string { return agent.name })
+	case entryCut:
+		// Nobody is excused: all have their way to the store.
+		w.faultLink(w.entryLinks[f.Target%len(w.entryLinks)], f, func() string { return "" })
+	case entryDelay, entryReset, entrySilent, entryNarrow:
+		w.faultLink(w.entryLinks[f.Target%len(w.entryLinks)], f, func() string { return entry.name })
 	case upstreamLeaves, upstreamGone, upstreamCrash, stagedSpoils:
 		w.faultUpstream(f)
 	default:
@@ -95,12 +101,16 @@
 	// leastDelay and delayStep make a link's delay, in steps of the fault's amount.
 	leastDelay = 20 * time.Millisecond
 	delayStep  = 3 * time.Millisecond
+	// leastRate and rateStep make a narrow link's bytes a second, in steps of the fault's
+	// amount: from what a few streams need to a seventh of what the users' links carry.
+	leastRate = 16 << 10
+	rateStep  = 1 << 10
 )
 
 func (w *world) faultStoreLink(f fault) {
 	i := f.Target % len(w.storeLinks)
 	// Links to the store come in the order of the VMs: entries, then agents.
-	who := append(append([]*process(nil), w.entries...), w.agents...)[i].name
+	who := w.processes()[i].name
 	w.faultLink([]*link{w.storeLinks[i]}, f, func() string { return who })
 }
 
@@ -130,14 +140,16 @@
 // fault does to a link what a fault of any link's kind asks for.
 func (k *link) fault(f fault) {
 	switch f.Kind {
-	case linkDelay, agentDelay, upstreamDelay:
+	case linkDelay, agentDelay, upstreamDelay, entryDelay:
 		k.slow(leastDelay + time.Duration(f.Amount)*delayStep)
-	case linkReset, agentReset, upstreamReset:
+	case linkReset, agentReset, upstreamReset, entryReset:
 		k.reset()
-	case linkCut, agentCut, upstreamCut:
+	case linkCut, agentCut, upstreamCut, entryCut:
 		k.cut(f.Amount%3 != 0, f.Amount%3 != 1)
-	case linkSilence, agentSilent, upstreamSilent:
+	case linkSilence, agentSilent, upstreamSilent, entrySilent:
 		k.silence()
+	case linkNarrow, agentNarrow, upstreamNarrow, entryNarrow:
+		k.narrow(leastRate + f.Amount*rateStep)
 	}
 }
 
--- a/soak/soaker/link.go
+++ b/soak/soaker/link.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // link passes TCP connections on to one address and can do to them what a faulty
@@ -19,6 +21,10 @@
 	// bytes pass.
 	there, back chan struct{}
 	conns       map[*pipe]bool
+	// limiter paces each direction of a narrow link; nil on a wide one. Widened is closed
+	// once the link is wide again.
+	limiter *rate.Limiter
+	widened chan struct{}
 }
 
 // pipe is one connection through a link.
@@ -70,13 +76,16 @@
 	k.mu.Unlock()
 }
 
+// passedAtOnce is how many bytes pass a link in one piece at most.
+const passedAtOnce = 32 << 10
+
 // pass copies one direction until its end. An end is passed on as it came, a reset as a
 // reset.
 func (k *link) pass(p *pipe, from, to net.Conn, held *chan struct{}) {
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, passedAtOnce)
 	for {
 		n, err := from.Read(buffer)
-		if !k.wait(p, held) {
+		if !k.wait(p, held) || !k.pace(p, n) {
 			return
 		}
 		if _, e := to.Write(buffer[:n]); e != nil || err != nil {
@@ -113,6 +122,36 @@
 	}
 }
 
+// pace waits until a narrow link has room for some bytes; false on a connection that is
+// silent for good.
+func (k *link) pace(p *pipe, bytes int) bool {
+	k.mu.Lock()
+	limiter, widened := k.limiter, k.widened
+	k.mu.Unlock()
+	if limiter == nil {
+		return true
+	}
+	select {
+	case <-time.After(limiter.ReserveN(time.Now(), bytes).Delay()):
+	case <-widened:
+	case <-p.silent:
+		return false
+	}
+	return true
+}
+
+// narrow lets no more than so many bytes a second pass, until the link is mended.
+func (k *link) narrow(perSecond int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.limiter != nil {
+		return
+	}
+	k.limiter, k.widened = rate.NewLimiter(rate.Limit(perSecond), passedAtOnce), make(chan struct{})
+	// Nothing is saved up at the beginning.
+	k.limiter.AllowN(time.Now(), passedAtOnce)
+}
+
 // slow delays everything until it is set to 0.
 func (k *link) slow(d time.Duration) {
 	k.mu.Lock()
@@ -132,11 +171,15 @@
 	}
 }
 
-// mend ends delays and cuts.
+// mend ends delays, cuts and narrowness.
 func (k *link) mend() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.delay = 0
+	if k.limiter != nil {
+		k.limiter = nil
+		close(k.widened)
+	}
 	for _, held := range []*chan struct{}{&k.there, &k.back} {
 		if *held != nil {
 			close(*held)
--- /dev/null
+++ b/soak/soaker/link_test.go
@@ -0,0 +1,78 @@
+package soaker_test
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/soak/soaker"
+)
+
+// echo answers each connection with what came on it.
+func echo(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// exchange sends bytes and tells how long it took until they were back; false for not within
+// a time.
+func exchange(t *testing.T, c net.Conn, n int, within time.Duration) (took time.Duration, ok bool) {
+	began := time.Now()
+	must.NoError(t, c.SetDeadline(began.Add(within)))
+	_, err := c.Write(make([]byte, n))
+	must.NoError(t, err)
+	_, err = io.ReadFull(c, make([]byte, n))
+	return time.Since(began), err == nil
+}
+
+// A link that passes everything on, whatever fault was put on it, would make each run a
+// calm one, and all promises would seem to be kept under faults that never were.
+func TestFaultsOfLinksAreFelt(t *testing.T) {
+	const bytes = 8 << 10
+	for _, c := range []struct {
+		kind           string
+		amount         int
+		least, timeout time.Duration
+		held           bool
+	}{
+		// 16 KiB a second each way: half a second for the one way and as much back, of which
+		// the second begins before the first ends.
+		{"entry link narrow", 0, 450 * time.Millisecond, 3 * time.Second, false},
+		{"entry link delayed", 60, 400 * time.Millisecond, 3 * time.Second, false},
+		{"entry link cut one way", 1, 0, 300 * time.Millisecond, true},
+		{"entry link cut one way", 2, 0, 300 * time.Millisecond, true},
+	} {
+		at, mend, end, err := soaker.FaultedLink(echo(t), c.kind, c.amount)
+		must.NoError(t, err)
+		conn, err := net.Dial("tcp", at.String())
+		must.NoError(t, err)
+		took, ok := exchange(t, conn, bytes, c.timeout)
+		must.Eq(t, !c.held, ok, must.Sprint(c.kind))
+		must.GreaterEq(t, c.least, took, must.Sprint(c.kind))
+		mend()
+		after, err := net.Dial("tcp", at.String())
+		must.NoError(t, err)
+		took, ok = exchange(t, after, bytes, time.Second)
+		must.True(t, ok, must.Sprint(c.kind))
+		must.Less(t, soaker.Settle, took, must.Sprint(c.kind))
+		end()
+	}
+}
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,7 +17,7 @@
 	entryPause     faultKind = "entry paused"
 	entryKill      faultKind = "entry killed"
 	entryStop      faultKind = "entry stopped"
-	entryHangUp    faultKind = "entry reloads"
+	reload         faultKind = "settings read again"
 	agentPause     faultKind = "agent paused"
 	agentKill      faultKind = "agent killed"
 	agentStop      faultKind = "agent stopped"
@@ -36,6 +37,14 @@
 	agentReset     faultKind = "agent link reset"
 	agentCut       faultKind = "agent link cut one way"
 	agentSilent    faultKind = "agent connections silent"
+	entryDelay     faultKind = "entry link delayed"
+	entryReset     faultKind = "entry link reset"
+	entryCut       faultKind = "entry link cut one way"
+	entrySilent    faultKind = "entry connections silent"
+	linkNarrow     faultKind = "store link narrow"
+	agentNarrow    faultKind = "agent link narrow"
+	entryNarrow    faultKind = "entry link narrow"
+	upstreamNarrow faultKind = "upstream link narrow"
 	upstreamDelay  faultKind = "upstream link delayed"
 	upstreamReset  faultKind = "upstream link reset"
 	upstreamCut    faultKind = "upstream link cut one way"
@@ -59,10 +68,12 @@
 	kind faultKind
 	odds int
 }{
-	{entryPause, 4}, {entryKill, 3}, {entryStop, 3}, {entryHangUp, 2}, {agentPause, 3}, {agentKill, 3}, {agentStop, 2}, {herdKill, 1},
+	{entryPause, 4}, {entryKill, 3}, {entryStop, 3}, {reload, 4}, {agentPause, 3}, {agentKill, 3}, {agentStop, 2}, {herdKill, 1},
 	{storeBusy, 2}, {storeOverrun, 1}, {storeSilent, 2}, {storeLossy, 2}, {storeSlow, 2}, {storeForgets, 2}, {storeLapse, 1},
 	{linkDelay, 2}, {linkReset, 2}, {linkCut, 2}, {linkSilence, 2},
 	{agentDelay, 2}, {agentReset, 1}, {agentCut, 2}, {agentSilent, 2},
+	{entryDelay, 2}, {entryReset, 2}, {entryCut, 3}, {entrySilent, 2},
+	{linkNarrow, 2}, {agentNarrow, 2}, {entryNarrow, 2}, {upstreamNarrow, 2},
 	{upstreamDelay, 2}, {upstreamReset, 2}, {upstreamCut, 2}, {upstreamSilent, 2},
 	{upstreamLeaves, 4}, {upstreamGone, 2}, {upstreamCrash, 4}, {upstreamBreaks, 2}, {stagedSpoils, 1}, {originSpoils, 2},
 	{tableChange, 6}, {keyRemoval, 2}, {weightsNamed, 4}, {domainDrained, 3}, {callersBurst, 1},
@@ -102,7 +113,7 @@
 
 // long are the kinds that are to outlast the bounds: after them a process may have missed
 // all that happened meanwhile, and repeats fill a whole window of their budget.
-var long = []faultKind{entryPause, agentPause, storeBusy, storeSilent, storeLapse, linkCut, upstreamBreaks}
+var long = []faultKind{entryPause, agentPause, storeBusy, storeSilent, storeLapse, linkCut, entryCut, upstreamBreaks}
 
 // enabledShare is the share, of a hundred, of kinds that one seed uses. With all at once
 // hardly any process would run undisturbed for long enough to be held to a bound.
@@ -112,6 +123,11 @@
 // be checked on.
 var always = []faultKind{tableChange, weightsNamed, upstreamLeaves}
 
+// once are kinds that every plan with room for them has at least once: with them the bound on
+// drained failure domains, the budget of repeats and the reading of settings are put to the
+// test.
+var once = []faultKind{domainDrained, upstreamBreaks, reload}
+
 // plan draws the faults of a run. All are over when the recovery begins.
 func plan(seed uint64, length time.Duration) []fault {
 	r := rand.New(rand.NewPCG(seed, seed))
@@ -140,7 +156,16 @@
 			Target: r.IntN(1 << 16), Amount: r.IntN(100),
 		})
 	}
-	return slices.Clip(faults)
+	for _, kind := range once {
+		if i := slices.IndexFunc(faults, func(f fault) bool { return f.Kind == kind }); i < 0 && last-mostDrained > settle {
+			faults = append(faults, fault{
+				At: settle + time.Duration(r.Int64N(int64(last-mostDrained-settle))), For: leastFault + time.Duration(r.Int64N(int64(mostFault-leastFault))),
+				Kind: kind, Target: r.IntN(1 << 16), Amount: r.IntN(100),
+			})
+		}
+	}
+	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
 }
 
 // enabled draws the kinds of one seed, each as often as its odds.
--- a/soak/soaker/process.go
+++ b/soak/soaker/process.go
@@ -23,6 +23,12 @@
 	// grace is the time between the signal to stop and the kill.
 	grace time.Duration
 
+	// rereading is held while the settings file is written and read again. No process starts
+	// meanwhile: it might find a faulty file.
+	rereading sync.Mutex
+	// startedOn is the text of the settings on which the running process started.
+	startedOn string
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	// asked tells that the running process was told to end.
@@ -33,11 +39,18 @@
 }
 
 func (p *process) start() error {
+	p.rereading.Lock()
+	defer p.rereading.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.over {
 		return nil
 	}
+	text, err := os.ReadFile(p.settings)
+	if err != nil {
+		return err
+	}
+	p.startedOn = string(text)
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -121,14 +134,6 @@
 	}
 }
 
-// hangUp has the process read its settings again.
-func (p *process) hangUp() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.note(auditor.HungUp{Entry: p.name})
-	p.signal(syscall.SIGHUP)
-}
-
 // end stops the process for good.
 func (p *process) end() {
 	p.mu.Lock()
--- a/soak/soaker/soaker_test.go
+++ b/soak/soaker/soaker_test.go
@@ -44,7 +44,7 @@
 		dir = t.TempDir()
 	}
 	return soaker.Options{
-		Seed: 61, Length: 32 * time.Second, Entries: 3, Engines: 4, Services: 3, Binary: binary, Dir: filepath.Join(dir, t.Name()), Out: out, Log: log,
+		Seed: 5, Length: 32 * time.Second, Entries: 3, Engines: 4, Services: 3, Binary: binary, Dir: filepath.Join(dir, t.Name()), Out: out, Log: log,
 	}
 }
 
@@ -56,7 +56,7 @@
 	must.NoError(t, err)
 	t.Logf("%s", &out)
 	must.True(t, kept, must.Sprintf("%s", &log))
-	for _, p := range []auditor.Promise{auditor.Once, auditor.Whole, auditor.Stream, auditor.Version, auditor.Drain, auditor.Config, auditor.Recovery} {
+	for _, p := range auditor.Promises {
 		must.StrNotContains(t, line(out.String(), p), "unchecked")
 	}
 }
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -1,12 +1,14 @@
 package soaker
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,11 +66,12 @@
 	entryVMs        []*standin.VM
 	entries, agents []*process
 	storeLinks      []*link
-	// agentLinks are those before the two ports of each agent.
-	agentLinks [][]*link
-	places     []*place
-	operators  *operators
-	breakOff   atomic.Int32
+	// agentLinks are those before the two ports of each agent, entryLinks those before each
+	// entry's port for other processes of ours.
+	agentLinks, entryLinks [][]*link
+	places                 []*place
+	operators              *operators
+	breakOff               atomic.Int32
 
 	// storeFault is held during a fault of the whole store.
 	storeFault sync.Mutex
@@ -97,6 +100,7 @@
 		return err
 	}
 	vms := w.layOut(base)
+	w.store.Translate = w.translate
 	w.originLink, err = net.Listen("tcp", netip.AddrPortFrom(base, standin.PortOrigin).String())
 	if err != nil {
 		return err
@@ -121,7 +125,7 @@
 			ip = ip.Next()
 			d := domains[i%len(domains)]
 			vm := &standin.VM{Name: fmt.Sprintf("%s-%d", kind, i), IP: ip, FailureDomain: d.name, Region: d.region, Service: service}
-			if service == engineService {
+			if service == engineService || service == "" {
 				ip = ip.Next()
 				vm.Own = ip
 			}
@@ -129,6 +133,7 @@
 		}
 	}
 	add("entry", "", w.Entries)
+	w.entryVMs = slices.Clone(vms)
 	add("engine", engineService, w.Engines)
 	add("booking", bookingService, w.Services-1)
 	add("portal", portalService, 1)
@@ -162,43 +167,56 @@
 	if err := w.deployment().WriteSettings(p.settings, vm); err != nil {
 		return err
 	}
+	ports := []uint16{standin.PortPlaces, standin.PortChunks}
 	if role == "entry" {
-		w.entries, w.entryVMs = append(w.entries, p), append(w.entryVMs, vm)
+		ports = []uint16{standin.PortPeers}
+	}
+	links, err := newLinks(vm, ports)
+	if err != nil {
+		return err
+	}
+	if role == "entry" {
+		w.entries, w.entryLinks = append(w.entries, p), append(w.entryLinks, links)
 		w.names[vm.At(standin.PortCallers)] = vm.Name
 	} else {
-		w.agents = append(w.agents, p)
-		if err := w.linkAgent(vm); err != nil {
-			return err
-		}
+		w.agents, w.agentLinks = append(w.agents, p), append(w.agentLinks, links)
 	}
 	return p.start()
 }
 
-// linkAgent puts links before the ports of an agent.
-func (w *world) linkAgent(vm *standin.VM) error {
-	var both []*link
-	for _, port := range []uint16{standin.PortPlaces, standin.PortChunks} {
+// newLinks puts links before some ports of a process.
+func newLinks(vm *standin.VM, ports []uint16) (links []*link, err error) {
+	for _, port := range ports {
 		k, err := newLink(vm.At(port), netip.AddrPortFrom(vm.Own, port))
 		if err != nil {
-			return err
+			return nil, err
 		}
-		both = append(both, k)
+		links = append(links, k)
 	}
-	w.agentLinks = append(w.agentLinks, both)
-	return nil
+	return links, nil
 }
 
+// processes lists those of the system: entries, then agents.
+func (w *world) processes() []*process { return slices.Concat(w.entries, w.agents) }
+
+// translate has the records of entries name the links before them.
+func (w *world) translate(value []byte) []byte {
+	for _, vm := range w.entryVMs {
+		value = bytes.ReplaceAll(value, quoted(vm.Peers()), quoted(vm.At(standin.PortPeers)))
+	}
+	return value
+}
+
+func quoted(a netip.AddrPort) []byte { return []byte(strconv.Quote(a.String())) }
+
 // mostSeeds is how many entries the settings name.
 const mostSeeds = 3
 
-// deployment is what all settings have in common. The first entries are the seeds; their
-// addresses follow that of the origin.
+// deployment is what all settings have in common. The first entries are the seeds.
 func (w *world) deployment() *standin.Deployment {
 	d := &standin.Deployment{Regions: regions(), Bounds: w.bounds}
-	ip := netip.MustParseAddrPort(w.originLink.Addr().String()).Addr()
-	for range min(mostSeeds, w.Entries) {
-		ip = ip.Next()
-		d.Seeds = append(d.Seeds, (&standin.VM{IP: ip}).At(standin.PortPeers))
+	for _, vm := range w.entryVMs[:min(mostSeeds, w.Entries)] {
+		d.Seeds = append(d.Seeds, vm.At(standin.PortPeers))
 	}
 	return d
 }
@@ -207,14 +225,14 @@
 func (w *world) close() {
 	w.closing.Do(func() {
 		var all sync.WaitGroup
-		for _, p := range append(w.entries, w.agents...) {
+		for _, p := range w.processes() {
 			all.Go(p.end)
 		}
 		all.Wait()
 		for _, p := range w.places {
 			p.close()
 		}
-		for _, k := range slices.Concat(append(w.agentLinks, w.storeLinks)...) {
+		for _, k := range slices.Concat(slices.Concat(w.agentLinks, w.entryLinks, [][]*link{w.storeLinks})...) {
 			k.close()
 		}
 		if w.originLink != nil {
