Take a SIGHUP from the start of a process to its end

Cause: the process expected SIGHUP only once its part for that ran, and no more once it was stopped. Settings that changed while an entry started, when its ports were open already, ended it: the signal's default is to kill.

Change: the signal is caught before the settings are read, and until the process is gone.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -90,10 +90,17 @@
 	// ages tells how old beliefs are and counts the time for which the VM is suspended. No
 	// time of it may be compared with one of clock.
 	ages clock.WithTicker
+	// hangups gets each SIGHUP.
+	hangups chan os.Signal
 }
 
 // newDaemon reads the settings and starts the log.
 func newDaemon(role string) (*daemon, error) {
+	// Settings may change while the process still starts, or already ends. A SIGHUP that
+	// nobody waits for would end it, with all the requests that it carries; one for which
+	// the reading isn't ready yet is kept.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	w := logger.New(os.Stdout)
 	logger.Install(w)
 	s, err := platform.LoadSettings()
@@ -113,6 +120,7 @@
 		log:      w,
 		clock:    clock.RealClock{},
 		ages:     ages,
+		hangups:  hangups,
 	}
 	d.registrar = &registrar.Registrar{
 		Clock: ages, Decode: platform.Decode, Linger: time.Duration(lingerPart * float64(s.Bounds.Drain)),
@@ -184,14 +192,11 @@
 
 // Serve runs until the context ends.
 func (r reload) Serve(ctx context.Context) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hangups:
+		case <-r.hangups:
 			r.read()
 		}
 	}
