Soak: mend faulty settings also when the process said nothing of them

All were starts on settings that the soak had spoilt itself for a reload: the process was paused and did not answer, and then `said.Lost || ...` left out the writing of the sound file.

--- a/soak/soaker/reload.go
+++ b/soak/soaker/reload.go
@@ -48,8 +48,8 @@
 	}
 	wanted := auditor.Reread{Who: p.name, Faulty: text != kept, Changed: text == kept && text != p.startedOn}
 	said := p.reread(text)
-	if text != kept {
-		said.Lost = said.Lost || os.WriteFile(p.settings, []byte(kept), 0o600) != nil
+	if err := os.WriteFile(p.settings, []byte(kept), 0o600); err != nil {
+		said.Lost = true
 	}
 	p.note(auditor.Reloaded{Wanted: wanted, Said: said})
 }
