--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -106,6 +106,11 @@
 	longFault = 10 * time.Second
 	// mostDrained is how long a failure domain is drained at most.
 	mostDrained = 9 * time.Second
+	// calmDrain is how much longer than the bound a failure domain is drained at the end.
+	calmDrain = 3 * time.Second
+	// surelyBroken is for how long upstreams break off most replies in each run: repeats
+	// without a budget then pass its bound.
+	surelyBroken = 4 * time.Second
 	// mostPause is between two faults; half of all come in close series.
 	mostPause = 2 * time.Second
 	inSeries  = 150 * time.Millisecond
@@ -123,12 +128,8 @@
 // be checked on.
 var always = []faultKind{tableChange, weightsNamed, upstreamLeaves}
 
-// once are kinds that every plan with room for them has at least once: with them the bound on
-// drained failure domains, the budget of repeats and the reading of settings are put to the
-// test.
-var once = []faultKind{domainDrained, upstreamBreaks, reload}
-
-// plan draws the faults of a run. All are over when the recovery begins.
+// plan draws the faults of a run. All but the last draining of a failure domain are over when
+// the recovery begins.
 func plan(seed uint64, length time.Duration) []fault {
 	r := rand.New(rand.NewPCG(seed, seed))
 	last := length - recovery - shown
@@ -156,18 +157,26 @@
 			Target: r.IntN(1 << 16), Amount: r.IntN(100),
 		})
 	}
-	for _, kind := range once {
-		if i := slices.IndexFunc(faults, func(f fault) bool { return f.Kind == kind }); i < 0 && last-mostDrained > settle {
-			faults = append(faults, fault{
-				At: settle + time.Duration(r.Int64N(int64(last-mostDrained-settle))), For: leastFault + time.Duration(r.Int64N(int64(mostFault-leastFault))),
-				Kind: kind, Target: r.IntN(1 << 16), Amount: r.IntN(100),
-			})
-		}
-	}
+	faults = append(faults, sure(r, last)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
 
+// sure are faults that every plan has, as few seeds would put their promises to the test: the
+// budget of repeats, the reading of settings, and the bound on a drained failure domain. That
+// is drained when everything else is over: before, hardly anybody is undisturbed for long
+// enough to be held to the bound.
+func sure(r *rand.Rand, last time.Duration) []fault {
+	within := func(lasts time.Duration) time.Duration {
+		return settle + time.Duration(r.Int64N(int64(last-lasts-settle)))
+	}
+	return []fault{
+		{At: within(surelyBroken), For: surelyBroken, Kind: upstreamBreaks, Amount: 100},
+		{At: within(leastFault), For: leastFault, Kind: reload, Target: r.IntN(1 << 16), Amount: r.IntN(100)},
+		{At: last + leastFault, For: calmDrain, Kind: domainDrained, Target: r.IntN(1 << 16)},
+	}
+}
+
 // enabled draws the kinds of one seed, each as often as its odds.
 func enabled(r *rand.Rand) []faultKind {
 	var kinds []faultKind
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -80,8 +80,13 @@
 	closing sync.Once
 }
 
+// leastSharers is among how many entries the slack of the retries is divided at least.
+const leastSharers = 6
+
 func newWorld(o *Options) *world {
 	w := &world{Options: o, dir: o.Dir, bounds: standin.UsersBounds, names: map[netip.AddrPort]string{}, began: time.Now()}
+	// More entries divide the slack among them; each is to have one retry of it still.
+	w.bounds.RetrySlack *= max(1, float64(o.Entries)/leastSharers)
 	w.audit = w.newAuditor()
 	return w
 }
