Ask the store again before all silent peers have been asked

Cause: a process that gets nothing from its first peers, and whose last call to the store failed, asked every other peer in turn before it tried the store again: 0.75 s for each that is silent. In a soak with 120 entries whose links were dead (by a fault of the soak) entries walked through them for 30 s and more, and served by an old route table with the store at hand. With the 9 to 13 entries of the users' installations it is 5 to 8 s, against a stable window of 3 s and a bound of 2 s.

Change: the walk ends once the store may be asked (its backoff, 1.5 s at most), and begins with the peers whose last failure is longest ago, so that all have their turn.

TestAllPeersAreTriedWhileTheStoreIsDown passes before and after; with 12 silent peers and the store down all the while it took 17.5 s after, of which a walk alone is 9 s: the price.

--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -126,25 +126,41 @@
 	s.forgetOthers(candidates)
 	reads := !known || s.Entry && s.reads()
 	s.logReading(reads)
-	if !reads && s.fromPeers(ctx, candidates[:min(readers, len(candidates))], staleNews) {
+	if !reads && s.fromPeers(ctx, candidates[:min(readers, len(candidates))], staleNews, never) {
 		return true
 	}
-	if !s.Clock.Now().Before(s.storeFrom) {
+	if s.storeDue() {
 		if s.fromStore(ctx) {
 			return true
 		}
 		// Who still knows nothing asks the seeds once more before the next list.
 		s.seedsSince = s.Clock.Now()
 	}
-	if s.fromPeers(ctx, candidates, staleNews) {
+	// Each silent peer takes peerWait and peerGrace. With a dozen of them the store, which may
+	// be back long since, would be asked again only after the bounds on changes.
+	if s.fromPeers(ctx, s.untriedFirst(candidates), staleNews, s.storeDue) || s.storeDue() {
 		return true
 	}
 	// Whatever the others have is better than nothing, however old. They answer at once
 	// then, so that a pause has to follow.
-	s.fromPeers(ctx, s.shuffled(candidates), anyAge)
+	s.fromPeers(ctx, s.shuffled(candidates), anyAge, never)
 	return false
 }
 
+// storeDue tells whether the store may be asked.
+func (s *Syncer) storeDue() bool { return !s.Clock.Now().Before(s.storeFrom) }
+
+// never is for peers that are all to be asked.
+func never() bool { return false }
+
+// untriedFirst puts those last that failed last, so that going on with the first few each time
+// comes to all of them.
+func (s *Syncer) untriedFirst(as []netip.AddrPort) []netip.AddrPort {
+	as = slices.Clone(as)
+	slices.SortStableFunc(as, func(a, b netip.AddrPort) int { return s.avoid[a].Compare(s.avoid[b]) })
+	return as
+}
+
 func (s *Syncer) logReading(reads bool) {
 	if reads != s.reading {
 		klog.InfoS("Store reader role", "reads", reads)
@@ -218,9 +234,12 @@
 }
 
 // fromPeers asks processes in turn until one answers whose news the store confirmed
-// not longer ago than limit.
-func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, limit time.Duration) bool {
+// not longer ago than limit, or until there is something better to do.
+func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, limit time.Duration, better func() bool) bool {
 	for _, a := range as {
+		if better() {
+			return false
+		}
 		if s.Clock.Now().Before(s.avoid[a]) {
 			continue
 		}
