--- a/soak/soaker/link.go
+++ b/soak/soaker/link.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -50,13 +51,21 @@
 func (k *link) accept() {
 	for {
 		near, err := k.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// A link that took no more connections for good would be a fault that no plan has.
+			time.Sleep(acceptAgain)
+			continue
+		}
 		go k.connect(near)
 	}
 }
 
+// acceptAgain is the pause after a connection that could not be taken.
+const acceptAgain = 10 * time.Millisecond
+
 func (k *link) connect(near net.Conn) {
 	far, err := net.Dial("tcp", k.to.String())
 	if err != nil {
--- a/soak/soaker/soaker.go
+++ b/soak/soaker/soaker.go
@@ -35,9 +35,13 @@
 func (e *OptionError) Error() string { return e.Option + ": " + e.Problem }
 
 // leastLength leaves some seconds for faults; mostVMs keeps processes to a few hundred.
+// mostPairs bounds entries times engines: each entry keeps connections to each engine and its
+// agent, through links that hold two descriptors for each, of the 20,000 that a process has on
+// our machines.
 const (
 	leastLength = settle + recovery + shown + 5*time.Second
-	mostVMs     = 120
+	mostVMs     = 250
+	mostPairs   = 5000
 )
 
 // Check refuses options that can't be used.
@@ -49,6 +53,8 @@
 		return &OptionError{"entries", fmt.Sprintf("must be from 1 to %d", mostVMs)}
 	case o.Engines < 1 || o.Engines > mostVMs:
 		return &OptionError{"engines", fmt.Sprintf("must be from 1 to %d", mostVMs)}
+	case o.Entries*o.Engines > mostPairs:
+		return &OptionError{"engines", fmt.Sprintf("must be at most %d with %d entries", mostPairs/o.Entries, o.Entries)}
 	case o.Services < 2 || o.Services > mostVMs:
 		return &OptionError{"services", fmt.Sprintf("must be from 2 to %d", mostVMs)}
 	}
--- a/soak/soaker/soaker_test.go
+++ b/soak/soaker/soaker_test.go
@@ -113,6 +113,9 @@
 		must.True(t, errors.As(o.Check(), &fault))
 		must.Eq(t, name, fault.Option)
 	}
+	// Too many connections would exhaust the soak's own descriptors.
+	good.Entries, good.Engines = 120, 120
+	must.Error(t, good.Check())
 }
 
 func TestFaultyFileOfSeedsIsRefusedByName(t *testing.T) {
