--- a/internal/loader/network_test.go
+++ b/internal/loader/network_test.go
@@ -34,6 +34,8 @@
 		n := &network{listeners: map[string]*listener{}}
 		transport := &http.Transport{DialContext: n.dial}
 		n.client = &http.Client{Transport: transport}
+		// What is under way when all have stopped still takes its time.
+		t.Cleanup(func() { time.Sleep(10 * time.Second) })
 		t.Cleanup(transport.CloseIdleConnections)
 		test(t, n)
 	})
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -123,25 +123,38 @@
 	s.forgetOthers(candidates)
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
-	if !reads && s.fromPeers(ctx, candidates[:o.sources], o.wait, staleNews) {
+	if !reads && s.fromPeers(ctx, candidates[:o.sources], asking{wait: o.wait, limit: staleNews}) {
 		return true
 	}
-	if !s.Clock.Now().Before(s.storeFrom) {
+	if s.storeDue() {
 		if s.fromStore(ctx) {
 			return true
 		}
 		// Who still knows nothing asks the seeds once more before the next list.
 		s.seedsSince = s.Clock.Now()
 	}
-	if s.fromPeers(ctx, candidates, o.wait, staleNews) {
+	// Each silent peer takes peerWait and peerGrace. With a dozen of them the store, which may
+	// be back long since, would be asked again only after the bounds on changes.
+	if s.fromPeers(ctx, s.untriedFirst(candidates), asking{wait: o.wait, limit: staleNews, better: s.storeDue}) || s.storeDue() {
 		return true
 	}
 	// Whatever the others have is better than nothing, however old. They answer at once
 	// then, so that a pause has to follow.
-	s.fromPeers(ctx, s.shuffled(candidates), o.wait, anyAge)
+	s.fromPeers(ctx, s.shuffled(candidates), asking{wait: o.wait, limit: anyAge})
 	return false
 }
 
+// storeDue tells whether the store may be asked.
+func (s *Syncer) storeDue() bool { return !s.Clock.Now().Before(s.storeFrom) }
+
+// untriedFirst puts those last that failed last, so that going on with the first few each time
+// comes to all of them.
+func (s *Syncer) untriedFirst(as []netip.AddrPort) []netip.AddrPort {
+	as = slices.Clone(as)
+	slices.SortStableFunc(as, func(a, b netip.AddrPort) int { return s.avoid[a].Compare(s.avoid[b]) })
+	return as
+}
+
 // logRoles tells when this process takes on a role, or gives one up.
 func (s *Syncer) logRoles(reads, relays bool) {
 	if reads != s.reading {
@@ -169,16 +182,28 @@
 	return as[:min(len(as), readers)]
 }
 
+// asking is how processes are asked.
+type asking struct {
+	// wait is how long each may hold its answer back, limit how old the store's last
+	// confirmation may be.
+	wait, limit time.Duration
+	// better tells that there is something better to do than to ask the rest; nil for never.
+	better func() bool
+}
+
 // fromPeers asks processes in turn until one answers whose news the store confirmed
-// not longer ago than limit. Each may hold its answer back for the wait.
-func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, wait, limit time.Duration) bool {
+// not longer ago than limit, or until there is something better to do.
+func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, how asking) bool {
 	failed := false
 	for _, a := range as {
+		if how.better != nil && how.better() {
+			return false
+		}
 		if s.Clock.Now().Before(s.avoid[a]) {
 			continue
 		}
 		asked := s.Clock.Now()
-		b, err := s.ask(ctx, a, wait, failed)
+		b, err := s.ask(ctx, a, how.wait, failed)
 		if ctx.Err() != nil {
 			return false
 		}
@@ -195,8 +220,8 @@
 		}
 		b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
 		s.Registrar.Apply(b)
-		dead := b.Lost && limit != anyAge
-		if b.Age <= limit && !dead {
+		dead := b.Lost && how.limit != anyAge
+		if b.Age <= how.limit && !dead {
 			return true
 		}
 		s.avoid[a] = s.Clock.Now().Add(peerWait)
