Run four of the syncer's tests in virtual time and in memory

Cause: they count the store's calls, or bound how late a naming may count, in real time. A process that doesn't get a processor for 0.35 s beyond its wait counts as lost and the others read the store, rightly; a seed has 0.7 s, and each reader's waiting call ends after a second.

Change: processes talk over net.Pipe within a synctest bubble and read a store in memory, which notes who called. Bounds stay; that only two processes read for all is checked by name now, too, and at the start that the seed alone lists.

--- /dev/null
+++ b/internal/syncer/network_test.go
@@ -0,0 +1,332 @@
+package syncer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+	"github.com/oriolecroft/oriolecroft/platform"
+)
+
+// linkDelay is how long each write takes on the network in memory, as within one failure
+// domain.
+const linkDelay = 100 * time.Microsecond
+
+// network joins the processes of one test in memory and in virtual time. On a machine that
+// is short of processor time, real time lets a process lose patience with one that merely
+// doesn't run, and it reads the store itself, as it should then: the store's calls would
+// tell of the machine.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+// inBubble runs a test in virtual time with a network and a store of its own.
+func inBubble(t *testing.T, test func(t *testing.T, n *network, s *store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		// Registered first, so done last: what is stopped and asleep ends in this time.
+		t.Cleanup(func() { time.Sleep(time.Minute) })
+		s := &store{revision: 1, records: map[string]registrar.Record{}, changed: make(chan struct{})}
+		test(t, &network{listeners: map[string]*listener{}}, s)
+	})
+}
+
+// listen gives an address of its own.
+func (n *network) listen() *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(n.listeners) + 1)}), 80)
+	l := &listener{address: net.TCPAddrFromAddrPort(address), dialed: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address.String()] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	near, far := net.Pipe()
+	select {
+	case l.dialed <- slowConn{far}:
+		return slowConn{near}, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// listener takes connections of the network in memory.
+type listener struct {
+	address net.Addr
+	dialed  chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.dialed:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return l.address }
+
+// slowConn delays each write by linkDelay.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(b []byte) (int, error) {
+	time.Sleep(linkDelay)
+	return c.Conn.Write(b)
+}
+
+// silence keeps processes from answering once it has begun. It is a channel, as virtual time
+// stands still while anything waits for a lock.
+type silence struct {
+	began atomic.Bool
+	over  chan struct{}
+}
+
+// start runs a process that falls silent with a silence, if there is one.
+func (n *network) start(t *testing.T, id string, entry bool, st *store, quiet *silence, seeds ...netip.AddrPort) *process {
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	l := n.listen()
+	c := clock.RealClock{}
+	p := &process{registrar: &registrar.Registrar{Clock: c, Decode: platform.Decode, Linger: time.Second},
+		peers: netip.MustParseAddrPort(l.Addr().String()), stop: stop}
+	answer := syncer.Answer(p.registrar, c)
+	server := &messenger.Server{Listener: l, OnRecords: func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
+		b := answer(ctx, q)
+		if quiet != nil && quiet.began.Load() {
+			<-quiet.over
+		}
+		return b
+	}}
+	go func() { _ = server.Serve(ctx) }()
+	s := &syncer.Syncer{ID: id, Entry: entry, Region: "r", Registrar: p.registrar, Store: reader{st, id}, Seeds: seeds,
+		Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: n.dial} }, Clock: c,
+		Random: rand.New(rand.NewPCG(1, 2))}
+	go func() { _ = s.Serve(ctx) }()
+	return p
+}
+
+// store is the platform's in memory.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	records  map[string]registrar.Record
+	history  []registrar.Record
+	changed  chan struct{}
+	// lists and watches name who called, in order.
+	lists, watches []string
+}
+
+// put writes a key with a value in JSON.
+func (s *store) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	rec := registrar.Record{Key: key, Value: data, Revision: s.revision}
+	s.records[key] = rec
+	s.history = append(s.history, rec)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) drain(failureDomain string) { s.put("op/evacuate/"+failureDomain, struct{}{}) }
+
+// calls gives who has listed and watched so far.
+func (s *store) calls() (lists, watches []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.lists), slices.Clone(s.watches)
+}
+
+// since gives the changes after a revision, and what closes at the next one.
+func (s *store) since(after uint64) (registrar.Batch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := registrar.Batch{After: after, At: s.revision}
+	for _, rec := range s.history {
+		if rec.Revision > after {
+			b.Records = append(b.Records, rec)
+		}
+	}
+	return b, s.changed
+}
+
+// reader is the store as one process reaches it.
+type reader struct {
+	*store
+	id string
+}
+
+// List implements syncer.Store.
+func (r reader) List(context.Context) (registrar.Batch, error) {
+	time.Sleep(linkDelay)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lists = append(r.lists, r.id)
+	b := registrar.Batch{Whole: true, At: r.revision}
+	for _, key := range slices.Sorted(maps.Keys(r.records)) {
+		rec := r.records[key]
+		rec.Age = registrar.UnknownAge
+		b.Records = append(b.Records, rec)
+	}
+	return b, nil
+}
+
+// Watch implements syncer.Store.
+func (r reader) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	time.Sleep(linkDelay)
+	r.mu.Lock()
+	r.watches = append(r.watches, r.id)
+	r.mu.Unlock()
+	over := time.After(wait)
+	for {
+		b, changed := r.since(after)
+		if len(b.Records) > 0 {
+			return b, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return b, nil
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+}
+
+// Everything starts at once, as after a loss of power everywhere. If each process read the
+// whole store, the links to it would carry the same records for each of them, and the last
+// ones would refuse callers for seconds after the first. Those that are seeds read it for
+// all.
+func TestOnlySeedsReadTheStoreAtTheStart(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *network, s *store) {
+		s.drain("a")
+		seed := n.start(t, "seed", true, s, nil)
+		eventually(t, seed.drained("a"))
+		var ps []*process
+		for i := range 12 {
+			ps = append(ps, n.start(t, fmt.Sprint("agent", i), false, s, nil, seed.peers))
+		}
+		for _, p := range ps {
+			eventually(t, p.drained("a"))
+		}
+		lists, _ := s.calls()
+		must.Eq(t, []string{"seed"}, lists)
+	})
+}
+
+// Of many entries and agents only two read the store; each waiting read is a call that
+// the operators pay for.
+func TestFewReadTheStoreForAll(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *network, s *store) {
+		names := []string{"e1", "e2", "e3", "e4", "e5"}
+		var all []*process
+		for _, id := range names {
+			all = append(all, n.start(t, id, true, s, nil))
+		}
+		for i, id := range names {
+			s.put("oriolecroft/entries/"+id, member(id, all[i]))
+		}
+		all = append(all, n.start(t, "agent", false, s, nil))
+		for _, p := range all {
+			eventually(t, func() bool { v := p.registrar.View(); return v != nil && len(v.Members) == len(names) })
+		}
+		// One more change lets those that still wait at the store find out their roles.
+		s.drain("first")
+		for _, p := range all {
+			eventually(t, p.drained("first"))
+		}
+		_, before := s.calls()
+		s.drain("a")
+		for _, p := range all {
+			eventually(t, p.drained("a"))
+		}
+		_, after := s.calls()
+		calls := after[len(before):]
+		must.LessEq(t, 5, len(calls), must.Sprint("two readers, each with a call that ends and a new one"))
+		slices.Sort(calls)
+		must.LessEq(t, 2, len(slices.Compact(calls)))
+	})
+}
+
+// Engines load new weights one after the other, and each says so in the store. The
+// operators pay for each call: one for each change and reader would be the dearest thing
+// about a deployment of some hundred processes.
+func TestRunsOfChangesAreReadTogether(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *network, s *store) {
+		p := n.start(t, "reader", true, s, nil)
+		eventually(t, func() bool { return p.registrar.View() != nil })
+		_, before := s.calls()
+		for i := range 40 {
+			s.drain(fmt.Sprint("a", i))
+			time.Sleep(5 * time.Millisecond)
+		}
+		eventually(t, p.drained("a39"))
+		_, after := s.calls()
+		must.Less(t, 15, len(after)-len(before))
+	})
+}
+
+// Those that read the store for all fall silent together, as when their VMs freeze, and a
+// version is named just then. A process waits for each of them in vain and then reads the
+// naming from the store's history, which has no times. Taken for new, the naming would let
+// old weights begin replies that much beyond their time.
+func TestNamingFoundInTheHistoryIsNotNew(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *network, s *store) {
+		s.put("op/version/m", map[string]any{"model": "m", "version": 1})
+		quiet := &silence{over: make(chan struct{})}
+		var seeds []netip.AddrPort
+		for i := range 2 {
+			seeds = append(seeds, n.start(t, fmt.Sprint("seed", i), true, s, quiet).peers)
+		}
+		p := n.start(t, "agent", false, s, nil, seeds...)
+		eventually(t, func() bool { return p.registrar.View() != nil })
+		time.Sleep(time.Second)
+		quiet.began.Store(true)
+		time.Sleep(50 * time.Millisecond)
+		named := time.Now()
+		s.put("op/version/m", map[string]any{"model": "m", "version": 2})
+		at := learned(t, p.registrar)
+		close(quiet.over)
+		// Some of the time may go by before the store is asked; a part of the margin of 0.7 s
+		// that agents leave before the bound bears that much.
+		must.LessEq(t, 200*time.Millisecond, at.Sub(named))
+	})
+}
