Let a stager's test make its ages, and an agent's failed test end

TestNamedVersionIsTakenInTurn asked for a place right after a naming, which the engine grants for 1.5 s of real time. Beside eight busy processes and a load average above 100 it failed in one of 4 runs: more than that had passed.

TestLateProbeIsNotBelieved ran into its patience there, and its package hung until the test binary's own time was over, with all results behind it lost: what the test held back was never let go, and the stand-in's server waits for it at its end. Both such holds of the agent's tests end with their test now.

--- a/internal/agent/switch_test.go
+++ b/internal/agent/switch_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"regexp"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,6 +132,8 @@
 	w.await("v2")
 	w.post("/load", old)
 	right := make(chan struct{})
+	letRight := sync.OnceFunc(func() { close(right) })
+	t.Cleanup(letRight)
 	w.setAlter(func(o string) string {
 		<-right
 		return o
@@ -138,7 +141,7 @@
 	w.until(func() bool { return len(w.Gate.Holds()) > 0 })
 	w.probed()
 	must.SliceNotEmpty(t, w.Gate.Holds())
-	close(right)
+	letRight()
 	w.until(func() bool { return slices.Equal(w.orders(), []string{"v1", "v2", "v1", "v2"}) })
 	w.until(func() bool { return len(w.Gate.Holds()) == 0 })
 }
@@ -195,11 +198,11 @@
 // engine loaded once more, for minutes of service.
 func TestLateProbeIsNotBelieved(t *testing.T) {
 	w := startEngine(t, &imitator.Engine{})
-	late := w.delayProbe()
+	letGo := w.delayProbe()
 	w.roll("v2")
 	w.await("v2")
 	w.freeze()
-	close(late)
+	letGo()
 	w.reported()
 	w.thaw()
 	w.probed()
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -289,16 +289,18 @@
 	w.set(func() { w.alter = alter })
 }
 
-// delayProbe holds back the answer to the next probe until the channel is closed.
-func (w *world) delayProbe() chan struct{} {
+// delayProbe holds back the answer to the next probe until it is let go, or the test ends.
+func (w *world) delayProbe() (letGo func()) {
 	late := make(chan struct{})
+	letGo = sync.OnceFunc(func() { close(late) })
+	w.t.Cleanup(letGo)
 	w.set(func() { w.late = late })
 	w.until(func() bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return w.late == nil
 	})
-	return late
+	return letGo
 }
 
 func (w *world) freeze() {
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -24,6 +24,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 	"github.com/oriolecroft/oriolecroft/internal/stager"
+	"github.com/oriolecroft/oriolecroft/internal/suspender"
 )
 
 const (
@@ -298,15 +299,31 @@
 // A new version is named. Were the engine to stop at once, all engines would; it goes
 // on with the old weights until its turn, and then takes the new ones.
 func TestNamedVersionIsTakenInTurn(t *testing.T) {
+	const bound = 3 * time.Second
 	e := &engine{born: 1}
-	w := newWorld(t, e, 3*time.Second)
+	vm := &suspender.VM{Steady: stillClock{at: time.Unix(1000, 0)}}
+	w := newWorldOn(t, vm.Clock(), e, bound)
 	eventually(t, w.open)
 	w.name(2)
+	eventually(t, func() bool { return e.lies(2, 0, 1, 2, 3, 4, 5) })
+	must.Eq(t, 1, e.holds())
 	must.True(t, w.open(), must.Sprint("the old weights still serve"))
+	// The only engine's turn is half-way.
+	vm.Suspend(bound/2 + time.Millisecond)
 	eventually(t, func() bool { return e.holds() == 2 })
 	eventually(t, w.open)
 }
 
+// stillClock stands still, and its timers run: ages are those that a test makes, however
+// long its steps take on a busy machine.
+type stillClock struct {
+	clock.RealClock
+	at time.Time
+}
+
+func (c stillClock) Now() time.Time                  { return c.at }
+func (c stillClock) Since(t time.Time) time.Duration { return c.at.Sub(t) }
+
 // All agents lose their memory just before the engines' turns to take a new version, and
 // all that is left is what lies staged. If that is the old version, the new one has to
 // come from the origin once more, and callers are refused until then.
