--- a/cmd/oriolecroft/clocks_test.go
+++ b/cmd/oriolecroft/clocks_test.go
@@ -1,8 +1,8 @@
 package main_test
 
 import (
-	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -23,17 +23,16 @@
 func TestDaemonsTellAgesByTheCountingClock(t *testing.T) {
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
+	front, side := freshLoopback(), freshLoopback()
 	roles := []struct{ name, ip, part string }{
-		{"entry", loopback(11), fmt.Sprintf(entryPart, loopback(11))},
-		{"agent", loopback(12), "app = \"" + loopback(12) + ":8080\"\nservice = \"llm\""},
+		{"entry", front, fmt.Sprintf(entryPart, front)},
+		{"agent", side, "app = \"" + side + ":8080\"\nservice = \"llm\""},
 	}
 	for _, r := range roles {
 		t.Run(r.name, func(t *testing.T) {
 			text := fmt.Sprintf(settingsText(r.name+"-1", r.ip, store.Address()), r.part)
 			t.Setenv(platform.SettingsVariable, writeSettings(t, t.TempDir(), "settings.toml", text))
-			ctx, stop := context.WithCancel(t.Context())
-			defer stop()
-			parts, reg, err := main.Parts(ctx, r.name)
+			parts, reg, err := main.Parts(t.Context(), r.name)
 			must.NoError(t, err)
 			counts(t, reg.Clock)
 			told := 0
@@ -54,6 +53,17 @@
 	}
 }
 
+// firstFresh and freshCount are the numbers of loopback addresses that are used in turn.
+const (
+	firstFresh = 11
+	freshCount = 200
+)
+
+var freshTaken atomic.Int32
+
+// freshLoopback is an address on which nothing that an earlier run started still listens.
+func freshLoopback() string { return loopback(firstFresh + int(freshTaken.Add(1))%freshCount) }
+
 // counts checks that a clock is the one that counts suspended time.
 func counts(t *testing.T, c clock.PassiveClock) {
 	t.Helper()
