--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/syncer"
@@ -44,8 +45,7 @@
 type node struct {
 	registrar.Member
 	*registrar.Registrar
-	accepted chan net.Conn
-	closed   chan struct{}
+	listener *connectortest.Listener
 	stop     context.CancelFunc
 	// askers are the processes that asked something, bytes what was read and written here.
 	mu     sync.Mutex
@@ -151,8 +151,8 @@
 		n := &node{Member: registrar.Member{
 			ID: fmt.Sprintf("entry-%d", i), Region: fmt.Sprintf("region-%d", i%regions), FailureDomain: "a",
 			Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
-		}, accepted: make(chan net.Conn), closed: make(chan struct{}), askers: map[string]bool{}}
-		n.Callers = n.Peers
+		}, askers: map[string]bool{}}
+		n.Callers, n.listener = n.Peers, connectortest.NewListener(n.Peers)
 		f.members = append(f.members, n)
 		f.byPeers[n.Peers.String()] = n
 		if i < entries {
@@ -183,7 +183,7 @@
 	c := clock.RealClock{}
 	n.Registrar = &registrar.Registrar{Clock: c, Decode: decodeFleet, Linger: time.Second}
 	answer := syncer.Answer(n.Registrar, c)
-	server := &messenger.Server{Listener: pipeListener{n}, OnRecords: func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
+	server := &messenger.Server{Listener: n.listener, OnRecords: func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
 		if n.deaf.Load() {
 			<-ctx.Done()
 		}
@@ -217,12 +217,8 @@
 			_ = far.Close()
 		}
 		to.mu.Unlock()
-		select {
-		case to.accepted <- &link{Conn: far, node: to, delay: delay, asker: from.ID}:
-		case <-to.closed:
-			return nil, net.ErrClosed
-		case <-ctx.Done():
-			return nil, ctx.Err()
+		if err := to.listener.Deliver(ctx, &link{Conn: far, node: to, delay: delay, asker: from.ID}); err != nil {
+			return nil, err
 		}
 		return &link{Conn: near, node: from, delay: delay}, nil
 	}
@@ -255,25 +251,6 @@
 	return n, err
 }
 
-// pipeListener takes the connections that are dialed to a node.
-type pipeListener struct{ node *node }
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.node.accepted:
-		return c, nil
-	case <-l.node.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l pipeListener) Close() error {
-	close(l.node.closed)
-	return nil
-}
-
-func (l pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.node.Peers) }
-
 // knows waits until all processes that live know a failure domain to be drained, and
 // gives how long that took.
 func (f *fleet) knows(t testing.TB, domain string, limit time.Duration) time.Duration {
@@ -311,7 +288,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		// Answers that are under way when all have stopped still take their time.
-		t.Cleanup(func() { time.Sleep(10 * time.Second) })
+		t.Cleanup(func() { time.Sleep(connectortest.Settle) })
 		f := newFleet(t, entries, regions, upstreams)
 		time.Sleep(10 * time.Second)
 		for _, n := range f.members {
--- a/internal/syncer/network_test.go
+++ b/internal/syncer/network_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -18,96 +17,27 @@
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/syncer"
 	"github.com/oriolecroft/oriolecroft/platform"
 )
 
-// linkDelay is how long each write takes on the network in memory, as within one failure
-// domain.
-const linkDelay = 100 * time.Microsecond
-
-// network joins the processes of one test in memory and in virtual time. On a machine that
-// is short of processor time, real time lets a process lose patience with one that merely
-// doesn't run, and it reads the store itself, as it should then: the store's calls would
-// tell of the machine.
-type network struct {
-	mu        sync.Mutex
-	listeners map[string]*listener
-}
+// network joins the processes of one test in memory.
+type network struct{ connectortest.Network }
 
 // inBubble runs a test in virtual time with a network and a store of its own.
 func inBubble(t *testing.T, test func(t *testing.T, n *network, s *store)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		// Registered first, so done last: what is stopped and asleep ends in this time.
-		t.Cleanup(func() { time.Sleep(time.Minute) })
+		// Registered first, so done last.
+		t.Cleanup(func() { time.Sleep(connectortest.Settle) })
 		s := &store{revision: 1, records: map[string]registrar.Record{}, changed: make(chan struct{})}
-		test(t, &network{listeners: map[string]*listener{}}, s)
+		test(t, &network{}, s)
 	})
 }
 
-// listen gives an address of its own.
-func (n *network) listen() *listener {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(n.listeners) + 1)}), 80)
-	l := &listener{address: net.TCPAddrFromAddrPort(address), dialed: make(chan net.Conn), closed: make(chan struct{})}
-	n.listeners[address.String()] = l
-	return l
-}
-
-func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l := n.listeners[address]
-	n.mu.Unlock()
-	near, far := net.Pipe()
-	select {
-	case l.dialed <- slowConn{far}:
-		return slowConn{near}, nil
-	case <-l.closed:
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: net.ErrClosed}
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// listener takes connections of the network in memory.
-type listener struct {
-	address net.Addr
-	dialed  chan net.Conn
-	once    sync.Once
-	closed  chan struct{}
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.dialed:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *listener) Addr() net.Addr { return l.address }
-
-// slowConn delays each write by linkDelay.
-type slowConn struct{ net.Conn }
-
-func (c slowConn) Write(b []byte) (int, error) {
-	time.Sleep(linkDelay)
-	return c.Conn.Write(b)
-}
-
 // silence keeps processes from answering once it has begun. It is a channel, as virtual time
 // stands still while anything waits for a lock.
 type silence struct {
@@ -119,7 +49,7 @@
 func (n *network) start(t *testing.T, id string, entry bool, st *store, quiet *silence, seeds ...netip.AddrPort) *process {
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
-	l := n.listen()
+	l := n.Listen()
 	c := clock.RealClock{}
 	p := &process{registrar: &registrar.Registrar{Clock: c, Decode: platform.Decode, Linger: time.Second},
 		peers: netip.MustParseAddrPort(l.Addr().String()), stop: stop}
@@ -133,7 +63,7 @@
 	}}
 	go func() { _ = server.Serve(ctx) }()
 	s := &syncer.Syncer{ID: id, Entry: entry, Region: "r", Registrar: p.registrar, Store: reader{st, id}, Seeds: seeds,
-		Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: n.dial} }, Clock: c,
+		Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: n.Dial} }, Clock: c,
 		Random: rand.New(rand.NewPCG(1, 2))}
 	go func() { _ = s.Serve(ctx) }()
 	return p
@@ -196,7 +126,7 @@
 
 // List implements syncer.Store.
 func (r reader) List(context.Context) (registrar.Batch, error) {
-	time.Sleep(linkDelay)
+	time.Sleep(connectortest.LinkDelay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lists = append(r.lists, r.id)
@@ -211,7 +141,7 @@
 
 // Watch implements syncer.Store.
 func (r reader) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
-	time.Sleep(linkDelay)
+	time.Sleep(connectortest.LinkDelay)
 	r.mu.Lock()
 	r.watches = append(r.watches, r.id)
 	r.mu.Unlock()
