Soak: settings that change to what they were count as unchanged

Cause: found by reading: a reload added the former rate as a comment to the line, so that the text differed also where the rate did not, and a process that rightly said "unchanged" would have been reported.

Change: the line is replaced as a whole.

--- a/soak/soaker/reload.go
+++ b/soak/soaker/reload.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"os"
+	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -20,6 +21,9 @@
 	settingsChanged = `"changed":true`
 )
 
+// linkRate is the line of the settings that changes.
+var linkRate = regexp.MustCompile(`link_mbps = [0-9.]+`)
+
 // rereadWithin is how long a process may take to read its settings again, and lookEvery how
 // often its log is looked at meanwhile.
 const (
@@ -41,7 +45,7 @@
 	switch amount % 3 {
 	case 1:
 		// The file tells another link's rate, which holds from the next start on.
-		text = strings.Replace(text, "link_mbps", fmt.Sprintf("link_mbps = %.1f # was", standin.LinkRate-float64(amount)), 1)
+		text = linkRate.ReplaceAllString(text, fmt.Sprintf("link_mbps = %.1f", standin.LinkRate-float64(amount)))
 		kept = text
 	case 2:
 		text = strings.Replace(text, "zone = ", "zone = 5 # was ", 1)
