Tests that fail: another's outage covers a standstill that ends in a vain call

A process stands still, the call that it had begun fails as it wakes, and a process that is cut off alone tells of its own vain calls.

--- a/internal/registrar/outage_fuzz_test.go
+++ b/internal/registrar/outage_fuzz_test.go
@@ -153,3 +153,85 @@
 		})
 	})
 }
+
+// One process is cut off from the store alone, for good, while the store goes and comes back
+// for the others; these stand still at times, and the first call after that may fail. What the
+// cut-off one tells of its vain calls must not cover the time for which they stood still, or
+// old weights would begin replies for as much longer.
+func TestWhoIsCutOffAloneCoversNoStandstill(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := clocktest.NewFakeClock(time.Unix(1000, 0))
+		u := &unsteady{oracle: oracle{live: map[string]registrar.Record{}}, clock: c}
+		cutOff := newRegistrarAt(c)
+		rs := []*registrar.Registrar{newRegistrarAt(c), newRegistrarAt(c), newRegistrarAt(c)}
+		ran := make([]time.Time, len(rs))
+		u.change("weights/m", "1", false)
+		u.ask(cutOff, true)
+		for i, r := range rs {
+			u.ask(r, true)
+			ran[i] = c.Now()
+		}
+		version := uint64(1)
+		tell := func(from, to *registrar.Registrar) {
+			at, _, _ := to.At()
+			to.Apply(from.Since(at))
+		}
+		// call has a process call the store; the first call after a standstill may fail.
+		call := func(t *rapid.T, i int) {
+			if c.Now().Sub(ran[i]) > triesApart && rapid.Bool().Draw(t, "fails") {
+				rs[i].StoreLost()
+			} else {
+				u.ask(rs[i], rapid.Bool().Draw(t, "found"))
+			}
+			ran[i] = c.Now()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"name": func(*rapid.T) {
+				version++
+				u.name(version)
+			},
+			"store": func(*rapid.T) {
+				if u.down.IsZero() {
+					u.fail()
+				} else {
+					u.recover()
+				}
+			},
+			"call": func(t *rapid.T) {
+				awake := rapid.SliceOfN(rapid.Bool(), len(rs), len(rs)).Draw(t, "awake")
+				for range rapid.IntRange(1, 8).Draw(t, "times") {
+					cutOff.StoreLost()
+					for i, r := range rs {
+						if !awake[i] {
+							continue
+						}
+						call(t, i)
+						if rapid.Bool().Draw(t, "hears") {
+							tell(cutOff, r)
+						}
+					}
+					c.Step(time.Duration(rapid.IntRange(10, 1000).Draw(t, "ms")) * time.Millisecond)
+				}
+			},
+			"tell": func(t *rapid.T) {
+				who := rapid.IntRange(0, len(rs)-1)
+				to := who.Draw(t, "to")
+				tell(rs[who.Draw(t, "from")], rs[to])
+				ran[to] = c.Now()
+			},
+			"": func(t *rapid.T) {
+				for i, r := range rs {
+					at, _, _ := r.At()
+					for held := uint64(1); held <= version; held++ {
+						latest, _ := u.latest(held, at)
+						got, ok := superseded(r, held)
+						// A standstill up to triesApart doesn't show.
+						if late := got.Sub(latest); ok && late > triesApart+seenWithin {
+							t.Fatalf("process %d: version %d superseded %v after it was", i, held, late)
+						}
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -277,3 +277,27 @@
 	must.True(t, ok)
 	must.Eq(t, asleep, got, must.Sprint("its own last vain call"))
 }
+
+// A process stands still, and the call to the store that it had begun fails when it wakes. A
+// version was named meanwhile. Another process is cut off alone, calls in vain all the while,
+// and tells of that. Nothing of this process's own shows an outage before it woke; believing
+// the other, it would let replies begin on old weights for as much longer as it stood still.
+func TestAnothersOutageCoversNoStandstillThatEndsInAVainCall(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, cutOff := newRegistrarAt(c), newRegistrarAt(c)
+	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
+	r.Apply(whole)
+	cutOff.Apply(whole)
+	r.StoreAsked()
+	asleep := c.Now()
+	outOfReach(cutOff, c, 6*time.Second)
+	r.StoreLost()
+	r.Apply(cutOff.Since(1))
+	c.Step(300 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, asleep, got, must.Sprint("the store's last word"))
+}
