Let others' vain calls cover no time for which this process stood still

Cause: the registrar told a standstill only by the gap between its own calls, and others' vain calls closed that gap again: after a vain call on waking the own last word was the waking itself. A standstill now shows by any sign of life (the tick, an answer of another, a call); until the store's word is newer than the waking, the last word is that from before.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -18,13 +18,24 @@
 
 // wake notes that this process runs and is busy with the store.
 func (r *Registrar) wake() {
-	now := r.Clock.Now()
+	now := r.ran()
 	if now.Sub(r.lastAwake) > triesApart {
 		r.awakeSince = now
 	}
 	r.lastAwake = now
 }
 
+// ran notes that this process runs, busy with the store or not, and gives the time.
+func (r *Registrar) ran() time.Time {
+	now := r.Clock.Now()
+	if !r.lastRan.IsZero() && now.Sub(r.lastRan) > triesApart {
+		r.beforeStill = r.lastWord()
+		r.stoodStill = now
+	}
+	r.lastRan = now
+	return now
+}
+
 // lastWord is until when this process can have missed no naming of its own fault: the last
 // word of the store, or the last vain call if it has called in vain ever since. What was named
 // in an outage could be heard by nobody; counted from before it, the time of all old weights
@@ -36,14 +47,21 @@
 // others, and no calls from before its start; taken for one that stood still, it would tell
 // all others to count from before the outage. And one's own last vain call may be a second old
 // when the store is back, others' are not. They show nothing of a time in which this process
-// may have stood still: with the store back, it is others that are cut off then.
+// may have stood still, even if its first call after that fails, as one does that was under
+// way: the store may have answered all but those who are cut off themselves.
 func (r *Registrar) lastWord() time.Time {
+	switch {
+	case !r.outage.After(r.confirmed):
+		return r.confirmed
+	case r.stoodStill.After(r.confirmed):
+		return r.wordBeforeStill()
+	}
 	covered := r.confirmed
 	if others := earlier(r.othersOutage, r.lastAwake); others.After(covered) {
 		covered = others
 	}
 	switch {
-	case !r.outage.After(r.confirmed) || r.awakeSince.Sub(covered) > triesApart:
+	case r.awakeSince.Sub(covered) > triesApart:
 		return r.confirmed
 	case covered.After(r.outage) && !r.awakeSince.After(r.outage):
 		return covered
@@ -52,6 +70,14 @@
 	}
 }
 
+// wordBeforeStill is the last word of a process that has stood still since the store's.
+func (r *Registrar) wordBeforeStill() time.Time {
+	if r.outage.Before(r.stoodStill) && r.beforeStill.After(r.confirmed) {
+		return r.beforeStill
+	}
+	return r.confirmed
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -58,8 +58,13 @@
 	// without a longer gap.
 	lastAwake  time.Time
 	awakeSince time.Time
-	view       atomic.Pointer[View]
-	change     notifier.Broadcast
+	// lastRan is when this process was last seen to run, and stoodStill when it last did so
+	// after a longer gap than triesApart; beforeStill is its last word from before that gap.
+	lastRan     time.Time
+	stoodStill  time.Time
+	beforeStill time.Time
+	view        atomic.Pointer[View]
+	change      notifier.Broadcast
 }
 
 // Apply takes a batch over and tells whether anything changed. A batch that begins
@@ -67,6 +72,7 @@
 func (r *Registrar) Apply(b Batch) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ran()
 	if !b.Whole && b.After > r.at {
 		return false
 	}
@@ -261,11 +267,12 @@
 // Changed gives a channel that is closed at the next change.
 func (r *Registrar) Changed() <-chan struct{} { return r.change.Wait() }
 
-// Tick ends the use of upstreams whose records did not come back.
+// Tick ends the use of upstreams whose records did not come back. Called several times a
+// second, it also shows the registrar when its process stood still.
 func (r *Registrar) Tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Clock.Now()
+	now := r.ran()
 	ended := false
 	for key, until := range r.lingering {
 		if now.Before(until) {
