--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -29,6 +29,8 @@
 	// nearDelay and farDelay are the time of a write within a region and between two.
 	nearDelay = 500 * time.Microsecond
 	farDelay  = 10 * time.Millisecond
+	// squeezedDelay is what a narrow link adds to a write.
+	squeezedDelay = 300 * time.Millisecond
 )
 
 // fleet is a deployment in memory and in virtual time: a store, entries and agents that
@@ -54,6 +56,11 @@
 	// stopped processes were killed, deaf ones take connections and never answer.
 	stopped bool
 	deaf    atomic.Bool
+	// refused processes get no answer from the store, squeezed ones take a while to write, and
+	// nothing that is written to those in unheard arrives.
+	refused  atomic.Bool
+	squeezed atomic.Bool
+	unheard  map[string]bool
 }
 
 // memoryStore is the platform's store as a syncer sees it.
@@ -76,6 +83,15 @@
 	s.changed = make(chan struct{})
 }
 
+// remove deletes a key.
+func (s *memoryStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, registrar.Record{Key: key, Deleted: true, Revision: uint64(len(s.records)) + 1})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *memoryStore) after(revision uint64) (registrar.Batch, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,6 +122,42 @@
 	return b, nil
 }
 
+// refusingStore is the store as one process sees it.
+type refusingStore struct {
+	*memoryStore
+	node *node
+}
+
+// refusedCall is how long a call takes that the store doesn't answer.
+const refusedCall = 1900 * time.Millisecond
+
+func (s refusingStore) refuse(ctx context.Context) error {
+	select {
+	case <-time.After(refusedCall):
+	case <-ctx.Done():
+	}
+	return context.DeadlineExceeded
+}
+
+func (s refusingStore) List(ctx context.Context) (registrar.Batch, error) {
+	if s.node.refused.Load() {
+		return registrar.Batch{}, s.refuse(ctx)
+	}
+	return s.memoryStore.List(ctx)
+}
+
+func (s refusingStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	if s.node.refused.Load() {
+		return registrar.Batch{}, s.refuse(ctx)
+	}
+	b, err := s.memoryStore.Watch(ctx, after, wait)
+	if s.node.refused.Load() {
+		// What was under way is lost.
+		return registrar.Batch{}, s.refuse(ctx)
+	}
+	return b, err
+}
+
 // decodeFleet reads the records that a fleet's store holds.
 func decodeFleet(key string, value []byte) (registrar.Fact, error) {
 	switch {
@@ -162,9 +214,14 @@
 		if n.deaf.Load() {
 			<-ctx.Done()
 		}
-		return answer(ctx, q)
+		b := answer(ctx, q)
+		if n.deaf.Load() {
+			// It froze while it held the answer back.
+			<-ctx.Done()
+		}
+		return b
 	}}
-	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Region, Registrar: n.Registrar, Store: f.store, Clock: c,
+	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Region, Registrar: n.Registrar, Store: refusingStore{f.store, n}, Clock: c,
 		Seeds: []netip.AddrPort{f.members[0].Peers, f.members[1].Peers}, Seed: n == f.members[0] || n == f.members[1],
 		Random: rand.New(rand.NewPCG(1, uint64(n.Peers.Addr().As4()[3]))),
 		Dial:   func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: f.dialer(n)} }}
@@ -193,13 +250,13 @@
 		}
 		to.mu.Unlock()
 		select {
-		case to.accepted <- &link{Conn: far, node: to, delay: delay, asker: from.ID}:
+		case to.accepted <- &link{Conn: far, node: to, delay: delay, asker: from.ID, peer: from}:
 		case <-to.closed:
 			return nil, net.ErrClosed
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		return &link{Conn: near, node: from, delay: delay}, nil
+		return &link{Conn: near, node: from, delay: delay, peer: to}, nil
 	}
 }
 
@@ -210,6 +267,8 @@
 	delay time.Duration
 	// asker is who dialed, at the end that was dialed.
 	asker string
+	// peer is who reads what is written here.
+	peer *node
 }
 
 func (l *link) Read(b []byte) (int, error) {
@@ -225,11 +284,34 @@
 
 func (l *link) Write(b []byte) (int, error) {
 	time.Sleep(l.delay)
+	if l.node.squeezed.Load() {
+		time.Sleep(squeezedDelay)
+	}
+	if !l.node.heardBy(l.peer) {
+		return len(b), nil
+	}
 	n, err := l.Conn.Write(b)
 	l.node.bytes.Add(int64(n))
 	return n, err
 }
 
+// heardBy tells whether another process gets what this one writes.
+func (n *node) heardBy(peer *node) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.unheard[peer.ID]
+}
+
+// loseTo has nothing that this process writes arrive at another.
+func (n *node) loseTo(peer *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.unheard == nil {
+		n.unheard = map[string]bool{}
+	}
+	n.unheard[peer.ID] = true
+}
+
 // pipeListener takes the connections that are dialed to a node.
 type pipeListener struct{ node *node }
 
@@ -249,8 +331,8 @@
 
 func (l pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.node.Peers) }
 
-// knows waits until all processes that live know a failure domain to be drained, and
-// gives how long that took.
+// knows waits until all processes that live, and that the store doesn't refuse, know a failure
+// domain to be drained, and gives how long that took.
 func (f *fleet) knows(t testing.TB, domain string, limit time.Duration) time.Duration {
 	began := time.Now()
 	for _, n := range f.members {
@@ -272,7 +354,7 @@
 func (n *node) lives() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.stopped && !n.deaf.Load()
+	return !n.stopped && !n.deaf.Load() && !n.refused.Load()
 }
 
 // region is that of a process.
@@ -285,6 +367,9 @@
 func inFleet(t *testing.T, entries, regions, upstreams int, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		// Answers that are on their way when all stop end within that; a bubble whose goroutines
+		// still sleep fails.
+		t.Cleanup(func() { time.Sleep(time.Second) })
 		f := newFleet(t, entries, regions, upstreams)
 		time.Sleep(10 * time.Second)
 		for _, n := range f.members {
