--- a/internal/registrar/naming_gap_test.go
+++ b/internal/registrar/naming_gap_test.go
@@ -94,3 +94,38 @@
 	r.Apply(registrar.Batch{After: 1, At: 2, Records: []registrar.Record{record("weights/m", "2", 2)}})
 	must.False(t, r.Outdated("m", 1, bound/2), must.Sprint("the version was named a moment ago"))
 }
+
+// The next version is named where the record can be read again. The same process sees that, or
+// finds it, or hears of it from another that has just started and knows nothing of the time
+// before. It may be the very version behind the unusable record: counted from its own record or
+// from the store's last word, old weights would begin replies for as much longer.
+func TestWhatFollowsAnUnusableRecordCountsFromIt(t *testing.T) {
+	for _, next := range []string{"6", "9"} {
+		for who, hear := range map[string]func(r, newcomer *registrar.Registrar, b registrar.Batch){
+			"newcomer": func(r, newcomer *registrar.Registrar, b registrar.Batch) {
+				newcomer.Apply(b.Found())
+				r.Apply(newcomer.Since(3))
+			},
+			"found": func(r, _ *registrar.Registrar, b registrar.Batch) { r.Apply(b.Found()) },
+			"seen":  func(r, _ *registrar.Registrar, b registrar.Batch) { r.Apply(b) },
+		} {
+			t.Run(who+next, func(t *testing.T) {
+				c := clocktest.NewFakeClock(time.Unix(1000, 0))
+				r, newcomer := newRegistrarAt(c), newRegistrarAt(c)
+				r.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "5", 1)}})
+				// Version 6 is named here, at revision 2, and its record is unusable at revision 3.
+				named := c.Now()
+				c.Step(2 * time.Second)
+				r.Apply(registrar.Batch{After: 1, At: 3, Records: []registrar.Record{{Key: "weights/m", Value: []byte("?"), Revision: 3}}})
+				for range 8 {
+					c.Step(time.Second)
+					r.Apply(registrar.Batch{After: 3, At: 3})
+				}
+				hear(r, newcomer, registrar.Batch{Whole: true, At: 4, Records: []registrar.Record{record("weights/m", next, 4)}})
+				got, ok := superseded(r, 5)
+				must.True(t, ok)
+				must.False(t, got.After(named), must.Sprintf("counts from %v after the naming", got.Sub(named)))
+			})
+		}
+	}
+}
