Count what follows an unusable record from that record

Cause: since when a record of weights could not be read was heeded only where the next one was seen to change and left a gap in the numbers. Found, or told by a newcomer, the next version counted from the store's last word; the version right after the known one counted from its own record. In all of these it may be the one that could not be read.

go test -count=2 ./internal/registrar ./internal/stager passes.

--- a/internal/registrar/naming.go
+++ b/internal/registrar/naming.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		if n.Since.IsZero() || n.Replaced != newest {
-			n = r.bounded(n, newest)
+			n = r.bounded(n, rec.Key, newest)
 		}
 		known = append(known, n)
 		newest = n.Version
@@ -79,10 +79,19 @@
 	}
 }
 
+// lastReadable is until when nothing newer than what is known of a model can have been named.
+func (r *Registrar) lastReadable(key string) time.Time {
+	word := r.lastWord()
+	if hidden := r.hidden[key]; !hidden.IsZero() {
+		return earlier(hidden, word)
+	}
+	return word
+}
+
 // bounded gives a naming as the next one after a known version, where others in between may
 // have been missed.
-func (r *Registrar) bounded(n Naming, known uint64) Naming {
-	since := r.lastWord()
+func (r *Registrar) bounded(n Naming, key string, known uint64) Naming {
+	since := r.lastReadable(key)
 	if n.Replaced <= known && n.Since.After(since) {
 		since = n.Since
 	}
@@ -114,16 +123,17 @@
 func (r *Registrar) found(rec Record, w Weights) Naming {
 	now := r.Clock.Now()
 	if rec.Age == UnknownAge || !r.confirmed.IsZero() && now.Sub(r.confirmed) > seenWithin {
-		return Naming{Version: w.Version, Learned: r.lastWord()}
+		return Naming{Version: w.Version, Learned: r.lastReadable(rec.Key)}
 	}
 	n := Naming{Version: w.Version, Learned: now.Add(-rec.Age)}
 	if previous, ok := r.facts[rec.Key].(Weights); ok {
 		n.Replaced = previous.Version
 	}
-	n.Since = n.Learned
 	if hidden := r.hidden[rec.Key]; !hidden.IsZero() {
-		n.Since = hidden
+		// It may be the one that could not be read.
+		n.Learned = hidden
 	}
+	n.Since = n.Learned
 	return n
 }
 
