A test that fails: chunks for other regions leave the own one nothing

Three drawers of another region keep an agent's uploads taken: in 4 s 99 chunks go there and none to the three neighbours (go test -run NeighboursGoOn ./internal/loader).

--- a/internal/loader/exports_test.go
+++ b/internal/loader/exports_test.go
@@ -65,3 +65,40 @@
 		must.Positive(t, meanwhile, must.Sprint("neighbours go on all the same"))
 	})
 }
+
+// The agents of several other regions draw from one agent at once, as when it was the first to
+// have new weights. Were its own region to wait until they have all that they want, its
+// neighbours would get nothing from it for as long, and time out at a source that sends nothing.
+func TestNeighboursGoOnBesideManyExports(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 8)
+		a := n.newPacedAgent(t, "vm", rate.NewLimiter(pacedRate, pacedPiece), newOrigin(w))
+		t.Cleanup(a.run(t))
+		a.Want([]string{w.digest})
+		a.await(t, w)
+
+		at := netip.MustParseAddrPort(a.server.Listener.Addr().String())
+		ctx, stop := context.WithCancel(t.Context())
+		var near, far atomic.Int32
+		var drawers sync.WaitGroup
+		draw := func(region string, chunk int, got *atomic.Int32) {
+			p := &fetcher.HTTP{Address: at, Timeout: 10 * time.Second, Client: n.client, Region: region}
+			for ctx.Err() == nil {
+				if _, err := p.Chunk(ctx, w.manifest.Chunks[chunk], 1000); err == nil {
+					got.Add(1)
+				}
+			}
+		}
+		for i := range 3 {
+			drawers.Go(func() { draw("derwent", i, &far) })
+			drawers.Go(func() { draw(a.Region, i, &near) })
+		}
+		// 100 chunks' time.
+		time.Sleep(4 * time.Second)
+		stop()
+		drawers.Wait()
+		t.Log("chunks to the own region", near.Load(), "to another", far.Load())
+		must.Greater(t, near.Load(), far.Load(), must.Sprint("exports go first"))
+		must.GreaterEq(t, 10, near.Load(), must.Sprint("neighbours get a tenth at least"))
+	})
+}
