Leave the own region a fifth of an agent's uploads beside exports

Cause: pieces to other regions went first without a limit, and three drawers there are enough that one always waits. Uploads queue in two lines now, in order within each; after four pieces to other regions in a row one to the own region goes, if any waits.

go test -run 'NeighboursGoOn|GoFirst' -v ./internal/loader: in 4 s 18 chunks to the three neighbours and 79 to three drawers of another region, 0 and 99 before; the test with a single one drawing there passes as before. go test -race -count=3 ./internal/loader passes, with a test of uploads that are broken off while they wait.

--- a/internal/loader/exports_test.go
+++ b/internal/loader/exports_test.go
@@ -102,3 +102,35 @@
 		must.GreaterEq(t, 10, near.Load(), must.Sprint("neighbours get a tenth at least"))
 	})
 }
+
+// Drawers give up on a slow agent while their uploads wait for the link. A turn that one of
+// them took along would be nobody's: the agent would send nothing to anybody any more.
+func TestUploadsThatAreBrokenOffLeaveTheirTurn(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *network) {
+		w := publish("v1", 8)
+		a := n.newPacedAgent(t, "vm", rate.NewLimiter(pacedRate, pacedPiece), newOrigin(w))
+		t.Cleanup(a.run(t))
+		a.Want([]string{w.digest})
+		a.await(t, w)
+
+		at := netip.MustParseAddrPort(a.server.Listener.Addr().String())
+		var drawers sync.WaitGroup
+		for i := range 6 {
+			region := []string{a.Region, "derwent"}[i%2]
+			drawers.Go(func() {
+				p := &fetcher.HTTP{Address: at, Timeout: 10 * time.Second, Client: n.client, Region: region}
+				for k := range 40 {
+					ctx, stop := context.WithTimeout(t.Context(), time.Duration(1+(7*i+11*k)%60)*time.Millisecond)
+					_, _ = p.Chunk(ctx, w.manifest.Chunks[i], 1000)
+					stop()
+				}
+			})
+		}
+		drawers.Wait()
+		for _, region := range []string{a.Region, "derwent"} {
+			p := &fetcher.HTTP{Address: at, Timeout: time.Second, Client: n.client, Region: region}
+			_, err := p.Chunk(t.Context(), w.manifest.Chunks[0], 1000)
+			must.NoError(t, err)
+		}
+	})
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -146,7 +146,7 @@
 		l.Nearly = orDefault(l.Nearly, DefaultNearly)
 		l.uploads = make(chan struct{}, l.UploadSlots)
 		l.exports = make(chan struct{}, l.UploadSlots)
-		l.pacer = newPacer(l.Upload)
+		l.pacer = &pacer{limiter: l.Upload}
 		l.wake = make(chan struct{}, 1)
 		l.sets = map[string]*set{}
 		l.chunks = map[string]*chunk{}
--- a/internal/loader/pacer.go
+++ b/internal/loader/pacer.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"golang.org/x/time/rate"
 )
 
+// exportsInRow is how many pieces may go to other regions while the own one waits: its agents
+// get a fifth of the link at least. Without a limit a few drawers of other regions took it all
+// for as long as they had something to draw: 99 chunks in 4 s, and none to the neighbours.
+const exportsInRow = 4
+
 // pacer lets uploads go within a rate, those to other regions first.
 //
 // The many agents of the own region keep the link taken while weights spread, and each chunk
@@ -15,22 +21,15 @@
 // regions whose agents have weights seconds after those of the origin's region.
 type pacer struct {
 	limiter *rate.Limiter
-	// turn is held by the upload that waits for the limiter: were all to wait there, a chunk
-	// for another region would come after them.
-	turn chan struct{}
 
 	mu sync.Mutex
-	// exports counts the uploads to other regions that wait; quiet is closed when there
-	// are none.
-	exports int
-	quiet   chan struct{}
-}
-
-// newPacer makes one; without a limiter everything goes at once.
-func newPacer(l *rate.Limiter) *pacer {
-	p := &pacer{limiter: l, turn: make(chan struct{}, 1), quiet: make(chan struct{})}
-	close(p.quiet)
-	return p
+	// taken tells that an upload has the turn, and waits for the limiter: were all to wait
+	// there, a chunk for another region would come after them.
+	taken bool
+	// exports and others wait for the turn, which is theirs once their channel is closed.
+	exports, others []chan struct{}
+	// row counts the pieces to other regions since others wait.
+	row int
 }
 
 // wait returns when n bytes may go, or with the context's error.
@@ -38,66 +37,78 @@
 	if p.limiter == nil {
 		return nil
 	}
-	if export {
-		p.begin()
-		defer p.end()
-	}
 	if err := p.take(ctx, export); err != nil {
 		return err
 	}
-	defer func() { <-p.turn }()
+	defer p.pass()
 	return p.limiter.WaitN(ctx, n)
 }
 
 // take gets the turn.
 func (p *pacer) take(ctx context.Context, export bool) error {
-	for {
-		if !export {
-			select {
-			case <-p.noExports():
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-		}
-		select {
-		case p.turn <- struct{}{}:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		if export || p.isQuiet() {
-			return nil
-		}
-		// A chunk for another region came meanwhile.
-		<-p.turn
+	turn := p.queue(export)
+	select {
+	case <-turn:
+		return nil
+	case <-ctx.Done():
+		p.leave(turn)
+		return ctx.Err()
 	}
 }
 
-func (p *pacer) begin() {
+// queue gives a channel that is closed once the turn has come.
+func (p *pacer) queue(export bool) chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.exports == 0 {
-		p.quiet = make(chan struct{})
+	turn := make(chan struct{})
+	switch {
+	case !p.taken:
+		p.taken = true
+		close(turn)
+	case export:
+		p.exports = append(p.exports, turn)
+	default:
+		p.others = append(p.others, turn)
 	}
-	p.exports++
+	return turn
 }
 
-func (p *pacer) end() {
+// leave gives up waiting, and the turn if it has come meanwhile.
+func (p *pacer) leave(turn chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.exports--; p.exports == 0 {
-		close(p.quiet)
+	select {
+	case <-turn:
+		p.next()
+	default:
+		is := func(c chan struct{}) bool { return c == turn }
+		p.exports = slices.DeleteFunc(p.exports, is)
+		p.others = slices.DeleteFunc(p.others, is)
 	}
 }
 
-// noExports is closed while no upload to another region waits.
-func (p *pacer) noExports() <-chan struct{} {
+// pass ends a turn.
+func (p *pacer) pass() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.quiet
+	p.next()
 }
 
-func (p *pacer) isQuiet() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.exports == 0
+// next gives the turn to whoever is due.
+func (p *pacer) next() {
+	if len(p.others) == 0 {
+		p.row = 0
+	}
+	switch {
+	case len(p.exports) > 0 && p.row < exportsInRow:
+		p.row++
+		close(p.exports[0])
+		p.exports = p.exports[1:]
+	case len(p.others) > 0:
+		p.row = 0
+		close(p.others[0])
+		p.others = p.others[1:]
+	default:
+		p.taken = false
+	}
 }
