--- /dev/null
+++ b/internal/relayer/left_test.go
@@ -0,0 +1,45 @@
+package relayer_test
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+)
+
+// leaving is the road to an agent that grants each place just as the caller leaves.
+type leaving struct {
+	leave context.CancelFunc
+	ended []string
+}
+
+func (a *leaving) Reserve(ctx context.Context, _ messenger.Reservation) (messenger.Verdict, error) {
+	a.leave()
+	return messenger.Verdict{}, ctx.Err()
+}
+
+func (a *leaving) Tell(p messenger.Progress) { a.ended = append(a.ended, p.Ended...) }
+
+// A caller leaves just while its entry asks an agent for a place, and the agent grants one.
+// Nobody will use it. If the agent isn't told, the place stays taken for as long as the caller
+// would have waited, and others are refused meanwhile.
+func TestPlaceOfACallerThatLeftIsGivenBack(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	p, table := newPlacer(c, 0, 1)
+	ctx, leave := context.WithCancel(t.Context())
+	agent := &leaving{leave: leave}
+	p.Reach = func(netip.AddrPort) relayer.Agent { return agent }
+	j := &relayer.Job{Route: table.Routes[0], Service: "engines", Arrived: c.Now(), Deadline: c.Now().Add(5 * time.Second)}
+	j.ID, j.Model, j.Prompt = "id", "m", 800
+	_, err := p.Place(ctx, j)
+	must.ErrorIs(t, err, context.Canceled)
+	must.True(t, slices.Contains(agent.ended, "id"))
+	must.Eq(t, 0, p.Chooser.Running("engine"))
+}
