--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -31,6 +31,8 @@
 	// nearDelay and farDelay are the time of a write within a region and between two.
 	nearDelay = 500 * time.Microsecond
 	farDelay  = 10 * time.Millisecond
+	// squeezedDelay is what a narrow link adds to a write.
+	squeezedDelay = 300 * time.Millisecond
 )
 
 // fleet is a deployment in memory and in virtual time: a store, entries and agents that
@@ -57,6 +59,11 @@
 	// stopped processes were killed, deaf ones take connections and never answer.
 	stopped bool
 	deaf    atomic.Bool
+	// refused processes get no answer from the store, squeezed ones take a while to write, and
+	// nothing that is written to those in unheard arrives.
+	refused  atomic.Bool
+	squeezed atomic.Bool
+	unheard  map[string]bool
 }
 
 // memoryStore is the platform's store as a syncer sees it.
@@ -79,6 +86,15 @@
 	s.changed = make(chan struct{})
 }
 
+// remove deletes a key.
+func (s *memoryStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, registrar.Record{Key: key, Deleted: true, Revision: uint64(len(s.records)) + 1})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *memoryStore) after(revision uint64) (registrar.Batch, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,18 +133,41 @@
 
 var errCut = errors.New("cut off")
 
+// refusedCall is how long a call takes that the store doesn't answer.
+const refusedCall = 1900 * time.Millisecond
+
+// refused gives the error of a call that doesn't reach the store, once it is over.
+func (s nodeStore) refused(ctx context.Context) error {
+	switch {
+	case s.node.cut.Load():
+		return errCut
+	case !s.node.refused.Load():
+		return nil
+	}
+	select {
+	case <-time.After(refusedCall):
+	case <-ctx.Done():
+	}
+	return context.DeadlineExceeded
+}
+
 func (s nodeStore) List(ctx context.Context) (registrar.Batch, error) {
-	if s.node.cut.Load() {
-		return registrar.Batch{}, errCut
+	if err := s.refused(ctx); err != nil {
+		return registrar.Batch{}, err
 	}
 	return s.memoryStore.List(ctx)
 }
 
 func (s nodeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
-	if s.node.cut.Load() {
-		return registrar.Batch{}, errCut
+	if err := s.refused(ctx); err != nil {
+		return registrar.Batch{}, err
+	}
+	b, err := s.memoryStore.Watch(ctx, after, wait)
+	if refused := s.refused(ctx); refused != nil {
+		// What was under way is lost.
+		return registrar.Batch{}, refused
 	}
-	return s.memoryStore.Watch(ctx, after, wait)
+	return b, err
 }
 
 // decodeFleet reads the records that a fleet's store holds.
@@ -187,7 +226,12 @@
 		if n.deaf.Load() {
 			<-ctx.Done()
 		}
-		return answer(ctx, q)
+		b := answer(ctx, q)
+		if n.deaf.Load() {
+			// It froze while it held the answer back.
+			<-ctx.Done()
+		}
+		return b
 	}}
 	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Region, Registrar: n.Registrar, Store: nodeStore{f.store, n}, Clock: c,
 		Seeds: []netip.AddrPort{f.members[0].Peers, f.members[1].Peers}, Seed: n == f.members[0] || n == f.members[1],
@@ -217,10 +261,10 @@
 			_ = far.Close()
 		}
 		to.mu.Unlock()
-		if err := to.listener.Deliver(ctx, &link{Conn: far, node: to, delay: delay, asker: from.ID}); err != nil {
+		if err := to.listener.Deliver(ctx, &link{Conn: far, node: to, delay: delay, asker: from.ID, peer: from}); err != nil {
 			return nil, err
 		}
-		return &link{Conn: near, node: from, delay: delay}, nil
+		return &link{Conn: near, node: from, delay: delay, peer: to}, nil
 	}
 }
 
@@ -231,6 +275,8 @@
 	delay time.Duration
 	// asker is who dialed, at the end that was dialed.
 	asker string
+	// peer is who reads what is written here.
+	peer *node
 }
 
 func (l *link) Read(b []byte) (int, error) {
@@ -246,13 +292,36 @@
 
 func (l *link) Write(b []byte) (int, error) {
 	time.Sleep(l.delay)
+	if l.node.squeezed.Load() {
+		time.Sleep(squeezedDelay)
+	}
+	if !l.node.heardBy(l.peer) {
+		return len(b), nil
+	}
 	n, err := l.Conn.Write(b)
 	l.node.bytes.Add(int64(n))
 	return n, err
 }
 
-// knows waits until all processes that live know a failure domain to be drained, and
-// gives how long that took.
+// heardBy tells whether another process gets what this one writes.
+func (n *node) heardBy(peer *node) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.unheard[peer.ID]
+}
+
+// loseTo has nothing that this process writes arrive at another.
+func (n *node) loseTo(peer *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.unheard == nil {
+		n.unheard = map[string]bool{}
+	}
+	n.unheard[peer.ID] = true
+}
+
+// knows waits until all processes that live, and that the store doesn't refuse, know a failure
+// domain to be drained, and gives how long that took.
 func (f *fleet) knows(t testing.TB, domain string, limit time.Duration) time.Duration {
 	began := time.Now()
 	for _, n := range f.members {
@@ -274,7 +343,7 @@
 func (n *node) lives() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.stopped && !n.deaf.Load()
+	return !n.stopped && !n.deaf.Load() && !n.refused.Load()
 }
 
 // region is that of a process.
