Keep an agent's connection when a caller leaves, and give its place back

Cause: any error of a call closed the connection, also the asker's own leaving. All other questions on it were lost, the agent counted as silent for 0.7 s, and it freed the places of all that it ran for this entry until the engine's next count: an entry's requests could be granted once more beside those running. A place granted to the caller that left was never ended; that leak showed only once the connection stayed.

go test -race -count=5 -run CallerThatLe ./internal/messenger ./internal/relayer passes, and failed before.

--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -80,15 +80,20 @@
 	}
 }
 
-func (c *Client) call(ctx context.Context, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+func (c *Client) call(asker context.Context, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(asker, c.Timeout)
 	defer cancel()
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return &UnreachableError{Address: c.Address, Err: err}
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
-		c.drop(conn)
+		// An asker that has lost interest says nothing of the peer. Closed for its sake, the
+		// connection would take along the questions of all others, and an agent would free
+		// the places of what it has running for this entry.
+		if !errors.Is(asker.Err(), context.Canceled) {
+			c.drop(conn)
+		}
 		return &UnreachableError{Address: c.Address, Err: err}
 	}
 	return nil
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -39,6 +39,8 @@
 		PatienceMS: patience.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(),
 	})
 	if ctx.Err() != nil {
+		// The agent may have granted a place that nobody waits for.
+		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		return nil, nil
 	}
 	if err != nil {
