--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -301,3 +301,63 @@
 	must.True(t, ok)
 	must.Eq(t, asleep, got, must.Sprint("the store's last word"))
 }
+
+// A VM freezes for two seconds while a call to the store is under way, and a version is named
+// meanwhile. On waking, the call's time is over and it fails, though the store answered all the
+// while. Were that taken for an outage up to now, old weights would begin replies for as much
+// longer as the VM was frozen.
+func TestCallThatFailsByAStandstillShowsNoOutage(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r := newRegistrarAt(c)
+	tick := func(d time.Duration) {
+		for range d / (200 * time.Millisecond) {
+			c.Step(200 * time.Millisecond)
+			r.Tick()
+		}
+	}
+	r.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}})
+	tick(time.Second)
+	r.Apply(registrar.Batch{After: 1, At: 1})
+	r.StoreAsked()
+	tick(200 * time.Millisecond)
+	named := c.Now()
+	c.Step(2 * time.Second)
+	r.StoreLost()
+	tick(400 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	r.Apply(registrar.Batch{After: 1, At: 2, Records: []registrar.Record{record("weights/m", "2", 2)}}.Found())
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.False(t, got.After(named), must.Sprintf("counts from %v after the naming", got.Sub(named)))
+}
+
+// The same in an outage that goes on: the next call that fails shows it again.
+func TestOutageGoesOnAfterAStandstill(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r := newRegistrarAt(c)
+	vain := func(times int) {
+		for range times {
+			r.StoreAsked()
+			for range 4 {
+				c.Step(200 * time.Millisecond)
+				r.Tick()
+			}
+			r.StoreLost()
+		}
+	}
+	r.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}})
+	vain(5)
+	r.StoreAsked()
+	c.Step(2 * time.Second)
+	r.StoreLost()
+	vain(1)
+	back := c.Now()
+	c.Step(200 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
+}
