Take a call that fails by a standstill for no outage

Cause: a vain call counted as an outage up to its end, whatever it failed for. A process frozen for up to 2.5 s with a call under way took the whole freeze for an outage, and counted what was named in it from the waking. A gap of over a second between ticks now ends what such a call shows; the next vain call shows the outage again.

go test -count=3 ./internal/registrar passes, as do 3000 checks of both outage fuzzes (-run 'CutOffAlone|TestNobodyCounts' -rapid.checks=3000).

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -9,6 +9,10 @@
 // three seconds after which the platform takes a store for steady again.
 const triesApart = 2500 * time.Millisecond
 
+// standstill is from how long a gap between two ticks on a process counts as one that stood
+// still: five ticks, as a busy VM delays one or two.
+const standstill = time.Second
+
 // StoreAsked notes that a call to the store begins.
 func (r *Registrar) StoreAsked() {
 	r.mu.Lock()
@@ -33,6 +37,10 @@
 		r.stoodStill = now
 	}
 	r.lastRan = now
+	if !r.lastTick.IsZero() && now.Sub(r.lastTick) > standstill {
+		r.pausedFrom, r.pausedTo = r.lastTick, now
+		r.lastTick = now
+	}
 	return now
 }
 
@@ -85,12 +93,19 @@
 	return b
 }
 
-// StoreLost notes that the store could not be reached just now.
+// StoreLost notes that the store could not be reached just now. A call during which this
+// process stood still fails as its time is over, and shows nothing of the store since then.
 func (r *Registrar) StoreLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	asked := r.lastAwake
 	r.wake()
-	r.outage = r.lastAwake
+	switch {
+	case !r.pausedTo.After(asked):
+		r.outage = r.lastAwake
+	case r.pausedFrom.After(r.outage):
+		r.outage = r.pausedFrom
+	}
 	r.lost = true
 	r.change.Wake()
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -63,8 +63,12 @@
 	lastRan     time.Time
 	stoodStill  time.Time
 	beforeStill time.Time
-	view        atomic.Pointer[View]
-	change      notifier.Broadcast
+	// lastTick is when Tick was last called; between pausedFrom and pausedTo it was due, and
+	// this process stood still.
+	lastTick             time.Time
+	pausedFrom, pausedTo time.Time
+	view                 atomic.Pointer[View]
+	change               notifier.Broadcast
 }
 
 // Apply takes a batch over and tells whether anything changed. A batch that begins
@@ -273,6 +277,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.ran()
+	r.lastTick = now
 	ended := false
 	for key, until := range r.lingering {
 		if now.Before(until) {
