--- a/internal/syncer/fleet_faults_test.go
+++ b/internal/syncer/fleet_faults_test.go
@@ -34,6 +34,22 @@
 	{"lapsed", func(_ testing.TB, f *fleet, n, _ *node) { f.store.remove("entry/" + n.ID) }},
 }
 
+// The memory of a process that reads the store has gone bad, and what it packs can't be
+// unpacked. Its word is young all the same: who keeps to it for that never hears of a change,
+// and asks it again and again without a pause.
+func TestNewsPassWhoTellsNonsense(t *testing.T) {
+	const entries = 24
+	for i := range 4 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			inFleet(t, entries, 2, 20, func(t *testing.T, f *fleet) {
+				f.ranked(entries)[i].spoilt.Store(true)
+				f.store.put("drained/a", nil)
+				t.Log("known after", f.knows(t, "a", 2*time.Second))
+			})
+		})
+	}
+}
+
 // Of those that read the store and pass news on, two or three are hit at about the same time:
 // frozen, killed, refused by the store, behind a narrow link, heard by one of the others no
 // more, or with a lease that lapsed although they live. A change that the operators make then
--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -60,7 +60,9 @@
 	// nothing that is written to those in unheard arrives.
 	refused  atomic.Bool
 	squeezed atomic.Bool
-	unheard  map[string]bool
+	// spoilt ones tell records that can't be unpacked.
+	spoilt  atomic.Bool
+	unheard map[string]bool
 }
 
 // memoryStore is the platform's store as a syncer sees it.
@@ -219,6 +221,11 @@
 			// It froze while it held the answer back.
 			<-ctx.Done()
 		}
+		for i := range b.Records {
+			if n.spoilt.Load() {
+				b.Records[i].Value, b.Records[i].Packed = nil, []byte("nonsense")
+			}
+		}
 		return b
 	}}
 	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Region, Registrar: n.Registrar, Store: refusingStore{f.store, n}, Clock: c,
