--- a/internal/syncer/fleet_faults_test.go
+++ b/internal/syncer/fleet_faults_test.go
@@ -76,3 +76,28 @@
 		})
 	}
 }
+
+// The store is out of reach for all, and what they know goes round between readers, relays and
+// the rest. If any of them made another's word younger than it is, they would take it for fresh
+// for good, and deny callers what the operators added meanwhile.
+func TestNobodyMakesNewsYounger(t *testing.T) {
+	for _, entries := range []int{3, 24, 40} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			inFleet(t, entries, 3, 20, func(t *testing.T, f *fleet) {
+				for i, n := range f.members {
+					n.refused.Store(true)
+					n.squeezed.Store(i%5 == 0)
+				}
+				lost := time.Now()
+				for range 200 {
+					time.Sleep(50 * time.Millisecond)
+					for _, n := range f.members {
+						if _, age, _ := n.At(); age < time.Since(lost) {
+							t.Fatalf("%s takes its news for %v old, %v after the store was lost", n.ID, age, time.Since(lost))
+						}
+					}
+				}
+			})
+		})
+	}
+}
