--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -213,22 +213,36 @@
 			klog.InfoS("Peer lost", "peer", a, "err", err)
 			continue
 		}
-		if b.At == 0 {
-			// It knows nothing itself yet; taken over, that would look like an empty store.
-			s.avoid[a] = s.Clock.Now().Add(peerWait)
-			continue
-		}
 		b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
-		s.Registrar.Apply(b)
-		dead := b.Lost && how.limit != anyAge
-		if b.Age <= how.limit && !dead {
+		if s.takeNews(a, b, how.limit) {
 			return true
 		}
-		s.avoid[a] = s.Clock.Now().Add(peerWait)
 	}
 	return false
 }
 
+// takeNews takes over what a process told, and tells whether it may be relied on.
+func (s *Syncer) takeNews(a netip.AddrPort, b registrar.Batch, limit time.Duration) bool {
+	if b.At == 0 {
+		// It knows nothing itself yet; taken over, that would look like an empty store.
+		s.avoid[a] = s.Clock.Now().Add(peerWait)
+		return false
+	}
+	s.Registrar.Apply(b)
+	if at, _, _ := s.Registrar.At(); at < b.At {
+		// Its records can't be read. It would tell the same again, at once and for good.
+		s.avoid[a] = s.Clock.Now().Add(avoidFor)
+		klog.InfoS("Peer's news of no use", "peer", a, "revision", at, "told", b.At)
+		return false
+	}
+	lost := b.Lost && limit != anyAge
+	if b.Age > limit || lost {
+		s.avoid[a] = s.Clock.Now().Add(peerWait)
+		return false
+	}
+	return true
+}
+
 // ask asks one process. The first one may have taken all the time that its news were young
 // enough for, as when it waited itself for a reader that is frozen. Were the next one frozen,
 // too, and waited for as long, a change would come into force too late; it has to answer at
