Count an engine as cold until its own record is heard

Cause: an agent that sees its engine start counts it as cold for 2 s, and then by its record. While the store is silent and the entries that it asks too, it has no record; the engine was taken for warm, and 18 to 20 requests reached it in a second where 17 are allowed. The entries knew of the cold engine, but leave the count to the agent.

Change: without a record newer than what was known when the engine last answered before its start, it counts as cold for 10 s (the users' engines are for 3 s). An agent that starts beside a running engine counts 2 s as before.

--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -114,6 +114,11 @@
 	born int64
 	// startedAt is when this agent saw that start.
 	startedAt time.Time
+	// looked is the revision of the records known when the engine last answered, and before the
+	// one when it did so last before its start. Untold tells that no record of the engine since
+	// then is known.
+	looked, before uint64
+	untold         bool
 	// ordered is the version last ordered, and when.
 	ordered   uint64
 	orderedAt time.Time
@@ -234,9 +239,14 @@
 	return model
 }
 
-// coldAfterStart is for how long an engine counts as cold after its agent saw it start,
-// until its own record says how long it is.
-const coldAfterStart = 2 * time.Second
+const (
+	// coldAfterStart is for how long an engine counts as cold at least after its agent saw it
+	// start. Its own record says how long it is.
+	coldAfterStart = 2 * time.Second
+	// coldUntold is for how long it counts as cold while no such record is heard, as in an
+	// outage of the store: three times as long as the users' engines are.
+	coldUntold = 10 * time.Second
+)
 
 // announceCold has the ledger bound what a cold engine gets.
 func (s *Stager) announceCold() {
@@ -246,11 +256,17 @@
 		if u.Address != s.Address {
 			continue
 		}
+		if u.Revision > s.before && !u.Leaving {
+			s.untold = false
+		}
 		left := u.ColdFor()
 		if told := s.Clock.Now().Add(left); told.After(until) {
 			until = told
 		}
 	}
+	if s.untold {
+		until = s.startedAt.Add(coldUntold)
+	}
 	s.Ledger.Cold(view.Table.Services[s.Service].ColdRate, until)
 }
 
@@ -267,8 +283,11 @@
 	if r.Born != s.born {
 		klog.InfoS("Engine started anew", "agent", s.ID, "born", r.Born, "models", r.Models)
 		s.Ledger.Reset()
+		// An agent that starts beside a running engine knows its record, or will at once.
+		s.before, s.untold = s.looked, s.born != 0
 		s.born, s.ordered, s.startedAt = r.Born, 0, s.Clock.Now()
 	}
+	s.looked = s.Registrar.View().Revision
 	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -214,13 +214,22 @@
 }
 
 func decode(key string, value []byte) (registrar.Fact, error) {
-	if key == "table" {
+	switch key {
+	case "table":
+		coldRate := 0.0
+		if len(value) > 0 {
+			coldRate = float64(value[0])
+		}
 		t := &matcher.Table{Version: 1, Services: map[string]*matcher.Service{
-			"s": {Name: "s", Engine: &matcher.Engine{Slots: 4, Chunks: chunkCount, ReadPerSecond: 1000, Models: []string{model}}},
+			"s": {Name: "s", ColdRate: coldRate, Engine: &matcher.Engine{Slots: 4, Chunks: chunkCount, ReadPerSecond: 1000, Models: []string{model}}},
 			"o": {Name: "o", Origin: &matcher.Origin{Address: netip.MustParseAddrPort("127.0.0.1:2")}},
 		}}
 		t.Index()
 		return registrar.Table{Table: t}, nil
+	case "upstream":
+		return registrar.Upstream{
+			ID: key, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Cold: time.Duration(value[0]) * time.Second,
+		}, nil
 	}
 	return registrar.Weights{Model: model, Version: uint64(value[0])}, nil
 }
