A test that requests at engines are counted once

It fails without either of the two Ends in placeAtEngine, and without the word to the agent when a caller has left.

--- /dev/null
+++ b/internal/relayer/balance_test.go
@@ -0,0 +1,105 @@
+package relayer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	clocktest "k8s.io/utils/clock/testing"
+	"pgregory.net/rapid"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+)
+
+// moody is the road to an agent that answers as it is drawn, and notes which places it granted.
+type moody struct {
+	t       *rapid.T
+	clock   *clocktest.FakeClock
+	leave   context.CancelFunc
+	granted map[string]bool
+}
+
+func (a *moody) Reserve(ctx context.Context, r messenger.Reservation) (messenger.Verdict, error) {
+	a.clock.Step(time.Duration(rapid.IntRange(0, 60).Draw(a.t, "took")) * time.Millisecond)
+	if rapid.IntRange(0, 9).Draw(a.t, "leaves") == 0 {
+		a.leave()
+	}
+	switch rapid.IntRange(0, 5).Draw(a.t, "answer") {
+	case 0:
+		return messenger.Verdict{}, errors.New("silent")
+	case 1:
+		return messenger.Verdict{Closed: "no weights"}, nil
+	case 2:
+		return messenger.Verdict{WaitMS: 50, Active: 1, Slots: 12}, nil
+	case 3:
+		return messenger.Verdict{Active: 12, Slots: 12, FreeMS: 30}, nil
+	default:
+		a.granted[r.Request] = true
+		v := messenger.Verdict{Granted: true, Active: 1, Slots: 12, Version: rapid.Uint64Range(1, 2).Draw(a.t, "version")}
+		return v, ctx.Err()
+	}
+}
+
+func (a *moody) Tell(p messenger.Progress) {
+	for _, id := range p.Ended {
+		delete(a.granted, id)
+	}
+}
+
+// Agents grant, refuse, close, stay silent or hold other weights, and callers leave in between.
+// A request that is counted at an engine and never taken off, or a place that an agent keeps for
+// nobody, makes the engine look fuller with each of them until nothing goes there; one that is
+// taken off twice lets more through than the engine has connections for.
+func TestRequestsAreCountedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := clocktest.NewFakeClock(time.Unix(1000, 0))
+		p, table := newPlacer(c, 0, 1)
+		table.Services["engines"].Connections = rapid.IntRange(0, 40).Draw(t, "connections")
+		agent := &moody{t: t, clock: c, granted: map[string]bool{}}
+		p.Reach = func(netip.AddrPort) relayer.Agent { return agent }
+		var places []*relayer.Place
+		for i := range rapid.IntRange(1, 30).Draw(t, "jobs") {
+			ctx, leave := context.WithCancel(context.Background())
+			agent.leave = leave
+			// Late ones, and those without an objective, look for a place once. The latter accept
+			// a wait in a second round of questions.
+			route := *table.Routes[0]
+			if rapid.Bool().Draw(t, "patient") {
+				route.Objective = 0
+			}
+			j := &relayer.Job{Route: &route, Service: "engines", Arrived: c.Now().Add(-tooLate), Deadline: c.Now().Add(5 * time.Second)}
+			j.ID, j.Model, j.Prompt = fmt.Sprint(i), "m", 800
+			j.Version = rapid.Uint64Range(0, 1).Draw(t, "bound")
+			if rapid.Bool().Draw(t, "alive") {
+				p.Chooser.Alive("engine")
+			}
+			if place, err := p.Place(ctx, j); err == nil {
+				places = append(places, place)
+			}
+			leave()
+			c.Step(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			if got := p.Chooser.Running("engine"); got != len(places) {
+				t.Fatalf("%d requests counted, %d placed", got, len(places))
+			}
+			if len(agent.granted) > len(places) {
+				t.Fatalf("the agent holds %d places for %d requests", len(agent.granted), len(places))
+			}
+			if len(places) > 0 && rapid.Bool().Draw(t, "ends") {
+				places[0].Ended()
+				places = places[1:]
+			}
+		}
+		for _, place := range places {
+			place.Ended()
+		}
+		if p.Chooser.Running("engine") != 0 || len(agent.granted) != 0 {
+			t.Fatalf("%d requests and %d places left over", p.Chooser.Running("engine"), len(agent.granted))
+		}
+	})
+}
+
+var _ relayer.Agent = (*moody)(nil)
