--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -40,28 +40,27 @@
 	byPeers map[string]*node
 }
 
-// node is one process of a fleet.
+// node is one process of a fleet, with the faults that it may have.
 type node struct {
 	registrar.Member
 	*registrar.Registrar
 	listener *connectortest.Listener
 	stop     context.CancelFunc
-	// askers are the processes that asked something, bytes what was read and written here.
-	mu     sync.Mutex
+	// bytes is what was read and written here.
+	bytes atomic.Int64
+	// cut processes don't reach the store, refused ones get no answer from it.
+	cut, refused atomic.Bool
+	// deaf processes take connections and never answer, squeezed ones take a while to write.
+	deaf, squeezed atomic.Bool
+	// spoilt ones tell records that can't be unpacked.
+	spoilt atomic.Bool
+
+	mu sync.Mutex
+	// askers are the processes that asked something.
 	askers map[string]bool
 	conns  []net.Conn
-	bytes  atomic.Int64
-	// cut processes don't reach the store.
-	cut atomic.Bool
-	// stopped processes were killed, deaf ones take connections and never answer.
+	// stopped processes were killed, and nothing that is written to those in unheard arrives.
 	stopped bool
-	deaf    atomic.Bool
-	// refused processes get no answer from the store, squeezed ones take a while to write, and
-	// nothing that is written to those in unheard arrives.
-	refused  atomic.Bool
-	squeezed atomic.Bool
-	// spoilt ones tell records that can't be unpacked.
-	spoilt  atomic.Bool
 	unheard map[string]bool
 }
 
