--- a/internal/loader/exports_test.go
+++ b/internal/loader/exports_test.go
@@ -56,7 +56,7 @@
 		var exports sync.WaitGroup
 		for range exporters {
 			exports.Go(func() {
-				far := &fetcher.HTTP{Address: at, Timeout: 10 * time.Second, Client: n.client, Region: "derwent"}
+				far := &fetcher.HTTP{Address: at, Timeout: 10 * time.Second, Client: n.client, Region: "other"}
 				for i := range each {
 					if _, err := far.Chunk(ctx, w.manifest.Chunks[i], 1000); err != nil {
 						t.Error(err)
--- a/internal/messenger/records_test.go
+++ b/internal/messenger/records_test.go
@@ -46,9 +46,9 @@
 	for i := range n {
 		id := fmt.Sprintf("i-%010x", r.Uint64()&(1<<40-1))
 		b.Records = append(b.Records, registrar.Record{
-			Key: "servers/" + id, Revision: uint64(i) + 1, Age: time.Duration(r.Int64N(int64(time.Minute))),
-			Value: fmt.Appendf(nil, `{"id":%q,"service":"survey-model","address":"10.3.%d.%d:8604","zone":"kalamaria-%d","slots":12,"state":"up",`+
-				`"models":[{"name":"survey","version":7}],"started":%d}`, id, i/250, i%250, i%3, r.Uint64()),
+			Key: "records/" + id, Revision: uint64(i) + 1, Age: time.Duration(r.Int64N(int64(time.Minute))),
+			Value: fmt.Appendf(nil, `{"id":%q,"service":"draft-engine","address":"10.3.%d.%d:8604","area":"northgate-%d","slots":12,"state":"up",`+
+				`"models":[{"name":"drafts","version":7}],"started":%d}`, id, i/250, i%250, i%3, r.Uint64()),
 		})
 	}
 	b.Records[0].Namings = []registrar.PastNaming{{Version: 3, Age: time.Second, Replaced: 2, SinceAge: 2 * time.Second}}
