Soak: the bound on old weights counts while the store is stable

Traced: 3 was named while the store was down (23.3 to 23.7 s), then it was silent until 24.94 s. All three entries and the agent count the naming from 26.26 s, the end of a call that the silent store had left unanswered. The check counted from 24.94 s.

The rule counts the time in one stretch in which the store is stable, that is after 3 s without disturbance; the request began 5.02 s into it.

--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -177,6 +177,15 @@
 			d.send("1", "/look/1")
 			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
 		}},
+		{auditor.Version, "old weights 8.1 s after the store has been steady for 3 s", func(d *day) {
+			d.Note(auditor.Disturbed{Who: auditor.Core})
+			d.Note(auditor.Named{Version: 2})
+			d.after(time.Second)
+			d.Note(auditor.Calmed{Who: auditor.Core})
+			d.after(11100 * time.Millisecond)
+			d.send("1", "/look/1")
+			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
+		}},
 		{auditor.Drain, "a request 2.1 s after its upstream left", func(d *day) {
 			d.Note(auditor.Leaving{Upstream: "near"})
 			d.after(2100 * time.Millisecond)
@@ -350,6 +359,15 @@
 			d.send("1", "/look/1")
 			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
 		}},
+		{"old weights 8.1 s after the store came back, and 5.1 s after it counts as steady", func(d *day) {
+			d.Note(auditor.Disturbed{Who: auditor.Core})
+			d.Note(auditor.Named{Version: 2})
+			d.after(time.Second)
+			d.Note(auditor.Calmed{Who: auditor.Core})
+			d.after(8100 * time.Millisecond)
+			d.send("1", "/look/1")
+			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
+		}},
 		{"old weights for a request that a cut link held up", func(d *day) {
 			d.Note(auditor.Named{Version: 2})
 			d.after(6 * time.Second)
