--- a/internal/loader/exports_test.go
+++ b/internal/loader/exports_test.go
@@ -20,6 +20,16 @@
 	pacedPiece = 250
 )
 
+// pacedHolder starts an agent with a slow link that holds weights whole.
+func (n *network) pacedHolder(t *testing.T) (a *agent, w weights, at netip.AddrPort) {
+	w = publish("v1", 8)
+	a = n.newPacedAgent(t, "vm", rate.NewLimiter(pacedRate, pacedPiece), newOrigin(w))
+	t.Cleanup(a.run(t))
+	a.Want([]string{w.digest})
+	a.await(t, w)
+	return a, w, netip.MustParseAddrPort(a.server.Listener.Addr().String())
+}
+
 // The agents of a region fetch new weights from each other and keep all their links taken. Each
 // chunk leaves for the next region once, and its agents can't begin before: while it waits its
 // turn behind what goes to the neighbours, a whole region is late, and callers there are
@@ -27,13 +37,7 @@
 // others 0.7 to 1.0 s after the origin's own; with theirs first it was 0.5 to 0.7 s.
 func TestChunksForOtherRegionsGoFirst(t *testing.T) {
 	inBubble(t, func(t *testing.T, n *network) {
-		w := publish("v1", 8)
-		a := n.newPacedAgent(t, "vm", rate.NewLimiter(pacedRate, pacedPiece), newOrigin(w))
-		t.Cleanup(a.run(t))
-		a.Want([]string{w.digest})
-		a.await(t, w)
-
-		at := netip.MustParseAddrPort(a.server.Listener.Addr().String())
+		a, w, at := n.pacedHolder(t)
 		ctx, stop := context.WithCancel(t.Context())
 		var near atomic.Int32
 		var neighbours sync.WaitGroup
@@ -81,13 +85,7 @@
 // neighbours would get nothing from it for as long, and time out at a source that sends nothing.
 func TestNeighboursGoOnBesideManyExports(t *testing.T) {
 	inBubble(t, func(t *testing.T, n *network) {
-		w := publish("v1", 8)
-		a := n.newPacedAgent(t, "vm", rate.NewLimiter(pacedRate, pacedPiece), newOrigin(w))
-		t.Cleanup(a.run(t))
-		a.Want([]string{w.digest})
-		a.await(t, w)
-
-		at := netip.MustParseAddrPort(a.server.Listener.Addr().String())
+		a, w, at := n.pacedHolder(t)
 		ctx, stop := context.WithCancel(t.Context())
 		var near, far atomic.Int32
 		var drawers sync.WaitGroup
@@ -100,7 +98,7 @@
 			}
 		}
 		for i := range 3 {
-			drawers.Go(func() { draw("derwent", i, &far) })
+			drawers.Go(func() { draw("other", i, &far) })
 			drawers.Go(func() { draw(a.Region, i, &near) })
 		}
 		// 100 chunks' time.
@@ -117,13 +115,7 @@
 // them took along would be nobody's: the agent would send nothing to anybody any more.
 func TestUploadsThatAreBrokenOffLeaveTheirTurn(t *testing.T) {
 	inBubble(t, func(t *testing.T, n *network) {
-		w := publish("v1", 8)
-		a := n.newPacedAgent(t, "vm", rate.NewLimiter(pacedRate, pacedPiece), newOrigin(w))
-		t.Cleanup(a.run(t))
-		a.Want([]string{w.digest})
-		a.await(t, w)
-
-		at := netip.MustParseAddrPort(a.server.Listener.Addr().String())
+		a, w, at := n.pacedHolder(t)
 		var drawers sync.WaitGroup
 		for i := range 6 {
 			region := []string{a.Region, "derwent"}[i%2]
