Read-through: the platform's words to platform/, one start for three tests, wrapped comments

The soak's editing of settings files moves to platform/standin, the auditor says drained for evacuated, the loader's tests name no region of the users. No product code but comments changes; no check does.

--- a/internal/loader/exports_test.go
+++ b/internal/loader/exports_test.go
@@ -118,7 +118,7 @@
 		a, w, at := n.pacedHolder(t)
 		var drawers sync.WaitGroup
 		for i := range 6 {
-			region := []string{a.Region, "derwent"}[i%2]
+			region := []string{a.Region, "other"}[i%2]
 			drawers.Go(func() {
 				p := &fetcher.HTTP{Address: at, Timeout: 10 * time.Second, Client: n.client, Region: region}
 				for k := range 40 {
@@ -129,7 +129,7 @@
 			})
 		}
 		drawers.Wait()
-		for _, region := range []string{a.Region, "derwent"} {
+		for _, region := range []string{a.Region, "other"} {
 			p := &fetcher.HTTP{Address: at, Timeout: time.Second, Client: n.client, Region: region}
 			_, err := p.Chunk(t.Context(), w.manifest.Chunks[0], 1000)
 			must.NoError(t, err)
--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -204,16 +204,22 @@
 	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
 }
 
+// twoThatKnow are two processes that know version 1 of model m.
+func twoThatKnow(c *clocktest.FakeClock) (a, b *registrar.Registrar) {
+	a, b = newRegistrarAt(c), newRegistrarAt(c)
+	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
+	a.Apply(whole)
+	b.Apply(whole)
+	return a, b
+}
+
 // In an outage each process calls the store about once a second, but with some dozen processes
 // there is a vain call every few hundredths of a second. Who counts a naming from its own last
 // one only takes the naming for up to a second older than it can be, and its engine stops that
 // much sooner, mostly before the new weights are there.
 func TestLatestVainCallOfAnyProcessCounts(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
-	r, other := newRegistrarAt(c), newRegistrarAt(c)
-	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
-	r.Apply(whole)
-	other.Apply(whole)
+	r, other := twoThatKnow(c)
 	for range 14 {
 		outOfReach(r, c, 500*time.Millisecond)
 		other.StoreLost()
@@ -237,10 +243,7 @@
 // for as much longer as it stood still.
 func TestAnothersOutageCoversNoStandstillAfterIt(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
-	r, cutOff := newRegistrarAt(c), newRegistrarAt(c)
-	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
-	r.Apply(whole)
-	cutOff.Apply(whole)
+	r, cutOff := twoThatKnow(c)
 	for range 4 {
 		outOfReach(r, c, 500*time.Millisecond)
 		cutOff.StoreLost()
@@ -284,10 +287,7 @@
 // the other, it would let replies begin on old weights for as much longer as it stood still.
 func TestAnothersOutageCoversNoStandstillThatEndsInAVainCall(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
-	r, cutOff := newRegistrarAt(c), newRegistrarAt(c)
-	whole := registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}}
-	r.Apply(whole)
-	cutOff.Apply(whole)
+	r, cutOff := twoThatKnow(c)
 	r.StoreAsked()
 	asleep := c.Now()
 	outOfReach(cutOff, c, 6*time.Second)
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -88,11 +88,11 @@
 // closedLoad puts engines that take nothing behind all others.
 const closedLoad = 3
 
-// unasked gives a place at an engine whose agent is silent, within this entry's
-// share of what the engine bears, the request itself counted. A cold engine gets none: the agent may well grant
-// others all that it bears, and under more it falls over. Neither does one that shows no
-// life: mostly its whole VM is frozen or cut off. The request would lie there unread until
-// its caller has left, and run in vain when the VM wakes.
+// unasked gives a place at an engine whose agent is silent, within this entry's share of what
+// the engine bears, the request itself counted. A cold engine gets none: the agent may well
+// grant others all that it bears, and under more it falls over. Neither does one that shows no
+// life: mostly its whole VM is frozen or cut off. The request would lie there unread until its
+// caller has left, and run in vain when the VM wakes.
 func (p *Placer) unasked(view *registrar.View, u *registrar.UpstreamView, j *Job) *Place {
 	held := u.Holds(j.Model)
 	if held == 0 || j.Version != 0 && held != j.Version || p.Registrar.Outdated(j.Model, held, p.WeightsBound/2) {
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -46,7 +46,8 @@
 //
 // Among many sharers the part of one may be less than a whole retry. None of them would ever
 // have one, and each reply that breaks off would be lost. There a part gives a retry as often
-// as it is worth, or somewhat less, and is used up in any case: all together send no more than they have saved.
+// as it is worth, or somewhat less, and is used up in any case: all together send no more than
+// they have saved.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -30,8 +30,8 @@
 	streams map[string]*sequencer.Mailbox[part]
 	// armed is the end of the last pass that was planned.
 	armed time.Time
-	// silent VMs are cut off: they work on, but nothing goes in or out. Engines that are down refuse connections, and those without
-	// weights take no request.
+	// silent VMs are cut off: they work on, but nothing goes in or out. Engines that are down
+	// refuse connections, and those without weights take no request.
 	silent, down, noWeights bool
 	// coldUntil is when the engine bears a full load again.
 	coldUntil time.Time
--- a/soak/auditor/arrivals.go
+++ b/soak/auditor/arrivals.go
@@ -59,7 +59,7 @@
 		late := h.late(u.leftAt)
 		a.check(Drain, r.ID, late <= h.Drain, "reached %s by %s %v after it left", u.Upstream, r.Entry, late)
 	}
-	if bound && h.evacuated() {
+	if bound && h.drainedForLong() {
 		late := h.late(h.drained[u.FailureDomain])
 		a.check(Evacuation, r.ID, late <= h.Evacuate, "reached %s in %s by %s %v after its draining", u.Upstream, u.FailureDomain, r.Entry, late)
 	}
@@ -78,9 +78,9 @@
 	return false
 }
 
-// evacuated tells whether a failure domain is drained for longer than the bound, so that a
+// drainedForLong tells whether a failure domain is drained for longer than the bound, so that a
 // request there would break it.
-func (h *history) evacuated() bool {
+func (h *history) drainedForLong() bool {
 	for _, at := range h.drained {
 		if h.late(at) > h.Evacuate {
 			return true
--- a/soak/soaker/reload.go
+++ b/soak/soaker/reload.go
@@ -1,11 +1,9 @@
 package soaker
 
 import (
-	"fmt"
 	"io"
 	"math"
 	"os"
-	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -21,9 +19,6 @@
 	settingsChanged = `"changed":true`
 )
 
-// linkRate is the line of the settings that changes.
-var linkRate = regexp.MustCompile(`link_mbps = [0-9.]+`)
-
 // rereadWithin is how long a process may take to read its settings again, and lookEvery how
 // often its log is looked at meanwhile.
 const (
@@ -45,10 +40,10 @@
 	switch amount % 3 {
 	case 1:
 		// The file tells another link's rate, which holds from the next start on.
-		text = linkRate.ReplaceAllString(text, fmt.Sprintf("link_mbps = %.1f", standin.LinkRate-float64(amount)))
+		text = standin.ChangeLinkRate(text, standin.LinkRate-float64(amount))
 		kept = text
 	case 2:
-		text = strings.Replace(text, "zone = ", "zone = 5 # was ", 1)
+		text = standin.SpoilSettings(text)
 	}
 	wanted := auditor.Reread{Who: p.name, Faulty: text != kept, Changed: text == kept && text != p.startedOn}
 	said := p.reread(text)
