simulator: ablation of mechanisms, with a table and a chart

Unknown mechanisms, loads and fields are refused with those known; an interrupted comparison prints the complete seeds.

--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -1,6 +1,10 @@
 package relayer
 
-import "time"
+import (
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
+)
 
 // Admit completes a job of which request, route and workspace are known: the service that
 // may serve it, whether its caller was refused before, and its deadline.
@@ -50,6 +54,9 @@
 	if d <= 0 {
 		d = busyRetry
 	}
+	if l.Placer.Without.Off(ablator.RetryJitter) {
+		return d
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return d + time.Duration(l.Random.Int64N(int64(d)+1))
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
@@ -95,7 +96,7 @@
 // caller has left, and run in vain when the VM wakes.
 func (p *Placer) unasked(view *registrar.View, u *registrar.UpstreamView, j *Job) *Place {
 	held := u.Holds(j.Model)
-	if held == 0 || j.Version != 0 && held != j.Version || p.Registrar.Outdated(j.Model, held, p.WeightsBound/2) {
+	if p.Without.Off(ablator.UngrantedSends) || held == 0 || j.Version != 0 && held != j.Version || p.Registrar.Outdated(j.Model, held, p.WeightsBound/2) {
 		return nil
 	}
 	version := j.Version
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -127,6 +128,8 @@
 	// ColdFactor and ColdSlack bound what a cold upstream may get from all entries in a
 	// second: so many times its rate, and a number besides.
 	ColdFactor, ColdSlack float64
+	// Without are the mechanisms that an experiment switches off.
+	Without ablator.Set
 }
 
 // Place finds an upstream. Errors are *RefusedError and the context's.
@@ -141,6 +144,9 @@
 	}
 	began := p.Clock.Now()
 	held := time.Duration(heldShare * float64(j.Route.Objective))
+	if p.Without.Off(ablator.AdmissionWait) {
+		held = 0
+	}
 	if j.Again {
 		held = againHeld
 	}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 )
 
 const (
@@ -64,6 +66,8 @@
 type Chooser struct {
 	Clock  clock.PassiveClock
 	Random *rand.Rand
+	// Without are the mechanisms that an experiment switches off.
+	Without ablator.Set
 
 	mu    sync.Mutex
 	seen  map[string]*seen
@@ -144,8 +148,10 @@
 
 // cost is how long a request would wait there, as far as this entry can tell.
 func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
-	cost := max(0, s.wait-now.Sub(s.heard))
-	active := s.active
+	cost, active := time.Duration(0), 0.0
+	if !c.Without.Off(ablator.LoadFeedback) {
+		cost, active = max(0, s.wait-now.Sub(s.heard)), s.active
+	}
 	if k.Slots > 0 {
 		active = max(active, float64(s.running)/float64(k.Slots))
 	}
@@ -157,13 +163,25 @@
 	if now.Before(s.silentUntil) {
 		cost += silentCost
 	}
-	switch k.Distance {
+	if !c.Without.Off(ablator.Locality) {
+		cost += k.Distance.cost()
+	}
+	if c.Without.Off(ablator.TieBreaking) {
+		return cost
+	}
+	return cost + time.Duration(c.Random.Int64N(int64(jitter)))
+}
+
+// cost is the distance in waiting time.
+func (d Distance) cost() time.Duration {
+	switch d {
 	case SameRegion:
-		cost += domainCost
+		return domainCost
 	case OtherRegion:
-		cost += regionCost
+		return regionCost
+	default:
+		return 0
 	}
-	return cost + time.Duration(c.Random.Int64N(int64(jitter)))
 }
 
 // sweepEvery is how often upstreams to forget are looked for. Each look goes over all that
@@ -195,6 +213,9 @@
 // it isn't asked: under more load than all can bear, each refusal would otherwise
 // cost a question to every engine, and the caller's time.
 func (c *Chooser) Full(id string, spare bool, free time.Duration) {
+	if c.Without.Off(ablator.FullBackoff) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := c.Clock.Now().Add(free)
@@ -268,6 +289,9 @@
 // Failed notes an attempt that the upstream did not answer well. Dead ones are
 // passed over at once.
 func (c *Chooser) Failed(id string, dead bool) {
+	if c.Without.Off(ablator.FailureEjection) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(id)
@@ -307,6 +331,9 @@
 // Silence notes that an upstream's agent did not answer; it isn't asked again for d. Gone
 // tells that its VM answered in its place that nobody listens.
 func (c *Chooser) Silence(id string, d time.Duration, gone bool) {
+	if c.Without.Off(ablator.UnresponsiveBackoff) {
+		d = 0
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(id)
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 )
 
@@ -68,6 +70,8 @@
 	// ColdFactor and ColdSlack bound what a cold engine may get in a second: so many times
 	// its rate, and a number besides.
 	ColdFactor, ColdSlack float64
+	// Without are the mechanisms that an experiment switches off.
+	Without ablator.Set
 
 	mu     sync.Mutex
 	engine *matcher.Engine
@@ -197,7 +201,7 @@
 		v.Free = max(0, expiry.Sub(now)) + l.engine.Load
 		return v
 	}
-	if v.Wait > j.Patience {
+	if v.Wait > j.Patience && !l.Without.Off(ablator.QueueingBudget) {
 		v.Free = v.Wait - j.Patience
 		return v
 	}
@@ -212,7 +216,7 @@
 
 // coldWait is how long until a cold engine may get one more; 0 for at once.
 func (l *Ledger) coldWait(now time.Time) time.Duration {
-	if l.coldRate <= 0 || !now.Before(l.coldUntil) {
+	if l.coldRate <= 0 || !now.Before(l.coldUntil) || l.Without.Off(ablator.ColdLimit) {
 		return 0
 	}
 	rate := l.coldRate
@@ -253,7 +257,10 @@
 
 // limit is how many requests may hold places once a job has one.
 func (l *Ledger) limit(j Job) int {
-	if j.Spare {
+	if l.Without.Off(ablator.SlotLimit) {
+		return math.MaxInt
+	}
+	if j.Spare && !l.Without.Off(ablator.LateShare) {
 		return max(1, int(spareShare*float64(l.engine.Slots)))
 	}
 	return l.engine.Slots
--- /dev/null
+++ b/internal/simulator/ablation.go
@@ -0,0 +1,131 @@
+package simulator
+
+import (
+	"context"
+	"math"
+	"runtime"
+	"slices"
+	"sync"
+
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
+)
+
+// Ablation plays loads with all mechanisms and again with one of them switched off, over the
+// same seeds. Set the exported fields before Run.
+type Ablation struct {
+	Loads      []*Experiment
+	Mechanisms []ablator.Mechanism
+	// First is the first of Seeds seeds.
+	First uint64
+	Seeds int
+}
+
+// Effect is what switching off a mechanism changes under a load.
+type Effect struct {
+	Load      string
+	Mechanism ablator.Mechanism
+	// Worth are the differences in worth, one a seed: without the mechanism less with it.
+	Worth []float64
+}
+
+// Mean is the mean difference.
+func (e Effect) Mean() float64 {
+	sum := 0.0
+	for _, d := range e.Worth {
+		sum += d
+	}
+	return sum / max(1, float64(len(e.Worth)))
+}
+
+// Deviation is the standard deviation of the differences over the seeds; 0 for a single one.
+func (e Effect) Deviation() float64 {
+	if len(e.Worth) < 2 {
+		return 0
+	}
+	mean, squares := e.Mean(), 0.0
+	for _, d := range e.Worth {
+		squares += (d - mean) * (d - mean)
+	}
+	return math.Sqrt(squares / float64(len(e.Worth)-1))
+}
+
+// AblationReport is what an ablation measured.
+type AblationReport struct {
+	Loads      []string
+	Mechanisms []ablator.Mechanism
+	// Worth is that with all mechanisms, a mean over the seeds, by load.
+	Worth []float64
+	// Effects are by mechanism and then by load.
+	Effects [][]Effect
+	// Seeds are complete; Interrupted tells that others were left out.
+	Seeds       []uint64
+	Interrupted bool
+}
+
+// Run plays all seeds, or those that are complete when the context ends.
+func (a *Ablation) Run(ctx context.Context) *AblationReport {
+	report := &AblationReport{Mechanisms: a.Mechanisms, Worth: make([]float64, len(a.Loads)), Effects: make([][]Effect, len(a.Mechanisms))}
+	for _, e := range a.Loads {
+		report.Loads = append(report.Loads, e.Name)
+	}
+	for m, mechanism := range a.Mechanisms {
+		for _, e := range a.Loads {
+			report.Effects[m] = append(report.Effects[m], Effect{Load: e.Name, Mechanism: mechanism})
+		}
+	}
+	for seed := a.First; seed < a.First+uint64(a.Seeds); seed++ {
+		with, without, ok := a.play(ctx, seed)
+		if !ok {
+			report.Interrupted = true
+			break
+		}
+		report.add(seed, with, without)
+	}
+	for i := range report.Worth {
+		report.Worth[i] /= max(1, float64(len(report.Seeds)))
+	}
+	return report
+}
+
+func (r *AblationReport) add(seed uint64, with []float64, without [][]float64) {
+	r.Seeds = append(r.Seeds, seed)
+	for i, worth := range with {
+		r.Worth[i] += worth
+		for m := range without {
+			e := &r.Effects[m][i]
+			e.Worth = append(e.Worth, without[m][i]-worth)
+		}
+	}
+}
+
+// play gives the worth of all loads with one seed: with all mechanisms, and without each of
+// them. It is false when the context ended first.
+func (a *Ablation) play(ctx context.Context, seed uint64) (with []float64, without [][]float64, ok bool) {
+	with, without = make([]float64, len(a.Loads)), make([][]float64, len(a.Mechanisms))
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var runs sync.WaitGroup
+	start := func(worth *float64, e *Experiment, off ...ablator.Mechanism) {
+		slots <- struct{}{}
+		if ctx.Err() != nil {
+			<-slots
+			return
+		}
+		runs.Go(func() {
+			defer func() { <-slots }()
+			played := *e
+			played.Without = append(slices.Clone(e.Without), off...)
+			*worth = Run(&played, seed).Total.Worth()
+		})
+	}
+	for i, e := range a.Loads {
+		start(&with[i], e)
+	}
+	for m, mechanism := range a.Mechanisms {
+		without[m] = make([]float64, len(a.Loads))
+		for i, e := range a.Loads {
+			start(&without[m][i], e, mechanism)
+		}
+	}
+	runs.Wait()
+	return with, without, ctx.Err() == nil
+}
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -7,10 +7,12 @@
 import (
 	"fmt"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 )
 
@@ -32,6 +34,8 @@
 	Workspaces     []Workspace     `toml:"workspaces"`
 	Surges         []Surge         `toml:"surges"`
 	Faults         []Fault         `toml:"faults"`
+	// Without are the mechanisms that are switched off.
+	Without ablator.Set `toml:"without"`
 }
 
 // Engine are the figures of all engines, those of matcher.Engine and some besides.
@@ -255,7 +259,7 @@
 		return meta, &FileError{Path: path, Problem: "not read", Err: err}
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return meta, &FileError{Path: path, Problem: fmt.Sprintf("unknown field %s", unknown[0])}
+		return meta, &FileError{Path: path, Problem: fmt.Sprintf("unknown field %s, known are %s", unknown[0], strings.Join(knownFields(), ", "))}
 	}
 	return meta, nil
 }
@@ -293,6 +297,11 @@
 			return fmt.Sprintf("surge of unknown kind %q", s.Kind)
 		}
 	}
+	for _, m := range e.Without {
+		if _, err := ablator.Parse(string(m)); err != nil {
+			return err.Error()
+		}
+	}
 	for _, f := range e.Faults {
 		if problem := f.problem(domains); problem != "" {
 			return problem
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -54,7 +54,7 @@
 	h := &host{world: w, domain: d, id: fmt.Sprintf("%s-%d", d.Name, number), streams: map[string]*sequencer.Mailbox[part]{},
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(w.hosts) >> 8), byte(len(w.hosts))}), 1)}
 	h.engine = &emulator.Engine{Figures: w.Engine.figures(), Memory: w.Engine.Memory}
-	h.ledger = &scheduler.Ledger{Clock: w.time, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack}
+	h.ledger = &scheduler.Ledger{Clock: w.time, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack, Without: w.Without}
 	h.granter = &granter.Granter{Ledger: h.ledger, Holds: func(string) uint64 { return version }, Clock: w.time}
 	h.ledger.Open(h.engine.Figures)
 	return h
--- a/internal/simulator/print.go
+++ b/internal/simulator/print.go
@@ -35,10 +35,7 @@
 		p.table(t.By, rows)
 	}
 	p.chart(reports)
-	if p.err != nil {
-		return p.err
-	}
-	return p.w.Flush()
+	return p.flush()
 }
 
 // printer keeps the first error of a run of lines.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -25,6 +26,8 @@
 	service = "engines"
 	// agentPort is a port like any other; nothing listens.
 	agentPort = 1
+	// unboundRetries is more than any experiment makes.
+	unboundRetries = 1e9
 )
 
 // start is when virtual time begins. Any moment will do.
@@ -120,7 +123,7 @@
 func (w *world) newEntry(d *FailureDomain, number int) *entry {
 	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number)}
 	r := &registrar.Registrar{Clock: w.time, Decode: w.decode}
-	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom()}
+	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom(), Without: w.Without}
 	regions := map[string]string{}
 	for _, d := range w.FailureDomains {
 		regions[d.Name] = d.Region
@@ -129,10 +132,13 @@
 		Registrar: r, Chooser: chooser, Clock: w.time, Random: w.newRandom(), Metrics: metrics.NewRegistry(),
 		Placer: &relayer.Placer{
 			Registrar: r, Chooser: chooser, Clock: w.time, FailureDomain: d.Name, Region: d.Region, Regions: regions,
-			AgentPort: agentPort, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack,
+			AgentPort: agentPort, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack, Without: w.Without,
 			Reach: func(a netip.AddrPort) relayer.Agent { return &road{entry: e, host: w.byAgent[a]} },
 		},
 		Budgets: &retrier.Budgets{New: func() *retrier.Budget {
+			if w.Without.Off(ablator.RetryBudget) {
+				return &retrier.Budget{Clock: w.time, Share: unboundRetries, Burst: unboundRetries}
+			}
 			bound := retrier.Bound{Ratio: w.Retries.Ratio, Slack: w.Retries.Slack, Window: w.Retries.Window}
 			return bound.Budget(w.time, func() int { return len(r.View().Members) })
 		}},
