syncer: hedge the first list of a seed

After a restart of all, every process waits for the seeds, which read the store.

A seed now repeats its list every 0.6 s beside the outstanding ones, three at most. Others don't, as their lists would saturate the links to the store.

--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -303,7 +303,7 @@
 	asked := s.Clock.Now()
 	s.Registrar.StoreAsked()
 	if !known || s.compacted {
-		b, err := s.Store.List(ctx)
+		b, err := s.list(ctx)
 		return b.Older(s.Clock.Since(asked)), err
 	}
 	b, err := s.Store.Watch(ctx, at, watchWait)
