stager, loader: prefetch announced versions from the origin

Cause: the chunk list of a version was read once the version before it was complete, so version 3, announced 2.0 s after version 2 and 0.5 s before the origin became unreachable, was known nowhere before the origin's return, and its chunks were drawn from nothing. The loader also asked peers over saturated links for a manifest that its agent already had, which cost the first quarter of a version up to 0.3 s.

Change: lists of all announced versions are read at once, both copies of a list at the same time; a region's drawers fetch their share of the next version as soon as the origin owes nothing of the one before; the loader is given the manifest.

--- a/internal/loader/adopt.go
+++ b/internal/loader/adopt.go
@@ -16,14 +16,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.sets[digest]
-	if s == nil {
-		s = &set{digest: digest, since: l.Clock.Now()}
-		l.sets[digest] = s
-	}
-	if s.manifest == nil {
-		s.take(m, body)
-	}
+	s := l.accept(digest, m, body)
 	if s.transfer == nil && !l.admit(s, l.Clock.Now()) {
 		return &NotWholeError{Manifest: digest, All: len(m.Chunks)}
 	}
@@ -38,6 +31,31 @@
 	return nil
 }
 
+// AddManifest takes over a manifest that the caller has already. Otherwise peers are asked for
+// it first, over links that are saturated while weights spread.
+func (l *Loader) AddManifest(digest string, body []byte) error {
+	l.setUp()
+	m, err := fetcher.ParseManifest(digest, body)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accept(digest, m, body)
+	l.nudge()
+	return nil
+}
+
+// accept keeps a manifest and gives its set.
+func (l *Loader) accept(digest string, m *fetcher.Manifest, body []byte) *set {
+	l.open(digest)
+	s := l.sets[digest]
+	if s.manifest == nil {
+		s.take(m, body)
+	}
+	return s
+}
+
 // gain keeps verified bytes and tells all transfers that want them.
 func (l *Loader) gain(digest string, data []byte) {
 	c := l.chunks[digest]
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -75,20 +75,22 @@
 	pacer   *pacer
 	wake    chan struct{}
 
-	mu      sync.Mutex
-	sets    map[string]*set
-	chunks  map[string]*chunk
-	used    int64
-	want    []string
-	keep    map[string]bool
-	holders map[holderKey]heardHolder
-	heard   time.Time
-	changed chan struct{}
-	cancels map[fetch]context.CancelFunc
-	asking  map[string]bool
-	seeds   uint64
-	ctx     context.Context
-	running sync.WaitGroup
+	mu     sync.Mutex
+	sets   map[string]*set
+	chunks map[string]*chunk
+	used   int64
+	want   []string
+	// prefetch lists manifests to be wanted next.
+	prefetch []string
+	keep     map[string]bool
+	holders  map[holderKey]heardHolder
+	heard    time.Time
+	changed  chan struct{}
+	cancels  map[fetch]context.CancelFunc
+	asking   map[string]bool
+	seeds    uint64
+	ctx      context.Context
+	running  sync.WaitGroup
 }
 
 // chunk is a chunk's place in memory; data is nil until verified bytes arrive.
@@ -207,17 +209,27 @@
 	}
 	l.want = slices.Clone(manifests)
 	for _, m := range manifests {
-		if l.sets[m] == nil {
-			l.sets[m] = &set{digest: m, since: l.Clock.Now()}
-		}
+		l.open(m)
+	}
+	l.stopUnwanted()
+	l.announce()
+	l.nudge()
+}
+
+// open makes the set of a manifest unless there is one.
+func (l *Loader) open(manifest string) {
+	if l.sets[manifest] == nil {
+		l.sets[manifest] = &set{digest: manifest, since: l.Clock.Now()}
 	}
+}
+
+// stopUnwanted ends the transfers that are neither wanted nor prefetched nor nearly done.
+func (l *Loader) stopUnwanted() {
 	for _, s := range l.sets {
-		if !slices.Contains(manifests, s.digest) && !l.finishes(s) {
+		if !slices.Contains(l.want, s.digest) && !slices.Contains(l.prefetch, s.digest) && !l.finishes(s) {
 			l.stop(s)
 		}
 	}
-	l.announce()
-	l.nudge()
 }
 
 // finishes tells whether a transfer that is wanted no more goes on because it is
@@ -396,8 +408,9 @@
 		}
 		l.cancelOverdue(s, now)
 		l.poll(s, now)
-		l.order(s, now)
+		l.order(s, now, (*planner.Transfer).Next)
 	}
+	l.stepPrefetch(now)
 }
 
 // active lists the sets to work on: those nearly there first, then the wanted
@@ -405,7 +418,7 @@
 func (l *Loader) active() []*set {
 	var ss []*set
 	for _, s := range l.sets {
-		if !slices.Contains(l.want, s.digest) && l.finishes(s) {
+		if !slices.Contains(l.want, s.digest) && !slices.Contains(l.prefetch, s.digest) && l.finishes(s) {
 			ss = append(ss, s)
 		}
 	}
@@ -418,9 +431,9 @@
 }
 
 // order starts the fetches that the planner asks for.
-func (l *Loader) order(s *set, now time.Time) {
+func (l *Loader) order(s *set, now time.Time, next func(*planner.Transfer, time.Time) (planner.Order, bool)) {
 	for {
-		o, ok := s.transfer.Next(now)
+		o, ok := next(s.transfer, now)
 		if !ok {
 			return
 		}
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -33,6 +33,10 @@
 	SHA256     []string
 }
 
+func (d Digests) equal(other Digests) bool {
+	return d.ChunkBytes == other.ChunkBytes && slices.Equal(d.SHA256, other.SHA256)
+}
+
 // Digester learns which chunks make up a version, and keeps it. The origin names
 // versions by number, the loader by the digest of their manifest. It is safe for
 // concurrent use. Set the exported fields before use.
@@ -191,8 +195,8 @@
 	return d.keep(k, m)
 }
 
-// fromOrigin asks the origin twice. Its answers may be spoilt, and a spoilt list of
-// digests would make every right chunk look wrong.
+// fromOrigin asks the origin twice, as a spoilt list of digests would make every right chunk
+// look wrong. It asks at once, since the link may be saturated with chunks.
 func (d *Digester) fromOrigin(ctx context.Context, k versionKey) bool {
 	d.mu.Lock()
 	o := d.origin
@@ -200,19 +204,22 @@
 	if o == nil {
 		return false
 	}
-	var bodies [2]Digests
-	for i := range bodies {
-		var err error
-		if bodies[i], err = o.Digests(ctx, k.model, k.version); err != nil {
-			klog.InfoS("Origin did not tell a version", "version", k, "err", err)
-			return false
-		}
+	var lists [2]Digests
+	var errs [2]error
+	var calls sync.WaitGroup
+	for i := range lists {
+		calls.Go(func() { lists[i], errs[i] = o.Digests(ctx, k.model, k.version) })
+	}
+	calls.Wait()
+	if err := errors.Join(errs[:]...); err != nil {
+		klog.InfoS("Chunk list not read from the origin", "version", k, "err", err)
+		return false
 	}
-	if fmt.Sprint(bodies[0]) != fmt.Sprint(bodies[1]) {
-		klog.InfoS("Origin told a version in two ways", "version", k)
+	if !lists[0].equal(lists[1]) {
+		klog.InfoS("Origin gave two different chunk lists", "version", k)
 		return false
 	}
-	return d.keep(k, manifest(k, bodies[0]))
+	return d.keep(k, manifest(k, lists[0]))
 }
 
 func manifest(k versionKey, ds Digests) *fetcher.Manifest {
--- a/internal/stager/namings.go
+++ b/internal/stager/namings.go
@@ -1,6 +1,7 @@
 package stager
 
 import (
+	"maps"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -51,27 +52,48 @@
 }
 
 // wantedFor is for how long this agent has looked for a version's chunks. Counted from the
-// naming alone, all agents would turn to the origin at once after a restart of all.
+// announcement alone, all agents would turn to the origin at once after a restart of all.
 func (s *Stager) wantedFor(version uint64) time.Duration {
-	if s.wanted != version {
-		s.wanted, s.wantedAt = version, s.Clock.Now()
+	if s.wantedAt == nil {
+		s.wantedAt = map[uint64]time.Time{}
 	}
-	return s.Clock.Since(s.wantedAt)
+	at, ok := s.wantedAt[version]
+	if !ok {
+		at = s.Clock.Now()
+		s.wantedAt[version] = at
+		maps.DeleteFunc(s.wantedAt, func(v uint64, _ time.Time) bool { return v+wantedKept < version })
+	}
+	return s.Clock.Since(at)
+}
+
+// wantedKept bounds how many versions before the latest wantedFor remembers.
+const wantedKept = 16
+
+// announced is a version to hold and how long ago it was announced.
+type announced struct {
+	version uint64
+	age     time.Duration
 }
 
-// next is the version to fetch now: the oldest that is newer than what the engine
-// holds, not here yet, and not overtaken.
-func (s *Stager) next(model string, held uint64) (version uint64, age time.Duration) {
+// pending lists the versions to fetch, the first one first: those newer than what the engine
+// holds that aren't complete here and will serve for a while. It is never empty: without any it
+// has the newest version.
+func (s *Stager) pending(model string, held uint64) []announced {
+	var ps []announced
 	newer := s.after(held)
 	for i, n := range newer {
 		if i+1 < len(newer) && s.overtaken(n, newer[i+1]) || s.passing(n.Version) {
 			continue
 		}
 		if !s.whole(model, n.Version) {
-			return n.Version, s.Clock.Since(n.Learned)
+			ps = append(ps, announced{n.Version, s.Clock.Since(n.Learned)})
 		}
 	}
-	return s.newest()
+	if len(ps) == 0 {
+		version, age := s.newest()
+		return []announced{{version, age}}
+	}
+	return ps
 }
 
 func (s *Stager) overtaken(n, by registrar.Naming) bool {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -124,11 +124,10 @@
 	orderedAt time.Time
 	ahead     stagedAhead
 	preloaded bool
-	// unlisted tells that the chunks of the wanted version aren't known yet.
+	// unlisted tells that the chunks of a pending version aren't known yet.
 	unlisted bool
-	// wanted is the version whose chunks are being looked for, wantedAt since when.
-	wanted   uint64
-	wantedAt time.Time
+	// wantedAt is since when each version's chunks have been looked for.
+	wantedAt map[uint64]time.Time
 	// originAt is the address of the origin in use.
 	originAt netip.AddrPort
 	why      string
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -156,8 +156,9 @@
 	drawn    []int
 	// drawnOf counts the chunks given of each version.
 	drawnOf map[uint64]int
-	// down refuses all lists of digests.
-	down bool
+	// down refuses all lists of digests; listed are the versions whose list was given.
+	down   bool
+	listed map[uint64]bool
 }
 
 func (o *origin) Digests(_ context.Context, _ string, version uint64) (stager.Digests, error) {
@@ -167,6 +168,10 @@
 	if o.down {
 		return stager.Digests{}, errWithheld
 	}
+	if o.listed == nil {
+		o.listed = map[uint64]bool{}
+	}
+	o.listed[version] = true
 	d := stager.Digests{ChunkBytes: int64(len(chunkOf(version, 0)))}
 	for i := range chunkCount {
 		sum := sha256.Sum256(chunkOf(version, i))
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -56,19 +56,12 @@
 // self names this agent among the others.
 func (s *Stager) self() string { return s.Address.String() }
 
-// target has the named versions fetched, and gives the newest one that is whole
+// target has the announced versions fetched, and gives the newest one that is complete
 // here and whether it is this engine's turn to switch.
 func (s *Stager) target(ctx context.Context, model string, held uint64) (version uint64, turn bool) {
 	s.setOrigin()
-	wanted, age := s.next(model, held)
 	peers := s.peers()
-	digest, ok := s.Digests.Known(model, wanted)
-	s.unlisted = !ok
-	if !ok {
-		s.Digests.Learn(ctx, versionKey{model, wanted}, s.self(), peers, min(age, s.wantedFor(wanted)))
-	} else {
-		s.want(ctx, model, digest, peers)
-	}
+	s.fetch(ctx, model, s.pending(model, held), peers)
 	for v, _ := s.newest(); v > held; v-- {
 		if s.whole(model, v) && !s.passing(v) {
 			return v, held == 0 || s.turn(held)
@@ -77,6 +70,45 @@
 	return held, false
 }
 
+// fetch has the first of the pending versions fetched and the others prefetched: the origin
+// may become unreachable before the first is complete.
+func (s *Stager) fetch(ctx context.Context, model string, pending []announced, peers []peerAgent) {
+	s.unlisted = false
+	var ahead []string
+	for i, n := range pending {
+		digest, ok := s.listed(ctx, model, n, peers)
+		switch {
+		case !ok:
+			s.unlisted = true
+		case i == 0:
+			s.want(ctx, model, digest, peers)
+		default:
+			ahead = append(ahead, digest)
+		}
+	}
+	s.Loader.Prefetch(ahead)
+	s.setHolders(ahead, peers)
+}
+
+// listed gives the digest of a version's manifest once its chunks are known, to the loader too.
+func (s *Stager) listed(ctx context.Context, model string, n announced, peers []peerAgent) (digest string, ok bool) {
+	if digest, ok = s.Digests.Known(model, n.version); ok {
+		return digest, true
+	}
+	s.Digests.Learn(ctx, versionKey{model, n.version}, s.self(), peers, min(n.age, s.wantedFor(n.version)))
+	if digest, ok = s.Digests.Known(model, n.version); !ok {
+		return "", false
+	}
+	body, err := s.Digests.Manifest(ctx, digest)
+	if err == nil {
+		err = s.Loader.AddManifest(digest, body)
+	}
+	if err != nil {
+		klog.ErrorS(err, "Manifest not taken over", "agent", s.ID, "manifest", digest)
+	}
+	return digest, true
+}
+
 func (s *Stager) setOrigin() {
 	for _, service := range s.Registrar.View().Table.Services {
 		if service.Origin != nil {
@@ -112,6 +144,14 @@
 		}
 	}
 	s.Loader.Want(digests)
+	s.setHolders(digests, peers)
+}
+
+// setHolders names the other agents as possible holders of some manifests.
+func (s *Stager) setHolders(digests []string, peers []peerAgent) {
+	if len(digests) == 0 {
+		return
+	}
 	var hs []messenger.Holder
 	for _, p := range peers {
 		for _, d := range digests {
