--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -178,6 +178,9 @@
 	FaultSlow = "slow"
 	// FaultNoWeights has engines take nothing for want of weights.
 	FaultNoWeights = "noWeights"
+	// FaultSwitch has engines switch to new weights one after the other within Lasts: each ends
+	// its requests, takes no new ones meanwhile, and loads.
+	FaultSwitch = "switch"
 )
 
 // Fault is something that befalls engines.
@@ -189,6 +192,9 @@
 	FailureDomain string  `toml:"failureDomain"`
 	Share         float64 `toml:"share"`
 	Pace          float64 `toml:"pace"`
+	// Overrun is how much later than its engine's turn to switch a request may be expected to
+	// end.
+	Overrun time.Duration `toml:"overrun"`
 }
 
 // FileError reports an experiment that can't be played.
@@ -312,7 +318,7 @@
 
 func (f Fault) problem(domains map[string]bool) string {
 	switch f.Fault {
-	case FaultCrash, FaultSilent, FaultSlow, FaultNoWeights:
+	case FaultCrash, FaultSilent, FaultSlow, FaultNoWeights, FaultSwitch:
 	default:
 		return fmt.Sprintf("unknown fault %q", f.Fault)
 	}
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -33,6 +33,8 @@
 	// silent VMs are cut off: they work on, but nothing goes in or out. Engines that are down
 	// refuse connections, and those without weights take no request.
 	silent, down, noWeights bool
+	// ordered engines load new weights once they have ended their requests.
+	ordered bool
 	// coldUntil is when the engine bears a full load again.
 	coldUntil time.Time
 	// accepted are the moments of a cold engine's requests, for the bound on them.
@@ -78,6 +80,10 @@
 	r := h.engine.Report(h.time.Now())
 	h.ledger.Observe(r.Running+r.Waiting, h.engine.Pace)
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
+	if h.ordered {
+		h.ledger.Close("switching weights")
+		return
+	}
 	if h.noWeights {
 		h.ledger.Close("no weights")
 		return
@@ -118,6 +124,8 @@
 		return "connection refused"
 	case h.noWeights:
 		return "no weights"
+	case h.ordered:
+		return "switching weights"
 	case h.engine.Waiting() > h.Engine.Queue:
 		return "queue full"
 	default:
@@ -160,6 +168,7 @@
 			h.later(box, v.At.Sub(now), part{Event: v})
 		}
 	}
+	h.loadWhenIdle()
 	h.arm()
 }
 
@@ -170,6 +179,36 @@
 	}
 	h.engine.Remove(id)
 	delete(h.streams, id)
+	h.loadWhenIdle()
+}
+
+// planSwitch has the engine switch to new weights after a time. Until then its agent lets in
+// only what should end soon after that.
+func (h *host) planSwitch(overrun, after time.Duration) {
+	h.ledger.OpenUntil(h.time.Now().Add(after + overrun))
+	starts := h.starts
+	h.time.In(after, func() {
+		if h.starts == starts {
+			h.ordered = true
+			h.observe()
+			h.loadWhenIdle()
+		}
+	})
+}
+
+// loadWhenIdle loads what was ordered once the engine has ended its requests.
+func (h *host) loadWhenIdle() {
+	if !h.ordered || h.noWeights || len(h.streams) > 0 {
+		return
+	}
+	h.noWeights = true
+	starts := h.starts
+	h.time.In(h.Engine.Load, func() {
+		if h.starts == starts {
+			h.noWeights, h.ordered = false, false
+			h.ledger.OpenUntil(time.Time{})
+		}
+	})
 }
 
 // end ends the engine with all that it runs.
@@ -189,7 +228,8 @@
 	h.engine = &emulator.Engine{Figures: h.Engine.figures(), Memory: h.Engine.Memory, Pace: pace}
 	clear(h.streams)
 	h.armed = time.Time{}
-	h.down, h.silent = false, false
+	h.down, h.silent, h.ordered = false, false, false
+	h.ledger.OpenUntil(time.Time{})
 	h.coldUntil = h.time.Now().Add(h.Engine.Cold)
 	h.ledger.Reset()
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -80,7 +80,11 @@
 	}
 	n := max(1, int(math.Round(share*float64(len(there)))))
 	w.random.Shuffle(len(there), func(i, j int) { there[i], there[j] = there[j], there[i] })
-	for _, h := range there[:min(n, len(there))] {
+	for i, h := range there[:min(n, len(there))] {
+		if f.Fault == FaultSwitch {
+			h.planSwitch(f.Overrun, f.Lasts*time.Duration(i)/time.Duration(n))
+			continue
+		}
 		h.befall(f)
 	}
 }
