stager: complete the first version on an empty engine when most of it is here

Cause: an engine that starts shortly before an announcement fetches the first version, which no record names, and gave it up for the announced one.

Change: an empty engine completes the first version when three fifths of it are here and it may still serve for a while. Later versions are among the announced ones and were kept.

--- a/internal/stager/namings.go
+++ b/internal/stager/namings.go
@@ -81,6 +81,9 @@
 func (s *Stager) pending(model string, held uint64) []announced {
 	var ps []announced
 	newer := s.after(held)
+	if s.completesFirst(model, held) {
+		ps = append(ps, announced{firstVersion, time.Hour})
+	}
 	for i, n := range newer {
 		if i+1 < len(newer) && s.overtaken(n, newer[i+1]) || s.passing(n.Version) {
 			continue
@@ -96,6 +99,17 @@
 	return ps
 }
 
+// completesFirst tells whether an empty engine should still get the first version, although a
+// newer one is announced: most of it is here, and the newer one takes seconds longer. Later
+// versions are among the announced ones.
+func (s *Stager) completesFirst(model string, held uint64) bool {
+	if _, superseded := s.superseded(firstVersion); held > 0 || !superseded {
+		return false
+	}
+	progress := s.progress(model, firstVersion)
+	return progress >= expected && progress < 1 && !s.passing(firstVersion)
+}
+
 func (s *Stager) overtaken(n, by registrar.Naming) bool {
 	return by.Learned.Sub(n.Learned) < time.Duration(overtakeWithin*float64(s.Bound))
 }
--- a/internal/stager/prefetch_test.go
+++ b/internal/stager/prefetch_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+	"k8s.io/utils/clock"
 )
 
 // Guards against an idle origin: the chunk list of a version is read as soon as the version is
@@ -30,3 +31,18 @@
 	defer w.origin.mu.Unlock()
 	return w.origin.listed[version]
 }
+
+// Guards against an empty engine that serves nothing for seconds: a version announced when the
+// one before lacks a few chunks must not displace it.
+func TestEmptyEngineGetsTheVersionThatIsNearlyComplete(t *testing.T) {
+	e := &engine{born: 1}
+	o := &origin{withheld: map[int]bool{2: true}, withheldVersion: 2}
+	w := newWorldWith(t, clock.RealClock{}, e, o, 10*time.Second)
+	eventually(t, func() bool { return e.lies(1, 0, 1, 3, 4, 5) })
+	w.name(2)
+	w.withhold(nil)
+	eventually(t, w.open)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	must.Eq(t, 1, e.versions[0])
+}
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -47,6 +47,8 @@
 	// loaded is what lay staged at the last order.
 	loaded map[int][]byte
 	orders int
+	// versions are those of the orders.
+	versions []uint64
 	// rot, when set, spoils the next chunk that is staged.
 	rot bool
 	// running requests keep an order waiting.
@@ -119,6 +121,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
+	e.versions = append(e.versions, version)
 	e.loaded = map[int][]byte{}
 	for i, data := range e.staged {
 		e.loaded[i] = data
@@ -153,7 +156,9 @@
 	differing bool
 	// withheld chunks are not given; drawn are those given so far.
 	withheld map[int]bool
-	drawn    []int
+	// withheldVersion is given nothing of; 0 for none.
+	withheldVersion uint64
+	drawn           []int
 	// drawnOf counts the chunks given of each version.
 	drawnOf map[uint64]int
 	// down refuses all lists of digests; listed are the versions whose list was given.
@@ -187,7 +192,7 @@
 func (o *origin) Chunk(_ context.Context, _ string, version uint64, chunk int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.withheld[chunk] {
+	if o.withheld[chunk] || version == o.withheldVersion {
 		return nil, errWithheld
 	}
 	if version > 1 {
