syncer: ask the other entries before the store when some refuse the connection

Seventeen entries left in turn; agents whose two nearest entries had both gone watched the store directly, a dozen of one region at once. Each got the next route table of 1,812 routes uncompressed, which saturated the link between the store's region and theirs for 1.3 s, and streams over it were given up as unresponsive.

Change: a peer that refuses the connection, or is known to be gone, doesn't count among the two that are waited for; an agent goes on to the next entry of its region. Two that take their time still lead to the store, as a frozen region would else be blind for longer than a change may take.

--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -46,8 +46,9 @@
 	*registrar.Registrar
 	listener *connectortest.Listener
 	stop     context.CancelFunc
-	// bytes is what was read and written here.
-	bytes atomic.Int64
+	// bytes is what was read and written here, watches how often it watched the store.
+	bytes   atomic.Int64
+	watches atomic.Int32
 	// cut processes don't reach the store, refused ones get no answer from it.
 	cut, refused atomic.Bool
 	// deaf processes take connections and never answer, squeezed ones take a while to write.
@@ -164,6 +165,7 @@
 }
 
 func (s nodeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	s.node.watches.Add(1)
 	if err := s.refused(ctx); err != nil {
 		return registrar.Batch{}, err
 	}
--- a/internal/syncer/order.go
+++ b/internal/syncer/order.go
@@ -21,8 +21,10 @@
 	// TestBytesOfNews measures.
 	fewestRelays = 2
 	relayed      = 20
-	// sources is how many are asked before the store: two that are frozen take 1.5 s, and a
-	// change has to be in force within 2 s.
+	// sources is how many unresponsive peers are waited for before the store is asked: two that
+	// are frozen take 1.5 s, and a change has to be in force within 2 s. Those that refuse the
+	// connection don't count: when several entries of a region leave together, its agents
+	// would all watch the store, and the next change would saturate the link to it.
 	sources = 2
 	// mostDirect is up to how many entries all ask the readers themselves. Above, the readers'
 	// bytes grow with the entries, and the same news cross the links between regions once for
@@ -39,10 +41,8 @@
 	reads bool
 	// relays tells that it asks the readers for others of its region.
 	relays bool
-	// candidates are whom it may ask, the best first; the first sources of them come before
-	// the store.
+	// candidates are whom it may ask, the best first.
 	candidates []netip.AddrPort
-	sources    int
 	// wait is how long an answer may be held back without news.
 	wait time.Duration
 }
@@ -82,7 +82,6 @@
 			o.candidates = append(o.candidates, a)
 		}
 	}
-	o.sources = min(sources, len(o.candidates))
 	return o
 }
 
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -44,6 +44,9 @@
 	// atOnce is within what time a watch answers whose news were there before it began: a
 	// dozen round trips between regions. How old those are the store doesn't say.
 	atOnce = 50 * time.Millisecond
+	// quickAnswer is within what time a peer answers that has nothing to wait for, or whose VM
+	// refuses the connection: a dozen round trips between regions.
+	quickAnswer = 50 * time.Millisecond
 	// idlePause is the pause when nobody has news.
 	idlePause = 150 * time.Millisecond
 	// anyAge accepts whatever a peer knows.
@@ -123,7 +126,7 @@
 	s.forgetOthers(candidates)
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
-	if !reads && s.fromPeers(ctx, candidates[:o.sources], asking{wait: o.wait, limit: staleNews}) {
+	if !reads && s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, slow: sources}) {
 		return true
 	}
 	if s.storeDue() {
@@ -189,13 +192,18 @@
 	wait, limit time.Duration
 	// better tells that there is something better to do than to ask the rest; nil for never.
 	better func() bool
+	// slow bounds how many may take their time and be of no use; 0 for any number.
+	slow int
 }
 
 // fromPeers asks processes in turn until one answers whose news the store confirmed
 // not longer ago than limit, or until there is something better to do.
 func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, how asking) bool {
-	failed := false
+	failed, slow := false, 0
 	for _, a := range as {
+		if how.slow > 0 && slow >= how.slow {
+			return false
+		}
 		if how.better != nil && how.better() {
 			return false
 		}
@@ -208,6 +216,9 @@
 			return false
 		}
 		failed = true
+		if s.Clock.Since(asked) > quickAnswer {
+			slow++
+		}
 		if err != nil {
 			s.avoid[a] = s.Clock.Now().Add(avoidFor)
 			klog.InfoS("Peer lost", "peer", a, "err", err)
