Rename drawers to origin fetchers, lastWord to lastConfirmed, vain calls to failed calls

The key of the message between entries stays "drawers", as processes of two builds meet in a roll. No behaviour changes.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -154,10 +154,10 @@
 // goes along only when it is news.
 func (m *members) mine(theirs uint64) messenger.Exchange {
 	x := messenger.Exchange{
-		State:   m.self(),
-		Asked:   m.entry.Limiter.Asked(),
-		Demand:  m.entry.Router.Demand(),
-		Drawers: m.entry.Tracker.Drawers(),
+		State:          m.self(),
+		Asked:          m.entry.Limiter.Asked(),
+		Demand:         m.entry.Router.Demand(),
+		OriginFetchers: m.entry.Tracker.OriginFetchers(),
 	}
 	b, r := m.entry.State.Current()
 	if b != nil && theirs > 0 && b.Revision > theirs {
--- a/internal/loader/exports_test.go
+++ b/internal/loader/exports_test.go
@@ -88,7 +88,7 @@
 		a, w, at := n.pacedHolder(t)
 		ctx, stop := context.WithCancel(t.Context())
 		var near, far atomic.Int32
-		var drawers sync.WaitGroup
+		var originFetchers sync.WaitGroup
 		draw := func(region string, chunk int, got *atomic.Int32) {
 			p := &fetcher.HTTP{Address: at, Timeout: 10 * time.Second, Client: n.client, Region: region}
 			for ctx.Err() == nil {
@@ -98,28 +98,28 @@
 			}
 		}
 		for i := range 3 {
-			drawers.Go(func() { draw("other", i, &far) })
-			drawers.Go(func() { draw(a.Region, i, &near) })
+			originFetchers.Go(func() { draw("other", i, &far) })
+			originFetchers.Go(func() { draw(a.Region, i, &near) })
 		}
 		// 100 chunks' time.
 		time.Sleep(4 * time.Second)
 		stop()
-		drawers.Wait()
+		originFetchers.Wait()
 		t.Log("chunks to the own region", near.Load(), "to another", far.Load())
 		must.Greater(t, near.Load(), far.Load(), must.Sprint("exports go first"))
 		must.GreaterEq(t, 10, near.Load(), must.Sprint("neighbours get a tenth at least"))
 	})
 }
 
-// Drawers give up on a slow agent while their uploads wait for the link. A turn that one of
+// Origin fetchers give up on a slow agent while their uploads wait for the link. A turn that one of
 // them took along would be nobody's: the agent would send nothing to anybody any more.
 func TestUploadsThatAreBrokenOffLeaveTheirTurn(t *testing.T) {
 	inBubble(t, func(t *testing.T, n *network) {
 		a, w, at := n.pacedHolder(t)
-		var drawers sync.WaitGroup
+		var originFetchers sync.WaitGroup
 		for i := range 6 {
 			region := []string{a.Region, "other"}[i%2]
-			drawers.Go(func() {
+			originFetchers.Go(func() {
 				p := &fetcher.HTTP{Address: at, Timeout: 10 * time.Second, Client: n.client, Region: region}
 				for k := range 40 {
 					ctx, stop := context.WithTimeout(t.Context(), time.Duration(1+(7*i+11*k)%60)*time.Millisecond)
@@ -128,7 +128,7 @@
 				}
 			})
 		}
-		drawers.Wait()
+		originFetchers.Wait()
 		for _, region := range []string{a.Region, "other"} {
 			p := &fetcher.HTTP{Address: at, Timeout: time.Second, Client: n.client, Region: region}
 			_, err := p.Chunk(t.Context(), w.manifest.Chunks[0], 1000)
--- a/internal/loader/handler.go
+++ b/internal/loader/handler.go
@@ -96,7 +96,7 @@
 	l.send(r.Context(), w, data, export)
 }
 
-// isExport tells whether a request comes from another region. The drawers there have
+// isExport tells whether a request comes from another region. The origin fetchers there have
 // upload slots of their own: the many agents of this region keep the others taken nearly
 // all the time, and a chunk that can't leave the region holds up a whole region for as
 // long.
--- a/internal/loader/holders.go
+++ b/internal/loader/holders.go
@@ -13,7 +13,7 @@
 const (
 	// holdersFor is how long an entry's word of a holder counts.
 	holdersFor = 10 * time.Second
-	// maxPeers bounds the agents that one transfer deals with, drawers aside.
+	// maxPeers bounds the agents that one transfer deals with, origin fetchers aside.
 	maxPeers = 16
 )
 
@@ -37,10 +37,10 @@
 	at time.Time
 }
 
-// choose picks the agents that a transfer deals with: the drawers of each region,
+// choose picks the agents that a transfer deals with: the origin fetchers of each region,
 // and of the others those heard of last. Of those heard of together each agent takes
 // others, and such of its own region first: with the same few for all, the links of
-// the rest would stand idle, and chunks of other regions come by way of the drawers.
+// the rest would stand idle, and chunks of other regions come by way of the origin fetchers.
 func choose(self, region, manifest string, known map[holderKey]heardHolder) []messenger.Holder {
 	var all []heardHolder
 	for k, h := range known {
@@ -51,11 +51,11 @@
 	slices.SortFunc(all, func(a, b heardHolder) int {
 		return cmp.Or(cmp.Compare(planner.Score(manifest, b.ID), planner.Score(manifest, a.ID)), strings.Compare(a.ID, b.ID))
 	})
-	drawers := map[string]int{}
+	originFetchers := map[string]int{}
 	var hs []messenger.Holder
 	var rest []heardHolder
 	for _, h := range all {
-		if drawers[h.Region]++; drawers[h.Region] <= planner.Drawers {
+		if originFetchers[h.Region]++; originFetchers[h.Region] <= planner.OriginFetchers {
 			hs = append(hs, h.Holder)
 		} else {
 			rest = append(rest, h)
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -266,7 +266,7 @@
 
 // SetHolders takes in news of other agents' holdings. An agent reports to a few
 // entries, and each knows other agents; were the news of one to replace that of
-// another, the drawers would change with each answer, and the origin would be
+// another, the origin fetchers would change with each answer, and the origin would be
 // asked for a chunk by one after the other. So what was heard stays until it is
 // holdersFor old.
 func (l *Loader) SetHolders(hs []messenger.Holder) {
@@ -298,7 +298,7 @@
 	hs := make([]messenger.Holding, 0, len(l.sets))
 	for _, s := range l.sets {
 		if s.refused {
-			// Without room it fetches nothing: as a drawer it would only be waited for.
+			// Without room it fetches nothing: as an origin fetcher it would only be waited for.
 			continue
 		}
 		h := messenger.Holding{Manifest: s.digest}
--- a/internal/loader/pacer.go
+++ b/internal/loader/pacer.go
@@ -9,7 +9,7 @@
 )
 
 // exportsInRow is how many pieces may go to other regions while the own one waits: its agents
-// get a fifth of the link at least. Without a limit a few drawers of other regions took it all
+// get a fifth of the link at least. Without a limit a few origin fetchers of other regions took it all
 // for as long as they had something to draw: 99 chunks in 4 s, and none to the neighbours.
 const exportsInRow = 4
 
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -262,7 +262,7 @@
 }
 
 // askManifest fetches a manifest from agents that have it, and from the sources
-// when this agent would be a drawer, or when it has waited long enough.
+// when this agent would be an origin fetcher, or when it has waited long enough.
 func (l *Loader) askManifest(s *set, now time.Time) {
 	if l.asking[s.digest] || now.Before(s.askAgain) {
 		return
@@ -276,7 +276,7 @@
 }
 
 // manifestPeers picks a few agents that should have the manifest: some that told
-// so, and the drawers of this region, who fetch it first.
+// so, and the origin fetchers of this region, who fetch it first.
 func (l *Loader) manifestPeers(s *set) []messenger.Holder {
 	hs := slices.Clone(s.peers)
 	rank := func(h messenger.Holder) uint64 {
@@ -295,7 +295,7 @@
 // manifestTries bounds how many agents are asked for a manifest in one round.
 const manifestTries = 4
 
-// wouldDraw tells whether this agent ranks among the drawers of its region.
+// wouldDraw tells whether this agent ranks among the origin fetchers of its region.
 func (l *Loader) wouldDraw(s *set) bool {
 	own, higher := planner.Score(s.digest, l.ID), 0
 	for _, h := range s.peers {
@@ -303,7 +303,7 @@
 			higher++
 		}
 	}
-	return higher < planner.Drawers
+	return higher < planner.OriginFetchers
 }
 
 func (l *Loader) fetchManifest(ctx context.Context, s *set, peers []messenger.Holder, sources bool) {
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -212,9 +212,9 @@
 	// Asked is what callers ask of the sender for each workspace with limits, in
 	// requests a second; the limits are divided among entries by it.
 	Asked map[string]float64 `json:"asked,omitempty"`
-	// Drawers are the agents that draw weights from the origin for the sender's
+	// OriginFetchers are the agents that draw weights from the origin for the sender's
 	// region, so that no two entries elect different ones.
-	Drawers []Holder `json:"drawers,omitempty"`
+	OriginFetchers []Holder `json:"drawers,omitempty"`
 	// Demand is how many requests run or wait at the sender for each model and
 	// service; full pools are divided among entries by it.
 	Demand map[string]int `json:"demand,omitempty"`
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -52,7 +52,7 @@
 	// originDown is from when to when the origin refuses all calls; zero for never.
 	originDown [2]time.Duration
 	// narrow is the rate, as a part of the others', of the links of the agents that rank
-	// first among the drawers of the regions narrowIn. The burst is over without them.
+	// first among the origin fetchers of the regions narrowIn. The burst is over without them.
 	narrow   float64
 	narrowIn []string
 }
@@ -181,7 +181,7 @@
 	return m
 }
 
-// squeeze narrows the links of the first drawers of some regions.
+// squeeze narrows the links of the first origin fetchers of some regions.
 func (m *model) squeeze() {
 	for _, region := range m.narrowIn {
 		var first *machine
--- a/internal/planner/narrow_test.go
+++ b/internal/planner/narrow_test.go
@@ -44,11 +44,11 @@
 }
 
 // In a large deployment a tenth of the VMs get narrow links just after a naming, and one or two
-// of a region's four drawers are among them. Most agents never got a chunk from these and don't
+// of a region's four origin fetchers are among them. Most agents never got a chunk from these and don't
 // know that they are slow: the many others keep their upload slots taken. What they are to
 // bring, and what they brought and can't get out, is missing everywhere. Weights came after 6
 // to 13 s in place of 4 s, and once the time of the old ones was over, all callers were refused.
-func TestNarrowDrawersAmongManyAgents(t *testing.T) {
+func TestNarrowOriginFetchersAmongManyAgents(t *testing.T) {
 	for _, c := range []struct {
 		narrow []string
 		// most is how many times as long as without narrow links it may take.
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -24,13 +24,13 @@
 func (t *Transfer) open(i int) bool { return !t.have.Has(i) && !t.inFlight.Has(i) && !t.held.Has(i) }
 
 // draw picks a chunk that this agent alone should ask the origin for: its own first, and
-// then those of drawers that are far behind.
+// then those of origin fetchers that are far behind.
 func (t *Transfer) draw(now time.Time) (Order, bool) {
 	if !t.settled(now) || !t.draws() {
 		return Order{}, false
 	}
 	if !t.origin.usable(now) {
-		// What nobody can draw is nobody's delay. Counted as one, all drawers would ask for the
+		// What nobody can draw is nobody's delay. Counted as one, all origin fetchers would ask for the
 		// same chunks at the origin's return.
 		t.drawIdle = idleness{}
 		return Order{}, false
@@ -40,7 +40,7 @@
 	}
 	overdue := t.drawIdle.turns(t.patience(), now)
 	undrawn := func(i int) bool { return t.lacking(i, overdue) && t.home(i) == t.Region }
-	own := func(i int) bool { return undrawn(i) && t.open(i) && t.drawer(i, t.Region, now) == t.ID }
+	own := func(i int) bool { return undrawn(i) && t.open(i) && t.originFetcher(i, t.Region, now) == t.ID }
 	i, ok := t.upward(t.firstDrawn(t.ID), own)
 	if idle := t.drawIdle.lasts(ok, now); !ok {
 		i, ok = t.takeOver(undrawn, t.OriginSlots, idle, now)
@@ -127,7 +127,7 @@
 }
 
 // lacking tells whether this agent lacks a chunk and nobody in its region can hand it on. Once
-// something is overdue, one holder is none: a drawer behind a narrow link gets its few chunks
+// something is overdue, one holder is none: an origin fetcher behind a narrow link gets its few chunks
 // out to the others one by one, and what it gives to one it can't give to the next.
 func (t *Transfer) lacking(i, overdue int) bool {
 	enough := 1
@@ -201,14 +201,14 @@
 // brings tells whether this agent is the one to bring chunk i into its region,
 // or the one that should have has been silent for too long.
 func (t *Transfer) brings(i int, now time.Time) bool {
-	return t.drawer(i, t.Region, now) == t.ID || t.stalled(now)
+	return t.originFetcher(i, t.Region, now) == t.ID || t.stalled(now)
 }
 
 // stalled tells whether nothing has arrived for longer than this agent leaves
-// chunks to their drawers. A drawer that lives and makes no headway, such as
+// chunks to their origin fetchers. An origin fetcher that lives and makes no headway, such as
 // one whose own link to the origin is down, shows in no failed call; its chunks
 // would be missing for ever in all agents. The wait grows with the rank, so that
-// the other drawers try before the many others do.
+// the other origin fetchers try before the many others do.
 func (t *Transfer) stalled(now time.Time) bool {
 	wait := t.patience()
 	if !t.draws() {
@@ -277,7 +277,7 @@
 }
 
 // askAcross orders a chunk from another region whose fetch runs for too long. The other
-// regions often have it before the agents of a slow drawer's own region.
+// regions often have it before the agents of a slow origin fetcher's own region.
 func (t *Transfer) askAcross(f flight, now time.Time) (Order, bool) {
 	if !t.draws() || t.bringing >= t.AcrossSlots {
 		return Order{}, false
--- a/internal/planner/prefetch.go
+++ b/internal/planner/prefetch.go
@@ -3,7 +3,7 @@
 import "time"
 
 // NextDraw gives the next fetch from the origin that falls to this agent, if there is one. It
-// is all that a prefetched manifest gets: a region's drawers spend little bandwidth on it, and
+// is all that a prefetched manifest gets: a region's origin fetchers spend little bandwidth on it, and
 // the origin may be unreachable once the manifest is wanted.
 func (t *Transfer) NextDraw(now time.Time) (Order, bool) {
 	if t.Whole() || t.slotsTaken(now) >= t.Slots {
@@ -27,5 +27,5 @@
 	return true
 }
 
-// Draws tells whether this agent is one of its region's drawers.
+// Draws tells whether this agent is one of its region's origin fetchers.
 func (t *Transfer) Draws() bool { return t.draws() }
--- a/internal/planner/ranks.go
+++ b/internal/planner/ranks.go
@@ -38,18 +38,18 @@
 	return int(now.Sub(i.since) / wait)
 }
 
-// takeOver picks a missing chunk of a drawer that has more left than the given number of
-// slots when this one has none. A drawer behind a narrow link answers every call, so that
+// takeOver picks a missing chunk of an origin fetcher that has more left than the given number of
+// slots when this one has none. An origin fetcher behind a narrow link answers every call, so that
 // it isn't passed over for its silence, and all agents wait for its chunks while the
 // origin's link stands idle. Its chunks fall to the next in rank, who begins at the other
 // end, so that few are fetched twice.
 func (t *Transfer) takeOver(missing func(int) bool, slots int, idle time.Duration, now time.Time) (int, bool) {
-	slow := t.slowDrawers(now)
-	for _, d := range t.drawers[t.Region] {
+	slow := t.slowOriginFetchers(now)
+	for _, d := range t.originFetchers[t.Region] {
 		if d.id == t.ID {
 			continue
 		}
-		// What is on its way to the drawer isn't known here, nor what came to it just now;
+		// What is on its way to the origin fetcher isn't known here, nor what came to it just now;
 		// of a slow one even that is fetched once more.
 		spared, wait := slots+1, t.Patience/idlePart
 		if slices.Contains(slow, d.id) {
@@ -58,7 +58,7 @@
 		if idle < wait {
 			continue
 		}
-		left := t.inOrder(d.id, func(i int) bool { return missing(i) && t.drawer(i, t.Region, now) == d.id })
+		left := t.inOrder(d.id, func(i int) bool { return missing(i) && t.originFetcher(i, t.Region, now) == d.id })
 		for n := len(left) - 1; n >= spared; n-- {
 			if t.open(left[n]) && t.firstRanked(left[n], t.Region, now, append(slow, d.id)) == t.ID {
 				return left[n], true
@@ -68,22 +68,22 @@
 	return t.inherit(missing, int(idle/t.patience()))
 }
 
-// inherit picks a missing chunk for which the drawers ranked before this one have had their
-// turns. Drawers behind narrow links are known for slow only to those who got a chunk from
+// inherit picks a missing chunk for which the origin fetchers ranked before this one have had their
+// turns. Origin fetchers behind narrow links are known for slow only to those who got a chunk from
 // them, and others take their upload slots; to the rest they show by what stays missing.
 func (t *Transfer) inherit(missing func(int) bool, turns int) (int, bool) {
 	if turns == 0 {
 		return 0, false
 	}
 	return t.upward(t.firstDrawn(t.ID), func(i int) bool {
-		return missing(i) && t.open(i) && t.drawersBefore(i) <= turns
+		return missing(i) && t.open(i) && t.originFetchersBefore(i) <= turns
 	})
 }
 
-// drawersBefore is how many drawers of this region rank before this one for chunk i.
-func (t *Transfer) drawersBefore(i int) int {
+// originFetchersBefore is how many origin fetchers of this region rank before this one for chunk i.
+func (t *Transfer) originFetchersBefore(i int) int {
 	own, before := mix(Score(t.Manifest, t.ID), i), 0
-	for _, d := range t.drawers[t.Region] {
+	for _, d := range t.originFetchers[t.Region] {
 		if mix(d.seed, i) > own {
 			before++
 		}
@@ -91,7 +91,7 @@
 	return before
 }
 
-// inOrder lists the chunks that a drawer is still to fetch, the next one first.
+// inOrder lists the chunks that an origin fetcher is still to fetch, the next one first.
 func (t *Transfer) inOrder(id string, good func(int) bool) []int {
 	var is []int
 	t.upward(t.firstDrawn(id), func(i int) bool {
@@ -103,10 +103,10 @@
 	return is
 }
 
-// slowDrawers are the drawers of this region whose chunks came slowly.
-func (t *Transfer) slowDrawers(now time.Time) []string {
+// slowOriginFetchers are the origin fetchers of this region whose chunks came slowly.
+func (t *Transfer) slowOriginFetchers(now time.Time) []string {
 	var ids []string
-	for _, d := range t.drawers[t.Region] {
+	for _, d := range t.originFetchers[t.Region] {
 		if p := t.peer(d.id); p != nil && t.sluggish(p, now) {
 			ids = append(ids, d.id)
 		}
@@ -122,7 +122,7 @@
 	})
 }
 
-// firstDrawn is the chunk from which a drawer goes upward, the same for all agents.
+// firstDrawn is the chunk from which an origin fetcher goes upward, the same for all agents.
 func (t *Transfer) firstDrawn(id string) int {
 	return int(Score(t.Manifest, id) % uint64(t.Chunks))
 }
@@ -144,11 +144,11 @@
 
 // home is the region that draws chunk i from the origin.
 func (t *Transfer) home(i int) string {
-	if len(t.drawers[t.SourceRegion]) > 0 {
+	if len(t.originFetchers[t.SourceRegion]) > 0 {
 		return t.SourceRegion
 	}
 	best, top := t.Region, uint64(0)
-	for r := range t.drawers {
+	for r := range t.originFetchers {
 		if s := mix(t.regionSeeds[r], i); s > top || s == top && r < best {
 			best, top = r, s
 		}
@@ -156,16 +156,16 @@
 	return best
 }
 
-// drawer is the agent of a region that brings chunk i into it. Drawers that
+// originFetcher is the agent of a region that brings chunk i into it. Origin fetchers that
 // don't answer are passed over, so that their chunks fall to the next in rank.
-func (t *Transfer) drawer(i int, region string, now time.Time) string {
+func (t *Transfer) originFetcher(i int, region string, now time.Time) string {
 	return t.firstRanked(i, region, now, nil)
 }
 
-// firstRanked is the highest drawer of chunk i that answers and isn't left out.
+// firstRanked is the highest origin fetcher of chunk i that answers and isn't left out.
 func (t *Transfer) firstRanked(i int, region string, now time.Time, without []string) string {
 	best, top := "", uint64(0)
-	for _, d := range t.drawers[region] {
+	for _, d := range t.originFetchers[region] {
 		if slices.Contains(without, d.id) {
 			continue
 		}
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -11,11 +11,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Drawers is how many agents of a region share the work of drawing a manifest's
+// OriginFetchers is how many agents of a region share the work of drawing a manifest's
 // chunks from the origin or across a region link. A tracker puts these agents
 // into each list of holders, so that all agents agree on them while each knows
 // only a handful.
-const Drawers = 4
+const OriginFetchers = 4
 
 // Peer is another agent that holds or wants the same manifest.
 type Peer struct {
@@ -77,8 +77,8 @@
 	across bool
 }
 
-// drawer is an agent that may bring chunks into its region.
-type drawer struct {
+// originFetcher is an agent that may bring chunks into its region.
+type originFetcher struct {
 	id   string
 	seed uint64
 }
@@ -95,7 +95,7 @@
 	// Slots bounds the fetches in flight, PeerSlots those from one peer,
 	// OriginSlots those from the origin, AcrossSlots those from other regions.
 	Slots, PeerSlots, OriginSlots, AcrossSlots int
-	// Patience is how long an agent leaves a chunk to its designated drawer
+	// Patience is how long an agent leaves a chunk to its designated origin fetcher
 	// before it thinks of drawing it itself, and how long a fetch may run before
 	// another source is asked too.
 	Patience time.Duration
@@ -108,7 +108,7 @@
 	// AvoidFor is how long a peer that sent a corrupt chunk is avoided.
 	AvoidFor time.Duration
 	// DrawAfter is the time before which nothing is drawn from the origin: at
-	// first each agent knows no other and would think itself the only drawer.
+	// first each agent knows no other and would think itself the only origin fetcher.
 	// News of others must have come after it, too, or be Patience late.
 	DrawAfter time.Time
 	Rand      *rand.Rand
@@ -124,12 +124,12 @@
 	flights []flight
 	peers   []*peer
 	// holders counts, for each chunk, the peers of this region that have it.
-	holders []int
-	drawers map[string][]drawer
+	holders        []int
+	originFetchers map[string][]originFetcher
 	// regionSeeds divide the chunks among the regions when SourceRegion has no
-	// drawer.
+	// origin fetcher.
 	regionSeeds map[string]uint64
-	// rank spreads the fallbacks of the agents that are no drawers.
+	// rank spreads the fallbacks of the agents that are no origin fetchers.
 	rank int
 	// remote tells whether agents of other regions are known.
 	remote   bool
@@ -142,7 +142,7 @@
 	origin              peer
 }
 
-// Score is an agent's rank among the drawers of a manifest: the highest Drawers
+// Score is an agent's rank among the origin fetchers of a manifest: the highest OriginFetchers
 // scores of a region draw. It is a rendezvous hash, so that a change of one agent
 // moves only that agent's chunks.
 func Score(manifest, id string) uint64 {
@@ -168,7 +168,7 @@
 	copy(t.have, have)
 	t.count = t.have.Count()
 	t.lastGain = now
-	t.rank = Drawers + t.Rand.IntN(4*Drawers)
+	t.rank = OriginFetchers + t.Rand.IntN(4*OriginFetchers)
 	t.recount()
 	t.elect()
 }
@@ -316,22 +316,22 @@
 	return nil
 }
 
-// elect finds the drawers of each region among the known agents and this one.
+// elect finds the origin fetchers of each region among the known agents and this one.
 func (t *Transfer) elect() {
-	t.drawers = map[string][]drawer{t.Region: {{id: t.ID, seed: Score(t.Manifest, t.ID)}}}
+	t.originFetchers = map[string][]originFetcher{t.Region: {{id: t.ID, seed: Score(t.Manifest, t.ID)}}}
 	for _, p := range t.peers {
-		t.drawers[p.Region] = append(t.drawers[p.Region], drawer{id: p.ID, seed: p.score})
+		t.originFetchers[p.Region] = append(t.originFetchers[p.Region], originFetcher{id: p.ID, seed: p.score})
 	}
-	t.regionSeeds = make(map[string]uint64, len(t.drawers))
-	t.remote = len(t.drawers) > 1
-	for r, ds := range t.drawers {
-		slices.SortFunc(ds, func(a, b drawer) int { return cmp.Compare(b.seed, a.seed) })
-		t.drawers[r] = ds[:min(len(ds), Drawers)]
+	t.regionSeeds = make(map[string]uint64, len(t.originFetchers))
+	t.remote = len(t.originFetchers) > 1
+	for r, ds := range t.originFetchers {
+		slices.SortFunc(ds, func(a, b originFetcher) int { return cmp.Compare(b.seed, a.seed) })
+		t.originFetchers[r] = ds[:min(len(ds), OriginFetchers)]
 		t.regionSeeds[r] = Score(t.Manifest, "region "+r)
 	}
 }
 
-// draws tells whether this agent is among the drawers of its region.
+// draws tells whether this agent is among the origin fetchers of its region.
 func (t *Transfer) draws() bool {
-	return slices.ContainsFunc(t.drawers[t.Region], func(d drawer) bool { return d.id == t.ID })
+	return slices.ContainsFunc(t.originFetchers[t.Region], func(d originFetcher) bool { return d.id == t.ID })
 }
--- a/internal/planner/transfer_test.go
+++ b/internal/planner/transfer_test.go
@@ -222,8 +222,8 @@
 	must.Eq(t, 40, f.drawn)
 }
 
-func TestSilentDrawerIsReplaced(t *testing.T) {
-	// One of the drawers lives and answers, but its own link to the origin is
+func TestSilentOriginFetcherIsReplaced(t *testing.T) {
+	// One of the origin fetchers lives and answers, but its own link to the origin is
 	// down. No call to it fails, so its chunks would stay missing in all agents,
 	// and the roll-out would stop just short of its end.
 	f := newFlock(6, 40, 1)
--- a/internal/registrar/naming.go
+++ b/internal/registrar/naming.go
@@ -75,13 +75,13 @@
 // written, and not heard of, stays unknown, but it replaced the one held.
 func (r *Registrar) hide(key string) {
 	if r.hidden[key].IsZero() {
-		r.hidden[key] = r.lastWord()
+		r.hidden[key] = r.lastConfirmed()
 	}
 }
 
 // lastReadable is until when nothing newer than what is known of a model can have been named.
 func (r *Registrar) lastReadable(key string) time.Time {
-	word := r.lastWord()
+	word := r.lastConfirmed()
 	if hidden := r.hidden[key]; !hidden.IsZero() {
 		return earlier(hidden, word)
 	}
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -33,7 +33,7 @@
 func (r *Registrar) ran() time.Time {
 	now := r.Clock.Now()
 	if !r.lastRan.IsZero() && now.Sub(r.lastRan) > triesApart {
-		r.beforeStill = r.lastWord()
+		r.beforeStill = r.lastConfirmed()
 		r.stoodStill = now
 	}
 	r.lastRan = now
@@ -44,20 +44,20 @@
 	return now
 }
 
-// lastWord is until when this process can have missed no naming of its own fault: the last
-// word of the store, or the last vain call if it has called in vain ever since. What was named
+// lastConfirmed is until when this process can have missed no naming of its own fault: the last
+// word of the store, or the last failed call if it has called in vain ever since. What was named
 // in an outage could be heard by nobody; counted from before it, the time of all old weights
 // would be over when the store is back, and callers would get nothing until new ones are
 // loaded. A process that stood still, or waited for silent peers, may only have missed the
 // naming. It shows by a gap between its calls, or by a first one long after the last word.
 //
-// Others' vain calls count besides. A process that starts in an outage has its last word from
+// Others' failed calls count besides. A process that starts in an outage has its last word from
 // others, and no calls from before its start; taken for one that stood still, it would tell
-// all others to count from before the outage. And one's own last vain call may be a second old
+// all others to count from before the outage. And one's own last failed call may be a second old
 // when the store is back, others' are not. They show nothing of a time in which this process
 // may have stood still, even if its first call after that fails, as one does that was under
 // way: the store may have answered all but those who are cut off themselves.
-func (r *Registrar) lastWord() time.Time {
+func (r *Registrar) lastConfirmed() time.Time {
 	switch {
 	case !r.outage.After(r.confirmed):
 		return r.confirmed
--- a/internal/registrar/outage_fuzz_test.go
+++ b/internal/registrar/outage_fuzz_test.go
@@ -156,7 +156,7 @@
 
 // One process is cut off from the store alone, for good, while the store goes and comes back
 // for the others; these stand still at times, and the first call after that may fail. What the
-// cut-off one tells of its vain calls must not cover the time for which they stood still, or
+// cut-off one tells of its failed calls must not cover the time for which they stood still, or
 // old weights would begin replies for as much longer.
 func TestWhoIsCutOffAloneCoversNoStandstill(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -134,7 +134,7 @@
 }
 
 // A process starts, or wakes, and hears of another's outage. That tells nothing of the time
-// for which the other stood still, nor of a time after its last vain call, nor of a store that
+// for which the other stood still, nor of a time after its last failed call, nor of a store that
 // answers this process. Were a naming of such a time taken for new, old weights would begin
 // replies that much beyond their time.
 func TestAnothersOutageCoversOnlyWhatItSaw(t *testing.T) {
@@ -214,7 +214,7 @@
 }
 
 // In an outage each process calls the store about once a second, but with some dozen processes
-// there is a vain call every few hundredths of a second. Who counts a naming from its own last
+// there is a failed call every few hundredths of a second. Who counts a naming from its own last
 // one only takes the naming for up to a second older than it can be, and its engine stops that
 // much sooner, mostly before the new weights are there.
 func TestLatestVainCallOfAnyProcessCounts(t *testing.T) {
--- a/internal/registrar/telling.go
+++ b/internal/registrar/telling.go
@@ -33,7 +33,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := Batch{
-		After: after, At: r.at, Age: r.Clock.Since(r.confirmed), OutageFor: r.lastWord().Sub(r.confirmed),
+		After: after, At: r.at, Age: r.Clock.Since(r.confirmed), OutageFor: r.lastConfirmed().Sub(r.confirmed),
 		Whole: after < r.floor, Lost: r.lost,
 	}
 	if after > r.at {
--- a/internal/stager/origin_turns_test.go
+++ b/internal/stager/origin_turns_test.go
@@ -15,7 +15,7 @@
 // waited longer than its turn. Were all to ask for the list of chunks at each of their looks,
 // they would together take all the connections that the origin bears when it comes back, and
 // the few agents that draw the chunks for all would be reset. At an origin with 48 connections,
-// 66 agents kept two of four drawers out for 5 s, and weights came that much later.
+// 66 agents kept two of four origin fetchers out for 5 s, and weights came that much later.
 func TestAgentsTakeTurnsAtAnOriginThatIsDown(t *testing.T) {
 	var peers []registrar.Record
 	for i := range 40 {
--- a/internal/tracker/drawers_test.go
+++ b/internal/tracker/origin_fetchers_test.go
@@ -27,32 +27,32 @@
 	}
 }
 
-func TestHoldersAreFewAndNameTheDrawers(t *testing.T) {
+func TestHoldersAreFewAndNameTheOriginFetchers(t *testing.T) {
 	tr, _ := stepped()
 	for i := range 500 {
 		tr.Report(state("huon", i, byte(i)))
 	}
-	drawers := ids(tr.Drawers())
-	must.MapLen(t, planner.Drawers, drawers)
+	originFetchers := ids(tr.OriginFetchers())
+	must.MapLen(t, planner.OriginFetchers, originFetchers)
 	for i := range 20 {
 		s := state("huon", i, byte(i))
 		ids := ids(tr.Holders(s, []string{manifest}))
 		must.LessEq(t, tracker.MaxHolders, len(ids))
 		must.False(t, ids[s.ID])
-		for d := range drawers {
+		for d := range originFetchers {
 			must.True(t, ids[d] || d == s.ID)
 		}
 	}
 }
 
-func TestDeadDrawerIsReplaced(t *testing.T) {
-	// A drawer's VM is lost and says no goodbye. Were it still named, its chunks
+func TestDeadOriginFetcherIsReplaced(t *testing.T) {
+	// An origin fetcher's VM is lost and says no goodbye. Were it still named, its chunks
 	// would be waited for until each agent finds out for itself.
 	tr, c := stepped()
 	for i := range 50 {
 		tr.Report(state("huon", i))
 	}
-	dead := tr.Drawers()[0].ID
+	dead := tr.OriginFetchers()[0].ID
 	c.Step(8 * time.Second)
 	for i := range 50 {
 		if s := state("huon", i); s.ID != dead {
@@ -61,13 +61,13 @@
 		}
 	}
 	c.Step(8 * time.Second)
-	must.False(t, ids(tr.Drawers())[dead])
+	must.False(t, ids(tr.OriginFetchers())[dead])
 	must.False(t, ids(tr.Holders(state("huon", 99), []string{manifest}))[dead])
-	must.MapLen(t, planner.Drawers, ids(tr.Drawers()))
+	must.MapLen(t, planner.OriginFetchers, ids(tr.OriginFetchers()))
 }
 
-func TestIntroducedDrawersLapse(t *testing.T) {
-	// Two entries know half of the agents each. They tell each other their drawers,
+func TestIntroducedOriginFetchersLapse(t *testing.T) {
+	// Two entries know half of the agents each. They tell each other their origin fetchers,
 	// so that both elect the same ones. When an agent dies, neither may keep it
 	// alive by the other's word.
 	a, ca := stepped()
@@ -80,20 +80,20 @@
 		}
 	}
 	asker := state("derwent", 1)
-	for _, d := range b.Drawers() {
+	for _, d := range b.OriginFetchers() {
 		if d.ID != asker.ID {
 			asker.ID = d.ID
 		}
 	}
-	b.Introduce(a.Drawers())
-	must.MapContainsKeys(t, ids(b.Holders(asker, []string{manifest})), []string{a.Drawers()[0].ID})
-	must.MapLen(t, planner.Drawers, ids(b.Drawers()))
+	b.Introduce(a.OriginFetchers())
+	must.MapContainsKeys(t, ids(b.Holders(asker, []string{manifest})), []string{a.OriginFetchers()[0].ID})
+	must.MapLen(t, planner.OriginFetchers, ids(b.OriginFetchers()))
 	for range 5 {
 		ca.Step(5 * time.Second)
 		cb.Step(5 * time.Second)
-		a.Introduce(b.Drawers())
-		b.Introduce(a.Drawers())
+		a.Introduce(b.OriginFetchers())
+		b.Introduce(a.OriginFetchers())
 	}
-	must.SliceEmpty(t, a.Drawers())
+	must.SliceEmpty(t, a.OriginFetchers())
 	must.SliceEmpty(t, b.Holders(asker, []string{manifest}))
 }
--- a/internal/tracker/picks.go
+++ b/internal/tracker/picks.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// ranks tells whether an agent with this score would be a drawer beside those
+// ranks tells whether an agent with this score would be an origin fetcher beside those
 // picked so far.
 func (p *picks) ranks(score uint64) bool {
 	higher := 0
@@ -34,7 +34,7 @@
 			higher++
 		}
 	}
-	return higher < planner.Drawers
+	return higher < planner.OriginFetchers
 }
 
 // sample fills the list from a group: it looks at a few members for each free
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -23,7 +23,7 @@
 	// MaxHolders bounds the agents of its own region that one agent is named for
 	// one manifest; MaxRemote bounds those of other regions.
 	MaxHolders = 16
-	MaxRemote  = 4 * planner.Drawers
+	MaxRemote  = 4 * planner.OriginFetchers
 	// sampled is how many agents are looked at for each one that is named.
 	sampled = 2
 )
@@ -67,9 +67,9 @@
 type group struct {
 	members []*member
 	byID    map[string]*member
-	// drawers are the members with the highest scores, highest first; nil when
+	// originFetchers are the members with the highest scores, highest first; nil when
 	// they must be found anew.
-	drawers []*member
+	originFetchers []*member
 }
 
 // Report notes an agent's state. A report that is older than the last one of the
@@ -157,9 +157,9 @@
 }
 
 // Holders names, for each wanted manifest, a handful of agents to fetch from:
-// the drawers of the agent's region; a sample of that region in which those with
-// chunks that the agent lacks come first; and, when the agent is a drawer itself,
-// the drawers of the other regions. The work doesn't grow with the number of
+// the origin fetchers of the agent's region; a sample of that region in which those with
+// chunks that the agent lacks come first; and, when the agent is an origin fetcher itself,
+// the origin fetchers of the other regions. The work doesn't grow with the number of
 // agents.
 func (t *Tracker) Holders(from messenger.AgentState, want []string) []messenger.Holder {
 	t.mu.Lock()
@@ -250,10 +250,10 @@
 	m.holding, m.count = h, planner.Bitmap(h.Have).Count()
 }
 
-// joined keeps the drawers right without looking at all members again.
+// joined keeps the origin fetchers right without looking at all members again.
 func (g *group) joined(m *member) {
-	if g.drawers != nil {
-		g.drawers = insert(g.drawers, m)
+	if g.originFetchers != nil {
+		g.originFetchers = insert(g.originFetchers, m)
 	}
 }
 
@@ -268,24 +268,24 @@
 	last := g.members[len(g.members)-1]
 	g.members[m.at], last.at = last, m.at
 	g.members = g.members[:len(g.members)-1]
-	if slices.Contains(g.drawers, m) {
-		g.drawers = nil
+	if slices.Contains(g.originFetchers, m) {
+		g.originFetchers = nil
 	}
 }
 
-// top gives the drawers. Only when one among them is stale are they found anew:
+// top gives the origin fetchers. Only when one among them is stale are they found anew:
 // all members are looked at once, and not at each call.
 func (g *group) top(fresh func(*member) bool) []*member {
 	stale := func(m *member) bool { return !fresh(m) }
-	if g.drawers == nil || slices.ContainsFunc(g.drawers, stale) {
-		g.drawers = g.best(fresh)
+	if g.originFetchers == nil || slices.ContainsFunc(g.originFetchers, stale) {
+		g.originFetchers = g.best(fresh)
 	}
-	return g.drawers
+	return g.originFetchers
 }
 
 // best finds the fresh members with the highest scores.
 func (g *group) best(fresh func(*member) bool) []*member {
-	best := make([]*member, 0, planner.Drawers+1)
+	best := make([]*member, 0, planner.OriginFetchers+1)
 	for _, m := range g.members {
 		if fresh(m) {
 			best = insert(best, m)
@@ -298,19 +298,19 @@
 // are too many.
 func insert(ms []*member, m *member) []*member {
 	i, _ := slices.BinarySearchFunc(ms, m, byScore)
-	if i >= planner.Drawers {
+	if i >= planner.OriginFetchers {
 		return ms
 	}
 	ms = slices.Insert(ms, i, m)
-	return ms[:min(len(ms), planner.Drawers)]
+	return ms[:min(len(ms), planner.OriginFetchers)]
 }
 
-// Drawers names the drawers of all manifests among the agents that report to this
+// Origin fetchers names the origin fetchers of all manifests among the agents that report to this
 // entry, for other entries to Introduce. An entry knows only some agents of its
-// own region; without the others' drawers each entry would elect its own, and each
-// region would draw its own copy from the origin. Bitmaps are left out: a drawer
+// own region; without the others' origin fetchers each entry would elect its own, and each
+// region would draw its own copy from the origin. Bitmaps are left out: an origin fetcher
 // asks the others itself what they hold.
-func (t *Tracker) Drawers() []messenger.Holder {
+func (t *Tracker) OriginFetchers() []messenger.Holder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.setUp()
@@ -319,7 +319,7 @@
 	for _, manifest := range slices.Sorted(maps.Keys(t.groups)) {
 		for _, r := range slices.Sorted(maps.Keys(t.groups[manifest])) {
 			p := &picks{fresh: func(m *member) bool { return !m.agent.introduced && now.Sub(m.agent.heard) <= t.Stale }}
-			p.add(planner.Drawers, t.groups[manifest][r].best(p.fresh)...)
+			p.add(planner.OriginFetchers, t.groups[manifest][r].best(p.fresh)...)
 			hs = append(hs, p.list()...)
 		}
 	}
@@ -329,7 +329,7 @@
 	return hs
 }
 
-// Introduce takes in the drawers that another entry named. An agent that reports
+// Introduce takes in the origin fetchers that another entry named. An agent that reports
 // to this entry itself is known better, and passed over. What was introduced is
 // never introduced further: two entries would keep a dead agent alive by telling
 // each other of it. So a dead one lapses after twice Stale at most.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -53,7 +53,7 @@
 				remote++
 			}
 		}
-		must.LessEq(t, planner.Drawers, remote)
+		must.LessEq(t, planner.OriginFetchers, remote)
 	}
 	must.SliceEmpty(t, k.Holders(agent(0, "huon", 0), []string{"other"}))
 }
