--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -305,7 +305,7 @@
 	return ms[:min(len(ms), planner.OriginFetchers)]
 }
 
-// Origin fetchers names the origin fetchers of all manifests among the agents that report to this
+// OriginFetchers names the origin fetchers of all manifests among the agents that report to this
 // entry, for other entries to Introduce. An entry knows only some agents of its
 // own region; without the others' origin fetchers each entry would elect its own, and each
 // region would draw its own copy from the origin. Bitmaps are left out: an origin fetcher
