syncer: count peers that are avoided for a timeout among those waited for

Change: an avoided peer counts if it timed out or had old news only; one that refused the connection doesn't, as intended. An answer that is held back and useful marks nobody.

--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"slices"
 	"time"
 
@@ -44,8 +45,8 @@
 	// atOnce is within what time a watch answers whose news were there before it began: a
 	// dozen round trips between regions. How old those are the store doesn't say.
 	atOnce = 50 * time.Millisecond
-	// quickAnswer is within what time a peer answers that has nothing to wait for, or whose VM
-	// refuses the connection: a dozen round trips between regions.
+	// quickAnswer is within what time a peer answers that doesn't hold its answer back: a dozen
+	// round trips between regions.
 	quickAnswer = 50 * time.Millisecond
 	// idlePause is the pause when nobody has news.
 	idlePause = 150 * time.Millisecond
@@ -88,6 +89,8 @@
 	// seedsSince is since when this process, which knows nothing, has asked the seeds.
 	seedsSince time.Time
 	avoid      map[netip.AddrPort]time.Time
+	// unresponsive peers took their time when they were last asked and of no use.
+	unresponsive map[netip.AddrPort]bool
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
 	backoff   time.Duration
@@ -101,7 +104,7 @@
 // Serve runs until the context ends.
 func (s *Syncer) Serve(ctx context.Context) error {
 	s.clients.Dial, s.clients.Timeout = s.Dial, peerWait+peerGrace
-	s.avoid = map[netip.AddrPort]time.Time{}
+	s.avoid, s.unresponsive = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]bool{}
 	s.seedsSince = s.Clock.Now()
 	defer s.clients.Close()
 	for ctx.Err() == nil {
@@ -177,6 +180,7 @@
 	}
 	s.clients.Keep(used)
 	maps.DeleteFunc(s.avoid, func(a netip.AddrPort, _ time.Time) bool { return !used[a] })
+	maps.DeleteFunc(s.unresponsive, func(a netip.AddrPort, _ bool) bool { return !used[a] })
 }
 
 func (s *Syncer) shuffled(as []netip.AddrPort) []netip.AddrPort {
@@ -192,7 +196,8 @@
 	wait, limit time.Duration
 	// better tells that there is something better to do than to ask the rest; nil for never.
 	better func() bool
-	// slow bounds how many may take their time and be of no use; 0 for any number.
+	// slow bounds how many may take their time and be of no use, those included that did so
+	// when they were last asked; 0 for any number.
 	slow int
 }
 
@@ -208,6 +213,9 @@
 			return false
 		}
 		if s.Clock.Now().Before(s.avoid[a]) {
+			if s.unresponsive[a] {
+				slow++
+			}
 			continue
 		}
 		asked := s.Clock.Now()
@@ -216,22 +224,31 @@
 			return false
 		}
 		failed = true
-		if s.Clock.Since(asked) > quickAnswer {
-			slow++
-		}
+		useful := false
 		if err != nil {
 			s.avoid[a] = s.Clock.Now().Add(avoidFor)
 			klog.InfoS("Peer lost", "peer", a, "err", err)
-			continue
+		} else {
+			b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
+			useful = s.takeNews(a, b, how.limit)
 		}
-		b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
-		if s.takeNews(a, b, how.limit) {
+		s.unresponsive[a] = !useful && (timedOut(err) || err == nil && s.Clock.Since(asked) > quickAnswer)
+		if useful {
 			return true
 		}
+		if s.unresponsive[a] {
+			slow++
+		}
 	}
 	return false
 }
 
+// timedOut tells whether a call got no answer in time. Other errors come at once, as from a VM
+// that refuses the connection or a process that ends.
+func timedOut(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // takeNews takes over what a process told, and tells whether it may be relied on.
 func (s *Syncer) takeNews(a netip.AddrPort, b registrar.Batch, limit time.Duration) bool {
 	if b.At == 0 {
