--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -204,10 +204,15 @@
 	l.setUp()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if slices.Equal(l.want, manifests) {
+	l.replace(&l.want, manifests)
+}
+
+// replace takes over one of the lists of manifests.
+func (l *Loader) replace(list *[]string, manifests []string) {
+	if slices.Equal(*list, manifests) {
 		return
 	}
-	l.want = slices.Clone(manifests)
+	*list = slices.Clone(manifests)
 	for _, m := range manifests {
 		l.open(m)
 	}
@@ -216,6 +221,11 @@
 	l.nudge()
 }
 
+// listed tells whether a manifest is wanted or prefetched.
+func (l *Loader) listed(manifest string) bool {
+	return slices.Contains(l.want, manifest) || slices.Contains(l.prefetch, manifest)
+}
+
 // open makes the set of a manifest unless there is one.
 func (l *Loader) open(manifest string) {
 	if l.sets[manifest] == nil {
@@ -226,7 +236,7 @@
 // stopUnwanted ends the transfers that are neither wanted nor prefetched nor nearly done.
 func (l *Loader) stopUnwanted() {
 	for _, s := range l.sets {
-		if !slices.Contains(l.want, s.digest) && !slices.Contains(l.prefetch, s.digest) && !l.finishes(s) {
+		if !l.listed(s.digest) && !l.finishes(s) {
 			l.stop(s)
 		}
 	}
@@ -418,7 +428,7 @@
 func (l *Loader) active() []*set {
 	var ss []*set
 	for _, s := range l.sets {
-		if !slices.Contains(l.want, s.digest) && !slices.Contains(l.prefetch, s.digest) && l.finishes(s) {
+		if !l.listed(s.digest) && l.finishes(s) {
 			ss = append(ss, s)
 		}
 	}
--- a/internal/loader/prefetch.go
+++ b/internal/loader/prefetch.go
@@ -8,22 +8,13 @@
 )
 
 // Prefetch replaces the list of manifests that will be wanted next. Until then an agent only
-// draws its own share of their chunks from Sources, and only once the wanted manifests need
+// fetches its own share of their chunks from Sources, and only once the wanted manifests need
 // nothing more from there. They never displace other weights from memory.
 func (l *Loader) Prefetch(manifests []string) {
 	l.setUp()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if slices.Equal(l.prefetch, manifests) {
-		return
-	}
-	l.prefetch = slices.Clone(manifests)
-	for _, m := range manifests {
-		l.open(m)
-	}
-	l.stopUnwanted()
-	l.announce()
-	l.nudge()
+	l.replace(&l.prefetch, manifests)
 }
 
 // prefetched lists the sets to prefetch.
@@ -51,14 +42,14 @@
 		if s.transfer == nil && (l.used+l.lacking(s) > l.Memory || !l.admit(s, now)) {
 			return
 		}
-		if s.transfer.Drawn() {
+		if s.transfer.FetchedFromOrigin() {
 			continue
 		}
 		l.cancelOverdue(s, now)
-		if s.transfer.Draws() {
+		if s.transfer.IsOriginFetcher() {
 			l.poll(s, now)
 		}
-		l.order(s, now, (*planner.Transfer).NextDraw)
+		l.order(s, now, (*planner.Transfer).NextOriginFetch)
 		return
 	}
 }
@@ -66,7 +57,7 @@
 // sourcesIdle tells whether the wanted sets need nothing more from Sources.
 func (l *Loader) sourcesIdle() bool {
 	for _, s := range l.active() {
-		if s.transfer == nil || !s.transfer.Drawn() {
+		if s.transfer == nil || !s.transfer.FetchedFromOrigin() {
 			return false
 		}
 	}
