syncer: peers without fresh news count among those waited for

Both readers lost the store at 17.6 s and said so at once. Since the change that lets an entry go on to others when some refuse the connection, such quick answers didn't count, so entries asked further peers, which knew nothing newer, and nobody read the store before 18.86 s. Version 2, announced at 18.0 s, was known to agents at 20.0 s in the median instead of 18.03, its chunk list before the origin went down at 20.5 s to none, and all engines became unavailable.

Change: whoever answers without fresh news, or times out, counts; a peer that refuses the connection or ends doesn't.

--- a/internal/syncer/leaving_test.go
+++ b/internal/syncer/leaving_test.go
@@ -1,9 +1,12 @@
 package syncer_test
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 )
 
@@ -31,3 +34,19 @@
 		must.LessEq(t, 2*time.Second, f.knows(t, "a", 20*time.Second))
 	})
 }
+
+// Guards against news that come late when both readers lose the store and say so: another entry
+// must read it at once instead of asking further peers, which know nothing newer.
+func TestLostReadersAreReplacedAtOnce(t *testing.T) {
+	const entries = 12
+	inFleet(t, entries, 1, 0, func(t *testing.T, f *fleet) {
+		ranked := slices.Clone(f.members[:entries])
+		slices.SortFunc(ranked, func(a, b *node) int { return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)) })
+		for _, n := range ranked[:2] {
+			n.cut.Store(true)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		f.store.put("drained/a", nil)
+		must.LessEq(t, 500*time.Millisecond, f.knows(t, "a", 20*time.Second))
+	})
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -45,9 +45,6 @@
 	// atOnce is within what time a watch answers whose news were there before it began: a
 	// dozen round trips between regions. How old those are the store doesn't say.
 	atOnce = 50 * time.Millisecond
-	// quickAnswer is within what time a peer answers that doesn't hold its answer back: a dozen
-	// round trips between regions.
-	quickAnswer = 50 * time.Millisecond
 	// idlePause is the pause when nobody has news.
 	idlePause = 150 * time.Millisecond
 	// anyAge accepts whatever a peer knows.
@@ -89,8 +86,8 @@
 	// seedsSince is since when this process, which knows nothing, has asked the seeds.
 	seedsSince time.Time
 	avoid      map[netip.AddrPort]time.Time
-	// unresponsive peers took their time when they were last asked and of no use.
-	unresponsive map[netip.AddrPort]bool
+	// unhelpful peers timed out or had no fresh news when they were last asked.
+	unhelpful map[netip.AddrPort]bool
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
 	backoff   time.Duration
@@ -104,7 +101,7 @@
 // Serve runs until the context ends.
 func (s *Syncer) Serve(ctx context.Context) error {
 	s.clients.Dial, s.clients.Timeout = s.Dial, peerWait+peerGrace
-	s.avoid, s.unresponsive = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]bool{}
+	s.avoid, s.unhelpful = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]bool{}
 	s.seedsSince = s.Clock.Now()
 	defer s.clients.Close()
 	for ctx.Err() == nil {
@@ -129,7 +126,7 @@
 	s.forgetOthers(candidates)
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
-	if !reads && s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, slow: sources}) {
+	if !reads && s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, unhelpful: sources}) {
 		return true
 	}
 	if s.storeDue() {
@@ -180,7 +177,7 @@
 	}
 	s.clients.Keep(used)
 	maps.DeleteFunc(s.avoid, func(a netip.AddrPort, _ time.Time) bool { return !used[a] })
-	maps.DeleteFunc(s.unresponsive, func(a netip.AddrPort, _ bool) bool { return !used[a] })
+	maps.DeleteFunc(s.unhelpful, func(a netip.AddrPort, _ bool) bool { return !used[a] })
 }
 
 func (s *Syncer) shuffled(as []netip.AddrPort) []netip.AddrPort {
@@ -196,25 +193,25 @@
 	wait, limit time.Duration
 	// better tells that there is something better to do than to ask the rest; nil for never.
 	better func() bool
-	// slow bounds how many may take their time and be of no use, those included that did so
+	// unhelpful bounds how many may time out or have no fresh news, those included that did so
 	// when they were last asked; 0 for any number.
-	slow int
+	unhelpful int
 }
 
 // fromPeers asks processes in turn until one answers whose news the store confirmed
 // not longer ago than limit, or until there is something better to do.
 func (s *Syncer) fromPeers(ctx context.Context, as []netip.AddrPort, how asking) bool {
-	failed, slow := false, 0
+	failed, unhelpful := false, 0
 	for _, a := range as {
-		if how.slow > 0 && slow >= how.slow {
+		if how.unhelpful > 0 && unhelpful >= how.unhelpful {
 			return false
 		}
 		if how.better != nil && how.better() {
 			return false
 		}
 		if s.Clock.Now().Before(s.avoid[a]) {
-			if s.unresponsive[a] {
-				slow++
+			if s.unhelpful[a] {
+				unhelpful++
 			}
 			continue
 		}
@@ -232,12 +229,12 @@
 			b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
 			useful = s.takeNews(a, b, how.limit)
 		}
-		s.unresponsive[a] = !useful && (timedOut(err) || err == nil && s.Clock.Since(asked) > quickAnswer)
+		s.unhelpful[a] = !useful && (err == nil || timedOut(err))
 		if useful {
 			return true
 		}
-		if s.unresponsive[a] {
-			slow++
+		if s.unhelpful[a] {
+			unhelpful++
 		}
 	}
 	return false
