Read-through: one way to choose a fetch, to accept a manifest and to rank a fleet; plain terms

The planner's two Next methods share start, Adopt and AddManifest share accept, the loader's two steps share ready, pending gives registrar.Naming instead of a type of its own, the hedged list needs no type parameter, an ablation's effects repeat no names. The tests use the fleet's ranked, which existed. The queueing budget is called so in the relayer; suspended, announcement and failed call in registrar's comments. New: a test of a service's shortest objective.

--- a/cmd/oriolecroft/experiment.go
+++ b/cmd/oriolecroft/experiment.go
@@ -21,8 +21,8 @@
   same seeds, and prints by how much that changes what callers got. Interrupted, it
   prints the seeds that are complete.
 
-  Loads are files; those in experiments/ are examples, docs/LOAD.md lists their fields
-  and the mechanisms.
+  Loads are files; those in experiments/ are examples, docs/LOAD.md lists their fields.
+  An unknown mechanism is refused with those known.
 
   Examples:
     oriolecroft experiment --load experiments/halfGone.toml --seeds 5
--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -76,5 +76,5 @@
 // Set holds the mechanisms that are switched off; nil for none.
 type Set []Mechanism
 
-// Off tells whether a mechanism is switched off.
-func (s Set) Off(m Mechanism) bool { return slices.Contains(s, m) }
+// Has tells whether a mechanism is switched off.
+func (s Set) Has(m Mechanism) bool { return slices.Contains(s, m) }
--- a/internal/loader/adopt.go
+++ b/internal/loader/adopt.go
@@ -10,13 +10,13 @@
 // is wrong are passed over. Without it every restart would draw the weights again.
 func (l *Loader) Adopt(digest string, body []byte, chunks map[int][]byte) error {
 	l.setUp()
-	m, err := fetcher.ParseManifest(digest, body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, err := l.accept(digest, body)
 	if err != nil {
 		return err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.accept(digest, m, body)
+	m := s.manifest
 	if s.transfer == nil && !l.admit(s, l.Clock.Now()) {
 		return &NotWholeError{Manifest: digest, All: len(m.Chunks)}
 	}
@@ -35,25 +35,25 @@
 // it first, over links that are saturated while weights spread.
 func (l *Loader) AddManifest(digest string, body []byte) error {
 	l.setUp()
-	m, err := fetcher.ParseManifest(digest, body)
-	if err != nil {
-		return err
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.accept(digest, m, body)
+	_, err := l.accept(digest, body)
 	l.nudge()
-	return nil
+	return err
 }
 
 // accept keeps a manifest and gives its set.
-func (l *Loader) accept(digest string, m *fetcher.Manifest, body []byte) *set {
+func (l *Loader) accept(digest string, body []byte) (*set, error) {
+	m, err := fetcher.ParseManifest(digest, body)
+	if err != nil {
+		return nil, err
+	}
 	l.open(digest)
 	s := l.sets[digest]
 	if s.manifest == nil {
 		s.take(m, body)
 	}
-	return s
+	return s, nil
 }
 
 // gain keeps verified bytes and tells all transfers that want them.
--- a/internal/loader/holders.go
+++ b/internal/loader/holders.go
@@ -32,7 +32,7 @@
 // holderKey names an agent as a holder of one manifest.
 type holderKey struct{ manifest, id string }
 
-type heardHolder struct {
+type reportedHolder struct {
 	messenger.Holder
 	at time.Time
 }
@@ -41,19 +41,19 @@
 // and of the others those heard of last. Of those heard of together each agent takes
 // others, and such of its own region first: with the same few for all, the links of
 // the rest would stand idle, and chunks of other regions come by way of the origin fetchers.
-func choose(self, region, manifest string, known map[holderKey]heardHolder) []messenger.Holder {
-	var all []heardHolder
+func choose(self, region, manifest string, known map[holderKey]reportedHolder) []messenger.Holder {
+	var all []reportedHolder
 	for k, h := range known {
 		if k.manifest == manifest {
 			all = append(all, h)
 		}
 	}
-	slices.SortFunc(all, func(a, b heardHolder) int {
+	slices.SortFunc(all, func(a, b reportedHolder) int {
 		return cmp.Or(cmp.Compare(planner.Score(manifest, b.ID), planner.Score(manifest, a.ID)), strings.Compare(a.ID, b.ID))
 	})
 	originFetchers := map[string]int{}
 	var hs []messenger.Holder
-	var rest []heardHolder
+	var rest []reportedHolder
 	for _, h := range all {
 		if originFetchers[h.Region]++; originFetchers[h.Region] <= planner.OriginFetchers {
 			hs = append(hs, h.Holder)
@@ -61,7 +61,7 @@
 			rest = append(rest, h)
 		}
 	}
-	slices.SortFunc(rest, func(a, b heardHolder) int {
+	slices.SortFunc(rest, func(a, b reportedHolder) int {
 		return cmp.Or(compareFar(a.Region, b.Region, region), b.at.Compare(a.at), cmp.Compare(planner.Score(self, a.ID), planner.Score(self, b.ID)))
 	})
 	for _, h := range rest[:min(len(rest), maxPeers)] {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -81,16 +81,16 @@
 	used   int64
 	want   []string
 	// prefetch lists manifests to be wanted next.
-	prefetch []string
-	keep     map[string]bool
-	holders  map[holderKey]heardHolder
-	heard    time.Time
-	changed  chan struct{}
-	cancels  map[fetch]context.CancelFunc
-	asking   map[string]bool
-	seeds    uint64
-	ctx      context.Context
-	running  sync.WaitGroup
+	prefetch   []string
+	keep       map[string]bool
+	holders    map[holderKey]reportedHolder
+	reportedAt time.Time
+	changed    chan struct{}
+	cancels    map[fetch]context.CancelFunc
+	asking     map[string]bool
+	seeds      uint64
+	ctx        context.Context
+	running    sync.WaitGroup
 }
 
 // chunk is a chunk's place in memory; data is nil until verified bytes arrive.
@@ -153,7 +153,7 @@
 		l.sets = map[string]*set{}
 		l.chunks = map[string]*chunk{}
 		l.keep = map[string]bool{}
-		l.holders = map[holderKey]heardHolder{}
+		l.holders = map[holderKey]reportedHolder{}
 		l.changed = make(chan struct{})
 		l.cancels = map[fetch]context.CancelFunc{}
 		l.asking = map[string]bool{}
@@ -283,17 +283,17 @@
 	l.setUp()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.heard = l.Clock.Now()
+	l.reportedAt = l.Clock.Now()
 	for _, h := range hs {
-		l.holders[holderKey{h.Holding.Manifest, h.ID}] = heardHolder{h, l.heard}
+		l.holders[holderKey{h.Holding.Manifest, h.ID}] = reportedHolder{h, l.reportedAt}
 	}
 	for k, h := range l.holders {
-		if l.heard.Sub(h.at) > holdersFor {
+		if l.reportedAt.Sub(h.at) > holdersFor {
 			delete(l.holders, k)
 		}
 	}
 	for _, s := range l.sets {
-		s.learn(l.ID, l.Region, l.holders, l.heard)
+		s.learn(l.ID, l.Region, l.holders, l.reportedAt)
 	}
 	l.nudge()
 }
@@ -409,11 +409,7 @@
 	}
 	now := l.Clock.Now()
 	for _, s := range l.active() {
-		if s.manifest == nil {
-			l.askManifest(s, now)
-			continue
-		}
-		if s.transfer == nil && !l.admit(s, now) {
+		if !l.ready(s, now) {
 			continue
 		}
 		l.cancelOverdue(s, now)
@@ -423,6 +419,15 @@
 	l.stepPrefetch(now)
 }
 
+// ready tells whether a set's chunks can be fetched. Without its manifest that is asked for.
+func (l *Loader) ready(s *set, now time.Time) bool {
+	if s.manifest == nil {
+		l.askManifest(s, now)
+		return false
+	}
+	return s.transfer != nil || l.admit(s, now)
+}
+
 // active lists the sets to work on: those nearly there first, then the wanted
 // in their order.
 func (l *Loader) active() []*set {
--- a/internal/loader/memory.go
+++ b/internal/loader/memory.go
@@ -43,7 +43,7 @@
 	}
 	s.transfer = l.newTransfer(s, now)
 	s.transfer.Start(now, have)
-	s.learn(l.ID, l.Region, l.holders, l.heard)
+	s.learn(l.ID, l.Region, l.holders, l.reportedAt)
 	for f := range l.cancels {
 		if other := l.sets[f.manifest]; other != nil {
 			l.share(other, f.order.Chunk, (*planner.Transfer).Hold)
--- a/internal/loader/prefetch.go
+++ b/internal/loader/prefetch.go
@@ -35,11 +35,7 @@
 		return
 	}
 	for _, s := range ss {
-		if s.manifest == nil {
-			l.askManifest(s, now)
-			return
-		}
-		if s.transfer == nil && (l.used+l.lacking(s) > l.Memory || !l.admit(s, now)) {
+		if s.transfer == nil && l.used+l.lacking(s) > l.Memory || !l.ready(s, now) {
 			return
 		}
 		if s.transfer.FetchedFromOrigin() {
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -60,10 +60,10 @@
 }
 
 // learn takes the holders of this set from what was heard.
-func (s *set) learn(self, region string, known map[holderKey]heardHolder, heard time.Time) {
+func (s *set) learn(self, region string, known map[holderKey]reportedHolder, reportedAt time.Time) {
 	s.peers = choose(self, region, s.digest, known)
 	if s.transfer != nil {
-		s.transfer.Learn(plannerPeers(s.peers), heard)
+		s.transfer.Learn(plannerPeers(s.peers), reportedAt)
 	}
 }
 
--- a/internal/matcher/matcher_test.go
+++ b/internal/matcher/matcher_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -77,3 +78,22 @@
 		})
 	}
 }
+
+// Guards against a probe route or another service's objective that shortens queueing for all.
+func TestServiceHasTheShortestObjectiveOfItsOwnRoutes(t *testing.T) {
+	at := func(service string) []matcher.Target { return []matcher.Target{{Service: service, Weight: 1}} }
+	table := &matcher.Table{
+		Services: map[string]*matcher.Service{"engines": {}, "others": {}, "bookings": {}},
+		Routes: []*matcher.Route{
+			{Generates: true, Objective: 500 * time.Millisecond, Targets: at("engines")},
+			{Generates: true, Objective: 400 * time.Millisecond, Targets: at("engines")},
+			{Generates: true, Targets: at("engines")},
+			{Objective: 100 * time.Millisecond, Targets: at("engines")},
+			{Generates: true, Objective: 50 * time.Millisecond, Targets: at("others")},
+			{Objective: 150 * time.Millisecond, Targets: at("bookings")},
+		},
+	}
+	table.Index()
+	must.Eq(t, 400*time.Millisecond, table.Services["engines"].Objective)
+	must.Eq(t, 0, table.Services["bookings"].Objective)
+}
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -8,10 +8,20 @@
 
 // Next gives the next fetch to start, if there is one worth starting now.
 func (t *Transfer) Next(now time.Time) (Order, bool) {
+	return t.start(now, t.draw, t.bring, t.relay, t.fallback, t.hedge)
+}
+
+// NextOriginFetch gives the next fetch from the origin that falls to this agent, if there is
+// one. It is all that a prefetched manifest gets: a region's origin fetchers spend little
+// bandwidth on it, and the origin may be unreachable once the manifest is wanted.
+func (t *Transfer) NextOriginFetch(now time.Time) (Order, bool) { return t.start(now, t.draw) }
+
+// start begins the first fetch that one of the choices gives.
+func (t *Transfer) start(now time.Time, choices ...func(time.Time) (Order, bool)) (Order, bool) {
 	if t.Whole() || t.slotsTaken(now) >= t.Slots {
 		return Order{}, false
 	}
-	for _, choose := range []func(time.Time) (Order, bool){t.draw, t.bring, t.relay, t.fallback, t.hedge} {
+	for _, choose := range choices {
 		if o, ok := choose(now); ok {
 			t.begin(o, now)
 			return o, true
@@ -26,7 +36,7 @@
 // draw picks a chunk that this agent alone should ask the origin for: its own first, and
 // then those of origin fetchers that are far behind.
 func (t *Transfer) draw(now time.Time) (Order, bool) {
-	if !t.settled(now) || !t.draws() {
+	if !t.settled(now) || !t.IsOriginFetcher() {
 		return Order{}, false
 	}
 	if !t.origin.usable(now) {
@@ -106,7 +116,7 @@
 // while a star would send as many copies out of the first region as there are
 // others.
 func (t *Transfer) bring(now time.Time) (Order, bool) {
-	if !t.remote || t.bringing >= t.AcrossSlots || !t.draws() {
+	if !t.remote || t.bringing >= t.AcrossSlots || !t.IsOriginFetcher() {
 		return Order{}, false
 	}
 	offered := t.offered(now, func(p *peer) bool { return p.Region != t.Region })
@@ -211,7 +221,7 @@
 // the other origin fetchers try before the many others do.
 func (t *Transfer) stalled(now time.Time) bool {
 	wait := t.patience()
-	if !t.draws() {
+	if !t.IsOriginFetcher() {
 		wait *= time.Duration(2 + t.rank)
 	}
 	return now.Sub(t.lastGain) > wait
@@ -279,7 +289,7 @@
 // askAcross orders a chunk from another region whose fetch runs for too long. The other
 // regions often have it before the agents of a slow origin fetcher's own region.
 func (t *Transfer) askAcross(f flight, now time.Time) (Order, bool) {
-	if !t.draws() || t.bringing >= t.AcrossSlots {
+	if !t.IsOriginFetcher() || t.bringing >= t.AcrossSlots {
 		return Order{}, false
 	}
 	return t.ask(f.Chunk, now, func(p *peer) bool { return p.Region != t.Region && f.Source != FromPeer{ID: p.ID} })
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -182,6 +182,17 @@
 // Whole tells whether all chunks are held.
 func (t *Transfer) Whole() bool { return t.count == t.Chunks }
 
+// FetchedFromOrigin tells whether the origin has delivered every chunk that this region fetches
+// from it, as far as its agents are known here.
+func (t *Transfer) FetchedFromOrigin() bool {
+	for i := range t.Chunks {
+		if t.home(i) == t.Region && !t.have.Has(i) && t.holders[i] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // InFlight is the number of fetches that run.
 func (t *Transfer) InFlight() int { return len(t.flights) }
 
@@ -265,7 +276,7 @@
 func (t *Transfer) Peers(now time.Time) []string {
 	var ids []string
 	for _, p := range t.peers {
-		if !now.Before(p.avoidUntil) && (p.Region == t.Region || t.draws()) {
+		if !now.Before(p.avoidUntil) && (p.Region == t.Region || t.IsOriginFetcher()) {
 			ids = append(ids, p.ID)
 		}
 	}
@@ -331,7 +342,7 @@
 	}
 }
 
-// draws tells whether this agent is among the origin fetchers of its region.
-func (t *Transfer) draws() bool {
+// IsOriginFetcher tells whether this agent is among the origin fetchers of its region.
+func (t *Transfer) IsOriginFetcher() bool {
 	return slices.ContainsFunc(t.originFetchers[t.Region], func(d originFetcher) bool { return d.id == t.ID })
 }
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -44,19 +44,20 @@
 	return now
 }
 
-// lastConfirmed is until when this process can have missed no naming of its own fault: the last
-// word of the store, or the last failed call if it has called in vain ever since. What was named
-// in an outage could be heard by nobody; counted from before it, the time of all old weights
-// would be over when the store is back, and callers would get nothing until new ones are
-// loaded. A process that stood still, or waited for silent peers, may only have missed the
-// naming. It shows by a gap between its calls, or by a first one long after the last word.
+// lastConfirmed is until when this process can have missed no announcement by its own fault: the
+// store's last confirmation, or the last failed call if all have failed since. Nobody could learn
+// of an announcement during an outage; counted from before it, the time of all stale versions
+// would be over when the store returns, and callers would be refused until new ones are loaded. A
+// process that was suspended, or waited for unresponsive peers, may only have missed the
+// announcement. It shows by a gap between its calls, or by a first one long after the last
+// confirmation.
 //
-// Others' failed calls count besides. A process that starts in an outage has its last word from
-// others, and no calls from before its start; taken for one that stood still, it would tell
-// all others to count from before the outage. And one's own last failed call may be a second old
-// when the store is back, others' are not. They show nothing of a time in which this process
-// may have stood still, even if its first call after that fails, as one does that was under
-// way: the store may have answered all but those who are cut off themselves.
+// Others' failed calls count as well. A process that starts in an outage has its last confirmation
+// from others and no calls of its own before; taken for a suspended one, it would have all others
+// count from before the outage. And its own last failed call may be a second old when the store
+// returns, others' are not. They prove nothing for a time in which this process may have been
+// suspended, even if its first call after that fails, as an outstanding one does: the store may
+// have answered all but those who are cut off themselves.
 func (r *Registrar) lastConfirmed() time.Time {
 	switch {
 	case !r.outage.After(r.confirmed):
--- a/internal/registrar/outage_fuzz_test.go
+++ b/internal/registrar/outage_fuzz_test.go
@@ -155,9 +155,9 @@
 }
 
 // One process is cut off from the store alone, for good, while the store goes and comes back
-// for the others; these stand still at times, and the first call after that may fail. What the
-// cut-off one tells of its failed calls must not cover the time for which they stood still, or
-// old weights would begin replies for as much longer.
+// for the others; these are suspended at times, and the first call after that may fail. The
+// failed calls that the cut-off one reports must not cover the time of their suspension, or
+// stale versions would begin replies for as much longer.
 func TestWhoIsCutOffAloneCoversNoStandstill(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := clocktest.NewFakeClock(time.Unix(1000, 0))
--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -133,10 +133,10 @@
 	must.Eq(t, back, got, must.Sprint("the last time that the store was asked in vain"))
 }
 
-// A process starts, or wakes, and hears of another's outage. That tells nothing of the time
-// for which the other stood still, nor of a time after its last failed call, nor of a store that
-// answers this process. Were a naming of such a time taken for new, old weights would begin
-// replies that much beyond their time.
+// A process starts, or wakes, and learns of another's outage. That proves nothing for the time
+// of the other's suspension, nor after its last failed call, nor for a store that answers this
+// process. Were an announcement of such a time taken for new, stale versions would begin replies
+// that much beyond their time.
 func TestAnothersOutageCoversOnlyWhatItSaw(t *testing.T) {
 	for name, missed := range map[string]func(witness, r *registrar.Registrar, c *clocktest.FakeClock){
 		"the other stood still": func(witness, r *registrar.Registrar, c *clocktest.FakeClock) {
@@ -214,9 +214,9 @@
 }
 
 // In an outage each process calls the store about once a second, but with some dozen processes
-// there is a failed call every few hundredths of a second. Who counts a naming from its own last
-// one only takes the naming for up to a second older than it can be, and its engine stops that
-// much sooner, mostly before the new weights are there.
+// there is a failed call every few hundredths of a second. Who counts an announcement from its
+// own last one only takes it for up to a second older than it can be, and its engine stops that
+// much sooner, mostly before the new version is loaded.
 func TestLatestVainCallOfAnyProcessCounts(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
 	r, other := twoThatKnow(c)
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -54,7 +54,7 @@
 	if d <= 0 {
 		d = busyRetry
 	}
-	if l.Placer.Without.Off(ablator.RetryJitter) {
+	if l.Placer.Without.Has(ablator.RetryJitter) {
 		return d
 	}
 	l.mu.Lock()
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -30,14 +30,14 @@
 // ask asks the agent beside an engine for a place, for a request that is already counted
 // there. The verdict is nil when the agent did not answer; the place then is a share of what
 // the engine bears.
-func (p *Placer) ask(ctx context.Context, view *registrar.View, u *registrar.UpstreamView, j *Job, patience time.Duration) (*Place, *messenger.Verdict) {
+func (p *Placer) ask(ctx context.Context, view *registrar.View, u *registrar.UpstreamView, j *Job, budget time.Duration) (*Place, *messenger.Verdict) {
 	if p.Chooser.Silent(u.ID) {
 		return p.unasked(view, u, j), nil
 	}
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
 	v, err := agent.Reserve(ctx, messenger.Reservation{
 		Request: j.ID, Model: j.Model, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
-		PatienceMS: patience.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(),
+		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(),
 	})
 	if ctx.Err() != nil {
 		// The agent may have granted a place that nobody waits for.
@@ -96,7 +96,7 @@
 // caller has left, and run in vain when the VM wakes.
 func (p *Placer) unasked(view *registrar.View, u *registrar.UpstreamView, j *Job) *Place {
 	held := u.Holds(j.Model)
-	if p.Without.Off(ablator.UngrantedSends) || held == 0 || j.Version != 0 && held != j.Version || p.Registrar.Outdated(j.Model, held, p.WeightsBound/2) {
+	if p.Without.Has(ablator.UngrantedSends) || held == 0 || j.Version != 0 && held != j.Version || p.Registrar.Outdated(j.Model, held, p.WeightsBound/2) {
 		return nil
 	}
 	version := j.Version
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -21,15 +21,15 @@
 	// firstEventTime is what a first event needs beyond waiting and reading: the pass
 	// under way, the pass that writes it, and the way to the caller.
 	firstEventTime = 190 * time.Millisecond
-	// leastPatience is the wait accepted even when the objective leaves none.
-	leastPatience = 60 * time.Millisecond
-	// queueingShare is the part of a contended service's shortest objective for which requests
+	// leastBudget is the wait accepted even when the objective leaves none.
+	leastBudget = 60 * time.Millisecond
+	// contendedShare is the part of a contended service's shortest objective for which requests
 	// may queue at an engine. It is the same for all kinds: an engine reads prompts in the order
 	// of their arrival, so a kind that may queue for longer would keep the others out.
-	queueingShare = 0.4
-	// maxPatience bounds the reading ahead of a request: everything read in one pass
+	contendedShare = 0.4
+	// mostBudget bounds the reading ahead of a request: everything read in one pass
 	// is a pause for those who write.
-	maxPatience = 300 * time.Millisecond
+	mostBudget = 300 * time.Millisecond
 	// askedShare is the part of the objective after which no further engine is asked,
 	// leastAsked the least time for it: one agent that is silent, and a few that answer.
 	askedShare = 0.2
@@ -53,7 +53,7 @@
 		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
 	began := p.Clock.Now()
-	patience := p.patience(s, j)
+	budget := p.queueingBudget(s, j)
 	free := time.Duration(0)
 	var waits []engineWait
 	met := &j.met
@@ -70,9 +70,9 @@
 			met.passOver(p.Chooser.WhyClosed(u.ID))
 			continue
 		}
-		limit := patience
+		limit := budget
 		if first {
-			limit = min(goodWait, patience)
+			limit = min(goodWait, budget)
 		}
 		if !p.Chooser.BeginWithin(u.ID, p.connections(u)) {
 			met.Connections++
@@ -95,8 +95,8 @@
 			continue
 		}
 		free = least(free, v.Free())
-		room := v.Wait() <= patience && v.Active < v.Slots
-		if !room || limit == patience {
+		room := v.Wait() <= budget && v.Active < v.Slots
+		if !room || limit == budget {
 			p.noteFull(u.ID, j, v.Free())
 			continue
 		}
@@ -108,7 +108,7 @@
 			met.Connections++
 			continue
 		}
-		place, v := p.ask(ctx, view, w.upstream, j, patience)
+		place, v := p.ask(ctx, view, w.upstream, j, budget)
 		if place != nil {
 			return place, nil
 		}
@@ -180,24 +180,24 @@
 	return j.Returned || j.Route.Objective > 0 && p.Clock.Since(j.Arrived)+firstEventTime > j.Route.Objective
 }
 
-// queueing bounds how long a request may queue at a service's engines.
-func (p *Placer) queueing(s *matcher.Service) time.Duration {
-	if s.Objective == 0 || !p.contention.Contended(s.Name, p.Clock.Now()) || p.Without.Off(ablator.EqualBudgets) {
-		return maxPatience
+// budgetLimit bounds how long a request may queue at a service's engines.
+func (p *Placer) budgetLimit(s *matcher.Service) time.Duration {
+	if s.Objective == 0 || !p.contention.Contended(s.Name, p.Clock.Now()) || p.Without.Has(ablator.EqualBudgets) {
+		return mostBudget
 	}
-	return min(max(time.Duration(queueingShare*float64(s.Objective)), leastPatience), maxPatience)
+	return min(max(time.Duration(contendedShare*float64(s.Objective)), leastBudget), mostBudget)
 }
 
-// patience is how long a request may wait before its prompt is read and still be
+// queueingBudget is how long a request may wait before its prompt is read and still be
 // answered within its objective. Its own reading is not taken off in full: long
 // prompts would never be served under load.
-func (p *Placer) patience(s *matcher.Service, j *Job) time.Duration {
+func (p *Placer) queueingBudget(s *matcher.Service, j *Job) time.Duration {
 	if j.Again {
-		return maxPatience
+		return mostBudget
 	}
 	if p.late(j) {
 		return goodWait
 	}
 	left := j.Route.Objective - p.Clock.Since(j.Arrived) - firstEventTime - scheduler.ReadTime(s.Engine, min(j.Prompt, s.Engine.UsualPrompt))
-	return min(max(left, leastPatience), p.queueing(s))
+	return min(max(left, leastBudget), p.budgetLimit(s))
 }
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -146,7 +146,7 @@
 	}
 	began := p.Clock.Now()
 	held := time.Duration(heldShare * float64(j.Route.Objective))
-	if p.Without.Off(ablator.AdmissionWait) {
+	if p.Without.Has(ablator.AdmissionWait) {
 		held = 0
 	}
 	if j.Again {
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -149,7 +149,7 @@
 // cost is how long a request would wait there, as far as this entry can tell.
 func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
 	cost, active := time.Duration(0), 0.0
-	if !c.Without.Off(ablator.LoadFeedback) {
+	if !c.Without.Has(ablator.LoadFeedback) {
 		cost, active = max(0, s.wait-now.Sub(s.heard)), s.active
 	}
 	if k.Slots > 0 {
@@ -163,10 +163,10 @@
 	if now.Before(s.silentUntil) {
 		cost += silentCost
 	}
-	if !c.Without.Off(ablator.Locality) {
+	if !c.Without.Has(ablator.Locality) {
 		cost += k.Distance.cost()
 	}
-	if c.Without.Off(ablator.TieBreaking) {
+	if c.Without.Has(ablator.TieBreaking) {
 		return cost
 	}
 	return cost + time.Duration(c.Random.Int64N(int64(jitter)))
@@ -213,7 +213,7 @@
 // it isn't asked: under more load than all can bear, each refusal would otherwise
 // cost a question to every engine, and the caller's time.
 func (c *Chooser) Full(id string, spare bool, free time.Duration) {
-	if c.Without.Off(ablator.FullBackoff) {
+	if c.Without.Has(ablator.FullBackoff) {
 		return
 	}
 	c.mu.Lock()
@@ -289,7 +289,7 @@
 // Failed notes an attempt that the upstream did not answer well. Dead ones are
 // passed over at once.
 func (c *Chooser) Failed(id string, dead bool) {
-	if c.Without.Off(ablator.FailureEjection) {
+	if c.Without.Has(ablator.FailureEjection) {
 		return
 	}
 	c.mu.Lock()
@@ -331,7 +331,7 @@
 // Silence notes that an upstream's agent did not answer; it isn't asked again for d. Gone
 // tells that its VM answered in its place that nobody listens.
 func (c *Chooser) Silence(id string, d time.Duration, gone bool) {
-	if c.Without.Off(ablator.UnresponsiveBackoff) {
+	if c.Without.Has(ablator.UnresponsiveBackoff) {
 		d = 0
 	}
 	c.mu.Lock()
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -201,7 +201,7 @@
 		v.Free = max(0, expiry.Sub(now)) + l.engine.Load
 		return v
 	}
-	if v.Wait > j.Patience && !l.Without.Off(ablator.QueueingBudget) {
+	if v.Wait > j.Patience && !l.Without.Has(ablator.QueueingBudget) {
 		v.Free = v.Wait - j.Patience
 		return v
 	}
@@ -216,7 +216,7 @@
 
 // coldWait is how long until a cold engine may get one more; 0 for at once.
 func (l *Ledger) coldWait(now time.Time) time.Duration {
-	if l.coldRate <= 0 || !now.Before(l.coldUntil) || l.Without.Off(ablator.ColdLimit) {
+	if l.coldRate <= 0 || !now.Before(l.coldUntil) || l.Without.Has(ablator.ColdLimit) {
 		return 0
 	}
 	rate := l.coldRate
@@ -257,10 +257,10 @@
 
 // limit is how many requests may hold places once a job has one.
 func (l *Ledger) limit(j Job) int {
-	if l.Without.Off(ablator.SlotLimit) {
+	if l.Without.Has(ablator.SlotLimit) {
 		return math.MaxInt
 	}
-	if j.Spare && !l.Without.Off(ablator.LateShare) {
+	if j.Spare && !l.Without.Has(ablator.LateShare) {
 		return max(1, int(spareShare*float64(l.engine.Slots)))
 	}
 	return l.engine.Slots
--- a/internal/simulator/ablation.go
+++ b/internal/simulator/ablation.go
@@ -20,33 +20,29 @@
 	Seeds int
 }
 
-// Effect is what switching off a mechanism changes under a load.
-type Effect struct {
-	Load      string
-	Mechanism ablator.Mechanism
-	// Worth are the differences in worth, one a seed: without the mechanism less with it.
-	Worth []float64
-}
+// Effect is what switching off a mechanism changes under a load: the differences in worth, one a
+// seed, without the mechanism less with it.
+type Effect []float64
 
 // Mean is the mean difference.
 func (e Effect) Mean() float64 {
 	sum := 0.0
-	for _, d := range e.Worth {
+	for _, d := range e {
 		sum += d
 	}
-	return sum / max(1, float64(len(e.Worth)))
+	return sum / max(1, float64(len(e)))
 }
 
 // Deviation is the standard deviation of the differences over the seeds; 0 for a single one.
 func (e Effect) Deviation() float64 {
-	if len(e.Worth) < 2 {
+	if len(e) < 2 {
 		return 0
 	}
 	mean, squares := e.Mean(), 0.0
-	for _, d := range e.Worth {
+	for _, d := range e {
 		squares += (d - mean) * (d - mean)
 	}
-	return math.Sqrt(squares / float64(len(e.Worth)-1))
+	return math.Sqrt(squares / float64(len(e)-1))
 }
 
 // AblationReport is what an ablation measured.
@@ -68,10 +64,8 @@
 	for _, e := range a.Loads {
 		report.Loads = append(report.Loads, e.Name)
 	}
-	for m, mechanism := range a.Mechanisms {
-		for _, e := range a.Loads {
-			report.Effects[m] = append(report.Effects[m], Effect{Load: e.Name, Mechanism: mechanism})
-		}
+	for m := range report.Effects {
+		report.Effects[m] = make([]Effect, len(a.Loads))
 	}
 	for seed := a.First; seed < a.First+uint64(a.Seeds); seed++ {
 		with, without, ok := a.play(ctx, seed)
@@ -92,8 +86,7 @@
 	for i, worth := range with {
 		r.Worth[i] += worth
 		for m := range without {
-			e := &r.Effects[m][i]
-			e.Worth = append(e.Worth, without[m][i]-worth)
+			r.Effects[m][i] = append(r.Effects[m][i], without[m][i]-worth)
 		}
 	}
 }
--- a/internal/simulator/ablation_print.go
+++ b/internal/simulator/ablation_print.go
@@ -43,13 +43,6 @@
 	return p.flush()
 }
 
-func (p *printer) flush() error {
-	if p.err != nil {
-		return p.err
-	}
-	return p.w.Flush()
-}
-
 const (
 	chartLineHeight = 0.9 * vg.Centimeter
 	chartMargin     = 4 * vg.Centimeter
--- a/internal/simulator/print.go
+++ b/internal/simulator/print.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// flush writes what is left, and gives the first error.
+func (p *printer) flush() error {
+	if p.err != nil {
+		return p.err
+	}
+	return p.w.Flush()
+}
+
 func join(rows map[string]*Row, row Row) {
 	sum := rows[row.Name]
 	if sum == nil {
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -137,7 +137,7 @@
 			Reach: func(a netip.AddrPort) relayer.Agent { return &road{entry: e, host: w.byAgent[a]} },
 		},
 		Budgets: &retrier.Budgets{New: func() *retrier.Budget {
-			if w.Without.Off(ablator.RetryBudget) {
+			if w.Without.Has(ablator.RetryBudget) {
 				return &retrier.Budget{Clock: w.time, Share: unboundRetries, Burst: unboundRetries}
 			}
 			bound := retrier.Bound{Ratio: w.Retries.Ratio, Slack: w.Retries.Slack, Window: w.Retries.Window}
--- a/internal/stager/ahead.go
+++ b/internal/stager/ahead.go
@@ -27,7 +27,7 @@
 func (s *Stager) stageAhead(ctx context.Context, model string, held, whole uint64) {
 	version := whole
 	if version <= held {
-		version = s.pending(model, held)[0].version
+		version = s.pending(model, held)[0].Version
 	}
 	digest, ok := s.Digests.Known(model, version)
 	if !ok || version <= held {
--- a/internal/stager/namings.go
+++ b/internal/stager/namings.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"maps"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -57,44 +56,32 @@
 	if s.wantedAt == nil {
 		s.wantedAt = map[uint64]time.Time{}
 	}
-	at, ok := s.wantedAt[version]
-	if !ok {
-		at = s.Clock.Now()
-		s.wantedAt[version] = at
-		maps.DeleteFunc(s.wantedAt, func(v uint64, _ time.Time) bool { return v+wantedKept < version })
+	if s.wantedAt[version].IsZero() {
+		s.wantedAt[version] = s.Clock.Now()
 	}
-	return s.Clock.Since(at)
-}
-
-// wantedKept bounds how many versions before the latest wantedFor remembers.
-const wantedKept = 16
-
-// announced is a version to hold and how long ago it was announced.
-type announced struct {
-	version uint64
-	age     time.Duration
+	return s.Clock.Since(s.wantedAt[version])
 }
 
 // pending lists the versions to fetch, the first one first: those newer than what the engine
 // holds that aren't complete here and will serve for a while. It is never empty: without any it
 // has the newest version.
-func (s *Stager) pending(model string, held uint64) []announced {
-	var ps []announced
-	newer := s.after(held)
+func (s *Stager) pending(model string, held uint64) []registrar.Naming {
+	var ps []registrar.Naming
 	if s.completesFirst(model, held) {
-		ps = append(ps, announced{firstVersion, time.Hour})
+		ps = append(ps, registrar.Naming{Version: firstVersion})
 	}
+	newer := s.after(held)
 	for i, n := range newer {
 		if i+1 < len(newer) && s.overtaken(n, newer[i+1]) || s.passing(n.Version) {
 			continue
 		}
 		if !s.whole(model, n.Version) {
-			ps = append(ps, announced{n.Version, s.Clock.Since(n.Learned)})
+			ps = append(ps, n)
 		}
 	}
 	if len(ps) == 0 {
 		version, age := s.newest()
-		return []announced{{version, age}}
+		ps = append(ps, registrar.Naming{Version: version, Learned: s.Clock.Now().Add(-age)})
 	}
 	return ps
 }
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -72,11 +73,14 @@
 
 // fetch has the first of the pending versions fetched and the others prefetched: the origin
 // may become unreachable before the first is complete.
-func (s *Stager) fetch(ctx context.Context, model string, pending []announced, peers []peerAgent) {
+func (s *Stager) fetch(ctx context.Context, model string, pending []registrar.Naming, peers []peerAgent) {
 	s.unlisted = false
+	maps.DeleteFunc(s.wantedAt, func(version uint64, _ time.Time) bool {
+		return !slices.ContainsFunc(pending, func(n registrar.Naming) bool { return n.Version == version })
+	})
 	var ahead []string
 	for i, n := range pending {
-		digest, ok := s.listed(ctx, model, n, peers)
+		digest, ok := s.manifestDigest(ctx, model, n, peers)
 		switch {
 		case !ok:
 			s.unlisted = true
@@ -90,13 +94,13 @@
 	s.setHolders(ahead, peers)
 }
 
-// listed gives the digest of a version's manifest once its chunks are known, to the loader too.
-func (s *Stager) listed(ctx context.Context, model string, n announced, peers []peerAgent) (digest string, ok bool) {
-	if digest, ok = s.Digests.Known(model, n.version); ok {
+// manifestDigest gives the digest of a version's manifest once that is known, to the loader too.
+func (s *Stager) manifestDigest(ctx context.Context, model string, n registrar.Naming, peers []peerAgent) (digest string, ok bool) {
+	if digest, ok = s.Digests.Known(model, n.Version); ok {
 		return digest, true
 	}
-	s.Digests.Learn(ctx, versionKey{model, n.version}, s.self(), peers, min(n.age, s.wantedFor(n.version)))
-	if digest, ok = s.Digests.Known(model, n.version); !ok {
+	s.Digests.Learn(ctx, versionKey{model, n.Version}, s.self(), peers, min(s.Clock.Since(n.Learned), s.wantedFor(n.Version)))
+	if digest, ok = s.Digests.Known(model, n.Version); !ok {
 		return "", false
 	}
 	body, err := s.Digests.Manifest(ctx, digest)
--- a/internal/syncer/hedge.go
+++ b/internal/syncer/hedge.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"k8s.io/utils/clock"
-
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
 
@@ -24,34 +22,32 @@
 	if !s.Seed {
 		return s.Store.List(ctx)
 	}
-	return hedge(ctx, s.Clock, s.Store.List)
+	return s.hedgedList(ctx)
 }
 
-// hedge repeats a call every hedgeAfter beside those that have not returned, and gives the
-// first result. An error counts, too: the caller has peers to ask instead.
-func hedge[T any](ctx context.Context, c clock.Clock, call func(context.Context) (T, error)) (T, error) {
+// hedgedList repeats the list every hedgeAfter beside those that have not returned, and gives
+// the first result. An error counts, too: the caller has peers to ask instead.
+func (s *Syncer) hedgedList(ctx context.Context) (registrar.Batch, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
-		value T
+		batch registrar.Batch
 		err   error
 	}
 	results := make(chan result, hedgeCalls)
-	start := func() {
+	for call := 1; ; call++ {
 		go func() {
-			value, err := call(ctx)
-			results <- result{value, err}
+			batch, err := s.Store.List(ctx)
+			results <- result{batch, err}
 		}()
-	}
-	for range hedgeCalls - 1 {
-		start()
+		next := s.Clock.After(hedgeAfter)
+		if call == hedgeCalls {
+			next = nil
+		}
 		select {
 		case r := <-results:
-			return r.value, r.err
-		case <-c.After(hedgeAfter):
+			return r.batch, r.err
+		case <-next:
 		}
 	}
-	start()
-	r := <-results
-	return r.value, r.err
 }
--- a/internal/syncer/leaving_test.go
+++ b/internal/syncer/leaving_test.go
@@ -1,12 +1,9 @@
 package syncer_test
 
 import (
-	"cmp"
-	"slices"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 )
 
@@ -40,9 +37,7 @@
 func TestLostReadersAreReplacedAtOnce(t *testing.T) {
 	const entries = 12
 	inFleet(t, entries, 1, 0, func(t *testing.T, f *fleet) {
-		ranked := slices.Clone(f.members[:entries])
-		slices.SortFunc(ranked, func(a, b *node) int { return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)) })
-		for _, n := range ranked[:2] {
+		for _, n := range f.ranked(entries)[:2] {
 			n.cut.Store(true)
 		}
 		time.Sleep(1100 * time.Millisecond)
--- a/internal/syncer/relays_test.go
+++ b/internal/syncer/relays_test.go
@@ -1,15 +1,12 @@
 package syncer_test
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 )
 
@@ -51,8 +48,7 @@
 			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
 				inFleet(t, 40, 2, 20, func(t *testing.T, f *fleet) {
 					r := rand.New(rand.NewPCG(uint64(seed), 1))
-					ranked := slices.Clone(f.members[:40])
-					slices.SortFunc(ranked, func(a, b *node) int { return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)) })
+					ranked := f.ranked(40)
 					time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
 					for range 3 {
 						fail(ranked[r.IntN(5)])
