syncer: log and count fallbacks to the store

Falling back and the return to fresh peers are logged, each call is counted by cause, requests have the version of their table, and a new table has its age.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -105,7 +105,7 @@
 	d.parts.Add(st)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Region: s.Region, Registrar: d.registrar, Store: d.store,
-		Seeds: s.Seeds, Dial: dialPeer, Clock: d.ages, Random: newRandom(),
+		Seeds: s.Seeds, Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
 	d.tick()
 	g := &granter.Granter{Ledger: ledger, Holds: st.Holds, Clock: d.clock}
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -79,7 +79,7 @@
 	d.parts.Add(e.hoster.Registration)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
-		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.ages, Random: newRandom(),
+		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
 	d.tick(pool.Sweep, placer.Sweep)
 	return e, e.listenAll()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -224,7 +224,11 @@
 func (r *Registrar) logFact(f Fact, rec Record) {
 	switch f := f.(type) {
 	case Table:
-		klog.InfoS("Route table in force", "version", f.Version, "revision", rec.Revision, "routes", len(f.Routes))
+		fields := []any{"version", f.Version, "revision", rec.Revision, "routes", len(f.Routes)}
+		if rec.Age != UnknownAge {
+			fields = append(fields, "age", rec.Age)
+		}
+		klog.InfoS("Route table in force", fields...)
 	case Weights:
 		r.logNaming(f, rec)
 	case Drained:
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -113,7 +113,7 @@
 		workspace = j.Workspace.Name
 	}
 	fields := append([]any{"request", j.ID, "route", route, "workspace", workspace,
-		"after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
+		"table", j.TableVersion, "after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
 	if v := l.Registrar.View(); v != nil {
 		fields = append(fields, "revision", v.Revision)
 	}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -38,6 +38,8 @@
 	Route     *matcher.Route
 	Workspace *matcher.Workspace
 	Service   string
+	// TableVersion is that of the route table by which the request is served.
+	TableVersion uint64
 	// Deadline is when the caller has waited long enough.
 	Deadline time.Time
 	// Arrived is when the request came.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -83,6 +83,7 @@
 		return false
 	}
 	t := view.Table
+	c.TableVersion = t.Version
 	if t.Limits.HeaderBytes > 0 && headerBytes(c.r) > t.Limits.HeaderBytes {
 		c.answer(http.StatusRequestHeaderFieldsTooLarge, "header too long", 0)
 		return false
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
@@ -81,6 +82,9 @@
 	// syncer.
 	Clock  clock.Clock
 	Random *rand.Rand
+	// Metrics counts the calls to the store by which this process replaces its peers; nil for
+	// no count.
+	Metrics metrics.Registry
 
 	clients messenger.Clients
 	// seedsSince is since when this process, which knows nothing, has asked the seeds.
@@ -96,6 +100,10 @@
 	compacted bool
 	reading   bool
 	relaying  bool
+	// fallingBack tells that the last news came from the store for want of fresh peers, and
+	// peerFailure why the last peer that was asked was of no use.
+	fallingBack bool
+	peerFailure fallbackCause
 }
 
 // Serve runs until the context ends.
@@ -127,9 +135,11 @@
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
 	if !reads && s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, unhelpful: sources}) {
+		s.noteFallback(false)
 		return true
 	}
 	if s.storeDue() {
+		s.noteFallback(!reads)
 		if s.fromStore(ctx) {
 			return true
 		}
@@ -224,6 +234,7 @@
 		useful := false
 		if err != nil {
 			s.avoid[a] = s.Clock.Now().Add(avoidFor)
+			s.peerFailure = peersUnresponsive
 			klog.InfoS("Peer lost", "peer", a, "err", err)
 		} else {
 			b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
@@ -262,6 +273,10 @@
 	}
 	lost := b.Lost && limit != anyAge
 	if b.Age > limit || lost {
+		s.peerFailure = peersStale
+		if lost {
+			s.peerFailure = peersLostStore
+		}
 		s.avoid[a] = s.Clock.Now().Add(peerWait)
 		return false
 	}
