--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -19,6 +19,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/syncer"
@@ -35,7 +36,9 @@
 // fleet is a deployment in memory and in virtual time: a store, entries and agents that
 // keep each other up to date, and the network between them.
 type fleet struct {
+	shape   shape
 	store   *memoryStore
+	links   links
 	members []*node
 	byPeers map[string]*node
 }
@@ -134,7 +137,8 @@
 // nodeStore is the store as a node reaches it.
 type nodeStore struct {
 	*memoryStore
-	node *node
+	node  *node
+	fleet *fleet
 }
 
 var errCut = errors.New("cut off")
@@ -158,14 +162,19 @@
 }
 
 func (s nodeStore) List(ctx context.Context) (registrar.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeListTimeout)
+	defer cancel()
 	if err := s.refused(ctx); err != nil {
 		return registrar.Batch{}, err
 	}
-	return s.memoryStore.List(ctx)
+	b, err := s.memoryStore.List(ctx)
+	return s.deliver(ctx, b, err)
 }
 
 func (s nodeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
 	s.node.watches.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
 	if err := s.refused(ctx); err != nil {
 		return registrar.Batch{}, err
 	}
@@ -174,7 +183,7 @@
 		// What was under way is lost.
 		return registrar.Batch{}, refused
 	}
-	return b, err
+	return s.deliver(ctx, b, err)
 }
 
 // decodeFleet reads the records that a fleet's store holds.
@@ -186,16 +195,21 @@
 		return m, err
 	case strings.HasPrefix(key, "drained/"):
 		return registrar.Drained{FailureDomain: strings.TrimPrefix(key, "drained/")}, nil
+	case key == tableKey:
+		var t matcher.Table
+		err := json.Unmarshal(value, &t)
+		return registrar.Table{Table: &t}, err
 	}
 	return nil, nil
 }
 
-// newFleet starts entries, spread over regions in turn, and one agent in each region.
-func newFleet(t testing.TB, entries, regions, upstreams int) *fleet {
-	f := &fleet{store: &memoryStore{changed: make(chan struct{})}, byPeers: map[string]*node{}}
-	for i := range entries + regions {
+// newFleet starts entries and agents, spread over regions in turn.
+func newFleet(t testing.TB, sh shape) *fleet {
+	f := &fleet{shape: sh, store: &memoryStore{changed: make(chan struct{})}, byPeers: map[string]*node{}}
+	entries := sh.entries
+	for i := range entries + sh.agents {
 		n := &node{Member: registrar.Member{
-			ID: fmt.Sprintf("entry-%d", i), Region: fmt.Sprintf("region-%d", i%regions), FailureDomain: "a",
+			ID: fmt.Sprintf("entry-%d", i), Region: regionName(i % sh.regions), FailureDomain: "a",
 			Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
 		}, askers: map[string]bool{}}
 		n.Callers, n.listener = n.Peers, connectortest.NewListener(n.Peers)
@@ -206,7 +220,7 @@
 		}
 	}
 	r := rand.New(rand.NewPCG(1, 2))
-	for i := range upstreams {
+	for i := range sh.upstreams {
 		f.store.put(fmt.Sprintf("upstream/%d", i), fmt.Sprintf("%x%x%x%x", r.Uint64(), r.Uint64(), r.Uint64(), r.Uint64()))
 	}
 	for i, n := range f.members {
@@ -245,7 +259,7 @@
 		}
 		return b
 	}}
-	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Region, Registrar: n.Registrar, Store: nodeStore{f.store, n}, Clock: c,
+	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Region, Registrar: n.Registrar, Store: nodeStore{f.store, n, f}, Clock: c,
 		Seeds: []netip.AddrPort{f.members[0].Peers, f.members[1].Peers}, Seed: n == f.members[0] || n == f.members[1],
 		Random: rand.New(rand.NewPCG(1, uint64(n.Peers.Addr().As4()[3]))),
 		Dial:   func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: f.dialer(n)} }}
@@ -273,10 +287,10 @@
 			_ = far.Close()
 		}
 		to.mu.Unlock()
-		if err := to.listener.Deliver(ctx, &link{Conn: far, node: to, delay: delay, asker: from.ID, peer: from}); err != nil {
+		if err := to.listener.Deliver(ctx, &link{Conn: far, node: to, delay: delay, asker: from.ID, peer: from, shared: f.linkBetween(to, from)}); err != nil {
 			return nil, err
 		}
-		return &link{Conn: near, node: from, delay: delay, peer: to}, nil
+		return &link{Conn: near, node: from, delay: delay, peer: to, shared: f.linkBetween(from, to)}, nil
 	}
 }
 
@@ -289,6 +303,8 @@
 	asker string
 	// peer is who reads what is written here.
 	peer *node
+	// shared carries the bytes between two regions; nil for a link without a bound.
+	shared *regionLink
 }
 
 func (l *link) Read(b []byte) (int, error) {
@@ -307,6 +323,9 @@
 	if l.node.squeezed.Load() {
 		time.Sleep(squeezedDelay)
 	}
+	if err := l.shared.carry(context.Background(), len(b)); err != nil {
+		return 0, err
+	}
 	if !l.node.heardBy(l.peer) {
 		return len(b), nil
 	}
@@ -366,11 +385,16 @@
 
 // inFleet runs a test with a fleet in virtual time, which has settled.
 func inFleet(t *testing.T, entries, regions, upstreams int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	inShapedFleet(t, shape{entries: entries, regions: regions, agents: regions, upstreams: upstreams}, test)
+}
+
+func inShapedFleet(t *testing.T, sh shape, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		// Answers that are under way when all have stopped still take their time.
 		t.Cleanup(func() { time.Sleep(connectortest.Settle) })
-		f := newFleet(t, entries, regions, upstreams)
+		f := newFleet(t, sh)
 		time.Sleep(10 * time.Second)
 		for _, n := range f.members {
 			n.mu.Lock()
--- /dev/null
+++ b/internal/syncer/links_test.go
@@ -0,0 +1,110 @@
+package syncer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+)
+
+const (
+	// callTimeout and storeListTimeout are those of the client of the platform's store.
+	callTimeout      = 900 * time.Millisecond
+	storeListTimeout = 2400 * time.Millisecond
+	// segment is in which pieces, in bytes, the transfers on a link take turns.
+	segment = 8 << 10
+	// itemOverhead is what an item takes on the wire besides its value, in bytes.
+	itemOverhead = 120
+)
+
+// shape is the size of a fleet, and how its processes reach the store and each other.
+type shape struct {
+	entries, regions, agents, upstreams int
+	// storeDelay is how long the store takes for an answer.
+	storeDelay time.Duration
+	// linkRate is how many bytes a second fit between two regions, each way; 0 for any number.
+	// The store is in the first region.
+	linkRate int
+}
+
+func regionName(i int) string { return fmt.Sprintf("region-%d", i) }
+
+// links are those between regions.
+type links struct {
+	mu   sync.Mutex
+	each map[[2]string]*regionLink
+}
+
+// linkBetween is the link from one region to another; nil where transfers have no bound.
+func (f *fleet) linkBetween(from, to *node) *regionLink { return f.link(from.Region, to.Region) }
+
+func (f *fleet) link(from, to string) *regionLink {
+	if f.shape.linkRate == 0 || from == to {
+		return nil
+	}
+	f.links.mu.Lock()
+	defer f.links.mu.Unlock()
+	if f.links.each == nil {
+		f.links.each = map[[2]string]*regionLink{}
+	}
+	l := f.links.each[[2]string{from, to}]
+	if l == nil {
+		l = &regionLink{rate: f.shape.linkRate}
+		f.links.each[[2]string{from, to}] = l
+	}
+	return l
+}
+
+// regionLink carries so many bytes a second for all transfers together.
+type regionLink struct {
+	rate int
+
+	mu   sync.Mutex
+	free time.Time
+}
+
+// carry takes as long as the link needs for a transfer among the others, and gives the context's
+// error when that ends before.
+func (l *regionLink) carry(ctx context.Context, size int) error {
+	if l == nil {
+		return nil
+	}
+	for sent := 0; sent < size; sent += segment {
+		l.mu.Lock()
+		begin := time.Now()
+		if l.free.After(begin) {
+			begin = l.free
+		}
+		l.free = begin.Add(time.Duration(min(segment, size-sent)) * time.Second / time.Duration(l.rate))
+		arrives := l.free
+		l.mu.Unlock()
+		select {
+		case <-time.After(time.Until(arrives)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// deliver hands over an answer of the store once all of it has arrived.
+func (s nodeStore) deliver(ctx context.Context, b registrar.Batch, err error) (registrar.Batch, error) {
+	if err != nil {
+		return b, err
+	}
+	size := 0
+	for _, rec := range b.Records {
+		size += itemOverhead + len(rec.Value)*4/3
+	}
+	select {
+	case <-time.After(s.fleet.shape.storeDelay):
+	case <-ctx.Done():
+		return registrar.Batch{}, ctx.Err()
+	}
+	if err := s.fleet.link(regionName(0), s.node.Region).carry(ctx, size); err != nil {
+		return registrar.Batch{}, err
+	}
+	return b, nil
+}
