syncer: let the entries of a region fall back to the store in turn

What callers saw: requests with a revoked key, and on removed routes, were served by route tables four versions old more than 3 s after the newer one was acknowledged; requests ran in regions that their route no longer allowed.

Cause: all processes of a region hear from the same relays, so their news grow too old at the same moment, and each then watched the store itself. With 1,400 routes a table takes 0.41 MB on the wire and goes to each watcher; the link between two regions carries 2.9 MB a second for all. Watches ran into their timeout of 1.9 s and were begun again, so that the link stayed saturated and neither tables nor peers' answers arrived.

Change: the entries of a region have an order. The first falls back as soon as one of its peers is of no use; those behind ask it, and wait there for what it reads, unless it doesn't answer or has lost the store. A watch by a process whose news are old is answered at once, so that it can confirm them to the others.

TestRegionsFallBackInTurn failed before in 5 of 6 cases, with up to 27 processes of a region at the store; now 2 at most.

Tried first: waiting by the age of the news alone, without an early first entry. It failed the frozen readers' case, as the region reached its limit of 2.25 s before the first entry had its answer.

--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -1,10 +1,80 @@
 package syncer
 
 import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 )
 
+// A region's processes hear from the same few peers, so that their news grow too old at the same
+// moment. Were all to read the store then, each would get the next route table, the link to the
+// region would be saturated, and no table would arrive in time. So the entries of a region fall
+// back one after the other, by rank, and agents after them; who comes later waits at those ahead
+// for what they read. All have asked by the time after which an outage of the store can't be
+// told from a standstill of their own (triesApart in package registrar).
+const (
+	// entryStep is by how much older its news must be for each entry ahead, up to entryDelay.
+	entryStep  = 250 * time.Millisecond
+	entryDelay = 850 * time.Millisecond
+	// agentDelay and a jitter up to agentJitter are the same for agents.
+	agentDelay  = 700 * time.Millisecond
+	agentJitter = 250 * time.Millisecond
+)
+
+// fallbackAge is the age of its news from which a process reads the store although so many
+// entries of its region are ahead.
+func (s *Syncer) fallbackAge(ahead int) time.Duration {
+	switch {
+	case ahead == 0:
+		return 0
+	case s.Entry:
+		return staleNews + min(time.Duration(ahead)*entryStep, entryDelay)
+	default:
+		return staleNews + agentDelay + s.jitter
+	}
+}
+
+// awaitOthers asks those who read the store before this process, and tells whether that is all to
+// be done for now, and whether one of them answered.
+func (s *Syncer) awaitOthers(ctx context.Context, o order) (done, answered bool) {
+	if !s.awaits(o) {
+		return false, false
+	}
+	_, age, _ := s.Registrar.At()
+	wait := min(peerWait, s.fallbackAge(len(s.inService(o.ahead)))-age)
+	if s.fromPeers(ctx, s.inService(o.ahead), asking{wait: wait, limit: anyAge, unhelpful: sources, awaits: true}) {
+		return true, true
+	}
+	return s.awaits(o), false
+}
+
+// leads tells whether this entry is the first of its region to fall back.
+func (s *Syncer) leads(o order) bool { return s.Entry && len(s.inService(o.ahead)) == 0 }
+
+// sourcesOf is how many unhelpful peers are waited for before the next source: a single one by
+// the entry that the others of its region wait for.
+func (s *Syncer) sourcesOf(o order) int {
+	if s.leads(o) {
+		return 1
+	}
+	return sources
+}
+
+// awaits tells whether others of the region are to read the store before this process.
+func (s *Syncer) awaits(o order) bool {
+	_, age, known := s.Registrar.At()
+	return known && age < s.fallbackAge(len(s.inService(o.ahead)))
+}
+
+// inService are those that answer and reach the store, as far as is known.
+func (s *Syncer) inService(as []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(as), func(a netip.AddrPort) bool { return s.peers[a].down })
+}
+
 // fallbackCause is why a process that relies on its peers reads the store itself.
 type fallbackCause string
 
--- a/internal/syncer/large_table_test.go
+++ b/internal/syncer/large_table_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 )
 
@@ -44,26 +46,75 @@
 		t.Run(delay.String(), func(t *testing.T) {
 			sh := shape{entries: 46, regions: 3, agents: 33, storeDelay: delay, linkRate: quarterLink}
 			inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
-				put := map[uint64]time.Time{}
-				for version := uint64(1); version <= versions; version++ {
-					f.store.put(tableKey, largeTable(version))
-					put[version] = time.Now()
-					for time.Since(put[version]) < gap {
-						time.Sleep(50 * time.Millisecond)
-						f.checkTables(t, put, within)
-					}
-				}
+				f.storm(t, versions, gap, within)
 			})
 		})
 	}
 }
 
+// Guards against a region's processes that all fall back to the store at once when the readers
+// fail.
+func TestRegionsFallBackInTurn(t *testing.T) {
+	const (
+		versions = 4
+		gap      = 1310 * time.Millisecond
+		within   = 3 * time.Second
+		// most is how many of a region's processes may turn to the store.
+		most = 2
+	)
+	for i, delay := range []time.Duration{4 * time.Millisecond, 60 * time.Millisecond, 240 * time.Millisecond} {
+		for _, k := range faultKinds {
+			t.Run(fmt.Sprint(k.name, delay), func(t *testing.T) {
+				sh := shape{entries: 46, regions: 3, agents: 33, storeDelay: delay, linkRate: quarterLink}
+				inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
+					time.Sleep(time.Duration(i) * time.Second / 3)
+					ranked := f.ranked(sh.entries)
+					for _, n := range f.members {
+						n.watches.Store(0)
+					}
+					k.fail(t, f, ranked[0], ranked[3])
+					k.fail(t, f, ranked[1], ranked[3])
+					f.storm(t, versions, gap, within)
+					watchers := map[string]int{}
+					for _, n := range f.members {
+						if n.watches.Load() > 0 && n != ranked[0] && n != ranked[1] {
+							watchers[n.Region]++
+						}
+					}
+					t.Log(watchers)
+					for region, count := range watchers {
+						must.LessEq(t, most, count, must.Sprint(region))
+					}
+				})
+			})
+		}
+	}
+}
+
+// storm writes route tables one after the other, and fails when a process goes by one that was
+// replaced longer ago than a bound.
+func (f *fleet) storm(t *testing.T, versions uint64, gap, within time.Duration) {
+	t.Helper()
+	put := map[uint64]time.Time{}
+	for version := uint64(1); version <= versions; version++ {
+		f.store.put(tableKey, largeTable(version))
+		put[version] = time.Now()
+		for time.Since(put[version]) < gap {
+			time.Sleep(50 * time.Millisecond)
+			f.checkTables(t, put, within)
+		}
+	}
+}
+
 // checkTables fails when a process goes by a route table that was replaced longer ago than a
 // bound.
 func (f *fleet) checkTables(t *testing.T, put map[uint64]time.Time, within time.Duration) {
 	t.Helper()
 	for _, n := range f.members {
 		var table *matcher.Table
+		if !n.lives() {
+			continue
+		}
 		if v := n.View(); v != nil {
 			table = v.Table
 		}
--- a/internal/syncer/order.go
+++ b/internal/syncer/order.go
@@ -43,6 +43,9 @@
 	relays bool
 	// candidates are whom it may ask, the best first.
 	candidates []netip.AddrPort
+	// ahead are the entries of the own region that read the store before this process does when
+	// its peers have no fresh news.
+	ahead []netip.AddrPort
 	// wait is how long an answer may be held back without news.
 	wait time.Duration
 }
@@ -59,6 +62,7 @@
 	if s.Entry {
 		slices.SortFunc(ms, func(a, b registrar.Member) int { return byRank(a.ID, b.ID) })
 		o.reads = len(ms) <= readers || s.isAmong(ms[:readers])
+		o.ahead = s.aheadOf(ms[min(readers, len(ms)):])
 		s.spread(ms[:min(readers, len(ms))])
 		if len(ms) > mostDirect {
 			own := s.ownRelays(ms[readers:])
@@ -71,6 +75,7 @@
 		}
 	} else {
 		slices.SortFunc(ms, s.nearer)
+		o.ahead = s.aheadOf(ms)
 	}
 	for _, m := range ms {
 		if m.ID != s.ID && !slices.Contains(o.candidates, m.Peers) {
@@ -85,6 +90,20 @@
 	return o
 }
 
+// aheadOf are the own region's entries up to this process.
+func (s *Syncer) aheadOf(ms []registrar.Member) []netip.AddrPort {
+	var as []netip.AddrPort
+	for _, m := range ms {
+		if m.ID == s.ID {
+			break
+		}
+		if m.Region == s.Region {
+			as = append(as, m.Peers)
+		}
+	}
+	return as
+}
+
 func (s *Syncer) isAmong(ms []registrar.Member) bool {
 	return slices.ContainsFunc(ms, func(m registrar.Member) bool { return m.ID == s.ID })
 }
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -28,6 +28,8 @@
 	// how long a watch that has gone silent goes unnoticed, and costs a reader one
 	// call a second.
 	watchWait = time.Second
+	// leastWatchWait is the shortest such time.
+	leastWatchWait = 20 * time.Millisecond
 	// peerWait is the same between our own processes, where calls cost only bytes.
 	peerWait = 400 * time.Millisecond
 	// peerGrace is what a peer's answer may take beyond its wait.
@@ -89,9 +91,7 @@
 	clients messenger.Clients
 	// seedsSince is since when this process, which knows nothing, has asked the seeds.
 	seedsSince time.Time
-	avoid      map[netip.AddrPort]time.Time
-	// unhelpful peers timed out or had no fresh news when they were last asked.
-	unhelpful map[netip.AddrPort]bool
+	peers      map[netip.AddrPort]peer
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
 	backoff   time.Duration
@@ -104,12 +104,26 @@
 	// peerFailure why the last peer that was asked was of no use.
 	fallingBack bool
 	peerFailure fallbackCause
+	// jitter is how much later than others an agent falls back, up to agentJitter.
+	jitter time.Duration
+}
+
+// peer is what is known of a peer from asking it.
+type peer struct {
+	// avoidUntil is until when it is passed over.
+	avoidUntil time.Time
+	// unhelpful tells that it timed out or had no fresh news when it was last asked.
+	unhelpful bool
+	// down tells that it did not answer, or had lost the store itself: nobody waits for it to
+	// read the store for others.
+	down bool
 }
 
 // Serve runs until the context ends.
 func (s *Syncer) Serve(ctx context.Context) error {
 	s.clients.Dial, s.clients.Timeout = s.Dial, peerWait+peerGrace
-	s.avoid, s.unhelpful = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]bool{}
+	s.peers = map[netip.AddrPort]peer{}
+	s.jitter = time.Duration(s.Random.Int64N(int64(agentJitter)))
 	s.seedsSince = s.Clock.Now()
 	defer s.clients.Close()
 	for ctx.Err() == nil {
@@ -134,9 +148,14 @@
 	s.forgetOthers(candidates)
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
-	if !reads && s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, unhelpful: sources}) {
-		s.noteFallback(false)
-		return true
+	if !reads {
+		if s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, unhelpful: s.sourcesOf(o), leads: s.leads(o)}) {
+			s.noteFallback(false)
+			return true
+		}
+		if done, answered := s.awaitOthers(ctx, o); done {
+			return answered
+		}
 	}
 	if s.storeDue() {
 		s.noteFallback(!reads)
@@ -164,7 +183,9 @@
 // comes to all of them.
 func (s *Syncer) untriedFirst(as []netip.AddrPort) []netip.AddrPort {
 	as = slices.Clone(as)
-	slices.SortStableFunc(as, func(a, b netip.AddrPort) int { return s.avoid[a].Compare(s.avoid[b]) })
+	slices.SortStableFunc(as, func(a, b netip.AddrPort) int {
+		return s.peers[a].avoidUntil.Compare(s.peers[b].avoidUntil)
+	})
 	return as
 }
 
@@ -186,8 +207,7 @@
 		used[a] = true
 	}
 	s.clients.Keep(used)
-	maps.DeleteFunc(s.avoid, func(a netip.AddrPort, _ time.Time) bool { return !used[a] })
-	maps.DeleteFunc(s.unhelpful, func(a netip.AddrPort, _ bool) bool { return !used[a] })
+	maps.DeleteFunc(s.peers, func(a netip.AddrPort, _ peer) bool { return !used[a] })
 }
 
 func (s *Syncer) shuffled(as []netip.AddrPort) []netip.AddrPort {
@@ -206,6 +226,10 @@
 	// unhelpful bounds how many may time out or have no fresh news, those included that did so
 	// when they were last asked; 0 for any number.
 	unhelpful int
+	// leads leaves out of that bound those that were asked before.
+	leads bool
+	// awaits asks for changes also of peers whose news are old, as they read the store.
+	awaits bool
 }
 
 // fromPeers asks processes in turn until one answers whose news the store confirmed
@@ -219,32 +243,31 @@
 		if how.better != nil && how.better() {
 			return false
 		}
-		if s.Clock.Now().Before(s.avoid[a]) {
-			if s.unhelpful[a] {
+		if p := s.peers[a]; !how.awaits && s.Clock.Now().Before(p.avoidUntil) {
+			if p.unhelpful && !how.leads {
 				unhelpful++
 			}
 			continue
 		}
 		asked := s.Clock.Now()
-		b, err := s.ask(ctx, a, how.wait, failed)
+		b, err := s.ask(ctx, a, how, failed)
 		if ctx.Err() != nil {
 			return false
 		}
 		failed = true
-		useful := false
+		var p peer
 		if err != nil {
-			s.avoid[a] = s.Clock.Now().Add(avoidFor)
+			p = peer{avoidUntil: s.Clock.Now().Add(avoidFor), unhelpful: timedOut(err), down: true}
 			s.peerFailure = peersUnresponsive
 			klog.InfoS("Peer lost", "peer", a, "err", err)
 		} else {
-			b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
-			useful = s.takeNews(a, b, how.limit)
+			p = s.takeNews(a, b.Older(max(0, s.Clock.Since(asked)-b.Held)), how)
 		}
-		s.unhelpful[a] = !useful && (err == nil || timedOut(err))
-		if useful {
+		s.peers[a] = p
+		if err == nil && !p.unhelpful {
 			return true
 		}
-		if s.unhelpful[a] {
+		if p.unhelpful {
 			unhelpful++
 		}
 	}
@@ -257,45 +280,46 @@
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// takeNews takes over what a process told, and tells whether it may be relied on.
-func (s *Syncer) takeNews(a netip.AddrPort, b registrar.Batch, limit time.Duration) bool {
+// takeNews takes over a peer's answer, and gives what is known of that peer by it.
+func (s *Syncer) takeNews(a netip.AddrPort, b registrar.Batch, how asking) peer {
+	now := s.Clock.Now()
 	if b.At == 0 {
 		// It knows nothing itself yet; taken over, that would look like an empty store.
-		s.avoid[a] = s.Clock.Now().Add(peerWait)
-		return false
+		return peer{avoidUntil: now.Add(peerWait), unhelpful: true, down: true}
 	}
 	s.Registrar.Apply(b)
 	if at, _, _ := s.Registrar.At(); at < b.At {
 		// Its records can't be read. It would tell the same again, at once and for good.
-		s.avoid[a] = s.Clock.Now().Add(avoidFor)
 		klog.InfoS("Peer's news of no use", "peer", a, "revision", at, "told", b.At)
-		return false
+		return peer{avoidUntil: now.Add(avoidFor), unhelpful: true, down: true}
 	}
-	lost := b.Lost && limit != anyAge
-	if b.Age > limit || lost {
+	lost := b.Lost && (how.limit != anyAge || how.awaits)
+	switch {
+	case lost:
+		s.peerFailure = peersLostStore
+	case b.Age > how.limit:
 		s.peerFailure = peersStale
-		if lost {
-			s.peerFailure = peersLostStore
-		}
-		s.avoid[a] = s.Clock.Now().Add(peerWait)
-		return false
+	case how.awaits && len(b.Records) == 0 && b.Held < how.wait/2:
+		// One of an older version doesn't hold back an answer for want of changes.
+	default:
+		return peer{}
 	}
-	return true
+	return peer{avoidUntil: now.Add(peerWait), unhelpful: true, down: lost}
 }
 
 // ask asks one process. The first one may have taken all the time that its news were young
 // enough for, as when it waited itself for a reader that is frozen. Were the next one frozen,
 // too, and waited for as long, a change would come into force too late; it has to answer at
 // once then.
-func (s *Syncer) ask(ctx context.Context, a netip.AddrPort, wait time.Duration, failed bool) (registrar.Batch, error) {
+func (s *Syncer) ask(ctx context.Context, a netip.AddrPort, how asking, failed bool) (registrar.Batch, error) {
 	at, age, _ := s.Registrar.At()
+	wait := how.wait
 	if failed && age > staleNews-peerWait {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, peerGrace)
-		defer cancel()
 		wait = 0
 	}
-	return s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds()})
+	ctx, cancel := context.WithTimeout(ctx, wait+peerGrace)
+	defer cancel()
+	return s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds(), Stale: how.awaits})
 }
 
 // fromStore reads the store once, by a list at first and after its history is gone.
@@ -339,20 +363,22 @@
 // links to the store would be full of lists just when everybody turns to it, these would
 // run into their timeouts and be asked for again, and nobody would find a peer any more.
 func (s *Syncer) read(ctx context.Context) (registrar.Batch, error) {
-	at, _, known := s.Registrar.At()
+	at, age, known := s.Registrar.At()
 	asked := s.Clock.Now()
 	s.Registrar.StoreAsked()
 	if !known || s.compacted {
 		b, err := s.list(ctx)
 		return b.Older(s.Clock.Since(asked)), err
 	}
-	b, err := s.Store.Watch(ctx, at, watchWait)
+	// When the news are old, peers wait for this process to have them confirmed.
+	wait := max(leastWatchWait, watchWait-age)
+	b, err := s.Store.Watch(ctx, at, wait)
 	took := s.Clock.Since(asked)
 	if took < atOnce {
 		b = b.Found()
 	}
 	// The store answers within the wait; what is beyond that was on its way, or lay unread.
-	return b.Older(max(0, took-watchWait)), err
+	return b.Older(max(0, took-wait)), err
 }
 
 func (s *Syncer) storeFailed(err error) {
@@ -370,7 +396,11 @@
 	return func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
 		_, age, _ := r.At()
 		// Held back for longer, the answer would be too old when it comes.
-		over := c.After(min(q.Wait(), max(staleNews-age, 0)))
+		hold := q.Wait()
+		if !q.Stale {
+			hold = min(hold, max(staleNews-age, 0))
+		}
+		over := c.After(hold)
 		asked := c.Now()
 		// Should this process stand still between the two readings, what it tells counts as that
 		// much too old, and old weights end too soon; with the readings the other way round
