syncer: test that a slow store needs no fallback beside its readers

A shorter wait of the readers' watches while the store is slow was tried and reverted: with the fallback in turn nobody but the readers watches anyway, with a store that takes 4, 240 or 400 ms.

--- a/internal/syncer/large_table_test.go
+++ b/internal/syncer/large_table_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// Guards against readers whose confirmations are too old for their peers when the store is slow,
+// so that these read it, too.
+func TestReadersOfASlowStoreSuffice(t *testing.T) {
+	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			sh := shape{entries: 46, regions: 3, agents: 33, storeDelay: delay, linkRate: quarterLink}
+			inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
+				for _, n := range f.members {
+					n.watches.Store(0)
+				}
+				f.storm(t, 6, 1310*time.Millisecond, 3*time.Second)
+				for _, n := range f.ranked(sh.entries)[2:] {
+					must.Zero(t, n.watches.Load(), must.Sprint(n.ID))
+				}
+			})
+		})
+	}
+}
+
 // Guards against a region's processes that all fall back to the store at once when the readers
 // fail.
 func TestRegionsFallBackInTurn(t *testing.T) {
