--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -247,7 +247,7 @@
 	if service == nil || service.ColdRate <= 0 || u.ColdFor() == 0 {
 		return true
 	}
-	return p.Chooser.ColdPass(u.ID, scheduler.ColdShare{
+	return p.Chooser.ColdPass(u.ID, scheduler.RateShare{
 		Rate: service.ColdRate, Bound: max(1, p.ColdFactor)*service.ColdRate + p.ColdSlack,
 		Sharers: max(leastSharers, len(view.Members)),
 	})
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -97,7 +97,7 @@
 	processGone bool
 	alive       time.Time
 	used        time.Time
-	cold        coldTurn
+	cold        rateTurn
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -112,7 +112,7 @@
 	}
 	s := c.seen[id]
 	if s == nil {
-		s = &seen{cold: coldTurn{phase: c.Random.Float64()}}
+		s = &seen{cold: rateTurn{phase: c.Random.Float64()}}
 		c.seen[id] = s
 	}
 	s.used = now
@@ -314,7 +314,7 @@
 
 // ColdPass lets a request through to a cold upstream without an agent, within this
 // entry's part of what it bears.
-func (c *Chooser) ColdPass(id string, share ColdShare) bool {
+func (c *Chooser) ColdPass(id string, share RateShare) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.of(id).cold.pass(c.Clock.Now(), share)
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -61,9 +61,9 @@
 	coldWindow = 100 * time.Millisecond
 )
 
-// ColdShare is what an entry knows of a cold upstream's limit, which holds over all
-// entries.
-type ColdShare struct {
+// RateShare is what an entry knows of an upstream's limit, such as a cold one's, which holds
+// over all entries.
+type RateShare struct {
 	// Rate is how many requests a second the upstream bears, Bound how many may reach it
 	// in a single second.
 	Rate, Bound float64
@@ -74,10 +74,10 @@
 // few tells whether each entry may take its part whenever it likes. That holds while one
 // request from everybody in the same second is within the bound, those included that this
 // entry does not know.
-func (s ColdShare) few() bool { return float64(s.Sharers) <= s.Bound*knownPart }
+func (s RateShare) few() bool { return float64(s.Sharers) <= s.Bound*knownPart }
 
 // limit is how many requests a second each of few entries may send.
-func (s ColdShare) limit() float64 {
+func (s RateShare) limit() float64 {
 	limit := coldPart * s.Rate / float64(s.Sharers)
 	if limit > 1 {
 		// A part of a request would count as a whole one, at each entry.
@@ -94,14 +94,14 @@
 // each entry sends one request in each of its windows, which come once in a round. The phase
 // is drawn by each entry for each upstream, so that windows lie spread over the round
 // without anybody's word.
-func (s ColdShare) window(now time.Time, phase float64) (n int64, open bool) {
+func (s RateShare) window(now time.Time, phase float64) (n int64, open bool) {
 	round := int64(float64(time.Second) * float64(s.Sharers) / (windowPart * s.Rate))
 	at := now.UnixNano() + int64(phase*float64(round))
 	return at / round, at%round < int64(coldWindow)
 }
 
-// coldTurn is what an entry keeps on one cold upstream.
-type coldTurn struct {
+// rateTurn is what an entry keeps on one such upstream.
+type rateTurn struct {
 	recent rateLimit
 	// phase places the windows, as a part of a round, and last is the last one used.
 	phase float64
@@ -115,7 +115,7 @@
 // Entries that come and go make few of many and many of few. Were each to begin the new way
 // at once, all that entries sent in the one way and in the other would meet in the same
 // second, and be more than either allows. Hence the second's wait in both directions.
-func (t *coldTurn) pass(now time.Time, share ColdShare) bool {
+func (t *rateTurn) pass(now time.Time, share RateShare) bool {
 	if share.few() {
 		if now.Sub(t.many) < coldSecond {
 			return false
--- a/internal/scheduler/cold_test.go
+++ b/internal/scheduler/cold_test.go
@@ -14,8 +14,8 @@
 )
 
 // share is a cold upstream's limit as entries take it, with the rule's figures.
-func share(rate float64, known int) scheduler.ColdShare {
-	return scheduler.ColdShare{Rate: rate, Bound: 1.5*rate + 5, Sharers: max(24, known)}
+func share(rate float64, known int) scheduler.RateShare {
+	return scheduler.RateShare{Rate: rate, Bound: 1.5*rate + 5, Sharers: max(24, known)}
 }
 
 // Entries divide what a cold upstream without an agent bears.
