relayer: keep to the rate limit that an upstream states, divided over the entries

What callers saw: nothing; upstreams that had stated a limit in their replies went on to get as many requests as all others.

Cause: no process read the header. The limit holds until a reply leaves it out. It holds as well for engines whose agent doesn't answer.

--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -105,7 +105,7 @@
 		version = held
 	}
 	share := scheduler.Part(u.Slots, unaskedShare, len(view.Members))
-	if p.Chooser.Running(u.ID) > share || p.Chooser.Avoided(u.ID) || !p.Chooser.Lives(u.ID) || u.ColdFor() > 0 {
+	if p.Chooser.Running(u.ID) > share || p.Chooser.Avoided(u.ID) || !p.Chooser.Lives(u.ID) || u.ColdFor() > 0 || !p.limitPass(view, u) {
 		return nil
 	}
 	return &Place{Upstream: u, Version: version, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}
--- /dev/null
+++ b/internal/relayer/limited.go
@@ -0,0 +1,39 @@
+package relayer
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// An upstream that states a limit may get limitFactor times as many requests in four seconds, and
+// limitSlack besides, before it counts as overrun.
+const (
+	limitFactor = 1.5
+	limitSlack  = 5.0
+	// limitBurst is what entries may send at once, in seconds of the limit, so that with what they
+	// send in the rest of four seconds they stay below that.
+	limitBurst = 4*limitFactor - 1
+	// leastLimitSharers is among how many entries a limit is divided at least.
+	leastLimitSharers = 6
+)
+
+// heardLimit notes whether a reply states a limit on its upstream's requests.
+func (l *Relayer) heardLimit(upstream string, r Reply) {
+	if l.Chooser.HeardLimit(upstream, r.Limited, r.Limit) {
+		klog.InfoS("Upstream changed its rate limit", "upstream", upstream, "limited", r.Limited, "perSecond", r.Limit)
+	}
+}
+
+// limitPass tells whether an upstream that states a limit may get one more request now, where no
+// agent counts for all entries.
+func (p *Placer) limitPass(view *registrar.View, u *registrar.UpstreamView) bool {
+	limit, ok := p.Chooser.Limit(u.ID)
+	if !ok || limit.Rate == 0 {
+		return true
+	}
+	return p.Chooser.LimitPass(u.ID, scheduler.RateShare{
+		Rate: limit.Rate, Bound: limitBurst*limit.Rate + limitSlack, Sharers: max(leastLimitSharers, len(view.Members)),
+	})
+}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -234,6 +234,10 @@
 		if !p.coldPass(view, u) {
 			continue
 		}
+		if !p.limitPass(view, u) {
+			reason = "all upstreams at their rate limit"
+			continue
+		}
 		p.Chooser.Begin(u.ID)
 		return &Place{Upstream: u, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}, nil
 	}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -98,6 +98,7 @@
 	alive       time.Time
 	used        time.Time
 	cold        rateTurn
+	limited     limited
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -113,6 +114,7 @@
 	s := c.seen[id]
 	if s == nil {
 		s = &seen{cold: rateTurn{phase: c.Random.Float64()}}
+		s.limited.turn.phase = c.Random.Float64()
 		c.seen[id] = s
 	}
 	s.used = now
--- /dev/null
+++ b/internal/scheduler/limited_test.go
@@ -0,0 +1,74 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// limitShare is an entry's part of a limit that an upstream states.
+func limitShare(rate float64, sharers int) scheduler.RateShare {
+	return scheduler.RateShare{Rate: rate, Bound: 5*rate + 5, Sharers: sharers}
+}
+
+// Guards against entries whose parts of an upstream's limit add up to more than the upstream
+// takes, at once or in a mean over four seconds.
+func TestPartsOfALimitStayWithinIt(t *testing.T) {
+	const span = 4 * time.Second
+	for _, rate := range []float64{0.5, 1, 1.6, 10, 100} {
+		for _, entries := range []int{1, 6, 9, 46, 300} {
+			t.Run(fmt.Sprint(rate, entries), func(t *testing.T) {
+				clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+				var cs []*scheduler.Chooser
+				for i := range entries {
+					cs = append(cs, &scheduler.Chooser{Clock: clock, Random: rand.New(rand.NewPCG(uint64(i), 9))})
+				}
+				var passed []time.Time
+				for range 1200 {
+					for _, c := range cs {
+						for range 3 {
+							if c.LimitPass("u", limitShare(rate, entries)) {
+								passed = append(passed, clock.Now())
+							}
+						}
+					}
+					clock.Step(25 * time.Millisecond)
+				}
+				must.Positive(t, len(passed))
+				most, from := 0, 0
+				for i, at := range passed {
+					for at.Sub(passed[from]) >= span {
+						from++
+					}
+					most = max(most, i-from+1)
+				}
+				must.LessEq(t, 1.5*rate*span.Seconds()+5, float64(most))
+			})
+		}
+	}
+}
+
+// Guards against a limit that outlives the replies that state it.
+func TestLimitEndsWithTheReplies(t *testing.T) {
+	clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+	c := &scheduler.Chooser{Clock: clock, Random: rand.New(rand.NewPCG(1, 9))}
+	must.False(t, c.HeardLimit("u", false, 0))
+	_, known := c.Limit("u")
+	must.False(t, known)
+	must.True(t, c.HeardLimit("u", true, 1.5))
+	must.False(t, c.HeardLimit("u", true, 1.5))
+	clock.Step(time.Second)
+	limit, known := c.Limit("u")
+	must.True(t, known)
+	must.Eq(t, scheduler.Limit{Rate: 1.5, Age: time.Second}, limit)
+	must.True(t, c.HeardLimit("u", false, 0))
+	limit, known = c.Limit("u")
+	must.True(t, known)
+	must.Zero(t, limit.Rate)
+}
