scheduler: have an engine's agent keep to the rate limit that the engine states

Cause: as for plain services, nobody read the limit; an engine's agent granted slots by the batch alone.

Change: an entry passes the limit that it last saw, with its age, on with each question for a slot, and the agent's ledger grants no more than that, a quarter of a second's worth at once. The newest statement counts. An entry that has seen the limit can't get a slot there without telling, so all that the engine counts is bounded, whoever else has not seen it yet.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -40,6 +40,9 @@
 
 // Reserve answers a question for a place.
 func (g *Granter) Reserve(q messenger.Reservation, from *messenger.Link) messenger.Verdict {
+	if q.Limit != nil {
+		g.Ledger.Limit(scheduler.Limit{Rate: q.Limit.PerSecond, Age: q.Limit.Age()})
+	}
 	v := g.Ledger.Reserve(scheduler.Job{
 		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
 	}, from)
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -25,6 +25,17 @@
 	Spare bool `json:"spare,omitempty"`
 	// LeftMS is the time that its caller still waits.
 	LeftMS int64 `json:"leftMs"`
+	// Limit is what the engine last told this entry of its rate limit; nil for one that never
+	// stated any.
+	Limit *RateLimit `json:"limit,omitempty"`
+}
+
+// RateLimit is a limit that an upstream states in its replies.
+type RateLimit struct {
+	// PerSecond is in requests from all entries together; 0 for a limit that is over.
+	PerSecond float64 `json:"perSecond"`
+	// AgeMS is how long ago, in milliseconds, that reply came.
+	AgeMS int64 `json:"ageMs"`
 }
 
 // Verdict is an agent's answer to a reservation, with its load after it.
@@ -79,6 +90,9 @@
 // Left is LeftMS as a duration.
 func (r Reservation) Left() time.Duration { return time.Duration(r.LeftMS) * time.Millisecond }
 
+// Age is AgeMS as a duration.
+func (l RateLimit) Age() time.Duration { return time.Duration(l.AgeMS) * time.Millisecond }
+
 // Wait is WaitMS as a duration.
 func (v Verdict) Wait() time.Duration { return time.Duration(v.WaitMS) * time.Millisecond }
 
--- a/internal/relayer/limited.go
+++ b/internal/relayer/limited.go
@@ -3,6 +3,7 @@
 import (
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
@@ -26,6 +27,16 @@
 	}
 }
 
+// statedLimit is what an upstream last said of its limit, for the agent beside it; nil for one that
+// never stated any.
+func (p *Placer) statedLimit(upstream string) *messenger.RateLimit {
+	limit, ok := p.Chooser.Limit(upstream)
+	if !ok {
+		return nil
+	}
+	return &messenger.RateLimit{PerSecond: limit.Rate, AgeMS: limit.Age.Milliseconds()}
+}
+
 // limitPass tells whether an upstream that states a limit may get one more request now, where no
 // agent counts for all entries.
 func (p *Placer) limitPass(view *registrar.View, u *registrar.UpstreamView) bool {
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -87,6 +87,7 @@
 	coldRate  float64
 	coldUntil time.Time
 	recent    rateLimit
+	stated    statedLimit
 	// began is when Cold was first called.
 	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
@@ -151,6 +152,15 @@
 	l.coldRate, l.coldUntil = rate, until
 }
 
+// Limit takes over what the engine stated of the requests a second that it takes. The newest
+// statement counts, whichever entry passes it on.
+func (l *Ledger) Limit(limit Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	l.stated.set(limit.Rate, now.Add(-limit.Age), now)
+}
+
 // Reset forgets all places, as after a restart of the engine.
 func (l *Ledger) Reset() {
 	l.mu.Lock()
@@ -208,6 +218,9 @@
 	if v.Free = l.coldWait(now); v.Free > 0 {
 		return v
 	}
+	if !l.stated.allow(now) {
+		return Verdict{Closed: RateLimited}
+	}
 	l.grant(j, owner, now)
 	v.Granted = true
 	v.Active++
--- a/internal/scheduler/limited.go
+++ b/internal/scheduler/limited.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 // leastLimit is the lowest limit, in requests a second over all entries, that is kept to. An
 // upstream that gets no request can't tell that its limit is over.
@@ -14,6 +18,40 @@
 	Age time.Duration
 }
 
+// RateLimited is why an engine takes nothing that has got what its limit allows.
+const RateLimited = "rate limit"
+
+// limitBurst is how many seconds of its limit an engine may get at once.
+const limitBurst = 0.25
+
+// statedLimit is the limit of one engine for requests from all entries.
+type statedLimit struct {
+	limiter *rate.Limiter
+	// stated is when the engine stated it.
+	stated time.Time
+}
+
+// set takes over what was stated at a moment, unless something newer is known.
+func (l *statedLimit) set(perSecond float64, stated, now time.Time) {
+	if !stated.After(l.stated) {
+		return
+	}
+	l.stated = stated
+	burst := max(1, int(limitBurst*perSecond))
+	switch {
+	case perSecond == 0:
+		l.limiter = nil
+	case l.limiter == nil:
+		l.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
+	case l.limiter.Limit() != rate.Limit(perSecond):
+		l.limiter.SetLimitAt(now, rate.Limit(perSecond))
+		l.limiter.SetBurstAt(now, burst)
+	}
+}
+
+// allow tells whether one more request may go there now, and counts it.
+func (l *statedLimit) allow(now time.Time) bool { return l.limiter == nil || l.limiter.AllowN(now, 1) }
+
 // limited is what an entry knows of the limit that an upstream states of itself.
 type limited struct {
 	rate float64
@@ -23,20 +61,20 @@
 }
 
 // HeardLimit notes whether a reply of an upstream states a limit, and tells whether that is news.
-func (c *Chooser) HeardLimit(id string, states bool, rate float64) bool {
+func (c *Chooser) HeardLimit(id string, states bool, perSecond float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(id)
-	if !states {
-		rate = 0
-	} else {
-		rate = max(rate, leastLimit)
-	}
-	if rate == 0 && s.limited.heard.IsZero() {
+	if !states && s.limited.heard.IsZero() {
 		return false
 	}
-	changed := rate != s.limited.rate
-	s.limited.rate, s.limited.heard = rate, c.Clock.Now()
+	if states {
+		perSecond = max(perSecond, leastLimit)
+	} else {
+		perSecond = 0
+	}
+	changed := perSecond != s.limited.rate
+	s.limited.rate, s.limited.heard = perSecond, c.Clock.Now()
 	return changed
 }
 
--- a/internal/scheduler/limited_test.go
+++ b/internal/scheduler/limited_test.go
@@ -72,3 +72,35 @@
 	must.True(t, known)
 	must.Zero(t, limit.Rate)
 }
+
+// Guards against an engine that gets more than the limit that it states, and against a statement
+// that is passed on late and replaces a newer one.
+func TestLedgerKeepsToAStatedLimit(t *testing.T) {
+	clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+	l := &scheduler.Ledger{Clock: clock}
+	l.Open(figures())
+	granted := func(span time.Duration) int {
+		n := 0
+		for range int(span / (25 * time.Millisecond)) {
+			id := clock.Now().String()
+			v := l.Reserve(scheduler.Job{ID: id, Prompt: 1, Patience: time.Second, Left: time.Second}, nil)
+			if v.Granted {
+				n++
+				l.Ended(id)
+			} else {
+				must.Eq(t, scheduler.RateLimited, v.Closed)
+			}
+			clock.Step(25 * time.Millisecond)
+		}
+		return n
+	}
+	must.Eq(t, 40, granted(time.Second))
+	l.Limit(scheduler.Limit{Rate: 1.5})
+	must.Between(t, 6, granted(4*time.Second), 7)
+	l.Limit(scheduler.Limit{Age: 5 * time.Second})
+	must.Between(t, 5, granted(4*time.Second), 7)
+	l.Limit(scheduler.Limit{Rate: 20, Age: time.Second})
+	must.Between(t, 80, granted(4*time.Second), 85)
+	l.Limit(scheduler.Limit{})
+	must.Eq(t, 40, granted(time.Second))
+}
