syncer: let failed peers count as out of service for five seconds

A peer that had once failed counted as out of service until it was asked again, which many never are. After an outage of the store all entries of a region would so have been first in line, and have fallen back together the next time.

Tried and reverted: asking a single reader or the readers alone in the first entry's place, and ending the wait for those ahead at a fixed age.

--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -10,12 +10,12 @@
 	"k8s.io/klog/v2"
 )
 
-// A region's processes hear from the same few peers, so that their news grow too old at the same
-// moment. Were all to read the store then, each would get the next route table, the link to the
-// region would be saturated, and no table would arrive in time. So the entries of a region fall
-// back one after the other, by rank, and agents after them; who comes later waits at those ahead
-// for what they read. All have asked by the time after which an outage of the store can't be
-// told from a standstill of their own (triesApart in package registrar).
+// The processes of a region get their news from the same few peers, so that these become stale at
+// the same moment. If all read the store then, each receives the next route table, the link to the
+// region is saturated, and no table arrives in time. So the entries of a region fall back one
+// after the other, by rank, and agents after them; later ones wait for what those ahead read.
+// The delays end before registrar's triesApart: after a later first call to the store a process
+// can't tell an outage from a suspension of its own.
 const (
 	// entryStep is by how much older its news must be for each entry ahead, up to entryDelay.
 	entryStep  = 250 * time.Millisecond
@@ -23,6 +23,9 @@
 	// agentDelay and a jitter up to agentJitter are the same for agents.
 	agentDelay  = 700 * time.Millisecond
 	agentJitter = 250 * time.Millisecond
+	// downFor is how long a peer that failed counts as out of service: longer than its lease, so
+	// that one that is gone isn't waited for again.
+	downFor = 5 * time.Second
 )
 
 // fallbackAge is the age of its news from which a process reads the store although so many
@@ -72,7 +75,8 @@
 
 // inService are those that answer and reach the store, as far as is known.
 func (s *Syncer) inService(as []netip.AddrPort) []netip.AddrPort {
-	return slices.DeleteFunc(slices.Clone(as), func(a netip.AddrPort) bool { return s.peers[a].down })
+	now := s.Clock.Now()
+	return slices.DeleteFunc(slices.Clone(as), func(a netip.AddrPort) bool { return now.Before(s.peers[a].downUntil) })
 }
 
 // fallbackCause is why a process that relies on its peers reads the store itself.
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -114,9 +114,9 @@
 	avoidUntil time.Time
 	// unhelpful tells that it timed out or had no fresh news when it was last asked.
 	unhelpful bool
-	// down tells that it did not answer, or had lost the store itself: nobody waits for it to
-	// read the store for others.
-	down bool
+	// downUntil is until when it counts as out of service, as it did not answer or had lost the
+	// store: nobody waits for it to read the store.
+	downUntil time.Time
 }
 
 // Serve runs until the context ends.
@@ -149,7 +149,7 @@
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
 	if !reads {
-		if s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, unhelpful: s.sourcesOf(o), leads: s.leads(o)}) {
+		if s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, unhelpful: s.sourcesOf(o), onlyAsked: s.leads(o)}) {
 			s.noteFallback(false)
 			return true
 		}
@@ -226,8 +226,8 @@
 	// unhelpful bounds how many may time out or have no fresh news, those included that did so
 	// when they were last asked; 0 for any number.
 	unhelpful int
-	// leads leaves out of that bound those that were asked before.
-	leads bool
+	// onlyAsked leaves peers that are avoided out of that bound.
+	onlyAsked bool
 	// awaits asks for changes also of peers whose news are old, as they read the store.
 	awaits bool
 }
@@ -244,7 +244,7 @@
 			return false
 		}
 		if p := s.peers[a]; !how.awaits && s.Clock.Now().Before(p.avoidUntil) {
-			if p.unhelpful && !how.leads {
+			if p.unhelpful && !how.onlyAsked {
 				unhelpful++
 			}
 			continue
@@ -257,7 +257,8 @@
 		failed = true
 		var p peer
 		if err != nil {
-			p = peer{avoidUntil: s.Clock.Now().Add(avoidFor), unhelpful: timedOut(err), down: true}
+			now := s.Clock.Now()
+			p = peer{avoidUntil: now.Add(avoidFor), unhelpful: timedOut(err), downUntil: now.Add(downFor)}
 			s.peerFailure = peersUnresponsive
 			klog.InfoS("Peer lost", "peer", a, "err", err)
 		} else {
@@ -285,13 +286,13 @@
 	now := s.Clock.Now()
 	if b.At == 0 {
 		// It knows nothing itself yet; taken over, that would look like an empty store.
-		return peer{avoidUntil: now.Add(peerWait), unhelpful: true, down: true}
+		return peer{avoidUntil: now.Add(peerWait), unhelpful: true, downUntil: now.Add(downFor)}
 	}
 	s.Registrar.Apply(b)
 	if at, _, _ := s.Registrar.At(); at < b.At {
 		// Its records can't be read. It would tell the same again, at once and for good.
 		klog.InfoS("Peer's news of no use", "peer", a, "revision", at, "told", b.At)
-		return peer{avoidUntil: now.Add(avoidFor), unhelpful: true, down: true}
+		return peer{avoidUntil: now.Add(avoidFor), unhelpful: true, downUntil: now.Add(downFor)}
 	}
 	lost := b.Lost && (how.limit != anyAge || how.awaits)
 	switch {
@@ -304,7 +305,11 @@
 	default:
 		return peer{}
 	}
-	return peer{avoidUntil: now.Add(peerWait), unhelpful: true, down: lost}
+	p := peer{avoidUntil: now.Add(peerWait), unhelpful: true}
+	if lost {
+		p.downUntil = now.Add(downFor)
+	}
+	return p
 }
 
 // ask asks one process. The first one may have taken all the time that its news were young
