Read-through: a lower least limit, and the field's names for what a reply states

An upstream that states 0.1 requests a second got half a request a second; one in ten seconds is enough to notice that a limit of 0 is over.

--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -25,7 +25,7 @@
 	Spare bool `json:"spare,omitempty"`
 	// LeftMS is the time that its caller still waits.
 	LeftMS int64 `json:"leftMs"`
-	// Limit is what the engine last told this entry of its rate limit; nil for one that never
+	// Limit is the rate limit that the engine last stated to this entry; nil for one that never
 	// stated any.
 	Limit *RateLimit `json:"limit,omitempty"`
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	if x.reply.Sealed || x.reply.NotRun {
-		c.heardLimit(u.ID, x.reply)
+		c.noteLimit(u.ID, x.reply)
 	}
 	if x.reply.Slots > 0 && !c.Route.Generates {
 		active := float64(x.reply.Running+x.reply.Waiting) / float64(x.reply.Slots)
--- a/internal/relayer/limited.go
+++ b/internal/relayer/limited.go
@@ -13,16 +13,16 @@
 const (
 	limitFactor = 1.5
 	limitSlack  = 5.0
-	// limitBurst is what entries may send at once, in seconds of the limit, so that with what they
-	// send in the rest of four seconds they stay below that.
-	limitBurst = 4*limitFactor - 1
+	// limitAtOnce is what entries may send at once, in seconds of the limit: with what they send in
+	// the rest of four seconds they stay below that.
+	limitAtOnce = 4*limitFactor - 1
 	// leastLimitSharers is among how many entries a limit is divided at least.
 	leastLimitSharers = 6
 )
 
-// heardLimit notes whether a reply states a limit on its upstream's requests.
-func (l *Relayer) heardLimit(upstream string, r Reply) {
-	if l.Chooser.HeardLimit(upstream, r.Limited, r.Limit) {
+// noteLimit notes whether a reply states a limit on its upstream's requests.
+func (l *Relayer) noteLimit(upstream string, r Reply) {
+	if l.Chooser.NoteLimit(upstream, r.Limited, r.Limit) {
 		klog.InfoS("Upstream changed its rate limit", "upstream", upstream, "limited", r.Limited, "perSecond", r.Limit)
 	}
 }
@@ -45,6 +45,6 @@
 		return true
 	}
 	return p.Chooser.LimitPass(u.ID, scheduler.RateShare{
-		Rate: limit.Rate, Bound: limitBurst*limit.Rate + limitSlack, Sharers: max(leastLimitSharers, len(view.Members)),
+		Rate: limit.Rate, Bound: limitAtOnce*limit.Rate + limitSlack, Sharers: max(leastLimitSharers, len(view.Members)),
 	})
 }
--- a/internal/scheduler/limited.go
+++ b/internal/scheduler/limited.go
@@ -7,8 +7,8 @@
 )
 
 // leastLimit is the lowest limit, in requests a second over all entries, that is kept to. An
-// upstream that gets no request can't tell that its limit is over.
-const leastLimit = 0.5
+// upstream that gets no request can't state that its limit is over.
+const leastLimit = 0.1
 
 // Limit is the rate that an upstream states of itself in its replies.
 type Limit struct {
@@ -55,17 +55,17 @@
 // limited is what an entry knows of the limit that an upstream states of itself.
 type limited struct {
 	rate float64
-	// heard is when it was last stated, or left out; zero for an upstream that never had one.
-	heard time.Time
-	turn  rateTurn
+	// reported is when a reply last stated it, or left it out; zero for an upstream that never had one.
+	reported time.Time
+	turn     rateTurn
 }
 
-// HeardLimit notes whether a reply of an upstream states a limit, and tells whether that is news.
-func (c *Chooser) HeardLimit(id string, states bool, perSecond float64) bool {
+// NoteLimit notes whether a reply of an upstream states a limit, and returns whether it changed.
+func (c *Chooser) NoteLimit(id string, states bool, perSecond float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(id)
-	if !states && s.limited.heard.IsZero() {
+	if !states && s.limited.reported.IsZero() {
 		return false
 	}
 	if states {
@@ -74,7 +74,7 @@
 		perSecond = 0
 	}
 	changed := perSecond != s.limited.rate
-	s.limited.rate, s.limited.heard = perSecond, c.Clock.Now()
+	s.limited.rate, s.limited.reported = perSecond, c.Clock.Now()
 	return changed
 }
 
@@ -83,7 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(id)
-	return Limit{Rate: s.limited.rate, Age: c.Clock.Since(s.limited.heard)}, !s.limited.heard.IsZero()
+	return Limit{Rate: s.limited.rate, Age: c.Clock.Since(s.limited.reported)}, !s.limited.reported.IsZero()
 }
 
 // LimitPass lets a request through to an upstream that states a limit, within this entry's part
