--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -100,8 +100,8 @@
 	compacted bool
 	reading   bool
 	relaying  bool
-	// fallingBack tells that the last news came from the store for want of fresh peers, and
-	// peerFailure why the last peer that was asked was of no use.
+	// fallingBack is set while this process reads the store for want of fresh peers; peerFailure
+	// is why the last peer that failed it did.
 	fallingBack bool
 	peerFailure fallbackCause
 	// jitter is how much later than others an agent falls back, up to agentJitter.
@@ -112,7 +112,7 @@
 type peer struct {
 	// avoidUntil is until when it is passed over.
 	avoidUntil time.Time
-	// unhelpful tells that it timed out or had no fresh news when it was last asked.
+	// unhelpful is set if it timed out or had no fresh news when it was last asked.
 	unhelpful bool
 	// downUntil is until when it counts as out of service, as it did not answer or had lost the
 	// store: nobody waits for it to read the store.
