--- a/soak/soaker/reload.go
+++ b/soak/soaker/reload.go
@@ -65,7 +65,9 @@
 	p.note(auditor.HungUp{Entry: p.name})
 	p.signal(syscall.SIGHUP)
 	p.mu.Unlock()
-	for began := time.Now(); time.Since(began) < rereadWithin; time.Sleep(lookEvery) {
+	// Counted in looks, as a stall of the soak itself would else end the wait without any.
+	for range rereadWithin / lookEvery {
+		time.Sleep(lookEvery)
 		for line := range strings.Lines(p.loggedSince(from)) {
 			switch {
 			case !strings.HasSuffix(line, "\n"):
