--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -49,9 +49,10 @@
 	*registrar.Registrar
 	listener *connectortest.Listener
 	stop     context.CancelFunc
-	// bytes is what was read and written here, watches how often it watched the store.
-	bytes   atomic.Int64
-	watches atomic.Int32
+	// bytes is what was read and written here, watches and lists how often it watched and listed
+	// the store.
+	bytes          atomic.Int64
+	watches, lists atomic.Int32
 	// cut processes don't reach the store, refused ones get no answer from it.
 	cut, refused atomic.Bool
 	// deaf processes take connections and never answer, squeezed ones take a while to write.
@@ -162,6 +163,7 @@
 }
 
 func (s nodeStore) List(ctx context.Context) (registrar.Batch, error) {
+	s.node.lists.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, storeListTimeout)
 	defer cancel()
 	if err := s.refused(ctx); err != nil {
@@ -219,6 +221,9 @@
 			f.store.put("entry/"+n.ID, n.Member)
 		}
 	}
+	if sh.table {
+		f.store.put(tableKey, largeTable(1))
+	}
 	r := rand.New(rand.NewPCG(1, 2))
 	for i := range sh.upstreams {
 		f.store.put(fmt.Sprintf("upstream/%d", i), fmt.Sprintf("%x%x%x%x", r.Uint64(), r.Uint64(), r.Uint64(), r.Uint64()))
--- a/internal/syncer/large_table_test.go
+++ b/internal/syncer/large_table_test.go
@@ -6,10 +6,12 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 )
 
@@ -181,3 +183,30 @@
 		}
 	}
 }
+
+// Guards against processes that all list the store when they start together and the seeds take a
+// moment to read it: the lists saturate the links, and callers are refused for seconds.
+func TestProcessesThatStartTogetherListTheStoreOnce(t *testing.T) {
+	const within = 3 * time.Second
+	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			sh := shape{entries: 46, regions: 3, agents: 33, table: true, storeDelay: delay, linkRate: quarterLink}
+			synctest.Test(t, func(t *testing.T) {
+				t.Cleanup(func() { time.Sleep(connectortest.Settle) })
+				f := newFleet(t, sh)
+				time.Sleep(within)
+				listed, without := 0, 0
+				for _, n := range f.members {
+					if n.lists.Load() > 0 {
+						listed++
+					}
+					if v := n.View(); v == nil || v.Table == nil {
+						without++
+					}
+				}
+				must.Zero(t, without, must.Sprint("processes without a route table"))
+				must.LessEq(t, 2, listed, must.Sprint("the seeds alone"))
+			})
+		})
+	}
+}
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -22,6 +22,8 @@
 // shape is the size of a fleet, and how its processes reach the store and each other.
 type shape struct {
 	entries, regions, agents, upstreams int
+	// table has the store hold a large route table from the start.
+	table bool
 	// storeDelay is how long the store takes for an answer.
 	storeDelay time.Duration
 	// linkRate is how many bytes a second fit between two regions, each way; 0 for any number.
