--- a/internal/messenger/records.go
+++ b/internal/messenger/records.go
@@ -34,7 +34,7 @@
 	// Packed tells that the asker understands packed records. One of an older version would
 	// take such an answer for one without news, and never hear of what was in it.
 	Packed bool `json:"packed,omitempty"`
-	// Stale tells that the answer may be held back for the whole wait, however old it is then.
+	// Stale allows the answer to be held back for the whole wait, however old it is then.
 	Stale bool `json:"stale,omitempty"`
 }
 
--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -28,8 +28,8 @@
 	downFor = 5 * time.Second
 )
 
-// fallbackAge is the age of its news from which a process reads the store although so many
-// entries of its region are ahead.
+// fallbackAge is the age of its news at which this process reads the store with that many entries
+// ahead of it.
 func (s *Syncer) fallbackAge(ahead int) time.Duration {
 	switch {
 	case ahead == 0:
@@ -41,8 +41,8 @@
 	}
 }
 
-// awaitOthers asks those who read the store before this process, and tells whether that is all to
-// be done for now, and whether one of them answered.
+// awaitOthers waits at the entries ahead of this process for what they read. It returns whether
+// this process is not to read the store yet, and whether one of them answered.
 func (s *Syncer) awaitOthers(ctx context.Context, o order) (done, answered bool) {
 	if !s.awaits(o) {
 		return false, false
@@ -55,7 +55,7 @@
 	return s.awaits(o), false
 }
 
-// leads tells whether this entry is the first of its region to fall back.
+// leads returns whether this entry is the first of its region to fall back.
 func (s *Syncer) leads(o order) bool { return s.Entry && len(s.inService(o.ahead)) == 0 }
 
 // sourcesOf is how many unhelpful peers are waited for before the next source: a single one by
@@ -67,7 +67,7 @@
 	return sources
 }
 
-// awaits tells whether others of the region are to read the store before this process.
+// awaits returns whether others of the region are to read the store before this process.
 func (s *Syncer) awaits(o order) bool {
 	_, age, known := s.Registrar.At()
 	return known && age < s.fallbackAge(len(s.inService(o.ahead)))
@@ -89,8 +89,8 @@
 	peersLostStore    fallbackCause = "peersLostStore"
 )
 
-// noteFallback logs when this process begins or ends to read the store for want of fresh peers,
-// and counts each call.
+// noteFallback counts a fallback call to the store, and logs the first one and the return to
+// peers.
 func (s *Syncer) noteFallback(falls bool) {
 	cause := s.peerFailure
 	if cause == "" {
--- a/internal/syncer/order.go
+++ b/internal/syncer/order.go
@@ -43,8 +43,7 @@
 	relays bool
 	// candidates are whom it may ask, the best first.
 	candidates []netip.AddrPort
-	// ahead are the entries of the own region that read the store before this process does when
-	// its peers have no fresh news.
+	// ahead are the entries of the own region that fall back to the store before this process.
 	ahead []netip.AddrPort
 	// wait is how long an answer may be held back without news.
 	wait time.Duration
@@ -90,7 +89,7 @@
 	return o
 }
 
-// aheadOf are the own region's entries up to this process.
+// aheadOf are the own region's entries up to this process, or all of them for an agent.
 func (s *Syncer) aheadOf(ms []registrar.Member) []netip.AddrPort {
 	var as []netip.AddrPort
 	for _, m := range ms {
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -228,7 +228,8 @@
 	unhelpful int
 	// onlyAsked leaves peers that are avoided out of that bound.
 	onlyAsked bool
-	// awaits asks for changes also of peers whose news are old, as they read the store.
+	// awaits has peers hold their answers back although their news are old, as they are about to
+	// read the store.
 	awaits bool
 }
 
