--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -62,7 +62,7 @@
 	Running, Waiting, Slots int
 	// Idle is how long the upstream keeps an idle connection; 0 when not told.
 	Idle time.Duration
-	// Limited tells that the upstream takes no more than Limit requests a second from all entries
+	// Limited is set if the upstream takes no more than Limit requests a second from all entries
 	// together.
 	Limited bool
 	Limit   float64
--- a/internal/relayer/limited.go
+++ b/internal/relayer/limited.go
@@ -8,14 +8,15 @@
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
 
-// An upstream that states a limit may get limitFactor times as many requests in four seconds, and
-// limitSlack besides, before it counts as overrun.
+// An upstream that states a limit may get limitFactor times as many requests in limitWindow, in
+// seconds, and limitSlack besides, before it counts as overrun.
 const (
+	limitWindow = 4.0
 	limitFactor = 1.5
 	limitSlack  = 5.0
 	// limitAtOnce is what entries may send at once, in seconds of the limit: with what they send in
-	// the rest of four seconds they stay below that.
-	limitAtOnce = 4*limitFactor - 1
+	// the rest of limitWindow they stay below that.
+	limitAtOnce = limitWindow*limitFactor - 1
 	// leastLimitSharers is among how many entries a limit is divided at least.
 	leastLimitSharers = 6
 )
@@ -37,7 +38,7 @@
 	return &messenger.RateLimit{PerSecond: limit.Rate, AgeMS: limit.Age.Milliseconds()}
 }
 
-// limitPass tells whether an upstream that states a limit may get one more request now, where no
+// limitPass returns whether an upstream that states a limit may get one more request now, where no
 // agent counts for all entries.
 func (p *Placer) limitPass(view *registrar.View, u *registrar.UpstreamView) bool {
 	limit, ok := p.Chooser.Limit(u.ID)
--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -79,15 +79,15 @@
 			c.Step(50 * time.Millisecond)
 		}
 		must.Positive(t, len(passed), must.Sprintf("%d entries send nothing at all", n))
-		must.LessEq(t, int(coldBound), mostInASecond(passed), must.Sprintf("%d entries", n))
+		must.LessEq(t, int(coldBound), mostWithin(passed, time.Second), must.Sprintf("%d entries", n))
 	}
 }
 
-// mostInASecond is the largest number of moments within one second, in order of time.
-func mostInASecond(ts []time.Time) int {
+// mostWithin is the largest number of moments within a span, in order of time.
+func mostWithin(ts []time.Time, span time.Duration) int {
 	most, from := 0, 0
 	for i, t := range ts {
-		for t.Sub(ts[from]) >= time.Second {
+		for t.Sub(ts[from]) >= span {
 			from++
 		}
 		most = max(most, i-from+1)
--- a/internal/relayer/upstream_limit_test.go
+++ b/internal/relayer/upstream_limit_test.go
@@ -38,14 +38,14 @@
 	listener net.Listener
 
 	mu      sync.Mutex
-	told    map[string]time.Time
+	stated  map[string]time.Time
 	arrived []time.Time
 }
 
 func newLimitingUpstream(t *testing.T, ip string) *limitingUpstream {
 	l, err := net.Listen("tcp", ip+":0")
 	must.NoError(t, err)
-	u := &limitingUpstream{listener: l, told: map[string]time.Time{}}
+	u := &limitingUpstream{listener: l, stated: map[string]time.Time{}}
 	s := &http.Server{Handler: u}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { s.Close() })
@@ -61,9 +61,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	if told, ok := u.told[string(entry)]; !ok {
-		u.told[string(entry)] = now
-	} else if now.Sub(told) > limitKnown {
+	if stated, ok := u.stated[string(entry)]; !ok {
+		u.stated[string(entry)] = now
+	} else if now.Sub(stated) > limitKnown {
 		u.arrived = append(u.arrived, now)
 	}
 	w.Header().Set("Server-Limit", "1.0")
@@ -76,14 +76,7 @@
 func (u *limitingUpstream) most() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	most, from := 0, 0
-	for i, t := range u.arrived {
-		for t.Sub(u.arrived[from]) >= limitWindow {
-			from++
-		}
-		most = max(most, i-from+1)
-	}
-	return most
+	return mostWithin(u.arrived, limitWindow)
 }
 
 // limitedEntries are entries that know each other, before upstreams of one service.
--- a/internal/scheduler/cold_test.go
+++ b/internal/scheduler/cold_test.go
@@ -101,11 +101,11 @@
 	f.clock.Step(d)
 }
 
-// mostInASecond is the largest number of moments within one second.
-func mostInASecond(ts []time.Time) int {
+// mostWithin is the largest number of moments within a span.
+func mostWithin(ts []time.Time, span time.Duration) int {
 	most, from := 0, 0
 	for i, t := range ts {
-		for t.Sub(ts[from]) >= time.Second {
+		for t.Sub(ts[from]) >= span {
 			from++
 		}
 		most = max(most, i-from+1)
@@ -144,6 +144,6 @@
 				f.step(time.Duration(rapid.IntRange(5, 120).Draw(t, "step")) * time.Millisecond)
 			}
 		}
-		must.LessEq(t, int(1.5*f.rate+5), mostInASecond(f.arrived), must.Sprintf("%d entries", len(f.entries)))
+		must.LessEq(t, int(1.5*f.rate+5), mostWithin(f.arrived, time.Second), must.Sprintf("%d entries", len(f.entries)))
 	})
 }
--- a/internal/scheduler/limited_test.go
+++ b/internal/scheduler/limited_test.go
@@ -41,14 +41,7 @@
 					clock.Step(25 * time.Millisecond)
 				}
 				must.Positive(t, len(passed))
-				most, from := 0, 0
-				for i, at := range passed {
-					for at.Sub(passed[from]) >= span {
-						from++
-					}
-					most = max(most, i-from+1)
-				}
-				must.LessEq(t, 1.5*rate*span.Seconds()+5, float64(most))
+				must.LessEq(t, 1.5*rate*span.Seconds()+5, float64(mostWithin(passed, span)))
 			})
 		}
 	}
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -33,5 +33,5 @@
 		}
 	}
 	must.Positive(t, len(granted))
-	must.LessEq(t, int(1.5*rate+5), mostInASecond(granted))
+	must.LessEq(t, int(1.5*rate+5), mostWithin(granted, time.Second))
 }
--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -55,16 +55,14 @@
 	return s.awaits(o), false
 }
 
-// leads returns whether this entry is the first of its region to fall back.
-func (s *Syncer) leads(o order) bool { return s.Entry && len(s.inService(o.ahead)) == 0 }
-
-// sourcesOf is how many unhelpful peers are waited for before the next source: a single one by
-// the entry that the others of its region wait for.
-func (s *Syncer) sourcesOf(o order) int {
-	if s.leads(o) {
-		return 1
+// peersFirst is how peers are asked before the store. The first entry of a region, for which the
+// others wait, gives up after a single unhelpful one.
+func (s *Syncer) peersFirst(o order) asking {
+	how := asking{wait: o.wait, limit: staleNews, unhelpful: sources}
+	if s.Entry && len(s.inService(o.ahead)) == 0 {
+		how.unhelpful, how.onlyAsked = 1, true
 	}
-	return sources
+	return how
 }
 
 // awaits returns whether others of the region are to read the store before this process.
--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -164,7 +164,7 @@
 
 func (s nodeStore) List(ctx context.Context) (registrar.Batch, error) {
 	s.node.lists.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, storeListTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	if err := s.refused(ctx); err != nil {
 		return registrar.Batch{}, err
--- a/internal/syncer/large_table_test.go
+++ b/internal/syncer/large_table_test.go
@@ -47,7 +47,7 @@
 	)
 	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 310 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
-			sh := shape{entries: 46, regions: 3, agents: 33, storeDelay: delay, linkRate: quarterLink}
+			sh := grownShape(delay)
 			inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
 				f.storm(t, versions, gap, within)
 			})
@@ -60,7 +60,7 @@
 func TestReadersOfASlowStoreSuffice(t *testing.T) {
 	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 400 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
-			sh := shape{entries: 46, regions: 3, agents: 33, storeDelay: delay, linkRate: quarterLink}
+			sh := grownShape(delay)
 			inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
 				for _, n := range f.members {
 					n.watches.Store(0)
@@ -87,7 +87,7 @@
 	for i, delay := range []time.Duration{4 * time.Millisecond, 60 * time.Millisecond, 240 * time.Millisecond} {
 		for _, k := range faultKinds {
 			t.Run(fmt.Sprint(k.name, delay), func(t *testing.T) {
-				sh := shape{entries: 46, regions: 3, agents: 33, storeDelay: delay, linkRate: quarterLink}
+				sh := grownShape(delay)
 				inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
 					time.Sleep(time.Duration(i) * time.Second / 3)
 					ranked := f.ranked(sh.entries)
@@ -112,7 +112,7 @@
 		later  = 10 * time.Second
 		most   = 2
 	)
-	sh := shape{entries: 46, regions: 3, agents: 33, storeDelay: 60 * time.Millisecond, linkRate: quarterLink}
+	sh := grownShape(60 * time.Millisecond)
 	inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
 		for _, n := range f.members {
 			n.cut.Store(true)
@@ -190,7 +190,8 @@
 	const within = 3 * time.Second
 	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 500 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
-			sh := shape{entries: 46, regions: 3, agents: 33, table: true, storeDelay: delay, linkRate: quarterLink}
+			sh := grownShape(delay)
+			sh.table = true
 			synctest.Test(t, func(t *testing.T) {
 				t.Cleanup(func() { time.Sleep(connectortest.Settle) })
 				f := newFleet(t, sh)
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// callTimeout and storeListTimeout are those of the client of the platform's store.
-	callTimeout      = 900 * time.Millisecond
-	storeListTimeout = 2400 * time.Millisecond
+	// callTimeout bounds a call, as the platform's client does.
+	callTimeout = 900 * time.Millisecond
 	// segment is in which pieces, in bytes, the transfers on a link take turns.
 	segment = 8 << 10
 	// itemOverhead is what an item takes on the wire besides its value, in bytes.
@@ -31,6 +30,11 @@
 	linkRate int
 }
 
+// grownShape is that of a grown deployment with so slow a store.
+func grownShape(storeDelay time.Duration) shape {
+	return shape{entries: 46, regions: 3, agents: 33, storeDelay: storeDelay, linkRate: quarterLink}
+}
+
 func regionName(i int) string { return fmt.Sprintf("region-%d", i) }
 
 // links are those between regions.
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -149,7 +149,7 @@
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
 	if !reads {
-		if s.fromPeers(ctx, candidates, asking{wait: o.wait, limit: staleNews, unhelpful: s.sourcesOf(o), onlyAsked: s.leads(o)}) {
+		if s.fromPeers(ctx, candidates, s.peersFirst(o)) {
 			s.noteFallback(false)
 			return true
 		}
