granter: log slots of disconnected entries and the age of the engine's report

Whether the engine ran more than its agent knew could not be told from the log. Place asked now has unreserved and observed, and a connection that ends with slots granted over it has a line of its own.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -49,7 +49,7 @@
 	if v.Granted || g.logs() {
 		klog.InfoS("Place asked", "request", q.Request, "granted", v.Granted, "closed", v.Closed, "wait", v.Wait,
 			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
-			"unlogged", g.unlogged.Swap(0))
+			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0))
 	}
 	return messenger.Verdict{
 		Granted: v.Granted, Closed: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
@@ -78,4 +78,8 @@
 }
 
 // Lost frees what a connection that is over had.
-func (g *Granter) Lost(from *messenger.Link) { g.Ledger.Lost(from) }
+func (g *Granter) Lost(from *messenger.Link) {
+	if slots := g.Ledger.Lost(from); slots > 0 {
+		klog.InfoS("Entry disconnected", "slots", slots)
+	}
+}
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -52,6 +52,10 @@
 	Free time.Duration
 	// Active are the requests that hold places, of Slots.
 	Active, Slots int
+	// Unreserved are those of Active that the engine runs without a known reservation.
+	Unreserved int
+	// Observed is how long ago the engine last reported what it runs; negative for never.
+	Observed time.Duration
 }
 
 // Ledger holds the places of one engine. It answers arrivals in bursts: without it
@@ -79,6 +83,8 @@
 	held   map[string]*place
 	// foreign is how many requests the engine runs beyond those known here.
 	foreign int
+	// observedAt is when the engine last said so.
+	observedAt time.Time
 	// readUntil is when all prompts granted so far will have been read.
 	readUntil time.Time
 	// until is when the engine stops to load new weights; zero for never.
@@ -174,8 +180,9 @@
 func (l *Ledger) Observe(running int, pace float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sweep(l.Clock.Now())
-	l.foreign = max(0, running-len(l.held))
+	now := l.Clock.Now()
+	l.sweep(now)
+	l.foreign, l.observedAt = max(0, running-len(l.held)), now
 	l.pace = max(1, pace)
 }
 
@@ -192,7 +199,10 @@
 	if l.expired(now) {
 		return Verdict{Closed: OldWeights}
 	}
-	v := Verdict{Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now))}
+	v := Verdict{
+		Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now)),
+		Unreserved: l.foreign, Observed: l.observedAgo(now),
+	}
 	if l.held[j.ID] != nil {
 		// The answer to an earlier question was lost.
 		v.Granted = true
@@ -227,6 +237,14 @@
 	return v
 }
 
+// observedAgo is how long ago the engine last reported what it runs; negative for never.
+func (l *Ledger) observedAgo(now time.Time) time.Duration {
+	if l.observedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(l.observedAt)
+}
+
 // coldWait is how long until a cold engine may get one more; 0 for at once.
 func (l *Ledger) coldWait(now time.Time) time.Duration {
 	if l.coldRate <= 0 || !now.Before(l.coldUntil) || l.Without.Has(ablator.ColdLimit) {
@@ -347,17 +365,19 @@
 	}
 }
 
-// Lost frees the places of an owner whose connection is over. If its requests run
-// on, the engine's own count shows them.
-func (l *Ledger) Lost(owner any) {
+// Lost frees the places of an owner whose connection is over, and returns how many these were.
+// If its requests run on, the engine's own count shows them.
+func (l *Ledger) Lost(owner any) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before := len(l.held)
 	for id, p := range l.held {
 		if p.owner == owner {
 			delete(l.held, id)
 		}
 	}
 	l.reckon()
+	return before - len(l.held)
 }
 
 // reckon brings readUntil down to what is still unread. Estimates that were too
