syncer: keep reading the store in place of failed readers

The first entry of a region that fell back made a single call and returned to its peers. These had their news from it, passed them on to each other and were stale together 1.5 s later; all then waited for the failed readers at the same moment, and more than two of the region read the store. It now reads for 4 s, and asks the readers again after that.

--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -26,6 +26,10 @@
 	// downFor is how long a peer that failed counts as out of service: longer than its lease, so
 	// that one that is gone isn't waited for again.
 	downFor = 5 * time.Second
+	// substituteFor is how long the first entry of a region reads the store before it asks its
+	// peers again. With a single call, the entries would pass that answer on to each other until
+	// it is stale for all of them at once.
+	substituteFor = 4 * time.Second
 )
 
 // fallbackAge is the age of its news at which this process reads the store with that many entries
@@ -55,11 +59,29 @@
 	return s.awaits(o), false
 }
 
+// substitutes returns whether this process, the first of its region's entries in service, goes on
+// to read the store in place of readers that failed.
+func (s *Syncer) substitutes(o order) bool {
+	return s.firstInLine(o) && s.storeDue() && s.Clock.Now().Before(s.substituteUntil)
+}
+
+// substitute notes that this process reads the store for want of fresh peers.
+func (s *Syncer) substitute(o order) {
+	now := s.Clock.Now()
+	if s.firstInLine(o) && !now.Before(s.substituteUntil) {
+		s.substituteUntil = now.Add(substituteFor)
+	}
+}
+
+func (s *Syncer) firstInLine(o order) bool {
+	return s.Entry && !o.reads && len(s.inService(o.ahead)) == 0
+}
+
 // peersFirst is how peers are asked before the store. The first entry of a region, for which the
 // others wait, gives up after a single unhelpful one.
 func (s *Syncer) peersFirst(o order) asking {
 	how := asking{wait: o.wait, limit: staleNews, unhelpful: sources}
-	if s.Entry && len(s.inService(o.ahead)) == 0 {
+	if s.firstInLine(o) {
 		how.unhelpful, how.onlyAsked = 1, true
 	}
 	return how
--- a/internal/syncer/large_table_test.go
+++ b/internal/syncer/large_table_test.go
@@ -109,28 +109,32 @@
 func TestRegionsFallBackInTurnAfterAnOutage(t *testing.T) {
 	const (
 		outage = 6 * time.Second
-		later  = 10 * time.Second
 		most   = 2
 	)
-	sh := grownShape(60 * time.Millisecond)
-	inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
-		for _, n := range f.members {
-			n.cut.Store(true)
-		}
-		time.Sleep(outage)
-		for _, n := range f.members {
-			n.cut.Store(false)
-		}
-		time.Sleep(later)
-		ranked := f.ranked(sh.entries)
-		for _, n := range f.members {
-			n.watches.Store(0)
-		}
-		ranked[0].deaf.Store(true)
-		ranked[1].deaf.Store(true)
-		f.storm(t, 4, 1310*time.Millisecond, 3*time.Second)
-		f.checkWatchers(t, most, ranked[:2])
-	})
+	// The peers' timeouts and retries meet the readers' failure in other phases.
+	for _, later := range []time.Duration{10 * time.Second, 11200 * time.Millisecond} {
+		t.Run(later.String(), func(t *testing.T) {
+			sh := grownShape(60 * time.Millisecond)
+			inShapedFleet(t, sh, func(t *testing.T, f *fleet) {
+				for _, n := range f.members {
+					n.cut.Store(true)
+				}
+				time.Sleep(outage)
+				for _, n := range f.members {
+					n.cut.Store(false)
+				}
+				time.Sleep(later)
+				ranked := f.ranked(sh.entries)
+				for _, n := range f.members {
+					n.watches.Store(0)
+				}
+				ranked[0].deaf.Store(true)
+				ranked[1].deaf.Store(true)
+				f.storm(t, 4, 1310*time.Millisecond, 3*time.Second)
+				f.checkWatchers(t, most, ranked[:2])
+			})
+		})
+	}
 }
 
 // checkWatchers fails when more of a region's processes than a bound have watched the store,
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -104,6 +104,8 @@
 	// is why the last peer that failed it did.
 	fallingBack bool
 	peerFailure fallbackCause
+	// substituteUntil is until when this process reads the store in place of readers that failed.
+	substituteUntil time.Time
 	// jitter is how much later than others an agent falls back, up to agentJitter.
 	jitter time.Duration
 }
@@ -148,7 +150,7 @@
 	s.forgetOthers(candidates)
 	reads := !known || o.reads
 	s.logRoles(reads, o.relays)
-	if !reads {
+	if !reads && !s.substitutes(o) {
 		if s.fromPeers(ctx, candidates, s.peersFirst(o)) {
 			s.noteFallback(false)
 			return true
@@ -159,6 +161,7 @@
 	}
 	if s.storeDue() {
 		s.noteFallback(!reads)
+		s.substitute(o)
 		if s.fromStore(ctx) {
 			return true
 		}
