syncer: wait for seeds that still read the store

Callers were refused for 2.3 s longer after a restart of everything: processes that no seed answered within 0.7 s all listed the store, the lists saturated the links between regions, and 46 to 51 of 79 had no route table after 3 s.

A seed that had not read the store yet answered at once that it knew nothing, and was asked again until the 0.7 s were over. And a seed's answer was given up after 0.25 s although it was arriving, and asked for again: a table that goes to two dozen processes of a region takes longer than that.

A seed now holds its answer back while it reads the store, and is waited for as long as its list may take; who still has nothing then lists the store after a random delay of up to a second. Peers' answers that are arriving are not given up. Seeds that are unreachable, or can't reach the store, are given up after 0.7 s as before.

TestProcessesThatStartTogetherListTheStoreOnce failed in all three cases, with 51 processes without a table, also with the test network's links as they are now: bytes arrive segment by segment, not all at the end of a transfer.

--- a/internal/messenger/bound.go
+++ b/internal/messenger/bound.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -30,7 +31,15 @@
 // would take all the memory of an entry, and its requests with it.
 type boundedConn struct {
 	net.Conn
-	left int
+	left   int
+	opened time.Time
+	// received is how long after opened the last bytes came, in nanoseconds.
+	received atomic.Int64
+}
+
+// idle is for how long nothing has been received.
+func (c *boundedConn) idle() time.Duration {
+	return time.Since(c.opened) - time.Duration(c.received.Load())
 }
 
 func (c *boundedConn) Write(p []byte) (int, error) {
@@ -46,6 +55,9 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.left)])
 	c.left -= n
+	if n > 0 {
+		c.received.Store(int64(time.Since(c.opened)))
+	}
 	return n, err
 }
 
@@ -56,7 +68,7 @@
 }
 
 func newStream(raw net.Conn) boundedStream {
-	c := &boundedConn{Conn: raw}
+	c := &boundedConn{Conn: raw, opened: time.Now()}
 	return boundedStream{ObjectStream: jsonrpc2.NewPlainObjectStream(c), conn: c}
 }
 
--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -45,7 +45,7 @@
 	OnNews func(News)
 
 	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	conn *connection
 }
 
 // Report tells the entry an agent's state and brings back what is new.
@@ -87,6 +87,12 @@
 	if err != nil {
 		return &UnreachableError{Address: c.Address, Err: err}
 	}
+	return c.callOn(asker, ctx, conn, method, params, result)
+}
+
+// callOn makes a call on a connection. The asker's context is that of ctx without the call's own
+// timeout.
+func (c *Client) callOn(asker, ctx context.Context, conn *connection, method string, params, result any) error {
 	if err := conn.Call(ctx, method, params, result); err != nil {
 		// An asker that has lost interest says nothing of the peer. Closed for its sake, the
 		// connection would take along the questions of all others, and an agent would free
@@ -99,7 +105,7 @@
 	return nil
 }
 
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (c *Client) connect(ctx context.Context) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil {
@@ -113,12 +119,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c.conn = jsonrpc2.NewConn(context.Background(), newStream(raw), jsonrpc2.HandlerWithError(c.handle), quiet)
+	stream := newStream(raw)
+	c.conn = &connection{
+		Conn: jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(c.handle), quiet),
+		raw:  stream.conn,
+	}
 	return c.conn, nil
 }
 
 // drop forgets a connection that failed, unless another call has replaced it.
-func (c *Client) drop(conn *jsonrpc2.Conn) {
+func (c *Client) drop(conn *connection) {
 	conn.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/messenger/records.go
+++ b/internal/messenger/records.go
@@ -38,12 +38,12 @@
 	Stale bool `json:"stale,omitempty"`
 }
 
-// Records asks another process for records. The client's Timeout must be longer
-// than the wait.
-func (c *Client) Records(ctx context.Context, q RecordsQuery) (registrar.Batch, error) {
+// Records asks another process for records. The timeout bounds the time until the answer begins
+// to arrive and must be longer than the query's wait; an answer that is arriving may take longer.
+func (c *Client) Records(ctx context.Context, q RecordsQuery, timeout time.Duration) (registrar.Batch, error) {
 	q.Packed = true
 	var b packedBatch
-	if err := c.call(ctx, methodRecords, q, &b); err != nil {
+	if err := c.callArriving(ctx, timeout, methodRecords, q, &b); err != nil {
 		return registrar.Batch{}, err
 	}
 	return b.unpack()
--- a/internal/messenger/records_test.go
+++ b/internal/messenger/records_test.go
@@ -66,7 +66,7 @@
 	c := &messenger.Client{Address: netip.MustParseAddrPort(l.Addr().String()), Timeout: patience,
 		Dial: counting(&counted)}
 	defer c.Close()
-	got, err = c.Records(t.Context(), messenger.RecordsQuery{})
+	got, err = c.Records(t.Context(), messenger.RecordsQuery{}, c.Timeout)
 	must.NoError(t, err)
 	return got, counted.Load()
 }
@@ -132,7 +132,7 @@
 	}()
 	c := &messenger.Client{Address: netip.MustParseAddrPort(l.Addr().String()), Timeout: patience}
 	defer c.Close()
-	_, err = c.Records(t.Context(), messenger.RecordsQuery{})
+	_, err = c.Records(t.Context(), messenger.RecordsQuery{}, c.Timeout)
 	var unreadable *messenger.UnreadableError
 	must.True(t, errors.As(err, &unreadable), must.Sprint(err))
 }
@@ -149,7 +149,7 @@
 	defer c.Close()
 	asked := 0
 	for b.Loop() {
-		_, err := c.Records(b.Context(), messenger.RecordsQuery{})
+		_, err := c.Records(b.Context(), messenger.RecordsQuery{}, c.Timeout)
 		must.NoError(b, err)
 		asked++
 	}
--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -328,9 +328,26 @@
 	if l.node.squeezed.Load() {
 		time.Sleep(squeezedDelay)
 	}
-	if err := l.shared.carry(context.Background(), len(b)); err != nil {
-		return 0, err
+	if l.shared == nil {
+		return l.deliver(b)
 	}
+	written := 0
+	for written < len(b) {
+		part := b[written:min(len(b), written+segment)]
+		if err := l.shared.carrySegment(context.Background(), len(part)); err != nil {
+			return written, err
+		}
+		n, err := l.deliver(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// deliver hands bytes to the peer once they have crossed the network.
+func (l *link) deliver(b []byte) (int, error) {
 	if !l.node.heardBy(l.peer) {
 		return len(b), nil
 	}
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -78,23 +78,30 @@
 		return nil
 	}
 	for sent := 0; sent < size; sent += segment {
-		l.mu.Lock()
-		begin := time.Now()
-		if l.free.After(begin) {
-			begin = l.free
-		}
-		l.free = begin.Add(time.Duration(min(segment, size-sent)) * time.Second / time.Duration(l.rate))
-		arrives := l.free
-		l.mu.Unlock()
-		select {
-		case <-time.After(time.Until(arrives)):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := l.carrySegment(ctx, min(segment, size-sent)); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func (l *regionLink) carrySegment(ctx context.Context, size int) error {
+	l.mu.Lock()
+	begin := time.Now()
+	if l.free.After(begin) {
+		begin = l.free
+	}
+	l.free = begin.Add(time.Duration(size) * time.Second / time.Duration(l.rate))
+	arrives := l.free
+	l.mu.Unlock()
+	select {
+	case <-time.After(time.Until(arrives)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // deliver hands over an answer of the store once all of it has arrived.
 func (s nodeStore) deliver(ctx context.Context, b registrar.Batch, err error) (registrar.Batch, error) {
 	if err != nil {
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -14,14 +14,21 @@
 
 const (
 	// seedPatience is how long a process that knows nothing asks the seeds before it
-	// turns to the store. Seeds may start 0.3 s later than others and need 0.2 s to read
-	// the store; who has not answered by then is taken for dead.
+	// turns to the store. Seeds may start 0.3 s later than others; who has not answered by then
+	// is taken for dead.
 	seedPatience = 700 * time.Millisecond
+	// readingPatience is the same while a seed answers that it still reads the store: as long as
+	// the store's client waits for a list. Afterwards processes list the store themselves, up
+	// to listSpread apart.
+	readingPatience = 2400 * time.Millisecond
+	listSpread      = time.Second
 	// seedPause is the pause between two rounds over the seeds.
 	seedPause = 40 * time.Millisecond
-	// seedTimeout bounds a connection to a seed and a question: a dozen round trips
-	// between regions, and the time of the records on a narrow link.
+	// seedTimeout bounds a connection to a seed, and the time until its answer begins to
+	// arrive: a dozen round trips between regions.
 	seedTimeout = 250 * time.Millisecond
+	// seedHold is how long a seed that still reads the store holds its answer back.
+	seedHold = 100 * time.Millisecond
 	// seedLead is how long further seeds are waited for once one is connected.
 	seedLead = 10 * time.Millisecond
 )
@@ -29,14 +36,25 @@
 // fromSeeds learns all records from a seed. After a loss of everything all processes
 // start at once; if each read the store, the same uncompressed table would cross the
 // links between regions as many times as there are processes, and the last would know it
-// seconds after the first. The nearest seed that knows something tells it.
+// seconds after the first. The nearest seed that knows something tells it, and one that
+// reads the store at the moment is waited for.
 func (s *Syncer) fromSeeds(ctx context.Context) bool {
-	distances := map[netip.AddrPort]time.Duration{}
-	for s.Clock.Since(s.seedsSince) < seedPatience && ctx.Err() == nil {
+	distances, stale := map[netip.AddrPort]time.Duration{}, map[netip.AddrPort]bool{}
+	patience := seedPatience
+	for s.Clock.Since(s.seedsSince) < patience && ctx.Err() == nil {
 		s.connectSeeds(ctx, distances)
 		for _, a := range nearest(distances) {
-			if s.firstRecords(ctx, a) {
+			if stale[a] {
+				continue
+			}
+			switch s.firstRecords(ctx, a) {
+			case seedKnows:
 				return true
+			case seedReads:
+				patience = readingPatience + s.listDelay
+			case seedIsStale:
+				stale[a] = true
+			case seedFailed:
 			}
 		}
 		s.pause(ctx, seedPause)
@@ -98,20 +116,38 @@
 	return as
 }
 
-// firstRecords takes over what a seed knows, if it knows anything of late.
-func (s *Syncer) firstRecords(ctx context.Context, a netip.AddrPort) bool {
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
-	defer cancel()
+// seedState is what a seed's answer shows of it.
+type seedState int
+
+const (
+	// seedFailed seeds gave no answer, or can't reach the store.
+	seedFailed seedState = iota
+	// seedReads seeds wait for their own first list.
+	seedReads
+	// seedIsStale seeds have lost touch with the store.
+	seedIsStale
+	// seedKnows seeds have given their records.
+	seedKnows
+)
+
+// firstRecords takes over what a seed knows, if the store confirmed it of late.
+func (s *Syncer) firstRecords(ctx context.Context, a netip.AddrPort) seedState {
 	asked := s.Clock.Now()
-	b, err := s.clients.To(a).Records(ctx, messenger.RecordsQuery{})
+	q := messenger.RecordsQuery{WaitMS: seedHold.Milliseconds(), Stale: true}
+	b, err := s.clients.To(a).Records(ctx, q, seedHold+seedTimeout)
 	if err != nil {
 		klog.V(1).InfoS("Seed did not answer", "seed", a, "err", err)
-		return false
+		return seedFailed
 	}
 	b = b.Older(max(0, s.Clock.Since(asked)-b.Held))
-	if b.At == 0 || b.Age > staleNews || !s.Registrar.Apply(b) {
-		return false
+	switch {
+	case b.At == 0 && b.Lost:
+		return seedFailed
+	case b.At == 0:
+		return seedReads
+	case b.Age > staleNews || !s.Registrar.Apply(b):
+		return seedIsStale
 	}
 	klog.InfoS("Records learned from a seed", "seed", a, "records", len(b.Records), "revision", b.At)
-	return true
+	return seedKnows
 }
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -106,8 +106,9 @@
 	peerFailure fallbackCause
 	// substituteUntil is until when this process reads the store in place of readers that failed.
 	substituteUntil time.Time
-	// jitter is how much later than others an agent falls back, up to agentJitter.
-	jitter time.Duration
+	// jitter is how much later than others an agent falls back, up to agentJitter; listDelay how
+	// much later than others this process lists the store at its start, up to listSpread.
+	jitter, listDelay time.Duration
 }
 
 // peer is what is known of a peer from asking it.
@@ -126,6 +127,7 @@
 	s.clients.Dial, s.clients.Timeout = s.Dial, peerWait+peerGrace
 	s.peers = map[netip.AddrPort]peer{}
 	s.jitter = time.Duration(s.Random.Int64N(int64(agentJitter)))
+	s.listDelay = time.Duration(s.Random.Int64N(int64(listSpread)))
 	s.seedsSince = s.Clock.Now()
 	defer s.clients.Close()
 	for ctx.Err() == nil {
@@ -326,9 +328,7 @@
 	if failed && age > staleNews-peerWait {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+peerGrace)
-	defer cancel()
-	return s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds(), Stale: how.awaits})
+	return s.clients.To(a).Records(ctx, messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds(), Stale: how.awaits}, wait+peerGrace)
 }
 
 // fromStore reads the store once, by a list at first and after its history is gone.
