messenger: keep a connection when a call over it times out

Engines ran more requests than their agents knew, and callers waited up to 0.9 s longer than predicted. An entry gives an agent 40 ms; a VM whose link is full of chunks often takes longer. The timeout closed the connection, so all other calls over it failed at once, and the agent took the entry's running requests for ended and granted their slots again.

The connection now stays. If nothing comes over it for 0.3 s after a timeout, the next call replaces it. As a late grant is no longer freed by the close, the entry gives it back by itself. TestPlaceGrantedTooLateIsGivenBack checks that: its agent ignored progress and now takes it, as the real one does.

--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -93,24 +93,33 @@
 // callOn makes a call on a connection. The asker's context is that of ctx without the call's own
 // timeout.
 func (c *Client) callOn(asker, ctx context.Context, conn *connection, method string, params, result any) error {
-	if err := conn.Call(ctx, method, params, result); err != nil {
-		// An asker that has lost interest says nothing of the peer. Closed for its sake, the
-		// connection would take along the questions of all others, and an agent would free
-		// the places of what it has running for this entry.
-		if !errors.Is(asker.Err(), context.Canceled) {
-			c.drop(conn)
-		}
-		return &UnreachableError{Address: c.Address, Err: err}
+	err := conn.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
 	}
-	return nil
+	switch {
+	case errors.Is(asker.Err(), context.Canceled):
+		// An asker that has lost interest says nothing of the peer.
+	case ctx.Err() != nil:
+		// The peer may merely be slow. Closed now, the connection would take along all other
+		// calls over it.
+		conn.suspect()
+	default:
+		c.drop(conn)
+	}
+	return &UnreachableError{Address: c.Address, Err: err}
 }
 
 func (c *Client) connect(ctx context.Context) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
+	if c.conn != nil && !c.conn.silent() {
 		return c.conn, nil
 	}
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
 	dial := c.Dial
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -48,6 +48,10 @@
 		gone := errors.Is(err, syscall.ECONNREFUSED)
 		p.Chooser.Silence(u.ID, silentFor, gone)
 		klog.InfoS("Agent silent", "upstream", u.ID, "request", j.ID, "gone", gone, "err", err)
+		if !gone {
+			// It may have granted a place since, or do so yet.
+			agent.Tell(messenger.Progress{Ended: []string{j.ID}})
+		}
 		return p.unasked(view, u, j), nil
 	}
 	p.Chooser.Heard(u.ID, v.Wait(), load(v))
--- a/internal/relayer/place_test.go
+++ b/internal/relayer/place_test.go
@@ -226,7 +226,12 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	asked, late := make(chan bool, 100), make(chan struct{})
-	s := &messenger.Server{Listener: l, OnProgress: func(messenger.Progress, *messenger.Link) {}, OnLost: func(link *messenger.Link) { ledger.Lost(link) },
+	s := &messenger.Server{Listener: l, OnLost: func(link *messenger.Link) { ledger.Lost(link) },
+		OnProgress: func(p messenger.Progress, _ *messenger.Link) {
+			for _, id := range p.Ended {
+				ledger.Ended(id)
+			}
+		},
 		OnReserve: func(r messenger.Reservation, link *messenger.Link) messenger.Verdict {
 			v := ledger.Reserve(scheduler.Job{ID: r.Request, Prompt: r.Prompt, Patience: time.Second, Left: 6 * time.Second}, link)
 			asked <- v.Granted
