scheduler: keep the slots of a lost connection until the engine runs fewer requests

When an entry's connection to an agent ended, the agent freed all slots granted over it, although the requests ran on. Until the engine's next report it granted them to others, which then waited in the engine's queue: 0.76 and 0.90 s to the first event at side-sand-a-8 after five slots had been freed at 32.18 to 32.20 s, where 0 and 0.13 s were predicted and 0.5 s are allowed for beyond that. A request granted so shortly before the end of its weights' time begins after it.

Such slots now stay taken until their end is reported over any connection, or the engine reports fewer requests.

--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -1,7 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -106,6 +109,8 @@
 	owner   any
 	until   time.Time
 	started bool
+	// orphaned places are those whose owner's connection is over.
+	orphaned bool
 }
 
 // Open lets jobs in, by the figures of the engine.
@@ -182,6 +187,7 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	l.sweep(now)
+	l.freeOrphans(len(l.held) - running)
 	l.foreign, l.observedAt = max(0, running-len(l.held)), now
 	l.pace = max(1, pace)
 }
@@ -365,19 +371,42 @@
 	}
 }
 
-// Lost frees the places of an owner whose connection is over, and returns how many these were.
-// If its requests run on, the engine's own count shows them.
+// Lost notes that an owner's connection is over, and returns how many places were granted over it.
+// Its requests may run on, as when only the connection failed, so the places stay taken until the
+// engine runs fewer requests: freed at once, they would be granted to others that then wait for
+// longer than predicted, and begin after the end of their weights' time.
 func (l *Ledger) Lost(owner any) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := len(l.held)
-	for id, p := range l.held {
+	orphaned := 0
+	for _, p := range l.held {
 		if p.owner == owner {
-			delete(l.held, id)
+			p.orphaned = true
+			orphaned++
 		}
 	}
+	return orphaned
+}
+
+// freeOrphans frees up to so many of the places whose owner's connection is over, those whose
+// callers have the least time left first.
+func (l *Ledger) freeOrphans(most int) {
+	var orphans []*place
+	for _, p := range l.held {
+		if p.orphaned {
+			orphans = append(orphans, p)
+		}
+	}
+	if most <= 0 || len(orphans) == 0 {
+		return
+	}
+	slices.SortFunc(orphans, func(a, b *place) int {
+		return cmp.Or(a.until.Compare(b.until), strings.Compare(a.ID, b.ID))
+	})
+	for _, p := range orphans[:min(most, len(orphans))] {
+		delete(l.held, p.ID)
+	}
 	l.reckon()
-	return before - len(l.held)
 }
 
 // reckon brings readUntil down to what is still unread. Estimates that were too
