relayer: give a stalled stream up only for an upstream that goes on with it

Callers lost streams whose upstream had paused for 1.3 s, as behind a link that is full for a moment, although nobody could go on with them: no retry was left in the budget, or no engine had a slot.

Requests whose reply has not begun are treated alike.

TestStalledStreamIsNotCut and TestStalledStreamIsNotCutForWantOfARetry failed before: the caller's stream broke off.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -50,7 +50,8 @@
 	// happened, others that rested as long may be gone as well, at other upstreams too: the
 	// last attempt spent on one of them would end the request although all upstreams are well.
 	o := sendOptions{fresh: !c.Route.Repeatable() || c.rested, headerWithin: c.headerWithin(place),
-		connections: c.Placer.connections(u)}
+		connections: c.Placer.connections(u),
+		stalled:     func(conn *connection) bool { return c.readsOn(ctx, conn) }}
 	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
 	if err != nil {
 		return err
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -85,6 +85,8 @@
 	headerWithin time.Duration
 	// connections is how many this entry may have at the upstream; 0 for any.
 	connections int
+	// stalled decides whether to read on when nothing has come for too long; nil gives up.
+	stalled func(*connection) bool
 }
 
 // send starts an exchange. It never sends a request twice: net/http's transport
@@ -97,6 +99,9 @@
 		return nil, &SendError{Upstream: upstream, Outcome: retrier.NotRun, Err: err}
 	}
 	x := &exchange{pool: p, upstream: upstream, conn: conn, written: make(chan struct{})}
+	if o.stalled != nil {
+		conn.stalled = func() bool { return o.stalled(conn) }
+	}
 	// A caller that leaves or a deadline that passes ends the upstream's work too.
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	if err := x.write(m); err != nil {
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -138,13 +138,8 @@
 
 // Place finds an upstream. Errors are *RefusedError and the context's.
 func (p *Placer) Place(ctx context.Context, j *Job) (*Place, error) {
-	view := p.Registrar.View()
-	service := view.Table.Services[j.Service]
-	if service == nil || service.Origin != nil {
-		return nil, &RefusedError{Reason: "service unknown"}
-	}
-	if service.Engine == nil {
-		return p.placeAtService(view, j)
+	if service := p.Registrar.View().Table.Services[j.Service]; service == nil || service.Engine == nil {
+		return p.placeNow(ctx, j)
 	}
 	began := p.Clock.Now()
 	held := time.Duration(heldShare * float64(j.Route.Objective))
@@ -155,7 +150,7 @@
 		held = againHeld
 	}
 	for {
-		place, err := p.placeAtEngine(ctx, p.Registrar.View(), service, j)
+		place, err := p.placeNow(ctx, j)
 		if err == nil || ctx.Err() != nil || p.late(j) {
 			return place, err
 		}
@@ -171,6 +166,21 @@
 	}
 }
 
+// placeNow finds an upstream that takes a request at once. Errors are *RefusedError and the
+// context's.
+func (p *Placer) placeNow(ctx context.Context, j *Job) (*Place, error) {
+	view := p.Registrar.View()
+	service := view.Table.Services[j.Service]
+	switch {
+	case service == nil || service.Origin != nil:
+		return nil, &RefusedError{Reason: "service unknown"}
+	case service.Engine == nil:
+		return p.placeAtService(view, j)
+	default:
+		return p.placeAtEngine(ctx, view, service, j)
+	}
+}
+
 // eligible lists the upstreams to which the request may go by what is known of
 // them and by what route and workspace allow.
 func (p *Placer) eligible(view *registrar.View, j *Job) []*registrar.UpstreamView {
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -39,6 +39,8 @@
 	reused bool
 	until  time.Time
 	closed func()
+	// stalled is asked whether to read on when the read deadline has passed; nil gives up.
+	stalled func() bool
 }
 
 // Close closes the connection; more than once does no harm.
@@ -92,7 +94,9 @@
 		return nil, err
 	}
 	p.Opened()
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), closed: free}, nil
+	c := &connection{Conn: raw, closed: free}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 // reserve counts one more connection, if need be in the place of an idle one.
@@ -155,7 +159,7 @@
 		c.Close()
 		return
 	}
-	c.until = p.Clock.Now().Add(keep)
+	c.until, c.stalled = p.Clock.Now().Add(keep), nil
 	_ = c.SetDeadline(time.Time{})
 	if !p.keep(upstream, c) {
 		c.Close()
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -20,6 +20,8 @@
 	sends    int
 	// rested tells that the last attempt failed on a connection that had been idle.
 	rested bool
+	// next is the place that the next attempt already has; nil for none.
+	next *Place
 }
 
 // Serve makes attempts until one gives the caller its answer. Errors are those of Place and
@@ -27,8 +29,9 @@
 func (l *Relayer) Serve(ctx context.Context, j *Job, attempt Attempt) error {
 	l.Budgets.Of(j.Service).First()
 	j.outcome = retrier.NotRun
+	defer j.giveBack()
 	for {
-		place, err := l.Placer.Place(ctx, j)
+		place, err := l.placeNext(ctx, j)
 		if err != nil {
 			return err
 		}
@@ -96,6 +99,11 @@
 	if j.attempts >= j.Route.MaxAttempts || j.sends >= maxSends {
 		return false
 	}
+	if j.next != nil {
+		// Its retry is paid for.
+		l.count("retries")
+		return true
+	}
 	if !l.Budgets.Of(j.Service).Take() {
 		l.log(j, "No retry left in the budget", nil)
 		return false
--- /dev/null
+++ b/internal/relayer/stall_test.go
@@ -0,0 +1,65 @@
+package relayer_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+)
+
+// stalling streams two events with a pause between them that is longer than allowed.
+func stalling(_ int, id string, conn net.Conn) bool {
+	say(conn, streamHead(id)+chunked(event(1)))
+	time.Sleep(relayer.EventGap + 300*time.Millisecond)
+	say(conn, chunked(event(2))+"0\r\n\r\n")
+	return true
+}
+
+// Guards against streams that are cut for a pause of their upstream, as on a full link, although
+// nobody can go on with them.
+func TestStalledStreamIsNotCut(t *testing.T) {
+	w := newWorld(t, newUpstream(t, "u1", stalling))
+	a := w.ask(t, "/stream/", "r1")
+	must.False(t, a.broken)
+	must.Eq(t, event(1)+event(2), a.body)
+}
+
+// Guards against the same while no retry is left in the budget.
+func TestStalledStreamIsNotCutForWantOfARetry(t *testing.T) {
+	u1, u2 := newUpstream(t, "u1", stalling), newUpstream(t, "u2", stalling)
+	w := newWorld(t, u1, u2)
+	w.relayer.Budgets = &retrier.Budgets{New: func() *retrier.Budget {
+		return &retrier.Budget{Clock: clock.RealClock{}, Share: 1e-9, Floor: 1e-9, Burst: 1e-9}
+	}}
+	a := w.ask(t, "/stream/", "r1")
+	must.False(t, a.broken)
+	must.Eq(t, event(1)+event(2), a.body)
+	must.Eq(t, 1, len(u1.came())+len(u2.came()))
+}
+
+// Guards against waiting for a stalled upstream while another one can go on with the stream.
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	var first once
+	answer := func(name string) func(int, string, net.Conn) bool {
+		return func(_ int, id string, conn net.Conn) bool {
+			if first.is(name) {
+				say(conn, streamHead(id)+chunked(event(1)))
+				time.Sleep(patience)
+				return true
+			}
+			say(conn, streamHead(id)+chunked(event(2))+"0\r\n\r\n")
+			return true
+		}
+	}
+	w := newWorld(t, newUpstream(t, "u1", answer("u1")), newUpstream(t, "u2", answer("u2")))
+	began := time.Now()
+	a := w.ask(t, "/stream/", "r1")
+	must.False(t, a.broken)
+	must.Eq(t, event(1)+event(2), a.body)
+	must.Less(t, patience/2, time.Since(began))
+}
