relayer: give up requests that have not begun within the time of their weights

A slot is granted on a prediction of when the request begins, with 0.5 s to spare; the engine then may run more than its agent knows, or slow down.

The entry now closes the connection of a request whose first event has not come 0.06 s before the end of its weights' time. The engine drops it unrun, and it is tried elsewhere.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -250,8 +250,18 @@
 
 // SurelyOutdated is Outdated where the moment is known, and false where it isn't.
 func (r *Registrar) SurelyOutdated(model string, version uint64, bound time.Duration) bool {
+	left, known := r.TimeLeft(model, version, bound)
+	return known && left < 0
+}
+
+// TimeLeft is for how much longer replies may begin on a version of a model, under a bound counted
+// from the announcement of a newer one. It is false while none is known, or not since when.
+func (r *Registrar) TimeLeft(model string, version uint64, bound time.Duration) (time.Duration, bool) {
 	at, superseded := r.superseded(model, version)
-	return superseded && !at.IsZero() && r.Clock.Since(at) > bound
+	if !superseded || at.IsZero() {
+		return 0, false
+	}
+	return bound - r.Clock.Since(at), true
 }
 
 // superseded is what the present view says of a version.
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -73,7 +73,7 @@
 		return nil, &v
 	}
 	return &Place{
-		Upstream: u, Wait: v.Wait(), Active: v.Active, Version: j.Version,
+		Upstream: u, Wait: v.Wait(), Active: v.Active, Version: j.Version, Held: v.Version,
 		started: func() { agent.Tell(messenger.Progress{Started: []string{j.ID}}) },
 		ended: func() {
 			p.Chooser.End(u.ID)
@@ -112,7 +112,7 @@
 	if p.Chooser.Running(u.ID) > share || p.Chooser.Avoided(u.ID) || !p.Chooser.Lives(u.ID) || u.ColdFor() > 0 || !p.limitPass(view, u) {
 		return nil
 	}
-	return &Place{Upstream: u, Version: version, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}
+	return &Place{Upstream: u, Version: version, Held: held, started: func() {}, ended: func() { p.Chooser.End(u.ID) }}
 }
 
 // Agent is the road to the agent beside an engine.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -51,7 +51,8 @@
 	// last attempt spent on one of them would end the request although all upstreams are well.
 	o := sendOptions{fresh: !c.Route.Repeatable() || c.rested, headerWithin: c.headerWithin(place),
 		connections: c.Placer.connections(u),
-		stalled:     func(conn *connection) bool { return c.readsOn(ctx, conn) }}
+		stalled:     func(conn *connection) bool { return c.readsOn(ctx, conn) },
+		opened:      func(conn *connection) func() { return c.closeUnlessBegun(place, conn) }}
 	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
 	if err != nil {
 		return err
@@ -129,6 +130,7 @@
 
 // relayPlain hands a reply on, a short one only once it is whole.
 func (c *call) relayPlain(ctx context.Context, x *exchange, place *Place) error {
+	x.begun()
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, bufferedReply))
 	if err != nil {
 		x.abandon()
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -75,6 +75,8 @@
 	// written is closed once the request is sent whole.
 	written chan struct{}
 	stop    func() bool
+	// begun is called once the request has begun, or is over.
+	begun func()
 }
 
 // sendOptions tell how one attempt is made.
@@ -87,6 +89,9 @@
 	connections int
 	// stalled decides whether to read on when nothing has come for too long; nil gives up.
 	stalled func(*connection) bool
+	// opened is called with the connection before the request is sent; what it returns is called
+	// once the request has begun, or is over. Nil for neither.
+	opened func(*connection) (begun func())
 }
 
 // send starts an exchange. It never sends a request twice: net/http's transport
@@ -98,7 +103,10 @@
 		// Without a connection nothing was sent.
 		return nil, &SendError{Upstream: upstream, Outcome: retrier.NotRun, Err: err}
 	}
-	x := &exchange{pool: p, upstream: upstream, conn: conn, written: make(chan struct{})}
+	x := &exchange{pool: p, upstream: upstream, conn: conn, written: make(chan struct{}), begun: func() {}}
+	if o.opened != nil {
+		x.begun = o.opened(conn)
+	}
 	if o.stalled != nil {
 		conn.stalled = func() bool { return o.stalled(conn) }
 	}
@@ -191,6 +199,7 @@
 // finish ends an exchange whose body was read to its end. The connection is used
 // again only if nothing is left on it.
 func (x *exchange) finish() {
+	x.begun()
 	if !x.stop() {
 		return
 	}
@@ -214,6 +223,7 @@
 
 // abandon closes the connection, so that the upstream drops the request.
 func (x *exchange) abandon() {
+	x.begun()
 	x.stop()
 	x.conn.Close()
 }
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -50,6 +50,7 @@
 			return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 		}
 		if first {
+			x.begun()
 			place.Started()
 		}
 		if err := c.relayEvent(x, event, resumed && first); err != nil {
