scheduler: check a repeated reservation like a new one

An entry whose reservation got no answer asks again. The agent granted it without a look at the wait, the end of the weights' time or the cold limit, as it still held the slot: a request could begin after the bound. The slot of the first question is now given up and the second checked like any other. TestRepeatedReservationIsCheckedAgain failed before. Found while reading, not seen in a play.

--- a/internal/scheduler/begin_test.go
+++ b/internal/scheduler/begin_test.go
@@ -66,3 +66,16 @@
 	idle.Expiry = func() time.Time { return expiry }
 	must.True(t, idle.Reserve(late, 0).Granted)
 }
+
+// Guards against a slot that is granted again to the same request, whose first answer was lost,
+// when it can't begin within its weights' time any more.
+func TestRepeatedReservationIsCheckedAgain(t *testing.T) {
+	l, c := openLedger()
+	expiry := c.Now().Add(800 * time.Millisecond)
+	l.Expiry = func() time.Time { return expiry }
+	long := scheduler.Job{ID: "long", Prompt: 7000, Answer: 90, Patience: time.Second, Left: 6 * time.Second}
+	must.True(t, l.Reserve(long, 0).Granted)
+	c.Step(700 * time.Millisecond)
+	must.False(t, l.Reserve(long, 0).Granted)
+	must.True(t, l.Reserve(job(1, time.Second), 0).Granted, must.Sprint("its slot is free"))
+}
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -205,15 +205,15 @@
 	if l.expired(now) {
 		return Verdict{Closed: OldWeights}
 	}
+	if l.held[j.ID] != nil {
+		// The answer to an earlier question was lost. What held then may not hold any more.
+		delete(l.held, j.ID)
+		l.reckon()
+	}
 	v := Verdict{
 		Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now)),
 		Unreserved: l.foreign, Observed: l.observedAgo(now),
 	}
-	if l.held[j.ID] != nil {
-		// The answer to an earlier question was lost.
-		v.Granted = true
-		return v
-	}
 	if limit := l.limit(j); v.Active >= limit {
 		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-limit+1)
 		return v
