--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -214,6 +214,7 @@
 			ID: fmt.Sprintf("entry-%d", i), Region: regionName(i % sh.regions), FailureDomain: "a",
 			Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
 		}, askers: map[string]bool{}}
+		n.cut.Store(sh.cut)
 		n.Callers, n.listener = n.Peers, connectortest.NewListener(n.Peers)
 		f.members = append(f.members, n)
 		f.byPeers[n.Peers.String()] = n
--- a/internal/syncer/large_table_test.go
+++ b/internal/syncer/large_table_test.go
@@ -200,18 +200,51 @@
 				t.Cleanup(func() { time.Sleep(connectortest.Settle) })
 				f := newFleet(t, sh)
 				time.Sleep(within)
-				listed, without := 0, 0
+				listed, without := f.starts()
+				must.Zero(t, without, must.Sprint("processes without a route table"))
+				must.LessEq(t, 2, listed, must.Sprint("the seeds alone"))
+			})
+		})
+	}
+}
+
+// Guards against processes without a route table 4 s after the store's return, when they have
+// started in an outage and list the store together.
+func TestProcessesThatStartInAnOutageHaveTheTableAfterIt(t *testing.T) {
+	const (
+		outage = 3 * time.Second
+		within = 4 * time.Second
+	)
+	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			sh := grownShape(delay)
+			sh.table, sh.cut = true, true
+			synctest.Test(t, func(t *testing.T) {
+				t.Cleanup(func() { time.Sleep(connectortest.Settle) })
+				f := newFleet(t, sh)
+				time.Sleep(outage)
 				for _, n := range f.members {
-					if n.lists.Load() > 0 {
-						listed++
-					}
-					if v := n.View(); v == nil || v.Table == nil {
-						without++
-					}
+					n.lists.Store(0)
+					n.cut.Store(false)
 				}
+				time.Sleep(within)
+				listed, without := f.starts()
+				t.Log("processes that listed the store:", listed)
 				must.Zero(t, without, must.Sprint("processes without a route table"))
-				must.LessEq(t, 2, listed, must.Sprint("the seeds alone"))
 			})
 		})
 	}
 }
+
+// starts counts the processes that have listed the store, and those without a route table.
+func (f *fleet) starts() (listed, without int) {
+	for _, n := range f.members {
+		if n.lists.Load() > 0 {
+			listed++
+		}
+		if v := n.View(); v == nil || v.Table == nil {
+			without++
+		}
+	}
+	return listed, without
+}
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -23,6 +23,8 @@
 	entries, regions, agents, upstreams int
 	// table has the store hold a large route table from the start.
 	table bool
+	// cut has no process reach the store at the start.
+	cut bool
 	// storeDelay is how long the store takes for an answer.
 	storeDelay time.Duration
 	// linkRate is how many bytes a second fit between two regions, each way; 0 for any number.
