connectortest: let writes return before they have reached the peer

TestProcessesThatStartTogetherListTheStoreOnce hung in one of five runs, and in one of eight when tried again: since timeouts leave connections open, a server may have two answers to write on one. The first slept on the link while it held the library's lock, the second waited for that lock, and virtual time stands still while anything waits for a lock. Writes are queued now, as a kernel does, and a goroutine brings them to the peer.

--- a/internal/connector/connectortest/network.go
+++ b/internal/connector/connectortest/network.go
@@ -47,10 +47,10 @@
 		return nil, refused()
 	}
 	near, far := net.Pipe()
-	if err := l.Deliver(ctx, slowConn{far}); err != nil {
+	if err := l.Deliver(ctx, delayed(far)); err != nil {
 		return nil, err
 	}
-	return slowConn{near}, nil
+	return delayed(near), nil
 }
 
 // Listener takes connections that are delivered to it.
@@ -99,11 +99,11 @@
 
 func refused() error { return &net.OpError{Op: "dial", Net: "tcp", Err: net.ErrClosed} }
 
-// slowConn delays each write by LinkDelay.
-type slowConn struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c slowConn) Write(b []byte) (int, error) {
-	time.Sleep(LinkDelay)
-	return c.Conn.Write(b)
+// delayed delays each write by LinkDelay.
+func delayed(conn net.Conn) net.Conn {
+	return NewAsyncConn(conn, func(b []byte) error {
+		time.Sleep(LinkDelay)
+		_, err := conn.Write(b)
+		return err
+	})
 }
--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -293,10 +293,12 @@
 			_ = far.Close()
 		}
 		to.mu.Unlock()
-		if err := to.listener.Deliver(ctx, &link{Conn: far, node: to, delay: delay, asker: from.ID, peer: from, shared: f.linkBetween(to, from)}); err != nil {
+		back := &link{Conn: far, node: to, delay: delay, asker: from.ID, peer: from, shared: f.linkBetween(to, from)}
+		if err := to.listener.Deliver(ctx, connectortest.NewAsyncConn(back, back.send)); err != nil {
 			return nil, err
 		}
-		return &link{Conn: near, node: from, delay: delay, peer: to, shared: f.linkBetween(from, to)}, nil
+		forth := &link{Conn: near, node: from, delay: delay, peer: to, shared: f.linkBetween(from, to)}
+		return connectortest.NewAsyncConn(forth, forth.send), nil
 	}
 }
 
@@ -324,7 +326,8 @@
 	return n, err
 }
 
-func (l *link) Write(b []byte) (int, error) {
+// send brings bytes to the peer, as fast as the links between regions are.
+func (l *link) send(b []byte) error {
 	time.Sleep(l.delay)
 	if l.node.squeezed.Load() {
 		time.Sleep(squeezedDelay)
@@ -332,29 +335,25 @@
 	if l.shared == nil {
 		return l.deliver(b)
 	}
-	written := 0
-	for written < len(b) {
-		part := b[written:min(len(b), written+segment)]
+	for part := range slices.Chunk(b, segment) {
 		if err := l.shared.carrySegment(context.Background(), len(part)); err != nil {
-			return written, err
+			return err
 		}
-		n, err := l.deliver(part)
-		written += n
-		if err != nil {
-			return written, err
+		if err := l.deliver(part); err != nil {
+			return err
 		}
 	}
-	return written, nil
+	return nil
 }
 
 // deliver hands bytes to the peer once they have crossed the network.
-func (l *link) deliver(b []byte) (int, error) {
+func (l *link) deliver(b []byte) error {
 	if !l.node.heardBy(l.peer) {
-		return len(b), nil
+		return nil
 	}
 	n, err := l.Conn.Write(b)
 	l.node.bytes.Add(int64(n))
-	return n, err
+	return err
 }
 
 // heardBy tells whether another process gets what this one writes.
