--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -351,7 +351,7 @@
 	if !l.node.heardBy(l.peer) {
 		return nil
 	}
-	n, err := l.Conn.Write(b)
+	n, err := l.Write(b)
 	l.node.bytes.Add(int64(n))
 	return err
 }
