--- a/internal/messenger/arrival_test.go
+++ b/internal/messenger/arrival_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -65,13 +64,11 @@
 		return
 	}
 	defer conn.Close()
-	var q struct {
-		ID json.RawMessage `json:"id"`
-	}
-	if json.NewDecoder(conn).Decode(&q) != nil {
+	id, err := readCallID(conn)
+	if err != nil {
 		return
 	}
-	answer := fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"result":{"after":0,"at":9,"age":1,"whole":true}}`, q.ID)
+	answer := fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"result":{"after":0,"at":9,"age":1,"whole":true}}`, id)
 	size := len(answer)/pieces + 1
 	for i := range sent {
 		if _, err := conn.Write(answer[min(len(answer), i*size):min(len(answer), (i+1)*size)]); err != nil {
--- a/internal/messenger/records_test.go
+++ b/internal/messenger/records_test.go
@@ -122,11 +122,8 @@
 			return
 		}
 		defer conn.Close()
-		var q struct {
-			ID json.RawMessage `json:"id"`
-		}
-		if json.NewDecoder(conn).Decode(&q) == nil {
-			fmt.Fprintf(conn, `{"jsonrpc":"2.0","id":%s,"result":{"after":0,"at":9,"packed":"bm9uc2Vuc2U="}}`, q.ID)
+		if id, err := readCallID(conn); err == nil {
+			fmt.Fprintf(conn, `{"jsonrpc":"2.0","id":%s,"result":{"after":0,"at":9,"packed":"bm9uc2Vuc2U="}}`, id)
 		}
 		_, _ = io.Copy(io.Discard, conn)
 	}()
@@ -137,6 +134,15 @@
 	must.True(t, errors.As(err, &unreadable), must.Sprint(err))
 }
 
+// readCallID reads a call and gives its id.
+func readCallID(r io.Reader) (json.RawMessage, error) {
+	var call struct {
+		ID json.RawMessage `json:"id"`
+	}
+	err := json.NewDecoder(r).Decode(&call)
+	return call.ID, err
+}
+
 // Records of 3,000 upstreams asked for over loopback, plain 991 kB.
 func BenchmarkRecordsOfManyUpstreams(b *testing.B) {
 	batch := upstreams(3000)
--- a/internal/relayer/begin.go
+++ b/internal/relayer/begin.go
@@ -21,8 +21,8 @@
 	return max(0, left-beginMargin), bounded
 }
 
-// closeUnlessBegun closes the connection of a request that does not begin in time. The function
-// that it returns tells that the request has begun, or is over.
+// closeUnlessBegun closes the connection of a request that does not begin in time. The returned
+// function stops that once the request has begun, or is over.
 func (c *call) closeUnlessBegun(place *Place, conn *connection) (begun func()) {
 	left, bounded := c.Placer.BeginWithin(place, &c.Job)
 	if !bounded {
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -72,7 +72,7 @@
 	Active int
 	// Version binds the attempt to that version of the weights; 0 for any.
 	Version uint64
-	// Held is the version that the engine held when the place was given; 0 when not told.
+	// Held is the version that the engine held when the place was granted; 0 when unknown.
 	Held uint64
 
 	started, ended func()
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// stallRetry is how long after no other upstream could take over a stalled reply it is looked
-// for one again.
+// stallRetry is the pause between two searches for an upstream that takes over a stalled reply.
 const stallRetry = 200 * time.Millisecond
 
 // Read reads what the upstream sends. When nothing comes until the read deadline, stalled decides
@@ -41,14 +40,13 @@
 	}
 	again := c.Again
 	c.Again = true
+	defer func() { c.Again = again }()
 	place, err := c.Placer.placeNow(ctx, &c.Job)
 	if err != nil || place == nil {
-		c.Again = again
 		return false
 	}
 	if !c.Budgets.Of(c.Service).Take() {
 		c.log("No retry left in the budget", nil)
-		c.Again = again
 		place.Ended()
 		return false
 	}
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -17,11 +17,11 @@
 	// turns to the store. Seeds may start 0.3 s later than others; who has not answered by then
 	// is taken for dead.
 	seedPatience = 700 * time.Millisecond
-	// readingPatience is the same while a seed answers that it still reads the store: as long as
+	// readingTimeout is the same while a seed answers that it still reads the store: as long as
 	// the store's client waits for a list. Afterwards processes list the store themselves, up
 	// to listSpread apart.
-	readingPatience = 2400 * time.Millisecond
-	listSpread      = time.Second
+	readingTimeout = 2400 * time.Millisecond
+	listSpread     = time.Second
 	// seedPause is the pause between two rounds over the seeds.
 	seedPause = 40 * time.Millisecond
 	// seedTimeout bounds a connection to a seed, and the time until its answer begins to
@@ -40,8 +40,8 @@
 // reads the store at the moment is waited for.
 func (s *Syncer) fromSeeds(ctx context.Context) bool {
 	distances, stale := map[netip.AddrPort]time.Duration{}, map[netip.AddrPort]bool{}
-	patience := seedPatience
-	for s.Clock.Since(s.seedsSince) < patience && ctx.Err() == nil {
+	timeout := seedPatience
+	for s.Clock.Since(s.seedsSince) < timeout && ctx.Err() == nil {
 		s.connectSeeds(ctx, distances)
 		for _, a := range nearest(distances) {
 			if stale[a] {
@@ -51,7 +51,7 @@
 			case seedKnows:
 				return true
 			case seedReads:
-				patience = readingPatience + s.listDelay
+				timeout = readingTimeout + s.listDelay
 			case seedIsStale:
 				stale[a] = true
 			case seedFailed:
