--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -163,18 +163,23 @@
 }
 
 // sure are faults that every plan has, as few seeds would put their promises to the test: the
-// budget of repeats, the reading of settings, and the bound on a drained failure domain. That
-// is drained when everything else is over: before, hardly anybody is undisturbed for long
-// enough to be held to the bound.
+// budget of repeats, the reading of settings, and the bounds on a drained failure domain and on a
+// cold upstream. The domain is drained, and an engine of another one replaced, when everything
+// else is over: before, hardly anybody is undisturbed for long enough to be held to the bound, and
+// an upstream may be warm again by the time entries learn of its return.
 func sure(r *rand.Rand, last time.Duration) []fault {
 	within := func(lasts time.Duration) time.Duration {
 		return settle + time.Duration(r.Int64N(int64(last-lasts-settle)))
 	}
-	return []fault{
+	faults := []fault{
 		{At: within(surelyBroken), For: surelyBroken, Kind: upstreamBreaks, Amount: 100},
 		{At: within(leastFault), For: leastFault, Kind: reload, Target: r.IntN(1 << 16), Amount: r.IntN(100)},
 		{At: last + leastFault, For: calmDrain, Kind: domainDrained, Target: r.IntN(1 << 16)},
 	}
+	drained := faults[len(faults)-1].Target % len(domains)
+	// The first engines are in the failure domains of the same index.
+	other := (drained + 1) % len(domains)
+	return append(faults, fault{At: last + leastFault, For: leastFault, Kind: upstreamLeaves, Target: other})
 }
 
 // enabled draws the kinds of one seed, each as often as its odds.
