planner, loader: bound the questions for holdings, tell them with requests

With 153 agents in five regions a version announced at 21.1 s was complete at the agents of the origin's region after 4.6 to 5.4 s, at those of the others after 8.8 to 15 s, and engines became unavailable for stale weights. A line for each fetch (a trial) shows that a sender hands a chunk for another region to its link within 54 ms, and that it takes 240 to 500 ms in the median, 1.7 s at worst, to arrive: every agent asks its region's four origin fetchers, and the origin fetchers of other regions, ten times a second what they hold, which is a tenth of such an agent's link on top of the 0.92 that chunks may take. The queue of the link grows for as long as weights spread.

An agent now asks four peers of its region, and an origin fetcher four of others, while chunks are on their way; each request for a chunk carries the bitmap of its sender. Chunks may take 0.88 of the link.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -39,10 +39,15 @@
 	// how long a fetch may run before another source is asked: a dozen times what a
 	// chunk takes on an agent's link.
 	chunkPatience = 500 * time.Millisecond
-	// uploadShare is the part of the VM's link that chunks for other agents may take:
-	// the engine's replies and the questions for places share it, and an event that
-	// waits in the link's queue for a tenth of a second is late.
-	uploadShare = 0.92
+	// uploadShare is the part of the VM's link that chunks for other agents may take, headers
+	// not counted: the engine's replies, the questions for places and those for holdings share it.
+	// With more, the link's queue grows for as long as weights spread, and chunks for other
+	// regions and the events of replies wait in it.
+	uploadShare = 0.88
+	// chunkQuestions is how many peers of the own region, and of others, are asked each time what
+	// they hold; the requests for chunks tell of the rest. Each of a region's agents asks its
+	// origin fetchers, whose links would be full of answers.
+	chunkQuestions = 4
 	// uploadPieces is how many bytes go out at once; on the slowest links that is a
 	// hundredth of a second.
 	uploadPieces = 8 << 10
@@ -92,7 +97,7 @@
 		Peer: func(a netip.AddrPort) fetcher.Source {
 			return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: s.Region}
 		},
-		Slots: chunkSlots, OriginSlots: originSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
+		Slots: chunkSlots, Questions: chunkQuestions, OriginSlots: originSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
 	}
 	st := &stager.Stager{
 		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
--- a/internal/fetcher/http.go
+++ b/internal/fetcher/http.go
@@ -21,12 +21,14 @@
 // stalled.
 const DefaultTimeout = 5 * time.Second
 
-// HoldingHeader carries the bitmap of the chunks that an agent holds, in base64, with
-// each chunk of the manifest that ManifestHeader of the request names. It is younger
-// than any that was asked for, and costs no call.
+// HoldingHeader carries the bitmap of the chunks that an agent holds, in base64, of the manifest
+// that ManifestHeader of the request names. It goes with each request for a chunk, which names
+// the agent in AgentHeader, and with each answer. It is younger than any that was asked for, and
+// costs no call.
 const (
 	HoldingHeader  = "Holding"
 	ManifestHeader = "Manifest"
+	AgentHeader    = "Agent"
 )
 
 // RegionHeader carries the caller's region to an agent.
@@ -57,9 +59,11 @@
 	// Client makes the calls; nil means http.DefaultClient.
 	Client *http.Client
 	// Watched and OnHolding, when set, name a manifest and take the bitmap of it that comes with
-	// each chunk.
+	// each chunk. Agent and Held are the caller's name and its own bitmap.
 	Watched   string
 	OnHolding func(have []byte)
+	Agent     string
+	Held      []byte
 	// Region is the caller's own, told to agents so that they keep upload slots
 	// free for fetches across a region link; empty for none.
 	Region string
@@ -123,6 +127,8 @@
 	}
 	if h.Watched != "" {
 		req.Header.Set(ManifestHeader, h.Watched)
+		req.Header.Set(AgentHeader, h.Agent)
+		req.Header.Set(HoldingHeader, base64.StdEncoding.EncodeToString(h.Held))
 	}
 	res, err := h.client().Do(req)
 	if err != nil {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -52,6 +52,9 @@
 	// Slots bounds the fetches in flight of each manifest, and OriginSlots those from
 	// Sources; 0 means half of Slots.
 	Slots, OriginSlots int
+	// Questions bounds how many peers of the own region, and of others, are asked each Poll what
+	// they hold of a manifest; 0 means all.
+	Questions int
 	// Upload paces what is sent to other agents, in bytes; nil means unpaced.
 	// UploadSlots bounds the fetches of peers served at once, of this region and
 	// of others each.
--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -116,36 +116,42 @@
 	case planner.FromPeer:
 		l.mu.Lock()
 		h, ok := s.peer(from.ID)
+		held := slices.Clone(s.transfer.Have())
 		l.mu.Unlock()
 		if !ok {
 			return nil, &fetcher.NotHeldError{Source: from.ID, Digest: digest}
 		}
-		return fetcher.Verified(l.listening(s, from.ID, l.Peer(h.Address))).Chunk(ctx, digest, size)
+		return fetcher.Verified(l.exchanging(s, from.ID, held, l.Peer(h.Address))).Chunk(ctx, digest, size)
 	default:
 		return l.fromSources(func(src fetcher.Source) ([]byte, error) { return src.Chunk(ctx, digest, size) })
 	}
 }
 
-// listening makes a peer's chunks bring word of what else it holds. Asked for at each
-// Poll only, that word is as old as several chunks take on a fast link, and agents
-// ask each other for what is gone or not yet there.
-func (l *Loader) listening(s *set, id string, src fetcher.Source) fetcher.Source {
+// exchanging makes a fetch of a chunk tell each side what the other holds. Known from questions
+// alone, that is as old as several chunks take on a fast link, and agents ask each other for what
+// is gone or not yet there.
+func (l *Loader) exchanging(s *set, id string, held []byte, src fetcher.Source) fetcher.Source {
 	peer, ok := src.(*fetcher.HTTP)
 	if !ok {
 		return src
 	}
 	asked := *peer
-	asked.Watched = s.digest
+	asked.Watched, asked.Agent, asked.Held = s.digest, l.ID, held
 	asked.OnHolding = func(have []byte) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if s.transfer != nil {
-			s.transfer.Saw(id, planner.Bitmap(have))
-		}
+		l.observe(s, id, have)
 	}
 	return &asked
 }
 
+// observe takes over what a peer itself says that it holds.
+func (l *Loader) observe(s *set, id string, have []byte) {
+	if s.transfer != nil {
+		s.transfer.Saw(id, planner.Bitmap(have), l.Clock.Now())
+	}
+}
+
 // fromSources asks the sources in turn and gives the first good answer.
 func (l *Loader) fromSources(ask func(fetcher.Source) ([]byte, error)) ([]byte, error) {
 	err := error(&fetcher.UnavailableError{Source: "no source"})
@@ -218,14 +224,14 @@
 	}
 }
 
-// poll asks the peers of a set what they hold now. The tracker's account is as
+// poll asks peers of a set what they hold now. The tracker's account is as
 // old as a heartbeat; a pipeline of chunks needs a younger one.
 func (l *Loader) poll(s *set, now time.Time) {
 	if now.Sub(s.polled) < l.Poll {
 		return
 	}
 	s.polled = now
-	for _, id := range s.transfer.Peers(now) {
+	for _, id := range s.transfer.Ask(now) {
 		h, ok := s.peer(id)
 		key := s.digest + " " + id
 		if !ok || l.asking[key] {
@@ -252,10 +258,10 @@
 	var missing *fetcher.NotHeldError
 	switch {
 	case err == nil:
-		s.transfer.Saw(id, planner.Bitmap(have))
+		l.observe(s, id, have)
 		l.nudge()
 	case errors.As(err, &missing):
-		s.transfer.Saw(id, nil)
+		l.observe(s, id, nil)
 	case ctx.Err() == nil:
 		s.transfer.Silent(id, l.Clock.Now())
 	}
@@ -360,7 +366,7 @@
 	return &planner.Transfer{
 		ID: l.ID, FailureDomain: l.FailureDomain, Region: l.Region,
 		Manifest: s.digest, Chunks: len(s.manifest.Chunks), SourceRegion: l.SourceRegion,
-		Slots: l.Slots, PeerSlots: max(1, l.Slots/2), OriginSlots: l.OriginSlots, AcrossSlots: max(1, l.Slots-1),
+		Slots: l.Slots, Questions: l.Questions, PeerSlots: max(1, l.Slots/2), OriginSlots: l.OriginSlots, AcrossSlots: max(1, l.Slots-1),
 		Patience: l.Patience, BusyBackoff: l.Poll / 4, AvoidFor: avoidFor,
 		OriginBackoff: l.OriginBackoff,
 		DrawAfter:     s.since.Add(l.Settle),
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -67,8 +67,23 @@
 	heartbeat time.Duration
 	// listens tells that each chunk brings word of what else its sender holds.
 	listens bool
+	// question is what asking a peer for its holdings costs on the links, in bytes each way;
+	// 0 for nothing.
+	question float64
+	// questions is the planner's Questions; tells has a request for a chunk tell what the
+	// requester holds.
+	questions int
+	tells     bool
+	// requests is the part of a link that requests and their replies take.
+	requests float64
+	// uploadShare is the part of a link that chunks for other agents may take, not counting
+	// headers; 0 for all of it, headers included.
+	uploadShare float64
 }
 
+// chunkOverhead is how many bytes a chunk takes on a link for each of its own.
+const chunkOverhead = 1.03
+
 // usual are the loader's defaults.
 var usual = habits{slots: 4, originSlots: 2, patience: 3 * time.Second, poll: time.Second, settle: time.Second, heartbeat: time.Second}
 
@@ -85,6 +100,10 @@
 	*planner.Transfer
 	state    messenger.AgentState
 	up, down link
+	// pacer is the limit on what the machine uploads.
+	pacer link
+	// asking are the peers whose answers are on their way.
+	asking map[string]bool
 	// uploads and exports count the transfers to this region and to others.
 	uploads, exports int
 	peers            map[string]*machine
@@ -208,12 +227,13 @@
 			ID: fmt.Sprintf("vm-%d", i), FailureDomain: fmt.Sprintf("%s-%d", region, i%3), Region: region,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 1),
 		},
-		up: link{rate: rate}, down: link{rate: rate}, peers: map[string]*machine{},
+		up: link{rate: rate * (1 - m.habits.requests)}, down: link{rate: rate * (1 - m.habits.requests)}, pacer: link{rate: rate * m.habits.uploadShare},
+		peers: map[string]*machine{}, asking: map[string]bool{},
 	}
 	v.Transfer = &planner.Transfer{
 		ID: v.state.ID, FailureDomain: v.state.FailureDomain, Region: region,
 		Manifest: manifest, Chunks: m.chunks, SourceRegion: "region-0",
-		Slots: m.habits.slots, PeerSlots: max(1, m.habits.slots/2), OriginSlots: m.habits.originSlots, AcrossSlots: m.habits.slots - 1,
+		Slots: m.habits.slots, Questions: m.habits.questions, PeerSlots: max(1, m.habits.slots/2), OriginSlots: m.habits.originSlots, AcrossSlots: m.habits.slots - 1,
 		Patience: m.habits.patience, BusyBackoff: m.habits.poll / 4, AvoidFor: 5 * time.Minute,
 		OriginBackoff: m.habits.originBackoff, DrawAfter: m.start.Add(m.habits.settle), Rand: rand.New(rand.NewPCG(m.seed, uint64(i))),
 	}
@@ -297,15 +317,44 @@
 }
 
 func (m *model) ask(v *machine, now time.Time) {
-	for _, id := range v.Peers(now) {
-		if p := v.peers[id]; p.dead(now) {
+	for _, id := range v.Ask(now) {
+		switch p := v.peers[id]; {
+		case p.dead(now):
 			m.at(now.Add(callTimeout), func(now time.Time) { v.Silent(id, now) })
-		} else {
-			v.Saw(id, append(planner.Bitmap(nil), p.Have()...))
+		case m.habits.question > 0:
+			m.question(v, p, now)
+		default:
+			v.Saw(id, append(planner.Bitmap(nil), p.Have()...), now)
 		}
 	}
 }
 
+// question asks a peer for its holdings over the links.
+func (m *model) question(v, p *machine, now time.Time) {
+	if v.asking[p.ID] {
+		return
+	}
+	v.asking[p.ID] = true
+	m.at(m.message(v, p, now), func(now time.Time) {
+		have := append(planner.Bitmap(nil), p.Have()...)
+		m.at(m.message(p, v, now), func(now time.Time) {
+			delete(v.asking, p.ID)
+			v.Saw(p.ID, have, now)
+			m.order(v, now)
+		})
+	})
+}
+
+// message is when a question or its answer arrives.
+func (m *model) message(from, to *machine, now time.Time) time.Time {
+	n := m.habits.question
+	passed := later(from.up.send(now, n), to.down.send(now, n))
+	if from.Region != to.Region {
+		passed = later(passed, later(m.out[from.Region].send(now, n), m.in[to.Region].send(now, n)))
+	}
+	return passed
+}
+
 func (m *model) order(v *machine, now time.Time) {
 	for {
 		o, ok := v.Next(now)
@@ -330,6 +379,9 @@
 		return
 	}
 	p := m.byID[from.ID]
+	if m.habits.tells && !p.dead(now) {
+		p.Saw(v.ID, append(planner.Bitmap(nil), v.Have()...), now)
+	}
 	switch {
 	case p.dead(now):
 		m.at(now.Add(callTimeout), func(now time.Time) { m.end(v, o, planner.Unavailable, now) })
@@ -337,12 +389,28 @@
 		v.Failed(o, planner.Busy, now)
 	case !p.Have().Has(o.Chunk):
 		v.Failed(o, planner.NotHeld, now)
+	case m.habits.uploadShare > 0:
+		*p.counter(v)++
+		m.upload(v, p, o, now)
 	default:
 		*p.counter(v)++
 		m.carry(v, p, o, later(p.up.send(now, bytes), m.cross(p.Region, v, now, bytes)), now)
 	}
 }
 
+// upload sends a chunk at the pace that its sender keeps to. The sender takes the next one as
+// soon as this one is handed to its link, whose queue may be long.
+func (m *model) upload(v, p *machine, o planner.Order, now time.Time) {
+	bytes := m.size / float64(m.chunks)
+	paced := p.pacer.send(now, bytes)
+	m.at(paced, func(time.Time) { *p.counter(v)-- })
+	m.at(paced.Add(-time.Duration(bytes/p.pacer.rate*float64(time.Second))), func(now time.Time) {
+		bytes *= chunkOverhead
+		passed := later(p.up.send(now, bytes), m.cross(p.Region, v, now, bytes))
+		m.carry(v, p, o, passed, now)
+	})
+}
+
 // originRefuses tells whether the origin is down.
 func (m *model) originRefuses(now time.Time) bool {
 	at := now.Sub(m.start)
@@ -371,7 +439,7 @@
 	passed = later(passed, v.down.send(now, m.size/float64(m.chunks)))
 	limit := now.Add(m.habits.overdue())
 	m.at(earlier(passed, limit), func(now time.Time) {
-		if p != nil {
+		if p != nil && m.habits.uploadShare == 0 {
 			*p.counter(v)--
 		}
 		switch {
@@ -381,7 +449,7 @@
 			m.end(v, o, planner.Corrupt, now)
 		default:
 			if p != nil && m.habits.listens {
-				v.Saw(p.ID, append(planner.Bitmap(nil), p.Have()...))
+				v.Saw(p.ID, append(planner.Bitmap(nil), p.Have()...), now)
 			}
 			m.arrive(v, o, now)
 		}
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -65,6 +65,8 @@
 	failures int
 	// slow tells that the last chunk from here took much longer than is usual.
 	slow bool
+	// refreshed is when the peer was last asked, or itself reported, what it holds.
+	refreshed time.Time
 	// busyUntil and avoidUntil are in the past for a peer in good standing.
 	busyUntil, avoidUntil time.Time
 }
@@ -95,6 +97,10 @@
 	// Slots bounds the fetches in flight, PeerSlots those from one peer,
 	// OriginSlots those from the origin, AcrossSlots those from other regions.
 	Slots, PeerSlots, OriginSlots, AcrossSlots int
+	// Questions bounds the peers of this region, and those of others, that are asked at one time
+	// what they hold while chunks are on their way, each of which refreshes that as well; 0 for
+	// all.
+	Questions int
 	// Patience is how long an agent leaves a chunk to its designated origin fetcher
 	// before it thinks of drawing it itself, and how long a fetch may run before
 	// another source is asked too.
@@ -219,11 +225,13 @@
 }
 
 // Saw notes what a peer itself says that it holds.
-func (t *Transfer) Saw(id string, have Bitmap) {
+func (t *Transfer) Saw(id string, have Bitmap, now time.Time) {
 	p := t.peer(id)
 	if p == nil {
 		return
 	}
+	p.refreshed = now
+	have = have[:min(len(have), len(t.have))]
 	if p.Region == t.Region {
 		t.adjust(p.Have, have)
 	}
@@ -271,15 +279,35 @@
 // Release undoes Hold.
 func (t *Transfer) Release(chunk int) { t.held.Clear(chunk) }
 
-// Peers lists the known peers that may be asked what they hold: those that this
-// agent may fetch from and that haven't failed lately.
-func (t *Transfer) Peers(now time.Time) []string {
-	var ids []string
+// Ask gives the peers to ask now what they hold, and counts them as asked: those that this agent
+// may fetch from, that lack chunks as far as is known and that haven't failed lately, the one
+// whose holdings are the oldest first.
+func (t *Transfer) Ask(now time.Time) []string {
+	most := len(t.peers)
+	if t.Questions > 0 && len(t.flights) > 0 {
+		most = t.Questions
+	}
+	own := t.stalest(most, now, func(p *peer) bool { return p.Region == t.Region })
+	if !t.IsOriginFetcher() {
+		return own
+	}
+	return append(own, t.stalest(most, now, func(p *peer) bool { return p.Region != t.Region })...)
+}
+
+// stalest picks up to so many of the chosen peers.
+func (t *Transfer) stalest(most int, now time.Time, chosen func(*peer) bool) []string {
+	var ps []*peer
 	for _, p := range t.peers {
-		if !now.Before(p.avoidUntil) && (p.Region == t.Region || t.IsOriginFetcher()) {
-			ids = append(ids, p.ID)
+		if chosen(p) && !now.Before(p.avoidUntil) && p.Have.Count() < t.Chunks {
+			ps = append(ps, p)
 		}
 	}
+	slices.SortStableFunc(ps, func(a, b *peer) int { return a.refreshed.Compare(b.refreshed) })
+	ids := make([]string, 0, min(len(ps), most))
+	for _, p := range ps[:min(len(ps), most)] {
+		p.refreshed = now
+		ids = append(ids, p.ID)
+	}
 	return ids
 }
 
--- a/internal/planner/transfer_test.go
+++ b/internal/planner/transfer_test.go
@@ -253,3 +253,42 @@
 	_, ok = a.Next(now.Add(20 * time.Second))
 	must.False(t, ok)
 }
+
+// Guards against questions whose number grows with the agents while links are full of chunks, and
+// against peers that are never asked again.
+func TestQuestionsGoToTheStalestPeers(t *testing.T) {
+	const chunks, questions = 8, 2
+	now := time.Unix(1_800_000_000, 0)
+	a := &planner.Transfer{
+		ID: "self", Region: "near", Manifest: manifest, Chunks: chunks, SourceRegion: "far",
+		Slots: 3, PeerSlots: 1, OriginSlots: 1, AcrossSlots: 1, Questions: questions,
+		Patience: time.Second, BusyBackoff: time.Second, AvoidFor: avoidFor, Rand: rand.New(rand.NewPCG(1, 1)),
+	}
+	a.Start(now, nil)
+	whole := planner.NewBitmap(chunks)
+	for i := range chunks {
+		whole.Set(i)
+	}
+	peers := []planner.Peer{{ID: "whole", Region: "near", Have: whole}}
+	for i := range 5 {
+		peers = append(peers, planner.Peer{ID: fmt.Sprint("near-", i), Region: "near"})
+	}
+	a.Learn(peers, now)
+	must.Len(t, 5, a.Ask(now), must.Sprint("nothing is on its way, and who has all chunks isn't asked"))
+
+	_, ok := a.Next(now)
+	must.True(t, ok)
+	now = now.Add(time.Second)
+	a.Saw("near-0", nil, now)
+	asked := map[string]int{}
+	for range 2 {
+		now = now.Add(time.Second)
+		ids := a.Ask(now)
+		must.Len(t, questions, ids)
+		for _, id := range ids {
+			asked[id]++
+		}
+	}
+	must.MapLen(t, 4, asked, must.Sprint("each once"))
+	must.MapNotContainsKey(t, asked, "near-0")
+}
