stager: let chunk lists spread from whoever has one

All ask the first two in rank first, whose links then are full of lists, and each waits there for 250 ms; and an agent asks the origin only 0.4 s after the one before it in rank, whose own table may be late.

Agents now ask six others at random. One that has sent as many lists as its link takes refuses at once, and the next look finds another one. An agent leaves the origin to the one before it in rank for 50 ms, and asks again no sooner than before.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -89,7 +89,7 @@
 	s := d.settings
 	client := &http.Client{Transport: &http.Transport{DialContext: connector.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
-	digests := &stager.Digester{Client: client}
+	digests := &stager.Digester{Client: client, Upload: linkLimit(s.LinkRate)}
 	ledger := &scheduler.Ledger{Clock: d.ages, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack}
 	l := &loader.Loader{
 		ID: s.Upstream.String(), FailureDomain: s.FailureDomain, Region: s.Region, Clock: d.clock,
@@ -97,7 +97,7 @@
 		Peer: func(a netip.AddrPort) fetcher.Source {
 			return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: s.Region}
 		},
-		Slots: chunkSlots, Questions: chunkQuestions, OriginSlots: originSlots, Upload: chunkUpload(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
+		Slots: chunkSlots, Questions: chunkQuestions, OriginSlots: originSlots, Upload: linkLimit(s.LinkRate), Patience: chunkPatience, Settle: chunkSettle, Poll: poll, OriginBackoff: originBackoff,
 	}
 	st := &stager.Stager{
 		ID: s.Name, Service: s.Service, Address: s.Upstream, Region: s.Region, Regions: s.Regions,
@@ -125,8 +125,8 @@
 	}, d.readiness)
 }
 
-// chunkUpload paces what is sent to other agents; nil when the link's rate isn't told.
-func chunkUpload(link int64) *rate.Limiter {
+// linkLimit paces what is sent to other agents; nil when the link's rate isn't told.
+func linkLimit(link int64) *rate.Limiter {
 	if link <= 0 {
 		return nil
 	}
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +13,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
@@ -43,6 +43,9 @@
 type Digester struct {
 	// Client asks other agents.
 	Client *http.Client
+	// Upload bounds the lists sent to other agents, in bytes; nil means no bound. Who asks beyond
+	// it is refused, and finds one that has got the list meanwhile.
+	Upload *rate.Limiter
 
 	mu       sync.Mutex
 	versions map[versionKey]*version
@@ -74,20 +77,21 @@
 const VersionsPath = "/versions/"
 
 const (
-	// askOriginAfter is how long an agent that isn't the first in rank leaves the
-	// question to those before it: for the second, and for all others twice that and
-	// askOriginStep for each rank. The origin's link is shared by all, and it takes few
-	// connections.
-	askOriginAfter = 400 * time.Millisecond
-	askOriginStep  = 50 * time.Millisecond
+	// askOriginStep is how long each agent leaves the origin to the one before it in rank. The
+	// origin's link is shared by all, and it takes few connections.
+	askOriginStep = 50 * time.Millisecond
+	// askOriginAgain is the least time until an agent that asked the origin without success asks
+	// again.
+	askOriginAgain = 400 * time.Millisecond
 	// peerTimeout bounds a question to another agent: the list of a hundred chunks takes
 	// 0.1 s on a link of a megabit a second.
 	peerTimeout = 250 * time.Millisecond
 	// roundTimeout bounds all questions of one round: the agent looks at its engine only
 	// between two rounds.
 	roundTimeout = 300 * time.Millisecond
-	// firstRanks is how many agents are asked by all others.
-	firstRanks = 2
+	// othersAsked is how many peers are asked each time: who does not know says so within
+	// milliseconds.
+	othersAsked = 6
 )
 
 // Known gives the digest of a version's manifest.
@@ -102,27 +106,25 @@
 }
 
 // Learn tries to learn a version's manifest from the other agents, or from the
-// origin when this agent's rank is due. Since is for how long it has been wanted. The
-// peers are tried in the order of their ranks, so one of the first and some others at
-// random are asked each time: with the first alone, all lists would leave over one link,
-// and who asks all in turn waits for each one that is dead.
+// origin when this agent's rank is due. Since is for how long it has been wanted. Peers are
+// picked at random: were those in rank before the others asked first, all lists would leave over
+// their links, and who asks all in turn waits for each one that is dead.
 func (d *Digester) Learn(ctx context.Context, k versionKey, self string, peers []peerAgent, since time.Duration) {
 	own := planner.Score(k.String(), self)
-	ranked := slices.Clone(peers)
-	slices.SortFunc(ranked, func(a, b peerAgent) int {
-		return cmp.Compare(planner.Score(k.String(), b.id), planner.Score(k.String(), a.id))
-	})
 	rank := 0
-	for rank < len(ranked) && planner.Score(k.String(), ranked[rank].id) > own {
-		rank++
+	for _, p := range peers {
+		if planner.Score(k.String(), p.id) > own {
+			rank++
+		}
 	}
-	if d.takeTurn(k, originTurn(rank), since) && d.fromOrigin(ctx, k) {
+	if d.takeTurn(k, time.Duration(rank)*askOriginStep, since) && d.fromOrigin(ctx, k) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
-	for _, i := range sources(len(ranked), rank) {
-		if d.fromPeer(ctx, k, ranked[i].chunks) {
+	order := rand.Perm(len(peers))
+	for _, i := range order[:min(len(order), othersAsked)] {
+		if d.fromPeer(ctx, k, peers[i].chunks) {
 			return
 		}
 	}
@@ -136,7 +138,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	last, ok := d.asked[k]
-	if since < turn || ok && since >= last && since-last < turn {
+	if since < turn || ok && since >= last && since-last < max(turn, askOriginAgain) {
 		return false
 	}
 	if d.asked == nil {
@@ -146,28 +148,6 @@
 	return true
 }
 
-// originTurn is for how long an agent of a rank leaves the origin to those before it.
-func originTurn(rank int) time.Duration {
-	return time.Duration(min(rank, firstRanks))*askOriginAfter + time.Duration(max(0, rank-firstRanks))*askOriginStep
-}
-
-// sources picks the peers to ask, by their place in the ranking: one of those before this
-// agent that are asked by all, and others of any rank.
-func sources(peers, rank int) []int {
-	var is []int
-	if first := min(firstRanks, rank, peers); first > 0 {
-		is = append(is, rand.IntN(first))
-	}
-	for range min(othersAsked, peers) {
-		is = append(is, rand.IntN(peers))
-	}
-	return is
-}
-
-// othersAsked is how many peers of any rank are asked each time: who does not know says
-// so within milliseconds. With two, half of 58 agents knew a list after 0.24 s.
-const othersAsked = 6
-
 func (d *Digester) fromPeer(ctx context.Context, k versionKey, a netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -281,6 +261,10 @@
 			http.NotFound(w, r)
 			return
 		}
+		if d.Upload != nil && !d.Upload.AllowN(time.Now(), min(len(v.body), d.Upload.Burst())) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		if _, err := w.Write(v.body); err != nil {
 			klog.V(1).InfoS("Version not sent", "err", err)
