planner: count no outage of the origin as silence of its fetchers

An agent that fails to reach the origin now waits for as long as for a silent origin fetcher before it draws out of turn again.

--- a/internal/planner/flights.go
+++ b/internal/planner/flights.go
@@ -98,6 +98,9 @@
 		}
 		p.busyUntil = now.Add(t.jitter(t.BusyBackoff))
 	case Unavailable:
+		if p == &t.origin {
+			t.originDown = now
+		}
 		t.shun(p, now)
 	case Corrupt:
 		p.avoidUntil = now.Add(t.jitter(t.distrust(o.Source)))
--- a/internal/planner/large_test.go
+++ b/internal/planner/large_test.go
@@ -32,3 +32,17 @@
 		must.Less(t, 1.1, m.drawn/m.size)
 	}
 }
+
+// Guards against agents that all draw chunks out of turn when the origin returns from an outage.
+func TestOriginFetchersDrawAloneAfterAnOutage(t *testing.T) {
+	for seed := range uint64(4) {
+		b := large(seed)
+		b.originDown = [2]time.Duration{500 * time.Millisecond, 6500 * time.Millisecond}
+		m := newModel(b)
+		took, stuck := m.run()
+		must.False(t, stuck)
+		t.Logf("seed %d: %v after the outage, %.2f copies from the origin", seed, took-b.originDown[1], m.drawn/m.size)
+		must.Less(t, firstSwitch, took-b.originDown[1])
+		must.Less(t, 1.2, m.drawn/m.size)
+	}
+}
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -219,12 +219,14 @@
 // one whose own link to the origin is down, shows in no failed call; its chunks
 // would be missing for ever in all agents. The wait grows with the rank, so that
 // the other origin fetchers try before the many others do.
-func (t *Transfer) stalled(now time.Time) bool {
-	wait := t.patience()
-	if !t.IsOriginFetcher() {
-		wait *= time.Duration(2 + t.rank)
+func (t *Transfer) stalled(now time.Time) bool { return now.Sub(t.lastGain) > t.stallTime() }
+
+// stallTime is for how long nothing may arrive at this agent before that counts as a stall.
+func (t *Transfer) stallTime() time.Duration {
+	if t.IsOriginFetcher() {
+		return t.patience()
 	}
-	return now.Sub(t.lastGain) > wait
+	return t.patience() * time.Duration(2+t.rank)
 }
 
 // patience is Patience, or longer where fetches take long as a rule: on a slow
@@ -235,9 +237,11 @@
 // paces is how many times the usual duration of a fetch counts as too long.
 const paces = 4
 
-// fallback draws a chunk from the origin out of turn, one at a time.
+// fallback draws a chunk from the origin out of turn, one at a time. An outage of the origin is no
+// silence of the origin fetchers: counted as one, all agents would draw at its return, and the
+// origin fetchers wait behind them.
 func (t *Transfer) fallback(now time.Time) (Order, bool) {
-	if len(t.flights) > 0 || !t.settled(now) || !t.origin.usable(now) || !t.stalled(now) {
+	if len(t.flights) > 0 || !t.settled(now) || !t.origin.usable(now) || !t.stalled(now) || now.Sub(t.originDown) <= t.stallTime() {
 		return Order{}, false
 	}
 	i, ok := t.any(t.open)
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -142,6 +142,8 @@
 	scratch  Bitmap
 	lastGain time.Time
 	learned  time.Time
+	// originDown is when the origin last did not answer.
+	originDown time.Time
 	// drawIdle and bringIdle are since when this agent has had no chunk of its own to draw
 	// from the origin, or to bring from another region.
 	drawIdle, bringIdle idleness
