--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -15,7 +15,7 @@
 // chunks from the origin or across a region link. A tracker puts these agents
 // into each list of holders, so that all agents agree on them while each knows
 // only a handful.
-const OriginFetchers = 4
+const OriginFetchers = 6
 
 // Peer is another agent that holds or wants the same manifest.
 type Peer struct {
