--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -44,9 +44,9 @@
 	// With more, the link's queue grows for as long as weights spread, and chunks for other
 	// regions and the events of replies wait in it.
 	uploadShare = 0.88
-	// chunkQuestions is how many peers of the own region, and of others, are asked each time what
-	// they hold; the requests for chunks tell of the rest. Each of a region's agents asks its
-	// origin fetchers, whose links would be full of answers.
+	// chunkQuestions is how many peers of the own region, and of others, are asked at once what they
+	// hold. Requests for chunks report the rest; with every peer asked, answers fill the links of
+	// the origin fetchers of a large region.
 	chunkQuestions = 4
 	// uploadPieces is how many bytes go out at once; on the slowest links that is a
 	// hundredth of a second.
--- a/internal/loader/holdings_test.go
+++ b/internal/loader/holdings_test.go
@@ -16,7 +16,7 @@
 
 // Guards against agents that learn of each other's chunks by questions alone, which take up
 // their links as their number grows.
-func TestRequestForAChunkTellsWhatItsSenderHolds(t *testing.T) {
+func TestChunkRequestReportsItsSendersHoldings(t *testing.T) {
 	inBubble(t, func(t *testing.T, n *network) {
 		w := publish("v1", 8)
 		holder := n.start(t, "holder", newOrigin(w))
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -70,10 +70,10 @@
 	// question is what asking a peer for its holdings costs on the links, in bytes each way;
 	// 0 for nothing.
 	question float64
-	// questions is the planner's Questions; tells has a request for a chunk tell what the
+	// questions is the planner's Questions; reports has a request for a chunk report what the
 	// requester holds.
 	questions int
-	tells     bool
+	reports   bool
 	// requests is the part of a link that requests and their replies take.
 	requests float64
 	// uploadShare is the part of a link that chunks for other agents may take, not counting
@@ -379,7 +379,7 @@
 		return
 	}
 	p := m.byID[from.ID]
-	if m.habits.tells && !p.dead(now) {
+	if m.habits.reports && !p.dead(now) {
 		p.Saw(v.ID, append(planner.Bitmap(nil), v.Have()...), now)
 	}
 	switch {
--- a/internal/planner/narrow_test.go
+++ b/internal/planner/narrow_test.go
@@ -15,7 +15,7 @@
 		machines: machines, chunks: 96, size: size, window: 2 * 2585 * time.Millisecond,
 		originCopies: 2, regions: 3, regionRate: 20e6 / 8, seed: seed,
 		habits: habits{slots: 3, originSlots: 2, patience: 500 * time.Millisecond, poll: 100 * time.Millisecond, originBackoff: 300 * time.Millisecond,
-			settle: 60 * time.Millisecond, heartbeat: 100 * time.Millisecond, listens: true, questions: 4, tells: true},
+			settle: 60 * time.Millisecond, heartbeat: 100 * time.Millisecond, listens: true, questions: 4, reports: true},
 	}
 }
 
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -237,9 +237,9 @@
 // paces is how many times the usual duration of a fetch counts as too long.
 const paces = 4
 
-// fallback draws a chunk from the origin out of turn, one at a time. An outage of the origin is no
-// silence of the origin fetchers: counted as one, all agents would draw at its return, and the
-// origin fetchers wait behind them.
+// fallback draws a chunk from the origin out of turn, one at a time. An outage of the origin doesn't
+// count against the origin fetchers: all agents would draw at its return, and the origin fetchers
+// wait behind them.
 func (t *Transfer) fallback(now time.Time) (Order, bool) {
 	if len(t.flights) > 0 || !t.settled(now) || !t.origin.usable(now) || !t.stalled(now) || now.Sub(t.originDown) <= t.stallTime() {
 		return Order{}, false
