--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -125,7 +125,7 @@
 	}, d.readiness)
 }
 
-// linkLimit paces what is sent to other agents; nil when the link's rate isn't told.
+// linkLimit paces what is sent to other agents; nil when the link's rate isn't known.
 func linkLimit(link int64) *rate.Limiter {
 	if link <= 0 {
 		return nil
