loader: let a fetch of evicted weights fail instead of crashing the agent

Since requests for chunks report holdings, a fetch reads the bitmap of its transfer when it starts. A step may order a fetch for an older version that is nearly complete and then evict that version for a newer one; the fetch starts after the step and dereferenced a nil transfer. The agent would have ended.

TestFetchOfEvictedWeightsFails panicked before.

--- a/internal/loader/set.go
+++ b/internal/loader/set.go
@@ -116,7 +116,10 @@
 	case planner.FromPeer:
 		l.mu.Lock()
 		h, ok := s.peer(from.ID)
-		held := slices.Clone(s.transfer.Have())
+		var held planner.Bitmap
+		if s.transfer != nil {
+			held = slices.Clone(s.transfer.Have())
+		}
 		l.mu.Unlock()
 		if !ok {
 			return nil, &fetcher.NotHeldError{Source: from.ID, Digest: digest}
@@ -127,9 +130,9 @@
 	}
 }
 
-// exchanging makes a fetch of a chunk tell each side what the other holds. Known from questions
-// alone, that is as old as several chunks take on a fast link, and agents ask each other for what
-// is gone or not yet there.
+// exchanging makes a fetch of a chunk report to each side what the other holds. Known from
+// questions alone, that is as old as several chunks take on a fast link, and agents ask each other
+// for what is gone or not yet there.
 func (l *Loader) exchanging(s *set, id string, held []byte, src fetcher.Source) fetcher.Source {
 	peer, ok := src.(*fetcher.HTTP)
 	if !ok {
