--- a/internal/fetcher/http.go
+++ b/internal/fetcher/http.go
@@ -128,7 +128,7 @@
 	if h.Watched != "" {
 		req.Header.Set(ManifestHeader, h.Watched)
 		req.Header.Set(AgentHeader, h.Agent)
-		req.Header.Set(HoldingHeader, base64.StdEncoding.EncodeToString(h.Held))
+		SetHolding(req.Header, h.Held)
 	}
 	res, err := h.client().Do(req)
 	if err != nil {
@@ -144,16 +144,31 @@
 
 // hold hands on the bitmap that came with an answer.
 func (h *HTTP) hold(res *http.Response) {
-	text := res.Header.Get(HoldingHeader)
-	if h.OnHolding == nil || text == "" {
+	if h.OnHolding == nil {
 		return
 	}
+	if have, ok := Holding(res.Header); ok {
+		h.OnHolding(have)
+	}
+}
+
+// SetHolding puts a bitmap of chunks into a header.
+func SetHolding(header http.Header, have []byte) {
+	header.Set(HoldingHeader, base64.StdEncoding.EncodeToString(have))
+}
+
+// Holding reads the bitmap that SetHolding put into a header; false for none that can be read.
+func Holding(header http.Header) (have []byte, ok bool) {
+	text := header.Get(HoldingHeader)
+	if text == "" {
+		return nil, false
+	}
 	have, err := base64.StdEncoding.DecodeString(text)
 	if err != nil {
-		klog.V(1).InfoS("Bitmap not read", "source", h.Address, "err", err)
-		return
+		klog.V(1).InfoS("Bitmap not read", "bitmap", text, "err", err)
+		return nil, false
 	}
-	h.OnHolding(have)
+	return have, true
 }
 
 func (h *HTTP) read(res *http.Response, digest string, limit int64, alive func()) ([]byte, error) {
--- a/internal/loader/handler.go
+++ b/internal/loader/handler.go
@@ -3,14 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
 )
 
@@ -74,8 +71,10 @@
 		data = c.data
 	}
 	if s := l.sets[r.Header.Get(fetcher.ManifestHeader)]; s != nil && s.transfer != nil {
-		l.observeCaller(s, r)
-		w.Header().Set(fetcher.HoldingHeader, base64.StdEncoding.EncodeToString(s.transfer.Have()))
+		if have, ok := fetcher.Holding(r.Header); ok {
+			l.observe(s, r.Header.Get(fetcher.AgentHeader), have)
+		}
+		fetcher.SetHolding(w.Header(), s.transfer.Have())
 	}
 	l.mu.Unlock()
 	if data == nil {
@@ -99,20 +98,6 @@
 	l.send(r.Context(), w, data, export)
 }
 
-// observeCaller takes over what the agent that asks for a chunk says that it holds.
-func (l *Loader) observeCaller(s *set, r *http.Request) {
-	text := r.Header.Get(fetcher.HoldingHeader)
-	if text == "" {
-		return
-	}
-	have, err := base64.StdEncoding.DecodeString(text)
-	if err != nil {
-		klog.V(1).InfoS("Bitmap not read", "peer", r.RemoteAddr, "err", err)
-		return
-	}
-	l.observe(s, r.Header.Get(fetcher.AgentHeader), have)
-}
-
 // isExport tells whether a request comes from another region. The origin fetchers there have
 // upload slots of their own: the many agents of this region keep the others taken nearly
 // all the time, and a chunk that can't leave the region holds up a whole region for as
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -171,15 +171,13 @@
 	within := func(lasts time.Duration) time.Duration {
 		return settle + time.Duration(r.Int64N(int64(last-lasts-settle)))
 	}
-	faults := []fault{
-		{At: within(surelyBroken), For: surelyBroken, Kind: upstreamBreaks, Amount: 100},
-		{At: within(leastFault), For: leastFault, Kind: reload, Target: r.IntN(1 << 16), Amount: r.IntN(100)},
-		{At: last + leastFault, For: calmDrain, Kind: domainDrained, Target: r.IntN(1 << 16)},
-	}
-	drained := faults[len(faults)-1].Target % len(domains)
-	// The first engines are in the failure domains of the same index.
-	other := (drained + 1) % len(domains)
-	return append(faults, fault{At: last + leastFault, For: leastFault, Kind: upstreamLeaves, Target: other})
+	breaks := fault{At: within(surelyBroken), For: surelyBroken, Kind: upstreamBreaks, Amount: 100}
+	reloads := fault{At: within(leastFault), For: leastFault, Kind: reload, Target: r.IntN(1 << 16), Amount: r.IntN(100)}
+	drains := fault{At: last + leastFault, For: calmDrain, Kind: domainDrained, Target: r.IntN(1 << 16)}
+	// Engine i is in failure domain i for the first of them.
+	undrained := (drains.Target + 1) % len(domains)
+	leaves := fault{At: last + leastFault, For: leastFault, Kind: upstreamLeaves, Target: undrained}
+	return []fault{breaks, reloads, drains, leaves}
 }
 
 // enabled draws the kinds of one seed, each as often as its odds.
