Go by the starts of upstreams: one address, one living upstream

Cause: after a restart of everything the records of the former upstreams stay until their leases end. Entries asked the agents at these addresses, which granted slots for the engine that is there now, sent the request under the former ID and got 421; the slot was free again at once, so the next request went the same way.

A view holds only the latest start at an address, across services. A reservation names the start that is meant, an agent refuses one that isn't its engine's and looks at its engine at once if the named one is later. Whoever learns from an agent or from a 421 that another upstream is there takes the record out of use until it states another start; a record marked so hides no other, so that a start in the future does no harm. What an entry met at an upstream is forgotten when that starts anew under its ID.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -5,6 +5,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
@@ -27,6 +28,11 @@
 	Ledger *scheduler.Ledger
 	// Holds gives the version of a model in the engine; 0 for none.
 	Holds func(model string) uint64
+	// Started gives the start of the engine and how long ago that was seen; a zero start while it is
+	// unknown. Nil for an engine whose starts can't be told apart.
+	Started func() (born time.Time, ago time.Duration)
+	// Look has the agent look at its engine at once; nil for an agent that can't.
+	Look  func()
 	Clock clock.PassiveClock
 
 	once sync.Once
@@ -40,6 +46,9 @@
 
 // Reserve answers a question for a place.
 func (g *Granter) Reserve(q messenger.Reservation, from *messenger.Link) messenger.Verdict {
+	if v, ok := g.anotherEngine(q); ok {
+		return v
+	}
 	if q.Limit != nil {
 		g.Ledger.Limit(scheduler.Limit{Rate: q.Limit.PerSecond, Age: q.Limit.Age()})
 	}
@@ -58,6 +67,29 @@
 	}
 }
 
+// AnotherEngine is why nothing is granted for an engine that isn't the one beside the agent.
+const AnotherEngine = "another engine"
+
+// anotherEngine refuses a question for a start of the engine that isn't the one known here. The engine
+// would reject the request, and the slot be free for the next one that it rejects. A later start than
+// the known one is mostly the engine's own, which this agent hasn't seen yet.
+func (g *Granter) anotherEngine(q messenger.Reservation) (messenger.Verdict, bool) {
+	if g.Started == nil || q.BornMS == 0 {
+		return messenger.Verdict{}, false
+	}
+	born, ago := g.Started()
+	if born.IsZero() || born.Equal(q.Born()) {
+		return messenger.Verdict{}, false
+	}
+	if born.Before(q.Born()) && g.Look != nil {
+		g.Look()
+	}
+	if g.logs() {
+		klog.InfoS("Slot refused: meant for another start of the engine", "request", q.RequestID(), "meant", q.Born(), "born", born, "observed", ago)
+	}
+	return messenger.Verdict{Closed: AnotherEngine, BornMS: born.UnixMilli(), ObservedMS: ago.Milliseconds()}, true
+}
+
 // logs tells whether one more refusal is logged now.
 func (g *Granter) logs() bool {
 	g.once.Do(func() { g.logged = rate.NewLimiter(refusalLines, refusalBurst) })
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -40,6 +40,8 @@
 	learned map[string]time.Time
 	deleted map[string]time.Time
 	namings map[string][]Naming
+	// replaced are the starts of upstreams at whose addresses others were found, by ID.
+	replaced map[string]time.Time
 	// hidden is since when the record of a model's weights may have stood for a version that
 	// was never read.
 	hidden map[string]time.Time
@@ -235,7 +237,7 @@
 		klog.InfoS("Failure domain drained", "failureDomain", f.FailureDomain, "revision", rec.Revision)
 	case Upstream:
 		klog.InfoS("Upstream told", "upstream", f.ID, "service", f.Service, "address", f.Address,
-			"failureDomain", f.FailureDomain, "leaving", f.Leaving, "models", f.Models, "cold", f.Cold, "revision", rec.Revision)
+			"failureDomain", f.FailureDomain, "leaving", f.Leaving, "models", f.Models, "cold", f.Cold, "born", f.Born, "revision", rec.Revision)
 	case Member:
 		klog.InfoS("Entry told", "entry", f.ID, "callers", f.Callers, "revision", rec.Revision)
 	}
--- /dev/null
+++ b/internal/registrar/replaced.go
@@ -0,0 +1,64 @@
+package registrar
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// latestStarts is when the latest start at each address was, as far as upstreams state it.
+type latestStarts map[netip.AddrPort]time.Time
+
+// latestStarts gives those of all known upstreams but the replaced ones.
+//
+// After a restart the records of the former starts stay until their leases end. Used until then,
+// each request to such an upstream costs an attempt, as another one answers at the address.
+func (r *Registrar) latestStarts() latestStarts {
+	latest := latestStarts{}
+	for _, f := range r.facts {
+		u, ok := f.(Upstream)
+		if ok && u.Born.After(latest[u.Address]) && !r.isReplaced(u) {
+			latest[u.Address] = u.Born
+		}
+	}
+	return latest
+}
+
+// has tells whether no later start than an upstream's is known at its address.
+func (l latestStarts) has(u Upstream) bool { return u.Born.IsZero() || !l[u.Address].After(u.Born) }
+
+// isReplaced tells whether another upstream was found at the address of this one.
+func (r *Registrar) isReplaced(u Upstream) bool {
+	born, ok := r.replaced[u.ID]
+	return ok && born.Equal(u.Born)
+}
+
+// Replaced notes that another upstream was found at the address of this one, which is taken out of use
+// until its record states another start.
+func (r *Registrar) Replaced(u Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isReplaced(u) {
+		return
+	}
+	if r.replaced == nil {
+		r.replaced = map[string]time.Time{}
+	}
+	r.replaced[u.ID] = u.Born
+	r.forgetReplaced()
+	klog.InfoS("Upstream replaced", "upstream", u.ID, "service", u.Service, "address", u.Address, "born", u.Born)
+	r.publish()
+}
+
+// forgetReplaced drops those whose records are gone.
+func (r *Registrar) forgetReplaced() {
+	known := map[string]bool{}
+	for _, f := range r.facts {
+		if u, ok := f.(Upstream); ok {
+			known[u.ID] = true
+		}
+	}
+	maps.DeleteFunc(r.replaced, func(id string, _ time.Time) bool { return !known[id] })
+}
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -16,7 +16,7 @@
 	Revision uint64
 	// Table is nil while no route table is known.
 	Table *matcher.Table
-	// Upstreams are sorted by ID.
+	// Upstreams are sorted by ID. An upstream whose address belongs to a later start isn't among them.
 	Upstreams []*UpstreamView
 	// Members are sorted by ID.
 	Members []Member
@@ -31,6 +31,8 @@
 	Upstream
 	// Revision is the store's counter at its record.
 	Revision uint64
+	// Learned is when the record was written at the latest, by the registrar's clock.
+	Learned time.Time
 
 	clock     clock.PassiveClock
 	coldUntil time.Time
@@ -47,13 +49,17 @@
 		drained:  map[string]bool{},
 		weights:  map[string]WeightsView{},
 	}
+	live := r.latestStarts()
 	for key, f := range r.facts {
 		v.Revision = max(v.Revision, r.records[key].Revision)
 		switch f := f.(type) {
 		case Table:
 			v.Table = f.Table
 		case Upstream:
-			u := &UpstreamView{Upstream: f, Revision: r.records[key].Revision, clock: r.Clock, coldUntil: r.learned[key].Add(f.Cold)}
+			if !live.has(f) || r.isReplaced(f) {
+				continue
+			}
+			u := &UpstreamView{Upstream: f, Revision: r.records[key].Revision, Learned: r.learned[key], clock: r.Clock, coldUntil: r.learned[key].Add(f.Cold)}
 			v.Upstreams = append(v.Upstreams, u)
 		case Drained:
 			v.drained[f.FailureDomain] = true
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -64,6 +64,9 @@
 		active := float64(x.reply.Running+x.reply.Waiting) / float64(x.reply.Slots)
 		c.Chooser.Heard(u.ID, 0, active)
 	}
+	if x.reply.Upstream != "" && x.reply.Upstream != u.ID {
+		c.Registrar.Replaced(u.Upstream)
+	}
 	if err := c.usable(x); err != nil {
 		x.abandon()
 		return err
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -54,6 +54,9 @@
 	ID string
 	// NotRun says that the request did not run there and never will.
 	NotRun bool
+	// Upstream is the start of the upstream that refuses a request meant for another one; empty when
+	// not told.
+	Upstream string
 	// Sealed replies bear the upstream's proof that they are its own.
 	Sealed bool
 	// Version is that of the weights; 0 when not told.
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -45,7 +45,7 @@
 }
 
 func (codec) Reply(_ int, h http.Header) relayer.Reply {
-	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Sealed: h.Get("Seal") != ""}
+	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Upstream: h.Get("Upstream"), Sealed: h.Get("Seal") != ""}
 }
 
 func (codec) Returned(h http.Header) http.Header {
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -53,7 +53,9 @@
 
 // Candidate is an upstream that may serve a request.
 type Candidate struct {
-	ID       string
+	ID string
+	// Born is its start; zero when not told.
+	Born     time.Time
 	Distance Distance
 	// Slots is how many requests it runs at once; 0 when not told.
 	Slots int
@@ -76,6 +78,8 @@
 
 // seen is what is known of one upstream.
 type seen struct {
+	// born is the start that all this was met at; zero when not told.
+	born time.Time
 	// wait and active were told at the time heard; closed upstreams took nothing.
 	wait   time.Duration
 	active float64
@@ -141,6 +145,7 @@
 	r := &Ranking{left: make([]scored, 0, len(candidates))}
 	for i, k := range candidates {
 		s := c.at(k.ID, now)
+		c.restart(s, k.Born)
 		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now)})
 	}
 	heap.Init(&r.left)
@@ -148,6 +153,19 @@
 	return r
 }
 
+// restart forgets what was met at an earlier start of an upstream that keeps its ID. Requests that run
+// there still end, and count until then.
+func (c *Chooser) restart(s *seen, born time.Time) {
+	if s.born.Equal(born) {
+		return
+	}
+	if !s.born.IsZero() {
+		*s = seen{running: s.running, used: s.used, cold: rateTurn{phase: s.cold.phase}}
+		s.limited.turn.phase = c.Random.Float64()
+	}
+	s.born = born
+}
+
 // cost is how long a request would wait there, as far as this entry can tell.
 func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
 	cost, active := time.Duration(0), 0.0
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/emulator"
@@ -159,6 +160,13 @@
 	box := &sequencer.Mailbox[part]{Sequencer: c.time}
 	c.time.Sleep(3*way + c.Network.Connect)
 	stride := max(1, c.Engine.Stride)
+	if p.Upstream.ID != h.id {
+		c.time.Sleep(way)
+		c.report.Misdirected++
+		e.relayer.Registrar.Replaced(p.Upstream.Upstream)
+		return &relayer.SendError{Upstream: p.Upstream.ID, Outcome: retrier.NotRun, Status: http.StatusMisdirectedRequest,
+			Err: &UpstreamError{Problem: "another engine"}}
+	}
 	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride}, box, way)
 	limit := p.FirstEventLimit()
 	for first := true; ; first = false {
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -172,6 +172,9 @@
 const (
 	// FaultCrash ends engines: connections break, and they come back cold and without memory.
 	FaultCrash = "crash"
+	// FaultReplace is FaultCrash with an engine that comes back under another ID, while the record of
+	// the one before stays for News.Lapse.
+	FaultReplace = "replace"
 	// FaultSilent cuts the VMs of engines off: they work on, and nothing goes in or out.
 	FaultSilent = "silent"
 	// FaultSlow has engines work slower by Pace.
@@ -320,7 +323,7 @@
 
 func (f Fault) problem(domains map[string]bool) string {
 	switch f.Fault {
-	case FaultCrash, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch:
+	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch:
 	default:
 		return fmt.Sprintf("unknown fault %q", f.Fault)
 	}
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -180,3 +180,19 @@
 		must.Greater(t, 0.85*best, p.worth(ofKind(kind)), must.Sprint(kind))
 	}
 }
+
+// misdirected is how many requests came to another engine than was meant.
+func (p played) misdirected() int {
+	n := 0
+	for _, r := range p {
+		n += r.Misdirected
+	}
+	return n
+}
+
+// Guards against requests to the former starts of engines that all came back under other IDs.
+func TestAllEnginesReplaced(t *testing.T) {
+	p := playAll(t, load(t, "replacedEngines"))
+	must.Zero(t, p.misdirected())
+	must.Greater(t, 0.86, p.worth(everything))
+}
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -96,6 +97,16 @@
 		}
 	}
 	switch f.Fault {
+	case FaultReplace:
+		h.end()
+		former := h.id
+		h.time.In(f.Lasts+h.News.Lapse, func() { h.change(former, nil, h.News.Delay) })
+		after(func() {
+			h.id = fmt.Sprintf("%s.%d", former, h.starts)
+			h.byID[h.id] = h
+			h.start()
+			h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
+		})
 	case FaultCrash:
 		h.end()
 		starts := h.starts
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -52,6 +52,8 @@
 	Experiment *Experiment
 	Seed       uint64
 	Requests   []*Request
+	// Misdirected counts requests that came to another engine than was meant.
+	Misdirected int
 	// ColdExcess counts requests beyond the bound of cold engines.
 	ColdExcess int
 	// Total is over all requests.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -109,11 +109,13 @@
 	Digests *Digester
 
 	mu     sync.Mutex
+	look   chan struct{}
 	report Report
 	// born is the engine's start that the ledger counts for.
 	born int64
-	// startedAt is when this agent saw that start.
-	startedAt time.Time
+	// startedAt is when this agent saw that start, and reportedAt when the last report was asked for.
+	startedAt  time.Time
+	reportedAt time.Time
 	// looked is the revision of the records known when the engine last answered, and before the
 	// one when it did so last before its start. Untold tells that no record of the engine since
 	// then is known.
@@ -167,11 +169,41 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+		case <-s.lookNow():
 		case <-s.Clock.After(s.pause()):
 		}
 	}
 }
 
+// Look has the engine looked at without waiting for the next turn.
+func (s *Stager) Look() {
+	select {
+	case s.lookNow() <- struct{}{}:
+	default:
+	}
+}
+
+// lookNow carries one call of Look that is not yet met.
+func (s *Stager) lookNow() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.look == nil {
+		s.look = make(chan struct{}, 1)
+	}
+	return s.look
+}
+
+// Started gives the start of the engine as it was last seen, and how long ago that was; a zero start
+// before the first time.
+func (s *Stager) Started() (born time.Time, ago time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.report.Born == 0 {
+		return time.Time{}, 0
+	}
+	return time.UnixMilli(s.report.Born), s.Clock.Since(s.reportedAt)
+}
+
 func (s *Stager) String() string { return "stager" }
 
 // pause is shorter while it isn't known yet which chunks make up a version: nothing
@@ -271,6 +303,7 @@
 
 // observe asks the engine and tells the ledger.
 func (s *Stager) observe(ctx context.Context) bool {
+	asked := s.Clock.Now()
 	r, err := s.Engine.Report(ctx)
 	if ctx.Err() != nil {
 		return false
@@ -290,7 +323,7 @@
 	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.report = r
+	s.report, s.reportedAt = r, asked
 	return true
 }
 
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -207,6 +207,7 @@
 
 // world is one agent beside one engine.
 type world struct {
+	stager    *stager.Stager
 	registrar *registrar.Registrar
 	ledger    *scheduler.Ledger
 	engine    *engine
@@ -239,7 +240,7 @@
 	s := &stager.Stager{ID: "agent", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Region: "r",
 		Registrar: w.registrar, Loader: l, Ledger: w.ledger, Engine: e, Bound: bound, Clock: c, Digests: digests,
 		Origin: func(netip.AddrPort) stager.Origin { return w.origin }}
-	w.ledger.Expiry = s.Expiry
+	w.stager, w.ledger.Expiry = s, s.Expiry
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
 	t.Cleanup(stop)
