Let late requests of callers that came back wait for a slot while such waits get one

Cause: a power failure cuts the replies of some 600 callers, who notice 3.2 s later and come back within 0.3 s. They get what first attempts leave below 0.85 of the slots and were refused at once when there was nothing; most have no further retry.

Change: such a request looks for a slot again every 60 ms, for the time in which an engine's slots come free once, or a third of its caller's time. Each entry learns whether these waits get slots: with less than a third of them it stops for 2 s, doubling up to 16 s, and probes with one request. Under a lasting overload nothing changes.

--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -39,6 +39,8 @@
 	UngrantedSends Mechanism = "ungrantedSends"
 	// AdmissionWait looks for a slot for a part of the objective before it refuses.
 	AdmissionWait Mechanism = "admissionWait"
+	// LateWait has late requests of callers that came back wait for a slot while such waits get one.
+	LateWait Mechanism = "lateWait"
 	// RetryJitter spreads the Retry-After of callers that are refused together.
 	RetryJitter Mechanism = "retryJitter"
 	// RetryBudget bounds retries to a share of first attempts.
@@ -49,7 +51,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
-		UnresponsiveBackoff, UngrantedSends, AdmissionWait, RetryJitter, RetryBudget,
+		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, RetryJitter, RetryBudget,
 	}
 }
 
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -17,14 +17,6 @@
 )
 
 const (
-	// heldShare is the part of the objective for which a request is kept back while
-	// all engines are full, before it is refused.
-	heldShare = 0.11
-	// againHeld is how long a place is looked for after a failed attempt: callers leave a
-	// stream that pauses for two seconds or more.
-	againHeld = 600 * time.Millisecond
-	// heldPause is the pause between two rounds of questions.
-	heldPause = 20 * time.Millisecond
 	// leastSharers is among how many entries a cold upstream's rate is divided at least:
 	// after a loss of all, each knows only itself at first.
 	leastSharers = 24
@@ -140,36 +132,7 @@
 	Without ablator.Set
 
 	contention scheduler.Contention
-}
-
-// Place finds an upstream. Errors are *RefusedError and the context's.
-func (p *Placer) Place(ctx context.Context, j *Job) (*Place, error) {
-	if service := p.Registrar.View().Table.Services[j.Service]; service == nil || service.Engine == nil {
-		return p.placeNow(ctx, j)
-	}
-	began := p.Clock.Now()
-	held := time.Duration(heldShare * float64(j.Route.Objective))
-	if p.Without.Has(ablator.AdmissionWait) {
-		held = 0
-	}
-	if j.Again {
-		held = againHeld
-	}
-	for {
-		place, err := p.placeNow(ctx, j)
-		if err == nil || ctx.Err() != nil || p.late(j) {
-			return place, err
-		}
-		if p.Clock.Since(began)+heldPause > held {
-			p.contention.Refused(j.Service, p.Clock.Now())
-			return place, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-p.Clock.After(heldPause):
-		}
-	}
+	lateWaits  scheduler.LateWaits
 }
 
 // placeNow finds an upstream that takes a request at once. Errors are *RefusedError and the
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/simulator"
 )
 
@@ -196,3 +197,14 @@
 	must.Zero(t, p.misdirected())
 	must.Greater(t, 0.86, p.worth(everything))
 }
+
+// Guards against refusing callers for good that come back after a full restart, although slots come free
+// within a second.
+func TestCallersThatComeBackAfterAFullRestart(t *testing.T) {
+	e := load(t, "fullRestart")
+	waited := playAll(t, e)
+	e.Without = ablator.Set{ablator.LateWait}
+	refused := playAll(t, e)
+	must.Less(t, 0.85*refused.share(everything, simulator.Refused), waited.share(everything, simulator.Refused))
+	must.Less(t, 0.003, refused.worth(everything)-waited.worth(everything), must.Sprint("first attempts don't pay for them"))
+}
