Have requests wait for engines that load weights, as long as they are in time there

Cause: after a restart agents know 0.3 s ahead when their engines open, and refused all callers until then; the engines were noticed up to 0.15 s after they had loaded.

Change: an agent states when its engine should open, an entry keeps a request for that moment if its first event can still come within the objective, and an agent looks at its engine every 20 ms once it should have loaded. Late requests wait for as long as a slot takes to come free, unless their callers' time ends before a reply could.

--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -54,7 +54,7 @@
 	}
 	began := p.Clock.Now()
 	budget := p.queueingBudget(s, j)
-	free := time.Duration(0)
+	free, opens := time.Duration(0), time.Duration(0)
 	var waits []engineWait
 	met := &j.met
 	met.PassedOver, met.Unasked, met.Silent, met.Connections = 0, 0, 0, 0
@@ -66,7 +66,7 @@
 			break
 		}
 		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
-			free = least(free, full)
+			free, opens = least(free, full), least(opens, p.Chooser.Opens(u.ID))
 			met.passOver(p.Chooser.WhyClosed(u.ID))
 			continue
 		}
@@ -91,7 +91,8 @@
 			continue
 		}
 		if v.Closed != "" {
-			p.Chooser.Closed(u.ID, v.Closed, closedPause)
+			p.Chooser.Closed(u.ID, v.Closed, closedFor(v.Free()), v.Free())
+			opens = least(opens, v.Free())
 			continue
 		}
 		free = least(free, v.Free())
@@ -117,7 +118,16 @@
 			p.noteFull(w.upstream.ID, j, v.Free())
 		}
 	}
-	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Met: *met}
+	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
+}
+
+// closedFor is how long an engine isn't asked that takes nothing and should open after a time; 0 when
+// that isn't known.
+func closedFor(opens time.Duration) time.Duration {
+	if opens == 0 {
+		return closedPause
+	}
+	return min(opens, closedPause)
 }
 
 // passOver counts an engine that isn't asked; why is what its agent said if it was closed.
--- a/internal/relayer/logs_test.go
+++ b/internal/relayer/logs_test.go
@@ -179,7 +179,7 @@
 	must.Eq(t, http.StatusServiceUnavailable, w.ask(t, "/draft", "r1").status)
 	says(t, explain(t, "r1"), "Refused", "closed=2", "whyClosed=")
 	w.relayer.Chooser.Full("engine-0", false, time.Minute)
-	w.relayer.Chooser.Closed("engine-1", "old weights", time.Minute)
+	w.relayer.Chooser.Closed("engine-1", "old weights", time.Minute, 0)
 	must.Eq(t, http.StatusServiceUnavailable, w.ask(t, "/draft", "r2").status)
 	got := explain(t, "r2")
 	must.StrNotContains(t, got, "Place asked")
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -85,6 +85,8 @@
 	Reason string
 	// RetryAfter is when there may be room; 0 when that is not known.
 	RetryAfter time.Duration
+	// Opens is in how long an engine that loads weights should take requests; 0 when that isn't known.
+	Opens time.Duration
 	// Met is what the request met at the upstreams.
 	Met Met
 }
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
@@ -19,9 +20,8 @@
 	// which wait for longer.
 	heldPause = 20 * time.Millisecond
 	latePause = 60 * time.Millisecond
-	// lateShare is the part of its caller's remaining time for which a late request waits at most: a
-	// reply takes as long again.
-	lateShare = 0.33
+	// openingSlack is how much later than expected an engine may open: its agent looks every 20 ms.
+	openingSlack = 60 * time.Millisecond
 )
 
 // slotWait is how long a request looks for a slot before it is refused.
@@ -38,7 +38,7 @@
 	if err == nil || ctx.Err() != nil || !p.generates(j) {
 		return place, err
 	}
-	w := p.slotWait(j)
+	w := p.slotWait(j, err)
 	for p.Clock.Since(began)+w.pause <= w.limit {
 		select {
 		case <-ctx.Done():
@@ -61,8 +61,8 @@
 	return service != nil && service.Engine != nil
 }
 
-// slotWait is how long a request that found no slot looks for one.
-func (p *Placer) slotWait(j *Job) slotWait {
+// slotWait is how long a request that found no slot, for a reason, looks for one.
+func (p *Placer) slotWait(j *Job, reason error) slotWait {
 	switch {
 	case j.Again:
 		return slotWait{limit: againHeld, pause: heldPause}
@@ -71,7 +71,7 @@
 		if p.Without.Has(ablator.AdmissionWait) {
 			limit = 0
 		}
-		return slotWait{limit: limit, pause: heldPause}
+		return slotWait{limit: max(limit, p.openingWait(j, reason)), pause: heldPause}
 	case j.Returned && !p.Without.Has(ablator.LateWait) && p.lateWaits.Begin(j.Service, p.Clock.Now()):
 		return slotWait{limit: p.lateLimit(j), pause: latePause, late: true}
 	default:
@@ -79,12 +79,28 @@
 	}
 }
 
+// openingWait is how long a request waits for an engine that loads weights; 0 if it could not be in
+// time there.
+func (p *Placer) openingWait(j *Job, reason error) time.Duration {
+	var refused *RefusedError
+	if !errors.As(reason, &refused) || refused.Opens == 0 {
+		return 0
+	}
+	e := p.Registrar.View().Table.Services[j.Service].Engine
+	wait := refused.Opens + openingSlack
+	needs := firstEventTime + scheduler.ReadTime(e, min(j.Prompt, e.UsualPrompt))
+	if p.Clock.Since(j.Arrived)+wait+needs > j.Route.Objective {
+		return 0
+	}
+	return wait
+}
+
 // lateLimit is how long a late request waits for a slot: until each slot of an engine should have come
-// free once.
+// free once, or until its caller has no more time than a reply takes.
 func (p *Placer) lateLimit(j *Job) time.Duration {
 	e := p.Registrar.View().Table.Services[j.Service].Engine
 	turnover := time.Duration(max(1, e.Slots)) * scheduler.TurnTime(e)
-	return min(turnover, time.Duration(lateShare*float64(j.Deadline.Sub(p.Clock.Now()))))
+	return min(turnover, j.Deadline.Sub(p.Clock.Now())-turnover)
 }
 
 // endWait notes what became of a request that looked for a slot; left is set if nobody waits for it
--- /dev/null
+++ b/internal/relayer/wait_test.go
@@ -0,0 +1,117 @@
+package relayer_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// loadingEngine is an agent whose engine loads weights.
+type loadingEngine struct {
+	ledger *scheduler.Ledger
+	asked  int
+}
+
+// opensIn has the engine take requests after a time, which the agent knows if stated is set.
+func (e *loadingEngine) opensIn(d time.Duration, stated bool) {
+	if e.ledger.Close("no weights"); stated {
+		e.ledger.CloseUntil("no weights", time.Now().Add(d))
+	}
+	time.AfterFunc(d, func() { e.ledger.Open(engineTable().Services["engines"].Engine) })
+}
+
+func (e *loadingEngine) Reserve(_ context.Context, q messenger.Reservation) (messenger.Verdict, error) {
+	e.asked++
+	v := e.ledger.Reserve(scheduler.Job{ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left()}, nil)
+	return messenger.Verdict{Granted: v.Granted, Closed: v.Closed, FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots}, nil
+}
+
+func (e *loadingEngine) Tell(messenger.Progress) {}
+
+// inFrontOfOne runs a test in virtual time with an entry that has one engine.
+func inFrontOfOne(t *testing.T, test func(t *testing.T, p *relayer.Placer, e *loadingEngine)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.RealClock{}
+		e := &loadingEngine{ledger: &scheduler.Ledger{Clock: c}}
+		reg := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
+			if key == "table" {
+				return registrar.Table{Table: engineTable()}, nil
+			}
+			return registrar.Upstream{ID: key, Service: "engines", Address: host(1), FailureDomain: "a", Slots: 12}, nil
+		}}
+		reg.Apply(registrar.Batch{Whole: true, At: 2, Records: []registrar.Record{{Key: "table", Revision: 1}, {Key: "engine", Revision: 2}}})
+		test(t, &relayer.Placer{Registrar: reg, Clock: c, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
+			Chooser: &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 2))}, AgentPort: 1,
+			Reach: func(netip.AddrPort) relayer.Agent { return e }}, e)
+	})
+}
+
+func request(route *matcher.Route, returned bool) *relayer.Job {
+	j := &relayer.Job{Route: route, Service: "engines", Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second), Returned: returned}
+	j.ID, j.Model, j.Prompt = "r", "m", 100
+	return j
+}
+
+// Guards against refusing callers that an engine could serve in time as soon as it has loaded its weights.
+func TestRequestWaitsForAnEngineThatOpensInTime(t *testing.T) {
+	inFrontOfOne(t, func(t *testing.T, p *relayer.Placer, e *loadingEngine) {
+		e.opensIn(200*time.Millisecond, true)
+		began := time.Now()
+		_, err := p.Place(t.Context(), request(engineTable().Routes[0], false))
+		must.NoError(t, err)
+		must.Less(t, 260*time.Millisecond, time.Since(began))
+		must.LessEq(t, 5, e.asked)
+	})
+}
+
+// Guards against keeping callers for an engine that opens too late for them, or nobody knows when.
+func TestRequestDoesNotWaitForAnEngineThatOpensLate(t *testing.T) {
+	for name, stated := range map[string]bool{"too late": true, "not known when": false} {
+		t.Run(name, func(t *testing.T) {
+			inFrontOfOne(t, func(t *testing.T, p *relayer.Placer, e *loadingEngine) {
+				e.opensIn(400*time.Millisecond, stated)
+				began := time.Now()
+				_, err := p.Place(t.Context(), request(engineTable().Routes[0], false))
+				var refused *relayer.RefusedError
+				must.True(t, errors.As(err, &refused))
+				must.LessEq(t, 60*time.Millisecond, time.Since(began))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against refusing callers once more that came back while all engines load.
+func TestReturnedRequestWaitsForASlot(t *testing.T) {
+	inFrontOfOne(t, func(t *testing.T, p *relayer.Placer, e *loadingEngine) {
+		e.opensIn(700*time.Millisecond, false)
+		_, err := p.Place(t.Context(), request(engineTable().Routes[0], true))
+		must.NoError(t, err)
+	})
+}
+
+// Guards against holding a late request for so long that its caller has no time left for the reply.
+func TestReturnedRequestIsRefusedWithTimeLeft(t *testing.T) {
+	inFrontOfOne(t, func(t *testing.T, p *relayer.Placer, e *loadingEngine) {
+		e.opensIn(time.Minute, false)
+		j := request(engineTable().Routes[0], true)
+		_, err := p.Place(t.Context(), j)
+		var refused *relayer.RefusedError
+		must.True(t, errors.As(err, &refused))
+		must.Greater(t, time.Second, time.Until(j.Deadline))
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -87,8 +87,10 @@
 	// fullUntil is when there may be a place again at one that had none, and
 	// unsparingUntil when it may have one to spare.
 	fullUntil, unsparingUntil time.Time
-	// closed is why it took nothing at all then; empty when it was full.
+	// closed is why it took nothing at all then; empty when it was full. Opens is when it should take
+	// requests; zero when that isn't known.
 	closed string
+	opens  time.Time
 	// running are this entry's own requests there.
 	running  int
 	failures int
@@ -243,14 +245,27 @@
 		c.of(id).unsparingUntil = until
 		return
 	}
-	c.of(id).fullUntil, c.of(id).closed = until, ""
+	s := c.of(id)
+	s.fullUntil, s.closed, s.opens = until, "", time.Time{}
+}
+
+// Closed notes that an upstream takes nothing, and why; it isn't asked for so long. Opens is in how
+// long it should take requests; 0 when that isn't known.
+func (c *Chooser) Closed(id, why string, d, opens time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, now := c.of(id), c.Clock.Now()
+	s.fullUntil, s.closed, s.opens = now.Add(d), why, time.Time{}
+	if opens > 0 {
+		s.opens = now.Add(opens)
+	}
 }
 
-// Closed notes that an upstream takes nothing, and why; it isn't asked for so long.
-func (c *Chooser) Closed(id, why string, d time.Duration) {
+// Opens is in how long a closed upstream should take requests; 0 when that isn't known.
+func (c *Chooser) Opens(id string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.of(id).fullUntil, c.of(id).closed = c.Clock.Now().Add(d), why
+	return max(0, c.of(id).opens.Sub(c.Clock.Now()))
 }
 
 // WhyClosed is why an upstream took nothing when it last had no place; empty when it was
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -51,7 +51,8 @@
 	Closed string
 	// Wait is how long a job granted now waits before its prompt is read.
 	Wait time.Duration
-	// Free is in how long there may be a place, for one not granted.
+	// Free is in how long there may be a place, for one not granted; of a closed engine 0 when
+	// nobody knows.
 	Free time.Duration
 	// Active are the requests that hold places, of Slots.
 	Active, Slots int
@@ -86,7 +87,9 @@
 	mu     sync.Mutex
 	engine *matcher.Engine
 	closed string
-	held   map[string]*place
+	// opens is when a closed engine is expected to take jobs; zero when nobody knows.
+	opens time.Time
+	held  map[string]*place
 	// foreign is how many requests the engine runs beyond those known here.
 	foreign int
 	// observedAt is when the engine last said so.
@@ -120,14 +123,18 @@
 func (l *Ledger) Open(e *matcher.Engine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.engine, l.closed = e, ""
+	l.engine, l.closed, l.opens = e, "", time.Time{}
 }
 
 // Close lets nothing in any more; why is told to whoever asks.
-func (l *Ledger) Close(why string) {
+func (l *Ledger) Close(why string) { l.CloseUntil(why, time.Time{}) }
+
+// CloseUntil is Close for an engine that is expected to open at a moment; zero for one of which nobody
+// knows when.
+func (l *Ledger) CloseUntil(why string, opens time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.closed = why
+	l.closed, l.opens = why, opens
 }
 
 // Closed is why nothing is let in; empty when jobs are.
@@ -215,7 +222,7 @@
 // reserve is Reserve without what a refusal leaves as it was.
 func (l *Ledger) reserve(j Job, owner any, now time.Time) Verdict {
 	if l.engine == nil || l.closed != "" {
-		return Verdict{Closed: l.reason()}
+		return Verdict{Closed: l.reason(), Free: l.opensIn(now)}
 	}
 	if l.expired(now) {
 		return Verdict{Closed: OldWeights}
@@ -261,6 +268,17 @@
 	return v
 }
 
+// leastOpening is what is stated of an engine that should have opened by now.
+const leastOpening = 20 * time.Millisecond
+
+// opensIn is in how long a closed engine should open; 0 when that isn't known.
+func (l *Ledger) opensIn(now time.Time) time.Duration {
+	if l.opens.IsZero() {
+		return 0
+	}
+	return max(leastOpening, l.opens.Sub(now))
+}
+
 // observedAgo is how long ago the engine last reported what it runs; negative for never.
 func (l *Ledger) observedAgo(now time.Time) time.Duration {
 	if l.observedAt.IsZero() {
--- a/internal/scheduler/ledger_test.go
+++ b/internal/scheduler/ledger_test.go
@@ -316,3 +316,14 @@
 	pass := scheduler.PassTime(figures(), 16)
 	must.Between(t, 46*time.Millisecond, pass, 52*time.Millisecond)
 }
+
+// Guards against callers that are refused although their engine's agent knows when it opens.
+func TestClosedEngineStatesWhenItOpens(t *testing.T) {
+	l, c := openLedger()
+	l.CloseUntil("no weights", c.Now().Add(300*time.Millisecond))
+	c.Step(100 * time.Millisecond)
+	v := l.Reserve(scheduler.Job{ID: "r", Prompt: 1, Patience: time.Second, Left: time.Second}, nil)
+	must.Eq(t, 200*time.Millisecond, v.Free)
+	l.Close("no weights")
+	must.Eq(t, 0, l.Reserve(scheduler.Job{ID: "r", Prompt: 1, Patience: time.Second, Left: time.Second}, nil).Free)
+}
--- a/internal/stager/look_test.go
+++ b/internal/stager/look_test.go
@@ -1,6 +1,7 @@
 package stager_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,3 +26,16 @@
 	_, ago := w.stager.Started()
 	must.Eq(t, 20*time.Millisecond, ago)
 }
+
+// Guards against an engine that has loaded its weights and takes no requests until its agent's next
+// regular look, 0.15 s after the last one.
+func TestAgentLooksOftenWhenItsEngineShouldHaveLoaded(t *testing.T) {
+	var looks atomic.Int64
+	e := &engine{born: 1, loads: 300 * time.Millisecond}
+	e.looking = func() { looks.Add(1) }
+	newWorld(t, e, 8*time.Second)
+	eventually(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.orders == 1 })
+	before := looks.Load()
+	eventually(t, func() bool { return e.holds() == 1 })
+	must.GreaterEq(t, 5, looks.Load()-before)
+}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -25,6 +25,8 @@
 	every = 150 * time.Millisecond
 	// learnEvery is how often the others are asked which chunks make up a version.
 	learnEvery = 30 * time.Millisecond
+	// loadedEvery is how often the engine is asked once it should have loaded its weights.
+	loadedEvery = 20 * time.Millisecond
 	// orderPatience is how long an accepted order may go without effect before it is
 	// given again.
 	orderPatience = 6 * time.Second
@@ -206,13 +208,21 @@
 
 func (s *Stager) String() string { return "stager" }
 
-// pause is shorter while it isn't known yet which chunks make up a version: nothing
-// can be fetched until then.
+// pause is shorter while it isn't known yet which chunks make up a version, as nothing can be fetched
+// until then, and when the engine should have loaded its weights, as callers wait for it.
 func (s *Stager) pause() time.Duration {
 	if s.unlisted {
 		return learnEvery
 	}
-	return every
+	engine, model := s.engine()
+	if engine == nil {
+		return every
+	}
+	opens := s.opens(engine, s.Holds(model))
+	if opens.IsZero() {
+		return every
+	}
+	return min(every, max(loadedEvery, opens.Sub(s.Clock.Now())))
 }
 
 // Holds gives the version that the engine was last seen to hold.
@@ -243,7 +253,7 @@
 		s.stageAhead(ctx, model, held, target)
 		return
 	}
-	if s.ordered == target && s.Clock.Since(s.orderedAt) < orderPatience {
+	if s.ordered == target && s.loading(held) {
 		return
 	}
 	s.load(ctx, model, target)
@@ -331,9 +341,9 @@
 func (s *Stager) decideGate(e *matcher.Engine, model string, held uint64) {
 	switch {
 	case held == 0:
-		s.closeGate("no weights")
-	case s.report.Busy || s.ordered > held && s.Clock.Since(s.orderedAt) < orderPatience:
-		s.closeGate("switching weights")
+		s.closeGateUntil("no weights", s.opens(e, held))
+	case s.report.Busy || s.loading(held):
+		s.closeGateUntil("switching weights", s.opens(e, held))
 	case s.outdated(held):
 		s.closeGate(scheduler.OldWeights)
 	default:
@@ -353,12 +363,28 @@
 	return model, s.Holds(model), s.Ledger.Closed()
 }
 
-func (s *Stager) closeGate(why string) {
+// loading tells whether an order to load newer weights than the held ones is under way.
+func (s *Stager) loading(held uint64) bool {
+	return s.ordered > held && s.Clock.Since(s.orderedAt) < orderPatience
+}
+
+// opens is when an engine should hold the weights that it loads; zero when that isn't known, as while
+// it ends its requests first.
+func (s *Stager) opens(e *matcher.Engine, held uint64) time.Time {
+	if !s.loading(held) || s.report.Running+s.report.Waiting > 0 {
+		return time.Time{}
+	}
+	return s.orderedAt.Add(e.Load)
+}
+
+func (s *Stager) closeGate(why string) { s.closeGateUntil(why, time.Time{}) }
+
+func (s *Stager) closeGateUntil(why string, opens time.Time) {
 	if s.why != why {
 		klog.InfoS("Engine closed", "agent", s.ID, "why", why)
 	}
 	s.why = why
-	s.Ledger.Close(why)
+	s.Ledger.CloseUntil(why, opens)
 }
 
 // outdated tells whether the bound for a newer version is nearly over.
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -55,6 +55,8 @@
 	running int
 	// slow is how long the engine takes to say which chunks lie staged, or to stage one.
 	slow time.Duration
+	// loads is how long loading takes.
+	loads time.Duration
 	// looking and reading, when set, are called while the engine is asked what it does, and
 	// which bytes lie staged.
 	looking func()
@@ -126,7 +128,15 @@
 	for i, data := range e.staged {
 		e.loaded[i] = data
 	}
-	e.held = version
+	if e.loads == 0 {
+		e.held = version
+		return nil
+	}
+	time.AfterFunc(e.loads, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.held = version
+	})
 	return nil
 }
 
