Spread chunk lists over busy links: ask six agents at once, take turns at the origin by its link

An agent asked six others for the list one after the other, each 50 to 100 ms behind chunks, and left the origin to those before it for 50 ms each, although its link was idle.

Change: the six are asked together; each agent leaves the origin to the one before it for as long as a list takes on 0.3 of the origin's link, which the route table states (12 ms here, 47 ms for the large deployment's link and lists).

--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -154,6 +154,8 @@
 type Origin struct {
 	Address       netip.AddrPort
 	FailureDomain string
+	// LinkRate is what its link carries, in bytes a second; 0 when not told.
+	LinkRate int64
 }
 
 // Limits bound what a caller may send; 0 for no limit.
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -77,9 +77,15 @@
 const VersionsPath = "/versions/"
 
 const (
-	// askOriginStep is how long each agent leaves the origin to the one before it in rank. The
-	// origin's link is shared by all, and it takes few connections.
-	askOriginStep = 50 * time.Millisecond
+	// listShare is the part of the origin's link that chunk lists may take while chunks are fetched.
+	listShare = 0.3
+	// digestBytes is what a chunk takes in a list: its digest in hexadecimal, with quotes and a comma.
+	digestBytes = 68
+	// originLists is how many times the origin is asked for a list: a spoilt one would make every right
+	// chunk look wrong.
+	originLists = 2
+	// defaultOriginStep is OriginStep for an origin whose link isn't known.
+	defaultOriginStep = 50 * time.Millisecond
 	// askOriginAgain is the least time until an agent that asked the origin without success asks
 	// again.
 	askOriginAgain = 400 * time.Millisecond
@@ -89,11 +95,22 @@
 	// roundTimeout bounds all questions of one round: the agent looks at its engine only
 	// between two rounds.
 	roundTimeout = 300 * time.Millisecond
-	// othersAsked is how many peers are asked each time: who does not know says so within
-	// milliseconds.
+	// othersAsked is how many peers are asked each time, all together: on links that are saturated
+	// with chunks an answer takes as long as a whole round on idle ones.
 	othersAsked = 6
 )
 
+// OriginStep is how long each agent leaves the origin to the one before it in rank. The origin's link
+// is shared by all, and it takes few connections. The link's rate is in bytes a second; 0 when it isn't
+// known.
+func OriginStep(chunks int, rate int64) time.Duration {
+	if chunks <= 0 || rate <= 0 {
+		return defaultOriginStep
+	}
+	lists := originLists * digestBytes * float64(chunks)
+	return time.Duration(lists / (listShare * float64(rate)) * float64(time.Second))
+}
+
 // Known gives the digest of a version's manifest.
 func (d *Digester) Known(model string, number uint64) (digest string, ok bool) {
 	d.mu.Lock()
@@ -106,10 +123,10 @@
 }
 
 // Learn tries to learn a version's manifest from the other agents, or from the
-// origin when this agent's rank is due. Since is for how long it has been wanted. Peers are
-// picked at random: were those in rank before the others asked first, all lists would leave over
+// origin when this agent's rank is due, a step after the one before it. Since is for how long it has
+// been wanted. Peers are picked at random: were those in rank before the others asked first, all lists would leave over
 // their links, and who asks all in turn waits for each one that is dead.
-func (d *Digester) Learn(ctx context.Context, k versionKey, self string, peers []peerAgent, since time.Duration) {
+func (d *Digester) Learn(ctx context.Context, k versionKey, self string, peers []peerAgent, since, step time.Duration) {
 	own := planner.Score(k.String(), self)
 	rank := 0
 	for _, p := range peers {
@@ -117,14 +134,24 @@
 			rank++
 		}
 	}
-	if d.takeTurn(k, time.Duration(rank)*askOriginStep, since) && d.fromOrigin(ctx, k) {
+	if d.takeTurn(k, time.Duration(rank)*step, since) && d.fromOrigin(ctx, k) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
+	d.fromPeers(ctx, k, peers)
+}
+
+// fromPeers asks a few peers together, and leaves the others' answers as soon as one is good.
+func (d *Digester) fromPeers(ctx context.Context, k versionKey, peers []peerAgent) {
 	order := rand.Perm(len(peers))
-	for _, i := range order[:min(len(order), othersAsked)] {
-		if d.fromPeer(ctx, k, peers[i].chunks) {
+	order = order[:min(len(order), othersAsked)]
+	learned := make(chan bool, len(order))
+	for _, i := range order {
+		go func() { learned <- d.fromPeer(ctx, k, peers[i].chunks) }()
+	}
+	for range order {
+		if <-learned {
 			return
 		}
 	}
@@ -175,8 +202,7 @@
 	return d.keep(k, m)
 }
 
-// fromOrigin asks the origin twice, as a spoilt list of digests would make every right chunk
-// look wrong. It asks at once, since the link may be saturated with chunks.
+// fromOrigin asks the origin for both lists at once, since the link may be saturated with chunks.
 func (d *Digester) fromOrigin(ctx context.Context, k versionKey) bool {
 	d.mu.Lock()
 	o := d.origin
@@ -184,8 +210,8 @@
 	if o == nil {
 		return false
 	}
-	var lists [2]Digests
-	var errs [2]error
+	var lists [originLists]Digests
+	var errs [originLists]error
 	var calls sync.WaitGroup
 	for i := range lists {
 		calls.Go(func() { lists[i], errs[i] = o.Digests(ctx, k.model, k.version) })
@@ -226,6 +252,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.versions[k] != nil {
+		return true
+	}
 	if d.versions == nil {
 		d.versions = map[versionKey]*version{}
 		d.chunks = map[string]chunkOf{}
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -99,7 +99,7 @@
 	if digest, ok = s.Digests.Known(model, n.Version); ok {
 		return digest, true
 	}
-	s.Digests.Learn(ctx, versionKey{model, n.Version}, s.self(), peers, min(s.Clock.Since(n.Learned), s.wantedFor(n.Version)))
+	s.Digests.Learn(ctx, versionKey{model, n.Version}, s.self(), peers, min(s.Clock.Since(n.Learned), s.wantedFor(n.Version)), s.originStep())
 	if digest, ok = s.Digests.Known(model, n.Version); !ok {
 		return "", false
 	}
@@ -113,6 +113,16 @@
 	return digest, true
 }
 
+// originStep is how long each agent leaves the origin to the one before it in rank.
+func (s *Stager) originStep() time.Duration {
+	for _, service := range s.Registrar.View().Table.Services {
+		if service.Origin != nil {
+			return OriginStep(s.chunkCount(), service.Origin.LinkRate)
+		}
+	}
+	return defaultOriginStep
+}
+
 func (s *Stager) setOrigin() {
 	for _, service := range s.Registrar.View().Table.Services {
 		if service.Origin != nil {
@@ -168,11 +178,11 @@
 	s.Loader.SetHolders(hs)
 }
 
-// preload takes over what already lies staged, once after the start. Engines that
+// preload takes over what already lies staged, once after the engine first answered. Engines that
 // were there from the start have the first version staged, and those whose agent
 // restarted what was there before.
 func (s *Stager) preload(ctx context.Context, model, digest string) {
-	if s.preloaded {
+	if s.preloaded || s.born == 0 {
 		return
 	}
 	s.preloaded = true
