Fetch weights for an engine before it answers

Cause: the agent beside an added engine starts a second before that, and fetched nothing until its engine answered.

Change: it has the weights fetched meanwhile; what lies staged is taken over once the engine has answered. Counters tell of late requests that waited for a slot.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -58,7 +58,7 @@
 		Registrar: d.registrar, Chooser: chooser, Clock: d.clock,
 		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		AgentPort: d.internalPort(reservePort), Agents: &messenger.Clients{Dial: dialPeer, Timeout: relayer.AskTimeout}, WeightsBound: s.Bounds.Weights,
-		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
+		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Metrics: d.metrics,
 	}
 	opened := metrics.GetOrRegisterCounter("upstreamConnections", d.metrics)
 	pool := &relayer.Pool{Clock: d.clock, Opened: func() { opened.Inc(1) }}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
@@ -130,6 +131,8 @@
 	// ColdFactor and ColdSlack bound what a cold upstream may get from all entries in a
 	// second: so many times its rate, and a number besides.
 	ColdFactor, ColdSlack float64
+	// Metrics counts what became of late requests that looked for a slot; nil for no count.
+	Metrics metrics.Registry
 	// Without are the mechanisms that an experiment switches off.
 	Without ablator.Set
 
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
@@ -72,13 +74,23 @@
 			limit = 0
 		}
 		return slotWait{limit: max(limit, p.openingWait(j, reason)), pause: heldPause}
-	case j.Returned && !p.Without.Has(ablator.LateWait) && p.lateWaits.Begin(j.Service, p.Clock.Now()):
+	case j.Returned && !p.Without.Has(ablator.LateWait):
+		if !p.lateWaits.Begin(j.Service, p.Clock.Now()) {
+			p.count("lateWaits.suspended")
+			return slotWait{pause: heldPause}
+		}
 		return slotWait{limit: p.lateLimit(j), pause: latePause, late: true}
 	default:
 		return slotWait{pause: heldPause}
 	}
 }
 
+func (p *Placer) count(name string) {
+	if p.Metrics != nil {
+		metrics.GetOrRegisterCounter(name, p.Metrics).Inc(1)
+	}
+}
+
 // openingWait is how long a request waits for an engine that loads weights; 0 if it could not be in
 // time there.
 func (p *Placer) openingWait(j *Job, reason error) time.Duration {
@@ -110,8 +122,12 @@
 	switch {
 	case w.late && left != nil:
 		p.lateWaits.Abandon(j.Service)
+	case w.late && placed:
+		p.count("lateWaits.placed")
+		p.lateWaits.End(j.Service, true, now)
 	case w.late:
-		p.lateWaits.End(j.Service, placed, now)
+		p.count("lateWaits.missed")
+		p.lateWaits.End(j.Service, false, now)
 	case !placed && left == nil && !p.late(j):
 		p.contention.Refused(j.Service, now)
 	}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -239,6 +239,7 @@
 		return
 	}
 	if !s.observe(ctx) {
+		s.fetchAhead(ctx, model)
 		return
 	}
 	held := s.report.holds(model)
@@ -260,6 +261,14 @@
 	s.decideGate(engine, model, held)
 }
 
+// fetchAhead has weights fetched for an engine that doesn't answer. One that is added does so a second
+// after its agent has started, and takes requests that much sooner with weights at hand.
+func (s *Stager) fetchAhead(ctx context.Context, model string) {
+	if ctx.Err() == nil {
+		s.target(ctx, model, s.Holds(model))
+	}
+}
+
 // engine gives the figures of this agent's service and the model that it serves;
 // nil while no route table is known.
 func (s *Stager) engine() (*matcher.Engine, string) {
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -55,6 +55,8 @@
 	running int
 	// slow is how long the engine takes to say which chunks lie staged, or to stage one.
 	slow time.Duration
+	// absent engines don't answer.
+	absent bool
 	// loads is how long loading takes.
 	loads time.Duration
 	// looking and reading, when set, are called while the engine is asked what it does, and
@@ -77,6 +79,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.absent {
+		return stager.Report{}, errAbsent
+	}
 	r := stager.Report{Born: e.born, Running: e.running}
 	if e.held > 0 {
 		r.Models = []registrar.HeldModel{{Name: model, Version: e.held}}
@@ -119,6 +124,8 @@
 	return slices.Sorted(maps.Keys(e.staged)), nil
 }
 
+var errAbsent = errors.New("connection refused")
+
 func (e *engine) Load(_ context.Context, _ string, version uint64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -217,6 +224,7 @@
 
 // world is one agent beside one engine.
 type world struct {
+	loader    *loader.Loader
 	stager    *stager.Stager
 	registrar *registrar.Registrar
 	ledger    *scheduler.Ledger
@@ -250,6 +258,7 @@
 	s := &stager.Stager{ID: "agent", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Region: "r",
 		Registrar: w.registrar, Loader: l, Ledger: w.ledger, Engine: e, Bound: bound, Clock: c, Digests: digests,
 		Origin: func(netip.AddrPort) stager.Origin { return w.origin }}
+	w.loader = l
 	w.stager, w.ledger.Expiry = s, s.Expiry
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
