relayer: don't count callers without time as waits that got no slot

Cause: late requests whose callers had no more time than a reply takes were refused without a wait, and counted as waits in vain; after a power failure a dozen of them suspended the waits of all others for 2 s.

Change: they neither begin a wait nor end one.

--- a/internal/registrar/replaced.go
+++ b/internal/registrar/replaced.go
@@ -26,8 +26,10 @@
 	return latest
 }
 
-// has tells whether no later start than an upstream's is known at its address.
-func (l latestStarts) has(u Upstream) bool { return u.Born.IsZero() || !l[u.Address].After(u.Born) }
+// isLatest tells whether no later start than an upstream's is known at its address.
+func (l latestStarts) isLatest(u Upstream) bool {
+	return u.Born.IsZero() || !l[u.Address].After(u.Born)
+}
 
 // isReplaced tells whether another upstream was found at the address of this one.
 func (r *Registrar) isReplaced(u Upstream) bool {
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -49,14 +49,14 @@
 		drained:  map[string]bool{},
 		weights:  map[string]WeightsView{},
 	}
-	live := r.latestStarts()
+	latest := r.latestStarts()
 	for key, f := range r.facts {
 		v.Revision = max(v.Revision, r.records[key].Revision)
 		switch f := f.(type) {
 		case Table:
 			v.Table = f.Table
 		case Upstream:
-			if !live.has(f) || r.isReplaced(f) {
+			if !latest.isLatest(f) || r.isReplaced(f) {
 				continue
 			}
 			u := &UpstreamView{Upstream: f, Revision: r.records[key].Revision, Learned: r.learned[key], clock: r.Clock, coldUntil: r.learned[key].Add(f.Cold)}
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -75,16 +75,28 @@
 		}
 		return slotWait{limit: max(limit, p.openingWait(j, reason)), pause: heldPause}
 	case j.Returned && !p.Without.Has(ablator.LateWait):
-		if !p.lateWaits.Begin(j.Service, p.Clock.Now()) {
-			p.count("lateWaits.suspended")
-			return slotWait{pause: heldPause}
-		}
-		return slotWait{limit: p.lateLimit(j), pause: latePause, late: true}
+		return p.lateWait(j)
 	default:
 		return slotWait{pause: heldPause}
 	}
 }
 
+// lateWait is how long a late request looks for a slot: until each slot of an engine should have come
+// free once, or until its caller has no more time than a reply takes.
+func (p *Placer) lateWait(j *Job) slotWait {
+	e := p.Registrar.View().Table.Services[j.Service].Engine
+	turnover := time.Duration(max(1, e.Slots)) * scheduler.TurnTime(e)
+	limit := min(turnover, j.Deadline.Sub(p.Clock.Now())-turnover)
+	if limit < latePause {
+		return slotWait{pause: latePause}
+	}
+	if !p.lateWaits.Begin(j.Service, p.Clock.Now()) {
+		p.count("lateWaits.suspended")
+		return slotWait{pause: latePause}
+	}
+	return slotWait{limit: limit, pause: latePause, late: true}
+}
+
 func (p *Placer) count(name string) {
 	if p.Metrics != nil {
 		metrics.GetOrRegisterCounter(name, p.Metrics).Inc(1)
@@ -107,14 +119,6 @@
 	return wait
 }
 
-// lateLimit is how long a late request waits for a slot: until each slot of an engine should have come
-// free once, or until its caller has no more time than a reply takes.
-func (p *Placer) lateLimit(j *Job) time.Duration {
-	e := p.Registrar.View().Table.Services[j.Service].Engine
-	turnover := time.Duration(max(1, e.Slots)) * scheduler.TurnTime(e)
-	return min(turnover, j.Deadline.Sub(p.Clock.Now())-turnover)
-}
-
 // endWait notes what became of a request that looked for a slot; left is set if nobody waits for it
 // any more.
 func (p *Placer) endWait(j *Job, w slotWait, placed bool, left error) {
--- a/internal/relayer/wait_test.go
+++ b/internal/relayer/wait_test.go
@@ -115,3 +115,19 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against learning from callers with too little time left to wait at all that waits get no slots:
+// those who come back with them would be refused although slots come free.
+func TestCallersThatCannotWaitTellNothingOfWaits(t *testing.T) {
+	inFrontOfOne(t, func(t *testing.T, p *relayer.Placer, e *loadingEngine) {
+		e.opensIn(700*time.Millisecond, false)
+		for range 20 {
+			j := request(engineTable().Routes[0], true)
+			j.Deadline = time.Now().Add(500 * time.Millisecond)
+			_, err := p.Place(t.Context(), j)
+			must.Error(t, err)
+		}
+		_, err := p.Place(t.Context(), request(engineTable().Routes[0], true))
+		must.NoError(t, err)
+	})
+}
--- a/internal/scheduler/late_waits.go
+++ b/internal/scheduler/late_waits.go
@@ -35,7 +35,7 @@
 	probing        bool
 }
 
-// Begin tells whether one more late request may wait now. If it may, End has to follow.
+// Begin tells whether one more late request may wait now. If it may, End or Abandon has to follow.
 func (w *LateWaits) Begin(service string, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -122,10 +122,10 @@
 	return v.digest, true
 }
 
-// Learn tries to learn a version's manifest from the other agents, or from the
-// origin when this agent's rank is due, a step after the one before it. Since is for how long it has
-// been wanted. Peers are picked at random: were those in rank before the others asked first, all lists would leave over
-// their links, and who asks all in turn waits for each one that is dead.
+// Learn tries to learn a version's manifest from the other agents, or from the origin when this agent's
+// rank is due, a step after the one before it. Since is for how long it has been wanted. Peers are
+// picked at random: were those in rank before the others asked first, all lists would leave over their
+// links, and who asks all in turn waits for each one that is dead.
 func (d *Digester) Learn(ctx context.Context, k versionKey, self string, peers []peerAgent, since, step time.Duration) {
 	own := planner.Score(k.String(), self)
 	rank := 0
