--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -28,11 +28,11 @@
 	Ledger *scheduler.Ledger
 	// Holds gives the version of a model in the engine; 0 for none.
 	Holds func(model string) uint64
-	// Started gives the start of the engine and how long ago that was seen; a zero start while it is
-	// unknown. Nil for an engine whose starts can't be told apart.
-	Started func() (born time.Time, ago time.Duration)
-	// Look has the agent look at its engine at once; nil for an agent that can't.
-	Look  func()
+	// EngineStart gives the start of the engine and how long ago it was observed; a zero start while it
+	// is unknown. Nil for an engine that doesn't state its start.
+	EngineStart func() (startedAt time.Time, age time.Duration)
+	// Poll has the agent ask its engine at once; nil for an agent that can't.
+	Poll  func()
 	Clock clock.PassiveClock
 
 	once sync.Once
@@ -70,24 +70,25 @@
 // AnotherEngine is why nothing is granted for an engine that isn't the one beside the agent.
 const AnotherEngine = "another engine"
 
-// anotherEngine refuses a question for a start of the engine that isn't the one known here. The engine
+// anotherEngine refuses a reservation for a start of the engine that isn't the one known here. The engine
 // would reject the request, and the slot be free for the next one that it rejects. A later start than
-// the known one is mostly the engine's own, which this agent hasn't seen yet.
+// the known one is mostly the engine's own, which this agent hasn't observed yet.
 func (g *Granter) anotherEngine(q messenger.Reservation) (messenger.Verdict, bool) {
-	if g.Started == nil || q.BornMS == 0 {
+	if g.EngineStart == nil || q.StartedAt.IsZero() {
 		return messenger.Verdict{}, false
 	}
-	born, ago := g.Started()
-	if born.IsZero() || born.Equal(q.Born()) {
+	startedAt, age := g.EngineStart()
+	if startedAt.IsZero() || startedAt.Equal(q.StartedAt) {
 		return messenger.Verdict{}, false
 	}
-	if born.Before(q.Born()) && g.Look != nil {
-		g.Look()
+	if startedAt.Before(q.StartedAt) && g.Poll != nil {
+		g.Poll()
 	}
 	if g.logs() {
-		klog.InfoS("Slot refused: meant for another start of the engine", "request", q.RequestID(), "meant", q.Born(), "born", born, "observed", ago)
+		klog.InfoS("Slot refused: meant for another start of the engine", "request", q.RequestID(), "meant", q.StartedAt,
+			"startedAt", startedAt, "observed", age)
 	}
-	return messenger.Verdict{Closed: AnotherEngine, BornMS: born.UnixMilli(), ObservedMS: ago.Milliseconds()}, true
+	return messenger.Verdict{Closed: AnotherEngine, StartedAt: startedAt, ObservedMS: age.Milliseconds()}, true
 }
 
 // logs tells whether one more refusal is logged now.
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -71,44 +71,44 @@
 
 // engineStart is the engine beside an agent, as it was last seen.
 type engineStart struct {
-	born   time.Time
-	ago    time.Duration
-	looked int
+	startedAt time.Time
+	age       time.Duration
+	polls     int
 }
 
 func (e *engineStart) granter(c *clocktest.FakeClock) *granter.Granter {
 	l := &scheduler.Ledger{Clock: c}
 	l.Open(&matcher.Engine{Slots: 4, ReadPerSecond: 1000, Step: time.Millisecond, Chunk: 512, Stride: 4})
 	return &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, Clock: c,
-		Started: func() (time.Time, time.Duration) { return e.born, e.ago }, Look: func() { e.looked++ }}
+		EngineStart: func() (time.Time, time.Duration) { return e.startedAt, e.age }, Poll: func() { e.polls++ }}
 }
 
 // Guards against slots that are granted for an engine that isn't the one beside the agent: each request
 // is rejected there, and its slot free for the next.
 func TestSlotIsGrantedForTheStartThatIsMeant(t *testing.T) {
-	born := time.UnixMilli(5000)
+	startedAt := time.UnixMilli(5000)
 	for name, e := range map[string]struct {
-		meant   int64
+		meant   time.Time
 		known   time.Time
 		granted bool
-		looked  int
+		polls   int
 	}{
-		"same start":                        {5000, born, true, 0},
-		"start not stated":                  {0, born, true, 0},
-		"start not known here":              {5000, time.Time{}, true, 0},
-		"former start":                      {4000, born, false, 0},
-		"later start, not seen here so far": {6000, born, false, 1},
+		"same start":                       {startedAt, startedAt, true, 0},
+		"start not stated":                 {time.Time{}, startedAt, true, 0},
+		"start not known here":             {startedAt, time.Time{}, true, 0},
+		"former start":                     {startedAt.Add(-time.Second), startedAt, false, 0},
+		"later start, not observed so far": {startedAt.Add(time.Second), startedAt, false, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			engine := &engineStart{born: e.known, ago: 70 * time.Millisecond}
+			engine := &engineStart{startedAt: e.known, age: 70 * time.Millisecond}
 			g := engine.granter(clocktest.NewFakeClock(time.Unix(1000, 0)))
-			v := g.Reserve(messenger.Reservation{Request: "r", BornMS: e.meant, Prompt: 1, PatienceMS: 100, LeftMS: 1000}, nil)
+			v := g.Reserve(messenger.Reservation{Request: "r", StartedAt: e.meant, Prompt: 1, PatienceMS: 100, LeftMS: 1000}, nil)
 			must.Eq(t, e.granted, v.Granted)
-			must.Eq(t, e.looked, engine.looked)
+			must.Eq(t, e.polls, engine.polls)
 			if !e.granted {
 				must.Eq(t, granter.AnotherEngine, v.Closed)
-				must.Eq(t, e.known, v.Born())
-				must.Eq(t, engine.ago, v.Observed())
+				must.Eq(t, e.known, v.StartedAt)
+				must.Eq(t, engine.age, v.Observed())
 			}
 		})
 	}
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -154,7 +154,7 @@
 type Origin struct {
 	Address       netip.AddrPort
 	FailureDomain string
-	// LinkRate is what its link carries, in bytes a second; 0 when not told.
+	// LinkRate is what its link carries, in bytes a second; 0 when unknown.
 	LinkRate int64
 }
 
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -19,9 +19,8 @@
 	// entries send the bare id.
 	Request string `json:"request"`
 	Model   string `json:"model,omitempty"`
-	// BornMS is the start of the engine that is meant, as its record states it, in Unix
-	// milliseconds; 0 for any.
-	BornMS int64 `json:"bornMs,omitempty"`
+	// StartedAt is the start of the engine that is meant, as its record states it; zero for any.
+	StartedAt time.Time `json:"startedAt,omitzero"`
 	// Prompt and Answer are the request's size in tokens, Answer as far as known.
 	Prompt int `json:"prompt"`
 	Answer int `json:"answer"`
@@ -49,10 +48,10 @@
 	Granted bool `json:"granted,omitempty"`
 	// Closed says why the engine takes nothing at all now.
 	Closed string `json:"closed,omitempty"`
-	// BornMS is the start of the engine in Unix milliseconds, if it isn't the one that was meant, and
-	// ObservedMS how many milliseconds ago the agent saw it.
-	BornMS     int64 `json:"bornMs,omitempty"`
-	ObservedMS int64 `json:"observedMs,omitempty"`
+	// StartedAt is the start of the engine if it isn't the one that was meant, and ObservedMS how many
+	// milliseconds ago the agent saw it.
+	StartedAt  time.Time `json:"startedAt,omitzero"`
+	ObservedMS int64     `json:"observedMs,omitempty"`
 	// Version is that of the weights which the engine holds.
 	Version uint64 `json:"version,omitempty"`
 	// WaitMS is how long a request granted now waits before its prompt is read.
@@ -117,22 +116,9 @@
 // Patience is PatienceMS as a duration.
 func (r Reservation) Patience() time.Duration { return time.Duration(r.PatienceMS) * time.Millisecond }
 
-// Born is BornMS as a time; zero for any.
-func (r Reservation) Born() time.Time { return unixTime(r.BornMS) }
-
-// Born is BornMS as a time; zero when it is the engine that was meant, or not told.
-func (v Verdict) Born() time.Time { return unixTime(v.BornMS) }
-
 // Observed is ObservedMS as a duration.
 func (v Verdict) Observed() time.Duration { return time.Duration(v.ObservedMS) * time.Millisecond }
 
-func unixTime(ms int64) time.Time {
-	if ms <= 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(ms)
-}
-
 // Left is LeftMS as a duration.
 func (r Reservation) Left() time.Duration { return time.Duration(r.LeftMS) * time.Millisecond }
 
--- a/internal/registrar/fact.go
+++ b/internal/registrar/fact.go
@@ -25,8 +25,8 @@
 	Cold time.Duration
 	// Models are what an engine holds.
 	Models []HeldModel
-	// Born is when it started, by its own clock; zero when not told.
-	Born time.Time
+	// StartedAt is when it started, by its own clock; zero when it doesn't state that.
+	StartedAt time.Time
 }
 
 // HeldModel is a model's weights in an engine.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -237,7 +237,7 @@
 		klog.InfoS("Failure domain drained", "failureDomain", f.FailureDomain, "revision", rec.Revision)
 	case Upstream:
 		klog.InfoS("Upstream told", "upstream", f.ID, "service", f.Service, "address", f.Address,
-			"failureDomain", f.FailureDomain, "leaving", f.Leaving, "models", f.Models, "cold", f.Cold, "born", f.Born, "revision", rec.Revision)
+			"failureDomain", f.FailureDomain, "leaving", f.Leaving, "models", f.Models, "cold", f.Cold, "startedAt", f.StartedAt, "revision", rec.Revision)
 	case Member:
 		klog.InfoS("Entry told", "entry", f.ID, "callers", f.Callers, "revision", rec.Revision)
 	}
--- a/internal/registrar/replaced.go
+++ b/internal/registrar/replaced.go
@@ -19,8 +19,8 @@
 	latest := latestStarts{}
 	for _, f := range r.facts {
 		u, ok := f.(Upstream)
-		if ok && u.Born.After(latest[u.Address]) && !r.isReplaced(u) {
-			latest[u.Address] = u.Born
+		if ok && u.StartedAt.After(latest[u.Address]) && !r.isReplaced(u) {
+			latest[u.Address] = u.StartedAt
 		}
 	}
 	return latest
@@ -28,13 +28,13 @@
 
 // isLatest tells whether no later start than an upstream's is known at its address.
 func (l latestStarts) isLatest(u Upstream) bool {
-	return u.Born.IsZero() || !l[u.Address].After(u.Born)
+	return u.StartedAt.IsZero() || !l[u.Address].After(u.StartedAt)
 }
 
 // isReplaced tells whether another upstream was found at the address of this one.
 func (r *Registrar) isReplaced(u Upstream) bool {
-	born, ok := r.replaced[u.ID]
-	return ok && born.Equal(u.Born)
+	startedAt, ok := r.replaced[u.ID]
+	return ok && startedAt.Equal(u.StartedAt)
 }
 
 // Replaced notes that another upstream was found at the address of this one, which is taken out of use
@@ -48,9 +48,9 @@
 	if r.replaced == nil {
 		r.replaced = map[string]time.Time{}
 	}
-	r.replaced[u.ID] = u.Born
+	r.replaced[u.ID] = u.StartedAt
 	r.forgetReplaced()
-	klog.InfoS("Upstream replaced", "upstream", u.ID, "service", u.Service, "address", u.Address, "born", u.Born)
+	klog.InfoS("Upstream replaced", "upstream", u.ID, "service", u.Service, "address", u.Address, "startedAt", u.StartedAt)
 	r.publish()
 }
 
--- a/internal/registrar/replaced_test.go
+++ b/internal/registrar/replaced_test.go
@@ -14,9 +14,9 @@
 
 // started is an upstream's record in these tests.
 type started struct {
-	Service string
-	Port    uint16
-	Born    int64
+	Service   string
+	Port      uint16
+	StartedAt int64
 }
 
 func decodeStarted(key string, value []byte) (registrar.Fact, error) {
@@ -25,8 +25,8 @@
 		return nil, err
 	}
 	u := registrar.Upstream{ID: key, Service: s.Service, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), s.Port)}
-	if s.Born != 0 {
-		u.Born = time.UnixMilli(s.Born)
+	if s.StartedAt != 0 {
+		u.StartedAt = time.UnixMilli(s.StartedAt)
 	}
 	return u, nil
 }
@@ -47,7 +47,7 @@
 func (r *restarts) put(id string, s started) {
 	value, err := json.Marshal(s)
 	must.NoError(r.t, err)
-	r.apply(registrar.Record{Key: id, Value: value, Revision: r.revision + 1})
+	r.apply(record(id, string(value), r.revision+1))
 }
 
 func (r *restarts) remove(id string) {
@@ -103,14 +103,14 @@
 
 // Guards against asking an upstream again at whose address another one answered.
 func TestReplacedUpstreamIsNotUsedUntilItStartsAnew(t *testing.T) {
-	for name, born := range map[string]int64{"stated": 100, "not stated": 0} {
+	for name, startedAt := range map[string]int64{"stated": 100, "not stated": 0} {
 		t.Run(name, func(t *testing.T) {
 			r := newRestarts(t)
-			r.put("a", started{"s", 1, born})
-			r.put("b", started{"s", 2, born})
+			r.put("a", started{"s", 1, startedAt})
+			r.put("b", started{"s", 2, startedAt})
 			r.Replaced(r.View().Upstreams[0].Upstream)
 			r.expect("b")
-			r.put("a", started{"s", 1, born})
+			r.put("a", started{"s", 1, startedAt})
 			r.expect("b")
 			r.put("a", started{"s", 1, 300})
 			r.expect("a", "b")
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -38,7 +38,7 @@
 	asked := p.Registrar.Clock.Now()
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
 	v, err := agent.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Model: j.Model, BornMS: bornMS(u), Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
+		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
 		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u.ID),
 	})
 	if ctx.Err() != nil {
@@ -56,7 +56,7 @@
 		}
 		return p.unasked(view, u, j), nil
 	}
-	if born := v.Born(); !born.IsZero() && !born.Equal(u.Born) {
+	if !v.StartedAt.IsZero() && !v.StartedAt.Equal(u.StartedAt) {
 		p.noteAnotherEngine(u, asked, &v)
 		return nil, &v
 	}
@@ -84,19 +84,11 @@
 	}, &v
 }
 
-// bornMS is an upstream's start for its agent; 0 when not known.
-func bornMS(u *registrar.UpstreamView) int64 {
-	if u.Born.IsZero() {
-		return 0
-	}
-	return u.Born.UnixMilli()
-}
-
 // noteAnotherEngine takes an upstream out of use whose agent stands beside another start of the engine.
 // An agent that last looked at its engine before the record came may not have seen the start that
 // the record states.
 func (p *Placer) noteAnotherEngine(u *registrar.UpstreamView, asked time.Time, v *messenger.Verdict) {
-	if v.Born().After(u.Born) || asked.Add(-v.Observed()).After(u.Learned) {
+	if v.StartedAt.After(u.StartedAt) || asked.Add(-v.Observed()).After(u.Learned) {
 		p.Registrar.Replaced(u.Upstream)
 	}
 }
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -55,7 +55,7 @@
 	// NotRun says that the request did not run there and never will.
 	NotRun bool
 	// Upstream is the start of the upstream that refuses a request meant for another one; empty when
-	// not told.
+	// unknown.
 	Upstream string
 	// Sealed replies bear the upstream's proof that they are its own.
 	Sealed bool
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -183,7 +183,7 @@
 	candidates := make([]scheduler.Candidate, 0, len(us))
 	for _, u := range us {
 		candidates = append(candidates, scheduler.Candidate{
-			ID: u.ID, Born: u.Born, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
+			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
 		})
 	}
 	return p.Chooser.Rank(candidates)
--- a/internal/relayer/replaced_test.go
+++ b/internal/relayer/replaced_test.go
@@ -31,8 +31,8 @@
 
 // engineRecord is the record of an engine in these tests.
 type engineRecord struct {
-	Host byte
-	Born int64
+	Host      byte
+	StartedAt int64
 }
 
 func newRestartedEngines(t *testing.T) *restartedEngines {
@@ -44,11 +44,13 @@
 		}
 		var e engineRecord
 		err := json.Unmarshal(value, &e)
-		return registrar.Upstream{ID: key, Service: "engines", FailureDomain: "a", Slots: 12, Address: host(e.Host), Born: time.UnixMilli(e.Born)}, err
+		return registrar.Upstream{ID: key, Service: "engines", FailureDomain: "a", Slots: 12, Address: host(e.Host), StartedAt: time.UnixMilli(e.StartedAt)}, err
 	}}
 	reg.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{{Key: "table", Revision: 1}}})
 	w.placer.Registrar, w.placer.Without = reg, ablator.Set{ablator.LateWait}
-	w.placer.Reach = func(a netip.AddrPort) relayer.Agent { return grantedBy{w, w.granters[a.Addr()]} }
+	w.placer.Reach = func(a netip.AddrPort) relayer.Agent {
+		return countedAgent{granterAgent{w.granters[a.Addr()]}, &w.asked}
+	}
 	return w
 }
 
@@ -65,12 +67,12 @@
 	w.revision++
 }
 
-// seen has the agent on a host see a start of its engine a while ago.
-func (w *restartedEngines) seen(hostNumber byte, born int64, ago time.Duration) {
+// observed has the agent on a host have observed a start of its engine a while ago.
+func (w *restartedEngines) observed(hostNumber byte, startedAt int64, age time.Duration) {
 	l := openLedger(12)
 	l.Clock = w.clock
 	w.granters[host(hostNumber).Addr()] = &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, Clock: w.clock,
-		Started: func() (time.Time, time.Duration) { return time.UnixMilli(born), ago }}
+		EngineStart: func() (time.Time, time.Duration) { return time.UnixMilli(startedAt), age }}
 }
 
 // place looks for a slot for a request that has been refused before, so that it is looked for once.
@@ -80,27 +82,25 @@
 	return w.placer.Place(context.Background(), j)
 }
 
-// grantedBy is the road to an agent without a network.
-type grantedBy struct {
-	world   *restartedEngines
-	granter *granter.Granter
+// countedAgent counts the reservations that an agent is asked for.
+type countedAgent struct {
+	granterAgent
+	asked *int
 }
 
-func (a grantedBy) Reserve(_ context.Context, r messenger.Reservation) (messenger.Verdict, error) {
-	a.world.asked++
-	return a.granter.Reserve(r, nil), nil
+func (a countedAgent) Reserve(ctx context.Context, r messenger.Reservation) (messenger.Verdict, error) {
+	*a.asked++
+	return a.granterAgent.Reserve(ctx, r)
 }
 
-func (a grantedBy) Tell(p messenger.Progress) { a.granter.Progress(p, nil) }
-
 // Guards against sending requests to the former starts of engines: they cost an attempt each, and their
 // callers are refused once the retry budget is spent.
 func TestSlotAtAFormerStartIsNotUsed(t *testing.T) {
 	w := newRestartedEngines(t)
-	w.put(t, "old", engineRecord{Host: 1, Born: 100})
-	w.put(t, "well", engineRecord{Host: 2, Born: 100})
-	w.seen(1, 200, 0)
-	w.seen(2, 100, 0)
+	w.put(t, "old", engineRecord{Host: 1, StartedAt: 100})
+	w.put(t, "well", engineRecord{Host: 2, StartedAt: 100})
+	w.observed(1, 200, 0)
+	w.observed(2, 100, 0)
 	for range 10 {
 		place, err := w.place()
 		must.NoError(t, err)
@@ -110,15 +110,15 @@
 	must.LessEq(t, 11, w.asked, must.Sprint("the former start is asked once at most"))
 }
 
-// Guards against leaving an engine unused for good whose agent hasn't seen its restart so far.
-func TestStartThatItsAgentHasNotSeenIsAskedAgain(t *testing.T) {
+// Guards against leaving an engine unused for good whose agent hasn't observed its restart so far.
+func TestStartThatItsAgentHasNotObservedIsAskedAgain(t *testing.T) {
 	w := newRestartedEngines(t)
-	w.put(t, "new", engineRecord{Host: 1, Born: 200})
-	w.seen(1, 100, 50*time.Millisecond)
+	w.put(t, "new", engineRecord{Host: 1, StartedAt: 200})
+	w.observed(1, 100, 50*time.Millisecond)
 	_, err := w.place()
 	must.Error(t, err)
 	w.clock.Step(200 * time.Millisecond)
-	w.seen(1, 200, 0)
+	w.observed(1, 200, 0)
 	place, err := w.place()
 	must.NoError(t, err)
 	must.Eq(t, "new", place.Upstream.ID)
@@ -128,10 +128,10 @@
 // engine since, and the engine's own record must be used.
 func TestRecordOfAStartThatNeverWasIsNotUsed(t *testing.T) {
 	w := newRestartedEngines(t)
-	w.put(t, "lives", engineRecord{Host: 1, Born: 100})
-	w.put(t, "wrong", engineRecord{Host: 1, Born: 1 << 50})
+	w.put(t, "lives", engineRecord{Host: 1, StartedAt: 100})
+	w.put(t, "wrong", engineRecord{Host: 1, StartedAt: 1 << 50})
 	w.clock.Step(time.Second)
-	w.seen(1, 100, 10*time.Millisecond)
+	w.observed(1, 100, 10*time.Millisecond)
 	_, err := w.place()
 	must.Error(t, err)
 	place, err := w.place()
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
 
@@ -37,10 +38,14 @@
 func (p *Placer) Place(ctx context.Context, j *Job) (*Place, error) {
 	began := p.Clock.Now()
 	place, err := p.placeNow(ctx, j)
-	if err == nil || ctx.Err() != nil || !p.generates(j) {
+	if err == nil || ctx.Err() != nil {
 		return place, err
 	}
-	w := p.slotWait(j, err)
+	service := p.Registrar.View().Table.Services[j.Service]
+	if service == nil || service.Engine == nil {
+		return place, err
+	}
+	w := p.slotWait(j, service.Engine, err)
 	for p.Clock.Since(began)+w.pause <= w.limit {
 		select {
 		case <-ctx.Done():
@@ -57,14 +62,8 @@
 	return place, err
 }
 
-// generates tells whether a job's service has engines.
-func (p *Placer) generates(j *Job) bool {
-	service := p.Registrar.View().Table.Services[j.Service]
-	return service != nil && service.Engine != nil
-}
-
 // slotWait is how long a request that found no slot, for a reason, looks for one.
-func (p *Placer) slotWait(j *Job, reason error) slotWait {
+func (p *Placer) slotWait(j *Job, e *matcher.Engine, reason error) slotWait {
 	switch {
 	case j.Again:
 		return slotWait{limit: againHeld, pause: heldPause}
@@ -73,9 +72,9 @@
 		if p.Without.Has(ablator.AdmissionWait) {
 			limit = 0
 		}
-		return slotWait{limit: max(limit, p.openingWait(j, reason)), pause: heldPause}
+		return slotWait{limit: max(limit, p.openingWait(j, e, reason)), pause: heldPause}
 	case j.Returned && !p.Without.Has(ablator.LateWait):
-		return p.lateWait(j)
+		return p.lateWait(j, e)
 	default:
 		return slotWait{pause: heldPause}
 	}
@@ -83,8 +82,7 @@
 
 // lateWait is how long a late request looks for a slot: until each slot of an engine should have come
 // free once, or until its caller has no more time than a reply takes.
-func (p *Placer) lateWait(j *Job) slotWait {
-	e := p.Registrar.View().Table.Services[j.Service].Engine
+func (p *Placer) lateWait(j *Job, e *matcher.Engine) slotWait {
 	turnover := time.Duration(max(1, e.Slots)) * scheduler.TurnTime(e)
 	limit := min(turnover, j.Deadline.Sub(p.Clock.Now())-turnover)
 	if limit < latePause {
@@ -105,12 +103,11 @@
 
 // openingWait is how long a request waits for an engine that loads weights; 0 if it could not be in
 // time there.
-func (p *Placer) openingWait(j *Job, reason error) time.Duration {
+func (p *Placer) openingWait(j *Job, e *matcher.Engine, reason error) time.Duration {
 	var refused *RefusedError
 	if !errors.As(reason, &refused) || refused.Opens == 0 {
 		return 0
 	}
-	e := p.Registrar.View().Table.Services[j.Service].Engine
 	wait := refused.Opens + openingSlack
 	needs := firstEventTime + scheduler.ReadTime(e, min(j.Prompt, e.UsualPrompt))
 	if p.Clock.Since(j.Arrived)+wait+needs > j.Route.Objective {
--- a/internal/relayer/wait_test.go
+++ b/internal/relayer/wait_test.go
@@ -21,31 +21,30 @@
 
 // loadingEngine is an agent whose engine loads weights.
 type loadingEngine struct {
-	ledger *scheduler.Ledger
-	asked  int
+	ledgerAgent
+	asked int
 }
 
 // opensIn has the engine take requests after a time, which the agent knows if stated is set.
 func (e *loadingEngine) opensIn(d time.Duration, stated bool) {
-	if e.ledger.Close("no weights"); stated {
-		e.ledger.CloseUntil("no weights", time.Now().Add(d))
+	opens := time.Time{}
+	if stated {
+		opens = time.Now().Add(d)
 	}
+	e.ledger.CloseUntil("no weights", opens)
 	time.AfterFunc(d, func() { e.ledger.Open(engineTable().Services["engines"].Engine) })
 }
 
-func (e *loadingEngine) Reserve(_ context.Context, q messenger.Reservation) (messenger.Verdict, error) {
+func (e *loadingEngine) Reserve(ctx context.Context, r messenger.Reservation) (messenger.Verdict, error) {
 	e.asked++
-	v := e.ledger.Reserve(scheduler.Job{ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left()}, nil)
-	return messenger.Verdict{Granted: v.Granted, Closed: v.Closed, FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots}, nil
+	return e.ledgerAgent.Reserve(ctx, r)
 }
 
-func (e *loadingEngine) Tell(messenger.Progress) {}
-
 // inFrontOfOne runs a test in virtual time with an entry that has one engine.
 func inFrontOfOne(t *testing.T, test func(t *testing.T, p *relayer.Placer, e *loadingEngine)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := clock.RealClock{}
-		e := &loadingEngine{ledger: &scheduler.Ledger{Clock: c}}
+		e := &loadingEngine{ledgerAgent: ledgerAgent{&scheduler.Ledger{Clock: c}}}
 		reg := &registrar.Registrar{Clock: c, Decode: func(key string, _ []byte) (registrar.Fact, error) {
 			if key == "table" {
 				return registrar.Table{Table: engineTable()}, nil
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -54,9 +54,9 @@
 // Candidate is an upstream that may serve a request.
 type Candidate struct {
 	ID string
-	// Born is its start; zero when not told.
-	Born     time.Time
-	Distance Distance
+	// StartedAt is its start; zero when unknown.
+	StartedAt time.Time
+	Distance  Distance
 	// Slots is how many requests it runs at once; 0 when not told.
 	Slots int
 	// Empty engines were last heard to hold no weights.
@@ -78,8 +78,8 @@
 
 // seen is what is known of one upstream.
 type seen struct {
-	// born is the start that all this was met at; zero when not told.
-	born time.Time
+	// startedAt is the start that all this was met at; zero when unknown.
+	startedAt time.Time
 	// wait and active were told at the time heard; closed upstreams took nothing.
 	wait   time.Duration
 	active float64
@@ -147,7 +147,7 @@
 	r := &Ranking{left: make([]scored, 0, len(candidates))}
 	for i, k := range candidates {
 		s := c.at(k.ID, now)
-		c.restart(s, k.Born)
+		c.restart(s, k.StartedAt)
 		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now)})
 	}
 	heap.Init(&r.left)
@@ -157,15 +157,15 @@
 
 // restart forgets what was met at an earlier start of an upstream that keeps its ID. Requests that run
 // there still end, and count until then.
-func (c *Chooser) restart(s *seen, born time.Time) {
-	if s.born.Equal(born) {
+func (c *Chooser) restart(s *seen, startedAt time.Time) {
+	if s.startedAt.Equal(startedAt) {
 		return
 	}
-	if !s.born.IsZero() {
+	if !s.startedAt.IsZero() {
 		*s = seen{running: s.running, used: s.used, cold: rateTurn{phase: s.cold.phase}}
 		s.limited.turn.phase = c.Random.Float64()
 	}
-	s.born = born
+	s.startedAt = startedAt
 }
 
 // cost is how long a request would wait there, as far as this entry can tell.
--- a/internal/scheduler/late_waits_test.go
+++ b/internal/scheduler/late_waits_test.go
@@ -20,7 +20,7 @@
 	must.True(t, w.Begin("s", now))
 }
 
-// Guards against late requests that wait in vain under a lasting overload, and against a service whose
+// Guards against late requests that wait without getting a slot under a lasting overload, and against a service whose
 // late requests never wait again after one.
 func TestLateRequestsStopWaitingWithoutSlots(t *testing.T) {
 	var w scheduler.LateWaits
--- a/internal/scheduler/ranking_test.go
+++ b/internal/scheduler/ranking_test.go
@@ -53,13 +53,13 @@
 // Guards against passing over a restarted upstream that keeps its ID for failures of its former start.
 func TestRestartedUpstreamStartsAfresh(t *testing.T) {
 	chooser, _ := newChooser()
-	a, b := scheduler.Candidate{ID: "a", Born: time.UnixMilli(100)}, scheduler.Candidate{ID: "b", Born: time.UnixMilli(100)}
+	a, b := scheduler.Candidate{ID: "a", StartedAt: time.UnixMilli(100)}, scheduler.Candidate{ID: "b", StartedAt: time.UnixMilli(100)}
 	chooser.Order([]scheduler.Candidate{a, b})
 	chooser.Failed("a", true)
 	chooser.Full("a", false, time.Minute)
 	must.Eq(t, "b", chooser.Order([]scheduler.Candidate{a, b})[0].ID)
 	must.True(t, chooser.Avoided("a"))
-	a.Born = time.UnixMilli(200)
+	a.StartedAt = time.UnixMilli(200)
 	chooser.Order([]scheduler.Candidate{a, b})
 	must.False(t, chooser.Avoided("a"))
 	must.Eq(t, 0, chooser.FullFor("a", false))
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -22,14 +22,14 @@
 	id      string
 	domain  *FailureDomain
 	address netip.AddrPort
-	// starts counts the engine's starts; what was planned in an earlier one is void. Born is when the
-	// last one was, seenBorn that of the one which the agent last saw, and lookedAt when it did.
-	starts                   int
-	born, seenBorn, lookedAt time.Time
-	engine                   *emulator.Engine
-	ledger                   *scheduler.Ledger
-	granter                  *granter.Granter
-	streams                  map[string]*sequencer.Mailbox[part]
+	// starts counts the engine's starts; what was planned in an earlier one is void. StartedAt is the
+	// last one, observedStart the one that the agent knows, and observedAt when it last looked.
+	starts                               int
+	startedAt, observedStart, observedAt time.Time
+	engine                               *emulator.Engine
+	ledger                               *scheduler.Ledger
+	granter                              *granter.Granter
+	streams                              map[string]*sequencer.Mailbox[part]
 	// armed is the end of the last pass that was planned.
 	armed time.Time
 	// silent VMs are cut off: they work on, but nothing goes in or out. Engines that are down
@@ -61,9 +61,9 @@
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(w.hosts) >> 8), byte(len(w.hosts))}), 1)}
 	h.engine = &emulator.Engine{Figures: w.Engine.figures(), Memory: w.Engine.Memory}
 	h.ledger = &scheduler.Ledger{Clock: w.time, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack, Without: w.Without}
-	h.born, h.seenBorn, h.lookedAt = w.time.Now(), w.time.Now(), w.time.Now()
+	h.startedAt, h.observedStart, h.observedAt = w.time.Now(), w.time.Now(), w.time.Now()
 	h.granter = &granter.Granter{Ledger: h.ledger, Holds: func(string) uint64 { return version }, Clock: w.time,
-		Started: func() (time.Time, time.Duration) { return h.seenBorn, w.time.Since(h.lookedAt) }, Look: h.observe}
+		EngineStart: func() (time.Time, time.Duration) { return h.observedStart, w.time.Since(h.observedAt) }, Poll: h.observe}
 	h.ledger.Open(h.engine.Figures)
 	return h
 }
@@ -83,7 +83,7 @@
 		h.ledger.Close("engine does not answer")
 		return
 	}
-	h.seenBorn, h.lookedAt = h.born, h.time.Now()
+	h.observedStart, h.observedAt = h.startedAt, h.time.Now()
 	r := h.engine.Report(h.time.Now())
 	h.ledger.Observe(r.Running+r.Waiting, h.engine.Pace)
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
@@ -237,7 +237,7 @@
 	h.armed = time.Time{}
 	h.down, h.silent, h.ordered = false, false, false
 	h.ledger.OpenUntil(time.Time{})
-	h.born = h.time.Now()
+	h.startedAt = h.time.Now()
 	h.coldUntil = h.time.Now().Add(h.Engine.Cold)
 	h.ledger.Reset()
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -189,7 +189,7 @@
 // record is what the store says of an engine.
 func (h *host) record(cold time.Duration) registrar.Upstream {
 	return registrar.Upstream{ID: h.id, Service: service, Address: h.address, FailureDomain: h.domain.Name, Slots: h.Engine.Slots,
-		Born: h.born, Cold: cold, Models: []registrar.HeldModel{{Name: model, Version: version}}}
+		StartedAt: h.startedAt, Cold: cold, Models: []registrar.HeldModel{{Name: model, Version: version}}}
 }
 
 // way is how long a message takes between two failure domains.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -15,6 +15,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/loader"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/notifier"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
@@ -59,8 +60,8 @@
 	Waiting, Running int
 	// Pace is how much slower than its figures it works; 0 when not told.
 	Pace float64
-	// Born is the Unix millisecond of its start.
-	Born int64
+	// StartedAt is its start.
+	StartedAt time.Time
 }
 
 // holds gives the version of a model; 0 for none.
@@ -111,11 +112,12 @@
 	Digests *Digester
 
 	mu     sync.Mutex
-	look   chan struct{}
 	report Report
-	// born is the engine's start that the ledger counts for.
-	born int64
-	// startedAt is when this agent saw that start, and reportedAt when the last report was asked for.
+	// poll ends the wait until the engine is asked again.
+	poll notifier.Broadcast
+	// engineStart is the start that the ledger counts for.
+	engineStart time.Time
+	// startedAt is when this agent observed that start, and reportedAt when the last report was asked for.
 	startedAt  time.Time
 	reportedAt time.Time
 	// looked is the revision of the records known when the engine last answered, and before the
@@ -165,45 +167,27 @@
 		return err
 	}
 	for {
-		changed := s.Registrar.Changed()
+		changed, polled := s.Registrar.Changed(), s.poll.Wait()
 		s.step(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-s.lookNow():
+		case <-polled:
 		case <-s.Clock.After(s.pause()):
 		}
 	}
 }
 
-// Look has the engine looked at without waiting for the next turn.
-func (s *Stager) Look() {
-	select {
-	case s.lookNow() <- struct{}{}:
-	default:
-	}
-}
+// Poll has the engine asked without waiting for the next turn.
+func (s *Stager) Poll() { s.poll.Wake() }
 
-// lookNow carries one call of Look that is not yet met.
-func (s *Stager) lookNow() chan struct{} {
+// EngineStart gives the start of the engine as it was last observed, and how long ago that was; a zero
+// start before the first time.
+func (s *Stager) EngineStart() (startedAt time.Time, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.look == nil {
-		s.look = make(chan struct{}, 1)
-	}
-	return s.look
-}
-
-// Started gives the start of the engine as it was last seen, and how long ago that was; a zero start
-// before the first time.
-func (s *Stager) Started() (born time.Time, ago time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.report.Born == 0 {
-		return time.Time{}, 0
-	}
-	return time.UnixMilli(s.report.Born), s.Clock.Since(s.reportedAt)
+	return s.report.StartedAt, s.Clock.Since(s.reportedAt)
 }
 
 func (s *Stager) String() string { return "stager" }
@@ -331,12 +315,12 @@
 		s.closeGate("engine does not answer")
 		return false
 	}
-	if r.Born != s.born {
-		klog.InfoS("Engine started anew", "agent", s.ID, "born", r.Born, "models", r.Models)
+	if !r.StartedAt.Equal(s.engineStart) {
+		klog.InfoS("Engine started anew", "agent", s.ID, "startedAt", r.StartedAt, "models", r.Models)
 		s.Ledger.Reset()
 		// An agent that starts beside a running engine knows its record, or will at once.
-		s.before, s.untold = s.looked, s.born != 0
-		s.born, s.ordered, s.startedAt = r.Born, 0, s.Clock.Now()
+		s.before, s.untold = s.looked, !s.engineStart.IsZero()
+		s.engineStart, s.ordered, s.startedAt = r.StartedAt, 0, s.Clock.Now()
 	}
 	s.looked = s.Registrar.View().Revision
 	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -82,7 +82,7 @@
 	if e.absent {
 		return stager.Report{}, errAbsent
 	}
-	r := stager.Report{Born: e.born, Running: e.running}
+	r := stager.Report{StartedAt: time.UnixMilli(e.born), Running: e.running}
 	if e.held > 0 {
 		r.Models = []registrar.HeldModel{{Name: model, Version: e.held}}
 	}
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/planner"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -113,29 +114,37 @@
 	return digest, true
 }
 
-// originStep is how long each agent leaves the origin to the one before it in rank.
-func (s *Stager) originStep() time.Duration {
+// origin is where weights come from, by the route table; nil when there is none.
+func (s *Stager) origin() *matcher.Origin {
 	for _, service := range s.Registrar.View().Table.Services {
 		if service.Origin != nil {
-			return OriginStep(s.chunkCount(), service.Origin.LinkRate)
+			return service.Origin
 		}
 	}
-	return defaultOriginStep
+	return nil
+}
+
+// originStep is how long each agent leaves the origin to the one before it in rank.
+func (s *Stager) originStep() time.Duration {
+	origin := s.origin()
+	if origin == nil {
+		return defaultOriginStep
+	}
+	return OriginStep(s.chunkCount(), origin.LinkRate)
 }
 
 func (s *Stager) setOrigin() {
-	for _, service := range s.Registrar.View().Table.Services {
-		if service.Origin != nil {
-			if s.originAt != service.Origin.Address {
-				// A client made anew each time would leave its connections behind, and the
-				// origin accepts only a few.
-				s.originAt = service.Origin.Address
-				s.Digests.SetOrigin(s.Origin(s.originAt))
-			}
-			s.Loader.SetSourceRegion(s.Regions[service.Origin.FailureDomain])
-			return
-		}
+	origin := s.origin()
+	if origin == nil {
+		return
+	}
+	if s.originAt != origin.Address {
+		// A client made anew each time would leave its connections behind, and the
+		// origin accepts only a few.
+		s.originAt = origin.Address
+		s.Digests.SetOrigin(s.Origin(s.originAt))
 	}
+	s.Loader.SetSourceRegion(s.Regions[origin.FailureDomain])
 }
 
 func (s *Stager) whole(model string, version uint64) bool {
@@ -182,7 +191,7 @@
 // were there from the start have the first version staged, and those whose agent
 // restarted what was there before.
 func (s *Stager) preload(ctx context.Context, model, digest string) {
-	if s.preloaded || s.born == 0 {
+	if s.preloaded || s.engineStart.IsZero() {
 		return
 	}
 	s.preloaded = true
