relayer, platform: log what upstreams state of themselves when they refuse

A line on a refused attempt named the status alone, so an upstream's request for rest could not be told from one that is full.

Nothing but the rate limit is acted on so far.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -101,7 +101,7 @@
 func (c *call) usable(x *exchange) error {
 	status := x.response.StatusCode
 	if x.reply.NotRun {
-		return &SendError{Upstream: x.upstream, Outcome: retrier.NotRun, Status: status,
+		return &SendError{Upstream: x.upstream, Outcome: retrier.NotRun, Status: status, Stated: x.reply.Stated,
 			Err: &UnusableError{Problem: fmt.Sprintf("refused with status %d", status)}}
 	}
 	if !x.reply.Sealed || x.reply.ID != c.ID {
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 )
 
 // Request is what a caller says of a request besides method, path and body.
@@ -65,10 +67,8 @@
 	Running, Waiting, Slots int
 	// Idle is how long the upstream keeps an idle connection; 0 when not told.
 	Idle time.Duration
-	// Limited is set if the upstream takes no more than Limit requests a second from all entries
-	// together.
-	Limited bool
-	Limit   float64
+	// Stated is what the upstream asks of those who send to it.
+	Stated []observer.Statement
 }
 
 // Codec reads and writes the headers of the wire.
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
@@ -29,8 +30,10 @@
 	Outcome retrier.Outcome
 	// Reused tells that the connection had been idle before.
 	Reused bool
-	// Status is the upstream's own, when it refused; 0 otherwise.
+	// Status is the upstream's own, when it refused; 0 otherwise. Stated is what it said of itself
+	// then.
 	Status int
+	Stated []observer.Statement
 	Err    error
 }
 
--- a/internal/relayer/limited.go
+++ b/internal/relayer/limited.go
@@ -4,6 +4,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
@@ -23,8 +24,14 @@
 
 // noteLimit notes whether a reply states a limit on its upstream's requests.
 func (l *Relayer) noteLimit(upstream string, r Reply) {
-	if l.Chooser.NoteLimit(upstream, r.Limited, r.Limit) {
-		klog.InfoS("Upstream changed its rate limit", "upstream", upstream, "limited", r.Limited, "perSecond", r.Limit)
+	limit, limited := observer.RateLimit{}, false
+	for _, s := range r.Stated {
+		if l, ok := s.(observer.RateLimit); ok {
+			limit, limited = l, true
+		}
+	}
+	if l.Chooser.NoteLimit(upstream, limited, limit.PerSecond) {
+		klog.InfoS("Upstream changed its rate limit", "upstream", upstream, "limited", limited, "perSecond", limit.PerSecond)
 	}
 }
 
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -78,7 +78,7 @@
 	if s.Outcome == retrier.NotRun && s.Status != 0 {
 		l.Chooser.Avoid(upstream, refusedPause)
 	}
-	l.log(j, "Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused)
+	l.log(j, "Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused, "stated", s.Stated)
 }
 
 // keptBack tells whether this entry itself didn't send the request or gave it up, which says nothing
