relayer, platform: failing tests for upstreams that rest or leave

An upstream that answers 503 with Retry-After goes on getting requests from that entry, 42 in the 2.5 s after which none should come, plain services and engines alike; so do repeats, and requests that were granted a slot before. Callers of a service that rests as a whole are told to come back after 1 to 2 s where 3 s are known. An upstream that states in its answers that it leaves is used on. An agent goes on calling its engine.

--- /dev/null
+++ b/internal/relayer/upstream_leaving_test.go
@@ -0,0 +1,71 @@
+package relayer_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+)
+
+// leavingBound is how long after an entry has handed on an answer of a leaving upstream that gets
+// requests from it.
+const leavingBound = 2 * time.Second
+
+// leavesAfter has an upstream serve and state in its answers that it leaves, from a moment on.
+func leavesAfter(after time.Duration) func(u *talkingUpstream, w http.ResponseWriter, entry string) {
+	began := time.Now()
+	return func(u *talkingUpstream, w http.ResponseWriter, entry string) {
+		if time.Since(began) > after {
+			u.tell(entry)
+			w.Header().Set("Server-Leaving", "1")
+		}
+		serveWhole(w)
+	}
+}
+
+// Guards against requests to an upstream that states in its answers that it leaves, while its record
+// doesn't say so.
+func TestUpstreamThatStatesItsLeavingGetsNothing(t *testing.T) {
+	for name, engine := range map[string]*matcher.Engine{"plain": nil, "engines": engineTable().Services["engines"].Engine} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			leaves, stays := newTalkingUpstream(t, leavesAfter(300*time.Millisecond)), newTalkingUpstreamAt(t, "127.0.0.2", servesAll)
+			slots := 6
+			if engine != nil {
+				slots = engine.Slots
+			}
+			ws := limitedEntries(t, 5, &matcher.Service{Name: "s", Engine: engine}, leaves.record("leaves", "s", slots), stays.record("stays", "s", slots))
+			if engine != nil {
+				port := agentBeside(t, "0.0.0.0", engine, atOnce)
+				for _, w := range ws {
+					w.relayer.Placer.AgentPort = port
+				}
+			}
+			loadEntries(t, ws, 20*time.Millisecond, 4*time.Second)
+			must.Eq(t, 5, leaves.toldEntries())
+			must.Zero(t, leaves.mostBetween(leavingBound, time.Minute))
+		})
+	}
+}
+
+// Guards against a leaving that is read from an answer which is not the upstream's own.
+func TestLeavingOfAnotherUpstreamAtTheAddressIsNotItsOwn(t *testing.T) {
+	requests := 0
+	u := newTalkingUpstream(t, func(_ *talkingUpstream, w http.ResponseWriter, _ string) {
+		requests++
+		if requests == 1 {
+			w.Header().Set("Server-Leaving", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		serveWhole(w)
+	})
+	ws := limitedEntries(t, 1, &matcher.Service{Name: "desk"}, u.record("u", "desk", 6))
+	status, _, _ := ask(t, ws[0], "first")
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	status, _, _ = ask(t, ws[0], "second")
+	must.Eq(t, http.StatusOK, status)
+}
--- /dev/null
+++ b/internal/relayer/upstream_rest_test.go
@@ -0,0 +1,294 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/granter"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+const (
+	// restKnown is how long after its answer an upstream may still get what was on its way, and
+	// mostAtRest how many requests may reach it after that.
+	restKnown  = 500 * time.Millisecond
+	mostAtRest = 2
+)
+
+// talkingUpstream answers as its conduct says and keeps when the requests of each entry came.
+type talkingUpstream struct {
+	listener net.Listener
+
+	mu sync.Mutex
+	// conduct writes an answer's status, header and body; the entry is that which sent the request.
+	conduct func(w http.ResponseWriter, r *http.Request, entry string)
+	// arrived are the times at which requests of each entry came.
+	arrived map[string][]time.Time
+	// told is when an entry was first told to rest, or of the upstream's leaving.
+	told map[string]time.Time
+}
+
+func newTalkingUpstream(t *testing.T, conduct func(u *talkingUpstream, w http.ResponseWriter, entry string)) *talkingUpstream {
+	return newTalkingUpstreamAt(t, "127.0.0.1", conduct)
+}
+
+func newTalkingUpstreamAt(t *testing.T, ip string, conduct func(u *talkingUpstream, w http.ResponseWriter, entry string)) *talkingUpstream {
+	l, err := net.Listen("tcp", ip+":0")
+	must.NoError(t, err)
+	u := &talkingUpstream{listener: l, arrived: map[string][]time.Time{}, told: map[string]time.Time{}}
+	u.conduct = func(w http.ResponseWriter, _ *http.Request, entry string) { conduct(u, w, entry) }
+	s := &http.Server{Handler: u}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { s.Close() })
+	return u
+}
+
+// ServeHTTP answers a request; its body names the entry that it came through.
+func (u *talkingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	entry, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.arrived[string(entry)] = append(u.arrived[string(entry)], time.Now())
+	w.Header().Set("X-Request-Attempt", r.Header.Get("X-Request-Attempt"))
+	u.conduct(w, r, string(entry))
+}
+
+// tell notes that an entry is told something now, if it is the first time.
+func (u *talkingUpstream) tell(entry string) {
+	if _, ok := u.told[entry]; !ok {
+		u.told[entry] = time.Now()
+	}
+}
+
+func serveWhole(w http.ResponseWriter) {
+	w.Header().Set("X-Replica-Seal", "s")
+	_, _ = io.WriteString(w, "done")
+}
+
+// turnAway refuses a request and asks for rest.
+func turnAway(w http.ResponseWriter, rest time.Duration) {
+	w.Header().Set("X-Not-Executed", "shed")
+	w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// asksForRest turns away everything and asks each entry for the same rest.
+func asksForRest(rest time.Duration) func(u *talkingUpstream, w http.ResponseWriter, entry string) {
+	return func(u *talkingUpstream, w http.ResponseWriter, entry string) {
+		u.tell(entry)
+		turnAway(w, rest)
+	}
+}
+
+func servesAll(_ *talkingUpstream, w http.ResponseWriter, _ string) { serveWhole(w) }
+
+// servesHalf refuses every other request and doesn't say for how long.
+func servesHalf() func(u *talkingUpstream, w http.ResponseWriter, entry string) {
+	n := 0
+	return func(_ *talkingUpstream, w http.ResponseWriter, _ string) {
+		if n++; n%2 == 0 {
+			w.Header().Set("X-Not-Executed", "full")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		serveWhole(w)
+	}
+}
+
+// mostBetween is the most requests that any entry sent between two times after it was told.
+func (u *talkingUpstream) mostBetween(after, until time.Duration) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most := 0
+	for entry, told := range u.told {
+		n := 0
+		for _, at := range u.arrived[entry] {
+			if d := at.Sub(told); d > after && d < until {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func (u *talkingUpstream) toldEntries() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.told)
+}
+
+// record is the upstream's record in the store.
+func (u *talkingUpstream) record(id, service string, slots int) registrar.Upstream {
+	return registrar.Upstream{ID: id, Service: service, Address: netip.MustParseAddrPort(u.listener.Addr().String()), FailureDomain: "a", Slots: slots}
+}
+
+// agentBeside starts an agent that grants slots at its engine, and gives its port.
+func agentBeside(t *testing.T, ip string, engine *matcher.Engine, delay func() time.Duration) uint16 {
+	ledger := &scheduler.Ledger{Clock: clock.RealClock{}}
+	ledger.Open(engine)
+	g := &granter.Granter{Ledger: ledger, Holds: func(string) uint64 { return 1 }, Clock: clock.RealClock{}}
+	l, err := net.Listen("tcp", ip+":0")
+	must.NoError(t, err)
+	server := &messenger.Server{Listener: l, OnProgress: g.Progress, OnLost: g.Lost,
+		OnReserve: func(q messenger.Reservation, from *messenger.Link) messenger.Verdict {
+			time.Sleep(delay())
+			return g.Reserve(q, from)
+		}}
+	go func() { _ = server.Serve(t.Context()) }()
+	return netip.MustParseAddrPort(l.Addr().String()).Port()
+}
+
+func atOnce() time.Duration { return 0 }
+
+// ask sends one request through an entry and gives the status and the time to come back.
+func ask(t *testing.T, w *world, id string) (status int, retryAfter, took time.Duration) {
+	t.Helper()
+	began := time.Now()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+"/", strings.NewReader("0"))
+	must.NoError(t, err)
+	r.Header.Set("X-Request-Attempt", id)
+	res, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	_, _ = io.Copy(io.Discard, res.Body)
+	res.Body.Close()
+	seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	return res.StatusCode, time.Duration(seconds * float64(time.Second)), time.Since(began)
+}
+
+// Guards against entries that go on sending to a plain service that asked them for rest.
+func TestServiceAtRestGetsNothing(t *testing.T) {
+	const rest = 3 * time.Second
+	tired, busy := newTalkingUpstream(t, asksForRest(rest)), newTalkingUpstream(t, servesHalf())
+	ws := limitedEntries(t, 5, &matcher.Service{Name: "desk"}, tired.record("tired", "desk", 6), busy.record("busy", "desk", 6))
+	served := loadEntries(t, ws, 20*time.Millisecond, 4*time.Second)
+	must.Eq(t, 5, tired.toldEntries())
+	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
+	must.Positive(t, served)
+}
+
+// Guards against entries that go on sending to an engine that asked them for rest, as its agent, which
+// was not asked, grants slots.
+func TestEngineAtRestGetsNothing(t *testing.T) {
+	const rest = 3 * time.Second
+	tired, busy := newTalkingUpstream(t, asksForRest(rest)), newTalkingUpstreamAt(t, "127.0.0.2", servesHalf())
+	engine := engineTable().Services["engines"].Engine
+	port := agentBeside(t, "0.0.0.0", engine, atOnce)
+	ws := limitedEntries(t, 5, &matcher.Service{Name: "engines", Engine: engine},
+		tired.record("tired", "engines", engine.Slots), busy.record("busy", "engines", engine.Slots))
+	for _, w := range ws {
+		w.relayer.Placer.AgentPort = port
+	}
+	served := loadEntries(t, ws, 20*time.Millisecond, 4*time.Second)
+	must.Eq(t, 5, tired.toldEntries())
+	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
+	must.Positive(t, served)
+}
+
+// Guards against requests that were granted slots before their entry was asked for rest, and are sent
+// long after.
+func TestRequestOnItsWayIsHeldBackFromAnEngineAtRest(t *testing.T) {
+	const rest, late = 5 * time.Second, time.Second
+	tired := newTalkingUpstream(t, asksForRest(rest))
+	engine := engineTable().Services["engines"].Engine
+	var mu sync.Mutex
+	questions := 0
+	port := agentBeside(t, "127.0.0.1", engine, func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		questions++
+		if questions == 1 {
+			return 0
+		}
+		return late
+	})
+	ws := limitedEntries(t, 1, &matcher.Service{Name: "engines", Engine: engine}, tired.record("tired", "engines", engine.Slots))
+	ws[0].relayer.Placer.AgentPort = port
+	var all sync.WaitGroup
+	for i := range 6 {
+		all.Go(func() { _, _, _ = ask(t, ws[0], fmt.Sprint(i)) })
+	}
+	all.Wait()
+	must.Eq(t, 1, tired.toldEntries())
+	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
+}
+
+// Guards against refusals with a time to come back at which the whole service still rests, and against
+// callers who wait for one.
+func TestServiceThatRestsAsAWholeRefusesAtOnce(t *testing.T) {
+	const rest, spread = 3 * time.Second, time.Second
+	for name, engine := range map[string]*matcher.Engine{"plain": nil, "engines": engineTable().Services["engines"].Engine} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conduct := func(u *talkingUpstream, w http.ResponseWriter, entry string) {
+				u.tell(entry)
+				if time.Since(u.told[entry]) > rest {
+					serveWhole(w)
+					return
+				}
+				turnAway(w, rest)
+			}
+			first, second := newTalkingUpstream(t, conduct), newTalkingUpstreamAt(t, "127.0.0.2", conduct)
+			slots := 6
+			if engine != nil {
+				slots = engine.Slots
+			}
+			ws := limitedEntries(t, 1, &matcher.Service{Name: "s", Engine: engine}, first.record("first", "s", slots), second.record("second", "s", slots))
+			if engine != nil {
+				ws[0].relayer.Placer.AgentPort = agentBeside(t, "0.0.0.0", engine, atOnce)
+			}
+			began := time.Now()
+			for i := range 20 {
+				asked := time.Since(began)
+				status, retryAfter, took := ask(t, ws[0], fmt.Sprint(i))
+				must.Eq(t, http.StatusServiceUnavailable, status)
+				// Both have been asked by the second request at the latest.
+				if i > 1 {
+					must.Less(t, 200*time.Millisecond, took)
+					left := rest - asked - took
+					must.GreaterEq(t, left-100*time.Millisecond, retryAfter)
+					must.LessEq(t, left+spread+500*time.Millisecond, retryAfter)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			must.LessEq(t, mostAtRest, max(first.mostBetween(restKnown, rest), second.mostBetween(restKnown, rest)))
+			time.Sleep(time.Until(began.Add(rest + 500*time.Millisecond)))
+			status, _, _ := ask(t, ws[0], "after")
+			must.Eq(t, http.StatusOK, status)
+		})
+	}
+}
+
+// Guards against a stream that is moved to an upstream at rest, and against repeats that go there.
+func TestRepeatsAvoidAnUpstreamAtRest(t *testing.T) {
+	const rest = 3 * time.Second
+	tired := newTalkingUpstream(t, asksForRest(rest))
+	breaks := func(_ *talkingUpstream, w http.ResponseWriter, _ string) {
+		w.Header().Set("X-Replica-Seal", "s")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+	}
+	flaky := newTalkingUpstream(t, breaks)
+	ws := limitedEntries(t, 3, &matcher.Service{Name: "desk"}, tired.record("tired", "desk", 6), flaky.record("flaky", "desk", 6))
+	loadEntries(t, ws, 10*time.Millisecond, 3*time.Second)
+	must.Positive(t, tired.toldEntries())
+	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
+}
