Keep what upstreams state of themselves in one place, and keep to it

Cause: nobody read the header. It is the class of the stated rate limits before it, which were mended for themselves alone: what an upstream states in its replies has no place in the product, so each new statement passes unread.

Package observer is that place. The codec decodes replies into statements; an observer keeps the terms of each start of an upstream for one process; the placer looks at the terms when it lists upstreams, and once more just before a request is sent, whatever grants, dials or moved streams came between. Record and replies are joined there, so a leaving counts from whichever says so first. The rate limit's statement moves there from the chooser.

An agent makes no call to an engine that asked it for rest, and closes the engine while that states that it leaves. If all upstreams of a service rest, callers are refused at once and told when the first takes requests; those refused together come back within a second, no more within the time itself.

A new start of an upstream isn't bound by the former one. What was stated after it began, by the two clocks, is kept, as its record is heard late; a leaving of which that is uncertain holds for 10 s.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -22,6 +22,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/logger"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
 	"github.com/oriolecroft/oriolecroft/internal/surveyor"
@@ -81,9 +82,11 @@
 	settings  *platform.Settings
 	registrar *registrar.Registrar
 	store     *platform.Store
-	metrics   metrics.Registry
-	parts     *suture.Supervisor
-	log       *logger.Writer
+	// observer keeps what upstreams state of themselves; nil in an agent.
+	observer *observer.Observer
+	metrics  metrics.Registry
+	parts    *suture.Supervisor
+	log      *logger.Writer
 	// clock is that of deadlines and of everything else that the standard library tells
 	// the time of. It stands still while the VM is suspended.
 	clock clock.WithTicker
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/hoster"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
@@ -54,8 +55,9 @@
 func newPlatformEntry(d *daemon) (*platformEntry, error) {
 	s := d.settings
 	chooser := &scheduler.Chooser{Clock: d.clock, Random: newRandom()}
+	d.observer = &observer.Observer{Clock: d.clock, Metrics: d.metrics}
 	placer := &relayer.Placer{
-		Registrar: d.registrar, Chooser: chooser, Clock: d.clock,
+		Registrar: d.registrar, Chooser: chooser, Observer: d.observer, Clock: d.clock,
 		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		AgentPort: d.internalPort(reservePort), Agents: &messenger.Clients{Dial: dialPeer, Timeout: relayer.AskTimeout}, WeightsBound: s.Bounds.Weights,
 		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Metrics: d.metrics,
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -12,6 +12,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
 
@@ -50,7 +51,7 @@
 		return v
 	}
 	if q.Limit != nil {
-		g.Ledger.Limit(scheduler.Limit{Rate: q.Limit.PerSecond, Age: q.Limit.Age()})
+		g.Ledger.Limit(observer.Limit{Rate: q.Limit.PerSecond, Age: q.Limit.Age()})
 	}
 	v := g.Ledger.Reserve(scheduler.Job{
 		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -47,8 +47,11 @@
 	return float64(j.Patience) < leastPatienceShare*float64(most)
 }
 
-// RetryAfter is the time to come back that a refused caller is told. It is drawn from one to
-// two times the estimate, so that those refused together don't come back together.
+// mostSpread is over how long callers that were refused together come back at most.
+const mostSpread = time.Second
+
+// RetryAfter is the time to come back that a refused caller is told: the estimate, and up to as much
+// again so that those refused together don't come back together.
 func (l *Relayer) RetryAfter(e *RefusedError) time.Duration {
 	d := e.RetryAfter
 	if d <= 0 {
@@ -59,5 +62,5 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return d + time.Duration(l.Random.Int64N(int64(d)+1))
+	return d + time.Duration(l.Random.Int64N(int64(min(d, mostSpread))+1))
 }
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -51,10 +51,13 @@
 		return nil
 	}
 	var refused *RefusedError
-	if errors.As(err, &refused) {
-		return refused
+	if !errors.As(err, &refused) {
+		refused = &RefusedError{Reason: err.Error(), RetryAfter: busyRetry}
 	}
-	return &RefusedError{Reason: err.Error(), RetryAfter: busyRetry}
+	if j.rest > 0 {
+		refused.RetryAfter = j.rest
+	}
+	return refused
 }
 
 // refuse says that the request did not run and when to come back.
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -39,7 +39,7 @@
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
 	v, err := agent.Reserve(ctx, messenger.Reservation{
 		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
-		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u.ID),
+		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
 	})
 	if ctx.Err() != nil {
 		// The agent may have granted a place that nobody waits for.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -52,21 +52,22 @@
 	o := sendOptions{fresh: !c.Route.Repeatable() || c.rested, headerWithin: c.headerWithin(place),
 		connections: c.Placer.connections(u),
 		stalled:     func(conn *connection) bool { return c.readsOn(ctx, conn) },
-		opened:      func(conn *connection) (func(), error) { return c.closeUnlessBegun(place, conn) }}
+		opened: func(conn *connection) (func(), error) {
+			// The slot may have been granted, and the connection opened, long ago.
+			if err := c.Placer.withhold(u); err != nil {
+				return nil, err
+			}
+			return c.closeUnlessBegun(place, conn)
+		}}
 	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
 	if err != nil {
 		return err
 	}
-	if x.reply.Sealed || x.reply.NotRun {
-		c.noteLimit(u.ID, x.reply)
-	}
+	c.hear(u.Upstream, x)
 	if x.reply.Slots > 0 && !c.Route.Generates {
 		active := float64(x.reply.Running+x.reply.Waiting) / float64(x.reply.Slots)
 		c.Chooser.Heard(u.ID, 0, active)
 	}
-	if x.reply.Upstream != "" && x.reply.Upstream != u.ID {
-		c.Registrar.Replaced(u.Upstream)
-	}
 	if err := c.usable(x); err != nil {
 		x.abandon()
 		return err
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -48,9 +48,9 @@
 // place that can't be used. A connection counts from the question on, so that requests of
 // the same moment don't all count on the last one.
 func (p *Placer) placeAtEngine(ctx context.Context, view *registrar.View, s *matcher.Service, j *Job) (*Place, error) {
-	us := p.eligible(view, j)
-	if len(us) == 0 {
-		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
+	us, err := p.eligible(view, j)
+	if err != nil {
+		return nil, err
 	}
 	began := p.Clock.Now()
 	budget := p.queueingBudget(s, j)
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -13,6 +13,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
@@ -88,6 +89,9 @@
 	RetryAfter time.Duration
 	// Opens is in how long an engine that loads weights should take requests; 0 when that isn't known.
 	Opens time.Duration
+	// Rest is in how long the first upstream that asked for rest takes requests again, if only such
+	// are left; else 0.
+	Rest time.Duration
 	// Met is what the request met at the upstreams.
 	Met Met
 }
@@ -131,6 +135,8 @@
 	// ColdFactor and ColdSlack bound what a cold upstream may get from all entries in a
 	// second: so many times its rate, and a number besides.
 	ColdFactor, ColdSlack float64
+	// Observer keeps what upstreams state of themselves; nil for upstreams that state nothing.
+	Observer *observer.Observer
 	// Metrics counts what became of late requests that looked for a slot; nil for no count.
 	Metrics metrics.Registry
 	// Without are the mechanisms that an experiment switches off.
@@ -155,18 +161,38 @@
 	}
 }
 
-// eligible lists the upstreams to which the request may go by what is known of
-// them and by what route and workspace allow.
-func (p *Placer) eligible(view *registrar.View, j *Job) []*registrar.UpstreamView {
+// eligible lists the upstreams to which the request may go by what they state of themselves and by
+// what route and workspace allow. Errors are *RefusedError: there is none.
+func (p *Placer) eligible(view *registrar.View, j *Job) ([]*registrar.UpstreamView, error) {
 	all := view.Service(j.Service)
 	us := make([]*registrar.UpstreamView, 0, len(all))
+	var rest time.Duration
 	for _, u := range all {
-		if u.Leaving || view.Drained(u.FailureDomain) || slices.Contains(j.Tried, u.ID) || !p.permitted(u, j) {
+		if slices.Contains(j.Tried, u.ID) || !p.reachable(view, u, j) {
 			continue
 		}
-		us = append(us, u)
+		switch t := p.terms(u); {
+		case t.Leaving:
+		case t.Rest > 0:
+			rest = least(rest, t.Rest)
+		default:
+			us = append(us, u)
+		}
+	}
+	switch {
+	case len(us) > 0:
+		return us, nil
+	case rest > 0:
+		return nil, &RefusedError{Reason: "all upstreams asked for rest", RetryAfter: busyRetry, Rest: rest}
+	default:
+		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
 	}
-	return us
+}
+
+// reachable tells whether a request may go to an upstream by what its route, its workspace and the
+// operators allow.
+func (p *Placer) reachable(view *registrar.View, u *registrar.UpstreamView, j *Job) bool {
+	return !view.Drained(u.FailureDomain) && p.permitted(u, j)
 }
 
 func (p *Placer) permitted(u *registrar.UpstreamView, j *Job) bool {
@@ -203,9 +229,9 @@
 // placeAtService places a request at a plain service. These have no agent: the own
 // count and the load on their replies must do.
 func (p *Placer) placeAtService(view *registrar.View, j *Job) (*Place, error) {
-	us := p.eligible(view, j)
-	if len(us) == 0 {
-		return nil, &RefusedError{Reason: "no upstream", RetryAfter: busyRetry}
+	us, err := p.eligible(view, j)
+	if err != nil {
+		return nil, err
 	}
 	reason := "all upstreams cold"
 	order := p.order(us, "")
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -22,11 +22,21 @@
 	rested bool
 	// next is the place that the next attempt already has; nil for none.
 	next *Place
+	// rest is for how long all upstreams want nothing from this entry, once the job is given up.
+	rest time.Duration
 }
 
 // Serve makes attempts until one gives the caller its answer. Errors are those of Place and
 // of the last attempt.
 func (l *Relayer) Serve(ctx context.Context, j *Job, attempt Attempt) error {
+	err := l.serve(ctx, j, attempt)
+	if err != nil {
+		j.rest = l.Placer.rest(j)
+	}
+	return err
+}
+
+func (l *Relayer) serve(ctx context.Context, j *Job, attempt Attempt) error {
 	l.Budgets.Of(j.Service).First()
 	j.outcome = retrier.NotRun
 	defer j.giveBack()
@@ -87,7 +97,8 @@
 	var full *ConnectionsError
 	var stale *StaleWeightsError
 	var unsent *UnsentError
-	return errors.As(err, &full) || errors.As(err, &stale) || errors.As(err, &unsent)
+	var withheld *WithheldError
+	return errors.As(err, &full) || errors.As(err, &stale) || errors.As(err, &unsent) || errors.As(err, &withheld)
 }
 
 // refusedPause is how long an upstream that refused is passed over: about the time
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -64,7 +64,9 @@
 
 // slotWait is how long a request that found no slot, for a reason, looks for one.
 func (p *Placer) slotWait(j *Job, e *matcher.Engine, reason error) slotWait {
-	switch {
+	switch rest := restLeft(reason); {
+	case rest > againHeld || rest > 0 && !j.Again:
+		return slotWait{pause: heldPause}
 	case j.Again:
 		return slotWait{limit: againHeld, pause: heldPause}
 	case !p.late(j):
@@ -80,6 +82,16 @@
 	}
 }
 
+// restLeft is in how long the first upstream takes requests again, if a request was refused as all
+// asked for rest; else 0.
+func restLeft(reason error) time.Duration {
+	var refused *RefusedError
+	if !errors.As(reason, &refused) {
+		return 0
+	}
+	return refused.Rest
+}
+
 // lateWait is how long a late request looks for a slot: until each slot of an engine should have come
 // free once, or until its caller has no more time than a reply takes.
 func (p *Placer) lateWait(j *Job, e *matcher.Engine) slotWait {
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
@@ -186,13 +187,14 @@
 	c := clock.RealClock{}
 	chooser := &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 2))}
 	w := &world{upstreams: upstreams, registrar: reg, metrics: metrics.NewRegistry()}
+	stated := &observer.Observer{Clock: c}
 	w.relayer = &relayer.Relayer{
 		Registrar: reg, Chooser: chooser, Codec: codec{}, Clock: c, Random: rand.New(rand.NewPCG(3, 4)), Metrics: w.metrics,
 		Pool: &relayer.Pool{Clock: c, Opened: func() {}},
 		Budgets: &retrier.Budgets{New: func() *retrier.Budget {
 			return &retrier.Budget{Clock: c, Share: 0.9 * retryRatio, Burst: 0.6 * retrySlack}
 		}},
-		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "r",
+		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Observer: stated, Clock: c, FailureDomain: "a", Region: "r",
 			Regions: map[string]string{"a": "r"}, Agents: &messenger.Clients{Timeout: patience, Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} }}},
 	}
 	w.Server = httptest.NewServer(w.relayer)
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -104,7 +104,7 @@
 	alive       time.Time
 	used        time.Time
 	cold        rateTurn
-	limited     limited
+	limited     rateTurn
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -120,7 +120,7 @@
 	s := c.seen[id]
 	if s == nil {
 		s = &seen{cold: rateTurn{phase: c.Random.Float64()}}
-		s.limited.turn.phase = c.Random.Float64()
+		s.limited.phase = c.Random.Float64()
 		c.seen[id] = s
 	}
 	s.used = now
@@ -163,7 +163,7 @@
 	}
 	if !s.startedAt.IsZero() {
 		*s = seen{running: s.running, used: s.used, cold: rateTurn{phase: s.cold.phase}}
-		s.limited.turn.phase = c.Random.Float64()
+		s.limited.phase = c.Random.Float64()
 	}
 	s.startedAt = startedAt
 }
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -12,6 +12,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 )
 
 // overdue is how long beyond its caller's patience a place is held for a request
@@ -175,7 +176,7 @@
 
 // Limit takes over what the engine stated of the requests a second that it takes. The newest
 // statement counts, whichever entry passes it on.
-func (l *Ledger) Limit(limit Limit) {
+func (l *Ledger) Limit(limit observer.Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
--- a/internal/scheduler/limited_test.go
+++ b/internal/scheduler/limited_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 	clocktest "k8s.io/utils/clock/testing"
 
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
 
@@ -47,25 +48,6 @@
 	}
 }
 
-// Guards against a limit that outlives the replies that state it.
-func TestLimitEndsWithTheReplies(t *testing.T) {
-	clock := clocktest.NewFakeClock(time.Unix(1000, 0))
-	c := &scheduler.Chooser{Clock: clock, Random: rand.New(rand.NewPCG(1, 9))}
-	must.False(t, c.NoteLimit("u", false, 0))
-	_, known := c.Limit("u")
-	must.False(t, known)
-	must.True(t, c.NoteLimit("u", true, 1.5))
-	must.False(t, c.NoteLimit("u", true, 1.5))
-	clock.Step(time.Second)
-	limit, known := c.Limit("u")
-	must.True(t, known)
-	must.Eq(t, scheduler.Limit{Rate: 1.5, Age: time.Second}, limit)
-	must.True(t, c.NoteLimit("u", false, 0))
-	limit, known = c.Limit("u")
-	must.True(t, known)
-	must.Zero(t, limit.Rate)
-}
-
 // Guards against an engine that gets more than the limit that it states, and against a statement
 // that is passed on late and replaces a newer one.
 func TestLedgerKeepsToAStatedLimit(t *testing.T) {
@@ -88,12 +70,12 @@
 		return n
 	}
 	must.Eq(t, 40, granted(time.Second))
-	l.Limit(scheduler.Limit{Rate: 1.5})
+	l.Limit(observer.Limit{Rate: 1.5})
 	must.Between(t, 6, granted(4*time.Second), 7)
-	l.Limit(scheduler.Limit{Age: 5 * time.Second})
+	l.Limit(observer.Limit{Age: 5 * time.Second})
 	must.Between(t, 5, granted(4*time.Second), 7)
-	l.Limit(scheduler.Limit{Rate: 20, Age: time.Second})
+	l.Limit(observer.Limit{Rate: 20, Age: time.Second})
 	must.Between(t, 80, granted(4*time.Second), 85)
-	l.Limit(scheduler.Limit{})
+	l.Limit(observer.Limit{})
 	must.Eq(t, 40, granted(time.Second))
 }
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/loader"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/notifier"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
@@ -56,6 +58,8 @@
 	Models []registrar.HeldModel
 	// Busy tells that an order is under way.
 	Busy bool
+	// Leaving tells that it is about to end.
+	Leaving bool
 	// Waiting and Running are its requests.
 	Waiting, Running int
 	// Pace is how much slower than its figures it works; 0 when not told.
@@ -85,6 +89,12 @@
 	return fmt.Sprintf("%s: status %d: %s", e.Call, e.Status, e.Text)
 }
 
+// RestingError reports a call that was not made, as the engine wants nothing from this agent for so
+// long.
+type RestingError struct{ Rest time.Duration }
+
+func (e *RestingError) Error() string { return fmt.Sprintf("engine rests for %v", e.Rest) }
+
 // Stager looks after one engine. Set the exported fields before Serve.
 type Stager struct {
 	// ID is this agent's; Address is the engine's, by which it finds itself among the
@@ -311,6 +321,11 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	var resting *RestingError
+	if errors.As(err, &resting) {
+		s.closeGateUntil(observer.RestingUpstream, asked.Add(resting.Rest))
+		return false
+	}
 	if err != nil {
 		s.closeGate("engine does not answer")
 		return false
@@ -333,6 +348,8 @@
 // decideGate opens the engine to requests or closes it.
 func (s *Stager) decideGate(e *matcher.Engine, model string, held uint64) {
 	switch {
+	case s.report.Leaving:
+		s.closeGate(observer.LeavingUpstream)
 	case held == 0:
 		s.closeGateUntil("no weights", s.opens(e, held))
 	case s.report.Busy || s.loading(held):
