platform status: show what upstreams ask of each process

A process that sends nothing to an upstream looked like one that knows nothing of it. Status has the terms of each upstream that rests, leaves or limits its requests, by JSON with what is left of the rest, and counts them in its table.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -258,6 +258,11 @@
 	if err := ready(); err != nil {
 		st.NotReady = err.Error()
 	}
+	for _, t := range d.observer.All() {
+		st.Terms = append(st.Terms, surveyor.Terms{
+			Upstream: t.ID, Leaving: t.Leaving, RestSeconds: t.Rest.Seconds(), PerSecond: t.Limit.Rate,
+		})
+	}
 	v := d.registrar.View()
 	if v == nil {
 		return st
--- a/cmd/oriolecroft/platform_status.go
+++ b/cmd/oriolecroft/platform_status.go
@@ -24,8 +24,10 @@
 const helpPlatformStatus = `
   Asks processes what each believes and how old that is, all at once, and prints a
   line for each: revision and when the store confirmed it, route table, weights
-  named (agents: held/named), upstreams, entries, log lines dropped, and what is
-  wrong. A process behind the others is asked once more after a second.
+  named (agents: held/named), upstreams, what these ask of the process (how many
+  rest, leave or limit their requests; with --json each by itself), entries, log
+  lines dropped, and what is wrong. A process behind the others is asked once more
+  after a second.
 
   Without --vms the processes are those that the store knows, which the settings
   file names (ORIOLECROFT_SETTINGS): entries, and agents beside engines.
@@ -159,7 +161,7 @@
 
 func printProcesses(to io.Writer, ps []surveyor.Process) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "VM\tROLE\tREVISION\tCONFIRMED\tTABLE\tWEIGHTS\tUPSTREAMS\tENTRIES\tDROPPED\tFAULTS")
+	fmt.Fprintln(w, "VM\tROLE\tREVISION\tCONFIRMED\tTABLE\tWEIGHTS\tUPSTREAMS\tTERMS\tENTRIES\tDROPPED\tFAULTS")
 	for _, p := range ps {
 		faults := strings.Join(p.Faults, "; ")
 		if faults == "" {
@@ -167,15 +169,43 @@
 		}
 		st := p.Status
 		if st == nil {
-			fmt.Fprintf(w, "%s\t?\t?\t?\t?\t?\t?\t?\t?\t%s\n", p.Address, faults)
+			fmt.Fprintf(w, "%s\t?\t?\t?\t?\t?\t?\t?\t?\t?\t%s\n", p.Address, faults)
 			continue
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%.1fs ago\t%d\t%s\t%d\t%d\t%d\t%s\n", st.VM, st.Role, st.Revision, st.ConfirmedAgo,
-			st.TableVersion, weightsText(st), st.Upstreams, st.Entries, st.LinesDropped, faults)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.1fs ago\t%d\t%s\t%d\t%s\t%d\t%d\t%s\n", st.VM, st.Role, st.Revision, st.ConfirmedAgo,
+			st.TableVersion, weightsText(st), st.Upstreams, termsText(st.Terms), st.Entries, st.LinesDropped, faults)
 	}
 	return w.Flush()
 }
 
+// termsText counts the upstreams that ask for something.
+func termsText(all []surveyor.Terms) string {
+	resting, leaving, limited := 0, 0, 0
+	for _, t := range all {
+		switch {
+		case t.Leaving:
+			leaving++
+		case t.RestSeconds > 0:
+			resting++
+		default:
+			limited++
+		}
+	}
+	var texts []string
+	for _, part := range []struct {
+		count int
+		name  string
+	}{{resting, "resting"}, {leaving, "leaving"}, {limited, "limited"}} {
+		if part.count > 0 {
+			texts = append(texts, fmt.Sprintf("%d %s", part.count, part.name))
+		}
+	}
+	if len(texts) == 0 {
+		return "-"
+	}
+	return strings.Join(texts, ", ")
+}
+
 // weightsText is model:named, for an agent model:held/named.
 func weightsText(st *surveyor.Status) string {
 	var texts []string
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -33,6 +33,8 @@
 	Weights   map[string]uint64 `json:"weights,omitempty"`
 	Upstreams int               `json:"upstreams"`
 	Entries   int               `json:"entries"`
+	// Terms are what upstreams ask of this process, those that ask for anything.
+	Terms []Terms `json:"terms,omitempty"`
 	// NotReady says why it takes no work; empty when it does.
 	NotReady     string `json:"notReady,omitempty"`
 	LinesDropped int64  `json:"logLinesDropped"`
@@ -40,6 +42,16 @@
 	Engine *Engine `json:"engine,omitempty"`
 }
 
+// Terms are what an upstream stated of itself in its replies to a process.
+type Terms struct {
+	Upstream string `json:"upstream"`
+	Leaving  bool   `json:"leaving,omitempty"`
+	// RestSeconds is for how much longer it wants nothing from the process.
+	RestSeconds float64 `json:"restSeconds,omitempty"`
+	// PerSecond is how many requests it takes from all processes; 0 for any.
+	PerSecond float64 `json:"perSecond,omitempty"`
+}
+
 // Engine is what an agent says of its engine.
 type Engine struct {
 	Model string `json:"model"`
