simulator, soak: upstreams that ask for rest or state that they leave

simulator: faults rest and leave, with three loads.

soak: every run has four upstreams that ask for rest, drawn apart, so that seeds keep their other faults; every second upstream that leaves states it. Two promises more, judged whenever a request came to the service.

--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -41,6 +41,8 @@
 	AdmissionWait Mechanism = "admissionWait"
 	// LateWait has late requests of callers that came back wait for a slot while such waits get one.
 	LateWait Mechanism = "lateWait"
+	// UpstreamTerms keeps to what upstreams state of themselves in their replies.
+	UpstreamTerms Mechanism = "upstreamTerms"
 	// RetryJitter spreads the Retry-After of callers that are refused together.
 	RetryJitter Mechanism = "retryJitter"
 	// RetryBudget bounds retries to a share of first attempts.
@@ -51,7 +53,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
-		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, RetryJitter, RetryBudget,
+		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, RetryJitter, RetryBudget,
 	}
 }
 
--- a/internal/relayer/terms.go
+++ b/internal/relayer/terms.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -49,7 +50,9 @@
 
 // Hear notes what an upstream states of itself in a reply.
 func (p *Placer) Hear(u registrar.Upstream, stated []observer.Statement) {
-	p.Observer.Note(startOf(u), stated)
+	if !p.Without.Has(ablator.UpstreamTerms) {
+		p.Observer.Note(startOf(u), stated)
+	}
 }
 
 func startOf(u registrar.Upstream) observer.Start { return observer.Start{ID: u.ID, At: u.StartedAt} }
--- a/internal/relayer/upstream_rest_test.go
+++ b/internal/relayer/upstream_rest_test.go
@@ -21,6 +21,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+	"github.com/oriolecroft/oriolecroft/platform"
 )
 
 const (
@@ -292,3 +293,6 @@
 	must.Positive(t, tired.toldEntries())
 	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
 }
+
+// platformCodec reads the headers of the users' platform.
+var platformCodec = platform.Headers{}
--- a/internal/simulator/ablation_test.go
+++ b/internal/simulator/ablation_test.go
@@ -37,7 +37,7 @@
 		ablator.ColdLimit: "fullRestart", ablator.Locality: "base", ablator.LoadFeedback: "base", ablator.TieBreaking: "base",
 		ablator.FailureEjection: "fullRestart", ablator.FullBackoff: "lastingOverload", ablator.UnresponsiveBackoff: "silentVMs",
 		ablator.UngrantedSends: "agentsDown", ablator.AdmissionWait: "lastingOverload", ablator.RetryJitter: "lastingOverload",
-		ablator.RetryBudget: "fullRestart", ablator.LateWait: "fullRestart",
+		ablator.RetryBudget: "fullRestart", ablator.LateWait: "fullRestart", ablator.UpstreamTerms: "leavers",
 	}
 	for _, m := range ablator.All() {
 		t.Run(string(m), func(t *testing.T) {
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -167,7 +167,7 @@
 		return &relayer.SendError{Upstream: p.Upstream.ID, Outcome: retrier.NotRun, Status: http.StatusMisdirectedRequest,
 			Err: &UpstreamError{Problem: "another engine"}}
 	}
-	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride}, box, way)
+	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride}, e.name, box, way)
 	limit := p.FirstEventLimit()
 	for first := true; ; first = false {
 		got, ok := box.Get(min(limit, j.Deadline.Sub(c.time.Now())) + way)
@@ -175,6 +175,7 @@
 			c.time.In(way, func() { h.drop(j.ID) })
 			return h.failure(retrier.Unknown, 0, "silent")
 		}
+		e.relayer.Placer.Hear(p.Upstream.Upstream, got.stated)
 		if got.failure != nil {
 			return got.failure
 		}
@@ -183,6 +184,9 @@
 			p.Started()
 			j.Version = version
 		}
+		if h.leaving {
+			h.ask(e.name, c.Length)
+		}
 		c.deliver()
 		e.relayer.Chooser.Alive(h.id)
 		if got.Last {
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -186,6 +186,11 @@
 	// FaultSwitch has engines switch to new weights one after the other within Lasts: each ends
 	// its requests, takes no new ones meanwhile, and loads.
 	FaultSwitch = "switch"
+	// FaultRest has engines turn requests away and ask each entry for a rest of Rest.
+	FaultRest = "rest"
+	// FaultLeave has engines state for Lasts that they leave, while their records don't, and then come
+	// back as by FaultReplace.
+	FaultLeave = "leave"
 )
 
 // Fault is something that befalls engines.
@@ -200,6 +205,7 @@
 	// Overrun is how much later than its engine's turn to switch a request may be expected to
 	// end.
 	Overrun time.Duration `toml:"overrun"`
+	Rest    time.Duration `toml:"rest"`
 }
 
 // FileError reports an experiment that can't be played.
@@ -323,7 +329,7 @@
 
 func (f Fault) problem(domains map[string]bool) string {
 	switch f.Fault {
-	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch:
+	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave:
 	default:
 		return fmt.Sprintf("unknown fault %q", f.Fault)
 	}
@@ -333,5 +339,8 @@
 	if f.Fault == FaultSlow && f.Pace <= 1 {
 		return "a slow engine needs a pace above 1"
 	}
+	if f.Fault == FaultRest && f.Rest <= 0 {
+		return "engines that ask for rest need a rest"
+	}
 	return ""
 }
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/emulator"
 	"github.com/oriolecroft/oriolecroft/internal/granter"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
@@ -37,6 +38,11 @@
 	silent, down, noWeights bool
 	// agentDown tells that the agent's process is gone.
 	agentDown bool
+	// rest is what the engine asks of each entry that it turns away, 0 while it turns none away. Leaving
+	// engines state that in their replies. Quiet are the entries that know of one or the other.
+	rest    time.Duration
+	leaving bool
+	quiet   map[string]quietSpan
 	// ordered engines load new weights once they have ended their requests.
 	ordered bool
 	// coldUntil is when the engine bears a full load again.
@@ -45,10 +51,12 @@
 	accepted []time.Time
 }
 
-// part is what comes of a request at an engine: an event, or a failure.
+// part is what comes of a request at an engine: an event, or a failure, and what the engine states of
+// itself.
 type part struct {
 	emulator.Event
 	failure *relayer.SendError
+	stated  []observer.Statement
 }
 
 // UpstreamError is an engine's refusal or end, as an entry sees it.
@@ -57,7 +65,7 @@
 func (e *UpstreamError) Error() string { return e.Problem }
 
 func newHost(w *world, d *FailureDomain, number int) *host {
-	h := &host{world: w, domain: d, id: fmt.Sprintf("%s-%d", d.Name, number), streams: map[string]*sequencer.Mailbox[part]{},
+	h := &host{world: w, domain: d, id: fmt.Sprintf("%s-%d", d.Name, number), streams: map[string]*sequencer.Mailbox[part]{}, quiet: map[string]quietSpan{},
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(w.hosts) >> 8), byte(len(w.hosts))}), 1)}
 	h.engine = &emulator.Engine{Figures: w.Engine.figures(), Memory: w.Engine.Memory}
 	h.ledger = &scheduler.Ledger{Clock: w.time, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack, Without: w.Without}
@@ -98,11 +106,47 @@
 	h.ledger.Open(h.engine.Figures)
 }
 
-// take brings a request to the engine; what becomes of it comes into the mailbox.
-func (h *host) take(r emulator.Request, box *sequencer.Mailbox[part], way time.Duration) {
+// stated is what the engine states in its replies.
+func (h *host) stated() []observer.Statement {
+	if h.leaving {
+		return []observer.Statement{observer.Leaving{}}
+	}
+	return nil
+}
+
+// quietSpan is when an entry is to send nothing.
+type quietSpan struct{ from, until time.Time }
+
+// quietAfter is how long after an engine's answer requests may still be on their way.
+const quietAfter = 500 * time.Millisecond
+
+// ask keeps that the engine asked an entry to send nothing for a time.
+func (h *host) ask(entry string, d time.Duration) {
+	now := h.time.Now()
+	s := h.quiet[entry]
+	if now.After(s.until) {
+		s.from = now.Add(quietAfter)
+	}
+	s.until = now.Add(d)
+	h.quiet[entry] = s
+}
+
+// turnAway refuses a request of an entry and asks for rest.
+func (h *host) turnAway(entry string, box *sequencer.Mailbox[part], way time.Duration) {
+	h.ask(entry, h.rest)
+	refusal := part{failure: h.failure(retrier.NotRun, http.StatusServiceUnavailable, "asks for rest")}
+	refusal.stated = append(h.stated(), observer.Rest{For: h.rest})
+	h.later(box, way, refusal)
+}
+
+// take brings a request of an entry to the engine; what becomes of it comes into the mailbox.
+func (h *host) take(r emulator.Request, entry string, box *sequencer.Mailbox[part], way time.Duration) {
 	if h.silent {
 		return
 	}
+	if s, now := h.quiet[entry], h.time.Now(); now.After(s.from) && now.Before(s.until) {
+		h.report.Disturbed++
+	}
 	if problem := h.unwilling(); problem != "" {
 		status := http.StatusServiceUnavailable
 		if h.down {
@@ -111,6 +155,10 @@
 		h.later(box, way, part{failure: h.failure(retrier.NotRun, status, problem)})
 		return
 	}
+	if h.rest > 0 {
+		h.turnAway(entry, box, way)
+		return
+	}
 	now := h.time.Now()
 	if now.Before(h.coldUntil) {
 		h.accepted = append(h.accepted, now)
@@ -172,7 +220,7 @@
 			delete(h.streams, v.ID)
 		}
 		if box != nil && !h.silent {
-			h.later(box, v.At.Sub(now), part{Event: v})
+			h.later(box, v.At.Sub(now), part{Event: v, stated: h.stated()})
 		}
 	}
 	h.loadWhenIdle()
@@ -234,6 +282,8 @@
 	pace := h.engine.Pace
 	h.engine = &emulator.Engine{Figures: h.Engine.figures(), Memory: h.Engine.Memory, Pace: pace}
 	clear(h.streams)
+	clear(h.quiet)
+	h.leaving = false
 	h.armed = time.Time{}
 	h.down, h.silent, h.ordered = false, false, false
 	h.ledger.OpenUntil(time.Time{})
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -10,10 +10,12 @@
 	"github.com/oriolecroft/oriolecroft/internal/simulator"
 )
 
-// seeds is how many seeds a load is played with. One alone differs from the next by as much as
-// 0.02 in worth.
+// seeds is how many seeds a load is played with.
 const seeds = 5
 
+// seedSpread is by how much the worth of one seed differs from that of the next.
+const seedSpread = 0.02
+
 // played are the reports of one load with all seeds.
 type played []*simulator.Report
 
@@ -198,6 +200,31 @@
 	must.Greater(t, 0.86, p.worth(everything))
 }
 
+// disturbed counts the requests to engines that had told their entry to send none.
+func (p played) disturbed() int {
+	n := 0
+	for _, r := range p {
+		n += r.Disturbed
+	}
+	return n
+}
+
+// Guards against requests to engines that asked their entry for rest or stated that they leave, and
+// against callers who pay for that.
+func TestEnginesThatAskForRestOrLeave(t *testing.T) {
+	for _, name := range []string{"rest", "restOfAll", "leavers"} {
+		t.Run(name, func(t *testing.T) {
+			e := load(t, name)
+			kept := playAll(t, e)
+			e.Without = ablator.Set{ablator.UpstreamTerms}
+			ignored := playAll(t, e)
+			must.Zero(t, kept.disturbed())
+			must.Positive(t, ignored.disturbed())
+			must.GreaterEq(t, ignored.worth(everything)-seedSpread, kept.worth(everything))
+		})
+	}
+}
+
 // Guards against refusing callers for good that come back after a full restart, although slots come free
 // within a second.
 func TestCallersThatComeBackAfterAFullRestart(t *testing.T) {
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// replace ends the engine, and starts another one at its address after a pause. The former one's record
+// lapses later.
+func (h *host) replace(pause time.Duration) {
+	h.end()
+	former := h.id
+	h.time.In(pause+h.News.Lapse, func() { h.change(former, nil, h.News.Delay) })
+	h.time.In(pause, func() {
+		h.id = fmt.Sprintf("%s.%d", former, h.starts)
+		h.byID[h.id] = h
+		h.start()
+		h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
+	})
+}
+
 func (h *host) befall(f Fault) {
 	after := func(do func()) {
 		if f.Lasts > 0 {
@@ -98,15 +112,13 @@
 	}
 	switch f.Fault {
 	case FaultReplace:
-		h.end()
-		former := h.id
-		h.time.In(f.Lasts+h.News.Lapse, func() { h.change(former, nil, h.News.Delay) })
-		after(func() {
-			h.id = fmt.Sprintf("%s.%d", former, h.starts)
-			h.byID[h.id] = h
-			h.start()
-			h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
-		})
+		h.replace(f.Lasts)
+	case FaultLeave:
+		h.leaving = true
+		after(func() { h.replace(0) })
+	case FaultRest:
+		h.rest = f.Rest
+		after(func() { h.rest = 0 })
 	case FaultCrash:
 		h.end()
 		starts := h.starts
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -52,6 +52,9 @@
 	Experiment *Experiment
 	Seed       uint64
 	Requests   []*Request
+	// Disturbed counts requests that came to an engine from an entry that it had told to rest, or that
+	// it leaves.
+	Disturbed int
 	// Misdirected counts requests that came to another engine than was meant.
 	Misdirected int
 	// ColdExcess counts requests beyond the bound of cold engines.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -13,6 +13,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
@@ -132,7 +133,7 @@
 	e.relayer = &relayer.Relayer{
 		Registrar: r, Chooser: chooser, Clock: w.time, Random: w.newRandom(), Metrics: metrics.NewRegistry(),
 		Placer: &relayer.Placer{
-			Registrar: r, Chooser: chooser, Clock: w.time, FailureDomain: d.Name, Region: d.Region, Regions: regions,
+			Registrar: r, Chooser: chooser, Observer: &observer.Observer{Clock: w.time}, Clock: w.time, FailureDomain: d.Name, Region: d.Region, Regions: regions,
 			AgentPort: agentPort, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack, Without: w.Without,
 			Reach: func(a netip.AddrPort) relayer.Agent { return &road{entry: e, host: w.byAgent[a]} },
 		},
--- a/soak/auditor/arrivals.go
+++ b/soak/auditor/arrivals.go
@@ -14,6 +14,10 @@
 	// toleratedGone how often it may be longer.
 	leftSlack     = 500 * time.Millisecond
 	toleratedGone = 3
+	// restSlack is how long after its answer an upstream may get what was on its way, and
+	// toleratedInRest how many requests more.
+	restSlack       = 500 * time.Millisecond
+	toleratedInRest = 2
 )
 
 // judgeArrival judges a request that reached an upstream.
@@ -25,6 +29,7 @@
 		return
 	}
 	a.judgePlace(r, u)
+	a.judgeStated(r, u)
 	a.judgeKey(r, e)
 	a.judgeTables(r, u)
 	a.judgeCold(r, u)
@@ -51,6 +56,49 @@
 	a.check(Gone, r.ID, !late || a.gone <= toleratedGone, "reached %s %v after its caller had left", u.Upstream, h.now.Sub(r.answeredAt))
 }
 
+// judgeStated judges whether an entry keeps to what upstreams stated to it: a request that came to one
+// of a service might have come to each other one as well.
+func (a *Auditor) judgeStated(r *request, u *upstream) {
+	h := a.history
+	e := h.entry(r.Entry)
+	for id, told := range e.told {
+		if h.serves(id, u.Service) {
+			late := r.at.Sub(told)
+			a.check(Told, r.ID, id != u.Upstream || late <= h.Drain, "reached %s by %s, sent %v after it said that it leaves", id, r.Entry, late)
+		}
+	}
+	for id, rests := range e.rests {
+		if !h.serves(id, u.Service) {
+			continue
+		}
+		for _, s := range rests {
+			a.judgeRest(r, id, s, id == u.Upstream)
+		}
+	}
+}
+
+// judgeRest judges a request by what an upstream had asked of its entry; arrived tells that it came to
+// that upstream.
+func (a *Auditor) judgeRest(r *request, upstream string, s *rest, arrived bool) {
+	h := a.history
+	if h.now.Before(s.asked.Add(restSlack)) || !h.now.Before(s.until) {
+		return
+	}
+	if !h.undisturbed(r.Entry, s.asked, h.now) || !h.undisturbed(upstream, s.asked.Add(-h.StableWindow), h.now) {
+		return
+	}
+	if arrived {
+		s.arrived++
+	}
+	a.check(Rest, r.ID, !arrived || s.arrived <= toleratedInRest, "reached %s by %s, %d in its rest", upstream, r.Entry, s.arrived)
+}
+
+// serves tells whether an upstream is of a service.
+func (h *history) serves(id, service string) bool {
+	u := h.upstreams[id]
+	return u != nil && u.Service == service
+}
+
 // judgePlace judges the upstream that was chosen.
 func (a *Auditor) judgePlace(r *request, u *upstream) {
 	h := a.history
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -21,6 +21,8 @@
 	Weights    Promise = "no reply from spoilt weights"
 	Version    Promise = "no reply begins on old weights after the bound"
 	Drain      Promise = "a leaving upstream gets nothing after the bound"
+	Told       Promise = "an upstream that told an entry so gets nothing from it"
+	Rest       Promise = "an upstream that asked for rest gets hardly anything"
 	Evacuation Promise = "a drained failure domain gets nothing after the bound"
 	Cold       Promise = "a cold upstream gets no more than it bears"
 	Budget     Promise = "repeats stay within the budget"
@@ -43,7 +45,7 @@
 
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
-	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, Evacuation, Cold, Budget, Attempts, Home, Keys,
+	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, Told, Rest, Evacuation, Cold, Budget, Attempts, Home, Keys,
 	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Gone, Abandoned, Reload, Exit, Recovery,
 }
 
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -77,6 +77,21 @@
 	d.answer(id, upstream)
 }
 
+// tellLeaving is a request whose answer says that its upstream, near, leaves.
+func (d *day) tellLeaving(id string) {
+	d.send(id, "/look/1")
+	d.reach(id, "near")
+	d.Note(auditor.Answered{ID: id, Status: 200, Names: id, Upstream: "near", Whole: true, Leaving: true})
+}
+
+// turnAway is a request that near refuses, asking for rest.
+func (d *day) turnAway(id string, rest time.Duration) {
+	d.send(id, "/look/1")
+	d.Note(auditor.Arrived{ID: id, Upstream: "near", Content: id, Workspace: "w", Left: time.Second})
+	d.Note(auditor.TurnedAway{ID: id, Upstream: "near", Rest: rest})
+	d.Note(auditor.Answered{ID: id, Status: 503, Whole: true})
+}
+
 // abandon sends a request for a long stream that begins to run and whose caller leaves.
 func (d *day) abandon(id string) {
 	d.Note(auditor.Sent{ID: id, Entry: "e", Path: "/look/1", Key: "k", Content: id, Limit: 2 * time.Second, Events: 9, Lasts: time.Second})
@@ -191,6 +206,19 @@
 			d.after(2100 * time.Millisecond)
 			d.serve("1", "/look/1", "near")
 		}},
+		{auditor.Told, "a request sent 2.1 s after its entry handed on that the upstream leaves", func(d *day) {
+			d.tellLeaving("1")
+			d.Note(auditor.Disturbed{Who: "e"})
+			d.after(2100 * time.Millisecond)
+			d.serve("2", "/look/2", "near")
+		}},
+		{auditor.Rest, "a third request in the rest that an upstream asked for", func(d *day) {
+			d.turnAway("1", 3*time.Second)
+			d.after(600 * time.Millisecond)
+			for _, id := range []string{"2", "3", "4"} {
+				d.serve(id, "/look/"+id, "near")
+			}
+		}},
 		{auditor.Evacuation, "a request 5.1 s after its failure domain was drained", func(d *day) {
 			d.Note(auditor.Drained{FailureDomain: "huon-a"})
 			d.after(5100 * time.Millisecond)
@@ -377,6 +405,39 @@
 			d.Note(auditor.Calmed{Who: "near"})
 			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
 		}},
+		{"requests sent soon after an answer that states a leaving, and later ones elsewhere", func(d *day) {
+			d.tellLeaving("1")
+			d.after(1900 * time.Millisecond)
+			d.serve("2", "/look/2", "near")
+			d.after(time.Second)
+			d.serve("3", "/look/3", "far")
+		}},
+		{"requests on their way to an upstream that asked for rest, two more, some elsewhere, and those after it", func(d *day) {
+			d.turnAway("1", 3*time.Second)
+			for i, id := range []string{"2", "3", "4", "5", "6", "7"} {
+				d.serve(id, "/look/"+id, "near")
+				d.serve("far"+id, "/look/"+id, "far")
+				if i == 2 {
+					d.after(500 * time.Millisecond)
+				}
+				if i == 4 {
+					d.after(3 * time.Second)
+				}
+			}
+		}},
+		{"rests that an entry doesn't know of, after a restart or as its caller left", func(d *day) {
+			d.tellLeaving("1")
+			d.turnAway("2", 3*time.Second)
+			d.Note(auditor.Started{Entry: "e"})
+			d.after(time.Second)
+			d.send("3", "/look/3")
+			d.Note(auditor.Answered{ID: "3", Expired: true})
+			d.Note(auditor.TurnedAway{ID: "3", Upstream: "near", Rest: 9 * time.Second})
+			d.after(1500 * time.Millisecond)
+			for _, id := range []string{"4", "5", "6"} {
+				d.serve(id, "/look/"+id, "near")
+			}
+		}},
 		{"an entry that was paused a moment ago", func(d *day) {
 			d.Note(auditor.Leaving{Upstream: "near"})
 			d.Note(auditor.Disturbed{Who: "e"})
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -40,6 +40,8 @@
 	Upstream string
 	// Forged tells of a seal that fits neither the request nor the status.
 	Forged bool
+	// Leaving tells that the upstream stated that it leaves.
+	Leaving bool
 	// Whole tells that the answer's marked end came, WrongBody that what came as a whole
 	// isn't what the upstream made.
 	Whole, WrongBody bool
@@ -65,6 +67,12 @@
 	Left           time.Duration
 }
 
+// TurnedAway is a request that an upstream refused, asking the entry for rest.
+type TurnedAway struct {
+	ID, Upstream string
+	Rest         time.Duration
+}
+
 // Began is the moment at which a request begins to run.
 type Began struct {
 	ID, Upstream string
@@ -167,6 +175,7 @@
 func (Sent) event()       {}
 func (Answered) event()   {}
 func (Arrived) event()    {}
+func (TurnedAway) event() {}
 func (Began) event()      {}
 func (Ended) event()      {}
 func (Joined) event()     {}
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -69,11 +69,22 @@
 // entry is a process that answers callers.
 type entry struct {
 	startedAt, stoppingAt, hungUpAt, exitedAt time.Time
+	// told is when it handed on an answer whose upstream stated that it leaves, and rests what
+	// upstreams asked of it, by upstream.
+	told  map[string]time.Time
+	rests map[string][]*rest
 	// shown is the least table that its answers prove it to have had, shownAt since when.
 	shown   uint64
 	shownAt time.Time
 }
 
+// rest is the time in which an upstream wants nothing from an entry.
+type rest struct {
+	asked, until time.Time
+	// arrived counts what reached the upstream after what was on its way.
+	arrived int
+}
+
 // history is what all promises are judged by.
 type history struct {
 	Bounds
@@ -109,11 +120,14 @@
 	case Answered:
 		if r := h.requests[e.ID]; r != nil {
 			r.answer, r.answeredAt = &e, h.now
+			h.noteLeaving(r)
 		}
 	case Arrived:
 		if r := h.requests[e.ID]; r != nil {
 			r.arrivals = append(r.arrivals, arrival{e.Upstream, h.now})
 		}
+	case TurnedAway:
+		h.noteRest(e)
 	case Began:
 		if r := h.requests[e.ID]; r != nil {
 			r.runs = append(r.runs, run{upstream: e.Upstream, at: h.now})
@@ -143,6 +157,33 @@
 	}
 }
 
+// noteLeaving keeps that an entry handed on what an upstream stated of its leaving.
+func (h *history) noteLeaving(r *request) {
+	e := h.entry(r.Entry)
+	if !r.answer.Leaving || r.answer.Upstream == "" {
+		return
+	}
+	if _, ok := e.told[r.answer.Upstream]; !ok {
+		if e.told == nil {
+			e.told = map[string]time.Time{}
+		}
+		e.told[r.answer.Upstream] = h.now
+	}
+}
+
+// noteRest keeps what an upstream asked of an entry. An entry whose caller has left reads no answer.
+func (h *history) noteRest(t TurnedAway) {
+	r := h.requests[t.ID]
+	if r == nil || r.answer != nil {
+		return
+	}
+	e := h.entry(r.Entry)
+	if e.rests == nil {
+		e.rests = map[string][]*rest{}
+	}
+	e.rests[t.Upstream] = append(e.rests[t.Upstream], &rest{asked: h.now, until: h.now.Add(t.Rest)})
+}
+
 // noteProcess keeps what happens to processes.
 func (h *history) noteProcess(e Event) {
 	switch e := e.(type) {
--- a/soak/soaker/callers.go
+++ b/soak/soaker/callers.go
@@ -169,7 +169,7 @@
 	}
 	c.note(auditor.Answered{
 		ID: q.ID, Status: a.Status, Names: a.ID, Upstream: a.Upstream, Forged: a.Forged, Whole: a.Whole, WrongBody: a.WrongBody,
-		Parts: parts, Expired: a.Expired,
+		Leaving: a.Leaving, Parts: parts, Expired: a.Expired,
 	})
 	if a.Closes {
 		c.hangUp()
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -49,7 +49,7 @@
 		w.faultLink(w.entryLinks[f.Target%len(w.entryLinks)], f, func() string { return "" })
 	case entryDelay, entryReset, entrySilent, entryNarrow:
 		w.faultLink(w.entryLinks[f.Target%len(w.entryLinks)], f, func() string { return entry.name })
-	case upstreamLeaves, upstreamGone, upstreamCrash, stagedSpoils:
+	case upstreamLeaves, upstreamGone, upstreamCrash, upstreamRests, stagedSpoils:
 		w.faultUpstream(f)
 	default:
 		w.change(f)
@@ -102,6 +102,9 @@
 	// amount: from what a few streams need to a seventh of what the users' links carry.
 	leastRate = 16 << 10
 	rateStep  = 1 << 10
+	// leastRest and restStep make the rest that an upstream asks for.
+	leastRest = time.Second
+	restStep  = 50 * time.Millisecond
 )
 
 func (w *world) faultStoreLink(f fault) {
@@ -159,6 +162,8 @@
 		p.replace(f.For/2, p.vanish)
 	case upstreamCrash:
 		p.replace(f.For, p.crash)
+	case upstreamRests:
+		p.rest(f.For, leastRest+time.Duration(f.Amount)*restStep)
 	case stagedSpoils:
 		p.staged.Spoil(f.Amount % chunks)
 	}
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -24,6 +24,7 @@
 // place is a VM on which one upstream after another runs, behind a link.
 type place struct {
 	*world
+	number int
 	vm     *standin.VM
 	link   *link
 	staged standin.Staged
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &place{world: w, vm: vm, link: k}
+	p := &place{world: w, number: len(w.places), vm: vm, link: k}
 	if vm.Service == engineService {
 		// The first version lies staged from the start.
 		for i := range chunks {
@@ -71,6 +72,7 @@
 		p.current = standin.NewService(r, serviceWork)
 	}
 	u := p.current
+	u.StatesLeaving = (p.number+p.generation)%2 == 0
 	u.Observer, u.Store, u.Heartbeat, u.BreakOff = observer{p.world}, p.store, heartbeat, &p.breakOff
 	p.note(auditor.Joined{
 		Upstream: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Region: p.vm.Region, Cold: cold, ColdRate: coldRate,
@@ -135,6 +137,16 @@
 	u.Stop()
 }
 
+// rest has the upstream turn requests away for a time and ask for rest.
+func (p *place) rest(lasts, rest time.Duration) {
+	p.mu.Lock()
+	u := p.current
+	p.mu.Unlock()
+	u.TurnAway(rest)
+	p.wait(lasts)
+	u.TurnAway(0)
+}
+
 // lapse removes the record for a time, as the store does during its outage.
 func (p *place) lapse() {
 	p.mu.Lock()
@@ -166,6 +178,11 @@
 // Arrived implements standin.Observer.
 func (o observer) Arrived(a standin.Arrival) { o.note(auditor.Arrived(a)) }
 
+// TurnedAway implements standin.Observer.
+func (o observer) TurnedAway(id, upstream string, rest time.Duration) {
+	o.note(auditor.TurnedAway{ID: id, Upstream: upstream, Rest: rest})
+}
+
 // Began implements standin.Observer.
 func (o observer) Began(id, upstream string, version uint64, spoilt bool) {
 	o.note(auditor.Began{ID: id, Upstream: upstream, Version: version, Spoilt: spoilt})
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -54,6 +54,7 @@
 	upstreamLeaves faultKind = "upstream leaves"
 	upstreamGone   faultKind = "upstream leaves unannounced"
 	upstreamCrash  faultKind = "upstream crashes"
+	upstreamRests  faultKind = "upstream asks for rest"
 	upstreamBreaks faultKind = "upstreams break replies off"
 	stagedSpoils   faultKind = "staged weights turn bad"
 	originSpoils   faultKind = "origin sends wrong bytes"
@@ -160,6 +161,7 @@
 		})
 	}
 	faults = append(faults, sure(r, last)...)
+	faults = append(faults, rests(seed, last)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
 	return inTurn(faults)
 }
@@ -203,6 +205,21 @@
 	return []fault{breaks, reloads, drains, leaves}
 }
 
+// restsPerRun is how many upstreams ask for rest in each run, which few do by themselves.
+const restsPerRun = 4
+
+// rests are drawn apart from all other faults, which stay those that a seed drew before.
+func rests(seed uint64, last time.Duration) []fault {
+	r := rand.New(rand.NewPCG(seed, seed+1))
+	var faults []fault
+	for range restsPerRun {
+		lasts := leastFault + time.Duration(r.Int64N(int64(mostFault-leastFault)))
+		at := settle + time.Duration(r.Int64N(int64(last-lasts-settle)))
+		faults = append(faults, fault{At: at, For: lasts, Kind: upstreamRests, Target: r.IntN(1 << 16), Amount: r.IntN(100)})
+	}
+	return faults
+}
+
 // enabled draws the kinds of one seed, each as often as its odds.
 func enabled(r *rand.Rand) []faultKind {
 	var kinds []faultKind
