relayer: spend no retry on a request that was never sent

A request that is held back from an upstream at rest took a retry of the budget, though the budget is for what upstreams get; beside a burst of refusals it was then missing for requests that failed. The same holds for requests without a free connection and those whose weights' time ended first.

--- a/internal/relayer/bench_test.go
+++ b/internal/relayer/bench_test.go
@@ -12,6 +12,7 @@
 	clocktest "k8s.io/utils/clock/testing"
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
@@ -70,7 +71,7 @@
 	chooser := &scheduler.Chooser{Clock: c, Random: rand.New(rand.NewPCG(1, 2))}
 	d := &decider{clock: c, Relayer: &relayer.Relayer{
 		Registrar: reg, Chooser: chooser, Clock: c, Random: rand.New(rand.NewPCG(3, 4)),
-		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Clock: c, FailureDomain: "a", Region: "a",
+		Placer: &relayer.Placer{Registrar: reg, Chooser: chooser, Observer: &observer.Observer{Clock: c}, Clock: c, FailureDomain: "a", Region: "a",
 			Regions: map[string]string{"a": "a", "b": "b", "c": "c"}, AgentPort: 1, WeightsBound: 8 * time.Second,
 			Reach: func(a netip.AddrPort) relayer.Agent { return agents[a] }},
 	}}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -18,8 +18,9 @@
 	outcome  retrier.Outcome
 	attempts int
 	sends    int
-	// rested tells that the last attempt failed on a connection that had been idle.
-	rested bool
+	// rested tells that the last attempt failed on a connection that had been idle, unsent that it never
+	// reached its upstream.
+	rested, unsent bool
 	// next is the place that the next attempt already has; nil for none.
 	next *Place
 	// rest is for how long all upstreams want nothing from this entry, once the job is given up.
@@ -75,6 +76,7 @@
 	}
 	j.outcome = retrier.Join(j.outcome, s.Outcome)
 	j.rested = s.Reused
+	j.unsent = s.Outcome == retrier.NotRun && keptBack(err)
 	if s.Outcome != retrier.NotRun {
 		j.attempts++
 	}
@@ -122,6 +124,10 @@
 		l.count("retries")
 		return true
 	}
+	if j.unsent {
+		// The budget is for what upstreams get.
+		return true
+	}
 	if !l.Budgets.Of(j.Service).Take() {
 		l.log(j, "No retry left in the budget", nil)
 		return false
--- a/internal/relayer/upstream_rest_test.go
+++ b/internal/relayer/upstream_rest_test.go
@@ -20,6 +20,8 @@
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 	"github.com/oriolecroft/oriolecroft/platform"
 )
@@ -296,3 +298,27 @@
 
 // platformCodec reads the headers of the users' platform.
 var platformCodec = platform.Headers{}
+
+// Guards against a retry that is spent on a request which no upstream got, and is missing for one that
+// failed.
+func TestWithheldRequestCostsNoRetry(t *testing.T) {
+	first, second := newTalkingUpstream(t, servesAll), newTalkingUpstream(t, servesAll)
+	w := limitedEntries(t, 1, &matcher.Service{Name: "desk"}, first.record("first", "desk", 6), second.record("second", "desk", 6))[0]
+	w.relayer.Budgets = &retrier.Budgets{New: func() *retrier.Budget {
+		return &retrier.Budget{Clock: clock.RealClock{}, Share: 1e-9, Burst: 1e-9}
+	}}
+	for cause, served := range map[error]bool{
+		&relayer.WithheldError{Reason: "asked for rest"}: true, io.ErrUnexpectedEOF: false,
+	} {
+		j := &relayer.Job{Request: relayer.Request{ID: "r"}, Route: w.registrar.View().Table.Routes[0], Arrived: time.Now()}
+		w.relayer.Admit(j)
+		sends := 0
+		err := w.relayer.Serve(t.Context(), j, func(_ context.Context, p *relayer.Place) error {
+			if sends++; sends > 1 {
+				return nil
+			}
+			return &relayer.SendError{Upstream: p.Upstream.ID, Outcome: retrier.NotRun, Err: cause}
+		})
+		must.Eq(t, served, err == nil, must.Sprint(cause))
+	}
+}
