soak: have a plain upstream leave and an engine rest in every run

Both promises on what upstreams state were unchecked with most seeds: agents keep their entries from engines that leave, and faults disturb those that rest.

--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -49,7 +49,7 @@
 		w.faultLink(w.entryLinks[f.Target%len(w.entryLinks)], f, func() string { return "" })
 	case entryDelay, entryReset, entrySilent, entryNarrow:
 		w.faultLink(w.entryLinks[f.Target%len(w.entryLinks)], f, func() string { return entry.name })
-	case upstreamLeaves, upstreamGone, upstreamCrash, upstreamRests, stagedSpoils:
+	case upstreamLeaves, serviceLeaves, upstreamGone, upstreamCrash, upstreamRests, stagedSpoils:
 		w.faultUpstream(f)
 	default:
 		w.change(f)
@@ -158,6 +158,10 @@
 	switch f.Kind {
 	case upstreamLeaves:
 		p.replace(f.For/2, p.leave)
+	case serviceLeaves:
+		if s := w.bookingOutside(domains[f.Target%len(domains)].name); s != nil {
+			s.replace(f.For/2, s.leave)
+		}
 	case upstreamGone:
 		p.replace(f.For/2, p.vanish)
 	case upstreamCrash:
@@ -169,6 +173,16 @@
 	}
 }
 
+// bookingOutside is a place of the booking service that isn't in a failure domain; nil for none.
+func (w *world) bookingOutside(domain string) *place {
+	for _, p := range w.places {
+		if p.vm.Service == bookingService && p.vm.FailureDomain != domain {
+			return p
+		}
+	}
+	return nil
+}
+
 // change is what the operators, the callers, the origin and flaky upstreams do.
 func (w *world) change(f fault) {
 	switch f.Kind {
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -52,6 +52,7 @@
 	upstreamCut    faultKind = "upstream link cut one way"
 	upstreamSilent faultKind = "upstream connections silent"
 	upstreamLeaves faultKind = "upstream leaves"
+	serviceLeaves  faultKind = "plain upstream leaves"
 	upstreamGone   faultKind = "upstream leaves unannounced"
 	upstreamCrash  faultKind = "upstream crashes"
 	upstreamRests  faultKind = "upstream asks for rest"
@@ -111,6 +112,9 @@
 	mostDrained = 9 * time.Second
 	// calmDrain is how much longer than the bound a failure domain is drained at the end.
 	calmDrain = 3 * time.Second
+	// calmRest is when an engine asks for rest after all other faults, for as long as any does.
+	calmRest   = 4 * time.Second
+	mostAmount = 99
 	// surelyBroken is for how long upstreams break off most replies in each run: repeats
 	// without a budget then pass its bound.
 	surelyBroken = 4 * time.Second
@@ -188,8 +192,8 @@
 }
 
 // sure are faults that every plan has, as few seeds would put their promises to the test: the
-// budget of repeats, the reading of settings, and the bounds on a drained failure domain and on a
-// cold upstream. The domain is drained, and an engine of another one replaced, when everything
+// budget of repeats, the reading of settings, what upstreams state of themselves, and the bounds on a
+// drained failure domain and on a cold upstream. The domain is drained, and an engine of another one replaced, when everything
 // else is over: before, hardly anybody is undisturbed for long enough to be held to the bound, and
 // an upstream may be warm again by the time entries learn of its return.
 func sure(r *rand.Rand, last time.Duration) []fault {
@@ -202,7 +206,11 @@
 	// Engine i is in failure domain i for the first of them.
 	undrained := (drains.Target + 1) % len(domains)
 	leaves := fault{At: last + leastFault, For: leastFault, Kind: upstreamLeaves, Target: undrained}
-	return []fault{breaks, reloads, drains, leaves}
+	// A plain upstream leaves and an engine asks for rest in domains that aren't drained, the latter
+	// once nothing has been disturbed for the stable window.
+	service := fault{At: last + leastFault, For: leastFault, Kind: serviceLeaves, Target: drains.Target}
+	rest := fault{At: last + calmRest, For: leastFault, Kind: upstreamRests, Target: (undrained + 1) % len(domains), Amount: mostAmount}
+	return []fault{breaks, reloads, drains, leaves, service, rest}
 }
 
 // restsPerRun is how many upstreams ask for rest in each run, which few do by themselves.
