--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -90,7 +90,7 @@
 }
 
 // Note takes in what a start of an upstream stated in a reply, nothing included.
-func (o *Observer) Note(of Start, statements []Statement) {
+func (o *Observer) Note(of Start, statements Statements) {
 	if o == nil {
 		return
 	}
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -12,7 +12,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/observer"
 )
 
-type statements = []observer.Statement
+type statements = observer.Statements
 
 func newObserver() (*observer.Observer, *clocktest.FakeClock) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
@@ -137,6 +137,13 @@
 	must.Eq(t, 5*time.Minute, o.Terms(resting).Rest)
 }
 
+// Guards against a log that doesn't tell what an upstream stated.
+func TestStatementsAreReadable(t *testing.T) {
+	all := statements{observer.RateLimit{PerSecond: 1.5}, observer.Rest{For: 3 * time.Second}, observer.Leaving{}, observer.Invalid{Header: "h", Value: "-1"}}
+	must.Eq(t, `limit 1.5/s, rest 3s, leaving, invalid h "-1"`, all.String())
+	must.Eq(t, "", statements(nil).String())
+}
+
 // Guards against a process without an observer that fails.
 func TestNilObserverKnowsNothing(t *testing.T) {
 	var o *observer.Observer
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -68,7 +68,7 @@
 	// Idle is how long the upstream keeps an idle connection; 0 when not told.
 	Idle time.Duration
 	// Stated is what the upstream asks of those who send to it.
-	Stated []observer.Statement
+	Stated observer.Statements
 }
 
 // Codec reads and writes the headers of the wire.
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -33,7 +33,7 @@
 	// Status is the upstream's own, when it refused; 0 otherwise. Stated is what it said of itself
 	// then.
 	Status int
-	Stated []observer.Statement
+	Stated observer.Statements
 	Err    error
 }
 
--- a/internal/relayer/terms.go
+++ b/internal/relayer/terms.go
@@ -49,7 +49,7 @@
 }
 
 // Hear notes what an upstream states of itself in a reply.
-func (p *Placer) Hear(u registrar.Upstream, stated []observer.Statement) {
+func (p *Placer) Hear(u registrar.Upstream, stated observer.Statements) {
 	if !p.Without.Has(ablator.UpstreamTerms) {
 		p.Observer.Note(startOf(u), stated)
 	}
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -56,7 +56,7 @@
 type part struct {
 	emulator.Event
 	failure *relayer.SendError
-	stated  []observer.Statement
+	stated  observer.Statements
 }
 
 // UpstreamError is an engine's refusal or end, as an entry sees it.
@@ -107,9 +107,9 @@
 }
 
 // stated is what the engine states in its replies.
-func (h *host) stated() []observer.Statement {
+func (h *host) stated() observer.Statements {
 	if h.leaving {
-		return []observer.Statement{observer.Leaving{}}
+		return observer.Statements{observer.Leaving{}}
 	}
 	return nil
 }
