--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -49,7 +49,7 @@
 	// and its end is then unknown; what may run only once goes on a new one. Where that has
 	// happened, others that rested as long may be gone as well, at other upstreams too: the
 	// last attempt spent on one of them would end the request although all upstreams are well.
-	o := sendOptions{fresh: !c.Route.Repeatable() || c.rested, headerWithin: c.headerWithin(place),
+	o := sendOptions{fresh: !c.Route.Repeatable() || c.reused, headerWithin: c.headerWithin(place),
 		connections: c.Placer.connections(u),
 		stalled:     func(conn *connection) bool { return c.readsOn(ctx, conn) },
 		opened: func(conn *connection) (func(), error) {
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -18,9 +18,9 @@
 	outcome  retrier.Outcome
 	attempts int
 	sends    int
-	// rested tells that the last attempt failed on a connection that had been idle, unsent that it never
+	// reused tells that the last attempt failed on a connection that had been idle, unsent that it never
 	// reached its upstream.
-	rested, unsent bool
+	reused, unsent bool
 	// next is the place that the next attempt already has; nil for none.
 	next *Place
 	// rest is for how long all upstreams want nothing from this entry, once the job is given up.
@@ -75,7 +75,7 @@
 		return
 	}
 	j.outcome = retrier.Join(j.outcome, s.Outcome)
-	j.rested = s.Reused
+	j.reused = s.Reused
 	j.unsent = s.Outcome == retrier.NotRun && keptBack(err)
 	if s.Outcome != retrier.NotRun {
 		j.attempts++
