--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -159,8 +159,12 @@
 	case upstreamLeaves:
 		p.replace(f.For/2, p.leave)
 	case serviceLeaves:
-		if s := w.bookingOutside(domains[f.Target%len(domains)].name); s != nil {
-			s.replace(f.For/2, s.leave)
+		s := w.bookingOutside(domains[f.Target%len(domains)].name)
+		for s != nil && !s.replace(f.For/2, s.leave) {
+			// Another fault of it isn't over.
+			if !w.wait(announceEvery) {
+				break
+			}
 		}
 	case upstreamGone:
 		p.replace(f.For/2, p.vanish)
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -81,24 +81,25 @@
 	u.Start(l, cold)
 }
 
-// replace ends the upstream in some way and opens another after a pause. It does nothing
-// while that is under way already.
-func (p *place) replace(pause time.Duration, end func(*standin.Upstream)) {
+// replace ends the upstream in some way and opens another after a pause. It does nothing, and returns
+// false, while that is under way already.
+func (p *place) replace(pause time.Duration, end func(*standin.Upstream)) bool {
 	p.mu.Lock()
 	u, busy := p.current, p.busy
 	p.busy = true
 	p.mu.Unlock()
 	if busy {
-		return
+		return false
 	}
 	end(u)
 	if !p.wait(pause) {
-		return
+		return true
 	}
 	p.open(coldTime, 0)
 	p.mu.Lock()
 	p.busy = false
 	p.mu.Unlock()
+	return true
 }
 
 // crash ends an upstream at once. The store drops its record after three heartbeats.
@@ -113,10 +114,15 @@
 	announceEvery = 100 * time.Millisecond
 	// beyondDrain is how much longer than the bound it serves.
 	beyondDrain = 700 * time.Millisecond
+	// saidBefore is how much sooner its answers state that it leaves than the store hears of it.
+	saidBefore = 400 * time.Millisecond
 )
 
-// leave has an upstream announce that it leaves, serve for the bound and end.
+// leave has an upstream state and announce that it leaves, serve for the bound and end.
 func (p *place) leave(u *standin.Upstream) {
+	if u.SayLeaving(); u.StatesLeaving && !p.wait(saidBefore) {
+		return
+	}
 	for !u.Announce() {
 		if !p.wait(announceEvery) {
 			return
@@ -131,6 +137,7 @@
 
 // vanish has an upstream's record removed while it still serves for the bound.
 func (p *place) vanish(u *standin.Upstream) {
+	u.SayLeaving()
 	u.Withdraw()
 	p.note(auditor.Leaving{Upstream: u.ID})
 	p.wait(p.bounds.Drain + beyondDrain)
