relayer: one upstream stand-in for tests of statements

The tests of stated limits had a stand-in and an agent of their own; they use those of the other statements now.

--- a/internal/relayer/upstream_limit_test.go
+++ b/internal/relayer/upstream_limit_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,11 +13,8 @@
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 
-	"github.com/oriolecroft/oriolecroft/internal/granter"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
-	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
-	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 	"github.com/oriolecroft/oriolecroft/platform"
 )
 
@@ -32,51 +27,28 @@
 	limitKnown = 500 * time.Millisecond
 )
 
-// limitingUpstream names a limit of one request a second in its replies. It counts the requests
-// of each entry that were sent after that entry had known of the limit.
-type limitingUpstream struct {
-	listener net.Listener
-
-	mu      sync.Mutex
-	stated  map[string]time.Time
-	arrived []time.Time
-}
-
-func newLimitingUpstream(t *testing.T, ip string) *limitingUpstream {
-	l, err := net.Listen("tcp", ip+":0")
-	must.NoError(t, err)
-	u := &limitingUpstream{listener: l, stated: map[string]time.Time{}}
-	s := &http.Server{Handler: u}
-	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { s.Close() })
-	return u
-}
-
-// ServeHTTP answers a request; its body names the entry that it came through.
-func (u *limitingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	entry, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := time.Now()
-	if stated, ok := u.stated[string(entry)]; !ok {
-		u.stated[string(entry)] = now
-	} else if now.Sub(stated) > limitKnown {
-		u.arrived = append(u.arrived, now)
-	}
+// statesLimit serves all and states a limit of one request a second.
+func statesLimit(u *talkingUpstream, w http.ResponseWriter, entry string) {
+	u.tell(entry)
 	w.Header().Set("Server-Limit", "1.0")
-	w.Header().Set("X-Request-Attempt", r.Header.Get("X-Request-Attempt"))
-	w.Header().Set("X-Replica-Seal", "s")
-	_, _ = io.WriteString(w, "done")
+	serveWhole(w)
 }
 
-// most is the largest number of counted requests within limitWindow.
-func (u *limitingUpstream) most() int {
+// mostOfInformed is the largest number of requests within limitWindow that came from entries when these
+// had known of the limit.
+func (u *talkingUpstream) mostOfInformed() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return mostWithin(u.arrived, limitWindow)
+	var informed []time.Time
+	for entry, arrived := range u.arrived {
+		for _, at := range arrived {
+			if at.Sub(u.told[entry]) > limitKnown {
+				informed = append(informed, at)
+			}
+		}
+	}
+	slices.SortFunc(informed, time.Time.Compare)
+	return mostWithin(informed, limitWindow)
 }
 
 // limitedEntries are entries that know each other, before upstreams of one service.
@@ -147,33 +119,23 @@
 
 // Guards against entries that together send a plain service more than the limit that it names.
 func TestEntriesKeepToTheLimitOfAService(t *testing.T) {
-	u := newLimitingUpstream(t, "127.0.0.1")
-	a := netip.MustParseAddrPort(u.listener.Addr().String())
-	ws := limitedEntries(t, 9, &matcher.Service{Name: "desk"},
-		registrar.Upstream{ID: "u", Service: "desk", Address: a, FailureDomain: "a", Slots: 6})
+	u := newTalkingUpstream(t, statesLimit)
+	ws := limitedEntries(t, 9, &matcher.Service{Name: "desk"}, u.record("u", "desk", 6))
 	served := loadEntries(t, ws, 20*time.Millisecond, 6*time.Second)
-	must.LessEq(t, limitBound, u.most())
+	must.LessEq(t, limitBound, u.mostOfInformed())
 	must.Positive(t, served)
 }
 
 // Guards against an agent that grants slots beyond the limit that its engine names to entries.
 func TestAgentKeepsToTheLimitOfItsEngine(t *testing.T) {
-	u := newLimitingUpstream(t, "127.0.0.1")
-	a := netip.MustParseAddrPort(u.listener.Addr().String())
+	u := newTalkingUpstream(t, statesLimit)
 	engine := engineTable().Services["engines"].Engine
-	ledger := &scheduler.Ledger{Clock: clock.RealClock{}}
-	ledger.Open(engine)
-	g := &granter.Granter{Ledger: ledger, Holds: func(string) uint64 { return 1 }, Clock: clock.RealClock{}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	server := &messenger.Server{Listener: l, OnReserve: g.Reserve, OnProgress: g.Progress, OnLost: g.Lost}
-	go func() { _ = server.Serve(t.Context()) }()
-	ws := limitedEntries(t, 9, &matcher.Service{Name: "engines", Engine: engine},
-		registrar.Upstream{ID: "u", Service: "engines", Address: a, FailureDomain: "a", Slots: engine.Slots})
+	port := agentBeside(t, "127.0.0.1", engine, atOnce)
+	ws := limitedEntries(t, 9, &matcher.Service{Name: "engines", Engine: engine}, u.record("u", "engines", engine.Slots))
 	for _, w := range ws {
-		w.relayer.Placer.AgentPort = netip.MustParseAddrPort(l.Addr().String()).Port()
+		w.relayer.Placer.AgentPort = port
 	}
 	served := loadEntries(t, ws, 20*time.Millisecond, 6*time.Second)
-	must.LessEq(t, limitBound, u.most())
+	must.LessEq(t, limitBound, u.mostOfInformed())
 	must.Positive(t, served)
 }
