--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -134,7 +134,7 @@
 }
 
 // of is what is known of an upstream; nil for nothing. A later start than the one that stated it ends
-// that, but for what was stated since: the record of a start is heard later than its replies.
+// that, but for what was stated since: the record of a start is learned later than its replies.
 func (o *Observer) of(s Start, now time.Time) *upstream {
 	u := o.known[s.ID]
 	if u == nil {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	c.hear(u.Upstream, x)
+	c.noteStatements(u.Upstream, x)
 	if x.reply.Slots > 0 && !c.Route.Generates {
 		active := float64(x.reply.Running+x.reply.Waiting) / float64(x.reply.Slots)
 		c.Chooser.Heard(u.ID, 0, active)
--- a/internal/relayer/terms.go
+++ b/internal/relayer/terms.go
@@ -31,9 +31,9 @@
 
 func (e *WithheldError) Error() string { return fmt.Sprintf("withheld, upstream %s", e.Reason) }
 
-// hear notes what an upstream states of itself in a reply. A reply from another upstream at its
+// noteStatements notes what an upstream states of itself in a reply. A reply from another upstream at its
 // address, or one that doesn't come from an upstream for sure, states nothing.
-func (c *call) hear(u registrar.Upstream, x *exchange) {
+func (c *call) noteStatements(u registrar.Upstream, x *exchange) {
 	if x.reply.Upstream != "" && x.reply.Upstream != u.ID {
 		c.Registrar.Replaced(u)
 		return
@@ -45,11 +45,11 @@
 	if !x.reply.Sealed && !x.reply.NotRun && status != http.StatusServiceUnavailable {
 		return
 	}
-	c.Placer.Hear(u, x.reply.Stated)
+	c.Placer.NoteStatements(u, x.reply.Stated)
 }
 
-// Hear notes what an upstream states of itself in a reply.
-func (p *Placer) Hear(u registrar.Upstream, stated observer.Statements) {
+// NoteStatements notes what an upstream states of itself in a reply.
+func (p *Placer) NoteStatements(u registrar.Upstream, stated observer.Statements) {
 	if !p.Without.Has(ablator.UpstreamTerms) {
 		p.Observer.Note(startOf(u), stated)
 	}
--- a/internal/relayer/upstream_leaving_test.go
+++ b/internal/relayer/upstream_leaving_test.go
@@ -15,8 +15,8 @@
 const leavingBound = 2 * time.Second
 
 // statesLeaving serves all and states that the upstream leaves.
-func statesLeaving(u *talkingUpstream, w http.ResponseWriter, entry string) {
-	u.tell(entry)
+func statesLeaving(u *statingUpstream, w http.ResponseWriter, entry string) {
+	u.inform(entry)
 	w.Header().Set("Server-Leaving", "1")
 	serveWhole(w)
 }
@@ -27,7 +27,7 @@
 	for name, engine := range map[string]*matcher.Engine{"plain": nil, "engines": engineTable().Services["engines"].Engine} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			leaves, stays := newTalkingUpstream(t, statesLeaving), newTalkingUpstreamAt(t, "127.0.0.2", servesAll)
+			leaves, stays := newStatingUpstream(t, statesLeaving), newStatingUpstreamAt(t, "127.0.0.2", servesAll)
 			slots := 6
 			if engine != nil {
 				slots = engine.Slots
@@ -39,7 +39,7 @@
 					w.relayer.Placer.AgentPort = port
 				}
 			}
-			tellAll(t, ws, leaves)
+			informAll(t, ws, leaves)
 			loadEntries(t, ws, 20*time.Millisecond, 4*time.Second)
 			must.Zero(t, leaves.mostBetween(leavingBound, time.Minute))
 		})
@@ -49,7 +49,7 @@
 // Guards against a leaving that is read from an answer which is not the upstream's own.
 func TestLeavingOfAnotherUpstreamAtTheAddressIsNotItsOwn(t *testing.T) {
 	requests := 0
-	u := newTalkingUpstream(t, func(_ *talkingUpstream, w http.ResponseWriter, _ string) {
+	u := newStatingUpstream(t, func(_ *statingUpstream, w http.ResponseWriter, _ string) {
 		requests++
 		if requests == 1 {
 			w.Header().Set("Server-Leaving", "1")
--- a/internal/relayer/upstream_limit_test.go
+++ b/internal/relayer/upstream_limit_test.go
@@ -28,21 +28,21 @@
 )
 
 // statesLimit serves all and states a limit of one request a second.
-func statesLimit(u *talkingUpstream, w http.ResponseWriter, entry string) {
-	u.tell(entry)
+func statesLimit(u *statingUpstream, w http.ResponseWriter, entry string) {
+	u.inform(entry)
 	w.Header().Set("Server-Limit", "1.0")
 	serveWhole(w)
 }
 
 // mostOfInformed is the largest number of requests within limitWindow that came from entries when these
 // had known of the limit.
-func (u *talkingUpstream) mostOfInformed() int {
+func (u *statingUpstream) mostOfInformed() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var informed []time.Time
 	for entry, arrived := range u.arrived {
 		for _, at := range arrived {
-			if at.Sub(u.told[entry]) > limitKnown {
+			if at.Sub(u.informed[entry]) > limitKnown {
 				informed = append(informed, at)
 			}
 		}
@@ -119,7 +119,7 @@
 
 // Guards against entries that together send a plain service more than the limit that it names.
 func TestEntriesKeepToTheLimitOfAService(t *testing.T) {
-	u := newTalkingUpstream(t, statesLimit)
+	u := newStatingUpstream(t, statesLimit)
 	ws := limitedEntries(t, 9, &matcher.Service{Name: "desk"}, u.record("u", "desk", 6))
 	served := loadEntries(t, ws, 20*time.Millisecond, 6*time.Second)
 	must.LessEq(t, limitBound, u.mostOfInformed())
@@ -128,7 +128,7 @@
 
 // Guards against an agent that grants slots beyond the limit that its engine names to entries.
 func TestAgentKeepsToTheLimitOfItsEngine(t *testing.T) {
-	u := newTalkingUpstream(t, statesLimit)
+	u := newStatingUpstream(t, statesLimit)
 	engine := engineTable().Services["engines"].Engine
 	port := agentBeside(t, "127.0.0.1", engine, atOnce)
 	ws := limitedEntries(t, 9, &matcher.Service{Name: "engines", Engine: engine}, u.record("u", "engines", engine.Slots))
--- a/internal/relayer/upstream_rest_test.go
+++ b/internal/relayer/upstream_rest_test.go
@@ -33,8 +33,8 @@
 	mostAtRest = 2
 )
 
-// talkingUpstream answers as its conduct says and keeps when the requests of each entry came.
-type talkingUpstream struct {
+// statingUpstream answers as its conduct says and keeps when the requests of each entry came.
+type statingUpstream struct {
 	listener net.Listener
 
 	mu sync.Mutex
@@ -42,18 +42,18 @@
 	conduct func(w http.ResponseWriter, r *http.Request, entry string)
 	// arrived are the times at which requests of each entry came.
 	arrived map[string][]time.Time
-	// told is when an entry was first told to rest, or of the upstream's leaving.
-	told map[string]time.Time
+	// informed is when an entry was first informed to rest, or of the upstream's leaving.
+	informed map[string]time.Time
 }
 
-func newTalkingUpstream(t *testing.T, conduct func(u *talkingUpstream, w http.ResponseWriter, entry string)) *talkingUpstream {
-	return newTalkingUpstreamAt(t, "127.0.0.1", conduct)
+func newStatingUpstream(t *testing.T, conduct func(u *statingUpstream, w http.ResponseWriter, entry string)) *statingUpstream {
+	return newStatingUpstreamAt(t, "127.0.0.1", conduct)
 }
 
-func newTalkingUpstreamAt(t *testing.T, ip string, conduct func(u *talkingUpstream, w http.ResponseWriter, entry string)) *talkingUpstream {
+func newStatingUpstreamAt(t *testing.T, ip string, conduct func(u *statingUpstream, w http.ResponseWriter, entry string)) *statingUpstream {
 	l, err := net.Listen("tcp", ip+":0")
 	must.NoError(t, err)
-	u := &talkingUpstream{listener: l, arrived: map[string][]time.Time{}, told: map[string]time.Time{}}
+	u := &statingUpstream{listener: l, arrived: map[string][]time.Time{}, informed: map[string]time.Time{}}
 	u.conduct = func(w http.ResponseWriter, _ *http.Request, entry string) { conduct(u, w, entry) }
 	s := &http.Server{Handler: u}
 	go func() { _ = s.Serve(l) }()
@@ -62,7 +62,7 @@
 }
 
 // ServeHTTP answers a request; its body names the entry that it came through.
-func (u *talkingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (u *statingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	entry, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -74,10 +74,10 @@
 	u.conduct(w, r, string(entry))
 }
 
-// tell notes that an entry is told something now, if it is the first time.
-func (u *talkingUpstream) tell(entry string) {
-	if _, ok := u.told[entry]; !ok {
-		u.told[entry] = time.Now()
+// inform notes that an entry is informed something now, if it is the first time.
+func (u *statingUpstream) inform(entry string) {
+	if _, ok := u.informed[entry]; !ok {
+		u.informed[entry] = time.Now()
 	}
 }
 
@@ -86,27 +86,27 @@
 	_, _ = io.WriteString(w, "done")
 }
 
-// turnAway refuses a request and asks for rest.
-func turnAway(w http.ResponseWriter, rest time.Duration) {
+// reject refuses a request and asks for rest.
+func reject(w http.ResponseWriter, rest time.Duration) {
 	w.Header().Set("X-Not-Executed", "shed")
 	w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // asksForRest turns away everything and asks each entry for the same rest.
-func asksForRest(rest time.Duration) func(u *talkingUpstream, w http.ResponseWriter, entry string) {
-	return func(u *talkingUpstream, w http.ResponseWriter, entry string) {
-		u.tell(entry)
-		turnAway(w, rest)
+func asksForRest(rest time.Duration) func(u *statingUpstream, w http.ResponseWriter, entry string) {
+	return func(u *statingUpstream, w http.ResponseWriter, entry string) {
+		u.inform(entry)
+		reject(w, rest)
 	}
 }
 
-func servesAll(_ *talkingUpstream, w http.ResponseWriter, _ string) { serveWhole(w) }
+func servesAll(_ *statingUpstream, w http.ResponseWriter, _ string) { serveWhole(w) }
 
 // servesHalf refuses every other request and doesn't say for how long.
-func servesHalf() func(u *talkingUpstream, w http.ResponseWriter, entry string) {
+func servesHalf() func(u *statingUpstream, w http.ResponseWriter, entry string) {
 	n := 0
-	return func(_ *talkingUpstream, w http.ResponseWriter, _ string) {
+	return func(_ *statingUpstream, w http.ResponseWriter, _ string) {
 		if n++; n%2 == 0 {
 			w.Header().Set("X-Not-Executed", "full")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -116,15 +116,15 @@
 	}
 }
 
-// mostBetween is the most requests that any entry sent between two times after it was told.
-func (u *talkingUpstream) mostBetween(after, until time.Duration) int {
+// mostBetween is the most requests that any entry sent between two times after it was informed.
+func (u *statingUpstream) mostBetween(after, until time.Duration) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	most := 0
-	for entry, told := range u.told {
+	for entry, informed := range u.informed {
 		n := 0
 		for _, at := range u.arrived[entry] {
-			if d := at.Sub(told); d > after && d < until {
+			if d := at.Sub(informed); d > after && d < until {
 				n++
 			}
 		}
@@ -133,21 +133,21 @@
 	return most
 }
 
-func (u *talkingUpstream) toldEntries() int {
+func (u *statingUpstream) informedEntries() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return len(u.told)
+	return len(u.informed)
 }
 
-func (u *talkingUpstream) hasTold(entry string) bool {
+func (u *statingUpstream) isInformed(entry string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	_, ok := u.told[entry]
+	_, ok := u.informed[entry]
 	return ok
 }
 
 // record is the upstream's record in the store.
-func (u *talkingUpstream) record(id, service string, slots int) registrar.Upstream {
+func (u *statingUpstream) record(id, service string, slots int) registrar.Upstream {
 	return registrar.Upstream{ID: id, Service: service, Address: netip.MustParseAddrPort(u.listener.Addr().String()), FailureDomain: "a", Slots: slots}
 }
 
@@ -190,11 +190,11 @@
 	return res.StatusCode, time.Duration(seconds * float64(time.Second)), time.Since(began)
 }
 
-// tellAll has each entry send requests until an upstream has told it something.
-func tellAll(t *testing.T, ws []*world, u *talkingUpstream) {
+// informAll has each entry send requests until an upstream has informed it something.
+func informAll(t *testing.T, ws []*world, u *statingUpstream) {
 	t.Helper()
 	for i, w := range ws {
-		for n, began := 0, time.Now(); !u.hasTold(fmt.Sprint(i)); n++ {
+		for n, began := 0, time.Now(); !u.isInformed(fmt.Sprint(i)); n++ {
 			must.Less(t, patience, time.Since(began))
 			_, _, _ = askAs(t, w, fmt.Sprint(i), fmt.Sprintf("%d-%d", i, n))
 		}
@@ -204,9 +204,9 @@
 // Guards against entries that go on sending to a plain service that asked them for rest.
 func TestServiceAtRestGetsNothing(t *testing.T) {
 	const rest = 3 * time.Second
-	tired, busy := newTalkingUpstream(t, asksForRest(rest)), newTalkingUpstream(t, servesHalf())
+	tired, busy := newStatingUpstream(t, asksForRest(rest)), newStatingUpstream(t, servesHalf())
 	ws := limitedEntries(t, 5, &matcher.Service{Name: "desk"}, tired.record("tired", "desk", 6), busy.record("busy", "desk", 6))
-	tellAll(t, ws, tired)
+	informAll(t, ws, tired)
 	served := loadEntries(t, ws, 20*time.Millisecond, 4*time.Second)
 	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
 	must.Positive(t, served)
@@ -216,7 +216,7 @@
 // was not asked, grants slots.
 func TestEngineAtRestGetsNothing(t *testing.T) {
 	const rest = 3 * time.Second
-	tired, busy := newTalkingUpstream(t, asksForRest(rest)), newTalkingUpstreamAt(t, "127.0.0.2", servesHalf())
+	tired, busy := newStatingUpstream(t, asksForRest(rest)), newStatingUpstreamAt(t, "127.0.0.2", servesHalf())
 	engine := engineTable().Services["engines"].Engine
 	port := agentBeside(t, "0.0.0.0", engine, atOnce)
 	ws := limitedEntries(t, 5, &matcher.Service{Name: "engines", Engine: engine},
@@ -224,7 +224,7 @@
 	for _, w := range ws {
 		w.relayer.Placer.AgentPort = port
 	}
-	tellAll(t, ws, tired)
+	informAll(t, ws, tired)
 	served := loadEntries(t, ws, 20*time.Millisecond, 4*time.Second)
 	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
 	must.Positive(t, served)
@@ -234,7 +234,7 @@
 // long after.
 func TestRequestOnItsWayIsHeldBackFromAnEngineAtRest(t *testing.T) {
 	const rest, late = 5 * time.Second, time.Second
-	tired := newTalkingUpstream(t, asksForRest(rest))
+	tired := newStatingUpstream(t, asksForRest(rest))
 	engine := engineTable().Services["engines"].Engine
 	var mu sync.Mutex
 	questions := 0
@@ -254,7 +254,7 @@
 		all.Go(func() { _, _, _ = ask(t, ws[0], fmt.Sprint(i)) })
 	}
 	all.Wait()
-	must.Eq(t, 1, tired.toldEntries())
+	must.Eq(t, 1, tired.informedEntries())
 	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
 }
 
@@ -265,15 +265,15 @@
 	for name, engine := range map[string]*matcher.Engine{"plain": nil, "engines": engineTable().Services["engines"].Engine} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			conduct := func(u *talkingUpstream, w http.ResponseWriter, entry string) {
-				u.tell(entry)
-				if time.Since(u.told[entry]) > rest {
+			conduct := func(u *statingUpstream, w http.ResponseWriter, entry string) {
+				u.inform(entry)
+				if time.Since(u.informed[entry]) > rest {
 					serveWhole(w)
 					return
 				}
-				turnAway(w, rest)
+				reject(w, rest)
 			}
-			first, second := newTalkingUpstream(t, conduct), newTalkingUpstreamAt(t, "127.0.0.2", conduct)
+			first, second := newStatingUpstream(t, conduct), newStatingUpstreamAt(t, "127.0.0.2", conduct)
 			slots := 6
 			if engine != nil {
 				slots = engine.Slots
@@ -307,16 +307,16 @@
 // Guards against a stream that is moved to an upstream at rest, and against repeats that go there.
 func TestRepeatsAvoidAnUpstreamAtRest(t *testing.T) {
 	const rest = 3 * time.Second
-	tired := newTalkingUpstream(t, asksForRest(rest))
-	breaks := func(_ *talkingUpstream, w http.ResponseWriter, _ string) {
+	tired := newStatingUpstream(t, asksForRest(rest))
+	breaks := func(_ *statingUpstream, w http.ResponseWriter, _ string) {
 		w.Header().Set("X-Replica-Seal", "s")
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "half")
 	}
-	flaky := newTalkingUpstream(t, breaks)
+	flaky := newStatingUpstream(t, breaks)
 	ws := limitedEntries(t, 3, &matcher.Service{Name: "desk"}, tired.record("tired", "desk", 6), flaky.record("flaky", "desk", 6))
 	loadEntries(t, ws, 10*time.Millisecond, 3*time.Second)
-	must.Positive(t, tired.toldEntries())
+	must.Positive(t, tired.informedEntries())
 	must.LessEq(t, mostAtRest, tired.mostBetween(restKnown, rest))
 }
 
@@ -326,7 +326,7 @@
 // Guards against a retry that is spent on a request which no upstream got, and is missing for one that
 // failed.
 func TestWithheldRequestCostsNoRetry(t *testing.T) {
-	first, second := newTalkingUpstream(t, servesAll), newTalkingUpstream(t, servesAll)
+	first, second := newStatingUpstream(t, servesAll), newStatingUpstream(t, servesAll)
 	w := limitedEntries(t, 1, &matcher.Service{Name: "desk"}, first.record("first", "desk", 6), second.record("second", "desk", 6))[0]
 	w.relayer.Budgets = &retrier.Budgets{New: func() *retrier.Budget {
 		return &retrier.Budget{Clock: clock.RealClock{}, Share: 1e-9, Burst: 1e-9}
--- a/internal/relayer/upstream_restart_test.go
+++ b/internal/relayer/upstream_restart_test.go
@@ -14,7 +14,7 @@
 
 // restartableEntry is an entry before one upstream whose record gets another start by each call of
 // restarted; the first is at the time given.
-func restartableEntry(t *testing.T, u *talkingUpstream, startedAt time.Time) (w *world, restarted func(at time.Time)) {
+func restartableEntry(t *testing.T, u *statingUpstream, startedAt time.Time) (w *world, restarted func(at time.Time)) {
 	route := &matcher.Route{Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: matcher.Idempotent, Timeout: patience, MaxAttempts: 2,
 		Public: true, Targets: []matcher.Target{{Service: "desk", Weight: 1}}}
 	table := &matcher.Table{Version: 1, Routes: []*matcher.Route{route}, Services: map[string]*matcher.Service{"desk": {Name: "desk"}}}
@@ -42,11 +42,11 @@
 // Guards against a start of an upstream that gets nothing, as a former start under its ID had asked for
 // rest or stated that it leaves.
 func TestUpstreamThatStartsAnewIsUsedAtOnce(t *testing.T) {
-	for name, conduct := range map[string]func(u *talkingUpstream, w http.ResponseWriter, entry string){
+	for name, conduct := range map[string]func(u *statingUpstream, w http.ResponseWriter, entry string){
 		"rest": asksForRest(time.Minute), "leaving": statesLeaving,
 	} {
 		t.Run(name, func(t *testing.T) {
-			u := newTalkingUpstream(t, conduct)
+			u := newStatingUpstream(t, conduct)
 			w, restarted := restartableEntry(t, u, time.Now().Add(-time.Minute))
 			w.relayer.Codec = platformCodec
 			_, _, _ = ask(t, w, "first")
@@ -65,7 +65,7 @@
 
 // Guards against a rest that is forgotten when the record of the start that asked for it is heard.
 func TestRestOutlivesTheLateRecordOfItsStart(t *testing.T) {
-	u := newTalkingUpstream(t, asksForRest(time.Minute))
+	u := newStatingUpstream(t, asksForRest(time.Minute))
 	startedAt := time.Now().Add(-time.Second)
 	w, restarted := restartableEntry(t, u, startedAt.Add(-time.Minute))
 	w.relayer.Codec = platformCodec
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -175,7 +175,7 @@
 			c.time.In(way, func() { h.drop(j.ID) })
 			return h.failure(retrier.Unknown, 0, "silent")
 		}
-		e.relayer.Placer.Hear(p.Upstream.Upstream, got.stated)
+		e.relayer.Placer.NoteStatements(p.Upstream.Upstream, got.stated)
 		if got.failure != nil {
 			return got.failure
 		}
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -131,8 +131,8 @@
 	h.quiet[entry] = s
 }
 
-// turnAway refuses a request of an entry and asks for rest.
-func (h *host) turnAway(entry string, box *sequencer.Mailbox[part], way time.Duration) {
+// reject refuses a request of an entry and asks for rest.
+func (h *host) reject(entry string, box *sequencer.Mailbox[part], way time.Duration) {
 	h.ask(entry, h.rest)
 	refusal := part{failure: h.failure(retrier.NotRun, http.StatusServiceUnavailable, "asks for rest")}
 	refusal.stated = append(h.stated(), observer.Rest{For: h.rest})
@@ -156,7 +156,7 @@
 		return
 	}
 	if h.rest > 0 {
-		h.turnAway(entry, box, way)
+		h.reject(entry, box, way)
 		return
 	}
 	now := h.time.Now()
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -90,18 +90,19 @@
 	}
 }
 
-// replace ends the engine, and starts another one at its address after a pause. The former one's record
-// lapses later.
-func (h *host) replace(pause time.Duration) {
+// retire ends the engine. Its record lapses a while after the given time.
+func (h *host) retire(after time.Duration) {
 	h.end()
 	former := h.id
-	h.time.In(pause+h.News.Lapse, func() { h.change(former, nil, h.News.Delay) })
-	h.time.In(pause, func() {
-		h.id = fmt.Sprintf("%s.%d", former, h.starts)
-		h.byID[h.id] = h
-		h.start()
-		h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
-	})
+	h.time.In(after+h.News.Lapse, func() { h.change(former, nil, h.News.Delay) })
+}
+
+// succeed starts another engine at the address of the one that has ended.
+func (h *host) succeed() {
+	h.id = fmt.Sprintf("%s.%d", h.id, h.starts)
+	h.byID[h.id] = h
+	h.start()
+	h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
 }
 
 func (h *host) befall(f Fault) {
@@ -112,10 +113,14 @@
 	}
 	switch f.Fault {
 	case FaultReplace:
-		h.replace(f.Lasts)
+		h.retire(f.Lasts)
+		after(h.succeed)
 	case FaultLeave:
 		h.leaving = true
-		after(func() { h.replace(0) })
+		after(func() {
+			h.retire(0)
+			h.succeed()
+		})
 	case FaultRest:
 		h.rest = f.Rest
 		after(func() { h.rest = 0 })
--- a/soak/auditor/arrivals.go
+++ b/soak/auditor/arrivals.go
@@ -61,10 +61,10 @@
 func (a *Auditor) judgeStated(r *request, u *upstream) {
 	h := a.history
 	e := h.entry(r.Entry)
-	for id, told := range e.told {
+	for id, stated := range e.leavingStated {
 		if h.serves(id, u.Service) {
-			late := r.at.Sub(told)
-			a.check(Told, r.ID, id != u.Upstream || late <= h.Drain, "reached %s by %s, sent %v after it said that it leaves", id, r.Entry, late)
+			late := r.at.Sub(stated)
+			a.check(LeavingStated, r.ID, id != u.Upstream || late <= h.Drain, "reached %s by %s, sent %v after it said that it leaves", id, r.Entry, late)
 		}
 	}
 	for id, rests := range e.rests {
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -13,39 +13,39 @@
 
 // The promises.
 const (
-	Once       Promise = "non-idempotent requests run at most once"
-	Refusal    Promise = "a refusal is true"
-	Whole      Promise = "answers are whole and the request's own"
-	Unchanged  Promise = "upstreams get only what callers sent"
-	Stream     Promise = "streams have no gap, no repeat and one version"
-	Weights    Promise = "no reply from spoilt weights"
-	Version    Promise = "no reply begins on old weights after the bound"
-	Drain      Promise = "a leaving upstream gets nothing after the bound"
-	Told       Promise = "an upstream that stated its leaving gets nothing more"
-	Rest       Promise = "an upstream at rest gets two requests at most"
-	Evacuation Promise = "a drained failure domain gets nothing after the bound"
-	Cold       Promise = "a cold upstream gets no more than it bears"
-	Budget     Promise = "repeats stay within the budget"
-	Attempts   Promise = "a request runs at no more upstreams than its route allows"
-	Home       Promise = "requests stay in their regions"
-	Keys       Promise = "keys lead to their workspace and stay inside"
-	Config     Promise = "a route table is in force after the bound"
-	Regress    Promise = "an entry never goes back to an older table"
-	Denial     Promise = "what every table allows is not denied"
-	Graceful   Promise = "stop and reload cut no request"
-	Kept       Promise = "kept connections don't lose requests"
-	Directory  Promise = "the directory names no entry long gone"
-	Deadline   Promise = "upstreams get no more time than is left"
-	Gone       Promise = "nothing is sent for callers that left"
-	Abandoned  Promise = "no work goes on for callers that left"
-	Reload     Promise = "settings are read again when asked"
-	Exit       Promise = "no process ends by itself"
-	Recovery   Promise = "requests are served once the faults are over"
+	Once          Promise = "non-idempotent requests run at most once"
+	Refusal       Promise = "a refusal is true"
+	Whole         Promise = "answers are whole and the request's own"
+	Unchanged     Promise = "upstreams get only what callers sent"
+	Stream        Promise = "streams have no gap, no repeat and one version"
+	Weights       Promise = "no reply from spoilt weights"
+	Version       Promise = "no reply begins on old weights after the bound"
+	Drain         Promise = "a leaving upstream gets nothing after the bound"
+	LeavingStated Promise = "an upstream that stated its leaving gets nothing more"
+	Rest          Promise = "an upstream at rest gets two requests at most"
+	Evacuation    Promise = "a drained failure domain gets nothing after the bound"
+	Cold          Promise = "a cold upstream gets no more than it bears"
+	Budget        Promise = "repeats stay within the budget"
+	Attempts      Promise = "a request runs at no more upstreams than its route allows"
+	Home          Promise = "requests stay in their regions"
+	Keys          Promise = "keys lead to their workspace and stay inside"
+	Config        Promise = "a route table is in force after the bound"
+	Regress       Promise = "an entry never goes back to an older table"
+	Denial        Promise = "what every table allows is not denied"
+	Graceful      Promise = "stop and reload cut no request"
+	Kept          Promise = "kept connections don't lose requests"
+	Directory     Promise = "the directory names no entry long gone"
+	Deadline      Promise = "upstreams get no more time than is left"
+	Gone          Promise = "nothing is sent for callers that left"
+	Abandoned     Promise = "no work goes on for callers that left"
+	Reload        Promise = "settings are read again when asked"
+	Exit          Promise = "no process ends by itself"
+	Recovery      Promise = "requests are served once the faults are over"
 )
 
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
-	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, Told, Rest, Evacuation, Cold, Budget, Attempts, Home, Keys,
+	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Budget, Attempts, Home, Keys,
 	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Gone, Abandoned, Reload, Exit, Recovery,
 }
 
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -77,18 +77,18 @@
 	d.answer(id, upstream)
 }
 
-// tellLeaving is a request whose answer says that its upstream, near, leaves.
-func (d *day) tellLeaving(id string) {
+// stateLeaving is a request whose answer says that its upstream, near, leaves.
+func (d *day) stateLeaving(id string) {
 	d.send(id, "/look/1")
 	d.reach(id, "near")
 	d.Note(auditor.Answered{ID: id, Status: 200, Names: id, Upstream: "near", Whole: true, Leaving: true})
 }
 
-// turnAway is a request that near refuses, asking for rest.
-func (d *day) turnAway(id string, rest time.Duration) {
+// reject is a request that near refuses, asking for rest.
+func (d *day) reject(id string, rest time.Duration) {
 	d.send(id, "/look/1")
 	d.Note(auditor.Arrived{ID: id, Upstream: "near", Content: id, Workspace: "w", Left: time.Second})
-	d.Note(auditor.TurnedAway{ID: id, Upstream: "near", Rest: rest})
+	d.Note(auditor.Rejected{ID: id, Upstream: "near", Rest: rest})
 	d.Note(auditor.Answered{ID: id, Status: 503, Whole: true})
 }
 
@@ -206,14 +206,14 @@
 			d.after(2100 * time.Millisecond)
 			d.serve("1", "/look/1", "near")
 		}},
-		{auditor.Told, "a request sent 2.1 s after its entry handed on that the upstream leaves", func(d *day) {
-			d.tellLeaving("1")
+		{auditor.LeavingStated, "a request sent 2.1 s after its entry handed on that the upstream leaves", func(d *day) {
+			d.stateLeaving("1")
 			d.Note(auditor.Disturbed{Who: "e"})
 			d.after(2100 * time.Millisecond)
 			d.serve("2", "/look/2", "near")
 		}},
 		{auditor.Rest, "a third request in the rest that an upstream asked for", func(d *day) {
-			d.turnAway("1", 3*time.Second)
+			d.reject("1", 3*time.Second)
 			d.after(600 * time.Millisecond)
 			for _, id := range []string{"2", "3", "4"} {
 				d.serve(id, "/look/"+id, "near")
@@ -406,14 +406,14 @@
 			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1})
 		}},
 		{"requests sent soon after an answer that states a leaving, and later ones elsewhere", func(d *day) {
-			d.tellLeaving("1")
+			d.stateLeaving("1")
 			d.after(1900 * time.Millisecond)
 			d.serve("2", "/look/2", "near")
 			d.after(time.Second)
 			d.serve("3", "/look/3", "far")
 		}},
 		{"requests on their way to an upstream that asked for rest, two more, some elsewhere, and those after it", func(d *day) {
-			d.turnAway("1", 3*time.Second)
+			d.reject("1", 3*time.Second)
 			for i, id := range []string{"2", "3", "4", "5", "6", "7"} {
 				d.serve(id, "/look/"+id, "near")
 				d.serve("far"+id, "/look/"+id, "far")
@@ -426,13 +426,13 @@
 			}
 		}},
 		{"rests that an entry doesn't know of, after a restart or as its caller left", func(d *day) {
-			d.tellLeaving("1")
-			d.turnAway("2", 3*time.Second)
+			d.stateLeaving("1")
+			d.reject("2", 3*time.Second)
 			d.Note(auditor.Started{Entry: "e"})
 			d.after(time.Second)
 			d.send("3", "/look/3")
 			d.Note(auditor.Answered{ID: "3", Expired: true})
-			d.Note(auditor.TurnedAway{ID: "3", Upstream: "near", Rest: 9 * time.Second})
+			d.Note(auditor.Rejected{ID: "3", Upstream: "near", Rest: 9 * time.Second})
 			d.after(1500 * time.Millisecond)
 			for _, id := range []string{"4", "5", "6"} {
 				d.serve(id, "/look/"+id, "near")
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -67,8 +67,8 @@
 	Left           time.Duration
 }
 
-// TurnedAway is a request that an upstream refused, asking the entry for rest.
-type TurnedAway struct {
+// Rejected is a request that an upstream refused, asking the entry for rest.
+type Rejected struct {
 	ID, Upstream string
 	Rest         time.Duration
 }
@@ -175,7 +175,7 @@
 func (Sent) event()       {}
 func (Answered) event()   {}
 func (Arrived) event()    {}
-func (TurnedAway) event() {}
+func (Rejected) event()   {}
 func (Began) event()      {}
 func (Ended) event()      {}
 func (Joined) event()     {}
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -69,10 +69,10 @@
 // entry is a process that answers callers.
 type entry struct {
 	startedAt, stoppingAt, hungUpAt, exitedAt time.Time
-	// told is when it handed on an answer whose upstream stated that it leaves, and rests what
+	// leavingStated is when it handed on an answer whose upstream stated that it leaves, and rests what
 	// upstreams asked of it, by upstream.
-	told  map[string]time.Time
-	rests map[string][]*rest
+	leavingStated map[string]time.Time
+	rests         map[string][]*rest
 	// shown is the least table that its answers prove it to have had, shownAt since when.
 	shown   uint64
 	shownAt time.Time
@@ -126,7 +126,7 @@
 		if r := h.requests[e.ID]; r != nil {
 			r.arrivals = append(r.arrivals, arrival{e.Upstream, h.now})
 		}
-	case TurnedAway:
+	case Rejected:
 		h.noteRest(e)
 	case Began:
 		if r := h.requests[e.ID]; r != nil {
@@ -163,16 +163,16 @@
 	if !r.answer.Leaving || r.answer.Upstream == "" {
 		return
 	}
-	if _, ok := e.told[r.answer.Upstream]; !ok {
-		if e.told == nil {
-			e.told = map[string]time.Time{}
+	if _, ok := e.leavingStated[r.answer.Upstream]; !ok {
+		if e.leavingStated == nil {
+			e.leavingStated = map[string]time.Time{}
 		}
-		e.told[r.answer.Upstream] = h.now
+		e.leavingStated[r.answer.Upstream] = h.now
 	}
 }
 
 // noteRest keeps what an upstream asked of an entry. An entry whose caller has left reads no answer.
-func (h *history) noteRest(t TurnedAway) {
+func (h *history) noteRest(t Rejected) {
 	r := h.requests[t.ID]
 	if r == nil || r.answer != nil {
 		return
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -150,9 +150,9 @@
 	p.mu.Lock()
 	u := p.current
 	p.mu.Unlock()
-	u.TurnAway(rest)
+	u.RejectAll(rest)
 	p.wait(lasts)
-	u.TurnAway(0)
+	u.RejectAll(0)
 }
 
 // lapse removes the record for a time, as the store does during its outage.
@@ -186,9 +186,9 @@
 // Arrived implements standin.Observer.
 func (o observer) Arrived(a standin.Arrival) { o.note(auditor.Arrived(a)) }
 
-// TurnedAway implements standin.Observer.
-func (o observer) TurnedAway(id, upstream string, rest time.Duration) {
-	o.note(auditor.TurnedAway{ID: id, Upstream: upstream, Rest: rest})
+// Rejected implements standin.Observer.
+func (o observer) Rejected(id, upstream string, rest time.Duration) {
+	o.note(auditor.Rejected{ID: id, Upstream: upstream, Rest: rest})
 }
 
 // Began implements standin.Observer.
