relayer: log how a reply shows its end, and an event it left unfinished

A Served line could not tell a stream that ended with its connection, or inside an event, from a whole one. It has the reply's framing now, and the bytes of an unfinished event; replies_by_length, _chunks and _connection count them.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -155,10 +155,10 @@
 		x.finish()
 	} else if err := c.copyRest(ctx, x); err != nil {
 		x.abandon()
-		c.log("Reply cut", err, "upstream", x.upstream)
+		c.log("Reply cut", err, "upstream", x.upstream, "framing", x.framing())
 		panic(http.ErrAbortHandler)
 	}
-	c.served(x.upstream, place, x.response.StatusCode)
+	c.served(x, place, 0)
 	return nil
 }
 
@@ -183,15 +183,20 @@
 	c.w.WriteHeader(x.response.StatusCode)
 }
 
-// served counts and logs an answer.
-func (c *call) served(upstream string, place *Place, status int) {
+// served counts and logs an answer. Unfinished is how many bytes of an event had come when the reply ended.
+func (c *call) served(x *exchange, place *Place, unfinished int) {
+	upstream, status := x.upstream, x.response.StatusCode
+	c.count("replies_by_" + x.framing())
 	if status < 500 {
 		c.Chooser.Served(upstream)
 	}
 	c.count("served")
 	took := c.Clock.Since(c.Arrived)
 	metrics.GetOrRegisterTimer("request."+c.Route.Kind.String(), c.Metrics).Update(took)
-	fields := []any{"upstream", upstream, "status", status, "upstreamRevision", place.Upstream.Revision}
+	fields := []any{"upstream", upstream, "status", status, "upstreamRevision", place.Upstream.Revision, "framing", x.framing()}
+	if unfinished > 0 {
+		fields = append(fields, "unfinished", unfinished)
+	}
 	answered := took
 	if c.stream != nil {
 		answered = c.stream.firstAfter
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -224,15 +224,25 @@
 	if !x.stop() {
 		return
 	}
-	res := x.response
-	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-	if res.Close || !framed || !x.sent() || x.conn.reader.Buffered() > 0 {
+	if x.response.Close || x.framing() == "connection" || !x.sent() || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
 	}
 	x.pool.put(x.upstream, x.conn, x.reply.Idle)
 }
 
+// framing is what shows where the reply ends, for the log.
+func (x *exchange) framing() string {
+	switch {
+	case len(x.response.TransferEncoding) > 0:
+		return "chunks"
+	case x.response.ContentLength >= 0:
+		return "length"
+	default:
+		return "connection"
+	}
+}
+
 func (x *exchange) sent() bool {
 	select {
 	case <-x.written:
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -139,7 +139,7 @@
 		}
 	}
 	x.finish()
-	c.served(x.upstream, place, x.response.StatusCode)
+	c.served(x, place, len(rest))
 	return nil
 }
 
