relayer: take a stream for whole only at the end of an event

Cause: the end of a reply was whatever net/http calls one. For a reply with neither a length nor chunks that is the end of its connection, and the entry passed the unfinished event on and wrote the last chunk of its own reply. The same happened where a framed reply ended regularly inside an event.

bodyreader decides now whether a body is whole, for streams and plain replies: a stream ends where an event does, and one that ends with its connection has an event at least. A cut one is resumed where that is allowed, and cut towards its caller else. Lines may end with CR, LF or both.

--- /dev/null
+++ b/internal/bodyreader/events.go
@@ -0,0 +1,122 @@
+package bodyreader
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+)
+
+// boundary tells where the events of a stream end: at blank lines. Lines end with LF, CR or CRLF.
+type boundary struct {
+	// unfinished is how many bytes of an event have come, whole how many events are whole.
+	unfinished, whole int
+	// inLine tells that the line under way isn't blank, afterCR that the last byte was a CR.
+	inLine, afterCR bool
+}
+
+// pass takes in what has come.
+func (s *boundary) pass(b []byte) {
+	for len(b) > 0 {
+		n, _ := s.next(b)
+		b = b[n:]
+	}
+}
+
+// next takes in bytes up to the end of an event, or all of them, and tells whether an event ends there. Blank
+// lines before an event belong to none.
+func (s *boundary) next(b []byte) (n int, ends bool) {
+	for i, c := range b {
+		if c == '\n' && s.afterCR {
+			s.afterCR = false
+			continue
+		}
+		s.afterCR = c == '\r'
+		blank := !s.inLine
+		s.inLine = c != '\n' && c != '\r'
+		if s.inLine || s.unfinished > 0 {
+			s.unfinished++
+		}
+		if blank && !s.inLine && s.unfinished > 0 {
+			s.unfinished = 0
+			s.whole++
+			return i + 1 + s.lineFeed(b[i+1:]), true
+		}
+	}
+	return len(b), false
+}
+
+// lineFeed is 1 if what follows begins with the LF of a CRLF.
+func (s *boundary) lineFeed(b []byte) int {
+	if !s.afterCR || len(b) == 0 || b[0] != '\n' {
+		return 0
+	}
+	s.afterCR = false
+	return 1
+}
+
+// EventReader cuts a stream into events. It is not safe for concurrent use.
+type EventReader struct {
+	body  Reader
+	limit int
+	// rest is what stands behind the last event. Its first scanned bytes hold no end of an event.
+	rest    []byte
+	scanned int
+	buf     [4 << 10]byte
+}
+
+// NewEventReader reads the events of a reply, each of at most limit bytes.
+func NewEventReader(res *http.Response, limit int) *EventReader {
+	return &EventReader{body: Reader{Response: res, Events: true, split: true}, limit: limit}
+}
+
+// Next gives the next event with the blank line that ends it. At the end of a whole stream it gives io.EOF and
+// what stands behind the last event, which is nothing but line ends. Other errors are *CutError and
+// *OversizeError.
+func (r *EventReader) Next() ([]byte, error) {
+	for {
+		n, ends := r.body.events.next(r.rest[r.scanned:])
+		r.scanned += n
+		if ends {
+			event := r.rest[:r.scanned:r.scanned]
+			r.rest, r.scanned = r.rest[r.scanned:], 0
+			return event, nil
+		}
+		if len(r.rest) > r.limit {
+			return nil, &OversizeError{Limit: int64(r.limit)}
+		}
+		n, err := r.body.Read(r.buf[:])
+		r.rest = append(r.rest, r.buf[:n]...)
+		if errors.Is(err, io.EOF) {
+			return r.rest, io.EOF
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// EventID is an event's id; empty for none.
+func EventID(event []byte) string {
+	for _, line := range lines(event) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
+// EventData is an event's data, its lines joined.
+func EventData(event []byte) []byte {
+	var data []byte
+	for _, line := range lines(event) {
+		if part, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			data = append(data, bytes.TrimPrefix(part, []byte(" "))...)
+		}
+	}
+	return data
+}
+
+func lines(event []byte) [][]byte {
+	return bytes.FieldsFunc(event, func(r rune) bool { return r == '\n' || r == '\r' })
+}
--- /dev/null
+++ b/internal/bodyreader/reader.go
@@ -0,0 +1,186 @@
+// Package bodyreader reads the bodies of HTTP replies and decides whether they arrived whole. A body that was
+// cut, or that a limit of the reader's own would shorten, is an error everywhere and never a shorter body.
+package bodyreader
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+)
+
+// Framing is what shows where a body ends.
+type Framing int
+
+// The framings of HTTP/1.1.
+const (
+	ByLength Framing = iota
+	ByChunks
+	// ByConnection bodies end with their connection. One that was reset is not whole.
+	ByConnection
+)
+
+func (f Framing) String() string {
+	switch f {
+	case ByLength:
+		return "length"
+	case ByChunks:
+		return "chunks"
+	default:
+		return "connection"
+	}
+}
+
+// FramingOf gives the framing of a reply's body.
+func FramingOf(res *http.Response) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return ByChunks
+	case res.ContentLength >= 0 || res.Body == http.NoBody:
+		return ByLength
+	default:
+		return ByConnection
+	}
+}
+
+// CutError reports a body that is not whole.
+type CutError struct {
+	Framing Framing
+	// Unfinished is how many bytes of an event had come.
+	Unfinished int
+	Err        error
+}
+
+func (e *CutError) Error() string {
+	if e.Unfinished > 0 {
+		return fmt.Sprintf("body framed by %v was cut after %d bytes of an event: %v", e.Framing, e.Unfinished, e.Err)
+	}
+	return fmt.Sprintf("body framed by %v was cut: %v", e.Framing, e.Err)
+}
+
+// Unwrap gives the cause.
+func (e *CutError) Unwrap() error { return e.Err }
+
+// OversizeError reports a body, or a part of it, that is larger than its reader takes.
+type OversizeError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+func (e *OversizeError) Error() string { return fmt.Sprintf("more than %d bytes", e.Limit) }
+
+// Reader reads the body of a reply. Set the exported fields before use. It doesn't close the body and is not
+// safe for concurrent use.
+type Reader struct {
+	Response *http.Response
+	// OnArrival is called after each read that returned data; nil for no call.
+	OnArrival func()
+	// Events tells that the body is a stream of events, whatever its content type.
+	Events bool
+
+	started bool
+	events  boundary
+	// split tells that an EventReader passes on to events what it has read.
+	split bool
+	err   error
+}
+
+// eventStreamType is the content type of server-sent events.
+const eventStreamType = "text/event-stream"
+
+// Read implements io.Reader. It gives io.EOF at the end of a whole body and *CutError at any other end.
+func (r *Reader) Read(b []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.end()
+	}
+	if !r.started {
+		r.started = true
+		kind, _, err := mime.ParseMediaType(r.Response.Header.Get("Content-Type"))
+		r.Events = r.Events || err == nil && kind == eventStreamType
+	}
+	n, err := r.Response.Body.Read(b)
+	r.err = err
+	if n == 0 && err != nil {
+		return 0, r.end()
+	}
+	if r.Events && !r.split {
+		r.events.pass(b[:n])
+	}
+	if n > 0 && r.OnArrival != nil {
+		r.OnArrival()
+	}
+	return n, nil
+}
+
+// end decides what the end of the body means, once all that came before it was looked at.
+func (r *Reader) end() error {
+	if r.Response.Body == http.NoBody {
+		return io.EOF
+	}
+	cut := &CutError{Framing: FramingOf(r.Response), Unfinished: r.events.unfinished, Err: io.ErrUnexpectedEOF}
+	switch {
+	case !errors.Is(r.err, io.EOF):
+		cut.Err = r.err
+		return cut
+	case r.events.unfinished > 0:
+		return cut
+	case r.Events && cut.Framing == ByConnection && r.events.whole == 0:
+		// The end of a connection alone doesn't show that there was nothing to come.
+		return cut
+	default:
+		return io.EOF
+	}
+}
+
+// ReadAll reads a whole body of at most limit bytes. Errors are *CutError and *OversizeError.
+func (r *Reader) ReadAll(limit int64) ([]byte, error) {
+	announced := r.Response.ContentLength
+	if announced > limit && FramingOf(r.Response) == ByLength {
+		return nil, &OversizeError{Limit: limit}
+	}
+	return readAll(r, limit, announced)
+}
+
+// ReadJSON decodes a whole body of at most limit bytes that is one JSON value. Errors are those of ReadAll and
+// of package json.
+func (r *Reader) ReadJSON(limit int64, v any) error {
+	data, err := r.ReadAll(limit)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
+
+// ReadAtMost reads all that comes, as long as it is at most limit bytes. Errors are *OversizeError and those of
+// the reader.
+func ReadAtMost(r io.Reader, limit int64) ([]byte, error) { return readAll(r, limit, 0) }
+
+// firstRead is the least that is asked for at once, in bytes.
+const firstRead = 512
+
+// readAll has room for the expected bytes at once, and for one more that shows the end.
+func readAll(r io.Reader, limit, expected int64) ([]byte, error) {
+	data := make([]byte, 0, min(max(expected, firstRead), limit)+1)
+	for {
+		if int64(len(data)) > limit {
+			return nil, &OversizeError{Limit: limit}
+		}
+		if len(data) == cap(data) {
+			data = append(data, 0)[:len(data)]
+		}
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if int64(len(data)) > limit {
+		return nil, &OversizeError{Limit: limit}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/bodyreader/reader_test.go
@@ -0,0 +1,150 @@
+package bodyreader_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
+)
+
+// errReset stands for a connection that was reset.
+var errReset = errors.New("reset")
+
+// reply is one whose body comes byte by byte and ends with an error.
+func reply(body string, end error, contentType string, length int64, chunks bool) *http.Response {
+	from := io.Reader(iotest.OneByteReader(strings.NewReader(body)))
+	if !errors.Is(end, io.EOF) {
+		from = io.MultiReader(from, iotest.ErrReader(end))
+	}
+	res := &http.Response{Header: http.Header{}, Body: io.NopCloser(from), ContentLength: length}
+	if contentType != "" {
+		res.Header.Set("Content-Type", contentType)
+	}
+	if chunks {
+		res.TransferEncoding = []string{"chunked"}
+	}
+	return res
+}
+
+// Guards against a body that counts as whole without its end, or whose end is refused.
+func TestWholeOrCut(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for name, tt := range map[string]struct {
+		res   *http.Response
+		whole bool
+	}{
+		"length":                          {reply("abc", io.EOF, "", 3, false), true},
+		"short of its length":             {reply("abc", io.ErrUnexpectedEOF, "", 4, false), false},
+		"chunks":                          {reply("abc", io.EOF, "", -1, true), true},
+		"no last chunk":                   {reply("abc", io.ErrUnexpectedEOF, "", -1, true), false},
+		"connection":                      {reply("abc", io.EOF, "", -1, false), true},
+		"connection, reset":               {reply("abc", errReset, "", -1, false), false},
+		"connection, empty":               {reply("", io.EOF, "", -1, false), true},
+		"stream":                          {reply(event, io.EOF, "text/event-stream; charset=utf-8", -1, false), true},
+		"stream, inside an event":         {reply(event+"id", io.EOF, "text/event-stream", -1, false), false},
+		"stream, without its blank line":  {reply(event+"id: 2\n", io.EOF, "text/event-stream", -1, true), false},
+		"stream, blank lines behind":      {reply(event+"\n\r\n", io.EOF, "text/event-stream", -1, false), true},
+		"stream, no event":                {reply("", io.EOF, "text/event-stream", -1, false), false},
+		"stream, no event, by its length": {reply("", io.EOF, "text/event-stream", 0, false), true},
+		"stream, reset between events":    {reply(event, errReset, "text/event-stream", -1, false), false},
+		"other type that looks alike":     {reply("id: 1", io.EOF, "text/plain", -1, false), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body := bodyreader.Reader{Response: tt.res}
+			_, err := body.ReadAll(1 << 10)
+			if tt.whole {
+				must.NoError(t, err)
+				return
+			}
+			var cut *bodyreader.CutError
+			must.True(t, errors.As(err, &cut), must.Sprint(err))
+			_, err = body.Read(make([]byte, 1))
+			must.True(t, errors.As(err, &cut), must.Sprint("read again"))
+		})
+	}
+}
+
+// Guards against a body that its reader's limit shortens.
+func TestLimitShortensNothing(t *testing.T) {
+	for _, framing := range []struct {
+		length int64
+		chunks bool
+	}{{5, false}, {-1, true}, {-1, false}} {
+		read := func(limit int64) (string, error) {
+			body := bodyreader.Reader{Response: reply("abcde", io.EOF, "", framing.length, framing.chunks)}
+			data, err := body.ReadAll(limit)
+			return string(data), err
+		}
+		for _, limit := range []int64{5, 6, 4 << 10} {
+			data, err := read(limit)
+			must.NoError(t, err)
+			must.Eq(t, "abcde", data)
+		}
+		for _, limit := range []int64{0, 1, 4} {
+			_, err := read(limit)
+			var large *bodyreader.OversizeError
+			must.True(t, errors.As(err, &large))
+			must.Eq(t, limit, large.Limit)
+		}
+	}
+}
+
+// Guards against a value that is believed though more was to come, or something else follows it.
+func TestJSONIsOneWholeValue(t *testing.T) {
+	for text, end := range map[string]error{`{"a":1}`: errReset, `{"a":1} {`: io.EOF, `{"a":`: io.EOF, ``: io.EOF} {
+		body := bodyreader.Reader{Response: reply(text, end, "", -1, false)}
+		var v struct{ A int }
+		must.Error(t, body.ReadJSON(1<<10, &v), must.Sprint(text))
+	}
+}
+
+// Guards against events that are joined, torn, changed or lost wherever reads happen to end.
+func TestEventsSurviveAnyReads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
+		var events []string
+		for i := range rapid.IntRange(1, 5).Draw(t, "events") {
+			text := fmt.Sprintf("id: %d", i) + lineEnd
+			for range rapid.IntRange(0, 2).Draw(t, "lines") {
+				text += "data: " + rapid.StringMatching(`[a-z:]{0,4}`).Draw(t, "data") + lineEnd
+			}
+			events = append(events, text+lineEnd)
+		}
+		whole := strings.Join(events, "")
+		sent := rapid.IntRange(0, len(whole)).Draw(t, "sent")
+		res := reply("", io.EOF, "", -1, false)
+		var parts []io.Reader
+		for rest := whole[:sent]; rest != ""; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+			parts, rest = append(parts, strings.NewReader(rest[:n])), rest[n:]
+		}
+		res.Body = io.NopCloser(io.MultiReader(parts...))
+		r := bodyreader.NewEventReader(res, 1<<10)
+		got, count := "", 0
+		event, err := r.Next()
+		for ; err == nil; event, err = r.Next() {
+			must.Eq(t, fmt.Sprint(count), bodyreader.EventID(event))
+			got += string(event)
+			count++
+		}
+		// A CRLF may have come in half.
+		end := strings.TrimSuffix(whole[:sent], "\r")
+		atEnd := sent > 0 && (sent == len(whole) || strings.HasSuffix(end, lineEnd+strings.TrimSuffix(lineEnd, "\r")) ||
+			lineEnd == "\r\n" && strings.HasSuffix(whole[:sent], "\r\n\r") || lineEnd == "\r" && strings.HasSuffix(whole[:sent], "\r\r"))
+		if errors.Is(err, io.EOF) {
+			must.True(t, atEnd, must.Sprintf("%q", whole[:sent]))
+			must.Eq(t, whole[:sent], got+string(event))
+			return
+		}
+		must.False(t, atEnd, must.Sprintf("%q: %v", whole[:sent], err))
+		must.True(t, strings.HasPrefix(whole[:sent], got))
+	})
+}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -28,8 +28,7 @@
 	if c.stream != nil {
 		c.count("cut")
 		c.log("Stream cut", err, "lastEvent", c.stream.last)
-		// Ending the reply as usual would make it look whole.
-		panic(http.ErrAbortHandler)
+		c.cutReply()
 	}
 	refused := c.Refusal(err)
 	switch {
@@ -44,6 +43,9 @@
 	}
 }
 
+// cutReply ends a reply so that its caller can't take it for whole.
+func (c *call) cutReply() { panic(http.ErrAbortHandler) }
+
 // Refusal is what the caller of a job that Serve gave up is told if it certainly did not run;
 // nil if it may have run.
 func (j *Job) Refusal(err error) *RefusedError {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
@@ -135,7 +136,8 @@
 // relayPlain hands a reply on, a short one only once it is whole.
 func (c *call) relayPlain(ctx context.Context, x *exchange, place *Place) error {
 	x.begun()
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, bufferedReply))
+	reader := &bodyreader.Reader{Response: x.response}
+	body, err := io.ReadAll(io.LimitReader(reader, bufferedReply))
 	if err != nil {
 		x.abandon()
 		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
@@ -153,17 +155,17 @@
 	}
 	if whole {
 		x.finish()
-	} else if err := c.copyRest(ctx, x); err != nil {
+	} else if err := c.copyRest(ctx, x, reader); err != nil {
 		x.abandon()
-		c.log("Reply cut", err, "upstream", x.upstream, "framing", x.framing())
-		panic(http.ErrAbortHandler)
+		c.log("Reply cut", err, "upstream", x.upstream)
+		c.cutReply()
 	}
-	c.served(x, place, 0)
+	c.served(x, place)
 	return nil
 }
 
-func (c *call) copyRest(ctx context.Context, x *exchange) error {
-	_, err := io.Copy(c.w, x.response.Body)
+func (c *call) copyRest(ctx context.Context, x *exchange, from io.Reader) error {
+	_, err := io.Copy(c.w, from)
 	if err == nil {
 		x.finish()
 	}
@@ -183,10 +185,10 @@
 	c.w.WriteHeader(x.response.StatusCode)
 }
 
-// served counts and logs an answer. Unfinished is how many bytes of an event had come when the reply ended.
-func (c *call) served(x *exchange, place *Place, unfinished int) {
+// served counts and logs an answer.
+func (c *call) served(x *exchange, place *Place) {
 	upstream, status := x.upstream, x.response.StatusCode
-	c.count("replies_by_" + x.framing())
+	c.count("replies_by_" + x.framing().String())
 	if status < 500 {
 		c.Chooser.Served(upstream)
 	}
@@ -194,9 +196,6 @@
 	took := c.Clock.Since(c.Arrived)
 	metrics.GetOrRegisterTimer("request."+c.Route.Kind.String(), c.Metrics).Update(took)
 	fields := []any{"upstream", upstream, "status", status, "upstreamRevision", place.Upstream.Revision, "framing", x.framing()}
-	if unfinished > 0 {
-		fields = append(fields, "unfinished", unfinished)
-	}
 	answered := took
 	if c.stream != nil {
 		answered = c.stream.firstAfter
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
@@ -224,24 +225,14 @@
 	if !x.stop() {
 		return
 	}
-	if x.response.Close || x.framing() == "connection" || !x.sent() || x.conn.reader.Buffered() > 0 {
+	if x.response.Close || x.framing() == bodyreader.ByConnection || !x.sent() || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
 	}
 	x.pool.put(x.upstream, x.conn, x.reply.Idle)
 }
 
-// framing is what shows where the reply ends, for the log.
-func (x *exchange) framing() string {
-	switch {
-	case len(x.response.TransferEncoding) > 0:
-		return "chunks"
-	case x.response.ContentLength >= 0:
-		return "length"
-	default:
-		return "connection"
-	}
-}
+func (x *exchange) framing() bodyreader.Framing { return bodyreader.FramingOf(x.response) }
 
 func (x *exchange) sent() bool {
 	select {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
@@ -28,6 +28,9 @@
 	lastAt       time.Time
 }
 
+// maxEvent bounds an event, in bytes.
+const maxEvent = 1 << 20
+
 // GapError reports a stream that goes on elsewhere with the wrong event.
 type GapError struct{ Last, Next string }
 
@@ -37,13 +40,13 @@
 // may stop in the middle of one, and what another upstream sends next would be
 // joined to the half.
 func (c *call) relayStream(x *exchange, place *Place) error {
-	s := &splitter{from: x.response.Body}
+	events := bodyreader.NewEventReader(x.response, maxEvent)
 	resumed := c.stream != nil
 	x.setGap(place.FirstEventLimit())
 	for first := true; ; first = false {
-		event, err := s.next()
+		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return c.endStream(x, place, s.rest)
+			return c.endStream(x, place, event)
 		}
 		if err != nil {
 			x.abandon()
@@ -69,7 +72,7 @@
 // relayEvent hands one event on. The header goes out with the first, so that until
 // then another upstream can take the request over.
 func (c *call) relayEvent(x *exchange, event []byte, follows bool) error {
-	id := eventID(event)
+	id := bodyreader.EventID(event)
 	if follows && !c.stream.precedes(id) {
 		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: &GapError{Last: c.stream.last, Next: id}}
 	}
@@ -121,7 +124,7 @@
 	return err == nil && next == last+1
 }
 
-// endStream ends a reply whose end the upstream has marked.
+// endStream ends a whole reply. Rest is what stands behind its last event.
 func (c *call) endStream(x *exchange, place *Place, rest []byte) error {
 	if c.stream == nil {
 		if err := c.beginReply(x); err != nil {
@@ -139,71 +142,6 @@
 		}
 	}
 	x.finish()
-	c.served(x, place, len(rest))
+	c.served(x, place)
 	return nil
 }
-
-// splitter cuts a stream into events, each with the blank line that ends it.
-type splitter struct {
-	from io.Reader
-	// rest holds bytes of an event that isn't whole.
-	rest []byte
-	buf  [4 << 10]byte
-}
-
-// maxEvent bounds an event in bytes.
-const maxEvent = 1 << 20
-
-// OversizedEventError reports an event that does not end.
-type OversizedEventError struct{}
-
-func (e *OversizedEventError) Error() string {
-	return fmt.Sprintf("event of more than %d bytes", maxEvent)
-}
-
-// next gives the next event; io.EOF at the marked end of the reply.
-func (s *splitter) next() ([]byte, error) {
-	for {
-		if n := eventEnd(s.rest); n > 0 {
-			event := s.rest[:n:n]
-			s.rest = s.rest[n:]
-			return event, nil
-		}
-		if len(s.rest) > maxEvent {
-			return nil, &OversizedEventError{}
-		}
-		n, err := s.from.Read(s.buf[:])
-		s.rest = append(s.rest, s.buf[:n]...)
-		if err != nil && eventEnd(s.rest) == 0 {
-			return nil, err
-		}
-	}
-}
-
-// eventEnd is the length of the first whole event; 0 when there is none.
-func eventEnd(b []byte) int {
-	at := 0
-	for {
-		i := bytes.IndexByte(b[at:], '\n')
-		if i < 0 {
-			return 0
-		}
-		at += i + 1
-		switch {
-		case bytes.HasPrefix(b[at:], []byte("\n")):
-			return at + 1
-		case bytes.HasPrefix(b[at:], []byte("\r\n")):
-			return at + 2
-		}
-	}
-}
-
-// eventID is an event's id; empty for none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
