relayer: hand streams on without their upstream's length

A moved stream whose parts are shorter or longer than its first upstream had announced was cut at its end: the HTTP server holds a reply to the length in its header. TestMovedStreamIsNotHeldToItsFirstLength failed before.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -83,7 +83,7 @@
 		c.stream = &stream{version: x.reply.Version, last: c.LastEvent, firstAfter: c.Clock.Since(c.Arrived)}
 		// A stream that goes on elsewhere stays with its weights.
 		c.Version = x.reply.Version
-		c.writeHeader(x)
+		c.writeStreamHeader(x)
 		metrics.GetOrRegisterTimer("firstEvent", c.Metrics).Update(c.stream.firstAfter)
 	}
 	if _, err := c.w.Write(event); err != nil {
@@ -97,6 +97,13 @@
 	return nil
 }
 
+// writeStreamHeader hands the header on without a length: another upstream may go on with a stream, and its
+// part may be shorter or longer.
+func (c *call) writeStreamHeader(x *exchange) {
+	x.response.Header.Del("Content-Length")
+	c.writeHeader(x)
+}
+
 // passed notes an event that went out.
 func (s *stream) passed(id string, now time.Time) {
 	if id != "" {
@@ -132,7 +139,7 @@
 			return err
 		}
 		place.Started()
-		c.writeHeader(x)
+		c.writeStreamHeader(x)
 		c.stream = &stream{}
 	}
 	if len(rest) > 0 {
