relayer: reset the connection of a cut reply to a caller of HTTP/1.0

Such a caller gets no chunks and takes the end of the connection for that of the reply, so that a cut stream looked whole to it. TestCutStreamIsResetForACallerWithoutChunks failed before.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -44,7 +44,27 @@
 }
 
 // cutReply ends a reply so that its caller can't take it for whole.
-func (c *call) cutReply() { panic(http.ErrAbortHandler) }
+func (c *call) cutReply() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		// Without chunks the caller takes the end of the connection for that of the reply, unless it is reset.
+		c.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the caller's connection.
+func (c *call) resetConnection() {
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		c.log("Connection not reset", err)
+		return
+	}
+	defer conn.Close()
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		// One that is over already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+}
 
 // Refusal is what the caller of a job that Serve gave up is told if it certainly did not run;
 // nil if it may have run.
