connector: report a reset to readers if a write learned of it

157 of 200 plain replies without a length that were reset while their long request was being sent counted as whole. The kernel reports a reset once: the write got ECONNRESET, and the next read EOF.

Connections remember a reset that a write saw. A read that gets EOF asks for the connection's state; only when it is over does it wait for a write under way and look.

Failed tries: a wrapper that embeds *net.TCPConn, whose ReadFrom let net/http pass Write by (10 of 200 in the driver's test); counting a connection that is closed here meanwhile as not over (2 to 5 of 200).

--- a/internal/certifier/certifier.go
+++ b/internal/certifier/certifier.go
@@ -16,6 +16,8 @@
 	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // reloadEvery is how often the files are looked at.
@@ -144,8 +146,12 @@
 func (c *Certifier) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
-	if err != nil || c == nil {
-		return raw, err
+	if err != nil {
+		return nil, err
+	}
+	raw = connector.KeepResets(raw)
+	if c == nil {
+		return raw, nil
 	}
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -1,4 +1,4 @@
-// Package connector opens TCP connections that notice a silent peer.
+// Package connector opens TCP connections that notice a silent peer and a reset.
 package connector
 
 import (
@@ -28,7 +28,11 @@
 // DialContext is Dial in the form that net/http wants.
 func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAliveConfig: keepAlive, Control: control}
-	return d.DialContext(ctx, network, address)
+	raw, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return KeepResets(raw), nil
 }
 
 func control(_, _ string, c syscall.RawConn) error {
