All readers of bodies: neither a cut body nor one their limit shortens is whole

The same cause elsewhere: limits that shorten a body without an error, and JSON readers that stop at the end of a value. An operator's list of VMs, a status, a key's fate or a refusal counted as whole though the rest was cut; records of more than 8 MB, chunks of more than 64 MB and long stream names were shortened. On the other side the own interface refused whole replies without a length.

The driver's streams are cut into events by the same code as the relayer's.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -9,12 +9,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // Upstream is what an agent stands before: *Engine or *Service.
@@ -62,7 +63,7 @@
 // loopback costs some tens of microseconds.
 func newClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Transport: &http.Transport{DialContext: connector.DialContext, DisableKeepAlives: true, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -100,13 +101,10 @@
 func url(a netip.AddrPort, path string) string { return "http://" + a.String() + path }
 
 // decode reads a JSON reply of bounded size.
-func decode(r io.Reader, value any) error {
-	data, err := io.ReadAll(io.LimitReader(r, maxStateBytes+1))
+func decode(resp *http.Response, value any) error {
+	data, err := ReadReply(resp, maxStateBytes)
 	if err != nil {
-		return &CutError{Err: err}
-	}
-	if len(data) > maxStateBytes {
-		return &ProtocolError{Problem: fmt.Sprintf("reply of more than %d bytes", maxStateBytes)}
+		return err
 	}
 	if err := json.Unmarshal(data, value); err != nil {
 		return &ProtocolError{Problem: "reply is not the JSON expected", Err: err}
@@ -120,7 +118,11 @@
 		Error string `json:"error"`
 		Fence uint64 `json:"fence"`
 	}
-	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	data, err := ReadReply(resp, maxErrorBytes)
+	if err != nil {
+		// The status alone says that the request is refused.
+		return &RefusedError{Status: resp.StatusCode, Text: err.Error()}
+	}
 	if err := json.Unmarshal(data, &body); err != nil {
 		body.Error = string(data)
 	}
--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -163,7 +163,7 @@
 	if reply == nil {
 		return nil
 	}
-	return decode(resp.Body, reply)
+	return decode(resp, reply)
 }
 
 // do performs a request and turns a reply that is not 2xx into an error.
--- a/internal/driver/service.go
+++ b/internal/driver/service.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 )
 
 // Service is a plain back end. Set the fields before the first call.
@@ -98,19 +99,17 @@
 }
 
 // ReadReply reads the whole body of a reply of at most limit bytes and closes
-// it. A body that has no end mark, or not all its bytes, gives *CutError: it
-// must not pass for a whole answer.
+// it. A cut body gives *CutError: it must not pass for a whole answer.
 func ReadReply(resp *http.Response, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return nil, &CutError{Err: errors.New("reply has neither length nor end mark")}
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
+	body := bodyreader.Reader{Response: resp}
+	data, err := body.ReadAll(limit)
+	var large *bodyreader.OversizeError
+	switch {
+	case errors.As(err, &large):
+		return nil, &ProtocolError{Problem: "reply too large", Err: err}
+	case err != nil:
 		return nil, &CutError{Err: err}
 	}
-	if int64(len(data)) > limit {
-		return nil, &ProtocolError{Problem: fmt.Sprintf("reply of more than %d bytes", limit)}
-	}
 	return data, nil
 }
--- a/internal/driver/stream.go
+++ b/internal/driver/stream.go
@@ -1,20 +1,19 @@
 package driver
 
 import (
-	"bufio"
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"hash"
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 )
 
-// MaxEventBytes bounds one line of a stream: an upstream gone wrong must not be
+// MaxEventBytes bounds one event of a stream: an upstream gone wrong must not be
 // able to fill the agent's memory.
 const MaxEventBytes = 64 << 10
 
@@ -39,7 +38,7 @@
 // Stream is a reply of an engine as it comes. It is not for concurrent use.
 type Stream struct {
 	body   io.ReadCloser
-	reader *bufio.Reader
+	events *bodyreader.EventReader
 	from   int
 	next   int
 	sum    hash.Hash
@@ -50,7 +49,7 @@
 func newStream(resp *http.Response, from int) *Stream {
 	return &Stream{
 		body:   resp.Body,
-		reader: bufio.NewReaderSize(resp.Body, MaxEventBytes),
+		events: bodyreader.NewEventReader(resp, MaxEventBytes),
 		from:   from,
 		next:   from,
 		sum:    sha256.New(),
@@ -81,27 +80,20 @@
 // Close gives the connection back; before the end of the stream it cuts it.
 func (s *Stream) Close() error { return s.body.Close() }
 
-// data reads lines up to the empty one that ends an event.
+// data gives the data of the next event that has any.
 func (s *Stream) data() ([]byte, error) {
-	var data []byte
 	for {
-		line, err := s.reader.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return nil, &ProtocolError{Problem: fmt.Sprintf("line of more than %d bytes", MaxEventBytes)}
-		}
-		if err != nil {
+		event, err := s.events.Next()
+		var large *bodyreader.OversizeError
+		switch {
+		case errors.As(err, &large):
+			return nil, &ProtocolError{Problem: "event too large", Err: err}
+		case err != nil:
 			return nil, &CutError{Events: s.next - s.from, Err: unexpected(err)}
 		}
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 && len(data) > 0 {
+		if data := bodyreader.EventData(event); len(data) > 0 {
 			return data, nil
 		}
-		if rest, ok := bytes.CutPrefix(line, []byte("data:")); ok {
-			data = append(data, bytes.TrimPrefix(rest, []byte(" "))...)
-		}
-		if len(data) > MaxEventBytes {
-			return nil, &ProtocolError{Problem: fmt.Sprintf("event of more than %d bytes", MaxEventBytes)}
-		}
 	}
 }
 
--- a/internal/fetcher/http.go
+++ b/internal/fetcher/http.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -14,6 +13,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
@@ -139,7 +139,16 @@
 	if err := h.refused(res, digest); err != nil {
 		return nil, err
 	}
-	return h.read(res, digest, limit, func() { idle.Reset(h.timeout()) })
+	body := bodyreader.Reader{Response: res, OnArrival: func() { idle.Reset(h.timeout()) }}
+	data, err := body.ReadAll(limit)
+	var large *bodyreader.OversizeError
+	switch {
+	case errors.As(err, &large):
+		return nil, h.oversize(digest, limit)
+	case err != nil:
+		return nil, h.unavailable(err)
+	}
+	return data, nil
 }
 
 // hold hands on the bitmap that came with an answer.
@@ -171,30 +180,6 @@
 	return have, true
 }
 
-func (h *HTTP) read(res *http.Response, digest string, limit int64, alive func()) ([]byte, error) {
-	if res.ContentLength > limit {
-		return nil, h.oversize(digest, limit)
-	}
-	body := make([]byte, 0, max(res.ContentLength, 512)+1)
-	for {
-		if int64(len(body)) > limit {
-			return nil, h.oversize(digest, limit)
-		}
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := res.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, h.unavailable(err)
-		}
-		alive()
-	}
-}
-
 func (h *HTTP) oversize(digest string, limit int64) error {
 	return &CorruptError{Source: h.Address.String(), Digest: digest, Got: fmt.Sprintf("over %d bytes", limit)}
 }
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -12,9 +12,13 @@
 	"strconv"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 )
 
+// maxAnswer bounds an answer of the agent's own, in bytes.
+const maxAnswer = 64 << 10
+
 // idleConnections bounds what an entry keeps open to one agent.
 const idleConnections = 16
 
@@ -97,15 +101,10 @@
 // readReply reads a whole body. An agent that dies while it answers, or answers
 // more than fits, leaves a part that a caller could take for the whole.
 func readReply(r *http.Response) ([]byte, error) {
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
-		return nil, &UnknownError{Reason: "reply has neither length nor end mark"}
-	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, MaxBody+1))
+	body := bodyreader.Reader{Response: r}
+	data, err := body.ReadAll(MaxBody)
 	if err != nil {
-		return nil, &UnknownError{Reason: "reply was cut: " + err.Error()}
-	}
-	if len(data) > MaxBody {
-		return nil, &UnknownError{Reason: "reply of more than " + strconv.Itoa(MaxBody) + " bytes"}
+		return nil, &UnknownError{Reason: "reply not read: " + err.Error()}
 	}
 	return data, nil
 }
@@ -120,7 +119,8 @@
 	var answer struct {
 		Fate Fate `json:"fate"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&answer); err != nil {
+	body := bodyreader.Reader{Response: r}
+	if err := body.ReadJSON(maxAnswer, &answer); err != nil {
 		return FateUnknown, &UnknownError{Reason: err.Error()}
 	}
 	switch answer.Fate {
@@ -137,7 +137,11 @@
 	if err != nil {
 		return err
 	}
-	return r.Body.Close()
+	defer r.Body.Close()
+	if r.StatusCode/100 != 2 {
+		return &UnknownError{Reason: "status " + strconv.Itoa(r.StatusCode)}
+	}
+	return nil
 }
 
 // post sends a request whose body can not be read again, so that the HTTP
@@ -179,7 +183,8 @@
 		return nil
 	}
 	var f refusal
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+	body := bodyreader.Reader{Response: r}
+	if err := body.ReadJSON(maxAnswer, &f); err != nil {
 		return &UnknownError{Reason: "refusal can not be read: " + err.Error()}
 	}
 	if r.Header.Get(headerOutcome) != outcomeNotRun {
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -55,7 +55,7 @@
 
 func (h *handler) generate(w http.ResponseWriter, r *http.Request) {
 	var o GenerateOrder
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxGenerateOrder)).Decode(&o); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxGenerateOrder)).Decode(&o); err != nil {
 		fail(w, Attempt{}, &NotRunError{Reason: "order can not be read: " + err.Error()})
 		return
 	}
@@ -120,7 +120,7 @@
 }
 
 func (h *handler) lookup(w http.ResponseWriter, r *http.Request) {
-	key, err := io.ReadAll(io.LimitReader(r.Body, MaxBody))
+	key, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -132,7 +132,7 @@
 }
 
 func (h *handler) cancel(w http.ResponseWriter, r *http.Request) {
-	stream, err := io.ReadAll(io.LimitReader(r.Body, maxStreamName))
+	stream, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStreamName))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/entry"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
@@ -32,6 +32,9 @@
 	return fmt.Sprintf("%v answered with status %d", e.Address, e.Status)
 }
 
+// maxStatus bounds a status, in bytes: it names all agents.
+const maxStatus = 64 << 20
+
 // Inspector asks entries. Certifier makes the connections; nil means plain ones.
 type Inspector struct {
 	Certifier *certifier.Certifier
@@ -59,7 +62,8 @@
 	if res.StatusCode != http.StatusOK {
 		return s, &StatusError{Address: at, Status: res.StatusCode}
 	}
-	return s, json.NewDecoder(res.Body).Decode(&s)
+	body := bodyreader.Reader{Response: res}
+	return s, body.ReadJSON(maxStatus, &s)
 }
 
 // Offer hands an accepted bundle to one entry.
--- a/internal/lister/list.go
+++ b/internal/lister/list.go
@@ -4,14 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"sync"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 )
 
 // The roles of a VM.
@@ -86,10 +86,10 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, &StatusError{Status: res.StatusCode}
 	}
-	return decode(io.LimitReader(res.Body, maxAnswer))
+	return decode(&bodyreader.Reader{Response: res})
 }
 
-func decode(r io.Reader) ([]VM, error) {
+func decode(body *bodyreader.Reader) ([]VM, error) {
 	var in struct {
 		VMs []struct {
 			ID            string         `json:"id"`
@@ -100,7 +100,7 @@
 			State         string         `json:"state"`
 		} `json:"vms"`
 	}
-	if err := json.NewDecoder(r).Decode(&in); err != nil {
+	if err := body.ReadJSON(maxAnswer, &in); err != nil {
 		return nil, fmt.Errorf("list of VMs: %w", err)
 	}
 	vms := make([]VM, 0, len(in.VMs))
--- a/internal/messenger/records.go
+++ b/internal/messenger/records.go
@@ -5,9 +5,9 @@
 	"compress/flate"
 	"context"
 	"encoding/gob"
-	"io"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
 
@@ -89,8 +89,11 @@
 	if len(p.Packed) == 0 {
 		return p.Batch, nil
 	}
-	r := io.LimitReader(flate.NewReader(bytes.NewReader(p.Packed)), maxUnpacked)
-	if err := gob.NewDecoder(r).Decode(&p.Records); err != nil {
+	data, err := bodyreader.ReadAtMost(flate.NewReader(bytes.NewReader(p.Packed)), maxUnpacked)
+	if err != nil {
+		return registrar.Batch{}, &UnreadableError{Err: err}
+	}
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&p.Records); err != nil {
 		return registrar.Batch{}, &UnreadableError{Err: err}
 	}
 	return p.Batch, nil
--- a/internal/registrar/packer.go
+++ b/internal/registrar/packer.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 
 	"k8s.io/klog/v2"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 )
 
 const (
@@ -62,7 +63,7 @@
 	if rec.Packed == nil {
 		return rec, true
 	}
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(rec.Packed)), maxValue))
+	data, err := bodyreader.ReadAtMost(flate.NewReader(bytes.NewReader(rec.Packed)), maxValue)
 	if err != nil {
 		klog.ErrorS(err, "Record not unpacked", "key", rec.Key, "revision", rec.Revision)
 		return rec, false
--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
 	"github.com/oriolecroft/oriolecroft/internal/planner"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -192,7 +193,8 @@
 		return false
 	}
 	m := new(fetcher.Manifest)
-	if err := json.NewDecoder(http.MaxBytesReader(nil, res.Body, fetcher.MaxManifestBytes)).Decode(m); err != nil {
+	body := bodyreader.Reader{Response: res}
+	if err := body.ReadJSON(fetcher.MaxManifestBytes, m); err != nil {
 		klog.InfoS("Agent told a version that can't be read", "peer", a, "version", k, "err", err)
 		return false
 	}
--- a/internal/storer/http.go
+++ b/internal/storer/http.go
@@ -15,6 +15,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // DefaultTimeout bounds a call when HTTP.Timeout is zero.
@@ -200,7 +203,8 @@
 		return nil, err
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	answered := bodyreader.Reader{Response: res}
+	data, err := answered.ReadAll(maxAnswer)
 	if err != nil {
 		return nil, err
 	}
@@ -248,7 +252,7 @@
 		return h.Client
 	}
 	h.once.Do(func() {
-		h.own = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+		h.own = &http.Client{Transport: &http.Transport{DialContext: connector.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
 	})
 	return h.own
 }
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -14,6 +12,8 @@
 	"time"
 
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 )
 
 // Status is what a process says of itself.
@@ -145,7 +145,8 @@
 		return nil, &AnswerError{Status: res.StatusCode}
 	}
 	var st Status
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxStatus)).Decode(&st); err != nil {
+	body := bodyreader.Reader{Response: res}
+	if err := body.ReadJSON(maxStatus, &st); err != nil {
 		return nil, err
 	}
 	return &st, nil
