standin, imitator, soak, lab: replies without a length, and upstreams that break off inside an event

No stand-in had such upstreams, so that no test or soak could find cut replies that pass for whole. The soak's links pass a reset on as a reset and an end as an end; before, both became an end.

New promise, checked in each run: no reply that broke off passes for a whole one.

--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -88,6 +88,9 @@
 		refused, err := c.try(try)
 		c.time.Sleep(c.Network.Callers)
 		if err == nil {
+			if c.events*max(1, c.Engine.Stride) < c.Answer {
+				c.report.Short++
+			}
 			c.end(c.served())
 			return
 		}
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -191,6 +191,8 @@
 	// FaultLeave has engines state for Lasts that they leave, while their records don't, and then come
 	// back as by FaultReplace.
 	FaultLeave = "leave"
+	// FaultTear has engines break replies off inside an event: each event is the last one by Chance.
+	FaultTear = "tear"
 )
 
 // Fault is something that befalls engines.
@@ -206,6 +208,7 @@
 	// end.
 	Overrun time.Duration `toml:"overrun"`
 	Rest    time.Duration `toml:"rest"`
+	Chance  float64       `toml:"chance"`
 }
 
 // FileError reports an experiment that can't be played.
@@ -329,7 +332,7 @@
 
 func (f Fault) problem(domains map[string]bool) string {
 	switch f.Fault {
-	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave:
+	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave, FaultTear:
 	default:
 		return fmt.Sprintf("unknown fault %q", f.Fault)
 	}
@@ -342,5 +345,8 @@
 	if f.Fault == FaultRest && f.Rest <= 0 {
 		return "engines that ask for rest need a rest"
 	}
+	if f.Fault == FaultTear && (f.Chance <= 0 || f.Chance > 1) {
+		return "engines that break replies off need a chance of up to 1"
+	}
 	return ""
 }
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -43,6 +43,8 @@
 	rest    time.Duration
 	leaving bool
 	quiet   map[string]quietSpan
+	// tear is the chance of each event to be the one inside which its reply breaks off.
+	tear float64
 	// ordered engines load new weights once they have ended their requests.
 	ordered bool
 	// coldUntil is when the engine bears a full load again.
@@ -216,6 +218,10 @@
 	now := h.time.Now()
 	for _, v := range h.engine.Finish() {
 		box := h.streams[v.ID]
+		if h.tear > 0 && box != nil && h.random.Float64() < h.tear {
+			h.breakOff(v, box, now)
+			continue
+		}
 		if v.Last {
 			delete(h.streams, v.ID)
 		}
@@ -227,6 +233,14 @@
 	h.arm()
 }
 
+// breakOff ends a reply inside an event.
+func (h *host) breakOff(v emulator.Event, box *sequencer.Mailbox[part], now time.Time) {
+	h.report.Torn++
+	h.engine.Remove(v.ID)
+	delete(h.streams, v.ID)
+	h.later(box, v.At.Sub(now), part{failure: h.failure(retrier.Unknown, 0, "reply cut inside an event")})
+}
+
 // drop ends a request whose entry has given it up.
 func (h *host) drop(id string) {
 	if h.silent {
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -225,6 +225,26 @@
 	}
 }
 
+// Guards against replies that end as complete without all their events, and against callers who lose replies
+// that another engine can go on with.
+func TestEnginesThatBreakRepliesOff(t *testing.T) {
+	for _, name := range []string{"tear", "tearEverywhere"} {
+		t.Run(name, func(t *testing.T) {
+			p := playAll(t, load(t, name))
+			torn, failed := 0, 0
+			for _, r := range p {
+				must.Zero(t, r.Short)
+				torn += r.Torn
+				failed += r.Total.Failed
+			}
+			t.Logf("%d replies broke off, %d requests failed, worth %.3f", torn, failed, p.worth(everything))
+			must.Positive(t, torn)
+			// Each request has one further attempt, which may break off as well.
+			must.Less(t, torn/2, failed)
+		})
+	}
+}
+
 // Guards against refusing callers for good that come back after a full restart, although slots come free
 // within a second.
 func TestCallersThatComeBackAfterAFullRestart(t *testing.T) {
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -121,6 +121,9 @@
 			h.retire(0)
 			h.succeed()
 		})
+	case FaultTear:
+		h.tear = f.Chance
+		after(func() { h.tear = 0 })
 	case FaultRest:
 		h.rest = f.Rest
 		after(func() { h.rest = 0 })
--- a/proofs/deployment_test.go
+++ b/proofs/deployment_test.go
@@ -555,15 +555,18 @@
 
 // faults are what a stand-in is told to do wrong; each kind reads its own.
 type faults struct {
-	Down        bool    `json:"down,omitempty"`
-	DelayMS     int64   `json:"delayMs,omitempty"`
-	LoseAnswers float64 `json:"loseAnswers,omitempty"`
-	DeadWatches bool    `json:"deadWatches,omitempty"`
-	Restart     bool    `json:"restart,omitempty"`
-	Cold        bool    `json:"cold,omitempty"`
-	SlowMS      int64   `json:"slowMs,omitempty"`
-	Hang        bool    `json:"hang,omitempty"`
-	DropAnswers bool    `json:"dropAnswers,omitempty"`
+	Down         bool    `json:"down,omitempty"`
+	DelayMS      int64   `json:"delayMs,omitempty"`
+	LoseAnswers  float64 `json:"loseAnswers,omitempty"`
+	DeadWatches  bool    `json:"deadWatches,omitempty"`
+	Restart      bool    `json:"restart,omitempty"`
+	Cold         bool    `json:"cold,omitempty"`
+	SlowMS       int64   `json:"slowMs,omitempty"`
+	Hang         bool    `json:"hang,omitempty"`
+	DropAnswers  bool    `json:"dropAnswers,omitempty"`
+	Unframed     bool    `json:"unframed,omitempty"`
+	ResetReplies bool    `json:"resetReplies,omitempty"`
+	Torn         bool    `json:"torn,omitempty"`
 }
 
 func (s standin) fault(f faults) {
--- a/soak/auditor/answers.go
+++ b/soak/auditor/answers.go
@@ -49,11 +49,19 @@
 		return
 	}
 	a.check(Whole, e.ID, !e.WrongBody, "body is not the one of %s", e.Upstream)
+	if slices.ContainsFunc(r.runs, func(x run) bool { return x.broken }) {
+		a.check(Cut, e.ID, !e.Whole || r.allOf(e), "reply of %s ends as complete", e.Upstream)
+	}
 	if r.Events > 0 {
 		a.judgeStream(r, e)
 	}
 }
 
+// allOf tells whether an answer has all that the request asked for.
+func (r *request) allOf(e Answered) bool {
+	return !e.WrongBody && (r.Events == 0 || r.After+len(e.Parts) == r.Events)
+}
+
 func (a *Auditor) judgeStream(r *request, e Answered) {
 	next := r.After + 1
 	for i, p := range e.Parts {
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -16,6 +16,7 @@
 	Once          Promise = "non-idempotent requests run at most once"
 	Refusal       Promise = "a refusal is true"
 	Whole         Promise = "answers are whole and the request's own"
+	Cut           Promise = "no reply that broke off passes for a whole one"
 	Unchanged     Promise = "upstreams get only what callers sent"
 	Stream        Promise = "streams have no gap, no repeat and one version"
 	Weights       Promise = "no reply from spoilt weights"
@@ -45,7 +46,7 @@
 
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
-	Once, Refusal, Whole, Unchanged, Stream, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Budget, Attempts, Home, Keys,
+	Once, Refusal, Whole, Cut, Unchanged, Stream, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Budget, Attempts, Home, Keys,
 	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Gone, Abandoned, Reload, Exit, Recovery,
 }
 
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -174,6 +174,18 @@
 			d.stream(false, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 2})
 		}},
 		{auditor.Stream, "it ends as complete before its last event", func(d *day) { d.stream(true, auditor.Part{Number: 1, Version: 1}) }},
+		{auditor.Cut, "a cut reply ends as complete with its half", func(d *day) {
+			d.send("1", "/look/1")
+			d.reach("1", "near")
+			d.Note(auditor.Ended{ID: "1", Upstream: "near", Broken: true})
+			d.Note(auditor.Answered{ID: "1", Status: 200, Names: "1", Upstream: "near", Whole: true, WrongBody: true})
+		}},
+		{auditor.Cut, "a cut stream ends as complete", func(d *day) {
+			d.Note(auditor.Sent{ID: "s", Entry: "e", Path: "/look/s", Key: "k", Content: "s", Limit: time.Second, Events: 3})
+			d.reach("s", "near")
+			d.Note(auditor.Ended{ID: "s", Upstream: "near", Broken: true})
+			d.Note(auditor.Answered{ID: "s", Status: 200, Names: "s", Upstream: "near", Whole: true, Parts: []auditor.Part{{Number: 1, Version: 1}}})
+		}},
 		{auditor.Weights, "a reply from weights with a wrong chunk", func(d *day) {
 			d.send("1", "/look/1")
 			d.Note(auditor.Began{ID: "1", Upstream: "near", Version: 1, Spoilt: true})
--- a/soak/soaker/link.go
+++ b/soak/soaker/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -96,13 +97,26 @@
 	k.mu.Lock()
 	delete(k.conns, p)
 	k.mu.Unlock()
+	if !p.isSilent() {
+		near.Close()
+		far.Close()
+	}
+}
+
+func (p *pipe) isSilent() bool {
+	select {
+	case <-p.silent:
+		return true
+	default:
+		return false
+	}
 }
 
 // passedAtOnce is how many bytes pass a link in one piece at most.
 const passedAtOnce = 32 << 10
 
-// pass copies one direction until its end. An end is passed on as it came, a reset as a
-// reset.
+// pass copies one direction until its end. An end is passed on as an end, a reset as a reset: a reply without a
+// length is whole by the one and cut by the other.
 func (k *link) pass(p *pipe, from, to net.Conn, held *chan struct{}) {
 	buffer := make([]byte, passedAtOnce)
 	for {
@@ -110,14 +124,31 @@
 		if !k.wait(p, held) || !k.pace(p, n) {
 			return
 		}
-		if _, e := to.Write(buffer[:n]); e != nil || err != nil {
+		if _, e := to.Write(buffer[:n]); e != nil {
+			reset(from)
+			reset(to)
+			return
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			endWrites(to)
+			return
+		case err != nil:
+			reset(to)
 			from.Close()
-			to.Close()
 			return
 		}
 	}
 }
 
+// endWrites tells the other end that nothing more comes.
+func endWrites(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		// One that is closed already has told it.
+		_ = t.CloseWrite()
+	}
+}
+
 // wait holds bytes back for as long as the link does; false on a connection that is
 // silent for good.
 func (k *link) wait(p *pipe, held *chan struct{}) bool {
@@ -128,10 +159,8 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
-		select {
-		case <-p.silent:
+		if p.isSilent() {
 			return false
-		default:
 		}
 		if hold == nil {
 			return true
--- a/standins/imitator/engine.go
+++ b/standins/imitator/engine.go
@@ -120,6 +120,10 @@
 	Hang    bool  `json:"hang"`
 	// Partial makes loads leave out the last byte and say that they are whole.
 	Partial bool `json:"partial"`
+	// Unframed replies have neither a length nor chunks and end with their connection.
+	Unframed bool `json:"unframed"`
+	// Torn replies end inside an event.
+	Torn bool `json:"torn"`
 }
 
 type engineCounts struct {
--- a/standins/imitator/http.go
+++ b/standins/imitator/http.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -47,6 +48,24 @@
 	panic(http.ErrAbortHandler)
 }
 
+// unframe has a reply end with its connection, without a length or chunks.
+func unframe(w http.ResponseWriter) { w.Header().Set("Transfer-Encoding", "identity") }
+
+// resetMidway sends the beginning of a reply, a JSON value by itself, and resets the connection.
+func resetMidway(w http.ResponseWriter) {
+	writeJSON(w, http.StatusOK, struct{}{})
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		cut()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// A connection that is over already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+	cut()
+}
+
 // clockOr returns c, or the real clock when c is nil.
 func clockOr(c clock.Clock) clock.Clock {
 	if c == nil {
--- a/standins/imitator/service.go
+++ b/standins/imitator/service.go
@@ -41,6 +41,10 @@
 	SlowMs      int64 `json:"slowMs"`
 	Hang        bool  `json:"hang"`
 	DropAnswers bool  `json:"dropAnswers"`
+	// Unframed replies have neither a length nor chunks and end with their connection.
+	Unframed bool `json:"unframed"`
+	// ResetReplies breaks replies off in their middle.
+	ResetReplies bool `json:"resetReplies"`
 }
 
 type serviceCounts struct {
@@ -119,6 +123,15 @@
 	if !whole || dropped {
 		cut()
 	}
+	s.mu.Lock()
+	unframed, resets := s.faults.Unframed, s.faults.ResetReplies
+	s.mu.Unlock()
+	if unframed {
+		unframe(w)
+	}
+	if resets {
+		resetMidway(w)
+	}
 	writeJSON(w, http.StatusOK, struct {
 		Booking string `json:"booking"`
 		Run     int64  `json:"run"`
--- a/standins/imitator/stream.go
+++ b/standins/imitator/stream.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -288,6 +289,12 @@
 // serve writes the stream's events from the given one on.
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request, s *stream, from int) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.mu.Lock()
+	unframed, torn := e.faults.Unframed, e.faults.Torn
+	e.mu.Unlock()
+	if unframed {
+		unframe(w)
+	}
 	w.WriteHeader(http.StatusOK)
 	c := http.NewResponseController(w)
 	for {
@@ -305,6 +312,11 @@
 			return
 		}
 		from += len(events)
+		if torn && from > 0 {
+			// Nobody may take the connection's end for the reply's.
+			_, _ = io.WriteString(w, "data: {\"index\"")
+			return
+		}
 		if ended {
 			return
 		}
