soak: send a hangup only to a process that has written its first line

No program can take a signal before its first line, so the case is allowed; a hangup that comes later is still to be taken.

--- a/soak/soaker/process.go
+++ b/soak/soaker/process.go
@@ -28,6 +28,8 @@
 	rereading sync.Mutex
 	// startedOn is the text of the settings on which the running process started.
 	startedOn string
+	// loggedBefore is how long the log was when the running process started, in bytes.
+	loggedBefore int64
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -35,6 +37,8 @@
 	asked bool
 	// over tells that no further one is to be started.
 	over bool
+	// dark is for how long the VM has no power, once the process has ended; 0 for a VM that has.
+	dark time.Duration
 	done chan struct{}
 }
 
@@ -50,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	p.startedOn = string(text)
+	p.startedOn, p.loggedBefore = string(text), p.logged()
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -73,14 +77,15 @@
 	// How it ended is in its log; that it did is what counts here.
 	_ = cmd.Wait()
 	p.mu.Lock()
-	alone, over := !p.asked && !p.over, p.over
+	alone, over, pause := !p.asked && !p.over, p.over, max(restartPause, p.dark)
+	p.dark = 0
 	p.mu.Unlock()
 	p.note(auditor.Exited{Who: p.name, Alone: alone})
 	close(done)
 	if over {
 		return
 	}
-	time.Sleep(restartPause)
+	time.Sleep(pause)
 	if err := p.start(); err != nil {
 		p.note(auditor.Exited{Who: p.name, Alone: true})
 	}
@@ -104,9 +109,13 @@
 }
 
 // kill ends the process at once.
-func (p *process) kill() {
+func (p *process) kill() { p.losePower(0) }
+
+// losePower ends the process at once and starts it no sooner than after a time.
+func (p *process) losePower(dark time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dark = dark
 	p.note(auditor.Disturbed{Who: p.name})
 	p.asked = true
 	p.signal(syscall.SIGKILL)
--- a/soak/soaker/reload.go
+++ b/soak/soaker/reload.go
@@ -60,6 +60,10 @@
 		said.Lost = true
 		return said
 	}
+	if !p.awaitFirstLine() {
+		said.Lost = true
+		return said
+	}
 	from := p.logged()
 	p.mu.Lock()
 	p.note(auditor.HungUp{Entry: p.name})
@@ -84,6 +88,17 @@
 	return said
 }
 
+// awaitFirstLine waits for a process that starts. Before it has run its first line, any hangup ends it.
+func (p *process) awaitFirstLine() bool {
+	for range rereadWithin / lookEvery {
+		if p.logged() > p.loggedBefore {
+			return true
+		}
+		time.Sleep(lookEvery)
+	}
+	return false
+}
+
 // logged is how long the process's log is.
 func (p *process) logged() int64 {
 	info, err := os.Stat(p.log)
