--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -33,6 +33,8 @@
 		for _, p := range w.processes() {
 			p.kill()
 		}
+	case powerLoss:
+		w.losePower(f)
 	case storeForgets:
 		// The history may be gone at any time; that is no disturbance.
 		w.store.Compact()
@@ -59,7 +61,7 @@
 // storeFaults are those of the whole store, which a plan has in turn.
 var storeFaults = map[faultKind]standin.Fault{
 	storeBusy: standin.Busy, storeOverrun: standin.Overrun, storeSilent: standin.Silent, storeLossy: standin.Lossy, storeLapse: standin.Busy,
-	storeSlow: standin.None,
+	storeSlow: standin.None, powerLoss: standin.Silent,
 }
 
 func (w *world) faultStore(f fault) {
@@ -85,6 +87,26 @@
 	w.note(auditor.Calmed{Who: auditor.Core})
 }
 
+// losePower has all machines lose power at once, those of the upstreams, the origin and the store among them.
+// Only what the store has acknowledged outlasts that.
+func (w *world) losePower(f fault) {
+	w.origin.Down.Store(true)
+	defer w.origin.Down.Store(false)
+	var all sync.WaitGroup
+	for _, p := range w.processes() {
+		p.losePower(f.For)
+	}
+	for _, p := range w.places {
+		all.Go(func() {
+			p.staged.Clear()
+			p.replace(f.For, p.crash)
+		})
+	}
+	w.store.Lapse()
+	w.faultStore(f)
+	all.Wait()
+}
+
 func (w *world) eachStoreLink(do func(*link)) {
 	for _, k := range w.storeLinks {
 		do(k)
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,7 @@
 	agentKill      faultKind = "agent killed"
 	agentStop      faultKind = "agent stopped"
 	herdKill       faultKind = "all processes killed"
+	powerLoss      faultKind = "all machines lose power"
 	storeBusy      faultKind = "store answers 503"
 	storeOverrun   faultKind = "store answers 429"
 	storeSilent    faultKind = "store silent"
@@ -118,6 +120,9 @@
 	// surelyBroken is for how long upstreams break off most replies in each run: repeats
 	// without a budget then pass its bound.
 	surelyBroken = 4 * time.Second
+	// darkFor is how long machines are without power, namedBefore how much sooner weights are named.
+	darkFor     = 1500 * time.Millisecond
+	namedBefore = 200 * time.Millisecond
 	// mostPause is between two faults; half of all come in close series.
 	mostPause = 2 * time.Second
 	inSeries  = 150 * time.Millisecond
@@ -166,6 +171,7 @@
 	}
 	faults = append(faults, sure(r, last)...)
 	faults = append(faults, rests(seed, last)...)
+	faults = append(faults, powerLosses(seed, last)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
 	return inTurn(faults)
 }
@@ -175,9 +181,18 @@
 // faults happen than those of the seed.
 func inTurn(faults []fault) []fault {
 	var storeFree, domainsFree time.Duration
+	loss := slices.IndexFunc(faults, func(f fault) bool { return f.Kind == powerLoss })
+	lossAt := time.Duration(math.MaxInt64)
+	if loss >= 0 {
+		lossAt = faults[loss].At
+	}
 	return slices.DeleteFunc(faults, func(f fault) bool {
 		free, lasts := &storeFree, f.For
-		if _, ok := storeFaults[f.Kind]; !ok {
+		if _, ok := storeFaults[f.Kind]; ok {
+			if f.Kind != powerLoss && f.At+f.For > lossAt {
+				return true
+			}
+		} else {
 			if f.Kind != domainDrained {
 				return false
 			}
@@ -228,6 +243,16 @@
 	return faults
 }
 
+// powerLosses has everything lose power at the end of all other faults, right after weights were named, with
+// each second seed.
+func powerLosses(seed uint64, last time.Duration) []fault {
+	if seed%2 == 0 {
+		return nil
+	}
+	at := last - darkFor
+	return []fault{{At: at - namedBefore, For: leastFault, Kind: weightsNamed}, {At: at, For: darkFor, Kind: powerLoss}}
+}
+
 // enabled draws the kinds of one seed, each as often as its odds.
 func enabled(r *rand.Rand) []faultKind {
 	var kinds []faultKind
--- a/soak/soaker/plan_test.go
+++ b/soak/soaker/plan_test.go
@@ -29,6 +29,7 @@
 		for _, kind := range []string{"failure domain drained", "upstreams break replies off", "settings read again", "upstream asks for rest"} {
 			must.StrContains(t, draw(seed), kind, must.Sprintf("seed %d", seed))
 		}
+		must.Eq(t, seed%2 == 1, strings.Contains(draw(seed), "all machines lose power"), must.Sprintf("seed %d", seed))
 	}
 }
 
@@ -49,7 +50,7 @@
 			case strings.Contains(line, "failure domain drained"):
 				until = &drainedUntil
 				lasts += standin.UsersBounds.Evacuate.Seconds()
-			case !strings.Contains(line, "  store ") || strings.Contains(line, "store link") || strings.Contains(line, "store connections") || strings.Contains(line, "forgets"):
+			case !strings.Contains(line, "  store ") && !strings.Contains(line, "lose power") || strings.Contains(line, "store link") || strings.Contains(line, "store connections") || strings.Contains(line, "forgets"):
 				continue
 			}
 			// The plan's lines are in hundredths.
