forwarder, relayer: read streams of agents by bodyreader, count cut plain replies

The decoder of an agent's stream was the last reader of a body beside bodyreader; its end is still the event with done. The counter cut counted streams only.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -66,7 +66,7 @@
 	}
 	return &Stream{
 		body:        r.Body,
-		decoder:     json.NewDecoder(r.Body),
+		decoder:     json.NewDecoder(&bodyreader.Reader{Response: r}),
 		EngineStart: r.Header.Get(headerEngine),
 	}, nil
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -157,6 +157,7 @@
 		x.finish()
 	} else if err := c.copyRest(ctx, x, reader); err != nil {
 		x.abandon()
+		c.count("cut")
 		c.log("Reply cut", err, "upstream", x.upstream)
 		c.cutReply()
 	}
