proofs: have an agent end by its last reply, not by its signal

It waits for replies of 1,700 tokens, as it should; with 20 ms for a token (a trial, no other load) the replies alone take 34 s and the test failed in the same words, with and without the calls that cancel streams. So the wait measured the replies. They are awaited first now; the agent then has the same 30 s.

--- a/proofs/leaving_test.go
+++ b/proofs/leaving_test.go
@@ -39,11 +39,12 @@
 	d.engines[1].leave()
 	long.cancel()
 	d.mustBecomeQuiet(d.engines[1], f)
+	// The agent waits for its replies, which take longer than its end on a busy machine.
+	long.stop()
 	d.engines[1].wait()
 	f.moves(t, 20)
 	b.stop()
 	f.stop()
-	long.stop()
 	f.mustBeHonest(t, d.weights)
 	long.mustBeHonest(t, d.weights)
 	must.Eq(t, len(long.answers), long.count(func(a answer) bool { return a.whole || a.outcome == notRun }))
