--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -1,6 +1,7 @@
 package bodyreader_test
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -72,6 +73,22 @@
 	}
 }
 
+// Guards against replies that have no body and are taken for cut streams.
+func TestReplyWithoutBodyIsWhole(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 204 No Content\r\nContent-Type: text/event-stream\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 900\r\n\r\n",
+	} {
+		res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: http.MethodHead})
+		must.NoError(t, err)
+		defer res.Body.Close()
+		body := bodyreader.Reader{Response: res}
+		data, err := io.ReadAll(&body)
+		must.NoError(t, err)
+		must.Eq(t, 0, len(data))
+	}
+}
+
 // Guards against a body that its reader's limit shortens.
 func TestLimitShortensNothing(t *testing.T) {
 	for _, framing := range []struct {
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -211,3 +211,48 @@
 	_, err := call(t, bodyreadertest.Serve(t, text, bodyreadertest.Close))
 	is[*forwarder.UnknownError](t, err)
 }
+
+// Guards against an agent's stream that is taken for whole without its last event, or refused for its framing.
+func TestAgentStreamEndsInAnyFraming(t *testing.T) {
+	const first, last = `{"index":0,"token":"two"}` + "\n", `{"done":true,"tokens":1}` + "\n"
+	for name, frame := range map[string]func(sent string, complete bool) string{
+		"length": func(sent string, complete bool) string {
+			length := len(first) + len(last)
+			if complete {
+				length = len(sent)
+			}
+			return head(fmt.Sprintf("Content-Length: %d", length)) + sent
+		},
+		"chunks": func(sent string, complete bool) string {
+			text := head("Transfer-Encoding: chunked") + chunk(sent)
+			if complete {
+				text += "0\r\n\r\n"
+			}
+			return text
+		},
+		"connection": func(sent string, _ bool) string { return head() + sent },
+	} {
+		must.NoError(t, streamError(t, frame(first+last, true), bodyreadertest.Close), must.Sprint(name))
+		for _, sent := range []string{"", first[:9], first, first + last[:9]} {
+			for _, complete := range []bool{false, true} {
+				for _, end := range []bodyreadertest.End{bodyreadertest.Close, bodyreadertest.Reset} {
+					is[*forwarder.CutError](t, streamError(t, frame(sent, complete), end))
+				}
+			}
+		}
+	}
+}
+
+// streamError reads a stream up to its last event, or gives the error at which it ended before.
+func streamError(t *testing.T, text string, end bodyreadertest.End) error {
+	t.Helper()
+	s, err := generate(t, bodyreadertest.Serve(t, text, end))
+	must.NoError(t, err)
+	defer s.Close()
+	for {
+		e, err := s.Next()
+		if err != nil || e.Done {
+			return err
+		}
+	}
+}
