dispatcher: answer a caller within the deadline that it stated

Callers of the own interface whose agent was silent got their answer 1 ms (service) and 1 s (model) after their deadline. The entry waited until the deadline itself, and for a stream then up to a second more to tell the silent agent that nobody reads it.

A request is given up 15 ms before its caller's deadline, and the call that cancels a stream holds no caller up. Where the caller has left it is awaited as before.

First try: the cancelling call always in the background; TestAgentIsToldThatTheCallerLeft failed, as the agent may be told after the answer to a caller that left.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -209,10 +209,14 @@
 	return given + "~" + id
 }
 
-// deadline is the shorter of the caller's and the entry's.
+// answerMargin is how much before its caller's deadline a request is given up, so that the answer reaches the
+// caller within it.
+const answerMargin = 15 * time.Millisecond
+
+// deadline is the shorter of the caller's, less the time for the answer, and the entry's.
 func (d *Dispatcher) deadline(wanted time.Duration) time.Duration {
 	if wanted > 0 && wanted < d.Deadline {
-		return wanted
+		return max(wanted-answerMargin, wanted/2)
 	}
 	return d.Deadline
 }
--- a/internal/dispatcher/generation.go
+++ b/internal/dispatcher/generation.go
@@ -162,7 +162,7 @@
 	var f *finalError
 	given := ctx.Err() != nil || g.left
 	if given || errors.As(err, &f) {
-		g.cancel(c)
+		g.cancel(ctx, c)
 	}
 	if given {
 		// The caller left or ran out of time, which says nothing of the replica.
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -89,12 +91,22 @@
 	return nil
 }
 
-// cancel tells the agent that nobody reads the stream any more.
-func (g *generation) cancel(c *router.Choice) {
+// cancel tells the agent that nobody reads the stream any more. The agent may be silent: a caller that still
+// waits for its answer doesn't wait for that.
+func (g *generation) cancel(ctx context.Context, c *router.Choice) {
 	klog.InfoS("Cancel", "request", g.id, "event", g.next)
+	if g.left || errors.Is(ctx.Err(), context.Canceled) {
+		g.dispatcher.cancel(c.Address, g.Stream)
+		return
+	}
+	go g.dispatcher.cancel(c.Address, g.Stream)
+}
+
+// cancel tells an agent that nobody reads a stream any more.
+func (d *Dispatcher) cancel(agent netip.AddrPort, stream string) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
-	if err := g.dispatcher.Agents.Cancel(ctx, c.Address, g.Stream); err != nil {
-		klog.V(1).InfoS("Cancel failed", "request", g.id, "err", err)
+	if err := d.Agents.Cancel(ctx, agent, stream); err != nil {
+		klog.V(1).InfoS("Cancel failed", "stream", stream, "err", err)
 	}
 }
