--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -19,9 +19,9 @@
 // errReset stands for a connection that was reset.
 var errReset = errors.New("reset")
 
-// reply is one whose body comes byte by byte and ends with an error.
-func reply(body string, end error, contentType string, length int64, chunks bool) *http.Response {
-	from := io.Reader(iotest.OneByteReader(strings.NewReader(body)))
+// body reads a reply whose body comes byte by byte and ends with an error.
+func body(text string, end error, contentType string, length int64, chunks bool) *bodyreader.Reader {
+	from := iotest.OneByteReader(strings.NewReader(text))
 	if !errors.Is(end, io.EOF) {
 		from = io.MultiReader(from, iotest.ErrReader(end))
 	}
@@ -32,42 +32,41 @@
 	if chunks {
 		res.TransferEncoding = []string{"chunked"}
 	}
-	return res
+	return &bodyreader.Reader{Response: res}
 }
 
 // Guards against a body that counts as whole without its end, or whose end is refused.
 func TestWholeOrCut(t *testing.T) {
 	const event = "id: 1\ndata: a\n\n"
 	for name, tt := range map[string]struct {
-		res   *http.Response
+		body  *bodyreader.Reader
 		whole bool
 	}{
-		"length":                          {reply("abc", io.EOF, "", 3, false), true},
-		"short of its length":             {reply("abc", io.ErrUnexpectedEOF, "", 4, false), false},
-		"chunks":                          {reply("abc", io.EOF, "", -1, true), true},
-		"no last chunk":                   {reply("abc", io.ErrUnexpectedEOF, "", -1, true), false},
-		"connection":                      {reply("abc", io.EOF, "", -1, false), true},
-		"connection, reset":               {reply("abc", errReset, "", -1, false), false},
-		"connection, empty":               {reply("", io.EOF, "", -1, false), true},
-		"stream":                          {reply(event, io.EOF, "text/event-stream; charset=utf-8", -1, false), true},
-		"stream, inside an event":         {reply(event+"id", io.EOF, "text/event-stream", -1, false), false},
-		"stream, without its blank line":  {reply(event+"id: 2\n", io.EOF, "text/event-stream", -1, true), false},
-		"stream, blank lines behind":      {reply(event+"\n\r\n", io.EOF, "text/event-stream", -1, false), true},
-		"stream, no event":                {reply("", io.EOF, "text/event-stream", -1, false), false},
-		"stream, no event, by its length": {reply("", io.EOF, "text/event-stream", 0, false), true},
-		"stream, reset between events":    {reply(event, errReset, "text/event-stream", -1, false), false},
-		"other type that looks alike":     {reply("id: 1", io.EOF, "text/plain", -1, false), true},
+		"length":                          {body("abc", io.EOF, "", 3, false), true},
+		"short of its length":             {body("abc", io.ErrUnexpectedEOF, "", 4, false), false},
+		"chunks":                          {body("abc", io.EOF, "", -1, true), true},
+		"no last chunk":                   {body("abc", io.ErrUnexpectedEOF, "", -1, true), false},
+		"connection":                      {body("abc", io.EOF, "", -1, false), true},
+		"connection, reset":               {body("abc", errReset, "", -1, false), false},
+		"connection, empty":               {body("", io.EOF, "", -1, false), true},
+		"stream":                          {body(event, io.EOF, "text/event-stream; charset=utf-8", -1, false), true},
+		"stream, inside an event":         {body(event+"id", io.EOF, "text/event-stream", -1, false), false},
+		"stream, without its blank line":  {body(event+"id: 2\n", io.EOF, "text/event-stream", -1, true), false},
+		"stream, blank lines behind":      {body(event+"\n\r\n", io.EOF, "text/event-stream", -1, false), true},
+		"stream, no event":                {body("", io.EOF, "text/event-stream", -1, false), false},
+		"stream, no event, by its length": {body("", io.EOF, "text/event-stream", 0, false), true},
+		"stream, reset between events":    {body(event, errReset, "text/event-stream", -1, false), false},
+		"other type that looks alike":     {body("id: 1", io.EOF, "text/plain", -1, false), true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			body := bodyreader.Reader{Response: tt.res}
-			_, err := body.ReadAll(1 << 10)
+			_, err := tt.body.ReadAll(1 << 10)
 			if tt.whole {
 				must.NoError(t, err)
 				return
 			}
 			var cut *bodyreader.CutError
 			must.True(t, errors.As(err, &cut), must.Sprint(err))
-			_, err = body.Read(make([]byte, 1))
+			_, err = tt.body.Read(make([]byte, 1))
 			must.True(t, errors.As(err, &cut), must.Sprint("read again"))
 		})
 	}
@@ -82,8 +81,7 @@
 		res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: http.MethodHead})
 		must.NoError(t, err)
 		defer res.Body.Close()
-		body := bodyreader.Reader{Response: res}
-		data, err := io.ReadAll(&body)
+		data, err := io.ReadAll(&bodyreader.Reader{Response: res})
 		must.NoError(t, err)
 		must.Eq(t, 0, len(data))
 	}
@@ -96,8 +94,7 @@
 		chunks bool
 	}{{5, false}, {-1, true}, {-1, false}} {
 		read := func(limit int64) (string, error) {
-			body := bodyreader.Reader{Response: reply("abcde", io.EOF, "", framing.length, framing.chunks)}
-			data, err := body.ReadAll(limit)
+			data, err := body("abcde", io.EOF, "", framing.length, framing.chunks).ReadAll(limit)
 			return string(data), err
 		}
 		for _, limit := range []int64{5, 6, 4 << 10} {
@@ -117,9 +114,8 @@
 // Guards against a value that is believed though more was to come, or something else follows it.
 func TestJSONIsOneWholeValue(t *testing.T) {
 	for text, end := range map[string]error{`{"a":1}`: errReset, `{"a":1} {`: io.EOF, `{"a":`: io.EOF, ``: io.EOF} {
-		body := bodyreader.Reader{Response: reply(text, end, "", -1, false)}
 		var v struct{ A int }
-		must.Error(t, body.ReadJSON(1<<10, &v), must.Sprint(text))
+		must.Error(t, body(text, end, "", -1, false).ReadJSON(1<<10, &v), must.Sprint(text))
 	}
 }
 
@@ -137,14 +133,12 @@
 		}
 		whole := strings.Join(events, "")
 		sent := rapid.IntRange(0, len(whole)).Draw(t, "sent")
-		res := reply("", io.EOF, "", -1, false)
 		var parts []io.Reader
 		for rest := whole[:sent]; rest != ""; {
 			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
 			parts, rest = append(parts, strings.NewReader(rest[:n])), rest[n:]
 		}
-		res.Body = io.NopCloser(io.MultiReader(parts...))
-		r := bodyreader.NewEventReader(res, 1<<10)
+		r := bodyreader.NewEventReader(&http.Response{Body: io.NopCloser(io.MultiReader(parts...)), ContentLength: -1}, 1<<10)
 		got, count := "", 0
 		event, err := r.Next()
 		for ; err == nil; event, err = r.Next() {
