--- a/internal/bodyreader/bodyreadertest/serve.go
+++ b/internal/bodyreader/bodyreadertest/serve.go
@@ -23,41 +23,44 @@
 	Reset
 )
 
-// Serve reads each request that comes and answers with the same bytes.
+// Serve reads one request from each connection and answers with the same bytes.
 func Serve(t *testing.T, reply string, end End) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answer(conn, reply, end)
+	l := listen(t, func(conn net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
+		// A client that is gone already is no fault of the test.
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, reply)
+		if end == Reset {
+			reset(conn)
+		}
+	})
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-func answer(conn net.Conn, reply string, end End) {
-	defer conn.Close()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	// A client that is gone already is no fault of the test.
-	_, _ = io.Copy(io.Discard, r.Body)
-	_, _ = io.WriteString(conn, reply)
-	if end == Reset {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	}
-}
+// maxHeader is the longest header of a request that ResetEarly reads, in bytes.
+const maxHeader = 1024
 
 // ResetEarly answers as soon as a request's header has come, while the rest is still on its way, and
 // resets the connection.
 func ResetEarly(t *testing.T, reply func(header string) string) net.Listener {
+	t.Helper()
+	return listen(t, func(conn net.Conn) {
+		var b [maxHeader]byte
+		n, err := conn.Read(b[:])
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, reply(string(b[:n])))
+		reset(conn)
+	})
+}
+
+// listen serves each connection and closes it.
+func listen(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -68,21 +71,14 @@
 			if err != nil {
 				return
 			}
-			go resetEarly(conn, reply)
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
 		}
 	}()
 	return l
 }
 
-const maxHeader = 1024
-
-func resetEarly(conn net.Conn, reply func(header string) string) {
-	defer conn.Close()
-	var b [maxHeader]byte
-	n, err := conn.Read(b[:])
-	if err != nil {
-		return
-	}
-	_, _ = io.WriteString(conn, reply(string(b[:n])))
-	_ = conn.(*net.TCPConn).SetLinger(0)
-}
+// reset has the connection end with a reset when it is closed.
+func reset(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -146,10 +146,7 @@
 			got += string(event)
 			count++
 		}
-		// A CRLF may have come in half.
-		end := strings.TrimSuffix(whole[:sent], "\r")
-		atEnd := sent > 0 && (sent == len(whole) || strings.HasSuffix(end, lineEnd+strings.TrimSuffix(lineEnd, "\r")) ||
-			lineEnd == "\r\n" && strings.HasSuffix(whole[:sent], "\r\n\r") || lineEnd == "\r" && strings.HasSuffix(whole[:sent], "\r\r"))
+		atEnd := endsAnEvent(whole[:sent], lineEnd)
 		if errors.Is(err, io.EOF) {
 			must.True(t, atEnd, must.Sprintf("%q", whole[:sent]))
 			must.Eq(t, whole[:sent], got+string(event))
@@ -159,3 +156,12 @@
 		must.True(t, strings.HasPrefix(whole[:sent], got))
 	})
 }
+
+// endsAnEvent tells whether the beginning of a stream ends where an event does. The last line end may have come
+// in half.
+func endsAnEvent(sent, lineEnd string) bool {
+	if strings.HasSuffix(sent, lineEnd+lineEnd) {
+		return true
+	}
+	return lineEnd == "\r\n" && strings.HasSuffix(sent, "\r\n\r")
+}
