soak: close garbage before the test of missing descriptors takes them

Connections that this and earlier tests leave without a variable are closed by a garbage collection, and the link then has the descriptors that the test took away.

The first connection is kept, and what is garbage is closed before.

--- a/soak/soaker/link_test.go
+++ b/soak/soaker/link_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -86,8 +87,10 @@
 	at, short, end, err := soaker.ShortLink(echo(t))
 	must.NoError(t, err)
 	defer end()
-	_, err = net.Dial("tcp", at.String())
+	before, err := net.Dial("tcp", at.String())
 	must.NoError(t, err)
+	// Collected as garbage it would be closed, and its descriptors be free.
+	defer before.Close()
 	must.False(t, short())
 	defer takeDescriptors(t)()
 	c, err := net.Dial("tcp", at.String())
@@ -96,8 +99,21 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(short), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
 }
 
+// closeGarbage waits until what earlier tests have left open is closed: its descriptors would come free later.
+func closeGarbage(t *testing.T) {
+	for last, same := -1, 0; same < 5; time.Sleep(10 * time.Millisecond) {
+		runtime.GC()
+		open, err := os.ReadDir("/proc/self/fd")
+		must.NoError(t, err)
+		if same++; len(open) != last {
+			last, same = len(open), 0
+		}
+	}
+}
+
 // takeDescriptors leaves this process a single descriptor until they are given back.
 func takeDescriptors(t *testing.T) (giveBack func()) {
+	closeGarbage(t)
 	const most = 256
 	var limit syscall.Rlimit
 	must.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
