--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -181,18 +180,9 @@
 // faults happen than those of the seed.
 func inTurn(faults []fault) []fault {
 	var storeFree, domainsFree time.Duration
-	loss := slices.IndexFunc(faults, func(f fault) bool { return f.Kind == powerLoss })
-	lossAt := time.Duration(math.MaxInt64)
-	if loss >= 0 {
-		lossAt = faults[loss].At
-	}
-	return slices.DeleteFunc(faults, func(f fault) bool {
+	return slices.DeleteFunc(beforeLoss(faults), func(f fault) bool {
 		free, lasts := &storeFree, f.For
-		if _, ok := storeFaults[f.Kind]; ok {
-			if f.Kind != powerLoss && f.At+f.For > lossAt {
-				return true
-			}
-		} else {
+		if _, ok := storeFaults[f.Kind]; !ok {
 			if f.Kind != domainDrained {
 				return false
 			}
@@ -206,6 +196,19 @@
 	})
 }
 
+// beforeLoss leaves out the faults of the whole store that would still last when all machines lose power.
+func beforeLoss(faults []fault) []fault {
+	i := slices.IndexFunc(faults, func(f fault) bool { return f.Kind == powerLoss })
+	if i < 0 {
+		return faults
+	}
+	lossAt := faults[i].At
+	return slices.DeleteFunc(faults, func(f fault) bool {
+		_, ofStore := storeFaults[f.Kind]
+		return ofStore && f.Kind != powerLoss && f.At+f.For > lossAt
+	})
+}
+
 // sure are faults that every plan has, as few seeds would put their promises to the test: the
 // budget of repeats, the reading of settings, what upstreams state of themselves, and the bounds on a
 // drained failure domain and on a cold upstream. The domain is drained, and an engine of another one replaced, when everything
