Read-through: one way to reset a connection, a smaller bodyreader, whole or not for starts too

Reader has no exported switch for events any more, and readAll checks its limit once. Whether the start of a plain reply is all of it was decided in the relayer, by the length of what it had read; Reader.ReadStart tells it now (TestStartIsNotTheWhole).

A plain reply that ends early because its caller left counted as cut; it counts as left, like streams. What stands behind a stream's last event is named for what it is, line ends that are part of the body.

No test is changed but for names of parameters.

--- a/internal/bodyreader/bodyreadertest/serve.go
+++ b/internal/bodyreader/bodyreadertest/serve.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // End is what a server does once a reply is sent.
@@ -35,7 +37,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(conn, reply)
 		if end == Reset {
-			reset(conn)
+			connector.Reset(conn)
 		}
 	})
 	return netip.MustParseAddrPort(l.Addr().String())
@@ -55,7 +57,7 @@
 			return
 		}
 		_, _ = io.WriteString(conn, reply(string(b[:n])))
-		reset(conn)
+		connector.Reset(conn)
 	})
 }
 
@@ -79,6 +81,3 @@
 	}()
 	return l
 }
-
-// reset has the connection end with a reset when it is closed.
-func reset(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
--- a/internal/bodyreader/events.go
+++ b/internal/bodyreader/events.go
@@ -67,12 +67,12 @@
 
 // NewEventReader reads the events of a reply, each of at most limit bytes.
 func NewEventReader(res *http.Response, limit int) *EventReader {
-	return &EventReader{body: Reader{Response: res, Events: true, split: true}, limit: limit}
+	return &EventReader{body: Reader{Response: res, stream: true, split: true}, limit: limit}
 }
 
 // Next gives the next event with the blank line that ends it. At the end of a whole stream it gives io.EOF and
-// what stands behind the last event, which is nothing but line ends. Other errors are *CutError and
-// *OversizeError.
+// the line ends behind the last event, which are part of the body and of no event. Other errors are *CutError
+// and *OversizeError.
 func (r *EventReader) Next() ([]byte, error) {
 	for {
 		n, ends := r.body.events.next(r.rest[r.scanned:])
--- a/internal/bodyreader/reader.go
+++ b/internal/bodyreader/reader.go
@@ -77,14 +77,13 @@
 	Response *http.Response
 	// OnArrival is called after each read that returned data; nil for no call.
 	OnArrival func()
-	// Events tells that the body is a stream of events, whatever its content type.
-	Events bool
-
-	started bool
-	events  boundary
-	// split tells that an EventReader passes on to events what it has read.
-	split bool
-	err   error
+
+	// stream tells that the body is one of events, split that an EventReader looks for their ends.
+	stream, split bool
+	started       bool
+	events        boundary
+	// err ended the body; nil before.
+	err error
 }
 
 // eventStreamType is the content type of server-sent events.
@@ -98,14 +97,14 @@
 	if !r.started {
 		r.started = true
 		kind, _, err := mime.ParseMediaType(r.Response.Header.Get("Content-Type"))
-		r.Events = r.Events || err == nil && kind == eventStreamType
+		r.stream = r.stream || err == nil && kind == eventStreamType
 	}
 	n, err := r.Response.Body.Read(b)
 	r.err = err
 	if n == 0 && err != nil {
 		return 0, r.end()
 	}
-	if r.Events && !r.split {
+	if r.stream && !r.split {
 		r.events.pass(b[:n])
 	}
 	if n > 0 && r.OnArrival != nil {
@@ -126,7 +125,7 @@
 		return cut
 	case r.events.unfinished > 0:
 		return cut
-	case r.Events && cut.Framing == ByConnection && r.events.whole == 0:
+	case r.stream && cut.Framing == ByConnection && r.events.whole == 0:
 		// The end of a connection alone doesn't show that there was nothing to come.
 		return cut
 	default:
@@ -143,6 +142,13 @@
 	return readAll(r, limit, announced)
 }
 
+// ReadStart reads the first size bytes of a body, or all of a shorter one, and tells whether the body has ended
+// with them; Read gives what follows. Errors are *CutError.
+func (r *Reader) ReadStart(size int64) (start []byte, ended bool, err error) {
+	start, err = io.ReadAll(io.LimitReader(r, size))
+	return start, err == nil && int64(len(start)) < size, err
+}
+
 // ReadJSON decodes a whole body of at most limit bytes that is one JSON value. Errors are those of ReadAll and
 // of package json.
 func (r *Reader) ReadJSON(limit int64, v any) error {
@@ -164,23 +170,18 @@
 func readAll(r io.Reader, limit, expected int64) ([]byte, error) {
 	data := make([]byte, 0, min(max(expected, firstRead), limit)+1)
 	for {
-		if int64(len(data)) > limit {
-			return nil, &OversizeError{Limit: limit}
-		}
 		if len(data) == cap(data) {
 			data = append(data, 0)[:len(data)]
 		}
 		n, err := r.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
+		switch {
+		case int64(len(data)) > limit:
+			return nil, &OversizeError{Limit: limit}
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
 			return nil, err
 		}
 	}
-	if int64(len(data)) > limit {
-		return nil, &OversizeError{Limit: limit}
-	}
-	return data, nil
 }
--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// Guards against the start of a body that is taken for all of it, and against a cut start.
+func TestStartIsNotTheWhole(t *testing.T) {
+	for size, whole := range map[int64]bool{1: false, 4: false, 5: false, 6: true} {
+		r := body("abcde", io.EOF, "", -1, false)
+		start, ended, err := r.ReadStart(size)
+		must.NoError(t, err)
+		must.Eq(t, whole, ended, must.Sprint(size))
+		rest, err := io.ReadAll(r)
+		must.NoError(t, err)
+		must.Eq(t, "abcde", string(start)+string(rest))
+		_, ended, err = body("abcde", errReset, "", -1, false).ReadStart(6)
+		must.Error(t, err)
+		must.False(t, ended)
+	}
+}
+
 // Guards against a value that is believed though more was to come, or something else follows it.
 func TestJSONIsOneWholeValue(t *testing.T) {
 	for text, end := range map[string]error{`{"a":1}`: errReset, `{"a":1} {`: io.EOF, `{"a":`: io.EOF, ``: io.EOF} {
--- a/internal/connector/reset.go
+++ b/internal/connector/reset.go
@@ -81,3 +81,13 @@
 	})
 	return over
 }
+
+// Reset closes a connection with a reset, so that its peer can't take the end for a regular one. One that isn't
+// of TCP is just closed.
+func Reset(c net.Conn) {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		// One that is over already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
@@ -59,11 +60,7 @@
 		c.log("Connection not reset", err)
 		return
 	}
-	defer conn.Close()
-	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		// One that is over already needs no reset.
-		_ = tcp.SetLinger(0)
-	}
+	connector.Reset(conn)
 }
 
 // Refusal is what the caller of a job that Serve gave up is told if it certainly did not run;
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -137,7 +137,7 @@
 func (c *call) relayPlain(ctx context.Context, x *exchange, place *Place) error {
 	x.begun()
 	reader := &bodyreader.Reader{Response: x.response}
-	body, err := io.ReadAll(io.LimitReader(reader, bufferedReply))
+	start, ended, err := reader.ReadStart(bufferedReply)
 	if err != nil {
 		x.abandon()
 		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
@@ -146,31 +146,34 @@
 		x.abandon()
 		return err
 	}
-	whole := len(body) < bufferedReply
 	c.writeHeader(x)
-	if _, err := c.w.Write(body); err != nil {
+	if _, err := c.w.Write(start); err != nil {
 		x.abandon()
 		c.log("Caller left", err, "upstream", x.upstream)
 		return nil
 	}
-	if whole {
-		x.finish()
-	} else if err := c.copyRest(ctx, x, reader); err != nil {
-		x.abandon()
-		c.count("cut")
-		c.log("Reply cut", err, "upstream", x.upstream)
-		c.cutReply()
+	if !ended {
+		if _, err := io.Copy(c.w, reader); err != nil {
+			c.endEarly(ctx, x, err)
+		}
 	}
+	x.finish()
 	c.served(x, place)
 	return nil
 }
 
-func (c *call) copyRest(ctx context.Context, x *exchange, from io.Reader) error {
-	_, err := io.Copy(c.w, from)
-	if err == nil {
-		x.finish()
+// endEarly ends a plain reply of which a part has gone out, as its upstream or its caller has broken off.
+func (c *call) endEarly(ctx context.Context, x *exchange, err error) {
+	x.abandon()
+	var cut *bodyreader.CutError
+	if errors.As(err, &cut) && c.r.Context().Err() == nil {
+		c.count("cut")
+		c.log("Reply cut", errors.Join(err, ctx.Err()), "upstream", x.upstream)
+	} else {
+		c.count("left")
+		c.log("Caller left", err, "upstream", x.upstream)
 	}
-	return errors.Join(err, ctx.Err())
+	c.cutReply()
 }
 
 // writeHeader hands the upstream's header on as it is.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -46,7 +46,8 @@
 	for first := true; ; first = false {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return c.endStream(x, place, event)
+			lineEnds := event
+			return c.endStream(x, place, lineEnds)
 		}
 		if err != nil {
 			x.abandon()
@@ -131,8 +132,8 @@
 	return err == nil && next == last+1
 }
 
-// endStream ends a whole reply. Rest is what stands behind its last event.
-func (c *call) endStream(x *exchange, place *Place, rest []byte) error {
+// endStream ends a whole reply, with the line ends behind its last event.
+func (c *call) endStream(x *exchange, place *Place, lineEnds []byte) error {
 	if c.stream == nil {
 		if err := c.beginReply(x); err != nil {
 			x.abandon()
@@ -142,8 +143,8 @@
 		c.writeStreamHeader(x)
 		c.stream = &stream{}
 	}
-	if len(rest) > 0 {
-		if _, err := c.w.Write(rest); err != nil {
+	if len(lineEnds) > 0 {
+		if _, err := c.w.Write(lineEnds); err != nil {
 			x.abandon()
 			return c.leftError(x, err)
 		}
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -297,17 +297,17 @@
 }
 
 // askWithin asks with a caller's patience; 0 for none told.
-func (w *world) askWithin(t *testing.T, path, id string, patience time.Duration) answer {
-	return w.send(t, path, id, "order", patience)
+func (w *world) askWithin(t *testing.T, path, id string, limit time.Duration) answer {
+	return w.send(t, path, id, "order", limit)
 }
 
-func (w *world) send(t *testing.T, path, id, body string, patience time.Duration) answer {
+func (w *world) send(t *testing.T, path, id, body string, limit time.Duration) answer {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+path, strings.NewReader(body))
 	must.NoError(t, err)
 	r.Header.Set("Id", id)
 	r.Header.Set("Key", "k")
-	if patience > 0 {
-		r.Header.Set("Patience", strconv.FormatInt(patience.Milliseconds(), 10))
+	if limit > 0 {
+		r.Header.Set("Patience", strconv.FormatInt(limit.Milliseconds(), 10))
 	}
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/soak/soaker/link.go
+++ b/soak/soaker/link.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // link passes TCP connections on to one address and can do to them what a faulty
@@ -83,7 +85,7 @@
 	far, err := net.Dial("tcp", k.to.String())
 	if err != nil {
 		k.noteShort(err)
-		reset(near)
+		connector.Reset(near)
 		return
 	}
 	p := &pipe{near: near, far: far, silent: make(chan struct{})}
@@ -125,8 +127,8 @@
 			return
 		}
 		if _, e := to.Write(buffer[:n]); e != nil {
-			reset(from)
-			reset(to)
+			connector.Reset(from)
+			connector.Reset(to)
 			return
 		}
 		switch {
@@ -134,7 +136,7 @@
 			endWrites(to)
 			return
 		case err != nil:
-			reset(to)
+			connector.Reset(to)
 			from.Close()
 			return
 		}
@@ -144,7 +146,7 @@
 // endWrites tells the other end that nothing more comes.
 func endWrites(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
-		// One that is closed already has told it.
+		// On one that is closed already this changes nothing.
 		_ = t.CloseWrite()
 	}
 }
@@ -253,17 +255,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for p := range k.conns {
-		reset(p.near)
-		reset(p.far)
-	}
-}
-
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		// A socket that is closed already can't be reset.
-		_ = t.SetLinger(0)
+		connector.Reset(p.near)
+		connector.Reset(p.far)
 	}
-	c.Close()
 }
 
 // close ends the link.
--- a/standins/imitator/http.go
+++ b/standins/imitator/http.go
@@ -7,13 +7,14 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // writeJSON answers with the status and v as the JSON body.
@@ -58,12 +59,7 @@
 	if err != nil {
 		cut()
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// A connection that is over already needs no reset.
-		_ = tcp.SetLinger(0)
-	}
-	conn.Close()
-	cut()
+	connector.Reset(conn)
 }
 
 // clockOr returns c, or the real clock when c is nil.
--- a/standins/imitator/service.go
+++ b/standins/imitator/service.go
@@ -131,6 +131,7 @@
 	}
 	if resets {
 		resetMidway(w)
+		return
 	}
 	writeJSON(w, http.StatusOK, struct {
 		Booking string `json:"booking"`
