relayer: tell whether a cut reply's upstream crashed, and what its prompt is made of

The lines of the incident could not tell whether engines crashed under requests with something in common: the parts of a prompt were not decoded, and 'Attempt failed' had neither the events passed on nor whether the upstream itself was gone. A cut attempt of a prompt with parts now has its upstream's address connected to once, for all attempts that were cut with it; 'Request cut by a crash of its upstream' has the parts if nothing listens there any more. No decision goes by it yet.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -74,6 +74,7 @@
 		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock, LeastLease: s.Store.LeastLease},
 		Requests: &relayer.Relayer{
 			Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
+			Prober:  &relayer.NetworkProber{},
 			Budgets: &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
 		},
 	}
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -21,6 +21,9 @@
 	// Prompt and MaxAnswer are a generation's size in tokens; Hint is the caller's
 	// guess of the answer's, 0 for none.
 	Prompt, MaxAnswer, Hint int
+	// Parts are the IDs of the prompt's parts in order. Requests share them, but for the last one, which
+	// is the request's own or its session's.
+	Parts []string
 	// LastEvent is the last event of a stream that the caller has.
 	LastEvent string
 	// Patience is how long the caller waits; 0 when not told.
@@ -35,6 +38,14 @@
 	return r.MaxAnswer
 }
 
+// SharedParts are the IDs of the prompt's parts that other requests may have too.
+func (r Request) SharedParts() []string {
+	if len(r.Parts) == 0 {
+		return nil
+	}
+	return r.Parts[:len(r.Parts)-1]
+}
+
 // Send is what the system itself tells the upstream of one attempt.
 type Send struct {
 	// Upstream is the start of the upstream that is meant; any other refuses.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -38,6 +38,8 @@
 	Codec     Codec
 	// Budgets bound the retries at each service.
 	Budgets *retrier.Budgets
+	// Prober finds out whether an upstream crashed that cut a reply; nil for never.
+	Prober  Prober
 	Clock   clock.Clock
 	Random  *rand.Rand
 	Metrics metrics.Registry
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -21,6 +21,9 @@
 	// reused tells that the last attempt failed on a connection that had been idle, unsent that it never
 	// reached its upstream.
 	reused, unsent bool
+	// events were passed on from the present attempt's reply, the first one at begunAt.
+	events  int
+	begunAt time.Time
 	// next is the place that the next attempt already has; nil for none.
 	next *Place
 	// rest is for how long all upstreams want nothing from this entry, once the job is given up.
@@ -51,7 +54,7 @@
 		if err == nil {
 			return nil
 		}
-		l.note(j, place.Upstream.ID, err)
+		l.note(j, place, err)
 		if ctx.Err() != nil || !l.again(j) {
 			return err
 		}
@@ -65,11 +68,13 @@
 func (l *Relayer) attemptAt(ctx context.Context, j *Job, place *Place, attempt Attempt) error {
 	defer place.Ended()
 	j.sends++
+	j.events, j.begunAt = 0, time.Time{}
 	return attempt(ctx, place)
 }
 
 // note counts what an attempt that failed means for the request and the upstream.
-func (l *Relayer) note(j *Job, upstream string, err error) {
+func (l *Relayer) note(j *Job, place *Place, err error) {
+	upstream := place.Upstream.ID
 	var s *SendError
 	if !errors.As(err, &s) {
 		return
@@ -90,7 +95,8 @@
 	if s.Outcome == retrier.NotRun && s.Status != 0 {
 		l.Chooser.Avoid(upstream, refusedPause)
 	}
-	l.log(j, "Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused, "stated", s.Stated)
+	l.noteCut(j, place, err)
+	l.log(j, "Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused, "stated", s.Stated, "events", j.events)
 }
 
 // keptBack tells whether this entry itself didn't send the request or gave it up, which says nothing
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -94,6 +94,7 @@
 		return c.leftError(x, err)
 	}
 	c.stream.passed(id, c.Clock.Now())
+	c.EventPassed(&c.Job)
 	c.Chooser.Alive(x.upstream)
 	return nil
 }
