cmd: reproduce requests with a fatal prompt part being sent on and on, failing

Three real entries before ten stand-in engines that crash as they begin to write an answer to a prompt with one part, which is first, in the middle, or among parts that never recur. One entry is killed and started again meanwhile; in one variant the store is out.

--- /dev/null
+++ b/cmd/oriolecroft/platform_blame_test.go
@@ -0,0 +1,272 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+)
+
+const (
+	// blameEngines crash on a part of a prompt and are back after engineRestart.
+	blameEngines  = 10
+	engineRestart = time.Second
+	// blameWindow is how long after the fifth crash requests with the part may still be sent, and
+	// sentAfterwards how many may all the same.
+	blameWindow    = 3 * time.Second
+	fatalCrashes   = 5
+	sentAfterwards = 3
+	// fatalEvery is the pause between two requests with the part.
+	fatalEvery = 250 * time.Millisecond
+	fatalPart  = "dead0001"
+)
+
+// engines are some that crash on one part, and what they saw.
+type engines struct {
+	store *standin.Store
+	// keepID has an engine start again under the ID that it had, as no record of a new one gets into a
+	// store that is out.
+	keepID bool
+	fatal  atomic.Pointer[string]
+	never  atomic.Int32
+
+	mu      sync.Mutex
+	crashes []time.Time
+	// sent is when each request with the part was sent.
+	sent     map[string]time.Time
+	arrivals []string
+	running  []*standin.Upstream
+	ended    bool
+}
+
+// start runs an engine at a place until it crashes, and then the next one there.
+func (e *engines) start(number, generation int, at netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l, err := standin.Listen(at)
+	if e.ended || err != nil {
+		return
+	}
+	id := fmt.Sprintf("i-%d.%d", number, generation)
+	if e.keepID {
+		id = fmt.Sprintf("i-%d", number)
+	}
+	u := standin.NewEngine(standin.Record{
+		ID: id, Service: "llm", Address: at, FailureDomain: "a", Slots: 16,
+	}, standin.EngineFigures{Model: "m", Slots: 16, Step: 10 * time.Millisecond, ReadPerSecond: 20000}, nil, &standin.Staged{}, 1).Upstream
+	u.Observer, u.Store, u.Heartbeat, u.BreakOff, u.Fatal = e, e.store, 500*time.Millisecond, &e.never, &e.fatal
+	u.Crashed = sync.OnceFunc(func() {
+		e.mu.Lock()
+		e.crashes = append(e.crashes, time.Now())
+		e.mu.Unlock()
+		u.Stop()
+		if !e.keepID {
+			e.store.DropUpstream(u.ID)
+		}
+		time.Sleep(engineRestart)
+		e.start(number, generation+1, at)
+	})
+	e.running = append(e.running, u)
+	u.Start(l, 0)
+}
+
+func (e *engines) stop() {
+	e.mu.Lock()
+	e.ended = true
+	running := e.running
+	e.mu.Unlock()
+	for _, u := range running {
+		u.Stop()
+	}
+}
+
+// Arrived implements standin.Observer.
+func (e *engines) Arrived(a standin.Arrival) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.sent[a.ID]; ok {
+		e.arrivals = append(e.arrivals, a.ID)
+	}
+}
+
+func (e *engines) Rejected(string, string, time.Duration) {}
+func (e *engines) Began(string, string, uint64, bool)     {}
+func (e *engines) Ended(string, string, bool)             {}
+
+// sentLate counts the requests with the part that reached an engine although they were sent too late after
+// the fifth crash.
+func (e *engines) sentLate() (late, crashes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.crashes) < fatalCrashes {
+		return 0, len(e.crashes)
+	}
+	from := e.crashes[fatalCrashes-1].Add(blameWindow)
+	for _, id := range e.arrivals {
+		if e.sent[id].After(from) {
+			late++
+		}
+	}
+	return late, len(e.crashes)
+}
+
+// blameWorld is three entries before such engines.
+type blameWorld struct {
+	*engines
+	settings []string
+	entries  []netip.AddrPort
+	daemons  []*exec.Cmd
+	requests atomic.Int64
+}
+
+func newBlameWorld(t *testing.T, number int, storeOut bool) *blameWorld {
+	w := &blameWorld{engines: &engines{store: standin.NewStore(), keepID: storeOut, sent: map[string]time.Time{}}}
+	t.Cleanup(w.store.Close)
+	t.Cleanup(w.stop)
+	part := fatalPart
+	w.fatal.Store(&part)
+	w.store.PutBytes("op/config", []byte(`{"version":7,"routes":[{"name":"draft","host":"h","path_prefix":"/draft/","kind":"streaming","public":true,
+		"resume_streams":true,"sticky_sessions":true,"timeout_ms":6000,"target_latency_ms":500,"max_attempts":2,"service":"llm"}],"services":[{"name":"llm"}]}`))
+	for i := range blameEngines {
+		w.start(i, 0, netip.MustParseAddrPort(loopback(100+20*number+i)+":8080"))
+	}
+	dir := t.TempDir()
+	var ips, seeds []string
+	for i := range 3 {
+		ips = append(ips, loopback(20+10*number+i))
+		seeds = append(seeds, fmt.Sprintf("%q", ips[i]+":8000"))
+	}
+	for i, ip := range ips {
+		text := fmt.Sprintf(settingsText(fmt.Sprintf("front-%d", i), ip, w.store.Address()), fmt.Sprintf(entryPart, ip))
+		text = strings.Replace(text, fmt.Sprintf("seeds = [%q]", ip+":8000"), "seeds = ["+strings.Join(seeds, ",")+"]", 1)
+		w.settings = append(w.settings, writeSettings(t, dir, fmt.Sprintf("front-%d.toml", i), text))
+		w.entries = append(w.entries, netip.MustParseAddrPort(ip+":8005"))
+		w.daemons = append(w.daemons, w.run(t, i))
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for i := range w.entries {
+		for w.ask(t.Context(), i, []string{"first"}).Status != 200 {
+			must.True(t, time.Now().Before(deadline))
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	for !w.store.HasEntry("front-0") || !w.store.HasEntry("front-1") || !w.store.HasEntry("front-2") {
+		must.True(t, time.Now().Before(deadline))
+		time.Sleep(50 * time.Millisecond)
+	}
+	return w
+}
+
+func (w *blameWorld) run(t *testing.T, entry int) *exec.Cmd {
+	c := exec.CommandContext(t.Context(), binary, "platform", "entry")
+	c.Env = append(os.Environ(), "ORIOLECROFT_SETTINGS="+w.settings[entry])
+	must.NoError(t, c.Start())
+	t.Cleanup(func() { _ = c.Wait() })
+	return c
+}
+
+// restart kills an entry and starts it again.
+func (w *blameWorld) restart(t *testing.T, entry int) {
+	must.NoError(t, w.daemons[entry].Process.Kill())
+	_ = w.daemons[entry].Wait()
+	w.daemons[entry] = w.run(t, entry)
+}
+
+// ask sends a request whose prompt has some shared parts to an entry.
+func (w *blameWorld) ask(ctx context.Context, entry int, parts []string) standin.Reply {
+	q := &standin.Request{
+		ID: fmt.Sprintf("%016x", w.requests.Add(1)), Host: "h", Path: "/draft/", Model: "m", Prompt: 600, Events: 20, Parts: parts, Limit: 6 * time.Second,
+	}
+	c, err := standin.Dial(ctx, w.entries[entry])
+	if err != nil {
+		return standin.Reply{}
+	}
+	defer c.Close()
+	for _, part := range parts {
+		if part == fatalPart {
+			w.mu.Lock()
+			w.sent[q.ID] = time.Now()
+			w.mu.Unlock()
+		}
+	}
+	return c.Send(q)
+}
+
+// serve has callers ask for sound prompts, whose parts most requests with the fatal one share.
+func (w *blameWorld) serve(ctx context.Context, served, failed *atomic.Int64) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for i := range 12 {
+		all.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				parts := [][]string{{"first"}, {"first", fmt.Sprintf("farm%d", n%5)}, {fmt.Sprintf("only%d.%d", i, n), "first"}}[n%3]
+				if reply := w.ask(ctx, rand.IntN(len(w.entries)), parts); reply.Status == 200 && reply.Whole {
+					served.Add(1)
+				} else {
+					failed.Add(1)
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+		})
+	}
+	return &all
+}
+
+// crash sends requests with the fatal part until the context ends: first, in the middle, and among parts
+// that never recur. It counts those that were refused.
+func (w *blameWorld) crash(ctx context.Context, refused *atomic.Int64) {
+	var all sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		parts := [][]string{
+			{fatalPart, "farm1"}, {"first", fatalPart, fmt.Sprintf("farm%d", n%5)}, {fmt.Sprintf("x%d", n), fatalPart, fmt.Sprintf("y%d", n)},
+		}[n%3]
+		all.Go(func() {
+			if w.ask(context.Background(), rand.IntN(len(w.entries)), parts).Status == 503 {
+				refused.Add(1)
+			}
+		})
+		time.Sleep(fatalEvery)
+	}
+	all.Wait()
+}
+
+// Guards against requests with a part that crashes engines being sent on and on: entries that see each a
+// part of the crashes, one of them restarted, also while the store is out.
+func TestPromptPartThatCrashesEnginesIsBlamed(t *testing.T) {
+	for i, storeOut := range []bool{false, true} {
+		t.Run(map[bool]string{false: "store up", true: "store out"}[storeOut], func(t *testing.T) {
+			w := newBlameWorld(t, i, storeOut)
+			ctx, cancel := context.WithTimeout(t.Context(), 14*time.Second)
+			defer cancel()
+			var served, failed, refused atomic.Int64
+			sound := w.serve(ctx, &served, &failed)
+			time.Sleep(2 * time.Second)
+			if storeOut {
+				w.store.SetFault(standin.Silent)
+			}
+			time.AfterFunc(5*time.Second, func() { w.restart(t, 1) })
+			var servedBefore, failedBefore int64
+			time.AfterFunc(8*time.Second, func() { servedBefore, failedBefore = served.Load(), failed.Load() })
+			w.crash(ctx, &refused)
+			sound.Wait()
+			late, crashes := w.sentLate()
+			t.Logf("%d crashes, %d sent too late, %d refused; sound: %d served, %d failed", crashes, late, refused.Load(), served.Load(), failed.Load())
+			must.GreaterEq(t, 3, crashes)
+			must.LessEq(t, sentAfterwards, late)
+			must.GreaterEq(t, 20, refused.Load())
+			// Sound requests are served once the crashes are over, while requests with the part still come.
+			must.LessEq(t, (served.Load()-servedBefore)/10, failed.Load()-failedBefore)
+			must.GreaterEq(t, 20, served.Load()-servedBefore)
+		})
+	}
+}
