localizer, informer: blame prompt parts that crash upstreams, at all entries

What callers saw: requests with one part in their prompts crashed one engine after the other, were sent again and crashed the next, and every sound stream on those engines was cut with them.

Cause: nothing connected crashes with what their requests have in common. A failed attempt counted against its engine alone, the parts of a prompt passed unread, and what one entry saw of a crash stayed there.

An entry now reports each crash (a cut whose upstream refuses connections) with the shared parts of those requests that it cut before their third event; a reply that got so far shows that its parts don't crash. All entries tell each other directly. A part is blamed once the crashes since its last reply are too unlikely (below 1e-5) for a part that has nothing to do with them; crashes that cut requests without it make them likely, crashes of one moment count once. Requests with a blamed part are refused with 503 before they are sent; what has been sent isn't sent again. Blames are kept in the store, for those whom no entry reaches and for a restart of all. An entry that has just started sends no prompts until it has asked another one, for 0.3 s at most.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -20,6 +20,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/logger"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
@@ -84,9 +85,11 @@
 	store     *platform.Store
 	// observer keeps what upstreams state of themselves; nil in an agent.
 	observer *observer.Observer
-	metrics  metrics.Registry
-	parts    *suture.Supervisor
-	log      *logger.Writer
+	// localizer finds prompts that crash upstreams; nil in an agent.
+	localizer *localizer.Localizer
+	metrics   metrics.Registry
+	parts     *suture.Supervisor
+	log       *logger.Writer
 	// clock is that of deadlines and of everything else that the standard library tells
 	// the time of. It stands still while the VM is suspended.
 	clock clock.WithTicker
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -12,6 +12,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/hoster"
+	"github.com/oriolecroft/oriolecroft/internal/informer"
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -56,6 +58,7 @@
 	s := d.settings
 	chooser := &scheduler.Chooser{Clock: d.clock, Random: newRandom()}
 	d.observer = &observer.Observer{Clock: d.clock, Metrics: d.metrics}
+	d.localizer = &localizer.Localizer{Entry: s.Name, Clock: d.ages, WallClock: d.clock, Metrics: d.metrics, Members: d.members}
 	placer := &relayer.Placer{
 		Registrar: d.registrar, Chooser: chooser, Observer: d.observer, Clock: d.clock,
 		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
@@ -64,6 +67,12 @@
 	}
 	opened := metrics.GetOrRegisterCounter("upstreamConnections", d.metrics)
 	pool := &relayer.Pool{Clock: d.clock, Opened: func() { opened.Inc(1) }}
+	requests := &relayer.Relayer{
+		Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
+		Localizer: d.localizer,
+		Prober:    &relayer.NetworkProber{},
+		Budgets:   &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
+	}
 	member := registrar.Member{
 		ID: s.Name, Incarnation: uuid.NewString(), FailureDomain: s.FailureDomain, Region: s.Region,
 		Callers: s.Callers, Peers: s.Peers,
@@ -72,11 +81,7 @@
 	e.hoster = &hoster.Hoster{
 		Registrar: d.registrar, Clock: d.clock, Grace: s.Bounds.Grace,
 		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock, LeastLease: s.Store.LeastLease},
-		Requests: &relayer.Relayer{
-			Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
-			Prober:  &relayer.NetworkProber{},
-			Budgets: &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
-		},
+		Requests:     requests,
 	}
 	e.hoster.Registration.Ready = e.hoster.Ready
 	d.parts.Add(e.hoster.Registration)
@@ -84,10 +89,26 @@
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
 		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
+	inform := &informer.Informer{
+		Localizer: d.localizer, Registrar: d.registrar, Member: member, Seeds: others(s.Seeds, s.Peers), Dial: dialPeer, Store: d.store, Clock: d.clock,
+	}
+	requests.Informed = inform.Informed
+	d.parts.Add(inform)
 	d.tick(pool.Sweep, placer.Sweep)
 	return e, e.listenAll()
 }
 
+// members are the names of all known entries.
+func (d *daemon) members() []string {
+	var names []string
+	if v := d.registrar.View(); v != nil {
+		for _, m := range v.Members {
+			names = append(names, m.ID)
+		}
+	}
+	return names
+}
+
 // retryBudget divides what all entries may send to a service beyond first attempts.
 func retryBudget(b platform.Bounds, d *daemon) *retrier.Budget {
 	bound := retrier.Bound{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
@@ -124,7 +145,7 @@
 	e.hoster.Callers = listeners[0]
 	e.parts.Add(web("ready", listeners[1], platform.Ready(e.hoster.Ready)))
 	e.parts.Add(web("directory", listeners[2], platform.Directory(e.registrar)))
-	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.ages)})
+	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.ages), OnEvidence: informer.Answer(e.localizer)})
 	return e.serveMetrics(func() any { return e.status(e.readiness) }, e.readiness)
 }
 
--- /dev/null
+++ b/internal/localizer/blame.go
@@ -0,0 +1,217 @@
+package localizer
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// lift ends a blame by this entry's decision.
+func (l *Localizer) lift(b *blame, reason string) {
+	l.sequence++
+	b.Lifted, b.Reason, b.sequence, b.changedAt, b.trial = true, reason, l.sequence, l.Clock.Now(), ""
+	l.count("localizer.lifted")
+	b.log("Prompt part cleared", "reason", reason)
+}
+
+// makeRoom keeps the number of blames in bounds.
+func (l *Localizer) makeRoom() {
+	inForce := l.inForce()
+	if len(inForce) >= maxBlames {
+		l.lift(slices.MinFunc(inForce, func(a, b *blame) int { return a.askedAt.Compare(b.askedAt) }), "too many parts are blamed")
+	}
+}
+
+// inForce lists the blames that are not lifted.
+func (l *Localizer) inForce() []*blame {
+	var all []*blame
+	for _, b := range l.blames {
+		if !b.Lifted {
+			all = append(all, b)
+		}
+	}
+	return all
+}
+
+// expire ends blames that nobody's request meets, and forgets lifted ones.
+func (l *Localizer) expire(now time.Time) {
+	for part, b := range l.blames {
+		switch {
+		case b.Lifted && now.Sub(b.changedAt) > liftedKept:
+			delete(l.blames, part)
+		case !b.Lifted && now.Sub(b.askedAt) > idleLift:
+			l.lift(b, "nobody asked for the part")
+		}
+	}
+}
+
+// try lets one request of one entry pass once a trial is due.
+func (l *Localizer) try(b *blame, request string) bool {
+	if b.Trials >= len(trialsAfter) || request == "" || l.untilTrial(b) > 0 || !l.makesTrial(b) {
+		return false
+	}
+	l.sequence++
+	b.Trials, b.TriedAt, b.trial, b.sequence = b.Trials+1, l.WallClock.Now().UTC(), request, l.sequence
+	b.log("Request with a blamed part tried", "request", request)
+	return true
+}
+
+// untilTrial is in how long the next trial is due, while there is one.
+func (l *Localizer) untilTrial(b *blame) time.Duration {
+	from := b.DecidedAt
+	if b.Trials > 0 {
+		from = b.TriedAt
+	}
+	// Clocks of other VMs may be ahead, but no wait is longer than the whole.
+	return min(from.Add(trialsAfter[b.Trials]).Sub(l.WallClock.Now()), trialsAfter[b.Trials])
+}
+
+// makesTrial tells whether the next trial is this entry's: each makes one of its own otherwise. By
+// rendezvous hashing all choose the same entry, as far as they know the same ones.
+func (l *Localizer) makesTrial(b *blame) bool {
+	if l.Members == nil {
+		return true
+	}
+	weight := func(entry string) uint64 {
+		return xxhash.Sum64String(entry + "\n" + b.Part + "\n" + strconv.Itoa(b.Trials))
+	}
+	own := weight(l.Entry)
+	return !slices.ContainsFunc(l.Members(), func(entry string) bool { return weight(entry) > own })
+}
+
+// retryAfter is when a refused request may come back.
+func (l *Localizer) retryAfter(b *blame) time.Duration {
+	if b.Trials >= len(trialsAfter) {
+		return idleLift
+	}
+	return max(l.untilTrial(b), time.Second)
+}
+
+// Learn takes a blame in that another entry decided on, or that the store has.
+func (l *Localizer) Learn(b Blame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.learn(b)
+}
+
+func (l *Localizer) learn(b Blame) {
+	known, now := l.blames[b.Part], l.Clock.Now()
+	switch {
+	case b.Part == "" || b.Epoch == 0:
+		return
+	case known == nil:
+		known = &blame{since: now, askedAt: now}
+		if !b.Lifted {
+			l.makeRoom()
+		}
+		l.blames[b.Part] = known
+	case !b.supersedes(&known.Blame):
+		return
+	}
+	was := known.Blame
+	known.Blame, known.changedAt, known.sequence = b, now, 0
+	switch {
+	case b.Lifted && !(was.Epoch == b.Epoch && was.Lifted):
+		known.trial = ""
+		// The crashes before are no evidence any more.
+		l.replies[b.Part] = reply{at: now}
+		known.log("Prompt part cleared", "reason", b.Reason, "learned", true)
+	case !b.Lifted && was.Epoch != b.Epoch:
+		known.since, known.askedAt, known.trial = now, now, ""
+		known.log("Prompt part blamed", "learned", true)
+	}
+}
+
+// Blames lists what is blamed, and what was until lately, by part.
+func (l *Localizer) Blames() []Blame {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Blame
+	for _, b := range l.blames {
+		all = append(all, b.Blame)
+	}
+	slices.SortFunc(all, func(a, b Blame) int { return cmp.Or(strings.Compare(a.Part, b.Part), cmp.Compare(a.Epoch, b.Epoch)) })
+	return all
+}
+
+// Apply takes in what another entry tells.
+func (l *Localizer) Apply(u Update) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	now := l.Clock.Now()
+	for _, r := range u.Reports {
+		at := now.Add(-milliseconds(r.AgeMS))
+		if r.Upstream == "" || r.Entry == l.Entry || now.Sub(at) > crashesKept {
+			continue
+		}
+		if l.crashOf(r.Upstream, at).merge(r, 0) {
+			l.noteAnswered(r.Parts)
+			l.undecided = true
+		}
+	}
+	for _, r := range u.Replies {
+		l.contradict(r.Part, now.Add(-milliseconds(r.AgeMS)), false)
+	}
+	for _, b := range u.Blames {
+		l.learn(b)
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(max(0, n)) * time.Millisecond }
+
+// Since gives what this entry itself has found since a sequence number, and the number to go on from.
+func (l *Localizer) Since(after uint64) (Update, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.update(func(sequence uint64) bool { return sequence > after }, crashesKept), l.sequence
+}
+
+// toldOn is for how long crashes are told to those who ask for everything.
+const toldOn = 30 * time.Second
+
+// Everything gives all that matters to an entry that may have missed some of it.
+func (l *Localizer) Everything() Update {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.update(func(uint64) bool { return true }, toldOn)
+}
+
+func (l *Localizer) update(wanted func(sequence uint64) bool, kept time.Duration) Update {
+	var u Update
+	now := l.Clock.Now()
+	for _, c := range l.crashes {
+		if now.Sub(c.at) > kept {
+			continue
+		}
+		for _, r := range c.reports {
+			if wanted(r.sequence) {
+				told := r.Report
+				told.AgeMS, told.Parts = now.Sub(c.at).Milliseconds(), slices.Clone(r.Parts)
+				u.Reports = append(u.Reports, told)
+			}
+		}
+	}
+	for part, r := range l.replies {
+		if wanted(r.sequence) && now.Sub(r.at) <= kept {
+			u.Replies = append(u.Replies, Reply{Part: part, AgeMS: now.Sub(r.at).Milliseconds()})
+		}
+	}
+	for _, b := range l.blames {
+		if wanted(b.sequence) {
+			u.Blames = append(u.Blames, b.Blame)
+		}
+	}
+	return u
+}
+
+// Empty tells whether an update says nothing.
+func (u *Update) Empty() bool { return len(u.Reports)+len(u.Replies)+len(u.Blames) == 0 }
--- /dev/null
+++ b/internal/localizer/localizer.go
@@ -0,0 +1,266 @@
+// Package localizer finds parts of prompts that crash upstreams, queries of death, by statistical fault
+// localization: it compares the crashes that came with a part against the replies to other prompts with it.
+// Requests with a part that is blamed are refused.
+package localizer
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+)
+
+const (
+	// maxCrashes, maxReports of each and maxParts of each report are kept, for crashesKept at most.
+	maxCrashes  = 128
+	maxReports  = 64
+	maxParts    = 256
+	crashesKept = 10 * time.Minute
+	// sameCrash is how far apart reports of one crash may be. Upstreams take longer to start again.
+	sameCrash = time.Second
+	// maxAnswered is of how many parts an entry knows when it last had a reply: those of some minutes.
+	maxAnswered = 4096
+	// maxBlames is how many parts are blamed at once; then the one not asked for the longest is cleared.
+	maxBlames = 256
+	// liftedKept is how long it is known that a blame was lifted, so that no late message renews it.
+	liftedKept = 10 * time.Minute
+	// idleLift is after what time without a request for it a part is blamed no more.
+	idleLift = time.Hour
+)
+
+// trialsAfter is how long after the decision, or the trial before, one request with a blamed part is sent
+// to see whether it still crashes its upstream. After the last trial only operators, or nobody's asking
+// for the part, end the blame.
+var trialsAfter = [...]time.Duration{2 * time.Minute, 10 * time.Minute}
+
+// Localizer keeps the evidence and the blames of one entry. Set the exported fields before use; it is safe
+// for concurrent use.
+type Localizer struct {
+	// Entry is this entry's name.
+	Entry string
+	// Clock tells ages, WallClock the time of day, by which blames are kept in the store.
+	Clock, WallClock clock.PassiveClock
+	// Members lists all entries, of which one makes a trial; nil for this one alone.
+	Members func() []string
+	// Metrics counts crashes reported, blames and refusals; nil for no count.
+	Metrics metrics.Registry
+
+	mu sync.Mutex
+	// answered is when the newest reply to a prompt with each part began at this entry.
+	answered *lru.LRU[string, time.Time]
+	begun    counter
+	crashes  []*crash
+	// replies are the newest ones at all entries, to prompts with parts that crashes have cut.
+	replies map[string]reply
+	blames  map[string]*blame
+	// sequence counts the changes that this entry has to tell the others.
+	sequence uint64
+	// undecided is set while the evidence has changed since it was last weighed.
+	undecided bool
+}
+
+// reply is the newest reply to prompts with a part. Sequence is 0 for one of another entry.
+type reply struct {
+	at       time.Time
+	sequence uint64
+}
+
+// blame is a Blame as this entry knows it.
+type blame struct {
+	Blame
+	// since is from when on a reply to a prompt with the part ends the blame.
+	since time.Time
+	// changedAt is when this entry learned of its present state, askedAt when it last had a request.
+	changedAt, askedAt time.Time
+	// sequence is that of a change by this entry; 0 for others.
+	sequence uint64
+	// trial is the request that may be sent; empty for none.
+	trial string
+}
+
+// BlamedError reports a request that isn't sent, as a part of its prompt crashes upstreams.
+type BlamedError struct {
+	Blame
+	// RetryAfter is when it may be tried again.
+	RetryAfter time.Duration
+}
+
+func (e *BlamedError) Error() string {
+	return fmt.Sprintf("part %s of the prompt crashes upstreams, %d of them", e.Part, e.Crashes)
+}
+
+// Began notes a reply that has got under way, after a begin at a time by Clock, to a prompt with shared parts.
+func (l *Localizer) Began(parts []string, at time.Time) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.begun.add(l.Clock.Now())
+	for _, part := range parts {
+		if known, ok := l.answered.Get(part); !ok || at.After(known) {
+			l.answered.Add(part, at)
+		}
+		l.contradict(part, at, true)
+	}
+}
+
+// contradict takes in that a reply to a prompt with a part began at a time.
+func (l *Localizer) contradict(part string, at time.Time, own bool) {
+	last := l.lastCrash(part)
+	if last.IsZero() && l.blames[part] == nil {
+		return
+	}
+	known := l.replies[part]
+	if !at.After(known.at) {
+		return
+	}
+	r := reply{at: at}
+	// Others need not hear of more than one reply since the last crash.
+	if own && (!known.at.After(last) || l.blames[part] != nil) {
+		l.sequence++
+		r.sequence = l.sequence
+	}
+	l.replies[part] = r
+	l.undecided = true
+	if b := l.blames[part]; b != nil && !b.Lifted && at.After(b.since) {
+		l.lift(b, "a prompt with the part was answered")
+	}
+}
+
+func (l *Localizer) lastCrash(part string) time.Time {
+	for _, c := range slices.Backward(l.crashes) {
+		if c.parts[part] {
+			return c.at
+		}
+	}
+	return time.Time{}
+}
+
+// Crashed notes that a crash of an upstream cut a request of this entry before its reply had got under way.
+// Parts are those that the prompt shares with others.
+func (l *Localizer) Crashed(upstream string, parts []string) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	now := l.Clock.Now()
+	c := l.crashOf(upstream, now)
+	r := Report{Upstream: upstream, Entry: l.Entry, Requests: 1, Parts: parts, Replies: l.begun.since(now, replyWindow)}
+	if known := c.reports[l.Entry]; known != nil {
+		r.Requests += known.Requests
+	} else {
+		l.count("localizer.crashes")
+	}
+	l.sequence++
+	c.merge(r, l.sequence)
+	l.noteAnswered(parts)
+	l.undecided = true
+}
+
+// noteAnswered has the others learn when parts that a crash has cut were last answered here.
+func (l *Localizer) noteAnswered(parts []string) {
+	for _, part := range parts {
+		if at, ok := l.answered.Peek(part); ok {
+			l.contradict(part, at, true)
+		}
+	}
+}
+
+// Check refuses a request with a blamed part. Request names it, as one that makes a trial passes; it is
+// empty for one that was sent before.
+// Errors are *BlamedError.
+func (l *Localizer) Check(request string, parts []string) error {
+	if l == nil || len(parts) == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, part := range parts {
+		b := l.blames[part]
+		if b == nil || b.Lifted {
+			continue
+		}
+		b.askedAt = l.Clock.Now()
+		if request != "" && b.trial == request || l.try(b, request) {
+			continue
+		}
+		l.count("localizer.refused")
+		return &BlamedError{Blame: b.Blame, RetryAfter: l.retryAfter(b)}
+	}
+	return nil
+}
+
+// init makes the maps.
+func (l *Localizer) init() {
+	if l.blames != nil {
+		return
+	}
+	// The size is valid.
+	l.answered, _ = lru.NewLRU[string, time.Time](maxAnswered, nil)
+	l.replies, l.blames = map[string]reply{}, map[string]*blame{}
+}
+
+// Tick decides by what has come in. It should be called some ten times a second.
+func (l *Localizer) Tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.blames == nil {
+		return
+	}
+	now := l.Clock.Now()
+	l.forget(now)
+	l.expire(now)
+	for l.undecided {
+		s, found, waits := l.worst(now)
+		if !found {
+			l.undecided = waits
+			return
+		}
+		l.convict(s, now)
+	}
+}
+
+// convict blames a part.
+func (l *Localizer) convict(s suspicion, now time.Time) {
+	epoch := uint64(l.WallClock.Now().UnixMilli())
+	if former := l.blames[s.part]; former != nil {
+		epoch = max(epoch, former.Epoch+1)
+	}
+	l.sequence++
+	b := &blame{sequence: l.sequence, since: s.crashes[0].at, changedAt: now, askedAt: now, Blame: Blame{
+		Part: s.part, Epoch: epoch, Entry: l.Entry, DecidedAt: l.WallClock.Now().UTC(), Crashes: len(s.crashes), Chance: s.chance,
+	}}
+	for _, c := range s.crashes[max(0, len(s.crashes)-maxShown):] {
+		b.Upstreams = append(b.Upstreams, c.upstream)
+	}
+	l.makeRoom()
+	l.blames[s.part] = b
+	l.count("localizer.blames")
+	b.log("Prompt part blamed", "lastReplyBefore", s.crashes[0].at.Sub(l.replies[s.part].at))
+}
+
+// maxShown is how many crashed upstreams a blame names.
+const maxShown = 8
+
+func (b *blame) log(text string, more ...any) {
+	klog.InfoS(text, append([]any{
+		"part", b.Part, "epoch", b.Epoch, "decidedBy", b.Entry, "decidedAt", b.DecidedAt, "crashes", b.Crashes, "chance", b.Chance,
+		"upstreams", strings.Join(b.Upstreams, ","), "trials", b.Trials,
+	}, more...)...)
+}
+
+func (l *Localizer) count(name string) {
+	if l.Metrics != nil {
+		metrics.GetOrRegisterCounter(name, l.Metrics).Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/localizer/suspicion.go
@@ -0,0 +1,117 @@
+package localizer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxChance is the probability below which a run of crashes isn't taken for chance. It is far below
+	// one in the number of parts that are looked at in a day of crashes.
+	maxChance = 1e-5
+	// leastCrashes is how many crashes a blame needs in any case.
+	leastCrashes = 3
+	// sameCause is within what time crashes count as one: a failure domain or a power supply takes many
+	// upstreams at once, under whatever they run.
+	sameCause = 200 * time.Millisecond
+	// settleTime is how long after a crash the other entries' reports of it, and of replies, may take.
+	settleTime = 150 * time.Millisecond
+	// nearCrashes is how far from a crash, either way, others count for how usual a crash was then, and
+	// replyWindow the time for which entries count replies before a crash.
+	nearCrashes = 2500 * time.Millisecond
+	replyWindow = 5 * time.Second
+	// priorCrashes in priorRequests requests is the rate of cut requests assumed before any evidence.
+	priorCrashes  = 0.5
+	priorRequests = 10
+)
+
+// suspicion is the evidence against a part.
+type suspicion struct {
+	part string
+	// crashes since the last reply to a prompt with the part, but for those that another part explains.
+	crashes []*crash
+	// chance is the probability of these for a part that has nothing to do with them.
+	chance float64
+}
+
+// suspicion compares crashes of requests with a part against replies to others that have it. Each crash
+// since the last such reply counts as often as requests without the part were cut at the time: crashes of
+// another cause cut those as well.
+func (l *Localizer) suspicion(part string) suspicion {
+	s := suspicion{part: part, chance: 1}
+	since := l.replies[part].at
+	for _, c := range l.crashes {
+		if !c.at.After(since) || !c.parts[part] || l.explained(c, part) {
+			continue
+		}
+		if n := len(s.crashes); n > 0 && c.at.Sub(s.crashes[n-1].at) < sameCause {
+			continue
+		}
+		s.crashes = append(s.crashes, c)
+	}
+	if len(s.crashes) < leastCrashes {
+		return s
+	}
+	for _, c := range s.crashes {
+		s.chance *= l.cutRate(c, part)
+	}
+	return s
+}
+
+// explained tells whether a crash has a part other than this one that is blamed already.
+func (l *Localizer) explained(c *crash, part string) bool {
+	for blamed, b := range l.blames {
+		if blamed != part && !b.Lifted && c.parts[blamed] {
+			return true
+		}
+	}
+	return false
+}
+
+// cutRate is the share of requests without a part that crashes cut around the time of a crash, as the
+// entries that report these crashes saw it.
+func (l *Localizer) cutRate(at *crash, part string) float64 {
+	cut, replies := 0, map[string]int{}
+	for _, c := range l.crashes {
+		if !c.near(at) {
+			continue
+		}
+		for entry, r := range c.reports {
+			replies[entry] = max(replies[entry], r.Replies)
+		}
+		if !c.parts[part] && !l.explained(c, part) {
+			cut += c.requests
+		}
+	}
+	total := float64(cut)
+	for _, n := range replies {
+		total += float64(n)
+	}
+	return (float64(cut) + priorCrashes) / (total + priorRequests)
+}
+
+// convicts tells whether the evidence suffices.
+func (s *suspicion) convicts() bool { return len(s.crashes) >= leastCrashes && s.chance < maxChance }
+
+// worst gives the part with the strongest evidence; false if none suffices. Waits is set while evidence
+// that would suffice may still be contradicted by reports on their way.
+func (l *Localizer) worst(now time.Time) (worst suspicion, found, waits bool) {
+	worst.chance = math.Inf(1)
+	for _, part := range l.suspects() {
+		if b := l.blames[part]; b != nil && !b.Lifted {
+			continue
+		}
+		s := l.suspicion(part)
+		if !s.convicts() {
+			continue
+		}
+		if now.Sub(s.crashes[len(s.crashes)-1].at) < settleTime {
+			waits = true
+			continue
+		}
+		if s.chance < worst.chance {
+			worst, found = s, true
+		}
+	}
+	return worst, found, waits
+}
--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
 
@@ -19,6 +20,7 @@
 	methodReport   = "report"
 	methodExchange = "exchange"
 	methodNews     = "news"
+	methodEvidence = "evidence"
 )
 
 // UnreachableError reports that a peer could not be asked or did not answer.
@@ -62,6 +64,13 @@
 	return answer, err
 }
 
+// Evidence tells another entry of crashes, and brings back what it knows if the update asks for that.
+func (c *Client) Evidence(ctx context.Context, u localizer.Update) (localizer.Update, error) {
+	var answer localizer.Update
+	err := c.call(ctx, methodEvidence, u, &answer)
+	return answer, err
+}
+
 // Connect makes the connection now instead of with the first call.
 func (c *Client) Connect(ctx context.Context) error {
 	if _, err := c.connect(ctx); err != nil {
@@ -169,6 +178,8 @@
 	// OnRecords answers any process; it may hold the answer back for the wait asked
 	// for, without holding up other messages of the connection.
 	OnRecords func(context.Context, RecordsQuery) registrar.Batch
+	// OnEvidence answers another entry that tells or asks of crashes.
+	OnEvidence func(localizer.Update) localizer.Update
 	// OnReserve and OnProgress answer an entry at an agent; the link names the
 	// entry's connection. OnLost tells that a connection is over.
 	OnReserve  func(Reservation, *Link) Verdict
@@ -252,6 +263,12 @@
 			return nil, err
 		}
 		return s.OnExchange(x), nil
+	case r.Method == methodEvidence && s.OnEvidence != nil:
+		var u localizer.Update
+		if err := decode(r, &u); err != nil {
+			return nil, err
+		}
+		return s.OnEvidence(u), nil
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}
--- a/internal/registrar/fact.go
+++ b/internal/registrar/fact.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 )
 
@@ -59,8 +60,12 @@
 	Peers   netip.AddrPort `json:"peers"`
 }
 
+// Blame is the verdict on a part of prompts, as it was last kept in the store.
+type Blame struct{ localizer.Blame }
+
 func (Upstream) fact() {}
 func (Table) fact()    {}
 func (Drained) fact()  {}
 func (Weights) fact()  {}
 func (Member) fact()   {}
+func (Blame) fact()    {}
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 )
 
@@ -20,6 +21,8 @@
 	Upstreams []*UpstreamView
 	// Members are sorted by ID.
 	Members []Member
+	// Blames are those kept in the store, by part.
+	Blames map[string]localizer.Blame
 
 	services map[string][]*UpstreamView
 	drained  map[string]bool
@@ -48,6 +51,7 @@
 		services: map[string][]*UpstreamView{},
 		drained:  map[string]bool{},
 		weights:  map[string]WeightsView{},
+		Blames:   map[string]localizer.Blame{},
 	}
 	latest := r.latestStarts()
 	for key, f := range r.facts {
@@ -68,6 +72,8 @@
 			v.weights[f.Model] = WeightsView{Weights: f, Learned: ns[len(ns)-1].Learned, Namings: slices.Clone(ns)}
 		case Member:
 			v.Members = append(v.Members, f)
+		case Blame:
+			v.Blames[f.Part] = f.Blame
 		}
 	}
 	slices.SortFunc(v.Upstreams, func(a, b *UpstreamView) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
@@ -70,6 +71,10 @@
 		return nil
 	}
 	var refused *RefusedError
+	var blamed *localizer.BlamedError
+	if errors.As(err, &blamed) {
+		return &RefusedError{Reason: blamed.Error(), RetryAfter: blamed.RetryAfter, Blame: &blamed.Blame}
+	}
 	if !errors.As(err, &refused) {
 		refused = &RefusedError{Reason: err.Error(), RetryAfter: busyRetry}
 	}
@@ -84,7 +89,12 @@
 	c.count("refused")
 	wait := c.RetryAfter(e)
 	fields := []any{"reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived), "returned", c.Returned}
-	c.log("Refused", nil, append(fields, e.Met.fields()...)...)
+	fields = append(fields, e.Met.fields()...)
+	if b := e.Blame; b != nil {
+		fields = append(fields, "part", b.Part, "epoch", b.Epoch, "crashes", b.Crashes, "chance", b.Chance, "upstreams", b.Upstreams,
+			"decidedBy", b.Entry, "decidedAt", b.DecidedAt, "trials", b.Trials)
+	}
+	c.log("Refused", nil, fields...)
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -58,6 +58,9 @@
 			if err := c.Placer.withhold(u); err != nil {
 				return nil, err
 			}
+			if err := c.checkParts(&c.Job); err != nil {
+				return nil, err
+			}
 			return c.closeUnlessBegun(place, conn)
 		}}
 	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -51,7 +51,21 @@
 	if j.events == 0 {
 		j.begunAt = l.Clock.Now()
 	}
-	j.events++
+	if j.events++; j.events == survivedEvents {
+		l.noteSurvived(j)
+	}
+}
+
+// noteSurvived notes that the upstream has survived the begin of the present attempt's reply.
+func (l *Relayer) noteSurvived(j *Job) {
+	if l.Localizer == nil || len(j.Parts) == 0 {
+		return
+	}
+	began := j.begunAt
+	if began.IsZero() {
+		began = l.Clock.Now()
+	}
+	l.Localizer.Began(j.SharedParts(), l.Localizer.Clock.Now().Add(-l.Clock.Since(began)))
 }
 
 // noteCut finds out whether a failed attempt was cut by a crash of its upstream. Upstreams that are well
@@ -60,15 +74,28 @@
 	if l.Prober == nil || len(j.Parts) == 0 || !isCut(err) || l.Placer.terms(place.Upstream).Leaving {
 		return
 	}
-	u, request, events, parts := place.Upstream, j.ID, j.events, j.Parts
+	u, request, events, parts := place.Upstream, j.ID, j.events, j.SharedParts()
 	l.Prober.Refuses(u.Address, func(refused bool) {
-		if refused {
-			l.count("crashes")
-			klog.InfoS("Request cut by a crash of its upstream", "request", request, "upstream", u.ID, "events", events, "parts", parts)
+		if !refused {
+			return
+		}
+		l.count("crashes")
+		klog.InfoS("Request cut by a crash of its upstream", "request", request, "upstream", u.ID, "events", events, "parts", parts)
+		if events < survivedEvents {
+			l.Localizer.Crashed(u.ID, parts)
 		}
 	})
 }
 
+// checkParts refuses a request with a part that crashes upstreams. Errors are *localizer.BlamedError.
+func (l *Relayer) checkParts(j *Job) error {
+	request := j.ID
+	if j.sends > 0 {
+		request = ""
+	}
+	return l.Localizer.Check(request, j.SharedParts())
+}
+
 // isCut tells whether the upstream's end of the connection ended an attempt.
 func isCut(err error) bool {
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -11,6 +11,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
@@ -94,6 +95,8 @@
 	Rest time.Duration
 	// Met is what the request met at the upstreams.
 	Met Met
+	// Blame is why the request is refused wherever it goes; nil for another reason.
+	Blame *localizer.Blame
 }
 
 // Met counts what became of a request's questions, for the log: most refusals have no line at
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
@@ -39,10 +40,14 @@
 	// Budgets bound the retries at each service.
 	Budgets *retrier.Budgets
 	// Prober finds out whether an upstream crashed that cut a reply; nil for never.
-	Prober  Prober
-	Clock   clock.Clock
-	Random  *rand.Rand
-	Metrics metrics.Registry
+	Prober Prober
+	// Localizer finds and refuses prompts that crash upstreams; nil for none.
+	Localizer *localizer.Localizer
+	// Informed tells whether the localizer knows what other entries have found; nil for always.
+	Informed func() bool
+	Clock    clock.Clock
+	Random   *rand.Rand
+	Metrics  metrics.Registry
 
 	mu sync.Mutex
 	// longestPatience is the longest that callers of each route were seen to wait.
@@ -88,6 +93,10 @@
 		c.refuse(&RefusedError{Reason: "no route table yet", RetryAfter: unknownRetry})
 		return false
 	}
+	if len(c.Parts) > 0 && c.Informed != nil && !c.Informed() {
+		c.refuse(&RefusedError{Reason: "blames of other entries not known yet", RetryAfter: unknownRetry})
+		return false
+	}
 	t := view.Table
 	c.TableVersion = t.Version
 	if t.Limits.HeaderBytes > 0 && headerBytes(c.r) > t.Limits.HeaderBytes {
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
@@ -45,13 +46,24 @@
 	j.outcome = retrier.NotRun
 	defer j.giveBack()
 	for {
+		if err := l.checkParts(j); err != nil {
+			return err
+		}
 		place, err := l.placeNext(ctx, j)
 		if err != nil {
 			return err
 		}
+		if err := l.checkParts(j); err != nil {
+			// Blamed while the request waited for its place.
+			place.Ended()
+			return err
+		}
 		j.Tried = append(j.Tried, place.Upstream.ID)
 		err = l.attemptAt(ctx, j, place, attempt)
 		if err == nil {
+			if j.events < survivedEvents {
+				l.noteSurvived(j)
+			}
 			return nil
 		}
 		l.note(j, place, err)
@@ -106,7 +118,8 @@
 	var stale *StaleWeightsError
 	var unsent *UnsentError
 	var withheld *WithheldError
-	return errors.As(err, &full) || errors.As(err, &stale) || errors.As(err, &unsent) || errors.As(err, &withheld)
+	var blamed *localizer.BlamedError
+	return errors.As(err, &blamed) || errors.As(err, &full) || errors.As(err, &stale) || errors.As(err, &unsent) || errors.As(err, &withheld)
 }
 
 // refusedPause is how long an upstream that refused is passed over: about the time
