--- a/internal/localizer/blame.go
+++ b/internal/localizer/blame.go
@@ -47,6 +47,19 @@
 			l.lift(b, "nobody asked for the part")
 		}
 	}
+	if len(l.blames) <= maxBlames+maxLifted {
+		return
+	}
+	var lifted []*blame
+	for _, b := range l.blames {
+		if b.Lifted {
+			lifted = append(lifted, b)
+		}
+	}
+	slices.SortFunc(lifted, func(a, b *blame) int { return a.changedAt.Compare(b.changedAt) })
+	for _, b := range lifted[:max(0, len(lifted)-maxLifted)] {
+		delete(l.blames, b.Part)
+	}
 }
 
 // try lets one request of one entry pass once a trial is due.
@@ -172,6 +185,9 @@
 func (l *Localizer) Since(after uint64) (Update, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.sequence <= after {
+		return Update{}, after
+	}
 	return l.update(func(sequence uint64) bool { return sequence > after }, crashesKept), l.sequence
 }
 
--- a/internal/localizer/evidence.go
+++ b/internal/localizer/evidence.go
@@ -1,6 +1,7 @@
 package localizer
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -21,8 +22,13 @@
 	sequence uint64
 }
 
-// near tells whether two crashes were about the same time.
-func (c *crash) near(other *crash) bool { return c.at.Sub(other.at).Abs() <= nearCrashes }
+// without is how many requests without a part it cut, nearly: reports don't count requests by part.
+func (c *crash) without(part string) int {
+	if c.parts[part] {
+		return c.requests - 1
+	}
+	return c.requests
+}
 
 // crashOf is the crash of an upstream at a time, which is known from now on. An upstream may start again
 // under the name that it had.
@@ -76,11 +82,10 @@
 // forget drops what is too old.
 func (l *Localizer) forget(now time.Time) {
 	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool { return now.Sub(c.at) > crashesKept })
-	for part, r := range l.replies {
-		if now.Sub(r.at) > crashesKept {
-			delete(l.replies, part)
-		}
+	if len(l.replies) <= maxReplies {
+		return
 	}
+	maps.DeleteFunc(l.replies, func(part string, _ reply) bool { return l.blames[part] == nil && l.lastCrash(part).IsZero() })
 }
 
 // suspects are the parts of requests that were cut by at least leastCrashes crashes, sorted.
--- a/internal/localizer/localizer.go
+++ b/internal/localizer/localizer.go
@@ -26,10 +26,14 @@
 	sameCrash = time.Second
 	// maxAnswered is of how many parts an entry knows when it last had a reply: those of some minutes.
 	maxAnswered = 4096
+	// maxReplies is how many parts' replies are kept before those are dropped that no known crash cut.
+	maxReplies = 512
 	// maxBlames is how many parts are blamed at once; then the one not asked for the longest is cleared.
 	maxBlames = 256
-	// liftedKept is how long it is known that a blame was lifted, so that no late message renews it.
+	// liftedKept is how long it is known that a blame was lifted, so that no late message renews it, and
+	// maxLifted of how many parts.
 	liftedKept = 10 * time.Minute
+	maxLifted  = 512
 	// idleLift is after what time without a request for it a part is blamed no more.
 	idleLift = time.Hour
 )
--- a/internal/localizer/suspicion.go
+++ b/internal/localizer/suspicion.go
@@ -16,9 +16,7 @@
 	sameCause = 200 * time.Millisecond
 	// settleTime is how long after a crash the other entries' reports of it, and of replies, may take.
 	settleTime = 150 * time.Millisecond
-	// nearCrashes is how far from a crash, either way, others count for how usual a crash was then, and
-	// replyWindow the time for which entries count replies before a crash.
-	nearCrashes = 2500 * time.Millisecond
+	// replyWindow is the time before a crash for which requests that were cut are compared with replies.
 	replyWindow = 5 * time.Second
 	// priorCrashes in priorRequests requests is the rate of cut requests assumed before any evidence.
 	priorCrashes  = 0.5
@@ -34,9 +32,9 @@
 	chance float64
 }
 
-// suspicion compares crashes of requests with a part against replies to others that have it. Each crash
-// since the last such reply counts as often as requests without the part were cut at the time: crashes of
-// another cause cut those as well.
+// suspicion compares crashes of requests with a part against replies to others that have it. A part that
+// has nothing to do with them is cut as often as all others at the time, so that each crash since its last
+// reply is as likely as that.
 func (l *Localizer) suspicion(part string) suspicion {
 	s := suspicion{part: part, chance: 1}
 	since := l.replies[part].at
@@ -68,19 +66,19 @@
 	return false
 }
 
-// cutRate is the share of requests without a part that crashes cut around the time of a crash, as the
+// cutRate is the share of requests without a part that crashes cut in the time up to a crash, as the
 // entries that report these crashes saw it.
-func (l *Localizer) cutRate(at *crash, part string) float64 {
+func (l *Localizer) cutRate(last *crash, part string) float64 {
 	cut, replies := 0, map[string]int{}
 	for _, c := range l.crashes {
-		if !c.near(at) {
+		if before := last.at.Sub(c.at); before > replyWindow || before < -sameCause {
 			continue
 		}
 		for entry, r := range c.reports {
 			replies[entry] = max(replies[entry], r.Replies)
 		}
-		if !c.parts[part] && !l.explained(c, part) {
-			cut += c.requests
+		if !l.explained(c, part) {
+			cut += c.without(part)
 		}
 	}
 	total := float64(cut)
