cmd, localizer, relayer: operators see and lift blames; counts of all entries; trials that are sent

'platform blames' lists what entries refuse with the evidence and lifts one, by the entries themselves and by the store; 'platform status' counts them.

Each entry's answer to evidence now has its count.

--- a/cmd/oriolecroft/main.go
+++ b/cmd/oriolecroft/main.go
@@ -139,6 +139,7 @@
 		unknown     *storer.UnknownError
 		unconfirmed *UnconfirmedError
 		disagree    *DisagreementError
+		noEntry     *NoEntryError
 		field       *platform.FieldError
 		inFile      *SettingsFaultsError
 	)
@@ -149,7 +150,7 @@
 		return exitInvalid
 	case errors.As(err, &race):
 		return exitRace
-	case errors.As(err, &unavailable), errors.As(err, &unknown):
+	case errors.As(err, &unavailable), errors.As(err, &unknown), errors.As(err, &noEntry):
 		return exitUnavailable
 	case errors.As(err, &unconfirmed), errors.As(err, &disagree):
 		return exitUnconfirmed
--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -34,13 +34,15 @@
 const helpPlatform = `
   The daemons as they run on the users' platform. Their settings file is named by
   the environment variable ORIOLECROFT_SETTINGS. For operators: check a settings
-  file, show what all processes believe, explain a request from logs.
+  file, show what all processes believe, explain a request from logs, list and lift
+  the blame of parts of prompts.
 
   Examples:
     oriolecroft platform check /etc/oriolecroft/local.toml
     ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform entry
     ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform agent
     ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform status
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform blames
     cat logs/*.jsonl | oriolecroft platform explain --request 9c41d07be2a35f68`
 
 const (
@@ -62,7 +64,7 @@
 
 func platformCommands() []command {
 	return []command{platformEntryCommand(), platformAgentCommand(), platformStatusCommand(), platformCheckCommand(),
-		platformExplainCommand()}
+		platformExplainCommand(), platformBlamesCommand()}
 }
 
 // attachPlatform puts the commands under `platform`.
@@ -266,6 +268,11 @@
 			Upstream: t.ID, Leaving: t.Leaving, RestSeconds: t.Rest.Seconds(), PerSecond: t.Limit.Rate,
 		})
 	}
+	for _, b := range d.localizer.Blames() {
+		if !b.Lifted {
+			st.Blames = append(st.Blames, b.Part)
+		}
+	}
 	v := d.registrar.View()
 	if v == nil {
 		return st
--- a/cmd/oriolecroft/platform_blame_test.go
+++ b/cmd/oriolecroft/platform_blame_test.go
@@ -171,6 +171,10 @@
 func (w *blameWorld) run(t *testing.T, entry int) *exec.Cmd {
 	c := exec.CommandContext(t.Context(), binary, "platform", "entry")
 	c.Env = append(os.Environ(), "ORIOLECROFT_SETTINGS="+w.settings[entry])
+	log, err := os.OpenFile(w.settings[entry]+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(t, err)
+	defer log.Close()
+	c.Stdout = log
 	must.NoError(t, c.Start())
 	t.Cleanup(func() { _ = c.Wait() })
 	return c
@@ -267,6 +271,53 @@
 			// Sound requests are served once the crashes are over, while requests with the part still come.
 			must.LessEq(t, (served.Load()-servedBefore)/10, failed.Load()-failedBefore)
 			must.GreaterEq(t, 20, served.Load()-servedBefore)
+			w.mustExplainRefusals(t)
+			w.mustLift(t)
 		})
 	}
 }
+
+// mustExplainRefusals holds the log to the evidence of each refusal.
+func (w *blameWorld) mustExplainRefusals(t *testing.T) {
+	lines := 0
+	for _, settings := range w.settings {
+		data, err := os.ReadFile(settings + ".log")
+		must.NoError(t, err)
+		for line := range strings.Lines(string(data)) {
+			if !strings.Contains(line, `"part":"`+fatalPart+`"`) || !strings.Contains(line, `"msg":"Refused"`) {
+				continue
+			}
+			lines++
+			for _, field := range []string{`"request":"`, `"crashes":`, `"chance":`, `"upstreams":`, `"decidedBy":"front-`, `"retryAfterMs":`} {
+				must.StrContains(t, line, field)
+			}
+		}
+	}
+	must.GreaterEq(t, 20, lines)
+}
+
+// mustLift has an operator see the blame and end it once engines don't crash any more.
+func (w *blameWorld) mustLift(t *testing.T) {
+	began := time.Now()
+	reply := w.ask(t.Context(), 0, []string{"first", fatalPart})
+	must.Eq(t, 503, reply.Status)
+	must.Greater(t, 10*time.Second, reply.RetryAfter)
+	must.Less(t, time.Second, time.Since(began))
+	t.Setenv("ORIOLECROFT_SETTINGS", w.settings[0])
+	out, status := command(t, t.TempDir(), "platform", "blames")
+	must.Eq(t, 0, status, must.Sprint(out))
+	must.StrContains(t, out, fatalPart)
+	must.StrContains(t, out, "front-")
+	_, status = command(t, t.TempDir(), "platform", "blames", "--lift", "farm1")
+	must.Eq(t, 2, status)
+	w.fatal.Store(nil)
+	out, status = command(t, t.TempDir(), "platform", "blames", "--lift", fatalPart)
+	must.Eq(t, 0, status, must.Sprint(out))
+	must.StrContains(t, out, "lifted at 3 of 3")
+	for i := range w.entries {
+		must.Eq(t, 200, w.ask(t.Context(), i, []string{"first", fatalPart}).Status)
+	}
+	out, status = command(t, t.TempDir(), "platform", "blames")
+	must.Eq(t, 0, status)
+	must.StrNotContains(t, out, fatalPart)
+}
--- /dev/null
+++ b/cmd/oriolecroft/platform_blames.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/platform"
+)
+
+const helpPlatformBlames = `
+  Lists the parts of prompts that entries refuse, as upstreams crash on them, with the
+  evidence: how many upstreams crashed since the last reply to a prompt with the part,
+  which ones, and how likely that is for a part that has nothing to do with it. Entries
+  try one request with such a part after 2 minutes and again after 10; a reply ends the
+  blame.
+
+  --lift PART ends a blame at once, as when the upstreams were mended. Crashes from
+  before don't count any more. It works while the store is out, if one of the seeds
+  answers.
+
+  The settings file (ORIOLECROFT_SETTINGS) names the store and the seeds.
+
+  Exit status: 0 done, 5 no entry answered, 2 the part isn't blamed.
+
+  Examples:
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform blames
+    ORIOLECROFT_SETTINGS=/etc/oriolecroft/local.toml oriolecroft platform blames --lift 91bd3f06`
+
+// listTimeout bounds the list of entries from the store, behind which the seeds are asked.
+const listTimeout = 3 * time.Second
+
+// liftReason is what the log says of a blame that an operator has ended.
+const liftReason = "lifted by an operator"
+
+func platformBlamesCommand() command {
+	flags := newCommand("blames", "list the parts of prompts that are refused, or lift one", helpPlatformBlames)
+	lift, asJSON := "", false
+	flags.String(&lift, "", "lift", "part that is to be blamed no more")
+	flags.Bool(&asJSON, "", "json", "print JSON")
+	return command{flags: flags, run: func(ctx context.Context) error {
+		s, err := platform.LoadSettings()
+		if err != nil {
+			return oops.Hint("name a settings file by " + platform.SettingsVariable).Wrap(&UsageError{Problem: err.Error()})
+		}
+		b := &blames{store: platform.NewStore(s.Store.Address)}
+		b.find(ctx, s)
+		if err := b.ask(ctx); err != nil {
+			return err
+		}
+		switch {
+		case lift != "":
+			return b.lift(ctx, os.Stdout, lift)
+		case asJSON:
+			return printJSON(b.sorted())
+		default:
+			return printBlames(os.Stdout, b.sorted())
+		}
+	}}
+}
+
+// blames is what the entries of a deployment blame.
+type blames struct {
+	store   *platform.Store
+	entries []netip.AddrPort
+	// newest is the last word on each part.
+	newest map[string]localizer.Blame
+}
+
+// find finds the entries by the store, or else the seeds.
+func (b *blames) find(ctx context.Context, s *platform.Settings) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := b.store.List(ctx)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "the store does not answer, asking the seeds: %v\n", err)
+		b.entries = s.Seeds
+		return
+	}
+	if v := viewOf(list); v != nil {
+		for _, m := range v.Members {
+			b.entries = append(b.entries, m.Peers)
+		}
+	}
+	if len(b.entries) == 0 {
+		b.entries = s.Seeds
+	}
+}
+
+// each calls all entries at once and gives what they know, and how many answered.
+func (b *blames) each(ctx context.Context, u localizer.Update) (answers []localizer.Update, answered int) {
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	for _, a := range b.entries {
+		all.Go(func() {
+			client := &messenger.Client{Address: a, Timeout: surveyTimeout}
+			defer client.Close()
+			answer, err := client.Evidence(ctx, u)
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "entry at %v: %v\n", a, err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers, answered = append(answers, answer), answered+1
+		})
+	}
+	all.Wait()
+	return answers, answered
+}
+
+// NoEntryError reports that no entry of the deployment answers.
+type NoEntryError struct{ Asked int }
+
+func (e *NoEntryError) Error() string { return fmt.Sprintf("none of %d entries answers", e.Asked) }
+
+func (b *blames) ask(ctx context.Context) error {
+	answers, answered := b.each(ctx, localizer.Update{All: true})
+	if answered == 0 {
+		return &NoEntryError{Asked: len(b.entries)}
+	}
+	b.newest = map[string]localizer.Blame{}
+	for _, answer := range answers {
+		for _, one := range answer.Blames {
+			if known, ok := b.newest[one.Part]; !ok || one.Supersedes(&known) {
+				b.newest[one.Part] = one
+			}
+		}
+	}
+	return nil
+}
+
+// sorted lists what is blamed now.
+func (b *blames) sorted() []localizer.Blame {
+	all := []localizer.Blame{}
+	for _, one := range b.newest {
+		if !one.Lifted {
+			all = append(all, one)
+		}
+	}
+	slices.SortFunc(all, func(x, y localizer.Blame) int { return strings.Compare(x.Part, y.Part) })
+	return all
+}
+
+func (b *blames) lift(ctx context.Context, to io.Writer, part string) error {
+	one, ok := b.newest[part]
+	if !ok || one.Lifted {
+		return &UsageError{Problem: fmt.Sprintf("--lift: part %s isn't blamed", part)}
+	}
+	one.Lifted, one.Reason = true, liftReason
+	_, answered := b.each(ctx, localizer.Update{Blames: []localizer.Blame{one}})
+	if answered == 0 {
+		return &NoEntryError{Asked: len(b.entries)}
+	}
+	kept := "kept in the store"
+	if err := b.store.PutBlame(ctx, one); err != nil {
+		kept = fmt.Sprintf("not kept in the store yet (%v), entries do that", err)
+	}
+	_, err := fmt.Fprintf(to, "part %s: lifted at %d of %d entries, the others follow; %s\n", part, answered, len(b.entries), kept)
+	return err
+}
+
+func printBlames(to io.Writer, all []localizer.Blame) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PART\tSINCE\tDECIDED BY\tCRASHES\tCHANCE\tTRIALS\tUPSTREAMS")
+	for _, b := range all {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1g\t%d\t%s\n", b.Part, b.DecidedAt.UTC().Format(time.RFC3339), b.Entry, b.Crashes, b.Chance, b.Trials,
+			strings.Join(b.Upstreams, ","))
+	}
+	return w.Flush()
+}
--- a/cmd/oriolecroft/platform_status.go
+++ b/cmd/oriolecroft/platform_status.go
@@ -25,8 +25,8 @@
   Asks processes what each believes and how old that is, all at once, and prints a
   line for each: revision and when the store confirmed it, route table, weights
   named (agents: held/named), upstreams, what these ask of the process (how many
-  rest, leave or limit their requests; with --json each by itself), entries, log
-  lines dropped, and what is wrong. A process behind the others is asked once more
+  rest, leave or limit their requests; with --json each by itself), parts of
+  prompts that are refused (platform blames), entries, log lines dropped, and what is wrong. A process behind the others is asked once more
   after a second.
 
   Without --vms the processes are those that the store knows, which the settings
@@ -132,14 +132,19 @@
 	return a, nil
 }
 
-// processes lists the addresses for metrics of all entries and agents that a list of the
-// store names.
-func processes(b registrar.Batch, port uint16) []netip.AddrPort {
+// viewOf gives what a list of the store says; nil for a list that can't be read.
+func viewOf(b registrar.Batch) *registrar.View {
 	// What a registrar logs on its records is for daemons.
 	logger.Install(io.Discard)
 	r := &registrar.Registrar{Clock: clock.RealClock{}, Decode: platform.Decode}
 	r.Apply(b)
-	v := r.View()
+	return r.View()
+}
+
+// processes lists the addresses for metrics of all entries and agents that a list of the
+// store names.
+func processes(b registrar.Batch, port uint16) []netip.AddrPort {
+	v := viewOf(b)
 	if v == nil {
 		return nil
 	}
@@ -161,7 +166,7 @@
 
 func printProcesses(to io.Writer, ps []surveyor.Process) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "VM\tROLE\tREVISION\tCONFIRMED\tTABLE\tWEIGHTS\tUPSTREAMS\tTERMS\tENTRIES\tDROPPED\tFAULTS")
+	fmt.Fprintln(w, "VM\tROLE\tREVISION\tCONFIRMED\tTABLE\tWEIGHTS\tUPSTREAMS\tTERMS\tBLAMES\tENTRIES\tDROPPED\tFAULTS")
 	for _, p := range ps {
 		faults := strings.Join(p.Faults, "; ")
 		if faults == "" {
@@ -169,11 +174,11 @@
 		}
 		st := p.Status
 		if st == nil {
-			fmt.Fprintf(w, "%s\t?\t?\t?\t?\t?\t?\t?\t?\t?\t%s\n", p.Address, faults)
+			fmt.Fprintf(w, "%s\t?\t?\t?\t?\t?\t?\t?\t?\t?\t?\t%s\n", p.Address, faults)
 			continue
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%.1fs ago\t%d\t%s\t%d\t%s\t%d\t%d\t%s\n", st.VM, st.Role, st.Revision, st.ConfirmedAgo,
-			st.TableVersion, weightsText(st), st.Upstreams, termsText(st.Terms), st.Entries, st.LinesDropped, faults)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.1fs ago\t%d\t%s\t%d\t%s\t%d\t%d\t%d\t%s\n", st.VM, st.Role, st.Revision, st.ConfirmedAgo,
+			st.TableVersion, weightsText(st), st.Upstreams, termsText(st.Terms), len(st.Blames), st.Entries, st.LinesDropped, faults)
 	}
 	return w.Flush()
 }
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -82,10 +82,10 @@
 type result struct {
 	to   netip.AddrPort
 	told uint64
-	// everything is what the other one knows, if it was asked for that.
-	asked      bool
-	everything localizer.Update
-	err        error
+	// asked tells that the other one was asked for all that it knows.
+	asked        bool
+	sent, answer localizer.Update
+	err          error
 }
 
 func (i *Informer) String() string { return "informer" }
@@ -226,7 +226,8 @@
 func (i *Informer) call(ctx context.Context, to netip.AddrPort, u localizer.Update, r result) {
 	client := i.clients.To(to)
 	go func() {
-		r.everything, r.err = client.Evidence(ctx, u)
+		r.sent = u
+		r.answer, r.err = client.Evidence(ctx, u)
 		select {
 		case i.results <- r:
 		case <-ctx.Done():
@@ -240,7 +241,7 @@
 		i.asking = false
 		pause := askEvery
 		if r.err == nil {
-			i.Localizer.Apply(r.everything)
+			i.Localizer.Apply(r.answer)
 			i.asked = true
 			i.noteInformed(i.Registrar.View())
 		} else if !i.asked {
@@ -260,15 +261,5 @@
 		return
 	}
 	p.told = r.told
-}
-
-// Answer answers another entry that tells or asks of crashes.
-func Answer(l *localizer.Localizer) func(localizer.Update) localizer.Update {
-	return func(u localizer.Update) localizer.Update {
-		l.Apply(u)
-		if u.All {
-			return l.Everything()
-		}
-		return localizer.Update{}
-	}
+	i.Localizer.Answered(r.sent, r.answer)
 }
--- a/internal/localizer/blame.go
+++ b/internal/localizer/blame.go
@@ -62,17 +62,40 @@
 	}
 }
 
-// try lets one request of one entry pass once a trial is due.
+// try lets one request of one entry pass once a trial is due. It counts once it is sent.
 func (l *Localizer) try(b *blame, request string) bool {
-	if b.Trials >= len(trialsAfter) || request == "" || l.untilTrial(b) > 0 || !l.makesTrial(b) {
+	now := l.Clock.Now()
+	if request == "" {
 		return false
 	}
-	l.sequence++
-	b.Trials, b.TriedAt, b.trial, b.sequence = b.Trials+1, l.WallClock.Now().UTC(), request, l.sequence
-	b.log("Request with a blamed part tried", "request", request)
+	if b.trial == request {
+		return true
+	}
+	if b.Trials >= len(trialsAfter) || now.Before(b.trialUntil) || l.untilTrial(b) > 0 || !l.makesTrial(b) {
+		return false
+	}
+	b.trial, b.trialUntil = request, now.Add(trialTime)
 	return true
 }
 
+// Sent notes that a request that passed Check is sent.
+func (l *Localizer) Sent(request string, parts []string) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, part := range parts {
+		b := l.blames[part]
+		if b == nil || b.Lifted || b.trial != request {
+			continue
+		}
+		l.sequence++
+		b.Trials, b.TriedAt, b.sequence = b.Trials+1, l.WallClock.Now().UTC(), l.sequence
+		b.log("Request with a blamed part tried", "request", request)
+	}
+}
+
 // untilTrial is in how long the next trial is due, while there is one.
 func (l *Localizer) untilTrial(b *blame) time.Duration {
 	from := b.DecidedAt
@@ -123,7 +146,7 @@
 			l.makeRoom()
 		}
 		l.blames[b.Part] = known
-	case !b.supersedes(&known.Blame):
+	case !b.Supersedes(&known.Blame):
 		return
 	}
 	was := known.Blame
@@ -179,6 +202,33 @@
 	}
 }
 
+// Answer answers an entry that tells or asks of crashes.
+func (l *Localizer) Answer(u Update) Update {
+	l.Apply(u)
+	answer := Update{}
+	if u.All {
+		answer = l.Everything()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer.Entry, answer.Begun = l.Entry, l.begun.since(l.Clock.Now(), replyWindow)
+	return answer
+}
+
+// Answered takes in the answer of another entry to an update. Its count of replies is for the crashes that
+// the update told of.
+func (l *Localizer) Answered(u, answer Update) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range u.Reports {
+		for _, c := range l.crashes {
+			if c.upstream == r.Upstream && l.Clock.Since(c.at) <= countedWithin && answer.Entry != "" {
+				c.counted[answer.Entry] = max(c.counted[answer.Entry], answer.Begun)
+			}
+		}
+	}
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(max(0, n)) * time.Millisecond }
 
 // Since gives what this entry itself has found since a sequence number, and the number to go on from.
@@ -192,13 +242,20 @@
 }
 
 // toldOn is for how long crashes are told to those who ask for everything.
-const toldOn = 30 * time.Second
+const toldOn = 10 * time.Second
 
-// Everything gives all that matters to an entry that may have missed some of it.
+// Everything gives all that matters to an entry that may have missed some of it: of crashes, the parts that
+// more than one of them cut.
 func (l *Localizer) Everything() Update {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.update(func(uint64) bool { return true }, toldOn)
+	u := l.update(func(uint64) bool { return true }, toldOn)
+	counts := l.crashCounts()
+	for i := range u.Reports {
+		u.Reports[i].Parts = slices.DeleteFunc(u.Reports[i].Parts, func(part string) bool { return counts[part] < 2 })
+	}
+	u.Replies = slices.DeleteFunc(u.Replies, func(r Reply) bool { return counts[r.Part] < 2 })
+	return u
 }
 
 func (l *Localizer) update(wanted func(sequence uint64) bool, kept time.Duration) Update {
--- a/internal/localizer/evidence.go
+++ b/internal/localizer/evidence.go
@@ -11,6 +11,8 @@
 	upstream string
 	at       time.Time
 	reports  map[string]*report
+	// counted is how many replies other entries had in the replyWindow before, by their answers.
+	counted map[string]int
 	// parts and requests join those of the reports.
 	parts    map[string]bool
 	requests int
@@ -42,7 +44,7 @@
 			return c
 		}
 	}
-	c := &crash{upstream: upstream, at: at, reports: map[string]*report{}, parts: map[string]bool{}}
+	c := &crash{upstream: upstream, at: at, reports: map[string]*report{}, counted: map[string]int{}, parts: map[string]bool{}}
 	l.crashes = append(l.crashes, c)
 	l.sortCrashes()
 	if n := len(l.crashes) - maxCrashes; n > 0 {
@@ -88,16 +90,21 @@
 	maps.DeleteFunc(l.replies, func(part string, _ reply) bool { return l.blames[part] == nil && l.lastCrash(part).IsZero() })
 }
 
-// suspects are the parts of requests that were cut by at least leastCrashes crashes, sorted.
-func (l *Localizer) suspects() []string {
+// crashCounts counts the crashes that cut requests with each part.
+func (l *Localizer) crashCounts() map[string]int {
 	counts := map[string]int{}
 	for _, c := range l.crashes {
 		for part := range c.parts {
 			counts[part]++
 		}
 	}
+	return counts
+}
+
+// suspects are the parts of requests that were cut by at least leastCrashes crashes, sorted.
+func (l *Localizer) suspects() []string {
 	var parts []string
-	for part, n := range counts {
+	for part, n := range l.crashCounts() {
 		if n >= leastCrashes {
 			parts = append(parts, part)
 		}
--- a/internal/localizer/localizer.go
+++ b/internal/localizer/localizer.go
@@ -43,6 +43,9 @@
 // for the part, end the blame.
 var trialsAfter = [...]time.Duration{2 * time.Minute, 10 * time.Minute}
 
+// trialTime is how long a request that makes a trial may take until it is sent.
+const trialTime = 10 * time.Second
+
 // Localizer keeps the evidence and the blames of one entry. Set the exported fields before use; it is safe
 // for concurrent use.
 type Localizer struct {
@@ -84,8 +87,9 @@
 	changedAt, askedAt time.Time
 	// sequence is that of a change by this entry; 0 for others.
 	sequence uint64
-	// trial is the request that may be sent; empty for none.
-	trial string
+	// trial is the request that may be sent, and trialUntil until when no other one may; empty for none.
+	trial      string
+	trialUntil time.Time
 }
 
 // BlamedError reports a request that isn't sent, as a part of its prompt crashes upstreams.
@@ -195,7 +199,7 @@
 			continue
 		}
 		b.askedAt = l.Clock.Now()
-		if request != "" && b.trial == request || l.try(b, request) {
+		if l.try(b, request) {
 			continue
 		}
 		l.count("localizer.refused")
--- a/internal/localizer/messages.go
+++ b/internal/localizer/messages.go
@@ -9,6 +9,9 @@
 	Blames  []Blame  `json:"blames,omitempty"`
 	// All asks for everything that the receiver knows.
 	All bool `json:"all,omitempty"`
+	// Begun is how many replies of the entry named got under way in the last replyWindow. Each answer has it.
+	Entry string `json:"entry,omitempty"`
+	Begun int    `json:"begun,omitempty"`
 }
 
 // Report is what one entry saw of one crash.
@@ -56,8 +59,8 @@
 	TriedAt time.Time `json:"triedAt,omitzero"`
 }
 
-// supersedes tells whether this state of a blame replaces another one.
-func (b *Blame) supersedes(other *Blame) bool {
+// Supersedes tells whether this state of a blame replaces another one.
+func (b *Blame) Supersedes(other *Blame) bool {
 	switch {
 	case b.Epoch != other.Epoch:
 		return b.Epoch > other.Epoch
--- a/internal/localizer/suspicion.go
+++ b/internal/localizer/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	settleTime = 150 * time.Millisecond
 	// replyWindow is the time before a crash for which requests that were cut are compared with replies.
 	replyWindow = 5 * time.Second
+	// countedWithin is how soon after a crash another entry's count of replies is one of the time before it.
+	countedWithin = time.Second
 	// priorCrashes in priorRequests requests is the rate of cut requests assumed before any evidence.
 	priorCrashes  = 0.5
 	priorRequests = 10
@@ -35,11 +38,11 @@
 // suspicion compares crashes of requests with a part against replies to others that have it. A part that
 // has nothing to do with them is cut as often as all others at the time, so that each crash since its last
 // reply is as likely as that.
-func (l *Localizer) suspicion(part string) suspicion {
+func (l *Localizer) suspicion(part string, blamed []*blame) suspicion {
 	s := suspicion{part: part, chance: 1}
 	since := l.replies[part].at
 	for _, c := range l.crashes {
-		if !c.at.After(since) || !c.parts[part] || l.explained(c, part) {
+		if !c.at.After(since) || !c.parts[part] || c.explained(part, blamed) {
 			continue
 		}
 		if n := len(s.crashes); n > 0 && c.at.Sub(s.crashes[n-1].at) < sameCause {
@@ -51,24 +54,18 @@
 		return s
 	}
 	for _, c := range s.crashes {
-		s.chance *= l.cutRate(c, part)
+		s.chance *= l.cutRate(c, part, blamed)
 	}
 	return s
 }
 
 // explained tells whether a crash has a part other than this one that is blamed already.
-func (l *Localizer) explained(c *crash, part string) bool {
-	for blamed, b := range l.blames {
-		if blamed != part && !b.Lifted && c.parts[blamed] {
-			return true
-		}
-	}
-	return false
+func (c *crash) explained(part string, blamed []*blame) bool {
+	return slices.ContainsFunc(blamed, func(b *blame) bool { return b.Part != part && c.parts[b.Part] })
 }
 
-// cutRate is the share of requests without a part that crashes cut in the time up to a crash, as the
-// entries that report these crashes saw it.
-func (l *Localizer) cutRate(last *crash, part string) float64 {
+// cutRate is the share of requests without a part that crashes cut in the time up to a crash.
+func (l *Localizer) cutRate(last *crash, part string, blamed []*blame) float64 {
 	cut, replies := 0, map[string]int{}
 	for _, c := range l.crashes {
 		if before := last.at.Sub(c.at); before > replyWindow || before < -sameCause {
@@ -77,7 +74,10 @@
 		for entry, r := range c.reports {
 			replies[entry] = max(replies[entry], r.Replies)
 		}
-		if !l.explained(c, part) {
+		for entry, n := range c.counted {
+			replies[entry] = max(replies[entry], n)
+		}
+		if !c.explained(part, blamed) {
 			cut += c.without(part)
 		}
 	}
@@ -95,11 +95,12 @@
 // that would suffice may still be contradicted by reports on their way.
 func (l *Localizer) worst(now time.Time) (worst suspicion, found, waits bool) {
 	worst.chance = math.Inf(1)
+	blamed := l.inForce()
 	for _, part := range l.suspects() {
 		if b := l.blames[part]; b != nil && !b.Lifted {
 			continue
 		}
-		s := l.suspicion(part)
+		s := l.suspicion(part, blamed)
 		if !s.convicts() {
 			continue
 		}
--- a/internal/localizer/world_test.go
+++ b/internal/localizer/world_test.go
@@ -78,9 +78,9 @@
 }
 
 type mail struct {
-	at     time.Time
-	to     *entry
-	update localizer.Update
+	at       time.Time
+	from, to *entry
+	update   localizer.Update
 }
 
 func newWorld(seed uint64, entries, engines int) *world {
@@ -171,6 +171,7 @@
 			w.late++
 		}
 	}
+	r.entry.Sent(id, r.parts)
 	e := up[w.random.IntN(len(up))]
 	r.beginAt, r.events = w.clock.Now().Add(60*time.Millisecond+time.Duration(w.random.Int64N(int64(200*time.Millisecond)))), 0
 	r.nextAt = r.beginAt.Add(eventEvery)
@@ -236,7 +237,7 @@
 		if now.Before(m.at) {
 			later = append(later, m)
 		} else if !m.to.cutOff {
-			m.to.Apply(m.update)
+			m.from.Answered(m.update, m.to.Answer(m.update))
 		}
 	}
 	w.mail = later
@@ -248,7 +249,7 @@
 			}
 			u, told := e.Since(e.told[i])
 			if e.told[i] = told; !u.Empty() {
-				w.mail = append(w.mail, mail{now.Add(tellDelay), to, u})
+				w.mail = append(w.mail, mail{now.Add(tellDelay), e, to, u})
 			}
 		}
 	}
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -90,7 +90,7 @@
 // checkParts refuses a request with a part that crashes upstreams. Errors are *localizer.BlamedError.
 func (l *Relayer) checkParts(j *Job) error {
 	request := j.ID
-	if j.sends > 0 {
+	if j.failed {
 		request = ""
 	}
 	return l.Localizer.Check(request, j.SharedParts())
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -19,6 +19,8 @@
 	outcome  retrier.Outcome
 	attempts int
 	sends    int
+	// failed tells that an attempt that was sent has failed.
+	failed bool
 	// reused tells that the last attempt failed on a connection that had been idle, unsent that it never
 	// reached its upstream.
 	reused, unsent bool
@@ -58,6 +60,9 @@
 			place.Ended()
 			return err
 		}
+		if j.sends == 0 {
+			l.Localizer.Sent(j.ID, j.SharedParts())
+		}
 		j.Tried = append(j.Tried, place.Upstream.ID)
 		err = l.attemptAt(ctx, j, place, attempt)
 		if err == nil {
@@ -87,6 +92,7 @@
 // note counts what an attempt that failed means for the request and the upstream.
 func (l *Relayer) note(j *Job, place *Place, err error) {
 	upstream := place.Upstream.ID
+	j.failed = j.failed || !keptBack(err)
 	var s *SendError
 	if !errors.As(err, &s) {
 		return
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -34,7 +34,11 @@
 
 func (codec) Request(h http.Header) relayer.Request {
 	ms, _ := strconv.Atoi(h.Get("Patience"))
-	return relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Patience: time.Duration(ms) * time.Millisecond}
+	r := relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Patience: time.Duration(ms) * time.Millisecond}
+	if parts := h.Get("Parts"); parts != "" {
+		r.Parts = strings.Split(parts, ",")
+	}
+	return r
 }
 
 func (codec) Outgoing(h http.Header, s relayer.Send) http.Header {
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -35,6 +35,8 @@
 	Entries   int               `json:"entries"`
 	// Terms are what upstreams ask of this process, those that ask for anything.
 	Terms []Terms `json:"terms,omitempty"`
+	// Blames are the parts of prompts that an entry refuses.
+	Blames []string `json:"blames,omitempty"`
 	// NotReady says why it takes no work; empty when it does.
 	NotReady     string `json:"notReady,omitempty"`
 	LinesDropped int64  `json:"logLinesDropped"`
