soak, localizer: fatal parts in each run; crashes behind something that listens; parts that come together

The soak has a part of prompts crash engines among the other faults of a run, and another one in its recovery, while requests with it come first, in the middle and among parts that never recur, and checks two promises: such requests are refused, sound ones beside them are served.

A cut whose upstream takes connections now waits for the record of its next start, for 5 s at most. The soak's links refuse connections while their upstream is down, as the users' ports do.

Parts that came with all crashes of another one are blamed only from the fifth crash on, and only settled crashes count, for all parts alike. A first try, by the ratio of the chances, did not help.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -94,7 +94,7 @@
 	}
 	requests.Informed = inform.Informed
 	d.parts.Add(inform)
-	d.tick(pool.Sweep, placer.Sweep)
+	d.tick(pool.Sweep, placer.Sweep, requests.SweepCuts)
 	return e, e.listenAll()
 }
 
--- a/internal/localizer/blame.go
+++ b/internal/localizer/blame.go
@@ -152,7 +152,7 @@
 	was := known.Blame
 	known.Blame, known.changedAt, known.sequence = b, now, 0
 	switch {
-	case b.Lifted && !(was.Epoch == b.Epoch && was.Lifted):
+	case b.Lifted && (was.Epoch != b.Epoch || !was.Lifted):
 		known.trial = ""
 		// The crashes before are no evidence any more.
 		l.replies[b.Part] = reply{at: now}
--- a/internal/localizer/localizer.go
+++ b/internal/localizer/localizer.go
@@ -152,18 +152,17 @@
 	return time.Time{}
 }
 
-// Crashed notes that a crash of an upstream cut a request of this entry before its reply had got under way.
-// Parts are those that the prompt shares with others.
-func (l *Localizer) Crashed(upstream string, parts []string) {
+// Crashed notes that a crash of an upstream, at a time by Clock, cut a request of this entry before its reply
+// had got under way. Parts are those that the prompt shares with others.
+func (l *Localizer) Crashed(upstream string, parts []string, at time.Time) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
-	now := l.Clock.Now()
-	c := l.crashOf(upstream, now)
-	r := Report{Upstream: upstream, Entry: l.Entry, Requests: 1, Parts: parts, Replies: l.begun.since(now, replyWindow)}
+	c := l.crashOf(upstream, at)
+	r := Report{Upstream: upstream, Entry: l.Entry, Requests: 1, Parts: parts, Replies: l.begun.since(l.Clock.Now(), replyWindow)}
 	if known := c.reports[l.Entry]; known != nil {
 		r.Requests += known.Requests
 	} else {
@@ -229,12 +228,14 @@
 	l.forget(now)
 	l.expire(now)
 	for l.undecided {
-		s, found, waits := l.worst(now)
-		if !found {
+		worst, waits := l.worst(now)
+		if len(worst) == 0 {
 			l.undecided = waits
 			return
 		}
-		l.convict(s, now)
+		for _, s := range worst {
+			l.convict(s, now)
+		}
 	}
 }
 
--- a/internal/localizer/suspicion.go
+++ b/internal/localizer/suspicion.go
@@ -1,7 +1,7 @@
 package localizer
 
 import (
-	"math"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -12,6 +12,8 @@
 	maxChance = 1e-5
 	// leastCrashes is how many crashes a blame needs in any case.
 	leastCrashes = 3
+	// tiedCrashes is from how many crashes on parts are blamed that came together each time.
+	tiedCrashes = 5
 	// sameCause is within what time crashes count as one: a failure domain or a power supply takes many
 	// upstreams at once, under whatever they run.
 	sameCause = 200 * time.Millisecond
@@ -41,8 +43,9 @@
 func (l *Localizer) suspicion(part string, blamed []*blame) suspicion {
 	s := suspicion{part: part, chance: 1}
 	since := l.replies[part].at
+	settled := l.Clock.Now().Add(-settleTime)
 	for _, c := range l.crashes {
-		if !c.at.After(since) || !c.parts[part] || c.explained(part, blamed) {
+		if !c.at.After(since) || c.at.After(settled) || !c.parts[part] || c.explained(part, blamed) {
 			continue
 		}
 		if n := len(s.crashes); n > 0 && c.at.Sub(s.crashes[n-1].at) < sameCause {
@@ -91,26 +94,38 @@
 // convicts tells whether the evidence suffices.
 func (s *suspicion) convicts() bool { return len(s.crashes) >= leastCrashes && s.chance < maxChance }
 
-// worst gives the part with the strongest evidence; false if none suffices. Waits is set while evidence
-// that would suffice may still be contradicted by reports on their way.
-func (l *Localizer) worst(now time.Time) (worst suspicion, found, waits bool) {
-	worst.chance = math.Inf(1)
+// explainedBy tells whether a part came with all crashes that count against this one.
+func (s *suspicion) explainedBy(part string) bool {
+	return !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.parts[part] })
+}
+
+// worst gives the part with the strongest evidence, and those that can't be told from it; none if no
+// evidence suffices. Waits is set while there are crashes of which reports may still be on their way.
+func (l *Localizer) worst(now time.Time) (worst []suspicion, waits bool) {
 	blamed := l.inForce()
+	waits = len(l.crashes) > 0 && now.Sub(l.crashes[len(l.crashes)-1].at) <= settleTime
+	var all []suspicion
 	for _, part := range l.suspects() {
 		if b := l.blames[part]; b != nil && !b.Lifted {
 			continue
 		}
-		s := l.suspicion(part, blamed)
-		if !s.convicts() {
-			continue
-		}
-		if now.Sub(s.crashes[len(s.crashes)-1].at) < settleTime {
-			waits = true
-			continue
+		if s := l.suspicion(part, blamed); s.convicts() {
+			all = append(all, s)
 		}
-		if s.chance < worst.chance {
-			worst, found = s, true
+	}
+	slices.SortStableFunc(all, func(a, b suspicion) int { return cmp.Compare(a.chance, b.chance) })
+	if len(all) == 0 {
+		return nil, waits
+	}
+	worst = slices.Clip(all[:1])
+	for _, s := range all[1:] {
+		if all[0].explainedBy(s.part) {
+			worst = append(worst, s)
 		}
 	}
-	return worst, found, waits
+	if len(worst) > 1 && len(worst[0].crashes) < tiedCrashes {
+		// The next request may have but one of them.
+		return nil, waits
+	}
+	return worst, waits
 }
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -6,12 +6,16 @@
 	"io"
 	"net/netip"
 	"os"
+	"slices"
+	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
 
 // survivedEvents is after how many events of a reply its upstream has survived the request: one that is
@@ -74,16 +78,83 @@
 	if l.Prober == nil || len(j.Parts) == 0 || !isCut(err) || l.Placer.terms(place.Upstream).Leaving {
 		return
 	}
-	u, request, events, parts := place.Upstream, j.ID, j.events, j.SharedParts()
-	l.Prober.Refuses(u.Address, func(refused bool) {
-		if !refused {
+	c := cut{upstream: place.Upstream.Upstream, request: j.ID, events: j.events, parts: j.SharedParts(), at: l.Registrar.Clock.Now()}
+	l.Prober.Refuses(c.upstream.Address, func(refused bool) {
+		if refused {
+			l.noteCrash(c, "connection refused")
 			return
 		}
-		l.count("crashes")
-		klog.InfoS("Request cut by a crash of its upstream", "request", request, "upstream", u.ID, "events", events, "parts", parts)
-		if events < survivedEvents {
-			l.Localizer.Crashed(u.ID, parts)
+		l.cuts.add(c)
+	})
+}
+
+// noteCrash takes a cut for that of a crash.
+func (l *Relayer) noteCrash(c cut, evidence string) {
+	l.count("crashes")
+	klog.InfoS("Request cut by a crash of its upstream", "request", c.request, "upstream", c.upstream.ID, "events", c.events,
+		"parts", c.parts, "evidence", evidence, "ago", l.Registrar.Clock.Since(c.at))
+	if c.events < survivedEvents {
+		l.Localizer.Crashed(c.upstream.ID, c.parts, c.at)
+	}
+}
+
+const (
+	// restartWithin is how soon after a cut the record of a new start may come that shows it to be a crash,
+	// and maxCuts how many cuts wait for one.
+	restartWithin = 5 * time.Second
+	maxCuts       = 256
+)
+
+// cut is a request that was cut by its upstream's end of the connection. At is by the registrar's clock.
+type cut struct {
+	upstream registrar.Upstream
+	request  string
+	events   int
+	parts    []string
+	at       time.Time
+}
+
+// cuts are those of which it isn't known whether their upstream has crashed: something listens at its
+// address, which may be its next start already.
+type cuts struct {
+	mu      sync.Mutex
+	waiting []cut
+}
+
+func (s *cuts) add(c cut) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) == maxCuts {
+		s.waiting = s.waiting[1:]
+	}
+	s.waiting = append(s.waiting, c)
+}
+
+// SweepCuts looks whether the upstreams of cut requests have started again. It should be called several
+// times a second.
+func (l *Relayer) SweepCuts() {
+	view := l.Registrar.View()
+	if view == nil {
+		return
+	}
+	l.cuts.mu.Lock()
+	waiting := l.cuts.waiting
+	l.cuts.waiting = nil
+	l.cuts.mu.Unlock()
+	for _, c := range waiting {
+		switch {
+		case startedAgain(view, c.upstream):
+			l.noteCrash(c, "started again")
+		case l.Registrar.Clock.Since(c.at) < restartWithin:
+			l.cuts.add(c)
 		}
+	}
+}
+
+// startedAgain tells whether another start of an upstream is known.
+func startedAgain(view *registrar.View, u registrar.Upstream) bool {
+	return slices.ContainsFunc(view.Service(u.Service), func(v *registrar.UpstreamView) bool {
+		return v.Address == u.Address && v.StartedAt.After(u.StartedAt)
 	})
 }
 
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -141,6 +141,26 @@
 	must.Eq(t, "u1", w.reports(t, 1)[0].Upstream)
 }
 
+// Guards against crashes that go unnoticed as the upstream is back at once, or something else listens for it.
+func TestUpstreamThatIsBackAtOnceHasCrashed(t *testing.T) {
+	w := newCrashWorld(t, resetAfter(0))
+	w.askParts(t, "a", "kind,fatal,own")
+	for range 10 {
+		w.relayer.SweepCuts()
+		time.Sleep(10 * time.Millisecond)
+	}
+	u, _ := w.relayer.Localizer.Since(0)
+	must.SliceEmpty(t, u.Reports)
+	w.startAgain(0)
+	deadline := time.Now().Add(patience)
+	for len(u.Reports) == 0 {
+		must.True(t, time.Now().Before(deadline))
+		w.relayer.SweepCuts()
+		u, _ = w.relayer.Localizer.Since(0)
+	}
+	must.Eq(t, []string{"kind", "fatal"}, u.Reports[0].Parts)
+}
+
 // Guards against upstreams that are well and reset connections being taken for crashed ones.
 func TestResetOfAnUpstreamThatIsWellIsNoCrash(t *testing.T) {
 	w := newCrashWorld(t, resetAfter(0), resetAfter(1))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -52,6 +52,8 @@
 	mu sync.Mutex
 	// longestPatience is the longest that callers of each route were seen to wait.
 	longestPatience map[string]time.Duration
+
+	cuts cuts
 }
 
 // call is one caller's request on its way.
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -167,6 +167,10 @@
 			return registrar.Table{Table: table()}, nil
 		}
 		for _, u := range upstreams {
+			if next, ok := strings.CutSuffix(key, " again"); ok && next == u.name {
+				a := netip.MustParseAddrPort(u.listener.Addr().String())
+				return registrar.Upstream{ID: key, Service: "desk", Address: a, FailureDomain: "a", Slots: 6, StartedAt: time.Now()}, nil
+			}
 			if u.name == key {
 				a := netip.MustParseAddrPort(u.listener.Addr().String())
 				service, _, ok := strings.Cut(u.name, "-")
@@ -186,6 +190,12 @@
 	return newWorldOf(t, reg, upstreams)
 }
 
+// startAgain has the record of an upstream's next start come.
+func (w *world) startAgain(i int) {
+	at, _, _ := w.registrar.At()
+	w.registrar.Apply(registrar.Batch{After: at, At: at + 1, Records: []registrar.Record{{Key: w.upstreams[i].name + " again", Revision: at + 1}}})
+}
+
 // newWorldOf makes an entry that believes what a registrar does.
 func newWorldOf(t *testing.T, reg *registrar.Registrar, upstreams []*upstream) *world {
 	c := clock.RealClock{}
--- a/soak/auditor/arrivals.go
+++ b/soak/auditor/arrivals.go
@@ -30,6 +30,7 @@
 	}
 	a.judgePlace(r, u)
 	a.judgeStated(r, u)
+	a.judgeFatal(r, u)
 	a.judgeKey(r, e)
 	a.judgeTables(r, u)
 	a.judgeCold(r, u)
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -26,6 +26,8 @@
 	Rest          Promise = "an upstream at rest gets two requests at most"
 	Evacuation    Promise = "a drained failure domain gets nothing after the bound"
 	Cold          Promise = "a cold upstream gets no more than it bears"
+	Fatal         Promise = "requests with a part that crashes upstreams are refused"
+	Sound         Promise = "sound requests beside such a part are served"
 	Budget        Promise = "repeats stay within the budget"
 	Attempts      Promise = "a request runs at no more upstreams than its route allows"
 	Home          Promise = "requests stay in their regions"
@@ -46,7 +48,7 @@
 
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
-	Once, Refusal, Whole, Cut, Unchanged, Stream, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Budget, Attempts, Home, Keys,
+	Once, Refusal, Whole, Cut, Unchanged, Stream, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Fatal, Sound, Budget, Attempts, Home, Keys,
 	Config, Regress, Denial, Graceful, Kept, Directory, Deadline, Gone, Abandoned, Reload, Exit, Recovery,
 }
 
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -27,6 +27,10 @@
 	Lasts time.Duration
 	// Kept tells that the connection was used before.
 	Kept bool
+	// Parts are those that the prompt shares with others, and Fatal is the one of them that crashes
+	// upstreams; empty for none.
+	Parts []string
+	Fatal string
 }
 
 // Answered is the end of a request as its caller sees it.
@@ -88,6 +92,9 @@
 	Broken       bool
 }
 
+// Crashed is the end of an upstream under a request with a part that crashes it.
+type Crashed struct{ Upstream, Part string }
+
 // Joined is an upstream that begins to serve.
 type Joined struct {
 	Upstream, Service, FailureDomain, Region string
@@ -178,6 +185,7 @@
 func (Rejected) event()   {}
 func (Began) event()      {}
 func (Ended) event()      {}
+func (Crashed) event()    {}
 func (Joined) event()     {}
 func (Leaving) event()    {}
 func (Configured) event() {}
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -96,12 +96,13 @@
 	named     []confirmed[uint64]
 	drained   map[string]time.Time
 	spans     map[string][]span
+	fatal     map[string]*fatal
 }
 
 func newHistory(b Bounds) *history {
 	return &history{
 		Bounds: b, requests: map[string]*request{}, upstreams: map[string]*upstream{}, entries: map[string]*entry{},
-		drained: map[string]time.Time{}, spans: map[string][]span{},
+		drained: map[string]time.Time{}, spans: map[string][]span{}, fatal: map[string]*fatal{},
 	}
 }
 
@@ -117,6 +118,9 @@
 	switch e := e.(type) {
 	case Sent:
 		h.requests[e.ID] = &request{Sent: e, at: h.now}
+		h.noteFatal(e)
+	case Crashed:
+		h.noteFatal(e)
 	case Answered:
 		if r := h.requests[e.ID]; r != nil {
 			r.answer, r.answeredAt = &e, h.now
--- a/soak/soaker/callers.go
+++ b/soak/soaker/callers.go
@@ -156,11 +156,14 @@
 }
 
 // ask sends a request and tells how long to wait for the next.
-func (c *caller) ask(q *standin.Request) time.Duration {
+func (c *caller) ask(q *standin.Request) time.Duration { return c.askFatal(q, "") }
+
+// askFatal is ask for a request with a part that crashes engines; empty for none.
+func (c *caller) askFatal(q *standin.Request, fatal string) time.Duration {
 	entry := c.names[c.conn.Entry]
 	c.note(auditor.Sent{
 		ID: q.ID, Entry: entry, Path: q.Path, Key: q.Key, Content: q.Content(), Limit: q.Limit,
-		Events: q.Events, After: q.LastEvent, Lasts: figures.Step * time.Duration(q.Events-q.LastEvent), Kept: c.conn.Used,
+		Events: q.Events, After: q.LastEvent, Lasts: figures.Step * time.Duration(q.Events-q.LastEvent), Kept: c.conn.Used, Parts: q.Parts, Fatal: fatal,
 	})
 	a := c.conn.Send(q)
 	var parts []auditor.Part
@@ -182,17 +185,16 @@
 
 // draw draws the next request.
 func (c *caller) draw() *standin.Request {
-	n := requests.Add(1)
-	q := &standin.Request{ID: fmt.Sprintf("%08x%08x", c.Seed, n), Host: host, Model: figures.Model, Limit: limit, Key: c.key()}
+	q := c.newRequest()
 	prefixes := []string{
 		draftPrefix, draftPrefix, draftPrefix, oncePrefix, homePrefix, bookPrefix, bookPrefix, lookPrefix, publicPrefix, movingPrefix, comingPrefix,
 	}
 	prefix := prefixes[c.random.IntN(len(prefixes))]
-	q.Path = fmt.Sprintf("%s%d?slot=%d", prefix, c.random.IntN(100), n)
-	q.Body = fmt.Sprintf("{\"lead\":%d,\"shift\":%d}", n, c.random.IntN(1000))
+	c.address(q, prefix)
 	switch prefix {
 	case draftPrefix, oncePrefix, homePrefix:
 		q.Prompt, q.Events = 100+c.random.IntN(600), 8+c.random.IntN(16)
+		q.Parts = soundParts(prefix)
 		if prefix == draftPrefix && c.random.IntN(12) == 0 {
 			q.LastEvent = 1 + c.random.IntN(4)
 		}
@@ -209,6 +211,19 @@
 	return q
 }
 
+// newRequest makes a request that has no path yet.
+func (c *caller) newRequest() *standin.Request {
+	n := requests.Add(1)
+	return &standin.Request{ID: fmt.Sprintf("%08x%08x", c.Seed, n), Host: host, Model: figures.Model, Limit: limit, Key: c.key()}
+}
+
+// address has a request go by a route.
+func (c *caller) address(q *standin.Request, prefix string) {
+	n := requests.Load()
+	q.Path = fmt.Sprintf("%s%d?slot=%d", prefix, c.random.IntN(100), n)
+	q.Body = fmt.Sprintf("{\"lead\":%d,\"shift\":%d}", n, c.random.IntN(1000))
+}
+
 func (c *caller) key() string {
 	now, before := c.operators.changingKeys()
 	keys := []string{steadyKey, steadyKey, steadyKey, homeKey, now, before}
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -53,6 +53,8 @@
 		w.faultLink(w.entryLinks[f.Target%len(w.entryLinks)], f, func() string { return entry.name })
 	case upstreamLeaves, serviceLeaves, upstreamGone, upstreamCrash, upstreamRests, stagedSpoils:
 		w.faultUpstream(f)
+	case promptCrashes:
+		w.crashByPrompts(f)
 	default:
 		w.change(f)
 	}
--- a/soak/soaker/link.go
+++ b/soak/soaker/link.go
@@ -18,11 +18,13 @@
 // link passes TCP connections on to one address and can do to them what a faulty
 // network does.
 type link struct {
-	listener net.Listener
-	to       netip.AddrPort
+	at, to netip.AddrPort
 
-	mu    sync.Mutex
-	delay time.Duration
+	mu sync.Mutex
+	// listener is nil while the link refuses connections, like a port without a listener.
+	listener net.Listener
+	closed   bool
+	delay    time.Duration
 	// there and back are held while closed channels of their own are missing: nil lets
 	// bytes pass.
 	there, back chan struct{}
@@ -49,16 +51,42 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listener: l, to: to, conns: map[*pipe]bool{}}
-	go k.accept()
+	k := &link{at: netip.MustParseAddrPort(l.Addr().String()), listener: l, to: to, conns: map[*pipe]bool{}}
+	go k.accept(l)
 	return k, nil
 }
 
-func (k *link) address() netip.AddrPort { return netip.MustParseAddrPort(k.listener.Addr().String()) }
+func (k *link) address() netip.AddrPort { return k.at }
+
+// refuse has the link refuse connections until it is opened.
+func (k *link) refuse() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listener != nil {
+		k.listener.Close()
+		k.listener = nil
+	}
+}
+
+// open has the link take connections again.
+func (k *link) open() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listener != nil || k.closed {
+		return nil
+	}
+	l, err := net.Listen("tcp", k.at.String())
+	if err != nil {
+		return err
+	}
+	k.listener = l
+	go k.accept(l)
+	return nil
+}
 
-func (k *link) accept() {
+func (k *link) accept(l net.Listener) {
 	for {
-		near, err := k.listener.Accept()
+		near, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -262,7 +290,10 @@
 
 // close ends the link.
 func (k *link) close() {
-	k.listener.Close()
+	k.refuse()
+	k.mu.Lock()
+	k.closed = true
+	k.mu.Unlock()
 	k.mend()
 	k.silence()
 	k.reset()
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -75,10 +75,14 @@
 	// Requests to an engine soon end by its agent, which learns of the leaving as well.
 	u.StatesLeaving = p.vm.Service != engineService || (p.number+p.generation)%2 == 0
 	u.Observer, u.Store, u.Heartbeat, u.BreakOff = observer{p.world}, p.store, heartbeat, &p.breakOff
+	u.Fatal, u.Crashed = &p.fatal, sync.OnceFunc(func() { p.crashUnder(u) })
 	p.note(auditor.Joined{
 		Upstream: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Region: p.vm.Region, Cold: cold, ColdRate: coldRate,
 	})
 	u.Start(l, cold)
+	if err := p.link.open(); err != nil {
+		p.say("no link to %s: %v", p.vm.Name, err)
+	}
 }
 
 // replace ends the upstream in some way and opens another after a pause. It does nothing, and returns
@@ -105,6 +109,7 @@
 // crash ends an upstream at once. The store drops its record after three heartbeats.
 func (p *place) crash(u *standin.Upstream) {
 	p.note(auditor.Disturbed{Who: u.ID})
+	p.link.refuse()
 	u.Stop()
 	time.AfterFunc(3*heartbeat, func() { p.store.DropUpstream(u.ID) })
 }
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -65,6 +65,7 @@
 	weightsNamed   faultKind = "weights named"
 	domainDrained  faultKind = "failure domain drained"
 	callersBurst   faultKind = "burst of callers"
+	promptCrashes  faultKind = "a part of prompts crashes engines"
 )
 
 // weighted lists the kinds with their odds. A change here changes what every seed draws, so
@@ -171,6 +172,7 @@
 	faults = append(faults, sure(r, last)...)
 	faults = append(faults, rests(seed, last)...)
 	faults = append(faults, powerLosses(seed, last)...)
+	faults = append(faults, fatals(seed, last)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
 	return inTurn(faults)
 }
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -72,6 +72,8 @@
 	places                 []*place
 	operators              *operators
 	breakOff               atomic.Int32
+	// fatal is the part of prompts that crashes engines now; nil for none.
+	fatal atomic.Pointer[string]
 
 	// storeFault is held during a fault of the whole store, draining while a failure domain is
 	// drained.
