--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -36,6 +36,9 @@
 	lastAt   time.Time
 	// events were delivered, of all that make up the answer.
 	events int
+	// fatal tells that its prompt crashes engines, and sentAt when its present try began.
+	fatal  bool
+	sentAt time.Time
 }
 
 // arrive has a caller come at a moment.
@@ -129,9 +132,10 @@
 // run.
 func (c *caller) try(number int) (*refusal, error) {
 	e := c.entries[c.random.IntN(len(c.entries))]
+	c.sentAt = c.time.Now()
 	left := c.patience - c.time.Since(c.began)
 	j := &relayer.Job{
-		Request: relayer.Request{ID: fmt.Sprintf("%d-%d", c.Number, number), Model: model, Prompt: c.Prompt,
+		Request: relayer.Request{ID: fmt.Sprintf("%d-%d", c.Number, number), Model: model, Prompt: c.Prompt, Parts: c.parts(),
 			MaxAnswer: max(c.kind.Answer.Most, c.Answer), Hint: c.hint, Patience: left},
 		Route: c.route(), Arrived: c.time.Now(),
 	}
@@ -170,6 +174,9 @@
 		return &relayer.SendError{Upstream: p.Upstream.ID, Outcome: retrier.NotRun, Status: http.StatusMisdirectedRequest,
 			Err: &UpstreamError{Problem: "another engine"}}
 	}
+	if c.fatal {
+		c.fatals.reach(c, j.ID)
+	}
 	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride}, e.name, box, way)
 	limit := p.FirstEventLimit()
 	for first := true; ; first = false {
@@ -191,6 +198,7 @@
 			h.ask(e.name, c.Length)
 		}
 		c.deliver()
+		e.relayer.EventPassed(j)
 		e.relayer.Chooser.Alive(h.id)
 		if got.Last {
 			e.relayer.Chooser.Served(h.id)
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -34,6 +34,8 @@
 	Workspaces     []Workspace     `toml:"workspaces"`
 	Surges         []Surge         `toml:"surges"`
 	Faults         []Fault         `toml:"faults"`
+	// Fatal are callers whose prompts crash engines.
+	Fatal Fatal `toml:"fatal"`
 	// Without are the mechanisms that are switched off.
 	Without ablator.Set `toml:"without"`
 }
@@ -211,6 +213,18 @@
 	Chance  float64       `toml:"chance"`
 }
 
+// Fatal are callers of a kind whose prompts have one part that crashes engines as they begin to write an
+// answer. They come every so often for a time, each over any entry, and earn nothing.
+type Fatal struct {
+	At    time.Duration `toml:"at"`
+	Lasts time.Duration `toml:"lasts"`
+	// Every is the pause between two of them; 0 for none.
+	Every time.Duration `toml:"every"`
+	Kind  string        `toml:"kind"`
+	// Down is how long a crashed engine takes to come back.
+	Down time.Duration `toml:"down"`
+}
+
 // FileError reports an experiment that can't be played.
 type FileError struct {
 	Path, Problem string
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/emulator"
@@ -61,11 +62,17 @@
 	stated  observer.Statements
 }
 
-// UpstreamError is an engine's refusal or end, as an entry sees it.
-type UpstreamError struct{ Problem string }
+// UpstreamError is an engine's refusal or end, as an entry sees it. Err is what its connection gave; nil for
+// nothing.
+type UpstreamError struct {
+	Problem string
+	Err     error
+}
 
 func (e *UpstreamError) Error() string { return e.Problem }
 
+func (e *UpstreamError) Unwrap() error { return e.Err }
+
 func newHost(w *world, d *FailureDomain, number int) *host {
 	h := &host{world: w, domain: d, id: fmt.Sprintf("%s-%d", d.Name, number), streams: map[string]*sequencer.Mailbox[part]{}, quiet: map[string]quietSpan{},
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(w.hosts) >> 8), byte(len(w.hosts))}), 1)}
@@ -218,6 +225,10 @@
 	now := h.time.Now()
 	for _, v := range h.engine.Finish() {
 		box := h.streams[v.ID]
+		if v.First && h.fatals.requests[v.ID] {
+			h.crashUnder()
+			return
+		}
 		if h.tear > 0 && box != nil && h.random.Float64() < h.tear {
 			h.breakOff(v, box, now)
 			continue
@@ -284,8 +295,10 @@
 func (h *host) end() {
 	h.starts++
 	h.down = true
+	reset := h.failure(retrier.Unknown, 0, "connection reset")
+	reset.Err = &UpstreamError{Problem: "connection reset", Err: syscall.ECONNRESET}
 	for _, id := range slices.Sorted(maps.Keys(h.streams)) {
-		h.later(h.streams[id], h.Network.OtherRegion, part{failure: h.failure(retrier.Unknown, 0, "connection reset")})
+		h.later(h.streams[id], h.Network.OtherRegion, part{failure: reset})
 	}
 	clear(h.streams)
 }
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -29,6 +29,8 @@
 		p.share(everything, simulator.Refused), p.share(everything, simulator.Failed))
 	for _, r := range p {
 		must.Zero(t, r.ColdExcess)
+		// Crashes of engines blame no prompt, unless it has the fatal part.
+		must.Eq(t, e.Fatal.Every > 0, len(r.Blamed) > 0, must.Sprintf("%v", r.Blamed))
 		for _, q := range r.Requests {
 			must.Eq(t, 1, q.Ends)
 		}
@@ -255,3 +257,19 @@
 	must.Less(t, 0.85*refused.share(everything, simulator.Refused), waited.share(everything, simulator.Refused))
 	must.Less(t, 0.003, refused.worth(everything)-waited.worth(everything), must.Sprint("first attempts don't pay for them"))
 }
+
+// Guards against requests with a part that crashes engines being sent on, and against sound callers who are
+// not served meanwhile.
+func TestPartThatCrashesEngines(t *testing.T) {
+	e := load(t, "fatalPart")
+	p := playAll(t, e)
+	for _, r := range p {
+		t.Logf("seed %d: %d crashes, %d requests sent, %d refused", r.Seed, r.Crashes, r.FatalSent, r.FatalRefused)
+		must.Eq(t, []string{"fatal"}, r.Blamed)
+		must.Zero(t, r.FatalLate)
+		must.GreaterEq(t, 20, r.FatalRefused)
+	}
+	usual := playAll(t, load(t, "base"))
+	// Six seconds after the crashes, while such requests still come.
+	must.GreaterEq(t, usual.worth(came(15, 18))-seedSpread, p.worth(came(15, 18)))
+}
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -62,6 +62,12 @@
 	Misdirected int
 	// ColdExcess counts requests beyond the bound of cold engines.
 	ColdExcess int
+	// FatalSent is how many requests with a part that crashes engines reached one, FatalLate how many of
+	// these their callers sent later than three seconds after the fifth crash of Crashes, and FatalRefused how
+	// many callers of such requests were refused.
+	FatalSent, FatalLate, FatalRefused, Crashes int
+	// Blamed are the parts of prompts that any entry has come to refuse, sorted.
+	Blamed []string
 	// Total is over all requests.
 	Total Row
 	// Tables are by kind, workspace, size and failure domain.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
@@ -54,6 +55,7 @@
 	// open are the requests that have not ended.
 	open   int
 	report *Report
+	fatals fatals
 }
 
 // entry is an entry with its own beliefs.
@@ -62,6 +64,8 @@
 	name    string
 	domain  *FailureDomain
 	relayer *relayer.Relayer
+	// told is up to which sequence number each other entry knows what this one has found.
+	told map[*entry]uint64
 }
 
 // Run plays an experiment. The same seed gives the same report.
@@ -74,7 +78,9 @@
 	w.table = w.makeTable()
 	w.build()
 	w.plan()
+	w.planFatal()
 	w.time.Run()
+	w.report.Blamed = w.blamed()
 	w.report.sum()
 	return w.report
 }
@@ -123,7 +129,7 @@
 }
 
 func (w *world) newEntry(d *FailureDomain, number int) *entry {
-	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number)}
+	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number), told: map[*entry]uint64{}}
 	r := &registrar.Registrar{Clock: w.time, Decode: w.decode}
 	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom(), Without: w.Without}
 	regions := map[string]string{}
@@ -132,6 +138,7 @@
 	}
 	e.relayer = &relayer.Relayer{
 		Registrar: r, Chooser: chooser, Clock: w.time, Random: w.newRandom(), Metrics: metrics.NewRegistry(),
+		Localizer: &localizer.Localizer{Entry: e.name, Clock: w.time, WallClock: w.time}, Prober: prober{w},
 		Placer: &relayer.Placer{
 			Registrar: r, Chooser: chooser, Observer: &observer.Observer{Clock: w.time}, Clock: w.time, FailureDomain: d.Name, Region: d.Region, Regions: regions,
 			AgentPort: agentPort, ColdFactor: w.Engine.ColdFactor, ColdSlack: w.Engine.ColdSlack, Without: w.Without,
