--- a/cmd/oriolecroft/platform_blame_test.go
+++ b/cmd/oriolecroft/platform_blame_test.go
@@ -306,6 +306,7 @@
 	t.Setenv("ORIOLECROFT_SETTINGS", w.settings[0])
 	out, status := command(t, t.TempDir(), "platform", "blames")
 	must.Eq(t, 0, status, must.Sprint(out))
+	t.Log(out)
 	must.StrContains(t, out, fatalPart)
 	must.StrContains(t, out, "front-")
 	_, status = command(t, t.TempDir(), "platform", "blames", "--lift", "farm1")
--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -43,6 +43,8 @@
 	LateWait Mechanism = "lateWait"
 	// UpstreamTerms keeps to what upstreams state of themselves in their replies.
 	UpstreamTerms Mechanism = "upstreamTerms"
+	// PromptBlame refuses prompts with a part that crashes engines.
+	PromptBlame Mechanism = "promptBlame"
 	// RetryJitter spreads the Retry-After of callers that are refused together.
 	RetryJitter Mechanism = "retryJitter"
 	// RetryBudget bounds retries to a share of first attempts.
@@ -53,7 +55,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
-		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, RetryJitter, RetryBudget,
+		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, RetryJitter, RetryBudget,
 	}
 }
 
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
 	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
@@ -160,6 +161,9 @@
 
 // checkParts refuses a request with a part that crashes upstreams. Errors are *localizer.BlamedError.
 func (l *Relayer) checkParts(j *Job) error {
+	if l.Placer.Without.Has(ablator.PromptBlame) {
+		return nil
+	}
 	request := j.ID
 	if j.failed {
 		request = ""
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -269,6 +269,9 @@
 		must.Zero(t, r.FatalLate)
 		must.GreaterEq(t, 20, r.FatalRefused)
 	}
+	e.Without = ablator.Set{ablator.PromptBlame}
+	sent := playAll(t, e)
+	must.Greater(t, sent.worth(everything), p.worth(everything))
 	usual := playAll(t, load(t, "base"))
 	// Six seconds after the crashes, while such requests still come.
 	must.GreaterEq(t, usual.worth(came(15, 18))-seedSpread, p.worth(came(15, 18)))
