informer: tests over loopback; nothing to do while nothing changes

Peers are kept in step when the view changes and told when this entry has found anything, instead of being looked through twenty times a second.

Tests: evidence of all entries is joined while the store is out, an entry that starts asks the others, blames are kept in the store by any entry that knows them, an operator's word reaches all.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -55,6 +55,8 @@
 
 	clients messenger.Clients
 	peers   map[netip.AddrPort]*peer
+	// allTold is the sequence number up to which all peers know what this entry has found.
+	allTold uint64
 	results chan result
 	// asked tells that another entry has answered with all that it knows, knownFrom since when there is
 	// anything to go by.
@@ -112,7 +114,7 @@
 // Serve runs until the context ends.
 func (i *Informer) Serve(ctx context.Context) error {
 	i.clients.Dial, i.clients.Timeout = i.Dial, callTimeout
-	i.peers, i.results = map[netip.AddrPort]*peer{}, make(chan result)
+	i.peers, i.results, i.allTold = map[netip.AddrPort]*peer{}, make(chan result), 0
 	i.asking, i.nextAt, i.learned = false, time.Time{}, nil
 	i.keeper = keeper{store: i.Store, clock: i.Clock, entry: i.Member.ID, results: make(chan kept)}
 	defer i.clients.Close()
@@ -139,10 +141,10 @@
 		for _, b := range view.Blames {
 			i.Localizer.Learn(b)
 		}
+		i.meet(view)
 	}
 	i.Localizer.Tick()
 	i.noteInformed(view)
-	i.forgetOthers(view)
 	i.tell(ctx)
 	i.ask(ctx)
 	if view != nil {
@@ -150,18 +152,16 @@
 	}
 }
 
-// forgetOthers keeps peers in step with the known entries.
-func (i *Informer) forgetOthers(view *registrar.View) {
+// meet keeps peers in step with the known entries.
+func (i *Informer) meet(view *registrar.View) {
 	used := map[netip.AddrPort]bool{}
 	for _, s := range i.Seeds {
 		used[s] = true
 	}
 	incarnations := map[netip.AddrPort]string{}
-	if view != nil {
-		for _, m := range view.Members {
-			if m.ID != i.Member.ID {
-				used[m.Peers], incarnations[m.Peers] = true, m.Incarnation
-			}
+	for _, m := range view.Members {
+		if m.ID != i.Member.ID {
+			used[m.Peers], incarnations[m.Peers] = true, m.Incarnation
 		}
 	}
 	for a := range i.peers {
@@ -172,6 +172,7 @@
 	for a, incarnation := range incarnations {
 		if p := i.peers[a]; p == nil || p.incarnation != incarnation {
 			i.peers[a] = &peer{incarnation: incarnation}
+			i.allTold = 0
 		}
 	}
 	i.clients.Keep(used)
@@ -179,9 +180,14 @@
 
 // tell sends the other entries what this one has found and they don't know.
 func (i *Informer) tell(ctx context.Context) {
-	now := i.Clock.Now()
+	newest := i.Localizer.Sequence()
+	if newest == i.allTold {
+		return
+	}
+	now, all := i.Clock.Now(), true
 	for a, p := range i.peers {
-		if p.busy || now.Before(p.from) {
+		all = all && p.told >= newest
+		if p.told >= newest || p.busy || now.Before(p.from) {
 			continue
 		}
 		u, told := i.Localizer.Since(p.told)
@@ -192,6 +198,9 @@
 		p.busy = true
 		i.call(ctx, a, u, result{to: a, told: told})
 	}
+	if all {
+		i.allTold = newest
+	}
 }
 
 // ask asks one other entry for everything once that is due.
--- /dev/null
+++ b/internal/informer/informer_test.go
@@ -0,0 +1,229 @@
+package informer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/informer"
+	"github.com/oriolecroft/oriolecroft/internal/localizer"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/storer"
+)
+
+// patience is for how long a step may take on a machine that is short of processor time.
+const patience = 20 * time.Second
+
+// store keeps records and hands them to entries that read it, unless it is out.
+type store struct {
+	mu       sync.Mutex
+	out      bool
+	revision uint64
+	readers  []*registrar.Registrar
+	puts     map[string]localizer.Blame
+}
+
+func (s *store) PutBlame(_ context.Context, b localizer.Blame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return &storer.UnavailableError{Op: "put"}
+	}
+	s.puts[b.Part] = b
+	value, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	s.write("blame "+b.Part, value)
+	return nil
+}
+
+func (s *store) DropBlame(context.Context, string) error { return nil }
+
+func (s *store) write(key string, value []byte) {
+	s.revision++
+	for _, r := range s.readers {
+		r.Apply(registrar.Batch{After: s.revision - 1, At: s.revision, Records: []registrar.Record{{Key: key, Value: value, Revision: s.revision}}})
+	}
+}
+
+func (s *store) kept(part string) localizer.Blame {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.puts[part]
+}
+
+func decode(key string, value []byte) (registrar.Fact, error) {
+	if strings.HasPrefix(key, "blame ") {
+		var b localizer.Blame
+		err := json.Unmarshal(value, &b)
+		return registrar.Blame{Blame: b}, err
+	}
+	var m registrar.Member
+	err := json.Unmarshal(value, &m)
+	return m, err
+}
+
+// entry is one of a deployment, with links that only it has.
+type entry struct {
+	*localizer.Localizer
+	informer  *informer.Informer
+	registrar *registrar.Registrar
+	member    registrar.Member
+	stop      func()
+	crashes   int
+}
+
+// deployment is some entries that know each other.
+type deployment struct {
+	t       *testing.T
+	store   *store
+	entries []*entry
+}
+
+func newDeployment(t *testing.T, n int) *deployment {
+	d := &deployment{t: t, store: &store{puts: map[string]localizer.Blame{}}}
+	for i := range n {
+		d.entries = append(d.entries, d.start(fmt.Sprint("e", i), "1", nil))
+	}
+	d.introduce()
+	return d
+}
+
+// introduce has the store name all entries.
+func (d *deployment) introduce() {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	for _, e := range d.entries {
+		value, err := json.Marshal(e.member)
+		must.NoError(d.t, err)
+		d.store.write(e.member.ID, value)
+	}
+}
+
+func (d *deployment) start(id, incarnation string, seeds []netip.AddrPort) *entry {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(d.t, err)
+	e := &entry{registrar: &registrar.Registrar{Clock: clock.RealClock{}, Decode: decode}}
+	e.Localizer = &localizer.Localizer{Entry: id, Clock: clock.RealClock{}, WallClock: clock.RealClock{}}
+	a := netip.MustParseAddrPort(l.Addr().String())
+	e.member = registrar.Member{ID: id, Incarnation: incarnation, Callers: a, Peers: a}
+	e.informer = &informer.Informer{
+		Localizer: e.Localizer, Registrar: e.registrar, Member: e.member, Seeds: seeds, Store: d.store, Clock: clock.RealClock{},
+		Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &messenger.Server{Listener: l, OnEvidence: e.Answer}
+	var all sync.WaitGroup
+	all.Go(func() { _ = server.Serve(ctx) })
+	all.Go(func() { _ = e.informer.Serve(ctx) })
+	e.stop = func() {
+		cancel()
+		all.Wait()
+	}
+	d.t.Cleanup(e.stop)
+	d.store.mu.Lock()
+	d.store.readers = append(d.store.readers, e.registrar)
+	d.store.mu.Unlock()
+	return e
+}
+
+// crash has an entry see crashes under requests with a part, far enough apart.
+func (e *entry) crash(part string, n int) {
+	for range n {
+		e.crashes++
+		e.Crashed(fmt.Sprint(e.member.ID, " upstream ", e.crashes), []string{part}, time.Now())
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+// refuses waits until an entry refuses a part, or no longer does.
+func (d *deployment) refuses(e *entry, part string, yes bool) {
+	deadline := time.Now().Add(patience)
+	for (e.Check("r", []string{part}) != nil) != yes {
+		must.True(d.t, time.Now().Before(deadline), must.Sprintf("%s: %v", e.member.ID, e.Blames()))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against evidence that stays where it was seen: no entry alone sees enough crashes, and the store is out.
+func TestEvidenceOfAllEntriesIsJoined(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.store.out = true
+	for range 2 {
+		for _, e := range d.entries {
+			e.crash("fatal", 1)
+		}
+	}
+	for _, e := range d.entries {
+		d.refuses(e, "fatal", true)
+		must.NoError(t, e.Check("r", []string{"other"}))
+	}
+}
+
+// Guards against an entry that starts anew and doesn't know what the others refuse, while the store is out.
+func TestStartedEntryAsksTheOthers(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.store.out = true
+	d.entries[0].crash("fatal", 5)
+	d.refuses(d.entries[1], "fatal", true)
+	started := d.start("e2", "1", []netip.AddrPort{d.entries[1].member.Peers})
+	must.False(t, started.informer.Informed())
+	d.refuses(started, "fatal", true)
+}
+
+// Guards against blames that a restart of all entries forgets, and against none in the store as the entry that
+// decided is gone.
+func TestBlamesAreKeptInTheStore(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.store.mu.Lock()
+	d.store.out = true
+	d.store.mu.Unlock()
+	d.entries[0].crash("fatal", 5)
+	for _, e := range d.entries {
+		d.refuses(e, "fatal", true)
+	}
+	d.entries[0].stop()
+	d.store.mu.Lock()
+	d.store.out = false
+	d.store.mu.Unlock()
+	deadline := time.Now().Add(patience)
+	for d.store.kept("fatal").Part == "" {
+		must.True(t, time.Now().Before(deadline))
+		time.Sleep(20 * time.Millisecond)
+	}
+	d.entries[1].stop()
+	started := d.start("e3", "1", nil)
+	value, err := json.Marshal(d.store.kept("fatal"))
+	must.NoError(t, err)
+	started.registrar.Apply(registrar.Batch{Whole: true, At: 100, Records: []registrar.Record{{Key: "blame fatal", Value: value, Revision: 100}}})
+	d.refuses(started, "fatal", true)
+}
+
+// Guards against a blame that lasts at entries which the operator's word didn't reach.
+func TestLiftedBlameEndsEverywhere(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.entries[0].crash("fatal", 5)
+	for _, e := range d.entries {
+		d.refuses(e, "fatal", true)
+	}
+	b := d.entries[2].Blames()[0]
+	b.Lifted, b.Reason = true, "operator"
+	client := &messenger.Client{Address: d.entries[2].member.Peers, Timeout: patience}
+	defer client.Close()
+	_, err := client.Evidence(t.Context(), localizer.Update{Blames: []localizer.Blame{b}})
+	must.NoError(t, err)
+	for _, e := range d.entries {
+		d.refuses(e, "fatal", false)
+	}
+}
--- a/internal/informer/keeper.go
+++ b/internal/informer/keeper.go
@@ -39,6 +39,9 @@
 // keep writes the first part on which the store has something else. Who decided writes at once, the others
 // only if the store still lacks it after a while: the one that decided may be gone.
 func (k *keeper) keep(ctx context.Context, known []localizer.Blame, stored map[string]localizer.Blame) {
+	if len(known) == 0 && len(stored) == 0 {
+		return
+	}
 	now := k.clock.Now()
 	if k.differs == nil {
 		k.differs = map[string]time.Time{}
--- a/internal/localizer/blame.go
+++ b/internal/localizer/blame.go
@@ -231,6 +231,13 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(max(0, n)) * time.Millisecond }
 
+// Sequence is the number of the last change that this entry has found itself.
+func (l *Localizer) Sequence() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sequence
+}
+
 // Since gives what this entry itself has found since a sequence number, and the number to go on from.
 func (l *Localizer) Since(after uint64) (Update, uint64) {
 	l.mu.Lock()
