localizer: replies that arrive before their crash count, and word against a blame from elsewhere

Found by reading: an entry dropped another one's reply to a prompt with a part whose crash it had not been told of yet, and might blame the part; an entry that learned of a blame from the store did not tell its replies against it; and with more fatal parts than can be blamed Tick would have gone on for good, as each blame lifted another one. TestReplyBeforeItsCrashCounts, TestBlameEndsWithTheWordOfEntriesThatWereCutOff, TestMorePartsThanCanBeBlamed.

--- a/internal/localizer/blame.go
+++ b/internal/localizer/blame.go
@@ -160,6 +160,8 @@
 	case !b.Lifted && was.Epoch != b.Epoch:
 		known.since, known.askedAt, known.trial = now, now, ""
 		known.log("Prompt part blamed", "learned", true)
+		// The one that decided may not know of a reply here.
+		l.noteAnswered([]string{b.Part})
 	}
 }
 
--- a/internal/localizer/localizer.go
+++ b/internal/localizer/localizer.go
@@ -30,6 +30,8 @@
 	maxReplies = 512
 	// maxBlames is how many parts are blamed at once; then the one not asked for the longest is cleared.
 	maxBlames = 256
+	// maxDecisions bounds the work of one Tick.
+	maxDecisions = 8
 	// liftedKept is how long it is known that a blame was lifted, so that no late message renews it, and
 	// maxLifted of how many parts.
 	liftedKept = 10 * time.Minute
@@ -120,10 +122,11 @@
 	}
 }
 
-// contradict takes in that a reply to a prompt with a part began at a time.
+// contradict takes in that a reply to a prompt with a part began at a time. That of another entry may
+// arrive before the report of the crash that it was told for.
 func (l *Localizer) contradict(part string, at time.Time, own bool) {
 	last := l.lastCrash(part)
-	if last.IsZero() && l.blames[part] == nil {
+	if own && last.IsZero() && l.blames[part] == nil {
 		return
 	}
 	known := l.replies[part]
@@ -227,7 +230,7 @@
 	now := l.Clock.Now()
 	l.forget(now)
 	l.expire(now)
-	for l.undecided {
+	for n := 0; l.undecided && n < maxDecisions; n++ {
 		worst, waits := l.worst(now)
 		if len(worst) == 0 {
 			l.undecided = waits
--- a/internal/localizer/localizer_test.go
+++ b/internal/localizer/localizer_test.go
@@ -280,6 +280,55 @@
 	must.NoError(t, e.Check("r", []string{fatal}))
 }
 
+// Guards against blame of a sound part by an entry that hears of a reply before it hears of the crashes.
+func TestReplyBeforeItsCrashCounts(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	e := w.entries[0]
+	w.clock.Step(10 * time.Second)
+	e.Apply(localizer.Update{Replies: []localizer.Reply{{Part: "sound", AgeMS: 100}}})
+	for n := range 6 {
+		e.Apply(localizer.Update{Reports: []localizer.Report{{Upstream: fmt.Sprint(n), Entry: "other", AgeMS: int64(300 * (n + 1)), Requests: 1, Parts: []string{"sound"}}}})
+	}
+	w.clock.Step(time.Second)
+	e.Tick()
+	must.MapEmpty(t, w.blamed())
+}
+
+// Guards against blame of a sound part that only entries answered which the deciding one didn't hear, for
+// longer than that lasts.
+func TestBlameEndsWithTheWordOfEntriesThatWereCutOff(t *testing.T) {
+	w := newWorld(1, 3, 6)
+	w.perSecond = 0
+	alone := w.entries[0]
+	w.run(time.Second)
+	alone.cutOff = true
+	for n := range 6 {
+		alone.Crashed(fmt.Sprint("engine", n), []string{"sound"}, w.clock.Now())
+		w.entries[1].Began([]string{"sound"}, w.clock.Now())
+		w.run(300 * time.Millisecond)
+	}
+	must.Eq(t, 1, w.blamed()["sound"])
+	// The store tells of the blame first.
+	w.entries[1].Learn(alone.Blames()[0])
+	alone.cutOff = false
+	w.run(time.Second)
+	must.MapEmpty(t, w.blamed())
+}
+
+// Guards against decisions without end if more parts crash engines than can be blamed.
+func TestMorePartsThanCanBeBlamed(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	e := w.entries[0]
+	for n := range 400 {
+		for i := range 5 {
+			e.Crashed(fmt.Sprintf("engine%d.%d", n, i), []string{fmt.Sprint("part", n)}, w.clock.Now())
+			w.clock.Step(250 * time.Millisecond)
+			e.Tick()
+		}
+	}
+	must.Between(t, 1, len(w.blamed()), 256)
+}
+
 // Guards against memory that grows with the parts that come.
 func TestMemoryIsBounded(t *testing.T) {
 	w := newWorld(1, 1, 1)
