--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -12,10 +12,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/oriolecroft/oriolecroft/internal/hoster"
-	"github.com/oriolecroft/oriolecroft/internal/informer"
 	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
+	"github.com/oriolecroft/oriolecroft/internal/propagator"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
@@ -89,11 +89,11 @@
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
 		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
-	inform := &informer.Informer{
+	evidence := &propagator.Propagator{
 		Localizer: d.localizer, Registrar: d.registrar, Member: member, Seeds: others(s.Seeds, s.Peers), Dial: dialPeer, Store: d.store, Clock: d.clock,
 	}
-	requests.Informed = inform.Informed
-	d.parts.Add(inform)
+	requests.BlamesSynced = evidence.Synced
+	d.parts.Add(evidence)
 	d.tick(pool.Sweep, placer.Sweep, requests.SweepCuts)
 	return e, e.listenAll()
 }
@@ -145,7 +145,7 @@
 	e.hoster.Callers = listeners[0]
 	e.parts.Add(web("ready", listeners[1], platform.Ready(e.hoster.Ready)))
 	e.parts.Add(web("directory", listeners[2], platform.Directory(e.registrar)))
-	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.ages), OnEvidence: e.localizer.Answer})
+	e.parts.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.Answer(e.registrar, e.ages), OnEvidence: e.localizer.Handle})
 	return e.serveMetrics(func() any { return e.status(e.readiness) }, e.readiness)
 }
 
--- a/internal/localizer/blame.go
+++ b/internal/localizer/blame.go
@@ -127,15 +127,15 @@
 	return max(l.untilTrial(b), time.Second)
 }
 
-// Learn takes a blame in that another entry decided on, or that the store has.
-func (l *Localizer) Learn(b Blame) {
+// Merge takes a blame in that another entry decided on, or that the store has.
+func (l *Localizer) Merge(b Blame) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
-	l.learn(b)
+	l.merge(b)
 }
 
-func (l *Localizer) learn(b Blame) {
+func (l *Localizer) merge(b Blame) {
 	known, now := l.blames[b.Part], l.Clock.Now()
 	switch {
 	case b.Part == "" || b.Epoch == 0:
@@ -161,7 +161,7 @@
 		known.since, known.askedAt, known.trial = now, now, ""
 		known.log("Prompt part blamed", "learned", true)
 		// The one that decided may not know of a reply here.
-		l.noteAnswered([]string{b.Part})
+		l.reportReplies([]string{b.Part})
 	}
 }
 
@@ -192,7 +192,7 @@
 			continue
 		}
 		if l.crashOf(r.Upstream, at).merge(r, 0) {
-			l.noteAnswered(r.Parts)
+			l.reportReplies(r.Parts)
 			l.undecided = true
 		}
 	}
@@ -200,16 +200,16 @@
 		l.contradict(r.Part, now.Add(-milliseconds(r.AgeMS)), false)
 	}
 	for _, b := range u.Blames {
-		l.learn(b)
+		l.merge(b)
 	}
 }
 
-// Answer answers an entry that tells or asks of crashes.
-func (l *Localizer) Answer(u Update) Update {
+// Handle answers an entry that tells or asks of crashes.
+func (l *Localizer) Handle(u Update) Update {
 	l.Apply(u)
 	answer := Update{}
 	if u.All {
-		answer = l.Everything()
+		answer = l.Snapshot()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -217,9 +217,9 @@
 	return answer
 }
 
-// Answered takes in the answer of another entry to an update. Its count of replies is for the crashes that
+// Acked takes in the answer of another entry to an update. Its count of replies is for the crashes that
 // the update told of.
-func (l *Localizer) Answered(u, answer Update) {
+func (l *Localizer) Acked(u, answer Update) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range u.Reports {
@@ -250,15 +250,15 @@
 	return l.update(func(sequence uint64) bool { return sequence > after }, crashesKept), l.sequence
 }
 
-// toldOn is for how long crashes are told to those who ask for everything.
-const toldOn = 10 * time.Second
+// snapshotAge is up to which age crashes are in a snapshot.
+const snapshotAge = 10 * time.Second
 
-// Everything gives all that matters to an entry that may have missed some of it: of crashes, the parts that
+// Snapshot gives all that matters to an entry that may have missed some of it: of crashes, the parts that
 // more than one of them cut.
-func (l *Localizer) Everything() Update {
+func (l *Localizer) Snapshot() Update {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	u := l.update(func(uint64) bool { return true }, toldOn)
+	u := l.update(func(uint64) bool { return true }, snapshotAge)
 	counts := l.crashCounts()
 	for i := range u.Reports {
 		u.Reports[i].Parts = slices.DeleteFunc(u.Reports[i].Parts, func(part string) bool { return counts[part] < 2 })
--- a/internal/localizer/localizer.go
+++ b/internal/localizer/localizer.go
@@ -24,8 +24,8 @@
 	crashesKept = 10 * time.Minute
 	// sameCrash is how far apart reports of one crash may be. Upstreams take longer to start again.
 	sameCrash = time.Second
-	// maxAnswered is of how many parts an entry knows when it last had a reply: those of some minutes.
-	maxAnswered = 4096
+	// maxOwnReplies is of how many parts an entry knows when it last had a reply: those of some minutes.
+	maxOwnReplies = 4096
 	// maxReplies is how many parts' replies are kept before those are dropped that no known crash cut.
 	maxReplies = 512
 	// maxBlames is how many parts are blamed at once; then the one not asked for the longest is cleared.
@@ -61,10 +61,10 @@
 	Metrics metrics.Registry
 
 	mu sync.Mutex
-	// answered is when the newest reply to a prompt with each part began at this entry.
-	answered *lru.LRU[string, time.Time]
-	begun    counter
-	crashes  []*crash
+	// ownReplies is when the newest reply to a prompt with each part began at this entry.
+	ownReplies *lru.LRU[string, time.Time]
+	begun      counter
+	crashes    []*crash
 	// replies are the newest ones at all entries, to prompts with parts that crashes have cut.
 	replies map[string]reply
 	blames  map[string]*blame
@@ -105,8 +105,8 @@
 	return fmt.Sprintf("part %s of the prompt crashes upstreams, %d of them", e.Part, e.Crashes)
 }
 
-// Began notes a reply that has got under way, after a begin at a time by Clock, to a prompt with shared parts.
-func (l *Localizer) Began(parts []string, at time.Time) {
+// ReplyStarted notes a reply that has got under way, after a begin at a time by Clock, to a prompt with shared parts.
+func (l *Localizer) ReplyStarted(parts []string, at time.Time) {
 	if l == nil {
 		return
 	}
@@ -115,8 +115,8 @@
 	l.init()
 	l.begun.add(l.Clock.Now())
 	for _, part := range parts {
-		if known, ok := l.answered.Get(part); !ok || at.After(known) {
-			l.answered.Add(part, at)
+		if known, ok := l.ownReplies.Get(part); !ok || at.After(known) {
+			l.ownReplies.Add(part, at)
 		}
 		l.contradict(part, at, true)
 	}
@@ -173,14 +173,14 @@
 	}
 	l.sequence++
 	c.merge(r, l.sequence)
-	l.noteAnswered(parts)
+	l.reportReplies(parts)
 	l.undecided = true
 }
 
-// noteAnswered has the others learn when parts that a crash has cut were last answered here.
-func (l *Localizer) noteAnswered(parts []string) {
+// reportReplies has the others learn when parts that a crash has cut were last answered here.
+func (l *Localizer) reportReplies(parts []string) {
 	for _, part := range parts {
-		if at, ok := l.answered.Peek(part); ok {
+		if at, ok := l.ownReplies.Peek(part); ok {
 			l.contradict(part, at, true)
 		}
 	}
@@ -216,7 +216,7 @@
 		return
 	}
 	// The size is valid.
-	l.answered, _ = lru.NewLRU[string, time.Time](maxAnswered, nil)
+	l.ownReplies, _ = lru.NewLRU[string, time.Time](maxOwnReplies, nil)
 	l.replies, l.blames = map[string]reply{}, map[string]*blame{}
 }
 
--- a/internal/localizer/localizer_test.go
+++ b/internal/localizer/localizer_test.go
@@ -206,9 +206,9 @@
 	w.run(8 * time.Second)
 	must.GreaterEq(t, 8, w.blamed()[fatal])
 	w.entries[0].cutOff = false
-	w.entries[0].Apply(w.entries[1].Everything())
+	w.entries[0].Apply(w.entries[1].Snapshot())
 	started := w.newEntry(1)
-	started.Apply(w.entries[2].Everything())
+	started.Apply(w.entries[2].Snapshot())
 	for _, e := range []*entry{w.entries[0], started} {
 		var blamed *localizer.BlamedError
 		must.True(t, errors.As(e.Check("r", []string{"a", fatal}), &blamed))
@@ -255,7 +255,7 @@
 	b.Lifted, b.Reason = true, "operator"
 	w.isFatal = func(string) bool { return false }
 	for _, e := range w.entries {
-		e.Learn(b)
+		e.Merge(b)
 	}
 	w.run(5 * time.Second)
 	must.MapEmpty(t, w.blamed())
@@ -271,12 +271,12 @@
 	w := newWorld(1, 2, 4)
 	e := w.entries[0]
 	b := localizer.Blame{Part: fatal, Epoch: 5, Entry: "entry1", DecidedAt: w.clock.Now(), Crashes: 4}
-	e.Learn(b)
+	e.Merge(b)
 	must.Error(t, e.Check("r", []string{fatal}))
 	lifted := b
 	lifted.Lifted = true
-	e.Learn(lifted)
-	e.Learn(b)
+	e.Merge(lifted)
+	e.Merge(b)
 	must.NoError(t, e.Check("r", []string{fatal}))
 }
 
@@ -304,12 +304,12 @@
 	alone.cutOff = true
 	for n := range 6 {
 		alone.Crashed(fmt.Sprint("engine", n), []string{"sound"}, w.clock.Now())
-		w.entries[1].Began([]string{"sound"}, w.clock.Now())
+		w.entries[1].ReplyStarted([]string{"sound"}, w.clock.Now())
 		w.run(300 * time.Millisecond)
 	}
 	must.Eq(t, 1, w.blamed()["sound"])
 	// The store tells of the blame first.
-	w.entries[1].Learn(alone.Blames()[0])
+	w.entries[1].Merge(alone.Blames()[0])
 	alone.cutOff = false
 	w.run(time.Second)
 	must.MapEmpty(t, w.blamed())
@@ -335,15 +335,15 @@
 	e := w.entries[0]
 	for n := range 5000 {
 		parts := []string{fmt.Sprintf("a%d", n), fmt.Sprintf("b%d", n), "kind0"}
-		e.Began(parts, w.clock.Now())
+		e.ReplyStarted(parts, w.clock.Now())
 		e.Crashed(fmt.Sprintf("engine%d", n), parts, w.clock.Now())
-		e.Learn(localizer.Blame{Part: fmt.Sprintf("p%d", n), Epoch: uint64(n + 1), Entry: "x", DecidedAt: w.clock.Now()})
+		e.Merge(localizer.Blame{Part: fmt.Sprintf("p%d", n), Epoch: uint64(n + 1), Entry: "x", DecidedAt: w.clock.Now()})
 		if n%20 == 0 {
 			w.clock.Step(time.Millisecond)
 			e.Tick()
 		}
 	}
-	u := e.Everything()
+	u := e.Snapshot()
 	must.LessEq(t, 128, len(u.Reports))
 	must.LessEq(t, 1000, len(u.Replies))
 	inForce := 0
--- a/internal/localizer/world_test.go
+++ b/internal/localizer/world_test.go
@@ -199,7 +199,7 @@
 		r.events++
 		r.nextAt = now.Add(eventEvery)
 		if r.events == 3 {
-			r.entry.Began(r.parts, r.beginAt)
+			r.entry.ReplyStarted(r.parts, r.beginAt)
 		}
 		if r.events < replyEvents {
 			left = append(left, r)
@@ -237,7 +237,7 @@
 		if now.Before(m.at) {
 			later = append(later, m)
 		} else if !m.to.cutOff {
-			m.from.Answered(m.update, m.to.Answer(m.update))
+			m.from.Acked(m.update, m.to.Handle(m.update))
 		}
 	}
 	w.mail = later
--- a/internal/informer/informer_test.go
+++ b/internal/propagator/propagator_test.go
@@ -1,4 +1,4 @@
-package informer_test
+package propagator_test
 
 import (
 	"context"
@@ -14,9 +14,9 @@
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
 
-	"github.com/oriolecroft/oriolecroft/internal/informer"
 	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/propagator"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/storer"
 )
@@ -77,11 +77,11 @@
 // entry is one of a deployment, with links that only it has.
 type entry struct {
 	*localizer.Localizer
-	informer  *informer.Informer
-	registrar *registrar.Registrar
-	member    registrar.Member
-	stop      func()
-	crashes   int
+	propagator *propagator.Propagator
+	registrar  *registrar.Registrar
+	member     registrar.Member
+	stop       func()
+	crashes    int
 }
 
 // deployment is some entries that know each other.
@@ -118,15 +118,15 @@
 	e.Localizer = &localizer.Localizer{Entry: id, Clock: clock.RealClock{}, WallClock: clock.RealClock{}}
 	a := netip.MustParseAddrPort(l.Addr().String())
 	e.member = registrar.Member{ID: id, Incarnation: incarnation, Callers: a, Peers: a}
-	e.informer = &informer.Informer{
+	e.propagator = &propagator.Propagator{
 		Localizer: e.Localizer, Registrar: e.registrar, Member: e.member, Seeds: seeds, Store: d.store, Clock: clock.RealClock{},
 		Dial: func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a} },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &messenger.Server{Listener: l, OnEvidence: e.Answer}
+	server := &messenger.Server{Listener: l, OnEvidence: e.Handle}
 	var all sync.WaitGroup
 	all.Go(func() { _ = server.Serve(ctx) })
-	all.Go(func() { _ = e.informer.Serve(ctx) })
+	all.Go(func() { _ = e.propagator.Serve(ctx) })
 	e.stop = func() {
 		cancel()
 		all.Wait()
@@ -172,13 +172,13 @@
 }
 
 // Guards against an entry that starts anew and doesn't know what the others refuse, while the store is out.
-func TestStartedEntryAsksTheOthers(t *testing.T) {
+func TestStartedEntryPullsBlames(t *testing.T) {
 	d := newDeployment(t, 2)
 	d.store.out = true
 	d.entries[0].crash("fatal", 5)
 	d.refuses(d.entries[1], "fatal", true)
 	started := d.start("e2", "1", []netip.AddrPort{d.entries[1].member.Peers})
-	must.False(t, started.informer.Informed())
+	must.False(t, started.propagator.Synced())
 	d.refuses(started, "fatal", true)
 }
 
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -70,7 +70,7 @@
 	if began.IsZero() {
 		began = l.Clock.Now()
 	}
-	l.Localizer.Began(j.SharedParts(), l.Localizer.Clock.Now().Add(-l.Clock.Since(began)))
+	l.Localizer.ReplyStarted(j.SharedParts(), l.Localizer.Clock.Now().Add(-l.Clock.Since(began)))
 }
 
 // noteCut finds out whether a failed attempt was cut by a crash of its upstream. Upstreams that are well
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -174,7 +174,7 @@
 
 // blame has the entry learn that a part is fatal.
 func (w *world) blame(part string, decided time.Time, trials int) {
-	w.relayer.Localizer.Learn(localizer.Blame{Part: part, Epoch: 7, Entry: "other", DecidedAt: decided, Crashes: 4, Trials: trials})
+	w.relayer.Localizer.Merge(localizer.Blame{Part: part, Epoch: 7, Entry: "other", DecidedAt: decided, Crashes: 4, Trials: trials})
 }
 
 // Guards against refusals that are late, or not true: a request with a blamed part isn't sent, others are, and
@@ -221,13 +221,13 @@
 }
 
 // Guards against an entry that has just started and sends what the others refuse.
-func TestEntryThatIsNotInformedSendsNoPrompts(t *testing.T) {
+func TestEntryWithoutBlamesSendsNoPrompts(t *testing.T) {
 	w := newCrashWorld(t, complete)
-	informed := false
-	w.relayer.Informed = func() bool { return informed }
+	synced := false
+	w.relayer.BlamesSynced = func() bool { return synced }
 	must.Eq(t, http.StatusServiceUnavailable, w.askParts(t, "a", "kind,own").status)
 	must.Eq(t, http.StatusOK, w.ask(t, "/stream/", "b").status)
-	informed = true
+	synced = true
 	must.Eq(t, http.StatusOK, w.askParts(t, "c", "kind,own").status)
 	must.Eq(t, []string{"b", "c"}, w.upstreams[0].came())
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,11 +43,11 @@
 	Prober Prober
 	// Localizer finds and refuses prompts that crash upstreams; nil for none.
 	Localizer *localizer.Localizer
-	// Informed tells whether the localizer knows what other entries have found; nil for always.
-	Informed func() bool
-	Clock    clock.Clock
-	Random   *rand.Rand
-	Metrics  metrics.Registry
+	// BlamesSynced tells whether the localizer has the blames of the other entries; nil for always.
+	BlamesSynced func() bool
+	Clock        clock.Clock
+	Random       *rand.Rand
+	Metrics      metrics.Registry
 
 	mu sync.Mutex
 	// longestPatience is the longest that callers of each route were seen to wait.
@@ -95,8 +95,8 @@
 		c.refuse(&RefusedError{Reason: "no route table yet", RetryAfter: unknownRetry})
 		return false
 	}
-	if len(c.Parts) > 0 && c.Informed != nil && !c.Informed() {
-		c.refuse(&RefusedError{Reason: "blames of other entries not known yet", RetryAfter: unknownRetry})
+	if len(c.Parts) > 0 && c.BlamesSynced != nil && !c.BlamesSynced() {
+		c.refuse(&RefusedError{Reason: "blames not synced yet", RetryAfter: unknownRetry})
 		return false
 	}
 	t := view.Table
--- a/internal/simulator/fatal.go
+++ b/internal/simulator/fatal.go
@@ -107,7 +107,7 @@
 		return
 	}
 	e.time.In(e.way(e.domain, to.domain), func() {
-		e.relayer.Localizer.Answered(u, to.relayer.Localizer.Answer(u))
+		e.relayer.Localizer.Acked(u, to.relayer.Localizer.Handle(u))
 	})
 }
 
