--- a/internal/localizer/localizer.go
+++ b/internal/localizer/localizer.go
@@ -24,7 +24,7 @@
 	crashesKept = 10 * time.Minute
 	// sameCrash is how far apart reports of one crash may be. Upstreams take longer to start again.
 	sameCrash = time.Second
-	// maxOwnReplies is of how many parts an entry knows when it last had a reply: those of some minutes.
+	// maxOwnReplies is for how many parts an entry keeps the time of its newest reply: those of some minutes.
 	maxOwnReplies = 4096
 	// maxReplies is how many parts' replies are kept before those are dropped that no known crash cut.
 	maxReplies = 512
@@ -53,7 +53,7 @@
 type Localizer struct {
 	// Entry is this entry's name.
 	Entry string
-	// Clock tells ages, WallClock the time of day, by which blames are kept in the store.
+	// Clock is for ages, WallClock for the times of blames, which the store keeps.
 	Clock, WallClock clock.PassiveClock
 	// Members lists all entries, of which one makes a trial; nil for this one alone.
 	Members func() []string
@@ -68,7 +68,7 @@
 	// replies are the newest ones at all entries, to prompts with parts that crashes have cut.
 	replies map[string]reply
 	blames  map[string]*blame
-	// sequence counts the changes that this entry has to tell the others.
+	// sequence numbers the evidence of this entry itself.
 	sequence uint64
 	// undecided is set while the evidence has changed since it was last weighed.
 	undecided bool
@@ -85,7 +85,7 @@
 	Blame
 	// since is from when on a reply to a prompt with the part ends the blame.
 	since time.Time
-	// changedAt is when this entry learned of its present state, askedAt when it last had a request.
+	// changedAt is when its present state was merged here, askedAt when this entry last had a request.
 	changedAt, askedAt time.Time
 	// sequence is that of a change by this entry; 0 for others.
 	sequence uint64
@@ -123,7 +123,7 @@
 }
 
 // contradict takes in that a reply to a prompt with a part began at a time. That of another entry may
-// arrive before the report of the crash that it was told for.
+// arrive before the report of the crash that it contradicts.
 func (l *Localizer) contradict(part string, at time.Time, own bool) {
 	last := l.lastCrash(part)
 	if own && last.IsZero() && l.blames[part] == nil {
@@ -134,7 +134,7 @@
 		return
 	}
 	r := reply{at: at}
-	// Others need not hear of more than one reply since the last crash.
+	// One reply since the last crash is enough for the others.
 	if own && (!known.at.After(last) || l.blames[part] != nil) {
 		l.sequence++
 		r.sequence = l.sequence
--- a/internal/localizer/messages.go
+++ b/internal/localizer/messages.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Update is what entries tell each other of crashes. Times are ages, as the clocks of VMs differ.
+// Update is evidence that entries exchange. Times are ages, as the clocks of VMs differ.
 type Update struct {
 	Reports []Report `json:"reports,omitempty"`
 	Replies []Reply  `json:"replies,omitempty"`
 	Blames  []Blame  `json:"blames,omitempty"`
-	// All asks for everything that the receiver knows.
+	// All pulls the receiver's snapshot.
 	All bool `json:"all,omitempty"`
-	// Begun is how many replies of the entry named got under way in the last replyWindow. Each answer has it.
+	// Begun is how many replies of the entry named got under way in the last replyWindow; in replies to updates.
 	Entry string `json:"entry,omitempty"`
 	Begun int    `json:"begun,omitempty"`
 }
@@ -29,7 +29,7 @@
 	Replies int `json:"replies"`
 }
 
-// Reply tells of the newest reply to a prompt with a part that got under way.
+// Reply is the newest reply to a prompt with a part that got under way.
 type Reply struct {
 	Part string `json:"part"`
 	// AgeMS is how many milliseconds ago it began.
--- a/internal/localizer/suspicion.go
+++ b/internal/localizer/suspicion.go
@@ -99,7 +99,7 @@
 	return !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.parts[part] })
 }
 
-// worst gives the part with the strongest evidence, and those that can't be told from it; none if no
+// worst gives the part with the strongest evidence, and those that the evidence doesn't distinguish from it; none if no
 // evidence suffices. Waits is set while there are crashes of which reports may still be on their way.
 func (l *Localizer) worst(now time.Time) (worst []suspicion, waits bool) {
 	blamed := l.inForce()
--- a/internal/propagator/propagator.go
+++ b/internal/propagator/propagator.go
@@ -82,7 +82,7 @@
 // result is how a call to another entry ended.
 type result struct {
 	to netip.AddrPort
-	// pull tells a pull from a push; sequence is that of the last evidence in a push.
+	// pull is set for a pull; sequence is that of the last evidence in a push.
 	pull             bool
 	sequence         uint64
 	request, replied localizer.Update
--- a/internal/simulator/fatal.go
+++ b/internal/simulator/fatal.go
@@ -12,8 +12,8 @@
 	// fatalPart is the part of prompts that crashes engines. Prompts are of one of some farms.
 	fatalPart = "fatal"
 	farms     = 40
-	// tellEvery is how often entries tell each other of crashes and weigh the evidence.
-	tellEvery = 50 * time.Millisecond
+	// pushInterval is how often entries exchange evidence and weigh it.
+	pushInterval = 50 * time.Millisecond
 	// knownCrashes is after how many crashes, and knownAfter how much later, entries should refuse the part.
 	knownCrashes = 5
 	knownAfter   = 3 * time.Second
@@ -28,7 +28,7 @@
 	lateFrom time.Time
 }
 
-// planFatal puts the callers with a fatal part on the agenda, and what entries tell each other.
+// planFatal puts the callers with a fatal part on the agenda, and the exchange of evidence.
 func (w *world) planFatal() {
 	w.fatals.requests = map[string]bool{}
 	f := w.Fatal
@@ -37,7 +37,7 @@
 			w.time.In(at, w.arriveFatal)
 		}
 	}
-	w.time.In(tellEvery, w.tellEntries)
+	w.time.In(pushInterval, w.exchange)
 }
 
 // arriveFatal has a caller with the fatal part come. It isn't among the requests that are reported.
@@ -85,24 +85,24 @@
 	h.befall(Fault{Fault: FaultCrash, Lasts: h.Fatal.Down})
 }
 
-// tellEntries has entries tell each other of crashes and decide.
-func (w *world) tellEntries() {
+// exchange has entries push their evidence to each other and decide.
+func (w *world) exchange() {
 	for _, e := range w.entries {
 		e.relayer.Localizer.Tick()
 		for _, to := range w.entries {
 			if to != e {
-				e.tell(to)
+				e.push(to)
 			}
 		}
 	}
 	if w.active() {
-		w.time.In(tellEvery, w.tellEntries)
+		w.time.In(pushInterval, w.exchange)
 	}
 }
 
-func (e *entry) tell(to *entry) {
-	u, told := e.relayer.Localizer.Since(e.told[to])
-	e.told[to] = told
+func (e *entry) push(to *entry) {
+	u, sequence := e.relayer.Localizer.Since(e.acked[to])
+	e.acked[to] = sequence
 	if u.Empty() {
 		return
 	}
@@ -122,7 +122,7 @@
 	return slices.Sorted(maps.Keys(parts))
 }
 
-// prober tells at once whether an engine is down.
+// prober knows at once whether an engine is down.
 type prober struct{ *world }
 
 // Refuses implements relayer.Prober.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -64,8 +64,8 @@
 	name    string
 	domain  *FailureDomain
 	relayer *relayer.Relayer
-	// told is up to which sequence number each other entry knows what this one has found.
-	told map[*entry]uint64
+	// acked is the sequence number up to which each other entry has the evidence of this one.
+	acked map[*entry]uint64
 }
 
 // Run plays an experiment. The same seed gives the same report.
@@ -129,7 +129,7 @@
 }
 
 func (w *world) newEntry(d *FailureDomain, number int) *entry {
-	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number), told: map[*entry]uint64{}}
+	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number), acked: map[*entry]uint64{}}
 	r := &registrar.Registrar{Clock: w.time, Decode: w.decode}
 	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom(), Without: w.Without}
 	regions := map[string]string{}
