propagator: little to do while nothing crashes

It now looks four times a second while no crash is known, and pulls from four peers every two seconds.

--- a/internal/localizer/exchange.go
+++ b/internal/localizer/exchange.go
@@ -58,6 +58,13 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(max(0, n)) * time.Millisecond }
 
+// Idle tells whether no crash is known.
+func (l *Localizer) Idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.crashes) == 0
+}
+
 // Sequence is the number of the last change that this entry has found itself.
 func (l *Localizer) Sequence() uint64 {
 	l.mu.Lock()
--- a/internal/propagator/propagator.go
+++ b/internal/propagator/propagator.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,12 +20,16 @@
 )
 
 const (
-	// tickInterval is how often new evidence is pushed and weighed.
+	// tickInterval is how often new evidence is pushed and weighed, idleInterval the same while there is none.
 	tickInterval = 50 * time.Millisecond
-	// pullInterval is the mean time between two pulls of a random peer's state. A pull repairs what a push
-	// missed, as one to an entry that isn't known to others yet. initialPull is the same until the first one succeeds.
-	pullInterval = time.Second
+	idleInterval = 250 * time.Millisecond
+	// pullInterval is the mean time between two pulls of a peer's state. A pull repairs what a push missed, as
+	// one to an entry that isn't known to others yet. initialPull is the same until the first one succeeds.
+	pullInterval = 2 * time.Second
 	initialPull  = 200 * time.Millisecond
+	// pullPeers is from how many peers an entry pulls. A connection to each of hundreds would cost more than
+	// all pulls.
+	pullPeers = 4
 	// pushRetry is the pause after a push that failed.
 	pushRetry = 300 * time.Millisecond
 	// callTimeout bounds a call to another entry.
@@ -55,6 +60,8 @@
 
 	clients messenger.Clients
 	peers   map[netip.AddrPort]*peer
+	// pullFrom are the peers to pull from.
+	pullFrom []netip.AddrPort
 	// acked is the sequence number up to which all peers have acknowledged the evidence of this entry.
 	acked   uint64
 	results chan result
@@ -102,8 +109,8 @@
 	p.pulling, p.nextPull, p.merged = false, time.Time{}, nil
 	p.persister = persister{store: p.Store, clock: p.Clock, entry: p.Member.ID, results: make(chan written)}
 	defer p.clients.Close()
-	ticker := p.Clock.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := p.Clock.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,12 +119,21 @@
 			p.finish(r)
 		case w := <-p.persister.results:
 			p.persister.finish(w)
-		case <-ticker.C():
+		case <-timer.C():
 			p.tick(ctx)
+			timer.Reset(p.interval())
 		}
 	}
 }
 
+// interval is the time until the next tick.
+func (p *Propagator) interval() time.Duration {
+	if p.Localizer.Idle() && p.synced.Load() {
+		return idleInterval
+	}
+	return tickInterval
+}
+
 func (p *Propagator) tick(ctx context.Context) {
 	view := p.Registrar.View()
 	if view != nil && view != p.merged {
@@ -174,6 +190,20 @@
 		}
 	}
 	p.clients.Keep(used)
+	p.choosePullPeers()
+}
+
+// choosePullPeers keeps the choice while its peers remain, so that their connections are used again.
+func (p *Propagator) choosePullPeers() {
+	p.pullFrom = slices.DeleteFunc(p.pullFrom, func(a netip.AddrPort) bool { return p.peers[a] == nil })
+	for a := range p.peers {
+		if len(p.pullFrom) >= pullPeers {
+			return
+		}
+		if !slices.Contains(p.pullFrom, a) {
+			p.pullFrom = append(p.pullFrom, a)
+		}
+	}
 }
 
 // push sends each peer the evidence of this entry that it hasn't acknowledged.
@@ -215,12 +245,9 @@
 	}
 }
 
-// randomPeer draws a peer, or a seed while there is none.
+// randomPeer draws a peer to pull from, or a seed while there is none.
 func (p *Propagator) randomPeer() (netip.AddrPort, bool) {
-	var as []netip.AddrPort
-	for a := range p.peers {
-		as = append(as, a)
-	}
+	as := p.pullFrom
 	if len(as) == 0 {
 		as = p.Seeds
 	}
