Read-through: two looks at a prompt's parts, one list of log fields, idle after crashes

A blamed part was looked for before the placing, after it and before the sending; the last look covers the second. The evidence of a blame was listed for the log in two places. Tests of the relayer send requests in one way. Names in tests follow the field. No check is changed.

--- a/cmd/oriolecroft/platform_blames.go
+++ b/cmd/oriolecroft/platform_blames.go
@@ -74,7 +74,7 @@
 type blames struct {
 	store   *platform.Store
 	entries []netip.AddrPort
-	// newest is the last word on each part.
+	// newest is the newest state of each part.
 	newest map[string]localizer.Blame
 }
 
@@ -98,26 +98,26 @@
 	}
 }
 
-// each calls all entries at once and gives what they know, and how many answered.
-func (b *blames) each(ctx context.Context, u localizer.Update) (answers []localizer.Update, answered int) {
+// each calls all entries at once and gives the replies of those that answer.
+func (b *blames) each(ctx context.Context, u localizer.Update) (replies []localizer.Update) {
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	for _, a := range b.entries {
 		all.Go(func() {
 			client := &messenger.Client{Address: a, Timeout: surveyTimeout}
 			defer client.Close()
-			answer, err := client.Evidence(ctx, u)
+			reply, err := client.Evidence(ctx, u)
 			if err != nil {
 				fmt.Fprintf(os.Stderr, "entry at %v: %v\n", a, err)
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			answers, answered = append(answers, answer), answered+1
+			replies = append(replies, reply)
 		})
 	}
 	all.Wait()
-	return answers, answered
+	return replies
 }
 
 // NoEntryError reports that no entry of the deployment answers.
@@ -126,13 +126,13 @@
 func (e *NoEntryError) Error() string { return fmt.Sprintf("none of %d entries answers", e.Asked) }
 
 func (b *blames) ask(ctx context.Context) error {
-	answers, answered := b.each(ctx, localizer.Update{All: true})
-	if answered == 0 {
+	replies := b.each(ctx, localizer.Update{All: true})
+	if len(replies) == 0 {
 		return &NoEntryError{Asked: len(b.entries)}
 	}
 	b.newest = map[string]localizer.Blame{}
-	for _, answer := range answers {
-		for _, one := range answer.Blames {
+	for _, reply := range replies {
+		for _, one := range reply.Blames {
 			if known, ok := b.newest[one.Part]; !ok || one.Supersedes(&known) {
 				b.newest[one.Part] = one
 			}
@@ -159,7 +159,7 @@
 		return &UsageError{Problem: fmt.Sprintf("--lift: part %s isn't blamed", part)}
 	}
 	one.Lifted, one.Reason = true, liftReason
-	_, answered := b.each(ctx, localizer.Update{Blames: []localizer.Blame{one}})
+	answered := len(b.each(ctx, localizer.Update{Blames: []localizer.Blame{one}}))
 	if answered == 0 {
 		return &NoEntryError{Asked: len(b.entries)}
 	}
--- a/cmd/oriolecroft/platform_status.go
+++ b/cmd/oriolecroft/platform_status.go
@@ -26,8 +26,8 @@
   line for each: revision and when the store confirmed it, route table, weights
   named (agents: held/named), upstreams, what these ask of the process (how many
   rest, leave or limit their requests; with --json each by itself), parts of
-  prompts that are refused (platform blames), entries, log lines dropped, and what is wrong. A process behind the others is asked once more
-  after a second.
+  prompts that are refused (platform blames), entries, log lines dropped, and what
+  is wrong. A process behind the others is asked once more after a second.
 
   Without --vms the processes are those that the store knows, which the settings
   file names (ORIOLECROFT_SETTINGS): entries, and agents beside engines.
--- a/internal/localizer/exchange.go
+++ b/internal/localizer/exchange.go
@@ -58,11 +58,12 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(max(0, n)) * time.Millisecond }
 
-// Idle tells whether no crash is known.
+// Idle tells whether there is nothing to weigh and no recent crash.
 func (l *Localizer) Idle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.crashes) == 0
+	n := len(l.crashes)
+	return !l.undecided && (n == 0 || l.Clock.Since(l.crashes[n-1].at) > snapshotAge)
 }
 
 // Sequence is the number of the last change that this entry has found itself.
--- a/internal/localizer/localizer.go
+++ b/internal/localizer/localizer.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -265,10 +264,7 @@
 const maxShown = 8
 
 func (b *blame) log(text string, more ...any) {
-	klog.InfoS(text, append([]any{
-		"part", b.Part, "epoch", b.Epoch, "decidedBy", b.Entry, "decidedAt", b.DecidedAt, "crashes", b.Crashes, "chance", b.Chance,
-		"upstreams", strings.Join(b.Upstreams, ","), "trials", b.Trials,
-	}, more...)...)
+	klog.InfoS(text, append(b.LogFields(), more...)...)
 }
 
 func (l *Localizer) count(name string) {
--- a/internal/localizer/localizer_test.go
+++ b/internal/localizer/localizer_test.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// Guards against an entry that starts anew, or was cut off, and sends what the others refuse.
+// Guards against an entry that starts again, or was cut off, and sends what the others refuse.
 func TestEntryThatMissedAllLearnsOfBlames(t *testing.T) {
 	w := newWorld(1, 9, 20)
 	w.fatalEvery = 300 * time.Millisecond
@@ -259,7 +259,7 @@
 	}
 	w.run(5 * time.Second)
 	must.MapEmpty(t, w.blamed())
-	// It is blamed anew if it crashes engines again.
+	// It is blamed again if it crashes engines again.
 	w.isFatal = func(part string) bool { return part == fatal }
 	w.run(8 * time.Second)
 	must.Eq(t, map[string]int{fatal: 9}, w.blamed())
@@ -294,7 +294,7 @@
 	must.MapEmpty(t, w.blamed())
 }
 
-// Guards against blame of a sound part that only entries answered which the deciding one didn't hear, for
+// Guards against blame of a sound part that only entries answered which the deciding one was cut off from, for
 // longer than that lasts.
 func TestBlameEndsWithTheWordOfEntriesThatWereCutOff(t *testing.T) {
 	w := newWorld(1, 3, 6)
--- a/internal/localizer/messages.go
+++ b/internal/localizer/messages.go
@@ -59,6 +59,14 @@
 	TriedAt time.Time `json:"triedAt,omitzero"`
 }
 
+// LogFields are the evidence, for log lines.
+func (b *Blame) LogFields() []any {
+	return []any{
+		"part", b.Part, "epoch", b.Epoch, "decidedBy", b.Entry, "decidedAt", b.DecidedAt, "crashes", b.Crashes, "chance", b.Chance,
+		"upstreams", b.Upstreams, "trials", b.Trials,
+	}
+}
+
 // Supersedes tells whether this state of a blame replaces another one.
 func (b *Blame) Supersedes(other *Blame) bool {
 	switch {
--- a/internal/localizer/world_test.go
+++ b/internal/localizer/world_test.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// step is that of the world's time. Entries tell each other every tellEvery, which takes tellDelay.
-	step      = 10 * time.Millisecond
-	tellEvery = 50 * time.Millisecond
-	tellDelay = 20 * time.Millisecond
+	// step is that of the world's time. Entries push their evidence every pushInterval, which takes pushDelay.
+	step         = 10 * time.Millisecond
+	pushInterval = 50 * time.Millisecond
+	pushDelay    = 20 * time.Millisecond
 	// stableWindow is that of the users.
 	stableWindow = 3 * time.Second
 	// engineDown is how long an engine takes to start again.
@@ -53,9 +53,9 @@
 
 type entry struct {
 	*localizer.Localizer
-	name string
-	told []uint64
-	// cutOff entries neither tell nor are told.
+	name  string
+	acked []uint64
+	// cutOff entries exchange nothing.
 	cutOff bool
 }
 
@@ -100,7 +100,7 @@
 }
 
 func (w *world) newEntry(i int) *entry {
-	e := &entry{name: fmt.Sprintf("entry%d", i), told: make([]uint64, 64)}
+	e := &entry{name: fmt.Sprintf("entry%d", i), acked: make([]uint64, 64)}
 	e.Localizer = &localizer.Localizer{Entry: e.name, Clock: w.clock, WallClock: w.clock, Members: func() []string {
 		var names []string
 		for _, other := range w.entries {
@@ -136,8 +136,8 @@
 		for _, e := range w.engines {
 			w.work(e)
 		}
-		if at%tellEvery == 0 {
-			w.tell()
+		if at%pushInterval == 0 {
+			w.push()
 		}
 	}
 }
@@ -230,7 +230,7 @@
 	}
 }
 
-func (w *world) tell() {
+func (w *world) push() {
 	now := w.clock.Now()
 	var later []mail
 	for _, m := range w.mail {
@@ -247,9 +247,9 @@
 			if to == e || e.cutOff {
 				continue
 			}
-			u, told := e.Since(e.told[i])
-			if e.told[i] = told; !u.Empty() {
-				w.mail = append(w.mail, mail{now.Add(tellDelay), e, to, u})
+			u, sequence := e.Since(e.acked[i])
+			if e.acked[i] = sequence; !u.Empty() {
+				w.mail = append(w.mail, mail{now.Add(pushDelay), e, to, u})
 			}
 		}
 	}
--- a/internal/propagator/propagator_test.go
+++ b/internal/propagator/propagator_test.go
@@ -21,8 +21,8 @@
 	"github.com/oriolecroft/oriolecroft/internal/storer"
 )
 
-// patience is for how long a step may take on a machine that is short of processor time.
-const patience = 20 * time.Second
+// stepTimeout bounds how long a step may take on a machine that is short of processor time.
+const stepTimeout = 20 * time.Second
 
 // store keeps records and hands them to entries that read it, unless it is out.
 type store struct {
@@ -149,7 +149,7 @@
 
 // refuses waits until an entry refuses a part, or no longer does.
 func (d *deployment) refuses(e *entry, part string, yes bool) {
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(stepTimeout)
 	for (e.Check("r", []string{part}) != nil) != yes {
 		must.True(d.t, time.Now().Before(deadline), must.Sprintf("%s: %v", e.member.ID, e.Blames()))
 		time.Sleep(10 * time.Millisecond)
@@ -171,7 +171,7 @@
 	}
 }
 
-// Guards against an entry that starts anew and doesn't know what the others refuse, while the store is out.
+// Guards against an entry that has just started and doesn't know what the others refuse, while the store is out.
 func TestStartedEntryPullsBlames(t *testing.T) {
 	d := newDeployment(t, 2)
 	d.store.out = true
@@ -197,7 +197,7 @@
 	d.store.mu.Lock()
 	d.store.out = false
 	d.store.mu.Unlock()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(stepTimeout)
 	for d.store.kept("fatal").Part == "" {
 		must.True(t, time.Now().Before(deadline))
 		time.Sleep(20 * time.Millisecond)
@@ -219,7 +219,7 @@
 	}
 	b := d.entries[2].Blames()[0]
 	b.Lifted, b.Reason = true, "operator"
-	client := &messenger.Client{Address: d.entries[2].member.Peers, Timeout: patience}
+	client := &messenger.Client{Address: d.entries[2].member.Peers, Timeout: stepTimeout}
 	defer client.Close()
 	_, err := client.Evidence(t.Context(), localizer.Update{Blames: []localizer.Blame{b}})
 	must.NoError(t, err)
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -91,8 +91,7 @@
 	fields := []any{"reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived), "returned", c.Returned}
 	fields = append(fields, e.Met.fields()...)
 	if b := e.Blame; b != nil {
-		fields = append(fields, "part", b.Part, "epoch", b.Epoch, "crashes", b.Crashes, "chance", b.Chance, "upstreams", b.Upstreams,
-			"decidedBy", b.Entry, "decidedAt", b.DecidedAt, "trials", b.Trials)
+		fields = append(fields, b.LogFields()...)
 	}
 	c.log("Refused", nil, fields...)
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -58,9 +58,11 @@
 			if err := c.Placer.withhold(u); err != nil {
 				return nil, err
 			}
+			// A part may have been blamed while the request waited for its slot.
 			if err := c.checkParts(&c.Job); err != nil {
 				return nil, err
 			}
+			c.Localizer.Sent(c.ID, c.SharedParts())
 			return c.closeUnlessBegun(place, conn)
 		}}
 	x, err := c.Pool.send(ctx, c.Codec, u.ID, u.Address, &c.message, c.ID, o)
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -1,13 +1,10 @@
 package relayer_test
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,26 +36,24 @@
 	return w
 }
 
-// crashAfter has the upstream end after some events, with its listener first.
-func crashAfter(events int) func(*upstream, string, net.Conn) bool {
-	return func(u *upstream, id string, conn net.Conn) bool {
+// resetAfter has the upstream, which is well, reset the connection after some events.
+func resetAfter(events int) func(*upstream, string, net.Conn) bool {
+	return func(_ *upstream, id string, conn net.Conn) bool {
 		say(conn, streamHead(id))
 		for n := range events {
 			say(conn, chunked(event(n+1)))
 		}
-		time.Sleep(20 * time.Millisecond)
-		u.listener.Close()
 		return false
 	}
 }
 
-// resetAfter has the upstream, which is well, reset the connection after some events.
-func resetAfter(events int) func(*upstream, string, net.Conn) bool {
-	return func(_ *upstream, id string, conn net.Conn) bool {
-		say(conn, streamHead(id))
-		for n := range events {
-			say(conn, chunked(event(n+1)))
-		}
+// crashAfter has the upstream end after some events, with its listener first.
+func crashAfter(events int) func(*upstream, string, net.Conn) bool {
+	reset := resetAfter(events)
+	return func(u *upstream, id string, conn net.Conn) bool {
+		reset(u, id, conn)
+		time.Sleep(20 * time.Millisecond)
+		u.listener.Close()
 		return false
 	}
 }
@@ -75,18 +70,7 @@
 
 // askParts asks for a stream of a prompt with some parts.
 func (w *world) askParts(t *testing.T, id, parts string) answer {
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+"/stream/", strings.NewReader("order"))
-	must.NoError(t, err)
-	r.Header.Set("Id", id)
-	r.Header.Set("Key", "k")
-	r.Header.Set("Parts", parts)
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return answer{broken: true}
-	}
-	defer res.Body.Close()
-	got, err := io.ReadAll(res.Body)
-	return answer{status: res.StatusCode, header: res.Header, body: string(got), broken: err != nil}
+	return w.sendHeader(t, "/stream/", "order", http.Header{"Id": {id}, "Key": {"k"}, "Parts": {parts}})
 }
 
 // reports waits until the entry has reported a number of crashes.
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -55,14 +55,6 @@
 		if err != nil {
 			return err
 		}
-		if err := l.checkParts(j); err != nil {
-			// Blamed while the request waited for its place.
-			place.Ended()
-			return err
-		}
-		if j.sends == 0 {
-			l.Localizer.Sent(j.ID, j.SharedParts())
-		}
 		j.Tried = append(j.Tried, place.Upstream.ID)
 		err = l.attemptAt(ctx, j, place, attempt)
 		if err == nil {
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -316,13 +316,17 @@
 }
 
 func (w *world) send(t *testing.T, path, id, body string, limit time.Duration) answer {
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+path, strings.NewReader(body))
-	must.NoError(t, err)
-	r.Header.Set("Id", id)
-	r.Header.Set("Key", "k")
+	h := http.Header{"Id": {id}, "Key": {"k"}}
 	if limit > 0 {
-		r.Header.Set("Patience", strconv.FormatInt(limit.Milliseconds(), 10))
+		h.Set("Patience", strconv.FormatInt(limit.Milliseconds(), 10))
 	}
+	return w.sendHeader(t, path, body, h)
+}
+
+func (w *world) sendHeader(t *testing.T, path, body string, h http.Header) answer {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, w.URL+path, strings.NewReader(body))
+	must.NoError(t, err)
+	r.Header = h
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return answer{broken: true}
--- a/soak/soaker/fatal.go
+++ b/soak/soaker/fatal.go
@@ -40,7 +40,7 @@
 	fatalInRecovery = 12 * time.Second
 )
 
-// crashByPrompts has a part of prompts crash engines for a time, while requests with it come.
+// crashByPrompts plays queries of death: a part of prompts crashes engines for a time, while requests with it come.
 func (w *world) crashByPrompts(f fault) {
 	part := fmt.Sprintf("fa%x%d", w.Seed, f.Target)
 	w.fatal.Store(&part)
