--- a/soak/soaker/export_test.go
+++ b/soak/soaker/export_test.go
@@ -3,8 +3,27 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
 )
 
+// Process is a daemon that tests run.
+type Process struct{ p *process }
+
+// NewProcess prepares a daemon.
+func NewProcess(name, binary, settings, log string, note func(auditor.Event)) *Process {
+	return &Process{&process{name: name, binary: binary, settings: settings, log: log, note: note, grace: time.Second}}
+}
+
+// Start starts the daemon.
+func (p *Process) Start() error { return p.p.start() }
+
+// Kill ends the daemon at once; it starts again.
+func (p *Process) Kill() { p.p.kill() }
+
+// End stops the daemon for good.
+func (p *Process) End() { p.p.end() }
+
 // FaultedLink puts a link before an address and a fault on it. Mend ends the fault.
 func FaultedLink(to netip.AddrPort, kind string, amount int) (at netip.AddrPort, mend, end func(), err error) {
 	k, err := newLink(netip.MustParseAddrPort("127.0.0.1:0"), to)
--- a/soak/soaker/process.go
+++ b/soak/soaker/process.go
@@ -33,8 +33,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// asked tells that the running process was told to end.
-	asked bool
+	// asked tells that the running process was told to end, killed that it doesn't run any more once it has.
+	asked, killed bool
 	// over tells that no further one is to be started.
 	over bool
 	// dark is for how long the VM has no power, once the process has ended; 0 for a VM that has.
@@ -77,11 +77,15 @@
 	// How it ended is in its log; that it did is what counts here.
 	_ = cmd.Wait()
 	p.mu.Lock()
-	alone, over, pause := !p.asked && !p.over, p.over, max(restartPause, p.dark)
+	over, pause := p.over, max(restartPause, p.dark)
 	p.dark = 0
-	p.mu.Unlock()
-	p.note(auditor.Exited{Who: p.name, Alone: alone})
+	p.note(auditor.Exited{Who: p.name, Alone: !p.asked && !over})
+	if p.killed {
+		p.killed = false
+		p.note(auditor.Calmed{Who: p.name})
+	}
 	close(done)
+	p.mu.Unlock()
 	if over {
 		return
 	}
@@ -119,7 +123,13 @@
 	p.note(auditor.Disturbed{Who: p.name, Halted: true})
 	p.asked = true
 	p.signal(syscall.SIGKILL)
-	p.note(auditor.Calmed{Who: p.name})
+	select {
+	case <-p.done:
+		p.note(auditor.Calmed{Who: p.name})
+	default:
+		// The kernel may take a while to end it, and its connections stay open until then.
+		p.killed = true
+	}
 }
 
 // terminate asks the process to end and kills it after the grace.
