--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -84,6 +84,7 @@
 		Requests:     requests,
 	}
 	e.hoster.Registration.Ready = e.hoster.Ready
+	placer.Shutdown = e.hoster
 	d.parts.Add(e.hoster.Registration)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -57,13 +57,13 @@
 		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
 	}, from)
 	if v.Granted || g.logs() {
-		klog.InfoS("Place asked", "request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait,
+		klog.InfoS("Place asked", "request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
 			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
 			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0))
 	}
 	return messenger.Verdict{
 		Granted: v.Granted, Closed: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
-		FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
+		TakesMS: v.Takes.Milliseconds(), FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
 		BeginWithinMS: v.BeginWithin.Milliseconds(),
 	}
 }
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -46,18 +46,28 @@
 	Grace time.Duration
 	Clock clock.Clock
 
-	leaving atomic.Bool
-	idle    idle
+	// leftAt is when the entry was told to stop; nil before.
+	leftAt atomic.Pointer[time.Time]
+	idle   idle
 }
 
 // Ready tells whether callers may come.
 func (h *Hoster) Ready() bool {
 	v := h.Registrar.View()
-	return !h.leaving.Load() && v != nil && v.Table != nil
+	return !h.Leaving() && v != nil && v.Table != nil
 }
 
 // Leaving tells whether the entry is on its way out.
-func (h *Hoster) Leaving() bool { return h.leaving.Load() }
+func (h *Hoster) Leaving() bool { return h.leftAt.Load() != nil }
+
+// CutIn implements relayer.Shutdown.
+func (h *Hoster) CutIn() (time.Duration, bool) {
+	leftAt := h.leftAt.Load()
+	if leftAt == nil {
+		return 0, false
+	}
+	return h.Grace - killMargin - h.Clock.Since(*leftAt), true
+}
 
 // Run serves callers until the context ends, and then until the last of them that
 // were told of this entry have come and got their answers.
@@ -84,7 +94,7 @@
 
 // serve has callers close their connections once the entry leaves.
 func (h *Hoster) serve(w http.ResponseWriter, r *http.Request) {
-	if h.leaving.Load() {
+	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	h.Requests.ServeHTTP(w, r)
@@ -94,7 +104,7 @@
 // listener only when nobody can come any more.
 func (h *Hoster) leave(s *http.Server) {
 	began := h.Clock.Now()
-	h.leaving.Store(true)
+	h.leftAt.Store(&began)
 	klog.InfoS("Entry leaves")
 	ctx, cancel := context.WithTimeout(context.Background(), h.Grace-killMargin)
 	defer cancel()
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -56,6 +56,8 @@
 	Version uint64 `json:"version,omitempty"`
 	// WaitMS is how long a request granted now waits before its prompt is read.
 	WaitMS int64 `json:"waitMs"`
+	// TakesMS is how long a request granted now should take, its wait included.
+	TakesMS int64 `json:"takesMs,omitempty"`
 	// FreeMS is in how many milliseconds there may be a place, for one not granted.
 	FreeMS int64 `json:"freeMs,omitempty"`
 	// Active are the requests that hold places, of Slots.
@@ -128,5 +130,8 @@
 // Wait is WaitMS as a duration.
 func (v Verdict) Wait() time.Duration { return time.Duration(v.WaitMS) * time.Millisecond }
 
+// Takes is TakesMS as a duration.
+func (v Verdict) Takes() time.Duration { return time.Duration(v.TakesMS) * time.Millisecond }
+
 // Free is FreeMS as a duration.
 func (v Verdict) Free() time.Duration { return time.Duration(v.FreeMS) * time.Millisecond }
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -197,6 +197,9 @@
 	}
 	fields := append([]any{"request", j.ID, "route", route, "workspace", workspace,
 		"table", j.TableVersion, "after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
+	if left, leaves := l.Placer.cutIn(); leaves {
+		fields = append(fields, "cutIn", left)
+	}
 	if v := l.Registrar.View(); v != nil {
 		fields = append(fields, "revision", v.Revision)
 	}
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -75,7 +75,7 @@
 		return nil, &v
 	}
 	return &Place{
-		Upstream: u, Wait: v.Wait(), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
+		Upstream: u, Wait: v.Wait(), Takes: v.Takes(), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
 		started: func() { agent.Tell(messenger.Progress{Started: []string{j.ID}}) },
 		ended: func() {
 			p.Chooser.End(u.ID)
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -62,6 +62,8 @@
 	Upstream *registrar.UpstreamView
 	// Wait is the predicted wait before a prompt is read.
 	Wait time.Duration
+	// Takes is the predicted time until the reply's end, the wait included; 0 when not told.
+	Takes time.Duration
 	// Active is how many requests held places at the engine after this one got its
 	// own; 0 when not told.
 	Active int
@@ -140,6 +142,8 @@
 	ColdFactor, ColdSlack float64
 	// Observer keeps what upstreams state of themselves; nil for upstreams that state nothing.
 	Observer *observer.Observer
+	// Shutdown tells of this entry's end; nil for one that doesn't leave.
+	Shutdown Shutdown
 	// Metrics counts what became of late requests that looked for a slot; nil for no count.
 	Metrics metrics.Registry
 	// Without are the mechanisms that an experiment switches off.
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -52,6 +52,8 @@
 	Closed string
 	// Wait is how long a job granted now waits before its prompt is read.
 	Wait time.Duration
+	// Takes is how long a job granted now should take, its wait included.
+	Takes time.Duration
 	// Free is in how long there may be a place, for one not granted; of a closed engine 0 when
 	// nobody knows.
 	Free time.Duration
@@ -237,11 +239,12 @@
 		Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now)),
 		Unreserved: l.foreign, Observed: l.observedAgo(now),
 	}
+	v.Takes = v.Wait + l.duration(j, v.Active+1)
 	if limit := l.limit(j); v.Active >= limit {
 		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-limit+1)
 		return v
 	}
-	if !l.until.IsZero() && now.Add(v.Wait+l.duration(j, v.Active+1)).After(l.until) {
+	if !l.until.IsZero() && now.Add(v.Takes).After(l.until) {
 		v.Free = max(0, l.until.Sub(now)) + l.engine.Load
 		return v
 	}
