--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -35,6 +35,8 @@
 func (codec) Request(h http.Header) relayer.Request {
 	ms, _ := strconv.Atoi(h.Get("Patience"))
 	r := relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Patience: time.Duration(ms) * time.Millisecond}
+	r.MaxAnswer, _ = strconv.Atoi(h.Get("Answer"))
+	r.Hint, _ = strconv.Atoi(h.Get("Hint"))
 	if parts := h.Get("Parts"); parts != "" {
 		r.Parts = strings.Split(parts, ",")
 	}
