relayer: refuse streams that can't end before a leaving entry does

An entry that leaves takes callers for 3.3 s and cut what still ran 7.5 s after its signal; the longest replies take 4.4 to 5.5 s at full engines. It now compares what the agents predict, with a margin for long answers and slow engines, with the time until its cut: on arrival, for each granted slot, and again just before the sending. The refusal says when to come back: at once if the directory names another entry, else after this one's restart. What is left is cut 0.15 s before the kill, no longer 0.5 s.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -179,7 +179,7 @@
 }
 
 // exitMargin is how much before the kill a process ends, whatever still runs.
-const exitMargin = 250 * time.Millisecond
+const exitMargin = 75 * time.Millisecond
 
 // exitInTime ends the process shortly before it would be killed. A part that does not
 // stop, such as one that waits for a peer behind a cut, would otherwise keep it until
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -21,8 +21,12 @@
 	AnswerTTL = time.Second
 	// staleAnswers is how long callers come that still hold an old answer.
 	staleAnswers = 3*AnswerTTL + 300*time.Millisecond
-	// killMargin is how much before the kill a leaving entry is gone by itself.
-	killMargin = 500 * time.Millisecond
+	// killMargin is how much before the kill a leaving entry cuts what is left.
+	killMargin = 150 * time.Millisecond
+	// restart is about how long after its end an entry that was restarted takes callers.
+	restart = time.Second
+	// atOnce is when refused callers come back that find another entry.
+	atOnce = 10 * time.Millisecond
 	// quietPause is between two looks at connections on which a request waits to be read.
 	quietPause = 10 * time.Millisecond
 	// unreadFor bounds that, as some callers send a stray line end that begins no request.
@@ -69,6 +73,19 @@
 	return h.Grace - killMargin - h.Clock.Since(*leftAt), true
 }
 
+// RetryAfter implements relayer.Shutdown. Callers of the entry's own region come back at once, on a new
+// connection, if the directory names another entry for the host, and else after this one's restart.
+func (h *Hoster) RetryAfter(host string) time.Duration {
+	own := h.Registration.Member
+	for _, a := range Nearest(h.Registrar.View(), Question{Host: host, Region: own.Region}) {
+		if a != own.Callers {
+			return atOnce
+		}
+	}
+	left, _ := h.CutIn()
+	return max(0, left) + restart
+}
+
 // Run serves callers until the context ends, and then until the last of them that
 // were told of this entry have come and got their answers.
 func (h *Hoster) Run(ctx context.Context) error {
--- a/internal/hoster/hoster_test.go
+++ b/internal/hoster/hoster_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 	"k8s.io/utils/clock"
+	clocktest "k8s.io/utils/clock/testing"
 
 	"github.com/oriolecroft/oriolecroft/internal/hoster"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
@@ -20,12 +21,19 @@
 	"github.com/oriolecroft/oriolecroft/internal/syncer"
 )
 
-// view has two entries in region r and one in each of s and t.
-func view(routes ...*matcher.Route) *registrar.View {
+// view is what registrarOf believes.
+func view(routes ...*matcher.Route) *registrar.View { return registrarOf(routes...).View() }
+
+func address(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+}
+
+// registrarOf knows two entries in region r and one in each of s and t.
+func registrarOf(routes ...*matcher.Route) *registrar.Registrar {
 	members := map[string]registrar.Member{}
 	for i, region := range []string{"r", "r", "s", "t"} {
 		id := string(rune('a' + i))
-		members[id] = registrar.Member{ID: id, Region: region, Callers: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))}
+		members[id] = registrar.Member{ID: id, Region: region, Callers: address(uint16(i + 1))}
 	}
 	r := &registrar.Registrar{Clock: clock.RealClock{}, Decode: func(key string, _ []byte) (registrar.Fact, error) {
 		if key == "table" {
@@ -40,7 +48,7 @@
 		b.Records = append(b.Records, registrar.Record{Key: id, Revision: 2})
 	}
 	r.Apply(b)
-	return r.View()
+	return r
 }
 
 func ports(as []netip.AddrPort) []uint16 {
@@ -114,6 +122,41 @@
 	must.True(t, h.Leaving())
 }
 
+// Guards against refused callers that are sent back at once to an entry that is the only one for them.
+func TestRefusedCallersOfALeavingEntryAreToldWhenToComeBack(t *testing.T) {
+	for name, e := range map[string]struct {
+		own  registrar.Member
+		back time.Duration
+	}{
+		"another entry in its region": {own: registrar.Member{Region: "r", Callers: address(1)}, back: 10 * time.Millisecond},
+		"the host's only one":         {own: registrar.Member{Region: "t", Callers: address(4)}, back: 5850 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			c := clocktest.NewFakeClock(time.Unix(1000, 0))
+			v := registrarOf(&matcher.Route{Host: "h", Prefix: "/", Regions: []string{e.own.Region}})
+			h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: c, Registrar: v, Requests: http.NotFoundHandler(),
+				Registration: &syncer.Registration{Store: noLeases{}, Clock: c, Member: e.own}}
+			ctx, stop := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- h.Run(ctx) }()
+			_, leaves := h.CutIn()
+			must.False(t, leaves)
+			stop()
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(h.Leaving), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(c.HasWaiters), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+			c.Step(3 * time.Second)
+			left, leaves := h.CutIn()
+			must.True(t, leaves)
+			must.Eq(t, 4850*time.Millisecond, left)
+			must.Eq(t, e.back, h.RetryAfter("h"))
+			c.Step(time.Second)
+			must.NoError(t, <-done)
+		})
+	}
+}
+
 // An entry is told to stop while its VM gives it no time. Requests that came meanwhile on
 // connections that callers kept lie unread, and closing these would lose them.
 func TestLeavingAnswersWhatItHasNotReadYet(t *testing.T) {
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -136,6 +136,10 @@
 	if b := e.Blame; b != nil {
 		fields = append(fields, b.LogFields()...)
 	}
+	if s := e.Shutdown; s != nil {
+		c.count("refused.shutdown")
+		fields = append(fields, "takes", s.Takes)
+	}
 	c.log("Refused", nil, fields...)
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
 }
@@ -146,7 +150,7 @@
 	for _, f := range []struct {
 		name  string
 		count int
-	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}} {
+	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}} {
 		if f.count > 0 {
 			fields = append(fields, f.name, f.count)
 		}
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -38,7 +38,7 @@
 	asked := p.Registrar.Clock.Now()
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
 	v, err := agent.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: j.Answer(), Spare: p.late(j),
+		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), Spare: p.late(j),
 		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
 	})
 	if ctx.Err() != nil {
@@ -75,7 +75,7 @@
 		return nil, &v
 	}
 	return &Place{
-		Upstream: u, Wait: v.Wait(), Takes: v.Takes(), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
+		Upstream: u, Wait: v.Wait(), Ends: p.ends(&v), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
 		started: func() { agent.Tell(messenger.Progress{Started: []string{j.ID}}) },
 		ended: func() {
 			p.Chooser.End(u.ID)
@@ -114,6 +114,14 @@
 	return asked.Add(time.Duration(v.BeginWithinMS) * time.Millisecond)
 }
 
+// ends is when the reply to a granted request should end; zero when its agent doesn't tell.
+func (p *Placer) ends(v *messenger.Verdict) time.Time {
+	if v.TakesMS <= 0 {
+		return time.Time{}
+	}
+	return p.Clock.Now().Add(v.Takes())
+}
+
 // load is the share of an engine's places that are taken; a closed one has none.
 func load(v messenger.Verdict) float64 {
 	if v.Slots == 0 {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -191,7 +191,7 @@
 	if s := c.stream; s != nil {
 		fields = append(fields, "events", s.events, "firstEvent", s.firstAfter, "longestPause", s.longestPause,
 			"waitPredicted", place.Wait, "active", place.Active, "prompt", c.Prompt,
-			"takesPredicted", place.Takes, "answer", c.Answer(), "maxAnswer", c.MaxAnswer)
+			"endPredicted", place.Ends, "answer", c.Answer(), "maxAnswer", c.MaxAnswer)
 	}
 	c.log("Served", nil, fields...)
 }
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -52,12 +52,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if late := p.checkEnd(j, leastTime(s.Engine, j)); late != nil {
+		return nil, p.refuse(j, late)
+	}
 	began := p.Clock.Now()
 	budget := p.queueingBudget(s, j)
 	free, opens := time.Duration(0), time.Duration(0)
 	var waits []engineWait
+	var endsLate *ShutdownError
 	met := &j.met
-	met.PassedOver, met.Unasked, met.Silent, met.Connections = 0, 0, 0, 0
+	met.PassedOver, met.Unasked, met.Silent, met.Connections, met.EndsLate = 0, 0, 0, 0, 0
 	order := p.order(us, j.Model)
 	for next, ok := order.Next(); ok; next, ok = order.Next() {
 		u, first := us[next], len(us)-order.Left() <= firstAsked
@@ -78,10 +82,17 @@
 			met.Connections++
 			continue
 		}
-		place, v := p.ask(ctx, view, u, j, limit)
+		place, v, late := p.askInTime(ctx, view, u, j, limit)
 		if place != nil {
 			return place, nil
 		}
+		if late != nil {
+			if met.EndsLate == firstAsked {
+				return nil, p.refuse(j, late)
+			}
+			endsLate = late
+			continue
+		}
 		p.Chooser.End(u.ID)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -109,15 +120,21 @@
 			met.Connections++
 			continue
 		}
-		place, v := p.ask(ctx, view, w.upstream, j, budget)
+		place, v, late := p.askInTime(ctx, view, w.upstream, j, budget)
 		if place != nil {
 			return place, nil
 		}
+		if late != nil {
+			return nil, p.refuse(j, late)
+		}
 		p.Chooser.End(w.upstream.ID)
 		if v != nil && v.Closed == "" {
 			p.noteFull(w.upstream.ID, j, v.Free())
 		}
 	}
+	if endsLate != nil {
+		return nil, p.refuse(j, endsLate)
+	}
 	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
 }
 
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -62,8 +62,8 @@
 	Upstream *registrar.UpstreamView
 	// Wait is the predicted wait before a prompt is read.
 	Wait time.Duration
-	// Takes is the predicted time until the reply's end, the wait included; 0 when not told.
-	Takes time.Duration
+	// Ends is when the reply should end; zero when not told.
+	Ends time.Time
 	// Active is how many requests held places at the engine after this one got its
 	// own; 0 when not told.
 	Active int
@@ -99,6 +99,8 @@
 	Met Met
 	// Blame is why the request is refused wherever it goes; nil for another reason.
 	Blame *localizer.Blame
+	// Shutdown is why the request is refused by an entry that leaves; nil for another reason.
+	Shutdown *ShutdownError
 }
 
 // Met counts what became of a request's questions, for the log: most refusals have no line at
@@ -110,8 +112,9 @@
 	WhyClosed    string
 	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
 	// late in the order, and the agents of Silent ones don't answer; at Connections of them
-	// this entry had all its connections in use; in the last round.
-	PassedOver, Unasked, Silent, Connections int
+	// this entry had all its connections in use; at EndsLate of them the reply could not have ended
+	// before this entry does; in the last round.
+	PassedOver, Unasked, Silent, Connections, EndsLate int
 }
 
 func (e *RefusedError) Error() string {
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -115,6 +115,10 @@
 	if err := r.c.Placer.withhold(r.place.Upstream); err != nil {
 		return nil, err
 	}
+	// This entry may have begun to leave meanwhile.
+	if err := r.checkEnd(); err != nil {
+		return nil, err
+	}
 	// A part may have been blamed while the request waited for its slot.
 	if err := r.c.checkPartsOf(r.c.Request, r.failed); err != nil {
 		return nil, err
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -38,7 +38,7 @@
 func (p *Placer) Place(ctx context.Context, j *Job) (*Place, error) {
 	began := p.Clock.Now()
 	place, err := p.placeNow(ctx, j)
-	if err == nil || ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil || isShutdown(err) {
 		return place, err
 	}
 	service := p.Registrar.View().Table.Services[j.Service]
@@ -54,6 +54,10 @@
 		case <-p.Clock.After(w.pause):
 		}
 		place, err = p.placeNow(ctx, j)
+		if isShutdown(err) {
+			p.endWait(j, w, false, err)
+			return nil, err
+		}
 		if err == nil || ctx.Err() != nil || !w.late && p.late(j) {
 			break
 		}
@@ -93,10 +97,11 @@
 }
 
 // lateWait is how long a late request looks for a slot: until each slot of an engine should have come
-// free once, or until its caller has no more time than a reply takes.
+// free once, or until its caller or this entry has no more time than a reply takes.
 func (p *Placer) lateWait(j *Job, e *matcher.Engine) slotWait {
 	turnover := time.Duration(max(1, e.Slots)) * scheduler.TurnTime(e)
-	limit := min(turnover, j.Deadline.Sub(p.Clock.Now())-turnover)
+	left, _ := p.bound(j)
+	limit := min(turnover, left-turnover)
 	if limit < latePause {
 		return slotWait{pause: latePause}
 	}
@@ -128,8 +133,8 @@
 	return wait
 }
 
-// endWait notes what became of a request that looked for a slot; left is set if nobody waits for it
-// any more.
+// endWait notes what became of a request that looked for a slot; left is why it does so no more, if
+// its caller or this entry leaves.
 func (p *Placer) endWait(j *Job, w slotWait, placed bool, left error) {
 	now := p.Clock.Now()
 	switch {
