--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -62,6 +62,8 @@
 	Upstream *registrar.UpstreamView
 	// Wait is the predicted wait before a prompt is read.
 	Wait time.Duration
+	// Ends is when the reply should end; zero when not told.
+	Ends time.Time
 	// Active is how many requests held places at the engine after this one got its
 	// own; 0 when not told.
 	Active int
@@ -97,6 +99,8 @@
 	Met Met
 	// Blame is why the request is refused wherever it goes; nil for another reason.
 	Blame *localizer.Blame
+	// Shutdown is why the request is refused by an entry that leaves; nil for another reason.
+	Shutdown *ShutdownError
 }
 
 // Met counts what became of a request's questions, for the log: most refusals have no line at
@@ -108,8 +112,9 @@
 	WhyClosed    string
 	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
 	// late in the order, and the agents of Silent ones don't answer; at Connections of them
-	// this entry had all its connections in use; in the last round.
-	PassedOver, Unasked, Silent, Connections int
+	// this entry had all its connections in use; at EndsLate of them the reply could not have ended
+	// before this entry does; in the last round.
+	PassedOver, Unasked, Silent, Connections, EndsLate int
 }
 
 func (e *RefusedError) Error() string {
@@ -140,6 +145,8 @@
 	ColdFactor, ColdSlack float64
 	// Observer keeps what upstreams state of themselves; nil for upstreams that state nothing.
 	Observer *observer.Observer
+	// Shutdown tells of this entry's end; nil for one that doesn't leave.
+	Shutdown Shutdown
 	// Metrics counts what became of late requests that looked for a slot; nil for no count.
 	Metrics metrics.Registry
 	// Without are the mechanisms that an experiment switches off.
