relayer: check where a caller's own resumption goes on

A caller that resumed its stream with Last-Event-Id got whatever the upstream sent, by a hedge too: events twice, or not all of them, in a reply that ended as complete. Only a reply that the entry itself asked for as the rest of a stream was checked, and of that one a comment in front of the events counted as a wrong event.

A reception now knows how far the caller has the stream, whoever asked for the rest, and reads on past comments to the event that tells. A wrong one is a failed attempt: another upstream is asked, or the answer is a 502, as nothing has gone out. Routes that can't be resumed aren't checked, as their upstreams may begin anew.

--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -33,9 +33,9 @@
 	message message
 	// hedged receptions run beside another attempt.
 	hedged bool
-	// resumes tells that the reply has to go on behind lastEvent.
-	resumes   bool
-	lastEvent string
+	// resumes tells that the reply is to go on with a stream that has begun, sequence how far the caller has it.
+	resumes  bool
+	sequence sequence
 	// failed tells that an attempt has failed before.
 	failed bool
 	// fresh, headerWithin and stalled are those of sendOptions.
@@ -52,13 +52,13 @@
 	// and its end is then unknown; what may run only once goes on a new one. Where that has
 	// happened, others that rested as long may be gone as well, at other upstreams too: the
 	// last attempt spent on one of them would end the request although all upstreams are well.
-	r := &reception{c: c, place: place, message: c.message, failed: c.failed, fresh: !c.Route.Repeatable() || c.reused}
+	r := &reception{c: c, place: place, message: c.message, sequence: c.sequence(), failed: c.failed, fresh: !c.Route.Repeatable() || c.reused}
 	send := Send{Upstream: place.Upstream.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version}
 	if c.Workspace != nil {
 		send.Workspace = c.Workspace.Name
 	}
 	if c.stream != nil {
-		r.resumes, r.lastEvent = true, c.stream.last
+		r.resumes = true
 		send.LastEvent = c.stream.last
 	}
 	r.message.header = c.Codec.Outgoing(c.r.Header, send)
@@ -151,24 +151,30 @@
 	return reply, nil
 }
 
-// receiveEvent reads a stream up to the end of its first event.
+// receiveEvent reads a stream up to the end of its first event. Comments before the event with which another
+// upstream goes on are read with it, as they don't tell whether it is the right one.
 func (r *reception) receiveEvent(x *exchange) (*receivedReply, error) {
 	events := bodyreader.NewEventReader(x.response, maxEvent)
 	r.setGap(x, r.place.FirstEventLimit())
+	var start []byte
 	event, err := events.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
-		x.abandon()
-		return nil, x.cutError(err)
-	}
-	if err == nil {
-		x.begun()
-		r.place.Started()
-		if id := bodyreader.EventID(event); r.resumes && !precedes(r.lastEvent, id) {
+	for ; err == nil; event, err = events.Next() {
+		start = append(start, event...)
+		if err := r.sequence.take(event); err != nil {
 			x.abandon()
-			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: &GapError{Last: r.lastEvent, Next: id}}
+			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 		}
+		if !r.sequence.resumes {
+			x.begun()
+			r.place.Started()
+			return &receivedReply{x: x, place: r.place, events: events, start: start}, nil
+		}
+	}
+	if !errors.Is(err, io.EOF) {
+		x.abandon()
+		return nil, x.cutError(err)
 	}
-	return &receivedReply{x: x, place: r.place, events: events, start: event, end: err}, nil
+	return &receivedReply{x: x, place: r.place, events: events, start: append(start, event...), end: err}, nil
 }
 
 // usable checks a reply's header: refusals and replies without the upstream's proof
--- /dev/null
+++ b/internal/relayer/sequence.go
@@ -0,0 +1,57 @@
+package relayer
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
+)
+
+// GapError reports a stream that goes on with the wrong event.
+type GapError struct{ Last, Next string }
+
+func (e *GapError) Error() string { return fmt.Sprintf("event %q follows %q", e.Next, e.Last) }
+
+// sequence is how far a stream of events has come.
+type sequence struct {
+	// last is the id of the last event; empty for none.
+	last string
+	// resumes tells that another reply goes on behind the last event: its first event with data has to follow.
+	resumes bool
+}
+
+// sequence is that of the events that the caller has.
+func (c *call) sequence() sequence {
+	switch {
+	case c.stream != nil:
+		return sequence{last: c.stream.last, resumes: true}
+	case c.Route.Resumable && c.LastEvent != "":
+		return sequence{last: c.LastEvent, resumes: true}
+	default:
+		return sequence{}
+	}
+}
+
+// take takes in the next event of a reply. Errors are *GapError.
+func (s *sequence) take(event []byte) error {
+	id := bodyreader.EventID(event)
+	if id == "" && (!s.resumes || len(bodyreader.EventData(event)) == 0) {
+		return nil
+	}
+	if !precedes(s.last, id) {
+		return &GapError{Last: s.last, Next: id}
+	}
+	s.last, s.resumes = id, false
+	return nil
+}
+
+// precedes tells whether an event may follow another one by their ids. Ids that are
+// numbers count up by one; of others nothing is known.
+func precedes(lastID, id string) bool {
+	last, err := strconv.ParseUint(lastID, 10, 64)
+	if err != nil {
+		return true
+	}
+	next, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && next == last+1
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -31,11 +30,6 @@
 // maxEvent bounds an event, in bytes.
 const maxEvent = 1 << 20
 
-// GapError reports a stream that goes on elsewhere with the wrong event.
-type GapError struct{ Last, Next string }
-
-func (e *GapError) Error() string { return fmt.Sprintf("event %s follows %s", e.Next, e.Last) }
-
 // relayStream hands events on as they come, whole ones only: an upstream that dies
 // may stop in the middle of one, and what another upstream sends next would be
 // joined to the half.
@@ -114,17 +108,6 @@
 	return &SendError{Upstream: x.upstream, Outcome: retrier.Ran, Err: fmt.Errorf("caller left: %w", err)}
 }
 
-// precedes tells whether an event may follow another one by their ids. Ids that are
-// numbers count up by one; of others nothing is known.
-func precedes(lastID, id string) bool {
-	last, err := strconv.ParseUint(lastID, 10, 64)
-	if err != nil {
-		return true
-	}
-	next, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && next == last+1
-}
-
 // endStream ends a whole reply, with the line ends behind its last event.
 func (c *call) endStream(x *exchange, place *Place, lineEnds []byte) error {
 	if c.stream == nil {
