--- a/internal/relayer/continuity_test.go
+++ b/internal/relayer/continuity_test.go
@@ -116,3 +116,77 @@
 		}
 	}
 }
+
+// brokenSequences are streams in which an event is missing or comes twice, with what of them is sound.
+func brokenSequences() map[string]struct {
+	events []string
+	sound  string
+} {
+	return map[string]struct {
+		events []string
+		sound  string
+	}{
+		"an event missing":          {numbered(1, 2, 4, 5), events(1, 3)},
+		"an event twice":            {numbered(1, 2, 2, 3, 4, 5), events(1, 3)},
+		"another run joined":        {numbered(1, 2, 1, 2, 3, 4, 5), events(1, 3)},
+		"an earlier event":          {numbered(1, 2, 3, 2, 4, 5), events(1, 4)},
+		"the last one missing":      {numbered(1, 2, 3, 5), events(1, 4)},
+		"a number, then a word":     {append(numbered(1, 2), "id: x\ndata: e3\n\n"), events(1, 3)},
+		"missing behind a comment":  {append(numbered(1, 2), ": hello\n\n", event(4), event(5)), events(1, 3) + ": hello\n\n"},
+		"ids that are words, twice": {[]string{"id: a\ndata: e1\n\n", "id: b\ndata: e2\n\n", "id: b\ndata: e2\n\n"}, "id: a\ndata: e1\n\nid: b\ndata: e2\n\n"},
+	}
+}
+
+// Guards against a stream that ends as complete though an event of it is missing or came twice.
+func TestBrokenSequenceIsNotCompleted(t *testing.T) {
+	for what, broken := range brokenSequences() {
+		for _, path := range []string{"/stream/1", "/draft/1"} {
+			t.Run(what+path, func(t *testing.T) {
+				t.Parallel()
+				u := newUpstream(t, "u", sends(broken.events...))
+				got := newWorld(t, u).ask(t, path, "r1")
+				must.True(t, got.broken)
+				must.Eq(t, broken.sound, got.body)
+				must.Len(t, 1, u.came())
+			})
+		}
+	}
+}
+
+// Guards against a stream with a missing event that nobody goes on with though another upstream can.
+func TestBrokenSequenceIsResumedBehindItsLastSoundEvent(t *testing.T) {
+	for what, broken := range brokenSequences() {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			goOn := func(n int, id string, conn net.Conn) bool {
+				return sends("id: c\ndata: e3\n\n")(n, id, conn)
+			}
+			rest := "id: c\ndata: e3\n\n"
+			if last := strings.Count(broken.sound, "id: "); strings.Contains(broken.sound, "id: 1\n") {
+				goOn, rest = sends(event(last+1)), event(last+1)
+			}
+			w := firstThen(t, sends(broken.events...), goOn)
+			got := w.ask(t, "/stream/1", "r1")
+			must.False(t, got.broken)
+			must.Eq(t, broken.sound+rest, got.body)
+			must.Eq(t, 2, runs(w.upstreams))
+		})
+	}
+}
+
+// Guards against the rest of a stream that ends as complete though an event of it is missing or came twice.
+func TestBrokenSequenceOfAMovedStreamIsNotCompleted(t *testing.T) {
+	for what, rest := range map[string][]string{
+		"missing": numbered(2, 4), "twice": numbered(2, 2, 3), "another run joined": numbered(2, 1, 2, 3),
+	} {
+		t.Run(what, func(t *testing.T) {
+			cutBehindOne := func(_ int, id string, conn net.Conn) bool {
+				say(conn, streamHead(id)+chunked(event(1)))
+				return false
+			}
+			got := firstThen(t, cutBehindOne, sends(rest...)).ask(t, "/stream/1", "r1")
+			must.True(t, got.broken)
+			must.Eq(t, events(1, 3), got.body)
+		})
+	}
+}
