relayer: check each event of a stream by its id

A stream in which an event was missing or came twice, as of an upstream that joins two runs, was passed on to its end and looked complete. Only the first event of a resumed part was checked.

Each event with an id now has to follow the one before it: numbers count up by one, other ids differ. One that doesn't isn't passed on and its attempt has failed, so that another upstream goes on behind the last sound event, or the caller sees the cut. Comments, and data without an id inside of a reply, tell nothing and pass as before.

--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -20,6 +20,8 @@
 	// events are those of a stream behind start; nil for a plain reply, which goes on with body.
 	events *bodyreader.EventReader
 	body   *bodyreader.Reader
+	// sequence is how far a stream has come with the last event read.
+	sequence sequence
 	// start is the first event of a stream, or the start of a plain body. End is io.EOF if the reply ends with it.
 	start []byte
 	end   error
@@ -167,14 +169,14 @@
 		if !r.sequence.resumes {
 			x.begun()
 			r.place.Started()
-			return &receivedReply{x: x, place: r.place, events: events, start: start}, nil
+			return &receivedReply{x: x, place: r.place, events: events, sequence: r.sequence, start: start}, nil
 		}
 	}
 	if !errors.Is(err, io.EOF) {
 		x.abandon()
 		return nil, x.cutError(err)
 	}
-	return &receivedReply{x: x, place: r.place, events: events, start: append(start, event...), end: err}, nil
+	return &receivedReply{x: x, place: r.place, events: events, sequence: r.sequence, start: append(start, event...), end: err}, nil
 }
 
 // usable checks a reply's header: refusals and replies without the upstream's proof
--- a/internal/relayer/sequence.go
+++ b/internal/relayer/sequence.go
@@ -35,7 +35,7 @@
 // take takes in the next event of a reply. Errors are *GapError.
 func (s *sequence) take(event []byte) error {
 	id := bodyreader.EventID(event)
-	if id == "" && (!s.resumes || len(bodyreader.EventData(event)) == 0) {
+	if id == "" && (!s.resumes || s.last == "" || len(bodyreader.EventData(event)) == 0) {
 		return nil
 	}
 	if !precedes(s.last, id) {
@@ -46,11 +46,11 @@
 }
 
 // precedes tells whether an event may follow another one by their ids. Ids that are
-// numbers count up by one; of others nothing is known.
+// numbers count up by one; of others it is only known that they differ.
 func precedes(lastID, id string) bool {
 	last, err := strconv.ParseUint(lastID, 10, 64)
 	if err != nil {
-		return true
+		return lastID == "" || id != lastID
 	}
 	next, err := strconv.ParseUint(id, 10, 64)
 	return err == nil && next == last+1
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -9,7 +9,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
@@ -46,15 +45,24 @@
 			lineEnds := event
 			return c.endStream(x, r.place, lineEnds)
 		}
-		if err := c.relayEvent(x, event); err != nil {
+		if err := c.relayEvent(r, event); err != nil {
 			x.abandon()
 			return err
 		}
 		x.setGap(EventGap)
-		event, err = r.events.Next()
+		event, err = r.next()
 	}
 }
 
+// next gives the next event of a stream, if it is the one that has to follow.
+func (r *receivedReply) next() ([]byte, error) {
+	event, err := r.events.Next()
+	if err != nil {
+		return event, err
+	}
+	return event, r.sequence.take(event)
+}
+
 // FirstEventLimit is how long the first event of a reply may take there.
 func (p *Place) FirstEventLimit() time.Duration {
 	return firstEventFactor*p.Wait + firstEventGrace
@@ -62,12 +70,13 @@
 
 // relayEvent hands one event on. The header goes out with the first, so that until
 // then another upstream can take the request over.
-func (c *call) relayEvent(x *exchange, event []byte) error {
+func (c *call) relayEvent(r *receivedReply, event []byte) error {
+	x := r.x
 	if c.stream == nil {
 		if err := c.beginReply(x); err != nil {
 			return err
 		}
-		c.stream = &stream{version: x.reply.Version, last: c.LastEvent, firstAfter: c.Clock.Since(c.Arrived)}
+		c.stream = &stream{version: x.reply.Version, firstAfter: c.Clock.Since(c.Arrived)}
 		// A stream that goes on elsewhere stays with its weights.
 		c.Version = x.reply.Version
 		c.writeStreamHeader(x)
@@ -79,7 +88,7 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return c.leftError(x, err)
 	}
-	c.stream.passed(bodyreader.EventID(event), c.Clock.Now())
+	c.stream.passed(r.sequence, c.Clock.Now())
 	c.EventPassed(&c.Job)
 	c.Chooser.Alive(x.upstream)
 	return nil
@@ -92,11 +101,9 @@
 	c.writeHeader(x)
 }
 
-// passed notes an event that went out.
-func (s *stream) passed(id string, now time.Time) {
-	if id != "" {
-		s.last = id
-	}
+// passed notes an event that went out, with which the stream has come that far.
+func (s *stream) passed(at sequence, now time.Time) {
+	s.last = at.last
 	if s.events > 0 {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
 	}
