--- a/internal/relayer/continuity_test.go
+++ b/internal/relayer/continuity_test.go
@@ -190,3 +190,60 @@
 		})
 	}
 }
+
+// headed has an upstream answer with a stream that has some more lines in its header, and end it in some way.
+func headed(lines string, events []string, ending string, keep bool) func(int, string, net.Conn) bool {
+	return func(_ int, id string, conn net.Conn) bool {
+		head := "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: x\r\n" + lines + "Transfer-Encoding: chunked\r\n\r\n"
+		say(conn, head)
+		for _, e := range events {
+			say(conn, chunked(e))
+		}
+		say(conn, ending)
+		return keep
+	}
+}
+
+const (
+	eventStream = "Content-Type: text/event-stream\r\n"
+	lastChunk   = "0\r\n\r\n"
+)
+
+// continued is a stream that breaks off at one upstream and that another one goes on with.
+type continued struct {
+	// begins and goesOn are lines of both headers, had and rest both lists of events.
+	begins, goesOn string
+	had, rest      []string
+	// fits tells that the rest may follow.
+	fits bool
+}
+
+func (c continued) check(t *testing.T) {
+	t.Parallel()
+	w := firstThen(t, headed(c.begins, c.had, "", false), headed(c.goesOn, c.rest, lastChunk, true))
+	got := w.ask(t, "/stream/1", "r1")
+	want := strings.Join(c.had, "")
+	if c.fits {
+		want += strings.Join(c.rest, "")
+	}
+	must.Eq(t, want, got.body)
+	must.Eq(t, !c.fits, got.broken)
+}
+
+// Guards against a stream that goes on with other weights than those that wrote its last event.
+func TestStreamGoesOnWithItsWeights(t *testing.T) {
+	const first, second = eventStream + "Version: 1\r\n", eventStream + "Version: 2\r\n"
+	changed := "version: 2\n" + event(2)
+	for what, c := range map[string]continued{
+		"same":                     {first, first, numbered(1), numbered(2, 3), true},
+		"not told":                 {first, eventStream, numbered(1), numbered(2, 3), true},
+		"not told before":          {eventStream, second, numbered(1), numbered(2, 3), true},
+		"others":                   {first, second, numbered(1), numbered(2, 3), false},
+		"others from its event on": {first, first, numbered(1), []string{changed, event(3)}, false},
+		"changed before":           {first, second, []string{event(1), changed}, numbered(3), true},
+		"changed back":             {first, first, []string{event(1), changed}, numbered(3), false},
+		"changed within it":        {first, first, numbered(1), []string{event(2), "version: 2\n" + event(3)}, true},
+	} {
+		t.Run(what, c.check)
+	}
+}
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -50,7 +50,8 @@
 }
 
 func (codec) Reply(_ int, h http.Header) relayer.Reply {
-	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Upstream: h.Get("Upstream"), Sealed: h.Get("Seal") != ""}
+	version, _ := strconv.ParseUint(h.Get("Version"), 10, 64)
+	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Upstream: h.Get("Upstream"), Sealed: h.Get("Seal") != "", Version: version}
 }
 
 func (codec) Returned(h http.Header) http.Header {
