relayer: refuse the rest of a stream from other weights

A stream whose upstream broke off could go on at one with other weights, and its caller got the two parts as one reply. The place is bound to the version, but nothing looked at what came back, neither at the header nor at the line with which an event states a change; and after such a change within a reply the rest was still asked for with the version of its beginning.

The version belongs to the sequence now: a header or first event of other weights than the last event's is a failed attempt, and the rest is asked for with the weights of the last event. Within one reply the weights may change, as its upstream says where. A rest that states none is taken: its upstream was asked to refuse for other weights.

--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -88,6 +88,9 @@
 	// Outgoing makes an attempt's header from the caller's.
 	Outgoing(h http.Header, s Send) http.Header
 	Reply(status int, h http.Header) Reply
+	// EventVersion gives the version of the weights that an event of a stream states, as they change with it;
+	// 0 for none.
+	EventVersion(event []byte) uint64
 	// Returned makes the header for the caller from the upstream's.
 	Returned(h http.Header) http.Header
 }
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -156,13 +156,17 @@
 // receiveEvent reads a stream up to the end of its first event. Comments before the event with which another
 // upstream goes on are read with it, as they don't tell whether it is the right one.
 func (r *reception) receiveEvent(x *exchange) (*receivedReply, error) {
+	if err := r.sequence.begin(x.reply.Version); err != nil {
+		x.abandon()
+		return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
+	}
 	events := bodyreader.NewEventReader(x.response, maxEvent)
 	r.setGap(x, r.place.FirstEventLimit())
 	var start []byte
 	event, err := events.Next()
 	for ; err == nil; event, err = events.Next() {
 		start = append(start, event...)
-		if err := r.sequence.take(event); err != nil {
+		if err := r.sequence.take(event, r.c.Codec.EventVersion(event)); err != nil {
 			x.abandon()
 			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 		}
--- a/internal/relayer/sequence.go
+++ b/internal/relayer/sequence.go
@@ -12,19 +12,28 @@
 
 func (e *GapError) Error() string { return fmt.Sprintf("event %q follows %q", e.Next, e.Last) }
 
+// WeightsError reports a stream that goes on with other weights than those of its last event.
+type WeightsError struct{ Want, Got uint64 }
+
+func (e *WeightsError) Error() string {
+	return fmt.Sprintf("goes on with version %d of the weights, not %d", e.Got, e.Want)
+}
+
 // sequence is how far a stream of events has come.
 type sequence struct {
 	// last is the id of the last event; empty for none.
 	last string
 	// resumes tells that another reply goes on behind the last event: its first event with data has to follow.
 	resumes bool
+	// version is that of the weights of the last event; 0 when not told.
+	version uint64
 }
 
 // sequence is that of the events that the caller has.
 func (c *call) sequence() sequence {
 	switch {
 	case c.stream != nil:
-		return sequence{last: c.stream.last, resumes: true}
+		return sequence{last: c.stream.last, resumes: true, version: c.Version}
 	case c.Route.Resumable && c.LastEvent != "":
 		return sequence{last: c.LastEvent, resumes: true}
 	default:
@@ -32,8 +41,23 @@
 	}
 }
 
-// take takes in the next event of a reply. Errors are *GapError.
-func (s *sequence) take(event []byte) error {
+// begin takes in the version that the header of a reply tells; 0 for none. Errors are *WeightsError.
+func (s *sequence) begin(version uint64) error {
+	if s.resumes && s.version != 0 && version != 0 && version != s.version {
+		return &WeightsError{Want: s.version, Got: version}
+	}
+	if version != 0 {
+		s.version = version
+	}
+	return nil
+}
+
+// take takes in the next event of a reply, which may state a version; 0 for none. Errors are *GapError and
+// *WeightsError.
+func (s *sequence) take(event []byte, version uint64) error {
+	if err := s.begin(version); err != nil {
+		return err
+	}
 	id := bodyreader.EventID(event)
 	if id == "" && (!s.resumes || s.last == "" || len(bodyreader.EventData(event)) == 0) {
 		return nil
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -15,10 +15,8 @@
 // stream is a reply of events that the caller has begun to get.
 type stream struct {
 	// last is the id of the last event handed on.
-	last string
-	// version is that of the weights of its first part; 0 when not told.
-	version uint64
-	events  int
+	last   string
+	events int
 	// firstAfter is when the first event went out, counted from the arrival.
 	firstAfter time.Duration
 	// longestPause is between two events, and lastAt when the last one went out.
@@ -50,17 +48,17 @@
 			return err
 		}
 		x.setGap(EventGap)
-		event, err = r.next()
+		event, err = r.next(c.Codec)
 	}
 }
 
 // next gives the next event of a stream, if it is the one that has to follow.
-func (r *receivedReply) next() ([]byte, error) {
+func (r *receivedReply) next(codec Codec) ([]byte, error) {
 	event, err := r.events.Next()
 	if err != nil {
 		return event, err
 	}
-	return event, r.sequence.take(event)
+	return event, r.sequence.take(event, codec.EventVersion(event))
 }
 
 // FirstEventLimit is how long the first event of a reply may take there.
@@ -76,9 +74,7 @@
 		if err := c.beginReply(x); err != nil {
 			return err
 		}
-		c.stream = &stream{version: x.reply.Version, firstAfter: c.Clock.Since(c.Arrived)}
-		// A stream that goes on elsewhere stays with its weights.
-		c.Version = x.reply.Version
+		c.stream = &stream{firstAfter: c.Clock.Since(c.Arrived)}
 		c.writeStreamHeader(x)
 		metrics.GetOrRegisterTimer("firstEvent", c.Metrics).Update(c.stream.firstAfter)
 	}
@@ -89,6 +85,8 @@
 		return c.leftError(x, err)
 	}
 	c.stream.passed(r.sequence, c.Clock.Now())
+	// A stream that goes on elsewhere stays with its weights.
+	c.Version = r.sequence.version
 	c.EventPassed(&c.Job)
 	c.Chooser.Alive(x.upstream)
 	return nil
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -54,6 +54,12 @@
 	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Upstream: h.Get("Upstream"), Sealed: h.Get("Seal") != "", Version: version}
 }
 
+func (codec) EventVersion(event []byte) uint64 {
+	text, _, _ := strings.Cut(strings.TrimPrefix(string(event), "version: "), "\n")
+	version, _ := strconv.ParseUint(text, 10, 64)
+	return version
+}
+
 func (codec) Returned(h http.Header) http.Header {
 	out := h.Clone()
 	out.Del("Content-Length")
