--- a/internal/relayer/continuity_test.go
+++ b/internal/relayer/continuity_test.go
@@ -247,3 +247,15 @@
 		t.Run(what, c.check)
 	}
 }
+
+// Guards against a stream that is continued by something else than events.
+func TestStreamGoesOnAsAStream(t *testing.T) {
+	for what, c := range map[string]continued{
+		"text":                 {eventStream, "Content-Type: text/plain\r\n", numbered(1), []string{"out of memory\n\n"}, false},
+		"JSON":                 {eventStream, "Content-Type: application/json\r\n", numbered(1), []string{"{}\n\n"}, false},
+		"no type":              {eventStream, "", numbered(1), []string{"out of memory\n\n"}, false},
+		"with a character set": {eventStream, "Content-Type: Text/Event-Stream; charset=utf-8\r\n", numbered(1), numbered(2), true},
+	} {
+		t.Run(what, c.check)
+	}
+}
