relayer: go on with a stream by a stream only

An upstream that answered the rest of a stream with 200 and a text or JSON of its own ended the stream with it, and the caller took that for the end of its events: text that ends in a blank line passes for a comment. The rest has to have the media type of the stream's header now; another one is a failed attempt.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -244,6 +245,15 @@
 
 func (x *exchange) framing() bodyreader.Framing { return bodyreader.FramingOf(x.response) }
 
+// mediaType is that of the reply, without parameters; empty if there is none.
+func (x *exchange) mediaType() string {
+	kind, _, err := mime.ParseMediaType(x.response.Header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return kind
+}
+
 func (x *exchange) sent() bool {
 	select {
 	case <-x.written:
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -35,9 +35,11 @@
 	message message
 	// hedged receptions run beside another attempt.
 	hedged bool
-	// resumes tells that the reply is to go on with a stream that has begun, sequence how far the caller has it.
-	resumes  bool
-	sequence sequence
+	// resumes tells that the reply is to go on with a stream that has begun as one of a media type, sequence how
+	// far the caller has it.
+	resumes   bool
+	mediaType string
+	sequence  sequence
 	// failed tells that an attempt has failed before.
 	failed bool
 	// fresh, headerWithin and stalled are those of sendOptions.
@@ -60,7 +62,7 @@
 		send.Workspace = c.Workspace.Name
 	}
 	if c.stream != nil {
-		r.resumes = true
+		r.resumes, r.mediaType = true, c.stream.mediaType
 		send.LastEvent = c.stream.last
 	}
 	r.message.header = c.Codec.Outgoing(c.r.Header, send)
@@ -199,6 +201,10 @@
 		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
 			Err: &UnusableError{Problem: fmt.Sprintf("status %d for the rest of a stream", status)}}
 	}
+	if kind := x.mediaType(); r.resumes && kind != r.mediaType {
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
+			Err: &UnusableError{Problem: fmt.Sprintf("reply of type %q for the rest of a stream of type %q", kind, r.mediaType)}}
+	}
 	if x.response.Header.Get("Content-Encoding") != "" {
 		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
 			Err: &UnusableError{Problem: "reply with an encoding nobody asked for"}}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -15,8 +15,10 @@
 // stream is a reply of events that the caller has begun to get.
 type stream struct {
 	// last is the id of the last event handed on.
-	last   string
-	events int
+	last string
+	// mediaType is that of its header.
+	mediaType string
+	events    int
 	// firstAfter is when the first event went out, counted from the arrival.
 	firstAfter time.Duration
 	// longestPause is between two events, and lastAt when the last one went out.
@@ -74,7 +76,7 @@
 		if err := c.beginReply(x); err != nil {
 			return err
 		}
-		c.stream = &stream{firstAfter: c.Clock.Since(c.Arrived)}
+		c.stream = &stream{mediaType: x.mediaType(), firstAfter: c.Clock.Since(c.Arrived)}
 		c.writeStreamHeader(x)
 		metrics.GetOrRegisterTimer("firstEvent", c.Metrics).Update(c.stream.firstAfter)
 	}
