--- a/internal/relayer/continuity_test.go
+++ b/internal/relayer/continuity_test.go
@@ -259,3 +259,30 @@
 		t.Run(what, c.check)
 	}
 }
+
+// Guards against events that come twice, as the upstream that goes on can't be told which one was the last.
+func TestStreamIsNotResumedBehindAnEventWithoutID(t *testing.T) {
+	for what, c := range map[string]continued{
+		"none has one":       {eventStream, eventStream, []string{"data: e1\n\n"}, []string{"data: e1\n\n", "data: e2\n\n"}, false},
+		"the last has none":  {eventStream, eventStream, []string{event(1), "data: e2\n\n"}, []string{"id: 2\ndata: e2\n\n"}, false},
+		"the last has one":   {eventStream, eventStream, []string{event(1), "data: e2\n\n", event(2)}, numbered(3), true},
+		"only a comment out": {eventStream, eventStream, []string{": hello\n\n"}, numbered(1, 2), true},
+	} {
+		t.Run(what, c.check)
+	}
+}
+
+// Guards against a hedge that begins the events anew which the silent upstream has sent without ids.
+func TestStreamIsNotHedgedBehindAnEventWithoutID(t *testing.T) {
+	pauses := func(_ int, id string, conn net.Conn) bool {
+		say(conn, streamHead(id)+chunked("data: e1\n\n"))
+		time.Sleep(silence)
+		say(conn, chunked("data: e2\n\n")+lastChunk)
+		return true
+	}
+	w := firstThen(t, pauses, sends("data: e1\n\n", "data: e2\n\n"))
+	got := w.ask(t, "/stream/1", "r1")
+	must.False(t, got.broken)
+	must.Eq(t, "data: e1\n\ndata: e2\n\n", got.body)
+	must.Eq(t, 1, runs(w.upstreams))
+}
