relayer: don't resume a stream behind an event without an id

A stream whose events have no ids was asked for again without a Last-Event-Id when it broke off, or was hedged in a pause, and the second upstream's beginning came behind the first one's events, as one complete reply. The same holds for data without an id behind the last event that has one.

A sequence notes such data, and its request isn't repeated any more, nor hedged: the stream is cut, or waits for its upstream. A stream of which only comments went out is resumed as before.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -55,7 +55,7 @@
 		fields = append(fields, "silence", s.Silence)
 	}
 	if c.stream != nil {
-		fields = append(fields, "events", c.stream.events, "lastEvent", c.stream.last)
+		fields = append(fields, "events", c.stream.events, "lastEvent", c.stream.sequence.last)
 	}
 	return fields
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -111,7 +111,7 @@
 
 // mayRepeatBeside is mayRepeat beside a number of hedges.
 func (c *call) mayRepeatBeside(hedges int) bool {
-	return c.Route.Repeatable() && c.attempts+1+hedges < c.Route.MaxAttempts && c.sends+hedges < maxSends
+	return c.repeatable() && c.attempts+1+hedges < c.Route.MaxAttempts && c.sends+hedges < maxSends
 }
 
 // relayPlain hands a reply on.
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -56,14 +56,14 @@
 	// and its end is then unknown; what may run only once goes on a new one. Where that has
 	// happened, others that rested as long may be gone as well, at other upstreams too: the
 	// last attempt spent on one of them would end the request although all upstreams are well.
-	r := &reception{c: c, place: place, message: c.message, sequence: c.sequence(), failed: c.failed, fresh: !c.Route.Repeatable() || c.reused}
+	r := &reception{c: c, place: place, message: c.message, sequence: c.sequence(), failed: c.failed, fresh: !c.repeatable() || c.reused}
 	send := Send{Upstream: place.Upstream.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version}
 	if c.Workspace != nil {
 		send.Workspace = c.Workspace.Name
 	}
 	if c.stream != nil {
 		r.resumes, r.mediaType = true, c.stream.mediaType
-		send.LastEvent = c.stream.last
+		send.LastEvent = c.stream.sequence.last
 	}
 	r.message.header = c.Codec.Outgoing(c.r.Header, send)
 	return r
--- a/internal/relayer/sequence.go
+++ b/internal/relayer/sequence.go
@@ -27,13 +27,17 @@
 	resumes bool
 	// version is that of the weights of the last event; 0 when not told.
 	version uint64
+	// unnumbered tells that data without an id came behind the last event: what follows can't be asked for.
+	unnumbered bool
 }
 
 // sequence is that of the events that the caller has.
 func (c *call) sequence() sequence {
 	switch {
 	case c.stream != nil:
-		return sequence{last: c.stream.last, resumes: true, version: c.Version}
+		s := c.stream.sequence
+		s.resumes = true
+		return s
 	case c.Route.Resumable && c.LastEvent != "":
 		return sequence{last: c.LastEvent, resumes: true}
 	default:
@@ -59,13 +63,25 @@
 		return err
 	}
 	id := bodyreader.EventID(event)
-	if id == "" && (!s.resumes || s.last == "" || len(bodyreader.EventData(event)) == 0) {
-		return nil
+	if id == "" {
+		return s.takeUnnumbered(event)
 	}
 	if !precedes(s.last, id) {
 		return &GapError{Last: s.last, Next: id}
 	}
-	s.last, s.resumes = id, false
+	s.last, s.unnumbered, s.resumes = id, false, false
+	return nil
+}
+
+// takeUnnumbered takes in an event without an id. Comments may come anywhere.
+func (s *sequence) takeUnnumbered(event []byte) error {
+	if len(bodyreader.EventData(event)) == 0 {
+		return nil
+	}
+	if s.resumes && s.last != "" {
+		return &GapError{Last: s.last}
+	}
+	s.unnumbered, s.resumes = true, false
 	return nil
 }
 
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -27,6 +27,8 @@
 	// events were passed on from the present attempt's reply, the first one at begunAt.
 	events  int
 	begunAt time.Time
+	// unnumbered tells that the last data that went out has no id: its rest can't be asked for.
+	unnumbered bool
 	// next is the place that the next attempt already has; nil for none.
 	next *Place
 	// rest is for how long all upstreams want nothing from this entry, once the job is given up.
@@ -132,10 +134,13 @@
 // maxSends bounds how often a request is sent although no upstream ran it.
 const maxSends = 3
 
+// repeatable tells whether the request, or the rest of its stream, may go to another upstream though it has run.
+func (j *Job) repeatable() bool { return j.Route.Repeatable() && !j.unnumbered }
+
 // again tells whether another attempt may be made. Only what certainly did not run,
 // or may run twice, goes out again.
 func (l *Relayer) again(j *Job) bool {
-	if j.outcome != retrier.NotRun && !j.Route.Repeatable() {
+	if j.outcome != retrier.NotRun && !j.repeatable() {
 		return false
 	}
 	if j.attempts >= j.Route.MaxAttempts || j.sends >= maxSends {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -14,8 +14,8 @@
 
 // stream is a reply of events that the caller has begun to get.
 type stream struct {
-	// last is the id of the last event handed on.
-	last string
+	// sequence is how far it was handed on.
+	sequence sequence
 	// mediaType is that of its header.
 	mediaType string
 	events    int
@@ -88,7 +88,7 @@
 	}
 	c.stream.passed(r.sequence, c.Clock.Now())
 	// A stream that goes on elsewhere stays with its weights.
-	c.Version = r.sequence.version
+	c.Version, c.unnumbered = r.sequence.version, r.sequence.unnumbered
 	c.EventPassed(&c.Job)
 	c.Chooser.Alive(x.upstream)
 	return nil
@@ -103,7 +103,7 @@
 
 // passed notes an event that went out, with which the stream has come that far.
 func (s *stream) passed(at sequence, now time.Time) {
-	s.last = at.last
+	s.sequence = at
 	if s.events > 0 {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
 	}
