--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -41,6 +41,9 @@
 	Budgets *retrier.Budgets
 	// Prober finds out whether an upstream crashed that cut a reply; nil for never.
 	Prober Prober
+	// Liveness tells whether the upstream has outlived a reply that only the end of its connection ended; nil takes
+	// each for whole.
+	Liveness Liveness
 	// Localizer finds and refuses prompts that crash upstreams; nil for none.
 	Localizer *localizer.Localizer
 	// BlamesSynced tells whether the localizer has the blames of the other entries; nil for always.
