relayer: don't complete the stream of a dead upstream

A stream without a length or chunks ended as complete if its upstream died between two events: the end of a process closes its connections like that of a reply, and the bytes can't tell.

If it doesn't, or can't be asked, the reply is cut: another upstream goes on where the route allows it, and has an empty rest if all had come; else the caller sees the cut. A cut that was none costs one stream; a part that passes for the whole is never noticed. No other streams are asked about. The counters unframed.alive and unframed.dead tell how often.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -68,7 +68,7 @@
 // relay hands a reply on to the caller.
 func (c *call) relay(ctx context.Context, r *receivedReply) error {
 	if r.events != nil {
-		return c.relayStream(r)
+		return c.relayStream(ctx, r)
 	}
 	return c.relayPlain(ctx, r)
 }
--- a/internal/relayer/liveness.go
+++ b/internal/relayer/liveness.go
@@ -2,11 +2,37 @@
 
 import (
 	"context"
+	"io"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
+// DeadError reports an upstream that was dead, or couldn't be asked, when the connection ended that alone shows the
+// end of its reply.
+type DeadError struct{}
+
+func (e *DeadError) Error() string { return "upstream doesn't answer any more" }
+
+// Unwrap gives what the reply may lack.
+func (e *DeadError) Unwrap() error { return io.ErrUnexpectedEOF }
+
+// checkEnd checks that a reply which was read to its end is whole, as far as its body can't tell: a process that
+// dies closes its connections like one that has sent all. Errors are *SendError.
+func (l *Relayer) checkEnd(ctx context.Context, x *exchange, place *Place) error {
+	if l.Liveness == nil || x.framing() != bodyreader.ByConnection {
+		return nil
+	}
+	if l.Liveness.Alive(ctx, place.Upstream.Upstream) {
+		l.count("unframed.alive")
+		return nil
+	}
+	l.count("unframed.dead")
+	return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: &bodyreader.CutError{Framing: x.framing(), Err: &DeadError{}}}
+}
+
 // Liveness finds out whether upstreams still run.
 type Liveness interface {
 	// Alive tells whether a start of an upstream still runs. One that can't be asked in time doesn't.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -32,16 +33,23 @@
 // relayStream hands events on as they come, whole ones only: an upstream that dies
 // may stop in the middle of one, and what another upstream sends next would be
 // joined to the half.
-func (c *call) relayStream(r *receivedReply) error {
+func (c *call) relayStream(ctx context.Context, r *receivedReply) error {
 	x := r.x
 	event, err := r.start, r.end
 	for {
-		if err != nil && !errors.Is(err, io.EOF) {
+		ended := errors.Is(err, io.EOF)
+		switch {
+		case ended:
+			err = c.checkEnd(ctx, x, r.place)
+		case err != nil:
+			err = x.cutError(err)
+		}
+		if err != nil {
 			x.abandon()
-			return x.cutError(err)
+			return err
 		}
 		c.cancelHedge()
-		if err != nil {
+		if ended {
 			lineEnds := event
 			return c.endStream(x, r.place, lineEnds)
 		}
