relayer: don't hand on the plain reply of a dead upstream as whole

A plain reply without a length was handed on as whole if its upstream died while it sent it, as the end of a process closes its connections like that of a reply.

The upstream is asked at such an end, as for streams. If it doesn't run any more, what may be repeated goes to another one, and the rest gets an honest 502; a long reply of which a part has gone out is cut.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -130,7 +130,11 @@
 		return nil
 	}
 	if r.end == nil {
-		if _, err := io.Copy(c.w, r.body); err != nil {
+		_, err := io.Copy(c.w, r.body)
+		if err == nil {
+			err = c.checkEnd(ctx, x, r.place)
+		}
+		if err != nil {
 			c.endEarly(ctx, x, err)
 		}
 	}
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -110,7 +110,7 @@
 	if c.Route.Kind == matcher.Streaming && x.response.StatusCode == http.StatusOK {
 		return r.receiveEvent(x)
 	}
-	return r.receiveStart(x)
+	return r.receiveStart(ctx, x)
 }
 
 // opened decides whether a request is sent on a connection, and looks after its begin.
@@ -139,7 +139,7 @@
 }
 
 // receiveStart reads a plain reply whole, or a long one up to bufferedReply.
-func (r *reception) receiveStart(x *exchange) (*receivedReply, error) {
+func (r *reception) receiveStart(ctx context.Context, x *exchange) (*receivedReply, error) {
 	x.begun()
 	r.setGap(x, 0)
 	body := &bodyreader.Reader{Response: x.response}
@@ -149,9 +149,14 @@
 		return nil, x.cutError(err)
 	}
 	reply := &receivedReply{x: x, place: r.place, body: body, start: start}
-	if ended {
-		reply.end = io.EOF
+	if !ended {
+		return reply, nil
 	}
+	if err := r.c.checkEnd(ctx, x, r.place); err != nil {
+		x.abandon()
+		return nil, err
+	}
+	reply.end = io.EOF
 	return reply, nil
 }
 
