--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -71,7 +71,7 @@
 		Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
 		Localizer: d.localizer,
 		Prober:    &relayer.NetworkProber{},
-		Liveness:  relayer.NetworkLiveness{},
+		Liveness:  platform.Liveness{},
 		Budgets:   &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
 	}
 	member := registrar.Member{
