--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -40,6 +40,19 @@
 	must.Len(t, 3, s.events)
 }
 
+// Guards against a reply without its last events that ends as complete, as the end mark itself has come.
+func TestStreamThatLacksItsLastEventsIsNotWhole(t *testing.T) {
+	for _, cut := range []int{0, 1} {
+		w := newWorld(t)
+		w.add(t, "vm-1", messenger.KindEngine, &fakeAgent{endAt: 2, cutAfter: cut}, 4)
+		s := &sink{}
+		f := failure(t, w.Generate(t.Context(), ask(), s))
+		must.Eq(t, retrier.Ran, f.Outcome)
+		must.StrContains(t, f.Message, "events were lost")
+		must.Len(t, 2, s.events)
+	}
+}
+
 // An engine is put to other weights between two tokens. The caller would read a
 // reply of which nobody can say what made it.
 func TestMixedWeightsEndTheReply(t *testing.T) {
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -47,6 +47,8 @@
 	startAfterCut string
 	// stallAt keeps the first stream silent from this event on; 0 never.
 	stallAt int
+	// endAt ends the streams before this event as if all had come; 0 never.
+	endAt int
 	// mixAt gives the event of this index other weights; 0 never.
 	mixAt int
 	// refuse is the answer to the first stream, after which refused is called.
@@ -76,6 +78,9 @@
 		if cut > 0 && i == cut {
 			panic(http.ErrAbortHandler)
 		}
+		if a.endAt > 0 && i == a.endAt {
+			break
+		}
 		if stall > 0 && i == stall {
 			<-ctx.Done()
 			return ctx.Err()
