dispatcher: check how many events an end mark counts

An end mark that came too early, for an agent that lost the last events or ended a stream of another length, made the reply complete for its caller. The agent compares the count with what came from its engine, the entry didn't.

The end mark's count has to be that of the events that the caller has now, as each event's index has to; else the reply ends as not whole.

--- a/internal/dispatcher/generation.go
+++ b/internal/dispatcher/generation.go
@@ -261,7 +261,7 @@
 	if e.Weights != g.Weights || e.Version != g.Version || e.AdapterWeights != g.AdapterWeights {
 		return &finalError{failure: g.ended("the weights changed")}
 	}
-	if !e.Done && e.Index != g.next {
+	if position(e) != g.next {
 		return &finalError{failure: g.ended("events were lost")}
 	}
 	e.Agent = nil
@@ -276,6 +276,14 @@
 	return nil
 }
 
+// position is how many events come before this one.
+func position(e forwarder.Event) int {
+	if e.Done {
+		return e.Tokens
+	}
+	return e.Index
+}
+
 // ended is the honest end of a stream that can not be completed.
 func (g *generation) ended(why string) *FailureError {
 	return &FailureError{
