--- a/internal/relayer/continuity_test.go
+++ b/internal/relayer/continuity_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -286,3 +287,44 @@
 	must.Eq(t, "data: e1\n\ndata: e2\n\n", got.body)
 	must.Eq(t, 1, runs(w.upstreams))
 }
+
+// Guards against streams of another status than 200 that aren't looked at, or are held back until they end.
+func TestStreamOfAnySuccessIsAStream(t *testing.T) {
+	for _, status := range []string{"201 Created", "202 Accepted", "206 Partial Content"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			u := newUpstream(t, "u", func(_ int, id string, conn net.Conn) bool {
+				say(conn, "HTTP/1.1 "+status+"\r\nId: "+id+"\r\nSeal: x\r\n"+eventStream+"Transfer-Encoding: chunked\r\n\r\n"+chunked(event(1)))
+				<-release
+				say(conn, chunked(event(3))+lastChunk)
+				return true
+			})
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, newWorld(t, u).URL+"/draft/1", nil)
+			must.NoError(t, err)
+			r.Header = http.Header{"Id": {"r1"}, "Key": {"k"}}
+			timer := time.AfterFunc(silence, func() { close(release) })
+			res, err := http.DefaultClient.Do(r)
+			must.NoError(t, err)
+			defer res.Body.Close()
+			first := make([]byte, len(event(1)))
+			_, err = io.ReadFull(res.Body, first)
+			must.NoError(t, err)
+			must.True(t, timer.Stop(), must.Sprint("held back"))
+			close(release)
+			_, err = io.ReadAll(res.Body)
+			must.Error(t, err)
+		})
+	}
+}
+
+// Guards against other successes on such routes that are refused as cut streams.
+func TestSuccessThatIsNoStreamIsPassedOn(t *testing.T) {
+	u := newUpstream(t, "u", func(_ int, id string, conn net.Conn) bool {
+		say(conn, "HTTP/1.1 202 Accepted\r\nId: "+id+"\r\nSeal: x\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
+		return true
+	})
+	got := newWorld(t, u).ask(t, "/draft/1", "r1")
+	must.Eq(t, http.StatusAccepted, got.status)
+	must.Eq(t, "{}", got.body)
+}
