relayer: treat any success of events on a streaming route as a stream

A stream with another status than 200, such as 201, was read as a plain reply: nothing went out until 256 KB had come or it ended, and its events weren't checked, so that one which missed some ended as complete. Whether a success is a stream goes by its content type now; a 200 on such a route has to be one, as before.

--- a/internal/bodyreader/reader.go
+++ b/internal/bodyreader/reader.go
@@ -86,8 +86,8 @@
 	err error
 }
 
-// eventStreamType is the content type of server-sent events.
-const eventStreamType = "text/event-stream"
+// EventStreamType is the content type of server-sent events.
+const EventStreamType = "text/event-stream"
 
 // Read implements io.Reader. It gives io.EOF at the end of a whole body and *CutError at any other end.
 func (r *Reader) Read(b []byte) (int, error) {
@@ -97,7 +97,7 @@
 	if !r.started {
 		r.started = true
 		kind, _, err := mime.ParseMediaType(r.Response.Header.Get("Content-Type"))
-		r.stream = r.stream || err == nil && kind == eventStreamType
+		r.stream = r.stream || err == nil && kind == EventStreamType
 	}
 	n, err := r.Response.Body.Read(b)
 	r.err = err
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -107,12 +107,19 @@
 		x.abandon()
 		return nil, err
 	}
-	if c.Route.Kind == matcher.Streaming && x.response.StatusCode == http.StatusOK {
+	if r.isStream(x) {
 		return r.receiveEvent(x)
 	}
 	return r.receiveStart(ctx, x)
 }
 
+// isStream tells whether a reply is one of events. A 200 on a streaming route has to be.
+func (r *reception) isStream(x *exchange) bool {
+	status := x.response.StatusCode
+	return r.c.Route.Kind == matcher.Streaming &&
+		(status == http.StatusOK || status/100 == 2 && x.mediaType() == bodyreader.EventStreamType)
+}
+
 // opened decides whether a request is sent on a connection, and looks after its begin.
 func (r *reception) opened(conn *connection) (begun func(), err error) {
 	// The slot may have been granted, and the connection opened, long ago.
