relayer: cut no sound stream whose ids don't count by one

Ids of events are only promised to increase, and an event may hold several tokens, so ids may count these. Within one reply a step of another size than one ended the stream. It counts as a gap now only in a stream that has counted by one so far; ids that don't increase are cut in any case. Where another reply goes on, the next id is expected as before.

--- a/internal/relayer/sequence.go
+++ b/internal/relayer/sequence.go
@@ -23,6 +23,8 @@
 type sequence struct {
 	// last is the id of the last event; empty for none.
 	last string
+	// step is by how much the first ids of the stream differ; 0 when not known.
+	step uint64
 	// resumes tells that another reply goes on behind the last event: its first event with data has to follow.
 	resumes bool
 	// version is that of the weights of the last event; 0 when not told.
@@ -66,7 +68,7 @@
 	if id == "" {
 		return s.takeUnnumbered(event)
 	}
-	if !precedes(s.last, id) {
+	if !s.goesOn(id) {
 		return &GapError{Last: s.last, Next: id}
 	}
 	s.last, s.unnumbered, s.resumes = id, false, false
@@ -85,13 +87,20 @@
 	return nil
 }
 
-// precedes tells whether an event may follow another one by their ids. Ids that are
-// numbers count up by one; of others it is only known that they differ.
-func precedes(lastID, id string) bool {
-	last, err := strconv.ParseUint(lastID, 10, 64)
+// goesOn tells whether an event may follow by its id. Ids that are numbers increase. Where another reply goes on, and
+// in streams that have counted by one, they count by one. Of other ids it is only known that they differ.
+func (s *sequence) goesOn(id string) bool {
+	last, err := strconv.ParseUint(s.last, 10, 64)
 	if err != nil {
-		return lastID == "" || id != lastID
+		return s.last == "" || id != s.last
 	}
 	next, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && next == last+1
+	if err != nil || next <= last {
+		return false
+	}
+	step := next - last
+	if s.step == 0 {
+		s.step = step
+	}
+	return step == 1 || !s.resumes && s.step != 1
 }
