agent: don't take an unframed reply of a dead service for whole

On the own interface, too, a reply without a length was whole if its connection ended regularly, as it does when the service's process dies; with a key, the part was kept as the answer to all repeats.

The agent asks the service for its state at such an end. If it doesn't answer, or another start does than the one that the agent knew when it called, the outcome is unknown and the key stays in doubt.

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -108,12 +108,13 @@
 	began := r.agent.Clock.Now()
 	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(time.Duration(o.DeadlineMS)*time.Millisecond))
 	defer cancel()
-	reply, outcome, err := call(driver.OnConnect(detached, t.Connected), s, o, body)
+	h, _ := r.agent.proof.get()
+	reply, outcome, err := call(driver.OnConnect(detached, t.Connected), s, h.StartID, o, body)
 	t.Done(admitter.Result{Outcome: outcome, Latency: r.agent.Clock.Since(began)})
 	return reply, err
 }
 
-func call(ctx context.Context, s *driver.Service, o forwarder.CallOrder, body []byte) (*forwarder.Reply, admitter.Outcome, error) {
+func call(ctx context.Context, s *driver.Service, startID string, o forwarder.CallOrder, body []byte) (*forwarder.Reply, admitter.Outcome, error) {
 	h := http.Header{}
 	for name, value := range o.Header {
 		h.Set(name, value)
@@ -127,6 +128,9 @@
 	}
 	defer res.Body.Close()
 	data, err := driver.ReadReply(res, forwarder.MaxBody)
+	if err == nil {
+		err = s.CheckEnd(ctx, res, startID)
+	}
 	if err != nil {
 		return nil, admitter.Cut, &forwarder.UnknownError{Reason: err.Error()}
 	}
--- a/internal/driver/errors.go
+++ b/internal/driver/errors.go
@@ -52,6 +52,13 @@
 // Unwrap gives the cause.
 func (e *CutError) Unwrap() error { return e.Err }
 
+// RestartedError reports another start of an upstream than the one that was called.
+type RestartedError struct{ Was, Is string }
+
+func (e *RestartedError) Error() string {
+	return fmt.Sprintf("start %s in the place of %s", e.Is, e.Was)
+}
+
 // MixedError reports a stream whose tokens are not all from the same weights, or
 // whose end does not match its tokens.
 type MixedError struct{ Want, Got string }
--- a/internal/driver/service.go
+++ b/internal/driver/service.go
@@ -113,3 +113,19 @@
 	}
 	return data, nil
 }
+
+// CheckEnd checks that the start of the service which was called, as far as it is known, has outlived a reply that
+// only the end of its connection ended: a process that dies closes its connections as well. Errors are *CutError.
+func (s *Service) CheckEnd(ctx context.Context, resp *http.Response, startID string) error {
+	if bodyreader.FramingOf(resp) != bodyreader.ByConnection {
+		return nil
+	}
+	state, err := s.State(ctx)
+	if err != nil {
+		return &CutError{Err: err}
+	}
+	if startID != "" && state.StartID != startID {
+		return &CutError{Err: &RestartedError{Was: startID, Is: state.StartID}}
+	}
+	return nil
+}
