--- a/internal/relayer/liveness_test.go
+++ b/internal/relayer/liveness_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 )
@@ -133,3 +135,24 @@
 		}
 	}
 }
+
+// Guards against questions to an upstream that asked for rest or leaves, and replies of it that are refused for want
+// of an answer.
+func TestUpstreamThatWantsNothingIsNotAsked(t *testing.T) {
+	for what, statement := range map[string]observer.Statement{"rests": observer.Rest{For: time.Minute}, "leaves": observer.Leaving{}} {
+		t.Run(what, func(t *testing.T) {
+			var w *world
+			u := newUpstream(t, "u", func(_ int, id string, conn net.Conn) bool {
+				w.relayer.Placer.Observer.Note(observer.Start{ID: "u"}, observer.Statements{statement})
+				return reply{framing: byConnection, ending: ends, sent: events(1, 3)}.write(id, conn)
+			})
+			w = newWorld(t, u)
+			l := &liveness{alive: false}
+			w.relayer.Liveness = l
+			got := w.ask(t, "/draft/1", "r1")
+			must.False(t, got.broken)
+			must.Eq(t, events(1, 3), got.body)
+			must.Zero(t, l.asked)
+		})
+	}
+}
