relayer: don't ask upstreams that want no requests whether they run

An upstream that had asked for rest, or stated that it leaves, got a request for its report behind a reply without a length, and the reply was refused if it declined. A connection has to do there, as for plain services.

--- a/internal/relayer/liveness.go
+++ b/internal/relayer/liveness.go
@@ -10,6 +10,29 @@
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
+// Liveness finds out whether upstreams still run.
+type Liveness interface {
+	// Alive tells whether a start of an upstream still runs. One that can't be asked in time doesn't.
+	Alive(ctx context.Context, u registrar.Upstream) bool
+}
+
+// NetworkLiveness takes an upstream for alive that accepts connections. The zero value is ready for use.
+type NetworkLiveness struct{}
+
+var _ Liveness = NetworkLiveness{}
+
+// Alive implements Liveness.
+func (NetworkLiveness) Alive(ctx context.Context, u registrar.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := connector.Dial(ctx, u.Address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // DeadError reports an upstream that was dead, or couldn't be asked, when the connection ended that alone shows the
 // end of its reply.
 type DeadError struct{}
@@ -25,7 +48,7 @@
 	if l.Liveness == nil || x.framing() != bodyreader.ByConnection {
 		return nil
 	}
-	if l.Liveness.Alive(ctx, place.Upstream.Upstream) {
+	if l.alive(ctx, place.Upstream) {
 		l.count("unframed.alive")
 		return nil
 	}
@@ -33,25 +56,10 @@
 	return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: &bodyreader.CutError{Framing: x.framing(), Err: &DeadError{}}}
 }
 
-// Liveness finds out whether upstreams still run.
-type Liveness interface {
-	// Alive tells whether a start of an upstream still runs. One that can't be asked in time doesn't.
-	Alive(ctx context.Context, u registrar.Upstream) bool
-}
-
-// NetworkLiveness takes an upstream for alive that accepts connections. The zero value is ready for use.
-type NetworkLiveness struct{}
-
-var _ Liveness = NetworkLiveness{}
-
-// Alive implements Liveness.
-func (NetworkLiveness) Alive(ctx context.Context, u registrar.Upstream) bool {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := connector.Dial(ctx, u.Address)
-	if err != nil {
-		return false
+// alive tells whether an upstream still runs. One that wants no requests gets a connection at most.
+func (l *Relayer) alive(ctx context.Context, u *registrar.UpstreamView) bool {
+	if l.Placer.terms(u).Closed() != "" {
+		return NetworkLiveness{}.Alive(ctx, u.Upstream)
 	}
-	conn.Close()
-	return true
+	return l.Liveness.Alive(ctx, u.Upstream)
 }
