standin, soak: have two engines in turn fail at one request

That is so at 10 to 30 in a hundred requests for 4 s, twice among the other faults, and at 30 in the recovery, when repeats are left. A new promise of the auditor is checked at streams at which two engines failed: one that ends as complete has each event once, in order and from one version.

--- a/soak/auditor/answers.go
+++ b/soak/auditor/answers.go
@@ -70,11 +70,24 @@
 		a.check(Stream, e.ID, p.Number == next+i && p.Version == e.Parts[0].Version,
 			"event %d on weights %d comes as number %d of a stream on %d", p.Number, p.Version, next+i, e.Parts[0].Version)
 	}
+	if r.failed > 1 {
+		a.check(Twice, e.ID, !e.Whole || r.completeBy(e), "ends as complete with events %v, %d to %d are due", e.Parts, r.After+1, r.Events)
+	}
 	if e.Whole {
 		a.check(Stream, e.ID, r.After+len(e.Parts) == r.Events, "ends as complete after %d of %d events", r.After+len(e.Parts), r.Events)
 	}
 }
 
+// completeBy tells whether an answer has each event that the request asked for, once, in order and from one version.
+func (r *request) completeBy(e Answered) bool {
+	for i, p := range e.Parts {
+		if p.Foreign || p.Number != r.After+1+i || p.Version != e.Parts[0].Version {
+			return false
+		}
+	}
+	return r.allOf(e)
+}
+
 // judgeDenial judges statuses by which an entry denies a request.
 func (a *Auditor) judgeDenial(r *request, e Answered) {
 	h := a.history
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -107,6 +107,17 @@
 	d.Note(auditor.Answered{ID: "s", Status: 200, Names: "s", Upstream: "near", Whole: whole, Parts: parts})
 }
 
+// failTwice sends a request for three events, at which two upstreams fail, and gives what came.
+func (d *day) failTwice(whole bool, parts ...auditor.Part) {
+	d.Note(auditor.Sent{ID: "s", Entry: "e", Path: "/look/s", Key: "k", Content: "s", Limit: time.Second, Events: 3})
+	for _, upstream := range []string{"near", "far"} {
+		d.reach("s", upstream)
+		d.Note(auditor.Failed{ID: "s", Upstream: upstream})
+		d.Note(auditor.Ended{ID: "s", Upstream: upstream, Broken: true, Events: 1})
+	}
+	d.Note(auditor.Answered{ID: "s", Status: 200, Names: "s", Upstream: "near", Whole: whole, Parts: parts})
+}
+
 // reached is how many requests are made where a promise bears some.
 const reached = 30
 
@@ -183,6 +194,15 @@
 			d.stream(false, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 2})
 		}},
 		{auditor.Stream, "it ends as complete before its last event", func(d *day) { d.stream(true, auditor.Part{Number: 1, Version: 1}) }},
+		{auditor.Twice, "a stream at which two upstreams failed ends as complete without an event", func(d *day) {
+			d.failTwice(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 1})
+		}},
+		{auditor.Twice, "a stream at which two upstreams failed ends as complete with an event twice", func(d *day) {
+			d.failTwice(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 3, Version: 1})
+		}},
+		{auditor.Twice, "a stream at which two upstreams failed ends as complete on other weights", func(d *day) {
+			d.failTwice(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 2}, auditor.Part{Number: 3, Version: 2})
+		}},
 		{auditor.Cut, "a cut reply ends as complete with its half", func(d *day) {
 			d.send("1", "/look/1")
 			d.reach("1", "near")
@@ -401,6 +421,10 @@
 		{"a whole stream", func(d *day) {
 			d.stream(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 1}, auditor.Part{Number: 3, Version: 1})
 		}},
+		{"a stream at which two upstreams failed, whole at a third or visibly cut", func(d *day) {
+			d.failTwice(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 1}, auditor.Part{Number: 3, Version: 1})
+			d.failTwice(false, auditor.Part{Number: 1, Version: 1})
+		}},
 		{"old weights within the bound", func(d *day) {
 			d.Note(auditor.Named{Version: 2})
 			d.after(7900 * time.Millisecond)
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -94,6 +94,9 @@
 	Events int
 }
 
+// Failed is a request at which an upstream fails as one of two in turn.
+type Failed struct{ ID, Upstream string }
+
 // Crashed is the end of an upstream under a request with a part that crashes it.
 type Crashed struct{ Upstream, Part string }
 
@@ -191,6 +194,7 @@
 func (Rejected) event()   {}
 func (Began) event()      {}
 func (Ended) event()      {}
+func (Failed) event()     {}
 func (Crashed) event()    {}
 func (Joined) event()     {}
 func (Leaving) event()    {}
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -34,7 +34,9 @@
 	at       time.Time
 	arrivals []arrival
 	runs     []run
-	answer   *Answered
+	// failed counts the upstreams that failed at it in turn.
+	failed int
+	answer *Answered
 	// answeredAt is when the caller had its answer or left.
 	answeredAt time.Time
 }
@@ -144,6 +146,10 @@
 		}
 	case Ended:
 		h.noteEnd(e)
+	case Failed:
+		if r := h.requests[e.ID]; r != nil {
+			r.failed++
+		}
 	case Joined:
 		h.upstreams[e.Upstream] = &upstream{Joined: e, coldUntil: h.now.Add(e.Cold)}
 	case Leaving:
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -240,6 +240,10 @@
 		w.pauses.BreakOthers.Store(f.Target%2 == 0)
 		w.wait(f.For)
 		w.pauses.Share.Store(0)
+	case upstreamsFail:
+		w.failures.Share.Store(int32(f.Amount))
+		w.wait(f.For)
+		w.failures.Share.Store(0)
 	case originSpoils:
 		w.origin.Spoil.Store(int32(f.Amount / 2))
 		w.wait(f.For)
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -75,7 +75,7 @@
 	// Requests to an engine soon end by its agent, which learns of the leaving as well.
 	u.StatesLeaving = p.vm.Service != engineService || (p.number+p.generation)%2 == 0
 	u.Observer, u.Store, u.Heartbeat, u.BreakOff = observer{p.world}, p.store, heartbeat, &p.breakOff
-	u.Pauses = &p.pauses
+	u.Pauses, u.Failures = &p.pauses, &p.failures
 	u.Fatal, u.Crashed = &p.fatal, sync.OnceFunc(func() { p.crashUnder(u) })
 	p.note(auditor.Joined{
 		Upstream: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Region: p.vm.Region, Cold: cold, ColdRate: coldRate,
@@ -206,3 +206,6 @@
 func (o observer) Ended(id, upstream string, broken bool, events int) {
 	o.note(auditor.Ended{ID: id, Upstream: upstream, Broken: broken, Events: events})
 }
+
+// Failed implements standin.Observer.
+func (o observer) Failed(id, upstream string) { o.note(auditor.Failed{ID: id, Upstream: upstream}) }
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -67,6 +67,7 @@
 	callersBurst   faultKind = "burst of callers"
 	promptCrashes  faultKind = "a part of prompts crashes engines"
 	upstreamPauses faultKind = "upstreams pause in replies"
+	upstreamsFail  faultKind = "two upstreams fail at one request"
 	storeLate      faultKind = "store's watches answer late"
 	weightsLate    faultKind = "weights named, announced late and staged slowly"
 )
@@ -178,6 +179,7 @@
 	faults = append(faults, powerLosses(seed, last)...)
 	faults = append(faults, fatals(seed, last)...)
 	faults = append(faults, incident(seed, last)...)
+	faults = append(faults, doubleFailures(seed, last)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
 	return inTurn(besideIncident(faults, last))
 }
@@ -274,6 +276,33 @@
 	return faults
 }
 
+const (
+	// failuresPerRun is how often among the other faults two upstreams fail at one request for failuresFor, and
+	// leastFailures and mostFailures are at how many of a hundred requests.
+	failuresPerRun = 2
+	failuresFor    = 4 * time.Second
+	leastFailures  = 10
+	mostFailures   = 30
+	// calmFailures is when they do so after all other faults, at calmFailuresShare of a hundred requests, until
+	// the run ends. Before, few requests have a retry left.
+	calmFailures      = 6500 * time.Millisecond
+	calmFailuresFor   = recovery + shown - calmFailures - leastFault
+	calmFailuresShare = 30
+)
+
+// doubleFailures has two upstreams in turn fail at the same requests. They are drawn apart from all other faults.
+func doubleFailures(seed uint64, last time.Duration) []fault {
+	r := rand.New(rand.NewPCG(seed, seed+4))
+	first := lateWeightsUntil(last)
+	lasts := min(failuresFor, (last-first)/failuresPerRun)
+	faults := []fault{{At: last + calmFailures, For: calmFailuresFor, Kind: upstreamsFail, Amount: calmFailuresShare}}
+	for range failuresPerRun {
+		at := first + time.Duration(r.Int64N(int64(last-first-lasts)))
+		faults = append(faults, fault{At: at, For: lasts, Kind: upstreamsFail, Amount: leastFailures + r.IntN(mostFailures-leastFailures)})
+	}
+	return faults
+}
+
 // powerLosses has everything lose power at the end of all other faults, right after weights were named, with
 // each second seed.
 func powerLosses(seed uint64, last time.Duration) []fault {
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -73,6 +73,7 @@
 	operators              *operators
 	breakOff               atomic.Int32
 	pauses                 standin.Pauses
+	failures               standin.Failures
 	// fatal is the part of prompts that crashes engines now; nil for none.
 	fatal atomic.Pointer[string]
 
