syncer: a failing test for processes that start together beside many upstreams

The fleet in virtual time, with 300 processes and 3,000 upstreams, shows the same from a start of all: two regions have no table after 18 s. With 79 processes, 800 upstreams and a quarter of the links it is 50 to 52 of them after 3 s.

In the fleet a connection takes a round trip now, without which no seed is nearer than another, there may be more than two seeds, and they may start later than the others and refuse connections until then.

--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,8 @@
 	cut, refused atomic.Bool
 	// deaf processes take connections and never answer, squeezed ones take a while to write.
 	deaf, squeezed atomic.Bool
+	// refuses tells that no process runs there yet.
+	refuses atomic.Bool
 	// spoilt ones tell records that can't be unpacked.
 	spoilt atomic.Bool
 	// answerDelay is how much longer than others' the store's answers to it are on their way, in nanoseconds.
@@ -235,12 +238,26 @@
 	for i := range sh.upstreams {
 		f.store.put(fmt.Sprintf("upstream/%d", i), fmt.Sprintf("%x%x%x%x", r.Uint64(), r.Uint64(), r.Uint64(), r.Uint64()))
 	}
+	seeds := f.members[:f.seedCount()]
 	for i, n := range f.members {
+		if sh.seedsLater > 0 && i < len(seeds) {
+			n.refuses.Store(true)
+			continue
+		}
 		f.start(t, n, i < entries)
 	}
+	if sh.seedsLater > 0 {
+		time.Sleep(sh.seedsLater)
+		for _, n := range seeds {
+			n.refuses.Store(false)
+			f.start(t, n, true)
+		}
+	}
 	return f
 }
 
+func (f *fleet) seedCount() int { return max(2, f.shape.seeds) }
+
 func (f *fleet) start(t testing.TB, n *node, entry bool) {
 	ctx, stop := context.WithCancel(t.Context())
 	n.stop = func() {
@@ -272,7 +289,7 @@
 		return b
 	}}
 	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Member.Region, Registrar: n.Registrar, Store: nodeStore{f.store, n, f}, Clock: c,
-		Seeds: []netip.AddrPort{f.members[0].Peers, f.members[1].Peers}, Seed: n == f.members[0] || n == f.members[1],
+		Seeds: f.seeds(), Seed: slices.Contains(f.seeds(), n.Peers),
 		Random: rand.New(rand.NewPCG(1, uint64(n.Peers.Addr().As4()[3]))),
 		Dial:   func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: f.dialer(n)} }}
 	done := make(chan struct{}, 2)
@@ -285,6 +302,15 @@
 	})
 }
 
+// seeds are the addresses of those processes that start as such.
+func (f *fleet) seeds() []netip.AddrPort {
+	var as []netip.AddrPort
+	for _, n := range f.members[:f.seedCount()] {
+		as = append(as, n.Peers)
+	}
+	return as
+}
+
 func (f *fleet) dialer(from *node) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		to := f.byPeers[address]
@@ -293,6 +319,11 @@
 		if from.Member.Region != to.Member.Region {
 			delay = farDelay
 		}
+		// A connection takes a round trip.
+		time.Sleep(2 * delay)
+		if to.refuses.Load() {
+			return nil, syscall.ECONNREFUSED
+		}
 		to.mu.Lock()
 		to.conns = append(to.conns, far)
 		if to.stopped {
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -21,6 +21,10 @@
 // shape is the size of a fleet, and how its processes reach the store and each other.
 type shape struct {
 	entries, regions, agents, upstreams int
+	// seeds is how many processes are, at least two; they are in one region after the other.
+	seeds int
+	// seedsLater is how much later than the others these start.
+	seedsLater time.Duration
 	// table has the store hold a large route table from the start.
 	table bool
 	// cut has no process reach the store at the start.
--- /dev/null
+++ b/internal/syncer/start_together_test.go
@@ -0,0 +1,35 @@
+package syncer_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
+)
+
+// Guards against regions whose processes all ask a far seed while the near one starts or reads the store: the links carry
+// thousands of records for each of them, and the near one's list doesn't arrive either.
+func TestProcessesThatStartTogetherBesideManyUpstreamsHaveTheTable(t *testing.T) {
+	const within = 3 * time.Second
+	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond} {
+		for _, later := range []time.Duration{0, 300 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%v, seeds %v later", delay, later), func(t *testing.T) {
+				sh := grownShape(delay)
+				sh.table, sh.upstreams, sh.seeds, sh.seedsLater = true, 800, 3, later
+				synctest.Test(t, func(t *testing.T) {
+					t.Cleanup(func() { time.Sleep(connectortest.Settle) })
+					began := time.Now()
+					f := newFleet(t, sh)
+					time.Sleep(within - time.Since(began))
+					listed, without := f.starts()
+					must.Zero(t, without, must.Sprint("processes without a route table"))
+					must.LessEq(t, sh.seeds, listed, must.Sprint("the seeds alone"))
+				})
+			})
+		}
+	}
+}
