syncer: wait for the nearest seed while it starts or reads the store

Cause: a process that starts went on to the next seed when the nearest still started or read the store. The seed beside the store has its list first, so that it sent all records to each process of the other regions; over these links their own seeds' lists came too late, and then all listed the store. In the fleet a second error added to it: a connection that had been made in the round before counted as one that took no time, so that a far seed passed for the nearest.

A process asks no farther seed while the nearest reads the store, and waits 0.4 s for a nearer one that refuses connections, as seeds may start 0.3 s later than others. A connection's time counts from when it was begun. Who starts while its nearest seed's process is down has its records up to 0.4 s later.

Tried: the wait for a seed that reads alone, without the times of connections, changed nothing in the fleet.

--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,6 +23,9 @@
 	// to listSpread apart.
 	readingTimeout = 2400 * time.Millisecond
 	listSpread     = time.Second
+	// seedStart is how long a seed that refuses connections is waited for, as it may start later
+	// than others.
+	seedStart = 400 * time.Millisecond
 	// seedPause is the pause between two rounds over the seeds.
 	seedPause = 40 * time.Millisecond
 	// seedTimeout bounds a connection to a seed, and the time until its answer begins to
@@ -36,69 +40,85 @@
 // fromSeeds learns all records from a seed. After a loss of everything all processes
 // start at once; if each read the store, the same uncompressed table would cross the
 // links between regions as many times as there are processes, and the last would know it
-// seconds after the first. The nearest seed that knows something tells it, and one that
-// reads the store at the moment is waited for.
+// seconds after the first. The nearest seed tells it, and is waited for while it starts or reads
+// the store: a farther one that knows the table would send it to all processes of the region, and
+// the list that the nearest waits for would have to share the link with them.
 func (s *Syncer) fromSeeds(ctx context.Context) bool {
-	distances, stale := map[netip.AddrPort]time.Duration{}, map[netip.AddrPort]bool{}
+	dials := s.newSeedDials()
+	stale := map[netip.AddrPort]bool{}
 	timeout := seedPatience
 	for s.Clock.Since(s.seedsSince) < timeout && ctx.Err() == nil {
-		s.connectSeeds(ctx, distances)
-		for _, a := range nearest(distances) {
+		dials.connect(ctx)
+		for _, a := range dials.nearest() {
 			if stale[a] {
 				continue
 			}
-			switch s.firstRecords(ctx, a) {
-			case seedKnows:
+			if dials.refused[a] {
+				if s.Clock.Since(s.seedsSince) < seedStart {
+					break
+				}
+				continue
+			}
+			state := s.firstRecords(ctx, a)
+			if state == seedKnows {
 				return true
-			case seedReads:
+			}
+			if state == seedReads {
 				timeout = readingTimeout + s.listDelay
-			case seedIsStale:
-				stale[a] = true
-			case seedFailed:
+				break
 			}
+			stale[a] = state == seedIsStale
 		}
 		s.pause(ctx, seedPause)
 	}
 	return false
 }
 
-// connectSeeds connects to all seeds at once and notes how long each took. It waits for
-// the first one and a little for the others.
-func (s *Syncer) connectSeeds(ctx context.Context, distances map[netip.AddrPort]time.Duration) {
-	type connected struct {
-		address netip.AddrPort
-		took    time.Duration
-		err     error
+// seedDials are the connections to the seeds.
+type seedDials struct {
+	syncer *Syncer
+	// results are those of the connections in pending.
+	results chan seedDial
+	pending map[netip.AddrPort]bool
+	// distances tell how long a seed took to accept or to refuse a connection.
+	distances map[netip.AddrPort]time.Duration
+	// refused seeds have refused the last connection, as none of their processes runs.
+	refused map[netip.AddrPort]bool
+}
+
+// seedDial is the result of a connection.
+type seedDial struct {
+	address netip.AddrPort
+	took    time.Duration
+	err     error
+}
+
+func (s *Syncer) newSeedDials() *seedDials {
+	return &seedDials{
+		syncer: s, results: make(chan seedDial, len(s.Seeds)), pending: map[netip.AddrPort]bool{},
+		distances: map[netip.AddrPort]time.Duration{}, refused: map[netip.AddrPort]bool{},
 	}
-	began, asked := s.Clock.Now(), 0
-	results := make(chan connected, len(s.Seeds))
-	for _, a := range s.Seeds {
-		if distances[a] > 0 {
-			continue
+}
+
+// connect connects to all seeds at once and notes how long each took. It waits for
+// the first one and a little for the others.
+func (d *seedDials) connect(ctx context.Context) {
+	for _, a := range d.syncer.Seeds {
+		_, answered := d.distances[a]
+		if !d.pending[a] && (!answered || d.refused[a]) {
+			d.dial(ctx, a)
 		}
-		asked++
-		client := s.clients.To(a)
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, seedTimeout)
-			defer cancel()
-			err := client.Connect(ctx)
-			results <- connected{a, s.Clock.Since(began), err}
-		}()
 	}
 	var lead <-chan time.Time
-	if len(distances) > 0 {
-		lead = s.Clock.After(seedLead)
+	if d.connected() {
+		lead = d.syncer.Clock.After(seedLead)
 	}
-	for range asked {
+	for len(d.pending) > 0 {
 		select {
-		case c := <-results:
-			if c.err != nil {
-				klog.V(1).InfoS("Seed not reached", "seed", c.address, "err", c.err)
-				continue
-			}
-			distances[c.address] = max(c.took, 1)
-			if lead == nil {
-				lead = s.Clock.After(seedLead)
+		case r := <-d.results:
+			d.note(r)
+			if lead == nil && r.err == nil {
+				lead = d.syncer.Clock.After(seedLead)
 			}
 		case <-lead:
 			return
@@ -106,14 +126,48 @@
 	}
 }
 
-// nearest lists the seeds that are connected, the nearest first.
-func nearest(distances map[netip.AddrPort]time.Duration) []netip.AddrPort {
-	as := make([]netip.AddrPort, 0, len(distances))
-	for a := range distances {
-		as = append(as, a)
+// dial connects to a seed in the background.
+func (d *seedDials) dial(ctx context.Context, a netip.AddrPort) {
+	d.pending[a] = true
+	client, began := d.syncer.clients.To(a), d.syncer.Clock.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+		defer cancel()
+		err := client.Connect(ctx)
+		d.results <- seedDial{a, d.syncer.Clock.Since(began), err}
+	}()
+}
+
+// note takes over the result of a connection.
+func (d *seedDials) note(r seedDial) {
+	delete(d.pending, r.address)
+	if r.err != nil {
+		klog.V(1).InfoS("Seed not reached", "seed", r.address, "err", r.err)
+	}
+	if timedOut(r.err) {
+		return
+	}
+	d.refused[r.address] = r.err != nil
+	if _, known := d.distances[r.address]; !known {
+		d.distances[r.address] = r.took
+	}
+}
+
+// connected returns whether a seed has accepted a connection.
+func (d *seedDials) connected() bool {
+	for a := range d.distances {
+		if !d.refused[a] {
+			return true
+		}
 	}
-	slices.SortFunc(as, func(a, b netip.AddrPort) int { return cmp.Compare(distances[a], distances[b]) })
-	return as
+	return false
+}
+
+// nearest lists the seeds that have accepted or refused a connection, the nearest first.
+func (d *seedDials) nearest() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(d.distances), func(a, b netip.AddrPort) int {
+		return cmp.Compare(d.distances[a], d.distances[b])
+	})
 }
 
 // seedState is what a seed's answer shows of it.
