--- a/internal/relayer/continuity_test.go
+++ b/internal/relayer/continuity_test.go
@@ -328,3 +328,23 @@
 	must.Eq(t, http.StatusAccepted, got.status)
 	must.Eq(t, "{}", got.body)
 }
+
+// Guards against a reply that ends, after a pause, while a hedge is under way, and is cut or gets the hedge's events
+// as well.
+func TestStreamThatEndsBesideItsHedgeIsComplete(t *testing.T) {
+	hedged := make(chan struct{})
+	pauses := func(_ int, id string, conn net.Conn) bool {
+		say(conn, streamHead(id)+chunked(event(1)))
+		<-hedged
+		say(conn, lastChunk)
+		return true
+	}
+	slow := func(n int, id string, conn net.Conn) bool {
+		close(hedged)
+		time.Sleep(silence)
+		return sends(numbered(2, 3)...)(n, id, conn)
+	}
+	got := firstThen(t, pauses, slow).ask(t, "/stream/1", "r1")
+	must.False(t, got.broken)
+	must.Eq(t, event(1), got.body)
+}
