--- a/internal/agent/dead_service_test.go
+++ b/internal/agent/dead_service_test.go
@@ -37,6 +37,8 @@
 			w := newWorld(t, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 				switch {
 				case r.URL.Path == "/book":
+					// A connection that is closed with something unread is reset.
+					_, _ = io.Copy(io.Discard, r.Body)
 					replied.Store(true)
 					text := "HTTP/1.1 200 OK\r\n"
 					if tt.framed {
