--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -15,8 +15,8 @@
 const (
 	// hintMargin is how many times as long as hinted an answer may be: three in four are within it.
 	hintMargin = 1.4
-	// paceMargin is how many times as long as predicted a reply may take: nine in ten at full engines are
-	// within it.
+	// paceMargin is how many times as long as predicted a reply may take: nine in ten of the longest under
+	// load are within it.
 	paceMargin = 1.35
 )
 
