--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -27,6 +27,8 @@
 	restart = time.Second
 	// atOnce is when refused callers come back that find another entry.
 	atOnce = 10 * time.Millisecond
+	// shutdownLooks is for how long http.Server.Shutdown looks at pauses that double, from a millisecond on.
+	shutdownLooks = 100 * time.Millisecond
 	// quietPause is between two looks at connections on which a request waits to be read.
 	quietPause = 10 * time.Millisecond
 	// unreadFor bounds that, as some callers send a stray line end that begins no request.
@@ -135,13 +137,25 @@
 			break
 		}
 	}
-	if err := s.Shutdown(ctx); err != nil {
+	if err := shutDown(ctx, s); err != nil {
 		klog.InfoS("Requests cut at the end of the grace", "err", err)
 		s.Close()
 	}
 	klog.InfoS("Entry left", "after", h.Clock.Since(began))
 }
 
+// shutDown is http.Server.Shutdown, which by itself looks ever less often whether all requests are answered.
+func shutDown(ctx context.Context, s *http.Server) error {
+	for {
+		short, cancel := context.WithTimeout(ctx, shutdownLooks)
+		err := s.Shutdown(short)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
 // wait tells whether the context is still on after a time.
 func (h *Hoster) wait(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/hoster/hoster_test.go
+++ b/internal/hoster/hoster_test.go
@@ -122,6 +122,37 @@
 	must.True(t, h.Leaving())
 }
 
+// Guards against entries that end, and are restarted, up to half a second after their last reply.
+func TestLeavingEndsSoonAfterTheLastReply(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	began, finish := make(chan struct{}), make(chan struct{})
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	h := &hoster.Hoster{Callers: l, Grace: 20 * time.Second, Clock: c, Registrar: &registrar.Registrar{Clock: c},
+		Registration: &syncer.Registration{Store: noLeases{}, Clock: c},
+		Requests: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			close(began)
+			<-finish
+		})}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	go func() {
+		if res, err := http.Get("http://" + l.Addr().String()); err == nil {
+			res.Body.Close()
+		}
+	}()
+	<-began
+	stop()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(c.HasWaiters), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+	c.Step(4 * time.Second)
+	time.Sleep(1150 * time.Millisecond)
+	finished := time.Now()
+	close(finish)
+	must.NoError(t, <-done)
+	must.Less(t, 200*time.Millisecond, time.Since(finished))
+}
+
 // Guards against refused callers that are sent back at once to an entry that is the only one for them.
 func TestRefusedCallersOfALeavingEntryAreToldWhenToComeBack(t *testing.T) {
 	for name, e := range map[string]struct {
