simulator: an experiment in which two engines in turn fail at one request

nextFails is the chance of a request that broke off to fail at the next engine as well. The report counts such requests, callers who saw a cut, and those whose answer ended as complete without all its events, and prints them.

Other experiments draw what they drew.

--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -98,6 +98,9 @@
 			return
 		}
 		if refused == nil {
+			if c.events > 0 {
+				c.report.Cut++
+			}
 			c.end(Failed)
 			return
 		}
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -193,7 +193,9 @@
 	// FaultLeave has engines state for Lasts that they leave, while their records don't, and then come
 	// back as by FaultReplace.
 	FaultLeave = "leave"
-	// FaultTear has engines break replies off inside an event: each event is the last one by Chance.
+	// FaultTear has engines break replies off inside an event: each event is the last one by Chance. A request
+	// whose reply another engine broke off fails by NextFails as well: it is cut again, answered 500, refused, or
+	// gets nothing.
 	FaultTear = "tear"
 	// FaultPause has engines send nothing for Lasts and then go on, with all that they made meanwhile.
 	FaultPause = "pause"
@@ -213,6 +215,8 @@
 	Overrun time.Duration `toml:"overrun"`
 	Rest    time.Duration `toml:"rest"`
 	Chance  float64       `toml:"chance"`
+	// NextFails is the chance of a request that broke off to fail at the next engine too.
+	NextFails float64 `toml:"nextFails"`
 }
 
 // Fatal are callers of a kind whose prompts have one part that crashes engines as they begin to write an
@@ -364,5 +368,8 @@
 	if f.Fault == FaultTear && (f.Chance <= 0 || f.Chance > 1) {
 		return "engines that break replies off need a chance of up to 1"
 	}
+	if f.NextFails < 0 || f.NextFails > 1 || f.NextFails > 0 && f.Fault != FaultTear {
+		return "nextFails is a chance of up to 1 of engines that break replies off"
+	}
 	return ""
 }
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -46,6 +46,8 @@
 	quiet   map[string]quietSpan
 	// tear is the chance of each event to be the one inside which its reply breaks off.
 	tear float64
+	// nextFails is the chance of a request to fail that broke off at another engine.
+	nextFails float64
 	// pausedUntil is when the engine sends something again.
 	pausedUntil time.Time
 	// ordered engines load new weights once they have ended their requests.
@@ -170,6 +172,9 @@
 		h.reject(entry, box, way)
 		return
 	}
+	if h.failNext(r.ID, box, way) {
+		return
+	}
 	now := h.time.Now()
 	if now.Before(h.coldUntil) {
 		h.accepted = append(h.accepted, now)
@@ -183,6 +188,26 @@
 	h.arm()
 }
 
+// failNext has a request fail that another engine has broken off, if it is drawn to.
+func (h *host) failNext(id string, box *sequencer.Mailbox[part], way time.Duration) bool {
+	if h.nextFails == 0 || !h.torn[id] || h.random.Float64() >= h.nextFails {
+		return false
+	}
+	delete(h.torn, id)
+	h.report.Twice++
+	switch h.random.IntN(4) {
+	case 0:
+		h.later(box, way, part{failure: h.failure(retrier.Unknown, 0, "reply cut inside an event")})
+	case 1:
+		h.later(box, way, part{failure: h.failure(retrier.Ran, http.StatusInternalServerError, "failed")})
+	case 2:
+		h.later(box, way, part{failure: h.failure(retrier.NotRun, http.StatusServiceUnavailable, "refuses")})
+	default:
+		// Nothing comes.
+	}
+	return true
+}
+
 // unwilling is why the engine takes no request now; empty when it does.
 func (h *host) unwilling() string {
 	switch {
@@ -249,6 +274,7 @@
 // breakOff ends a reply inside an event.
 func (h *host) breakOff(v emulator.Event, box *sequencer.Mailbox[part], now time.Time) {
 	h.report.Torn++
+	h.torn[v.ID] = true
 	h.engine.Remove(v.ID)
 	delete(h.streams, v.ID)
 	h.later(box, v.At.Sub(now), part{failure: h.failure(retrier.Unknown, 0, "reply cut inside an event")})
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -247,6 +247,24 @@
 	}
 }
 
+// Guards against answers that end as complete without all their events where two engines in turn fail at them.
+func TestEnginesThatFailInTurn(t *testing.T) {
+	p := playAll(t, load(t, "tearTwice"))
+	twice, cut, failed := 0, 0, 0
+	for _, r := range p {
+		must.Zero(t, r.Short)
+		must.LessEq(t, r.Torn, r.Twice)
+		must.LessEq(t, r.Total.Failed, r.Cut)
+		twice += r.Twice
+		cut += r.Cut
+		failed += r.Total.Failed
+	}
+	t.Logf("%d requests failed at two engines, %d callers saw a cut, %d failed in all, worth %.3f", twice, cut, failed, p.worth(everything))
+	must.Positive(t, twice)
+	// A refusal by the second engine leaves another attempt, and a part of the others had their answer by then.
+	must.Less(t, failed, twice/2)
+}
+
 // Guards against refusing callers for good that come back after a full restart, although slots come free
 // within a second.
 func TestCallersThatComeBackAfterAFullRestart(t *testing.T) {
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -122,8 +122,8 @@
 			h.succeed()
 		})
 	case FaultTear:
-		h.tear = f.Chance
-		after(func() { h.tear = 0 })
+		h.tear, h.nextFails = f.Chance, f.NextFails
+		after(func() { h.tear, h.nextFails = 0, 0 })
 	case FaultPause:
 		h.pausedUntil = h.time.Now().Add(f.Lasts)
 	case FaultRest:
--- a/internal/simulator/print.go
+++ b/internal/simulator/print.go
@@ -84,11 +84,12 @@
 	p.line("")
 	p.line("seed" + heading)
 	all := map[string]*Row{}
-	excess := 0
+	excess, torn, twice, cut, short := 0, 0, 0, 0, 0
 	for _, r := range reports {
 		p.row(fmt.Sprint(r.Seed), r.Total)
 		join(all, r.Total)
 		excess += r.ColdExcess
+		torn, twice, cut, short = torn+r.Torn, twice+r.Twice, cut+r.Cut, short+r.Short
 	}
 	if len(reports) > 1 {
 		p.row("all", *all[reports[0].Total.Name])
@@ -97,6 +98,10 @@
 		p.line("")
 		p.line("requests beyond the bound of cold engines: %d", excess)
 	}
+	if torn > 0 {
+		p.line("")
+		p.line("replies that broke off: %d, failed at the next engine too: %d; callers with a cut answer: %d, with a short one that ended as complete: %d", torn, twice, cut, short)
+	}
 }
 
 func (p *printer) table(by string, rows map[string]*Row) {
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -55,9 +55,10 @@
 	// Disturbed counts requests that came to an engine from an entry that it had told to rest, or that
 	// it leaves.
 	Disturbed int
-	// Torn counts replies that engines broke off inside an event, Short callers whose answer ended as
-	// complete without all its events.
-	Torn, Short int
+	// Torn counts replies that engines broke off inside an event, and Twice requests that failed at the next
+	// engine as well. Cut callers had a part of their answer and saw that it was cut; Short ones had an answer that
+	// ended as complete without all its events.
+	Torn, Twice, Cut, Short int
 	// Misdirected counts requests that came to another engine than was meant.
 	Misdirected int
 	// ColdExcess counts requests beyond the bound of cold engines.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -56,6 +56,8 @@
 	open   int
 	report *Report
 	fatals fatals
+	// torn are the requests that an engine has broken off.
+	torn map[string]bool
 }
 
 // entry is an entry with its own beliefs.
@@ -73,7 +75,7 @@
 	w := &world{
 		Experiment: e, time: &sequencer.Sequencer{Start: start}, random: rand.New(rand.NewPCG(seed, 1)), callers: rand.New(rand.NewPCG(seed, 3)),
 		byID: map[string]*host{}, byAgent: map[netip.AddrPort]*host{}, facts: map[string]map[uint64]registrar.Fact{},
-		report: &Report{Experiment: e, Seed: seed},
+		report: &Report{Experiment: e, Seed: seed}, torn: map[string]bool{},
 	}
 	w.table = w.makeTable()
 	w.build()
