--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -71,6 +71,7 @@
 		Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
 		Localizer: d.localizer,
 		Prober:    &relayer.NetworkProber{},
+		Liveness:  platform.Liveness{},
 		Budgets:   &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
 	}
 	member := registrar.Member{
@@ -84,6 +85,7 @@
 		Requests:     requests,
 	}
 	e.hoster.Registration.Ready = e.hoster.Ready
+	placer.Shutdown = e.hoster
 	d.parts.Add(e.hoster.Registration)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -21,8 +21,12 @@
 	AnswerTTL = time.Second
 	// staleAnswers is how long callers come that still hold an old answer.
 	staleAnswers = 3*AnswerTTL + 300*time.Millisecond
-	// killMargin is how much before the kill a leaving entry is gone by itself.
-	killMargin = 500 * time.Millisecond
+	// killMargin is how much before the kill a leaving entry cuts what is left.
+	killMargin = 150 * time.Millisecond
+	// restart is about how long after its end an entry that was restarted takes callers.
+	restart = time.Second
+	// atOnce is when refused callers come back that find another entry.
+	atOnce = 10 * time.Millisecond
 	// quietPause is between two looks at connections on which a request waits to be read.
 	quietPause = 10 * time.Millisecond
 	// unreadFor bounds that, as some callers send a stray line end that begins no request.
@@ -46,18 +50,41 @@
 	Grace time.Duration
 	Clock clock.Clock
 
-	leaving atomic.Bool
-	idle    idle
+	// leftAt is when the entry was told to stop; nil before.
+	leftAt atomic.Pointer[time.Time]
+	idle   idle
 }
 
 // Ready tells whether callers may come.
 func (h *Hoster) Ready() bool {
 	v := h.Registrar.View()
-	return !h.leaving.Load() && v != nil && v.Table != nil
+	return !h.Leaving() && v != nil && v.Table != nil
 }
 
 // Leaving tells whether the entry is on its way out.
-func (h *Hoster) Leaving() bool { return h.leaving.Load() }
+func (h *Hoster) Leaving() bool { return h.leftAt.Load() != nil }
+
+// CutIn implements relayer.Shutdown.
+func (h *Hoster) CutIn() (time.Duration, bool) {
+	leftAt := h.leftAt.Load()
+	if leftAt == nil {
+		return 0, false
+	}
+	return h.Grace - killMargin - h.Clock.Since(*leftAt), true
+}
+
+// RetryAfter implements relayer.Shutdown. Callers of the entry's own region come back at once, on a new
+// connection, if the directory names another entry for the host, and else after this one's restart.
+func (h *Hoster) RetryAfter(host string) time.Duration {
+	own := h.Registration.Member
+	for _, a := range Nearest(h.Registrar.View(), Question{Host: host, Region: own.Region}) {
+		if a != own.Callers {
+			return atOnce
+		}
+	}
+	left, _ := h.CutIn()
+	return max(0, left) + restart
+}
 
 // Run serves callers until the context ends, and then until the last of them that
 // were told of this entry have come and got their answers.
@@ -84,7 +111,7 @@
 
 // serve has callers close their connections once the entry leaves.
 func (h *Hoster) serve(w http.ResponseWriter, r *http.Request) {
-	if h.leaving.Load() {
+	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	h.Requests.ServeHTTP(w, r)
@@ -94,7 +121,7 @@
 // listener only when nobody can come any more.
 func (h *Hoster) leave(s *http.Server) {
 	began := h.Clock.Now()
-	h.leaving.Store(true)
+	h.leftAt.Store(&began)
 	klog.InfoS("Entry leaves")
 	ctx, cancel := context.WithTimeout(context.Background(), h.Grace-killMargin)
 	defer cancel()
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -55,7 +55,7 @@
 		fields = append(fields, "silence", s.Silence)
 	}
 	if c.stream != nil {
-		fields = append(fields, "events", c.stream.events, "lastEvent", c.stream.last)
+		fields = append(fields, "events", c.stream.events, "lastEvent", c.stream.sequence.last)
 	}
 	return fields
 }
@@ -136,6 +136,10 @@
 	if b := e.Blame; b != nil {
 		fields = append(fields, b.LogFields()...)
 	}
+	if s := e.Shutdown; s != nil {
+		c.count("refused.shutdown")
+		fields = append(fields, "takes", s.Takes)
+	}
 	c.log("Refused", nil, fields...)
 	c.answer(http.StatusServiceUnavailable, e.Reason, wait)
 }
@@ -146,7 +150,7 @@
 	for _, f := range []struct {
 		name  string
 		count int
-	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}} {
+	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}} {
 		if f.count > 0 {
 			fields = append(fields, f.name, f.count)
 		}
@@ -197,6 +201,9 @@
 	}
 	fields := append([]any{"request", j.ID, "route", route, "workspace", workspace,
 		"table", j.TableVersion, "after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
+	if left, leaves := l.Placer.cutIn(); leaves {
+		fields = append(fields, "cutIn", left)
+	}
 	if v := l.Registrar.View(); v != nil {
 		fields = append(fields, "revision", v.Revision)
 	}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -68,7 +68,7 @@
 // relay hands a reply on to the caller.
 func (c *call) relay(ctx context.Context, r *receivedReply) error {
 	if r.events != nil {
-		return c.relayStream(r)
+		return c.relayStream(ctx, r)
 	}
 	return c.relayPlain(ctx, r)
 }
@@ -111,7 +111,7 @@
 
 // mayRepeatBeside is mayRepeat beside a number of hedges.
 func (c *call) mayRepeatBeside(hedges int) bool {
-	return c.Route.Repeatable() && c.attempts+1+hedges < c.Route.MaxAttempts && c.sends+hedges < maxSends
+	return c.repeatable() && c.attempts+1+hedges < c.Route.MaxAttempts && c.sends+hedges < maxSends
 }
 
 // relayPlain hands a reply on.
@@ -130,7 +130,11 @@
 		return nil
 	}
 	if r.end == nil {
-		if _, err := io.Copy(c.w, r.body); err != nil {
+		_, err := io.Copy(c.w, r.body)
+		if err == nil {
+			err = c.checkEnd(ctx, x, r.place)
+		}
+		if err != nil {
 			c.endEarly(ctx, x, err)
 		}
 	}
@@ -190,7 +194,8 @@
 	}
 	if s := c.stream; s != nil {
 		fields = append(fields, "events", s.events, "firstEvent", s.firstAfter, "longestPause", s.longestPause,
-			"waitPredicted", place.Wait, "active", place.Active, "prompt", c.Prompt)
+			"waitPredicted", place.Wait, "active", place.Active, "prompt", c.Prompt,
+			"endPredicted", place.Ends, "answer", c.Answer(), "maxAnswer", c.MaxAnswer)
 	}
 	c.log("Served", nil, fields...)
 }
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -20,6 +20,8 @@
 	// events are those of a stream behind start; nil for a plain reply, which goes on with body.
 	events *bodyreader.EventReader
 	body   *bodyreader.Reader
+	// sequence is how far a stream has come with the last event read.
+	sequence sequence
 	// start is the first event of a stream, or the start of a plain body. End is io.EOF if the reply ends with it.
 	start []byte
 	end   error
@@ -33,9 +35,11 @@
 	message message
 	// hedged receptions run beside another attempt.
 	hedged bool
-	// resumes tells that the reply has to go on behind lastEvent.
+	// resumes tells that the reply is to go on with a stream that has begun as one of a media type, sequence how
+	// far the caller has it.
 	resumes   bool
-	lastEvent string
+	mediaType string
+	sequence  sequence
 	// failed tells that an attempt has failed before.
 	failed bool
 	// fresh, headerWithin and stalled are those of sendOptions.
@@ -52,14 +56,14 @@
 	// and its end is then unknown; what may run only once goes on a new one. Where that has
 	// happened, others that rested as long may be gone as well, at other upstreams too: the
 	// last attempt spent on one of them would end the request although all upstreams are well.
-	r := &reception{c: c, place: place, message: c.message, failed: c.failed, fresh: !c.Route.Repeatable() || c.reused}
+	r := &reception{c: c, place: place, message: c.message, sequence: c.sequence(), failed: c.failed, fresh: !c.repeatable() || c.reused}
 	send := Send{Upstream: place.Upstream.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version}
 	if c.Workspace != nil {
 		send.Workspace = c.Workspace.Name
 	}
 	if c.stream != nil {
-		r.resumes, r.lastEvent = true, c.stream.last
-		send.LastEvent = c.stream.last
+		r.resumes, r.mediaType = true, c.stream.mediaType
+		send.LastEvent = c.stream.sequence.last
 	}
 	r.message.header = c.Codec.Outgoing(c.r.Header, send)
 	return r
@@ -103,10 +107,17 @@
 		x.abandon()
 		return nil, err
 	}
-	if c.Route.Kind == matcher.Streaming && x.response.StatusCode == http.StatusOK {
+	if r.isStream(x) {
 		return r.receiveEvent(x)
 	}
-	return r.receiveStart(x)
+	return r.receiveStart(ctx, x)
+}
+
+// isStream tells whether a reply is one of events. A 200 on a streaming route has to be.
+func (r *reception) isStream(x *exchange) bool {
+	status := x.response.StatusCode
+	return r.c.Route.Kind == matcher.Streaming &&
+		(status == http.StatusOK || status/100 == 2 && x.mediaType() == bodyreader.EventStreamType)
 }
 
 // opened decides whether a request is sent on a connection, and looks after its begin.
@@ -115,6 +126,10 @@
 	if err := r.c.Placer.withhold(r.place.Upstream); err != nil {
 		return nil, err
 	}
+	// This entry may have begun to leave meanwhile.
+	if err := r.checkEnd(); err != nil {
+		return nil, err
+	}
 	// A part may have been blamed while the request waited for its slot.
 	if err := r.c.checkPartsOf(r.c.Request, r.failed); err != nil {
 		return nil, err
@@ -135,7 +150,7 @@
 }
 
 // receiveStart reads a plain reply whole, or a long one up to bufferedReply.
-func (r *reception) receiveStart(x *exchange) (*receivedReply, error) {
+func (r *reception) receiveStart(ctx context.Context, x *exchange) (*receivedReply, error) {
 	x.begun()
 	r.setGap(x, 0)
 	body := &bodyreader.Reader{Response: x.response}
@@ -145,30 +160,49 @@
 		return nil, x.cutError(err)
 	}
 	reply := &receivedReply{x: x, place: r.place, body: body, start: start}
-	if ended {
-		reply.end = io.EOF
+	if !ended {
+		return reply, nil
 	}
+	if err := r.c.checkEnd(ctx, x, r.place); err != nil {
+		x.abandon()
+		return nil, err
+	}
+	reply.end = io.EOF
 	return reply, nil
 }
 
-// receiveEvent reads a stream up to the end of its first event.
+// receiveEvent reads a stream up to the end of its first event. Comments before the event with which another
+// upstream goes on are read with it, as they don't tell whether it is the right one.
 func (r *reception) receiveEvent(x *exchange) (*receivedReply, error) {
+	if err := r.sequence.begin(x.reply.Version); err != nil {
+		x.abandon()
+		return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
+	}
 	events := bodyreader.NewEventReader(x.response, maxEvent)
 	r.setGap(x, r.place.FirstEventLimit())
+	var start []byte
 	event, err := events.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	for ; err == nil; event, err = events.Next() {
+		start = append(start, event...)
+		if err := r.sequence.take(event, r.c.Codec.EventVersion(event)); err != nil {
+			x.abandon()
+			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
+		}
+		if !r.sequence.resumes {
+			x.begun()
+			r.place.Started()
+			return &receivedReply{x: x, place: r.place, events: events, sequence: r.sequence, start: start}, nil
+		}
+	}
+	if !errors.Is(err, io.EOF) {
 		x.abandon()
 		return nil, x.cutError(err)
 	}
-	if err == nil {
-		x.begun()
-		r.place.Started()
-		if id := bodyreader.EventID(event); r.resumes && !precedes(r.lastEvent, id) {
-			x.abandon()
-			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: &GapError{Last: r.lastEvent, Next: id}}
-		}
+	if err := r.sequence.end(); err != nil {
+		x.abandon()
+		return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 	}
-	return &receivedReply{x: x, place: r.place, events: events, start: event, end: err}, nil
+	return &receivedReply{x: x, place: r.place, events: events, sequence: r.sequence, start: append(start, event...), end: err}, nil
 }
 
 // usable checks a reply's header: refusals and replies without the upstream's proof
@@ -187,6 +221,10 @@
 		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
 			Err: &UnusableError{Problem: fmt.Sprintf("status %d for the rest of a stream", status)}}
 	}
+	if kind := x.mediaType(); r.resumes && kind != r.mediaType {
+		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
+			Err: &UnusableError{Problem: fmt.Sprintf("reply of type %q for the rest of a stream of type %q", kind, r.mediaType)}}
+	}
 	if x.response.Header.Get("Content-Encoding") != "" {
 		return &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Status: status,
 			Err: &UnusableError{Problem: "reply with an encoding nobody asked for"}}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -1,26 +1,25 @@
 package relayer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
 // stream is a reply of events that the caller has begun to get.
 type stream struct {
-	// last is the id of the last event handed on.
-	last string
-	// version is that of the weights of its first part; 0 when not told.
-	version uint64
-	events  int
+	// sequence is how far it was handed on.
+	sequence sequence
+	// mediaType is that of its header.
+	mediaType string
+	events    int
 	// firstAfter is when the first event went out, counted from the arrival.
 	firstAfter time.Duration
 	// longestPause is between two events, and lastAt when the last one went out.
@@ -31,34 +30,48 @@
 // maxEvent bounds an event, in bytes.
 const maxEvent = 1 << 20
 
-// GapError reports a stream that goes on elsewhere with the wrong event.
-type GapError struct{ Last, Next string }
-
-func (e *GapError) Error() string { return fmt.Sprintf("event %s follows %s", e.Next, e.Last) }
-
 // relayStream hands events on as they come, whole ones only: an upstream that dies
 // may stop in the middle of one, and what another upstream sends next would be
 // joined to the half.
-func (c *call) relayStream(r *receivedReply) error {
+func (c *call) relayStream(ctx context.Context, r *receivedReply) error {
 	x := r.x
 	event, err := r.start, r.end
 	for {
-		if err != nil && !errors.Is(err, io.EOF) {
+		ended := errors.Is(err, io.EOF)
+		switch {
+		case ended:
+			err = c.checkEnd(ctx, x, r.place)
+		case err != nil:
+			if c.stream != nil {
+				c.stream.sequence.cut(err)
+			}
+			err = x.cutError(err)
+		}
+		if err != nil {
 			x.abandon()
-			return x.cutError(err)
+			return err
 		}
 		c.cancelHedge()
-		if err != nil {
+		if ended {
 			lineEnds := event
 			return c.endStream(x, r.place, lineEnds)
 		}
-		if err := c.relayEvent(x, event); err != nil {
+		if err := c.relayEvent(r, event); err != nil {
 			x.abandon()
 			return err
 		}
 		x.setGap(EventGap)
-		event, err = r.events.Next()
+		event, err = r.next(c.Codec)
+	}
+}
+
+// next gives the next event of a stream, if it is the one that has to follow.
+func (r *receivedReply) next(codec Codec) ([]byte, error) {
+	event, err := r.events.Next()
+	if err != nil {
+		return event, err
 	}
+	return event, r.sequence.take(event, codec.EventVersion(event))
 }
 
 // FirstEventLimit is how long the first event of a reply may take there.
@@ -68,14 +81,13 @@
 
 // relayEvent hands one event on. The header goes out with the first, so that until
 // then another upstream can take the request over.
-func (c *call) relayEvent(x *exchange, event []byte) error {
+func (c *call) relayEvent(r *receivedReply, event []byte) error {
+	x := r.x
 	if c.stream == nil {
 		if err := c.beginReply(x); err != nil {
 			return err
 		}
-		c.stream = &stream{version: x.reply.Version, last: c.LastEvent, firstAfter: c.Clock.Since(c.Arrived)}
-		// A stream that goes on elsewhere stays with its weights.
-		c.Version = x.reply.Version
+		c.stream = &stream{mediaType: x.mediaType(), firstAfter: c.Clock.Since(c.Arrived)}
 		c.writeStreamHeader(x)
 		metrics.GetOrRegisterTimer("firstEvent", c.Metrics).Update(c.stream.firstAfter)
 	}
@@ -85,7 +97,9 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return c.leftError(x, err)
 	}
-	c.stream.passed(bodyreader.EventID(event), c.Clock.Now())
+	c.stream.passed(r.sequence, c.Clock.Now())
+	// A stream that goes on elsewhere stays with its weights.
+	c.Version, c.unnumbered = r.sequence.version, r.sequence.unnumbered
 	c.EventPassed(&c.Job)
 	c.Chooser.Alive(x.upstream)
 	return nil
@@ -98,11 +112,9 @@
 	c.writeHeader(x)
 }
 
-// passed notes an event that went out.
-func (s *stream) passed(id string, now time.Time) {
-	if id != "" {
-		s.last = id
-	}
+// passed notes an event that went out, with which the stream has come that far.
+func (s *stream) passed(at sequence, now time.Time) {
+	s.sequence = at
 	if s.events > 0 {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
 	}
@@ -114,17 +126,6 @@
 	return &SendError{Upstream: x.upstream, Outcome: retrier.Ran, Err: fmt.Errorf("caller left: %w", err)}
 }
 
-// precedes tells whether an event may follow another one by their ids. Ids that are
-// numbers count up by one; of others nothing is known.
-func precedes(lastID, id string) bool {
-	last, err := strconv.ParseUint(lastID, 10, 64)
-	if err != nil {
-		return true
-	}
-	next, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && next == last+1
-}
-
 // endStream ends a whole reply, with the line ends behind its last event.
 func (c *call) endStream(x *exchange, place *Place, lineEnds []byte) error {
 	if c.stream == nil {
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -35,6 +35,8 @@
 func (codec) Request(h http.Header) relayer.Request {
 	ms, _ := strconv.Atoi(h.Get("Patience"))
 	r := relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Patience: time.Duration(ms) * time.Millisecond}
+	r.MaxAnswer, _ = strconv.Atoi(h.Get("Answer"))
+	r.Hint, _ = strconv.Atoi(h.Get("Hint"))
 	if parts := h.Get("Parts"); parts != "" {
 		r.Parts = strings.Split(parts, ",")
 	}
@@ -50,7 +52,14 @@
 }
 
 func (codec) Reply(_ int, h http.Header) relayer.Reply {
-	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Upstream: h.Get("Upstream"), Sealed: h.Get("Seal") != ""}
+	version, _ := strconv.ParseUint(h.Get("Version"), 10, 64)
+	return relayer.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Upstream: h.Get("Upstream"), Sealed: h.Get("Seal") != "", Version: version}
+}
+
+func (codec) EventVersion(event []byte) uint64 {
+	text, _, _ := strings.Cut(strings.TrimPrefix(string(event), "version: "), "\n")
+	version, _ := strconv.ParseUint(text, 10, 64)
+	return version
 }
 
 func (codec) Returned(h http.Header) http.Header {
