hoster: let callers' connections be reset

A cut reply to a caller that gets no chunks is ended by a reset, which the relayer asks of the connection. The hoster's connections wrap those of TCP and hid it.

TestReplyWithoutChunksIsCutByAReset failed before.

--- a/internal/hoster/idle.go
+++ b/internal/hoster/idle.go
@@ -36,6 +36,14 @@
 	return n, err
 }
 
+// SetLinger has connector.Reset reset the connection.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // idle are the callers' connections on which no request is being answered. It is safe for
 // concurrent use.
 type idle struct {
