hoster: end requests at the end of the grace before connections are closed

http.Server.Close closes connections with a FIN, which callers without chunks take for the end of the reply, and before handlers can answer. Handlers get 25 ms of the 150 ms before the kill; connections that are left then are closed as before.

TestReplyWithoutChunksIsResetAtTheEndOfTheGrace and TestRequestIsAnsweredAtTheEndOfTheGrace failed before.

--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -23,6 +23,8 @@
 	staleAnswers = 3*AnswerTTL + 300*time.Millisecond
 	// killMargin is how much before the kill a leaving entry cuts what is left.
 	killMargin = 150 * time.Millisecond
+	// endFor is how long requests that are cut then may take to end.
+	endFor = 25 * time.Millisecond
 	// restart is about how long after its end an entry that was restarted takes callers.
 	restart = time.Second
 	// atOnce is when refused callers come back that find another entry.
@@ -89,14 +91,16 @@
 // Run serves callers until the context ends, and then until the last of them that
 // were told of this entry have come and got their answers.
 func (h *Hoster) Run(ctx context.Context) error {
+	requests, cut := context.WithCancel(context.Background())
+	defer cut()
 	s := &http.Server{
 		Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ConnState: h.idle.note, ErrorLog: nil,
+		BaseContext: func(net.Listener) context.Context { return requests }, ConnState: h.idle.note, ErrorLog: nil,
 	}
 	left := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(left)
-		h.leave(s)
+		h.leave(s, cut)
 	})
 	err := s.Serve(listener{h.Callers})
 	if stop() {
@@ -119,7 +123,7 @@
 
 // leave goes off the directory at once, serves those who still come, and closes the
 // listener only when nobody can come any more.
-func (h *Hoster) leave(s *http.Server) {
+func (h *Hoster) leave(s *http.Server, cut context.CancelFunc) {
 	began := h.Clock.Now()
 	h.leftAt.Store(&began)
 	klog.InfoS("Entry leaves")
@@ -137,7 +141,13 @@
 	}
 	if err := s.Shutdown(ctx); err != nil {
 		klog.InfoS("Requests cut at the end of the grace", "err", err)
-		s.Close()
+		// Only handlers know how to end a reply that has begun, and can answer what has none.
+		cut()
+		end, cancel := context.WithTimeout(context.Background(), endFor)
+		defer cancel()
+		if err := s.Shutdown(end); err != nil {
+			s.Close()
+		}
 	}
 	klog.InfoS("Entry left", "after", h.Clock.Since(began))
 }
