syncer: a failing test for seeds that prepare the same records for each process

To select and compress 3,000 records takes a process 19 ms here (beside a load of 17), some 40 ms of a VM with 0.4 of a core, and each region's seed does so for a hundred processes that start together. These wait 0.35 s for an answer and go on to far seeds. In the fleet the preparation of records takes the processor's time now.

--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -58,6 +58,11 @@
 	cut, refused atomic.Bool
 	// deaf processes take connections and never answer, squeezed ones take a while to write.
 	deaf, squeezed atomic.Bool
+	// processor is held while records are prepared for others, recordTime for each of them. Records
+	// that have been prepared are sent again without that.
+	processor  chan struct{}
+	recordTime time.Duration
+	prepared   []registrar.Record
 	// refuses tells that no process runs there yet.
 	refuses atomic.Bool
 	// spoilt ones tell records that can't be unpacked.
@@ -222,7 +227,7 @@
 		n := &node{Member: registrar.Member{
 			ID: fmt.Sprintf("entry-%d", i), Region: regionName(i % sh.regions), FailureDomain: "a",
 			Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
-		}, askers: map[string]bool{}}
+		}, askers: map[string]bool{}, processor: make(chan struct{}, 1), recordTime: sh.recordTime}
 		n.cut.Store(sh.cut)
 		n.Callers, n.listener = n.Peers, connectortest.NewListener(n.Peers)
 		f.members = append(f.members, n)
@@ -281,8 +286,10 @@
 			// It froze while it held the answer back.
 			<-ctx.Done()
 		}
-		for i := range b.Records {
-			if n.spoilt.Load() {
+		n.process(ctx, b.Records)
+		if n.spoilt.Load() {
+			b.Records = slices.Clone(b.Records)
+			for i := range b.Records {
 				b.Records[i].Value, b.Records[i].Packed = nil, []byte("nonsense")
 			}
 		}
@@ -302,6 +309,24 @@
 	})
 }
 
+// process takes the processor for the time that it takes to prepare records.
+func (n *node) process(ctx context.Context, records []registrar.Record) {
+	if n.recordTime == 0 || len(records) == 0 {
+		return
+	}
+	select {
+	case n.processor <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-n.processor }()
+	if len(n.prepared) == len(records) && &n.prepared[0] == &records[0] {
+		return
+	}
+	time.Sleep(time.Duration(len(records)) * n.recordTime)
+	n.prepared = records
+}
+
 // seeds are the addresses of those processes that start as such.
 func (f *fleet) seeds() []netip.AddrPort {
 	var as []netip.AddrPort
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -23,6 +23,8 @@
 	entries, regions, agents, upstreams int
 	// seeds is how many processes are, at least two; they are in one region after the other.
 	seeds int
+	// recordTime is how long a process takes to prepare a record for others.
+	recordTime time.Duration
 	// seedsLater is how much later than the others these start.
 	seedsLater time.Duration
 	// table has the store hold a large route table from the start.
--- a/internal/syncer/start_together_test.go
+++ b/internal/syncer/start_together_test.go
@@ -11,6 +11,8 @@
 	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
 )
 
+const manyUpstreams = 800
+
 // Guards against regions whose processes all ask a far seed while the near one starts or reads the store: the links carry
 // thousands of records for each of them, and the near one's list doesn't arrive either.
 func TestProcessesThatStartTogetherBesideManyUpstreamsHaveTheTable(t *testing.T) {
@@ -19,7 +21,7 @@
 		for _, later := range []time.Duration{0, 300 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%v, seeds %v later", delay, later), func(t *testing.T) {
 				sh := grownShape(delay)
-				sh.table, sh.upstreams, sh.seeds, sh.seedsLater = true, 800, 3, later
+				sh.table, sh.upstreams, sh.seeds, sh.seedsLater = true, manyUpstreams, 3, later
 				synctest.Test(t, func(t *testing.T) {
 					t.Cleanup(func() { time.Sleep(connectortest.Settle) })
 					began := time.Now()
@@ -33,3 +35,23 @@
 		}
 	}
 }
+
+// Guards against seeds that prepare the same thousands of records for each process that starts: the questions run into
+// their timeouts, and those who asked turn to far seeds and to the store.
+func TestSlowSeedsAnswerAllThatStartTogether(t *testing.T) {
+	const (
+		within = 3 * time.Second
+		// recordTime is that of a VM with a tenth of a core.
+		recordTime = 60 * time.Microsecond
+	)
+	sh := grownShape(4 * time.Millisecond)
+	sh.table, sh.upstreams, sh.seeds, sh.recordTime = true, manyUpstreams, 3, recordTime
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(connectortest.Settle) })
+		f := newFleet(t, sh)
+		time.Sleep(within)
+		listed, without := f.starts()
+		must.Zero(t, without, must.Sprint("processes without a route table"))
+		must.LessEq(t, sh.seeds, listed, must.Sprint("the seeds alone"))
+	})
+}
