--- a/internal/syncer/network_test.go
+++ b/internal/syncer/network_test.go
@@ -182,6 +182,29 @@
 	})
 }
 
+// Guards against entries that all read the store until some have registered: the links to it carry each record of the
+// first start for each of them.
+func TestOnlySeedsReadTheStoreUntilEntriesHaveRegistered(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *network, s *store) {
+		s.drain("a")
+		seed := n.start(t, "seed", true, s, nil)
+		eventually(t, seed.drained("a"))
+		var ps []*process
+		for i := range 12 {
+			ps = append(ps, n.start(t, fmt.Sprint("entry", i), true, s, nil, seed.peers))
+		}
+		for _, domain := range []string{"a", "b", "c"} {
+			s.drain(domain)
+			for _, p := range ps {
+				eventually(t, p.drained(domain))
+			}
+		}
+		_, watches := s.calls()
+		slices.Sort(watches)
+		must.Eq(t, []string{"seed"}, slices.Compact(watches))
+	})
+}
+
 // Of many entries and agents only two read the store; each waiting read is a call that
 // the operators pay for.
 func TestFewReadTheStoreForAll(t *testing.T) {
