syncer: only seeds read the store until entries have registered

Cause: an entry took itself for a reader of the store while fewer than three entries were registered. An entry registers once it has a route table, so at the first start of a deployment all entries of all regions watched the store, and each got the record of each upstream as it registered. Agents and others asked the seeds in the order of the settings, all the same one.

An entry that is no seed reads the store only if it is one of the first two of those that are registered. Who has no entry to ask asks the seeds, the nearest first. Without seeds in the settings entries read as before.

--- a/internal/syncer/order.go
+++ b/internal/syncer/order.go
@@ -60,7 +60,7 @@
 	}
 	if s.Entry {
 		slices.SortFunc(ms, func(a, b registrar.Member) int { return byRank(a.ID, b.ID) })
-		o.reads = len(ms) <= readers || s.isAmong(ms[:readers])
+		o.reads = s.isAmong(ms[:min(readers, len(ms))]) || len(ms) <= readers && (s.Seed || len(s.Seeds) == 0)
 		o.ahead = s.aheadOf(ms[min(readers, len(ms)):])
 		s.spread(ms[:min(readers, len(ms))])
 		if len(ms) > mostDirect {
@@ -81,7 +81,7 @@
 			o.candidates = append(o.candidates, m.Peers)
 		}
 	}
-	for _, a := range s.Seeds {
+	for _, a := range s.nearestSeeds() {
 		if !slices.Contains(o.candidates, a) {
 			o.candidates = append(o.candidates, a)
 		}
@@ -89,6 +89,11 @@
 	return o
 }
 
+// nearestSeeds are the seeds, those first that this process found to be near.
+func (s *Syncer) nearestSeeds() []netip.AddrPort {
+	return slices.Concat(s.nearSeeds, s.Seeds)
+}
+
 // aheadOf are the own region's entries up to this process, or all of them for an agent.
 func (s *Syncer) aheadOf(ms []registrar.Member) []netip.AddrPort {
 	var as []netip.AddrPort
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -61,6 +61,7 @@
 			}
 			state := s.firstRecords(ctx, a)
 			if state == seedKnows {
+				s.nearSeeds = dials.nearest()
 				return true
 			}
 			if state == seedReads {
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -95,6 +95,8 @@
 	// seedsSince is since when this process, which knows nothing, has asked the seeds.
 	seedsSince time.Time
 	peers      map[netip.AddrPort]peer
+	// nearSeeds are the seeds that answered this process when it started, the nearest first.
+	nearSeeds []netip.AddrPort
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
 	backoff   time.Duration
