--- a/soak/auditor/answers.go
+++ b/soak/auditor/answers.go
@@ -71,7 +71,7 @@
 			"event %d on weights %d comes as number %d of a stream on %d", p.Number, p.Version, next+i, e.Parts[0].Version)
 	}
 	if r.failed > 1 {
-		a.check(Twice, e.ID, !e.Whole || r.completeBy(e), "ends as complete with events %v, %d to %d are due", e.Parts, r.After+1, r.Events)
+		a.check(FailedTwice, e.ID, !e.Whole || r.completeBy(e), "ends as complete with events %v, %d to %d are due", e.Parts, r.After+1, r.Events)
 	}
 	if e.Whole {
 		a.check(Stream, e.ID, r.After+len(e.Parts) == r.Events, "ends as complete after %d of %d events", r.After+len(e.Parts), r.Events)
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -19,7 +19,7 @@
 	Cut           Promise = "no reply that broke off passes for a whole one"
 	Unchanged     Promise = "upstreams get only what callers sent"
 	Stream        Promise = "streams have no gap, no repeat and one version"
-	Twice         Promise = "a stream that fails twice is complete or visibly cut"
+	FailedTwice   Promise = "a stream that fails twice is complete or visibly cut"
 	Weights       Promise = "no reply from spoilt weights"
 	Version       Promise = "no reply begins on old weights after the bound"
 	Drain         Promise = "a leaving upstream gets nothing after the bound"
@@ -50,7 +50,7 @@
 
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
-	Once, Refusal, Whole, Cut, Unchanged, Stream, Twice, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Fatal, Sound, Budget, Attempts, Home, Keys,
+	Once, Refusal, Whole, Cut, Unchanged, Stream, FailedTwice, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Fatal, Sound, Budget, Attempts, Home, Keys,
 	Config, Regress, Denial, Graceful, Kept, Replied, Directory, Deadline, Gone, Abandoned, Reload, Exit, Recovery,
 }
 
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -194,13 +194,13 @@
 			d.stream(false, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 2})
 		}},
 		{auditor.Stream, "it ends as complete before its last event", func(d *day) { d.stream(true, auditor.Part{Number: 1, Version: 1}) }},
-		{auditor.Twice, "a stream at which two upstreams failed ends as complete without an event", func(d *day) {
+		{auditor.FailedTwice, "a stream at which two upstreams failed ends as complete without an event", func(d *day) {
 			d.failTwice(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 1})
 		}},
-		{auditor.Twice, "a stream at which two upstreams failed ends as complete with an event twice", func(d *day) {
+		{auditor.FailedTwice, "a stream at which two upstreams failed ends as complete with an event twice", func(d *day) {
 			d.failTwice(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 3, Version: 1})
 		}},
-		{auditor.Twice, "a stream at which two upstreams failed ends as complete on other weights", func(d *day) {
+		{auditor.FailedTwice, "a stream at which two upstreams failed ends as complete on other weights", func(d *day) {
 			d.failTwice(true, auditor.Part{Number: 1, Version: 1}, auditor.Part{Number: 2, Version: 2}, auditor.Part{Number: 3, Version: 2})
 		}},
 		{auditor.Cut, "a cut reply ends as complete with its half", func(d *day) {
