--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -132,7 +132,7 @@
 	if r.end == nil {
 		_, err := io.Copy(c.w, r.body)
 		if err == nil {
-			err = c.checkEnd(ctx, x, r.place)
+			err = c.checkWhole(ctx, x, r.place)
 		}
 		if err != nil {
 			c.endEarly(ctx, x, err)
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if late := p.checkEnd(j, leastTime(s.Engine, j)); late != nil {
+	if late := p.checkTimeLeft(j, leastTime(s.Engine, j)); late != nil {
 		return nil, p.refuse(j, late)
 	}
 	began := p.Clock.Now()
--- a/internal/relayer/liveness.go
+++ b/internal/relayer/liveness.go
@@ -42,9 +42,9 @@
 // Unwrap gives what the reply may lack.
 func (e *DeadError) Unwrap() error { return io.ErrUnexpectedEOF }
 
-// checkEnd checks that a reply which was read to its end is whole, as far as its body can't tell: a process that
+// checkWhole checks that a reply which was read to its end is whole, as far as its body can't tell: a process that
 // dies closes its connections like one that has sent all. Errors are *SendError.
-func (l *Relayer) checkEnd(ctx context.Context, x *exchange, place *Place) error {
+func (l *Relayer) checkWhole(ctx context.Context, x *exchange, place *Place) error {
 	if l.Liveness == nil || x.framing() != bodyreader.ByConnection {
 		return nil
 	}
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -127,7 +127,7 @@
 		return nil, err
 	}
 	// This entry may have begun to leave meanwhile.
-	if err := r.checkEnd(); err != nil {
+	if err := r.checkTimeLeft(); err != nil {
 		return nil, err
 	}
 	// A part may have been blamed while the request waited for its slot.
@@ -163,7 +163,7 @@
 	if !ended {
 		return reply, nil
 	}
-	if err := r.c.checkEnd(ctx, x, r.place); err != nil {
+	if err := r.c.checkWhole(ctx, x, r.place); err != nil {
 		x.abandon()
 		return nil, err
 	}
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -55,9 +55,9 @@
 	return left, false
 }
 
-// checkEnd tells whether a job that takes a time can end before this entry does. One that may have run
+// checkTimeLeft tells whether a job that takes a time can end before this entry does. One that may have run
 // already goes on: it can't be refused any more.
-func (p *Placer) checkEnd(j *Job, takes time.Duration) *ShutdownError {
+func (p *Placer) checkTimeLeft(j *Job, takes time.Duration) *ShutdownError {
 	left, cut := p.bound(j)
 	if !cut || j.Again || takes <= left {
 		return nil
@@ -65,12 +65,12 @@
 	return &ShutdownError{Takes: takes, CutIn: left}
 }
 
-// checkPlace is checkEnd for a job that has a place.
-func (p *Placer) checkPlace(j *Job, place *Place) *ShutdownError {
+// checkTimeLeftAt is checkTimeLeft for a job that has a place.
+func (p *Placer) checkTimeLeftAt(j *Job, place *Place) *ShutdownError {
 	if place.Ends.IsZero() {
 		return nil
 	}
-	return p.checkEnd(j, time.Duration(paceMargin*float64(place.Ends.Sub(p.Clock.Now()))))
+	return p.checkTimeLeft(j, time.Duration(paceMargin*float64(place.Ends.Sub(p.Clock.Now()))))
 }
 
 // askInTime is ask for a place at which the reply can end before this entry does; late tells that it
@@ -80,7 +80,7 @@
 	if place == nil {
 		return nil, v, nil
 	}
-	if late = p.checkPlace(j, place); late != nil {
+	if late = p.checkTimeLeftAt(j, place); late != nil {
 		place.Ended()
 		j.met.EndsLate++
 		return nil, v, late
@@ -93,14 +93,14 @@
 	return &RefusedError{Reason: err.Error(), RetryAfter: p.Shutdown.RetryAfter(j.Route.Host), Shutdown: err, Met: j.met}
 }
 
-// checkEnd tells whether the reply can end before this entry does, if the request can still be refused.
+// checkTimeLeft tells whether the reply can end before this entry does, if the request can still be refused.
 // Errors are *RefusedError.
-func (r *reception) checkEnd() error {
+func (r *reception) checkTimeLeft() error {
 	if r.failed {
 		return nil
 	}
 	p, j := r.c.Placer, &r.c.Job
-	if late := p.checkPlace(j, r.place); late != nil {
+	if late := p.checkTimeLeftAt(j, r.place); late != nil {
 		return p.refuse(j, late)
 	}
 	return nil
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -40,7 +40,7 @@
 		ended := errors.Is(err, io.EOF)
 		switch {
 		case ended:
-			err = c.checkEnd(ctx, x, r.place)
+			err = c.checkWhole(ctx, x, r.place)
 		case err != nil:
 			if c.stream != nil {
 				c.stream.sequence.cut(err)
