relayer: a test's registrar no longer changes the records of another one

Batches of one registrar share their records since they are prepared once for all that ask. It changes a copy now.

--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -252,6 +253,8 @@
 // so knows no ages.
 func restarted(r *registrar.Registrar) *registrar.Registrar {
 	found := r.Since(0)
+	// Batches share their records.
+	found.Records = slices.Clone(found.Records)
 	for i := range found.Records {
 		found.Records[i].Age, found.Records[i].Namings = registrar.UnknownAge, nil
 	}
