--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -55,7 +55,7 @@
 	Grace time.Duration
 	Clock clock.Clock
 
-	// leftAt is when the entry was told to stop; nil before.
+	// leftAt is when the entry got the signal to stop; nil before.
 	leftAt atomic.Pointer[time.Time]
 	idle   idle
 }
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -62,7 +62,7 @@
 	Upstream *registrar.UpstreamView
 	// Wait is the predicted wait before a prompt is read.
 	Wait time.Duration
-	// Ends is when the reply should end; zero when not told.
+	// Ends is when the reply should end; zero if unknown.
 	Ends time.Time
 	// Active is how many requests held places at the engine after this one got its
 	// own; 0 when not told.
--- a/internal/relayer/sequence.go
+++ b/internal/relayer/sequence.go
@@ -35,7 +35,7 @@
 	step uint64
 	// resumes tells that another reply goes on behind the last event: its first event with data has to follow.
 	resumes bool
-	// version is that of the weights of the last event; 0 when not told.
+	// version is that of the weights of the last event; 0 if unknown.
 	version uint64
 	// unnumbered tells that data without an id came behind the last event: what follows can't be asked for.
 	unnumbered bool
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -120,7 +120,7 @@
 	return long
 }
 
-// sizeToReserve is the size of a job's answer of which an agent is told.
+// sizeToReserve is the size of a job's answer that an agent reserves for.
 func (p *Placer) sizeToReserve(j *Job) int {
 	if _, cut := p.bound(j); cut {
 		return j.longAnswer()
--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// Guards against streams that are placed before their entry is told to stop, sent after that, and cut.
+// Guards against streams that are placed before the signal to stop reaches their entry, sent after that, and cut.
 func TestStreamThatIsNotSentYetAsItsEntryLeavesIsRefused(t *testing.T) {
 	w, s := slowEngine(t)
 	w.relayer.Pool.Opened = func() { s.left.Store(int64(3 * time.Second)) }
