--- a/internal/registrar/selection_test.go
+++ b/internal/registrar/selection_test.go
@@ -19,9 +19,9 @@
 			c.Step(time.Second)
 			witness.Since(0)
 			c.Step(gap)
-			told, now := newRegistrar()
-			told.Apply(witness.Since(0))
-			w, _ := told.View().Weights("m")
+			asked, now := newRegistrar()
+			asked.Apply(witness.Since(0))
+			w, _ := asked.View().Weights("m")
 			must.Eq(t, time.Second+gap, now.Since(w.Learned))
 		})
 	}
--- a/internal/relayer/continuity_test.go
+++ b/internal/relayer/continuity_test.go
@@ -57,7 +57,7 @@
 func wrongRests() map[string][]string {
 	return map[string][]string{
 		"repeats the last event":     numbered(2, 3, 4),
-		"begins anew":                numbered(1, 2, 3, 4),
+		"restarts":                   numbered(1, 2, 3, 4),
 		"skips an event":             numbered(4),
 		"has no ids":                 {"data: e3\n\n", "data: e4\n\n"},
 		"skips behind a comment":     {": hello\n\n", event(4)},
@@ -256,8 +256,8 @@
 	changed := "version: 2\n" + event(2)
 	for what, c := range map[string]continued{
 		"same":                     {first, first, numbered(1), numbered(2, 3), true},
-		"not told":                 {first, eventStream, numbered(1), numbered(2, 3), true},
-		"not told before":          {eventStream, second, numbered(1), numbered(2, 3), true},
+		"unknown":                  {first, eventStream, numbered(1), numbered(2, 3), true},
+		"unknown before":           {eventStream, second, numbered(1), numbered(2, 3), true},
 		"others":                   {first, second, numbered(1), numbered(2, 3), false},
 		"others from its event on": {first, first, numbered(1), []string{changed, event(3)}, false},
 		"changed before":           {first, second, []string{event(1), changed}, numbered(3), true},
@@ -280,7 +280,7 @@
 	}
 }
 
-// Guards against events that come twice, as the upstream that goes on can't be told which one was the last.
+// Guards against events that come twice, as the upstream that goes on can't know which one was the last.
 func TestStreamIsNotResumedBehindAnEventWithoutID(t *testing.T) {
 	for what, c := range map[string]continued{
 		"none has one":       {eventStream, eventStream, []string{"data: e1\n\n"}, []string{"data: e1\n\n", "data: e2\n\n"}, false},
@@ -292,7 +292,7 @@
 	}
 }
 
-// Guards against a hedge that begins the events anew which the silent upstream has sent without ids.
+// Guards against a hedge that sends events again which the silent upstream has sent without ids.
 func TestStreamIsNotHedgedBehindAnEventWithoutID(t *testing.T) {
 	pauses := func(_ int, id string, conn net.Conn) bool {
 		say(conn, streamHead(id)+chunked("data: e1\n\n"))
--- a/internal/relayer/two_failures_test.go
+++ b/internal/relayer/two_failures_test.go
@@ -179,7 +179,7 @@
 	return []trouble{
 		rest(goesOn, 1, func(from int) string { return events(from, streamLength) }),
 		rest("repeats an event", 1, func(from int) string { return events(from-1, streamLength) }),
-		rest("begins anew", 1, func(int) string { return events(0, streamLength) }),
+		rest("restarts", 1, func(int) string { return events(0, streamLength) }),
 		rest("leaves an event out", 1, func(from int) string { return events(from+1, streamLength) }),
 		rest("leaves a later event out", 1, func(from int) string { return event(from) + events(from+2, streamLength+1) }),
 		rest("repeats a later event", 1, func(from int) string { return event(from) + events(from, streamLength) }),
--- a/internal/syncer/network_test.go
+++ b/internal/syncer/network_test.go
@@ -161,19 +161,25 @@
 	}
 }
 
+// startBehindASeed starts processes beside a seed that knows of a drained failure domain.
+func (n *network) startBehindASeed(t *testing.T, s *store, entries bool) []*process {
+	s.drain("a")
+	seed := n.start(t, "seed", true, s, nil)
+	eventually(t, seed.drained("a"))
+	var ps []*process
+	for i := range 12 {
+		ps = append(ps, n.start(t, fmt.Sprint("process", i), entries, s, nil, seed.peers))
+	}
+	return ps
+}
+
 // Everything starts at once, as after a loss of power everywhere. If each process read the
 // whole store, the links to it would carry the same records for each of them, and the last
 // ones would refuse callers for seconds after the first. Those that are seeds read it for
 // all.
 func TestOnlySeedsReadTheStoreAtTheStart(t *testing.T) {
 	inBubble(t, func(t *testing.T, n *network, s *store) {
-		s.drain("a")
-		seed := n.start(t, "seed", true, s, nil)
-		eventually(t, seed.drained("a"))
-		var ps []*process
-		for i := range 12 {
-			ps = append(ps, n.start(t, fmt.Sprint("agent", i), false, s, nil, seed.peers))
-		}
+		ps := n.startBehindASeed(t, s, false)
 		for _, p := range ps {
 			eventually(t, p.drained("a"))
 		}
@@ -186,13 +192,7 @@
 // first start for each of them.
 func TestOnlySeedsReadTheStoreUntilEntriesHaveRegistered(t *testing.T) {
 	inBubble(t, func(t *testing.T, n *network, s *store) {
-		s.drain("a")
-		seed := n.start(t, "seed", true, s, nil)
-		eventually(t, seed.drained("a"))
-		var ps []*process
-		for i := range 12 {
-			ps = append(ps, n.start(t, fmt.Sprint("entry", i), true, s, nil, seed.peers))
-		}
+		ps := n.startBehindASeed(t, s, true)
 		for _, domain := range []string{"a", "b", "c"} {
 			s.drain(domain)
 			for _, p := range ps {
--- a/soak/soaker/process.go
+++ b/soak/soaker/process.go
@@ -33,7 +33,7 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// asked tells that the running process was told to end, killed that it doesn't run any more once it has.
+	// asked is set once the running process got a signal to end, killed once it got SIGKILL.
 	asked, killed bool
 	// over tells that no further one is to be started.
 	over bool
