registrar: others' failed calls cover no more than 2.5 s without calls of one's own

Cause: a process takes its failed calls for an outage only if the first came within 2.5 s of the store's last confirmation. That time was counted from where others' failed calls end, to allow for a process that starts in an outage. So the failed calls of a process that is cut off alone also covered any time for which this one was not suspended, didn't call the store and heard from a peer that was behind.

Change: the time counts from the last known answer of the store or from this process's start. Others' failed calls still cover the time before a start, and an outage's end that they saw later.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -32,6 +32,9 @@
 // ran notes that this process runs, busy with the store or not, and gives the time.
 func (r *Registrar) ran() time.Time {
 	now := r.Clock.Now()
+	if r.started.IsZero() {
+		r.started = now
+	}
 	if !r.lastRan.IsZero() && now.Sub(r.lastRan) > triesApart {
 		r.beforeStill = r.outageSeen()
 		r.stoodStill = now
@@ -84,6 +87,9 @@
 		covered = others
 	}
 	switch {
+	case r.awakeSince.Sub(later(r.answered, r.started)) > triesApart:
+		// Whoever reports failed calls may be cut off alone, and this process didn't call the store in that time.
+		return r.confirmed
 	case r.awakeSince.Sub(covered) > triesApart:
 		return r.confirmed
 	case covered.After(r.outage) && !r.awakeSince.After(r.outage):
@@ -108,6 +114,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // StoreLost notes that the store could not be reached just now. A call during which this
 // process stood still fails as its time is over, and shows nothing of the store since then.
 func (r *Registrar) StoreLost() {
--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -424,3 +424,50 @@
 	must.True(t, ok)
 	must.Eq(t, before, got)
 }
+
+// Guards against failed calls of a process that is cut off alone, which cover the time in which this one
+// didn't call the store and heard from a peer that was behind.
+func TestAnothersOutageCoversNoTimeWithoutCalls(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, cutOff := twoThatKnow(c)
+	behind := newRegistrarAt(c)
+	behind.Apply(r.Since(0))
+	r.StoreAsked()
+	before := c.Now()
+	for range 6 {
+		outOfReach(cutOff, c, 500*time.Millisecond)
+		r.Apply(behind.Since(1))
+	}
+	r.StoreAsked()
+	r.StoreLost()
+	cutOff.StoreLost()
+	r.Apply(cutOff.Since(1))
+	c.Step(100 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, before, got, must.Sprintf("%v after the store's last confirmation", got.Sub(before)))
+}
+
+// Guards against counting an announcement from before an outage at a process that hears from others and turns
+// to the store late: its engine would stop before the new weights are loaded.
+func TestProcessThatTurnsToTheStoreLateCountsFromTheEndOfAnOutage(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := twoThatKnow(c)
+	for range 24 {
+		outOfReach(other, c, 100*time.Millisecond)
+		r.Tick()
+	}
+	r.StoreAsked()
+	outOfReachOfAll(r, other, c, 5*time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got)
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -73,6 +73,8 @@
 	// without a longer gap.
 	lastAwake  time.Time
 	awakeSince time.Time
+	// started is when this process was first seen to run.
+	started time.Time
 	// lastRan is when this process was last seen to run, and stoodStill when it last did so
 	// after a longer gap than triesApart; beforeStill is its last word from before that gap.
 	lastRan     time.Time
