registrar: failed calls of a process that is cut off alone show no outage

What callers could see: replies that begin on weights whose time is over.

Cause: a process that goes on failing to reach the store while it hears from others that the store answers them still reported its failed calls since the last of these answers as an outage. One that has a single failed call of its own, as when an answer is lost, then believed in that outage if such processes are known in all regions, and counted an announcement from the end of its own failed call.

Change: a process counts after how many of its failed calls the store answered others, until the store answers it or it calls no more. From the second on it is cut off alone, and reports no outage of its own, nor counts one by itself; what it hears of outages from others it still hands on. Once is not enough, as a store that returns briefly answers one process before another. The lower bound of an answer's time is used for that.

--- /dev/null
+++ b/internal/registrar/cut_off_test.go
@@ -0,0 +1,119 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+)
+
+// Guards against an outage that is believed in for a single failed call, because others are cut off from the
+// store alone, which answers the rest.
+func TestProcessThatIsCutOffAloneShowsNoOutage(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	reader, cutOff := twoThatKnow(c)
+	for range 8 {
+		outOfReach(cutOff, c, 500*time.Millisecond)
+		reader.StoreAsked()
+		reader.StoreFound()
+		reader.Apply(registrar.Batch{After: 1, At: 1})
+		cutOff.Apply(reader.Since(1))
+	}
+	announced := c.Now()
+	reader.StoreAsked()
+	outOfReach(cutOff, c, 1900*time.Millisecond)
+	reader.StoreLost()
+	cutOff.StoreLost()
+	reader.Apply(cutOff.Since(1))
+	c.Step(200 * time.Millisecond)
+	reader.StoreAsked()
+	reader.StoreFound()
+	watched(reader)
+	got, ok := superseded(reader, 1)
+	must.True(t, ok)
+	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
+}
+
+// Guards against an outage that nobody believes in after a brief return of the store, in which it answered one
+// process between two failed calls of the other.
+func TestOutageAfterABriefReturnOfTheStoreIsStillSeen(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := twoThatKnow(c)
+	outOfReachOfAll(r, other, c, 4*time.Second)
+	c.Step(100 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	r.Apply(registrar.Batch{After: 1, At: 1})
+	other.Apply(r.Since(1))
+	outOfReachOfAll(r, other, c, 4*time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got)
+}
+
+// Guards against a process that was cut off alone and counts as such for good: it may be the only one of its
+// region that can report an outage.
+func TestProcessThatWasCutOffAloneShowsALaterOutage(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := twoThatKnow(c)
+	for range 8 {
+		outOfReach(other, c, 500*time.Millisecond)
+		r.StoreAsked()
+		r.StoreFound()
+		r.Apply(registrar.Batch{After: 1, At: 1})
+		other.Apply(r.Since(1))
+	}
+	for _, p := range []*registrar.Registrar{r, other} {
+		p.StoreAsked()
+		p.StoreFound()
+		p.Apply(registrar.Batch{After: 1, At: 1})
+	}
+	outOfReachOfAll(r, other, c, 4*time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got)
+}
+
+// Guards against a process that calls the store in outages only, as it hears from others, and counts as cut off
+// alone because these heard from the store first after each.
+func TestProcessThatCallsTheStoreInOutagesOnlyShowsThem(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := twoThatKnow(c)
+	for range 3 {
+		outOfReachOfAll(r, other, c, 4*time.Second)
+		c.Step(300 * time.Millisecond)
+		for range 10 {
+			r.StoreAsked()
+			r.StoreFound()
+			r.Apply(registrar.Batch{After: 1, At: 1})
+			other.Apply(r.Since(1))
+			c.Step(400 * time.Millisecond)
+		}
+		r.StoreAsked()
+		r.StoreFound()
+		r.Apply(registrar.Batch{After: 1, At: 1})
+		other.Apply(r.Since(1))
+	}
+	outOfReachOfAll(r, other, c, 4*time.Second)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.Eq(t, back, got)
+}
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -25,6 +25,7 @@
 	now := r.ran()
 	if now.Sub(r.lastAwake) > triesApart {
 		r.awakeSince = now
+		r.failedFrom, r.refutedFailures = time.Time{}, 0
 	}
 	r.lastAwake = now
 }
@@ -128,6 +129,9 @@
 	defer r.mu.Unlock()
 	asked := r.lastAwake
 	r.wake()
+	if r.failedFrom.IsZero() {
+		r.failedFrom = r.lastAwake
+	}
 	switch {
 	case !r.pausedTo.After(asked):
 		r.outage = r.lastAwake
@@ -143,8 +147,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lost = false
+	r.failedFrom, r.refutedFailures = time.Time{}, 0
 }
 
+// noteAnswerToOthers notes that the store answered another process, at the earliest at the given time.
+func (r *Registrar) noteAnswerToOthers(at time.Time) {
+	if r.failedFrom.IsZero() || !at.After(r.failedFrom) {
+		return
+	}
+	r.failedFrom = time.Time{}
+	r.refutedFailures++
+}
+
+// isCutOffAlone tells whether the store answers others while it doesn't answer this process. Its failed calls show no
+// outage then, of which one that hears of them might be convinced by a single failed call of its own. A store that
+// returns briefly may do the same once.
+func (r *Registrar) isCutOffAlone() bool { return r.refutedFailures > 1 }
+
 // Lost tells whether the store could not be reached when it was last asked.
 func (r *Registrar) Lost() bool {
 	r.mu.Lock()
--- a/internal/registrar/region.go
+++ b/internal/registrar/region.go
@@ -19,9 +19,19 @@
 // outageSpan is the time in which a process of a region had no answer of the store.
 type outageSpan struct{ since, until time.Time }
 
-// seesOutage tells whether all calls of this process have failed since the last known answer.
+// seesOutage tells whether all calls of this process have failed since the last known answer, and not for a cause of
+// its own.
 func (r *Registrar) seesOutage() bool {
-	return r.outage.After(r.answered) && !r.cutAnswer.After(r.confirmed) && r.outageSeen().After(r.answered)
+	return !r.isCutOffAlone() && r.outage.After(r.answered) && !r.cutAnswer.After(r.confirmed) && r.outageSeen().After(r.answered)
+}
+
+// outageFor is for how long after the last known answer the store answered nobody, as far as is known.
+func (r *Registrar) outageFor() time.Duration {
+	until := r.outageSeen()
+	if r.isCutOffAlone() {
+		until = earlier(until, r.othersOutage)
+	}
+	return max(0, until.Sub(r.answered))
 }
 
 // regionOutages reports what is known of outages in all regions.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -61,6 +61,10 @@
 	// outage is when the store was last found out of reach, lost that it still is.
 	outage time.Time
 	lost   bool
+	// failedFrom is when the first call failed since the store answered anybody; refutedFailures counts how often it
+	// answered others after failed calls, since it last answered this process.
+	failedFrom      time.Time
+	refutedFailures int
 	// othersOutage is until when another process, which knows no less, has seen the store
 	// out of reach ever since its last word.
 	othersOutage time.Time
@@ -154,7 +158,9 @@
 		r.cutAnswer = answered
 		return
 	}
-	if confirmed := answered.Add(-b.Unconfirmed); confirmed.After(r.confirmed) {
+	confirmed := answered.Add(-b.Unconfirmed)
+	r.noteAnswerToOthers(confirmed)
+	if confirmed.After(r.confirmed) {
 		r.confirmed = confirmed
 	}
 	if until := answered.Add(b.OutageFor); b.OutageFor > 0 && until.After(r.othersOutage) {
--- a/internal/registrar/telling.go
+++ b/internal/registrar/telling.go
@@ -40,7 +40,7 @@
 	defer r.mu.Unlock()
 	b := Batch{
 		After: after, At: r.at, Age: r.Clock.Since(r.answered), Unconfirmed: r.answered.Sub(r.confirmed),
-		OutageFor: max(0, r.outageSeen().Sub(r.answered)), Whole: after < r.floor, Lost: r.lost,
+		OutageFor: r.outageFor(), Whole: after < r.floor, Lost: r.lost,
 		Outages: r.regionOutages(),
 	}
 	if after > r.at {
