--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -25,6 +25,7 @@
 	now := r.ran()
 	if now.Sub(r.lastAwake) > triesApart {
 		r.awakeSince = now
+		r.failedFrom, r.refutedFailures = time.Time{}, 0
 	}
 	r.lastAwake = now
 }
@@ -32,6 +33,9 @@
 // ran notes that this process runs, busy with the store or not, and gives the time.
 func (r *Registrar) ran() time.Time {
 	now := r.Clock.Now()
+	if r.started.IsZero() {
+		r.started = now
+	}
 	if !r.lastRan.IsZero() && now.Sub(r.lastRan) > triesApart {
 		r.beforeStill = r.outageSeen()
 		r.stoodStill = now
@@ -84,6 +88,9 @@
 		covered = others
 	}
 	switch {
+	case r.awakeSince.Sub(later(r.answered, r.started)) > triesApart:
+		// Whoever reports failed calls may be cut off alone, and this process didn't call the store in that time.
+		return r.confirmed
 	case r.awakeSince.Sub(covered) > triesApart:
 		return r.confirmed
 	case covered.After(r.outage) && !r.awakeSince.After(r.outage):
@@ -108,6 +115,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // StoreLost notes that the store could not be reached just now. A call during which this
 // process stood still fails as its time is over, and shows nothing of the store since then.
 func (r *Registrar) StoreLost() {
@@ -115,6 +129,9 @@
 	defer r.mu.Unlock()
 	asked := r.lastAwake
 	r.wake()
+	if r.failedFrom.IsZero() {
+		r.failedFrom = r.lastAwake
+	}
 	switch {
 	case !r.pausedTo.After(asked):
 		r.outage = r.lastAwake
@@ -130,8 +147,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lost = false
+	r.failedFrom, r.refutedFailures = time.Time{}, 0
+}
+
+// noteAnswerToOthers notes that the store answered another process, at the earliest at the given time.
+func (r *Registrar) noteAnswerToOthers(at time.Time) {
+	if r.failedFrom.IsZero() || !at.After(r.failedFrom) {
+		return
+	}
+	r.failedFrom = time.Time{}
+	r.refutedFailures++
 }
 
+// isCutOffAlone tells whether the store answers others while it doesn't answer this process. Its failed calls show no
+// outage then, of which one that hears of them might be convinced by a single failed call of its own. A store that
+// returns briefly may do the same once.
+func (r *Registrar) isCutOffAlone() bool { return r.refutedFailures > 1 }
+
 // Lost tells whether the store could not be reached when it was last asked.
 func (r *Registrar) Lost() bool {
 	r.mu.Lock()
