connector: a dial whose deadline passed while suspended may succeed

TestSlowUpstreamHoldsNoMoreThanItsSlots failed beside load with 119 requests served of 120. Reproduced by suspending the test binary (SIGSTOP, 100 to 500 ms, load 9 to 17): 9 of 320 with stalls of 330 to 450 ms, 1 of 150 before. Every traced failure was a 503 "all upstreams have all connections in use" after one or two dials on loopback that ended with "i/o timeout": the process had stood still for longer than dialTimeout (300 ms). Package net doesn't look at the socket behind a deadline, so an entry that was suspended takes peers for dead whose kernel had long answered: it passes them over and spends its attempts on its own standstill.

A dial goes on for 10 ms after its deadline, in which the poller sees what has come. Cancelled dials end at once as before. The error stays a timeout.

TestDialSucceedsWhoseDeadlinePassedWhileSuspended stops the process while the kernel connects: 11 of 12 runs failed before, none of 12 now.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 	"time"
 
@@ -17,6 +19,10 @@
 // all round trips on a lossy link and below every caller's patience.
 const UnackedTimeout = 3 * time.Second
 
+// lateWithin is how long a dial goes on after its deadline. Behind a deadline package net doesn't look at the
+// socket, and a process that was suspended would take a peer for unreachable that had accepted its connection.
+const lateWithin = 10 * time.Millisecond
+
 // keepAlive finds a connection dead on which nothing is being sent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
 
@@ -27,14 +33,41 @@
 
 // DialContext is Dial in the form that net/http wants.
 func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	late, stop := withLateDeadline(ctx)
+	defer stop()
 	d := net.Dialer{KeepAliveConfig: keepAlive, Control: control}
-	raw, err := d.DialContext(ctx, network, address)
+	raw, err := d.DialContext(late, network, address)
 	if err != nil {
-		return nil, err
+		return nil, dialError(ctx, err)
 	}
 	return KeepResets(raw), nil
 }
 
+// withLateDeadline gives a context that ends with another, but lateWithin after its deadline; stop frees it.
+func withLateDeadline(ctx context.Context) (late context.Context, stop func()) {
+	late, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	unhook := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			time.AfterFunc(lateWithin, cancel)
+			return
+		}
+		cancel()
+	})
+	return late, func() {
+		unhook()
+		cancel()
+	}
+}
+
+// dialError is the error of a dial under a context with a late deadline: a timeout once the deadline has passed.
+func dialError(ctx context.Context, err error) error {
+	var failed *net.OpError
+	if errors.Is(err, context.Canceled) && errors.Is(ctx.Err(), context.DeadlineExceeded) && errors.As(err, &failed) {
+		failed.Err = os.ErrDeadlineExceeded
+	}
+	return err
+}
+
 func control(_, _ string, c syscall.RawConn) error {
 	var failure error
 	err := c.Control(func(fd uintptr) {
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+	"golang.org/x/sys/unix"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
 )
 
 // A kept connection was closed by its peer, or has bytes on it that belong to no
@@ -40,3 +43,47 @@
 	other.Close()
 	noisy(closed)
 }
+
+// Guards against taking a peer for unreachable that accepted the connection while this process was suspended.
+func TestDialSucceedsWhoseDeadlinePassedWhileSuspended(t *testing.T) {
+	const deadline = 900 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	dial := func(within time.Duration) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		return connector.Dial(ctx, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	// The kernel answers no connection beyond the backlog; asked again after a second, it does.
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) }))
+	must.NoError(t, err)
+	waiting := 0
+	for {
+		c, err := dial(50 * time.Millisecond)
+		if err != nil {
+			must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			break
+		}
+		defer c.Close()
+		waiting++
+	}
+	failed := make(chan error, 1)
+	go func() {
+		c, err := dial(deadline)
+		if err == nil {
+			c.Close()
+		}
+		failed <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	for range waiting {
+		c, err := l.Accept()
+		must.NoError(t, err)
+		defer c.Close()
+	}
+	connectortest.Suspend(t, "sleep 1.5")
+	must.NoError(t, <-failed)
+}
