Bound the heads of replies and the bodies that are read past

What callers saw: nothing. An upstream that sent a status line, a header, interim replies or the body of a reply to another request without end kept its caller waiting until it left, and a head filled the entry's memory meanwhile. An entry VM has 184 MB.

Cause: http.ReadResponse sets no bound on a head, nor did the loops around it on interim replies and on the bodies of stray replies. What was bounded was their number alone.

Change: a reader beneath the connection's buffer gives 64 KiB for each head, all interim replies before the final one included, and any number of bytes for the body behind it, as net/http's transport does; so long bodies and the next reply on a kept connection are not touched (TestLongRepliesOnAKeptConnectionStayWhole, TestRepliesWithinTheBoundsAreRead). 1 MiB of a stray reply's body is read past. Beyond that the attempt fails with *connector.OversizeError, its connection is closed and its outcome is unknown, as with a cut reply: asked elsewhere where the route allows it, 502 otherwise.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -1,4 +1,5 @@
-// Package connector opens TCP connections that notice a silent peer and a reset.
+// Package connector opens TCP connections that notice a silent peer and a reset, and bounds what is read from peers
+// beside the bodies of their replies.
 package connector
 
 import (
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -1,11 +1,9 @@
 package relayer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"mime"
 	"net/http"
 	"net/netip"
@@ -192,7 +190,7 @@
 func (x *exchange) readHeader(codec Codec, method, id string) error {
 	for strays := 0; ; strays++ {
 		//nolint:bodyclose // the connection itself is closed, or kept once the body was read
-		res, err := readResponse(x.conn.reader, method)
+		res, err := x.conn.reader.Next(method)
 		if err != nil {
 			return err
 		}
@@ -204,21 +202,12 @@
 		if strays == maxStrays {
 			return &StrayError{Got: reply.ID, Want: id}
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		if err := x.conn.reader.Skip(res); err != nil {
 			return err
 		}
 	}
 }
 
-func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil || res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
-			return res, err
-		}
-	}
-}
-
 // setGap bounds the wait for the next bytes; 0 takes the bound off.
 func (x *exchange) setGap(d time.Duration) {
 	var t time.Time
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -29,13 +28,14 @@
 	// dialTimeout bounds connecting to an upstream. A dark one answers nothing, and
 	// the request must have time for another.
 	dialTimeout = 300 * time.Millisecond
-	readBuffer  = 8 << 10
+	// readBuffer is in bytes.
+	readBuffer = 8 << 10
 )
 
 // connection is one to an upstream.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *connector.ReplyReader
 	// reused connections have answered a request before.
 	reused bool
 	until  time.Time
@@ -114,7 +114,7 @@
 	}
 	p.Opened()
 	c := &connection{Conn: raw, closed: free}
-	c.reader = bufio.NewReaderSize(c, readBuffer)
+	c.reader = connector.NewReplyReader(c, readBuffer)
 	return c, nil
 }
 
