Bound the comments before the event that goes on with a stream

What callers saw: a stream that was to go on at another upstream neither went on nor was cut, for as long as that one sent comments, and the entry kept them all.

Cause: comments with a blank line are events of their own to the reader, each within its bound; they were gathered until the event with which the stream goes on.

--- a/internal/relayer/endless_reply_test.go
+++ b/internal/relayer/endless_reply_test.go
@@ -190,6 +190,7 @@
 // Guards against the rest of a stream that never comes to its next event.
 func TestEndlessRestOfAStreamBreaksOff(t *testing.T) {
 	for name, r := range map[string]endlessReply{
+		"comments":      {eventsHead + "\r\n", ": x\n\n"},
 		"comment lines": {eventsHead + "\r\n", ": x\n"},
 		"header fields": {eventsHead, "a: b\r\n"},
 	} {
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -13,6 +13,9 @@
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
+// maxComments bounds the comments before the event with which another upstream goes on, in bytes.
+const maxComments = 64 << 10
+
 // receivedReply is a reply of which nothing has been handed on so far.
 type receivedReply struct {
 	x     *exchange
@@ -193,6 +196,10 @@
 			r.place.Started()
 			return &receivedReply{x: x, place: r.place, events: events, sequence: r.sequence, start: start}, nil
 		}
+		if len(start) > maxComments {
+			x.abandon()
+			return nil, x.cutError(&bodyreader.OversizeError{Limit: maxComments})
+		}
 	}
 	if !errors.Is(err, io.EOF) {
 		x.abandon()
