Bound the heads of all peers' replies alike

Cause: net/http's transport reads 10 MiB of a head unless told otherwise, and asks for compressed bodies unless told otherwise; nine transports of the product were literals of their own and none set the former. Sources of weights of the own interface used http.DefaultClient. An agent's VM has 152 MB, and an agent reads from several peers at once.

Change: connector.NewTransport makes all transports, with the bound of connector.MaxReplyHead, over all interim replies (net/http counts them together, as no caller of ours traces them), and without compression. The list's and the surveyor's connections, and those of sources without a client, notice silent peers and resets now as all others do.

--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -16,6 +16,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/agent"
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/configurer"
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
 	"github.com/oriolecroft/oriolecroft/internal/driver"
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
@@ -148,7 +149,7 @@
 
 // peers makes the sources that other agents are.
 func peers(tls *certifier.Certifier, region string) func(netip.AddrPort) fetcher.Source {
-	client := &http.Client{Transport: &http.Transport{DialContext: tls.Dial, DisableCompression: true}}
+	client := &http.Client{Transport: connector.NewTransport(tls.Dial)}
 	return func(a netip.AddrPort) fetcher.Source {
 		return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: region}
 	}
--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -87,8 +87,9 @@
 // addAgent adds the parts of an agent.
 func addAgent(d *daemon) error {
 	s := d.settings
-	client := &http.Client{Transport: &http.Transport{DialContext: connector.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
+	transport := connector.NewTransport(connector.DialContext)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 4, 10*time.Second
+	client := &http.Client{Transport: transport}
 	digests := &stager.Digester{Client: client, Upload: linkLimit(s.LinkRate)}
 	ledger := &scheduler.Ledger{Clock: d.ages, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack}
 	l := &loader.Loader{
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -62,8 +62,10 @@
 // twice with nothing in our logs; the customer would find it. A dial over the
 // loopback costs some tens of microseconds.
 func newClient() *http.Client {
+	t := connector.NewTransport(connector.DialContext)
+	t.DisableKeepAlives = true
 	return &http.Client{
-		Transport: &http.Transport{DialContext: connector.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		Transport: t,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader/bodyreadertest"
 	"github.com/oriolecroft/oriolecroft/internal/driver"
 )
 
@@ -173,3 +174,11 @@
 		is[*driver.CutError](t, err)
 	}
 }
+
+// Guards against an upstream whose replies have heads without end.
+func TestEndlessHeadIsNoReply(t *testing.T) {
+	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
+		_, err := (&driver.Engine{Address: a}).State(t.Context())
+		return err
+	})
+}
--- a/internal/fetcher/http.go
+++ b/internal/fetcher/http.go
@@ -14,6 +14,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
 
@@ -34,6 +35,17 @@
 // RegionHeader carries the caller's region to an agent.
 const RegionHeader = "Region"
 
+// idleFor is how long the shared client keeps a connection.
+const idleFor = 90 * time.Second
+
+var sharedClient = newClient()
+
+func newClient() *http.Client {
+	t := connector.NewTransport(connector.DialContext)
+	t.IdleConnTimeout = idleFor
+	return &http.Client{Transport: t}
+}
+
 // Source gives manifests and chunks by their digest. What it returns has been
 // checked against the digest. Its errors are *CorruptError, *UnavailableError
 // and *NotHeldError.
@@ -56,7 +68,7 @@
 	Address netip.AddrPort
 	// Timeout is how long the source may send nothing; 0 means DefaultTimeout.
 	Timeout time.Duration
-	// Client makes the calls; nil means http.DefaultClient.
+	// Client makes the calls; nil means one that all sources share.
 	Client *http.Client
 	// Watched and OnHolding, when set, name a manifest and take the bitmap of it that comes with
 	// each chunk. Agent and Held are the caller's name and its own bitmap.
@@ -214,7 +226,7 @@
 	if h.Client != nil {
 		return h.Client
 	}
-	return http.DefaultClient
+	return sharedClient
 }
 
 func (h *HTTP) clock() clock.WithDelayedExecution {
--- a/internal/fetcher/http_test.go
+++ b/internal/fetcher/http_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader/bodyreadertest"
 	"github.com/oriolecroft/oriolecroft/internal/fetcher"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 )
@@ -93,3 +94,11 @@
 	var corrupt *fetcher.CorruptError
 	must.True(t, errors.As(err, &corrupt))
 }
+
+// Guards against a source whose replies have heads without end.
+func TestEndlessHeadIsNoChunk(t *testing.T) {
+	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
+		_, err := (&fetcher.HTTP{Address: a}).Chunk(t.Context(), bundler.Digest(nil), 1000)
+		return err
+	})
+}
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 )
 
@@ -32,12 +33,8 @@
 
 // NewClient makes a client with its own connections.
 func NewClient(dial Dial) *Client {
-	t := &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
+	t := connector.NewTransport(dial)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout = idleConnections, 30*time.Second
 	return &Client{http: &http.Client{Transport: t}}
 }
 
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -256,3 +256,11 @@
 		}
 	}
 }
+
+// Guards against an agent whose answers have heads without end.
+func TestEndlessHeadIsNoAnswer(t *testing.T) {
+	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
+		_, err := client().Lookup(t.Context(), a, "k")
+		return err
+	})
+}
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -14,6 +14,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/entry"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/pkg/bundler"
@@ -42,7 +43,9 @@
 
 // client uses each connection once: a survey asks each entry once.
 func (i Inspector) client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: i.Certifier.Dial, DisableKeepAlives: true}}
+	t := connector.NewTransport(i.Certifier.Dial)
+	t.DisableKeepAlives = true
+	return &http.Client{Transport: t}
 }
 
 // Ask gets the status of one entry.
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -125,3 +125,11 @@
 	_, err := inspector.Inspector{}.Ask(t.Context(), bodyreadertest.Serve(t, text, bodyreadertest.Close))
 	must.Error(t, err)
 }
+
+// Guards against an entry whose status has a head without end.
+func TestEndlessHeadIsNoStatus(t *testing.T) {
+	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
+		_, err := inspector.Inspector{}.Ask(t.Context(), a)
+		return err
+	})
+}
--- a/internal/lister/list.go
+++ b/internal/lister/list.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // The roles of a VM.
@@ -129,7 +130,9 @@
 		return h.Client
 	}
 	h.once.Do(func() {
-		h.own = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
+		t := connector.NewTransport(connector.DialContext)
+		t.MaxIdleConnsPerHost, t.IdleConnTimeout = 1, time.Minute
+		h.own = &http.Client{Transport: t}
 	})
 	return h.own
 }
--- a/internal/lister/list_test.go
+++ b/internal/lister/list_test.go
@@ -43,3 +43,11 @@
 	_, err := l.VMs(t.Context())
 	must.Error(t, err)
 }
+
+// Guards against a list whose head has no end.
+func TestEndlessHeadIsNoList(t *testing.T) {
+	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
+		_, err := (&lister.HTTP{Address: a}).VMs(t.Context())
+		return err
+	})
+}
--- a/internal/storer/http.go
+++ b/internal/storer/http.go
@@ -252,7 +252,9 @@
 		return h.Client
 	}
 	h.once.Do(func() {
-		h.own = &http.Client{Transport: &http.Transport{DialContext: connector.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+		t := connector.NewTransport(connector.DialContext)
+		t.MaxIdleConnsPerHost, t.IdleConnTimeout = 4, time.Minute
+		h.own = &http.Client{Transport: t}
 	})
 	return h.own
 }
--- a/internal/storer/http_test.go
+++ b/internal/storer/http_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader/bodyreadertest"
 	"github.com/oriolecroft/oriolecroft/internal/storer"
 	"github.com/oriolecroft/oriolecroft/internal/storer/storertest"
 	"github.com/oriolecroft/oriolecroft/standins/imitator"
@@ -117,3 +118,11 @@
 		must.True(t, errors.As(err, &refused))
 	})
 }
+
+// Guards against a store whose answers have heads without end.
+func TestEndlessHeadIsNoAnswer(t *testing.T) {
+	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
+		_, err := (&storer.HTTP{Address: a}).Get(t.Context(), "k")
+		return err
+	})
+}
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -14,6 +14,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 // Status is what a process says of itself.
@@ -121,7 +122,9 @@
 
 // ask asks those of the processes that are chosen.
 func (s *Surveyor) ask(ctx context.Context, ps []Process, chosen func(*Process) bool) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	t := connector.NewTransport(connector.DialContext)
+	t.DisableKeepAlives = true
+	client := &http.Client{Transport: t}
 	var asked sync.WaitGroup
 	for i := range ps {
 		if p := &ps[i]; chosen(p) {
--- a/internal/surveyor/surveyor_test.go
+++ b/internal/surveyor/surveyor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -109,3 +110,13 @@
 	p := survey(t, bodyreadertest.Serve(t, text, bodyreadertest.Close))[0]
 	must.Nil(t, p.Status)
 }
+
+// Guards against a process whose answer has a head without end.
+func TestEndlessHeadIsNoStatus(t *testing.T) {
+	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
+		if p := survey(t, a)[0]; p.Status == nil {
+			return errors.New(strings.Join(p.Faults, "; "))
+		}
+		return nil
+	})
+}
