Bound an event of an agent's stream

Cause: forwarder.Stream decodes JSON from the body as it comes, and the decoder keeps a value until its end. A token, or the space before an event, without end filled an entry until the request's deadline. All other readers of bodies had a limit.

Evidence: TestEndlessEventIsCut on the code before: the whole 64 MiB that the test sends were read, in 0.6 s. Now the stream is cut by *bodyreader.OversizeError, with less than 8 MiB taken, most of them into the sockets' buffers.

Change: the decoder reads through a reader that gives 1 MiB for each event.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -61,11 +61,9 @@
 		r.Body.Close()
 		return nil, err
 	}
-	return &Stream{
-		body:        r.Body,
-		decoder:     json.NewDecoder(&bodyreader.Reader{Response: r}),
-		EngineStart: r.Header.Get(headerEngine),
-	}, nil
+	s := &Stream{EngineStart: r.Header.Get(headerEngine), body: r.Body, events: eventReader{body: bodyreader.Reader{Response: r}}}
+	s.decoder = json.NewDecoder(&s.events)
+	return s, nil
 }
 
 // Call makes one call to a plain service. Errors as with Generate.
@@ -211,9 +209,29 @@
 	EngineStart string
 
 	body    io.ReadCloser
+	events  eventReader
 	decoder *json.Decoder
 }
 
+// maxEvent bounds an event, in bytes.
+const maxEvent = 1 << 20
+
+// eventReader bounds what is read for one event: the decoder keeps it in memory until its end.
+type eventReader struct {
+	body bodyreader.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (r *eventReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, &bodyreader.OversizeError{Limit: maxEvent}
+	}
+	n, err := r.body.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // CutError reports a stream that ended without its end mark.
 type CutError struct {
 	Err error
@@ -227,6 +245,7 @@
 // Failure gives a *CutError.
 func (s *Stream) Next() (Event, error) {
 	var e Event
+	s.events.left = maxEvent
 	if err := s.decoder.Decode(&e); err != nil {
 		return Event{}, &CutError{Err: err}
 	}
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader/bodyreadertest"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 )
@@ -264,3 +265,25 @@
 		return err
 	})
 }
+
+// Guards against an agent's event without end that is kept until its stream is over.
+func TestEndlessEventIsCut(t *testing.T) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nOriolecroft-Request: %s\r\nOriolecroft-Attempt: %d\r\nOriolecroft-Outcome: ran\r\n\r\n",
+		attempt.RequestID, attempt.Number)
+	for name, r := range map[string]struct{ start, part string }{
+		"text":  {`{"token":"`, "x"},
+		"space": {"", " "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bodyreadertest.Endless(t, head+r.start, r.part, func(a netip.AddrPort) error {
+				s, err := client().Generate(t.Context(), a, forwarder.GenerateOrder{Attempt: attempt})
+				must.NoError(t, err)
+				defer s.Close()
+				_, err = s.Next()
+				var large *bodyreader.OversizeError
+				must.True(t, errors.As(err, &large), must.Sprint(err))
+				return err
+			})
+		})
+	}
+}
