Bound the headers of requests between our own processes

Cause: the servers of agents and of operators, and of the own interface, had net/http's bound of 1 MiB for a request's header; only the listener of the users' callers had its own, 64 KiB. Small fields take about twenty times their size.

--- a/internal/reporter/service.go
+++ b/internal/reporter/service.go
@@ -51,9 +51,12 @@
 // readHeaderTimeout frees a connection whose client opens it and then is silent.
 const readHeaderTimeout = 10 * time.Second
 
+// maxHeader bounds a request's header, in bytes. One for an agent holds an order with a caller's header.
+const maxHeader = 256 << 10
+
 // Serve answers requests until the context ends.
 func (w *Web) Serve(ctx context.Context) error {
-	s := &http.Server{Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
 	finished := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(finished)
