registrar: a lapsed upstream is kept only after an outage in which records may lapse

What callers could see: a request that reaches a server 3.8 s after its record went, where 2 s are allowed (DRAIN).

Cause: a process that has had a failed call takes a record that went for one that lapsed in an outage, and keeps the upstream for 1.6 s from the answer, or the list, that reports it. After a failed call of this process alone, as behind a saturated link, the record may have gone right after the last answer before that call, which takes up to 1.9 s, and the next call begins up to 0.4 s later. The time of arrival stood for the earliest time at which the record can have gone.

Change: records lapse after three heartbeats in silence, of which the last renewal is up to one old. Unless the store may have been out of reach for two heartbeats, as the platform states them, an upstream whose record went is out of use at once, and other processes are told that it went at the last confirmation. With no heartbeat stated nothing changes.

TestLapseBehindAFailedCallCountsFromTheLastConfirmation: kept for 3.8 s before, with a change and with a list. TestUpstreamThatLapsedInAnOutageStaysForAWhile, also when it is reported by a later answer or behind another failed call, and TestLapsedUpstreamsLingerAfterAnOutage guard against the opposite error, by which requests are refused after an outage. Open: a process that is out of reach alone for two heartbeats or more keeps upstreams as before.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -132,7 +132,7 @@
 	}
 	d.registrar = &registrar.Registrar{
 		Clock: ages, Decode: platform.Decode, Linger: time.Duration(lingerPart * float64(s.Bounds.Drain)),
-		Region: s.Region,
+		Heartbeat: s.Heartbeat, Region: s.Region,
 	}
 	return d, nil
 }
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -138,6 +138,7 @@
 	case r.pausedFrom.After(r.outage):
 		r.outage = r.pausedFrom
 	}
+	r.noteLongOutage(r.outage)
 	r.lost = true
 	r.change.Wake()
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -31,6 +31,9 @@
 	// soon after. It must be shorter than the time within which a leaving upstream
 	// has to be left alone.
 	Linger time.Duration
+	// Heartbeat is how often upstreams renew their records, which lapse after three of these in silence; zero when
+	// unknown.
+	Heartbeat time.Duration
 	// Region is that of this process.
 	Region string
 
@@ -61,6 +64,8 @@
 	// outage is when the store was last found out of reach, lost that it still is.
 	outage time.Time
 	lost   bool
+	// longOutage is when the last failed call of an outage ended in which records of upstreams may have lapsed.
+	longOutage time.Time
 	// failedFrom is when the first call failed since the store answered anybody; refutedFailures counts how often it
 	// answered others after failed calls, since it last answered this process.
 	failedFrom      time.Time
@@ -152,6 +157,7 @@
 	// Taking a large batch over may take longer than news count as fresh. Counted from its arrival, a process would
 	// turn to the store right after it, for the next one.
 	if fresh := r.Clock.Now().Add(-b.Age); fresh.After(r.answered) {
+		r.noteLongOutage(fresh)
 		r.answered = fresh
 	}
 	if b.Partial {
@@ -179,8 +185,8 @@
 	r.records[rec.Key] = rec
 	delete(r.packed, rec.Key)
 	if rec.Deleted {
-		r.deleted[rec.Key] = learnedAt(rec, from.AsOf)
-		r.forget(rec.Key)
+		r.deleted[rec.Key] = r.deletedAt(rec, from)
+		r.forget(rec.Key, from)
 		return true
 	}
 	f, err := r.Decode(rec.Key, rec.Value)
@@ -213,6 +219,30 @@
 	return received.Add(-max(0, rec.Age))
 }
 
+// deletedAt is when a record went at the earliest, unless it may have lapsed in an outage: then it went at the end of
+// the outage, as far as is known.
+func (r *Registrar) deletedAt(rec Record, from Batch) time.Time {
+	at := learnedAt(rec, from.AsOf)
+	if r.confirmed.IsZero() || r.mayHaveLapsed(from) {
+		return at
+	}
+	return earlier(at, r.confirmed)
+}
+
+// mayHaveLapsed tells whether an upstream that lives may have lost its record in an outage that ended lately.
+func (r *Registrar) mayHaveLapsed(from Batch) bool {
+	r.noteLongOutage(from.AsOf)
+	return !r.longOutage.IsZero() && r.Clock.Since(r.longOutage) < NewsTimeout
+}
+
+// noteLongOutage notes an outage that goes on until some time, or ends then, if records of upstreams may have lapsed in
+// it: the last renewal before it is up to a heartbeat old.
+func (r *Registrar) noteLongOutage(until time.Time) {
+	if r.outage.After(r.answered) && until.Sub(r.answered) >= 2*r.Heartbeat {
+		r.longOutage = r.outage
+	}
+}
+
 // raises keeps versions from going down. A store that was restored to an older
 // state would otherwise bring back routes and weights that were replaced.
 func (r *Registrar) raises(key string, f Fact) bool {
@@ -242,7 +272,7 @@
 }
 
 // forget takes a deleted key out of use.
-func (r *Registrar) forget(key string) {
+func (r *Registrar) forget(key string, from Batch) {
 	f := r.facts[key]
 	switch f := f.(type) {
 	case Table:
@@ -253,7 +283,7 @@
 		r.hide(key)
 		return
 	case Upstream:
-		if !f.Leaving && r.Clock.Since(r.outage) < NewsTimeout && !r.outage.IsZero() {
+		if !f.Leaving && r.mayHaveLapsed(from) {
 			// Counted from the hearing, each hop of the news would add to it, and requests would
 			// reach an upstream that told all the world that it leaves.
 			r.lingering[key] = r.deleted[key].Add(r.Linger)
