--- a/internal/registrar/cut_off_test.go
+++ b/internal/registrar/cut_off_test.go
@@ -117,3 +117,24 @@
 	must.True(t, ok)
 	must.Eq(t, back, got)
 }
+
+// Guards against an announcement that counts from the end of an outage in which the store answered a process that
+// nobody of this region heard from until later.
+func TestLaterWordOfAnAnswerRefutesAnOutage(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := twoThatKnow(c)
+	witness := newRegistrarAt(c)
+	witness.Apply(r.Since(0))
+	announced := c.Now()
+	c.Step(100 * time.Millisecond)
+	watched(witness)
+	outOfReachOfAll(r, other, c, 2*time.Second)
+	c.Step(200 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	r.Apply(witness.SinceWithAges(2))
+	got, ok := superseded(r, 1)
+	must.True(t, ok)
+	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
+}
