Soak: upstreams, store and origin send bytes without end, and memory is checked

Replies could be cut off, silent, faulty or another request's, but always ended, and no run looked at the memory of processes. Two promises are new: such a reply doesn't hold its request until the caller leaves, and processes keep to the memory of their VM.

--- a/soak/auditor/answers.go
+++ b/soak/auditor/answers.go
@@ -34,6 +34,7 @@
 	a.judgeDenial(r, e)
 	a.judgeLoss(r, e)
 	a.judgeReplied(r, e)
+	a.judgeFlood(r, e)
 }
 
 func (a *Auditor) judgeWhole(r *request, e Answered) {
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -39,11 +39,13 @@
 	Graceful      Promise = "stop and reload cut no request"
 	Kept          Promise = "kept connections don't lose requests"
 	Replied       Promise = "a request that was read gets its complete answer"
+	Flood         Promise = "a reply without end doesn't hold its request"
 	Directory     Promise = "the directory names no entry long gone"
 	Deadline      Promise = "upstreams get no more time than is left"
 	Gone          Promise = "nothing is sent for callers that left"
 	Abandoned     Promise = "no work goes on for callers that left"
 	Reload        Promise = "settings are read again when asked"
+	Memory        Promise = "processes keep to the memory of their VM"
 	Exit          Promise = "no process ends by itself"
 	Recovery      Promise = "requests are served once the faults are over"
 )
@@ -51,7 +53,7 @@
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
 	Once, Refusal, Whole, Cut, Unchanged, Stream, FailedTwice, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Fatal, Sound, Budget, Attempts, Home, Keys,
-	Config, Regress, Denial, Graceful, Kept, Replied, Directory, Deadline, Gone, Abandoned, Reload, Exit, Recovery,
+	Config, Regress, Denial, Graceful, Kept, Replied, Flood, Directory, Deadline, Gone, Abandoned, Reload, Memory, Exit, Recovery,
 }
 
 // Broken is a promise that was not kept.
@@ -112,6 +114,8 @@
 		a.judgeReload(e)
 	case Directed:
 		a.judgeDirectory(e)
+	case Measured:
+		a.check(Memory, "", e.Taken <= e.Allowed, "%s took %d kB of %d kB", e.Who, e.Taken/1000, e.Allowed/1000)
 	case Exited:
 		a.check(Exit, "", !e.Alone, "%s ended by itself", e.Who)
 	}
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -398,6 +398,7 @@
 	}
 	cases = append(cases, fatalCases...)
 	cases = append(cases, repliedCases...)
+	cases = append(cases, floodCases...)
 	noticed := map[auditor.Promise]bool{}
 	for _, c := range cases {
 		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
@@ -526,6 +527,7 @@
 	}
 	cases = append(cases, allowedFatalCases...)
 	cases = append(cases, allowedRepliedCases...)
+	cases = append(cases, allowedFloodCases...)
 	for _, c := range cases {
 		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
 			d := newDay()
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -97,6 +97,15 @@
 // Failed is a request at which an upstream fails as one of two in turn.
 type Failed struct{ ID, Upstream string }
 
+// Flooded is a request that an upstream begins to answer with bytes without end.
+type Flooded struct{ ID, Upstream string }
+
+// Measured is the most memory that a process has taken so far, of what it may, in bytes.
+type Measured struct {
+	Who            string
+	Taken, Allowed int64
+}
+
 // Crashed is the end of an upstream under a request with a part that crashes it.
 type Crashed struct{ Upstream, Part string }
 
@@ -195,6 +204,8 @@
 func (Began) event()      {}
 func (Ended) event()      {}
 func (Failed) event()     {}
+func (Flooded) event()    {}
+func (Measured) event()   {}
 func (Crashed) event()    {}
 func (Joined) event()     {}
 func (Leaving) event()    {}
--- /dev/null
+++ b/soak/auditor/flood.go
@@ -0,0 +1,47 @@
+package auditor
+
+import "time"
+
+// toleratedFlood is how long a request may wait on a reply without end.
+const toleratedFlood = time.Second
+
+func (h *history) noteFlood(e Flooded) {
+	r := h.requests[e.ID]
+	if r == nil {
+		return
+	}
+	for i := range r.runs {
+		if r.runs[i].upstream == e.Upstream {
+			r.runs[i].floodedAt = h.now
+		}
+	}
+}
+
+// judgeFlood judges whether a request whose last upstream sent bytes without end got an answer, and was not held
+// until its caller left.
+func (a *Auditor) judgeFlood(r *request, e Answered) {
+	h := a.history
+	if len(r.runs) == 0 {
+		return
+	}
+	last := r.runs[len(r.runs)-1]
+	if last.floodedAt.IsZero() || !h.allUndisturbed(r.at) || !h.undisturbed(last.upstream, r.at, h.now) {
+		return
+	}
+	after := h.now.Sub(last.floodedAt)
+	if e.Expired && after <= toleratedFlood {
+		return
+	}
+	a.check(Flood, e.ID, !e.Expired && e.Status != 0, "status %d by %s, %v after %s began to send bytes without end", e.Status, r.Entry, after, last.upstream)
+}
+
+// allUndisturbed tells whether nothing disturbed any process or its links since a moment: another entry may have
+// passed the request on.
+func (h *history) allUndisturbed(since time.Time) bool {
+	for who := range h.entries {
+		if !h.undisturbed(who, since, h.now) {
+			return false
+		}
+	}
+	return h.undisturbed("", since, h.now)
+}
--- /dev/null
+++ b/soak/auditor/flood_test.go
@@ -0,0 +1,66 @@
+package auditor_test
+
+import (
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/soak/auditor"
+)
+
+// flood has near answer a request with bytes without end for some time.
+func (d *day) flood(id string, lasts time.Duration) {
+	d.send(id, "/look/1")
+	d.reach(id, "near")
+	d.Note(auditor.Flooded{ID: id, Upstream: "near"})
+	d.Note(auditor.Ended{ID: id, Upstream: "near", Broken: true})
+	d.after(lasts)
+}
+
+var floodCases = []brokenCase{
+	{auditor.Flood, "a request waits on a reply without end until its caller leaves", func(d *day) {
+		d.flood("1", 1100*time.Millisecond)
+		d.Note(auditor.Answered{ID: "1", Expired: true})
+	}},
+	{auditor.Flood, "a reply without end is handed on until the caller leaves", func(d *day) {
+		d.flood("1", 1100*time.Millisecond)
+		d.Note(auditor.Answered{ID: "1", Status: 200, Names: "1", Upstream: "near", Expired: true})
+	}},
+	{auditor.Flood, "a request whose upstream sent bytes without end gets no answer", func(d *day) {
+		d.flood("1", 100*time.Millisecond)
+		d.Note(auditor.Answered{ID: "1"})
+	}},
+	{auditor.Memory, "a process takes more memory than its VM has", func(d *day) {
+		d.Note(auditor.Measured{Who: "e", Taken: 184_000_001, Allowed: 184_000_000})
+	}},
+}
+
+var allowedFloodCases = []allowedCase{
+	{"requests with a reply without end that fail, and that another upstream answers", func(d *day) {
+		d.flood("1", 2*time.Second-50*time.Millisecond)
+		d.Note(auditor.Answered{ID: "1", Status: 502, Whole: true})
+		d.flood("2", 100*time.Millisecond)
+		d.reach("2", "far")
+		d.answer("2", "far")
+	}},
+	{"a reply without end that is handed on in part and cut", func(d *day) {
+		d.flood("1", 100*time.Millisecond)
+		d.Note(auditor.Answered{ID: "1", Status: 200, Names: "1", Upstream: "near"})
+	}},
+	{"a caller that leaves soon after a reply without end began", func(d *day) {
+		d.flood("1", 900*time.Millisecond)
+		d.Note(auditor.Answered{ID: "1", Expired: true})
+	}},
+	{"a reply without end at an entry or over a link that is disturbed", func(d *day) {
+		for i, who := range []string{"e", "near", ""} {
+			id := string(rune('a' + i))
+			d.flood(id, 900*time.Millisecond)
+			d.Note(auditor.Disturbed{Who: who})
+			d.after(900 * time.Millisecond)
+			d.Note(auditor.Answered{ID: id, Expired: true})
+			d.Note(auditor.Calmed{Who: who})
+			d.after(time.Second)
+		}
+	}},
+	{"a process that takes all the memory of its VM", func(d *day) {
+		d.Note(auditor.Measured{Who: "e", Taken: 184_000_000, Allowed: 184_000_000})
+	}},
+}
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -53,6 +53,8 @@
 	broken   bool
 	// events were sent before it broke off.
 	events int
+	// floodedAt is when its upstream began to send bytes without end; zero for not.
+	floodedAt time.Time
 }
 
 type upstream struct {
@@ -150,6 +152,8 @@
 		if r := h.requests[e.ID]; r != nil {
 			r.failed++
 		}
+	case Flooded:
+		h.noteFlood(e)
 	case Joined:
 		h.upstreams[e.Upstream] = &upstream{Joined: e, coldUntil: h.now.Add(e.Cold)}
 	case Leaving:
--- a/soak/soaker/export_test.go
+++ b/soak/soaker/export_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -18,6 +19,12 @@
 // Start starts the daemon.
 func (p *Process) Start() error { return p.p.start() }
 
+// WatchMemory tells of the memory that the daemon takes, of some bytes that it may.
+func (p *Process) WatchMemory(ctx context.Context, allowed int64) {
+	p.p.memory = allowed
+	p.p.watchMemory(ctx)
+}
+
 // Kill ends the daemon at once; it starts again.
 func (p *Process) Kill() { p.p.kill() }
 
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -38,7 +38,7 @@
 	case storeForgets:
 		// The history may be gone at any time; that is no disturbance.
 		w.store.Compact()
-	case storeBusy, storeOverrun, storeSilent, storeLossy, storeSlow, storeLapse:
+	case storeBusy, storeOverrun, storeSilent, storeLossy, storeSlow, storeLapse, storeFloods:
 		w.faultStore(f)
 	case linkDelay, linkReset, linkCut, linkSilence, linkNarrow:
 		w.faultStoreLink(f)
@@ -67,7 +67,7 @@
 // storeFaults are those of the whole store, which a plan has in turn.
 var storeFaults = map[faultKind]standin.Fault{
 	storeBusy: standin.Busy, storeOverrun: standin.Overrun, storeSilent: standin.Silent, storeLossy: standin.Lossy, storeLapse: standin.Busy,
-	storeSlow: standin.None, powerLoss: standin.Silent,
+	storeSlow: standin.None, powerLoss: standin.Silent, storeFloods: standin.Flooding,
 }
 
 func (w *world) faultStore(f fault) {
@@ -244,6 +244,10 @@
 		w.failures.Share.Store(int32(f.Amount))
 		w.wait(f.For)
 		w.failures.Share.Store(0)
+	case upstreamsFlood:
+		w.floods.Store(int32(f.Amount))
+		w.wait(f.For)
+		w.floods.Store(0)
 	case originSpoils:
 		w.origin.Spoil.Store(int32(f.Amount / 2))
 		w.wait(f.For)
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -75,7 +75,7 @@
 	// Requests to an engine soon end by its agent, which learns of the leaving as well.
 	u.StatesLeaving = p.vm.Service != engineService || (p.number+p.generation)%2 == 0
 	u.Observer, u.Store, u.Heartbeat, u.BreakOff = observer{p.world}, p.store, heartbeat, &p.breakOff
-	u.Pauses, u.Failures = &p.pauses, &p.failures
+	u.Pauses, u.Failures, u.Floods = &p.pauses, &p.failures, &p.floods
 	u.Fatal, u.Crashed = &p.fatal, sync.OnceFunc(func() { p.crashUnder(u) })
 	p.note(auditor.Joined{
 		Upstream: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Region: p.vm.Region, Cold: cold, ColdRate: coldRate,
@@ -209,3 +209,6 @@
 
 // Failed implements standin.Observer.
 func (o observer) Failed(id, upstream string) { o.note(auditor.Failed{ID: id, Upstream: upstream}) }
+
+// Flooded implements standin.Observer.
+func (o observer) Flooded(id, upstream string) { o.note(auditor.Flooded{ID: id, Upstream: upstream}) }
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -69,6 +69,8 @@
 	upstreamPauses faultKind = "upstreams pause in replies"
 	upstreamsFail  faultKind = "two upstreams fail at one request"
 	storeLate      faultKind = "store's watches answer late"
+	upstreamsFlood faultKind = "upstreams send bytes without end"
+	storeFloods    faultKind = "store sends bytes without end"
 	weightsLate    faultKind = "weights named, announced late and staged slowly"
 )
 
@@ -180,6 +182,7 @@
 	faults = append(faults, fatals(seed, last)...)
 	faults = append(faults, incident(seed, last)...)
 	faults = append(faults, doubleFailures(seed, last)...)
+	faults = append(faults, floods(seed, last)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
 	return inTurn(besideIncident(faults, last))
 }
--- a/soak/soaker/plan_test.go
+++ b/soak/soaker/plan_test.go
@@ -26,7 +26,7 @@
 	must.NotEq(t, draw(7), draw(8))
 	must.StrContains(t, draw(7), "weights named")
 	for seed := range uint64(40) {
-		for _, kind := range []string{"failure domain drained", "upstreams break replies off", "settings read again", "upstream asks for rest", "upstreams pause in replies", "two upstreams fail at one request", "weights named, announced late"} {
+		for _, kind := range []string{"failure domain drained", "upstreams break replies off", "settings read again", "upstream asks for rest", "upstreams pause in replies", "two upstreams fail at one request", "upstreams send bytes without end", "weights named, announced late"} {
 			must.StrContains(t, draw(seed), kind, must.Sprintf("seed %d", seed))
 		}
 		must.Eq(t, seed%2 == 1, strings.Contains(draw(seed), "all machines lose power"), must.Sprintf("seed %d", seed))
--- a/soak/soaker/process.go
+++ b/soak/soaker/process.go
@@ -22,6 +22,8 @@
 	note               func(auditor.Event)
 	// grace is the time between the signal to stop and the kill.
 	grace time.Duration
+	// memory is how many bytes it may take.
+	memory int64
 
 	// rereading is held while the settings file is written and read again. No process starts
 	// meanwhile: it might find a faulty file.
--- a/soak/soaker/process_test.go
+++ b/soak/soaker/process_test.go
@@ -1,6 +1,7 @@
 package soaker_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -35,6 +36,33 @@
 	}
 }
 
+// Guards against a process that takes more memory than it may without being measured, after a restart too.
+func TestMemoryOfProcessesIsMeasured(t *testing.T) {
+	dir := t.TempDir()
+	binary, settings := filepath.Join(dir, "daemon"), filepath.Join(dir, "settings.toml")
+	const taken, allowed = 64 << 20, 32 << 20
+	script := fmt.Sprintf("#!/bin/sh\nexec dd if=/dev/zero of=/dev/null bs=%d\n", taken)
+	must.NoError(t, os.WriteFile(binary, []byte(script), 0o700))
+	must.NoError(t, os.WriteFile(settings, nil, 0o600))
+	events := make(chan auditor.Event, 100)
+	p := soaker.NewProcess("agent", binary, settings, filepath.Join(dir, "log"), func(e auditor.Event) { events <- e })
+	must.NoError(t, p.Start())
+	defer p.End()
+	go p.WatchMemory(t.Context(), allowed)
+	for range 2 {
+		for most := int64(0); most < taken; {
+			if m, ok := next(t, events).(auditor.Measured); ok {
+				must.Eq(t, auditor.Measured{Who: "agent", Taken: m.Taken, Allowed: allowed}, m)
+				most = m.Taken
+			}
+		}
+		p.Kill()
+		for ended := false; !ended; {
+			_, ended = next(t, events).(auditor.Exited)
+		}
+	}
+}
+
 // next waits for an event.
 func next(t *testing.T, events <-chan auditor.Event) auditor.Event {
 	t.Helper()
--- a/soak/soaker/soaker.go
+++ b/soak/soaker/soaker.go
@@ -104,6 +104,9 @@
 		all.Go(func() { w.newCaller(i).run(ctx) })
 	}
 	all.Go(func() { w.watchStalls(ctx) })
+	for _, p := range w.processes() {
+		all.Go(func() { p.watchMemory(ctx) })
+	}
 	for _, f := range faults {
 		if !sleep(ctx, time.Until(w.began.Add(f.At))) {
 			break
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -74,6 +74,7 @@
 	breakOff               atomic.Int32
 	pauses                 standin.Pauses
 	failures               standin.Failures
+	floods                 atomic.Int32
 	// fatal is the part of prompts that crashes engines now; nil for none.
 	fatal atomic.Pointer[string]
 
@@ -106,7 +107,7 @@
 		return err
 	}
 	w.store = standin.NewStore()
-	w.origin = &standin.Origin{Chunks: chunks, ChunkBytes: chunkBytes}
+	w.origin = &standin.Origin{Chunks: chunks, ChunkBytes: chunkBytes, Floods: &w.floods}
 	base, err := freeNetwork()
 	if err != nil {
 		return err
@@ -175,7 +176,9 @@
 	if vm.Service == "" {
 		role = "entry"
 	}
+	vm.MemoryMB = memories[role]
 	p := w.newProcess(vm.Name, role)
+	p.memory = int64(vm.MemoryMB) * bytesPerMB
 	if err := w.deployment().WriteSettings(p.settings, vm); err != nil {
 		return err
 	}
@@ -196,6 +199,11 @@
 	return p.start()
 }
 
+// memories are the megabytes that a process may take, by its role, as on the users' smallest VMs.
+var memories = map[string]int{"entry": 184, "agent": 152}
+
+const bytesPerMB = 1e6
+
 // newLinks puts links before some ports of a process.
 func newLinks(vm *standin.VM, ports []uint16) (links []*link, err error) {
 	for _, port := range ports {
