--- a/soak/soaker/memory.go
+++ b/soak/soaker/memory.go
@@ -19,16 +19,18 @@
 	megabytes int64
 }
 
-// watchMemory tells the auditor of the memory that the process takes, whenever that is another megabyte.
-func (p *process) watchMemory(ctx context.Context) {
+// watchMemory tells the auditor of the memory that the process takes, whenever that is another megabyte, and
+// returns the most that it took.
+func (p *process) watchMemory(ctx context.Context) (most int64) {
 	var before measure
 	for sleep(ctx, measureEvery) {
 		pid, taken, ok := p.peak()
 		if now := (measure{pid, taken / bytesPerMB}); ok && now != before {
 			p.note(auditor.Measured{Who: p.name, Taken: taken, Allowed: p.memory})
-			before = now
+			before, most = now, max(most, taken)
 		}
 	}
+	return most
 }
 
 // peak is the most resident memory that the running process has taken, in bytes; false for none that runs.
--- a/soak/soaker/soaker.go
+++ b/soak/soaker/soaker.go
@@ -105,7 +105,7 @@
 	}
 	all.Go(func() { w.watchStalls(ctx) })
 	for _, p := range w.processes() {
-		all.Go(func() { p.watchMemory(ctx) })
+		all.Go(func() { w.say("%s took %d MB at most", p.name, p.watchMemory(ctx)/bytesPerMB) })
 	}
 	for _, f := range faults {
 		if !sleep(ctx, time.Until(w.began.Add(f.At))) {
--- a/soak/soaker/world.go
+++ b/soak/soaker/world.go
@@ -202,7 +202,7 @@
 // memories are the megabytes that a process may take, by its role, as on the users' smallest VMs.
 var memories = map[string]int{"entry": 184, "agent": 152}
 
-const bytesPerMB = 1e6
+const bytesPerMB int64 = 1e6
 
 // newLinks puts links before some ports of a process.
 func newLinks(vm *standin.VM, ports []uint16) (links []*link, err error) {
