registrar: a store that returns briefly leaves nobody cut off alone

What callers could see: all requests refused from up to as long before the end of an outage's bound as the outage was long, as engines leave their version too early. Cause: a process counts as cut off alone once the store answered others behind two runs of its failed calls. A store that returns briefly twice, or once beside a call that is still under way, gives the same, and the count stayed for the whole next outage, in which nobody has an answer.

--- a/internal/registrar/cut_off_test.go
+++ b/internal/registrar/cut_off_test.go
@@ -138,3 +138,56 @@
 	must.True(t, ok)
 	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
 }
+
+// answersOne has the store answer one process, of which another hears.
+func answersOne(r, other *registrar.Registrar) {
+	r.StoreAsked()
+	r.StoreFound()
+	r.Apply(registrar.Batch{After: 1, At: 1})
+	other.Apply(r.Since(1))
+}
+
+// endsAnOutage has the store out of reach of both processes, and gives by how much an announcement at its end counts
+// from before that.
+func endsAnOutage(t *testing.T, r, other *registrar.Registrar, c *clocktest.FakeClock, d time.Duration) (early time.Duration) {
+	t.Helper()
+	outOfReachOfAll(r, other, c, d)
+	back := c.Now()
+	c.Step(300 * time.Millisecond)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	at, ok := superseded(r, 1)
+	must.True(t, ok)
+	return back.Sub(at)
+}
+
+// Guards against a store that returns briefly and answers one process only: the others would disbelieve the outage
+// that follows, and all engines would stop as early as it is long.
+func TestOutageBehindBriefReturnsIsBelieved(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := twoThatKnow(c)
+	for range 3 {
+		outOfReachOfAll(r, other, c, 4*time.Second)
+		c.Step(100 * time.Millisecond)
+		answersOne(r, other)
+	}
+	must.Zero(t, endsAnOutage(t, r, other, c, 8*time.Second))
+}
+
+// Guards against the same where the call that is under way at the return of a silent store fails after it.
+func TestOutageBehindACallThatOutlivesTheOneBeforeIsBelieved(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := twoThatKnow(c)
+	outOfReachOfAll(r, other, c, 4*time.Second)
+	other.StoreAsked()
+	c.Step(100 * time.Millisecond)
+	answersOne(r, other)
+	c.Step(800 * time.Millisecond)
+	answersOne(r, other)
+	c.Step(900 * time.Millisecond)
+	other.StoreLost()
+	c.Step(200 * time.Millisecond)
+	answersOne(r, other)
+	must.Zero(t, endsAnOutage(t, r, other, c, 8*time.Second))
+}
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -162,8 +162,10 @@
 
 // isCutOffAlone tells whether the store answers others while it doesn't answer this process. Its failed calls show no
 // outage then, of which one that hears of them might be convinced by a single failed call of its own. A store that
-// returns briefly may do the same once.
-func (r *Registrar) isCutOffAlone() bool { return r.refutedFailures > 1 }
+// returns briefly may do the same once, and one that returns repeatedly more often; nobody has an answer after that.
+func (r *Registrar) isCutOffAlone() bool {
+	return r.refutedFailures > 1 && r.outage.Sub(r.answered) <= triesApart
+}
 
 // Lost tells whether the store could not be reached when it was last asked.
 func (r *Registrar) Lost() bool {
--- a/internal/syncer/outage_fleet_test.go
+++ b/internal/syncer/outage_fleet_test.go
@@ -46,3 +46,45 @@
 		}
 	})
 }
+
+// Guards against processes that disbelieve an outage because the store returned briefly before it and answered some of
+// them: engines would stop as early as the outage is long.
+func TestFleetBelievesInAnOutageBehindBriefReturns(t *testing.T) {
+	const (
+		model = "weights/m"
+		// longest is a silent call to the store, as all are that begin before the end.
+		longest = 2 * time.Second
+		returns = 700 * time.Millisecond
+		outage  = 4 * time.Second
+	)
+	for phase := range 3 {
+		inShapedFleet(t, shape{entries: 12, regions: 3, agents: 12}, func(t *testing.T, f *fleet) {
+			silence := func(silent bool) {
+				for _, n := range f.members {
+					n.refused.Store(silent)
+				}
+			}
+			f.store.put(model, 1)
+			time.Sleep(8*time.Second + time.Duration(phase)*310*time.Millisecond)
+			for range 3 {
+				silence(true)
+				time.Sleep(outage)
+				silence(false)
+				time.Sleep(returns)
+			}
+			silence(true)
+			time.Sleep(outage + 3*time.Second)
+			f.store.put(model, 2)
+			silence(false)
+			back := time.Now()
+			time.Sleep(8 * time.Second)
+			for _, n := range f.members {
+				w, ok := n.View().Weights("m")
+				must.True(t, ok)
+				at, _ := w.Superseded(1)
+				must.False(t, at.After(back), must.Sprint(n.ID))
+				must.Less(t, longest, back.Sub(at), must.Sprint(n.ID))
+			}
+		})
+	}
+}
