--- a/internal/registrar/cut_off_test.go
+++ b/internal/registrar/cut_off_test.go
@@ -191,3 +191,67 @@
 	answersOne(r, other)
 	must.Zero(t, endsAnOutage(t, r, other, c, 8*time.Second))
 }
+
+// Guards against an outage that a process believes in for its own failed call, as one that is cut off alone reports
+// that call back.
+func TestProcessThatIsCutOffAloneReportsNoCallBack(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	reader, cutOff := twoThatKnow(c)
+	for range 8 {
+		outOfReach(cutOff, c, 500*time.Millisecond)
+		answersOne(reader, cutOff)
+	}
+	announced := c.Now()
+	reader.StoreAsked()
+	outOfReach(cutOff, c, 1900*time.Millisecond)
+	reader.StoreLost()
+	cutOff.StoreLost()
+	cutOff.Apply(reader.Since(1))
+	reader.Apply(cutOff.Since(1))
+	c.Step(200 * time.Millisecond)
+	reader.StoreAsked()
+	reader.StoreFound()
+	watched(reader)
+	got, ok := superseded(reader, 1)
+	must.True(t, ok)
+	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
+}
+
+// Guards against an outage that is believed in for a single failed call, because another process is cut off alone and
+// calls the store too seldom to count as that.
+func TestProcessThatCallsSeldomShowsNoOutage(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	reader, cutOff := twoThatKnow(c)
+	for range 4 {
+		cutOff.StoreAsked()
+		for range 4 {
+			c.Step(450 * time.Millisecond)
+			cutOff.Tick()
+			answersOne(reader, cutOff)
+		}
+		cutOff.StoreLost()
+		for range 6 {
+			c.Step(500 * time.Millisecond)
+			cutOff.Tick()
+			answersOne(reader, cutOff)
+		}
+	}
+	cutOff.StoreAsked()
+	answersOne(reader, cutOff)
+	announced := c.Now()
+	reader.StoreAsked()
+	for range 19 {
+		c.Step(100 * time.Millisecond)
+		cutOff.Tick()
+	}
+	reader.StoreLost()
+	cutOff.StoreLost()
+	reader.Apply(cutOff.Since(1))
+	c.Step(200 * time.Millisecond)
+	reader.StoreAsked()
+	reader.StoreFound()
+	watched(reader)
+	got, ok := superseded(reader, 1)
+	must.True(t, ok)
+	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
+}
