--- a/internal/registrar/cut_off_test.go
+++ b/internal/registrar/cut_off_test.go
@@ -88,7 +88,7 @@
 }
 
 // Guards against a process that calls the store in outages only, as it hears from others, and counts as cut off
-// alone because these heard from the store first after each.
+// alone because these had the first answer after each.
 func TestProcessThatCallsTheStoreInOutagesOnlyShowsThem(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
 	r, other := twoThatKnow(c)
@@ -119,7 +119,7 @@
 }
 
 // Guards against an announcement that counts from the end of an outage in which the store answered a process that
-// nobody of this region heard from until later.
+// reached nobody of this region until later.
 func TestLaterWordOfAnAnswerRefutesAnOutage(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
 	r, other := twoThatKnow(c)
--- a/internal/registrar/lapse_test.go
+++ b/internal/registrar/lapse_test.go
@@ -30,14 +30,14 @@
 			c.Step(300 * time.Millisecond)
 			r.StoreAsked()
 			r.StoreFound()
-			heard := c.Since(lapsed)
+			reported := c.Since(lapsed)
 			r.Apply(b)
 			for len(r.View().Service("s")) > 1 {
 				c.Step(100 * time.Millisecond)
 				r.Tick()
 			}
-			// What is left of the bound is over, too, by when the process heard of it.
-			must.LessEq(t, max(bound, heard), c.Since(lapsed), must.Sprintf("kept for %v after it lapsed", c.Since(lapsed)))
+			// What is left of the bound is over, too, once it is reported.
+			must.LessEq(t, max(bound, reported), c.Since(lapsed), must.Sprintf("kept for %v after it lapsed", c.Since(lapsed)))
 		})
 	}
 }
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -89,7 +89,7 @@
 	}
 	switch {
 	case r.awakeSince.Sub(later(r.answered, r.started)) > triesApart:
-		// Whoever reports failed calls may be cut off alone, and this process didn't call the store in that time.
+		// A process that reports failed calls may be cut off alone, and this one didn't call the store in that time.
 		return r.confirmed
 	case r.awakeSince.Sub(covered) > triesApart:
 		return r.confirmed
--- a/internal/registrar/outage_test.go
+++ b/internal/registrar/outage_test.go
@@ -426,7 +426,7 @@
 }
 
 // Guards against failed calls of a process that is cut off alone, which cover the time in which this one
-// didn't call the store and heard from a peer that was behind.
+// didn't call the store and had updates from a peer that was behind.
 func TestAnothersOutageCoversNoTimeWithoutCalls(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
 	r, cutOff := twoThatKnow(c)
--- a/internal/relayer/late_begin_test.go
+++ b/internal/relayer/late_begin_test.go
@@ -96,7 +96,7 @@
 	closed := <-w.closed
 	still := w.standstills.between(announced.Add(bound-closeTime), closed)
 	if still > 0 {
-		t.Logf("closed %v after the announcement, stood still for %v of that once it was to be", closed.Sub(announced), still)
+		t.Logf("closed %v after the announcement, process stalled for %v of that past the time to close", closed.Sub(announced), still)
 	}
 	must.Less(t, bound, closed.Sub(announced)-still, must.Sprint("since the announcement"))
 }
--- a/internal/relayer/standstill_test.go
+++ b/internal/relayer/standstill_test.go
@@ -53,7 +53,7 @@
 	s.looked = now
 }
 
-// between is for how long the process stood still between two times.
+// between is for how long the process was stalled between two times.
 func (s *standstills) between(from, to time.Time) time.Duration {
 	for !s.lookedAfter(to) {
 		time.Sleep(standstillLook)
