Test of an idle connection waits for its stray bytes

TestEndlessBytesOnAnIdleConnection asked again before the stray bytes had come: a connection that is quiet then takes the request, the bytes are its reply, and the answer is a rightful 502, as the only upstream is the one that sends them. What the test checks is the same.

--- a/internal/relayer/endless_reply_test.go
+++ b/internal/relayer/endless_reply_test.go
@@ -224,6 +224,8 @@
 		return u.send(endlessReply{part: "x"}, id, conn)
 	}))
 	must.Eq(t, http.StatusOK, w.ask(t, "/safe/", "r1").status)
+	// Bytes that come only after the next request is sent are its reply.
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return u.sent.Load() > 0 }), wait.Timeout(soon), wait.Gap(time.Millisecond)))
 	got := u.endsSoon(t, w, "/safe/")
 	must.Eq(t, http.StatusOK, got.status)
 	must.Eq(t, "done", got.body)
