--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -97,7 +97,8 @@
 // Failed is a request at which an upstream fails as one of two in turn.
 type Failed struct{ ID, Upstream string }
 
-// Flooded is a request that an upstream begins to answer with bytes without end.
+// Flooded is a request that an upstream begins to answer with bytes without end. Without an ID it asked for the
+// upstream's report.
 type Flooded struct{ ID, Upstream string }
 
 // Measured is the most memory that a process has taken so far, of what it may, in bytes.
--- a/soak/auditor/flood.go
+++ b/soak/auditor/flood.go
@@ -6,6 +6,10 @@
 const toleratedFlood = time.Second
 
 func (h *history) noteFlood(e Flooded) {
+	if u := h.upstreams[e.Upstream]; u != nil && e.ID == "" {
+		u.floodedAt = h.now
+		return
+	}
 	r := h.requests[e.ID]
 	if r == nil {
 		return
@@ -17,6 +21,13 @@
 	}
 }
 
+// reportFlooded tells whether an upstream's report had no end since a moment. It then can't show that it still runs,
+// and a reply of it that ends with its connection may be cut.
+func (h *history) reportFlooded(upstream string, since time.Time) bool {
+	u := h.upstreams[upstream]
+	return u != nil && u.floodedAt.After(since)
+}
+
 // judgeFlood judges whether a request whose last upstream sent bytes without end got an answer, and was not held
 // until its caller left.
 func (a *Auditor) judgeFlood(r *request, e Answered) {
--- a/soak/auditor/flood_test.go
+++ b/soak/auditor/flood_test.go
@@ -28,6 +28,14 @@
 		d.flood("1", 100*time.Millisecond)
 		d.Note(auditor.Answered{ID: "1"})
 	}},
+	{auditor.Replied, "a request is cut whose upstream's report had no end before it", func(d *day) {
+		d.Note(auditor.Flooded{Upstream: "near"})
+		d.after(time.Second)
+		d.send("1", "/look/1")
+		d.reach("1", "near")
+		d.after(300 * time.Millisecond)
+		d.Note(auditor.Answered{ID: "1", Status: 200, Names: "1", Upstream: "near"})
+	}},
 	{auditor.Memory, "a process takes more memory than its VM has", func(d *day) {
 		d.Note(auditor.Measured{Who: "e", Taken: 184_000_001, Allowed: 184_000_000})
 	}},
@@ -45,6 +53,13 @@
 		d.flood("1", 100*time.Millisecond)
 		d.Note(auditor.Answered{ID: "1", Status: 200, Names: "1", Upstream: "near"})
 	}},
+	{"a request that is cut as its upstream's report has no end", func(d *day) {
+		d.send("1", "/look/1")
+		d.reach("1", "near")
+		d.after(300 * time.Millisecond)
+		d.Note(auditor.Flooded{Upstream: "near"})
+		d.Note(auditor.Answered{ID: "1", Status: 200, Names: "1", Upstream: "near"})
+	}},
 	{"a caller that leaves soon after a reply without end began", func(d *day) {
 		d.flood("1", 900*time.Millisecond)
 		d.Note(auditor.Answered{ID: "1", Expired: true})
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -62,6 +62,8 @@
 	coldUntil time.Time
 	// leftAt is when the store confirmed that it leaves; zero before that.
 	leftAt time.Time
+	// floodedAt is when its report last had no end; zero for never.
+	floodedAt time.Time
 	// recent are the arrivals of the last second while cold.
 	recent []time.Time
 }
