--- a/cmd/oriolecroft/platform_blame_test.go
+++ b/cmd/oriolecroft/platform_blame_test.go
@@ -106,7 +106,7 @@
 func (e *engines) Began(string, string, uint64, bool)     {}
 func (e *engines) Ended(string, string, bool, int)        {}
 func (e *engines) Failed(string, string)                  {}
-func (e *engines) Flooded(string, string)                 {}
+func (e *engines) Flooded(string, string, int)            {}
 
 // sentLate counts the requests with the part that reached an engine although they were sent too late after
 // the fifth crash.
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -99,7 +99,11 @@
 
 // Flooded is a request that an upstream begins to answer with bytes without end. Without an ID it asked for the
 // upstream's report.
-type Flooded struct{ ID, Upstream string }
+type Flooded struct {
+	ID, Upstream string
+	// Long tells that more bytes have been sent by now than any sound reply has.
+	Long bool
+}
 
 // Measured is the most memory that a process has taken so far, of what it may, in bytes.
 type Measured struct {
--- a/soak/auditor/flood.go
+++ b/soak/auditor/flood.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// toleratedFlood is how long a request may wait on a reply without end.
+// toleratedFlood is how long a request may wait on a reply that is longer than any sound one.
 const toleratedFlood = time.Second
 
 func (h *history) noteFlood(e Flooded) {
@@ -16,7 +16,10 @@
 	}
 	for i := range r.runs {
 		if r.runs[i].upstream == e.Upstream {
-			r.runs[i].floodedAt = h.now
+			r.runs[i].flooded = true
+			if e.Long {
+				r.runs[i].floodedAt = h.now
+			}
 		}
 	}
 }
@@ -36,14 +39,13 @@
 		return
 	}
 	last := r.runs[len(r.runs)-1]
-	if last.floodedAt.IsZero() || !h.allUndisturbed(r.at) || !h.undisturbed(last.upstream, r.at, h.now) {
+	if !last.flooded || !h.allUndisturbed(r.at) || !h.undisturbed(last.upstream, r.at, h.now) {
 		return
 	}
-	after := h.now.Sub(last.floodedAt)
-	if e.Expired && after <= toleratedFlood {
+	if e.Expired && (last.floodedAt.IsZero() || h.now.Sub(last.floodedAt) <= toleratedFlood) {
 		return
 	}
-	a.check(Flood, e.ID, !e.Expired && e.Status != 0, "status %d by %s, %v after %s began to send bytes without end", e.Status, r.Entry, after, last.upstream)
+	a.check(Flood, e.ID, !e.Expired && e.Status != 0, "status %d by %s, %v after %s began to send bytes without end", e.Status, r.Entry, h.now.Sub(last.at), last.upstream)
 }
 
 // allUndisturbed tells whether nothing disturbed any process or its links since a moment: another entry may have
--- a/soak/auditor/flood_test.go
+++ b/soak/auditor/flood_test.go
@@ -6,12 +6,13 @@
 	"github.com/oriolecroft/oriolecroft/soak/auditor"
 )
 
-// flood has near answer a request with bytes without end for some time.
+// flood has near answer a request with bytes without end, which soon are too many, for some time.
 func (d *day) flood(id string, lasts time.Duration) {
 	d.send(id, "/look/1")
 	d.reach(id, "near")
 	d.Note(auditor.Flooded{ID: id, Upstream: "near"})
 	d.Note(auditor.Ended{ID: id, Upstream: "near", Broken: true})
+	d.Note(auditor.Flooded{ID: id, Upstream: "near", Long: true})
 	d.after(lasts)
 }
 
@@ -64,6 +65,14 @@
 		d.flood("1", 900*time.Millisecond)
 		d.Note(auditor.Answered{ID: "1", Expired: true})
 	}},
+	{"a reply without end of which little has come yet", func(d *day) {
+		d.send("1", "/look/1")
+		d.reach("1", "near")
+		d.Note(auditor.Flooded{ID: "1", Upstream: "near"})
+		d.Note(auditor.Ended{ID: "1", Upstream: "near", Broken: true})
+		d.after(1900 * time.Millisecond)
+		d.Note(auditor.Answered{ID: "1", Status: 200, Names: "1", Upstream: "near", Expired: true})
+	}},
 	{"a reply without end at an entry or over a link that is disturbed", func(d *day) {
 		for i, who := range []string{"e", "near", ""} {
 			id := string(rune('a' + i))
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -53,7 +53,9 @@
 	broken   bool
 	// events were sent before it broke off.
 	events int
-	// floodedAt is when its upstream began to send bytes without end; zero for not.
+	// flooded tells that its upstream sent bytes without end, and floodedAt is since when no sound reply is as long;
+	// zero for not yet.
+	flooded   bool
 	floodedAt time.Time
 }
 
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -211,4 +211,6 @@
 func (o observer) Failed(id, upstream string) { o.note(auditor.Failed{ID: id, Upstream: upstream}) }
 
 // Flooded implements standin.Observer.
-func (o observer) Flooded(id, upstream string) { o.note(auditor.Flooded{ID: id, Upstream: upstream}) }
+func (o observer) Flooded(id, upstream string, sent int) {
+	o.note(auditor.Flooded{ID: id, Upstream: upstream, Long: sent > 0})
+}
