Agents read no more of a body than it may have

All answers of the engine and the origin were read up to the 64 MiB of a piece of weights, and a growing buffer is held twice.

--- a/internal/stager/digests.go
+++ b/internal/stager/digests.go
@@ -25,7 +25,8 @@
 // Origin is where weights come from when no agent has them.
 type Origin interface {
 	Digests(ctx context.Context, model string, version uint64) (Digests, error)
-	Chunk(ctx context.Context, model string, version uint64, chunk int) ([]byte, error)
+	// Chunk fetches a chunk of at most size bytes.
+	Chunk(ctx context.Context, model string, version uint64, chunk int, size int64) ([]byte, error)
 }
 
 // Digests lists the chunks of a version by their SHA-256 in hexadecimal.
@@ -318,7 +319,7 @@
 }
 
 // Chunk implements fetcher.Source: it draws a chunk from the origin.
-func (d *Digester) Chunk(ctx context.Context, digest string, _ int64) ([]byte, error) {
+func (d *Digester) Chunk(ctx context.Context, digest string, size int64) ([]byte, error) {
 	d.mu.Lock()
 	c, ok := d.chunks[digest]
 	o := d.origin
@@ -326,7 +327,7 @@
 	if !ok || o == nil {
 		return nil, &fetcher.NotHeldError{Source: "origin", Digest: digest}
 	}
-	data, err := o.Chunk(ctx, c.model, c.version, c.chunk)
+	data, err := o.Chunk(ctx, c.model, c.version, c.chunk, size)
 	if err != nil {
 		return nil, &fetcher.UnavailableError{Source: "origin", Err: err}
 	}
--- a/internal/stager/lists_test.go
+++ b/internal/stager/lists_test.go
@@ -106,7 +106,9 @@
 	return o.list, pass(ctx, o.origin.send(digestBytes*len(o.list.SHA256), o.originRate)+roundTrip)
 }
 
-func (o *listOrigin) Chunk(context.Context, string, uint64, int) ([]byte, error) { return nil, nil }
+func (o *listOrigin) Chunk(context.Context, string, uint64, int, int64) ([]byte, error) {
+	return nil, nil
+}
 
 // listSpread is a deployment whose agents all want a chunk list at the same moment.
 type listSpread struct {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -44,9 +44,9 @@
 // Engine is the model engine on this VM.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
-	// Stage puts a chunk where the engine loads from; Staged reads it back.
+	// Stage puts a chunk where the engine loads from; Staged reads back one of at most size bytes.
 	Stage(ctx context.Context, model string, chunk int, data []byte) error
-	Staged(ctx context.Context, model string, chunk int) ([]byte, error)
+	Staged(ctx context.Context, model string, chunk int, size int64) ([]byte, error)
 	// StagedChunks lists the chunks that lie staged.
 	StagedChunks(ctx context.Context, model string) ([]int, error)
 	// Load orders the engine to take what is staged for the given version.
@@ -491,7 +491,7 @@
 func (s *Stager) mend(ctx context.Context, model string, chunks [][]byte) (mended int, err error) {
 	mended = -1
 	for i, data := range chunks {
-		staged, err := s.Engine.Staged(ctx, model, i)
+		staged, err := s.Engine.Staged(ctx, model, i, int64(len(data)))
 		if err == nil && string(staged) == string(data) {
 			continue
 		}
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -104,7 +104,7 @@
 	return nil
 }
 
-func (e *engine) Staged(_ context.Context, _ string, chunk int) ([]byte, error) {
+func (e *engine) Staged(_ context.Context, _ string, chunk int, _ int64) ([]byte, error) {
 	e.mu.Lock()
 	data, ok := e.staged[chunk]
 	reading := e.reading
@@ -206,7 +206,7 @@
 	return d, nil
 }
 
-func (o *origin) Chunk(_ context.Context, _ string, version uint64, chunk int) ([]byte, error) {
+func (o *origin) Chunk(_ context.Context, _ string, version uint64, chunk int, _ int64) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.withheld[chunk] || version == o.withheldVersion {
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/fetcher"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/planner"
@@ -200,13 +201,18 @@
 		klog.ErrorS(err, "Manifest lost", "manifest", digest)
 		return
 	}
+	m, err := fetcher.ParseManifest(digest, body)
+	if err != nil {
+		klog.ErrorS(err, "Manifest not read", "manifest", digest)
+		return
+	}
 	there, err := s.Engine.StagedChunks(ctx, model)
 	if err != nil {
 		klog.ErrorS(err, "Staged chunks not listed", "agent", s.ID, "model", model)
 	}
 	staged := map[int][]byte{}
 	for _, i := range there {
-		data, err := s.Engine.Staged(ctx, model, i)
+		data, err := s.Engine.Staged(ctx, model, i, m.ChunkSize)
 		if err != nil {
 			klog.InfoS("Staged chunk not read", "agent", s.ID, "chunk", i, "err", err)
 			continue
