--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -20,9 +20,9 @@
 // all round trips on a lossy link and below every caller's patience.
 const UnackedTimeout = 3 * time.Second
 
-// lateWithin is how long a dial goes on after its deadline. Behind a deadline package net doesn't look at the
+// UnreadWithin is how long reading what has arrived by a deadline may take. Behind a deadline package net doesn't look at the
 // socket, and a process that was suspended would take a peer for unreachable that had accepted its connection.
-const lateWithin = 10 * time.Millisecond
+const UnreadWithin = 10 * time.Millisecond
 
 // keepAlive finds a connection dead on which nothing is being sent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
@@ -44,12 +44,12 @@
 	return KeepResets(raw), nil
 }
 
-// withLateDeadline gives a context that ends with another, but lateWithin after its deadline; stop frees it.
+// withLateDeadline gives a context that ends with another, but UnreadWithin after its deadline; stop frees it.
 func withLateDeadline(ctx context.Context) (late context.Context, stop func()) {
 	late, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	unhook := context.AfterFunc(ctx, func() {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			time.AfterFunc(lateWithin, cancel)
+			time.AfterFunc(UnreadWithin, cancel)
 			return
 		}
 		cancel()
--- a/internal/registrar/cut_off_test.go
+++ b/internal/registrar/cut_off_test.go
@@ -28,12 +28,7 @@
 	reader.StoreLost()
 	cutOff.StoreLost()
 	reader.Apply(cutOff.Since(1))
-	c.Step(200 * time.Millisecond)
-	reader.StoreAsked()
-	reader.StoreFound()
-	watched(reader)
-	got, ok := superseded(reader, 1)
-	must.True(t, ok)
+	got := supersededAfter(t, reader, c, 200*time.Millisecond)
 	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
 }
 
@@ -50,13 +45,7 @@
 	other.Apply(r.Since(1))
 	outOfReachOfAll(r, other, c, 4*time.Second)
 	back := c.Now()
-	c.Step(300 * time.Millisecond)
-	r.StoreAsked()
-	r.StoreFound()
-	watched(r)
-	got, ok := superseded(r, 1)
-	must.True(t, ok)
-	must.Eq(t, back, got)
+	must.Eq(t, back, supersededAfter(t, r, c, 300*time.Millisecond))
 }
 
 // Guards against a process that was cut off alone and counts as such for good: it may be the only one of its
@@ -78,13 +67,7 @@
 	}
 	outOfReachOfAll(r, other, c, 4*time.Second)
 	back := c.Now()
-	c.Step(300 * time.Millisecond)
-	r.StoreAsked()
-	r.StoreFound()
-	watched(r)
-	got, ok := superseded(r, 1)
-	must.True(t, ok)
-	must.Eq(t, back, got)
+	must.Eq(t, back, supersededAfter(t, r, c, 300*time.Millisecond))
 }
 
 // Guards against a process that calls the store in outages only, as it hears from others, and counts as cut off
@@ -109,13 +92,7 @@
 	}
 	outOfReachOfAll(r, other, c, 4*time.Second)
 	back := c.Now()
-	c.Step(300 * time.Millisecond)
-	r.StoreAsked()
-	r.StoreFound()
-	watched(r)
-	got, ok := superseded(r, 1)
-	must.True(t, ok)
-	must.Eq(t, back, got)
+	must.Eq(t, back, supersededAfter(t, r, c, 300*time.Millisecond))
 }
 
 // Guards against an announcement that counts from the end of an outage in which the store answered a process that
@@ -153,13 +130,7 @@
 	t.Helper()
 	outOfReachOfAll(r, other, c, d)
 	back := c.Now()
-	c.Step(300 * time.Millisecond)
-	r.StoreAsked()
-	r.StoreFound()
-	watched(r)
-	at, ok := superseded(r, 1)
-	must.True(t, ok)
-	return back.Sub(at)
+	return back.Sub(supersededAfter(t, r, c, 300*time.Millisecond))
 }
 
 // Guards against a store that returns briefly and answers one process only: the others would disbelieve the outage
@@ -208,12 +179,7 @@
 	cutOff.StoreLost()
 	cutOff.Apply(reader.Since(1))
 	reader.Apply(cutOff.Since(1))
-	c.Step(200 * time.Millisecond)
-	reader.StoreAsked()
-	reader.StoreFound()
-	watched(reader)
-	got, ok := superseded(reader, 1)
-	must.True(t, ok)
+	got := supersededAfter(t, reader, c, 200*time.Millisecond)
 	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
 }
 
@@ -247,11 +213,19 @@
 	reader.StoreLost()
 	cutOff.StoreLost()
 	reader.Apply(cutOff.Since(1))
-	c.Step(200 * time.Millisecond)
-	reader.StoreAsked()
-	reader.StoreFound()
-	watched(reader)
-	got, ok := superseded(reader, 1)
-	must.True(t, ok)
+	got := supersededAfter(t, reader, c, 200*time.Millisecond)
 	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
 }
+
+// supersededAfter has the store answer a process with a new version after a pause, and gives since when the first one
+// counts as superseded there.
+func supersededAfter(t *testing.T, r *registrar.Registrar, c *clocktest.FakeClock, pause time.Duration) time.Time {
+	t.Helper()
+	c.Step(pause)
+	r.StoreAsked()
+	r.StoreFound()
+	watched(r)
+	at, ok := superseded(r, 1)
+	must.True(t, ok)
+	return at
+}
--- a/internal/relayer/hedge.go
+++ b/internal/relayer/hedge.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
 
@@ -77,7 +78,7 @@
 	select {
 	case <-h.done:
 		return true
-	case <-time.After(unreadWithin):
+	case <-time.After(connector.UnreadWithin):
 		return false
 	}
 }
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -6,13 +6,13 @@
 	"os"
 	"slices"
 	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
 const (
 	// stallRetry is the pause between two looks at a stalled reply, its hedge or a place for one.
 	stallRetry = 200 * time.Millisecond
-	// unreadWithin is how long reading what has arrived may take.
-	unreadWithin = 10 * time.Millisecond
 )
 
 // Read reads what the upstream sends. When nothing comes until the read deadline, stalled decides
@@ -35,7 +35,7 @@
 // readUnread reads what has arrived by the read deadline. Behind a deadline net.Conn doesn't look at the socket, so
 // an entry that was suspended would take its own silence for the upstream's.
 func (c *connection) readUnread(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(unreadWithin)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(connector.UnreadWithin)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
