Priorities: wire names, trunk reservation in the ledger, budgets and retry times by priority

Requests of more and less urgent kinds compete for slots in order of arrival, so that a surge of batch requests has live ones refused.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -114,7 +114,7 @@
 		Seeds: s.Seeds, Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
 	d.tick()
-	g := &granter.Granter{Ledger: ledger, Holds: st.Holds, EngineStart: st.EngineStart, Poll: st.Poll, Clock: d.clock}
+	g := &granter.Granter{Ledger: ledger, Holds: st.Holds, EngineStart: st.EngineStart, Poll: st.Poll, Clock: d.clock, Metrics: d.metrics}
 	if err := addAgentListeners(d, l, digests, g); err != nil {
 		return err
 	}
--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -49,6 +49,20 @@
 	RetryJitter Mechanism = "retryJitter"
 	// RetryBudget bounds retries to a share of first attempts.
 	RetryBudget Mechanism = "retryBudget"
+	// PriorityReservation keeps slots for more urgent requests during a shortage.
+	PriorityReservation Mechanism = "priorityReservation"
+	// UrgentQueue has more urgent requests wait for a slot at an engine, beyond its batch.
+	UrgentQueue Mechanism = "urgentQueue"
+	// WorkspaceShare keeps the last free slot from a workspace that holds more than its share.
+	WorkspaceShare Mechanism = "workspaceShare"
+	// PriorityBudgets has the most urgent requests queue for as long as their own objective allows.
+	PriorityBudgets Mechanism = "priorityBudgets"
+	// PriorityMarks has requests ask engines that had no slot for less urgent ones.
+	PriorityMarks Mechanism = "priorityMarks"
+	// PriorityRetry gives more urgent requests an earlier time to come back.
+	PriorityRetry Mechanism = "priorityRetry"
+	// PlainAdmission admits less urgent requests to plain services at a learned rate during a shortage.
+	PlainAdmission Mechanism = "plainAdmission"
 )
 
 // All lists the mechanisms.
@@ -56,6 +70,7 @@
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
 		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, RetryJitter, RetryBudget,
+		PriorityReservation, UrgentQueue, WorkspaceShare, PriorityBudgets, PriorityMarks, PriorityRetry, PlainAdmission,
 	}
 }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -20,6 +20,8 @@
 	ID string
 	// Prompt and Answer are its size in tokens.
 	Prompt, Answer int
+	// Priority orders those that wait, the smallest first.
+	Priority int
 }
 
 // Event is a part of a reply.
@@ -91,13 +93,22 @@
 	if e.Memory > 0 && r.Prompt+r.Answer > e.Memory {
 		return false
 	}
-	e.waiting = append(e.waiting, &member{Request: r})
+	e.enqueue(&member{Request: r})
 	if e.until.IsZero() {
 		e.begin(now)
 	}
 	return true
 }
 
+// enqueue has a request wait behind those that are as urgent or more.
+func (e *Engine) enqueue(m *member) {
+	i := len(e.waiting)
+	for i > 0 && e.waiting[i-1].Priority > m.Priority {
+		i--
+	}
+	e.waiting = slices.Insert(e.waiting, i, m)
+}
+
 // Remove takes a request away, as when its caller has left. The pass under way goes on.
 func (e *Engine) Remove(id string) {
 	is := func(m *member) bool { return m.ID == id }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
@@ -35,6 +36,8 @@
 	// Poll has the agent ask its engine at once; nil for an agent that can't.
 	Poll  func()
 	Clock clock.PassiveClock
+	// Metrics counts the answers to reservations with a priority; nil for no count.
+	Metrics metrics.Registry
 
 	once sync.Once
 	// logged bounds the lines on refusals, and unlogged counts those left out since the
@@ -55,15 +58,18 @@
 	}
 	v := g.Ledger.Reserve(scheduler.Job{
 		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
+		Priority: q.Priority, Workspace: q.Workspace, Budget: q.Budget(), Asked: q.Asked, Refusals: q.Refusals,
 	}, from)
+	g.count(q, v)
 	if v.Granted || g.logs() {
-		klog.InfoS("Place asked", "request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
+		fields := []any{"request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
 			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
-			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0))
+			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0)}
+		klog.InfoS("Place asked", append(fields, priorityFields(q, v)...)...)
 	}
 	return messenger.Verdict{
 		Granted: v.Granted, Closed: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
-		TakesMS: v.Takes.Milliseconds(), FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
+		TakesMS: v.Takes.Milliseconds(), FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots, Kept: v.Kept,
 		BeginWithinMS: v.BeginWithin.Milliseconds(),
 	}
 }
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -67,6 +67,8 @@
 	Resumable bool
 	// Regions are the only ones in which requests may be served; empty for all.
 	Regions []string
+	// Priority is from MostUrgent to LeastUrgent; nil for none.
+	Priority *int
 }
 
 // Target is a service with its share of a route's requests.
@@ -105,6 +107,8 @@
 	Name string
 	// Regions are the only ones in which its requests may be served; empty for all.
 	Regions []string
+	// Priority takes precedence over that of routes; nil for none.
+	Priority *int
 }
 
 // Service is a group of like upstreams.
@@ -122,6 +126,10 @@
 	Origin *Origin
 	// Objective is the shortest one of the routes that generate here; 0 for none. Index sets it.
 	Objective time.Duration
+	// Prioritized tells whether requests of more than one priority may come, and Most and Least are the
+	// most and the least urgent of them. Index sets them.
+	Prioritized bool
+	Most, Least int
 }
 
 // Engine holds the figures of a service's model engines.
@@ -200,6 +208,7 @@
 	for _, h := range t.hosts {
 		slices.SortStableFunc(h.ordered, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.notePriorities()
 }
 
 // noteObjective brings down the objective of the services at which a route generates.
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -33,6 +33,18 @@
 	// Limit is the rate limit that the engine last stated to this entry; nil for one that never
 	// stated any.
 	Limit *RateLimit `json:"limit,omitempty"`
+	// Priority is the request's, from 0 for the most urgent to 9; nil at services where all requests have
+	// the same. The fields below are set only with it.
+	Priority *int `json:"priority,omitempty"`
+	// Workspace is whom the request is for; empty for a public route.
+	Workspace string `json:"workspace,omitempty"`
+	// Asked is how many engines were asked for the request before, and Refusals how many were found to have no
+	// slot for it.
+	Asked    int `json:"asked,omitempty"`
+	Refusals int `json:"refusals,omitempty"`
+	// BudgetMS is how long the request may wait at any engine; PatienceMS may be less where a better engine
+	// may be left.
+	BudgetMS int64 `json:"budgetMs,omitempty"`
 }
 
 // RateLimit is a limit that an upstream states in its replies.
@@ -63,6 +75,8 @@
 	// Active are the requests that hold places, of Slots.
 	Active int `json:"active"`
 	Slots  int `json:"slots"`
+	// Kept says for whom free slots are kept; empty when the request isn't refused for that.
+	Kept string `json:"kept,omitempty"`
 	// BeginWithinMS is for how much longer the weights may begin replies; 0 for any time.
 	BeginWithinMS int64 `json:"beginWithinMs,omitempty"`
 }
@@ -118,6 +132,9 @@
 // Patience is PatienceMS as a duration.
 func (r Reservation) Patience() time.Duration { return time.Duration(r.PatienceMS) * time.Millisecond }
 
+// Budget is BudgetMS as a duration.
+func (r Reservation) Budget() time.Duration { return time.Duration(r.BudgetMS) * time.Millisecond }
+
 // Observed is ObservedMS as a duration.
 func (v Verdict) Observed() time.Duration { return time.Duration(v.ObservedMS) * time.Millisecond }
 
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -12,6 +12,9 @@
 	l.mu.Lock()
 	j.Service = j.Route.Target(l.Random.Float64())
 	l.mu.Unlock()
+	if v := l.Registrar.View(); v != nil && v.Table != nil {
+		j.setPriority(v.Table.Services[j.Service])
+	}
 	j.Returned = l.returned(j)
 	j.Deadline = j.Arrived.Add(j.limit() - answerMargin)
 }
@@ -52,7 +55,7 @@
 
 // RetryAfter is the time to come back that a refused caller is told: the estimate, and up to as much
 // again so that those refused together don't come back together.
-func (l *Relayer) RetryAfter(e *RefusedError) time.Duration {
+func (l *Relayer) RetryAfter(j *Job, e *RefusedError) time.Duration {
 	d := e.RetryAfter
 	if d <= 0 {
 		d = busyRetry
@@ -62,5 +65,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if j.Priority != nil && !l.Placer.Without.Has(ablator.PriorityRetry) {
+		return j.retryAfter(d, j.Deadline.Sub(l.Clock.Now()), l.Random)
+	}
 	return d + time.Duration(l.Random.Int64N(int64(min(d, mostSpread))+1))
 }
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -140,8 +140,11 @@
 // refuse says that the request did not run and when to come back.
 func (c *call) refuse(e *RefusedError) {
 	c.count("refused")
-	wait := c.RetryAfter(e)
+	wait := c.RetryAfter(&c.Job, e)
 	fields := []any{"reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived), "returned", c.Returned}
+	if e.Kept() {
+		c.count("refused.kept")
+	}
 	fields = append(fields, e.Met.fields()...)
 	if b := e.Blame; b != nil {
 		fields = append(fields, b.LogFields()...)
@@ -160,7 +163,7 @@
 	for _, f := range []struct {
 		name  string
 		count int
-	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}} {
+	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}, {"kept", m.Kept}} {
 		if f.count > 0 {
 			fields = append(fields, f.name, f.count)
 		}
@@ -211,6 +214,9 @@
 	}
 	fields := append([]any{"request", j.ID, "route", route, "workspace", workspace,
 		"table", j.TableVersion, "after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
+	if j.Priority != nil {
+		fields = append(fields, "priority", *j.Priority)
+	}
 	if left, leaves := l.Placer.cutIn(); leaves {
 		fields = append(fields, "cutIn", left)
 	}
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -37,10 +37,12 @@
 	}
 	asked := p.Registrar.Clock.Now()
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
-	v, err := agent.Reserve(ctx, messenger.Reservation{
+	q := messenger.Reservation{
 		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), Spare: p.late(j),
 		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
-	})
+	}
+	j.reserveBy(&q)
+	v, err := agent.Reserve(ctx, q)
 	if ctx.Err() != nil {
 		// The agent may have granted a place that nobody waits for.
 		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -59,6 +59,8 @@
 	LastEvent string
 	// Version binds the attempt to a version of the weights; 0 for any.
 	Version uint64
+	// Priority is the request's; nil at services where all requests have the same.
+	Priority *int
 }
 
 // Reply is what an upstream's header says of a reply.
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -57,6 +57,7 @@
 	}
 	began := p.Clock.Now()
 	budget := p.queueingBudget(s, j)
+	j.budget = budget
 	free, opens := time.Duration(0), time.Duration(0)
 	var waits []engineWait
 	var endsLate *ShutdownError
@@ -69,9 +70,9 @@
 			met.Unasked = order.Left() + 1
 			break
 		}
-		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
+		if full := p.fullFor(u.ID, j); full > 0 {
 			free, opens = least(free, full), least(opens, p.Chooser.Opens(u.ID))
-			met.passOver(p.Chooser.WhyClosed(u.ID))
+			met.passOver(p.whyPassedOver(u.ID, j))
 			continue
 		}
 		limit := budget
@@ -107,9 +108,12 @@
 			continue
 		}
 		free = least(free, v.Free())
-		room := v.Wait() <= budget && v.Active < v.Slots
+		room := v.Wait() <= budget && v.Active < v.Slots && v.Kept == ""
+		if !room {
+			j.noteRefusal(v)
+		}
 		if !room || limit == budget {
-			p.noteFull(u.ID, j, v.Free())
+			p.noteNoSlot(u.ID, j, v)
 			continue
 		}
 		waits = append(waits, engineWait{u, v.Wait()})
@@ -129,13 +133,13 @@
 		}
 		p.Chooser.End(w.upstream.ID)
 		if v != nil && v.Closed == "" {
-			p.noteFull(w.upstream.ID, j, v.Free())
+			p.noteNoSlot(w.upstream.ID, j, v)
 		}
 	}
 	if endsLate != nil {
 		return nil, p.refuse(j, endsLate)
 	}
-	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
+	return nil, &RefusedError{Reason: met.fullReason(), RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
 }
 
 // closedFor is how long an engine isn't asked that takes nothing and should open after a time; 0 when
@@ -208,8 +212,8 @@
 }
 
 // budgetLimit bounds how long a request may queue at a service's engines.
-func (p *Placer) budgetLimit(s *matcher.Service) time.Duration {
-	if s.Objective == 0 || !p.contention.Contended(s.Name, p.Clock.Now()) || p.Without.Has(ablator.EqualBudgets) {
+func (p *Placer) budgetLimit(s *matcher.Service, j *Job) time.Duration {
+	if s.Objective == 0 || p.urgentBudget(j) || !p.contention.Contended(s.Name, p.Clock.Now()) || p.Without.Has(ablator.EqualBudgets) {
 		return mostBudget
 	}
 	return min(max(time.Duration(contendedShare*float64(s.Objective)), leastBudget), mostBudget)
@@ -226,5 +230,5 @@
 		return goodWait
 	}
 	left := j.Route.Objective - p.Clock.Since(j.Arrived) - firstEventTime - scheduler.ReadTime(s.Engine, min(j.Prompt, s.Engine.UsualPrompt))
-	return min(max(left, leastBudget), p.budgetLimit(s))
+	return min(max(left, leastBudget), p.budgetLimit(s, j))
 }
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -52,6 +53,7 @@
 	Version uint64
 
 	met Met
+	standing
 	tries
 	// left tells that the caller is gone; nil for one that stays.
 	left func() bool
@@ -110,6 +112,9 @@
 	// the last of them; over all rounds.
 	Full, Closed int
 	WhyClosed    string
+	// Kept engines had slots that they keep for others, as WhyKept says; over all rounds.
+	Kept    int
+	WhyKept string
 	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
 	// late in the order, and the agents of Silent ones don't answer; at Connections of them
 	// this entry had all its connections in use; at EndsLate of them the reply could not have ended
@@ -154,6 +159,10 @@
 
 	contention scheduler.Contention
 	lateWaits  scheduler.LateWaits
+	// fullMarks and admission decide at services whose requests have priorities; priorityOnce sets their clock.
+	priorityOnce sync.Once
+	fullMarks    scheduler.FullMarks
+	admission    scheduler.Admission
 }
 
 // placeNow finds an upstream that takes a request at once. Errors are *RefusedError and the
@@ -243,6 +252,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !p.admitPlain(j) {
+		return nil, &RefusedError{Reason: scheduler.KeptForUrgent, RetryAfter: busyRetry}
+	}
 	reason := "all upstreams cold"
 	order := p.order(us, "")
 	for i, ok := order.Next(); ok; i, ok = order.Next() {
--- /dev/null
+++ b/internal/relayer/priority.go
@@ -0,0 +1,218 @@
+package relayer
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+const (
+	// urgentHeldShare is heldShare of the most urgent requests: less urgent ones yield them slots as these come
+	// free, so that most find one.
+	urgentHeldShare = 0.25
+	// urgentSpread is over how long the most urgent callers that were refused together come back, and
+	// lesserDelay how much later the least urgent ones begin to.
+	urgentSpread = 500 * time.Millisecond
+	lesserDelay  = time.Second
+	// retryShare bounds the time to come back, as a part of the time that the caller has left: nobody waits
+	// longer.
+	retryShare = 1.0 / 3
+)
+
+// standing is the priority of a request among those of its service. Its zero value is that of a request at a
+// service whose requests all have the same.
+type standing struct {
+	// Priority is nil where all requests have the same.
+	Priority *int
+	// most and least are the priorities of the service.
+	most, least int
+	// budget is how long the request may wait at any engine; asked counts the engines asked for it, and
+	// refusals those that had no slot.
+	budget          time.Duration
+	asked, refusals int
+}
+
+// levels has a number for each priority, so that jobs can point to theirs.
+var levels = func() (all [matcher.LeastUrgent + 1]int) {
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}()
+
+// setPriority gives a job its priority if its service knows more than one.
+func (j *Job) setPriority(s *matcher.Service) {
+	if s == nil || !s.Prioritized {
+		return
+	}
+	level := min(max(matcher.PriorityOf(j.Route, j.Workspace), matcher.MostUrgent), matcher.LeastUrgent)
+	j.Priority, j.most, j.least = &levels[level], s.Most, s.Least
+}
+
+// mostUrgent tells whether no request of the service is more urgent than this one.
+func (s *standing) mostUrgent() bool { return s.Priority != nil && *s.Priority <= s.most }
+
+// rank is from 0 for the most urgent requests of the service to 1 for the least.
+func (s *standing) rank() float64 {
+	if s.Priority == nil || s.least <= s.most {
+		return 0
+	}
+	return min(max(float64(*s.Priority-s.most)/float64(s.least-s.most), 0), 1)
+}
+
+// reserveBy adds what an agent needs to know to serve the more urgent of several requests.
+func (j *Job) reserveBy(q *messenger.Reservation) {
+	if j.Priority == nil {
+		return
+	}
+	q.Priority, q.Asked, q.Refusals, q.BudgetMS = j.Priority, j.asked, j.refusals, j.budget.Milliseconds()
+	if j.Workspace != nil {
+		q.Workspace = j.Workspace.Name
+	}
+	j.asked++
+}
+
+// fullFor is how long an engine isn't asked for a request, as it had no slot for one as urgent or more.
+func (p *Placer) fullFor(id string, j *Job) time.Duration {
+	full := p.Chooser.FullFor(id, p.late(j))
+	if j.Priority != nil {
+		full = max(full, p.full().FullFor(id, *j.Priority))
+	}
+	return full
+}
+
+// whyPassedOver is why a passed-over engine took nothing when it was last asked; empty when it had no slot, which
+// counts as one more that has none for the request.
+func (p *Placer) whyPassedOver(id string, j *Job) string {
+	if j.Priority == nil {
+		return p.Chooser.WhyClosed(id)
+	}
+	// Marks by priority leave a reason in place that is out of date.
+	if p.Chooser.FullFor(id, p.late(j)) > 0 {
+		if why := p.Chooser.WhyClosed(id); why != "" {
+			return why
+		}
+	}
+	j.refusals++
+	return ""
+}
+
+// full has the marks of engines without a slot.
+func (p *Placer) full() *scheduler.FullMarks {
+	p.priorityOnce.Do(func() { p.fullMarks.Clock, p.admission.Clock = p.Clock, p.Clock })
+	return &p.fullMarks
+}
+
+// plain has the admission to plain services.
+func (p *Placer) plain() *scheduler.Admission {
+	p.full()
+	return &p.admission
+}
+
+// noteNoSlot keeps that an engine has no slot for a request: none at all, none to spare, or none that isn't
+// kept for others.
+func (p *Placer) noteNoSlot(id string, j *Job, v *messenger.Verdict) {
+	if j.Priority == nil || p.Without.Has(ablator.PriorityMarks) || p.Without.Has(ablator.FullBackoff) || p.late(j) && v.Kept == "" {
+		p.noteFull(id, j, v.Free())
+		return
+	}
+	p.full().Full(id, *j.Priority, min(v.Free(), fullPause))
+}
+
+// noteRefusal counts an engine that had no slot for a request within its whole budget.
+func (j *Job) noteRefusal(v *messenger.Verdict) {
+	j.refusals++
+	if v.Kept != "" {
+		j.met.Kept++
+		j.met.WhyKept = v.Kept
+	}
+}
+
+// fullReason is why a request is refused that found no slot at any engine.
+func (m *Met) fullReason() string {
+	if m.Kept > 0 {
+		return m.WhyKept
+	}
+	return "all engines full"
+}
+
+// urgentBudget tells whether a request may queue for as long as its own objective allows in a contended
+// service as well. Agents keep less urgent requests from making it wait.
+func (p *Placer) urgentBudget(j *Job) bool {
+	return j.mostUrgent() && !p.Without.Has(ablator.PriorityBudgets)
+}
+
+// heldLimit is for how long a request looks for a slot before it is refused.
+func (p *Placer) heldLimit(j *Job) time.Duration {
+	share := heldShare
+	if p.urgentBudget(j) {
+		share = urgentHeldShare
+	}
+	return time.Duration(share * float64(j.Route.Objective))
+}
+
+// admitPlain tells whether a request may go to a plain service now. During a shortage less urgent ones may at a
+// learned rate only.
+func (p *Placer) admitPlain(j *Job) bool {
+	if j.Priority == nil || j.mostUrgent() || p.Without.Has(ablator.PlainAdmission) {
+		return true
+	}
+	return p.plain().Admit(j.Service, j.rank())
+}
+
+// notePlainLoad takes the load of a plain upstream from a reply.
+func (p *Placer) notePlainLoad(j *Job, r *Reply) {
+	if j.Priority != nil {
+		p.plain().Replied(j.Service, r.Running, r.Waiting, r.Slots)
+	}
+}
+
+// notePlainRefusal notes that an upstream refused a request.
+func (p *Placer) notePlainRefusal(j *Job) {
+	if j.Priority != nil && !j.Route.Generates {
+		p.plain().Refused(j.Service)
+	}
+}
+
+// retryAfter is the time to come back for a request of a prioritized service: the most urgent after the
+// estimate, the least urgent later, each spread, and never later than callers wait.
+func (j *Job) retryAfter(estimate, left time.Duration, random *rand.Rand) time.Duration {
+	later := time.Duration(j.rank() * float64(lesserDelay))
+	from, spread := estimate+later, urgentSpread+later
+	if most := max(time.Duration(retryShare*float64(left)), 0); from+spread > most {
+		// Were the bound alone the answer, all would come back in the same moment.
+		spread = min(spread, most/2)
+		from = most - spread
+	}
+	return from + time.Duration(random.Int64N(int64(spread)+1))
+}
+
+// notePlaced counts and times what became of a request that looked for an upstream.
+func (p *Placer) notePlaced(j *Job, began time.Time, err error) {
+	if j.Priority == nil || p.Metrics == nil {
+		return
+	}
+	outcome := "placed"
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused) && refused.Kept():
+		outcome = "kept"
+	case err != nil:
+		outcome = "refused"
+	}
+	name := fmt.Sprintf("priority.%d.%s.%s", *j.Priority, j.Route.Kind, outcome)
+	metrics.GetOrRegisterTimer(name, p.Metrics).Update(p.Clock.Since(began))
+}
+
+// Kept tells whether the request was refused for the sake of others.
+func (e *RefusedError) Kept() bool {
+	return e.Reason == scheduler.KeptForUrgent || e.Reason == scheduler.KeptForWorkspaces
+}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -105,6 +105,7 @@
 	}
 	if s.Outcome == retrier.NotRun && s.Status != 0 {
 		l.Chooser.Avoid(upstream, refusedPause)
+		l.Placer.notePlainRefusal(j)
 	}
 	l.noteCut(j, place, err, events)
 	l.log(j, "Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused, "stated", s.Stated, "events", events, "silence", s.Silence)
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -37,6 +37,12 @@
 // Place finds an upstream. Errors are *RefusedError and the context's.
 func (p *Placer) Place(ctx context.Context, j *Job) (*Place, error) {
 	began := p.Clock.Now()
+	place, err := p.place(ctx, j, began)
+	p.notePlaced(j, began, err)
+	return place, err
+}
+
+func (p *Placer) place(ctx context.Context, j *Job, began time.Time) (*Place, error) {
 	place, err := p.placeNow(ctx, j)
 	if err == nil || ctx.Err() != nil || isShutdown(err) {
 		return place, err
@@ -74,7 +80,7 @@
 	case j.Again:
 		return slotWait{limit: againHeld, pause: heldPause}
 	case !p.late(j):
-		limit := time.Duration(heldShare * float64(j.Route.Objective))
+		limit := p.heldLimit(j)
 		if p.Without.Has(ablator.AdmissionWait) {
 			limit = 0
 		}
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -43,6 +43,14 @@
 	// Patience is how long it may wait before its prompt is read, Left how long its
 	// caller waits for the whole.
 	Patience, Left time.Duration
+	// Priority is from 0 for the most urgent to 9; nil at services where all jobs have the same. The fields
+	// below are set only with it.
+	Priority *int
+	// Workspace is whom it is for, Budget how long it may wait at any engine.
+	Workspace string
+	Budget    time.Duration
+	// Asked is how many engines were asked before, Refusals how many of the pool had no slot.
+	Asked, Refusals int
 }
 
 // Verdict is the answer to a job.
@@ -50,6 +58,8 @@
 	Granted bool
 	// Closed says why the engine takes nothing at all now; empty when it does.
 	Closed string
+	// Kept says for whom free slots are kept; empty when the job isn't refused for that.
+	Kept string
 	// Wait is how long a job granted now waits before its prompt is read.
 	Wait time.Duration
 	// Takes is how long a job granted now should take, its wait included.
@@ -110,6 +120,8 @@
 	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
+	// trunk keeps slots for more urgent jobs.
+	trunk trunk
 }
 
 // place is a request that holds a place.
@@ -240,7 +252,12 @@
 		Unreserved: l.foreign, Observed: l.observedAgo(now),
 	}
 	v.Takes = v.Wait + l.duration(j, v.Active+1)
-	if limit := l.limit(j); v.Active >= limit {
+	l.trunk.note(&j, now)
+	if wait, ok := l.queueBeyond(&j, &v); ok {
+		v.Takes += wait - v.Wait
+		v.Wait = wait
+	} else if limit := l.limit(j); v.Active >= limit {
+		l.trunk.refused(&j, now)
 		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-limit+1)
 		return v
 	}
@@ -257,6 +274,10 @@
 		v.Free = v.Wait - j.Patience
 		return v
 	}
+	if v.Kept = l.kept(&j, &v, now); v.Kept != "" {
+		v.Free = l.scaled(TurnTime(l.engine))
+		return v
+	}
 	if v.Free = l.coldWait(now); v.Free > 0 {
 		return v
 	}
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -140,7 +140,7 @@
 	j := &relayer.Job{
 		Request: relayer.Request{ID: fmt.Sprintf("%d-%d", c.Number, number), Model: model, Prompt: c.Prompt, Parts: c.parts(),
 			MaxAnswer: max(c.kind.Answer.Most, c.Answer), Hint: c.hint, Patience: left},
-		Route: c.route(), Arrived: c.time.Now(),
+		Route: c.route(), Workspace: c.table.Keys[c.Workspace], Arrived: c.time.Now(),
 	}
 	e.relayer.Admit(j)
 	ctx := &limited{Context: context.Background(), sequencer: c.time, deadline: j.Deadline}
@@ -149,7 +149,7 @@
 		return nil, nil
 	}
 	if refused := j.Refusal(err); refused != nil && c.events == 0 {
-		return &refusal{after: e.relayer.RetryAfter(refused)}, err
+		return &refusal{after: e.relayer.RetryAfter(j, refused)}, err
 	}
 	return nil, err
 }
@@ -180,7 +180,7 @@
 	if c.fatal {
 		c.fatals.reach(c, j.ID)
 	}
-	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride}, e.name, box, way)
+	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride, Priority: priority(j)}, e.name, box, way)
 	limit := p.FirstEventLimit()
 	for first := true; ; first = false {
 		got, ok := box.Get(min(limit, j.Deadline.Sub(c.time.Now())) + way)
@@ -211,6 +211,14 @@
 	}
 }
 
+// priority is that by which an engine admits a request.
+func priority(j *relayer.Job) int {
+	if j.Priority == nil {
+		return matcher.UnstatedPriority
+	}
+	return *j.Priority
+}
+
 // deliver notes an event that goes to the caller.
 func (c *caller) deliver() {
 	now := c.time.Now().Add(c.Network.Callers)
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -142,6 +142,8 @@
 	LateWorth float64 `toml:"lateWorth"`
 	Prompt    Size    `toml:"prompt"`
 	Answer    Size    `toml:"answer"`
+	// Priority is from 0 for the most urgent to 9; none where it isn't given.
+	Priority *int `toml:"priority"`
 }
 
 // Size is a size in tokens that differs from request to request.
@@ -157,6 +159,8 @@
 	Name string `toml:"name"`
 	// Share is its part of all requests.
 	Share float64 `toml:"share"`
+	// Priority takes precedence over that of kinds; none where it isn't given.
+	Priority *int `toml:"priority"`
 }
 
 // Surge is a time in which more callers come.
@@ -319,6 +323,14 @@
 		if k.Prompt.Mean < 1 || k.Answer.Mean < 1 || k.Timeout <= 0 {
 			return fmt.Sprintf("kind %q needs prompt, answer and timeout", k.Name)
 		}
+		if !validPriority(k.Priority) {
+			return fmt.Sprintf("kind %q has a priority that isn't from 0 to 9", k.Name)
+		}
+	}
+	for _, w := range e.Workspaces {
+		if !validPriority(w.Priority) {
+			return fmt.Sprintf("workspace %q has a priority that isn't from 0 to 9", w.Name)
+		}
 	}
 	switch {
 	case e.Length <= 0:
@@ -350,6 +362,10 @@
 	return ""
 }
 
+func validPriority(p *int) bool {
+	return p == nil || *p >= matcher.MostUrgent && *p <= matcher.LeastUrgent
+}
+
 func (f Fault) problem(domains map[string]bool) string {
 	switch f.Fault {
 	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave, FaultTear, FaultPause:
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -98,9 +98,13 @@
 		t.Routes = append(t.Routes, &matcher.Route{
 			Name: k.Name, Host: "experiment", Prefix: "/" + k.Name + "/", Kind: matcher.Streaming, Generates: true, Resumable: true,
 			Objective: k.Objective, Timeout: k.Timeout, MaxAttempts: max(1, k.MaxAttempts),
-			Targets: []matcher.Target{{Service: service, Weight: 1}},
+			Targets: []matcher.Target{{Service: service, Weight: 1}}, Priority: k.Priority,
 		})
 	}
+	t.Keys = map[string]*matcher.Workspace{}
+	for _, w := range w.Workspaces {
+		t.Keys[w.Name] = &matcher.Workspace{Name: w.Name, Priority: w.Priority}
+	}
 	t.Index()
 	return t
 }
