--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -57,12 +57,8 @@
 	WorkspaceShare Mechanism = "workspaceShare"
 	// PriorityBudgets has the most urgent requests queue for as long as their own objective allows.
 	PriorityBudgets Mechanism = "priorityBudgets"
-	// PriorityMarks has requests ask engines that had no slot for less urgent ones.
-	PriorityMarks Mechanism = "priorityMarks"
 	// PriorityRetry gives more urgent requests an earlier time to come back.
 	PriorityRetry Mechanism = "priorityRetry"
-	// PlainAdmission admits less urgent requests to plain services at a learned rate during a shortage.
-	PlainAdmission Mechanism = "plainAdmission"
 )
 
 // All lists the mechanisms.
@@ -70,7 +66,7 @@
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
 		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, RetryJitter, RetryBudget,
-		PriorityReservation, UrgentQueue, WorkspaceShare, PriorityBudgets, PriorityMarks, PriorityRetry, PlainAdmission,
+		PriorityReservation, UrgentQueue, WorkspaceShare, PriorityBudgets, PriorityRetry,
 	}
 }
 
--- a/internal/relayer/priority.go
+++ b/internal/relayer/priority.go
@@ -120,7 +120,7 @@
 // noteNoSlot keeps that an engine has no slot for a request: none at all, none to spare, or none that isn't
 // kept for others.
 func (p *Placer) noteNoSlot(id string, j *Job, v *messenger.Verdict) {
-	if j.Priority == nil || p.Without.Has(ablator.PriorityMarks) || p.Without.Has(ablator.FullBackoff) || p.late(j) && v.Kept == "" {
+	if j.Priority == nil || p.Without.Has(ablator.FullBackoff) || p.late(j) && v.Kept == "" {
 		p.noteFull(id, j, v.Free())
 		return
 	}
@@ -162,7 +162,7 @@
 // admitPlain tells whether a request may go to a plain service now. During a shortage less urgent ones may at a
 // learned rate only.
 func (p *Placer) admitPlain(j *Job) bool {
-	if j.Priority == nil || j.mostUrgent() || p.Without.Has(ablator.PlainAdmission) {
+	if j.Priority == nil || j.mostUrgent() {
 		return true
 	}
 	return p.plain().Admit(j.Service, j.rank())
--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -187,7 +187,8 @@
 		return false
 	}
 	expected := perSecond * l.scaled(TurnTime(l.engine)).Seconds()
-	if float64(l.engine.Slots-v.Active) <= expected {
+	// A place in the engine's queue counts as a free slot, for jobs that may wait there.
+	if free := max(urgentBeyond, l.engine.Slots-v.Active); float64(free) <= expected {
 		return true
 	}
 	return budget > 0 && v.Wait+l.cost(*j) > budget
--- a/internal/scheduler/town_test.go
+++ b/internal/scheduler/town_test.go
@@ -42,6 +42,7 @@
 	arrived time.Time
 	tries   int
 	hasty   bool
+	inTime  bool
 }
 
 func newTown(engines int) *town {
@@ -127,6 +128,10 @@
 	}
 	l := w.engines[i]
 	v := l.Reserve(c.job, nil)
+	c.job.Asked++
+	if !v.Granted {
+		c.job.Refusals++
+	}
 	switch {
 	case v.Closed != "":
 		e.Full(id, false, shutPause)
@@ -152,6 +157,7 @@
 	})
 	if w.clock.Now().Add(first).Sub(c.arrived) <= 500*time.Millisecond {
 		w.inTime++
+		c.inTime = true
 	} else {
 		w.late++
 	}
--- a/internal/simulator/ablation_test.go
+++ b/internal/simulator/ablation_test.go
@@ -38,7 +38,9 @@
 		ablator.FailureEjection: "fullRestart", ablator.FullBackoff: "lastingOverload", ablator.UnresponsiveBackoff: "silentVMs",
 		ablator.UngrantedSends: "agentsDown", ablator.AdmissionWait: "lastingOverload", ablator.RetryJitter: "lastingOverload",
 		ablator.RetryBudget: "fullRestart", ablator.LateWait: "fullRestart", ablator.UpstreamTerms: "leavers",
-		ablator.PromptBlame: "fatalPart",
+		ablator.PromptBlame:         "fatalPart",
+		ablator.PriorityReservation: "batchSurge", ablator.UrgentQueue: "batchSurge", ablator.WorkspaceShare: "smallWorkspace",
+		ablator.PriorityBudgets: "batchSurge", ablator.PriorityRetry: "batchSurge",
 	}
 	for _, m := range ablator.All() {
 		t.Run(string(m), func(t *testing.T) {
