--- /dev/null
+++ b/internal/relayer/priority_test.go
@@ -0,0 +1,183 @@
+package relayer_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/retrier"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// scriptedAgent answers all reservations alike and keeps them.
+type scriptedAgent struct {
+	verdict func(messenger.Reservation) messenger.Verdict
+	asked   *[]messenger.Reservation
+}
+
+func (a scriptedAgent) Reserve(_ context.Context, r messenger.Reservation) (messenger.Verdict, error) {
+	*a.asked = append(*a.asked, r)
+	return a.verdict(r), nil
+}
+
+func (scriptedAgent) Tell(messenger.Progress) {}
+
+// newPrioritized makes an entry with a live and a batch route before engines whose agents answer as scripted.
+func newPrioritized(engines int, verdict func(messenger.Reservation) messenger.Verdict) (d *decider, live, batch relayer.Job, asked *[]messenger.Reservation) {
+	d = newDecider(1, engines, 0)
+	asked = &[]messenger.Reservation{}
+	d.Placer.Reach = func(netip.AddrPort) relayer.Agent { return scriptedAgent{verdict, asked} }
+	most, least := 0, 2
+	table := d.Registrar.View().Table
+	liveRoute, batchRoute := *table.Routes[0], *table.Routes[0]
+	liveRoute.Name, liveRoute.Priority, batchRoute.Name, batchRoute.Priority = "live", &most, "batch", &least
+	table.Routes = append(table.Routes[:0], &liveRoute, &batchRoute)
+	table.Index()
+	live, batch = d.job, d.job
+	live.Route, batch.Route = &liveRoute, &batchRoute
+	return d, live, batch, asked
+}
+
+func (d *decider) place(j *relayer.Job) error {
+	j.Arrived = d.clock.Now()
+	d.Admit(j)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error)
+	go func() {
+		_, err := d.Placer.Place(ctx, j)
+		done <- err
+	}()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-time.After(time.Millisecond):
+			d.clock.Step(20 * time.Millisecond)
+		}
+	}
+}
+
+func kept(r messenger.Reservation) messenger.Verdict {
+	return messenger.Verdict{Granted: *r.Priority == 0, Kept: scheduler.KeptForUrgent, Version: 1, FreeMS: 100, Active: 11, Slots: 12}
+}
+
+// Guards against a refused caller, or an operator, who reads that all engines are full while slots are kept for
+// others; and against urgent requests that pass over an engine which keeps a slot for them.
+func TestRequestRefusedForUrgentOnesIsToldSo(t *testing.T) {
+	d, live, batch, asked := newPrioritized(3, kept)
+	var refused *relayer.RefusedError
+	must.True(t, errors.As(d.place(&batch), &refused))
+	must.Eq(t, scheduler.KeptForUrgent, refused.Reason)
+	must.True(t, refused.Kept())
+	must.Positive(t, refused.Met.Kept)
+	refusals := 0
+	for i, r := range *asked {
+		must.Eq(t, i, r.Asked)
+		must.GreaterEq(t, refusals, r.Refusals)
+		must.GreaterEq(t, r.PatienceMS, r.BudgetMS)
+		refusals = r.Refusals
+	}
+	must.Positive(t, refusals)
+	must.NoError(t, d.place(&live))
+}
+
+// Guards against requests that state a priority where all have the same: agents would decide otherwise than
+// before.
+func TestPriorityIsStatedOnlyWhereThereIsMoreThanOne(t *testing.T) {
+	granted := func(messenger.Reservation) messenger.Verdict {
+		return messenger.Verdict{Granted: true, Version: 1, Slots: 12}
+	}
+	d, live, batch, asked := newPrioritized(1, granted)
+	batch.Workspace = &matcher.Workspace{Name: "w"}
+	must.NoError(t, d.place(&live))
+	must.NoError(t, d.place(&batch))
+	must.Eq(t, 0, *(*asked)[0].Priority)
+	must.Eq(t, 2, *(*asked)[1].Priority)
+	must.Eq(t, "w", (*asked)[1].Workspace)
+
+	table := d.Registrar.View().Table
+	table.Routes[1].Priority = table.Routes[0].Priority
+	table.Index()
+	j := d.job
+	j.Route, j.Workspace = table.Routes[1], batch.Workspace
+	must.NoError(t, d.place(&j))
+	r := (*asked)[2]
+	must.Nil(t, r.Priority)
+	must.Eq(t, messenger.Reservation{Request: r.Request, Model: r.Model, StartedAt: r.StartedAt, Prompt: r.Prompt, Answer: r.Answer,
+		PatienceMS: r.PatienceMS, LeftMS: r.LeftMS}, r)
+}
+
+// Guards against callers that were refused together and come back together, against the least urgent ones that
+// come back first, and against a time that callers don't wait for.
+func TestRefusedCallersComeBackByPriority(t *testing.T) {
+	d, live, batch, _ := newPrioritized(1, kept)
+	estimate := 200 * time.Millisecond
+	for _, patience := range []time.Duration{6 * time.Second, 900 * time.Millisecond} {
+		sum, distinct := map[string]time.Duration{}, map[time.Duration]bool{}
+		for range 100 {
+			for _, j := range []relayer.Job{live, batch} {
+				j.Patience, j.Arrived = patience, d.clock.Now()
+				d.Admit(&j)
+				wait := d.RetryAfter(&j, &relayer.RefusedError{RetryAfter: estimate})
+				must.Between(t, 0, wait, patience/3)
+				if patience > time.Second && j.Route.Name == "live" {
+					must.Between(t, estimate, wait, estimate+500*time.Millisecond)
+				}
+				sum[j.Route.Name] += wait
+				distinct[wait] = true
+			}
+		}
+		must.LessEq(t, sum["batch"], sum["live"])
+		must.Greater(t, 50, len(distinct))
+	}
+}
+
+// A plain service has no agent to ask. Guards against less urgent requests that fill its upstreams while these
+// refuse, and against the most urgent ones being held back as well.
+func TestPlainServiceInAShortageTakesUrgentRequests(t *testing.T) {
+	d, live, batch, _ := newPrioritized(3, kept)
+	table := d.Registrar.View().Table
+	table.Services["engines"].Engine = nil
+	for _, r := range table.Routes {
+		r.Kind, r.Generates = matcher.Idempotent, false
+	}
+	d.Metrics = metrics.NewRegistry()
+	d.Budgets = &retrier.Budgets{New: func() *retrier.Budget { return &retrier.Budget{Clock: d.clock, Share: 1, Burst: 100} }}
+	serve := func(j relayer.Job, status int) (sent bool, err error) {
+		j.Arrived = d.clock.Now()
+		d.Admit(&j)
+		err = d.Serve(context.Background(), &j, func(_ context.Context, p *relayer.Place) error {
+			sent = true
+			if status == http.StatusOK {
+				return nil
+			}
+			return &relayer.SendError{Upstream: p.Upstream.ID, Outcome: retrier.NotRun, Status: status, Err: &relayer.UnusableError{Problem: "full"}}
+		})
+		return sent, err
+	}
+	sent, err := serve(batch, http.StatusServiceUnavailable)
+	must.True(t, sent)
+	must.Error(t, err)
+	sent, err = serve(batch, http.StatusOK)
+	must.False(t, sent)
+	var refused *relayer.RefusedError
+	must.True(t, errors.As(err, &refused))
+	must.True(t, refused.Kept())
+	sent, err = serve(live, http.StatusOK)
+	must.True(t, sent)
+	must.NoError(t, err)
+	d.clock.Step(time.Second)
+	sent, err = serve(batch, http.StatusOK)
+	must.True(t, sent, must.Sprint("the shortage is over"))
+	must.NoError(t, err)
+}
