--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -214,8 +214,8 @@
 	}
 	fields := append([]any{"request", j.ID, "route", route, "workspace", workspace,
 		"table", j.TableVersion, "after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
-	if j.Priority != nil {
-		fields = append(fields, "priority", *j.Priority)
+	if j.standing != nil {
+		fields = append(fields, "priority", j.standing.priority)
 	}
 	if left, leaves := l.Placer.cutIn(); leaves {
 		fields = append(fields, "cutIn", left)
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -57,7 +57,7 @@
 	}
 	began := p.Clock.Now()
 	budget := p.queueingBudget(s, j)
-	j.budget = budget
+	j.noteBudget(budget)
 	free, opens := time.Duration(0), time.Duration(0)
 	var waits []engineWait
 	var endsLate *ShutdownError
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -53,7 +53,8 @@
 	Version uint64
 
 	met Met
-	standing
+	// standing is nil at services whose requests all have the same priority.
+	standing *standing
 	tries
 	// left tells that the caller is gone; nil for one that stays.
 	left func() bool
--- a/internal/relayer/priority.go
+++ b/internal/relayer/priority.go
@@ -27,11 +27,9 @@
 	retryShare = 1.0 / 3
 )
 
-// standing is the priority of a request among those of its service. Its zero value is that of a request at a
-// service whose requests all have the same.
+// standing is the priority of a request among those of its service.
 type standing struct {
-	// Priority is nil where all requests have the same.
-	Priority *int
+	priority int
 	// most and least are the priorities of the service.
 	most, least int
 	// budget is how long the request may wait at any engine; asked counts the engines asked for it, and
@@ -40,51 +38,59 @@
 	asked, refusals int
 }
 
-// levels has a number for each priority, so that jobs can point to theirs.
-var levels = func() (all [matcher.LeastUrgent + 1]int) {
-	for i := range all {
-		all[i] = i
-	}
-	return all
-}()
-
 // setPriority gives a job its priority if its service knows more than one.
 func (j *Job) setPriority(s *matcher.Service) {
 	if s == nil || !s.Prioritized {
 		return
 	}
 	level := min(max(matcher.PriorityOf(j.Route, j.Workspace), matcher.MostUrgent), matcher.LeastUrgent)
-	j.Priority, j.most, j.least = &levels[level], s.Most, s.Least
+	j.standing = &standing{priority: level, most: s.Most, least: s.Least}
+}
+
+// Priority is the request's; nil at services whose requests all have the same.
+func (j *Job) Priority() *int {
+	if j.standing == nil {
+		return nil
+	}
+	return &j.standing.priority
+}
+
+// noteBudget keeps how long a request may wait at any engine.
+func (j *Job) noteBudget(budget time.Duration) {
+	if j.standing != nil {
+		j.standing.budget = budget
+	}
 }
 
 // mostUrgent tells whether no request of the service is more urgent than this one.
-func (s *standing) mostUrgent() bool { return s.Priority != nil && *s.Priority <= s.most }
+func (s *standing) mostUrgent() bool { return s != nil && s.priority <= s.most }
 
 // rank is from 0 for the most urgent requests of the service to 1 for the least.
 func (s *standing) rank() float64 {
-	if s.Priority == nil || s.least <= s.most {
+	if s == nil || s.least <= s.most {
 		return 0
 	}
-	return min(max(float64(*s.Priority-s.most)/float64(s.least-s.most), 0), 1)
+	return min(max(float64(s.priority-s.most)/float64(s.least-s.most), 0), 1)
 }
 
 // reserveBy adds what an agent needs to know to serve the more urgent of several requests.
 func (j *Job) reserveBy(q *messenger.Reservation) {
-	if j.Priority == nil {
+	s := j.standing
+	if s == nil {
 		return
 	}
-	q.Priority, q.Asked, q.Refusals, q.BudgetMS = j.Priority, j.asked, j.refusals, j.budget.Milliseconds()
+	q.Priority, q.Asked, q.Refusals, q.BudgetMS = &s.priority, s.asked, s.refusals, s.budget.Milliseconds()
 	if j.Workspace != nil {
 		q.Workspace = j.Workspace.Name
 	}
-	j.asked++
+	s.asked++
 }
 
 // fullFor is how long an engine isn't asked for a request, as it had no slot for one as urgent or more.
 func (p *Placer) fullFor(id string, j *Job) time.Duration {
 	full := p.Chooser.FullFor(id, p.late(j))
-	if j.Priority != nil {
-		full = max(full, p.full().FullFor(id, *j.Priority))
+	if j.standing != nil {
+		full = max(full, p.full().FullFor(id, j.standing.priority))
 	}
 	return full
 }
@@ -92,7 +98,7 @@
 // whyPassedOver is why a passed-over engine took nothing when it was last asked; empty when it had no slot, which
 // counts as one more that has none for the request.
 func (p *Placer) whyPassedOver(id string, j *Job) string {
-	if j.Priority == nil {
+	if j.standing == nil {
 		return p.Chooser.WhyClosed(id)
 	}
 	// Marks by priority leave a reason in place that is out of date.
@@ -101,7 +107,7 @@
 			return why
 		}
 	}
-	j.refusals++
+	j.standing.refusals++
 	return ""
 }
 
@@ -120,16 +126,18 @@
 // noteNoSlot keeps that an engine has no slot for a request: none at all, none to spare, or none that isn't
 // kept for others.
 func (p *Placer) noteNoSlot(id string, j *Job, v *messenger.Verdict) {
-	if j.Priority == nil || p.Without.Has(ablator.FullBackoff) || p.late(j) && v.Kept == "" {
+	if j.standing == nil || p.Without.Has(ablator.FullBackoff) || p.late(j) && v.Kept == "" {
 		p.noteFull(id, j, v.Free())
 		return
 	}
-	p.full().Full(id, *j.Priority, min(v.Free(), fullPause))
+	p.full().Full(id, j.standing.priority, min(v.Free(), fullPause))
 }
 
 // noteRefusal counts an engine that had no slot for a request within its whole budget.
 func (j *Job) noteRefusal(v *messenger.Verdict) {
-	j.refusals++
+	if j.standing != nil {
+		j.standing.refusals++
+	}
 	if v.Kept != "" {
 		j.met.Kept++
 		j.met.WhyKept = v.Kept
@@ -147,7 +155,7 @@
 // urgentBudget tells whether a request may queue for as long as its own objective allows in a contended
 // service as well. Agents keep less urgent requests from making it wait.
 func (p *Placer) urgentBudget(j *Job) bool {
-	return j.mostUrgent() && !p.Without.Has(ablator.PriorityBudgets)
+	return j.standing.mostUrgent() && !p.Without.Has(ablator.PriorityBudgets)
 }
 
 // heldLimit is for how long a request looks for a slot before it is refused.
@@ -162,22 +170,22 @@
 // admitPlain tells whether a request may go to a plain service now. During a shortage less urgent ones may at a
 // learned rate only.
 func (p *Placer) admitPlain(j *Job) bool {
-	if j.Priority == nil || j.mostUrgent() {
+	if j.standing == nil || j.standing.mostUrgent() {
 		return true
 	}
-	return p.plain().Admit(j.Service, j.rank())
+	return p.plain().Admit(j.Service, j.standing.rank())
 }
 
 // notePlainLoad takes the load of a plain upstream from a reply.
 func (p *Placer) notePlainLoad(j *Job, r *Reply) {
-	if j.Priority != nil {
+	if j.standing != nil {
 		p.plain().Replied(j.Service, r.Running, r.Waiting, r.Slots)
 	}
 }
 
 // notePlainRefusal notes that an upstream refused a request.
 func (p *Placer) notePlainRefusal(j *Job) {
-	if j.Priority != nil && !j.Route.Generates {
+	if j.standing != nil && !j.Route.Generates {
 		p.plain().Refused(j.Service)
 	}
 }
@@ -185,7 +193,7 @@
 // retryAfter is the time to come back for a request of a prioritized service: the most urgent after the
 // estimate, the least urgent later, each spread, and never later than callers wait.
 func (j *Job) retryAfter(estimate, left time.Duration, random *rand.Rand) time.Duration {
-	later := time.Duration(j.rank() * float64(lesserDelay))
+	later := time.Duration(j.standing.rank() * float64(lesserDelay))
 	from, spread := estimate+later, urgentSpread+later
 	if most := max(time.Duration(retryShare*float64(left)), 0); from+spread > most {
 		// Were the bound alone the answer, all would come back in the same moment.
@@ -197,7 +205,7 @@
 
 // notePlaced counts and times what became of a request that looked for an upstream.
 func (p *Placer) notePlaced(j *Job, began time.Time, err error) {
-	if j.Priority == nil || p.Metrics == nil {
+	if j.standing == nil || p.Metrics == nil {
 		return
 	}
 	outcome := "placed"
@@ -208,7 +216,7 @@
 	case err != nil:
 		outcome = "refused"
 	}
-	name := fmt.Sprintf("priority.%d.%s.%s", *j.Priority, j.Route.Kind, outcome)
+	name := fmt.Sprintf("priority.%d.%s.%s", j.standing.priority, j.Route.Kind, outcome)
 	metrics.GetOrRegisterTimer(name, p.Metrics).Update(p.Clock.Since(began))
 }
 
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -60,7 +60,7 @@
 	// happened, others that rested as long may be gone as well, at other upstreams too: the
 	// last attempt spent on one of them would end the request although all upstreams are well.
 	r := &reception{c: c, place: place, message: c.message, sequence: c.sequence(), failed: c.failed, fresh: !c.repeatable() || c.reused}
-	send := Send{Upstream: place.Upstream.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version, Priority: c.Priority}
+	send := Send{Upstream: place.Upstream.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version, Priority: c.Priority()}
 	if c.Workspace != nil {
 		send.Workspace = c.Workspace.Name
 	}
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -213,10 +213,10 @@
 
 // priority is that by which an engine admits a request.
 func priority(j *relayer.Job) int {
-	if j.Priority == nil {
-		return matcher.UnstatedPriority
+	if p := j.Priority(); p != nil {
+		return *p
 	}
-	return *j.Priority
+	return matcher.UnstatedPriority
 }
 
 // deliver notes an event that goes to the caller.
