--- /dev/null
+++ b/internal/granter/priority_test.go
@@ -0,0 +1,65 @@
+package granter_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"k8s.io/klog/v2"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/granter"
+	"github.com/oriolecroft/oriolecroft/internal/logger"
+	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+// Guards against priorities that don't reach the ledger, and against an operator who can't tell from an agent's log
+// and counters for whom slots were kept.
+func TestAgentTellsForWhomSlotsAreKept(t *testing.T) {
+	var out bytes.Buffer
+	logger.Install(&out)
+	defer klog.ClearLogger()
+	l := &scheduler.Ledger{Clock: clocktest.NewFakeClock(time.Unix(1000, 0))}
+	l.Open(&matcher.Engine{Slots: 1, ReadPerSecond: 1000, Step: time.Millisecond, Chunk: 512, Stride: 4, UsualAnswer: 100})
+	g := &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, Clock: l.Clock, Metrics: metrics.NewRegistry()}
+	ask := func(id string, priority, asked, refusals int) messenger.Verdict {
+		return g.Reserve(messenger.Reservation{Request: id, Prompt: 1, Answer: 1, PatienceMS: 300, BudgetMS: 300, LeftMS: 1000,
+			Priority: &priority, Workspace: "w", Asked: asked, Refusals: refusals}, nil)
+	}
+	must.True(t, ask("held", 2, 0, 0).Granted)
+	for i := range 10 {
+		ask("live", 0, i, i)
+	}
+	g.Progress(messenger.Progress{Ended: []string{"held", "live"}}, nil)
+	for range 20 {
+		ask("live", 0, 0, 3)
+	}
+	g.Progress(messenger.Progress{Ended: []string{"live"}}, nil)
+	out.Reset()
+	must.Eq(t, scheduler.KeptForUrgent, ask("batch", 2, 1, 0).Kept)
+	var line struct {
+		Priority, Asked int
+		Workspace, Kept string
+	}
+	must.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	must.Eq(t, 2, line.Priority)
+	must.Eq(t, 1, line.Asked)
+	must.Eq(t, "w", line.Workspace)
+	must.Eq(t, scheduler.KeptForUrgent, line.Kept)
+	for _, name := range []string{"priority.2.granted", "priority.2.kept", "priority.0.queued"} {
+		must.Positive(t, metrics.GetOrRegisterCounter(name, g.Metrics).Count(), must.Sprint(name))
+	}
+}
+
+// Guards against reservations that an agent of an older version, or an operator, finds changed where requests have
+// no priorities.
+func TestReservationsWithoutPriorityAreUnchanged(t *testing.T) {
+	text, err := json.Marshal(messenger.Reservation{Request: "r", Prompt: 1})
+	must.NoError(t, err)
+	must.Eq(t, `{"request":"r","prompt":1,"answer":0,"patienceMs":0,"leftMs":0}`, string(text))
+}
