--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -46,6 +46,7 @@
 	// its agents said, too.
 	logged   *rate.Limiter
 	unlogged atomic.Int64
+	tables   tables
 }
 
 // Reserve answers a question for a place.
@@ -61,6 +62,7 @@
 		Priority: q.Priority, Workspace: q.Workspace, Budget: q.Budget(), Asked: q.Asked, Refusals: q.Refusals,
 	}, from)
 	g.count(q, v)
+	g.tables.note(q)
 	if v.Granted || g.logs() {
 		fields := []any{"request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
 			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
--- a/internal/granter/priority_test.go
+++ b/internal/granter/priority_test.go
@@ -47,3 +47,16 @@
 		must.Positive(t, metrics.GetOrRegisterCounter(name, g.Metrics).Count(), must.Sprint(name))
 	}
 }
+
+// Guards against a line for each request while entries know different tables.
+func TestDifferentTablesAreLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	logger.Install(&out)
+	defer klog.ClearLogger()
+	l := &scheduler.Ledger{Clock: clocktest.NewFakeClock(time.Unix(1000, 0))}
+	g := &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, Clock: l.Clock}
+	for i := range uint64(40) {
+		g.Reserve(messenger.Reservation{Request: "r", Priority: new(int), Table: 7 + i%2}, nil)
+	}
+	must.Eq(t, 1, bytes.Count(out.Bytes(), []byte("Priorities from different route tables")))
+}
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -36,6 +36,8 @@
 	// Priority is the request's, from 0 for the most urgent to 9; nil at services where all requests have
 	// the same. The fields below are set only with it.
 	Priority *int `json:"priority,omitempty"`
+	// Table is the version of the route table that the priority is from.
+	Table uint64 `json:"table,omitempty"`
 	// Workspace is whom the request is for; empty for a public route.
 	Workspace string `json:"workspace,omitempty"`
 	// Asked is how many engines were asked for the request before, and Refusals how many were found to have no
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -65,7 +65,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if j.standing != nil && !l.Placer.Without.Has(ablator.PriorityRetry) {
+	if j.standing != nil && e.Blame == nil && !l.Placer.Without.Has(ablator.PriorityRetry) {
 		return j.retryAfter(d, j.Deadline.Sub(l.Clock.Now()), l.Random)
 	}
 	return d + time.Duration(l.Random.Int64N(int64(min(d, mostSpread))+1))
--- a/internal/relayer/priority.go
+++ b/internal/relayer/priority.go
@@ -80,6 +80,7 @@
 		return
 	}
 	q.Priority, q.Asked, q.Refusals, q.BudgetMS = &s.priority, s.asked, s.refusals, s.budget.Milliseconds()
+	q.Table = j.TableVersion
 	if j.Workspace != nil {
 		q.Workspace = j.Workspace.Name
 	}
