--- a/internal/relayer/priority.go
+++ b/internal/relayer/priority.go
@@ -212,9 +212,12 @@
 	outcome := "placed"
 	var refused *RefusedError
 	switch {
-	case errors.As(err, &refused) && refused.Kept():
+	case err == nil:
+	case !errors.As(err, &refused):
+		outcome = "left"
+	case refused.Kept():
 		outcome = "kept"
-	case err != nil:
+	default:
 		outcome = "refused"
 	}
 	name := fmt.Sprintf("priority.%d.%s.%s", j.standing.priority, j.Route.Kind, outcome)
