--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -50,6 +50,8 @@
 	// Objective is the time to the answer, or a stream's first event, within which
 	// it is worth most to the caller; 0 for none.
 	Objective time.Duration
+	// PauseObjective is the longest pause between two events of a stream that is on time; 0 for none.
+	PauseObjective time.Duration
 	// EventTimeout is how long callers wait for the next event of a stream, its first included,
 	// before they leave; 0 if they don't.
 	EventTimeout time.Duration
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -20,6 +20,9 @@
 	// doubtedFor is for how long a leaving holds of which it isn't certain whether the upstream's
 	// present start stated it.
 	doubtedFor = 10 * time.Second
+	// invalidPause is the pause between two log lines on an upstream's invalid statements, whose values may
+	// differ from reply to reply.
+	invalidPause = 10 * time.Second
 )
 
 // Start is one start of an upstream.
@@ -86,6 +89,7 @@
 	limit                float64
 	limitedAt            time.Time
 	invalid              Invalid
+	invalidLoggedAt      time.Time
 	used                 time.Time
 }
 
@@ -125,7 +129,7 @@
 		case Leaving:
 			u.leave(of.ID, now)
 		case Invalid:
-			u.ignore(of.ID, s)
+			u.ignore(of.ID, s, now)
 		}
 	}
 	if !limited && !u.limitedAt.IsZero() {
@@ -193,9 +197,10 @@
 	u.leftAt, u.leavingUntil = now, time.Time{}
 }
 
-// ignore logs a value without sense once, and not with each reply that repeats it.
-func (u *upstream) ignore(id string, s Invalid) {
-	if u.invalid != s {
+// ignore logs a value without sense once, and not with each reply that repeats it or has another one.
+func (u *upstream) ignore(id string, s Invalid, now time.Time) {
+	if u.invalid != s && now.Sub(u.invalidLoggedAt) >= invalidPause {
+		u.invalidLoggedAt = now
 		klog.InfoS("Statement of an upstream ignored", "upstream", id, "header", s.Header, "value", s.Value)
 	}
 	u.invalid = s
