scheduler: predict, rank and admit by the pace of engines

An idle slow engine looked like the best one, and a slot was granted although its predicted end was past the caller's deadline. Ledgers now keep the momentary pace that replies state, which decays within 600 ms, and predict by it and the reported one. Verdicts carry both, and entries add to an engine's cost what the request's first event and end need there. A job with an expected length is refused where it could not end in time. At an engine of uneven pace a prompt gets no slot whose reading would make the streams there pause for more than 0.65 of the objective.

--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -49,6 +49,16 @@
 	RetryJitter Mechanism = "retryJitter"
 	// RetryBudget bounds retries to a share of first attempts.
 	RetryBudget Mechanism = "retryBudget"
+	// PaceFeedback predicts and ranks by the momentary pace that upstreams state in their replies, and ranks engines by
+	// the pace that they report.
+	PaceFeedback Mechanism = "paceFeedback"
+	// DeadlineAdmission doesn't start streams that could not end within the time their callers have left.
+	DeadlineAdmission Mechanism = "deadlineAdmission"
+	// PauseLimit grants no slot at an engine of uneven pace to a prompt whose reading would pause the engine's streams
+	// for too long.
+	PauseLimit Mechanism = "pauseLimit"
+	// StreamMove moves a running stream whose predicted end is past its caller's deadline to another engine.
+	StreamMove Mechanism = "streamMove"
 )
 
 // All lists the mechanisms.
@@ -56,6 +66,7 @@
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
 		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, RetryJitter, RetryBudget,
+		PaceFeedback, DeadlineAdmission, PauseLimit, StreamMove,
 	}
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -54,20 +54,41 @@
 		g.Ledger.Limit(observer.Limit{Rate: q.Limit.PerSecond, Age: q.Limit.Age()})
 	}
 	v := g.Ledger.Reserve(scheduler.Job{
-		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
+		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Expected: q.Expected, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(), Pause: q.Pause(),
 	}, from)
 	if v.Granted || g.logs() {
 		klog.InfoS("Place asked", "request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
 			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
-			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0))
+			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0),
+			"endsLate", v.EndsLate, "left", q.Left(), "pace", v.Pace, "momentaryPace", v.Momentary.Factor)
 	}
 	return messenger.Verdict{
 		Granted: v.Granted, Closed: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
 		TakesMS: v.Takes.Milliseconds(), FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
-		BeginWithinMS: v.BeginWithin.Milliseconds(),
+		BeginWithinMS: v.BeginWithin.Milliseconds(), EndsLate: v.EndsLate, Pace: pace(v.Pace), Momentary: g.momentary(v.Momentary),
 	}
 }
 
+// pace is what is told of a pace; 0 for the normal one.
+func pace(factor float64) messenger.Hundredths {
+	if factor <= 1 {
+		return 0
+	}
+	return messenger.InHundredths(factor)
+}
+
+// momentary is what is told of a momentary pace; nil for the normal one, and for one that is too old to matter.
+func (g *Granter) momentary(m scheduler.Momentary) *messenger.MomentaryPace {
+	if m.Factor <= 0 {
+		return nil
+	}
+	age := g.Clock.Since(m.At)
+	if age >= scheduler.PaceSpan {
+		return nil
+	}
+	return &messenger.MomentaryPace{Pace: messenger.InHundredths(m.Factor), AgeMS: age.Milliseconds()}
+}
+
 // AnotherEngine is why nothing is granted for an engine that isn't the one beside the agent.
 const AnotherEngine = "another engine"
 
@@ -107,6 +128,9 @@
 	for _, id := range p.Started {
 		g.Ledger.Started(id)
 	}
+	if p.Pace != nil {
+		g.Ledger.Paced(p.Pace.Pace.Factor(), p.Pace.Age())
+	}
 	for _, id := range p.Ended {
 		g.Ledger.Ended(id)
 	}
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +34,10 @@
 	// Limit is the rate limit that the engine last stated to this entry; nil for one that never
 	// stated any.
 	Limit *RateLimit `json:"limit,omitempty"`
+	// Expected are the tokens that its answer should still have; 0 when nobody knows.
+	Expected int `json:"expected,omitempty"`
+	// PauseMS is the longest pause between two events that is on time, in milliseconds; 0 for none.
+	PauseMS int64 `json:"pauseMs,omitempty"`
 }
 
 // RateLimit is a limit that an upstream states in its replies.
@@ -65,13 +70,41 @@
 	Slots  int `json:"slots"`
 	// BeginWithinMS is for how much longer the weights may begin replies; 0 for any time.
 	BeginWithinMS int64 `json:"beginWithinMs,omitempty"`
+	// EndsLate tells that this request was refused as it could not end within the time its caller has
+	// left. Another request may get a slot.
+	EndsLate bool `json:"endsLate,omitempty"`
+	// Pace is that of the engine, as its report states it; 0 for the normal one.
+	Pace Hundredths `json:"pace,omitempty"`
+	// Momentary is its momentary pace, as replies stated it; nil for the normal one.
+	Momentary *MomentaryPace `json:"momentary,omitempty"`
 }
 
+// Hundredths is a factor in hundredths.
+type Hundredths int
+
+// InHundredths gives a factor in hundredths.
+func InHundredths(factor float64) Hundredths { return Hundredths(math.Round(100 * factor)) }
+
+// Factor is the factor; 0 when not told.
+func (h Hundredths) Factor() float64 { return float64(h) / 100 }
+
+// MomentaryPace is by what factor an engine is slower than normal at a moment, as one of its replies stated.
+type MomentaryPace struct {
+	Pace Hundredths `json:"pace"`
+	// AgeMS is how long ago, in milliseconds, that reply came.
+	AgeMS int64 `json:"ageMs"`
+}
+
+// Age is AgeMS as a duration.
+func (p MomentaryPace) Age() time.Duration { return time.Duration(p.AgeMS) * time.Millisecond }
+
 // Progress tells an agent what became of reservations, by their names.
 type Progress struct {
 	// Started requests have their first event, Ended ones need no place any more.
 	Started []string `json:"started,omitempty"`
 	Ended   []string `json:"ended,omitempty"`
+	// Pace is the engine's momentary pace, as the reply to a started request states it; nil when not told.
+	Pace *MomentaryPace `json:"pace,omitempty"`
 }
 
 // Reserve asks an agent for a place.
@@ -115,6 +148,9 @@
 	return r.Request
 }
 
+// Pause is PauseMS as a duration.
+func (r Reservation) Pause() time.Duration { return time.Duration(r.PauseMS) * time.Millisecond }
+
 // Patience is PatienceMS as a duration.
 func (r Reservation) Patience() time.Duration { return time.Duration(r.PatienceMS) * time.Millisecond }
 
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -105,6 +105,7 @@
 	processGone bool
 	alive       time.Time
 	used        time.Time
+	pace        enginePace
 	cold        rateTurn
 	limited     rateTurn
 }
@@ -140,9 +141,12 @@
 	return ordered
 }
 
-// Rank prepares the order of candidates. Mostly the first is taken, and the rest need not be
+// Rank is RankFor a request of which nothing is known.
+func (c *Chooser) Rank(candidates []Candidate) *Ranking { return c.RankFor(candidates, Work{}) }
+
+// RankFor prepares the order of candidates. Mostly the first is taken, and the rest need not be
 // sorted.
-func (c *Chooser) Rank(candidates []Candidate) *Ranking {
+func (c *Chooser) RankFor(candidates []Candidate, w Work) *Ranking {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
@@ -150,7 +154,7 @@
 	for i, k := range candidates {
 		s := c.at(k.ID, now)
 		c.restart(s, k.StartedAt)
-		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now)})
+		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now) + s.pace.cost(&w, now)})
 	}
 	heap.Init(&r.left)
 	c.sweep(now)
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -36,6 +36,8 @@
 	ID string
 	// Prompt and Answer are its size in tokens.
 	Prompt, Answer int
+	// Expected are the tokens that its answer should have; 0 when nobody knows.
+	Expected int
 	// Spare jobs can't be answered within their objective any more. They get a place
 	// only while the engine has some to spare: under more load than it bears, each
 	// would make one late that could still be in time.
@@ -43,6 +45,8 @@
 	// Patience is how long it may wait before its prompt is read, Left how long its
 	// caller waits for the whole.
 	Patience, Left time.Duration
+	// Pause is the longest pause between two events that is on time; 0 for none.
+	Pause time.Duration
 }
 
 // Verdict is the answer to a job.
@@ -66,6 +70,11 @@
 	// BeginWithin is for how much longer the engine's weights may begin replies, for a granted job;
 	// 0 for any time.
 	BeginWithin time.Duration
+	// EndsLate tells that the job could not end within the time its caller has left.
+	EndsLate bool
+	// Pace is the engine's as it reports it, Momentary as its replies state it.
+	Pace      float64
+	Momentary Momentary
 }
 
 // Ledger holds the places of one engine. It answers arrivals in bursts: without it
@@ -110,6 +119,8 @@
 	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
+	// momentary is by what factor it is slower than that at the moment.
+	momentary Momentary
 }
 
 // place is a request that holds a place.
@@ -237,13 +248,16 @@
 	}
 	v := Verdict{
 		Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now)),
-		Unreserved: l.foreign, Observed: l.observedAgo(now),
+		Unreserved: l.foreign, Observed: l.observedAgo(now), Pace: l.pace, Momentary: l.momentary,
 	}
 	v.Takes = v.Wait + l.duration(j, v.Active+1)
 	if limit := l.limit(j); v.Active >= limit {
 		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-limit+1)
 		return v
 	}
+	if v.EndsLate = l.endsLate(j, &v); v.EndsLate {
+		return v
+	}
 	if !l.until.IsZero() && now.Add(v.Takes).After(l.until) {
 		v.Free = max(0, l.until.Sub(now)) + l.engine.Load
 		return v
@@ -253,6 +267,9 @@
 		v.Free = max(0, expiry.Sub(now)) + l.engine.Load
 		return v
 	}
+	if v.Free = l.pauseExcess(j, &v); v.Free > 0 {
+		return v
+	}
 	if v.Wait > j.Patience && !l.Without.Has(ablator.QueueingBudget) {
 		v.Free = v.Wait - j.Patience
 		return v
@@ -325,7 +342,7 @@
 // and a reply begins with its first token. A long prompt that is granted just before the end
 // of the weights' time would begin after it.
 func (l *Ledger) first(j Job, active int) time.Duration {
-	return startMargin + l.cost(j) + l.scaled(PassTime(l.engine, active))
+	return startMargin + l.scaled(l.reading(j)+PassTime(l.engine, active))
 }
 
 // spareShare is the part of an engine's places up to which spare jobs get one. With
@@ -338,7 +355,7 @@
 		return math.MaxInt
 	}
 	if j.Spare && !l.Without.Has(ablator.LateShare) {
-		return max(1, int(spareShare*float64(l.engine.Slots)))
+		return l.spareSlots()
 	}
 	return l.engine.Slots
 }
@@ -373,22 +390,21 @@
 		answer = l.engine.UsualAnswer
 	}
 	write := time.Duration(float64(answer)*float64(StepTime(l.engine, active))/(1-readingShare)) + PassTime(l.engine, active)
-	return l.cost(j) + l.scaled(write)
+	return l.scaled(l.reading(j) + write)
 }
 
-// cost is how much later everything behind a job is read. While others write, each
-// pass reads one chunk and takes its steps besides.
-func (l *Ledger) cost(j Job) time.Duration {
+// cost is how much later everything behind a job is read.
+func (l *Ledger) cost(j Job) time.Duration { return l.scaled(l.reading(j)) }
+
+// reading is cost by the engine's figures. While others write, each pass reads one chunk and takes its steps
+// besides.
+func (l *Ledger) reading(j Job) time.Duration {
 	read := ReadTime(l.engine, j.Prompt)
 	if writing := len(l.held) + l.foreign; writing > 0 && l.engine.Chunk > 0 {
 		passes := float64(j.Prompt) / float64(l.engine.Chunk)
 		read += time.Duration(passes * float64(PassTime(l.engine, min(writing, l.engine.Slots))))
 	}
-	return l.scaled(read)
-}
-
-func (l *Ledger) scaled(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * max(1, l.pace))
+	return read
 }
 
 // Started notes a request's first event: its prompt has been read.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -64,6 +64,8 @@
 	Waiting, Running int
 	// Pace is how much slower than its figures it works; 0 when not told.
 	Pace float64
+	// Momentary is by what factor it is slower than that at the moment; 0 when not told.
+	Momentary float64
 	// StartedAt is its start.
 	StartedAt time.Time
 }
@@ -339,6 +341,7 @@
 	}
 	s.looked = s.Registrar.View().Revision
 	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
+	s.Ledger.Paced(r.Momentary, 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report, s.reportedAt = r, asked
