relayer: refuse streams that can't end, move those that would end too late

Entries pass the pace that replies state on to agents and go by what agents tell. A stream that no engine could end within its caller's time is refused before any question, or after three agents said so, without marking their engines full. A running stream whose predicted end is past the deadline resumes at an engine that should end it in time with events that come twice as fast.

--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -36,10 +36,12 @@
 		return p.unasked(view, u, j), nil
 	}
 	asked := p.Registrar.Clock.Now()
+	e := view.Table.Services[u.Service].Engine
+	prompt, answer, expected := j.size(e)
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
 	v, err := agent.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), Spare: p.late(j),
-		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
+		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: prompt, Answer: p.sizeToReserve(j, answer), Expected: expected, Spare: p.late(j) || j.mover.looking,
+		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u), PauseMS: j.Route.PauseObjective.Milliseconds(),
 	})
 	if ctx.Err() != nil {
 		// The agent may have granted a place that nobody waits for.
@@ -61,6 +63,7 @@
 		return nil, &v
 	}
 	p.Chooser.Heard(u.ID, v.Wait(), load(v))
+	p.notePace(u, &v)
 	if !v.Granted {
 		return nil, &v
 	}
@@ -74,14 +77,18 @@
 		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		return nil, &v
 	}
-	return &Place{
-		Upstream: u, Wait: v.Wait(), Ends: p.ends(&v), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
-		started: func() { agent.Tell(messenger.Progress{Started: []string{j.ID}}) },
+	place := &Place{
+		Upstream: u, Wait: v.Wait(), First: v.Wait() + p.Chooser.Slowed(u.ID, p.work(e, j).First), Ends: p.ends(&v), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
 		ended: func() {
 			p.Chooser.End(u.ID)
 			agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		},
-	}, &v
+	}
+	place.event = (v.Takes() - place.First) / time.Duration(max(1, answer/max(1, e.Stride)))
+	place.started = func() {
+		agent.Tell(messenger.Progress{Started: []string{j.ID}, Pace: place.statedPace(p.Chooser.Clock.Now())})
+	}
+	return place, &v
 }
 
 // noteAnotherEngine takes an upstream out of use whose agent stands beside another start of the engine.
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -56,6 +56,7 @@
 	if j.events == 0 {
 		j.begunAt = l.Clock.Now()
 	}
+	j.delivered++
 	if j.events++; j.events == survivedEvents {
 		l.noteSurvived(j)
 	}
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -55,21 +55,24 @@
 	if late := p.checkTimeLeft(j, leastTime(s.Engine, j)); late != nil {
 		return nil, p.refuse(j, late)
 	}
+	if err := p.checkCanEnd(s.Engine, j); err != nil {
+		return nil, err
+	}
 	began := p.Clock.Now()
 	budget := p.queueingBudget(s, j)
 	free, opens := time.Duration(0), time.Duration(0)
 	var waits []engineWait
 	var endsLate *ShutdownError
 	met := &j.met
-	met.PassedOver, met.Unasked, met.Silent, met.Connections, met.EndsLate = 0, 0, 0, 0, 0
-	order := p.order(us, j.Model)
+	met.PassedOver, met.Unasked, met.Silent, met.Connections, met.EndsLate, met.CallerLeaves = 0, 0, 0, 0, 0, 0
+	order := p.order(us, j.Model, p.work(s.Engine, j))
 	for next, ok := order.Next(); ok; next, ok = order.Next() {
 		u, first := us[next], len(us)-order.Left() <= firstAsked
 		if p.askedLongEnough(j, began) {
 			met.Unasked = order.Left() + 1
 			break
 		}
-		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
+		if full := p.Chooser.FullFor(u.ID, p.late(j) || j.mover.looking); full > 0 {
 			free, opens = least(free, full), least(opens, p.Chooser.Opens(u.ID))
 			met.passOver(p.Chooser.WhyClosed(u.ID))
 			continue
@@ -101,6 +104,12 @@
 		if v == nil {
 			continue
 		}
+		if v.EndsLate {
+			if met.CallerLeaves == firstAsked {
+				return nil, p.refuseLate(j)
+			}
+			continue
+		}
 		if v.Closed != "" {
 			p.Chooser.Closed(u.ID, v.Closed, closedFor(v.Free()), v.Free())
 			opens = least(opens, v.Free())
@@ -128,13 +137,16 @@
 			return nil, p.refuse(j, late)
 		}
 		p.Chooser.End(w.upstream.ID)
-		if v != nil && v.Closed == "" {
+		if v != nil && v.Closed == "" && !v.EndsLate {
 			p.noteFull(w.upstream.ID, j, v.Free())
 		}
 	}
 	if endsLate != nil {
 		return nil, p.refuse(j, endsLate)
 	}
+	if met.CallerLeaves > 0 && free == 0 && opens == 0 && met.Silent+met.Unasked+met.Connections == 0 {
+		return nil, p.refuseLate(j)
+	}
 	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
 }
 
@@ -163,6 +175,8 @@
 	case v.Closed != "":
 		m.Closed++
 		m.WhyClosed = v.Closed
+	case v.EndsLate:
+		m.CallerLeaves++
 	default:
 		m.Full++
 	}
@@ -184,7 +198,7 @@
 
 // noteFull keeps that an engine has no place, or none to spare.
 func (p *Placer) noteFull(id string, j *Job, free time.Duration) {
-	if p.late(j) {
+	if p.late(j) || j.mover.looking {
 		p.Chooser.Full(id, true, min(free, sparePause))
 		return
 	}
--- /dev/null
+++ b/internal/relayer/move_test.go
@@ -0,0 +1,141 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
+)
+
+// unevenEngines are engines of which the first that gets a stream is slow.
+type unevenEngines struct {
+	*world
+	slow once
+	// left is closed when the slow one's reply is given up.
+	left chan struct{}
+}
+
+// movingEvents is how many events a stream of unevenEngines has.
+const movingEvents = 50
+
+func newUnevenEngines(t *testing.T) *unevenEngines {
+	u := &unevenEngines{left: make(chan struct{})}
+	u.world = engines(t, u.answer, openLedger(12), openLedger(12)).resumable(true)
+	return u
+}
+
+// answer sends the events behind the one that the request names, with 60 ms between two of them at the slow engine.
+func (u *unevenEngines) answer(n int, id string, conn net.Conn) bool {
+	ip := netip.MustParseAddrPort(conn.LocalAddr().String()).Addr()
+	say(conn, streamHead(id))
+	if !u.slow.is(ip.String()) {
+		last, _ := strconv.Atoi(u.upstreams[ip.As4()[3]-1].header(n).Get("Last"))
+		for i := last + 1; i <= movingEvents; i++ {
+			say(conn, chunked(event(i)))
+		}
+		say(conn, "0\r\n\r\n")
+		return true
+	}
+	for i := 1; i <= movingEvents; i++ {
+		if _, err := conn.Write([]byte(chunked(event(i)))); err != nil {
+			close(u.left)
+			return true
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	say(conn, "0\r\n\r\n")
+	return true
+}
+
+// ask asks for an answer of movingEvents, which takes the slow engine twice as long as the caller waits.
+func (u *unevenEngines) ask(t *testing.T) answer {
+	return u.sendHeader(t, "/draft/", "order", http.Header{"Id": {"r1"}, "Patience": {"1500"}, "Hint": {"200"}, "Answer": {"400"}})
+}
+
+func (u *unevenEngines) moves() int64 {
+	return metrics.GetOrRegisterCounter("moves", u.metrics).Count()
+}
+
+// Guards against a stream that is cut at a slow engine while another one could end it, against events that are lost or
+// come twice as it moves, and against taking the move for a fault of the slow engine.
+func TestStreamThatWouldEndTooLateMoves(t *testing.T) {
+	u := newUnevenEngines(t)
+	a := u.ask(t)
+	must.Eq(t, http.StatusOK, a.status)
+	must.False(t, a.broken)
+	var whole strings.Builder
+	for i := 1; i <= movingEvents; i++ {
+		whole.WriteString(event(i))
+	}
+	must.Eq(t, whole.String(), a.body)
+	must.Eq(t, 1, u.moves())
+	<-u.left
+	for i := range 2 {
+		id := fmt.Sprintf("engine-%d", i)
+		must.SliceLen(t, 1, u.upstreams[i].came())
+		must.False(t, u.relayer.Chooser.Avoided(id))
+		must.Eq(t, 0, u.relayer.Chooser.Running(id))
+	}
+}
+
+// Guards against moves that the route doesn't allow, or that make a longer pause than is on time.
+func TestStreamThatMayNotMoveStays(t *testing.T) {
+	for name, change := range map[string]func(*unevenEngines){
+		"not resumable":     func(u *unevenEngines) { u.resumable(false) },
+		"no attempt left":   func(u *unevenEngines) { u.registrar.View().Table.Routes[0].MaxAttempts = 1 },
+		"a pause of 50 ms":  func(u *unevenEngines) { u.registrar.View().Table.Routes[0].PauseObjective = 50 * time.Millisecond },
+		"length not stated": func(u *unevenEngines) {},
+		"no other is quicker": func(u *unevenEngines) {
+			u.relayer.Placer.Reach = func(netip.AddrPort) relayer.Agent { return slowAgent{} }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUnevenEngines(t)
+			change(u)
+			h := http.Header{"Id": {"r1"}, "Patience": {"1500"}, "Hint": {"200"}, "Answer": {"400"}}
+			if name == "length not stated" {
+				h.Del("Hint")
+			}
+			must.True(t, u.sendHeader(t, "/draft/", "order", h).broken)
+			must.Eq(t, 0, u.moves())
+			must.Eq(t, 1, len(u.upstreams[0].came())+len(u.upstreams[1].came()))
+			must.Eq(t, 0, u.relayer.Chooser.Running("engine-0")+u.relayer.Chooser.Running("engine-1"))
+		})
+	}
+}
+
+// slowAgent grants slots at an engine at which a stream takes a minute.
+type slowAgent struct{}
+
+func (slowAgent) Reserve(context.Context, messenger.Reservation) (messenger.Verdict, error) {
+	return messenger.Verdict{Granted: true, Version: 1, Slots: 12, TakesMS: time.Minute.Milliseconds()}, nil
+}
+
+func (slowAgent) Tell(messenger.Progress) {}
+
+// Guards against streams that are begun, and engines that are asked, although the shortest likely answer takes longer than
+// the caller waits.
+func TestStreamThatCannotEndIsNotBegun(t *testing.T) {
+	u := newUnevenEngines(t)
+	asked := 0
+	u.relayer.Placer.Reach = func(netip.AddrPort) relayer.Agent {
+		asked++
+		return slowAgent{}
+	}
+	h := http.Header{"Id": {"r1"}, "Patience": {"1500"}, "Hint": {"4000"}, "Answer": {"8000"}}
+	a := u.sendHeader(t, "/draft/", "order", h)
+	must.Eq(t, http.StatusServiceUnavailable, a.status)
+	must.StrContains(t, a.body, "no engine could end it in time")
+	must.Eq(t, 0, asked)
+}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -62,6 +62,8 @@
 	Upstream *registrar.UpstreamView
 	// Wait is the predicted wait before a prompt is read.
 	Wait time.Duration
+	// First is how long its first event should take from the grant on, its wait included.
+	First time.Duration
 	// Ends is when the reply should end; zero if unknown.
 	Ends time.Time
 	// Active is how many requests held places at the engine after this one got its
@@ -76,6 +78,11 @@
 	// know itself.
 	BeginBy time.Time
 
+	// event is how long each further event should take; 0 if unknown.
+	event time.Duration
+	// pace is what the reply there stated of the upstream's momentary pace.
+	pace scheduler.Momentary
+
 	started, ended func()
 }
 
@@ -95,6 +102,8 @@
 	// Rest is in how long the first upstream that asked for rest takes requests again, if only such
 	// are left; else 0.
 	Rest time.Duration
+	// TooLate tells that no engine could end the reply within the time its caller has left.
+	TooLate bool
 	// Met is what the request met at the upstreams.
 	Met Met
 	// Blame is why the request is refused wherever it goes; nil for another reason.
@@ -113,8 +122,8 @@
 	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
 	// late in the order, and the agents of Silent ones don't answer; at Connections of them
 	// this entry had all its connections in use; at EndsLate of them the reply could not have ended
-	// before this entry does; in the last round.
-	PassedOver, Unasked, Silent, Connections, EndsLate int
+	// before this entry does, at CallerLeaves not before the caller leaves; in the last round.
+	PassedOver, Unasked, Silent, Connections, EndsLate, CallerLeaves int
 }
 
 func (e *RefusedError) Error() string {
@@ -215,14 +224,14 @@
 
 // order ranks upstreams by promise. The model is that which engines should hold; empty
 // for plain services.
-func (p *Placer) order(us []*registrar.UpstreamView, model string) *scheduler.Ranking {
+func (p *Placer) order(us []*registrar.UpstreamView, model string, w scheduler.Work) *scheduler.Ranking {
 	candidates := make([]scheduler.Candidate, 0, len(us))
 	for _, u := range us {
 		candidates = append(candidates, scheduler.Candidate{
 			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
 		})
 	}
-	return p.Chooser.Rank(candidates)
+	return p.Chooser.RankFor(candidates, w)
 }
 
 func (p *Placer) distance(u *registrar.UpstreamView) scheduler.Distance {
@@ -244,7 +253,7 @@
 		return nil, err
 	}
 	reason := "all upstreams cold"
-	order := p.order(us, "")
+	order := p.order(us, "", scheduler.Work{})
 	for i, ok := order.Next(); ok; i, ok = order.Next() {
 		u := us[i]
 		if limit := p.connections(u); limit > 0 && p.Chooser.Running(u.ID) >= limit {
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -102,6 +102,7 @@
 		return nil, err
 	}
 	c.noteStatements(u.Upstream, x)
+	c.notePaceOf(r.place, &x.reply)
 	if x.reply.Slots > 0 && !c.Route.Generates {
 		active := float64(x.reply.Running+x.reply.Waiting) / float64(x.reply.Slots)
 		c.Chooser.Heard(u.ID, 0, active)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -56,7 +56,8 @@
 	// longestPatience is the longest that callers of each route were seen to wait.
 	longestPatience map[string]time.Duration
 
-	cuts cuts
+	cuts      cuts
+	slowdowns slowdowns
 }
 
 // call is one caller's request on its way.
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -27,10 +27,13 @@
 	// events were passed on from the present attempt's reply, the first one at begunAt.
 	events  int
 	begunAt time.Time
+	// delivered counts the events passed on from the replies of all attempts.
+	delivered int
 	// unnumbered tells that the last data that went out has no id: its rest can't be asked for.
 	unnumbered bool
 	// next is the place that the next attempt already has; nil for none.
-	next *Place
+	next  *Place
+	mover mover
 	// rest is for how long all upstreams want nothing from this entry, once the job is given up.
 	rest time.Duration
 }
@@ -48,6 +51,7 @@
 func (l *Relayer) serve(ctx context.Context, j *Job, attempt Attempt) error {
 	l.Budgets.Of(j.Service).First()
 	j.outcome = retrier.NotRun
+	defer j.endMove()
 	for {
 		if err := l.checkParts(j); err != nil {
 			return err
@@ -78,7 +82,7 @@
 func (l *Relayer) attemptAt(ctx context.Context, j *Job, place *Place, attempt Attempt) error {
 	defer place.Ended()
 	j.sends++
-	j.events, j.begunAt = 0, time.Time{}
+	j.events, j.begunAt, j.mover.noted = 0, time.Time{}, false
 	return attempt(ctx, place)
 }
 
@@ -100,12 +104,16 @@
 		// The caller left; that says nothing of the upstream.
 		return
 	}
-	if !keptBack(err) && !isOvertaken(err) {
+	if !keptBack(err) && !isOvertaken(err) && !isMoved(err) {
 		l.Chooser.Failed(upstream, s.Status == 0 && !s.Reused)
 	}
 	if s.Outcome == retrier.NotRun && s.Status != 0 {
 		l.Chooser.Avoid(upstream, refusedPause)
 	}
+	if isMoved(err) {
+		l.log(j, "Stream moved", err, "upstream", upstream, "events", events)
+		return
+	}
 	l.noteCut(j, place, err, events)
 	l.log(j, "Attempt failed", err, "upstream", upstream, "outcome", s.Outcome, "reused", s.Reused, "stated", s.Stated, "events", events, "silence", s.Silence)
 }
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -120,12 +120,18 @@
 	return long
 }
 
-// sizeToReserve is the size of a job's answer that an agent reserves for.
-func (p *Placer) sizeToReserve(j *Job) int {
+// sizeToReserve is the size of a job's answer that an agent reserves for, if the usual one is answer.
+func (p *Placer) sizeToReserve(j *Job, answer int) int {
 	if _, cut := p.bound(j); cut {
-		return j.longAnswer()
+		return max(answer, j.longAnswer())
 	}
-	return j.Answer()
+	return answer
+}
+
+// isFinal tells whether a job was refused for a reason that waiting doesn't change.
+func isFinal(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && (refused.Shutdown != nil || refused.TooLate)
 }
 
 // isShutdown tells whether a job was refused as this entry leaves.
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -113,12 +113,20 @@
 // placeNext gives the place of the next attempt.
 func (l *Relayer) placeNext(ctx context.Context, j *Job) (*Place, error) {
 	if place := j.next; place != nil {
-		j.next = nil
+		j.next, j.mover.moving = nil, false
 		return place, nil
 	}
 	return l.Placer.Place(ctx, j)
 }
 
+// endMove frees the place of a move that will not be made. That of a hedge is freed with it.
+func (j *Job) endMove() {
+	if j.mover.moving {
+		j.mover.moving = false
+		j.giveBack()
+	}
+}
+
 // giveBack frees a place that no attempt will use.
 func (j *Job) giveBack() {
 	if j.next != nil {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -60,6 +60,10 @@
 			x.abandon()
 			return err
 		}
+		if err := c.Move(ctx, &c.Job, r.place); err != nil {
+			x.abandon()
+			return err
+		}
 		x.setGap(EventGap)
 		event, err = r.next(c.Codec)
 	}
--- a/internal/relayer/wait.go
+++ b/internal/relayer/wait.go
@@ -38,7 +38,7 @@
 func (p *Placer) Place(ctx context.Context, j *Job) (*Place, error) {
 	began := p.Clock.Now()
 	place, err := p.placeNow(ctx, j)
-	if err == nil || ctx.Err() != nil || isShutdown(err) {
+	if err == nil || ctx.Err() != nil || isFinal(err) {
 		return place, err
 	}
 	service := p.Registrar.View().Table.Services[j.Service]
@@ -54,7 +54,7 @@
 		case <-p.Clock.After(w.pause):
 		}
 		place, err = p.placeNow(ctx, j)
-		if isShutdown(err) {
+		if isFinal(err) {
 			p.endWait(j, w, false, err)
 			return nil, err
 		}
