--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -55,6 +55,8 @@
 	Figures *matcher.Engine
 	// Pace is how much slower than its figures it works; 0 is as told.
 	Pace float64
+	// Momentary is by what factor it is slower than that at the moment; 0 for the normal pace.
+	Momentary float64
 	// Memory is how many tokens it holds; 0 for any number. When it runs out the newest
 	// request gives way and is read again later.
 	Memory int
@@ -247,10 +249,13 @@
 }
 
 func (e *Engine) scaled(d time.Duration) time.Duration {
-	if e.Pace <= 0 {
-		return d
+	if e.Pace > 0 {
+		d = time.Duration(float64(d) * e.Pace)
 	}
-	return time.Duration(float64(d) * e.Pace)
+	if e.Momentary > 0 {
+		d = time.Duration(float64(d) * e.Momentary)
+	}
+	return d
 }
 
 // tokens are those for which memory is taken: prompts with what was written.
--- a/internal/simulator/ablation_test.go
+++ b/internal/simulator/ablation_test.go
@@ -38,7 +38,8 @@
 		ablator.FailureEjection: "fullRestart", ablator.FullBackoff: "lastingOverload", ablator.UnresponsiveBackoff: "silentVMs",
 		ablator.UngrantedSends: "agentsDown", ablator.AdmissionWait: "lastingOverload", ablator.RetryJitter: "lastingOverload",
 		ablator.RetryBudget: "fullRestart", ablator.LateWait: "fullRestart", ablator.UpstreamTerms: "leavers",
-		ablator.PromptBlame: "fatalPart",
+		ablator.PromptBlame: "fatalPart", ablator.PaceFeedback: "mixedPace", ablator.DeadlineAdmission: "mixedPace", ablator.PauseLimit: "mixedPace",
+		ablator.StreamMove: "mixedPace",
 	}
 	for _, m := range ablator.All() {
 		t.Run(string(m), func(t *testing.T) {
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -144,7 +144,7 @@
 	}
 	e.relayer.Admit(j)
 	ctx := &limited{Context: context.Background(), sequencer: c.time, deadline: j.Deadline}
-	err := e.relayer.Serve(ctx, j, func(_ context.Context, p *relayer.Place) error { return c.attempt(e, j, p) })
+	err := e.relayer.Serve(ctx, j, func(ctx context.Context, p *relayer.Place) error { return c.attempt(ctx, e, j, p) })
 	if err == nil {
 		return nil, nil
 	}
@@ -164,7 +164,7 @@
 }
 
 // attempt sends the request to a place and takes its events, as an entry does.
-func (c *caller) attempt(e *entry, j *relayer.Job, p *relayer.Place) error {
+func (c *caller) attempt(ctx context.Context, e *entry, j *relayer.Job, p *relayer.Place) error {
 	h := c.byID[p.Upstream.ID]
 	way := c.way(e.domain, h.domain)
 	box := &sequencer.Mailbox[part]{Sequencer: c.time}
@@ -194,6 +194,7 @@
 		}
 		c.time.Sleep(way)
 		if first {
+			e.relayer.NotePace(p, got.pace)
 			p.Started()
 			j.Version = version
 		}
@@ -207,6 +208,11 @@
 			e.relayer.Chooser.Served(h.id)
 			return nil
 		}
+		if err := e.relayer.Move(ctx, j, p); err != nil {
+			c.report.Moved++
+			c.time.In(way, func() { h.drop(j.ID) })
+			return err
+		}
 		limit = relayer.EventGap
 	}
 }
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -197,6 +197,9 @@
 	// whose reply another engine broke off fails by NextFails as well: it is cut again, answered 500, refused, or
 	// gets nothing.
 	FaultTear = "tear"
+	// FaultUneven has engines work slower by Pace now and then: each draws every Every whether it does, by the chance
+	// Share. They state that in their replies.
+	FaultUneven = "uneven"
 	// FaultPause has engines send nothing for Lasts and then go on, with all that they made meanwhile.
 	FaultPause = "pause"
 )
@@ -214,6 +217,7 @@
 	// end.
 	Overrun time.Duration `toml:"overrun"`
 	Rest    time.Duration `toml:"rest"`
+	Every   time.Duration `toml:"every"`
 	Chance  float64       `toml:"chance"`
 	// NextFails is the chance of a request that broke off to fail at the next engine too.
 	NextFails float64 `toml:"nextFails"`
@@ -352,16 +356,19 @@
 
 func (f Fault) problem(domains map[string]bool) string {
 	switch f.Fault {
-	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave, FaultTear, FaultPause:
+	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave, FaultTear, FaultPause, FaultUneven:
 	default:
 		return fmt.Sprintf("unknown fault %q", f.Fault)
 	}
 	if !domains[f.FailureDomain] {
 		return fmt.Sprintf("fault in unknown failure domain %q", f.FailureDomain)
 	}
-	if f.Fault == FaultSlow && f.Pace <= 1 {
+	if (f.Fault == FaultSlow || f.Fault == FaultUneven) && f.Pace <= 1 {
 		return "a slow engine needs a pace above 1"
 	}
+	if f.Fault == FaultUneven && (f.Every <= 0 || f.Share <= 0 || f.Share > 1) {
+		return "engines of uneven pace need every and a share of up to 1"
+	}
 	if f.Fault == FaultRest && f.Rest <= 0 {
 		return "engines that ask for rest need a rest"
 	}
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -63,7 +63,9 @@
 type part struct {
 	emulator.Event
 	failure *relayer.SendError
-	stated  observer.Statements
+	// pace is the engine's momentary one as the reply states it; 0 if it doesn't.
+	pace   float64
+	stated observer.Statements
 }
 
 // UpstreamError is an engine's refusal or end, as an entry sees it. Err is what its connection gave; nil for
@@ -264,7 +266,7 @@
 			delete(h.streams, v.ID)
 		}
 		if box != nil && !h.silent {
-			h.later(box, v.At.Sub(now), part{Event: v, stated: h.stated()})
+			h.later(box, v.At.Sub(now), part{Event: v, pace: h.engine.Momentary, stated: h.stated()})
 		}
 	}
 	h.loadWhenIdle()
@@ -335,8 +337,8 @@
 // start has the engine begin anew, cold and without weights at first.
 func (h *host) start() {
 	h.starts++
-	pace := h.engine.Pace
-	h.engine = &emulator.Engine{Figures: h.Engine.figures(), Memory: h.Engine.Memory, Pace: pace}
+	pace, momentary := h.engine.Pace, h.engine.Momentary
+	h.engine = &emulator.Engine{Figures: h.Engine.figures(), Memory: h.Engine.Memory, Pace: pace, Momentary: momentary}
 	clear(h.streams)
 	clear(h.quiet)
 	h.leaving = false
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -313,3 +313,46 @@
 	}
 	must.GreaterEq(t, lasts, longest)
 }
+
+// withoutPace gives an experiment without the mechanisms for uneven pace.
+func withoutPace(e *simulator.Experiment) *simulator.Experiment {
+	changed := *e
+	changed.Without = ablator.Set{ablator.PaceFeedback, ablator.DeadlineAdmission, ablator.PauseLimit, ablator.StreamMove}
+	return &changed
+}
+
+// Guards against streams that go to slow engines as to others where a third of the engines are 2.5 times slower, drawn anew
+// every 600 ms: pauses and first events are late there, and streams are cut at their callers' deadline.
+func TestAThirdOfTheEnginesSlowerChangingEvery600Milliseconds(t *testing.T) {
+	e := load(t, "unevenPace")
+	p, before := playAll(t, e), playAll(t, withoutPace(e))
+	must.Greater(t, before.worth(everything)+0.1, p.worth(everything))
+	must.Less(t, before.share(everything, simulator.Failed)/2, p.share(everything, simulator.Failed))
+	must.LessEq(t, before.share(everything, simulator.Refused), p.share(everything, simulator.Refused))
+	for _, r := range p {
+		must.Zero(t, r.Short)
+	}
+}
+
+// Guards against long answers that are started at permanently slow engines while others are free.
+func TestSlowEnginesWithLongAnswers(t *testing.T) {
+	e := load(t, "slowEngines")
+	p, before := playAll(t, e), playAll(t, withoutPace(e))
+	must.Greater(t, before.worth(everything)+0.02, p.worth(everything))
+	must.Less(t, before.share(everything, simulator.Failed), p.share(everything, simulator.Failed))
+	must.Zero(t, p.share(everything, simulator.Refused))
+}
+
+// Guards against streams that are cut where engines are slow for good and now and then, and both meet.
+func TestEnginesSlowForGoodAndNowAndThen(t *testing.T) {
+	e := load(t, "mixedPace")
+	p, before := playAll(t, e), playAll(t, withoutPace(e))
+	must.Greater(t, before.worth(everything)+0.05, p.worth(everything))
+	must.Less(t, before.share(everything, simulator.Failed)/3, p.share(everything, simulator.Failed))
+	moved := 0
+	for _, r := range p {
+		must.Zero(t, r.Short)
+		moved += r.Moved
+	}
+	must.Positive(t, moved)
+}
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -75,6 +75,12 @@
 			there = append(there, h)
 		}
 	}
+	if f.Fault == FaultUneven {
+		for _, h := range there {
+			h.time.In(time.Duration(w.random.Int64N(int64(f.Every))), func() { h.drawPace(f) })
+		}
+		return
+	}
 	share := f.Share
 	if share <= 0 {
 		share = 1
@@ -105,6 +111,18 @@
 	h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
 }
 
+// drawPace draws the pace of an engine for the next while, and does so again then.
+func (h *host) drawPace(f Fault) {
+	h.engine.Momentary = 1
+	if f.Lasts > 0 && h.time.Since(start) >= f.At+f.Lasts || !h.active() {
+		return
+	}
+	if h.random.Float64() < f.Share {
+		h.engine.Momentary = f.Pace
+	}
+	h.time.In(f.Every, func() { h.drawPace(f) })
+}
+
 func (h *host) befall(f Fault) {
 	after := func(do func()) {
 		if f.Lasts > 0 {
--- a/internal/simulator/print.go
+++ b/internal/simulator/print.go
@@ -84,11 +84,12 @@
 	p.line("")
 	p.line("seed" + heading)
 	all := map[string]*Row{}
-	excess, torn, twice, cut, short := 0, 0, 0, 0, 0
+	excess, moved, torn, twice, cut, short := 0, 0, 0, 0, 0, 0
 	for _, r := range reports {
 		p.row(fmt.Sprint(r.Seed), r.Total)
 		join(all, r.Total)
 		excess += r.ColdExcess
+		moved += r.Moved
 		torn, twice, cut, short = torn+r.Torn, twice+r.Twice, cut+r.Cut, short+r.Short
 	}
 	if len(reports) > 1 {
@@ -98,6 +99,10 @@
 		p.line("")
 		p.line("requests beyond the bound of cold engines: %d", excess)
 	}
+	if moved > 0 {
+		p.line("")
+		p.line("streams that moved as they would have ended too late: %d", moved)
+	}
 	if torn > 0 {
 		p.line("")
 		p.line("replies that broke off: %d, failed at the next engine too: %d; callers with a cut answer: %d, with a short one that ended as complete: %d", torn, twice, cut, short)
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -59,6 +59,8 @@
 	// engine as well. Cut callers had a part of their answer and saw that it was cut; Short ones had an answer that
 	// ended as complete without all its events.
 	Torn, Twice, Cut, Short int
+	// Moved counts streams that went on at another engine as they would have ended too late.
+	Moved int
 	// Misdirected counts requests that came to another engine than was meant.
 	Misdirected int
 	// ColdExcess counts requests beyond the bound of cold engines.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -97,7 +97,7 @@
 	for _, k := range w.Kinds {
 		t.Routes = append(t.Routes, &matcher.Route{
 			Name: k.Name, Host: "experiment", Prefix: "/" + k.Name + "/", Kind: matcher.Streaming, Generates: true, Resumable: true,
-			Objective: k.Objective, Timeout: k.Timeout, MaxAttempts: max(1, k.MaxAttempts),
+			Objective: k.Objective, PauseObjective: k.PauseObjective, Timeout: k.Timeout, MaxAttempts: max(1, k.MaxAttempts),
 			Targets: []matcher.Target{{Service: service, Weight: 1}},
 		})
 	}
