A region whose seed starts late no longer fills the links with full lists

Processes waited 0.4 s for a near seed that refuses connections. A seed that started 0.37 s after the others and needed 0.1 s until it listened came too late: its region's processes asked the seeds of other regions, and their lists delayed the near seed's own by more than a second.

The nearest seed is waited for 0.7 s now. A seed tells three entries of another region and refers the region's later askers to these; an asker whose referee doesn't answer comes back and is told.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -89,7 +89,7 @@
 	d.parts.Add(e.hoster.Registration)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
-		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
+		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Peers: s.Peers, Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
 	evidence := &propagator.Propagator{
 		Localizer: d.localizer, Registrar: d.registrar, Member: member, Seeds: others(s.Seeds, s.Peers), Dial: dialPeer, Store: d.store, Clock: d.clock,
--- a/internal/messenger/records.go
+++ b/internal/messenger/records.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"encoding/gob"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -40,6 +41,12 @@
 	// Ages asks for the ages of all weights' announcements: the asker found some in the store when it
 	// started. A peer of an older version answers with what is new only.
 	Ages bool `json:"ages,omitempty"`
+	// Region is that of an asker that understands a referral to another process, Peers where it
+	// answers others itself. A peer of an older version ignores both and answers in full.
+	Region string         `json:"region,omitempty"`
+	Peers  netip.AddrPort `json:"peers,omitzero"`
+	// Unresponsive is a process to which the asker was referred and that didn't answer it.
+	Unresponsive netip.AddrPort `json:"unresponsive,omitzero"`
 }
 
 // Records asks another process for records. The timeout bounds the time until the answer begins
--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -55,6 +56,8 @@
 	// Lost tells that the sender reads the store itself and can't reach it now. Its word
 	// may still be young, but nothing newer will come from there.
 	Lost bool `json:"lost,omitempty"`
+	// Refer is the process to ask instead, which is nearer to the asker; the batch holds nothing then.
+	Refer netip.AddrPort `json:"refer,omitzero"`
 	// AsOf is when the batch was received, by the registrar's clock: all its ages count from there. Zero
 	// stands for now.
 	AsOf time.Time `json:"-"`
--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -245,7 +245,7 @@
 	}
 	seeds := f.members[:f.seedCount()]
 	for i, n := range f.members {
-		if sh.seedsLater > 0 && i < len(seeds) {
+		if sh.seedsLater > 0 && sh.onTime <= i && i < len(seeds) {
 			n.refuses.Store(true)
 			continue
 		}
@@ -253,7 +253,7 @@
 	}
 	if sh.seedsLater > 0 {
 		time.Sleep(sh.seedsLater)
-		for _, n := range seeds {
+		for _, n := range seeds[sh.onTime:] {
 			n.refuses.Store(false)
 			f.start(t, n, true)
 		}
@@ -296,7 +296,7 @@
 		return b
 	}}
 	s := &syncer.Syncer{ID: n.ID, Entry: entry, Region: n.Member.Region, Registrar: n.Registrar, Store: nodeStore{f.store, n, f}, Clock: c,
-		Seeds: f.seeds(), Seed: slices.Contains(f.seeds(), n.Peers),
+		Seeds: f.seeds(), Seed: slices.Contains(f.seeds(), n.Peers), Peers: n.answersAt(entry),
 		Random: rand.New(rand.NewPCG(1, uint64(n.Peers.Addr().As4()[3]))),
 		Dial:   func(a netip.AddrPort) *messenger.Client { return &messenger.Client{Address: a, Dial: f.dialer(n)} }}
 	done := make(chan struct{}, 2)
@@ -309,6 +309,14 @@
 	})
 }
 
+// answersAt is where others may ask a process; agents answer nobody.
+func (n *node) answersAt(entry bool) netip.AddrPort {
+	if !entry {
+		return netip.AddrPort{}
+	}
+	return n.Peers
+}
+
 // process takes the processor for the time that it takes to prepare records.
 func (n *node) process(ctx context.Context, records []registrar.Record) {
 	if n.recordTime == 0 || len(records) == 0 {
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -25,8 +25,9 @@
 	seeds int
 	// recordTime is how long a process takes to prepare a record for others.
 	recordTime time.Duration
-	// seedsLater is how much later than the others these start.
+	// seedsLater is how much later than the others these start, but for the first onTime.
 	seedsLater time.Duration
+	onTime     int
 	// table has the store hold a large route table from the start.
 	table bool
 	// cut has no process reach the store at the start.
@@ -79,6 +80,8 @@
 
 	mu   sync.Mutex
 	free time.Time
+	// sent is how many bytes it has carried.
+	sent int
 }
 
 // carry takes as long as the link needs for a transfer among the others, and gives the context's
@@ -101,6 +104,7 @@
 	if l.free.After(begin) {
 		begin = l.free
 	}
+	l.sent += size
 	l.free = begin.Add(time.Duration(size) * time.Second / time.Duration(l.rate))
 	arrives := l.free
 	l.mu.Unlock()
--- /dev/null
+++ b/internal/syncer/referral_test.go
@@ -0,0 +1,53 @@
+package syncer_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	clocktesting "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/messenger"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+)
+
+func referralAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+}
+
+// Guards against seeds that tell a whole other region everything, and against referrals that leave an asker without any
+// records: to itself, to an entry that didn't answer it, within the region, or for one of an older version.
+func TestSeedRefersLaterAskersOfAnotherRegion(t *testing.T) {
+	c := clocktesting.NewFakeClock(time.Unix(1000, 0))
+	r := &registrar.Registrar{Clock: c, Decode: decodeFleet, Region: "a"}
+	r.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{{Key: "drained/x", Revision: 1}}})
+	answer := syncer.Answer(r, c)
+	ask := func(q messenger.RecordsQuery) registrar.Batch { return answer(t.Context(), q) }
+	far := func(i int) messenger.RecordsQuery {
+		return messenger.RecordsQuery{Region: "b", Peers: referralAddress(i)}
+	}
+	agent := messenger.RecordsQuery{Region: "b"}
+	must.Len(t, 1, ask(agent).Records, must.Sprint("no entry of the region has the records"))
+	for i := range 3 {
+		must.Len(t, 1, ask(far(i)).Records)
+	}
+	for i := 3; i < 9; i++ {
+		b := ask(far(i))
+		must.SliceEmpty(t, b.Records)
+		must.Less(t, byte(3), b.Refer.Addr().As4()[3])
+	}
+	must.True(t, ask(agent).Refer.IsValid())
+	must.Len(t, 1, ask(messenger.RecordsQuery{}).Records, must.Sprint("of an older version"))
+	must.Len(t, 1, ask(messenger.RecordsQuery{Region: "a"}).Records, must.Sprint("of the own region"))
+	must.Len(t, 1, ask(far(1)).Records, must.Sprint("it didn't get what it was told"))
+	failed := agent
+	for i := range 3 {
+		failed.Unresponsive = referralAddress(i)
+		must.Len(t, 1, ask(failed).Records, must.Sprint("was referred to an entry that didn't answer"))
+	}
+	must.Len(t, 1, ask(far(8)).Records, must.Sprint("in place of the unresponsive ones"))
+	c.Step(time.Minute)
+	must.Len(t, 1, ask(agent).Records, must.Sprint("the entries that were told may have ended"))
+}
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -15,17 +15,18 @@
 
 const (
 	// seedPatience is how long a process that knows nothing asks the seeds before it
-	// turns to the store. Seeds may start 0.3 s later than others; who has not answered by then
-	// is taken for dead.
-	seedPatience = 700 * time.Millisecond
+	// turns to the store. It leaves time for a farther seed after seedStart; who has not
+	// answered by then is taken for dead.
+	seedPatience = seedStart + 300*time.Millisecond
 	// readingTimeout is the same while a seed answers that it still reads the store: as long as
 	// the store's client waits for a list. Afterwards processes list the store themselves, up
 	// to listSpread apart.
 	readingTimeout = 2400 * time.Millisecond
 	listSpread     = time.Second
-	// seedStart is how long a seed that refuses connections is waited for, as it may start later
-	// than others.
-	seedStart = 400 * time.Millisecond
+	// seedStart is how long the nearest seed that refuses connections is waited for: seeds start
+	// up to 0.4 s later than others and need 60 to 100 ms until they listen. With 400 ms, most of
+	// a region turned to far seeds, and their lists delayed the near one's own by 1.5 s.
+	seedStart = 700 * time.Millisecond
 	// seedPause is the pause between two rounds over the seeds.
 	seedPause = 40 * time.Millisecond
 	// seedTimeout bounds a connection to a seed, and the time until its answer begins to
@@ -185,24 +186,27 @@
 	seedKnows
 )
 
-// firstRecords takes over what a seed knows, if the store confirmed it of late.
-func (s *Syncer) firstRecords(ctx context.Context, a netip.AddrPort) seedState {
-	q := messenger.RecordsQuery{WaitMS: seedHold.Milliseconds(), Stale: true}
+// allRecords takes over what a peer knows, if the store confirmed it of late, or gives the peer to
+// which that one refers this process.
+func (s *Syncer) allRecords(ctx context.Context, a netip.AddrPort, q messenger.RecordsQuery) (seedState, netip.AddrPort) {
+	var none netip.AddrPort
 	b, err := s.records(ctx, a, q, seedHold+seedTimeout)
 	if err != nil {
 		klog.V(1).InfoS("Seed did not answer", "seed", a, "err", err)
-		return seedFailed
+		return seedFailed, none
 	}
 	switch {
+	case b.Refer.IsValid():
+		return seedReads, b.Refer
 	case b.At == 0 && b.Lost:
-		return seedFailed
+		return seedFailed, none
 	case b.At == 0:
-		return seedReads
+		return seedReads, none
 	case b.Age > staleNews || !s.Registrar.Apply(b):
-		return seedIsStale
+		return seedIsStale, none
 	}
 	klog.InfoS("Records learned from a seed", "seed", a, "records", len(b.Records), "revision", b.At)
-	return seedKnows
+	return seedKnows, none
 }
 
 // learnAges asks peers for the ages of the weights that this process found in the store. Processes
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -81,6 +81,9 @@
 	// is one of them for the others, so that it reads the store itself at its start.
 	Seeds []netip.AddrPort
 	Seed  bool
+	// Peers is the address at which this process answers others, so that a seed may refer them
+	// to it; invalid for one that doesn't answer.
+	Peers netip.AddrPort
 	// Dial makes the client of a process's address.
 	Dial func(netip.AddrPort) *messenger.Client
 	// Clock should count the time for which the VM is suspended; no time of it leaves the
@@ -97,6 +100,8 @@
 	peers      map[netip.AddrPort]peer
 	// nearSeeds are the seeds that answered this process when it started, the nearest first.
 	nearSeeds []netip.AddrPort
+	// referral is the last one that this process got at its start.
+	referral referral
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
 	backoff   time.Duration
@@ -437,6 +442,7 @@
 // Answer gives another process what changed after a revision, once anything did or
 // its wait is over.
 func Answer(r *registrar.Registrar, c clock.Clock) func(context.Context, messenger.RecordsQuery) registrar.Batch {
+	told := &referrals{clock: c, region: r.Region}
 	return func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
 		_, age, _ := r.At()
 		// Held back for longer, the answer would be too old when it comes.
@@ -462,6 +468,9 @@
 		for {
 			changed := r.Changed()
 			if at, _, _ := r.At(); at > q.After {
+				if to, ok := told.refer(q); ok {
+					return registrar.Batch{Refer: to}
+				}
 				if b := since(); len(b.Records) > 0 {
 					return b
 				}
