An entry that has just started asks all seeds for blames beside its table

It asked one random seed or peer after the other, each for up to a second, and paused 0.1 to 0.3 s after one that refused the connection as it didn't listen yet.

Until the first answer all seeds and four peers, two of the own region, are asked at once, from the start on, and every 50 ms where that failed. The blames in the store still have to be known first.

--- a/internal/propagator/propagator.go
+++ b/internal/propagator/propagator.go
@@ -24,11 +24,12 @@
 	tickInterval = 50 * time.Millisecond
 	idleInterval = 250 * time.Millisecond
 	// pullInterval is the mean time between two pulls of a peer's state. A pull repairs what a push missed, as
-	// one to an entry that isn't known to others yet. initialPull is the same until the first one succeeds.
+	// one to an entry that isn't known to others yet.
 	pullInterval = 2 * time.Second
-	initialPull  = 200 * time.Millisecond
-	// pullPeers is from how many peers an entry pulls. A connection to each of hundreds would cost more than
-	// all pulls.
+	// initialPull is the pause after an attempt to pull that failed, until the first one succeeds.
+	initialPull = 50 * time.Millisecond
+	// pullPeers is from how many peers an entry pulls, half of them of its own region as far as there are: the
+	// links between regions may be saturated. A connection to each of hundreds would cost more than all pulls.
 	pullPeers = 4
 	// pushRetry is the pause after a push that failed.
 	pushRetry = 300 * time.Millisecond
@@ -65,9 +66,10 @@
 	// acked is the sequence number up to which all peers have acknowledged the evidence of this entry.
 	acked   uint64
 	results chan result
-	// pulled is set after the first successful pull, pulling during one; the next is due at nextPull.
-	pulled, pulling bool
-	nextPull        time.Time
+	// pulled is set after the first successful pull; pulling are the peers of those under way. The next is due at nextPull.
+	pulled   bool
+	pulling  map[netip.AddrPort]bool
+	nextPull time.Time
 	// synced is set once this entry may rely on its blames; knownSince is when its first view came.
 	synced     atomic.Bool
 	knownSince time.Time
@@ -78,7 +80,7 @@
 
 // peer is another entry.
 type peer struct {
-	incarnation string
+	incarnation, region string
 	// acked is the sequence number up to which it has acknowledged the evidence of this entry.
 	acked   uint64
 	pushing bool
@@ -106,15 +108,18 @@
 func (p *Propagator) Serve(ctx context.Context) error {
 	p.clients.Dial, p.clients.Timeout = p.Dial, callTimeout
 	p.peers, p.results, p.acked = map[netip.AddrPort]*peer{}, make(chan result), 0
-	p.pulling, p.nextPull, p.merged = false, time.Time{}, nil
+	p.pulling, p.nextPull, p.merged = map[netip.AddrPort]bool{}, time.Time{}, nil
 	p.persister = persister{store: p.Store, clock: p.Clock, entry: p.Member.ID, results: make(chan written)}
 	defer p.clients.Close()
 	timer := p.Clock.NewTimer(tickInterval)
 	defer timer.Stop()
+	p.pull(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-p.firstView():
+			p.tick(ctx)
 		case r := <-p.results:
 			p.finish(r)
 		case w := <-p.persister.results:
@@ -126,6 +131,20 @@
 	}
 }
 
+// firstView is closed when this entry may have got its first view; nil once it has one.
+func (p *Propagator) firstView() <-chan struct{} {
+	if p.merged != nil {
+		return nil
+	}
+	changed := p.Registrar.Changed()
+	if p.Registrar.View() != nil {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return changed
+}
+
 // interval is the time until the next tick.
 func (p *Propagator) interval() time.Duration {
 	if p.Localizer.Idle() && p.synced.Load() {
@@ -172,10 +191,10 @@
 	for _, s := range p.Seeds {
 		used[s] = true
 	}
-	incarnations := map[netip.AddrPort]string{}
+	incarnations, regions := map[netip.AddrPort]string{}, map[netip.AddrPort]string{}
 	for _, m := range view.Members {
 		if m.ID != p.Member.ID {
-			used[m.Peers], incarnations[m.Peers] = true, m.Incarnation
+			used[m.Peers], incarnations[m.Peers], regions[m.Peers] = true, m.Incarnation, m.Region
 		}
 	}
 	for a := range p.peers {
@@ -185,7 +204,7 @@
 	}
 	for a, incarnation := range incarnations {
 		if known := p.peers[a]; known == nil || known.incarnation != incarnation {
-			p.peers[a] = &peer{incarnation: incarnation}
+			p.peers[a] = &peer{incarnation: incarnation, region: regions[a]}
 			p.acked = 0
 		}
 	}
@@ -196,11 +215,17 @@
 // choosePullPeers keeps the choice while its peers remain, so that their connections are used again.
 func (p *Propagator) choosePullPeers() {
 	p.pullFrom = slices.DeleteFunc(p.pullFrom, func(a netip.AddrPort) bool { return p.peers[a] == nil })
-	for a := range p.peers {
-		if len(p.pullFrom) >= pullPeers {
+	p.choose(pullPeers/2, func(o *peer) bool { return o.region == p.Member.Region })
+	p.choose(pullPeers, func(*peer) bool { return true })
+}
+
+// choose adds peers to pull from up to a number of them.
+func (p *Propagator) choose(most int, fits func(*peer) bool) {
+	for a, o := range p.peers {
+		if len(p.pullFrom) >= most {
 			return
 		}
-		if !slices.Contains(p.pullFrom, a) {
+		if fits(o) && !slices.Contains(p.pullFrom, a) {
 			p.pullFrom = append(p.pullFrom, a)
 		}
 	}
@@ -234,27 +259,43 @@
 	}
 }
 
-// pull asks a random peer for its whole state once that is due.
+// pull asks peers for their whole state once that is due: one, or all of them and the seeds until the first one has
+// answered. With one after the other, a silent one or a saturated link took the whole syncTimeout of an entry that had
+// just started.
 func (p *Propagator) pull(ctx context.Context) {
-	if p.pulling || p.Clock.Now().Before(p.nextPull) {
+	now := p.Clock.Now()
+	if now.Before(p.nextPull) {
 		return
 	}
-	if a, ok := p.randomPeer(); ok {
-		p.pulling = true
-		p.call(ctx, result{to: a, pull: true, request: localizer.Update{All: true}})
+	from := slices.Concat(p.pullFrom, p.Seeds)
+	if p.pulled {
+		if len(p.pulling) > 0 {
+			return
+		}
+		from = p.randomPeer()
+	}
+	for _, a := range from {
+		if !p.pulling[a] {
+			p.pulling[a] = true
+			p.call(ctx, result{to: a, pull: true, request: localizer.Update{All: true}})
+		}
+	}
+	if !p.pulled {
+		p.nextPull = now.Add(initialPull)
 	}
 }
 
 // randomPeer draws a peer to pull from, or a seed while there is none.
-func (p *Propagator) randomPeer() (netip.AddrPort, bool) {
+func (p *Propagator) randomPeer() []netip.AddrPort {
 	as := p.pullFrom
 	if len(as) == 0 {
 		as = p.Seeds
 	}
 	if len(as) == 0 {
-		return netip.AddrPort{}, false
+		return nil
 	}
-	return as[rand.IntN(len(as))], true
+	i := rand.IntN(len(as))
+	return as[i : i+1]
 }
 
 // call sends the request of a result, which is completed by the reply.
@@ -289,15 +330,13 @@
 }
 
 func (p *Propagator) finishPull(r result) {
-	p.pulling = false
-	pause := pullInterval
-	switch {
-	case r.err == nil:
+	delete(p.pulling, r.to)
+	if r.err == nil {
 		p.Localizer.Apply(r.replied)
 		p.pulled = true
-		p.updateSynced(p.Registrar.View())
-	case !p.pulled:
-		pause = initialPull
+		p.updateSynced(p.merged)
+	}
+	if p.pulled {
+		p.nextPull = p.Clock.Now().Add(pullInterval/2 + time.Duration(rand.Int64N(int64(pullInterval))))
 	}
-	p.nextPull = p.Clock.Now().Add(pause/2 + time.Duration(rand.Int64N(int64(pause))))
 }
