Only processes whose seeds refuse connections wait longer for them

The longer patience held for processes without seeds, too, which turned to the store 0.3 s later than before (TestOthersDoNotHedge and TestDeletionInALateAnswerIsNotYoung failed).

--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -15,9 +15,9 @@
 
 const (
 	// seedPatience is how long a process that knows nothing asks the seeds before it
-	// turns to the store. It leaves time for a farther seed after seedStart; who has not
-	// answered by then is taken for dead.
-	seedPatience = seedStart + 300*time.Millisecond
+	// turns to the store. Seeds may start 0.3 s later than others; who has not answered by then
+	// is taken for dead.
+	seedPatience = 700 * time.Millisecond
 	// readingTimeout is the same while a seed answers that it still reads the store: as long as
 	// the store's client waits for a list. Afterwards processes list the store themselves, up
 	// to listSpread apart.
@@ -27,6 +27,8 @@
 	// up to 0.4 s later than others and need 60 to 100 ms until they listen. With 400 ms, most of
 	// a region turned to far seeds, and their lists delayed the near one's own by 1.5 s.
 	seedStart = 700 * time.Millisecond
+	// seedStartPatience is seedPatience where a seed has refused connections: farther ones are asked after seedStart.
+	seedStartPatience = seedStart + 300*time.Millisecond
 	// seedPause is the pause between two rounds over the seeds.
 	seedPause = 40 * time.Millisecond
 	// seedTimeout bounds a connection to a seed, and the time until its answer begins to
@@ -55,6 +57,7 @@
 				continue
 			}
 			if dials.refused[a] {
+				timeout = max(timeout, seedStartPatience)
 				if s.Clock.Since(s.seedsSince) < seedStart {
 					break
 				}
