Unknown engines rank as average ones, silent agents come last, and refusals tell which it was

After a restart engines of which nothing was known looked idle and ranked first, and silent agents were asked again every 0.7 s by any number of requests. Of 41 requests refused as "all engines full" 31 had met two silent agents, at 40 ms each, and left 88 engines unasked.

Engines of unknown load cost as much as the average of the known ones. A silent agent is asked again after pauses that double from 0.7 to 4 s, by one request at a time that has met no other, and ranks last. The reason is "all engines full" only if all that could be asked said so, else "not all engines asked in time" or "agents unresponsive".

--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -21,8 +21,6 @@
 	// regions; an agent that takes longer is of no help with an objective of half a
 	// second.
 	AskTimeout = 40 * time.Millisecond
-	// silentFor is how long an agent that did not answer isn't asked.
-	silentFor = 700 * time.Millisecond
 	// unaskedShare is the part of an engine's places that entries divide among them
 	// while its agent is silent. The rest is a margin for disagreement.
 	unaskedShare = 0.75
@@ -32,7 +30,7 @@
 // there. The verdict is nil when the agent did not answer; the place then is a share of what
 // the engine bears.
 func (p *Placer) ask(ctx context.Context, view *registrar.View, u *registrar.UpstreamView, j *Job, budget time.Duration) (*Place, *messenger.Verdict) {
-	if p.Chooser.Silent(u.ID) {
+	if !p.Chooser.MayAsk(u.ID, j.metSilence) {
 		return p.unasked(view, u, j), nil
 	}
 	asked := p.Registrar.Clock.Now()
@@ -48,7 +46,8 @@
 	}
 	if err != nil {
 		gone := errors.Is(err, syscall.ECONNREFUSED)
-		p.Chooser.Silence(u.ID, silentFor, gone)
+		p.Chooser.Silence(u.ID, gone)
+		j.metSilence = j.metSilence || !gone
 		klog.InfoS("Agent silent", "upstream", u.ID, "request", j.ID, "gone", gone, "err", err)
 		if !gone {
 			// It may have granted a place since, or do so yet.
@@ -57,6 +56,7 @@
 		return p.unasked(view, u, j), nil
 	}
 	if !v.StartedAt.IsZero() && !v.StartedAt.Equal(u.StartedAt) {
+		p.Chooser.Answered(u.ID)
 		p.noteAnotherEngine(u, asked, &v)
 		return nil, &v
 	}
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -66,7 +66,7 @@
 	for next, ok := order.Next(); ok; next, ok = order.Next() {
 		u, first := us[next], len(us)-order.Left() <= firstAsked
 		if p.askedLongEnough(j, began) {
-			met.Unasked = order.Left() + 1
+			met.countRest(p, j, us, order, next)
 			break
 		}
 		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
@@ -135,7 +135,7 @@
 	if endsLate != nil {
 		return nil, p.refuse(j, endsLate)
 	}
-	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
+	return nil, &RefusedError{Reason: met.reason(j), RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
 }
 
 // closedFor is how long an engine isn't asked that takes nothing and should open after a time; 0 when
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -52,6 +52,8 @@
 	Version uint64
 
 	met Met
+	// metSilence tells that an agent did not answer this request.
+	metSilence bool
 	tries
 	// left tells that the caller is gone; nil for one that stays.
 	left func() bool
@@ -219,7 +221,7 @@
 	candidates := make([]scheduler.Candidate, 0, len(us))
 	for _, u := range us {
 		candidates = append(candidates, scheduler.Candidate{
-			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
+			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0, Agent: model != "",
 		})
 	}
 	return p.Chooser.Rank(candidates)
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -61,6 +61,8 @@
 	Slots int
 	// Empty engines were last heard to hold no weights.
 	Empty bool
+	// Agent tells that its load is heard from an agent, and not only from its replies.
+	Agent bool
 }
 
 // Chooser remembers what an entry met at each upstream. It is safe for concurrent
@@ -103,10 +105,14 @@
 	// nobody listens there, alive when a reply from the upstream last went on.
 	silentUntil time.Time
 	processGone bool
-	alive       time.Time
-	used        time.Time
-	cold        rateTurn
-	limited     rateTurn
+	// silences is how often its agent was found silent since its last answer; probing tells that a request asks it
+	// again.
+	silences int
+	probing  bool
+	alive    time.Time
+	used     time.Time
+	cold     rateTurn
+	limited  rateTurn
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -147,10 +153,23 @@
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	r := &Ranking{left: make([]scored, 0, len(candidates))}
+	var known loads
+	unknown := 0
 	for i, k := range candidates {
 		s := c.at(k.ID, now)
 		c.restart(s, k.StartedAt)
-		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now)})
+		load := c.load(s, k, now)
+		at := scored{index: i, avoided: now.Before(s.avoidUntil) || s.suspect(now), unknown: s.loadUnknown(k)}
+		if at.unknown {
+			unknown++
+		} else {
+			known.add(load)
+		}
+		at.cost = load + c.cost(s, k, now)
+		r.left = append(r.left, at)
+	}
+	if unknown > 0 {
+		r.addUnknown(known.mean())
 	}
 	heap.Init(&r.left)
 	c.sweep(now)
@@ -170,17 +189,22 @@
 	s.startedAt = startedAt
 }
 
-// cost is how long a request would wait there, as far as this entry can tell.
-func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
+// load is how long a request would wait there for others, as far as this entry can tell; for an unknown load, for this
+// entry's own.
+func (c *Chooser) load(s *seen, k Candidate, now time.Time) time.Duration {
 	cost, active := time.Duration(0), 0.0
-	if !c.Without.Has(ablator.LoadFeedback) {
+	if !c.Without.Has(ablator.LoadFeedback) && !s.loadUnknown(k) {
 		cost, active = max(0, s.wait-now.Sub(s.heard)), s.active
 	}
 	if k.Slots > 0 {
 		active = max(active, float64(s.running)/float64(k.Slots))
 	}
-	cost += time.Duration(active * float64(fullCost))
-	cost += time.Duration(s.failing * float64(failureCost))
+	return cost + time.Duration(active*float64(fullCost))
+}
+
+// cost is how much longer than by its load a request would wait there.
+func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
+	cost := time.Duration(s.failing * float64(failureCost))
 	if k.Empty {
 		cost += emptyCost
 	}
@@ -224,13 +248,14 @@
 	}
 }
 
-// Heard notes an upstream's load: the wait before a prompt is read, and the share
+// Heard notes an upstream's load, and that it answered: the wait before a prompt is read, and the share
 // of its places that are taken.
 func (c *Chooser) Heard(id string, wait time.Duration, active float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(id)
 	s.wait, s.active, s.heard = wait, active, c.Clock.Now()
+	s.answered()
 }
 
 // Full notes that an upstream has no place for so long, or none to spare. Until then
@@ -393,18 +418,6 @@
 	s.avoidUntil = c.Clock.Now().Add(d)
 }
 
-// Silence notes that an upstream's agent did not answer; it isn't asked again for d. Gone
-// tells that its VM answered in its place that nobody listens.
-func (c *Chooser) Silence(id string, d time.Duration, gone bool) {
-	if c.Without.Has(ablator.UnresponsiveBackoff) {
-		d = 0
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.of(id)
-	s.silentUntil, s.processGone = c.Clock.Now().Add(d), gone
-}
-
 // aliveFor is for how long a sign of life counts: an engine at work sends each reply on
 // every 0.05 to 0.1 s.
 const aliveFor = 300 * time.Millisecond
@@ -426,13 +439,6 @@
 	return s.processGone || c.Clock.Since(s.alive) < aliveFor
 }
 
-// Silent tells whether an upstream's agent is not to be asked now.
-func (c *Chooser) Silent(id string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.Clock.Now().Before(c.of(id).silentUntil)
-}
-
 // Avoided tells whether an upstream is passed over now.
 func (c *Chooser) Avoided(id string) bool {
 	c.mu.Lock()
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -27,11 +27,20 @@
 // Left is how many candidates are still to come.
 func (r *Ranking) Left() int { return len(r.left) }
 
+// addUnknown has candidates of unknown load cost as much as one of average load.
+func (r *Ranking) addUnknown(mean time.Duration) {
+	for i := range r.left {
+		if r.left[i].unknown {
+			r.left[i].cost += mean
+		}
+	}
+}
+
 // scored is a candidate's place in the order.
 type scored struct {
-	index   int
-	avoided bool
-	cost    time.Duration
+	index            int
+	avoided, unknown bool
+	cost             time.Duration
 }
 
 // scores are a heap. Those that are avoided come last.
--- /dev/null
+++ b/internal/scheduler/silence_test.go
@@ -0,0 +1,87 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/scheduler"
+)
+
+func engine(id string, d scheduler.Distance) scheduler.Candidate {
+	return scheduler.Candidate{ID: id, Distance: d, Slots: 12, Agent: true}
+}
+
+// Guards against requests of the first second after a restart that all ask engines of which nothing is known, as these
+// look idle, and against leaving these out.
+func TestEngineOfUnknownLoadRanksAsAverage(t *testing.T) {
+	c, _ := newChooser()
+	all := []scheduler.Candidate{engine("unknown", scheduler.SameDomain), engine("idle", scheduler.SameDomain), engine("busy", scheduler.SameDomain),
+		engine("far", scheduler.OtherRegion)}
+	firsts := map[string]bool{}
+	for range 100 {
+		firsts[c.Order(all)[0].ID] = true
+	}
+	must.True(t, firsts["unknown"] && firsts["idle"] && firsts["busy"], must.Sprint("random among unknown ones"))
+	must.False(t, firsts["far"], must.Sprint("near ones first"))
+	c.Heard("idle", 0, 0)
+	c.Heard("busy", 100*time.Millisecond, 0.8)
+	for range 100 {
+		var ids []string
+		for _, k := range c.Order(all) {
+			ids = append(ids, k.ID)
+		}
+		must.Eq(t, []string{"idle", "unknown", "far", "busy"}, ids)
+	}
+}
+
+// Guards against a silent agent that is asked again every 0.7 s, by each request, or before agents that answer.
+func TestSilentAgentIsAskedAgainByOneRequestAfterDoublingPauses(t *testing.T) {
+	c, clock := newChooser()
+	all := []scheduler.Candidate{engine("silent", scheduler.SameDomain), engine("far", scheduler.OtherRegion)}
+	for _, pause := range []time.Duration{700 * time.Millisecond, 1400 * time.Millisecond, 2800 * time.Millisecond, 4 * time.Second, 4 * time.Second} {
+		must.True(t, c.MayAsk("silent", false))
+		for range 3 {
+			c.Silence("silent", false)
+		}
+		clock.Step(pause - time.Millisecond)
+		must.False(t, c.MayAsk("silent", false))
+		clock.Step(2 * time.Millisecond)
+		must.False(t, c.MayAsk("silent", true), must.Sprint("the request has met a silent agent"))
+		must.Eq(t, "far", c.Order(all)[0].ID)
+		must.True(t, c.MayAsk("silent", false))
+		must.False(t, c.MayAsk("silent", false), must.Sprint("another request is asking"))
+		clock.Step(100 * time.Millisecond)
+	}
+	c.Heard("silent", 0, 0)
+	must.Eq(t, "silent", c.Order(all)[0].ID)
+	must.True(t, c.MayAsk("silent", true))
+	must.True(t, c.MayAsk("silent", true))
+	c.Silence("silent", false)
+	clock.Step(701 * time.Millisecond)
+	must.True(t, c.MayAsk("silent", false), must.Sprint("an answer resets the pause"))
+}
+
+// Guards against an agent that is back and is not used at a low load, as other engines always have a slot.
+func TestSilentAgentThatNobodyAsksIsRankedAgain(t *testing.T) {
+	c, clock := newChooser()
+	all := []scheduler.Candidate{engine("silent", scheduler.SameDomain), engine("far", scheduler.OtherRegion)}
+	c.Silence("silent", false)
+	clock.Step(1600 * time.Millisecond)
+	must.Eq(t, "far", c.Order(all)[0].ID)
+	clock.Step(200 * time.Millisecond)
+	must.Eq(t, "silent", c.Order(all)[0].ID)
+}
+
+// Guards against pauses that grow while an agent's process is gone: it is mostly back within a second.
+func TestPauseOfAnAgentThatIsGoneDoesNotGrow(t *testing.T) {
+	c, clock := newChooser()
+	for range 4 {
+		must.True(t, c.MayAsk("gone", true))
+		c.Silence("gone", true)
+		must.True(t, c.Lives("gone"))
+		must.False(t, c.MayAsk("gone", true))
+		clock.Step(701 * time.Millisecond)
+	}
+}
