--- a/internal/syncer/referral.go
+++ b/internal/syncer/referral.go
@@ -84,7 +84,7 @@
 		if !to.IsValid() {
 			return state
 		}
-		s.referral = referral{to, s.Clock.Now()}
+		s.referral, s.referred = referral{to, s.Clock.Now()}, true
 	}
 	// No region is stated, so that the referee doesn't refer this process further.
 	state, _ := s.allRecords(ctx, s.referral.to, messenger.RecordsQuery{WaitMS: q.WaitMS, Stale: true})
@@ -93,6 +93,9 @@
 	}
 	klog.InfoS("Referred to an unresponsive peer", "seed", seed, "peer", s.referral.to)
 	q.Unresponsive, s.referral = s.referral.to, referral{}
+	// Others that were referred to it find that at the same moment. If all asked the seed at once, its answers would
+	// run into their timeouts.
+	s.pause(ctx, s.listDelay)
 	state, _ = s.allRecords(ctx, seed, q)
 	return state
 }
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -73,6 +73,9 @@
 				break
 			}
 			stale[a] = state == seedIsStale
+			if s.referred {
+				timeout = readingTimeout + s.listDelay
+			}
 		}
 		s.pause(ctx, seedPause)
 	}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -100,8 +100,10 @@
 	peers      map[netip.AddrPort]peer
 	// nearSeeds are the seeds that answered this process when it started, the nearest first.
 	nearSeeds []netip.AddrPort
-	// referral is the last one that this process got at its start.
+	// referral is the one that this process follows at its start; referred tells that a seed gave one, so that it has
+	// the records.
 	referral referral
+	referred bool
 	// storeFrom is when the store may be asked again after a failure.
 	storeFrom time.Time
 	backoff   time.Duration
