Ledger: no grants beyond the engine's memory

An engine crashes when the requests that it holds exceed its memory in tokens. Reservations carry the longest answer (maxAnswer).

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -78,6 +79,9 @@
 	}
 }
 
+// heapPart is the part of the VM's memory at which the runtime collects garbage more often rather than let the heap grow.
+const heapPart = 0.7
+
 // daemon is what both daemons on the platform have.
 type daemon struct {
 	// role is "entry" or "agent".
@@ -119,6 +123,9 @@
 	if err != nil {
 		return nil, oops.Hint("the platform must run programs on Linux with CLOCK_BOOTTIME").Wrap(err)
 	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(s.Memory)))
+	}
 	d := &daemon{
 		role:     role,
 		settings: s,
@@ -285,7 +292,10 @@
 	return st
 }
 
+// answerTimeout bounds an answer to a peer or an operator who may read slowly. A profile takes 30 s.
+const answerTimeout = time.Minute
+
 // web makes a suture service of an HTTP handler.
 func web(name string, l net.Listener, h http.Handler) suture.Service {
-	return &reporter.Web{Name: name, Listener: l, Handler: h}
+	return &reporter.Web{Name: name, Listener: l, Handler: h, AnswerTimeout: answerTimeout}
 }
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -73,6 +73,7 @@
 		Prober:    &relayer.NetworkProber{},
 		Liveness:  platform.Liveness{},
 		Budgets:   &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
+		Memory: requestMemory(s.Memory, d.metrics),
 	}
 	member := registrar.Member{
 		ID: s.Name, Incarnation: uuid.NewString(), FailureDomain: s.FailureDomain, Region: s.Region,
@@ -100,6 +101,18 @@
 	return e, e.listenAll()
 }
 
+// requestsPart is the part of the VM's memory that requests may hold. The heap may grow to twice of what is held before
+// it is collected, and the rest is for what the entry knows and for the kernel's buffers.
+const requestsPart = 0.25
+
+// requestMemory bounds what requests hold on a VM with so many bytes of memory; 0 for unknown.
+func requestMemory(bytes int64, r metrics.Registry) *relayer.Memory {
+	if bytes <= 0 {
+		return nil
+	}
+	return &relayer.Memory{Bytes: int64(requestsPart * float64(bytes)), Metrics: r}
+}
+
 // members are the names of all known entries.
 func (d *daemon) members() []string {
 	var names []string
--- a/internal/bodyreader/events.go
+++ b/internal/bodyreader/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -57,8 +58,13 @@
 
 // EventReader cuts a stream into events. It is not safe for concurrent use.
 type EventReader struct {
+	// Room is asked whether an event may take so many more bytes of memory; nil for any.
+	Room func(bytes int64) bool
+
 	body  Reader
 	limit int
+	// taken is for how many bytes there is room.
+	taken int
 	// rest is what stands behind the last event. Its first scanned bytes hold no end of an event.
 	rest    []byte
 	scanned int
@@ -67,12 +73,12 @@
 
 // NewEventReader reads the events of a reply, each of at most limit bytes.
 func NewEventReader(res *http.Response, limit int) *EventReader {
-	return &EventReader{body: Reader{Response: res, stream: true, split: true}, limit: limit}
+	return &EventReader{body: Reader{Response: res, stream: true, split: true}, limit: limit, taken: usualEvent}
 }
 
 // Next gives the next event with the blank line that ends it. At the end of a whole stream it gives io.EOF and
-// the line ends behind the last event, which are part of the body and of no event. Other errors are *CutError
-// and *OversizeError.
+// the line ends behind the last event, which are part of the body and of no event. Other errors are *CutError,
+// *OversizeError and *RoomError.
 func (r *EventReader) Next() ([]byte, error) {
 	for {
 		n, ends := r.body.events.next(r.rest[r.scanned:])
@@ -86,6 +92,9 @@
 			return nil, &OversizeError{Limit: int64(r.limit)}
 		}
 		n, err := r.body.Read(r.buf[:])
+		if !r.fits(len(r.rest) + n) {
+			return nil, &RoomError{Bytes: r.taken}
+		}
 		r.rest = append(r.rest, r.buf[:n]...)
 		if errors.Is(err, io.EOF) {
 			return r.rest, io.EOF
@@ -96,6 +105,32 @@
 	}
 }
 
+// usualEvent is up to which size, in bytes, an event takes no room. Events of token streams have some hundred bytes.
+const usualEvent = 8 << 10
+
+// RoomError reports an event for which there is no memory.
+type RoomError struct {
+	// Bytes is what it has taken so far.
+	Bytes int
+}
+
+func (e *RoomError) Error() string {
+	return fmt.Sprintf("no memory for an event of more than %d bytes", e.Bytes)
+}
+
+// fits takes room for an event under way. A slice that grows is copied to a longer one, so twice its size is taken.
+func (r *EventReader) fits(size int) bool {
+	if r.Room == nil || size <= r.taken {
+		return true
+	}
+	more := max(size, 2*r.taken) - r.taken
+	if !r.Room(2 * int64(more)) {
+		return false
+	}
+	r.taken += more
+	return true
+}
+
 // EventID is an event's id; empty for none.
 func EventID(event []byte) string {
 	for _, line := range lines(event) {
--- a/internal/bodyreader/reader.go
+++ b/internal/bodyreader/reader.go
@@ -163,6 +163,11 @@
 // the reader.
 func ReadAtMost(r io.Reader, limit int64) ([]byte, error) { return readAll(r, limit, 0) }
 
+// ReadExpected is ReadAtMost with room for the expected bytes from the start; an unknown number is below zero.
+func ReadExpected(r io.Reader, limit, expected int64) ([]byte, error) {
+	return readAll(r, limit, expected)
+}
+
 // firstRead is the least that is asked for at once, in bytes.
 const firstRead = 512
 
--- a/internal/connector/reset.go
+++ b/internal/connector/reset.go
@@ -66,6 +66,12 @@
 	return c.reset.Load()
 }
 
+// Over tells whether a connection that KeepResets has given is over in both directions; false for any other.
+func Over(c net.Conn) bool {
+	kept, ok := c.(*conn)
+	return ok && kept.over()
+}
+
 // over tells whether the connection is over in both directions, as after a reset, or closed here. One that only
 // the peer has closed can still be written to.
 func (c *conn) over() bool {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -54,7 +54,7 @@
 		g.Ledger.Limit(observer.Limit{Rate: q.Limit.PerSecond, Age: q.Limit.Age()})
 	}
 	v := g.Ledger.Reserve(scheduler.Job{
-		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
+		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, MaxAnswer: q.MaxAnswer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
 	}, from)
 	if v.Granted || g.logs() {
 		klog.InfoS("Place asked", "request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -24,6 +24,8 @@
 	// Prompt and Answer are the request's size in tokens, Answer as far as known.
 	Prompt int `json:"prompt"`
 	Answer int `json:"answer"`
+	// MaxAnswer is the longest answer in tokens; 0 when not told.
+	MaxAnswer int `json:"maxAnswer,omitempty"`
 	// PatienceMS is how long, in milliseconds, it may wait before its prompt is read.
 	PatienceMS int64 `json:"patienceMs"`
 	// Spare asks for a place only if the engine has some to spare.
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -24,6 +24,10 @@
 		c.endEnded(err)
 		return
 	}
+	if isUnread(err) {
+		c.endUnread(err, c.progress(err)...)
+		return
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		err = fmt.Errorf("%w: %w", cause, err)
 	}
@@ -82,6 +86,10 @@
 func (c *call) endEnded(err error) {
 	cause := context.Cause(c.r.Context())
 	byEntry := !errors.Is(cause, context.Canceled)
+	if !byEntry && c.out.unread() {
+		c.endUnread(err, c.progress(err)...)
+		return
+	}
 	text, counter := "Caller left", "left"
 	if byEntry {
 		text, counter, err = "Cut as the entry ends", "cut", fmt.Errorf("%w: %w", cause, err)
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -38,7 +38,7 @@
 	asked := p.Registrar.Clock.Now()
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
 	v, err := agent.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), Spare: p.late(j),
+		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), MaxAnswer: j.MaxAnswer, Spare: p.late(j),
 		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
 	})
 	if ctx.Err() != nil {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
 )
@@ -41,7 +38,7 @@
 	if err == nil {
 		err = c.relay(ctx, r)
 	}
-	return c.overtaken(err)
+	return c.unreadError(c.overtaken(err))
 }
 
 // receive gets the beginning of a place's reply, by the hedge that is under way there or by a new attempt.
@@ -67,6 +64,8 @@
 
 // relay hands a reply on to the caller.
 func (c *call) relay(ctx context.Context, r *receivedReply) error {
+	c.out.from.Store(r.x.conn)
+	defer c.out.from.Store(nil)
 	if r.events != nil {
 		return c.relayStream(ctx, r)
 	}
@@ -126,16 +125,17 @@
 	c.writeHeader(x)
 	if _, err := c.w.Write(r.start); err != nil {
 		x.abandon()
-		c.log("Caller left", err, "upstream", x.upstream, "status", c.status)
-		return nil
+		c.endEarly(x, ctx.Err(), err)
 	}
+	r.start = nil
+	x.releaseMemory()
 	if r.end == nil {
-		_, err := io.Copy(c.w, r.body)
+		err := c.copyRest(r.body)
 		if err == nil {
 			err = c.checkWhole(ctx, x, r.place)
 		}
 		if err != nil {
-			c.endEarly(ctx, x, err)
+			c.endEarly(x, ctx.Err(), err)
 		}
 	}
 	x.finish()
@@ -143,20 +143,6 @@
 	return nil
 }
 
-// endEarly ends a plain reply of which a part has gone out, as its upstream or its caller has broken off.
-func (c *call) endEarly(ctx context.Context, x *exchange, err error) {
-	x.abandon()
-	var cut *bodyreader.CutError
-	if errors.As(err, &cut) && c.r.Context().Err() == nil {
-		c.count("cut")
-		c.log("Reply cut", errors.Join(err, ctx.Err()), "upstream", x.upstream, "status", c.status, "silence", x.silence())
-	} else {
-		c.count("left")
-		c.log("Caller left", err, "upstream", x.upstream, "status", c.status)
-	}
-	c.cutReply()
-}
-
 // writeHeader hands the upstream's header on as it is.
 func (c *call) writeHeader(x *exchange) {
 	h := c.w.Header()
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
@@ -19,6 +20,9 @@
 // connection is given up.
 const maxStrays = 2
 
+// usualHead is the size of most requests' heads, in bytes.
+const usualHead = 1 << 10
+
 // smallMessage is up to which size, in bytes, a request is written at once: the
 // kernel takes that much even from a peer that reads nothing.
 const smallMessage = 32 << 10
@@ -52,13 +56,15 @@
 	body                 []byte
 	// hasBody tells a body without bytes from none.
 	hasBody bool
+	// account holds the body's memory.
+	account *account
 }
 
-// encode gives the bytes of a request. The target is the caller's, byte for byte:
+// encodeHead gives the bytes of a request up to its body. The target is the caller's, byte for byte:
 // net/url would clean it up.
-func (m *message) encode() []byte {
+func (m *message) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(m.body))
+	b.Grow(usualHead)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.target, m.host)
 	// Writing to a buffer does not fail.
 	_ = m.header.Write(&b)
@@ -66,7 +72,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(m.body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(m.body)
 	return b.Bytes()
 }
 
@@ -82,6 +87,9 @@
 	stop    func() bool
 	// begun is called once the request has begun, or is over.
 	begun func()
+	// account is the request's memory, of which the reply has kept.
+	account *account
+	kept    atomic.Int64
 }
 
 // sendOptions tell how one attempt is made.
@@ -109,7 +117,7 @@
 		// Without a connection nothing was sent.
 		return nil, &SendError{Upstream: upstream, Outcome: retrier.NotRun, Err: err}
 	}
-	x := &exchange{pool: p, upstream: upstream, conn: conn, written: make(chan struct{}), begun: func() {}}
+	x := &exchange{pool: p, upstream: upstream, conn: conn, written: make(chan struct{}), begun: func() {}, account: m.account}
 	if o.opened != nil {
 		begun, err := o.opened(conn)
 		if err != nil {
@@ -163,16 +171,23 @@
 
 // write sends the request. A long one is sent beside the reading of the reply: an
 // upstream may refuse it before it has read the whole, and both sides would wait
-// for each other.
+// for each other. Its body isn't copied, and its memory is held until the writing has ended, which the end of the
+// exchange sees to by closing the connection.
 func (x *exchange) write(m *message) error {
-	data := m.encode()
-	if len(data) <= smallMessage {
-		_, err := x.conn.Write(data)
+	head, body := m.encodeHead(), m.body
+	if len(head)+len(body) <= smallMessage {
+		_, err := x.conn.Write(append(head, body...))
 		close(x.written)
 		return err
 	}
+	x.account.share()
 	go func() {
-		if _, err := x.conn.Write(data); err == nil {
+		defer x.account.close()
+		_, err := x.conn.Write(head)
+		if err == nil {
+			_, err = x.conn.Write(body)
+		}
+		if err == nil {
 			close(x.written)
 		}
 	}()
@@ -222,6 +237,7 @@
 // again only if nothing is left on it.
 func (x *exchange) finish() {
 	x.begun()
+	x.releaseMemory()
 	if !x.stop() {
 		return
 	}
@@ -255,6 +271,7 @@
 // abandon closes the connection, so that the upstream drops the request.
 func (x *exchange) abandon() {
 	x.begun()
+	x.releaseMemory()
 	x.stop()
 	x.conn.Close()
 }
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -157,7 +157,7 @@
 	x.begun()
 	r.setGap(x, 0)
 	body := &bodyreader.Reader{Response: x.response}
-	start, ended, err := body.ReadStart(bufferedReply)
+	start, ended, err := x.readStart(body)
 	if err != nil {
 		x.abandon()
 		return nil, x.cutError(err)
@@ -182,6 +182,7 @@
 		return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 	}
 	events := bodyreader.NewEventReader(x.response, maxEvent)
+	events.Room = x.take
 	r.setGap(x, r.place.FirstEventLimit())
 	var start []byte
 	event, err := events.Next()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
@@ -51,6 +51,8 @@
 	Clock        clock.Clock
 	Random       *rand.Rand
 	Metrics      metrics.Registry
+	// Memory bounds what requests hold; nil for no bound.
+	Memory *Memory
 
 	mu sync.Mutex
 	// longestPatience is the longest that callers of each route were seen to wait.
@@ -63,7 +65,10 @@
 type call struct {
 	*Relayer
 	Job
+	// w is out as what it implements.
 	w       http.ResponseWriter
+	out     *callerWriter
+	account *account
 	r       *http.Request
 	message message
 	// status is that of the header that went out; 0 for none yet.
@@ -78,13 +83,16 @@
 
 // ServeHTTP implements http.Handler.
 func (l *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Relayer: l, w: w, r: r}
+	out := &callerWriter{ResponseWriter: w}
+	c := &call{Relayer: l, w: out, out: out, r: r, account: l.Memory.open()}
+	defer c.account.close()
+	c.limitWrites(defaultTimeout)
 	c.Arrived = l.Clock.Now()
 	c.Request = l.Codec.Request(r.Header)
 	c.left = func() bool { return r.Context().Err() != nil }
 	defer c.recoverPanic()
 	l.count("requests")
-	if !c.route() || !c.readBody() {
+	if !c.admitMemory() || !c.route() || !c.readBody() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
@@ -126,6 +134,7 @@
 		}
 	}
 	c.Admit(&c.Job)
+	c.limitWrites(c.Deadline.Sub(c.Clock.Now()))
 	return true
 }
 
@@ -162,13 +171,20 @@
 		c.answer(http.StatusRequestEntityTooLarge, "body too long", 0)
 		return false
 	}
+	if c.r.ContentLength > 0 && !c.takeMemory("a body", c.r.ContentLength) {
+		return false
+	}
 	control := http.NewResponseController(c.w)
 	// A writer without deadlines, as in tests, says so by an error.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := bodyreader.ReadExpected(c.bodySource(limit), limit, c.r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
+	var full *MemoryError
 	switch {
+	case errors.As(err, &full):
+		c.refuseMemory(full)
+		return false
 	case errors.As(err, &tooLong):
 		c.answer(http.StatusRequestEntityTooLarge, "body too long", 0)
 		return false
@@ -177,7 +193,7 @@
 		c.answer(http.StatusRequestTimeout, "body not read", 0)
 		return false
 	}
-	c.message = message{method: c.r.Method, target: c.r.RequestURI, host: c.r.Host, body: body,
+	c.message = message{method: c.r.Method, target: c.r.RequestURI, host: c.r.Host, body: body, account: c.account,
 		hasBody: c.r.ContentLength != 0 || len(c.r.TransferEncoding) > 0}
 	return true
 }
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -65,7 +65,7 @@
 			return nil
 		}
 		l.note(j, place, err, j.events)
-		if ctx.Err() != nil || isShutdown(err) || !l.again(j) {
+		if ctx.Err() != nil || isShutdown(err) || isUnread(err) || endsForMemory(err) || !l.again(j) {
 			return err
 		}
 		j.Again = j.attempts > 0
@@ -118,7 +118,7 @@
 	var unsent *UnsentError
 	var withheld *WithheldError
 	var blamed *localizer.BlamedError
-	return isShutdown(err) || errors.As(err, &blamed) || errors.As(err, &full) || errors.As(err, &stale) || errors.As(err, &unsent) || errors.As(err, &withheld)
+	return isShutdown(err) || isUnread(err) || endsForMemory(err) || errors.As(err, &blamed) || errors.As(err, &full) || errors.As(err, &stale) || errors.As(err, &unsent) || errors.As(err, &withheld)
 }
 
 // isOvertaken tells whether an attempt was given up while its upstream might still have gone on.
--- a/internal/reporter/service.go
+++ b/internal/reporter/service.go
@@ -46,6 +46,8 @@
 	Handler  http.Handler
 	// Grace is how long requests under way may take once the context has ended.
 	Grace time.Duration
+	// AnswerTimeout bounds the writing of an answer to a client that reads slowly; 0 for no bound.
+	AnswerTimeout time.Duration
 }
 
 // readHeaderTimeout frees a connection whose client opens it and then is silent.
@@ -56,7 +58,7 @@
 
 // Serve answers requests until the context ends.
 func (w *Web) Serve(ctx context.Context) error {
-	s := &http.Server{Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
+	s := &http.Server{Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, WriteTimeout: w.AnswerTimeout}
 	finished := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(finished)
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -36,6 +36,8 @@
 	ID string
 	// Prompt and Answer are its size in tokens.
 	Prompt, Answer int
+	// MaxAnswer is the longest answer in tokens; 0 when not told.
+	MaxAnswer int
 	// Spare jobs can't be answered within their objective any more. They get a place
 	// only while the engine has some to spare: under more load than it bears, each
 	// would make one late that could still be in time.
@@ -110,6 +112,8 @@
 	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
+	// memory is how many tokens the engine holds; 0 for any.
+	memory int
 }
 
 // place is a request that holds a place.
@@ -244,6 +248,10 @@
 		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-limit+1)
 		return v
 	}
+	if !l.fits(j) {
+		v.Free = l.scaled(TurnTime(l.engine))
+		return v
+	}
 	if !l.until.IsZero() && now.Add(v.Takes).After(l.until) {
 		v.Free = max(0, l.until.Sub(now)) + l.engine.Load
 		return v
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -64,6 +64,8 @@
 	Waiting, Running int
 	// Pace is how much slower than its figures it works; 0 when not told.
 	Pace float64
+	// Memory is how many tokens of whole requests it holds; 0 when not told.
+	Memory int
 	// StartedAt is its start.
 	StartedAt time.Time
 }
@@ -339,6 +341,7 @@
 	}
 	s.looked = s.Registrar.View().Revision
 	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
+	s.Ledger.SetMemory(r.Memory)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report, s.reportedAt = r, asked
