Hoster: reset callers' connections whose write times out

net/http closes a connection when a write fails. To a caller that doesn't read, the kernel would go on to deliver what is unread, and a reply without chunks or a length would end as if it were whole.

--- a/internal/hoster/cut_test.go
+++ b/internal/hoster/cut_test.go
@@ -93,3 +93,21 @@
 	must.NoError(t, err)
 	must.StrHasPrefix(t, "HTTP/1.1 502", got)
 }
+
+// Guards against a reply that is cut as its caller doesn't read, and that the caller, who gets no chunks, takes for whole
+// when it reads on.
+func TestUnreadReplyIsReset(t *testing.T) {
+	failed := make(chan struct{})
+	_, reply := asksHoster(t, time.Second, "GET / HTTP/1.0\r\n\r\n", func(w http.ResponseWriter, _ *http.Request) {
+		defer close(failed)
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+		for piece := make([]byte, 64<<10); ; {
+			if _, err := w.Write(piece); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	})
+	<-failed
+	_, err := reply()
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/internal/hoster/idle.go
+++ b/internal/hoster/idle.go
@@ -1,8 +1,10 @@
 package hoster
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 
@@ -36,6 +38,17 @@
 	return n, err
 }
 
+// Write writes to the caller. When a deadline ends a write to one that doesn't read, net/http closes the connection: the
+// kernel would keep what is unread, and a reply without chunks or a length would end as if it were whole.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// A connection that is over already needs no reset.
+		_ = c.SetLinger(0)
+	}
+	return n, err
+}
+
 // SetLinger has connector.Reset reset the connection.
 func (c *conn) SetLinger(seconds int) error {
 	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
