--- a/internal/relayer/memory.go
+++ b/internal/relayer/memory.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -18,8 +17,8 @@
 
 const (
 	// requestBytes is what a request holds besides its body and its reply: the buffers of two connections, an event
-	// reader and stacks. 200 streams that nobody reads held 34 kB each.
-	requestBytes = 36 << 10
+	// reader and, for about half of it, the stacks of its goroutines.
+	requestBytes = 64 << 10
 	// unkeptReply is how much of a plain reply is read without being counted, in bytes: it is part of requestBytes.
 	unkeptReply = 4 << 10
 )
@@ -214,13 +213,3 @@
 	_, err := io.CopyBuffer(c.w, body, buffer[:])
 	return err
 }
-
-// writeMargin is how much after a request's deadline its caller may still be written to: the final answer goes out
-// shortly before the deadline.
-const writeMargin = 500 * time.Millisecond
-
-// limitWrites bounds writes to the caller, which block for as long as it doesn't read.
-func (c *call) limitWrites(left time.Duration) {
-	// A writer without deadlines, as in tests, says so by an error.
-	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(left + writeMargin))
-}
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -187,7 +187,11 @@
 	var start []byte
 	event, err := events.Next()
 	for ; err == nil; event, err = events.Next() {
-		start = append(start, event...)
+		if start == nil {
+			start = event
+		} else {
+			start = append(start, event...)
+		}
 		if err := r.sequence.take(event, r.c.Codec.EventVersion(event)); err != nil {
 			x.abandon()
 			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -86,7 +86,7 @@
 	out := &callerWriter{ResponseWriter: w}
 	c := &call{Relayer: l, w: out, out: out, r: r, account: l.Memory.open()}
 	defer c.account.close()
-	c.limitWrites(defaultTimeout)
+	out.limit(defaultTimeout)
 	c.Arrived = l.Clock.Now()
 	c.Request = l.Codec.Request(r.Header)
 	c.left = func() bool { return r.Context().Err() != nil }
@@ -134,7 +134,7 @@
 		}
 	}
 	c.Admit(&c.Job)
-	c.limitWrites(c.Deadline.Sub(c.Clock.Now()))
+	c.out.limit(c.Deadline.Sub(c.Clock.Now()))
 	return true
 }
 
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -36,6 +36,8 @@
 func (c *call) relayStream(ctx context.Context, r *receivedReply) error {
 	x := r.x
 	event, err := r.start, r.end
+	// Kept, it would take as much memory again for the whole of the stream.
+	r.start = nil
 	for {
 		ended := errors.Is(err, io.EOF)
 		switch {
--- a/internal/relayer/unread.go
+++ b/internal/relayer/unread.go
@@ -21,6 +21,10 @@
 	// unreadFor is for how long after a blocked write a cut of the reply is the caller's fault: upstreams cut replies
 	// that nobody reads, and what had come by then is read before the cut shows.
 	unreadFor = 3 * time.Second
+	// writeMargin is how much after a request's deadline its caller may still be written to, and how long any write
+	// may take at least: the final answer goes out shortly before the deadline, and late where this process stood
+	// still.
+	writeMargin = 500 * time.Millisecond
 )
 
 // UnreadError reports a reply that its upstream cut while the caller didn't read it.
@@ -37,6 +41,9 @@
 	// from is the connection on which the reply comes; nil for none.
 	from atomic.Pointer[connection]
 
+	// until is the deadline of writes.
+	until time.Time
+
 	mu      sync.Mutex
 	timer   *time.Timer
 	writing bool
@@ -62,7 +69,17 @@
 	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
+// limit bounds writes, which block for as long as the caller doesn't read, to the time that it still waits.
+func (w *callerWriter) limit(left time.Duration) {
+	w.until = time.Now().Add(left + writeMargin)
+	// A writer without deadlines, as in tests, says so by an error.
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(w.until)
+}
+
 func (w *callerWriter) begin() {
+	if time.Until(w.until) < writeMargin {
+		w.limit(0)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.writing, w.looks = true, 0
