--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -179,6 +179,7 @@
 	"Stream cut":            "broken off: no upstream could go on behind lastEvent",
 	"Reply cut":             "broken off: the upstream broke off a long reply",
 	"Caller left":           "the caller closed its connection first",
+	"Caller doesn't read":   "a write to the caller was blocked for long, and its reply ended so",
 	"Cut as the entry ends": "the entry reached the end of its grace first",
 
 	"Handler panicked": "a fault of the entry itself; the stack is in the line",
