--- a/cmd/oriolecroft/platform_blame_test.go
+++ b/cmd/oriolecroft/platform_blame_test.go
@@ -107,6 +107,7 @@
 func (e *engines) Ended(string, string, bool, int)        {}
 func (e *engines) Failed(string, string)                  {}
 func (e *engines) Flooded(string, string, int)            {}
+func (e *engines) Unread(string, string)                  {}
 
 // sentLate counts the requests with the part that reached an engine although they were sent too late after
 // the fifth crash.
--- a/soak/auditor/arrivals.go
+++ b/soak/auditor/arrivals.go
@@ -30,6 +30,8 @@
 	}
 	a.judgePlace(r, u)
 	a.judgeStated(r, u)
+	a.judgeUnread(r)
+	a.judgePriority(r, e)
 	a.judgeFatal(r, u)
 	a.judgeKey(r, e)
 	a.judgeTables(r, u)
--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -45,6 +45,8 @@
 	Gone          Promise = "nothing is sent for callers that left"
 	Abandoned     Promise = "no work goes on for callers that left"
 	Reload        Promise = "settings are read again when asked"
+	UnreadOnce    Promise = "a reply that its caller doesn't read isn't started elsewhere"
+	Priority      Promise = "upstreams get the operators' priorities"
 	Memory        Promise = "processes keep to the memory of their VM"
 	Exit          Promise = "no process ends by itself"
 	Recovery      Promise = "requests are served once the faults are over"
@@ -53,7 +55,7 @@
 // Promises lists all, in the order of the report.
 var Promises = []Promise{
 	Once, Refusal, Whole, Cut, Unchanged, Stream, FailedTwice, Weights, Version, Drain, LeavingStated, Rest, Evacuation, Cold, Fatal, Sound, Budget, Attempts, Home, Keys,
-	Config, Regress, Denial, Graceful, Kept, Replied, Flood, Directory, Deadline, Gone, Abandoned, Reload, Memory, Exit, Recovery,
+	Config, Regress, Denial, Graceful, Kept, Replied, Flood, Directory, Deadline, Gone, Abandoned, Reload, UnreadOnce, Priority, Memory, Exit, Recovery,
 }
 
 // Broken is a promise that was not kept.
@@ -110,6 +112,8 @@
 		a.judgeRun(e)
 	case Ended:
 		a.judgeEnd(e)
+	case Unread:
+		a.checked[UnreadOnce]++
 	case Reloaded:
 		a.judgeReload(e)
 	case Directed:
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -28,7 +28,7 @@
 	return auditor.Table{
 		Version: 1,
 		Routes: []auditor.Route{
-			{Prefix: "/book/", Service: "shed", Once: true, Attempts: 2}, {Prefix: "/look/", Service: "shed", Attempts: 2},
+			{Prefix: "/book/", Service: "shed", Once: true, Attempts: 2}, {Prefix: "/look/", Service: "shed", Attempts: 2, Priority: "2"},
 			{Prefix: "/home/", Service: "shed", Attempts: 2, Regions: []string{"huon"}},
 		},
 		Keys: map[string]auditor.Workspace{"k": {Name: "w"}},
@@ -399,6 +399,7 @@
 	cases = append(cases, fatalCases...)
 	cases = append(cases, repliedCases...)
 	cases = append(cases, floodCases...)
+	cases = append(cases, unreadCases...)
 	noticed := map[auditor.Promise]bool{}
 	for _, c := range cases {
 		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
@@ -528,6 +529,7 @@
 	cases = append(cases, allowedFatalCases...)
 	cases = append(cases, allowedRepliedCases...)
 	cases = append(cases, allowedFloodCases...)
+	cases = append(cases, allowedUnreadCases...)
 	for _, c := range cases {
 		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
 			d := newDay()
--- a/soak/auditor/events.go
+++ b/soak/auditor/events.go
@@ -69,6 +69,8 @@
 	// stay with the system.
 	Workspace, Key string
 	Left           time.Duration
+	// Priority is the request's; empty for none.
+	Priority string
 }
 
 // Rejected is a request that an upstream refused, asking the entry for rest.
@@ -105,6 +107,9 @@
 	Long bool
 }
 
+// Unread is a request whose reply its upstream has cut off as nobody read it.
+type Unread struct{ ID, Upstream string }
+
 // Measured is the most memory that a process has taken so far, of what it may, in bytes.
 type Measured struct {
 	Who            string
@@ -143,12 +148,15 @@
 	Public   bool
 	Attempts int
 	Regions  []string
+	Priority string
 }
 
 // Workspace is a holder of keys.
 type Workspace struct {
 	Name    string
 	Regions []string
+	// Priority goes before that of routes; empty for none.
+	Priority string
 }
 
 // Named is the confirmation of a version of the weights.
@@ -223,6 +231,7 @@
 func (Started) event()    {}
 func (Stopping) event()   {}
 func (HungUp) event()     {}
+func (Unread) event()     {}
 func (Reloaded) event()   {}
 func (Exited) event()     {}
 func (Directed) event()   {}
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -37,6 +37,8 @@
 	// failed counts the upstreams that failed at it in turn.
 	failed int
 	answer *Answered
+	// unreadBy is the upstream that cut its reply off unread; empty for none.
+	unreadBy string
 	// answeredAt is when the caller had its answer or left.
 	answeredAt time.Time
 }
@@ -158,6 +160,10 @@
 		}
 	case Flooded:
 		h.noteFlood(e)
+	case Unread:
+		if r := h.requests[e.ID]; r != nil {
+			r.unreadBy = e.Upstream
+		}
 	case Joined:
 		h.upstreams[e.Upstream] = &upstream{Joined: e, coldUntil: h.now.Add(e.Cold)}
 	case Leaving:
--- a/soak/soaker/callers.go
+++ b/soak/soaker/callers.go
@@ -55,14 +55,17 @@
 }
 
 // run asks until the context ends. What was asked by then is waited for.
-func (c *caller) run(ctx context.Context) {
+func (c *caller) run(ctx context.Context) { c.runWith(ctx, c.draw) }
+
+// runWith is run with requests that are drawn in some way.
+func (c *caller) runWith(ctx context.Context, draw func() *standin.Request) {
 	for sleep(ctx, time.Duration(c.random.Int64N(int64(mostThought)))) {
 		c.resolve(ctx)
 		if !c.connect(ctx) {
 			sleep(ctx, retryPause)
 			continue
 		}
-		sleep(ctx, c.ask(c.draw()))
+		sleep(ctx, c.ask(draw()))
 	}
 	c.hangUp()
 }
--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -254,6 +254,8 @@
 		w.origin.Spoil.Store(0)
 	case callersBurst:
 		w.burst(f)
+	case callersSlow:
+		w.readSlowly(f)
 	}
 }
 
--- a/soak/soaker/operators.go
+++ b/soak/soaker/operators.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +31,11 @@
 	removedPrefix = "key-removed-"
 )
 
+// priorities are those of the routes, the most urgent for others; homesPriority is that of a workspace, before them.
+var priorities = map[string]int{oncePrefix: 2, homePrefix: 1, lookPrefix: 2, publicPrefix: 3, comingPrefix: 1}
+
+const homesPriority = 4
+
 // operators write to the store what the deployment is to do, and tell the auditor when
 // that is confirmed.
 type operators struct {
@@ -47,9 +53,10 @@
 	o := &operators{world: w, weights: 1}
 	route := func(prefix, service string, kind standin.Kind) standin.Route {
 		return standin.Route{
-			Name: prefix, Prefix: prefix, Service: service, Kind: kind, Attempts: 2, Timeout: 3 * time.Second,
+			Name: prefix, Prefix: prefix, Service: service, Kind: kind, Attempts: 2, Timeout: 3 * time.Second, Priority: priorities[prefix],
 		}
 	}
+	homePriority := homesPriority
 	drafts, once, homes := route(draftPrefix, engineService, standin.Streaming), route(oncePrefix, engineService, standin.Streaming), route(homePrefix, engineService, standin.Streaming)
 	drafts.Resume, homes.Resume = true, true
 	homes.Regions = []string{homeRegion}
@@ -63,7 +70,7 @@
 			route(lookPrefix, bookingService, standin.Idempotent), route(movingPrefix, bookingService, standin.NonIdempotent),
 		},
 		Workspaces: []standin.Workspace{
-			{Name: "steady", Keys: []string{steadyKey}}, {Name: "home", Keys: []string{homeKey}, Regions: []string{homeRegion}},
+			{Name: "steady", Keys: []string{steadyKey}}, {Name: "home", Keys: []string{homeKey}, Regions: []string{homeRegion}, Priority: &homePriority},
 			{Name: "changing", Keys: []string{removedPrefix + "0"}},
 		},
 	}
@@ -85,11 +92,15 @@
 		r := &o.table.Routes[i]
 		t.Routes = append(t.Routes, auditor.Route{
 			Prefix: r.Prefix, Service: r.Service, Once: r.Once(), Public: r.Public, Attempts: r.Attempts, Regions: r.Regions,
+			Priority: strconv.Itoa(r.Priority),
 		})
 	}
 	for _, w := range o.table.Workspaces {
 		for _, k := range w.Keys {
 			t.Keys[k] = auditor.Workspace{Name: w.Name, Regions: w.Regions}
+			if w.Priority != nil {
+				t.Keys[k] = auditor.Workspace{Name: w.Name, Regions: w.Regions, Priority: strconv.Itoa(*w.Priority)}
+			}
 		}
 	}
 	o.note(auditor.Configured{Table: t})
@@ -116,6 +127,7 @@
 	} else {
 		routes = append(routes, standin.Route{
 			Name: comingPrefix, Prefix: comingPrefix, Service: portalService, Kind: standin.Idempotent, Attempts: 2, Timeout: 3 * time.Second,
+			Priority: priorities[comingPrefix],
 		})
 	}
 	o.table.Routes = routes
--- a/soak/soaker/place.go
+++ b/soak/soaker/place.go
@@ -210,6 +210,9 @@
 // Failed implements standin.Observer.
 func (o observer) Failed(id, upstream string) { o.note(auditor.Failed{ID: id, Upstream: upstream}) }
 
+// Unread implements standin.Observer.
+func (o observer) Unread(id, upstream string) { o.note(auditor.Unread{ID: id, Upstream: upstream}) }
+
 // Flooded implements standin.Observer.
 func (o observer) Flooded(id, upstream string, sent int) {
 	o.note(auditor.Flooded{ID: id, Upstream: upstream, Long: sent > 0})
--- a/soak/soaker/plan.go
+++ b/soak/soaker/plan.go
@@ -70,6 +70,7 @@
 	upstreamsFail  faultKind = "two upstreams fail at one request"
 	storeLate      faultKind = "store's watches answer late"
 	upstreamsFlood faultKind = "upstreams send bytes without end"
+	callersSlow    faultKind = "callers read slowly"
 	storeFloods    faultKind = "store sends bytes without end"
 	weightsLate    faultKind = "weights named, announced late and staged slowly"
 )
@@ -183,6 +184,7 @@
 	faults = append(faults, incident(seed, last)...)
 	faults = append(faults, doubleFailures(seed, last)...)
 	faults = append(faults, floods(seed, last)...)
+	faults = append(faults, slowness(seed, last)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
 	return inTurn(besideIncident(faults, last))
 }
