scheduler: slow start of upstreams that have started or recovered

An engine that had just started got all requests that its slots allow at once, and an upstream that had failed repeatedly got its full share after its pause. Ramp is a concurrency limit that grows with good answers and with time and halves with bad ones. The ledger has one for its engine, each chooser one for upstreams that it had ejected twice in a row and for plain upstreams that are cold. Cold bounds hold beside it.

The cost of earlier failures at a plain upstream now halves every two seconds: only good answers lowered it before, and an upstream that had failed twice got none while others had room.

--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -45,6 +45,8 @@
 	UpstreamTerms Mechanism = "upstreamTerms"
 	// PromptBlame refuses prompts with a part that crashes engines.
 	PromptBlame Mechanism = "promptBlame"
+	// SlowStart limits what an upstream gets that has just started or recovered.
+	SlowStart Mechanism = "slowStart"
 	// RetryJitter spreads the Retry-After of callers that are refused together.
 	RetryJitter Mechanism = "retryJitter"
 	// RetryBudget bounds retries to a share of first attempts.
@@ -55,7 +57,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
-		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, RetryJitter, RetryBudget,
+		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, SlowStart, RetryJitter, RetryBudget,
 	}
 }
 
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -61,6 +61,8 @@
 	Slots int
 	// Empty engines were last heard to hold no weights.
 	Empty bool
+	// Plain upstreams have no agent that counts for them; Cold tells of one of these that it has just started.
+	Plain, Cold bool
 }
 
 // Chooser remembers what an entry met at each upstream. It is safe for concurrent
@@ -70,10 +72,14 @@
 	Random *rand.Rand
 	// Without are the mechanisms that an experiment switches off.
 	Without ablator.Set
+	// Sharers is among how many entries an upstream's slots are divided while it ramps; nil for one.
+	Sharers func() int
 
 	mu    sync.Mutex
 	seen  map[string]*seen
 	swept time.Time
+	// rampsHeardUntil is the latest of all rampsUntil.
+	rampsHeardUntil time.Time
 }
 
 // seen is what is known of one upstream.
@@ -107,6 +113,7 @@
 	used        time.Time
 	cold        rateTurn
 	limited     rateTurn
+	ramped
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -147,10 +154,15 @@
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	r := &Ranking{left: make([]scored, 0, len(candidates))}
+	ramps := false
 	for i, k := range candidates {
 		s := c.at(k.ID, now)
 		c.restart(s, k.StartedAt)
 		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now)})
+		ramps = ramps || s.rampDue(k, now)
+	}
+	if ramps {
+		c.holdBack(r.left, candidates, now)
 	}
 	heap.Init(&r.left)
 	c.sweep(now)
@@ -180,7 +192,7 @@
 		active = max(active, float64(s.running)/float64(k.Slots))
 	}
 	cost += time.Duration(active * float64(fullCost))
-	cost += time.Duration(s.failing * float64(failureCost))
+	cost += time.Duration(s.failing * c.failureDecay(s, k, now) * float64(failureCost))
 	if k.Empty {
 		cost += emptyCost
 	}
@@ -333,6 +345,10 @@
 	defer c.mu.Unlock()
 	s := c.of(id)
 	s.failing += failureWeight * (1 - s.failing)
+	s.failedAt = c.Clock.Now()
+	if s.ramp != nil {
+		s.ramp.Bad(c.Clock.Now())
+	}
 	if !dead {
 		return
 	}
@@ -357,12 +373,13 @@
 func (s *seen) avoid(now time.Time) {
 	s.avoidUntil = now.Add(min(firstAvoid<<min(s.failures, 10), maxAvoid))
 	s.failures++
+	s.ejected, s.ejectedAt = s.failures >= trialFailures, now
 }
 
 // resume notes that a reply went on.
 func (s *seen) resume() {
 	if s.stalled {
-		s.stalled, s.failures, s.avoidUntil = false, 0, time.Time{}
+		s.stalled, s.failures, s.avoidUntil, s.ejected = false, 0, time.Time{}, false
 	}
 }
 
@@ -416,6 +433,7 @@
 	s := c.of(id)
 	s.alive = c.Clock.Now()
 	s.resume()
+	s.judgeAlive()
 }
 
 // Lives tells whether an upstream whose agent is silent showed life just now.
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -43,6 +43,8 @@
 	// Patience is how long it may wait before its prompt is read, Left how long its
 	// caller waits for the whole.
 	Patience, Left time.Duration
+	// Beyond is why it may be let in beyond the limit of a ramp.
+	Beyond Beyond
 }
 
 // Verdict is the answer to a job.
@@ -66,6 +68,8 @@
 	// BeginWithin is for how much longer the engine's weights may begin replies, for a granted job;
 	// 0 for any time.
 	BeginWithin time.Duration
+	// Ramp is the state of the engine's slow start; nil while there is none.
+	Ramp *RampState
 }
 
 // Ledger holds the places of one engine. It answers arrivals in bursts: without it
@@ -110,6 +114,7 @@
 	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
+	ramp ledgerRamp
 }
 
 // place is a request that holds a place.
@@ -120,6 +125,10 @@
 	started bool
 	// orphaned places are those whose owner's connection is over.
 	orphaned bool
+	// goodUntil is by when its first event is good during a ramp; zero outside one. Judged tells that it
+	// has counted for the ramp.
+	goodUntil time.Time
+	judged    bool
 }
 
 // Open lets jobs in, by the figures of the engine.
@@ -127,6 +136,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.engine, l.closed, l.opens = e, "", time.Time{}
+	l.rampOn(l.Clock.Now())
 }
 
 // Close lets nothing in any more; why is told to whoever asks.
@@ -137,6 +147,9 @@
 func (l *Ledger) CloseUntil(why string, opens time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed == "" {
+		l.ramp.closedAt = l.Clock.Now()
+	}
 	l.closed, l.opens = why, opens
 }
 
@@ -257,6 +270,9 @@
 		v.Free = v.Wait - j.Patience
 		return v
 	}
+	if l.rampHolds(j, &v, now) {
+		return v
+	}
 	if v.Free = l.coldWait(now); v.Free > 0 {
 		return v
 	}
@@ -264,6 +280,7 @@
 		return Verdict{Closed: RateLimited}
 	}
 	l.grant(j, owner, now)
+	l.expect(l.held[j.ID], v.Wait, v.Active+1, now)
 	v.Granted = true
 	if !expiry.IsZero() {
 		v.BeginWithin = expiry.Add(OldWeightsMargin).Sub(now)
@@ -397,6 +414,7 @@
 	defer l.mu.Unlock()
 	if p := l.held[id]; p != nil && !p.started {
 		p.started = true
+		l.judgeStart(p, l.Clock.Now())
 		l.reckon()
 	}
 }
