relayer, granter, stager: agents hear of failed requests and tell of slow starts

Progress names the ended requests that the engine refused or failed to answer, a verdict has the state of the slow start. An entry whose request found no slot elsewhere asks again engines that answer well, and requests need not keep to slow starts where most engines have them. Gauge ramping.SERVICE at entries and agents.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
@@ -113,7 +114,8 @@
 		ID: s.Name, Region: s.Region, Registrar: d.registrar, Store: d.store,
 		Seeds: s.Seeds, Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
-	d.tick()
+	ramping := metrics.GetOrRegisterGauge("ramping."+s.Service, d.metrics)
+	d.tick(func() { ramping.Update(count(ledger.Ramping())) })
 	g := &granter.Granter{Ledger: ledger, Holds: st.Holds, EngineStart: st.EngineStart, Poll: st.Poll, Clock: d.clock}
 	if err := addAgentListeners(d, l, digests, g); err != nil {
 		return err
@@ -126,6 +128,14 @@
 	}, d.readiness)
 }
 
+// count is one for what is so.
+func count(is bool) int64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // linkLimit paces what is sent to other agents; nil when the link's rate isn't known.
 func linkLimit(link int64) *rate.Limiter {
 	if link <= 0 {
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -56,7 +56,7 @@
 
 func newPlatformEntry(d *daemon) (*platformEntry, error) {
 	s := d.settings
-	chooser := &scheduler.Chooser{Clock: d.clock, Random: newRandom()}
+	chooser := &scheduler.Chooser{Clock: d.clock, Random: newRandom(), Sharers: func() int { return len(d.members()) }}
 	d.observer = &observer.Observer{Clock: d.clock, Metrics: d.metrics}
 	d.localizer = &localizer.Localizer{Entry: s.Name, Clock: d.ages, WallClock: d.clock, Metrics: d.metrics, Members: d.members}
 	placer := &relayer.Placer{
@@ -96,7 +96,7 @@
 	}
 	requests.BlamesSynced = evidence.Synced
 	d.parts.Add(evidence)
-	d.tick(pool.Sweep, placer.Sweep, requests.SweepCuts)
+	d.tick(pool.Sweep, placer.Sweep, placer.NoteRamps, requests.SweepCuts)
 	return e, e.listenAll()
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -55,19 +55,28 @@
 	}
 	v := g.Ledger.Reserve(scheduler.Job{
 		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
+		Beyond: scheduler.Beyond(q.BeyondRamp),
 	}, from)
 	if v.Granted || g.logs() {
 		klog.InfoS("Place asked", "request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
 			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
-			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0))
+			"unreserved", v.Unreserved, "observed", v.Observed, "held", v.Ramp != nil && v.Ramp.Held, "unlogged", g.unlogged.Swap(0))
 	}
 	return messenger.Verdict{
 		Granted: v.Granted, Closed: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
 		TakesMS: v.Takes.Milliseconds(), FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
-		BeginWithinMS: v.BeginWithin.Milliseconds(),
+		BeginWithinMS: v.BeginWithin.Milliseconds(), Ramp: rampOf(v.Ramp),
 	}
 }
 
+// rampOf is the state of a ramp on the wire.
+func rampOf(r *scheduler.RampState) *messenger.Ramp {
+	if r == nil {
+		return nil
+	}
+	return &messenger.Ramp{Limit: r.Limit, Held: r.Held, Well: r.Well}
+}
+
 // AnotherEngine is why nothing is granted for an engine that isn't the one beside the agent.
 const AnotherEngine = "another engine"
 
@@ -107,6 +116,12 @@
 	for _, id := range p.Started {
 		g.Ledger.Started(id)
 	}
+	for _, id := range p.Failed {
+		g.Ledger.Failed(id, false)
+	}
+	for _, id := range p.Refused {
+		g.Ledger.Failed(id, true)
+	}
 	for _, id := range p.Ended {
 		g.Ledger.Ended(id)
 	}
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -33,6 +33,8 @@
 	// Limit is the rate limit that the engine last stated to this entry; nil for one that never
 	// stated any.
 	Limit *RateLimit `json:"limit,omitempty"`
+	// BeyondRamp is why the engine's slow start should not keep it out, as scheduler.Beyond.
+	BeyondRamp string `json:"beyondRamp,omitempty"`
 }
 
 // RateLimit is a limit that an upstream states in its replies.
@@ -65,6 +67,17 @@
 	Slots  int `json:"slots"`
 	// BeginWithinMS is for how much longer the weights may begin replies; 0 for any time.
 	BeginWithinMS int64 `json:"beginWithinMs,omitempty"`
+	// Ramp is the engine's slow start; nil while there is none.
+	Ramp *Ramp `json:"ramp,omitempty"`
+}
+
+// Ramp is the state of an engine's slow start.
+type Ramp struct {
+	// Limit is how many requests may hold slots now.
+	Limit int `json:"limit"`
+	// Held tells that the limit alone kept the request out, Well that the engine answers well so far.
+	Held bool `json:"held,omitempty"`
+	Well bool `json:"well,omitempty"`
 }
 
 // Progress tells an agent what became of reservations, by their names.
@@ -72,6 +85,9 @@
 	// Started requests have their first event, Ended ones need no place any more.
 	Started []string `json:"started,omitempty"`
 	Ended   []string `json:"ended,omitempty"`
+	// Failed ones of Ended the engine failed to answer, Refused ones it refused.
+	Failed  []string `json:"failed,omitempty"`
+	Refused []string `json:"refused,omitempty"`
 }
 
 // Reserve asks an agent for a place.
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -160,7 +160,7 @@
 	for _, f := range []struct {
 		name  string
 		count int
-	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}} {
+	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}, {"ramping", m.Ramping}} {
 		if f.count > 0 {
 			fields = append(fields, f.name, f.count)
 		}
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -38,7 +38,7 @@
 	asked := p.Registrar.Clock.Now()
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
 	v, err := agent.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), Spare: p.late(j),
+		BeyondRamp: string(j.beyond), Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), Spare: p.late(j),
 		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
 	})
 	if ctx.Err() != nil {
@@ -61,6 +61,7 @@
 		return nil, &v
 	}
 	p.Chooser.Heard(u.ID, v.Wait(), load(v))
+	p.Chooser.HeardRamp(u.ID, v.Ramp != nil, v.Closed == "")
 	if !v.Granted {
 		return nil, &v
 	}
@@ -74,14 +75,15 @@
 		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		return nil, &v
 	}
-	return &Place{
+	place := &Place{
 		Upstream: u, Wait: v.Wait(), Ends: p.ends(&v), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
 		started: func() { agent.Tell(messenger.Progress{Started: []string{j.ID}}) },
-		ended: func() {
-			p.Chooser.End(u.ID)
-			agent.Tell(messenger.Progress{Ended: []string{j.ID}})
-		},
-	}, &v
+	}
+	place.ended = func() {
+		p.Chooser.End(u.ID)
+		agent.Tell(place.progressAtEnd(j.ID))
+	}
+	return place, &v
 }
 
 // noteAnotherEngine takes an upstream out of use whose agent stands beside another start of the engine.
@@ -127,6 +129,9 @@
 	if v.Slots == 0 {
 		return closedLoad
 	}
+	if v.Ramp != nil {
+		return float64(v.Active) / float64(min(v.Slots, max(1, v.Ramp.Limit)))
+	}
 	return float64(v.Active) / float64(v.Slots)
 }
 
@@ -187,6 +192,7 @@
 // Tell implements Agent.
 func (a networkAgent) Tell(p messenger.Progress) {
 	p.Started, p.Ended = a.numbered(p.Started), a.numbered(p.Ended)
+	p.Failed, p.Refused = a.numbered(p.Failed), a.numbered(p.Refused)
 	go func() {
 		if err := a.Client.Tell(context.Background(), p); err != nil {
 			klog.V(1).InfoS("Progress not told", "agent", a.Address, "err", err)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -177,6 +177,7 @@
 	c.count("replies_by_" + x.framing().String())
 	if status < 500 {
 		c.Chooser.Served(upstream)
+		c.judgeAnswer(x)
 	}
 	c.count("served")
 	took := c.Clock.Since(c.Arrived)
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -60,8 +60,10 @@
 	free, opens := time.Duration(0), time.Duration(0)
 	var waits []engineWait
 	var endsLate *ShutdownError
+	var ramping []*registrar.UpstreamView
+	j.beyond = p.beyondRamps(us)
 	met := &j.met
-	met.PassedOver, met.Unasked, met.Silent, met.Connections, met.EndsLate = 0, 0, 0, 0, 0
+	met.PassedOver, met.Unasked, met.Silent, met.Connections, met.EndsLate, met.Ramping = 0, 0, 0, 0, 0, 0
 	order := p.order(us, j.Model)
 	for next, ok := order.Next(); ok; next, ok = order.Next() {
 		u, first := us[next], len(us)-order.Left() <= firstAsked
@@ -107,6 +109,11 @@
 			continue
 		}
 		free = least(free, v.Free())
+		if isHeld(v) {
+			met.Ramping++
+			ramping = p.noteHeld(u, j, v, ramping)
+			continue
+		}
 		room := v.Wait() <= budget && v.Active < v.Slots
 		if !room || limit == budget {
 			p.noteFull(u.ID, j, v.Free())
@@ -132,6 +139,12 @@
 			p.noteFull(w.upstream.ID, j, v.Free())
 		}
 	}
+	if place := p.askBeyondRamp(ctx, view, ramping, j, budget); place != nil {
+		return place, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if endsLate != nil {
 		return nil, p.refuse(j, endsLate)
 	}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -79,7 +79,9 @@
 	reply    Reply
 	// written is closed once the request is sent whole.
 	written chan struct{}
-	stop    func() bool
+	// sentAt is when the sending began.
+	sentAt time.Time
+	stop   func() bool
 	// begun is called once the request has begun, or is over.
 	begun func()
 }
@@ -129,6 +131,7 @@
 		return nil, &SendError{Upstream: upstream, Outcome: retrier.NotRun, Err: &UnsentError{Err: ctx.Err()}}
 	}
 	conn.lastRead = time.Now()
+	x.sentAt = conn.lastRead
 	if err := x.write(m); err != nil {
 		x.abandon()
 		return nil, x.failed(err)
--- a/internal/relayer/hedge.go
+++ b/internal/relayer/hedge.go
@@ -174,6 +174,7 @@
 // hedgeFailed notes a hedge that failed while the first upstream is still silent.
 func (c *call) hedgeFailed(h *hedge) {
 	c.count("hedges.failed")
+	c.judge(h.place, h.err)
 	c.note(&c.Job, h.place, h.err, 0)
 	c.endHedge(h)
 }
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -53,6 +53,8 @@
 
 	met Met
 	tries
+	// beyond is why engines should take it in beyond their slow start.
+	beyond scheduler.Beyond
 	// left tells that the caller is gone; nil for one that stays.
 	left func() bool
 }
@@ -77,6 +79,8 @@
 	BeginBy time.Time
 
 	started, ended func()
+	// attempt is what the place's upstream did with the request, for its slow start.
+	attempt attemptEnd
 }
 
 // Started tells the agent that the reply has begun: its prompt has been read.
@@ -115,6 +119,8 @@
 	// this entry had all its connections in use; at EndsLate of them the reply could not have ended
 	// before this entry does; in the last round.
 	PassedOver, Unasked, Silent, Connections, EndsLate int
+	// Ramping engines kept the request out for their slow start alone, in the last round.
+	Ramping int
 }
 
 func (e *RefusedError) Error() string {
@@ -220,6 +226,7 @@
 	for _, u := range us {
 		candidates = append(candidates, scheduler.Candidate{
 			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
+			Plain: model == "", Cold: model == "" && u.Cold > 0 && u.ColdFor() > 0,
 		})
 	}
 	return p.Chooser.Rank(candidates)
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -79,7 +79,9 @@
 	defer place.Ended()
 	j.sends++
 	j.events, j.begunAt = 0, time.Time{}
-	return attempt(ctx, place)
+	err := attempt(ctx, place)
+	j.judge(place, err)
+	return err
 }
 
 // note counts what an attempt that failed after some events means for the request and the upstream.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -130,6 +130,8 @@
 	// startedAt is when this agent observed that start, and reportedAt when the last report was asked for.
 	startedAt  time.Time
 	reportedAt time.Time
+	// silentSince is since when the engine hasn't answered; zero while it does.
+	silentSince time.Time
 	// looked is the revision of the records known when the engine last answered, and before the
 	// one when it did so last before its start. Untold tells that no record of the engine since
 	// then is known.
@@ -327,9 +329,11 @@
 		return false
 	}
 	if err != nil {
+		s.noteSilence()
 		s.closeGate("engine does not answer")
 		return false
 	}
+	s.noteAnswer(r)
 	if !r.StartedAt.Equal(s.engineStart) {
 		klog.InfoS("Engine started anew", "agent", s.ID, "startedAt", r.StartedAt, "models", r.Models)
 		s.Ledger.Reset()
