--- a/internal/simulator/ablation_test.go
+++ b/internal/simulator/ablation_test.go
@@ -38,7 +38,7 @@
 		ablator.FailureEjection: "fullRestart", ablator.FullBackoff: "lastingOverload", ablator.UnresponsiveBackoff: "silentVMs",
 		ablator.UngrantedSends: "agentsDown", ablator.AdmissionWait: "lastingOverload", ablator.RetryJitter: "lastingOverload",
 		ablator.RetryBudget: "fullRestart", ablator.LateWait: "fullRestart", ablator.UpstreamTerms: "leavers",
-		ablator.PromptBlame: "fatalPart",
+		ablator.PromptBlame: "fatalPart", ablator.SlowStart: "slowStart",
 	}
 	for _, m := range ablator.All() {
 		t.Run(string(m), func(t *testing.T) {
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -177,6 +177,7 @@
 		return &relayer.SendError{Upstream: p.Upstream.ID, Outcome: retrier.NotRun, Status: http.StatusMisdirectedRequest,
 			Err: &UpstreamError{Problem: "another engine"}}
 	}
+	c.atStarted = c.atStarted || h.hasJustStarted()
 	if c.fatal {
 		c.fatals.reach(c, j.ID)
 	}
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -217,6 +217,14 @@
 	Chance  float64       `toml:"chance"`
 	// NextFails is the chance of a request that broke off to fail at the next engine too.
 	NextFails float64 `toml:"nextFails"`
+	// SlowFor is for how long engines that have crashed work by Pace after each start, without stating it.
+	SlowFor time.Duration `toml:"slowFor"`
+	// Bears is above how many requests a second they crash again within BearsFor of a start; 0 for any.
+	Bears    int           `toml:"bears"`
+	BearsFor time.Duration `toml:"bearsFor"`
+	// Again is how often they crash again, each time UpFor after a start.
+	Again int           `toml:"again"`
+	UpFor time.Duration `toml:"upFor"`
 }
 
 // Fatal are callers of a kind whose prompts have one part that crashes engines as they begin to write an
@@ -368,8 +376,30 @@
 	if f.Fault == FaultTear && (f.Chance <= 0 || f.Chance > 1) {
 		return "engines that break replies off need a chance of up to 1"
 	}
+	if problem := f.startProblem(); problem != "" {
+		return problem
+	}
 	if f.NextFails < 0 || f.NextFails > 1 || f.NextFails > 0 && f.Fault != FaultTear {
 		return "nextFails is a chance of up to 1 of engines that break replies off"
 	}
 	return ""
 }
+
+// startProblem is problem for what a fault says of starts.
+func (f Fault) startProblem() string {
+	troubled := f.SlowFor > 0 || f.Bears > 0 || f.Again > 0
+	switch {
+	case !troubled:
+		return ""
+	case f.Fault != FaultCrash || f.Lasts <= 0:
+		return "slowFor, bears and again are of engines that crash and come back"
+	case f.SlowFor > 0 && f.Pace <= 1:
+		return "slowFor needs a pace above 1"
+	case f.Bears > 0 && f.BearsFor <= 0:
+		return "bears needs bearsFor"
+	case f.Again > 0 && f.UpFor <= 0:
+		return "again needs upFor"
+	default:
+		return ""
+	}
+}
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -56,6 +56,10 @@
 	coldUntil time.Time
 	// accepted are the moments of a cold engine's requests, for the bound on them.
 	accepted []time.Time
+	// falls is what makes the engine fall over; nil for an engine that doesn't.
+	falls *falls
+	// hidesPace tells that the engine doesn't state its pace.
+	hidesPace bool
 }
 
 // part is what comes of a request at an engine: an event, or a failure, and what the engine states of
@@ -106,7 +110,8 @@
 	}
 	h.observedStart, h.observedAt = h.startedAt, h.time.Now()
 	r := h.engine.Report(h.time.Now())
-	h.ledger.Observe(r.Running+r.Waiting, h.engine.Pace)
+	h.noteSlots(r.Running)
+	h.ledger.Observe(r.Running+r.Waiting, h.statedPace())
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
 	if h.ordered {
 		h.ledger.Close("switching weights")
@@ -180,6 +185,10 @@
 		h.accepted = append(h.accepted, now)
 		h.noteCold()
 	}
+	if h.fallsOver() {
+		h.later(box, way, part{failure: h.reset()})
+		return
+	}
 	if !h.engine.Add(r, now) {
 		h.later(box, way, part{failure: h.failure(retrier.NotRun, http.StatusServiceUnavailable, "larger than the memory")})
 		return
@@ -319,13 +328,18 @@
 	})
 }
 
+func (h *host) reset() *relayer.SendError {
+	reset := h.failure(retrier.Unknown, 0, "connection reset")
+	reset.Err = &UpstreamError{Problem: "connection reset", Err: syscall.ECONNRESET}
+	return reset
+}
+
 // end ends the engine with all that it runs.
 func (h *host) end() {
 	h.starts++
 	h.down = true
 	h.pausedUntil = time.Time{}
-	reset := h.failure(retrier.Unknown, 0, "connection reset")
-	reset.Err = &UpstreamError{Problem: "connection reset", Err: syscall.ECONNRESET}
+	reset := h.reset()
 	for _, id := range slices.Sorted(maps.Keys(h.streams)) {
 		h.later(h.streams[id], h.Network.OtherRegion, part{failure: reset})
 	}
@@ -346,6 +360,7 @@
 	h.startedAt = h.time.Now()
 	h.coldUntil = h.time.Now().Add(h.Engine.Cold)
 	h.ledger.Reset()
+	h.ledger.BeginRamp(scheduler.EngineStarted)
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
 	h.noWeights = true
 	h.time.In(h.Engine.Load, func() { h.noWeights = false })
--- a/internal/simulator/plan.go
+++ b/internal/simulator/plan.go
@@ -139,6 +139,7 @@
 		})
 		after(func() {
 			h.start()
+			h.begin(f)
 			h.change(h.id, h.record(h.Engine.Cold), h.News.Delay)
 		})
 	case FaultSilent:
--- a/internal/simulator/print.go
+++ b/internal/simulator/print.go
@@ -85,15 +85,22 @@
 	p.line("seed" + heading)
 	all := map[string]*Row{}
 	excess, torn, twice, cut, short := 0, 0, 0, 0, 0
+	var starts Starts
 	for _, r := range reports {
 		p.row(fmt.Sprint(r.Seed), r.Total)
 		join(all, r.Total)
 		excess += r.ColdExcess
+		starts.add(r.Starts)
 		torn, twice, cut, short = torn+r.Torn, twice+r.Twice, cut+r.Cut, short+r.Short
 	}
 	if len(reports) > 1 {
 		p.row("all", *all[reports[0].Total.Name])
 	}
+	if starts.Sent > 0 {
+		p.line("")
+		p.line("requests sent to engines within %v of a start: %d, in time %.3f, failed %d; slots idle there: %.3f, engines that fell over: %d",
+			justStarted, starts.Sent, float64(starts.InTime)/float64(starts.Sent), starts.Failed, starts.Idle(), starts.Crashes)
+	}
 	if excess > 0 {
 		p.line("")
 		p.line("requests beyond the bound of cold engines: %d", excess)
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -38,6 +38,8 @@
 	Owed, Earned float64
 	// Size is its class by size within its kind.
 	Size string
+	// atStarted tells that it was sent to an engine shortly after its start.
+	atStarted bool
 }
 
 // The classes by size.
@@ -69,6 +71,8 @@
 	FatalSent, FatalLate, FatalRefused, Crashes int
 	// Blamed are the parts of prompts that any entry has come to refuse, sorted.
 	Blamed []string
+	// Starts is what became of requests at engines that had just started.
+	Starts Starts
 	// Total is over all requests.
 	Total Row
 	// Tables are by kind, workspace, size and failure domain.
@@ -138,6 +142,7 @@
 	for i := range r.Experiment.Kinds {
 		r.value(&r.Experiment.Kinds[i])
 	}
+	r.sumStarts()
 	by := func(title string, name func(*Request) string) {
 		rows := map[string]*Row{}
 		for _, q := range r.Requests {
--- /dev/null
+++ b/internal/simulator/starts.go
@@ -0,0 +1,116 @@
+package simulator
+
+import "time"
+
+// justStarted is for how long after an engine's start its requests and idle slots are reported apart.
+const justStarted = 10 * time.Second
+
+// Starts is what became of requests and slots at engines in the first seconds after their starts.
+type Starts struct {
+	// Sent counts requests that were sent there, of which InTime had their whole answer in time and
+	// Failed broke off or ran out of time, wherever their last attempt was.
+	Sent, InTime, Failed int
+	// Crashes counts engines that fell over under too many requests.
+	Crashes int
+	// slots and idle are sums over the agents' looks at engines that take requests.
+	slots, idle int
+}
+
+// Idle is the share of the slots that were idle.
+func (s Starts) Idle() float64 { return float64(s.idle) / float64(max(1, s.slots)) }
+
+func (s *Starts) add(o Starts) {
+	s.Sent += o.Sent
+	s.InTime += o.InTime
+	s.Failed += o.Failed
+	s.Crashes += o.Crashes
+	s.slots += o.slots
+	s.idle += o.idle
+}
+
+// hasJustStarted tells whether the engine began anew during the experiment a short time ago.
+func (h *host) hasJustStarted() bool { return h.starts > 0 && h.time.Since(h.startedAt) < justStarted }
+
+// noteSlots counts the engine's idle slots after a start.
+func (h *host) noteSlots(running int) {
+	if h.hasJustStarted() && !h.noWeights && !h.ordered {
+		h.report.Starts.slots += h.Engine.Slots
+		h.report.Starts.idle += max(0, h.Engine.Slots-running)
+	}
+}
+
+// sumStarts counts the requests that were sent to engines after their starts.
+func (r *Report) sumStarts() {
+	for _, q := range r.Requests {
+		if !q.atStarted {
+			continue
+		}
+		r.Starts.Sent++
+		switch q.Outcome {
+		case InTime:
+			r.Starts.InTime++
+		case Failed, Open:
+			r.Starts.Failed++
+		case Late, Refused:
+		}
+	}
+}
+
+// begin has an engine that has just started show what its fault says of its starts.
+func (h *host) begin(f Fault) {
+	starts := h.starts
+	after := func(d time.Duration, do func()) {
+		h.time.In(d, func() {
+			if h.starts == starts {
+				do()
+			}
+		})
+	}
+	if f.SlowFor > 0 {
+		h.engine.Pace, h.hidesPace = f.Pace, true
+		after(f.SlowFor, func() { h.engine.Pace, h.hidesPace = 0, false })
+	}
+	if f.Again > 0 {
+		again := f
+		again.Again--
+		after(f.UpFor, func() { h.befall(again) })
+	}
+	h.falls = nil
+	if f.Bears > 0 {
+		h.falls = &falls{fault: f, until: h.time.Now().Add(f.BearsFor)}
+	}
+}
+
+// statedPace is the pace in the engine's report.
+func (h *host) statedPace() float64 {
+	if h.hidesPace {
+		return 0
+	}
+	return h.engine.Pace
+}
+
+// falls is an engine that falls over under more requests a second than it bears.
+type falls struct {
+	fault Fault
+	until time.Time
+	taken []time.Time
+}
+
+// fallsOver counts one more request and tells whether the engine falls over under it.
+func (h *host) fallsOver() bool {
+	now := h.time.Now()
+	if h.falls == nil || now.After(h.falls.until) {
+		return false
+	}
+	taken := h.falls.taken
+	for len(taken) > 0 && now.Sub(taken[0]) >= time.Second {
+		taken = taken[1:]
+	}
+	h.falls.taken = append(taken, now)
+	if len(h.falls.taken) <= h.falls.fault.Bears {
+		return false
+	}
+	h.report.Starts.Crashes++
+	h.befall(h.falls.fault)
+	return true
+}
--- /dev/null
+++ b/internal/simulator/starts_test.go
@@ -0,0 +1,64 @@
+package simulator_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/internal/ablator"
+	"github.com/oriolecroft/oriolecroft/internal/simulator"
+)
+
+// played with and without slow starts.
+func slowStarts(t *testing.T, name string) (with, without played) {
+	t.Helper()
+	e := load(t, name)
+	with = playAll(t, e)
+	e.Without = ablator.Set{ablator.SlowStart}
+	return with, playAll(t, e)
+}
+
+func (p played) crashes() int {
+	n := 0
+	for _, r := range p {
+		n += r.Starts.Crashes
+	}
+	return n
+}
+
+// Engines are slow for three seconds after their start, and nobody is told. Guards against a flood there.
+func TestEnginesSlowAfterTheirStart(t *testing.T) {
+	with, without := slowStarts(t, "slowStart")
+	must.Greater(t, without.worth(everything)+0.005, with.worth(everything))
+}
+
+// Engines fall over above a rate. Guards against a server that is felled by the same flood at each return.
+func TestEnginesThatFallOver(t *testing.T) {
+	with, without := slowStarts(t, "fallsOver")
+	t.Logf("engines fell over %d times, without slow starts %d", with.crashes(), without.crashes())
+	must.Less(t, without.crashes()*3/4, with.crashes())
+	must.Greater(t, without.worth(everything)+0.01, with.worth(everything))
+}
+
+// Engines recover and fail again whatever they get, while the others are full. Slow starts must cost nothing
+// to speak of there.
+func TestEnginesThatFailAgain(t *testing.T) {
+	with, without := slowStarts(t, "failsAgain")
+	must.Greater(t, without.worth(everything)-0.005, with.worth(everything))
+}
+
+// A whole service starts at once. Guards against engines that are held back although there are no others.
+func TestWholeServiceStarts(t *testing.T) {
+	with, without := slowStarts(t, "startTogether")
+	must.Between(t, without.worth(everything)-0.003, with.worth(everything), without.worth(everything)+0.003)
+}
+
+// Nothing starts, fails or recovers. Guards against decisions that slow starts change there.
+func TestSlowStartsChangeNothingWithoutStarts(t *testing.T) {
+	for _, name := range []string{"base", "burstAtStart", "lastingOverload", "longPrompt", "repeatAtOnce"} {
+		e := load(t, name)
+		with := simulator.Run(e, 1)
+		e.Without = ablator.Set{ablator.SlowStart}
+		must.Eq(t, simulator.Run(e, 1).Requests, with.Requests, must.Sprint(name))
+	}
+}
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -133,7 +133,7 @@
 func (w *world) newEntry(d *FailureDomain, number int) *entry {
 	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number), acked: map[*entry]uint64{}}
 	r := &registrar.Registrar{Clock: w.time, Decode: w.decode}
-	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom(), Without: w.Without}
+	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom(), Without: w.Without, Sharers: func() int { return len(r.View().Members) }}
 	regions := map[string]string{}
 	for _, d := range w.FailureDomains {
 		regions[d.Name] = d.Region
