--- a/internal/relayer/ramp.go
+++ b/internal/relayer/ramp.go
@@ -16,7 +16,7 @@
 )
 
 // attemptEnd is how an attempt ended, as far as it tells of its upstream.
-type attemptEnd int
+type attemptEnd uint8
 
 const (
 	attemptUnjudged attemptEnd = iota
--- a/internal/scheduler/ramp_chooser.go
+++ b/internal/scheduler/ramp_chooser.go
@@ -58,7 +58,7 @@
 
 // startsCold tells whether an upstream is cold after a start for which no ramp has begun.
 func (s *seen) startsCold(k Candidate) bool {
-	return k.Cold && !(s.coldKnown && s.coldAt.Equal(k.StartedAt))
+	return k.Cold && (!s.coldKnown || !s.coldAt.Equal(k.StartedAt))
 }
 
 // beginRamp begins a ramp that is due.
--- a/internal/scheduler/ramp_ledger.go
+++ b/internal/scheduler/ramp_ledger.go
@@ -13,10 +13,13 @@
 	// rampFailures is after how many failed requests in a row a ramp begins, without a first event
 	// in between. One or two are the lot of a sound engine behind a bad link.
 	rampFailures = 3
-	// Why ramps begin.
+	requestsFail = "requests fail"
+)
+
+// Why agents begin ramps.
+const (
 	EngineStarted  = "engine started"
 	EngineReturned = "engine answers again"
-	requestsFail   = "requests fail"
 )
 
 // Beyond is why a job may be let in beyond the limit of a ramp.
