--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -56,7 +56,7 @@
 
 func newPlatformEntry(d *daemon) (*platformEntry, error) {
 	s := d.settings
-	chooser := &scheduler.Chooser{Clock: d.clock, Random: newRandom()}
+	chooser := &scheduler.Chooser{Clock: d.clock, Random: newRandom(), Sharers: func() int { return len(d.members()) }}
 	d.observer = &observer.Observer{Clock: d.clock, Metrics: d.metrics}
 	d.localizer = &localizer.Localizer{Entry: s.Name, Clock: d.ages, WallClock: d.clock, Metrics: d.metrics, Members: d.members}
 	placer := &relayer.Placer{
@@ -72,7 +72,8 @@
 		Localizer: d.localizer,
 		Prober:    &relayer.NetworkProber{},
 		Liveness:  platform.Liveness{},
-		Budgets:   &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Random: newRandom(), Metrics: d.metrics,
+		Budgets:   &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Started: d.clock.Now(), Random: newRandom(), Metrics: d.metrics,
+		Memory: requestMemory(s.Memory, d.metrics),
 	}
 	member := registrar.Member{
 		ID: s.Name, Incarnation: uuid.NewString(), FailureDomain: s.FailureDomain, Region: s.Region,
@@ -89,17 +90,29 @@
 	d.parts.Add(e.hoster.Registration)
 	d.parts.Add(&syncer.Syncer{
 		ID: s.Name, Entry: true, Region: s.Region, Registrar: d.registrar, Store: d.store,
-		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
+		Seeds: others(s.Seeds, s.Peers), Seed: slices.Contains(s.Seeds, s.Peers), Peers: s.Peers, Dial: dialPeer, Clock: d.ages, Random: newRandom(), Metrics: d.metrics,
 	})
 	evidence := &propagator.Propagator{
 		Localizer: d.localizer, Registrar: d.registrar, Member: member, Seeds: others(s.Seeds, s.Peers), Dial: dialPeer, Store: d.store, Clock: d.clock,
 	}
 	requests.BlamesSynced = evidence.Synced
 	d.parts.Add(evidence)
-	d.tick(pool.Sweep, placer.Sweep, requests.SweepCuts)
+	d.tick(pool.Sweep, placer.Sweep, placer.NoteRamps, requests.SweepCuts)
 	return e, e.listenAll()
 }
 
+// requestsPart is the part of the VM's memory that requests may hold. The heap may grow to twice of what is held before
+// it is collected, and the rest is for what the entry knows and for the kernel's buffers.
+const requestsPart = 0.25
+
+// requestMemory bounds what requests hold on a VM with so many bytes of memory; 0 for unknown.
+func requestMemory(bytes int64, r metrics.Registry) *relayer.Memory {
+	if bytes <= 0 {
+		return nil
+	}
+	return &relayer.Memory{Bytes: int64(requestsPart * float64(bytes)), Metrics: r}
+}
+
 // members are the names of all known entries.
 func (d *daemon) members() []string {
 	var names []string
--- a/internal/ablator/ablator.go
+++ b/internal/ablator/ablator.go
@@ -45,17 +45,41 @@
 	UpstreamTerms Mechanism = "upstreamTerms"
 	// PromptBlame refuses prompts with a part that crashes engines.
 	PromptBlame Mechanism = "promptBlame"
+	// SlowStart limits what an upstream gets that has just started or recovered.
+	SlowStart Mechanism = "slowStart"
 	// RetryJitter spreads the Retry-After of callers that are refused together.
 	RetryJitter Mechanism = "retryJitter"
 	// RetryBudget bounds retries to a share of first attempts.
 	RetryBudget Mechanism = "retryBudget"
+	// PriorityReservation keeps slots for more urgent requests during a shortage.
+	PriorityReservation Mechanism = "priorityReservation"
+	// UrgentQueue has more urgent requests wait for a slot at an engine, beyond its batch.
+	UrgentQueue Mechanism = "urgentQueue"
+	// WorkspaceShare keeps the last free slot from a workspace that holds more than its share.
+	WorkspaceShare Mechanism = "workspaceShare"
+	// PriorityBudgets has the most urgent requests queue for as long as their own objective allows.
+	PriorityBudgets Mechanism = "priorityBudgets"
+	// PriorityRetry gives more urgent requests an earlier time to come back.
+	PriorityRetry Mechanism = "priorityRetry"
+	// PaceFeedback predicts and ranks by the momentary pace that upstreams state in their replies, and ranks engines by
+	// the pace that they report.
+	PaceFeedback Mechanism = "paceFeedback"
+	// DeadlineAdmission doesn't start streams that could not end within the time their callers have left.
+	DeadlineAdmission Mechanism = "deadlineAdmission"
+	// PauseLimit grants no slot at an engine of uneven pace to a prompt whose reading would pause the engine's streams
+	// for too long.
+	PauseLimit Mechanism = "pauseLimit"
+	// StreamMove moves a running stream whose predicted end is past its caller's deadline to another engine.
+	StreamMove Mechanism = "streamMove"
 )
 
 // All lists the mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
 		SlotLimit, QueueingBudget, EqualBudgets, LateShare, ColdLimit, Locality, LoadFeedback, TieBreaking, FailureEjection, FullBackoff,
-		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, RetryJitter, RetryBudget,
+		UnresponsiveBackoff, UngrantedSends, AdmissionWait, LateWait, UpstreamTerms, PromptBlame, SlowStart, RetryJitter, RetryBudget,
+		PriorityReservation, UrgentQueue, WorkspaceShare, PriorityBudgets, PriorityRetry,
+		PaceFeedback, DeadlineAdmission, PauseLimit, StreamMove,
 	}
 }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -20,6 +20,8 @@
 	ID string
 	// Prompt and Answer are its size in tokens.
 	Prompt, Answer int
+	// Priority orders those that wait, the smallest first.
+	Priority int
 }
 
 // Event is a part of a reply.
@@ -55,6 +57,8 @@
 	Figures *matcher.Engine
 	// Pace is how much slower than its figures it works; 0 is as told.
 	Pace float64
+	// Momentary is by what factor it is slower than that at the moment; 0 for the normal pace.
+	Momentary float64
 	// Memory is how many tokens it holds; 0 for any number. When it runs out the newest
 	// request gives way and is read again later.
 	Memory int
@@ -91,13 +95,22 @@
 	if e.Memory > 0 && r.Prompt+r.Answer > e.Memory {
 		return false
 	}
-	e.waiting = append(e.waiting, &member{Request: r})
+	e.enqueue(&member{Request: r})
 	if e.until.IsZero() {
 		e.begin(now)
 	}
 	return true
 }
 
+// enqueue has a request wait behind those that are as urgent or more.
+func (e *Engine) enqueue(m *member) {
+	i := len(e.waiting)
+	for i > 0 && e.waiting[i-1].Priority > m.Priority {
+		i--
+	}
+	e.waiting = slices.Insert(e.waiting, i, m)
+}
+
 // Remove takes a request away, as when its caller has left. The pass under way goes on.
 func (e *Engine) Remove(id string) {
 	is := func(m *member) bool { return m.ID == id }
@@ -247,10 +260,13 @@
 }
 
 func (e *Engine) scaled(d time.Duration) time.Duration {
-	if e.Pace <= 0 {
-		return d
+	if e.Pace > 0 {
+		d = time.Duration(float64(d) * e.Pace)
+	}
+	if e.Momentary > 0 {
+		d = time.Duration(float64(d) * e.Momentary)
 	}
-	return time.Duration(float64(d) * e.Pace)
+	return d
 }
 
 // tokens are those for which memory is taken: prompts with what was written.
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
@@ -35,6 +36,8 @@
 	// Poll has the agent ask its engine at once; nil for an agent that can't.
 	Poll  func()
 	Clock clock.PassiveClock
+	// Metrics counts the answers to reservations with a priority; nil for no count.
+	Metrics metrics.Registry
 
 	once sync.Once
 	// logged bounds the lines on refusals, and unlogged counts those left out since the
@@ -43,6 +46,7 @@
 	// its agents said, too.
 	logged   *rate.Limiter
 	unlogged atomic.Int64
+	tables   tables
 }
 
 // Reserve answers a question for a place.
@@ -54,20 +58,54 @@
 		g.Ledger.Limit(observer.Limit{Rate: q.Limit.PerSecond, Age: q.Limit.Age()})
 	}
 	v := g.Ledger.Reserve(scheduler.Job{
-		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(),
+		ID: q.Request, Prompt: q.Prompt, Answer: q.Answer, Expected: q.Expected, MaxAnswer: q.MaxAnswer, Spare: q.Spare, Patience: q.Patience(), Left: q.Left(), Pause: q.Pause(),
+		Priority: q.Priority, Workspace: q.Workspace, Budget: q.Budget(), Asked: q.Asked, Refusals: q.Refusals,
+		Beyond: scheduler.Beyond(q.BeyondRamp),
 	}, from)
+	g.count(q, v)
+	g.tables.note(q)
 	if v.Granted || g.logs() {
-		klog.InfoS("Place asked", "request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
+		fields := []any{"request", q.RequestID(), "granted", v.Granted, "closed", v.Closed, "wait", v.Wait, "takes", v.Takes,
 			"patience", q.Patience(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
-			"unreserved", v.Unreserved, "observed", v.Observed, "unlogged", g.unlogged.Swap(0))
+			"unreserved", v.Unreserved, "observed", v.Observed, "held", v.Ramp != nil && v.Ramp.Held, "unlogged", g.unlogged.Swap(0),
+			"endsLate", v.EndsLate, "left", q.Left(), "pace", v.Pace, "momentaryPace", v.Momentary.Factor}
+		klog.InfoS("Place asked", append(fields, priorityFields(q, v)...)...)
 	}
 	return messenger.Verdict{
 		Granted: v.Granted, Closed: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
-		TakesMS: v.Takes.Milliseconds(), FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots,
-		BeginWithinMS: v.BeginWithin.Milliseconds(),
+		TakesMS: v.Takes.Milliseconds(), FreeMS: v.Free.Milliseconds(), Active: v.Active, Slots: v.Slots, Kept: v.Kept,
+		BeginWithinMS: v.BeginWithin.Milliseconds(), EndsLate: v.EndsLate, Pace: pace(v.Pace), Momentary: g.momentary(v.Momentary), Ramp: rampOf(v.Ramp),
 	}
 }
 
+// pace is what is told of a pace; 0 for the normal one.
+func pace(factor float64) messenger.Hundredths {
+	if factor <= 1 {
+		return 0
+	}
+	return messenger.InHundredths(factor)
+}
+
+// momentary is what is told of a momentary pace; nil for the normal one, and for one that is too old to matter.
+func (g *Granter) momentary(m scheduler.Momentary) *messenger.MomentaryPace {
+	if m.Factor <= 0 {
+		return nil
+	}
+	age := g.Clock.Since(m.At)
+	if age >= scheduler.PaceSpan {
+		return nil
+	}
+	return &messenger.MomentaryPace{Pace: messenger.InHundredths(m.Factor), AgeMS: age.Milliseconds()}
+}
+
+// rampOf is the state of a ramp on the wire.
+func rampOf(r *scheduler.RampState) *messenger.Ramp {
+	if r == nil {
+		return nil
+	}
+	return &messenger.Ramp{Limit: r.Limit, Held: r.Held, Well: r.Well}
+}
+
 // AnotherEngine is why nothing is granted for an engine that isn't the one beside the agent.
 const AnotherEngine = "another engine"
 
@@ -107,6 +145,15 @@
 	for _, id := range p.Started {
 		g.Ledger.Started(id)
 	}
+	if p.Pace != nil {
+		g.Ledger.Paced(p.Pace.Pace.Factor(), p.Pace.Age())
+	}
+	for _, id := range p.Failed {
+		g.Ledger.Failed(id, false)
+	}
+	for _, id := range p.Refused {
+		g.Ledger.Failed(id, true)
+	}
 	for _, id := range p.Ended {
 		g.Ledger.Ended(id)
 	}
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -50,6 +50,8 @@
 	// Objective is the time to the answer, or a stream's first event, within which
 	// it is worth most to the caller; 0 for none.
 	Objective time.Duration
+	// PauseObjective is the longest pause between two events of a stream that is on time; 0 for none.
+	PauseObjective time.Duration
 	// EventTimeout is how long callers wait for the next event of a stream, its first included,
 	// before they leave; 0 if they don't.
 	EventTimeout time.Duration
@@ -67,6 +69,8 @@
 	Resumable bool
 	// Regions are the only ones in which requests may be served; empty for all.
 	Regions []string
+	// Priority is from MostUrgent to LeastUrgent; nil for none.
+	Priority *int
 }
 
 // Target is a service with its share of a route's requests.
@@ -105,6 +109,8 @@
 	Name string
 	// Regions are the only ones in which its requests may be served; empty for all.
 	Regions []string
+	// Priority takes precedence over that of routes; nil for none.
+	Priority *int
 }
 
 // Service is a group of like upstreams.
@@ -122,6 +128,13 @@
 	Origin *Origin
 	// Objective is the shortest one of the routes that generate here; 0 for none. Index sets it.
 	Objective time.Duration
+	// Prioritized tells whether requests of more than one priority may come, from MostUrgent to Least. Index
+	// sets them.
+	Prioritized bool
+	Least       int
+
+	// urgencies are those of the requests that may come, the most urgent first.
+	urgencies []urgency
 }
 
 // Engine holds the figures of a service's model engines.
@@ -200,6 +213,7 @@
 	for _, h := range t.hosts {
 		slices.SortStableFunc(h.ordered, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.notePriorities()
 }
 
 // noteObjective brings down the objective of the services at which a route generates.
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +25,8 @@
 	// Prompt and Answer are the request's size in tokens, Answer as far as known.
 	Prompt int `json:"prompt"`
 	Answer int `json:"answer"`
+	// MaxAnswer is the longest answer in tokens; 0 when not told.
+	MaxAnswer int `json:"maxAnswer,omitempty"`
 	// PatienceMS is how long, in milliseconds, it may wait before its prompt is read.
 	PatienceMS int64 `json:"patienceMs"`
 	// Spare asks for a place only if the engine has some to spare.
@@ -33,6 +36,26 @@
 	// Limit is the rate limit that the engine last stated to this entry; nil for one that never
 	// stated any.
 	Limit *RateLimit `json:"limit,omitempty"`
+	// Priority is the request's, from 0 for the most urgent to 9; nil at services where all requests have
+	// the same. The fields below are set only with it.
+	Priority *int `json:"priority,omitempty"`
+	// Table is the version of the route table that the priority is from.
+	Table uint64 `json:"table,omitempty"`
+	// Workspace is whom the request is for; empty for a public route.
+	Workspace string `json:"workspace,omitempty"`
+	// Asked is how many engines were asked for the request before, and Refusals how many were found to have no
+	// slot for it.
+	Asked    int `json:"asked,omitempty"`
+	Refusals int `json:"refusals,omitempty"`
+	// BudgetMS is how long the request may wait at any engine; PatienceMS may be less where a better engine
+	// may be left.
+	BudgetMS int64 `json:"budgetMs,omitempty"`
+	// Expected are the tokens that its answer should still have; 0 when nobody knows.
+	Expected int `json:"expected,omitempty"`
+	// PauseMS is the longest pause between two events that is on time, in milliseconds; 0 for none.
+	PauseMS int64 `json:"pauseMs,omitempty"`
+	// BeyondRamp is why the engine's slow start should not keep it out, as scheduler.Beyond.
+	BeyondRamp string `json:"beyondRamp,omitempty"`
 }
 
 // RateLimit is a limit that an upstream states in its replies.
@@ -63,15 +86,59 @@
 	// Active are the requests that hold places, of Slots.
 	Active int `json:"active"`
 	Slots  int `json:"slots"`
+	// Kept says for whom free slots are kept; empty when the request isn't refused for that.
+	Kept string `json:"kept,omitempty"`
 	// BeginWithinMS is for how much longer the weights may begin replies; 0 for any time.
 	BeginWithinMS int64 `json:"beginWithinMs,omitempty"`
+	// EndsLate tells that this request was refused as it could not end within the time its caller has
+	// left. Another request may get a slot.
+	EndsLate bool `json:"endsLate,omitempty"`
+	// Pace is that of the engine, as its report states it; 0 for the normal one.
+	Pace Hundredths `json:"pace,omitempty"`
+	// Momentary is its momentary pace, as replies stated it; nil for the normal one.
+	Momentary *MomentaryPace `json:"momentary,omitempty"`
+	// Ramp is the engine's slow start; nil while there is none.
+	Ramp *Ramp `json:"ramp,omitempty"`
 }
 
+// Ramp is the state of an engine's slow start.
+type Ramp struct {
+	// Limit is how many requests may hold slots now.
+	Limit int `json:"limit"`
+	// Held tells that the limit alone kept the request out, Well that the engine answers well so far.
+	Held bool `json:"held,omitempty"`
+	Well bool `json:"well,omitempty"`
+}
+
+// Hundredths is a factor in hundredths.
+type Hundredths int
+
+// InHundredths gives a factor in hundredths.
+func InHundredths(factor float64) Hundredths { return Hundredths(math.Round(100 * factor)) }
+
+// Factor is the factor; 0 when not told.
+func (h Hundredths) Factor() float64 { return float64(h) / 100 }
+
+// MomentaryPace is by what factor an engine is slower than normal at a moment, as one of its replies stated.
+type MomentaryPace struct {
+	Pace Hundredths `json:"pace"`
+	// AgeMS is how long ago, in milliseconds, that reply came.
+	AgeMS int64 `json:"ageMs"`
+}
+
+// Age is AgeMS as a duration.
+func (p MomentaryPace) Age() time.Duration { return time.Duration(p.AgeMS) * time.Millisecond }
+
 // Progress tells an agent what became of reservations, by their names.
 type Progress struct {
 	// Started requests have their first event, Ended ones need no place any more.
 	Started []string `json:"started,omitempty"`
 	Ended   []string `json:"ended,omitempty"`
+	// Pace is the engine's momentary pace, as the reply to a started request states it; nil when not told.
+	Pace *MomentaryPace `json:"pace,omitempty"`
+	// Failed ones of Ended the engine failed to answer, Refused ones it refused.
+	Failed  []string `json:"failed,omitempty"`
+	Refused []string `json:"refused,omitempty"`
 }
 
 // Reserve asks an agent for a place.
@@ -115,9 +182,15 @@
 	return r.Request
 }
 
+// Pause is PauseMS as a duration.
+func (r Reservation) Pause() time.Duration { return time.Duration(r.PauseMS) * time.Millisecond }
+
 // Patience is PatienceMS as a duration.
 func (r Reservation) Patience() time.Duration { return time.Duration(r.PatienceMS) * time.Millisecond }
 
+// Budget is BudgetMS as a duration.
+func (r Reservation) Budget() time.Duration { return time.Duration(r.BudgetMS) * time.Millisecond }
+
 // Observed is ObservedMS as a duration.
 func (v Verdict) Observed() time.Duration { return time.Duration(v.ObservedMS) * time.Millisecond }
 
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -24,6 +24,10 @@
 		c.endEnded(err)
 		return
 	}
+	if isUnread(err) {
+		c.endUnread(err, c.progress(err)...)
+		return
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		err = fmt.Errorf("%w: %w", cause, err)
 	}
@@ -82,6 +86,10 @@
 func (c *call) endEnded(err error) {
 	cause := context.Cause(c.r.Context())
 	byEntry := !errors.Is(cause, context.Canceled)
+	if !byEntry && c.out.unread() {
+		c.endUnread(err, c.progress(err)...)
+		return
+	}
 	text, counter := "Caller left", "left"
 	if byEntry {
 		text, counter, err = "Cut as the entry ends", "cut", fmt.Errorf("%w: %w", cause, err)
@@ -140,8 +148,11 @@
 // refuse says that the request did not run and when to come back.
 func (c *call) refuse(e *RefusedError) {
 	c.count("refused")
-	wait := c.RetryAfter(e)
+	wait := c.RetryAfter(&c.Job, e)
 	fields := []any{"reason", e.Reason, "retryAfter", wait, "held", c.Clock.Since(c.Arrived), "returned", c.Returned}
+	if e.Kept() {
+		c.count("refused.kept")
+	}
 	fields = append(fields, e.Met.fields()...)
 	if b := e.Blame; b != nil {
 		fields = append(fields, b.LogFields()...)
@@ -160,7 +171,7 @@
 	for _, f := range []struct {
 		name  string
 		count int
-	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}} {
+	}{{"full", m.Full}, {"passedOver", m.PassedOver}, {"closed", m.Closed}, {"silent", m.Silent}, {"unasked", m.Unasked}, {"connections", m.Connections}, {"endsLate", m.EndsLate}, {"kept", m.Kept}, {"callerLeaves", m.CallerLeaves}, {"ramping", m.Ramping}} {
 		if f.count > 0 {
 			fields = append(fields, f.name, f.count)
 		}
@@ -211,6 +222,9 @@
 	}
 	fields := append([]any{"request", j.ID, "route", route, "workspace", workspace,
 		"table", j.TableVersion, "after", l.Clock.Since(j.Arrived), "sends", j.sends}, more...)
+	if j.standing != nil {
+		fields = append(fields, "priority", j.standing.priority)
+	}
 	if left, leaves := l.Placer.cutIn(); leaves {
 		fields = append(fields, "cutIn", left)
 	}
--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -21,8 +21,6 @@
 	// regions; an agent that takes longer is of no help with an objective of half a
 	// second.
 	AskTimeout = 40 * time.Millisecond
-	// silentFor is how long an agent that did not answer isn't asked.
-	silentFor = 700 * time.Millisecond
 	// unaskedShare is the part of an engine's places that entries divide among them
 	// while its agent is silent. The rest is a margin for disagreement.
 	unaskedShare = 0.75
@@ -32,15 +30,21 @@
 // there. The verdict is nil when the agent did not answer; the place then is a share of what
 // the engine bears.
 func (p *Placer) ask(ctx context.Context, view *registrar.View, u *registrar.UpstreamView, j *Job, budget time.Duration) (*Place, *messenger.Verdict) {
-	if p.Chooser.Silent(u.ID) {
+	if !p.Chooser.MayAsk(u.ID, j.metSilence) {
 		return p.unasked(view, u, j), nil
 	}
 	asked := p.Registrar.Clock.Now()
+	e := view.Table.Services[u.Service].Engine
+	prompt, answer, expected := j.size(e)
 	agent := p.agent(netip.AddrPortFrom(u.Address.Addr(), p.AgentPort))
-	v, err := agent.Reserve(ctx, messenger.Reservation{
-		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: j.Prompt, Answer: p.sizeToReserve(j), Spare: p.late(j),
-		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
-	})
+	q := messenger.Reservation{
+		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: prompt, Answer: p.sizeToReserve(j, answer), Expected: expected,
+		MaxAnswer: j.MaxAnswer, Spare: p.late(j) || j.mover.looking,
+		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u), PauseMS: j.Route.PauseObjective.Milliseconds(),
+	}
+	q.BeyondRamp = string(j.beyond)
+	j.reserveBy(&q)
+	v, err := agent.Reserve(ctx, q)
 	if ctx.Err() != nil {
 		// The agent may have granted a place that nobody waits for.
 		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
@@ -48,7 +52,8 @@
 	}
 	if err != nil {
 		gone := errors.Is(err, syscall.ECONNREFUSED)
-		p.Chooser.Silence(u.ID, silentFor, gone)
+		p.Chooser.Silence(u.ID, gone)
+		j.metSilence = j.metSilence || !gone
 		klog.InfoS("Agent silent", "upstream", u.ID, "request", j.ID, "gone", gone, "err", err)
 		if !gone {
 			// It may have granted a place since, or do so yet.
@@ -57,10 +62,13 @@
 		return p.unasked(view, u, j), nil
 	}
 	if !v.StartedAt.IsZero() && !v.StartedAt.Equal(u.StartedAt) {
+		p.Chooser.Answered(u.ID)
 		p.noteAnotherEngine(u, asked, &v)
 		return nil, &v
 	}
 	p.Chooser.Heard(u.ID, v.Wait(), load(v))
+	p.notePace(u, &v)
+	p.Chooser.HeardRamp(u.ID, v.Ramp != nil, v.Closed == "")
 	if !v.Granted {
 		return nil, &v
 	}
@@ -74,14 +82,18 @@
 		agent.Tell(messenger.Progress{Ended: []string{j.ID}})
 		return nil, &v
 	}
-	return &Place{
-		Upstream: u, Wait: v.Wait(), Ends: p.ends(&v), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
-		started: func() { agent.Tell(messenger.Progress{Started: []string{j.ID}}) },
-		ended: func() {
-			p.Chooser.End(u.ID)
-			agent.Tell(messenger.Progress{Ended: []string{j.ID}})
-		},
-	}, &v
+	place := &Place{
+		Upstream: u, Wait: v.Wait(), First: v.Wait() + p.Chooser.Slowed(u.ID, p.work(e, j).First), Ends: p.ends(&v), BeginBy: beginBy(asked, &v), Active: v.Active, Version: j.Version, Held: v.Version,
+	}
+	place.event = (v.Takes() - place.First) / time.Duration(max(1, answer/max(1, e.Stride)))
+	place.started = func() {
+		agent.Tell(messenger.Progress{Started: []string{j.ID}, Pace: place.statedPace(p.Chooser.Clock.Now())})
+	}
+	place.ended = func() {
+		p.Chooser.End(u.ID)
+		agent.Tell(place.progressAtEnd(j.ID))
+	}
+	return place, &v
 }
 
 // noteAnotherEngine takes an upstream out of use whose agent stands beside another start of the engine.
@@ -127,6 +139,9 @@
 	if v.Slots == 0 {
 		return closedLoad
 	}
+	if v.Ramp != nil {
+		return float64(v.Active) / float64(min(v.Slots, max(1, v.Ramp.Limit)))
+	}
 	return float64(v.Active) / float64(v.Slots)
 }
 
@@ -187,6 +202,7 @@
 // Tell implements Agent.
 func (a networkAgent) Tell(p messenger.Progress) {
 	p.Started, p.Ended = a.numbered(p.Started), a.numbered(p.Ended)
+	p.Failed, p.Refused = a.numbered(p.Failed), a.numbered(p.Refused)
 	go func() {
 		if err := a.Client.Tell(context.Background(), p); err != nil {
 			klog.V(1).InfoS("Progress not told", "agent", a.Address, "err", err)
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -59,6 +59,8 @@
 	LastEvent string
 	// Version binds the attempt to a version of the weights; 0 for any.
 	Version uint64
+	// Priority is the request's; nil at services where all requests have the same.
+	Priority *int
 }
 
 // Reply is what an upstream's header says of a reply.
@@ -76,6 +78,8 @@
 	Version uint64
 	// Running, Waiting and Slots are the upstream's load; Slots is 0 when not told.
 	Running, Waiting, Slots int
+	// Pace is by what factor the upstream is slower than normal at the moment; 0 when not told.
+	Pace float64
 	// Idle is how long the upstream keeps an idle connection; 0 when not told.
 	Idle time.Duration
 	// Stated is what the upstream asks of those who send to it.
--- a/internal/relayer/engine.go
+++ b/internal/relayer/engine.go
@@ -55,23 +55,29 @@
 	if late := p.checkTimeLeft(j, leastTime(s.Engine, j)); late != nil {
 		return nil, p.refuse(j, late)
 	}
+	if err := p.checkCanEnd(s.Engine, j); err != nil {
+		return nil, err
+	}
 	began := p.Clock.Now()
 	budget := p.queueingBudget(s, j)
+	j.noteBudget(budget)
 	free, opens := time.Duration(0), time.Duration(0)
 	var waits []engineWait
 	var endsLate *ShutdownError
+	var ramping []*registrar.UpstreamView
+	j.beyond = p.beyondRamps(us)
 	met := &j.met
-	met.PassedOver, met.Unasked, met.Silent, met.Connections, met.EndsLate = 0, 0, 0, 0, 0
-	order := p.order(us, j.Model)
+	met.PassedOver, met.Unasked, met.Silent, met.Connections, met.EndsLate, met.CallerLeaves, met.Ramping = 0, 0, 0, 0, 0, 0, 0
+	order := p.order(us, j.Model, p.work(s.Engine, j))
 	for next, ok := order.Next(); ok; next, ok = order.Next() {
 		u, first := us[next], len(us)-order.Left() <= firstAsked
 		if p.askedLongEnough(j, began) {
-			met.Unasked = order.Left() + 1
+			met.countRest(p, j, us, order, next)
 			break
 		}
-		if full := p.Chooser.FullFor(u.ID, p.late(j)); full > 0 {
+		if full := p.fullFor(u.ID, j); full > 0 {
 			free, opens = least(free, full), least(opens, p.Chooser.Opens(u.ID))
-			met.passOver(p.Chooser.WhyClosed(u.ID))
+			met.passOver(p.whyPassedOver(u.ID, j))
 			continue
 		}
 		limit := budget
@@ -101,15 +107,29 @@
 		if v == nil {
 			continue
 		}
+		if v.EndsLate {
+			if met.CallerLeaves == firstAsked {
+				return nil, p.refuseLate(j)
+			}
+			continue
+		}
 		if v.Closed != "" {
 			p.Chooser.Closed(u.ID, v.Closed, closedFor(v.Free()), v.Free())
 			opens = least(opens, v.Free())
 			continue
 		}
 		free = least(free, v.Free())
-		room := v.Wait() <= budget && v.Active < v.Slots
+		if isHeld(v) {
+			met.Ramping++
+			ramping = p.noteHeld(u, j, v, ramping)
+			continue
+		}
+		room := v.Wait() <= budget && v.Active < v.Slots && v.Kept == ""
+		if !room {
+			j.noteRefusal(v)
+		}
 		if !room || limit == budget {
-			p.noteFull(u.ID, j, v.Free())
+			p.noteNoSlot(u.ID, j, v)
 			continue
 		}
 		waits = append(waits, engineWait{u, v.Wait()})
@@ -128,14 +148,23 @@
 			return nil, p.refuse(j, late)
 		}
 		p.Chooser.End(w.upstream.ID)
-		if v != nil && v.Closed == "" {
-			p.noteFull(w.upstream.ID, j, v.Free())
+		if v != nil && v.Closed == "" && !v.EndsLate {
+			p.noteNoSlot(w.upstream.ID, j, v)
 		}
 	}
+	if place := p.askBeyondRamp(ctx, view, ramping, j, budget); place != nil {
+		return place, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if endsLate != nil {
 		return nil, p.refuse(j, endsLate)
 	}
-	return nil, &RefusedError{Reason: "all engines full", RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
+	if met.CallerLeaves > 0 && free == 0 && opens == 0 && met.Silent+met.Unasked+met.Connections == 0 {
+		return nil, p.refuseLate(j)
+	}
+	return nil, &RefusedError{Reason: met.reason(j), RetryAfter: max(free, busyRetry), Opens: opens, Met: *met}
 }
 
 // closedFor is how long an engine isn't asked that takes nothing and should open after a time; 0 when
@@ -163,6 +192,8 @@
 	case v.Closed != "":
 		m.Closed++
 		m.WhyClosed = v.Closed
+	case v.EndsLate:
+		m.CallerLeaves++
 	default:
 		m.Full++
 	}
@@ -184,7 +215,7 @@
 
 // noteFull keeps that an engine has no place, or none to spare.
 func (p *Placer) noteFull(id string, j *Job, free time.Duration) {
-	if p.late(j) {
+	if p.late(j) || j.mover.looking {
 		p.Chooser.Full(id, true, min(free, sparePause))
 		return
 	}
@@ -208,8 +239,8 @@
 }
 
 // budgetLimit bounds how long a request may queue at a service's engines.
-func (p *Placer) budgetLimit(s *matcher.Service) time.Duration {
-	if s.Objective == 0 || !p.contention.Contended(s.Name, p.Clock.Now()) || p.Without.Has(ablator.EqualBudgets) {
+func (p *Placer) budgetLimit(s *matcher.Service, j *Job) time.Duration {
+	if s.Objective == 0 || p.urgentBudget(j) || !p.contention.Contended(s.Name, p.Clock.Now()) || p.Without.Has(ablator.EqualBudgets) {
 		return mostBudget
 	}
 	return min(max(time.Duration(contendedShare*float64(s.Objective)), leastBudget), mostBudget)
@@ -226,5 +257,5 @@
 		return goodWait
 	}
 	left := j.Route.Objective - p.Clock.Since(j.Arrived) - firstEventTime - scheduler.ReadTime(s.Engine, min(j.Prompt, s.Engine.UsualPrompt))
-	return min(max(left, leastBudget), p.budgetLimit(s))
+	return min(max(left, leastBudget), p.budgetLimit(s, j))
 }
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -52,7 +53,13 @@
 	Version uint64
 
 	met Met
+	// standing is nil at services whose requests all have the same priority.
+	standing *standing
+	// metSilence tells that an agent did not answer this request.
+	metSilence bool
 	tries
+	// beyond is why engines should take it in beyond their slow start.
+	beyond scheduler.Beyond
 	// left tells that the caller is gone; nil for one that stays.
 	left func() bool
 }
@@ -62,6 +69,8 @@
 	Upstream *registrar.UpstreamView
 	// Wait is the predicted wait before a prompt is read.
 	Wait time.Duration
+	// First is how long its first event should take from the grant on, its wait included.
+	First time.Duration
 	// Ends is when the reply should end; zero if unknown.
 	Ends time.Time
 	// Active is how many requests held places at the engine after this one got its
@@ -76,7 +85,14 @@
 	// know itself.
 	BeginBy time.Time
 
+	// event is how long each further event should take; 0 if unknown.
+	event time.Duration
+	// pace is what the reply there stated of the upstream's momentary pace.
+	pace scheduler.Momentary
+
 	started, ended func()
+	// attempt is what the place's upstream did with the request, for its slow start.
+	attempt attemptEnd
 }
 
 // Started tells the agent that the reply has begun: its prompt has been read.
@@ -95,6 +111,8 @@
 	// Rest is in how long the first upstream that asked for rest takes requests again, if only such
 	// are left; else 0.
 	Rest time.Duration
+	// TooLate tells that no engine could end the reply within the time its caller has left.
+	TooLate bool
 	// Met is what the request met at the upstreams.
 	Met Met
 	// Blame is why the request is refused wherever it goes; nil for another reason.
@@ -110,11 +128,16 @@
 	// the last of them; over all rounds.
 	Full, Closed int
 	WhyClosed    string
+	// Kept engines had slots that they keep for others, as WhyKept says; over all rounds.
+	Kept    int
+	WhyKept string
 	// PassedOver engines had no place or were closed shortly before, Unasked ones came too
 	// late in the order, and the agents of Silent ones don't answer; at Connections of them
 	// this entry had all its connections in use; at EndsLate of them the reply could not have ended
-	// before this entry does; in the last round.
-	PassedOver, Unasked, Silent, Connections, EndsLate int
+	// before this entry does, at CallerLeaves not before the caller leaves; in the last round.
+	PassedOver, Unasked, Silent, Connections, EndsLate, CallerLeaves int
+	// Ramping engines kept the request out for their slow start alone, in the last round.
+	Ramping int
 }
 
 func (e *RefusedError) Error() string {
@@ -154,6 +177,10 @@
 
 	contention scheduler.Contention
 	lateWaits  scheduler.LateWaits
+	// fullMarks and admission decide at services whose requests have priorities; priorityOnce sets their clock.
+	priorityOnce sync.Once
+	fullMarks    scheduler.FullMarks
+	admission    scheduler.Admission
 }
 
 // placeNow finds an upstream that takes a request at once. Errors are *RefusedError and the
@@ -215,14 +242,15 @@
 
 // order ranks upstreams by promise. The model is that which engines should hold; empty
 // for plain services.
-func (p *Placer) order(us []*registrar.UpstreamView, model string) *scheduler.Ranking {
+func (p *Placer) order(us []*registrar.UpstreamView, model string, w scheduler.Work) *scheduler.Ranking {
 	candidates := make([]scheduler.Candidate, 0, len(us))
 	for _, u := range us {
 		candidates = append(candidates, scheduler.Candidate{
-			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0,
+			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0, Agent: model != "",
+			Plain: model == "", Cold: model == "" && u.Cold > 0 && u.ColdFor() > 0,
 		})
 	}
-	return p.Chooser.Rank(candidates)
+	return p.Chooser.RankFor(candidates, w)
 }
 
 func (p *Placer) distance(u *registrar.UpstreamView) scheduler.Distance {
@@ -243,8 +271,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !p.admitPlain(j) {
+		return nil, &RefusedError{Reason: scheduler.KeptForUrgent, RetryAfter: busyRetry}
+	}
 	reason := "all upstreams cold"
-	order := p.order(us, "")
+	order := p.order(us, "", scheduler.Work{})
 	for i, ok := order.Next(); ok; i, ok = order.Next() {
 		u := us[i]
 		if limit := p.connections(u); limit > 0 && p.Chooser.Running(u.ID) >= limit {
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -60,7 +60,7 @@
 	// happened, others that rested as long may be gone as well, at other upstreams too: the
 	// last attempt spent on one of them would end the request although all upstreams are well.
 	r := &reception{c: c, place: place, message: c.message, sequence: c.sequence(), failed: c.failed, fresh: !c.repeatable() || c.reused}
-	send := Send{Upstream: place.Upstream.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version}
+	send := Send{Upstream: place.Upstream.ID, Left: c.Deadline.Sub(c.Clock.Now()), Version: place.Version, Priority: c.Priority()}
 	if c.Workspace != nil {
 		send.Workspace = c.Workspace.Name
 	}
@@ -102,9 +102,11 @@
 		return nil, err
 	}
 	c.noteStatements(u.Upstream, x)
+	c.notePaceOf(r.place, &x.reply)
 	if x.reply.Slots > 0 && !c.Route.Generates {
 		active := float64(x.reply.Running+x.reply.Waiting) / float64(x.reply.Slots)
 		c.Chooser.Heard(u.ID, 0, active)
+		c.Placer.notePlainLoad(&c.Job, &x.reply)
 	}
 	if err := r.usable(x); err != nil {
 		x.abandon()
@@ -157,7 +159,7 @@
 	x.begun()
 	r.setGap(x, 0)
 	body := &bodyreader.Reader{Response: x.response}
-	start, ended, err := body.ReadStart(bufferedReply)
+	start, ended, err := x.readStart(body)
 	if err != nil {
 		x.abandon()
 		return nil, x.cutError(err)
@@ -182,11 +184,16 @@
 		return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 	}
 	events := bodyreader.NewEventReader(x.response, maxEvent)
+	events.Room = x.take
 	r.setGap(x, r.place.FirstEventLimit())
 	var start []byte
 	event, err := events.Next()
 	for ; err == nil; event, err = events.Next() {
-		start = append(start, event...)
+		if start == nil {
+			start = event
+		} else {
+			start = append(start, event...)
+		}
 		if err := r.sequence.take(event, r.c.Codec.EventVersion(event)); err != nil {
 			x.abandon()
 			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -36,6 +36,8 @@
 func (c *call) relayStream(ctx context.Context, r *receivedReply) error {
 	x := r.x
 	event, err := r.start, r.end
+	// Kept, it would take as much memory again for the whole of the stream.
+	r.start = nil
 	for {
 		ended := errors.Is(err, io.EOF)
 		switch {
@@ -60,6 +62,10 @@
 			x.abandon()
 			return err
 		}
+		if err := c.Move(ctx, &c.Job, r.place); err != nil {
+			x.abandon()
+			return err
+		}
 		x.setGap(EventGap)
 		event, err = r.next(c.Codec)
 	}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -61,6 +61,10 @@
 	Slots int
 	// Empty engines were last heard to hold no weights.
 	Empty bool
+	// Agent tells that its load is heard from an agent, and not only from its replies.
+	Agent bool
+	// Plain upstreams have no agent that counts for them; Cold tells of one of these that it has just started.
+	Plain, Cold bool
 }
 
 // Chooser remembers what an entry met at each upstream. It is safe for concurrent
@@ -70,10 +74,14 @@
 	Random *rand.Rand
 	// Without are the mechanisms that an experiment switches off.
 	Without ablator.Set
+	// Sharers is among how many entries an upstream's slots are divided while it ramps; nil for one.
+	Sharers func() int
 
 	mu    sync.Mutex
 	seen  map[string]*seen
 	swept time.Time
+	// rampsHeardUntil is the latest of all rampsUntil.
+	rampsHeardUntil time.Time
 }
 
 // seen is what is known of one upstream.
@@ -103,10 +111,16 @@
 	// nobody listens there, alive when a reply from the upstream last went on.
 	silentUntil time.Time
 	processGone bool
-	alive       time.Time
-	used        time.Time
-	cold        rateTurn
-	limited     rateTurn
+	// silences is how often its agent was found silent since its last answer; probing tells that a request asks it
+	// again.
+	silences int
+	probing  bool
+	alive    time.Time
+	used     time.Time
+	pace     enginePace
+	cold     rateTurn
+	limited  rateTurn
+	ramped
 }
 
 // forgetAfter is how long nothing may be heard of an upstream before it is
@@ -140,17 +154,37 @@
 	return ordered
 }
 
-// Rank prepares the order of candidates. Mostly the first is taken, and the rest need not be
+// Rank is RankFor a request of which nothing is known.
+func (c *Chooser) Rank(candidates []Candidate) *Ranking { return c.RankFor(candidates, Work{}) }
+
+// RankFor prepares the order of candidates. Mostly the first is taken, and the rest need not be
 // sorted.
-func (c *Chooser) Rank(candidates []Candidate) *Ranking {
+func (c *Chooser) RankFor(candidates []Candidate, w Work) *Ranking {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	r := &Ranking{left: make([]scored, 0, len(candidates))}
+	var known loads
+	unknown, ramps := 0, false
 	for i, k := range candidates {
 		s := c.at(k.ID, now)
 		c.restart(s, k.StartedAt)
-		r.left = append(r.left, scored{index: i, avoided: now.Before(s.avoidUntil), cost: c.cost(s, k, now)})
+		load := c.load(s, k, now)
+		at := scored{index: i, avoided: now.Before(s.avoidUntil) || s.suspect(now), unknown: s.loadUnknown(k)}
+		if at.unknown {
+			unknown++
+		} else {
+			known.add(load)
+		}
+		at.cost = load + c.cost(s, k, now) + s.pace.cost(&w, now)
+		r.left = append(r.left, at)
+		ramps = ramps || s.rampDue(k, now)
+	}
+	if unknown > 0 {
+		r.addUnknown(known.mean())
+	}
+	if ramps {
+		c.holdBack(r.left, candidates, now)
 	}
 	heap.Init(&r.left)
 	c.sweep(now)
@@ -170,17 +204,22 @@
 	s.startedAt = startedAt
 }
 
-// cost is how long a request would wait there, as far as this entry can tell.
-func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
+// load is how long a request would wait there for others, as far as this entry can tell; for an unknown load, for this
+// entry's own.
+func (c *Chooser) load(s *seen, k Candidate, now time.Time) time.Duration {
 	cost, active := time.Duration(0), 0.0
-	if !c.Without.Has(ablator.LoadFeedback) {
+	if !c.Without.Has(ablator.LoadFeedback) && !s.loadUnknown(k) {
 		cost, active = max(0, s.wait-now.Sub(s.heard)), s.active
 	}
 	if k.Slots > 0 {
 		active = max(active, float64(s.running)/float64(k.Slots))
 	}
-	cost += time.Duration(active * float64(fullCost))
-	cost += time.Duration(s.failing * float64(failureCost))
+	return cost + time.Duration(active*float64(fullCost))
+}
+
+// cost is how much longer than by its load a request would wait there.
+func (c *Chooser) cost(s *seen, k Candidate, now time.Time) time.Duration {
+	cost := time.Duration(s.failing * c.failureDecay(s, k, now) * float64(failureCost))
 	if k.Empty {
 		cost += emptyCost
 	}
@@ -224,13 +263,14 @@
 	}
 }
 
-// Heard notes an upstream's load: the wait before a prompt is read, and the share
+// Heard notes an upstream's load, and that it answered: the wait before a prompt is read, and the share
 // of its places that are taken.
 func (c *Chooser) Heard(id string, wait time.Duration, active float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(id)
 	s.wait, s.active, s.heard = wait, active, c.Clock.Now()
+	s.answered()
 }
 
 // Full notes that an upstream has no place for so long, or none to spare. Until then
@@ -333,6 +373,10 @@
 	defer c.mu.Unlock()
 	s := c.of(id)
 	s.failing += failureWeight * (1 - s.failing)
+	s.failedAt = c.Clock.Now()
+	if s.ramp != nil {
+		s.ramp.Bad(c.Clock.Now())
+	}
 	if !dead {
 		return
 	}
@@ -357,12 +401,13 @@
 func (s *seen) avoid(now time.Time) {
 	s.avoidUntil = now.Add(min(firstAvoid<<min(s.failures, 10), maxAvoid))
 	s.failures++
+	s.ejected, s.ejectedAt = s.failures >= trialFailures, now
 }
 
 // resume notes that a reply went on.
 func (s *seen) resume() {
 	if s.stalled {
-		s.stalled, s.failures, s.avoidUntil = false, 0, time.Time{}
+		s.stalled, s.failures, s.avoidUntil, s.ejected = false, 0, time.Time{}, false
 	}
 }
 
@@ -393,18 +438,6 @@
 	s.avoidUntil = c.Clock.Now().Add(d)
 }
 
-// Silence notes that an upstream's agent did not answer; it isn't asked again for d. Gone
-// tells that its VM answered in its place that nobody listens.
-func (c *Chooser) Silence(id string, d time.Duration, gone bool) {
-	if c.Without.Has(ablator.UnresponsiveBackoff) {
-		d = 0
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.of(id)
-	s.silentUntil, s.processGone = c.Clock.Now().Add(d), gone
-}
-
 // aliveFor is for how long a sign of life counts: an engine at work sends each reply on
 // every 0.05 to 0.1 s.
 const aliveFor = 300 * time.Millisecond
@@ -416,6 +449,7 @@
 	s := c.of(id)
 	s.alive = c.Clock.Now()
 	s.resume()
+	s.judgeAlive()
 }
 
 // Lives tells whether an upstream whose agent is silent showed life just now.
@@ -426,13 +460,6 @@
 	return s.processGone || c.Clock.Since(s.alive) < aliveFor
 }
 
-// Silent tells whether an upstream's agent is not to be asked now.
-func (c *Chooser) Silent(id string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.Clock.Now().Before(c.of(id).silentUntil)
-}
-
 // Avoided tells whether an upstream is passed over now.
 func (c *Chooser) Avoided(id string) bool {
 	c.mu.Lock()
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -36,6 +36,10 @@
 	ID string
 	// Prompt and Answer are its size in tokens.
 	Prompt, Answer int
+	// MaxAnswer is the longest answer in tokens; 0 when not told.
+	MaxAnswer int
+	// Expected are the tokens that its answer should have; 0 when nobody knows.
+	Expected int
 	// Spare jobs can't be answered within their objective any more. They get a place
 	// only while the engine has some to spare: under more load than it bears, each
 	// would make one late that could still be in time.
@@ -43,6 +47,18 @@
 	// Patience is how long it may wait before its prompt is read, Left how long its
 	// caller waits for the whole.
 	Patience, Left time.Duration
+	// Priority is from 0 for the most urgent to 9; nil at services where all jobs have the same. The fields
+	// below are set only with it.
+	Priority *int
+	// Workspace is whom it is for, Budget how long it may wait at any engine.
+	Workspace string
+	Budget    time.Duration
+	// Asked is how many engines were asked before, Refusals how many of the pool had no slot.
+	Asked, Refusals int
+	// Pause is the longest pause between two events that is on time; 0 for none.
+	Pause time.Duration
+	// Beyond is why it may be let in beyond the limit of a ramp.
+	Beyond Beyond
 }
 
 // Verdict is the answer to a job.
@@ -50,6 +66,8 @@
 	Granted bool
 	// Closed says why the engine takes nothing at all now; empty when it does.
 	Closed string
+	// Kept says for whom free slots are kept; empty when the job isn't refused for that.
+	Kept string
 	// Wait is how long a job granted now waits before its prompt is read.
 	Wait time.Duration
 	// Takes is how long a job granted now should take, its wait included.
@@ -66,6 +84,13 @@
 	// BeginWithin is for how much longer the engine's weights may begin replies, for a granted job;
 	// 0 for any time.
 	BeginWithin time.Duration
+	// EndsLate tells that the job could not end within the time its caller has left.
+	EndsLate bool
+	// Pace is the engine's as it reports it, Momentary as its replies state it.
+	Pace      float64
+	Momentary Momentary
+	// Ramp is the state of the engine's slow start; nil while there is none.
+	Ramp *RampState
 }
 
 // Ledger holds the places of one engine. It answers arrivals in bursts: without it
@@ -110,6 +135,13 @@
 	began time.Time
 	// pace is how much slower than its figures the engine works; 1 is as told.
 	pace float64
+	// trunk keeps slots for more urgent jobs.
+	trunk trunk
+	// memory is how many tokens the engine holds; 0 for any.
+	memory int
+	// momentary is by what factor it is slower than that at the moment.
+	momentary Momentary
+	ramp      ledgerRamp
 }
 
 // place is a request that holds a place.
@@ -120,6 +152,10 @@
 	started bool
 	// orphaned places are those whose owner's connection is over.
 	orphaned bool
+	// goodUntil is by when its first event is good during a ramp; zero outside one. Judged tells that it
+	// has counted for the ramp.
+	goodUntil time.Time
+	judged    bool
 }
 
 // Open lets jobs in, by the figures of the engine.
@@ -127,6 +163,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.engine, l.closed, l.opens = e, "", time.Time{}
+	l.rampOn(l.Clock.Now())
 }
 
 // Close lets nothing in any more; why is told to whoever asks.
@@ -137,6 +174,9 @@
 func (l *Ledger) CloseUntil(why string, opens time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed == "" {
+		l.ramp.closedAt = l.Clock.Now()
+	}
 	l.closed, l.opens = why, opens
 }
 
@@ -237,13 +277,25 @@
 	}
 	v := Verdict{
 		Active: len(l.held) + l.foreign, Slots: l.engine.Slots, Wait: max(0, l.readUntil.Sub(now)),
-		Unreserved: l.foreign, Observed: l.observedAgo(now),
+		Unreserved: l.foreign, Observed: l.observedAgo(now), Pace: l.pace, Momentary: l.momentary,
 	}
 	v.Takes = v.Wait + l.duration(j, v.Active+1)
-	if limit := l.limit(j); v.Active >= limit {
+	l.trunk.note(&j, now)
+	if wait, ok := l.queueBeyond(&j, &v); ok {
+		v.Takes += wait - v.Wait
+		v.Wait = wait
+	} else if limit := l.limit(j); v.Active >= limit {
+		l.trunk.refused(&j, now)
 		v.Free = l.scaled(TurnTime(l.engine)) * time.Duration(v.Active-limit+1)
 		return v
 	}
+	if !l.fits(j) {
+		v.Free = l.scaled(TurnTime(l.engine))
+		return v
+	}
+	if v.EndsLate = l.endsLate(j, &v); v.EndsLate {
+		return v
+	}
 	if !l.until.IsZero() && now.Add(v.Takes).After(l.until) {
 		v.Free = max(0, l.until.Sub(now)) + l.engine.Load
 		return v
@@ -253,10 +305,20 @@
 		v.Free = max(0, expiry.Sub(now)) + l.engine.Load
 		return v
 	}
+	if v.Free = l.pauseExcess(j, &v); v.Free > 0 {
+		return v
+	}
 	if v.Wait > j.Patience && !l.Without.Has(ablator.QueueingBudget) {
 		v.Free = v.Wait - j.Patience
 		return v
 	}
+	if v.Kept = l.kept(&j, &v, now); v.Kept != "" {
+		v.Free = l.scaled(TurnTime(l.engine))
+		return v
+	}
+	if l.rampHolds(j, &v, now) {
+		return v
+	}
 	if v.Free = l.coldWait(now); v.Free > 0 {
 		return v
 	}
@@ -264,6 +326,7 @@
 		return Verdict{Closed: RateLimited}
 	}
 	l.grant(j, owner, now)
+	l.expect(l.held[j.ID], v.Wait, v.Active+1, now)
 	v.Granted = true
 	if !expiry.IsZero() {
 		v.BeginWithin = expiry.Add(OldWeightsMargin).Sub(now)
@@ -325,7 +388,7 @@
 // and a reply begins with its first token. A long prompt that is granted just before the end
 // of the weights' time would begin after it.
 func (l *Ledger) first(j Job, active int) time.Duration {
-	return startMargin + l.cost(j) + l.scaled(PassTime(l.engine, active))
+	return startMargin + l.scaled(l.reading(j)+PassTime(l.engine, active))
 }
 
 // spareShare is the part of an engine's places up to which spare jobs get one. With
@@ -338,7 +401,7 @@
 		return math.MaxInt
 	}
 	if j.Spare && !l.Without.Has(ablator.LateShare) {
-		return max(1, int(spareShare*float64(l.engine.Slots)))
+		return l.spareSlots()
 	}
 	return l.engine.Slots
 }
@@ -373,22 +436,21 @@
 		answer = l.engine.UsualAnswer
 	}
 	write := time.Duration(float64(answer)*float64(StepTime(l.engine, active))/(1-readingShare)) + PassTime(l.engine, active)
-	return l.cost(j) + l.scaled(write)
+	return l.scaled(l.reading(j) + write)
 }
 
-// cost is how much later everything behind a job is read. While others write, each
-// pass reads one chunk and takes its steps besides.
-func (l *Ledger) cost(j Job) time.Duration {
+// cost is how much later everything behind a job is read.
+func (l *Ledger) cost(j Job) time.Duration { return l.scaled(l.reading(j)) }
+
+// reading is cost by the engine's figures. While others write, each pass reads one chunk and takes its steps
+// besides.
+func (l *Ledger) reading(j Job) time.Duration {
 	read := ReadTime(l.engine, j.Prompt)
 	if writing := len(l.held) + l.foreign; writing > 0 && l.engine.Chunk > 0 {
 		passes := float64(j.Prompt) / float64(l.engine.Chunk)
 		read += time.Duration(passes * float64(PassTime(l.engine, min(writing, l.engine.Slots))))
 	}
-	return l.scaled(read)
-}
-
-func (l *Ledger) scaled(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * max(1, l.pace))
+	return read
 }
 
 // Started notes a request's first event: its prompt has been read.
@@ -397,6 +459,7 @@
 	defer l.mu.Unlock()
 	if p := l.held[id]; p != nil && !p.started {
 		p.started = true
+		l.judgeStart(p, l.Clock.Now())
 		l.reckon()
 	}
 }
--- a/internal/simulator/caller.go
+++ b/internal/simulator/caller.go
@@ -140,16 +140,16 @@
 	j := &relayer.Job{
 		Request: relayer.Request{ID: fmt.Sprintf("%d-%d", c.Number, number), Model: model, Prompt: c.Prompt, Parts: c.parts(),
 			MaxAnswer: max(c.kind.Answer.Most, c.Answer), Hint: c.hint, Patience: left},
-		Route: c.route(), Arrived: c.time.Now(),
+		Route: c.route(), Workspace: c.table.Keys[c.Workspace], Arrived: c.time.Now(),
 	}
 	e.relayer.Admit(j)
 	ctx := &limited{Context: context.Background(), sequencer: c.time, deadline: j.Deadline}
-	err := e.relayer.Serve(ctx, j, func(_ context.Context, p *relayer.Place) error { return c.attempt(e, j, p) })
+	err := e.relayer.Serve(ctx, j, func(ctx context.Context, p *relayer.Place) error { return c.attempt(ctx, e, j, p) })
 	if err == nil {
 		return nil, nil
 	}
 	if refused := j.Refusal(err); refused != nil && c.events == 0 {
-		return &refusal{after: e.relayer.RetryAfter(refused)}, err
+		return &refusal{after: e.relayer.RetryAfter(j, refused)}, err
 	}
 	return nil, err
 }
@@ -164,7 +164,7 @@
 }
 
 // attempt sends the request to a place and takes its events, as an entry does.
-func (c *caller) attempt(e *entry, j *relayer.Job, p *relayer.Place) error {
+func (c *caller) attempt(ctx context.Context, e *entry, j *relayer.Job, p *relayer.Place) error {
 	h := c.byID[p.Upstream.ID]
 	way := c.way(e.domain, h.domain)
 	box := &sequencer.Mailbox[part]{Sequencer: c.time}
@@ -177,10 +177,11 @@
 		return &relayer.SendError{Upstream: p.Upstream.ID, Outcome: retrier.NotRun, Status: http.StatusMisdirectedRequest,
 			Err: &UpstreamError{Problem: "another engine"}}
 	}
+	c.atStarted = c.atStarted || h.hasJustStarted()
 	if c.fatal {
 		c.fatals.reach(c, j.ID)
 	}
-	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride}, e.name, box, way)
+	h.take(emulator.Request{ID: j.ID, Prompt: c.Prompt + c.events*stride, Answer: c.Answer - c.events*stride, Priority: priority(j)}, e.name, box, way)
 	limit := p.FirstEventLimit()
 	for first := true; ; first = false {
 		got, ok := box.Get(min(limit, j.Deadline.Sub(c.time.Now())) + way)
@@ -194,6 +195,7 @@
 		}
 		c.time.Sleep(way)
 		if first {
+			e.relayer.NotePace(p, got.pace)
 			p.Started()
 			j.Version = version
 		}
@@ -207,10 +209,23 @@
 			e.relayer.Chooser.Served(h.id)
 			return nil
 		}
+		if err := e.relayer.Move(ctx, j, p); err != nil {
+			c.report.Moved++
+			c.time.In(way, func() { h.drop(j.ID) })
+			return err
+		}
 		limit = relayer.EventGap
 	}
 }
 
+// priority is that by which an engine admits a request.
+func priority(j *relayer.Job) int {
+	if p := j.Priority(); p != nil {
+		return *p
+	}
+	return matcher.UnstatedPriority
+}
+
 // deliver notes an event that goes to the caller.
 func (c *caller) deliver() {
 	now := c.time.Now().Add(c.Network.Callers)
--- a/internal/simulator/experiment.go
+++ b/internal/simulator/experiment.go
@@ -142,6 +142,8 @@
 	LateWorth float64 `toml:"lateWorth"`
 	Prompt    Size    `toml:"prompt"`
 	Answer    Size    `toml:"answer"`
+	// Priority is from 0 for the most urgent to 9; none where it isn't given.
+	Priority *int `toml:"priority"`
 }
 
 // Size is a size in tokens that differs from request to request.
@@ -157,6 +159,8 @@
 	Name string `toml:"name"`
 	// Share is its part of all requests.
 	Share float64 `toml:"share"`
+	// Priority takes precedence over that of kinds; none where it isn't given.
+	Priority *int `toml:"priority"`
 }
 
 // Surge is a time in which more callers come.
@@ -197,6 +201,9 @@
 	// whose reply another engine broke off fails by NextFails as well: it is cut again, answered 500, refused, or
 	// gets nothing.
 	FaultTear = "tear"
+	// FaultUneven has engines work slower by Pace now and then: each draws every Every whether it does, by the chance
+	// Share. They state that in their replies.
+	FaultUneven = "uneven"
 	// FaultPause has engines send nothing for Lasts and then go on, with all that they made meanwhile.
 	FaultPause = "pause"
 )
@@ -214,9 +221,18 @@
 	// end.
 	Overrun time.Duration `toml:"overrun"`
 	Rest    time.Duration `toml:"rest"`
+	Every   time.Duration `toml:"every"`
 	Chance  float64       `toml:"chance"`
 	// NextFails is the chance of a request that broke off to fail at the next engine too.
 	NextFails float64 `toml:"nextFails"`
+	// SlowFor is for how long engines that have crashed work by Pace after each start, without stating it.
+	SlowFor time.Duration `toml:"slowFor"`
+	// Bears is above how many requests a second they crash again within BearsFor of a start; 0 for any.
+	Bears    int           `toml:"bears"`
+	BearsFor time.Duration `toml:"bearsFor"`
+	// Again is how often they crash again, each time UpFor after a start.
+	Again int           `toml:"again"`
+	UpFor time.Duration `toml:"upFor"`
 }
 
 // Fatal are callers of a kind whose prompts have one part that crashes engines as they begin to write an
@@ -319,6 +335,14 @@
 		if k.Prompt.Mean < 1 || k.Answer.Mean < 1 || k.Timeout <= 0 {
 			return fmt.Sprintf("kind %q needs prompt, answer and timeout", k.Name)
 		}
+		if !validPriority(k.Priority) {
+			return fmt.Sprintf("kind %q has a priority that isn't from 0 to 9", k.Name)
+		}
+	}
+	for _, w := range e.Workspaces {
+		if !validPriority(w.Priority) {
+			return fmt.Sprintf("workspace %q has a priority that isn't from 0 to 9", w.Name)
+		}
 	}
 	switch {
 	case e.Length <= 0:
@@ -350,26 +374,55 @@
 	return ""
 }
 
+func validPriority(p *int) bool {
+	return p == nil || *p >= matcher.MostUrgent && *p <= matcher.LeastUrgent
+}
+
 func (f Fault) problem(domains map[string]bool) string {
 	switch f.Fault {
-	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave, FaultTear, FaultPause:
+	case FaultCrash, FaultReplace, FaultSilent, FaultSlow, FaultAgentDown, FaultNoWeights, FaultSwitch, FaultRest, FaultLeave, FaultTear, FaultPause, FaultUneven:
 	default:
 		return fmt.Sprintf("unknown fault %q", f.Fault)
 	}
 	if !domains[f.FailureDomain] {
 		return fmt.Sprintf("fault in unknown failure domain %q", f.FailureDomain)
 	}
-	if f.Fault == FaultSlow && f.Pace <= 1 {
+	if (f.Fault == FaultSlow || f.Fault == FaultUneven) && f.Pace <= 1 {
 		return "a slow engine needs a pace above 1"
 	}
+	if f.Fault == FaultUneven && (f.Every <= 0 || f.Share <= 0 || f.Share > 1) {
+		return "engines of uneven pace need every and a share of up to 1"
+	}
 	if f.Fault == FaultRest && f.Rest <= 0 {
 		return "engines that ask for rest need a rest"
 	}
 	if f.Fault == FaultTear && (f.Chance <= 0 || f.Chance > 1) {
 		return "engines that break replies off need a chance of up to 1"
 	}
+	if problem := f.startProblem(); problem != "" {
+		return problem
+	}
 	if f.NextFails < 0 || f.NextFails > 1 || f.NextFails > 0 && f.Fault != FaultTear {
 		return "nextFails is a chance of up to 1 of engines that break replies off"
 	}
 	return ""
 }
+
+// startProblem is problem for what a fault says of starts.
+func (f Fault) startProblem() string {
+	troubled := f.SlowFor > 0 || f.Bears > 0 || f.Again > 0
+	switch {
+	case !troubled:
+		return ""
+	case f.Fault != FaultCrash || f.Lasts <= 0:
+		return "slowFor, bears and again are of engines that crash and come back"
+	case f.SlowFor > 0 && f.Pace <= 1:
+		return "slowFor needs a pace above 1"
+	case f.Bears > 0 && f.BearsFor <= 0:
+		return "bears needs bearsFor"
+	case f.Again > 0 && f.UpFor <= 0:
+		return "again needs upFor"
+	default:
+		return ""
+	}
+}
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -56,6 +56,10 @@
 	coldUntil time.Time
 	// accepted are the moments of a cold engine's requests, for the bound on them.
 	accepted []time.Time
+	// falls is what makes the engine fall over; nil for an engine that doesn't.
+	falls *falls
+	// hidesPace tells that the engine doesn't state its pace.
+	hidesPace bool
 }
 
 // part is what comes of a request at an engine: an event, or a failure, and what the engine states of
@@ -63,7 +67,9 @@
 type part struct {
 	emulator.Event
 	failure *relayer.SendError
-	stated  observer.Statements
+	// pace is the engine's momentary one as the reply states it; 0 if it doesn't.
+	pace   float64
+	stated observer.Statements
 }
 
 // UpstreamError is an engine's refusal or end, as an entry sees it. Err is what its connection gave; nil for
@@ -106,7 +112,8 @@
 	}
 	h.observedStart, h.observedAt = h.startedAt, h.time.Now()
 	r := h.engine.Report(h.time.Now())
-	h.ledger.Observe(r.Running+r.Waiting, h.engine.Pace)
+	h.noteSlots(r.Running)
+	h.ledger.Observe(r.Running+r.Waiting, h.statedPace())
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
 	if h.ordered {
 		h.ledger.Close("switching weights")
@@ -180,6 +187,10 @@
 		h.accepted = append(h.accepted, now)
 		h.noteCold()
 	}
+	if h.fallsOver() {
+		h.later(box, way, part{failure: h.reset()})
+		return
+	}
 	if !h.engine.Add(r, now) {
 		h.later(box, way, part{failure: h.failure(retrier.NotRun, http.StatusServiceUnavailable, "larger than the memory")})
 		return
@@ -264,7 +275,7 @@
 			delete(h.streams, v.ID)
 		}
 		if box != nil && !h.silent {
-			h.later(box, v.At.Sub(now), part{Event: v, stated: h.stated()})
+			h.later(box, v.At.Sub(now), part{Event: v, pace: h.engine.Momentary, stated: h.stated()})
 		}
 	}
 	h.loadWhenIdle()
@@ -319,13 +330,18 @@
 	})
 }
 
+func (h *host) reset() *relayer.SendError {
+	reset := h.failure(retrier.Unknown, 0, "connection reset")
+	reset.Err = &UpstreamError{Problem: "connection reset", Err: syscall.ECONNRESET}
+	return reset
+}
+
 // end ends the engine with all that it runs.
 func (h *host) end() {
 	h.starts++
 	h.down = true
 	h.pausedUntil = time.Time{}
-	reset := h.failure(retrier.Unknown, 0, "connection reset")
-	reset.Err = &UpstreamError{Problem: "connection reset", Err: syscall.ECONNRESET}
+	reset := h.reset()
 	for _, id := range slices.Sorted(maps.Keys(h.streams)) {
 		h.later(h.streams[id], h.Network.OtherRegion, part{failure: reset})
 	}
@@ -335,8 +351,8 @@
 // start has the engine begin anew, cold and without weights at first.
 func (h *host) start() {
 	h.starts++
-	pace := h.engine.Pace
-	h.engine = &emulator.Engine{Figures: h.Engine.figures(), Memory: h.Engine.Memory, Pace: pace}
+	pace, momentary := h.engine.Pace, h.engine.Momentary
+	h.engine = &emulator.Engine{Figures: h.Engine.figures(), Memory: h.Engine.Memory, Pace: pace, Momentary: momentary}
 	clear(h.streams)
 	clear(h.quiet)
 	h.leaving = false
@@ -346,6 +362,7 @@
 	h.startedAt = h.time.Now()
 	h.coldUntil = h.time.Now().Add(h.Engine.Cold)
 	h.ledger.Reset()
+	h.ledger.BeginRamp(scheduler.EngineStarted)
 	h.ledger.Cold(h.Engine.ColdRate, h.coldUntil)
 	h.noWeights = true
 	h.time.In(h.Engine.Load, func() { h.noWeights = false })
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -38,6 +38,8 @@
 	Owed, Earned float64
 	// Size is its class by size within its kind.
 	Size string
+	// atStarted tells that it was sent to an engine shortly after its start.
+	atStarted bool
 }
 
 // The classes by size.
@@ -59,6 +61,8 @@
 	// engine as well. Cut callers had a part of their answer and saw that it was cut; Short ones had an answer that
 	// ended as complete without all its events.
 	Torn, Twice, Cut, Short int
+	// Moved counts streams that went on at another engine as they would have ended too late.
+	Moved int
 	// Misdirected counts requests that came to another engine than was meant.
 	Misdirected int
 	// ColdExcess counts requests beyond the bound of cold engines.
@@ -69,6 +73,8 @@
 	FatalSent, FatalLate, FatalRefused, Crashes int
 	// Blamed are the parts of prompts that any entry has come to refuse, sorted.
 	Blamed []string
+	// Starts is what became of requests at engines that had just started.
+	Starts Starts
 	// Total is over all requests.
 	Total Row
 	// Tables are by kind, workspace, size and failure domain.
@@ -138,6 +144,7 @@
 	for i := range r.Experiment.Kinds {
 		r.value(&r.Experiment.Kinds[i])
 	}
+	r.sumStarts()
 	by := func(title string, name func(*Request) string) {
 		rows := map[string]*Row{}
 		for _, q := range r.Requests {
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -97,10 +97,14 @@
 	for _, k := range w.Kinds {
 		t.Routes = append(t.Routes, &matcher.Route{
 			Name: k.Name, Host: "experiment", Prefix: "/" + k.Name + "/", Kind: matcher.Streaming, Generates: true, Resumable: true,
-			Objective: k.Objective, Timeout: k.Timeout, MaxAttempts: max(1, k.MaxAttempts),
-			Targets: []matcher.Target{{Service: service, Weight: 1}},
+			Objective: k.Objective, PauseObjective: k.PauseObjective, Timeout: k.Timeout, MaxAttempts: max(1, k.MaxAttempts),
+			Targets: []matcher.Target{{Service: service, Weight: 1}}, Priority: k.Priority,
 		})
 	}
+	t.Keys = map[string]*matcher.Workspace{}
+	for _, w := range w.Workspaces {
+		t.Keys[w.Name] = &matcher.Workspace{Name: w.Name, Priority: w.Priority}
+	}
 	t.Index()
 	return t
 }
@@ -133,7 +137,7 @@
 func (w *world) newEntry(d *FailureDomain, number int) *entry {
 	e := &entry{world: w, domain: d, name: fmt.Sprintf("entry-%s-%d", d.Name, number), acked: map[*entry]uint64{}}
 	r := &registrar.Registrar{Clock: w.time, Decode: w.decode}
-	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom(), Without: w.Without}
+	chooser := &scheduler.Chooser{Clock: w.time, Random: w.newRandom(), Without: w.Without, Sharers: func() int { return len(r.View().Members) }}
 	regions := map[string]string{}
 	for _, d := range w.FailureDomains {
 		regions[d.Name] = d.Region
--- a/internal/stager/namings.go
+++ b/internal/stager/namings.go
@@ -11,8 +11,10 @@
 	// overtakeWithin is how soon after a version a newer one has to be named, as a part
 	// of the bound, for the older to be left out. With more time between them the
 	// older one arrives first and its engines switch in turn; the newer one alone would
-	// come just before the older one's bound, and all engines would stop at once.
-	overtakeWithin = 0.22
+	// come just before the older one's bound, and all engines would stop at once. After this part
+	// of the bound most of the older one has left the origin. If the origin is lost then, only the
+	// older one can still be completed in time; if it isn't, the newer one comes less than a second later.
+	overtakeWithin = 0.18
 	// fetchSpread is what a version's last chunks take to come to all agents once they can be
 	// had, and fetchWhole what all of them take to leave the origin besides. After an outage of
 	// the origin the last seventh comes to 153 agents within 1.2 s in virtual time.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -64,6 +64,10 @@
 	Waiting, Running int
 	// Pace is how much slower than its figures it works; 0 when not told.
 	Pace float64
+	// Memory is how many tokens of whole requests it holds; 0 when not told.
+	Memory int
+	// Momentary is by what factor it is slower than that at the moment; 0 when not told.
+	Momentary float64
 	// StartedAt is its start.
 	StartedAt time.Time
 }
@@ -130,6 +134,8 @@
 	// startedAt is when this agent observed that start, and reportedAt when the last report was asked for.
 	startedAt  time.Time
 	reportedAt time.Time
+	// silentSince is since when the engine hasn't answered; zero while it does.
+	silentSince time.Time
 	// looked is the revision of the records known when the engine last answered, and before the
 	// one when it did so last before its start. Untold tells that no record of the engine since
 	// then is known.
@@ -327,9 +333,11 @@
 		return false
 	}
 	if err != nil {
+		s.noteSilence()
 		s.closeGate("engine does not answer")
 		return false
 	}
+	s.noteAnswer(r)
 	if !r.StartedAt.Equal(s.engineStart) {
 		klog.InfoS("Engine started anew", "agent", s.ID, "startedAt", r.StartedAt, "models", r.Models)
 		s.Ledger.Reset()
@@ -339,6 +347,8 @@
 	}
 	s.looked = s.Registrar.View().Revision
 	s.Ledger.Observe(r.Running+r.Waiting, r.Pace)
+	s.Ledger.SetMemory(r.Memory)
+	s.Ledger.Paced(r.Momentary, 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report, s.reportedAt = r, asked
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -23,9 +23,12 @@
 	// to listSpread apart.
 	readingTimeout = 2400 * time.Millisecond
 	listSpread     = time.Second
-	// seedStart is how long a seed that refuses connections is waited for, as it may start later
-	// than others.
-	seedStart = 400 * time.Millisecond
+	// seedStart is how long the nearest seed that refuses connections is waited for: seeds start
+	// up to 0.4 s later than others and need 60 to 100 ms until they listen. With 400 ms, most of
+	// a region turned to far seeds, and their lists delayed the near one's own by 1.5 s.
+	seedStart = 700 * time.Millisecond
+	// seedStartPatience is seedPatience where a seed has refused connections: farther ones are asked after seedStart.
+	seedStartPatience = seedStart + 300*time.Millisecond
 	// seedPause is the pause between two rounds over the seeds.
 	seedPause = 40 * time.Millisecond
 	// seedTimeout bounds a connection to a seed, and the time until its answer begins to
@@ -54,6 +57,7 @@
 				continue
 			}
 			if dials.refused[a] {
+				timeout = max(timeout, seedStartPatience)
 				if s.Clock.Since(s.seedsSince) < seedStart {
 					break
 				}
@@ -69,6 +73,9 @@
 				break
 			}
 			stale[a] = state == seedIsStale
+			if s.referred {
+				timeout = readingTimeout + s.listDelay
+			}
 		}
 		s.pause(ctx, seedPause)
 	}
@@ -185,24 +192,27 @@
 	seedKnows
 )
 
-// firstRecords takes over what a seed knows, if the store confirmed it of late.
-func (s *Syncer) firstRecords(ctx context.Context, a netip.AddrPort) seedState {
-	q := messenger.RecordsQuery{WaitMS: seedHold.Milliseconds(), Stale: true}
+// allRecords takes over what a peer knows, if the store confirmed it of late, or gives the peer to
+// which that one refers this process.
+func (s *Syncer) allRecords(ctx context.Context, a netip.AddrPort, q messenger.RecordsQuery) (seedState, netip.AddrPort) {
+	var none netip.AddrPort
 	b, err := s.records(ctx, a, q, seedHold+seedTimeout)
 	if err != nil {
 		klog.V(1).InfoS("Seed did not answer", "seed", a, "err", err)
-		return seedFailed
+		return seedFailed, none
 	}
 	switch {
+	case b.Refer.IsValid():
+		return seedReads, b.Refer
 	case b.At == 0 && b.Lost:
-		return seedFailed
+		return seedFailed, none
 	case b.At == 0:
-		return seedReads
+		return seedReads, none
 	case b.Age > staleNews || !s.Registrar.Apply(b):
-		return seedIsStale
+		return seedIsStale, none
 	}
 	klog.InfoS("Records learned from a seed", "seed", a, "records", len(b.Records), "revision", b.At)
-	return seedKnows
+	return seedKnows, none
 }
 
 // learnAges asks peers for the ages of the weights that this process found in the store. Processes
