--- a/internal/relayer/move.go
+++ b/internal/relayer/move.go
@@ -45,7 +45,7 @@
 }
 
 func (e *MovedError) Error() string {
-	return fmt.Sprintf("moved to %s, would have ended %v after the deadline", e.To, e.Late)
+	return fmt.Sprintf("moved to %s, would have ended %v after the deadline, should end %v earlier there", e.To, e.Late, e.Gain)
 }
 
 // isMoved tells whether an attempt was given up as its stream moves.
