--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -40,7 +40,10 @@
 	q := messenger.Reservation{
 		Request: j.ID, Model: j.Model, StartedAt: u.StartedAt, Prompt: prompt, Answer: p.sizeToReserve(j, answer), Expected: expected,
 		MaxAnswer: j.MaxAnswer, Spare: p.late(j) || j.mover.looking,
-		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u), PauseMS: j.Route.PauseObjective.Milliseconds(),
+		PatienceMS: budget.Milliseconds(), LeftMS: j.Deadline.Sub(p.Clock.Now()).Milliseconds(), Limit: p.statedLimit(u),
+	}
+	if j.predicted {
+		q.PauseMS = j.Route.PauseObjective.Milliseconds()
 	}
 	q.BeyondRamp = string(j.beyond)
 	j.reserveBy(&q)
--- a/internal/relayer/move_test.go
+++ b/internal/relayer/move_test.go
@@ -32,9 +32,19 @@
 func newUnevenEngines(t *testing.T) *unevenEngines {
 	u := &unevenEngines{left: make(chan struct{})}
 	u.world = engines(t, u.answer, openLedger(12), openLedger(12)).resumable(true)
+	u.relayer.NotePace(&relayer.Place{Upstream: u.registrar.View().Upstreams[0]}, 1)
 	return u
 }
 
+// Guards against predictions for services that don't call for them: all their requests have one priority, and no
+// upstream has stated a pace.
+func TestStreamsStayWhereNoUpstreamStatesAPace(t *testing.T) {
+	u := &unevenEngines{left: make(chan struct{})}
+	u.world = engines(t, u.answer, openLedger(12), openLedger(12)).resumable(true)
+	must.True(t, u.ask(t).broken)
+	must.Eq(t, 0, u.moves())
+}
+
 // answer sends the events behind the one that the request names, with 60 ms between two of them at the slow engine.
 func (u *unevenEngines) answer(n int, id string, conn net.Conn) bool {
 	ip := netip.MustParseAddrPort(conn.LocalAddr().String()).Addr()
--- a/internal/relayer/pace.go
+++ b/internal/relayer/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/ablator"
@@ -29,6 +30,9 @@
 // size is a job's size at an engine, in tokens, without what has been delivered of its answer. Expected is 0 if nobody
 // knows how long the answer is.
 func (j *Job) size(e *matcher.Engine) (prompt, answer, expected int) {
+	if !j.predicted {
+		return j.Prompt, j.Answer(), 0
+	}
 	delivered := j.delivered * max(1, e.Stride)
 	prompt, answer = j.Prompt+delivered, j.remaining(j.Answer(), delivered)
 	if j.Hint > 0 && j.LastEvent == "" {
@@ -61,11 +65,31 @@
 	return max(1, rest)
 }
 
+// unevenServices are the services of which an upstream has stated a pace: a momentary one in a reply, or that it works
+// slower than its figures. The zero value is ready for use by several goroutines.
+type unevenServices struct{ known sync.Map }
+
+func (s *unevenServices) add(service string) {
+	if !s.has(service) {
+		s.known.Store(service, true)
+	}
+}
+
+func (s *unevenServices) has(service string) bool {
+	_, ok := s.known.Load(service)
+	return ok
+}
+
+// predicts tells whether the ends of a service's streams are predicted, and acted on. Without priorities and with
+// engines that work by their figures, streams are placed by load and distance alone.
+func (p *Placer) predicts(s *matcher.Service) bool { return s.Prioritized || p.uneven.has(s.Name) }
+
 // NotePace notes the momentary pace that the reply at a place states; 0 for none.
 func (l *Relayer) NotePace(place *Place, factor float64) {
 	if factor <= 0 {
 		return
 	}
+	l.Placer.uneven.add(place.Upstream.Service)
 	place.pace = scheduler.Momentary{Factor: factor, At: l.Clock.Now()}
 	l.Chooser.Paced(place.Upstream.ID, factor)
 }
@@ -91,6 +115,9 @@
 	if v.Momentary != nil {
 		m = scheduler.Momentary{Factor: v.Momentary.Pace.Factor(), At: p.Chooser.Clock.Now().Add(-v.Momentary.Age())}
 	}
+	if m.Factor > 0 || v.Pace.Factor() > 1 {
+		p.uneven.add(u.Service)
+	}
 	p.Chooser.Reported(u.ID, v.Pace.Factor(), m)
 }
 
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -55,6 +55,8 @@
 	met Met
 	// standing is nil at services whose requests all have the same priority.
 	standing *standing
+	// predicted tells that the end of its reply is predicted.
+	predicted bool
 	// metSilence tells that an agent did not answer this request.
 	metSilence bool
 	tries
@@ -175,6 +177,7 @@
 	// Without are the mechanisms that an experiment switches off.
 	Without ablator.Set
 
+	uneven     unevenServices
 	contention scheduler.Contention
 	lateWaits  scheduler.LateWaits
 	// fullMarks and admission decide at services whose requests have priorities; priorityOnce sets their clock.
@@ -194,6 +197,7 @@
 	case service.Engine == nil:
 		return p.placeAtService(view, j)
 	default:
+		j.predicted = p.predicts(service)
 		return p.placeAtEngine(ctx, view, service, j)
 	}
 }
