--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// pace is what is told of a pace; 0 for the normal one.
+// pace is what is reported of a pace; 0 for the normal one.
 func pace(factor float64) messenger.Hundredths {
 	if factor <= 1 {
 		return 0
@@ -86,7 +86,7 @@
 	return messenger.InHundredths(factor)
 }
 
-// momentary is what is told of a momentary pace; nil for the normal one, and for one that is too old to matter.
+// momentary is what is reported of a momentary pace; nil for the normal one, and for one that is too old to matter.
 func (g *Granter) momentary(m scheduler.Momentary) *messenger.MomentaryPace {
 	if m.Factor <= 0 {
 		return nil
--- a/internal/granter/pace_test.go
+++ b/internal/granter/pace_test.go
@@ -13,8 +13,8 @@
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
 
-// Guards against a momentary pace that one entry states and others don't learn of, that is told as newer than it is, or that is
-// told where no reply states one.
+// Guards against a momentary pace that one entry states and others don't learn of, that is passed on as newer than it is, or that is
+// passed on where no reply states one.
 func TestEntriesLearnThePaceThatOneOfThemStates(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
 	l := &scheduler.Ledger{Clock: c}
--- a/internal/messenger/placing.go
+++ b/internal/messenger/placing.go
@@ -25,7 +25,7 @@
 	// Prompt and Answer are the request's size in tokens, Answer as far as known.
 	Prompt int `json:"prompt"`
 	Answer int `json:"answer"`
-	// MaxAnswer is the longest answer in tokens; 0 when not told.
+	// MaxAnswer is the longest answer in tokens; 0 when not stated.
 	MaxAnswer int `json:"maxAnswer,omitempty"`
 	// PatienceMS is how long, in milliseconds, it may wait before its prompt is read.
 	PatienceMS int64 `json:"patienceMs"`
@@ -116,7 +116,7 @@
 // InHundredths gives a factor in hundredths.
 func InHundredths(factor float64) Hundredths { return Hundredths(math.Round(100 * factor)) }
 
-// Factor is the factor; 0 when not told.
+// Factor is the factor; 0 when not stated.
 func (h Hundredths) Factor() float64 { return float64(h) / 100 }
 
 // MomentaryPace is by what factor an engine is slower than normal at a moment, as one of its replies stated.
@@ -134,7 +134,7 @@
 	// Started requests have their first event, Ended ones need no place any more.
 	Started []string `json:"started,omitempty"`
 	Ended   []string `json:"ended,omitempty"`
-	// Pace is the engine's momentary pace, as the reply to a started request states it; nil when not told.
+	// Pace is the engine's momentary pace, as the reply to a started request states it; nil when not stated.
 	Pace *MomentaryPace `json:"pace,omitempty"`
 	// Failed ones of Ended the engine failed to answer, Refused ones it refused.
 	Failed  []string `json:"failed,omitempty"`
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -78,7 +78,7 @@
 	Version uint64
 	// Running, Waiting and Slots are the upstream's load; Slots is 0 when not told.
 	Running, Waiting, Slots int
-	// Pace is by what factor the upstream is slower than normal at the moment; 0 when not told.
+	// Pace is by what factor the upstream is slower than normal at the moment; 0 when not stated.
 	Pace float64
 	// Idle is how long the upstream keeps an idle connection; 0 when not told.
 	Idle time.Duration
--- a/internal/relayer/memory.go
+++ b/internal/relayer/memory.go
@@ -131,7 +131,7 @@
 
 // bodySource reads a caller's body, and takes memory for one whose length isn't known as it comes.
 func (c *call) bodySource(limit int64) io.Reader {
-	// The server's own writer is told that the connection has to close behind a body that is too long.
+	// The server's own writer learns that the connection has to close behind a body that is too long.
 	body := http.MaxBytesReader(c.out.ResponseWriter, c.r.Body, limit)
 	if c.r.ContentLength >= 0 {
 		return body
--- a/internal/relayer/pace.go
+++ b/internal/relayer/pace.go
@@ -109,7 +109,7 @@
 	return &messenger.MomentaryPace{Pace: messenger.InHundredths(p.pace.Factor), AgeMS: now.Sub(p.pace.At).Milliseconds()}
 }
 
-// notePace notes the pace of an engine that its agent told.
+// notePace notes the pace of an engine that its agent stated.
 func (p *Placer) notePace(u *registrar.UpstreamView, v *messenger.Verdict) {
 	var m scheduler.Momentary
 	if v.Momentary != nil {
--- a/internal/relayer/priority_test.go
+++ b/internal/relayer/priority_test.go
@@ -117,7 +117,7 @@
 	must.Eq(t, `{"request":"id","model":"m","prompt":800,"answer":80,"maxAnswer":80,"patienceMs":40,"leftMs":5985}`, string(text))
 }
 
-// Guards against engines and plain upstreams that admit a request in order of arrival, as nobody told them its
+// Guards against engines and plain upstreams that admit a request in order of arrival, as nobody passed on its
 // priority.
 func TestUpstreamGetsThePriority(t *testing.T) {
 	w := newWorld(t, newUpstream(t, "one", serves))
--- a/internal/relayer/ramp.go
+++ b/internal/relayer/ramp.go
@@ -24,7 +24,7 @@
 	attemptRefused
 )
 
-// progressAtEnd is what an agent is told when a request needs its slot no more.
+// progressAtEnd is what an agent learns when a request needs its slot no more.
 func (p *Place) progressAtEnd(id string) messenger.Progress {
 	progress := messenger.Progress{Ended: []string{id}}
 	switch p.attempt {
--- a/internal/relayer/ramp_test.go
+++ b/internal/relayer/ramp_test.go
@@ -49,7 +49,7 @@
 	return d.Placer.Place(t.Context(), &j)
 }
 
-// pump lets whoever waits on the clock go on until the test ends.
+// pump lets those that wait on the clock go on until the test ends.
 func (d *decider) pump(t *testing.T) {
 	go func() {
 		for t.Context().Err() == nil {
@@ -92,21 +92,21 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDecider(1, 1, 0)
-			told := &tellRecorder{Agent: d.Placer.Reach(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 0}), 1))}
-			d.Placer.Reach = func(netip.AddrPort) relayer.Agent { return told }
+			recorder := &tellRecorder{Agent: d.Placer.Reach(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 0}), 1))}
+			d.Placer.Reach = func(netip.AddrPort) relayer.Agent { return recorder }
 			d.Budgets = &retrier.Budgets{New: func() *retrier.Budget { return &retrier.Budget{Clock: d.clock} }}
 			j := d.job
 			j.Arrived = d.clock.Now()
 			d.Admit(&j)
 			d.pump(t)
 			must.Error(t, d.Serve(t.Context(), &j, func(context.Context, *relayer.Place) error { return e.err }))
-			must.Eq(t, e.ends, len(told.last.Failed)+len(told.last.Refused) == 1)
-			must.SliceLen(t, 1, told.last.Ended)
+			must.Eq(t, e.ends, len(recorder.last.Failed)+len(recorder.last.Refused) == 1)
+			must.SliceLen(t, 1, recorder.last.Ended)
 		})
 	}
 }
 
-// tellRecorder keeps the last progress that was told.
+// tellRecorder keeps the last progress that was sent.
 type tellRecorder struct {
 	relayer.Agent
 	last messenger.Progress
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -61,7 +61,7 @@
 	Slots int
 	// Empty engines were last heard to hold no weights.
 	Empty bool
-	// Agent tells that its load is heard from an agent, and not only from its replies.
+	// Agent tells that its load comes from an agent, and not only from its replies.
 	Agent bool
 	// Plain upstreams have no agent that counts for them; Cold tells of one of these that it has just started.
 	Plain, Cold bool
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -36,7 +36,7 @@
 	ID string
 	// Prompt and Answer are its size in tokens.
 	Prompt, Answer int
-	// MaxAnswer is the longest answer in tokens; 0 when not told.
+	// MaxAnswer is the longest answer in tokens; 0 when not stated.
 	MaxAnswer int
 	// Expected are the tokens that its answer should have; 0 when nobody knows.
 	Expected int
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -12,7 +12,7 @@
 	PaceSpan = 600 * time.Millisecond
 	// maxPace bounds what a single figure does to a prediction.
 	maxPace = 10.0
-	// reportedSpan is for how long an entry goes by the pace that an agent told of its engine's report. With 58
+	// reportedSpan is for how long an entry goes by the pace that an agent stated for its engine's report. With 58
 	// engines of which one in seven is slow, an entry that asks each slow one again after 30 s spends 3 in 100 of its
 	// requests on that; after 5 s it were one in seven, as many as without any figure.
 	reportedSpan = 30 * time.Second
@@ -122,7 +122,7 @@
 
 // enginePace is what an entry knows of the pace of one upstream.
 type enginePace struct {
-	// reported is the pace that an agent last told of its engine's report, at reportedAt.
+	// reported is the pace that an agent last stated for its engine's report, at reportedAt.
 	reported   float64
 	reportedAt time.Time
 	momentary  Momentary
@@ -153,7 +153,7 @@
 	return cost
 }
 
-// Reported notes what an agent told of its engine: the pace that its report states, 0 for the normal one, and the one
+// Reported notes what an agent stated for its engine: the pace that its report states, 0 for the normal one, and the one
 // that replies stated.
 func (c *Chooser) Reported(id string, pace float64, m Momentary) {
 	if c.Without.Has(ablator.PaceFeedback) {
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -75,8 +75,8 @@
 	return s.silences > 0 && now.Before(s.silentUntil.Add(probeOverdue))
 }
 
-// loadUnknown tells whether nothing has been heard of the load of an engine with an agent since this process or the
-// engine started. The last load heard counts however old it is: in trials loads unknown after 5 s cost 0.002 of the worth
+// loadUnknown tells whether nothing has been received of the load of an engine with an agent since this process or the
+// engine started. The last load received counts however old it is: in trials loads unknown after 5 s cost 0.002 of the worth
 // while half of the agents are gone.
 func (s *seen) loadUnknown(k Candidate) bool { return k.Agent && s.heard.IsZero() }
 
--- a/internal/simulator/patterns_test.go
+++ b/internal/simulator/patterns_test.go
@@ -321,7 +321,7 @@
 	return &changed
 }
 
-// Guards against streams that go to slow engines as to others where a third of the engines are 2.5 times slower, drawn anew
+// Guards against streams that go to slow engines as to others where a third of the engines are 2.5 times slower, redrawn
 // every 600 ms: pauses and first events are late there, and streams are cut at their callers' deadline.
 func TestAThirdOfTheEnginesSlowerChangingEvery600Milliseconds(t *testing.T) {
 	e := load(t, "unevenPace")
--- a/internal/simulator/starts.go
+++ b/internal/simulator/starts.go
@@ -28,7 +28,7 @@
 	s.idle += o.idle
 }
 
-// hasJustStarted tells whether the engine began anew during the experiment a short time ago.
+// hasJustStarted tells whether the engine restarted during the experiment a short time ago.
 func (h *host) hasJustStarted() bool { return h.starts > 0 && h.time.Since(h.startedAt) < justStarted }
 
 // noteSlots counts the engine's idle slots after a start.
--- a/internal/simulator/starts_test.go
+++ b/internal/simulator/starts_test.go
@@ -26,7 +26,7 @@
 	return n
 }
 
-// Engines are slow for three seconds after their start, and nobody is told. Guards against a flood there.
+// Engines are slow for three seconds after their start, and nothing states it. Guards against a flood there.
 func TestEnginesSlowAfterTheirStart(t *testing.T) {
 	with, without := slowStarts(t, "slowStart")
 	must.Greater(t, without.worth(everything)+0.005, with.worth(everything))
--- a/internal/stager/ramp_test.go
+++ b/internal/stager/ramp_test.go
@@ -14,7 +14,7 @@
 }
 
 // Guards against an engine that is flooded after its start, one that is held back as its agent alone has
-// started anew, and one that is held back after a single report was late.
+// restarted, and one that is held back after a single report was late.
 func TestSlowStartOfAnEngine(t *testing.T) {
 	e := &engine{born: 1, held: 1}
 	w := newWorld(t, e, time.Hour)
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -64,9 +64,9 @@
 	Waiting, Running int
 	// Pace is how much slower than its figures it works; 0 when not told.
 	Pace float64
-	// Memory is how many tokens of whole requests it holds; 0 when not told.
+	// Memory is how many tokens of whole requests it holds; 0 when not stated.
 	Memory int
-	// Momentary is by what factor it is slower than that at the moment; 0 when not told.
+	// Momentary is by what factor it is slower than that at the moment; 0 when not stated.
 	Momentary float64
 	// StartedAt is its start.
 	StartedAt time.Time
--- a/internal/syncer/referral.go
+++ b/internal/syncer/referral.go
@@ -35,7 +35,7 @@
 	region string
 
 	mu   sync.Mutex
-	told map[string][]referee
+	given map[string][]referee
 }
 
 // referee is an entry that got all records.
@@ -53,17 +53,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	known := slices.DeleteFunc(s.told[q.Region], func(r referee) bool {
+	known := slices.DeleteFunc(s.given[q.Region], func(r referee) bool {
 		return r.address == q.Unresponsive || r.address == q.Peers || now.Sub(r.at) > referFor
 	})
 	tell := len(known) == 0 || q.Unresponsive.IsValid() || q.Peers.IsValid() && len(known) < referees
 	if tell && q.Peers.IsValid() {
 		known = append(known, referee{q.Peers, now})
 	}
-	if s.told == nil {
-		s.told = map[string][]referee{}
+	if s.given == nil {
+		s.given = map[string][]referee{}
 	}
-	s.told[q.Region] = known
+	s.given[q.Region] = known
 	if tell {
 		return netip.AddrPort{}, false
 	}
--- a/internal/syncer/referral_test.go
+++ b/internal/syncer/referral_test.go
@@ -24,25 +24,25 @@
 	r := &registrar.Registrar{Clock: c, Decode: decodeFleet, Region: "a"}
 	r.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{{Key: "drained/x", Revision: 1}}})
 	answer := syncer.Answer(r, c)
-	told := func(q messenger.RecordsQuery) bool { return len(answer(t.Context(), q).Records) == 1 }
+	answered := func(q messenger.RecordsQuery) bool { return len(answer(t.Context(), q).Records) == 1 }
 	far := func(i int) messenger.RecordsQuery {
 		return messenger.RecordsQuery{Region: "b", Peers: referralAddress(i)}
 	}
 	agent := messenger.RecordsQuery{Region: "b"}
-	must.True(t, told(agent), must.Sprint("no entry of the region has the records"))
+	must.True(t, answered(agent), must.Sprint("no entry of the region has the records"))
 	for i := range 9 {
-		must.Eq(t, i < 3, told(far(i)))
+		must.Eq(t, i < 3, answered(far(i)))
 	}
 	must.Less(t, byte(3), answer(t.Context(), agent).Refer.Addr().As4()[3])
-	must.True(t, told(messenger.RecordsQuery{}), must.Sprint("of an older version"))
-	must.True(t, told(messenger.RecordsQuery{Region: "a"}), must.Sprint("of the own region"))
-	must.True(t, told(far(1)), must.Sprint("it didn't get what it was told"))
+	must.True(t, answered(messenger.RecordsQuery{}), must.Sprint("of an older version"))
+	must.True(t, answered(messenger.RecordsQuery{Region: "a"}), must.Sprint("of the own region"))
+	must.True(t, answered(far(1)), must.Sprint("it didn't get what it was sent"))
 	failed := agent
 	for i := range 3 {
 		failed.Unresponsive = referralAddress(i)
-		must.True(t, told(failed), must.Sprint("was referred to an entry that didn't answer"))
+		must.True(t, answered(failed), must.Sprint("was referred to an entry that didn't answer"))
 	}
-	must.True(t, told(far(8)), must.Sprint("in place of the unresponsive ones"))
+	must.True(t, answered(far(8)), must.Sprint("in place of the unresponsive ones"))
 	c.Step(time.Minute)
-	must.True(t, told(agent), must.Sprint("the entries that were told may have ended"))
+	must.True(t, answered(agent), must.Sprint("the entries that got them may have ended"))
 }
--- a/internal/syncer/restart_of_all_test.go
+++ b/internal/syncer/restart_of_all_test.go
@@ -40,7 +40,7 @@
 }
 
 // Guards against processes without records that are referred to entries which don't answer, as these hang: they must be
-// told by a seed all the same, without the store.
+// informed by a seed all the same, without the store.
 func TestProcessesReferredToHangingEntriesHaveTheTable(t *testing.T) {
 	restartAll(t, time.Millisecond, 2500*time.Millisecond, func(f *fleet) {
 		f.members[2].refuses.Store(true)
