--- a/internal/syncer/referral.go
+++ b/internal/syncer/referral.go
@@ -34,7 +34,7 @@
 	clock  clock.PassiveClock
 	region string
 
-	mu   sync.Mutex
+	mu    sync.Mutex
 	given map[string][]referee
 }
 
@@ -56,15 +56,15 @@
 	known := slices.DeleteFunc(s.given[q.Region], func(r referee) bool {
 		return r.address == q.Unresponsive || r.address == q.Peers || now.Sub(r.at) > referFor
 	})
-	tell := len(known) == 0 || q.Unresponsive.IsValid() || q.Peers.IsValid() && len(known) < referees
-	if tell && q.Peers.IsValid() {
+	serve := len(known) == 0 || q.Unresponsive.IsValid() || q.Peers.IsValid() && len(known) < referees
+	if serve && q.Peers.IsValid() {
 		known = append(known, referee{q.Peers, now})
 	}
 	if s.given == nil {
 		s.given = map[string][]referee{}
 	}
 	s.given[q.Region] = known
-	if tell {
+	if serve {
 		return netip.AddrPort{}, false
 	}
 	return known[rand.IntN(len(known))].address, true
