--- a/soak/auditor/auditor.go
+++ b/soak/auditor/auditor.go
@@ -46,7 +46,7 @@
 	Abandoned     Promise = "no work goes on for callers that left"
 	Reload        Promise = "settings are read again when asked"
 	UnreadOnce    Promise = "a reply that its caller doesn't read isn't started elsewhere"
-	Priority      Promise = "upstreams get the operators' priorities"
+	Priority      Promise = "requests reach upstreams in the operators' order of priorities"
 	Memory        Promise = "processes keep to the memory of their VM"
 	Exit          Promise = "no process ends by itself"
 	Recovery      Promise = "requests are served once the faults are over"
@@ -84,6 +84,10 @@
 	tolerated
 	checked map[Promise]int
 	broken  map[Promise][]*Broken
+	// priorities are those with which requests of each urgency reached each service, by the table of the version
+	// prioritiesOf.
+	priorities   map[string]map[urgency]string
+	prioritiesOf uint64
 }
 
 // tolerated counts what breaks a promise only in number.
--- a/soak/auditor/auditor_test.go
+++ b/soak/auditor/auditor_test.go
@@ -30,6 +30,7 @@
 		Routes: []auditor.Route{
 			{Prefix: "/book/", Service: "shed", Once: true, Attempts: 2}, {Prefix: "/look/", Service: "shed", Attempts: 2, Priority: "2"},
 			{Prefix: "/home/", Service: "shed", Attempts: 2, Regions: []string{"huon"}},
+			{Prefix: "/urgent/", Service: "shed", Attempts: 2, Priority: "0"},
 		},
 		Keys: map[string]auditor.Workspace{"k": {Name: "w"}},
 	}
