--- a/internal/relayer/ask.go
+++ b/internal/relayer/ask.go
@@ -71,7 +71,7 @@
 	}
 	p.Chooser.Heard(u.ID, v.Wait(), load(v))
 	p.notePace(u, &v)
-	p.Chooser.HeardRamp(u.ID, v.Ramp != nil, v.Closed == "")
+	p.Chooser.NoteRamp(u.ID, v.Ramp != nil, v.Closed == "")
 	if !v.Granted {
 		return nil, &v
 	}
--- a/internal/relayer/pace.go
+++ b/internal/relayer/pace.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// shortAnswer is the part of the expected answer that has to fit into the time left. The hint is accurate at the
-	// median, with a standard deviation of 0.5 in the logarithm: one answer in six is shorter.
-	shortAnswer = 0.6
 	// hintWeight is how much of an answer's length, in the logarithm, is taken from its hint; the rest is the usual
 	// length. Lengths are spread by 0.76 in the logarithm where their standard deviation is 0.9 of the mean, and
 	// hints by 0.5 around them, so that long hints mostly belong to shorter answers.
@@ -142,7 +139,7 @@
 	if expected == 0 || p.Without.Has(ablator.DeadlineAdmission) {
 		return nil
 	}
-	takes := scheduler.ReadTime(e, prompt) + time.Duration(shortAnswer*float64(expected)*float64(scheduler.StepTime(e, 1)))
+	takes := scheduler.ReadTime(e, prompt) + time.Duration(scheduler.ShortAnswer*float64(expected)*float64(scheduler.StepTime(e, 1)))
 	if takes <= j.Deadline.Sub(p.Clock.Now()) {
 		return nil
 	}
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -18,10 +18,10 @@
 	reportedSpan = 30 * time.Second
 	// lateCost ranks an engine at which the answer would end too late behind all that may end it in time.
 	lateCost = 400 * time.Millisecond
-	// shortAnswer is the part of the expected answer that a job has to be able to end in time at least. The
+	// ShortAnswer is the part of the expected answer that a job has to be able to end in time at least. The
 	// hint is accurate at the median, with a standard deviation of 0.5 in the logarithm: one answer in six is
 	// shorter than this part.
-	shortAnswer = 0.6
+	ShortAnswer = 0.6
 	// pauseShare is the part of the pause objective that may be predicted for those who write at an engine of uneven
 	// pace. The rest is for prompts that are granted before the pause ends, and for a pace that changes meanwhile. Of 0.45 to
 	// 1.0, 0.65 was worth most in experiments/mixedPace.toml, and 0.55 and 0.65 in unevenPace.toml.
@@ -87,7 +87,7 @@
 		return false
 	}
 	expected := j.Expected
-	j.Answer = max(1, int(shortAnswer*float64(expected)))
+	j.Answer = max(1, int(ShortAnswer*float64(expected)))
 	if v.Wait+l.duration(j, v.Active+1) > j.Left {
 		return true
 	}
--- a/internal/scheduler/ramp_chooser.go
+++ b/internal/scheduler/ramp_chooser.go
@@ -23,18 +23,18 @@
 	// ejected and startedCold are why ramps begin at an entry.
 	ejected     = "back after failures"
 	startedCold = "upstream started"
-	// rampHeard is for how long an agent's word that its engine ramps counts, and warmHeard its word that
+	// rampKnown is for how long an agent's word that its engine ramps counts, and warmKnown its word that
 	// it doesn't. Engines that have just started are idle and asked first, so an entry hears more of them
 	// than of the others; the longer time makes up for that.
-	rampHeard = time.Second
+	rampKnown = time.Second
 	// failureHalfLife is in which time the cost of earlier failures halves at an upstream without an agent.
 	// Only good answers lowered it before, and one that failed twice got none while the others had room.
 	// At engines it is no gain: tearEverywhere 0.988 instead of 0.990.
 	failureHalfLife = 2 * time.Second
-	warmHeard       = 3 * time.Second
-	// leastHeard is of how many engines an entry has to hear at least that they ramp before it takes the
+	warmKnown       = 3 * time.Second
+	// leastAnswers is of how many engines an entry has to know at least that they ramp before it takes the
 	// whole service to have just started.
-	leastHeard = 3
+	leastAnswers = 3
 )
 
 // ramped is what an entry knows of an upstream's ramp.
@@ -178,18 +178,18 @@
 	}
 }
 
-// HeardRamp notes whether the agent beside an upstream said that it ramps, if the upstream is open.
-func (c *Chooser) HeardRamp(id string, ramps, open bool) {
+// NoteRamp notes whether the agent beside an upstream said that it ramps, if the upstream is open.
+func (c *Chooser) NoteRamp(id string, ramps, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, now := c.of(id), c.Clock.Now()
 	s.rampsUntil, s.warmUntil = time.Time{}, time.Time{}
 	switch {
 	case ramps:
-		s.rampsUntil = now.Add(rampHeard)
+		s.rampsUntil = now.Add(rampKnown)
 		c.rampsHeardUntil = s.rampsUntil
 	case open:
-		s.warmUntil = now.Add(warmHeard)
+		s.warmUntil = now.Add(warmKnown)
 	}
 }
 
@@ -212,7 +212,7 @@
 			warm++
 		}
 	}
-	return ramping > warm && ramping >= min(leastHeard, (n+1)/2)
+	return ramping > warm && ramping >= min(leastAnswers, (n+1)/2)
 }
 
 // Ramping tells whether an upstream ramps, as far as this entry knows.
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -444,7 +444,7 @@
 // Answer gives another process what changed after a revision, once anything did or
 // its wait is over.
 func Answer(r *registrar.Registrar, c clock.Clock) func(context.Context, messenger.RecordsQuery) registrar.Batch {
-	told := &referrals{clock: c, region: r.Region}
+	given := &referrals{clock: c, region: r.Region}
 	return func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
 		_, age, _ := r.At()
 		// Held back for longer, the answer would be too old when it comes.
@@ -470,7 +470,7 @@
 		for {
 			changed := r.Changed()
 			if at, _, _ := r.At(); at > q.After {
-				if to, ok := told.refer(q); ok {
+				if to, ok := given.refer(q); ok {
 					return registrar.Batch{Refer: to}
 				}
 				if b := since(); len(b.Records) > 0 {
