--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -180,10 +179,9 @@
 	uneven     unevenServices
 	contention scheduler.Contention
 	lateWaits  scheduler.LateWaits
-	// fullMarks and admission decide at services whose requests have priorities; priorityOnce sets their clock.
-	priorityOnce sync.Once
-	fullMarks    scheduler.FullMarks
-	admission    scheduler.Admission
+	// fullMarks and admission decide at services whose requests have priorities.
+	fullMarks scheduler.FullMarks
+	admission scheduler.Admission
 }
 
 // placeNow finds an upstream that takes a request at once. Errors are *RefusedError and the
--- a/internal/relayer/priority.go
+++ b/internal/relayer/priority.go
@@ -90,7 +90,7 @@
 func (p *Placer) fullFor(id string, j *Job) time.Duration {
 	full := p.Chooser.FullFor(id, p.late(j) || j.mover.looking)
 	if j.standing != nil {
-		full = max(full, p.full().FullFor(id, j.standing.priority))
+		full = max(full, p.fullMarks.FullFor(id, j.standing.priority, p.Clock.Now()))
 	}
 	return full
 }
@@ -111,18 +111,6 @@
 	return ""
 }
 
-// full has the marks of engines without a slot.
-func (p *Placer) full() *scheduler.FullMarks {
-	p.priorityOnce.Do(func() { p.fullMarks.Clock, p.admission.Clock = p.Clock, p.Clock })
-	return &p.fullMarks
-}
-
-// plain has the admission to plain services.
-func (p *Placer) plain() *scheduler.Admission {
-	p.full()
-	return &p.admission
-}
-
 // noteNoSlot keeps that an engine has no slot for a request: none at all, none to spare, or none that isn't
 // kept for others.
 func (p *Placer) noteNoSlot(id string, j *Job, v *messenger.Verdict) {
@@ -130,7 +118,7 @@
 		p.noteFull(id, j, v.Free())
 		return
 	}
-	p.full().Full(id, j.standing.priority, min(v.Free(), fullPause))
+	p.fullMarks.Full(id, j.standing.priority, min(v.Free(), fullPause), p.Clock.Now())
 }
 
 // noteRefusal counts an engine that had no slot for a request within its whole budget.
@@ -165,20 +153,20 @@
 	if j.standing == nil {
 		return true
 	}
-	return p.plain().Admit(j.Service, j.standing.rank())
+	return p.admission.Admit(j.Service, j.standing.rank(), p.Clock.Now())
 }
 
 // notePlainLoad takes the load of a plain upstream from a reply.
 func (p *Placer) notePlainLoad(j *Job, r *Reply) {
 	if j.standing != nil {
-		p.plain().Replied(j.Service, r.Running, r.Waiting, r.Slots)
+		p.admission.Replied(j.Service, r.Running, r.Waiting, r.Slots, p.Clock.Now())
 	}
 }
 
 // notePlainRefusal notes that an upstream refused a request.
 func (p *Placer) notePlainRefusal(j *Job) {
 	if j.standing != nil && !j.Route.Generates {
-		p.plain().Refused(j.Service)
+		p.admission.Refused(j.Service, p.Clock.Now())
 	}
 }
 
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"k8s.io/utils/clock"
 )
 
 const (
@@ -30,10 +28,9 @@
 
 // Admission bounds the less urgent requests that an entry sends to plain services during a shortage, by
 // additive increase and multiplicative decrease. It has no agent to ask, and goes by this entry's own
-// requests. Set Clock before use. It is safe for concurrent use.
+// requests. The zero value is ready for use by several
+// goroutines.
 type Admission struct {
-	Clock clock.PassiveClock
-
 	mu       sync.Mutex
 	services map[string]*admission
 }
@@ -57,10 +54,10 @@
 
 // Admit tells whether a request may be sent to a service now, and counts it. Rank is 0 for the most urgent
 // requests of the service and 1 for the least. Requests yield only to more urgent ones that came lately.
-func (a *Admission) Admit(service string, rank float64) bool {
+func (a *Admission) Admit(service string, rank float64, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s, now := a.of(service), a.Clock.Now()
+	s := a.of(service)
 	if s.yields(rank, now) && s.short(now) {
 		s.update(now)
 		if s.tokens < 1+rank*(s.burst()-1) {
@@ -82,14 +79,14 @@
 }
 
 // Refused notes that an upstream refused a request.
-func (a *Admission) Refused(service string) {
+func (a *Admission) Refused(service string, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.of(service).decrease(a.Clock.Now())
+	a.of(service).decrease(now)
 }
 
 // Replied notes the load of an upstream that replied.
-func (a *Admission) Replied(service string, running, waiting, slots int) {
+func (a *Admission) Replied(service string, running, waiting, slots int, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s, full := a.of(service), 0.0
@@ -98,15 +95,15 @@
 	}
 	s.full += fullWeight * (full - s.full)
 	if full == 1 && s.full > fullShortage {
-		s.decrease(a.Clock.Now())
+		s.decrease(now)
 	}
 }
 
 // Short tells whether a service has a shortage.
-func (a *Admission) Short(service string) bool {
+func (a *Admission) Short(service string, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.of(service).short(a.Clock.Now())
+	return a.of(service).short(now)
 }
 
 func (a *Admission) of(service string) *admission {
--- a/internal/scheduler/full_marks.go
+++ b/internal/scheduler/full_marks.go
@@ -3,25 +3,20 @@
 import (
 	"sync"
 	"time"
-
-	"k8s.io/utils/clock"
 )
 
 // FullMarks remembers which engines had no slot for requests of a priority. An engine without a slot for one
-// request may well have one for a more urgent one. Set Clock before use. It is safe for concurrent use.
+// request may well have one for a more urgent one. The zero value is ready for use by several goroutines.
 type FullMarks struct {
-	Clock clock.PassiveClock
-
 	mu    sync.Mutex
 	until map[string]*[priorities]time.Time
 	swept time.Time
 }
 
 // Full notes that an engine has no slot for requests of a priority, or less urgent ones, for a time.
-func (m *FullMarks) Full(id string, priority int, free time.Duration) {
+func (m *FullMarks) Full(id string, priority int, free time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.Clock.Now()
 	m.sweep(now)
 	marks := m.until[id]
 	if marks == nil {
@@ -32,14 +27,14 @@
 }
 
 // FullFor is how long an engine is still taken to have no slot for requests of a priority.
-func (m *FullMarks) FullFor(id string, priority int) time.Duration {
+func (m *FullMarks) FullFor(id string, priority int, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	marks := m.until[id]
 	if marks == nil {
 		return 0
 	}
-	now, longest := m.Clock.Now(), time.Duration(0)
+	longest := time.Duration(0)
 	for _, until := range marks[:priority+1] {
 		longest = max(longest, until.Sub(now))
 	}
