--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -249,7 +249,7 @@
 	for _, u := range us {
 		candidates = append(candidates, scheduler.Candidate{
 			ID: u.ID, StartedAt: u.StartedAt, Distance: p.distance(u), Slots: u.Slots, Empty: model != "" && u.Holds(model) == 0, Agent: model != "",
-			Plain: model == "", Cold: model == "" && u.Cold > 0 && u.ColdFor() > 0,
+			Cold: model == "" && u.Cold > 0 && u.ColdFor() > 0,
 		})
 	}
 	return p.Chooser.RankFor(candidates, w)
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -63,8 +63,8 @@
 	Empty bool
 	// Agent tells that its load comes from an agent, and not only from its replies.
 	Agent bool
-	// Plain upstreams have no agent that counts for them; Cold tells of one of these that it has just started.
-	Plain, Cold bool
+	// Cold tells of an upstream without an agent that it has just started.
+	Cold bool
 }
 
 // Chooser remembers what an entry met at each upstream. It is safe for concurrent
--- a/internal/scheduler/ramp_chooser.go
+++ b/internal/scheduler/ramp_chooser.go
@@ -164,7 +164,7 @@
 
 // failureDecay is what is left of the cost of earlier failures.
 func (c *Chooser) failureDecay(s *seen, k Candidate, now time.Time) float64 {
-	if s.failing == 0 || !k.Plain || c.Without.Has(ablator.SlowStart) {
+	if s.failing == 0 || k.Agent || c.Without.Has(ablator.SlowStart) {
 		return 1
 	}
 	return math.Exp2(-float64(now.Sub(s.failedAt)) / float64(failureHalfLife))
--- a/internal/scheduler/ramp_test.go
+++ b/internal/scheduler/ramp_test.go
@@ -195,7 +195,7 @@
 func plain(cold ...string) []scheduler.Candidate {
 	var ks []scheduler.Candidate
 	for i := range 6 {
-		k := scheduler.Candidate{ID: fmt.Sprint(i), Slots: 6, Plain: true, StartedAt: time.Unix(900, 0)}
+		k := scheduler.Candidate{ID: fmt.Sprint(i), Slots: 6, StartedAt: time.Unix(900, 0)}
 		for _, id := range cold {
 			k.Cold = k.Cold || id == k.ID
 		}
