Review, case 2: a replica that turns cold in a store outage gets its full load

A replica of a plain service turns cold while the store answers 503 for 4.5 s. It states so on its health path, which nothing asks; its record follows only when the store is back.

Nothing is fixed.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -15,7 +15,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(b *bed.Bed, trouble string) (code int, err error){
-	"cut": playCut,
+	"cut":  playCut,
+	"cold": playCold,
 }
 
 func main() { os.Exit(run()) }
