--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -15,8 +15,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(b *bed.Bed, trouble string) (code int, err error){
-	"cut":  playCut,
-	"cold": playCold,
+	"cut":   playCut,
+	"cold":  playCold,
+	"leave": playLeave,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases/plain.go
+++ b/review/cases/plain.go
@@ -25,6 +25,8 @@
 	key     = "jnbanfqasnmgkcuyj8pj"
 	// lookupPath is on an idempotent route, bookPath on a non-idempotent one.
 	lookupPath, bookPath = "/status/7", "/book/7"
+	// maxConnections is above what the largest case needs.
+	maxConnections = 2000
 )
 
 type object = map[string]any
@@ -42,7 +44,7 @@
 		"version": 7,
 		"routes":  []object{route("r-status", "/status/", "idempotent", 2), route("r-book", "/book/", "non_idempotent", 1)},
 		"services": []object{{
-			"name": service, "health_path": "/healthz", "max_connections": 234, "protocol": "h1", "tls": false,
+			"name": service, "health_path": "/healthz", "max_connections": maxConnections, "protocol": "h1", "tls": false,
 			"cold_start_s": coldStart, "cold_per_s": coldRate,
 		}},
 		"limits":  object{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
