--- a/review/cases/plain.go
+++ b/review/cases/plain.go
@@ -61,13 +61,18 @@
 	// addresses are those of the replicas.
 	addresses []netip.AddrPort
 	logs      []string
-	// flags are further arguments of the replicas.
-	flags []string
+	// flags are further arguments of the replicas, flagsOfFirst those of the first one of each zone beside them.
+	flags, flagsOfFirst []string
 }
 
 // start starts an entry and some replicas in each zone and waits until the entries are ready.
 func start(b *bed.Bed, replicasPerZone int, flags ...string) (*deployment, error) {
-	d := &deployment{Bed: b, flags: flags}
+	return (&deployment{Bed: b, flags: flags}).start(replicasPerZone)
+}
+
+// start is the function of the same name for a deployment whose flags are set.
+func (d *deployment) start(replicasPerZone int) (*deployment, error) {
+	b := d.Bed
 	var seeds []netip.AddrPort
 	for _, z := range bed.Zones {
 		m := &bed.Machine{Name: fmt.Sprintf("front-%s-1", z.Name), Zone: z, IP: b.Address()}
@@ -102,7 +107,11 @@
 // startReplica starts the replica of a zone under an id.
 func (d *deployment) startReplica(i int, id string) (*bed.Process, error) {
 	args := []string{"-id", id, "-service", service, "-address", d.addresses[i].String(), "-zone", d.zone(i).Name, "-store", d.Store.Address().String(), "-log", d.logs[i]}
-	return d.Start("replica-"+id, nil, "review/replica", append(args, d.flags...)...)
+	args = append(args, d.flags...)
+	if i < len(bed.Zones) {
+		args = append(args, d.flagsOfFirst...)
+	}
+	return d.Start("replica-"+id, nil, "review/replica", args...)
 }
 
 // zone is that of a replica.
--- a/review/replica/main.go
+++ b/review/replica/main.go
@@ -29,6 +29,13 @@
 	"time"
 )
 
+// Answers without a length are limited as in the site's trouble garble, unframed: x = 0.05 of the answers, for 5 s.
+const (
+	unframedOneIn  = 20
+	unframedFor    = 5
+	unframedPeriod = 6
+)
+
 const (
 	heartbeat    = 1200 * time.Millisecond
 	storeTimeout = 900 * time.Millisecond
@@ -42,6 +49,7 @@
 	born                              int64
 	work, hold                        time.Duration
 	unframed                          bool
+	answers                           int
 	coldFor                           time.Duration
 
 	running  chan struct{}
@@ -64,7 +72,7 @@
 	flag.IntVar(&r.slots, "slots", 6, "requests at once")
 	flag.DurationVar(&r.work, "work", 15*time.Millisecond, "time until the answer begins")
 	flag.DurationVar(&r.hold, "hold", 0, "pause in the middle of an answer")
-	flag.BoolVar(&r.unframed, "unframed", false, "answers have no length and end with their channel")
+	flag.BoolVar(&r.unframed, "unframed", false, "for 5 of each 6 s, one answer in 20 has no length, is sent in two halves and ends with its channel")
 	flag.DurationVar(&r.coldFor, "cold", 3*time.Second, "how long the replica is cold after SIGUSR1")
 	database := flag.String("database", "", "address of a database to which the service keeps connections; empty for none")
 	connections := flag.Int("connections", 0, "how many it keeps")
@@ -231,7 +239,15 @@
 	}
 }
 
-// answer sends an answer of 800 bytes, in two halves.
+// drawUnframed reports whether the next answer has no length.
+func (r *replica) drawUnframed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers++
+	return r.unframed && r.answers%unframedOneIn == 0 && time.Now().Unix()%unframedPeriod < unframedFor
+}
+
+// answer sends an answer of 800 bytes; one without a length in two halves.
 func (r *replica) answer(w http.ResponseWriter, attempt string) {
 	line := attempt + " " + r.id + "\n"
 	whole := strings.Repeat(line, 800/len(line)+1)[:799] + "."
@@ -239,20 +255,21 @@
 	h := w.Header()
 	h.Set("Content-Type", "text/plain")
 	h.Set("X-Replica-Seal", attempt+"."+strconv.Itoa(len(whole))+"."+hex.EncodeToString(sum[:8]))
-	if r.unframed {
+	unframed := r.drawUnframed()
+	if unframed {
 		// With this, net/http sends no chunks and closes the connection after the body.
 		h.Set("Transfer-Encoding", "identity")
 	} else {
 		h.Set("Content-Length", strconv.Itoa(len(whole)))
 	}
 	half := len(whole) / 2
-	if r.hold == 0 {
+	if !unframed {
 		half = len(whole)
 	}
 	if _, err := io.WriteString(w, whole[:half]); err != nil {
 		return
 	}
-	if r.hold > 0 {
+	if unframed {
 		_ = http.NewResponseController(w).Flush()
 		r.event("half", attempt, "", half)
 		time.Sleep(r.hold)
