hoster: count the grace of a stalled entry from its stall

Cause: the entry took the time at which it handled the signal for the time at which it was sent, so that it meant to cut its requests up to a whole stall after the kill. The exit before the kill, of entries and agents, was counted alike. Both used the monotonic clock and its timers, which don't count suspensions.

Whether the signal is handled before or after the stall is noticed differs from stop to stop, so both orders count.

Fix: a detector checks each 25 ms that the process runs, and bounds when an event that is handled now can have happened. The entry counts its grace from the earliest such time, by the clock that includes suspensions. If a stall has shortened its time, it refuses requests of unknown length that have less time left than entries without a stall leave to all, so that their callers can go elsewhere; those that it cuts nevertheless have 0.2 s longer for an answer. An entry that wasn't stalled drains as before. The detector takes the place of reporter.Stalls, whose two tests move to it.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -21,6 +21,8 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/detector"
+	"github.com/oriolecroft/oriolecroft/internal/hoster"
 	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/logger"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
@@ -102,6 +104,7 @@
 	// ageClock measures the age of information and counts the time for which the VM is
 	// suspended. Its times must not be compared with those of clock.
 	ageClock clock.WithTicker
+	stalls   *detector.Detector
 	// hangups receives each SIGHUP.
 	hangups chan os.Signal
 }
@@ -137,6 +140,7 @@
 		ageClock:   ageClock,
 		hangups:    hangups,
 	}
+	d.stalls = detector.New(ageClock, d.metrics)
 	d.registrar = &registrar.Registrar{
 		Clock: ageClock, Decode: platform.Decode, Linger: time.Duration(lingerDrainShare * float64(s.Bounds.Drain)),
 		Heartbeat: s.Heartbeat, Region: s.Region,
@@ -175,7 +179,7 @@
 		d.log.Run(logCtx)
 	}()
 	d.supervisor.Add(reloader{d})
-	d.supervisor.Add(reporter.Stalls(d.ageClock, d.metrics))
+	d.supervisor.Add(d.stalls)
 	defer d.exitBeforeKill(ctx)()
 	klog.InfoS("Process starts", "vm", d.settings.Name, "failureDomain", d.settings.FailureDomain, "pid", os.Getpid())
 	err := reporter.RunUntil(ctx, d.supervisor, shutDown)
@@ -185,21 +189,33 @@
 	return err
 }
 
-// exitMargin is how long before the kill a process exits, even if services still run.
-const exitMargin = 75 * time.Millisecond
+const (
+	// exitMargin is how long before the kill a process exits, even if services still run.
+	exitMargin = 75 * time.Millisecond
+	// lastAnswersTime is the time before that in which an entry answers the requests that it cuts.
+	lastAnswersTime = 75 * time.Millisecond
+)
 
 // exitBeforeKill exits shortly before the process would be killed. A service that does
 // not stop, such as one that waits for a partitioned peer, would otherwise keep the
 // process until the kill, and its last log lines would be lost.
 func (d *daemon) exitBeforeKill(ctx context.Context) (cancel func()) {
+	ended, end := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, func() {
-		time.AfterFunc(d.settings.Bounds.Grace-exitMargin, func() {
-			klog.InfoS("Process exits with services still running", "vm", d.settings.Name)
-			d.log.Flush()
-			os.Exit(exitOK)
-		})
+		signal := d.stalls.Event()
+		if timekeeper.WaitUntil(ended, d.ageClock, signal.Earliest.Add(d.settings.Bounds.Grace-exitMargin-lastAnswersTime)) != nil {
+			return
+		}
+		// The process may have resumed just now.
+		time.Sleep(lastAnswersTime + min(signal.Uncertainty(), hoster.MaxLateAnswer))
+		klog.InfoS("Process exits with services still running", "vm", d.settings.Name)
+		d.log.Flush()
+		os.Exit(exitOK)
 	})
-	return func() { stop() }
+	return func() {
+		stop()
+		end()
+	}
 }
 
 // reloader reloads the settings at each SIGHUP. Addresses and bounds take effect at the
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -12,8 +12,10 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/detector"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/syncer"
+	"github.com/oriolecroft/oriolecroft/internal/timekeeper"
 )
 
 const (
@@ -26,6 +28,8 @@
 	killMargin = 150 * time.Millisecond
 	// cutTimeout bounds the time that these requests take to end.
 	cutTimeout = 25 * time.Millisecond
+	// MaxLateAnswer is how much longer they may take at most if the time of the kill is uncertain.
+	MaxLateAnswer = 200 * time.Millisecond
 	// restartTime is the approximate time until a restarted entry accepts callers.
 	restartTime = time.Second
 	// immediateRetry is the retry delay for refused callers that find another entry.
@@ -53,11 +57,14 @@
 	Registration *syncer.Registration
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
+	// Clock should count the time for which the VM is suspended.
 	Clock clock.Clock
+	// Stalls has the same clock.
+	Stalls *detector.Detector
 
-	// stopSignalAt is when the entry received the signal to stop; nil before.
-	stopSignalAt atomic.Pointer[time.Time]
-	idleConns    idleConnections
+	// stopSignal is the signal to stop; nil before the entry received it.
+	stopSignal atomic.Pointer[detector.Event]
+	idleConns  idleConnections
 }
 
 // Ready reports whether the entry accepts callers.
@@ -67,15 +74,30 @@
 }
 
 // Draining reports whether the entry is shutting down.
-func (h *Hoster) Draining() bool { return h.stopSignalAt.Load() != nil }
+func (h *Hoster) Draining() bool { return h.stopSignal.Load() != nil }
 
 // CutIn implements relayer.Shutdown.
 func (h *Hoster) CutIn() (time.Duration, bool) {
-	stoppedAt := h.stopSignalAt.Load()
-	if stoppedAt == nil {
+	signal := h.stopSignal.Load()
+	if signal == nil {
 		return 0, false
 	}
-	return h.Grace - killMargin - h.Clock.Since(*stoppedAt), true
+	return h.cutAt(signal).Sub(h.Clock.Now()), true
+}
+
+// cutAt is when the remaining requests are cut.
+func (h *Hoster) cutAt(signal *detector.Event) time.Time {
+	return signal.Earliest.Add(h.Grace - killMargin)
+}
+
+// LeastTime implements relayer.Shutdown. Without a stall, all requests of callers with an old directory answer have
+// that much time.
+func (h *Hoster) LeastTime() time.Duration {
+	signal := h.stopSignal.Load()
+	if signal == nil || !h.Stalls.StalledSince(signal.Earliest) {
+		return 0
+	}
+	return h.Grace - killMargin - staleAnswerPeriod - unreadTimeout
 }
 
 // RetryAfter implements relayer.Shutdown. Callers of the entry's own region retry at once, on a new
@@ -134,28 +156,35 @@
 // drain removes the entry from the directory at once, serves callers that still
 // connect, and closes the listener when directory answers that list it have expired.
 func (h *Hoster) drain(s *http.Server, cut context.CancelCauseFunc) {
-	startedAt := h.Clock.Now()
-	h.stopSignalAt.Store(&startedAt)
-	klog.InfoS("Entry draining")
-	ctx, cancel := context.WithTimeout(context.Background(), h.Grace-killMargin)
+	signal := h.Stalls.Event()
+	h.stopSignal.Store(&signal)
+	startedAt, cutAt := signal.Latest, h.cutAt(&signal)
+	klog.InfoS("Entry draining", "signalAge", signal.Uncertainty(), "stalls", signal.Stalls, "cutIn", cutAt.Sub(startedAt))
+	go h.Registration.Deregister(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go h.Registration.Deregister(ctx)
+	go func() {
+		defer cancel()
+		_ = timekeeper.WaitUntil(ctx, h.Clock, cutAt)
+	}()
 	// Neither http.Server.SetKeepAlivesEnabled nor Shutdown checks whether a request waits to be
 	// read on a connection that they close.
 	h.idleConns.closeUnused()
-	h.waitFor(ctx, staleAnswerPeriod)
+	_ = timekeeper.WaitUntil(ctx, h.Clock, startedAt.Add(staleAnswerPeriod))
 	for range unreadTimeout / unreadPollInterval {
 		if h.idleConns.closeUnused() || !h.waitFor(ctx, unreadPollInterval) {
 			break
 		}
 	}
 	if err := shutDownPolling(ctx, s); err != nil {
-		klog.InfoS("Requests cut at the end of the grace period", "err", err)
+		left, _ := h.CutIn()
+		klog.InfoS("Requests cut at the end of the grace period", "late", -left, "err", err)
 		// Only handlers can properly end a reply that has started, or answer a request without one.
 		cut(&GraceError{Grace: h.Grace})
-		endCtx, cancel := context.WithTimeout(context.Background(), cutTimeout)
+		endCtx, cancel := context.WithTimeout(context.Background(), cutTimeout+min(signal.Uncertainty(), MaxLateAnswer))
 		defer cancel()
-		if err := s.Shutdown(endCtx); err != nil {
+		if err := shutDownPolling(endCtx, s); err != nil {
+			klog.InfoS("Connections closed without an answer", "err", err)
 			s.Close()
 		}
 	}
--- a/internal/hoster/hoster_test.go
+++ b/internal/hoster/hoster_test.go
@@ -88,7 +88,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	started, finish := make(chan struct{}, 2), make(chan struct{})
-	h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: clock.RealClock{}, Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
+	h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: clock.RealClock{}, Stalls: newStalls(clock.RealClock{}), Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
 		Registration: &syncer.Registration{Store: noLeases{}, Clock: clock.RealClock{}},
 		Requests: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			started <- struct{}{}
@@ -128,7 +128,7 @@
 	must.NoError(t, err)
 	started, finish := make(chan struct{}), make(chan struct{})
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
-	h := &hoster.Hoster{Callers: l, Grace: 20 * time.Second, Clock: c, Registrar: &registrar.Registrar{Clock: c},
+	h := &hoster.Hoster{Callers: l, Grace: 20 * time.Second, Clock: c, Stalls: newStalls(c), Registrar: &registrar.Registrar{Clock: c},
 		Registration: &syncer.Registration{Store: noLeases{}, Clock: c},
 		Requests: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			close(started)
@@ -167,7 +167,7 @@
 			must.NoError(t, err)
 			c := clocktest.NewFakeClock(time.Unix(1000, 0))
 			v := newRegistrar(&matcher.Route{Host: "h", Prefix: "/", Regions: []string{e.own.Region}})
-			h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: c, Registrar: v, Requests: http.NotFoundHandler(),
+			h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: c, Stalls: newStalls(c), Registrar: v, Requests: http.NotFoundHandler(),
 				Registration: &syncer.Registration{Store: noLeases{}, Clock: c, Member: e.own}}
 			ctx, stop := context.WithCancel(context.Background())
 			done := make(chan error, 1)
@@ -194,7 +194,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	suspended := &suspendedListener{Listener: l, resumed: make(chan struct{})}
-	h := &hoster.Hoster{Callers: suspended, Grace: 8 * time.Second, Clock: clock.RealClock{}, Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
+	h := &hoster.Hoster{Callers: suspended, Grace: 8 * time.Second, Clock: clock.RealClock{}, Stalls: newStalls(clock.RealClock{}), Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
 		Registration: &syncer.Registration{Store: noLeases{}, Clock: clock.RealClock{}},
 		Requests:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/hoster/reset_test.go
+++ b/internal/hoster/reset_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	h := &hoster.Hoster{Callers: l, Grace: grace, Clock: clock.RealClock{}, Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
+	h := &hoster.Hoster{Callers: l, Grace: grace, Clock: clock.RealClock{}, Stalls: newStalls(clock.RealClock{}), Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
 		Registration: &syncer.Registration{Store: noLeases{}, Clock: clock.RealClock{}}, Requests: http.HandlerFunc(handler)}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- /dev/null
+++ b/internal/hoster/stalled_test.go
@@ -0,0 +1,130 @@
+package hoster_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"k8s.io/utils/clock"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/oriolecroft/oriolecroft/internal/detector"
+	"github.com/oriolecroft/oriolecroft/internal/hoster"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
+	"github.com/oriolecroft/oriolecroft/internal/suspender"
+	"github.com/oriolecroft/oriolecroft/internal/syncer"
+)
+
+const (
+	stalledGrace = 8 * time.Second
+	// leastTime is what an entry that wasn't stalled leaves to all requests.
+	leastTime = 3550 * time.Millisecond
+	// answerTime is how long requests of these tests take to answer once they are cut.
+	answerTime = 100 * time.Millisecond
+)
+
+func newStalls(c clock.WithTicker) *detector.Detector { return detector.New(c, metrics.NewRegistry()) }
+
+// stalledEntry is an entry with a request that ends only when it is cut.
+type stalledEntry struct {
+	*hoster.Hoster
+	stalls *detector.Detector
+	stop   context.CancelFunc
+	ended  chan error
+	answer chan string
+}
+
+// newStalledEntry starts an entry and sends it a request.
+func newStalledEntry(t *testing.T, c clock.WithTicker) *stalledEntry {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	started := make(chan struct{})
+	e := &stalledEntry{stalls: newStalls(c), ended: make(chan error, 1), answer: make(chan string, 1)}
+	e.Hoster = &hoster.Hoster{Callers: l, Grace: stalledGrace, Clock: c, Stalls: e.stalls, Registrar: &registrar.Registrar{Clock: c},
+		Registration: &syncer.Registration{Store: noLeases{}, Clock: c},
+		Requests: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+			time.Sleep(answerTime)
+			_, _ = io.WriteString(w, "cut")
+		})}
+	ctx, stop := context.WithCancel(t.Context())
+	e.stop = stop
+	go func() { e.ended <- e.Run(ctx) }()
+	go func() {
+		res, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			e.answer <- err.Error()
+			return
+		}
+		defer res.Body.Close()
+		body, _ := io.ReadAll(res.Body)
+		e.answer <- string(body)
+	}()
+	<-started
+	return e
+}
+
+func (e *stalledEntry) stopAndWait(t *testing.T) {
+	e.stop()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(e.Draining), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+}
+
+// Guards against an entry that counts its grace from when it resumes: it would still serve when it is killed.
+func TestGraceOfStalledEntryCountsFromItsStall(t *testing.T) {
+	for name, e := range map[string]struct {
+		stall, cutIn, leastTime time.Duration
+	}{
+		"not stalled":        {0, 7850 * time.Millisecond, 0},
+		"stalled":            {2800 * time.Millisecond, 5050 * time.Millisecond, leastTime},
+		"nearly whole grace": {7500 * time.Millisecond, 350 * time.Millisecond, leastTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.NewFakeClock(time.Unix(1000, 0))
+			w := newStalledEntry(t, c)
+			must.Zero(t, w.LeastTime())
+			c.Step(e.stall)
+			w.stopAndWait(t)
+			cutIn, draining := w.CutIn()
+			must.True(t, draining)
+			must.Eq(t, e.cutIn, cutIn)
+			must.Eq(t, e.leastTime, w.LeastTime())
+			c.Step(e.cutIn)
+			<-w.ended
+		})
+	}
+}
+
+// Guards against closed connections: after a stall as long as the grace all requests are answered at once, and the entry may
+// still have the time for it.
+func TestRequestsAreAnsweredAfterStallOverWholeGrace(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	w := newStalledEntry(t, c)
+	c.Step(stalledGrace)
+	w.stopAndWait(t)
+	must.Eq(t, "cut", <-w.answer)
+	must.NoError(t, <-w.ended)
+}
+
+// Guards against timers that run on after a suspension while the VM's time to the kill has passed.
+func TestDrainingEntryNoticesSuspension(t *testing.T) {
+	steady := clocktest.NewFakeClock(time.Unix(1000, 0))
+	vm := &suspender.VM{Steady: steady}
+	w := newStalledEntry(t, vm.Clock().(clock.WithTicker))
+	w.stopAndWait(t)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(steady.HasWaiters), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+	vm.Suspend(stalledGrace - 100*time.Millisecond)
+	must.Eq(t, leastTime, w.LeastTime())
+	for step := range 8 {
+		steady.Step(25 * time.Millisecond)
+		time.Sleep(5 * time.Millisecond)
+		must.Less(t, 8, step)
+	}
+	must.NoError(t, <-w.ended)
+}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -271,6 +271,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if late := p.checkLeastTime(j); late != nil {
+		return nil, p.shutdownRefusal(j, late)
+	}
 	if !p.admitPlain(j) {
 		return nil, &RefusedError{Reason: scheduler.KeptForUrgent, RetryAfter: defaultRetryAfter}
 	}
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -28,6 +28,8 @@
 type Shutdown interface {
 	// CutIn is the time until replies in progress are cut; false for an entry that keeps running.
 	CutIn() (time.Duration, bool)
+	// LeastTime is the time that must be left until then for a request of unknown length; 0 for any.
+	LeastTime() time.Duration
 	// RetryAfter is when refused callers of a host should retry.
 	RetryAfter(host string) time.Duration
 }
@@ -69,10 +71,18 @@
 	return &ShutdownError{Takes: takes, CutIn: left}
 }
 
+// checkLeastTime is checkTimeLeft for a job of unknown length.
+func (p *Placer) checkLeastTime(j *Job) *ShutdownError {
+	if p.Shutdown == nil {
+		return nil
+	}
+	return p.checkTimeLeft(j, p.Shutdown.LeastTime())
+}
+
 // checkTimeLeftAt is checkTimeLeft for a job that has a place.
 func (p *Placer) checkTimeLeftAt(j *Job, place *Placement) *ShutdownError {
 	if place.Ends.IsZero() {
-		return nil
+		return p.checkLeastTime(j)
 	}
 	return p.checkTimeLeft(j, time.Duration(paceMargin*float64(place.Ends.Sub(p.Clock.Now()))))
 }
--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -19,7 +19,12 @@
 const shutdownRetryAfter = 40 * time.Millisecond
 
 // fakeShutdown cuts replies after the time left; 0 for an entry that keeps running.
-type fakeShutdown struct{ left atomic.Int64 }
+type fakeShutdown struct {
+	left  atomic.Int64
+	least time.Duration
+}
+
+func (s *fakeShutdown) LeastTime() time.Duration { return s.least }
 
 func (s *fakeShutdown) CutIn() (time.Duration, bool) {
 	left := time.Duration(s.left.Load())
@@ -102,3 +107,37 @@
 	w.relayer.Placer.Shutdown = s
 	must.Eq(t, "whole", w.request(t, "/once/", "r1").body)
 }
+
+// Guards against bookings that an entry takes although it ends before them, as a stall shortened its shutdown: they run, and
+// their callers can't repeat them.
+func TestStalledEntryRefusesRequestsThatItMayCut(t *testing.T) {
+	const left, least = 3 * time.Second, 3550 * time.Millisecond
+	for name, e := range map[string]struct {
+		patience    string
+		left, least time.Duration
+		refused     bool
+	}{
+		"enough time":                    {left: least, least: least},
+		"too little time":                {left: left, least: least, refused: true},
+		"any time is enough":             {left: left},
+		"caller leaves before the entry": {patience: "2000", left: left, least: least},
+		"caller leaves after the entry":  {patience: "4000", left: left, least: least, refused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, "desk", func(_ int, id string, conn net.Conn) bool {
+				writeString(conn, sealedReply(id, "whole"))
+				return true
+			})
+			w := newTestEntry(t, u)
+			s := &fakeShutdown{least: e.least}
+			s.left.Store(int64(e.left))
+			w.relayer.Placer.Shutdown = s
+			a := w.sendWithHeader(t, "/once/", "order", http.Header{"Id": {"r1"}, "Key": {"k"}, "Patience": {e.patience}})
+			if e.refused {
+				mustRefuseForShutdown(t, w, a)
+				return
+			}
+			must.Eq(t, "whole", a.body)
+		})
+	}
+}
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -14,11 +14,9 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
-	"github.com/shoenig/test/wait"
 	clocktesting "k8s.io/utils/clock/testing"
 
 	"github.com/oriolecroft/oriolecroft/internal/reporter"
-	"github.com/oriolecroft/oriolecroft/internal/suspender"
 )
 
 const timeout = 10 * time.Second
@@ -116,37 +114,3 @@
 	cancel()
 	must.ErrorIs(t, <-ended, context.Canceled)
 }
-
-// A VM is paused for seconds. Without a log line for the pause, the log looks like that of
-// a process without events.
-func TestPauseIsCounted(t *testing.T) {
-	c := clocktesting.NewFakeClock(time.Unix(0, 0))
-	r := metrics.NewRegistry()
-	pauses := metrics.GetOrRegisterTimer("process.stoodStill", r)
-	ctx, cancel := context.WithTimeout(t.Context(), timeout)
-	defer cancel()
-	s := reporter.Stalls(c, r)
-	go func() { _ = s.Serve(ctx) }()
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(c.HasWaiters), wait.Timeout(timeout), wait.Gap(time.Millisecond)))
-	c.Step(9 * time.Second)
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return pauses.Count() == 1 }), wait.Timeout(timeout), wait.Gap(time.Millisecond)))
-	must.Eq(t, int64(8900*time.Millisecond), pauses.Max())
-}
-
-// A VM is suspended for seconds. Its steady clock doesn't count them, so that without a log
-// line nothing shows the suspension, and operators search elsewhere for the cause of late
-// responses.
-func TestSuspensionIsCounted(t *testing.T) {
-	steady := clocktesting.NewFakeClock(time.Unix(0, 0))
-	vm := &suspender.VM{Steady: steady}
-	r := metrics.NewRegistry()
-	pauses := metrics.GetOrRegisterTimer("process.stoodStill", r)
-	ctx, cancel := context.WithTimeout(t.Context(), timeout)
-	defer cancel()
-	s := reporter.Stalls(vm.Clock(), r)
-	vm.Suspend(9 * time.Second)
-	steady.Step(100 * time.Millisecond)
-	go func() { _ = s.Serve(ctx) }()
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return pauses.Count() == 1 }), wait.Timeout(timeout), wait.Gap(time.Millisecond)))
-	must.Eq(t, int64(9*time.Second), pauses.Max())
-}
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -12,6 +12,7 @@
 package timekeeper
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -73,3 +74,19 @@
 	}
 	return d
 }
+
+// checkInterval is how often WaitUntil reads the clock.
+const checkInterval = 25 * time.Millisecond
+
+// WaitUntil waits until a time of a clock, and notices a suspension within checkInterval, though timers don't count
+// it. The error is the context's.
+func WaitUntil(ctx context.Context, c clock.Clock, t time.Time) error {
+	for left := t.Sub(c.Now()); left > 0; left = t.Sub(c.Now()) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.After(min(left, checkInterval)):
+		}
+	}
+	return ctx.Err()
+}
