syncer: renew a lease a second after the call, not after its answer was read

What callers saw: an entry whose process was stalled while the store answered a renewal may leave the directory for up to a second after it has resumed.

Cause: a lease runs from the arrival of the call at the store, and the pause to the next one was counted from when the answer was read, by a clock that doesn't count suspensions.

Fix: the next call is a third of the lease after the last one was sent. After a failed call the pause is as before.

TestLeaseIsRenewedInTimeAfterAStall failed before.

--- a/cmd/oriolecroft/clocks_test.go
+++ b/cmd/oriolecroft/clocks_test.go
@@ -40,13 +40,16 @@
 				case *syncer.Syncer:
 					mustCountSuspendedTime(t, p.Clock)
 					checked++
+				case *syncer.Registration:
+					mustCountSuspendedTime(t, p.Clock)
+					checked++
 				case *stager.Stager:
 					mustCountSuspendedTime(t, p.Clock)
 					mustCountSuspendedTime(t, p.Ledger.Clock)
 					checked++
 				}
 			}
-			want := map[string]int{"entry": 1, "agent": 2}
+			want := map[string]int{"entry": 2, "agent": 2}
 			must.Eq(t, want[r.name], checked, must.Sprint("services that measure ages"))
 		})
 	}
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -82,7 +82,7 @@
 	e := &platformEntry{daemon: d, serveErr: make(chan error, 1)}
 	e.hoster = &hoster.Hoster{
 		Registrar: d.registrar, Clock: d.ageClock, Grace: s.Bounds.Grace, Stalls: d.stalls,
-		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.clock, LeastLease: s.Store.LeastLease},
+		Registration: &syncer.Registration{Store: d.store, Member: member, Clock: d.ageClock, LeastLease: s.Store.LeastLease},
 		Requests:     relay,
 	}
 	e.hoster.Registration.Ready = e.hoster.Ready
--- a/internal/syncer/lease_test.go
+++ b/internal/syncer/lease_test.go
@@ -207,3 +207,46 @@
 		})
 	}
 }
+
+// slowLeases grants leases whose answers are read late.
+type slowLeases struct {
+	clock    *clocktest.FakeClock
+	late     time.Duration
+	renewals chan time.Time
+}
+
+func (l *slowLeases) Lease(context.Context, time.Duration) (uint64, error) {
+	l.clock.Step(l.late)
+	return 1, nil
+}
+
+func (l *slowLeases) Renew(context.Context, uint64) error {
+	l.renewals <- l.clock.Now()
+	l.clock.Step(l.late)
+	return nil
+}
+
+func (*slowLeases) EndLease(context.Context, uint64) error                    { return nil }
+func (*slowLeases) PutMember(context.Context, registrar.Member, uint64) error { return nil }
+
+// Guards against a lease that is counted from when its answer is read: it ends before its renewal if the entry was stalled, and
+// callers don't find the entry.
+func TestLeaseIsRenewedInTimeAfterAStall(t *testing.T) {
+	const late = 900 * time.Millisecond
+	c := clocktest.NewFakeClock(time.Unix(0, 0))
+	l := &slowLeases{clock: c, late: late, renewals: make(chan time.Time)}
+	r := &syncer.Registration{Store: l, Clock: c, Ready: func() bool { return true }}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = r.Serve(ctx) }()
+	for renewal := range 3 {
+		eventually(t, c.HasWaiters)
+		c.Step(time.Second - late)
+		select {
+		case at := <-l.renewals:
+			must.Eq(t, time.Unix(int64(renewal)+1, 0), at)
+		case <-time.After(time.Second):
+			t.Fatal("not renewed")
+		}
+	}
+}
--- a/internal/syncer/registration.go
+++ b/internal/syncer/registration.go
@@ -50,28 +50,30 @@
 // Serve runs until the context ends.
 func (r *Registration) Serve(ctx context.Context) error {
 	for {
-		pause := r.renewOrRegister(ctx)
+		next := r.renewOrRegister(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-r.Clock.After(pause):
+		case <-r.Clock.After(next.Sub(r.Clock.Now())):
 		}
 	}
 }
 
 func (r *Registration) String() string { return "registration" }
 
-// renewOrRegister renews the lease, or registers again, and returns the pause until the next call.
-func (r *Registration) renewOrRegister(ctx context.Context) time.Duration {
+// renewOrRegister renews the lease, or registers again, and returns the time of the next call. A lease runs from the
+// arrival of the call at the store, and the answer may be read much later.
+func (r *Registration) renewOrRegister(ctx context.Context) (next time.Time) {
 	r.mu.Lock()
 	lease, deregistered := r.lease, r.deregistered
 	r.mu.Unlock()
 	if deregistered || !r.Ready() {
-		return retryPause
+		return r.nextRetry()
 	}
 	if lease == 0 {
 		return r.register(ctx)
 	}
+	sentAt := r.Clock.Now()
 	err := r.Store.Renew(ctx, lease)
 	var notFound *storer.NotFoundError
 	if errors.As(err, &notFound) {
@@ -80,36 +82,39 @@
 	}
 	if err != nil {
 		klog.V(1).InfoS("Lease not renewed", "lease", lease, "err", err)
-		return retryPause
+		return r.nextRetry()
 	}
-	return r.ttl() / renewalsPerLease
+	return sentAt.Add(r.ttl() / renewalsPerLease)
 }
 
+func (r *Registration) nextRetry() time.Time { return r.Clock.Now().Add(retryPause) }
+
 func (r *Registration) ttl() time.Duration { return max(leaseTTL, r.LeastLease) }
 
 // register writes the entry's record under a new lease, unless the entry is deregistered meanwhile.
-func (r *Registration) register(ctx context.Context) time.Duration {
+func (r *Registration) register(ctx context.Context) (next time.Time) {
 	if !r.replaceLease(0) {
-		return retryPause
+		return r.nextRetry()
 	}
+	sentAt := r.Clock.Now()
 	lease, err := r.Store.Lease(ctx, r.ttl())
 	if err != nil {
 		klog.InfoS("Lease not granted", "err", err)
-		return retryPause
+		return r.nextRetry()
 	}
 	// From here on Deregister ends this lease, and with it the record.
 	if !r.replaceLease(lease) {
 		r.endLease(ctx, lease)
-		return retryPause
+		return r.nextRetry()
 	}
 	if err := r.Store.PutMember(ctx, r.Member, lease); err != nil {
 		klog.InfoS("Entry not registered", "lease", lease, "err", err)
 		r.replaceLease(0)
 		r.endLease(ctx, lease)
-		return retryPause
+		return r.nextRetry()
 	}
 	klog.InfoS("Entry registered", "entry", r.Member.ID, "lease", lease)
-	return r.ttl() / renewalsPerLease
+	return sentAt.Add(r.ttl() / renewalsPerLease)
 }
 
 // replaceLease sets the entry's lease, 0 for none, and reports whether the entry isn't deregistered.
