relayer: count a connection's idle time from before a stall

What callers saw: after its process was stalled, an entry may send a repeatable request on a connection that the upstream is just closing; the request needs another attempt.

Cause: the idle time of a connection was counted from when the end of the reply was read, which may be a whole stall after it was sent, and by a clock that doesn't count suspensions.

Fix: it counts from the earliest time at which the reply can have ended.

--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -66,7 +66,7 @@
 		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Metrics: d.metrics,
 	}
 	openedConnections := metrics.GetOrRegisterCounter("upstreamConnections", d.metrics)
-	pool := &relayer.Pool{Clock: d.clock, Opened: func() { openedConnections.Inc(1) }}
+	pool := &relayer.Pool{Clock: d.ageClock, Stalls: d.stalls, Opened: func() { openedConnections.Inc(1) }}
 	relay := &relayer.Relayer{
 		Registrar: d.registrar, Placer: placer, Chooser: chooser, Pool: pool, Codec: platform.Headers{},
 		Localizer: d.localizer,
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -12,6 +12,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/detector"
 )
 
 const (
@@ -74,9 +75,12 @@
 }
 
 // Pool keeps connections to upstreams. Each start of an upstream has its own, as an address may later belong to
-// another upstream. Set Clock before use.
+// another upstream. Set the exported fields before use.
 type Pool struct {
+	// Clock should count the time for which the VM is suspended.
 	Clock clock.PassiveClock
+	// Stalls has the same clock. A reply that is read after a stall may have ended before it; nil for no stalls.
+	Stalls *detector.Detector
 	// Opened is called for each new connection.
 	Opened func()
 
@@ -174,13 +178,21 @@
 		c.Close()
 		return
 	}
-	c.reusableUntil, c.keepReading = p.Clock.Now().Add(keep), nil
+	c.reusableUntil, c.keepReading = p.idleSince().Add(keep), nil
 	_ = c.SetDeadline(time.Time{})
 	if !p.addIdle(upstream, c) {
 		c.Close()
 	}
 }
 
+// idleSince is the earliest time since which the connection of a reply that has just been read may be idle.
+func (p *Pool) idleSince() time.Time {
+	if p.Stalls == nil {
+		return p.Clock.Now()
+	}
+	return p.Stalls.Event().Earliest
+}
+
 func (p *Pool) addIdle(upstream string, c *connection) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
