--- a/cmd/oriolecroft/stalled_shutdown_test.go
+++ b/cmd/oriolecroft/stalled_shutdown_test.go
@@ -140,8 +140,7 @@
 	return e.daemon.ProcessState.Sys().(syscall.WaitStatus)
 }
 
-// Guards against an entry that counts its grace from when it resumes instead of from SIGTERM: it is killed, and requests that a
-// replica has run get no answer.
+// Guards against an entry that counts its grace from when it resumes, and is killed before its requests are answered.
 func TestStalledEntryAnswersRequestsBeforeItIsKilled(t *testing.T) {
 	const term, stall, resume = syscall.SIGTERM, syscall.SIGSTOP, syscall.SIGCONT
 	for i, e := range []struct {
--- a/internal/hoster/stalled_test.go
+++ b/internal/hoster/stalled_test.go
@@ -79,7 +79,7 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(e.Draining), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
 }
 
-// Guards against an entry that counts its grace from when it resumes: it would still serve when it is killed.
+// Guards against an entry that counts its grace from when it resumes, and still serves when it is killed.
 func TestGraceOfStalledEntryCountsFromItsStall(t *testing.T) {
 	for name, e := range map[string]struct {
 		stall, cutIn, leastTime time.Duration
@@ -104,8 +104,7 @@
 	}
 }
 
-// Guards against closed connections: after a stall as long as the grace all requests are answered at once, and the entry may
-// still have the time for it.
+// Guards against connections that are closed without an answer after a stall as long as the grace.
 func TestRequestsAreAnsweredAfterStallOverWholeGrace(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
 	w := newStalledEntry(t, c)
@@ -115,7 +114,7 @@
 	must.NoError(t, <-w.ended)
 }
 
-// Guards against timers that run on after a suspension while the VM's time to the kill has passed.
+// Guards against an entry whose timers don't count a suspension, and that still serves when it is killed.
 func TestDrainingEntryNoticesSuspension(t *testing.T) {
 	steady := clocktest.NewFakeClock(time.Unix(1000, 0))
 	vm := &suspender.VM{Steady: steady}
--- a/internal/relayer/pool_test.go
+++ b/internal/relayer/pool_test.go
@@ -14,8 +14,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/relayer"
 )
 
-// Guards against idle times that are counted from when a stalled process reads a reply: a request that crosses the upstream's
-// close of the connection may have run.
+// Guards against requests that cross their upstream's close of a connection, as its idle time was counted from after a stall.
 func TestConnectionIsIdleSinceBeforeAStall(t *testing.T) {
 	for name, e := range map[string]struct {
 		inReply, afterReply time.Duration
--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -108,8 +108,7 @@
 	must.Eq(t, "whole", w.request(t, "/once/", "r1").body)
 }
 
-// Guards against bookings that an entry takes although it ends before them, as a stall shortened its shutdown: they run, and
-// their callers can't repeat them.
+// Guards against bookings that an entry takes and then cuts, as a stall has shortened its shutdown.
 func TestStalledEntryRefusesRequestsThatItMayCut(t *testing.T) {
 	const left, least = 3 * time.Second, 3550 * time.Millisecond
 	for name, e := range map[string]struct {
--- a/internal/syncer/lease_test.go
+++ b/internal/syncer/lease_test.go
@@ -152,8 +152,7 @@
 	return slices.Clone(l.ended), l.puts
 }
 
-// Guards against a draining entry that registers again, as its lease expired while it was stalled: directories would name it
-// to callers, who find it closed.
+// Guards against a draining entry that registers again because its lease expired while it was stalled.
 func TestDrainingEntryIsNotRegisteredAgain(t *testing.T) {
 	for name, e := range map[string]struct {
 		// callsBefore is how many calls have been answered when the entry starts draining during the next one.
@@ -229,8 +228,7 @@
 func (*slowLeases) EndLease(context.Context, uint64) error                    { return nil }
 func (*slowLeases) PutMember(context.Context, registrar.Member, uint64) error { return nil }
 
-// Guards against a lease that is counted from when its answer is read: it ends before its renewal if the entry was stalled, and
-// callers don't find the entry.
+// Guards against a lease that is counted from when its answer is read, and ends before it is renewed.
 func TestLeaseIsRenewedInTimeAfterAStall(t *testing.T) {
 	const late = 900 * time.Millisecond
 	c := clocktest.NewFakeClock(time.Unix(0, 0))
