Tests: replies whose head is cut, at each byte

Another operator reports 200s with an empty or short body from a replica that stopped inside its answer's head. Here a head without its blank line is an error of net/http's reader in every place, so that no such 200 is passed on; these tests fix that. They cut the head after each byte, by a close and by a reset, for replies framed by length, chunks and the connection, with interim replies, in HTTP/1.0 and for refusals, over new and over idle connections:

The cut right behind the head is included where the body can't be empty. - forwarder and driver: entries to agents, and agents to engines and services, of the project's own interface.

--- a/internal/driver/framing_test.go
+++ b/internal/driver/framing_test.go
@@ -125,3 +125,44 @@
 	_, err := e.State(t.Context())
 	must.Error(t, err)
 }
+
+// Guards against a reply, a stream or a refusal from an upstream whose reply has a cut head, and against sending its
+// request again.
+func TestReplyWithCutHeadIsUnknown(t *testing.T) {
+	requests := map[string]func(a netip.AddrPort) error{
+		"call": func(a netip.AddrPort) error {
+			_, err := call(t, a, "slot")
+			return err
+		},
+		"generate": func(a netip.AddrPort) error {
+			e := driver.Engine{Address: a}
+			s, err := e.Generate(t.Context(), driver.GenerateRequest{})
+			if err == nil {
+				s.Close()
+			}
+			return err
+		},
+		"state": func(a netip.AddrPort) error {
+			e := driver.Engine{Address: a}
+			_, err := e.State(t.Context())
+			return err
+		},
+	}
+	for framing, head := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+		"chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"connection": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"refusal":    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for name, send := range requests {
+			t.Run(framing+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				bodyreadertest.CutHeads(t, "", head, func(a netip.AddrPort) error {
+					err := send(a)
+					must.False(t, driver.NotSent(err), must.Sprint(err))
+					return err
+				})
+			})
+		}
+	}
+}
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -287,3 +287,47 @@
 		})
 	}
 }
+
+// Guards against a reply, a stream or a "not run" from a response whose head is cut, and against sending its request again.
+func TestResponseWithCutHeadIsUnknown(t *testing.T) {
+	send := map[string]func(c *forwarder.Client, a netip.AddrPort) error{
+		"call": func(c *forwarder.Client, a netip.AddrPort) error {
+			_, err := c.Call(t.Context(), a, forwarder.CallOrder{Attempt: attempt, Key: "k", DeadlineMS: 1000}, nil)
+			return err
+		},
+		"generate": func(c *forwarder.Client, a netip.AddrPort) error {
+			s, err := c.Generate(t.Context(), a, forwarder.GenerateOrder{Attempt: attempt, DeadlineMS: 1000})
+			if err == nil {
+				s.Close()
+			}
+			return err
+		},
+		"lookup": func(c *forwarder.Client, a netip.AddrPort) error {
+			_, err := c.Lookup(t.Context(), a, "k")
+			return err
+		},
+	}
+	for framing, head := range map[string]string{
+		"length":     responseHead("Content-Length: 4"),
+		"chunks":     responseHead("Transfer-Encoding: chunked"),
+		"connection": responseHead("Connection: close"),
+		"refusal":    strings.Replace(responseHead("Content-Length: 2"), "ran", "notRun", 1),
+	} {
+		for order, f := range send {
+			for connection, whole := range map[string]string{"new": "", "reused": responseHead("Content-Length: 4") + "slot"} {
+				t.Run(framing+"/"+order+"/"+connection, func(t *testing.T) {
+					t.Parallel()
+					bodyreadertest.CutHeads(t, whole, head, func(a netip.AddrPort) error {
+						c := client()
+						if whole != "" {
+							must.NoError(t, send["call"](c, a))
+						}
+						err := f(c, a)
+						requireError[*forwarder.UnknownError](t, err)
+						return err
+					})
+				})
+			}
+		}
+	}
+}
