hoster: answer all requests that arrived before an entry stops

Callers of an entry that stops saw their connection closed, or reset, without an answer, long after they had sent their request.

Cause: http.Server.Shutdown. Once it has begun, net/http reads a request that is on its way, finds that the server shuts down and closes the connection without an answer (server.go, conn.serve, after readRequest). Closing the listener resets the connections that wait to be accepted. An entry that runs all the time does so to requests of a few milliseconds.

Now internal/drainer stops the server: it accepts the connections that wait before it closes the listener, doesn't call Shutdown, and closes a connection only if its reader finds that nothing was read on it and nothing waits to be. New connections have a second for their first request; Shutdown gave them five and then dropped it.

TestStarvedEntryAnswersRequestsThatWaited (real processes) failed before in its four cases with stalls and passes three times of three. The tests of internal/drainer cover each order of events by itself; 20 times with the race detector.

--- a/cmd/oriolecroft/stalled_shutdown_test.go
+++ b/cmd/oriolecroft/stalled_shutdown_test.go
@@ -60,7 +60,8 @@
 func (*stoppingEntry) Flooded(string, string, int)            {}
 func (*stoppingEntry) Unread(string, string)                  {}
 
-func startStoppingEntry(t *testing.T, host int) *stoppingEntry {
+// startStoppingEntry starts an entry on a loopback host, and on the next one a service that works for a time on each request.
+func startStoppingEntry(t *testing.T, host int, work time.Duration) *stoppingEntry {
 	e := &stoppingEntry{arrived: map[string]bool{}, replies: map[string]standin.Reply{}}
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
@@ -69,7 +70,7 @@
 	ip, desk := loopback(host), netip.MustParseAddrPort(loopback(host+1)+":8080")
 	l, err := standin.Listen(desk)
 	must.NoError(t, err)
-	u := standin.NewService(standin.Record{ID: "i-1", Service: "desk", Address: desk, FailureDomain: "a", Slots: 1000}, slowWork)
+	u := standin.NewService(standin.Record{ID: "i-1", Service: "desk", Address: desk, FailureDomain: "a", Slots: 1000}, work)
 	u.Observer, u.Store, u.Heartbeat, u.BreakOff = e, store, 500*time.Millisecond, &atomic.Int32{}
 	u.Start(l, 0)
 	t.Cleanup(u.Stop)
@@ -158,7 +159,7 @@
 	} {
 		t.Run(e.name, func(t *testing.T) {
 			t.Parallel()
-			w := startStoppingEntry(t, firstStopHost+2*i)
+			w := startStoppingEntry(t, firstStopHost+2*i, slowWork)
 			ctx, cancel := context.WithCancel(t.Context())
 			traffic := make(chan struct{})
 			go func() {
--- /dev/null
+++ b/cmd/oriolecroft/starved_shutdown_test.go
@@ -0,0 +1,139 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/oriolecroft/oriolecroft/platform/standin"
+)
+
+const (
+	// lossSlack is how long after it was sent a request may be lost to the close of its connection.
+	lossSlack = 200 * time.Millisecond
+	// shortWork is how long the service works on a request that ends well within the grace.
+	shortWork = 30 * time.Millisecond
+	// firstStarvedHost is the first loopback host of the test, which uses two for each case.
+	firstStarvedHost = 226
+	// keptConnections is the number of callers that send several requests on a connection.
+	keptConnections = 30
+)
+
+// lostRequest is a request whose connection was closed without an answer.
+type lostRequest struct {
+	id    string
+	after time.Duration
+}
+
+// lossRecorder records the requests without an answer. It is safe for concurrent use.
+type lossRecorder struct {
+	entry *stoppingEntry
+
+	mu       sync.Mutex
+	answered int
+	lost     []lostRequest
+}
+
+// send sends a request on a connection and reports whether that can be used again.
+func (r *lossRecorder) send(c *standin.Connection, id string) (reusable bool) {
+	sentAt := time.Now()
+	reply := c.Send(&standin.Request{ID: id, Host: "h", Path: "/book/", Body: "slot", Limit: 6 * time.Second})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch after := time.Since(sentAt); {
+	case reply.Status != 0 && reply.Whole:
+		r.answered++
+	case !reply.Expired:
+		r.lost = append(r.lost, lostRequest{id, after})
+	}
+	return !reply.Closes
+}
+
+// sendOnNew sends a request on a connection of its own.
+func (r *lossRecorder) sendOnNew(ctx context.Context, id string) {
+	c, err := standin.Dial(ctx, r.entry.address)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	r.send(c, id)
+}
+
+// sendOnKept sends requests on a connection until the entry closes it, and then on the next one.
+func (r *lossRecorder) sendOnKept(ctx context.Context, caller int) {
+	for n := 0; ctx.Err() == nil; {
+		c, err := standin.Dial(ctx, r.entry.address)
+		if err != nil {
+			time.Sleep(stopRequestInterval)
+			continue
+		}
+		for open := true; open && ctx.Err() == nil && !c.IsClosed(); n++ {
+			open = r.send(c, fmt.Sprintf("kept-%d-%d", caller, n))
+			time.Sleep(time.Duration(20+(37*caller+53*n)%400) * time.Millisecond)
+		}
+		c.Close()
+	}
+}
+
+// starve lets a process run for a time, stops it for another one, and so on until the context ends.
+func starve(ctx context.Context, p *os.Process, runs, stops time.Duration) {
+	for ctx.Err() == nil {
+		// A process that has ended gets no signal.
+		_ = p.Signal(syscall.SIGSTOP)
+		time.Sleep(stops)
+		_ = p.Signal(syscall.SIGCONT)
+		time.Sleep(runs)
+	}
+}
+
+// Guards against requests that a stopping entry drops, unread or unanswered, because it got no processor time while they
+// waited.
+func TestStarvedEntryAnswersRequestsThatWaited(t *testing.T) {
+	for i, e := range []struct {
+		name              string
+		runs, stops, from time.Duration
+	}{
+		{"not starved", 0, 0, 0},
+		{"300 ms", 40 * time.Millisecond, 300 * time.Millisecond, 0},
+		{"300 ms, later", 40 * time.Millisecond, 300 * time.Millisecond, 110 * time.Millisecond},
+		{"600 ms", 30 * time.Millisecond, 600 * time.Millisecond, 0},
+		{"600 ms, later", 30 * time.Millisecond, 600 * time.Millisecond, 320 * time.Millisecond},
+	} {
+		t.Run(e.name, func(t *testing.T) {
+			t.Parallel()
+			r := &lossRecorder{entry: startStoppingEntry(t, firstStarvedHost+2*i, shortWork)}
+			ctx, cancel := context.WithCancel(t.Context())
+			var callers sync.WaitGroup
+			for n := range keptConnections {
+				callers.Go(func() { r.sendOnKept(ctx, n) })
+			}
+			callers.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					callers.Go(func() { r.sendOnNew(ctx, fmt.Sprintf("new-%d", n)) })
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+			time.Sleep(500*time.Millisecond + e.from)
+			if e.stops > 0 {
+				go starve(ctx, r.entry.daemon.Process, e.runs, e.stops)
+			}
+			time.Sleep(200*time.Millisecond - e.from/2)
+			status := r.entry.stop(t, []stopEvent{{0, syscall.SIGTERM}})
+			cancel()
+			callers.Wait()
+			must.True(t, status.Exited(), must.Sprintf("%v", status.Signal()))
+			must.GreaterEq(t, leastAnswered, r.answered)
+			for _, l := range r.lost {
+				t.Logf("%s ended without an answer after %v", l.id, l.after)
+				must.False(t, r.entry.arrived[l.id], must.Sprint(l.id, " reached the service"))
+				must.LessEq(t, lossSlack, l.after, must.Sprint(l.id))
+			}
+		})
+	}
+}
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -102,3 +102,24 @@
 	})
 	return err == nil && reusable
 }
+
+// HasPending reports whether a connection waits to be accepted by a listener; false if that can't be known.
+func HasPending(l net.Listener) bool {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) {
+		n, e := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		for errors.Is(e, unix.EINTR) {
+			n, e = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		}
+		pending = e == nil && n > 0
+	})
+	return err == nil && pending
+}
--- /dev/null
+++ b/internal/drainer/conn.go
@@ -0,0 +1,155 @@
+package drainer
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/oriolecroft/oriolecroft/internal/connector"
+)
+
+// listener accepts connections that the server tracks.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, socket: nc, since: time.Now()}
+	if t, ok := nc.(*tls.Conn); ok {
+		c.socket = t.NetConn()
+	}
+	l.server.track(c)
+	return c, nil
+}
+
+// conn is a client's connection. It is closed by its reader if it is unused: only the reader knows that nothing was read.
+type conn struct {
+	net.Conn
+	// socket is the connection itself, or the one below TLS.
+	socket net.Conn
+
+	mu    sync.Mutex
+	state http.ConnState
+	// since is when the connection entered its state, or when the first part of a request was read in it.
+	since time.Time
+	// hasRead is set if anything was read since the connection was opened or became idle. http.Server counts it as
+	// idle until it has read a whole header.
+	hasRead bool
+	// interrupted is set while the read deadline has passed only to make the reader check for data.
+	interrupted bool
+	// readDeadline is the deadline that http.Server has set.
+	readDeadline time.Time
+}
+
+func (c *conn) setState(state http.ConnState, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.since = state, now
+	if state == http.StateIdle {
+		c.hasRead = false
+	}
+	c.resume()
+}
+
+// closeIfUnused makes the reader of a connection without a request end it.
+func (c *conn) closeIfUnused(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age := now.Sub(c.since)
+	switch {
+	case c.state != http.StateNew && c.state != http.StateIdle:
+	case c.hasRead:
+		if age > UnreadTimeout {
+			c.Conn.Close()
+		}
+	case c.state == http.StateIdle || age > UnreadTimeout:
+		c.interrupted = true
+		// A connection that is closed already has no reader.
+		_ = c.Conn.SetReadDeadline(now)
+	}
+}
+
+// Read implements net.Conn. For a connection that is to be closed it returns io.EOF if nothing was read and no data waits.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		unused := c.endRead(n > 0)
+		switch {
+		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
+			return n, err
+		case unused && connector.Reusable(c.socket):
+			return 0, io.EOF
+		case !unused:
+			return n, err
+		}
+	}
+}
+
+// endRead records a read, and reports whether it was interrupted and the connection is unused.
+func (c *conn) endRead(received bool) (unused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if received && !c.hasRead {
+		c.hasRead, c.since = true, time.Now()
+	}
+	unused = c.interrupted && !c.hasRead
+	c.resume()
+	return unused
+}
+
+// resume restores the read deadline of an interrupted connection.
+func (c *conn) resume() {
+	if c.interrupted {
+		c.interrupted = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// Write writes to the client, and has the connection reset if it exceeds the deadline because the client doesn't read.
+// When net/http closes the connection then, the kernel would still deliver the unread data, and a reply without chunks
+// or a length would seem complete.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// A connection that is closed already needs no reset.
+		_ = c.SetLinger(0)
+	}
+	return n, err
+}
+
+// SetLinger allows connector.Reset to reset the connection.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.socket.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -13,6 +13,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/oriolecroft/oriolecroft/internal/detector"
+	"github.com/oriolecroft/oriolecroft/internal/drainer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/syncer"
 	"github.com/oriolecroft/oriolecroft/internal/timekeeper"
@@ -34,12 +35,6 @@
 	restartTime = time.Second
 	// immediateRetry is the retry delay for refused callers that find another entry.
 	immediateRetry = 10 * time.Millisecond
-	// shutdownPollLimit bounds one call of http.Server.Shutdown, whose polling interval doubles from a millisecond on.
-	shutdownPollLimit = 100 * time.Millisecond
-	// unreadPollInterval is the interval between checks of connections on which a request waits to be read.
-	unreadPollInterval = 10 * time.Millisecond
-	// unreadTimeout bounds these checks, as some callers send a stray line end that starts no request.
-	unreadTimeout = time.Second
 	// headerTimeout and idleTimeout bound a caller's connection. Both exceed what
 	// route tables allow callers, so that no valid connection is closed.
 	headerTimeout = 10 * time.Second
@@ -64,7 +59,6 @@
 
 	// stopSignal is the signal to stop; nil before the entry received it.
 	stopSignal atomic.Pointer[detector.Event]
-	idleConns  idleConnections
 }
 
 // Ready reports whether the entry accepts callers.
@@ -97,7 +91,7 @@
 	if signal == nil || !h.Stalls.StalledSince(signal.Earliest) {
 		return 0
 	}
-	return h.Grace - killMargin - staleAnswerPeriod - unreadTimeout
+	return h.Grace - killMargin - staleAnswerPeriod - drainer.UnreadTimeout
 }
 
 // RetryAfter implements relayer.Shutdown. Callers of the entry's own region retry at once, on a new
@@ -125,37 +119,29 @@
 func (h *Hoster) Run(ctx context.Context) error {
 	requests, cut := context.WithCancelCause(context.Background())
 	defer cut(nil)
-	s := &http.Server{
-		Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return requests }, ConnState: h.idleConns.connState, ErrorLog: nil,
-	}
+	s := &drainer.Server{Listener: h.Callers, HTTP: &http.Server{
+		Handler: h.Requests, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return requests }, ErrorLog: nil,
+	}}
 	drained := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(drained)
 		h.drain(s, cut)
 	})
-	err := s.Serve(listener{h.Callers})
+	err := s.Serve()
 	if stop() {
 		return err
 	}
 	<-drained
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// serve asks callers to close their connections once the entry drains.
-func (h *Hoster) serve(w http.ResponseWriter, r *http.Request) {
-	if h.Draining() {
-		w.Header().Set("Connection", "close")
-	}
-	h.Requests.ServeHTTP(w, r)
-}
-
 // drain removes the entry from the directory at once, serves callers that still
 // connect, and closes the listener when directory answers that list it have expired.
-func (h *Hoster) drain(s *http.Server, cut context.CancelCauseFunc) {
+func (h *Hoster) drain(s *drainer.Server, cut context.CancelCauseFunc) {
 	signal := h.Stalls.Event()
 	h.stopSignal.Store(&signal)
 	startedAt, cutAt := signal.Latest, h.cutAt(&signal)
@@ -167,48 +153,20 @@
 		defer cancel()
 		_ = timekeeper.WaitUntil(ctx, h.Clock, cutAt)
 	}()
-	// Neither http.Server.SetKeepAlivesEnabled nor Shutdown checks whether a request waits to be
-	// read on a connection that they close.
-	h.idleConns.closeUnused()
+	s.AskToClose()
+	s.CloseUnused()
 	_ = timekeeper.WaitUntil(ctx, h.Clock, startedAt.Add(staleAnswerPeriod))
-	for range unreadTimeout / unreadPollInterval {
-		if h.idleConns.closeUnused() || !h.waitFor(ctx, unreadPollInterval) {
-			break
-		}
-	}
-	if err := shutDownPolling(ctx, s); err != nil {
+	if err := s.Drain(ctx); err != nil {
 		left, _ := h.CutIn()
 		klog.InfoS("Requests cut at the end of the grace period", "late", -left, "err", err)
 		// Only handlers can properly end a reply that has started, or answer a request without one.
 		cut(&GraceError{Grace: h.Grace})
 		endCtx, cancel := context.WithTimeout(context.Background(), cutTimeout+min(signal.Uncertainty(), MaxLateAnswer))
 		defer cancel()
-		if err := shutDownPolling(endCtx, s); err != nil {
-			klog.InfoS("Connections closed without an answer", "err", err)
+		if err := s.Drain(endCtx); err != nil {
+			klog.InfoS("Connections closed without an answer", "open", s.Open(), "err", err)
 			s.Close()
 		}
 	}
 	klog.InfoS("Entry drained", "after", h.Clock.Since(startedAt))
 }
-
-// shutDownPolling repeats http.Server.Shutdown, which by itself polls ever less often whether all requests are answered.
-func shutDownPolling(ctx context.Context, s *http.Server) error {
-	for {
-		pollCtx, cancel := context.WithTimeout(ctx, shutdownPollLimit)
-		err := s.Shutdown(pollCtx)
-		cancel()
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-	}
-}
-
-// waitFor waits for a time and reports whether the context is still active.
-func (h *Hoster) waitFor(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-h.Clock.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
