logger: keep a daemon running whose log has no reader

When the program that reads a daemon's standard output or standard error ended, the daemon ended too, at its next line: callers saw all their connections closed, those with requests that an upstream was running as well.

Cause: a Go program ends by SIGPIPE if a write to one of these two fails with EPIPE. Daemons ignore that signal now. Commands such as `oriolecroft status | head` end by it as before.

--- a/cmd/oriolecroft/daemon.go
+++ b/cmd/oriolecroft/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/configurer"
+	"github.com/oriolecroft/oriolecroft/internal/logger"
 )
 
 // gcPercent is the growth of a daemon's heap between two collections, in percent.
@@ -33,6 +34,7 @@
 // prepareDaemon applies the settings that both daemons share, and loads the certificates.
 func prepareDaemon(s *configurer.Common) (*certifier.Certifier, error) {
 	debug.SetGCPercent(gcPercent)
+	logger.KeepRunningWithoutReader()
 	var l klog.Level
 	if err := l.Set(strconv.Itoa(s.Verbosity)); err != nil {
 		return nil, err
--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -116,6 +116,7 @@
 	// reloader runs.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	logger.KeepRunningWithoutReader()
 	w := logger.New(os.Stdout)
 	logger.Install(w)
 	s, err := platform.LoadSettings()
--- a/cmd/oriolecroft/stalled_shutdown_test.go
+++ b/cmd/oriolecroft/stalled_shutdown_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -62,6 +63,22 @@
 
 // startStoppingEntry starts an entry on a loopback host, and on the next one a service that works for a time on each request.
 func startStoppingEntry(t *testing.T, host int, work time.Duration) *stoppingEntry {
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	must.NoError(t, err)
+	defer log.Close()
+	e := startEntryWithOutput(t, host, work, log)
+	t.Cleanup(func() {
+		if !t.Failed() {
+			return
+		}
+		out, err := os.ReadFile(log.Name())
+		t.Logf("%s %v", out, err)
+	})
+	return e
+}
+
+// startEntryWithOutput is startStoppingEntry with the entry's standard output.
+func startEntryWithOutput(t *testing.T, host int, work time.Duration, output *os.File) *stoppingEntry {
 	e := &stoppingEntry{arrived: map[string]bool{}, replies: map[string]standin.Reply{}}
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
@@ -78,22 +95,12 @@
 	e.address = netip.MustParseAddrPort(ip + ":8005")
 	e.daemon = exec.CommandContext(t.Context(), binary, "platform", "entry")
 	e.daemon.Env = append(os.Environ(), "ORIOLECROFT_SETTINGS="+settings)
-	log, err := os.Create(settings + ".log")
-	must.NoError(t, err)
-	defer log.Close()
-	e.daemon.Stdout = log
+	e.daemon.Stdout = output
 	must.NoError(t, e.daemon.Start())
 	waitForListener(t, e.address.String())
 	for deadline := time.Now().Add(15 * time.Second); e.send(t.Context(), "warmUp").Status != 200; {
 		must.True(t, time.Now().Before(deadline))
 	}
-	t.Cleanup(func() {
-		if !t.Failed() {
-			return
-		}
-		out, err := os.ReadFile(settings + ".log")
-		t.Logf("%s %v", out, err)
-	})
 	return e
 }
 
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -6,7 +6,9 @@
 	"context"
 	"io"
 	"log/slog"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -84,6 +86,10 @@
 // writeLine writes a line. Errors are ignored, as they cannot be logged.
 func (w *Writer) writeLine(line []byte) { _, _ = w.to.Write(line) }
 
+// KeepRunningWithoutReader keeps the process running once the reader of its output has ended. A write to standard output
+// or standard error would then end a Go program by SIGPIPE, and cut all its requests.
+func KeepRunningWithoutReader() { signal.Ignore(syscall.SIGPIPE) }
+
 // Install makes klog write JSON lines to the writer, with durations in milliseconds.
 func Install(w io.Writer) {
 	h := slog.NewJSONHandler(w, &slog.HandlerOptions{ReplaceAttr: replaceAttr})
