logger: end a daemon in time whose log's reader has stopped reading

An entry that was stopped while nobody read its output, with the pipe full, was held until SIGKILL at the end of its grace, 8 s after SIGTERM instead of some 3.4 s, and its VM came back as much later.

Cause: the last lines were written without a time limit, both as a daemon ends and in the exit shortly before the kill. They have 50 ms now.

TestEntryEndsWithoutTheReaderOfItsLog failed before ("killed").

--- a/cmd/oriolecroft/log_reader_test.go
+++ b/cmd/oriolecroft/log_reader_test.go
@@ -35,3 +35,20 @@
 	must.True(t, status.Exited(), must.Sprintf("%v", status.Signal()))
 	must.Zero(t, status.ExitStatus())
 }
+
+// Guards against an entry that doesn't end until it is killed, as it waits for a reader that has stopped reading its log.
+func TestEntryEndsWithoutTheReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	output, input, err := os.Pipe()
+	must.NoError(t, err)
+	e := startEntryWithOutput(t, firstLogHost+2, shortWork, input)
+	defer output.Close()
+	// The write blocks once the pipe is full, until the test ends.
+	go func() { _, _ = input.Write(make([]byte, 1<<20)) }()
+	time.Sleep(200 * time.Millisecond)
+	must.NoError(t, e.daemon.Process.Signal(syscall.SIGHUP))
+	must.Eq(t, 200, e.send(t.Context(), "after").Status)
+	status := e.stop(t, []stopEvent{{0, syscall.SIGTERM}})
+	must.True(t, status.Exited(), must.Sprintf("%v", status.Signal()))
+	must.Zero(t, status.ExitStatus())
+}
--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -186,7 +186,10 @@
 	err := reporter.RunUntil(ctx, d.supervisor, shutDown)
 	klog.InfoS("Process ends", "vm", d.settings.Name, "err", err)
 	stopLog()
-	<-logDone
+	select {
+	case <-logDone:
+	case <-time.After(lastLinesTime):
+	}
 	return err
 }
 
@@ -195,6 +198,8 @@
 	exitMargin = 75 * time.Millisecond
 	// lastAnswersTime is the time before that in which an entry answers the requests that it cuts.
 	lastAnswersTime = 75 * time.Millisecond
+	// lastLinesTime bounds the writing of the last log lines, so that it ends before the kill.
+	lastLinesTime = 50 * time.Millisecond
 )
 
 // exitBeforeKill exits shortly before the process would be killed. A service that does
@@ -210,7 +215,7 @@
 		// The process may have resumed just now.
 		time.Sleep(lastAnswersTime + min(signal.Uncertainty(), hoster.MaxLateAnswer))
 		klog.InfoS("Process exits with services still running", "vm", d.settings.Name)
-		d.log.Flush()
+		d.log.Flush(lastLinesTime)
 		os.Exit(exitOK)
 	})
 	return func() {
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -80,8 +80,19 @@
 	}
 }
 
-// Flush writes the queued lines, for a process that is about to exit.
-func (w *Writer) Flush() { w.writeQueued() }
+// Flush writes the queued lines, for a process that is about to exit. It gives up after a time, as the log's reader may
+// have stopped reading.
+func (w *Writer) Flush(limit time.Duration) {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		w.writeQueued()
+	}()
+	select {
+	case <-written:
+	case <-time.After(limit):
+	}
+}
 
 // writeLine writes a line. Errors are ignored, as they cannot be logged.
 func (w *Writer) writeLine(line []byte) { _, _ = w.to.Write(line) }
