soak: callers notice that their connection has ended

The soak counted requests as lost that no entry could read. Its callers took a kept connection for their next request without a look whether the entry had closed it, as it stopped or was killed, seconds before; and those that read nothing for 2.2 s learned of the end of their connection only then, so that the check took the request for one that had been read.

A caller opens a new connection now if its own is closed, as a client library does, and one that reads late ends its wait with its connection. Nothing else is excused: what is sent on an open connection has to be answered as before.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -85,22 +85,36 @@
 // connection that its peer has closed, or that has bytes belonging to no request, must
 // not carry another request.
 func Reusable(conn net.Conn) bool {
+	_, err := peek(conn)
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
+}
+
+// Ended reports whether a connection is closed or reset and has nothing left to read; false if that can't be known.
+func Ended(conn net.Conn) bool {
+	n, err := peek(conn)
+	return n == 0 && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, errors.ErrUnsupported)
+}
+
+// peek returns the number of bytes, up to one, that can be read from a connection, or 0 at its end. Errors are
+// unix.EAGAIN if there is nothing to read yet, errors.ErrUnsupported if the connection is no socket, and others if it
+// is closed.
+func peek(conn net.Conn) (n int, err error) {
 	t, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := t.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	reusable := false
 	// Unlike Read, Control doesn't wait for a concurrent Read of the connection.
-	err = raw.Control(func(fd uintptr) {
+	if controlErr := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = e == unix.EAGAIN || e == unix.EWOULDBLOCK
-	})
-	return err == nil && reusable
+		n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); controlErr != nil {
+		return 0, controlErr
+	}
+	return max(0, n), err
 }
 
 // HasPending reports whether a connection waits to be accepted by a listener; false if that can't be known.
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -38,10 +38,36 @@
 	_, err = peer.Write([]byte("x"))
 	must.NoError(t, err)
 	waitUntilUnusable(c)
+	must.False(t, connector.Ended(c))
+	peer.Close()
+	must.False(t, connector.Ended(c), must.Sprint("there is something to read"))
 	closed, closedPeer := dial()
 	defer closed.Close()
+	must.False(t, connector.Ended(closed))
 	closedPeer.Close()
 	waitUntilUnusable(closed)
+	must.True(t, connector.Ended(closed))
+	reset, resetPeer := dial()
+	defer reset.Close()
+	connector.Reset(resetPeer)
+	waitUntilUnusable(reset)
+	must.True(t, connector.Ended(reset))
+}
+
+// Guards against closing a listener while a connection waits to be accepted.
+func TestHasPending(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	must.False(t, connector.HasPending(l))
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return connector.HasPending(l) }), wait.Timeout(5*time.Second)))
+	accepted, err := l.Accept()
+	must.NoError(t, err)
+	defer accepted.Close()
+	must.False(t, connector.HasPending(l))
 }
 
 // Guards against considering a peer unreachable that accepted the connection while this process was suspended.
--- a/soak/soaker/callers.go
+++ b/soak/soaker/callers.go
@@ -119,7 +119,7 @@
 
 // connect ensures that the caller has a connection.
 func (c *caller) connect(ctx context.Context) bool {
-	if c.conn != nil && !c.sticky && !c.listed(c.conn.Entry) {
+	if c.conn != nil && (c.conn.IsClosed() || !c.sticky && !c.listed(c.conn.Entry)) {
 		c.disconnect()
 	}
 	if c.conn != nil {
