hoster: keep callers' connections while a stopping entry takes requests

A caller whose request was on its way as its entry got SIGTERM saw the connection close without an answer, and couldn't tell whether a booking had run. The entry closed all idle connections at once, though it goes on taking requests for 3.3 s.

It closes them at the end of that time now, when callers have moved to the entries that the directory names; until then each answer asks its caller to close the connection.

TestDrainingAnswersRequestsOnTheirWay failed before ("unexpected EOF").

--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -154,7 +154,6 @@
 		_ = timekeeper.WaitUntil(ctx, h.Clock, cutAt)
 	}()
 	s.AskToClose()
-	s.CloseUnused()
 	_ = timekeeper.WaitUntil(ctx, h.Clock, startedAt.Add(staleAnswerPeriod))
 	if err := s.Drain(ctx); err != nil {
 		left, _ := h.CutIn()
--- a/internal/hoster/hoster_test.go
+++ b/internal/hoster/hoster_test.go
@@ -228,5 +228,38 @@
 	must.NoError(t, <-done)
 }
 
+// Guards against the loss of a request that is on its way over a kept-alive connection as the entry is stopped.
+func TestDrainingAnswersRequestsOnTheirWay(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: clock.RealClock{}, Stalls: newStalls(clock.RealClock{}), Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
+		Registration: &syncer.Registration{Store: noLeases{}, Clock: clock.RealClock{}},
+		Requests:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	replies := bufio.NewReader(c)
+	for _, draining := range []bool{false, true} {
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		must.NoError(t, err)
+		res, err := http.ReadResponse(replies, nil)
+		must.NoError(t, err)
+		body, err := io.ReadAll(res.Body)
+		must.NoError(t, err)
+		must.Eq(t, "whole", string(body))
+		must.Eq(t, draining, res.Close)
+		if !draining {
+			stop()
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(h.Draining), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+			time.Sleep(readDelay)
+		}
+	}
+	must.NoError(t, <-done)
+}
+
 // readDelay is how long a draining entry still reads nothing.
 const readDelay = 100 * time.Millisecond
