soak: a run that failed by itself completes no answer

The auditor now leaves out a run whose upstream reported that it fails at this request. If another run of the request was sound, the check holds as before; its test has a history of each kind.

--- a/soak/auditor/answers.go
+++ b/soak/auditor/answers.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	return slices.ContainsFunc(r.runs, func(x run) bool {
-		return !x.broken && h.undisturbed(x.upstream, r.sentAt, h.now) && !h.reportFlooded(x.upstream, r.sentAt)
+		return !x.broken && !x.failed && h.undisturbed(x.upstream, r.sentAt, h.now) && !h.reportFlooded(x.upstream, r.sentAt)
 	})
 }
 
--- a/soak/auditor/history.go
+++ b/soak/auditor/history.go
@@ -51,6 +51,8 @@
 	upstream  string
 	startedAt time.Time
 	broken    bool
+	// failed is set if the upstream failed at the request by itself, with an error status or wrong events.
+	failed bool
 	// events is how many events were sent before it broke off.
 	events int
 	// flooded is set if its upstream sent endless bytes, and floodedAt is when they exceeded any valid
@@ -154,9 +156,7 @@
 	case RunEnded:
 		h.recordRunEnd(e)
 	case Failed:
-		if r := h.requests[e.ID]; r != nil {
-			r.failed++
-		}
+		h.recordFailure(e)
 	case Flooded:
 		h.recordFlood(e)
 	case Unread:
@@ -229,6 +229,17 @@
 	}
 }
 
+func (h *history) recordFailure(e Failed) {
+	r := h.requests[e.ID]
+	if r == nil {
+		return
+	}
+	r.failed++
+	for i := range r.runs {
+		r.runs[i].failed = r.runs[i].failed || r.runs[i].upstream == e.Upstream
+	}
+}
+
 func (h *history) recordRunEnd(e RunEnded) {
 	r := h.requests[e.ID]
 	if r == nil {
--- a/soak/auditor/replied_test.go
+++ b/soak/auditor/replied_test.go
@@ -39,6 +39,14 @@
 		d.arriveAndStart("1", "near")
 		d.endConnection("1")
 	}},
+	{auditor.Replied, "the second upstream fails with a status while the first one pauses", func(d *scenario) {
+		d.send("1", "/look/1")
+		d.arriveAndStart("1", "near")
+		d.advance(time.Second)
+		d.arriveAndStart("1", "far")
+		d.Observe(auditor.Failed{ID: "1", Upstream: "far"})
+		d.Observe(auditor.Answered{ID: "1"})
+	}},
 	{auditor.Replied, "the upstream broke off a request before this one", func(d *scenario) {
 		d.send("1", "/look/1")
 		d.Observe(auditor.FaultStarted{Who: "near"})
@@ -66,6 +74,14 @@
 		d.Observe(auditor.RunEnded{ID: "1", Upstream: "far", Broken: true, Events: 1})
 		d.Observe(auditor.Answered{ID: "1"})
 	}},
+	{"a stream whose first upstream crashes and whose second one fails with a status", func(d *scenario) {
+		d.send("1", "/look/1")
+		d.arriveAndStart("1", "near")
+		d.Observe(auditor.FaultStarted{Who: "near"})
+		d.arriveAndStart("1", "far")
+		d.Observe(auditor.Failed{ID: "1", Upstream: "far"})
+		d.endConnection("1")
+	}},
 	{"a reply whose upstream's link was reset", func(d *scenario) {
 		d.send("1", "/look/1")
 		d.arriveAndStart("1", "near")
