reporter: answer requests that arrive as a process stops

Web uses internal/drainer now. Entries drain the callers' server, agents that of the entries' requests, before their other services stop, so that such requests run or are refused as not run. requestCounter needn't wait any more.

TestDrainAnswersRequestsThatArriveDuringIt fails with http.Server.Shutdown ("unexpected EOF").

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,6 +68,7 @@
 	probeMu    sync.Mutex
 	// wrongWeights counts replies cut for wrong weights.
 	wrongWeights metrics.Counter
+	requests     *reporter.Web
 }
 
 // probeInterval is the time between probes of the upstream's state. It bounds how
@@ -78,6 +79,9 @@
 // its shutdown reaches every entry before its address stops answering.
 const shutdownLinger = 500 * time.Millisecond
 
+// refusalTimeout bounds the time for refusing the requests that arrive as the agent stops.
+const refusalTimeout = 2 * time.Second
+
 // Run serves until the context ends, then closes the gate, notifies the entries and
 // finishes the running requests.
 func (a *Agent) Run(ctx context.Context) error {
@@ -94,7 +98,8 @@
 // newSupervisor returns a supervisor of all parts of the agent.
 func (a *Agent) newSupervisor() *suture.Supervisor {
 	s := suture.New("agent", suture.Spec{EventHook: reporter.LogEvents})
-	s.Add(&reporter.Web{Name: "requests", Listener: a.Certifier.Listen(a.Listener), Handler: a.requestHandler()})
+	a.requests = &reporter.Web{Name: "requests", Listener: a.Certifier.Listen(a.Listener), Handler: a.requestHandler()}
+	s.Add(a.requests)
 	if a.Operators != nil {
 		s.Add(&reporter.Web{Name: "operators", Listener: a.Certifier.Listen(a.Operators), Handler: a.operatorHandler()})
 	}
@@ -128,6 +133,11 @@
 	t := a.Clock.NewTimer(shutdownLinger)
 	defer t.Stop()
 	<-t.C()
+	refusal, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	if err := a.requests.Drain(refusal); err != nil {
+		klog.ErrorS(err, "Shutdown with open connections", "agent", a.ID)
+	}
 }
 
 func (a *Agent) requestHandler() http.Handler {
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -146,6 +146,14 @@
 	return n, err
 }
 
+// CloseWrite allows http.Server to end an answer before it has read the whole request.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // SetLinger allows connector.Reset to reset the connection.
 func (c *conn) SetLinger(seconds int) error {
 	if tcp, ok := c.socket.(interface{ SetLinger(seconds int) error }); ok {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -34,6 +34,7 @@
 
 	// closesConnections is set once clients are asked to close their connections.
 	closesConnections atomic.Bool
+	draining          atomic.Bool
 	// stopped is set once no more connections are accepted.
 	stopped atomic.Bool
 
@@ -58,9 +59,13 @@
 // AskToClose asks clients to close their connections, with each answer from now on.
 func (s *Server) AskToClose() { s.closesConnections.Store(true) }
 
+// Draining reports whether Drain was called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
 // Drain accepts the connections that are waiting, closes the listener, and closes each connection once all requests on it
 // are answered. It returns the context's error if that ends before.
 func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
 	s.AskToClose()
 	for connector.HasPending(s.Listener) && wait(ctx, acceptInterval) {
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,7 @@
 	agents      *agents
 	assignments *assignments
 	requests    requestCounter
+	callers     *reporter.Web
 }
 
 const (
@@ -80,7 +81,8 @@
 func (e *Entry) services() *suture.Supervisor {
 	recv := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
 	s := suture.New("entry", suture.Spec{EventHook: reporter.LogEvents})
-	s.Add(&reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.requests.countRequests(recv.Handler())})
+	e.callers = &reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.requests.countRequests(recv.Handler())}
+	s.Add(e.callers)
 	s.Add(&reporter.Web{Name: "operators", Listener: e.Certifier.Listen(e.Operators), Handler: e.operatorHandler()})
 	s.Add(&messenger.Server{Listener: e.Certifier.Listen(e.Peers), OnReport: e.handleReport, OnExchange: e.handleExchange})
 	s.Add(e.Watcher)
@@ -108,7 +110,8 @@
 	t := e.Clock.NewTimer(e.KeepFor + 2*e.Heartbeat)
 	defer t.Stop()
 	<-t.C()
-	e.requests.waitIdle()
+	// Without an end of its context it returns no error.
+	_ = e.callers.Drain(context.Background())
 }
 
 // applier applies each new bundle to the components that use it.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
+	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -112,51 +112,18 @@
 }
 
 // requestCounter counts the callers' requests in progress.
-type requestCounter struct {
-	mu     sync.Mutex
-	active int
-	idle   chan struct{}
-}
+type requestCounter struct{ active atomic.Int64 }
 
 // countRequests wraps a handler so that its requests are counted.
 func (r *requestCounter) countRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		r.addActive(1)
-		defer r.addActive(-1)
+		r.active.Add(1)
+		defer r.active.Add(-1)
 		h.ServeHTTP(w, q)
 	})
 }
 
-func (r *requestCounter) addActive(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.active += n
-	if r.active == 0 && r.idle != nil {
-		close(r.idle)
-		r.idle = nil
-	}
-}
-
-func (r *requestCounter) current() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.active
-}
-
-// waitIdle returns once no request is in progress.
-func (r *requestCounter) waitIdle() {
-	r.mu.Lock()
-	if r.active == 0 {
-		r.mu.Unlock()
-		return
-	}
-	if r.idle == nil {
-		r.idle = make(chan struct{})
-	}
-	idle := r.idle
-	r.mu.Unlock()
-	<-idle
-}
+func (r *requestCounter) current() int { return int(r.active.Load()) }
 
 func shuffleEntries(es []receiver.Entry) {
 	rand.Shuffle(len(es), func(i, j int) { es[i], es[j] = es[j], es[i] })
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -1,6 +1,7 @@
 package reporter_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -114,3 +115,35 @@
 	cancel()
 	must.ErrorIs(t, <-ended, context.Canceled)
 }
+
+// Guards against a connection that is closed without an answer, as its request arrives while the process stops.
+func TestDrainAnswersRequestsThatArriveDuringIt(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	w := &reporter.Web{Listener: l, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "whole") })}
+	ended := make(chan error, 1)
+	go func() { ended <- w.Serve(ctx) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	// The server has accepted the connection once it answers on a later one.
+	res, err := http.Get("http://" + l.Addr().String())
+	must.NoError(t, err)
+	must.NoError(t, res.Body.Close())
+	drained := make(chan error, 1)
+	go func() { drained <- w.Drain(t.Context()) }()
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	res, err = http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	must.Eq(t, "whole", string(body))
+	must.NoError(t, <-drained)
+	must.Eq(t, 0, len(ended), must.Sprint("the service ends with its context"))
+	cancel()
+	must.ErrorIs(t, <-ended, context.Canceled)
+}
--- a/internal/reporter/service.go
+++ b/internal/reporter/service.go
@@ -7,11 +7,14 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
+
+	"github.com/oriolecroft/oriolecroft/internal/drainer"
 )
 
 // LogEvents logs the events of the supervisor.
@@ -39,7 +42,7 @@
 	return err
 }
 
-// Web is an HTTP server as a suture service. Its listener outlives restarts.
+// Web is an HTTP server as a suture service. Set the exported fields before Serve.
 type Web struct {
 	Name     string
 	Listener net.Listener
@@ -48,6 +51,8 @@
 	Grace time.Duration
 	// AnswerTimeout bounds writing a response to a client that reads slowly; 0 for no bound.
 	AnswerTimeout time.Duration
+
+	server atomic.Pointer[drainer.Server]
 }
 
 // readHeaderTimeout closes a connection whose client opens it and sends nothing.
@@ -58,25 +63,36 @@
 
 // Serve serves requests until the context ends.
 func (w *Web) Serve(ctx context.Context) error {
-	s := &http.Server{Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, WriteTimeout: w.AnswerTimeout}
-	finished := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(finished)
-		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.Grace)
-		defer cancel()
-		if err := s.Shutdown(grace); err != nil {
-			s.Close()
+	s := &drainer.Server{Listener: w.Listener, HTTP: &http.Server{
+		Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, WriteTimeout: w.AnswerTimeout,
+	}}
+	w.server.Store(s)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	select {
+	case err := <-served:
+		if !s.Draining() {
+			return err
 		}
-	})
-	err := s.Serve(w.Listener)
-	if stop() {
-		return err
+		<-ctx.Done()
+	case <-ctx.Done():
 	}
-	<-finished
-	if errors.Is(err, http.ErrServerClosed) {
-		return ctx.Err()
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.Grace)
+	defer cancel()
+	if err := s.Drain(grace); err != nil {
+		s.Close()
 	}
-	return err
+	return ctx.Err()
+}
+
+// Drain stops accepting connections and returns once the requests that have arrived are answered, or with the context's
+// error. Serve goes on until its own context ends, so that other services may run for these requests.
+func (w *Web) Drain(ctx context.Context) error {
+	s := w.server.Load()
+	if s == nil {
+		return nil
+	}
+	return s.Drain(ctx)
 }
 
 func (w *Web) String() string { return w.Name }
