--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -70,7 +70,7 @@
 	case c.state != http.StateNew && c.state != http.StateIdle:
 	case c.hasRead:
 		if age > UnreadTimeout {
-			c.Conn.Close()
+			c.Close()
 		}
 	case c.state == http.StateIdle || age > UnreadTimeout:
 		c.interrupted = true
--- a/internal/hoster/hoster_test.go
+++ b/internal/hoster/hoster_test.go
@@ -188,77 +188,85 @@
 	}
 }
 
-// Guards against losing unread requests: an entry is stopped while its process is suspended,
-// requests have arrived on kept-alive connections, and closing these would drop them.
-func TestDrainingAnswersUnreadRequests(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	suspended := &suspendedListener{Listener: l, resumed: make(chan struct{})}
-	h := &hoster.Hoster{Callers: suspended, Grace: 8 * time.Second, Clock: clock.RealClock{}, Stalls: newStalls(clock.RealClock{}), Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
+// keptCaller is a caller with one connection to a hoster.
+type keptCaller struct {
+	net.Conn
+	replies *bufio.Reader
+	hoster  *hoster.Hoster
+	// stop stops the hoster; done gets its result.
+	stop context.CancelFunc
+	done chan error
+}
+
+// startWithCaller runs a hoster at a listener, and opens a connection to it.
+func startWithCaller(t *testing.T, l net.Listener) *keptCaller {
+	t.Helper()
+	h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: clock.RealClock{}, Stalls: newStalls(clock.RealClock{}), Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
 		Registration: &syncer.Registration{Store: noLeases{}, Clock: clock.RealClock{}},
 		Requests:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
 	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
 	done := make(chan error, 1)
 	go func() { done <- h.Run(ctx) }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	must.NoError(t, err)
-	defer c.Close()
-	replies := bufio.NewReader(c)
-	send := func() {
-		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		must.NoError(t, err)
-	}
-	answer := func() (closes bool) {
-		res, err := http.ReadResponse(replies, nil)
-		must.NoError(t, err)
-		defer res.Body.Close()
-		body, err := io.ReadAll(res.Body)
-		must.NoError(t, err)
-		must.Eq(t, "whole", string(body))
-		return res.Close
-	}
-	send()
-	must.False(t, answer())
-	send()
-	stop()
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(h.Draining), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+	t.Cleanup(func() { c.Close() })
+	return &keptCaller{Conn: c, replies: bufio.NewReader(c), hoster: h, stop: stop, done: done}
+}
+
+func (c *keptCaller) send(t *testing.T) {
+	t.Helper()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+}
+
+// answer reads a whole answer and reports whether the connection ends with it.
+func (c *keptCaller) answer(t *testing.T) (closes bool) {
+	t.Helper()
+	res, err := http.ReadResponse(c.replies, nil)
+	must.NoError(t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	must.Eq(t, "whole", string(body))
+	return res.Close
+}
+
+// stopAndWait stops the hoster and waits until it drains for readDelay.
+func (c *keptCaller) stopAndWait(t *testing.T) {
+	t.Helper()
+	c.stop()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(c.hoster.Draining), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
 	time.Sleep(readDelay)
+}
+
+// Guards against losing unread requests: an entry is stopped while its process is suspended,
+// requests have arrived on kept-alive connections, and closing these would drop them.
+func TestDrainingAnswersUnreadRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	suspended := &suspendedListener{Listener: l, resumed: make(chan struct{})}
+	c := startWithCaller(t, suspended)
+	c.send(t)
+	must.False(t, c.answer(t))
+	c.send(t)
+	c.stopAndWait(t)
 	close(suspended.resumed)
-	must.True(t, answer())
-	must.NoError(t, <-done)
+	must.True(t, c.answer(t))
+	must.NoError(t, <-c.done)
 }
 
 // Guards against the loss of a request that is on its way over a kept-alive connection as the entry is stopped.
 func TestDrainingAnswersRequestsOnTheirWay(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	h := &hoster.Hoster{Callers: l, Grace: 8 * time.Second, Clock: clock.RealClock{}, Stalls: newStalls(clock.RealClock{}), Registrar: &registrar.Registrar{Clock: clock.RealClock{}},
-		Registration: &syncer.Registration{Store: noLeases{}, Clock: clock.RealClock{}},
-		Requests:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	done := make(chan error, 1)
-	go func() { done <- h.Run(ctx) }()
-	c, err := net.Dial("tcp", l.Addr().String())
-	must.NoError(t, err)
-	defer c.Close()
-	replies := bufio.NewReader(c)
-	for _, draining := range []bool{false, true} {
-		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		must.NoError(t, err)
-		res, err := http.ReadResponse(replies, nil)
-		must.NoError(t, err)
-		body, err := io.ReadAll(res.Body)
-		must.NoError(t, err)
-		must.Eq(t, "whole", string(body))
-		must.Eq(t, draining, res.Close)
-		if !draining {
-			stop()
-			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(h.Draining), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
-			time.Sleep(readDelay)
-		}
-	}
-	must.NoError(t, <-done)
+	c := startWithCaller(t, l)
+	c.send(t)
+	must.False(t, c.answer(t))
+	c.stopAndWait(t)
+	c.send(t)
+	must.True(t, c.answer(t))
+	must.NoError(t, <-c.done)
 }
 
 // readDelay is how long a draining entry still reads nothing.
