--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -74,7 +74,7 @@
 	for {
 		// The last connection may have been accepted but not be tracked yet.
 		stopped := s.stopped.Load()
-		if s.CloseUnused() == 0 && stopped {
+		if s.closeUnused() == 0 && stopped {
 			return nil
 		}
 		if !wait(ctx, pollInterval) {
@@ -86,9 +86,9 @@
 // Close closes the listener and all connections, also those with requests.
 func (s *Server) Close() error { return s.HTTP.Close() }
 
-// CloseUnused closes the connections without a request, and returns how many are still open. A connection on which a
+// closeUnused closes the connections without a request, and returns how many are still open. A connection on which a
 // request is waiting to be read stays open until it is answered.
-func (s *Server) CloseUnused() (open int) {
+func (s *Server) closeUnused() (open int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
