relayer: ask later whether the upstream of an unframed reply still runs

Callers got a complete 200 with an empty body, or a part of one, from a plain upstream that was killed while it sent a reply without length or chunks.

Cause: such a reply is whole if its upstream still accepts connections when its own one has ended. The entry connected at once, and the kernel may close a killed process's connections before its listener. Now it connects 30 ms later, so such a reply is passed on as much later.

TestPlainReplyOfADeadUpstreamIsNoSuccess has upstreams now whose listener is closed 15 ms after the connection; without the change it fails for empty, short and long replies ("status 200, 0 bytes").

--- a/internal/relayer/liveness.go
+++ b/internal/relayer/liveness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/connector"
@@ -16,13 +17,22 @@
 	Alive(ctx context.Context, u registrar.Upstream) bool
 }
 
-// NetworkLivenessChecker takes upstreams that accept connections for alive. The zero value is ready for use.
+// exitTime is how long the kernel may take to close a killed process's listener after its connections.
+const exitTime = 30 * time.Millisecond
+
+// NetworkLivenessChecker takes upstreams for alive that still accept connections exitTime later. The zero value is ready
+// for use.
 type NetworkLivenessChecker struct{}
 
 var _ LivenessChecker = NetworkLivenessChecker{}
 
 // Alive implements LivenessChecker.
 func (NetworkLivenessChecker) Alive(ctx context.Context, u registrar.Upstream) bool {
+	select {
+	case <-time.After(exitTime):
+	case <-ctx.Done():
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := connector.Dial(ctx, u.Address)
--- a/internal/relayer/liveness_test.go
+++ b/internal/relayer/liveness_test.go
@@ -22,9 +22,21 @@
 	return true
 }
 
+// dieSlowly is die for a process whose listener is closed after its connections.
+func (u *upstream) dieSlowly(conn net.Conn) bool {
+	conn.Close()
+	time.AfterFunc(15*time.Millisecond, func() { u.listener.Close() })
+	return true
+}
+
 // newDyingFirstEntry starts an entry with two upstreams. The first that gets a request sends the given bytes and
 // dies, the other one answers with then.
 func newDyingFirstEntry(t *testing.T, sent func(id string) string, then func(int, string, net.Conn) bool) *testEntry {
+	return newEntryWithDeath(t, (*upstream).die, sent, then)
+}
+
+// newEntryWithDeath is newDyingFirstEntry with the way in which the upstream dies.
+func newEntryWithDeath(t *testing.T, die func(*upstream, net.Conn) bool, sent func(id string) string, then func(int, string, net.Conn) bool) *testEntry {
 	var o firstUpstream
 	var us []*upstream
 	for i, name := range []string{"u1", "u2"} {
@@ -34,7 +46,7 @@
 				return then(n, id, conn)
 			}
 			writeString(conn, sent(id))
-			return us[i].die(conn)
+			return die(us[i], conn)
 		}
 	}
 	w := newTestEntry(t, us...)
@@ -83,17 +95,19 @@
 
 // Guards against passing on a part of a plain reply without a length as the whole because its upstream died.
 func TestPlainReplyOfADeadUpstreamIsNoSuccess(t *testing.T) {
-	for name, size := range map[string]int{"empty": 0, "short": 700, "long": 900 << 10} {
-		t.Run(name, func(t *testing.T) {
-			part := func(id string) string { return plainReply(id, strings.Repeat("x", size)) }
-			w := newDyingFirstEntry(t, part, func(_ int, id string, conn net.Conn) bool {
-				writeString(conn, sealedReply(id, "all of it"))
-				return true
+	for way, die := range map[string]func(*upstream, net.Conn) bool{"listener first": (*upstream).die, "connections first": (*upstream).dieSlowly} {
+		for name, size := range map[string]int{"empty": 0, "short": 700, "long": 900 << 10} {
+			t.Run(way+"/"+name, func(t *testing.T) {
+				part := func(id string) string { return plainReply(id, strings.Repeat("x", size)) }
+				w := newEntryWithDeath(t, die, part, func(_ int, id string, conn net.Conn) bool {
+					writeString(conn, sealedReply(id, "all of it"))
+					return true
+				})
+				got := w.request(t, "/once/1", "r1")
+				must.True(t, got.broken || got.status == http.StatusBadGateway, must.Sprintf("status %d, %d bytes", got.status, len(got.body)))
+				must.Eq(t, 1, totalRequests(w.upstreams))
 			})
-			got := w.request(t, "/once/1", "r1")
-			must.True(t, got.broken || got.status == http.StatusBadGateway, must.Sprintf("status %d, %d bytes", got.status, len(got.body)))
-			must.Eq(t, 1, totalRequests(w.upstreams))
-		})
+		}
 	}
 }
 
