relayer: check an upstream's liveness before the deadline

The check waits for half of what is left now, at most 30 ms.

TestLivenessIsKnownBeforeTheDeadline failed before.

--- a/internal/relayer/liveness.go
+++ b/internal/relayer/liveness.go
@@ -28,8 +28,13 @@
 
 // Alive implements LivenessChecker.
 func (NetworkLivenessChecker) Alive(ctx context.Context, u registrar.Upstream) bool {
+	delay := exitTime
+	if deadline, ok := ctx.Deadline(); ok {
+		// The rest of the time is for the answer.
+		delay = min(delay, time.Until(deadline)/2)
+	}
 	select {
-	case <-time.After(exitTime):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/relayer/liveness_test.go
+++ b/internal/relayer/liveness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -123,6 +124,14 @@
 	must.Eq(t, "all of it", got.body)
 }
 
+// Guards against cutting a whole reply because its deadline is near when its upstream's liveness is checked.
+func TestLivenessIsKnownBeforeTheDeadline(t *testing.T) {
+	u := newUpstream(t, "u", serves)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	must.True(t, relayer.NetworkLivenessChecker{}.Alive(ctx, registrar.Upstream{Address: netip.MustParseAddrPort(u.listener.Addr().String())}))
+}
+
 // fixedLiveness is a LivenessChecker that gives one answer and counts the checks.
 type fixedLiveness struct {
 	alive  bool
