--- a/cmd/oriolecroft/log_reader_test.go
+++ b/cmd/oriolecroft/log_reader_test.go
@@ -12,7 +12,7 @@
 )
 
 // firstLogHost is the first loopback host of these tests, which use two each.
-const firstLogHost = 236
+const firstLogHost = 242
 
 // Guards against an entry that ends, with its requests, as it writes a log line for a reader that has ended.
 func TestEntryOutlivesTheReaderOfItsLog(t *testing.T) {
--- a/cmd/oriolecroft/stalled_shutdown_test.go
+++ b/cmd/oriolecroft/stalled_shutdown_test.go
@@ -41,6 +41,7 @@
 type stoppingEntry struct {
 	address netip.AddrPort
 	daemon  *exec.Cmd
+	store   *standin.Store
 
 	mu      sync.Mutex
 	arrived map[string]bool
@@ -82,8 +83,8 @@
 	e := &stoppingEntry{arrived: map[string]bool{}, replies: map[string]standin.Reply{}}
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
-	store.PutBytes("op/config", []byte(`{"version":7,"routes":[{"name":"book","host":"h","path_prefix":"/book/","kind":"non_idempotent","public":true,
-		"timeout_ms":6000,"target_latency_ms":150,"max_attempts":1,"service":"desk"}],"services":[{"name":"desk"}]}`))
+	e.store = store
+	e.putTable(firstTable)
 	ip, desk := loopback(host), netip.MustParseAddrPort(loopback(host+1)+":8080")
 	l, err := standin.Listen(desk)
 	must.NoError(t, err)
@@ -104,6 +105,15 @@
 	return e
 }
 
+// firstTable is the version of the first route table.
+const firstTable = 7
+
+// putTable writes a route table with one route to the service, whose timeout differs from version to version.
+func (e *stoppingEntry) putTable(version int) {
+	e.store.PutBytes("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"book","host":"h","path_prefix":"/book/","kind":"non_idempotent",
+		"public":true,"timeout_ms":%d,"target_latency_ms":150,"max_attempts":1,"service":"desk"}],"services":[{"name":"desk"}]}`, version, 6000+version))
+}
+
 func (e *stoppingEntry) send(ctx context.Context, id string) standin.Reply {
 	c, err := standin.Dial(ctx, e.address)
 	if err != nil {
--- a/cmd/oriolecroft/starved_shutdown_test.go
+++ b/cmd/oriolecroft/starved_shutdown_test.go
@@ -20,9 +20,11 @@
 	// shortWork is how long the service works on a request that ends well within the grace.
 	shortWork = 30 * time.Millisecond
 	// firstStarvedHost is the first loopback host of the test, which uses two for each case.
-	firstStarvedHost = 226
+	firstStarvedHost = 230
 	// keptConnections is the number of callers that send several requests on a connection.
 	keptConnections = 30
+	// changeInterval is the time between two changes of route table and settings.
+	changeInterval = 40 * time.Millisecond
 )
 
 // lostRequest is a request whose connection was closed without an answer.
@@ -92,18 +94,30 @@
 	}
 }
 
+// changeAll writes route tables and has the settings read again until the context ends.
+func (e *stoppingEntry) changeAll(ctx context.Context) {
+	for version := firstTable + 1; ctx.Err() == nil; version++ {
+		e.putTable(version)
+		// A process that has ended gets no signal.
+		_ = e.daemon.Process.Signal(syscall.SIGHUP)
+		time.Sleep(changeInterval)
+	}
+}
+
 // Guards against requests that a stopping entry drops, unread or unanswered, because it got no processor time while they
-// waited.
+// waited, also while route tables and settings change.
 func TestStarvedEntryAnswersRequestsThatWaited(t *testing.T) {
 	for i, e := range []struct {
 		name              string
 		runs, stops, from time.Duration
+		changes           bool
 	}{
-		{"not starved", 0, 0, 0},
-		{"300 ms", 40 * time.Millisecond, 300 * time.Millisecond, 0},
-		{"300 ms, later", 40 * time.Millisecond, 300 * time.Millisecond, 110 * time.Millisecond},
-		{"600 ms", 30 * time.Millisecond, 600 * time.Millisecond, 0},
-		{"600 ms, later", 30 * time.Millisecond, 600 * time.Millisecond, 320 * time.Millisecond},
+		{"not starved", 0, 0, 0, false},
+		{"not starved, with changes", 0, 0, 0, true},
+		{"300 ms", 40 * time.Millisecond, 300 * time.Millisecond, 0, false},
+		{"300 ms, later, with changes", 40 * time.Millisecond, 300 * time.Millisecond, 110 * time.Millisecond, true},
+		{"600 ms", 30 * time.Millisecond, 600 * time.Millisecond, 0, false},
+		{"600 ms, later", 30 * time.Millisecond, 600 * time.Millisecond, 320 * time.Millisecond, false},
 	} {
 		t.Run(e.name, func(t *testing.T) {
 			t.Parallel()
@@ -119,6 +133,9 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 			})
+			if e.changes {
+				go r.entry.changeAll(ctx)
+			}
 			time.Sleep(500*time.Millisecond + e.from)
 			if e.stops > 0 {
 				go starve(ctx, r.entry.daemon.Process, e.runs, e.stops)
