drainer: a stall is no reason to close a connection on which a header is being read

A connection whose first bytes were read more than a second ago counted as one without a request, also if the process stood still meanwhile and the rest waits to be read.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -45,6 +45,8 @@
 	// hasRead is set if anything was read since the connection was opened or became idle. http.Server counts it as
 	// idle until it has read a whole header.
 	hasRead bool
+	// overdue is set if a header was incomplete for too long at the last check.
+	overdue bool
 	// interrupted is set while the read deadline has passed only to make the reader check for data.
 	interrupted bool
 	// readDeadline is the deadline that http.Server has set.
@@ -54,7 +56,7 @@
 func (c *conn) setState(state http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = state, now
+	c.state, c.since, c.overdue = state, now, false
 	if state == http.StateIdle {
 		c.hasRead = false
 	}
@@ -69,9 +71,14 @@
 	switch {
 	case c.state != http.StateNew && c.state != http.StateIdle:
 	case c.hasRead:
-		if age > UnreadTimeout {
+		if age <= UnreadTimeout || !connector.Reusable(c.socket) {
+			return
+		}
+		// After a stall the reader may not have run yet.
+		if c.overdue {
 			c.Close()
 		}
+		c.overdue = true
 	case c.state == http.StateIdle || age > UnreadTimeout:
 		c.interrupted = true
 		// A connection that is closed already has no reader.
@@ -99,6 +106,9 @@
 func (c *conn) endRead(received bool) (unused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if received {
+		c.overdue = false
+	}
 	if received && !c.hasRead {
 		c.hasRead, c.since = true, time.Now()
 	}
