drainer: keep the listener open while connections wait at the end of the grace

An entry that resumes 25 ms before it cuts its requests answered as many of the waiting callers as it could accept in that time, and reset the others with its listener, though it goes on for up to 0.2 s more.

TestConnectionsThatWaitAreAnsweredByTheNextDrain failed before.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -63,11 +63,14 @@
 func (s *Server) Draining() bool { return s.draining.Load() }
 
 // Drain accepts the connections that are waiting, closes the listener, and closes each connection once all requests on it
-// are answered. It returns the context's error if that ends before.
+// are answered. It returns the context's error if that ends before; the listener stays open if connections are waiting.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.AskToClose()
-	for connector.HasPending(s.Listener) && wait(ctx, acceptInterval) {
+	for connector.HasPending(s.Listener) {
+		if !wait(ctx, acceptInterval) {
+			return ctx.Err()
+		}
 	}
 	// It is closed already if this is another call.
 	_ = s.Listener.Close()
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -148,6 +148,19 @@
 	must.ErrorIs(t, <-s.serveErr, net.ErrClosed)
 }
 
+// Guards against a reset of connections that still wait when the time for a first try is over.
+func TestConnectionsThatWaitAreAnsweredByTheNextDrain(t *testing.T) {
+	l := &lateListener{listen(t), make(chan struct{})}
+	s := newTestServer(t, l, answer)
+	c := dial(t, s.address)
+	c.write(t, request)
+	must.ErrorIs(t, <-s.drain(t, 20*time.Millisecond), context.DeadlineExceeded)
+	done := s.drain(t, testTimeout)
+	close(l.released)
+	must.True(t, c.mustRead(t))
+	must.NoError(t, <-done)
+}
+
 // Guards against a request that is read and then closed without an answer, as it arrives after the server began to stop.
 func TestDrainAnswersRequestsThatArriveDuringIt(t *testing.T) {
 	for name, parts := range map[string][]string{"whole": {request}, "in two parts": {request[:20], request[20:]}} {
