--- a/cmd/oriolecroft/starved_shutdown_test.go
+++ b/cmd/oriolecroft/starved_shutdown_test.go
@@ -21,6 +21,8 @@
 	shortWork = 30 * time.Millisecond
 	// firstStarvedHost is the first loopback host of the test, which uses two for each case.
 	firstStarvedHost = 230
+	// firstCutHost is the same for requests that are cut.
+	firstCutHost = 246
 	// keptConnections is the number of callers that send several requests on a connection.
 	keptConnections = 30
 	// changeInterval is the time between two changes of route table and settings.
@@ -104,14 +106,47 @@
 	}
 }
 
+// starvation is how an entry is starved: it runs for a time and is stopped for another one, in turn, from a time on.
+type starvation struct {
+	name              string
+	runs, stops, from time.Duration
+	// changes adds changes of route tables and settings.
+	changes bool
+}
+
+// stopStarved stops an entry while it is starved and gets requests, on which its service works for a time.
+func stopStarved(t *testing.T, host int, work time.Duration, e starvation) (*lossRecorder, syscall.WaitStatus) {
+	t.Helper()
+	r := &lossRecorder{entry: startStoppingEntry(t, host, work)}
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for n := range keptConnections {
+		callers.Go(func() { r.sendOnKept(ctx, n) })
+	}
+	callers.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			callers.Go(func() { r.sendOnNew(ctx, fmt.Sprintf("new-%d", n)) })
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	if e.changes {
+		go r.entry.changeAll(ctx)
+	}
+	time.Sleep(500*time.Millisecond + e.from)
+	if e.stops > 0 {
+		go starve(ctx, r.entry.daemon.Process, e.runs, e.stops)
+	}
+	time.Sleep(200*time.Millisecond - e.from/2)
+	status := r.entry.stop(t, []stopEvent{{0, syscall.SIGTERM}})
+	cancel()
+	callers.Wait()
+	return r, status
+}
+
 // Guards against requests that a stopping entry drops, unread or unanswered, because it got no processor time while they
 // waited, also while route tables and settings change.
 func TestStarvedEntryAnswersRequestsThatWaited(t *testing.T) {
-	for i, e := range []struct {
-		name              string
-		runs, stops, from time.Duration
-		changes           bool
-	}{
+	for i, e := range []starvation{
 		{"not starved", 0, 0, 0, false},
 		{"not starved, with changes", 0, 0, 0, true},
 		{"300 ms", 40 * time.Millisecond, 300 * time.Millisecond, 0, false},
@@ -121,29 +156,7 @@
 	} {
 		t.Run(e.name, func(t *testing.T) {
 			t.Parallel()
-			r := &lossRecorder{entry: startStoppingEntry(t, firstStarvedHost+2*i, shortWork)}
-			ctx, cancel := context.WithCancel(t.Context())
-			var callers sync.WaitGroup
-			for n := range keptConnections {
-				callers.Go(func() { r.sendOnKept(ctx, n) })
-			}
-			callers.Go(func() {
-				for n := 0; ctx.Err() == nil; n++ {
-					callers.Go(func() { r.sendOnNew(ctx, fmt.Sprintf("new-%d", n)) })
-					time.Sleep(10 * time.Millisecond)
-				}
-			})
-			if e.changes {
-				go r.entry.changeAll(ctx)
-			}
-			time.Sleep(500*time.Millisecond + e.from)
-			if e.stops > 0 {
-				go starve(ctx, r.entry.daemon.Process, e.runs, e.stops)
-			}
-			time.Sleep(200*time.Millisecond - e.from/2)
-			status := r.entry.stop(t, []stopEvent{{0, syscall.SIGTERM}})
-			cancel()
-			callers.Wait()
+			r, status := stopStarved(t, firstStarvedHost+2*i, shortWork, e)
 			must.True(t, status.Exited(), must.Sprintf("%v", status.Signal()))
 			must.GreaterEq(t, leastAnswered, r.answered)
 			for _, l := range r.lost {
@@ -154,3 +167,25 @@
 		})
 	}
 }
+
+// Guards against requests without an answer as an entry that got no processor time is killed before it has cut them.
+func TestStarvedEntryCutsRequestsBeforeItIsKilled(t *testing.T) {
+	for i, e := range []starvation{
+		{"300 ms", 40 * time.Millisecond, 300 * time.Millisecond, 0, false},
+		{"600 ms", 30 * time.Millisecond, 600 * time.Millisecond, 0, false},
+	} {
+		t.Run(e.name, func(t *testing.T) {
+			t.Parallel()
+			r, status := stopStarved(t, firstCutHost+2*i, slowWork, e)
+			lost := 0
+			for _, l := range r.lost {
+				if r.entry.arrived[l.id] {
+					lost++
+				}
+			}
+			t.Logf("%v, %d answered, %d lost at the service", status, r.answered, lost)
+			must.Zero(t, lost)
+			must.True(t, status.Exited(), must.Sprintf("%v", status.Signal()))
+		})
+	}
+}
