--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -127,13 +127,11 @@
 	if err != nil {
 		return false
 	}
-	pending := false
+	ready, pollErr := 0, error(unix.EINTR)
 	err = raw.Control(func(fd uintptr) {
-		n, e := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		for errors.Is(e, unix.EINTR) {
-			n, e = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		for errors.Is(pollErr, unix.EINTR) {
+			ready, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 		}
-		pending = e == nil && n > 0
 	})
-	return err == nil && pending
+	return err == nil && pollErr == nil && ready > 0
 }
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -1,8 +1,8 @@
 // Package drainer serves HTTP requests and stops without dropping any that has arrived.
 //
 // http.Server.Shutdown is not enough for that. Once it has started, net/http closes a connection without an answer after it
-// has read a request on it, and closing the listener resets the connections that were not accepted yet. A process that is
-// short of processor time does both to requests that have waited for as long as it stood still.
+// has read a request on it, and closing the listener resets the connections that were not accepted yet. A process that has
+// stalled does both to requests that have waited for as long as the stall.
 package drainer
 
 import (
--- a/internal/hoster/hoster_test.go
+++ b/internal/hoster/hoster_test.go
@@ -203,6 +203,38 @@
 	}
 }
 
+// Guards against losing unread requests: an entry is stopped while its process is suspended,
+// requests have arrived on kept-alive connections, and closing these would drop them.
+func TestDrainingAnswersUnreadRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	suspended := &suspendedListener{Listener: l, resumed: make(chan struct{})}
+	c := startWithCaller(t, suspended)
+	c.send(t)
+	must.False(t, c.answer(t))
+	c.send(t)
+	c.stopAndWait(t)
+	close(suspended.resumed)
+	must.True(t, c.answer(t))
+	must.NoError(t, <-c.done)
+}
+
+// Guards against the loss of a request that is on its way over a kept-alive connection as the entry is stopped.
+func TestDrainingAnswersRequestsOnTheirWay(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	c := startWithCaller(t, l)
+	c.send(t)
+	must.False(t, c.answer(t))
+	c.stopAndWait(t)
+	c.send(t)
+	must.True(t, c.answer(t))
+	must.NoError(t, <-c.done)
+}
+
+// readDelay is how long a draining entry still reads nothing.
+const readDelay = 100 * time.Millisecond
+
 // keptCaller is a caller with one connection to a hoster.
 type keptCaller struct {
 	net.Conn
@@ -254,35 +286,3 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(c.hoster.Draining), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
 	time.Sleep(readDelay)
 }
-
-// Guards against losing unread requests: an entry is stopped while its process is suspended,
-// requests have arrived on kept-alive connections, and closing these would drop them.
-func TestDrainingAnswersUnreadRequests(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	suspended := &suspendedListener{Listener: l, resumed: make(chan struct{})}
-	c := startWithCaller(t, suspended)
-	c.send(t)
-	must.False(t, c.answer(t))
-	c.send(t)
-	c.stopAndWait(t)
-	close(suspended.resumed)
-	must.True(t, c.answer(t))
-	must.NoError(t, <-c.done)
-}
-
-// Guards against the loss of a request that is on its way over a kept-alive connection as the entry is stopped.
-func TestDrainingAnswersRequestsOnTheirWay(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	c := startWithCaller(t, l)
-	c.send(t)
-	must.False(t, c.answer(t))
-	c.stopAndWait(t)
-	c.send(t)
-	must.True(t, c.answer(t))
-	must.NoError(t, <-c.done)
-}
-
-// readDelay is how long a draining entry still reads nothing.
-const readDelay = 100 * time.Millisecond
--- a/internal/relayer/cut_head_test.go
+++ b/internal/relayer/cut_head_test.go
@@ -31,7 +31,7 @@
 		"chunks":     {head: status + "Transfer-Encoding: chunked\r\n\r\n"},
 		"connection": {head: status + "Connection: close\r\n\r\n", unframed: true},
 		"interim":    {head: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + status + "Content-Length: 24\r\n\r\n"},
-		"old":        {head: strings.Replace(status, "1.1", "1.0", 1) + "\r\n", unframed: true},
+		"HTTP 1.0":   {head: strings.Replace(status, "1.1", "1.0", 1) + "\r\n", unframed: true},
 		"refusal":    {head: "HTTP/1.1 503 Service Unavailable\r\nId: <id>\r\nNot-Run: 1\r\nContent-Length: 24\r\n\r\n", refusal: true},
 	}
 }
