granter, relayer: log the version of granted weights and the age of their confirmation

A request that began on old weights was granted by an agent that hadn't received the announcement, or by one that dated it too late; "Place asked" and "Served" had nothing that tells one from the other. They state the version, how long ago the store confirmed that none newer was announced, and the grant's time limit.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -33,6 +33,8 @@
 	// EngineStart returns the start of the engine and how long ago it was observed; a zero start while it is
 	// unknown. Nil for an engine that doesn't state its start.
 	EngineStart func() (startedAt time.Time, age time.Duration)
+	// ConfirmedAge returns how long ago the store confirmed the announced weights; nil for an agent that doesn't know.
+	ConfirmedAge func() time.Duration
 	// Poll makes the agent poll its engine at once; nil for an agent that can't.
 	Poll  func()
 	Clock clock.PassiveClock
@@ -68,7 +70,7 @@
 			"patience", q.WaitLimit(), "active", v.Active, "slots", v.Slots, "prompt", q.Prompt, "spare", q.Spare,
 			"unreserved", v.Unreserved, "observed", v.Observed, "held", v.Ramp != nil && v.Ramp.Held, "unlogged", g.unlogged.Swap(0),
 			"endsLate", v.EndsLate, "left", q.TimeLeft(), "pace", v.Pace, "momentaryPace", v.Momentary.Factor}
-		klog.InfoS("Place asked", append(fields, priorityFields(q, v)...)...)
+		klog.InfoS("Place asked", append(append(fields, g.weightsFields(q.Model, v)...), priorityFields(q, v)...)...)
 	}
 	return messenger.Decision{
 		Granted: v.Granted, ClosedReason: v.Closed, Version: g.Holds(q.Model), WaitMS: v.Wait.Milliseconds(),
@@ -77,6 +79,19 @@
 	}
 }
 
+// weightsFields returns log fields on the weights of a granted slot: without them, a reply that starts on old weights
+// can't be traced to an agent that hadn't received the announcement, or that dated it too late.
+func (g *Granter) weightsFields(model string, v scheduler.Decision) []any {
+	if !v.Granted {
+		return nil
+	}
+	fields := []any{"version", g.Holds(model), "beginWithin", v.BeginWithin}
+	if g.ConfirmedAge != nil {
+		fields = append(fields, "confirmedAge", g.ConfirmedAge())
+	}
+	return fields
+}
+
 // wirePace is a pace on the wire; 0 for the normal one.
 func wirePace(factor float64) messenger.Hundredths {
 	if factor <= 1 {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -364,6 +364,14 @@
 	return r.revision, r.Clock.Since(r.answeredAt), r.view.Load() != nil
 }
 
+// ConfirmedAge returns the time since the store confirmed that no newer weights were announced than the known ones, or
+// since the end of an outage that followed.
+func (r *Registrar) ConfirmedAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Clock.Since(r.confirmedUntil())
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Registrar) Changed() <-chan struct{} { return r.change.Wait() }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -176,6 +176,9 @@
 	if c.Returned {
 		fields = append(fields, "returned", true)
 	}
+	if place.Held != 0 {
+		fields = append(fields, "version", place.Held, "confirmedAge", c.Registrar.ConfirmedAge())
+	}
 	if s := c.stream; s != nil {
 		fields = append(fields, "events", s.events, "firstEvent", s.firstEventAfter, "longestPause", s.longestPause,
 			"waitPredicted", place.Wait, "active", place.Active, "prompt", c.Prompt,
--- a/internal/relayer/logs_test.go
+++ b/internal/relayer/logs_test.go
@@ -89,7 +89,7 @@
 		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 		must.NoError(t, err)
 		port = netip.MustParseAddrPort(listener.Addr().String()).Port()
-		g := &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, Clock: clock.RealClock{}}
+		g := &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, ConfirmedAge: func() time.Duration { return time.Second }, Clock: clock.RealClock{}}
 		s := &messenger.Server{Listener: listener, OnReserve: g.Reserve, OnProgress: g.Progress, OnLost: g.Lost}
 		ctx, stop := context.WithCancel(context.Background())
 		t.Cleanup(stop)
@@ -234,6 +234,14 @@
 	containsInOrder(t, got, "Place asked", "granted=true", "Served", "firstEventMs=", "lateMs=", "upstream=engine-0", "waitPredictedMs=", "outcome: Served", "after the route's objective")
 }
 
+// Guards against a reply from old weights that can't be traced to the process that took them for the newest.
+func TestExplainStatesTheWeightsOfAReply(t *testing.T) {
+	w := newEngineWorld(t, streamsOneEvent, openLedger(12))
+	must.Eq(t, http.StatusOK, w.request(t, "/draft", "r1").status)
+	containsInOrder(t, explain(t, "r1"), "Place asked", "beginWithinMs=", "confirmedAgeMs=", "granted=true", "version=1",
+		"Served", "confirmedAgeMs=", "version=1")
+}
+
 // Guards against an unexplained timeout: an upstream accepts a booking and never answers.
 func TestExplainTimeout(t *testing.T) {
 	w := newTestEntry(t, newUpstream(t, "a", func(int, string, net.Conn) bool {
