registrar: a process that calls the store seldom is known as partitioned

An announcement counted 1.9 s too young after one failed call of a reader: a process to which the store doesn't answer, and which calls it less than once in 2.5 s, reported an outage each time. It counted how often the store answered others after its own failed calls from zero again after such a gap, so that it never took itself for partitioned. The count now lasts until the store answers it, or until nobody has had an answer for 2.5 s.

TestProcessThatCallsSeldomShowsNoOutage failed before.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -25,7 +25,6 @@
 	now := r.recordActivity()
 	if now.Sub(r.lastStoreCall) > maxCallGap {
 		r.callingSince = now
-		r.firstFailureAt, r.refutedFailures = time.Time{}, 0
 	}
 	r.lastStoreCall = now
 }
