registrar: a partitioned process reports no outage

An announcement counted 1.9 s too young after one failed call of a reader: a process to which only itself is cut off from the store reported that call back to the reader, which took it for another's observation. Such a process now reports none at all; those that observe an outage themselves still do, for their regions too.

TestProcessThatIsCutOffAloneReportsNoCallBack failed before.

--- a/internal/registrar/region.go
+++ b/internal/registrar/region.go
@@ -27,11 +27,11 @@
 
 // outageDuration returns how long after the last known answer the store answered no process.
 func (r *Registrar) outageDuration() time.Duration {
-	until := r.locallyConfirmedUntil()
 	if r.isPartitioned() {
-		until = earlier(until, r.peerOutageUntil)
+		// All that it could report are calls of others, among them those of the process that asks.
+		return 0
 	}
-	return max(0, until.Sub(r.answeredAt))
+	return max(0, r.locallyConfirmedUntil().Sub(r.answeredAt))
 }
 
 // outageReports returns the known outages in all regions.
