registrar: date an announcement by when another process received it

Where processes of all regions lost the store for another reason than an outage, an announcement counted from their last failed call, up to 2.1 s too late, and nothing corrected that: a process that hears from one to which the store answered meanwhile ignored the ages of announcements that it knew.

Reports of announcements now say when the first process received them, and which times rely on an outage that was inferred from failed calls. An announcement that another process received before the end of the outage was made by then; if that is more than a second before it, as long as a call may fail after the store is back, the announcement counts from the store's last confirmation. Processes ask for these ages for ten seconds after such an announcement.

TestLaterWordOfAnAnswerRefutesAnOutage failed before.

--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -21,6 +21,11 @@
 	// is known of the time before.
 	Replaced uint64
 	Since    time.Time
+	// Known is the earliest time at which a process is known to have received it; zero if unknown.
+	Known time.Time
+	// Confirmed is the store's last confirmation before it, where Learned and Since rely on an outage of the store
+	// that processes inferred from failed calls; zero where they don't.
+	Confirmed time.Time
 }
 
 // AnnouncementReport is an announcement as sent between processes, with ages instead of times.
@@ -29,6 +34,10 @@
 	Age      time.Duration `json:"age"`
 	Replaced uint64        `json:"replaced,omitempty"`
 	SinceAge time.Duration `json:"sinceAge"`
+	// KnownAge is the least time since a process received it; zero if unknown.
+	KnownAge time.Duration `json:"knownAge,omitempty"`
+	// ConfirmedAge is the age of Announcement's Confirmed; zero where that is.
+	ConfirmedAge time.Duration `json:"confirmedAge,omitempty"`
 }
 
 // maxAnnouncements is how many announcements are kept per model. At one every four seconds, the
@@ -71,6 +80,9 @@
 // weights. None of the announcements is newer than that record.
 func (r *Registrar) applyReportedAges(rec Record, from Batch) bool {
 	known, reported := r.announcements[rec.Key], rec.Namings
+	if r.refuteOutages(rec, from.AsOf) {
+		return true
+	}
 	if len(known) == 0 || isDated(known) || len(reported) == 0 || !r.unusableSince[rec.Key].IsZero() {
 		return false
 	}
@@ -92,13 +104,13 @@
 // isDated reports whether the time of the newest announcement is known.
 func isDated(ns []Announcement) bool { return len(ns) > 0 && !ns[len(ns)-1].Learned.IsZero() }
 
-// HasUndatedWeights reports whether some model's weights were found in the store and the time of
-// their announcement is still unknown.
-func (r *Registrar) HasUndatedWeights() bool {
+// NeedsAges reports whether the time of some model's newest announcement is unknown, as its weights were found in the
+// store, or relies on an outage, so that others may know better.
+func (r *Registrar) NeedsAges() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, ns := range r.announcements {
-		if !isDated(ns) {
+		if !isDated(ns) || r.reliesOnOutage(ns) {
 			return true
 		}
 	}
@@ -126,6 +138,9 @@
 // between may have been missed.
 func (r *Registrar) boundAnnouncement(n Announcement, key string, known uint64) Announcement {
 	since := r.readableUntil(key)
+	if since.After(r.confirmedAt) && (n.Confirmed.IsZero() || r.confirmedAt.Before(n.Confirmed)) {
+		n.Confirmed = r.confirmedAt
+	}
 	if n.Replaced <= known && n.Since.After(since) {
 		since = n.Since
 	}
@@ -143,12 +158,17 @@
 	if len(rec.Namings) == 0 {
 		// The store doesn't state when the record was written, and its answer may have been delayed
 		// for any time.
-		return []Announcement{{Version: w.Version, Learned: earlier(r.readableUntil(rec.Key), writeTime(rec, received))}}
+		n := Announcement{Version: w.Version, Learned: earlier(r.readableUntil(rec.Key), writeTime(rec, received)), Known: received}
+		if n.Learned.After(r.confirmedAt) {
+			n.Confirmed = r.confirmedAt
+		}
+		return []Announcement{n}
 	}
 	ns := make([]Announcement, 0, len(rec.Namings))
 	for _, p := range rec.Namings {
 		ns = append(ns, Announcement{
 			Version: p.Version, Learned: timeAtAge(received, p.Age), Replaced: p.Replaced, Since: timeAtAge(received, p.SinceAge),
+			Known: timeAtPositiveAge(received, p.KnownAge), Confirmed: timeAtPositiveAge(received, p.ConfirmedAge),
 		})
 	}
 	return ns
@@ -188,6 +208,7 @@
 	for _, n := range r.announcements[key] {
 		ps = append(ps, AnnouncementReport{
 			Version: n.Version, Age: age(now, n.Learned), Replaced: n.Replaced, SinceAge: age(now, n.Since),
+			KnownAge: positiveAge(now, n.Known), ConfirmedAge: positiveAge(now, n.Confirmed),
 		})
 	}
 	return ps
@@ -207,6 +228,21 @@
 	return now.Add(-age)
 }
 
+// positiveAge is the age of a time, at least a nanosecond; zero for the zero time.
+func positiveAge(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(t))
+}
+
+func timeAtPositiveAge(now time.Time, age time.Duration) time.Time {
+	if age <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-age)
+}
+
 // WeightsView is the version of a model that engines are to hold, and the announcements that led to
 // it.
 type WeightsView struct {
--- a/internal/registrar/announcement_test.go
+++ b/internal/registrar/announcement_test.go
@@ -152,7 +152,7 @@
 			"date": func(t *rapid.T) {
 				from, to := rs[process.Draw(t, "from")], rs[process.Draw(t, "to")]
 				at, _, known := to.Revision()
-				if _, _, ready := from.Revision(); ready && known && to.HasUndatedWeights() {
+				if _, _, ready := from.Revision(); ready && known && to.NeedsAges() {
 					to.Apply(from.ChangesSinceWithAges(at))
 				}
 			},
--- a/internal/registrar/outage_fuzz_test.go
+++ b/internal/registrar/outage_fuzz_test.go
@@ -155,7 +155,7 @@
 			"date": func(t *rapid.T) {
 				from, to := rs[process.Draw(t, "from")], rs[process.Draw(t, "to")]
 				at, _, known := to.Revision()
-				if _, _, ready := from.Revision(); ready && known && to.HasUndatedWeights() {
+				if _, _, ready := from.Revision(); ready && known && to.NeedsAges() {
 					b, unread := from.ChangesSinceWithAges(at), time.Duration(rapid.IntRange(0, 3).Draw(t, "unread"))*time.Second
 					c.Step(unread)
 					to.Apply(b.Older(unread))
--- a/internal/registrar/partition_test.go
+++ b/internal/registrar/partition_test.go
@@ -116,6 +116,31 @@
 	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
 }
 
+// Guards against engines that stop as an outage ends: another process had the announcement before the last failed call
+// of this one was over, which doesn't refute the outage.
+func TestAnnouncementKnownBeforeTheLastFailedCallCountsFromOutageEnd(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := newPair(c)
+	witness := newRegistrarAt(c)
+	witness.Apply(r.ChangesSince(0))
+	failCallsOfBoth(r, other, c, 6*time.Second)
+	back := c.Now()
+	c.Step(100 * time.Millisecond)
+	witness.Apply(other.ChangesSince(1))
+	applyVersion2(witness)
+	known := c.Now()
+	failCallsOfBoth(r, other, c, 500*time.Millisecond)
+	r.StoreCallStarted()
+	r.StoreCallSucceeded()
+	applyVersion2(r)
+	must.True(t, r.NeedsAges())
+	r.Apply(witness.ChangesSinceWithAges(2))
+	got, ok := supersededAt(r, 1)
+	must.True(t, ok)
+	must.False(t, got.After(known), must.Sprintf("%v after another process knew it", got.Sub(known)))
+	must.False(t, got.Before(back), must.Sprintf("%v before the outage's end", back.Sub(got)))
+}
+
 // answerOne answers a call of one process, which reports it to the other.
 func answerOne(r, other *registrar.Registrar) {
 	r.StoreCallStarted()
--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -93,6 +93,9 @@
 		rec.Namings = slices.Clone(rec.Namings)
 		for i, n := range rec.Namings {
 			rec.Namings[i].Age, rec.Namings[i].SinceAge = addAge(n.Age, by), addAge(n.SinceAge, by)
+			if n.ConfirmedAge > 0 {
+				rec.Namings[i].ConfirmedAge += by
+			}
 		}
 		records = append(records, rec)
 	}
--- a/internal/syncer/announcement_age_test.go
+++ b/internal/syncer/announcement_age_test.go
@@ -73,6 +73,6 @@
 	r := &registrar.Registrar{Clock: c, Decode: platform.Decode}
 	found := registrar.Record{Key: "op/version/m", Value: []byte(`{"model": "m", "version": 2}`), Revision: 3, Age: registrar.UnknownAge}
 	r.Apply(registrar.Batch{Whole: true, At: 3, Records: []registrar.Record{found}})
-	must.True(t, r.HasUndatedWeights())
+	must.True(t, r.NeedsAges())
 	must.SliceEmpty(t, syncer.RecordsHandler(r, c)(t.Context(), messenger.RecordsQuery{After: 3, Ages: true}).Records)
 }
--- a/internal/syncer/start.go
+++ b/internal/syncer/start.go
@@ -218,7 +218,11 @@
 // learnAges asks peers for the ages of the weights that this process found in the store. Peers send
 // them with the records, the store doesn't.
 func (s *Syncer) learnAges(ctx context.Context, candidates []netip.AddrPort) {
-	for s.agePeersAsked < min(maxUnhelpfulPeers, len(candidates)) && s.Registrar.HasUndatedWeights() {
+	if !s.Registrar.NeedsAges() {
+		s.agePeersAsked = 0
+		return
+	}
+	for s.agePeersAsked < min(maxUnhelpfulPeers, len(candidates)) && s.Registrar.NeedsAges() {
 		a := candidates[s.agePeersAsked]
 		s.agePeersAsked++
 		at, _, _ := s.Registrar.Revision()
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -115,7 +115,7 @@
 	peerFailure fallbackCause
 	// substituteUntil is until when this process reads the store in place of failed readers.
 	substituteUntil time.Time
-	// agePeersAsked is the number of peers that learnAges has asked.
+	// agePeersAsked is the number of peers that learnAges has asked since ages were last known.
 	agePeersAsked int
 	// jitter delays an agent's fallback by up to maxAgentJitter; listDelay delays this process's
 	// list of the store at its start by up to listSpread.
@@ -340,7 +340,7 @@
 	if failed && age > staleAge-peerWait {
 		wait = 0
 	}
-	q := messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds(), Stale: opts.awaitRead, Ages: s.Registrar.HasUndatedWeights()}
+	q := messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds(), Stale: opts.awaitRead, Ages: s.Registrar.NeedsAges()}
 	return s.queryRecords(ctx, a, q, wait+peerGrace)
 }
 
