Registrar: a later answer of the store to another process ends the loss of it

A process whose call to the store had failed once told its peers that it had lost the store until its own next call succeeded, also when it had long followed fresh peers again and made no more calls. Peers passed it over and counted it as out of service, and it answered queries at once instead of holding them: nine of 15 entries of a region counted as lost five seconds after a large table, and when entries were killed then, the others fell back to the store in the same few milliseconds instead of one after the other.

TestLaterAnswerToAnotherProcessEndsTheLoss failed before: still lost after a later answer of the store. An answer of the store to any process after the failed call shows that newer ones reach this one.

--- a/internal/registrar/changes.go
+++ b/internal/registrar/changes.go
@@ -40,7 +40,7 @@
 	defer r.mu.Unlock()
 	b := Batch{
 		After: after, At: r.revision, Age: r.Clock.Since(r.answeredAt), Unconfirmed: r.answeredAt.Sub(r.confirmedAt),
-		OutageFor: r.outageDuration(), Whole: after < r.deletionFloor, Lost: r.unreachable,
+		OutageFor: r.outageDuration(), Whole: after < r.deletionFloor, Lost: r.lostStore(),
 		Outages: r.outageReports(),
 	}
 	if after > r.revision {
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -166,9 +166,12 @@
 	return r.refutedFailures > 1 && r.unreachableAt.Sub(r.answeredAt) <= maxCallGap
 }
 
-// StoreUnreachable reports whether the last call to the store failed.
+// StoreUnreachable reports whether the last call to the store failed, and no answer of the store arrived since, from
+// other processes either.
 func (r *Registrar) StoreUnreachable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.unreachable
+	return r.lostStore()
 }
+
+func (r *Registrar) lostStore() bool { return r.unreachable && !r.answeredAt.After(r.unreachableAt) }
