--- a/cmd/oriolecroft/platform_terms_test.go
+++ b/cmd/oriolecroft/platform_terms_test.go
@@ -35,7 +35,7 @@
 			w.Header().Set("X-Replica-Seal", "s")
 		}))
 		t.Cleanup(u.Close)
-		store.PutBytes("servers/i-"+service, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":16,"state":"ready"}`, service, u.Listener.Addr()))
+		store.PutBytes("servers/i-"+service, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"sequence":1}`, service, u.Listener.Addr()))
 		routes = append(routes, fmt.Sprintf(`{"name":%[1]q,"host":"h","path_prefix":"/%[1]s/","kind":"idempotent","public":true,"timeout_ms":2000,"max_attempts":2,"service":%[1]q}`, service))
 		services = append(services, fmt.Sprintf(`{"name":%q}`, service))
 	}
--- a/cmd/oriolecroft/platform_test.go
+++ b/cmd/oriolecroft/platform_test.go
@@ -124,7 +124,7 @@
 	store.PutBytes("op/config", []byte(`{"version":7,"routes":[],"services":[{"name":"llm","engine":{"slots":16,"models":[{"name":"m"}]}}]}`))
 	store.PutBytes("op/version/m", []byte(`{"model":"m","version":3}`))
 	frontIP, sideIP := loopback(1), loopback(2)
-	store.PutBytes("servers/i-1", fmt.Appendf(nil, `{"service":"llm","address":"%s:8080","zone":"a","slots":16,"state":"ready"}`, sideIP))
+	store.PutBytes("servers/i-1", fmt.Appendf(nil, `{"service":"llm","address":"%s:8080","zone":"a","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"sequence":1}`, sideIP))
 	dir := t.TempDir()
 	front := writeSettings(t, dir, "front.toml", fmt.Sprintf(settingsText("front-1", frontIP, store.Address()), fmt.Sprintf(entrySettings, frontIP)))
 	side := writeSettings(t, dir, "side.toml", fmt.Sprintf(settingsText("side-1", sideIP, store.Address()), "app = \""+sideIP+":8080\"\nservice = \"llm\""))
