relayer: a waiting request may start for as long as its entry's confirmation allows

A request that waited at its engine was given up by the confirmation that its agent had at the grant, although the store confirmed the weights to its entry all the while and nothing was announced: after 1.8 s of a bound of 2 s. The agent's time and the entry's own both count from before any announcement that they don't know, so the later one holds.

TestWaitingRequestOutlivesTheConfirmationAtItsGrant failed before.

--- a/internal/relayer/start_deadline.go
+++ b/internal/relayer/start_deadline.go
@@ -31,12 +31,7 @@
 func (p *Placer) TimeToStart(place *Placement, j *Job) (time.Duration, bool) {
 	var left time.Duration
 	bounded := false
-	switch {
-	case place.Held != 0 && place.BeginBy.IsZero() && p.WeightsBound > 0:
-		// No agent vouches for the version.
-		since, _ := p.Registrar.SupersededSince(j.Model, place.Held)
-		left, bounded = p.WeightsBound-p.Registrar.Clock.Since(since), true
-	case place.Held != 0:
+	if place.Held != 0 {
 		left, bounded = p.Registrar.TimeLeft(j.Model, place.Held, p.WeightsBound)
 	}
 	if !place.BeginBy.IsZero() {
@@ -45,9 +40,22 @@
 			left, bounded = stated, true
 		}
 	}
+	if confirmed, ok := p.confirmedTimeToStart(place, j); ok && (place.BeginBy.IsZero() || confirmed > left) {
+		left, bounded = confirmed, true
+	}
 	return max(0, left-startMargin), bounded
 }
 
+// confirmedTimeToStart is the time left by the store's last confirmation here that a place's weights are the newest; false
+// if they aren't. Both it and the time that an agent states end in time, as each counts from before any announcement.
+func (p *Placer) confirmedTimeToStart(place *Placement, j *Job) (time.Duration, bool) {
+	if place.Held == 0 || p.WeightsBound <= 0 {
+		return 0, false
+	}
+	since, superseded := p.Registrar.SupersededSince(j.Model, place.Held)
+	return p.WeightsBound - p.Registrar.Clock.Since(since), !superseded
+}
+
 // closeUnlessStarted closes the connection of a request that doesn't start in time. Calling started
 // once the request has started or ended stops the watch. The error is a *StaleWeightsError if it is
 // too late to send the request.
