registrar: read confirmations without the lock, and with their view

The confirmation is published together with the view now, and read without the lock. Found by the review.

--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -125,6 +125,11 @@
 	}
 }
 
+// unreadableSince returns the time since which a record of weights may have stood for another version; zero for never.
+func (r *Registrar) unreadableSince(key string) time.Time {
+	return r.unusableSince[key]
+}
+
 // readableUntil returns the time until which nothing newer than the known versions can have been announced.
 func (r *Registrar) readableUntil(key string) time.Time {
 	until := r.confirmedUntil()
@@ -252,7 +257,8 @@
 	// Namings are the announcements, the oldest first; never empty.
 	Namings []Announcement
 
-	key string
+	// unreadableSince is the time since which the record may have stood for another version; zero for never.
+	unreadableSince time.Time
 }
 
 // NewerThan lists the announcements newer than a version, the oldest first.
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -18,6 +18,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.recordStoreCall()
+	r.confirm()
 }
 
 // recordStoreCall records that this process is running and calls the store.
@@ -139,6 +140,7 @@
 	}
 	r.recordLongOutage(r.unreachableAt)
 	r.unreachable = true
+	r.confirm()
 	r.change.NotifyAll()
 }
 
@@ -148,6 +150,7 @@
 	defer r.mu.Unlock()
 	r.unreachable = false
 	r.firstFailureAt, r.refutedFailures = time.Time{}, 0
+	r.confirm()
 }
 
 // recordPeerAnswer records that the store answered another process, at the earliest at the given time.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -93,6 +93,7 @@
 	lastTick             time.Time
 	pauseStart, pauseEnd time.Time
 	view                 atomic.Pointer[View]
+	confirmation         atomic.Pointer[confirmation]
 	change               notifier.Broadcast
 }
 
@@ -126,7 +127,6 @@
 		b.AsOf = r.Clock.Now()
 	}
 	r.outageRefuted = b.answeredAt().After(r.answeredAt) && b.answeredAt().Before(r.unreachableAt)
-	defer func() { r.outageRefuted = false }()
 	changed := r.view.Load() == nil
 	for _, rec := range records {
 		changed = r.applyRecord(rec, b) || changed
@@ -138,10 +138,12 @@
 	if b.At >= r.revision {
 		r.recordAnswer(b)
 	}
+	r.outageRefuted = false
 	if changed {
 		r.selected = nil
 		r.publish()
 	}
+	r.confirm()
 	return changed
 }
 
@@ -321,13 +323,18 @@
 // announced; zero if that may be any time ago. An announcement may not have reached this process, so a version counts
 // as superseded since the store's last confirmation that it was the newest. known reports whether a newer one is known.
 func (r *Registrar) SupersededSince(model string, version uint64) (at time.Time, known bool) {
-	w := r.weights(model)
+	c := r.confirmation.Load()
+	if c == nil || c.view == nil {
+		return time.Time{}, false
+	}
+	w, _ := c.view.Weights(model)
 	if at, known = w.SupersededAt(version); known {
 		return at, true
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.readableUntil(w.key), false
+	if !w.unreadableSince.IsZero() {
+		return earlier(w.unreadableSince, c.until), false
+	}
+	return c.until, false
 }
 
 // Outdated reports whether a version of a model's weights may have been superseded longer ago than a bound,
@@ -379,9 +386,23 @@
 // ConfirmedAge returns the time since the store confirmed that no newer weights were announced than the known ones, or
 // since the end of an outage that followed.
 func (r *Registrar) ConfirmedAge() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.Clock.Since(r.confirmedUntil())
+	c := r.confirmation.Load()
+	if c == nil {
+		return r.Clock.Since(time.Time{})
+	}
+	return r.Clock.Since(c.until)
+}
+
+// confirmation is a view and the time until which nothing else can have been announced.
+type confirmation struct {
+	view  *View
+	until time.Time
+}
+
+// confirm publishes the current confirmation. It is read without the lock: to apply a large route table takes longer
+// than entries wait for a slot.
+func (r *Registrar) confirm() {
+	r.confirmation.Store(&confirmation{view: r.view.Load(), until: r.confirmedUntil()})
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -407,11 +428,13 @@
 	if ended {
 		r.publish()
 	}
+	r.confirm()
 }
 
 func (r *Registrar) publish() {
 	r.pruneTombstones()
 	r.view.Store(newView(r))
+	r.confirm()
 	r.change.NotifyAll()
 }
 
