registrar: a deleted record of weights stops no engine

Once the record of a model's weights was deleted, nothing confirmed the version in force any more, and all engines stopped for good a bound later. A deletion announces no version. One that was announced and deleted again while a process heard nothing is still missed. Found by the review; TestDeletedWeightsRecordStopsNoEngine failed before.

--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -125,8 +125,11 @@
 	}
 }
 
-// unreadableSince returns the time since which a record of weights may have stood for another version; zero for never.
+// unreadableSince is unusableSince, but zero for a deleted record, which announces no version.
 func (r *Registrar) unreadableSince(key string) time.Time {
+	if rec, ok := r.records[key]; !ok || rec.Deleted {
+		return time.Time{}
+	}
 	return r.unusableSince[key]
 }
 
--- a/internal/registrar/unconfirmed_weights_test.go
+++ b/internal/registrar/unconfirmed_weights_test.go
@@ -43,3 +43,18 @@
 	<-applied
 	must.False(t, at.After(announced), must.Sprintf("%v after the announcement", at.Sub(announced)))
 }
+
+// Guards against engines that stop for good as the record of their weights was deleted: nothing newer was announced.
+func TestDeletedWeightsRecordStopsNoEngine(t *testing.T) {
+	const bound = 8 * time.Second
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r := newRegistrarAt(c)
+	r.Apply(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "1", 1)}})
+	c.Step(time.Second)
+	r.Apply(registrar.Batch{After: 1, At: 2, Records: []registrar.Record{{Key: "weights/m", Revision: 2, Deleted: true}}})
+	for range 60 {
+		c.Step(time.Second)
+		r.Apply(registrar.Batch{After: 2, At: 2})
+	}
+	must.False(t, r.Outdated("m", 1, bound))
+}
