syncer: have weights confirmed between the changes of a large table

While a route table of over 128 KiB changed more often than once in a watch of a second, each answer of the store had it again, counted as possibly cut and confirmed nothing: all engines stopped a bound later, though nothing was announced.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -405,6 +405,13 @@
 	r.confirmation.Store(&confirmation{view: r.view.Load(), until: r.confirmedUntil()})
 }
 
+// AwaitsRest reports whether the store's last answer may lack some of its changes, so that it confirmed nothing.
+func (r *Registrar) AwaitsRest() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.partialAnswerAt.After(r.confirmedAt)
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Registrar) Changed() <-chan struct{} { return r.change.Wait() }
 
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -409,6 +409,10 @@
 	// no quick confirmation: the time limit of a call depends on its wait, and behind a saturated
 	// link calls with short waits would fail one after the other.
 	wait := max(minWatchWait, watchWait-age).Truncate(time.Millisecond)
+	if s.Registrar.AwaitsRest() && s.Registrar.ConfirmedAge() > registrar.ConfirmationTimeout {
+		// While a large table changes more often than once in a wait, each answer has it again and confirms nothing.
+		wait = minWatchWait
+	}
 	b, err := s.Store.Watch(ctx, at, wait)
 	b.AsOf = s.Registrar.Clock.Now()
 	took := s.Clock.Since(asked)
