Tests: limits of confirmations, known red

Found by the review of weights without confirmation: where a belief in an outage of the store has no limit yet, where one ends without need, and the same cause in entries' records of plain services.

--- a/internal/registrar/unconfirmed_weights_test.go
+++ b/internal/registrar/unconfirmed_weights_test.go
@@ -58,3 +58,85 @@
 	}
 	must.False(t, r.Outdated("m", 1, bound))
 }
+
+// Guards against a process that starts in an outage of the store and never takes weights for confirmed: its engine
+// would stay closed until the end.
+func TestProcessThatStartsInAnOutageConfirmsWeights(t *testing.T) {
+	const bound = 8 * time.Second
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	rs := newRegionRegistrars(c)
+	step := func(rs []*registrar.Registrar) {
+		c.Step(500 * time.Millisecond)
+		for _, r := range rs {
+			r.Tick()
+			r.StoreCallStarted()
+			r.StoreCallFailed()
+		}
+		for _, r := range rs {
+			for _, other := range rs {
+				if other != r {
+					r.Apply(other.ChangesSinceWithAges(1))
+				}
+			}
+		}
+	}
+	for range 24 {
+		step(rs)
+	}
+	must.False(t, rs[0].Outdated("m", 1, bound), must.Sprint("a process that ran before"))
+	started := newRegistrarAt(c)
+	started.Region = "a"
+	started.Apply(rs[1].ChangesSinceWithAges(0))
+	rs = append(rs, started)
+	for range 24 {
+		step(rs)
+	}
+	must.False(t, rs[0].Outdated("m", 1, bound), must.Sprint("a process that ran before"))
+	must.False(t, started.Outdated("m", 1, bound), must.Sprint("the one that started"))
+}
+
+// Guards against a process that starts beside an unreadable record of weights and takes what its engine holds for
+// confirmed, without limit: the record may stand for a newer version.
+func TestUnreadableWeightsAtStartConfirmNothing(t *testing.T) {
+	const bound = 8 * time.Second
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r := newRegistrarAt(c)
+	r.Apply(withoutAges(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "?", 1)}}))
+	for range 60 {
+		c.Step(time.Second)
+		r.Apply(registrar.Batch{After: 1, At: 1})
+	}
+	must.True(t, r.Outdated("m", 1, bound))
+}
+
+// Guards against an announcement that counts from before a short outage, as a process that follows its peers and calls
+// the store in outages only counts as partitioned by earlier outages.
+func TestProcessThatCallsStoreOnlyInOutagesShowsShortOnes(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := newPair(c)
+	for range 3 {
+		failCallsOfBoth(r, other, c, 4*time.Second)
+		c.Step(300 * time.Millisecond)
+		for range 10 {
+			answerOne(r, other)
+			c.Step(400 * time.Millisecond)
+		}
+		answerOne(r, other)
+	}
+	must.Zero(t, outageShortfall(t, r, other, c, 2500*time.Millisecond))
+}
+
+// Guards against engines that stop one bound into an outage of the store because one region has no process left: only
+// its members' records remain, which can't expire in the outage.
+func TestOutageCountsThoughOneRegionIsDead(t *testing.T) {
+	const bound = 8 * time.Second
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	rs := newRegionRegistrars(c)
+	for range 40 {
+		c.Step(500 * time.Millisecond)
+		rs[0].StoreCallFailed()
+		rs[1].StoreCallFailed()
+		rs[0].Apply(rs[1].ChangesSince(1))
+	}
+	must.False(t, rs[0].Outdated("m", 1, bound))
+}
