Registrar: a start far in the future hides no other upstream at its address

Callers' requests no longer reached the upstream that runs at the address: with one record of another writer that is sound but for a start 30 days ahead, TestOddUpstreamRecordsLeaveTheOthersInUse failed on the code before (run with the registrar's clock left out), as the upstream served none of the requests of the remaining test.

Cause: of several records with one address only the latest start is used, and any start was believed until a request showed that another upstream answers. Now one that is more than an hour ahead of the time of day counts as earlier than any other. An upstream whose clock is wrong is still used while no other is known at its address.

TestStartInTheFutureHidesNoOther and TestUpstreamWithStartInTheFutureIsUsed fail without the comparison.

--- a/cmd/oriolecroft/odd_records_test.go
+++ b/cmd/oriolecroft/odd_records_test.go
@@ -26,18 +26,28 @@
 	followTimeout = 10 * time.Second
 	// callersPerPath is how many callers send requests with a path to each entry.
 	callersPerPath = 2
+	// futureStart is how far in the future the start of a record is that is sound otherwise.
+	futureStart = 30 * 24 * time.Hour
 	// settledFor is how long requests are watched after a change.
 	settledFor = 1500 * time.Millisecond
 )
 
+// oddStart is the start that odd records state, in Unix milliseconds.
+const oddStart = 1790000000123
+
+// oddRecord is a record of another writer with all fields.
+func oddRecord(service, address string, startedAt time.Time) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,`+
+		`"models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,"born":%d}`, service, address, startedAt.UnixMilli())
+}
+
 // oddRecords are records of another writer for a service, each for a key of its own. Those with an impossible field would
 // otherwise be sound at the address.
 func oddRecords(service, address string) []string {
 	host, _, _ := strings.Cut(address, ":")
 	nested := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
 	record := func(changes ...string) string {
-		sound := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,"born":1790000000123}`, service, address)
-		return strings.NewReplacer(changes...).Replace(sound)
+		return strings.NewReplacer(changes...).Replace(oddRecord(service, address, time.UnixMilli(oddStart)))
 	}
 	return []string{
 		"", "{", "\xff\x00", nested, record(`"v1"`, nested), record(`"born"`, `"more":`+nested+`,"born"`),
@@ -120,7 +130,7 @@
 func (d *oddRecordsDeployment) startPlain(t *testing.T, id string) *standin.Upstream {
 	t.Helper()
 	address := netip.MustParseAddrPort(freshLoopback() + ":8080")
-	return d.startUpstream(t, standin.NewService(standin.Record{ID: id, Service: "desk", Address: address, FailureDomain: "a", Slots: 16}, 10*time.Millisecond))
+	return d.startUpstream(t, standin.NewService(standin.Record{ID: id, Service: "desk", Address: address, FailureDomain: "a", Slots: 16, StartedAt: time.Now()}, 10*time.Millisecond))
 }
 
 // startEngine starts an engine and its agent.
@@ -291,6 +301,8 @@
 			time.Sleep(oddRecordInterval)
 		}
 	}
+	d.store.PutBytes(fmt.Sprintf("servers/i-odd%d", written), []byte(oddRecord("desk", stayer.Address.String(), time.Now().Add(futureStart))))
+	d.mustLog(t, `"Upstream updated"`, fmt.Sprintf(`"i-odd%d"`, written))
 	added, addedEngine := d.startPlain(t, "i-added"), d.startEngine(t, "i-engine2", seeds)
 	d.mustLog(t, `"Upstream updated"`, `"i-engine2"`)
 	mustLogTo(t, d.logs[len(d.logs)-1:], `"Engine opened"`, `"side-i-engine2"`)
--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -143,7 +143,7 @@
 	}
 	d.stalls = detector.New(ageClock, d.metrics)
 	d.registrar = &registrar.Registrar{
-		Clock: ageClock, Decode: platform.Decode, Linger: time.Duration(lingerDrainShare * float64(s.Bounds.Drain)),
+		Clock: ageClock, WallClock: d.clock, Decode: platform.Decode, Linger: time.Duration(lingerDrainShare * float64(s.Bounds.Drain)),
 		Heartbeat: s.Heartbeat, Region: s.Region,
 	}
 	return d, nil
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -23,6 +23,8 @@
 	// Clock measures the ages of all records, and should count the time for which the VM is
 	// suspended.
 	Clock clock.PassiveClock
+	// WallClock is the time of day, by which upstreams date their starts. If it is nil, any start is believed.
+	WallClock clock.PassiveClock
 	// Decode decodes a record; a nil fact without an error means an unused record.
 	Decode func(key string, value []byte) (Fact, error)
 	// Linger is how long an upstream stays in use after its record was deleted while the store was
--- a/internal/registrar/replaced.go
+++ b/internal/registrar/replaced.go
@@ -8,27 +8,51 @@
 	"k8s.io/klog/v2"
 )
 
+// maxClockAhead is how far the clocks of upstreams may be ahead. A start further ahead comes from a wrong clock or from
+// another writer.
+const maxClockAhead = time.Hour
+
 // latestStarts is the latest start at each address, as far as upstreams state it.
-type latestStarts map[netip.AddrPort]time.Time
+type latestStarts struct {
+	starts map[netip.AddrPort]time.Time
+	// horizon is the time after which starts are wrong; zero for none.
+	horizon time.Time
+}
 
 // latestStarts returns those of all known upstreams but the replaced ones.
 //
 // After a restart the records of the former starts stay until their leases expire. If they were used until then, each
 // request to them would cost an attempt, as another one answers at the address.
 func (r *Registrar) latestStarts() latestStarts {
-	latest := latestStarts{}
+	l := latestStarts{starts: map[netip.AddrPort]time.Time{}}
+	if r.WallClock != nil {
+		l.horizon = r.WallClock.Now().Add(maxClockAhead)
+	}
 	for _, f := range r.facts {
 		u, ok := f.(Upstream)
-		if ok && u.StartedAt.After(latest[u.Address]) && !r.isReplaced(u) {
-			latest[u.Address] = u.StartedAt
+		if ok && l.before(l.starts[u.Address], u.StartedAt) && !r.isReplaced(u) {
+			l.starts[u.Address] = u.StartedAt
 		}
 	}
-	return latest
+	return l
+}
+
+// before reports whether a start was before another one. Any wrong start counts as earlier than a right one, and an
+// unknown one as the earliest.
+func (l latestStarts) before(start, other time.Time) bool {
+	if wrong := l.isWrong(start); !start.IsZero() && !other.IsZero() && wrong != l.isWrong(other) {
+		return wrong
+	}
+	return start.Before(other)
+}
+
+func (l latestStarts) isWrong(start time.Time) bool {
+	return !l.horizon.IsZero() && start.After(l.horizon)
 }
 
 // isLatest reports whether no later start than an upstream's is known at its address.
 func (l latestStarts) isLatest(u Upstream) bool {
-	return u.StartedAt.IsZero() || !l[u.Address].After(u.StartedAt)
+	return u.StartedAt.IsZero() || !l.before(u.StartedAt, l.starts[u.Address])
 }
 
 // isReplaced reports whether another upstream was found at the address of this one.
--- a/internal/registrar/replaced_test.go
+++ b/internal/registrar/replaced_test.go
@@ -129,6 +129,39 @@
 	r.expect("lives")
 }
 
+// Guards against a record whose start is far in the future, from another writer, that hides the upstream at its address.
+func TestStartInTheFutureHidesNoOther(t *testing.T) {
+	now := time.UnixMilli(1790000000000)
+	r := newHarness(t)
+	r.WallClock = clocktest.NewFakePassiveClock(now)
+	start := func(ahead time.Duration) int64 { return now.Add(ahead).UnixMilli() }
+	r.put("lives", upstreamRecord{"s", 1, start(-time.Minute)})
+	r.put("odd", upstreamRecord{"s", 1, start(30 * 24 * time.Hour)})
+	r.put("odder", upstreamRecord{"t", 1, 253_370_764_800_000})
+	r.expect("lives")
+	r.put("next", upstreamRecord{"s", 1, start(time.Minute)})
+	r.expect("next")
+	r.remove("next")
+	r.expect("lives")
+}
+
+// Guards against dropping an upstream whose clock is wrong.
+func TestUpstreamWithStartInTheFutureIsUsed(t *testing.T) {
+	now := time.UnixMilli(1790000000000)
+	r := newHarness(t)
+	r.WallClock = clocktest.NewFakePassiveClock(now)
+	start := func(ahead time.Duration) int64 { return now.Add(ahead).UnixMilli() }
+	r.put("ahead", upstreamRecord{"s", 1, start(48 * time.Hour)})
+	r.expect("ahead")
+	r.put("restarted", upstreamRecord{"s", 1, start(49 * time.Hour)})
+	r.expect("restarted")
+	r.put("unstated", upstreamRecord{"s", 1, 0})
+	r.expect("restarted", "unstated")
+	// The clock was set before the next start, whose former record stays for a while.
+	r.put("set", upstreamRecord{"s", 1, start(0)})
+	r.expect("set", "unstated")
+}
+
 // Guards against keeping a mark for each upstream that was ever replaced.
 func TestReplacedUpstreamIsForgottenWithItsRecord(t *testing.T) {
 	r := newHarness(t)
