Tests: an announcement beside large tables reaches far regions too late, known red

Once their updates are 1.5 to 2.5 s old, all processes of a region watch the store. Each gets the table whole and uncompressed, 0.6 s of the link for one copy, and most are given up before they have arrived and begun again. Until then they ask no peer, although one has the news.

The fleet has stores whose answers are bounded by their gaps, as the platform's client does, connections that cross the links, and entries that restart, for this test only; the others run as before.

--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -174,18 +174,21 @@
 
 func (s nodeStore) List(ctx context.Context) (registrar.Batch, error) {
 	s.node.lists.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := s.fleet.withCallTimeout(ctx, listTimeout)
 	defer cancel()
 	if err := s.callError(ctx); err != nil {
 		return registrar.Batch{}, err
 	}
 	b, err := s.memoryStore.List(ctx)
+	if s.fleet.shape.patient {
+		b.Records = newestRecords(b.Records)
+	}
 	return s.deliver(ctx, b, err)
 }
 
 func (s nodeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
 	s.node.watches.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	ctx, cancel := s.fleet.withCallTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	if err := s.callError(ctx); err != nil {
 		return registrar.Batch{}, err
@@ -198,6 +201,23 @@
 	return s.deliver(ctx, b, err)
 }
 
+// withCallTimeout bounds a call to the store in total.
+func (f *fleet) withCallTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	if f.shape.patient {
+		d += arrivalTimeout
+	}
+	return context.WithTimeout(ctx, d)
+}
+
+// newestRecords returns the newest record of each key.
+func newestRecords(records []registrar.Record) []registrar.Record {
+	newest := map[string]uint64{}
+	for _, rec := range records {
+		newest[rec.Key] = rec.Revision
+	}
+	return slices.DeleteFunc(records, func(rec registrar.Record) bool { return rec.Deleted || rec.Revision < newest[rec.Key] })
+}
+
 // decodeFleet decodes the records in a fleet's store.
 func decodeFleet(key string, value []byte) (registrar.Fact, error) {
 	switch {
@@ -309,6 +329,14 @@
 	})
 }
 
+// restart starts an entry that was stopped, without its records.
+func (f *fleet) restart(t testing.TB, n *node) {
+	n.mu.Lock()
+	n.listener, n.stopped = connectortest.NewListener(n.Peers), false
+	n.mu.Unlock()
+	f.start(t, n, true)
+}
+
 // peersAddress is where a process answers its peers; agents answer none.
 func (n *node) peersAddress(entry bool) netip.AddrPort {
 	if !entry {
@@ -354,17 +382,25 @@
 		}
 		// A connection takes a round trip.
 		time.Sleep(2 * delay)
+		if f.shape.patient {
+			for _, l := range []*regionLink{f.linkBetween(from, to), f.linkBetween(to, from)} {
+				if err := l.transfer(ctx, handshakeBytes); err != nil {
+					return nil, err
+				}
+			}
+		}
 		if to.refusesConnections.Load() {
 			return nil, syscall.ECONNREFUSED
 		}
 		to.mu.Lock()
+		listener := to.listener
 		to.conns = append(to.conns, far)
 		if to.stopped {
 			_ = far.Close()
 		}
 		to.mu.Unlock()
 		back := &link{Conn: far, node: to, delay: delay, dialerID: from.ID, peer: from, shared: f.linkBetween(to, from)}
-		if err := to.listener.Deliver(ctx, connectortest.NewAsyncConn(back, back.send)); err != nil {
+		if err := listener.Deliver(ctx, connectortest.NewAsyncConn(back, back.send)); err != nil {
 			return nil, err
 		}
 		forth := &link{Conn: near, node: from, delay: delay, peer: to, shared: f.linkBetween(from, to)}
--- a/internal/syncer/large_table_test.go
+++ b/internal/syncer/large_table_test.go
@@ -24,10 +24,13 @@
 )
 
 // largeTable returns a route table padded to the size of one with many routes.
-func largeTable(version uint64) any {
+func largeTable(version uint64) any { return paddedTable(version, tableSize) }
+
+// paddedTable returns a route table padded to a size in bytes.
+func paddedTable(version uint64, size int) any {
 	r := rand.New(rand.NewPCG(version, 3))
 	var routes strings.Builder
-	for routes.Len() < tableSize {
+	for routes.Len() < size {
 		fmt.Fprintf(&routes, "{host:%08x.example,kind:idempotent,timeout:1100}", r.Uint32())
 	}
 	return struct {
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -16,6 +16,10 @@
 	segmentBytes = 8 << 10
 	// itemOverheadBytes is the size of an item on the wire besides its value.
 	itemOverheadBytes = 120
+	// handshakeBytes is the size of a packet that opens a connection.
+	handshakeBytes = 60
+	// arrivalTimeout is how long an answer of the store may take to arrive once it has begun to, if callers wait for that.
+	arrivalTimeout = 5 * time.Second
 )
 
 // shape is the size of a fleet, and how its processes reach the store and each other.
@@ -34,6 +38,9 @@
 	partitioned bool
 	// storeDelay is how long the store takes to answer.
 	storeDelay time.Duration
+	// patient calls to the store are bounded by gaps in their answers, as those of the platform's client are, instead of in
+	// total. The store lists only the newest record of each key then, and connections have to cross the links.
+	patient bool
 	// linkRate is the capacity between two regions in bytes a second, each way; 0 for no bound. The
 	// store is in the first region.
 	linkRate int
@@ -98,6 +105,24 @@
 	return nil
 }
 
+// transferPatiently is transfer with a bound on the time of each segment.
+func (l *regionLink) transferPatiently(ctx context.Context, size int) error {
+	if l == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
+	defer cancel()
+	for sent := 0; sent < size; sent += segmentBytes {
+		segmentCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := l.transferSegment(segmentCtx, min(segmentBytes, size-sent))
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (l *regionLink) transferSegment(ctx context.Context, size int) error {
 	l.mu.Lock()
 	start := time.Now()
@@ -130,7 +155,12 @@
 	case <-ctx.Done():
 		return registrar.Batch{}, ctx.Err()
 	}
-	if err := s.fleet.link(regionName(0), s.node.Member.Region).transfer(ctx, size); err != nil {
+	l := s.fleet.link(regionName(0), s.node.Member.Region)
+	transfer := l.transfer
+	if s.fleet.shape.patient {
+		transfer = l.transferPatiently
+	}
+	if err := transfer(ctx, size); err != nil {
 		return registrar.Batch{}, err
 	}
 	return b, nil
