relayer: pass the rest of a long reply on after the entry has cut its requests

Callers of long plain replies got a 200 whose body was cut, if their entry reached the end of its grace while it passed the reply on.

Cause: the cut closes the upstream's connection at once. A request without a status becomes a 502, but one whose status is sent can only be aborted. An entry that was stalled meets the cut and the replies that came during the stall at the same moment.

The rest of such a reply is read on after the cut, until its caller leaves, its deadline passes or the hoster closes the connection, which bounds it as before. The request's context can't tell that its caller left after the cut; writing to the caller does.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -85,7 +85,7 @@
 // closed only its sending side still reads, and net/http would end an unfinished reply as a success.
 func (c *call) endCancelled(err error) {
 	cause := context.Cause(c.httpRequest.Context())
-	byEntry := !errors.Is(cause, context.Canceled)
+	byEntry := c.cutByEntry()
 	if !byEntry && c.writer.recentlyUnread() {
 		c.endUnread(err, c.progressFields(err)...)
 		return
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -119,6 +120,15 @@
 		x.abandon()
 		return err
 	}
+	rest := ctx
+	if r.endErr == nil {
+		var release func()
+		if rest, release = c.outlastCut(ctx, x); rest.Err() != nil {
+			x.abandon()
+			return x.cutError(rest.Err())
+		}
+		defer release()
+	}
 	c.writeHeader(x)
 	if _, err := c.response.Write(r.start); err != nil {
 		x.abandon()
@@ -129,7 +139,7 @@
 	if r.endErr == nil {
 		err := c.copyRemaining(r.body)
 		if err == nil {
-			err = c.checkComplete(ctx, x, r.place)
+			err = c.checkComplete(rest, x, r.place)
 		}
 		if err != nil {
 			c.endPartial(x, ctx.Err(), err)
@@ -140,6 +150,33 @@
 	return nil
 }
 
+// outlastCut has the rest of a long reply passed on after this entry has cut its requests, as the caller has a status
+// already. The context that it returns ends with the caller or the deadline; at last the entry closes the connection.
+func (c *call) outlastCut(ctx context.Context, x *exchange) (rest context.Context, release func()) {
+	rest, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if c.cutByEntry() {
+			time.AfterFunc(time.Until(c.Deadline), cancel)
+			return
+		}
+		cancel()
+	})
+	if !x.stopCancelWatch() {
+		cancel()
+	}
+	x.stopCancelWatch = context.AfterFunc(rest, func() { x.conn.Close() })
+	return rest, func() {
+		stop()
+		cancel()
+	}
+}
+
+// cutByEntry reports whether this entry cuts the request.
+func (c *call) cutByEntry() bool {
+	cause := context.Cause(c.httpRequest.Context())
+	return cause != nil && !errors.Is(cause, context.Canceled)
+}
+
 // writeHeader passes the upstream's status and header on.
 func (c *call) writeHeader(x *exchange) {
 	h := c.response.Header()
