--- a/internal/registrar/unconfirmed_weights_test.go
+++ b/internal/registrar/unconfirmed_weights_test.go
@@ -37,7 +37,7 @@
 		at, _ := r.SupersededSince("m", 1)
 		got <- at
 	}()
-	time.Sleep(100 * time.Millisecond) // It has loaded the view, and waits for the lock.
+	time.Sleep(100 * time.Millisecond) // The batch is still being applied.
 	close(release)
 	at := <-got
 	<-applied
