--- a/internal/messenger/records_test.go
+++ b/internal/messenger/records_test.go
@@ -51,7 +51,7 @@
 				`"models":[{"name":"drafts","version":7}],"started":%d}`, id, i/250, i%250, i%3, r.Uint64()),
 		})
 	}
-	b.Records[0].Namings = []registrar.AnnouncementReport{{Version: 3, Age: time.Second, Replaced: 2, SinceAge: 2 * time.Second}}
+	b.Records[0].Announcements = []registrar.AnnouncementReport{{Version: 3, Age: time.Second, Replaced: 2, SinceAge: 2 * time.Second}}
 	b.Records[1] = registrar.Record{Key: "gone", Revision: 2, Deleted: true, Age: registrar.UnknownAge}
 	return b
 }
--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -79,7 +79,7 @@
 // this one found in the store when it started. Without them it would bound no request on older
 // weights. None of the announcements is newer than that record.
 func (r *Registrar) applyReportedAges(rec Record, from Batch) bool {
-	known, reported := r.announcements[rec.Key], rec.Namings
+	known, reported := r.announcements[rec.Key], rec.Announcements
 	if r.refuteOutages(rec, from.AsOf) {
 		return true
 	}
@@ -163,7 +163,7 @@
 
 // announcementsOf lists the announcements that a record reports, the oldest first.
 func (r *Registrar) announcementsOf(rec Record, w Weights, received time.Time) []Announcement {
-	if len(rec.Namings) == 0 {
+	if len(rec.Announcements) == 0 {
 		// The store doesn't state when the record was written, and its answer may have been delayed
 		// for any time.
 		n := Announcement{Version: w.Version, Learned: earlier(r.readableUntil(rec.Key), writeTime(rec, received)), Known: received}
@@ -172,8 +172,8 @@
 		}
 		return []Announcement{n}
 	}
-	ns := make([]Announcement, 0, len(rec.Namings))
-	for _, p := range rec.Namings {
+	ns := make([]Announcement, 0, len(rec.Announcements))
+	for _, p := range rec.Announcements {
 		ns = append(ns, Announcement{
 			Version: p.Version, Learned: timeAtAge(received, p.Age), Replaced: p.Replaced, Since: timeAtAge(received, p.SinceAge),
 			Known: timeAtPositiveAge(received, p.KnownAge), Confirmed: timeAtPositiveAge(received, p.ConfirmedAge),
@@ -244,6 +244,7 @@
 	return max(1, now.Sub(t))
 }
 
+// timeAtPositiveAge returns the time of a positiveAge.
 func timeAtPositiveAge(now time.Time, age time.Duration) time.Time {
 	if age <= 0 {
 		return time.Time{}
@@ -257,8 +258,8 @@
 	Weights
 	// Learned is that of the newest announcement.
 	Learned time.Time
-	// Namings are the announcements, the oldest first; never empty.
-	Namings []Announcement
+	// Announcements are the announcements, the oldest first; never empty.
+	Announcements []Announcement
 
 	// unreadableSince is the time since which the record may have stood for another version; zero for never.
 	unreadableSince time.Time
@@ -266,11 +267,11 @@
 
 // NewerThan lists the announcements newer than a version, the oldest first.
 func (w WeightsView) NewerThan(version uint64) []Announcement {
-	i := slices.IndexFunc(w.Namings, func(n Announcement) bool { return n.Version > version })
+	i := slices.IndexFunc(w.Announcements, func(n Announcement) bool { return n.Version > version })
 	if i < 0 {
 		return nil
 	}
-	return w.Namings[i:]
+	return w.Announcements[i:]
 }
 
 // SupersededAt returns the earliest time at which a newer version than the given one can have been
--- a/internal/registrar/changes.go
+++ b/internal/registrar/changes.go
@@ -82,7 +82,7 @@
 			selected = !rec.Deleted
 		}
 		if selected || q.ages && !rec.Deleted && isDated(r.announcements[rec.Key]) {
-			rec.Age, rec.Namings = r.ageOf(rec), r.announcementReports(rec.Key)
+			rec.Age, rec.Announcements = r.ageOf(rec), r.announcementReports(rec.Key)
 			records = append(records, r.pack(rec))
 		}
 	}
--- a/internal/registrar/missed_announcement_test.go
+++ b/internal/registrar/missed_announcement_test.go
@@ -46,7 +46,7 @@
 	started.Apply(witness.ChangesSince(0))
 	w, ok := started.View().Weights("m")
 	must.True(t, ok)
-	must.Eq(t, w.Namings[len(w.Namings)-1].Version, w.Version)
+	must.Eq(t, w.Announcements[len(w.Announcements)-1].Version, w.Version)
 }
 
 // Guards against an announcement missed by a suspended process, whose record was deleted or
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -177,4 +177,5 @@
 	return r.lostStore()
 }
 
+// lostStore is StoreUnreachable with the mutex locked.
 func (r *Registrar) lostStore() bool { return r.unreachable && !r.answeredAt.After(r.unreachableAt) }
--- a/internal/registrar/packer.go
+++ b/internal/registrar/packer.go
@@ -32,7 +32,7 @@
 		}
 		r.packed[rec.Key] = packed
 	}
-	packed.Age, packed.Namings = rec.Age, rec.Namings
+	packed.Age, packed.Announcements = rec.Age, rec.Announcements
 	return packed
 }
 
--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -18,8 +18,8 @@
 	// Age is the least time since the change; the greatest for a deletion, as an upstream gets no
 	// requests after it. UnknownAge stands for any time.
 	Age time.Duration `json:"age,omitempty"`
-	// Namings are the announcements of a model's weights, the oldest first, between processes.
-	Namings []AnnouncementReport `json:"namings,omitempty"`
+	// Announcements are the announcements of a model's weights, the oldest first, between processes.
+	Announcements []AnnouncementReport `json:"namings,omitempty"`
 }
 
 // UnknownAge is the age of a record whose change was not observed.
@@ -90,11 +90,11 @@
 		if rec.Deleted {
 			rec.Age = addAge(rec.Age, by)
 		}
-		rec.Namings = slices.Clone(rec.Namings)
-		for i, n := range rec.Namings {
-			rec.Namings[i].Age, rec.Namings[i].SinceAge = addAge(n.Age, by), addAge(n.SinceAge, by)
+		rec.Announcements = slices.Clone(rec.Announcements)
+		for i, n := range rec.Announcements {
+			rec.Announcements[i].Age, rec.Announcements[i].SinceAge = addAge(n.Age, by), addAge(n.SinceAge, by)
 			if n.ConfirmedAge > 0 {
-				rec.Namings[i].ConfirmedAge += by
+				rec.Announcements[i].ConfirmedAge += by
 			}
 		}
 		records = append(records, rec)
--- a/internal/registrar/refuted_outage.go
+++ b/internal/registrar/refuted_outage.go
@@ -10,7 +10,7 @@
 	// maxLateFailure is how long after the end of an outage a call that started in it may fail.
 	maxLateFailure = time.Second
 	// outageCheckTime is how long after an announcement that relies on an outage other processes are asked when they
-	// received it. Weights that are older than the time limit of the previous ones change nothing any more.
+	// received it. The weights before it have expired by then.
 	outageCheckTime = 10 * time.Second
 )
 
@@ -20,7 +20,7 @@
 func (r *Registrar) refuteOutages(rec Record, received time.Time) bool {
 	known := r.announcements[rec.Key]
 	changed := false
-	for _, p := range rec.Namings {
+	for _, p := range rec.Announcements {
 		knownAt := timeAtPositiveAge(received, p.KnownAge)
 		for i := range known {
 			n := &known[i]
@@ -38,7 +38,7 @@
 				limit = n.Confirmed
 				n.Confirmed = time.Time{}
 			}
-			klog.InfoS("Weights named earlier than assumed", "version", n.Version, "earlier", n.Learned.Sub(limit))
+			klog.InfoS("Announcement dated earlier", "version", n.Version, "earlier", n.Learned.Sub(limit))
 			n.Learned, n.Since = earlier(n.Learned, limit), earlier(n.Since, limit)
 			changed = true
 		}
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -69,7 +69,7 @@
 			v.drained[f.FailureDomain] = true
 		case Weights:
 			ns := r.announcements[key]
-			v.weights[f.Model] = WeightsView{Weights: f, Learned: ns[len(ns)-1].Learned, Namings: slices.Clone(ns), unreadableSince: r.unreadableSince(key)}
+			v.weights[f.Model] = WeightsView{Weights: f, Learned: ns[len(ns)-1].Learned, Announcements: slices.Clone(ns), unreadableSince: r.unreadableSince(key)}
 		case Member:
 			v.Members = append(v.Members, f)
 		case Blame:
--- a/internal/relayer/world_test.go
+++ b/internal/relayer/world_test.go
@@ -258,7 +258,7 @@
 	// Batches share their records.
 	found.Records = slices.Clone(found.Records)
 	for i := range found.Records {
-		found.Records[i].Age, found.Records[i].Namings = registrar.UnknownAge, nil
+		found.Records[i].Age, found.Records[i].Announcements = registrar.UnknownAge, nil
 	}
 	started := &registrar.Registrar{Clock: r.Clock, Decode: r.Decode}
 	started.Apply(found)
--- a/internal/syncer/late_announcement_test.go
+++ b/internal/syncer/late_announcement_test.go
@@ -203,7 +203,7 @@
 		}
 		return registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{
 			{Key: "other", Revision: 1},
-			{Key: "m", Value: []byte{2}, Revision: 1, Namings: []registrar.AnnouncementReport{{Version: 1, Age: time.Minute, SinceAge: time.Minute}, {Version: 2, Replaced: 1}}}}}
+			{Key: "m", Value: []byte{2}, Revision: 1, Announcements: []registrar.AnnouncementReport{{Version: 1, Age: time.Minute, SinceAge: time.Minute}, {Version: 2, Replaced: 1}}}}}
 	}}
 	go func() { _ = server.Serve(t.Context()) }()
 	r := &registrar.Registrar{Clock: c, Decode: func(key string, value []byte) (registrar.Fact, error) {
--- a/internal/syncer/suspended_test.go
+++ b/internal/syncer/suspended_test.go
@@ -28,7 +28,7 @@
 func reportedAge(r *registrar.Registrar) time.Duration {
 	b := r.ChangesSince(0)
 	rec := b.Records[len(b.Records)-1]
-	n := rec.Namings[len(rec.Namings)-1]
+	n := rec.Announcements[len(rec.Announcements)-1]
 	return min(rec.Age, n.Age, n.SinceAge)
 }
 
@@ -55,7 +55,7 @@
 		b := registrar.Batch{After: q.After, At: 2}
 		if q.After < 2 {
 			age := ages.Since(announced)
-			b.Records = []registrar.Record{{Key: "m", Value: []byte{2}, Revision: 2, Age: age, Namings: []registrar.AnnouncementReport{
+			b.Records = []registrar.Record{{Key: "m", Value: []byte{2}, Revision: 2, Age: age, Announcements: []registrar.AnnouncementReport{
 				{Version: 1, Age: time.Minute, SinceAge: time.Minute}, {Version: 2, Age: age, Replaced: 1, SinceAge: age}}}}
 		}
 		if requests == 2 {
