--- a/cmd/oriolecroft/stalled_shutdown_test.go
+++ b/cmd/oriolecroft/stalled_shutdown_test.go
@@ -45,7 +45,13 @@
 
 	mu      sync.Mutex
 	arrived map[string]bool
-	replies map[string]standin.Reply
+	replies map[string]stoppedReply
+}
+
+// stoppedReply is a reply of a stopping entry, or none, and how long it took.
+type stoppedReply struct {
+	standin.Reply
+	after time.Duration
 }
 
 // Arrived implements standin.Observer.
@@ -80,7 +86,7 @@
 
 // startEntryWithOutput is startStoppingEntry with the entry's standard output.
 func startEntryWithOutput(t *testing.T, host int, work time.Duration, output *os.File) *stoppingEntry {
-	e := &stoppingEntry{arrived: map[string]bool{}, replies: map[string]standin.Reply{}}
+	e := &stoppingEntry{arrived: map[string]bool{}, replies: map[string]stoppedReply{}}
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
 	e.store = store
@@ -129,10 +135,11 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		all.Go(func() {
 			id := fmt.Sprintf("r%d", n)
+			sentAt := time.Now()
 			r := e.send(context.Background(), id)
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			e.replies[id] = r
+			e.replies[id] = stoppedReply{r, time.Since(sentAt)}
 		})
 		time.Sleep(stopRequestInterval)
 	}
@@ -196,6 +203,7 @@
 					answered++
 				case !r.Expired && w.arrived[id]:
 					lost++
+					t.Logf("%s has no whole answer after %v: status %d, %v", id, r.after, r.Status, r.Err)
 				}
 			}
 			t.Logf("replies by status: %v", statuses)
