relayer: a long reply that has begun may end up to its caller's time limit

Callers of an entry that resumed from a stall shortly before their time limit got 200 and then a cut reply, though all of it had arrived.

Cause: since the rest of a long reply has a context without a deadline, so that the check whether the upstream of an unframed reply still runs took 30 ms when less was left, and counted as failed.

TestLivenessCheckHasTheDeadline/long failed before.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -123,7 +123,7 @@
 	rest := ctx
 	if r.endErr == nil {
 		var release func()
-		if rest, release = c.outlastCut(ctx, x); rest.Err() != nil {
+		if rest, release = c.extendToTimeLimit(ctx, x); rest.Err() != nil {
 			x.abandon()
 			return x.cutError(rest.Err())
 		}
@@ -150,16 +150,14 @@
 	return nil
 }
 
-// outlastCut has the rest of a long reply passed on after this entry has cut its requests, as the caller has a status
-// already. The context that it returns ends with the caller or the deadline; at last the entry closes the connection.
-func (c *call) outlastCut(ctx context.Context, x *exchange) (rest context.Context, release func()) {
-	rest, cancel := context.WithCancel(context.WithoutCancel(ctx))
+// extendToTimeLimit has the rest of a long reply passed on until the caller's time limit, also after this entry has cut its
+// requests, as the caller has a status already. The context that it returns ends with that limit or with the caller.
+func (c *call) extendToTimeLimit(ctx context.Context, x *exchange) (rest context.Context, release func()) {
+	rest, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline.Add(answerMargin))
 	stop := context.AfterFunc(ctx, func() {
-		if c.cutByEntry() {
-			time.AfterFunc(time.Until(c.Deadline), cancel)
-			return
+		if !c.cutByEntry() && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			cancel()
 		}
-		cancel()
 	})
 	if !x.stopCancelWatch() {
 		cancel()
--- a/internal/relayer/liveness_test.go
+++ b/internal/relayer/liveness_test.go
@@ -132,6 +132,33 @@
 	must.True(t, relayer.NetworkLivenessChecker{}.Alive(ctx, registrar.Upstream{Address: netip.MustParseAddrPort(u.listener.Addr().String())}))
 }
 
+// limitedLiveness is a LivenessChecker that takes upstreams for alive if the check has a deadline.
+type limitedLiveness struct{}
+
+func (limitedLiveness) Alive(ctx context.Context, _ registrar.Upstream) bool {
+	_, limited := ctx.Deadline()
+	return limited
+}
+
+// Guards against checks of liveness that don't know the request's deadline: whole replies that arrive shortly before it are cut.
+func TestLivenessCheckHasTheDeadline(t *testing.T) {
+	for name, size := range map[string]int{"short": 700, "long": 900 << 10} {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Repeat("x", size)
+			w := newTestEntry(t, newUpstream(t, "u", func(_ int, id string, conn net.Conn) bool {
+				writeString(conn, plainReply(id, body))
+				conn.Close()
+				return true
+			}))
+			w.relayer.Liveness = limitedLiveness{}
+			got := w.request(t, "/once/1", "r1")
+			must.Eq(t, http.StatusOK, got.status)
+			must.False(t, got.broken)
+			must.Eq(t, size, len(got.body))
+		})
+	}
+}
+
 // fixedLiveness is a LivenessChecker that gives one answer and counts the checks.
 type fixedLiveness struct {
 	alive  bool
