relayer: check again whether an upstream runs after a timeout

A caller got 200 and a cut reply from an entry that was short of processor time, though all of the reply had arrived (TestStarvedEntryAnswersRequestsThatWaited/300_ms, 1 of 3 runs at a load of 19).

Cause: a long reply that only its connection's end ends is passed on whole once its upstream accepts a connection. The entry stalled while it connected, and its timeout of 300 ms had passed when it ran again. A dead process refuses at once, so that a timeout says little; it is tried once more, within the caller's time limit.

TestLivenessIsCheckedAgainAfterATimeout failed before.

--- a/internal/relayer/liveness.go
+++ b/internal/relayer/liveness.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net/netip"
+	"os"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
@@ -38,14 +41,24 @@
 	case <-ctx.Done():
 		return false
 	}
+	if err := tryDial(ctx, u.Address); err == nil {
+		return true
+	} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	// A dead process refuses at once. The dial may have timed out because this process got no processor time.
+	return tryDial(ctx, u.Address) == nil
+}
+
+// tryDial opens a connection and closes it.
+func tryDial(ctx context.Context, a netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := connector.Dial(ctx, u.Address)
+	conn, err := connector.Dial(ctx, a)
 	if err != nil {
-		return false
+		return err
 	}
-	conn.Close()
-	return true
+	return conn.Close()
 }
 
 // DeadError reports an upstream that was dead, or didn't answer, when its connection ended and only that end
--- a/internal/relayer/liveness_test.go
+++ b/internal/relayer/liveness_test.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 
 	"github.com/oriolecroft/oriolecroft/internal/observer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -159,6 +161,43 @@
 	}
 }
 
+// listenWithoutRoom listens with a backlog that is full until the returned function is called.
+func listenWithoutRoom(t *testing.T) (address netip.AddrPort, acceptAll func()) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	must.NoError(t, err)
+	must.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	must.NoError(t, unix.Listen(fd, 0))
+	f := os.NewFile(uintptr(fd), "listener")
+	l, err := net.FileListener(f)
+	must.NoError(t, err)
+	must.NoError(t, f.Close())
+	t.Cleanup(func() { l.Close() })
+	address = netip.MustParseAddrPort(l.Addr().String())
+	for {
+		conn, err := net.DialTimeout("tcp", address.String(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+	return address, func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	}
+}
+
+// Guards against cutting whole replies because the check of their upstream timed out, as this process got no processor time.
+func TestLivenessIsCheckedAgainAfterATimeout(t *testing.T) {
+	address, acceptAll := listenWithoutRoom(t)
+	time.AfterFunc(150*time.Millisecond, acceptAll)
+	must.True(t, relayer.NetworkLivenessChecker{}.Alive(t.Context(), registrar.Upstream{Address: address}))
+}
+
 // fixedLiveness is a LivenessChecker that gives one answer and counts the checks.
 type fixedLiveness struct {
 	alive  bool
