registrar: unreadable weights at the start confirm nothing

A process that started beside an unreadable record of a model's weights had no version of it, and took the store's confirmation of its state for one of whatever its engine held, without limit: the record may stand for a newer version. A model's first record, where a running process knew none, did the same.

Decode states beside its error which model an unreadable record of weights is for, and the registrar keeps the time since which such a record may have hidden a version, with or without a known one: the last confirmation before it, which is none at the start. A running process goes on as before: its engine stays open until the bound after that confirmation is over, and opens again when the record is readable. An earlier stop isn't needed; a later one would serve weights that may be superseded. The next readable version counts from that time as well. A deleted record hides nothing, as before.

TestUnreadableWeightsStopEnginesAfterTheBound failed before where no record was known and passed where a version was; TestWeightsReadableAfterAnUnreadableStart, TestOtherUnreadableRecordsStopNoEngine (for the model whose record is unreadable) and TestOtherRecords failed before.

--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -70,7 +70,7 @@
 		newest = n.Version
 	}
 	r.announcements[rec.Key] = known[max(0, len(known)-maxAnnouncements):]
-	delete(r.unusableSince, rec.Key)
+	delete(r.hidden, rec.Key)
 	w.Version = newest
 	return w, known[len(known)-1].Learned
 }
@@ -83,7 +83,7 @@
 	if r.refuteOutages(rec, from.AsOf) {
 		return true
 	}
-	if len(known) == 0 || isDated(known) || len(reported) == 0 || !r.unusableSince[rec.Key].IsZero() {
+	if _, hidden := r.hidden[rec.Key]; hidden || len(known) == 0 || isDated(known) || len(reported) == 0 {
 		return false
 	}
 	newest := reported[len(reported)-1]
@@ -117,27 +117,38 @@
 	return false
 }
 
-// markUnusable records that a model's record can't be used. A version announced before that record
+// hiddenWeights describes a record of weights that can't be used.
+type hiddenWeights struct {
+	model string
+	// since is the time since which it may have stood for a version that was never read; zero for any time.
+	since time.Time
+}
+
+// hideWeights records that a model's record can't be used. A version announced before that record
 // was written may have been missed, but it replaced the known one.
-func (r *Registrar) markUnusable(key string) {
-	if r.unusableSince[key].IsZero() {
-		r.unusableSince[key] = r.confirmedUntil()
+func (r *Registrar) hideWeights(key, model string) {
+	if _, ok := r.hidden[key]; !ok {
+		r.hidden[key] = hiddenWeights{model: model, since: r.confirmedUntil()}
 	}
 }
 
-// unreadableSince is unusableSince, but zero for a deleted record, which announces no version.
-func (r *Registrar) unreadableSince(key string) time.Time {
-	if rec, ok := r.records[key]; !ok || rec.Deleted {
-		return time.Time{}
+// unreadableSince returns the times since which unreadable records may have stood for other versions, by model. A
+// deleted record announces none.
+func (r *Registrar) unreadableSince() map[string]time.Time {
+	since := map[string]time.Time{}
+	for key, h := range r.hidden {
+		if rec, ok := r.records[key]; ok && !rec.Deleted {
+			since[h.model] = h.since
+		}
 	}
-	return r.unusableSince[key]
+	return since
 }
 
 // readableUntil returns the time until which nothing newer than the known versions can have been announced.
 func (r *Registrar) readableUntil(key string) time.Time {
 	until := r.confirmedUntil()
-	if hidden := r.unusableSince[key]; !hidden.IsZero() {
-		return earlier(hidden, until)
+	if h, ok := r.hidden[key]; ok {
+		return earlier(h.since, until)
 	}
 	return until
 }
@@ -260,9 +271,6 @@
 	Learned time.Time
 	// Announcements are the announcements, the oldest first; never empty.
 	Announcements []Announcement
-
-	// unreadableSince is the time since which the record may have stood for another version; zero for never.
-	unreadableSince time.Time
 }
 
 // NewerThan lists the announcements newer than a version, the oldest first.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -25,7 +25,8 @@
 	Clock clock.PassiveClock
 	// WallClock is the time of day, by which upstreams date their starts. If it is nil, any start is believed.
 	WallClock clock.PassiveClock
-	// Decode decodes a record; a nil fact without an error means an unused record.
+	// Decode decodes a record; a nil fact without an error means an unused record. With an error it returns Weights
+	// without a version for a record of a model's weights, nil for others.
 	Decode func(key string, value []byte) (Fact, error)
 	// Linger is how long an upstream stays in use after its record was deleted while the store was
 	// unreachable: leases expire then although the upstream runs, and it registers again soon
@@ -48,10 +49,9 @@
 	announcements map[string][]Announcement
 	// replaced are the starts of upstreams at whose addresses others were found, by ID.
 	replaced map[string]time.Time
-	// unusableSince is the time since which the record of a model's weights may have stood for a
-	// version that was never read.
-	unusableSince map[string]time.Time
-	packed        map[string]Record
+	// hidden holds the records of weights that may have stood for a version that was never read.
+	hidden map[string]hiddenWeights
+	packed map[string]Record
 	// selected is the last selection of records for another process; nil once they have changed.
 	selected *selection
 	// deletionFloor is the revision above which all deletions are kept.
@@ -123,7 +123,7 @@
 		r.writtenAt = map[string]time.Time{}
 		r.deletedAt = map[string]time.Time{}
 		r.announcements = map[string][]Announcement{}
-		r.unusableSince = map[string]time.Time{}
+		r.hidden = map[string]hiddenWeights{}
 	}
 	if b.AsOf.IsZero() {
 		b.AsOf = r.Clock.Now()
@@ -195,7 +195,7 @@
 	f, err := r.Decode(rec.Key, rec.Value)
 	if err != nil {
 		klog.ErrorS(err, "Failed to decode record", "key", rec.Key, "revision", rec.Revision)
-		r.dropUnreadable(rec.Key)
+		r.dropUnreadable(rec.Key, f)
 		return true
 	}
 	if f == nil {
@@ -262,13 +262,16 @@
 
 // dropUnreadable drops the fact of a key whose new value can't be decoded. A route table and a
 // version of weights stay in force, as there is always one; other facts state nothing usable.
-func (r *Registrar) dropUnreadable(key string) {
-	switch r.facts[key].(type) {
+func (r *Registrar) dropUnreadable(key string, stated Fact) {
+	switch known := r.facts[key].(type) {
 	case Table:
 	case Weights:
-		r.markUnusable(key)
+		r.hideWeights(key, known.Model)
 	default:
 		delete(r.facts, key)
+		if w, ok := stated.(Weights); ok {
+			r.hideWeights(key, w.Model)
+		}
 	}
 }
 
@@ -281,7 +284,7 @@
 		return
 	case Weights:
 		klog.InfoS("Deletion ignored", "key", key)
-		r.markUnusable(key)
+		r.hideWeights(key, f.Model)
 		return
 	case Upstream:
 		if !f.Leaving && r.mayHaveExpired(from) {
@@ -333,8 +336,8 @@
 	if at, known = w.SupersededAt(version); known {
 		return at, true
 	}
-	if !w.unreadableSince.IsZero() {
-		return earlier(w.unreadableSince, c.until), false
+	if since, ok := c.view.unreadableSince[model]; ok {
+		return earlier(since, c.until), false
 	}
 	return c.until, false
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -21,10 +21,13 @@
 var errUnreadable = errors.New("unreadable")
 
 // decode decodes the records of these tests: up/ID, weights/MODEL, drained/DOMAIN, entry/ID and
-// table.
+// table. The value ? is unreadable.
 func decode(key string, value []byte) (registrar.Fact, error) {
 	kind, name, _ := strings.Cut(key, "/")
 	if string(value) == "?" {
+		if kind == "weights" {
+			return registrar.Weights{Model: name}, errUnreadable
+		}
 		return nil, errUnreadable
 	}
 	switch kind {
--- a/internal/registrar/unconfirmed_weights_test.go
+++ b/internal/registrar/unconfirmed_weights_test.go
@@ -109,6 +109,65 @@
 	must.True(t, r.Outdated("m", 1, bound))
 }
 
+// Guards against engines that stop at once for an unreadable record of weights, or never: the record may stand for a
+// newer version, announced since the last confirmation before it. So may the first record of a model.
+func TestUnreadableWeightsStopEnginesAfterTheBound(t *testing.T) {
+	const bound = 8 * time.Second
+	for name, known := range map[string][]registrar.Record{
+		"version known": {record("weights/m", "1", 1)},
+		"no record":     nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.NewFakeClock(time.Unix(1000, 0))
+			r := newRegistrarAt(c)
+			r.Apply(withoutAges(registrar.Batch{Whole: true, At: 1, Records: known}))
+			c.Step(time.Minute)
+			r.Apply(registrar.Batch{After: 1, At: 1})
+			for n := range 12 {
+				// It is written again and again.
+				at := uint64(n + 1)
+				r.Apply(registrar.Batch{After: at, At: at + 1, Records: []registrar.Record{record("weights/m", "?", at+1)}})
+				must.Eq(t, time.Duration(n)*time.Second > bound, r.Outdated("m", 1, bound), must.Sprint(n, " s"))
+				c.Step(time.Second)
+			}
+			r.Apply(registrar.Batch{After: 13, At: 14, Records: []registrar.Record{record("weights/m", "1", 14)}})
+			must.False(t, r.Outdated("m", 1, bound), must.Sprint("readable again"))
+		})
+	}
+}
+
+// Guards against engines that stay closed after the record of weights has become readable, and against old weights that
+// count as superseded only since then.
+func TestWeightsReadableAfterAnUnreadableStart(t *testing.T) {
+	const bound = 8 * time.Second
+	for version, outdated := range map[string]bool{"1": false, "2": true, "3": true} {
+		c := clocktest.NewFakeClock(time.Unix(1000, 0))
+		r := newRegistrarAt(c)
+		r.Apply(withoutAges(registrar.Batch{Whole: true, At: 1, Records: []registrar.Record{record("weights/m", "?", 1)}}))
+		c.Step(time.Second)
+		r.Apply(registrar.Batch{After: 1, At: 1})
+		c.Step(time.Second)
+		r.Apply(registrar.Batch{After: 1, At: 2, Records: []registrar.Record{record("weights/m", version, 2)}})
+		must.Eq(t, outdated, r.Outdated("m", 1, bound), must.Sprint("version ", version))
+	}
+}
+
+// Guards against engines that stop for an unreadable record of another model or kind.
+func TestOtherUnreadableRecordsStopNoEngine(t *testing.T) {
+	const bound = 8 * time.Second
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r := newRegistrarAt(c)
+	r.Apply(withoutAges(registrar.Batch{Whole: true, At: 5, Records: []registrar.Record{
+		record("weights/m", "1", 1), record("weights/n", "?", 2), record("up/m", "?", 3), record("table", "?", 4), record("drained/m", "?", 5)}}))
+	for range 60 {
+		c.Step(time.Second)
+		r.Apply(registrar.Batch{After: 5, At: 5})
+	}
+	must.False(t, r.Outdated("m", 1, bound))
+	must.True(t, r.Outdated("n", 1, bound))
+	must.False(t, r.Outdated("without a record", 1, bound))
+}
+
 // Guards against an announcement that counts from before a short outage, as a process that follows its peers and calls
 // the store in outages only counts as partitioned by earlier outages.
 func TestProcessThatCallsStoreOnlyInOutagesShowsShortOnes(t *testing.T) {
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -27,6 +27,8 @@
 	services map[string][]*UpstreamView
 	drained  map[string]bool
 	weights  map[string]WeightsView
+	// unreadableSince are the times since which unreadable records may have stood for other versions, by model.
+	unreadableSince map[string]time.Time
 }
 
 // UpstreamView is an upstream and the revision and time of its record.
@@ -52,6 +54,8 @@
 		drained:  map[string]bool{},
 		weights:  map[string]WeightsView{},
 		Blames:   map[string]localizer.Blame{},
+
+		unreadableSince: r.unreadableSince(),
 	}
 	latest := r.latestStarts()
 	for key, f := range r.facts {
@@ -69,7 +73,7 @@
 			v.drained[f.FailureDomain] = true
 		case Weights:
 			ns := r.announcements[key]
-			v.weights[f.Model] = WeightsView{Weights: f, Learned: ns[len(ns)-1].Learned, Announcements: slices.Clone(ns), unreadableSince: r.unreadableSince(key)}
+			v.weights[f.Model] = WeightsView{Weights: f, Learned: ns[len(ns)-1].Learned, Announcements: slices.Clone(ns)}
 		case Member:
 			v.Members = append(v.Members, f)
 		case Blame:
