scheduler: a closed engine is asked again while others have free slots

An engine whose agent was asked just after its start, and had no route table yet, got no further request for as long as the other engines had free slots. An entry ranks engines by the last load that it received, however old, and the load of a closed engine is three times that of a full one: 0.36 s as a waiting time. Nothing raised it again but a request that found no slot at all the engines before it. An unresponsive agent is asked again for that reason after a second already.

The load of a closed engine counts until the time for which its agent expects it to open, or for a second if it doesn't state one. Then its load is unknown, which ranks as the average of the others. Loads of open engines count as before.

TestClosedEngineIsRankedAgain failed before too. What it is worth under load was not measured.

--- a/internal/scheduler/agent_backoff.go
+++ b/internal/scheduler/agent_backoff.go
@@ -17,6 +17,9 @@
 	// probeOverdueAfter is after what time an unresponsive agent without a new probe is no longer ranked last.
 	// At a low load requests find a slot before they reach it, and it would not be used again.
 	probeOverdueAfter = time.Second
+	// closedLoadValidity is how long an engine ranks as closed after its agent said so without a time at which it
+	// opens. At a low load requests find a slot before they reach it, and it would not be used again.
+	closedLoadValidity = time.Second
 )
 
 // RecordUnresponsive records that an upstream's agent did not answer; it isn't asked for a time. Gone reports
@@ -76,9 +79,12 @@
 }
 
 // loadUnknown reports whether no load of an engine with an agent has been received since this process or the
-// engine started. The last load received counts whatever its age: treating loads as unknown after 5 s cost
-// 0.002 of the worth in trials while half of the agents are gone.
-func (u *upstreamState) loadUnknown(k Candidate) bool { return k.Agent && u.loadAt.IsZero() }
+// engine started, or the last one was that of a closed engine that may have opened since. The last load received from
+// an open one counts whatever its age: treating loads as unknown after 5 s cost 0.002 of the worth in trials while half
+// of the agents are gone.
+func (u *upstreamState) loadUnknown(k Candidate, now time.Time) bool {
+	return k.Agent && (u.loadAt.IsZero() || !u.closedLoadUntil.IsZero() && !now.Before(u.closedLoadUntil))
+}
 
 // loadAverage averages the known loads of candidates.
 type loadAverage struct {
--- a/internal/scheduler/agent_backoff_test.go
+++ b/internal/scheduler/agent_backoff_test.go
@@ -86,3 +86,36 @@
 		clock.Step(701 * time.Millisecond)
 	}
 }
+
+// Guards against never using an engine again that was closed when it was last asked, as others always have a slot, and
+// against asking a closed one with each request.
+func TestClosedEngineIsRankedAgain(t *testing.T) {
+	const (
+		closedSkip = 100 * time.Millisecond
+		closedLoad = 3
+	)
+	all := []scheduler.Candidate{engine("closed", scheduler.SameDomain), engine("busy", scheduler.SameDomain)}
+	for opens, want := range map[time.Duration]time.Duration{0: time.Second, 300 * time.Millisecond: 300 * time.Millisecond, 4 * time.Second: 4 * time.Second} {
+		c, clock := newChooser()
+		c.RecordLoad("busy", 0, 0.5)
+		firsts := func() map[string]bool {
+			found := map[string]bool{}
+			for range 100 {
+				found[c.Order(all)[0].ID] = true
+			}
+			return found
+		}
+		for range 3 {
+			c.RecordLoad("closed", 0, closedLoad)
+			c.RecordClosed("closed", "no route table", closedSkip, opens)
+			clock.Step(want - time.Millisecond)
+			must.Eq(t, map[string]bool{"busy": true}, firsts())
+			clock.Step(time.Millisecond)
+			must.Eq(t, map[string]bool{"busy": true, "closed": true}, firsts(), must.Sprint("as any of unknown load"))
+		}
+		c.RecordLoad("closed", 0, 0)
+		must.Eq(t, map[string]bool{"closed": true}, firsts())
+		clock.Step(time.Minute)
+		must.Eq(t, map[string]bool{"closed": true}, firsts(), must.Sprint("an open engine's load stays known"))
+	}
+}
--- a/internal/scheduler/chooser.go
+++ b/internal/scheduler/chooser.go
@@ -96,6 +96,8 @@
 	// accept requests; zero if unknown.
 	closedReason string
 	opensAt      time.Time
+	// closedLoadUntil is until when the load of a closed upstream counts; zero for one that was open.
+	closedLoadUntil time.Time
 	// running counts this entry's own requests there.
 	running  int
 	failures int
@@ -166,7 +168,7 @@
 		u := c.upstreamAt(k.ID, now)
 		c.resetIfRestarted(u, k.StartedAt)
 		load := c.load(u, k, now)
-		at := rankedCandidate{index: i, avoided: now.Before(u.avoidUntil) || u.rankedLast(now), unknown: u.loadUnknown(k)}
+		at := rankedCandidate{index: i, avoided: now.Before(u.avoidUntil) || u.rankedLast(now), unknown: u.loadUnknown(k, now)}
 		if at.unknown {
 			unknown++
 		} else {
@@ -204,7 +206,7 @@
 // behind this entry's own requests.
 func (c *Chooser) load(u *upstreamState, k Candidate, now time.Time) time.Duration {
 	cost, active := time.Duration(0), 0.0
-	if !c.Without.Has(ablator.LoadFeedback) && !u.loadUnknown(k) {
+	if !c.Without.Has(ablator.LoadFeedback) && !u.loadUnknown(k, now) {
 		cost, active = max(0, u.wait-now.Sub(u.loadAt)), u.active
 	}
 	if k.Slots > 0 {
@@ -265,7 +267,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.upstream(id)
-	u.wait, u.active, u.loadAt = wait, active, c.Clock.Now()
+	u.wait, u.active, u.loadAt, u.closedLoadUntil = wait, active, c.Clock.Now(), time.Time{}
 	u.resetBackoff()
 }
 
@@ -293,8 +295,10 @@
 	defer c.mu.Unlock()
 	u, now := c.upstream(id), c.Clock.Now()
 	u.fullUntil, u.closedReason, u.opensAt = now.Add(d), why, time.Time{}
+	u.closedLoadUntil = now.Add(closedLoadValidity)
 	if opens > 0 {
 		u.opensAt = now.Add(opens)
+		u.closedLoadUntil = u.opensAt
 	}
 }
 
