registrar: a gap between calls ends no observed outage

In an outage of the store an engine closed at once, 20 s into it, as its agent had not called the store for over 2.5 s: while it waited for silent peers, the next call to the store took that long.

The cause: after such a gap, a process trusted no part of the outage that it had observed, and its weights counted as unconfirmed since before the outage. The gap says nothing of the time before it. What was observed until then now holds, as after a suspension, unless the store has answered since that outage started; the region's report ends there as well. After the gap the confirmation still isn't extended until the store answers.

TestGapBetweenCallsEndsNoObservedOutage failed before. TestGapBetweenCallsOfAllIsNotCovered passed before; it holds that the gap itself isn't covered.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -25,6 +25,7 @@
 func (r *Registrar) recordStoreCall() {
 	now := r.recordActivity()
 	if now.Sub(r.lastStoreCall) > maxCallGap {
+		r.observedBeforeGap = outageSpan{since: r.answeredAt, until: r.locallyConfirmedUntil()}
 		r.callingSince = now
 	}
 	r.lastStoreCall = now
@@ -90,9 +91,9 @@
 	switch {
 	case r.callingSince.Sub(later(r.answeredAt, r.startedAt)) > maxCallGap:
 		// A process that reports failed calls may be partitioned, and this one didn't call the store in that time.
-		return r.confirmedAt
+		return r.confirmedUntilBeforeGap()
 	case r.callingSince.Sub(covered) > maxCallGap:
-		return r.confirmedAt
+		return r.confirmedUntilBeforeGap()
 	case covered.After(r.unreachableAt) && !r.callingSince.After(r.unreachableAt):
 		return covered
 	default:
@@ -108,6 +109,15 @@
 	return r.confirmedAt
 }
 
+// confirmedUntilBeforeGap is locallyConfirmedUntil for a process that didn't call the store for a while: the outage that it
+// observed until then, unless the store has answered since that outage started.
+func (r *Registrar) confirmedUntilBeforeGap() time.Time {
+	if r.observedBeforeGap.since.Equal(r.answeredAt) {
+		return later(r.confirmedAt, r.observedBeforeGap.until)
+	}
+	return r.confirmedAt
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/registrar/region.go
+++ b/internal/registrar/region.go
@@ -25,6 +25,12 @@
 	return !r.isPartitioned() && r.unreachableAt.After(r.answeredAt) && !r.partialAnswerAt.After(r.confirmedAt) && r.locallyConfirmedUntil().After(r.answeredAt)
 }
 
+// observedOutage returns the outage that observesOutage reports. After a gap between this process's calls it ends before
+// that gap.
+func (r *Registrar) observedOutage() outageSpan {
+	return outageSpan{since: r.answeredAt, until: earlier(r.unreachableAt, r.locallyConfirmedUntil())}
+}
+
 // outageDuration returns how long after the last known answer the store answered no process.
 func (r *Registrar) outageDuration() time.Duration {
 	if r.isPartitioned() {
@@ -37,7 +43,7 @@
 // outageReports returns the known outages in all regions.
 func (r *Registrar) outageReports() []RegionOutage {
 	if r.observesOutage() {
-		r.recordRegionOutage(r.Region, outageSpan{since: r.answeredAt, until: r.unreachableAt})
+		r.recordRegionOutage(r.Region, r.observedOutage())
 	}
 	now := r.Clock.Now()
 	var reports []RegionOutage
@@ -66,8 +72,8 @@
 	until := r.locallyConfirmedUntil()
 	for region := range r.regions() {
 		s := r.outages[region]
-		if region == r.Region && r.observesOutage() && r.unreachableAt.After(s.until) {
-			s = outageSpan{since: r.answeredAt, until: r.unreachableAt}
+		if own := r.observedOutage(); region == r.Region && r.observesOutage() && own.until.After(s.until) {
+			s = own
 		}
 		if s.until.IsZero() || s.since.After(r.confirmedAt.Add(maxUnconfirmed)) {
 			return time.Time{}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -83,6 +83,8 @@
 	// which it did so without a longer gap.
 	lastStoreCall time.Time
 	callingSince  time.Time
+	// observedBeforeGap is the outage that this process observed before the gap that callingSince ended.
+	observedBeforeGap outageSpan
 	// startedAt is when this process was first active.
 	startedAt time.Time
 	// lastActive is when this process was last active, and resumedAt when it became so after a
