registrar: an announcement missed before the known one refutes an outage

A version counted as superseded 5 s too late. Its process took its failed calls for an outage, in which the store answered another process with the next version; when it got an answer, the store had the version after that.

The cause: reports of when others received an announcement are compared version by version, and this process knows only the newest. A reported version between the one that it replaced and the known one now refutes the outage in the same way.

TestMissedAnnouncementRefutesAnOutage failed before.

--- a/internal/registrar/partition_test.go
+++ b/internal/registrar/partition_test.go
@@ -254,3 +254,27 @@
 	must.True(t, ok)
 	return at
 }
+
+// Guards against weights that count from the end of an outage, in which another process received an announcement that this
+// one missed, as the store only had the next one when it answered.
+func TestMissedAnnouncementRefutesAnOutage(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	r, other := newPair(c)
+	witness := newRegistrarAt(c)
+	witness.Apply(r.ChangesSince(0))
+	announced := c.Now()
+	c.Step(100 * time.Millisecond)
+	applyVersion2(witness)
+	failCallsOfBoth(r, other, c, 5*time.Second)
+	c.Step(200 * time.Millisecond)
+	version3 := registrar.Batch{After: 1, At: 3, Records: []registrar.Record{record("weights/m", "3", 3)}}
+	witness.Apply(version3)
+	r.StoreCallStarted()
+	r.StoreCallSucceeded()
+	r.Apply(version3)
+	must.True(t, r.NeedsAges())
+	r.Apply(witness.ChangesSinceWithAges(3))
+	got, ok := supersededAt(r, 1)
+	must.True(t, ok)
+	must.False(t, got.After(announced), must.Sprintf("%v after the announcement", got.Sub(announced)))
+}
--- a/internal/registrar/refuted_outage.go
+++ b/internal/registrar/refuted_outage.go
@@ -22,25 +22,11 @@
 	changed := false
 	for _, p := range rec.Announcements {
 		knownAt := timeAtPositiveAge(received, p.KnownAge)
+		if knownAt.IsZero() {
+			continue
+		}
 		for i := range known {
-			n := &known[i]
-			if n.Version != p.Version || knownAt.IsZero() {
-				continue
-			}
-			if n.Known.IsZero() || knownAt.Before(n.Known) {
-				n.Known = knownAt
-			}
-			if n.Confirmed.IsZero() || !n.Known.Before(n.Learned) {
-				continue
-			}
-			limit := n.Known
-			if n.Learned.Sub(n.Known) > maxLateFailure {
-				limit = n.Confirmed
-				n.Confirmed = time.Time{}
-			}
-			klog.InfoS("Announcement dated earlier", "version", n.Version, "earlier", n.Learned.Sub(limit))
-			n.Learned, n.Since = earlier(n.Learned, limit), earlier(n.Since, limit)
-			changed = true
+			changed = known[i].refute(p.Version, knownAt) || changed
 		}
 	}
 	if changed {
@@ -49,6 +35,35 @@
 	return changed
 }
 
+// refute dates an announcement earlier if another process received it, or one that this process missed before it, before
+// the end of the outage that dates it. It reports whether the announcement changed.
+func (n *Announcement) refute(version uint64, knownAt time.Time) bool {
+	if version <= n.Replaced || version > n.Version {
+		return false
+	}
+	end := n.Since
+	if version == n.Version {
+		end = n.Learned
+		if n.Known.IsZero() || knownAt.Before(n.Known) {
+			n.Known = knownAt
+		}
+		knownAt = n.Known
+	}
+	if n.Confirmed.IsZero() || !knownAt.Before(end) {
+		return false
+	}
+	limit, wrong := knownAt, end.Sub(knownAt) > maxLateFailure
+	if wrong {
+		limit, n.Confirmed = n.Confirmed, time.Time{}
+	}
+	klog.InfoS("Announcement dated earlier", "version", n.Version, "received", version, "earlier", end.Sub(limit))
+	n.Since = earlier(n.Since, limit)
+	if wrong || version == n.Version {
+		n.Learned = earlier(n.Learned, limit)
+	}
+	return true
+}
+
 // reliesOnOutage reports whether the newest of the announcements was received a short time ago and is dated by an outage
 // that may prove wrong.
 func (r *Registrar) reliesOnOutage(ns []Announcement) bool {
