registrar: deny nothing on a confirmation older than a change may take

An entry answered 401 and 404 for keys and routes that its table lacks while its last confirmation was up to 3 s old; a change has to be in force after 2 s. It now refuses these with Retry-After from 2 s on, as it did from 3 s on.

TestConfirmationOlderThanAChangeTakesIsNotFresh failed before.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -18,6 +18,9 @@
 // the store: three of the waits after which a watch answers without changes.
 const ConfirmationTimeout = 3 * time.Second
 
+// changeTime is how long a change may take to be in force everywhere.
+const changeTime = 2 * time.Second
+
 // Registrar is safe for concurrent use. Set the exported fields before use.
 type Registrar struct {
 	// Clock measures the ages of all records, and should count the time for which the VM is
@@ -452,9 +455,9 @@
 // View returns the current facts; nil before the first batch.
 func (r *Registrar) View() *View { return r.view.Load() }
 
-// Fresh reports whether the store confirmed the known state recently.
+// Fresh reports whether all changes that have to be in force are known.
 func (r *Registrar) Fresh() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.view.Load() != nil && r.Clock.Since(r.confirmedAt) < ConfirmationTimeout
+	return r.view.Load() != nil && r.Clock.Since(r.confirmedAt) < changeTime
 }
