Tests: engines that stop in an outage as a few entries end or fall silent, known red

An agent that calls the store first over 2.5 s after its last answer trusts no outage that began before.

Trusting others' failed calls for the time before its own, once these had failed for 2.5 s too, was tried and not kept: TestPartitionedProcessCoversNoSuspension with 20,000 checks found an announcement that counted 5.0 s too late.

--- a/internal/syncer/unconfirmed_test.go
+++ b/internal/syncer/unconfirmed_test.go
@@ -63,3 +63,55 @@
 		})
 	}
 }
+
+// tick calls Tick on all processes as often as a daemon does, until the test ends.
+func (f *fleet) tick(t *testing.T) {
+	go func() {
+		for t.Context().Err() == nil {
+			for _, n := range f.members {
+				n.Tick()
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+}
+
+// Guards against engines that stop in an outage of the store because a few entries end or fall silent as it begins: the
+// processes that wait for them call the store late.
+func TestWeightsStayConfirmedInAnOutageWithSilentEntries(t *testing.T) {
+	const entries = 24
+	for name, silence := range map[string]func(*node){
+		"killed": func(n *node) { n.stop() },
+		"silent for a moment": func(n *node) {
+			n.unresponsive.Store(true)
+			time.AfterFunc(1500*time.Millisecond, func() { n.unresponsive.Store(false) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withShapedFleet(t, shape{entries: entries, regions: 3, agents: 12}, func(t *testing.T, f *fleet) {
+				f.tick(t)
+				f.store.put("weights/m", 1)
+				time.Sleep(8 * time.Second)
+				silent := f.rankedEntries(entries)[:2]
+				for _, n := range f.members {
+					n.partitioned.Store(true)
+				}
+				for _, n := range silent {
+					silence(n)
+				}
+				oldest := time.Duration(0)
+				for range 300 {
+					time.Sleep(100 * time.Millisecond)
+					for _, n := range f.members {
+						if !slices.Contains(silent, n) {
+							at, _ := n.SupersededSince("m", 1)
+							oldest = max(oldest, time.Since(at))
+						}
+					}
+				}
+				t.Log("oldest confirmation", oldest)
+				must.Less(t, weightsBound-time.Second, oldest)
+			})
+		})
+	}
+}
