syncer: read announced weights ahead of large route tables

Once their peers were stale, all processes of a region watched the whole store. Each was sent every version of the route table for itself, most gave up before it had arrived and began again, and the 100 byte record of new weights waited behind it.

All but the first two entries of a region now watch only the records of weights when they fall back, once a second, and all records later, in turn; at once if no entry ahead has answered for 2 s. A watch of all records whose answer has begun to arrive and is late has the weights read beside it. An unresponsive store gets no such second call.

A batch of weights alone moves neither the revision nor the age of the whole view. It confirms the weights and counts as an answer of the store in the detection of outages; peers pass both on as weightsAge and weightsUnconfirmed, which processes of an older version ignore.

--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -145,9 +145,9 @@
 // boundAnnouncement bounds the time of the next announcement after a known version, where others in
 // between may have been missed.
 func (r *Registrar) boundAnnouncement(n Announcement, key string, known uint64) Announcement {
-	since := r.readableUntil(key)
-	if since.After(r.confirmedAt) && (n.Confirmed.IsZero() || r.confirmedAt.Before(n.Confirmed)) {
-		n.Confirmed = r.confirmedAt
+	since, confirmed := r.readableUntil(key), r.weightsConfirmation()
+	if since.After(confirmed) && (n.Confirmed.IsZero() || confirmed.Before(n.Confirmed)) {
+		n.Confirmed = confirmed
 	}
 	if n.Replaced <= known && n.Since.After(since) {
 		since = n.Since
@@ -167,8 +167,8 @@
 		// The store doesn't state when the record was written, and its answer may have been delayed
 		// for any time.
 		n := Announcement{Version: w.Version, Learned: earlier(r.readableUntil(rec.Key), writeTime(rec, received)), Known: received}
-		if n.Learned.After(r.confirmedAt) {
-			n.Confirmed = r.confirmedAt
+		if confirmed := r.weightsConfirmation(); n.Learned.After(confirmed) {
+			n.Confirmed = confirmed
 		}
 		return []Announcement{n}
 	}
@@ -195,8 +195,8 @@
 	if !n.Since.IsZero() {
 		fields = append(fields, "oldWeightsAge", now.Sub(n.Since))
 	}
-	if !r.confirmedAt.IsZero() {
-		fields = append(fields, "confirmedAge", now.Sub(r.confirmedAt))
+	if confirmed := r.weightsConfirmation(); !confirmed.IsZero() {
+		fields = append(fields, "confirmedAge", now.Sub(confirmed))
 	}
 	klog.InfoS("Weights named", append(fields, from.logFields()...)...)
 }
--- a/internal/registrar/changes.go
+++ b/internal/registrar/changes.go
@@ -43,6 +43,10 @@
 		OutageFor: r.outageDuration(), Whole: after < r.deletionFloor, Lost: r.lostStore(),
 		Outages: r.outageReports(),
 	}
+	if !r.weightsConfirmedAt.IsZero() {
+		b.WeightsAge = r.Clock.Since(r.weightsAnsweredAt)
+		b.WeightsUnconfirmed = max(1, r.weightsAnsweredAt.Sub(r.weightsConfirmedAt))
+	}
 	if after > r.revision {
 		return b
 	}
@@ -53,6 +57,7 @@
 	}
 	b.Records, b.RecordsAge = r.selected.records, now.Sub(r.selected.selectedAt)
 	b.Age -= b.RecordsAge
+	b.WeightsAge -= b.RecordsAge
 	return b
 }
 
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -53,15 +53,21 @@
 // Calls that fail only here, or only in some regions, may be due to a partition or saturated links,
 // while the store accepts announcements.
 func (r *Registrar) confirmedUntil() time.Time {
-	if r.outageRefuted || r.partialAnswerAt.After(r.confirmedAt) || !r.peerOutageUntil.After(r.answeredAt) {
-		return r.confirmedAt
+	confirmed := r.weightsConfirmation()
+	if r.outageRefuted || r.partialAnswerAt.After(confirmed) || !r.peerOutageUntil.After(r.lastAnswer()) {
+		return confirmed
 	}
-	if until := r.allRegionsOutageEnd(); until.After(r.confirmedAt) {
-		return until
-	}
-	return r.confirmedAt
+	return later(confirmed, r.allRegionsOutageEnd())
+}
+
+// weightsConfirmation returns the time of the store's last confirmation that no newer weights were announced.
+func (r *Registrar) weightsConfirmation() time.Time {
+	return later(r.confirmedAt, r.weightsConfirmedAt)
 }
 
+// lastAnswer returns the latest possible time of the store's last answer on weights.
+func (r *Registrar) lastAnswer() time.Time { return later(r.answeredAt, r.weightsAnsweredAt) }
+
 // locallyConfirmedUntil returns the time until which this process can have missed no announcement
 // by its own fault: the store's last confirmation, or the last failed call if all have failed
 // since. No process can receive an announcement during an outage; if it counted from before it, the
@@ -77,22 +83,23 @@
 // been suspended, even if its first call after that fails, as an outstanding one does: the store
 // may have answered all but the partitioned processes.
 func (r *Registrar) locallyConfirmedUntil() time.Time {
+	confirmed := r.weightsConfirmation()
 	switch {
-	case !r.unreachableAt.After(r.answeredAt):
-		return r.confirmedAt
-	case r.resumedAt.After(r.confirmedAt):
+	case !r.unreachableAt.After(r.lastAnswer()):
+		return confirmed
+	case r.resumedAt.After(confirmed):
 		return r.confirmedUntilBeforePause()
 	}
-	covered := r.confirmedAt
+	covered := confirmed
 	if others := earlier(r.peerOutageUntil, r.lastStoreCall); others.After(covered) {
 		covered = others
 	}
 	switch {
-	case r.callingSince.Sub(later(r.answeredAt, r.startedAt)) > maxCallGap:
+	case r.callingSince.Sub(later(r.lastAnswer(), r.startedAt)) > maxCallGap:
 		// A process that reports failed calls may be partitioned, and this one didn't call the store in that time.
-		return r.confirmedAt
+		return confirmed
 	case r.callingSince.Sub(covered) > maxCallGap:
-		return r.confirmedAt
+		return confirmed
 	case covered.After(r.unreachableAt) && !r.callingSince.After(r.unreachableAt):
 		return covered
 	default:
@@ -102,10 +109,11 @@
 
 // confirmedUntilBeforePause is locallyConfirmedUntil for a process suspended since the last confirmation.
 func (r *Registrar) confirmedUntilBeforePause() time.Time {
-	if r.unreachableAt.Before(r.resumedAt) && r.confirmedBeforePause.After(r.confirmedAt) {
+	confirmed := r.weightsConfirmation()
+	if r.unreachableAt.Before(r.resumedAt) && r.confirmedBeforePause.After(confirmed) {
 		return r.confirmedBeforePause
 	}
-	return r.confirmedAt
+	return confirmed
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -42,10 +42,16 @@
 	// Unconfirmed is how much longer ago that may have been: nothing is known of announcements in
 	// that time, as the answer may have been delayed.
 	Unconfirmed time.Duration `json:"unconfirmed,omitempty"`
+	// WeightsAge and WeightsUnconfirmed are Age and Unconfirmed of an answer on weights only, between processes.
+	// WeightsUnconfirmed is zero if there was none, and positive otherwise.
+	WeightsAge         time.Duration `json:"weightsAge,omitempty"`
+	WeightsUnconfirmed time.Duration `json:"weightsUnconfirmed,omitempty"`
 	// Partial is set if the store may have had more changes when it answered. The batch confirms
 	// nothing then.
 	Partial bool `json:"-"`
-	// OutageFor is for how long after that answer the store is known to have answered no process;
+	// WeightsOnly is set if the batch covers the records of weights only. It confirms these, and no other record.
+	WeightsOnly bool `json:"-"`
+	// OutageFor is for how long after the later of these answers the store is known to have answered no process;
 	// zero for not at all.
 	OutageFor time.Duration `json:"outageFor,omitempty"`
 	// Outages reports such times in all regions.
@@ -67,6 +73,14 @@
 // answeredAt returns the latest time at which the store answered that At was its newest revision.
 func (b Batch) answeredAt() time.Time { return b.AsOf.Add(-b.Age) }
 
+// lastAnswer returns the latest possible time of the store's last answer on weights that the batch shows.
+func (b Batch) lastAnswer() time.Time {
+	if b.WeightsUnconfirmed == 0 {
+		return b.answeredAt()
+	}
+	return later(b.answeredAt(), b.AsOf.Add(-b.WeightsAge))
+}
+
 // Source describes the call by which a process received a batch.
 type Source struct {
 	// Name is the peer's address or the kind of call to the store.
@@ -81,6 +95,7 @@
 // must not be overestimated stay: a cold upstream would get its full load before its cold time is over.
 func (b Batch) Older(by time.Duration) Batch {
 	b.Age += by
+	b.WeightsAge += by
 	b.Outages = slices.Clone(b.Outages)
 	for i := range b.Outages {
 		b.Outages[i].Until += by
--- a/internal/registrar/region.go
+++ b/internal/registrar/region.go
@@ -22,7 +22,8 @@
 // observesOutage reports whether all calls of this process have failed since the last known answer, and not for a
 // cause of its own.
 func (r *Registrar) observesOutage() bool {
-	return !r.isPartitioned() && r.unreachableAt.After(r.answeredAt) && !r.partialAnswerAt.After(r.confirmedAt) && r.locallyConfirmedUntil().After(r.answeredAt)
+	return !r.isPartitioned() && r.unreachableAt.After(r.lastAnswer()) && !r.partialAnswerAt.After(r.weightsConfirmation()) &&
+		r.locallyConfirmedUntil().After(r.lastAnswer())
 }
 
 // outageDuration returns how long after the last known answer the store answered no process.
@@ -31,18 +32,18 @@
 		// All that it could report are calls of others, among them those of the process that asks.
 		return 0
 	}
-	return max(0, r.locallyConfirmedUntil().Sub(r.answeredAt))
+	return max(0, r.locallyConfirmedUntil().Sub(r.lastAnswer()))
 }
 
 // outageReports returns the known outages in all regions.
 func (r *Registrar) outageReports() []RegionOutage {
 	if r.observesOutage() {
-		r.recordRegionOutage(r.Region, outageSpan{since: r.answeredAt, until: r.unreachableAt})
+		r.recordRegionOutage(r.Region, outageSpan{since: r.lastAnswer(), until: r.unreachableAt})
 	}
 	now := r.Clock.Now()
 	var reports []RegionOutage
 	for region, s := range r.outages {
-		if s.until.After(r.answeredAt) {
+		if s.until.After(r.lastAnswer()) {
 			reports = append(reports, RegionOutage{Region: region, Since: now.Sub(s.since), Until: now.Sub(s.until)})
 		}
 	}
@@ -67,9 +68,9 @@
 	for region := range r.regions() {
 		s := r.outages[region]
 		if region == r.Region && r.observesOutage() && r.unreachableAt.After(s.until) {
-			s = outageSpan{since: r.answeredAt, until: r.unreachableAt}
+			s = outageSpan{since: r.lastAnswer(), until: r.unreachableAt}
 		}
-		if s.until.IsZero() || s.since.After(r.confirmedAt.Add(maxUnconfirmed)) {
+		if s.until.IsZero() || s.since.After(r.weightsConfirmation().Add(maxUnconfirmed)) {
 			return time.Time{}
 		}
 		until = earlier(until, s.until)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -62,6 +62,8 @@
 	confirmedAt, answeredAt time.Time
 	// partialAnswerAt is when the store last answered with a part of its changes.
 	partialAnswerAt time.Time
+	// weightsConfirmedAt and weightsAnsweredAt are confirmedAt and answeredAt by answers on weights only.
+	weightsConfirmedAt, weightsAnsweredAt time.Time
 	// unreachableAt is when the store was last found unreachable, unreachable whether it still is.
 	unreachableAt time.Time
 	unreachable   bool
@@ -105,7 +107,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.recordActivity()
-	if !b.Whole && b.After > r.revision {
+	if !b.Whole && b.After > r.revision || b.WeightsOnly && r.records == nil {
 		return false
 	}
 	if b.RecordsAge > 0 {
@@ -128,16 +130,20 @@
 	if b.AsOf.IsZero() {
 		b.AsOf = r.Clock.Now()
 	}
-	r.outageRefuted = b.answeredAt().After(r.answeredAt) && b.answeredAt().Before(r.unreachableAt)
+	r.outageRefuted = b.lastAnswer().After(r.lastAnswer()) && b.lastAnswer().Before(r.unreachableAt)
 	changed := r.view.Load() == nil
 	for _, rec := range records {
 		changed = r.applyRecord(rec, b) || changed
 	}
-	if b.Whole && b.At >= r.revision {
-		changed = r.deleteMissing(b) || changed
-	}
-	r.revision = max(r.revision, b.At)
-	if b.At >= r.revision {
+	switch {
+	case b.WeightsOnly:
+		r.recordOutageEnd(b.answeredAt())
+		r.recordWeightsAnswer(b.answeredAt(), b.Unconfirmed, b.Partial)
+	case b.At >= r.revision:
+		if b.Whole {
+			changed = r.deleteMissing(b) || changed
+		}
+		r.revision = b.At
 		r.recordAnswer(b)
 	}
 	r.outageRefuted = false
@@ -153,9 +159,9 @@
 // was unreachable for the process that reports it.
 func (r *Registrar) recordAnswer(b Batch) {
 	answered := b.answeredAt()
-	if outageEnd := r.confirmedUntil(); answered.After(r.unreachableAt) && outageEnd.After(r.confirmedAt) {
-		// The answer ends an outage, in which nothing was announced.
-		r.confirmedAt = outageEnd
+	r.recordOutageEnd(b.lastAnswer())
+	if b.WeightsUnconfirmed > 0 {
+		r.recordWeightsAnswer(b.AsOf.Add(-b.WeightsAge), b.WeightsUnconfirmed, false)
 	}
 	// Applying a large batch may take longer than a confirmation counts as fresh. If its age counted from its
 	// arrival, a process would call the store again right after it.
@@ -172,7 +178,7 @@
 	if confirmed.After(r.confirmedAt) {
 		r.confirmedAt = confirmed
 	}
-	if until := answered.Add(b.OutageFor); b.OutageFor > 0 && until.After(r.peerOutageUntil) {
+	if until := b.lastAnswer().Add(b.OutageFor); b.OutageFor > 0 && until.After(r.peerOutageUntil) {
 		r.peerOutageUntil = until
 	}
 	for _, o := range b.Outages {
@@ -180,6 +186,30 @@
 	}
 }
 
+// recordWeightsAnswer records when the store answered that no newer weights are announced. The other records may have
+// changed by then.
+func (r *Registrar) recordWeightsAnswer(answered time.Time, unconfirmed time.Duration, partial bool) {
+	r.weightsAnsweredAt = later(r.weightsAnsweredAt, answered)
+	if partial {
+		r.partialAnswerAt = later(r.partialAnswerAt, answered)
+		return
+	}
+	r.weightsConfirmedAt = later(r.weightsConfirmedAt, answered.Add(-unconfirmed))
+}
+
+// recordOutageEnd records that nothing was announced in the outage that an answer ends, if any. If the last answer before
+// it was on weights only, other records may have changed before the outage.
+func (r *Registrar) recordOutageEnd(answered time.Time) {
+	end := r.confirmedUntil()
+	switch {
+	case !answered.After(r.unreachableAt):
+	case r.weightsConfirmedAt.After(r.confirmedAt) || r.weightsAnsweredAt.After(r.answeredAt):
+		r.weightsConfirmedAt = later(r.weightsConfirmedAt, end)
+	default:
+		r.confirmedAt = later(r.confirmedAt, end)
+	}
+}
+
 // applyRecord keeps a record that is newer than the known one.
 func (r *Registrar) applyRecord(rec Record, from Batch) bool {
 	if known, ok := r.records[rec.Key]; ok && known.Revision >= rec.Revision {
--- a/internal/syncer/busy_store_test.go
+++ b/internal/syncer/busy_store_test.go
@@ -15,6 +15,7 @@
 
 // busyStore has a change of some record at each interval; one of them announces version 2.
 type busyStore struct {
+	unreachableStore
 	interval, latency time.Duration
 	// announceRevision is the revision of the announcement; deletions makes all other changes
 	// deletions.
--- a/internal/syncer/changing_table_test.go
+++ b/internal/syncer/changing_table_test.go
@@ -15,6 +15,7 @@
 // stormyStore is a store whose route table changes each gap. The platform's client marks an answer with a table of over
 // 128 KiB as partial, as the store may have cut it off.
 type stormyStore struct {
+	unreachableStore
 	began time.Time
 	gap   time.Duration
 }
--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -30,6 +30,13 @@
 	// peers again. After a single call, the entries would pass that answer on to each other until
 	// it is stale for all of them at once.
 	substituteFor = 4 * time.Second
+	// maxWholeReaders is how many entries of a region read all records as soon as they fall back. The others read only
+	// the weights, whose records are small, and all records allRecordsStep later for each entry ahead.
+	maxWholeReaders = 2
+	allRecordsStep  = time.Second
+	// answeredFor is how long after its answer a peer is assumed to pass on what it reads. Without such a peer ahead, a
+	// process reads all records at once.
+	answeredFor = 2 * time.Second
 )
 
 // fallbackAge returns the age of its updates at which this process reads the store, given the
@@ -51,8 +58,7 @@
 	if !s.shouldAwaitOthers(p) {
 		return false, false
 	}
-	_, age, _ := s.Registrar.Revision()
-	wait := min(peerWait, s.fallbackAge(len(s.inService(p.ahead)))-age)
+	wait := min(peerWait, s.untilStoreRead(p))
 	if s.syncFromPeers(ctx, s.inService(p.ahead), askOptions{wait: wait, maxAge: anyAge, maxUnhelpful: maxUnhelpfulPeers, awaitRead: true}) {
 		return true, true
 	}
@@ -89,8 +95,46 @@
 
 // shouldAwaitOthers returns whether others of the region are to read the store before this process.
 func (s *Syncer) shouldAwaitOthers(p plan) bool {
-	_, age, known := s.Registrar.Revision()
-	return known && age < s.fallbackAge(len(s.inService(p.ahead)))
+	_, _, known := s.Registrar.Revision()
+	return known && s.untilStoreRead(p) > 0
+}
+
+// untilStoreRead returns how long this process waits for the entries ahead before it reads the store.
+func (s *Syncer) untilStoreRead(p plan) time.Duration {
+	_, age, _ := s.Registrar.Revision()
+	left := s.fallbackAge(len(s.inService(p.ahead))) - age
+	if s.readsAll(p) {
+		return left
+	}
+	return max(left, s.weightsDueAt.Sub(s.Clock.Now()))
+}
+
+// readsAll returns whether this process reads all records when it turns to the store.
+func (s *Syncer) readsAll(p plan) bool {
+	ahead := s.inService(p.ahead)
+	switch _, _, known := s.Registrar.Revision(); {
+	case !known || p.reads || s.compacted || s.Entry && len(ahead) < maxWholeReaders:
+		return true
+	case !slices.ContainsFunc(ahead, s.answersNow):
+		return true
+	default:
+		return !s.weightsSince.IsZero() && s.Clock.Since(s.weightsSince) >= time.Duration(len(ahead))*allRecordsStep+s.jitter
+	}
+}
+
+// answersNow returns whether a peer has answered a short time ago.
+func (s *Syncer) answersNow(a netip.AddrPort) bool {
+	p, ok := s.peers[a]
+	return ok && s.Clock.Since(p.answeredAt) < answeredFor
+}
+
+// recordWeightsRead records that this process has read only the weights.
+func (s *Syncer) recordWeightsRead() {
+	now := s.Clock.Now()
+	s.weightsDueAt = now.Add(watchWait)
+	if s.weightsSince.IsZero() {
+		s.weightsSince = now
+	}
 }
 
 // inService returns the peers that, as far as is known, answer and reach the store.
--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -32,6 +32,8 @@
 	farDelay  = 10 * time.Millisecond
 	// slowLinkDelay is what a slow link adds to a write.
 	slowLinkDelay = 300 * time.Millisecond
+	// weightsPrefix starts the keys of weights.
+	weightsPrefix = "weights/"
 )
 
 // fleet is a deployment in memory and in virtual time: a store, the entries and agents that keep
@@ -127,22 +129,25 @@
 	return b, nil
 }
 
-func (s *memoryStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+func (s *memoryStore) watch(ctx context.Context, after uint64, wait time.Duration, prefix string) (registrar.Batch, error) {
 	s.mu.Lock()
 	s.watches++
 	s.mu.Unlock()
-	b, changed := s.changesAfter(after)
-	if len(b.Records) > 0 {
-		return b, nil
-	}
-	select {
-	case <-changed:
-	case <-time.After(wait):
-	case <-ctx.Done():
-		return b, ctx.Err()
+	over := time.After(wait)
+	for {
+		b, changed := s.changesAfter(after)
+		b.Records = withPrefix(b.Records, prefix)
+		if len(b.Records) > 0 {
+			return b, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return b, nil
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
 	}
-	b, _ = s.changesAfter(after)
-	return b, nil
 }
 
 // nodeStore is the store as reached by one node.
@@ -187,13 +192,23 @@
 }
 
 func (s nodeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	return s.watch(ctx, after, wait, "")
+}
+
+func (s nodeStore) WatchWeights(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	b, err := s.watch(ctx, after, wait, weightsPrefix)
+	b.WeightsOnly = true
+	return b, err
+}
+
+func (s nodeStore) watch(ctx context.Context, after uint64, wait time.Duration, prefix string) (registrar.Batch, error) {
 	s.node.watches.Add(1)
 	ctx, cancel := s.fleet.withCallTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	if err := s.callError(ctx); err != nil {
 		return registrar.Batch{}, err
 	}
-	b, err := s.memoryStore.Watch(ctx, after, wait)
+	b, err := s.memoryStore.watch(ctx, after, wait, prefix)
 	if callErr := s.callError(ctx); callErr != nil {
 		// The call in flight is lost.
 		return registrar.Batch{}, callErr
@@ -227,10 +242,10 @@
 		return m, err
 	case strings.HasPrefix(key, "drained/"):
 		return registrar.Drained{FailureDomain: strings.TrimPrefix(key, "drained/")}, nil
-	case strings.HasPrefix(key, "weights/"):
+	case strings.HasPrefix(key, weightsPrefix):
 		var version uint64
 		err := json.Unmarshal(value, &version)
-		return registrar.Weights{Model: strings.TrimPrefix(key, "weights/"), Version: version}, err
+		return registrar.Weights{Model: strings.TrimPrefix(key, weightsPrefix), Version: version}, err
 	case key == tableKey:
 		var t matcher.Table
 		err := json.Unmarshal(value, &t)
--- a/internal/syncer/hedge.go
+++ b/internal/syncer/hedge.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"net/http/httptrace"
+	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
 
@@ -15,6 +19,53 @@
 	maxHedgedLists = 3
 )
 
+// watchWeights reads the weights that were announced after the registrar's revision.
+func (s *Syncer) watchWeights(ctx context.Context) (registrar.Batch, error) {
+	return s.watch(ctx, weightsCall, s.Store.WatchWeights, minWatchWait)
+}
+
+// watchAll watches all records. A large table may take seconds to arrive over a saturated link, and announcements would
+// arrive with it, so weights are read beside an answer that has begun to arrive.
+func (s *Syncer) watchAll(ctx context.Context, wait time.Duration) (registrar.Batch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	callCtx, begun := withFirstByte(ctx)
+	go s.watchWeightsBeside(ctx, wait+hedgeDelay, begun)
+	return s.watch(callCtx, watchCall, s.Store.Watch, wait)
+}
+
+// withFirstByte returns a context for one call to the store, and a channel that is closed once its answer begins to arrive.
+func withFirstByte(ctx context.Context) (context.Context, <-chan struct{}) {
+	begun := make(chan struct{})
+	var once sync.Once
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { once.Do(func() { close(begun) }) }}), begun
+}
+
+// watchWeightsBeside reads the weights beside an answer that has begun, from a delay on and until the context ends.
+// Failures show nothing that those of the call beside it don't.
+func (s *Syncer) watchWeightsBeside(ctx context.Context, delay time.Duration, begun <-chan struct{}) {
+	for ; ; delay = watchWait {
+		s.pause(ctx, delay)
+		select {
+		case <-begun:
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		b, err := s.watchWeights(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			klog.V(1).InfoS("Weights not read beside a slow watch", "err", err)
+		default:
+			s.Registrar.StoreCallSucceeded()
+			s.Registrar.Apply(b)
+		}
+	}
+}
+
 // list reads all records. A seed hedges its list: other processes wait for it, and a store that was
 // unresponsive when it was called never answers that call. The others don't hedge, as their many
 // lists would saturate the links to the store.
--- a/internal/syncer/hedge_test.go
+++ b/internal/syncer/hedge_test.go
@@ -17,6 +17,7 @@
 
 // unresponsiveStore never answers calls that arrive before respondsFrom.
 type unresponsiveStore struct {
+	unreachableStore
 	respondsFrom time.Time
 	lists        atomic.Int32
 }
--- a/internal/syncer/late_announcement_test.go
+++ b/internal/syncer/late_announcement_test.go
@@ -23,6 +23,7 @@
 // delayedStore is a store with one model's weights, behind links that delay calls. Its times count
 // from the first watch.
 type delayedStore struct {
+	unreachableStore
 	// delays are those of the watches, in turn; the last one applies to all further watches.
 	delays []callDelay
 	// announceAt is when version 2 is announced; changeAt is when another record is written before
@@ -152,6 +153,7 @@
 // expiringStore is a store from which an upstream's record expires just after the first watch
 // starts, and whose answer is in transit for a while.
 type expiringStore struct {
+	unreachableStore
 	transit   time.Duration
 	expiredAt time.Time
 }
--- a/internal/syncer/links_test.go
+++ b/internal/syncer/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -101,10 +102,18 @@
 		if err := l.transferSegment(ctx, min(segmentBytes, size-sent)); err != nil {
 			return err
 		}
+		reportArrival(ctx)
 	}
 	return nil
 }
 
+// reportArrival reports a part of an answer as an HTTP client does.
+func reportArrival(ctx context.Context) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil {
+		trace.GotFirstResponseByte()
+	}
+}
+
 // transferPatiently is transfer with a bound on the time of each segment.
 func (l *regionLink) transferPatiently(ctx context.Context, size int) error {
 	if l == nil {
@@ -119,6 +128,7 @@
 		if err != nil {
 			return err
 		}
+		reportArrival(ctx)
 	}
 	return nil
 }
--- a/internal/syncer/network_test.go
+++ b/internal/syncer/network_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -141,6 +142,17 @@
 
 // Watch implements syncer.Store.
 func (r processStore) Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	return r.watch(ctx, after, wait, "")
+}
+
+// WatchWeights implements syncer.Store.
+func (r processStore) WatchWeights(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error) {
+	b, err := r.watch(ctx, after, wait, "op/version/")
+	b.WeightsOnly = true
+	return b, err
+}
+
+func (r processStore) watch(ctx context.Context, after uint64, wait time.Duration, prefix string) (registrar.Batch, error) {
 	time.Sleep(connectortest.LinkDelay)
 	r.mu.Lock()
 	r.watches = append(r.watches, r.id)
@@ -148,6 +160,7 @@
 	over := time.After(wait)
 	for {
 		b, changed := r.since(after)
+		b.Records = withPrefix(b.Records, prefix)
 		if len(b.Records) > 0 {
 			return b, nil
 		}
@@ -161,6 +174,11 @@
 	}
 }
 
+// withPrefix returns the records whose keys have a prefix.
+func withPrefix(records []registrar.Record, prefix string) []registrar.Record {
+	return slices.DeleteFunc(records, func(rec registrar.Record) bool { return !strings.HasPrefix(rec.Key, prefix) })
+}
+
 // startWithSeed starts processes beside a seed that has the record of a drained failure domain.
 func (n *network) startWithSeed(t *testing.T, s *store, entries bool) []*process {
 	s.drain("a")
--- a/internal/syncer/paused_reader_test.go
+++ b/internal/syncer/paused_reader_test.go
@@ -20,6 +20,7 @@
 // pausedReaderStore is the store as used by a process that is paused while an answer to it is in
 // transit.
 type pausedReaderStore struct {
+	unreachableStore
 	clock *clocktest.FakeClock
 	// pause is the length of that; less than the time limit of a call by the store's client.
 	pause time.Duration
--- a/internal/syncer/suspended_test.go
+++ b/internal/syncer/suspended_test.go
@@ -79,6 +79,7 @@
 // emptyStore has no updates. Its first answer to a watch stays unread while the VM is suspended;
 // further watches get no answer.
 type emptyStore struct {
+	unreachableStore
 	vm      *suspender.VM
 	watches atomic.Int32
 }
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -58,6 +58,8 @@
 const (
 	listCall  = "store list"
 	watchCall = "store watch"
+	// weightsCall is a watch for weights only.
+	weightsCall = "store watch of weights"
 )
 
 // Store is the platform's key-value store.
@@ -65,8 +67,13 @@
 	List(ctx context.Context) (registrar.Batch, error)
 	// Watch returns *storer.CompactedError when the history after the revision is gone.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error)
+	// WatchWeights is Watch for the records of weights only; its batch is marked as such.
+	WatchWeights(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error)
 }
 
+// watchFunc is a watch of the store.
+type watchFunc func(ctx context.Context, after uint64, wait time.Duration) (registrar.Batch, error)
+
 // Syncer keeps a registrar up to date. Set the exported fields before Serve.
 type Syncer struct {
 	// ID is the name of this process; Entry allows it to read the store for others.
@@ -115,6 +122,9 @@
 	peerFailure fallbackCause
 	// substituteUntil is until when this process reads the store in place of failed readers.
 	substituteUntil time.Time
+	// weightsSince is since when this process has read only weights from the store, for lack of fresh peers; zero if it
+	// doesn't. weightsDueAt is when it reads them again.
+	weightsSince, weightsDueAt time.Time
 	// agePeersAsked is the number of peers that learnAges has asked since ages were last known.
 	agePeersAsked int
 	// jitter delays an agent's fallback by up to maxAgentJitter; listDelay delays this process's
@@ -131,6 +141,8 @@
 	// downUntil is until when it counts as out of service, as it did not answer or had lost the
 	// store. This process doesn't wait for it to read the store.
 	downUntil time.Time
+	// answeredAt is when it last answered.
+	answeredAt time.Time
 }
 
 // Serve runs until the context ends.
@@ -168,6 +180,7 @@
 	}
 	if !reads && !s.isSubstituting(p) {
 		if s.syncFromPeers(ctx, candidates, s.peerAskOptions(p)) {
+			s.weightsSince = time.Time{}
 			s.recordFallback(false)
 			return true
 		}
@@ -178,7 +191,7 @@
 	if s.storeDue() {
 		s.recordFallback(!reads)
 		s.startSubstituting(p)
-		if s.syncFromStore(ctx) {
+		if s.syncFromStore(ctx, p) {
 			return true
 		}
 		// Without records, ask the seeds once more before the next list.
@@ -282,6 +295,7 @@
 			klog.InfoS("Peer did not answer", "peer", a, "err", err)
 		} else {
 			p = s.applyAnswer(a, b, opts)
+			p.answeredAt = s.Clock.Now()
 		}
 		s.peers[a] = p
 		if err == nil && !p.unhelpful {
@@ -355,8 +369,9 @@
 }
 
 // syncFromStore reads the store once, with a list at first and after a compaction.
-func (s *Syncer) syncFromStore(ctx context.Context) bool {
-	b, err := s.readStore(ctx)
+func (s *Syncer) syncFromStore(ctx context.Context, p plan) bool {
+	weightsOnly := !s.readsAll(p)
+	b, err := s.readStore(ctx, weightsOnly)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -374,9 +389,13 @@
 		klog.InfoS("Store reachable again")
 	}
 	s.backoff = 0
-	s.compacted = false
 	s.Registrar.StoreCallSucceeded()
 	s.Registrar.Apply(b)
+	if weightsOnly {
+		s.recordWeightsRead()
+		return true
+	}
+	s.compacted, s.weightsSince = false, time.Time{}
 	if len(b.Records) > 0 {
 		s.pause(ctx, watchPause)
 	}
@@ -394,11 +413,14 @@
 // route table: if each process listed the store when its peers became unresponsive, all lists at
 // once would saturate the links to the store, time out and be retried, and no process would find a
 // fresh peer.
-func (s *Syncer) readStore(ctx context.Context) (registrar.Batch, error) {
-	at, age, known := s.Registrar.Revision()
-	asked := s.Clock.Now()
+func (s *Syncer) readStore(ctx context.Context, weightsOnly bool) (registrar.Batch, error) {
+	_, age, known := s.Registrar.Revision()
 	s.Registrar.StoreCallStarted()
+	if weightsOnly {
+		return s.watchWeights(ctx)
+	}
 	if !known || s.compacted {
+		asked := s.Clock.Now()
 		b, err := s.list(ctx)
 		b.AsOf = s.Registrar.Clock.Now()
 		took := s.Clock.Since(asked)
@@ -413,10 +435,17 @@
 		// While a large table changes more often than once in a wait, each answer has it again and confirms nothing.
 		wait = minWatchWait
 	}
-	b, err := s.Store.Watch(ctx, at, wait)
+	return s.watchAll(ctx, wait)
+}
+
+// watch calls one of the store's watches. The ages in the answer count up to its return.
+func (s *Syncer) watch(ctx context.Context, name string, watch watchFunc, wait time.Duration) (registrar.Batch, error) {
+	at, _, _ := s.Registrar.Revision()
+	asked := s.Clock.Now()
+	b, err := watch(ctx, at, wait)
 	b.AsOf = s.Registrar.Clock.Now()
 	took := s.Clock.Since(asked)
-	b.Source = registrar.Source{Name: watchCall, Took: took, Wait: wait}
+	b.Source = registrar.Source{Name: name, Took: took, Wait: wait}
 	if len(b.Records) > 0 || took < wait {
 		// Such an answer may have been in transit ever since the call was made.
 		b.Unconfirmed = min(took, wait)
--- a/internal/syncer/unread_answer_test.go
+++ b/internal/syncer/unread_answer_test.go
@@ -95,3 +95,7 @@
 func (unreachableStore) Watch(context.Context, uint64, time.Duration) (registrar.Batch, error) {
 	return registrar.Batch{}, &storer.UnavailableError{Op: "watch"}
 }
+
+func (unreachableStore) WatchWeights(context.Context, uint64, time.Duration) (registrar.Batch, error) {
+	return registrar.Batch{}, &storer.UnavailableError{Op: "watch"}
+}
--- a/internal/syncer/watch_wait_test.go
+++ b/internal/syncer/watch_wait_test.go
@@ -15,6 +15,7 @@
 
 // slowChangeStore has a change for each watch, after a time, and records the waits of the watches.
 type slowChangeStore struct {
+	unreachableStore
 	changeAfter time.Duration
 
 	mu    sync.Mutex
