syncer: send no further list beside one that arrives

A seed hedged its list of the store every 0.6 s though the answer to the first was arriving, so that three copies of a large route table shared the link to its region, and with them those that other processes read.

Further lists are sent only while no answer has begun.

TestArrivingListIsNotHedged failed before, with three lists.

--- a/internal/syncer/hedge.go
+++ b/internal/syncer/hedge.go
@@ -34,7 +34,7 @@
 	return s.watch(callCtx, watchCall, s.Store.Watch, wait)
 }
 
-// withFirstByte returns a context for one call to the store, and a channel that is closed once its answer begins to arrive.
+// withFirstByte returns a context for calls to the store, and a channel that is closed once an answer begins to arrive.
 func withFirstByte(ctx context.Context) (context.Context, <-chan struct{}) {
 	begun := make(chan struct{})
 	var once sync.Once
@@ -76,8 +76,9 @@
 	return s.hedgedList(ctx)
 }
 
-// hedgedList sends another list every hedgeDelay until one returns, and returns the first result.
-// An error counts as a result, as the process can ask its peers instead.
+// hedgedList sends another list every hedgeDelay until one is answered, and returns the first result. Beside an answer that
+// has begun to arrive, further ones would only take their share of the link. An error counts as a result, as the process can
+// ask its peers instead.
 func (s *Syncer) hedgedList(ctx context.Context) (registrar.Batch, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -86,9 +87,10 @@
 		err   error
 	}
 	results := make(chan result, maxHedgedLists)
+	callCtx, begun := withFirstByte(ctx)
 	for call := 1; ; call++ {
 		go func() {
-			batch, err := s.Store.List(ctx)
+			batch, err := s.Store.List(callCtx)
 			results <- result{batch, err}
 		}()
 		next := s.Clock.After(hedgeDelay)
@@ -98,6 +100,9 @@
 		select {
 		case r := <-results:
 			return r.batch, r.err
+		case <-begun:
+			r := <-results
+			return r.batch, r.err
 		case <-next:
 		}
 	}
--- a/internal/syncer/hedge_test.go
+++ b/internal/syncer/hedge_test.go
@@ -80,6 +80,32 @@
 	must.LessEq(t, 3*int(outage/listTimeout)+3, lists)
 }
 
+// slowListStore takes a while to send its list.
+type slowListStore struct {
+	unresponsiveStore
+	transfer time.Duration
+}
+
+func (s *slowListStore) List(ctx context.Context) (registrar.Batch, error) {
+	b, err := s.unresponsiveStore.List(ctx)
+	reportArrival(ctx)
+	time.Sleep(s.transfer)
+	return b, err
+}
+
+// Guards against a seed whose hedged lists share the link with the one that is arriving, so that all arrive later.
+func TestArrivingListIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowListStore{transfer: 2 * time.Second}
+		r := &registrar.Registrar{Clock: clock.RealClock{}, Decode: decodeFleet}
+		s := &syncer.Syncer{ID: "entry", Entry: true, Seed: true, Registrar: r, Store: store, Clock: clock.RealClock{}, Random: rand.New(rand.NewPCG(1, 2))}
+		go func() { _ = s.Serve(t.Context()) }()
+		time.Sleep(store.transfer + time.Second)
+		must.True(t, r.View().Drained("a"))
+		must.Eq(t, 1, store.lists.Load())
+	})
+}
+
 // Guards against lists that saturate the links to the store: only seeds hedge.
 func TestOnlySeedsHedge(t *testing.T) {
 	_, lists := startWithUnresponsiveStore(t, false, time.Second)
