--- a/internal/registrar/region.go
+++ b/internal/registrar/region.go
@@ -22,13 +22,14 @@
 // observesOutage reports whether all calls of this process have failed since the last known answer, and not for a
 // cause of its own.
 func (r *Registrar) observesOutage() bool {
-	return !r.isPartitioned() && r.unreachableAt.After(r.answeredAt) && !r.partialAnswerAt.After(r.confirmedAt) && r.locallyConfirmedUntil().After(r.answeredAt)
+	return !r.isPartitioned() && r.unreachableAt.After(r.lastAnswer()) && !r.partialAnswerAt.After(r.weightsConfirmation()) &&
+		r.locallyConfirmedUntil().After(r.lastAnswer())
 }
 
 // observedOutage returns the outage that observesOutage reports. After a gap between this process's calls it ends before
 // that gap.
 func (r *Registrar) observedOutage() outageSpan {
-	return outageSpan{since: r.answeredAt, until: earlier(r.unreachableAt, r.locallyConfirmedUntil())}
+	return outageSpan{since: r.lastAnswer(), until: earlier(r.unreachableAt, r.locallyConfirmedUntil())}
 }
 
 // outageDuration returns how long after the last known answer the store answered no process.
@@ -37,7 +38,7 @@
 		// All that it could report are calls of others, among them those of the process that asks.
 		return 0
 	}
-	return max(0, r.locallyConfirmedUntil().Sub(r.answeredAt))
+	return max(0, r.locallyConfirmedUntil().Sub(r.lastAnswer()))
 }
 
 // outageReports returns the known outages in all regions.
@@ -48,7 +49,7 @@
 	now := r.Clock.Now()
 	var reports []RegionOutage
 	for region, s := range r.outages {
-		if s.until.After(r.answeredAt) {
+		if s.until.After(r.lastAnswer()) {
 			reports = append(reports, RegionOutage{Region: region, Since: now.Sub(s.since), Until: now.Sub(s.until)})
 		}
 	}
@@ -75,7 +76,7 @@
 		if own := r.observedOutage(); region == r.Region && r.observesOutage() && own.until.After(s.until) {
 			s = own
 		}
-		if s.until.IsZero() || s.since.After(r.confirmedAt.Add(maxUnconfirmed)) {
+		if s.until.IsZero() || s.since.After(r.weightsConfirmation().Add(maxUnconfirmed)) {
 			return time.Time{}
 		}
 		until = earlier(until, s.until)
