syncer: no call to a peer delays the fallback to the store

An agent that waited for entries that had just ended called the store first over 2.5 s after its last answer. It trusts no outage that began before its own calls then, so that its engine stopped a bound into the outage, until its end.

Calls to peers, and pauses, end now when the process falls back to the store, and it falls back at most 0.2 s later than others instead of 0.25 s. After that it asks no second peer before the store.

--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -22,7 +22,9 @@
 	maxEntryFallbackDelay = 850 * time.Millisecond
 	// agentFallbackDelay and a jitter up to maxAgentJitter are the same for agents.
 	agentFallbackDelay = 700 * time.Millisecond
-	maxAgentJitter     = 250 * time.Millisecond
+	maxAgentJitter     = 200 * time.Millisecond
+	// minPeerTimeout is the least time for a call to a peer just before this process falls back to the store.
+	minPeerTimeout = 20 * time.Millisecond
 	// downFor is how long a failed peer counts as out of service: longer than its lease, so that
 	// processes don't wait again for one that is gone.
 	downFor = 5 * time.Second
@@ -52,6 +54,16 @@
 	}
 }
 
+// untilFallback returns how long this process still relies on its peers, so that no call to one and no pause delays its
+// first call to the store in an outage; anyAge while its updates aren't stale.
+func (s *Syncer) untilFallback() time.Duration {
+	_, age, known := s.Registrar.Revision()
+	if !known || age < staleAge {
+		return anyAge
+	}
+	return max(0, s.fallbackAge(len(s.inService(s.plan().ahead)))-age)
+}
+
 // awaitOthers asks the entries ahead of this process for what they read. It returns whether this
 // process must not read the store yet, and whether one of them answered.
 func (s *Syncer) awaitOthers(ctx context.Context, p plan) (done, answered bool) {
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -157,7 +157,11 @@
 		if s.step(ctx) {
 			continue
 		}
-		s.pause(ctx, idlePause/2+time.Duration(s.Random.Int64N(int64(idlePause))))
+		pause := idlePause/2 + time.Duration(s.Random.Int64N(int64(idlePause)))
+		if left := s.untilFallback(); left > 0 {
+			pause = min(pause, left)
+		}
+		s.pause(ctx, pause)
 	}
 	return ctx.Err()
 }
@@ -276,6 +280,9 @@
 		if opts.stop != nil && opts.stop() {
 			return false
 		}
+		if opts.maxUnhelpful > 0 && unhelpful > 0 && s.storeDue() && s.untilFallback() == 0 {
+			return false
+		}
 		if p := s.peers[a]; !opts.awaitRead && s.Clock.Now().Before(p.avoidUntil) {
 			if p.unhelpful && !opts.countAskedOnly {
 				unhelpful++
@@ -354,8 +361,13 @@
 	if failed && age > staleAge-peerWait {
 		wait = 0
 	}
+	timeout := wait + peerGrace
+	if left := s.untilFallback(); left > 0 {
+		timeout = min(timeout, max(left, minPeerTimeout))
+		wait = min(wait, timeout)
+	}
 	q := messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds(), Stale: opts.awaitRead, Ages: s.Registrar.NeedsAges()}
-	return s.queryRecords(ctx, a, q, wait+peerGrace)
+	return s.queryRecords(ctx, a, q, timeout)
 }
 
 // queryRecords queries a peer for records. The ages in the answer count up to its return.
