--- a/internal/registrar/rare_news_test.go
+++ b/internal/registrar/rare_updates_test.go
@@ -15,9 +15,9 @@
 	*registrar.Registrar
 	clock  *clocktest.FakeClock
 	reader *registrar.Registrar
-	// hearsEvery is the time between two updates, callTakes how long a call takes to fail, and pause the time between
+	// updateInterval is the time between two updates, callTakes how long a call takes to fail, and pause the time between
 	// two calls.
-	hearsEvery, callTakes, pause time.Duration
+	updateInterval, callTakes, pause time.Duration
 	// startsAt and failsAt are when the next call starts and fails, elapsed the time since the start of the test.
 	startsAt, failsAt, elapsed time.Duration
 }
@@ -48,7 +48,7 @@
 			p.reader.StoreCallSucceeded()
 			p.reader.Apply(registrar.Batch{After: 1, At: 1})
 		}
-		if p.elapsed%p.hearsEvery == 0 {
+		if p.elapsed%p.updateInterval == 0 {
 			p.Apply(p.reader.ChangesSince(1))
 		}
 	}
@@ -56,20 +56,20 @@
 
 // Guards against an outage that is accepted for a single failed call, because another process is partitioned and
 // receives updates so seldom that its failed calls look like an outage each time.
-func TestPartitionedProcessWithRareNewsShowsNoOutage(t *testing.T) {
+func TestPartitionedProcessWithRareUpdatesShowsNoOutage(t *testing.T) {
 	const (
 		maxInterval = 4 * time.Second
 		history     = 20 * time.Second
 		longestCall = 1900 * time.Millisecond
 	)
-	for hearsEvery := 500 * time.Millisecond; hearsEvery <= maxInterval; hearsEvery += 250 * time.Millisecond {
+	for updateInterval := 500 * time.Millisecond; updateInterval <= maxInterval; updateInterval += 250 * time.Millisecond {
 		for callTakes := 50 * time.Millisecond; callTakes <= longestCall; callTakes += 450 * time.Millisecond {
 			for pause := 100 * time.Millisecond; pause <= 1500*time.Millisecond; pause += 200 * time.Millisecond {
-				for firstCall := time.Duration(0); firstCall < hearsEvery; firstCall += 500 * time.Millisecond {
+				for firstCall := time.Duration(0); firstCall < updateInterval; firstCall += 500 * time.Millisecond {
 					c := clocktest.NewFakeClock(time.Unix(1000, 0))
 					reader, partitioned := newPair(c)
-					p := &partitionedProcess{Registrar: partitioned, clock: c, reader: reader, hearsEvery: hearsEvery, callTakes: callTakes, pause: pause, startsAt: firstCall}
-					p.run((history+hearsEvery-1)/hearsEvery*hearsEvery, true)
+					p := &partitionedProcess{Registrar: partitioned, clock: c, reader: reader, updateInterval: updateInterval, callTakes: callTakes, pause: pause, startsAt: firstCall}
+					p.run((history+updateInterval-1)/updateInterval*updateInterval, true)
 					announced := c.Now()
 					reader.StoreCallStarted()
 					p.run(longestCall, false)
@@ -77,7 +77,7 @@
 					reader.Apply(partitioned.ChangesSince(1))
 					got := supersededAfterPause(t, reader, c, 200*time.Millisecond)
 					must.False(t, got.After(announced), must.Sprintf("%v after the announcement: updates each %v, calls of %v each %v from %v on",
-						got.Sub(announced), hearsEvery, callTakes, pause, firstCall))
+						got.Sub(announced), updateInterval, callTakes, pause, firstCall))
 				}
 			}
 		}
