--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -281,6 +281,7 @@
 			return false
 		}
 		if opts.maxUnhelpful > 0 && unhelpful > 0 && s.storeDue() && s.untilFallback() == 0 {
+			// Another unhelpful peer would delay the fallback.
 			return false
 		}
 		if p := s.peers[a]; !opts.awaitRead && s.Clock.Now().Before(p.avoidUntil) {
@@ -289,8 +290,8 @@
 			}
 			continue
 		}
-		b, err := s.askPeer(ctx, a, opts, failed)
-		if ctx.Err() != nil {
+		b, curtailed, err := s.askPeer(ctx, a, opts, failed)
+		if ctx.Err() != nil || curtailed && timedOut(err) {
 			return false
 		}
 		failed = true
@@ -355,19 +356,21 @@
 // askPeer asks one peer. A failed peer may have used up the time for which this process's updates
 // are fresh, as when it waited itself for a suspended reader. If the next one were suspended too
 // and took as long, a change would take effect too late, so that peer has to answer at once.
-func (s *Syncer) askPeer(ctx context.Context, a netip.AddrPort, opts askOptions, failed bool) (registrar.Batch, error) {
+// Curtailed reports a call that ends as this process falls back to the store, whose timeout says little about the peer.
+func (s *Syncer) askPeer(ctx context.Context, a netip.AddrPort, opts askOptions, failed bool) (b registrar.Batch, curtailed bool, err error) {
 	at, age, _ := s.Registrar.Revision()
 	wait := opts.wait
 	if failed && age > staleAge-peerWait {
 		wait = 0
 	}
 	timeout := wait + peerGrace
-	if left := s.untilFallback(); left > 0 {
-		timeout = min(timeout, max(left, minPeerTimeout))
+	if left := s.untilFallback(); left > 0 && left < timeout {
+		timeout, curtailed = max(left, minPeerTimeout), true
 		wait = min(wait, timeout)
 	}
 	q := messenger.RecordsQuery{After: at, WaitMS: wait.Milliseconds(), Stale: opts.awaitRead, Ages: s.Registrar.NeedsAges()}
-	return s.queryRecords(ctx, a, q, timeout)
+	b, err = s.queryRecords(ctx, a, q, timeout)
+	return b, curtailed, err
 }
 
 // queryRecords queries a peer for records. The ages in the answer count up to its return.
