syncer: ask as many peers as before once only the weights are read

A process whose updates are stale asks no second unhelpful peer before the store is due. One that reads only the weights from the store keeps its old updates meanwhile, and would have found a fresh peer later (by reading).

--- a/internal/syncer/fallback.go
+++ b/internal/syncer/fallback.go
@@ -55,10 +55,10 @@
 }
 
 // untilFallback returns how long this process still relies on its peers, so that no call to one and no pause delays its
-// first call to the store in an outage; anyAge while its updates aren't stale.
+// first call to the store in an outage; anyAge while its updates aren't stale, or if it has read the weights already.
 func (s *Syncer) untilFallback() time.Duration {
 	_, age, known := s.Registrar.Revision()
-	if !known || age < staleAge {
+	if !known || age < staleAge || !s.weightsSince.IsZero() {
 		return anyAge
 	}
 	return max(0, s.fallbackAge(len(s.inService(s.plan().ahead)))-age)
