--- a/internal/registrar/call_gap_test.go
+++ b/internal/registrar/call_gap_test.go
@@ -10,7 +10,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
 )
 
-// failedRound has the calls of some processes fail, which then hear of each other's.
+// failedRound has the calls of some processes fail, and then has all receive the others' updates.
 func failedRound(c *clocktest.FakeClock, rs, calling []*registrar.Registrar) {
 	c.Step(500 * time.Millisecond)
 	for _, r := range rs {
