--- a/internal/scheduler/agent_backoff.go
+++ b/internal/scheduler/agent_backoff.go
@@ -80,8 +80,7 @@
 
 // loadUnknown reports whether no load of an engine with an agent has been received since this process or the
 // engine started, or the last one was that of a closed engine that may have opened since. The last load received from
-// an open one counts whatever its age: treating loads as unknown after 5 s cost 0.002 of the worth in trials while half
-// of the agents are gone.
+// an open one counts whatever its age.
 func (u *upstreamState) loadUnknown(k Candidate, now time.Time) bool {
 	return k.Agent && (u.loadAt.IsZero() || !u.closedLoadUntil.IsZero() && !now.Before(u.closedLoadUntil))
 }
--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -133,21 +133,7 @@
 	s.mu.Lock()
 	s.watches++
 	s.mu.Unlock()
-	over := time.After(wait)
-	for {
-		b, changed := s.changesAfter(after)
-		b.Records = withPrefix(b.Records, prefix)
-		if len(b.Records) > 0 {
-			return b, nil
-		}
-		select {
-		case <-changed:
-		case <-over:
-			return b, nil
-		case <-ctx.Done():
-			return b, ctx.Err()
-		}
-	}
+	return awaitRecords(ctx, wait, prefix, func() (registrar.Batch, <-chan struct{}) { return s.changesAfter(after) })
 }
 
 // nodeStore is the store as reached by one node.
--- a/internal/syncer/network_test.go
+++ b/internal/syncer/network_test.go
@@ -157,9 +157,14 @@
 	r.mu.Lock()
 	r.watches = append(r.watches, r.id)
 	r.mu.Unlock()
+	return awaitRecords(ctx, wait, prefix, func() (registrar.Batch, <-chan struct{}) { return r.since(after) })
+}
+
+// awaitRecords waits until there are changed records whose keys have a prefix, at most for a time.
+func awaitRecords(ctx context.Context, wait time.Duration, prefix string, read func() (b registrar.Batch, changed <-chan struct{})) (registrar.Batch, error) {
 	over := time.After(wait)
 	for {
-		b, changed := r.since(after)
+		b, changed := read()
 		b.Records = withPrefix(b.Records, prefix)
 		if len(b.Records) > 0 {
 			return b, nil
