relayer, hoster: log what a stopping entry accepts, and on what

Whether a lost request was cut by its entry or ended with the entry's kill couldn't be told from the logs: requests are named once they have ended, so one that dies with its entry has no line.

A stopping entry logs each request that it sends to an upstream, with the time until its cut, the rest of the caller's time limit and the predicted end. Requests without a whole answer have their time limit and predicted end. The entry logs how many connections are open as it accepts no more, and as it cuts.

--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -150,9 +150,10 @@
 	}()
 	s.AskToClose()
 	_ = timekeeper.WaitUntil(ctx, h.Clock, startedAt.Add(staleAnswerPeriod))
+	klog.InfoS("Entry accepts no more connections", "after", h.Clock.Since(startedAt), "open", s.Open())
 	if err := s.Drain(ctx); err != nil {
 		left, _ := h.CutIn()
-		klog.InfoS("Requests cut at the end of the grace period", "late", -left, "margin", kill.margin(), "err", err)
+		klog.InfoS("Requests cut at the end of the grace period", "open", s.Open(), "late", -left, "margin", kill.margin(), "err", err)
 		// Only handlers can properly end a reply that has started, or answer a request without one.
 		cut(&GraceError{Grace: h.Grace})
 		endCtx, cancel := context.WithTimeout(context.Background(), cutTimeout+kill.LateTime())
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -51,7 +51,10 @@
 
 // progressFields returns log fields on how far a request got before its last attempt failed with an error.
 func (c *call) progressFields(err error) []any {
-	fields := []any{"status", c.status, "outcome", c.outcome, "attempts", c.attempts, "tried", c.Tried}
+	fields := []any{"status", c.status, "outcome", c.outcome, "attempts", c.attempts, "tried", c.Tried, "limit", c.timeLimit()}
+	if !c.endPredicted.IsZero() {
+		fields = append(fields, "endPredicted", c.endPredicted)
+	}
 	var s *SendError
 	if errors.As(err, &s) {
 		fields = append(fields, "silence", s.Silence)
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -142,10 +142,12 @@
 	}
 	r.call.Localizer.RequestSent(r.call.ID, r.call.SharedParts())
 	started, err = r.call.closeUnlessStarted(r.place, conn)
-	if err == nil {
-		r.conn, r.started = conn, started
+	if err != nil {
+		return nil, err
 	}
-	return started, err
+	r.conn, r.started = conn, started
+	r.logIfStopping()
+	return started, nil
 }
 
 // setGap limits the wait for the next bytes, unless a hedge or the attempt beside it decides on that.
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -31,6 +31,8 @@
 	delivered int
 	// unnumbered reports that the last data sent has no id, so that the rest can't be requested elsewhere.
 	unnumbered bool
+	// endPredicted is when the last attempt's agent expected its reply to end; zero if unknown.
+	endPredicted time.Time
 	// nextPlace is the place reserved for the next attempt; nil for none.
 	nextPlace *Placement
 	mover     moveState
@@ -80,6 +82,7 @@
 func (l *Relayer) attemptAt(ctx context.Context, j *Job, place *Placement, attempt Attempt) error {
 	defer place.Release()
 	j.sends++
+	j.endPredicted = place.Ends
 	j.events, j.firstEventAt, j.mover.paceLearned = 0, time.Time{}, false
 	err := attempt(ctx, place)
 	j.recordOutcome(place, err)
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -120,6 +122,17 @@
 	return nil
 }
 
+// logIfStopping logs that an entry which shuts down sends a request. If it is killed, no later line names the request.
+func (r *reception) logIfStopping() {
+	p, j := r.call.Placer, &r.call.Job
+	cutIn, draining := p.timeToCut()
+	if !draining {
+		return
+	}
+	klog.InfoS("Sent by stopping entry", "request", j.ID, "upstream", r.place.Upstream.ID, "after", p.Clock.Since(j.Arrived), "cutIn", cutIn,
+		"limitLeft", j.Deadline.Sub(p.Clock.Now()), "endPredicted", r.place.Ends, "hedged", r.hedged, "resuming", r.resuming)
+}
+
 // unloadedTime is how long an engine with these figures takes for a job that it runs alone.
 func unloadedTime(e *matcher.Engine, j *Job) time.Duration {
 	return scheduler.ReadTime(e, j.Prompt) + time.Duration(j.ExpectedAnswer())*scheduler.StepTime(e, 1)
