relayer, hoster: accept late requests by their own time limit alone

Callers lost streams that an entry took 3.0 to 3.3 s after SIGTERM and cut at the end of its grace, 7.85 s after it.

Cause: whether a stream ends before the cut was predicted. A prediction knows neither a silence nor an engine that turns slow; without one (plain upstreams, slots without a grant, agents that state no end) any request was taken; and the cut itself moves up to 1.2 s forward as the entry stalls, after a stream was accepted for the later one.

A request that would be lost by a cut is accepted only if its own time limit ends before the earliest time at which the entry may cut, whatever is predicted: 5/6 of the grace after the probable time of the signal. These are the requests that were read more than 3 s after the signal, and all of an entry that stalled as the signal came, as its cut may come before the last sixth of the grace. What has more time is refused at once, with the time to retry. Others are taken on a prediction as before.

The new tests of relayer fail without the check.

--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -75,6 +75,16 @@
 	return kill.CutAt().Sub(h.Clock.Now()), true
 }
 
+// MustEndIn implements relayer.Shutdown.
+func (h *Hoster) MustEndIn(age time.Duration) (time.Duration, bool) {
+	kill := h.kill.Load()
+	if kill == nil {
+		return 0, false
+	}
+	now := h.Clock.Now()
+	return kill.EarliestCut().Sub(now), !kill.MayCut(now.Add(-age))
+}
+
 // LeastTime implements relayer.Shutdown. Without a stall, all requests of callers with an old directory answer have
 // that much time. An entry that stalls repeatedly reads a reply up to a stall later.
 func (h *Hoster) LeastTime() time.Duration {
--- a/internal/hoster/kill.go
+++ b/internal/hoster/kill.go
@@ -18,6 +18,9 @@
 	marginStalls = 3
 	// maxMarginShare is the part of the grace that stalls may take: before its last sixth a cut reply counts as lost.
 	maxMarginShare = 6
+	// cuttablePeriod is how long after the signal requests may arrive that are cut in the last sixth of the grace without
+	// counting as lost: callers' directory answers have expired by then.
+	cuttablePeriod = 3 * AnswerTTL
 )
 
 // Kill is the end of the grace of a process that received the signal to stop. Set the exported fields before use.
@@ -31,14 +34,27 @@
 }
 
 // CutAt is when the process should cut its requests. It changes as the process stalls.
-func (k *Kill) CutAt() time.Time {
-	cutAt, starvedAt := k.Signal.Earliest.Add(k.Grace-killMargin), k.Signal.Probable.Add(k.Grace-k.margin())
+func (k *Kill) CutAt() time.Time { return k.cutAt(k.margin()) }
+
+// EarliestCut is the earliest time at which the process may cut its requests, however it stalls from now on.
+func (k *Kill) EarliestCut() time.Time { return k.cutAt(k.maxMargin()) }
+
+// cutAt is when to cut requests if a process that stalls leaves a margin before the kill.
+func (k *Kill) cutAt(margin time.Duration) time.Time {
+	cutAt, starvedAt := k.Signal.Earliest.Add(k.Grace-killMargin), k.Signal.Probable.Add(k.Grace-margin)
 	if starvedAt.Before(cutAt) {
 		return starvedAt
 	}
 	return cutAt
 }
 
+// MayCut reports whether a request that arrived at a time may be cut. Others are lost if they are cut, and have to end by
+// their own time limit before EarliestCut.
+func (k *Kill) MayCut(arrived time.Time) bool {
+	lastSixth := k.Signal.Latest.Add(k.Grace - k.maxMargin())
+	return !arrived.After(k.Signal.Earliest.Add(cuttablePeriod)) && !k.EarliestCut().Before(lastSixth)
+}
+
 // LateTime is how much longer than usual requests that are cut now may take, as the process stalls or was stalled. One that
 // stalls repeatedly may need several runs for them.
 func (k *Kill) LateTime() time.Duration {
@@ -51,5 +67,7 @@
 
 // margin is the time to leave before the kill.
 func (k *Kill) margin() time.Duration {
-	return max(killMargin, min(killMargin+marginStalls*k.Stalls.Recurring(), k.Grace/maxMarginShare))
+	return min(killMargin+marginStalls*k.Stalls.Recurring(), k.maxMargin())
 }
+
+func (k *Kill) maxMargin() time.Duration { return max(killMargin, k.Grace/maxMarginShare) }
--- a/internal/hoster/stalled_test.go
+++ b/internal/hoster/stalled_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/wait"
 	"k8s.io/utils/clock"
 	clocktest "k8s.io/utils/clock/testing"
+	"pgregory.net/rapid"
 
 	"github.com/oriolecroft/oriolecroft/internal/detector"
 	"github.com/oriolecroft/oriolecroft/internal/hoster"
@@ -151,6 +152,72 @@
 	}
 }
 
+// Guards against requests that may be cut though that loses them: those that arrive late, and all of an entry that may cut
+// before the last sixth of its grace.
+func TestRequestsThatMayNotBeCut(t *testing.T) {
+	const ms = time.Millisecond
+	for name, e := range map[string]struct {
+		// stall is the time for which the entry is stalled as the signal comes, after the time since then.
+		stall, after, age time.Duration
+		mayCut            bool
+		// in is the time until the earliest cut.
+		in time.Duration
+	}{
+		"in progress":                   {0, 0, time.Second, true, stalledGrace * 5 / 6},
+		"arrives with an old answer":    {0, 3000 * ms, 0, true, stalledGrace*5/6 - 3000*ms},
+		"arrives later":                 {0, 3001 * ms, 0, false, stalledGrace*5/6 - 3001*ms},
+		"arrived in time, placed later": {0, 3200 * ms, 300 * ms, true, stalledGrace*5/6 - 3200*ms},
+		"stalled for a moment":          {200 * ms, 0, time.Second, false, stalledGrace*5/6 - 200*ms},
+		"stalled for long":              {2800 * ms, 0, time.Second, false, stalledGrace*5/6 - 2800*ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.NewFakeClock(time.Unix(1000, 0))
+			w := newStalledEntry(t, c, answerTime)
+			_, mustEnd := w.MustEndIn(0)
+			must.False(t, mustEnd, must.Sprint("the entry keeps running"))
+			c.Step(e.stall)
+			w.stopAndWait(t)
+			for left := e.after; left > 0; left -= starvedRun {
+				c.Step(min(left, starvedRun))
+				w.stalls.Recurring()
+			}
+			in, mustEnd := w.MustEndIn(e.age)
+			must.Eq(t, e.mayCut, !mustEnd)
+			must.Between(t, e.in-time.Microsecond, in, e.in+time.Microsecond)
+			stepUntil(c, func() bool { return len(w.ended) > 0 })
+			must.NoError(t, <-w.ended)
+		})
+	}
+}
+
+// Guards against a cut that moves forward, as the entry stalls, past the end of a request that was accepted for it.
+func TestCutIsNeverBeforeTheEarliest(t *testing.T) {
+	stalls := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) time.Duration {
+		return time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+	}), 0, 8)
+	rapid.Check(t, func(t *rapid.T) {
+		c := clocktest.NewFakeClock(time.Unix(1000, 0))
+		d := newStalls(c)
+		stall := func(name string) {
+			for _, length := range stalls.Draw(t, name) {
+				c.Step(length)
+				d.Recurring()
+				c.Step(starvedRun)
+				d.Recurring()
+			}
+		}
+		stall("before")
+		k := &hoster.Kill{Signal: d.Event(), Grace: stalledGrace, Clock: c, Stalls: d}
+		signalledAt, earliest := c.Now(), k.EarliestCut()
+		stall("after")
+		must.Eq(t, earliest, k.EarliestCut())
+		must.False(t, k.CutAt().Before(earliest))
+		if k.MayCut(signalledAt) {
+			must.False(t, k.CutAt().Before(signalledAt.Add(stalledGrace-stalledGrace/6)))
+		}
+	})
+}
+
 // Guards against connections of a starved entry that are closed before it had the processor time to answer on them.
 func TestStarvedEntryAnswersCutRequests(t *testing.T) {
 	c := clocktest.NewFakeClock(time.Unix(1000, 0))
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -39,6 +39,8 @@
 	Deadline time.Time
 	// Arrived is when the request was received.
 	Arrived time.Time
+	// received is when the whole request was read; zero for as soon as it arrived.
+	received time.Time
 	// Again is set after an attempt failed or a stream broke off. To preserve what the caller
 	// already got, such a request may miss its objective.
 	Again bool
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -99,6 +99,7 @@
 	if !c.admitMemory() || !c.resolveRoute() || !c.readBody() {
 		return
 	}
+	c.received = l.Clock.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	ctx, stop := c.limitFirstEvent(ctx)
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -30,6 +30,9 @@
 type Shutdown interface {
 	// CutIn is the time until replies in progress are cut; false for an entry that keeps running.
 	CutIn() (time.Duration, bool)
+	// MustEndIn is the time in which a request of some age must end by its own time limit, as a cut would lose it; false
+	// if it may be cut.
+	MustEndIn(age time.Duration) (time.Duration, bool)
 	// LeastTime is the time that must be left until then for a request of unknown length; 0 for any.
 	LeastTime() time.Duration
 	// RetryAfter is when refused callers of a host should retry.
@@ -38,7 +41,8 @@
 
 // ShutdownError reports a request that could not end before its entry does.
 type ShutdownError struct {
-	// Takes is the predicted time for the request, CutIn the time left.
+	// Takes is the predicted time for the request, or the rest of its time limit if a prediction isn't enough; CutIn is the
+	// time left.
 	Takes, CutIn time.Duration
 }
 
@@ -63,16 +67,35 @@
 	return left, false
 }
 
-// checkTimeLeft reports whether a job that needs some time can end before this entry does. One that may have run
+// checkTimeLeft reports whether a job that should take some time can end before this entry does. One that may have run
 // already continues, as it can't be refused.
 func (p *Placer) checkTimeLeft(j *Job, takes time.Duration) *ShutdownError {
+	if p.Shutdown == nil || j.Again {
+		return nil
+	}
+	now := p.Clock.Now()
+	if in, must := p.Shutdown.MustEndIn(j.age(now)); must {
+		takes = j.Deadline.Sub(now)
+		if takes > in {
+			return &ShutdownError{Takes: takes, CutIn: in}
+		}
+		return nil
+	}
 	left, cut := p.timeLeft(j)
-	if !cut || j.Again || takes <= left {
+	if !cut || takes <= left {
 		return nil
 	}
 	return &ShutdownError{Takes: takes, CutIn: left}
 }
 
+// age is the time since a job's whole request was received.
+func (j *Job) age(now time.Time) time.Duration {
+	if j.received.IsZero() {
+		return now.Sub(j.Arrived)
+	}
+	return now.Sub(j.received)
+}
+
 // checkLeastTime is checkTimeLeft for a job of unknown length.
 func (p *Placer) checkLeastTime(j *Job) *ShutdownError {
 	if p.Shutdown == nil {
--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,8 +11,10 @@
 
 	"github.com/shoenig/test/must"
 	"k8s.io/utils/clock"
+	clocktest "k8s.io/utils/clock/testing"
 
 	"github.com/oriolecroft/oriolecroft/internal/matcher"
+	"github.com/oriolecroft/oriolecroft/internal/relayer"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
 
@@ -22,6 +25,13 @@
 type fakeShutdown struct {
 	left  atomic.Int64
 	least time.Duration
+	// mustEndIn is the time in which all requests must end; 0 if they may be cut.
+	mustEndIn atomic.Int64
+}
+
+func (s *fakeShutdown) MustEndIn(time.Duration) (time.Duration, bool) {
+	in := time.Duration(s.mustEndIn.Load())
+	return in, in > 0
 }
 
 func (s *fakeShutdown) LeastTime() time.Duration { return s.least }
@@ -140,3 +150,81 @@
 		})
 	}
 }
+
+// Guards against requests that a stopping entry accepts on a prediction, or without one, and loses as it cuts them.
+func TestRequestsThatMayNotBeCutMustEndByTheirTimeLimit(t *testing.T) {
+	const mustEndIn, left = 5 * time.Second, 7 * time.Second
+	ways := map[string]func(t *testing.T) (w *testEntry, s *fakeShutdown, path string){
+		"granted": func(t *testing.T) (*testEntry, *fakeShutdown, string) {
+			w, s := newSlowEngineWorld(t)
+			return w, s, "/draft/"
+		},
+		"plain": func(t *testing.T) (*testEntry, *fakeShutdown, string) {
+			return newTestEntry(t, newUpstream(t, "desk", serves)), &fakeShutdown{}, "/once/"
+		},
+		"resumed by its caller": func(t *testing.T) (*testEntry, *fakeShutdown, string) {
+			return newTestEntry(t, newUpstream(t, "desk", streamsEvents(numberedEvents(3, 4)...))), &fakeShutdown{}, "/stream/"
+		},
+	}
+	for name, newWay := range ways {
+		for limit, refused := range map[string]bool{"4000": false, "6000": true, "": true} {
+			t.Run(name+", time limit "+limit, func(t *testing.T) {
+				w, s, path := newWay(t)
+				s.left.Store(int64(left))
+				s.mustEndIn.Store(int64(mustEndIn))
+				w.relayer.Placer.Shutdown = s
+				a := w.sendWithHeader(t, path, "order", http.Header{"Id": {"r1"}, "Key": {"k"}, "Answer": {"20"}, "Last": {"2"}, "Patience": {limit}})
+				if refused {
+					mustRefuseForShutdown(t, w, a)
+					return
+				}
+				must.Eq(t, http.StatusOK, a.status)
+			})
+		}
+	}
+}
+
+// Guards against the same without a grant, while the engine's agent is unresponsive.
+func TestUngrantedRequestsThatMayNotBeCutMustEndByTheirTimeLimit(t *testing.T) {
+	for name, e := range map[string]struct {
+		limit   time.Duration
+		refused bool
+	}{
+		"ends before the cut": {4 * time.Second, false},
+		"ends after the cut":  {6 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := clocktest.NewFakeClock(time.Unix(1000, 0))
+			p, table := newPlacer(c, 0, 1)
+			s := &fakeShutdown{}
+			s.left.Store(int64(7 * time.Second))
+			s.mustEndIn.Store(int64(5 * time.Second))
+			p.Shutdown = s
+			j := &relayer.Job{Route: table.Routes[0], Service: "engines", Arrived: c.Now(), Deadline: c.Now().Add(e.limit)}
+			j.ID, j.Model, j.Prompt = "id", "m", 800
+			_, err := p.Place(t.Context(), j)
+			if !e.refused {
+				must.NoError(t, err)
+				return
+			}
+			var refused *relayer.RefusedError
+			must.True(t, errors.As(err, &refused))
+			must.NotNil(t, refused.Shutdown)
+		})
+	}
+}
+
+// Guards against a stream that its entry gives up as it begins to stop, though another upstream can continue it.
+func TestStreamIsContinuedWhenItsEntryShutsDown(t *testing.T) {
+	s := &fakeShutdown{}
+	w := firstThen(t, func(_ int, id string, conn net.Conn) bool {
+		writeString(conn, streamHead(id)+chunked(event(1)))
+		s.left.Store(int64(7 * time.Second))
+		s.mustEndIn.Store(int64(time.Millisecond))
+		return false
+	}, streamsEvents(numberedEvents(2, 3)...))
+	w.relayer.Placer.Shutdown = s
+	a := w.request(t, "/stream/", "r1")
+	must.False(t, a.broken)
+	must.Eq(t, event(1)+event(2)+event(3), a.body)
+}
