relayer: check the time left before each send that can still be refused

An attempt that its upstream refused marked the request as failed, and the next one was sent without another look at the time left until its entry's cut. If SIGTERM came between its placement and the opened connection, the request was sent and cut, though it hadn't run and could have been refused. Only a hedge is exempt now, as the attempt beside it may have run; one after an attempt that may have run is by Job.Again.

TestRefusedAttemptIsNotRepeatedBeyondTheCut/placed_true failed before.

--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -135,7 +135,7 @@
 // checkTimeLeft checks that the reply can end before this entry does, if the request can still be refused. Errors
 // are *RefusedError.
 func (r *reception) checkTimeLeft() error {
-	if r.failed {
+	if r.hedged {
 		return nil
 	}
 	p, j := r.call.Placer, &r.call.Job
--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -214,6 +215,33 @@
 	}
 }
 
+// Guards against a request that its upstream refuses and its entry, which begins to stop, sends to another one.
+func TestRefusedAttemptIsNotRepeatedBeyondTheCut(t *testing.T) {
+	for _, placed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("placed %v", placed), func(t *testing.T) {
+			s := &fakeShutdown{}
+			stop := func() {
+				s.left.Store(int64(7 * time.Second))
+				s.mustEndIn.Store(int64(5 * time.Second))
+			}
+			w := firstThen(t, func(n int, id string, conn net.Conn) bool {
+				if !placed {
+					stop()
+				}
+				return refuses(n, id, conn)
+			}, serves)
+			w.relayer.Placer.Shutdown = s
+			var connections atomic.Int32
+			w.relayer.Pool.Opened = func() {
+				if connections.Add(1) == 2 {
+					stop()
+				}
+			}
+			must.Eq(t, http.StatusServiceUnavailable, w.requestWithin(t, "/once/", "r1", 6*time.Second).status)
+		})
+	}
+}
+
 // Guards against a stream that its entry gives up as it begins to stop, though another upstream can continue it.
 func TestStreamIsContinuedWhenItsEntryShutsDown(t *testing.T) {
 	s := &fakeShutdown{}
