hoster: allow for an unnoticed stall when a request counts as late

A stall of less than 100 ms isn't noticed, so SIGTERM may be that much older than the entry takes it for. A stream sent between 3.0 and 3.1 s after SIGTERM could then still be accepted on a prediction, and be lost by the cut.

Requests count as late 0.1 s earlier. TestRequestsThatMayNotBeCut has the new bounds.

--- a/internal/hoster/kill.go
+++ b/internal/hoster/kill.go
@@ -18,9 +18,11 @@
 	marginStalls = 3
 	// maxMarginShare is the part of the grace that stalls may take: before its last sixth a cut reply counts as lost.
 	maxMarginShare = 6
+	// maxUnnoticedStall is how much older the signal may be than its earliest time, as a shorter stall isn't noticed.
+	maxUnnoticedStall = 100 * time.Millisecond
 	// cuttablePeriod is how long after the signal requests may arrive that are cut in the last sixth of the grace without
-	// counting as lost: callers' directory answers have expired by then.
-	cuttablePeriod = 3 * AnswerTTL
+	// counting as lost: callers' directory answers expire by its end.
+	cuttablePeriod = 3*AnswerTTL - maxUnnoticedStall
 )
 
 // Kill is the end of the grace of a process that received the signal to stop. Set the exported fields before use.
--- a/internal/hoster/stalled_test.go
+++ b/internal/hoster/stalled_test.go
@@ -164,8 +164,8 @@
 		in time.Duration
 	}{
 		"in progress":                   {0, 0, time.Second, true, stalledGrace * 5 / 6},
-		"arrives with an old answer":    {0, 3000 * ms, 0, true, stalledGrace*5/6 - 3000*ms},
-		"arrives later":                 {0, 3001 * ms, 0, false, stalledGrace*5/6 - 3001*ms},
+		"arrives with an old answer":    {0, 2900 * ms, 0, true, stalledGrace*5/6 - 2900*ms},
+		"arrives later":                 {0, 2901 * ms, 0, false, stalledGrace*5/6 - 2901*ms},
 		"arrived in time, placed later": {0, 3200 * ms, 300 * ms, true, stalledGrace*5/6 - 3200*ms},
 		"stalled for a moment":          {200 * ms, 0, time.Second, false, stalledGrace*5/6 - 200*ms},
 		"stalled for long":              {2800 * ms, 0, time.Second, false, stalledGrace*5/6 - 2800*ms},
