soak: streams with silences to entries that stop, late

No caller of the soak waited for longer than 2.5 s, so that no stream outlasted an entry. When an entry is stopped, six streams whose engines are silent for 1.5 s now come 3.0 to 3.3 s after SIGTERM, from callers that wait for 6 s.

--- a/soak/soaker/faults.go
+++ b/soak/soaker/faults.go
@@ -19,7 +19,7 @@
 	case entryKill:
 		entry.kill()
 	case entryStop:
-		entry.terminate()
+		w.stopEntry(f.Target)
 	case reload:
 		all := w.processes()
 		all[f.Target%len(all)].reload(f.Amount)
--- a/soak/soaker/operators.go
+++ b/soak/soaker/operators.go
@@ -20,6 +20,7 @@
 	draftPrefix   = "/draft/"
 	oncePrefix    = "/oncedraft/"
 	homePrefix    = "/homedraft/"
+	reportPrefix  = "/report/"
 	bookPrefix    = "/book/"
 	lookPrefix    = "/look/"
 	publicPrefix  = "/public/"
@@ -62,13 +63,15 @@
 	drafts, once, homes := route(draftPrefix, engineService, standin.Streaming), route(oncePrefix, engineService, standin.Streaming), route(homePrefix, engineService, standin.Streaming)
 	drafts.Resume, homes.Resume = true, true
 	homes.Regions = []string{homeRegion}
+	reports := route(reportPrefix, engineService, standin.Streaming)
+	reports.Resume, reports.Timeout = true, reportLimit
 	public := route(publicPrefix, portalService, standin.Idempotent)
 	public.Public = true
 	o.table = standin.Table{
 		Host: host, Version: 1, Engines: []string{engineService}, Services: []string{bookingService, portalService},
 		Origin: netip.MustParseAddrPort(w.originLink.Addr().String()), OriginDomain: domains[0].name, ColdRate: coldRate, Engine: engineFigures,
 		Routes: []standin.Route{
-			drafts, once, homes, public, route(bookPrefix, bookingService, standin.NonIdempotent),
+			drafts, once, homes, reports, public, route(bookPrefix, bookingService, standin.NonIdempotent),
 			route(lookPrefix, bookingService, standin.Idempotent), route(movingPrefix, bookingService, standin.NonIdempotent),
 		},
 		Workspaces: []standin.Workspace{
--- a/soak/soaker/process.go
+++ b/soak/soaker/process.go
@@ -135,14 +135,17 @@
 }
 
 // terminate asks the process to end and kills it after the grace period.
-func (p *process) terminate() {
+func (p *process) terminate() { p.beginStop()() }
+
+// beginStop asks the process to end. Wait, which has to be called at once, kills it after the grace period.
+func (p *process) beginStop() (wait func()) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	cmd, done := p.cmd, p.done
 	p.signaled = true
 	p.observe(auditor.Stopping{Entry: p.name})
 	p.signal(syscall.SIGTERM)
-	p.mu.Unlock()
-	p.awaitEnd(cmd, done)
+	return func() { p.awaitEnd(cmd, done) }
 }
 
 // awaitEnd kills a process that has not ended within the grace period.
