detector: date SIGTERM by the last signal that the process has received

An entry that is short of processor time may handle SIGTERM more than 0.25 s after it resumed from a stall. It then takes the signal for just sent, accepts callers and counts its grace from then, and is killed with its requests before it cuts them, without a line in its log.

Cause: how long a process takes to handle what came during a stall was assumed (0.25 s).

Each 25 ms the detector sends its process a signal that is ignored by default. One that is sent before a received probe has been received before it, as the kernel delivers the lower number first. SIGTERM is dated back to the last received probe if that is older than 0.1 s, and no request is then accepted that its time limit doesn't end in time.

--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -181,6 +181,7 @@
 	}()
 	d.supervisor.Add(reloader{d})
 	d.supervisor.Add(d.stalls)
+	go d.stalls.WatchSignals(logCtx, syscall.SIGTERM, os.Interrupt)
 	defer d.exitBeforeKill(ctx)()
 	klog.InfoS("Process starts", "vm", d.settings.Name, "failureDomain", d.settings.FailureDomain, "pid", os.Getpid())
 	err := reporter.RunUntil(ctx, d.supervisor, shutDown)
@@ -206,7 +207,7 @@
 func (d *daemon) exitBeforeKill(ctx context.Context) (cancel func()) {
 	ended, end := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, func() {
-		kill := &hoster.Kill{Signal: d.stalls.Event(), Grace: d.settings.Bounds.Grace, Clock: d.ageClock, Stalls: d.stalls}
+		kill := &hoster.Kill{Signal: d.stalls.StopSignal(), Grace: d.settings.Bounds.Grace, Clock: d.ageClock, Stalls: d.stalls}
 		if timekeeper.WaitFor(ended, d.ageClock, kill.CutAt) != nil {
 			return
 		}
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -1,4 +1,4 @@
-// Package detector detects stalls of the process, and bounds the time of events that it handles after one.
+// Package detector detects stalls of the process, and bounds the time of events and signals that it handles after one.
 package detector
 
 import (
@@ -60,6 +60,7 @@
 	stalls []stall
 	// recent are those of recentTime, in order, also those that only count if they recur.
 	recent []stall
+	probes signalProbes
 }
 
 // stall is a time in which the process did not run.
@@ -78,7 +79,7 @@
 	defer t.Stop()
 	for {
 		d.mu.Lock()
-		d.check()
+		d.probes.send(d.check())
 		d.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -90,11 +91,16 @@
 
 func (d *Detector) String() string { return "stalls" }
 
-// Event bounds the time of an event that the process handles now, such as a signal. An event during a stall is
+// Event bounds the time of an event that the process handles now. An event during a stall is
 // handled some time after it, and possibly after another stall.
 func (d *Detector) Event() Event {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.event()
+}
+
+// event is Event with the mutex locked.
+func (d *Detector) event() Event {
 	now := d.check()
 	e := Event{Earliest: now, Probable: now, Latest: now}
 	left := noticeTime
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -147,7 +147,7 @@
 // drain removes the entry from the directory at once, serves callers that still
 // connect, and closes the listener when directory answers that list it have expired.
 func (h *Hoster) drain(s *drainer.Server, cut context.CancelCauseFunc) {
-	kill := &Kill{Signal: h.Stalls.Event(), Grace: h.Grace, Clock: h.Clock, Stalls: h.Stalls}
+	kill := &Kill{Signal: h.Stalls.StopSignal(), Grace: h.Grace, Clock: h.Clock, Stalls: h.Stalls}
 	h.kill.Store(kill)
 	startedAt := kill.Signal.Latest
 	klog.InfoS("Entry draining", "signalAge", kill.Signal.Uncertainty(), "stalls", kill.Signal.Stalls, "cutIn", kill.CutAt().Sub(startedAt))
