--- a/internal/detector/signals.go
+++ b/internal/detector/signals.go
@@ -20,8 +20,8 @@
 	maxQueuedSignals = 8
 )
 
-// signalProbes are signals that the process sends itself. One that is short of processor time handles signals late; a
-// signal that was sent before a received probe has been received before it.
+// signalProbes are signals that the process sends itself, as one that is short of processor time handles signals late. A
+// signal to stop that was sent before a probe is received before it.
 type signalProbes struct {
 	active bool
 	// sentAt is when the probe under way was sent; zero for none.
@@ -82,6 +82,7 @@
 	}
 }
 
+// receive records a probe, or the first signal to stop.
 func (d *Detector) receive(s os.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/hoster/kill.go
+++ b/internal/hoster/kill.go
@@ -50,8 +50,8 @@
 	return cutAt
 }
 
-// MayCut reports whether a request that arrived at a time may be cut. Others are lost if they are cut, and have to end by
-// their own time limit before EarliestCut.
+// MayCut reports whether a request that arrived at a time may be cut. Others would be lost, and have to end by their own
+// time limit before EarliestCut.
 func (k *Kill) MayCut(arrived time.Time) bool {
 	lastSixth := k.Signal.Latest.Add(k.Grace - k.maxMargin())
 	return !arrived.After(k.Signal.Earliest.Add(cuttablePeriod)) && !k.EarliestCut().Before(lastSixth)
@@ -72,4 +72,5 @@
 	return min(killMargin+marginStalls*k.Stalls.Recurring(), k.maxMargin())
 }
 
+// maxMargin is the time to leave at most, however long the process stalls.
 func (k *Kill) maxMargin() time.Duration { return max(killMargin, k.Grace/maxMarginShare) }
--- a/internal/hoster/stalled_test.go
+++ b/internal/hoster/stalled_test.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// Guards against requests that may be cut though that loses them: those that arrive late, and all of an entry that may cut
-// before the last sixth of its grace.
+// Guards against requests that an entry may cut although that loses them: late ones, and all of an entry that may cut before
+// the last sixth of its grace.
 func TestRequestsThatMayNotBeCut(t *testing.T) {
 	const ms = time.Millisecond
 	for name, e := range map[string]struct {
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -127,8 +127,8 @@
 	return &RefusedError{Reason: err.Error(), RetryAfter: p.Shutdown.RetryAfter(j.Route.Host), Shutdown: err, Met: j.refusals}
 }
 
-// checkTimeLeft checks that the reply can end before this entry does, if the request can still be refused. Errors
-// are *RefusedError.
+// checkTimeLeft checks that the reply can end before this entry does, if the request can still be refused: one with a hedge
+// may have run already. Errors are *RefusedError.
 func (r *reception) checkTimeLeft() error {
 	if r.hedged {
 		return nil
