acceptor: limit the connections and memory of all clients of a process

Clients that send long heads, hold back bodies or don't read replies took an entry or an agent on the platform far over the memory of its VM: each listener limited one head, and nothing limited all of them together, nor the parsed form of a head, which takes up to twenty times its bytes. Idle connections took all descriptors, and callers got no answer.

One acceptor.Limits now counts, over all listeners of a process, connections, bytes of heads at the cost of their parsed form, bodies and running requests. If there is no room, it closes connections: those with incomplete heads first, then idle ones, then those with incomplete bodies; what runs stays. Connections are limited to half of the sockets that the store, peers and listeners leave, as each may need one to an upstream. Requests of a listener other than the callers' take a quarter of the limits at most. The relayer counts requests there too, and a copy of their header, in place of its own semaphore.

--- a/cmd/oriolecroft/daemon.go
+++ b/cmd/oriolecroft/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"runtime/debug"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/configurer"
 	"github.com/oriolecroft/oriolecroft/internal/logger"
@@ -42,6 +44,19 @@
 	return s.Certifier()
 }
 
+// mainShare is the share of a process's limits for the requests of the listener that it is there for, so that some is left
+// for peers and operators.
+const mainShare = 0.75
+
+// listen opens a port.
+func listen(address netip.AddrPort, limits *acceptor.Limits) (*acceptor.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, listenError(err, address)
+	}
+	return limits.Listen(l), nil
+}
+
 // listenError adds the address and a hint to an error of net.Listen.
 func listenError(err error, address netip.AddrPort) error {
 	return oops.Hint("is another process on that port, and is the address this VM's?").Wrapf(err, "listen on %v", address)
--- a/cmd/oriolecroft/platform.go
+++ b/cmd/oriolecroft/platform.go
@@ -20,6 +20,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/connector"
 	"github.com/oriolecroft/oriolecroft/internal/detector"
 	"github.com/oriolecroft/oriolecroft/internal/hoster"
@@ -94,8 +95,10 @@
 	// observer keeps the terms that upstreams state; nil in an agent.
 	observer *observer.Observer
 	// localizer finds prompts that crash upstreams; nil in an agent.
-	localizer  *localizer.Localizer
-	metrics    metrics.Registry
+	localizer *localizer.Localizer
+	metrics   metrics.Registry
+	// limits are those of all clients.
+	limits     *acceptor.Limits
 	supervisor *suture.Supervisor
 	log        *logger.Writer
 	// clock is for times that the standard library uses too, such as deadlines. It does
@@ -141,6 +144,7 @@
 		ageClock:   ageClock,
 		hangups:    hangups,
 	}
+	d.limits = newLimits(s, d.metrics)
 	d.stalls = detector.New(ageClock, d.metrics)
 	d.registrar = &registrar.Registrar{
 		Clock: ageClock, WallClock: d.clock, Decode: platform.Decode, Linger: time.Duration(lingerDrainShare * float64(s.Bounds.Drain)),
@@ -149,15 +153,22 @@
 	return d, nil
 }
 
-// listen opens a port for the system's own processes.
-func (d *daemon) listen(a netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", a.String())
-	if err != nil {
-		return nil, listenError(err, a)
+// clientMemoryShare is the share of the VM's memory that clients may use. The heap may grow to twice its live size before it
+// is collected, and the rest is for the process's other state and the kernel's buffers.
+const clientMemoryShare = 0.25
+
+// newLimits returns the limits of all clients of a process.
+func newLimits(s *platform.Settings, r metrics.Registry) *acceptor.Limits {
+	memory := int64(clientMemoryShare * float64(s.Memory))
+	if s.Memory <= 0 {
+		memory = acceptor.DefaultMemory
 	}
-	return l, nil
+	return acceptor.New(memory, s.Sockets, r)
 }
 
+// listen opens a port.
+func (d *daemon) listen(a netip.AddrPort) (*acceptor.Listener, error) { return listen(a, d.limits) }
+
 // internalPort returns the port at an offset in the range of internal ports.
 func (d *daemon) internalPort(offset uint16) uint16 { return d.settings.FirstPort + offset }
 
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -73,7 +73,7 @@
 		Prober:    &relayer.NetworkProber{},
 		Liveness:  platform.Liveness{},
 		Budgets:   &retrier.Budgets{New: func() *retrier.Budget { return retryBudget(s.Bounds, d) }}, Clock: d.clock, Started: d.clock.Now(), Random: newRandom(), Metrics: d.metrics,
-		Memory: newRequestMemory(s.Memory, d.metrics),
+		Memory: d.limits,
 	}
 	member := registrar.Member{
 		ID: s.Name, Incarnation: uuid.NewString(), FailureDomain: s.FailureDomain, Region: s.Region,
@@ -101,18 +101,6 @@
 	return e, e.listenAll()
 }
 
-// requestMemoryShare is the share of the VM's memory that requests may hold. The heap may grow to twice its live size
-// before it is collected, and the rest is for the entry's other state and the kernel's buffers.
-const requestMemoryShare = 0.25
-
-// newRequestMemory limits the memory of requests on a VM with so many bytes of memory; nil if that is unknown (0).
-func newRequestMemory(bytes int64, r metrics.Registry) *relayer.Memory {
-	if bytes <= 0 {
-		return nil
-	}
-	return &relayer.Memory{Bytes: int64(requestMemoryShare * float64(bytes)), Metrics: r}
-}
-
 // memberIDs returns the IDs of all known entries.
 func (d *daemon) memberIDs() []string {
 	var names []string
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
@@ -24,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, socket: nc, since: time.Now()}
+	c := &conn{Conn: nc, socket: nc, limited: acceptor.For(nc), since: time.Now()}
 	if t, ok := nc.(*tls.Conn); ok {
 		c.socket = t.NetConn()
 	}
@@ -37,6 +38,8 @@
 	net.Conn
 	// socket is the connection itself, or the one below TLS.
 	socket net.Conn
+	// limited counts what is received; nil without limits.
+	limited *acceptor.Conn
 
 	mu    sync.Mutex
 	state http.ConnState
@@ -54,6 +57,9 @@
 }
 
 func (c *conn) setState(state http.ConnState, now time.Time) {
+	if state == http.StateIdle {
+		c.limited.EndRequest()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since, c.overdue = state, now, false
@@ -90,7 +96,12 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		unused := c.endRead(n > 0)
+		unused, inRequest := c.endRead(n > 0)
+		if n > 0 {
+			if limitErr := c.count(b[:n], len(b), inRequest); limitErr != nil {
+				return 0, limitErr
+			}
+		}
 		switch {
 		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
 			return n, err
@@ -102,8 +113,17 @@
 	}
 }
 
-// endRead records a read, and reports whether it was interrupted and the connection is unused.
-func (c *conn) endRead(received bool) (unused bool) {
+// count counts what was read in a buffer of size bytes. Errors are *acceptor.ClosedError.
+func (c *conn) count(b []byte, size int, inRequest bool) error {
+	if inRequest {
+		c.limited.ReceivedBody(b, size)
+		return nil
+	}
+	return c.limited.ReceivedHead(b)
+}
+
+// endRead records a read, and reports whether it was interrupted and the connection is unused, and whether a request runs.
+func (c *conn) endRead(received bool) (unused, inRequest bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if received {
@@ -114,7 +134,7 @@
 	}
 	unused = c.interrupted && !c.hasRead
 	c.resume()
-	return unused
+	return unused, c.state == http.StateActive
 }
 
 // resume restores the read deadline of an interrupted connection.
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -27,7 +27,7 @@
 )
 
 // Server serves the requests of an http.Server. Set the exported fields before Serve; the server's own handler of
-// connection states is replaced.
+// connection states and its ConnContext are replaced. The connections of an acceptor.Listener stay within its limits.
 type Server struct {
 	HTTP     *http.Server
 	Listener net.Listener
@@ -50,9 +50,10 @@
 		if s.closesConnections.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		handler.ServeHTTP(w, r)
+		serveWithinLimits(handler, w, r)
 	})
 	s.HTTP.ConnState = s.setState
+	s.HTTP.ConnContext = withLimits
 	return s.HTTP.Serve(listener{Listener: s.Listener, server: s})
 }
 
--- a/internal/relayer/memory.go
+++ b/internal/relayer/memory.go
@@ -8,10 +8,7 @@
 	"sync"
 	"sync/atomic"
 
-	"golang.org/x/sync/semaphore"
-
-	"github.com/rcrowley/go-metrics"
-
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 )
 
@@ -24,19 +21,6 @@
 	uncountedReply = 4 << 10
 )
 
-// Memory bounds the memory of all requests of an entry: bodies, replies that are buffered whole,
-// long events and buffers. Set the exported fields before use; nil is unbounded. It is safe for
-// concurrent use.
-type Memory struct {
-	// Bytes is the bound.
-	Bytes int64
-	// Metrics has the counters memory.held, in bytes, and memory.refused.
-	Metrics metrics.Registry
-
-	once sync.Once
-	free *semaphore.Weighted
-}
-
 // MemoryError reports data that doesn't fit into the memory for requests.
 type MemoryError struct {
 	What  string
@@ -47,35 +31,20 @@
 	return fmt.Sprintf("no memory for %s of %d bytes", e.What, e.Bytes)
 }
 
-func (m *Memory) acquire(bytes int64) bool {
-	m.once.Do(func() { m.free = semaphore.NewWeighted(m.Bytes) })
-	if !m.free.TryAcquire(bytes) {
-		metrics.GetOrRegisterCounter("memory.refused", m.Metrics).Inc(1)
-		return false
-	}
-	metrics.GetOrRegisterCounter("memory.held", m.Metrics).Inc(bytes)
-	return true
-}
-
-func (m *Memory) release(bytes int64) {
-	m.free.Release(bytes)
-	metrics.GetOrRegisterCounter("memory.held", m.Metrics).Dec(bytes)
-}
-
 // account counts the memory of one request. It is shared by the request's handler and each
 // goroutine that writes the body to an upstream. Nil is unbounded.
 type account struct {
-	memory *Memory
+	memory *acceptor.Limits
 	held   atomic.Int64
 	users  atomic.Int32
 }
 
-// openAccount returns an account that its first user must close.
-func (m *Memory) openAccount() *account {
-	if m == nil {
+// openAccount returns an account that its first user must close; nil without limits.
+func openAccount(memory *acceptor.Limits) *account {
+	if memory == nil {
 		return nil
 	}
-	a := &account{memory: m}
+	a := &account{memory: memory}
 	a.users.Add(1)
 	return a
 }
@@ -99,7 +68,7 @@
 	if a == nil {
 		return true
 	}
-	if !a.memory.acquire(bytes) {
+	if !a.memory.Acquire(bytes) {
 		return false
 	}
 	a.held.Add(bytes)
@@ -109,13 +78,14 @@
 func (a *account) release(bytes int64) {
 	if a != nil && bytes > 0 {
 		a.held.Add(-bytes)
-		a.memory.release(bytes)
+		a.memory.Release(bytes)
 	}
 }
 
 // admitMemory acquires the memory that each request needs, or refuses it.
 func (c *call) admitMemory() bool {
-	return c.acquireMemory("a request", requestBytes)
+	// Each attempt writes a copy of the header.
+	return c.acquireMemory("a request", requestBytes+acceptor.HeaderCost(c.httpRequest.Header))
 }
 
 // acquireMemory acquires memory, or refuses the request, which hasn't been sent to any upstream.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/bodyreader"
 	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/registrar"
@@ -54,8 +55,9 @@
 	Started time.Time
 	Random  *rand.Rand
 	Metrics metrics.Registry
-	// Memory limits the memory of requests; nil means no limit.
-	Memory *Memory
+	// Memory limits the memory of requests: bodies, replies that are buffered whole, long events and buffers; nil means no
+	// limit.
+	Memory *acceptor.Limits
 
 	mu sync.Mutex
 	// longestTimeLimits holds the longest time limit seen from callers, by route.
@@ -88,7 +90,7 @@
 // ServeHTTP implements http.Handler.
 func (l *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := &callerWriter{ResponseWriter: w}
-	c := &call{Relayer: l, response: out, writer: out, httpRequest: r, account: l.Memory.openAccount()}
+	c := &call{Relayer: l, response: out, writer: out, httpRequest: r, account: openAccount(l.Memory)}
 	defer c.account.close()
 	out.setTimeLimit(defaultTimeout)
 	c.Arrived = l.Clock.Now()
--- a/internal/relayer/slow_reader_test.go
+++ b/internal/relayer/slow_reader_test.go
@@ -16,7 +16,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
-	"github.com/oriolecroft/oriolecroft/internal/relayer"
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 )
 
 const (
@@ -30,7 +30,7 @@
 
 // withMemoryBound limits the memory of the entry's requests.
 func (w *testEntry) withMemoryBound(bytes int64) *testEntry {
-	w.relayer.Memory = &relayer.Memory{Bytes: bytes, Metrics: w.metrics}
+	w.relayer.Memory = &acceptor.Limits{Memory: bytes, Metrics: w.metrics}
 	return w
 }
 
--- a/internal/reporter/service.go
+++ b/internal/reporter/service.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/drainer"
 )
 
@@ -47,6 +48,8 @@
 	Name     string
 	Listener net.Listener
 	Handler  http.Handler
+	// Refuse answers requests for which there is no memory; nil for a plain answer.
+	Refuse http.Handler
 	// Grace is how long running requests may take once the context has ended.
 	Grace time.Duration
 	// AnswerTimeout bounds writing a response to a client that reads slowly; 0 for no bound.
@@ -63,8 +66,12 @@
 
 // Serve serves requests until the context ends.
 func (w *Web) Serve(ctx context.Context) error {
+	refuse := w.Refuse
+	if refuse == nil {
+		refuse = http.HandlerFunc(acceptor.Refuse)
+	}
 	s := &drainer.Server{Listener: w.Listener, HTTP: &http.Server{
-		Handler: w.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, WriteTimeout: w.AnswerTimeout,
+		Handler: acceptor.Handler(w.Handler, refuse), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, WriteTimeout: w.AnswerTimeout,
 	}}
 	w.server.Store(s)
 	served := make(chan error, 1)
