messenger: count messages and replies, skip blanks between messages

Anybody may connect to the listeners for peers and for an agent's grants, and each connection could make its process buffer 16 MiB: a text without end, blanks without end before one, or a whole message whose objects take many times its bytes. Queries that wait and replies that nobody reads were not limited at all.

Messages now count towards the limits of the process as they are read, at the cost of their decoded form, until they are handled; so do their replies until they are written. Blanks between messages are dropped before the decoder buffers them.

--- a/cmd/oriolecroft/crowd_test.go
+++ b/cmd/oriolecroft/crowd_test.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// messageCrowds are the crowds at a listener for messages; the method has a list of objects under a key.
+func messageCrowds(method, key string) []crowd {
+	start := fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":%q,"params":{`, method)
+	return []crowd{
+		{name: "line ends without end", repeated: "\r\n", bytes: endlessBytes},
+		{name: "a text without end", first: start + `"x":"`, repeated: "a", bytes: endlessBytes},
+		{name: "objects without end", first: start + fmt.Sprintf(`%q:[{}`, key), repeated: ",{}", bytes: endlessBytes},
+		{name: "whole messages of small objects", repeated: start + fmt.Sprintf(`%q:[{}%s]}}`, key, strings.Repeat(",{}", 100<<10)), bytes: endlessBytes},
+		{name: "calls whose replies are not read", repeated: start + "}}\n", bytes: endlessBytes},
+	}
+}
+
 // send sends a crowd's bytes over connections that it keeps open, and returns once all are sent or refused.
 func (c crowd) send(t *testing.T, address string) {
 	t.Helper()
@@ -121,12 +133,16 @@
 
 // Guards against an entry that exceeds the memory of its VM as clients send long heads, or line ends without end.
 func TestEntryStaysWithinItsMemory(t *testing.T) {
-	web := webCrowds("/v1/ready")
+	web, peers := webCrowds("/v1/ready"), messageCrowds("evidence", "reports")
+	peers = append(peers,
+		crowd{name: "queries of all records whose replies are not read", repeated: `{"jsonrpc":"2.0","id":1,"method":"records","params":{"after":0}}`, bytes: endlessBytes},
+		crowd{name: "queries that wait", repeated: `{"jsonrpc":"2.0","id":1,"method":"records","params":{"after":9999999,"waitMs":5000}}`, bytes: endlessBytes})
 	for _, l := range []struct {
 		name, port string
 		crowds     []crowd
 	}{
 		{"callers", "8005", callerCrowds()},
+		{"peers", "8000", peers},
 		{"ready", "8002", web},
 		{"directory", "8009", web},
 		{"metrics", "9464", webCrowds("/status")},
@@ -150,6 +166,7 @@
 		name, port string
 		crowds     []crowd
 	}{
+		{"entries", "7700", messageCrowds("reserve", "parts")},
 		{"chunks", "7701", webCrowds("/chunks")},
 		{"metrics", "9464", webCrowds("/status")},
 	} {
--- a/internal/messenger/bound.go
+++ b/internal/messenger/bound.go
@@ -1,12 +1,15 @@
 package messenger
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 )
 
 const (
@@ -31,8 +34,12 @@
 // memory of an entry and abort its requests.
 type boundedConn struct {
 	net.Conn
+	// limited counts what is received; nil without limits.
+	limited   *acceptor.Conn
 	remaining int
-	opened    time.Time
+	// partial is set once a part of the message was read.
+	partial bool
+	opened  time.Time
 	// lastRead is the time of the last read, in nanoseconds after opened.
 	lastRead atomic.Int64
 }
@@ -53,27 +60,69 @@
 	if c.remaining <= 0 {
 		return 0, &OversizedError{Limit: MaxMessage}
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
-	c.remaining -= n
-	if n > 0 {
-		c.lastRead.Store(int64(time.Since(c.opened)))
+	for {
+		n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
+		if n > 0 {
+			c.lastRead.Store(int64(time.Since(c.opened)))
+		}
+		if !c.partial {
+			// The decoder would buffer blanks without end.
+			n = copy(p, bytes.TrimLeft(p[:n], blanks))
+		}
+		if n == 0 && err == nil && len(p) > 0 {
+			continue
+		}
+		c.partial = c.partial || n > 0
+		c.remaining -= n
+		if limitErr := c.limited.ReceivedJSON(p[:n]); limitErr != nil {
+			return 0, limitErr
+		}
+		return n, err
 	}
-	return n, err
 }
 
+// blanks are the characters that JSON allows between texts.
+const blanks = " \t\r\n"
+
 // boundedStream allows the connection MaxMessage bytes for each message.
 type boundedStream struct {
-	jsonrpc2.ObjectStream
-	conn *boundedConn
+	conn    *boundedConn
+	decoder *json.Decoder
+	encoder *json.Encoder
 }
 
-func newStream(raw net.Conn) boundedStream {
-	c := &boundedConn{Conn: raw, opened: time.Now()}
-	return boundedStream{ObjectStream: jsonrpc2.NewPlainObjectStream(c), conn: c}
+func newStream(raw net.Conn) *boundedStream {
+	c := &boundedConn{Conn: raw, limited: acceptor.For(raw), opened: time.Now()}
+	return &boundedStream{conn: c, decoder: json.NewDecoder(c), encoder: json.NewEncoder(c)}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream. The library calls it from one goroutine only.
-func (s boundedStream) ReadObject(v any) error {
+func (s *boundedStream) ReadObject(v any) error {
 	s.conn.remaining = MaxMessage
-	return s.ObjectStream.ReadObject(v)
+	s.conn.partial = s.pending() > 0
+	s.conn.limited.AwaitMessage(s.conn.partial)
+	return s.decoder.Decode(v)
+}
+
+// WriteObject implements jsonrpc2.ObjectStream. The library calls it from one goroutine at a time.
+func (s *boundedStream) WriteObject(v any) error { return s.encoder.Encode(v) }
+
+// Close implements jsonrpc2.ObjectStream.
+func (s *boundedStream) Close() error { return s.conn.Close() }
+
+// pending returns how many bytes of the next message were received with the last one.
+func (s *boundedStream) pending() int {
+	buffered, ok := s.decoder.Buffered().(*bytes.Reader)
+	if !ok {
+		return 0
+	}
+	for {
+		b, err := buffered.ReadByte()
+		if err != nil {
+			return 0
+		}
+		if !strings.ContainsRune(blanks, rune(b)) {
+			return buffered.Len() + 1
+		}
+	}
 }
--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -207,10 +207,11 @@
 
 func (s *Server) accept(ctx context.Context, raw net.Conn) {
 	l := &Link{pending: make(chan Update, 1)}
-	h := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	stream := newStream(raw)
+	h := &messageHandler{stream: stream, handle: func(ctx context.Context, r *jsonrpc2.Request) (any, error) {
 		return s.handle(ctx, r, l)
-	}
-	conn := jsonrpc2.NewConn(ctx, newStream(raw), concurrentRecords{jsonrpc2.HandlerWithError(h)}, withoutLogging)
+	}}
+	conn := jsonrpc2.NewConn(ctx, stream, h, withoutLogging)
 	go func() {
 		l.sendUpdates(ctx, conn)
 		if s.OnLost != nil {
@@ -219,19 +220,6 @@
 	}()
 }
 
-// concurrentRecords handles record queries concurrently with the other messages of a
-// connection, which are handled in order, as replies to them may be delayed.
-type concurrentRecords struct{ jsonrpc2.Handler }
-
-// Handle implements jsonrpc2.Handler.
-func (c concurrentRecords) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	if r.Method == methodRecords {
-		go c.Handler.Handle(ctx, conn, r)
-		return
-	}
-	c.Handler.Handle(ctx, conn, r)
-}
-
 func (s *Server) handle(ctx context.Context, r *jsonrpc2.Request, l *Link) (any, error) {
 	switch {
 	case r.Method == methodRecords && s.OnRecords != nil:
