cmd: limit the clients of the product's own daemons

Clients of an entry or agent of the product's own deployment could take gigabytes, as on the platform; their heap also grew to five times what was live before it was collected.

Their listeners now share limits, too. The new setting clientMemory is the memory for all clients, 128 MiB unless set, and bounds the heap. A request that is refused for lack of memory has the outcome notRun.

--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/admitter"
 	"github.com/oriolecroft/oriolecroft/internal/agent"
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
@@ -60,22 +61,31 @@
 	if err != nil {
 		return err
 	}
-	tls, err := prepareDaemon(&s.Common)
+	weights := s.Memory
+	if addresses.Service.IsValid() {
+		weights = 0
+	}
+	tls, err := prepareDaemon(&s.Common, weights)
 	if err != nil {
 		return err
 	}
 	a := newAgent(s, addresses, tls)
-	if a.Listener, err = net.Listen("tcp", addresses.Listen.String()); err != nil {
-		return listenError(err, addresses.Listen)
+	a.Metrics = metrics.NewRegistry()
+	limits := acceptor.New(s.ClientMemory, 0, a.Metrics)
+	requests, err := listen(addresses.Listen, limits)
+	if err != nil {
+		return err
 	}
+	requests.Share = mainShare
+	a.Listener = requests
 	if tls != nil && a.Loader != nil {
-		if a.ForEngine, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-			return listenError(err, netip.MustParseAddrPort("127.0.0.1:0"))
+		if a.ForEngine, err = listen(netip.MustParseAddrPort("127.0.0.1:0"), limits); err != nil {
+			return err
 		}
 	}
 	if addresses.Operators.IsValid() {
-		if a.Operators, err = net.Listen("tcp", addresses.Operators.String()); err != nil {
-			return listenError(err, addresses.Operators)
+		if a.Operators, err = listen(addresses.Operators, limits); err != nil {
+			return err
 		}
 	}
 	klog.InfoS("Agent starts", "agent", a.ID, "incarnation", a.Incarnation, "listen", addresses.Listen)
--- a/cmd/oriolecroft/crowd_test.go
+++ b/cmd/oriolecroft/crowd_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/pkg/bundler"
 	"github.com/oriolecroft/oriolecroft/platform/standin"
 )
 
@@ -187,6 +188,43 @@
 	}
 }
 
+// Guards against processes of the product's own deployment that exceed their memory as clients send long heads or messages.
+func TestOwnProcessesStayWithinTheirMemory(t *testing.T) {
+	key, _, err := bundler.GenerateKey()
+	must.NoError(t, err)
+	ip := loopback(3)
+	common := []string{"--failureDomain", "a", "--region", "r", "--keys", key}
+	entry := append([]string{"entry", "--id", "e", "--callers", ip + ":7001", "--peers", ip + ":7101", "--operators", ip + ":7201",
+		"--store", ip + ":7000", "--seeds", ip + ":7102", "--entries", "1"}, common...)
+	agent := append([]string{"agent", "--id", "a", "--listen", ip + ":7301", "--operators", ip + ":7401", "--entrySeeds", ip + ":7101",
+		"--service", "s", "--serviceAddress", ip + ":8100"}, common...)
+	generate := append(webCrowds("/v1/entries"),
+		crowd{name: "a prompt without end", first: "POST /v1/generate HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n400000\r\n{\"prompt\":\"", repeated: "a", bytes: 3 << 20})
+	order := append(webCrowds("/run/generate"),
+		crowd{name: "an order without end", first: "POST /run/generate HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n400000\r\n{\"prompt\":\"", repeated: "a", bytes: 3 << 20})
+	for _, l := range []struct {
+		name, port string
+		args       []string
+		crowds     []crowd
+		answers    string
+	}{
+		{"entry, callers", "7001", entry, generate, ":7001/v1/entries"},
+		{"entry, peers", "7101", entry, messageCrowds("exchange", "drawers"), ":7001/v1/entries"},
+		{"entry, operators", "7201", entry, webCrowds("/status"), ":7001/v1/entries"},
+		{"agent, requests", "7301", agent, order, ":7401/healthz"},
+		{"agent, operators", "7401", agent, webCrowds("/status"), ":7401/healthz"},
+	} {
+		for _, c := range l.crowds {
+			t.Run(l.name+"/"+c.name, func(t *testing.T) {
+				process := startProcess(t, []string{fmt.Sprintf("OC_CLIENT_MEMORY=%d", crowdMemory<<20/4)}, binary, l.args...)
+				awaitAnswer(t, "http://"+ip+l.answers)
+				c.mustStayWithinMemory(t, process, net.JoinHostPort(ip, l.port))
+				awaitAnswer(t, "http://"+ip+l.answers)
+			})
+		}
+	}
+}
+
 // Guards against an entry that has no descriptor left for callers, upstreams and the store because of idle connections.
 func TestIdleConnectionsLeaveDescriptors(t *testing.T) {
 	for _, port := range []string{"8005", "8000", "8002", "8009", "9464"} {
--- a/cmd/oriolecroft/daemon.go
+++ b/cmd/oriolecroft/daemon.go
@@ -33,9 +33,15 @@
 	}}
 }
 
-// prepareDaemon applies the settings that both daemons share, and loads the certificates.
-func prepareDaemon(s *configurer.Common) (*certifier.Certifier, error) {
+// heapPerClientMemory is the heap, as a multiple of the memory that clients may use, from which on the runtime collects garbage
+// more often.
+const heapPerClientMemory = 2.5
+
+// prepareDaemon applies the settings that both daemons share, and loads the certificates. The daemon uses so many bytes of
+// memory for other purposes than clients.
+func prepareDaemon(s *configurer.Common, otherMemory int64) (*certifier.Certifier, error) {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(heapPerClientMemory*float64(s.ClientMemory)) + otherMemory)
 	logger.KeepRunningWithoutReader()
 	var l klog.Level
 	if err := l.Set(strconv.Itoa(s.Verbosity)); err != nil {
--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
 	"github.com/oriolecroft/oriolecroft/internal/configurer"
 	"github.com/oriolecroft/oriolecroft/internal/deduplicator"
@@ -58,18 +59,23 @@
 	if err != nil {
 		return err
 	}
-	tls, err := prepareDaemon(&s.Common)
+	tls, err := prepareDaemon(&s.Common, 0)
 	if err != nil {
 		return err
 	}
 	e := newEntry(s, a, tls)
+	limits := acceptor.New(s.ClientMemory, 0, e.Dispatcher.Metrics)
 	for _, l := range []struct {
 		listener *net.Listener
 		address  netip.AddrPort
-	}{{&e.Callers, a.Callers}, {&e.Peers, a.Peers}, {&e.Operators, a.Operators}} {
-		if *l.listener, err = net.Listen("tcp", l.address.String()); err != nil {
-			return listenError(err, l.address)
+		share    float64
+	}{{&e.Callers, a.Callers, mainShare}, {&e.Peers, a.Peers, acceptor.DefaultShare}, {&e.Operators, a.Operators, acceptor.DefaultShare}} {
+		limited, err := listen(l.address, limits)
+		if err != nil {
+			return err
 		}
+		limited.Share = l.share
+		*l.listener = limited
 	}
 	klog.InfoS("Entry starts", "entry", e.ID, "incarnation", e.Incarnation, "callers", a.Callers, "peers", a.Peers)
 	return e.Run(ctx)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,8 @@
 	Heartbeat time.Duration
 	// ReportTo is how many entries receive reports.
 	ReportTo int
+	// Metrics has other metrics of the process; nil for none.
+	Metrics metrics.Registry
 
 	links    *links
 	health   *healthRecord
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -43,9 +43,12 @@
 	return reporter.Handler(func() any { return a.status() }, a.checkReady, a.metrics())
 }
 
-// metrics returns the metrics that collectors read.
+// metrics returns the metrics that collectors read, registered with those of the process.
 func (a *Agent) metrics() metrics.Registry {
-	r := metrics.NewRegistry()
+	r := a.Metrics
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
 	gauge := func(name string, value func() int64) {
 		metrics.NewRegisteredFunctionalGauge(name, r, value)
 	}
--- a/internal/configurer/common.go
+++ b/internal/configurer/common.go
@@ -15,10 +15,14 @@
 	FreshFor      time.Duration `envconfig:"FRESH_FOR" default:"2500ms"`
 	Heartbeat     time.Duration `envconfig:"HEARTBEAT" default:"500ms"`
 	Verbosity     int           `envconfig:"VERBOSITY"`
+	ClientMemory  int64         `envconfig:"CLIENT_MEMORY" default:"134217728"`
 	Signers
 	TLS
 }
 
+// minClientMemory is the minimum memory for clients, in bytes.
+const minClientMemory = 16 << 20
+
 // Bind adds the flags, whose defaults are the values from the environment.
 func (s *Common) Bind(sc *flaggy.Subcommand) {
 	sc.String(&s.ID, "", "id", "name of this VM, unique in the deployment [OC_ID]")
@@ -27,6 +31,7 @@
 	sc.Duration(&s.FreshFor, "", "freshFor", "how old the last confirmation of the bundle may be before new work is refused [OC_FRESH_FOR]")
 	sc.Duration(&s.Heartbeat, "", "heartbeat", "how often processes send each other heartbeats [OC_HEARTBEAT]")
 	sc.Int(&s.Verbosity, "", "verbosity", "how much is logged: 0 decisions, 1 failures of peers, 2 every message [OC_VERBOSITY]")
+	sc.Int64(&s.ClientMemory, "", "clientMemory", "bytes of memory for connections and requests of all clients [OC_CLIENT_MEMORY]")
 	s.Signers.Bind(sc)
 	s.TLS.Bind(sc)
 }
@@ -40,6 +45,9 @@
 	c.positive("freshFor", s.FreshFor)
 	c.positive("heartbeat", s.Heartbeat)
 	c.atLeast("verbosity", s.Verbosity, 0)
+	if s.ClientMemory < minClientMemory {
+		c.addFault("clientMemory", "%d bytes are too few for the largest request; give %d at least", s.ClientMemory, minClientMemory)
+	}
 	if s.Heartbeat > 0 && s.FreshFor < 3*s.Heartbeat {
 		c.addFault("freshFor", "%v must be at least three heartbeats of %v, or one lost message stops new work", s.FreshFor, s.Heartbeat)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -81,7 +82,7 @@
 func (e *Entry) services() *suture.Supervisor {
 	recv := &receiver.Receiver{Dispatcher: e.Dispatcher, Entries: e.callerEntries, KeepFor: e.KeepFor}
 	s := suture.New("entry", suture.Spec{EventHook: reporter.LogEvents})
-	e.callers = &reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.requests.countRequests(recv.Handler())}
+	e.callers = &reporter.Web{Name: "callers", Listener: e.Callers, Handler: e.requests.countRequests(recv.Handler()), Refuse: http.HandlerFunc(receiver.Refuse)}
 	s.Add(e.callers)
 	s.Add(&reporter.Web{Name: "operators", Listener: e.Certifier.Listen(e.Operators), Handler: e.operatorHandler()})
 	s.Add(&messenger.Server{Listener: e.Certifier.Listen(e.Peers), OnReport: e.handleReport, OnExchange: e.handleExchange})
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/dispatcher"
 	"github.com/oriolecroft/oriolecroft/internal/forwarder"
 	"github.com/oriolecroft/oriolecroft/internal/retrier"
@@ -203,9 +204,28 @@
 			Message: "body: over " + strconv.FormatInt(large.Limit, 10) + " bytes",
 		}
 	}
+	var full *acceptor.MemoryError
+	if errors.As(err, &full) {
+		return memoryFailure(full)
+	}
 	return badRequest("body: " + err.Error())
 }
 
+// memoryRetryAfter is when a caller may retry a request that was refused for lack of memory.
+const memoryRetryAfter = time.Second
+
+// memoryFailure returns the refusal of a request for which there is no memory.
+func memoryFailure(err error) error {
+	return &dispatcher.FailureError{
+		Outcome: retrier.NotRun, Status: http.StatusServiceUnavailable, Message: err.Error(), RetryAfter: memoryRetryAfter,
+	}
+}
+
+// Refuse answers a request for which there is no memory.
+func Refuse(w http.ResponseWriter, _ *http.Request) {
+	writeError(w, memoryFailure(&acceptor.MemoryError{}))
+}
+
 // forwardedHeaders lists the request headers that are forwarded to a plain service.
 // The idempotency key is not among them: with it, net/http would resend a call when a
 // connection breaks, and book twice.
@@ -214,11 +234,7 @@
 func parseCall(w http.ResponseWriter, h *http.Request) (dispatcher.CallRequest, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, forwarder.MaxBody))
 	if err != nil {
-		return dispatcher.CallRequest{}, &dispatcher.FailureError{
-			Outcome: retrier.NotRun,
-			Status:  http.StatusRequestEntityTooLarge,
-			Message: "body: " + err.Error(),
-		}
+		return dispatcher.CallRequest{}, bodyError(err)
 	}
 	c := dispatcher.CallRequest{
 		RequestID: h.Header.Get(HeaderRequest),
