acceptor: release the memory of an ended connection once

If a connection ended while one of its messages was about to be handled, the cost of its text was released with the connection and once more with the message, and the process counted less than it held from then on.

The counters are looked up once, no longer at each change. Messages may use half of an entry's limits, as most processes of a region may wait for updates at one entry, and three quarters at an agent.

--- a/cmd/oriolecroft/entry.go
+++ b/cmd/oriolecroft/entry.go
@@ -69,7 +69,7 @@
 		listener *net.Listener
 		address  netip.AddrPort
 		share    float64
-	}{{&e.Callers, a.Callers, mainShare}, {&e.Peers, a.Peers, acceptor.DefaultShare}, {&e.Operators, a.Operators, acceptor.DefaultShare}} {
+	}{{&e.Callers, a.Callers, mainShare}, {&e.Peers, a.Peers, peersShare}, {&e.Operators, a.Operators, acceptor.DefaultShare}} {
 		limited, err := listen(l.address, limits)
 		if err != nil {
 			return err
--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	chunkListener.Share = mainShare
+	reserveListener.Share, chunkListener.Share = mainShare, mainShare
 	mux := http.NewServeMux()
 	mux.Handle("/", l.Handler())
 	mux.Handle(stager.VersionsPath, digester.Handler())
--- a/cmd/oriolecroft/platform_entry.go
+++ b/cmd/oriolecroft/platform_entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/hoster"
 	"github.com/oriolecroft/oriolecroft/internal/localizer"
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
@@ -134,10 +134,13 @@
 	return remaining
 }
 
+// peersShare is the share of the limits for messages. Most processes of a region may wait for updates at one entry.
+const peersShare = 0.5
+
 // listenAll opens all listeners, so that a port in use is reported at the start.
 func (e *platformEntry) listenAll() error {
 	s := e.settings
-	var listeners [4]net.Listener
+	var listeners [4]*acceptor.Listener
 	for i, a := range []netip.AddrPort{s.Callers, s.Ready, s.Directory, s.Peers} {
 		l, err := e.listen(a)
 		if err != nil {
@@ -146,6 +149,7 @@
 		listeners[i] = l
 	}
 	e.hoster.Callers = listeners[0]
+	listeners[3].Share = peersShare
 	e.supervisor.Add(newWebService("ready", listeners[1], platform.Ready(e.hoster.Ready)))
 	e.supervisor.Add(newWebService("directory", listeners[2], platform.Directory(e.registrar)))
 	e.supervisor.Add(&messenger.Server{Listener: listeners[3], OnRecords: syncer.RecordsHandler(e.registrar, e.ageClock), OnEvidence: e.localizer.Handle})
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -44,8 +44,8 @@
 	// bytes is the memory counted for the connection, received the cost of what was received since the last request, and
 	// lastReceived that of the last read.
 	bytes, received, lastReceived int64
-	// closing is set once the connection was closed or has to be.
-	closing bool
+	// closing is set once the connection was closed or has to be, and removed once its server has ended it.
+	closing, removed bool
 }
 
 // ClosedError reports a connection that was closed because its process had no room for it.
@@ -159,6 +159,9 @@
 
 // setReceived sets the cost of what was received. The caller holds the lock.
 func (c *Conn) setReceived(cost int64) {
+	if c.removed {
+		return
+	}
 	more := countedCost(cost) - countedCost(c.received)
 	c.received = cost
 	c.addBytes(more)
--- a/internal/acceptor/limits.go
+++ b/internal/acceptor/limits.go
@@ -52,12 +52,36 @@
 	// freed is closed when memory is released, or a connection is chosen to be closed; nil if nobody waits.
 	freed     chan struct{}
 	listeners []*Listener
-	// closableBytes is the memory of the connections that may be closed, and closingBytes that of connections that were chosen, but whose
-	// servers haven't ended them yet.
+	// closableBytes is the memory of the connections that may be closed, and closingBytes that of connections that were
+	// chosen, but whose servers haven't ended them yet.
 	closableBytes, closingBytes int64
 
 	lastLog         time.Time
 	closed, refused int
+
+	metricsOnce sync.Once
+	metrics     limitMetrics
+}
+
+// limitMetrics are the metrics of Limits.
+type limitMetrics struct {
+	open                     metrics.Gauge
+	closed, refused          metrics.Counter
+	heldBytes, refusedMemory metrics.Counter
+}
+
+// counts returns the metrics, which are registered at the first use.
+func (l *Limits) counts() *limitMetrics {
+	l.metricsOnce.Do(func() {
+		l.metrics = limitMetrics{
+			open:          metrics.GetOrRegisterGauge("connections.open", l.Metrics),
+			closed:        metrics.GetOrRegisterCounter("connections.closed", l.Metrics),
+			refused:       metrics.GetOrRegisterCounter("connections.refused", l.Metrics),
+			heldBytes:     metrics.GetOrRegisterCounter("memory.held", l.Metrics),
+			refusedMemory: metrics.GetOrRegisterCounter("memory.refused", l.Metrics),
+		}
+	})
+	return &l.metrics
 }
 
 // Acquire reports whether this many more bytes are available for a request, and counts them. It closes connections for
@@ -66,7 +90,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.acquire(bytes, l.Reserve, nil) {
-		metrics.GetOrRegisterCounter("memory.refused", l.Metrics).Inc(1)
+		l.counts().refusedMemory.Inc(1)
 		return false
 	}
 	return true
@@ -82,7 +106,7 @@
 // hold counts bytes. The caller holds the lock.
 func (l *Limits) hold(bytes int64) {
 	l.held += bytes
-	metrics.GetOrRegisterCounter("memory.held", l.Metrics).Inc(bytes)
+	l.counts().heldBytes.Inc(bytes)
 	if bytes < 0 {
 		l.notify()
 	}
@@ -204,7 +228,7 @@
 func (l *Limits) addOpen(listener *Listener, n int) {
 	listener.open += n
 	l.open += n
-	metrics.GetOrRegisterGauge("connections.open", l.Metrics).Update(int64(l.open))
+	l.counts().open.Update(int64(l.open))
 }
 
 // choose chooses a connection to be closed. Its memory is released once its server has ended it. The caller holds the lock.
@@ -226,7 +250,7 @@
 	l.choose(c)
 	l.closingBytes -= c.bytes
 	l.hold(-c.bytes)
-	c.bytes = 0
+	c.bytes, c.received, c.removed = 0, 0, true
 }
 
 // closeAll closes connections that were chosen.
@@ -237,14 +261,14 @@
 	for _, c := range victims {
 		c.Conn.Close()
 	}
-	metrics.GetOrRegisterCounter("connections.closed", l.Metrics).Inc(int64(len(victims)))
+	l.counts().closed.Inc(int64(len(victims)))
 	l.log(len(victims), 0)
 }
 
 // refuse closes a new connection for which there is no room.
 func (l *Limits) refuse(nc net.Conn) {
 	nc.Close()
-	metrics.GetOrRegisterCounter("connections.refused", l.Metrics).Inc(1)
+	l.counts().refused.Inc(1)
 	l.log(0, 1)
 }
 
