Tests: handshakes and stopping entries beside crowds

TLS handshakes that are never completed stay within the memory and don't keep a peer out; an entry ends by itself beside callers that hold back heads or bodies, and beside idle connections.

--- a/cmd/oriolecroft/crowd_test.go
+++ b/cmd/oriolecroft/crowd_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -94,10 +95,10 @@
 	}
 }
 
-// send sends a crowd's bytes over connections that it keeps open, and returns once all are sent or refused.
-func (c crowd) send(t *testing.T, address string) {
+// start opens a crowd's connections and sends its bytes, until all are sent or refused.
+func (c crowd) start(t *testing.T, address string) (sending *sync.WaitGroup) {
 	t.Helper()
-	var sending sync.WaitGroup
+	sending = &sync.WaitGroup{}
 	for i := range crowdClients {
 		conn, err := net.Dial("tcp", address)
 		must.NoError(t, err)
@@ -116,7 +117,13 @@
 			}
 		})
 	}
-	sending.Wait()
+	return sending
+}
+
+// send sends a crowd's bytes over connections that stay open until the test ends.
+func (c crowd) send(t *testing.T, address string) {
+	t.Helper()
+	c.start(t, address).Wait()
 	// The last bytes may still be in the kernel's buffers.
 	time.Sleep(time.Second)
 }
@@ -300,6 +307,22 @@
 	mustAnswer(t, idle, "GET /none/ HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusNotFound)
 }
 
+// Guards against a crowd that keeps an entry from stopping by itself.
+func TestEntryStopsBesideACrowd(t *testing.T) {
+	for _, c := range append(callerCrowds()[:2], crowd{name: "idle connections"}) {
+		t.Run(c.name, func(t *testing.T) {
+			w := newBlameDeployment(t, crowdNetwork, false)
+			limitMemory(t, w.settings[0])
+			w.restart(t, 0)
+			w.awaitOrdinaryAnswer(t)
+			sending := c.start(t, w.entries[0].String())
+			must.NoError(t, w.daemons[0].Process.Signal(syscall.SIGTERM))
+			must.NoError(t, w.daemons[0].Wait())
+			sending.Wait()
+		})
+	}
+}
+
 // limitMemory sets the memory of a VM in a settings file.
 func limitMemory(t *testing.T, path string) {
 	t.Helper()
--- a/internal/certifier/certifier_test.go
+++ b/internal/certifier/certifier_test.go
@@ -13,17 +13,21 @@
 	"io"
 	"math/big"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 	"k8s.io/utils/clock"
 	testclock "k8s.io/utils/clock/testing"
 
+	"github.com/oriolecroft/oriolecroft/internal/acceptor"
 	"github.com/oriolecroft/oriolecroft/internal/certifier"
+	"github.com/oriolecroft/oriolecroft/internal/drainer"
 )
 
 // authority signs certificates for the tests.
@@ -116,6 +120,53 @@
 	return conn, err
 }
 
+// Guards against incomplete handshakes of many clients that together exceed the memory, or that keep peers out.
+func TestHandshakesStayWithinMemory(t *testing.T) {
+	const (
+		memory  = 8 << 20
+		clients = 100
+	)
+	a := newAuthority(t)
+	server := a.issue(t, t.TempDir(), 2)
+	must.NoError(t, server.Load())
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	limits := &acceptor.Limits{Memory: memory, Metrics: metrics.NewRegistry()}
+	held := func() int64 { return metrics.GetOrRegisterCounter("memory.held", limits.Metrics).Count() }
+	d := &drainer.Server{Listener: server.Listen(limits.Listen(nl)), HTTP: &http.Server{Handler: http.NotFoundHandler()}}
+	go func() { _ = d.Serve() }()
+	t.Cleanup(func() { d.Close() })
+	// Records of a ClientHello that is announced to have 60,000 bytes.
+	hello := []byte{22, 3, 1, 0x40, 0x00, 1, 0, 0xea, 0x60}
+	hello = append(hello, make([]byte, 0x4000-4)...)
+	for range 2 {
+		hello = append(hello, 22, 3, 1, 0x40, 0x00)
+		hello = append(hello, make([]byte, 0x4000)...)
+	}
+	var conns []net.Conn
+	for range clients {
+		c, err := net.Dial("tcp", nl.Addr().String())
+		must.NoError(t, err)
+		defer c.Close()
+		conns = append(conns, c)
+		_, _ = c.Write(hello)
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return held() > memory/2 }), wait.Timeout(5*time.Second)))
+	must.LessEq(t, memory, held())
+	client := a.issue(t, t.TempDir(), 3)
+	must.NoError(t, client.Load())
+	web := &http.Client{Transport: &http.Transport{DialTLSContext: client.Dial}}
+	res, err := web.Get("https://" + nl.Addr().String())
+	must.NoError(t, err)
+	res.Body.Close()
+	must.Eq(t, http.StatusNotFound, res.StatusCode)
+	web.CloseIdleConnections()
+	for _, c := range conns {
+		c.Close()
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return held() == 0 }), wait.Timeout(5*time.Second)))
+}
+
 func TestOtherAuthoritiesAreRefused(t *testing.T) {
 	a := newAuthority(t)
 	server := a.issue(t, t.TempDir(), 2)
