drainer: close a connection without room for a head instead of answering 400

If the memory was taken by running requests, a request whose head didn't fit got 400 from http.Server, after which callers don't retry, though it hadn't run. The server sees a failed read now, and closes the connection.

A connection is counted before its memory is acquired, which may wait, so that two listeners don't exceed the number of connections together. The byte that http.Server reads beside a running request no longer replaces the cost of what its buffer may hold of the next head.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -192,6 +192,17 @@
 	}
 }
 
+// Guards against an answer to a request whose head doesn't fit beside what runs: after 400 clients don't retry it.
+func TestHeadWithoutRoomGetsNoAnswer(t *testing.T) {
+	s := newServer(t, &acceptor.Limits{Memory: 1 << 20}, 1)
+	for range 10 {
+		s.dial(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-s.started
+	}
+	must.Zero(t, readStatus(s.dial(t, largeHead()+"\r\n")))
+	close(s.release)
+}
+
 // Guards against requests of one listener that leave nothing for the others.
 func TestRunningRequestsOfOneListenerAreLimited(t *testing.T) {
 	s := newServer(t, &acceptor.Limits{Connections: 20}, acceptor.DefaultShare)
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -100,13 +100,17 @@
 	if c == nil {
 		return
 	}
-	var cost int64
-	if size <= serverBuffer {
-		cost = headCost(b)
-	}
 	c.limits.mu.Lock()
 	defer c.limits.mu.Unlock()
-	c.lastReceived = cost
+	switch {
+	case size == 1:
+		// http.Server looks for the end of the connection and keeps the byte beside its buffer.
+		c.lastReceived += headCost(b)
+	case size <= serverBuffer:
+		c.lastReceived = headCost(b)
+	default:
+		c.lastReceived = 0
+	}
 }
 
 // serverBuffer is the size of the buffer of http.Server, in bytes. Longer reads return nothing but a body.
--- a/internal/acceptor/limits.go
+++ b/internal/acceptor/limits.go
@@ -203,6 +203,8 @@
 
 // add counts a new connection, and closes another one for it if necessary. It reports false if there is no room.
 func (l *Limits) add(c *Conn) bool {
+	var victims []*Conn
+	defer func() { l.closeAll(victims) }()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.Connections > 0 && l.open >= l.Connections {
@@ -211,14 +213,13 @@
 			return false
 		}
 		l.choose(v)
-		l.mu.Unlock()
-		l.closeAll([]*Conn{v})
-		l.mu.Lock()
+		victims = append(victims, v)
 	}
+	l.addOpen(c.listener, 1)
 	if !l.acquire(ConnectionBytes, 0, nil) {
+		l.addOpen(c.listener, -1)
 		return false
 	}
-	l.addOpen(c.listener, 1)
 	c.bytes = ConnectionBytes
 	c.enter(unused)
 	return true
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -99,7 +99,8 @@
 		unused, inRequest := c.endRead(n > 0)
 		if n > 0 {
 			if limitErr := c.count(b[:n], len(b), inRequest); limitErr != nil {
-				return 0, limitErr
+				// http.Server answers other errors with 400, after which clients don't retry.
+				return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: limitErr}
 			}
 		}
 		switch {
