reporter: end requests whose clients don't read the replies

A client of an own daemon that kept its connection open and didn't read kept its request running for good, as the deadline of a request doesn't end a blocked write: 512 of them, or three quarters of the memory for clients, and an entry refused everybody until they left. The users' platform isn't concerned: its listeners had deadlines.

Each write has 30 s now, unless a deadline is set for the whole answer.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, socket: nc, limited: acceptor.For(nc), since: time.Now()}
+	c := &conn{Conn: nc, socket: nc, limited: acceptor.For(nc), writeTimeout: l.server.WriteTimeout, since: time.Now()}
 	if t, ok := nc.(*tls.Conn); ok {
 		c.socket = t.NetConn()
 	}
@@ -40,6 +40,8 @@
 	socket net.Conn
 	// limited counts what is received; nil without limits.
 	limited *acceptor.Conn
+	// writeTimeout is that of the server.
+	writeTimeout time.Duration
 
 	mu    sync.Mutex
 	state http.ConnState
@@ -54,6 +56,8 @@
 	interrupted bool
 	// readDeadline is the deadline that http.Server has set.
 	readDeadline time.Time
+	// hasWriteDeadline is set while a deadline for writes is set by http.Server or a handler.
+	hasWriteDeadline bool
 }
 
 func (c *conn) setState(state http.ConnState, now time.Time) {
@@ -169,6 +173,9 @@
 // When net/http closes the connection then, the kernel would still deliver the unread data, and a reply without chunks
 // or a length would seem complete.
 func (c *conn) Write(b []byte) (int, error) {
+	if err := c.limitWrite(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// A connection that is closed already needs no reset.
@@ -177,6 +184,24 @@
 	return n, err
 }
 
+// limitWrite sets the deadline of a write, unless one is set.
+func (c *conn) limitWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeTimeout <= 0 || c.hasWriteDeadline {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasWriteDeadline = !t.IsZero()
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // CloseWrite allows http.Server to end an answer before it has read the whole request.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -31,6 +31,8 @@
 type Server struct {
 	HTTP     *http.Server
 	Listener net.Listener
+	// WriteTimeout bounds each write to a client, unless a handler has set a deadline; 0 for no bound.
+	WriteTimeout time.Duration
 
 	// closesConnections is set once clients are asked to close their connections.
 	closesConnections atomic.Bool
--- a/internal/reporter/service.go
+++ b/internal/reporter/service.go
@@ -54,6 +54,8 @@
 	Grace time.Duration
 	// AnswerTimeout bounds writing a response to a client that reads slowly; 0 for no bound.
 	AnswerTimeout time.Duration
+	// WriteTimeout bounds each write to a client that doesn't read; 0 for defaultWriteTimeout.
+	WriteTimeout time.Duration
 
 	server atomic.Pointer[drainer.Server]
 }
@@ -64,13 +66,21 @@
 // maxHeader bounds a request's header, in bytes. A request to an agent may hold an order with a caller's header.
 const maxHeader = 256 << 10
 
+// defaultWriteTimeout bounds a write to a client. The kernel never ends a connection whose client keeps it open and
+// doesn't read.
+const defaultWriteTimeout = 30 * time.Second
+
 // Serve serves requests until the context ends.
 func (w *Web) Serve(ctx context.Context) error {
 	refuse := w.Refuse
 	if refuse == nil {
 		refuse = http.HandlerFunc(acceptor.Refuse)
 	}
-	s := &drainer.Server{Listener: w.Listener, HTTP: &http.Server{
+	writeTimeout := w.WriteTimeout
+	if writeTimeout == 0 {
+		writeTimeout = defaultWriteTimeout
+	}
+	s := &drainer.Server{Listener: w.Listener, WriteTimeout: writeTimeout, HTTP: &http.Server{
 		Handler: acceptor.Handler(w.Handler, refuse), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, WriteTimeout: w.AnswerTimeout,
 	}}
 	w.server.Store(s)
