--- a/cmd/oriolecroft/crowd_test.go
+++ b/cmd/oriolecroft/crowd_test.go
@@ -155,16 +155,19 @@
 		{"directory", "8009", web},
 		{"metrics", "9464", webCrowds("/status")},
 	} {
-		for _, c := range l.crowds {
-			t.Run(l.name+"/"+c.name, func(t *testing.T) {
-				w := newBlameDeployment(t, crowdNetwork, false)
-				limitMemory(t, w.settings[0])
-				w.restart(t, 0)
-				w.awaitOrdinaryAnswer(t)
-				c.mustStayWithinMemory(t, w.daemons[0], net.JoinHostPort(w.entries[0].Addr().String(), l.port))
-				w.awaitOrdinaryAnswer(t)
-			})
-		}
+		t.Run(l.name, func(t *testing.T) {
+			w := newBlameDeployment(t, crowdNetwork, false)
+			limitMemory(t, w.settings[0])
+			w.kill(t, 0)
+			for _, c := range l.crowds {
+				t.Run(c.name, func(t *testing.T) {
+					w.daemons[0] = w.startEntry(t, 0)
+					w.awaitOrdinaryAnswer(t)
+					c.mustStayWithinMemory(t, w.daemons[0], net.JoinHostPort(w.entries[0].Addr().String(), l.port))
+					w.awaitOrdinaryAnswer(t)
+				})
+			}
+		})
 	}
 }
 
@@ -237,8 +240,7 @@
 	for _, port := range []string{"8005", "8000", "8002", "8009", "9464"} {
 		t.Run(port, func(t *testing.T) {
 			w := newBlameDeployment(t, crowdNetwork, false)
-			must.NoError(t, w.daemons[0].Process.Kill())
-			_ = w.daemons[0].Wait()
+			w.kill(t, 0)
 			script := fmt.Sprintf(`ulimit -n %d; exec "$0" platform entry`, crowdDescriptors)
 			w.daemons[0] = startProcess(t, []string{"ORIOLECROFT_SETTINGS=" + w.settings[0]}, "sh", "-c", script, binary)
 			w.awaitOrdinaryAnswer(t)
--- a/cmd/oriolecroft/platform_blame_test.go
+++ b/cmd/oriolecroft/platform_blame_test.go
@@ -185,10 +185,15 @@
 	return c
 }
 
-// restart kills an entry and starts it again.
-func (w *blameDeployment) restart(t *testing.T, entry int) {
+// kill kills an entry.
+func (w *blameDeployment) kill(t *testing.T, entry int) {
 	must.NoError(t, w.daemons[entry].Process.Kill())
 	_ = w.daemons[entry].Wait()
+}
+
+// restart kills an entry and starts it again.
+func (w *blameDeployment) restart(t *testing.T, entry int) {
+	w.kill(t, entry)
 	w.daemons[entry] = w.startEntry(t, entry)
 }
 
