--- a/cmd/oriolecroft/crowd_test.go
+++ b/cmd/oriolecroft/crowd_test.go
@@ -235,6 +235,36 @@
 	}
 }
 
+// Guards against an entry that exceeds its memory as peers report agents that don't exist, whose states it keeps.
+func TestReportsOfUnknownAgentsStayWithinMemory(t *testing.T) {
+	key, _, err := bundler.GenerateKey()
+	must.NoError(t, err)
+	ip := loopback(4)
+	process := startProcess(t, []string{fmt.Sprintf("OC_CLIENT_MEMORY=%d", crowdMemory<<20/4)}, binary, "entry", "--id", "e", "--callers", ip+":7001",
+		"--peers", ip+":7101", "--operators", ip+":7201", "--store", ip+":7000", "--seeds", ip+":7102", "--entries", "1",
+		"--failureDomain", "a", "--region", "r", "--keys", key)
+	awaitAnswer(t, "http://"+ip+":7001/v1/entries")
+	var sending sync.WaitGroup
+	for i := range crowdClients {
+		conn, err := net.Dial("tcp", ip+":7101")
+		must.NoError(t, err)
+		defer conn.Close()
+		sending.Go(func() {
+			_ = conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			var err error
+			for n := 0; err == nil && n < 3000; n++ {
+				id := fmt.Sprintf("%d-%d-%s", i, n, strings.Repeat("x", 4<<10))
+				_, err = fmt.Fprintf(conn, `{"jsonrpc":"2.0","method":"report","params":{"state":{"id":%q,"kind":"engine","address":"127.0.0.1:1"}}}`, id)
+			}
+		})
+	}
+	sending.Wait()
+	peak := peakMemory(t, process.Process.Pid)
+	t.Logf("at most %d MB of %d", peak, crowdMemory)
+	must.Less(t, crowdMemory, peak)
+	awaitAnswer(t, "http://"+ip+":7001/v1/entries")
+}
+
 // Guards against an entry that has no descriptor left for callers, upstreams and the store because of idle connections.
 func TestIdleConnectionsLeaveDescriptors(t *testing.T) {
 	for _, port := range []string{"8005", "8000", "8002", "8009", "9464"} {
