registrar: tell the store's word from an inferred outage in logs

"Place asked" and "Served" stated how old the confirmation of the weights was, but not whose word that was, nor which part of it was inferred from failed calls. They now have storeConfirmedAge, the age of the store's word alone, and confirmedBy, the process that it answered, which travels with the confirmation.

--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -116,7 +116,7 @@
 	})
 	ramping := metrics.GetOrRegisterGauge("ramping."+s.Service, d.metrics)
 	d.addTicks(func() { ramping.Update(boolToInt(ledger.Ramping())) })
-	g := &granter.Granter{Ledger: ledger, Holds: st.HeldVersion, EngineStart: st.EngineStart, ConfirmedAge: d.registrar.ConfirmedAge, Poll: st.Poll, Clock: d.clock, Metrics: d.metrics}
+	g := &granter.Granter{Ledger: ledger, Holds: st.HeldVersion, EngineStart: st.EngineStart, Confirmation: d.registrar.Confirmation, Poll: st.Poll, Clock: d.clock, Metrics: d.metrics}
 	if err := addAgentListeners(d, l, digester, g); err != nil {
 		return err
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -14,6 +14,7 @@
 
 	"github.com/oriolecroft/oriolecroft/internal/messenger"
 	"github.com/oriolecroft/oriolecroft/internal/observer"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/internal/scheduler"
 )
 
@@ -33,8 +34,8 @@
 	// EngineStart returns the start of the engine and how long ago it was observed; a zero start while it is
 	// unknown. Nil for an engine that doesn't state its start.
 	EngineStart func() (startedAt time.Time, age time.Duration)
-	// ConfirmedAge returns how long ago the store confirmed the announced weights; nil for an agent that doesn't know.
-	ConfirmedAge func() time.Duration
+	// Confirmation returns on whose word the announced weights count as the newest; nil for an agent that doesn't know.
+	Confirmation func() registrar.Confirmation
 	// Poll makes the agent poll its engine at once; nil for an agent that can't.
 	Poll  func()
 	Clock clock.PassiveClock
@@ -86,8 +87,8 @@
 		return nil
 	}
 	fields := []any{"version", g.Holds(model), "beginWithin", v.BeginWithin}
-	if g.ConfirmedAge != nil {
-		fields = append(fields, "confirmedAge", g.ConfirmedAge())
+	if g.Confirmation != nil {
+		fields = append(fields, g.Confirmation().LogFields()...)
 	}
 	return fields
 }
--- a/internal/registrar/changes.go
+++ b/internal/registrar/changes.go
@@ -41,7 +41,7 @@
 	b := Batch{
 		After: after, At: r.revision, Age: r.Clock.Since(r.answeredAt), Unconfirmed: r.answeredAt.Sub(r.confirmedAt),
 		OutageFor: r.outageDuration(), Whole: after < r.deletionFloor, Lost: r.lostStore(),
-		Outages: r.outageReports(),
+		Outages: r.outageReports(), ConfirmedBy: r.confirmedBy,
 	}
 	if !r.weightsConfirmedAt.IsZero() {
 		b.WeightsAge = r.Clock.Since(r.weightsAnsweredAt)
--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -46,6 +46,8 @@
 	// WeightsUnconfirmed is zero if there was none, and positive otherwise.
 	WeightsAge         time.Duration `json:"weightsAge,omitempty"`
 	WeightsUnconfirmed time.Duration `json:"weightsUnconfirmed,omitempty"`
+	// ConfirmedBy is the process to which the store gave the later of the two confirmations.
+	ConfirmedBy string `json:"confirmedBy,omitempty"`
 	// Partial is set if the store may have had more changes when it answered. The batch confirms
 	// nothing then.
 	Partial bool `json:"-"`
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -67,6 +67,8 @@
 	partialAnswerAt time.Time
 	// weightsConfirmedAt and weightsAnsweredAt are confirmedAt and answeredAt by answers on weights only.
 	weightsConfirmedAt, weightsAnsweredAt time.Time
+	// confirmedBy is the process that received the later of these confirmations from the store.
+	confirmedBy string
 	// unreachableAt is when the store was last found unreachable, unreachable whether it still is.
 	unreachableAt time.Time
 	unreachable   bool
@@ -142,8 +144,10 @@
 	}
 	switch {
 	case b.WeightsOnly:
+		previous := r.weightsConfirmation()
 		r.recordOutageEnd(b.answeredAt())
 		r.recordWeightsAnswer(b.answeredAt(), b.Unconfirmed, b.Partial)
+		r.recordConfirmer(b, previous)
 	case b.At >= r.revision:
 		if b.Whole {
 			changed = r.deleteMissing(b) || changed
@@ -164,6 +168,7 @@
 // was unreachable for the process that reports it.
 func (r *Registrar) recordAnswer(b Batch) {
 	answered := b.answeredAt()
+	defer r.recordConfirmer(b, r.weightsConfirmation())
 	r.recordOutageEnd(b.lastAnswer())
 	if b.WeightsUnconfirmed > 0 {
 		r.recordWeightsAnswer(b.AsOf.Add(-b.WeightsAge), b.WeightsUnconfirmed, false)
@@ -191,6 +196,13 @@
 	}
 }
 
+// recordConfirmer records which process the store answered, if a batch has moved the confirmation forward.
+func (r *Registrar) recordConfirmer(b Batch, previous time.Time) {
+	if r.weightsConfirmation().After(previous) {
+		r.confirmedBy = b.ConfirmedBy
+	}
+}
+
 // recordWeightsAnswer records when the store answered that no newer weights are announced. The other records may have
 // changed by then.
 func (r *Registrar) recordWeightsAnswer(answered time.Time, unconfirmed time.Duration, partial bool) {
@@ -423,28 +435,6 @@
 	return r.revision, r.Clock.Since(r.answeredAt), r.view.Load() != nil
 }
 
-// ConfirmedAge returns the time since the store confirmed that no newer weights were announced than the known ones, or
-// since the end of an outage that followed.
-func (r *Registrar) ConfirmedAge() time.Duration {
-	c := r.confirmation.Load()
-	if c == nil {
-		return r.Clock.Since(time.Time{})
-	}
-	return r.Clock.Since(c.until)
-}
-
-// confirmation is a view and the time until which nothing else can have been announced.
-type confirmation struct {
-	view  *View
-	until time.Time
-}
-
-// confirm publishes the current confirmation. It is read without the lock: to apply a large route table takes longer
-// than entries wait for a slot.
-func (r *Registrar) confirm() {
-	r.confirmation.Store(&confirmation{view: r.view.Load(), until: r.confirmedUntil()})
-}
-
 // AwaitsRest reports whether the store's last answer may lack some of its changes, so that it confirmed nothing.
 func (r *Registrar) AwaitsRest() bool {
 	r.mu.Lock()
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -212,7 +212,7 @@
 		fields = append(fields, "returned", true)
 	}
 	if place.Held != 0 {
-		fields = append(fields, "version", place.Held, "confirmedAge", c.Registrar.ConfirmedAge())
+		fields = append(append(fields, "version", place.Held), c.Registrar.Confirmation().LogFields()...)
 	}
 	if s := c.stream; s != nil {
 		fields = append(fields, "events", s.events, "firstEvent", s.firstEventAfter, "longestPause", s.longestPause,
--- a/internal/relayer/logs_test.go
+++ b/internal/relayer/logs_test.go
@@ -89,7 +89,7 @@
 		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 		must.NoError(t, err)
 		port = netip.MustParseAddrPort(listener.Addr().String()).Port()
-		g := &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, ConfirmedAge: func() time.Duration { return time.Second }, Clock: clock.RealClock{}}
+		g := &granter.Granter{Ledger: l, Holds: func(string) uint64 { return 1 }, Confirmation: func() registrar.Confirmation { return registrar.Confirmation{Age: time.Second} }, Clock: clock.RealClock{}}
 		s := &messenger.Server{Listener: listener, OnReserve: g.Reserve, OnProgress: g.Progress, OnLost: g.Lost}
 		ctx, stop := context.WithCancel(context.Background())
 		t.Cleanup(stop)
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -404,6 +404,7 @@
 		klog.InfoS("Store reachable again")
 	}
 	s.backoff = 0
+	b.ConfirmedBy = s.ID
 	s.Registrar.StoreCallSucceeded()
 	s.Registrar.Apply(b)
 	if weightsOnly {
