registrar: infer no outage of the store that lasts less than three seconds

Callers' requests could begin on old weights up to 0.9 s after the bound, where an agent's margin is 0.7 s.

Cause: calls of processes in all regions that got no answer for as little as half a second, as behind full links or beside large tables, counted as an outage in which nothing can be announced. An announcement that the store accepted meanwhile counted from the end of the last failed call. Bounded or not, such an inference is wrong by its whole length, and the bound on old weights covers so short a loss without one.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -9,8 +9,13 @@
 // seconds after which the platform considers a store steady again.
 const maxCallGap = 2500 * time.Millisecond
 
-// maxInferredOutage is the longest time by which an inferred outage extends the store's last confirmation.
-const maxInferredOutage = 10 * time.Second
+const (
+	// minInferredOutage is the shortest outage that is inferred: calls behind saturated links and of busy processes fail
+	// in all regions at once for a shorter time.
+	minInferredOutage = 3 * time.Second
+	// maxInferredOutage is the longest time by which an inferred outage extends the store's last confirmation.
+	maxInferredOutage = 10 * time.Second
+)
 
 // minPause is the shortest gap between two ticks that counts as a suspension of the process: five
 // ticks, as a busy VM delays one or two.
@@ -68,10 +73,14 @@
 // since then.
 func (r *Registrar) extendedConfirmation() time.Time { return r.extend(r.inferredUntil) }
 
-// extend returns the store's last confirmation, extended until a time, by maxInferredOutage at most.
+// extend returns the store's last confirmation, extended until a time, by maxInferredOutage at most and not by less than
+// minInferredOutage.
 func (r *Registrar) extend(until time.Time) time.Time {
 	confirmed := r.weightsConfirmation()
-	return later(confirmed, earlier(until, confirmed.Add(maxInferredOutage)))
+	if until.Sub(confirmed) < minInferredOutage {
+		return confirmed
+	}
+	return earlier(until, confirmed.Add(maxInferredOutage))
 }
 
 // weightsConfirmation returns the time of the store's last confirmation that no newer weights were announced.
