--- a/internal/syncer/fleet_test.go
+++ b/internal/syncer/fleet_test.go
@@ -58,6 +58,8 @@
 	watches, lists atomic.Int32
 	// partitioned processes can't reach the store, storeUnresponsive ones get no answer from it.
 	partitioned, storeUnresponsive atomic.Bool
+	// silences counts how often the connections to the store fell silent; calls in flight then get no answer.
+	silences atomic.Int32
 	// unresponsive processes accept connections and never answer, slowLink ones write slowly.
 	unresponsive, slowLink atomic.Bool
 	// processor is held while records are prepared for others, recordTime for each of them. Records
@@ -194,7 +196,12 @@
 	if err := s.callError(ctx); err != nil {
 		return registrar.Batch{}, err
 	}
+	silences := s.node.silences.Load()
 	b, err := s.memoryStore.watch(ctx, after, wait, prefix)
+	if s.node.silences.Load() != silences {
+		<-ctx.Done()
+		return registrar.Batch{}, ctx.Err()
+	}
 	if callErr := s.callError(ctx); callErr != nil {
 		// The call in flight is lost.
 		return registrar.Batch{}, callErr
