registrar: count the least inferred outage from the last answer, not the last confirmation

An answer may come up to 1.2 s after what it confirms, so that a loss of 1.9 s could pass for three. With that, what told a process that is cut off alone from an outage (isPartitioned, recordPeerAnswer and two fields) goes: it looked only at losses of up to 2.5 s, which are never inferred.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -62,25 +62,21 @@
 // Calls that fail only here, or only in some regions, may be due to a partition or saturated links, while the store
 // accepts announcements. Those that fail everywhere may do so while it serves the operators alone, so it ends.
 func (r *Registrar) confirmedUntil() time.Time {
-	until := r.extendedConfirmation()
-	if r.outageRefuted || r.partialAnswerAt.After(until) || !r.peerOutageUntil.After(r.lastAnswer()) {
+	until, end := r.extendedConfirmation(), r.allRegionsOutageEnd()
+	if r.outageRefuted || r.partialAnswerAt.After(until) || !r.peerOutageUntil.After(r.lastAnswer()) || end.Sub(r.lastAnswer()) < minInferredOutage {
 		return until
 	}
-	return r.extend(later(until, r.allRegionsOutageEnd()))
+	return r.extend(later(until, end))
 }
 
 // extendedConfirmation returns the store's last confirmation, or the end of an inferred outage that an answer has ended
 // since then.
 func (r *Registrar) extendedConfirmation() time.Time { return r.extend(r.inferredUntil) }
 
-// extend returns the store's last confirmation, extended until a time, by maxInferredOutage at most and not by less than
-// minInferredOutage.
+// extend returns the store's last confirmation, extended until a time, by maxInferredOutage at most.
 func (r *Registrar) extend(until time.Time) time.Time {
 	confirmed := r.weightsConfirmation()
-	if until.Sub(confirmed) < minInferredOutage {
-		return confirmed
-	}
-	return earlier(until, confirmed.Add(maxInferredOutage))
+	return later(confirmed, earlier(until, confirmed.Add(maxInferredOutage)))
 }
 
 // weightsConfirmation returns the time of the store's last confirmation that no newer weights were announced.
@@ -170,9 +166,6 @@
 	defer r.mu.Unlock()
 	previousCall := r.lastStoreCall
 	r.recordStoreCall()
-	if r.firstFailureAt.IsZero() {
-		r.firstFailureAt = r.lastStoreCall
-	}
 	switch {
 	case !r.pauseEnd.After(previousCall):
 		r.unreachableAt = r.lastStoreCall
@@ -190,26 +183,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unreachable = false
-	r.firstFailureAt, r.refutedFailures = time.Time{}, 0
 	r.confirm()
 }
 
-// recordPeerAnswer records that the store answered another process, at the earliest at the given time.
-func (r *Registrar) recordPeerAnswer(at time.Time) {
-	if r.firstFailureAt.IsZero() || !at.After(r.firstFailureAt) {
-		return
-	}
-	r.firstFailureAt = time.Time{}
-	r.refutedFailures++
-}
-
-// isPartitioned reports whether the store answers others but not this process. Its failed calls show no outage then;
-// a process that receives them could accept one after a single failed call of its own. A store that recovers briefly
-// may cause this once, and one that recovers repeatedly more often; no process gets an answer after that.
-func (r *Registrar) isPartitioned() bool {
-	return r.refutedFailures > 1 && r.unreachableAt.Sub(r.lastAnswer()) <= maxCallGap
-}
-
 // StoreUnreachable reports whether the last call to the store failed, and no answer of the store arrived since, from
 // other processes either.
 func (r *Registrar) StoreUnreachable() bool {
--- a/internal/registrar/region.go
+++ b/internal/registrar/region.go
@@ -19,10 +19,9 @@
 // outageSpan is the time in which a process of a region got no answer from the store.
 type outageSpan struct{ since, until time.Time }
 
-// observesOutage reports whether all calls of this process have failed since the last known answer, and not for a
-// cause of its own.
+// observesOutage reports whether all calls of this process have failed since the last known answer.
 func (r *Registrar) observesOutage() bool {
-	return !r.isPartitioned() && r.unreachableAt.After(r.lastAnswer()) && !r.partialAnswerAt.After(r.extendedConfirmation()) &&
+	return r.unreachableAt.After(r.lastAnswer()) && !r.partialAnswerAt.After(r.extendedConfirmation()) &&
 		r.locallyConfirmedUntil().After(r.lastAnswer())
 }
 
@@ -34,10 +33,6 @@
 
 // outageDuration returns how long after the last known answer the store answered no process.
 func (r *Registrar) outageDuration() time.Duration {
-	if r.isPartitioned() {
-		// All that it could report are calls of others, among them those of the process that asks.
-		return 0
-	}
 	return max(0, r.locallyConfirmedUntil().Sub(r.lastAnswer()))
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -76,10 +76,6 @@
 	unreachable   bool
 	// longOutageEnd is when the last failed call of an outage ended in which upstream records may have expired.
 	longOutageEnd time.Time
-	// firstFailureAt is when the first call failed since the store answered any process; refutedFailures counts how
-	// often it answered others after failed calls, since it last answered this process.
-	firstFailureAt  time.Time
-	refutedFailures int
 	// peerOutageUntil is the time until which another process, at least as up to date as this one,
 	// has found the store unreachable since its last answer.
 	peerOutageUntil time.Time
@@ -186,7 +182,6 @@
 		return
 	}
 	confirmed := answered.Add(-b.Unconfirmed)
-	r.recordPeerAnswer(confirmed)
 	if confirmed.After(r.confirmedAt) {
 		r.confirmedAt = confirmed
 	}
