--- a/internal/syncer/silent_connections_test.go
+++ b/internal/syncer/silent_connections_test.go
@@ -10,7 +10,7 @@
 
 // Guards against announcements that count from the end of an outage that was none: the connections of all processes to
 // the store fall silent at once, their calls in flight time out, and a version is announced meanwhile.
-func TestSilentConnectionsDelayNoAnnouncement(t *testing.T) {
+func TestSilentConnectionsDateNoAnnouncementLate(t *testing.T) {
 	for _, after := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond} {
 		t.Run(fmt.Sprint(after), func(t *testing.T) {
 			withShapedFleet(t, shape{entries: 24, regions: 3, agents: 12}, func(t *testing.T, f *fleet) {
