relayer: an inferred outage extends no time that an agent states

A request that waited at its engine could begin on old weights after the time that its agent had stated for them, although the agent knew of a newer version.

Cause: the later of the agent's time and the entry's own holds, as each counts from before any announcement that it doesn't know. An entry's own one may be inferred from failed calls, while the store answers the agent, and isn't from before the announcement then. Where an agent states a time, only the store's word to the entry counts beside it.

--- a/internal/relayer/start_deadline.go
+++ b/internal/relayer/start_deadline.go
@@ -46,14 +46,19 @@
 	return max(0, left-startMargin), bounded
 }
 
-// confirmedTimeToStart is the time left by the store's last confirmation here that a place's weights are the newest; false
-// if they aren't. Both it and the time that an agent states end in time, as each counts from before any announcement.
+// confirmedTimeToStart is the time left by the last confirmation here that a place's weights are the newest; false if they
+// aren't. Where an agent states a time, too, only the store's own word counts: both then end in time, as each counts from
+// before any announcement. The agent may know of one in an outage that is only inferred here.
 func (p *Placer) confirmedTimeToStart(place *Placement, j *Job) (time.Duration, bool) {
 	if place.Held == 0 || p.WeightsBound <= 0 {
 		return 0, false
 	}
 	since, superseded := p.Registrar.SupersededSince(j.Model, place.Held)
-	return p.WeightsBound - p.Registrar.Clock.Since(since), !superseded
+	age := p.Registrar.Clock.Since(since)
+	if !place.BeginBy.IsZero() {
+		age = max(age, p.Registrar.Confirmation().StoreAge)
+	}
+	return p.WeightsBound - age, !superseded
 }
 
 // closeUnlessStarted closes the connection of a request that doesn't start in time. Calling started
--- a/internal/relayer/start_deadline_test.go
+++ b/internal/relayer/start_deadline_test.go
@@ -83,3 +83,29 @@
 	c.Step(time.Second)
 	mustCountFrom(announced)
 }
+
+// Guards against requests that start on stale weights because their entry infers an outage of the store, although the
+// agent, which the store answers, states less time.
+func TestInferredOutageExtendsNoTimeStatedByTheAgent(t *testing.T) {
+	c := clocktest.NewFakeClock(time.Unix(1000, 0))
+	p, _ := newPlacer(c, time.Hour, 1)
+	other := &registrar.Registrar{Clock: c, Decode: p.Registrar.Decode}
+	other.Apply(p.Registrar.ChangesSince(0))
+	timeToStart := func(stated time.Duration) time.Duration {
+		place := &relayer.Placement{Held: 1, BeginBy: c.Now().Add(stated)}
+		left, bounded := p.TimeToStart(place, &relayer.Job{Request: relayer.Request{Model: "m"}})
+		must.True(t, bounded)
+		return left
+	}
+	const stated = 300 * time.Millisecond
+	c.Step(time.Second)
+	must.Greater(t, stated, timeToStart(stated), must.Sprint("the store's confirmation allows more"))
+	for range 14 {
+		c.Step(500 * time.Millisecond)
+		p.Registrar.StoreCallFailed()
+		other.StoreCallFailed()
+		p.Registrar.Apply(other.ChangesSince(10))
+	}
+	must.Less(t, p.WeightsBound/2, p.Registrar.ConfirmedAge(), must.Sprint("no outage is inferred"))
+	must.LessEq(t, stated, timeToStart(stated))
+}
