registrar: pass on that the store has confirmed nothing

A process that took its records from one with a partial answer of the store only took them for confirmed 292 years ago, the longest duration, instead of never. It dated the next announcement there, didn't ask those that know its age, and passed the date on.

TestUnconfirmedPeerDatesNoAnnouncement failed before.

--- a/internal/registrar/changes.go
+++ b/internal/registrar/changes.go
@@ -43,6 +43,9 @@
 		OutageFor: r.outageDuration(), Whole: after < r.deletionFloor, Lost: r.lostStore(),
 		Outages: r.outageReports(), ConfirmedBy: r.confirmedBy,
 	}
+	if r.confirmedAt.IsZero() {
+		b.Unconfirmed = UnknownAge
+	}
 	if !r.weightsConfirmedAt.IsZero() {
 		b.WeightsAge = r.Clock.Since(r.weightsAnsweredAt)
 		b.WeightsUnconfirmed = max(1, r.weightsAnsweredAt.Sub(r.weightsConfirmedAt))
--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -40,7 +40,7 @@
 	// whether a process is disconnected from the store.
 	Age time.Duration `json:"age"`
 	// Unconfirmed is how much longer ago that may have been: nothing is known of announcements in
-	// that time, as the answer may have been delayed.
+	// that time, as the answer may have been delayed. UnknownAge stands for any time.
 	Unconfirmed time.Duration `json:"unconfirmed,omitempty"`
 	// WeightsAge and WeightsUnconfirmed are Age and Unconfirmed of an answer on weights only, between processes.
 	// WeightsUnconfirmed is zero if there was none, and positive otherwise.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -181,9 +181,8 @@
 		r.partialAnswerAt = answered
 		return
 	}
-	confirmed := answered.Add(-b.Unconfirmed)
-	if confirmed.After(r.confirmedAt) {
-		r.confirmedAt = confirmed
+	if b.Unconfirmed != UnknownAge {
+		r.confirmedAt = later(r.confirmedAt, answered.Add(-b.Unconfirmed))
 	}
 	if until := b.lastAnswer().Add(b.OutageFor); b.OutageFor > 0 && until.After(r.peerOutageUntil) {
 		r.peerOutageUntil = until
