Tests: inferred outages confirm weights for all of their ten seconds

Since inferred outages end, two tests looked at ages at fourteen seconds only, at which an inference that ended after eight would pass, too. They now ask for what TestWeightsStayConfirmedInALongOutage asks: in the ten seconds no confirmation is over five seconds old.

--- a/internal/syncer/partial_outage_test.go
+++ b/internal/syncer/partial_outage_test.go
@@ -10,7 +10,10 @@
 // Guards against engines that stop, and late news, where the store turns away all machines but a few, whose peers they are.
 // An agent tells nobody what the store answers it, so that the others infer an outage, which ends.
 func TestWeightsStayConfirmedWhileTheStoreAnswersFew(t *testing.T) {
-	const agent = 20
+	const (
+		agent    = 20
+		loadTime = 3 * time.Second
+	)
 	for name, served := range map[string][]int{"one seed": {0}, "one late entry": {17}, "an entry in each region": {12, 13, 14}, "one agent": {agent}} {
 		for how, setLost := range map[string]func(*node){
 			"refusing":     func(n *node) { n.partitioned.Store(true) },
@@ -38,6 +41,9 @@
 						for _, m := range f.members {
 							at, _ := m.SupersededSince("m", 1)
 							oldest = max(oldest, time.Since(at))
+							if time.Since(lost) <= longestInference {
+								must.Less(t, weightsBound-loadTime, time.Since(at), must.Sprint(m.ID, time.Since(lost)))
+							}
 						}
 					}
 					f.store.put("weights/m", 2)
--- a/internal/syncer/unconfirmed_test.go
+++ b/internal/syncer/unconfirmed_test.go
@@ -97,7 +97,10 @@
 // Guards against engines that stop in an outage of the store because a few entries end or fall silent as it begins: the
 // processes that wait for them call the store late.
 func TestWeightsStayConfirmedInAnOutageWithSilentEntries(t *testing.T) {
-	const entries = 24
+	const (
+		entries  = 24
+		loadTime = 3 * time.Second
+	)
 	for name, silence := range map[string]func(*node){
 		"killed": func(n *node) { n.stop() },
 		"silent for a moment": func(n *node) {
@@ -124,6 +127,9 @@
 						if !slices.Contains(silent, n) {
 							at, _ := n.SupersededSince("m", 1)
 							oldest = max(oldest, time.Since(at))
+							if time.Since(lost) <= longestInference {
+								must.Less(t, weightsBound-loadTime, time.Since(at), must.Sprint(n.ID, time.Since(lost)))
+							}
 						}
 					}
 				}
