registrar: an answer to a call made in an outage ends the inference

The store's answer to another process's call of 1.7 s confirms nothing after the start of that call, but the kept end of the inferred outage stayed in force beside it, so that weights counted as confirmed 0.2 s ago instead of 1.7 s. It was left out since the least outage counts from the last answer. A kept end is dropped again if it is less than the least outage past the new confirmation.

--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -71,7 +71,14 @@
 
 // extendedConfirmation returns the store's last confirmation, or the end of an inferred outage that an answer has ended
 // since then.
-func (r *Registrar) extendedConfirmation() time.Time { return r.extend(r.inferredUntil) }
+func (r *Registrar) extendedConfirmation() time.Time {
+	confirmed := r.weightsConfirmation()
+	if r.inferredUntil.Sub(confirmed) < minInferredOutage {
+		// An answer to a call made in the outage may have been given before its inferred end.
+		return confirmed
+	}
+	return r.extend(r.inferredUntil)
+}
 
 // extend returns the store's last confirmation, extended until a time, by maxInferredOutage at most.
 func (r *Registrar) extend(until time.Time) time.Time {
