registrar: date no announcement by an outage of less than four seconds

Losses of 2.2 to 2.9 s in all regions still dated an announcement in their middle up to 1.44 s too young, more than an agent's margin of 0.7 s.

Cause: a loss is observed from the store's last answer, up to a second before it, to the end of the last failed call, up to 1.9 s after it. So a span of three seconds may stand for a loss of one or two, and an announcement keeps the date that it got by it.

What dates an announcement now has to extend the store's word by four seconds; what confirms weights, and ends soon, by three as before.

--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -146,7 +146,7 @@
 
 // readableUntil returns the time until which nothing newer than the known versions can have been announced.
 func (r *Registrar) readableUntil(key string) time.Time {
-	until := r.confirmedUntil()
+	until := r.datesSince()
 	if h, ok := r.hidden[key]; ok {
 		return earlier(h.since, until)
 	}
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -13,6 +13,10 @@
 	// minInferredOutage is the shortest outage that is inferred: calls behind saturated links and of busy processes fail
 	// in all regions at once for a shorter time.
 	minInferredOutage = 3 * time.Second
+	// minDatingOutage is how far an inferred outage must extend the store's last confirmation to date an announcement. It
+	// is longer, as what confirms weights ends soon while an announcement keeps its date, and as the calls that show a loss
+	// begin before it and end after it.
+	minDatingOutage = 4 * time.Second
 	// maxInferredOutage is the longest time by which an inferred outage extends the store's last confirmation.
 	maxInferredOutage = 10 * time.Second
 )
@@ -69,6 +73,16 @@
 	return r.extend(later(until, end))
 }
 
+// datesSince returns the earliest time from which an announcement that is received now may count: the store's last
+// confirmation, or the end of an inferred outage that is long enough.
+func (r *Registrar) datesSince() time.Time {
+	confirmed, until := r.weightsConfirmation(), r.confirmedUntil()
+	if until.Sub(confirmed) < minDatingOutage {
+		return confirmed
+	}
+	return until
+}
+
 // extendedConfirmation returns the store's last confirmation, or the end of an inferred outage that an answer has ended
 // since then.
 func (r *Registrar) extendedConfirmation() time.Time {
