--- a/cmd/oriolecroft/endless_bytes_test.go
+++ b/cmd/oriolecroft/endless_bytes_test.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,6 +104,8 @@
 
 	mu    sync.Mutex
 	reply *endlessReply
+	// whole answers the calls instead of a reply without end; nil for none.
+	whole http.HandlerFunc
 	// ended is how many replies have ended as their connection was closed, longest the longest time and most the most bytes
 	// of one.
 	ended   int
@@ -136,11 +139,22 @@
 	r.reply, r.ended, r.longest, r.most = reply, 0, 0, 0
 }
 
+// setWhole sets a handler of all later calls.
+func (r *replier) setWhole(h http.HandlerFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole = h
+}
+
 // ServeHTTP implements http.Handler.
 func (r *replier) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	r.mu.Lock()
-	reply := r.reply
+	reply, whole := r.reply, r.whole
 	r.mu.Unlock()
+	if whole != nil && strings.HasPrefix(h.URL.Path, r.path) {
+		whole(w, h)
+		return
+	}
 	if reply == nil || !strings.HasPrefix(h.URL.Path, r.path) {
 		r.next.ServeHTTP(w, h)
 		return
@@ -264,6 +278,29 @@
 	must.LessEq(t, p.timeout+closeSlack, longest, must.Sprint(name))
 }
 
+// wholeTimeout is how long a process may take for its calls with whole replies.
+const wholeTimeout = 20 * time.Second
+
+// mustBearWhole answers a number of calls with whole replies, and checks that the process keeps little of them and serves
+// others meanwhile.
+func (p *bearingProcess) mustBearWhole(t *testing.T, least int64, reply http.HandlerFunc) {
+	t.Helper()
+	var calls atomic.Int64
+	p.replier.setWhole(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		reply(w, r)
+	})
+	if p.trigger != nil {
+		p.trigger()
+	}
+	for deadline := time.Now().Add(wholeTimeout); calls.Load() <= least; time.Sleep(50 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline), must.Sprint(calls.Load(), " replies"))
+		must.LessEq(t, endlessMemory, peakMemory(t, p.Process.Pid), must.Sprint(calls.Load(), " replies"))
+		must.True(t, p.serves())
+	}
+	t.Logf("at most %d MB, %d replies", peakMemory(t, p.Process.Pid), calls.Load())
+}
+
 // bearingDeployment is a deployment of one process with what it calls.
 type bearingDeployment struct {
 	*oddRecordsDeployment
@@ -494,3 +531,34 @@
 	}
 	p.mustBear(t, slices.Concat(endlessHeads(), endlessFramings(), endlessBodies(), []endlessReply{slowBody()}))
 }
+
+// endlessPages returns a handler of lists whose pages never end.
+func endlessPages() http.HandlerFunc {
+	var pages atomic.Int64
+	value := strings.Repeat("x", 1<<20)
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, `{"at":5,"has_more":true,"items":[{"key":"k%08d","revision":1,"value":%q}]}`, pages.Add(1), value)
+	}
+}
+
+// Guards against a process that exceeds the memory of its VM because of a list of the store whose pages never end.
+func TestProcessesBearPagesWithoutEnd(t *testing.T) {
+	t.Parallel()
+	for role, start := range map[string]func(*bearingDeployment, *testing.T) *bearingProcess{
+		"agent": func(d *bearingDeployment, t *testing.T) *bearingProcess {
+			return d.startAgent(t, "store", "/v1/kv-range")
+		},
+		"entry": func(d *bearingDeployment, t *testing.T) *bearingProcess {
+			return d.startEntry(t, "/v1/kv-range", freshLoopback()+":8000")
+		},
+	} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			d := newBearingDeployment(t)
+			p := start(d, t)
+			p.trigger = d.compact
+			p.mustBearWhole(t, 80, endlessPages())
+		})
+	}
+}
