bodyreader: limit the elements of a decoded JSON text

What callers saw: nothing yet.

Cause: the limits are on bytes, and an element of three bytes takes some hundred once it is decoded, twice that while its list grows.

Change: replies are decoded by bodyreader.DecodeJSON, which refuses a text of more than 131,072 objects, lists and members; a manifest has 65,536 chunks at most. Records of upstreams, entries, weights and blames too. The operators' table isn't limited.

--- a/cmd/oriolecroft/endless_bytes_test.go
+++ b/cmd/oriolecroft/endless_bytes_test.go
@@ -403,6 +403,19 @@
 	return p
 }
 
+// startOtherAgent starts a replier at the address of the agent of an engine.
+func (d *bearingDeployment) startOtherAgent(t *testing.T, path string) *replier {
+	t.Helper()
+	e := d.newEngine(freshLoopback())
+	d.startUpstream(t, e.Upstream)
+	l, err := net.Listen("tcp", e.Address.Addr().String()+":7701")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	r := newReplier(path, http.NotFoundHandler())
+	go func() { _ = http.Serve(l, r) }()
+	return r
+}
+
 // announceNext announces new weights once.
 func (d *bearingDeployment) announceNext() func() {
 	return sync.OnceFunc(func() { d.store.AnnounceWeights("m", 2) })
@@ -461,13 +474,7 @@
 func TestAgentBearsEndlessRepliesOfAgents(t *testing.T) {
 	t.Parallel()
 	d := newBearingDeployment(t)
-	other := d.newEngine(freshLoopback())
-	d.startUpstream(t, other.Upstream)
-	l, err := net.Listen("tcp", other.Address.Addr().String()+":7701")
-	must.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	r := newReplier("/versions", http.NotFoundHandler())
-	go func() { _ = http.Serve(l, r) }()
+	r := d.startOtherAgent(t, "/versions")
 	d.origin.Down.Store(true)
 	p := d.startAgent(t, "", "")
 	p.replier, p.timeout, p.trigger = r, 250*time.Millisecond, d.announceNext()
@@ -562,3 +569,56 @@
 		})
 	}
 }
+
+// smallElements returns a handler of a JSON text of about so many bytes, with a list of small elements between start and end.
+func smallElements(start, element, end string, bytes int) http.HandlerFunc {
+	body := start + element + strings.Repeat(","+element, bytes/(len(element)+1)) + end
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// Guards against a process that exceeds the memory of its VM because of replies of small elements, which take many times
+// their bytes once they are decoded.
+func TestProcessesBearSmallElements(t *testing.T) {
+	t.Parallel()
+	announceNext := (*bearingDeployment).announceNext
+	compact := func(d *bearingDeployment) func() { return d.compact }
+	for _, c := range []struct {
+		role, part, path string
+		trigger          func(*bearingDeployment) func()
+		reply            http.HandlerFunc
+	}{
+		{"agent", "engine", "/v1/report", nil, smallElements(`{"models":[`, `{}`, `]}`, 1000<<10)},
+		{"agent", "origin", "/v1/manifest", announceNext, smallElements(`{"model":"m","version":2,"chunk_bytes":1000,"digests":[`, `""`, `]}`, 5000<<10)},
+		{"agent", "agent", "/versions", announceNext, smallElements(`{"model":"m","version":"2","chunks":[`, `""`, `]}`, 8000<<10)},
+		{"agent", "store", "/v1/kv-watch", nil, smallElements(`{"at":5,"events":[`, `{}`, `]}`, 8000<<10)},
+		{"agent", "store", "/v1/kv-range", compact, smallElements(`{"at":5,"items":[`, `{}`, `]}`, 8000<<10)},
+		{"entry", "store", "/v1/kv-watch", nil, smallElements(`{"at":5,"events":[`, `{}`, `]}`, 8000<<10)},
+		{"entry", "store", "/v1/kv-range", compact, smallElements(`{"at":5,"items":[`, `{}`, `]}`, 8000<<10)},
+	} {
+		t.Run(c.role+strings.ReplaceAll(c.path, "/", "_"), func(t *testing.T) {
+			t.Parallel()
+			d := newBearingDeployment(t)
+			var other *replier
+			if c.part == "agent" {
+				d.origin.Down.Store(true)
+				other = d.startOtherAgent(t, c.path)
+			}
+			var p *bearingProcess
+			if c.role == "entry" {
+				p = d.startEntry(t, c.path, freshLoopback()+":8000")
+			} else {
+				p = d.startAgent(t, c.part, c.path)
+			}
+			if other != nil {
+				p.replier = other
+			}
+			if c.trigger != nil {
+				p.trigger = c.trigger(d)
+			}
+			p.mustBearWhole(t, 3, c.reply)
+		})
+	}
+}
--- a/internal/bodyreader/reader.go
+++ b/internal/bodyreader/reader.go
@@ -3,7 +3,6 @@
 package bodyreader
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -150,13 +149,13 @@
 }
 
 // ReadJSON decodes a whole body of at most limit bytes that is one JSON value. Errors are those of ReadAll and
-// of package json.
+// DecodeJSON.
 func (r *Reader) ReadJSON(limit int64, v any) error {
 	data, err := r.ReadAll(limit)
 	if err != nil {
 		return err
 	}
-	return json.Unmarshal(data, v)
+	return DecodeJSON(data, v)
 }
 
 // ReadAtMost reads r to its end, at most limit bytes. Errors are *OversizeError and those of the reader.
--- a/internal/storer/http.go
+++ b/internal/storer/http.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -100,7 +99,7 @@
 	var out struct {
 		Version uint64 `json:"version"`
 	}
-	if err := json.Unmarshal(a.body, &out); err != nil {
+	if err := bodyreader.DecodeJSON(a.body, &out); err != nil {
 		return 0, &UnknownError{Op: c.op, Key: key, Err: err}
 	}
 	return out.Version, nil
@@ -123,7 +122,7 @@
 	var out struct {
 		Items []wireItem `json:"items"`
 	}
-	if err := json.Unmarshal(a.body, &out); err != nil {
+	if err := bodyreader.DecodeJSON(a.body, &out); err != nil {
 		return nil, &UnavailableError{Op: c.op, Key: prefix, Err: err}
 	}
 	items := make([]Item, len(out.Items))
@@ -143,7 +142,7 @@
 	var out struct {
 		ID string `json:"id"`
 	}
-	if err := json.Unmarshal(a.body, &out); err != nil {
+	if err := bodyreader.DecodeJSON(a.body, &out); err != nil {
 		return "", &UnknownError{Op: c.op, Err: err}
 	}
 	return out.ID, nil
@@ -164,7 +163,7 @@
 		return Item{}, &UnchangedError{Key: c.key}
 	}
 	var w wireItem
-	if err := json.Unmarshal(a.body, &w); err != nil {
+	if err := bodyreader.DecodeJSON(a.body, &w); err != nil {
 		return Item{}, &UnavailableError{Op: c.op, Key: c.key, Err: err}
 	}
 	return w.item(), nil
@@ -220,7 +219,7 @@
 		Error   string `json:"error"`
 		Version uint64 `json:"version"`
 	}
-	if err := json.Unmarshal(a.body, &out); err != nil {
+	if err := bodyreader.DecodeJSON(a.body, &out); err != nil {
 		out.Error = strings.TrimSpace(string(a.body))
 	}
 	failure := fmt.Errorf("status %d: %s", a.status, out.Error)
