stager: read only staged chunks that exist

What callers saw: nothing yet. Until all were read the agent asked neither for reports nor for weights.

Cause: after its start an agent reads all chunks that its engine lists, and drops those that are not of the manifest only once it has them all.

Change: it reads each chunk of the manifest once, and at most its size.

--- a/cmd/oriolecroft/endless_bytes_test.go
+++ b/cmd/oriolecroft/endless_bytes_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -622,3 +623,36 @@
 		})
 	}
 }
+
+// Guards against an agent that exceeds the memory of its VM because its engine lists staged chunks that don't exist, and has
+// bytes for each.
+func TestAgentBearsStagedChunksWithoutEnd(t *testing.T) {
+	t.Parallel()
+	d := newBearingDeployment(t)
+	d.store.SetFault(standin.Busy)
+	p := d.startAgent(t, "engine", "/v1/stage-get")
+	var listed []string
+	for n := range 50_000 {
+		listed = append(listed, strconv.Itoa(n-10), "0")
+	}
+	list, chunk := `{"held":[`+strings.Join(listed, ",")+`]}`, strings.Repeat("x", d.origin.ChunkBytes)
+	var calls atomic.Int64
+	p.replier.setWhole(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		text := list
+		if r.URL.Query().Has("num") {
+			text = chunk
+		}
+		_, _ = io.WriteString(w, text)
+	})
+	d.store.SetFault(standin.None)
+	for deadline := time.Now().Add(wholeTimeout); calls.Load() == 0; time.Sleep(50 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline))
+	}
+	for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
+		must.LessEq(t, endlessMemory, peakMemory(t, p.Process.Pid), must.Sprint(calls.Load(), " calls"))
+		must.True(t, p.serves())
+	}
+	t.Logf("at most %d MB, %d calls", peakMemory(t, p.Process.Pid), calls.Load())
+	must.Eq(t, int64(1+d.figures.Chunks), calls.Load())
+}
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -210,8 +210,12 @@
 		klog.ErrorS(err, "Staged chunks not listed", "agent", s.ID, "model", model)
 	}
 	staged := map[int][]byte{}
-	for _, i := range indexes {
-		data, err := s.Engine.Staged(ctx, model, i, m.ChunkSize)
+	slices.Sort(indexes)
+	for _, i := range slices.Compact(indexes) {
+		if i < 0 || i >= len(m.Chunks) {
+			continue
+		}
+		data, err := s.Engine.Staged(ctx, model, i, m.ChunkBytes(i))
 		if err != nil {
 			klog.InfoS("Staged chunk not read", "agent", s.ID, "chunk", i, "err", err)
 			continue
