messenger: close connections that bring bytes and no answer

What callers saw: nothing yet. In a trial an entry or agent that called a faulty process, which replied with small messages to no call, with calls or notices, or with line ends, without end, read them at 100 MB/s for as long as it ran: 3.3 to 3.9 s of processor time in 3 s, of the 0.4 and 0.48 cores of its VM. The call had timed out after 0.35 to 1 s.

Cause: the limit on a message starts anew with each message, blanks before a message count for nothing, and a call that times out leaves its connection open, as its peer may just be slow.

Change: a connection to a peer may bring 16 MiB without an answer to a call, as much as an answer itself; blanks count, and a message as 8 KiB or more. Then it is closed.

TestProcessesEndEndlessMessages failed before in its three cases (not closed within 12 s) and passes in four of four runs at a load of 30: 35 MB at most, closed within 2.9 s.

--- a/cmd/oriolecroft/endless_bytes_test.go
+++ b/cmd/oriolecroft/endless_bytes_test.go
@@ -25,6 +25,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/oriolecroft/oriolecroft/internal/connector"
+	"github.com/oriolecroft/oriolecroft/internal/registrar"
 	"github.com/oriolecroft/oriolecroft/platform/standin"
 )
 
@@ -92,6 +93,19 @@
 	}
 }
 
+// endlessMessages are replies to a call between processes that bring no answer to it.
+func endlessMessages() []endlessReply {
+	return []endlessReply{
+		{name: "status line", start: "HTTP/1.1 200 ", repeated: "O"},
+		{name: "no protocol", repeated: "\x16\x03\x01\x02"},
+		{name: "lists in lists", repeated: "["},
+		{name: "replies to no call", repeated: `{"jsonrpc":"2.0","id":77,"result":{}}` + "\n"},
+		{name: "calls", repeated: `{"jsonrpc":"2.0","id":77,"method":"news","params":{}}` + "\n"},
+		{name: "notices", repeated: `{"jsonrpc":"2.0","method":"news","params":{}}` + "\n"},
+		{name: "line ends", repeated: "\r\n"},
+	}
+}
+
 // slowBody is a body that arrives so slowly that only the call's time limit ends it.
 func slowBody() endlessReply {
 	return endlessReply{name: "slow body", start: closingHead + `{"models":"`, repeated: "x", pause: 50 * time.Millisecond}
@@ -417,6 +431,46 @@
 	return r
 }
 
+// listenForMessages listens for calls of other processes at an address.
+func (r *replier) listenForMessages(t *testing.T, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.serveMessages(conn)
+		}
+	}()
+}
+
+// serveMessages replies without end to the first call on a connection, or closes it.
+func (r *replier) serveMessages(conn net.Conn) {
+	_, err := conn.Read(make([]byte, 1))
+	r.mu.Lock()
+	reply := r.reply
+	r.mu.Unlock()
+	if err != nil || reply == nil {
+		conn.Close()
+		return
+	}
+	// Replies of the process must not wait to be read.
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	r.send(conn, reply)
+}
+
+// putEntry writes the record of another entry.
+func (d *bearingDeployment) putEntry(ip string) {
+	d.store.PutEntry(registrar.Member{
+		ID: "front-" + ip, Incarnation: "1", FailureDomain: "a", Region: "r",
+		Callers: netip.MustParseAddrPort(ip + ":8005"), Peers: netip.MustParseAddrPort(ip + ":8000"),
+	})
+}
+
 // announceNext announces new weights once.
 func (d *bearingDeployment) announceNext() func() {
 	return sync.OnceFunc(func() { d.store.AnnounceWeights("m", 2) })
@@ -436,6 +490,8 @@
 	storeCallTimeout = 5900 * time.Millisecond
 	watchCallTimeout = storeCallTimeout + time.Second
 	listCallTimeout  = storeCallTimeout + 1500*time.Millisecond
+	// messageTimeout is that of a call for records: until the reply starts to arrive, and for its transfer.
+	messageTimeout = 5750 * time.Millisecond
 )
 
 // Guards against an agent that exceeds the memory of its VM, or ends, because of replies without end.
@@ -656,3 +712,56 @@
 	t.Logf("at most %d MB, %d calls", peakMemory(t, p.Process.Pid), calls.Load())
 	must.Eq(t, int64(1+d.figures.Chunks), calls.Load())
 }
+
+// Guards against a process that reads without end from another one, at the cost of a processor and of memory, though it
+// sends no answer.
+func TestProcessesEndEndlessMessages(t *testing.T) {
+	t.Parallel()
+	all := endlessMessages()
+	for _, c := range []struct {
+		role, from string
+		replies    []endlessReply
+	}{
+		// An agent makes a call each two seconds while it gets no answer.
+		{"agent", "entry", all[len(all)-3:]},
+		{"entry", "entry", all},
+		{"entry", "agent", all},
+	} {
+		t.Run(c.role+" from "+c.from, func(t *testing.T) {
+			t.Parallel()
+			d := newBearingDeployment(t)
+			r := newReplier("", nil)
+			// Processes avoid those that didn't answer for a while.
+			for range 4 {
+				ip := freshLoopback()
+				if c.from == "entry" {
+					d.putEntry(ip)
+					r.listenForMessages(t, ip+":8000")
+					continue
+				}
+				e := d.newEngine(ip)
+				d.startUpstream(t, e.Upstream)
+				r.listenForMessages(t, ip+":7700")
+			}
+			var p *bearingProcess
+			if c.role == "agent" {
+				p = d.startAgent(t, "", "")
+			} else {
+				p = d.startEntry(t, "/none", freshLoopback()+":8000")
+			}
+			p.replier, p.timeout = r, messageTimeout
+			ctx, cancel := context.WithCancel(t.Context())
+			var callers sync.WaitGroup
+			defer callers.Wait()
+			defer cancel()
+			if c.from == "agent" {
+				callers.Go(func() {
+					for ; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+						d.call(ctx, d.entries[0], draftPath)
+					}
+				})
+			}
+			p.mustBear(t, c.replies)
+		})
+	}
+}
--- a/internal/messenger/bound.go
+++ b/internal/messenger/bound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -16,18 +17,22 @@
 	// MaxMessage is the largest message read, in bytes: a bundle of one megabyte in
 	// base64, with an entry's state of its agents.
 	MaxMessage = 16 << 20
+	// minMessage is what a message that is no answer counts at least, in bytes: small ones take as long to handle.
+	minMessage = 8 << 10
 	// writeTimeout bounds one write to a peer. A suspended peer (SIGSTOP, a stalled
 	// link) fills the socket buffer and would otherwise block the writer forever; the
 	// connection is closed and replaced instead.
 	writeTimeout = 3 * time.Second
 )
 
-// OversizedError reports a message larger than MaxMessage.
+// OversizedError reports a message larger than MaxMessage, or as many bytes that are no answer to a call.
 type OversizedError struct {
 	Limit int
 }
 
-func (e *OversizedError) Error() string { return fmt.Sprintf("message of more than %d bytes", e.Limit) }
+func (e *OversizedError) Error() string {
+	return fmt.Sprintf("more than %d bytes in a message or without an answer", e.Limit)
+}
 
 // boundedConn sets a deadline before each write and limits the bytes read for one
 // message. The decoder buffers a whole message: one without end would exhaust the
@@ -37,6 +42,9 @@
 	// limited counts what is received; nil without limits.
 	limited   *acceptor.Conn
 	remaining int
+	// unanswered is how many more bytes may be received until an answer to a call. Blanks count too, and a message as
+	// minMessage or more.
+	unanswered int
 	// partial is set once a part of the message was read.
 	partial bool
 	opened  time.Time
@@ -57,11 +65,12 @@
 }
 
 func (c *boundedConn) Read(p []byte) (int, error) {
-	if c.remaining <= 0 {
-		return 0, &OversizedError{Limit: MaxMessage}
-	}
 	for {
+		if c.remaining <= 0 || c.unanswered <= 0 {
+			return 0, &OversizedError{Limit: MaxMessage}
+		}
 		n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
+		c.unanswered -= n
 		if n > 0 {
 			c.lastRead.Store(int64(time.Since(c.opened)))
 		}
@@ -92,13 +101,14 @@
 }
 
 func newStream(raw net.Conn) *boundedStream {
-	c := &boundedConn{Conn: raw, limited: acceptor.For(raw), opened: time.Now()}
+	c := &boundedConn{Conn: raw, limited: acceptor.For(raw), opened: time.Now(), unanswered: math.MaxInt}
 	return &boundedStream{conn: c, decoder: json.NewDecoder(c), encoder: json.NewEncoder(c)}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream. The library calls it from one goroutine only.
 func (s *boundedStream) ReadObject(v any) error {
 	s.conn.remaining = MaxMessage
+	s.conn.unanswered -= minMessage
 	s.conn.partial = s.pending() > 0
 	s.conn.limited.AwaitMessage(s.conn.partial)
 	return s.decoder.Decode(v)
--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -138,8 +138,15 @@
 		return nil, err
 	}
 	stream := newStream(raw)
+	stream.conn.unanswered = MaxMessage
+	// The library calls this on the goroutine that reads.
+	onReceived := jsonrpc2.OnRecv(func(r *jsonrpc2.Request, res *jsonrpc2.Response) {
+		if isAnswer := r != nil && res != nil; isAnswer || c.OnNews != nil && r != nil && r.Method == methodNews {
+			stream.conn.unanswered = MaxMessage
+		}
+	})
 	c.conn = &connection{
-		Conn: jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(c.handle), withoutLogging),
+		Conn: jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(c.handle), withoutLogging, onReceived),
 		raw:  stream.conn,
 	}
 	return c.conn, nil
