--- a/cmd/oriolecroft/endless_bytes_test.go
+++ b/cmd/oriolecroft/endless_bytes_test.go
@@ -729,39 +729,60 @@
 	} {
 		t.Run(c.role+" from "+c.from, func(t *testing.T) {
 			t.Parallel()
-			d := newBearingDeployment(t)
-			r := newReplier("", nil)
-			// Processes avoid those that didn't answer for a while.
-			for range 4 {
-				ip := freshLoopback()
-				if c.from == "entry" {
-					d.putEntry(ip)
-					r.listenForMessages(t, ip+":8000")
-					continue
-				}
-				e := d.newEngine(ip)
-				d.startUpstream(t, e.Upstream)
-				r.listenForMessages(t, ip+":7700")
-			}
-			var p *bearingProcess
-			if c.role == "agent" {
-				p = d.startAgent(t, "", "")
-			} else {
-				p = d.startEntry(t, "/none", freshLoopback()+":8000")
-			}
-			p.replier, p.timeout = r, messageTimeout
-			ctx, cancel := context.WithCancel(t.Context())
-			var callers sync.WaitGroup
-			defer callers.Wait()
-			defer cancel()
-			if c.from == "agent" {
-				callers.Go(func() {
-					for ; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
-						d.call(ctx, d.entries[0], draftPath)
-					}
-				})
+			mustBearMessages(t, c.role, c.from, c.replies)
+		})
+	}
+}
+
+// mustBearMessages checks that an entry or agent bears messages without end of entries or agents.
+func mustBearMessages(t *testing.T, role, from string, replies []endlessReply) {
+	t.Helper()
+	d := newBearingDeployment(t)
+	r := newReplier("", nil)
+	// Processes avoid those that didn't answer for a while.
+	for range 4 {
+		ip := freshLoopback()
+		if from == "entry" {
+			d.putEntry(ip)
+			r.listenForMessages(t, ip+":8000")
+			continue
+		}
+		e := d.newEngine(ip)
+		d.startUpstream(t, e.Upstream)
+		r.listenForMessages(t, ip+":7700")
+	}
+	var p *bearingProcess
+	if role == "agent" {
+		p = d.startAgent(t, "", "")
+	} else {
+		p = d.startEntry(t, "/none", freshLoopback()+":8000")
+	}
+	p.replier, p.timeout = r, messageTimeout
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer cancel()
+	if from == "agent" {
+		callers.Go(func() {
+			for ; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+				d.call(ctx, d.entries[0], draftPath)
 			}
-			p.mustBear(t, c.replies)
+		})
+	}
+	p.mustBear(t, replies)
+}
+
+// Guards against a process that exceeds the memory of its VM because several others send it large messages without end.
+func TestProcessesBearLargeMessages(t *testing.T) {
+	t.Parallel()
+	const start = `{"jsonrpc":"2.0","id":0,"result":{`
+	for _, c := range []struct{ role, from string }{{"agent", "entry"}, {"entry", "entry"}, {"entry", "agent"}} {
+		t.Run(c.role+" from "+c.from, func(t *testing.T) {
+			t.Parallel()
+			mustBearMessages(t, c.role, c.from, []endlessReply{
+				{name: "text", start: start + `"x":"`, repeated: "x"},
+				{name: "objects", start: start + `"records":[{}`, repeated: ",{}"},
+			})
 		})
 	}
 }
