drainer: wait until the client has its last reply before the close

Callers of a stopping entry saw a 200 whose connection was reset in the body, bookings among them, if they had sent another request, or a stray line end, behind the one that was answered.

Each answer of a stopping entry ends its connection. The kernel resets a connection that is closed while data waits unread, or that gets data after the close, and drops what the client hasn't received yet; net/http waits only after a body that it didn't read. A connection is now closed for writing first, and closed once the client has acknowledged all of it, or after 0.5 s. Nothing is read meanwhile: what was not read may be sent again.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -95,6 +95,31 @@
 	return n == 0 && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, errors.ErrUnsupported)
 }
 
+// Undelivered reports whether the peer of a connection may still receive something that was written and that it hasn't
+// acknowledged; false if that can't be known.
+func Undelivered(conn net.Conn) bool {
+	t, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	undelivered := false
+	// An error means that this process has closed the connection.
+	_ = raw.Control(func(fd uintptr) {
+		unacked, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		if err != nil || unacked == 0 {
+			return
+		}
+		// A connection that was reset keeps its count.
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		undelivered = err == nil && info.State != unix.BPF_TCP_CLOSE
+	})
+	return undelivered
+}
+
 // peek returns the number of bytes, up to one, that can be read from a connection, or 0 at its end. Errors are
 // unix.EAGAIN if there is nothing to read yet, errors.ErrUnsupported if the connection is no socket, and others if it
 // is closed.
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -127,3 +128,34 @@
 	stopped = connectortest.Suspend(t, "sleep 1.5")
 	return expiry, stopped, <-dialErr
 }
+
+// Guards against a reply that counts as delivered while the client's kernel hasn't received all of it, and against waiting
+// for a client that has reset the connection.
+func TestUndelivered(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	for _, resets := range []bool{false, true} {
+		client, err := net.Dial("tcp", l.Addr().String())
+		must.NoError(t, err)
+		must.NoError(t, client.(*net.TCPConn).SetReadBuffer(16<<10))
+		server, err := l.Accept()
+		must.NoError(t, err)
+		must.NoError(t, server.(*net.TCPConn).SetWriteBuffer(2<<20))
+		must.False(t, connector.Undelivered(server))
+		reply := make([]byte, 1<<20)
+		_, err = server.Write(reply)
+		must.NoError(t, err)
+		must.True(t, connector.Undelivered(server))
+		if resets {
+			connector.Reset(client)
+		} else {
+			_, err = io.ReadFull(client, reply)
+			must.NoError(t, err)
+		}
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return !connector.Undelivered(server) }), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+		server.Close()
+		client.Close()
+		must.False(t, connector.Undelivered(server))
+	}
+}
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolecroft/oriolecroft/internal/acceptor"
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, socket: nc, limited: acceptor.For(nc), writeTimeout: l.server.WriteTimeout, since: time.Now()}
+	c := &conn{Conn: nc, socket: nc, limited: acceptor.For(nc), writeTimeout: l.server.WriteTimeout, closing: &l.server.closing, since: time.Now()}
 	if t, ok := nc.(*tls.Conn); ok {
 		c.socket = t.NetConn()
 	}
@@ -42,6 +43,10 @@
 	limited *acceptor.Conn
 	// writeTimeout is that of the server.
 	writeTimeout time.Duration
+	// closing is that of the server.
+	closing *atomic.Bool
+	// resets is set if the connection is to be closed with a reset.
+	resets atomic.Bool
 
 	mu    sync.Mutex
 	state http.ConnState
@@ -86,7 +91,7 @@
 		}
 		// After a stall the reader may not have run yet.
 		if c.overdue {
-			c.Close()
+			c.Conn.Close()
 		}
 		c.overdue = true
 	case c.state == http.StateIdle || age > UnreadTimeout:
@@ -202,6 +207,37 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
+const (
+	// lingerTimeout is how long a connection stays open at most until its client has the end of its last reply.
+	lingerTimeout = 500 * time.Millisecond
+	// lingerInterval is the interval between checks whether it has.
+	lingerInterval = time.Millisecond
+)
+
+// Close implements net.Conn. It waits until the client has received what was written, as the kernel would drop that if
+// the client sends more.
+func (c *conn) Close() error {
+	if connector.Undelivered(c.socket) {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+// linger closes the connection for writing, and waits until the client has received all that was written, or for
+// lingerTimeout. It reads nothing: requests that were not read may be sent again.
+func (c *conn) linger() {
+	if c.isDropped() || c.CloseWrite() != nil {
+		return
+	}
+	end := time.Now().Add(lingerTimeout)
+	for connector.Undelivered(c.socket) && time.Now().Before(end) && !c.isDropped() {
+		time.Sleep(lingerInterval)
+	}
+}
+
+// isDropped reports whether the connection is to be closed at once.
+func (c *conn) isDropped() bool { return c.resets.Load() || c.closing.Load() }
+
 // CloseWrite allows http.Server to end an answer before it has read the whole request.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -212,6 +248,7 @@
 
 // SetLinger allows connector.Reset to reset the connection.
 func (c *conn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
 	if tcp, ok := c.socket.(interface{ SetLinger(seconds int) error }); ok {
 		return tcp.SetLinger(seconds)
 	}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -2,7 +2,8 @@
 //
 // http.Server.Shutdown is not enough for that. Once it has started, net/http closes a connection without an answer after it
 // has read a request on it, and closing the listener resets the connections that were not accepted yet. A process that has
-// stalled does both to requests that have waited for as long as the stall.
+// stalled does both to requests that have waited for as long as the stall. And the kernel resets a connection that is closed
+// while data of the client's waits to be read, or arrives later, and drops what the client hasn't received of its reply.
 package drainer
 
 import (
@@ -39,6 +40,8 @@
 	draining          atomic.Bool
 	// stopped is set once no more connections are accepted.
 	stopped atomic.Bool
+	// closing is set once all connections are to be closed at once.
+	closing atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -90,7 +93,10 @@
 }
 
 // Close closes the listener and all connections, also those with requests.
-func (s *Server) Close() error { return s.HTTP.Close() }
+func (s *Server) Close() error {
+	s.closing.Store(true)
+	return s.HTTP.Close()
+}
 
 // closeUnused closes the connections without a request, and returns how many are still open. A connection on which a
 // request is waiting to be read stays open until it is answered.
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -313,3 +313,100 @@
 	}
 	return true
 }
+
+// bufferingListener accepts connections that take a whole reply while the client doesn't read.
+type bufferingListener struct{ *net.TCPListener }
+
+func (l bufferingListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return c, c.SetWriteBuffer(2 * longReply)
+}
+
+const (
+	longReply = 1 << 20
+	// clientBuffer is how much of a reply the client's kernel takes, roughly.
+	clientBuffer = 16 << 10
+	// readDelay is how long after a reply was sent the client reads it.
+	readDelay = 100 * time.Millisecond
+	// lingerLimit is less than the server waits for a client.
+	lingerLimit = 300 * time.Millisecond
+)
+
+// Guards against a reply that its client gets in part, as the server closes the connection while more of what the client sent
+// waits to be read or arrives.
+func TestLastReplyIsWholeThoughClientSentMore(t *testing.T) {
+	for _, e := range []struct {
+		name, head string
+		// before is sent while the request is handled, after once the reply was sent.
+		before, after string
+	}{
+		{"nothing more", request, "", ""},
+		{"stray line end", request, "\r\n", ""},
+		{"next request", request, request, ""},
+		{"stray line end after the reply", request, "", "\r\n"},
+		{"next request after the reply", request, "", request},
+		{"reply that ends with the connection", "GET / HTTP/1.0\r\n\r\n", "\r\n", ""},
+	} {
+		t.Run(e.name, func(t *testing.T) {
+			t.Parallel()
+			started, finish, sent := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			s := newTestServer(t, bufferingListener{listen(t)}, func(w http.ResponseWriter, _ *http.Request) {
+				close(started)
+				<-finish
+				defer close(sent)
+				_, _ = w.Write(make([]byte, longReply))
+			})
+			s.AskToClose()
+			c := dial(t, s.address)
+			must.NoError(t, c.Conn.(*net.TCPConn).SetReadBuffer(clientBuffer))
+			c.write(t, e.head)
+			<-started
+			c.write(t, e.before)
+			time.Sleep(readDelay / 2)
+			close(finish)
+			<-sent
+			time.Sleep(readDelay / 2)
+			c.write(t, e.after)
+			time.Sleep(readDelay / 2)
+			body, closes, err := c.read()
+			must.NoError(t, err)
+			must.Eq(t, longReply, len(body))
+			must.True(t, closes)
+			must.Wait(t, s.hasOpen(0))
+		})
+	}
+}
+
+// Guards against a stop that waits at its end for clients that don't read their replies.
+func TestServerClosesAtOnceThoughAReplyIsNotRead(t *testing.T) {
+	s := newTestServer(t, bufferingListener{listen(t)}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, longReply))
+	})
+	s.AskToClose()
+	c := dial(t, s.address)
+	must.NoError(t, c.Conn.(*net.TCPConn).SetReadBuffer(clientBuffer))
+	c.write(t, request+request)
+	must.Wait(t, until(func() bool { return s.handled.Load() == 1 }))
+	must.ErrorIs(t, <-s.drain(t, readDelay), context.DeadlineExceeded)
+	must.Eq(t, 1, s.Open())
+	start := time.Now()
+	must.NoError(t, s.Close())
+	must.Wait(t, s.hasOpen(0))
+	must.Less(t, lingerLimit, time.Since(start))
+}
+
+// Guards against connections that stay open for clients that don't read their replies.
+func TestConnectionIsClosedThoughItsReplyIsNotRead(t *testing.T) {
+	s := newTestServer(t, bufferingListener{listen(t)}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, longReply))
+	})
+	s.AskToClose()
+	c := dial(t, s.address)
+	must.NoError(t, c.Conn.(*net.TCPConn).SetReadBuffer(clientBuffer))
+	c.write(t, request)
+	must.Wait(t, until(func() bool { return s.handled.Load() == 1 }))
+	must.Wait(t, s.hasOpen(0))
+}
