relayer: answer requests whose body doesn't arrive

A caller whose body stalled got no answer. The entry gave the body up after 5 s and meant to answer 408, but net/http reads the rest of a body before it sends the answer's header, and nothing limited that: the caller waited until its own time limit, the handler for as long as the connection lasted. A stopping entry closed such connections without an answer at the end of its grace, though the requests certainly had not run.

The rest of a body that is given up isn't waited for. As the entry cuts its requests it also gives up bodies that are still arriving, and refuses the requests: 503 with Retry-After.

TestRequestWithoutItsBodyIsAnswered, both cases failed before: no answer within a second of the limit or the cut.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -184,7 +184,10 @@
 	control := http.NewResponseController(c.response)
 	// ResponseWriters without deadlines, as in tests, return an error.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	// The context can end only with this entry, as a caller that leaves ends the body.
+	stop := context.AfterFunc(c.httpRequest.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := bodyreader.ReadExpected(c.bodySource(limit), limit, c.httpRequest.ContentLength)
+	stop()
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
 	var full *MemoryError
@@ -196,8 +199,9 @@
 		c.answer(http.StatusRequestEntityTooLarge, "body too long", 0)
 		return false
 	case err != nil:
-		c.log("Failed to read body", err)
-		c.answer(http.StatusRequestTimeout, "body not read", 0)
+		// Before it sends the answer, the server reads the rest of the body, which may never come.
+		_ = control.SetReadDeadline(time.Now())
+		c.answerWithoutBody(err)
 		return false
 	}
 	c.message = outgoingRequest{method: c.httpRequest.Method, target: c.httpRequest.RequestURI, host: c.httpRequest.Host, body: body, account: c.account,
@@ -205,5 +209,15 @@
 	return true
 }
 
+// answerWithoutBody answers a request whose body was not read because of an error.
+func (c *call) answerWithoutBody(err error) {
+	c.log("Failed to read body", err)
+	if c.cutByEntry() {
+		c.refuse(&RefusedError{Reason: "entry leaves, body not read", RetryAfter: c.Placer.retryAfterShutdown(&c.Job)})
+		return
+	}
+	c.answer(http.StatusRequestTimeout, "body not read", 0)
+}
+
 // defaultBodyBytes limits bodies when the route table sets no limit.
 const defaultBodyBytes = 4 << 20
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -127,6 +127,14 @@
 	return &RefusedError{Reason: err.Error(), RetryAfter: p.Shutdown.RetryAfter(j.Route.Host), Shutdown: err, Met: j.refusals}
 }
 
+// retryAfterShutdown is when the caller of a job that this entry refuses as it ends should come back; 0 if unknown.
+func (p *Placer) retryAfterShutdown(j *Job) time.Duration {
+	if p.Shutdown == nil {
+		return 0
+	}
+	return p.Shutdown.RetryAfter(j.Route.Host)
+}
+
 // checkTimeLeft checks that the reply can end before this entry does, if the request can still be refused: one with a hedge
 // may have run already. Errors are *RefusedError.
 func (r *reception) checkTimeLeft() error {
