registrar: date no announcement by an outage that only others inferred

Cause: the entries inferred an outage and dated the announcement by its end, 6.8 s too young, and agents without a date of their own took over that of an entry. An inference was passed on as a fact.

A report has always told the store's last confirmation before a date that relies on an outage. A process now takes such a date over only as far as it observed the outage itself, and counts from the store's word otherwise. One that found the version at its start observed none.

TestStartedAgentDatesNothingByTheEntriesOutage failed before, by 5.96 and 5.44 s, as did TestSuspendedProcessDatesNothingByAForeignOutage. All other tests of registrar and syncer pass but for the known red ones, those of followers that get an announcement from others after an outage among them.

The price: a process that starts in an outage counts what is announced at its end from before the outage.

--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -59,7 +59,8 @@
 	if len(known) > 0 {
 		newest = known[len(known)-1].Version
 	}
-	for _, n := range r.announcementsOf(rec, w, received) {
+	observed := later(r.datesSince(), r.inferredOutageEnd())
+	for _, n := range r.announcementsOf(rec, w, received, observed) {
 		if len(known) > 0 && n.Version <= newest {
 			continue
 		}
@@ -94,7 +95,8 @@
 	if !ok {
 		return false
 	}
-	r.announcements[rec.Key] = r.announcementsOf(rec, w, from.AsOf)
+	// This process found the version when it started, so it observed no outage before it.
+	r.announcements[rec.Key] = r.announcementsOf(rec, w, from.AsOf, time.Time{})
 	r.writtenAt[rec.Key] = timeAtAge(from.AsOf, newest.Age)
 	fields := []any{"model", w.Model, "version", w.Version, "revision", rec.Revision, "age", newest.Age}
 	klog.InfoS("Weights age received", append(fields, from.Source.logFields()...)...)
@@ -172,8 +174,9 @@
 	return n
 }
 
-// announcementsOf lists the announcements that a record reports, the oldest first.
-func (r *Registrar) announcementsOf(rec Record, w Weights, received time.Time) []Announcement {
+// announcementsOf lists the announcements that a record reports, the oldest first. Observed is the time until which this
+// process takes it that there were none.
+func (r *Registrar) announcementsOf(rec Record, w Weights, received, observed time.Time) []Announcement {
 	if len(rec.Announcements) == 0 {
 		// The store doesn't state when the record was written, and its answer may have been delayed
 		// for any time.
@@ -185,14 +188,26 @@
 	}
 	ns := make([]Announcement, 0, len(rec.Announcements))
 	for _, p := range rec.Announcements {
-		ns = append(ns, Announcement{
+		ns = append(ns, withoutForeignOutage(Announcement{
 			Version: p.Version, Learned: timeAtAge(received, p.Age), Replaced: p.Replaced, Since: timeAtAge(received, p.SinceAge),
 			Known: timeAtPositiveAge(received, p.KnownAge), Confirmed: timeAtPositiveAge(received, p.ConfirmedAge),
-		})
+		}, observed))
 	}
 	return ns
 }
 
+// withoutForeignOutage dates an announcement that another process has dated by an outage of the store: from the store's
+// word before it, or the end of the outage as observed here. A process that was suspended or has just started observed
+// none, and the store may have answered others like it all the while.
+func withoutForeignOutage(n Announcement, observed time.Time) Announcement {
+	if n.Confirmed.IsZero() {
+		return n
+	}
+	limit := later(n.Confirmed, observed)
+	n.Learned, n.Since = earlier(n.Learned, limit), earlier(n.Since, limit)
+	return n
+}
+
 // logAnnouncement logs the newest announcement with its age, the version that it replaced, and how
 // long ago another may have come in between; unknown times are omitted. The time since the store's
 // last confirmation and the duration of the call show what the age is based on.
--- a/internal/registrar/outage.go
+++ b/internal/registrar/outage.go
@@ -66,11 +66,21 @@
 // Calls that fail only here, or only in some regions, may be due to a partition or saturated links, while the store
 // accepts announcements. Those that fail everywhere may do so while it serves the operators alone, so it ends.
 func (r *Registrar) confirmedUntil() time.Time {
-	until, end := r.extendedConfirmation(), r.allRegionsOutageEnd()
-	if r.outageRefuted || r.partialAnswerAt.After(until) || !r.peerOutageUntil.After(r.lastAnswer()) || end.Sub(r.lastAnswer()) < minInferredOutage {
+	until := r.extendedConfirmation()
+	if r.outageRefuted || r.partialAnswerAt.After(until) {
 		return until
 	}
-	return r.extend(later(until, end))
+	return later(until, r.inferredOutageEnd())
+}
+
+// inferredOutageEnd returns the end of the outage that others and all regions observed as well as this process, up to
+// maxInferredOutage after the store's last confirmation; zero if there is none.
+func (r *Registrar) inferredOutageEnd() time.Time {
+	end := r.allRegionsOutageEnd()
+	if !r.peerOutageUntil.After(r.lastAnswer()) || end.Sub(r.lastAnswer()) < minInferredOutage {
+		return time.Time{}
+	}
+	return r.extend(end)
 }
 
 // datesSince returns the earliest time from which an announcement that is received now may count: the store's last
