--- a/internal/registrar/announcement.go
+++ b/internal/registrar/announcement.go
@@ -96,9 +96,10 @@
 		return false
 	}
 	// This process found the version when it started, so it observed no outage before it.
-	r.announcements[rec.Key] = r.announcementsOf(rec, w, from.AsOf, time.Time{})
-	r.writtenAt[rec.Key] = timeAtAge(from.AsOf, newest.Age)
-	fields := []any{"model", w.Model, "version", w.Version, "revision", rec.Revision, "age", newest.Age}
+	ns := r.announcementsOf(rec, w, from.AsOf, time.Time{})
+	learned := ns[len(ns)-1].Learned
+	r.announcements[rec.Key], r.writtenAt[rec.Key] = ns, learned
+	fields := []any{"model", w.Model, "version", w.Version, "revision", rec.Revision, "age", r.Clock.Since(learned)}
 	klog.InfoS("Weights age received", append(fields, from.Source.logFields()...)...)
 	return true
 }
