--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -67,7 +67,7 @@
 	partialAnswerAt time.Time
 	// weightsConfirmedAt and weightsAnsweredAt are confirmedAt and answeredAt by answers on weights only.
 	weightsConfirmedAt, weightsAnsweredAt time.Time
-	// inferredUntil is the end of the last inferred outage. It is no confirmation, and others aren't told of it as one.
+	// inferredUntil is the end of the last inferred outage. Batches never report it as a confirmation.
 	inferredUntil time.Time
 	// confirmedBy is the process that received the later of these confirmations from the store.
 	confirmedBy string
--- a/internal/syncer/answered_agent_test.go
+++ b/internal/syncer/answered_agent_test.go
@@ -7,8 +7,8 @@
 	"github.com/shoenig/test/must"
 )
 
-// Guards against an announcement that counts from the end of an inferred outage of the store, although the store told an
-// agent of it before.
+// Guards against an announcement that counts from the end of an inferred outage of the store, although an agent received
+// it from the store before.
 func TestAnnouncementToldToOneAgentCountsFromBefore(t *testing.T) {
 	const agent = 20
 	for how, setLost := range map[string]func(*node, bool){
--- a/internal/syncer/foreign_outage_test.go
+++ b/internal/syncer/foreign_outage_test.go
@@ -9,7 +9,7 @@
 	"github.com/oriolecroft/oriolecroft/internal/connector/connectortest"
 )
 
-// Guards against agents that start anew and date an announcement by the outage that all entries inferred, although the
+// Guards against agents that restart and date an announcement by the outage that all entries inferred, although the
 // store answered the agents all the while.
 func TestStartedAgentDatesNothingByTheEntriesOutage(t *testing.T) {
 	const entries = 18
