connector: a status that HTTP doesn't define is no reply

On other systems a replica in trouble answered with the status 000, and its caller got that as an answer. Here 000 to 099 was skipped like an interim reply: nobody was answered, or bytes of the body passed for the replica's answer, also for a 200. 101 and 600 to 999 were passed on.

Cause: http.ReadResponse accepts 000 to 999, and each reader of a reply judged the status by itself, or didn't.

ReplyReader and the Transport that NewTransport returns now fail for a status outside 200 to 599 that is no interim one, at once and without reading on; what their callers do with a reply that can't be parsed holds for it, too. No request here asks for another protocol, so 101 is none. An interim reply that states a body is refused as well: what follows may be that body.

Without the check TestInvalidStatusIsNoReply and TestTransportReturnsNoInvalidStatus failed for 000, 001, 042, 099, 101, 600, 999 and +20 in all framings but chunks, where 000 to 099 and +20 failed to parse; 000 to 099 without a body waited for another reply, and one that read like a reply was returned. Three framings failed TestInterimReplyWithBodyIsNoReply. All pass now.

--- a/internal/connector/reply.go
+++ b/internal/connector/reply.go
@@ -57,8 +57,9 @@
 	return r
 }
 
-// Next reads the next final reply up to its body; the previous body has to be read before. A head that is too long
-// returns *OversizeError.
+// Next reads the next final reply up to its body; the previous body has to be read before. Errors are *OversizeError for
+// a head that is too long, *StatusError for a status that is none, and *InterimBodyError. After an error nothing more can
+// be read.
 func (r *ReplyReader) Next(method string) (*http.Response, error) {
 	r.head.remaining = MaxReplyHead
 	for {
@@ -70,11 +71,18 @@
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
-			// The readers of bodies apply their own limits.
-			r.head.remaining = math.MaxInt64
-			return res, nil
+		if isInterim(res.StatusCode) {
+			if err := checkInterim(res.StatusCode, res.Header, res.TransferEncoding); err != nil {
+				return nil, err
+			}
+			continue
 		}
+		if err := checkFinal(res.StatusCode); err != nil {
+			return nil, err
+		}
+		// The readers of bodies apply their own limits.
+		r.head.remaining = math.MaxInt64
+		return res, nil
 	}
 }
 
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -4,10 +4,33 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 )
 
-// NewTransport returns an http.Transport with the limit on heads of a ReplyReader and without compression: a small
+// Transport is an http.Transport that checks replies like a ReplyReader. Errors of RoundTrip include *StatusError and
+// *InterimBodyError.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a Transport with the limit on heads of a ReplyReader and without compression: a small
 // compressed body may expand without limit.
-func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
-	return &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: MaxReplyHead}
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Transport {
+	return &Transport{&http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: MaxReplyHead}}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+		// net/http removes Transfer-Encoding from the header, so only a length shows a body here.
+		return checkInterim(status, http.Header(h), nil)
+	}}
+	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFinal(res.StatusCode); err != nil {
+		res.Body.Close()
+		return nil, err
+	}
+	return res, nil
 }
