platform, surveyor tests: an invalid status is no answer

Calls of the store, the engine and the origin, and the survey of processes, go through connector's Transport, which refuses replies with a status that HTTP doesn't define.

--- a/internal/bodyreader/bodyreadertest/serve.go
+++ b/internal/bodyreader/bodyreadertest/serve.go
@@ -40,6 +40,26 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// ServeInTurn answers the requests of all connections with the given replies in turn, the last one again and again, and
+// leaves the connections open.
+func ServeInTurn(t *testing.T, replies ...string) netip.AddrPort {
+	t.Helper()
+	var requests atomic.Int64
+	l := listenAndServe(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for {
+			// The number is taken once a request has come: a connection may be opened for none.
+			if _, err := r.Peek(1); err != nil {
+				return
+			}
+			if !serveNext(conn, r, replies[min(int(requests.Add(1)), len(replies))-1]) {
+				return
+			}
+		}
+	})
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
 // CutHeads makes a call for each byte after which the head of its reply can be cut, by a close and by a reset. The call
 // gets an address and must fail. Unless whole is empty, the first reply on each connection is whole, and the call has to
 // make two requests.
--- a/internal/surveyor/surveyor_test.go
+++ b/internal/surveyor/surveyor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -111,6 +112,19 @@
 	must.Nil(t, p.Status)
 }
 
+// Guards against counting a process as in agreement by a reply that HTTP doesn't define.
+func TestInvalidReplyIsRejected(t *testing.T) {
+	body := `{"vm":"a","known":true}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	must.NotNil(t, survey(t, bodyreadertest.ServeInTurn(t, whole))[0].Status)
+	for _, head := range []string{"000 Trouble\r\n\r\n", "101 Trouble\r\n\r\n", "999 Trouble\r\n\r\n",
+		fmt.Sprintf("103 Early Hints\r\nContent-Length: %d\r\n\r\n", len(whole))} {
+		p := survey(t, bodyreadertest.ServeInTurn(t, "HTTP/1.1 "+head+whole))[0]
+		must.Nil(t, p.Status, must.Sprint(head))
+		must.StrContains(t, strings.Join(p.Faults, "; "), "no answer", must.Sprint(head))
+	}
+}
+
 // Guards against a process whose answer has an endless header.
 func TestEndlessHeaderIsRejected(t *testing.T) {
 	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
