platform, surveyor: redirects aren't followed

Cause: http.Client follows up to ten redirects by itself, and turns a POST into a GET for most of them.

connector.NewClient returns redirects as they are.

--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -124,7 +124,7 @@
 func (s *Surveyor) fetchStatuses(ctx context.Context, ps []Process, selected func(*Process) bool) {
 	t := connector.NewTransport(connector.DialContext)
 	t.DisableKeepAlives = true
-	client := &http.Client{Transport: t}
+	client := connector.NewClient(t)
 	var fetches sync.WaitGroup
 	for i := range ps {
 		if p := &ps[i]; selected(p) {
--- a/internal/surveyor/surveyor_test.go
+++ b/internal/surveyor/surveyor_test.go
@@ -125,6 +125,15 @@
 	}
 }
 
+// Guards against the state of another process that is taken for that of the one surveyed, as a reply redirects there.
+func TestRedirectIsAFault(t *testing.T) {
+	other := serveStatuses(t, entry("other"))
+	redirects := serve(t, http.RedirectHandler("http://"+other.String(), http.StatusFound).ServeHTTP)
+	p := survey(t, redirects)[0]
+	must.Nil(t, p.Status)
+	must.StrContains(t, strings.Join(p.Faults, "; "), "status 302")
+}
+
 // Guards against a process whose answer has an endless header.
 func TestEndlessHeaderIsRejected(t *testing.T) {
 	bodyreadertest.EndlessHeads(t, func(a netip.AddrPort) error {
