relayer: a stray reply whose end isn't known is the last on its connection

A caller got bytes of a body as its upstream's answer, status and seal included, if an extra reply to another request came first and was a 204 or 304 that had a body, or came before the reply to a HEAD. Behind an extra reply without a length, on a connection that stayed open, callers waited for the whole time limit and got 504.

Cause: extra replies are skipped up to their end, and net/http takes them to end with their head for these statuses, whatever they state, and for any reply to a HEAD, although an extra reply's own request may have had another method. One without a length ends with its connection, so nothing can follow it.

The connection is closed after such a reply, with an unknown outcome: 502, or another upstream where the request may be repeated. Extra replies whose end is known are skipped as before (TestWholeStrayReplyIsSkipped).

TestBodyOfAStrayReplyIsNoAnswer failed before in 12 of 12 cases, ten of which got the body and two 504 after 20 s; all pass now.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -193,7 +193,7 @@
 	return nil
 }
 
-// StrayReplyError reports a reply to another request.
+// StrayReplyError reports a reply to another request after which none to this one can be read.
 type StrayReplyError struct{ Got, Want string }
 
 func (e *StrayReplyError) Error() string { return fmt.Sprintf("reply to %q, want %q", e.Got, e.Want) }
@@ -212,7 +212,7 @@
 			x.response, x.reply = res, reply
 			return nil
 		}
-		if strays == maxStrayReplies {
+		if strays == maxStrayReplies || !endIsKnown(res, method) {
 			return &StrayReplyError{Got: reply.ID, Want: id}
 		}
 		if err := x.conn.reader.Skip(res); err != nil {
@@ -221,6 +221,21 @@
 	}
 }
 
+// endIsKnown reports whether it is known where a reply to another request ends. Beyond that its body may look like a reply
+// to this one.
+func endIsKnown(res *http.Response, method string) bool {
+	status, length := res.StatusCode, res.Header.Get("Content-Length")
+	hasNoBody := status == http.StatusNoContent || status == http.StatusNotModified
+	if len(res.TransferEncoding) == 0 && (length == "0" || length == "" && hasNoBody) {
+		return true
+	}
+	// net/http reads no body after these, but the request of a stray reply may have had another method.
+	if hasNoBody || method == http.MethodHead {
+		return false
+	}
+	return bodyreader.FramingOf(res) != bodyreader.ByConnection
+}
+
 // setReadTimeout limits the wait for the next bytes; 0 removes the limit.
 func (x *exchange) setReadTimeout(d time.Duration) {
 	var t time.Time
