relayer: a comment is no start of a stream

Callers: a request could begin on weights whose time had ended, and nothing ended it, if its engine sends a comment, as to keep the connection alive, while the request waits.

Cause: the entry stopped the watch that gives up a request which doesn't start in time with the first block of a stream, comments included. The agent got the report that the prompt had been read just as early.

TestCommentIsNoStart fails before: the connection is closed 5.93 s after the announcement, with a bound of 2 s, as the route's time ends.

A stream counts as started with its first event with an id or data. Comments are passed on as before.

--- a/internal/relayer/late_start_test.go
+++ b/internal/relayer/late_start_test.go
@@ -153,6 +153,16 @@
 	waits.mustCloseAfterAnnouncement(t, w)
 }
 
+// Guards against taking a comment, with which an engine keeps a connection alive, for the start of its stream.
+func TestCommentIsNoStart(t *testing.T) {
+	waits := newWaitsForClose(t)
+	w := entryWithOldEngines(t, clock.RealClock{}, 1, func(n int, id string, conn net.Conn) bool {
+		writeString(conn, streamHead(id)+chunked(": wait\n\n"))
+		return waits.answer(n, id, conn)
+	}, directAddress)
+	waits.mustCloseAfterAnnouncement(t, w)
+}
+
 // Guards against plain requests that wait until after their weights have expired.
 func TestPlainRequestNotStartedInTimeIsGivenUp(t *testing.T) {
 	waits := newWaitsForClose(t)
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -29,6 +29,8 @@
 	// it.
 	start  []byte
 	endErr error
+	// started reports that an event of the stream was read.
+	started bool
 }
 
 // reception receives the start of a reply. The fields of its call that it uses do not change meanwhile, as a
@@ -119,6 +121,16 @@
 	return r.receivePlain(ctx, x)
 }
 
+// recordStart records the start of a stream with its first event. An engine may send comments while a request waits.
+func (r *receivedReply) recordStart(event []byte) {
+	if r.started || isComment(event) {
+		return
+	}
+	r.started = true
+	r.exchange.onStart()
+	r.place.ReportStarted()
+}
+
 // isStream reports whether a reply is an event stream. A 200 on a streaming route has to be one.
 func (r *reception) isStream(x *exchange) bool {
 	status := x.response.StatusCode
@@ -202,9 +214,9 @@
 			return nil, &SendError{Upstream: x.upstream, Outcome: retrier.Unknown, Err: err}
 		}
 		if !r.sequence.resuming {
-			x.onStart()
-			r.place.ReportStarted()
-			return &receivedReply{exchange: x, place: r.place, events: events, sequence: r.sequence, start: start}, nil
+			reply := &receivedReply{exchange: x, place: r.place, events: events, sequence: r.sequence, start: start}
+			reply.recordStart(event)
+			return reply, nil
 		}
 		if len(start) > maxCommentBytes {
 			x.abandon()
--- a/internal/relayer/sequence.go
+++ b/internal/relayer/sequence.go
@@ -102,9 +102,14 @@
 	}
 }
 
+// isComment reports whether an event has neither an id nor data.
+func isComment(event []byte) bool {
+	return bodyreader.EventID(event) == "" && len(bodyreader.EventData(event)) == 0
+}
+
 // acceptUnnumbered checks an event without an id. Comments are allowed anywhere.
 func (s *sequence) acceptUnnumbered(event []byte) error {
-	if len(bodyreader.EventData(event)) == 0 {
+	if isComment(event) {
 		return nil
 	}
 	if s.resuming && s.lastID != "" {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -76,6 +76,7 @@
 	if err != nil {
 		return event, err
 	}
+	r.recordStart(event)
 	return event, r.sequence.acceptEvent(event, codec.EventVersion(event))
 }
 
