relayer: the header of a plain reply is no start

Callers: a plain request to an engine that sends the header of its reply before the first token could begin on weights whose time had ended, and nothing ended it.

Cause: the entry stopped the watch that gives up a request which doesn't start in time once it had the header.

The watch stops at the first bytes of the body, or its end.

--- a/internal/relayer/late_start_test.go
+++ b/internal/relayer/late_start_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,6 +164,18 @@
 	waits.mustCloseAfterAnnouncement(t, w)
 }
 
+// Guards against taking the header of a plain reply for its start.
+func TestPlainHeaderAloneIsNoStart(t *testing.T) {
+	waits := newWaitsForClose(t)
+	w := entryWithOldEngines(t, clock.RealClock{}, 1, func(n int, id string, conn net.Conn) bool {
+		head, _, _ := strings.Cut(sealedReply(id, "whole"), "whole")
+		writeString(conn, head)
+		return waits.answer(n, id, conn)
+	}, directAddress)
+	w.registrar.View().Table.Routes[0].Kind = matcher.Idempotent
+	waits.mustCloseAfterAnnouncement(t, w)
+}
+
 // Guards against plain requests that wait until after their weights have expired.
 func TestPlainRequestNotStartedInTimeIsGivenUp(t *testing.T) {
 	waits := newWaitsForClose(t)
--- a/internal/relayer/memory.go
+++ b/internal/relayer/memory.go
@@ -146,6 +146,7 @@
 	start = make([]byte, 0, uncountedReply)
 	for {
 		n, err := body.Read(start[len(start):cap(start)])
+		x.onStart()
 		start = start[:len(start)+n]
 		switch {
 		case errors.Is(err, io.EOF):
--- a/internal/relayer/reception.go
+++ b/internal/relayer/reception.go
@@ -171,7 +171,6 @@
 
 // receivePlain reads a plain reply whole, or a long one up to maxBufferedReply.
 func (r *reception) receivePlain(ctx context.Context, x *exchange) (*receivedReply, error) {
-	x.onStart()
 	r.setGap(x, 0)
 	body := &bodyreader.Reader{Response: x.response}
 	start, ended, err := x.readReplyStart(body)
