relayer: reset the connection of a request that can't start in time

Callers: an upstream that serves half-closed connections could begin a request on expired weights although its entry had given it up in time.

Cause: the entry closed the connection regularly. To the upstream that may be the end of the caller's requests alone, so it starts the request, and learns only from the failed write of its first token that nobody reads. Bytes of the request that are held up on the way, as by lost packets, also arrive after a regular end.

TestRequestGivenUpIsReset fails before: the upstream reads EOF.

--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -53,10 +53,12 @@
 	return c.Conn.Close()
 }
 
-// giveUp closes the connection because the request on it can't start in time.
+// giveUp resets the connection because the request on it can't start in time. After a regular end an upstream may take
+// it that the caller still reads, and bytes that are held up on the way would still arrive.
 func (c *connection) giveUp(why *StaleWeightsError) {
 	c.giveUpReason.Store(why)
-	c.Close()
+	c.onClose()
+	connector.Reset(c.Conn)
 }
 
 // errorCause returns why this entry gave up the connection, or else the given error.
