--- a/internal/gossiper/fleet_test.go
+++ b/internal/gossiper/fleet_test.go
@@ -36,6 +36,10 @@
 	nodes     []*node
 	states    []messenger.EntryState
 	random    *rand.Rand
+	// failCall returns the errors with which entries' calls to the store fail while
+	// failing is set.
+	failCall func(r *http.Request) error
+	failing  atomic.Bool
 }
 
 type node struct {
@@ -70,6 +74,11 @@
 		if cut != nil && cut.Load() {
 			return nil, errors.New("no route")
 		}
+		if cut != nil && f.failing.Load() {
+			if err := f.failCall(r); err != nil {
+				return nil, err
+			}
+		}
 		return f.storeLink.RoundTrip(r)
 	})
 	return &storer.HTTP{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: &http.Client{Transport: t}}
