Tests: bundles accepted while a majority of entries infers an outage

TestBundleHandedToOneEntryInAnOutageReachesAll passes: no entry reaches the store, which answers the operators; the bundle that they hand to one entry is in force at all nine within a second.

TestIslandWithAnEntryOfTheStoresRegionStops fails and is known red: a majority that is cut off with one of three entries of the store's region serves by the old bundle without an end. The rule asks for one report from that region. More than half of its entries would do, but no process knows how many there are: members are forgotten when they fall silent, which is what both an island and an outage with dead entries look like. It needs a setting.

--- a/internal/gossiper/outage_test.go
+++ b/internal/gossiper/outage_test.go
@@ -88,3 +88,40 @@
 	_, err = f.store(nil).Put(f.t.Context(), key, []byte(value), item.Version, "")
 	must.NoError(f.t, err)
 }
+
+// Guards against entries that keep to the old bundle although an operator, whom
+// the store still answers, handed the accepted one to one of them.
+func TestBundleHandedToOneEntryInAnOutageReachesAll(t *testing.T) {
+	inFleet(t, 9, func(f *fleet) {
+		f.startWithFailingCalls(func(*http.Request) error { return errors.New("connection refused") })
+		f.publish(2)
+		f.checkDuring(10*time.Second, f.mustServe)
+		_, err := f.nodes[4].state.Offer(signed(2, "c2"))
+		must.NoError(f.t, err)
+		f.awaitRevision(2, time.Second)
+		advance(time.Second)
+		f.checkDuring(10*time.Second, f.mustServe)
+	})
+}
+
+// Guards against entries that serve by a superseded bundle for as long as they
+// are partitioned together with one entry of the store's region, while the others
+// there reach the store.
+func TestIslandWithAnEntryOfTheStoresRegionStops(t *testing.T) {
+	m := newModel(9, 0, "huon")
+	m.converge(t)
+	island := map[int]bool{2: true, 3: true, 4: true, 5: true, 6: true}
+	m.cutStore = island
+	for i := range m.entries {
+		for j := range m.entries {
+			m.cutLinks[[2]int{i, j}] = island[i] != island[j]
+		}
+	}
+	m.publish()
+	for range 20 {
+		m.step(200 * time.Millisecond)
+	}
+	for i := range island {
+		must.Error(t, m.nodes[i].MayServe(), must.Sprint(m.name(i)))
+	}
+}
