--- a/internal/connector/status.go
+++ b/internal/connector/status.go
@@ -24,6 +24,13 @@
 	return fmt.Sprintf("interim reply %d that states a body", e.Status)
 }
 
+// InterimCountError reports a reply with too many interim ones before it.
+type InterimCountError struct{ Limit int }
+
+func (e *InterimCountError) Error() string {
+	return fmt.Sprintf("more than %d interim replies", e.Limit)
+}
+
 // isInterim reports whether a reply precedes another one. No request here asks to switch protocols.
 func isInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
--- a/internal/connector/status_test.go
+++ b/internal/connector/status_test.go
@@ -152,3 +152,20 @@
 	var body *connector.InterimBodyError
 	must.True(t, errors.As(err, &body), must.Sprint(err))
 }
+
+// Guards against interim replies without end, and against a limit that refuses a few of them.
+func TestTransportLimitsInterimReplies(t *testing.T) {
+	const early, final = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	transport := connector.NewTransport(connector.DialContext)
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+	res, err := client.Get("http://" + serveBytes(t, strings.Repeat(early, 8)+final))
+	must.NoError(t, err)
+	must.NoError(t, res.Body.Close())
+	res, err = client.Get("http://" + serveBytes(t, strings.Repeat(early, 100)+final))
+	if err == nil {
+		res.Body.Close()
+	}
+	var count *connector.InterimCountError
+	must.True(t, errors.As(err, &count), must.Sprint(err))
+}
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -6,10 +6,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync/atomic"
 )
 
-// Transport is an http.Transport that checks replies like a ReplyReader. Errors of RoundTrip include *StatusError and
-// *InterimBodyError.
+// maxInterimReplies limits the interim replies before a Transport's final one.
+const maxInterimReplies = 16
+
+// Transport is an http.Transport that checks replies like a ReplyReader. Errors of RoundTrip include *StatusError,
+// *InterimBodyError and *InterimCountError.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport with the limit on heads of a ReplyReader and without compression: a small
@@ -20,7 +24,12 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var interim atomic.Int32
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+		// With this function net/http limits the head of each reply only.
+		if interim.Add(1) > maxInterimReplies {
+			return &InterimCountError{Limit: maxInterimReplies}
+		}
 		// net/http removes Transfer-Encoding from the header, so only a length shows a body here.
 		return checkInterim(status, http.Header(h), nil)
 	}}
