connector: a connection whose reply had no valid status is closed

A booking whose agent answered with 600 or 999 and an empty body was answered only at its deadline, after 10 s, if the agent then read nothing more: the second ask with its key went to the same connection.

Cause: NewTransport's Transport refuses such a reply, but net/http puts the connection back first if the reply is empty and its status is 200 or more.

The Transport closes the connection now, so the next request dials.

--- a/internal/connector/status_test.go
+++ b/internal/connector/status_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +153,28 @@
 	var body *connector.InterimBodyError
 	must.True(t, errors.As(err, &body), must.Sprint(err))
 }
+
+// Guards against another request on a connection whose last reply had an invalid status.
+func TestConnectionWithInvalidStatusIsNotReused(t *testing.T) {
+	for _, status := range invalidStatuses {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			address := serveBytes(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n")
+			var dials atomic.Int64
+			transport := connector.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+				dials.Add(1)
+				return connector.DialContext(ctx, network, address)
+			})
+			defer transport.CloseIdleConnections()
+			client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+			for range 2 {
+				res, err := client.Post("http://"+address, "text/plain", strings.NewReader("slot"))
+				if err == nil {
+					res.Body.Close()
+				}
+				must.Error(t, err)
+			}
+			must.Eq(t, 2, dials.Load())
+		})
+	}
+}
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -20,16 +20,22 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
-		// net/http removes Transfer-Encoding from the header, so only a length shows a body here.
-		return checkInterim(status, http.Header(h), nil)
-	}}
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+			// net/http removes Transfer-Encoding from the header, so only a length shows a body here.
+			return checkInterim(status, http.Header(h), nil)
+		},
+	}
 	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := checkFinal(res.StatusCode); err != nil {
 		res.Body.Close()
+		// net/http would use it again after an empty reply.
+		conn.Close()
 		return nil, err
 	}
 	return res, nil
