connector: interim replies are limited together again

An upstream, a store or an agent that sends interim replies without end was read without a bound: 64 MiB of 64 MiB sent, until the call's deadline.

The Transport adds up their heads and fails beyond MaxReplyHead. It doesn't see the reason in a status line, so that each counts as 4 KiB at least, and the test sends long reasons, too.

"interim reasons" failed in driver without the least count. All pass now.

--- a/internal/bodyreader/bodyreadertest/serve.go
+++ b/internal/bodyreader/bodyreadertest/serve.go
@@ -139,6 +139,7 @@
 		"header field":    {"HTTP/1.1 200 OK\r\nLong: ", "x"},
 		"header fields":   {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
 		"interim replies": {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		"interim reasons": {"", "HTTP/1.1 103 " + strings.Repeat("x", 60<<10) + "\r\n\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) { EndlessReply(t, r.start, r.part, call) })
 	}
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -21,9 +21,14 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
+	var interim int
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
 		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+			// net/http limits interim heads together only if nothing receives them.
+			if interim += headSize(h); interim > MaxReplyHead {
+				return &OversizeError{Part: Head, Limit: MaxReplyHead}
+			}
 			// net/http removes Transfer-Encoding from the header, so only a length shows a body here.
 			return checkInterim(status, http.Header(h), nil)
 		},
@@ -40,3 +45,17 @@
 	}
 	return res, nil
 }
+
+// minInterimHead is what an interim reply counts at least, in bytes: the reason in its status line isn't known here.
+const minInterimHead = 4 << 10
+
+// headSize returns how much a head with these fields counts towards MaxReplyHead, in bytes.
+func headSize(h textproto.MIMEHeader) int {
+	size := 0
+	for name, values := range h {
+		for _, v := range values {
+			size += len(name) + len(": \r\n") + len(v)
+		}
+	}
+	return max(size, minInterimHead)
+}
