forwarder: a redirect of a service is its reply

A booking whose service answers with a redirect, as forms do once they are sent, was answered as unknown although it had run, and its entry requested the address in the reply, which may be any that it reaches.

Cause: the entry's client of agents followed redirects. The agent passes the service's status and Location on.

The client returns redirects like other replies, as the agent's client of its service does. connector.KeepRedirect says so at one place for both.

TestRedirectOfAServiceIsItsReply failed for 301, 302 and 303, which ended as an answer to another attempt, and for 307 and 308, whose check that the address is never requested saw those three requests. It passes now.

--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -59,3 +59,7 @@
 	}
 	return max(size, minInterimHead)
 }
+
+// KeepRedirect is a CheckRedirect of http.Client for which a redirect is a reply like others. Followed, a request goes to any
+// address that a reply names, and a write becomes a read whose success counts as the write's.
+func KeepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -63,12 +63,7 @@
 func newClient() *http.Client {
 	t := connector.NewTransport(connector.DialContext)
 	t.DisableKeepAlives = true
-	return &http.Client{
-		Transport: t,
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
+	return &http.Client{Transport: t, CheckRedirect: connector.KeepRedirect}
 }
 
 var sharedClient = newClient()
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -35,7 +35,7 @@
 func NewClient(dial Dial) *Client {
 	t := connector.NewTransport(dial)
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout = maxIdleConnections, 30*time.Second
-	return &Client{http: &http.Client{Transport: t}}
+	return &Client{http: &http.Client{Transport: t, CheckRedirect: connector.KeepRedirect}}
 }
 
 // refusal is the body of a response without a reply.
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -331,3 +332,24 @@
 		}
 	}
 }
+
+// Guards against following the redirect of a service's reply: a booking that ran would be answered as unknown, and its entry
+// would request any address.
+func TestRedirectOfAServiceIsItsReply(t *testing.T) {
+	var followed atomic.Int64
+	elsewhere := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { followed.Add(1) }))
+	t.Cleanup(elsewhere.Close)
+	for _, status := range []string{"301", "302", "303", "307", "308"} {
+		t.Run(status, func(t *testing.T) {
+			head := strings.Replace(responseHead("Location: "+elsewhere.URL+"/bookings/7", "Content-Length: 4"), "200 OK", status+" Other", 1)
+			addr, count := serveRaw(t, head+"slot")
+			r, err := call(t, addr)
+			must.NoError(t, err)
+			must.Eq(t, status, strconv.Itoa(r.Status))
+			must.Eq(t, elsewhere.URL+"/bookings/7", r.Header.Get("Location"))
+			must.Eq(t, "slot", string(r.Body))
+			must.Eq(t, 1, count.Load())
+			must.Zero(t, followed.Load())
+		})
+	}
+}
