storer: a redirect is no answer

A write to the store counted as done, and a lease as renewed, although nothing was written, if the store's address, or a device on the path, answered with a redirect. So did a bundle that an operator sent; the list of VMs, weights and what agents hold came from the address in the reply.

Cause: http.Client follows redirects, and turns a write into a read for most: the success of that read counted as the write's.

Before, all 55 cases of TestRedirectIsNoAnswer in storer (25), fetcher (15) and inspector (10) and of TestRedirectIsNoList (5) failed. All pass now.

--- a/cmd/oriolecroft/agent.go
+++ b/cmd/oriolecroft/agent.go
@@ -158,7 +158,7 @@
 
 // newPeerSource returns a function that makes the source at another agent's address.
 func newPeerSource(tls *certifier.Certifier, region string) func(netip.AddrPort) fetcher.Source {
-	client := &http.Client{Transport: connector.NewTransport(tls.Dial)}
+	client := &http.Client{Transport: connector.NewTransport(tls.Dial), CheckRedirect: connector.KeepRedirect}
 	return func(a netip.AddrPort) fetcher.Source {
 		return &fetcher.HTTP{Address: a, Timeout: chunkTimeout, Client: client, Region: region}
 	}
--- a/internal/bodyreader/bodyreadertest/serve.go
+++ b/internal/bodyreader/bodyreadertest/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -173,3 +174,29 @@
 	must.Less(t, callTimeout, time.Since(startTime))
 	must.Less(t, maxReadBytes, written.Load())
 }
+
+// Redirects checks that calls fail if they are redirected to a path where body is served, and don't request that path.
+func Redirects(t *testing.T, body string, calls map[string]func(netip.AddrPort) error) {
+	t.Helper()
+	for _, status := range []int{
+		http.StatusMovedPermanently, http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect,
+	} {
+		for name, call := range calls {
+			t.Run(fmt.Sprintf("%d %s", status, name), func(t *testing.T) {
+				var followed atomic.Int64
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path != "/elsewhere" {
+						w.Header().Set("Location", "/elsewhere")
+						w.WriteHeader(status)
+						return
+					}
+					followed.Add(1)
+					_, _ = io.WriteString(w, body)
+				}))
+				defer s.Close()
+				must.Error(t, call(netip.MustParseAddrPort(s.Listener.Addr().String())))
+				must.Zero(t, followed.Load())
+			})
+		}
+	}
+}
--- a/internal/fetcher/http.go
+++ b/internal/fetcher/http.go
@@ -43,7 +43,7 @@
 func newClient() *http.Client {
 	t := connector.NewTransport(connector.DialContext)
 	t.IdleConnTimeout = idleConnTimeout
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: t, CheckRedirect: connector.KeepRedirect}
 }
 
 // Source serves manifests and chunks by their digest. Returned data has been
--- a/internal/fetcher/http_test.go
+++ b/internal/fetcher/http_test.go
@@ -102,3 +102,22 @@
 		return err
 	})
 }
+
+// Guards against weights, or a bitmap of what an agent holds, from the address in a redirect.
+func TestRedirectIsNoAnswer(t *testing.T) {
+	digest := bundler.Digest([]byte("w"))
+	bodyreadertest.Redirects(t, "w", map[string]func(netip.AddrPort) error{
+		"manifest": func(a netip.AddrPort) error {
+			_, err := (&fetcher.HTTP{Address: a}).Manifest(t.Context(), digest)
+			return err
+		},
+		"chunk": func(a netip.AddrPort) error {
+			_, err := (&fetcher.HTTP{Address: a}).Chunk(t.Context(), digest, 1)
+			return err
+		},
+		"holding": func(a netip.AddrPort) error {
+			_, err := (&fetcher.HTTP{Address: a}).Holding(t.Context(), digest)
+			return err
+		},
+	})
+}
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -45,7 +45,7 @@
 func (i Inspector) client() *http.Client {
 	t := connector.NewTransport(i.Certifier.Dial)
 	t.DisableKeepAlives = true
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: t, CheckRedirect: connector.KeepRedirect}
 }
 
 // Status returns the status of one entry.
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -133,3 +133,14 @@
 		return err
 	})
 }
+
+// Guards against a bundle that counts as sent, or a status that counts as an entry's, by the reply of the address in a
+// redirect.
+func TestRedirectIsNoAnswer(t *testing.T) {
+	bodyreadertest.Redirects(t, `{"state":{"id":"entry-1"}}`, map[string]func(netip.AddrPort) error{
+		"status": func(a netip.AddrPort) error { _, err := inspector.Inspector{}.Status(t.Context(), a); return err },
+		"bundle": func(a netip.AddrPort) error {
+			return inspector.Inspector{}.SendBundle(t.Context(), a, &bundler.Record{})
+		},
+	})
+}
--- a/internal/lister/list.go
+++ b/internal/lister/list.go
@@ -132,7 +132,7 @@
 	h.once.Do(func() {
 		t := connector.NewTransport(connector.DialContext)
 		t.MaxIdleConnsPerHost, t.IdleConnTimeout = 1, time.Minute
-		h.defaultClient = &http.Client{Transport: t}
+		h.defaultClient = &http.Client{Transport: t, CheckRedirect: connector.KeepRedirect}
 	})
 	return h.defaultClient
 }
--- a/internal/lister/list_test.go
+++ b/internal/lister/list_test.go
@@ -51,3 +51,10 @@
 		return err
 	})
 }
+
+// Guards against a list that is taken from the address in a redirect.
+func TestRedirectIsNoList(t *testing.T) {
+	bodyreadertest.Redirects(t, `{"vms":[]}`, map[string]func(netip.AddrPort) error{
+		"list": func(a netip.AddrPort) error { _, err := (&lister.HTTP{Address: a}).VMs(t.Context()); return err },
+	})
+}
--- a/internal/storer/http_test.go
+++ b/internal/storer/http_test.go
@@ -126,3 +126,20 @@
 		return err
 	})
 }
+
+// Guards against following a redirect of the store: the success of the read that a write became would count as the write's.
+func TestRedirectIsNoAnswer(t *testing.T) {
+	bodyreadertest.Redirects(t, `{"key":"k","value":"dg==","version":7,"id":"lease-1"}`, map[string]func(netip.AddrPort) error{
+		"get": func(a netip.AddrPort) error { _, err := (&storer.HTTP{Address: a}).Get(t.Context(), "k"); return err },
+		"put": func(a netip.AddrPort) error {
+			_, err := (&storer.HTTP{Address: a}).Put(t.Context(), "k", []byte("v"), 6, "")
+			return err
+		},
+		"delete": func(a netip.AddrPort) error { return (&storer.HTTP{Address: a}).Delete(t.Context(), "k", 6) },
+		"grant": func(a netip.AddrPort) error {
+			_, err := (&storer.HTTP{Address: a}).Grant(t.Context(), time.Minute)
+			return err
+		},
+		"renew": func(a netip.AddrPort) error { return (&storer.HTTP{Address: a}).Renew(t.Context(), "lease-1") },
+	})
+}
