forwarder: a lookup that is refused is unknown

After "not run" a caller books again. The entry took that word from the body of any reply, whatever its status.

Cause: Client.Lookup didn't check the status.

It takes an answer from a reply with 200 alone, which is what agents send.

Before, TestRefusedLookupIsUnknown got "not run" for 303, 404, 500 and 503; 204 has no body. It passes now.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -111,6 +111,9 @@
 		return KeyUnknown, err
 	}
 	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return KeyUnknown, &UnknownError{Reason: "status " + strconv.Itoa(r.StatusCode)}
+	}
 	var response struct {
 		Fate KeyState `json:"fate"`
 	}
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -353,3 +353,14 @@
 		})
 	}
 }
+
+// Guards against a refusal of a lookup whose body reads like an answer: after "not run" a caller books again.
+func TestRefusedLookupIsUnknown(t *testing.T) {
+	for _, status := range []string{"204 No Content", "303 See Other", "404 Not Found", "500 Failed", "503 Busy"} {
+		const body = `{"fate":"notRun"}`
+		addr, _ := serveRaw(t, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+		state, err := client().Lookup(t.Context(), addr, "k")
+		requireError[*forwarder.UnknownError](t, err)
+		must.Eq(t, forwarder.KeyUnknown, state)
+	}
+}
