Tests: no client takes a reply with an invalid status for an answer

The tests of the connector check how a reply is read. These check what follows from it: a booking is in doubt and never repeated, a stream may have run, a write of the store is unknown and its watch confirms nothing, and all end at once, after one request.

All pass with the rule.

--- a/internal/agent/env_test.go
+++ b/internal/agent/env_test.go
@@ -103,6 +103,9 @@
 	denySwitch bool
 	// delayedProbe holds back one answer of the stand-in's state, once it was made.
 	delayedProbe chan struct{}
+	// rawReply answers bookings and streams byte for byte unless it is empty; rawReplies counts them.
+	rawReply   string
+	rawReplies int
 }
 
 func newTestEnv(t *testing.T, h http.Handler, c *clocktesting.FakeClock) *testEnv {
@@ -220,6 +223,10 @@
 func (env *testEnv) intercept(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case "/book", "/generate":
+			if env.sendRawReply(rw, r) {
+				return
+			}
 		case "/load":
 			body, _ := io.ReadAll(r.Body)
 			env.mu.Lock()
--- a/internal/bodyreader/bodyreadertest/serve.go
+++ b/internal/bodyreader/bodyreadertest/serve.go
@@ -3,6 +3,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -73,14 +75,20 @@
 
 // serveNext answers the next request of a connection; false if its client has disconnected.
 func serveNext(conn net.Conn, r *bufio.Reader, reply string) bool {
-	request, err := http.ReadRequest(r)
-	if err != nil {
+	if !readNext(r) {
 		return false
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+	_, err := io.WriteString(conn, reply)
+	return err == nil
+}
+
+// readNext reads the next request of a connection; false if its client has disconnected.
+func readNext(r *bufio.Reader) bool {
+	request, err := http.ReadRequest(r)
+	if err != nil {
 		return false
 	}
-	_, err = io.WriteString(conn, reply)
+	_, err = io.Copy(io.Discard, request.Body)
 	return err == nil
 }
 
@@ -175,6 +183,61 @@
 	must.Less(t, maxReadBytes, written.Load())
 }
 
+// invalidStatuses are statuses in replies that HTTP doesn't define for a final reply, or that can't be parsed.
+var invalidStatuses = []string{"000", "001", "042", "099", "101", "600", "999", "+20", "-20", "2000"}
+
+// InvalidReplies returns replies with an invalid status, the given fields and the given body, by name. The fields end with
+// a line end. A reply named "closed" ends with its connection.
+func InvalidReplies(fields, body string) map[string]string {
+	framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+	inner := "HTTP/1.1 200 OK\r\n" + framed
+	replies := map[string]string{}
+	for _, status := range invalidStatuses {
+		line := "HTTP/1.1 " + status + " Trouble\r\n"
+		for how, rest := range map[string]string{
+			"no body":           fields + "\r\n",
+			"empty":             fields + "Content-Length: 0\r\n\r\n",
+			"by length":         framed,
+			"chunks":            fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", fields, len(body), body),
+			"closed":            fields + "Connection: close\r\n\r\n" + body,
+			"a reply":           fields + "\r\n" + inner,
+			"a reply by length": fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(inner), inner),
+		} {
+			replies[status+" "+how] = line + rest
+		}
+	}
+	return replies
+}
+
+// InvalidStatuses checks that a call fails by itself for each of InvalidReplies and sends one request. The connection stays
+// open unless the reply ends with it.
+func InvalidStatuses(t *testing.T, fields, body string, call func(*testing.T, netip.AddrPort) error) {
+	t.Helper()
+	for name, reply := range InvalidReplies(fields, body) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int64
+			l := listenAndServe(t, func(conn net.Conn) {
+				// A call that waits for more must fail the test, not block it.
+				defer time.AfterFunc(callTimeout, func() { conn.Close() }).Stop()
+				for r := bufio.NewReader(conn); readNext(r); {
+					requests.Add(1)
+					_, err := io.WriteString(conn, reply)
+					if err != nil || strings.HasSuffix(name, "closed") {
+						return
+					}
+				}
+			})
+			startTime := time.Now()
+			err := call(t, netip.MustParseAddrPort(l.Addr().String()))
+			must.Error(t, err)
+			must.False(t, errors.Is(err, context.DeadlineExceeded), must.Sprint(err))
+			must.Less(t, callTimeout, time.Since(startTime))
+			must.Eq(t, 1, requests.Load())
+		})
+	}
+}
+
 // Redirects checks that calls fail if they are redirected to a path where body is served, and don't request that path.
 func Redirects(t *testing.T, body string, calls map[string]func(netip.AddrPort) error) {
 	t.Helper()
--- a/internal/dispatcher/env_test.go
+++ b/internal/dispatcher/env_test.go
@@ -127,7 +127,7 @@
 	sequence uint64
 }
 
-func newTestEnv(t *testing.T) *testEnv {
+func newTestEnv(t *testing.T, changes ...func(*bundler.Bundle)) *testEnv {
 	t.Helper()
 	public, private, err := bundler.GenerateKey()
 	must.NoError(t, err)
@@ -142,6 +142,9 @@
 			{Name: "limited", Services: []string{"bookings"}, Limits: bundler.Limits{Concurrent: 1}},
 		},
 	}
+	for _, change := range changes {
+		change(b)
+	}
 	data, err := b.Encode()
 	must.NoError(t, err)
 	r := &bundler.Record{Payload: data}
@@ -185,14 +188,20 @@
 	if a.engineStart == "" {
 		a.engineStart = "engine-1"
 	}
-	h := httptest.NewServer(forwarder.Handler(a))
+	return env.serveAgent(t, id, kind, forwarder.Handler(a), a.engineStart, limit)
+}
+
+// serveAgent is addAgent with any handler.
+func (env *testEnv) serveAgent(t *testing.T, id string, kind messenger.Kind, agent http.Handler, engineStart string, limit int) *httptest.Server {
+	t.Helper()
+	h := httptest.NewServer(agent)
 	t.Cleanup(h.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))
 	env.sequence++
 	env.Router.Report(messenger.AgentState{
 		ID: id, Incarnation: "i-" + id, FailureDomain: "a", Region: "r", Kind: kind, Service: "bookings",
 		Address: address, Sequence: env.sequence, Gate: messenger.GateOpen, Limit: limit,
-		Model: "rota", Version: "v1", Manifest: bundler.Digest(nil), EngineStart: a.engineStart, Revision: 1,
+		Model: "rota", Version: "v1", Manifest: bundler.Digest(nil), EngineStart: engineStart, Revision: 1,
 	})
 	return h
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -181,3 +181,51 @@
 		return err
 	})
 }
+
+// Guards against an upstream's reply whose status HTTP doesn't define: it would be kept as the result of a booking, or count
+// as a refusal of a request that may have run.
+func TestInvalidStatusIsUnknown(t *testing.T) {
+	const body = `{"startId":"s","version":"v1"}`
+	for name, send := range map[string]func(ctx context.Context, a netip.AddrPort) error{
+		"call": func(ctx context.Context, a netip.AddrPort) error {
+			resp, err := (&driver.Service{Address: a}).Call(ctx, http.MethodPost, "/book", nil, strings.NewReader("slot"))
+			closeReply(resp)
+			return err
+		},
+		"generate": func(ctx context.Context, a netip.AddrPort) error {
+			_, err := (&driver.Engine{Address: a}).Generate(ctx, driver.GenerateRequest{})
+			return err
+		},
+		"resume": func(ctx context.Context, a netip.AddrPort) error {
+			_, err := (&driver.Engine{Address: a}).Resume(ctx, "s", 3)
+			return err
+		},
+		"load": func(ctx context.Context, a netip.AddrPort) error {
+			_, err := (&driver.Engine{Address: a}).Load(ctx, driver.LoadOrder{Fence: 4})
+			return err
+		},
+		"role": func(ctx context.Context, a netip.AddrPort) error {
+			return (&driver.Engine{Address: a}).SetRole(ctx, 4, driver.RoleBoth)
+		},
+		"cancel": func(ctx context.Context, a netip.AddrPort) error {
+			return (&driver.Engine{Address: a}).Cancel(ctx, "s")
+		},
+		"engine's state": func(ctx context.Context, a netip.AddrPort) error {
+			_, err := (&driver.Engine{Address: a}).State(ctx)
+			return err
+		},
+		"service's state": func(ctx context.Context, a netip.AddrPort) error {
+			_, err := (&driver.Service{Address: a}).State(ctx)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bodyreadertest.InvalidStatuses(t, "", body, func(t *testing.T, a netip.AddrPort) error {
+				err := send(t.Context(), a)
+				checkErrorAs[*driver.UnknownError](t, err)
+				test.False(t, driver.NotSent(err))
+				return err
+			})
+		})
+	}
+}
--- a/internal/fetcher/http_test.go
+++ b/internal/fetcher/http_test.go
@@ -103,6 +103,36 @@
 	})
 }
 
+// Guards against a reply whose status HTTP doesn't define counting as what an agent holds, or as a chunk that the source
+// doesn't have.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	fields := http.Header{}
+	fetcher.SetHolding(fields, []byte{1})
+	var text strings.Builder
+	must.NoError(t, fields.Write(&text))
+	for name, call := range map[string]func(h *fetcher.HTTP) error{
+		"manifest": func(h *fetcher.HTTP) error {
+			_, err := h.Manifest(t.Context(), bundler.Digest([]byte("w")))
+			return err
+		},
+		"chunk": func(h *fetcher.HTTP) error {
+			_, err := h.Chunk(t.Context(), bundler.Digest([]byte("w")), 1)
+			return err
+		},
+		"holding": func(h *fetcher.HTTP) error { _, err := h.Holding(t.Context(), bundler.Digest(nil)); return err },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bodyreadertest.InvalidStatuses(t, text.String(), "w", func(t *testing.T, a netip.AddrPort) error {
+				held := func([]byte) { t.Error("reported as held") }
+				err := call(&fetcher.HTTP{Address: a, OnHolding: held, Timeout: time.Minute})
+				var unavailable *fetcher.UnavailableError
+				must.True(t, errors.As(err, &unavailable), must.Sprint(err))
+				return err
+			})
+		})
+	}
+}
+
 // Guards against weights, or a bitmap of what an agent holds, from the address in a redirect.
 func TestRedirectIsNoAnswer(t *testing.T) {
 	digest := bundler.Digest([]byte("w"))
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -333,6 +333,29 @@
 	}
 }
 
+// Guards against an agent's reply whose status HTTP doesn't define: its caller would get that status, or the text in the
+// body, as the service's reply, and a request that may have run would count as not run.
+func TestInvalidStatusIsUnknown(t *testing.T) {
+	fields := "Oriolecroft-Request: r7\r\nOriolecroft-Attempt: 2\r\nOriolecroft-Outcome: "
+	const body = `{"fate":"notRun","reason":"full","done":true}`
+	for name, send := range map[string]func(t *testing.T, a netip.AddrPort) error{
+		"call":     func(t *testing.T, a netip.AddrPort) error { _, err := call(t, a); return err },
+		"generate": func(t *testing.T, a netip.AddrPort) error { _, err := generate(t, a); return err },
+		"lookup":   func(t *testing.T, a netip.AddrPort) error { _, err := client().Lookup(t.Context(), a, "k"); return err },
+		"cancel":   func(t *testing.T, a netip.AddrPort) error { return client().Cancel(t.Context(), a, "s") },
+	} {
+		for _, outcome := range []string{"ran", "notRun"} {
+			t.Run(name+" "+outcome, func(t *testing.T) {
+				bodyreadertest.InvalidStatuses(t, fields+outcome+"\r\n", body, func(t *testing.T, a netip.AddrPort) error {
+					err := send(t, a)
+					requireError[*forwarder.UnknownError](t, err)
+					return err
+				})
+			})
+		}
+	}
+}
+
 // Guards against following the redirect of a service's reply: a booking that ran would be answered as unknown, and its entry
 // would request any address.
 func TestRedirectOfAServiceIsItsReply(t *testing.T) {
--- a/internal/storer/http_test.go
+++ b/internal/storer/http_test.go
@@ -127,6 +127,41 @@
 	})
 }
 
+// Guards against a status that HTTP doesn't define counting as the store's word: on a change, on a key that is missing or
+// unchanged, or on a write that had no effect.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	const body = `{"key":"k","value":"dg==","version":7,"id":"lease-1","items":[]}`
+	for name, call := range map[string]func(s *storer.HTTP) error{
+		"get":   func(s *storer.HTTP) error { _, err := s.Get(t.Context(), "k"); return err },
+		"list":  func(s *storer.HTTP) error { _, err := s.List(t.Context(), "k"); return err },
+		"watch": func(s *storer.HTTP) error { _, err := s.Watch(t.Context(), "k", 6, time.Minute); return err },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bodyreadertest.InvalidStatuses(t, "", body, func(t *testing.T, a netip.AddrPort) error {
+				err := call(&storer.HTTP{Address: a})
+				var unavailable *storer.UnavailableError
+				must.True(t, errors.As(err, &unavailable), must.Sprint(err))
+				return err
+			})
+		})
+	}
+	for name, call := range map[string]func(s *storer.HTTP) error{
+		"put":    func(s *storer.HTTP) error { _, err := s.Put(t.Context(), "k", []byte("v"), 6, ""); return err },
+		"delete": func(s *storer.HTTP) error { return s.Delete(t.Context(), "k", 6) },
+		"grant":  func(s *storer.HTTP) error { _, err := s.Grant(t.Context(), time.Minute); return err },
+		"renew":  func(s *storer.HTTP) error { return s.Renew(t.Context(), "lease-1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bodyreadertest.InvalidStatuses(t, "", body, func(t *testing.T, a netip.AddrPort) error {
+				err := call(&storer.HTTP{Address: a})
+				var unknown *storer.UnknownError
+				must.True(t, errors.As(err, &unknown), must.Sprint(err))
+				return err
+			})
+		})
+	}
+}
+
 // Guards against following a redirect of the store: the success of the read that a write became would count as the write's.
 func TestRedirectIsNoAnswer(t *testing.T) {
 	bodyreadertest.Redirects(t, `{"key":"k","value":"dg==","version":7,"id":"lease-1"}`, map[string]func(netip.AddrPort) error{
