--- a/cmd/oriolecroft/platform_agent.go
+++ b/cmd/oriolecroft/platform_agent.go
@@ -90,7 +90,7 @@
 	s := d.settings
 	transport := connector.NewTransport(connector.DialContext)
 	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 4, 10*time.Second
-	client := &http.Client{Transport: transport}
+	client := connector.NewClient(transport)
 	digester := &stager.Digester{Client: client, Upload: newLinkLimiter(s.LinkRate)}
 	ledger := &scheduler.Ledger{Clock: d.ageClock, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack}
 	l := &loader.Loader{
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -2,8 +2,8 @@
 
 import "net/http"
 
-// NewClient returns a client that returns redirects as they are. The servers called here send none, and another server's
-// answer, or that to another method, must not count as that of the one called.
+// NewClient returns a client that returns redirects as they are. Followed, a request goes to any address that a reply
+// states, and a write becomes a read whose success counts as the write's.
 func NewClient(t *Transport) *http.Client {
 	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -24,21 +24,27 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
 	var interim atomic.Int32
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
-		// With this function net/http limits the head of each reply only.
-		if interim.Add(1) > maxInterimReplies {
-			return &InterimCountError{Limit: maxInterimReplies}
-		}
-		// net/http removes Transfer-Encoding from the header, so only a length shows a body here.
-		return checkInterim(status, http.Header(h), nil)
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+			// With this function net/http limits the head of each reply only.
+			if interim.Add(1) > maxInterimReplies {
+				return &InterimCountError{Limit: maxInterimReplies}
+			}
+			// net/http removes Transfer-Encoding from the header, so only a length shows a body here.
+			return checkInterim(status, http.Header(h), nil)
+		},
+	}
 	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := checkFinal(res.StatusCode); err != nil {
 		res.Body.Close()
+		// net/http would use it again after an empty reply.
+		conn.Close()
 		return nil, err
 	}
 	return res, nil
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -35,7 +35,7 @@
 func NewClient(dial Dial) *Client {
 	t := connector.NewTransport(dial)
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout = maxIdleConnections, 30*time.Second
-	return &Client{http: &http.Client{Transport: t}}
+	return &Client{http: connector.NewClient(t)}
 }
 
 // refusal is the body of a response without a reply.
@@ -111,6 +111,9 @@
 		return KeyUnknown, err
 	}
 	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return KeyUnknown, &UnknownError{Reason: "status " + strconv.Itoa(r.StatusCode)}
+	}
 	var response struct {
 		Fate KeyState `json:"fate"`
 	}
--- a/internal/forwarder/client_test.go
+++ b/internal/forwarder/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -331,3 +332,58 @@
 		}
 	}
 }
+
+// Guards against an agent's reply whose status HTTP doesn't define: its caller would get that status, or the text in the
+// body, as the service's reply, and a request that may have run would count as not run.
+func TestInvalidStatusIsUnknown(t *testing.T) {
+	fields := "Oriolecroft-Request: r7\r\nOriolecroft-Attempt: 2\r\nOriolecroft-Outcome: "
+	const body = `{"fate":"notRun","reason":"full","done":true}`
+	for name, send := range map[string]func(t *testing.T, a netip.AddrPort) error{
+		"call":     func(t *testing.T, a netip.AddrPort) error { _, err := call(t, a); return err },
+		"generate": func(t *testing.T, a netip.AddrPort) error { _, err := generate(t, a); return err },
+		"lookup":   func(t *testing.T, a netip.AddrPort) error { _, err := client().Lookup(t.Context(), a, "k"); return err },
+		"cancel":   func(t *testing.T, a netip.AddrPort) error { return client().Cancel(t.Context(), a, "s") },
+	} {
+		for _, outcome := range []string{"ran", "notRun"} {
+			t.Run(name+" "+outcome, func(t *testing.T) {
+				bodyreadertest.InvalidStatuses(t, fields+outcome+"\r\n", body, func(t *testing.T, a netip.AddrPort) error {
+					err := send(t, a)
+					requireError[*forwarder.UnknownError](t, err)
+					return err
+				})
+			})
+		}
+	}
+}
+
+// Guards against following the redirect of a service's reply: a booking that ran would be answered as unknown, and its entry
+// would request any address.
+func TestRedirectOfAServiceIsItsReply(t *testing.T) {
+	var followed atomic.Int64
+	elsewhere := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { followed.Add(1) }))
+	t.Cleanup(elsewhere.Close)
+	for _, status := range []string{"301", "302", "303", "307", "308"} {
+		t.Run(status, func(t *testing.T) {
+			head := strings.Replace(responseHead("Location: "+elsewhere.URL+"/bookings/7", "Content-Length: 4"), "200 OK", status+" Other", 1)
+			addr, count := serveRaw(t, head+"slot")
+			r, err := call(t, addr)
+			must.NoError(t, err)
+			must.Eq(t, status, strconv.Itoa(r.Status))
+			must.Eq(t, elsewhere.URL+"/bookings/7", r.Header.Get("Location"))
+			must.Eq(t, "slot", string(r.Body))
+			must.Eq(t, 1, count.Load())
+			must.Zero(t, followed.Load())
+		})
+	}
+}
+
+// Guards against a refusal of a lookup whose body reads like an answer: after "not run" a caller books again.
+func TestRefusedLookupIsUnknown(t *testing.T) {
+	for _, status := range []string{"204 No Content", "303 See Other", "404 Not Found", "500 Failed", "503 Busy"} {
+		const body = `{"fate":"notRun"}`
+		addr, _ := serveRaw(t, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+		state, err := client().Lookup(t.Context(), addr, "k")
+		requireError[*forwarder.UnknownError](t, err)
+		must.Eq(t, forwarder.KeyUnknown, state)
+	}
+}
