registrar: a report without a date isn't dated by an outage

Callers: work could begin on old weights after their time: entries counted an announcement up to 5.2 s too young, until the end of the outage that they inferred.

Cause: an agent that starts while the store answers it and no other process lists the store, and reports a version whose announcement it can't date. The entry then dated it by its own inferred outage, unless its last failed call was later than the agent's last answer, which is renewed all the while. Reports dated by an outage waited for the entry's next call to end; those without a date didn't.

TestAgentThatStartsInAnInferredOutageDatesNothingByIt (virtual time, 18 entries, 9 agents, of which 1, 3 or 9 start) failed in all six cases, by 5.2 s; TestReportWithoutADateIsNotDatedByAnOutage failed for an answer after the last failed call. Both pass now.

A report without a date waits until a call of the entry has failed more than a second after the agent received the record, as such a call didn't start in an outage that had ended by then, or until the entry is answered itself. A record that another process received between the last answer known here and the last failed call refutes the outage, as an answer then does. TestReportWithoutADateAtTheEndOfAnOutageDatesNothingEarly failed before, too: the report was applied at once.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -135,7 +135,7 @@
 	if b.AsOf.IsZero() {
 		b.AsOf = r.Clock.Now()
 	}
-	r.outageRefuted = b.lastAnswer().After(r.lastAnswer()) && b.lastAnswer().Before(r.unreachableAt)
+	r.outageRefuted = r.refutesOutage(b)
 	changed := r.view.Load() == nil
 	for _, rec := range records {
 		changed = r.applyRecord(rec, b) || changed
--- a/internal/registrar/weights_report.go
+++ b/internal/registrar/weights_report.go
@@ -70,13 +70,29 @@
 	return r.Apply(b)
 }
 
-// outlastsFailure reports whether a record has an announcement that is dated by an outage, and that its sender received
-// after this process's last failed call. Once the next one ends, this process can tell how long the outage was.
+// outlastsFailure reports whether a record has an announcement that is dated by an outage, or would be here, and that its
+// sender received after this process's last failed call. Once the next one ends, this process can tell how long the outage
+// was, or, if it fails later than a call that started in the outage may, that it was none.
 func (r *Registrar) outlastsFailure(rec Record, received time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return rec.Revision > r.records[rec.Key].Revision && slices.ContainsFunc(rec.Announcements, func(n AnnouncementReport) bool {
-		return n.ConfirmedAge > 0 && timeAtPositiveAge(received, n.KnownAge).After(r.unreachableAt)
+		known := timeAtPositiveAge(received, n.KnownAge)
+		if n.Age == UnknownAge || n.SinceAge == UnknownAge {
+			return known.Add(maxLateFailure).After(r.unreachableAt)
+		}
+		return n.ConfirmedAge > 0 && known.After(r.unreachableAt)
+	})
+}
+
+// refutesOutage reports whether a batch shows that the store answered another process after the last answer known here and
+// before the last failed call, by the answer itself or by a record of weights that the other process received then.
+func (r *Registrar) refutesOutage(b Batch) bool {
+	isInOutage := func(t time.Time) bool { return t.After(r.lastAnswer()) && t.Before(r.unreachableAt) }
+	return isInOutage(b.lastAnswer()) || b.WeightsOnly && slices.ContainsFunc(b.Records, func(rec Record) bool {
+		return rec.Revision > r.records[rec.Key].Revision && slices.ContainsFunc(rec.Announcements, func(n AnnouncementReport) bool {
+			return isInOutage(timeAtPositiveAge(b.AsOf, n.KnownAge))
+		})
 	})
 }
 
