registrar: a report may hold the deletion of an unknown model

Callers: an entry that had lost the store refused all reports of agents once a model that it never knew was announced and withdrawn, and went on by the outage that it inferred.

Cause: a report with a record that isn't one of weights is refused, and a deleted record counted as one of weights only if its key held weights here.

TestReportWithTheDeletionOfAnUnknownModelIsUsed failed: the store's confirmation was 6 s old after a report of one of 1 s.

The key alone shows what a record is: Decode returns weights for one that can't be read, as a deleted one, and reports with other deletions are still refused (TestFaultyReportOfWeightsChangesNothing).

--- a/internal/registrar/weights_report.go
+++ b/internal/registrar/weights_report.go
@@ -98,12 +98,7 @@
 
 // isForeign reports whether a record isn't one of weights.
 func (r *Registrar) isForeign(rec Record) bool {
-	if rec.Deleted {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return !r.isWeights(rec.Key)
-	}
-	// A record of weights that can't be decoded counts as one.
+	// A record of weights that can't be decoded, as a deleted one, counts as one.
 	f, _ := r.Decode(rec.Key, rec.Value)
 	_, ok := f.(Weights)
 	return !ok
--- a/internal/registrar/weights_report_test.go
+++ b/internal/registrar/weights_report_test.go
@@ -137,3 +137,16 @@
 	must.True(t, known)
 	must.Eq(t, want, got)
 }
+
+// Guards against an entry that refuses all reports for good, as a model that it never knew was announced and withdrawn.
+func TestReportWithTheDeletionOfAnUnknownModelIsUsed(t *testing.T) {
+	c, entry, agent := outageBesideAgent()
+	reply := entry.ChangesSince(1)
+	reply.AsOf = c.Now()
+	agent.Apply(registrar.Batch{After: 1, At: 2, Age: time.Second, Records: []registrar.Record{record("weights/n", "1", 2)}})
+	agent.Apply(registrar.Batch{After: 2, At: 3, Age: time.Second, Records: []registrar.Record{{Key: "weights/n", Revision: 3, Deleted: true}}})
+	report, ok := agent.WeightsBeyond(reply)
+	must.True(t, ok)
+	entry.ApplyWeights(report, 0)
+	must.LessEq(t, time.Second, entry.Confirmation().StoreAge)
+}
