syncer: a report names the process that sent the reply before it

Callers: old weights could count as confirmed by the store 2 s too late, by a report that was read late, and by more the longer the process lived.

Cause: a report's ages count from the reply that it follows, which is known by the time since the start of the process that sent it. If that one ended soon after its start, the time fits the process that has started at its address since, too, and the time between the two starts is missing from the report's time in transit.

A process states a random number with its replies, and ignores reports that don't name it. TestLateReportOfWeights states it, and tries another one.

--- a/internal/registrar/record.go
+++ b/internal/registrar/record.go
@@ -63,8 +63,10 @@
 	// Lost is set if the sender reads the store itself and can't reach it. Its last update may be
 	// recent, but no newer one will follow.
 	Lost bool `json:"lost,omitempty"`
-	// SentAt is when a sender that has lost the store sent the batch, as the time since its start; zero for others.
+	// SentAt is when a sender that has lost the store sent the batch, as the time since its start; zero for others. SentBy
+	// is a number that it drew then: another process may have started at its address.
 	SentAt time.Duration `json:"sentAt,omitempty"`
+	SentBy uint64        `json:"sentBy,omitempty"`
 	// Refer is a process nearer to the requester to ask instead; the batch is empty then.
 	Refer netip.AddrPort `json:"refer,omitzero"`
 	// AsOf is when the batch was received, by the registrar's clock: all its ages count from there. Zero stands for
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -495,7 +495,7 @@
 // any or the wait of the query is over.
 func RecordsHandler(r *registrar.Registrar, c clock.Clock) func(context.Context, messenger.RecordsQuery) registrar.Batch {
 	refs := &referrals{clock: c, region: r.Region}
-	reports := &reportReceiver{registrar: r, clock: c, since: c.Now()}
+	reports := newReportReceiver(r, c)
 	return func(ctx context.Context, q messenger.RecordsQuery) registrar.Batch {
 		if q.Weights != nil {
 			reports.apply(*q.Weights)
--- a/internal/syncer/weights_report.go
+++ b/internal/syncer/weights_report.go
@@ -1,6 +1,7 @@
 package syncer
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -37,22 +38,26 @@
 	if !ok {
 		return nil
 	}
-	return &messenger.WeightsReport{Batch: b, ReplySentAt: reply.SentAt, ReplyAge: replyAge}
+	return &messenger.WeightsReport{Batch: b, ReplySentBy: reply.SentBy, ReplySentAt: reply.SentAt, ReplyAge: replyAge}
 }
 
 // reportReceiver applies the reports of weights that come with queries.
 type reportReceiver struct {
 	registrar *registrar.Registrar
 	clock     clock.Clock
-	// since is when this process began to answer queries. Times since then identify replies: one from before a restart
-	// appears to be of the future.
+	// since is when this process began to answer queries, and id tells it from others at its address.
 	since time.Time
+	id    uint64
+}
+
+func newReportReceiver(r *registrar.Registrar, c clock.Clock) *reportReceiver {
+	return &reportReceiver{registrar: r, clock: c, since: c.Now(), id: rand.Uint64()}
 }
 
 // stamp marks a reply, so that a report with the next query shows how long it was in transit.
 func (r *reportReceiver) stamp(b registrar.Batch) registrar.Batch {
 	if b.Lost {
-		b.SentAt = max(1, r.clock.Since(r.since))
+		b.SentBy, b.SentAt = r.id, max(1, r.clock.Since(r.since))
 	}
 	return b
 }
@@ -65,7 +70,7 @@
 	b.AsOf = r.registrar.Clock.Now()
 	now := r.clock.Since(r.since)
 	transit := now - report.ReplySentAt - report.ReplyAge
-	followsReply := report.ReplySentAt > 0 && report.ReplySentAt <= now && report.ReplyAge >= 0 && report.ReplyAge <= maxReplyAge
+	followsReply := report.ReplySentBy == r.id && report.ReplySentAt > 0 && report.ReplySentAt <= now && report.ReplyAge >= 0 && report.ReplyAge <= maxReplyAge
 	if !followsReply || transit < -maxClockDrift {
 		klog.InfoS("Weights report ignored", "confirmedBy", b.ConfirmedBy, "age", b.Age, "replySentAt", report.ReplySentAt, "replyAge", report.ReplyAge)
 		return
--- a/internal/syncer/weights_report_test.go
+++ b/internal/syncer/weights_report_test.go
@@ -29,6 +29,7 @@
 		"reply of the future":           {func(r *messenger.WeightsReport) { r.ReplySentAt += 2 * transit }, time.Minute},
 		"greatest reply":                {func(r *messenger.WeightsReport) { r.ReplySentAt = math.MaxInt64 }, time.Minute},
 		"without a reply":               {func(r *messenger.WeightsReport) { r.ReplySentAt = 0 }, time.Minute},
+		"reply of another process":      {func(r *messenger.WeightsReport) { r.ReplySentBy++ }, time.Minute},
 		"negative reply":                {func(r *messenger.WeightsReport) { r.ReplySentAt = -time.Hour }, time.Minute},
 		"clocks that drift apart":       {func(r *messenger.WeightsReport) { r.ReplyAge = transit + 5*time.Millisecond }, 0},
 		"reply of long ago":             {func(r *messenger.WeightsReport) { r.ReplySentAt, r.ReplyAge = time.Second, 15*time.Second }, time.Minute},
@@ -47,7 +48,7 @@
 			must.True(t, reply.Lost)
 			must.Eq(t, time.Minute-transit, reply.SentAt)
 			c.Step(transit)
-			report := messenger.WeightsReport{Batch: registrar.Batch{After: 1, At: 1}, ReplySentAt: reply.SentAt}
+			report := messenger.WeightsReport{Batch: registrar.Batch{After: 1, At: 1}, ReplySentBy: reply.SentBy, ReplySentAt: reply.SentAt}
 			tc.alter(&report)
 			answer(t.Context(), messenger.RecordsQuery{After: 1, Weights: &report})
 			must.Eq(t, tc.want, entry.Confirmation().StoreAge)
