--- a/internal/messenger/records.go
+++ b/internal/messenger/records.go
@@ -56,7 +56,8 @@
 type WeightsReport struct {
 	// Batch is that of registrar.WeightsBeyond.
 	Batch registrar.Batch `json:"batch"`
-	// ReplySentBy and ReplySentAt are the reply's SentBy and SentAt, and ReplyAge the time since its arrival: the report was sent that much later.
+	// ReplySentBy and ReplySentAt are the reply's SentBy and SentAt, and ReplyAge the time since its arrival: the report was
+	// sent that much later.
 	ReplySentBy uint64        `json:"replySentBy"`
 	ReplySentAt time.Duration `json:"replySentAt"`
 	ReplyAge    time.Duration `json:"replyAge"`
