--- a/internal/connector/status_test.go
+++ b/internal/connector/status_test.go
@@ -1,7 +1,6 @@
 package connector_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/oriolecroft/oriolecroft/internal/bodyreader/bodyreadertest"
 	"github.com/oriolecroft/oriolecroft/internal/connector"
 )
 
@@ -86,44 +86,13 @@
 	}
 }
 
-// serveBytes answers each request with the given bytes and leaves its connection open. It returns its address.
-func serveBytes(t *testing.T, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				requests := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(requests)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if _, err := conn.Write([]byte(answer)); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against a client over NewTransport that takes a reply for an answer although its status is none.
 func TestTransportReturnsNoInvalidStatus(t *testing.T) {
 	for _, status := range invalidStatuses {
 		for how, rest := range bodies {
 			t.Run(status+" "+how, func(t *testing.T) {
 				t.Parallel()
-				address := serveBytes(t, "HTTP/1.1 "+status+" Trouble\r\n"+rest)
+				address := bodyreadertest.ServeInTurn(t, "HTTP/1.1 "+status+" Trouble\r\n"+rest).String()
 				transport := connector.NewTransport(connector.DialContext)
 				defer transport.CloseIdleConnections()
 				client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
@@ -143,7 +112,7 @@
 
 // Guards against an interim reply whose body passes for the final one over NewTransport.
 func TestTransportReturnsNoBodyOfAnInterimReply(t *testing.T) {
-	address := serveBytes(t, "HTTP/1.1 103 Early Hints\r\n"+bodies["a reply by length"])
+	address := bodyreadertest.ServeInTurn(t, "HTTP/1.1 103 Early Hints\r\n"+bodies["a reply by length"]).String()
 	transport := connector.NewTransport(connector.DialContext)
 	defer transport.CloseIdleConnections()
 	res, err := (&http.Client{Transport: transport, Timeout: 5 * time.Second}).Get("http://" + address)
@@ -160,10 +129,10 @@
 	transport := connector.NewTransport(connector.DialContext)
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
-	res, err := client.Get("http://" + serveBytes(t, strings.Repeat(early, 8)+final))
+	res, err := client.Get("http://" + bodyreadertest.ServeInTurn(t, strings.Repeat(early, 8)+final).String())
 	must.NoError(t, err)
 	must.NoError(t, res.Body.Close())
-	res, err = client.Get("http://" + serveBytes(t, strings.Repeat(early, 100)+final))
+	res, err = client.Get("http://" + bodyreadertest.ServeInTurn(t, strings.Repeat(early, 100)+final).String())
 	if err == nil {
 		res.Body.Close()
 	}
@@ -176,7 +145,7 @@
 	for _, status := range invalidStatuses {
 		t.Run(status, func(t *testing.T) {
 			t.Parallel()
-			address := serveBytes(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n")
+			address := bodyreadertest.ServeInTurn(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n").String()
 			var dials atomic.Int64
 			transport := connector.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
 				dials.Add(1)
--- a/internal/syncer/undated_report_test.go
+++ b/internal/syncer/undated_report_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// startInAnInferredOutage starts members of a fleet anew, which the store answers from then on as the only ones, after a
+// startInAnInferredOutage restarts members of a fleet, which the store answers from then on as the only ones, after a
 // version was announced. The announcement must not count from later.
 func startInAnInferredOutage(t *testing.T, started []int) {
 	const entries = 18
