Revert "gossiper: a record that can't be read is no outage if the head is higher"

Cause: entries whose record is slow no longer count as having lost the store, so the others, whose confirmation ends meanwhile, find no majority for an outage.

The fault that it fixed is back: TestUnreadableRecordIsNoOutage is known red. The two tests of its limits, and those of bundles accepted in an inferred outage, stay.

--- a/internal/gossiper/watcher.go
+++ b/internal/gossiper/watcher.go
@@ -125,24 +125,13 @@
 
 // Probe reads the bundle from the store once. A long poll alone is not enough:
 // one that died without an error looks like one that waits for a change.
-//
-// Once the store has named a higher revision, a record that can't be read is no
-// sign of an outage.
 func (w *Watcher) Probe(ctx context.Context) error {
-	stopMarking := w.markFailedEvery(w.State.ReachableFor() / 4)
-	defer stopMarking()
-	head, err := w.probeHead(ctx)
-	if err != nil || head == headConfirmed {
+	defer w.markFailedEvery(w.State.ReachableFor() / 4)()
+	if done, err := w.probeHead(ctx); done {
 		return err
 	}
-	if head == headHigher {
-		stopMarking()
-	}
 	askedAt := w.Clock.Now()
 	item, err := w.Store.Get(ctx, w.key())
-	if head == headHigher && !isAnswer(err) {
-		return err
-	}
 	if err := w.observe(item, err, askedAt); err != nil {
 		w.State.MarkStoreFailed()
 		return err
@@ -151,42 +140,29 @@
 	return nil
 }
 
-// headResult is the outcome of reading the head; all but headConfirmed require
-// that the record is read.
-type headResult int
-
-const (
-	headUnknown headResult = iota
-	headConfirmed
-	headHigher
-)
-
-// probeHead reads only the head.
-func (w *Watcher) probeHead(ctx context.Context) (headResult, error) {
-	b, r := w.State.Current()
-	if b == nil {
-		return headUnknown, nil
+// probeHead reads only the head. It is done if that confirms the held bundle or
+// the store fails; otherwise the record has to be read.
+func (w *Watcher) probeHead(ctx context.Context) (done bool, err error) {
+	_, r := w.State.Current()
+	if r == nil {
+		return false, nil
 	}
 	askedAt := w.Clock.Now()
 	item, err := w.Store.Get(ctx, HeadKey)
-	if err != nil && isAnswer(err) {
-		return headUnknown, nil
+	var missing *storer.NotFoundError
+	if errors.As(err, &missing) {
+		return false, nil
 	}
 	if err != nil {
 		w.State.MarkStoreFailed()
-		return headUnknown, err
+		return true, err
 	}
 	var h Head
-	switch err := json.Unmarshal(item.Value, &h); {
-	case err != nil:
-		return headUnknown, nil
-	case h.Digest == r.Digest():
-		w.State.Confirm(h.Revision, h.Digest, askedAt)
-		return headConfirmed, nil
-	case h.Revision > b.Revision:
-		return headHigher, nil
+	if json.Unmarshal(item.Value, &h) != nil || h.Digest != r.Digest() {
+		return false, nil
 	}
-	return headUnknown, nil
+	w.State.Confirm(h.Revision, h.Digest, askedAt)
+	return true, nil
 }
 
 // markFailedEvery marks the store as failed at intervals of d until stopped. A
@@ -334,12 +310,6 @@
 	return w.Key
 }
 
-// isAnswer reports whether the store answered the read of a key.
-func isAnswer(err error) bool {
-	var missing *storer.NotFoundError
-	return err == nil || errors.As(err, &missing)
-}
-
 func isUnchanged(err error) bool {
 	var unchanged *storer.UnchangedError
 	return errors.As(err, &unchanged)
