--- a/internal/connector/reply.go
+++ b/internal/connector/reply.go
@@ -58,7 +58,7 @@
 }
 
 // Next reads the next final reply up to its body; the previous body has to be read before. Errors are *OversizeError for
-// a head that is too long, *StatusError for a status that is none, and *InterimBodyError. After an error nothing more can
+// a head that is too long, *StatusError for an invalid status, and *InterimBodyError. After an error nothing more can
 // be read.
 func (r *ReplyReader) Next(method string) (*http.Response, error) {
 	r.head.remaining = MaxReplyHead
--- a/internal/connector/status.go
+++ b/internal/connector/status.go
@@ -11,7 +11,7 @@
 	maxFinalStatus = 599
 )
 
-// StatusError reports a reply that is no HTTP reply to the request by its status. Nothing more can be read from the
+// StatusError reports a reply with a status that HTTP does not define for it. Nothing more can be read from the
 // connection, as it isn't known where such a reply ends.
 type StatusError struct{ Status int }
 
