--- a/review/second/bed/bed.go
+++ b/review/second/bed/bed.go
@@ -17,6 +17,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -290,3 +292,19 @@
 	_ = c.(*net.TCPConn).SetLinger(0)
 	c.Close()
 }
+
+// ProcessorTicks returns the processor time that the process has used, in ticks of 10 ms; 0 if it has ended.
+func (p *Process) ProcessorTicks() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var user, system int
+	_, after, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(after)
+	if len(fields) > 12 {
+		user, _ = strconv.Atoi(fields[11])
+		system, _ = strconv.Atoi(fields[12])
+	}
+	return user + system
+}
